--- /dev/null
+++ b/internal/base/caevent/event.go
@@ -0,0 +1,70 @@
+// Package caevent numbers the events that the system logs. Every number is
+// listed in docs/EVENTS.md, which a test enforces.
+package caevent
+
+import (
+	"github.com/rs/zerolog"
+)
+
+//go:generate go tool enumer -type=Number -transform=snake -output=event_names.go
+
+// Number identifies a kind of log line. Numbers are never reused.
+type Number int
+
+// The events. The hundreds give the area: 1xx process, 2xx configuration,
+// 3xx membership and ownership, 4xx placement, 5xx requests, 6xx shards and
+// limits, 7xx platform.
+const (
+	EntryStarted      Number = 100
+	EntryStopping     Number = 101
+	EntryStopped      Number = 102
+	PartFailed        Number = 103
+	StandinStarted    Number = 104
+	ConfigApplied     Number = 200
+	ConfigRefused     Number = 201
+	ConfigConflict    Number = 202
+	ConfigSnapshot    Number = 203
+	KeyRefused        Number = 204
+	MemberChanged     Number = 300
+	OwnershipGained   Number = 301
+	OwnershipLost     Number = 302
+	OwnershipReleased Number = 303
+	UpstreamListed    Number = 304
+	UpstreamUnlisted  Number = 305
+	JobAccepted       Number = 400
+	JobRefused        Number = 401
+	TaskPlaced        Number = 402
+	TaskEnded         Number = 403
+	TaskRetried       Number = 404
+	TaskAdopted       Number = 405
+	TaskStopped       Number = 406
+	JobEnded          Number = 407
+	StartFailed       Number = 408
+	RequestRouted     Number = 500
+	RequestRefused    Number = 501
+	RequestAnswered   Number = 502
+	RequestRetried    Number = 503
+	UpstreamEjected   Number = 504
+	UpstreamRestored  Number = 505
+	ShardTakenOver    Number = 600
+	ShardViewChanged  Number = 601
+	ShardDeposed      Number = 602
+	AllowanceMoved    Number = 603
+	AllowanceMinted   Number = 604
+	AllowanceBurned   Number = 605
+	LogUnavailable    Number = 700
+	LogRestored       Number = 701
+	VMListUnavailable Number = 702
+)
+
+// Log starts a line of the event at the level. The caller adds fields and
+// ends it with Send.
+func Log(l zerolog.Logger, level zerolog.Level, n Number) *zerolog.Event {
+	return l.WithLevel(level).Int("event", int(n)).Str("name", n.String())
+}
+
+// Info starts an informational line of the event.
+func Info(l zerolog.Logger, n Number) *zerolog.Event { return Log(l, zerolog.InfoLevel, n) }
+
+// Warn starts a warning line of the event.
+func Warn(l zerolog.Logger, n Number) *zerolog.Event { return Log(l, zerolog.WarnLevel, n) }
--- /dev/null
+++ b/internal/base/cawork/resources.go
@@ -0,0 +1,87 @@
+package cawork
+
+import "fmt"
+
+// MilliCPU is an amount of processor time in thousandths of a core.
+type MilliCPU int64
+
+// Bytes is an amount of memory.
+type Bytes int64
+
+// Units of Bytes.
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+)
+
+// Cores returns n whole cores.
+func Cores(n int64) MilliCPU { return MilliCPU(n * 1000) }
+
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
+	CPU          MilliCPU `json:"cpu_milli"`
+	Memory       Bytes    `json:"memory_bytes"`
+	Accelerators int64    `json:"accelerators"`
+}
+
+// Plus returns the sum of both amounts.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{
+		CPU:          r.CPU + o.CPU,
+		Memory:       r.Memory + o.Memory,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Minus returns the difference of both amounts, which may be negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{
+		CPU:          r.CPU - o.CPU,
+		Memory:       r.Memory - o.Memory,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Times returns the amount n times.
+func (r Resources) Times(n int64) Resources {
+	return Resources{
+		CPU:          r.CPU * MilliCPU(n),
+		Memory:       r.Memory * Bytes(n),
+		Accelerators: r.Accelerators * n,
+	}
+}
+
+// Fits reports whether the amount is within the other in every dimension.
+func (r Resources) Fits(in Resources) bool {
+	return r.CPU <= in.CPU && r.Memory <= in.Memory && r.Accelerators <= in.Accelerators
+}
+
+// IsZero reports whether every dimension is zero.
+func (r Resources) IsZero() bool { return r == Resources{} }
+
+// IsNegative reports whether any dimension is below zero.
+func (r Resources) IsNegative() bool {
+	return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0
+}
+
+// DominantShare returns the largest fraction that the amount takes of the
+// total over the dimensions that the total has.
+func (r Resources) DominantShare(total Resources) float64 {
+	share := fraction(int64(r.CPU), int64(total.CPU))
+	share = max(share, fraction(int64(r.Memory), int64(total.Memory)))
+	return max(share, fraction(r.Accelerators, total.Accelerators))
+}
+
+// String returns the amount in cores, MiB and accelerators.
+func (r Resources) String() string {
+	return fmt.Sprintf("%.3f cores, %d MiB, %d accelerators",
+		float64(r.CPU)/1000, r.Memory/MiB, r.Accelerators)
+}
+
+func fraction(part, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
