--- /dev/null
+++ b/internal/node/caapi/api.go
@@ -0,0 +1,257 @@
+// Package caapi answers callers and operators over HTTP.
+package caapi
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// Paths of the API.
+const (
+	PathJobs     = "/v1/jobs"
+	PathRequests = "/v1/requests"
+	PathStatus   = "/v1/status"
+	PathHealth   = "/healthz"
+	PathMetrics  = "/metrics"
+)
+
+// Headers of the API.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderQueue          = "X-Queue"
+	bearerPrefix         = "Bearer "
+)
+
+const (
+	// maxWait bounds how long a caller may wait for a job in one call.
+	maxWait = 5 * time.Minute
+	// readHeaderTimeout bounds the time to receive the headers of a call.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout ends connections that carried nothing for this time.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a call.
+	maxHeaderBytes = 16 << 10
+	// maxSubmitBytes bounds the body of a submission.
+	maxSubmitBytes = 128 << 10
+)
+
+// Authorizer maps a key, or a queue open to all, to the team that is charged.
+type Authorizer interface {
+	AuthorizeKey(key string) (cawork.TeamName, error)
+	AuthorizeQueue(queue string, kind cawork.WorkKind) (cawork.TeamName, error)
+}
+
+// Jobs accepts and follows jobs.
+type Jobs interface {
+	Submit(ctx context.Context, team cawork.TeamName, spec cawork.JobSpec, idempotencyKey string) (cawork.JobID, error)
+	Get(ctx context.Context, id cawork.JobID) (JobAnswer, error)
+	Wait(ctx context.Context, id cawork.JobID) (JobAnswer, error)
+	Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error
+}
+
+// Requests runs a request for a team and streams the answer.
+type Requests interface {
+	ServeRequest(w http.ResponseWriter, r *http.Request, team cawork.TeamName)
+}
+
+// Status reports the state of the entry and of the cell as it sees it.
+type Status interface {
+	Status(ctx context.Context) any
+	// Ready reports whether the balancer should send calls.
+	Ready() bool
+}
+
+// Config wires the API.
+type Config struct {
+	Authorizer Authorizer
+	Jobs       Jobs
+	Requests   Requests
+	Status     Status
+	Metrics    http.Handler
+}
+
+// API answers the calls of callers and operators.
+type API struct {
+	config Config
+	server *http.Server
+	done   chan struct{}
+}
+
+// NewAPI returns an API that is not serving yet.
+func NewAPI(config Config) *API {
+	a := &API{config: config, done: make(chan struct{})}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = writeError
+	e.POST(PathJobs, a.submit)
+	e.GET(PathJobs+"/:id", a.get)
+	e.DELETE(PathJobs+"/:id", a.cancel)
+	e.POST(PathRequests, a.request)
+	e.GET(PathStatus, a.status)
+	e.GET(PathHealth, a.health)
+	e.GET(PathMetrics, echo.WrapHandler(config.Metrics))
+	a.server = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return a
+}
+
+// Handler returns the HTTP handler of the API.
+func (a *API) Handler() http.Handler { return a.server.Handler }
+
+// Serve answers calls on the listener until Shutdown.
+func (a *API) Serve(lis net.Listener) error {
+	defer close(a.done)
+	if err := a.server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown takes no new calls and waits for those in progress.
+func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
+
+// Done is closed when the API has ended.
+func (a *API) Done() <-chan struct{} { return a.done }
+
+func (a *API) submit(c echo.Context) error {
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxSubmitBytes)
+	var body SubmitRequest
+	if err := decodeStrict(c.Request().Body, &body); err != nil {
+		return err
+	}
+	spec, err := body.Spec()
+	if err != nil {
+		return err
+	}
+	team, err := a.authorize(c.Request(), body.Queue, body.Kind)
+	if err != nil {
+		return err
+	}
+	key := c.Request().Header.Get(HeaderIdempotencyKey)
+	id, err := a.config.Jobs.Submit(c.Request().Context(), team, spec, key)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusAccepted, SubmitAnswer{JobID: id})
+}
+
+func (a *API) get(c echo.Context) error {
+	team, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
+	if err != nil {
+		return err
+	}
+	answer, err := a.lookUp(c)
+	if err != nil {
+		return err
+	}
+	if answer.Team != team {
+		return cakind.New(cakind.KindNotFound, "no job %s of team %s", answer.JobID, team)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (a *API) lookUp(c echo.Context) (JobAnswer, error) {
+	id := cawork.JobID(c.Param("id"))
+	ctx := c.Request().Context()
+	text := c.QueryParam("wait")
+	if text == "" {
+		return a.config.Jobs.Get(ctx, id)
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		return JobAnswer{}, cakind.New(cakind.KindInvalid, "wait %q is not a duration within 0s to %v", text, maxWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return a.config.Jobs.Wait(ctx, id)
+}
+
+func (a *API) cancel(c echo.Context) error {
+	team, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
+	if err != nil {
+		return err
+	}
+	if err := a.config.Jobs.Cancel(c.Request().Context(), team, cawork.JobID(c.Param("id"))); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (a *API) request(c echo.Context) error {
+	team, err := a.authorize(c.Request(), c.Request().Header.Get(HeaderQueue), cawork.WorkKindLookup)
+	if err != nil {
+		return err
+	}
+	a.config.Requests.ServeRequest(c.Response(), c.Request(), team)
+	return nil
+}
+
+func (a *API) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, a.config.Status.Status(c.Request().Context()))
+}
+
+func (a *API) health(c echo.Context) error {
+	if !a.config.Status.Ready() {
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// authorize prefers the key of the call; without one the named queue must be
+// open to all.
+func (a *API) authorize(r *http.Request, queue string, kind cawork.WorkKind) (cawork.TeamName, error) {
+	header := r.Header.Get(echo.HeaderAuthorization)
+	if key, ok := strings.CutPrefix(header, bearerPrefix); ok {
+		return a.config.Authorizer.AuthorizeKey(key)
+	}
+	if queue != "" {
+		return a.config.Authorizer.AuthorizeQueue(queue, kind)
+	}
+	return "", cakind.New(cakind.KindUnauthenticated, "send a key in the header Authorization: Bearer KEY")
+}
+
+// writeError answers every error by the table of kinds.
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	kind, message := classify(err)
+	answer := cakind.AnswerTo(kind)
+	if after := cakind.RetryAfterOf(err); after > 0 {
+		seconds := int(math.Ceil(after.Seconds()))
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	body := ErrorAnswer{Kind: kind, Execution: answer.Execution, Retryable: answer.Retryable, Message: message}
+	_ = c.JSON(answer.Status, body)
+}
+
+func classify(err error) (cakind.Kind, string) {
+	var framework *echo.HTTPError
+	if !errors.As(err, &framework) {
+		return cakind.Of(err), err.Error()
+	}
+	switch framework.Code {
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		return cakind.KindNotFound, "no such path or method"
+	case http.StatusRequestEntityTooLarge:
+		return cakind.KindTooLarge, "the body is too large"
+	default:
+		return cakind.KindInvalid, framework.Error()
+	}
+}
--- /dev/null
+++ b/internal/node/capeer/peer.go
@@ -0,0 +1,158 @@
+// Package capeer carries typed messages between entries over drpc, encoded
+// with CBOR, and keeps the kind of an error on the way.
+package capeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+const (
+	// connectionsPerPeer bounds the idle connections kept to one peer.
+	connectionsPerPeer = 8
+	// idleTimeout ends connections that carried nothing for this time.
+	idleTimeout = time.Minute
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 2 * time.Second
+	// codeOffset keeps a kind apart from the code 0, which means no code.
+	codeOffset = 1
+)
+
+// encoding encodes messages with CBOR.
+type encoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(msg drpc.Message) ([]byte, error) { return cbor.Marshal(msg) }
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(buf []byte, msg drpc.Message) error { return cbor.Unmarshal(buf, msg) }
+
+type method func(stream drpc.Stream) error
+
+// Server answers the calls of peers.
+type Server struct {
+	methods map[string]method
+	done    chan struct{}
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{methods: make(map[string]method), done: make(chan struct{})}
+}
+
+// Handle adds a typed method. All methods are added before Serve.
+func Handle[In, Out any](s *Server, name string, call func(ctx context.Context, in In) (Out, error)) {
+	s.methods[name] = func(stream drpc.Stream) error {
+		var in In
+		if err := stream.MsgRecv(&in, encoding{}); err != nil {
+			return withCode(cakind.Wrap(cakind.KindInvalid, err, "decode call %s", name))
+		}
+		out, err := call(stream.Context(), in)
+		if err != nil {
+			return withCode(err)
+		}
+		return stream.MsgSend(&out, encoding{})
+	}
+}
+
+func withCode(err error) error {
+	return drpcerr.WithCode(err, uint64(cakind.Of(err))+codeOffset)
+}
+
+// HandleRPC implements drpc.Handler.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	m, ok := s.methods[rpc]
+	if !ok {
+		return withCode(cakind.New(cakind.KindNotFound, "no such call %q", rpc))
+	}
+	return m(stream)
+}
+
+// Serve answers calls on the listener until the context ends. A TLS
+// configuration makes it accept only peers that it verifies.
+func (s *Server) Serve(ctx context.Context, lis net.Listener, config *tls.Config) error {
+	defer close(s.done)
+	if config != nil {
+		lis = tls.NewListener(lis, config)
+	}
+	return drpcserver.New(s).Serve(ctx, lis)
+}
+
+// Done is closed when the server has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Client calls peers by address.
+type Client struct {
+	config *tls.Config
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	once   sync.Once
+}
+
+// NewClient returns a client. A nil TLS configuration means plain TCP.
+func NewClient(config *tls.Config) *Client {
+	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: connectionsPerPeer}
+	return &Client{config: config, pool: drpcpool.New[string, drpcpool.Conn](options)}
+}
+
+// Call sends the message to the method of the peer at the address. An error of
+// KindUnavailable means that the message was not sent, KindUnknown that its
+// effect may have taken place; other kinds come from the peer.
+func Call[In, Out any](ctx context.Context, c *Client, address, name string, in In) (Out, error) {
+	var out Out
+	dialed := true
+	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		fresh, err := c.dial(ctx, address)
+		dialed = err == nil
+		return fresh, err
+	})
+	defer func() { _ = conn.Close() }()
+	err := conn.Invoke(ctx, name, encoding{}, &in, &out)
+	switch {
+	case err == nil:
+		return out, nil
+	case !dialed:
+		return out, cakind.Wrap(cakind.KindUnavailable, err, "reach peer %s", address)
+	case drpcerr.Code(err) >= codeOffset:
+		return out, cakind.New(cakind.Kind(drpcerr.Code(err)-codeOffset), "%s", err.Error())
+	default:
+		return out, cakind.Wrap(cakind.KindUnknown, err, "call %s of peer %s", name, address)
+	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.config == nil {
+		return drpcconn.New(raw), nil
+	}
+	secure := tls.Client(raw, c.config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return drpcconn.New(secure), nil
+}
+
+// Close ends all connections.
+func (c *Client) Close() error {
+	var err error
+	c.once.Do(func() { err = c.pool.Close() })
+	return err
+}
--- /dev/null
+++ b/internal/platform/cahttp/adapter.go
@@ -0,0 +1,178 @@
+// Package cahttp reaches the services of the platform over HTTP with JSON.
+package cahttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/platform/cawire"
+)
+
+// Paths of the services.
+const (
+	PathAppend       = "/log/v1/append"
+	PathRead         = "/log/v1/read"
+	PathVMs          = "/vms/v1/list"
+	PathClaim        = "/agent/v1/claim"
+	PathHeartbeat    = "/agent/v1/heartbeat"
+	PathRelease      = "/agent/v1/release"
+	PathStart        = "/agent/v1/start"
+	PathStop         = "/agent/v1/stop"
+	PathFence        = "/agent/v1/fence"
+	PathReadRegister = "/agent/v1/read_register"
+	PathSwapRegister = "/agent/v1/swap_register"
+)
+
+// connectionsPerHost bounds the control connections to one service.
+const connectionsPerHost = 4
+
+// Empty is the body of a call or an answer without fields.
+type Empty struct{}
+
+// AppendCall is the body of an append to the log.
+type AppendCall struct {
+	Topic    string   `json:"topic"`
+	Payloads [][]byte `json:"payloads"`
+}
+
+// AppendAnswer is the answer to an append.
+type AppendAnswer struct {
+	Offset caplatform.Offset `json:"offset"`
+}
+
+// ReadCall is the body of a read from the log.
+type ReadCall struct {
+	Topic string            `json:"topic"`
+	From  caplatform.Offset `json:"from"`
+	Max   int               `json:"max"`
+}
+
+// VMsAnswer is the answer of the list of VMs.
+type VMsAnswer struct {
+	VMs []caplatform.VM `json:"vms"`
+}
+
+// FenceAnswer is the answer to a fence.
+type FenceAnswer struct {
+	Tasks []caplatform.TaskStatus `json:"tasks"`
+}
+
+// RegisterCall is the body of a read of a register.
+type RegisterCall struct {
+	Name string `json:"name"`
+}
+
+// NewClient returns an HTTP client for control calls with the timeout.
+func NewClient(timeout time.Duration) *http.Client {
+	transport := &http.Transport{
+		MaxConnsPerHost:     connectionsPerHost,
+		MaxIdleConnsPerHost: connectionsPerHost,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &http.Client{Transport: transport, Timeout: timeout}
+}
+
+// Log is the log service at a base URL.
+type Log struct {
+	client *http.Client
+	base   string
+}
+
+// NewLog returns the log service at the address (host and port).
+func NewLog(client *http.Client, address string) *Log {
+	return &Log{client: client, base: "http://" + address}
+}
+
+// Append implements caplatform.Log.
+func (l *Log) Append(ctx context.Context, topic string, payloads [][]byte) (caplatform.Offset, error) {
+	call := AppendCall{Topic: topic, Payloads: payloads}
+	answer, err := cawire.Post[AppendCall, AppendAnswer](ctx, l.client, l.base+PathAppend, call)
+	return answer.Offset, err
+}
+
+// Read implements caplatform.Log.
+func (l *Log) Read(ctx context.Context, topic string, from caplatform.Offset, limit int) (caplatform.Page, error) {
+	call := ReadCall{Topic: topic, From: from, Max: limit}
+	return cawire.Post[ReadCall, caplatform.Page](ctx, l.client, l.base+PathRead, call)
+}
+
+// VMList is the list of VMs at a base URL.
+type VMList struct {
+	client *http.Client
+	base   string
+}
+
+// NewVMList returns the list of VMs at the address (host and port).
+func NewVMList(client *http.Client, address string) *VMList {
+	return &VMList{client: client, base: "http://" + address}
+}
+
+// List implements caplatform.VMList.
+func (v *VMList) List(ctx context.Context) ([]caplatform.VM, error) {
+	answer, err := cawire.Post[Empty, VMsAnswer](ctx, v.client, v.base+PathVMs, Empty{})
+	return answer.VMs, err
+}
+
+// Agents reaches the agents of upstreams.
+type Agents struct {
+	client *http.Client
+}
+
+// NewAgents returns agents that share the client.
+func NewAgents(client *http.Client) *Agents { return &Agents{client: client} }
+
+// Agent implements caplatform.Agents.
+func (a *Agents) Agent(address string) caplatform.Agent {
+	return &Agent{client: a.client, base: "http://" + address}
+}
+
+// Agent is the agent of one upstream.
+type Agent struct {
+	client *http.Client
+	base   string
+}
+
+// Claim implements caplatform.Agent.
+func (a *Agent) Claim(ctx context.Context, c caplatform.Claim) (caplatform.ClaimResult, error) {
+	return cawire.Post[caplatform.Claim, caplatform.ClaimResult](ctx, a.client, a.base+PathClaim, c)
+}
+
+// Heartbeat implements caplatform.Agent.
+func (a *Agent) Heartbeat(ctx context.Context, h caplatform.Heartbeat) (caplatform.HeartbeatResult, error) {
+	return cawire.Post[caplatform.Heartbeat, caplatform.HeartbeatResult](ctx, a.client, a.base+PathHeartbeat, h)
+}
+
+// Release implements caplatform.Agent.
+func (a *Agent) Release(ctx context.Context, o caplatform.Ownership) error {
+	_, err := cawire.Post[caplatform.Ownership, Empty](ctx, a.client, a.base+PathRelease, o)
+	return err
+}
+
+// Start implements caplatform.Agent.
+func (a *Agent) Start(ctx context.Context, s caplatform.Start) (caplatform.TaskStatus, error) {
+	return cawire.Post[caplatform.Start, caplatform.TaskStatus](ctx, a.client, a.base+PathStart, s)
+}
+
+// Stop implements caplatform.Agent.
+func (a *Agent) Stop(ctx context.Context, s caplatform.Stop) (caplatform.TaskStatus, error) {
+	return cawire.Post[caplatform.Stop, caplatform.TaskStatus](ctx, a.client, a.base+PathStop, s)
+}
+
+// Fence implements caplatform.Agent.
+func (a *Agent) Fence(ctx context.Context, f caplatform.ShardFence) ([]caplatform.TaskStatus, error) {
+	answer, err := cawire.Post[caplatform.ShardFence, FenceAnswer](ctx, a.client, a.base+PathFence, f)
+	return answer.Tasks, err
+}
+
+// ReadRegister implements caplatform.Agent.
+func (a *Agent) ReadRegister(ctx context.Context, name string) (caplatform.Register, error) {
+	call := RegisterCall{Name: name}
+	return cawire.Post[RegisterCall, caplatform.Register](ctx, a.client, a.base+PathReadRegister, call)
+}
+
+// SwapRegister implements caplatform.Agent.
+func (a *Agent) SwapRegister(ctx context.Context, s caplatform.RegisterSwap) (caplatform.Register, error) {
+	return cawire.Post[caplatform.RegisterSwap, caplatform.Register](ctx, a.client, a.base+PathSwapRegister, s)
+}
--- /dev/null
+++ b/internal/platform/cahttp/server.go
@@ -0,0 +1,47 @@
+package cahttp
+
+import (
+	"context"
+	"net/http"
+
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/platform/cawire"
+)
+
+// ServeLog adds the paths of the log service to the mux.
+func ServeLog(mux *http.ServeMux, l caplatform.Log) {
+	mux.Handle(PathAppend, cawire.Handler(func(ctx context.Context, c AppendCall) (AppendAnswer, error) {
+		offset, err := l.Append(ctx, c.Topic, c.Payloads)
+		return AppendAnswer{Offset: offset}, err
+	}))
+	mux.Handle(PathRead, cawire.Handler(func(ctx context.Context, c ReadCall) (caplatform.Page, error) {
+		return l.Read(ctx, c.Topic, c.From, c.Max)
+	}))
+}
+
+// ServeVMList adds the path of the list of VMs to the mux.
+func ServeVMList(mux *http.ServeMux, v caplatform.VMList) {
+	mux.Handle(PathVMs, cawire.Handler(func(ctx context.Context, _ Empty) (VMsAnswer, error) {
+		vms, err := v.List(ctx)
+		return VMsAnswer{VMs: vms}, err
+	}))
+}
+
+// ServeAgent adds the paths of an agent to the mux.
+func ServeAgent(mux *http.ServeMux, a caplatform.Agent) {
+	mux.Handle(PathClaim, cawire.Handler(a.Claim))
+	mux.Handle(PathHeartbeat, cawire.Handler(a.Heartbeat))
+	mux.Handle(PathStart, cawire.Handler(a.Start))
+	mux.Handle(PathStop, cawire.Handler(a.Stop))
+	mux.Handle(PathSwapRegister, cawire.Handler(a.SwapRegister))
+	mux.Handle(PathRelease, cawire.Handler(func(ctx context.Context, o caplatform.Ownership) (Empty, error) {
+		return Empty{}, a.Release(ctx, o)
+	}))
+	mux.Handle(PathFence, cawire.Handler(func(ctx context.Context, f caplatform.ShardFence) (FenceAnswer, error) {
+		tasks, err := a.Fence(ctx, f)
+		return FenceAnswer{Tasks: tasks}, err
+	}))
+	mux.Handle(PathReadRegister, cawire.Handler(func(ctx context.Context, c RegisterCall) (caplatform.Register, error) {
+		return a.ReadRegister(ctx, c.Name)
+	}))
+}
--- /dev/null
+++ b/internal/platform/cawire/wire.go
@@ -0,0 +1,105 @@
+// Package cawire carries typed calls as JSON over HTTP between the system and
+// the services of the platform, and keeps the kind of an error on the way.
+package cawire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+// MaxMessageBytes bounds the body of one call or answer.
+const MaxMessageBytes = 16 << 20
+
+// Fault is the body of an answer that reports an error.
+type Fault struct {
+	Kind    cakind.Kind `json:"kind"`
+	Message string      `json:"message"`
+}
+
+// Post sends the message to the URL and decodes the answer. An error of
+// KindUnavailable means that the message was not delivered, KindUnknown that
+// it may have been.
+func Post[In, Out any](ctx context.Context, client *http.Client, url string, in In) (Out, error) {
+	var out Out
+	body, err := json.Marshal(in)
+	if err != nil {
+		return out, cakind.Wrap(cakind.KindInternal, err, "encode call to %s", url)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return out, cakind.Wrap(cakind.KindInvalid, err, "build call to %s", url)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return out, cakind.Wrap(deliveryKind(err), err, "call %s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decode[Out](resp, url)
+}
+
+// deliveryKind tells a call that never left from one whose answer was lost.
+func deliveryKind(err error) cakind.Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return cakind.KindUnavailable
+	}
+	return cakind.KindUnknown
+}
+
+func decode[Out any](resp *http.Response, url string) (Out, error) {
+	var out Out
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageBytes))
+	if err != nil {
+		return out, cakind.Wrap(cakind.KindUnknown, err, "read answer of %s", url)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return out, decodeFault(resp.StatusCode, body, url)
+	}
+	if err := json.Unmarshal(body, &out); err != nil {
+		return out, cakind.Wrap(cakind.KindUnknown, err, "decode answer of %s", url)
+	}
+	return out, nil
+}
+
+func decodeFault(status int, body []byte, url string) error {
+	var fault Fault
+	if err := json.Unmarshal(body, &fault); err != nil || fault.Message == "" {
+		return cakind.New(cakind.KindUnknown, "answer %d of %s", status, url)
+	}
+	return cakind.New(fault.Kind, "%s", fault.Message)
+}
+
+// Handler returns the HTTP handler of a typed call.
+func Handler[In, Out any](call func(ctx context.Context, in In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		body := http.MaxBytesReader(w, r.Body, MaxMessageBytes)
+		if err := json.NewDecoder(body).Decode(&in); err != nil {
+			WriteFault(w, cakind.Wrap(cakind.KindInvalid, err, "decode call"))
+			return
+		}
+		out, err := call(r.Context(), in)
+		if err != nil {
+			WriteFault(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	}
+}
+
+// WriteFault writes the answer to an error.
+func WriteFault(w http.ResponseWriter, err error) {
+	kind := cakind.Of(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(cakind.AnswerTo(kind).Status)
+	_ = json.NewEncoder(w).Encode(Fault{Kind: kind, Message: err.Error()})
+}
