Contract of the decision core and its naive version

Cause: the entry needs one interface to wire against, and differential tests need an oracle that keeps no sums. No measurement yet.

--- /dev/null
+++ b/internal/core/canaive/decide.go
@@ -0,0 +1,339 @@
+package canaive
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// Decide implements casched.Scheduler.
+func (s *Scheduler) Decide(now time.Time) []casched.Decision {
+	s.expireReservations(now)
+	out := s.expireJobs(now)
+	out = append(out, s.stopBrokenGangs(now)...)
+	out = append(out, s.stopExcess(now)...)
+	for len(out) < casched.MaxDecisions {
+		d, ok := s.placeNext(now)
+		if !ok {
+			break
+		}
+		out = append(out, d)
+	}
+	if err := s.Check(); err != nil {
+		s.report(err.(*casched.Violation))
+	}
+	return out
+}
+
+func (s *Scheduler) expireReservations(now time.Time) {
+	s.reservations = slices.DeleteFunc(s.reservations, func(r *reservation) bool {
+		return !now.Before(r.request.Expires)
+	})
+}
+
+func (s *Scheduler) expireJobs(now time.Time) []casched.Decision {
+	var out []casched.Decision
+	for _, j := range slices.Clone(s.jobs) {
+		if j.Spec.Deadline == 0 || now.Before(j.Accepted.Add(j.Spec.Deadline)) || !j.untouched() {
+			continue
+		}
+		for _, t := range j.tasks {
+			t.end(cawork.OutcomeNotRun)
+		}
+		s.finish(j)
+		out = append(out, decision(casched.DecisionExpire, casched.ReasonDeadline, j, now))
+	}
+	return out
+}
+
+func (j *job) untouched() bool {
+	return !slices.ContainsFunc(j.tasks, func(t *task) bool {
+		return t.phase != casched.TaskPhaseQueued || t.attempts > 0
+	})
+}
+
+func (s *Scheduler) stopBrokenGangs(now time.Time) []casched.Decision {
+	var out []casched.Decision
+	for _, j := range s.jobs {
+		broken := j.ending || slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == casched.TaskPhaseQueued })
+		if j.Spec.Kind != cawork.WorkKindGang || !broken {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.phase == casched.TaskPhaseOpen && !t.stopping {
+				out = append(out, t.stop(casched.ReasonGangMemberLost, now))
+			}
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) stopExcess(now time.Time) []casched.Decision {
+	var out []casched.Decision
+	for _, u := range s.Uses() {
+		use := u.Use
+		for _, j := range s.jobs {
+			for _, t := range j.tasks {
+				if t.team == u.Team && t.stopping && t.phase == casched.TaskPhaseOpen {
+					use = use.Minus(t.size)
+				}
+			}
+		}
+		for _, t := range s.opens() {
+			if t.job == nil || t.team != u.Team || t.stopping || use.Fits(s.allowance[u.Team]) {
+				continue
+			}
+			use = use.Minus(t.size)
+			out = append(out, t.stop(casched.ReasonOverLimit, now))
+		}
+	}
+	return out
+}
+
+func (t *task) stop(r casched.Reason, now time.Time) casched.Decision {
+	t.stopping = true
+	d := decision(casched.DecisionCheckpoint, r, t.job, now)
+	d.Placements = []casched.Placement{t.placement()}
+	return d
+}
+
+// placeNext places the first job that fits, teams with the lowest share first.
+func (s *Scheduler) placeNext(now time.Time) (casched.Decision, bool) {
+	jobs := slices.Clone(s.jobs)
+	slices.SortStableFunc(jobs, func(a, b *job) int {
+		if c := cmp.Compare(s.share(a.Team), s.share(b.Team)); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.Team, b.Team); c != 0 {
+			return c
+		}
+		return s.policy.Due(a.Job, a.Spec.RunTime).Compare(s.policy.Due(b.Job, b.Spec.RunTime))
+	})
+	for _, j := range jobs {
+		want := j.next()
+		if len(want) == 0 {
+			continue
+		}
+		share := s.share(j.Team)
+		if !s.place(j, want) {
+			continue
+		}
+		kind := casched.DecisionPlace
+		if j.Spec.Kind == cawork.WorkKindGang {
+			kind = casched.DecisionPlaceGang
+		}
+		d := decision(kind, casched.ReasonLowestShare, j, now)
+		d.Share = share
+		for _, t := range want {
+			d.Placements = append(d.Placements, t.placement())
+		}
+		return d, true
+	}
+	return casched.Decision{}, false
+}
+
+// next returns the tasks that start together next: one task, or all the queued
+// ones of a gang that has none open.
+func (j *job) next() []*task {
+	var queued []*task
+	open := 0
+	for _, t := range j.tasks {
+		switch t.phase {
+		case casched.TaskPhaseQueued:
+			queued = append(queued, t)
+		case casched.TaskPhaseOpen:
+			open++
+		}
+	}
+	if j.Spec.Kind != cawork.WorkKindGang {
+		return queued[:min(1, len(queued))]
+	}
+	if open > 0 {
+		return nil
+	}
+	return queued
+}
+
+func (s *Scheduler) place(j *job, want []*task) bool {
+	var placed []*task
+	for _, t := range want {
+		t.size = j.Spec.Size
+		id, ok := s.firstFit(t.size, j.Spec)
+		if ok && s.use(j.Team).Plus(t.size).Fits(s.allowance[j.Team]) {
+			t.phase, t.upstream = casched.TaskPhaseOpen, id
+			t.attempts++
+			placed = append(placed, t)
+			continue
+		}
+		for _, p := range placed {
+			p.phase, p.upstream = casched.TaskPhaseQueued, ""
+			p.attempts--
+		}
+		return false
+	}
+	return true
+}
+
+func (s *Scheduler) firstFit(size cawork.Resources, spec cawork.JobSpec) (cawork.UpstreamID, bool) {
+	k := s.policy.Kind(spec.Kind)
+	for _, u := range s.upstreams {
+		if u.Leaving || !u.Admits(spec.Constraints) {
+			continue
+		}
+		free, slots, connections := s.free(u)
+		if size.Fits(free) && k.Slots <= slots && k.Connections <= connections {
+			return u.ID, true
+		}
+	}
+	return "", false
+}
+
+// free returns the room, slots and connections that are left on the upstream.
+func (s *Scheduler) free(u casched.Upstream) (cawork.Resources, int, int) {
+	room, slots, connections := u.Capacity, u.Slots, u.Connections
+	take := func(size cawork.Resources, k cawork.WorkKind) {
+		room = room.Minus(size)
+		slots -= s.policy.Kind(k).Slots
+		connections -= s.policy.Kind(k).Connections
+	}
+	for _, t := range s.opens() {
+		if t.upstream == u.ID {
+			take(t.size, t.kind)
+		}
+	}
+	for _, r := range s.reservations {
+		for _, id := range r.upstreams {
+			if id == u.ID {
+				take(r.request.Size, r.request.Kind)
+			}
+		}
+	}
+	return room, slots, connections
+}
+
+func (s *Scheduler) share(team cawork.TeamName) float64 {
+	total := s.Capacity().Plus(s.remote.Capacity)
+	use := s.use(team).Plus(s.remote.Of(team))
+	return use.DominantShare(total) / float64(s.policy.Weight(team))
+}
+
+func (s *Scheduler) use(team cawork.TeamName) cawork.Resources {
+	var use cawork.Resources
+	for _, t := range s.opens() {
+		if t.job != nil && t.team == team {
+			use = use.Plus(t.size)
+		}
+	}
+	return use
+}
+
+func decision(k casched.DecisionKind, r casched.Reason, j *job, now time.Time) casched.Decision {
+	return casched.Decision{
+		Kind: k, Reason: r, At: now, Job: j.ID, Team: j.Team, WorkKind: j.Spec.Kind,
+		Waited: now.Sub(j.Accepted),
+	}
+}
+
+// Reserve implements casched.Scheduler.
+func (s *Scheduler) Reserve(r casched.ReserveRequest, now time.Time) (casched.Reservation, error) {
+	s.expireReservations(now)
+	n := s.reservation(r.ID)
+	if n == nil {
+		n = &reservation{request: r}
+		s.reservations = append(s.reservations, n)
+		spec := cawork.JobSpec{Kind: r.Kind, Constraints: r.Constraints}
+		for len(n.upstreams) < r.Count {
+			id, ok := s.firstFit(r.Size, spec)
+			if !ok {
+				break
+			}
+			n.upstreams = append(n.upstreams, id)
+		}
+	}
+	if len(n.upstreams) < max(1, r.Min) {
+		s.ReleaseReservation(r.ID, now)
+		return casched.Reservation{}, cakind.New(cakind.KindUnavailable, "%d of %d fit", len(n.upstreams), r.Min)
+	}
+	return casched.Reservation{ID: r.ID, Upstreams: n.upstreams, Expires: n.request.Expires}, nil
+}
+
+func (s *Scheduler) reservation(id casched.ReservationID) *reservation {
+	for _, r := range s.reservations {
+		if r.request.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// CommitReservation implements casched.Scheduler.
+func (s *Scheduler) CommitReservation(id casched.ReservationID, tasks []cawork.TaskRef, now time.Time) error {
+	s.expireReservations(now)
+	r := s.reservation(id)
+	if r == nil {
+		return cakind.New(cakind.KindNotFound, "reservation %s is not known", id)
+	}
+	if len(tasks) > len(r.upstreams) {
+		return cakind.New(cakind.KindInvalid, "%d tasks for %d reserved", len(tasks), len(r.upstreams))
+	}
+	s.ReleaseReservation(id, now)
+	for i, ref := range tasks {
+		s.foreign = append(s.foreign, &task{
+			ref: ref, team: r.request.Team, kind: r.request.Kind,
+			phase: casched.TaskPhaseOpen, upstream: r.upstreams[i], size: r.request.Size,
+		})
+	}
+	return nil
+}
+
+// ReleaseReservation implements casched.Scheduler.
+func (s *Scheduler) ReleaseReservation(id casched.ReservationID, _ time.Time) {
+	s.reservations = slices.DeleteFunc(s.reservations, func(r *reservation) bool { return r.request.ID == id })
+}
+
+// PlaceReserved implements casched.Scheduler.
+func (s *Scheduler) PlaceReserved(
+	placements []casched.Placement, local casched.ReservationID, now time.Time,
+) (casched.Decision, error) {
+	s.expireReservations(now)
+	if local != "" && s.reservation(local) == nil {
+		return casched.Decision{}, cakind.New(cakind.KindNotFound, "reservation %s is not known", local)
+	}
+	if len(placements) == 0 {
+		return casched.Decision{}, cakind.New(cakind.KindInvalid, "no placements")
+	}
+	j := s.find(placements[0].Task.Job)
+	if j == nil {
+		return casched.Decision{}, cakind.New(cakind.KindConflict, "the job is not known")
+	}
+	var total cawork.Resources
+	for _, p := range placements {
+		if p.Task.Job != j.ID || j.tasks[p.Task.Index].phase != casched.TaskPhaseQueued {
+			return casched.Decision{}, cakind.New(cakind.KindConflict, "task %v is not queued", p.Task)
+		}
+		total = total.Plus(p.Size)
+	}
+	if j.Spec.Kind == cawork.WorkKindGang && len(placements) != len(j.next()) {
+		return casched.Decision{}, cakind.New(cakind.KindConflict, "a gang is placed whole")
+	}
+	if !s.use(j.Team).Plus(total).Fits(s.allowance[j.Team]) {
+		return casched.Decision{}, cakind.New(cakind.KindLimitReached, "the allowance does not suffice")
+	}
+	s.ReleaseReservation(local, now)
+	for _, p := range placements {
+		t := j.tasks[p.Task.Index]
+		t.phase, t.upstream, t.size = casched.TaskPhaseOpen, p.Upstream, p.Size
+		t.attempts++
+	}
+	kind := casched.DecisionPlace
+	if j.Spec.Kind == cawork.WorkKindGang {
+		kind = casched.DecisionPlaceGang
+	}
+	d := decision(kind, casched.ReasonReservation, j, now)
+	d.Placements = placements
+	return d, nil
+}
--- /dev/null
+++ b/internal/core/canaive/query.go
@@ -0,0 +1,119 @@
+package canaive
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// Free implements casched.Scheduler.
+func (s *Scheduler) Free() cawork.Resources {
+	var sum cawork.Resources
+	for _, u := range s.upstreams {
+		if !u.Leaving {
+			room, _, _ := s.free(u)
+			sum = sum.Plus(room)
+		}
+	}
+	return sum
+}
+
+// Capacity implements casched.Scheduler.
+func (s *Scheduler) Capacity() cawork.Resources {
+	var sum cawork.Resources
+	for _, u := range s.upstreams {
+		if !u.Leaving {
+			sum = sum.Plus(u.Capacity)
+		}
+	}
+	return sum
+}
+
+// Uses implements casched.Scheduler.
+func (s *Scheduler) Uses() []casched.TeamUse {
+	var names []cawork.TeamName
+	for _, t := range s.opens() {
+		if t.job != nil && !slices.Contains(names, t.team) {
+			names = append(names, t.team)
+		}
+	}
+	slices.SortFunc(names, func(a, b cawork.TeamName) int { return cmp.Compare(a, b) })
+	var out []casched.TeamUse
+	for _, n := range names {
+		out = append(out, casched.TeamUse{Team: n, Use: s.use(n)})
+	}
+	return out
+}
+
+// QueueLength implements casched.Scheduler.
+func (s *Scheduler) QueueLength(team cawork.TeamName, k cawork.WorkKind) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Team != team || j.Spec.Kind != k {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.phase == casched.TaskPhaseQueued {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// LargestHole implements casched.Scheduler.
+func (s *Scheduler) LargestHole(c cawork.Constraints) cawork.Resources {
+	var largest cawork.Resources
+	total := s.Capacity()
+	for _, u := range s.upstreams {
+		if u.Leaving || !u.Admits(c) {
+			continue
+		}
+		if room, _, _ := s.free(u); room.DominantShare(total) > largest.DominantShare(total) {
+			largest = room
+		}
+	}
+	return largest
+}
+
+// Unplaced implements casched.Scheduler.
+func (s *Scheduler) Unplaced(limit int, now time.Time) []casched.Unplaced {
+	var out []casched.Unplaced
+	for _, j := range s.jobs {
+		want := j.next()
+		room := s.allowance[j.Team].Minus(s.use(j.Team))
+		if len(want) == 0 || len(out) == limit || !j.Spec.Size.Times(int64(len(want))).Fits(room) {
+			continue
+		}
+		u := casched.Unplaced{
+			Job: j.ID, Team: j.Team, Kind: j.Spec.Kind, Size: j.Spec.Size, RunTime: j.Spec.RunTime,
+			Constraints: j.Spec.Constraints, Waited: now.Sub(j.Accepted),
+		}
+		for _, t := range want {
+			u.Tasks = append(u.Tasks, t.ref)
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// Check implements casched.Scheduler.
+func (s *Scheduler) Check() error {
+	for _, u := range s.upstreams {
+		room, _, _ := s.free(u)
+		if room.IsNegative() {
+			return casched.Violated(casched.InvariantNoOvercommit, "upstream %s has %v left", u.ID, room)
+		}
+	}
+	seen := map[cawork.TaskRef]bool{}
+	for _, t := range s.opens() {
+		if seen[t.ref] {
+			return casched.Violated(casched.InvariantPlacedOnce, "task %v is open twice", t.ref)
+		}
+		seen[t.ref] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/casched/rules.go
@@ -0,0 +1,130 @@
+package casched
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// MaxTasks is the most tasks of one job.
+const MaxTasks = 100_000
+
+// Validate returns an error of KindInvalid for a job that cannot be queued.
+func Validate(j cawork.Job) error {
+	s := j.Spec
+	if j.ID == "" || j.Team == "" {
+		return cakind.New(cakind.KindInvalid, "a job needs an id and a team")
+	}
+	if !s.Kind.IsAWorkKind() {
+		return cakind.New(cakind.KindInvalid, "unknown kind of work %d", s.Kind)
+	}
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return cakind.New(cakind.KindInvalid, "%d tasks, allowed are 1 to %d", s.Tasks, MaxTasks)
+	}
+	if s.Size.IsNegative() || s.RunTime < 0 || s.Deadline < 0 || s.MaxAttempts < 0 {
+		return cakind.New(cakind.KindInvalid, "a size, time or count is negative")
+	}
+	return nil
+}
+
+// Due returns the time by which the job is due to start. The jobs of a team go
+// in the order of this time, which never changes, so that a job overtakes all
+// that are accepted after it by more than the aging period.
+//
+// Example: with an aging of 10 min, a batch job accepted at 12:00 is due at
+// 12:10. With a deadline of 8 min and a run time of 5 min it is due at 12:03,
+// and with an urgent lead of 1 h an urgent one is due at 11:10.
+func (p Policy) Due(j cawork.Job, runTime time.Duration) time.Time {
+	k := p.Kind(j.Spec.Kind)
+	due := j.Accepted.Add(k.Aging)
+	if j.Spec.Deadline > 0 {
+		latest := j.Accepted.Add(j.Spec.Deadline - runTime)
+		if latest.Before(due) {
+			due = latest
+		}
+	}
+	if j.Spec.Urgent {
+		due = due.Add(-k.UrgentLead)
+	}
+	return due
+}
+
+// Attempts returns the most attempts of a task of the job.
+func (p Policy) Attempts(s cawork.JobSpec) int {
+	bound := max(1, p.Kind(s.Kind).MaxAttempts)
+	if s.MaxAttempts > 0 {
+		return min(bound, s.MaxAttempts)
+	}
+	return bound
+}
+
+// Bound returns the most queued tasks of the team and kind after the job was
+// submitted.
+func (p Policy) Bound(s cawork.JobSpec) int {
+	k := p.Kind(s.Kind)
+	if s.Urgent {
+		return k.QueueBound + k.UrgentHeadroom
+	}
+	return k.QueueBound
+}
+
+// NeverFits returns an error of KindNeverFits when no shape could hold a task
+// of the job, or the limit of its team is below it. It tells the largest size
+// that would fit. Without any shape nothing is known, and the error is nil.
+func (p Policy) NeverFits(j cawork.Job, shapes []Upstream, total cawork.Resources) error {
+	s := j.Spec
+	whole := s.Size
+	if s.Kind == cawork.WorkKindGang {
+		whole = s.Size.Times(int64(s.Tasks))
+	}
+	if t, ok := p.Team(j.Team); ok && !whole.Fits(t.Limit) {
+		return cakind.New(cakind.KindNeverFits,
+			"%v are beyond the upper limit of the team, the largest that would fit: %v", whole, t.Limit)
+	}
+	if len(shapes) == 0 {
+		return nil
+	}
+	var largest cawork.Resources
+	for _, u := range shapes {
+		if !u.Admits(s.Constraints) {
+			continue
+		}
+		if s.Size.Fits(u.Capacity) && whole.Fits(total) {
+			return nil
+		}
+		if u.Capacity.DominantShare(total) > largest.DominantShare(total) {
+			largest = u.Capacity
+		}
+	}
+	if !whole.Fits(total) {
+		return cakind.New(cakind.KindNeverFits,
+			"%v together are beyond the cell, the largest that would fit: %v", whole, total)
+	}
+	return cakind.New(cakind.KindNeverFits,
+		"no upstream holds %v under the constraints, the largest that would fit: %v", s.Size, largest)
+}
+
+// JobOutcome returns the outcome of a job whose tasks ended with the outcomes.
+func JobOutcome(outcomes []cawork.Outcome) cawork.Outcome {
+	var seen [int(cawork.OutcomeCanceled) + 1]int
+	for _, o := range outcomes {
+		seen[o]++
+	}
+	switch {
+	case seen[cawork.OutcomePending] > 0:
+		return cawork.OutcomePending
+	case seen[cawork.OutcomeUnknown] > 0:
+		return cawork.OutcomeUnknown
+	case seen[cawork.OutcomeFailed] > 0:
+		return cawork.OutcomeFailed
+	case seen[cawork.OutcomeCanceled] > 0:
+		return cawork.OutcomeCanceled
+	case seen[cawork.OutcomeNotRun] == len(outcomes):
+		return cawork.OutcomeNotRun
+	case seen[cawork.OutcomeNotRun] > 0:
+		return cawork.OutcomeFailed
+	default:
+		return cawork.OutcomeDone
+	}
+}
