--- /dev/null
+++ b/internal/request/caadmit/policy.go
@@ -0,0 +1,89 @@
+// Package caadmit holds the admission queues of requests: one bounded queue
+// for each team, served by weighted fair queueing of slot time. It is pure:
+// the time is passed in, and the caller serialises the calls.
+package caadmit
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+const (
+	defaultWeight    = 1.0
+	defaultMaxQueued = 256
+	defaultMaxWait   = time.Second
+	defaultMaxTotal  = 2048
+)
+
+// TeamPolicy bounds and weighs the requests of one team. A zero field takes
+// its value from the default of the policy.
+type TeamPolicy struct {
+	Team cawork.TeamName
+	// Weight is the share of slot time relative to other waiting teams.
+	Weight float64
+	// MaxQueued bounds the requests of the team that wait for a slot.
+	MaxQueued int
+	// MaxWait bounds the expected wait. A request that would wait longer is
+	// refused at once.
+	MaxWait time.Duration
+}
+
+// Policy holds the bounds of all teams.
+type Policy struct {
+	// MaxTotal bounds the waiting requests of all teams together.
+	MaxTotal int
+	// Default applies to teams that are not listed.
+	Default TeamPolicy
+	Teams   []TeamPolicy
+}
+
+// DefaultPolicy returns a policy that treats all teams alike.
+func DefaultPolicy() Policy {
+	return Policy{
+		MaxTotal: defaultMaxTotal,
+		Default: TeamPolicy{
+			Weight:    defaultWeight,
+			MaxQueued: defaultMaxQueued,
+			MaxWait:   defaultMaxWait,
+		},
+	}
+}
+
+// WithTeam returns a copy in which the policy of the team replaces any former
+// one.
+func (p Policy) WithTeam(t TeamPolicy) Policy {
+	teams := make([]TeamPolicy, 0, len(p.Teams)+1)
+	for _, o := range p.Teams {
+		if o.Team != t.Team {
+			teams = append(teams, o)
+		}
+	}
+	p.Teams = append(teams, t)
+	return p
+}
+
+// Of returns the policy of the team with every field set.
+func (p Policy) Of(team cawork.TeamName) TeamPolicy {
+	base := p.Default.or(DefaultPolicy().Default)
+	for _, t := range p.Teams {
+		if t.Team == team {
+			return t.or(base)
+		}
+	}
+	base.Team = team
+	return base
+}
+
+func (t TeamPolicy) or(base TeamPolicy) TeamPolicy {
+	if t.Weight <= 0 {
+		t.Weight = base.Weight
+	}
+	if t.MaxQueued <= 0 {
+		t.MaxQueued = base.MaxQueued
+	}
+	if t.MaxWait <= 0 {
+		t.MaxWait = base.MaxWait
+	}
+	return t
+}
--- /dev/null
+++ b/internal/request/caadmit/queue.go
@@ -0,0 +1,232 @@
+package caadmit
+
+import (
+	"container/list"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+const minRetryAfter = 50 * time.Millisecond
+
+// Ticket is a request that waits for a slot. Payload belongs to the caller.
+type Ticket struct {
+	Team     cawork.TeamName
+	Deadline time.Time
+	Payload  any
+
+	element *list.Element
+}
+
+// Capacity describes the slots that serve the queues.
+type Capacity struct {
+	// Slots is the number of slots that may be used at the same time.
+	Slots int
+	// Service is the expected time for which a request holds a slot.
+	Service time.Duration
+}
+
+type teamQueue struct {
+	policy  TeamPolicy
+	waiting *list.List
+	// finish is the virtual time up to which the team has been served, in
+	// seconds of slot time divided by weight.
+	finish float64
+}
+
+// Queues holds the waiting requests of all teams.
+//
+// Weighted fair queueing, worked example: teams a (weight 2) and b (weight 1)
+// both wait, every request holds a slot for 1 s. Serving a advances its
+// virtual time by 1/2, serving b by 1. The team with the lowest virtual time
+// is next, so the order is a b a a b a a b, two of a for each of b.
+type Queues struct {
+	policy  Policy
+	teams   map[cawork.TeamName]*teamQueue
+	active  []*teamQueue
+	virtual float64
+	total   int
+}
+
+// NewQueues returns empty queues under the policy.
+func NewQueues(p Policy) *Queues {
+	return &Queues{policy: p, teams: map[cawork.TeamName]*teamQueue{}}
+}
+
+// SetPolicy replaces the policy. Requests that wait already stay.
+func (q *Queues) SetPolicy(p Policy) {
+	q.policy = p
+	for name, t := range q.teams {
+		t.policy = p.Of(name)
+	}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queues) Len() int { return q.total }
+
+// Admit adds a request to the end of the queue of its team. It refuses with
+// KindOverloaded and a time to wait when the queues are full, or when the
+// request is expected to wait beyond its deadline or the bound of its team.
+func (q *Queues) Admit(now time.Time, t *Ticket, c Capacity) *cakind.Error {
+	team := q.team(t.Team)
+	wait := q.expectedWait(team, c)
+	if reason := q.refusal(now, team, t, wait, c); reason != "" {
+		return cakind.New(cakind.KindOverloaded, "%s", reason).
+			WithRetryAfter(max(wait, minRetryAfter))
+	}
+	q.activate(team)
+	t.element = team.waiting.PushBack(t)
+	q.total++
+	return nil
+}
+
+// Readmit adds a request that is tried again to the head of the queue of its
+// team. Its place is not bounded, because the request was admitted before.
+func (q *Queues) Readmit(t *Ticket) {
+	team := q.team(t.Team)
+	q.activate(team)
+	t.element = team.waiting.PushFront(t)
+	q.total++
+}
+
+// Remove takes a request out of its queue. It reports whether the request was
+// still waiting.
+func (q *Queues) Remove(t *Ticket) bool {
+	if t.element == nil {
+		return false
+	}
+	q.unlink(q.teams[t.Team], t)
+	return true
+}
+
+// Next removes and returns the first request that take accepts, asking for
+// the head of each team in the order of weighted fairness, and charges the
+// team the expected slot time. It returns nil when no head is accepted.
+func (q *Queues) Next(service time.Duration, take func(*Ticket) bool) *Ticket {
+	tried := make([]bool, len(q.active))
+	for range q.active {
+		i := q.leastServed(tried)
+		team := q.active[i]
+		head := team.waiting.Front().Value.(*Ticket)
+		if !take(head) {
+			tried[i] = true
+			continue
+		}
+		q.virtual = max(q.virtual, team.finish)
+		team.charge(service)
+		q.unlink(team, head)
+		return head
+	}
+	return nil
+}
+
+// Charge accounts for slot time that a team got without waiting, or, when
+// negative, corrects a former charge.
+func (q *Queues) Charge(name cawork.TeamName, service time.Duration) {
+	team := q.team(name)
+	if team.waiting.Len() == 0 {
+		team.finish = max(team.finish, q.virtual)
+	}
+	// The virtual time follows requests served without waiting too. Otherwise
+	// a team that used an idle cell alone would pay for it later.
+	if service > 0 {
+		q.virtual = max(q.virtual, team.finish)
+	}
+	team.charge(service)
+}
+
+// Idle forgets the teams that wait for nothing and are owed nothing.
+func (q *Queues) Idle() {
+	for name, t := range q.teams {
+		if t.waiting.Len() == 0 && t.finish <= q.virtual {
+			delete(q.teams, name)
+		}
+	}
+}
+
+func (t *teamQueue) charge(service time.Duration) {
+	t.finish += service.Seconds() / t.policy.Weight
+}
+
+func (q *Queues) team(name cawork.TeamName) *teamQueue {
+	t, ok := q.teams[name]
+	if !ok {
+		t = &teamQueue{policy: q.policy.Of(name), waiting: list.New(), finish: q.virtual}
+		q.teams[name] = t
+	}
+	return t
+}
+
+func (q *Queues) activate(t *teamQueue) {
+	if t.waiting.Len() > 0 {
+		return
+	}
+	t.finish = max(t.finish, q.virtual)
+	q.active = append(q.active, t)
+}
+
+func (q *Queues) unlink(t *teamQueue, k *Ticket) {
+	t.waiting.Remove(k.element)
+	k.element = nil
+	q.total--
+	if t.waiting.Len() > 0 {
+		return
+	}
+	for i, o := range q.active {
+		if o == t {
+			q.active = append(q.active[:i], q.active[i+1:]...)
+			return
+		}
+	}
+}
+
+func (q *Queues) leastServed(tried []bool) int {
+	best := -1
+	for i, t := range q.active {
+		if tried[i] {
+			continue
+		}
+		if best < 0 || t.finish < q.active[best].finish {
+			best = i
+		}
+	}
+	return best
+}
+
+func (q *Queues) refusal(now time.Time, team *teamQueue, t *Ticket, wait time.Duration, c Capacity) string {
+	switch {
+	case q.total >= q.maxTotal():
+		return "the queues of the entry are full"
+	case team.waiting.Len() >= team.policy.MaxQueued:
+		return "the queue of the team is full"
+	case wait > team.policy.MaxWait:
+		return "the expected wait is beyond the bound of the team"
+	case now.Add(wait + c.Service).After(t.Deadline):
+		return "the request is not expected to end before its deadline"
+	}
+	return ""
+}
+
+func (q *Queues) maxTotal() int {
+	if q.policy.MaxTotal <= 0 {
+		return defaultMaxTotal
+	}
+	return q.policy.MaxTotal
+}
+
+// expectedWait estimates the wait of one more request of the team: the
+// requests of the team before it, divided by the part of the slots that the
+// weight of the team buys among the waiting teams.
+func (q *Queues) expectedWait(team *teamQueue, c Capacity) time.Duration {
+	weights := 0.0
+	for _, t := range q.active {
+		weights += t.policy.Weight
+	}
+	if team.waiting.Len() == 0 {
+		weights += team.policy.Weight
+	}
+	share := team.policy.Weight / weights
+	rounds := float64(team.waiting.Len()+1) / (share * float64(max(c.Slots, 1)))
+	return time.Duration(rounds * float64(c.Service))
+}
--- /dev/null
+++ b/internal/request/cadispatch/call.go
@@ -0,0 +1,145 @@
+package cadispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/caforward"
+)
+
+const (
+	defaultDeadline = 30 * time.Second
+	maxDeadline     = 10 * time.Minute
+	// maxBody bounds the body of a request in bytes.
+	maxBody = 64 << 20
+	// replaySize is the length of a body in bytes up to which it is kept, so
+	// that it can be sent again.
+	replaySize = 16 << 10
+	// prefixTimeout bounds the time in which a caller sends the kept part.
+	prefixTimeout = 10 * time.Second
+	maxKeyLength  = 255
+)
+
+// call is one request of a caller.
+type call struct {
+	team       cawork.TeamName
+	key        string
+	idempotent bool
+	arrived    time.Time
+	deadline   time.Time
+	header     http.Header
+	query      string
+	// prefix is the start of the body, the whole body if rest is nil.
+	prefix []byte
+	rest   io.Reader
+	length int64
+	// tried lists the upstreams of former attempts.
+	tried    []cawork.UpstreamID
+	attempts int
+}
+
+// newCall reads the header and the start of the body of a request.
+func newCall(w http.ResponseWriter, r *http.Request, team cawork.TeamName, now time.Time) (*call, error) {
+	c := &call{
+		team:    team,
+		key:     r.Header.Get(caforward.HeaderKey),
+		arrived: now,
+		header:  r.Header,
+		query:   r.URL.RawQuery,
+		length:  r.ContentLength,
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		// An answer over HTTP/1.0 cannot show that it was cut.
+		return nil, cakind.New(cakind.KindInvalid, "HTTP/1.1 is required")
+	}
+	if len(c.key) > maxKeyLength {
+		return nil, cakind.New(cakind.KindInvalid, "idempotency key longer than %d bytes", maxKeyLength)
+	}
+	if r.ContentLength > maxBody {
+		return nil, cakind.New(cakind.KindTooLarge, "body longer than %d bytes", maxBody)
+	}
+	if err := c.readOptions(r.Header, now); err != nil {
+		return nil, err
+	}
+	return c, c.readPrefix(w, r)
+}
+
+func (c *call) readOptions(h http.Header, now time.Time) error {
+	c.deadline = now.Add(defaultDeadline)
+	if v := h.Get(caplatform.HeaderDeadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 {
+			return cakind.New(cakind.KindInvalid, "%s must be a positive number of milliseconds", caplatform.HeaderDeadline)
+		}
+		c.deadline = now.Add(min(time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline))
+	}
+	if v := h.Get(caplatform.HeaderIdempotent); v != "" {
+		idempotent, err := strconv.ParseBool(v)
+		if err != nil {
+			return cakind.New(cakind.KindInvalid, "%s must be true or false", caplatform.HeaderIdempotent)
+		}
+		c.idempotent = idempotent
+	}
+	return nil
+}
+
+// readPrefix reads the body up to replaySize. The server notices that a
+// caller hangs up only once the body has been read.
+func (c *call) readPrefix(w http.ResponseWriter, r *http.Request) error {
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	ctl := http.NewResponseController(w)
+	_ = ctl.SetReadDeadline(time.Now().Add(prefixTimeout))
+	body := http.MaxBytesReader(w, r.Body, maxBody)
+	size := int64(replaySize + 1)
+	if r.ContentLength > 0 {
+		size = min(r.ContentLength, size)
+	}
+	buf := make([]byte, size)
+	n, err := io.ReadFull(body, buf)
+	c.prefix = buf[:n]
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) {
+		return cakind.Wrap(cakind.KindInvalid, err, "read the body")
+	}
+	if r.ContentLength > 0 && int64(n) < size {
+		return cakind.New(cakind.KindInvalid, "the body is shorter than announced")
+	}
+	if int64(n) > replaySize {
+		c.rest = body
+		return ctl.SetReadDeadline(c.deadline)
+	}
+	c.length = int64(n)
+	_ = ctl.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// body returns a reader of the whole body, and whether it can be read again.
+func (c *call) body() io.Reader {
+	if c.rest == nil {
+		return bytes.NewReader(c.prefix)
+	}
+	return io.MultiReader(bytes.NewReader(c.prefix), c.rest)
+}
+
+// replayable reports whether the body can be sent once more.
+func (c *call) replayable() bool { return c.rest == nil }
+
+// contextFor returns the context of the attempts. A request that runs at most
+// once under a key goes on when its caller hangs up, so that a second
+// submission learns the outcome.
+func (c *call) contextFor(r *http.Request, now time.Time) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if c.key != "" && !c.idempotent && c.replayable() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.deadline.Sub(now))
+}
--- /dev/null
+++ b/internal/request/cadispatch/dispatch.go
@@ -0,0 +1,215 @@
+// Package cadispatch runs the life of a request: admission, the wait for a
+// slot, the attempts at upstreams, the answer, and the drain at the end.
+package cadispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/caadmit"
+	"celeryarch.example/celeryarch/internal/request/caforward"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+const (
+	tickPeriod = 20 * time.Millisecond
+	// maxInProgress bounds the requests that an entry holds at a time.
+	maxInProgress = 8192
+)
+
+// Config holds what a dispatcher needs.
+type Config struct {
+	// Self is the VM of this entry.
+	Self   cawork.VMID
+	Zone   cawork.ZoneName
+	Timer  *catimer.Service
+	Logger zerolog.Logger
+	Scope  tally.Scope
+	// CrossingDelay is the round trip to another availability zone.
+	CrossingDelay time.Duration
+	Policy        caadmit.Policy
+	// Lender reaches the owners of other upstreams. It may be nil.
+	Lender SlotLender
+	// Keys keeps the idempotency keys. It may be nil; requests with a key are
+	// refused then.
+	Keys Keys
+}
+
+// Dispatcher serves requests.
+type Dispatcher struct {
+	config   Config
+	forward  *caforward.Forwarder
+	metrics  metrics
+	idPrefix string
+	lastID   atomic.Int64
+
+	mu         sync.Mutex
+	router     *caroute.Router
+	queues     *caadmit.Queues
+	budgets    *caroute.Budgets
+	draining   bool
+	inProgress int
+	idle       chan struct{}
+
+	done chan struct{}
+}
+
+// New returns a dispatcher without upstreams.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{
+		config:   c,
+		forward:  caforward.New(c.Timer.Now),
+		metrics:  newMetrics(c.Scope),
+		idPrefix: uuid.NewString() + "-",
+		router:   caroute.NewRouter(caroute.Config{Zone: c.Zone, CrossingDelay: c.CrossingDelay}),
+		queues:   caadmit.NewQueues(c.Policy),
+		budgets:  caroute.NewBudgets(),
+		idle:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+}
+
+// PutUpstream adds or replaces an upstream that this entry owns.
+func (d *Dispatcher) PutUpstream(u caroute.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Timer.Now()
+	d.router.Put(now, u)
+	d.pump(now)
+}
+
+// RemoveUpstream forgets an upstream. Requests in progress at it go on.
+func (d *Dispatcher) RemoveUpstream(id cawork.UpstreamID) {
+	d.mu.Lock()
+	d.router.Remove(id)
+	d.budgets.Forget(id)
+	d.mu.Unlock()
+	d.forward.Forget(id)
+}
+
+// SetPolicy replaces the bounds and weights of the teams.
+func (d *Dispatcher) SetPolicy(p caadmit.Policy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queues.SetPolicy(p)
+}
+
+// ServeRequest answers one request of a team. It returns when the answer has
+// been written. When the answer cannot be completed, it panics with
+// http.ErrAbortHandler, upon which the server closes the connection.
+func (d *Dispatcher) ServeRequest(w http.ResponseWriter, r *http.Request, team cawork.TeamName) {
+	if err := d.enter(); err != nil {
+		d.refuse(w, team, err)
+		return
+	}
+	defer d.leave()
+	c, err := newCall(w, r, team, d.config.Timer.Now())
+	if err != nil {
+		d.refuse(w, team, err)
+		return
+	}
+	ctx, cancel := c.contextFor(r, c.arrived)
+	defer cancel()
+	d.serve(ctx, w, c)
+}
+
+// Run expires grants, probes and waits until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	defer close(d.done)
+	ticks := d.config.Timer.Every(tickPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+			d.tick(ctx)
+		}
+	}
+}
+
+// Done returns a channel that is closed when Run has ended.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// Drain refuses new requests from now on.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return
+	}
+	d.draining = true
+	if d.inProgress == 0 {
+		close(d.idle)
+	}
+}
+
+// Close drains and waits for the requests in progress, or for the context.
+func (d *Dispatcher) Close(ctx context.Context) error {
+	d.Drain()
+	select {
+	case <-d.idle:
+		d.forward.Close()
+		return nil
+	case <-ctx.Done():
+		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "requests are still in progress")
+	}
+}
+
+func (d *Dispatcher) enter() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return cakind.New(cakind.KindDraining, "the entry is stopping")
+	}
+	if d.inProgress >= maxInProgress {
+		return cakind.New(cakind.KindOverloaded, "too many requests in progress")
+	}
+	d.inProgress++
+	return nil
+}
+
+func (d *Dispatcher) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inProgress--
+	if d.draining && d.inProgress == 0 {
+		close(d.idle)
+	}
+}
+
+func (d *Dispatcher) tick(context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Timer.Now()
+	d.router.Expire(now)
+	d.queues.Idle()
+	d.pump(now)
+}
+
+func (d *Dispatcher) newAttemptID() cawork.AttemptID {
+	return cawork.AttemptID(d.idPrefix + strconv.FormatInt(d.lastID.Add(1), 36))
+}
+
+func (d *Dispatcher) refuse(w http.ResponseWriter, team cawork.TeamName, err error) {
+	kind := cakind.Of(err)
+	d.metrics.refused.Inc(1)
+	caevent.Info(d.config.Logger, caevent.RequestRefused).
+		Str("team", string(team)).
+		Str("kind", kind.String()).
+		Str("reason", err.Error()).
+		Send()
+	WriteError(w, err)
+}
--- /dev/null
+++ b/internal/request/cadispatch/slot.go
@@ -0,0 +1,114 @@
+package cadispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/request/caadmit"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+// waiter is the payload of a ticket. Its channel holds one route, so that the
+// pump never blocks.
+type waiter struct {
+	ask   caroute.Ask
+	route chan caroute.Route
+}
+
+// acquire takes a slot for the call, waiting in the queue of its team.
+func (d *Dispatcher) acquire(ctx context.Context, c *call) (caroute.Route, error) {
+	ticket, route, err := d.enqueue(c)
+	if err != nil || ticket == nil {
+		return route, err
+	}
+	w := ticket.Payload.(*waiter)
+	select {
+	case route := <-w.route:
+		return route, nil
+	case <-ctx.Done():
+		return d.giveUp(ctx, ticket, w)
+	}
+}
+
+func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, caroute.Route, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Timer.Now()
+	ask := caroute.Ask{Idempotent: c.idempotent, Deadline: c.deadline, Exclude: c.tried}
+	if d.queues.Len() == 0 || c.attempts > 0 {
+		if route, ok := d.router.Choose(now, ask); ok {
+			d.queues.Charge(c.team, d.router.Service())
+			return nil, route, nil
+		}
+	}
+	w := &waiter{ask: ask, route: make(chan caroute.Route, 1)}
+	ticket := &caadmit.Ticket{Team: c.team, Deadline: c.deadline, Payload: w}
+	if c.attempts > 0 {
+		d.queues.Readmit(ticket)
+		return ticket, caroute.Route{}, nil
+	}
+	capacity := caadmit.Capacity{Slots: d.router.Slots(now), Service: d.router.Service()}
+	if err := d.queues.Admit(now, ticket, capacity); err != nil {
+		return nil, caroute.Route{}, err
+	}
+	return ticket, caroute.Route{}, nil
+}
+
+// giveUp takes the ticket of a call whose context has ended out of the queue.
+func (d *Dispatcher) giveUp(ctx context.Context, t *caadmit.Ticket, w *waiter) (caroute.Route, error) {
+	d.mu.Lock()
+	waiting := d.queues.Remove(t)
+	d.mu.Unlock()
+	if !waiting {
+		d.release(<-w.route, caroute.VerdictAbandoned, t)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return caroute.Route{}, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
+	}
+	return caroute.Route{}, cakind.New(cakind.KindCanceled, "the caller hung up before the start")
+}
+
+// release gives a slot back and serves the queues with it.
+func (d *Dispatcher) release(route caroute.Route, v caroute.Verdict, t *caadmit.Ticket) {
+	d.mu.Lock()
+	now := d.config.Timer.Now()
+	changes := d.router.Release(now, route, v)
+	d.queues.Charge(t.Team, now.Sub(route.Taken)-d.router.Service())
+	d.pump(now)
+	d.mu.Unlock()
+	for _, c := range changes {
+		d.logChange(c)
+	}
+}
+
+// pump hands free slots to waiting requests.
+func (d *Dispatcher) pump(now time.Time) {
+	for d.queues.Len() > 0 {
+		var route caroute.Route
+		t := d.queues.Next(d.router.Service(), func(t *caadmit.Ticket) bool {
+			r, ok := d.router.Choose(now, t.Payload.(*waiter).ask)
+			route = r
+			return ok
+		})
+		if t == nil {
+			return
+		}
+		t.Payload.(*waiter).route <- route
+	}
+}
+
+func (d *Dispatcher) logChange(c caroute.Change) {
+	number := caevent.UpstreamEjected
+	if c.Kind == caroute.ChangeRestored {
+		number = caevent.UpstreamRestored
+	}
+	caevent.Warn(d.config.Logger, number).
+		Str("upstream", string(c.Upstream)).
+		Float64("failure_rate", c.FailureRate).
+		Float64("peer_rate", c.PeerRate).
+		Dur("latency_ms", c.Latency).
+		Send()
+}
--- /dev/null
+++ b/internal/request/caforward/forward.go
@@ -0,0 +1,242 @@
+// Package caforward sends requests to the request endpoint of an upstream
+// over HTTP and streams the answers back.
+package caforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout closes unused connections before upstreams commonly do, so
+	// that a request rarely meets a connection that is being closed.
+	idleTimeout = 15 * time.Second
+	// maxAnswerHeader bounds the header of an answer in bytes.
+	maxAnswerHeader = 64 << 10
+	bufferSize      = 4 << 10
+	keepAlivePeriod = 15 * time.Second
+)
+
+// Attempt is one try to run a request at an upstream.
+type Attempt struct {
+	ID         cawork.AttemptID
+	Upstream   cawork.UpstreamID
+	Address    string
+	Epoch      caplatform.Epoch
+	Deadline   time.Time
+	Idempotent bool
+	Header     http.Header
+	Query      string
+	// Body is nil for an empty body.
+	Body io.Reader
+	// Length is the length of the body in bytes, -1 when it is not known.
+	Length int64
+}
+
+// Answer is the start of an answer of an upstream. Body must be closed.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Trailer http.Header
+	Body    io.ReadCloser
+	// Length is the length of the body in bytes, -1 when it is not known.
+	Length int64
+}
+
+// Forwarder sends attempts. Each upstream has connections of its own, never
+// more than were allowed for it.
+type Forwarder struct {
+	now   func() time.Time
+	mu    sync.Mutex
+	lanes map[cawork.UpstreamID]*lane
+}
+
+// lane holds the connections to one upstream.
+type lane struct {
+	address   string
+	transport *http.Transport
+	// echoes is set once the upstream has shown that its answers name the
+	// attempt. Until then no connection is used twice, because a late second
+	// answer could pass for the answer to the next request.
+	echoes atomic.Bool
+}
+
+// New returns a forwarder that reads the time from now.
+func New(now func() time.Time) *Forwarder {
+	return &Forwarder{now: now, lanes: map[cawork.UpstreamID]*lane{}}
+}
+
+// Send sends the attempt and returns the start of the answer. It fails with
+// KindNotStarted when the upstream is known not to have started the request,
+// else with KindUnknown.
+func (f *Forwarder) Send(ctx context.Context, a Attempt, connections int) (*Answer, error) {
+	l := f.lane(a, connections)
+	sent := &sentBytes{}
+	req, err := f.request(httptrace.WithClientTrace(ctx, sent.trace()), a)
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindInvalid, err, "request to %s", a.Upstream)
+	}
+	req.Close = !l.echoes.Load()
+	res, err := l.transport.RoundTrip(req)
+	if err != nil {
+		return nil, sent.classify(err, a.Upstream)
+	}
+	if err := l.check(a, res); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
+	return &Answer{
+		Status:  res.StatusCode,
+		Header:  res.Header,
+		Trailer: res.Trailer,
+		Body:    res.Body,
+		Length:  res.ContentLength,
+	}, nil
+}
+
+// Forget closes the unused connections to an upstream and forgets it.
+func (f *Forwarder) Forget(id cawork.UpstreamID) {
+	f.mu.Lock()
+	l := f.lanes[id]
+	delete(f.lanes, id)
+	f.mu.Unlock()
+	if l != nil {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+// Close closes all unused connections.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.lanes {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+func (f *Forwarder) lane(a Attempt, connections int) *lane {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.lanes[a.Upstream]
+	if l != nil && l.address == a.Address && l.transport.MaxConnsPerHost == connections {
+		return l
+	}
+	if l != nil {
+		l.transport.CloseIdleConnections()
+	}
+	l = newLane(a.Address, connections)
+	f.lanes[a.Upstream] = l
+	return l
+}
+
+func newLane(address string, connections int) *lane {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c}, nil
+	}
+	return &lane{
+		address: address,
+		transport: &http.Transport{
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxConnsPerHost:        connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxAnswerHeader,
+			ReadBufferSize:         bufferSize,
+			WriteBufferSize:        bufferSize,
+		},
+	}
+}
+
+func (f *Forwarder) request(ctx context.Context, a Attempt) (*http.Request, error) {
+	u := url.URL{Scheme: "http", Host: a.Address, Path: caplatform.RequestPath, RawQuery: a.Query}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	copyRequestHeader(req.Header, a.Header)
+	req.Header.Set(caplatform.HeaderAttempt, string(a.ID))
+	req.Header.Set(caplatform.HeaderEpoch, strconv.FormatInt(int64(a.Epoch), 10))
+	left := max(a.Deadline.Sub(f.now()).Milliseconds(), 1)
+	req.Header.Set(caplatform.HeaderDeadline, strconv.FormatInt(left, 10))
+	req.Header.Set(caplatform.HeaderIdempotent, strconv.FormatBool(a.Idempotent))
+	if a.Body != nil && a.Length != 0 {
+		// NopCloser keeps the transport from rewinding the body, so that it
+		// never sends a request a second time of its own accord.
+		req.Body = io.NopCloser(a.Body)
+		req.ContentLength = a.Length
+	}
+	return req, nil
+}
+
+// check refuses an answer that belongs to another attempt, or that is a
+// refusal before the start.
+func (l *lane) check(a Attempt, res *http.Response) error {
+	echo := res.Header.Get(caplatform.HeaderAttempt)
+	if echo != "" && echo != string(a.ID) {
+		return cakind.New(cakind.KindUnknown, "%s answered to another attempt", a.Upstream)
+	}
+	l.echoes.Store(echo != "")
+	if notRun, _ := strconv.ParseBool(res.Header.Get(caplatform.HeaderNotRun)); notRun {
+		return cakind.New(cakind.KindNotStarted, "%s refused with status %d before the start", a.Upstream, res.StatusCode)
+	}
+	if res.StatusCode < http.StatusOK {
+		return cakind.New(cakind.KindUnknown, "%s answered with status %d", a.Upstream, res.StatusCode)
+	}
+	return nil
+}
+
+// sentBytes tells whether bytes of a request were written to a connection.
+type sentBytes struct {
+	mu     sync.Mutex
+	conn   *countedConn
+	before int64
+}
+
+func (s *sentBytes) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := info.Conn.(*countedConn)
+		if !ok {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conn = c
+		s.before = c.written.Load()
+	}}
+}
+
+func (s *sentBytes) any() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil && s.conn.written.Load() != s.before
+}
+
+func (s *sentBytes) classify(err error, id cawork.UpstreamID) error {
+	if !s.any() {
+		return cakind.Wrap(cakind.KindNotStarted, err, "no byte was sent to %s", id)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return cakind.Wrap(cakind.KindUnknown, err, "%s did not answer in time", id)
+	}
+	return cakind.Wrap(cakind.KindUnknown, err, "%s gave no answer", id)
+}
--- /dev/null
+++ b/internal/request/caforward/relay.go
@@ -0,0 +1,159 @@
+package caforward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// wholeSize is the length of an answer in bytes up to which it is read
+	// whole before any of it goes to the caller, so that a slow caller does
+	// not hold the slot.
+	wholeSize = 32 << 10
+	// stallTimeout bounds the time in which a caller takes one buffer.
+	stallTimeout = 20 * time.Second
+)
+
+var buffers = sync.Pool{New: func() any { return new([wholeSize]byte) }}
+
+// Reply is an answer on its way to the caller. Close gives its buffer back.
+type Reply struct {
+	answer *Answer
+	buffer *[wholeSize]byte
+	filled int
+	whole  bool
+}
+
+// NewReply reads the start of the answer. It fails when the answer is cut
+// within it; nothing has gone to the caller then.
+func NewReply(a *Answer) (*Reply, error) {
+	p := &Reply{answer: a, buffer: buffers.Get().(*[wholeSize]byte)}
+	if err := p.fill(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// fill reads until the buffer is full, the answer ends or, for an answer that
+// does not fit, its first bytes have come.
+func (p *Reply) fill() error {
+	for p.filled < wholeSize {
+		n, err := p.answer.Body.Read(p.buffer[p.filled:])
+		p.filled += n
+		if errors.Is(err, io.EOF) {
+			p.whole = true
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if p.answer.Length > wholeSize {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Whole reports whether the whole answer has been read.
+func (p *Reply) Whole() bool { return p.whole }
+
+// Status returns the status of the answer.
+func (p *Reply) Status() int { return p.answer.Status }
+
+// Header returns the header of the answer.
+func (p *Reply) Header() http.Header { return p.answer.Header }
+
+// Bytes returns the part of the answer that has been read so far.
+func (p *Reply) Bytes() []byte { return p.buffer[:p.filled] }
+
+// Close ends the answer.
+func (p *Reply) Close() {
+	p.answer.Body.Close()
+	if p.buffer != nil {
+		buffers.Put(p.buffer)
+		p.buffer = nil
+	}
+}
+
+// Write sends the answer to the caller. When it fails, the caller's connection
+// must be aborted, because part of the answer may have been sent.
+func (p *Reply) Write(w http.ResponseWriter) error {
+	copyHeader(w.Header(), p.answer.Header)
+	p.announce(w.Header())
+	w.WriteHeader(p.answer.Status)
+	ctl := http.NewResponseController(w)
+	if err := send(w, ctl, p.Bytes()); err != nil {
+		return err
+	}
+	if p.whole {
+		p.trailers(w.Header())
+		return nil
+	}
+	return p.stream(w, ctl)
+}
+
+func (p *Reply) announce(h http.Header) {
+	if len(p.answer.Trailer) > 0 {
+		h.Del("Content-Length")
+		for k := range p.answer.Trailer {
+			h.Add("Trailer", k)
+		}
+		return
+	}
+	switch {
+	case p.whole && bodyAllowed(p.answer.Status):
+		h.Set("Content-Length", strconv.Itoa(p.filled))
+	case p.answer.Length >= 0:
+		h.Set("Content-Length", strconv.FormatInt(p.answer.Length, 10))
+	}
+}
+
+func (p *Reply) trailers(h http.Header) {
+	for k, values := range p.answer.Trailer {
+		h[k] = values
+	}
+}
+
+func (p *Reply) stream(w http.ResponseWriter, ctl *http.ResponseController) error {
+	for {
+		n, err := p.answer.Body.Read(p.buffer[:])
+		if n > 0 {
+			if werr := send(w, ctl, p.buffer[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			p.trailers(w.Header())
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		// A short read means that the upstream produces slowly; what has come
+		// goes on at once.
+		if n < wholeSize/4 {
+			if ferr := ctl.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+	}
+}
+
+func send(w io.Writer, ctl *http.ResponseController, b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	// Writers of tests have no deadline; the bound is that of connections.
+	_ = ctl.SetWriteDeadline(time.Now().Add(stallTimeout))
+	_, err := w.Write(b)
+	return err
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/request/caroute/budget.go
@@ -0,0 +1,68 @@
+package caroute
+
+import "celeryarch.example/celeryarch/internal/base/cawork"
+
+const (
+	// retryPart is the part of the requests that may be tried again.
+	retryPart = 0.1
+	// budgetCap bounds the retries saved up for a burst.
+	budgetCap = 100.0
+)
+
+// budget bounds retries to a part of the requests. It starts empty, so that
+// the attempts never pass 1.1 times the requests.
+//
+// Worked example: 20 requests add 2 to the balance, which pays for two
+// retries; a third is refused until ten more requests have come.
+type budget struct{ balance float64 }
+
+func (b *budget) deposit() { b.balance = min(b.balance+retryPart, budgetCap) }
+
+// whole tolerates the rounding error of ten deposits.
+func (b *budget) whole() bool { return b.balance > 1-1e-9 }
+
+func (b *budget) withdraw() { b.balance-- }
+
+// Budgets holds the retry budgets of teams and upstreams.
+type Budgets struct {
+	teams     map[cawork.TeamName]*budget
+	upstreams map[cawork.UpstreamID]*budget
+}
+
+// NewBudgets returns empty budgets.
+func NewBudgets() *Budgets {
+	return &Budgets{
+		teams:     map[cawork.TeamName]*budget{},
+		upstreams: map[cawork.UpstreamID]*budget{},
+	}
+}
+
+// Request accounts for the first attempt of a request.
+func (b *Budgets) Request(team cawork.TeamName, up cawork.UpstreamID) {
+	entryOf(b.teams, team).deposit()
+	entryOf(b.upstreams, up).deposit()
+}
+
+// Retry reports whether a request of the team that failed at the upstream may
+// be tried again, and withdraws from both budgets when it may.
+func (b *Budgets) Retry(team cawork.TeamName, up cawork.UpstreamID) bool {
+	t, u := entryOf(b.teams, team), entryOf(b.upstreams, up)
+	if !t.whole() || !u.whole() {
+		return false
+	}
+	t.withdraw()
+	u.withdraw()
+	return true
+}
+
+// Forget drops the budget of an upstream.
+func (b *Budgets) Forget(up cawork.UpstreamID) { delete(b.upstreams, up) }
+
+func entryOf[K comparable](m map[K]*budget, k K) *budget {
+	e, ok := m[k]
+	if !ok {
+		e = &budget{}
+		m[k] = e
+	}
+	return e
+}
--- /dev/null
+++ b/internal/request/caroute/grant.go
@@ -0,0 +1,149 @@
+package caroute
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+const (
+	// lendWindow is how long a borrower may start requests on a grant.
+	lendWindow = time.Second
+	// maxLendDuration bounds how long lent slots may be in use.
+	maxLendDuration = 30 * time.Second
+	// lendMargin is added to the duration before the owner uses lent slots
+	// again: the time of the message and the drift of the clocks.
+	lendMargin = time.Second
+	// maxLendCount bounds the slots of one grant.
+	maxLendCount = 4
+	// defaultSlots is the number of slots of an upstream that is known only
+	// from grants.
+	defaultSlots = 8
+)
+
+// LendRequest asks an owner for slots.
+type LendRequest struct {
+	Count int
+	// Duration is how long the slots may be in use.
+	Duration time.Duration
+}
+
+// loan is a grant that the owner has given.
+type loan struct {
+	source *source
+	count  int
+	end    time.Time
+}
+
+// Lend takes free slots of one owned upstream for another entry. It reports
+// false when no slot is free.
+func (r *Router) Lend(now time.Time, q LendRequest) (Grant, bool) {
+	s := r.lendable(now)
+	if s == nil {
+		return Grant{}, false
+	}
+	n := min(q.Count, s.free(r.limitOf(s)), maxLendCount)
+	d := min(q.Duration, maxLendDuration)
+	r.nextID++
+	id := grantName(s.upstream, r.nextID)
+	s.lent += n
+	r.lent[id] = &loan{source: s, count: n, end: now.Add(d + lendMargin)}
+	return Grant{
+		ID:       id,
+		Upstream: s.upstream,
+		Zone:     s.zone,
+		Address:  s.address,
+		Epoch:    s.epoch,
+		Count:    n,
+		Window:   min(lendWindow, d),
+		Duration: d,
+	}, n > 0
+}
+
+// lendable returns the owned upstream with the most free slots.
+func (r *Router) lendable(now time.Time) *source {
+	var best *source
+	most := 0
+	for _, s := range r.owned {
+		h := r.health[s.upstream]
+		if !s.startsAt(now) || h.ejected || now.Before(h.pausedTo) {
+			continue
+		}
+		if f := s.free(r.limitOf(s)); f > most {
+			best, most = s, f
+		}
+	}
+	return best
+}
+
+// TakeBack returns all slots of a grant to the owner. A grant that is not
+// known any more is ignored.
+func (r *Router) TakeBack(id GrantID) {
+	l, ok := r.lent[id]
+	if !ok {
+		return
+	}
+	delete(r.lent, id)
+	l.source.lent -= l.count
+	assertSlots(l.source)
+	r.forget(l.source)
+}
+
+// AddGrant adds borrowed slots. Asked is the time at which the request for
+// them was sent, from which the borrower counts, so that it ends first.
+func (r *Router) AddGrant(now, asked time.Time, g Grant) {
+	s := &source{
+		upstream: g.Upstream,
+		zone:     g.Zone,
+		address:  g.Address,
+		epoch:    g.Epoch,
+		slots:    g.Count,
+		startEnd: asked.Add(g.Window),
+		useEnd:   asked.Add(g.Duration),
+		grant:    g.ID,
+		lastUsed: now,
+	}
+	r.grants[g.ID] = s
+	r.sources = append(r.sources, s)
+	r.healthOf(now, g.Upstream, defaultSlots)
+}
+
+// Expire takes back lent slots whose time is over, and returns the borrowed
+// grants that this entry no longer uses, which the caller returns to their
+// owner.
+func (r *Router) Expire(now time.Time) []GrantID {
+	for id, l := range r.lent {
+		if now.After(l.end) {
+			r.TakeBack(id)
+		}
+	}
+	var over []GrantID
+	for id, s := range r.grants {
+		if s.inUse == 0 && !s.startsAt(now) {
+			delete(r.grants, id)
+			r.drop(s)
+			over = append(over, id)
+		}
+	}
+	return over
+}
+
+// Borrowed returns the number of borrowed slots that can start requests.
+func (r *Router) Borrowed(now time.Time) int {
+	n := 0
+	for _, s := range r.grants {
+		if s.startsAt(now) {
+			n += s.slots
+		}
+	}
+	return n
+}
+
+// UpstreamIDs returns the upstreams that requests may go to.
+func (r *Router) UpstreamIDs() []cawork.UpstreamID {
+	var ids []cawork.UpstreamID
+	for id := range r.health {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/request/caroute/health.go
@@ -0,0 +1,116 @@
+package caroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// healthHalfLife is the time in which a past result loses half of its
+	// weight.
+	healthHalfLife = 10 * time.Second
+	// minSamples is the weight of results below which no verdict is made.
+	minSamples = 8.0
+	// failureExcess is the failure rate above that of the peers that ejects.
+	failureExcess = 0.3
+	// slowFactor is the latency relative to the median of the peers that
+	// ejects.
+	slowFactor = 4.0
+	// slowFloor is the latency below which nothing counts as slow.
+	slowFloor = 20 * time.Millisecond
+	// ejectedPart is the largest part of the upstreams that may be ejected.
+	ejectedPart = 1.0 / 3
+	// firstEjection and longestEjection bound the time before a probe.
+	firstEjection   = 2 * time.Second
+	longestEjection = time.Minute
+	// probeSuccesses is the number of probes in a row that restore.
+	probeSuccesses = 3
+	// pauseAfterRefusal is the time for which an upstream that refused a
+	// request before it started it gets no other.
+	pauseAfterRefusal = 20 * time.Millisecond
+	latencyWeight     = 0.1
+	initialLatency    = 10 * time.Millisecond
+)
+
+// health is what is known of an upstream from the requests it got.
+type health struct {
+	successes float64
+	failures  float64
+	decayed   time.Time
+	latency   time.Duration
+	limit     limit
+
+	ejected   bool
+	ejections int
+	probeFrom time.Time
+	probing   bool
+	probed    int
+	pausedTo  time.Time
+	// fencedAt is the highest epoch that the upstream refused as out of date.
+	refusals int
+}
+
+func newHealth(now time.Time, slots int) *health {
+	return &health{decayed: now, latency: initialLatency, limit: newLimit(slots)}
+}
+
+func (h *health) decay(now time.Time) {
+	elapsed := now.Sub(h.decayed)
+	if elapsed <= 0 {
+		return
+	}
+	f := math.Exp2(-elapsed.Seconds() / healthHalfLife.Seconds())
+	h.successes *= f
+	h.failures *= f
+	h.decayed = now
+}
+
+func (h *health) samples() float64 { return h.successes + h.failures }
+
+func (h *health) failureRate() float64 {
+	if h.samples() == 0 {
+		return 0
+	}
+	return h.failures / h.samples()
+}
+
+func (h *health) record(now time.Time, v Verdict, latency time.Duration) {
+	h.decay(now)
+	switch v {
+	case VerdictServed:
+		h.successes++
+		h.refusals = 0
+		h.observe(latency)
+	case VerdictFailed:
+		h.failures++
+		h.refusals = 0
+	case VerdictRefused:
+		h.failures++
+		h.pausedTo = now.Add(pauseAfterRefusal << min(h.refusals, 6))
+		h.refusals++
+	case VerdictAbandoned:
+	}
+}
+
+func (h *health) observe(latency time.Duration) {
+	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
+	h.limit.observe(latency)
+}
+
+// eject takes the upstream out of use until a probe may be made.
+func (h *health) eject(now time.Time) {
+	h.ejected = true
+	h.probing = false
+	h.probed = 0
+	wait := min(firstEjection<<min(h.ejections, 10), longestEjection)
+	h.probeFrom = now.Add(wait)
+	h.ejections++
+}
+
+func (h *health) restore(now time.Time) {
+	*h = health{decayed: now, latency: h.latency, limit: h.limit, ejections: max(h.ejections-1, 0)}
+}
+
+func (h *health) probeDue(now time.Time) bool {
+	return h.ejected && !h.probing && !now.Before(h.probeFrom)
+}
--- /dev/null
+++ b/internal/request/caroute/limit.go
@@ -0,0 +1,64 @@
+package caroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// limitTolerance is the rise of latency over its long-term mean that does
+	// not lower the limit.
+	limitTolerance = 2.0
+	limitSmoothing = 0.2
+	shortWeight    = 0.2
+	longWeight     = 0.01
+	minLimit       = 1.0
+)
+
+// limit is the adaptive bound on concurrent requests of an upstream. It falls
+// while the short-term mean of the latency is beyond the tolerated multiple
+// of the long-term mean, and rises to the number of slots otherwise.
+//
+// Worked example with 8 slots: the long-term mean is 10 ms. When the
+// short-term mean rises to 40 ms, the gradient is 2*10/40 = 0.5, so the next
+// target is 8*0.5+1 = 5 and the smoothed limit 0.8*8+0.2*5 = 7.4.
+type limit struct {
+	slots float64
+	value float64
+	short float64
+	long  float64
+}
+
+func newLimit(slots int) limit {
+	return limit{slots: float64(slots), value: float64(slots)}
+}
+
+func (l *limit) resize(slots int) {
+	if float64(slots) == l.slots {
+		return
+	}
+	l.slots = float64(slots)
+	l.value = l.slots
+}
+
+func (l *limit) observe(latency time.Duration) {
+	sample := latency.Seconds()
+	if l.long == 0 {
+		l.long = sample
+		l.short = sample
+		return
+	}
+	l.short += shortWeight * (sample - l.short)
+	l.long += longWeight * (sample - l.long)
+	// After a long slow spell the mean falls back faster than it rose.
+	if l.long > 2*l.short {
+		l.long *= 0.95
+	}
+	gradient := math.Min(1, math.Max(0.5, limitTolerance*l.long/l.short))
+	target := l.value*gradient + 1
+	l.value += limitSmoothing * (target - l.value)
+	l.value = math.Min(l.slots, math.Max(minLimit, l.value))
+}
+
+// current returns the whole number of requests that may run.
+func (l *limit) current() int { return int(math.Round(l.value)) }
--- /dev/null
+++ b/internal/request/caroute/router.go
@@ -0,0 +1,294 @@
+package caroute
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+//go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=verdict_names.go
+//go:generate go tool enumer -type=ChangeKind -trimprefix=Change -transform=snake -text -output=changekind_names.go
+
+// Verdict tells how an attempt ended, as far as it tells of the upstream.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictServed means that the upstream answered.
+	VerdictServed Verdict = iota
+	// VerdictFailed means that the upstream failed or gave no answer.
+	VerdictFailed
+	// VerdictRefused means that the upstream refused before the start.
+	VerdictRefused
+	// VerdictAbandoned means that the caller gave up, or that the attempt was
+	// never sent.
+	VerdictAbandoned
+)
+
+// ChangeKind tells what happened to an upstream.
+type ChangeKind int
+
+// The kinds of changes.
+const (
+	ChangeEjected ChangeKind = iota
+	ChangeRestored
+)
+
+// Change is a change of the health of an upstream, for the log.
+type Change struct {
+	Kind        ChangeKind
+	Upstream    cawork.UpstreamID
+	FailureRate float64
+	PeerRate    float64
+	Latency     time.Duration
+}
+
+// Ask describes a request that wants a slot.
+type Ask struct {
+	Idempotent bool
+	Deadline   time.Time
+	// Exclude lists the upstreams that the request has been tried at.
+	Exclude []cawork.UpstreamID
+}
+
+// Route is a slot that is taken for one attempt. Release gives it back.
+type Route struct {
+	Upstream cawork.UpstreamID
+	Zone     cawork.ZoneName
+	Address  string
+	Epoch    caplatform.Epoch
+	// Connections bounds the connections that this entry may have.
+	Connections int
+	// Grant is set when the slot is borrowed.
+	Grant GrantID
+	// Probe is set when the attempt probes an ejected upstream.
+	Probe bool
+	// Expected is the expected latency, which decided the choice.
+	Expected time.Duration
+	Taken    time.Time
+
+	source *source
+}
+
+// Config holds the settings of a router.
+type Config struct {
+	// Zone is the own availability zone.
+	Zone cawork.ZoneName
+	// CrossingDelay is the round trip to another availability zone.
+	CrossingDelay time.Duration
+}
+
+// Router chooses the upstreams of requests.
+type Router struct {
+	config  Config
+	owned   map[cawork.UpstreamID]*source
+	grants  map[GrantID]*source
+	health  map[cawork.UpstreamID]*health
+	lent    map[GrantID]*loan
+	sources []*source
+	turn    int
+	service time.Duration
+	nextID  int64
+}
+
+// NewRouter returns a router without upstreams.
+func NewRouter(c Config) *Router {
+	return &Router{
+		config:  c,
+		owned:   map[cawork.UpstreamID]*source{},
+		grants:  map[GrantID]*source{},
+		health:  map[cawork.UpstreamID]*health{},
+		lent:    map[GrantID]*loan{},
+		service: initialLatency,
+	}
+}
+
+// Put adds or replaces an owned upstream. Requests in progress keep their
+// slots.
+func (r *Router) Put(now time.Time, u Upstream) {
+	s, ok := r.owned[u.ID]
+	if !ok {
+		s = &source{upstream: u.ID}
+		r.owned[u.ID] = s
+		r.sources = append(r.sources, s)
+	}
+	s.removed = false
+	s.zone = u.Zone
+	s.address = u.Address
+	s.epoch = u.Epoch
+	s.slots = min(u.Slots, u.Connections)
+	s.leaving = u.Leaving
+	s.startEnd = u.LeaseEnd
+	r.healthOf(now, u.ID, s.slots).limit.resize(s.slots)
+}
+
+// Remove forgets an owned upstream. While requests or loans still use slots
+// of it, the slots stay counted, in case the upstream is put back.
+func (r *Router) Remove(id cawork.UpstreamID) {
+	s, ok := r.owned[id]
+	if !ok {
+		return
+	}
+	s.removed = true
+	r.forget(s)
+}
+
+func (r *Router) forget(s *source) {
+	if !s.removed || s.inUse > 0 || s.lent > 0 {
+		return
+	}
+	delete(r.owned, s.upstream)
+	r.drop(s)
+}
+
+// limitOf returns the adaptive limit of the slots. The owner has limited
+// borrowed slots already.
+func (r *Router) limitOf(s *source) int {
+	if s.grant != "" {
+		return s.slots
+	}
+	return r.health[s.upstream].limit.current()
+}
+
+// Slots returns the number of slots that may be used now.
+func (r *Router) Slots(now time.Time) int {
+	n := 0
+	for _, s := range r.sources {
+		h := r.health[s.upstream]
+		if s.startsAt(now) && !h.ejected {
+			n += max(min(s.slots, r.limitOf(s))-s.lent, 0)
+		}
+	}
+	return n
+}
+
+// Service returns the mean time for which a request holds a slot.
+func (r *Router) Service() time.Duration { return r.service }
+
+// Choose takes a slot of the upstream with the least expected latency. It
+// reports false when no slot is free for the request.
+func (r *Router) Choose(now time.Time, a Ask) (Route, bool) {
+	if s := r.probe(now, a); s != nil {
+		r.health[s.upstream].probing = true
+		return r.take(now, s, true), true
+	}
+	var best *source
+	var least time.Duration
+	for i := range r.sources {
+		s := r.sources[(r.turn+i)%len(r.sources)]
+		if !r.usable(now, s, a) {
+			continue
+		}
+		if e := r.expected(s); best == nil || e < least {
+			best, least = s, e
+		}
+	}
+	if best == nil {
+		return Route{}, false
+	}
+	r.turn++
+	return r.take(now, best, false), true
+}
+
+// Release gives the slot of an attempt back and learns from its end. It
+// returns changes of the health of upstreams.
+func (r *Router) Release(now time.Time, t Route, v Verdict) []Change {
+	s := t.source
+	s.inUse--
+	assertSlots(s)
+	s.lastUsed = now
+	h, ok := r.health[t.Upstream]
+	if !ok {
+		return nil
+	}
+	defer r.forget(s)
+	latency := now.Sub(t.Taken)
+	h.record(now, v, latency)
+	if v == VerdictServed {
+		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
+	}
+	if t.Probe {
+		return r.probeEnded(now, t.Upstream, h, v)
+	}
+	return r.judge(now, t.Upstream, h)
+}
+
+func (r *Router) usable(now time.Time, s *source, a Ask) bool {
+	h := r.health[s.upstream]
+	return s.startsAt(now) &&
+		!h.ejected &&
+		!now.Before(h.pausedTo) &&
+		s.free(r.limitOf(s)) > 0 &&
+		(s.useEnd.IsZero() || !a.Deadline.After(s.useEnd)) &&
+		!slices.Contains(a.Exclude, s.upstream)
+}
+
+// expected is the expected latency of one more request: the mean latency,
+// raised by the load and by the failures of the upstream, and the crossing to
+// another zone.
+func (r *Router) expected(s *source) time.Duration {
+	h := r.health[s.upstream]
+	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
+	success := max(1-h.failureRate(), 0.1)
+	e := time.Duration(float64(h.latency) * load / success)
+	if s.zone != r.config.Zone {
+		e += r.config.CrossingDelay
+	}
+	return e
+}
+
+func (r *Router) take(now time.Time, s *source, probe bool) Route {
+	e := r.expected(s)
+	s.inUse++
+	s.lastUsed = now
+	assertSlots(s)
+	return Route{
+		Upstream:    s.upstream,
+		Zone:        s.zone,
+		Address:     s.address,
+		Epoch:       s.epoch,
+		Connections: s.slots,
+		Grant:       s.grant,
+		Probe:       probe,
+		Expected:    e,
+		Taken:       now,
+		source:      s,
+	}
+}
+
+func (r *Router) healthOf(now time.Time, id cawork.UpstreamID, slots int) *health {
+	h, ok := r.health[id]
+	if !ok {
+		h = newHealth(now, slots)
+		r.health[id] = h
+	}
+	return h
+}
+
+func (r *Router) drop(s *source) {
+	r.sources = slices.DeleteFunc(r.sources, func(o *source) bool { return o == s })
+	if _, ok := r.owned[s.upstream]; ok {
+		return
+	}
+	for _, g := range r.grants {
+		if g.upstream == s.upstream {
+			return
+		}
+	}
+	delete(r.health, s.upstream)
+}
+
+// assertSlots stops the request when the slots of an upstream are passed.
+func assertSlots(s *source) {
+	if s.inUse < 0 || s.lent < 0 {
+		panic(cakind.New(cakind.KindInternal, "slots of %s below zero: %d in use, %d lent", s.upstream, s.inUse, s.lent))
+	}
+}
+
+func grantName(prefix cawork.UpstreamID, n int64) GrantID {
+	return GrantID(fmt.Sprintf("%s/%d", prefix, n))
+}
