Membership and ownership: exported parts with working bodies

Cause: entries must find one another and hold upstreams one at a time without a coordination service. Conclusion: the interfaces are there to be wired.

--- /dev/null
+++ b/internal/coord/calist/part_test.go
@@ -0,0 +1,55 @@
+package calist_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	tally "github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/coord/calist"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// fakeList fails between two calls.
+type fakeList struct{ calls, failFrom, failTo int }
+
+func (l *fakeList) List(context.Context) ([]caplatform.VM, error) {
+	l.calls++
+	if l.calls >= l.failFrom && l.calls < l.failTo {
+		return nil, cakind.New(cakind.KindUnavailable, "list is down")
+	}
+	return []caplatform.VM{{ID: "u1", Slots: l.calls}}, nil
+}
+
+func TestLastListStaysInForceWhileTheListIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &fakeList{failFrom: 3, failTo: 6}
+		part := calist.NewPart(list, catimer.NewService(), zerolog.Nop(), tally.NoopScope)
+		sub := part.Subscribe()
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = part.Run(ctx) }()
+		var got []int
+		for len(got) < 3 {
+			got = append(got, (<-sub.C).VMs[0].Slots)
+		}
+		if diff := cmp.Diff([]int{1, 2, 6}, got); diff != "" {
+			t.Errorf("calls with a list mismatch (-want +got):\n%s", diff)
+		}
+		list.failFrom, list.failTo = 0, 1000
+		time.Sleep(time.Minute)
+		if diff := cmp.Diff(6, part.Last().VMs[0].Slots); diff != "" {
+			t.Errorf("last list mismatch (-want +got):\n%s", diff)
+		}
+		cancel()
+		<-part.Done()
+		if v, ok := <-sub.C; ok {
+			t.Errorf("got list %v after the end", v)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coord/camember/local.go
@@ -0,0 +1,75 @@
+package camember
+
+import (
+	"reflect"
+	"slices"
+	"time"
+)
+
+// publish writes the wanted application state into the own record: changes of
+// configuration, shards and unreachable upstreams at once, usage when it is
+// due.
+func (s *State) publish(now time.Time) {
+	for _, sec := range urgentSections(s.wanted) {
+		s.publishSection(sec)
+	}
+	if now.Before(s.usageDue) {
+		return
+	}
+	s.usageDue = now.Add(s.usagePeriod())
+	for _, sec := range s.usageSections() {
+		s.publishSection(sec)
+	}
+}
+
+// usagePeriod returns the time between two publications of usage.
+func (s *State) usagePeriod() time.Duration {
+	return max(s.cfg.PublishMin, time.Duration(len(s.records))*s.cfg.PublishPerMember)
+}
+
+// publishSection writes the section when it differs from the published one.
+func (s *State) publishSection(sec Section) {
+	key := sec.key()
+	for _, old := range s.self.sections {
+		if old.key() != key {
+			continue
+		}
+		old.Version = 0
+		if reflect.DeepEqual(old, sec) {
+			return
+		}
+	}
+	sec.Version = s.self.version + 1
+	s.self.set(sec)
+	s.touch(s.self)
+}
+
+func urgentSections(a AppState) []Section {
+	shards := &ShardList{}
+	for _, l := range a.Shards {
+		shards.Shards = append(shards.Shards, ShardEntry{Shard: l.Shard, View: l.View, Backup: l.Backup})
+	}
+	return []Section{
+		{Config: &ConfigMark{Version: a.ConfigVersion}},
+		{Shards: shards},
+		{Unreachable: &UpstreamList{Upstreams: slices.Clone(a.Unreachable)}},
+	}
+}
+
+// usageSections returns the use of every team that has, or had, any.
+func (s *State) usageSections() []Section {
+	sections := []Section{{Summary: &Summary{
+		Free: amountsOf(s.wanted.Free), LargestHole: amountsOf(s.wanted.LargestHole),
+		QueueLength: s.wanted.QueueLength, OwnedUpstreams: s.wanted.OwnedUpstreams,
+	}}}
+	for _, u := range s.wanted.TeamUse {
+		sections = append(sections, Section{Use: &UseEntry{Team: u.Team, Use: amountsOf(u.Use)}})
+	}
+	for _, old := range s.self.sections {
+		if old.Use == nil || slices.ContainsFunc(s.wanted.TeamUse, func(u TeamUse) bool { return u.Team == old.Use.Team }) {
+			continue
+		}
+		sections = append(sections, Section{Use: &UseEntry{Team: old.Use.Team}})
+	}
+	return sections
+}
--- /dev/null
+++ b/internal/coord/camember/part.go
@@ -0,0 +1,239 @@
+package camember
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	tally "github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cacheck"
+	"celeryarch.example/celeryarch/internal/coord/cafeed"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// ProbeTarget names the member that a relay is asked to probe.
+type ProbeTarget struct {
+	_       struct{} `cbor:",toarray"`
+	VM      cawork.VMID
+	Address string
+}
+
+// Peers carries calls to other entries. Handlers for the other side are
+// Part.HandleExchange and Part.HandleProbe.
+type Peers interface {
+	// Exchange calls HandleExchange of the entry at the address.
+	Exchange(ctx context.Context, address string, req ExchangeRequest) (ExchangeReply, error)
+	// ProbeVia calls HandleProbe of the entry at the address.
+	ProbeVia(ctx context.Context, address string, target ProbeTarget) error
+}
+
+// Deps are the surroundings of a Part.
+type Deps struct {
+	Peers  Peers
+	Timers *catimer.Service
+	Log    zerolog.Logger
+	Scope  tally.Scope
+	Check  *cacheck.Checker
+	// Seed decides the order of probes.
+	Seed uint64
+}
+
+// Part runs a State.
+type Part struct {
+	cfg  Config
+	deps Deps
+	id   Identity
+	feed cafeed.Feed[MemberChanged]
+	done chan struct{}
+	open sync.WaitGroup
+
+	mu    sync.Mutex
+	state *State
+}
+
+// NewPart returns a part for the identity. Seeds are addresses of entries.
+func NewPart(cfg Config, id Identity, seeds []string, deps Deps) *Part {
+	return &Part{
+		cfg: cfg, deps: deps, id: id, done: make(chan struct{}),
+		state: NewState(cfg, id, seeds, deps.Timers.Now(), deps.Seed, deps.Check),
+	}
+}
+
+// ticksPerPeriod is how often State is asked in a period whether anything is
+// due.
+const ticksPerPeriod = 4
+
+// Run probes until the context ends. It may be called once.
+func (p *Part) Run(ctx context.Context) error {
+	defer close(p.done)
+	defer p.feed.Close()
+	defer p.open.Wait()
+	ticks := p.deps.Timers.Every(p.cfg.Period / ticksPerPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+			p.advance(ctx, func(now time.Time) Step { return p.state.Tick(now) })
+		}
+	}
+}
+
+// Done is closed at the end of Run.
+func (p *Part) Done() <-chan struct{} { return p.done }
+
+// Subscribe returns a subscription to changes of members from now on.
+func (p *Part) Subscribe() *cafeed.Subscription[MemberChanged] { return p.feed.Subscribe() }
+
+// Members returns all known members ordered by VM id, the own entry included.
+func (p *Part) Members() []Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Members()
+}
+
+// Self returns the own entry.
+func (p *Part) Self() Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Self()
+}
+
+// SetLocal sets the application state that the others are told.
+func (p *Part) SetLocal(a AppState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.SetLocal(a)
+}
+
+// SetListed takes over a list of the platform.
+func (p *Part) SetListed(vms []caplatform.VM) {
+	var live []string
+	var gone []cawork.VMID
+	for _, vm := range vms {
+		switch {
+		case vm.Role != caplatform.VMRoleEntry || vm.ID == p.id.VM:
+		case vm.State == caplatform.VMStateGone:
+			gone = append(gone, vm.ID)
+		default:
+			live = append(live, vm.Address)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.SetListed(live, gone)
+}
+
+// Leave tells the others that this entry drains.
+func (p *Part) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Leave(false)
+}
+
+// Left tells a few others that this entry ends. It returns when they answered
+// or the context ends.
+func (p *Part) Left(ctx context.Context) {
+	p.mu.Lock()
+	p.state.Leave(true)
+	probes := p.state.Farewell()
+	p.mu.Unlock()
+	var all sync.WaitGroup
+	for _, probe := range probes {
+		all.Go(func() { p.probe(ctx, probe) })
+	}
+	all.Wait()
+}
+
+// HandleExchange answers the exchange of another entry.
+func (p *Part) HandleExchange(_ context.Context, req ExchangeRequest) (ExchangeReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply, step := p.state.Handle(p.deps.Timers.Now(), req)
+	p.publish(step.Events)
+	return reply, nil
+}
+
+// HandleProbe probes the target on behalf of another entry.
+func (p *Part) HandleProbe(ctx context.Context, target ProbeTarget) error {
+	reply, err := p.deps.Peers.Exchange(ctx, target.Address, ExchangeRequest{From: p.id.VM})
+	if err != nil {
+		return err
+	}
+	if reply.From != target.VM {
+		return cakind.New(cakind.KindNotFound, "%s answers in place of %s", reply.From, target.VM)
+	}
+	return nil
+}
+
+// advance lets the core take a step and carries it out.
+func (p *Part) advance(ctx context.Context, call func(now time.Time) Step) {
+	p.mu.Lock()
+	step := call(p.deps.Timers.Now())
+	p.publish(step.Events)
+	p.mu.Unlock()
+	for _, probe := range step.Probes {
+		p.open.Go(func() { p.probe(ctx, probe) })
+	}
+	if len(step.Relays) > 0 {
+		p.open.Go(func() { p.relay(ctx, step.Relays) })
+	}
+}
+
+func (p *Part) probe(ctx context.Context, probe Probe) {
+	limited, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
+	defer cancel()
+	reply, err := p.deps.Peers.Exchange(limited, probe.Address, probe.Request)
+	p.deps.Scope.Counter("exchanges").Inc(1)
+	switch {
+	case err == nil:
+		p.advance(ctx, func(now time.Time) Step { return p.state.HandleReply(now, probe, reply) })
+	case ctx.Err() == nil && !probe.Request.Second:
+		p.deps.Scope.Counter("probe_failures").Inc(1)
+		p.advance(ctx, func(now time.Time) Step { return p.state.HandleFailure(now, probe) })
+	}
+}
+
+// relay asks all relays at once; one answer suffices.
+func (p *Part) relay(ctx context.Context, relays []Relay) {
+	limited, cancel := context.WithTimeout(ctx, 2*p.cfg.ProbeTimeout)
+	defer cancel()
+	answers := make(chan error, len(relays))
+	for _, r := range relays {
+		target := ProbeTarget{VM: r.Target.VM, Address: r.Target.Address}
+		p.open.Go(func() { answers <- p.deps.Peers.ProbeVia(limited, r.Address, target) })
+	}
+	answered := false
+	for range relays {
+		if err := <-answers; err == nil {
+			answered = true
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	p.advance(ctx, func(now time.Time) Step { return p.state.HandleRelayed(now, relays[0].Target, answered) })
+}
+
+// publish logs and delivers events. The caller holds the mutex, so that
+// subscribers see the order of the core.
+func (p *Part) publish(events []MemberChanged) {
+	for _, e := range events {
+		if e.Cause == CauseApp {
+			continue
+		}
+		caevent.Info(p.deps.Log, caevent.MemberChanged).
+			Str("vm", string(e.Member.VM)).Str("was", e.Was.String()).
+			Str("liveness", e.Member.Liveness.String()).Str("cause", e.Cause.String()).
+			Str("reach", e.Member.Reach.String()).Int64("incarnation", int64(e.Member.Incarnation)).Send()
+	}
+	p.feed.Publish(events...)
+}
--- /dev/null
+++ b/internal/coord/camember/probe.go
@@ -0,0 +1,157 @@
+package camember
+
+import (
+	"slices"
+	"time"
+)
+
+// nextProbes returns the probes of a period: the next member in a shuffled
+// round, and one address that is not, or no longer, a live member.
+func (s *State) nextProbes(now time.Time) []Probe {
+	var probes []Probe
+	if r, ok := s.nextMember(); ok {
+		probes = append(probes, s.probeOf(r))
+	}
+	if p, ok := s.nextContact(now, len(probes) == 0); ok {
+		probes = append(probes, p)
+	}
+	return probes
+}
+
+// nextMember returns the next live member in a round that visits each once.
+func (s *State) nextMember() (*record, bool) {
+	for range 2 {
+		for s.cursor < len(s.order) {
+			r, ok := s.records[s.order[s.cursor]]
+			s.cursor++
+			if ok && r != s.self && !r.standing.Liveness.Gone() {
+				return r, true
+			}
+		}
+		s.order, s.cursor = s.sortedKeys(), 0
+		s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+	}
+	return nil, false
+}
+
+// nextContact returns a probe of a seed, a listed VM or a dead member that is
+// due. An entry that knows no other tries one in each period.
+func (s *State) nextContact(now time.Time, alone bool) (Probe, bool) {
+	pause := s.cfg.Retry
+	if alone {
+		pause = s.cfg.Period
+	}
+	live := map[string]bool{s.id.Address: true}
+	var dead []*record
+	for _, key := range s.sortedKeys() {
+		r := s.records[key]
+		if r.standing.Liveness == LivenessDead {
+			dead = append(dead, r)
+			continue
+		}
+		p, _ := r.place()
+		live[p.Address] = true
+	}
+	var best Probe
+	var bestAt time.Time
+	consider := func(p Probe) {
+		at, tried := s.contacts[p.Address]
+		if tried && now.Sub(at) < pause || best.Address != "" && !at.Before(bestAt) {
+			return
+		}
+		best, bestAt = p, at
+	}
+	for _, r := range dead {
+		consider(s.probeOf(r))
+	}
+	for _, a := range slices.Concat(s.seeds, s.listed) {
+		if !live[a] {
+			consider(Probe{Address: a, Request: s.request(nil)})
+		}
+	}
+	if best.Address == "" {
+		return Probe{}, false
+	}
+	s.contacts[best.Address] = now
+	return best, true
+}
+
+func (s *State) probeOf(r *record) Probe {
+	p, _ := r.place()
+	return Probe{VM: p.VM, Address: p.Address, Request: s.request(r)}
+}
+
+// HandleFailure notes that a probe got no answer and returns the relays to
+// ask. A member that itself was heard of late, or a failure in the grace after
+// a pause of this entry, is left alone.
+func (s *State) HandleFailure(now time.Time, p Probe) Step {
+	r, ok := s.records[keyOf(p.VM)]
+	if !ok || p.VM == "" || r.standing.Liveness.Gone() {
+		return s.step(nil, nil)
+	}
+	s.failures = min(s.failures+1, 4*maxCaution)
+	if now.Before(s.grace) {
+		return s.step(nil, nil)
+	}
+	relays := s.relaysFor(r, p)
+	if len(relays) == 0 {
+		s.conclude(r, now)
+	}
+	return s.step(nil, relays)
+}
+
+func (s *State) relaysFor(target *record, p Probe) []Relay {
+	var relays []Relay
+	keys := s.sortedKeys()
+	s.rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	for _, key := range keys {
+		r := s.records[key]
+		if r == s.self || r == target || r.standing.Liveness != LivenessAlive || r.reach != ReachDirect {
+			continue
+		}
+		at, _ := r.place()
+		relays = append(relays, Relay{Address: at.Address, Target: p})
+		if len(relays) == s.cfg.Relays {
+			break
+		}
+	}
+	return relays
+}
+
+// HandleRelayed notes whether any relay got an answer from the target.
+func (s *State) HandleRelayed(now time.Time, p Probe, answered bool) Step {
+	r, ok := s.records[keyOf(p.VM)]
+	if !ok || r.standing.Liveness.Gone() {
+		return s.step(nil, nil)
+	}
+	if answered {
+		s.setReach(r, ReachIndirect)
+		return s.step(nil, nil)
+	}
+	s.conclude(r, now)
+	return s.step(nil, nil)
+}
+
+// conclude suspects a member that nobody got an answer from, unless its own
+// requests still arrive here.
+func (s *State) conclude(r *record, now time.Time) {
+	if !r.heard.IsZero() && now.Sub(r.heard) < s.heardFor() {
+		s.setReach(r, ReachHeard)
+		return
+	}
+	s.setReach(r, ReachNone)
+	if r.standing.Liveness == LivenessAlive || r.standing.Liveness == LivenessLeaving {
+		s.believe(r, Standing{Counter: r.standing.Counter, Liveness: LivenessSuspect}, now)
+	}
+}
+
+// heardFor returns how long a request of a member counts as a sign of life.
+func (s *State) heardFor() time.Duration { return 2 * s.cfg.Period }
+
+func (s *State) setReach(r *record, reach Reach) {
+	if r.reach == reach {
+		return
+	}
+	r.reach = reach
+	s.emit(r, r.standing.Liveness, CauseReach)
+}
--- /dev/null
+++ b/internal/coord/camember/state.go
@@ -0,0 +1,253 @@
+package camember
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cacheck"
+)
+
+// State is the core of membership. It performs no I/O; the caller passes the
+// time in, sends what Step lists, and reports what came of it. It is not safe
+// for concurrent use.
+type State struct {
+	cfg   Config
+	id    Identity
+	check *cacheck.Checker
+	rng   *rand.Rand
+
+	records map[uint64]*record
+	self    *record
+	wanted  AppState
+
+	usageDue  time.Time
+	lastTick  time.Time
+	grace     time.Time
+	sequence  uint64
+	cursor    int
+	order     []uint64
+	contacts  map[string]time.Time
+	seeds     []string
+	listed    []string
+	banned    map[uint64]bool
+	failures  int
+	events    []MemberChanged
+	nextProbe time.Time
+	windowAt  int
+}
+
+// NewState returns the state of an entry that knows only itself and the
+// addresses of seeds. The seed of the random generator decides the order of
+// probes.
+func NewState(cfg Config, id Identity, seeds []string, now time.Time, seed uint64, check *cacheck.Checker) *State {
+	s := &State{
+		cfg: cfg, id: id, check: check, rng: rand.New(rand.NewPCG(seed, keyOf(id.VM))),
+		records: map[uint64]*record{}, contacts: map[string]time.Time{}, banned: map[uint64]bool{},
+		seeds: slices.Clone(seeds), lastTick: now,
+	}
+	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(cfg.Period))))
+	s.self = &record{
+		key: keyOf(id.VM), incarnation: Incarnation(max(now.UnixMilli(), 1)), since: now, joined: now, live: now,
+	}
+	s.records[s.self.key] = s.self
+	s.publishSection(Section{Place: &Place{VM: id.VM, Address: id.Address, Zone: id.Zone}})
+	return s
+}
+
+// Probe is an exchange to be made with the VM, unknown for a seed, at the
+// address.
+type Probe struct {
+	VM      cawork.VMID
+	Address string
+	Request ExchangeRequest
+}
+
+// Relay asks the entry at Address to probe the target.
+type Relay struct {
+	Address string
+	Target  Probe
+}
+
+// Step is what is to be done after a call.
+type Step struct {
+	Probes []Probe
+	Relays []Relay
+	Events []MemberChanged
+}
+
+func (s *State) step(probes []Probe, relays []Relay) Step {
+	events := s.events
+	s.events = nil
+	s.check.Assert(!s.self.standing.Liveness.Gone() || s.self.standing.Liveness == LivenessLeft,
+		cacheck.RuleSelfStanding, "own standing %+v", s.self.standing)
+	return Step{Probes: probes, Relays: relays, Events: events}
+}
+
+// SetLocal sets the application state that the others are told.
+func (s *State) SetLocal(a AppState) { s.wanted = a }
+
+// Leave marks the own entry as draining, or as ended by itself.
+func (s *State) Leave(left bool) {
+	liveness := LivenessLeaving
+	if left {
+		liveness = LivenessLeft
+	}
+	s.self.standing = Standing{Counter: s.self.standing.Counter + 1, Liveness: liveness}
+	s.touch(s.self)
+}
+
+// Farewell returns exchanges that tell a few members of the own standing at
+// once.
+func (s *State) Farewell() []Probe {
+	var probes []Probe
+	for range s.cfg.Relays {
+		if r, ok := s.nextMember(); ok {
+			probes = append(probes, s.probeOf(r))
+		}
+	}
+	return probes
+}
+
+// Members returns all known members ordered by VM id, the own entry included.
+func (s *State) Members() []Member {
+	members := make([]Member, 0, len(s.records))
+	for _, r := range s.records {
+		members = append(members, r.member())
+	}
+	slices.SortFunc(members, func(a, b Member) int { return compareNames(a.VM, b.VM) })
+	return members
+}
+
+// Self returns the own entry.
+func (s *State) Self() Member { return s.self.member() }
+
+// SetListed takes over the entries that the platform lists. Live lists
+// addresses worth a contact; gone lists VMs that never run again.
+func (s *State) SetListed(live []string, gone []cawork.VMID) {
+	s.listed = slices.Clone(live)
+	for _, vm := range gone {
+		key := keyOf(vm)
+		if key == s.self.key || s.banned[key] {
+			continue
+		}
+		s.banned[key] = true
+		s.forget(key)
+	}
+}
+
+func (s *State) forget(key uint64) {
+	r, ok := s.records[key]
+	if !ok {
+		return
+	}
+	was := r.standing.Liveness
+	r.standing.Liveness = LivenessDead
+	s.emit(r, was, CauseUnlisted)
+	delete(s.records, key)
+}
+
+// Tick advances time: it publishes, ends suspicions and begins a probe.
+func (s *State) Tick(now time.Time) Step {
+	s.notePause(now)
+	s.publish(now)
+	s.expire(now)
+	if now.Before(s.nextProbe) {
+		return s.step(nil, nil)
+	}
+	s.nextProbe = now.Add(s.cfg.Period)
+	return s.step(s.nextProbes(now), nil)
+}
+
+// notePause restarts all suspicions after a time in which this entry itself
+// did not run, because silence in that time says nothing about the others.
+func (s *State) notePause(now time.Time) {
+	gap := now.Sub(s.lastTick)
+	s.lastTick = now
+	if gap <= pausePeriods*s.cfg.Period {
+		return
+	}
+	s.grace = now.Add(2 * s.cfg.Period)
+	for _, r := range s.records {
+		if r.standing.Liveness == LivenessSuspect {
+			r.suspect = now
+		}
+	}
+	s.emit(s.self, s.self.standing.Liveness, CauseSelfPaused)
+}
+
+// expire turns suspicions that were not refuted into deaths and drops members
+// that are dead for long.
+func (s *State) expire(now time.Time) {
+	for _, key := range s.sortedKeys() {
+		r := s.records[key]
+		switch {
+		case r == s.self:
+		case r.standing.Liveness == LivenessSuspect && now.Sub(r.suspect) >= s.suspicion():
+			s.believe(r, Standing{Counter: r.standing.Counter, Liveness: LivenessDead}, now)
+		case r.standing.Liveness.Gone() && now.Sub(r.since) >= s.cfg.Forget:
+			delete(s.records, key)
+		}
+	}
+}
+
+// maxCaution bounds the factor by which failing probes of this entry stretch
+// its suspicions.
+const maxCaution = 3
+
+// suspicion returns the time that a suspected member has. An entry most of
+// whose probes fail is probably itself cut off, and waits longer.
+func (s *State) suspicion() time.Duration {
+	return s.cfg.Suspicion * time.Duration(1+min(s.failures/4, maxCaution))
+}
+
+func (s *State) sortedKeys() []uint64 {
+	keys := make([]uint64, 0, len(s.records))
+	for key := range s.records {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *State) touch(r *record) {
+	s.sequence++
+	r.touched = s.sequence
+}
+
+func (s *State) emit(r *record, was Liveness, c Cause) {
+	s.events = append(s.events, MemberChanged{Member: r.member(), Was: was, Cause: c})
+}
+
+// believe takes over a standing and tells what it means.
+func (s *State) believe(r *record, st Standing, now time.Time) {
+	was := r.standing
+	r.standing = st
+	s.touch(r)
+	if was.Liveness == st.Liveness {
+		return
+	}
+	r.since = now
+	r.setLive(was.Liveness, now)
+	if st.Liveness == LivenessSuspect {
+		r.suspect = now
+	}
+	s.emit(r, was.Liveness, causeOf(was.Liveness, st.Liveness))
+}
+
+func causeOf(was, is Liveness) Cause {
+	switch {
+	case is == LivenessSuspect:
+		return CauseSuspected
+	case is == LivenessDead:
+		return CauseDied
+	case is == LivenessLeft:
+		return CauseLeft
+	case was == LivenessDead:
+		return CauseReturned
+	case is == LivenessLeaving:
+		return CauseLeaving
+	}
+	return CauseRefuted
+}
