Configuration: documents with places, settings, cell configuration, keys, ordered follower

The first form of the packages, to be wired: files merged in name order (camerge), strict decoding and canonical encoding (cadocument), settings of a process (casettings), configuration of a cell (cacell), keys (cakey), the follower of versions (cafollow) and the configuration in force (caactive).

--- /dev/null
+++ b/internal/config/cacell/diff.go
@@ -0,0 +1,71 @@
+package cacell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"celeryarch.example/celeryarch/internal/config/cadocument"
+	"celeryarch.example/celeryarch/internal/config/camerge"
+)
+
+// Change is one value that differs between two configurations. Before is
+// empty for a value that was added, After for one that was removed.
+type Change struct {
+	Path   string `json:"path"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	switch {
+	case c.Before == "":
+		return fmt.Sprintf("+ %s: %s", c.Path, c.After)
+	case c.After == "":
+		return fmt.Sprintf("- %s: %s", c.Path, c.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Before, c.After)
+	}
+}
+
+// Diff lists what differs between two configurations in the order of paths.
+func Diff(before, after Config) []Change {
+	old, now := before.values(), after.values()
+	paths := maps.Clone(old)
+	maps.Copy(paths, now)
+	var changes []Change
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		if old[path] != now[path] {
+			changes = append(changes, Change{Path: path, Before: old[path], After: now[path]})
+		}
+	}
+	return changes
+}
+
+// values returns each single value of the configuration by its path.
+func (c Config) values() map[string]string {
+	values := map[string]string{}
+	if c.IsZero() {
+		return values
+	}
+	n, problems := camerge.Parse("", c.encoded)
+	if len(problems) > 0 {
+		panic("cacell: canonical encoding cannot be read: " + problems.Error())
+	}
+	flatten(values, "", n)
+	return values
+}
+
+func flatten(values map[string]string, path string, n camerge.Node) {
+	for _, m := range n.Members {
+		flatten(values, camerge.JoinPath(path, m.Name), m.Value)
+	}
+	for i, e := range n.Elements {
+		flatten(values, camerge.JoinPath(path, strconv.Itoa(i)), e)
+	}
+	if n.Kind != camerge.KindObject && n.Kind != camerge.KindArray {
+		values[path] = cadocument.Describe(n)
+	}
+}
--- /dev/null
+++ b/internal/config/cadocument/encode.go
@@ -0,0 +1,119 @@
+package cadocument
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"reflect"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// Encode returns the canonical form of a value that Decode reads: compact
+// JSON with the names of objects sorted and each value in one form, so that
+// equal values have equal bytes.
+func Encode(value any) []byte {
+	var b bytes.Buffer
+	encode(&b, reflect.ValueOf(value))
+	return b.Bytes()
+}
+
+type member struct {
+	name  string
+	value reflect.Value
+}
+
+func encode(b *bytes.Buffer, v reflect.Value) {
+	switch value := v.Interface().(type) {
+	case Encoder:
+		b.Write(value.EncodeNode())
+		return
+	case encoding.TextMarshaler:
+		text, err := value.MarshalText()
+		if err != nil {
+			panic("cadocument: " + err.Error())
+		}
+		encodeJSON(b, string(text))
+		return
+	case time.Duration:
+		encodeJSON(b, value.String())
+		return
+	case cawork.Bytes:
+		encodeJSON(b, FormatBytes(value))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		encodeMembers(b, structMembers(v))
+	case reflect.Map:
+		encodeMembers(b, mapMembers(v))
+	case reflect.Slice:
+		encodeSlice(b, v)
+	default:
+		encodeJSON(b, v.Interface())
+	}
+}
+
+func encodeJSON(b *bytes.Buffer, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("cadocument: " + err.Error())
+	}
+	b.Write(data)
+}
+
+func encodeSlice(b *bytes.Buffer, v reflect.Value) {
+	b.WriteByte('[')
+	for i := range v.Len() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		encode(b, v.Index(i))
+	}
+	b.WriteByte(']')
+}
+
+func encodeMembers(b *bytes.Buffer, members []member) {
+	slices.SortFunc(members, func(x, y member) int { return bytes.Compare([]byte(x.name), []byte(y.name)) })
+	b.WriteByte('{')
+	for i, m := range members {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		encodeJSON(b, m.name)
+		b.WriteByte(':')
+		encode(b, m.value)
+	}
+	b.WriteByte('}')
+}
+
+func structMembers(v reflect.Value) []member {
+	var members []member
+	for i := range v.NumField() {
+		if name := v.Type().Field(i).Tag.Get("json"); name != "" {
+			members = append(members, member{name, v.Field(i)})
+		}
+	}
+	return members
+}
+
+func mapMembers(v reflect.Value) []member {
+	var members []member
+	for _, key := range v.MapKeys() {
+		members = append(members, member{keyName(key), v.MapIndex(key)})
+	}
+	return members
+}
+
+func keyName(key reflect.Value) string {
+	if t, ok := key.Interface().(encoding.TextMarshaler); ok {
+		text, err := t.MarshalText()
+		if err != nil {
+			panic("cadocument: " + err.Error())
+		}
+		return string(text)
+	}
+	return key.String()
+}
--- /dev/null
+++ b/internal/config/camerge/node.go
@@ -0,0 +1,63 @@
+// Package camerge reads JSON with comments and merges a folder of such files
+// into one document that remembers where each value was written.
+package camerge
+
+import (
+	"celeryarch.example/celeryarch/internal/config/caproblem"
+)
+
+//go:generate go tool enumer -type=Kind -trimprefix=Kind -transform=snake -output=kind_names.go
+
+// Kind is the kind of a JSON value.
+type Kind int
+
+// The kinds of JSON values.
+const (
+	KindNull Kind = iota
+	KindBool
+	KindNumber
+	KindText
+	KindObject
+	KindArray
+)
+
+// Node is a JSON value with the place where it was written. Nodes are not
+// changed after they are built.
+type Node struct {
+	Kind Kind
+	// Text is the unescaped string, or the literal of a number or bool.
+	Text     string
+	Members  []Member
+	Elements []Node
+	At       caproblem.Position
+}
+
+// Member is a name and a value of an object.
+type Member struct {
+	Name   string
+	NameAt caproblem.Position
+	Value  Node
+}
+
+// Member returns the value of a name of an object.
+func (n Node) Member(name string) (Node, bool) {
+	for _, m := range n.Members {
+		if m.Name == name {
+			return m.Value, true
+		}
+	}
+	return Node{}, false
+}
+
+// Find returns the node at the path of member names, and when there is none
+// the deepest node on the way to it.
+func (n Node) Find(path ...string) Node {
+	for _, name := range path {
+		child, ok := n.Member(name)
+		if !ok {
+			return n
+		}
+		n = child
+	}
+	return n
+}
--- /dev/null
+++ b/internal/config/casettings/settings.go
@@ -0,0 +1,150 @@
+// Package casettings holds the settings of one entry process: its identity,
+// addresses, the addresses of the platform, TLS files, timeouts and limits.
+package casettings
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cadocument"
+	"celeryarch.example/celeryarch/internal/config/camerge"
+	"celeryarch.example/celeryarch/internal/config/caproblem"
+)
+
+// Settings are the settings of one entry.
+type Settings struct {
+	VM        cawork.VMID     `json:"vm"`
+	Zone      cawork.ZoneName `json:"zone"`
+	Addresses Addresses       `json:"addresses"`
+	// Seeds are the peer addresses of entries to ask first.
+	Seeds    []string `json:"seeds"`
+	Platform Platform `json:"platform"`
+	TLS      TLS      `json:"tls"`
+	Timeouts Timeouts `json:"timeouts"`
+	Limits   Limits   `json:"limits"`
+	LogLevel LogLevel `json:"log_level"`
+}
+
+// Addresses are the host:port pairs that the entry listens on.
+type Addresses struct {
+	// API serves callers and operators.
+	API string `json:"api"`
+	// Peer serves the other entries.
+	Peer string `json:"peer"`
+	// Metrics serves the scrape endpoint.
+	Metrics string `json:"metrics"`
+}
+
+// Platform gives the URLs of the services of the platform.
+type Platform struct {
+	Log    string `json:"log"`
+	VMList string `json:"vm_list"`
+}
+
+// TLS names the PEM files of the connections between entries. Insecure must
+// be set to go without.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	CA          string `json:"ca"`
+	Insecure    bool   `json:"insecure"`
+}
+
+// Timeouts bound how long the entry waits.
+type Timeouts struct {
+	// Header is the time for the header of a request to arrive.
+	Header time.Duration `json:"header"`
+	// Body is the time for the body of a request to arrive.
+	Body time.Duration `json:"body"`
+	// Request is the longest time that a request of a caller may take.
+	Request time.Duration `json:"request"`
+	// Idle is the time after which an idle connection is closed.
+	Idle time.Duration `json:"idle"`
+	// Peer is the timeout of a call to another entry.
+	Peer time.Duration `json:"peer"`
+	// Platform is the timeout of a call to the platform.
+	Platform time.Duration `json:"platform"`
+	// Drain is the longest time that a shutdown waits for requests in progress.
+	Drain time.Duration `json:"drain"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Body        cawork.Bytes `json:"body"`
+	Header      cawork.Bytes `json:"header"`
+	Connections int          `json:"connections"`
+}
+
+// LogLevel is the lowest level of the lines that are logged.
+type LogLevel struct {
+	zerolog.Level
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (l LogLevel) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	return Settings{
+		Timeouts: Timeouts{
+			Header:   5 * time.Second,
+			Body:     30 * time.Second,
+			Request:  60 * time.Second,
+			Idle:     2 * time.Minute,
+			Peer:     time.Second,
+			Platform: 2 * time.Second,
+			Drain:    60 * time.Second,
+		},
+		Limits:   Limits{Body: 8 * cawork.MiB, Header: 16 * cawork.KiB, Connections: 4096},
+		LogLevel: LogLevel{zerolog.InfoLevel},
+	}
+}
+
+// Load reads settings from a file, or from a folder of files that are merged
+// in the order of their names.
+func Load(path string) (Settings, error) {
+	node, problems := read(path)
+	if err := problems.Err(); err != nil {
+		return Settings{}, err
+	}
+	return FromNode(node)
+}
+
+func read(path string) (camerge.Node, caproblem.List) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return camerge.Node{}, caproblem.List{{At: caproblem.Position{File: path}, Reason: "cannot be read: " + reason(err)}}
+	}
+	if info.IsDir() {
+		return camerge.Folder(os.DirFS(path))
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return camerge.Node{}, caproblem.List{{At: caproblem.Position{File: path}, Reason: "cannot be read: " + reason(err)}}
+	}
+	return camerge.Parse(filepath.Base(path), data)
+}
+
+func reason(err error) string {
+	if p, ok := err.(*os.PathError); ok {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
+
+// FromNode reads settings from a document. The error lists all problems.
+func FromNode(n camerge.Node) (Settings, error) {
+	s := Default()
+	problems := cadocument.Decode(n, &s)
+	if len(problems) == 0 {
+		problems = s.check(n)
+	}
+	if err := problems.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
