--- /dev/null
+++ b/internal/cli/cacommand/config.go
@@ -0,0 +1,168 @@
+package cacommand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/google/uuid"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/cli/caoption"
+	"celeryarch.example/celeryarch/internal/config/cacell"
+	"celeryarch.example/celeryarch/internal/coord/cafollow"
+)
+
+// checked is the answer of config check.
+type checked struct {
+	Hash   string `json:"hash"`
+	Zones  int    `json:"zones"`
+	Teams  int    `json:"teams"`
+	Keys   int    `json:"keys"`
+	Queues int    `json:"queues"`
+}
+
+func (c command) configCheck(o caoption.ConfigCheck) error {
+	config, err := loadCell(o.Args.Dir)
+	if err != nil {
+		return err
+	}
+	answer := checked{
+		Hash:   config.Hash(),
+		Zones:  len(config.Zones()),
+		Teams:  len(config.Teams()),
+		Keys:   len(config.Keys()),
+		Queues: len(config.Queues()),
+	}
+	c.print(answer, fmt.Sprintf("ok: %d zones, %d teams, %d keys, %d open queues, hash %.12s",
+		answer.Zones, answer.Teams, answer.Keys, answer.Queues, answer.Hash))
+	return nil
+}
+
+func loadCell(dir string) (cacell.Config, error) {
+	return cacell.Load(os.DirFS(dir))
+}
+
+// differences is the answer of config diff.
+type differences struct {
+	// Version is the version in force, the base to publish on.
+	Version cafollow.Version `json:"version"`
+	Changes []cacell.Change  `json:"changes"`
+}
+
+func (c command) configDiff(o caoption.ConfigDiff) error {
+	config, err := loadCell(o.Args.Dir)
+	if err != nil {
+		return err
+	}
+	publisher, err := c.publisher(o.LogService)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, o.Timeout)
+	defer cancel()
+	current, err := publisher.Current(ctx)
+	if err != nil {
+		return err
+	}
+	inForce, err := decodeInForce(current)
+	if err != nil {
+		return err
+	}
+	answer := differences{Version: current.Version, Changes: cacell.Diff(inForce, config)}
+	lines := []string{fmt.Sprintf("%d changes to version %d", len(answer.Changes), answer.Version)}
+	for _, change := range answer.Changes {
+		lines = append(lines, change.String())
+	}
+	c.print(answer, lines...)
+	return nil
+}
+
+// decodeInForce returns the zero configuration for version 0.
+func decodeInForce(s cafollow.Snapshot) (cacell.Config, error) {
+	if s.Version == 0 {
+		return cacell.Config{}, nil
+	}
+	config, err := cacell.Decode(s.Body)
+	if err != nil {
+		return cacell.Config{}, cakind.Wrap(cakind.KindInternal, err, "version %d cannot be read by this program", s.Version)
+	}
+	return config, nil
+}
+
+func (c command) publisher(o caoption.LogService) (cafollow.Publisher, error) {
+	if o.Log == "" {
+		return cafollow.Publisher{}, cakind.New(cakind.KindInvalid, "give the log service with --log URL or CELERYARCH_LOG")
+	}
+	return cafollow.Publisher{Log: c.runners.Log(o.Log), Topic: cacell.Topic}, nil
+}
+
+// published is the answer of config publish.
+type published struct {
+	Accepted bool              `json:"accepted"`
+	Version  cafollow.Version  `json:"version"`
+	ChangeID cafollow.ChangeID `json:"change_id,omitempty"`
+}
+
+func (c command) configPublish(o caoption.ConfigPublish) error {
+	config, err := loadCell(o.Args.Dir)
+	if err != nil {
+		return err
+	}
+	publisher, err := c.publisher(o.LogService)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, o.Timeout)
+	defer cancel()
+	id := cafollow.ChangeID(o.ChangeID)
+	if id == "" {
+		id = cafollow.ChangeID(uuid.NewString())
+	}
+	if o.Reset {
+		return c.reset(ctx, publisher, cafollow.Reset{ID: id, Body: config.Encode()})
+	}
+	return c.publish(ctx, publisher, o, cafollow.Change{ID: id, Body: config.Encode()})
+}
+
+func (c command) publish(ctx context.Context, p cafollow.Publisher, o caoption.ConfigPublish, change cafollow.Change) error {
+	current, err := p.Current(ctx)
+	if err != nil {
+		return err
+	}
+	change.Base = current.Version
+	if o.Base != nil {
+		change.Base = cafollow.Version(*o.Base)
+	}
+	if change.Base == current.Version && bytes.Equal(change.Body, current.Body) {
+		c.print(published{Accepted: true, Version: current.Version, ChangeID: current.ChangeID},
+			fmt.Sprintf("version %d already has this content", current.Version))
+		return nil
+	}
+	result, err := p.Publish(ctx, change)
+	if err != nil {
+		return err
+	}
+	if !result.Accepted {
+		return cakind.New(cakind.KindStaleVersion,
+			"conflict: the change is based on version %d, but version %d of change %s is in force; look at it with config diff",
+			change.Base, result.Version, result.Winner)
+	}
+	c.reportPublished(result)
+	return nil
+}
+
+func (c command) reset(ctx context.Context, p cafollow.Publisher, r cafollow.Reset) error {
+	result, err := p.Reset(ctx, r)
+	if err != nil {
+		return err
+	}
+	c.reportPublished(result)
+	return nil
+}
+
+func (c command) reportPublished(r cafollow.Result) {
+	c.print(published{Accepted: true, Version: r.Version, ChangeID: r.Winner},
+		fmt.Sprintf("version %d is accepted", r.Version))
+}
--- a/internal/config/cacell/config.go
+++ b/internal/config/cacell/config.go
@@ -19,6 +19,9 @@
 //go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=UnconfirmedKeys -trimprefix=UnconfirmedKeys -transform=snake -text -output=unconfirmedkeys_names.go
 
+// Topic is the topic of the log on which configurations are published.
+const Topic = "config"
+
 // KeyID identifies a key. It is no secret.
 type KeyID string
 
--- a/internal/config/caproblem/problem.go
+++ b/internal/config/caproblem/problem.go
@@ -56,10 +56,11 @@
 	return strings.Join(lines, "\n")
 }
 
-// Err returns the list as an error of KindInvalid, nil when it is empty.
+// Err returns the list as an error of KindInvalid, nil when it is empty. The
+// list is found again by errors.As.
 func (l List) Err() error {
 	if len(l) == 0 {
 		return nil
 	}
-	return cakind.New(cakind.KindInvalid, "%s", l.Error())
+	return cakind.Wrap(cakind.KindInvalid, l, "refused")
 }
--- a/internal/coord/cafollow/follower.go
+++ b/internal/coord/cafollow/follower.go
@@ -6,11 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -255,14 +255,18 @@
 		f.noteLog(r.err)
 		return
 	}
-	before, anchorBefore := f.state, f.state.anchor
+	before := f.state
 	next, decisions, err := f.state.WithPage(r.page)
+	if cakind.Of(err) == cakind.KindUnavailable {
+		f.noteLog(err)
+		return
+	}
 	f.state = next
 	f.noteLog(nil)
 	f.noteViolation(err)
 	f.noteDecisions(decisions)
 	f.adopt("log")
-	if f.everCaughtUp && next.anchor > anchorBefore {
+	if f.everCaughtUp && next.anchor > before.anchor {
 		f.snapshotSeen = f.opts.Timer.Now()
 	}
 	if next.CaughtUp() {
@@ -429,20 +433,3 @@
 			Str("winner", string(d.Winner)).Send()
 	}
 }
-
-// Elected reports whether a VM has the lowest rendezvous rank of the live
-// ones for a topic, which spreads topics over VMs and moves few when one
-// leaves.
-func Elected(topic string, self cawork.VMID, live []cawork.VMID) bool {
-	own := rank(topic, self)
-	for _, vm := range live {
-		if other := rank(topic, vm); other < own || (other == own && vm < self) {
-			return false
-		}
-	}
-	return true
-}
-
-func rank(topic string, vm cawork.VMID) uint64 {
-	return xxhash.Sum64String(topic + "\x00" + string(vm))
-}
--- a/internal/coord/cafollow/publisher.go
+++ b/internal/coord/cafollow/publisher.go
@@ -20,9 +20,6 @@
 type Publisher struct {
 	Log   caplatform.Log
 	Topic string
-	// Known are snapshots that entries gave. They let the publisher know the
-	// version in force when the log has dropped its snapshots.
-	Known []Snapshot
 	// CallTimeout bounds a call to the log, zero stands for the default.
 	CallTimeout time.Duration
 }
@@ -52,8 +49,7 @@
 		return Snapshot{}, err
 	}
 	if w.state.Gap() {
-		return Snapshot{}, cakind.New(cakind.KindUnavailable,
-			"the log no longer tells the version in force; name an entry that knows it, or reset the configuration")
+		return Snapshot{}, errNoVersion()
 	}
 	return w.state.Snapshot(), nil
 }
@@ -74,7 +70,7 @@
 		return resultOf(d), nil
 	}
 	if w.state.Gap() {
-		return Result{}, cakind.New(cakind.KindUnavailable, "the log no longer tells the version in force")
+		return Result{}, errNoVersion()
 	}
 	if now := w.state.Snapshot(); c.Base != now.Version {
 		return Result{Version: now.Version, Winner: now.ChangeID}, nil
@@ -94,19 +90,17 @@
 	return w.finish(ctx, r.ID, record{Reset: &r}.encode())
 }
 
+func errNoVersion() error {
+	return cakind.New(cakind.KindUnavailable,
+		"the log has dropped the last snapshot: wait until an entry writes one, or reset the configuration")
+}
+
 func resultOf(d Decision) Result {
 	return Result{Accepted: d.Accepted, Version: d.Version, Winner: d.Winner}
 }
 
 func (p Publisher) start(ctx context.Context) (*publication, error) {
 	w := &publication{publisher: p, state: NewState(), decided: map[ChangeID]Decision{}}
-	for _, s := range p.Known {
-		next, _, err := w.state.WithSnapshot(s)
-		if err != nil {
-			return nil, err
-		}
-		w.state = next
-	}
 	if err := w.catchUp(ctx); err != nil {
 		return nil, cakind.Wrap(cakind.KindUnavailable, err, "the log cannot be read")
 	}
