Add shards of accepted work: replication, job records, escrow

Cause: accepted jobs and allowances must survive the loss of any one entry, without a second coordination service. Change: cashard replicates the records of a shard between primary and backup with a witness register at an upstream; cajob folds job and attempt records under the at-most-once rules; caescrow holds the allowances. Measured: nothing yet; this commit gives the API to wire against.

--- /dev/null
+++ b/internal/coord/cajob/record.go
@@ -0,0 +1,182 @@
+// Package cajob holds the records of accepted work that a shard replicates,
+// and the state folded from them: jobs, tasks, attempts and the shard's
+// allowances. Folding is deterministic, so that every replica that applied
+// the same records has the same state and refuses the same records.
+package cajob
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+)
+
+//go:generate go tool enumer -type=RecordType -trimprefix=Record -transform=snake -text -output=recordtype_names.go
+
+// RecordType tells what a record notes.
+type RecordType int
+
+// The types of records. Each uses the field of Record of the same name.
+const (
+	// RecordJobAccepted notes a new job, or one handed over by another shard.
+	RecordJobAccepted RecordType = iota
+	// RecordAttemptsIntended notes attempts before they are sent.
+	RecordAttemptsIntended
+	// RecordAttemptSettled notes that an attempt does not run and never will.
+	RecordAttemptSettled
+	// RecordJobCanceled notes that the caller wants no more of the job.
+	RecordJobCanceled
+	// RecordJobEnded notes the final outcome of a job.
+	RecordJobEnded
+	// RecordHandedOver notes that a job belongs to another shard from now on.
+	RecordHandedOver
+	// RecordHandoverAcked notes that the other shard has accepted the job.
+	RecordHandoverAcked
+	// RecordMintSet sets the share of a limit that the shard mints.
+	RecordMintSet
+	// RecordAllowanceSent debits allowance for another shard.
+	RecordAllowanceSent
+	// RecordAllowanceReceived credits a transfer of another shard.
+	RecordAllowanceReceived
+	// RecordAllowanceAcked notes that a transfer has arrived.
+	RecordAllowanceAcked
+	// RecordPartnerClosed ends the dealings with a lost shard.
+	RecordPartnerClosed
+	// RecordInherited credits what a lost shard held.
+	RecordInherited
+)
+
+// Record is one record of a shard. At is the time of the primary that wrote
+// it; it only bounds how long ended jobs are kept. Of the other fields, the
+// one that Type names is set.
+type Record struct {
+	Type              RecordType
+	At                time.Time
+	JobAccepted       *JobAccepted        `cbor:",omitempty"`
+	AttemptsIntended  *AttemptsIntended   `cbor:",omitempty"`
+	AttemptSettled    *AttemptSettled     `cbor:",omitempty"`
+	JobCanceled       *JobCanceled        `cbor:",omitempty"`
+	JobEnded          *JobEnded           `cbor:",omitempty"`
+	HandedOver        *HandedOver         `cbor:",omitempty"`
+	HandoverAcked     *HandoverAcked      `cbor:",omitempty"`
+	MintSet           *caescrow.MintShare `cbor:",omitempty"`
+	AllowanceSent     *AllowanceSent      `cbor:",omitempty"`
+	AllowanceReceived *caescrow.Transfer  `cbor:",omitempty"`
+	AllowanceAcked    *AllowanceAcked     `cbor:",omitempty"`
+	PartnerClosed     *PartnerClosed      `cbor:",omitempty"`
+	Inherited         *Inherited          `cbor:",omitempty"`
+}
+
+// JobAccepted is a job and, when another shard handed it over, what its tasks
+// went through there.
+type JobAccepted struct {
+	Job cawork.Job
+	// Key is the idempotency key of the submission, scoped by the team. A
+	// second submission with the key is the same job.
+	Key   string
+	Tasks []Task
+}
+
+// AttemptsIntended notes attempts of one job that are about to be sent. For a
+// gang it holds all tasks that are not done.
+type AttemptsIntended struct {
+	Attempts []Intent
+}
+
+// Intent is an attempt that is about to be sent.
+type Intent struct {
+	Attempt  cawork.AttemptID
+	Task     cawork.TaskRef
+	Upstream cawork.UpstreamID
+	Charge   cawork.Resources
+}
+
+// AttemptSettled is the end of an attempt. Observed reports whether the
+// upstream told the state; otherwise it was inferred from a lapsed lease.
+type AttemptSettled struct {
+	Attempt  cawork.AttemptID
+	State    cawork.TaskState
+	Observed bool
+	Result   []byte
+}
+
+// JobCanceled names a job that the caller canceled.
+type JobCanceled struct {
+	Job cawork.JobID
+}
+
+// JobEnded is the final outcome of a job.
+type JobEnded struct {
+	Job     cawork.JobID
+	Outcome cawork.Outcome
+	Result  []byte
+}
+
+// HandedOver gives a job that has no open attempt to another shard.
+type HandedOver struct {
+	Job cawork.JobID
+	To  cawork.ShardID
+}
+
+// HandoverAcked names a job that the other shard has accepted.
+type HandoverAcked struct {
+	Job cawork.JobID
+}
+
+// AllowanceSent debits an amount for another shard.
+type AllowanceSent struct {
+	To     cawork.ShardID
+	Team   cawork.TeamName
+	Amount cawork.Resources
+}
+
+// AllowanceAcked notes that the transfer of the number has arrived.
+type AllowanceAcked struct {
+	To     cawork.ShardID
+	Team   cawork.TeamName
+	Number int64
+}
+
+// PartnerClosed names a lost shard.
+type PartnerClosed struct {
+	Lost cawork.ShardID
+}
+
+// Inherited holds the closings of all other shards with a lost one.
+type Inherited struct {
+	Lost     cawork.ShardID
+	Closings []caescrow.Closing
+}
+
+var encMode = newEncMode()
+
+func newEncMode() cbor.EncMode {
+	options := cbor.CanonicalEncOptions()
+	options.Time = cbor.TimeRFC3339NanoUTC
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the CBOR form of the record.
+func (r Record) Encode() ([]byte, error) {
+	b, err := encMode.Marshal(r)
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindInternal, err, "encode record %v", r.Type)
+	}
+	return b, nil
+}
+
+// DecodeRecord reads the CBOR form of a record.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return Record{}, cakind.Wrap(cakind.KindInvalid, err, "decode record")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/coord/cajob/state.go
@@ -0,0 +1,233 @@
+package cajob
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+)
+
+// Retention bounds how long ended jobs stay readable.
+type Retention struct {
+	Age   time.Duration
+	Count int
+}
+
+// DefaultRetention keeps ended jobs for an hour, at most 20,000 of them.
+func DefaultRetention() Retention { return Retention{Age: time.Hour, Count: 20_000} }
+
+type submission struct {
+	Team cawork.TeamName
+	Key  string
+}
+
+// State is folded from the records of one shard. It is not safe for concurrent
+// use.
+type State struct {
+	shard     cawork.ShardID
+	retention Retention
+	account   *caescrow.Account
+	jobs      map[cawork.JobID]*Job
+	attempts  map[cawork.AttemptID]*Attempt
+	keys      map[submission]cawork.JobID
+	ended     []cawork.JobID
+	open      int
+}
+
+// NewState returns the empty state of the shard.
+func NewState(shard cawork.ShardID, r Retention) *State {
+	return &State{
+		shard:     shard,
+		retention: r,
+		account:   caescrow.NewAccount(shard),
+		jobs:      map[cawork.JobID]*Job{},
+		attempts:  map[cawork.AttemptID]*Attempt{},
+		keys:      map[submission]cawork.JobID{},
+	}
+}
+
+// Apply folds the CBOR form of a record. A record that breaks a rule is
+// refused with a typed error and changes nothing; every replica refuses it
+// alike.
+func (s *State) Apply(payload []byte) error {
+	r, err := DecodeRecord(payload)
+	if err != nil {
+		return err
+	}
+	return s.ApplyRecord(r)
+}
+
+// ApplyRecord folds a record.
+func (s *State) ApplyRecord(r Record) error {
+	s.prune(r.At)
+	if err := s.applyJob(r); err != nil {
+		return err
+	}
+	return s.check()
+}
+
+func (s *State) applyJob(r Record) error {
+	switch {
+	case r.Type == RecordJobAccepted && r.JobAccepted != nil:
+		return s.accept(*r.JobAccepted)
+	case r.Type == RecordAttemptsIntended && r.AttemptsIntended != nil:
+		return s.intend(*r.AttemptsIntended, r.At)
+	case r.Type == RecordAttemptSettled && r.AttemptSettled != nil:
+		return s.settle(*r.AttemptSettled)
+	case r.Type == RecordJobCanceled && r.JobCanceled != nil:
+		return s.cancel(*r.JobCanceled)
+	case r.Type == RecordJobEnded && r.JobEnded != nil:
+		return s.end(*r.JobEnded, r.At)
+	case r.Type == RecordHandedOver && r.HandedOver != nil:
+		return s.handOver(*r.HandedOver)
+	case r.Type == RecordHandoverAcked && r.HandoverAcked != nil:
+		return s.handoverAcked(*r.HandoverAcked)
+	default:
+		return s.applyAllowance(r)
+	}
+}
+
+func (s *State) applyAllowance(r Record) error {
+	switch {
+	case r.Type == RecordMintSet && r.MintSet != nil:
+		return s.account.SetMint(*r.MintSet)
+	case r.Type == RecordAllowanceSent && r.AllowanceSent != nil:
+		_, err := s.account.Send(r.AllowanceSent.To, r.AllowanceSent.Team, r.AllowanceSent.Amount)
+		return err
+	case r.Type == RecordAllowanceReceived && r.AllowanceReceived != nil:
+		_, err := s.account.Receive(*r.AllowanceReceived)
+		return err
+	case r.Type == RecordAllowanceAcked && r.AllowanceAcked != nil:
+		s.account.Acknowledge(r.AllowanceAcked.To, r.AllowanceAcked.Team, r.AllowanceAcked.Number)
+		return nil
+	case r.Type == RecordPartnerClosed && r.PartnerClosed != nil:
+		s.account.Close(r.PartnerClosed.Lost)
+		return nil
+	case r.Type == RecordInherited && r.Inherited != nil:
+		return s.account.Inherit(r.Inherited.Lost, r.Inherited.Closings)
+	default:
+		return cakind.New(cakind.KindInvalid, "record of type %v has no body", r.Type)
+	}
+}
+
+// Account returns the allowances of the shard. The caller must not change it.
+func (s *State) Account() *caescrow.Account { return s.account }
+
+// Job returns a job of the shard, open or ended.
+func (s *State) Job(id cawork.JobID) (Job, bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return Job{}, false
+	}
+	return *j, true
+}
+
+// JobOfKey returns the job that was accepted with the idempotency key.
+func (s *State) JobOfKey(team cawork.TeamName, key string) (Job, bool) {
+	id, ok := s.keys[submission{Team: team, Key: key}]
+	if !ok || key == "" {
+		return Job{}, false
+	}
+	return s.Job(id)
+}
+
+// OpenJobs returns the jobs without a final outcome, in no fixed order.
+func (s *State) OpenJobs() []Job {
+	out := make([]Job, 0, s.open)
+	for _, j := range s.jobs {
+		if j.IsOpen() {
+			out = append(out, *j)
+		}
+	}
+	return out
+}
+
+// OpenAttempts returns the attempts that may run, in no fixed order.
+func (s *State) OpenAttempts() []Attempt {
+	out := make([]Attempt, 0, len(s.attempts))
+	for _, a := range s.attempts {
+		out = append(out, *a)
+	}
+	return out
+}
+
+// Handovers returns the jobs that another shard has yet to accept.
+func (s *State) Handovers() []Job {
+	var out []Job
+	for _, j := range s.jobs {
+		if j.HandedTo != "" {
+			out = append(out, *j)
+		}
+	}
+	return out
+}
+
+// IsEmpty reports whether the shard has no open job and no allowance, so that
+// it may be retired.
+func (s *State) IsEmpty() bool {
+	return s.open == 0 && len(s.attempts) == 0 && len(s.Handovers()) == 0 && s.account.IsEmpty()
+}
+
+type snapshot struct {
+	Account  *caescrow.Account
+	Jobs     map[cawork.JobID]*Job
+	Attempts map[cawork.AttemptID]*Attempt
+	Ended    []cawork.JobID
+}
+
+// Snapshot returns the CBOR form of the state. Equal states have equal forms.
+func (s *State) Snapshot() ([]byte, error) {
+	b, err := encMode.Marshal(snapshot{Account: s.account, Jobs: s.jobs, Attempts: s.attempts, Ended: s.ended})
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindInternal, err, "encode snapshot of shard %s", s.shard)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(b []byte) error {
+	fresh := NewState(s.shard, s.retention)
+	snap := snapshot{Account: fresh.account, Jobs: fresh.jobs, Attempts: fresh.attempts}
+	if err := cbor.Unmarshal(b, &snap); err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "decode snapshot of shard %s", s.shard)
+	}
+	fresh.ended = snap.Ended
+	for id, j := range fresh.jobs {
+		fresh.index(id, j)
+	}
+	*s = *fresh
+	return s.check()
+}
+
+// index enters a job into the tables that are derived from the jobs.
+func (s *State) index(id cawork.JobID, j *Job) {
+	if j.Key != "" {
+		s.keys[submission{Team: j.Job.Team, Key: j.Key}] = id
+	}
+	if j.IsOpen() {
+		s.open++
+	}
+}
+
+// prune drops ended jobs that are past the retention.
+func (s *State) prune(now time.Time) {
+	for len(s.ended) > 0 {
+		j := s.jobs[s.ended[0]]
+		if len(s.ended) <= s.retention.Count && now.Sub(j.Ended) <= s.retention.Age {
+			return
+		}
+		s.drop(j)
+		s.ended = s.ended[1:]
+	}
+}
+
+func (s *State) drop(j *Job) {
+	delete(s.jobs, j.Job.ID)
+	key := submission{Team: j.Job.Team, Key: j.Key}
+	if s.keys[key] == j.Job.ID {
+		delete(s.keys, key)
+	}
+}
--- /dev/null
+++ b/internal/coord/cashard/append.go
@@ -0,0 +1,82 @@
+package cashard
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// Append adds a record to a shard and waits until it has taken effect. It
+// returns the error of the state machine if that refused the record.
+// KindNotStarted and KindDraining mean that the record has no effect and never
+// will; KindUnknown means that it may have taken effect, or may yet.
+// Concurrent appends travel together.
+func (p *Part) Append(ctx context.Context, s cawork.ShardID, record []byte) error {
+	w, err := p.enqueue(s, record)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-w.result:
+		return err
+	case <-ctx.Done():
+		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "record of shard %s is not acknowledged", s)
+	}
+}
+
+func (p *Part) enqueue(s cawork.ShardID, record []byte) (*waiter, error) {
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok {
+		return nil, cakind.New(cakind.KindNotStarted, "shard %s is not led here", s)
+	}
+	if err := p.admit(r); err != nil {
+		return nil, err
+	}
+	w := &waiter{result: make(chan error, 1)}
+	var err error
+	p.step(r, func(out *effects) {
+		var index int64
+		index, err = r.append(p.opts.Timer.Now(), record, out)
+		if err == nil {
+			p.waiters[waitKey{shard: s, index: index}] = w
+		}
+	})
+	return w, err
+}
+
+// admit refuses records while the primary may not act, so that their callers
+// learn at once that nothing has started.
+func (p *Part) admit(r *replica) error {
+	if r.primary == nil {
+		return nil
+	}
+	if _, ok := r.primary.mayAct(p.opts.Timer.Now()); ok || r.primary.draining {
+		return nil
+	}
+	return cakind.New(cakind.KindNotStarted, "shard %s has lost its backup and may not act yet", r.shard).
+		WithRetryAfter(p.opts.Config.Heartbeat)
+}
+
+// finish tells the waiter of a record its result.
+func (p *Part) finish(key waitKey, err error) {
+	w, ok := p.waiters[key]
+	if !ok {
+		return
+	}
+	delete(p.waiters, key)
+	w.result <- err
+}
+
+// failWaiters tells all who wait for the shard that their records may have
+// taken effect: the member that leads it now may hold them.
+func (p *Part) failWaiters(s cawork.ShardID) {
+	for key := range p.waiters {
+		if key.shard == s {
+			p.finish(key, cakind.New(cakind.KindUnknown, "shard %s has another primary", s))
+		}
+	}
+}
--- /dev/null
+++ b/internal/coord/cashard/config.go
@@ -0,0 +1,78 @@
+package cashard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+// Config holds the times of the protocol. All members of a cell use the same.
+type Config struct {
+	// Lease is how long a primary may act after it sent the last message that
+	// its backup acknowledged.
+	Lease time.Duration
+	// Drift bounds by which fraction a clock runs fast or slow.
+	Drift float64
+	// Margin is added to the silence that a backup waits for.
+	Margin time.Duration
+	// Tick is the period in which timers are checked.
+	Tick time.Duration
+	// Heartbeat is the longest time between messages to a backup.
+	Heartbeat time.Duration
+	// CallTimeout bounds one call to a peer or a witness.
+	CallTimeout time.Duration
+	// ReplaceAfter is how long a backup may fail to acknowledge before the
+	// primary looks for another. It is below Lease.
+	ReplaceAfter time.Duration
+	// CandidateRest is how long a candidate that failed is passed over.
+	CandidateRest time.Duration
+	// WitnessPeriod is the time between checks of the witness.
+	WitnessPeriod time.Duration
+	// WitnessTimeout is how long a witness may fail before it is replaced.
+	WitnessTimeout time.Duration
+	// BatchRecords bounds the records in one message.
+	BatchRecords int
+	// TailRecords bounds the records that are kept for a backup that is behind.
+	TailRecords int
+}
+
+// DefaultConfig returns the times for entries in one region.
+func DefaultConfig() Config {
+	return Config{
+		Lease:          2 * time.Second,
+		Drift:          0.01,
+		Margin:         200 * time.Millisecond,
+		Tick:           50 * time.Millisecond,
+		Heartbeat:      300 * time.Millisecond,
+		CallTimeout:    400 * time.Millisecond,
+		ReplaceAfter:   1200 * time.Millisecond,
+		CandidateRest:  3 * time.Second,
+		WitnessPeriod:  time.Second,
+		WitnessTimeout: 3 * time.Second,
+		BatchRecords:   512,
+		TailRecords:    8192,
+	}
+}
+
+// Validate reports a configuration that is unsafe or cannot make progress.
+func (c Config) Validate() error {
+	switch {
+	case c.Tick <= 0, c.Heartbeat < c.Tick, c.CallTimeout <= 0, c.BatchRecords <= 0, c.TailRecords <= 0:
+		return cakind.New(cakind.KindInvalid, "shard periods and sizes must be positive: %+v", c)
+	case c.Drift < 0 || c.Drift > 0.2:
+		return cakind.New(cakind.KindInvalid, "clock drift %v is not within 0 and 0.2", c.Drift)
+	case c.ReplaceAfter >= c.Lease:
+		return cakind.New(cakind.KindInvalid, "replace_after %v is not below the lease %v", c.ReplaceAfter, c.Lease)
+	}
+	return nil
+}
+
+// primaryLease is how long the primary trusts an acknowledgment, by its own
+// clock, which may run slow.
+func (c Config) primaryLease() time.Duration { return scale(c.Lease, 1-c.Drift) }
+
+// backupSilence is how long the backup waits before it takes over, by its own
+// clock, which may run fast.
+func (c Config) backupSilence() time.Duration { return scale(c.Lease, 1+c.Drift) + c.Margin }
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- /dev/null
+++ b/internal/coord/cashard/part.go
@@ -0,0 +1,417 @@
+package cashard
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Peers carries the message of a primary to another member.
+type Peers interface {
+	Replicate(ctx context.Context, to cawork.VMID, req ReplicateRequest) (ReplicateReply, error)
+}
+
+// Witnesses reaches the registers of upstreams. A swap that met another
+// version returns the register as it is, or an error of any kind but
+// KindUnavailable and KindNotStarted, which prove that it had no effect.
+type Witnesses interface {
+	ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error)
+	SwapRegister(ctx context.Context, u cawork.UpstreamID, s caplatform.RegisterSwap) (caplatform.Register, error)
+}
+
+// Listener learns what happens to the shards of a member, in order. Its calls
+// come from the goroutine of Run and delay further ones.
+type Listener interface {
+	// ShardEvent tells of a change of the lead.
+	ShardEvent(e Event)
+	// ShardCommitted tells of a record that took effect on the primary.
+	ShardCommitted(s cawork.ShardID, index int64, record []byte)
+}
+
+// Options are what a Part needs.
+type Options struct {
+	Self      Member
+	Zone      cawork.ZoneName
+	Config    Config
+	Peers     Peers
+	Witnesses Witnesses
+	Listener  Listener
+	// NewMachine returns the empty state machine of a shard.
+	NewMachine func(cawork.ShardID) StateMachine
+	Timer      *catimer.Service
+	Log        zerolog.Logger
+	Scope      tally.Scope
+}
+
+// Status tells how a shard stands on this member.
+type Status struct {
+	Shard   cawork.ShardID
+	View    View
+	Primary bool
+	// MayAct reports whether the primary may act now.
+	MayAct bool
+	// Degraded reports that records have a single copy, or that no takeover is
+	// possible until a change of view is settled.
+	Degraded bool
+	Index    int64
+}
+
+// Part runs all replicas of a member: the shard that it founded, those that it
+// took over, and those that it backs up.
+type Part struct {
+	opts Options
+	done chan struct{}
+	wake chan struct{}
+	// gate is called before each step. Tests use it to pause a member.
+	gate func()
+
+	mu         sync.Mutex
+	ctx        context.Context
+	calls      sync.WaitGroup
+	replicas   map[cawork.ShardID]*replica
+	waiters    map[waitKey]*waiter
+	candidates []Candidate
+	witnesses  []cawork.UpstreamID
+	news       []news
+}
+
+type waitKey struct {
+	shard cawork.ShardID
+	index int64
+}
+
+type waiter struct {
+	result chan error
+}
+
+// news is an event or a commit on its way to the listener.
+type news struct {
+	event  *Event
+	shard  cawork.ShardID
+	commit commit
+}
+
+// NewPart returns a part that runs once Run is called.
+func NewPart(o Options) (*Part, error) {
+	if err := o.Config.Validate(); err != nil {
+		return nil, err
+	}
+	if o.Self.IsZero() {
+		return nil, cakind.New(cakind.KindInvalid, "member is unset")
+	}
+	return &Part{
+		opts:     o,
+		done:     make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		gate:     func() {},
+		replicas: map[cawork.ShardID]*replica{},
+		waiters:  map[waitKey]*waiter{},
+	}, nil
+}
+
+// Done is closed when Run has ended.
+func (p *Part) Done() <-chan struct{} { return p.done }
+
+// Run drives the timers until the context ends.
+func (p *Part) Run(ctx context.Context) error {
+	defer close(p.done)
+	p.mu.Lock()
+	p.ctx = ctx
+	p.mu.Unlock()
+	ticks := p.opts.Timer.Every(p.opts.Config.Tick)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			p.stop()
+			return nil
+		case <-ticks.C:
+			p.gate()
+			p.tick()
+		case <-p.wake:
+		}
+		p.deliver()
+	}
+}
+
+// stop fails all waiting appends and waits for the calls under way.
+func (p *Part) stop() {
+	p.mu.Lock()
+	for key := range p.waiters {
+		p.finish(key, cakind.New(cakind.KindUnknown, "shard %s stopped", key.shard))
+	}
+	p.mu.Unlock()
+	p.calls.Wait()
+}
+
+func (p *Part) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Timer.Now()
+	for _, r := range p.replicas {
+		p.step(r, func(out *effects) { r.tick(now, out) })
+	}
+	p.report()
+}
+
+// report updates the gauges.
+func (p *Part) report() {
+	leads, degraded := 0, 0
+	for _, r := range p.replicas {
+		s := p.status(r)
+		if s.Primary {
+			leads++
+			if s.Degraded {
+				degraded++
+			}
+		}
+	}
+	p.opts.Scope.Gauge("shards_led").Update(float64(leads))
+	p.opts.Scope.Gauge("shards_degraded").Update(float64(degraded))
+}
+
+// deliver passes the news on to the listener.
+func (p *Part) deliver() {
+	p.mu.Lock()
+	list := p.news
+	p.news = nil
+	p.mu.Unlock()
+	for _, n := range list {
+		if n.event != nil {
+			p.opts.Listener.ShardEvent(*n.event)
+			continue
+		}
+		p.opts.Listener.ShardCommitted(n.shard, n.commit.index, n.commit.record)
+	}
+}
+
+// Open makes this member the primary of a new shard. The id must never have
+// been used, for example by holding the VM and the incarnation.
+func (p *Part) Open(s cawork.ShardID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.replicas[s]; ok {
+		return cakind.New(cakind.KindConflict, "shard %s is already known here", s)
+	}
+	r := p.replica(s)
+	var witness cawork.UpstreamID
+	if len(p.witnesses) > 0 {
+		witness = p.witnesses[0]
+	}
+	r.found(witness)
+	p.equip(r)
+	return nil
+}
+
+// replica returns the replica of the shard, a fresh one when there is none.
+func (p *Part) replica(s cawork.ShardID) *replica {
+	if r, ok := p.replicas[s]; ok {
+		return r
+	}
+	r := &replica{shard: s, self: p.opts.Self, zone: p.opts.Zone, cfg: p.opts.Config, fresh: p.opts.NewMachine}
+	p.replicas[s] = r
+	return r
+}
+
+// equip passes the present candidates and witnesses to a primary.
+func (p *Part) equip(r *replica) {
+	if r.primary != nil {
+		r.primary.candidates = p.candidates
+		r.primary.witnesses = p.witnesses
+	}
+}
+
+// SetCandidates sets the members that may become backups, best first.
+func (p *Part) SetCandidates(c []Candidate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.candidates = slices.Clone(c)
+	for _, r := range p.replicas {
+		p.equip(r)
+	}
+}
+
+// SetWitnesses sets the upstreams whose registers may be used, best first.
+func (p *Part) SetWitnesses(u []cawork.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.witnesses = slices.Clone(u)
+	for _, r := range p.replicas {
+		p.equip(r)
+	}
+}
+
+// MayAct returns the view number that starts must carry, and whether this
+// member may act for the shard at this moment.
+func (p *Part) MayAct(s cawork.ShardID) (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return 0, false
+	}
+	return r.primary.mayAct(p.opts.Timer.Now())
+}
+
+// Read calls f with the state machine of a shard that is led here. f must not
+// block or change the state. It reports whether the shard is led here.
+func (p *Part) Read(s cawork.ShardID, f func(StateMachine)) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return false
+	}
+	f(r.primary.machine)
+	return true
+}
+
+// Retire gives up a shard whose state is empty. EventRetired tells the end.
+func (p *Part) Retire(s cawork.ShardID) { p.leave(s, true) }
+
+// Yield hands a shard over to its backup without waiting for the lease to
+// lapse. EventDeposed tells the end. A shard without a backup goes on.
+func (p *Part) Yield(s cawork.ShardID) { p.leave(s, false) }
+
+func (p *Part) leave(s cawork.ShardID, retire bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return
+	}
+	r.primary.draining = true
+	r.primary.retiring = retire
+	p.step(r, func(out *effects) { r.tick(p.opts.Timer.Now(), out) })
+}
+
+// Statuses returns how each shard stands on this member.
+func (p *Part) Statuses() []Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Status
+	for _, r := range p.replicas {
+		if r.primary != nil || r.backup != nil {
+			out = append(out, p.status(r))
+		}
+	}
+	return out
+}
+
+func (p *Part) status(r *replica) Status {
+	if r.primary == nil {
+		if r.backup == nil {
+			return Status{Shard: r.shard}
+		}
+		return Status{Shard: r.shard, View: r.backup.view, Index: r.backup.last}
+	}
+	_, may := r.primary.mayAct(p.opts.Timer.Now())
+	return Status{
+		Shard: r.shard, View: r.primary.possible[0], Primary: true, MayAct: may,
+		Degraded: !r.primary.isSettled() || r.primary.target().IsSolo(),
+		Index:    r.primary.committed,
+	}
+}
+
+// HandleReplicate answers the message of another member's primary.
+func (p *Part) HandleReplicate(_ context.Context, req ReplicateRequest) (ReplicateReply, error) {
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replica(req.View.Shard)
+	var reply ReplicateReply
+	var err error
+	p.step(r, func(out *effects) { reply, err = r.handle(p.opts.Timer.Now(), req, out) })
+	return reply, err
+}
+
+// step runs one step of a replica and carries out its effects.
+func (p *Part) step(r *replica, f func(*effects)) {
+	var out effects
+	led := r.primary != nil
+	f(&out)
+	for _, c := range out.commits {
+		p.finish(waitKey{shard: r.shard, index: c.index}, c.err)
+		p.news = append(p.news, news{shard: r.shard, commit: c})
+	}
+	for _, e := range out.events {
+		p.note(e)
+	}
+	if led && r.primary == nil {
+		p.failWaiters(r.shard)
+	}
+	p.equip(r)
+	p.carryOut(r, out)
+	if len(p.news) > 0 {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *Part) note(e Event) {
+	p.news = append(p.news, news{event: &e})
+	number := caevent.ShardViewChanged
+	switch e.Type {
+	case EventTakenOver:
+		number = caevent.ShardTakenOver
+	case EventDeposed:
+		number = caevent.ShardDeposed
+	case EventViewChanged, EventRetired:
+	}
+	caevent.Info(p.opts.Log, number).Str("shard", string(e.Shard)).Int64("view", e.View.Number).
+		Str("primary", string(e.View.Primary.VM)).Str("backup", string(e.View.Backup.VM)).
+		Str("witness", string(e.View.Witness)).Str("type", e.Type.String()).Send()
+	p.opts.Scope.Counter("events_" + e.Type.String()).Inc(1)
+}
+
+func (p *Part) carryOut(r *replica, out effects) {
+	if p.ctx == nil || p.ctx.Err() != nil {
+		return
+	}
+	sentAt := p.opts.Timer.Now()
+	for _, c := range out.calls {
+		p.calls.Go(func() { p.call(r, sentAt, c.request) })
+	}
+	for _, e := range out.registers {
+		p.calls.Go(func() { p.operate(r, e) })
+	}
+}
+
+func (p *Part) call(r *replica, sentAt time.Time, req ReplicateRequest) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.opts.Config.CallTimeout)
+	defer cancel()
+	reply, err := p.opts.Peers.Replicate(ctx, req.To.VM, req)
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Timer.Now()
+	p.step(r, func(out *effects) { r.onReply(now, sentAt, req, reply, err, out) })
+}
+
+func (p *Part) operate(r *replica, e registerEffect) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.opts.Config.CallTimeout)
+	defer cancel()
+	res := registerResult{witness: e.witness, swap: e.swap}
+	if e.swap != nil {
+		res.value, res.err = p.opts.Witnesses.SwapRegister(ctx, e.witness, *e.swap)
+	} else {
+		res.value, res.err = p.opts.Witnesses.ReadRegister(ctx, e.witness, RegisterName(r.shard))
+	}
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Timer.Now()
+	p.step(r, func(out *effects) { r.onRegister(now, res, out) })
+}
--- /dev/null
+++ b/internal/coord/cashard/primary.go
@@ -0,0 +1,306 @@
+package cashard
+
+import (
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// primary leads a shard. possible holds every view that may be in force, in
+// ascending order: the settled one and those that a change has brought up and
+// not yet decided. The primary acts, and records take effect, only as far as
+// every possible view allows it.
+type primary struct {
+	self     Member
+	zone     cawork.ZoneName
+	cfg      Config
+	machine  StateMachine
+	possible []View
+	// settled is the last view that was known to be in force and registered.
+	settled View
+	change  *change
+	highest int64
+	// first is the number of the first view that this primary leads.
+	first     int64
+	log       recordLog
+	committed int64
+	peers     map[Member]*peer
+	registers map[cawork.UpstreamID]*register
+	// candidates and witnesses are in the order of preference.
+	candidates []Candidate
+	witnesses  []cawork.UpstreamID
+	// draining refuses further records; retiring and yielding end the lead.
+	draining bool
+	retiring bool
+	yielding bool
+	done     bool
+}
+
+// peer is what the primary knows of another member.
+type peer struct {
+	member Member
+	busy   bool
+	// adopted is the number of the view that the member holds.
+	adopted int64
+	// acked is the index of the last record that the member holds.
+	acked int64
+	// known reports that the member holds a replica that began with acked.
+	known    bool
+	lastSent time.Time
+	// failed reports that the last call ended with an error, refused that the
+	// member answered with a refusal.
+	failed bool
+	// leaseStart is the send time of the last acknowledged message.
+	leaseStart time.Time
+	refused    bool
+	restUntil  time.Time
+}
+
+func newPrimary(self Member, zone cawork.ZoneName, cfg Config, view View, m StateMachine, last int64) *primary {
+	return &primary{
+		self: self, zone: zone, cfg: cfg, machine: m,
+		possible:  []View{view},
+		settled:   view,
+		highest:   view.Number,
+		first:     view.Number,
+		log:       recordLog{base: last},
+		committed: last,
+		peers:     map[Member]*peer{},
+		registers: map[cawork.UpstreamID]*register{},
+	}
+}
+
+// target returns the newest possible view, which the primary works towards.
+func (p *primary) target() View { return p.possible[len(p.possible)-1] }
+
+// isSettled reports whether the one possible view is in force and registered.
+func (p *primary) isSettled() bool { return p.change == nil && p.target() == p.settled }
+
+func (p *primary) peer(m Member) *peer {
+	if q, ok := p.peers[m]; ok {
+		return q
+	}
+	q := &peer{member: m}
+	p.peers[m] = q
+	return q
+}
+
+func (p *primary) registerAt(u cawork.UpstreamID) *register {
+	if r, ok := p.registers[u]; ok {
+		return r
+	}
+	r := &register{}
+	p.registers[u] = r
+	return r
+}
+
+// required returns the members whose acknowledgment a record needs: the
+// backups of all possible views.
+func (p *primary) required() []Member {
+	var out []Member
+	for _, v := range p.possible {
+		if !v.IsSolo() && !slices.Contains(out, v.Backup) {
+			out = append(out, v.Backup)
+		}
+	}
+	return out
+}
+
+// mayAct returns the lowest possible view number and whether the leases of all
+// required backups are valid. A taker-over fences with a higher number.
+func (p *primary) mayAct(now time.Time) (int64, bool) {
+	number := p.possible[0].Number
+	if p.done || p.yielding || p.retiring {
+		return number, false
+	}
+	for _, m := range p.required() {
+		q := p.peer(m)
+		if q.leaseStart.IsZero() || now.Sub(q.leaseStart) >= p.cfg.primaryLease() {
+			return number, false
+		}
+	}
+	return number, true
+}
+
+// append adds a record and returns its index.
+func (p *primary) append(now time.Time, record []byte, out *effects) int64 {
+	index := p.log.add(record)
+	p.advance(now, out)
+	return index
+}
+
+// advance commits what may be committed and sends what is due.
+func (p *primary) advance(now time.Time, out *effects) {
+	p.commit(now, out)
+	p.progress(now, out)
+	p.replicate(now, out)
+}
+
+// commit lets records take effect that every required backup holds.
+func (p *primary) commit(now time.Time, out *effects) {
+	if _, ok := p.mayAct(now); !ok {
+		return
+	}
+	upTo := p.log.last()
+	for _, m := range p.required() {
+		upTo = min(upTo, p.peer(m).acked)
+	}
+	for p.committed < upTo {
+		p.committed++
+		record := p.log.at(p.committed)
+		err := p.machine.Apply(record)
+		out.commits = append(out.commits, commit{index: p.committed, record: record, err: err})
+	}
+	p.trim()
+}
+
+// trim drops records that every member of interest holds.
+func (p *primary) trim() {
+	upTo := p.committed
+	for _, m := range p.following() {
+		upTo = min(upTo, p.peer(m).acked)
+	}
+	p.log.trim(max(upTo, p.committed-int64(p.cfg.TailRecords)))
+}
+
+// following returns the members that get records: the required ones and the
+// one that is being recruited.
+func (p *primary) following() []Member {
+	out := p.required()
+	if c := p.change; c != nil && !c.view.IsSolo() && !slices.Contains(out, c.view.Backup) {
+		out = append(out, c.view.Backup)
+	}
+	return out
+}
+
+// replicate sends to every follower that lacks something or is due to hear.
+func (p *primary) replicate(now time.Time, out *effects) {
+	if p.done {
+		return
+	}
+	for _, m := range p.following() {
+		q := p.peer(m)
+		if q.busy || !p.isDue(now, q) {
+			continue
+		}
+		req, err := p.request(q)
+		if err != nil {
+			continue
+		}
+		q.busy = true
+		q.lastSent = now
+		out.calls = append(out.calls, callEffect{request: req})
+	}
+}
+
+func (p *primary) isDue(now time.Time, q *peer) bool {
+	if now.Sub(q.lastSent) >= p.cfg.Heartbeat {
+		return true
+	}
+	if q.refused || q.failed {
+		return false
+	}
+	return q.acked < p.log.last() || q.adopted < p.viewFor(q).Number
+}
+
+// viewFor returns the view that the member shall hold as a backup. While a new
+// view is being registered, the backup of an older one stays there.
+func (p *primary) viewFor(q *peer) View {
+	c := p.change
+	if c != nil && c.view.Backup == q.member && c.stage != stageRegister {
+		return c.view
+	}
+	newest := p.target()
+	for _, v := range slices.Backward(p.possible) {
+		if v.Backup == q.member && (v.Number >= q.adopted || newest.Backup != q.member) {
+			newest = v
+		}
+	}
+	return newest
+}
+
+// isReleased reports whether the member is told to drop its replica: its view
+// is being excluded, or the shard retires.
+func (p *primary) isReleased(q *peer) bool {
+	c := p.change
+	return p.retiring || c != nil && c.stage == stageExclude && c.view.Backup != q.member
+}
+
+// request builds the next message to a follower.
+func (p *primary) request(q *peer) (ReplicateRequest, error) {
+	if p.isReleased(q) {
+		return ReplicateRequest{To: q.member, View: p.releaseView(), Release: true}, nil
+	}
+	req := ReplicateRequest{To: q.member, View: p.viewFor(q), Yield: p.yielding, First: q.acked + 1}
+	records, ok := p.log.after(q.acked, p.cfg.BatchRecords)
+	if q.known && ok {
+		req.Records = records
+		return req, nil
+	}
+	state, err := p.machine.Snapshot()
+	if err != nil {
+		return req, err
+	}
+	req.Snapshot = &Snapshot{Index: p.committed, State: state}
+	req.First = p.committed + 1
+	req.Records, _ = p.log.after(p.committed, p.cfg.BatchRecords)
+	return req, nil
+}
+
+// releaseView returns the view that goes on without a released member.
+func (p *primary) releaseView() View {
+	if p.change != nil {
+		return p.change.view
+	}
+	return p.nextView(p.target()).WithBackup(Member{})
+}
+
+// onReply folds the answer of a member to a message sent at the time.
+func (p *primary) onReply(now, sentAt time.Time, req ReplicateRequest, r ReplicateReply, err error, out *effects) {
+	q := p.peer(req.To)
+	q.busy = false
+	q.failed = err != nil
+	if p.done || err != nil {
+		return
+	}
+	q.refused = r.Status != ReplyOK && r.Status != ReplyBehind
+	p.highest = max(p.highest, r.Floor)
+	switch r.Status {
+	case ReplyOK:
+		p.acknowledged(q, sentAt, req, r)
+	case ReplyBehind:
+		q.known = false
+		q.acked = 0
+	case ReplyDeposed:
+		if r.View.Primary != p.self && r.View.Number > p.possible[0].Number {
+			p.depose(r.View, out)
+		}
+	case ReplyWrongMember, ReplyFenced, ReplyBusy:
+		q.restUntil = now.Add(p.cfg.CandidateRest)
+	}
+	p.advance(now, out)
+}
+
+func (p *primary) acknowledged(q *peer, sentAt time.Time, req ReplicateRequest, r ReplicateReply) {
+	if req.Release {
+		q.adopted = max(q.adopted, r.Adopted)
+		q.known = false
+		return
+	}
+	q.known = true
+	q.acked = max(q.acked, r.Last)
+	q.adopted = max(q.adopted, r.Adopted)
+	if sentAt.After(q.leaseStart) {
+		q.leaseStart = sentAt
+	}
+}
+
+// depose ends the leadership for good.
+func (p *primary) depose(by View, out *effects) {
+	if p.done {
+		return
+	}
+	p.done = true
+	out.events = append(out.events, Event{Type: EventDeposed, Shard: by.Shard, View: by})
+}
--- /dev/null
+++ b/internal/coord/cashard/recordlog.go
@@ -0,0 +1,40 @@
+package cashard
+
+// recordLog holds the records after the index base that a backup may still
+// need.
+type recordLog struct {
+	base    int64
+	records [][]byte
+}
+
+// last returns the index of the last record.
+func (l *recordLog) last() int64 { return l.base + int64(len(l.records)) }
+
+// add appends a record and returns its index.
+func (l *recordLog) add(record []byte) int64 {
+	l.records = append(l.records, record)
+	return l.last()
+}
+
+// at returns the record of the index.
+func (l *recordLog) at(index int64) []byte { return l.records[index-l.base-1] }
+
+// after returns at most limit records after the index, false when the log no
+// longer holds them all.
+func (l *recordLog) after(index int64, limit int) ([][]byte, bool) {
+	if index < l.base || index > l.last() {
+		return nil, false
+	}
+	rest := l.records[index-l.base:]
+	return rest[:min(limit, len(rest))], true
+}
+
+// trim drops the records up to the index.
+func (l *recordLog) trim(index int64) {
+	drop := min(index, l.last()) - l.base
+	if drop <= 0 {
+		return
+	}
+	l.records = append([][]byte(nil), l.records[drop:]...)
+	l.base += drop
+}
--- /dev/null
+++ b/internal/coord/cashard/replica.go
@@ -0,0 +1,180 @@
+package cashard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// StateMachine is the state folded from the records of a shard. Apply must be
+// deterministic: a record that one replica refuses, all refuse.
+type StateMachine interface {
+	Apply(record []byte) error
+	Snapshot() ([]byte, error)
+	Restore(state []byte) error
+}
+
+// replica is the copy of one shard on a member: a primary, a backup, or
+// neither after it was dropped. It has no clock and does no I/O.
+type replica struct {
+	shard   cawork.ShardID
+	self    Member
+	zone    cawork.ZoneName
+	cfg     Config
+	fresh   func(cawork.ShardID) StateMachine
+	primary *primary
+	backup  *backup
+	// floor is the highest view number in which this member has ended its part.
+	// It must outlive the replica: a late message must not bring it back.
+	floor int64
+}
+
+// found makes the member the primary of a new shard.
+func (r *replica) found(witness cawork.UpstreamID) {
+	v := View{Shard: r.shard, Number: 1, Primary: r.self, Witness: witness}
+	r.primary = newPrimary(r.self, r.zone, r.cfg, v, r.fresh(r.shard), 0)
+}
+
+// handle answers a message of a primary.
+func (r *replica) handle(now time.Time, req ReplicateRequest, out *effects) (ReplicateReply, error) {
+	switch {
+	case req.To != r.self:
+		return ReplicateReply{Status: ReplyWrongMember}, nil
+	case r.primary != nil:
+		return r.refuseAsPrimary(now, out), nil
+	case r.backup != nil && r.backup.view.Primary != req.View.Primary:
+		return r.backup.reply(ReplyBusy), nil
+	case r.backup != nil && r.backup.swapping:
+		return r.backup.reply(ReplyBusy), nil
+	case req.View.Number <= r.floor && !(req.Release && req.View.Number == r.floor):
+		return ReplicateReply{Status: ReplyFenced, Floor: r.floor}, nil
+	case req.Release:
+		return r.release(req), nil
+	case r.backup != nil:
+		return r.backup.handle(now, req)
+	default:
+		return r.join(now, req)
+	}
+}
+
+// refuseAsPrimary tells another primary that this member leads the shard. As
+// one of the two is deposed, this member looks at its register at once.
+func (r *replica) refuseAsPrimary(now time.Time, out *effects) ReplicateReply {
+	p := r.primary
+	v := p.possible[0]
+	reg := p.registerAt(p.target().Witness)
+	reg.nextRead = time.Time{}
+	if !p.done && p.change == nil {
+		p.operate(now, p.target().Witness, out)
+	}
+	return ReplicateReply{Status: ReplyDeposed, Adopted: v.Number, Floor: p.highest, View: v}
+}
+
+// release drops the replica on request of its primary.
+func (r *replica) release(req ReplicateRequest) ReplicateReply {
+	r.drop(req.View.Number)
+	return ReplicateReply{Status: ReplyOK, Adopted: req.View.Number, Floor: r.floor}
+}
+
+// drop ends the part of this member in all views up to the number.
+func (r *replica) drop(number int64) {
+	r.floor = max(r.floor, number)
+	if r.backup != nil {
+		r.floor = max(r.floor, r.backup.view.Number)
+	}
+	r.backup = nil
+	r.primary = nil
+}
+
+// join makes the member a backup from a snapshot.
+func (r *replica) join(now time.Time, req ReplicateRequest) (ReplicateReply, error) {
+	if req.Snapshot == nil {
+		return ReplicateReply{Status: ReplyBehind, Floor: r.floor}, nil
+	}
+	b := &backup{self: r.self, cfg: r.cfg, view: req.View, machine: r.fresh(r.shard)}
+	if err := b.machine.Restore(req.Snapshot.State); err != nil {
+		return ReplicateReply{}, err
+	}
+	b.last = req.Snapshot.Index
+	reply, err := b.handle(now, req)
+	if err != nil {
+		return ReplicateReply{}, err
+	}
+	r.backup = b
+	return reply, nil
+}
+
+// tick runs the timers.
+func (r *replica) tick(now time.Time, out *effects) {
+	switch {
+	case r.primary != nil:
+		r.primary.tick(now, out)
+		r.buryPrimary()
+	case r.backup != nil:
+		r.backup.tick(now, out)
+	}
+}
+
+// buryPrimary drops a primary that was deposed or has retired.
+func (r *replica) buryPrimary() {
+	if r.primary != nil && r.primary.done {
+		r.drop(r.primary.highest)
+	}
+}
+
+// append adds a record and returns its index.
+func (r *replica) append(now time.Time, record []byte, out *effects) (int64, error) {
+	switch {
+	case r.primary == nil:
+		return 0, cakind.New(cakind.KindNotStarted, "shard %s is not led here", r.shard)
+	case r.primary.draining:
+		return 0, cakind.New(cakind.KindDraining, "shard %s is being given up", r.shard)
+	}
+	return r.primary.append(now, record, out), nil
+}
+
+// onReply folds the answer of another member to this primary.
+func (r *replica) onReply(now, sentAt time.Time, req ReplicateRequest, reply ReplicateReply, err error, out *effects) {
+	if r.primary == nil || req.View.Primary != r.self || req.View.Number < r.primary.first {
+		return
+	}
+	r.primary.onReply(now, sentAt, req, reply, err, out)
+	r.buryPrimary()
+}
+
+// onRegister folds the answer of a witness.
+func (r *replica) onRegister(now time.Time, res registerResult, out *effects) {
+	switch {
+	case r.primary != nil:
+		r.primary.onRegister(now, res, out)
+		r.buryPrimary()
+	case r.backup != nil:
+		r.onBackupRegister(now, res, out)
+	}
+}
+
+func (r *replica) onBackupRegister(now time.Time, res registerResult, out *effects) {
+	b := r.backup
+	switch b.onRegister(now, res, out) {
+	case backupPromoted:
+		r.promote(now, out)
+	case backupDropped:
+		r.drop(b.view.Number)
+	case backupStays:
+	}
+}
+
+// promote makes the backup the primary of the view that it registered.
+func (r *replica) promote(now time.Time, out *effects) {
+	b := r.backup
+	v := b.next()
+	p := newPrimary(r.self, r.zone, r.cfg, v, b.machine, b.last)
+	reg := p.registerAt(v.Witness)
+	reg.sent = true
+	reg.confirmed = true
+	r.backup = nil
+	r.primary = p
+	out.events = append(out.events, Event{Type: EventTakenOver, Shard: r.shard, View: v})
+	p.advance(now, out)
+}
