--- /dev/null
+++ b/internal/core/caestimate/estimate.go
@@ -0,0 +1,154 @@
+// Package caestimate corrects declared sizes and run times by what tasks of the
+// same team and kind really used.
+//
+// Each dimension keeps a histogram of used/declared in logarithmic buckets. The
+// corrected declaration is the declared one times a quantile of it, within
+// bounds. Older observations fade by halving.
+//
+// Example: when 19 of 20 tasks of a team used at most half of what they
+// declared, a task that declares 4 cores is taken to need 2.
+package caestimate
+
+import (
+	"math"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+const (
+	// sizeQuantile is the part of the tasks that the corrected size covers.
+	sizeQuantile = 0.95
+	// timeQuantile is the part of the tasks that end by the corrected time.
+	timeQuantile = 0.75
+	// minSamples is the number of observations below which nothing is corrected.
+	minSamples = 20
+	// fadeAt is the weight of observations at which all are halved.
+	fadeAt = 512
+
+	minSizeFactor = 0.25
+	maxSizeFactor = 2
+	minTimeFactor = 1.0 / 16
+	maxTimeFactor = 16
+
+	bucketsPerOctave = 8
+	octaves          = 5
+	bucketCount      = 2*octaves*bucketsPerOctave + 1
+)
+
+// histogram counts ratios. Bucket i covers those up to 2^((i-40)/8).
+type histogram struct {
+	counts [bucketCount]float32
+	total  float32
+	factor float64
+}
+
+func (h *histogram) add(ratio, quantile, least, most float64) {
+	i := 0
+	if ratio > 0 {
+		i = int(math.Ceil(math.Log2(ratio)*bucketsPerOctave)) + octaves*bucketsPerOctave
+	}
+	h.counts[min(max(i, 0), bucketCount-1)]++
+	h.total++
+	if h.total >= fadeAt {
+		h.fade()
+	}
+	h.factor = min(max(h.quantile(quantile), least), most)
+}
+
+func (h *histogram) fade() {
+	for i := range h.counts {
+		h.counts[i] /= 2
+	}
+	h.total /= 2
+}
+
+func (h *histogram) quantile(q float64) float64 {
+	want := float32(q) * h.total
+	var sum float32
+	for i, n := range h.counts {
+		sum += n
+		if sum >= want {
+			return math.Exp2(float64(i-octaves*bucketsPerOctave) / bucketsPerOctave)
+		}
+	}
+	return 1
+}
+
+func (h *histogram) correction() float64 {
+	if h.total < minSamples {
+		return 1
+	}
+	return h.factor
+}
+
+type key struct {
+	team cawork.TeamName
+	kind cawork.WorkKind
+}
+
+type record struct {
+	cpu     histogram
+	memory  histogram
+	runTime histogram
+}
+
+// Estimator holds what was observed.
+type Estimator struct {
+	records map[key]*record
+}
+
+// NewEstimator returns an estimator that corrects nothing yet.
+func NewEstimator() *Estimator { return &Estimator{records: map[key]*record{}} }
+
+func (e *Estimator) record(team cawork.TeamName, kind cawork.WorkKind) *record {
+	k := key{team, kind}
+	r, ok := e.records[k]
+	if !ok {
+		r = &record{}
+		e.records[k] = r
+	}
+	return r
+}
+
+// ObserveSize adds the highest usage of a task. A dimension without a usage
+// report is left out.
+func (e *Estimator) ObserveSize(team cawork.TeamName, kind cawork.WorkKind, declared, peak cawork.Resources) {
+	r := e.record(team, kind)
+	if declared.CPU > 0 && peak.CPU > 0 {
+		r.cpu.add(float64(peak.CPU)/float64(declared.CPU), sizeQuantile, minSizeFactor, maxSizeFactor)
+	}
+	if declared.Memory > 0 && peak.Memory > 0 {
+		r.memory.add(float64(peak.Memory)/float64(declared.Memory), sizeQuantile, minSizeFactor, maxSizeFactor)
+	}
+}
+
+// ObserveRunTime adds the run time of a task that ended well.
+func (e *Estimator) ObserveRunTime(team cawork.TeamName, kind cawork.WorkKind, declared, ran time.Duration) {
+	if declared > 0 {
+		e.record(team, kind).runTime.add(
+			float64(ran)/float64(declared), timeQuantile, minTimeFactor, maxTimeFactor)
+	}
+}
+
+// Size returns the corrected size. Accelerators are never corrected.
+func (e *Estimator) Size(team cawork.TeamName, kind cawork.WorkKind, declared cawork.Resources) cawork.Resources {
+	r, ok := e.records[key{team, kind}]
+	if !ok {
+		return declared
+	}
+	return cawork.Resources{
+		CPU:          cawork.MilliCPU(math.Ceil(float64(declared.CPU) * r.cpu.correction())),
+		Memory:       cawork.Bytes(math.Ceil(float64(declared.Memory) * r.memory.correction())),
+		Accelerators: declared.Accelerators,
+	}
+}
+
+// RunTime returns the corrected run time, zero when none was declared.
+func (e *Estimator) RunTime(team cawork.TeamName, kind cawork.WorkKind, declared time.Duration) time.Duration {
+	r, ok := e.records[key{team, kind}]
+	if !ok {
+		return declared
+	}
+	return time.Duration(float64(declared) * r.runTime.correction())
+}
--- a/internal/core/canaive/naive.go
+++ b/internal/core/canaive/naive.go
@@ -210,15 +210,15 @@
 
 // finish forgets the job when all its tasks are over.
 func (s *Scheduler) finish(j *job) (cawork.Outcome, bool) {
-	var outcomes []cawork.Outcome
+	var counts casched.OutcomeCounts
 	for _, t := range j.tasks {
 		if t.phase != casched.TaskPhaseEnded {
 			return cawork.OutcomePending, false
 		}
-		outcomes = append(outcomes, t.outcome)
+		counts[t.outcome]++
 	}
 	s.jobs = slices.DeleteFunc(s.jobs, func(o *job) bool { return o == j })
-	return casched.JobOutcome(outcomes), true
+	return counts.Job(), true
 }
 
 // Adopt implements casched.Scheduler.
--- /dev/null
+++ b/internal/core/caqueue/queue_test.go
@@ -0,0 +1,48 @@
+package caqueue_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/core/caqueue"
+)
+
+func TestHeadIsTheEarliestOfWhatIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := caqueue.NewQueue[int]()
+		start := time.Unix(0, 0)
+		var left []int
+		entries := map[int]*caqueue.Entry[int]{}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			if len(left) == 0 || rapid.IntRange(0, 2).Draw(t, "op") > 0 {
+				due := rapid.IntRange(0, 1e6).Draw(t, "due")
+				if entries[due] != nil {
+					continue
+				}
+				entries[due] = q.Push(due, caqueue.Key{}, start.Add(time.Duration(due)))
+				left = append(left, due)
+			} else {
+				i := rapid.IntRange(0, len(left)-1).Draw(t, "victim")
+				q.Remove(entries[left[i]])
+				left = slices.Delete(left, i, i+1)
+			}
+			if diff := cmp.Diff(len(left), q.Len()); diff != "" {
+				t.Fatalf("length mismatch (-want +got):\n%s", diff)
+			}
+			classes := q.Classes()
+			if len(left) == 0 {
+				if len(classes) != 0 {
+					t.Fatalf("an empty queue has %d classes", len(classes))
+				}
+				continue
+			}
+			if diff := cmp.Diff(slices.Min(left), classes[0].Head().Value); diff != "" {
+				t.Fatalf("head mismatch (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -64,6 +64,9 @@
 	// PreemptAfter is the wait after which a blocked job below the share of its
 	// team takes room from teams above theirs. Zero turns it off.
 	PreemptAfter time.Duration
+	// UrgentPreemptAfter is the same for urgent jobs, which also take room from
+	// other work of their own team.
+	UrgentPreemptAfter time.Duration
 	// Slots and Connections are what each task takes of an upstream.
 	Slots       int
 	Connections int
@@ -94,7 +97,7 @@
 		QueueBound: 10_000, UrgentHeadroom: 1_000, MaxAttempts: 3,
 		Aging: 10 * time.Minute, UrgentLead: time.Hour,
 		ReserveAfter: 30 * time.Second, ReserveBound: 30 * time.Minute,
-		PreemptAfter: 10 * time.Second,
+		PreemptAfter: 10 * time.Second, UrgentPreemptAfter: 500 * time.Millisecond,
 	}
 	p := Policy{
 		Backfill: true, CorrectSizes: true, CorrectRunTimes: true,
--- a/internal/core/casched/rules.go
+++ b/internal/core/casched/rules.go
@@ -105,25 +105,22 @@
 		"no upstream holds %v under the constraints, the largest that would fit: %v", s.Size, largest)
 }
 
-// JobOutcome returns the outcome of a job whose tasks ended with the outcomes.
-func JobOutcome(outcomes []cawork.Outcome) cawork.Outcome {
-	var seen [int(cawork.OutcomeCanceled) + 1]int
-	for _, o := range outcomes {
-		seen[o]++
-	}
+// OutcomeCounts counts the tasks of a job by their outcome.
+type OutcomeCounts [int(cawork.OutcomeCanceled) + 1]int
+
+// Job returns the outcome of a job whose tasks have all ended so.
+func (c OutcomeCounts) Job() cawork.Outcome {
 	switch {
-	case seen[cawork.OutcomePending] > 0:
-		return cawork.OutcomePending
-	case seen[cawork.OutcomeUnknown] > 0:
+	case c[cawork.OutcomeUnknown] > 0:
 		return cawork.OutcomeUnknown
-	case seen[cawork.OutcomeFailed] > 0:
+	case c[cawork.OutcomeFailed] > 0:
 		return cawork.OutcomeFailed
-	case seen[cawork.OutcomeCanceled] > 0:
+	case c[cawork.OutcomeCanceled] > 0:
 		return cawork.OutcomeCanceled
-	case seen[cawork.OutcomeNotRun] == len(outcomes):
-		return cawork.OutcomeNotRun
-	case seen[cawork.OutcomeNotRun] > 0:
+	case c[cawork.OutcomeNotRun] > 0 && c[cawork.OutcomeDone] > 0:
 		return cawork.OutcomeFailed
+	case c[cawork.OutcomeNotRun] > 0:
+		return cawork.OutcomeNotRun
 	default:
 		return cawork.OutcomeDone
 	}
