--- /dev/null
+++ b/internal/node/calaunch/decide.go
@@ -0,0 +1,119 @@
+package calaunch
+
+import (
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const (
+	// maxRounds bounds the calls of Decide in one round of the loop.
+	maxRounds = 16
+	// jobSeparator stands between the shard and the number in a job id.
+	jobSeparator = "."
+)
+
+// shardOf returns the shard in which a job was accepted.
+func shardOf(id cawork.JobID) cawork.ShardID {
+	shard, _, _ := strings.Cut(string(id), jobSeparator)
+	return cawork.ShardID(shard)
+}
+
+// decide carries out decisions until there are none.
+func (l *Launcher) decide() {
+	if l.draining {
+		return
+	}
+	for range maxRounds {
+		decisions := l.Scheduler.Decide(l.now())
+		if len(decisions) == 0 {
+			break
+		}
+		for _, d := range decisions {
+			l.carryOut(d)
+		}
+	}
+	l.spill()
+}
+
+func (l *Launcher) carryOut(d casched.Decision) {
+	l.logDecision(d)
+	switch d.Kind {
+	case casched.DecisionPlace, casched.DecisionPlaceGang:
+		l.place(d, nil, "")
+	case casched.DecisionCheckpoint:
+		l.act(d, caplatform.StopModeCheckpoint)
+	case casched.DecisionStop:
+		l.act(d, caplatform.StopModeStop)
+	case casched.DecisionThrottle:
+		l.act(d, caplatform.StopModeThrottle)
+	case casched.DecisionRefuse, casched.DecisionExpire:
+		l.refuse(d.Job)
+	case casched.DecisionReserve, casched.DecisionEject, casched.DecisionRestore:
+	}
+}
+
+func (l *Launcher) logDecision(d casched.Decision) {
+	number := caevent.TaskPlaced
+	switch d.Kind {
+	case casched.DecisionPlace, casched.DecisionPlaceGang, casched.DecisionReserve:
+	case casched.DecisionCheckpoint, casched.DecisionStop, casched.DecisionThrottle:
+		number = caevent.TaskStopped
+	case casched.DecisionRefuse, casched.DecisionExpire:
+		number = caevent.JobRefused
+	case casched.DecisionEject:
+		number = caevent.UpstreamEjected
+	case casched.DecisionRestore:
+		number = caevent.UpstreamRestored
+	}
+	line := caevent.Log(l.Logger, zerolog.InfoLevel, number).Str("decision", d.Kind.String()).
+		Str("reason", d.Reason.String()).Str("job", string(d.Job)).Str("team", string(d.Team)).
+		Dur("waited", d.Waited).Float64("share", d.Share).Int("attempts", d.Attempts)
+	if len(d.Placements) > 0 {
+		line = line.Str("task", d.Placements[0].Task.String()).Str("upstream", string(d.Placements[0].Upstream)).
+			Int("tasks", len(d.Placements))
+	}
+	line.Str("text", d.Text()).Send()
+}
+
+// place records and starts the placements of a decision. Owners holds the
+// entry that keeps the room of each placement under the reservation; it is nil
+// when all upstreams are owned here.
+func (l *Launcher) place(d casched.Decision, owners []cawork.VMID, id casched.ReservationID) {
+	payload := l.payload(d.Job)
+	attempts := make([]*attempt, 0, len(d.Placements))
+	for i, p := range d.Placements {
+		a := l.newAttempt(p, d, payload)
+		if owners != nil && owners[i] != l.Self {
+			a.remote, a.reservation = owners[i], id
+		}
+		attempts = append(attempts, a)
+	}
+	l.intend(attempts)
+}
+
+func (l *Launcher) payload(id cawork.JobID) []byte {
+	var payload []byte
+	l.readState(shardOf(id), func(s *cajob.State) {
+		if j, ok := s.Job(id); ok {
+			payload = j.Job.Spec.Payload
+		}
+	})
+	return payload
+}
+
+func (l *Launcher) act(d casched.Decision, mode caplatform.StopMode) {
+	for _, p := range d.Placements {
+		if a, ok := l.byTask[p.Task]; ok {
+			l.stopAttempt(a, mode)
+			continue
+		}
+		l.stopForeign(p, mode)
+	}
+}
--- /dev/null
+++ b/internal/node/calaunch/follow.go
@@ -0,0 +1,175 @@
+package calaunch
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caowner"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// OwnerEvent takes over what happened to an upstream.
+func (l *Launcher) OwnerEvent(e caowner.Event) { l.post(func() { l.ownerEvent(e) }) }
+
+func (l *Launcher) ownerEvent(e caowner.Event) {
+	switch e.Kind {
+	case caowner.EventKindGained:
+		l.gained(e)
+	case caowner.EventKindTasksChanged:
+		l.tasksChanged(e)
+	case caowner.EventKindLeaving:
+		if l.table.Owns(e.Upstream) {
+			l.Scheduler.PutUpstream(describe(e.VM, true), l.now())
+		}
+	case caowner.EventKindLost, caowner.EventKindReleased, caowner.EventKindUnlisted:
+		l.table.Drop(e.Upstream)
+		l.Scheduler.RemoveUpstream(e.Upstream, l.now())
+	case caowner.EventKindListed:
+	}
+}
+
+func describe(vm caplatform.VM, leaving bool) casched.Upstream {
+	return casched.Upstream{
+		ID:              cawork.UpstreamID(vm.ID),
+		Zone:            vm.Zone,
+		Rack:            vm.Rack,
+		Capacity:        vm.Capacity,
+		AcceleratorKind: vm.AcceleratorKind,
+		Slots:           vm.Slots,
+		Connections:     vm.Connections,
+		Leaving:         leaving,
+	}
+}
+
+// gained adopts what runs on an upstream that this entry now owns.
+func (l *Launcher) gained(e caowner.Event) {
+	l.table.Gain(e.Upstream, e.Tasks)
+	l.Scheduler.PutUpstream(describe(e.VM, e.VM.State != caplatform.VMStateLive), l.now())
+	listed := make(map[cawork.AttemptID]struct{}, len(e.Tasks))
+	for _, s := range e.Tasks {
+		listed[s.Attempt] = struct{}{}
+		if s.State == cawork.TaskStateRunning {
+			l.adopt(e.Upstream, s)
+		}
+		l.observe(e.Upstream, s)
+	}
+	l.missing(e.Upstream, listed)
+}
+
+func (l *Launcher) adopt(u cawork.UpstreamID, s caplatform.TaskStatus) {
+	l.Scheduler.Adopt(s, u, l.now())
+	caevent.Info(l.Logger, caevent.TaskAdopted).Str("task", s.Task.String()).Str("attempt", string(s.Attempt)).
+		Str("upstream", string(u)).Str("shard", string(s.Shard)).Send()
+}
+
+// missing handles attempts that were taken for running on an upstream whose
+// agent does not know them any more: the agent has lost its memory, and what
+// ran there has ended with it.
+func (l *Launcher) missing(u cawork.UpstreamID, listed map[cawork.AttemptID]struct{}) {
+	for id, a := range l.attempts {
+		if _, ok := listed[id]; ok || a.upstream != u || a.phase != phaseRunning {
+			continue
+		}
+		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateLapsed}, false)
+	}
+}
+
+func (l *Launcher) tasksChanged(e caowner.Event) {
+	l.table.Update(e.Upstream, e.Tasks)
+	for _, s := range e.Tasks {
+		if _, tracked := l.attempts[s.Attempt]; tracked {
+			l.observe(e.Upstream, s)
+			continue
+		}
+		l.foreignChanged(s)
+		l.observeUntracked(e.Upstream, s)
+	}
+}
+
+// foreignChanged keeps the account of an owned upstream when a task of another
+// entry changed.
+func (l *Launcher) foreignChanged(s caplatform.TaskStatus) {
+	if s.State == cawork.TaskStateRunning {
+		if !s.Used.IsZero() {
+			l.Scheduler.ReportUsage(s.Task, s.Used, l.now())
+		}
+		return
+	}
+	l.endForeign(s.Task, s)
+}
+
+// endForeign frees the room of a task of another entry that has ended.
+func (l *Launcher) endForeign(task cawork.TaskRef, s caplatform.TaskStatus) {
+	if _, own := l.byTask[task]; own || task.Job == "" || !s.State.Ended() {
+		return
+	}
+	if s.State == cawork.TaskStateFenced {
+		l.Scheduler.StartFailed(task, true, l.now())
+		return
+	}
+	l.Scheduler.Ended(casched.End{Task: task, State: s.State, Used: s.Used, Elapsed: s.Elapsed}, l.now())
+}
+
+// pollOwners asks the other owners of the zone what became of the attempts of
+// the led shards.
+func (l *Launcher) pollOwners() {
+	for _, o := range l.Directory.ZoneOwners() {
+		if _, busy := l.polling[o.VM]; busy {
+			continue
+		}
+		l.polling[o.VM] = struct{}{}
+		request := l.pollRequest(o.VM)
+		l.background(func(ctx context.Context) func() {
+			reply, err := l.Peers.Poll(ctx, o.VM, request)
+			return func() { l.polled(o.VM, reply, err) }
+		})
+	}
+}
+
+func (l *Launcher) pollRequest(owner cawork.VMID) PollRequest {
+	request := PollRequest{From: l.Self}
+	for id := range l.led {
+		view, ok := l.Shards.MayAct(id)
+		if !ok {
+			continue
+		}
+		cursor := l.cursors[pollTarget{owner: owner, shard: id}]
+		request.Shards = append(request.Shards, ShardCursor{Shard: id, View: view, Cursor: cursor})
+	}
+	return request
+}
+
+func (l *Launcher) polled(owner cawork.VMID, reply PollReply, err error) {
+	delete(l.polling, owner)
+	if err != nil {
+		return
+	}
+	for _, s := range reply.Shards {
+		if led, ok := l.led[s.Shard]; !ok || !led.recovered {
+			continue
+		}
+		l.cursors[pollTarget{owner: owner, shard: s.Shard}] = s.Changes.Cursor
+		for _, o := range s.Changes.Observations {
+			l.observe(o.Upstream, o.Status)
+		}
+	}
+}
+
+// HandlePoll tells the primary of a shard what changed on the upstreams that
+// are owned here.
+func (l *Launcher) HandlePoll(ctx context.Context, r PollRequest) (PollReply, error) {
+	var reply PollReply
+	ok := l.ask(ctx, func() {
+		for _, s := range r.Shards {
+			changes := l.table.Since(s.Shard, s.Cursor)
+			reply.Shards = append(reply.Shards, ShardChanges{Shard: s.Shard, Changes: changes})
+		}
+	})
+	if !ok {
+		return PollReply{}, cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/node/calaunch/launcher.go
@@ -0,0 +1,285 @@
+// Package calaunch carries out the decisions of the core: it records each
+// attempt in its shard before it starts it, follows it to its end and tells
+// callers what became of their jobs.
+//
+// One goroutine owns the scheduler and all state here. Calls to upstreams and
+// to other entries run beside it and report back to it.
+package calaunch
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/caowner"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/node/catask"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const (
+	// tickPeriod is the time between two rounds of decisions without an event.
+	tickPeriod = 100 * time.Millisecond
+	// pollPeriod is the time between two polls of another owner.
+	pollPeriod = time.Second
+	// startTimeout bounds a call that starts or stops an attempt.
+	startTimeout = 1500 * time.Millisecond
+	// peerTimeout bounds a call to another entry.
+	peerTimeout = 1500 * time.Millisecond
+	// mailboxSize is the number of reports that may wait for the loop.
+	mailboxSize = 4096
+)
+
+// Shards replicates the records of the shards that this entry leads.
+type Shards interface {
+	Propose(s cawork.ShardID, record []byte) (<-chan error, error)
+	Read(s cawork.ShardID, f func(cashard.StateMachine)) bool
+	MayAct(s cawork.ShardID) (int64, bool)
+	Statuses() []cashard.Status
+}
+
+// Leases tells whether this entry may send starts to an upstream now.
+type Leases interface {
+	Lease(id cawork.UpstreamID) (caowner.Lease, bool)
+}
+
+// Directory tells what the platform lists, and who owns and leads what.
+type Directory interface {
+	// Upstream returns the VM of an upstream.
+	Upstream(id cawork.UpstreamID) (caplatform.VM, bool)
+	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
+	ZoneUpstreams() []caplatform.VM
+	// ZoneOwners returns the other live entries of the own zone, with the room
+	// that they reported.
+	ZoneOwners() []Owner
+	// Leader returns the entry that leads a shard.
+	Leader(s cawork.ShardID) (cawork.VMID, bool)
+	// Entries returns all other entries that are not known to have ended.
+	Entries() []cawork.VMID
+}
+
+// Owner is another entry of the zone.
+type Owner struct {
+	VM          cawork.VMID
+	Free        cawork.Resources
+	LargestHole cawork.Resources
+}
+
+// Config wires a launcher.
+type Config struct {
+	Self      cawork.VMID
+	Zone      cawork.ZoneName
+	Shard     cawork.ShardID
+	TaskTTL   time.Duration
+	Scheduler casched.Scheduler
+	Shards    Shards
+	Leases    Leases
+	Directory Directory
+	Agents    caplatform.Agents
+	Peers     Peers
+	Timer     *catimer.Service
+	Logger    zerolog.Logger
+	Scope     tally.Scope
+	// Generation identifies this life of the entry.
+	Generation int64
+}
+
+// Launcher runs accepted jobs.
+type Launcher struct {
+	Config
+	mailbox  chan func()
+	done     chan struct{}
+	ctx      context.Context
+	policy   casched.Policy
+	draining bool
+	serial   int64
+
+	table    *catask.Table
+	led      map[cawork.ShardID]*ledShard
+	attempts map[cawork.AttemptID]*attempt
+	byTask   map[cawork.TaskRef]*attempt
+	waiters  map[cawork.JobID][]chan struct{}
+	pending  map[keyedSubmission]struct{}
+	unsent   []settlement
+	unended  map[cawork.JobID]struct{}
+	cursors  map[pollTarget]catask.Cursor
+	lastPoll time.Time
+	polling  map[cawork.VMID]struct{}
+	spilling map[cawork.JobID]struct{}
+}
+
+// ledShard is a shard that this entry leads.
+type ledShard struct {
+	id cawork.ShardID
+	// recovered is false until the attempts of the former primary are known.
+	recovered bool
+	// unanswered lists the upstreams that have yet to be fenced.
+	unanswered map[cawork.UpstreamID]struct{}
+}
+
+type pollTarget struct {
+	owner cawork.VMID
+	shard cawork.ShardID
+}
+
+// NewLauncher returns a launcher that leads its own shard.
+func NewLauncher(c Config) *Launcher {
+	l := &Launcher{
+		Config:   c,
+		mailbox:  make(chan func(), mailboxSize),
+		done:     make(chan struct{}),
+		table:    catask.NewTable(c.Generation),
+		led:      make(map[cawork.ShardID]*ledShard),
+		attempts: make(map[cawork.AttemptID]*attempt),
+		byTask:   make(map[cawork.TaskRef]*attempt),
+		waiters:  make(map[cawork.JobID][]chan struct{}),
+		pending:  make(map[keyedSubmission]struct{}),
+		unended:  make(map[cawork.JobID]struct{}),
+		cursors:  make(map[pollTarget]catask.Cursor),
+		polling:  make(map[cawork.VMID]struct{}),
+		spilling: make(map[cawork.JobID]struct{}),
+	}
+	l.led[c.Shard] = &ledShard{id: c.Shard, recovered: true}
+	return l
+}
+
+// Run decides and follows until the context ends.
+func (l *Launcher) Run(ctx context.Context) error {
+	defer close(l.done)
+	l.ctx = ctx
+	ticks := l.Timer.Every(tickPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-l.mailbox:
+			event()
+			l.drainMailbox()
+		case <-ticks.C:
+			l.tick()
+		}
+		l.decide()
+	}
+}
+
+// Done is closed when the launcher has ended.
+func (l *Launcher) Done() <-chan struct{} { return l.done }
+
+// drainMailbox handles what has queued up, so that one round of decisions
+// serves many reports.
+func (l *Launcher) drainMailbox() {
+	for range mailboxSize {
+		select {
+		case event := <-l.mailbox:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+func (l *Launcher) tick() {
+	l.refreshAllowances()
+	l.retrySettlements()
+	l.retryEnds()
+	l.resolveAttempts()
+	l.settleGone()
+	if l.now().Sub(l.lastPoll) >= pollPeriod {
+		l.lastPoll = l.now()
+		l.pollOwners()
+		l.refence()
+	}
+}
+
+func (l *Launcher) now() time.Time { return l.Timer.Now() }
+
+// post hands a report to the loop. It returns without effect once the loop
+// has ended.
+func (l *Launcher) post(event func()) {
+	select {
+	case l.mailbox <- event:
+	case <-l.done:
+	}
+}
+
+// ask runs a question on the loop and waits for its end. It reports whether
+// the question ran.
+func (l *Launcher) ask(ctx context.Context, question func()) bool {
+	ran := make(chan struct{})
+	l.post(func() {
+		question()
+		close(ran)
+	})
+	select {
+	case <-ran:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.done:
+		return false
+	}
+}
+
+// SetPolicy replaces the policy of the scheduler.
+func (l *Launcher) SetPolicy(p casched.Policy) {
+	l.post(func() {
+		l.policy = p
+		l.Scheduler.SetPolicy(p, l.now())
+	})
+}
+
+// SetRemoteUse passes on what other entries reported.
+func (l *Launcher) SetRemoteUse(r casched.RemoteUse) {
+	l.post(func() { l.Scheduler.SetRemoteUse(r, l.now()) })
+}
+
+// Drain refuses new jobs from now on and starts no further attempt.
+func (l *Launcher) Drain() { l.post(func() { l.draining = true }) }
+
+// refreshAllowances tells the scheduler what the led shards hold of each limit.
+func (l *Launcher) refreshAllowances() {
+	held := make(map[cawork.TeamName]cawork.Resources)
+	for id := range l.led {
+		l.readState(id, func(s *cajob.State) {
+			for team := range s.Account().Teams {
+				held[team] = held[team].Plus(s.Account().Held(team))
+			}
+		})
+	}
+	for team, amount := range held {
+		l.Scheduler.SetAllowance(team, amount, l.now())
+	}
+}
+
+// readState calls f with the state of a shard that is led here.
+func (l *Launcher) readState(id cawork.ShardID, f func(s *cajob.State)) bool {
+	return l.Shards.Read(id, func(m cashard.StateMachine) { f(m.(*cajob.State)) })
+}
+
+// propose adds a record to a shard. The result is reported to the loop.
+func (l *Launcher) propose(id cawork.ShardID, r cajob.Record, then func(err error)) error {
+	r.At = l.now()
+	payload, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	result, err := l.Shards.Propose(id, payload)
+	if err != nil {
+		return err
+	}
+	go func() {
+		select {
+		case err := <-result:
+			l.post(func() { then(err) })
+		case <-l.done:
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/node/calaunch/query.go
@@ -0,0 +1,189 @@
+package calaunch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+)
+
+const (
+	// waitRound bounds one call that waits for a job at another entry.
+	waitRound = 2 * time.Second
+	// searchPause is the time between two searches for a job whose leader does
+	// not answer.
+	searchPause = 200 * time.Millisecond
+)
+
+// Get returns the state of a job, wherever it is led.
+func (l *Launcher) Get(ctx context.Context, id cawork.JobID) (JobView, error) {
+	return l.lookUp(ctx, GetJobCall{Job: id})
+}
+
+// Wait returns the state of a job once it has ended, or as it is when the
+// context ends.
+func (l *Launcher) Wait(ctx context.Context, id cawork.JobID) (JobView, error) {
+	// The answer must still be fetched after the caller's time is over.
+	background := context.WithoutCancel(ctx)
+	for {
+		view, err := l.lookUp(background, GetJobCall{Job: id, Wait: remaining(ctx)})
+		if err == nil && view.Outcome != cawork.OutcomePending {
+			return view, nil
+		}
+		if ctx.Err() != nil || cakind.Of(err) == cakind.KindNotFound {
+			return view, err
+		}
+		l.sleep(ctx, searchPause)
+	}
+}
+
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return waitRound
+	}
+	return min(waitRound, max(time.Until(deadline), 0))
+}
+
+func (l *Launcher) sleep(ctx context.Context, d time.Duration) {
+	pause := l.Timer.After(d)
+	defer pause.Close()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+	case <-l.done:
+	}
+}
+
+// lookUp asks the leader of the job's shard, and every entry when no leader is
+// known.
+func (l *Launcher) lookUp(ctx context.Context, call GetJobCall) (JobView, error) {
+	view, err := l.HandleGetJob(ctx, call)
+	if err == nil {
+		return view, nil
+	}
+	if leader, ok := l.Directory.Leader(shardOf(call.Job)); ok && leader != l.Self {
+		ctx, cancel := context.WithTimeout(ctx, call.Wait+peerTimeout)
+		defer cancel()
+		return l.Peers.GetJob(ctx, leader, call)
+	}
+	return l.search(ctx, call.Job, err)
+}
+
+// search asks all entries for a job. It is not found only if all say so: the
+// shard of a lost entry has no leader until its backup has taken over.
+func (l *Launcher) search(ctx context.Context, id cawork.JobID, err error) (JobView, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, vm := range l.Directory.Entries() {
+		view, failed := l.Peers.GetJob(ctx, vm, GetJobCall{Job: id})
+		if failed == nil {
+			return view, nil
+		}
+		if cakind.Of(failed) != cakind.KindNotFound {
+			err = failed
+		}
+	}
+	if cakind.Of(err) == cakind.KindNotFound {
+		return JobView{}, cakind.New(cakind.KindNotFound, "no job %s", id)
+	}
+	return JobView{}, cakind.Wrap(cakind.KindUnavailable, err, "the entry that leads job %s is not known now", id).
+		WithRetryAfter(time.Second)
+}
+
+// isBackup reports whether this entry holds the shard for another one.
+func (l *Launcher) isBackup(id cawork.ShardID) bool {
+	return slices.ContainsFunc(l.Shards.Statuses(), func(s cashard.Status) bool { return s.Shard == id && !s.Primary })
+}
+
+// HandleGetJob returns the state of a job that is led here.
+func (l *Launcher) HandleGetJob(ctx context.Context, call GetJobCall) (JobView, error) {
+	view, ended, err := l.watch(ctx, call)
+	if err != nil || ended == nil {
+		return view, err
+	}
+	pause := l.Timer.After(call.Wait)
+	defer pause.Close()
+	select {
+	case <-ended:
+	case <-pause.C:
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	l.post(func() { l.unwatch(call.Job, ended) })
+	view, _, err = l.watch(context.WithoutCancel(ctx), GetJobCall{Job: call.Job})
+	return view, err
+}
+
+// unwatch drops a channel that nobody waits on any more.
+func (l *Launcher) unwatch(id cawork.JobID, ended <-chan struct{}) {
+	rest := slices.DeleteFunc(l.waiters[id], func(c chan struct{}) bool { return c == ended })
+	if len(rest) == 0 {
+		delete(l.waiters, id)
+		return
+	}
+	l.waiters[id] = rest
+}
+
+// watch returns the state of a job, and a channel that is closed at its end
+// when the call asks to wait for it.
+func (l *Launcher) watch(ctx context.Context, call GetJobCall) (JobView, <-chan struct{}, error) {
+	var view JobView
+	var found bool
+	var ended chan struct{}
+	ok := l.ask(ctx, func() {
+		view, found = l.view(call.Job)
+		if found && call.Wait > 0 && view.Outcome == cawork.OutcomePending {
+			ended = make(chan struct{})
+			l.waiters[call.Job] = append(l.waiters[call.Job], ended)
+		}
+	})
+	switch {
+	case !ok:
+		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
+	case !found && l.isBackup(shardOf(call.Job)):
+		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "job %s is led by another entry", call.Job)
+	case !found:
+		return JobView{}, nil, cakind.New(cakind.KindNotFound, "no job %s here", call.Job)
+	case ended == nil:
+		return view, nil, nil
+	default:
+		return view, ended, nil
+	}
+}
+
+// wake tells those who wait for a job that it has ended.
+func (l *Launcher) wake(id cawork.JobID) {
+	for _, ended := range l.waiters[id] {
+		close(ended)
+	}
+	delete(l.waiters, id)
+}
+
+func (l *Launcher) view(id cawork.JobID) (JobView, bool) {
+	j, ok := l.job(id)
+	if !ok {
+		return JobView{}, false
+	}
+	view := JobView{
+		Job: id, Team: j.Job.Team, Kind: j.Job.Spec.Kind, Outcome: j.Outcome,
+		Canceled: j.Canceled, Accepted: j.Job.Accepted,
+	}
+	for _, t := range j.Tasks {
+		view.Tasks = append(view.Tasks, l.taskView(t))
+	}
+	return view, true
+}
+
+func (l *Launcher) taskView(t cajob.Task) TaskView {
+	view := TaskView{Outcome: t.Outcome, Attempts: t.Attempts, Result: t.Result}
+	if a, ok := l.attempts[t.Open]; ok {
+		view.Running = a.phase == phaseRunning
+		view.Upstream = a.upstream
+	}
+	return view
+}
--- /dev/null
+++ b/internal/node/calaunch/takeover.go
@@ -0,0 +1,212 @@
+package calaunch
+
+import (
+	"context"
+	"sync"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// maxFences bounds the fences that are under way at once.
+const maxFences = 32
+
+// ShardEvent implements cashard.Listener.
+func (l *Launcher) ShardEvent(e cashard.Event) {
+	l.post(func() {
+		switch e.Type {
+		case cashard.EventTakenOver:
+			l.takeOver(e)
+		case cashard.EventDeposed, cashard.EventRetired:
+			l.dropShard(e.Shard)
+		case cashard.EventViewChanged:
+		}
+	})
+}
+
+// ShardCommitted implements cashard.Listener. Results of proposals tell the
+// launcher all that it needs.
+func (l *Launcher) ShardCommitted(cawork.ShardID, int64, []byte) {}
+
+// takeOver fences a shard at every upstream of the zone before anything of it
+// starts again.
+func (l *Launcher) takeOver(e cashard.Event) {
+	led := &ledShard{id: e.Shard, unanswered: make(map[cawork.UpstreamID]struct{})}
+	l.led[e.Shard] = led
+	upstreams := l.Directory.ZoneUpstreams()
+	for _, vm := range upstreams {
+		led.unanswered[cawork.UpstreamID(vm.ID)] = struct{}{}
+	}
+	go func() {
+		answers := l.fenceAll(e.Shard, e.View.Number, upstreams)
+		l.post(func() { l.recover(led, answers) })
+	}()
+}
+
+// fenceAll fences a shard at the upstreams and returns the answers. Upstreams
+// that did not answer are left out.
+func (l *Launcher) fenceAll(shard cawork.ShardID, view int64, upstreams []caplatform.VM) []cajob.FenceAnswer {
+	var mu sync.Mutex
+	var answers []cajob.FenceAnswer
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, maxFences)
+	for _, vm := range upstreams {
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(l.ctx, startTimeout)
+			defer cancel()
+			tasks, err := l.Agents.Agent(vm.Address).Fence(ctx, caplatform.ShardFence{Shard: shard, View: view})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, cajob.FenceAnswer{Upstream: cawork.UpstreamID(vm.ID), Tasks: tasks})
+		})
+	}
+	calls.Wait()
+	return answers
+}
+
+// recover takes over the jobs of a shard after its upstreams were fenced.
+func (l *Launcher) recover(led *ledShard, answers []cajob.FenceAnswer) {
+	if l.led[led.id] != led {
+		return
+	}
+	for _, a := range answers {
+		delete(led.unanswered, a.Upstream)
+	}
+	var recovery cajob.Recovery
+	var jobs []cajob.Job
+	l.readState(led.id, func(s *cajob.State) {
+		recovery = s.Settle(l.now(), answers, nil)
+		jobs = s.OpenJobs()
+	})
+	byTask := make(map[cawork.TaskRef]cajob.Resolution, len(recovery.Resolutions))
+	for _, r := range recovery.Resolutions {
+		byTask[r.Attempt.Task] = r
+	}
+	for _, j := range jobs {
+		l.restore(j, byTask)
+	}
+	led.recovered = true
+	for _, r := range recovery.Resolutions {
+		l.resume(led.id, r)
+	}
+	for _, o := range recovery.Orphans {
+		l.stopAt(o.Upstream, o.Attempt, caplatform.StopModeStop)
+	}
+	for _, j := range jobs {
+		if j.Canceled {
+			l.canceled(j.Job.ID)
+		}
+		l.reconcile(j.Job.ID)
+	}
+	caevent.Info(l.Logger, caevent.ShardTakenOver).Str("shard", string(led.id)).Int("jobs", len(jobs)).
+		Int("attempts", len(recovery.Resolutions)).Int("unanswered", len(led.unanswered)).Send()
+}
+
+// restore hands a job of a shard that was taken over to the scheduler.
+func (l *Launcher) restore(j cajob.Job, resolutions map[cawork.TaskRef]cajob.Resolution) {
+	restored := casched.RestoredJob{Job: j.Job}
+	for i, t := range j.Tasks {
+		task := casched.RestoredTask{Index: i, Attempts: t.Attempts, Outcome: t.Outcome}
+		switch {
+		case t.Open != "":
+			open := resolutions[cawork.TaskRef{Job: j.Job.ID, Index: i}].Attempt
+			task.Phase = casched.TaskPhaseOpen
+			task.Upstream = open.Upstream
+			task.Size = open.Charge
+		case t.Outcome != cawork.OutcomePending:
+			task.Phase = casched.TaskPhaseEnded
+		}
+		restored.Tasks = append(restored.Tasks, task)
+	}
+	if err := l.Scheduler.Restore(restored, l.now()); err != nil {
+		caevent.Warn(l.Logger, caevent.JobRefused).Str("job", string(j.Job.ID)).AnErr("error", err).Send()
+	}
+}
+
+// resume goes on with an open attempt of a shard that was taken over.
+func (l *Launcher) resume(shard cawork.ShardID, r cajob.Resolution) {
+	j, _ := l.job(r.Attempt.Task.Job)
+	a := &attempt{
+		id: r.Attempt.ID, task: r.Attempt.Task, shard: shard, team: r.Attempt.Team,
+		kind: j.Job.Spec.Kind, size: r.Attempt.Charge, upstream: r.Attempt.Upstream, payload: j.Job.Spec.Payload,
+	}
+	l.track(a)
+	switch r.Fate {
+	case cajob.FateAdopt:
+		a.phase = phaseRunning
+		l.Scheduler.Started(a.task, l.now())
+	case cajob.FateWait:
+		a.phase = phaseUnresolved
+	case cajob.FateSettle:
+		status := caplatform.TaskStatus{State: r.Settled.State, Result: r.Settled.Result}
+		l.settle(a, status, r.Settled.Observed)
+	}
+}
+
+// refence tries again to fence the upstreams that did not answer.
+func (l *Launcher) refence() {
+	for id, led := range l.led {
+		view, ok := l.Shards.MayAct(id)
+		if !ok || !led.recovered || len(led.unanswered) == 0 {
+			continue
+		}
+		var missing []caplatform.VM
+		for u := range led.unanswered {
+			vm, listed := l.Directory.Upstream(u)
+			if !listed || vm.State == caplatform.VMStateGone {
+				delete(led.unanswered, u)
+				continue
+			}
+			missing = append(missing, vm)
+		}
+		go func() {
+			answers := l.fenceAll(id, view, missing)
+			l.post(func() { l.refenced(led, answers) })
+		}()
+	}
+}
+
+func (l *Launcher) refenced(led *ledShard, answers []cajob.FenceAnswer) {
+	for _, a := range answers {
+		delete(led.unanswered, a.Upstream)
+		for _, s := range a.Tasks {
+			l.observe(a.Upstream, s)
+		}
+	}
+}
+
+// dropShard forgets a shard that another entry leads from now on. Its tasks on
+// owned upstreams go on as tasks of another entry.
+func (l *Launcher) dropShard(id cawork.ShardID) {
+	delete(l.led, id)
+	jobs := make(map[cawork.JobID]struct{})
+	for _, a := range l.attempts {
+		if a.shard == id {
+			jobs[a.task.Job] = struct{}{}
+			l.drop(a)
+		}
+	}
+	for job := range jobs {
+		l.wake(job)
+	}
+}
+
+// drop forgets an attempt without a record of its end. Its room stays
+// committed as long as it runs on an owned upstream.
+func (l *Launcher) drop(a *attempt) {
+	l.forget(a)
+	// A job that is already over at the scheduler needs no cancellation.
+	_, _ = l.Scheduler.Cancel(a.task.Job, l.now())
+	if !l.table.Owns(a.upstream) {
+		l.Scheduler.Ended(casched.End{Task: a.task, State: cawork.TaskStateLapsed}, l.now())
+	}
+}
--- a/internal/node/catask/table.go
+++ b/internal/node/catask/table.go
@@ -116,3 +116,13 @@
 	sequence    int64
 	observation Observation
 }
+
+// FindTask returns the running attempt of a task on an owned upstream.
+func (t *Table) FindTask(u cawork.UpstreamID, task cawork.TaskRef) (cawork.AttemptID, bool) {
+	for id, r := range t.upstreams[u] {
+		if r.status.Task == task && r.status.State == cawork.TaskStateRunning {
+			return id, true
+		}
+	}
+	return "", false
+}
