Request path: idempotency keys, borrowed slots, late attempts given up

Cause: a second submission must learn the first one's outcome, an entry must be able to use slots of other owners, and an upstream that never answers must not hold idempotent look-ups until their deadline. Change: cadedupe (keeper and backup per key, claims, intents, settlement of dead executors by fencing), grants in caroute, the borrower in cadispatch.

--- /dev/null
+++ b/internal/request/cadedupe/keeper.go
@@ -0,0 +1,388 @@
+package cadedupe
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+const (
+	// callTimeout bounds a call to another entry.
+	callTimeout = 500 * time.Millisecond
+	// pollTimeout bounds the time for which a keeper holds a call of a second
+	// submission.
+	pollTimeout = 2 * time.Second
+	tickPeriod  = 500 * time.Millisecond
+	// repairBatch bounds the records that are sent again or settled in a tick.
+	repairBatch = 256
+	// strangerPatience is the age from which the request of an entry that was
+	// never a member counts as abandoned.
+	strangerPatience = 30 * time.Second
+	// maxGone bounds the former members that are remembered.
+	maxGone = 1024
+)
+
+// Config holds what a service needs.
+type Config struct {
+	Self   Member
+	Timer  *catimer.Service
+	Logger zerolog.Logger
+	Peers  Peers
+	// Fencer ends the attempts of dead entries. Without one their records stay
+	// open until MaxOpen.
+	Fencer Fencer
+	Bounds Bounds
+}
+
+// Service keeps the records of keys for the zone and claims keys for the
+// requests of its own entry.
+type Service struct {
+	config Config
+	done   chan struct{}
+	// settling counts the outcomes that are on their way to a holder.
+	settling sync.WaitGroup
+
+	mu      sync.Mutex
+	table   *Table
+	members []Member
+	// gone holds former members.
+	gone map[Member]struct{}
+	// dirty holds the keys whose record may be missing at another holder.
+	dirty map[Key]struct{}
+}
+
+// New returns a service that knows itself as the only member.
+func New(c Config) *Service {
+	return &Service{
+		config:  c,
+		done:    make(chan struct{}),
+		table:   NewTable(c.Bounds),
+		members: []Member{c.Self},
+		gone:    map[Member]struct{}{},
+		dirty:   map[Key]struct{}{},
+	}
+}
+
+// SetMembers replaces the live entries of the zone. Records whose holders
+// changed are sent to the new ones, and requests of entries that are gone are
+// settled.
+func (s *Service) SetMembers(members []Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	former := s.members
+	s.members = append([]Member{s.config.Self}, without(members, s.config.Self.ID)...)
+	if len(s.gone) > maxGone {
+		clear(s.gone)
+	}
+	for _, m := range former {
+		if !slices.Contains(s.members, m) {
+			s.gone[m] = struct{}{}
+		}
+	}
+	for _, r := range s.table.Select(s.now(), func(Record) bool { return true }) {
+		s.dirty[r.Key] = struct{}{}
+	}
+}
+
+// Run repairs replicas, settles the requests of dead entries and forgets old
+// records until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	defer close(s.done)
+	ticks := s.config.Timer.Every(tickPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+			s.Tick(ctx)
+		}
+	}
+}
+
+// Done returns a channel that is closed when Run has ended.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Tick does one round of the work of Run.
+func (s *Service) Tick(ctx context.Context) {
+	s.mu.Lock()
+	s.table.Expire(s.now())
+	s.mu.Unlock()
+	s.settleDead(ctx)
+	s.repair(ctx)
+}
+
+// HandleOpen serves Peers.Open.
+func (s *Service) HandleOpen(ctx context.Context, q OpenRequest) (Record, error) {
+	r, err := s.claim(ctx, q.Claim)
+	if err != nil || !q.Wait || r.Settled() || r.Claim == q.Claim.Claim {
+		return r, err
+	}
+	return s.await(ctx, r), nil
+}
+
+// HandleIntend serves Peers.Intend.
+func (s *Service) HandleIntend(ctx context.Context, q IntendRequest) error {
+	r, err := s.update(q.Key, q.Claim, func(r Record) Record { return r.WithAttempt(q.Attempt, q.Upstream) })
+	if err != nil {
+		return err
+	}
+	held, err := s.replicate(ctx, r)
+	if err != nil {
+		return err
+	}
+	if held.Claim != q.Claim || held.Settled() {
+		return cakind.New(cakind.KindFenced, "the claim of the idempotency key has ended")
+	}
+	return nil
+}
+
+// HandleSettle serves Peers.Settle.
+func (s *Service) HandleSettle(ctx context.Context, q SettleRequest) error {
+	r, err := s.update(q.Key, q.Claim, func(r Record) Record { return r.WithOutcome(q.Outcome, q.Answer) })
+	if err != nil {
+		return err
+	}
+	if _, err := s.replicate(ctx, r); err != nil {
+		s.markDirty(q.Key)
+	}
+	return nil
+}
+
+// HandleReplicate serves Peers.Replicate.
+func (s *Service) HandleReplicate(_ context.Context, r Record) (Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Merge(s.now(), r), nil
+}
+
+// claim stores a claim here and at the other holder. Only then does it count.
+func (s *Service) claim(ctx context.Context, own Record) (Record, error) {
+	s.mu.Lock()
+	r, err := s.table.Claim(s.now(), own)
+	s.mu.Unlock()
+	if err != nil || r.Claim != own.Claim {
+		return r, err
+	}
+	held, err := s.replicate(ctx, r)
+	if err != nil {
+		s.disclaim(own)
+		return Record{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held.Claim != own.Claim {
+		s.table.Adopt(s.now(), held)
+		return held, nil
+	}
+	if !s.table.Confirm(own.Key, own.Claim) {
+		now, _ := s.table.Get(s.now(), own.Key)
+		return now, nil
+	}
+	return r, nil
+}
+
+// disclaim settles a claim that was not accepted everywhere. Its executor
+// never learns of it, so that it has not run.
+func (s *Service) disclaim(own Record) {
+	_, err := s.update(own.Key, own.Claim, func(r Record) Record {
+		return r.WithOutcome(cawork.OutcomeNotRun, StoredAnswer{})
+	})
+	if err == nil {
+		s.markDirty(own.Key)
+	}
+}
+
+// await returns the record once it has changed, or as it is after a while.
+func (s *Service) await(ctx context.Context, r Record) Record {
+	s.mu.Lock()
+	changed := s.table.Changed(r.Key)
+	s.mu.Unlock()
+	timer := s.config.Timer.After(pollTimeout)
+	defer timer.Close()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now, ok := s.table.Get(s.now(), r.Key); ok {
+		return now
+	}
+	return r
+}
+
+func (s *Service) update(k Key, c ClaimID, change func(Record) Record) (Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Update(s.now(), k, c, change)
+}
+
+// replicate sends the record to the other holders. It returns the record that
+// differs from it, if any of them holds another, and fails unless all answer.
+func (s *Service) replicate(ctx context.Context, r Record) (Record, error) {
+	for _, id := range s.others(r.Key) {
+		held, err := s.sendReplica(ctx, id, r)
+		if err != nil {
+			return Record{}, cakind.Wrap(cakind.KindUnavailable, err, "replicate to %s", id)
+		}
+		if held.Claim != r.Claim || held.newerThan(r) {
+			return held, nil
+		}
+	}
+	return r, nil
+}
+
+func (s *Service) sendReplica(ctx context.Context, id cawork.VMID, r Record) (Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.config.Peers.Replicate(ctx, id, r)
+}
+
+// repair sends the dirty records to their holders again, and forgets those
+// that this entry need not hold any more.
+func (s *Service) repair(ctx context.Context) {
+	for _, r := range s.dirtyRecords() {
+		held, err := s.replicate(ctx, r)
+		if err != nil {
+			return
+		}
+		s.repaired(r, held)
+	}
+}
+
+func (s *Service) repaired(r, held Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.dirty, r.Key)
+	s.table.Merge(s.now(), held)
+}
+
+func (s *Service) dirtyRecords() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Record
+	for k := range s.dirty {
+		r, ok := s.table.Get(s.now(), k)
+		if !ok {
+			delete(s.dirty, k)
+			continue
+		}
+		all = append(all, r)
+		if len(all) == repairBatch {
+			break
+		}
+	}
+	return all
+}
+
+// settleDead settles the requests whose executor is gone.
+func (s *Service) settleDead(ctx context.Context) {
+	for _, r := range s.orphans() {
+		settled, ok := s.fence(ctx, r)
+		if !ok {
+			continue
+		}
+		// The other holder learns first. Otherwise an executor that was only
+		// paused could still intend an attempt there.
+		if held, err := s.replicate(ctx, settled); err != nil || held.Claim != r.Claim {
+			continue
+		}
+		_, _ = s.update(r.Key, r.Claim, func(Record) Record { return settled })
+		caevent.Info(s.config.Logger, caevent.RequestAnswered).
+			Str("team", string(r.Key.Team)).
+			Str("executor", string(r.Executor.ID)).
+			Str("attempt", string(r.Attempt)).
+			Str("outcome", settled.Outcome.String()).
+			Send()
+	}
+}
+
+// orphans returns open records that this entry keeps and whose executor is
+// gone.
+func (s *Service) orphans() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	all := s.table.Select(now, func(r Record) bool {
+		return !r.Settled() && !slices.Contains(s.members, r.Executor) && holders(s.members, r.Key)[0] == s.config.Self.ID
+	})
+	// An executor that was never a member may be about to become one.
+	all = slices.DeleteFunc(all, func(r Record) bool {
+		_, gone := s.gone[r.Executor]
+		return !gone && s.config.Bounds.MaxOpen-r.Remaining < strangerPatience
+	})
+	return all[:min(len(all), repairBatch)]
+}
+
+// fence returns the settled record of a request whose executor is gone. It
+// reports false when the outcome cannot be told yet.
+func (s *Service) fence(ctx context.Context, r Record) (Record, bool) {
+	switch {
+	case r.Idempotent:
+		return r.WithOutcome(cawork.OutcomeUnknown, StoredAnswer{}), true
+	case r.Attempt == "":
+		return r.WithOutcome(cawork.OutcomeNotRun, StoredAnswer{}), true
+	case s.config.Fencer == nil:
+		return r, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := s.config.Fencer.FenceAttempt(ctx, r.Upstream, r.Attempt)
+	if err != nil {
+		return r, false
+	}
+	switch state {
+	case cawork.TaskStateFenced:
+		return r.WithOutcome(cawork.OutcomeNotRun, StoredAnswer{}), true
+	case cawork.TaskStateDone:
+		return r.WithOutcome(cawork.OutcomeDone, StoredAnswer{Dropped: true}), true
+	case cawork.TaskStateAbsent, cawork.TaskStateRunning:
+		return r, false
+	default:
+		return r.WithOutcome(cawork.OutcomeFailed, StoredAnswer{Dropped: true}), true
+	}
+}
+
+func (s *Service) markDirty(k Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dirty[k] = struct{}{}
+}
+
+func (s *Service) holders(k Key) []cawork.VMID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return holders(s.members, k)
+}
+
+func (s *Service) others(k Key) []cawork.VMID {
+	var ids []cawork.VMID
+	for _, id := range s.holders(k) {
+		if id != s.config.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (s *Service) now() time.Time { return s.config.Timer.Now() }
+
+func without(members []Member, id cawork.VMID) []Member {
+	var rest []Member
+	for _, m := range members {
+		if m.ID != id {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- a/internal/request/cadispatch/answer.go
+++ b/internal/request/cadispatch/answer.go
@@ -56,17 +56,22 @@
 		Message: err.Error(),
 	}
 	h := w.Header()
-	if answer.Retryable {
+	if answer.Retryable || cakind.RetryAfterOf(err) > 0 {
 		after := retryAfter(err)
 		body.RetryAfterMS = after.Milliseconds()
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 		h.Set(HeaderRetryAfter, strconv.FormatInt(body.RetryAfterMS, 10))
 	}
+	writeBody(w, answer.Status, body)
+}
+
+func writeBody(w http.ResponseWriter, status int, body errorBody) {
 	payload, _ := json.Marshal(body)
+	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(payload)))
 	h.Set(HeaderOutcome, body.Outcome)
-	w.WriteHeader(answer.Status)
+	w.WriteHeader(status)
 	_, _ = w.Write(payload)
 }
 
--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/rs/zerolog"
@@ -9,7 +10,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/request/caadmit"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/caforward"
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
@@ -18,6 +19,15 @@
 // its routing decision is there already.
 const answeredLevel = zerolog.DebugLevel
 
+// retryError ends an attempt whose retry the budgets have granted already.
+type retryError struct{ cause error }
+
+// Error implements error.
+func (e *retryError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *retryError) Unwrap() error { return e.cause }
+
 // serve runs attempts until one answers or none may follow.
 func (d *Dispatcher) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	for {
@@ -25,7 +35,11 @@
 		if err == nil {
 			return
 		}
-		if !d.mayRetry(ctx, c, err) {
+		c.note(err)
+		var granted *retryError
+		if !errors.As(err, &granted) && !d.mayRetry(ctx, c, err) {
+			err = c.final(err)
+			c.settle(OutcomeOf(cakind.Of(err)), cadedupe.StoredAnswer{Dropped: true})
 			d.refuse(w, c.team, err)
 			return
 		}
@@ -43,20 +57,40 @@
 	s := &slot{d: d, route: route, team: c.team}
 	defer s.release(caroute.VerdictAbandoned)
 	id := d.newAttemptID()
+	if err := c.intend(ctx, id, route.Upstream); err != nil {
+		return err
+	}
 	d.accountFor(c, route, id)
+	ctx, run := d.begin(ctx, c, route)
+	defer run.end()
 	reply, err := d.fetch(ctx, c, route, id)
 	if err != nil {
-		s.release(verdictOf(ctx, err))
-		return err
+		s.release(run.verdict(ctx, err))
+		return run.wrap(err)
 	}
 	defer reply.Close()
-	if reply.Whole() {
-		s.release(verdictOfStatus(reply.Status()))
+	run.answers()
+	if err := d.retryFailed(ctx, c, reply); err != nil {
+		s.release(caroute.VerdictFailed)
+		return err
 	}
-	d.answer(w, c, s, reply)
+	d.answer(ctx, w, c, s, reply)
 	return nil
 }
 
+// retryFailed reports a failed answer to an idempotent request as an error
+// when the budgets grant a retry. Otherwise the caller gets the answer.
+func (d *Dispatcher) retryFailed(ctx context.Context, c *call, reply *caforward.Reply) error {
+	if verdictOfStatus(reply.Status()) != caroute.VerdictFailed || !c.idempotent {
+		return nil
+	}
+	err := cakind.New(cakind.KindFailed, "the upstream answered with status %d", reply.Status())
+	if !d.mayRetry(ctx, c, err) {
+		return nil
+	}
+	return &retryError{err}
+}
+
 func (d *Dispatcher) accountFor(c *call, route caroute.Route, id cawork.AttemptID) {
 	if c.attempts == 0 {
 		d.mu.Lock()
@@ -101,24 +135,38 @@
 	return reply, nil
 }
 
-// answer writes the reply to the caller.
-func (d *Dispatcher) answer(w http.ResponseWriter, c *call, s *slot, reply *caforward.Reply) {
+// answer writes the reply to the caller. A reply that was read whole gives its
+// slot back first, so that a slow caller does not hold it.
+func (d *Dispatcher) answer(ctx context.Context, w http.ResponseWriter, c *call, s *slot, reply *caforward.Reply) {
+	verdict := verdictOfStatus(reply.Status())
 	outcome := cawork.OutcomeDone
-	if verdictOfStatus(reply.Status()) == caroute.VerdictFailed {
+	if verdict == caroute.VerdictFailed {
 		outcome = cawork.OutcomeFailed
 	}
+	if reply.Whole() {
+		s.release(verdict)
+		if c.session != nil {
+			c.settle(outcome, storedAnswer(reply))
+		}
+	}
 	reply.Header().Set(HeaderOutcome, outcome.String())
 	if err := reply.Write(w); err != nil {
-		s.release(caroute.VerdictAbandoned)
+		s.release(verdictOf(ctx, err))
+		c.settle(cawork.OutcomeUnknown, cadedupe.StoredAnswer{Dropped: true})
 		d.metrics.aborted.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
-	s.release(verdictOfStatus(reply.Status()))
+	s.release(verdict)
+	c.settle(outcome, cadedupe.StoredAnswer{Dropped: true})
+	d.logAnswer(c, outcome, reply.Status())
+}
+
+func (d *Dispatcher) logAnswer(c *call, o cawork.Outcome, status int) {
 	d.metrics.answered.Inc(1)
 	caevent.Log(d.config.Logger, answeredLevel, caevent.RequestAnswered).
 		Str("team", string(c.team)).
-		Str("outcome", outcome.String()).
-		Int("status", reply.Status()).
+		Str("outcome", o.String()).
+		Int("status", status).
 		Dur("elapsed_ms", d.config.Timer.Now().Sub(c.arrived)).
 		Send()
 }
@@ -126,11 +174,7 @@
 // mayRetry reports whether the call may be tried again: only what is
 // idempotent, or known not to have started, and within the budgets.
 func (d *Dispatcher) mayRetry(ctx context.Context, c *call, err error) bool {
-	if c.attempts == 0 || ctx.Err() != nil || !c.replayable() {
-		return false
-	}
-	kind := cakind.Of(err)
-	if kind != cakind.KindNotStarted && !(kind == cakind.KindUnknown && c.idempotent) {
+	if ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
 		return false
 	}
 	d.mu.Lock()
@@ -160,15 +204,17 @@
 		return
 	}
 	s.released = true
-	s.d.release(s.route, v, &caadmit.Ticket{Team: s.team})
+	s.d.release(s.route, v, s.team)
 }
 
 func verdictOf(ctx context.Context, err error) caroute.Verdict {
-	if ctx.Err() == context.Canceled {
+	switch {
+	case ctx.Err() == context.Canceled:
 		return caroute.VerdictAbandoned
-	}
-	if cakind.Of(err) == cakind.KindNotStarted {
+	case cakind.Of(err) == cakind.KindNotStarted:
 		return caroute.VerdictRefused
+	case cakind.Of(err) == cakind.KindCanceled:
+		return caroute.VerdictAbandoned
 	}
 	return caroute.VerdictFailed
 }
--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/caforward"
 )
 
@@ -44,6 +45,12 @@
 	// tried lists the upstreams of former attempts.
 	tried    []cawork.UpstreamID
 	attempts int
+	// mayHaveRun is set when the end of a former attempt is not known, ran
+	// when one is known to have run.
+	mayHaveRun bool
+	ran        bool
+	// session holds the idempotency key, nil without one.
+	session *cadedupe.Session
 }
 
 // newCall reads the header and the start of the body of a request.
@@ -130,6 +137,46 @@
 	return io.MultiReader(bytes.NewReader(c.prefix), c.rest)
 }
 
+// note remembers what an attempt that ended with an error tells of the work.
+func (c *call) note(err error) {
+	switch OutcomeOf(cakind.Of(err)) {
+	case cawork.OutcomeUnknown:
+		c.mayHaveRun = true
+	case cawork.OutcomeFailed:
+		c.ran = true
+	}
+}
+
+// final returns the error that is true of all attempts together: work that
+// ran once is never reported as not run.
+func (c *call) final(err error) error {
+	kind := cakind.Of(err)
+	switch {
+	case c.mayHaveRun && OutcomeOf(kind) != cawork.OutcomeUnknown:
+		kind = cakind.KindUnknown
+	case c.ran && OutcomeOf(kind) == cawork.OutcomeNotRun:
+		kind = cakind.KindFailed
+	}
+	e := cakind.Wrap(kind, err, "%d attempts", c.attempts)
+	after := cakind.RetryAfterOf(err)
+	if after == 0 && c.idempotent {
+		after = defaultRetryAfter
+	}
+	return e.WithRetryAfter(after)
+}
+
+// repeatable reports whether the request may be sent again after an attempt
+// that ended with an error of the kind.
+func (c *call) repeatable(k cakind.Kind) bool {
+	switch {
+	case c.attempts == 0 || !c.replayable():
+		return false
+	case k == cakind.KindNotStarted:
+		return true
+	}
+	return c.idempotent && (k == cakind.KindUnknown || k == cakind.KindFailed)
+}
+
 // replayable reports whether the body can be sent once more.
 func (c *call) replayable() bool { return c.rest == nil }
 
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -62,22 +62,29 @@
 	draining   bool
 	inProgress int
 	idle       chan struct{}
+	borrowing  borrowing
+	// watched holds the attempts that are given up when they are late.
+	watched map[*running]struct{}
 
-	done chan struct{}
+	// calls counts the calls to peers.
+	calls sync.WaitGroup
+	done  chan struct{}
 }
 
 // New returns a dispatcher without upstreams.
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
-		config:   c,
-		forward:  caforward.New(c.Timer.Now),
-		metrics:  newMetrics(c.Scope),
-		idPrefix: uuid.NewString() + "-",
-		router:   caroute.NewRouter(caroute.Config{Zone: c.Zone, CrossingDelay: c.CrossingDelay}),
-		queues:   caadmit.NewQueues(c.Policy),
-		budgets:  caroute.NewBudgets(),
-		idle:     make(chan struct{}),
-		done:     make(chan struct{}),
+		config:    c,
+		forward:   caforward.New(c.Timer.Now),
+		metrics:   newMetrics(c.Scope),
+		idPrefix:  uuid.NewString() + "-",
+		router:    caroute.NewRouter(caroute.Config{Zone: c.Zone, CrossingDelay: c.CrossingDelay}),
+		queues:    caadmit.NewQueues(c.Policy),
+		budgets:   caroute.NewBudgets(),
+		idle:      make(chan struct{}),
+		borrowing: newBorrowing(),
+		watched:   map[*running]struct{}{},
+		done:      make(chan struct{}),
 	}
 }
 
@@ -122,10 +129,13 @@
 	}
 	ctx, cancel := c.contextFor(r, c.arrived)
 	defer cancel()
-	d.serve(ctx, w, c)
+	if d.claimKey(ctx, w, c) {
+		d.serve(ctx, w, c)
+	}
 }
 
-// Run expires grants, probes and waits until the context ends.
+// Run returns unused grants, gives up late attempts and asks for slots until
+// the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer close(d.done)
 	ticks := d.config.Timer.Every(tickPeriod)
@@ -135,7 +145,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticks.C:
-			d.tick(ctx)
+			d.tick()
 		}
 	}
 }
@@ -161,6 +171,7 @@
 	d.Drain()
 	select {
 	case <-d.idle:
+		d.calls.Wait()
 		d.forward.Close()
 		return nil
 	case <-ctx.Done():
@@ -190,13 +201,15 @@
 	}
 }
 
-func (d *Dispatcher) tick(context.Context) {
+func (d *Dispatcher) tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Timer.Now()
-	d.router.Expire(now)
+	d.expire(now)
 	d.queues.Idle()
+	d.cutLate(now)
 	d.pump(now)
+	d.borrow(now)
 }
 
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -7,6 +7,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
@@ -50,20 +51,42 @@
 		d.queues.Readmit(ticket)
 		return ticket, caroute.Route{}, nil
 	}
-	capacity := caadmit.Capacity{Slots: d.router.Slots(now), Service: d.router.Service()}
-	if err := d.queues.Admit(now, ticket, capacity); err != nil {
+	if err := d.admit(now, ticket); err != nil {
 		return nil, caroute.Route{}, err
 	}
+	d.borrowing.until = laterOf(d.borrowing.until, c.deadline)
+	d.borrow(now)
 	return ticket, caroute.Route{}, nil
 }
 
+func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
+	slots := d.router.Slots(now)
+	if slots == 0 {
+		if _, ok := d.lender(now); !ok || d.config.Lender == nil {
+			return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
+		}
+	}
+	capacity := caadmit.Capacity{Slots: slots, Service: d.router.Service()}
+	if err := d.queues.Admit(now, t, capacity); err != nil {
+		return err
+	}
+	return nil
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // giveUp takes the ticket of a call whose context has ended out of the queue.
 func (d *Dispatcher) giveUp(ctx context.Context, t *caadmit.Ticket, w *waiter) (caroute.Route, error) {
 	d.mu.Lock()
 	waiting := d.queues.Remove(t)
 	d.mu.Unlock()
 	if !waiting {
-		d.release(<-w.route, caroute.VerdictAbandoned, t)
+		d.release(<-w.route, caroute.VerdictAbandoned, t.Team)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return caroute.Route{}, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
@@ -72,11 +95,11 @@
 }
 
 // release gives a slot back and serves the queues with it.
-func (d *Dispatcher) release(route caroute.Route, v caroute.Verdict, t *caadmit.Ticket) {
+func (d *Dispatcher) release(route caroute.Route, v caroute.Verdict, team cawork.TeamName) {
 	d.mu.Lock()
 	now := d.config.Timer.Now()
 	changes := d.router.Release(now, route, v)
-	d.queues.Charge(t.Team, now.Sub(route.Taken)-d.router.Service())
+	d.queues.Charge(team, now.Sub(route.Taken)-d.router.Service())
 	d.pump(now)
 	d.mu.Unlock()
 	for _, c := range changes {
--- a/internal/request/caforward/relay.go
+++ b/internal/request/caforward/relay.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
 )
 
 const (
@@ -81,7 +83,9 @@
 }
 
 // Write sends the answer to the caller. When it fails, the caller's connection
-// must be aborted, because part of the answer may have been sent.
+// must be aborted, because part of the answer may have been sent. The error is
+// of KindUnknown when the upstream cut the answer, and of KindCanceled when
+// the caller did not take it.
 func (p *Reply) Write(w http.ResponseWriter) error {
 	copyHeader(w.Header(), p.answer.Header)
 	p.announce(w.Header())
@@ -132,13 +136,13 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return cakind.Wrap(cakind.KindUnknown, err, "the answer was cut")
 		}
 		// A short read means that the upstream produces slowly; what has come
 		// goes on at once.
 		if n < wholeSize/4 {
 			if ferr := ctl.Flush(); ferr != nil {
-				return ferr
+				return cakind.Wrap(cakind.KindCanceled, ferr, "the caller took no more")
 			}
 		}
 	}
@@ -150,8 +154,10 @@
 	}
 	// Writers of tests have no deadline; the bound is that of connections.
 	_ = ctl.SetWriteDeadline(time.Now().Add(stallTimeout))
-	_, err := w.Write(b)
-	return err
+	if _, err := w.Write(b); err != nil {
+		return cakind.Wrap(cakind.KindCanceled, err, "the caller took no more")
+	}
+	return nil
 }
 
 func bodyAllowed(status int) bool {
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -2,15 +2,18 @@
 
 import (
 	"time"
-
-	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
 const (
 	// lendWindow is how long a borrower may start requests on a grant.
 	lendWindow = time.Second
-	// maxLendDuration bounds how long lent slots may be in use.
-	maxLendDuration = 30 * time.Second
+	// LendWindow is added to the time for which a borrower needs the slots.
+	LendWindow = lendWindow
+	// maxLendDuration bounds how long lent slots may be in use: the longest
+	// deadline of a request and the window.
+	maxLendDuration = 10*time.Minute + lendWindow
+	// grantIdle is the time without use after which a grant is returned.
+	grantIdle = 200 * time.Millisecond
 	// lendMargin is added to the duration before the owner uses lent slots
 	// again: the time of the message and the drift of the clocks.
 	lendMargin = time.Second
@@ -42,8 +45,12 @@
 	if s == nil {
 		return Grant{}, false
 	}
-	n := min(q.Count, s.free(r.limitOf(s)), maxLendCount)
+	n := min(max(q.Count, 1), s.free(r.limitOf(s)), maxLendCount)
 	d := min(q.Duration, maxLendDuration)
+	window := min(lendWindow, d)
+	if !s.startEnd.IsZero() {
+		window = min(window, s.startEnd.Sub(now))
+	}
 	r.nextID++
 	id := grantName(s.upstream, r.nextID)
 	s.lent += n
@@ -55,9 +62,9 @@
 		Address:  s.address,
 		Epoch:    s.epoch,
 		Count:    n,
-		Window:   min(lendWindow, d),
+		Window:   window,
 		Duration: d,
-	}, n > 0
+	}, true
 }
 
 // lendable returns the owned upstream with the most free slots.
@@ -119,7 +126,7 @@
 	}
 	var over []GrantID
 	for id, s := range r.grants {
-		if s.inUse == 0 && !s.startsAt(now) {
+		if s.inUse == 0 && (!s.startsAt(now) || now.Sub(s.lastUsed) > grantIdle) {
 			delete(r.grants, id)
 			r.drop(s)
 			over = append(over, id)
@@ -138,12 +145,3 @@
 	}
 	return n
 }
-
-// UpstreamIDs returns the upstreams that requests may go to.
-func (r *Router) UpstreamIDs() []cawork.UpstreamID {
-	var ids []cawork.UpstreamID
-	for id := range r.health {
-		ids = append(ids, id)
-	}
-	return ids
-}
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -166,6 +166,17 @@
 	return n
 }
 
+// Free returns the number of free slots of the owned upstreams.
+func (r *Router) Free(now time.Time) int {
+	n := 0
+	for _, s := range r.owned {
+		if s.startsAt(now) && !r.health[s.upstream].ejected {
+			n += max(s.free(r.limitOf(s)), 0)
+		}
+	}
+	return n
+}
+
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
@@ -176,6 +187,11 @@
 		r.health[s.upstream].probing = true
 		return r.take(now, s, true), true
 	}
+	if !r.startable(now, a.Exclude) {
+		// Nothing else is left: an upstream that failed before is better than
+		// none.
+		a.Exclude = nil
+	}
 	var best *source
 	var least time.Duration
 	for i := range r.sources {
@@ -208,7 +224,7 @@
 	defer r.forget(s)
 	latency := now.Sub(t.Taken)
 	h.record(now, v, latency)
-	if v == VerdictServed {
+	if v == VerdictServed || v == VerdictFailed {
 		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
 	}
 	if t.Probe {
@@ -217,6 +233,17 @@
 	return r.judge(now, t.Upstream, h)
 }
 
+// startable reports whether any upstream outside of the list may get requests,
+// now or when a slot is free.
+func (r *Router) startable(now time.Time, exclude []cawork.UpstreamID) bool {
+	for _, s := range r.sources {
+		if s.startsAt(now) && !r.health[s.upstream].ejected && !slices.Contains(exclude, s.upstream) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) usable(now time.Time, s *source, a Ask) bool {
 	h := r.health[s.upstream]
 	return s.startsAt(now) &&
