Request path: load generator and tests of faults

Cause: the answers, outcomes and retries of the request path were unproved. Change: caload (open-loop arrivals, latency from the scheduled arrival), tests with upstreams that answer late, twice, never, half, or fail all; the latency of an unused upstream approaches the mean, so that it is tried again.

--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -1,11 +1,22 @@
 package cadispatch_test
 
 import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
 )
 
@@ -17,18 +28,359 @@
 }
 
 func seenOf(res *http.Response, body string) seen {
+	if res.StatusCode >= http.StatusBadRequest {
+		body = ""
+	}
 	return seen{res.StatusCode, res.Header.Get(cadispatch.HeaderOutcome), body}
 }
 
-func TestServeRequestAnswers(t *testing.T) {
+func TestServeRequestStreamsWholeAnswers(t *testing.T) {
+	up := newStandin(t, echo)
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for _, size := range []int{0, 1, 16 << 10, 16<<10 + 1, 32 << 10, 32<<10 + 1, 1 << 20, 64 << 20} {
+		body := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		res, err := http.Post(e.server.URL, "application/octet-stream", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := sha256.New()
+		n, err := io.Copy(h, res.Body)
+		res.Body.Close()
+		if err != nil {
+			t.Fatalf("answer of %d bytes: %v", size, err)
+		}
+		if diff := cmp.Diff(fmt.Sprint(size, sha256.Sum256(body)), fmt.Sprint(n, [32]byte(h.Sum(nil)))); diff != "" {
+			t.Errorf("answer of %d bytes (-want +got):\n%s", size, diff)
+		}
+	}
+}
+
+// cutAfter answers with the header of a body of size bytes and hangs up after
+// n of them.
+func cutAfter(size, n int, chunked bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !chunked {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(make([]byte, n))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestServeRequestNeverHidesACut(t *testing.T) {
+	up := newStandin(t, echo)
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for _, chunked := range []bool{false, true} {
+		for _, n := range []int{0, 100, 40 << 10, 1 << 20} {
+			up.set(cutAfter(2<<20, n, chunked))
+			res, err := e.send("work")
+			if err != nil {
+				continue
+			}
+			_, err = io.Copy(io.Discard, res.Body)
+			res.Body.Close()
+			if err == nil && res.Header.Get(cadispatch.HeaderOutcome) != "unknown" {
+				t.Errorf("cut after %d bytes, chunked %v: answer looks whole: %v", n, chunked, res)
+			}
+		}
+	}
+}
+
+func TestServeRequestOutcomes(t *testing.T) {
+	tests := []struct {
+		name       string
+		behave     http.HandlerFunc
+		idempotent bool
+		deadline   string
+		want       seen
+		attempts   int
+	}{
+		{"fails", status(http.StatusInternalServerError, false), false, "", seen{500, "failed", ""}, 1},
+		{"rejects", status(http.StatusNotFound, false), false, "", seen{404, "done", ""}, 1},
+		{"refuses before the start", status(http.StatusConflict, true), false, "", seen{503, "not_run", ""}, 1},
+		{"never answers", never, false, "200", seen{504, "unknown", ""}, 1},
+		{"never answers a repeatable request", never, true, "200", seen{504, "unknown", ""}, 1},
+		{"hangs up", cutAfter(10, 0, false), false, "", seen{504, "unknown", ""}, 1},
+		{"answers half of a small answer", cutAfter(10, 5, false), false, "", seen{504, "unknown", ""}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			up := newStandin(t, tt.behave)
+			e := newEntry(t, nil)
+			e.PutUpstream(up.upstream("u1"))
+			header := []string{caplatform.HeaderIdempotent, strconv.FormatBool(tt.idempotent)}
+			if tt.deadline != "" {
+				header = append(header, caplatform.HeaderDeadline, tt.deadline)
+			}
+			res, body := e.post(t, "work", header...)
+			if diff := cmp.Diff(tt.want, seenOf(res, body)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s\n%s", diff, body)
+			}
+			if diff := cmp.Diff(tt.attempts, up.count()); diff != "" {
+				t.Errorf("attempts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func status(code int, notRun bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if notRun {
+			w.Header().Set(caplatform.HeaderNotRun, "true")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func never(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestServeRequestWithoutUpstream(t *testing.T) {
+	e := newEntry(t, nil)
+	gone := newStandin(t, echo)
+	gone.server.Close()
+	res, body := e.post(t, "work")
+	if diff := cmp.Diff(seen{503, "not_run", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("no upstream (-want +got):\n%s", diff)
+	}
+	e.PutUpstream(gone.upstream("u1"))
+	res, body = e.post(t, "work")
+	if diff := cmp.Diff(seen{503, "not_run", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("upstream that is gone (-want +got):\n%s", diff)
+	}
+	if res.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+}
+
+func TestServeRequestRefusesBadRequests(t *testing.T) {
 	up := newStandin(t, echo)
 	e := newEntry(t, nil)
 	e.PutUpstream(up.upstream("u1"))
-	want := seen{http.StatusOK, "done", "hello"}
-	for range 3 {
-		res, body := e.post(t, "hello")
-		if diff := cmp.Diff(want, seenOf(res, body)); diff != "" {
-			t.Errorf("answer (-want +got):\n%s", diff)
+	long := strings.Repeat("k", 300)
+	tests := map[string]string{
+		"HTTP/1.0":          "POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nx",
+		"huge body":         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 68719476736\r\n\r\n",
+		"bad deadline":      "POST / HTTP/1.1\r\nHost: x\r\nX-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+		"negative deadline": "POST / HTTP/1.1\r\nHost: x\r\nX-Deadline-Ms: -5\r\nContent-Length: 0\r\n\r\n",
+		"bad mark":          "POST / HTTP/1.1\r\nHost: x\r\nX-Idempotent: maybe\r\nContent-Length: 0\r\n\r\n",
+		"long key":          "POST / HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " + long + "\r\nContent-Length: 0\r\n\r\n",
+		"bad framing":       "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	}
+	for name, raw := range tests {
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write([]byte(raw))
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if res.StatusCode/100 != 4 || res.Header.Get(cadispatch.HeaderOutcome) != "not_run" {
+			t.Errorf("%s: answer %d %v", name, res.StatusCode, res.Header)
+		}
+		conn.Close()
+	}
+	if diff := cmp.Diff(0, up.count()); diff != "" {
+		t.Errorf("attempts (-want +got):\n%s", diff)
+	}
+}
+
+// An upstream that answers twice on one connection must not have its second
+// answer taken for the answer to the next request.
+func TestServeRequestDropsSecondAnswers(t *testing.T) {
+	for _, echoed := range []bool{true, false} {
+		up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			conn, buf, _ := http.NewResponseController(w).Hijack()
+			defer conn.Close()
+			head := "HTTP/1.1 200 OK\r\n"
+			if echoed {
+				head += caplatform.HeaderAttempt + ": " + r.Header.Get(caplatform.HeaderAttempt) + "\r\n"
+			}
+			for range 2 {
+				_, _ = fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				_ = buf.Flush()
+				time.Sleep(time.Millisecond)
+			}
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		e := newEntry(t, nil)
+		e.PutUpstream(up.upstream("u1"))
+		answered := 0
+		for i := range 50 {
+			want := strconv.Itoa(i)
+			res, body := e.post(t, want)
+			if res.StatusCode == http.StatusOK && body != want {
+				t.Errorf("echoed %v: request %s got the answer %q", echoed, want, body)
+			}
+			if res.StatusCode == http.StatusOK {
+				answered++
+			}
+		}
+		if answered < 25 {
+			t.Errorf("echoed %v: only %d of 50 requests answered", echoed, answered)
 		}
 	}
 }
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	const requests = 300
+	e := newEntry(t, nil)
+	var ups []*standin
+	for i := range 4 {
+		up := newStandin(t, status(http.StatusServiceUnavailable, i%2 == 0))
+		e.PutUpstream(up.upstream(fmt.Sprint("u", i)))
+		ups = append(ups, up)
+	}
+	for range requests {
+		e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	}
+	attempts := 0
+	for _, up := range ups {
+		attempts += up.count()
+	}
+	if attempts > requests*11/10 {
+		t.Errorf("%d attempts for %d requests", attempts, requests)
+	}
+	if attempts == requests {
+		t.Error("no retry was made")
+	}
+}
+
+func TestNonIdempotentRequestsRunAtMostOnce(t *testing.T) {
+	e := newEntry(t, nil)
+	var ups []*standin
+	for i := range 3 {
+		up := newStandin(t, cutAfter(10, 5, false))
+		e.PutUpstream(up.upstream(fmt.Sprint("u", i)))
+		ups = append(ups, up)
+	}
+	const requests = 60
+	for range requests {
+		e.post(t, "work")
+	}
+	attempts := 0
+	for _, up := range ups {
+		attempts += up.count()
+	}
+	if attempts > requests {
+		t.Errorf("%d attempts for %d requests that run at most once", attempts, requests)
+	}
+}
+
+// A late idempotent attempt is given up for another upstream.
+func TestLateAttemptIsGivenUp(t *testing.T) {
+	good, silent := newStandin(t, echo), newStandin(t, echo)
+	e := newEntry(t, nil)
+	run(t, e)
+	e.PutUpstream(silent.upstream("u1"))
+	for range 20 {
+		e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	}
+	silent.set(never)
+	e.PutUpstream(good.upstream("u2"))
+	for good.count() == 0 {
+		res, body := e.post(t, "work", caplatform.HeaderIdempotent, "true")
+		if diff := cmp.Diff(seen{200, "done", "work"}, seenOf(res, body)); diff != "" {
+			t.Fatalf("answer (-want +got):\n%s", diff)
+		}
+	}
+	if silent.count() <= 20 {
+		t.Error("the silent upstream was never tried")
+	}
+}
+
+// run runs the background work of an entry until the test ends.
+func run(t *testing.T, e *entry) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-e.Done()
+	})
+}
+
+func TestHangUpFreesTheSlot(t *testing.T) {
+	started := make(chan struct{}, 8)
+	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		never(w, r)
+	})
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	for range 8 {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
+		go func() { _, _ = http.DefaultClient.Do(req) }()
+	}
+	for range 8 {
+		<-started
+	}
+	if diff := cmp.Diff(0, e.FreeSlots()); diff != "" {
+		t.Errorf("free slots (-want +got):\n%s", diff)
+	}
+	up.set(echo)
+	cancel()
+	res, body := e.post(t, "next")
+	if diff := cmp.Diff(seen{200, "done", "next"}, seenOf(res, body)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+func TestCloseWaitsForRequestsInProgress(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-finish
+		echo(w, r)
+	})
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	answer := make(chan seen, 1)
+	go func() {
+		res, body := e.post(t, "work")
+		answer <- seenOf(res, body)
+	}()
+	<-started
+	e.Drain()
+	res, body := e.post(t, "late")
+	if diff := cmp.Diff(seen{503, "not_run", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("request while draining (-want +got):\n%s", diff)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if e.Close(ended) == nil {
+		t.Error("Close did not wait")
+	}
+	close(finish)
+	if err := e.Close(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(seen{200, "done", "work"}, <-answer); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	staying, leaving := newStandin(t, echo), newStandin(t, echo)
+	e := newEntry(t, nil)
+	e.PutUpstream(staying.upstream("u1"))
+	u := leaving.upstream("u2")
+	u.Leaving = true
+	e.PutUpstream(u)
+	for range 20 {
+		e.post(t, "work")
+	}
+	if diff := cmp.Diff([]int{20, 0}, []int{staying.count(), leaving.count()}); diff != "" {
+		t.Errorf("attempts (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/request/caload/plan.go
@@ -0,0 +1,84 @@
+// Package caload generates load on a request endpoint. Arrivals follow a
+// schedule that does not wait for answers (open loop), and latency is counted
+// from the scheduled arrival, so that a slow server cannot hide its delays
+// (coordinated omission).
+package caload
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+const (
+	maxRequests    = 10_000_000
+	maxDuration    = time.Hour
+	maxOutstanding = 16384
+)
+
+// Plan describes a run of load. The run ends after Duration or Requests,
+// whichever comes first.
+type Plan struct {
+	URL    string
+	Header http.Header
+	Body   []byte
+	// Rate is the mean number of arrivals per second.
+	Rate     float64
+	Duration time.Duration
+	Requests int
+	// Warmup is the time at the start whose requests are not counted.
+	Warmup time.Duration
+	// Timeout bounds each request.
+	Timeout time.Duration
+	// Outstanding bounds the requests in progress. An arrival beyond it is
+	// counted as unsent.
+	Outstanding int
+	// Uniform spaces arrivals evenly. Otherwise they are a Poisson process.
+	Uniform bool
+	// Seed makes the arrivals repeatable.
+	Seed uint64
+}
+
+// Check reports with KindInvalid what is wrong with the plan.
+func (p Plan) Check() error {
+	switch {
+	case p.URL == "":
+		return cakind.New(cakind.KindInvalid, "a URL is required")
+	case p.Rate <= 0:
+		return cakind.New(cakind.KindInvalid, "the rate must be positive")
+	case p.Duration <= 0 || p.Duration > maxDuration:
+		return cakind.New(cakind.KindInvalid, "the duration must be positive and at most %s", maxDuration)
+	case p.Requests <= 0 || p.Requests > maxRequests:
+		return cakind.New(cakind.KindInvalid, "the number of requests must be positive and at most %d", maxRequests)
+	case p.Outstanding <= 0 || p.Outstanding > maxOutstanding:
+		return cakind.New(cakind.KindInvalid, "the requests in progress must be positive and at most %d", maxOutstanding)
+	case p.Timeout <= 0:
+		return cakind.New(cakind.KindInvalid, "the timeout must be positive")
+	}
+	return nil
+}
+
+// schedule yields the times of arrivals as offsets from the start.
+type schedule struct {
+	plan   Plan
+	random *rand.Rand
+	next   time.Duration
+	count  int
+}
+
+func newSchedule(p Plan) *schedule {
+	return &schedule{plan: p, random: rand.New(rand.NewPCG(p.Seed, p.Seed))}
+}
+
+// take returns the offset of the next arrival. It reports false at the end.
+func (s *schedule) take() (time.Duration, bool) {
+	gap := 1 / s.plan.Rate
+	if !s.plan.Uniform {
+		gap *= s.random.ExpFloat64()
+	}
+	s.next += time.Duration(gap * float64(time.Second))
+	s.count++
+	return s.next, s.next <= s.plan.Duration && s.count <= s.plan.Requests
+}
--- /dev/null
+++ b/internal/request/caload/run.go
@@ -0,0 +1,134 @@
+package caload
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+)
+
+const headerOutcome = "X-Outcome"
+
+// generator is one run of load.
+type generator struct {
+	plan   Plan
+	timer  *catimer.Service
+	client *http.Client
+	start  time.Time
+	// places bounds the requests in progress.
+	places chan struct{}
+	wait   sync.WaitGroup
+
+	mu       sync.Mutex
+	recorder *recorder
+	arrivals int64
+	unsent   int64
+}
+
+// Run generates the load of the plan and returns its report. When the context
+// ends, it reports what has been answered by then.
+func Run(ctx context.Context, timer *catimer.Service, p Plan) (Report, error) {
+	if err := p.Check(); err != nil {
+		return Report{}, err
+	}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: p.Outstanding,
+		DisableCompression:  true,
+		ReadBufferSize:      4 << 10,
+		WriteBufferSize:     4 << 10,
+	}
+	defer transport.CloseIdleConnections()
+	g := &generator{
+		plan:     p,
+		timer:    timer,
+		client:   &http.Client{Transport: transport, Timeout: p.Timeout},
+		start:    timer.Now(),
+		places:   make(chan struct{}, p.Outstanding),
+		recorder: newRecorder(),
+	}
+	g.run(ctx)
+	rep := g.recorder.report()
+	rep.Elapsed = timer.Now().Sub(g.start)
+	rep.Arrivals = g.arrivals
+	rep.Unsent = g.unsent
+	return rep, nil
+}
+
+func (g *generator) run(ctx context.Context) {
+	s := newSchedule(g.plan)
+	for {
+		offset, ok := s.take()
+		if !ok || !g.sleepUntil(ctx, g.start.Add(offset)) {
+			break
+		}
+		g.arrive(ctx, offset)
+	}
+	g.wait.Wait()
+}
+
+// sleepUntil reports false when the context ends first.
+func (g *generator) sleepUntil(ctx context.Context, at time.Time) bool {
+	d := at.Sub(g.timer.Now())
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := g.timer.After(d)
+	defer timer.Close()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *generator) arrive(ctx context.Context, offset time.Duration) {
+	counted := offset >= g.plan.Warmup
+	if counted {
+		g.arrivals++
+	}
+	select {
+	case g.places <- struct{}{}:
+	default:
+		if counted {
+			g.unsent++
+		}
+		return
+	}
+	g.wait.Go(func() {
+		defer func() { <-g.places }()
+		sent := g.timer.Now()
+		key := g.request(ctx)
+		now := g.timer.Now()
+		if !counted {
+			return
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.recorder.record(key, now.Sub(g.start.Add(offset)), now.Sub(sent))
+	})
+}
+
+// request sends one request and reads the whole answer.
+func (g *generator) request(ctx context.Context) groupKey {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, g.plan.URL, bytes.NewReader(g.plan.Body))
+	if err != nil {
+		return groupKey{outcome: "invalid"}
+	}
+	for k, values := range g.plan.Header {
+		req.Header[k] = values
+	}
+	res, err := g.client.Do(req)
+	if err != nil {
+		return groupKey{outcome: "no_answer"}
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return groupKey{outcome: "cut_answer"}
+	}
+	return groupKey{status: res.StatusCode, outcome: res.Header.Get(headerOutcome)}
+}
--- a/internal/request/caroute/health.go
+++ b/internal/request/caroute/health.go
@@ -38,6 +38,7 @@
 	failures  float64
 	decayed   time.Time
 	latency   time.Duration
+	used      time.Time
 	limit     limit
 
 	ejected   bool
@@ -46,12 +47,12 @@
 	probing   bool
 	probed    int
 	pausedTo  time.Time
-	// fencedAt is the highest epoch that the upstream refused as out of date.
+	// refusals counts the refusals in a row.
 	refusals int
 }
 
 func newHealth(now time.Time, slots int) *health {
-	return &health{decayed: now, latency: initialLatency, limit: newLimit(slots)}
+	return &health{decayed: now, used: now, latency: initialLatency, limit: newLimit(slots)}
 }
 
 func (h *health) decay(now time.Time) {
@@ -97,6 +98,18 @@
 	h.limit.observe(latency)
 }
 
+// latencyAt is the mean latency, which approaches the mean of all upstreams
+// while the upstream is not used. Without that, an upstream that was slow once
+// would never be tried again.
+func (h *health) latencyAt(now time.Time, mean time.Duration) time.Duration {
+	idle := now.Sub(h.used)
+	if idle < time.Second {
+		return h.latency
+	}
+	f := math.Exp2(-idle.Seconds() / healthHalfLife.Seconds())
+	return mean + time.Duration(f*float64(h.latency-mean))
+}
+
 // eject takes the upstream out of use until a probe may be made.
 func (h *health) eject(now time.Time) {
 	h.ejected = true
@@ -108,7 +121,7 @@
 }
 
 func (h *health) restore(now time.Time) {
-	*h = health{decayed: now, latency: h.latency, limit: h.limit, ejections: max(h.ejections-1, 0)}
+	*h = health{decayed: now, used: now, latency: h.latency, limit: h.limit, ejections: max(h.ejections-1, 0)}
 }
 
 func (h *health) probeDue(now time.Time) bool {
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -199,7 +199,7 @@
 		if !r.usable(now, s, a) {
 			continue
 		}
-		if e := r.expected(s); best == nil || e < least {
+		if e := r.expected(now, s); best == nil || e < least {
 			best, least = s, e
 		}
 	}
@@ -223,6 +223,7 @@
 	}
 	defer r.forget(s)
 	latency := now.Sub(t.Taken)
+	h.used = now
 	h.record(now, v, latency)
 	if v == VerdictServed || v == VerdictFailed {
 		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
@@ -257,11 +258,12 @@
 // expected is the expected latency of one more request: the mean latency,
 // raised by the load and by the failures of the upstream, and the crossing to
 // another zone.
-func (r *Router) expected(s *source) time.Duration {
+func (r *Router) expected(now time.Time, s *source) time.Duration {
 	h := r.health[s.upstream]
+	h.decay(now)
 	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
 	success := max(1-h.failureRate(), 0.1)
-	e := time.Duration(float64(h.latency) * load / success)
+	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
 		e += r.config.CrossingDelay
 	}
@@ -269,7 +271,7 @@
 }
 
 func (r *Router) take(now time.Time, s *source, probe bool) Route {
-	e := r.expected(s)
+	e := r.expected(now, s)
 	s.inUse++
 	s.lastUsed = now
 	assertSlots(s)
