--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -166,6 +166,17 @@
 	return n
 }
 
+// Free returns the number of free slots of the owned upstreams.
+func (r *Router) Free(now time.Time) int {
+	n := 0
+	for _, s := range r.owned {
+		if s.startsAt(now) && !r.health[s.upstream].ejected {
+			n += max(s.free(r.limitOf(s)), 0)
+		}
+	}
+	return n
+}
+
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
@@ -176,6 +187,11 @@
 		r.health[s.upstream].probing = true
 		return r.take(now, s, true), true
 	}
+	if !r.startable(now, a.Exclude) {
+		// Nothing else is left: an upstream that failed before is better than
+		// none.
+		a.Exclude = nil
+	}
 	var best *source
 	var least time.Duration
 	for i := range r.sources {
@@ -183,7 +199,7 @@
 		if !r.usable(now, s, a) {
 			continue
 		}
-		if e := r.expected(s); best == nil || e < least {
+		if e := r.expected(now, s); best == nil || e < least {
 			best, least = s, e
 		}
 	}
@@ -207,8 +223,9 @@
 	}
 	defer r.forget(s)
 	latency := now.Sub(t.Taken)
+	h.used = now
 	h.record(now, v, latency)
-	if v == VerdictServed {
+	if v == VerdictServed || v == VerdictFailed {
 		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
 	}
 	if t.Probe {
@@ -217,6 +234,17 @@
 	return r.judge(now, t.Upstream, h)
 }
 
+// startable reports whether any upstream outside of the list may get requests,
+// now or when a slot is free.
+func (r *Router) startable(now time.Time, exclude []cawork.UpstreamID) bool {
+	for _, s := range r.sources {
+		if s.startsAt(now) && !r.health[s.upstream].ejected && !slices.Contains(exclude, s.upstream) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) usable(now time.Time, s *source, a Ask) bool {
 	h := r.health[s.upstream]
 	return s.startsAt(now) &&
@@ -230,11 +258,12 @@
 // expected is the expected latency of one more request: the mean latency,
 // raised by the load and by the failures of the upstream, and the crossing to
 // another zone.
-func (r *Router) expected(s *source) time.Duration {
+func (r *Router) expected(now time.Time, s *source) time.Duration {
 	h := r.health[s.upstream]
+	h.decay(now)
 	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
 	success := max(1-h.failureRate(), 0.1)
-	e := time.Duration(float64(h.latency) * load / success)
+	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
 		e += r.config.CrossingDelay
 	}
@@ -242,7 +271,7 @@
 }
 
 func (r *Router) take(now time.Time, s *source, probe bool) Route {
-	e := r.expected(s)
+	e := r.expected(now, s)
 	s.inUse++
 	s.lastUsed = now
 	assertSlots(s)
