--- a/internal/coord/cafollow/follower.go
+++ b/internal/coord/cafollow/follower.go
@@ -380,7 +380,8 @@
 		return
 	}
 	if f.state.Version() < f.Current().Version {
-		panic("cafollow: version goes back")
+		f.noteViolation(violation("version %d after version %d", f.state.Version(), f.Current().Version))
+		return
 	}
 	raised := f.state.Version() > f.Current().Version
 	f.publish()
