The whole path, thin: entry, demo and commands in one program

Cause: the parts were not wired. Change: directory, links between entries, minting of allowances, the entry's core file, the demo and the command runners.

--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -21,6 +21,8 @@
 type Output struct {
 	Stdout io.Writer
 	Stderr io.Writer
+	// JSON asks for answers that a script can read.
+	JSON bool
 }
 
 // Runners are the parts of the program that commands start. They run until
@@ -69,6 +71,7 @@
 		fmt.Fprintln(out.Stdout, "celeryarch", r.Version)
 		return ExitOK
 	}
+	out.JSON = options.JSON
 	c := command{Output: out, ctx: ctx, options: options, runners: r}
 	return c.finish(c.run())
 }
--- /dev/null
+++ b/internal/node/cadirectory/directory.go
@@ -0,0 +1,194 @@
+// Package cadirectory tells what is known of entries and upstreams: what the
+// platform lists and what the members report.
+package cadirectory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/calist"
+	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/node/calaunch"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Members lists the known entries.
+type Members interface {
+	Members() []camember.Member
+}
+
+// List gives the last list of VMs.
+type List interface {
+	Last() calist.Snapshot
+}
+
+// Directory answers questions about entries and upstreams. It is safe for
+// concurrent use.
+type Directory struct {
+	self    cawork.VMID
+	zone    cawork.ZoneName
+	list    List
+	mu      sync.Mutex
+	members Members
+	indexed calist.Snapshot
+	byID    map[cawork.UpstreamID]caplatform.VM
+}
+
+// NewDirectory returns a directory for an entry of the zone.
+func NewDirectory(self cawork.VMID, zone cawork.ZoneName, list List) *Directory {
+	return &Directory{self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM)}
+}
+
+// SetMembers gives the directory the source of entries. The link needs the
+// directory before the members can run.
+func (d *Directory) SetMembers(m Members) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members = m
+}
+
+func (d *Directory) all() []camember.Member {
+	d.mu.Lock()
+	members := d.members
+	d.mu.Unlock()
+	if members == nil {
+		return nil
+	}
+	return members.Members()
+}
+
+// Address returns the peer address of an entry.
+func (d *Directory) Address(vm cawork.VMID) (string, bool) {
+	for _, m := range d.all() {
+		if m.VM == vm {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// Upstream implements calaunch.Directory.
+func (d *Directory) Upstream(id cawork.UpstreamID) (caplatform.VM, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index()
+	vm, ok := d.byID[id]
+	return vm, ok
+}
+
+// index notes the VMs of a new list. A VM that the list dropped stays known,
+// because attempts on it may still be open.
+func (d *Directory) index() {
+	last := d.list.Last()
+	if last.At.Equal(d.indexed.At) {
+		return
+	}
+	d.indexed = last
+	for _, vm := range last.VMs {
+		if vm.Role == caplatform.VMRoleUpstream {
+			d.byID[cawork.UpstreamID(vm.ID)] = vm
+		}
+	}
+}
+
+// ZoneUpstreams implements calaunch.Directory.
+func (d *Directory) ZoneUpstreams() []caplatform.VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index()
+	var vms []caplatform.VM
+	for _, vm := range d.byID {
+		if vm.Zone == d.zone && vm.State != caplatform.VMStateGone {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b caplatform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return vms
+}
+
+// Others returns the other members that are not known to have ended.
+func (d *Directory) Others() []camember.Member {
+	return slices.DeleteFunc(d.all(), func(m camember.Member) bool {
+		return m.VM == d.self || !m.Liveness.Live()
+	})
+}
+
+// ZoneOwners implements calaunch.Directory.
+func (d *Directory) ZoneOwners() []calaunch.Owner {
+	var owners []calaunch.Owner
+	for _, m := range d.Others() {
+		if m.Zone == d.zone {
+			owners = append(owners, calaunch.Owner{VM: m.VM, Free: m.App.Free, LargestHole: m.App.LargestHole})
+		}
+	}
+	return owners
+}
+
+// Leader implements calaunch.Directory.
+func (d *Directory) Leader(s cawork.ShardID) (cawork.VMID, bool) {
+	var leader cawork.VMID
+	view := int64(-1)
+	for _, m := range d.all() {
+		for _, led := range m.App.Shards {
+			if led.Shard == s && led.View > view && m.Liveness.Live() {
+				leader, view = m.VM, led.View
+			}
+		}
+	}
+	return leader, view >= 0
+}
+
+// Entries implements calaunch.Directory.
+func (d *Directory) Entries() []cawork.VMID {
+	var ids []cawork.VMID
+	for _, m := range d.Others() {
+		ids = append(ids, m.VM)
+	}
+	return ids
+}
+
+// RemoteUse returns what the other entries use, with one upstream of each
+// shape that they may own.
+func (d *Directory) RemoteUse(owned []cawork.UpstreamID) casched.RemoteUse {
+	remote := casched.RemoteUse{}
+	use := make(map[cawork.TeamName]cawork.Resources)
+	for _, m := range d.Others() {
+		for _, t := range m.App.TeamUse {
+			use[t.Team] = use[t.Team].Plus(t.Use)
+		}
+	}
+	for team, amount := range use {
+		remote.Teams = append(remote.Teams, casched.TeamUse{Team: team, Use: amount})
+	}
+	slices.SortFunc(remote.Teams, func(a, b casched.TeamUse) int { return cmp.Compare(a.Team, b.Team) })
+	d.addUpstreams(&remote, owned)
+	return remote
+}
+
+type shape struct {
+	capacity        cawork.Resources
+	acceleratorKind string
+	rack            cawork.RackName
+}
+
+func (d *Directory) addUpstreams(remote *casched.RemoteUse, owned []cawork.UpstreamID) {
+	seen := make(map[shape]struct{})
+	for _, vm := range d.ZoneUpstreams() {
+		if slices.Contains(owned, cawork.UpstreamID(vm.ID)) || vm.State != caplatform.VMStateLive {
+			continue
+		}
+		remote.Capacity = remote.Capacity.Plus(vm.Capacity)
+		s := shape{vm.Capacity, vm.AcceleratorKind, vm.Rack}
+		if _, ok := seen[s]; ok {
+			continue
+		}
+		seen[s] = struct{}{}
+		remote.Shapes = append(remote.Shapes, casched.Upstream{
+			ID: cawork.UpstreamID(vm.ID), Zone: vm.Zone, Rack: vm.Rack,
+			Capacity: vm.Capacity, AcceleratorKind: vm.AcceleratorKind,
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/caentry/entry.go
@@ -0,0 +1,283 @@
+// Package caentry wires the parts of an entry and runs them.
+//
+// A call of a caller arrives at the API. A request goes on to the dispatcher,
+// which takes a slot of an upstream. A job goes to the launcher, which records
+// it in the shard that this entry leads and starts its tasks on upstreams that
+// this entry, or another of the zone, owns.
+package caentry
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/caactive"
+	"celeryarch.example/celeryarch/internal/config/cacell"
+	"celeryarch.example/celeryarch/internal/config/casettings"
+	"celeryarch.example/celeryarch/internal/coord/cacheck"
+	"celeryarch.example/celeryarch/internal/coord/cafollow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/calist"
+	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/coord/caowner"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/core/cadecide"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/node/cadirectory"
+	"celeryarch.example/celeryarch/internal/node/calaunch"
+	"celeryarch.example/celeryarch/internal/node/calink"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+	"celeryarch.example/celeryarch/internal/node/caquota"
+	"celeryarch.example/celeryarch/internal/platform/cahttp"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
+)
+
+// agentTimeout bounds a control call to the agent of an upstream.
+const agentTimeout = 2 * time.Second
+
+// Surroundings are what an entry gets from the process that runs it.
+type Surroundings struct {
+	Logger  zerolog.Logger
+	Scope   tally.Scope
+	Metrics http.Handler
+}
+
+// Entry is one entry with all its parts.
+type Entry struct {
+	settings casettings.Settings
+	log      zerolog.Logger
+	scope    tally.Scope
+	timer    *catimer.Service
+	check    *cacheck.Checker
+	life     int64
+	shard    cawork.ShardID
+
+	list       *calist.Part
+	directory  *cadirectory.Directory
+	members    *camember.Part
+	owner      *caowner.Part
+	shards     *cashard.Part
+	follower   *cafollow.Follower
+	active     *caactive.Active
+	launcher   *calaunch.Launcher
+	quota      *caquota.Part
+	dispatcher *cadispatch.Dispatcher
+	keys       *cadedupe.Service
+	api        *caapi.API
+	peers      *capeer.Server
+	client     *capeer.Client
+
+	apiListener  net.Listener
+	peerListener net.Listener
+	serverTLS    *tls.Config
+	ready        chan struct{}
+	draining     chan struct{}
+	done         chan struct{}
+}
+
+// NewEntry wires an entry and listens on its addresses. An address that is in
+// use, or a TLS file that cannot be read, is an error.
+func NewEntry(s casettings.Settings, around Surroundings) (*Entry, error) {
+	e := &Entry{
+		settings: s,
+		log:      around.Logger.With().Str("vm", string(s.VM)).Logger(),
+		scope:    around.Scope,
+		timer:    catimer.NewService(),
+		ready:    make(chan struct{}),
+		draining: make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	e.check = cacheck.New(e.log, e.scope)
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	platform := cahttp.NewClient(s.Timeouts.Platform)
+	e.wireMembership(cahttp.NewVMList(platform, s.Platform.VMList))
+	e.wireConfiguration(cahttp.NewLog(platform, s.Platform.Log))
+	if err := e.wireJobs(cahttp.NewLog(platform, s.Platform.Log)); err != nil {
+		return nil, err
+	}
+	e.wireRequests()
+	e.wireAPI(around.Metrics)
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	var err error
+	var clientTLS *tls.Config
+	if e.serverTLS, clientTLS, err = loadTLS(e.settings.TLS); err != nil {
+		return err
+	}
+	if e.apiListener, err = net.Listen("tcp", e.settings.Addresses.API); err != nil {
+		return cakind.Wrap(cakind.KindUnavailable, err, "listen for callers on %s", e.settings.Addresses.API)
+	}
+	if e.peerListener, err = net.Listen("tcp", e.settings.Addresses.Peer); err != nil {
+		_ = e.apiListener.Close()
+		return cakind.Wrap(cakind.KindUnavailable, err, "listen for entries on %s", e.settings.Addresses.Peer)
+	}
+	e.client = capeer.NewClient(clientTLS)
+	return nil
+}
+
+// link returns the connection to other entries.
+func (e *Entry) link() *calink.Link {
+	return calink.NewLink(e.client, e.directory, e.settings.Timeouts.Peer)
+}
+
+func (e *Entry) wireMembership(vms caplatform.VMList) {
+	e.list = calist.NewPart(vms, e.timer, e.log, e.scope)
+	e.directory = cadirectory.NewDirectory(e.settings.VM, e.settings.Zone, e.list)
+	identity := camember.Identity{VM: e.settings.VM, Address: e.peerListener.Addr().String(), Zone: e.settings.Zone}
+	e.members = camember.NewPart(camember.DefaultConfig(), identity, e.settings.Seeds, camember.Deps{
+		Peers: calink.Members{Link: e.link()}, Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
+		Seed: rand.Uint64(),
+	})
+	e.directory.SetMembers(e.members)
+	e.life = int64(e.members.Self().Incarnation)
+	e.shard = cawork.ShardID(string(e.settings.VM) + "-" + strconv.FormatInt(e.life, 36))
+	e.owner = caowner.NewPart(caowner.DefaultConfig(), e.settings.VM, e.settings.Zone, caowner.Deps{
+		Agents: cahttp.NewAgents(cahttp.NewClient(agentTimeout)), Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
+	})
+}
+
+func (e *Entry) wireConfiguration(log caplatform.Log) {
+	e.follower = cafollow.NewFollower(cafollow.Options{
+		Self: e.settings.VM, Zone: e.settings.Zone, Log: log, Topic: cacell.Topic,
+		Peers: calink.Configs{Link: e.link()}, Timer: e.timer, Logger: e.log, Scope: e.scope,
+		Elected: e.isElected,
+	})
+	e.active = caactive.NewActive(e.follower, e.timer, e.log)
+}
+
+// isElected reports whether this entry writes snapshots: the first live one
+// by id. Two that do are harmless.
+func (e *Entry) isElected() bool {
+	for _, m := range e.directory.Others() {
+		if m.VM < e.settings.VM {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Entry) wireJobs(log caplatform.Log) error {
+	agents := cahttp.NewAgents(cahttp.NewClient(agentTimeout))
+	var err error
+	e.shards, err = cashard.NewPart(cashard.Options{
+		Self: cashard.Member{VM: e.settings.VM, Incarnation: e.life}, Zone: e.settings.Zone,
+		Config: cashard.DefaultConfig(), Peers: calink.Replicas{Link: e.link()},
+		Witnesses: witnesses{directory: e.directory, agents: agents}, Listener: (*shardListener)(e),
+		NewMachine: func(id cawork.ShardID) cashard.StateMachine {
+			return cajob.NewState(id, cajob.DefaultRetention())
+		},
+		Timer: e.timer, Log: e.log, Scope: e.scope,
+	})
+	if err != nil {
+		return err
+	}
+	e.launcher = calaunch.NewLauncher(calaunch.Config{
+		Self: e.settings.VM, Zone: e.settings.Zone, Shard: e.shard, TaskTTL: caowner.DefaultConfig().TaskTTL,
+		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner,
+		Directory: e.directory, Agents: agents, Peers: calink.Jobs{Link: e.link()},
+		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
+	})
+	e.quota = caquota.NewPart(caquota.Config{
+		Zone: e.settings.Zone, Shard: e.shard, Log: log, Shards: e.shards, Limits: e.active,
+		Timer: e.timer, Logger: e.log, Scope: e.scope,
+	})
+	return e.shards.Open(e.shard)
+}
+
+func (e *Entry) wireRequests() {
+	e.keys = cadedupe.New(cadedupe.Config{
+		Self:  cadedupe.Member{ID: e.settings.VM, Incarnation: e.life},
+		Timer: e.timer, Logger: e.log, Peers: calink.Keys{Link: e.link()},
+		Fencer: fencer{launcher: e.launcher}, Bounds: cadedupe.DefaultBounds(),
+	})
+	e.dispatcher = cadispatch.New(cadispatch.Config{
+		Self: e.settings.VM, Zone: e.settings.Zone, Timer: e.timer, Logger: e.log, Scope: e.scope,
+		CrossingDelay: crossingDelay, Lender: calink.Slots{Link: e.link()}, Keys: e.keys,
+	})
+}
+
+func (e *Entry) wireAPI(metrics http.Handler) {
+	e.api = caapi.NewAPI(caapi.Config{
+		Authorizer: authorizer{active: e.active},
+		Jobs:       jobs{launcher: e.launcher},
+		Requests:   e.dispatcher,
+		Status:     e,
+		Metrics:    metrics,
+	})
+	e.peers = capeer.NewServer()
+	calink.Register(e.peers, calink.Parts{
+		Members: e.members, Shards: e.shards, Follower: e.follower,
+		Dispatcher: e.dispatcher, Keys: e.keys, Launcher: e.launcher,
+	})
+}
+
+// APIAddress returns the address that serves callers.
+func (e *Entry) APIAddress() string { return e.apiListener.Addr().String() }
+
+// PeerAddress returns the address that serves other entries.
+func (e *Entry) PeerAddress() string { return e.peerListener.Addr().String() }
+
+// Done is closed when the entry has ended.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+func (e *Entry) violated(v *casched.Violation) {
+	e.scope.Counter("scheduler_violations").Inc(1)
+	e.log.Error().Str("invariant", v.Invariant.String()).Str("detail", v.Detail).Msg("scheduler invariant is broken")
+}
+
+// shardListener forwards the news of shards to the launcher.
+type shardListener Entry
+
+// ShardEvent implements cashard.Listener.
+func (l *shardListener) ShardEvent(ev cashard.Event) {
+	if ev.Type == cashard.EventTakenOver || ev.Type == cashard.EventDeposed {
+		l.quota.LedChanged()
+	}
+	l.launcher.ShardEvent(ev)
+}
+
+// ShardCommitted implements cashard.Listener.
+func (l *shardListener) ShardCommitted(id cawork.ShardID, index int64, record []byte) {
+	l.launcher.ShardCommitted(id, index, record)
+}
+
+// witnesses reaches the registers of upstreams.
+type witnesses struct {
+	directory *cadirectory.Directory
+	agents    caplatform.Agents
+}
+
+// ReadRegister implements cashard.Witnesses.
+func (w witnesses) ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error) {
+	vm, ok := w.directory.Upstream(u)
+	if !ok {
+		return caplatform.Register{}, cakind.New(cakind.KindUnavailable, "upstream %s is not listed", u)
+	}
+	return w.agents.Agent(vm.Address).ReadRegister(ctx, name)
+}
+
+// SwapRegister implements cashard.Witnesses.
+func (w witnesses) SwapRegister(ctx context.Context, u cawork.UpstreamID, s caplatform.RegisterSwap) (caplatform.Register, error) {
+	vm, ok := w.directory.Upstream(u)
+	if !ok {
+		return caplatform.Register{}, cakind.New(cakind.KindUnavailable, "upstream %s is not listed", u)
+	}
+	return w.agents.Agent(vm.Address).SwapRegister(ctx, s)
+}
--- /dev/null
+++ b/internal/node/caentry/policy.go
@@ -0,0 +1,50 @@
+package caentry
+
+import (
+	"math"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cacell"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/request/caadmit"
+)
+
+// weightScale turns the share of a team, a fraction, into a whole weight.
+const weightScale = 1000
+
+// schedulerPolicy returns what the configuration says to the scheduler.
+func schedulerPolicy(c cacell.Config) casched.Policy {
+	p := casched.DefaultPolicy()
+	for _, t := range c.Teams() {
+		weight := max(1, int(math.Round(t.Share*weightScale)))
+		p = p.WithTeam(t.Name, casched.TeamPolicy{Weight: weight, Limit: t.Limit.Resources()})
+	}
+	for _, kind := range cawork.WorkKindValues() {
+		p = p.WithKind(kind, kindPolicy(p.Kind(kind), c.Policy(kind)))
+	}
+	return p
+}
+
+func kindPolicy(base casched.KindPolicy, c cacell.Policy) casched.KindPolicy {
+	base.QueueBound = c.QueueBound
+	base.MaxAttempts = c.MaxAttempts
+	base.Aging = c.Aging
+	base.Strategy = casched.StrategyPack
+	if c.Placement == cacell.PlacementSpread {
+		base.Strategy = casched.StrategySpread
+	}
+	if c.Reservation > 0 {
+		base.ReserveBound = c.Reservation
+	}
+	return base
+}
+
+// requestPolicy returns what the configuration says to the request path.
+func requestPolicy(c cacell.Config) caadmit.Policy {
+	p := caadmit.DefaultPolicy()
+	bound := c.Policy(cawork.WorkKindLookup).QueueBound
+	for _, t := range c.Teams() {
+		p = p.WithTeam(caadmit.TeamPolicy{Team: t.Name, Weight: t.Share, MaxQueued: bound})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/node/caentry/status.go
@@ -0,0 +1,150 @@
+package caentry
+
+import (
+	"context"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cacell"
+	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Status is the state of an entry, and of the cell as it sees it.
+type Status struct {
+	VM            cawork.VMID      `json:"vm"`
+	Zone          cawork.ZoneName  `json:"zone"`
+	Ready         bool             `json:"ready"`
+	ConfigVersion int64            `json:"config_version"`
+	ConfirmedAgo  string           `json:"config_confirmed_ago"`
+	Entries       []EntryStatus    `json:"entries"`
+	Upstreams     []UpstreamStatus `json:"upstreams"`
+	Teams         []TeamStatus     `json:"teams"`
+	Shards        []ShardStatus    `json:"shards"`
+	Queued        int              `json:"queued"`
+	OpenAttempts  int              `json:"open_attempts"`
+	Free          cawork.Resources `json:"free"`
+}
+
+// EntryStatus is an entry as this one sees it.
+type EntryStatus struct {
+	VM             cawork.VMID     `json:"vm"`
+	Zone           cawork.ZoneName `json:"zone"`
+	Liveness       string          `json:"liveness"`
+	Incarnation    int64           `json:"incarnation"`
+	ConfigVersion  int64           `json:"config_version"`
+	OwnedUpstreams int             `json:"owned_upstreams"`
+	Queued         int             `json:"queued"`
+}
+
+// UpstreamStatus is an upstream of the zone.
+type UpstreamStatus struct {
+	ID       cawork.VMID      `json:"id"`
+	Rack     cawork.RackName  `json:"rack"`
+	State    string           `json:"state"`
+	Capacity cawork.Resources `json:"capacity"`
+	// Epoch is set when this entry owns the upstream.
+	Epoch caplatform.Epoch `json:"epoch,omitempty"`
+}
+
+// TeamStatus is what a team uses in the cell against its share and limit.
+type TeamStatus struct {
+	Team      cawork.TeamName  `json:"team"`
+	Share     float64          `json:"share"`
+	Use       cawork.Resources `json:"use"`
+	Unlimited bool             `json:"unlimited"`
+	Limit     cawork.Resources `json:"limit"`
+}
+
+// ShardStatus is a replica of a shard at this entry.
+type ShardStatus struct {
+	Shard    cawork.ShardID    `json:"shard"`
+	View     int64             `json:"view"`
+	Primary  cawork.VMID       `json:"primary"`
+	Backup   cawork.VMID       `json:"backup"`
+	Witness  cawork.UpstreamID `json:"witness"`
+	Leads    bool              `json:"leads"`
+	MayAct   bool              `json:"may_act"`
+	Degraded bool              `json:"degraded"`
+}
+
+// Ready implements caapi.Status.
+func (e *Entry) Ready() bool {
+	select {
+	case <-e.draining:
+		return false
+	default:
+		return e.active.View().Version > 0
+	}
+}
+
+// Status implements caapi.Status.
+func (e *Entry) Status(ctx context.Context) any {
+	load := e.launcher.Load(ctx)
+	view := e.active.View()
+	status := Status{
+		VM: e.settings.VM, Zone: e.settings.Zone, Ready: e.Ready(), ConfigVersion: int64(view.Version),
+		ConfirmedAgo: e.confirmedAgo(view.Config), Queued: load.Queued, OpenAttempts: load.Open, Free: load.Free,
+		Upstreams: e.upstreamStatuses(), Shards: e.shardStatuses(),
+	}
+	use := make(map[cawork.TeamName]cawork.Resources)
+	for _, u := range load.Uses {
+		use[u.Team] = u.Use
+	}
+	for _, m := range e.members.Members() {
+		status.Entries = append(status.Entries, entryStatus(m))
+		if m.VM == e.settings.VM || !m.Liveness.Live() {
+			continue
+		}
+		for _, u := range m.App.TeamUse {
+			use[u.Team] = use[u.Team].Plus(u.Use)
+		}
+	}
+	for _, t := range view.Config.Teams() {
+		status.Teams = append(status.Teams, TeamStatus{
+			Team: t.Name, Share: t.Share, Use: use[t.Name], Unlimited: t.Limit.Unlimited(), Limit: t.Limit.Resources(),
+		})
+	}
+	return status
+}
+
+func (e *Entry) confirmedAgo(c cacell.Config) string {
+	if c.IsZero() {
+		return "never"
+	}
+	at := e.follower.ConfirmedAt(c.ZoneNames())
+	if at.IsZero() {
+		return "never"
+	}
+	return e.timer.Now().Sub(at).Round(time.Millisecond).String()
+}
+
+func entryStatus(m camember.Member) EntryStatus {
+	return EntryStatus{
+		VM: m.VM, Zone: m.Zone, Liveness: m.Liveness.String(), Incarnation: int64(m.Incarnation),
+		ConfigVersion: m.App.ConfigVersion, OwnedUpstreams: m.App.OwnedUpstreams, Queued: m.App.QueueLength,
+	}
+}
+
+func (e *Entry) upstreamStatuses() []UpstreamStatus {
+	var statuses []UpstreamStatus
+	for _, vm := range e.directory.ZoneUpstreams() {
+		s := UpstreamStatus{ID: vm.ID, Rack: vm.Rack, State: vm.State.String(), Capacity: vm.Capacity}
+		if lease, ok := e.owner.Lease(cawork.UpstreamID(vm.ID)); ok {
+			s.Epoch = lease.Epoch
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
+
+func (e *Entry) shardStatuses() []ShardStatus {
+	var statuses []ShardStatus
+	for _, s := range e.shards.Statuses() {
+		statuses = append(statuses, ShardStatus{
+			Shard: s.Shard, View: s.View.Number, Primary: s.View.Primary.VM, Backup: s.View.Backup.VM,
+			Witness: s.View.Witness, Leads: s.Primary, MayAct: s.MayAct, Degraded: s.Degraded,
+		})
+	}
+	return statuses
+}
--- /dev/null
+++ b/internal/node/calaunch/load.go
@@ -0,0 +1,49 @@
+package calaunch
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Load is what the entry reports of its work to other entries and operators.
+type Load struct {
+	Free        cawork.Resources
+	LargestHole cawork.Resources
+	Queued      int
+	Uses        []casched.TeamUse
+	Open        int
+}
+
+// Load returns the present load, the zero value once the launcher has ended.
+func (l *Launcher) Load(ctx context.Context) Load {
+	var load Load
+	l.ask(ctx, func() {
+		load = Load{
+			Free:        l.Scheduler.Free(),
+			LargestHole: l.Scheduler.LargestHole(cawork.Constraints{}),
+			Uses:        append([]casched.TeamUse(nil), l.Scheduler.Uses()...),
+			Open:        len(l.attempts),
+		}
+		for _, team := range l.policy.Teams() {
+			for _, kind := range cawork.WorkKindValues() {
+				load.Queued += l.Scheduler.QueueLength(team, kind)
+			}
+		}
+	})
+	return load
+}
+
+// FenceAttempt makes sure that an attempt on an upstream has ended and returns
+// its final state.
+func (l *Launcher) FenceAttempt(ctx context.Context, u cawork.UpstreamID, id cawork.AttemptID) (cawork.TaskState, error) {
+	call := ActCall{Upstream: u, Attempt: id, Mode: caplatform.StopModeStop}
+	status, err := l.HandleAct(ctx, call)
+	if err != nil && cakind.Of(err) == cakind.KindFenced {
+		status, err = l.actRemote(ctx, l.Directory.ZoneOwners(), call)
+	}
+	return status.State, err
+}
--- /dev/null
+++ b/internal/node/calink/server.go
@@ -0,0 +1,62 @@
+package calink
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/coord/cafollow"
+	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/node/calaunch"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+// Parts are the parts of an entry that answer other entries.
+type Parts struct {
+	Members    *camember.Part
+	Shards     *cashard.Part
+	Follower   *cafollow.Follower
+	Dispatcher *cadispatch.Dispatcher
+	Keys       *cadedupe.Service
+	Launcher   *calaunch.Launcher
+}
+
+// Register adds the handlers of the parts to the server.
+func Register(s *capeer.Server, p Parts) {
+	capeer.Handle(s, callExchange, p.Members.HandleExchange)
+	capeer.Handle(s, callProbe, answerEmpty(p.Members.HandleProbe))
+	capeer.Handle(s, callReplicate, p.Shards.HandleReplicate)
+	capeer.Handle(s, callFetchConfig, func(context.Context, cafollow.Version) (cafollow.Snapshot, error) {
+		return p.Follower.Current(), nil
+	})
+	registerRequests(s, p)
+	registerJobs(s, p.Launcher)
+}
+
+func registerRequests(s *capeer.Server, p Parts) {
+	capeer.Handle(s, callBorrow, func(_ context.Context, r cadispatch.BorrowRequest) (cadispatch.BorrowGrant, error) {
+		return p.Dispatcher.HandleBorrow(r), nil
+	})
+	capeer.Handle(s, callReturn, func(_ context.Context, id caroute.GrantID) (Empty, error) {
+		p.Dispatcher.HandleReturn(id)
+		return Empty{}, nil
+	})
+	capeer.Handle(s, callKeyOpen, p.Keys.HandleOpen)
+	capeer.Handle(s, callKeyIntend, answerEmpty(p.Keys.HandleIntend))
+	capeer.Handle(s, callKeySettle, answerEmpty(p.Keys.HandleSettle))
+	capeer.Handle(s, callKeyReplicate, p.Keys.HandleReplicate)
+}
+
+func registerJobs(s *capeer.Server, l *calaunch.Launcher) {
+	capeer.Handle(s, callPoll, l.HandlePoll)
+	capeer.Handle(s, callReserve, l.HandleReserve)
+	capeer.Handle(s, callRelease, answerEmpty(l.HandleRelease))
+	capeer.Handle(s, callStartReserved, l.HandleStartReserved)
+	capeer.Handle(s, callAct, l.HandleAct)
+	capeer.Handle(s, callGetJob, l.HandleGetJob)
+	capeer.Handle(s, callSubmitJob, l.HandleSubmit)
+	capeer.Handle(s, callCancelJob, answerEmpty(l.HandleCancel))
+	capeer.Handle(s, callFindKey, l.HandleFindKey)
+}
--- /dev/null
+++ b/internal/node/caquota/part.go
@@ -0,0 +1,218 @@
+// Package caquota mints the allowances of the own zone and moves them between
+// the shards that this entry leads.
+package caquota
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/caactive"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const (
+	// claimTopic is the topic of the log that orders the claims of mints.
+	claimTopic = "mint"
+	// period is the time between two rounds.
+	period = time.Second
+	// claimRetry is the time between two appends of a claim.
+	claimRetry = 5 * time.Second
+	// renewPeriod is the time after which the holder claims anew, so that the
+	// log keeps a claim of it.
+	renewPeriod = 10 * time.Minute
+	// readLimit bounds the records of one read.
+	readLimit = 256
+)
+
+// Shards replicates the accounts of the shards that this entry leads.
+type Shards interface {
+	Append(ctx context.Context, s cawork.ShardID, record []byte) error
+	Read(s cawork.ShardID, f func(cashard.StateMachine)) bool
+	Statuses() []cashard.Status
+}
+
+// Limits gives the configuration in force.
+type Limits interface {
+	View() caactive.View
+}
+
+// Config wires a part.
+type Config struct {
+	Zone   cawork.ZoneName
+	Shard  cawork.ShardID
+	Log    caplatform.Log
+	Shards Shards
+	Limits Limits
+	Timer  *catimer.Service
+	Logger zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Part keeps the allowances of the own zone.
+type Part struct {
+	Config
+	done     chan struct{}
+	wake     chan struct{}
+	claims   *caescrow.Claims
+	next     caplatform.Offset
+	complete bool
+	claimed  time.Time
+}
+
+// NewPart returns a part that has read nothing yet.
+func NewPart(c Config) *Part {
+	return &Part{
+		Config: c,
+		done:   make(chan struct{}),
+		wake:   make(chan struct{}, 1),
+		claims: caescrow.NewClaims(),
+	}
+}
+
+// Run keeps the allowances until the context ends.
+func (p *Part) Run(ctx context.Context) error {
+	defer close(p.done)
+	ticks := p.Timer.Every(period)
+	defer ticks.Close()
+	for {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		case <-p.wake:
+		}
+	}
+}
+
+// Done is closed when the part has ended.
+func (p *Part) Done() <-chan struct{} { return p.done }
+
+// LedChanged makes the part look at the led shards at once.
+func (p *Part) LedChanged() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Part) round(ctx context.Context) {
+	view := p.Limits.View()
+	if view.Version == 0 {
+		return
+	}
+	p.readClaims(ctx)
+	if p.complete {
+		p.claim(ctx)
+	}
+	if holder, ok := p.claims.Holder(p.Zone); ok && p.leads(holder.Shard) {
+		p.mint(ctx, holder.Shard, view)
+	}
+}
+
+// readClaims folds the claims of the log up to its end.
+func (p *Part) readClaims(ctx context.Context) {
+	for {
+		page, err := p.Log.Read(ctx, claimTopic, p.next, readLimit)
+		if err != nil {
+			return
+		}
+		for _, r := range page.Records {
+			p.next = r.Offset + 1
+			var claim caescrow.Claim
+			if cbor.Unmarshal(r.Payload, &claim) == nil {
+				p.claims.Apply(claim)
+			}
+		}
+		p.next = max(p.next, page.Earliest)
+		if len(page.Records) == 0 || p.next >= page.Next {
+			p.complete = true
+			return
+		}
+	}
+}
+
+// claim claims the mint of the zone when nobody has it. The holder claims anew
+// with the next generation before the log drops its claim; a claim that lost
+// the first race can then never be taken for the first one by a late reader.
+func (p *Part) claim(ctx context.Context) {
+	holder, held := p.claims.Holder(p.Zone)
+	wait := claimRetry
+	if held {
+		wait = renewPeriod
+		if !p.leads(holder.Shard) {
+			return
+		}
+	}
+	if !p.claimed.IsZero() && p.Timer.Now().Sub(p.claimed) < wait {
+		return
+	}
+	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.Shard}
+	if held {
+		next.Shard = holder.Shard
+	}
+	payload, err := cbor.Marshal(next)
+	if err != nil {
+		return
+	}
+	p.claimed = p.Timer.Now()
+	if _, err := p.Log.Append(ctx, claimTopic, [][]byte{payload}); err != nil {
+		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", claimTopic).AnErr("error", err).Send()
+	}
+	p.readClaims(ctx)
+}
+
+func (p *Part) leads(s cawork.ShardID) bool {
+	return p.Shards.Read(s, func(cashard.StateMachine) {})
+}
+
+// mint sets the part of each limit that the zone mints.
+func (p *Part) mint(ctx context.Context, shard cawork.ShardID, view caactive.View) {
+	version := int64(view.Version)
+	for _, team := range view.Config.Teams() {
+		wanted := caescrow.MintShare{Team: team.Name, Version: version, Amount: view.Config.Mint(team.Name, p.Zone)}
+		current := p.minted(shard, team.Name)
+		if current.Version >= version || (current.Amount == wanted.Amount && current.Version > 0) {
+			continue
+		}
+		if err := p.append(ctx, shard, cajob.Record{Type: cajob.RecordMintSet, MintSet: &wanted}); err != nil {
+			return
+		}
+		caevent.Info(p.Logger, caevent.AllowanceMinted).Str("team", string(team.Name)).Str("shard", string(shard)).
+			Int64("version", version).Str("amount", wanted.Amount.String()).Send()
+	}
+}
+
+func (p *Part) minted(shard cawork.ShardID, team cawork.TeamName) caescrow.MintShare {
+	var share caescrow.MintShare
+	p.Shards.Read(shard, func(m cashard.StateMachine) {
+		if b, ok := m.(*cajob.State).Account().Teams[team]; ok {
+			share = b.Mint
+		}
+	})
+	return share
+}
+
+func (p *Part) append(ctx context.Context, shard cawork.ShardID, r cajob.Record) error {
+	r.At = p.Timer.Now()
+	payload, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	err = p.Shards.Append(ctx, shard, payload)
+	if err != nil && cakind.Of(err) != cakind.KindNotStarted {
+		caevent.Warn(p.Logger, caevent.PartFailed).Str("part", "quota").AnErr("error", err).Send()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/carunner/runner.go
@@ -0,0 +1,183 @@
+// Package carunner supplies the commands with the parts of the program that
+// they start.
+package carunner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cli/cacommand"
+	"celeryarch.example/celeryarch/internal/cli/caoption"
+	"celeryarch.example/celeryarch/internal/config/casettings"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/node/cademo"
+	"celeryarch.example/celeryarch/internal/node/caentry"
+	"celeryarch.example/celeryarch/internal/platform/cahttp"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/caload"
+	"celeryarch.example/celeryarch/internal/standin/castandin"
+	"celeryarch.example/celeryarch/internal/standin/castandlog"
+	"celeryarch.example/celeryarch/internal/standin/castandup"
+	"celeryarch.example/celeryarch/internal/standin/castandvm"
+)
+
+const (
+	// version is what --version prints.
+	version = "0.1.0"
+	// reportPeriod is the time between two reports of metrics.
+	reportPeriod = time.Second
+	// platformTimeout bounds a call of a command to the platform.
+	platformTimeout = 5 * time.Second
+	// loadTimeout bounds one request of a load.
+	loadTimeout = 30 * time.Second
+	// metricsPrefix stands before the name of each metric.
+	metricsPrefix = "celeryarch"
+)
+
+// Runners returns the parts that commands start.
+func Runners() cacommand.Runners {
+	return cacommand.Runners{
+		Demo:            runDemo,
+		Entry:           runEntry,
+		StandinLog:      runLog,
+		StandinVMs:      runVMs,
+		StandinUpstream: runUpstream,
+		Load:            runLoad,
+		Log: func(url string) caplatform.Log {
+			return cahttp.NewLog(cahttp.NewClient(platformTimeout), url)
+		},
+		Version: version,
+	}
+}
+
+// surroundings returns logs, metrics and their scrape endpoint.
+func surroundings(w io.Writer, level zerolog.Level) (caentry.Surroundings, io.Closer) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: metricsPrefix, CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
+		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
+	}, reportPeriod)
+	around := caentry.Surroundings{
+		Logger:  zerolog.New(w).Level(level).With().Timestamp().Logger(),
+		Scope:   scope,
+		Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+	return around, closer
+}
+
+func runDemo(ctx context.Context, out cacommand.Output, o caoption.Demo) error {
+	around, closer := surroundings(out.Stderr, zerolog.WarnLevel)
+	defer func() { _ = closer.Close() }()
+	demo, err := cademo.NewDemo(ctx, cademo.Options{API: o.API, Upstreams: o.Upstreams, Around: around})
+	if err != nil {
+		return err
+	}
+	if err := demo.WriteGuide(out.Stdout); err != nil {
+		return err
+	}
+	return demo.Run(ctx)
+}
+
+func runEntry(ctx context.Context, out cacommand.Output, s casettings.Settings) error {
+	around, closer := surroundings(out.Stderr, s.LogLevel.Level)
+	defer func() { _ = closer.Close() }()
+	entry, err := caentry.NewEntry(s, around)
+	if err != nil {
+		return err
+	}
+	if s.Addresses.Metrics == "" {
+		return entry.Run(ctx)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(caapi.PathMetrics, around.Metrics)
+	metrics, err := castandin.NewServer(s.Addresses.Metrics, mux)
+	if err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		if err := metrics.Run(serving); err != nil {
+			caevent.Warn(around.Logger, caevent.PartFailed).Str("part", "metrics").AnErr("error", err).Send()
+		}
+	}()
+	return entry.Run(ctx)
+}
+
+func runLog(ctx context.Context, out cacommand.Output, o caoption.StandinLog) error {
+	timer := catimer.NewService()
+	return serve(ctx, out, o.Listen, castandin.LogHandler(castandlog.NewLog(timer.Now, o.Retention)))
+}
+
+func runVMs(ctx context.Context, out cacommand.Output, o caoption.StandinVMs) error {
+	body, err := os.ReadFile(o.File)
+	if err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "read the list of VMs")
+	}
+	var vms []caplatform.VM
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "%s is not a list of VMs", o.File)
+	}
+	timer := catimer.NewService()
+	return serve(ctx, out, o.Listen, castandin.VMListHandler(castandvm.NewList(timer.Now, o.Lag, vms)))
+}
+
+func runUpstream(ctx context.Context, out cacommand.Output, o caoption.StandinUpstream) error {
+	timer := catimer.NewService()
+	vm := caplatform.VM{
+		ID: cawork.VMID(o.ID), Role: caplatform.VMRoleUpstream, Zone: cawork.ZoneName(o.Zone),
+		Rack: cawork.RackName(o.Rack), Address: o.Listen, Capacity: o.Size.Resources(),
+		AcceleratorKind: o.AcceleratorKind, Slots: o.Slots, Connections: o.Connections,
+	}
+	return serve(ctx, out, o.Listen, castandin.UpstreamHandler(castandup.NewUpstream(timer.Now, vm)))
+}
+
+func serve(ctx context.Context, out cacommand.Output, address string, handler http.Handler) error {
+	server, err := castandin.NewServer(address, handler)
+	if err != nil {
+		return err
+	}
+	logger := zerolog.New(out.Stderr).With().Timestamp().Logger()
+	caevent.Info(logger, caevent.StandinStarted).Str("address", server.Address()).Send()
+	return server.Run(ctx)
+}
+
+func runLoad(ctx context.Context, out cacommand.Output, o caoption.Load) error {
+	if cawork.WorkKind(o.Kind) != cawork.WorkKindLookup {
+		return cakind.New(cakind.KindInvalid, "load offers requests only: --kind=lookup")
+	}
+	header := http.Header{}
+	if o.Key != "" {
+		header.Set("Authorization", "Bearer "+o.Key)
+	}
+	if o.Queue != "" {
+		header.Set(caapi.HeaderQueue, o.Queue)
+	}
+	report, err := caload.Run(ctx, catimer.NewService(), caload.Plan{
+		URL: o.Entry + caapi.PathRequests, Header: header, Body: []byte("load"), Rate: o.Rate, Duration: o.Duration,
+		Timeout: loadTimeout, Outstanding: o.Concurrency, Seed: uint64(o.Seed),
+	})
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	if out.JSON {
+		return report.WriteJSON(out.Stdout)
+	}
+	return report.WriteText(out.Stdout)
+}
--- a/internal/platform/cahttp/adapter.go
+++ b/internal/platform/cahttp/adapter.go
@@ -80,10 +80,8 @@
 	base   string
 }
 
-// NewLog returns the log service at the address (host and port).
-func NewLog(client *http.Client, address string) *Log {
-	return &Log{client: client, base: "http://" + address}
-}
+// NewLog returns the log service at a URL.
+func NewLog(client *http.Client, base string) *Log { return &Log{client: client, base: base} }
 
 // Append implements caplatform.Log.
 func (l *Log) Append(ctx context.Context, topic string, payloads [][]byte) (caplatform.Offset, error) {
@@ -104,10 +102,8 @@
 	base   string
 }
 
-// NewVMList returns the list of VMs at the address (host and port).
-func NewVMList(client *http.Client, address string) *VMList {
-	return &VMList{client: client, base: "http://" + address}
-}
+// NewVMList returns the list of VMs at a URL.
+func NewVMList(client *http.Client, base string) *VMList { return &VMList{client: client, base: base} }
 
 // List implements caplatform.VMList.
 func (v *VMList) List(ctx context.Context) ([]caplatform.VM, error) {
--- a/main.go
+++ b/main.go
@@ -1,8 +1,13 @@
 // Command celeryarch is a cluster scheduler for unlike workloads.
 package main
 
-import "os"
+import (
+	"os"
+
+	"celeryarch.example/celeryarch/internal/cli/cacommand"
+	"celeryarch.example/celeryarch/internal/node/carunner"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(int(cacommand.Run(os.Args[1:], os.Stdout, os.Stderr, carunner.Runners())))
 }
