End-to-end tests of the demo; payloads are read when an attempt is sent

Cause: a job is queued before its record takes effect, so that a placement made at once read an empty payload and tasks ran their default time. Change: the payload is read after the intent took effect; the demo has end-to-end tests (request, job, idempotency key, refusals, shutdown in mid-request); the stand-in can fence requests. Measurement: the job test fails before (result empty) and passes after. Conclusion: what follows a record in the shard must be read after it.

--- a/internal/node/cademo/demo.go
+++ b/internal/node/cademo/demo.go
@@ -191,6 +191,15 @@
 	return sum
 }
 
+// RequestsRunning returns the number of requests that run on the upstreams.
+func (d *Demo) RequestsRunning() int {
+	running := 0
+	for _, u := range d.upstreams {
+		running += u.RequestsRunning()
+	}
+	return running
+}
+
 // WriteGuide writes what to type next.
 func (d *Demo) WriteGuide(w io.Writer) error {
 	url := "http://" + d.APIAddress()
--- /dev/null
+++ b/internal/node/cademo/demo_test.go
@@ -0,0 +1,186 @@
+package cademo_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cli/caclient"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/node/cademo"
+	"celeryarch.example/celeryarch/internal/node/caentry"
+	"celeryarch.example/celeryarch/internal/standin/castandup"
+)
+
+// patience bounds every wait of these tests, far above what any takes.
+const patience = 30 * time.Second
+
+// startDemo runs a demo until the end of the test and checks that the
+// upstreams saw no promise broken.
+func startDemo(t *testing.T) (*cademo.Demo, context.CancelFunc) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	demo, err := cademo.NewDemo(ctx, cademo.Options{
+		API: "127.0.0.1:0", Upstreams: 4,
+		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler()},
+	})
+	if err != nil {
+		t.Fatalf("NewDemo: %v", err)
+	}
+	go func() {
+		if err := demo.Run(ctx); err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-demo.Done()
+		if diff := cmp.Diff(castandup.Violations{}, demo.Violations()); diff != "" {
+			t.Errorf("violations mismatch (-want +got):\n%s", diff)
+		}
+	})
+	eventually(t, "the entry to be ready", demo.Ready)
+	return demo, cancel
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited %v for %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func clientOf(d *cademo.Demo, key string) caclient.Client {
+	return caclient.Client{Base: "http://" + d.APIAddress(), Key: key}
+}
+
+// request retries while no upstream is owned yet.
+func request(t *testing.T, c caclient.Client, body string) string {
+	t.Helper()
+	var answer []byte
+	eventually(t, "an answer", func() bool {
+		var err error
+		answer, err = c.Request(context.Background(), []byte(body))
+		return err == nil
+	})
+	return string(answer)
+}
+
+func submission(payload string, size cawork.Resources) caapi.SubmitRequest {
+	return caapi.SubmitRequest{Kind: cawork.WorkKindBatch, Tasks: 3, Size: size, Payload: json.RawMessage(payload)}
+}
+
+func small() cawork.Resources { return cawork.Resources{CPU: 500, Memory: 64 * cawork.MiB} }
+
+func TestRequestAndJobEndToEnd(t *testing.T) {
+	demo, _ := startDemo(t)
+	client := clientOf(demo, demo.Key())
+	if diff := cmp.Diff("which red?", request(t, client, "which red?")); diff != "" {
+		t.Errorf("answer mismatch (-want +got):\n%s", diff)
+	}
+	id, err := client.Submit(context.Background(), submission(`{"run_ms": 100, "result": "madder"}`, small()), "")
+	if err != nil {
+		t.Fatalf("Submit: %v", err)
+	}
+	job, err := client.Get(context.Background(), id, patience)
+	if err != nil {
+		t.Fatalf("Get: %v", err)
+	}
+	if diff := cmp.Diff(cawork.OutcomeDone, job.Outcome); diff != "" {
+		t.Errorf("outcome mismatch (-want +got):\n%s", diff)
+	}
+	for _, task := range job.Tasks {
+		if diff := cmp.Diff("madder", task.Result); diff != "" {
+			t.Errorf("result of task %d mismatch (-want +got):\n%s", task.Index, diff)
+		}
+	}
+}
+
+func TestSameIdempotencyKeyIsOneJob(t *testing.T) {
+	demo, _ := startDemo(t)
+	client := clientOf(demo, demo.Key())
+	first, err := client.Submit(context.Background(), submission(`{}`, small()), "report-7")
+	if err != nil {
+		t.Fatalf("Submit: %v", err)
+	}
+	second, err := client.Submit(context.Background(), submission(`{}`, small()), "report-7")
+	if err != nil {
+		t.Fatalf("second Submit: %v", err)
+	}
+	if diff := cmp.Diff(first, second); diff != "" {
+		t.Errorf("job mismatch (-first +second):\n%s", diff)
+	}
+}
+
+func TestRefusalsNameTheirKind(t *testing.T) {
+	demo, _ := startDemo(t)
+	client := clientOf(demo, demo.Key())
+	request(t, client, "ready")
+	huge := cawork.Resources{CPU: cawork.Cores(1000), Memory: cawork.GiB}
+	tests := []struct {
+		name   string
+		client caclient.Client
+		submit caapi.SubmitRequest
+		want   cakind.Kind
+	}{
+		{"unknown key", clientOf(demo, "cak_kwrong_wrong"), submission(`{}`, small()), cakind.KindUnauthenticated},
+		{"no key", clientOf(demo, ""), submission(`{}`, small()), cakind.KindUnauthenticated},
+		{"oversize job", client, submission(`{}`, huge), cakind.KindNeverFits},
+		{"no size", client, submission(`{}`, cawork.Resources{}), cakind.KindInvalid},
+	}
+	for _, test := range tests {
+		_, err := test.client.Submit(context.Background(), test.submit, "")
+		if diff := cmp.Diff(test.want, cakind.Of(err)); diff != "" {
+			t.Errorf("%s: kind mismatch (-want +got):\n%s\n%v", test.name, diff, err)
+		}
+	}
+	_, err := client.Get(context.Background(), "no-such.job", 0)
+	if diff := cmp.Diff(cakind.KindNotFound, cakind.Of(err)); diff != "" {
+		t.Errorf("unknown job: kind mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestShutdownFinishesRequestsInProgress(t *testing.T) {
+	demo, cancel := startDemo(t)
+	request(t, clientOf(demo, demo.Key()), "ready")
+	call, err := http.NewRequest(http.MethodPost, "http://"+demo.APIAddress()+caapi.PathRequests,
+		bytes.NewBufferString(`{"sleep_ms": 2000, "answer_bytes": 100000}`))
+	if err != nil {
+		t.Fatalf("NewRequest: %v", err)
+	}
+	call.Header.Set("Authorization", "Bearer "+demo.Key())
+	answered := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(call)
+		if err != nil {
+			answered <- -1
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			answered <- -2
+			return
+		}
+		answered <- len(body)
+	}()
+	eventually(t, "the request to run", func() bool { return demo.RequestsRunning() > 0 })
+	cancel()
+	if diff := cmp.Diff(100000, <-answered); diff != "" {
+		t.Errorf("bytes of the answer mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -21,6 +21,10 @@
 // publishPeriod is the time between two reports of the own state to others.
 const publishPeriod = 500 * time.Millisecond
 
+// slotsGuess is the number of free slots that an entry is taken to have on
+// each of its upstreams before it is asked.
+const slotsGuess = 8
+
 func followOwner(ctx context.Context, e *Entry) error {
 	return caowner.Follow(ctx, e.owner, e.members, e.list)
 }
@@ -124,7 +128,7 @@
 	members := []cadedupe.Member{{ID: e.settings.VM, Incarnation: e.life}}
 	for _, m := range others {
 		e.follower.Offer(cafollow.Offer{VM: m.VM, Zone: m.Zone, Version: cafollow.Version(m.App.ConfigVersion)})
-		peers = append(peers, cadispatch.Peer{ID: m.VM, Zone: m.Zone})
+		peers = append(peers, cadispatch.Peer{ID: m.VM, Zone: m.Zone, FreeSlots: m.App.OwnedUpstreams * slotsGuess})
 		if m.Zone == e.settings.Zone {
 			members = append(members, cadedupe.Member{ID: m.VM, Incarnation: int64(m.Incarnation)})
 		}
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -48,7 +48,7 @@
 	stopping    bool
 }
 
-func (l *Launcher) newAttempt(p casched.Placement, d casched.Decision, payload []byte) *attempt {
+func newAttempt(p casched.Placement, d casched.Decision) *attempt {
 	return &attempt{
 		id:       cawork.AttemptID(uuid.NewString()),
 		task:     p.Task,
@@ -57,7 +57,6 @@
 		kind:     d.WorkKind,
 		size:     p.Size,
 		upstream: p.Upstream,
-		payload:  payload,
 	}
 }
 
@@ -116,10 +115,13 @@
 }
 
 func (l *Launcher) send(attempts []*attempt) {
+	// The job itself takes effect before the intent does, and not earlier.
+	payload := l.payload(attempts[0].task.Job)
 	var local []*attempt
 	remote := make(map[casched.ReservationID][]*attempt)
 	for _, a := range attempts {
 		a.phase = phaseSent
+		a.payload = payload
 		if a.remote == "" {
 			local = append(local, a)
 			continue
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -86,10 +86,9 @@
 // entry that keeps the room of each placement under the reservation; it is nil
 // when all upstreams are owned here.
 func (l *Launcher) place(d casched.Decision, owners []cawork.VMID, id casched.ReservationID) {
-	payload := l.payload(d.Job)
 	attempts := make([]*attempt, 0, len(d.Placements))
 	for i, p := range d.Placements {
-		a := l.newAttempt(p, d, payload)
+		a := newAttempt(p, d)
 		if owners != nil && owners[i] != l.Self {
 			a.remote, a.reservation = owners[i], id
 		}
--- a/internal/standin/castandup/request.go
+++ b/internal/standin/castandup/request.go
@@ -1,6 +1,7 @@
 package castandup
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/platform/cawire"
 )
@@ -32,30 +34,63 @@
 	Status int `json:"status"`
 }
 
+// requestTable knows the requests that ran or run.
 type requestTable struct {
 	running int
-	seen    map[string]struct{}
+	seen    map[cawork.AttemptID]*requestRun
 }
 
-func newRequestTable() requestTable { return requestTable{seen: make(map[string]struct{})} }
+// requestRun is one request in a slot.
+type requestRun struct {
+	state  cawork.TaskState
+	cancel context.CancelFunc
+}
+
+func newRequestTable() requestTable {
+	return requestTable{seen: make(map[cawork.AttemptID]*requestRun)}
+}
+
+// RequestsRunning returns the number of requests in slots.
+func (u *Upstream) RequestsRunning() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests.running
+}
+
+// stop ends a running request and returns its state. It reports whether the
+// attempt is a request that ran or runs.
+func (t *requestTable) stop(id cawork.AttemptID) (cawork.TaskState, bool) {
+	r, ok := t.seen[id]
+	if !ok {
+		return cawork.TaskStateAbsent, false
+	}
+	if r.state == cawork.TaskStateRunning {
+		r.state = cawork.TaskStateStopped
+		r.cancel()
+	}
+	return r.state, true
+}
 
 // ServeHTTP runs a request in a slot.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if err := u.admit(r); err != nil {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	run := &requestRun{state: cawork.TaskStateRunning, cancel: cancel}
+	if err := u.admit(r, run); err != nil {
 		w.Header().Set(caplatform.HeaderNotRun, "true")
 		cawire.WriteFault(w, err)
 		return
 	}
-	defer u.leave()
+	defer u.leave(run)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err != nil {
 		cawire.WriteFault(w, cakind.Wrap(cakind.KindFailed, err, "read request"))
 		return
 	}
-	answer(w, r, body)
+	answer(w, r.WithContext(ctx), body)
 }
 
-func (u *Upstream) admit(r *http.Request) error {
+func (u *Upstream) admit(r *http.Request, run *requestRun) error {
 	epoch, err := strconv.ParseInt(r.Header.Get(caplatform.HeaderEpoch), 10, 64)
 	if err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "epoch of the request")
@@ -66,7 +101,10 @@
 	if !u.owned(now) || u.epoch != caplatform.Epoch(epoch) {
 		return u.fenced(caplatform.Epoch(epoch))
 	}
-	attempt := r.Header.Get(caplatform.HeaderAttempt)
+	attempt := cawork.AttemptID(r.Header.Get(caplatform.HeaderAttempt))
+	if _, fenced := u.tasks[attempt]; fenced {
+		return cakind.New(cakind.KindFenced, "attempt %s is fenced", attempt)
+	}
 	if _, ok := u.requests.seen[attempt]; ok {
 		u.violations.DoubleRequests++
 		return cakind.New(cakind.KindConflict, "attempt %s has run before", attempt)
@@ -76,21 +114,24 @@
 		return cakind.New(cakind.KindOverloaded, "all %d slots are in use", u.vm.Slots)
 	}
 	u.requests.running++
-	u.requests.remember(attempt)
+	u.requests.remember(attempt, run)
 	return nil
 }
 
-func (t *requestTable) remember(attempt string) {
+func (t *requestTable) remember(id cawork.AttemptID, run *requestRun) {
 	if len(t.seen) >= maxSeenAttempts {
-		t.seen = make(map[string]struct{})
+		t.seen = make(map[cawork.AttemptID]*requestRun)
 	}
-	t.seen[attempt] = struct{}{}
+	t.seen[id] = run
 }
 
-func (u *Upstream) leave() {
+func (u *Upstream) leave(run *requestRun) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.requests.running--
+	if run.state == cawork.TaskStateRunning {
+		run.state = cawork.TaskStateDone
+	}
 }
 
 func answer(w http.ResponseWriter, r *http.Request, body []byte) {
--- a/internal/standin/castandup/upstream.go
+++ b/internal/standin/castandup/upstream.go
@@ -146,6 +146,9 @@
 	if u.epoch != s.Epoch {
 		return caplatform.TaskStatus{}, u.fenced(s.Epoch)
 	}
+	if state, ok := u.requests.stop(s.Attempt); ok {
+		return caplatform.TaskStatus{Attempt: s.Attempt, Kind: cawork.WorkKindLookup, State: state}, nil
+	}
 	t, ok := u.tasks[s.Attempt]
 	if !ok {
 		t = newFencedTask(s.Attempt, now)
