--- a/internal/node/cademo/demo.go
+++ b/internal/node/cademo/demo.go
@@ -78,7 +78,7 @@
 // fresh key and wires an entry.
 func NewDemo(ctx context.Context, o Options) (*Demo, error) {
 	d := &Demo{key: cakey.Generate(), done: make(chan struct{})}
-	timer := catimer.NewService()
+	timer := o.Around.Timer
 	d.log = castandlog.NewLog(timer.Now, retention)
 	if err := d.publish(ctx); err != nil {
 		return nil, err
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	settings.Platform.VMList = "http://" + listServer.Address()
-	d.entry, err = caentry.NewEntry(settings, o.Around)
+	d.entry, err = caentry.NewEntry(settings, o.Around, caentry.DialPlatform(settings))
 	return d, err
 }
 
--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cli/caclient"
 	"celeryarch.example/celeryarch/internal/node/caapi"
@@ -32,7 +33,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	demo, err := cademo.NewDemo(ctx, cademo.Options{
 		API: "127.0.0.1:0", Upstreams: 4,
-		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler()},
+		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: catimer.NewService()},
 	})
 	if err != nil {
 		t.Fatalf("NewDemo: %v", err)
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -53,11 +53,35 @@
 	Logger  zerolog.Logger
 	Scope   tally.Scope
 	Metrics http.Handler
+	Timer   *catimer.Service
+}
+
+// Platform is what an entry gets from the platform and the network.
+type Platform struct {
+	Log    caplatform.Log
+	VMs    caplatform.VMList
+	Agents caplatform.Agents
+	Listen func(address string) (net.Listener, error)
+	Dial   capeer.Dial
+}
+
+// DialPlatform returns the platform over HTTP at the addresses of the settings
+// and the network over TCP.
+func DialPlatform(s casettings.Settings) Platform {
+	client := cahttp.NewClient(s.Timeouts.Platform)
+	return Platform{
+		Log:    cahttp.NewLog(client, s.Platform.Log),
+		VMs:    cahttp.NewVMList(client, s.Platform.VMList),
+		Agents: cahttp.NewAgents(cahttp.NewClient(agentTimeout)),
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   capeer.DialTCP,
+	}
 }
 
 // Entry is one entry with all its parts.
 type Entry struct {
 	settings casettings.Settings
+	platform Platform
 	log      zerolog.Logger
 	scope    tally.Scope
 	timer    *catimer.Service
@@ -90,12 +114,13 @@
 
 // NewEntry wires an entry and listens on its addresses. An address that is in
 // use, or a TLS file that cannot be read, is an error.
-func NewEntry(s casettings.Settings, around Surroundings) (*Entry, error) {
+func NewEntry(s casettings.Settings, around Surroundings, platform Platform) (*Entry, error) {
 	e := &Entry{
 		settings: s,
+		platform: platform,
 		log:      around.Logger.With().Str("vm", string(s.VM)).Logger(),
 		scope:    around.Scope,
-		timer:    catimer.NewService(),
+		timer:    around.Timer,
 		ready:    make(chan struct{}),
 		draining: make(chan struct{}),
 		done:     make(chan struct{}),
@@ -104,10 +129,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	platform := cahttp.NewClient(s.Timeouts.Platform)
-	e.wireMembership(cahttp.NewVMList(platform, s.Platform.VMList))
-	e.wireConfiguration(cahttp.NewLog(platform, s.Platform.Log))
-	if err := e.wireJobs(cahttp.NewLog(platform, s.Platform.Log)); err != nil {
+	e.wireMembership()
+	e.wireConfiguration()
+	if err := e.wireJobs(); err != nil {
 		return nil, err
 	}
 	e.wireRequests()
@@ -121,14 +145,14 @@
 	if e.serverTLS, clientTLS, err = loadTLS(e.settings.TLS); err != nil {
 		return err
 	}
-	if e.apiListener, err = net.Listen("tcp", e.settings.Addresses.API); err != nil {
+	if e.apiListener, err = e.platform.Listen(e.settings.Addresses.API); err != nil {
 		return cakind.Wrap(cakind.KindUnavailable, err, "listen for callers on %s", e.settings.Addresses.API)
 	}
-	if e.peerListener, err = net.Listen("tcp", e.settings.Addresses.Peer); err != nil {
+	if e.peerListener, err = e.platform.Listen(e.settings.Addresses.Peer); err != nil {
 		_ = e.apiListener.Close()
 		return cakind.Wrap(cakind.KindUnavailable, err, "listen for entries on %s", e.settings.Addresses.Peer)
 	}
-	e.client = capeer.NewClient(clientTLS)
+	e.client = capeer.NewClient(e.platform.Dial, clientTLS)
 	return nil
 }
 
@@ -137,8 +161,8 @@
 	return calink.NewLink(e.client, e.directory, e.settings.Timeouts.Peer)
 }
 
-func (e *Entry) wireMembership(vms caplatform.VMList) {
-	e.list = calist.NewPart(vms, e.timer, e.log, e.scope)
+func (e *Entry) wireMembership() {
+	e.list = calist.NewPart(e.platform.VMs, e.timer, e.log, e.scope)
 	e.directory = cadirectory.NewDirectory(e.settings.VM, e.settings.Zone, e.list)
 	identity := camember.Identity{VM: e.settings.VM, Address: e.peerListener.Addr().String(), Zone: e.settings.Zone}
 	e.members = camember.NewPart(camember.DefaultConfig(), identity, e.settings.Seeds, camember.Deps{
@@ -149,13 +173,13 @@
 	e.life = int64(e.members.Self().Incarnation)
 	e.shard = cawork.ShardID(string(e.settings.VM) + "-" + strconv.FormatInt(e.life, 36))
 	e.owner = caowner.NewPart(caowner.DefaultConfig(), e.settings.VM, e.settings.Zone, caowner.Deps{
-		Agents: cahttp.NewAgents(cahttp.NewClient(agentTimeout)), Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
+		Agents: e.platform.Agents, Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
 	})
 }
 
-func (e *Entry) wireConfiguration(log caplatform.Log) {
+func (e *Entry) wireConfiguration() {
 	e.follower = cafollow.NewFollower(cafollow.Options{
-		Self: e.settings.VM, Zone: e.settings.Zone, Log: log, Topic: cacell.Topic,
+		Self: e.settings.VM, Zone: e.settings.Zone, Log: e.platform.Log, Topic: cacell.Topic,
 		Peers: calink.Configs{Link: e.link()}, Timer: e.timer, Logger: e.log, Scope: e.scope,
 		Elected: e.isElected,
 	})
@@ -173,13 +197,12 @@
 	return true
 }
 
-func (e *Entry) wireJobs(log caplatform.Log) error {
-	agents := cahttp.NewAgents(cahttp.NewClient(agentTimeout))
+func (e *Entry) wireJobs() error {
 	var err error
 	e.shards, err = cashard.NewPart(cashard.Options{
 		Self: cashard.Member{VM: e.settings.VM, Incarnation: e.life}, Zone: e.settings.Zone,
 		Config: cashard.DefaultConfig(), Peers: calink.Replicas{Link: e.link()},
-		Witnesses: witnesses{directory: e.directory, agents: agents}, Listener: (*shardListener)(e),
+		Witnesses: witnesses{directory: e.directory, agents: e.platform.Agents}, Listener: (*shardListener)(e),
 		NewMachine: func(id cawork.ShardID) cashard.StateMachine {
 			return cajob.NewState(id, cajob.DefaultRetention())
 		},
@@ -191,11 +214,11 @@
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Shard: e.shard, TaskTTL: caowner.DefaultConfig().TaskTTL,
 		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner,
-		Directory: e.directory, Agents: agents, Peers: calink.Jobs{Link: e.link()},
+		Directory: e.directory, Agents: e.platform.Agents, Peers: calink.Jobs{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
 	})
 	e.quota = caquota.NewPart(caquota.Config{
-		Zone: e.settings.Zone, Shard: e.shard, Log: log, Shards: e.shards, Limits: e.active,
+		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	return e.shards.Open(e.shard)
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -105,17 +105,28 @@
 // Done is closed when the server has ended.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a TCP connection.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Client calls peers by address.
 type Client struct {
+	open   Dial
 	config *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	once   sync.Once
 }
 
-// NewClient returns a client. A nil TLS configuration means plain TCP.
-func NewClient(config *tls.Config) *Client {
+// NewClient returns a client over the connections that dial opens. A nil TLS
+// configuration means plain connections.
+func NewClient(dial Dial, config *tls.Config) *Client {
 	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: connectionsPerPeer}
-	return &Client{config: config, pool: drpcpool.New[string, drpcpool.Conn](options)}
+	return &Client{open: dial, config: config, pool: drpcpool.New[string, drpcpool.Conn](options)}
 }
 
 // Call sends the message to the method of the peer at the address. An error of
@@ -146,8 +157,7 @@
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -76,6 +76,7 @@
 	around := caentry.Surroundings{
 		Logger:  zerolog.New(w).Level(level).With().Timestamp().Logger(),
 		Scope:   scope,
+		Timer:   catimer.NewService(),
 		Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
 	return around, closer
@@ -97,7 +98,7 @@
 func runEntry(ctx context.Context, out cacommand.Output, s casettings.Settings) error {
 	around, closer := surroundings(out.Stderr, s.LogLevel.Level)
 	defer func() { _ = closer.Close() }()
-	entry, err := caentry.NewEntry(s, around)
+	entry, err := caentry.NewEntry(s, around, caentry.DialPlatform(s))
 	if err != nil {
 		return err
 	}
