Decision core: placement, gangs, shares, limits, preemption, reservations

Cause: the naive version walks over everything and neither backfills nor preempts. Change: cadecide composes the parts. Random histories with the invariants asserted run against it and against the naive version.

--- /dev/null
+++ b/internal/core/cadecide/place.go
@@ -0,0 +1,208 @@
+package cadecide
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caledger"
+	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/caqueue"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+type class = caqueue.Class[*caledger.Job]
+
+// placeAll places tasks, of the team with the lowest share first, until none
+// fits.
+func (s *Scheduler) placeAll(now time.Time) {
+	s.round++
+	for !s.full() {
+		t := s.lowest()
+		if t == nil {
+			return
+		}
+		if !s.placeFrom(t, now) {
+			t.exhausted = s.round
+		}
+	}
+}
+
+// lowest returns the team with the lowest weighted share among those that have
+// work and were not found to have none that fits.
+func (s *Scheduler) lowest() *team {
+	var best *team
+	for _, t := range s.order {
+		if t.exhausted == s.round || t.queue.Len() == 0 {
+			continue
+		}
+		if best == nil || t.Share() < best.Share() {
+			best = t
+		}
+	}
+	return best
+}
+
+// placeFrom places the first job of the team that fits.
+func (s *Scheduler) placeFrom(t *team, now time.Time) bool {
+	s.collect(t, now)
+	for len(s.candidates) > 0 {
+		c := s.takeFirst()
+		if s.tryHead(t, c, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// collect gathers the classes whose head may fit.
+func (s *Scheduler) collect(t *team, now time.Time) {
+	s.candidates = s.candidates[:0]
+	seq := s.index.Seq()
+	for _, c := range t.queue.Classes() {
+		if c.BlockedAt == seq || c.LimitedAt == t.room {
+			continue
+		}
+		if c.BlockedAt != 0 {
+			q := s.query(c.Head().Value, now)
+			if !s.index.FitsSince(&q, c.BlockedAt) {
+				c.BlockedAt = seq
+				continue
+			}
+		}
+		s.candidates = append(s.candidates, c)
+	}
+}
+
+// takeFirst removes and returns the candidate whose head is due first.
+func (s *Scheduler) takeFirst() *class {
+	first := 0
+	for i, c := range s.candidates {
+		if c.Head().Less(s.candidates[first].Head()) {
+			first = i
+		}
+	}
+	c := s.candidates[first]
+	last := len(s.candidates) - 1
+	s.candidates[first] = s.candidates[last]
+	s.candidates = s.candidates[:last]
+	return c
+}
+
+// tryHead places the head of the class, or notes why it does not fit.
+func (s *Scheduler) tryHead(t *team, c *class, now time.Time) bool {
+	j := c.Head().Value
+	q := s.query(j, now)
+	n := j.Width()
+	if !t.Allows(q.Demand.Size.Times(int64(n))) {
+		c.LimitedAt = t.room
+		return false
+	}
+	if !s.findHosts(&q, n) {
+		c.BlockedAt = s.index.Seq()
+		return false
+	}
+	s.open(t, j, &q, now)
+	return true
+}
+
+// findHosts finds and takes room for n tasks, which are all placed or none. The
+// upstreams are left in s.hosts.
+func (s *Scheduler) findHosts(q *caplace.Query, n int) bool {
+	s.hosts = s.hosts[:0]
+	if n > 1 && s.index.Count(q, n) < n {
+		return false
+	}
+	for len(s.hosts) < n {
+		h, ok := s.index.Best(q)
+		if !ok {
+			s.giveHosts(q.Demand)
+			return false
+		}
+		s.takeHost(h, q)
+		for len(s.hosts) < n && q.Strategy == casched.StrategyPack && s.index.Takes(h, q) {
+			s.takeHost(h, q)
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) takeHost(h caplace.HostIndex, q *caplace.Query) {
+	s.index.TakeFor(h, q)
+	s.hosts = append(s.hosts, h)
+	if q.Strategy == casched.StrategySpread {
+		s.near = append(q.Near, h)
+		q.Near = s.near
+	}
+}
+
+func (s *Scheduler) giveHosts(d caplace.Demand) {
+	for _, h := range s.hosts {
+		s.index.Give(h, d)
+	}
+	s.hosts = s.hosts[:0]
+}
+
+// open starts the next tasks of the job on the upstreams in s.hosts, whose room
+// is taken.
+func (s *Scheduler) open(t *team, j *caledger.Job, q *caplace.Query, now time.Time) {
+	d := s.onJob(casched.DecisionPlace, s.placeReason(j, s.hosts[0]), j, now)
+	if j.Gang() {
+		d.Kind = casched.DecisionPlaceGang
+	}
+	if j.Gang() && len(s.hosts) != j.Queued() {
+		s.violated(casched.InvariantGangWhole, "%d of %d tasks of %s are placed", len(s.hosts), j.Queued(), j.ID)
+	}
+	d.Placements = make([]casched.Placement, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		o := caledger.Opening{Host: h, Upstream: s.index.ID(h), Demand: q.Demand, Now: now, End: q.End}
+		task := s.ledger.OpenNext(j, o)
+		d.Attempts = task.Attempts - 1
+		d.Placements = append(d.Placements, task.Placement())
+		s.afterTake(h)
+	}
+	s.opened(t, j, q.Demand.Size.Times(int64(len(s.hosts))), len(s.hosts), now)
+	s.emit(d)
+}
+
+// opened charges tasks that were opened and takes them out of the queue.
+func (s *Scheduler) opened(t *team, j *caledger.Job, charge cawork.Resources, n int, now time.Time) {
+	s.charge(t, charge)
+	if !t.Use.Fits(t.Allowance) {
+		s.violated(casched.InvariantWithinAllowance, "team %s has %v of %v", t.Name, t.Use, t.Allowance)
+	}
+	t.queued[j.Spec.Kind] -= n
+	t.pace[j.Spec.Kind].note(now)
+	j.ReservedAt = time.Time{}
+	s.dropDeadline(j)
+	s.dropClaimOf(j)
+	s.refreshEntry(j)
+}
+
+// afterTake asserts that the upstream is not overcommitted and lets an upstream
+// on trial take no second task.
+func (s *Scheduler) afterTake(h caplace.HostIndex) {
+	if free := s.index.FreeOn(h); free.Size.IsNegative() || free.Slots < 0 || free.Connections < 0 {
+		s.violated(casched.InvariantNoOvercommit, "upstream %s has %v left", s.index.ID(h), free)
+	}
+	if s.index.StateOf(h) == caplace.StateProbe {
+		s.index.SetVerdict(h, caplace.StateClosed)
+	}
+}
+
+func (s *Scheduler) placeReason(j *caledger.Job, h caplace.HostIndex) casched.Reason {
+	hold := s.index.HoldOf(h)
+	switch {
+	case s.index.StateOf(h) == caplace.StateProbe:
+		return casched.ReasonProbe
+	case hold.Owner == j.ID:
+		return casched.ReasonReservation
+	case hold.Owner != "":
+		return casched.ReasonBackfill
+	case j.Gang():
+		return casched.ReasonGangFits
+	case j.Spec.Urgent:
+		return casched.ReasonUrgent
+	default:
+		return casched.ReasonLowestShare
+	}
+}
--- /dev/null
+++ b/internal/core/cadecide/query.go
@@ -0,0 +1,89 @@
+package cadecide
+
+import (
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caledger"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// maxSpill is the most tasks of a job that are offered to others at a time,
+// unless it is a gang.
+const maxSpill = 64
+
+// Free implements casched.Scheduler.
+func (s *Scheduler) Free() cawork.Resources { return s.index.Free().Size }
+
+// Capacity implements casched.Scheduler.
+func (s *Scheduler) Capacity() cawork.Resources { return s.index.Capacity().Size }
+
+// Uses implements casched.Scheduler.
+func (s *Scheduler) Uses() []casched.TeamUse {
+	var out []casched.TeamUse
+	for _, t := range s.order {
+		if !t.Use.IsZero() {
+			out = append(out, casched.TeamUse{Team: t.Name, Use: t.Use})
+		}
+	}
+	return out
+}
+
+// QueueLength implements casched.Scheduler.
+func (s *Scheduler) QueueLength(name cawork.TeamName, k cawork.WorkKind) int {
+	t, ok := s.teams[name]
+	if !ok {
+		return 0
+	}
+	return t.queued[k]
+}
+
+// LargestHole implements casched.Scheduler.
+func (s *Scheduler) LargestHole(c cawork.Constraints) cawork.Resources { return s.index.LargestHole(c) }
+
+// Unplaced implements casched.Scheduler.
+func (s *Scheduler) Unplaced(limit int, now time.Time) []casched.Unplaced {
+	var out []casched.Unplaced
+	s.round++
+	for t := s.lowest(); t != nil && len(out) < limit; t = s.lowest() {
+		t.exhausted = s.round
+		var heads []*caledger.Job
+		for _, c := range t.queue.Classes() {
+			if c.BlockedAt != 0 {
+				heads = append(heads, c.Head().Value)
+			}
+		}
+		slices.SortFunc(heads, func(a, b *caledger.Job) int {
+			if a.Entry.Less(b.Entry) {
+				return -1
+			}
+			return 1
+		})
+		for _, j := range heads {
+			if u, ok := s.unplaced(t, j, now); ok && len(out) < limit {
+				out = append(out, u)
+			}
+		}
+	}
+	return out
+}
+
+// unplaced describes a job within the allowance of its team.
+func (s *Scheduler) unplaced(t *team, j *caledger.Job, now time.Time) (casched.Unplaced, bool) {
+	d := s.demand(j)
+	n := min(j.Queued(), maxSpill)
+	if j.Gang() {
+		n = j.Queued()
+	}
+	for n > 0 && !t.Allows(d.Size.Times(int64(n))) {
+		if j.Gang() {
+			return casched.Unplaced{}, false
+		}
+		n--
+	}
+	return casched.Unplaced{
+		Job: j.ID, Team: j.Team, Kind: j.Spec.Kind, Tasks: j.Peek(n), Size: d.Size,
+		RunTime: s.runTime(j), Constraints: j.Spec.Constraints, Waited: now.Sub(j.Accepted),
+	}, n > 0
+}
--- /dev/null
+++ b/internal/core/cadecide/relief.go
@@ -0,0 +1,250 @@
+package cadecide
+
+import (
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/cabackfill"
+	"celeryarch.example/celeryarch/internal/core/caledger"
+	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/capreempt"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+const (
+	// reliefPeriod is the least time between two searches for relief.
+	reliefPeriod = 100 * time.Millisecond
+	// maxReserving is the most jobs that have a reservation at a time.
+	maxReserving = 4
+	// maxPreempting is the most jobs that wait for preempted room at a time.
+	maxPreempting = 16
+	// overdueGrace is the time that a reservation is kept after its room was
+	// expected.
+	overdueGrace = 2 * time.Second
+)
+
+// claim is room that is held for a job.
+type claim struct {
+	job     *caledger.Job
+	hosts   []caplace.HostIndex
+	expires time.Time
+	preempt bool
+}
+
+// relieve helps jobs that do not fit: room is taken from teams above their
+// share for jobs of teams below theirs, and is reserved for jobs that have
+// waited long. One search is made in each period.
+func (s *Scheduler) relieve(now time.Time) {
+	if s.full() || now.Before(s.nextRelief) {
+		return
+	}
+	s.nextRelief = now.Add(reliefPeriod)
+	s.round++
+	for {
+		t := s.lowest()
+		if t == nil {
+			return
+		}
+		t.exhausted = s.round
+		j := s.blockedHead(t)
+		if j != nil && (s.preemptFor(t, j, now) || s.reserveFor(j, now)) {
+			return
+		}
+	}
+}
+
+// blockedHead returns the job of the team that is due first among those that
+// lack only room.
+func (s *Scheduler) blockedHead(t *team) *caledger.Job {
+	var first *class
+	for _, c := range t.queue.Classes() {
+		if c.BlockedAt == 0 || c.LimitedAt == t.room || s.claimed(c.Head().Value) {
+			continue
+		}
+		if first == nil || c.Head().Less(first.Head()) {
+			first = c
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.Head().Value
+}
+
+func (s *Scheduler) claimed(j *caledger.Job) bool {
+	return slices.ContainsFunc(s.claims, func(c *claim) bool { return c.job == j })
+}
+
+func (s *Scheduler) countClaims(preempt bool) int {
+	n := 0
+	for _, c := range s.claims {
+		if c.preempt == preempt {
+			n++
+		}
+	}
+	return n
+}
+
+// preemptFor makes running tasks end for the job, when its team stays within
+// its share.
+func (s *Scheduler) preemptFor(t *team, j *caledger.Job, now time.Time) bool {
+	p := s.policy.Kind(j.Spec.Kind)
+	after := p.PreemptAfter
+	if j.Spec.Urgent {
+		after = min(after, p.UrgentPreemptAfter)
+	}
+	if p.PreemptAfter == 0 || now.Sub(j.Accepted) < after || s.countClaims(true) >= maxPreempting {
+		return false
+	}
+	d, n := s.demand(j), j.Width()
+	whole := d.Size.Times(int64(n))
+	b := s.newBudget(t, j)
+	if !t.Allows(whole) || (!b.within(t, whole) && !j.Spec.Urgent) {
+		return false
+	}
+	b.ownOnly = !b.within(t, whole)
+	plan, ok := capreempt.Find(s.victims(j, now), d, n, b)
+	if !ok || len(plan.Victims) == 0 || len(s.out)+len(plan.Victims) > casched.MaxDecisions {
+		return false
+	}
+	reason := casched.ReasonShare
+	if j.Spec.Urgent {
+		reason = casched.ReasonUrgentPreemption
+	}
+	for _, v := range plan.Victims {
+		s.emit(s.checkpoint(v.Task, reason, now))
+	}
+	b.check()
+	s.hold(&claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}, plan.Hosts, now)
+	return true
+}
+
+// victims lists the upstreams that the job may use, with the tasks on them that
+// may be stopped for it.
+func (s *Scheduler) victims(j *caledger.Job, now time.Time) []capreempt.Host {
+	var out []capreempt.Host
+	for h := range s.index.Hosts() {
+		if !s.index.Admits(h, j.Spec.Constraints) || s.index.HeldFor(h, j.ID) {
+			continue
+		}
+		host := capreempt.Host{Index: h, Free: s.index.FreeOn(h)}
+		for _, t := range s.ledger.On(h) {
+			if t.Stopping == caledger.StoppingNot && t.Kind != cawork.WorkKindGang && !urgent(t) {
+				host.Victims = append(host.Victims, capreempt.Victim{Task: t, Loss: loss(t, now)})
+			}
+		}
+		out = append(out, host)
+	}
+	return out
+}
+
+func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
+
+// reserveFor reserves room for a job that has waited long.
+func (s *Scheduler) reserveFor(j *caledger.Job, now time.Time) bool {
+	p := s.policy.Kind(j.Spec.Kind)
+	if p.ReserveBound == 0 || now.Sub(j.Accepted) < p.ReserveAfter || now.Before(j.NextReserve) ||
+		s.countClaims(false) >= maxReserving {
+		return false
+	}
+	if j.ReservedAt.IsZero() {
+		j.ReservedAt = now
+	}
+	last := j.ReservedAt.Add(p.ReserveBound)
+	if !now.Before(last) {
+		j.ReservedAt, j.NextReserve = time.Time{}, now.Add(p.ReserveBound)
+		return false
+	}
+	plan, ok := s.planFor(j, now)
+	if !ok || plan.At.After(last) {
+		j.ReservedAt, j.NextReserve = time.Time{}, now.Add(p.ReserveAfter)
+		return false
+	}
+	c := &claim{job: j, expires: earlier(plan.At.Add(overdueGrace), last)}
+	for _, part := range plan.Parts {
+		c.hosts = append(c.hosts, part.Host)
+		s.index.SetHold(part.Host, s.holdOf(j, part, plan.At, now))
+	}
+	s.claims = append(s.claims, c)
+	s.emit(s.onJob(casched.DecisionReserve, casched.ReasonBlocked, j, now))
+	return true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (s *Scheduler) holdOf(j *caledger.Job, p cabackfill.Part, at, now time.Time) caplace.Hold {
+	h := caplace.Hold{Owner: j.ID, Until: at, Slack: p.Slack}
+	if !s.policy.Backfill {
+		h.Until = now
+	}
+	return h
+}
+
+// planFor finds when and where the job will fit.
+func (s *Scheduler) planFor(j *caledger.Job, now time.Time) (cabackfill.Plan, bool) {
+	var hosts []cabackfill.Host
+	var releases []cabackfill.Release
+	for h := range s.index.Hosts() {
+		if !s.index.Admits(h, j.Spec.Constraints) || s.index.HeldFor(h, j.ID) {
+			continue
+		}
+		hosts = append(hosts, cabackfill.Host{Index: h, Free: s.index.FreeOn(h)})
+		for _, t := range s.ledger.On(h) {
+			end := caplace.ExpectedEnd(t.Placed, t.End, now)
+			if t.Stopping != caledger.StoppingNot {
+				end = now.Add(s.policy.PreemptGrace)
+			}
+			if !end.IsZero() {
+				releases = append(releases, cabackfill.Release{Host: h, Demand: t.Demand, At: end})
+			}
+		}
+	}
+	return cabackfill.Find(hosts, releases, s.demand(j), j.Width(), now)
+}
+
+// hold keeps the upstreams for the job of the claim alone.
+func (s *Scheduler) hold(c *claim, hosts []caplace.HostIndex, now time.Time) {
+	for _, h := range hosts {
+		if !slices.Contains(c.hosts, h) {
+			c.hosts = append(c.hosts, h)
+			s.index.SetHold(h, caplace.Hold{Owner: c.job.ID, Until: now})
+		}
+	}
+	s.claims = append(s.claims, c)
+}
+
+func (s *Scheduler) release(c *claim) {
+	for _, h := range c.hosts {
+		s.index.SetHold(h, caplace.Hold{})
+	}
+}
+
+func (s *Scheduler) dropClaims(drop func(*claim) bool) {
+	s.claims = slices.DeleteFunc(s.claims, func(c *claim) bool {
+		if !drop(c) {
+			return false
+		}
+		s.release(c)
+		return true
+	})
+}
+
+func (s *Scheduler) dropClaimOf(j *caledger.Job) {
+	if len(s.claims) > 0 {
+		s.dropClaims(func(c *claim) bool { return c.job == j })
+	}
+}
+
+func (s *Scheduler) dropClaimsOn(h caplace.HostIndex) {
+	s.dropClaims(func(c *claim) bool { return slices.Contains(c.hosts, h) })
+}
+
+func (s *Scheduler) expireClaims(now time.Time) {
+	s.dropClaims(func(c *claim) bool { return !now.Before(c.expires) })
+}
--- /dev/null
+++ b/internal/core/cadecide/reserve.go
@@ -0,0 +1,190 @@
+package cadecide
+
+import (
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caledger"
+	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// reservation is room that is kept for tasks of another entry, or for the local
+// part of a gang. It is taken in the index like the room of tasks.
+type reservation struct {
+	request casched.ReserveRequest
+	demand  caplace.Demand
+	hosts   []caplace.HostIndex
+}
+
+func (r *reservation) answer(x *caplace.Index) casched.Reservation {
+	out := casched.Reservation{ID: r.request.ID, Expires: r.request.Expires}
+	for _, h := range r.hosts {
+		out.Upstreams = append(out.Upstreams, x.ID(h))
+	}
+	return out
+}
+
+// Reserve implements casched.Scheduler.
+func (s *Scheduler) Reserve(r casched.ReserveRequest, now time.Time) (casched.Reservation, error) {
+	s.expireReservations(now)
+	if known, ok := s.reservations[r.ID]; ok {
+		return known.answer(s.index), nil
+	}
+	q := caplace.Query{
+		Demand: s.demandOf(r.Size, r.Kind), Constraints: r.Constraints,
+		Strategy: s.policy.Kind(r.Kind).Strategy, Job: r.Job,
+	}
+	if r.RunTime > 0 {
+		q.End = now.Add(r.RunTime)
+	}
+	count := min(r.Count, casched.MaxTasks, s.index.Count(&q, r.Count))
+	if count < max(1, r.Min) || !now.Before(r.Expires) || !s.findHosts(&q, count) {
+		return casched.Reservation{}, cakind.New(cakind.KindUnavailable, "%d tasks of %v do not fit", r.Min, r.Size)
+	}
+	n := &reservation{request: r, demand: q.Demand, hosts: slices.Clone(s.hosts)}
+	for _, h := range n.hosts {
+		s.afterTake(h)
+	}
+	s.reservations[r.ID] = n
+	return n.answer(s.index), nil
+}
+
+// CommitReservation implements casched.Scheduler.
+func (s *Scheduler) CommitReservation(id casched.ReservationID, tasks []cawork.TaskRef, now time.Time) error {
+	s.expireReservations(now)
+	r, ok := s.reservations[id]
+	if !ok {
+		return cakind.New(cakind.KindNotFound, "reservation %s is not known", id)
+	}
+	if len(tasks) > len(r.hosts) {
+		return cakind.New(cakind.KindInvalid, "%d tasks for %d reserved", len(tasks), len(r.hosts))
+	}
+	for _, ref := range tasks {
+		if s.ledger.Task(ref) != nil {
+			return cakind.New(cakind.KindConflict, "task %v is open", ref)
+		}
+	}
+	var end time.Time
+	if r.request.RunTime > 0 {
+		end = now.Add(r.request.RunTime)
+	}
+	for i, ref := range tasks {
+		h := r.hosts[i]
+		o := caledger.Opening{Host: h, Upstream: s.index.ID(h), Demand: r.demand, Now: now, End: end}
+		s.ledger.OpenForeign(ref, r.request.Team, r.request.Kind, o)
+	}
+	r.hosts = r.hosts[len(tasks):]
+	s.ReleaseReservation(id, now)
+	return nil
+}
+
+// ReleaseReservation implements casched.Scheduler.
+func (s *Scheduler) ReleaseReservation(id casched.ReservationID, _ time.Time) {
+	r, ok := s.reservations[id]
+	if !ok {
+		return
+	}
+	for _, h := range r.hosts {
+		s.index.Give(h, r.demand)
+	}
+	delete(s.reservations, id)
+}
+
+func (s *Scheduler) expireReservations(now time.Time) {
+	for id, r := range s.reservations {
+		if !now.Before(r.request.Expires) {
+			s.ReleaseReservation(id, now)
+		}
+	}
+}
+
+// PlaceReserved implements casched.Scheduler.
+func (s *Scheduler) PlaceReserved(
+	placements []casched.Placement, local casched.ReservationID, now time.Time,
+) (casched.Decision, error) {
+	s.expireReservations(now)
+	r, ok := s.reservations[local]
+	if local != "" && !ok {
+		return casched.Decision{}, cakind.New(cakind.KindNotFound, "reservation %s is not known", local)
+	}
+	j, total, err := s.checkPlacements(placements)
+	if err != nil {
+		return casched.Decision{}, err
+	}
+	openings, err := s.openings(placements, j, r, now)
+	if err != nil {
+		return casched.Decision{}, err
+	}
+	d := s.onJob(casched.DecisionPlace, casched.ReasonReservation, j, now)
+	if j.Gang() {
+		d.Kind = casched.DecisionPlaceGang
+	}
+	for i, o := range openings {
+		s.ledger.OpenIndex(j, placements[i].Task.Index, o)
+	}
+	s.ReleaseReservation(local, now)
+	s.opened(s.team(j.Team), j, total, len(placements), now)
+	d.Placements = slices.Clone(placements)
+	return d, nil
+}
+
+// checkPlacements returns the job of the placements and their size together.
+func (s *Scheduler) checkPlacements(placements []casched.Placement) (*caledger.Job, cawork.Resources, error) {
+	var total cawork.Resources
+	if len(placements) == 0 {
+		return nil, total, cakind.New(cakind.KindInvalid, "there are no placements")
+	}
+	j := s.ledger.Job(placements[0].Task.Job)
+	if j == nil || !j.Startable() {
+		return nil, total, cakind.New(cakind.KindConflict, "job %s has no task to start", placements[0].Task.Job)
+	}
+	seen := make(map[int]bool, len(placements))
+	for _, p := range placements {
+		if p.Task.Job != j.ID || seen[p.Task.Index] || !j.IsQueued(p.Task.Index) {
+			return nil, total, cakind.New(cakind.KindConflict, "task %v is not queued", p.Task)
+		}
+		seen[p.Task.Index] = true
+		total = total.Plus(p.Size)
+	}
+	if j.Gang() && len(placements) != j.Queued() {
+		return nil, total, cakind.New(cakind.KindConflict, "a gang of %d is placed whole", j.Queued())
+	}
+	if !s.team(j.Team).Allows(total) {
+		return nil, total, cakind.New(cakind.KindLimitReached, "the allowance of team %s does not suffice", j.Team)
+	}
+	return j, total, nil
+}
+
+// openings returns how to open each placement. Those on own upstreams take
+// their room over from the reservation.
+func (s *Scheduler) openings(
+	placements []casched.Placement, j *caledger.Job, r *reservation, now time.Time,
+) ([]caledger.Opening, error) {
+	var left []caplace.HostIndex
+	if r != nil {
+		left = slices.Clone(r.hosts)
+	}
+	out := make([]caledger.Opening, 0, len(placements))
+	for _, p := range placements {
+		o := caledger.Opening{
+			Host: caplace.NoHost, Upstream: p.Upstream, Demand: s.demandOf(p.Size, j.Spec.Kind),
+			Now: now, End: s.end(j, now),
+		}
+		if h, own := s.index.Host(p.Upstream); own {
+			i := slices.Index(left, h)
+			if i < 0 || r.demand != o.Demand {
+				return nil, cakind.New(cakind.KindInvalid, "room for %v is not reserved on %s", p.Task, p.Upstream)
+			}
+			left = slices.Delete(left, i, i+1)
+			o.Host = h
+		}
+		out = append(out, o)
+	}
+	if r != nil {
+		r.hosts = left
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/core/cadecide/submit.go
@@ -0,0 +1,193 @@
+package cadecide
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caledger"
+	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/caqueue"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+	// paceWeight is the weight of the latest interval between two starts.
+	paceWeight = 1.0 / 16
+)
+
+// pace follows the interval between starts of a team and kind.
+type pace struct {
+	last     time.Time
+	interval time.Duration
+}
+
+func (p *pace) note(now time.Time) {
+	if !p.last.IsZero() {
+		p.interval += time.Duration(paceWeight * float64(now.Sub(p.last)-p.interval))
+	}
+	p.last = now
+}
+
+// Submit implements casched.Scheduler.
+func (s *Scheduler) Submit(j cawork.Job, now time.Time) error {
+	if err := casched.Validate(j); err != nil {
+		return err
+	}
+	if s.ledger.Job(j.ID) != nil {
+		return cakind.New(cakind.KindConflict, "job %s is known", j.ID)
+	}
+	if j.Spec.Deadline > 0 && !now.Before(j.Accepted.Add(j.Spec.Deadline)) {
+		return cakind.New(cakind.KindDeadlineBeforeStart, "the deadline of job %s has passed", j.ID)
+	}
+	if err := s.policy.NeverFits(j, s.shapesKnown(), s.total()); err != nil {
+		return err
+	}
+	t := s.team(j.Team)
+	length, bound := t.queued[j.Spec.Kind]+j.Spec.Tasks, s.policy.Bound(j.Spec)
+	if length > bound {
+		return cakind.New(cakind.KindOverloaded, "%d tasks of kind %v of team %s are queued, allowed are %d",
+			t.queued[j.Spec.Kind], j.Spec.Kind, j.Team, bound).
+			WithRetryAfter(t.retryAfter(j.Spec.Kind, length-bound))
+	}
+	s.enqueue(s.ledger.Add(j))
+	return nil
+}
+
+// retryAfter returns the time in which the team is expected to start the number
+// of tasks.
+func (t *team) retryAfter(k cawork.WorkKind, tasks int) time.Duration {
+	wait := time.Duration(tasks) * t.pace[k].interval
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// enqueue puts a new job into the accounts and the queue.
+func (s *Scheduler) enqueue(j *caledger.Job) {
+	s.team(j.Team).queued[j.Spec.Kind] += j.Queued()
+	if j.Spec.Deadline > 0 && j.Untouched() {
+		s.expiry[j.ID] = s.deadlines.Push(j, caqueue.Key{}, j.Accepted.Add(j.Spec.Deadline))
+	}
+	s.refreshEntry(j)
+}
+
+// refreshEntry makes the queue hold the job exactly when it may start tasks.
+func (s *Scheduler) refreshEntry(j *caledger.Job) {
+	t := s.team(j.Team)
+	switch startable := j.Startable(); {
+	case startable && j.Entry == nil:
+		j.Entry = t.queue.Push(j, caqueue.KeyOf(j.Spec), s.policy.Due(j.Job, s.runTime(j)))
+	case !startable && j.Entry != nil:
+		t.queue.Remove(j.Entry)
+		j.Entry = nil
+	}
+}
+
+func (s *Scheduler) dropDeadline(j *caledger.Job) {
+	if e, ok := s.expiry[j.ID]; ok {
+		s.deadlines.Remove(e)
+		delete(s.expiry, j.ID)
+	}
+}
+
+// Restore implements casched.Scheduler.
+func (s *Scheduler) Restore(r casched.RestoredJob, now time.Time) error {
+	if err := casched.Validate(r.Job); err != nil {
+		return err
+	}
+	if s.ledger.Job(r.Job.ID) != nil {
+		return cakind.New(cakind.KindConflict, "job %s is known", r.Job.ID)
+	}
+	j := s.ledger.Add(r.Job)
+	for _, rt := range r.Tasks {
+		switch rt.Phase {
+		case casched.TaskPhaseEnded:
+			j.EndQueued(rt.Index, rt.Outcome)
+		case casched.TaskPhaseOpen:
+			j.SetAttempts(rt.Index, max(0, rt.Attempts-1))
+			s.openKnown(j, rt.Index, rt.Upstream, rt.Size, now)
+		default:
+			j.SetAttempts(rt.Index, rt.Attempts)
+		}
+	}
+	for _, t := range s.ledger.Foreign(r.Job.ID) {
+		s.openKnown(j, t.Ref.Index, t.Upstream, t.Demand.Size, now)
+	}
+	s.enqueue(j)
+	s.noteBroken(j)
+	s.finish(j)
+	return nil
+}
+
+// openKnown opens a queued task that already runs somewhere.
+func (s *Scheduler) openKnown(
+	j *caledger.Job, index int, upstream cawork.UpstreamID, size cawork.Resources, now time.Time,
+) bool {
+	if size.IsZero() {
+		size = j.Spec.Size
+	}
+	if !j.IsQueued(index) {
+		return false
+	}
+	if t := s.ledger.Task(cawork.TaskRef{Job: j.ID, Index: index}); t != nil {
+		s.ledger.Drop(t)
+		if t.Host != caplace.NoHost {
+			s.index.Give(t.Host, t.Demand)
+		}
+	}
+	o := s.opening(upstream, s.demandOf(size, j.Spec.Kind), s.end(j, now), now)
+	s.ledger.OpenIndex(j, index, o)
+	s.charge(s.team(j.Team), size)
+	return true
+}
+
+// opening takes the room of a task that runs on the upstream, when it is an
+// own one.
+func (s *Scheduler) opening(
+	upstream cawork.UpstreamID, d caplace.Demand, end, now time.Time,
+) caledger.Opening {
+	h, ok := s.index.Host(upstream)
+	if !ok {
+		h = caplace.NoHost
+	} else {
+		s.index.Take(h, d)
+	}
+	return caledger.Opening{Host: h, Upstream: upstream, Demand: d, Now: now, End: end}
+}
+
+// Cancel implements casched.Scheduler.
+func (s *Scheduler) Cancel(id cawork.JobID, now time.Time) (casched.Cancellation, error) {
+	j := s.ledger.Job(id)
+	if j == nil {
+		return casched.Cancellation{}, cakind.New(cakind.KindNotFound, "job %s is not known", id)
+	}
+	var c casched.Cancellation
+	c.NotRun = s.dropQueued(j, cawork.OutcomeCanceled)
+	for _, t := range j.Open {
+		c.Running = append(c.Running, t.Placement())
+		s.ask(t, caledger.StoppingStop, now)
+	}
+	_, c.Ended = s.finish(j)
+	return c, nil
+}
+
+// dropQueued ends the job as far as it has not started.
+func (s *Scheduler) dropQueued(j *caledger.Job, o cawork.Outcome) int {
+	n := j.DropQueued(o)
+	j.Ending = true
+	s.team(j.Team).queued[j.Spec.Kind] -= n
+	s.refreshEntry(j)
+	s.dropDeadline(j)
+	s.dropClaimOf(j)
+	return n
+}
+
+// finish forgets the job when it is over.
+func (s *Scheduler) finish(j *caledger.Job) (cawork.Outcome, bool) {
+	o, over := j.Over()
+	if over {
+		s.ledger.Forget(j)
+	}
+	return o, over
+}
--- a/internal/core/caeject/eject.go
+++ b/internal/core/caeject/eject.go
@@ -181,5 +181,11 @@
 	return out
 }
 
+// OnTrial reports whether the upstream is on trial.
+func (m *Monitor) OnTrial(id cawork.UpstreamID) bool {
+	r, ok := m.records[id]
+	return ok && r.state == StateTrial
+}
+
 // Ejected returns the number of upstreams that are not trusted.
 func (m *Monitor) Ejected() int { return len(m.out) }
--- a/internal/core/caestimate/estimate.go
+++ b/internal/core/caestimate/estimate.go
@@ -96,6 +96,7 @@
 // Estimator holds what was observed.
 type Estimator struct {
 	records map[key]*record
+	version uint64
 }
 
 // NewEstimator returns an estimator that corrects nothing yet.
@@ -111,23 +112,35 @@
 	return r
 }
 
+// Version returns a number that grows whenever a correction changes.
+func (e *Estimator) Version() uint64 { return e.version }
+
+// note adds a ratio to the histogram.
+func (e *Estimator) note(h *histogram, ratio, quantile, least, most float64) {
+	before := h.correction()
+	h.add(ratio, quantile, least, most)
+	if h.correction() != before {
+		e.version++
+	}
+}
+
 // ObserveSize adds the highest usage of a task. A dimension without a usage
 // report is left out.
 func (e *Estimator) ObserveSize(team cawork.TeamName, kind cawork.WorkKind, declared, peak cawork.Resources) {
 	r := e.record(team, kind)
 	if declared.CPU > 0 && peak.CPU > 0 {
-		r.cpu.add(float64(peak.CPU)/float64(declared.CPU), sizeQuantile, minSizeFactor, maxSizeFactor)
+		e.note(&r.cpu, float64(peak.CPU)/float64(declared.CPU), sizeQuantile, minSizeFactor, maxSizeFactor)
 	}
 	if declared.Memory > 0 && peak.Memory > 0 {
-		r.memory.add(float64(peak.Memory)/float64(declared.Memory), sizeQuantile, minSizeFactor, maxSizeFactor)
+		e.note(&r.memory, float64(peak.Memory)/float64(declared.Memory), sizeQuantile, minSizeFactor, maxSizeFactor)
 	}
 }
 
 // ObserveRunTime adds the run time of a task that ended well.
 func (e *Estimator) ObserveRunTime(team cawork.TeamName, kind cawork.WorkKind, declared, ran time.Duration) {
 	if declared > 0 {
-		e.record(team, kind).runTime.add(
-			float64(ran)/float64(declared), timeQuantile, minTimeFactor, maxTimeFactor)
+		h := &e.record(team, kind).runTime
+		e.note(h, float64(ran)/float64(declared), timeQuantile, minTimeFactor, maxTimeFactor)
 	}
 }
 
--- a/internal/core/caledger/job.go
+++ b/internal/core/caledger/job.go
@@ -77,8 +77,10 @@
 	ReservedAt time.Time
 	// NextReserve is when the job may reserve again.
 	NextReserve time.Time
-	// Blocked is when the head of the queue was first found not to fit.
-	Blocked time.Time
+	// Demand and RunTime are what a task is taken to need, as of Version.
+	Demand  caplace.Demand
+	RunTime time.Duration
+	Version uint64
 
 	fresh  int
 	again  []waiting
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -10,15 +10,23 @@
 
 // Ledger holds the jobs and the open tasks.
 type Ledger struct {
+	report  func(*casched.Violation)
+	foreign map[cawork.JobID]int
+
 	jobs   map[cawork.JobID]*Job
 	open   map[cawork.TaskRef]*Task
 	byHost [][]*Task
 	all    []*Task
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{jobs: map[cawork.JobID]*Job{}, open: map[cawork.TaskRef]*Task{}}
+// NewLedger returns an empty ledger that reports tasks that are opened twice.
+func NewLedger(report func(*casched.Violation)) *Ledger {
+	return &Ledger{
+		report:  report,
+		foreign: map[cawork.JobID]int{},
+		jobs:    map[cawork.JobID]*Job{},
+		open:    map[cawork.TaskRef]*Task{},
+	}
 }
 
 // Job returns the job, nil when it is not known.
@@ -88,14 +96,32 @@
 	return t
 }
 
+// Foreign lists the open foreign tasks of the job.
+func (l *Ledger) Foreign(id cawork.JobID) []*Task {
+	var out []*Task
+	if l.foreign[id] == 0 {
+		return out
+	}
+	for _, t := range l.all {
+		if t.Job == nil && t.Ref.Job == id {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // OpenForeign opens a task of another shard.
 func (l *Ledger) OpenForeign(ref cawork.TaskRef, team cawork.TeamName, k cawork.WorkKind, o Opening) *Task {
 	t := &Task{Ref: ref, Team: team, Kind: k, Attempts: 1}
+	l.foreign[ref.Job]++
 	l.insert(t, o)
 	return t
 }
 
 func (l *Ledger) insert(t *Task, o Opening) {
+	if l.open[t.Ref] != nil {
+		l.report(casched.Violated(casched.InvariantPlacedOnce, "task %v is open twice", t.Ref))
+	}
 	t.Demand, t.Placed, t.End = o.Demand, o.Now, o.End
 	l.open[t.Ref] = t
 	t.inAll = len(l.all)
@@ -130,6 +156,9 @@
 	l.byHost[t.Host] = on[:last]
 }
 
+// Drop takes an open foreign task out, whose own shard is led here now.
+func (l *Ledger) Drop(t *Task) { l.remove(t) }
+
 // remove takes an open task out of all lists.
 func (l *Ledger) remove(t *Task) {
 	delete(l.open, t.Ref)
@@ -140,6 +169,7 @@
 	l.all[last] = nil
 	l.all = l.all[:last]
 	if t.Job == nil {
+		l.forgetForeign(t.Ref.Job)
 		return
 	}
 	open := t.Job.Open
@@ -150,6 +180,13 @@
 	t.Job.Open = open[:last]
 }
 
+func (l *Ledger) forgetForeign(id cawork.JobID) {
+	l.foreign[id]--
+	if l.foreign[id] == 0 {
+		delete(l.foreign, id)
+	}
+}
+
 // Settle ends the attempt of an open task: the task is queued again when the
 // state and the bound of attempts allow it, or gets its outcome. The caller
 // frees what it took.
