Skip classes of the queue by their least size

Change: marks with the least size of a class are kept apart and compared with the room that was freed; estimates carry a version by team and kind; one team is searched for in each relief period, and not again for a second.

--- /dev/null
+++ b/internal/core/cadecide/bench_test.go
@@ -0,0 +1,199 @@
+package cadecide_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/cadecide"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// cell is a cell with a backlog whose tasks end and are replaced.
+type cell struct {
+	s       casched.Scheduler
+	rng     *rand.Rand
+	now     time.Time
+	teams   int
+	jobs    int
+	running []casched.Placement
+}
+
+func randomSpec(rng *rand.Rand) cawork.JobSpec {
+	spec := cawork.JobSpec{
+		Kind: cawork.WorkKindBatch, Tasks: 1, Idempotent: true,
+		Size: cawork.Resources{
+			CPU:    cawork.MilliCPU(250 * (1 + rng.Int64N(32))),
+			Memory: cawork.Bytes(256*(1+rng.Int64N(64))) * cawork.MiB,
+		},
+		RunTime: time.Duration(1+rng.IntN(600)) * time.Second,
+	}
+	switch rng.IntN(20) {
+	case 0:
+		spec.Kind, spec.Tasks = cawork.WorkKindGang, 2+rng.IntN(8)
+	case 1, 2, 3:
+		spec.Kind = cawork.WorkKindService
+	case 4:
+		spec.Urgent = true
+	}
+	return spec
+}
+
+func (c *cell) submit(tb testing.TB) {
+	spec := randomSpec(c.rng)
+	c.jobs++
+	j := cawork.Job{
+		ID: cawork.JobID(fmt.Sprintf("j%d", c.jobs)), Team: cawork.TeamName(fmt.Sprintf("team%d", c.jobs%c.teams)),
+		Spec: spec, Accepted: c.now,
+	}
+	if err := c.s.Submit(j, c.now); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// newCell returns a cell of workers that is full and has a queue.
+func newCell(tb testing.TB, workers, teams, queued int) *cell {
+	p := casched.DefaultPolicy()
+	for _, k := range cawork.WorkKindValues() {
+		kp := p.Kind(k)
+		kp.QueueBound = 1_000_000
+		p = p.WithKind(k, kp)
+	}
+	c := &cell{rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1e9, 0), teams: teams}
+	c.s = cadecide.New(p, func(v *casched.Violation) { tb.Fatal(v) })
+	for i := range workers {
+		c.s.PutUpstream(casched.Upstream{
+			ID: cawork.UpstreamID(fmt.Sprintf("u%d", i)), Zone: "z", Rack: cawork.RackName(fmt.Sprintf("r%d", i/6)),
+			Capacity: cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB}, Slots: 8, Connections: 64,
+		}, c.now)
+	}
+	for i := range teams {
+		c.s.SetAllowance(cawork.TeamName(fmt.Sprintf("team%d", i)), casched.Unlimited(), c.now)
+	}
+	c.fill(tb, queued)
+	return c
+}
+
+// fill submits until the queue is as long as wanted while nothing fits.
+func (c *cell) fill(tb testing.TB, queued int) {
+	for {
+		before := c.jobs
+		for c.queued() < queued {
+			c.submit(tb)
+		}
+		if c.decide() == 0 && before == c.jobs {
+			return
+		}
+	}
+}
+
+func (c *cell) queued() int {
+	n := 0
+	for i := range c.teams {
+		for _, k := range cawork.WorkKindValues() {
+			n += c.s.QueueLength(cawork.TeamName(fmt.Sprintf("team%d", i)), k)
+		}
+	}
+	return n
+}
+
+func (c *cell) decide() int {
+	placed := 0
+	for _, d := range c.s.Decide(c.now) {
+		if d.Kind == casched.DecisionPlace || d.Kind == casched.DecisionPlaceGang {
+			c.running = append(c.running, d.Placements...)
+			placed += len(d.Placements)
+		}
+	}
+	return placed
+}
+
+// endOne ends a random running task.
+func (c *cell) endOne() {
+	i := c.rng.IntN(len(c.running))
+	ref := c.running[i].Task
+	c.running[i] = c.running[len(c.running)-1]
+	c.running = c.running[:len(c.running)-1]
+	c.s.Ended(casched.End{Task: ref, State: cawork.TaskStateDone, Elapsed: time.Minute}, c.now)
+}
+
+// BenchmarkDecide ends a task, submits what was placed, and decides. One
+// operation is one such round, of which p50 and p99 are reported, with the
+// placements in each.
+func BenchmarkDecide(b *testing.B) {
+	cases := []struct{ workers, teams, queued int }{
+		{50, 6, 1_000},
+		{910, 22, 1_000},
+		{910, 22, 10_000},
+		{910, 22, 100_000},
+	}
+	for _, k := range cases {
+		b.Run(fmt.Sprintf("workers=%d/teams=%d/queued=%d", k.workers, k.teams, k.queued), func(b *testing.B) {
+			c := newCell(b, k.workers, k.teams, k.queued)
+			b.ReportMetric(float64(len(c.running)), "running")
+			took := make([]time.Duration, 0, b.N)
+			placed := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				c.now = c.now.Add(10 * time.Millisecond)
+				start := time.Now()
+				c.endOne()
+				n := c.decide()
+				took = append(took, time.Since(start))
+				placed += n
+				for range n {
+					c.submit(b)
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+			b.ReportMetric(float64(placed)/float64(len(took)), "placed/op")
+		})
+	}
+}
+
+// BenchmarkFill places tasks on an empty cell as fast as it can. One operation
+// is one placement.
+func BenchmarkFill(b *testing.B) {
+	b.ReportAllocs()
+	placed := 0
+	for placed < b.N {
+		b.StopTimer()
+		c := newCell(b, 0, 22, 10_000)
+		for i := range 910 {
+			c.s.PutUpstream(casched.Upstream{
+				ID: cawork.UpstreamID(fmt.Sprintf("u%d", i)), Rack: cawork.RackName(fmt.Sprintf("r%d", i/6)),
+				Capacity: cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB},
+			}, c.now)
+		}
+		b.StartTimer()
+		for n := c.decide(); n > 0 && placed < b.N; n = c.decide() {
+			placed += n
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(placed), "ns/placement")
+}
+
+// BenchmarkCancel cancels queued jobs of a wave.
+func BenchmarkCancel(b *testing.B) {
+	for _, queued := range []int{10_000, 100_000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			b.ReportAllocs()
+			for done := 0; done < b.N; {
+				b.StopTimer()
+				c := newCell(b, 0, 22, queued)
+				b.StartTimer()
+				for i := 0; i < c.jobs && done < b.N; i++ {
+					if _, err := c.s.Cancel(cawork.JobID(fmt.Sprintf("j%d", i+1)), c.now); err != nil {
+						b.Fatal(err)
+					}
+					done++
+				}
+			}
+		})
+	}
+}
--- a/internal/core/cadecide/budget.go
+++ b/internal/core/cadecide/budget.go
@@ -4,6 +4,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/core/caledger"
 	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/core/cashare"
 )
 
 // budget bounds a preemption: no team goes below the share that it is owed.
@@ -13,17 +14,23 @@
 	job     *caledger.Job
 	active  int
 	ownOnly bool
-	taken   map[*team]cawork.Resources
+	taken   map[*cashare.Team]cawork.Resources
 }
 
 func (s *Scheduler) newBudget(t *team, j *caledger.Job) *budget {
-	b := &budget{s: s, job: j, taken: map[*team]cawork.Resources{}}
+	return &budget{s: s, job: j, active: s.activeWeight(t), taken: map[*cashare.Team]cawork.Resources{}}
+}
+
+// activeWeight returns the weight of all teams that use or want something, with
+// the given one.
+func (s *Scheduler) activeWeight(t *team) int {
+	sum := 0
 	for _, o := range s.order {
 		if o == t || o.queue.Len() > 0 || !o.Use.IsZero() || !o.Remote.IsZero() {
-			b.active += o.Weight()
+			sum += o.Weight()
 		}
 	}
-	return b
+	return sum
 }
 
 // within reports whether the team stays within its share with the amount added.
@@ -31,43 +38,44 @@
 	return b.s.shares.Dominant(t.Team, r) <= t.Entitlement(b.active)
 }
 
-// Spend implements capreempt.Budget.
-func (b *budget) Spend(v *caledger.Task) bool {
-	t := b.s.team(v.Team)
+// allows reports whether the task alone is within the budget.
+func (b *budget) allows(v *caledger.Task) bool {
 	if v.Team == b.job.Team {
 		return b.job.Spec.Urgent
 	}
-	if b.ownOnly {
+	return !b.ownOnly && b.keeps(v.Account, b.taken[v.Account].Plus(v.Demand.Size))
+}
+
+// Spend implements capreempt.Budget.
+func (b *budget) Spend(v *caledger.Task) bool {
+	if !b.allows(v) {
 		return false
 	}
-	after := b.taken[t].Plus(v.Demand.Size)
-	if !b.keeps(t, after) {
-		return false
+	if v.Team != b.job.Team {
+		b.taken[v.Account] = b.taken[v.Account].Plus(v.Demand.Size)
 	}
-	b.taken[t] = after
 	return true
 }
 
 // Refund implements capreempt.Budget.
 func (b *budget) Refund(v *caledger.Task) {
 	if v.Team != b.job.Team {
-		t := b.s.team(v.Team)
-		b.taken[t] = b.taken[t].Minus(v.Demand.Size)
+		b.taken[v.Account] = b.taken[v.Account].Minus(v.Demand.Size)
 	}
 }
 
 // keeps reports whether the team keeps its share without the amount and
 // without what was asked to end already.
-func (b *budget) keeps(t *team, r cawork.Resources) bool {
-	less := cawork.Resources{}.Minus(r).Minus(t.stopping)
-	return b.s.shares.Dominant(t.Team, less) >= t.Entitlement(b.active)
+func (b *budget) keeps(t *cashare.Team, r cawork.Resources) bool {
+	less := cawork.Resources{}.Minus(r).Minus(t.Stopping)
+	return b.s.shares.Dominant(t, less) >= t.Entitlement(b.active)
 }
 
 // check asserts that no team was taken below its share.
 func (b *budget) check() {
-	for t := range b.taken {
-		if !b.keeps(t, cawork.Resources{}) && !b.taken[t].IsZero() {
-			b.s.violated(casched.InvariantShareKept, "team %s lost %v", t.Name, b.taken[t])
+	for t, r := range b.taken {
+		if !r.IsZero() && !b.keeps(t, cawork.Resources{}) {
+			b.s.violated(casched.InvariantShareKept, "team %s lost %v", t.Name, r)
 		}
 	}
 }
--- a/internal/core/cadecide/check.go
+++ b/internal/core/cadecide/check.go
@@ -68,7 +68,7 @@
 		}
 	})
 	for _, t := range s.order {
-		if t.Use != use[t.Name] || t.stopping != stopping[t.Name] {
+		if t.Use != use[t.Name] || t.Stopping != stopping[t.Name] {
 			return casched.Violated(casched.InvariantAccounts, "team %s uses %v, not %v", t.Name, use[t.Name], t.Use)
 		}
 		if q := queued[t.Name]; (q != nil && *q != t.queued) || (q == nil && t.queued != [kindCount]int{}) {
--- a/internal/core/cadecide/decide.go
+++ b/internal/core/cadecide/decide.go
@@ -84,7 +84,7 @@
 // lose least.
 func (s *Scheduler) stopExcess(now time.Time) {
 	for _, tm := range s.order {
-		for !s.full() && !tm.Use.Minus(tm.stopping).Fits(tm.Allowance) {
+		for !s.full() && !tm.Use.Minus(tm.Stopping).Fits(tm.Allowance) {
 			t := s.cheapest(tm, now)
 			if t == nil {
 				break
@@ -97,7 +97,7 @@
 // cheapest returns the task whose end relieves the account of the team at the
 // least loss.
 func (s *Scheduler) cheapest(tm *team, now time.Time) *caledger.Task {
-	excess := tm.Use.Minus(tm.stopping).Minus(tm.Allowance)
+	excess := tm.Use.Minus(tm.Stopping).Minus(tm.Allowance)
 	var best *caledger.Task
 	for _, t := range s.ledger.All() {
 		if t.Job == nil || t.Team != tm.Name || t.Stopping != caledger.StoppingNot || !relieves(t, excess) {
--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -58,21 +58,39 @@
 func (s *Scheduler) collect(t *team, now time.Time) {
 	s.candidates = s.candidates[:0]
 	seq := s.index.Seq()
-	for _, c := range t.queue.Classes() {
-		if c.BlockedAt == seq || c.LimitedAt == t.room {
+	freed := s.index.FreedSince(0)
+	classes, marks := t.queue.Classes(), t.queue.Marks()
+	for i := range marks {
+		m := &marks[i]
+		if m.BlockedAt == seq || m.LimitedAt == t.room {
 			continue
 		}
-		if c.BlockedAt != 0 {
-			q := s.query(c.Head().Value, now)
-			if !s.index.FitsSince(&q, c.BlockedAt) {
-				c.BlockedAt = seq
-				continue
-			}
+		if m.BlockedAt != 0 && !s.mayFit(t, m, classes[i], &freed, now) {
+			m.BlockedAt = seq
+			continue
 		}
-		s.candidates = append(s.candidates, c)
+		s.candidates = append(s.candidates, classes[i])
 	}
 }
 
+// mayFit reports whether the head of a class that did not fit may do so on an
+// upstream that got more room since.
+func (s *Scheduler) mayFit(t *team, m *caqueue.Mark, c *class, freed *caplace.Freed, now time.Time) bool {
+	if freed.Seq != m.BlockedAt {
+		*freed = s.index.FreedSince(m.BlockedAt)
+	}
+	if freed.Known && !t.scaled(m).Fits(freed.Room) {
+		return false
+	}
+	q := s.query(c.Head().Value, now)
+	return s.index.FitsSince(&q, m.BlockedAt)
+}
+
+// scaled returns a lower bound of the corrected sizes in the class.
+func (t *team) scaled(m *caqueue.Mark) cawork.Resources {
+	return t.records[m.Kind].Least(m.Least)
+}
+
 // takeFirst removes and returns the candidate whose head is due first.
 func (s *Scheduler) takeFirst() *class {
 	first := 0
@@ -94,11 +112,11 @@
 	q := s.query(j, now)
 	n := j.Width()
 	if !t.Allows(q.Demand.Size.Times(int64(n))) {
-		c.LimitedAt = t.room
+		t.queue.Mark(c).LimitedAt = t.room
 		return false
 	}
 	if !s.findHosts(&q, n) {
-		c.BlockedAt = s.index.Seq()
+		t.queue.Mark(c).BlockedAt = s.index.Seq()
 		return false
 	}
 	s.open(t, j, &q, now)
@@ -154,7 +172,9 @@
 	}
 	d.Placements = make([]casched.Placement, 0, len(s.hosts))
 	for _, h := range s.hosts {
-		o := caledger.Opening{Host: h, Upstream: s.index.ID(h), Demand: q.Demand, Now: now, End: q.End}
+		o := caledger.Opening{
+			Host: h, Upstream: s.index.ID(h), Demand: q.Demand, Account: t.Team, Now: now, End: q.End,
+		}
 		task := s.ledger.OpenNext(j, o)
 		d.Attempts = task.Attempts - 1
 		d.Placements = append(d.Placements, task.Placement())
--- a/internal/core/cadecide/query.go
+++ b/internal/core/cadecide/query.go
@@ -49,8 +49,8 @@
 	for t := s.lowest(); t != nil && len(out) < limit; t = s.lowest() {
 		t.exhausted = s.round
 		var heads []*caledger.Job
-		for _, c := range t.queue.Classes() {
-			if c.BlockedAt != 0 {
+		for i, c := range t.queue.Classes() {
+			if t.queue.Marks()[i].BlockedAt != 0 {
 				heads = append(heads, c.Head().Value)
 			}
 		}
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -14,7 +14,10 @@
 
 const (
 	// reliefPeriod is the least time between two searches for relief.
-	reliefPeriod = 100 * time.Millisecond
+	reliefPeriod = 50 * time.Millisecond
+	// reliefPause is the time after which relief for a team is searched again
+	// when none was found.
+	reliefPause = time.Second
 	// maxReserving is the most jobs that have a reservation at a time.
 	maxReserving = 4
 	// maxPreempting is the most jobs that wait for preempted room at a time.
@@ -34,7 +37,7 @@
 
 // relieve helps jobs that do not fit: room is taken from teams above their
 // share for jobs of teams below theirs, and is reserved for jobs that have
-// waited long. One search is made in each period.
+// waited long. One team is helped or searched for in each period.
 func (s *Scheduler) relieve(now time.Time) {
 	if s.full() || now.Before(s.nextRelief) {
 		return
@@ -47,10 +50,21 @@
 			return
 		}
 		t.exhausted = s.round
+		if now.Before(t.nextRelief) {
+			continue
+		}
 		j := s.blockedHead(t)
-		if j != nil && (s.preemptFor(t, j, now) || s.reserveFor(j, now)) {
-			return
+		if j == nil {
+			continue
+		}
+		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(j, now)
+		if !preempt && !reserve {
+			continue
 		}
+		if !(preempt && s.preemptFor(t, j, now)) && !(reserve && s.reserveFor(j, now)) {
+			t.nextRelief = now.Add(reliefPause)
+		}
+		return
 	}
 }
 
@@ -58,15 +72,16 @@
 // lack only room.
 func (s *Scheduler) blockedHead(t *team) *caledger.Job {
 	var first *class
-	for _, c := range t.queue.Classes() {
-		if c.BlockedAt == 0 || c.LimitedAt == t.room || s.claimed(c.Head().Value) {
+	for i, c := range t.queue.Classes() {
+		m := &t.queue.Marks()[i]
+		if m.BlockedAt == 0 || m.LimitedAt == t.room {
 			continue
 		}
 		if first == nil || c.Head().Less(first.Head()) {
 			first = c
 		}
 	}
-	if first == nil {
+	if first == nil || s.claimed(first.Head().Value) {
 		return nil
 	}
 	return first.Head().Value
@@ -86,9 +101,8 @@
 	return n
 }
 
-// preemptFor makes running tasks end for the job, when its team stays within
-// its share.
-func (s *Scheduler) preemptFor(t *team, j *caledger.Job, now time.Time) bool {
+// mayPreempt reports whether the job may take room from others by now.
+func (s *Scheduler) mayPreempt(t *team, j *caledger.Job, now time.Time) bool {
 	p := s.policy.Kind(j.Spec.Kind)
 	after := p.PreemptAfter
 	if j.Spec.Urgent {
@@ -97,14 +111,17 @@
 	if p.PreemptAfter == 0 || now.Sub(j.Accepted) < after || s.countClaims(true) >= maxPreempting {
 		return false
 	}
+	whole := s.demand(j).Size.Times(int64(j.Width()))
+	return t.Allows(whole) && (j.Spec.Urgent || s.shares.Dominant(t.Team, whole) <= t.Entitlement(s.activeWeight(t)))
+}
+
+// preemptFor makes running tasks end for the job, when its team stays within
+// its share.
+func (s *Scheduler) preemptFor(t *team, j *caledger.Job, now time.Time) bool {
 	d, n := s.demand(j), j.Width()
-	whole := d.Size.Times(int64(n))
 	b := s.newBudget(t, j)
-	if !t.Allows(whole) || (!b.within(t, whole) && !j.Spec.Urgent) {
-		return false
-	}
-	b.ownOnly = !b.within(t, whole)
-	plan, ok := capreempt.Find(s.victims(j, now), d, n, b)
+	b.ownOnly = !b.within(t, d.Size.Times(int64(n)))
+	plan, ok := capreempt.Find(s.victims(j, b, now), d, n, b)
 	if !ok || len(plan.Victims) == 0 || len(s.out)+len(plan.Victims) > casched.MaxDecisions {
 		return false
 	}
@@ -122,32 +139,39 @@
 
 // victims lists the upstreams that the job may use, with the tasks on them that
 // may be stopped for it.
-func (s *Scheduler) victims(j *caledger.Job, now time.Time) []capreempt.Host {
-	var out []capreempt.Host
+func (s *Scheduler) victims(j *caledger.Job, b *budget, now time.Time) []capreempt.Host {
+	s.hostPool, s.victimPool = s.hostPool[:0], s.victimPool[:0]
 	for h := range s.index.Hosts() {
 		if !s.index.Admits(h, j.Spec.Constraints) || s.index.HeldFor(h, j.ID) {
 			continue
 		}
-		host := capreempt.Host{Index: h, Free: s.index.FreeOn(h)}
+		first := len(s.victimPool)
 		for _, t := range s.ledger.On(h) {
-			if t.Stopping == caledger.StoppingNot && t.Kind != cawork.WorkKindGang && !urgent(t) {
-				host.Victims = append(host.Victims, capreempt.Victim{Task: t, Loss: loss(t, now)})
+			if t.Stopping == caledger.StoppingNot && t.Kind != cawork.WorkKindGang && !urgent(t) && b.allows(t) {
+				s.victimPool = append(s.victimPool, capreempt.Victim{Task: t, Loss: loss(t, now)})
 			}
 		}
-		out = append(out, host)
+		if len(s.victimPool) > first {
+			s.hostPool = append(s.hostPool, capreempt.Host{
+				Index: h, Free: s.index.FreeOn(h), Victims: s.victimPool[first:len(s.victimPool):len(s.victimPool)],
+			})
+		}
 	}
-	return out
+	return s.hostPool
 }
 
 func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
 
+// mayReserve reports whether room may be reserved for the job by now.
+func (s *Scheduler) mayReserve(j *caledger.Job, now time.Time) bool {
+	p := s.policy.Kind(j.Spec.Kind)
+	return p.ReserveBound > 0 && now.Sub(j.Accepted) >= p.ReserveAfter && !now.Before(j.NextReserve) &&
+		s.countClaims(false) < maxReserving
+}
+
 // reserveFor reserves room for a job that has waited long.
 func (s *Scheduler) reserveFor(j *caledger.Job, now time.Time) bool {
 	p := s.policy.Kind(j.Spec.Kind)
-	if p.ReserveBound == 0 || now.Sub(j.Accepted) < p.ReserveAfter || now.Before(j.NextReserve) ||
-		s.countClaims(false) >= maxReserving {
-		return false
-	}
 	if j.ReservedAt.IsZero() {
 		j.ReservedAt = now
 	}
--- a/internal/core/cadecide/reserve.go
+++ b/internal/core/cadecide/reserve.go
@@ -73,7 +73,7 @@
 	}
 	for i, ref := range tasks {
 		h := r.hosts[i]
-		o := caledger.Opening{Host: h, Upstream: s.index.ID(h), Demand: r.demand, Now: now, End: end}
+		o := caledger.Opening{Host: h, Upstream: s.index.ID(h), Demand: r.demand, Account: s.team(r.request.Team).Team, Now: now, End: end}
 		s.ledger.OpenForeign(ref, r.request.Team, r.request.Kind, o)
 	}
 	r.hosts = r.hosts[len(tasks):]
@@ -171,7 +171,7 @@
 	for _, p := range placements {
 		o := caledger.Opening{
 			Host: caplace.NoHost, Upstream: p.Upstream, Demand: s.demandOf(p.Size, j.Spec.Kind),
-			Now: now, End: s.end(j, now),
+			Account: s.team(j.Team).Team, Now: now, End: s.end(j, now),
 		}
 		if h, own := s.index.Host(p.Upstream); own {
 			i := slices.Index(left, h)
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -13,6 +13,7 @@
 	"celeryarch.example/celeryarch/internal/core/caestimate"
 	"celeryarch.example/celeryarch/internal/core/caledger"
 	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/capreempt"
 	"celeryarch.example/celeryarch/internal/core/caqueue"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/core/cashare"
@@ -23,13 +24,15 @@
 // team is a team with its queue.
 type team struct {
 	*cashare.Team
-	queue    *caqueue.Queue[*caledger.Job]
-	queued   [kindCount]int
-	pace     [kindCount]pace
-	stopping cawork.Resources
+	queue   *caqueue.Queue[*caledger.Job]
+	queued  [kindCount]int
+	pace    [kindCount]pace
+	records [kindCount]*caestimate.Record
 	// room counts the changes that give the team more allowance to use.
 	room      uint64
 	exhausted uint64
+	// nextRelief is when relief for the team is searched again.
+	nextRelief time.Time
 }
 
 // Scheduler implements casched.Scheduler.
@@ -57,7 +60,9 @@
 	nextRelief   time.Time
 
 	out        []casched.Decision
-	candidates []*caqueue.Class[*caledger.Job]
+	candidates []*class
+	victimPool []capreempt.Victim
+	hostPool   []capreempt.Host
 	hosts      []caplace.HostIndex
 	near       []caplace.HostIndex
 }
@@ -88,6 +93,9 @@
 		return t
 	}
 	t = &team{Team: s.shares.Team(name), queue: caqueue.NewQueue[*caledger.Job](), room: 1}
+	for k := range t.records {
+		t.records[k] = s.estimator.Record(name, cawork.WorkKind(k))
+	}
 	s.shares.SetWeight(t.Team, s.policy.Weight(name))
 	s.teams[name] = t
 	i, _ := slices.BinarySearchFunc(s.order, name, func(o *team, n cawork.TeamName) int {
@@ -167,7 +175,10 @@
 
 // estimate brings the estimates of the job up to date.
 func (s *Scheduler) estimate(j *caledger.Job) {
-	version := 1 + s.estimator.Version() + s.policyCount
+	if j.Record == nil {
+		j.Record = s.team(j.Team).records[j.Spec.Kind]
+	}
+	version := 1 + j.Record.Version() + s.policyCount
 	if j.Version == version {
 		return
 	}
@@ -175,10 +186,10 @@
 	size := j.Spec.Size
 	j.RunTime = j.Spec.RunTime
 	if s.policy.CorrectSizes {
-		size = s.estimator.Size(j.Team, j.Spec.Kind, size)
+		size = j.Record.Size(size)
 	}
 	if s.policy.CorrectRunTimes {
-		j.RunTime = s.estimator.RunTime(j.Team, j.Spec.Kind, j.RunTime)
+		j.RunTime = j.Record.RunTime(j.RunTime)
 	}
 	if j.Spec.Kind == cawork.WorkKindService {
 		j.RunTime = 0
--- a/internal/core/cadecide/settle.go
+++ b/internal/core/cadecide/settle.go
@@ -50,8 +50,9 @@
 	switch e.State {
 	case cawork.TaskStateDone:
 		if j := t.Job; j != nil {
-			s.estimator.ObserveRunTime(j.Team, j.Spec.Kind, j.Spec.RunTime, e.Elapsed)
-			s.estimator.ObserveSize(j.Team, j.Spec.Kind, j.Spec.Size, larger(t.Peak, e.Used))
+			r := s.team(j.Team).records[j.Spec.Kind]
+			r.ObserveRunTime(j.Spec.RunTime, e.Elapsed)
+			r.ObserveSize(j.Spec.Size, larger(t.Peak, e.Used))
 		}
 	case cawork.TaskStateFailed:
 		event.Failed = true
@@ -106,7 +107,7 @@
 	tm := s.team(j.Team)
 	s.refund(tm, d.Size)
 	if t.Stopping != caledger.StoppingNot {
-		tm.stopping = tm.stopping.Minus(d.Size)
+		tm.Stopping = tm.Stopping.Minus(d.Size)
 	}
 	if out.Requeued {
 		tm.queued[j.Spec.Kind]++
@@ -144,7 +145,7 @@
 		s.noteBroken(j)
 		return
 	}
-	s.ledger.OpenForeign(st.Task, st.Team, st.Kind, s.opening(upstream, d, time.Time{}, now))
+	s.ledger.OpenForeign(st.Task, st.Team, st.Kind, s.opening(s.team(st.Team), upstream, d, time.Time{}, now))
 }
 
 // move makes the accounts of an open task follow what its upstream reports.
@@ -173,6 +174,6 @@
 	s.charge(tm, difference)
 	tm.room++
 	if t.Stopping != caledger.StoppingNot {
-		tm.stopping = tm.stopping.Plus(difference)
+		tm.Stopping = tm.Stopping.Plus(difference)
 	}
 }
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -136,7 +136,7 @@
 			s.index.Give(t.Host, t.Demand)
 		}
 	}
-	o := s.opening(upstream, s.demandOf(size, j.Spec.Kind), s.end(j, now), now)
+	o := s.opening(s.team(j.Team), upstream, s.demandOf(size, j.Spec.Kind), s.end(j, now), now)
 	s.ledger.OpenIndex(j, index, o)
 	s.charge(s.team(j.Team), size)
 	return true
@@ -145,7 +145,7 @@
 // opening takes the room of a task that runs on the upstream, when it is an
 // own one.
 func (s *Scheduler) opening(
-	upstream cawork.UpstreamID, d caplace.Demand, end, now time.Time,
+	tm *team, upstream cawork.UpstreamID, d caplace.Demand, end, now time.Time,
 ) caledger.Opening {
 	h, ok := s.index.Host(upstream)
 	if !ok {
@@ -153,7 +153,7 @@
 	} else {
 		s.index.Take(h, d)
 	}
-	return caledger.Opening{Host: h, Upstream: upstream, Demand: d, Now: now, End: end}
+	return caledger.Opening{Host: h, Upstream: upstream, Demand: d, Account: tm.Team, Now: now, End: end}
 }
 
 // Cancel implements casched.Scheduler.
--- a/internal/core/cadecide/usage.go
+++ b/internal/core/cadecide/usage.go
@@ -94,8 +94,7 @@
 func (s *Scheduler) ask(t *caledger.Task, stage caledger.Stopping, now time.Time) {
 	if t.Stopping == caledger.StoppingNot {
 		if t.Job != nil {
-			tm := s.team(t.Team)
-			tm.stopping = tm.stopping.Plus(t.Demand.Size)
+			t.Account.Stopping = t.Account.Stopping.Plus(t.Demand.Size)
 		}
 		s.asked = append(s.asked, t)
 	}
--- a/internal/core/caestimate/estimate.go
+++ b/internal/core/caestimate/estimate.go
@@ -87,69 +87,65 @@
 	kind cawork.WorkKind
 }
 
-type record struct {
+// Record holds what was observed of a team and kind.
+type Record struct {
 	cpu     histogram
 	memory  histogram
 	runTime histogram
+	version uint64
 }
 
-// Estimator holds what was observed.
+// Estimator holds the records.
 type Estimator struct {
-	records map[key]*record
-	version uint64
+	records map[key]*Record
 }
 
 // NewEstimator returns an estimator that corrects nothing yet.
-func NewEstimator() *Estimator { return &Estimator{records: map[key]*record{}} }
+func NewEstimator() *Estimator { return &Estimator{records: map[key]*Record{}} }
 
-func (e *Estimator) record(team cawork.TeamName, kind cawork.WorkKind) *record {
+// Record returns the record of the team and kind.
+func (e *Estimator) Record(team cawork.TeamName, kind cawork.WorkKind) *Record {
 	k := key{team, kind}
 	r, ok := e.records[k]
 	if !ok {
-		r = &record{}
+		r = &Record{}
 		e.records[k] = r
 	}
 	return r
 }
 
 // Version returns a number that grows whenever a correction changes.
-func (e *Estimator) Version() uint64 { return e.version }
+func (r *Record) Version() uint64 { return r.version }
 
 // note adds a ratio to the histogram.
-func (e *Estimator) note(h *histogram, ratio, quantile, least, most float64) {
+func (r *Record) note(h *histogram, ratio, quantile, least, most float64) {
 	before := h.correction()
 	h.add(ratio, quantile, least, most)
 	if h.correction() != before {
-		e.version++
+		r.version++
 	}
 }
 
 // ObserveSize adds the highest usage of a task. A dimension without a usage
 // report is left out.
-func (e *Estimator) ObserveSize(team cawork.TeamName, kind cawork.WorkKind, declared, peak cawork.Resources) {
-	r := e.record(team, kind)
+func (r *Record) ObserveSize(declared, peak cawork.Resources) {
 	if declared.CPU > 0 && peak.CPU > 0 {
-		e.note(&r.cpu, float64(peak.CPU)/float64(declared.CPU), sizeQuantile, minSizeFactor, maxSizeFactor)
+		r.note(&r.cpu, float64(peak.CPU)/float64(declared.CPU), sizeQuantile, minSizeFactor, maxSizeFactor)
 	}
 	if declared.Memory > 0 && peak.Memory > 0 {
-		e.note(&r.memory, float64(peak.Memory)/float64(declared.Memory), sizeQuantile, minSizeFactor, maxSizeFactor)
+		r.note(&r.memory, float64(peak.Memory)/float64(declared.Memory), sizeQuantile, minSizeFactor, maxSizeFactor)
 	}
 }
 
 // ObserveRunTime adds the run time of a task that ended well.
-func (e *Estimator) ObserveRunTime(team cawork.TeamName, kind cawork.WorkKind, declared, ran time.Duration) {
+func (r *Record) ObserveRunTime(declared, ran time.Duration) {
 	if declared > 0 {
-		h := &e.record(team, kind).runTime
-		e.note(h, float64(ran)/float64(declared), timeQuantile, minTimeFactor, maxTimeFactor)
+		r.note(&r.runTime, float64(ran)/float64(declared), timeQuantile, minTimeFactor, maxTimeFactor)
 	}
 }
 
 // Size returns the corrected size. Accelerators are never corrected.
-func (e *Estimator) Size(team cawork.TeamName, kind cawork.WorkKind, declared cawork.Resources) cawork.Resources {
-	r, ok := e.records[key{team, kind}]
-	if !ok {
-		return declared
-	}
+func (r *Record) Size(declared cawork.Resources) cawork.Resources {
 	return cawork.Resources{
 		CPU:          cawork.MilliCPU(math.Ceil(float64(declared.CPU) * r.cpu.correction())),
 		Memory:       cawork.Bytes(math.Ceil(float64(declared.Memory) * r.memory.correction())),
@@ -157,11 +153,17 @@
 	}
 }
 
-// RunTime returns the corrected run time, zero when none was declared.
-func (e *Estimator) RunTime(team cawork.TeamName, kind cawork.WorkKind, declared time.Duration) time.Duration {
-	r, ok := e.records[key{team, kind}]
-	if !ok {
-		return declared
+// Least returns a lower bound of Size for all sizes that are at least declared,
+// corrected or not.
+func (r *Record) Least(declared cawork.Resources) cawork.Resources {
+	return cawork.Resources{
+		CPU:          cawork.MilliCPU(float64(declared.CPU) * min(1, r.cpu.correction())),
+		Memory:       cawork.Bytes(float64(declared.Memory) * min(1, r.memory.correction())),
+		Accelerators: declared.Accelerators,
 	}
+}
+
+// RunTime returns the corrected run time, zero when none was declared.
+func (r *Record) RunTime(declared time.Duration) time.Duration {
 	return time.Duration(float64(declared) * r.runTime.correction())
 }
--- a/internal/core/caledger/job.go
+++ b/internal/core/caledger/job.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caestimate"
 	"celeryarch.example/celeryarch/internal/core/caplace"
 	"celeryarch.example/celeryarch/internal/core/caqueue"
 	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/core/cashare"
 )
 
 // Stopping tells whether a task was asked to end.
@@ -27,6 +29,7 @@
 	// Job is nil for a foreign task.
 	Job      *Job
 	Team     cawork.TeamName
+	Account  *cashare.Team
 	Kind     cawork.WorkKind
 	Host     caplace.HostIndex
 	Upstream cawork.UpstreamID
@@ -81,6 +84,8 @@
 	Demand  caplace.Demand
 	RunTime time.Duration
 	Version uint64
+	// Record holds what was observed of the team and kind.
+	Record *caestimate.Record
 
 	fresh  int
 	again  []waiting
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -6,6 +6,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/core/caplace"
 	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/core/cashare"
 )
 
 // Ledger holds the jobs and the open tasks.
@@ -68,6 +69,7 @@
 	Host     caplace.HostIndex
 	Upstream cawork.UpstreamID
 	Demand   caplace.Demand
+	Account  *cashare.Team
 	Now      time.Time
 	// End is when the task is expected to end, zero when never.
 	End time.Time
@@ -122,7 +124,7 @@
 	if l.open[t.Ref] != nil {
 		l.report(casched.Violated(casched.InvariantPlacedOnce, "task %v is open twice", t.Ref))
 	}
-	t.Demand, t.Placed, t.End = o.Demand, o.Now, o.End
+	t.Demand, t.Account, t.Placed, t.End = o.Demand, o.Account, o.Now, o.End
 	l.open[t.Ref] = t
 	t.inAll = len(l.all)
 	l.all = append(l.all, t)
--- a/internal/core/caplace/search.go
+++ b/internal/core/caplace/search.go
@@ -169,6 +169,31 @@
 	return false
 }
 
+// Freed is the largest room, in each dimension, on the upstreams that got more
+// room after a sequence number. It is not known when that is long ago.
+type Freed struct {
+	Seq   uint64
+	Room  cawork.Resources
+	Known bool
+}
+
+// FreedSince returns the room that was freed after the sequence number.
+func (x *Index) FreedSince(seq uint64) Freed {
+	f := Freed{Seq: seq}
+	if seq < x.floor || x.seq-seq > freedSlots {
+		return f
+	}
+	f.Known = true
+	largest := closedRoom()
+	for n := seq; n < x.seq; n++ {
+		if r := &x.rooms[x.freed[n%freedSlots]]; counted(r.state) {
+			largest = largest.larger(r.free)
+		}
+	}
+	f.Room = largest.Size
+	return f
+}
+
 // Host returns the number of the upstream.
 func (x *Index) Host(id cawork.UpstreamID) (HostIndex, bool) {
 	h, ok := x.byID[id]
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -47,6 +47,21 @@
 	return length*4 + int(n>>(length-3))&3
 }
 
+// least returns the lower bound of the amounts in the class.
+func (k Key) least() cawork.Resources {
+	return cawork.Resources{
+		CPU: cawork.MilliCPU(floor(k.CPU)), Memory: cawork.Bytes(floor(k.Memory)), Accelerators: k.Accelerators,
+	}
+}
+
+// floor returns the least amount in a bucket.
+func floor(b int) int64 {
+	if b <= 7 {
+		return int64(b)
+	}
+	return int64(4+b%4) << (b/4 - 3)
+}
+
 // Entry is an element of a queue. It is used once: work that is queued again
 // gets a new one.
 type Entry[T any] struct {
@@ -59,20 +74,30 @@
 
 // Class holds the entries of like demands.
 type Class[T any] struct {
-	Key Key
+	Key  Key
+	heap []*Entry[T]
+	live int
+	pos  int
+}
+
+// Mark is what a walk over the classes reads first, kept apart from them so
+// that it passes over those that cannot fit at a low cost.
+type Mark struct {
+	// Least is the lower bound of the declared amounts in the class.
+	Least cawork.Resources
+	Kind  cawork.WorkKind
 	// BlockedAt is the sequence number of the room index at which the head did
 	// not fit, zero when it was not tried.
 	BlockedAt uint64
 	// LimitedAt is the like number of the account of the team at which the
 	// allowance did not suffice for the head.
 	LimitedAt uint64
-	heap      []*Entry[T]
-	live      int
 }
 
-// Queue is the queue of a team.
+// Queue is the queue of a team. Classes and marks have the same order.
 type Queue[T any] struct {
 	classes []*Class[T]
+	marks   []Mark
 	byKey   map[Key]*Class[T]
 	order   uint64
 	live    int
@@ -88,9 +113,10 @@
 func (q *Queue[T]) Push(value T, k Key, due time.Time) *Entry[T] {
 	c, ok := q.byKey[k]
 	if !ok {
-		c = &Class[T]{Key: k}
+		c = &Class[T]{Key: k, pos: len(q.classes)}
 		q.byKey[k] = c
 		q.classes = append(q.classes, c)
+		q.marks = append(q.marks, Mark{Least: k.least(), Kind: k.Kind})
 	}
 	q.order++
 	e := &Entry[T]{Value: value, due: due, order: q.order, class: c}
@@ -98,7 +124,7 @@
 	c.live++
 	q.live++
 	if c.heap[0] == e {
-		c.BlockedAt, c.LimitedAt = 0, 0
+		q.unmark(c)
 	}
 	return e
 }
@@ -110,31 +136,44 @@
 	e.dead = true
 	c.live--
 	q.live--
+	if c.live == 0 {
+		q.drop(c)
+		return
+	}
 	if c.heap[0] == e {
-		c.BlockedAt, c.LimitedAt = 0, 0
+		q.unmark(c)
 	}
 	if dead := len(c.heap) - c.live; dead > compactAbove && dead > c.live {
 		c.compact()
 	}
 }
 
-// Classes returns the classes that have entries. The result is valid until the
-// next push.
-func (q *Queue[T]) Classes() []*Class[T] {
-	for i := 0; i < len(q.classes); {
-		c := q.classes[i]
-		if c.live > 0 {
-			i++
-			continue
-		}
-		c.compact()
-		delete(q.byKey, c.Key)
-		q.classes[i] = q.classes[len(q.classes)-1]
-		q.classes = q.classes[:len(q.classes)-1]
-	}
-	return q.classes
+// unmark forgets why the head of the class did not fit.
+func (q *Queue[T]) unmark(c *Class[T]) {
+	m := &q.marks[c.pos]
+	m.BlockedAt, m.LimitedAt = 0, 0
+}
+
+// drop removes a class without entries.
+func (q *Queue[T]) drop(c *Class[T]) {
+	delete(q.byKey, c.Key)
+	last := len(q.classes) - 1
+	q.classes[c.pos], q.marks[c.pos] = q.classes[last], q.marks[last]
+	q.classes[c.pos].pos = c.pos
+	q.classes[last] = nil
+	q.classes, q.marks = q.classes[:last], q.marks[:last]
 }
 
+// Classes returns the classes. All have entries. The result is valid until the
+// next change.
+func (q *Queue[T]) Classes() []*Class[T] { return q.classes }
+
+// Marks returns the marks of the classes, which the caller may change.
+func (q *Queue[T]) Marks() []Mark { return q.marks }
+
+// Mark returns the mark of the class.
+func (q *Queue[T]) Mark(c *Class[T]) *Mark { return &q.marks[c.pos] }
+
 // Head returns the entry that is due first, nil when there is none.
 func (c *Class[T]) Head() *Entry[T] {
 	for len(c.heap) > 0 && c.heap[0].dead {
--- a/internal/core/cashare/share.go
+++ b/internal/core/cashare/share.go
@@ -21,8 +21,10 @@
 	Use       cawork.Resources
 	Remote    cawork.Resources
 	Allowance cawork.Resources
-	weight    int
-	share     float64
+	// Stopping is the part of Use of tasks that were asked to end.
+	Stopping cawork.Resources
+	weight   int
+	share    float64
 }
 
 // Weight returns the weight of the team.
