Idempotency keys: tests of loss, retention and concurrent claims

Cause: the keeper's promises were unproved. Change: tests with entries joined in memory: loss of each entry, a dead executor in each state, entries that disagree about the members, and random histories against one map.

--- /dev/null
+++ b/internal/request/cadedupe/keeper_test.go
@@ -0,0 +1,349 @@
+package cadedupe_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
+)
+
+// zone is the entries of a zone, joined by calls in memory.
+type zone struct {
+	mu       sync.Mutex
+	services map[cawork.VMID]*cadedupe.Service
+	dead     map[cawork.VMID]bool
+	// fences tells what the upstreams say of an attempt.
+	fences map[cawork.AttemptID]cawork.TaskState
+}
+
+func newZone(n int) *zone {
+	z := &zone{
+		services: map[cawork.VMID]*cadedupe.Service{},
+		dead:     map[cawork.VMID]bool{},
+		fences:   map[cawork.AttemptID]cawork.TaskState{},
+	}
+	for i := range n {
+		m := member(i)
+		z.services[m.ID] = cadedupe.New(cadedupe.Config{
+			Self:   m,
+			Timer:  catimer.NewService(),
+			Logger: zerolog.Nop(),
+			Peers:  z,
+			Fencer: z,
+			Bounds: cadedupe.DefaultBounds(),
+		})
+	}
+	z.announce()
+	return z
+}
+
+func member(i int) cadedupe.Member {
+	return cadedupe.Member{ID: cawork.VMID(fmt.Sprint("e", i)), Incarnation: 1}
+}
+
+// announce tells the live entries who is alive.
+func (z *zone) announce() {
+	var live []cadedupe.Member
+	for i := range z.services {
+		if !z.dead[i] {
+			live = append(live, cadedupe.Member{ID: i, Incarnation: 1})
+		}
+	}
+	for _, m := range live {
+		z.services[m.ID].SetMembers(live)
+	}
+}
+
+// tick does a round of the background work of the live entries.
+func (z *zone) tick() {
+	for id, s := range z.services {
+		if !z.dead[id] {
+			s.Tick(context.Background())
+		}
+	}
+}
+
+// flush waits for the outcomes under way.
+func (z *zone) flush() {
+	for _, s := range z.services {
+		s.Flush()
+	}
+}
+
+func (z *zone) at(id cawork.VMID) (*cadedupe.Service, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.dead[id] {
+		return nil, cakind.New(cakind.KindUnknown, "%s does not answer", id)
+	}
+	return z.services[id], nil
+}
+
+func (z *zone) kill(id cawork.VMID) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.dead[id] = true
+}
+
+func (z *zone) Open(ctx context.Context, to cawork.VMID, q cadedupe.OpenRequest) (cadedupe.Record, error) {
+	s, err := z.at(to)
+	if err != nil {
+		return cadedupe.Record{}, err
+	}
+	return s.HandleOpen(ctx, q)
+}
+
+func (z *zone) Intend(ctx context.Context, to cawork.VMID, q cadedupe.IntendRequest) error {
+	s, err := z.at(to)
+	if err != nil {
+		return err
+	}
+	return s.HandleIntend(ctx, q)
+}
+
+func (z *zone) Settle(ctx context.Context, to cawork.VMID, q cadedupe.SettleRequest) error {
+	s, err := z.at(to)
+	if err != nil {
+		return err
+	}
+	return s.HandleSettle(ctx, q)
+}
+
+func (z *zone) Replicate(ctx context.Context, to cawork.VMID, r cadedupe.Record) (cadedupe.Record, error) {
+	s, err := z.at(to)
+	if err != nil {
+		return cadedupe.Record{}, err
+	}
+	return s.HandleReplicate(ctx, r)
+}
+
+func (z *zone) FenceAttempt(_ context.Context, _ cawork.UpstreamID, id cawork.AttemptID) (cawork.TaskState, error) {
+	state, ok := z.fences[id]
+	if !ok {
+		return 0, cakind.New(cakind.KindUnknown, "no answer")
+	}
+	return state, nil
+}
+
+func key(name string) cadedupe.Key { return cadedupe.Key{Team: "t1", Name: name} }
+
+func mustBegin(t *testing.T, s *cadedupe.Service, k cadedupe.Key) *cadedupe.Session {
+	t.Helper()
+	n, err := s.Begin(context.Background(), k, 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestSecondSubmissionLearnsTheOutcomeAtEveryEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(4)
+		want := cadedupe.StoredAnswer{Status: 200, ContentType: "text/plain", Body: []byte("pen pal")}
+		first := mustBegin(t, z.services["e0"], key("k"))
+		if !first.Execute {
+			t.Fatal("the first submission does not execute")
+		}
+		for id, s := range z.services {
+			go func() {
+				second := mustBegin(t, s, key("k"))
+				if diff := cmp.Diff(want, second.Record.Answer); diff != "" || second.Execute {
+					t.Errorf("answer at %s, execute %v (-want +got):\n%s", id, second.Execute, diff)
+				}
+			}()
+		}
+		synctest.Wait()
+		first.Settle(cawork.OutcomeDone, want)
+		synctest.Wait()
+		_, err := z.services["e1"].Begin(context.Background(), key("k"), 2, false)
+		if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
+			t.Errorf("other request under the key (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestOutcomeIsKeptForTheRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(2)
+		mustBegin(t, z.services["e0"], key("k")).Settle(cawork.OutcomeFailed, cadedupe.StoredAnswer{Status: 500})
+		z.flush()
+		time.Sleep(cadedupe.DefaultBounds().Retention - time.Second)
+		z.tick()
+		if mustBegin(t, z.services["e1"], key("k")).Execute {
+			t.Error("the outcome was forgotten within the retention")
+		}
+		time.Sleep(2 * time.Second)
+		z.tick()
+		if !mustBegin(t, z.services["e1"], key("k")).Execute {
+			t.Error("the outcome was kept beyond the retention")
+		}
+	})
+}
+
+func TestOutcomeSurvivesTheLossOfEachEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for lost := range 3 {
+			z := newZone(3)
+			mustBegin(t, z.services["e0"], key("k")).Settle(cawork.OutcomeDone, cadedupe.StoredAnswer{Status: 200})
+			z.flush()
+			z.kill(member(lost).ID)
+			z.announce()
+			z.tick()
+			second := mustBegin(t, z.services[member((lost+1)%3).ID], key("k"))
+			if diff := cmp.Diff(cawork.OutcomeDone, second.Record.Outcome); diff != "" {
+				t.Errorf("outcome after the loss of e%d (-want +got):\n%s", lost, diff)
+			}
+		}
+	})
+}
+
+func TestDeadExecutorIsSettledTruthfully(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt cawork.AttemptID
+		state   cawork.TaskState
+		want    cawork.Outcome
+	}{
+		{"no attempt", "", 0, cawork.OutcomeNotRun},
+		{"never started", "a", cawork.TaskStateFenced, cawork.OutcomeNotRun},
+		{"ended", "a", cawork.TaskStateDone, cawork.OutcomeDone},
+		{"stopped", "a", cawork.TaskStateStopped, cawork.OutcomeFailed},
+		{"upstream silent", "a", -1, cawork.OutcomePending},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZone(3)
+				first := mustBegin(t, z.services["e0"], key("k"))
+				if tt.attempt != "" {
+					if err := first.Intend(context.Background(), tt.attempt, "u1"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if tt.state >= 0 {
+					z.fences[tt.attempt] = tt.state
+				}
+				z.kill("e0")
+				z.announce()
+				z.tick()
+				z.tick()
+				if first.Intend(context.Background(), "late", "u1") == nil && tt.want != cawork.OutcomePending {
+					t.Error("the dead executor may still send an attempt")
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				second, err := z.services["e1"].Begin(ctx, key("k"), 1, false)
+				switch {
+				case tt.want == cawork.OutcomePending:
+					if cakind.Of(err) != cakind.KindUnknown {
+						t.Errorf("second submission of an unsettled request: %v", err)
+					}
+				case tt.want == cawork.OutcomeNotRun:
+					if err != nil || !second.Execute {
+						t.Errorf("second submission of a request that did not run: %+v, %v", second, err)
+					}
+				default:
+					if diff := cmp.Diff(tt.want, second.Record.Outcome); diff != "" {
+						t.Errorf("outcome (-want +got):\n%s", diff)
+					}
+				}
+			})
+		})
+	}
+}
+
+// naiveKeys is the naive version: one map that never fails.
+type naiveKeys map[string]cawork.Outcome
+
+// TestKeysAgainstNaive runs random submissions at random entries, with the
+// loss of at most one entry at a time, against one map. Whoever executes must
+// be the one that the map lets execute, and outcomes must agree.
+func TestKeysAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		z := newZone(4)
+		naive := naiveKeys{}
+		outcomes := []cawork.Outcome{cawork.OutcomeDone, cawork.OutcomeFailed, cawork.OutcomeNotRun, cawork.OutcomeUnknown}
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			z.step(rt, naive, outcomes)
+		}
+	})
+}
+
+func (z *zone) step(rt *rapid.T, naive naiveKeys, outcomes []cawork.Outcome) {
+	if rapid.IntRange(0, 9).Draw(rt, "kind") == 0 && len(z.dead) < 2 {
+		z.kill(member(rapid.IntRange(0, 3).Draw(rt, "dead")).ID)
+		z.announce()
+		z.tick()
+		return
+	}
+	var live []cawork.VMID
+	for i := range z.services {
+		if !z.dead[i] {
+			live = append(live, i)
+		}
+	}
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+	at := member(rapid.IntRange(0, 3).Draw(rt, "entry")).ID
+	if z.dead[at] {
+		return
+	}
+	n, err := z.services[at].Begin(context.Background(), key(name), 1, false)
+	if err != nil {
+		rt.Fatalf("begin: %v", err)
+	}
+	known, ok := naive[name]
+	if execute := !ok || known == cawork.OutcomeNotRun; execute != n.Execute {
+		rt.Fatalf("key %s at %s of %v: execute %v, naive %v (%s)", name, at, live, n.Execute, execute, known)
+	}
+	if !n.Execute {
+		if diff := cmp.Diff(known, n.Record.Outcome); diff != "" {
+			rt.Fatalf("outcome (-want +got):\n%s", diff)
+		}
+		return
+	}
+	naive[name] = rapid.SampledFrom(outcomes).Draw(rt, "outcome")
+	n.Settle(naive[name], cadedupe.StoredAnswer{})
+	z.services[at].Flush()
+}
+
+// Concurrent claims at entries that disagree about the members: at most one
+// submission executes.
+func TestConcurrentClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for round := range 200 {
+			z := newZone(3)
+			// e0 does not know e2 yet.
+			z.services["e0"].SetMembers([]cadedupe.Member{member(0), member(1)})
+			var mu sync.Mutex
+			executes := 0
+			var wg sync.WaitGroup
+			for i := range 6 {
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					n, err := z.services[member(i%3).ID].Begin(ctx, key(fmt.Sprint(round)), 1, false)
+					if err == nil && n.Execute {
+						mu.Lock()
+						executes++
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			if executes > 1 {
+				t.Fatalf("round %d: %d submissions execute", round, executes)
+			}
+		}
+	})
+}
