Adaptive limit compares an upstream with its peers

Cause: at 10,000 requests/s the limits of all 16 upstreams fell to 1 because the machine was slow, not the upstreams. The refusals that followed kept it slow, so that the entry never recovered. Change: the limit falls only when the latency of an upstream is also beyond the mean of all upstreams.

--- /dev/null
+++ b/internal/request/cadispatch/bench_test.go
@@ -0,0 +1,276 @@
+package cadispatch_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/caadmit"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
+	"celeryarch.example/celeryarch/internal/request/caload"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+// The benchmarks run the entry and the stand-in upstreams as processes of
+// their own, started from the test binary, so that their memory and processor
+// time can be told apart.
+const (
+	envRole      = "CADISPATCH_BENCH_ROLE"
+	envUpstreams = "CADISPATCH_BENCH_UPSTREAMS"
+	envService   = "CADISPATCH_BENCH_SERVICE"
+	headerTeam   = "X-Team"
+	benchSlots   = 8
+)
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(envRole) {
+	case "upstream":
+		runUpstreams()
+	case "entry":
+		runEntry()
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// listen serves on a free port and prints its address.
+func listen(h http.Handler) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(l.Addr())
+	go func() { _ = http.Serve(l, h) }()
+}
+
+func awaitStop() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	<-stop
+}
+
+// runUpstreams serves upstreams that take a fixed time for each request and
+// refuse what is beyond their slots.
+func runUpstreams() {
+	n, _ := strconv.Atoi(os.Getenv(envUpstreams))
+	service, _ := time.ParseDuration(os.Getenv(envService))
+	for range n {
+		var inUse atomic.Int64
+		listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt))
+			defer inUse.Add(-1)
+			if inUse.Add(1) > benchSlots {
+				w.Header().Set(caplatform.HeaderNotRun, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			time.Sleep(service)
+			_, _ = w.Write(body)
+		}))
+	}
+	awaitStop()
+}
+
+// runEntry serves requests with the upstreams whose addresses are given.
+func runEntry() {
+	// Each line costs a system call, as in use.
+	lines, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if err != nil {
+		panic(err)
+	}
+	policy := caadmit.DefaultPolicy()
+	policy.Default.MaxQueued = 1200
+	policy = policy.WithTeam(caadmit.TeamPolicy{Team: "heavy", Weight: 2})
+	d := cadispatch.New(cadispatch.Config{
+		Self:   "e1",
+		Zone:   "z1",
+		Timer:  catimer.NewService(),
+		Logger: zerolog.New(lines),
+		Policy: policy,
+	})
+	go func() { _ = d.Run(context.Background()) }()
+	for i, address := range strings.Fields(os.Getenv(envUpstreams)) {
+		d.PutUpstream(caroute.Upstream{
+			ID:          cawork.UpstreamID(fmt.Sprint("u", i)),
+			Zone:        "z1",
+			Address:     address,
+			Slots:       benchSlots,
+			Connections: 64,
+			Epoch:       1,
+		})
+	}
+	listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.ServeRequest(w, r, cawork.TeamName(r.Header.Get(headerTeam)))
+	}))
+	awaitStop()
+}
+
+// process is a started role.
+type process struct {
+	cmd       *exec.Cmd
+	addresses []string
+}
+
+func startRole(b *testing.B, addresses int, env ...string) *process {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), env...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+	})
+	p := &process{cmd: cmd}
+	lines := bufio.NewScanner(out)
+	for len(p.addresses) < addresses && lines.Scan() {
+		p.addresses = append(p.addresses, lines.Text())
+	}
+	return p
+}
+
+// residentKiB returns the resident memory of the process.
+func (p *process) residentKiB(b *testing.B) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		b.Skip("no process status on this system")
+	}
+	for line := range strings.Lines(string(raw)) {
+		var kib float64
+		if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kib); n == 1 {
+			return kib
+		}
+	}
+	b.Fatal("no resident memory in the process status")
+	return 0
+}
+
+// cell is one entry with its upstreams.
+type cell struct {
+	upstreams *process
+	entry     *process
+}
+
+func newCell(b *testing.B, upstreams int, service time.Duration) cell {
+	ups := startRole(b, upstreams, envRole+"=upstream", envUpstreams+"="+strconv.Itoa(upstreams), envService+"="+service.String())
+	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	return cell{ups, entry}
+}
+
+func loadOf(b *testing.B, address, team string, rate float64, d time.Duration) caload.Report {
+	rep, err := caload.Run(context.Background(), catimer.NewService(), caload.Plan{
+		URL:         "http://" + address + caplatform.RequestPath,
+		Header:      http.Header{headerTeam: {team}, caplatform.HeaderIdempotent: {"true"}},
+		Body:        make([]byte, 256),
+		Rate:        rate,
+		Duration:    d,
+		Requests:    10_000_000,
+		Warmup:      d / 5,
+		Timeout:     40 * time.Second,
+		Outstanding: 4096,
+		Seed:        7,
+	})
+	if err != nil {
+		b.Error(err)
+	}
+	var text strings.Builder
+	_ = rep.WriteText(&text)
+	b.Logf("%s at %.0f/s:\n%s", team, rate, &text)
+	return rep
+}
+
+func millisOf(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// BenchmarkOverhead compares requests through an entry at half load with
+// direct calls to an upstream, in turns.
+func BenchmarkOverhead(b *testing.B) {
+	const upstreams, service = 4, 10 * time.Millisecond
+	c := newCell(b, upstreams, service)
+	half := upstreams * benchSlots / service.Seconds() / 2
+	for b.Loop() {
+		direct := loadOf(b, c.upstreams.addresses[0], "light", half/upstreams/2, 5*time.Second)
+		through := loadOf(b, c.entry.addresses[0], "light", half, 5*time.Second)
+		b.ReportMetric(millisOf(direct.Latency.P50), "direct-p50-ms")
+		b.ReportMetric(millisOf(direct.Latency.P99), "direct-p99-ms")
+		b.ReportMetric(millisOf(through.Latency.P50-direct.Latency.P50), "overhead-p50-ms")
+		b.ReportMetric(millisOf(through.Latency.P99-direct.Latency.P99), "overhead-p99-ms")
+		b.ReportMetric(float64(through.Arrivals-through.Count(http.StatusOK)), "not-done")
+	}
+}
+
+// BenchmarkRate sends 10,000 requests a second through one entry.
+func BenchmarkRate(b *testing.B) {
+	c := newCell(b, 16, 5*time.Millisecond)
+	for b.Loop() {
+		rep := loadOf(b, c.entry.addresses[0], "light", 10_000, 10*time.Second)
+		b.ReportMetric(float64(rep.Count(http.StatusOK))/8, "done/s")
+		b.ReportMetric(float64(rep.Arrivals-rep.Count(http.StatusOK)), "not-done")
+		b.ReportMetric(millisOf(rep.Latency.P50), "p50-ms")
+		b.ReportMetric(millisOf(rep.Latency.P99), "p99-ms")
+		b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
+	}
+}
+
+// BenchmarkResident measures the memory of an entry with 1,000 requests in
+// progress: most of them in the queues, and all of them at upstreams.
+func BenchmarkResident(b *testing.B) {
+	for _, upstreams := range []int{16, 125} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 10*time.Second)
+			for b.Loop() {
+				go loadOf(b, c.entry.addresses[0], "light", 1000, time.Second)
+				time.Sleep(4 * time.Second)
+				b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
+			}
+		})
+	}
+}
+
+// BenchmarkOverload offers twice the capacity from two teams of weights 2 and
+// 1, then half of the capacity.
+func BenchmarkOverload(b *testing.B) {
+	const upstreams, service = 4, 10 * time.Millisecond
+	c := newCell(b, upstreams, service)
+	capacity := upstreams * benchSlots / service.Seconds()
+	for b.Loop() {
+		heavy := make(chan caload.Report, 1)
+		go func() { heavy <- loadOf(b, c.entry.addresses[0], "heavy", capacity, 10*time.Second) }()
+		light := loadOf(b, c.entry.addresses[0], "light", capacity, 10*time.Second)
+		h := <-heavy
+		done := float64(h.Count(http.StatusOK) + light.Count(http.StatusOK))
+		b.ReportMetric(done/8/capacity, "goodput/capacity")
+		b.ReportMetric(float64(h.Count(http.StatusOK))/float64(light.Count(http.StatusOK)), "heavy/light")
+		for _, g := range light.Groups {
+			if g.Status == http.StatusTooManyRequests {
+				b.ReportMetric(millisOf(g.Latency.P50), "refusal-p50-ms")
+				b.ReportMetric(millisOf(g.Latency.P99), "refusal-p99-ms")
+			}
+		}
+		after := loadOf(b, c.entry.addresses[0], "light", capacity/2, 5*time.Second)
+		b.ReportMetric(millisOf(after.Latency.P99), "p99-after-ms")
+		b.ReportMetric(float64(after.Arrivals-after.Count(http.StatusOK)), "not-done-after")
+	}
+}
--- a/internal/request/caroute/health.go
+++ b/internal/request/caroute/health.go
@@ -75,13 +75,13 @@
 	return h.failures / h.samples()
 }
 
-func (h *health) record(now time.Time, v Verdict, latency time.Duration) {
+func (h *health) record(now time.Time, v Verdict, latency, mean time.Duration) {
 	h.decay(now)
 	switch v {
 	case VerdictServed:
 		h.successes++
 		h.refusals = 0
-		h.observe(latency)
+		h.observe(latency, mean)
 	case VerdictFailed:
 		h.failures++
 		h.refusals = 0
@@ -93,9 +93,9 @@
 	}
 }
 
-func (h *health) observe(latency time.Duration) {
+func (h *health) observe(latency, mean time.Duration) {
 	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
-	h.limit.observe(latency)
+	h.limit.observe(latency, mean)
 }
 
 // latencyAt is the mean latency, which approaches the mean of all upstreams
--- a/internal/request/caroute/limit.go
+++ b/internal/request/caroute/limit.go
@@ -16,12 +16,14 @@
 )
 
 // limit is the adaptive bound on concurrent requests of an upstream. It falls
-// while the short-term mean of the latency is beyond the tolerated multiple
-// of the long-term mean, and rises to the number of slots otherwise.
+// while the short-term mean of the latency is beyond the tolerated multiple of
+// both its long-term mean and the mean of all upstreams, and rises to the
+// number of slots otherwise. When all upstreams slow down alike, the cause is
+// not the load of one of them, and a lower limit would only waste slots.
 //
-// Worked example with 8 slots: the long-term mean is 10 ms. When the
-// short-term mean rises to 40 ms, the gradient is 2*10/40 = 0.5, so the next
-// target is 8*0.5+1 = 5 and the smoothed limit 0.8*8+0.2*5 = 7.4.
+// Worked example with 8 slots: both means are 10 ms. When the short-term mean
+// rises to 40 ms, the gradient is 2*10/40 = 0.5, so the next target is
+// 8*0.5+1 = 5 and the smoothed limit 0.8*8+0.2*5 = 7.4.
 type limit struct {
 	slots float64
 	value float64
@@ -41,7 +43,7 @@
 	l.value = l.slots
 }
 
-func (l *limit) observe(latency time.Duration) {
+func (l *limit) observe(latency, mean time.Duration) {
 	sample := latency.Seconds()
 	if l.long == 0 {
 		l.long = sample
@@ -54,7 +56,7 @@
 	if l.long > 2*l.short {
 		l.long *= 0.95
 	}
-	gradient := math.Min(1, math.Max(0.5, limitTolerance*l.long/l.short))
+	gradient := math.Min(1, math.Max(0.5, limitTolerance*math.Max(l.long, mean.Seconds())/l.short))
 	target := l.value*gradient + 1
 	l.value += limitSmoothing * (target - l.value)
 	l.value = math.Min(l.slots, math.Max(minLimit, l.value))
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -224,7 +224,7 @@
 	defer r.forget(s)
 	latency := now.Sub(t.Taken)
 	h.used = now
-	h.record(now, v, latency)
+	h.record(now, v, latency, r.service)
 	if v == VerdictServed || v == VerdictFailed {
 		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
 	}
