Keep either backup or witness in a change of view; fault runs; log writer

Change: a view is registered only when no older view of another backup can be in force, unless the same swap ends that. Conclusion: the change of both at once waits for one of them.

--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -78,6 +78,11 @@
 	// second submission with the key is the same job.
 	Key   string
 	Tasks []Task
+	// Canceled, From and Number are set for a job that another shard handed
+	// over. Number counts the jobs handed over from that shard to this one.
+	Canceled bool
+	From     cawork.ShardID
+	Number   int64
 }
 
 // AttemptsIntended notes attempts of one job that are about to be sent. For a
--- a/internal/coord/cajob/rules.go
+++ b/internal/coord/cajob/rules.go
@@ -1,6 +1,7 @@
 package cajob
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -8,29 +9,63 @@
 )
 
 func (s *State) accept(r JobAccepted) error {
-	id := r.Job.ID
-	if known, ok := s.JobOfKey(r.Job.Team, r.Key); ok && known.Job.ID != id {
-		return cakind.New(cakind.KindConflict, "key %q is of job %s", r.Key, known.Job.ID)
+	if err := s.checkAccepted(r); err != nil {
+		return err
+	}
+	tasks := slices.Clone(r.Tasks)
+	if len(tasks) == 0 {
+		tasks = make([]Task, r.Job.Spec.Tasks)
+	}
+	j := &Job{Job: r.Job, Key: r.Key, Tasks: tasks, Canceled: r.Canceled}
+	if len(tasks) != r.Job.Spec.Tasks || j.HasOpenAttempt() {
+		return cakind.New(cakind.KindInvalid, "job %s comes with %d tasks or open attempts", r.Job.ID, len(tasks))
 	}
+	s.forgetHandover(r.Job.ID)
+	s.jobs[r.Job.ID] = j
+	s.index(r.Job.ID, j)
+	if r.From != "" {
+		s.handedFrom[r.From] = r.Number
+	}
+	return nil
+}
+
+// forgetHandover makes room for a job that comes back to this shard.
+func (s *State) forgetHandover(id cawork.JobID) {
 	if _, ok := s.jobs[id]; ok {
-		return cakind.New(cakind.KindConflict, "job %s is already accepted", id)
+		s.ended = slices.DeleteFunc(s.ended, func(e cawork.JobID) bool { return e == id })
 	}
+}
+
+func (s *State) checkAccepted(r JobAccepted) error {
+	id := r.Job.ID
 	if id == "" || r.Job.Spec.Tasks < 1 {
 		return cakind.New(cakind.KindInvalid, "job %q has %d tasks", id, r.Job.Spec.Tasks)
 	}
-	tasks := r.Tasks
-	if len(tasks) == 0 {
-		tasks = make([]Task, r.Job.Spec.Tasks)
+	if r.From != "" {
+		return s.checkHandover(r)
 	}
-	if len(tasks) != r.Job.Spec.Tasks {
-		return cakind.New(cakind.KindInvalid, "job %s has %d tasks, got %d", id, r.Job.Spec.Tasks, len(tasks))
+	if known, ok := s.JobOfKey(r.Job.Team, r.Key); ok && known.Job.ID != id {
+		return cakind.New(cakind.KindConflict, "key %q is of job %s", r.Key, known.Job.ID)
 	}
-	j := &Job{Job: r.Job, Key: r.Key, Tasks: append([]Task(nil), tasks...)}
-	if j.HasOpenAttempt() {
-		return cakind.New(cakind.KindInvalid, "job %s comes with open attempts", id)
+	if _, ok := s.jobs[id]; ok {
+		return cakind.New(cakind.KindConflict, "job %s is already accepted", id)
+	}
+	return nil
+}
+
+// checkHandover lets the jobs of another shard in by number, each once. So a
+// late copy is refused even after the job has ended and was forgotten.
+func (s *State) checkHandover(r JobAccepted) error {
+	expected := s.handedFrom[r.From] + 1
+	switch {
+	case r.Number < expected:
+		return cakind.New(cakind.KindConflict, "job %s was already accepted from shard %s", r.Job.ID, r.From)
+	case r.Number > expected:
+		return cakind.New(cakind.KindUnavailable, "job %s is %d from shard %s, want %d", r.Job.ID, r.Number, r.From, expected)
+	}
+	if j, ok := s.jobs[r.Job.ID]; ok && j.HandedTo == "" {
+		return cakind.New(cakind.KindInternal, "job %s of shard %s is already here", r.Job.ID, r.From)
 	}
-	s.jobs[id] = j
-	s.index(id, j)
 	return nil
 }
 
@@ -186,16 +221,20 @@
 	if j.HasOpenAttempt() || r.To == s.shard || r.To == "" {
 		return cakind.New(cakind.KindConflict, "job %s cannot be handed to %q now", r.Job, r.To)
 	}
+	s.handedTo[r.To]++
 	j.HandedTo = r.To
+	j.HandoverNumber = s.handedTo[r.To]
 	s.open--
 	return nil
 }
 
-func (s *State) handoverAcked(r HandoverAcked) error {
+func (s *State) handoverAcked(r HandoverAcked, at time.Time) error {
 	j, ok := s.jobs[r.Job]
-	if !ok || j.HandedTo == "" {
+	if !ok || j.HandedTo == "" || j.HandoverAcked {
 		return cakind.New(cakind.KindNotFound, "job %s is not being handed over", r.Job)
 	}
-	s.drop(j)
+	j.HandoverAcked = true
+	j.Ended = at
+	s.ended = append(s.ended, r.Job)
 	return nil
 }
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -1,6 +1,8 @@
 package cajob
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +21,13 @@
 // DefaultRetention keeps ended jobs for an hour, at most 20,000 of them.
 func DefaultRetention() Retention { return Retention{Age: time.Hour, Count: 20_000} }
 
+// Handover is a job on its way to another shard, which appends Accepted to its
+// records.
+type Handover struct {
+	To       cawork.ShardID
+	Accepted JobAccepted
+}
+
 type submission struct {
 	Team cawork.TeamName
 	Key  string
@@ -35,6 +44,9 @@
 	keys      map[submission]cawork.JobID
 	ended     []cawork.JobID
 	open      int
+	// handedTo and handedFrom count the jobs handed over to and from shards.
+	handedTo   map[cawork.ShardID]int64
+	handedFrom map[cawork.ShardID]int64
 }
 
 // NewState returns the empty state of the shard.
@@ -46,6 +58,9 @@
 		jobs:      map[cawork.JobID]*Job{},
 		attempts:  map[cawork.AttemptID]*Attempt{},
 		keys:      map[submission]cawork.JobID{},
+
+		handedTo:   map[cawork.ShardID]int64{},
+		handedFrom: map[cawork.ShardID]int64{},
 	}
 }
 
@@ -84,7 +99,7 @@
 	case r.Type == RecordHandedOver && r.HandedOver != nil:
 		return s.handOver(*r.HandedOver)
 	case r.Type == RecordHandoverAcked && r.HandoverAcked != nil:
-		return s.handoverAcked(*r.HandoverAcked)
+		return s.handoverAcked(*r.HandoverAcked, r.At)
 	default:
 		return s.applyAllowance(r)
 	}
@@ -154,17 +169,28 @@
 	return out
 }
 
-// Handovers returns the jobs that another shard has yet to accept.
-func (s *State) Handovers() []Job {
-	var out []Job
+// Handovers returns what is to be sent to other shards, again and again until
+// they have accepted it.
+func (s *State) Handovers() []Handover {
+	var out []Handover
 	for _, j := range s.jobs {
-		if j.HandedTo != "" {
-			out = append(out, *j)
+		if j.HandedTo != "" && !j.HandoverAcked {
+			out = append(out, s.handover(j))
 		}
 	}
+	slices.SortFunc(out, func(a, b Handover) int {
+		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Accepted.Number, b.Accepted.Number))
+	})
 	return out
 }
 
+func (s *State) handover(j *Job) Handover {
+	return Handover{To: j.HandedTo, Accepted: JobAccepted{
+		Job: j.Job, Key: j.Key, Tasks: slices.Clone(j.Tasks), Canceled: j.Canceled,
+		From: s.shard, Number: j.HandoverNumber,
+	}}
+}
+
 // IsEmpty reports whether the shard has no open job and no allowance, so that
 // it may be retired.
 func (s *State) IsEmpty() bool {
@@ -176,11 +202,21 @@
 	Jobs     map[cawork.JobID]*Job
 	Attempts map[cawork.AttemptID]*Attempt
 	Ended    []cawork.JobID
+
+	HandedTo   map[cawork.ShardID]int64
+	HandedFrom map[cawork.ShardID]int64
+}
+
+func (s *State) snapshot() snapshot {
+	return snapshot{
+		Account: s.account, Jobs: s.jobs, Attempts: s.attempts, Ended: s.ended,
+		HandedTo: s.handedTo, HandedFrom: s.handedFrom,
+	}
 }
 
 // Snapshot returns the CBOR form of the state. Equal states have equal forms.
 func (s *State) Snapshot() ([]byte, error) {
-	b, err := encMode.Marshal(snapshot{Account: s.account, Jobs: s.jobs, Attempts: s.attempts, Ended: s.ended})
+	b, err := encMode.Marshal(s.snapshot())
 	if err != nil {
 		return nil, cakind.Wrap(cakind.KindInternal, err, "encode snapshot of shard %s", s.shard)
 	}
@@ -190,7 +226,7 @@
 // Restore replaces the state by a snapshot.
 func (s *State) Restore(b []byte) error {
 	fresh := NewState(s.shard, s.retention)
-	snap := snapshot{Account: fresh.account, Jobs: fresh.jobs, Attempts: fresh.attempts}
+	snap := fresh.snapshot()
 	if err := cbor.Unmarshal(b, &snap); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode snapshot of shard %s", s.shard)
 	}
@@ -204,8 +240,9 @@
 
 // index enters a job into the tables that are derived from the jobs.
 func (s *State) index(id cawork.JobID, j *Job) {
-	if j.Key != "" {
-		s.keys[submission{Team: j.Job.Team, Key: j.Key}] = id
+	key := submission{Team: j.Job.Team, Key: j.Key}
+	if known, ok := s.keys[key]; j.Key != "" && (!ok || id < known) {
+		s.keys[key] = id
 	}
 	if j.IsOpen() {
 		s.open++
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -41,8 +41,11 @@
 	Outcome  cawork.Outcome
 	Result   []byte
 	Ended    time.Time
-	// HandedTo is the shard that the job was given to, until it accepts.
-	HandedTo cawork.ShardID
+	// HandedTo is the shard that the job was given to. The job stays readable
+	// here like an ended one, so that callers can be sent there.
+	HandedTo       cawork.ShardID
+	HandoverNumber int64
+	HandoverAcked  bool
 }
 
 // maxAttempts returns how often each task of the job may be attempted.
--- /dev/null
+++ b/internal/coord/calog/entry.go
@@ -0,0 +1,60 @@
+// Package calog writes the records of shards to the platform's log in batches
+// and reads them back. Nothing waits for it: the log is the last copy, for
+// when primary and backup of a shard are both lost.
+package calog
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+//go:generate go tool enumer -type=EntryType -trimprefix=Entry -transform=snake -text -output=entrytype_names.go
+
+// EntryType tells what an entry holds.
+type EntryType int
+
+// The types of entries.
+const (
+	// EntryRecord holds one record of a shard.
+	EntryRecord EntryType = iota
+	// EntrySnapshot holds the state of a shard after the record of the index.
+	EntrySnapshot
+	// EntryRetired notes that the shard is empty and led by nobody.
+	EntryRetired
+)
+
+// EntryID identifies an entry. Sequences of a writer grow by one.
+type EntryID struct {
+	Writer   string
+	Sequence int64
+}
+
+// Entry is one entry of a shard in the log.
+type Entry struct {
+	ID    EntryID
+	Type  EntryType
+	Shard cawork.ShardID
+	View  int64
+	Index int64
+	Body  []byte
+}
+
+// encode returns the payload of the entry.
+func (e Entry) encode() ([]byte, error) {
+	b, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindInternal, err, "encode log entry of shard %s", e.Shard)
+	}
+	return b, nil
+}
+
+// decodeEntry reads a payload.
+func decodeEntry(b []byte) (Entry, error) {
+	var e Entry
+	if err := cbor.Unmarshal(b, &e); err != nil {
+		return Entry{}, cakind.Wrap(cakind.KindInvalid, err, "decode log entry")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/coord/calog/fold.go
@@ -0,0 +1,89 @@
+package calog
+
+import (
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// Image is what the log tells of one shard: a state and the records after it.
+type Image struct {
+	Shard cawork.ShardID
+	// View is the highest view number that was seen.
+	View int64
+	// Base is the index of the last record that State includes.
+	Base    int64
+	State   []byte
+	Records [][]byte
+	Retired bool
+}
+
+// Last returns the index of the last record of the image.
+func (i *Image) Last() int64 { return i.Base + int64(len(i.Records)) }
+
+// Fold collects the images of shards from the entries of the log, read in
+// order. Copies of an entry that was written twice are skipped.
+type Fold struct {
+	images map[cawork.ShardID]*Image
+	seen   map[string]int64
+}
+
+// NewFold returns an empty fold.
+func NewFold() *Fold {
+	return &Fold{images: map[cawork.ShardID]*Image{}, seen: map[string]int64{}}
+}
+
+// Apply takes the next payload. Payloads that are not entries are an error of
+// KindInvalid and change nothing.
+func (f *Fold) Apply(payload []byte) error {
+	e, err := decodeEntry(payload)
+	if err != nil {
+		return err
+	}
+	if e.ID.Sequence <= f.seen[e.ID.Writer] {
+		return nil
+	}
+	f.seen[e.ID.Writer] = e.ID.Sequence
+	f.apply(e)
+	return nil
+}
+
+func (f *Fold) apply(e Entry) {
+	i, ok := f.images[e.Shard]
+	if !ok {
+		i = &Image{Shard: e.Shard}
+		f.images[e.Shard] = i
+	}
+	i.View = max(i.View, e.View)
+	switch e.Type {
+	case EntryRecord:
+		if e.Index == i.Last()+1 {
+			i.Records = append(i.Records, e.Body)
+		}
+	case EntrySnapshot:
+		i.rebase(e)
+	case EntryRetired:
+		i.Retired = true
+	}
+}
+
+// rebase takes a snapshot unless the image is already ahead of it.
+func (i *Image) rebase(e Entry) {
+	if e.Index < i.Base || i.State != nil && e.Index == i.Base {
+		return
+	}
+	if e.Index < i.Last() {
+		i.Records = i.Records[e.Index-i.Base:]
+	} else {
+		i.Records = nil
+	}
+	i.Base = e.Index
+	i.State = e.Body
+}
+
+// Image returns what is known of a shard.
+func (f *Fold) Image(s cawork.ShardID) (Image, bool) {
+	i, ok := f.images[s]
+	if !ok {
+		return Image{}, false
+	}
+	return *i, true
+}
--- /dev/null
+++ b/internal/coord/calog/writer.go
@@ -0,0 +1,293 @@
+package calog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// MinPeriod is the shortest time between two appends: ten a second.
+const MinPeriod = 100 * time.Millisecond
+
+// readPage is the number of records read at once when an append is settled.
+const readPage = 500
+
+// Snapshots returns the state of a shard that is led here as an entry of type
+// EntrySnapshot, false when it is not led here. Its ID is set by the writer.
+type Snapshots interface {
+	ShardSnapshot(s cawork.ShardID) (Entry, bool)
+}
+
+// Options are what a Writer needs.
+type Options struct {
+	Log       caplatform.Log
+	Topic     string
+	Writer    string
+	Snapshots Snapshots
+	Timer     *catimer.Service
+	Events    zerolog.Logger
+	Scope     tally.Scope
+	// Period is the time between two appends, at least MinPeriod.
+	Period time.Duration
+	// SnapshotPeriod is the time between snapshots of a shard. It must be well
+	// below the time for which the log keeps a record.
+	SnapshotPeriod time.Duration
+	CallTimeout    time.Duration
+	// MaxBatch bounds the entries of one append, MaxBuffered those that wait.
+	// Beyond it a shard's entries give way to one snapshot.
+	MaxBatch    int
+	MaxBuffered int
+}
+
+// DefaultOptions returns the bounds for a log that keeps records for hours.
+func DefaultOptions() Options {
+	return Options{
+		Period:         MinPeriod,
+		SnapshotPeriod: 10 * time.Minute,
+		CallTimeout:    2 * time.Second,
+		MaxBatch:       256,
+		MaxBuffered:    10_000,
+	}
+}
+
+// Writer writes entries in batches. One append is under way at a time, and
+// the next batch follows only when the former is known to be in the log, so
+// that the order of first copies is that of the sequences.
+type Writer struct {
+	opts Options
+	done chan struct{}
+
+	mu       sync.Mutex
+	buffer   []Entry
+	due      map[cawork.ShardID]time.Time
+	sequence int64
+	down     bool
+
+	// batch is the append under way, next the offset up to which it was looked
+	// for. Only Run uses them.
+	batch   []Entry
+	inDoubt bool
+	next    caplatform.Offset
+	retry   *backoff.ExponentialBackOff
+	notTill time.Time
+}
+
+// NewWriter returns a writer that runs once Run is called.
+func NewWriter(o Options) (*Writer, error) {
+	if o.Period < MinPeriod || o.SnapshotPeriod <= 0 || o.MaxBatch <= 0 || o.MaxBuffered < o.MaxBatch || o.CallTimeout <= 0 {
+		return nil, cakind.New(cakind.KindInvalid, "log writer periods or bounds: %v, %v, %d, %d",
+			o.Period, o.SnapshotPeriod, o.MaxBatch, o.MaxBuffered)
+	}
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = o.Period
+	retry.MaxInterval = 5 * time.Second
+	retry.RandomizationFactor = 0
+	return &Writer{opts: o, done: make(chan struct{}), due: map[cawork.ShardID]time.Time{}, retry: retry}, nil
+}
+
+// Done is closed when Run has ended.
+func (w *Writer) Done() <-chan struct{} { return w.done }
+
+// Add queues an entry. It never blocks. A shard that is seen for the first
+// time gets its snapshots from then on.
+func (w *Writer) Add(e Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.due[e.Shard]; !ok {
+		w.due[e.Shard] = w.opts.Timer.Now().Add(w.opts.SnapshotPeriod)
+	}
+	w.buffer = append(w.buffer, e)
+	if len(w.buffer) > w.opts.MaxBuffered {
+		w.compact()
+	}
+}
+
+// Forget ends the snapshots of a shard that is no longer led here.
+func (w *Writer) Forget(s cawork.ShardID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.due, s)
+}
+
+// compact drops all waiting records in favor of snapshots.
+func (w *Writer) compact() {
+	now := w.opts.Timer.Now()
+	kept := w.buffer[:0]
+	for _, e := range w.buffer {
+		if _, led := w.due[e.Shard]; led && e.Type != EntryRetired {
+			w.due[e.Shard] = now
+			continue
+		}
+		kept = append(kept, e)
+	}
+	w.buffer = kept[max(0, len(kept)-w.opts.MaxBuffered):]
+}
+
+// Run writes until the context ends, then tries once more to write the rest.
+func (w *Writer) Run(ctx context.Context) error {
+	defer close(w.done)
+	ticks := w.opts.Timer.Every(w.opts.Period)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			w.step(context.WithoutCancel(ctx))
+			return nil
+		case <-ticks.C:
+			w.step(ctx)
+		}
+	}
+}
+
+// step makes at most one append.
+func (w *Writer) step(ctx context.Context) {
+	if w.opts.Timer.Now().Before(w.notTill) {
+		return
+	}
+	w.addSnapshots()
+	w.fill()
+	if len(w.batch) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.opts.CallTimeout)
+	defer cancel()
+	w.settle(w.write(ctx))
+}
+
+// addSnapshots queues the snapshots that are due.
+func (w *Writer) addSnapshots() {
+	for _, s := range w.dueShards() {
+		e, ok := w.opts.Snapshots.ShardSnapshot(s)
+		if !ok {
+			w.Forget(s)
+			continue
+		}
+		w.Add(e)
+	}
+}
+
+func (w *Writer) dueShards() []cawork.ShardID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.opts.Timer.Now()
+	var out []cawork.ShardID
+	for s, at := range w.due {
+		if !now.Before(at) {
+			out = append(out, s)
+			w.due[s] = now.Add(w.opts.SnapshotPeriod)
+		}
+	}
+	return out
+}
+
+// fill takes the next batch when the former is settled.
+func (w *Writer) fill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.batch) > 0 {
+		return
+	}
+	n := min(len(w.buffer), w.opts.MaxBatch)
+	w.batch = append([]Entry(nil), w.buffer[:n]...)
+	w.buffer = append([]Entry(nil), w.buffer[n:]...)
+	for i := range w.batch {
+		w.sequence++
+		w.batch[i].ID = EntryID{Writer: w.opts.Writer, Sequence: w.sequence}
+	}
+}
+
+// write appends the batch, unless a former append of it turns out to have
+// taken effect.
+func (w *Writer) write(ctx context.Context) error {
+	if w.inDoubt {
+		found, err := w.find(ctx)
+		if err != nil || found {
+			return err
+		}
+	}
+	payloads := make([][]byte, 0, len(w.batch))
+	for _, e := range w.batch {
+		b, err := e.encode()
+		if err != nil {
+			return err
+		}
+		payloads = append(payloads, b)
+	}
+	w.opts.Scope.Counter("log_appends").Inc(1)
+	at, err := w.opts.Log.Append(ctx, w.opts.Topic, payloads)
+	if err != nil {
+		w.inDoubt = w.inDoubt || !knownWithoutEffect(err)
+		return err
+	}
+	w.next = at + caplatform.Offset(len(payloads))
+	return nil
+}
+
+// find looks for the batch in what was appended since the last known offset.
+func (w *Writer) find(ctx context.Context) (bool, error) {
+	for {
+		page, err := w.opts.Log.Read(ctx, w.opts.Topic, w.next, readPage)
+		if err != nil {
+			return false, err
+		}
+		for _, r := range page.Records {
+			if e, err := decodeEntry(r.Payload); err == nil && e.ID == w.batch[0].ID {
+				return true, nil
+			}
+			w.next = r.Offset + 1
+		}
+		if len(page.Records) == 0 || w.next >= page.Next {
+			return false, nil
+		}
+	}
+}
+
+func knownWithoutEffect(err error) bool {
+	k := cakind.Of(err)
+	return k == cakind.KindUnavailable || k == cakind.KindNotStarted || k == cakind.KindOverloaded
+}
+
+// settle ends the batch, or sets the time of the next try.
+func (w *Writer) settle(err error) {
+	w.setDown(err)
+	if err != nil {
+		w.notTill = w.opts.Timer.Now().Add(w.retry.NextBackOff())
+		return
+	}
+	w.opts.Scope.Counter("log_entries").Inc(int64(len(w.batch)))
+	w.retry.Reset()
+	w.notTill = time.Time{}
+	w.batch = nil
+	w.inDoubt = false
+}
+
+func (w *Writer) setDown(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	down := err != nil
+	if down && !w.down {
+		caevent.Warn(w.opts.Events, caevent.LogUnavailable).Err(err).Str("topic", w.opts.Topic).Send()
+	}
+	if !down && w.down {
+		caevent.Info(w.opts.Events, caevent.LogRestored).Str("topic", w.opts.Topic).Send()
+	}
+	w.down = down
+	w.opts.Scope.Gauge("log_buffered").Update(float64(len(w.buffer)))
+}
+
+// IsConfirming reports whether the last append is known to have succeeded.
+func (w *Writer) IsConfirming() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.down
+}
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -28,6 +28,10 @@
 //
 // A change of the witness from w to x registers the new view at x, then lets
 // the backup adopt it, which excludes the old view without asking w.
+//
+// Once a view is registered, its backup may take over from it. So no view is
+// registered while an older one of another backup may be in force, unless the
+// same swap ends that.
 type change struct {
 	view    View
 	stage   changeStage
@@ -128,29 +132,40 @@
 	return v.WithNumber(p.highest)
 }
 
-// decide starts the change that is needed most, if any.
+// decide starts the change that is needed most, if any. The backup and the
+// witness are never replaced in one change, since only the one that stays can
+// exclude the old view. A shard that has lost both waits for either.
 func (p *primary) decide(now time.Time) {
 	v := p.target()
-	witness := p.chooseWitness(now, v.Witness)
 	switch {
-	case p.yielding || p.retiring && !v.IsSolo() && !p.isLost(now, p.peer(v.Backup), time.Time{}):
+	case p.yielding:
 		return
+	case p.isAlone():
+		p.decideBackup(now, v.WithWitness(p.chooseWitness(now, v.Witness)))
 	case v.IsSolo() || p.isLost(now, p.peer(v.Backup), time.Time{}) || p.peer(v.Backup).refused:
-		p.decideBackup(now, v, witness)
-	case witness != v.Witness:
-		p.start(now, p.nextView(v).WithWitness(witness), stageRegister)
+		if !p.isBad(now, v.Witness) {
+			p.decideBackup(now, v)
+		}
+	case p.retiring:
+		return
+	case p.chooseWitness(now, v.Witness) != v.Witness:
+		p.start(now, p.nextView(v).WithWitness(p.chooseWitness(now, v.Witness)), stageRegister)
 	case v != p.settled:
 		p.resume(now, v)
 	}
 }
 
-// decideBackup replaces a lost backup, or goes on alone.
-func (p *primary) decideBackup(now time.Time, v View, witness cawork.UpstreamID) {
+// isAlone reports whether no other member may take over.
+func (p *primary) isAlone() bool { return len(p.required()) == 0 }
+
+// decideBackup finds a backup for a view that has none or has lost it, or else
+// goes on alone.
+func (p *primary) decideBackup(now time.Time, v View) {
 	next, found := p.chooseBackup(now, v.Backup)
 	switch {
-	case found && witness != "" && !p.retiring:
-		p.start(now, p.nextView(v).WithBackup(next).WithWitness(witness), stageRecruit)
-	case !v.IsSolo() || len(p.possible) > 1:
+	case found && v.Witness != "" && !p.retiring:
+		p.start(now, p.nextView(v).WithBackup(next), stageRecruit)
+	case !p.isAlone():
 		p.start(now, p.nextView(v).WithBackup(Member{}), stageRegister)
 	}
 }
@@ -197,11 +212,11 @@
 
 // chooseWitness keeps the present witness unless it is bad.
 func (p *primary) chooseWitness(now time.Time, present cawork.UpstreamID) cawork.UpstreamID {
-	if present != "" && !p.registerAt(present).bad(now, p.cfg.WitnessTimeout) {
+	if present != "" && !p.isBad(now, present) {
 		return present
 	}
 	for _, u := range p.witnesses {
-		if u != present && !p.registerAt(u).bad(now, p.cfg.WitnessTimeout) {
+		if u != present && !p.isBad(now, u) {
 			return u
 		}
 	}
@@ -211,6 +226,10 @@
 	return present
 }
 
+func (p *primary) isBad(now time.Time, u cawork.UpstreamID) bool {
+	return p.registerAt(u).bad(now, p.cfg.WitnessTimeout)
+}
+
 // progress moves the change on.
 func (p *primary) progress(now time.Time, out *effects) {
 	c := p.change
@@ -223,13 +242,47 @@
 		p.commit(now, out)
 	}
 	if c.stage == stageRegister && p.hasCaughtUp() {
-		p.operate(now, c.view.Witness, out)
+		p.register(now, out)
 	}
 	if c.stage == stageExclude {
 		p.exclude(now, out)
 	}
 }
 
+// register writes the new view to its register, after the registers of older
+// views that it must exclude first.
+func (p *primary) register(now time.Time, out *effects) {
+	p.dropAdopted()
+	blockers := p.blockers()
+	for _, u := range blockers {
+		p.operate(now, u.Witness, out)
+	}
+	if len(blockers) == 0 {
+		p.operate(now, p.change.view.Witness, out)
+	}
+}
+
+// blockers returns the possible views that the registration of the new view
+// would neither exclude nor bind to the same backup.
+func (p *primary) blockers() []View {
+	var out []View
+	for _, u := range p.possible {
+		v := p.change.view
+		if !u.IsSolo() && u.Backup != v.Backup && u.Witness != v.Witness {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// dropAdopted drops older views whose backup has adopted a later one.
+func (p *primary) dropAdopted() {
+	v := p.change.view
+	p.possible = slices.DeleteFunc(p.possible, func(u View) bool {
+		return u != v && (u.IsSolo() || p.peer(u.Backup).adopted > u.Number)
+	})
+}
+
 // hasCaughtUp reports whether the backup of the change holds every record
 // that took effect before records began to need it.
 func (p *primary) hasCaughtUp() bool {
@@ -241,9 +294,7 @@
 // backup adopted a later view, or its register was swapped.
 func (p *primary) exclude(now time.Time, out *effects) {
 	c := p.change
-	p.possible = slices.DeleteFunc(p.possible, func(u View) bool {
-		return u != c.view && (u.IsSolo() || p.peer(u.Backup).adopted > u.Number)
-	})
+	p.dropAdopted()
 	if len(p.possible) == 1 {
 		p.change = nil
 		p.settled = c.view
@@ -343,13 +394,10 @@
 
 // swap writes the view of the change to a register that holds an older one.
 func (p *primary) swap(now time.Time, u cawork.UpstreamID, value caplatform.Register, out *effects) {
-	c := p.change
-	if c == nil || c.stage == stageRecruit || !p.hasCaughtUp() {
-		return
-	}
-	if c.stage == stageRegister && u != c.view.Witness {
+	if !p.mayWrite(u) {
 		return
 	}
+	c := p.change
 	swap, err := newSwap(c.view, value.Version)
 	if err != nil {
 		return
@@ -361,3 +409,17 @@
 	c.sent = true
 	out.registers = append(out.registers, registerEffect{witness: u, swap: swap})
 }
+
+// mayWrite reports whether the new view may be written to the register now.
+func (p *primary) mayWrite(u cawork.UpstreamID) bool {
+	c := p.change
+	if c == nil || c.stage == stageRecruit || !p.hasCaughtUp() {
+		return false
+	}
+	blockers := p.blockers()
+	if u == c.view.Witness {
+		return len(blockers) == 0
+	}
+	excludes := func(v View) bool { return v.Witness == u }
+	return slices.ContainsFunc(blockers, excludes) || c.stage == stageExclude && slices.ContainsFunc(p.possible, excludes)
+}
--- /dev/null
+++ b/internal/coord/cashard/faults_test.go
@@ -0,0 +1,261 @@
+package cashard_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+)
+
+var (
+	firstSeed = flag.Uint64("shard.seed", 1, "first seed of the fault runs")
+	seeds     = flag.Uint64("shard.seeds", 12, "number of fault runs")
+)
+
+// killApart is the time after which the loss of an entry has been made good:
+// silence, takeover, a new backup.
+const killApart = 10 * time.Second
+
+const runLength = 40 * time.Second
+
+// TestFaults runs real parts through random faults, two at once, and asserts
+// that no task runs twice, no team passes its limit and no accepted job is
+// lost.
+func TestFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+		})
+	}
+}
+
+func runFaults(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer func() {
+		cancel()
+		for _, n := range w.nodes {
+			n.resume()
+			<-n.part.Done()
+		}
+		time.Sleep(10 * time.Second)
+	}()
+	w.open(ctx, 3+w.intn(4), 3+w.intn(3))
+	lossless := w.disturb(ctx)
+	w.heal()
+	time.Sleep(40 * time.Second)
+	w.lmu.Lock()
+	defer w.lmu.Unlock()
+	if diff := cmp.Diff([]string(nil), w.violations); diff != "" {
+		t.Errorf("violations (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string(nil), w.lost()); diff != "" && lossless {
+		t.Errorf("lost jobs (-want +got):\n%s", diff)
+	}
+	if len(w.accepted) == 0 {
+		t.Error("no job was accepted")
+	}
+}
+
+// open starts the nodes and upstreams and mints the limit among the shards.
+func (w *world) open(ctx context.Context, nodes, hosts int) {
+	var candidates []cashard.Candidate
+	var witnesses []cawork.UpstreamID
+	for i := range hosts {
+		w.hosts = append(w.hosts, newHost(w, i))
+		witnesses = append(witnesses, w.hosts[i].id)
+	}
+	for i := range nodes {
+		n := w.addNode(ctx, i, 0.995+0.01*float64(w.intn(101))/100)
+		candidates = append(candidates, cashard.Candidate{Member: n.member, Zone: "z"})
+	}
+	share := taskSize.Times(3)
+	w.limit = share.Times(int64(nodes))
+	for i, n := range w.nodes {
+		n.part.SetCandidates(append(append([]cashard.Candidate(nil), candidates[i:]...), candidates[:i]...))
+		n.part.SetWitnesses(append(append([]cawork.UpstreamID(nil), witnesses[i%hosts:]...), witnesses[:i%hosts]...))
+		if err := n.part.Open(n.shard()); err != nil {
+			w.t.Fatal(err)
+		}
+		mint := &caescrow.MintShare{Team: team, Version: 1, Amount: share}
+		if err := n.append(ctx, n.shard(), cajob.Record{Type: cajob.RecordMintSet, MintSet: mint}); err != nil {
+			w.t.Fatal(err)
+		}
+		go n.drive(ctx)
+	}
+	time.Sleep(time.Second)
+}
+
+// disturb brings about faults for the length of a run, at most two at once,
+// and reports whether none of them may lose a job: a kill is only allowed
+// while every shard has a copy on two live nodes.
+func (w *world) disturb(ctx context.Context) bool {
+	w.lossy = float64(w.intn(4)) * 0.03
+	lossless := true
+	end := time.Now().Add(runLength)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(time.Duration(500+w.intn(3000)) * time.Millisecond)
+		undo := w.fault(&lossless)
+		time.Sleep(time.Duration(w.intn(2500)) * time.Millisecond)
+		undoOther := w.fault(&lossless)
+		time.Sleep(time.Duration(500+w.intn(6000)) * time.Millisecond)
+		undo()
+		undoOther()
+	}
+	return lossless
+}
+
+// fault brings about one random fault and returns how to undo it.
+func (w *world) fault(lossless *bool) func() {
+	n := w.nodes[w.intn(len(w.nodes))]
+	h := w.hosts[w.intn(len(w.hosts))]
+	switch w.intn(6) {
+	case 0:
+		n.pause()
+		return n.resume
+	case 1:
+		other := w.nodes[w.intn(len(w.nodes))]
+		return w.cutLinks(link{n.name(), other.name()})
+	case 2:
+		return w.cutLinks(w.linksOf(n.name())...)
+	case 3:
+		return w.cutLinks(link{n.name(), string(h.id)}, link{string(h.id), n.name()})
+	case 4:
+		return h.stopAnswering()
+	default:
+		w.killOne(n, lossless)
+		return func() {}
+	}
+}
+
+func (w *world) killOne(n *node, lossless *bool) {
+	if w.live() < 3 || n.isDead() {
+		return
+	}
+	for _, s := range n.part.Statuses() {
+		if s.Primary && s.Degraded {
+			*lossless = false
+		}
+	}
+	for _, other := range w.nodes {
+		for _, s := range other.part.Statuses() {
+			if !other.isDead() && s.Primary && s.Degraded {
+				*lossless = false
+			}
+		}
+	}
+	if time.Since(w.killed) < killApart {
+		*lossless = false
+	}
+	w.killed = time.Now()
+	n.kill()
+}
+
+func (w *world) live() int {
+	count := 0
+	for _, n := range w.nodes {
+		if !n.isDead() {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *world) cutLinks(links ...link) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range links {
+		w.cut[l] = true
+	}
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, l := range links {
+			delete(w.cut, l)
+		}
+	}
+}
+
+// linksOf returns the links to and from all other nodes.
+func (w *world) linksOf(name string) []link {
+	var out []link
+	for _, n := range w.nodes {
+		out = append(out, link{name, n.name()}, link{n.name(), name})
+	}
+	return out
+}
+
+func (h *host) stopAnswering() func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = true
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.down = false
+	}
+}
+
+// heal undoes all faults but the kills.
+func (w *world) heal() {
+	w.mu.Lock()
+	w.cut = map[link]bool{}
+	w.lossy = 0
+	w.mu.Unlock()
+	for _, n := range w.nodes {
+		n.resume()
+	}
+}
+
+// lost returns the accepted jobs that no live primary knows.
+func (w *world) lost() []string {
+	var out []string
+	for id, shard := range w.accepted {
+		if !w.isKnown(id) {
+			out = append(out, string(id)+" of "+string(shard))
+		}
+	}
+	if len(out) > 0 {
+		slices.Sort(out)
+		w.t.Log(w.describe())
+	}
+	return out
+}
+
+func (w *world) isKnown(id cawork.JobID) bool {
+	known := false
+	for _, n := range w.nodes {
+		if n.isDead() {
+			continue
+		}
+		for _, s := range n.part.Statuses() {
+			n.part.Read(s.Shard, func(m cashard.StateMachine) {
+				_, ok := m.(*cajob.State).Job(id)
+				known = known || ok
+			})
+		}
+	}
+	return known
+}
+
+func (w *world) describe() string {
+	var b strings.Builder
+	for _, n := range w.nodes {
+		fmt.Fprintf(&b, "%s dead=%v\n", n.name(), n.isDead())
+		for _, s := range n.part.Statuses() {
+			fmt.Fprintf(&b, "  %+v\n", s)
+		}
+	}
+	return b.String()
+}
--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -58,6 +58,9 @@
 	Shard   cawork.ShardID
 	View    View
 	Primary bool
+	// Since is the first view of the present lead of this member. When it is
+	// above 1, upstreams are to be fenced before anything starts.
+	Since int64
 	// MayAct reports whether the primary may act now.
 	MayAct bool
 	// Degraded reports that records have a single copy, or that no takeover is
@@ -276,6 +279,22 @@
 	return true
 }
 
+// Snapshot returns the state of a shard that is led here, with the view and
+// the index of the last record that it includes.
+func (p *Part) Snapshot(s cawork.ShardID) (View, Snapshot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return View{}, Snapshot{}, cakind.New(cakind.KindNotFound, "shard %s is not led here", s)
+	}
+	state, err := r.primary.machine.Snapshot()
+	if err != nil {
+		return View{}, Snapshot{}, err
+	}
+	return r.primary.possible[0], Snapshot{Index: r.primary.committed, State: state}, nil
+}
+
 // Retire gives up a shard whose state is empty. EventRetired tells the end.
 func (p *Part) Retire(s cawork.ShardID) { p.leave(s, true) }
 
@@ -317,7 +336,7 @@
 	}
 	_, may := r.primary.mayAct(p.opts.Timer.Now())
 	return Status{
-		Shard: r.shard, View: r.primary.possible[0], Primary: true, MayAct: may,
+		Shard: r.shard, View: r.primary.possible[0], Primary: true, Since: r.primary.first, MayAct: may,
 		Degraded: !r.primary.isSettled() || r.primary.target().IsSolo(),
 		Index:    r.primary.committed,
 	}
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -221,10 +221,13 @@
 }
 
 // isReleased reports whether the member is told to drop its replica: its view
-// is being excluded, or the shard retires.
+// must be excluded and its register may not answer, or the shard retires.
 func (p *primary) isReleased(q *peer) bool {
-	c := p.change
-	return p.retiring || c != nil && c.stage == stageExclude && c.view.Backup != q.member
+	if p.retiring {
+		return true
+	}
+	return p.change != nil && p.change.stage == stageRegister &&
+		slices.ContainsFunc(p.blockers(), func(u View) bool { return u.Backup == q.member })
 }
 
 // request builds the next message to a follower.
--- /dev/null
+++ b/internal/coord/cashard/world_test.go
@@ -0,0 +1,215 @@
+package cashard_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// link names one direction between two VMs.
+type link struct{ from, to string }
+
+// world is the network with its faults, shared by all nodes of one run.
+type world struct {
+	t     *testing.T
+	mu    sync.Mutex
+	rng   *rand.Rand
+	cut   map[link]bool
+	lossy float64
+	nodes []*node
+	hosts []*host
+	limit cawork.Resources
+	// killed is when the last entry was killed.
+	killed time.Time
+	ledger
+}
+
+// node is an entry: a real Part, and a driver that does the lead's work.
+type node struct {
+	w      *world
+	member cashard.Member
+	part   *cashard.Part
+	timer  *catimer.Service
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	paused chan struct{}
+	dead   bool
+	fenced map[cawork.ShardID]int64
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	return &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[link]bool{}, ledger: newLedger()}
+}
+
+func (w *world) chance(p float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64() < p
+}
+
+func (w *world) intn(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+// travel delays a message and reports whether it arrives.
+func (w *world) travel(from, to string) bool {
+	delay := time.Duration(200+w.intn(2000)) * time.Microsecond
+	if w.chance(0.02) {
+		delay += time.Duration(w.intn(900)) * time.Millisecond
+	}
+	time.Sleep(delay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cut[link{from, to}] && w.rng.Float64() >= w.lossy
+}
+
+// exchange carries a request to serve and its answer back, any of which may
+// be lost; the request may also arrive twice.
+func exchange[T any](ctx context.Context, w *world, from, to string, serve func() (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		if !w.travel(from, to) {
+			return
+		}
+		if w.chance(w.lossy) {
+			go func() {
+				time.Sleep(time.Duration(w.intn(3000)) * time.Millisecond)
+				_, _ = serve()
+			}()
+		}
+		v, err := serve()
+		if w.travel(to, from) {
+			answers <- answer{v, err}
+		}
+	}()
+	select {
+	case a := <-answers:
+		return a.value, a.err
+	case <-ctx.Done():
+		var none T
+		return none, cakind.New(cakind.KindUnknown, "%s to %s timed out", from, to)
+	}
+}
+
+// Replicate implements cashard.Peers.
+func (n *node) Replicate(ctx context.Context, to cawork.VMID, req cashard.ReplicateRequest) (cashard.ReplicateReply, error) {
+	return exchange(ctx, n.w, n.name(), string(to), func() (cashard.ReplicateReply, error) {
+		for _, other := range n.w.nodes {
+			if other.member.VM == to && !other.isDead() {
+				return other.part.HandleReplicate(ctx, req)
+			}
+		}
+		return cashard.ReplicateReply{}, cakind.New(cakind.KindUnavailable, "%s is dead", to)
+	})
+}
+
+// ReadRegister implements cashard.Witnesses.
+func (n *node) ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error) {
+	return exchange(ctx, n.w, n.name(), string(u), func() (caplatform.Register, error) {
+		return n.w.host(u).read(name)
+	})
+}
+
+// SwapRegister implements cashard.Witnesses.
+func (n *node) SwapRegister(ctx context.Context, u cawork.UpstreamID, s caplatform.RegisterSwap) (caplatform.Register, error) {
+	return exchange(ctx, n.w, n.name(), string(u), func() (caplatform.Register, error) {
+		return n.w.host(u).swap(s)
+	})
+}
+
+func (n *node) name() string { return string(n.member.VM) }
+
+// gate blocks while the node is paused.
+func (n *node) gate() {
+	n.mu.Lock()
+	paused := n.paused
+	n.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+func (n *node) pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused == nil {
+		n.paused = make(chan struct{})
+	}
+}
+
+func (n *node) resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused != nil {
+		close(n.paused)
+		n.paused = nil
+	}
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+// kill ends the node. What it has sent may still arrive.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.resume()
+	n.cancel()
+	<-n.part.Done()
+}
+
+func (w *world) host(u cawork.UpstreamID) *host {
+	for _, h := range w.hosts {
+		if h.id == u {
+			return h
+		}
+	}
+	panic("no upstream " + u)
+}
+
+// addNode starts an entry with its own shard, whose clock runs at the rate.
+func (w *world) addNode(ctx context.Context, i int, rate float64) *node {
+	n := &node{
+		w: w, member: cashard.Member{VM: cawork.VMID(fmt.Sprintf("e%d", i)), Incarnation: 1},
+		timer: catimer.NewDriftingService(rate), fenced: map[cawork.ShardID]int64{},
+	}
+	part, err := cashard.NewPart(cashard.Options{
+		Self: n.member, Zone: "z", Config: cashard.DefaultConfig(), Peers: n, Witnesses: n, Listener: n,
+		NewMachine: func(s cawork.ShardID) cashard.StateMachine {
+			return cajob.NewState(s, cajob.DefaultRetention())
+		},
+		Timer: n.timer, Log: zerolog.Nop(), Scope: tally.NoopScope,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	part.SetGate(n.gate)
+	n.part = part
+	ctx, n.cancel = context.WithCancel(ctx)
+	go func() { _ = part.Run(ctx) }()
+	w.nodes = append(w.nodes, n)
+	return n
+}
