--- a/internal/coord/cajob/rules.go
+++ b/internal/coord/cajob/rules.go
@@ -176,8 +176,8 @@
 	if !ok {
 		return cakind.New(cakind.KindNotFound, "attempt %s is not open", r.Attempt)
 	}
-	if r.State == cawork.TaskStateRunning {
-		return cakind.New(cakind.KindInvalid, "attempt %s still runs", r.Attempt)
+	if !r.State.Ended() {
+		return cakind.New(cakind.KindInvalid, "attempt %s in state %v may still run", r.Attempt, r.State)
 	}
 	if err := s.account.Free(a.Team, a.Charge); err != nil {
 		return err
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -76,7 +76,7 @@
 // settle folds the end of an attempt into the task.
 func (t *Task) settle(s AttemptSettled, spec cawork.JobSpec, limit int) {
 	t.Open = ""
-	started := s.State != cawork.TaskStateAbsent && s.State != cawork.TaskStateFenced
+	started := s.State != cawork.TaskStateFenced
 	t.Ran = t.Ran || started && s.Observed
 	t.MayHaveRun = t.MayHaveRun || started
 	if s.State == cawork.TaskStateDone {
--- a/internal/coord/calog/writer.go
+++ b/internal/coord/calog/writer.go
@@ -80,6 +80,8 @@
 	next    caplatform.Offset
 	retry   *backoff.ExponentialBackOff
 	notTill time.Time
+	// appended is when the last append was sent.
+	appended time.Time
 }
 
 // NewWriter returns a writer that runs once Run is called.
@@ -151,7 +153,8 @@
 
 // step makes at most one append.
 func (w *Writer) step(ctx context.Context) {
-	if w.opts.Timer.Now().Before(w.notTill) {
+	now := w.opts.Timer.Now()
+	if now.Before(w.notTill) || now.Sub(w.appended) < w.opts.Period {
 		return
 	}
 	w.addSnapshots()
@@ -224,6 +227,7 @@
 		payloads = append(payloads, b)
 	}
 	w.opts.Scope.Counter("log_appends").Inc(1)
+	w.appended = w.opts.Timer.Now()
 	at, err := w.opts.Log.Append(ctx, w.opts.Topic, payloads)
 	if err != nil {
 		w.inDoubt = w.inDoubt || !knownWithoutEffect(err)
--- /dev/null
+++ b/internal/coord/calog/writer_test.go
@@ -0,0 +1,204 @@
+package calog
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// fakeLog loses answers, is down at times and forgets old records.
+type fakeLog struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	records []caplatform.Record
+	next    caplatform.Offset
+	lossy   float64
+	down    bool
+	keep    int
+	appends []time.Time
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (caplatform.Offset, error) {
+	time.Sleep(50 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends = append(l.appends, time.Now())
+	if l.down {
+		return 0, cakind.New(cakind.KindUnavailable, "log is down")
+	}
+	first := l.next
+	if l.rng.Float64() >= l.lossy/2 {
+		for _, p := range payloads {
+			l.records = append(l.records, caplatform.Record{Offset: l.next, Payload: p})
+			l.next++
+		}
+	}
+	if l.rng.Float64() < l.lossy {
+		return 0, cakind.New(cakind.KindUnknown, "no answer")
+	}
+	if l.next == first && len(payloads) > 0 {
+		return 0, cakind.New(cakind.KindUnknown, "lost")
+	}
+	l.records = l.records[max(0, len(l.records)-l.keep):]
+	return first, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from caplatform.Offset, limit int) (caplatform.Page, error) {
+	time.Sleep(10 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return caplatform.Page{}, cakind.New(cakind.KindUnavailable, "log is down")
+	}
+	page := caplatform.Page{Next: l.next}
+	for _, r := range l.records {
+		if r.Offset >= from && len(page.Records) < limit {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+// source is a shard whose state is the list of its records.
+type source struct {
+	mu    sync.Mutex
+	shard cawork.ShardID
+	state string
+	index int64
+}
+
+// add returns the next record.
+func (s *source) add() Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	body := fmt.Sprintf("%d,", s.index)
+	s.state += body
+	return Entry{Type: EntryRecord, Shard: s.shard, View: 1, Index: s.index, Body: []byte(body)}
+}
+
+// ShardSnapshot implements Snapshots.
+func (s *source) ShardSnapshot(cawork.ShardID) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Entry{Type: EntrySnapshot, Shard: s.shard, View: 1, Index: s.index, Body: []byte(s.state)}, true
+}
+
+// restored returns the state that the log tells.
+func (l *fakeLog) restored(t *testing.T, s cawork.ShardID) string {
+	t.Helper()
+	f := NewFold()
+	for _, r := range l.records {
+		if err := f.Apply(r.Payload); err != nil {
+			t.Fatal(err)
+		}
+	}
+	i, _ := f.Image(s)
+	state := string(i.State)
+	for _, r := range i.Records {
+		state += string(r)
+	}
+	return state
+}
+
+// TestLogHoldsEveryRecord writes through lost answers, an outage of an hour
+// and retention, and rebuilds the shard from what the log holds in the end.
+func TestLogHoldsEveryRecord(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &fakeLog{rng: rand.New(rand.NewPCG(seed, 2)), lossy: 0.3, keep: 4000}
+			s := &source{shard: "s"}
+			o := DefaultOptions()
+			o.Log, o.Topic, o.Writer, o.Snapshots = l, "jobs", "e1/1", s
+			o.Timer, o.Events, o.Scope = catimer.NewService(), zerolog.Nop(), tally.NoopScope
+			o.MaxBuffered, o.SnapshotPeriod = 500, time.Minute
+			w, err := NewWriter(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { _ = w.Run(ctx) }()
+			write := func(n int) {
+				for range n {
+					w.Add(s.add())
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			write(5000)
+			l.setDown(true)
+			write(2000)
+			time.Sleep(time.Hour)
+			l.setDown(false)
+			write(500)
+			time.Sleep(time.Minute)
+			cancel()
+			<-w.Done()
+			if diff := cmp.Diff(s.state, l.restored(t, "s")); diff != "" {
+				t.Errorf("seed %d: state from the log (-want +got):\n%s", seed, diff)
+			}
+			if busiest := l.busiestSecond(); busiest > 10 {
+				t.Errorf("seed %d: %d appends in one second", seed, busiest)
+			}
+		})
+	}
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// busiestSecond returns the most appends within any second.
+func (l *fakeLog) busiestSecond() int {
+	busiest, from := 0, 0
+	for i, at := range l.appends {
+		for at.Sub(l.appends[from]) >= time.Second {
+			from++
+		}
+		busiest = max(busiest, i-from+1)
+	}
+	return busiest
+}
+
+func TestFoldSkipsCopiesAndGaps(t *testing.T) {
+	f := NewFold()
+	entries := []Entry{
+		{ID: EntryID{"w", 1}, Shard: "s", Index: 1, Body: []byte("1")},
+		{ID: EntryID{"w", 2}, Shard: "s", Index: 2, Body: []byte("2")},
+		{ID: EntryID{"w", 1}, Shard: "s", Index: 1, Body: []byte("1")},
+		{ID: EntryID{"w", 3}, Type: EntrySnapshot, Shard: "s", View: 4, Index: 5, Body: []byte("12345")},
+		{ID: EntryID{"w", 4}, Shard: "s", Index: 7, Body: []byte("7")},
+		{ID: EntryID{"x", 1}, Shard: "s", Index: 6, Body: []byte("6")},
+	}
+	for _, e := range entries {
+		b, err := e.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Apply(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, _ := f.Image("s")
+	want := Image{Shard: "s", View: 4, Base: 5, State: []byte("12345"), Records: [][]byte{[]byte("6")}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("image (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(cakind.KindInvalid, cakind.Of(f.Apply([]byte("?")))); diff != "" {
+		t.Errorf("kind of a foreign payload (-want +got):\n%s", diff)
+	}
+}
