--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -41,8 +41,11 @@
 	Outcome  cawork.Outcome
 	Result   []byte
 	Ended    time.Time
-	// HandedTo is the shard that the job was given to, until it accepts.
-	HandedTo cawork.ShardID
+	// HandedTo is the shard that the job was given to. The job stays readable
+	// here like an ended one, so that callers can be sent there.
+	HandedTo       cawork.ShardID
+	HandoverNumber int64
+	HandoverAcked  bool
 }
 
 // maxAttempts returns how often each task of the job may be attempted.
@@ -73,7 +76,7 @@
 // settle folds the end of an attempt into the task.
 func (t *Task) settle(s AttemptSettled, spec cawork.JobSpec, limit int) {
 	t.Open = ""
-	started := s.State != cawork.TaskStateAbsent && s.State != cawork.TaskStateFenced
+	started := s.State != cawork.TaskStateFenced
 	t.Ran = t.Ran || started && s.Observed
 	t.MayHaveRun = t.MayHaveRun || started
 	if s.State == cawork.TaskStateDone {
