Allowance moves between shards by asks and transfers; placements can be withdrawn

Cause: only the shard that mints a zone's allowance could start tasks, and an intent that the account refused counted as an attempt until the job hung. Change: the exchange of allowances over the planner, Withdraw in the scheduler, funding of shards that were taken over; a checkpoint neither counts nor forbids another attempt.

--- a/internal/base/cawork/resources.go
+++ b/internal/base/cawork/resources.go
@@ -65,6 +65,15 @@
 	return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0
 }
 
+// Floor returns the amount with zero in place of what is negative.
+func (r Resources) Floor() Resources {
+	return Resources{
+		CPU:          max(r.CPU, 0),
+		Memory:       max(r.Memory, 0),
+		Accelerators: max(r.Accelerators, 0),
+	}
+}
+
 // DominantShare returns the largest fraction that the amount takes of the
 // total over the dimensions that the total has.
 func (r Resources) DominantShare(total Resources) float64 {
--- a/internal/coord/cajob/outcome.go
+++ b/internal/coord/cajob/outcome.go
@@ -100,7 +100,7 @@
 
 func (j *Job) mayHaveRun() bool {
 	for i := range j.Tasks {
-		if j.Tasks[i].MayHaveRun {
+		if j.Tasks[i].MayHaveRun || j.Tasks[i].Ran {
 			return true
 		}
 	}
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -14,7 +14,8 @@
 	Attempts int
 	// Ran reports that an upstream told that some attempt ran.
 	Ran bool
-	// MayHaveRun reports that some attempt ran or may have run.
+	// MayHaveRun reports that some attempt ran, or may have run, and did not
+	// save its progress, so that another attempt would double work.
 	MayHaveRun bool
 	// Outcome is the final outcome, OutcomePending when there is none yet.
 	Outcome cawork.Outcome
@@ -77,8 +78,14 @@
 func (t *Task) settle(s AttemptSettled, spec cawork.JobSpec, limit int) {
 	t.Open = ""
 	started := s.State != cawork.TaskStateFenced
+	saved := s.State == cawork.TaskStateCheckpointed
 	t.Ran = t.Ran || started && s.Observed
-	t.MayHaveRun = t.MayHaveRun || started
+	t.MayHaveRun = t.MayHaveRun || started && !saved
+	if saved {
+		// The next attempt goes on where this one stopped, so that it neither
+		// doubles the work nor counts against the bound.
+		t.Attempts--
+	}
 	if s.State == cawork.TaskStateDone {
 		t.Outcome = cawork.OutcomeDone
 		t.Result = s.Result
--- a/internal/core/cadecide/settle.go
+++ b/internal/core/cadecide/settle.go
@@ -34,6 +34,15 @@
 	return s.settle(t, cawork.TaskStateFenced)
 }
 
+// Withdraw implements casched.Scheduler.
+func (s *Scheduler) Withdraw(ref cawork.TaskRef, _ time.Time) casched.Settlement {
+	t := s.ledger.Task(ref)
+	if t == nil {
+		return casched.Settlement{}
+	}
+	return s.settle(t, cawork.TaskStateAbsent)
+}
+
 // Ended implements casched.Scheduler.
 func (s *Scheduler) Ended(e casched.End, now time.Time) casched.Settlement {
 	t := s.ledger.Task(e.Task)
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -200,7 +200,7 @@
 	}
 	out := casched.Settlement{Known: true, Own: true}
 	attempts := t.Attempts
-	if s == cawork.TaskStateCheckpointed && !t.Overran {
+	if s == cawork.TaskStateAbsent || (s == cawork.TaskStateCheckpointed && !t.Overran) {
 		attempts--
 	}
 	outcome, again := casched.Settle(j.Spec, s)
--- a/internal/core/canaive/naive.go
+++ b/internal/core/canaive/naive.go
@@ -166,6 +166,11 @@
 	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateFenced}, now)
 }
 
+// Withdraw implements casched.Scheduler.
+func (s *Scheduler) Withdraw(ref cawork.TaskRef, now time.Time) casched.Settlement {
+	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateAbsent}, now)
+}
+
 // Ended implements casched.Scheduler.
 func (s *Scheduler) Ended(e casched.End, _ time.Time) casched.Settlement {
 	t := s.open(e.Task)
@@ -177,7 +182,7 @@
 		return casched.Settlement{Known: true}
 	}
 	outcome, again := casched.Settle(t.job.Spec, e.State)
-	if e.State == cawork.TaskStateCheckpointed {
+	if e.State == cawork.TaskStateCheckpointed || e.State == cawork.TaskStateAbsent {
 		t.attempts--
 	}
 	if t.job.ending && outcome != cawork.OutcomeDone {
--- a/internal/core/casched/scheduler.go
+++ b/internal/core/casched/scheduler.go
@@ -49,6 +49,9 @@
 	// never to run and the task is queued again within its bound of attempts;
 	// without it the task stays committed until Ended.
 	StartFailed(task cawork.TaskRef, notRun bool, now time.Time) Settlement
+	// Withdraw takes back a placement that was neither recorded nor sent. It
+	// does not count as an attempt.
+	Withdraw(task cawork.TaskRef, now time.Time) Settlement
 	// Ended tells that an attempt is over.
 	Ended(e End, now time.Time) Settlement
 	// Adopt tells of an attempt that an upstream already runs. A task of a
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/calist"
 	"celeryarch.example/celeryarch/internal/coord/camember"
 	"celeryarch.example/celeryarch/internal/core/casched"
@@ -141,6 +142,17 @@
 	return leader, view >= 0
 }
 
+// Partners implements caquota.Leaders.
+func (d *Directory) Partners() []caescrow.Partner {
+	var partners []caescrow.Partner
+	for _, m := range d.Others() {
+		for _, led := range m.App.Shards {
+			partners = append(partners, caescrow.Partner{Shard: led.Shard, Zone: m.Zone})
+		}
+	}
+	return partners
+}
+
 // Entries implements calaunch.Directory.
 func (d *Directory) Entries() []cawork.VMID {
 	var ids []cawork.VMID
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -219,6 +219,7 @@
 	})
 	e.quota = caquota.NewPart(caquota.Config{
 		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
+		Leaders: e.directory, Peers: calink.Quotas{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	return e.shards.Open(e.shard)
@@ -247,7 +248,7 @@
 	e.peers = capeer.NewServer()
 	calink.Register(e.peers, calink.Parts{
 		Members: e.members, Shards: e.shards, Follower: e.follower,
-		Dispatcher: e.dispatcher, Keys: e.keys, Launcher: e.launcher,
+		Dispatcher: e.dispatcher, Keys: e.keys, Launcher: e.launcher, Quota: e.quota,
 	})
 }
 
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -46,6 +46,8 @@
 	reservation casched.ReservationID
 	resolving   bool
 	stopping    bool
+	// funded is set once allowance was moved to the shard for the attempt.
+	funded bool
 }
 
 func newAttempt(p casched.Placement, d casched.Decision) *attempt {
@@ -97,6 +99,8 @@
 	case cakind.Of(err) == cakind.KindUnknown:
 		// The shard has another primary, which settles the intent if it took
 		// effect. ShardEvent drops what is tracked here.
+	case cakind.Of(err) == cakind.KindLimitReached && attempts[0].shard != l.Shard && !attempts[0].funded:
+		l.fund(attempts)
 	default:
 		l.abandon(attempts, err)
 	}
@@ -109,8 +113,9 @@
 		caevent.Warn(l.Logger, caevent.StartFailed).Str("task", a.task.String()).Str("upstream", string(a.upstream)).
 			Str("kind", cakind.Of(err).String()).AnErr("error", err).Send()
 		l.forget(a)
-		l.Scheduler.StartFailed(a.task, true, l.now())
+		l.Scheduler.Withdraw(a.task, l.now())
 	}
+	l.refreshAllowances()
 	l.reconcile(attempts[0].task.Job)
 }
 
@@ -143,7 +148,7 @@
 	view, leads := l.Shards.MayAct(a.shard)
 	vm, listed := l.Directory.Upstream(a.upstream)
 	if !owned || !leads || !listed || l.draining {
-		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateAbsent}, true)
+		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateFenced}, true)
 		return
 	}
 	start := a.start(view, l.TaskTTL)
@@ -178,7 +183,7 @@
 	caevent.Warn(l.Logger, caevent.StartFailed).Str("task", a.task.String()).Str("attempt", string(a.id)).
 		Str("upstream", string(a.upstream)).Str("kind", failed.String()).AnErr("error", err).Send()
 	if cakind.AnswerTo(failed).Execution == cakind.ExecutionNotRun {
-		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateAbsent}, true)
+		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateFenced}, true)
 		return
 	}
 	a.phase = phaseUnresolved
--- a/internal/node/calaunch/settle.go
+++ b/internal/node/calaunch/settle.go
@@ -54,6 +54,9 @@
 		Str("upstream", string(a.upstream)).Str("state", s.status.State.String()).Bool("observed", s.observed).
 		Bool("requeued", result.Requeued).Dur("elapsed", s.status.Elapsed).Send()
 	l.reconcile(a.task.Job)
+	if result.JobEnded {
+		l.refuse(a.task.Job)
+	}
 }
 
 // report tells the scheduler of the end of an attempt.
--- a/internal/node/calaunch/spill.go
+++ b/internal/node/calaunch/spill.go
@@ -187,7 +187,7 @@
 	if !leads || l.draining {
 		l.releaseRemote(group)
 		for _, a := range group {
-			l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateAbsent}, true)
+			l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateFenced}, true)
 		}
 		return
 	}
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -4,10 +4,12 @@
 	"context"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cafollow"
 	"celeryarch.example/celeryarch/internal/coord/camember"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/node/calaunch"
+	"celeryarch.example/celeryarch/internal/node/caquota"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -127,3 +129,16 @@
 func (j Jobs) FindKey(ctx context.Context, to cawork.VMID, r calaunch.FindKeyCall) (calaunch.FindKeyReply, error) {
 	return call[calaunch.FindKeyCall, calaunch.FindKeyReply](ctx, j.Link, to, callFindKey, r)
 }
+
+// Quotas implements caquota.Peers.
+type Quotas struct{ *Link }
+
+// Ask implements caquota.Peers.
+func (q Quotas) Ask(ctx context.Context, to cawork.VMID, ask caescrow.Ask) (caquota.AskReply, error) {
+	return call[caescrow.Ask, caquota.AskReply](ctx, q.Link, to, callAsk, ask)
+}
+
+// Transfer implements caquota.Peers.
+func (q Quotas) Transfer(ctx context.Context, to cawork.VMID, t caescrow.Transfer) error {
+	return notify(ctx, q.Link, to, callTransfer, t)
+}
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -33,6 +33,8 @@
 	callSubmitJob     = "job.submit"
 	callCancelJob     = "job.cancel"
 	callFindKey       = "job.find_key"
+	callAsk           = "allowance.ask"
+	callTransfer      = "allowance.transfer"
 )
 
 // Empty is a message without fields.
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/node/calaunch"
 	"celeryarch.example/celeryarch/internal/node/capeer"
+	"celeryarch.example/celeryarch/internal/node/caquota"
 	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
 	"celeryarch.example/celeryarch/internal/request/caroute"
@@ -21,6 +22,7 @@
 	Dispatcher *cadispatch.Dispatcher
 	Keys       *cadedupe.Service
 	Launcher   *calaunch.Launcher
+	Quota      *caquota.Part
 }
 
 // Register adds the handlers of the parts to the server.
@@ -33,6 +35,8 @@
 	})
 	registerRequests(s, p)
 	registerJobs(s, p.Launcher)
+	capeer.Handle(s, callAsk, p.Quota.HandleAsk)
+	capeer.Handle(s, callTransfer, answerEmpty(p.Quota.HandleTransfer))
 }
 
 func registerRequests(s *capeer.Server, p Parts) {
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,13 +25,17 @@
 const (
 	// claimTopic is the topic of the log that orders the claims of mints.
 	claimTopic = "mint"
-	// period is the time between two rounds.
+	// period is the time between two looks at the log.
 	period = time.Second
+	// exchangePeriod is the time between two rounds of asks.
+	exchangePeriod = 200 * time.Millisecond
 	// claimRetry is the time between two appends of a claim.
 	claimRetry = 5 * time.Second
 	// renewPeriod is the time after which the holder claims anew, so that the
 	// log keeps a claim of it.
 	renewPeriod = 10 * time.Minute
+	// appendTimeout bounds the wait for a record to take effect.
+	appendTimeout = 2 * time.Second
 	// readLimit bounds the records of one read.
 	readLimit = 256
 )
@@ -40,6 +45,7 @@
 	Append(ctx context.Context, s cawork.ShardID, record []byte) error
 	Read(s cawork.ShardID, f func(cashard.StateMachine)) bool
 	Statuses() []cashard.Status
+	Retire(s cawork.ShardID)
 }
 
 // Limits gives the configuration in force.
@@ -49,46 +55,59 @@
 
 // Config wires a part.
 type Config struct {
-	Zone   cawork.ZoneName
-	Shard  cawork.ShardID
-	Log    caplatform.Log
-	Shards Shards
-	Limits Limits
-	Timer  *catimer.Service
-	Logger zerolog.Logger
-	Scope  tally.Scope
+	Zone    cawork.ZoneName
+	Shard   cawork.ShardID
+	Log     caplatform.Log
+	Shards  Shards
+	Limits  Limits
+	Leaders Leaders
+	Peers   Peers
+	Timer   *catimer.Service
+	Logger  zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Part keeps the allowances of the own zone.
 type Part struct {
 	Config
 	done     chan struct{}
+	minted   chan struct{}
 	wake     chan struct{}
 	claims   *caescrow.Claims
 	next     caplatform.Offset
 	complete bool
 	claimed  time.Time
+
+	mu       sync.Mutex
+	planners map[cawork.ShardID]*caescrow.Planner
+	idle     map[cawork.ShardID][]caescrow.TeamAmount
 }
 
 // NewPart returns a part that has read nothing yet.
 func NewPart(c Config) *Part {
 	return &Part{
-		Config: c,
-		done:   make(chan struct{}),
-		wake:   make(chan struct{}, 1),
-		claims: caescrow.NewClaims(),
+		Config:   c,
+		done:     make(chan struct{}),
+		minted:   make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		claims:   caescrow.NewClaims(),
+		planners: make(map[cawork.ShardID]*caescrow.Planner),
+		idle:     make(map[cawork.ShardID][]caescrow.TeamAmount),
 	}
 }
 
 // Run keeps the allowances until the context ends.
 func (p *Part) Run(ctx context.Context) error {
 	defer close(p.done)
-	ticks := p.Timer.Every(period)
+	go p.mintRounds(ctx)
+	ticks := p.Timer.Every(exchangePeriod)
 	defer ticks.Close()
 	for {
-		p.round(ctx)
+		p.collect(ctx)
+		p.exchange(ctx)
 		select {
 		case <-ctx.Done():
+			<-p.minted
 			return nil
 		case <-ticks.C:
 		case <-p.wake:
@@ -96,6 +115,21 @@
 	}
 }
 
+// mintRounds mints beside the exchange, because the log may be slow.
+func (p *Part) mintRounds(ctx context.Context) {
+	defer close(p.minted)
+	ticks := p.Timer.Every(period)
+	defer ticks.Close()
+	for {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
 // Done is closed when the part has ended.
 func (p *Part) Done() <-chan struct{} { return p.done }
 
@@ -182,7 +216,7 @@
 	version := int64(view.Version)
 	for _, team := range view.Config.Teams() {
 		wanted := caescrow.MintShare{Team: team.Name, Version: version, Amount: view.Config.Mint(team.Name, p.Zone)}
-		current := p.minted(shard, team.Name)
+		current := p.mintOf(shard, team.Name)
 		if current.Version >= version || (current.Amount == wanted.Amount && current.Version > 0) {
 			continue
 		}
@@ -194,7 +228,7 @@
 	}
 }
 
-func (p *Part) minted(shard cawork.ShardID, team cawork.TeamName) caescrow.MintShare {
+func (p *Part) mintOf(shard cawork.ShardID, team cawork.TeamName) caescrow.MintShare {
 	var share caescrow.MintShare
 	p.Shards.Read(shard, func(m cashard.StateMachine) {
 		if b, ok := m.(*cajob.State).Account().Teams[team]; ok {
@@ -210,6 +244,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
 	err = p.Shards.Append(ctx, shard, payload)
 	if err != nil && cakind.Of(err) != cakind.KindNotStarted {
 		caevent.Warn(p.Logger, caevent.PartFailed).Str("part", "quota").AnErr("error", err).Send()
