--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -126,6 +126,9 @@
 // Shutdown takes no new calls and waits for those in progress.
 func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
 
+// Close ends the API at once, with all calls in progress.
+func (a *API) Close() error { return a.server.Close() }
+
 // Done is closed when the API has ended.
 func (a *API) Done() <-chan struct{} { return a.done }
 
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -107,8 +107,9 @@
 	apiListener  net.Listener
 	peerListener net.Listener
 	serverTLS    *tls.Config
-	ready        chan struct{}
 	draining     chan struct{}
+	// stop ends all parts at once, without a drain.
+	stop         context.CancelFunc
 	done         chan struct{}
 }
 
@@ -121,7 +122,6 @@
 		log:      around.Logger.With().Str("vm", string(s.VM)).Logger(),
 		scope:    around.Scope,
 		timer:    around.Timer,
-		ready:    make(chan struct{}),
 		draining: make(chan struct{}),
 		done:     make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/node/caentry/faults_test.go
@@ -0,0 +1,277 @@
+package caentry
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/standin/castandlog"
+)
+
+var (
+	firstSeed = flag.Uint64("first_seed", 1, "first seed of the fault runs")
+	seedCount = flag.Uint64("seeds", 4, "number of seeds of the fault runs")
+	verbose   = flag.Bool("entry_logs", false, "print the logs of the entries")
+)
+
+var worldLogLevel = zerolog.Disabled
+
+const (
+	// settleTime is the time for a cell to form.
+	settleTime = 15 * time.Second
+	// faultTime is the time during which faults come.
+	faultTime = 90 * time.Second
+	// healTime is the time after the last fault in which all jobs must end.
+	healTime = 4 * time.Minute
+	// submitTimeout bounds a submission.
+	submitTimeout = 5 * time.Second
+)
+
+func (w *world) entryIDs() []string {
+	var ids []string
+	for id := range w.entries {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// inWorld runs a test in a world in virtual time.
+func inWorld(t *testing.T, seed uint64, test func(w *world)) {
+	if *verbose {
+		worldLogLevel = zerolog.InfoLevel
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(ctx, t, seed)
+		time.Sleep(settleTime)
+		test(w)
+		for _, id := range w.entryIDs() {
+			w.network.release(id)
+		}
+		cancel()
+		for _, e := range w.entries {
+			<-e.entry.Done()
+		}
+	})
+}
+
+// submission is a job that an entry has accepted.
+type submission struct {
+	id   cawork.JobID
+	spec cawork.JobSpec
+	team cawork.TeamName
+}
+
+func (w *world) randomSpec() cawork.JobSpec {
+	script := fmt.Sprintf(`{"run_ms": %d, "fail": %v}`, 200+w.rng.IntN(8000), w.rng.IntN(12) == 0)
+	spec := cawork.JobSpec{
+		Kind: cawork.WorkKindBatch, Tasks: 1 + w.rng.IntN(4), Idempotent: w.rng.IntN(2) == 0, MaxAttempts: 3,
+		Size: cawork.Resources{CPU: cawork.MilliCPU(500 * (1 + w.rng.IntN(6))), Memory: cawork.GiB}, Payload: json.RawMessage(script),
+	}
+	if w.rng.IntN(5) == 0 {
+		spec.Kind = cawork.WorkKindGang
+	}
+	return spec
+}
+
+// submit submits a job to an entry. It reports whether it was accepted.
+func (w *world) submit(e *Entry, team cawork.TeamName, spec cawork.JobSpec) (submission, bool) {
+	ctx, cancel := context.WithTimeout(w.ctx, submitTimeout)
+	defer cancel()
+	id, err := jobs{launcher: e.launcher}.Submit(ctx, team, spec, "")
+	return submission{id: id, spec: spec, team: team}, err == nil
+}
+
+// outcome returns the final outcome of a job as any entry tells it.
+func (w *world) outcome(id cawork.JobID, wait time.Duration) (caapi.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, wait)
+	defer cancel()
+	return jobs{launcher: w.anyEntry().launcher}.Wait(ctx, id)
+}
+
+// checkEnded requires that the accepted jobs have a true final outcome.
+func (w *world) checkEnded(accepted []submission, within time.Duration) {
+	deadline := time.Now().Add(within)
+	for _, s := range accepted {
+		answer, err := w.outcome(s.id, max(time.Until(deadline), 100*time.Millisecond))
+		switch {
+		case err != nil:
+			w.t.Errorf("job %s (%v): %v", s.id, s.spec.Kind, err)
+		case answer.Outcome == cawork.OutcomePending:
+			w.t.Errorf("job %s of %d tasks (%v, idempotent %v) is pending: %+v", s.id, s.spec.Tasks, s.spec.Kind, s.spec.Idempotent, answer.Tasks)
+		case answer.Outcome == cawork.OutcomeNotRun && w.started[s.id]:
+			w.t.Errorf("job %s is told as not run but ran", s.id)
+		}
+	}
+}
+
+func TestJobsRunInEveryZone(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		var accepted []submission
+		for _, id := range w.entryIDs() {
+			s, ok := w.submit(w.entries[id].entry, "limited", cawork.JobSpec{
+				Kind: cawork.WorkKindBatch, Tasks: 4, MaxAttempts: 3, Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+			})
+			if !ok {
+				t.Errorf("entry %s did not accept a job", id)
+			}
+			accepted = append(accepted, s)
+		}
+		w.checkEnded(accepted, time.Minute)
+	})
+}
+
+func TestAcceptedJobsSurviveTheLossOfAnyEntry(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		spec := cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 6, MaxAttempts: 3, Idempotent: true,
+			Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 4000}`),
+		}
+		var accepted []submission
+		for _, id := range []string{"e00", "e10", "e20"} {
+			s, ok := w.submit(w.entries[id].entry, "free", spec)
+			if !ok {
+				t.Fatalf("entry %s did not accept a job", id)
+			}
+			accepted = append(accepted, s)
+		}
+		time.Sleep(time.Second)
+		w.kill("e00")
+		w.kill("e10")
+		w.kill("e20")
+		w.checkEnded(accepted, 2*time.Minute)
+	})
+}
+
+func TestCutZoneGoesOn(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.cutZone(1, true)
+		time.Sleep(20 * time.Second)
+		s, ok := w.submit(w.entries["e11"].entry, "limited", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 2, MaxAttempts: 3, Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+		})
+		if !ok {
+			t.Fatal("the cut zone did not accept a job")
+		}
+		ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+		defer cancel()
+		answer, err := jobs{launcher: w.entries["e12"].entry.launcher}.Wait(ctx, s.id)
+		if err != nil || answer.Outcome != cawork.OutcomeDone {
+			t.Errorf("job in the cut zone: %v, %v", answer.Outcome, err)
+		}
+		w.cutZone(1, false)
+	})
+}
+
+// fault brings about one fault and returns what ends it.
+type fault struct {
+	name  string
+	start func(w *world) (end func())
+}
+
+var faults = []fault{
+	{"kill", func(w *world) func() {
+		id := w.pickEntry()
+		zone := w.entries[id].zone
+		w.kill(id)
+		return func() { w.startEntry(id, zone) }
+	}},
+	{"hold", func(w *world) func() {
+		id := w.pickEntry()
+		w.network.hold(id)
+		return func() { w.network.release(id) }
+	}},
+	{"cut zone", func(w *world) func() {
+		z := w.rng.IntN(zoneCount)
+		w.cutZone(z, true)
+		return func() { w.cutZone(z, false) }
+	}},
+	{"one-way cut", func(w *world) func() {
+		places := w.places()
+		slices.Sort(places)
+		a, b := places[w.rng.IntN(len(places))], places[w.rng.IntN(len(places))]
+		w.network.cut(a, b, true)
+		return func() { w.network.cut(a, b, false) }
+	}},
+	{"log down", func(w *world) func() {
+		w.log.SetFailure(castandlog.Failure{Down: true})
+		return func() { w.log.SetFailure(castandlog.Failure{}) }
+	}},
+	{"lost answers of the log", func(w *world) func() {
+		w.log.SetFailure(castandlog.Failure{LoseAnswers: true})
+		return func() { w.log.SetFailure(castandlog.Failure{}) }
+	}},
+	{"list down", func(w *world) func() {
+		w.list.SetDown(true)
+		return func() { w.list.SetDown(false) }
+	}},
+	{"upstream leaves", func(w *world) func() {
+		id := fmt.Sprintf("u%d%d", w.rng.IntN(zoneCount), w.rng.IntN(upstreamsPerZone))
+		w.list.SetState(cawork.VMID(id), caplatform.VMStateLeaving)
+		return func() { w.list.SetState(cawork.VMID(id), caplatform.VMStateLive) }
+	}},
+}
+
+func (w *world) pickEntry() string {
+	ids := w.entryIDs()
+	return ids[w.rng.IntN(len(ids))]
+}
+
+// pause is the wait of a fault run: between 0.5 s and the bound.
+func (w *world) pause(bound time.Duration) time.Duration {
+	return 500*time.Millisecond + time.Duration(w.rng.Int64N(int64(bound)))
+}
+
+// TestFaults runs cells under single faults, one after the other, and under
+// load. Every accepted job ends with a true outcome, and the world watches
+// that no promise is broken meanwhile.
+func TestFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			inWorld(t, seed, func(w *world) { w.faultRun() })
+		})
+	}
+}
+
+func (w *world) faultRun() {
+	var accepted []submission
+	var names []string
+	end := time.Now().Add(faultTime)
+	for time.Now().Before(end) {
+		f := faults[w.rng.IntN(len(faults))]
+		names = append(names, f.name)
+		heal := f.start(w)
+		for range 1 + w.rng.IntN(4) {
+			team := cawork.TeamName("limited")
+			if w.rng.IntN(3) == 0 {
+				team = "free"
+			}
+			if s, ok := w.submit(w.anyEntry(), team, w.randomSpec()); ok {
+				accepted = append(accepted, s)
+			}
+			time.Sleep(w.pause(2 * time.Second))
+		}
+		heal()
+		time.Sleep(w.pause(6 * time.Second))
+	}
+	w.checkEnded(accepted, healTime)
+	if w.t.Failed() {
+		w.t.Logf("faults: %s", strings.Join(names, ", "))
+	}
+	if len(accepted) == 0 {
+		w.t.Errorf("no job was accepted in a whole run: %v", cakind.KindUnavailable)
+	}
+}
--- a/internal/node/caentry/run.go
+++ b/internal/node/caentry/run.go
@@ -28,6 +28,7 @@
 		Str("zone", string(e.settings.Zone)).Str("shard", string(e.shard)).Bool("tls", e.serverTLS != nil).Send()
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	e.stop = stop
 	group := e.group(parts, stop)
 	group.Add(func() error {
 		select {
@@ -95,6 +96,8 @@
 	case <-ctx.Done():
 	}
 	<-ctx.Done()
+	// After a drain this closes nothing that is still in use.
+	_ = e.api.Close()
 	return nil
 }
 
--- /dev/null
+++ b/internal/node/caentry/world_test.go
@@ -0,0 +1,248 @@
+package caentry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cacell"
+	"celeryarch.example/celeryarch/internal/config/casettings"
+	"celeryarch.example/celeryarch/internal/coord/cafollow"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/standin/castandlog"
+	"celeryarch.example/celeryarch/internal/standin/castandup"
+	"celeryarch.example/celeryarch/internal/standin/castandvm"
+)
+
+const (
+	zoneCount        = 3
+	entriesPerZone   = 3
+	upstreamsPerZone = 3
+	upstreamCores    = 8
+	// limitCores is the upper limit of the team "limited".
+	limitCores = 30
+	// checkPeriod is the time between two looks at all upstreams.
+	checkPeriod = 50 * time.Millisecond
+	logKeeps    = 30 * time.Minute
+	listLag     = 2 * time.Second
+)
+
+// world is a cell of real entries in virtual time over fakes of the network
+// and the platform.
+type world struct {
+	t         *testing.T
+	rng       *rand.Rand
+	network   *network
+	timer     *catimer.Service
+	log       *castandlog.Log
+	list      *castandvm.List
+	upstreams map[string]*castandup.Upstream
+	vms       map[string]caplatform.VM
+	entries   map[string]*runningEntry
+	started   map[cawork.JobID]bool
+	down      map[cawork.AttemptID]bool
+	ctx       context.Context
+}
+
+type runningEntry struct {
+	entry  *Entry
+	zone   cawork.ZoneName
+	cancel context.CancelFunc
+}
+
+const worldConfiguration = `{
+  "zones": {"zone-0": {"allowance_percent": 40}, "zone-1": {"allowance_percent": 30}, "zone-2": {"allowance_percent": 30}},
+  "teams": {
+    "limited": {"share": 1, "limit": {"processors": %d, "memory": "unlimited", "accelerators": 0}},
+    "free": {"share": 1, "limit": {"processors": "unlimited", "memory": "unlimited", "accelerators": "unlimited"}}
+  }
+}`
+
+func newWorld(ctx context.Context, t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), network: newNetwork(), timer: catimer.NewService(), ctx: ctx,
+		upstreams: make(map[string]*castandup.Upstream), vms: make(map[string]caplatform.VM),
+		entries: make(map[string]*runningEntry), started: make(map[cawork.JobID]bool),
+		down: make(map[cawork.AttemptID]bool),
+	}
+	w.log = castandlog.NewLog(w.timer.Now, logKeeps)
+	var vms []caplatform.VM
+	for z := range zoneCount {
+		for i := range upstreamsPerZone {
+			vms = append(vms, w.addUpstream(z, i))
+		}
+	}
+	w.list = castandvm.NewList(w.timer.Now, listLag, vms)
+	w.publish(limitCores)
+	for z := range zoneCount {
+		for i := range entriesPerZone {
+			w.startEntry(fmt.Sprintf("e%d%d", z, i), zoneName(z))
+		}
+	}
+	go w.watch()
+	return w
+}
+
+func zoneName(z int) cawork.ZoneName { return cawork.ZoneName("zone-" + strconv.Itoa(z)) }
+
+func (w *world) addUpstream(z, i int) caplatform.VM {
+	id := fmt.Sprintf("u%d%d", z, i)
+	vm := caplatform.VM{
+		ID: cawork.VMID(id), Role: caplatform.VMRoleUpstream, Zone: zoneName(z), Address: id, Rack: "rack-1",
+		Capacity: cawork.Resources{CPU: cawork.Cores(upstreamCores), Memory: 64 * cawork.GiB}, Slots: 8, Connections: 64,
+	}
+	w.upstreams[id] = castandup.NewUpstream(w.timer.Now, vm)
+	w.vms[id] = vm
+	return vm
+}
+
+func (w *world) publish(cores int) {
+	folder := fstest.MapFS{"cell.json": &fstest.MapFile{Data: fmt.Appendf(nil, worldConfiguration, cores)}}
+	config, err := cacell.Load(folder)
+	if err != nil {
+		w.t.Fatalf("configuration: %v", err)
+	}
+	publisher := cafollow.Publisher{Log: w.log, Topic: cacell.Topic}
+	if _, err := publisher.Publish(w.ctx, cafollow.Change{ID: cafollow.ChangeID(strconv.Itoa(cores)), Body: config.Encode()}); err != nil {
+		w.t.Fatalf("Publish: %v", err)
+	}
+}
+
+// startEntry starts an entry under the id. A former life of it is gone.
+func (w *world) startEntry(id string, zone cawork.ZoneName) {
+	settings := casettings.Default()
+	settings.VM, settings.Zone = cawork.VMID(id), zone
+	settings.Addresses = casettings.Addresses{API: "api-" + id, Peer: id}
+	settings.Seeds = []string{"e00", "e10", "e20"}
+	settings.TLS.Insecure = true
+	platform := Platform{
+		Log: remoteLog{w, id}, VMs: remoteList{w, id}, Agents: remoteAgents{w, id}, Listen: w.network.listen,
+		Dial: func(ctx context.Context, to string) (net.Conn, error) { return w.network.dial(ctx, id, to) },
+	}
+	around := Surroundings{Logger: zerolog.New(zerolog.NewTestWriter(w.t)).Level(worldLogLevel), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: w.timer}
+	entry, err := NewEntry(settings, around, platform)
+	if err != nil {
+		w.t.Fatalf("NewEntry %s: %v", id, err)
+	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.entries[id] = &runningEntry{entry: entry, zone: zone, cancel: cancel}
+	go func() {
+		if err := entry.Run(ctx); err != nil {
+			w.t.Errorf("entry %s: %v", id, err)
+		}
+	}()
+}
+
+// kill ends an entry at once. Nothing that it sends arrives any more.
+func (w *world) kill(id string) {
+	w.isolate(id, true)
+	w.network.release(id)
+	e := w.entries[id]
+	delete(w.entries, id)
+	e.entry.stop()
+	<-e.entry.Done()
+	w.isolate(id, false)
+}
+
+// isolate cuts or heals everything between an entry and the rest.
+func (w *world) isolate(id string, on bool) {
+	for _, other := range w.places() {
+		if other != id {
+			w.network.cut(id, other, on)
+			w.network.cut(other, id, on)
+		}
+	}
+}
+
+func (w *world) places() []string {
+	places := []string{placeLog, placeVMs}
+	for z := range zoneCount {
+		for i := range entriesPerZone {
+			places = append(places, fmt.Sprintf("e%d%d", z, i))
+		}
+	}
+	for u := range w.upstreams {
+		places = append(places, u)
+	}
+	return places
+}
+
+// zoneOf returns the digit of the zone in the name of a place, zero for the
+// platform.
+func zoneOf(place string) byte {
+	if place == placeLog || place == placeVMs {
+		return 0
+	}
+	return place[1]
+}
+
+// cutZone cuts a zone from the other zones and from the platform.
+func (w *world) cutZone(z int, on bool) {
+	for _, a := range w.places() {
+		for _, b := range w.places() {
+			if zoneOf(a) == byte('0'+z) && zoneOf(b) != zoneOf(a) {
+				w.network.cut(a, b, on)
+				w.network.cut(b, a, on)
+			}
+		}
+	}
+}
+
+// watch looks at all upstreams again and again for broken promises.
+func (w *world) watch() {
+	for w.ctx.Err() == nil {
+		w.check()
+		time.Sleep(checkPeriod)
+	}
+}
+
+func (w *world) check() {
+	running := make(map[cawork.TaskRef]cawork.AttemptID)
+	use := make(map[cawork.TeamName]cawork.Resources)
+	for id, u := range w.upstreams {
+		var committed cawork.Resources
+		for _, s := range u.Tasks() {
+			if s.State != cawork.TaskStateFenced {
+				w.started[s.Task.Job] = true
+			}
+			if s.State != cawork.TaskStateRunning || w.vms[id].State == caplatform.VMStateGone {
+				continue
+			}
+			if other, twice := running[s.Task]; twice {
+				w.t.Errorf("%v: task %v runs twice, in attempts %s and %s", w.timer.Now(), s.Task, other, s.Attempt)
+			}
+			running[s.Task] = s.Attempt
+			use[s.Team] = use[s.Team].Plus(s.Size)
+			committed = committed.Plus(s.Size)
+		}
+		if !committed.Fits(w.vms[id].Capacity) {
+			w.t.Errorf("upstream %s is committed to %v", id, committed)
+		}
+		if v := u.Violations(); v.Overcommitted > 0 || v.DoubleRequests > 0 {
+			w.t.Errorf("upstream %s saw %+v", id, v)
+		}
+	}
+	if cores := use["limited"].CPU; cores > cawork.Cores(limitCores) {
+		w.t.Errorf("team limited runs %v milli cores of %v", cores, cawork.Cores(limitCores))
+	}
+}
+
+// anyEntry returns a running entry.
+func (w *world) anyEntry() *Entry {
+	ids := w.entryIDs()
+	if len(ids) == 0 {
+		return nil
+	}
+	return w.entries[ids[w.rng.IntN(len(ids))]].entry
+}
--- a/internal/standin/castandup/upstream.go
+++ b/internal/standin/castandup/upstream.go
@@ -67,6 +67,13 @@
 	return u.violations
 }
 
+// Tasks returns every attempt that the upstream knows, the latest change last.
+func (u *Upstream) Tasks() []caplatform.TaskStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.changedSince(0, u.advance())
+}
+
 // Claim implements caplatform.Agent.
 func (u *Upstream) Claim(_ context.Context, c caplatform.Claim) (caplatform.ClaimResult, error) {
 	u.mu.Lock()
