Scenarios of shards; registers against the log as the arbiter

Cause: the choice of the witness needs a measurement; each failure found and each claim about one loss needs a named test. Change: scenario tests; a backup whose read of the witness failed asks again after a heartbeat in place of a witness period.

--- /dev/null
+++ b/internal/coord/cashard/arbiter_test.go
@@ -0,0 +1,148 @@
+package cashard_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// logArbiter decides changes of view by the order of the platform's log, as
+// the alternative to registers at upstreams: a read takes one call of the log,
+// a swap an append and a read.
+type logArbiter struct {
+	mu        sync.Mutex
+	latency   time.Duration
+	down      bool
+	registers map[string]caplatform.Register
+}
+
+func (a *logArbiter) call() error {
+	time.Sleep(a.latency)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return cakind.New(cakind.KindUnavailable, "log is down")
+	}
+	return nil
+}
+
+func (a *logArbiter) read(name string) (caplatform.Register, error) {
+	if err := a.call(); err != nil {
+		return caplatform.Register{}, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.registers[name], nil
+}
+
+func (a *logArbiter) swap(s caplatform.RegisterSwap) (caplatform.Register, error) {
+	if err := a.call(); err != nil {
+		return caplatform.Register{}, err
+	}
+	a.mu.Lock()
+	held := a.registers[s.Name]
+	if held.Version == s.Expected {
+		held = caplatform.Register{Version: held.Version + 1, Value: s.Value}
+		a.registers[s.Name] = held
+	}
+	a.mu.Unlock()
+	return held, a.call()
+}
+
+// outage is the longest time that a measurement waits for a primary.
+const outage = 20 * time.Second
+
+// gaps returns how long a shard had no primary that may act, in runs that
+// kill its primary and in runs that kill its backup.
+func gaps(t *testing.T, newArbiter func() *logArbiter, down bool) (primary, backup []time.Duration) {
+	for run := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, uint64(run))
+			w.arbiter = newArbiter()
+			w.idle = true
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() {
+				cancel()
+				for _, n := range w.nodes {
+					<-n.part.Done()
+				}
+				time.Sleep(10 * time.Second)
+			}()
+			w.open(ctx, 4, 3)
+			time.Sleep(5*time.Second + time.Duration(run/2*37)*time.Millisecond)
+			if w.arbiter != nil {
+				w.arbiter.down = down
+			}
+			killed := w.nodes[run%2]
+			killed.kill()
+			gap := w.gap("s-e0")
+			if run%2 == 0 {
+				primary = append(primary, gap)
+			} else {
+				backup = append(backup, gap)
+			}
+		})
+	}
+	return primary, backup
+}
+
+// gap returns the longest time from now on without a primary, at most outage.
+func (w *world) gap(s string) time.Duration {
+	longest, since := time.Duration(0), time.Now()
+	for end := time.Now().Add(outage); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if w.isLed(s) {
+			longest = max(longest, time.Since(since))
+			since = time.Now()
+		}
+	}
+	return max(longest, time.Since(since))
+}
+
+func (w *world) isLed(s string) bool {
+	for _, n := range w.nodes {
+		if n.isDead() {
+			continue
+		}
+		if _, ok := n.part.MayAct(shardID(s)); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestTimeWithoutPrimary measures the arbiters in virtual time. With registers
+// at upstreams a shard is led again whether the log is up or not.
+func TestTimeWithoutPrimary(t *testing.T) {
+	registers := func() *logArbiter { return nil }
+	byLog := func() *logArbiter {
+		return &logArbiter{latency: 50 * time.Millisecond, registers: map[string]caplatform.Register{}}
+	}
+	for _, c := range []struct {
+		name     string
+		arbiter  func() *logArbiter
+		down     bool
+		recovers bool
+	}{
+		{"registers, log up or down", registers, false, true},
+		{"log of 50 ms", byLog, false, true},
+		{"log down", byLog, true, false},
+	} {
+		primary, backup := gaps(t, c.arbiter, c.down)
+		t.Logf("%-28s primary lost: %s; backup lost: %s", c.name, spread(primary), spread(backup))
+		if recovered := slices.Max(primary) < outage; recovered != c.recovers {
+			t.Errorf("%s: led again within %v: %v, want %v", c.name, outage, recovered, c.recovers)
+		}
+	}
+}
+
+func spread(d []time.Duration) string {
+	slices.Sort(d)
+	return fmt.Sprintf("median %v, longest %v", d[len(d)/2].Round(time.Millisecond), d[len(d)-1].Round(time.Millisecond))
+}
--- a/internal/coord/cashard/backup.go
+++ b/internal/coord/cashard/backup.go
@@ -154,6 +154,7 @@
 
 // onFailure goes back to following the primary when no swap is in doubt.
 func (b *backup) onFailure(now time.Time, r registerResult, out *effects) backupVerdict {
+	b.nextTry = now.Add(b.cfg.Heartbeat)
 	if r.swap == nil {
 		return backupStays
 	}
--- a/internal/coord/cashard/driver_test.go
+++ b/internal/coord/cashard/driver_test.go
@@ -300,3 +300,5 @@
 		return
 	}
 }
+
+func shardID(s string) cawork.ShardID { return cawork.ShardID(s) }
--- a/internal/coord/cashard/faults_test.go
+++ b/internal/coord/cashard/faults_test.go
@@ -92,7 +92,9 @@
 		if err := n.append(ctx, n.shard(), cajob.Record{Type: cajob.RecordMintSet, MintSet: mint}); err != nil {
 			w.t.Fatal(err)
 		}
-		go n.drive(ctx)
+		if !w.idle {
+			go n.drive(ctx)
+		}
 	}
 	time.Sleep(time.Second)
 }
--- /dev/null
+++ b/internal/coord/cashard/scenarios_test.go
@@ -0,0 +1,170 @@
+package cashard_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+)
+
+// inWorld runs a scenario in an idle world of real parts.
+func inWorld(t *testing.T, nodes, hosts int, scenario func(ctx context.Context, t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 7)
+		w.idle = true
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			for _, n := range w.nodes {
+				n.resume()
+				<-n.part.Done()
+			}
+			time.Sleep(10 * time.Second)
+		}()
+		w.open(ctx, nodes, hosts)
+		time.Sleep(3 * time.Second)
+		scenario(ctx, t, w)
+	})
+}
+
+// leaders returns the live nodes that may act for the shard.
+func (w *world) leaders(s cawork.ShardID) []string {
+	var out []string
+	for _, n := range w.nodes {
+		if _, ok := n.part.MayAct(s); ok && !n.isDead() {
+			out = append(out, n.name())
+		}
+	}
+	return out
+}
+
+// view returns the view of the shard at the node.
+func (n *node) view(s cawork.ShardID) cashard.View {
+	for _, status := range n.part.Statuses() {
+		if status.Shard == s {
+			return status.View
+		}
+	}
+	return cashard.View{}
+}
+
+func (n *node) accept(ctx context.Context, s cawork.ShardID, id cawork.JobID) error {
+	job := cawork.Job{ID: id, Team: team, Spec: cawork.JobSpec{Kind: cawork.WorkKindBatch, Tasks: 1}}
+	return n.append(ctx, s, cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &cajob.JobAccepted{Job: job}})
+}
+
+// TestBackupAndWitnessAreNotReplacedTogether covers a primary that loses both
+// at once. It registered a view with another backup elsewhere, while the old
+// backup could still take over at the old witness: two primaries followed.
+func TestBackupAndWitnessAreNotReplacedTogether(t *testing.T) {
+	inWorld(t, 4, 3, func(_ context.Context, t *testing.T, w *world) {
+		old := w.nodes[0].view("s-e0")
+		backup, witness := string(old.Backup.VM), string(old.Witness)
+		w.cutLinks(link{"e0", backup}, link{backup, "e0"}, link{"e0", witness}, link{witness, "e0"})
+		time.Sleep(6 * time.Second)
+		w.nodes[0].kill()
+		time.Sleep(20 * time.Second)
+		if diff := cmp.Diff([]string{backup}, w.leaders("s-e0")); diff != "" {
+			t.Errorf("leaders (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestLossOfTheWitnessStopsNothing(t *testing.T) {
+	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
+		old := w.nodes[0].view("s-e0")
+		w.host(old.Witness).stopAnswering()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0")); diff != "" {
+				t.Fatalf("leaders (-want +got):\n%s", diff)
+			}
+		}
+		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+			t.Error(err)
+		}
+		if w.nodes[0].view("s-e0").Witness == old.Witness {
+			t.Error("the witness was not replaced")
+		}
+		w.nodes[0].kill()
+		time.Sleep(10 * time.Second)
+		if diff := cmp.Diff([]string{string(old.Backup.VM)}, w.leaders("s-e0")); diff != "" {
+			t.Errorf("leaders after a further loss (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestYieldNeedsNoSilence(t *testing.T) {
+	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
+		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+			t.Fatal(err)
+		}
+		backup := w.nodes[0].view("s-e0").Backup
+		w.nodes[0].part.Yield("s-e0")
+		if diff := cmp.Diff(cakind.KindDraining, cakind.Of(w.nodes[0].accept(ctx, "s-e0", "late"))); diff != "" {
+			t.Errorf("kind while yielding (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Second)
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+			t.Errorf("leaders (-want +got):\n%s", diff)
+		}
+		if !w.isKnown("j") {
+			t.Error("the accepted job is lost")
+		}
+	})
+}
+
+func TestRetiredShardIsLedByNobody(t *testing.T) {
+	inWorld(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
+		w.nodes[0].part.Retire("s-e0")
+		time.Sleep(20 * time.Second)
+		for _, n := range w.nodes {
+			if diff := cmp.Diff(cashard.View{}, n.view("s-e0")); diff != "" {
+				t.Errorf("%s still has a replica (-want +got):\n%s", n.name(), diff)
+			}
+		}
+	})
+}
+
+func TestLoneEntryRunsSoloAndSaysSo(t *testing.T) {
+	inWorld(t, 1, 1, func(ctx context.Context, t *testing.T, w *world) {
+		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+			t.Fatal(err)
+		}
+		got := w.nodes[0].part.Statuses()
+		want := []cashard.Status{{
+			Shard: "s-e0", View: cashard.View{Shard: "s-e0", Number: 1, Primary: w.nodes[0].member, Witness: "u0"},
+			Primary: true, Since: 1, MayAct: true, Degraded: true, Index: 2,
+		}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("status (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestPausedPrimaryMayNotAct wakes a primary after its shard was taken over.
+func TestPausedPrimaryMayNotAct(t *testing.T) {
+	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
+		backup := w.nodes[0].view("s-e0").Backup
+		w.nodes[0].pause()
+		time.Sleep(4 * time.Second)
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+			t.Errorf("leaders (-want +got):\n%s", diff)
+		}
+		w.nodes[0].resume()
+		if diff := cmp.Diff(cakind.KindNotStarted, cakind.Of(w.nodes[0].accept(ctx, "s-e0", "j"))); diff != "" {
+			t.Errorf("kind at the old primary (-want +got):\n%s", diff)
+		}
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+			t.Errorf("leaders later (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/coord/cashard/world_test.go
+++ b/internal/coord/cashard/world_test.go
@@ -32,6 +32,10 @@
 	nodes []*node
 	hosts []*host
 	limit cawork.Resources
+	// idle leaves out the drivers, for runs without work.
+	idle bool
+	// arbiter replaces the registers of upstreams by the platform's log.
+	arbiter *logArbiter
 	// killed is when the last entry was killed.
 	killed time.Time
 	ledger
@@ -124,6 +128,9 @@
 
 // ReadRegister implements cashard.Witnesses.
 func (n *node) ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error) {
+	if a := n.w.arbiter; a != nil {
+		return a.read(name)
+	}
 	return exchange(ctx, n.w, n.name(), string(u), func() (caplatform.Register, error) {
 		return n.w.host(u).read(name)
 	})
@@ -131,6 +138,9 @@
 
 // SwapRegister implements cashard.Witnesses.
 func (n *node) SwapRegister(ctx context.Context, u cawork.UpstreamID, s caplatform.RegisterSwap) (caplatform.Register, error) {
+	if a := n.w.arbiter; a != nil {
+		return a.swap(s)
+	}
 	return exchange(ctx, n.w, n.name(), string(u), func() (caplatform.Register, error) {
 		return n.w.host(u).swap(s)
 	})
