--- a/internal/coord/cafollow/follower.go
+++ b/internal/coord/cafollow/follower.go
@@ -101,7 +101,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	offers  map[cawork.VMID]Offer
+	offers  offerBook
 	wake    chan struct{}
 	confirm confirmation
 
@@ -136,7 +136,7 @@
 		opts:    o.withDefaults(),
 		done:    make(chan struct{}),
 		changed: make(chan struct{}),
-		offers:  map[cawork.VMID]Offer{},
+		offers:  newOfferBook(),
 		wake:    make(chan struct{}, 1),
 		confirm: newConfirmation(o.Zone),
 		state:   NewState(),
@@ -167,7 +167,7 @@
 func (f *Follower) Offer(o Offer) {
 	now := f.opts.Timer.Now()
 	f.mu.Lock()
-	f.offers[o.VM] = o
+	f.offers.note(o, now)
 	if o.Version <= f.Current().Version {
 		f.confirm.byPeer(o.Zone, now)
 	}
@@ -177,13 +177,6 @@
 	}
 }
 
-// Forget drops what was noted of a peer that left.
-func (f *Follower) Forget(vm cawork.VMID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.offers, vm)
-}
-
 // ConfirmedAt returns the last time at which the version in force here was
 // confirmed to be the newest: by a read to the end of the log, or by peers in
 // a majority of the zones. It is zero when it never was.
@@ -206,9 +199,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-poll.C:
-			f.read(ctx)
-			f.fetch(ctx)
-			f.writeSnapshot(ctx)
+			f.startPeriod(ctx)
 		case <-f.wake:
 			f.fetch(ctx)
 		case r := <-f.reads:
@@ -221,6 +212,15 @@
 	}
 }
 
+func (f *Follower) startPeriod(ctx context.Context) {
+	now := f.opts.Timer.Now()
+	f.mu.Lock()
+	f.offers.startPeriod(now)
+	f.mu.Unlock()
+	f.read(ctx)
+	f.fetch(ctx)
+}
+
 func (f *Follower) wakeUp() {
 	select {
 	case f.wake <- struct{}{}:
@@ -272,6 +272,7 @@
 	if next.CaughtUp() {
 		f.everCaughtUp = true
 		f.confirmByLog(r.started)
+		f.writeSnapshot(ctx)
 	}
 	progress := next.ReadFrom() != before.ReadFrom() || next.fresh != before.fresh
 	if progress && next.More() {
@@ -288,8 +289,11 @@
 // fetch asks a peer for its snapshot when it has a higher version, or when
 // the state misses records and any peer may know more.
 func (f *Follower) fetch(ctx context.Context) {
-	offer, ok := f.bestOffer()
-	if f.fetching || !ok || f.opts.Peers == nil {
+	if f.fetching || f.opts.Peers == nil {
+		return
+	}
+	offer, ok := f.nextOffer()
+	if !ok {
 		return
 	}
 	f.fetching = true
@@ -299,31 +303,21 @@
 	})
 }
 
-func (f *Follower) bestOffer() (Offer, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (f *Follower) nextOffer() (Offer, bool) {
 	least := f.state.Version() + 1
 	if f.state.Gap() {
-		least--
+		least = f.state.Version()
 	}
-	best, found := Offer{}, false
-	for _, o := range f.offers {
-		better := !found || o.Version > best.Version || (o.Version == best.Version && o.VM < best.VM)
-		if o.Version >= least && better {
-			best, found = o, true
-		}
-	}
-	return best, found
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offers.next(least)
 }
 
 func (f *Follower) handleFetch(ctx context.Context, r fetchResult) {
 	f.fetching = false
-	// The offer is dropped in any case: the peer makes it again while it holds,
-	// and meanwhile the other peers get their turn.
-	f.Forget(r.vm)
 	if r.err != nil {
 		f.opts.Scope.Counter("config_fetch_failures").Inc(1)
-		f.fetchAgain()
+		f.fetch(ctx)
 		return
 	}
 	next, used, err := f.state.WithSnapshot(r.snapshot)
@@ -333,19 +327,13 @@
 	if used {
 		f.read(ctx)
 	}
-	f.fetchAgain()
-}
-
-func (f *Follower) fetchAgain() {
-	if _, ok := f.bestOffer(); ok && !f.state.Gap() {
-		f.wakeUp()
-	}
+	f.fetch(ctx)
 }
 
 // writeSnapshot appends a snapshot when this entry is elected for it and the
-// last one may soon be dropped by the log.
+// last one may soon be dropped by the log. The state has just caught up.
 func (f *Follower) writeSnapshot(ctx context.Context) {
-	if f.appending || f.state.Version() == 0 || !f.state.CaughtUp() || !f.snapshotDue() || !f.opts.Elected() {
+	if f.appending || f.state.Version() == 0 || !f.snapshotDue() || !f.opts.Elected() {
 		return
 	}
 	f.appending = true
@@ -371,6 +359,7 @@
 		f.noteLog(err)
 		return
 	}
+	f.snapshotSeen = f.opts.Timer.Now()
 	caevent.Info(f.opts.Logger, caevent.ConfigSnapshot).Int64("version", int64(f.state.Version())).Send()
 }
 
