--- a/internal/config/casettings/settings.go
+++ b/internal/config/casettings/settings.go
@@ -3,8 +3,10 @@
 package casettings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -84,9 +86,26 @@
 	zerolog.Level
 }
 
+var logLevels = []zerolog.Level{
+	zerolog.TraceLevel, zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel,
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (l LogLevel) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (l *LogLevel) UnmarshalText(text []byte) error {
+	var names []string
+	for _, level := range logLevels {
+		if level.String() == string(text) {
+			l.Level = level
+			return nil
+		}
+		names = append(names, level.String())
+	}
+	return fmt.Errorf("must be one of %s, not %q", strings.Join(names, ", "), text)
+}
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
