--- /dev/null
+++ b/internal/core/caqueue/queue.go
@@ -0,0 +1,248 @@
+// Package caqueue holds the queue of a team: entries in the order of due times
+// within classes of like demands, with removal in constant time.
+//
+// A class that does not fit now is skipped as a whole, so that the cost of a
+// decision follows the number of classes and not the length of the queue.
+package caqueue
+
+import (
+	"math/bits"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// compactAbove is the least number of removed entries that are dropped at once.
+const compactAbove = 64
+
+// Key names a class of like demands.
+type Key struct {
+	Kind         cawork.WorkKind
+	CPU          int
+	Memory       int
+	Accelerators int64
+	Tasks        int
+	Constraints  cawork.Constraints
+}
+
+// KeyOf returns the class of a job. Amounts of a class differ by less than a
+// quarter.
+func KeyOf(s cawork.JobSpec) Key {
+	k := Key{
+		Kind: s.Kind, CPU: bucket(int64(s.Size.CPU)), Memory: bucket(int64(s.Size.Memory)),
+		Accelerators: s.Size.Accelerators, Constraints: s.Constraints,
+	}
+	if s.Kind == cawork.WorkKindGang {
+		k.Tasks = bucket(int64(s.Tasks))
+	}
+	return k
+}
+
+// bucket numbers amounts by their highest bit and the two bits below it.
+func bucket(n int64) int {
+	length := bits.Len64(uint64(n))
+	if length <= 3 {
+		return int(n)
+	}
+	return length*4 + int(n>>(length-3))&3
+}
+
+// least returns the lower bound of the amounts in the class.
+func (k Key) least() cawork.Resources {
+	return cawork.Resources{
+		CPU: cawork.MilliCPU(floor(k.CPU)), Memory: cawork.Bytes(floor(k.Memory)), Accelerators: k.Accelerators,
+	}
+}
+
+// floor returns the least amount in a bucket.
+func floor(b int) int64 {
+	if b <= 7 {
+		return int64(b)
+	}
+	return int64(4+b%4) << (b/4 - 3)
+}
+
+// Entry is an element of a queue. It is used once: work that is queued again
+// gets a new one.
+type Entry[T any] struct {
+	Value T
+	due   time.Time
+	order uint64
+	class *Class[T]
+	dead  bool
+}
+
+// Class holds the entries of like demands.
+type Class[T any] struct {
+	Key  Key
+	heap []*Entry[T]
+	live int
+	pos  int
+}
+
+// Mark is what a walk over the classes reads first, kept apart from them so
+// that it passes over those that cannot fit at a low cost.
+type Mark struct {
+	// Least is the lower bound of the declared amounts in the class.
+	Least cawork.Resources
+	Kind  cawork.WorkKind
+	// BlockedAt is the sequence number of the room index at which the head did
+	// not fit, zero when it was not tried.
+	BlockedAt uint64
+	// LimitedAt is the like number of the account of the team at which the
+	// allowance did not suffice for the head.
+	LimitedAt uint64
+}
+
+// Queue is the queue of a team. Classes and marks have the same order.
+type Queue[T any] struct {
+	classes []*Class[T]
+	marks   []Mark
+	byKey   map[Key]*Class[T]
+	order   uint64
+	live    int
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] { return &Queue[T]{byKey: map[Key]*Class[T]{}} }
+
+// Len returns the number of entries.
+func (q *Queue[T]) Len() int { return q.live }
+
+// Push adds a value in the order of due times.
+func (q *Queue[T]) Push(value T, k Key, due time.Time) *Entry[T] {
+	c, ok := q.byKey[k]
+	if !ok {
+		c = &Class[T]{Key: k, pos: len(q.classes)}
+		q.byKey[k] = c
+		q.classes = append(q.classes, c)
+		q.marks = append(q.marks, Mark{Least: k.least(), Kind: k.Kind})
+	}
+	q.order++
+	e := &Entry[T]{Value: value, due: due, order: q.order, class: c}
+	c.push(e)
+	c.live++
+	q.live++
+	if c.heap[0] == e {
+		q.unmark(c)
+	}
+	return e
+}
+
+// Remove takes an entry out. Its place in the heap is freed later, at a
+// constant cost for each removal on the average.
+func (q *Queue[T]) Remove(e *Entry[T]) {
+	c := e.class
+	e.dead = true
+	c.live--
+	q.live--
+	if c.live == 0 {
+		q.drop(c)
+		return
+	}
+	if c.heap[0] == e {
+		q.unmark(c)
+	}
+	if dead := len(c.heap) - c.live; dead > compactAbove && dead > c.live {
+		c.compact()
+	}
+}
+
+// unmark forgets why the head of the class did not fit.
+func (q *Queue[T]) unmark(c *Class[T]) {
+	m := &q.marks[c.pos]
+	m.BlockedAt, m.LimitedAt = 0, 0
+}
+
+// drop removes a class without entries.
+func (q *Queue[T]) drop(c *Class[T]) {
+	delete(q.byKey, c.Key)
+	last := len(q.classes) - 1
+	q.classes[c.pos], q.marks[c.pos] = q.classes[last], q.marks[last]
+	q.classes[c.pos].pos = c.pos
+	q.classes[last] = nil
+	q.classes, q.marks = q.classes[:last], q.marks[:last]
+}
+
+// Classes returns the classes. All have entries. The result is valid until the
+// next change.
+func (q *Queue[T]) Classes() []*Class[T] { return q.classes }
+
+// Marks returns the marks of the classes, which the caller may change.
+func (q *Queue[T]) Marks() []Mark { return q.marks }
+
+// Mark returns the mark of the class.
+func (q *Queue[T]) Mark(c *Class[T]) *Mark { return &q.marks[c.pos] }
+
+// Head returns the entry that is due first, nil when there is none.
+func (c *Class[T]) Head() *Entry[T] {
+	for len(c.heap) > 0 && c.heap[0].dead {
+		c.pop()
+	}
+	if len(c.heap) == 0 {
+		return nil
+	}
+	return c.heap[0]
+}
+
+// Less reports whether the entry goes before the other.
+func (e *Entry[T]) Less(o *Entry[T]) bool {
+	if c := e.due.Compare(o.due); c != 0 {
+		return c < 0
+	}
+	return e.order < o.order
+}
+
+func (c *Class[T]) compact() {
+	kept := c.heap[:0]
+	for _, e := range c.heap {
+		if !e.dead {
+			kept = append(kept, e)
+		}
+	}
+	clear(c.heap[len(kept):])
+	c.heap = kept
+	c.restore()
+}
+
+func (c *Class[T]) restore() {
+	for i := len(c.heap)/2 - 1; i >= 0; i-- {
+		c.down(i)
+	}
+}
+
+func (c *Class[T]) push(e *Entry[T]) {
+	c.heap = append(c.heap, e)
+	for i := len(c.heap) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !c.heap[i].Less(c.heap[parent]) {
+			return
+		}
+		c.heap[i], c.heap[parent] = c.heap[parent], c.heap[i]
+		i = parent
+	}
+}
+
+func (c *Class[T]) pop() {
+	last := len(c.heap) - 1
+	c.heap[0] = c.heap[last]
+	c.heap[last] = nil
+	c.heap = c.heap[:last]
+	c.down(0)
+}
+
+func (c *Class[T]) down(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(c.heap); child++ {
+			if c.heap[child].Less(c.heap[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		c.heap[i], c.heap[least] = c.heap[least], c.heap[i]
+		i = least
+	}
+}
--- /dev/null
+++ b/internal/request/cadispatch/attempt.go
@@ -0,0 +1,227 @@
+package cadispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/cadedupe"
+	"celeryarch.example/celeryarch/internal/request/caforward"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+// answeredLevel keeps the line of an answer out of the usual log: the line of
+// its routing decision is there already.
+const answeredLevel = zerolog.DebugLevel
+
+// retryError ends an attempt whose retry the budgets have granted already.
+type retryError struct{ cause error }
+
+// Error implements error.
+func (e *retryError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *retryError) Unwrap() error { return e.cause }
+
+// serve runs attempts until one answers or none may follow.
+func (d *Dispatcher) serve(ctx context.Context, w http.ResponseWriter, c *call) {
+	for {
+		err := d.attempt(ctx, w, c)
+		if err == nil {
+			return
+		}
+		c.note(err)
+		var granted *retryError
+		if !errors.As(err, &granted) && !d.mayRetry(ctx, c, err) {
+			err = c.final(err)
+			c.settle(OutcomeOf(cakind.Of(err)), cadedupe.StoredAnswer{Dropped: true})
+			d.refuse(w, c.team, err)
+			return
+		}
+		d.logRetry(c, err)
+	}
+}
+
+// attempt runs one attempt. A nil error means that the caller has been
+// answered.
+func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call) error {
+	route, err := d.acquire(ctx, c)
+	if err != nil {
+		return err
+	}
+	s := &slot{d: d, route: route, team: c.team}
+	defer s.release(caroute.VerdictAbandoned)
+	id := d.newAttemptID()
+	if err := c.intend(ctx, id, route.Upstream); err != nil {
+		return err
+	}
+	d.accountFor(c, route, id)
+	ctx, run := d.begin(ctx, c, route)
+	defer run.end()
+	reply, err := d.fetch(ctx, c, route, id)
+	if err != nil {
+		s.release(run.verdict(ctx, err))
+		return run.wrap(err)
+	}
+	defer reply.Close()
+	run.answers()
+	if err := d.retryFailed(ctx, c, reply); err != nil {
+		s.release(caroute.VerdictFailed)
+		return err
+	}
+	d.answer(ctx, w, c, s, reply)
+	return nil
+}
+
+// retryFailed reports a failed answer to an idempotent request as an error
+// when the budgets grant a retry. Otherwise the caller gets the answer.
+func (d *Dispatcher) retryFailed(ctx context.Context, c *call, reply *caforward.Reply) error {
+	if verdictOfStatus(reply.Status()) != caroute.VerdictFailed || !c.idempotent {
+		return nil
+	}
+	err := cakind.New(cakind.KindFailed, "the upstream answered with status %d", reply.Status())
+	if !d.mayRetry(ctx, c, err) {
+		return nil
+	}
+	return &retryError{err}
+}
+
+func (d *Dispatcher) accountFor(c *call, route caroute.Route, id cawork.AttemptID) {
+	if c.attempts == 0 {
+		d.mu.Lock()
+		d.budgets.Request(c.team, route.Upstream)
+		d.mu.Unlock()
+	}
+	c.attempts++
+	c.tried = append(c.tried, route.Upstream)
+	d.metrics.routed.Inc(1)
+	caevent.Info(d.config.Logger, caevent.RequestRouted).
+		Str("team", string(c.team)).
+		Str("attempt", string(id)).
+		Str("upstream", string(route.Upstream)).
+		Int("try", c.attempts).
+		Dur("waited_ms", route.Taken.Sub(c.arrived)).
+		Dur("expected_ms", route.Expected).
+		Bool("borrowed", route.Grant != "").
+		Bool("probe", route.Probe).
+		Send()
+}
+
+func (d *Dispatcher) fetch(ctx context.Context, c *call, route caroute.Route, id cawork.AttemptID) (*caforward.Reply, error) {
+	answer, err := d.forward.Send(ctx, caforward.Attempt{
+		ID:         id,
+		Upstream:   route.Upstream,
+		Address:    route.Address,
+		Epoch:      route.Epoch,
+		Deadline:   c.deadline,
+		Idempotent: c.idempotent,
+		Header:     c.header,
+		Query:      c.query,
+		Body:       c.body(),
+		Length:     c.length,
+	}, route.Connections)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := caforward.NewReply(answer)
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindUnknown, err, "the answer of %s was cut", route.Upstream)
+	}
+	return reply, nil
+}
+
+// answer writes the reply to the caller. A reply that was read whole gives its
+// slot back first, so that a slow caller does not hold it.
+func (d *Dispatcher) answer(ctx context.Context, w http.ResponseWriter, c *call, s *slot, reply *caforward.Reply) {
+	verdict := verdictOfStatus(reply.Status())
+	outcome := cawork.OutcomeDone
+	if verdict == caroute.VerdictFailed {
+		outcome = cawork.OutcomeFailed
+	}
+	if reply.Whole() {
+		s.release(verdict)
+		if c.session != nil {
+			c.settle(outcome, storedAnswer(reply))
+		}
+	}
+	reply.Header().Set(HeaderOutcome, outcome.String())
+	if err := reply.Write(w); err != nil {
+		s.release(verdictOf(ctx, err))
+		c.settle(cawork.OutcomeUnknown, cadedupe.StoredAnswer{Dropped: true})
+		d.metrics.aborted.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	s.release(verdict)
+	c.settle(outcome, cadedupe.StoredAnswer{Dropped: true})
+	d.logAnswer(c, outcome, reply.Status())
+}
+
+func (d *Dispatcher) logAnswer(c *call, o cawork.Outcome, status int) {
+	d.metrics.answered.Inc(1)
+	caevent.Log(d.config.Logger, answeredLevel, caevent.RequestAnswered).
+		Str("team", string(c.team)).
+		Str("outcome", o.String()).
+		Int("status", status).
+		Dur("elapsed_ms", d.config.Timer.Now().Sub(c.arrived)).
+		Send()
+}
+
+// mayRetry reports whether the call may be tried again: only what is
+// idempotent, or known not to have started, and within the budgets.
+func (d *Dispatcher) mayRetry(ctx context.Context, c *call, err error) bool {
+	if ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budgets.Retry(c.team, c.tried[len(c.tried)-1])
+}
+
+func (d *Dispatcher) logRetry(c *call, err error) {
+	d.metrics.retried.Inc(1)
+	caevent.Info(d.config.Logger, caevent.RequestRetried).
+		Str("team", string(c.team)).
+		Str("upstream", string(c.tried[len(c.tried)-1])).
+		Str("reason", err.Error()).
+		Send()
+}
+
+// slot is the slot of one attempt, released once.
+type slot struct {
+	d        *Dispatcher
+	route    caroute.Route
+	team     cawork.TeamName
+	released bool
+}
+
+func (s *slot) release(v caroute.Verdict) {
+	if s.released {
+		return
+	}
+	s.released = true
+	s.d.release(s.route, v, s.team)
+}
+
+func verdictOf(ctx context.Context, err error) caroute.Verdict {
+	switch {
+	case ctx.Err() == context.Canceled:
+		return caroute.VerdictAbandoned
+	case cakind.Of(err) == cakind.KindNotStarted:
+		return caroute.VerdictRefused
+	case cakind.Of(err) == cakind.KindCanceled:
+		return caroute.VerdictAbandoned
+	}
+	return caroute.VerdictFailed
+}
+
+func verdictOfStatus(status int) caroute.Verdict {
+	if status >= http.StatusInternalServerError {
+		return caroute.VerdictFailed
+	}
+	return caroute.VerdictServed
+}
