--- /dev/null
+++ b/internal/config/caactive/active_test.go
@@ -0,0 +1,124 @@
+package caactive
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cakey"
+	"celeryarch.example/celeryarch/internal/coord/cafollow"
+)
+
+// fakeSource gives what the test sets.
+type fakeSource struct {
+	mu        sync.Mutex
+	snapshot  cafollow.Snapshot
+	changed   chan struct{}
+	confirmed time.Time
+}
+
+func (s *fakeSource) Current() cafollow.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *fakeSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *fakeSource) ConfirmedAt([]cawork.ZoneName) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+func (s *fakeSource) set(v cafollow.Version, body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = cafollow.Snapshot{Version: v, Body: []byte(body), Hash: cafollow.DigestOf([]byte(body))}
+	s.confirmed = time.Now()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func body(key cakey.Issued, withdrawn bool, unconfirmed string) string {
+	return fmt.Sprintf(`{
+		"zones": {"a": {"allowance_percent": 100}},
+		"teams": {"knit": {"share": 1, "limit": {"processors": 1, "memory": "1GiB", "accelerators": 0}}},
+		"queues": {"open": {"team": "knit", "kinds": ["lookup"]}},
+		"keys": {%q: {"team": "knit", "sha256": %q, "withdrawn": %v}},
+		"key_freshness": "30s", "unconfirmed_keys": %q}`, key.ID, key.Hash, withdrawn, unconfirmed)
+}
+
+// kindOf returns the kind of the answer to a key, "" when it is accepted.
+func kindOf(a *Active, secret string) string {
+	if _, err := a.Authenticate(secret); err != nil {
+		return cakind.Of(err).String()
+	}
+	return ""
+}
+
+func TestActive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key, stranger := cakey.Generate(), cakey.Generate()
+		source := &fakeSource{changed: make(chan struct{})}
+		a := NewActive(source, catimer.NewService(), zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = a.Run(ctx) }()
+		defer func() { cancel(); <-a.Done() }()
+		steps := []struct {
+			name         string
+			change       func()
+			wantVersion  cafollow.Version
+			wantKey      string
+			wantStranger string
+		}{
+			{"no configuration yet", func() {}, 0, "key_unconfirmed", "key_unconfirmed"},
+			{"granted", func() { source.set(1, body(key, false, "refuse")) }, 1, "", "unauthenticated"},
+			{"confirmed at the limit", func() { time.Sleep(30 * time.Second) }, 1, "", "unauthenticated"},
+			{"not confirmed", func() { time.Sleep(time.Second) }, 1, "key_unconfirmed", "key_unconfirmed"},
+			{"serving on", func() { source.set(2, body(key, false, "serve")); time.Sleep(time.Hour) }, 2, "", "unauthenticated"},
+			{"a version that cannot be read", func() { source.set(3, `{"zones": 1}`) }, 2, "", "unauthenticated"},
+			{"withdrawn", func() { source.set(4, body(key, true, "refuse")) }, 4, "unauthenticated", "unauthenticated"},
+		}
+		for _, s := range steps {
+			s.change()
+			synctest.Wait()
+			got := []any{a.View().Version, kindOf(a, key.Secret), kindOf(a, stranger.Secret)}
+			if diff := cmp.Diff([]any{s.wantVersion, s.wantKey, s.wantStranger}, got); diff != "" {
+				t.Errorf("%s: %s", s.name, diff)
+			}
+		}
+	})
+}
+
+func TestOpenQueueNeedsNoConfirmation(t *testing.T) {
+	source := &fakeSource{changed: make(chan struct{})}
+	source.set(1, body(cakey.Generate(), false, "refuse"))
+	source.confirmed = time.Time{}
+	a := NewActive(source, catimer.NewService(), zerolog.Nop())
+	team, err := a.OpenQueue("open", cawork.WorkKindLookup)
+	if diff := cmp.Diff(cawork.TeamName("knit"), team); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	_, err = a.OpenQueue("open", cawork.WorkKindGang)
+	if diff := cmp.Diff(cakind.KindForbidden, cakind.Of(err)); diff != "" {
+		t.Error(diff)
+	}
+	_, err = a.OpenQueue("closed", cawork.WorkKindLookup)
+	if diff := cmp.Diff(cakind.KindNotFound, cakind.Of(err)); diff != "" {
+		t.Error(diff)
+	}
+}
