--- a/internal/coord/camember/config.go
+++ b/internal/coord/camember/config.go
@@ -4,8 +4,10 @@
 
 // Config holds the settings of a State.
 type Config struct {
-	// Period is the time between two probes.
-	Period time.Duration
+	// Period is the time between two probes, to which each known member adds
+	// PeriodPerMember.
+	Period          time.Duration
+	PeriodPerMember time.Duration
 	// ProbeTimeout bounds one exchange.
 	ProbeTimeout time.Duration
 	// Relays is the number of entries asked to probe a silent member.
@@ -22,8 +24,10 @@
 	PublishPerMember time.Duration
 	// PublishMin is the least time between two publications of usage.
 	PublishMin time.Duration
-	// Window is the number of digest entries of a request.
-	Window int
+	// Window is the number of digest entries of a request, ReplyWindow of an
+	// answer besides those that it asks for.
+	Window      int
+	ReplyWindow int
 	// MaxSections bounds the sections in one message.
 	MaxSections int
 }
@@ -32,14 +36,16 @@
 func DefaultConfig() Config {
 	return Config{
 		Period:           500 * time.Millisecond,
+		PeriodPerMember:  5 * time.Millisecond,
 		ProbeTimeout:     250 * time.Millisecond,
 		Relays:           3,
 		Suspicion:        2 * time.Second,
 		Retry:            5 * time.Second,
 		Forget:           time.Hour,
-		PublishPerMember: 75 * time.Millisecond,
+		PublishPerMember: 200 * time.Millisecond,
 		PublishMin:       time.Second,
-		Window:           16,
+		Window:           12,
+		ReplyWindow:      6,
 		MaxSections:      32,
 	}
 }
--- a/internal/coord/camember/exchange.go
+++ b/internal/coord/camember/exchange.go
@@ -1,25 +1,23 @@
 package camember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/coord/cacheck"
 )
 
-// recent is the number of digest entries kept for the members that changed
-// last; the rest of the window goes round all members.
-const recent = 6
-
 // request returns the first request of an exchange with the member, nil for
 // an unknown one.
 func (s *State) request(target *record) ExchangeRequest {
-	return ExchangeRequest{From: s.id.VM, Digest: s.window(target)}
+	return ExchangeRequest{From: s.id.VM, Digest: s.window(target, s.cfg.Window)}
 }
 
-// window returns a digest of the own entry, the target, the members that
-// changed last and the next ones in turn.
-func (s *State) window(target *record) []Digest {
+// window returns a digest of the own entry and the target, filled up to size
+// with the members that changed last and, for the other half, the next ones in
+// turn.
+func (s *State) window(target *record, size int) []Digest {
 	records := make([]*record, 0, len(s.records))
 	for _, key := range s.sortedKeys() {
 		records = append(records, s.records[key])
@@ -31,19 +29,19 @@
 		}
 	}
 	if target != nil {
-		add(target, s.cfg.Window)
+		add(target, size)
 	}
 	turn := slices.Clone(records)
-	slices.SortStableFunc(records, func(a, b *record) int { return -compareUint(a.touched, b.touched) })
+	slices.SortStableFunc(records, func(a, b *record) int { return cmp.Compare(b.touched, a.touched) })
 	for _, r := range records {
-		add(r, recent)
+		add(r, size/2)
 	}
 	for range turn {
 		s.windowAt = (s.windowAt + 1) % len(turn)
-		if len(chosen) == s.cfg.Window {
+		if len(chosen) >= size {
 			break
 		}
-		add(turn[s.windowAt], s.cfg.Window)
+		add(turn[s.windowAt], size)
 	}
 	digest := make([]Digest, len(chosen))
 	for i, r := range chosen {
@@ -55,8 +53,8 @@
 // Handle answers a request of another entry.
 func (s *State) Handle(now time.Time, req ExchangeRequest) (ExchangeReply, Step) {
 	s.apply(now, req.Deltas)
-	if r, ok := s.records[keyOf(req.From)]; ok && r != s.self {
-		r.heard = now
+	if r, ok := s.records[keyOf(req.From)]; ok && r.reach == ReachNone {
+		s.setReach(r, ReachHeard)
 	}
 	reply := ExchangeReply{From: s.id.VM}
 	wants, deltas := s.compare(req.Digest)
@@ -65,7 +63,7 @@
 		return reply, s.step(nil, nil)
 	}
 	reply.Digest = wants
-	for _, d := range s.window(nil) {
+	for _, d := range s.window(nil, s.cfg.ReplyWindow) {
 		if !slices.ContainsFunc(req.Digest, func(o Digest) bool { return o.Key == d.Key }) {
 			reply.Digest = append(reply.Digest, d)
 		}
@@ -77,9 +75,8 @@
 // of the exchange when either side lacks something.
 func (s *State) HandleReply(now time.Time, p Probe, reply ExchangeReply) Step {
 	s.apply(now, reply.Deltas)
-	s.failures = max(s.failures-1, 0)
+	s.failures, s.answered = max(s.failures-1, 0), now
 	if r, ok := s.records[keyOf(reply.From)]; ok && r != s.self {
-		r.heard = now
 		s.setReach(r, ReachDirect)
 	}
 	s.noteOther(now, p, reply)
@@ -105,7 +102,7 @@
 	for _, d := range theirs {
 		r, ok := s.records[d.Key]
 		switch {
-		case s.banned[d.Key] || !ok && d.Standing.Liveness.Gone():
+		case s.banned[d.Key] || !ok && d.Standing.Liveness().Gone():
 			continue
 		case !ok:
 			wants = append(wants, Digest{Key: d.Key})
@@ -157,10 +154,10 @@
 		s.touch(s.self)
 		return
 	}
-	if inc != s.self.incarnation || s.self.standing.Liveness == LivenessLeft || !st.Newer(s.self.standing) {
+	if inc != s.self.incarnation || s.self.standing.Liveness() == LivenessLeft || !st.Newer(s.self.standing) {
 		return
 	}
-	s.self.standing.Counter = st.Counter + 1
+	s.self.standing = NewStanding(st.Counter()+1, s.self.standing.Liveness())
 	s.touch(s.self)
 }
 
@@ -195,7 +192,7 @@
 		"version of %s went from %d to %d", r.vm(), before, r.version)
 	if r.version > before {
 		s.touch(r)
-		s.emit(r, r.standing.Liveness, CauseApp)
+		s.emit(r, r.standing.Liveness(), CauseApp)
 	}
 	if d.Standing.Newer(r.standing) {
 		s.believe(r, d.Standing, now)
@@ -204,7 +201,7 @@
 
 // applyNew takes over a member, or an incarnation of it, that was unknown.
 func (s *State) applyNew(now time.Time, d Delta, old *record) {
-	if old == nil && d.Standing.Liveness.Gone() {
+	if old == nil && d.Standing.Liveness().Gone() {
 		return
 	}
 	if len(d.Sections) == 0 || d.Sections[0].Place == nil || keyOf(d.Sections[0].Place.VM) != d.Key {
@@ -212,7 +209,7 @@
 	}
 	r := &record{key: d.Key, incarnation: d.Incarnation, standing: d.Standing, since: now, joined: now}
 	r.setLive(LivenessDead, now)
-	if d.Standing.Liveness == LivenessSuspect {
+	if d.Standing.Liveness() == LivenessSuspect {
 		r.suspect = now
 	}
 	s.addSections(r, d.Sections)
@@ -222,7 +219,7 @@
 		s.emit(r, LivenessDead, CauseJoined)
 		return
 	}
-	s.emit(r, old.standing.Liveness, CauseRestarted)
+	s.emit(r, old.standing.Liveness(), CauseRestarted)
 }
 
 func (s *State) addSections(r *record, sections []Section) {
@@ -232,13 +229,3 @@
 		}
 	}
 }
-
-func compareUint(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/internal/coord/camember/member.go
+++ b/internal/coord/camember/member.go
@@ -17,7 +17,8 @@
 //go:generate go tool enumer -type=Reach -trimprefix=Reach -transform=snake -text -output=reach_names.go
 
 // Incarnation counts the lives of a VM id. It is the start of the process in
-// milliseconds of Unix time, raised when a later one is already known.
+// seconds of Unix time, raised when others know as much or more of an earlier
+// life.
 type Incarnation int64
 
 // Liveness is what the entries believe of a member. Of two beliefs at the
@@ -54,8 +55,8 @@
 	// ReachIndirect means that only other entries get answers from the member:
 	// the path from here to it is cut in at least one direction.
 	ReachIndirect
-	// ReachHeard means that the member's own requests arrive here while it
-	// answers none: the path from here to it is cut one way.
+	// ReachHeard means that the member's requests arrive here while nobody gets
+	// an answer from it: it runs, and the way to it is cut.
 	ReachHeard
 	ReachNone
 )
--- a/internal/coord/camember/message.go
+++ b/internal/coord/camember/message.go
@@ -4,24 +4,32 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
-// Standing is a belief about the liveness of a member. Only the member itself
-// raises the counter, by which it refutes a suspicion.
-type Standing struct {
-	_        struct{} `cbor:",toarray"`
-	Counter  uint32
-	Liveness Liveness
+// Standing is a belief about the liveness of a member: a refutation counter
+// and a Liveness, packed to travel in few bytes. Only the member itself raises
+// the counter, by which it refutes a suspicion.
+type Standing uint32
+
+// livenessBits hold a Liveness below the counter.
+const livenessBits = 3
+
+// NewStanding returns the standing of the counter and liveness.
+func NewStanding(counter uint32, l Liveness) Standing {
+	return Standing(counter<<livenessBits | uint32(l))
 }
 
+// Counter returns the refutation counter.
+func (s Standing) Counter() uint32 { return uint32(s) >> livenessBits }
+
+// Liveness returns the liveness.
+func (s Standing) Liveness() Liveness { return Liveness(s & (1<<livenessBits - 1)) }
+
 // Newer reports whether the standing overrides the other one of the same
 // incarnation.
 func (s Standing) Newer(o Standing) bool {
-	if s.Liveness == LivenessLeft || o.Liveness == LivenessLeft {
-		return s.Liveness == LivenessLeft && o.Liveness != LivenessLeft
+	if s.Liveness() == LivenessLeft || o.Liveness() == LivenessLeft {
+		return s.Liveness() == LivenessLeft && o.Liveness() != LivenessLeft
 	}
-	if s.Counter != o.Counter {
-		return s.Counter > o.Counter
-	}
-	return s.Liveness > o.Liveness
+	return s > o
 }
 
 // Digest tells what the sender knows of a member. A zero incarnation asks for
@@ -34,7 +42,8 @@
 	Version     uint64
 }
 
-// Amounts is the compact form of cawork.Resources.
+// Amounts is the compact form of cawork.Resources: processors in tenths of a
+// core and memory in MiB, both rounded up.
 type Amounts struct {
 	_            struct{} `cbor:",toarray"`
 	CPU          int64
@@ -42,13 +51,20 @@
 	Accelerators int64
 }
 
+const milliPerTenth = 100
+
 func amountsOf(r cawork.Resources) Amounts {
-	return Amounts{CPU: int64(r.CPU), Memory: int64(r.Memory), Accelerators: r.Accelerators}
+	return Amounts{
+		CPU:          (int64(r.CPU) + milliPerTenth - 1) / milliPerTenth,
+		Memory:       int64((r.Memory + cawork.MiB - 1) / cawork.MiB),
+		Accelerators: r.Accelerators,
+	}
 }
 
 func (a Amounts) resources() cawork.Resources {
 	return cawork.Resources{
-		CPU: cawork.MilliCPU(a.CPU), Memory: cawork.Bytes(a.Memory), Accelerators: a.Accelerators,
+		CPU: cawork.MilliCPU(a.CPU * milliPerTenth), Memory: cawork.Bytes(a.Memory) * cawork.MiB,
+		Accelerators: a.Accelerators,
 	}
 }
 
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -106,6 +106,13 @@
 	return p.state.Self()
 }
 
+// Isolated reports whether no other entry has answered this one for a while.
+func (p *Part) Isolated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Isolated(p.deps.Timers.Now())
+}
+
 // SetLocal sets the application state that the others are told.
 func (p *Part) SetLocal(a AppState) {
 	p.mu.Lock()
--- a/internal/coord/camember/probe.go
+++ b/internal/coord/camember/probe.go
@@ -24,7 +24,7 @@
 		for s.cursor < len(s.order) {
 			r, ok := s.records[s.order[s.cursor]]
 			s.cursor++
-			if ok && r != s.self && !r.standing.Liveness.Gone() {
+			if ok && r != s.self && !r.standing.Liveness().Gone() {
 				return r, true
 			}
 		}
@@ -45,7 +45,7 @@
 	var dead []*record
 	for _, key := range s.sortedKeys() {
 		r := s.records[key]
-		if r.standing.Liveness == LivenessDead {
+		if r.standing.Liveness() == LivenessDead {
 			dead = append(dead, r)
 			continue
 		}
@@ -82,11 +82,10 @@
 }
 
 // HandleFailure notes that a probe got no answer and returns the relays to
-// ask. A member that itself was heard of late, or a failure in the grace after
-// a pause of this entry, is left alone.
+// ask. A failure in the grace after a pause of this entry counts for nothing.
 func (s *State) HandleFailure(now time.Time, p Probe) Step {
 	r, ok := s.records[keyOf(p.VM)]
-	if !ok || p.VM == "" || r.standing.Liveness.Gone() {
+	if !ok || p.VM == "" || r.standing.Liveness().Gone() {
 		return s.step(nil, nil)
 	}
 	s.failures = min(s.failures+1, 4*maxCaution)
@@ -106,7 +105,7 @@
 	s.rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
 	for _, key := range keys {
 		r := s.records[key]
-		if r == s.self || r == target || r.standing.Liveness != LivenessAlive || r.reach != ReachDirect {
+		if r == s.self || r == target || r.standing.Liveness() != LivenessAlive || r.reach != ReachDirect {
 			continue
 		}
 		at, _ := r.place()
@@ -121,7 +120,7 @@
 // HandleRelayed notes whether any relay got an answer from the target.
 func (s *State) HandleRelayed(now time.Time, p Probe, answered bool) Step {
 	r, ok := s.records[keyOf(p.VM)]
-	if !ok || r.standing.Liveness.Gone() {
+	if !ok || r.standing.Liveness().Gone() {
 		return s.step(nil, nil)
 	}
 	if answered {
@@ -132,26 +131,24 @@
 	return s.step(nil, nil)
 }
 
-// conclude suspects a member that nobody got an answer from, unless its own
-// requests still arrive here.
+// conclude suspects a member that nobody got an answer from.
 func (s *State) conclude(r *record, now time.Time) {
-	if !r.heard.IsZero() && now.Sub(r.heard) < s.heardFor() {
-		s.setReach(r, ReachHeard)
-		return
-	}
 	s.setReach(r, ReachNone)
-	if r.standing.Liveness == LivenessAlive || r.standing.Liveness == LivenessLeaving {
-		s.believe(r, Standing{Counter: r.standing.Counter, Liveness: LivenessSuspect}, now)
+	if r.standing.Liveness() == LivenessAlive || r.standing.Liveness() == LivenessLeaving {
+		s.believe(r, NewStanding(r.standing.Counter(), LivenessSuspect), now)
 	}
 }
 
-// heardFor returns how long a request of a member counts as a sign of life.
-func (s *State) heardFor() time.Duration { return 2 * s.cfg.Period }
+// Isolated reports whether no other entry has answered this one for a while,
+// although it knows some.
+func (s *State) Isolated(now time.Time) bool {
+	return len(s.records) > 1 && now.Sub(s.answered) > pausePeriods*s.period()+s.cfg.Suspicion
+}
 
 func (s *State) setReach(r *record, reach Reach) {
 	if r.reach == reach {
 		return
 	}
 	r.reach = reach
-	s.emit(r, r.standing.Liveness, CauseReach)
+	s.emit(r, r.standing.Liveness(), CauseReach)
 }
--- a/internal/coord/camember/record.go
+++ b/internal/coord/camember/record.go
@@ -1,6 +1,7 @@
 package camember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,7 +28,6 @@
 	joined  time.Time
 	live    time.Time
 	suspect time.Time
-	heard   time.Time
 	reach   Reach
 }
 
@@ -70,7 +70,7 @@
 // setLive notes since when the member is live.
 func (r *record) setLive(was Liveness, now time.Time) {
 	switch {
-	case r.standing.Liveness.Gone():
+	case r.standing.Liveness().Gone():
 		r.live = time.Time{}
 	case was.Gone():
 		r.live = now
@@ -83,7 +83,7 @@
 	for _, s := range r.sections {
 		s.addTo(&a)
 	}
-	slices.SortFunc(a.TeamUse, func(x, y TeamUse) int { return compareNames(x.Team, y.Team) })
+	slices.SortFunc(a.TeamUse, func(x, y TeamUse) int { return cmp.Compare(x.Team, y.Team) })
 	return a
 }
 
@@ -109,19 +109,9 @@
 	p, _ := r.place()
 	return Member{
 		VM: p.VM, Incarnation: r.incarnation, Address: p.Address, Zone: p.Zone,
-		Liveness: r.standing.Liveness, Reach: r.reach,
+		Liveness: r.standing.Liveness(), Reach: r.reach,
 		Since: r.since, Joined: r.joined, LiveSince: r.live, App: r.app(),
 	}
 }
 
-func compareNames[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func keyOf(vm cawork.VMID) uint64 { return carendezvous.Key(vm) }
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -1,6 +1,7 @@
 package camember
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 
 	usageDue  time.Time
 	lastTick  time.Time
+	answered  time.Time
 	grace     time.Time
 	sequence  uint64
 	cursor    int
@@ -45,11 +47,11 @@
 	s := &State{
 		cfg: cfg, id: id, check: check, rng: rand.New(rand.NewPCG(seed, keyOf(id.VM))),
 		records: map[uint64]*record{}, contacts: map[string]time.Time{}, banned: map[uint64]bool{},
-		seeds: slices.Clone(seeds), lastTick: now,
+		seeds: slices.Clone(seeds), lastTick: now, answered: now,
 	}
 	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(cfg.Period))))
 	s.self = &record{
-		key: keyOf(id.VM), incarnation: Incarnation(max(now.UnixMilli(), 1)), since: now, joined: now, live: now,
+		key: keyOf(id.VM), incarnation: Incarnation(max(now.Unix(), 1)), since: now, joined: now, live: now,
 	}
 	s.records[s.self.key] = s.self
 	s.publishSection(Section{Place: &Place{VM: id.VM, Address: id.Address, Zone: id.Zone}})
@@ -80,7 +82,7 @@
 func (s *State) step(probes []Probe, relays []Relay) Step {
 	events := s.events
 	s.events = nil
-	s.check.Assert(!s.self.standing.Liveness.Gone() || s.self.standing.Liveness == LivenessLeft,
+	s.check.Assert(!s.self.standing.Liveness().Gone() || s.self.standing.Liveness() == LivenessLeft,
 		cacheck.RuleSelfStanding, "own standing %+v", s.self.standing)
 	return Step{Probes: probes, Relays: relays, Events: events}
 }
@@ -94,7 +96,7 @@
 	if left {
 		liveness = LivenessLeft
 	}
-	s.self.standing = Standing{Counter: s.self.standing.Counter + 1, Liveness: liveness}
+	s.self.standing = NewStanding(s.self.standing.Counter()+1, liveness)
 	s.touch(s.self)
 }
 
@@ -116,7 +118,7 @@
 	for _, r := range s.records {
 		members = append(members, r.member())
 	}
-	slices.SortFunc(members, func(a, b Member) int { return compareNames(a.VM, b.VM) })
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
 	return members
 }
 
@@ -142,8 +144,8 @@
 	if !ok {
 		return
 	}
-	was := r.standing.Liveness
-	r.standing.Liveness = LivenessDead
+	was := r.standing.Liveness()
+	r.standing = NewStanding(r.standing.Counter(), LivenessDead)
 	s.emit(r, was, CauseUnlisted)
 	delete(s.records, key)
 }
@@ -156,10 +158,16 @@
 	if now.Before(s.nextProbe) {
 		return s.step(nil, nil)
 	}
-	s.nextProbe = now.Add(s.cfg.Period)
+	s.nextProbe = now.Add(s.period())
 	return s.step(s.nextProbes(now), nil)
 }
 
+// period returns the time between two probes, which grows with the members so
+// that the traffic of digests does not.
+func (s *State) period() time.Duration {
+	return s.cfg.Period + time.Duration(len(s.records))*s.cfg.PeriodPerMember
+}
+
 // notePause restarts all suspicions after a time in which this entry itself
 // did not run, because silence in that time says nothing about the others.
 func (s *State) notePause(now time.Time) {
@@ -170,11 +178,11 @@
 	}
 	s.grace = now.Add(2 * s.cfg.Period)
 	for _, r := range s.records {
-		if r.standing.Liveness == LivenessSuspect {
+		if r.standing.Liveness() == LivenessSuspect {
 			r.suspect = now
 		}
 	}
-	s.emit(s.self, s.self.standing.Liveness, CauseSelfPaused)
+	s.emit(s.self, s.self.standing.Liveness(), CauseSelfPaused)
 }
 
 // expire turns suspicions that were not refuted into deaths and drops members
@@ -184,9 +192,9 @@
 		r := s.records[key]
 		switch {
 		case r == s.self:
-		case r.standing.Liveness == LivenessSuspect && now.Sub(r.suspect) >= s.suspicion():
-			s.believe(r, Standing{Counter: r.standing.Counter, Liveness: LivenessDead}, now)
-		case r.standing.Liveness.Gone() && now.Sub(r.since) >= s.cfg.Forget:
+		case r.standing.Liveness() == LivenessSuspect && now.Sub(r.suspect) >= s.suspicion():
+			s.believe(r, NewStanding(r.standing.Counter(), LivenessDead), now)
+		case r.standing.Liveness().Gone() && now.Sub(r.since) >= s.cfg.Forget:
 			delete(s.records, key)
 		}
 	}
@@ -225,15 +233,15 @@
 	was := r.standing
 	r.standing = st
 	s.touch(r)
-	if was.Liveness == st.Liveness {
+	if was.Liveness() == st.Liveness() {
 		return
 	}
 	r.since = now
-	r.setLive(was.Liveness, now)
-	if st.Liveness == LivenessSuspect {
+	r.setLive(was.Liveness(), now)
+	if st.Liveness() == LivenessSuspect {
 		r.suspect = now
 	}
-	s.emit(r, was.Liveness, causeOf(was.Liveness, st.Liveness))
+	s.emit(r, was.Liveness(), causeOf(was.Liveness(), st.Liveness()))
 }
 
 func causeOf(was, is Liveness) Cause {
--- /dev/null
+++ b/internal/coord/camember/state_test.go
@@ -0,0 +1,249 @@
+package camember_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	tally "github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cacheck"
+	"celeryarch.example/celeryarch/internal/coord/camember"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// group is some states that call each other without delay.
+type group struct {
+	t      fataler
+	check  *cacheck.Checker
+	states map[string]*camember.State
+	causes map[string][]camember.Cause
+	silent map[string]bool
+}
+
+type fataler interface {
+	Errorf(format string, args ...any)
+}
+
+func newGroup(t fataler, vms ...cawork.VMID) *group {
+	g := &group{
+		t: t, check: cacheck.New(zerolog.Nop(), tally.NoopScope), states: map[string]*camember.State{},
+		causes: map[string][]camember.Cause{}, silent: map[string]bool{},
+	}
+	for _, vm := range vms {
+		g.start(vm, 0)
+	}
+	return g
+}
+
+func (g *group) start(vm cawork.VMID, d time.Duration) {
+	id := camember.Identity{VM: vm, Address: string(vm), Zone: "z"}
+	g.states[string(vm)] = camember.NewState(camember.DefaultConfig(), id, []string{"a"}, at(d), 1, g.check)
+}
+
+// run ticks all but the silent states each 250 ms.
+func (g *group) run(from, to time.Duration) {
+	for d := from; d < to; d += 250 * time.Millisecond {
+		for _, name := range []string{"a", "b", "c"} {
+			if s, ok := g.states[name]; ok && !g.silent[name] {
+				g.do(name, d, s.Tick(at(d)))
+			}
+		}
+	}
+}
+
+func (g *group) do(name string, d time.Duration, step camember.Step) {
+	for _, e := range step.Events {
+		if e.Cause != camember.CauseApp {
+			g.causes[name] = append(g.causes[name], e.Cause)
+		}
+	}
+	s := g.states[name]
+	for _, p := range step.Probes {
+		to, ok := g.states[p.Address]
+		if !ok || g.silent[p.Address] {
+			g.do(name, d, s.HandleFailure(at(d), p))
+			continue
+		}
+		reply, theirs := to.Handle(at(d), p.Request)
+		g.do(p.Address, d, theirs)
+		g.do(name, d, s.HandleReply(at(d), p, reply))
+	}
+	if len(step.Relays) > 0 {
+		g.do(name, d, s.HandleRelayed(at(d), step.Relays[0].Target, !g.silent[step.Relays[0].Target.Address]))
+	}
+}
+
+func (g *group) liveness(of, by string) camember.Liveness {
+	for _, m := range g.states[by].Members() {
+		if string(m.VM) == of {
+			return m.Liveness
+		}
+	}
+	g.t.Errorf("%s does not know %s", by, of)
+	return camember.LivenessLeft
+}
+
+func (g *group) wantCauses(by string, want ...camember.Cause) {
+	slices.Sort(g.causes[by])
+	if diff := cmp.Diff(want, g.causes[by]); diff != "" {
+		g.t.Errorf("causes at %s mismatch (-want +got):\n%s", by, diff)
+	}
+	g.causes[by] = nil
+	if v := g.check.Violations(); len(v) > 0 {
+		g.t.Errorf("violations: %v", v)
+	}
+}
+
+func TestEntriesFindOneAnotherThroughASeed(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.wantCauses("b", camember.CauseJoined, camember.CauseJoined)
+	g.states["a"].SetLocal(camember.AppState{
+		ConfigVersion: 7, Free: cawork.Resources{CPU: cawork.Cores(3), Memory: 5 * cawork.GiB},
+		TeamUse:     []camember.TeamUse{{Team: "t", Use: cawork.Resources{CPU: 100, Memory: cawork.MiB, Accelerators: 2}}},
+		Shards:      []camember.LedShard{{Shard: "s", View: 3, Backup: "b"}},
+		Unreachable: []cawork.UpstreamID{"u"}, QueueLength: 4, OwnedUpstreams: 9,
+	})
+	g.run(5*time.Second, 10*time.Second)
+	want, got := g.states["a"].Self().App, g.states["c"].Members()[0].App
+	if diff := cmp.Diff(want, got); diff != "" || got.ConfigVersion != 7 || len(got.TeamUse) != 1 {
+		t.Errorf("state of a at c mismatch (-want +got):\n%s", diff)
+	}
+	g.states["a"].SetLocal(camember.AppState{ConfigVersion: 8})
+	g.run(10*time.Second, 15*time.Second)
+	if diff := cmp.Diff(camember.AppState{ConfigVersion: 8}, g.states["c"].Members()[0].App); diff != "" {
+		t.Errorf("state of a at c without use mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestPauseAndRestartAreToldApart(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.wantCauses("a", camember.CauseJoined, camember.CauseJoined)
+
+	g.silent["b"] = true
+	g.run(5*time.Second, 20*time.Second)
+	g.wantCauses("a", camember.CauseSuspected, camember.CauseDied, camember.CauseReach)
+	g.silent["b"] = false
+	g.run(20*time.Second, 40*time.Second)
+	if diff := cmp.Diff(camember.LivenessAlive, g.liveness("b", "a")); diff != "" {
+		t.Errorf("b after its pause mismatch (-want +got):\n%s", diff)
+	}
+	if got := g.causes["a"]; len(got) == 0 || got[len(got)-1] != camember.CauseReach && got[len(got)-1] != camember.CauseReturned {
+		t.Errorf("causes at a after the pause of b: %v", got)
+	}
+	if got := g.causes["b"]; len(got) == 0 || !slices.Contains(got, camember.CauseSelfPaused) {
+		t.Errorf("b did not notice its own pause: %v", got)
+	}
+	g.causes["a"] = nil
+
+	g.start("b", 40*time.Second)
+	g.run(40*time.Second, 50*time.Second)
+	g.wantCauses("a", camember.CauseRestarted)
+}
+
+func TestRestartWithAClockThatWentBackIsANewIncarnation(t *testing.T) {
+	for _, back := range []time.Duration{0, -time.Second, -time.Hour} {
+		g := newGroup(t, "a", "b", "c")
+		g.states["b"].SetLocal(camember.AppState{ConfigVersion: 7})
+		g.run(0, 5*time.Second)
+		g.states["b"].SetLocal(camember.AppState{ConfigVersion: 8})
+		g.run(5*time.Second, 10*time.Second)
+		g.causes["a"] = nil
+		g.start("b", back)
+		g.run(10*time.Second, 15*time.Second)
+		g.wantCauses("a", camember.CauseRestarted)
+		if diff := cmp.Diff(start.Unix()+1, int64(g.states["b"].Self().Incarnation)); diff != "" {
+			t.Errorf("incarnation mismatch (-want +got):\n%s", diff)
+		}
+	}
+}
+
+func TestLeftIsFinalAndGoneIsForgotten(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.causes["a"] = nil
+	g.states["b"].Leave(false)
+	g.run(5*time.Second, 8*time.Second)
+	g.wantCauses("a", camember.CauseLeaving)
+	g.states["b"].Leave(true)
+	g.run(8*time.Second, 12*time.Second)
+	g.wantCauses("a", camember.CauseLeft)
+	g.silent["b"] = true
+	g.run(12*time.Second, 30*time.Second)
+	g.wantCauses("a")
+	g.states["a"].SetListed(nil, []cawork.VMID{"b"})
+	g.run(30*time.Second, 60*time.Second)
+	g.wantCauses("a", camember.CauseUnlisted)
+	if got := len(g.states["a"].Members()); got != 2 {
+		t.Errorf("a knows %d members, want 2: c must not bring back what is gone", got)
+	}
+}
+
+func TestDeadMembersAreForgottenByAll(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.silent["b"] = true
+	g.run(5*time.Second, 62*time.Minute)
+	for _, name := range []string{"a", "c"} {
+		if got := len(g.states[name].Members()); got != 2 {
+			t.Errorf("%s knows %d members, want 2", name, got)
+		}
+	}
+}
+
+func TestOneWayCutIsToldApart(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	probe := camember.Probe{VM: "b", Address: "b"}
+	step := g.states["a"].HandleFailure(at(5*time.Second), probe)
+	if diff := cmp.Diff([]camember.Relay{{Address: "c", Target: probe}}, step.Relays); diff != "" {
+		t.Errorf("relays mismatch (-want +got):\n%s", diff)
+	}
+	step = g.states["a"].HandleRelayed(at(5*time.Second), probe, true)
+	if diff := cmp.Diff(camember.ReachIndirect, step.Events[0].Member.Reach); diff != "" {
+		t.Errorf("reach after an answer to a relay mismatch (-want +got):\n%s", diff)
+	}
+	g.states["a"].HandleRelayed(at(5*time.Second), probe, false)
+	_, step = g.states["a"].Handle(at(6*time.Second), camember.ExchangeRequest{From: "b"})
+	got := step.Events[0].Member
+	if diff := cmp.Diff(camember.ReachHeard, got.Reach); diff != "" || got.Liveness != camember.LivenessSuspect {
+		t.Errorf("b is %s, reach mismatch (-want +got):\n%s", got.Liveness, diff)
+	}
+}
+
+func TestAnotherVMAtTheAddressIsNoSignOfLife(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.causes["a"] = nil
+	step := g.states["a"].HandleReply(at(5*time.Second), camember.Probe{VM: "b", Address: "b"},
+		camember.ExchangeReply{From: "c"})
+	g.do("a", 5*time.Second, step)
+	if !slices.Contains(g.causes["a"], camember.CauseSuspected) {
+		t.Errorf("causes at a: %v, want a suspicion of b", g.causes["a"])
+	}
+}
+
+func TestStandingsAreOrdered(t *testing.T) {
+	standing := rapid.Custom(func(t *rapid.T) camember.Standing {
+		return camember.NewStanding(rapid.Uint32Max(3).Draw(t, "counter"),
+			rapid.SampledFrom(camember.LivenessValues()).Draw(t, "liveness"))
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := standing.Draw(t, "a"), standing.Draw(t, "b"), standing.Draw(t, "c")
+		if a.Newer(b) && b.Newer(a) {
+			t.Errorf("%v and %v override each other", a, b)
+		}
+		if a.Newer(b) && b.Newer(c) && !a.Newer(c) {
+			t.Errorf("%v overrides %v, which overrides %v, but not that", a, b, c)
+		}
+	})
+}
