--- a/internal/coord/caowner/event.go
+++ b/internal/coord/caowner/event.go
@@ -93,6 +93,8 @@
 
 // Call is a call to be made to the agent at Address.
 type Call struct {
+	// ID tells calls apart.
+	ID        int64
 	Kind      CallKind
 	Upstream  cawork.UpstreamID
 	Address   string
--- a/internal/coord/caowner/follow.go
+++ b/internal/coord/caowner/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/calist"
@@ -28,6 +29,7 @@
 	zone := members.Self().Zone
 	set := func() { owner.SetEntries(EntriesOf(members.Members(), zone)) }
 	set()
+	unreachable := map[cawork.VMID][]cawork.UpstreamID{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,7 +38,10 @@
 			if !ok {
 				return nil
 			}
-			if c.Member.Zone == zone {
+			m := c.Member
+			matters := c.Cause != camember.CauseApp || !slices.Equal(unreachable[m.VM], m.App.Unreachable)
+			unreachable[m.VM] = m.App.Unreachable
+			if m.Zone == zone && matters {
 				set()
 			}
 		case l, ok := <-lists.C:
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -26,6 +26,7 @@
 	ids       []cawork.UpstreamID
 	draining  bool
 	calls     int
+	lastCall  int64
 	searches  int
 	events    []Event
 }
@@ -92,8 +93,12 @@
 	}
 	was := u.vm.State
 	u.vm, u.unlisted = vm, false
-	if was != vm.State && vm.State == caplatform.VMStateLeaving {
+	switch {
+	case was == vm.State:
+	case vm.State == caplatform.VMStateLeaving:
 		s.emit(u, Event{Kind: EventKindLeaving})
+	default:
+		s.emit(u, Event{Kind: EventKindListed})
 	}
 }
 
@@ -280,12 +285,14 @@
 		return Call{}, false
 	}
 	s.check.Assert(!u.open, cacheck.RuleOneCall, "second call to %s", u.id)
-	u.open = true
+	u.open, u.asked = true, now
 	s.calls++
+	s.lastCall++
+	u.call = s.lastCall
 	if search {
 		s.searches++
 	}
-	c := Call{Kind: kind, Upstream: u.id, Address: u.vm.Address, Sent: now}
+	c := Call{ID: u.call, Kind: kind, Upstream: u.id, Address: u.vm.Address, Sent: now}
 	switch kind {
 	case CallKindClaim:
 		c.Claim = caplatform.Claim{Holder: s.self, TTL: s.cfg.TTL}
@@ -323,7 +330,7 @@
 		s.searches--
 	}
 	u, ok := s.upstreams[a.Call.Upstream]
-	if !ok || !u.open {
+	if !ok || !u.open || a.Call.ID != u.call {
 		return
 	}
 	u.open = false
@@ -387,8 +394,9 @@
 // at which the renewal was sent.
 func (s *State) renew(u *upstream, sent time.Time) {
 	u.until = sent.Add(s.cfg.validFor())
-	s.check.Assert(u.until.Before(sent.Add(s.cfg.TTL)), cacheck.RuleLeaseBounded,
-		"lease of %s taken for valid until %v after it was renewed", u.id, u.until.Sub(sent))
+	trusted := u.until.Sub(u.asked)
+	s.check.Assert(trusted <= s.cfg.validFor() && trusted < s.cfg.TTL, cacheck.RuleLeaseBounded,
+		"lease of %s taken for valid until %v after its renewal was sent", u.id, trusted)
 }
 
 func (s *State) handleHeartbeat(now time.Time, u *upstream, a Answer) {
--- a/internal/coord/caowner/upstream.go
+++ b/internal/coord/caowner/upstream.go
@@ -28,8 +28,10 @@
 	phase phase
 	// open tells that a call is under way; its answer is awaited before the
 	// next call.
-	open bool
-	next time.Time
+	open  bool
+	call  int64
+	asked time.Time
+	next  time.Time
 
 	desired  cawork.VMID
 	epoch    caplatform.Epoch
