--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -138,19 +138,18 @@
 	p.state.SetListed(live, gone)
 }
 
-// Leave tells the others that this entry drains.
-func (p *Part) Leave() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.Leave(false)
-}
+// Leave tells the others that this entry drains, so that they claim what it
+// releases next. It returns when the members of the zone answered or the
+// context ends, and must be called while Run goes on.
+func (p *Part) Leave(ctx context.Context) { p.leave(ctx, false) }
+
+// Left tells the others that this entry ends, like Leave.
+func (p *Part) Left(ctx context.Context) { p.leave(ctx, true) }
 
-// Left tells a few others that this entry ends. It returns when they answered
-// or the context ends.
-func (p *Part) Left(ctx context.Context) {
+func (p *Part) leave(ctx context.Context, left bool) {
 	p.mu.Lock()
-	p.state.Leave(true)
-	probes := p.state.Farewell()
+	p.state.Leave(left)
+	probes := p.state.Announce()
 	p.mu.Unlock()
 	var all sync.WaitGroup
 	for _, probe := range probes {
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -100,14 +100,23 @@
 	s.touch(s.self)
 }
 
-// Farewell returns exchanges that tell a few members of the own standing at
-// once.
-func (s *State) Farewell() []Probe {
+// Announce returns exchanges that tell the own standing at once to the members
+// of the zone, which take over what this entry gives up, and to a few others.
+func (s *State) Announce() []Probe {
 	var probes []Probe
-	for range s.cfg.Relays {
-		if r, ok := s.nextMember(); ok {
-			probes = append(probes, s.probeOf(r))
+	others := 0
+	for _, key := range s.sortedKeys() {
+		r := s.records[key]
+		if r == s.self || r.standing.Liveness().Gone() {
+			continue
+		}
+		if p, _ := r.place(); p.Zone != s.id.Zone {
+			others++
+			if others > s.cfg.Relays {
+				continue
+			}
 		}
+		probes = append(probes, s.probeOf(r))
 	}
 	return probes
 }
