--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -148,6 +148,10 @@
 		}
 	case p.retiring:
 		return
+	case p.hasNearer(now, v.Backup):
+		if !p.isBad(now, v.Witness) {
+			p.decideBackup(now, v)
+		}
 	case p.chooseWitness(now, v.Witness) != v.Witness:
 		p.start(now, p.nextView(v).WithWitness(p.chooseWitness(now, v.Witness)), stageRegister)
 	case v != p.settled:
@@ -194,6 +198,17 @@
 	p.possible = append(p.possible, v)
 }
 
+// hasNearer reports whether the backup is of another zone although a candidate
+// of the own one is there. A zone that is cut off keeps its shards then.
+func (p *primary) hasNearer(now time.Time, backup Member) bool {
+	next, found := p.chooseBackup(now, backup)
+	return found && p.isNear(next) && !p.isNear(backup)
+}
+
+func (p *primary) isNear(m Member) bool {
+	return slices.ContainsFunc(p.candidates, func(c Candidate) bool { return c.Member == m && c.Zone == p.zone })
+}
+
 // chooseBackup returns the first candidate that has not failed lately.
 func (p *primary) chooseBackup(now time.Time, except Member) (Member, bool) {
 	for _, sameZone := range []bool{true, false} {
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -105,8 +105,11 @@
 // checkEnded requires that the accepted jobs have a true final outcome.
 func (w *world) checkEnded(accepted []submission, within time.Duration) {
 	deadline := time.Now().Add(within)
+	outcomes := make(map[cawork.Outcome]int)
+	defer func() { w.t.Logf("%d jobs accepted: %v", len(accepted), outcomes) }()
 	for _, s := range accepted {
 		answer, err := w.outcome(s.id, max(time.Until(deadline), 100*time.Millisecond))
+		outcomes[answer.Outcome]++
 		switch {
 		case err != nil:
 			w.t.Errorf("job %s (%v): %v", s.id, s.spec.Kind, err)
--- a/internal/node/caentry/run.go
+++ b/internal/node/caentry/run.go
@@ -106,7 +106,9 @@
 func (e *Entry) drain() {
 	caevent.Info(e.log, caevent.EntryStopping).Send()
 	close(e.draining)
-	e.members.Leave()
+	notice, end := context.WithTimeout(context.Background(), farewellTimeout)
+	defer end()
+	e.members.Leave(notice)
 	e.launcher.Drain()
 	e.sleep(balancerDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Timeouts.Drain)
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -217,7 +217,7 @@
 			continue
 		}
 		empty := false
-		p.readState(shard, func(s *cajob.State) { empty = s.IsEmpty() })
+		p.readState(shard, func(s *cajob.State) { empty = s.IsForgettable(p.Timer.Now()) })
 		if empty {
 			p.Shards.Retire(shard)
 		}
