--- /dev/null
+++ b/internal/core/cadecide/mix_test.go
@@ -0,0 +1,419 @@
+package cadecide_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/cadecide"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// mix describes the work of a firm.
+type mix struct {
+	name     string
+	worker   cawork.Resources
+	rackSize int
+	zones    int
+	weights  []int
+	// parts are the parts of the teams in the arrivals.
+	parts []float64
+	// load is the offered part of the cores of the cell.
+	load float64
+	// kinds are the parts of the kinds in the arrivals.
+	batch, gang, service float64
+}
+
+var (
+	haugland = mix{
+		name: "haugland", worker: cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB},
+		rackSize: 6, zones: 4, weights: []int{4, 3, 1, 1, 1, 1}, parts: []float64{.3, .25, .15, .1, .1, .1},
+		load: .85, batch: .9, gang: .05, service: .05,
+	}
+	lettergrove = mix{
+		name: "lettergrove", worker: cawork.Resources{CPU: cawork.Cores(32), Memory: 128 * cawork.GiB},
+		rackSize: 8, zones: 3, weights: []int{2, 1, 1, 1, 1, 1}, parts: []float64{.5, .2, .1, .1, .05, .05},
+		load: .85, batch: .55, gang: .4, service: .05,
+	}
+)
+
+const (
+	mixWorkers    = 50
+	mixDuration   = 2 * time.Hour
+	usagePeriod   = 30 * time.Second
+	checkpointLag = 2 * time.Second
+	// backloggedAfter is the number of samples, ten median run times, after
+	// which a team with a queue counts as backlogged.
+	backloggedAfter = 20
+)
+
+// truth is what a job really does.
+type truth struct {
+	job     cawork.Job
+	used    cawork.Resources
+	runTime time.Duration
+}
+
+// event is a task that ends, an arrival when the task has no job.
+type event struct {
+	at    time.Time
+	task  cawork.TaskRef
+	state cawork.TaskState
+	serve int
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// placed is a running task. Each start gets a number, so that the end of an
+// earlier one is told apart.
+type placed struct {
+	serve int
+	since time.Time
+}
+
+// loop runs a mix against a scheduler in virtual time.
+type loop struct {
+	tb       testing.TB
+	m        mix
+	s        casched.Scheduler
+	rng      *rand.Rand
+	now      time.Time
+	queue    events
+	truths   map[cawork.JobID]truth
+	running  map[cawork.TaskRef]placed
+	left     map[cawork.TaskRef]time.Duration
+	started  map[cawork.TaskRef]bool
+	nextUse  time.Time
+	jobs     int
+	serves   int
+	waits    map[cawork.WorkKind][]float64
+	urgent   []float64
+	moved    int
+	calls    int
+	spent    time.Duration
+	usedSum  float64
+	samples  int
+	backlog  [6]int
+	shareSum float64
+	shareN   int
+}
+
+func newLoop(tb testing.TB, m mix, p casched.Policy) *loop {
+	l := &loop{
+		tb: tb, m: m, rng: rand.New(rand.NewPCG(7, 11)), now: start, truths: map[cawork.JobID]truth{},
+		running: map[cawork.TaskRef]placed{}, left: map[cawork.TaskRef]time.Duration{},
+		started: map[cawork.TaskRef]bool{}, waits: map[cawork.WorkKind][]float64{},
+	}
+	for i, w := range m.weights {
+		p = p.WithTeam(l.team(i), casched.TeamPolicy{Weight: w, Limit: casched.Unlimited()})
+	}
+	l.s = cadecide.New(p, func(v *casched.Violation) { tb.Fatal(v) })
+	for i := range mixWorkers {
+		l.s.PutUpstream(casched.Upstream{
+			ID:   cawork.UpstreamID(fmt.Sprintf("u%d", i)),
+			Zone: cawork.ZoneName(fmt.Sprintf("z%d", i%m.zones)), Rack: cawork.RackName(fmt.Sprintf("r%d", i/m.rackSize)),
+			Capacity: m.worker, Slots: 8, Connections: 64,
+		}, l.now)
+	}
+	for i := range m.weights {
+		l.s.SetAllowance(l.team(i), casched.Unlimited(), l.now)
+	}
+	return l
+}
+
+func (l *loop) team(i int) cawork.TeamName { return cawork.TeamName(fmt.Sprintf("team%d", i)) }
+
+// draw returns a job whose declarations are far from the truth.
+func (l *loop) draw() truth {
+	r := l.rng
+	spec := cawork.JobSpec{Kind: cawork.WorkKindBatch, Tasks: 1 + r.IntN(12), Idempotent: true}
+	t := truth{runTime: time.Duration(60 * math.Exp(r.NormFloat64()) * float64(time.Second))}
+	t.used = cawork.Resources{
+		CPU:    cawork.MilliCPU(500 * (1 + r.Int64N(6))),
+		Memory: cawork.Bytes(512*(1+r.Int64N(12))) * cawork.MiB,
+	}
+	switch x := r.Float64(); {
+	case x < l.m.gang:
+		spec.Kind, spec.Tasks = cawork.WorkKindGang, 8+r.IntN(40)
+	case x < l.m.gang+l.m.service:
+		spec.Kind, spec.Tasks = cawork.WorkKindService, 1+r.IntN(4)
+		t.runTime = 10 * time.Minute
+	case r.IntN(20) == 0:
+		spec.Urgent, spec.Tasks = true, 1
+	}
+	team := l.pickTeam()
+	over := float64(1+team%4) * math.Exp(.2*r.NormFloat64())
+	spec.Size = cawork.Resources{
+		CPU:    cawork.MilliCPU(float64(t.used.CPU) * over),
+		Memory: cawork.Bytes(float64(t.used.Memory) * over),
+	}
+	if !spec.Size.Fits(l.m.worker) {
+		spec.Size = t.used
+	}
+	spec.RunTime = time.Duration(float64(t.runTime) * math.Exp(r.NormFloat64()) * 3)
+	t.job = cawork.Job{Spec: spec, Team: l.team(team), Accepted: l.now}
+	return t
+}
+
+func (l *loop) pickTeam() int {
+	x := l.rng.Float64()
+	for i, p := range l.m.parts {
+		if x -= p; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// work returns the upstream seconds that the job takes in its larger dimension.
+func (l *loop) work(t truth) float64 {
+	return t.runTime.Seconds() * float64(t.job.Spec.Tasks) * t.used.DominantShare(l.m.worker)
+}
+
+// arrivals draws jobs up to the offered load.
+func (l *loop) arrivals() []truth {
+	want := mixWorkers * l.m.load * mixDuration.Seconds()
+	var out []truth
+	for sum := 0.0; sum < want; {
+		t := l.draw()
+		out = append(out, t)
+		sum += l.work(t)
+	}
+	for i := range out {
+		out[i].job.Accepted = start.Add(time.Duration(l.rng.Float64() * float64(mixDuration)))
+		out[i].job.ID = cawork.JobID(fmt.Sprintf("j%d", i))
+	}
+	slices.SortFunc(out, func(a, b truth) int { return a.job.Accepted.Compare(b.job.Accepted) })
+	return out
+}
+
+func (l *loop) run() {
+	for _, t := range l.arrivals() {
+		l.advance(t.job.Accepted)
+		l.truths[t.job.ID] = t
+		if err := l.s.Submit(t.job, l.now); err != nil {
+			l.tb.Fatal(err)
+		}
+		l.decide()
+	}
+	l.advance(start.Add(mixDuration))
+	if err := l.s.Check(); err != nil {
+		l.tb.Fatal(err)
+	}
+}
+
+// advance handles what happens up to the time.
+func (l *loop) advance(to time.Time) {
+	for len(l.queue) > 0 && !l.queue[0].at.After(to) {
+		e := heap.Pop(&l.queue).(event)
+		if p, ok := l.running[e.task]; !ok || p.serve != e.serve {
+			continue
+		}
+		l.now = e.at
+		l.reportUsage()
+		l.end(e)
+		l.decide()
+	}
+	l.now = to
+}
+
+func (l *loop) end(e event) {
+	t, ran := l.truths[e.task.Job], l.now.Sub(l.running[e.task].since)
+	delete(l.running, e.task)
+	if e.state == cawork.TaskStateCheckpointed {
+		l.left[e.task] = max(0, l.remaining(e.task)-ran)
+	}
+	l.s.Ended(casched.End{Task: e.task, State: e.state, Used: t.used, Elapsed: ran}, l.now)
+}
+
+func (l *loop) remaining(ref cawork.TaskRef) time.Duration {
+	if d, ok := l.left[ref]; ok {
+		return d
+	}
+	return l.truths[ref.Job].runTime
+}
+
+func (l *loop) decide() {
+	for {
+		began := time.Now()
+		ds := l.s.Decide(l.now)
+		l.spent += time.Since(began)
+		l.calls += len(ds)
+		for _, d := range ds {
+			l.apply(d)
+		}
+		if len(ds) == 0 {
+			return
+		}
+	}
+}
+
+func (l *loop) apply(d casched.Decision) {
+	switch d.Kind {
+	case casched.DecisionPlace, casched.DecisionPlaceGang:
+		for _, p := range d.Placements {
+			l.start(d, p)
+		}
+	case casched.DecisionCheckpoint:
+		l.moved++
+		ref := d.Placements[0].Task
+		heap.Push(&l.queue, event{l.now.Add(checkpointLag), ref, cawork.TaskStateCheckpointed, l.running[ref].serve})
+	}
+}
+
+func (l *loop) start(d casched.Decision, p casched.Placement) {
+	l.serves++
+	l.running[p.Task] = placed{l.serves, l.now}
+	heap.Push(&l.queue, event{l.now.Add(l.remaining(p.Task)), p.Task, cawork.TaskStateDone, l.serves})
+	if l.started[p.Task] {
+		return
+	}
+	l.started[p.Task] = true
+	if l.truths[d.Job].job.Spec.Urgent {
+		l.urgent = append(l.urgent, d.Waited.Seconds())
+		return
+	}
+	l.waits[d.WorkKind] = append(l.waits[d.WorkKind], d.Waited.Seconds())
+}
+
+// reportUsage reports the usage of all running tasks now and then, and samples
+// the use of the cell and the shares.
+func (l *loop) reportUsage() {
+	if l.now.Before(l.nextUse) {
+		return
+	}
+	l.nextUse = l.now.Add(usagePeriod)
+	var refs []cawork.TaskRef
+	used := 0.0
+	for ref := range l.running {
+		refs = append(refs, ref)
+		used += l.truths[ref.Job].used.DominantShare(l.m.worker)
+	}
+	slices.SortFunc(refs, compareRefs)
+	for _, ref := range refs {
+		l.s.ReportUsage(ref, l.truths[ref.Job].used, l.now)
+	}
+	l.usedSum += used / mixWorkers
+	l.samples++
+	l.sampleShares()
+}
+
+// sampleShares adds how far the weighted shares of the backlogged teams are
+// from their mean.
+func (l *loop) sampleShares() {
+	total := l.m.worker.Times(mixWorkers)
+	sum, weights := 0.0, 0.0
+	shares := map[int]float64{}
+	for i, w := range l.m.weights {
+		backlog := 0
+		for _, k := range cawork.WorkKindValues() {
+			backlog += l.s.QueueLength(l.team(i), k)
+		}
+		if backlog == 0 {
+			l.backlog[i] = 0
+			continue
+		}
+		if l.backlog[i]++; l.backlog[i] < backloggedAfter {
+			continue
+		}
+		share := 0.0
+		for _, u := range l.s.Uses() {
+			if u.Team == l.team(i) {
+				share = u.Use.DominantShare(total)
+			}
+		}
+		shares[i] = share / float64(w)
+		sum += share
+		weights += float64(w)
+	}
+	if len(shares) < 2 {
+		return
+	}
+	for i := range l.m.weights {
+		if share, ok := shares[i]; ok {
+			l.shareSum += math.Abs(share*weights/sum - 1)
+			l.shareN++
+		}
+	}
+}
+
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(q*float64(len(v))))]
+}
+
+// BenchmarkPolicy prints the figures of docs/measures/core.md. One operation is
+// a run of two hours in virtual time.
+func BenchmarkPolicy(b *testing.B) {
+	base := casched.DefaultPolicy()
+	spread := base
+	for _, k := range []cawork.WorkKind{cawork.WorkKindBatch, cawork.WorkKindGang} {
+		kp := spread.Kind(k)
+		kp.Strategy = casched.StrategySpread
+		spread = spread.WithKind(k, kp)
+	}
+	unreserved, patient := base, base
+	for _, k := range cawork.WorkKindValues() {
+		kp := base.Kind(k)
+		kp.ReserveBound = 0
+		unreserved = unreserved.WithKind(k, kp)
+		kp = base.Kind(k)
+		kp.PreemptAfter = 0
+		patient = patient.WithKind(k, kp)
+	}
+	choices := []struct {
+		name string
+		p    casched.Policy
+	}{
+		{"default", base},
+		{"spread", spread},
+		{"no_backfill", base.WithBackfill(false)},
+		{"no_reservation", unreserved},
+		{"no_correction", base.WithCorrection(false)},
+		{"no_preemption", patient},
+	}
+	for _, m := range []mix{haugland, lettergrove} {
+		for _, c := range choices {
+			b.Run(m.name+"/"+c.name, func(b *testing.B) {
+				for b.Loop() {
+					l := newLoop(b, m, c.p)
+					l.run()
+					l.publish(b)
+				}
+			})
+		}
+	}
+}
+
+func (l *loop) publish(b *testing.B) {
+	for _, k := range []cawork.WorkKind{cawork.WorkKindBatch, cawork.WorkKindService, cawork.WorkKindGang} {
+		b.ReportMetric(quantile(l.waits[k], .5), k.String()+"-p50-s")
+		b.ReportMetric(quantile(l.waits[k], .99), k.String()+"-p99-s")
+	}
+	b.ReportMetric(quantile(l.urgent, .5), "urgent-p50-s")
+	b.ReportMetric(quantile(l.urgent, .99), "urgent-p99-s")
+	b.ReportMetric(100*l.usedSum/float64(l.samples), "used-%")
+	b.ReportMetric(100*l.shareSum/float64(max(1, l.shareN)), "share-error-%")
+	b.ReportMetric(float64(l.moved), "checkpoints")
+	b.ReportMetric(float64(l.serves), "starts")
+	b.ReportMetric(float64(l.spent.Microseconds())/float64(l.calls), "us/decision")
+}
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -57,7 +57,7 @@
 		if j == nil {
 			continue
 		}
-		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(j, now)
+		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(t, j, now)
 		if !preempt && !reserve {
 			continue
 		}
@@ -74,21 +74,21 @@
 	var first *class
 	for i, c := range t.queue.Classes() {
 		m := &t.queue.Marks()[i]
-		if m.BlockedAt == 0 || m.LimitedAt == t.room {
+		if m.BlockedAt == 0 || m.LimitedAt == t.room || s.claimed(c.Head().Value) {
 			continue
 		}
 		if first == nil || c.Head().Less(first.Head()) {
 			first = c
 		}
 	}
-	if first == nil || s.claimed(first.Head().Value) {
+	if first == nil {
 		return nil
 	}
 	return first.Head().Value
 }
 
 func (s *Scheduler) claimed(j *caledger.Job) bool {
-	return slices.ContainsFunc(s.claims, func(c *claim) bool { return c.job == j })
+	return len(s.claims) > 0 && slices.ContainsFunc(s.claims, func(c *claim) bool { return c.job == j })
 }
 
 func (s *Scheduler) countClaims(preempt bool) int {
@@ -162,11 +162,24 @@
 
 func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
 
-// mayReserve reports whether room may be reserved for the job by now.
-func (s *Scheduler) mayReserve(j *caledger.Job, now time.Time) bool {
+// mayReserve reports whether room may be reserved for the job by now. A team
+// whose share the job would pass reserves only while it uses less than half of
+// it, so that the room that it waits for is not taken from other teams.
+func (s *Scheduler) mayReserve(t *team, j *caledger.Job, now time.Time) bool {
 	p := s.policy.Kind(j.Spec.Kind)
-	return p.ReserveBound > 0 && now.Sub(j.Accepted) >= p.ReserveAfter && !now.Before(j.NextReserve) &&
-		s.countClaims(false) < maxReserving
+	if p.ReserveBound == 0 || now.Sub(j.Accepted) < p.ReserveAfter || now.Before(j.NextReserve) ||
+		!s.large(j) || s.countClaims(false) >= maxReserving {
+		return false
+	}
+	whole := s.demand(j).Size.Times(int64(j.Width()))
+	owed := t.Entitlement(s.activeWeight(t))
+	return s.shares.Dominant(t.Team, whole) <= owed || s.shares.Dominant(t.Team, cawork.Resources{}) <= owed/2
+}
+
+// large reports whether smaller work could keep the job from ever fitting: it
+// is a gang, or a task takes more than half of the largest upstream.
+func (s *Scheduler) large(j *caledger.Job) bool {
+	return j.Gang() || s.index.LargePart(s.demand(j)) > 0.5
 }
 
 // reserveFor reserves room for a job that has waited long.
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -69,6 +69,9 @@
 	if j.Spec.Deadline > 0 && j.Untouched() {
 		s.expiry[j.ID] = s.deadlines.Push(j, caqueue.Key{}, j.Accepted.Add(j.Spec.Deadline))
 	}
+	if j.Spec.Urgent {
+		s.team(j.Team).nextRelief = time.Time{}
+	}
 	s.refreshEntry(j)
 }
 
--- a/internal/core/caplace/search.go
+++ b/internal/core/caplace/search.go
@@ -240,6 +240,13 @@
 	return o != "" && o != job
 }
 
+// LargePart returns the largest part of a dimension that the demand takes of
+// the largest upstream.
+func (x *Index) LargePart(d Demand) float64 {
+	return max(float64(d.Size.CPU)*x.scale[0], float64(d.Size.Memory)*x.scale[1],
+		float64(d.Size.Accelerators)*x.scale[2])
+}
+
 // LargestHole returns the largest room under the constraints.
 func (x *Index) LargestHole(c cawork.Constraints) cawork.Resources {
 	var largest cawork.Resources
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -95,7 +95,7 @@
 func DefaultPolicy() Policy {
 	base := KindPolicy{
 		QueueBound: 10_000, UrgentHeadroom: 1_000, MaxAttempts: 3,
-		Aging: 10 * time.Minute, UrgentLead: time.Hour,
+		Aging: 10 * time.Minute, UrgentLead: 24 * time.Hour,
 		ReserveAfter: 30 * time.Second, ReserveBound: 30 * time.Minute,
 		PreemptAfter: 10 * time.Second, UrgentPreemptAfter: 500 * time.Millisecond,
 	}
