Preempt whole gangs for teams below their share

Change: the first task that is taken of a gang spends the whole gang in the budget of its team, and the whole gang is checkpointed.

--- a/internal/core/cadecide/budget.go
+++ b/internal/core/cadecide/budget.go
@@ -8,17 +8,22 @@
 )
 
 // budget bounds a preemption: no team goes below the share that it is owed.
-// Urgent jobs may also take from other work of their own team.
+// Urgent jobs may also take from other work of their own team. The first task
+// that is taken of a gang spends the whole gang.
 type budget struct {
 	s       *Scheduler
 	job     *caledger.Job
 	active  int
 	ownOnly bool
 	taken   map[*cashare.Team]cawork.Resources
+	gangs   map[*caledger.Job]int
 }
 
 func (s *Scheduler) newBudget(t *team, j *caledger.Job) *budget {
-	return &budget{s: s, job: j, active: s.activeWeight(t), taken: map[*cashare.Team]cawork.Resources{}}
+	return &budget{
+		s: s, job: j, active: s.activeWeight(t),
+		taken: map[*cashare.Team]cawork.Resources{}, gangs: map[*caledger.Job]int{},
+	}
 }
 
 // activeWeight returns the weight of all teams that use or want something, with
@@ -43,7 +48,27 @@
 	if v.Team == b.job.Team {
 		return b.job.Spec.Urgent
 	}
-	return !b.ownOnly && b.keeps(v.Account, b.taken[v.Account].Plus(v.Demand.Size))
+	return !b.ownOnly && b.keeps(v.Account, b.taken[v.Account].Plus(b.cost(v)))
+}
+
+// cost returns what ends with the task, beside what was taken already.
+func (b *budget) cost(v *caledger.Task) cawork.Resources {
+	if v.Job == nil || !v.Job.Gang() {
+		return v.Demand.Size
+	}
+	if b.gangs[v.Job] > 0 {
+		return cawork.Resources{}
+	}
+	return whole(v.Job)
+}
+
+// whole returns the size of all open tasks of the job.
+func whole(j *caledger.Job) cawork.Resources {
+	var sum cawork.Resources
+	for _, t := range j.Open {
+		sum = sum.Plus(t.Demand.Size)
+	}
+	return sum
 }
 
 // Spend implements capreempt.Budget.
@@ -52,15 +77,21 @@
 		return false
 	}
 	if v.Team != b.job.Team {
-		b.taken[v.Account] = b.taken[v.Account].Plus(v.Demand.Size)
+		b.taken[v.Account] = b.taken[v.Account].Plus(b.cost(v))
+	}
+	if v.Job != nil && v.Job.Gang() {
+		b.gangs[v.Job]++
 	}
 	return true
 }
 
 // Refund implements capreempt.Budget.
 func (b *budget) Refund(v *caledger.Task) {
+	if v.Job != nil && v.Job.Gang() {
+		b.gangs[v.Job]--
+	}
 	if v.Team != b.job.Team {
-		b.taken[v.Account] = b.taken[v.Account].Minus(v.Demand.Size)
+		b.taken[v.Account] = b.taken[v.Account].Minus(b.cost(v))
 	}
 }
 
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -122,21 +122,44 @@
 	b := s.newBudget(t, j)
 	b.ownOnly = !b.within(t, d.Size.Times(int64(n)))
 	plan, ok := capreempt.Find(s.victims(j, b, now), d, n, b)
-	if !ok || len(plan.Victims) == 0 || len(s.out)+len(plan.Victims) > casched.MaxDecisions {
+	if !ok || len(plan.Victims) == 0 {
+		return false
+	}
+	ending := withGangs(plan.Victims)
+	if len(s.out)+len(ending) > casched.MaxDecisions {
 		return false
 	}
 	reason := casched.ReasonShare
 	if j.Spec.Urgent {
 		reason = casched.ReasonUrgentPreemption
 	}
-	for _, v := range plan.Victims {
-		s.emit(s.checkpoint(v.Task, reason, now))
+	for _, t := range ending {
+		if t.Stopping == caledger.StoppingNot {
+			s.emit(s.checkpoint(t, reason, now))
+		}
 	}
 	b.check()
 	s.hold(&claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}, plan.Hosts, now)
 	return true
 }
 
+// withGangs lists the victims with the other tasks of their gangs.
+func withGangs(victims []capreempt.Victim) []*caledger.Task {
+	var out []*caledger.Task
+	seen := map[*caledger.Job]bool{}
+	for _, v := range victims {
+		j := v.Task.Job
+		switch {
+		case j == nil || !j.Gang():
+			out = append(out, v.Task)
+		case !seen[j]:
+			seen[j] = true
+			out = append(out, j.Open...)
+		}
+	}
+	return out
+}
+
 // victims lists the upstreams that the job may use, with the tasks on them that
 // may be stopped for it.
 func (s *Scheduler) victims(j *caledger.Job, b *budget, now time.Time) []capreempt.Host {
@@ -147,7 +170,7 @@
 		}
 		first := len(s.victimPool)
 		for _, t := range s.ledger.On(h) {
-			if t.Stopping == caledger.StoppingNot && t.Kind != cawork.WorkKindGang && !urgent(t) && b.allows(t) {
+			if t.Stopping == caledger.StoppingNot && mayEnd(t) && !urgent(t) && b.allows(t) {
 				s.victimPool = append(s.victimPool, capreempt.Victim{Task: t, Loss: loss(t, now)})
 			}
 		}
@@ -160,6 +183,10 @@
 	return s.hostPool
 }
 
+// mayEnd reports whether the task may be ended without others that are not known
+// here. A foreign gang may have tasks elsewhere.
+func mayEnd(t *caledger.Task) bool { return t.Job != nil || t.Kind != cawork.WorkKindGang }
+
 func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
 
 // mayReserve reports whether room may be reserved for the job by now. A team
