Leave room to teams below their share, preempt only beyond a tolerance

Change: beyond 102.5% of its share a team leaves room to small blocked work of teams below theirs; shares are evened out by preemption only below 95%; room beside a preempted place may be used.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -10,12 +10,21 @@
 	"celeryarch.example/celeryarch/internal/core/casched"
 )
 
+const (
+	// deferAfter is the wait of a job of a team below its share from which on
+	// room is left to it.
+	deferAfter = time.Second
+	// deferAbove is the part of its share beyond which a team leaves room.
+	deferAbove = 1.025
+)
+
 type class = caqueue.Class[*caledger.Job]
 
 // placeAll places tasks, of the team with the lowest share first, until none
 // fits.
 func (s *Scheduler) placeAll(now time.Time) {
 	s.round++
+	s.weight = s.activeWeight(nil)
 	for !s.full() {
 		t := s.lowest()
 		if t == nil {
@@ -115,6 +124,9 @@
 		t.queue.Mark(c).LimitedAt = t.room
 		return false
 	}
+	if !j.Spec.Urgent && !s.claimed(j) && s.defers(t, q.Demand.Size.Times(int64(n)), now) {
+		return false
+	}
 	if !s.findHosts(&q, n) {
 		t.queue.Mark(c).BlockedAt = s.index.Seq()
 		return false
@@ -123,6 +135,31 @@
 	return true
 }
 
+// defers reports whether the amount would take the team beyond its share while
+// a team below its share waits for room. The room is left to it then, as small
+// holes would otherwise go to whoever happens to have small tasks.
+func (s *Scheduler) defers(t *team, r cawork.Resources, now time.Time) bool {
+	if s.shares.Dominant(t.Team, r) <= t.Entitlement(s.weight)*deferAbove {
+		return false
+	}
+	for _, o := range s.order {
+		if o == t || o.exhausted != s.round || s.shares.Dominant(o.Team, cawork.Resources{}) >= o.Entitlement(s.weight) {
+			continue
+		}
+		if j := s.blockedHead(o); j != nil && s.waitsForSmallRoom(j, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitsForSmallRoom reports whether the job fits as soon as a few tasks on any
+// one upstream have ended.
+func (s *Scheduler) waitsForSmallRoom(j *caledger.Job, now time.Time) bool {
+	return now.Sub(j.Accepted) >= deferAfter && j.Spec.Constraints == (cawork.Constraints{}) &&
+		j.Spec.Size.Accelerators == 0 && !s.large(j)
+}
+
 // findHosts finds and takes room for n tasks, which are all placed or none. The
 // upstreams are left in s.hosts.
 func (s *Scheduler) findHosts(q *caplace.Query, n int) bool {
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -18,6 +18,9 @@
 	// reliefPause is the time after which relief for a team is searched again
 	// when none was found.
 	reliefPause = time.Second
+	// shareTolerance is the part of its share below which a team takes room from
+	// others. Above it, the ends of tasks even the shares out.
+	shareTolerance = 0.95
 	// maxReserving is the most jobs that have a reservation at a time.
 	maxReserving = 4
 	// maxPreempting is the most jobs that wait for preempted room at a time.
@@ -112,7 +115,12 @@
 		return false
 	}
 	whole := s.demand(j).Size.Times(int64(j.Width()))
-	return t.Allows(whole) && (j.Spec.Urgent || s.shares.Dominant(t.Team, whole) <= t.Entitlement(s.activeWeight(t)))
+	if !t.Allows(whole) {
+		return false
+	}
+	owed := t.Entitlement(s.activeWeight(t))
+	return j.Spec.Urgent || (s.shares.Dominant(t.Team, whole) <= owed &&
+		s.shares.Dominant(t.Team, cawork.Resources{}) < shareTolerance*owed)
 }
 
 // preemptFor makes running tasks end for the job, when its team stays within
@@ -139,7 +147,8 @@
 		}
 	}
 	b.check()
-	s.hold(&claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}, plan.Hosts, now)
+	c := &claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}
+	s.hold(c, plan, d, now)
 	return true
 }
 
@@ -272,13 +281,24 @@
 	return cabackfill.Find(hosts, releases, s.demand(j), j.Width(), now)
 }
 
-// hold keeps the upstreams for the job of the claim alone.
-func (s *Scheduler) hold(c *claim, hosts []caplace.HostIndex, now time.Time) {
-	for _, h := range hosts {
+// hold keeps the room that the plan makes for the job of the claim alone. What
+// is left beside it may be used.
+func (s *Scheduler) hold(c *claim, p capreempt.Plan, unit caplace.Demand, now time.Time) {
+	for _, h := range p.Hosts {
+		slack := s.index.FreeOn(h)
+		if slices.Contains(c.hosts, h) {
+			slack = s.index.HoldOf(h).Slack
+		}
+		slack = slack.Minus(unit)
 		if !slices.Contains(c.hosts, h) {
 			c.hosts = append(c.hosts, h)
-			s.index.SetHold(h, caplace.Hold{Owner: c.job.ID, Until: now})
+			for _, v := range p.Victims {
+				if v.Task.Host == h {
+					slack = slack.Plus(v.Task.Demand)
+				}
+			}
 		}
+		s.index.SetHold(h, caplace.Hold{Owner: c.job.ID, Until: now, Slack: slack})
 	}
 	s.claims = append(s.claims, c)
 }
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -56,6 +56,7 @@
 	asked        []*caledger.Task
 	pending      []casched.Decision
 	round        uint64
+	weight       int
 	policyCount  uint64
 	nextRelief   time.Time
 
