Keep the due time of the head of a class beside its mark

Cause: ordering classes followed a pointer to each head. Change: due times are kept in the marks; a hold wakes no blocked class, its end does.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -55,7 +55,7 @@
 func (s *Scheduler) placeFrom(t *team, now time.Time) bool {
 	s.collect(t, now)
 	for len(s.candidates) > 0 {
-		c := s.takeFirst()
+		c := s.takeFirst(t)
 		if s.tryHead(t, c, now) {
 			return true
 		}
@@ -101,10 +101,10 @@
 }
 
 // takeFirst removes and returns the candidate whose head is due first.
-func (s *Scheduler) takeFirst() *class {
+func (s *Scheduler) takeFirst(t *team) *class {
 	first := 0
 	for i, c := range s.candidates {
-		if c.Head().Less(s.candidates[first].Head()) {
+		if t.queue.Less(c, s.candidates[first]) {
 			first = i
 		}
 	}
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -9,6 +9,7 @@
 	"celeryarch.example/celeryarch/internal/core/caledger"
 	"celeryarch.example/celeryarch/internal/core/caplace"
 	"celeryarch.example/celeryarch/internal/core/capreempt"
+	"celeryarch.example/celeryarch/internal/core/caqueue"
 	"celeryarch.example/celeryarch/internal/core/casched"
 )
 
@@ -72,8 +73,21 @@
 }
 
 // blockedHead returns the job of the team that is due first among those that
-// lack only room.
+// lack only room and have none held for them.
 func (s *Scheduler) blockedHead(t *team) *caledger.Job {
+	c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && m.LimitedAt != t.room })
+	if c != nil && s.claimed(c.Head().Value) {
+		c = s.firstUnclaimed(t)
+	}
+	if c == nil {
+		return nil
+	}
+	return c.Head().Value
+}
+
+// firstUnclaimed returns the blocked class that is due first and has no room
+// held for its head.
+func (s *Scheduler) firstUnclaimed(t *team) *class {
 	var first *class
 	for i, c := range t.queue.Classes() {
 		m := &t.queue.Marks()[i]
@@ -84,10 +98,7 @@
 			first = c
 		}
 	}
-	if first == nil {
-		return nil
-	}
-	return first.Head().Value
+	return first
 }
 
 func (s *Scheduler) claimed(j *caledger.Job) bool {
--- a/internal/core/caplace/index.go
+++ b/internal/core/caplace/index.go
@@ -192,11 +192,14 @@
 	x.count(h)
 }
 
-// SetHold keeps the room of the upstream for a job.
+// SetHold keeps the room of the upstream for a job, or for none any more when
+// the hold has no owner.
 func (x *Index) SetHold(h HostIndex, hold Hold) {
 	x.hosts[h].hold = hold
 	x.rooms[h].held = hold.Owner != ""
-	x.noteFreed(h)
+	if !x.rooms[h].held {
+		x.noteFreed(h)
+	}
 }
 
 // HoldOf returns the hold on the upstream, without an owner when there is none.
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -92,6 +92,8 @@
 	// LimitedAt is the like number of the account of the team at which the
 	// allowance did not suffice for the head.
 	LimitedAt uint64
+	// due is that of the head in nanoseconds, zero when it has to be looked up.
+	due int64
 }
 
 // Queue is the queue of a team. Classes and marks have the same order.
@@ -151,7 +153,7 @@
 // unmark forgets why the head of the class did not fit.
 func (q *Queue[T]) unmark(c *Class[T]) {
 	m := &q.marks[c.pos]
-	m.BlockedAt, m.LimitedAt = 0, 0
+	m.BlockedAt, m.LimitedAt, m.due = 0, 0, 0
 }
 
 // drop removes a class without entries.
@@ -171,6 +173,36 @@
 // Marks returns the marks of the classes, which the caller may change.
 func (q *Queue[T]) Marks() []Mark { return q.marks }
 
+// First returns the class whose head is due first among those that the function
+// accepts, nil when there is none.
+func (q *Queue[T]) First(accept func(*Mark) bool) *Class[T] {
+	first := -1
+	for i := range q.marks {
+		m := &q.marks[i]
+		if !accept(m) {
+			continue
+		}
+		if first < 0 || q.due(i) < q.due(first) {
+			first = i
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	return q.classes[first]
+}
+
+func (q *Queue[T]) due(i int) int64 {
+	m := &q.marks[i]
+	if m.due == 0 {
+		m.due = q.classes[i].Head().due.UnixNano()
+	}
+	return m.due
+}
+
+// Less reports whether the head of the class is due before that of the other.
+func (q *Queue[T]) Less(c, o *Class[T]) bool { return q.due(c.pos) < q.due(o.pos) }
+
 // Mark returns the mark of the class.
 func (q *Queue[T]) Mark(c *Class[T]) *Mark { return &q.marks[c.pos] }
 
