Count starts that never ran apart from attempts

Cause: three refused starts in a row, as after a change of owner, ended a task for good. Change: starts that are proved not to have run have a bound of their own, ten for each attempt; scenarios for it, for the limit of reserved places and for teams that preemption must spare, found by removing each check on a scratch copy.

--- a/internal/core/cadecide/mix_test.go
+++ b/internal/core/cadecide/mix_test.go
@@ -402,6 +402,7 @@
 		kp.PreemptAfter = 0
 		patient = patient.WithKind(k, kp)
 	}
+	alone := patient.WithBackfill(false)
 	choices := []struct {
 		name string
 		p    casched.Policy
@@ -412,6 +413,7 @@
 		{"no_reservation", unreserved},
 		{"no_correction", base.WithCorrection(false)},
 		{"no_preemption", patient},
+		{"no_preemption_no_backfill", alone},
 	}
 	for _, m := range []mix{haugland, lettergrove} {
 		for _, c := range choices {
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+func TestPreemptionSparesATeamBelowItsShareThoughItsLossIsLess(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 2)
+	c.submit("old", "north", batch(6, 2))
+	c.after(0)
+	c.now = c.now.Add(10 * time.Minute)
+	c.submit("new", "east", batch(2, 2))
+	c.after(0)
+	c.submit("late", "south", batch(1, 2))
+	got := append(c.after(40*time.Second), c.after(time.Second)...)
+	wantSummary(t, got, "checkpoint share old/1")
+}
+
 func TestUrgentJobTakesRoomOfItsOwnTeamWithinTheBound(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 1)
 	c.submit("full", "north", batch(4, 2))
@@ -313,6 +325,33 @@
 	}
 }
 
+func TestReservedPlacesAreBoundByTheAllowanceAndTheirExpiry(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 1)
+	c.s.SetAllowance("north", size(4), c.now)
+	c.submit("j", "north", batch(2, 4))
+	if _, err := c.s.Reserve(casched.ReserveRequest{
+		ID: "v", Job: "j", Team: "north", Kind: cawork.WorkKindBatch, Size: size(4), Min: 2, Count: 2,
+		Expires: c.now.Add(time.Minute),
+	}, c.now); err != nil {
+		t.Fatal(err)
+	}
+	both := []casched.Placement{
+		{Task: cawork.TaskRef{Job: "j"}, Upstream: "u0", Size: size(4)},
+		{Task: cawork.TaskRef{Job: "j", Index: 1}, Upstream: "u0", Size: size(4)},
+	}
+	_, err := c.s.PlaceReserved(both, "v", c.now)
+	if diff := cmp.Diff(cakind.KindLimitReached, cakind.Of(err)); diff != "" {
+		t.Errorf("kind beyond the allowance mismatch (-want +got):\n%s", diff)
+	}
+	wantSummary(t, c.after(time.Second))
+	c.now = c.now.Add(time.Minute)
+	_, err = c.s.PlaceReserved(both[:1], "v", c.now)
+	if diff := cmp.Diff(cakind.KindNotFound, cakind.Of(err)); diff != "" {
+		t.Errorf("kind after the expiry mismatch (-want +got):\n%s", diff)
+	}
+	wantSummary(t, c.after(time.Second), "place lowest_share j/1")
+}
+
 func TestDeadlineBeforeStartEndsTheJob(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 1)
 	c.submit("full", "north", batch(1, 8))
@@ -326,6 +365,25 @@
 	}
 }
 
+func TestStartsThatNeverRanAreBoundedApartFromAttempts(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 4)
+	c.submit("j", "north", batch(1, 1))
+	ref := cawork.TaskRef{Job: "j"}
+	for range 29 {
+		c.after(time.Second)
+		if out := c.s.StartFailed(ref, true, c.now); !out.Requeued {
+			t.Fatalf("settlement %+v, want the task queued again", out)
+		}
+	}
+	c.after(time.Second)
+	want := casched.Settlement{
+		Known: true, Own: true, Outcome: cawork.OutcomeNotRun, JobEnded: true, JobOutcome: cawork.OutcomeNotRun,
+	}
+	if diff := cmp.Diff(want, c.s.StartFailed(ref, true, c.now)); diff != "" {
+		t.Errorf("settlement mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestTaskThatAlwaysFailsEnds(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 4)
 	c.submit("bad", "north", batch(1, 1))
--- a/internal/core/cadecide/settle.go
+++ b/internal/core/cadecide/settle.go
@@ -92,11 +92,7 @@
 // settle frees what the attempt took and queues or ends the task.
 func (s *Scheduler) settle(t *caledger.Task, state cawork.TaskState) casched.Settlement {
 	host, d := t.Host, t.Demand
-	bound := 0
-	if t.Job != nil {
-		bound = s.policy.Attempts(t.Job.Spec)
-	}
-	out := s.ledger.Settle(t, state, bound)
+	out := s.ledger.Settle(t, state, s.policy)
 	if host != caplace.NoHost {
 		s.index.Give(host, d)
 	}
--- a/internal/core/caledger/job.go
+++ b/internal/core/caledger/job.go
@@ -34,8 +34,10 @@
 	Host     caplace.HostIndex
 	Upstream cawork.UpstreamID
 	Demand   caplace.Demand
-	// Attempts counts the attempts with this one.
+	// Attempts counts the attempts with this one, but for those of NotRun, which
+	// are proved not to have run.
 	Attempts int
+	NotRun   int
 	Placed   time.Time
 	// End is when the task is expected to end, zero when never.
 	End  time.Time
@@ -60,6 +62,7 @@
 type waiting struct {
 	index    int
 	attempts int
+	notRun   int
 }
 
 // Job is a job with its tasks. Queued tasks that were never touched are only
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -90,7 +90,7 @@
 func (l *Ledger) openTask(j *Job, w waiting, o Opening) *Task {
 	t := &Task{
 		Ref: cawork.TaskRef{Job: j.ID, Index: w.index}, Job: j, Team: j.Team, Kind: j.Spec.Kind,
-		Attempts: w.attempts + 1,
+		Attempts: w.attempts + 1, NotRun: w.notRun,
 	}
 	t.inJob = len(j.Open)
 	j.Open = append(j.Open, t)
@@ -190,25 +190,22 @@
 }
 
 // Settle ends the attempt of an open task: the task is queued again when the
-// state and the bound of attempts allow it, or gets its outcome. The caller
-// frees what it took.
-func (l *Ledger) Settle(t *Task, s cawork.TaskState, bound int) casched.Settlement {
+// state and the policy allow it, or gets its outcome. The caller frees what it
+// took.
+func (l *Ledger) Settle(t *Task, s cawork.TaskState, p casched.Policy) casched.Settlement {
 	l.remove(t)
 	j := t.Job
 	if j == nil {
 		return casched.Settlement{Known: true}
 	}
 	out := casched.Settlement{Known: true, Own: true}
-	attempts := t.Attempts
-	if s == cawork.TaskStateCheckpointed && !t.Overran {
-		attempts--
-	}
+	w := t.after(s)
 	outcome, again := casched.Settle(j.Spec, s)
 	if j.Ending && outcome != cawork.OutcomeDone {
 		outcome, again = cawork.OutcomeCanceled, false
 	}
-	if again && attempts < bound {
-		j.again = append(j.again, waiting{index: t.Ref.Index, attempts: attempts})
+	if again && w.attempts < p.Attempts(j.Spec) && w.notRun < p.Starts(j.Spec) {
+		j.again = append(j.again, w)
 		out.Requeued = true
 		return out
 	}
@@ -217,6 +214,20 @@
 	return out
 }
 
+// after returns the task as it waits after an attempt that ended in the state.
+// An attempt that never ran or was ended for others costs none of the attempts.
+func (t *Task) after(s cawork.TaskState) waiting {
+	w := waiting{index: t.Ref.Index, attempts: t.Attempts, notRun: t.NotRun}
+	switch {
+	case s == cawork.TaskStateAbsent || s == cawork.TaskStateFenced:
+		w.attempts--
+		w.notRun++
+	case s == cawork.TaskStateCheckpointed && !t.Overran:
+		w.attempts--
+	}
+	return w
+}
+
 func (j *Job) end(o cawork.Outcome) {
 	j.ended++
 	j.counts[o]++
--- a/internal/core/canaive/naive.go
+++ b/internal/core/canaive/naive.go
@@ -26,6 +26,7 @@
 	upstream cawork.UpstreamID
 	size     cawork.Resources
 	attempts int
+	notRun   int
 	stopping bool
 }
 
@@ -177,14 +178,18 @@
 		return casched.Settlement{Known: true}
 	}
 	outcome, again := casched.Settle(t.job.Spec, e.State)
-	if e.State == cawork.TaskStateCheckpointed {
+	switch e.State {
+	case cawork.TaskStateCheckpointed:
 		t.attempts--
+	case cawork.TaskStateAbsent, cawork.TaskStateFenced:
+		t.attempts--
+		t.notRun++
 	}
 	if t.job.ending && outcome != cawork.OutcomeDone {
 		outcome, again = cawork.OutcomeCanceled, false
 	}
 	out := casched.Settlement{Known: true, Own: true}
-	if again && t.attempts < s.policy.Attempts(t.job.Spec) {
+	if again && t.attempts < s.policy.Attempts(t.job.Spec) && t.notRun < s.policy.Starts(t.job.Spec) {
 		t.phase, t.upstream, t.stopping = casched.TaskPhaseQueued, "", false
 		out.Requeued = true
 		return out
--- a/internal/core/casched/rules.go
+++ b/internal/core/casched/rules.go
@@ -59,6 +59,14 @@
 	return bound
 }
 
+// startTries is how many starts that never ran are allowed for each attempt
+// that may run.
+const startTries = 10
+
+// Starts returns the most starts of a task of the job that are proved not to
+// have run. They are counted apart from the attempts that ran.
+func (p Policy) Starts(s cawork.JobSpec) int { return startTries * p.Attempts(s) }
+
 // Bound returns the most queued tasks of the team and kind after the job was
 // submitted.
 func (p Policy) Bound(s cawork.JobSpec) int {
--- a/internal/core/casched/scheduler.go
+++ b/internal/core/casched/scheduler.go
@@ -46,7 +46,7 @@
 	// Started tells that a placed task runs.
 	Started(task cawork.TaskRef, now time.Time)
 	// StartFailed tells that a start failed. With notRun the attempt is proved
-	// never to run and the task is queued again within its bound of attempts;
+	// never to run and the task is queued again within its bound of starts;
 	// without it the task stays committed until Ended.
 	StartFailed(task cawork.TaskRef, notRun bool, now time.Time) Settlement
 	// Ended tells that an attempt is over.
--- a/internal/core/casched/settlement.go
+++ b/internal/core/casched/settlement.go
@@ -26,6 +26,7 @@
 	Outcome  cawork.Outcome
 	Upstream cawork.UpstreamID
 	Size     cawork.Resources
+	// Attempts counts the attempts that ran, with an open one.
 	Attempts int
 }
 
