--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -26,7 +26,7 @@
 }
 
 // KeyOf returns the class of a job. Amounts of a class differ by less than a
-// quarter.
+// half.
 func KeyOf(s cawork.JobSpec) Key {
 	k := Key{
 		Kind: s.Kind, CPU: bucket(int64(s.Size.CPU)), Memory: bucket(int64(s.Size.Memory)),
@@ -38,13 +38,13 @@
 	return k
 }
 
-// bucket numbers amounts by their highest bit and the two bits below it.
+// bucket numbers amounts by their highest bit and the one below it.
 func bucket(n int64) int {
 	length := bits.Len64(uint64(n))
-	if length <= 3 {
+	if length <= 2 {
 		return int(n)
 	}
-	return length*4 + int(n>>(length-3))&3
+	return length*2 + int(n>>(length-2))&1
 }
 
 // least returns the lower bound of the amounts in the class.
@@ -56,10 +56,10 @@
 
 // floor returns the least amount in a bucket.
 func floor(b int) int64 {
-	if b <= 7 {
+	if b <= 3 {
 		return int64(b)
 	}
-	return int64(4+b%4) << (b/4 - 3)
+	return int64(2+b%2) << (b/2 - 2)
 }
 
 // Entry is an element of a queue. It is used once: work that is queued again
@@ -92,6 +92,8 @@
 	// LimitedAt is the like number of the account of the team at which the
 	// allowance did not suffice for the head.
 	LimitedAt uint64
+	// due is that of the head in nanoseconds, zero when it has to be looked up.
+	due int64
 }
 
 // Queue is the queue of a team. Classes and marks have the same order.
@@ -151,7 +153,7 @@
 // unmark forgets why the head of the class did not fit.
 func (q *Queue[T]) unmark(c *Class[T]) {
 	m := &q.marks[c.pos]
-	m.BlockedAt, m.LimitedAt = 0, 0
+	m.BlockedAt, m.LimitedAt, m.due = 0, 0, 0
 }
 
 // drop removes a class without entries.
@@ -171,6 +173,36 @@
 // Marks returns the marks of the classes, which the caller may change.
 func (q *Queue[T]) Marks() []Mark { return q.marks }
 
+// First returns the class whose head is due first among those that the function
+// accepts, nil when there is none.
+func (q *Queue[T]) First(accept func(*Mark) bool) *Class[T] {
+	first := -1
+	for i := range q.marks {
+		m := &q.marks[i]
+		if !accept(m) {
+			continue
+		}
+		if first < 0 || q.due(i) < q.due(first) {
+			first = i
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	return q.classes[first]
+}
+
+func (q *Queue[T]) due(i int) int64 {
+	m := &q.marks[i]
+	if m.due == 0 {
+		m.due = q.classes[i].Head().due.UnixNano()
+	}
+	return m.due
+}
+
+// Less reports whether the head of the class is due before that of the other.
+func (q *Queue[T]) Less(c, o *Class[T]) bool { return q.due(c.pos) < q.due(o.pos) }
+
 // Mark returns the mark of the class.
 func (q *Queue[T]) Mark(c *Class[T]) *Mark { return &q.marks[c.pos] }
 
