--- a/internal/request/caadmit/queue.go
+++ b/internal/request/caadmit/queue.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"time"
 
-	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
@@ -65,15 +64,13 @@
 // Len returns the number of waiting requests.
 func (q *Queues) Len() int { return q.total }
 
-// Admit adds a request to the end of the queue of its team. It refuses with
-// KindOverloaded and a time to wait when the queues are full, or when the
+// Admit adds a request to the end of the queue of its team. It refuses when the queues are full, or when the
 // request is expected to wait beyond its deadline or the bound of its team.
-func (q *Queues) Admit(now time.Time, t *Ticket, c Capacity) *cakind.Error {
+func (q *Queues) Admit(now time.Time, t *Ticket, c Capacity) *Refusal {
 	team := q.team(t.Team)
 	wait := q.expectedWait(team, c)
 	if reason := q.refusal(now, team, t, wait, c); reason != "" {
-		return cakind.New(cakind.KindOverloaded, "%s", reason).
-			WithRetryAfter(max(wait, minRetryAfter))
+		return &Refusal{reason: reason, retryAfter: max(wait, minRetryAfter)}
 	}
 	q.activate(team)
 	t.element = team.waiting.PushBack(t)
--- /dev/null
+++ b/internal/request/caadmit/refusal.go
@@ -0,0 +1,24 @@
+package caadmit
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+// errOverloaded is made once: to capture and print a stack for each refusal
+// would cost more than the refusal.
+var errOverloaded = cakind.New(cakind.KindOverloaded, "overloaded")
+
+// Refusal is the error of a request that is not admitted. It is of
+// KindOverloaded and tells when to come back.
+type Refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.reason }
+
+// Unwrap returns the error with its kind.
+func (r *Refusal) Unwrap() error { return errOverloaded.WithRetryAfter(r.retryAfter) }
--- a/internal/request/cadispatch/answer.go
+++ b/internal/request/cadispatch/answer.go
@@ -47,13 +47,16 @@
 }
 
 // WriteError answers with an error, after the table of kinds.
-func WriteError(w http.ResponseWriter, err error) {
+func WriteError(w http.ResponseWriter, err error) { writeError(w, err, err.Error()) }
+
+// writeError takes the message of the error, which is costly to make.
+func writeError(w http.ResponseWriter, err error, message string) {
 	kind := cakind.Of(err)
 	answer := cakind.AnswerTo(kind)
 	body := errorBody{
 		Kind:    kind.String(),
 		Outcome: OutcomeOf(kind).String(),
-		Message: err.Error(),
+		Message: message,
 	}
 	h := w.Header()
 	if answer.Retryable || cakind.RetryAfterOf(err) > 0 {
--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -31,7 +31,12 @@
 // serve runs attempts until one answers or none may follow.
 func (d *Dispatcher) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	for {
-		err := d.attempt(ctx, w, c)
+		// The wait for a slot is outside of attempt to keep the stacks of
+		// waiting requests small.
+		route, err := d.acquire(ctx, c)
+		if err == nil {
+			err = d.attempt(ctx, w, c, route)
+		}
 		if err == nil {
 			return
 		}
@@ -47,13 +52,9 @@
 	}
 }
 
-// attempt runs one attempt. A nil error means that the caller has been
+// attempt runs one attempt with the slot. A nil error means that the caller has been
 // answered.
-func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call) error {
-	route, err := d.acquire(ctx, c)
-	if err != nil {
-		return err
-	}
+func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call, route *caroute.Route) error {
 	s := &slot{d: d, route: route, team: c.team}
 	defer s.release(caroute.VerdictAbandoned)
 	id := d.newAttemptID()
@@ -91,7 +92,7 @@
 	return &retryError{err}
 }
 
-func (d *Dispatcher) accountFor(c *call, route caroute.Route, id cawork.AttemptID) {
+func (d *Dispatcher) accountFor(c *call, route *caroute.Route, id cawork.AttemptID) {
 	if c.attempts == 0 {
 		d.mu.Lock()
 		d.budgets.Request(c.team, route.Upstream)
@@ -112,7 +113,7 @@
 		Send()
 }
 
-func (d *Dispatcher) fetch(ctx context.Context, c *call, route caroute.Route, id cawork.AttemptID) (*caforward.Reply, error) {
+func (d *Dispatcher) fetch(ctx context.Context, c *call, route *caroute.Route, id cawork.AttemptID) (*caforward.Reply, error) {
 	answer, err := d.forward.Send(ctx, caforward.Attempt{
 		ID:         id,
 		Upstream:   route.Upstream,
@@ -122,7 +123,8 @@
 		Idempotent: c.idempotent,
 		Header:     c.header,
 		Query:      c.query,
-		Body:       c.body(),
+		Prefix:     c.prefix,
+		Rest:       c.rest,
 		Length:     c.length,
 	}, route.Connections)
 	if err != nil {
@@ -194,7 +196,7 @@
 // slot is the slot of one attempt, released once.
 type slot struct {
 	d        *Dispatcher
-	route    caroute.Route
+	route    *caroute.Route
 	team     cawork.TeamName
 	released bool
 }
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -249,6 +251,33 @@
 	}
 }
 
+// capacityOf returns the requests per second that the upstreams answer when
+// each slot is kept busy by direct calls.
+func capacityOf(b *testing.B, addresses []string, d time.Duration) float64 {
+	var done atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchSlots}}
+	for _, address := range addresses {
+		for range benchSlots {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					res, err := client.Post("http://"+address, "", bytes.NewReader(make([]byte, 256)))
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, res.Body)
+					res.Body.Close()
+					done.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return float64(done.Load()) / d.Seconds()
+}
+
 // BenchmarkOverload offers twice the capacity from two teams of weights 2 and
 // 1, then half of the capacity.
 func BenchmarkOverload(b *testing.B) {
@@ -256,12 +285,14 @@
 	c := newCell(b, upstreams, service)
 	capacity := upstreams * benchSlots / service.Seconds()
 	for b.Loop() {
+		possible := capacityOf(b, c.upstreams.addresses, 5*time.Second)
+		b.ReportMetric(possible/capacity, "capacity/nominal")
 		heavy := make(chan caload.Report, 1)
 		go func() { heavy <- loadOf(b, c.entry.addresses[0], "heavy", capacity, 10*time.Second) }()
 		light := loadOf(b, c.entry.addresses[0], "light", capacity, 10*time.Second)
 		h := <-heavy
 		done := float64(h.Count(http.StatusOK) + light.Count(http.StatusOK))
-		b.ReportMetric(done/8/capacity, "goodput/capacity")
+		b.ReportMetric(done/8/possible, "goodput/capacity")
 		b.ReportMetric(float64(h.Count(http.StatusOK))/float64(light.Count(http.StatusOK)), "heavy/light")
 		for _, g := range light.Groups {
 			if g.Status == http.StatusTooManyRequests {
--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -1,7 +1,6 @@
 package cadispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -129,14 +128,6 @@
 	return nil
 }
 
-// body returns a reader of the whole body, and whether it can be read again.
-func (c *call) body() io.Reader {
-	if c.rest == nil {
-		return bytes.NewReader(c.prefix)
-	}
-	return io.MultiReader(bytes.NewReader(c.prefix), c.rest)
-}
-
 // note remembers what an attempt that ended with an error tells of the work.
 func (c *call) note(err error) {
 	switch OutcomeOf(cakind.Of(err)) {
@@ -157,12 +148,14 @@
 	case c.ran && OutcomeOf(kind) == cawork.OutcomeNotRun:
 		kind = cakind.KindFailed
 	}
-	e := cakind.Wrap(kind, err, "%d attempts", c.attempts)
 	after := cakind.RetryAfterOf(err)
 	if after == 0 && c.idempotent {
 		after = defaultRetryAfter
 	}
-	return e.WithRetryAfter(after)
+	if kind == cakind.Of(err) && after == cakind.RetryAfterOf(err) {
+		return err
+	}
+	return cakind.Wrap(kind, err, "after %d attempts", c.attempts).WithRetryAfter(after)
 }
 
 // repeatable reports whether the request may be sent again after an attempt
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -218,11 +218,12 @@
 
 func (d *Dispatcher) refuse(w http.ResponseWriter, team cawork.TeamName, err error) {
 	kind := cakind.Of(err)
+	message := err.Error()
 	d.metrics.refused.Inc(1)
 	caevent.Info(d.config.Logger, caevent.RequestRefused).
 		Str("team", string(team)).
 		Str("kind", kind.String()).
-		Str("reason", err.Error()).
+		Str("reason", message).
 		Send()
-	WriteError(w, err)
+	writeError(w, err, message)
 }
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -281,7 +281,6 @@
 func TestLateAttemptIsGivenUp(t *testing.T) {
 	good, silent := newStandin(t, echo), newStandin(t, echo)
 	e := newEntry(t, nil)
-	run(t, e)
 	e.PutUpstream(silent.upstream("u1"))
 	for range 20 {
 		e.post(t, "work", caplatform.HeaderIdempotent, "true")
@@ -299,16 +298,6 @@
 	}
 }
 
-// run runs the background work of an entry until the test ends.
-func run(t *testing.T, e *entry) {
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = e.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-e.Done()
-	})
-}
-
 func TestHangUpFreesTheSlot(t *testing.T) {
 	started := make(chan struct{}, 8)
 	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/cadispatch/running.go
+++ b/internal/request/cadispatch/running.go
@@ -29,7 +29,7 @@
 
 // begin registers an attempt. Only an idempotent one whose body can be sent
 // again is watched.
-func (d *Dispatcher) begin(ctx context.Context, c *call, route caroute.Route) (context.Context, *running) {
+func (d *Dispatcher) begin(ctx context.Context, c *call, route *caroute.Route) (context.Context, *running) {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &running{d: d, call: c, cancel: cancel}
 	if !c.repeatable(cakind.KindUnknown) {
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -16,11 +16,11 @@
 // pump never blocks.
 type waiter struct {
 	ask   caroute.Ask
-	route chan caroute.Route
+	route chan *caroute.Route
 }
 
 // acquire takes a slot for the call, waiting in the queue of its team.
-func (d *Dispatcher) acquire(ctx context.Context, c *call) (caroute.Route, error) {
+func (d *Dispatcher) acquire(ctx context.Context, c *call) (*caroute.Route, error) {
 	ticket, route, err := d.enqueue(c)
 	if err != nil || ticket == nil {
 		return route, err
@@ -34,29 +34,29 @@
 	}
 }
 
-func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, caroute.Route, error) {
+func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, *caroute.Route, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Timer.Now()
 	ask := caroute.Ask{Idempotent: c.idempotent, Deadline: c.deadline, Exclude: c.tried}
 	if d.queues.Len() == 0 || c.attempts > 0 {
-		if route, ok := d.router.Choose(now, ask); ok {
+		if route := d.router.Choose(now, ask); route != nil {
 			d.queues.Charge(c.team, d.router.Service())
 			return nil, route, nil
 		}
 	}
-	w := &waiter{ask: ask, route: make(chan caroute.Route, 1)}
+	w := &waiter{ask: ask, route: make(chan *caroute.Route, 1)}
 	ticket := &caadmit.Ticket{Team: c.team, Deadline: c.deadline, Payload: w}
 	if c.attempts > 0 {
 		d.queues.Readmit(ticket)
-		return ticket, caroute.Route{}, nil
+		return ticket, nil, nil
 	}
 	if err := d.admit(now, ticket); err != nil {
-		return nil, caroute.Route{}, err
+		return nil, nil, err
 	}
 	d.borrowing.until = laterOf(d.borrowing.until, c.deadline)
 	d.borrow(now)
-	return ticket, caroute.Route{}, nil
+	return ticket, nil, nil
 }
 
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
@@ -81,7 +81,7 @@
 }
 
 // giveUp takes the ticket of a call whose context has ended out of the queue.
-func (d *Dispatcher) giveUp(ctx context.Context, t *caadmit.Ticket, w *waiter) (caroute.Route, error) {
+func (d *Dispatcher) giveUp(ctx context.Context, t *caadmit.Ticket, w *waiter) (*caroute.Route, error) {
 	d.mu.Lock()
 	waiting := d.queues.Remove(t)
 	d.mu.Unlock()
@@ -89,13 +89,13 @@
 		d.release(<-w.route, caroute.VerdictAbandoned, t.Team)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return caroute.Route{}, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
+		return nil, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
 	}
-	return caroute.Route{}, cakind.New(cakind.KindCanceled, "the caller hung up before the start")
+	return nil, cakind.New(cakind.KindCanceled, "the caller hung up before the start")
 }
 
 // release gives a slot back and serves the queues with it.
-func (d *Dispatcher) release(route caroute.Route, v caroute.Verdict, team cawork.TeamName) {
+func (d *Dispatcher) release(route *caroute.Route, v caroute.Verdict, team cawork.TeamName) {
 	d.mu.Lock()
 	now := d.config.Timer.Now()
 	changes := d.router.Release(now, route, v)
@@ -110,11 +110,10 @@
 // pump hands free slots to waiting requests.
 func (d *Dispatcher) pump(now time.Time) {
 	for d.queues.Len() > 0 {
-		var route caroute.Route
+		var route *caroute.Route
 		t := d.queues.Next(d.router.Service(), func(t *caadmit.Ticket) bool {
-			r, ok := d.router.Choose(now, t.Payload.(*waiter).ask)
-			route = r
-			return ok
+			route = d.router.Choose(now, t.Payload.(*waiter).ask)
+			return route != nil
 		})
 		if t == nil {
 			return
--- a/internal/request/cadispatch/standin_test.go
+++ b/internal/request/cadispatch/standin_test.go
@@ -1,6 +1,7 @@
 package cadispatch_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -118,6 +119,12 @@
 		d.ServeRequest(w, r, testTeam)
 	}))
 	t.Cleanup(e.server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-e.Done()
+	})
 	return e
 }
 
--- a/internal/request/caforward/forward.go
+++ b/internal/request/caforward/forward.go
@@ -3,6 +3,7 @@
 package caforward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,7 +28,10 @@
 	idleTimeout = 15 * time.Second
 	// maxAnswerHeader bounds the header of an answer in bytes.
 	maxAnswerHeader = 64 << 10
-	bufferSize      = 4 << 10
+	// readBuffer and writeBuffer are small, because bodies larger than them
+	// pass by without being copied into them.
+	readBuffer      = 2 << 10
+	writeBuffer     = 1 << 10
 	keepAlivePeriod = 15 * time.Second
 )
 
@@ -41,8 +45,9 @@
 	Idempotent bool
 	Header     http.Header
 	Query      string
-	// Body is nil for an empty body.
-	Body io.Reader
+	// Prefix is the start of the body, the whole body if Rest is nil.
+	Prefix []byte
+	Rest   io.Reader
 	// Length is the length of the body in bytes, -1 when it is not known.
 	Length int64
 }
@@ -161,8 +166,8 @@
 			MaxIdleConnsPerHost:    connections,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxAnswerHeader,
-			ReadBufferSize:         bufferSize,
-			WriteBufferSize:        bufferSize,
+			ReadBufferSize:         readBuffer,
+			WriteBufferSize:        writeBuffer,
 		},
 	}
 }
@@ -179,15 +184,28 @@
 	left := max(a.Deadline.Sub(f.now()).Milliseconds(), 1)
 	req.Header.Set(caplatform.HeaderDeadline, strconv.FormatInt(left, 10))
 	req.Header.Set(caplatform.HeaderIdempotent, strconv.FormatBool(a.Idempotent))
-	if a.Body != nil && a.Length != 0 {
-		// NopCloser keeps the transport from rewinding the body, so that it
-		// never sends a request a second time of its own accord.
-		req.Body = io.NopCloser(a.Body)
-		req.ContentLength = a.Length
-	}
+	a.setBody(req)
 	return req, nil
 }
 
+// setBody sets the body of the request. The transport reads it a second time
+// only when it has written no byte to a connection that turned out closed,
+// because a POST without an idempotency key is not repeatable to it.
+func (a Attempt) setBody(req *http.Request) {
+	if a.Length == 0 {
+		return
+	}
+	req.ContentLength = a.Length
+	if a.Rest != nil {
+		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.Prefix), a.Rest))
+		return
+	}
+	req.GetBody = func() (io.ReadCloser, error) {
+		return io.NopCloser(bytes.NewReader(a.Prefix)), nil
+	}
+	req.Body, _ = req.GetBody()
+}
+
 // check refuses an answer that belongs to another attempt, or that is a
 // refusal before the start.
 func (l *lane) check(a Attempt, res *http.Response) error {
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -181,11 +181,11 @@
 func (r *Router) Service() time.Duration { return r.service }
 
 // Choose takes a slot of the upstream with the least expected latency. It
-// reports false when no slot is free for the request.
-func (r *Router) Choose(now time.Time, a Ask) (Route, bool) {
+// returns nil when no slot is free for the request.
+func (r *Router) Choose(now time.Time, a Ask) *Route {
 	if s := r.probe(now, a); s != nil {
 		r.health[s.upstream].probing = true
-		return r.take(now, s, true), true
+		return r.take(now, s, true)
 	}
 	if !r.startable(now, a.Exclude) {
 		// Nothing else is left: an upstream that failed before is better than
@@ -204,15 +204,15 @@
 		}
 	}
 	if best == nil {
-		return Route{}, false
+		return nil
 	}
 	r.turn++
-	return r.take(now, best, false), true
+	return r.take(now, best, false)
 }
 
 // Release gives the slot of an attempt back and learns from its end. It
 // returns changes of the health of upstreams.
-func (r *Router) Release(now time.Time, t Route, v Verdict) []Change {
+func (r *Router) Release(now time.Time, t *Route, v Verdict) []Change {
 	s := t.source
 	s.inUse--
 	assertSlots(s)
@@ -270,12 +270,12 @@
 	return e
 }
 
-func (r *Router) take(now time.Time, s *source, probe bool) Route {
+func (r *Router) take(now time.Time, s *source, probe bool) *Route {
 	e := r.expected(now, s)
 	s.inUse++
 	s.lastUsed = now
 	assertSlots(s)
-	return Route{
+	return &Route{
 		Upstream:    s.upstream,
 		Zone:        s.zone,
 		Address:     s.address,
