--- /dev/null
+++ b/internal/request/cadispatch/lend_test.go
@@ -0,0 +1,118 @@
+package cadispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+// lenders joins the dispatchers of a test by calls in memory.
+type lenders struct {
+	mu      sync.Mutex
+	entries map[cawork.VMID]*entry
+	calls   int
+	silent  bool
+}
+
+func (l *lenders) at(id cawork.VMID) (*entry, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	if l.silent {
+		return nil, cakind.New(cakind.KindUnknown, "no answer")
+	}
+	return l.entries[id], nil
+}
+
+func (l *lenders) Borrow(ctx context.Context, owner cawork.VMID, q cadispatch.BorrowRequest) (cadispatch.BorrowGrant, error) {
+	e, err := l.at(owner)
+	if err != nil {
+		<-ctx.Done()
+		return cadispatch.BorrowGrant{}, err
+	}
+	return e.HandleBorrow(q), nil
+}
+
+func (l *lenders) Return(_ context.Context, owner cawork.VMID, id caroute.GrantID) error {
+	e, err := l.at(owner)
+	if err == nil {
+		e.HandleReturn(id)
+	}
+	return err
+}
+
+// newEntries returns n entries of one zone that lend to each other.
+func newEntries(t *testing.T, n int, change func(*cadispatch.Config)) (*lenders, []*entry) {
+	l := &lenders{entries: map[cawork.VMID]*entry{}}
+	var peers []cadispatch.Peer
+	var all []*entry
+	for i := range n {
+		id := cawork.VMID(fmt.Sprint("e", i))
+		e := newEntry(t, func(c *cadispatch.Config) {
+			c.Self = id
+			c.Lender = l
+			if change != nil {
+				change(c)
+			}
+		})
+		l.entries[id] = e
+		peers = append(peers, cadispatch.Peer{ID: id, Zone: "z1", FreeSlots: 8})
+		all = append(all, e)
+	}
+	for i, e := range all {
+		e.SetPeers(append(append([]cadispatch.Peer{}, peers[:i]...), peers[i+1:]...))
+	}
+	return l, all
+}
+
+// All requests come to an entry that owns nothing. It serves them on borrowed
+// slots, never more than the upstream has, and returns them.
+func TestBorrowedSlotsServe(t *testing.T) {
+	_, entries := newEntries(t, 2, nil)
+	up := newStandin(t, echo)
+	entries[1].PutUpstream(up.upstream("u1"))
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			want := fmt.Sprint("request ", i)
+			res, body := entries[i%2].post(t, want)
+			if diff := cmp.Diff(seen{200, "done", want}, seenOf(res, body)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+	wg.Wait()
+	if up.peak() > 8 {
+		t.Errorf("%d requests at an upstream of 8 slots", up.peak())
+	}
+	for entries[1].FreeSlots() < 8 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A silent peer delays nothing that can be served without it.
+func TestSilentPeerDelaysNothing(t *testing.T) {
+	l, entries := newEntries(t, 2, nil)
+	l.silent = true
+	up := newStandin(t, echo)
+	entries[0].PutUpstream(up.upstream("u1"))
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() {
+			res, body := entries[0].post(t, "work")
+			if diff := cmp.Diff(seen{200, "done", "work"}, seenOf(res, body)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/request/cadispatch/standin_test.go
+++ b/internal/request/cadispatch/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -78,6 +79,20 @@
 	return s.attempts
 }
 
+// peak returns the most requests that ran at the same time.
+func (s *standin) peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mostUsed
+}
+
+// counts returns how often the work of each request ran.
+func (s *standin) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 func (s *standin) upstream(id string) caroute.Upstream {
 	return caroute.Upstream{
 		ID:          cawork.UpstreamID(id),
--- a/internal/request/caroute/ejection.go
+++ b/internal/request/caroute/ejection.go
@@ -11,13 +11,14 @@
 // of its peers. A job that fails everywhere raises the rate of all peers
 // alike and ejects none of them.
 func (r *Router) judge(now time.Time, id cawork.UpstreamID, h *health) []Change {
-	if h.ejected || h.samples() < minSamples || !r.mayEject() {
+	if h.ejected {
+		return nil
+	}
+	if h.failures < minFailures && !r.slow(id, h) {
 		return nil
 	}
 	rate := r.peerRate(now, id)
-	failing := h.failureRate() > rate+failureExcess
-	slow := h.latency > slowFloor && float64(h.latency) > slowFactor*float64(r.peerLatency(id))
-	if !failing && !slow {
+	if !h.failing(rate) && !r.slow(id, h) || !r.mayEject() {
 		return nil
 	}
 	h.eject(now)
@@ -30,6 +31,18 @@
 	}}
 }
 
+func (h *health) failing(peerRate float64) bool {
+	return h.failures >= minFailures && h.failureRate() > peerRate+failureExcess
+}
+
+func (r *Router) slow(id cawork.UpstreamID, h *health) bool {
+	// The mean of all is cheap and spares most comparisons with the median.
+	if h.samples() < minSamples || h.latency <= max(slowFloor, r.service) {
+		return false
+	}
+	return float64(h.latency) > slowFactor*float64(r.peerLatency(id))
+}
+
 // mayEject reports whether one more upstream may be ejected: up to a third of
 // them, but one of two or three.
 func (r *Router) mayEject() bool {
--- a/internal/request/caroute/health.go
+++ b/internal/request/caroute/health.go
@@ -9,8 +9,13 @@
 	// healthHalfLife is the time in which a past result loses half of its
 	// weight.
 	healthHalfLife = 10 * time.Second
-	// minSamples is the weight of results below which no verdict is made.
-	minSamples = 8.0
+	// healthStep is the time in which results are taken as equally old.
+	healthStep = 100 * time.Millisecond
+	// minFailures and minSamples are the weights of failures, and of results,
+	// below which an upstream is not found failing, or slow. Few failures are
+	// enough: an upstream that fails is chosen less and shows few more.
+	minFailures = 3.5
+	minSamples  = 7.5
 	// failureExcess is the failure rate above that of the peers that ejects.
 	failureExcess = 0.3
 	// slowFactor is the latency relative to the median of the peers that
@@ -29,7 +34,10 @@
 	// request before it started it gets no other.
 	pauseAfterRefusal = 20 * time.Millisecond
 	latencyWeight     = 0.1
-	initialLatency    = 10 * time.Millisecond
+	// riskPrior is the weight of the successes that an upstream is credited
+	// with in advance.
+	riskPrior      = 2.0
+	initialLatency = 10 * time.Millisecond
 )
 
 // health is what is known of an upstream from the requests it got.
@@ -57,7 +65,7 @@
 
 func (h *health) decay(now time.Time) {
 	elapsed := now.Sub(h.decayed)
-	if elapsed <= 0 {
+	if elapsed < healthStep {
 		return
 	}
 	f := math.Exp2(-elapsed.Seconds() / healthHalfLife.Seconds())
@@ -75,6 +83,10 @@
 	return h.failures / h.samples()
 }
 
+// risk is the failure rate that a choice reckons with. It falls to zero while
+// the results age, so that an avoided upstream is tried again.
+func (h *health) risk() float64 { return h.failures / (h.samples() + riskPrior) }
+
 func (h *health) record(now time.Time, v Verdict, latency, mean time.Duration) {
 	h.decay(now)
 	switch v {
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -177,6 +177,15 @@
 	return n
 }
 
+// InUse returns the slots of owned upstreams that are in use here or lent.
+func (r *Router) InUse() int {
+	n := 0
+	for _, s := range r.owned {
+		n += s.inUse + s.lent
+	}
+	return n
+}
+
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
@@ -262,7 +271,7 @@
 	h := r.health[s.upstream]
 	h.decay(now)
 	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
-	success := max(1-h.failureRate(), 0.1)
+	success := max(1-h.risk(), 0.1)
 	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
 		e += r.config.CrossingDelay
--- /dev/null
+++ b/internal/request/caroute/router_test.go
@@ -0,0 +1,277 @@
+package caroute_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+)
+
+var start = time.Unix(1000, 0)
+
+func upstream(i int) caroute.Upstream {
+	return caroute.Upstream{
+		ID:          cawork.UpstreamID(fmt.Sprint("u", i)),
+		Zone:        "z1",
+		Slots:       8,
+		Connections: 64,
+		Epoch:       1,
+	}
+}
+
+func newRouter(n int) *caroute.Router {
+	r := caroute.NewRouter(caroute.Config{Zone: "z1", CrossingDelay: 3 * time.Millisecond})
+	for i := range n {
+		r.Put(start, upstream(i))
+	}
+	return r
+}
+
+func ask() caroute.Ask {
+	return caroute.Ask{Idempotent: true, Deadline: start.Add(time.Hour)}
+}
+
+// serve runs rounds of concurrent requests that use most of the slots, and
+// returns the changes. The result of a request depends on its upstream.
+func serve(r *caroute.Router, now *time.Time, rounds int, result func(cawork.UpstreamID) caroute.Verdict) []string {
+	var changes []string
+	for range rounds {
+		var routes []*caroute.Route
+		for range r.Slots(*now) * 3 / 4 {
+			if t := r.Choose(*now, ask()); t != nil {
+				routes = append(routes, t)
+			}
+		}
+		*now = now.Add(10 * time.Millisecond)
+		for _, t := range routes {
+			for _, c := range r.Release(*now, t, result(t.Upstream)) {
+				changes = append(changes, c.Kind.String()+" "+string(c.Upstream))
+			}
+		}
+	}
+	return changes
+}
+
+func served(cawork.UpstreamID) caroute.Verdict { return caroute.VerdictServed }
+
+func TestFailingUpstreamIsEjectedProbedAndRestored(t *testing.T) {
+	r := newRouter(4)
+	now := start
+	failing := func(id cawork.UpstreamID) caroute.Verdict {
+		if id == "u2" {
+			return caroute.VerdictFailed
+		}
+		return served(id)
+	}
+	got := serve(r, &now, 200, failing)
+	if diff := cmp.Diff([]string{"ejected u2"}, got); diff != "" {
+		t.Errorf("changes while it fails (-want +got):\n%s", diff)
+	}
+	now = now.Add(time.Minute)
+	if diff := cmp.Diff([]string{"restored u2"}, serve(r, &now, 200, served)); diff != "" {
+		t.Errorf("changes after it is well again (-want +got):\n%s", diff)
+	}
+}
+
+func TestSlowUpstreamIsEjected(t *testing.T) {
+	r := newRouter(4)
+	now := start
+	var got []string
+	for range 100 {
+		routes := map[cawork.UpstreamID]*caroute.Route{}
+		for range 24 {
+			if t := r.Choose(now, ask()); t != nil {
+				routes[t.Upstream] = t
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+		for id, route := range routes {
+			if id == "u1" {
+				now = now.Add(500 * time.Millisecond)
+			}
+			for _, c := range r.Release(now, route, caroute.VerdictServed) {
+				got = append(got, c.Kind.String()+" "+string(c.Upstream))
+			}
+		}
+	}
+	if diff := cmp.Diff([]string{"ejected u1"}, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+func TestJobThatFailsEverywhereEjectsNothing(t *testing.T) {
+	r := newRouter(4)
+	now := start
+	got := serve(r, &now, 400, func(cawork.UpstreamID) caroute.Verdict {
+		return caroute.VerdictFailed
+	})
+	if diff := cmp.Diff([]string(nil), got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+func TestEjectionsAreCapped(t *testing.T) {
+	r := newRouter(9)
+	now := start
+	got := serve(r, &now, 2000, func(id cawork.UpstreamID) caroute.Verdict {
+		if id >= "u4" {
+			return caroute.VerdictFailed
+		}
+		return served(id)
+	})
+	ejected := map[string]bool{}
+	for _, c := range got {
+		ejected[c] = true
+	}
+	if len(ejected) != 3 {
+		t.Errorf("ejected %v, want a third of 9", ejected)
+	}
+}
+
+func TestOnlyIdempotentRequestsProbe(t *testing.T) {
+	r := newRouter(2)
+	now := start
+	serve(r, &now, 200, func(id cawork.UpstreamID) caroute.Verdict {
+		if id == "u1" {
+			return caroute.VerdictFailed
+		}
+		return served(id)
+	})
+	now = now.Add(time.Minute)
+	plain := ask()
+	plain.Idempotent = false
+	for range 8 {
+		if got := r.Choose(now, plain); got == nil || got.Upstream != "u0" {
+			t.Fatalf("non-idempotent request routed to %+v", got)
+		}
+	}
+	if got := r.Choose(now, ask()); got == nil || !got.Probe {
+		t.Errorf("idempotent request routed to %+v, want a probe", got)
+	}
+}
+
+func TestBudgetsBoundRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := caroute.NewBudgets()
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			up := cawork.UpstreamID(rapid.SampledFrom([]string{"u1", "u2"}).Draw(t, "upstream"))
+			b.Request("a", up)
+			requests++
+			for b.Retry("a", up) {
+				retries++
+			}
+		}
+		if retries > requests/10 {
+			t.Fatalf("%d retries for %d requests", retries, requests)
+		}
+		if retries < requests/10-20 {
+			t.Fatalf("only %d retries for %d requests", retries, requests)
+		}
+	})
+}
+
+// cell is an owner and two borrowers of one upstream, with the truth about it:
+// the requests that run there.
+type cell struct {
+	now     time.Time
+	owner   *caroute.Router
+	borrows []*caroute.Router
+	running []runningRequest
+}
+
+type runningRequest struct {
+	at       *caroute.Router
+	route    *caroute.Route
+	deadline time.Time
+}
+
+func (c *cell) choose(t *rapid.T, at *caroute.Router) {
+	deadline := c.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond)
+	route := at.Choose(c.now, caroute.Ask{Deadline: deadline})
+	if route != nil {
+		c.running = append(c.running, runningRequest{at, route, deadline})
+	}
+}
+
+func (c *cell) end(i int) {
+	e := c.running[i]
+	c.running = append(c.running[:i], c.running[i+1:]...)
+	e.at.Release(c.now, e.route, caroute.VerdictServed)
+}
+
+func (c *cell) advance(d time.Duration) {
+	c.now = c.now.Add(d)
+	for i := len(c.running) - 1; i >= 0; i-- {
+		if !c.now.Before(c.running[i].deadline) {
+			c.end(i)
+		}
+	}
+}
+
+// TestSlotsAreNeverPassed runs random histories of an owner and two borrowers.
+// Messages are lost at will; the requests at the upstream never pass its slots.
+func TestSlotsAreNeverPassed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &cell{now: start, owner: newRouter(1), borrows: []*caroute.Router{newRouter(0), newRouter(0)}}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			c.step(t)
+			if len(c.running) > 8 {
+				t.Fatalf("%d requests at an upstream of 8 slots", len(c.running))
+			}
+		}
+		// Once all is over, no slot is in use.
+		c.advance(time.Hour)
+		c.owner.Expire(c.now)
+		if diff := cmp.Diff(0, c.owner.InUse()); diff != "" {
+			t.Fatalf("slots in use at the end (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func (c *cell) step(t *rapid.T) {
+	b := c.borrows[rapid.IntRange(0, 1).Draw(t, "borrower")]
+	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	case 0:
+		c.choose(t, c.owner)
+	case 1, 2:
+		c.choose(t, b)
+	case 3, 4:
+		c.borrow(t, b)
+	case 5:
+		if len(c.running) > 0 {
+			c.end(rapid.IntRange(0, len(c.running)-1).Draw(t, "request"))
+		}
+	case 6:
+		c.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "elapsed")) * time.Millisecond)
+		c.owner.Expire(c.now)
+		for _, id := range b.Expire(c.now) {
+			if rapid.Bool().Draw(t, "returned") {
+				c.owner.TakeBack(id)
+			}
+		}
+	case 7:
+		// The ownership is lost and gained again while requests run.
+		c.owner.Remove("u0")
+		c.owner.Put(c.now, upstream(0))
+	}
+}
+
+func (c *cell) borrow(t *rapid.T, b *caroute.Router) {
+	asked := c.now
+	want := caroute.LendRequest{
+		Count:    rapid.IntRange(1, 8).Draw(t, "count"),
+		Duration: time.Duration(rapid.IntRange(1, 10_000).Draw(t, "duration")) * time.Millisecond,
+	}
+	c.advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "way there")) * time.Millisecond)
+	grant, ok := c.owner.Lend(c.now, want)
+	c.advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "way back")) * time.Millisecond)
+	if ok && rapid.Bool().Draw(t, "answered") {
+		b.AddGrant(c.now, asked, grant)
+	}
+}
