Bounds on connections, headers and requests in progress

Cause: floods of connections and slow or huge headers were not bounded. Change: calisten (server settings, a listener with a bound that answers floods with a true refusal), a bound on requests in progress, answers that come before a long body has been read; tests of outcomes over several attempts.

--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -121,6 +121,9 @@
 	}
 	if int64(n) > replaySize {
 		c.rest = body
+		// An upstream may answer before it has read the body. Without this the
+		// server would read the rest of the body first.
+		_ = ctl.EnableFullDuplex()
 		return ctl.SetReadDeadline(c.deadline)
 	}
 	c.length = int64(n)
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -24,9 +24,8 @@
 )
 
 const (
-	tickPeriod = 20 * time.Millisecond
-	// maxInProgress bounds the requests that an entry holds at a time.
-	maxInProgress = 8192
+	tickPeriod           = 20 * time.Millisecond
+	defaultMaxInProgress = 2048
 )
 
 // Config holds what a dispatcher needs.
@@ -40,6 +39,9 @@
 	// CrossingDelay is the round trip to another availability zone.
 	CrossingDelay time.Duration
 	Policy        caadmit.Policy
+	// MaxInProgress bounds the requests that the entry holds at a time, and
+	// with them its memory. Zero stands for 2,048.
+	MaxInProgress int
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
 	// Keys keeps the idempotency keys. It may be nil; requests with a key are
@@ -73,6 +75,9 @@
 
 // New returns a dispatcher without upstreams.
 func New(c Config) *Dispatcher {
+	if c.MaxInProgress <= 0 {
+		c.MaxInProgress = defaultMaxInProgress
+	}
 	return &Dispatcher{
 		config:    c,
 		forward:   caforward.New(c.Timer.Now),
@@ -185,7 +190,7 @@
 	if d.draining {
 		return cakind.New(cakind.KindDraining, "the entry is stopping")
 	}
-	if d.inProgress >= maxInProgress {
+	if d.inProgress >= d.config.MaxInProgress {
 		return cakind.New(cakind.KindOverloaded, "too many requests in progress")
 	}
 	d.inProgress++
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -256,6 +256,34 @@
 	}
 }
 
+// A request whose first attempt may have run is not reported as not run when
+// its second one is refused.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	up := newStandin(t, echo)
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for range 20 {
+		e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	}
+	before := up.count()
+	up.set(func(w http.ResponseWriter, r *http.Request) {
+		if up.count() == before+1 {
+			panic(http.ErrAbortHandler)
+		}
+		status(http.StatusServiceUnavailable, true)(w, r)
+	})
+	res, body := e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	if diff := cmp.Diff(seen{504, "unknown", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if up.count() < before+2 {
+		t.Error("the request was not tried again")
+	}
+	if res.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+}
+
 func TestNonIdempotentRequestsRunAtMostOnce(t *testing.T) {
 	e := newEntry(t, nil)
 	var ups []*standin
@@ -359,6 +387,31 @@
 	}
 }
 
+// An upstream may answer before it has read the body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	up := newStandin(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusForbidden)
+	})
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for range 5 {
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 10<<20)
+		_, _ = conn.Write(make([]byte, 64<<10))
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(seen{403, "done", ""}, seenOf(res, "")); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+		conn.Close()
+	}
+}
+
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
 	staying, leaving := newStandin(t, echo), newStandin(t, echo)
 	e := newEntry(t, nil)
--- /dev/null
+++ b/internal/request/calisten/listen.go
@@ -0,0 +1,119 @@
+// Package calisten bounds what callers can make an entry hold: connections,
+// headers, and the time that each part of a request may take.
+package calisten
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxHeader bounds the header of a request in bytes. The server adds 4 KiB
+	// of slack and answers with status 431 beyond it.
+	maxHeader = 16 << 10
+	// headerTimeout bounds the time in which a caller sends the header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections without requests.
+	idleTimeout = 60 * time.Second
+	// refusalTimeout bounds the time in which a refusal is written.
+	refusalTimeout = 50 * time.Millisecond
+)
+
+// refusal is the answer to a connection beyond the bound. The request has not
+// been read, so that it has not run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Connection: close\r\n" +
+	"Content-Type: application/json\r\n" +
+	"Content-Length: 90\r\n" +
+	"Retry-After: 1\r\n" +
+	"X-Outcome: not_run\r\n\r\n" +
+	`{"kind":"overloaded","outcome":"not_run","message":"too many connections to this entry"}` + "\r\n"
+
+// NewServer returns a server of the handler with bounded headers and times.
+// Bodies are bounded by the handler.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		// The server logs each aborted answer, which has a line already.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+// limited is a listener with a bound on its open connections.
+type limited struct {
+	net.Listener
+	most int
+
+	mu   sync.Mutex
+	open int
+}
+
+// Limit returns a listener with at most the number of open connections. Those
+// beyond it get a refusal and are closed, so that a flood costs no memory.
+func Limit(l net.Listener, most int) net.Listener {
+	return &limited{Listener: l, most: most}
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.enter() {
+			return &limitedConn{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
+		}
+		refuse(c)
+	}
+}
+
+func (l *limited) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.most {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *limited) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+}
+
+func refuse(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Write([]byte(refusal))
+	_ = c.Close()
+}
+
+// limitedConn gives its place back when it is closed.
+type limitedConn struct {
+	net.Conn
+	leave func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.leave()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending side. The server needs it to have its last
+// answer read before it resets the connection.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/calisten/listen_test.go
@@ -0,0 +1,73 @@
+package calisten_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/request/calisten"
+)
+
+// serve starts a server with two connections at most and returns its address.
+func serve(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := calisten.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}))
+	go func() { _ = s.Serve(calisten.Limit(l, 2)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// ask sends a request over a new connection, which it leaves open.
+func ask(t *testing.T, address, request string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_, _ = io.WriteString(c, request)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(body)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+func TestLimitRefusesFloods(t *testing.T) {
+	address := serve(t)
+	var got []int
+	for range 4 {
+		res, _ := ask(t, address, request)
+		got = append(got, res.StatusCode)
+	}
+	if diff := cmp.Diff([]int{200, 200, 503, 503}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	res, body := ask(t, address, request)
+	if res.Header.Get("X-Outcome") != "not_run" || !strings.Contains(body, "too many connections") {
+		t.Errorf("refusal %v %q", res.Header, body)
+	}
+}
+
+func TestServerRefusesHugeHeaders(t *testing.T) {
+	res, _ := ask(t, serve(t), "GET / HTTP/1.1\r\nHost: x\r\nX-Long: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
+	if diff := cmp.Diff(http.StatusRequestHeaderFieldsTooLarge, res.StatusCode); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -192,7 +192,7 @@
 }
 
 func (c *cell) choose(t *rapid.T, at *caroute.Router) {
-	deadline := c.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond)
+	deadline := c.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "deadline")) * time.Millisecond)
 	route := at.Choose(c.now, caroute.Ask{Deadline: deadline})
 	if route != nil {
 		c.running = append(c.running, runningRequest{at, route, deadline})
@@ -238,9 +238,13 @@
 	b := c.borrows[rapid.IntRange(0, 1).Draw(t, "borrower")]
 	switch rapid.IntRange(0, 7).Draw(t, "step") {
 	case 0:
-		c.choose(t, c.owner)
+		for range rapid.IntRange(1, 8).Draw(t, "requests") {
+			c.choose(t, c.owner)
+		}
 	case 1, 2:
-		c.choose(t, b)
+		for range rapid.IntRange(1, 8).Draw(t, "requests") {
+			c.choose(t, b)
+		}
 	case 3, 4:
 		c.borrow(t, b)
 	case 5:
