Load over several URLs; early refusal of keyed requests; processor time in benchmarks

Cause: half of the load was taken from nominal capacity, which a busy machine does not have; a keyed request that would be refused called its keeper first, and a silent keeper held a keyed request for 2.5 s. Change: caload takes several URLs in turn, the benchmarks take their capacity from direct calls in the same run, the first call to a keeper does not wait.

--- a/internal/request/caadmit/queue.go
+++ b/internal/request/caadmit/queue.go
@@ -67,14 +67,23 @@
 // Admit adds a request to the end of the queue of its team. It refuses when the queues are full, or when the
 // request is expected to wait beyond its deadline or the bound of its team.
 func (q *Queues) Admit(now time.Time, t *Ticket, c Capacity) *Refusal {
+	if err := q.Check(now, t, c); err != nil {
+		return err
+	}
+	team := q.team(t.Team)
+	q.activate(team)
+	t.element = team.waiting.PushBack(t)
+	q.total++
+	return nil
+}
+
+// Check returns the refusal that Admit would give, nil for none.
+func (q *Queues) Check(now time.Time, t *Ticket, c Capacity) *Refusal {
 	team := q.team(t.Team)
 	wait := q.expectedWait(team, c)
 	if reason := q.refusal(now, team, t, wait, c); reason != "" {
 		return &Refusal{reason: reason, retryAfter: max(wait, minRetryAfter)}
 	}
-	q.activate(team)
-	t.element = team.waiting.PushBack(t)
-	q.total++
 	return nil
 }
 
--- a/internal/request/cadedupe/session.go
+++ b/internal/request/cadedupe/session.go
@@ -36,6 +36,7 @@
 // request, with KindUnavailable when the holders cannot be reached, and with
 // KindUnknown when the context ends first.
 func (s *Service) Begin(ctx context.Context, k Key, digest uint64, idempotent bool) (*Session, error) {
+	wait := false
 	for claims := 0; claims < maxClaims; {
 		own := Record{
 			Key:        k,
@@ -44,7 +45,7 @@
 			Executor:   s.config.Self,
 			Idempotent: idempotent,
 		}
-		r, err := s.open(ctx, own)
+		r, err := s.open(ctx, OpenRequest{Claim: own, Wait: wait})
 		switch {
 		case err != nil:
 			return nil, err
@@ -57,6 +58,8 @@
 		case r.Settled():
 			return &Session{Record: r, service: s}, nil
 		}
+		// Only a keeper that has just answered is trusted with a long call.
+		wait = !r.Settled()
 		if ctx.Err() != nil {
 			return nil, cakind.New(cakind.KindUnknown, "the first submission of the idempotency key is still in progress")
 		}
@@ -66,13 +69,17 @@
 
 // open claims the key at its keeper. A claim whose answer is lost is settled
 // as not run, because this entry will not execute it.
-func (s *Service) open(ctx context.Context, own Record) (Record, error) {
-	q := OpenRequest{Claim: own, Wait: true}
+func (s *Service) open(ctx context.Context, q OpenRequest) (Record, error) {
+	own := q.Claim
 	keeper := s.holders(own.Key)[0]
 	if keeper == s.config.Self.ID {
 		return s.HandleOpen(ctx, q)
 	}
-	call, cancel := context.WithTimeout(ctx, pollTimeout+callTimeout)
+	timeout := 2 * callTimeout
+	if q.Wait {
+		timeout += pollTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := s.config.Peers.Open(call, keeper, q)
 	if err == nil {
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -170,6 +170,22 @@
 	return 0
 }
 
+// clockTicks is the number of clock ticks in a second of process times.
+const clockTicks = 100
+
+// processorTime returns the processor time that the process has used.
+func (p *process) processorTime(b *testing.B) time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Skip("no process times on this system")
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
 // cell is one entry with its upstreams.
 type cell struct {
 	upstreams *process
@@ -182,9 +198,13 @@
 	return cell{ups, entry}
 }
 
-func loadOf(b *testing.B, address, team string, rate float64, d time.Duration) caload.Report {
+func loadOf(b *testing.B, addresses []string, team string, rate float64, d time.Duration) caload.Report {
+	var urls []string
+	for _, a := range addresses {
+		urls = append(urls, "http://"+a+caplatform.RequestPath)
+	}
 	rep, err := caload.Run(context.Background(), catimer.NewService(), caload.Plan{
-		URL:         "http://" + address + caplatform.RequestPath,
+		URLs:        urls,
 		Header:      http.Header{headerTeam: {team}, caplatform.HeaderIdempotent: {"true"}},
 		Body:        make([]byte, 256),
 		Rate:        rate,
@@ -211,10 +231,12 @@
 func BenchmarkOverhead(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
 	c := newCell(b, upstreams, service)
-	half := upstreams * benchSlots / service.Seconds() / 2
 	for b.Loop() {
-		direct := loadOf(b, c.upstreams.addresses[0], "light", half/upstreams/2, 5*time.Second)
-		through := loadOf(b, c.entry.addresses[0], "light", half, 5*time.Second)
+		half := capacityOf(b, c.upstreams.addresses, 5*time.Second) / 2
+		direct := loadOf(b, c.upstreams.addresses, "light", half, 5*time.Second)
+		through := loadOf(b, c.entry.addresses, "light", half, 5*time.Second)
+		b.ReportMetric(half, "offered/s")
+		b.ReportMetric(float64(direct.Arrivals-direct.Count(http.StatusOK)), "direct-not-done")
 		b.ReportMetric(millisOf(direct.Latency.P50), "direct-p50-ms")
 		b.ReportMetric(millisOf(direct.Latency.P99), "direct-p99-ms")
 		b.ReportMetric(millisOf(through.Latency.P50-direct.Latency.P50), "overhead-p50-ms")
@@ -227,7 +249,10 @@
 func BenchmarkRate(b *testing.B) {
 	c := newCell(b, 16, 5*time.Millisecond)
 	for b.Loop() {
-		rep := loadOf(b, c.entry.addresses[0], "light", 10_000, 10*time.Second)
+		before := c.entry.processorTime(b)
+		rep := loadOf(b, c.entry.addresses, "light", 10_000, 10*time.Second)
+		used := c.entry.processorTime(b) - before
+		b.ReportMetric(float64(used.Microseconds())/100_000, "processor-us/request")
 		b.ReportMetric(float64(rep.Count(http.StatusOK))/8, "done/s")
 		b.ReportMetric(float64(rep.Arrivals-rep.Count(http.StatusOK)), "not-done")
 		b.ReportMetric(millisOf(rep.Latency.P50), "p50-ms")
@@ -243,7 +268,7 @@
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
 			c := newCell(b, upstreams, 10*time.Second)
 			for b.Loop() {
-				go loadOf(b, c.entry.addresses[0], "light", 1000, time.Second)
+				go loadOf(b, c.entry.addresses, "light", 1000, time.Second)
 				time.Sleep(4 * time.Second)
 				b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
 			}
@@ -288,8 +313,8 @@
 		possible := capacityOf(b, c.upstreams.addresses, 5*time.Second)
 		b.ReportMetric(possible/capacity, "capacity/nominal")
 		heavy := make(chan caload.Report, 1)
-		go func() { heavy <- loadOf(b, c.entry.addresses[0], "heavy", capacity, 10*time.Second) }()
-		light := loadOf(b, c.entry.addresses[0], "light", capacity, 10*time.Second)
+		go func() { heavy <- loadOf(b, c.entry.addresses, "heavy", capacity, 10*time.Second) }()
+		light := loadOf(b, c.entry.addresses, "light", capacity, 10*time.Second)
 		h := <-heavy
 		done := float64(h.Count(http.StatusOK) + light.Count(http.StatusOK))
 		b.ReportMetric(done/8/possible, "goodput/capacity")
@@ -300,7 +325,7 @@
 				b.ReportMetric(millisOf(g.Latency.P99), "refusal-p99-ms")
 			}
 		}
-		after := loadOf(b, c.entry.addresses[0], "light", capacity/2, 5*time.Second)
+		after := loadOf(b, c.entry.addresses, "light", capacity/2, 5*time.Second)
 		b.ReportMetric(millisOf(after.Latency.P99), "p99-after-ms")
 		b.ReportMetric(float64(after.Arrivals-after.Count(http.StatusOK)), "not-done-after")
 	}
--- a/internal/request/cadispatch/keys.go
+++ b/internal/request/cadispatch/keys.go
@@ -38,6 +38,10 @@
 		d.refuse(w, c.team, cakind.New(cakind.KindUnavailable, "idempotency keys are not kept here"))
 		return false
 	}
+	if err := d.precheck(c); err != nil {
+		d.refuse(w, c.team, err)
+		return false
+	}
 	s, err := d.config.Keys.Begin(ctx, cadedupe.Key{Team: c.team, Name: c.key}, c.digest(), c.idempotent)
 	if err != nil {
 		d.refuse(w, c.team, err)
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -66,13 +66,31 @@
 			return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
 		}
 	}
-	capacity := caadmit.Capacity{Slots: slots, Service: d.router.Service()}
-	if err := d.queues.Admit(now, t, capacity); err != nil {
+	if err := d.queues.Admit(now, t, d.capacity(now)); err != nil {
 		return err
 	}
 	return nil
 }
 
+// precheck refuses a call that would have to wait and may not. It spares a
+// request with an idempotency key the calls to the holders of the key.
+func (d *Dispatcher) precheck(c *call) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queues.Len() == 0 {
+		return nil
+	}
+	now := d.config.Timer.Now()
+	if err := d.queues.Check(now, &caadmit.Ticket{Team: c.team, Deadline: c.deadline}, d.capacity(now)); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (d *Dispatcher) capacity(now time.Time) caadmit.Capacity {
+	return caadmit.Capacity{Slots: d.router.Slots(now), Service: d.router.Service()}
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/request/caload/plan.go
+++ b/internal/request/caload/plan.go
@@ -21,7 +21,8 @@
 // Plan describes a run of load. The run ends after Duration or Requests,
 // whichever comes first.
 type Plan struct {
-	URL    string
+	// URLs are requested in turn.
+	URLs   []string
 	Header http.Header
 	Body   []byte
 	// Rate is the mean number of arrivals per second.
@@ -44,7 +45,7 @@
 // Check reports with KindInvalid what is wrong with the plan.
 func (p Plan) Check() error {
 	switch {
-	case p.URL == "":
+	case len(p.URLs) == 0:
 		return cakind.New(cakind.KindInvalid, "a URL is required")
 	case p.Rate <= 0:
 		return cakind.New(cakind.KindInvalid, "the rate must be positive")
--- a/internal/request/caload/run.go
+++ b/internal/request/caload/run.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	recorder *recorder
 	arrivals int64
+	turn     int
 	unsent   int64
 }
 
@@ -91,6 +92,8 @@
 	if counted {
 		g.arrivals++
 	}
+	url := g.plan.URLs[g.turn%len(g.plan.URLs)]
+	g.turn++
 	select {
 	case g.places <- struct{}{}:
 	default:
@@ -102,7 +105,7 @@
 	g.wait.Go(func() {
 		defer func() { <-g.places }()
 		sent := g.timer.Now()
-		key := g.request(ctx)
+		key := g.request(ctx, url)
 		now := g.timer.Now()
 		if !counted {
 			return
@@ -114,8 +117,8 @@
 }
 
 // request sends one request and reads the whole answer.
-func (g *generator) request(ctx context.Context) groupKey {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, g.plan.URL, bytes.NewReader(g.plan.Body))
+func (g *generator) request(ctx context.Context, url string) groupKey {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(g.plan.Body))
 	if err != nil {
 		return groupKey{outcome: "invalid"}
 	}
--- a/internal/request/caload/run_test.go
+++ b/internal/request/caload/run_test.go
@@ -19,7 +19,7 @@
 
 func plan(url string) caload.Plan {
 	return caload.Plan{
-		URL:         url,
+		URLs:        []string{url},
 		Rate:        1000,
 		Duration:    10 * time.Second,
 		Requests:    200,
