Slots of interrupted attempts are freed a little later; metrics of teams

Cause: when a caller hung up, the next request could run beside the one that the upstream was still stopping, beyond its 8 slots. Timers of wait and latency and a counter of slot time for each team, gauges of queue and slots. Measurement: TestInterruptedSlotLingers and the wave of cancellations pass.

--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -66,6 +66,7 @@
 	defer run.end()
 	reply, err := d.fetch(ctx, c, route, id)
 	if err != nil {
+		s.interrupted = ctx.Err() != nil && cakind.Of(err) != cakind.KindNotStarted
 		s.release(run.verdict(ctx, err))
 		return run.wrap(err)
 	}
@@ -101,6 +102,7 @@
 	c.attempts++
 	c.tried = append(c.tried, route.Upstream)
 	d.metrics.routed.Inc(1)
+	d.metrics.team(c.team).wait.Record(route.Taken.Sub(c.arrived))
 	caevent.Info(d.config.Logger, caevent.RequestRouted).
 		Str("team", string(c.team)).
 		Str("attempt", string(id)).
@@ -153,6 +155,7 @@
 	}
 	reply.Header().Set(HeaderOutcome, outcome.String())
 	if err := reply.Write(w); err != nil {
+		s.interrupted = true
 		s.release(verdictOf(ctx, err))
 		c.settle(cawork.OutcomeUnknown, cadedupe.StoredAnswer{Dropped: true})
 		d.metrics.aborted.Inc(1)
@@ -165,11 +168,13 @@
 
 func (d *Dispatcher) logAnswer(c *call, o cawork.Outcome, status int) {
 	d.metrics.answered.Inc(1)
+	elapsed := d.config.Timer.Now().Sub(c.arrived)
+	d.metrics.team(c.team).latency.Record(elapsed)
 	caevent.Log(d.config.Logger, answeredLevel, caevent.RequestAnswered).
 		Str("team", string(c.team)).
 		Str("outcome", o.String()).
 		Int("status", status).
-		Dur("elapsed_ms", d.config.Timer.Now().Sub(c.arrived)).
+		Dur("elapsed_ms", elapsed).
 		Send()
 }
 
@@ -199,6 +204,8 @@
 	route    *caroute.Route
 	team     cawork.TeamName
 	released bool
+	// interrupted is set when the upstream may still run the request.
+	interrupted bool
 }
 
 func (s *slot) release(v caroute.Verdict) {
@@ -206,7 +213,7 @@
 		return
 	}
 	s.released = true
-	s.d.release(s.route, v, s.team)
+	s.d.release(s.route, v, s.team, s.interrupted)
 }
 
 func verdictOf(ctx context.Context, err error) caroute.Verdict {
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -217,6 +217,8 @@
 	d.cutLate(now)
 	d.pump(now)
 	d.borrow(now)
+	d.metrics.queued.Update(float64(d.queues.Len()))
+	d.metrics.slots.Update(float64(d.router.InUse()))
 }
 
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -326,31 +327,37 @@
 	}
 }
 
-func TestHangUpFreesTheSlot(t *testing.T) {
-	started := make(chan struct{}, 8)
+// A wave of cancellations frees slots and queue places, and never has more
+// requests run at the upstream than it has slots.
+func TestHangUpFreesSlotsAndPlaces(t *testing.T) {
+	started := make(chan struct{}, 1000)
 	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
 		started <- struct{}{}
 		never(w, r)
 	})
 	e := newEntry(t, nil)
 	e.PutUpstream(up.upstream("u1"))
-	ctx, cancel := context.WithCancel(context.Background())
-	for range 8 {
-		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
-		go func() { _, _ = http.DefaultClient.Do(req) }()
-	}
-	for range 8 {
-		<-started
-	}
-	if diff := cmp.Diff(0, e.FreeSlots()); diff != "" {
-		t.Errorf("free slots (-want +got):\n%s", diff)
+	for range 5 {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for range 50 {
+			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
+			wg.Go(func() { _, _ = http.DefaultClient.Do(req) })
+		}
+		for range 8 {
+			<-started
+		}
+		cancel()
+		wg.Wait()
 	}
 	up.set(echo)
-	cancel()
 	res, body := e.post(t, "next")
 	if diff := cmp.Diff(seen{200, "done", "next"}, seenOf(res, body)); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
+	if up.peak() > 8 {
+		t.Errorf("%d requests at an upstream of 8 slots", up.peak())
+	}
 }
 
 func TestCloseWaitsForRequestsInProgress(t *testing.T) {
@@ -389,8 +396,15 @@
 
 // An upstream may answer before it has read the body.
 func TestEarlyAnswerToALongBody(t *testing.T) {
-	up := newStandin(t, func(w http.ResponseWriter, _ *http.Request) {
+	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+		ctl := http.NewResponseController(w)
+		_ = ctl.EnableFullDuplex()
+		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusForbidden)
+		_ = ctl.Flush()
+		// An upstream that closed its connection now could reset it before
+		// its answer is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 	})
 	e := newEntry(t, nil)
 	e.PutUpstream(up.upstream("u1"))
--- a/internal/request/cadispatch/lend_test.go
+++ b/internal/request/cadispatch/lend_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// Another zone lends only when no peer of the own zone has free slots.
+func TestOwnZoneLendsFirst(t *testing.T) {
+	l, entries := newEntries(t, 3, nil)
+	own, other := newStandin(t, echo), newStandin(t, echo)
+	entries[1].PutUpstream(own.upstream("u1"))
+	far := other.upstream("u2")
+	far.Zone = "z2"
+	entries[2].PutUpstream(far)
+	near := cadispatch.Peer{ID: "e1", Zone: "z1", FreeSlots: 1}
+	cross := cadispatch.Peer{ID: "e2", Zone: "z2", FreeSlots: 8}
+	entries[0].SetPeers([]cadispatch.Peer{cross, near})
+	entries[0].post(t, "work")
+	near.FreeSlots = 0
+	l.entries["e1"].RemoveUpstream("u1")
+	for own.count() == 0 || other.count() == 0 {
+		entries[0].SetPeers([]cadispatch.Peer{cross, near})
+		entries[0].post(t, "work")
+		if own.count() == 0 {
+			t.Fatal("the other zone was used first")
+		}
+	}
+}
+
 // A silent peer delays nothing that can be served without it.
 func TestSilentPeerDelaysNothing(t *testing.T) {
 	l, entries := newEntries(t, 2, nil)
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -104,7 +104,7 @@
 	waiting := d.queues.Remove(t)
 	d.mu.Unlock()
 	if !waiting {
-		d.release(<-w.route, caroute.VerdictAbandoned, t.Team)
+		d.release(<-w.route, caroute.VerdictAbandoned, t.Team, false)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
@@ -113,13 +113,19 @@
 }
 
 // release gives a slot back and serves the queues with it.
-func (d *Dispatcher) release(route *caroute.Route, v caroute.Verdict, team cawork.TeamName) {
+func (d *Dispatcher) release(route *caroute.Route, v caroute.Verdict, team cawork.TeamName, interrupted bool) {
 	d.mu.Lock()
 	now := d.config.Timer.Now()
-	changes := d.router.Release(now, route, v)
-	d.queues.Charge(team, now.Sub(route.Taken)-d.router.Service())
+	used := now.Sub(route.Taken)
+	give := d.router.Release
+	if interrupted {
+		give = d.router.Interrupt
+	}
+	changes := give(now, route, v)
+	d.queues.Charge(team, used-d.router.Service())
 	d.pump(now)
 	d.mu.Unlock()
+	d.metrics.team(team).slotTime.Inc(used.Microseconds())
 	for _, c := range changes {
 		d.logChange(c)
 	}
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -115,10 +115,11 @@
 	r.healthOf(now, g.Upstream, defaultSlots)
 }
 
-// Expire takes back lent slots whose time is over, and returns the borrowed
+// Expire frees the slots of interrupted attempts, takes back lent slots whose time is over, and returns the borrowed
 // grants that this entry no longer uses, which the caller returns to their
 // owner.
 func (r *Router) Expire(now time.Time) []GrantID {
+	r.expireLingering(now)
 	for id, l := range r.lent {
 		if now.After(l.end) {
 			r.TakeBack(id)
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -90,9 +90,11 @@
 	health  map[cawork.UpstreamID]*health
 	lent    map[GrantID]*loan
 	sources []*source
-	turn    int
-	service time.Duration
-	nextID  int64
+	// lingering holds the slots of interrupted attempts.
+	lingering []lingering
+	turn      int
+	service   time.Duration
+	nextID    int64
 }
 
 // NewRouter returns a router without upstreams.
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -202,6 +202,10 @@
 func (c *cell) end(i int) {
 	e := c.running[i]
 	c.running = append(c.running[:i], c.running[i+1:]...)
+	if i%2 == 0 {
+		e.at.Interrupt(c.now, e.route, caroute.VerdictAbandoned)
+		return
+	}
 	e.at.Release(c.now, e.route, caroute.VerdictServed)
 }
 
@@ -227,6 +231,7 @@
 		}
 		// Once all is over, no slot is in use.
 		c.advance(time.Hour)
+		c.advance(time.Second)
 		c.owner.Expire(c.now)
 		if diff := cmp.Diff(0, c.owner.InUse()); diff != "" {
 			t.Fatalf("slots in use at the end (-want +got):\n%s", diff)
@@ -279,3 +284,22 @@
 		b.AddGrant(c.now, asked, grant)
 	}
 }
+
+// The slot of an interrupted attempt is free only after the upstream has had
+// time to notice.
+func TestInterruptedSlotLingers(t *testing.T) {
+	r := newRouter(1)
+	var last *caroute.Route
+	for range 8 {
+		last = r.Choose(start, ask())
+	}
+	r.Interrupt(start, last, caroute.VerdictAbandoned)
+	if got := r.Choose(start, ask()); got != nil {
+		t.Errorf("the slot was given away at once: %+v", got)
+	}
+	later := start.Add(time.Second)
+	r.Expire(later)
+	if r.Choose(later, ask()) == nil {
+		t.Error("the slot was not freed")
+	}
+}
