--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -31,7 +31,12 @@
 // serve runs attempts until one answers or none may follow.
 func (d *Dispatcher) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	for {
-		err := d.attempt(ctx, w, c)
+		// The wait for a slot is outside of attempt to keep the stacks of
+		// waiting requests small.
+		route, err := d.acquire(ctx, c)
+		if err == nil {
+			err = d.attempt(ctx, w, c, route)
+		}
 		if err == nil {
 			return
 		}
@@ -47,13 +52,9 @@
 	}
 }
 
-// attempt runs one attempt. A nil error means that the caller has been
+// attempt runs one attempt with the slot. A nil error means that the caller has been
 // answered.
-func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call) error {
-	route, err := d.acquire(ctx, c)
-	if err != nil {
-		return err
-	}
+func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call, route *caroute.Route) error {
 	s := &slot{d: d, route: route, team: c.team}
 	defer s.release(caroute.VerdictAbandoned)
 	id := d.newAttemptID()
@@ -65,6 +66,7 @@
 	defer run.end()
 	reply, err := d.fetch(ctx, c, route, id)
 	if err != nil {
+		s.interrupted = ctx.Err() != nil && cakind.Of(err) != cakind.KindNotStarted
 		s.release(run.verdict(ctx, err))
 		return run.wrap(err)
 	}
@@ -91,7 +93,7 @@
 	return &retryError{err}
 }
 
-func (d *Dispatcher) accountFor(c *call, route caroute.Route, id cawork.AttemptID) {
+func (d *Dispatcher) accountFor(c *call, route *caroute.Route, id cawork.AttemptID) {
 	if c.attempts == 0 {
 		d.mu.Lock()
 		d.budgets.Request(c.team, route.Upstream)
@@ -100,6 +102,7 @@
 	c.attempts++
 	c.tried = append(c.tried, route.Upstream)
 	d.metrics.routed.Inc(1)
+	d.metrics.team(c.team).wait.Record(route.Taken.Sub(c.arrived))
 	caevent.Info(d.config.Logger, caevent.RequestRouted).
 		Str("team", string(c.team)).
 		Str("attempt", string(id)).
@@ -112,7 +115,7 @@
 		Send()
 }
 
-func (d *Dispatcher) fetch(ctx context.Context, c *call, route caroute.Route, id cawork.AttemptID) (*caforward.Reply, error) {
+func (d *Dispatcher) fetch(ctx context.Context, c *call, route *caroute.Route, id cawork.AttemptID) (*caforward.Reply, error) {
 	answer, err := d.forward.Send(ctx, caforward.Attempt{
 		ID:         id,
 		Upstream:   route.Upstream,
@@ -122,7 +125,8 @@
 		Idempotent: c.idempotent,
 		Header:     c.header,
 		Query:      c.query,
-		Body:       c.body(),
+		Prefix:     c.prefix,
+		Rest:       c.rest,
 		Length:     c.length,
 	}, route.Connections)
 	if err != nil {
@@ -151,6 +155,7 @@
 	}
 	reply.Header().Set(HeaderOutcome, outcome.String())
 	if err := reply.Write(w); err != nil {
+		s.interrupted = true
 		s.release(verdictOf(ctx, err))
 		c.settle(cawork.OutcomeUnknown, cadedupe.StoredAnswer{Dropped: true})
 		d.metrics.aborted.Inc(1)
@@ -163,11 +168,13 @@
 
 func (d *Dispatcher) logAnswer(c *call, o cawork.Outcome, status int) {
 	d.metrics.answered.Inc(1)
+	elapsed := d.config.Timer.Now().Sub(c.arrived)
+	d.metrics.team(c.team).latency.Record(elapsed)
 	caevent.Log(d.config.Logger, answeredLevel, caevent.RequestAnswered).
 		Str("team", string(c.team)).
 		Str("outcome", o.String()).
 		Int("status", status).
-		Dur("elapsed_ms", d.config.Timer.Now().Sub(c.arrived)).
+		Dur("elapsed_ms", elapsed).
 		Send()
 }
 
@@ -194,9 +201,11 @@
 // slot is the slot of one attempt, released once.
 type slot struct {
 	d        *Dispatcher
-	route    caroute.Route
+	route    *caroute.Route
 	team     cawork.TeamName
 	released bool
+	// interrupted is set when the upstream may still run the request.
+	interrupted bool
 }
 
 func (s *slot) release(v caroute.Verdict) {
@@ -204,7 +213,7 @@
 		return
 	}
 	s.released = true
-	s.d.release(s.route, v, s.team)
+	s.d.release(s.route, v, s.team, s.interrupted)
 }
 
 func verdictOf(ctx context.Context, err error) caroute.Verdict {
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -256,6 +257,34 @@
 	}
 }
 
+// A request whose first attempt may have run is not reported as not run when
+// its second one is refused.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	up := newStandin(t, echo)
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for range 20 {
+		e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	}
+	before := up.count()
+	up.set(func(w http.ResponseWriter, r *http.Request) {
+		if up.count() == before+1 {
+			panic(http.ErrAbortHandler)
+		}
+		status(http.StatusServiceUnavailable, true)(w, r)
+	})
+	res, body := e.post(t, "work", caplatform.HeaderIdempotent, "true")
+	if diff := cmp.Diff(seen{504, "unknown", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if up.count() < before+2 {
+		t.Error("the request was not tried again")
+	}
+	if res.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+}
+
 func TestNonIdempotentRequestsRunAtMostOnce(t *testing.T) {
 	e := newEntry(t, nil)
 	var ups []*standin
@@ -281,7 +310,6 @@
 func TestLateAttemptIsGivenUp(t *testing.T) {
 	good, silent := newStandin(t, echo), newStandin(t, echo)
 	e := newEntry(t, nil)
-	run(t, e)
 	e.PutUpstream(silent.upstream("u1"))
 	for range 20 {
 		e.post(t, "work", caplatform.HeaderIdempotent, "true")
@@ -299,41 +327,37 @@
 	}
 }
 
-// run runs the background work of an entry until the test ends.
-func run(t *testing.T, e *entry) {
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = e.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-e.Done()
-	})
-}
-
-func TestHangUpFreesTheSlot(t *testing.T) {
-	started := make(chan struct{}, 8)
+// A wave of cancellations frees slots and queue places, and never has more
+// requests run at the upstream than it has slots.
+func TestHangUpFreesSlotsAndPlaces(t *testing.T) {
+	started := make(chan struct{}, 1000)
 	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
 		started <- struct{}{}
 		never(w, r)
 	})
 	e := newEntry(t, nil)
 	e.PutUpstream(up.upstream("u1"))
-	ctx, cancel := context.WithCancel(context.Background())
-	for range 8 {
-		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
-		go func() { _, _ = http.DefaultClient.Do(req) }()
-	}
-	for range 8 {
-		<-started
-	}
-	if diff := cmp.Diff(0, e.FreeSlots()); diff != "" {
-		t.Errorf("free slots (-want +got):\n%s", diff)
+	for range 5 {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for range 50 {
+			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
+			wg.Go(func() { _, _ = http.DefaultClient.Do(req) })
+		}
+		for range 8 {
+			<-started
+		}
+		cancel()
+		wg.Wait()
 	}
 	up.set(echo)
-	cancel()
 	res, body := e.post(t, "next")
 	if diff := cmp.Diff(seen{200, "done", "next"}, seenOf(res, body)); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
+	if up.peak() > 8 {
+		t.Errorf("%d requests at an upstream of 8 slots", up.peak())
+	}
 }
 
 func TestCloseWaitsForRequestsInProgress(t *testing.T) {
@@ -370,6 +394,38 @@
 	}
 }
 
+// An upstream may answer before it has read the body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+		ctl := http.NewResponseController(w)
+		_ = ctl.EnableFullDuplex()
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusForbidden)
+		_ = ctl.Flush()
+		// An upstream that closed its connection now could reset it before
+		// its answer is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	for range 5 {
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 10<<20)
+		_, _ = conn.Write(make([]byte, 64<<10))
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(seen{403, "done", ""}, seenOf(res, "")); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+		conn.Close()
+	}
+}
+
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
 	staying, leaving := newStandin(t, echo), newStandin(t, echo)
 	e := newEntry(t, nil)
