Membership: a restart after leaving is found though all seeds are down

Change: members that left are contacted like dead ones until they are forgotten. The fault runs also drain entries, add upstreams, let them leave and vanish, and check that owners adopt every attempt and that events come in order.

--- a/internal/coord/cafault/agent_test.go
+++ b/internal/coord/cafault/agent_test.go
@@ -106,6 +106,13 @@
 	return t, nil
 }
 
+// known returns the attempts that the agent knows.
+func (a *agent) known() []caplatform.TaskStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.tasks)
+}
+
 // holds reports whether the lease stands and is the holder's.
 func (a *agent) holds(vm cawork.VMID) bool {
 	a.mu.Lock()
--- a/internal/coord/cafault/faults_test.go
+++ b/internal/coord/cafault/faults_test.go
@@ -1,9 +1,13 @@
 package cafault_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // faultKind is one thing that goes wrong.
@@ -20,11 +24,16 @@
 	faultSlow
 	faultListDown
 	faultAgentDown
+	faultDrain
+	faultArrival
+	faultLeaving
+	faultGone
 	faultKinds
 )
 
 var faultNames = [...]string{
 	"one-way cut", "agent cut", "pause", "kill", "restart", "zone cut", "loss", "slow", "list down", "agent down",
+	"drain", "arrival", "leaving", "gone",
 }
 
 // injectFaults brings about faults for the time, often two at once, each of
@@ -87,7 +96,23 @@
 	case faultAgentDown:
 		agent := w.anyAgent()
 		w.net.setDown(agent, true)
-		time.AfterFunc(lasts, func() { w.net.setDown(agent, false) })
+		time.AfterFunc(lasts, func() { w.net.setDown(agent, w.isGone(agent)) })
+		return agent
+	case faultDrain:
+		w.drain(i)
+		return entry
+	case faultArrival:
+		address := fmt.Sprintf("u%s.%d", entry[1:2], len(w.agents))
+		w.addUpstream(cawork.ZoneName("z"+entry[1:2]), address)
+		return address
+	case faultLeaving:
+		agent := w.anyAgent()
+		w.setListed(cawork.VMID(agent), caplatform.VMStateLeaving)
+		return agent
+	case faultGone:
+		agent := w.anyAgent()
+		w.setListed(cawork.VMID(agent), caplatform.VMStateGone)
+		w.net.setDown(agent, true)
 		return agent
 	case faultListDown:
 		w.setListDown(true)
@@ -105,6 +130,35 @@
 	return ""
 }
 
+// drain makes entry i leave in good order.
+func (w *world) drain(i int) {
+	p := w.processes[i]
+	if p == nil {
+		return
+	}
+	w.processes[i] = nil
+	w.ended = append(w.ended, p)
+	p.open.Go(func() {
+		limited, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		p.members.Leave(limited)
+		_ = p.owner.Drain(limited)
+		p.members.Left(limited)
+		p.cancel()
+		if w.net.part(p.address) == p.members {
+			w.net.setDown(p.address, true)
+		}
+	})
+}
+
+func (w *world) isGone(agent string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.vms, func(vm caplatform.VM) bool {
+		return string(vm.ID) == agent && vm.State == caplatform.VMStateGone
+	})
+}
+
 func (w *world) cutFor(links []link, lasts time.Duration) string {
 	for _, l := range links {
 		w.net.setCut(l.from, l.to, true)
--- a/internal/coord/cafault/handover_test.go
+++ b/internal/coord/cafault/handover_test.go
@@ -144,6 +144,7 @@
 	for _, c := range changes {
 		for _, l := range logs {
 			t.Run(c.name+"/"+strings.ReplaceAll(l.name, " ", "_"), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					h := newHandOver(5, 40)
 					for i := range 4 {
@@ -241,11 +242,12 @@
 	})
 }
 
+// setListed changes the state of a listed VM. Gone is final.
 func (w *world) setListed(id cawork.VMID, state caplatform.VMState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i := range w.vms {
-		if w.vms[i].ID == id {
+		if w.vms[i].ID == id && w.vms[i].State != caplatform.VMStateGone {
 			w.vms[i].State = state
 		}
 	}
--- a/internal/coord/cafault/ownership_test.go
+++ b/internal/coord/cafault/ownership_test.go
@@ -13,6 +13,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // Sizes and times of the seeded runs.
@@ -47,6 +48,9 @@
 func naiveOwners(w *world) map[cawork.UpstreamID]cawork.VMID {
 	owners := map[cawork.UpstreamID]cawork.VMID{}
 	for _, vm := range w.vms {
+		if vm.State == caplatform.VMStateGone || vm.Role != caplatform.VMRoleUpstream {
+			continue
+		}
 		best := uint64(0)
 		for _, p := range w.running() {
 			if p.zone != vm.Zone || p.draining {
@@ -129,6 +133,11 @@
 	if diff := cmp.Diff(trueViews(w), views(w)); diff != "" {
 		t.Errorf("members mismatch (-want +got):\n%s", diff)
 	}
+	w.setQuiet()
+	time.Sleep(inFlight)
+	if missing := w.unadopted(); len(missing) > 0 {
+		t.Errorf("attempts that were not adopted:\n%s", strings.Join(missing, "\n"))
+	}
 	w.stop()
 	if v := w.violations(); len(v) > 0 {
 		t.Errorf("violations:\n%s\nfaults:\n%s", strings.Join(v, "\n"), strings.Join(w.faults, "\n"))
--- a/internal/coord/cafault/world_test.go
+++ b/internal/coord/cafault/world_test.go
@@ -34,6 +34,7 @@
 	open    sync.WaitGroup
 
 	draining bool
+	adopted  map[cawork.UpstreamID]*adoption
 }
 
 // world is a cell with its agents and its VM list.
@@ -54,6 +55,7 @@
 	listDown bool
 	broken   []string
 	accepted int
+	quiet    bool
 	faults   []string
 }
 
@@ -120,7 +122,7 @@
 	w.lives++
 	p := &process{
 		name: fmt.Sprintf("%s#%d", address, w.lives), vm: cawork.VMID(address),
-		zone: cawork.ZoneName("z" + address[1:2]), address: address,
+		zone: cawork.ZoneName("z" + address[1:2]), address: address, adopted: map[cawork.UpstreamID]*adoption{},
 	}
 	timers := catimer.NewDriftingService(rate)
 	id := camember.Identity{VM: p.vm, Address: address, Zone: p.zone}
@@ -149,6 +151,8 @@
 	p.open.Go(func() { _ = caowner.Follow(ctx, p.owner, p.members, p.list) })
 	rng := rand.New(rand.NewPCG(w.rng.Uint64(), 3))
 	p.open.Go(func() { w.send(ctx, p, rng) })
+	events := p.owner.Subscribe()
+	p.open.Go(func() { w.follow(p, events) })
 }
 
 // send starts tasks under the leases that the process holds. Now and then it
@@ -158,7 +162,7 @@
 		pauseFor(ctx, time.Duration(rng.Int64N(int64(100*time.Millisecond))))
 		p.members.SetLocal(camember.AppState{Unreachable: p.owner.Unreachable(), OwnedUpstreams: len(p.owner.Owned())})
 		owned := p.owner.Owned()
-		if len(owned) == 0 {
+		if len(owned) == 0 || w.isQuiet() {
 			continue
 		}
 		id := owned[rng.IntN(len(owned))]
@@ -186,6 +190,19 @@
 	}
 }
 
+// setQuiet makes all processes send nothing more.
+func (w *world) setQuiet() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.quiet = true
+}
+
+func (w *world) isQuiet() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.quiet
+}
+
 // checkLease reports a lease that its holder trusts while the agent does not.
 func (w *world) checkLease(p *process, id cawork.UpstreamID) {
 	w.mu.Lock()
--- a/internal/coord/camember/probe.go
+++ b/internal/coord/camember/probe.go
@@ -35,7 +35,8 @@
 }
 
 // nextContact returns a probe of a seed, a listed VM or a dead member that is
-// due. An entry that knows no other tries one in each period.
+// due. A member that left is tried too, because its VM may have been started
+// again and know nobody. An entry that knows no other tries one in each period.
 func (s *State) nextContact(now time.Time, alone bool) (Probe, bool) {
 	pause := s.cfg.Retry
 	if alone {
@@ -45,7 +46,7 @@
 	var dead []*record
 	for _, key := range s.sortedKeys() {
 		r := s.records[key]
-		if r.standing.Liveness() == LivenessDead {
+		if r.standing.Liveness().Gone() {
 			dead = append(dead, r)
 			continue
 		}
--- a/internal/coord/camember/state_test.go
+++ b/internal/coord/camember/state_test.go
@@ -188,6 +188,19 @@
 	}
 }
 
+func TestRestartAfterLeavingIsFoundWithoutSeeds(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 5*time.Second)
+	g.states["b"].Leave(true)
+	g.run(5*time.Second, 10*time.Second)
+	g.silent["a"] = true
+	g.start("b", 20*time.Second)
+	g.run(20*time.Second, 40*time.Second)
+	if diff := cmp.Diff(camember.LivenessAlive, g.liveness("b", "c")); diff != "" {
+		t.Errorf("b at c mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestDeadMembersAreForgottenByAll(t *testing.T) {
 	g := newGroup(t, "a", "b", "c")
 	g.run(0, 5*time.Second)
