--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -49,6 +49,8 @@
 	MemberChanged = camember.MemberChanged
 	// Member is what is known of an entry.
 	Member = camember.Member
+	// AppState is the application state that an entry tells the others.
+	AppState = camember.AppState
 	// Membership runs the exchange of member states.
 	Membership = camember.Part
 	// ExchangeRequest is the first message of an exchange.
@@ -59,6 +61,22 @@
 	ProbeTarget = camember.ProbeTarget
 )
 
+// The causes of a change of a member.
+const (
+	CauseJoined     = camember.CauseJoined
+	CauseSuspected  = camember.CauseSuspected
+	CauseDied       = camember.CauseDied
+	CauseRefuted    = camember.CauseRefuted
+	CauseReturned   = camember.CauseReturned
+	CauseRestarted  = camember.CauseRestarted
+	CauseLeaving    = camember.CauseLeaving
+	CauseLeft       = camember.CauseLeft
+	CauseUnlisted   = camember.CauseUnlisted
+	CauseReach      = camember.CauseReach
+	CauseApp        = camember.CauseApp
+	CauseSelfPaused = camember.CauseSelfPaused
+)
+
 // The parts of ownership.
 type (
 	// Lease is the ownership of an upstream by this entry.
@@ -81,6 +99,33 @@
 	VM = caplatform.VM
 	// Epoch counts the ownerships of an upstream.
 	Epoch = caplatform.Epoch
+	// Claim asks an agent for the lease.
+	Claim = caplatform.Claim
+	// ClaimResult tells the lease after a claim.
+	ClaimResult = caplatform.ClaimResult
+	// Heartbeat renews the lease and the leases of all running tasks.
+	Heartbeat = caplatform.Heartbeat
+	// HeartbeatResult lists the attempts that changed.
+	HeartbeatResult = caplatform.HeartbeatResult
+	// HeldLease is a lease as the agent states it.
+	HeldLease = caplatform.Ownership
+)
+
+// The roles of VMs.
+const (
+	VMRoleEntry    = caplatform.VMRoleEntry
+	VMRoleUpstream = caplatform.VMRoleUpstream
+)
+
+// The kinds of ownership events.
+const (
+	OwnerListed       = caowner.EventKindListed
+	OwnerLeaving      = caowner.EventKindLeaving
+	OwnerUnlisted     = caowner.EventKindUnlisted
+	OwnerGained       = caowner.EventKindGained
+	OwnerTasksChanged = caowner.EventKindTasksChanged
+	OwnerLost         = caowner.EventKindLost
+	OwnerReleased     = caowner.EventKindReleased
 )
 
 // Subscription delivers the events of a part in order.
