Membership: deaths told by another zone are verified first

Cause: after a cut between two zones of five entries, each side heard of the deaths that the other had concluded, and entries took neighbors of their own zone for dead, in 36 of 40 pairs. Change: a death that another entry tells is taken for a suspicion, and a suspicion of a member of the own zone is verified by a probe at once.

--- a/internal/coord/camember/exchange.go
+++ b/internal/coord/camember/exchange.go
@@ -195,7 +195,24 @@
 		s.emit(r, r.standing.Liveness(), CauseApp)
 	}
 	if d.Standing.Newer(r.standing) {
-		s.believe(r, d.Standing, now)
+		s.hear(r, d.Standing, now)
+	}
+}
+
+// hear takes over a standing from another entry. A death is taken for a
+// suspicion first: after a cut between zones, each side hears of the deaths that
+// the other concluded of members it has contact with. A suspicion of a member of
+// the own zone is verified at once.
+func (s *State) hear(r *record, st Standing, now time.Time) {
+	if st.Liveness() == LivenessDead {
+		st = NewStanding(st.Counter(), LivenessSuspect)
+		if !st.Newer(r.standing) {
+			return
+		}
+	}
+	s.believe(r, st, now)
+	if p, _ := r.place(); st.Liveness() == LivenessSuspect && p.Zone == s.id.Zone {
+		s.verify = append(s.verify, r.key)
 	}
 }
 
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -38,6 +38,7 @@
 	events    []MemberChanged
 	nextProbe time.Time
 	windowAt  int
+	verify    []uint64
 }
 
 // NewState returns the state of an entry that knows only itself and the
@@ -164,11 +165,24 @@
 	s.notePause(now)
 	s.publish(now)
 	s.expire(now)
-	if now.Before(s.nextProbe) {
-		return s.step(nil, nil)
+	probes := s.verifications()
+	if !now.Before(s.nextProbe) {
+		s.nextProbe = now.Add(s.period())
+		probes = append(probes, s.nextProbes(now)...)
 	}
-	s.nextProbe = now.Add(s.period())
-	return s.step(s.nextProbes(now), nil)
+	return s.step(probes, nil)
+}
+
+// verifications returns probes of the members that others suspect.
+func (s *State) verifications() []Probe {
+	var probes []Probe
+	for _, key := range s.verify {
+		if r, ok := s.records[key]; ok && r.standing.Liveness() == LivenessSuspect {
+			probes = append(probes, s.probeOf(r))
+		}
+	}
+	s.verify = nil
+	return probes
 }
 
 // period returns the time between two probes, which grows with the members so
