Ownership: one heartbeat a second also to an upstream without tasks

Cause: the first renewal was recognized by a sequence number of 0, which an agent without tasks keeps returning, so each such upstream got a heartbeat after every 0 to 1 s; with 910 upstreams the limit of open calls starved others. Change: a flag in place of the number.

--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -377,7 +377,7 @@
 	}
 	s.check.Assert(o.Epoch > u.highest, cacheck.RuleEpochGrows,
 		"%s granted epoch %d after %d", u.id, o.Epoch, u.highest)
-	u.highest, u.epoch, u.sequence = o.Epoch, o.Epoch, 0
+	u.highest, u.epoch, u.sequence, u.renewed = o.Epoch, o.Epoch, 0, false
 	s.renew(u, a.Call.Sent)
 	u.phase, u.next = phaseOwned, now
 	switch {
@@ -413,11 +413,10 @@
 		return
 	}
 	s.renew(u, a.Call.Sent)
-	first := u.sequence == 0
 	u.sequence = a.Heartbeat.Sequence
 	u.next = a.Call.Sent.Add(s.cfg.Period)
-	if first {
-		u.next = a.Call.Sent.Add(u.spread)
+	if !u.renewed {
+		u.renewed, u.next = true, a.Call.Sent.Add(u.spread)
 	}
 	if len(a.Heartbeat.Changed) > 0 {
 		s.emit(u, Event{Kind: EventKindTasksChanged, Epoch: u.epoch, Tasks: a.Heartbeat.Changed})
--- a/internal/coord/caowner/state_test.go
+++ b/internal/coord/caowner/state_test.go
@@ -304,7 +304,7 @@
 			if c.Kind == caowner.CallKindClaim {
 				f.grant(now, c)
 			} else {
-				f.renew(now, c)
+				f.HandleAnswer(at(now), caowner.Answer{Call: c})
 			}
 		}
 		f.epoch += 1000
--- a/internal/coord/caowner/upstream.go
+++ b/internal/coord/caowner/upstream.go
@@ -38,7 +38,11 @@
 	highest  caplatform.Epoch
 	until    time.Time
 	sequence int64
-	spread   time.Duration
+	// renewed tells that the lease was renewed since the claim. The second
+	// renewal comes after spread, so that those of many upstreams do not
+	// coincide.
+	renewed bool
+	spread  time.Duration
 
 	unlisted     bool
 	failing      time.Time
