Ownership: an entry that reaches few upstreams gives up all

Cause: the list of unreachable upstreams told to others is cut off at 16, so the rest had no owner while an entry was cut from all agents but not from its peers; an upstream that answered late was used up to 10 s after it did. Change: a longer list is told as all; a check each 3 s in place of 10 s. Measurement: go test -run ReachesNothing ./internal/coord/caowner; it fails without the change. Conclusion: kept by a test.

--- a/internal/coord/caowner/config.go
+++ b/internal/coord/caowner/config.go
@@ -59,7 +59,7 @@
 		CallRetry:        100 * time.Millisecond,
 		MaxRetry:         5 * time.Second,
 		UnreachableAfter: 4 * time.Second,
-		UnreachableProbe: 10 * time.Second,
+		UnreachableProbe: 3 * time.Second,
 		Concurrency:      64,
 		MaxUnreachable:   16,
 	}
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -143,7 +143,7 @@
 	var all, able []cawork.VMID
 	for _, e := range s.entries {
 		all = append(all, e.VM)
-		reaches := !slices.Contains(e.Unreachable, u.id)
+		reaches := !slices.Contains(e.Unreachable, u.id) && !slices.Contains(e.Unreachable, AllUpstreams)
 		if e.VM == s.self {
 			reaches = !u.unreachable
 		}
@@ -195,15 +195,22 @@
 	return owned
 }
 
+// AllUpstreams stands for all upstreams in a list of unreachable ones that
+// would be too long.
+const AllUpstreams cawork.UpstreamID = "*"
+
 // Unreachable returns the upstreams that this entry leaves to others, which
 // the others must be told.
 func (s *State) Unreachable() []cawork.UpstreamID {
 	var ids []cawork.UpstreamID
 	for _, id := range s.ids {
-		if s.upstreams[id].unreachable && len(ids) < s.cfg.MaxUnreachable {
+		if s.upstreams[id].unreachable {
 			ids = append(ids, id)
 		}
 	}
+	if len(ids) > s.cfg.MaxUnreachable {
+		return []cawork.UpstreamID{AllUpstreams}
+	}
 	return ids
 }
 
--- a/internal/coord/caowner/state_test.go
+++ b/internal/coord/caowner/state_test.go
@@ -282,15 +282,39 @@
 		t.Errorf("unreachable after %v, want between 4 and 15 s of failures", now-settled)
 	}
 	f.SetEntries(at(now), []caowner.Entry{{VM: "e1", Since: start}, {VM: "e2", Since: start}})
-	c := f.one(now+10*time.Second, caowner.CallKindProbe)
-	f.fail(now+10*time.Second, c, cakind.KindUnknown)
-	c = f.one(now+20*time.Second, caowner.CallKindProbe)
-	f.HandleAnswer(at(now+20*time.Second), caowner.Answer{Call: c})
+	c := f.one(now+3*time.Second, caowner.CallKindProbe)
+	f.fail(now+3*time.Second, c, cakind.KindUnknown)
+	c = f.one(now+6*time.Second, caowner.CallKindProbe)
+	f.HandleAnswer(at(now+6*time.Second), caowner.Answer{Call: c})
 	if got := f.Unreachable(); len(got) > 0 {
 		t.Errorf("unreachable after an answer: %v", got)
 	}
 }
 
+func TestEntryThatReachesNothingLeavesAllToOthers(t *testing.T) {
+	var names []string
+	for i := range 17 {
+		names = append(names, fmt.Sprintf("u%d", i))
+	}
+	f := newFixture(t, names...)
+	for now := settled; now < 20*time.Second; now += 50 * time.Millisecond {
+		for _, c := range f.Tick(at(now)) {
+			f.fail(now, c, cakind.KindUnknown)
+		}
+	}
+	told := f.Unreachable()
+	if diff := cmp.Diff([]cawork.UpstreamID{caowner.AllUpstreams}, told); diff != "" {
+		t.Fatalf("unreachable mismatch (-want +got):\n%s", diff)
+	}
+	g := newFixture(t, "u")
+	first := caowner.Entry{VM: preferred(g), Since: start}
+	g.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}, first})
+	g.none(settled)
+	first.Unreachable = told
+	g.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}, first})
+	g.one(settled, caowner.CallKindClaim)
+}
+
 func TestHeartbeatsAreSpreadAndBounded(t *testing.T) {
 	var names []string
 	for i := range 910 {
