Membership: relayed probes end by themselves; application states are put together once

Cause: a relay trusted its caller's deadline, which drpc does not carry, and Members decoded all states on each call. Change: a timeout in HandleProbe; the state of a member is kept per version; counters of events; what is assumed of an agent is written down. Measurement: none for speed; go test ./internal/coord/... passes. Conclusion: the fake no longer adds a deadline of its own.

--- a/internal/coord/cafault/network_test.go
+++ b/internal/coord/cafault/network_test.go
@@ -189,9 +189,7 @@
 func (p peers) ProbeVia(ctx context.Context, address string, target camember.ProbeTarget) error {
 	p.net.count(target)
 	_, err := carry(ctx, p.net, p.address, address, func() (struct{}, error) {
-		limited, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
-		defer cancel()
-		return struct{}{}, p.net.part(address).HandleProbe(limited, target)
+		return struct{}{}, p.net.part(address).HandleProbe(context.Background(), target)
 	})
 	return err
 }
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -93,6 +93,7 @@
 func (p *Part) Subscribe() *cafeed.Subscription[MemberChanged] { return p.feed.Subscribe() }
 
 // Members returns all known members ordered by VM id, the own entry included.
+// The slices in their application state are shared and must not be changed.
 func (p *Part) Members() []Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,7 +170,9 @@
 
 // HandleProbe probes the target on behalf of another entry.
 func (p *Part) HandleProbe(ctx context.Context, target ProbeTarget) error {
-	reply, err := p.deps.Peers.Exchange(ctx, target.Address, ExchangeRequest{From: p.id.VM})
+	limited, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
+	defer cancel()
+	reply, err := p.deps.Peers.Exchange(limited, target.Address, ExchangeRequest{From: p.id.VM})
 	if err != nil {
 		return err
 	}
@@ -233,6 +236,7 @@
 // subscribers see the order of the core.
 func (p *Part) publish(events []MemberChanged) {
 	for _, e := range events {
+		p.deps.Scope.Counter(e.Cause.String()).Inc(1)
 		if e.Cause == CauseApp {
 			continue
 		}
--- a/internal/coord/camember/record.go
+++ b/internal/coord/camember/record.go
@@ -23,6 +23,9 @@
 	sections    []Section
 	version     uint64
 
+	decoded   AppState
+	decodedAt uint64
+
 	touched uint64
 	since   time.Time
 	joined  time.Time
@@ -77,8 +80,16 @@
 	}
 }
 
-// app returns the application state in the sections.
+// app returns the application state in the sections, which is put together once
+// for each version.
 func (r *record) app() AppState {
+	if r.decodedAt != r.version {
+		r.decoded, r.decodedAt = r.decode(), r.version
+	}
+	return r.decoded
+}
+
+func (r *record) decode() AppState {
 	var a AppState
 	for _, s := range r.sections {
 		s.addTo(&a)
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -123,6 +123,7 @@
 }
 
 // Members returns all known members ordered by VM id, the own entry included.
+// The slices in their application state are shared and must not be changed.
 func (s *State) Members() []Member {
 	members := make([]Member, 0, len(s.records))
 	for _, r := range s.records {
--- a/internal/coord/caowner/part.go
+++ b/internal/coord/caowner/part.go
@@ -131,6 +131,7 @@
 	call(p.deps.Timers.Now())
 	events := p.state.TakeEvents()
 	for _, e := range events {
+		p.deps.Scope.Counter(e.Kind.String()).Inc(1)
 		p.log(e)
 	}
 	p.feed.Publish(events...)
