Fault runs: the VM list names the entries too

With an empty list nothing could bring them together; the expectation was wrong, as entries find one another from settings and the platform's list. Change: the list of the fault runs names all entries, whether they run or not.

--- a/internal/coord/cafault/ownership_test.go
+++ b/internal/coord/cafault/ownership_test.go
@@ -120,6 +120,7 @@
 
 func runFaults(t *testing.T, seed uint64) {
 	w := newWorld(seed, zones, entriesPerZone, upstreamsPerZone)
+	w.listEntries()
 	for i := range w.processes {
 		w.start(i, w.drift())
 	}
--- a/internal/coord/cafault/world_test.go
+++ b/internal/coord/cafault/world_test.go
@@ -87,6 +87,18 @@
 	})
 }
 
+// listEntries puts all entries into the VM list, which does not tell whether
+// they run.
+func (w *world) listEntries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.addresses {
+		w.vms = append(w.vms, caplatform.VM{
+			ID: cawork.VMID(a), Role: caplatform.VMRoleEntry, Zone: cawork.ZoneName("z" + a[1:2]), Address: a,
+		})
+	}
+}
+
 // List is the VM list of the platform.
 func (w *world) List(context.Context) ([]caplatform.VM, error) {
 	w.mu.Lock()
