Debts of lowered limits, abandoned backups, yields that fail

Change: a debt that lasts is claimed from all partners, also from what they use, which moves the excess there; a yield ends with the next view; a backup drops a view that stays unregistered for three times the silence.

--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -168,8 +168,23 @@
 // Send debits the account and returns the transfer to send, again and again
 // until it is acknowledged.
 func (a *Account) Send(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
-	if err := a.checkSend(to, team, amount); err != nil {
-		return Transfer{}, err
+	return a.send(to, team, amount, a.Available(team))
+}
+
+// SendOwed is Send for a shard in debt. It may take what is charged here, which
+// moves the debt to this shard: its Excess is then to be stopped.
+func (a *Account) SendOwed(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
+	return a.send(to, team, amount, a.Held(team))
+}
+
+func (a *Account) send(to cawork.ShardID, team cawork.TeamName, amount, from cawork.Resources) (Transfer, error) {
+	switch {
+	case to == a.Shard || amount.IsNegative() || amount.IsZero():
+		return Transfer{}, cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
+	case a.Closed[to]:
+		return Transfer{}, cakind.New(cakind.KindConflict, "shard %s is closed", to)
+	case !within(amount, from):
+		return Transfer{}, cakind.New(cakind.KindLimitReached, "team %s: transfer of %v exceeds %v", team, amount, from)
 	}
 	b := a.balance(team)
 	c := b.Sent[to]
@@ -178,20 +193,6 @@
 	return a.transfer(to, team, c), nil
 }
 
-func (a *Account) checkSend(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) error {
-	if to == a.Shard || amount.IsNegative() || amount.IsZero() {
-		return cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
-	}
-	if a.Closed[to] {
-		return cakind.New(cakind.KindConflict, "shard %s is closed", to)
-	}
-	if !within(amount, a.Available(team)) {
-		return cakind.New(cakind.KindLimitReached,
-			"team %s: transfer of %v exceeds allowance %v", team, amount, a.Available(team))
-	}
-	return nil
-}
-
 // Receive credits a transfer and reports whether it was new. A transfer of a
 // closed shard is refused with KindConflict.
 func (a *Account) Receive(t Transfer) (bool, error) {
--- a/internal/coord/caescrow/amount.go
+++ b/internal/coord/caescrow/amount.go
@@ -38,3 +38,8 @@
 		Accelerators: r.Accelerators / n,
 	}
 }
+
+// splitUp returns the amount divided by n, rounded up.
+func splitUp(r cawork.Resources, n int64) cawork.Resources {
+	return split(r.Plus(cawork.Resources{CPU: cawork.MilliCPU(n - 1), Memory: cawork.Bytes(n - 1), Accelerators: n - 1}), n)
+}
--- a/internal/coord/caescrow/planner.go
+++ b/internal/coord/caescrow/planner.go
@@ -21,11 +21,17 @@
 	Rest time.Duration
 	// Partners bounds the partners that are asked in one round.
 	Partners int
+	// DebtGrace is how long a debt may last before it is claimed from all
+	// partners, also from what they use.
+	DebtGrace time.Duration
 }
 
 // DefaultPolicy returns the policy for a fleet of a few dozen entries.
 func DefaultPolicy() Policy {
-	return Policy{Headroom: 0.25, KeepFraction: 1.0 / 32, Period: 100 * time.Millisecond, Rest: time.Second, Partners: 3}
+	return Policy{
+		Headroom: 0.25, KeepFraction: 1.0 / 32, Period: 100 * time.Millisecond,
+		Rest: time.Second, Partners: 3, DebtGrace: time.Second,
+	}
 }
 
 // Need is what the queued work of a team would take if it could start now,
@@ -61,6 +67,8 @@
 	To     cawork.ShardID
 	Team   cawork.TeamName
 	Amount cawork.Resources
+	// Owed claims the amount for a debt, also from what is charged.
+	Owed bool
 }
 
 type round struct {
@@ -76,6 +84,7 @@
 	policy Policy
 	asked  map[cawork.TeamName]time.Time
 	rests  map[round]time.Time
+	debts  map[cawork.TeamName]time.Time
 }
 
 // NewPlanner returns a planner for the shard.
@@ -83,6 +92,7 @@
 	return &Planner{
 		shard: shard, zone: zone, policy: p,
 		asked: map[cawork.TeamName]time.Time{}, rests: map[round]time.Time{},
+		debts: map[cawork.TeamName]time.Time{},
 	}
 }
 
@@ -93,16 +103,49 @@
 func (p *Planner) Asks(now time.Time, a *Account, needs []Need, partners []Partner) []Ask {
 	var out []Ask
 	for _, n := range withDebts(a, needs) {
+		debt, overdue := p.debt(now, a, n.Team)
 		missing := positive(n.Amount.Minus(a.Available(n.Team)))
 		if missing.IsZero() || now.Sub(p.asked[n.Team]) < p.policy.Period {
 			continue
 		}
 		p.asked[n.Team] = now
+		if overdue {
+			out = append(out, p.claim(n.Team, debt, partners)...)
+			continue
+		}
 		out = append(out, p.askFor(now, n.Team, p.withHeadroom(missing), partners)...)
 	}
 	return out
 }
 
+// debt returns what the team owes here, and whether it has for too long.
+func (p *Planner) debt(now time.Time, a *Account, team cawork.TeamName) (cawork.Resources, bool) {
+	debt := a.Excess(team)
+	if debt.IsZero() {
+		delete(p.debts, team)
+		return debt, false
+	}
+	since, ok := p.debts[team]
+	if !ok {
+		p.debts[team] = now
+		return debt, false
+	}
+	return debt, now.Sub(since) >= p.policy.DebtGrace
+}
+
+// claim asks every partner for its part of a debt.
+func (p *Planner) claim(team cawork.TeamName, debt cawork.Resources, partners []Partner) []Ask {
+	var out []Ask
+	others := slices.DeleteFunc(slices.Clone(partners), func(q Partner) bool { return q.Shard == p.shard })
+	for _, q := range others {
+		out = append(out, Ask{
+			From: p.shard, Zone: p.zone, To: q.Shard, Team: team,
+			Amount: splitUp(debt, int64(len(others))), Owed: true,
+		})
+	}
+	return out
+}
+
 // withDebts adds a need of nothing for each team in debt, so that the debt
 // itself is asked for.
 func withDebts(a *Account, needs []Need) []Need {
@@ -185,6 +228,9 @@
 	if ask.To != p.shard || ask.From == p.shard || a.Closed[ask.From] {
 		return cawork.Resources{}
 	}
+	if ask.Owed {
+		return smaller(positive(a.Held(ask.Team)), positive(ask.Amount))
+	}
 	spare := a.Available(ask.Team)
 	if within(need.Least, spare) || ask.From > p.shard {
 		spare = spare.Minus(need.Amount)
--- a/internal/coord/caescrow/planner_test.go
+++ b/internal/coord/caescrow/planner_test.go
@@ -221,8 +221,15 @@
 	_ = a.SetMint(MintShare{Team: team, Version: 1, Amount: cores(10)})
 	_ = a.Charge(team, cores(10))
 	_ = a.SetMint(MintShare{Team: team, Version: 2, Amount: cores(2)})
-	asks := NewPlanner("1", "a", DefaultPolicy()).Asks(time.Unix(100, 0), a, nil, []Partner{{Shard: "2", Zone: "a"}})
-	want := []Ask{{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(10)}}
+	planner := NewPlanner("1", "a", DefaultPolicy())
+	partners := []Partner{{Shard: "2", Zone: "a"}, {Shard: "3", Zone: "b"}}
+	asks := planner.Asks(time.Unix(100, 0), a, nil, partners[:1])
+	asks = append(asks, planner.Asks(time.Unix(101, 0), a, nil, partners)...)
+	want := []Ask{
+		{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(10)},
+		{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(4), Owed: true},
+		{From: "1", Zone: "a", To: "3", Team: team, Amount: cores(4), Owed: true},
+	}
 	if diff := cmp.Diff(want, asks); diff != "" {
 		t.Errorf("asks (-want +got):\n%s", diff)
 	}
@@ -230,3 +237,25 @@
 		t.Errorf("excess (-want +got):\n%s", diff)
 	}
 }
+
+// TestDebtIsPaidByWhoUsesTheAllowance covers a limit that is lowered while
+// other shards use all of it and never have any to spare.
+func TestDebtIsPaidByWhoUsesTheAllowance(t *testing.T) {
+	debtor, user := NewAccount("1"), NewAccount("2")
+	_ = debtor.SetMint(MintShare{Team: team, Version: 1, Amount: cores(10)})
+	tr, _ := debtor.Send("2", team, cores(10))
+	_, _ = user.Receive(tr)
+	_ = user.Charge(team, cores(10))
+	_ = debtor.SetMint(MintShare{Team: team, Version: 2, Amount: cores(4)})
+	ask := Ask{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(6), Owed: true}
+	given := NewPlanner("2", "a", DefaultPolicy()).Grant(user, ask, Need{Team: team, Amount: cores(50)})
+	back, err := user.SendOwed("1", team, given)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = debtor.Receive(back)
+	got := []cawork.Resources{debtor.Excess(team), user.Excess(team)}
+	if diff := cmp.Diff([]cawork.Resources{{}, cores(6)}, got); diff != "" {
+		t.Errorf("excess of debtor and user (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coord/cashard/arbiter_test.go
+++ b/internal/coord/cashard/arbiter_test.go
@@ -82,7 +82,7 @@
 			}
 			killed := w.nodes[run%2]
 			killed.kill()
-			gap := w.gap("s-e0")
+			gap := w.gap("s-e0-0")
 			if run%2 == 0 {
 				primary = append(primary, gap)
 			} else {
--- a/internal/coord/cashard/backup.go
+++ b/internal/coord/cashard/backup.go
@@ -17,6 +17,8 @@
 	lastHeard time.Time
 	lastTick  time.Time
 	yielded   bool
+	// settled reports that the view was registered at its witness.
+	settled bool
 	// swapping reports that a swap to the next view may take effect at any
 	// time, so that nothing may be acknowledged to the primary any more.
 	swapping bool
@@ -27,6 +29,10 @@
 // backupVerdict tells what a step made of the backup.
 type backupVerdict int
 
+// abandonedAfter is how many times the silence of a takeover a backup waits
+// for a view to be registered, before it makes room for another primary.
+const abandonedAfter = 3
+
 const (
 	backupStays backupVerdict = iota
 	backupPromoted
@@ -51,6 +57,7 @@
 	b.follow(req.View)
 	b.lastHeard = now
 	b.yielded = req.Yield
+	b.settled = req.Settled
 	b.take(req)
 	return b.reply(ReplyOK), nil
 }
@@ -147,6 +154,8 @@
 		return backupStays
 	case held.Primary != b.view.Primary && held.Number > 0, held.Number > b.view.Number:
 		return backupDropped
+	case !b.settled && now.Sub(b.lastHeard) > abandonedAfter*b.cfg.backupSilence():
+		return backupDropped
 	default:
 		return backupStays
 	}
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -57,7 +57,8 @@
 	p.advance(now, out)
 }
 
-// leave ends the lead of a shard that retires or is handed to its backup.
+// leave ends the lead of a shard that retires or is handed to its backup. If
+// that backup is lost before it takes over, another view ends the attempt.
 func (p *primary) leave(out *effects) {
 	if !p.draining || !p.isSettled() || p.committed != p.log.last() {
 		return
@@ -138,7 +139,7 @@
 func (p *primary) decide(now time.Time) {
 	v := p.target()
 	switch {
-	case p.yielding:
+	case p.yielding && !p.isLost(now, p.peer(v.Backup), time.Time{}):
 		return
 	case p.isAlone():
 		p.decideBackup(now, v.WithWitness(p.chooseWitness(now, v.Witness)))
@@ -298,6 +299,7 @@
 	if len(p.possible) == 1 {
 		p.change = nil
 		p.settled = c.view
+		p.yielding = false
 		out.events = append(out.events, Event{Type: EventViewChanged, Shard: c.view.Shard, View: c.view})
 		return
 	}
--- a/internal/coord/cashard/driver_test.go
+++ b/internal/coord/cashard/driver_test.go
@@ -25,9 +25,12 @@
 // ledger is what the test knows from outside: which jobs callers were told
 // are accepted, how often tasks ran, and the violations seen.
 type ledger struct {
-	lmu        sync.Mutex
-	accepted   map[cawork.JobID]cawork.ShardID
-	starts     map[cawork.TaskRef]int
+	lmu      sync.Mutex
+	accepted map[cawork.JobID]cawork.ShardID
+	starts   map[cawork.TaskRef]int
+	once     map[cawork.JobID]bool
+	// highest is the highest limit that was ever in force.
+	highest    cawork.Resources
 	ended      map[cawork.JobID]cawork.Outcome
 	violations []string
 	takeovers  int
@@ -35,7 +38,10 @@
 }
 
 func newLedger() ledger {
-	return ledger{accepted: map[cawork.JobID]cawork.ShardID{}, starts: map[cawork.TaskRef]int{}, ended: map[cawork.JobID]cawork.Outcome{}}
+	return ledger{
+		accepted: map[cawork.JobID]cawork.ShardID{}, starts: map[cawork.TaskRef]int{},
+		once: map[cawork.JobID]bool{}, ended: map[cawork.JobID]cawork.Outcome{},
+	}
 }
 
 func (l *ledger) violate(format string, args ...any) {
@@ -67,12 +73,27 @@
 			h.mu.Lock()
 		}
 	}
-	if !total.Fits(w.limit) {
-		w.violate("team runs %v above its limit %v", total, w.limit)
-	}
 	w.lmu.Lock()
-	defer w.lmu.Unlock()
 	w.starts[s.Task]++
+	starts, once, highest := w.starts[s.Task], w.once[s.Task.Job], w.highest
+	w.lmu.Unlock()
+	if !total.Fits(highest) {
+		w.violate("team runs %v above its limit %v", total, highest)
+	}
+	if once && starts > 1 {
+		w.violate("task %v is not idempotent and started %d times", s.Task, starts)
+	}
+}
+
+// running returns what the team runs at all upstreams.
+func (w *world) running() cawork.Resources {
+	var sum cawork.Resources
+	for _, h := range w.hosts {
+		for _, t := range h.running() {
+			sum = sum.Plus(t.Size)
+		}
+	}
+	return sum
 }
 
 // ShardEvent implements cashard.Listener.
@@ -121,32 +142,149 @@
 	if n.w.chance(0.3) {
 		n.submit(ctx, s.Shard)
 	}
-	jobs, attempts, transfers := n.look(s.Shard)
-	for _, a := range attempts {
-		n.follow(ctx, s.Shard, a)
+	l := n.look(s.Shard)
+	n.mint(ctx, s.Shard, l.mintVersion)
+	for _, a := range l.attempts {
+		n.follow(ctx, s.Shard, a, !l.excess.IsZero())
 	}
-	for _, j := range jobs {
+	for _, j := range l.jobs {
 		n.schedule(ctx, s.Shard, j)
 	}
-	for _, t := range transfers {
+	for _, t := range l.transfers {
 		n.transfer(ctx, t)
 	}
-	if n.w.chance(0.1) {
-		n.give(ctx, s.Shard)
+	for _, h := range l.handovers {
+		n.handOver(ctx, s.Shard, h)
+	}
+	for _, a := range l.asks {
+		n.ask(ctx, a)
 	}
 }
 
-func (n *node) look(s cawork.ShardID) (jobs []cajob.Job, attempts []cajob.Attempt, transfers []caescrow.Transfer) {
+// shardLook is what the driver reads of a shard in each period.
+type shardLook struct {
+	jobs        []cajob.Job
+	attempts    []cajob.Attempt
+	transfers   []caescrow.Transfer
+	handovers   []cajob.Handover
+	asks        []caescrow.Ask
+	excess      cawork.Resources
+	mintVersion int64
+}
+
+func (n *node) look(s cawork.ShardID) shardLook {
+	var l shardLook
 	n.part.Read(s, func(m cashard.StateMachine) {
 		state := m.(*cajob.State)
 		if err := state.Verify(); err != nil {
 			n.w.violate("shard %s: %v", s, err)
 		}
-		jobs, attempts, transfers = state.OpenJobs(), state.OpenAttempts(), state.Account().Unacknowledged()
+		a := state.Account()
+		l = shardLook{
+			jobs: state.OpenJobs(), attempts: state.OpenAttempts(), transfers: a.Unacknowledged(),
+			handovers: state.Handovers(), excess: a.Excess(team),
+		}
+		if b, ok := a.Teams[team]; ok {
+			l.mintVersion = b.Mint.Version
+		}
+		l.asks = n.planner(s).Asks(n.timer.Now(), a, []caescrow.Need{need(l.jobs)}, n.partners())
 	})
-	slices.SortFunc(jobs, func(a, b cajob.Job) int { return compareIDs(a.Job.ID, b.Job.ID) })
-	slices.SortFunc(attempts, func(a, b cajob.Attempt) int { return compareIDs(a.ID, b.ID) })
-	return jobs, attempts, transfers
+	slices.SortFunc(l.jobs, func(a, b cajob.Job) int { return compareIDs(a.Job.ID, b.Job.ID) })
+	slices.SortFunc(l.attempts, func(a, b cajob.Attempt) int { return compareIDs(a.ID, b.ID) })
+	return l
+}
+
+func need(jobs []cajob.Job) caescrow.Need {
+	n := caescrow.Need{Team: team, Least: taskSize}
+	for _, j := range jobs {
+		for i := range j.Tasks {
+			if j.NeedsStart(i) {
+				n.Amount = n.Amount.Plus(taskSize)
+			}
+		}
+	}
+	return n
+}
+
+func (n *node) planner(s cawork.ShardID) *caescrow.Planner {
+	if _, ok := n.planners[s]; !ok {
+		n.planners[s] = caescrow.NewPlanner(s, "z", caescrow.DefaultPolicy())
+	}
+	return n.planners[s]
+}
+
+// partners names all shards, without reports of what is idle there.
+func (n *node) partners() []caescrow.Partner {
+	var out []caescrow.Partner
+	for _, other := range n.w.all() {
+		out = append(out, caescrow.Partner{Shard: other.shard(), Zone: "z"})
+	}
+	return out
+}
+
+func (w *world) anyNode() *node {
+	nodes := w.all()
+	return nodes[w.intn(len(nodes))]
+}
+
+// mints reports whether the shard of the node mints a part of the limit.
+func (n *node) mints() bool { return n.member.Incarnation == 0 }
+
+// mint brings the mint of a first shard to the version in force.
+func (n *node) mint(ctx context.Context, s cawork.ShardID, version int64) {
+	n.w.lmu.Lock()
+	minted := n.w.minted
+	n.w.lmu.Unlock()
+	if version < minted.Version && (version > 0 || n.mints() && s == n.shard()) {
+		_ = n.append(ctx, s, cajob.Record{Type: cajob.RecordMintSet, MintSet: &minted})
+	}
+}
+
+// ask asks whoever leads a shard for allowance.
+func (n *node) ask(ctx context.Context, a caescrow.Ask) {
+	given, err := toLeader(ctx, n, a.To, func(other *node) (cawork.Resources, error) {
+		var given cawork.Resources
+		other.part.Read(a.To, func(m cashard.StateMachine) {
+			state := m.(*cajob.State)
+			given = other.planner(a.To).Grant(state.Account(), a, need(state.OpenJobs()))
+		})
+		if given.IsZero() {
+			return given, nil
+		}
+		sent := &cajob.AllowanceSent{To: a.From, Team: team, Amount: given, Owed: a.Owed}
+		return given, other.append(ctx, a.To, cajob.Record{Type: cajob.RecordAllowanceSent, AllowanceSent: sent})
+	})
+	if err == nil {
+		n.part.Read(a.From, func(cashard.StateMachine) { n.planner(a.From).Answered(n.timer.Now(), a, given) })
+	}
+}
+
+// toLeader carries a call to a node that may act for the shard.
+func toLeader[T any](ctx context.Context, n *node, s cawork.ShardID, serve func(*node) (T, error)) (T, error) {
+	for _, other := range n.w.all() {
+		if _, ok := other.part.MayAct(s); !ok || other.isDead() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		return exchange(ctx, n.w, n.name(), other.name(), func() (T, error) {
+			other.gate()
+			return serve(other)
+		})
+	}
+	var none T
+	return none, cakind.New(cakind.KindUnavailable, "shard %s is not led", s)
+}
+
+// handOver carries a job to another shard until that has accepted it.
+func (n *node) handOver(ctx context.Context, s cawork.ShardID, h cajob.Handover) {
+	_, err := toLeader(ctx, n, h.To, func(other *node) (bool, error) {
+		return true, other.append(ctx, h.To, cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &h.Accepted})
+	})
+	if err == nil || cakind.Of(err) == cakind.KindConflict {
+		acked := &cajob.HandoverAcked{Job: h.Accepted.Job.ID}
+		_ = n.append(ctx, s, cajob.Record{Type: cajob.RecordHandoverAcked, HandoverAcked: acked})
+	}
 }
 
 // recover fences every upstream once after a takeover and settles what the
@@ -191,9 +329,16 @@
 	n.w.next++
 	id := cawork.JobID(fmt.Sprintf("j%d", n.w.next))
 	n.w.lmu.Unlock()
+	kind := cawork.WorkKindBatch
+	if n.w.chance(0.2) {
+		kind = cawork.WorkKindGang
+	}
 	job := cawork.Job{ID: id, Team: team, Spec: cawork.JobSpec{
-		Kind: cawork.WorkKindBatch, Tasks: 1 + n.w.intn(2), Size: taskSize, Idempotent: n.w.chance(0.5), MaxAttempts: 3,
+		Kind: kind, Tasks: 1 + n.w.intn(2), Size: taskSize, Idempotent: n.w.chance(0.5), MaxAttempts: 3,
 	}}
+	n.w.lmu.Lock()
+	n.w.once[id] = !job.Spec.Idempotent
+	n.w.lmu.Unlock()
 	err := n.append(ctx, s, cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &cajob.JobAccepted{Job: job}})
 	n.w.lmu.Lock()
 	defer n.w.lmu.Unlock()
@@ -210,11 +355,20 @@
 		}
 		return
 	}
+	if n.w.chance(0.05) && !j.HasOpenAttempt() {
+		over := &cajob.HandedOver{Job: j.Job.ID, To: n.w.anyNode().shard()}
+		_ = n.append(ctx, s, cajob.Record{Type: cajob.RecordHandedOver, HandedOver: over})
+		return
+	}
+	var starting []cawork.TaskRef
 	for i := range j.Tasks {
 		if j.NeedsStart(i) {
-			n.startTask(ctx, s, cawork.TaskRef{Job: j.Job.ID, Index: i})
+			starting = append(starting, cawork.TaskRef{Job: j.Job.ID, Index: i})
 		}
 	}
+	if len(starting) > 0 {
+		n.startTasks(ctx, s, starting)
+	}
 }
 
 // checkEnded asserts that the outcome is true.
@@ -229,36 +383,44 @@
 	}
 }
 
-func (n *node) startTask(ctx context.Context, s cawork.ShardID, task cawork.TaskRef) {
-	h := n.w.hosts[n.w.intn(len(n.w.hosts))]
-	n.w.lmu.Lock()
-	n.w.next++
-	id := cawork.AttemptID(fmt.Sprintf("%v-a%d", task, n.w.next))
-	n.w.lmu.Unlock()
-	intent := cajob.Intent{Attempt: id, Task: task, Upstream: h.id, Charge: taskSize}
-	err := n.append(ctx, s, cajob.Record{
-		Type: cajob.RecordAttemptsIntended, AttemptsIntended: &cajob.AttemptsIntended{Attempts: []cajob.Intent{intent}},
-	})
-	if err != nil {
+// startTasks records the attempts of some tasks of a job and sends them.
+func (n *node) startTasks(ctx context.Context, s cawork.ShardID, tasks []cawork.TaskRef) {
+	r := &cajob.AttemptsIntended{}
+	for _, task := range tasks {
+		n.w.lmu.Lock()
+		n.w.next++
+		id := cawork.AttemptID(fmt.Sprintf("%v-a%d", task, n.w.next))
+		n.w.lmu.Unlock()
+		u := n.w.hosts[n.w.intn(len(n.w.hosts))].id
+		r.Attempts = append(r.Attempts, cajob.Intent{Attempt: id, Task: task, Upstream: u, Charge: taskSize})
+	}
+	if n.append(ctx, s, cajob.Record{Type: cajob.RecordAttemptsIntended, AttemptsIntended: r}) != nil {
 		return
 	}
+	for _, i := range r.Attempts {
+		n.start(ctx, s, i)
+	}
+}
+
+func (n *node) start(ctx context.Context, s cawork.ShardID, i cajob.Intent) {
 	view, ok := n.part.MayAct(s)
 	if !ok {
 		return
 	}
-	start := caplatform.Start{Shard: s, View: view, Attempt: id, Task: task, Team: team, Size: taskSize}
-	_, err = call(ctx, n, h, func() (caplatform.TaskStatus, error) { return h.start(start) })
+	h := n.w.host(i.Upstream)
+	start := caplatform.Start{Shard: s, View: view, Attempt: i.Attempt, Task: i.Task, Team: team, Size: taskSize}
+	_, err := call(ctx, n, h, func() (caplatform.TaskStatus, error) { return h.start(start) })
 	if cakind.Of(err) == cakind.KindFenced {
-		n.settle(ctx, s, caplatform.TaskStatus{Attempt: id, State: cawork.TaskStateFenced})
+		n.settle(ctx, s, caplatform.TaskStatus{Attempt: i.Attempt, State: cawork.TaskStateFenced})
 	}
 }
 
 // follow asks for the state of an open attempt. One that is absent may still
-// arrive, and is fenced first.
-func (n *node) follow(ctx context.Context, s cawork.ShardID, a cajob.Attempt) {
+// arrive, and is fenced first. One in excess of the limit is stopped.
+func (n *node) follow(ctx context.Context, s cawork.ShardID, a cajob.Attempt, excess bool) {
 	h := n.w.host(a.Upstream)
 	t, err := call(ctx, n, h, func() (caplatform.TaskStatus, error) { return h.status(a.ID) })
-	if err == nil && t.State == cawork.TaskStateAbsent {
+	if err == nil && (t.State == cawork.TaskStateAbsent || excess && !t.State.Ended()) {
 		stop := caplatform.Start{Shard: s, Attempt: a.ID, Task: a.Task}
 		t, err = call(ctx, n, h, func() (caplatform.TaskStatus, error) { return h.stop(stop) })
 	}
@@ -272,32 +434,19 @@
 	_ = n.append(ctx, s, cajob.Record{Type: cajob.RecordAttemptSettled, AttemptSettled: &settled})
 }
 
-// give sends some allowance to another shard.
-func (n *node) give(ctx context.Context, s cawork.ShardID) {
-	to := n.w.nodes[n.w.intn(len(n.w.nodes))].shard()
-	sent := &cajob.AllowanceSent{To: to, Team: team, Amount: taskSize}
-	_ = n.append(ctx, s, cajob.Record{Type: cajob.RecordAllowanceSent, AllowanceSent: sent})
+func (n *node) shard() cawork.ShardID {
+	return cawork.ShardID(fmt.Sprintf("s-%s-%d", n.name(), n.member.Incarnation))
 }
 
-func (n *node) shard() cawork.ShardID { return cawork.ShardID("s-" + n.name()) }
-
 // transfer carries a transfer to whoever leads the receiving shard.
 func (n *node) transfer(ctx context.Context, t caescrow.Transfer) {
-	for _, other := range n.w.nodes {
-		if _, ok := other.part.MayAct(t.To); !ok || other.isDead() {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-		_, err := exchange(callCtx, n.w, n.name(), other.name(), func() (bool, error) {
-			other.gate()
-			return true, other.append(ctx, t.To, cajob.Record{Type: cajob.RecordAllowanceReceived, AllowanceReceived: &t})
-		})
-		cancel()
-		if err == nil {
-			acked := &cajob.AllowanceAcked{To: t.To, Team: t.Team, Number: t.Number}
-			_ = n.append(ctx, t.From, cajob.Record{Type: cajob.RecordAllowanceAcked, AllowanceAcked: acked})
-		}
-		return
+	_, err := toLeader(ctx, n, t.To, func(other *node) (bool, error) {
+		received := cajob.Record{Type: cajob.RecordAllowanceReceived, AllowanceReceived: &t}
+		return true, other.append(ctx, t.To, received)
+	})
+	if err == nil {
+		acked := &cajob.AllowanceAcked{To: t.To, Team: t.Team, Number: t.Number}
+		_ = n.append(ctx, t.From, cajob.Record{Type: cajob.RecordAllowanceAcked, AllowanceAcked: acked})
 	}
 }
 
--- a/internal/coord/cashard/faults_test.go
+++ b/internal/coord/cashard/faults_test.go
@@ -63,6 +63,12 @@
 	if diff := cmp.Diff([]string(nil), w.lost()); diff != "" && lossless {
 		t.Errorf("lost jobs (-want +got):\n%s", diff)
 	}
+	if diff := cmp.Diff([]string(nil), w.stuck()); diff != "" && lossless {
+		t.Errorf("shards that are not led once, with a copy (-want +got):\n%s", diff)
+	}
+	if running := w.running(); !running.Fits(w.limit) {
+		t.Errorf("team still runs %v above its lowered limit %v", running, w.limit)
+	}
 	if len(w.accepted) == 0 {
 		t.Error("no job was accepted")
 	}
@@ -70,28 +76,19 @@
 
 // open starts the nodes and upstreams and mints the limit among the shards.
 func (w *world) open(ctx context.Context, nodes, hosts int) {
-	var candidates []cashard.Candidate
-	var witnesses []cawork.UpstreamID
 	for i := range hosts {
 		w.hosts = append(w.hosts, newHost(w, i))
-		witnesses = append(witnesses, w.hosts[i].id)
 	}
 	for i := range nodes {
-		n := w.addNode(ctx, i, 0.995+0.01*float64(w.intn(101))/100)
-		candidates = append(candidates, cashard.Candidate{Member: n.member, Zone: "z"})
+		w.addNode(ctx, cashard.Member{VM: cawork.VMID(fmt.Sprintf("e%d", i))})
 	}
-	share := taskSize.Times(3)
-	w.limit = share.Times(int64(nodes))
-	for i, n := range w.nodes {
-		n.part.SetCandidates(append(append([]cashard.Candidate(nil), candidates[i:]...), candidates[:i]...))
-		n.part.SetWitnesses(append(append([]cawork.UpstreamID(nil), witnesses[i%hosts:]...), witnesses[:i%hosts]...))
+	w.announce()
+	w.setLimit(3)
+	for _, n := range w.nodes {
 		if err := n.part.Open(n.shard()); err != nil {
 			w.t.Fatal(err)
 		}
-		mint := &caescrow.MintShare{Team: team, Version: 1, Amount: share}
-		if err := n.append(ctx, n.shard(), cajob.Record{Type: cajob.RecordMintSet, MintSet: mint}); err != nil {
-			w.t.Fatal(err)
-		}
+		n.mint(ctx, n.shard(), 0)
 		if !w.idle {
 			go n.drive(ctx)
 		}
@@ -99,6 +96,24 @@
 	time.Sleep(time.Second)
 }
 
+// setLimit sets the limit to so many tasks for each of the first shards. What
+// was started below an earlier limit may go on until it is stopped.
+func (w *world) setLimit(tasks int64) {
+	w.lmu.Lock()
+	defer w.lmu.Unlock()
+	shards := 0
+	for _, n := range w.nodes {
+		if n.mints() {
+			shards++
+		}
+	}
+	w.minted = caescrow.MintShare{Team: team, Version: w.minted.Version + 1, Amount: taskSize.Times(tasks)}
+	w.limit = w.minted.Amount.Times(int64(shards))
+	if !w.limit.Fits(w.highest) {
+		w.highest = w.limit
+	}
+}
+
 // disturb brings about faults for the length of a run, at most two at once,
 // and reports whether none of them may lose a job: a kill is only allowed
 // while every shard has a copy on two live nodes.
@@ -106,11 +121,13 @@
 	w.lossy = float64(w.intn(4)) * 0.03
 	lossless := true
 	end := time.Now().Add(runLength)
+	time.AfterFunc(runLength/3, func() { w.setLimit(4) })
+	time.AfterFunc(2*runLength/3, func() { w.setLimit(2) })
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(500+w.intn(3000)) * time.Millisecond)
-		undo := w.fault(&lossless)
+		undo := w.fault(ctx, &lossless)
 		time.Sleep(time.Duration(w.intn(2500)) * time.Millisecond)
-		undoOther := w.fault(&lossless)
+		undoOther := w.fault(ctx, &lossless)
 		time.Sleep(time.Duration(500+w.intn(6000)) * time.Millisecond)
 		undo()
 		undoOther()
@@ -119,21 +136,29 @@
 }
 
 // fault brings about one random fault and returns how to undo it.
-func (w *world) fault(lossless *bool) func() {
-	n := w.nodes[w.intn(len(w.nodes))]
+func (w *world) fault(ctx context.Context, lossless *bool) func() {
+	n := w.anyNode()
 	h := w.hosts[w.intn(len(w.hosts))]
-	switch w.intn(6) {
+	switch w.intn(8) {
 	case 0:
+		n.part.Yield(n.shard())
+		return func() {}
+	case 1:
+		if n.isDead() {
+			w.restart(ctx, n)
+		}
+		return func() {}
+	case 2:
 		n.pause()
 		return n.resume
-	case 1:
-		other := w.nodes[w.intn(len(w.nodes))]
+	case 3:
+		other := w.anyNode()
 		return w.cutLinks(link{n.name(), other.name()})
-	case 2:
+	case 4:
 		return w.cutLinks(w.linksOf(n.name())...)
-	case 3:
+	case 5:
 		return w.cutLinks(link{n.name(), string(h.id)}, link{string(h.id), n.name()})
-	case 4:
+	case 6:
 		return h.stopAnswering()
 	default:
 		w.killOne(n, lossless)
@@ -243,14 +268,35 @@
 		}
 		for _, s := range n.part.Statuses() {
 			n.part.Read(s.Shard, func(m cashard.StateMachine) {
-				_, ok := m.(*cajob.State).Job(id)
-				known = known || ok
+				j, ok := m.(*cajob.State).Job(id)
+				known = known || ok && !j.HandoverAcked
 			})
 		}
 	}
 	return known
 }
 
+// stuck returns the shards that do not have exactly one leader, or whose
+// leader found no backup.
+func (w *world) stuck() []string {
+	var out []string
+	for _, n := range w.nodes {
+		leaders := w.leaders(n.shard())
+		if len(leaders) != 1 {
+			out = append(out, fmt.Sprintf("%s led by %v", n.shard(), leaders))
+		}
+		for _, s := range n.part.Statuses() {
+			if !n.isDead() && s.Primary && s.Degraded && w.live() > 1 {
+				out = append(out, fmt.Sprintf("%+v", s))
+			}
+		}
+	}
+	if len(out) > 0 {
+		w.t.Log(w.describe())
+	}
+	return out
+}
+
 func (w *world) describe() string {
 	var b strings.Builder
 	for _, n := range w.nodes {
--- a/internal/coord/cashard/message.go
+++ b/internal/coord/cashard/message.go
@@ -22,6 +22,8 @@
 	// Release asks the receiver to drop its replica; View is then the view
 	// that goes on without it.
 	Release bool
+	// Settled tells that View is registered at its witness.
+	Settled bool
 	// Yield tells that the primary has stopped for good, so that the receiver
 	// may take over at once.
 	Yield bool
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -236,6 +236,7 @@
 		return ReplicateRequest{To: q.member, View: p.releaseView(), Release: true}, nil
 	}
 	req := ReplicateRequest{To: q.member, View: p.viewFor(q), Yield: p.yielding, First: q.acked + 1}
+	req.Settled = req.View == p.settled
 	records, ok := p.log.after(q.acked, p.cfg.BatchRecords)
 	if q.known && ok {
 		req.Records = records
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -65,13 +65,13 @@
 // backup could still take over at the old witness: two primaries followed.
 func TestBackupAndWitnessAreNotReplacedTogether(t *testing.T) {
 	inWorld(t, 4, 3, func(_ context.Context, t *testing.T, w *world) {
-		old := w.nodes[0].view("s-e0")
+		old := w.nodes[0].view("s-e0-0")
 		backup, witness := string(old.Backup.VM), string(old.Witness)
 		w.cutLinks(link{"e0", backup}, link{backup, "e0"}, link{"e0", witness}, link{witness, "e0"})
 		time.Sleep(6 * time.Second)
 		w.nodes[0].kill()
 		time.Sleep(20 * time.Second)
-		if diff := cmp.Diff([]string{backup}, w.leaders("s-e0")); diff != "" {
+		if diff := cmp.Diff([]string{backup}, w.leaders("s-e0-0")); diff != "" {
 			t.Errorf("leaders (-want +got):\n%s", diff)
 		}
 	})
@@ -79,23 +79,23 @@
 
 func TestLossOfTheWitnessStopsNothing(t *testing.T) {
 	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
-		old := w.nodes[0].view("s-e0")
+		old := w.nodes[0].view("s-e0-0")
 		w.host(old.Witness).stopAnswering()
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
-			if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0")); diff != "" {
+			if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0-0")); diff != "" {
 				t.Fatalf("leaders (-want +got):\n%s", diff)
 			}
 		}
-		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
 			t.Error(err)
 		}
-		if w.nodes[0].view("s-e0").Witness == old.Witness {
+		if w.nodes[0].view("s-e0-0").Witness == old.Witness {
 			t.Error("the witness was not replaced")
 		}
 		w.nodes[0].kill()
 		time.Sleep(10 * time.Second)
-		if diff := cmp.Diff([]string{string(old.Backup.VM)}, w.leaders("s-e0")); diff != "" {
+		if diff := cmp.Diff([]string{string(old.Backup.VM)}, w.leaders("s-e0-0")); diff != "" {
 			t.Errorf("leaders after a further loss (-want +got):\n%s", diff)
 		}
 	})
@@ -103,16 +103,16 @@
 
 func TestYieldNeedsNoSilence(t *testing.T) {
 	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
-		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
 			t.Fatal(err)
 		}
-		backup := w.nodes[0].view("s-e0").Backup
-		w.nodes[0].part.Yield("s-e0")
-		if diff := cmp.Diff(cakind.KindDraining, cakind.Of(w.nodes[0].accept(ctx, "s-e0", "late"))); diff != "" {
+		backup := w.nodes[0].view("s-e0-0").Backup
+		w.nodes[0].part.Yield("s-e0-0")
+		if diff := cmp.Diff(cakind.KindDraining, cakind.Of(w.nodes[0].accept(ctx, "s-e0-0", "late"))); diff != "" {
 			t.Errorf("kind while yielding (-want +got):\n%s", diff)
 		}
 		time.Sleep(time.Second)
-		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0-0")); diff != "" {
 			t.Errorf("leaders (-want +got):\n%s", diff)
 		}
 		if !w.isKnown("j") {
@@ -121,12 +121,30 @@
 	})
 }
 
+// TestYieldToABackupThatDies covers a primary that stopped for good in favor
+// of a backup that never took over: the shard was led by nobody.
+func TestYieldToABackupThatDies(t *testing.T) {
+	inWorld(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
+		backup := w.nodes[0].view("s-e0-0").Backup
+		for _, n := range w.nodes {
+			if n.member == backup {
+				n.kill()
+			}
+		}
+		w.nodes[0].part.Yield("s-e0-0")
+		time.Sleep(20 * time.Second)
+		if diff := cmp.Diff(1, len(w.leaders("s-e0-0"))); diff != "" {
+			t.Errorf("number of leaders (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestRetiredShardIsLedByNobody(t *testing.T) {
 	inWorld(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
-		w.nodes[0].part.Retire("s-e0")
+		w.nodes[0].part.Retire("s-e0-0")
 		time.Sleep(20 * time.Second)
 		for _, n := range w.nodes {
-			if diff := cmp.Diff(cashard.View{}, n.view("s-e0")); diff != "" {
+			if diff := cmp.Diff(cashard.View{}, n.view("s-e0-0")); diff != "" {
 				t.Errorf("%s still has a replica (-want +got):\n%s", n.name(), diff)
 			}
 		}
@@ -135,12 +153,12 @@
 
 func TestLoneEntryRunsSoloAndSaysSo(t *testing.T) {
 	inWorld(t, 1, 1, func(ctx context.Context, t *testing.T, w *world) {
-		if err := w.nodes[0].accept(ctx, "s-e0", "j"); err != nil {
+		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
 			t.Fatal(err)
 		}
 		got := w.nodes[0].part.Statuses()
 		want := []cashard.Status{{
-			Shard: "s-e0", View: cashard.View{Shard: "s-e0", Number: 1, Primary: w.nodes[0].member, Witness: "u0"},
+			Shard: "s-e0-0", View: cashard.View{Shard: "s-e0-0", Number: 1, Primary: w.nodes[0].member, Witness: "u0"},
 			Primary: true, Since: 1, MayAct: true, Degraded: true, Index: 2,
 		}}
 		if diff := cmp.Diff(want, got); diff != "" {
@@ -152,18 +170,18 @@
 // TestPausedPrimaryMayNotAct wakes a primary after its shard was taken over.
 func TestPausedPrimaryMayNotAct(t *testing.T) {
 	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
-		backup := w.nodes[0].view("s-e0").Backup
+		backup := w.nodes[0].view("s-e0-0").Backup
 		w.nodes[0].pause()
 		time.Sleep(4 * time.Second)
-		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0-0")); diff != "" {
 			t.Errorf("leaders (-want +got):\n%s", diff)
 		}
 		w.nodes[0].resume()
-		if diff := cmp.Diff(cakind.KindNotStarted, cakind.Of(w.nodes[0].accept(ctx, "s-e0", "j"))); diff != "" {
+		if diff := cmp.Diff(cakind.KindNotStarted, cakind.Of(w.nodes[0].accept(ctx, "s-e0-0", "j"))); diff != "" {
 			t.Errorf("kind at the old primary (-want +got):\n%s", diff)
 		}
 		time.Sleep(3 * time.Second)
-		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0")); diff != "" {
+		if diff := cmp.Diff([]string{string(backup.VM)}, w.leaders("s-e0-0")); diff != "" {
 			t.Errorf("leaders later (-want +got):\n%s", diff)
 		}
 	})
--- a/internal/coord/cashard/world_test.go
+++ b/internal/coord/cashard/world_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -29,9 +30,11 @@
 	rng   *rand.Rand
 	cut   map[link]bool
 	lossy float64
-	nodes []*node
-	hosts []*host
-	limit cawork.Resources
+	// minted is the mint of each of the first shards, by version.
+	minted caescrow.MintShare
+	nodes  []*node
+	hosts  []*host
+	limit  cawork.Resources
 	// idle leaves out the drivers, for runs without work.
 	idle bool
 	// arbiter replaces the registers of upstreams by the platform's log.
@@ -52,6 +55,8 @@
 	paused chan struct{}
 	dead   bool
 	fenced map[cawork.ShardID]int64
+	// planners ask for allowance for the shards that the node leads.
+	planners map[cawork.ShardID]*caescrow.Planner
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -117,7 +122,7 @@
 // Replicate implements cashard.Peers.
 func (n *node) Replicate(ctx context.Context, to cawork.VMID, req cashard.ReplicateRequest) (cashard.ReplicateReply, error) {
 	return exchange(ctx, n.w, n.name(), string(to), func() (cashard.ReplicateReply, error) {
-		for _, other := range n.w.nodes {
+		for _, other := range n.w.all() {
 			if other.member.VM == to && !other.isDead() {
 				return other.part.HandleReplicate(ctx, req)
 			}
@@ -201,10 +206,10 @@
 }
 
 // addNode starts an entry with its own shard, whose clock runs at the rate.
-func (w *world) addNode(ctx context.Context, i int, rate float64) *node {
+func (w *world) addNode(ctx context.Context, m cashard.Member) *node {
 	n := &node{
-		w: w, member: cashard.Member{VM: cawork.VMID(fmt.Sprintf("e%d", i)), Incarnation: 1},
-		timer: catimer.NewDriftingService(rate), fenced: map[cawork.ShardID]int64{},
+		w: w, member: m, timer: catimer.NewDriftingService(0.995 + 0.01*float64(w.intn(101))/100),
+		fenced: map[cawork.ShardID]int64{}, planners: map[cawork.ShardID]*caescrow.Planner{},
 	}
 	part, err := cashard.NewPart(cashard.Options{
 		Self: n.member, Zone: "z", Config: cashard.DefaultConfig(), Peers: n, Witnesses: n, Listener: n,
@@ -220,6 +225,46 @@
 	n.part = part
 	ctx, n.cancel = context.WithCancel(ctx)
 	go func() { _ = part.Run(ctx) }()
+	w.mu.Lock()
 	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
 	return n
 }
+
+// all returns the nodes that were ever started.
+func (w *world) all() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.nodes)
+}
+
+// announce tells every live node about the others.
+func (w *world) announce() {
+	for i, n := range w.nodes {
+		var candidates []cashard.Candidate
+		for k := range w.nodes {
+			if other := w.nodes[(i+k)%len(w.nodes)]; !other.isDead() {
+				candidates = append(candidates, cashard.Candidate{Member: other.member, Zone: "z"})
+			}
+		}
+		n.part.SetCandidates(candidates)
+		var witnesses []cawork.UpstreamID
+		for k := range w.hosts {
+			witnesses = append(witnesses, w.hosts[(i+k)%len(w.hosts)].id)
+		}
+		n.part.SetWitnesses(witnesses)
+	}
+}
+
+// restart starts a killed entry again, as another incarnation with a shard of
+// its own and no memory.
+func (w *world) restart(ctx context.Context, n *node) {
+	m := n.member
+	m.Incarnation = int64(len(w.nodes))
+	fresh := w.addNode(ctx, m)
+	w.announce()
+	if err := fresh.part.Open(fresh.shard()); err != nil {
+		w.t.Fatal(err)
+	}
+	go fresh.drive(ctx)
+}
