Rebuild a shard from an image of the log

Cause: a shard whose primary and backup are both lost must come back when the log has it. Measured: TestRebuildAfterBothAreLost: of two that try after both losses one leads; one that tries while the backup lives is refused. Conclusion: rebuilding needs the register of the last witness to answer.

--- a/internal/coord/calog/entry.go
+++ b/internal/coord/calog/entry.go
@@ -21,6 +21,8 @@
 	EntryRecord EntryType = iota
 	// EntrySnapshot holds the state of a shard after the record of the index.
 	EntrySnapshot
+	// EntryView holds the view that the shard settled on.
+	EntryView
 	// EntryRetired notes that the shard is empty and led by nobody.
 	EntryRetired
 )
--- a/internal/coord/calog/entrytype_names.go
+++ b/internal/coord/calog/entrytype_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EntryTypeName = "recordsnapshotretired"
+const _EntryTypeName = "recordsnapshotviewretired"
 
-var _EntryTypeIndex = [...]uint8{0, 6, 14, 21}
+var _EntryTypeIndex = [...]uint8{0, 6, 14, 18, 25}
 
-const _EntryTypeLowerName = "recordsnapshotretired"
+const _EntryTypeLowerName = "recordsnapshotviewretired"
 
 func (i EntryType) String() string {
 	if i < 0 || i >= EntryType(len(_EntryTypeIndex)-1) {
@@ -26,27 +26,31 @@
 	var x [1]struct{}
 	_ = x[EntryRecord-(0)]
 	_ = x[EntrySnapshot-(1)]
-	_ = x[EntryRetired-(2)]
+	_ = x[EntryView-(2)]
+	_ = x[EntryRetired-(3)]
 }
 
-var _EntryTypeValues = []EntryType{EntryRecord, EntrySnapshot, EntryRetired}
+var _EntryTypeValues = []EntryType{EntryRecord, EntrySnapshot, EntryView, EntryRetired}
 
 var _EntryTypeNameToValueMap = map[string]EntryType{
 	_EntryTypeName[0:6]:   EntryRecord,
 	_EntryTypeName[6:14]:  EntrySnapshot,
-	_EntryTypeName[14:21]: EntryRetired,
+	_EntryTypeName[14:18]: EntryView,
+	_EntryTypeName[18:25]: EntryRetired,
 }
 
 var _EntryTypeLowerNameToValueMap = map[string]EntryType{
 	_EntryTypeLowerName[0:6]:   EntryRecord,
 	_EntryTypeLowerName[6:14]:  EntrySnapshot,
-	_EntryTypeLowerName[14:21]: EntryRetired,
+	_EntryTypeLowerName[14:18]: EntryView,
+	_EntryTypeLowerName[18:25]: EntryRetired,
 }
 
 var _EntryTypeNames = []string{
 	_EntryTypeName[0:6],
 	_EntryTypeName[6:14],
-	_EntryTypeName[14:21],
+	_EntryTypeName[14:18],
+	_EntryTypeName[18:25],
 }
 
 // EntryTypeString retrieves an enum value from the enum constants string name.
--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -9,6 +9,8 @@
 	Shard cawork.ShardID
 	// View is the highest view number that was seen.
 	View int64
+	// ViewBody is the body of the last entry of type EntryView.
+	ViewBody []byte
 	// Base is the index of the last record that State includes.
 	Base    int64
 	State   []byte
@@ -58,6 +60,10 @@
 		if e.Index == i.Last()+1 {
 			i.Records = append(i.Records, e.Body)
 		}
+	case EntryView:
+		if e.View >= i.View {
+			i.ViewBody = e.Body
+		}
 	case EntrySnapshot:
 		i.rebase(e)
 	case EntryRetired:
--- a/internal/coord/calog/writer.go
+++ b/internal/coord/calog/writer.go
@@ -22,10 +22,11 @@
 // readPage is the number of records read at once when an append is settled.
 const readPage = 500
 
-// Snapshots returns the state of a shard that is led here as an entry of type
-// EntrySnapshot, false when it is not led here. Its ID is set by the writer.
+// Snapshots returns what a reader needs of a shard that is led here when all
+// older entries are gone: an EntryView and an EntrySnapshot. It returns false
+// when the shard is not led here. The writer sets the IDs.
 type Snapshots interface {
-	ShardSnapshot(s cawork.ShardID) (Entry, bool)
+	ShardSnapshot(s cawork.ShardID) ([]Entry, bool)
 }
 
 // Options are what a Writer needs.
@@ -126,7 +127,7 @@
 	now := w.opts.Timer.Now()
 	kept := w.buffer[:0]
 	for _, e := range w.buffer {
-		if _, led := w.due[e.Shard]; led && e.Type != EntryRetired {
+		if _, led := w.due[e.Shard]; led && e.Type == EntryRecord {
 			w.due[e.Shard] = now
 			continue
 		}
@@ -170,12 +171,14 @@
 // addSnapshots queues the snapshots that are due.
 func (w *Writer) addSnapshots() {
 	for _, s := range w.dueShards() {
-		e, ok := w.opts.Snapshots.ShardSnapshot(s)
+		entries, ok := w.opts.Snapshots.ShardSnapshot(s)
 		if !ok {
 			w.Forget(s)
 			continue
 		}
-		w.Add(e)
+		for _, e := range entries {
+			w.Add(e)
+		}
 	}
 }
 
--- a/internal/coord/cashard/export_test.go
+++ b/internal/coord/cashard/export_test.go
@@ -1,4 +1,28 @@
 package cashard
 
+import (
+	"fmt"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
 // SetGate installs a function that is called before each step of the part.
 func (p *Part) SetGate(gate func()) { p.gate = gate }
+
+// Internals describes the primary of a shard for the message of a failure.
+func (p *Part) Internals(s cawork.ShardID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return ""
+	}
+	out := fmt.Sprintf("possible %+v settled %d change %+v", r.primary.possible, r.primary.settled.Number, r.primary.change)
+	for u, reg := range r.primary.registers {
+		out += fmt.Sprintf("\n    %s %+v", u, *reg)
+	}
+	for m, q := range r.primary.peers {
+		out += fmt.Sprintf("\n    %v %+v", m, *q)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coord/cashard/rebuild.go
@@ -0,0 +1,129 @@
+package cashard
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Image is what the platform's log tells of a shard whose members are lost.
+type Image struct {
+	View     View
+	Snapshot Snapshot
+	// Records are those after the snapshot.
+	Records [][]byte
+}
+
+// rebuildHops bounds the witness registers that are followed from one to the
+// next.
+const rebuildHops = 4
+
+// Rebuild makes this member lead a shard whose primary and backup are both
+// lost, from an image of the log. isGone tells whether a member has ended and
+// will never run again; a silent one is not gone. The register that the views
+// lead to decides between several members that rebuild.
+//
+// The caller then fences every upstream of the zone, as after a takeover, and
+// starts nothing until all have answered. KindConflict means that the shard
+// is, or may be, led by somebody else. Records that the log lacks are lost.
+func (p *Part) Rebuild(ctx context.Context, image Image, isGone func(Member) bool) error {
+	if p.leads(image.View) {
+		return cakind.New(cakind.KindConflict, "shard %s has a replica here", image.View.Shard)
+	}
+	machine := p.opts.NewMachine(image.View.Shard)
+	last, err := restore(machine, image)
+	if err != nil {
+		return err
+	}
+	held, register, err := p.lastView(ctx, image.View)
+	if err != nil {
+		return err
+	}
+	if !isGone(held.Primary) || !held.IsSolo() && !isGone(held.Backup) {
+		return cakind.New(cakind.KindConflict, "shard %s: a member of view %d may run", held.Shard, held.Number)
+	}
+	next := held.WithNumber(held.Number + 1).WithPrimary(p.opts.Self).WithBackup(Member{})
+	if err := p.claim(ctx, next, register); err != nil {
+		return err
+	}
+	return p.lead(next, machine, last)
+}
+
+func (p *Part) leads(v View) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[v.Shard]
+	return ok && (r.primary != nil || r.backup != nil)
+}
+
+// restore brings a state machine to the end of the image.
+func restore(m StateMachine, image Image) (int64, error) {
+	if image.Snapshot.State != nil {
+		if err := m.Restore(image.Snapshot.State); err != nil {
+			return 0, err
+		}
+	}
+	for _, r := range image.Records {
+		_ = m.Apply(r)
+	}
+	return image.Snapshot.Index + int64(len(image.Records)), nil
+}
+
+// lastView follows the witness registers from the view of the log to the last
+// view that they tell of.
+func (p *Part) lastView(ctx context.Context, v View) (View, caplatform.Register, error) {
+	for range rebuildHops {
+		register, err := p.opts.Witnesses.ReadRegister(ctx, v.Witness, RegisterName(v.Shard))
+		if err != nil {
+			return View{}, register, err
+		}
+		held, err := DecodeView(register.Value)
+		switch {
+		case err != nil:
+			return View{}, register, err
+		case held.Number == 0 && v.IsSolo():
+			return v, register, nil
+		case held.Number < v.Number:
+			return View{}, register, cakind.New(cakind.KindConflict,
+				"register at %s holds view %d of shard %s, the log view %d", v.Witness, held.Number, v.Shard, v.Number)
+		case held.Witness == v.Witness:
+			return held, register, nil
+		}
+		v = held
+	}
+	return View{}, caplatform.Register{}, cakind.New(cakind.KindConflict, "shard %s: no last view found", v.Shard)
+}
+
+// claim writes the next view to the register, and reads it again when the
+// answer is lost.
+func (p *Part) claim(ctx context.Context, next View, held caplatform.Register) error {
+	swap, err := newSwap(next, held.Version)
+	if err != nil {
+		return err
+	}
+	got, err := p.opts.Witnesses.SwapRegister(ctx, next.Witness, *swap)
+	if err != nil {
+		got, err = p.opts.Witnesses.ReadRegister(ctx, next.Witness, swap.Name)
+	}
+	if err != nil {
+		return err
+	}
+	if v, err := DecodeView(got.Value); err != nil || v != next {
+		return cakind.New(cakind.KindConflict, "shard %s was claimed by somebody else", next.Shard)
+	}
+	return nil
+}
+
+// lead makes this member the primary of a claimed view.
+func (p *Part) lead(v View, m StateMachine, last int64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replica(v.Shard)
+	if r.primary != nil || r.backup != nil {
+		return cakind.New(cakind.KindConflict, "shard %s has a replica here", v.Shard)
+	}
+	now := p.opts.Timer.Now()
+	p.step(r, func(out *effects) { r.assume(now, v, m, last, out) })
+	return nil
+}
--- a/internal/coord/cashard/replica.go
+++ b/internal/coord/cashard/replica.go
@@ -168,12 +168,16 @@
 // promote makes the backup the primary of the view that it registered.
 func (r *replica) promote(now time.Time, out *effects) {
 	b := r.backup
-	v := b.next()
-	p := newPrimary(r.self, r.zone, r.cfg, v, b.machine, b.last)
+	r.backup = nil
+	r.assume(now, b.next(), b.machine, b.last, out)
+}
+
+// assume makes the member the primary of a view that it has registered.
+func (r *replica) assume(now time.Time, v View, m StateMachine, last int64, out *effects) {
+	p := newPrimary(r.self, r.zone, r.cfg, v, m, last)
 	reg := p.registerAt(v.Witness)
 	reg.sent = true
 	reg.confirmed = true
-	r.backup = nil
 	r.primary = p
 	out.events = append(out.events, Event{Type: EventTakenOver, Shard: r.shard, View: v})
 	p.advance(now, out)
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,3 +187,44 @@
 		}
 	})
 }
+
+// TestRebuildAfterBothAreLost leads a shard again from an image of the log,
+// by one of two members that try, and not while a member may still run.
+func TestRebuildAfterBothAreLost(t *testing.T) {
+	inWorld(t, 4, 3, func(ctx context.Context, t *testing.T, w *world) {
+		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
+			t.Fatal(err)
+		}
+		view, snapshot, err := w.nodes[0].part.Snapshot("s-e0-0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		image := cashard.Image{View: view, Snapshot: snapshot}
+		w.nodes[0].kill()
+		isGone := func(m cashard.Member) bool {
+			return slices.ContainsFunc(w.nodes, func(n *node) bool { return n.member == m && n.isDead() })
+		}
+		early := w.nodes[2].part.Rebuild(ctx, image, isGone)
+		w.nodes[1].kill()
+		errs := []error{early}
+		for _, n := range w.nodes[2:] {
+			errs = append(errs, n.part.Rebuild(ctx, image, isGone))
+		}
+		var got []cakind.Kind
+		for _, err := range errs {
+			if err != nil {
+				got = append(got, cakind.Of(err))
+			}
+		}
+		if diff := cmp.Diff([]cakind.Kind{cakind.KindConflict, cakind.KindConflict}, got); diff != "" {
+			t.Errorf("kinds of the refusals (-want +got):\n%s", diff)
+		}
+		time.Sleep(5 * time.Second)
+		if diff := cmp.Diff([]string{"e2"}, w.leaders("s-e0-0")); diff != "" {
+			t.Errorf("leaders (-want +got):\n%s", diff)
+		}
+		if !w.isKnown("j") {
+			t.Error("the accepted job is lost")
+		}
+	})
+}
