A deterministic test that a rise waits for debts

Change: Account.IsMintSettled holds the condition; TestRiseWaitsForDebts covers it directly. Measured: without the condition TestRiseWaitsForDebts fails, with it it passes.

--- a/internal/coord/caescrow/account_test.go
+++ b/internal/coord/caescrow/account_test.go
@@ -69,7 +69,7 @@
 func (f *fleet) redivide(t *rapid.T, parts []int64, version int64) {
 	settled := true
 	for _, a := range f.accounts {
-		settled = settled && a.balance(team).Mint.Version == version && a.Excess(team).IsZero()
+		settled = settled && a.IsMintSettled(team, version)
 	}
 	i := rapid.IntRange(0, len(f.accounts)-1).Draw(t, "minting")
 	b := f.accounts[i].balance(team)
--- a/internal/coord/caescrow/mint.go
+++ b/internal/coord/caescrow/mint.go
@@ -37,9 +37,9 @@
 // NextMint returns the share to mint on the way from the current share to the
 // wanted one. When the zones among which the limit is divided have changed,
 // some zones rise while others fall; a rise then waits until the sum cannot
-// exceed the limit. settledByAll reports that every minting shard has applied
-// exactly the version of wanted and has no Excess: a shard that fell may have
-// sent what it no longer mints, and it is used until the debt is paid.
+// exceed the limit. settledByAll reports that IsMintSettled holds at every
+// minting shard for the version of wanted: a shard that fell may have sent
+// what it no longer mints, and that is used until the debt is paid.
 func NextMint(current, wanted MintShare, zonesChanged, settledByAll bool) MintShare {
 	if !zonesChanged || settledByAll {
 		return wanted
@@ -49,6 +49,13 @@
 	return next
 }
 
+// IsMintSettled reports whether the account has applied exactly the version
+// and owes nothing, so that other zones may rise as far as it is concerned.
+func (a *Account) IsMintSettled(team cawork.TeamName, version int64) bool {
+	b, ok := a.Teams[team]
+	return ok && b.Mint.Version == version && a.Excess(team).IsZero()
+}
+
 // Claim asks for the mint of a zone. Claims are read from the platform's log.
 type Claim struct {
 	Zone       cawork.ZoneName
--- a/internal/coord/caescrow/mint_test.go
+++ b/internal/coord/caescrow/mint_test.go
@@ -59,3 +59,24 @@
 		t.Errorf("shares (-want +got):\n%s", diff)
 	}
 }
+
+// TestRiseWaitsForDebts moves the whole part of a zone that has sent it away.
+func TestRiseWaitsForDebts(t *testing.T) {
+	falling, rising := NewAccount("a"), NewAccount("b")
+	_ = falling.SetMint(MintShare{Team: team, Version: 1, Amount: cores(12)})
+	_ = rising.SetMint(MintShare{Team: team, Version: 1})
+	tr, _ := falling.Send("b", team, cores(12))
+	_, _ = rising.Receive(tr)
+	_ = rising.Charge(team, cores(12))
+	_ = falling.SetMint(MintShare{Team: team, Version: 2})
+	wanted := MintShare{Team: team, Version: 2, Amount: cores(12)}
+	rise := func() cawork.Resources {
+		return NextMint(rising.balance(team).Mint, wanted, true, falling.IsMintSettled(team, 2)).Amount
+	}
+	inDebt := rise()
+	back, _ := rising.SendOwed("a", team, cores(12))
+	_, _ = falling.Receive(back)
+	if diff := cmp.Diff([]cawork.Resources{{}, cores(12)}, []cawork.Resources{inDebt, rise()}); diff != "" {
+		t.Errorf("rises before and after the debt is paid (-want +got):\n%s", diff)
+	}
+}
