Debts are paid only from what is no longer charged

Cause: a claim that took charged allowance let the debtor start work with what it got too much while the user still ran its own. Change: SendOwed is gone; a claim is noted by the planner, withheld from new starts (Startable), stopped for (Excess) and given once it is free. The property tests of accounts run 1000 checks by default. Conclusion: only available allowance ever moves.

--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -113,7 +113,7 @@
 }
 
 // Excess returns by how much the charges of the team exceed what the shard
-// holds. The scheduler checkpoints or stops that much.
+// holds: its debt. Planner.Excess adds what other shards claim.
 func (a *Account) Excess(team cawork.TeamName) cawork.Resources {
 	return positive(cawork.Resources{}.Minus(a.Available(team)))
 }
@@ -166,25 +166,17 @@
 }
 
 // Send debits the account and returns the transfer to send, again and again
-// until it is acknowledged.
+// until it is acknowledged. Only what is available is ever sent: what a task
+// is charged for must not be credited elsewhere while the task runs.
 func (a *Account) Send(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
-	return a.send(to, team, amount, a.Available(team))
-}
-
-// SendOwed is Send for a shard in debt. It may take what is charged here, which
-// moves the debt to this shard: its Excess is then to be stopped.
-func (a *Account) SendOwed(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
-	return a.send(to, team, amount, a.Held(team))
-}
-
-func (a *Account) send(to cawork.ShardID, team cawork.TeamName, amount, from cawork.Resources) (Transfer, error) {
 	switch {
 	case to == a.Shard || amount.IsNegative() || amount.IsZero():
 		return Transfer{}, cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
 	case a.Closed[to]:
 		return Transfer{}, cakind.New(cakind.KindConflict, "shard %s is closed", to)
-	case !within(amount, from):
-		return Transfer{}, cakind.New(cakind.KindLimitReached, "team %s: transfer of %v exceeds %v", team, amount, from)
+	case !within(amount, a.Available(team)):
+		return Transfer{}, cakind.New(cakind.KindLimitReached,
+			"team %s: transfer of %v exceeds allowance %v", team, amount, a.Available(team))
 	}
 	b := a.balance(team)
 	c := b.Sent[to]
--- a/internal/coord/caescrow/account_test.go
+++ b/internal/coord/caescrow/account_test.go
@@ -14,12 +14,16 @@
 
 const team cawork.TeamName = "t"
 
-// TestMain fixes the seed of the property tests unless one is given.
+// TestMain fixes the seed and the number of checks of the property tests
+// unless they are given.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20240601")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1000")
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/coord/caescrow/mint_test.go
+++ b/internal/coord/caescrow/mint_test.go
@@ -74,7 +74,8 @@
 		return NextMint(rising.balance(team).Mint, wanted, true, falling.IsMintSettled(team, 2)).Amount
 	}
 	inDebt := rise()
-	back, _ := rising.SendOwed("a", team, cores(12))
+	_ = rising.Free(team, cores(12))
+	back, _ := rising.Send("a", team, cores(12))
 	_, _ = falling.Receive(back)
 	if diff := cmp.Diff([]cawork.Resources{{}, cores(12)}, []cawork.Resources{inDebt, rise()}); diff != "" {
 		t.Errorf("rises before and after the debt is paid (-want +got):\n%s", diff)
--- a/internal/coord/caescrow/planner.go
+++ b/internal/coord/caescrow/planner.go
@@ -24,13 +24,15 @@
 	// DebtGrace is how long a debt may last before it is claimed from all
 	// partners, also from what they use.
 	DebtGrace time.Duration
+	// ClaimTTL is how long a claim holds unless it is repeated.
+	ClaimTTL time.Duration
 }
 
 // DefaultPolicy returns the policy for a fleet of a few dozen entries.
 func DefaultPolicy() Policy {
 	return Policy{
 		Headroom: 0.25, KeepFraction: 1.0 / 32, Period: 100 * time.Millisecond,
-		Rest: time.Second, Partners: 3, DebtGrace: time.Second,
+		Rest: time.Second, Partners: 3, DebtGrace: time.Second, ClaimTTL: time.Second,
 	}
 }
 
@@ -67,10 +69,17 @@
 	To     cawork.ShardID
 	Team   cawork.TeamName
 	Amount cawork.Resources
-	// Owed claims the amount for a debt, also from what is charged.
+	// Owed claims the amount for a debt, also from what is charged: the partner
+	// gives it as soon as it has stopped enough.
 	Owed bool
 }
 
+// due is what a partner claims.
+type due struct {
+	amount  cawork.Resources
+	expires time.Time
+}
+
 type round struct {
 	team    cawork.TeamName
 	partner cawork.ShardID
@@ -85,6 +94,7 @@
 	asked  map[cawork.TeamName]time.Time
 	rests  map[round]time.Time
 	debts  map[cawork.TeamName]time.Time
+	dues   map[round]due
 }
 
 // NewPlanner returns a planner for the shard.
@@ -92,7 +102,7 @@
 	return &Planner{
 		shard: shard, zone: zone, policy: p,
 		asked: map[cawork.TeamName]time.Time{}, rests: map[round]time.Time{},
-		debts: map[cawork.TeamName]time.Time{},
+		debts: map[cawork.TeamName]time.Time{}, dues: map[round]due{},
 	}
 }
 
@@ -213,7 +223,7 @@
 
 // Answered notes what a partner gave, so that one that has nothing rests.
 func (p *Planner) Answered(now time.Time, ask Ask, given cawork.Resources) {
-	if given.IsZero() {
+	if given.IsZero() && !ask.Owed {
 		p.rests[round{ask.Team, ask.To}] = now.Add(p.policy.Rest)
 		return
 	}
@@ -228,19 +238,52 @@
 	if ask.To != p.shard || ask.From == p.shard || a.Closed[ask.From] {
 		return cawork.Resources{}
 	}
-	if ask.Owed {
-		return smaller(positive(a.Held(ask.Team)), positive(ask.Amount))
-	}
 	spare := a.Available(ask.Team)
-	if within(need.Least, spare) || ask.From > p.shard {
+	if !ask.Owed && (within(need.Least, spare) || ask.From > p.shard) {
 		spare = spare.Minus(need.Amount)
 	}
-	if ask.Zone != p.zone {
+	if ask.Zone != p.zone && !ask.Owed {
 		spare = spare.Minus(p.kept(a, ask.Team))
 	}
 	return smaller(positive(spare), positive(ask.Amount))
 }
 
+// Claimed notes an ask for a debt. It is volatile: the debtor repeats it while
+// the debt lasts, and safety does not depend on it.
+func (p *Planner) Claimed(now time.Time, ask Ask) {
+	if ask.Owed && ask.To == p.shard {
+		p.dues[round{ask.Team, ask.From}] = due{amount: ask.Amount, expires: now.Add(p.policy.ClaimTTL)}
+	}
+}
+
+// Startable returns what new tasks of the team may be charged now: what is
+// available less what is claimed for debts.
+func (p *Planner) Startable(now time.Time, a *Account, team cawork.TeamName) cawork.Resources {
+	return a.Available(team).Minus(p.claimed(now, team))
+}
+
+// Excess returns what is to be checkpointed or stopped of the team, to pay the
+// debt of this shard and what is claimed for the debts of others.
+func (p *Planner) Excess(now time.Time, a *Account, team cawork.TeamName) cawork.Resources {
+	missing := positive(cawork.Resources{}.Minus(p.Startable(now, a, team)))
+	return smaller(missing, a.Charged(team))
+}
+
+// claimed sums the claims on the team that hold.
+func (p *Planner) claimed(now time.Time, team cawork.TeamName) cawork.Resources {
+	var sum cawork.Resources
+	for r, d := range p.dues {
+		if now.After(d.expires) {
+			delete(p.dues, r)
+			continue
+		}
+		if r.team == team {
+			sum = sum.Plus(d.amount)
+		}
+	}
+	return sum
+}
+
 // kept returns what stays here when another zone asks.
 func (p *Planner) kept(a *Account, team cawork.TeamName) cawork.Resources {
 	b, ok := a.Teams[team]
--- a/internal/coord/caescrow/planner_test.go
+++ b/internal/coord/caescrow/planner_test.go
@@ -239,23 +239,27 @@
 }
 
 // TestDebtIsPaidByWhoUsesTheAllowance covers a limit that is lowered while
-// other shards use all of it and never have any to spare.
+// another shard uses all of it and never has any to spare. What is claimed
+// there is given only once it is no longer charged.
 func TestDebtIsPaidByWhoUsesTheAllowance(t *testing.T) {
+	now := time.Unix(100, 0)
 	debtor, user := NewAccount("1"), NewAccount("2")
 	_ = debtor.SetMint(MintShare{Team: team, Version: 1, Amount: cores(10)})
 	tr, _ := debtor.Send("2", team, cores(10))
 	_, _ = user.Receive(tr)
 	_ = user.Charge(team, cores(10))
 	_ = debtor.SetMint(MintShare{Team: team, Version: 2, Amount: cores(4)})
-	ask := Ask{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(6), Owed: true}
-	given := NewPlanner("2", "a", DefaultPolicy()).Grant(user, ask, Need{Team: team, Amount: cores(50)})
-	back, err := user.SendOwed("1", team, given)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, _ = debtor.Receive(back)
-	got := []cawork.Resources{debtor.Excess(team), user.Excess(team)}
-	if diff := cmp.Diff([]cawork.Resources{{}, cores(6)}, got); diff != "" {
-		t.Errorf("excess of debtor and user (-want +got):\n%s", diff)
+	planner := NewPlanner("2", "a", DefaultPolicy())
+	ask := Ask{From: "1", Zone: "b", To: "2", Team: team, Amount: cores(6), Owed: true}
+	need := Need{Team: team, Amount: cores(50), Least: cores(1)}
+	planner.Claimed(now, ask)
+	got := []cawork.Resources{planner.Grant(user, ask, need), planner.Excess(now, user, team)}
+	_ = user.Free(team, cores(6))
+	got = append(got, planner.Startable(now, user, team), planner.Grant(user, ask, need))
+	later := now.Add(DefaultPolicy().ClaimTTL + 1)
+	got = append(got, planner.Startable(later, user, team))
+	want := []cawork.Resources{{}, cores(6), {}, cores(6), cores(6)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("given, excess, startable, given, startable later (-want +got):\n%s", diff)
 	}
 }
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -131,13 +131,11 @@
 	Job cawork.JobID
 }
 
-// AllowanceSent debits an amount for another shard. Owed allows to take what
-// is charged, for a shard in debt.
+// AllowanceSent debits an amount for another shard.
 type AllowanceSent struct {
 	To     cawork.ShardID
 	Team   cawork.TeamName
 	Amount cawork.Resources
-	Owed   bool
 }
 
 // AllowanceAcked notes that the transfer of the number has arrived.
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -110,7 +110,8 @@
 	case r.Type == RecordMintSet && r.MintSet != nil:
 		return s.account.SetMint(*r.MintSet)
 	case r.Type == RecordAllowanceSent && r.AllowanceSent != nil:
-		return s.sendAllowance(*r.AllowanceSent)
+		_, err := s.account.Send(r.AllowanceSent.To, r.AllowanceSent.Team, r.AllowanceSent.Amount)
+		return err
 	case r.Type == RecordAllowanceReceived && r.AllowanceReceived != nil:
 		_, err := s.account.Receive(*r.AllowanceReceived)
 		return err
@@ -127,15 +128,6 @@
 	}
 }
 
-func (s *State) sendAllowance(r AllowanceSent) error {
-	send := s.account.Send
-	if r.Owed {
-		send = s.account.SendOwed
-	}
-	_, err := send(r.To, r.Team, r.Amount)
-	return err
-}
-
 // Account returns the allowances of the shard. The caller must not change it.
 func (s *State) Account() *caescrow.Account { return s.account }
 
--- a/internal/coord/cashard/driver_test.go
+++ b/internal/coord/cashard/driver_test.go
@@ -148,7 +148,7 @@
 		n.follow(ctx, s.Shard, a, !l.excess.IsZero())
 	}
 	for _, j := range l.jobs {
-		n.schedule(ctx, s.Shard, j)
+		n.schedule(ctx, s.Shard, j, taskSize.Times(int64(len(j.Tasks))).Fits(l.startable))
 	}
 	for _, t := range l.transfers {
 		n.transfer(ctx, t)
@@ -169,6 +169,7 @@
 	handovers   []cajob.Handover
 	asks        []caescrow.Ask
 	excess      cawork.Resources
+	startable   cawork.Resources
 	mintVersion int64
 }
 
@@ -182,7 +183,8 @@
 		a := state.Account()
 		l = shardLook{
 			jobs: state.OpenJobs(), attempts: state.OpenAttempts(), transfers: a.Unacknowledged(),
-			handovers: state.Handovers(), excess: a.Excess(team),
+			handovers: state.Handovers(), excess: n.planner(s).Excess(n.timer.Now(), a, team),
+			startable: n.planner(s).Startable(n.timer.Now(), a, team),
 		}
 		if b, ok := a.Teams[team]; ok {
 			l.mintVersion = b.Mint.Version
@@ -246,12 +248,13 @@
 		var given cawork.Resources
 		other.part.Read(a.To, func(m cashard.StateMachine) {
 			state := m.(*cajob.State)
+			other.planner(a.To).Claimed(other.timer.Now(), a)
 			given = other.planner(a.To).Grant(state.Account(), a, need(state.OpenJobs()))
 		})
 		if given.IsZero() {
 			return given, nil
 		}
-		sent := &cajob.AllowanceSent{To: a.From, Team: team, Amount: given, Owed: a.Owed}
+		sent := &cajob.AllowanceSent{To: a.From, Team: team, Amount: given}
 		return given, other.append(ctx, a.To, cajob.Record{Type: cajob.RecordAllowanceSent, AllowanceSent: sent})
 	})
 	if err == nil {
@@ -348,7 +351,7 @@
 	}
 }
 
-func (n *node) schedule(ctx context.Context, s cawork.ShardID, j cajob.Job) {
+func (n *node) schedule(ctx context.Context, s cawork.ShardID, j cajob.Job, fits bool) {
 	if o := j.Verdict(); o != cawork.OutcomePending {
 		err := n.append(ctx, s, cajob.Record{Type: cajob.RecordJobEnded, JobEnded: &cajob.JobEnded{Job: j.Job.ID, Outcome: o}})
 		if err == nil {
@@ -367,7 +370,7 @@
 			starting = append(starting, cawork.TaskRef{Job: j.Job.ID, Index: i})
 		}
 	}
-	if len(starting) > 0 {
+	if len(starting) > 0 && fits {
 		n.startTasks(ctx, s, starting)
 	}
 }
