--- a/internal/coord/cashard/append.go
+++ b/internal/coord/cashard/append.go
@@ -30,7 +30,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.replicas[s]
-	if !ok {
+	if !ok || p.hasStopped() {
 		return nil, cakind.New(cakind.KindNotStarted, "shard %s is not led here", s)
 	}
 	if err := p.admit(r); err != nil {
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -149,6 +149,8 @@
 		}
 	case p.retiring:
 		return
+	case p.isLeaving(now, v.Backup):
+		p.decideBackup(now, v)
 	case p.chooseWitness(now, v.Witness) != v.Witness:
 		p.start(now, p.nextView(v).WithWitness(p.chooseWitness(now, v.Witness)), stageRegister)
 	case v != p.settled:
@@ -156,6 +158,16 @@
 	}
 }
 
+// isLeaving reports whether the backup is no longer a candidate, so that it is
+// replaced while it still answers, if another one is there.
+func (p *primary) isLeaving(now time.Time, m Member) bool {
+	if slices.ContainsFunc(p.candidates, func(c Candidate) bool { return c.Member == m }) {
+		return false
+	}
+	_, found := p.chooseBackup(now, m)
+	return found
+}
+
 // isAlone reports whether no other member may take over.
 func (p *primary) isAlone() bool { return len(p.required()) == 0 }
 
--- a/internal/coord/cashard/faults_test.go
+++ b/internal/coord/cashard/faults_test.go
@@ -152,9 +152,10 @@
 		n.part.Yield(n.shard())
 		return func() {}
 	case 1:
-		if n.isDead() {
-			w.restart(ctx, n)
+		if !n.isDead() {
+			return w.suspect(n)
 		}
+		w.restart(ctx, n)
 		return func() {}
 	case 2:
 		n.pause()
@@ -174,6 +175,19 @@
 	}
 }
 
+// suspect makes the node believe that another one has left.
+func (w *world) suspect(n *node) func() {
+	left := w.anyNode()
+	var candidates []cashard.Candidate
+	for _, other := range w.all() {
+		if other != left && !other.isDead() {
+			candidates = append(candidates, cashard.Candidate{Member: other.member, Zone: "z"})
+		}
+	}
+	n.part.SetCandidates(candidates)
+	return w.announce
+}
+
 func (w *world) killOne(n *node, lossless *bool) {
 	if w.live() < 3 || n.isDead() {
 		return
--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -347,6 +347,9 @@
 	p.gate()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.hasStopped() {
+		return ReplicateReply{}, cakind.New(cakind.KindUnavailable, "member %s has stopped", p.opts.Self.VM)
+	}
 	r := p.replica(req.View.Shard)
 	var reply ReplicateReply
 	var err error
@@ -395,8 +398,11 @@
 	p.opts.Scope.Counter("events_" + e.Type.String()).Inc(1)
 }
 
+// hasStopped reports whether the context of Run has ended.
+func (p *Part) hasStopped() bool { return p.ctx != nil && p.ctx.Err() != nil }
+
 func (p *Part) carryOut(r *replica, out effects) {
-	if p.ctx == nil || p.ctx.Err() != nil {
+	if p.ctx == nil || p.hasStopped() {
 		return
 	}
 	sentAt := p.opts.Timer.Now()
--- a/internal/coord/cashard/recordlog.go
+++ b/internal/coord/cashard/recordlog.go
@@ -1,5 +1,7 @@
 package cashard
 
+import "slices"
+
 // recordLog holds the records after the index base that a backup may still
 // need.
 type recordLog struct {
@@ -26,7 +28,7 @@
 		return nil, false
 	}
 	rest := l.records[index-l.base:]
-	return rest[:min(limit, len(rest))], true
+	return slices.Clone(rest[:min(limit, len(rest))]), true
 }
 
 // trim drops the records up to the index.
@@ -35,6 +37,7 @@
 	if drop <= 0 {
 		return
 	}
-	l.records = append([][]byte(nil), l.records[drop:]...)
+	clear(l.records[:drop])
+	l.records = l.records[drop:]
 	l.base += drop
 }
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -102,6 +102,21 @@
 	})
 }
 
+func TestLeavingBackupIsReplacedWithoutAGap(t *testing.T) {
+	inWorld(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
+		w.nodes[0].part.SetCandidates([]cashard.Candidate{{Member: w.nodes[2].member, Zone: "z"}})
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0-0")); diff != "" {
+				t.Fatalf("leaders (-want +got):\n%s", diff)
+			}
+		}
+		if diff := cmp.Diff(w.nodes[2].member, w.nodes[0].view("s-e0-0").Backup); diff != "" {
+			t.Errorf("backup (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestYieldNeedsNoSilence(t *testing.T) {
 	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
 		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
