--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -113,7 +113,7 @@
 }
 
 // Excess returns by how much the charges of the team exceed what the shard
-// holds. The scheduler checkpoints or stops that much.
+// holds: its debt. Planner.Excess adds what other shards claim.
 func (a *Account) Excess(team cawork.TeamName) cawork.Resources {
 	return positive(cawork.Resources{}.Minus(a.Available(team)))
 }
@@ -166,10 +166,17 @@
 }
 
 // Send debits the account and returns the transfer to send, again and again
-// until it is acknowledged.
+// until it is acknowledged. Only what is available is ever sent: what a task
+// is charged for must not be credited elsewhere while the task runs.
 func (a *Account) Send(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
-	if err := a.checkSend(to, team, amount); err != nil {
-		return Transfer{}, err
+	switch {
+	case to == a.Shard || amount.IsNegative() || amount.IsZero():
+		return Transfer{}, cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
+	case a.Closed[to]:
+		return Transfer{}, cakind.New(cakind.KindConflict, "shard %s is closed", to)
+	case !within(amount, a.Available(team)):
+		return Transfer{}, cakind.New(cakind.KindLimitReached,
+			"team %s: transfer of %v exceeds allowance %v", team, amount, a.Available(team))
 	}
 	b := a.balance(team)
 	c := b.Sent[to]
@@ -178,20 +185,6 @@
 	return a.transfer(to, team, c), nil
 }
 
-func (a *Account) checkSend(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) error {
-	if to == a.Shard || amount.IsNegative() || amount.IsZero() {
-		return cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
-	}
-	if a.Closed[to] {
-		return cakind.New(cakind.KindConflict, "shard %s is closed", to)
-	}
-	if !within(amount, a.Available(team)) {
-		return cakind.New(cakind.KindLimitReached,
-			"team %s: transfer of %v exceeds allowance %v", team, amount, a.Available(team))
-	}
-	return nil
-}
-
 // Receive credits a transfer and reports whether it was new. A transfer of a
 // closed shard is refused with KindConflict.
 func (a *Account) Receive(t Transfer) (bool, error) {
--- a/internal/coord/caescrow/planner_test.go
+++ b/internal/coord/caescrow/planner_test.go
@@ -221,8 +221,15 @@
 	_ = a.SetMint(MintShare{Team: team, Version: 1, Amount: cores(10)})
 	_ = a.Charge(team, cores(10))
 	_ = a.SetMint(MintShare{Team: team, Version: 2, Amount: cores(2)})
-	asks := NewPlanner("1", "a", DefaultPolicy()).Asks(time.Unix(100, 0), a, nil, []Partner{{Shard: "2", Zone: "a"}})
-	want := []Ask{{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(10)}}
+	planner := NewPlanner("1", "a", DefaultPolicy())
+	partners := []Partner{{Shard: "2", Zone: "a"}, {Shard: "3", Zone: "b"}}
+	asks := planner.Asks(time.Unix(100, 0), a, nil, partners[:1])
+	asks = append(asks, planner.Asks(time.Unix(101, 0), a, nil, partners)...)
+	want := []Ask{
+		{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(10)},
+		{From: "1", Zone: "a", To: "2", Team: team, Amount: cores(4), Owed: true},
+		{From: "1", Zone: "a", To: "3", Team: team, Amount: cores(4), Owed: true},
+	}
 	if diff := cmp.Diff(want, asks); diff != "" {
 		t.Errorf("asks (-want +got):\n%s", diff)
 	}
@@ -230,3 +237,29 @@
 		t.Errorf("excess (-want +got):\n%s", diff)
 	}
 }
+
+// TestDebtIsPaidByWhoUsesTheAllowance covers a limit that is lowered while
+// another shard uses all of it and never has any to spare. What is claimed
+// there is given only once it is no longer charged.
+func TestDebtIsPaidByWhoUsesTheAllowance(t *testing.T) {
+	now := time.Unix(100, 0)
+	debtor, user := NewAccount("1"), NewAccount("2")
+	_ = debtor.SetMint(MintShare{Team: team, Version: 1, Amount: cores(10)})
+	tr, _ := debtor.Send("2", team, cores(10))
+	_, _ = user.Receive(tr)
+	_ = user.Charge(team, cores(10))
+	_ = debtor.SetMint(MintShare{Team: team, Version: 2, Amount: cores(4)})
+	planner := NewPlanner("2", "a", DefaultPolicy())
+	ask := Ask{From: "1", Zone: "b", To: "2", Team: team, Amount: cores(6), Owed: true}
+	need := Need{Team: team, Amount: cores(50), Least: cores(1)}
+	planner.Claimed(now, ask)
+	got := []cawork.Resources{planner.Grant(user, ask, need), planner.Excess(now, user, team)}
+	_ = user.Free(team, cores(6))
+	got = append(got, planner.Startable(now, user, team), planner.Grant(user, ask, need))
+	later := now.Add(DefaultPolicy().ClaimTTL + 1)
+	got = append(got, planner.Startable(later, user, team))
+	want := []cawork.Resources{{}, cores(6), {}, cores(6), cores(6)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("given, excess, startable, given, startable later (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -57,7 +57,8 @@
 	p.advance(now, out)
 }
 
-// leave ends the lead of a shard that retires or is handed to its backup.
+// leave ends the lead of a shard that retires or is handed to its backup. If
+// that backup is lost before it takes over, another view ends the attempt.
 func (p *primary) leave(out *effects) {
 	if !p.draining || !p.isSettled() || p.committed != p.log.last() {
 		return
@@ -138,7 +139,7 @@
 func (p *primary) decide(now time.Time) {
 	v := p.target()
 	switch {
-	case p.yielding:
+	case p.yielding && !p.isLost(now, p.peer(v.Backup), time.Time{}):
 		return
 	case p.isAlone():
 		p.decideBackup(now, v.WithWitness(p.chooseWitness(now, v.Witness)))
@@ -148,7 +149,7 @@
 		}
 	case p.retiring:
 		return
-	case p.hasNearer(now, v.Backup):
+	case p.isLeaving(now, v.Backup) || p.hasNearer(now, v.Backup):
 		if !p.isBad(now, v.Witness) {
 			p.decideBackup(now, v)
 		}
@@ -159,6 +160,16 @@
 	}
 }
 
+// isLeaving reports whether the backup is no longer a candidate, so that it is
+// replaced while it still answers, if another one is there.
+func (p *primary) isLeaving(now time.Time, m Member) bool {
+	if slices.ContainsFunc(p.candidates, func(c Candidate) bool { return c.Member == m }) {
+		return false
+	}
+	_, found := p.chooseBackup(now, m)
+	return found
+}
+
 // isAlone reports whether no other member may take over.
 func (p *primary) isAlone() bool { return len(p.required()) == 0 }
 
@@ -313,6 +324,7 @@
 	if len(p.possible) == 1 {
 		p.change = nil
 		p.settled = c.view
+		p.yielding = false
 		out.events = append(out.events, Event{Type: EventViewChanged, Shard: c.view.Shard, View: c.view})
 		return
 	}
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -142,7 +142,7 @@
 func (e *Entry) candidates(others []camember.Member) []cashard.Candidate {
 	var list []cashard.Candidate
 	for _, m := range others {
-		if m.Liveness != camember.LivenessAlive {
+		if m.Liveness == camember.LivenessLeaving {
 			continue
 		}
 		member := cashard.Member{VM: m.VM, Incarnation: int64(m.Incarnation)}
