--- /dev/null
+++ b/internal/cli/caclient/example_test.go
@@ -0,0 +1,28 @@
+package caclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cli/caclient"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+)
+
+// An entry that is overloaded says when to come back.
+func ExampleClient_Submit() {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "3")
+		w.WriteHeader(http.StatusTooManyRequests)
+		_ = json.NewEncoder(w).Encode(caapi.ErrorAnswer{Kind: cakind.KindOverloaded, Message: "the queue is full"})
+	}))
+	defer entry.Close()
+	client := caclient.Client{Base: entry.URL, Key: "cak_example"}
+	_, err := client.Submit(context.Background(), caapi.SubmitRequest{Kind: cawork.WorkKindBatch, Tasks: 1}, "")
+	fmt.Println(cakind.Of(err), err, cakind.RetryAfterOf(err))
+	// Output: overloaded the queue is full 3s
+}
--- /dev/null
+++ b/internal/cli/cacommand/command_test.go
@@ -0,0 +1,304 @@
+package cacommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cli/caoption"
+	"celeryarch.example/celeryarch/internal/config/casettings"
+	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/standin/castandlog"
+)
+
+const cell = `{
+  "zones": {"a": {"allowance_percent": 100}},
+  "teams": {"knit": {"share": 1, "limit": {"processors": 1, "memory": "1GiB", "accelerators": 0}}}
+}
+`
+
+// bench runs commands against a log in memory and a folder.
+type bench struct {
+	t   *testing.T
+	log *castandlog.Log
+	dir string
+}
+
+func newBench(t *testing.T) bench {
+	t.Helper()
+	b := bench{t: t, log: castandlog.NewLog(time.Now, time.Hour), dir: t.TempDir()}
+	b.write("10-cell.jsonc", cell)
+	t.Setenv("CELERYARCH_LOG", "http://log")
+	return b
+}
+
+func (b bench) write(name, content string) {
+	b.t.Helper()
+	if err := os.WriteFile(filepath.Join(b.dir, name), []byte(content), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// answer is what a command printed, with the folder named DIR.
+type answer struct {
+	Code   ExitCode
+	Stdout string
+	Stderr string
+}
+
+func (b bench) run(args ...string) answer {
+	b.t.Helper()
+	var stdout, stderr bytes.Buffer
+	r := Runners{Log: func(string) caplatform.Log { return b.log }, Version: "1"}
+	code := RunContext(b.t.Context(), args, Output{Stdout: &stdout, Stderr: &stderr}, r)
+	named := strings.NewReplacer(b.dir, "DIR")
+	return answer{code, named.Replace(stdout.String()), named.Replace(stderr.String())}
+}
+
+func TestConfigCommands(t *testing.T) {
+	b := newBench(t)
+	change := func(name, content string) func() { return func() { b.write(name, content) } }
+	none := func() {}
+	steps := []struct {
+		name   string
+		before func()
+		args   []string
+		want   answer
+	}{
+		{"check", none, []string{"config", "check", b.dir}, answer{Stdout: "ok: 1 zones, 1 teams, 0 keys, 0 open queues, hash 7c182398fdd2\n"}},
+		{"publish", none, []string{"config", "publish", b.dir}, answer{Stdout: "version 1 is accepted\n"}},
+		{"publish again", none, []string{"config", "publish", b.dir}, answer{Stdout: "version 1 already has this content\n"}},
+		{"diff", change("20.json", `{"teams": {"knit": {"share": 2}}}`), []string{"config", "diff", b.dir}, answer{Stdout: "1 changes to version 1\n~ teams.knit.share: 1 -> 2\n"}},
+		{"publish on a base", none, []string{"config", "publish", "--base=1", "--change-id=c2", b.dir}, answer{Stdout: "version 2 is accepted\n"}},
+		{"taken up", change("30.json", `{"key_freshness": "1m"}`), []string{"config", "publish", "--base=1", "--change-id=c2", b.dir}, answer{Stdout: "version 2 is accepted\n"}},
+		{"conflict", none, []string{"config", "publish", "--base=1", b.dir}, answer{ExitConflict, "", "celeryarch: conflict: the change is based on version 1, but version 2 of change c2 is in force; look at it with config diff\n"}},
+		{"reset", none, []string{"config", "publish", "--reset", "--change-id=r", b.dir}, answer{Stdout: "version 3 is accepted\n"}},
+		{"refused", change("40.json", "{\n  \"teams\": {\"knit\": {\"share\": 0}},\n}"), []string{"config", "publish", b.dir}, answer{ExitInvalid, "", "40.json:2:31: teams.knit.share: must be a number above 0\n"}},
+		{"rolled back", func() { _ = os.Remove(filepath.Join(b.dir, "40.json")) }, []string{"config", "check", b.dir}, answer{Stdout: "ok: 1 zones, 1 teams, 0 keys, 0 open queues, hash aa972e69a993\n"}},
+		{"log down", func() { b.log.SetFailure(castandlog.Failure{Down: true}) }, []string{"config", "diff", "--timeout=1s", b.dir}, answer{ExitUnavailable, "", "celeryarch: the log cannot be read: the log is down\n"}},
+		{"no folder", none, []string{"config", "check", "nowhere"}, answer{ExitInvalid, "", "the folder cannot be read: open .: no such file or directory\n"}},
+	}
+	for _, s := range steps {
+		s.before()
+		if diff := cmp.Diff(s.want, b.run(s.args...)); diff != "" {
+			t.Errorf("%s: %s", s.name, diff)
+		}
+	}
+}
+
+func TestProblemsAsJSON(t *testing.T) {
+	b := newBench(t)
+	b.write("20.json", `{"team": 1}`)
+	got := b.run("--json", "config", "check", b.dir)
+	var f failure
+	if err := json.Unmarshal([]byte(got.Stdout), &f); err != nil {
+		t.Fatal(err)
+	}
+	f.Message = ""
+	want := failure{Kind: cakind.KindInvalid, Problems: []problem{{
+		File: "20.json", Line: 1, Column: 2, Path: "team",
+		Reason: "unknown field; known are zones, teams, keys, queues, policy, key_freshness, unconfirmed_keys",
+	}}}
+	if diff := cmp.Diff(want, f); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(answer{Code: ExitInvalid}, answer{Code: got.Code, Stderr: got.Stderr}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestKeyCommands(t *testing.T) {
+	b := newBench(t)
+	got := b.run("--json", "key", "new", "--team=knit", "--dir="+b.dir)
+	var key newKey
+	if err := json.Unmarshal([]byte(got.Stdout), &key); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.ReadFile(filepath.Join(b.dir, filepath.Base(key.File)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(file), key.Key) || !strings.Contains(string(file), string(key.SHA256)) {
+		t.Errorf("the file must hold the hash, not the key: %s", file)
+	}
+	id := string(key.ID)
+	steps := []struct {
+		name string
+		args []string
+		want answer
+	}{
+		{"withdraw", []string{"key", "withdraw", "--dir=" + b.dir, id}, answer{Stdout: "wrote DIR/90-key-ID-withdrawn.json\nthe key works until this is in force: celeryarch config publish DIR\n"}},
+		{"again", []string{"key", "withdraw", "--dir=" + b.dir, id}, answer{ExitConflict, "", "celeryarch: key \"ID\" is withdrawn already\n"}},
+		{"unknown key", []string{"key", "withdraw", "--dir=" + b.dir, "k0"}, answer{ExitNotFound, "", "celeryarch: the folder DIR has no key \"k0\"\n"}},
+		{"unknown team", []string{"key", "new", "--team=spin", "--dir=" + b.dir}, answer{ExitInvalid, "", "50-key-NEW.json:4:15: keys.NEW.team: team \"spin\" does not exist\n"}},
+	}
+	fresh := regexp.MustCompile(`k[0-9a-f]{12}`)
+	for _, s := range steps {
+		got := b.run(s.args...)
+		got.Stdout, got.Stderr = strings.ReplaceAll(got.Stdout, id, "ID"), strings.ReplaceAll(got.Stderr, id, "ID")
+		got.Stderr = fresh.ReplaceAllString(got.Stderr, "NEW")
+		if diff := cmp.Diff(s.want, got); diff != "" {
+			t.Errorf("%s: %s", s.name, diff)
+		}
+	}
+	files, err := os.ReadDir(b.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(3, len(files)); diff != "" {
+		t.Error("a refused key left a file: ", diff)
+	}
+}
+
+func TestKeyThatALaterFileGrantsAgainIsNotCalledWithdrawn(t *testing.T) {
+	b := newBench(t)
+	hash := strings.Repeat("0", 64)
+	b.write("95.json", fmt.Sprintf(`{"keys": {"k1": {"team": "knit", "sha256": %q, "withdrawn": false}}}`, hash))
+	got := b.run("key", "withdraw", "--dir="+b.dir, "k1")
+	want := answer{ExitConflict, "", "celeryarch: a later file of the folder overrides DIR/90-key-k1-withdrawn.json\n"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// entryAPI answers as an entry does.
+func entryAPI(t *testing.T) string {
+	t.Helper()
+	job := caapi.JobAnswer{
+		JobID: "j1", Team: "knit", Outcome: cawork.OutcomeDone,
+		Tasks: []caapi.TaskAnswer{{Outcome: cawork.OutcomeDone, Attempts: 1, Result: "ok"}},
+	}
+	failed := job
+	failed.JobID, failed.Outcome, failed.Reason = "j2", cawork.OutcomeFailed, "no attempt is left"
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer good" {
+			refuse(w, cakind.KindUnauthenticated, "the key is not known")
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		want := `{"kind":"batch","tasks":2,"size":{"cpu_milli":500,"memory_bytes":268435456,"accelerators":0},"run_time":"30s","payload":{"run_ms":1}}`
+		if diff := cmp.Diff(want, string(body)); diff != "" || r.Header.Get("Idempotency-Key") != "once" {
+			refuse(w, cakind.KindInvalid, diff)
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+		_ = json.NewEncoder(w).Encode(caapi.SubmitAnswer{JobID: "j1"})
+	})
+	mux.HandleFunc("GET /v1/jobs/j1", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(job) })
+	mux.HandleFunc("GET /v1/jobs/j2", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(failed) })
+	mux.HandleFunc("GET /v1/jobs/none", func(w http.ResponseWriter, _ *http.Request) { refuse(w, cakind.KindNotFound, "no such job") })
+	mux.HandleFunc("DELETE /v1/jobs/j1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("POST /v1/requests", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"vm": "e1", "free": {"cpu_milli": 1}, "teams": [{"team": "knit", "use": {"cpu_milli": 2}}]}`)
+	})
+	mux.HandleFunc("GET /v1/jobs/lost", func(_ http.ResponseWriter, _ *http.Request) {
+		panic(http.ErrAbortHandler)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func refuse(w http.ResponseWriter, k cakind.Kind, message string) {
+	w.WriteHeader(cakind.AnswerTo(k).Status)
+	_ = json.NewEncoder(w).Encode(caapi.ErrorAnswer{Kind: k, Message: message})
+}
+
+func TestClientCommands(t *testing.T) {
+	b := newBench(t)
+	t.Setenv("CELERYARCH_ENTRY", entryAPI(t))
+	submit := []string{"submit", "--tasks=2", "--processors=0.5", "--run-time=30s", `--payload={"run_ms":1}`, "--idempotency-key=once"}
+	done := "job j1 of team knit: done\n  task 0: done after 1 attempts: ok\n"
+	failed := "job j2 of team knit: failed\nreason: no attempt is left\n  task 0: done after 1 attempts: ok\n"
+	tests := []struct {
+		name string
+		args []string
+		want answer
+	}{
+		{"submit", append(submit, "--key=good"), answer{Stdout: "j1\n"}},
+		{"submit and wait", append(submit, "--key=good", "--wait=1s"), answer{Stdout: done}},
+		{"bad key", append(submit, "--key=bad"), answer{ExitDenied, "", "celeryarch: the key is not known\n"}},
+		{"payload that is not JSON", []string{"submit", "--payload=x"}, answer{ExitInvalid, "", "celeryarch: the payload of a job must be JSON\n"}},
+		{"request", []string{"submit", "--kind=lookup", "--payload=hello"}, answer{Stdout: "hello"}},
+		{"get", []string{"get", "j1"}, answer{Stdout: done}},
+		{"get a failed job", []string{"get", "j2"}, answer{ExitFailed, failed, ""}},
+		{"get nothing", []string{"get", "none"}, answer{ExitNotFound, "", "celeryarch: no such job\n"}},
+		{"cancel", []string{"cancel", "j1"}, answer{Stdout: "job j1 is canceled\n"}},
+		{"status", []string{"status"}, answer{Stdout: "vm: e1\nfree:\n  cpu_milli: 1\nteams:\n  team=knit use=cpu_milli=2\n"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, b.run(test.args...)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	if diff := cmp.Diff(ExitUnknown, b.run("get", "lost").Code); diff != "" {
+		t.Error("lost answer: ", diff)
+	}
+	if diff := cmp.Diff(ExitUnavailable, b.run("get", "j1", "--entry=http://127.0.0.1:1").Code); diff != "" {
+		t.Error("nobody there: ", diff)
+	}
+}
+
+func TestRunnersGetTheirOptions(t *testing.T) {
+	settings := filepath.Join("..", "..", "..", "examples", "haugland", "settings", "entry-1.jsonc")
+	var got []string
+	note := func(text string) error { got = append(got, text); return nil }
+	r := Runners{
+		Demo:       func(_ context.Context, _ Output, o caoption.Demo) error { return note(o.API) },
+		Entry:      func(_ context.Context, _ Output, s casettings.Settings) error { return note(string(s.VM)) },
+		StandinLog: func(_ context.Context, _ Output, o caoption.StandinLog) error { return note(o.Listen) },
+		StandinVMs: func(_ context.Context, _ Output, o caoption.StandinVMs) error { return note(o.File) },
+		StandinUpstream: func(_ context.Context, _ Output, o caoption.StandinUpstream) error {
+			return note(o.ID + " " + o.Size.Resources().String())
+		},
+		Load: func(_ context.Context, _ Output, o caoption.Load) error { return note(fmt.Sprint(o.Rate)) },
+	}
+	for _, args := range []string{
+		"demo", "entry --settings=" + settings, "standin log --listen=l", "standin vms --listen=l --file=f",
+		"standin upstream --listen=l --id=u1 --zone=a --processors=16 --memory=32GiB", "load --rate=5",
+	} {
+		if code := RunContext(t.Context(), strings.Fields(args), Output{Stdout: io.Discard, Stderr: io.Discard}, r); code != ExitOK {
+			t.Errorf("%s: exit code %s", args, code)
+		}
+	}
+	want := []string{"127.0.0.1:7100", "entry-1", "l", "f", "u1 16.000 cores, 32768 MiB, 0 accelerators", "5"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestEveryKindHasAnExitCode(t *testing.T) {
+	for _, k := range cakind.KindValues() {
+		code, ok := exitCodes[k]
+		if !ok {
+			t.Errorf("%s has none", k)
+		}
+		if (code == ExitInternal) != (k == cakind.KindInternal) || code == ExitOK {
+			t.Errorf("%s has %s", k, code)
+		}
+	}
+	for _, code := range ExitCodeValues() {
+		if entry := fmt.Sprintf("%d %s", code, code); !strings.Contains(caoption.Help, entry) {
+			t.Errorf("the help lacks %q", entry)
+		}
+	}
+}
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -10,7 +10,7 @@
       --json                 print answers and errors as JSON
 
 run
-  demo                       run an entry and stand-ins of the platform on loopback
+  demo                       run an entry and stand-ins on loopback
       --api=ADDRESS          listen for callers here (127.0.0.1:7100)
       --upstreams=N          number of stand-in upstreams (4)
   entry                      run an entry
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"regexp"
 	"strings"
 	"time"
 
@@ -278,10 +279,13 @@
 	return strings.Join(names, " ")
 }
 
+// goType is how the library names the type that an option expects.
+var goType = regexp.MustCompile(` \(expected [a-z]+\.[A-Za-z]+\)`)
+
 func usageError(err error) error {
 	var f *flags.Error
 	if errors.As(err, &f) && f.Type == flags.ErrCommandRequired {
 		return errors.New("a command is missing; see celeryarch --help")
 	}
-	return err
+	return errors.New(goType.ReplaceAllString(err.Error(), ""))
 }
--- a/internal/config/casettings/settings_test.go
+++ b/internal/config/casettings/settings_test.go
@@ -56,70 +56,72 @@
 	}
 }
 
+// refused are changes to the good settings with the problems that they cause.
+var refused = []struct {
+	name     string
+	old, new string
+	want     []string
+}{
+	{"unknown field", `"peer": "500ms"`, `"pear": "500ms"`, []string{
+		`entry.jsonc:8:16: timeouts.pear: unknown field; known are header, body, request, idle, peer, platform, drain`,
+	}},
+	{"no unit of time", `"500ms"`, `500`, []string{
+		`entry.jsonc:8:24: timeouts.peer: must be a duration with its unit, such as "2s", not 500`,
+	}},
+	{"wrong unit of time", `"500ms"`, `"5 minutes"`, []string{
+		`entry.jsonc:8:24: timeouts.peer: must be a duration with its unit, such as "2s", not "5 minutes"`,
+	}},
+	{"time of zero", `"500ms"`, `"0s"`, []string{`entry.jsonc:8:24: timeouts.peer: must be more than 0s`}},
+	{"drain shorter than a request", `"peer": "500ms"`, `"drain": "1s"`, []string{
+		`entry.jsonc:8:25: timeouts.drain: 1s is shorter than timeouts.request, 1m0s: a drain would cut requests off`,
+	}},
+	{"wrong unit of memory", `"2MiB"`, `"2MB"`, []string{
+		`entry.jsonc:9:22: limits.body: unit "MB" of "2MB" is not one of B, KiB, MiB, GiB, TiB`,
+	}},
+	{"no unit of memory", `"2MiB"`, `2000`, []string{
+		`entry.jsonc:9:22: limits.body: must be an amount of memory with its unit, such as "4GiB", not 2000`,
+	}},
+	{"missing vm and zone", "\"vm\": \"e1\",\n  \"zone\": \"north\",", "", []string{
+		`entry.jsonc:1:1: vm: is missing`, `entry.jsonc:1:1: zone: is missing`,
+	}},
+	{"missing address", `"metrics": "127.0.1.1:7102"`, ``, []string{
+		`entry.jsonc:4:16: addresses.metrics: is missing`,
+	}},
+	{"name in place of a number", `"peer": "127.0.1.1:7101"`, `"peer": "localhost:7101"`, []string{
+		`entry.jsonc:4:50: addresses.peer: must have an IP number in place of "localhost"`,
+	}},
+	{"port out of range", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1:71010"`, []string{
+		`entry.jsonc:4:50: addresses.peer: port "71010" is not between 0 and 65535`,
+	}},
+	{"no port", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1"`, []string{
+		`entry.jsonc:4:50: addresses.peer: must be an IP number and a port, such as "127.0.0.1:7100", not "127.0.1.1"`,
+	}},
+	{"address twice", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1:7100"`, []string{
+		`entry.jsonc:4:50: addresses.peer: 127.0.1.1:7100 is taken by addresses.api`,
+	}},
+	{"bad seed", `"127.0.1.2:7101"`, `"127.0.1.2"`, []string{
+		`entry.jsonc:5:12: seeds.0: must be an IP number and a port, such as "127.0.0.1:7100", not "127.0.1.2"`,
+	}},
+	{"bad url", `"http://127.0.0.1:7001"`, `"127.0.0.1:7001"`, []string{
+		`entry.jsonc:6:23: platform.log: must be a URL such as "http://127.0.0.1:7001", not "127.0.0.1:7001"`,
+	}},
+	{"no TLS without consent", `"insecure": true`, `"insecure": false`, []string{
+		`entry.jsonc:7:10: tls: certificate, key and ca are missing; to go without TLS between entries set "insecure": true`,
+	}},
+	{"TLS in part", `"insecure": true`, `"certificate": "c.pem"`, []string{
+		`entry.jsonc:7:10: tls.key: is missing`, `entry.jsonc:7:10: tls.ca: is missing`,
+	}},
+	{"TLS contradicted", `"insecure": true`, `"insecure": true, "ca": "ca.pem"`, []string{
+		`entry.jsonc:7:23: tls.insecure: contradicts the TLS files; remove one or the other`,
+	}},
+	{"bad level", `"debug"`, `"loud"`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not "loud"`}},
+	{"empty level", `"debug"`, `""`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not ""`}},
+	{"not a list", `["127.0.1.2:7101"]`, `"127.0.1.2:7101"`, []string{`entry.jsonc:5:12: seeds: must be a list, not "127.0.1.2:7101"`}},
+	{"syntax", `"e1",`, `"e1"`, []string{`entry.jsonc:3:3: invalid character '"' after object value (expecting ',' or '}')`}},
+}
+
 func TestRefusedSettings(t *testing.T) {
-	tests := []struct {
-		name     string
-		old, new string
-		want     []string
-	}{
-		{"unknown field", `"peer": "500ms"`, `"pear": "500ms"`, []string{
-			`entry.jsonc:8:16: timeouts.pear: unknown field; known are header, body, request, idle, peer, platform, drain`,
-		}},
-		{"no unit of time", `"500ms"`, `500`, []string{
-			`entry.jsonc:8:24: timeouts.peer: must be a duration with its unit, such as "2s", not 500`,
-		}},
-		{"wrong unit of time", `"500ms"`, `"5 minutes"`, []string{
-			`entry.jsonc:8:24: timeouts.peer: must be a duration with its unit, such as "2s", not "5 minutes"`,
-		}},
-		{"time of zero", `"500ms"`, `"0s"`, []string{`entry.jsonc:8:24: timeouts.peer: must be more than 0s`}},
-		{"drain shorter than a request", `"peer": "500ms"`, `"drain": "1s"`, []string{
-			`entry.jsonc:8:25: timeouts.drain: 1s is shorter than timeouts.request, 1m0s: a drain would cut requests off`,
-		}},
-		{"wrong unit of memory", `"2MiB"`, `"2MB"`, []string{
-			`entry.jsonc:9:22: limits.body: unit "MB" of "2MB" is not one of B, KiB, MiB, GiB, TiB`,
-		}},
-		{"no unit of memory", `"2MiB"`, `2000`, []string{
-			`entry.jsonc:9:22: limits.body: must be an amount of memory with its unit, such as "4GiB", not 2000`,
-		}},
-		{"missing vm and zone", "\"vm\": \"e1\",\n  \"zone\": \"north\",", "", []string{
-			`entry.jsonc:1:1: vm: is missing`, `entry.jsonc:1:1: zone: is missing`,
-		}},
-		{"missing address", `"metrics": "127.0.1.1:7102"`, ``, []string{
-			`entry.jsonc:4:16: addresses.metrics: is missing`,
-		}},
-		{"name in place of a number", `"peer": "127.0.1.1:7101"`, `"peer": "localhost:7101"`, []string{
-			`entry.jsonc:4:50: addresses.peer: must have an IP number in place of "localhost"`,
-		}},
-		{"port out of range", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1:71010"`, []string{
-			`entry.jsonc:4:50: addresses.peer: port "71010" is not between 0 and 65535`,
-		}},
-		{"no port", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1"`, []string{
-			`entry.jsonc:4:50: addresses.peer: must be an IP number and a port, such as "127.0.0.1:7100", not "127.0.1.1"`,
-		}},
-		{"address twice", `"peer": "127.0.1.1:7101"`, `"peer": "127.0.1.1:7100"`, []string{
-			`entry.jsonc:4:50: addresses.peer: 127.0.1.1:7100 is taken by addresses.api`,
-		}},
-		{"bad seed", `"127.0.1.2:7101"`, `"127.0.1.2"`, []string{
-			`entry.jsonc:5:12: seeds.0: must be an IP number and a port, such as "127.0.0.1:7100", not "127.0.1.2"`,
-		}},
-		{"bad url", `"http://127.0.0.1:7001"`, `"127.0.0.1:7001"`, []string{
-			`entry.jsonc:6:23: platform.log: must be a URL such as "http://127.0.0.1:7001", not "127.0.0.1:7001"`,
-		}},
-		{"no TLS without consent", `"insecure": true`, `"insecure": false`, []string{
-			`entry.jsonc:7:10: tls: certificate, key and ca are missing; to go without TLS between entries set "insecure": true`,
-		}},
-		{"TLS in part", `"insecure": true`, `"certificate": "c.pem"`, []string{
-			`entry.jsonc:7:10: tls.key: is missing`, `entry.jsonc:7:10: tls.ca: is missing`,
-		}},
-		{"TLS contradicted", `"insecure": true`, `"insecure": true, "ca": "ca.pem"`, []string{
-			`entry.jsonc:7:23: tls.insecure: contradicts the TLS files; remove one or the other`,
-		}},
-		{"bad level", `"debug"`, `"loud"`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not "loud"`}},
-		{"empty level", `"debug"`, `""`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not ""`}},
-		{"not a list", `["127.0.1.2:7101"]`, `"127.0.1.2:7101"`, []string{`entry.jsonc:5:12: seeds: must be a list, not "127.0.1.2:7101"`}},
-		{"syntax", `"e1",`, `"e1"`, []string{`entry.jsonc:3:3: invalid character '"' after object value (expecting ',' or '}')`}},
-	}
-	for _, test := range tests {
+	for _, test := range refused {
 		t.Run(test.name, func(t *testing.T) {
 			if !strings.Contains(good, test.old) {
 				t.Fatalf("%q is not in the good settings", test.old)
