--- a/internal/config/cacell/config_test.go
+++ b/internal/config/cacell/config_test.go
@@ -1,6 +1,7 @@
 package cacell
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -206,3 +207,27 @@
 		t.Error(diff)
 	}
 }
+
+// BenchmarkDecode reads a configuration of 22 teams with 40 keys each, as an
+// entry does for each version.
+func BenchmarkDecode(b *testing.B) {
+	var teams, keys []string
+	for i := range 22 {
+		teams = append(teams, fmt.Sprintf(`"team%d": {"share": 1, "limit": {"processors": 1, "memory": "1GiB", "accelerators": 0}}`, i))
+		for j := range 40 {
+			keys = append(keys, fmt.Sprintf(`"k%010dx%d": {"team": "team%d", "sha256": "%064x"}`, j, i, i, i*100+j))
+		}
+	}
+	text := `{"zones": {"a": {"allowance_percent": 100}}, "teams": {` + strings.Join(teams, ",") + `}, "keys": {` + strings.Join(keys, ",") + `}}`
+	c, err := Decode([]byte(text))
+	if err != nil {
+		b.Fatal(err)
+	}
+	body := c.Encode()
+	for b.Loop() {
+		if _, err := Decode(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(body)), "body-bytes")
+}
--- a/internal/coord/cafollow/fake_test.go
+++ b/internal/coord/cafollow/fake_test.go
@@ -140,7 +140,11 @@
 	mu        sync.Mutex
 	followers map[cawork.VMID]*node
 	// cut holds the zones that are cut off from the log and from all others.
-	cut   map[cawork.ZoneName]bool
+	cut map[cawork.ZoneName]bool
+	// noLog holds the zones that are cut off from the log alone.
+	noLog map[cawork.ZoneName]bool
+	// apart holds the zones that are cut off from all others, not the log.
+	apart map[cawork.ZoneName]bool
 	scope tally.TestScope
 }
 
@@ -156,7 +160,7 @@
 func newCell(t *testing.T, seed uint64, zones ...cawork.ZoneName) *cell {
 	return &cell{
 		t: t, log: newFakeLog(seed), zones: zones,
-		followers: map[cawork.VMID]*node{}, cut: map[cawork.ZoneName]bool{},
+		followers: map[cawork.VMID]*node{}, cut: map[cawork.ZoneName]bool{}, noLog: map[cawork.ZoneName]bool{}, apart: map[cawork.ZoneName]bool{},
 		scope: tally.NewTestScope("", nil),
 	}
 }
@@ -168,7 +172,9 @@
 }
 
 func (z zoneLog) reached() error {
-	if z.isCut(z.zone) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.cut[z.zone] || z.noLog[z.zone] {
 		return cakind.New(cakind.KindUnavailable, "zone %s is cut off", z.zone)
 	}
 	return nil
@@ -204,7 +210,17 @@
 	return c.cut[z]
 }
 
-func (c *cell) connected(a, b cawork.ZoneName) bool { return a == b || (!c.cut[a] && !c.cut[b]) }
+func (c *cell) connected(a, b cawork.ZoneName) bool {
+	off := c.cut[a] || c.cut[b] || c.apart[a] || c.apart[b]
+	return a == b || !off
+}
+
+// split takes the log away from some zones and sets others apart.
+func (c *cell) split(noLog, apart map[cawork.ZoneName]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noLog, c.apart = noLog, apart
+}
 
 func (c *cell) setCut(z cawork.ZoneName, cut bool) {
 	c.mu.Lock()
--- a/internal/coord/cafollow/follower_test.go
+++ b/internal/coord/cafollow/follower_test.go
@@ -152,6 +152,35 @@
 	})
 }
 
+// TestMajorityWithoutTheLogServesOn holds the stated limit of the rule: while
+// the log reaches only a zone that is apart, the majority of the others cannot
+// know of a version that is published there. It takes it within seconds after.
+func TestMajorityWithoutTheLogServesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, "a", "b", "c")
+		defer c.stopAll()
+		a := c.start("1", "a")
+		c.start("2", "b")
+		c.start("3", "c")
+		mustPublish(t, c, "first")
+		pass(c, inForceWithin)
+		c.split(map[cawork.ZoneName]bool{"a": true, "b": true}, map[cawork.ZoneName]bool{"c": true})
+		mustPublish(t, c, "withdrawal")
+		pass(c, time.Minute)
+		if diff := cmp.Diff(map[cawork.VMID]Version{"1": 1, "2": 1, "3": 2}, versions(c)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(true, time.Since(a.ConfirmedAt(c.zones)) <= inForceWithin); diff != "" {
+			t.Error(diff)
+		}
+		c.split(map[cawork.ZoneName]bool{"a": true, "b": true}, nil)
+		pass(c, inForceWithin)
+		if diff := cmp.Diff(map[cawork.VMID]Version{"1": 2, "2": 2, "3": 2}, versions(c)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestPeerWithAHigherVersionDoesNotConfirm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 1, "a", "b")
