--- a/internal/config/caactive/active.go
+++ b/internal/config/caactive/active.go
@@ -36,6 +36,8 @@
 	Version cafollow.Version
 	Config  cacell.Config
 	Keyring *cakey.Keyring
+	// zones are the names of the zones, kept because each request needs them.
+	zones []cawork.ZoneName
 }
 
 // Active keeps the configuration in force.
@@ -96,7 +98,9 @@
 			Int64("version_in_force", int64(a.View().Version)).Err(err).Send()
 		return
 	}
-	a.view.Store(&View{Version: s.Version, Config: config, Keyring: cakey.NewKeyring(config)})
+	a.view.Store(&View{
+		Version: s.Version, Config: config, Keyring: cakey.NewKeyring(config), zones: config.ZoneNames(),
+	})
 	next := make(chan struct{})
 	close(*a.change.Swap(&next))
 }
@@ -112,22 +116,22 @@
 	}
 	// A key that is not known here may have been granted meanwhile, so that a
 	// configuration that is out of date must not call it wrong.
-	if err := a.confirmed(v.Config); err != nil {
+	if err := a.confirmed(v); err != nil {
 		return cakey.Principal{}, err
 	}
 	return v.Keyring.Authenticate(secret)
 }
 
-func (a *Active) confirmed(c cacell.Config) error {
-	if c.UnconfirmedKeys() == cacell.UnconfirmedKeysServe {
+func (a *Active) confirmed(v View) error {
+	if v.Config.UnconfirmedKeys() == cacell.UnconfirmedKeysServe {
 		return nil
 	}
-	age := a.timer.Now().Sub(a.source.ConfirmedAt(c.ZoneNames()))
-	if age <= c.KeyFreshness() {
+	age := a.timer.Now().Sub(a.source.ConfirmedAt(v.zones))
+	if age <= v.Config.KeyFreshness() {
 		return nil
 	}
 	return cakind.New(cakind.KindKeyUnconfirmed,
-		"keys were last confirmed more than %s ago", c.KeyFreshness()).WithRetryAfter(retryAfterUnconfirmed)
+		"keys were last confirmed more than %s ago", v.Config.KeyFreshness()).WithRetryAfter(retryAfterUnconfirmed)
 }
 
 // OpenQueue returns the team that is charged for work of a kind in a queue
--- a/internal/config/caactive/active_test.go
+++ b/internal/config/caactive/active_test.go
@@ -14,8 +14,10 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/config/cakey"
 	"celeryarch.example/celeryarch/internal/coord/cafollow"
+	"celeryarch.example/celeryarch/internal/standin/castandlog"
 )
 
 // fakeSource gives what the test sets.
@@ -122,3 +124,28 @@
 		t.Error(diff)
 	}
 }
+
+func BenchmarkAuthenticate(b *testing.B) {
+	key := cakey.Generate()
+	timer := catimer.NewService()
+	log := castandlog.NewLog(time.Now, time.Hour)
+	publisher := cafollow.Publisher{Log: log, Topic: cacell.Topic}
+	change := cafollow.Change{ID: "c", Body: []byte(body(key, false, "refuse"))}
+	if _, err := publisher.Publish(b.Context(), change); err != nil {
+		b.Fatal(err)
+	}
+	follower := cafollow.NewFollower(cafollow.Options{Zone: "a", Log: log, Topic: cacell.Topic, Timer: timer, Logger: zerolog.Nop()})
+	changed := follower.Changed()
+	ctx, cancel := context.WithCancel(b.Context())
+	defer func() { cancel(); <-follower.Done() }()
+	go func() { _ = follower.Run(ctx) }()
+	<-changed
+	a := NewActive(follower, timer, zerolog.Nop())
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := a.Authenticate(key.Secret); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
