--- a/internal/cli/cacommand/config.go
+++ b/internal/cli/cacommand/config.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/cli/caclient"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/cafollow"
@@ -120,49 +121,51 @@
 	if id == "" {
 		id = cafollow.ChangeID(uuid.NewString())
 	}
-	if o.Reset {
-		return c.reset(ctx, publisher, cafollow.Reset{ID: id, Body: config.Encode()})
+	result, err := publish(ctx, publisher, o, id, config.Encode())
+	if err != nil {
+		return err
 	}
-	return c.publish(ctx, publisher, o, cafollow.Change{ID: id, Body: config.Encode()})
+	return c.reportPublished(o, result)
 }
 
-func (c command) publish(ctx context.Context, p cafollow.Publisher, o caoption.ConfigPublish, change cafollow.Change) error {
+// publish returns the result of an accepted change. Content that is in force
+// already is accepted without a new version.
+func publish(ctx context.Context, p cafollow.Publisher, o caoption.ConfigPublish, id cafollow.ChangeID, body []byte) (cafollow.Result, error) {
+	if o.Reset {
+		return p.Reset(ctx, cafollow.Reset{ID: id, Body: body})
+	}
 	current, err := p.Current(ctx)
 	if err != nil {
-		return err
+		return cafollow.Result{}, err
 	}
-	change.Base = current.Version
+	base := current.Version
 	if o.Base != nil {
-		change.Base = cafollow.Version(*o.Base)
+		base = cafollow.Version(*o.Base)
 	}
-	if change.Base == current.Version && bytes.Equal(change.Body, current.Body) {
-		c.print(published{Accepted: true, Version: current.Version, ChangeID: current.ChangeID},
-			fmt.Sprintf("version %d already has this content", current.Version))
-		return nil
-	}
-	result, err := p.Publish(ctx, change)
-	if err != nil {
-		return err
+	if base == current.Version && bytes.Equal(body, current.Body) {
+		return cafollow.Result{Accepted: true, Version: current.Version, Winner: current.ChangeID}, nil
 	}
-	if !result.Accepted {
-		return cakind.New(cakind.KindStaleVersion,
+	result, err := p.Publish(ctx, cafollow.Change{ID: id, Base: base, Body: body})
+	if err == nil && !result.Accepted {
+		err = cakind.New(cakind.KindStaleVersion,
 			"conflict: the change is based on version %d, but version %d of change %s is in force; look at it with config diff",
-			change.Base, result.Version, result.Winner)
-	}
-	c.reportPublished(result)
-	return nil
-}
-
-func (c command) reset(ctx context.Context, p cafollow.Publisher, r cafollow.Reset) error {
-	result, err := p.Reset(ctx, r)
-	if err != nil {
-		return err
+			base, result.Version, result.Winner)
 	}
-	c.reportPublished(result)
-	return nil
+	return result, err
 }
 
-func (c command) reportPublished(r cafollow.Result) {
-	c.print(published{Accepted: true, Version: r.Version, ChangeID: r.Winner},
-		fmt.Sprintf("version %d is accepted", r.Version))
+func (c command) reportPublished(o caoption.ConfigPublish, r cafollow.Result) error {
+	lines := []string{fmt.Sprintf("version %d is accepted", r.Version)}
+	var err error
+	if o.Wait > 0 {
+		ctx, cancel := context.WithTimeout(c.ctx, o.Wait)
+		defer cancel()
+		var entries int
+		entries, err = awaitVersion(ctx, caclient.Client{Base: o.Entry}, r.Version)
+		if err == nil {
+			lines = append(lines, fmt.Sprintf("in force in all %d entries", entries))
+		}
+	}
+	c.print(published{Accepted: true, Version: r.Version, ChangeID: r.Winner}, lines...)
+	return err
 }
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -44,6 +44,8 @@
       --change-id=ID         take up a publication whose answer was lost
       --reset                publish whatever is in force, also when the log
                              no longer tells it
+      --wait=TIME            wait until it is in force in all entries that the
+                             entry of --entry knows
   key new                    generate a key; it is shown only once
       --team=TEAM            team that the key stands for; required
       --dir=DIR              add a file that grants the key to this folder
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -163,7 +163,11 @@
 	Base     *int64 `long:"base" value-name:"VERSION"`
 	ChangeID string `long:"change-id" value-name:"ID"`
 	Reset    bool   `long:"reset"`
-	Args     Folder `positional-args:"yes" required:"yes"`
+	// Wait is how long to wait until the version is in force in all entries
+	// that Entry knows.
+	Wait  time.Duration `long:"wait" value-name:"TIME"`
+	Entry string        `long:"entry" env:"CELERYARCH_ENTRY" default:"http://127.0.0.1:7100" value-name:"URL"`
+	Args  Folder        `positional-args:"yes" required:"yes"`
 }
 
 // Key are the commands on keys.
