--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -10,7 +10,7 @@
       --json                 print answers and errors as JSON
 
 run
-  demo                       run an entry and stand-ins of the platform on loopback
+  demo                       run an entry and stand-ins on loopback
       --api=ADDRESS          listen for callers here (127.0.0.1:7100)
       --upstreams=N          number of stand-in upstreams (4)
   entry                      run an entry
@@ -44,6 +44,8 @@
       --change-id=ID         take up a publication whose answer was lost
       --reset                publish whatever is in force, also when the log
                              no longer tells it
+      --wait=TIME            wait until it is in force in all entries that the
+                             entry of --entry knows
   key new                    generate a key; it is shown only once
       --team=TEAM            team that the key stands for; required
       --dir=DIR              add a file that grants the key to this folder
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"regexp"
 	"strings"
 	"time"
 
@@ -162,7 +163,11 @@
 	Base     *int64 `long:"base" value-name:"VERSION"`
 	ChangeID string `long:"change-id" value-name:"ID"`
 	Reset    bool   `long:"reset"`
-	Args     Folder `positional-args:"yes" required:"yes"`
+	// Wait is how long to wait until the version is in force in all entries
+	// that Entry knows.
+	Wait  time.Duration `long:"wait" value-name:"TIME"`
+	Entry string        `long:"entry" env:"CELERYARCH_ENTRY" default:"http://127.0.0.1:7100" value-name:"URL"`
+	Args  Folder        `positional-args:"yes" required:"yes"`
 }
 
 // Key are the commands on keys.
@@ -278,10 +283,13 @@
 	return strings.Join(names, " ")
 }
 
+// goType is how the library names the type that an option expects.
+var goType = regexp.MustCompile(` \(expected [a-z]+\.[A-Za-z]+\)`)
+
 func usageError(err error) error {
 	var f *flags.Error
 	if errors.As(err, &f) && f.Type == flags.ErrCommandRequired {
 		return errors.New("a command is missing; see celeryarch --help")
 	}
-	return err
+	return errors.New(goType.ReplaceAllString(err.Error(), ""))
 }
