--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -51,7 +51,7 @@
 	vms       map[string]caplatform.VM
 	entries   map[string]*runningEntry
 	started   map[cawork.JobID]bool
-	down      map[cawork.AttemptID]bool
+	broken    map[string]bool
 	ctx       context.Context
 }
 
@@ -74,7 +74,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), network: newNetwork(), timer: catimer.NewService(), ctx: ctx,
 		upstreams: make(map[string]*castandup.Upstream), vms: make(map[string]caplatform.VM),
 		entries: make(map[string]*runningEntry), started: make(map[cawork.JobID]bool),
-		down: make(map[cawork.AttemptID]bool),
+		broken: make(map[string]bool),
 	}
 	w.log = castandlog.NewLog(w.timer.Now, logKeeps)
 	var vms []caplatform.VM
@@ -207,6 +207,15 @@
 	}
 }
 
+// violated reports a broken promise, each only once.
+func (w *world) violated(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if !w.broken[text] {
+		w.broken[text] = true
+		w.t.Errorf("at %v: %s", w.timer.Now().Format(time.TimeOnly), text)
+	}
+}
+
 func (w *world) check() {
 	running := make(map[cawork.TaskRef]cawork.AttemptID)
 	use := make(map[cawork.TeamName]cawork.Resources)
@@ -220,21 +229,21 @@
 				continue
 			}
 			if other, twice := running[s.Task]; twice {
-				w.t.Errorf("%v: task %v runs twice, in attempts %s and %s", w.timer.Now(), s.Task, other, s.Attempt)
+				w.violated("task %v runs twice, in attempts %s and %s", s.Task, other, s.Attempt)
 			}
 			running[s.Task] = s.Attempt
 			use[s.Team] = use[s.Team].Plus(s.Size)
 			committed = committed.Plus(s.Size)
 		}
 		if !committed.Fits(w.vms[id].Capacity) {
-			w.t.Errorf("upstream %s is committed to %v", id, committed)
+			w.violated("upstream %s is committed to %v", id, committed)
 		}
 		if v := u.Violations(); v.Overcommitted > 0 || v.DoubleRequests > 0 {
-			w.t.Errorf("upstream %s saw %+v", id, v)
+			w.violated("upstream %s saw %+v", id, v)
 		}
 	}
 	if cores := use["limited"].CPU; cores > cawork.Cores(limitCores) {
-		w.t.Errorf("team limited runs %v milli cores of %v", cores, cawork.Cores(limitCores))
+		w.violated("team limited runs %v milli cores of %v", cores, cawork.Cores(limitCores))
 	}
 }
 
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -171,7 +171,7 @@
 		header.Set(caapi.HeaderQueue, o.Queue)
 	}
 	report, err := caload.Run(ctx, catimer.NewService(), caload.Plan{
-		URL: o.Entry + caapi.PathRequests, Header: header, Body: []byte("load"), Rate: o.Rate, Duration: o.Duration,
+		URLs: []string{o.Entry + caapi.PathRequests}, Header: header, Body: []byte("load"), Rate: o.Rate, Duration: o.Duration,
 		Timeout: loadTimeout, Outstanding: o.Concurrency, Seed: uint64(o.Seed),
 	})
 	if err != nil && !errors.Is(err, context.Canceled) {
