Jobs move to zones that have room; submissions follow the zone they name

Cause: a job ran only in the zone whose entry accepted it, even when that zone was full or could never hold it. Change: queued jobs without open attempts are handed over, numbered and accepted once, to an entry of another zone with room; a submission that names a zone, or that the own zone could never hold, goes there.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -40,6 +40,7 @@
 	TaskStopped       Number = 406
 	JobEnded          Number = 407
 	StartFailed       Number = 408
+	JobHandedOver     Number = 409
 	RequestRouted     Number = 500
 	RequestRefused    Number = 501
 	RequestAnswered   Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -14,8 +14,8 @@
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlisted"
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlisted"
-	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_endedtask_retriedtask_adoptedtask_stoppedjob_endedstart_failed"
-	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_endedtask_retriedtask_adoptedtask_stoppedjob_endedstart_failed"
+	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_endedtask_retriedtask_adoptedtask_stoppedjob_endedstart_failedjob_handed_over"
+	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_endedtask_retriedtask_adoptedtask_stoppedjob_endedstart_failedjob_handed_over"
 	_NumberName_4      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_4 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_5      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_mintedallowance_burned"
@@ -28,7 +28,7 @@
 	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94}
-	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44, 56, 68, 80, 89, 101}
+	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44, 56, 68, 80, 89, 101, 116}
 	_NumberIndex_4 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_5 = [...]uint8{0, 16, 34, 47, 62, 78, 94}
 	_NumberIndex_6 = [...]uint8{0, 15, 27, 46}
@@ -45,7 +45,7 @@
 	case 300 <= i && i <= 305:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
-	case 400 <= i && i <= 408:
+	case 400 <= i && i <= 409:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
 	case 500 <= i && i <= 505:
@@ -91,6 +91,7 @@
 	_ = x[TaskStopped-(406)]
 	_ = x[JobEnded-(407)]
 	_ = x[StartFailed-(408)]
+	_ = x[JobHandedOver-(409)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -108,92 +109,94 @@
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskRetried, TaskAdopted, TaskStopped, JobEnded, StartFailed, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, AllowanceBurned, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskRetried, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, AllowanceBurned, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:13]:   EntryStarted,
-	_NumberName_0[13:27]:  EntryStopping,
-	_NumberName_0[27:40]:  EntryStopped,
-	_NumberName_0[40:51]:  PartFailed,
-	_NumberName_0[51:66]:  StandinStarted,
-	_NumberName_1[0:14]:   ConfigApplied,
-	_NumberName_1[14:28]:  ConfigRefused,
-	_NumberName_1[28:43]:  ConfigConflict,
-	_NumberName_1[43:58]:  ConfigSnapshot,
-	_NumberName_1[58:69]:  KeyRefused,
-	_NumberName_2[0:14]:   MemberChanged,
-	_NumberName_2[14:30]:  OwnershipGained,
-	_NumberName_2[30:44]:  OwnershipLost,
-	_NumberName_2[44:62]:  OwnershipReleased,
-	_NumberName_2[62:77]:  UpstreamListed,
-	_NumberName_2[77:94]:  UpstreamUnlisted,
-	_NumberName_3[0:12]:   JobAccepted,
-	_NumberName_3[12:23]:  JobRefused,
-	_NumberName_3[23:34]:  TaskPlaced,
-	_NumberName_3[34:44]:  TaskEnded,
-	_NumberName_3[44:56]:  TaskRetried,
-	_NumberName_3[56:68]:  TaskAdopted,
-	_NumberName_3[68:80]:  TaskStopped,
-	_NumberName_3[80:89]:  JobEnded,
-	_NumberName_3[89:101]: StartFailed,
-	_NumberName_4[0:14]:   RequestRouted,
-	_NumberName_4[14:29]:  RequestRefused,
-	_NumberName_4[29:45]:  RequestAnswered,
-	_NumberName_4[45:60]:  RequestRetried,
-	_NumberName_4[60:76]:  UpstreamEjected,
-	_NumberName_4[76:93]:  UpstreamRestored,
-	_NumberName_5[0:16]:   ShardTakenOver,
-	_NumberName_5[16:34]:  ShardViewChanged,
-	_NumberName_5[34:47]:  ShardDeposed,
-	_NumberName_5[47:62]:  AllowanceMoved,
-	_NumberName_5[62:78]:  AllowanceMinted,
-	_NumberName_5[78:94]:  AllowanceBurned,
-	_NumberName_6[0:15]:   LogUnavailable,
-	_NumberName_6[15:27]:  LogRestored,
-	_NumberName_6[27:46]:  VMListUnavailable,
+	_NumberName_0[0:13]:    EntryStarted,
+	_NumberName_0[13:27]:   EntryStopping,
+	_NumberName_0[27:40]:   EntryStopped,
+	_NumberName_0[40:51]:   PartFailed,
+	_NumberName_0[51:66]:   StandinStarted,
+	_NumberName_1[0:14]:    ConfigApplied,
+	_NumberName_1[14:28]:   ConfigRefused,
+	_NumberName_1[28:43]:   ConfigConflict,
+	_NumberName_1[43:58]:   ConfigSnapshot,
+	_NumberName_1[58:69]:   KeyRefused,
+	_NumberName_2[0:14]:    MemberChanged,
+	_NumberName_2[14:30]:   OwnershipGained,
+	_NumberName_2[30:44]:   OwnershipLost,
+	_NumberName_2[44:62]:   OwnershipReleased,
+	_NumberName_2[62:77]:   UpstreamListed,
+	_NumberName_2[77:94]:   UpstreamUnlisted,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_3[12:23]:   JobRefused,
+	_NumberName_3[23:34]:   TaskPlaced,
+	_NumberName_3[34:44]:   TaskEnded,
+	_NumberName_3[44:56]:   TaskRetried,
+	_NumberName_3[56:68]:   TaskAdopted,
+	_NumberName_3[68:80]:   TaskStopped,
+	_NumberName_3[80:89]:   JobEnded,
+	_NumberName_3[89:101]:  StartFailed,
+	_NumberName_3[101:116]: JobHandedOver,
+	_NumberName_4[0:14]:    RequestRouted,
+	_NumberName_4[14:29]:   RequestRefused,
+	_NumberName_4[29:45]:   RequestAnswered,
+	_NumberName_4[45:60]:   RequestRetried,
+	_NumberName_4[60:76]:   UpstreamEjected,
+	_NumberName_4[76:93]:   UpstreamRestored,
+	_NumberName_5[0:16]:    ShardTakenOver,
+	_NumberName_5[16:34]:   ShardViewChanged,
+	_NumberName_5[34:47]:   ShardDeposed,
+	_NumberName_5[47:62]:   AllowanceMoved,
+	_NumberName_5[62:78]:   AllowanceMinted,
+	_NumberName_5[78:94]:   AllowanceBurned,
+	_NumberName_6[0:15]:    LogUnavailable,
+	_NumberName_6[15:27]:   LogRestored,
+	_NumberName_6[27:46]:   VMListUnavailable,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:13]:   EntryStarted,
-	_NumberLowerName_0[13:27]:  EntryStopping,
-	_NumberLowerName_0[27:40]:  EntryStopped,
-	_NumberLowerName_0[40:51]:  PartFailed,
-	_NumberLowerName_0[51:66]:  StandinStarted,
-	_NumberLowerName_1[0:14]:   ConfigApplied,
-	_NumberLowerName_1[14:28]:  ConfigRefused,
-	_NumberLowerName_1[28:43]:  ConfigConflict,
-	_NumberLowerName_1[43:58]:  ConfigSnapshot,
-	_NumberLowerName_1[58:69]:  KeyRefused,
-	_NumberLowerName_2[0:14]:   MemberChanged,
-	_NumberLowerName_2[14:30]:  OwnershipGained,
-	_NumberLowerName_2[30:44]:  OwnershipLost,
-	_NumberLowerName_2[44:62]:  OwnershipReleased,
-	_NumberLowerName_2[62:77]:  UpstreamListed,
-	_NumberLowerName_2[77:94]:  UpstreamUnlisted,
-	_NumberLowerName_3[0:12]:   JobAccepted,
-	_NumberLowerName_3[12:23]:  JobRefused,
-	_NumberLowerName_3[23:34]:  TaskPlaced,
-	_NumberLowerName_3[34:44]:  TaskEnded,
-	_NumberLowerName_3[44:56]:  TaskRetried,
-	_NumberLowerName_3[56:68]:  TaskAdopted,
-	_NumberLowerName_3[68:80]:  TaskStopped,
-	_NumberLowerName_3[80:89]:  JobEnded,
-	_NumberLowerName_3[89:101]: StartFailed,
-	_NumberLowerName_4[0:14]:   RequestRouted,
-	_NumberLowerName_4[14:29]:  RequestRefused,
-	_NumberLowerName_4[29:45]:  RequestAnswered,
-	_NumberLowerName_4[45:60]:  RequestRetried,
-	_NumberLowerName_4[60:76]:  UpstreamEjected,
-	_NumberLowerName_4[76:93]:  UpstreamRestored,
-	_NumberLowerName_5[0:16]:   ShardTakenOver,
-	_NumberLowerName_5[16:34]:  ShardViewChanged,
-	_NumberLowerName_5[34:47]:  ShardDeposed,
-	_NumberLowerName_5[47:62]:  AllowanceMoved,
-	_NumberLowerName_5[62:78]:  AllowanceMinted,
-	_NumberLowerName_5[78:94]:  AllowanceBurned,
-	_NumberLowerName_6[0:15]:   LogUnavailable,
-	_NumberLowerName_6[15:27]:  LogRestored,
-	_NumberLowerName_6[27:46]:  VMListUnavailable,
+	_NumberLowerName_0[0:13]:    EntryStarted,
+	_NumberLowerName_0[13:27]:   EntryStopping,
+	_NumberLowerName_0[27:40]:   EntryStopped,
+	_NumberLowerName_0[40:51]:   PartFailed,
+	_NumberLowerName_0[51:66]:   StandinStarted,
+	_NumberLowerName_1[0:14]:    ConfigApplied,
+	_NumberLowerName_1[14:28]:   ConfigRefused,
+	_NumberLowerName_1[28:43]:   ConfigConflict,
+	_NumberLowerName_1[43:58]:   ConfigSnapshot,
+	_NumberLowerName_1[58:69]:   KeyRefused,
+	_NumberLowerName_2[0:14]:    MemberChanged,
+	_NumberLowerName_2[14:30]:   OwnershipGained,
+	_NumberLowerName_2[30:44]:   OwnershipLost,
+	_NumberLowerName_2[44:62]:   OwnershipReleased,
+	_NumberLowerName_2[62:77]:   UpstreamListed,
+	_NumberLowerName_2[77:94]:   UpstreamUnlisted,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_3[12:23]:   JobRefused,
+	_NumberLowerName_3[23:34]:   TaskPlaced,
+	_NumberLowerName_3[34:44]:   TaskEnded,
+	_NumberLowerName_3[44:56]:   TaskRetried,
+	_NumberLowerName_3[56:68]:   TaskAdopted,
+	_NumberLowerName_3[68:80]:   TaskStopped,
+	_NumberLowerName_3[80:89]:   JobEnded,
+	_NumberLowerName_3[89:101]:  StartFailed,
+	_NumberLowerName_3[101:116]: JobHandedOver,
+	_NumberLowerName_4[0:14]:    RequestRouted,
+	_NumberLowerName_4[14:29]:   RequestRefused,
+	_NumberLowerName_4[29:45]:   RequestAnswered,
+	_NumberLowerName_4[45:60]:   RequestRetried,
+	_NumberLowerName_4[60:76]:   UpstreamEjected,
+	_NumberLowerName_4[76:93]:   UpstreamRestored,
+	_NumberLowerName_5[0:16]:    ShardTakenOver,
+	_NumberLowerName_5[16:34]:   ShardViewChanged,
+	_NumberLowerName_5[34:47]:   ShardDeposed,
+	_NumberLowerName_5[47:62]:   AllowanceMoved,
+	_NumberLowerName_5[62:78]:   AllowanceMinted,
+	_NumberLowerName_5[78:94]:   AllowanceBurned,
+	_NumberLowerName_6[0:15]:    LogUnavailable,
+	_NumberLowerName_6[15:27]:   LogRestored,
+	_NumberLowerName_6[27:46]:   VMListUnavailable,
 }
 
 var _NumberNames = []string{
@@ -222,6 +225,7 @@
 	_NumberName_3[68:80],
 	_NumberName_3[80:89],
 	_NumberName_3[89:101],
+	_NumberName_3[101:116],
 	_NumberName_4[0:14],
 	_NumberName_4[14:29],
 	_NumberName_4[29:45],
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -119,15 +119,41 @@
 
 // ZoneOwners implements calaunch.Directory.
 func (d *Directory) ZoneOwners() []calaunch.Owner {
+	return d.owners(func(z cawork.ZoneName) bool { return z == d.zone })
+}
+
+// FarOwners implements calaunch.Directory.
+func (d *Directory) FarOwners() []calaunch.Owner {
+	return d.owners(func(z cawork.ZoneName) bool { return z != d.zone })
+}
+
+func (d *Directory) owners(within func(cawork.ZoneName) bool) []calaunch.Owner {
 	var owners []calaunch.Owner
 	for _, m := range d.Others() {
-		if m.Zone == d.zone {
-			owners = append(owners, calaunch.Owner{VM: m.VM, Free: m.App.Free, LargestHole: m.App.LargestHole})
+		if !within(m.Zone) {
+			continue
+		}
+		var led []cawork.ShardID
+		for _, s := range m.App.Shards {
+			led = append(led, s.Shard)
 		}
+		owners = append(owners, calaunch.Owner{
+			VM: m.VM, Zone: m.Zone, Shard: calaunch.OwnShard(m.VM, led),
+			Free: m.App.Free, LargestHole: m.App.LargestHole,
+		})
 	}
 	return owners
 }
 
+// ZoneEntries implements calaunch.Directory.
+func (d *Directory) ZoneEntries(z cawork.ZoneName) []cawork.VMID {
+	var ids []cawork.VMID
+	for _, o := range d.owners(func(zone cawork.ZoneName) bool { return zone == z }) {
+		ids = append(ids, o.VM)
+	}
+	return ids
+}
+
 // Leader implements calaunch.Directory.
 func (d *Directory) Leader(s cawork.ShardID) (cawork.VMID, bool) {
 	var leader cawork.VMID
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -109,8 +109,8 @@
 	serverTLS    *tls.Config
 	draining     chan struct{}
 	// stop ends all parts at once, without a drain.
-	stop         context.CancelFunc
-	done         chan struct{}
+	stop context.CancelFunc
+	done chan struct{}
 }
 
 // NewEntry wires an entry and listens on its addresses. An address that is in
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -179,6 +180,57 @@
 	})
 }
 
+func TestFullZoneGivesJobsToOthers(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		spec := cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 1, MaxAttempts: 3,
+			Size: cawork.Resources{CPU: cawork.Cores(4), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 20000}`),
+		}
+		var accepted []submission
+		for range 15 {
+			s, ok := w.submit(w.entries["e00"].entry, "free", spec)
+			if !ok {
+				t.Fatal("a job was not accepted")
+			}
+			accepted = append(accepted, s)
+		}
+		time.Sleep(10 * time.Second)
+		if diff := cmp.Diff(15, w.running()); diff != "" {
+			t.Errorf("tasks running in all zones mismatch (-want +got):\n%s", diff)
+		}
+		w.checkEnded(accepted, 2*time.Minute)
+	})
+}
+
+func TestJobGoesToTheZoneItNames(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 1, MaxAttempts: 3, Constraints: cawork.Constraints{Zone: "zone-2"},
+			Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+		})
+		if !ok {
+			t.Fatal("the job was not accepted")
+		}
+		w.checkEnded([]submission{s}, time.Minute)
+		if !strings.HasPrefix(string(s.id), "e2") {
+			t.Errorf("job %s was accepted outside of zone-2", s.id)
+		}
+	})
+}
+
+// running counts the tasks that run on all upstreams.
+func (w *world) running() int {
+	count := 0
+	for _, u := range w.upstreams {
+		for _, s := range u.Tasks() {
+			if s.State == cawork.TaskStateRunning {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // fault brings about one fault and returns what ends it.
 type fault struct {
 	name  string
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -50,11 +50,11 @@
 	funded bool
 }
 
-func newAttempt(p casched.Placement, d casched.Decision) *attempt {
+func (l *Launcher) newAttempt(p casched.Placement, d casched.Decision) *attempt {
 	return &attempt{
 		id:       cawork.AttemptID(uuid.NewString()),
 		task:     p.Task,
-		shard:    shardOf(p.Task.Job),
+		shard:    l.home(p.Task.Job),
 		team:     d.Team,
 		kind:     d.WorkKind,
 		size:     p.Size,
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -17,6 +17,8 @@
 	maxRounds = 16
 	// jobSeparator stands between the shard and the number in a job id.
 	jobSeparator = "."
+	// shardSeparator stands between the VM and the incarnation in a shard id.
+	shardSeparator = "-"
 )
 
 // shardOf returns the shard in which a job was accepted.
@@ -88,7 +90,7 @@
 func (l *Launcher) place(d casched.Decision, owners []cawork.VMID, id casched.ReservationID) {
 	attempts := make([]*attempt, 0, len(d.Placements))
 	for i, p := range d.Placements {
-		a := newAttempt(p, d)
+		a := l.newAttempt(p, d)
 		if owners != nil && owners[i] != l.Self {
 			a.remote, a.reservation = owners[i], id
 		}
@@ -99,7 +101,7 @@
 
 func (l *Launcher) payload(id cawork.JobID) []byte {
 	var payload []byte
-	l.readState(shardOf(id), func(s *cajob.State) {
+	l.readState(l.home(id), func(s *cajob.State) {
 		if j, ok := s.Job(id); ok {
 			payload = j.Job.Spec.Payload
 		}
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -58,15 +58,21 @@
 	// ZoneOwners returns the other live entries of the own zone, with the room
 	// that they reported.
 	ZoneOwners() []Owner
+	// FarOwners returns the live entries of other zones.
+	FarOwners() []Owner
+	// ZoneEntries returns the live entries of a zone.
+	ZoneEntries(z cawork.ZoneName) []cawork.VMID
 	// Leader returns the entry that leads a shard.
 	Leader(s cawork.ShardID) (cawork.VMID, bool)
 	// Entries returns all other entries that are not known to have ended.
 	Entries() []cawork.VMID
 }
 
-// Owner is another entry of the zone.
+// Owner is another entry, with what it reported.
 type Owner struct {
 	VM          cawork.VMID
+	Zone        cawork.ZoneName
+	Shard       cawork.ShardID
 	Free        cawork.Resources
 	LargestHole cawork.Resources
 }
@@ -112,6 +118,10 @@
 	lastPoll time.Time
 	polling  map[cawork.VMID]struct{}
 	spilling map[cawork.JobID]struct{}
+	// homes holds the shards of jobs that were not accepted by the shard that
+	// their id names.
+	homes   map[cawork.JobID]cawork.ShardID
+	handing map[cawork.JobID]struct{}
 }
 
 // ledShard is a shard that this entry leads.
@@ -144,6 +154,8 @@
 		cursors:  make(map[pollTarget]catask.Cursor),
 		polling:  make(map[cawork.VMID]struct{}),
 		spilling: make(map[cawork.JobID]struct{}),
+		homes:    make(map[cawork.JobID]cawork.ShardID),
+		handing:  make(map[cawork.JobID]struct{}),
 	}
 	l.led[c.Shard] = &ledShard{id: c.Shard, recovered: true}
 	return l
@@ -195,6 +207,10 @@
 		l.lastPoll = l.now()
 		l.pollOwners()
 		l.refence()
+		l.sendHandovers()
+		if !l.draining {
+			l.handOver()
+		}
 	}
 }
 
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -6,6 +6,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/node/catask"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -22,6 +23,7 @@
 	GetJob(ctx context.Context, to cawork.VMID, r GetJobCall) (JobView, error)
 	SubmitJob(ctx context.Context, to cawork.VMID, r SubmitCall) (SubmitReply, error)
 	CancelJob(ctx context.Context, to cawork.VMID, r CancelCall) error
+	Handover(ctx context.Context, to cawork.VMID, h cajob.Handover) error
 	FindKey(ctx context.Context, to cawork.VMID, r FindKeyCall) (FindKeyReply, error)
 }
 
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -69,7 +69,10 @@
 	if leader, ok := l.Directory.Leader(shardOf(call.Job)); ok && leader != l.Self {
 		ctx, cancel := context.WithTimeout(ctx, call.Wait+peerTimeout)
 		defer cancel()
-		return l.Peers.GetJob(ctx, leader, call)
+		view, err = l.Peers.GetJob(ctx, leader, call)
+		if cakind.Of(err) != cakind.KindNotFound || err == nil {
+			return view, err
+		}
 	}
 	return l.search(ctx, call.Job, err)
 }
@@ -166,7 +169,7 @@
 
 func (l *Launcher) view(id cawork.JobID) (JobView, bool) {
 	j, ok := l.job(id)
-	if !ok {
+	if !ok || j.HandedTo != "" {
 		return JobView{}, false
 	}
 	view := JobView{
--- a/internal/node/calaunch/settle.go
+++ b/internal/node/calaunch/settle.go
@@ -82,7 +82,7 @@
 func (l *Launcher) reconcile(id cawork.JobID) {
 	verdict := cawork.OutcomePending
 	open := false
-	l.readState(shardOf(id), func(s *cajob.State) {
+	l.readState(l.home(id), func(s *cajob.State) {
 		j, ok := s.Job(id)
 		open = ok && j.IsOpen()
 		if open {
@@ -97,7 +97,7 @@
 // end records the final outcome of a job.
 func (l *Launcher) end(id cawork.JobID, outcome cawork.Outcome) {
 	record := cajob.JobEnded{Job: id, Outcome: outcome}
-	err := l.propose(shardOf(id), cajob.Record{Type: cajob.RecordJobEnded, JobEnded: &record}, func(err error) {
+	err := l.propose(l.home(id), cajob.Record{Type: cajob.RecordJobEnded, JobEnded: &record}, func(err error) {
 		l.ended(id, outcome, err)
 	})
 	if err != nil {
@@ -127,7 +127,7 @@
 // one that is true.
 func (l *Launcher) refuse(id cawork.JobID) {
 	outcome := cawork.OutcomePending
-	l.readState(shardOf(id), func(s *cajob.State) {
+	l.readState(l.home(id), func(s *cajob.State) {
 		j, ok := s.Job(id)
 		if !ok || !j.IsOpen() {
 			return
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -153,14 +153,13 @@
 func (l *Launcher) Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error {
 	call := CancelCall{Team: team, Job: id}
 	err := l.HandleCancel(ctx, call)
-	if cakind.Of(err) != cakind.KindNotFound || err == nil {
-		return err
-	}
-	leader, ok := l.Directory.Leader(shardOf(id))
-	if !ok || leader == l.Self {
-		return err
+	for _, vm := range l.Directory.Entries() {
+		if err == nil || cakind.Of(err) != cakind.KindNotFound {
+			return err
+		}
+		err = l.Peers.CancelJob(ctx, vm, call)
 	}
-	return l.Peers.CancelJob(ctx, leader, call)
+	return err
 }
 
 // HandleCancel cancels a job that is led here.
@@ -180,7 +179,7 @@
 func (l *Launcher) cancel(call CancelCall, result chan<- error) {
 	j, ok := l.job(call.Job)
 	switch {
-	case !ok || j.Job.Team != call.Team:
+	case !ok || j.HandedTo != "" || j.Job.Team != call.Team:
 		result <- cakind.New(cakind.KindNotFound, "no job %s of team %s", call.Job, call.Team)
 		return
 	case !j.IsOpen() || j.Canceled:
@@ -188,7 +187,7 @@
 		return
 	}
 	record := cajob.Record{Type: cajob.RecordJobCanceled, JobCanceled: &cajob.JobCanceled{Job: call.Job}}
-	err := l.propose(shardOf(call.Job), record, func(err error) {
+	err := l.propose(l.home(call.Job), record, func(err error) {
 		if err == nil {
 			l.canceled(call.Job)
 		}
@@ -221,6 +220,6 @@
 func (l *Launcher) job(id cawork.JobID) (cajob.Job, bool) {
 	var j cajob.Job
 	var ok bool
-	l.readState(shardOf(id), func(s *cajob.State) { j, ok = s.Job(id) })
+	l.readState(l.home(id), func(s *cajob.State) { j, ok = s.Job(id) })
 	return j, ok
 }
--- a/internal/node/calaunch/submit.go
+++ b/internal/node/calaunch/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,6 +27,44 @@
 // of the zone that keeps the key, so that a second submission finds the first.
 func (l *Launcher) Submit(ctx context.Context, team cawork.TeamName, spec cawork.JobSpec, key string) (cawork.JobID, error) {
 	call := SubmitCall{Team: team, Spec: spec, Key: key}
+	if z := spec.Constraints.Zone; z != "" && z != l.Zone {
+		return l.submitTo(ctx, z, call)
+	}
+	id, err := l.submitHere(ctx, call)
+	if err == nil || cakind.Of(err) != cakind.KindNeverFits {
+		return id, err
+	}
+	// The own zone has no upstream that could ever hold the work.
+	for _, z := range l.otherZones() {
+		if id, elsewhere := l.submitTo(ctx, z, call); cakind.Of(elsewhere) != cakind.KindNeverFits || elsewhere == nil {
+			return id, elsewhere
+		}
+	}
+	return "", err
+}
+
+// submitTo hands a submission to an entry of another zone.
+func (l *Launcher) submitTo(ctx context.Context, z cawork.ZoneName, call SubmitCall) (cawork.JobID, error) {
+	entries := l.Directory.ZoneEntries(z)
+	vm, ok := carendezvous.First(string(call.Team)+"/"+call.Key, entries)
+	if !ok {
+		return "", cakind.New(cakind.KindUnavailable, "no entry of zone %s is reached", z).WithRetryAfter(keyRetryAfter)
+	}
+	reply, err := l.Peers.SubmitJob(ctx, vm, call)
+	return reply.Job, err
+}
+
+func (l *Launcher) otherZones() []cawork.ZoneName {
+	var zones []cawork.ZoneName
+	for _, o := range l.Directory.FarOwners() {
+		zones = append(zones, o.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+func (l *Launcher) submitHere(ctx context.Context, call SubmitCall) (cawork.JobID, error) {
+	team, key := call.Team, call.Key
 	keeper := l.keeper(team, key)
 	if key == "" || keeper == l.Self {
 		reply, err := l.HandleSubmit(ctx, call)
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -92,6 +93,9 @@
 		byTask[r.Attempt.Task] = r
 	}
 	for _, j := range jobs {
+		if shardOf(j.Job.ID) != led.id {
+			l.homes[j.Job.ID] = led.id
+		}
 		l.restore(j, byTask)
 	}
 	led.recovered = true
@@ -198,6 +202,7 @@
 	for job := range jobs {
 		l.wake(job)
 	}
+	maps.DeleteFunc(l.homes, func(_ cawork.JobID, s cawork.ShardID) bool { return s == id })
 }
 
 // drop forgets an attempt without a record of its end. Its room stays
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -6,6 +6,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cafollow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/camember"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/node/calaunch"
@@ -125,6 +126,11 @@
 	return notify(ctx, j.Link, to, callCancelJob, r)
 }
 
+// Handover implements calaunch.Peers.
+func (j Jobs) Handover(ctx context.Context, to cawork.VMID, h cajob.Handover) error {
+	return notify(ctx, j.Link, to, callHandover, h)
+}
+
 // FindKey implements calaunch.Peers.
 func (j Jobs) FindKey(ctx context.Context, to cawork.VMID, r calaunch.FindKeyCall) (calaunch.FindKeyReply, error) {
 	return call[calaunch.FindKeyCall, calaunch.FindKeyReply](ctx, j.Link, to, callFindKey, r)
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -33,6 +33,7 @@
 	callSubmitJob     = "job.submit"
 	callCancelJob     = "job.cancel"
 	callFindKey       = "job.find_key"
+	callHandover      = "job.hand_over"
 	callAsk           = "allowance.ask"
 	callTransfer      = "allowance.transfer"
 )
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -62,5 +62,6 @@
 	capeer.Handle(s, callGetJob, l.HandleGetJob)
 	capeer.Handle(s, callSubmitJob, l.HandleSubmit)
 	capeer.Handle(s, callCancelJob, answerEmpty(l.HandleCancel))
+	capeer.Handle(s, callHandover, answerEmpty(l.HandleHandover))
 	capeer.Handle(s, callFindKey, l.HandleFindKey)
 }
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -29,6 +29,8 @@
 	period = time.Second
 	// exchangePeriod is the time between two rounds of asks.
 	exchangePeriod = 200 * time.Millisecond
+	// exchangeGap is the least time between two rounds of asks.
+	exchangeGap = 20 * time.Millisecond
 	// claimRetry is the time between two appends of a claim.
 	claimRetry = 5 * time.Second
 	// renewPeriod is the time after which the holder claims anew, so that the
@@ -105,6 +107,7 @@
 	for {
 		p.collect(ctx)
 		p.exchange(ctx)
+		p.rest(ctx)
 		select {
 		case <-ctx.Done():
 			<-p.minted
@@ -115,6 +118,17 @@
 	}
 }
 
+// rest keeps two rounds apart, however often the part is woken: two shards that
+// give to each other would otherwise do so without end.
+func (p *Part) rest(ctx context.Context) {
+	pause := p.Timer.After(exchangeGap)
+	defer pause.Close()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
 // mintRounds mints beside the exchange, because the log may be slow.
 func (p *Part) mintRounds(ctx context.Context) {
 	defer close(p.minted)
