Refused keys are logged by key id, at most ten lines a second

Cause: event 204 was numbered, but nothing wrote it, so an operator could not see a withdrawn key in use. Change: a refused key is logged with its reason, never with the key. Measurement: go test -race ./internal/config/caactive passes: 50 refusals at one instant leave 10 lines. Conclusion: use of withdrawn keys shows without a flood.

--- a/internal/config/caactive/active.go
+++ b/internal/config/caactive/active.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -23,6 +24,9 @@
 // confirmed.
 const retryAfterUnconfirmed = 2 * time.Second
 
+// refusalsPerSecond bounds the log lines about refused keys.
+const refusalsPerSecond = 10
+
 // Source gives versions of the configuration.
 type Source interface {
 	Current() cafollow.Snapshot
@@ -45,7 +49,9 @@
 	source Source
 	timer  *catimer.Service
 	logger zerolog.Logger
-	view   atomic.Pointer[View]
+	// refusals spares the log from a flood of wrong keys.
+	refusals *rate.Limiter
+	view     atomic.Pointer[View]
 	// change is closed and replaced when the view changes.
 	change atomic.Pointer[chan struct{}]
 	done   chan struct{}
@@ -53,7 +59,11 @@
 
 // NewActive returns the active configuration of a source.
 func NewActive(source Source, timer *catimer.Service, logger zerolog.Logger) *Active {
-	a := &Active{source: source, timer: timer, logger: logger, done: make(chan struct{})}
+	a := &Active{
+		source: source, timer: timer, logger: logger,
+		refusals: rate.NewLimiter(refusalsPerSecond, refusalsPerSecond),
+		done:     make(chan struct{}),
+	}
 	a.view.Store(&View{Keyring: cakey.NewKeyring(cacell.Config{})})
 	changed := make(chan struct{})
 	a.change.Store(&changed)
@@ -109,6 +119,14 @@
 // KindUnauthenticated a key that is unknown or withdrawn, and with
 // KindKeyUnconfirmed any key while the configuration cannot be confirmed.
 func (a *Active) Authenticate(secret string) (cakey.Principal, error) {
+	principal, err := a.authenticate(secret)
+	if now := a.timer.Now(); err != nil && a.refusals.AllowN(now, 1) {
+		caevent.Warn(a.logger, caevent.KeyRefused).Err(err).Send()
+	}
+	return principal, err
+}
+
+func (a *Active) authenticate(secret string) (cakey.Principal, error) {
 	v := a.View()
 	if v.Version == 0 {
 		return cakey.Principal{}, cakind.New(cakind.KindKeyUnconfirmed,
--- a/internal/config/caactive/active_test.go
+++ b/internal/config/caactive/active_test.go
@@ -1,8 +1,10 @@
 package caactive
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,6 +108,25 @@
 	})
 }
 
+func TestRefusedKeysAreLoggedWithoutTheKeyAndNotWithoutBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := cakey.Generate()
+		source := &fakeSource{changed: make(chan struct{})}
+		source.set(1, body(key, true, "refuse"))
+		var lines bytes.Buffer
+		a := NewActive(source, catimer.NewService(), zerolog.New(&lines))
+		for range 5 * refusalsPerSecond {
+			if _, err := a.Authenticate(key.Secret); err == nil {
+				t.Fatal("a withdrawn key was accepted")
+			}
+		}
+		want := fmt.Sprintf(`{"level":"warn","event":204,"name":"key_refused","error":"key %s was withdrawn"}`+"\n", key.ID)
+		if diff := cmp.Diff(strings.Repeat(want, refusalsPerSecond), lines.String()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestOpenQueueNeedsNoConfirmation(t *testing.T) {
 	source := &fakeSource{changed: make(chan struct{})}
 	source.set(1, body(cakey.Generate(), false, "refuse"))
