--- a/internal/coord/cafollow/follower.go
+++ b/internal/coord/cafollow/follower.go
@@ -23,13 +23,17 @@
 	// DefaultCallTimeout bounds a call to the log or to a peer.
 	DefaultCallTimeout = 2 * time.Second
 	// DefaultSnapshotPeriod is the time after which a snapshot is written
-	// again. It must stay below half of the retention of the log.
+	// again. It must stay below a third of the retention of the log.
 	DefaultSnapshotPeriod = 10 * time.Minute
 	// DefaultSnapshotRecords is the number of records after which a snapshot
 	// is written again.
 	DefaultSnapshotRecords = 256
 )
 
+// stepInAfter is the number of periods, or of multiples of the records, after
+// which an entry that is not elected writes a snapshot.
+const stepInAfter = 2
+
 // pageSize is the number of records that one read asks for.
 const pageSize = 64
 
@@ -52,8 +56,8 @@
 	Logger zerolog.Logger
 	Scope  tally.Scope
 	// Elected reports whether this entry is the one that writes snapshots. It
-	// must not block. Two entries that both do are harmless. Without it the
-	// entry always does.
+	// must not block. Two entries that both do are harmless, and the others step
+	// in when none does. Without it the entry is always elected.
 	Elected         func() bool
 	PollPeriod      time.Duration
 	CallTimeout     time.Duration
@@ -106,12 +110,13 @@
 	confirm confirmation
 
 	// The fields below belong to the goroutine of Run.
-	state        State
-	reading      bool
-	fetching     bool
-	appending    bool
-	logDown      bool
-	everCaughtUp bool
+	state     State
+	reading   bool
+	fetching  bool
+	appending bool
+	logDown   bool
+	// caughtUpAt is when the follower first reached the end of the log.
+	caughtUpAt   time.Time
 	snapshotSeen time.Time
 	reads        chan readResult
 	fetches      chan fetchResult
@@ -266,11 +271,11 @@
 	f.noteViolation(err)
 	f.noteDecisions(decisions)
 	f.adopt("log")
-	if f.everCaughtUp && next.anchor > before.anchor {
+	if !f.caughtUpAt.IsZero() && next.anchor > before.anchor {
 		f.snapshotSeen = f.opts.Timer.Now()
 	}
 	if next.CaughtUp() {
-		f.everCaughtUp = true
+		f.noteCaughtUp()
 		f.confirmByLog(r.started)
 		f.writeSnapshot(ctx)
 	}
@@ -280,6 +285,12 @@
 	}
 }
 
+func (f *Follower) noteCaughtUp() {
+	if f.caughtUpAt.IsZero() {
+		f.caughtUpAt = f.opts.Timer.Now()
+	}
+}
+
 func (f *Follower) confirmByLog(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -330,10 +341,10 @@
 	f.fetch(ctx)
 }
 
-// writeSnapshot appends a snapshot when this entry is elected for it and the
-// last one may soon be dropped by the log. The state has just caught up.
+// writeSnapshot appends a snapshot when the last one may soon be dropped by
+// the log. The state has just caught up.
 func (f *Follower) writeSnapshot(ctx context.Context) {
-	if f.appending || f.state.Version() == 0 || !f.snapshotDue() || !f.opts.Elected() {
+	if f.appending || f.state.Version() == 0 || !f.snapshotDue() {
 		return
 	}
 	f.appending = true
@@ -345,12 +356,23 @@
 	})
 }
 
-// snapshotDue is true for a follower that has not yet seen a snapshot being
-// written, since it cannot tell the age of those it found.
+// snapshotDue reports whether this entry should write. The elected entry
+// keeps the period; the others step in when it was missed, since the elected
+// one may be cut off from the log alone. An elected entry that has not yet
+// seen a snapshot being written cannot tell the age of the one that it found,
+// and writes one.
 func (f *Follower) snapshotDue() bool {
+	now := f.opts.Timer.Now()
 	lag, ok := f.state.SnapshotLag()
-	age := f.opts.Timer.Now().Sub(f.snapshotSeen)
-	return !ok || lag >= f.opts.SnapshotRecords || age >= f.opts.SnapshotPeriod
+	if f.opts.Elected() {
+		age := now.Sub(f.snapshotSeen)
+		return !ok || lag >= f.opts.SnapshotRecords || age >= f.opts.SnapshotPeriod
+	}
+	since := f.caughtUpAt
+	if f.snapshotSeen.After(since) {
+		since = f.snapshotSeen
+	}
+	return lag >= stepInAfter*f.opts.SnapshotRecords || now.Sub(since) >= stepInAfter*f.opts.SnapshotPeriod
 }
 
 func (f *Follower) handleAppend(err error) {
--- a/internal/coord/cafollow/follower_test.go
+++ b/internal/coord/cafollow/follower_test.go
@@ -116,6 +116,32 @@
 	})
 }
 
+func TestOthersWriteTheSnapshotWhenTheElectedOneCannot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, "a", "b")
+		defer c.stopAll()
+		c.log.set(func(l *fakeLog) { l.retention = 40 * time.Second })
+		c.start("1", "a")
+		c.start("2", "b")
+		c.start("3", "b")
+		mustPublish(t, c, "first")
+		pass(c, 10*time.Second)
+		c.split(map[cawork.ZoneName]bool{"a": true}, nil)
+		pass(c, 10*time.Minute)
+		now, err := Publisher{Log: c.log, Topic: testTopic}.Current(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(Version(1), now.Version); diff != "" {
+			t.Error(diff)
+		}
+		// Two entries step in, each time after two periods of 10 s.
+		if written := len(c.log.history()) - 2; written < 28 || written > 66 {
+			t.Errorf("%d snapshots in 10 min", written)
+		}
+	})
+}
+
 func TestConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 1, "a", "b", "c")
