--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -6,12 +6,18 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
+// refusalsPerAttempt is how many starts may be refused for each attempt that a
+// task has, before it is given up.
+const refusalsPerAttempt = 10
+
 // Task is the history of one task: how often it was attempted and how far the
 // attempts got.
 type Task struct {
 	// Open is the attempt that may run now, empty when there is none.
 	Open     cawork.AttemptID
 	Attempts int
+	// Refused counts the starts that are proved not to have run.
+	Refused int
 	// Ran reports that an upstream told that some attempt ran.
 	Ran bool
 	// MayHaveRun reports that some attempt ran, or may have run, and did not
@@ -81,17 +87,21 @@
 	saved := s.State == cawork.TaskStateCheckpointed
 	t.Ran = t.Ran || started && s.Observed
 	t.MayHaveRun = t.MayHaveRun || started && !saved
-	if saved {
+	switch {
+	case saved:
 		// The next attempt goes on where this one stopped, so that it neither
 		// doubles the work nor counts against the bound.
 		t.Attempts--
+	case !started:
+		t.Attempts--
+		t.Refused++
 	}
 	if s.State == cawork.TaskStateDone {
 		t.Outcome = cawork.OutcomeDone
 		t.Result = s.Result
 		return
 	}
-	if t.mayRepeat(spec) && t.Attempts < limit {
+	if t.mayRepeat(spec) && t.Attempts < limit && t.Refused < limit*refusalsPerAttempt {
 		return
 	}
 	t.Outcome = t.endedBadly()
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -143,7 +143,7 @@
 	var all, able []cawork.VMID
 	for _, e := range s.entries {
 		all = append(all, e.VM)
-		reaches := !slices.Contains(e.Unreachable, u.id)
+		reaches := !slices.Contains(e.Unreachable, u.id) && !slices.Contains(e.Unreachable, AllUpstreams)
 		if e.VM == s.self {
 			reaches = !u.unreachable
 		}
@@ -195,15 +195,22 @@
 	return owned
 }
 
+// AllUpstreams stands for all upstreams in a list of unreachable ones that
+// would be too long.
+const AllUpstreams cawork.UpstreamID = "*"
+
 // Unreachable returns the upstreams that this entry leaves to others, which
 // the others must be told.
 func (s *State) Unreachable() []cawork.UpstreamID {
 	var ids []cawork.UpstreamID
 	for _, id := range s.ids {
-		if s.upstreams[id].unreachable && len(ids) < s.cfg.MaxUnreachable {
+		if s.upstreams[id].unreachable {
 			ids = append(ids, id)
 		}
 	}
+	if len(ids) > s.cfg.MaxUnreachable {
+		return []cawork.UpstreamID{AllUpstreams}
+	}
 	return ids
 }
 
@@ -377,7 +384,7 @@
 	}
 	s.check.Assert(o.Epoch > u.highest, cacheck.RuleEpochGrows,
 		"%s granted epoch %d after %d", u.id, o.Epoch, u.highest)
-	u.highest, u.epoch, u.sequence = o.Epoch, o.Epoch, 0
+	u.highest, u.epoch, u.sequence, u.renewed = o.Epoch, o.Epoch, 0, false
 	s.renew(u, a.Call.Sent)
 	u.phase, u.next = phaseOwned, now
 	switch {
@@ -413,11 +420,10 @@
 		return
 	}
 	s.renew(u, a.Call.Sent)
-	first := u.sequence == 0
 	u.sequence = a.Heartbeat.Sequence
 	u.next = a.Call.Sent.Add(s.cfg.Period)
-	if first {
-		u.next = a.Call.Sent.Add(u.spread)
+	if !u.renewed {
+		u.renewed, u.next = true, a.Call.Sent.Add(u.spread)
 	}
 	if len(a.Heartbeat.Changed) > 0 {
 		s.emit(u, Event{Kind: EventKindTasksChanged, Epoch: u.epoch, Tasks: a.Heartbeat.Changed})
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -9,6 +9,7 @@
 	"celeryarch.example/celeryarch/internal/core/caledger"
 	"celeryarch.example/celeryarch/internal/core/caplace"
 	"celeryarch.example/celeryarch/internal/core/capreempt"
+	"celeryarch.example/celeryarch/internal/core/caqueue"
 	"celeryarch.example/celeryarch/internal/core/casched"
 )
 
@@ -18,6 +19,12 @@
 	// reliefPause is the time after which relief for a team is searched again
 	// when none was found.
 	reliefPause = time.Second
+	// shareTolerance is the part of its share below which a team takes room from
+	// others. Above it, the ends of tasks even the shares out.
+	shareTolerance = 0.95
+	// minRun is how long a task runs at least before it makes room for one that
+	// is not urgent.
+	minRun = 30 * time.Second
 	// maxReserving is the most jobs that have a reservation at a time.
 	maxReserving = 4
 	// maxPreempting is the most jobs that wait for preempted room at a time.
@@ -57,7 +64,7 @@
 		if j == nil {
 			continue
 		}
-		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(j, now)
+		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(t, j, now)
 		if !preempt && !reserve {
 			continue
 		}
@@ -69,26 +76,36 @@
 }
 
 // blockedHead returns the job of the team that is due first among those that
-// lack only room.
+// lack only room and have none held for them.
 func (s *Scheduler) blockedHead(t *team) *caledger.Job {
+	c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && m.LimitedAt != t.room })
+	if c != nil && s.claimed(c.Head().Value) {
+		c = s.firstUnclaimed(t)
+	}
+	if c == nil {
+		return nil
+	}
+	return c.Head().Value
+}
+
+// firstUnclaimed returns the blocked class that is due first and has no room
+// held for its head.
+func (s *Scheduler) firstUnclaimed(t *team) *class {
 	var first *class
 	for i, c := range t.queue.Classes() {
 		m := &t.queue.Marks()[i]
-		if m.BlockedAt == 0 || m.LimitedAt == t.room {
+		if m.BlockedAt == 0 || m.LimitedAt == t.room || s.claimed(c.Head().Value) {
 			continue
 		}
 		if first == nil || c.Head().Less(first.Head()) {
 			first = c
 		}
 	}
-	if first == nil || s.claimed(first.Head().Value) {
-		return nil
-	}
-	return first.Head().Value
+	return first
 }
 
 func (s *Scheduler) claimed(j *caledger.Job) bool {
-	return slices.ContainsFunc(s.claims, func(c *claim) bool { return c.job == j })
+	return len(s.claims) > 0 && slices.ContainsFunc(s.claims, func(c *claim) bool { return c.job == j })
 }
 
 func (s *Scheduler) countClaims(preempt bool) int {
@@ -112,7 +129,12 @@
 		return false
 	}
 	whole := s.demand(j).Size.Times(int64(j.Width()))
-	return t.Allows(whole) && (j.Spec.Urgent || s.shares.Dominant(t.Team, whole) <= t.Entitlement(s.activeWeight(t)))
+	if !t.Allows(whole) {
+		return false
+	}
+	owed := t.Entitlement(s.activeWeight(t))
+	return j.Spec.Urgent || (s.shares.Dominant(t.Team, whole) <= owed &&
+		s.shares.Dominant(t.Team, cawork.Resources{}) < shareTolerance*owed)
 }
 
 // preemptFor makes running tasks end for the job, when its team stays within
@@ -122,32 +144,60 @@
 	b := s.newBudget(t, j)
 	b.ownOnly = !b.within(t, d.Size.Times(int64(n)))
 	plan, ok := capreempt.Find(s.victims(j, b, now), d, n, b)
-	if !ok || len(plan.Victims) == 0 || len(s.out)+len(plan.Victims) > casched.MaxDecisions {
+	if !ok || len(plan.Victims) == 0 {
+		return false
+	}
+	ending := withGangs(plan.Victims)
+	if len(s.out)+len(ending) > casched.MaxDecisions {
 		return false
 	}
 	reason := casched.ReasonShare
 	if j.Spec.Urgent {
 		reason = casched.ReasonUrgentPreemption
 	}
-	for _, v := range plan.Victims {
-		s.emit(s.checkpoint(v.Task, reason, now))
+	for _, t := range ending {
+		if t.Stopping == caledger.StoppingNot {
+			s.emit(s.checkpoint(t, reason, now))
+		}
 	}
 	b.check()
-	s.hold(&claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}, plan.Hosts, now)
+	c := &claim{job: j, expires: now.Add(2 * s.policy.PreemptGrace), preempt: true}
+	s.hold(c, plan, d, now)
 	return true
 }
 
+// withGangs lists the victims with the other tasks of their gangs.
+func withGangs(victims []capreempt.Victim) []*caledger.Task {
+	var out []*caledger.Task
+	seen := map[*caledger.Job]bool{}
+	for _, v := range victims {
+		j := v.Task.Job
+		switch {
+		case j == nil || !j.Gang():
+			out = append(out, v.Task)
+		case !seen[j]:
+			seen[j] = true
+			out = append(out, j.Open...)
+		}
+	}
+	return out
+}
+
 // victims lists the upstreams that the job may use, with the tasks on them that
 // may be stopped for it.
 func (s *Scheduler) victims(j *caledger.Job, b *budget, now time.Time) []capreempt.Host {
 	s.hostPool, s.victimPool = s.hostPool[:0], s.victimPool[:0]
+	youngest := now
+	if !j.Spec.Urgent {
+		youngest = now.Add(-minRun)
+	}
 	for h := range s.index.Hosts() {
 		if !s.index.Admits(h, j.Spec.Constraints) || s.index.HeldFor(h, j.ID) {
 			continue
 		}
 		first := len(s.victimPool)
 		for _, t := range s.ledger.On(h) {
-			if t.Stopping == caledger.StoppingNot && t.Kind != cawork.WorkKindGang && !urgent(t) && b.allows(t) {
+			if t.Stopping == caledger.StoppingNot && mayEnd(t) && !t.Placed.After(youngest) && !urgent(t) && b.allows(t) {
 				s.victimPool = append(s.victimPool, capreempt.Victim{Task: t, Loss: loss(t, now)})
 			}
 		}
@@ -160,13 +210,30 @@
 	return s.hostPool
 }
 
+// mayEnd reports whether the task may be ended without others that are not known
+// here. A foreign gang may have tasks elsewhere.
+func mayEnd(t *caledger.Task) bool { return t.Job != nil || t.Kind != cawork.WorkKindGang }
+
 func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
 
-// mayReserve reports whether room may be reserved for the job by now.
-func (s *Scheduler) mayReserve(j *caledger.Job, now time.Time) bool {
+// mayReserve reports whether room may be reserved for the job by now. A team
+// whose share the job would pass reserves only while it uses less than half of
+// it, so that the room that it waits for is not taken from other teams.
+func (s *Scheduler) mayReserve(t *team, j *caledger.Job, now time.Time) bool {
 	p := s.policy.Kind(j.Spec.Kind)
-	return p.ReserveBound > 0 && now.Sub(j.Accepted) >= p.ReserveAfter && !now.Before(j.NextReserve) &&
-		s.countClaims(false) < maxReserving
+	if p.ReserveBound == 0 || now.Sub(j.Accepted) < p.ReserveAfter || now.Before(j.NextReserve) ||
+		!s.large(j) || s.countClaims(false) >= maxReserving {
+		return false
+	}
+	whole := s.demand(j).Size.Times(int64(j.Width()))
+	owed := t.Entitlement(s.activeWeight(t))
+	return s.shares.Dominant(t.Team, whole) <= owed || s.shares.Dominant(t.Team, cawork.Resources{}) <= owed/2
+}
+
+// large reports whether smaller work could keep the job from ever fitting: it
+// is a gang, or a task takes more than half of the largest upstream.
+func (s *Scheduler) large(j *caledger.Job) bool {
+	return j.Gang() || s.index.LargePart(s.demand(j)) > 0.5
 }
 
 // reserveFor reserves room for a job that has waited long.
@@ -232,13 +299,24 @@
 	return cabackfill.Find(hosts, releases, s.demand(j), j.Width(), now)
 }
 
-// hold keeps the upstreams for the job of the claim alone.
-func (s *Scheduler) hold(c *claim, hosts []caplace.HostIndex, now time.Time) {
-	for _, h := range hosts {
+// hold keeps the room that the plan makes for the job of the claim alone. What
+// is left beside it may be used.
+func (s *Scheduler) hold(c *claim, p capreempt.Plan, unit caplace.Demand, now time.Time) {
+	for _, h := range p.Hosts {
+		slack := s.index.FreeOn(h)
+		if slices.Contains(c.hosts, h) {
+			slack = s.index.HoldOf(h).Slack
+		}
+		slack = slack.Minus(unit)
 		if !slices.Contains(c.hosts, h) {
 			c.hosts = append(c.hosts, h)
-			s.index.SetHold(h, caplace.Hold{Owner: c.job.ID, Until: now})
+			for _, v := range p.Victims {
+				if v.Task.Host == h {
+					slack = slack.Plus(v.Task.Demand)
+				}
+			}
 		}
+		s.index.SetHold(h, caplace.Hold{Owner: c.job.ID, Until: now, Slack: slack})
 	}
 	s.claims = append(s.claims, c)
 }
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -24,11 +24,12 @@
 )
 
 const (
-	tickPeriod = 20 * time.Millisecond
-	// maxInProgress bounds the requests that an entry holds at a time.
-	maxInProgress = 8192
+	tickPeriod           = 20 * time.Millisecond
+	defaultMaxInProgress = 2048
 )
 
+var errTooMany = caadmit.NewRefusal("too many requests in progress", defaultRetryAfter)
+
 // Config holds what a dispatcher needs.
 type Config struct {
 	// Self is the VM of this entry.
@@ -40,6 +41,9 @@
 	// CrossingDelay is the round trip to another availability zone.
 	CrossingDelay time.Duration
 	Policy        caadmit.Policy
+	// MaxInProgress bounds the requests that the entry holds at a time, and
+	// with them its memory. Zero stands for 2,048.
+	MaxInProgress int
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
 	// Keys keeps the idempotency keys. It may be nil; requests with a key are
@@ -73,6 +77,9 @@
 
 // New returns a dispatcher without upstreams.
 func New(c Config) *Dispatcher {
+	if c.MaxInProgress <= 0 {
+		c.MaxInProgress = defaultMaxInProgress
+	}
 	return &Dispatcher{
 		config:    c,
 		forward:   caforward.New(c.Timer.Now),
@@ -185,8 +192,8 @@
 	if d.draining {
 		return cakind.New(cakind.KindDraining, "the entry is stopping")
 	}
-	if d.inProgress >= maxInProgress {
-		return cakind.New(cakind.KindOverloaded, "too many requests in progress")
+	if d.inProgress >= d.config.MaxInProgress {
+		return errTooMany
 	}
 	d.inProgress++
 	return nil
@@ -210,6 +217,8 @@
 	d.cutLate(now)
 	d.pump(now)
 	d.borrow(now)
+	d.metrics.queued.Update(float64(d.queues.Len()))
+	d.metrics.slots.Update(float64(d.router.InUse()))
 }
 
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
@@ -218,11 +227,12 @@
 
 func (d *Dispatcher) refuse(w http.ResponseWriter, team cawork.TeamName, err error) {
 	kind := cakind.Of(err)
+	message := err.Error()
 	d.metrics.refused.Inc(1)
 	caevent.Info(d.config.Logger, caevent.RequestRefused).
 		Str("team", string(team)).
 		Str("kind", kind.String()).
-		Str("reason", err.Error()).
+		Str("reason", message).
 		Send()
-	WriteError(w, err)
+	writeError(w, err, message)
 }
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -61,7 +61,7 @@
 	Zone     cawork.ZoneName
 	Address  string
 	Epoch    caplatform.Epoch
-	// Connections bounds the connections that this entry may have.
+	// Connections bounds the connections that this entry keeps.
 	Connections int
 	// Grant is set when the slot is borrowed.
 	Grant GrantID
@@ -90,9 +90,11 @@
 	health  map[cawork.UpstreamID]*health
 	lent    map[GrantID]*loan
 	sources []*source
-	turn    int
-	service time.Duration
-	nextID  int64
+	// lingering holds the slots of interrupted attempts.
+	lingering []lingering
+	turn      int
+	service   time.Duration
+	nextID    int64
 }
 
 // NewRouter returns a router without upstreams.
@@ -177,15 +179,24 @@
 	return n
 }
 
+// InUse returns the slots of owned upstreams that are in use here or lent.
+func (r *Router) InUse() int {
+	n := 0
+	for _, s := range r.owned {
+		n += s.inUse + s.lent
+	}
+	return n
+}
+
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
 // Choose takes a slot of the upstream with the least expected latency. It
-// reports false when no slot is free for the request.
-func (r *Router) Choose(now time.Time, a Ask) (Route, bool) {
+// returns nil when no slot is free for the request.
+func (r *Router) Choose(now time.Time, a Ask) *Route {
 	if s := r.probe(now, a); s != nil {
 		r.health[s.upstream].probing = true
-		return r.take(now, s, true), true
+		return r.take(now, s, true)
 	}
 	if !r.startable(now, a.Exclude) {
 		// Nothing else is left: an upstream that failed before is better than
@@ -204,15 +215,15 @@
 		}
 	}
 	if best == nil {
-		return Route{}, false
+		return nil
 	}
 	r.turn++
-	return r.take(now, best, false), true
+	return r.take(now, best, false)
 }
 
 // Release gives the slot of an attempt back and learns from its end. It
 // returns changes of the health of upstreams.
-func (r *Router) Release(now time.Time, t Route, v Verdict) []Change {
+func (r *Router) Release(now time.Time, t *Route, v Verdict) []Change {
 	s := t.source
 	s.inUse--
 	assertSlots(s)
@@ -262,7 +273,7 @@
 	h := r.health[s.upstream]
 	h.decay(now)
 	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
-	success := max(1-h.failureRate(), 0.1)
+	success := max(1-h.risk(), 0.1)
 	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
 		e += r.config.CrossingDelay
@@ -270,17 +281,17 @@
 	return e
 }
 
-func (r *Router) take(now time.Time, s *source, probe bool) Route {
+func (r *Router) take(now time.Time, s *source, probe bool) *Route {
 	e := r.expected(now, s)
 	s.inUse++
 	s.lastUsed = now
 	assertSlots(s)
-	return Route{
+	return &Route{
 		Upstream:    s.upstream,
 		Zone:        s.zone,
 		Address:     s.address,
 		Epoch:       s.epoch,
-		Connections: s.slots,
+		Connections: s.connections(),
 		Grant:       s.grant,
 		Probe:       probe,
 		Expected:    e,
