Try smaller jobs behind the head of a class

Change: up to eight smaller jobs behind the head are tried at a time, in turn over the calls; a class is marked only when all were tried.

--- a/internal/core/cadecide/differential_test.go
+++ b/internal/core/cadecide/differential_test.go
@@ -180,6 +180,19 @@
 	})
 }
 
+// A gang beyond the allowance of its team must not keep the next one of the same
+// class from starting.
+func TestJobBeyondTheAllowanceKeepsNobodyBack(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 3)
+	c.s.SetAllowance("south", cawork.Resources{CPU: cawork.Cores(20), Memory: 64 * cawork.GiB}, c.now)
+	gang := cawork.JobSpec{Kind: cawork.WorkKindGang, Tasks: 3, Size: cawork.Resources{CPU: 7000}}
+	c.submit("beyond", "south", gang)
+	c.after(time.Second)
+	gang.Size.CPU = 6500
+	c.submit("within", "south", gang)
+	wantSummary(t, c.after(time.Second), "place_gang gang_fits within/3")
+}
+
 // The versions may start mixed work in another order, and so cancel other jobs
 // in time, but must refuse alike and bring all other jobs to the same outcome.
 func TestMixedWorkEndsLikeTheNaiveVersion(t *testing.T) {
--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -16,14 +16,41 @@
 	deferAfter = time.Second
 	// deferAbove is the part of its share beyond which a team leaves room.
 	deferAbove = 1.025
+	// moreTries is how many jobs behind the head of a class are tried at a time.
+	moreTries = 8
+	// maxRounds bounds the rounds of one call.
+	maxRounds = 8
+)
+
+// tried tells what became of an attempt to place a job.
+type tried int
+
+const (
+	triedPlaced tried = iota
+	// triedLimited means that the allowance does not suffice.
+	triedLimited
+	// triedBlocked means that there is no room.
+	triedBlocked
+	// triedDeferred means that room is left to a team below its share.
+	triedDeferred
+	triedCount
 )
 
 type class = caqueue.Class[*caledger.Job]
 
-// placeAll places tasks, of the team with the lowest share first, until none
-// fits.
+// placeAll places tasks until none fits. When nothing else was decided, the walk
+// over the jobs behind the heads of classes goes on for a few rounds.
 func (s *Scheduler) placeAll(now time.Time) {
+	s.placeRound(now)
+	for i := 1; i < maxRounds && s.unfinished && len(s.out) == 0; i++ {
+		s.placeRound(now)
+	}
+}
+
+// placeRound places tasks, of the team with the lowest share first.
+func (s *Scheduler) placeRound(now time.Time) {
 	s.round++
+	s.unfinished = false
 	s.weight = s.activeWeight(nil)
 	for !s.full() {
 		t := s.lowest()
@@ -56,7 +83,7 @@
 	s.collect(t, now)
 	for len(s.candidates) > 0 {
 		c := s.takeFirst(t)
-		if s.tryHead(t, c, now) {
+		if s.tryClass(t, c, now) {
 			return true
 		}
 	}
@@ -71,27 +98,32 @@
 	classes, marks := t.queue.Classes(), t.queue.Marks()
 	for i := range marks {
 		m := &marks[i]
-		if m.BlockedAt == seq || m.LimitedAt == t.room {
+		if m.Tried(seq, t.room) {
 			continue
 		}
-		if m.BlockedAt != 0 && !s.mayFit(t, m, classes[i], &freed, now) {
+		if m.BlockedAt != 0 && m.BlockedAt != seq && !s.mayFit(t, m, classes[i], &freed, now) {
 			m.BlockedAt = seq
-			continue
+			if m.Tried(seq, t.room) {
+				continue
+			}
 		}
 		s.candidates = append(s.candidates, classes[i])
 	}
 }
 
-// mayFit reports whether the head of a class that did not fit may do so on an
+// mayFit reports whether a job of a class of which none did fit may do so on an
 // upstream that got more room since.
 func (s *Scheduler) mayFit(t *team, m *caqueue.Mark, c *class, freed *caplace.Freed, now time.Time) bool {
 	if freed.Seq != m.BlockedAt {
 		*freed = s.index.FreedSince(m.BlockedAt)
 	}
-	if freed.Known && !t.scaled(m).Fits(freed.Room) {
+	least := t.scaled(m)
+	if freed.Known && !least.Fits(freed.Room) {
 		return false
 	}
-	q := s.query(c.Head().Value, now)
+	q := caplace.Query{
+		Demand: s.demandOf(least, m.Kind), Constraints: c.Key.Constraints, Job: c.Head().Value.ID, End: now, Probe: true,
+	}
 	return s.index.FitsSince(&q, m.BlockedAt)
 }
 
@@ -115,24 +147,56 @@
 	return c
 }
 
-// tryHead places the head of the class, or notes why it does not fit.
-func (s *Scheduler) tryHead(t *team, c *class, now time.Time) bool {
-	j := c.Head().Value
+// tryClass places the head of the class or, when that does not fit, a smaller
+// job behind it. Some are tried at a time, the others at the next calls; when
+// none is left, the class is marked.
+func (s *Scheduler) tryClass(t *team, c *class, now time.Time) bool {
+	seq, account := s.index.Seq(), t.room
+	head := c.Head().Value
+	result := s.tryJob(t, head, now)
+	if result == triedPlaced || result == triedDeferred {
+		return result == triedPlaced
+	}
+	var seen [triedCount]bool
+	seen[result] = true
+	atEnd := c.More(moreTries, func(j *caledger.Job) bool {
+		if s.demand(head).Fits(s.demand(j)) && head.Width() <= j.Width() {
+			return true
+		}
+		result = s.tryJob(t, j, now)
+		seen[result] = true
+		return result != triedPlaced && result != triedDeferred
+	})
+	if !atEnd || seen[triedPlaced] || seen[triedDeferred] {
+		s.unfinished = s.unfinished || !seen[triedPlaced] && !seen[triedDeferred]
+		return seen[triedPlaced]
+	}
+	m := t.queue.Mark(c)
+	m.BlockedAt, m.LimitedAt = 0, 0
+	if seen[triedBlocked] {
+		m.BlockedAt = seq
+	}
+	if seen[triedLimited] {
+		m.LimitedAt = account
+	}
+	return false
+}
+
+// tryJob places the job, or tells why not.
+func (s *Scheduler) tryJob(t *team, j *caledger.Job, now time.Time) tried {
 	q := s.query(j, now)
 	n := j.Width()
 	if !t.Allows(q.Demand.Size.Times(int64(n))) {
-		t.queue.Mark(c).LimitedAt = t.room
-		return false
+		return triedLimited
 	}
 	if !j.Spec.Urgent && !s.claimed(j) && s.defers(t, q.Demand.Size.Times(int64(n)), now) {
-		return false
+		return triedDeferred
 	}
 	if !s.findHosts(&q, n) {
-		t.queue.Mark(c).BlockedAt = s.index.Seq()
-		return false
+		return triedBlocked
 	}
 	s.open(t, j, &q, now)
-	return true
+	return triedPlaced
 }
 
 // defers reports whether the amount would take the team beyond its share while
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -78,7 +78,7 @@
 // blockedHead returns the job of the team that is due first among those that
 // lack only room and have none held for them.
 func (s *Scheduler) blockedHead(t *team) *caledger.Job {
-	c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && m.LimitedAt != t.room })
+	c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 })
 	if c != nil && s.claimed(c.Head().Value) {
 		c = s.firstUnclaimed(t)
 	}
@@ -94,7 +94,7 @@
 	var first *class
 	for i, c := range t.queue.Classes() {
 		m := &t.queue.Marks()[i]
-		if m.BlockedAt == 0 || m.LimitedAt == t.room || s.claimed(c.Head().Value) {
+		if m.BlockedAt == 0 || s.claimed(c.Head().Value) {
 			continue
 		}
 		if first == nil || c.Head().Less(first.Head()) {
@@ -226,6 +226,9 @@
 		return false
 	}
 	whole := s.demand(j).Size.Times(int64(j.Width()))
+	if !t.Allows(whole) {
+		return false
+	}
 	owed := t.Entitlement(s.activeWeight(t))
 	return s.shares.Dominant(t.Team, whole) <= owed || s.shares.Dominant(t.Team, cawork.Resources{}) <= owed/2
 }
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -57,6 +57,7 @@
 	pending      []casched.Decision
 	round        uint64
 	weight       int
+	unfinished   bool
 	policyCount  uint64
 	nextRelief   time.Time
 
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -78,6 +78,8 @@
 	heap []*Entry[T]
 	live int
 	pos  int
+	// cursor is where the walk over entries behind the head goes on.
+	cursor int
 }
 
 // Mark is what a walk over the classes reads first, kept apart from them so
@@ -86,16 +88,24 @@
 	// Least is the lower bound of the declared amounts in the class.
 	Least cawork.Resources
 	Kind  cawork.WorkKind
-	// BlockedAt is the sequence number of the room index at which the head did
-	// not fit, zero when it was not tried.
+	// BlockedAt is the sequence number of the room index at which an entry of
+	// the class did not fit, and none did. It is zero when none was tried.
 	BlockedAt uint64
 	// LimitedAt is the like number of the account of the team at which the
-	// allowance did not suffice for the head.
+	// allowance did not suffice.
 	LimitedAt uint64
 	// due is that of the head in nanoseconds, zero when it has to be looked up.
 	due int64
 }
 
+// Tried reports whether nothing has changed since all of the class was tried.
+func (m *Mark) Tried(room, account uint64) bool {
+	if m.BlockedAt == 0 && m.LimitedAt == 0 {
+		return false
+	}
+	return (m.BlockedAt == 0 || m.BlockedAt == room) && (m.LimitedAt == 0 || m.LimitedAt == account)
+}
+
 // Queue is the queue of a team. Classes and marks have the same order.
 type Queue[T any] struct {
 	classes []*Class[T]
@@ -217,6 +227,29 @@
 	return c.heap[0]
 }
 
+// More calls the function for at most n entries behind the head, in turn over
+// calls, until it returns false. It reports whether the walk came to its end.
+func (c *Class[T]) More(n int, f func(T) bool) bool {
+	if c.cursor == 0 || c.cursor > len(c.heap) {
+		c.cursor = 1
+	}
+	for ; c.cursor < len(c.heap) && n > 0; c.cursor++ {
+		e := c.heap[c.cursor]
+		if e.dead {
+			continue
+		}
+		n--
+		if !f(e.Value) {
+			return false
+		}
+	}
+	if c.cursor < len(c.heap) {
+		return false
+	}
+	c.cursor = 1
+	return true
+}
+
 // Less reports whether the entry goes before the other.
 func (e *Entry[T]) Less(o *Entry[T]) bool {
 	if c := e.due.Compare(o.due); c != 0 {
