Walk over a class restarts when an entry is pushed or room changes

Change: a push unmarks the class and takes the walk back to the new entry; marks carry the state of when the walk began, so that what changes meanwhile is seen.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -151,7 +151,7 @@
 // job behind it. Some are tried at a time, the others at the next calls; when
 // none is left, the class is marked.
 func (s *Scheduler) tryClass(t *team, c *class, now time.Time) bool {
-	seq, account := s.index.Seq(), t.room
+	seq, account := c.Begin(s.index.Seq(), t.room)
 	head := c.Head().Value
 	result := s.tryJob(t, head, now)
 	if result == triedPlaced || result == triedDeferred {
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -78,8 +78,10 @@
 	heap []*Entry[T]
 	live int
 	pos  int
-	// cursor is where the walk over entries behind the head goes on.
+	// cursor is where the walk over entries behind the head goes on, began what
+	// the room and the account were when it began.
 	cursor int
+	began  Mark
 }
 
 // Mark is what a walk over the classes reads first, kept apart from them so
@@ -132,12 +134,15 @@
 	}
 	q.order++
 	e := &Entry[T]{Value: value, due: due, order: q.order, class: c}
-	c.push(e)
+	place := c.push(e)
 	c.live++
 	q.live++
-	if c.heap[0] == e {
+	c.cursor = min(c.cursor, place)
+	if place == 0 {
 		q.unmark(c)
 	}
+	m := &q.marks[c.pos]
+	m.BlockedAt, m.LimitedAt = 0, 0
 	return e
 }
 
@@ -227,12 +232,19 @@
 	return c.heap[0]
 }
 
+// Begin notes the state of the room and of the account when a walk over the
+// entries begins, and returns that of the walk under way.
+func (c *Class[T]) Begin(room, account uint64) (uint64, uint64) {
+	if c.cursor <= 1 {
+		c.began.BlockedAt, c.began.LimitedAt = room, account
+	}
+	return c.began.BlockedAt, c.began.LimitedAt
+}
+
 // More calls the function for at most n entries behind the head, in turn over
 // calls, until it returns false. It reports whether the walk came to its end.
 func (c *Class[T]) More(n int, f func(T) bool) bool {
-	if c.cursor == 0 || c.cursor > len(c.heap) {
-		c.cursor = 1
-	}
+	c.cursor = max(c.cursor, 1)
 	for ; c.cursor < len(c.heap) && n > 0; c.cursor++ {
 		e := c.heap[c.cursor]
 		if e.dead {
@@ -267,6 +279,7 @@
 	}
 	clear(c.heap[len(kept):])
 	c.heap = kept
+	c.cursor = 1
 	c.restore()
 }
 
@@ -276,16 +289,15 @@
 	}
 }
 
-func (c *Class[T]) push(e *Entry[T]) {
+// push adds an entry and returns its place.
+func (c *Class[T]) push(e *Entry[T]) int {
 	c.heap = append(c.heap, e)
-	for i := len(c.heap) - 1; i > 0; {
-		parent := (i - 1) / 2
-		if !c.heap[i].Less(c.heap[parent]) {
-			return
-		}
-		c.heap[i], c.heap[parent] = c.heap[parent], c.heap[i]
+	i := len(c.heap) - 1
+	for parent := (i - 1) / 2; i > 0 && e.Less(c.heap[parent]); parent = (i - 1) / 2 {
+		c.heap[i], c.heap[parent] = c.heap[parent], e
 		i = parent
 	}
+	return i
 }
 
 func (c *Class[T]) pop() {
@@ -293,6 +305,7 @@
 	c.heap[0] = c.heap[last]
 	c.heap[last] = nil
 	c.heap = c.heap[:last]
+	c.cursor = 1
 	c.down(0)
 }
 
