--- a/internal/core/cadecide/bench_test.go
+++ b/internal/core/cadecide/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -197,3 +198,25 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap of a full cell by the length of its queue.
+func BenchmarkMemory(b *testing.B) {
+	for _, queued := range []int{1_000, 100_000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				c := newCell(b, 910, 22, queued)
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "heap-MB")
+				b.ReportMetric(float64(len(c.running)), "running")
+				b.ReportMetric(float64(c.queued()), "queued")
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -150,6 +150,9 @@
 // SetRemoteUse implements casched.Scheduler.
 func (s *Scheduler) SetRemoteUse(r casched.RemoteUse, _ time.Time) {
 	s.remote = r
+	for _, u := range r.Teams {
+		s.team(u.Team)
+	}
 	s.shares.SetRemote(r)
 	s.capacityChanged()
 }
--- a/internal/core/casched/scheduler.go
+++ b/internal/core/casched/scheduler.go
@@ -62,8 +62,8 @@
 	MarkUpstream(id cawork.UpstreamID, failed bool, now time.Time)
 
 	// Reserve keeps room for tasks of another entry, or for the local part of a
-	// gang. It is idempotent by the id. It fails with KindNeverFits when no
-	// upstream could hold the size, or KindUnavailable when less than Min fit.
+	// gang. It is idempotent by the id. It fails with KindUnavailable when less
+	// than Min fit now; nothing is reserved then.
 	Reserve(r ReserveRequest, now time.Time) (Reservation, error)
 	// CommitReservation turns the reserved room into foreign tasks, one for
 	// each task in the order of the upstreams. KindNotFound tells that it has
