--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -78,6 +78,10 @@
 	heap []*Entry[T]
 	live int
 	pos  int
+	// cursor is where the walk over entries behind the head goes on, began what
+	// the room and the account were when it began.
+	cursor int
+	began  Mark
 }
 
 // Mark is what a walk over the classes reads first, kept apart from them so
@@ -86,16 +90,24 @@
 	// Least is the lower bound of the declared amounts in the class.
 	Least cawork.Resources
 	Kind  cawork.WorkKind
-	// BlockedAt is the sequence number of the room index at which the head did
-	// not fit, zero when it was not tried.
+	// BlockedAt is the sequence number of the room index at which an entry of
+	// the class did not fit, and none did. It is zero when none was tried.
 	BlockedAt uint64
 	// LimitedAt is the like number of the account of the team at which the
-	// allowance did not suffice for the head.
+	// allowance did not suffice.
 	LimitedAt uint64
 	// due is that of the head in nanoseconds, zero when it has to be looked up.
 	due int64
 }
 
+// Tried reports whether nothing has changed since all of the class was tried.
+func (m *Mark) Tried(room, account uint64) bool {
+	if m.BlockedAt == 0 && m.LimitedAt == 0 {
+		return false
+	}
+	return (m.BlockedAt == 0 || m.BlockedAt == room) && (m.LimitedAt == 0 || m.LimitedAt == account)
+}
+
 // Queue is the queue of a team. Classes and marks have the same order.
 type Queue[T any] struct {
 	classes []*Class[T]
@@ -122,12 +134,15 @@
 	}
 	q.order++
 	e := &Entry[T]{Value: value, due: due, order: q.order, class: c}
-	c.push(e)
+	place := c.push(e)
 	c.live++
 	q.live++
-	if c.heap[0] == e {
+	c.cursor = min(c.cursor, place)
+	if place == 0 {
 		q.unmark(c)
 	}
+	m := &q.marks[c.pos]
+	m.BlockedAt, m.LimitedAt = 0, 0
 	return e
 }
 
@@ -217,6 +232,36 @@
 	return c.heap[0]
 }
 
+// Begin notes the state of the room and of the account when a walk over the
+// entries begins, and returns that of the walk under way.
+func (c *Class[T]) Begin(room, account uint64) (uint64, uint64) {
+	if c.cursor <= 1 {
+		c.began.BlockedAt, c.began.LimitedAt = room, account
+	}
+	return c.began.BlockedAt, c.began.LimitedAt
+}
+
+// More calls the function for at most n entries behind the head, in turn over
+// calls, until it returns false. It reports whether the walk came to its end.
+func (c *Class[T]) More(n int, f func(T) bool) bool {
+	c.cursor = max(c.cursor, 1)
+	for ; c.cursor < len(c.heap) && n > 0; c.cursor++ {
+		e := c.heap[c.cursor]
+		if e.dead {
+			continue
+		}
+		n--
+		if !f(e.Value) {
+			return false
+		}
+	}
+	if c.cursor < len(c.heap) {
+		return false
+	}
+	c.cursor = 1
+	return true
+}
+
 // Less reports whether the entry goes before the other.
 func (e *Entry[T]) Less(o *Entry[T]) bool {
 	if c := e.due.Compare(o.due); c != 0 {
@@ -234,6 +279,7 @@
 	}
 	clear(c.heap[len(kept):])
 	c.heap = kept
+	c.cursor = 1
 	c.restore()
 }
 
@@ -243,16 +289,15 @@
 	}
 }
 
-func (c *Class[T]) push(e *Entry[T]) {
+// push adds an entry and returns its place.
+func (c *Class[T]) push(e *Entry[T]) int {
 	c.heap = append(c.heap, e)
-	for i := len(c.heap) - 1; i > 0; {
-		parent := (i - 1) / 2
-		if !c.heap[i].Less(c.heap[parent]) {
-			return
-		}
-		c.heap[i], c.heap[parent] = c.heap[parent], c.heap[i]
+	i := len(c.heap) - 1
+	for parent := (i - 1) / 2; i > 0 && e.Less(c.heap[parent]); parent = (i - 1) / 2 {
+		c.heap[i], c.heap[parent] = c.heap[parent], e
 		i = parent
 	}
+	return i
 }
 
 func (c *Class[T]) pop() {
@@ -260,6 +305,7 @@
 	c.heap[0] = c.heap[last]
 	c.heap[last] = nil
 	c.heap = c.heap[:last]
+	c.cursor = 1
 	c.down(0)
 }
 
