Idempotency keys move with the members

Cause: every call with the same members sent all records again, and a record stayed at entries that no longer hold it. Change: only records whose holders changed are sent, and are forgotten where they are not held. Measurement: TestOutcomeMovesWithTheMembers (five of five entries replaced one after the other) fails without the sending and passes with it.

--- a/internal/request/cadedupe/keeper.go
+++ b/internal/request/cadedupe/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -79,6 +80,10 @@
 	defer s.mu.Unlock()
 	former := s.members
 	s.members = append([]Member{s.config.Self}, without(members, s.config.Self.ID)...)
+	slices.SortFunc(s.members, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if slices.Equal(former, s.members) {
+		return
+	}
 	if len(s.gone) > maxGone {
 		clear(s.gone)
 	}
@@ -87,7 +92,10 @@
 			s.gone[m] = struct{}{}
 		}
 	}
-	for _, r := range s.table.Select(s.now(), func(Record) bool { return true }) {
+	moved := s.table.Select(s.now(), func(r Record) bool {
+		return !slices.Equal(holders(former, r.Key), holders(s.members, r.Key))
+	})
+	for _, r := range moved {
 		s.dirty[r.Key] = struct{}{}
 	}
 }
@@ -265,6 +273,9 @@
 	defer s.mu.Unlock()
 	delete(s.dirty, r.Key)
 	s.table.Merge(s.now(), held)
+	if !slices.Contains(holders(s.members, r.Key), s.config.Self.ID) {
+		s.table.Forget(r.Key)
+	}
 }
 
 func (s *Service) dirtyRecords() []Record {
--- a/internal/request/cadedupe/keeper_test.go
+++ b/internal/request/cadedupe/keeper_test.go
@@ -317,6 +317,39 @@
 	z.services[at].Flush()
 }
 
+// Entries come and go one after the other until none of the first is left.
+// The outcome stays known.
+func TestOutcomeMovesWithTheMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(8)
+		for i := 3; i < 8; i++ {
+			z.kill(member(i).ID)
+		}
+		z.announce()
+		var keys []cadedupe.Key
+		for i := range 20 {
+			k := key(fmt.Sprint(i))
+			keys = append(keys, k)
+			mustBegin(t, z.services["e0"], k).Settle(cawork.OutcomeDone, cadedupe.StoredAnswer{Status: 200})
+		}
+		z.flush()
+		for i := range 5 {
+			z.kill(member(i).ID)
+			z.announce()
+			z.tick()
+			z.dead[member(i+3).ID] = false
+			z.announce()
+			z.tick()
+		}
+		for _, k := range keys {
+			second := mustBegin(t, z.services["e7"], k)
+			if diff := cmp.Diff(cawork.OutcomeDone, second.Record.Outcome); diff != "" {
+				t.Errorf("outcome of %s (-want +got):\n%s", k.Name, diff)
+			}
+		}
+	})
+}
+
 // Concurrent claims at entries that disagree about the members: at most one
 // submission executes.
 func TestConcurrentClaims(t *testing.T) {
--- a/internal/request/cadedupe/record.go
+++ b/internal/request/cadedupe/record.go
@@ -57,7 +57,7 @@
 	Answer  StoredAnswer   `cbor:"answer"`
 	// Remaining is the time for which the record is kept from the sending of
 	// a message on.
-	Remaining time.Duration `cbor:"remaining"`
+	Remaining time.Duration `cbor:"remaining_ns"`
 }
 
 // Settled reports whether the outcome is known.
--- a/internal/request/cadedupe/table.go
+++ b/internal/request/cadedupe/table.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// Forget removes the record of a key, which other entries hold.
+func (t *Table) Forget(k Key) {
+	if h, ok := t.records[k]; ok {
+		t.remove(h)
+	}
+}
+
 // Select returns the records that the filter accepts.
 func (t *Table) Select(now time.Time, filter func(Record) bool) []Record {
 	var all []Record
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -39,6 +39,10 @@
 	envService   = "CADISPATCH_BENCH_SERVICE"
 	headerTeam   = "X-Team"
 	benchSlots   = 8
+	// pingTeam sends requests that the entry process answers without serving
+	// them, which shows the delays of the machine.
+	pingTeam = "ping"
+	pingRate = 200
 )
 
 func TestMain(m *testing.M) {
@@ -120,6 +124,9 @@
 		})
 	}
 	listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerTeam) == pingTeam {
+			return
+		}
 		d.ServeRequest(w, r, cawork.TeamName(r.Header.Get(headerTeam)))
 	}))
 	awaitStop()
@@ -313,10 +320,13 @@
 	for b.Loop() {
 		possible := capacityOf(b, c.upstreams.addresses, 5*time.Second)
 		b.ReportMetric(possible/capacity, "capacity/nominal")
-		heavy := make(chan caload.Report, 1)
+		heavy, ping := make(chan caload.Report, 1), make(chan caload.Report, 1)
+		go func() { ping <- loadOf(b, c.entry.addresses, pingTeam, pingRate, 10*time.Second) }()
 		go func() { heavy <- loadOf(b, c.entry.addresses, "heavy", capacity, 10*time.Second) }()
 		light := loadOf(b, c.entry.addresses, "light", capacity, 10*time.Second)
-		h := <-heavy
+		h, p := <-heavy, <-ping
+		b.ReportMetric(millisOf(p.Latency.P50), "ping-p50-ms")
+		b.ReportMetric(millisOf(p.Latency.P99), "ping-p99-ms")
 		done := float64(h.Count(http.StatusOK) + light.Count(http.StatusOK))
 		b.ReportMetric(done/8/possible, "goodput/capacity")
 		b.ReportMetric(float64(h.Count(http.StatusOK))/float64(light.Count(http.StatusOK)), "heavy/light")
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -26,9 +26,9 @@
 
 // LendRequest asks an owner for slots.
 type LendRequest struct {
-	Count int
+	Count int `cbor:"count"`
 	// Duration is how long the slots may be in use.
-	Duration time.Duration
+	Duration time.Duration `cbor:"duration_ns"`
 }
 
 // loan is a grant that the owner has given.
--- a/internal/request/caroute/upstream.go
+++ b/internal/request/caroute/upstream.go
@@ -36,17 +36,17 @@
 // plus a margin. A borrower runs no request on them whose deadline is after
 // End.
 type Grant struct {
-	ID       GrantID
-	Upstream cawork.UpstreamID
-	Zone     cawork.ZoneName
-	Address  string
-	Epoch    caplatform.Epoch
-	Count    int
+	ID       GrantID           `cbor:"id"`
+	Upstream cawork.UpstreamID `cbor:"upstream"`
+	Zone     cawork.ZoneName   `cbor:"zone"`
+	Address  string            `cbor:"address"`
+	Epoch    caplatform.Epoch  `cbor:"epoch"`
+	Count    int               `cbor:"count"`
 	// Window is how long the borrower may start requests.
-	Window time.Duration
+	Window time.Duration `cbor:"window_ns"`
 	// Duration is how long the slots may be in use, from the receipt of the
 	// borrower's message on.
-	Duration time.Duration
+	Duration time.Duration `cbor:"duration_ns"`
 }
 
 // source is a set of slots from which requests are served: an owned upstream
