Waiting requests are expired together

Cause: a context with a timer for each waiting request cost about 1 KB. Change: the queues are searched for passed deadlines in each tick; a context with the deadline is made for attempts only.

--- a/internal/request/caadmit/queue.go
+++ b/internal/request/caadmit/queue.go
@@ -106,6 +106,22 @@
 	return true
 }
 
+// Expire removes and returns the requests whose deadline has passed.
+func (q *Queues) Expire(now time.Time) []*Ticket {
+	var over []*Ticket
+	for _, team := range q.active {
+		for e := team.waiting.Front(); e != nil; e = e.Next() {
+			if t := e.Value.(*Ticket); now.After(t.Deadline) {
+				over = append(over, t)
+			}
+		}
+	}
+	for _, t := range over {
+		q.Remove(t)
+	}
+	return over
+}
+
 // Next removes and returns the first request that take accepts, asking for
 // the head of each team in the order of weighted fairness, and charges the
 // team the expected slot time. It returns nil when no head is accepted.
--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -181,7 +181,8 @@
 // mayRetry reports whether the call may be tried again: only what is
 // idempotent, or known not to have started, and within the budgets.
 func (d *Dispatcher) mayRetry(ctx context.Context, c *call, err error) bool {
-	if ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
+	late := !d.config.Timer.Now().Before(c.deadline)
+	if late || ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
 		return false
 	}
 	d.mu.Lock()
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -272,7 +272,7 @@
 // BenchmarkResident measures the memory of an entry with 1,000 requests in
 // progress: most of them in the queues, and all of them at upstreams.
 func BenchmarkResident(b *testing.B) {
-	for _, upstreams := range []int{16, 125} {
+	for _, upstreams := range []int{6, 16, 125} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
 			c := newCell(b, upstreams, 10*time.Second)
 			for b.Loop() {
--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -176,13 +176,13 @@
 // replayable reports whether the body can be sent once more.
 func (c *call) replayable() bool { return c.rest == nil }
 
-// contextFor returns the context of the attempts. A request that runs at most
-// once under a key goes on when its caller hangs up, so that a second
-// submission learns the outcome.
-func (c *call) contextFor(r *http.Request, now time.Time) (context.Context, context.CancelFunc) {
-	ctx := r.Context()
+// contextOf returns the context of the request, without its deadline: waiting
+// requests are expired together, which spares a timer for each. A request that
+// runs at most once under a key goes on when its caller hangs up, so that a
+// second submission learns the outcome.
+func (c *call) contextOf(r *http.Request) context.Context {
 	if c.key != "" && !c.idempotent && c.replayable() {
-		ctx = context.WithoutCancel(ctx)
+		return context.WithoutCancel(r.Context())
 	}
-	return context.WithTimeout(ctx, c.deadline.Sub(now))
+	return r.Context()
 }
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -134,8 +134,7 @@
 		d.refuse(w, team, err)
 		return
 	}
-	ctx, cancel := c.contextFor(r, c.arrived)
-	defer cancel()
+	ctx := c.contextOf(r)
 	if d.claimKey(ctx, w, c) {
 		d.serve(ctx, w, c)
 	}
@@ -213,6 +212,9 @@
 	defer d.mu.Unlock()
 	now := d.config.Timer.Now()
 	d.expire(now)
+	for _, t := range d.queues.Expire(now) {
+		t.Payload.(*waiter).route <- nil
+	}
 	d.queues.Idle()
 	d.cutLate(now)
 	d.pump(now)
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -360,6 +360,33 @@
 	}
 }
 
+// A request that gets no slot before its deadline has not run.
+func TestDeadlinePassesInTheQueue(t *testing.T) {
+	started := make(chan struct{}, 100)
+	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		never(w, r)
+	})
+	e := newEntry(t, nil)
+	e.PutUpstream(up.upstream("u1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 8 {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
+		go func() { _, _ = http.DefaultClient.Do(req) }()
+	}
+	for range 8 {
+		<-started
+	}
+	res, body := e.post(t, "work", caplatform.HeaderDeadline, "200")
+	if diff := cmp.Diff(seen{504, "not_run", ""}, seenOf(res, body)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(8, up.count()); diff != "" {
+		t.Errorf("attempts (-want +got):\n%s", diff)
+	}
+}
+
 func TestCloseWaitsForRequestsInProgress(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
 	up := newStandin(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/cadispatch/keys.go
+++ b/internal/request/cadispatch/keys.go
@@ -42,6 +42,8 @@
 		d.refuse(w, c.team, err)
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.deadline.Sub(d.config.Timer.Now()))
+	defer cancel()
 	s, err := d.config.Keys.Begin(ctx, cadedupe.Key{Team: c.team, Name: c.key}, c.digest(), c.idempotent)
 	if err != nil {
 		d.refuse(w, c.team, err)
--- a/internal/request/cadispatch/running.go
+++ b/internal/request/cadispatch/running.go
@@ -27,10 +27,10 @@
 	cut bool
 }
 
-// begin registers an attempt. Only an idempotent one whose body can be sent
+// begin registers an attempt and gives its context the deadline. Only an idempotent one whose body can be sent
 // again is watched.
 func (d *Dispatcher) begin(ctx context.Context, c *call, route *caroute.Route) (context.Context, *running) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, c.deadline.Sub(d.config.Timer.Now()))
 	r := &running{d: d, call: c, cancel: cancel}
 	if !c.repeatable(cakind.KindUnknown) {
 		return ctx, r
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -13,7 +12,7 @@
 )
 
 // waiter is the payload of a ticket. Its channel holds one route, so that the
-// pump never blocks.
+// pump never blocks. A nil route means that the deadline has passed.
 type waiter struct {
 	ask   caroute.Ask
 	route chan *caroute.Route
@@ -28,9 +27,13 @@
 	w := ticket.Payload.(*waiter)
 	select {
 	case route := <-w.route:
+		if route == nil {
+			return nil, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
+		}
 		return route, nil
 	case <-ctx.Done():
-		return d.giveUp(ctx, ticket, w)
+		d.giveUp(ticket, w)
+		return nil, cakind.New(cakind.KindCanceled, "the caller hung up before the start")
 	}
 }
 
@@ -98,18 +101,17 @@
 	return a
 }
 
-// giveUp takes the ticket of a call whose context has ended out of the queue.
-func (d *Dispatcher) giveUp(ctx context.Context, t *caadmit.Ticket, w *waiter) (*caroute.Route, error) {
+// giveUp takes the ticket of a call whose caller hung up out of the queue.
+func (d *Dispatcher) giveUp(t *caadmit.Ticket, w *waiter) {
 	d.mu.Lock()
 	waiting := d.queues.Remove(t)
 	d.mu.Unlock()
-	if !waiting {
-		d.release(<-w.route, caroute.VerdictAbandoned, t.Team, false)
+	if waiting {
+		return
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return nil, cakind.New(cakind.KindDeadlineBeforeStart, "no slot was free before the deadline")
+	if route := <-w.route; route != nil {
+		d.release(route, caroute.VerdictAbandoned, t.Team, false)
 	}
-	return nil, cakind.New(cakind.KindCanceled, "the caller hung up before the start")
 }
 
 // release gives a slot back and serves the queues with it.
