--- a/internal/coord/cafault/reach_test.go
+++ b/internal/coord/cafault/reach_test.go
@@ -89,6 +89,12 @@
 				if liveness != tt.liveness || reach != tt.reach {
 					t.Errorf("e0.1 is %s and reached %s, want %s and %s", liveness, reach, tt.liveness, tt.reach)
 				}
+				if tt.reach != camember.ReachNone {
+					wantIsolated := tt.reach == camember.ReachHeard
+					if got := w.processes[1].members.Isolated(); got != wantIsolated {
+						t.Errorf("e0.1 takes itself for isolated: %t, want %t", got, wantIsolated)
+					}
+				}
 				w.stop()
 			})
 		})
