Membership: news travels ahead of usage

Cause: at 60 entries a new configuration version was known to all only after 24.3 s, as its digest had to compete with those of usage; configuration has to be in force everywhere within 5 s. Change: half of a digest goes to members that changed in more than usage, such news brings the next probe forward, a message holds up to 96 sections, usage waits for 250 ms x members.

--- a/internal/coord/cafault/traffic_test.go
+++ b/internal/coord/cafault/traffic_test.go
@@ -106,6 +106,31 @@
 // received, a third of what an entry may use for all of control.
 const bytesBound = 6000
 
+// configBound is the time within which a configuration has to be in force
+// everywhere.
+const configBound = 5 * time.Second
+
+// spreadOf lets the first entry tell a new configuration version and returns
+// the time until all know it.
+func (c *cell) spreadOf(version int64, a camember.AppState) time.Duration {
+	a.ConfigVersion = version
+	began := time.Now()
+	c.parts[0].SetLocal(a)
+	for !c.allKnow(version) && time.Since(began) < time.Minute {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (c *cell) allKnow(version int64) bool {
+	for _, p := range c.parts {
+		if p.Members()[0].App.ConfigVersion != version {
+			return false
+		}
+	}
+	return true
+}
+
 func TestTrafficPerEntryIsNearlyFlat(t *testing.T) {
 	warm, measured := 25, 25
 	if os.Getenv(seedsVariable) != "" {
@@ -140,6 +165,11 @@
 						t.Errorf("%s knows %d members, want %d", p.Self().VM, got, n)
 					}
 				}
+				spread := c.spreadOf(1_000_000, busyState(0, warm+measured))
+				t.Logf("a configuration version is known to all after %v", spread)
+				if spread > configBound {
+					t.Errorf("a configuration version took %v, want at most %v", spread, configBound)
+				}
 				c.stop()
 				if v := c.check.Violations(); len(v) > 0 {
 					t.Errorf("violations: %v", v)
--- a/internal/coord/camember/config.go
+++ b/internal/coord/camember/config.go
@@ -42,11 +42,11 @@
 		Suspicion:        2 * time.Second,
 		Retry:            5 * time.Second,
 		Forget:           time.Hour,
-		PublishPerMember: 200 * time.Millisecond,
+		PublishPerMember: 250 * time.Millisecond,
 		PublishMin:       time.Second,
 		Window:           12,
 		ReplyWindow:      6,
-		MaxSections:      32,
+		MaxSections:      96,
 	}
 }
 
--- a/internal/coord/camember/exchange.go
+++ b/internal/coord/camember/exchange.go
@@ -14,9 +14,9 @@
 	return ExchangeRequest{From: s.id.VM, Digest: s.window(target, s.cfg.Window)}
 }
 
-// window returns a digest of the own entry and the target, filled up to size
-// with the members that changed last and, for the other half, the next ones in
-// turn.
+// window returns a digest of the own entry and the target, filled up to size:
+// to one half with the members that changed last in more than usage, to three
+// quarters with those that changed last at all, and then with the next in turn.
 func (s *State) window(target *record, size int) []Digest {
 	records := make([]*record, 0, len(s.records))
 	for _, key := range s.sortedKeys() {
@@ -32,10 +32,14 @@
 		add(target, size)
 	}
 	turn := slices.Clone(records)
-	slices.SortStableFunc(records, func(a, b *record) int { return cmp.Compare(b.touched, a.touched) })
+	slices.SortStableFunc(records, func(a, b *record) int { return cmp.Compare(b.urgent, a.urgent) })
 	for _, r := range records {
 		add(r, size/2)
 	}
+	slices.SortStableFunc(records, func(a, b *record) int { return cmp.Compare(b.touched, a.touched) })
+	for _, r := range records {
+		add(r, size*3/4)
+	}
 	for range turn {
 		s.windowAt = (s.windowAt + 1) % len(turn)
 		if len(chosen) >= size {
@@ -151,14 +155,14 @@
 	ahead := inc > s.self.incarnation || inc == s.self.incarnation && version > s.self.version
 	if ahead {
 		s.self.incarnation = inc + 1
-		s.touch(s.self)
+		s.touch(s.self, true)
 		return
 	}
 	if inc != s.self.incarnation || s.self.standing.Liveness() == LivenessLeft || !st.Newer(s.self.standing) {
 		return
 	}
 	s.self.standing = NewStanding(st.Counter()+1, s.self.standing.Liveness())
-	s.touch(s.self)
+	s.touch(s.self, true)
 }
 
 // apply takes over deltas.
@@ -191,7 +195,7 @@
 	s.check.Assert(r.version >= before, cacheck.RuleMemberMonotonic,
 		"version of %s went from %d to %d", r.vm(), before, r.version)
 	if r.version > before {
-		s.touch(r)
+		s.touch(r, slices.ContainsFunc(d.Sections, func(sec Section) bool { return !sec.usage() && sec.Version > before }))
 		s.emit(r, r.standing.Liveness(), CauseApp)
 	}
 	if d.Standing.Newer(r.standing) {
@@ -231,7 +235,7 @@
 	}
 	s.addSections(r, d.Sections)
 	s.records[d.Key] = r
-	s.touch(r)
+	s.touch(r, true)
 	if old == nil {
 		s.emit(r, LivenessDead, CauseJoined)
 		return
@@ -243,6 +247,7 @@
 	for _, sec := range sections {
 		if sec.Version > r.version {
 			r.set(sec)
+			s.noteNews(sec)
 		}
 	}
 }
--- a/internal/coord/camember/local.go
+++ b/internal/coord/camember/local.go
@@ -41,7 +41,8 @@
 	}
 	sec.Version = s.self.version + 1
 	s.self.set(sec)
-	s.touch(s.self)
+	s.noteNews(sec)
+	s.touch(s.self, !sec.usage())
 }
 
 func urgentSections(a AppState) []Section {
--- a/internal/coord/camember/message.go
+++ b/internal/coord/camember/message.go
@@ -154,6 +154,9 @@
 	return sectionKey{}
 }
 
+// usage reports whether the section changes all the time and may be late.
+func (s Section) usage() bool { return s.Use != nil || s.Summary != nil }
+
 // Delta carries what changed of a member after version Since, in ascending
 // order of version.
 type Delta struct {
--- a/internal/coord/camember/record.go
+++ b/internal/coord/camember/record.go
@@ -26,7 +26,10 @@
 	decoded   AppState
 	decodedAt uint64
 
+	// touched and urgent order records by their last change, and by the last one
+	// that is more than usage.
 	touched uint64
+	urgent  uint64
 	since   time.Time
 	joined  time.Time
 	live    time.Time
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -38,7 +38,11 @@
 	events    []MemberChanged
 	nextProbe time.Time
 	windowAt  int
-	verify    []uint64
+	lastProbe time.Time
+
+	news         bool
+	newestConfig int64
+	verify       []uint64
 }
 
 // NewState returns the state of an entry that knows only itself and the
@@ -98,7 +102,7 @@
 		liveness = LivenessLeft
 	}
 	s.self.standing = NewStanding(s.self.standing.Counter()+1, liveness)
-	s.touch(s.self)
+	s.touch(s.self, true)
 }
 
 // Announce returns exchanges that tell the own standing at once to the members
@@ -167,8 +171,11 @@
 	s.publish(now)
 	s.expire(now)
 	probes := s.verifications()
+	if s.news && now.Sub(s.lastProbe) >= s.cfg.Period/2 {
+		s.nextProbe = now
+	}
 	if !now.Before(s.nextProbe) {
-		s.nextProbe = now.Add(s.period())
+		s.news, s.lastProbe, s.nextProbe = false, now, now.Add(s.period())
 		probes = append(probes, s.nextProbes(now)...)
 	}
 	return s.step(probes, nil)
@@ -243,9 +250,29 @@
 	return keys
 }
 
-func (s *State) touch(r *record) {
+// touch notes a change of the record, which is urgent unless it is of usage.
+func (s *State) touch(r *record, urgent bool) {
 	s.sequence++
 	r.touched = s.sequence
+	if urgent {
+		r.urgent = s.sequence
+	}
+}
+
+// noteNews brings the next probe forward when a section tells more than usage
+// that is new to the cell. The configuration version that all members take over
+// one after the other is new only once.
+func (s *State) noteNews(sec Section) {
+	switch {
+	case sec.usage():
+		return
+	case sec.Config == nil:
+	case sec.Config.Version <= s.newestConfig:
+		return
+	default:
+		s.newestConfig = sec.Config.Version
+	}
+	s.news = true
 }
 
 func (s *State) emit(r *record, was Liveness, c Cause) {
@@ -256,7 +283,8 @@
 func (s *State) believe(r *record, st Standing, now time.Time) {
 	was := r.standing
 	r.standing = st
-	s.touch(r)
+	s.touch(r, true)
+	s.news = true
 	if was.Liveness() == st.Liveness() {
 		return
 	}
