Assert the invariants of a lead inside the program

Cause: a broken invariant must stop the shard, not only fail a test. Change: the primary verifies its possible views, its log and that no view is registered beside one of another backup; a violation is logged, counted, shown in the status and ends the right to act. Accounts verify themselves. Conclusion: fault runs now fail on a violation in any member.

--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -238,6 +238,23 @@
 	return len(a.Unacknowledged()) == 0
 }
 
+// Verify asserts the invariants of the account: charges are not negative and
+// no transfer is acknowledged that was not sent.
+func (a *Account) Verify() error {
+	for team, b := range a.Teams {
+		if b.Charged.IsNegative() || b.Mint.Amount.IsNegative() {
+			return cakind.New(cakind.KindInternal, "team %s: charged %v, minted %v", team, b.Charged, b.Mint.Amount)
+		}
+		for to, number := range b.Acked {
+			if number > b.Sent[to].Number {
+				return cakind.New(cakind.KindInternal, "team %s: transfer %d to %s is acknowledged, %d sent",
+					team, number, to, b.Sent[to].Number)
+			}
+		}
+	}
+	return nil
+}
+
 func (a *Account) transfer(to cawork.ShardID, team cawork.TeamName, c Counter) Transfer {
 	return Transfer{From: a.Shard, To: to, Team: team, Number: c.Number, Total: c.Total}
 }
--- a/internal/coord/cajob/invariant.go
+++ b/internal/coord/cajob/invariant.go
@@ -35,7 +35,10 @@
 	if open != len(s.attempts) {
 		return cakind.New(cakind.KindInternal, "%d tasks have an open attempt, %d attempts are open", open, len(s.attempts))
 	}
-	return s.verifyCharges()
+	if err := s.verifyCharges(); err != nil {
+		return err
+	}
+	return s.account.Verify()
 }
 
 func (s *State) verifyCharges() error {
--- a/internal/coord/cashard/driver_test.go
+++ b/internal/coord/cashard/driver_test.go
@@ -127,6 +127,9 @@
 		time.Sleep(time.Duration(80+n.w.intn(60)) * time.Millisecond)
 		n.gate()
 		for _, s := range n.part.Statuses() {
+			if s.Violation != "" {
+				n.w.violate("%s", s.Violation)
+			}
 			if !s.Primary || n.isDead() {
 				continue
 			}
--- a/internal/coord/cashard/effect.go
+++ b/internal/coord/cashard/effect.go
@@ -54,4 +54,6 @@
 	registers []registerEffect
 	commits   []commit
 	events    []Event
+	// violations are broken invariants.
+	violations []error
 }
--- /dev/null
+++ b/internal/coord/cashard/invariant_test.go
@@ -0,0 +1,38 @@
+package cashard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+// TestViolationEndsTheRightToAct breaks each invariant by hand.
+func TestViolationEndsTheRightToAct(t *testing.T) {
+	self, b, c := Member{VM: "a"}, Member{VM: "b"}, Member{VM: "c"}
+	solo := View{Shard: "s", Number: 3, Primary: self, Witness: "w"}
+	for name, breakIt := range map[string]func(*primary){
+		"order":   func(p *primary) { p.possible = []View{solo, solo.WithNumber(2)} },
+		"primary": func(p *primary) { p.possible[0].Primary = b },
+		"log":     func(p *primary) { p.committed = 9 },
+		"exclude": func(p *primary) {
+			next := solo.WithNumber(5).WithBackup(c).WithWitness("x")
+			p.possible = []View{solo.WithBackup(b), next}
+			p.change = &change{view: next, stage: stageExclude}
+		},
+	} {
+		p := newPrimary(self, "z", DefaultConfig(), solo, nil, 0)
+		_, before := p.mayAct(time.Unix(0, 0))
+		breakIt(p)
+		p.violation = p.verify()
+		_, after := p.mayAct(time.Unix(0, 0))
+		if diff := cmp.Diff([]bool{true, false}, []bool{before, after}); diff != "" {
+			t.Errorf("%s: may act before and after (-want +got):\n%s", name, diff)
+		}
+		if diff := cmp.Diff(cakind.KindInternal, cakind.Of(p.violation)); p.violation == nil || diff != "" {
+			t.Errorf("%s: violation %v", name, p.violation)
+		}
+	}
+}
--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -67,6 +67,9 @@
 	// possible until a change of view is settled.
 	Degraded bool
 	Index    int64
+	// Violation tells which invariant was broken, empty when none was. The
+	// shard may not act then.
+	Violation string
 }
 
 // Part runs all replicas of a member: the shard that it founded, those that it
@@ -335,10 +338,14 @@
 		return Status{Shard: r.shard, View: r.backup.view, Index: r.backup.last}
 	}
 	_, may := r.primary.mayAct(p.opts.Timer.Now())
+	violation := ""
+	if r.primary.violation != nil {
+		violation = r.primary.violation.Error()
+	}
 	return Status{
 		Shard: r.shard, View: r.primary.possible[0], Primary: true, Since: r.primary.first, MayAct: may,
 		Degraded: !r.primary.isSettled() || r.primary.target().IsSolo(),
-		Index:    r.primary.committed,
+		Index:    r.primary.committed, Violation: violation,
 	}
 }
 
@@ -369,6 +376,10 @@
 	for _, e := range out.events {
 		p.note(e)
 	}
+	for _, err := range out.violations {
+		caevent.Warn(p.opts.Log, caevent.PartFailed).Err(err).Str("part", "shard").Str("shard", string(r.shard)).Send()
+		p.opts.Scope.Counter("violations").Inc(1)
+	}
 	if led && r.primary == nil {
 		p.failWaiters(r.shard)
 	}
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -35,6 +35,8 @@
 	retiring bool
 	yielding bool
 	done     bool
+	// violation is the first invariant that was broken.
+	violation error
 }
 
 // peer is what the primary knows of another member.
@@ -111,7 +113,7 @@
 // required backups are valid. A taker-over fences with a higher number.
 func (p *primary) mayAct(now time.Time) (int64, bool) {
 	number := p.possible[0].Number
-	if p.done || p.yielding || p.retiring {
+	if p.done || p.yielding || p.retiring || p.violation != nil {
 		return number, false
 	}
 	for _, m := range p.required() {
@@ -135,6 +137,10 @@
 	p.commit(now, out)
 	p.progress(now, out)
 	p.replicate(now, out)
+	if err := p.verify(); err != nil && p.violation == nil {
+		p.violation = err
+		out.violations = append(out.violations, err)
+	}
 }
 
 // commit lets records take effect that every required backup holds.
