--- a/internal/coord/cajob/rules.go
+++ b/internal/coord/cajob/rules.go
@@ -207,12 +207,18 @@
 	}
 	j.Outcome = r.Outcome
 	j.Result = r.Result
-	j.Ended = at
 	s.open--
-	s.ended = append(s.ended, r.Job)
+	s.keepEnded(j, at)
 	return nil
 }
 
+// keepEnded keeps what callers may still ask for until the retention ends.
+func (s *State) keepEnded(j *Job, at time.Time) {
+	j.Ended = at
+	j.Job.Spec.Payload = nil
+	s.ended = append(s.ended, j.Job.ID)
+}
+
 func (s *State) handOver(r HandedOver) error {
 	j, err := s.openJob(r.Job)
 	if err != nil {
@@ -234,7 +240,6 @@
 		return cakind.New(cakind.KindNotFound, "job %s is not being handed over", r.Job)
 	}
 	j.HandoverAcked = true
-	j.Ended = at
-	s.ended = append(s.ended, r.Job)
+	s.keepEnded(j, at)
 	return nil
 }
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -18,8 +18,8 @@
 	Count int
 }
 
-// DefaultRetention keeps ended jobs for an hour, at most 20,000 of them.
-func DefaultRetention() Retention { return Retention{Age: time.Hour, Count: 20_000} }
+// DefaultRetention keeps ended jobs for an hour, at most 4,000 of them.
+func DefaultRetention() Retention { return Retention{Age: time.Hour, Count: 4_000} }
 
 // Handover is a job on its way to another shard, which appends Accepted to its
 // records.
@@ -137,7 +137,7 @@
 	if !ok {
 		return Job{}, false
 	}
-	return *j, true
+	return j.clone(), true
 }
 
 // JobOfKey returns the job that was accepted with the idempotency key.
@@ -154,7 +154,7 @@
 	out := make([]Job, 0, s.open)
 	for _, j := range s.jobs {
 		if j.IsOpen() {
-			out = append(out, *j)
+			out = append(out, j.clone())
 		}
 	}
 	return out
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -1,6 +1,7 @@
 package cajob
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -31,8 +32,7 @@
 	Intended time.Time
 }
 
-// Job is an accepted job with its tasks. Values that a State hands out must
-// not be changed.
+// Job is an accepted job with its tasks.
 type Job struct {
 	Job      cawork.Job
 	Key      string
@@ -48,6 +48,13 @@
 	HandoverAcked  bool
 }
 
+// clone returns a copy that later records do not change.
+func (j *Job) clone() Job {
+	c := *j
+	c.Tasks = slices.Clone(j.Tasks)
+	return c
+}
+
 // maxAttempts returns how often each task of the job may be attempted.
 func (j *Job) maxAttempts() int { return max(j.Job.Spec.MaxAttempts, 1) }
 
--- a/internal/coord/cashard/backup.go
+++ b/internal/coord/cashard/backup.go
@@ -64,7 +64,7 @@
 
 // install takes a snapshot that is ahead of the replica. One that is behind
 // belongs to a late copy of a message.
-func (b *backup) install(s *Snapshot) error {
+func (b *backup) install(s *SnapshotChunk) error {
 	if s == nil || s.Index <= b.last {
 		return nil
 	}
--- a/internal/coord/cashard/backup_test.go
+++ b/internal/coord/cashard/backup_test.go
@@ -38,7 +38,7 @@
 	view := View{Shard: "s", Number: 5, Primary: p, Backup: self, Witness: "w"}
 	var got []ReplyStatus
 	for _, req := range []ReplicateRequest{
-		{To: self, View: view, Snapshot: &Snapshot{}},
+		{To: self, View: view, Snapshot: &SnapshotChunk{}},
 		{To: self, View: view.WithNumber(4), Release: true},
 		{To: Member{VM: "b", Incarnation: 1}, View: view.WithNumber(6)},
 		{To: self, View: view.WithNumber(6)},
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -98,6 +98,7 @@
 	}
 	q.restUntil = now.Add(p.cfg.CandidateRest)
 	q.known = false
+	q.image = nil
 	return true
 }
 
@@ -106,6 +107,9 @@
 	if q.leaseStart.After(since) {
 		since = q.leaseStart
 	}
+	if q.progress.After(since) {
+		since = q.progress
+	}
 	return now.Sub(since) >= p.cfg.ReplaceAfter
 }
 
--- a/internal/coord/cashard/config.go
+++ b/internal/coord/cashard/config.go
@@ -32,6 +32,8 @@
 	WitnessTimeout time.Duration
 	// BatchRecords bounds the records in one message.
 	BatchRecords int
+	// ChunkBytes bounds the part of a snapshot in one message.
+	ChunkBytes int
 	// TailRecords bounds the records that are kept for a backup that is behind.
 	TailRecords int
 }
@@ -50,6 +52,7 @@
 		WitnessPeriod:  time.Second,
 		WitnessTimeout: 3 * time.Second,
 		BatchRecords:   512,
+		ChunkBytes:     256 << 10,
 		TailRecords:    8192,
 	}
 }
@@ -57,7 +60,7 @@
 // Validate reports a configuration that is unsafe or cannot make progress.
 func (c Config) Validate() error {
 	switch {
-	case c.Tick <= 0, c.Heartbeat < c.Tick, c.CallTimeout <= 0, c.BatchRecords <= 0, c.TailRecords <= 0:
+	case c.Tick <= 0, c.Heartbeat < c.Tick, c.CallTimeout <= 0, c.BatchRecords <= 0, c.ChunkBytes <= 0, c.TailRecords <= 0:
 		return cakind.New(cakind.KindInvalid, "shard periods and sizes must be positive: %+v", c)
 	case c.Drift < 0 || c.Drift > 0.2:
 		return cakind.New(cakind.KindInvalid, "clock drift %v is not within 0 and 0.2", c.Drift)
--- a/internal/coord/cashard/message.go
+++ b/internal/coord/cashard/message.go
@@ -10,13 +10,25 @@
 	State []byte
 }
 
+// SnapshotChunk is a part of a snapshot, which may be larger than a message.
+// Offset and Total are in bytes.
+type SnapshotChunk struct {
+	Index  int64
+	Offset int64
+	Total  int64
+	State  []byte
+}
+
+// isWhole reports whether the chunk is all of the snapshot.
+func (c *SnapshotChunk) isWhole() bool { return c.Offset == 0 && c.Total == int64(len(c.State)) }
+
 // ReplicateRequest is the one message of a primary to another member. It asks
 // the receiver to hold View as its backup and to take the records, the first
 // of which has the index First. It also serves as the heartbeat.
 type ReplicateRequest struct {
 	To       Member
 	View     View
-	Snapshot *Snapshot `cbor:",omitempty"`
+	Snapshot *SnapshotChunk `cbor:",omitempty"`
 	First    int64
 	Records  [][]byte
 	// Release asks the receiver to drop its replica; View is then the view
@@ -38,6 +50,8 @@
 	ReplyOK ReplyStatus = iota
 	// ReplyBehind means that the receiver lacks records before First.
 	ReplyBehind
+	// ReplyPartial means that the receiver has the snapshot up to Received.
+	ReplyPartial
 	// ReplyBusy means that the receiver holds a replica of another primary or
 	// is taking over.
 	ReplyBusy
@@ -56,6 +70,8 @@
 	Adopted int64
 	// Last is the index of the last record that the receiver holds.
 	Last int64
+	// Received is the number of bytes of the snapshot that have arrived.
+	Received int64
 	// Floor is the highest view number that the receiver has seen.
 	Floor int64
 	// View is set with ReplyDeposed.
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -56,7 +56,12 @@
 	// leaseStart is the send time of the last acknowledged message.
 	leaseStart time.Time
 	refused    bool
-	restUntil  time.Time
+	// image is the snapshot on its way to the member, received how much of it
+	// has arrived, and progress when the last part did.
+	image     *image
+	received  int64
+	progress  time.Time
+	restUntil time.Time
 }
 
 func newPrimary(self Member, zone cawork.ZoneName, cfg Config, view View, m StateMachine, last int64) *primary {
@@ -248,13 +253,15 @@
 		req.Records = records
 		return req, nil
 	}
-	state, err := p.machine.Snapshot()
+	chunk, err := p.nextChunk(q, req.View)
 	if err != nil {
 		return req, err
 	}
-	req.Snapshot = &Snapshot{Index: p.committed, State: state}
-	req.First = p.committed + 1
-	req.Records, _ = p.log.after(p.committed, p.cfg.BatchRecords)
+	req.Snapshot = chunk
+	req.First = chunk.Index + 1
+	if chunk.Offset+int64(len(chunk.State)) == chunk.Total {
+		req.Records, _ = p.log.after(chunk.Index, p.cfg.BatchRecords)
+	}
 	return req, nil
 }
 
@@ -274,7 +281,7 @@
 	if p.done || err != nil {
 		return
 	}
-	q.refused = r.Status != ReplyOK && r.Status != ReplyBehind
+	q.refused = r.Status != ReplyOK && r.Status != ReplyBehind && r.Status != ReplyPartial
 	p.highest = max(p.highest, r.Floor)
 	switch r.Status {
 	case ReplyOK:
@@ -282,6 +289,10 @@
 	case ReplyBehind:
 		q.known = false
 		q.acked = 0
+		q.image = nil
+	case ReplyPartial:
+		q.received = r.Received
+		q.progress = now
 	case ReplyDeposed:
 		if r.View.Primary != p.self && r.View.Number > p.possible[0].Number {
 			p.depose(r.View, out)
@@ -299,6 +310,7 @@
 		return
 	}
 	q.known = true
+	q.image = nil
 	q.acked = max(q.acked, r.Last)
 	q.adopted = max(q.adopted, r.Adopted)
 	if sentAt.After(q.leaseStart) {
--- a/internal/coord/cashard/replica.go
+++ b/internal/coord/cashard/replica.go
@@ -27,7 +27,8 @@
 	backup  *backup
 	// floor is the highest view number in which this member has ended its part.
 	// It must outlive the replica: a late message must not bring it back.
-	floor int64
+	floor    int64
+	assembly *assembly
 }
 
 // found makes the member the primary of a new shard.
@@ -51,11 +52,26 @@
 		return ReplicateReply{Status: ReplyFenced, Floor: r.floor}, nil
 	case req.Release:
 		return r.release(req), nil
-	case r.backup != nil:
+	}
+	return r.follow(now, req)
+}
+
+// follow takes a message of the primary that this member backs up, or will.
+func (r *replica) follow(now time.Time, req ReplicateRequest) (ReplicateReply, error) {
+	if req.Snapshot != nil {
+		whole, err := r.assemble(req)
+		if err != nil {
+			return ReplicateReply{}, err
+		}
+		if whole == nil {
+			return ReplicateReply{Status: ReplyPartial, Received: int64(len(r.assembly.state)), Floor: r.floor}, nil
+		}
+		req.Snapshot = whole
+	}
+	if r.backup != nil {
 		return r.backup.handle(now, req)
-	default:
-		return r.join(now, req)
 	}
+	return r.join(now, req)
 }
 
 // refuseAsPrimary tells another primary that this member leads the shard. As
--- a/internal/coord/cashard/replystatus_names.go
+++ b/internal/coord/cashard/replystatus_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReplyStatusName = "okbehindbusyfenceddeposedwrong_member"
+const _ReplyStatusName = "okbehindpartialbusyfenceddeposedwrong_member"
 
-var _ReplyStatusIndex = [...]uint8{0, 2, 8, 12, 18, 25, 37}
+var _ReplyStatusIndex = [...]uint8{0, 2, 8, 15, 19, 25, 32, 44}
 
-const _ReplyStatusLowerName = "okbehindbusyfenceddeposedwrong_member"
+const _ReplyStatusLowerName = "okbehindpartialbusyfenceddeposedwrong_member"
 
 func (i ReplyStatus) String() string {
 	if i < 0 || i >= ReplyStatus(len(_ReplyStatusIndex)-1) {
@@ -26,39 +26,43 @@
 	var x [1]struct{}
 	_ = x[ReplyOK-(0)]
 	_ = x[ReplyBehind-(1)]
-	_ = x[ReplyBusy-(2)]
-	_ = x[ReplyFenced-(3)]
-	_ = x[ReplyDeposed-(4)]
-	_ = x[ReplyWrongMember-(5)]
+	_ = x[ReplyPartial-(2)]
+	_ = x[ReplyBusy-(3)]
+	_ = x[ReplyFenced-(4)]
+	_ = x[ReplyDeposed-(5)]
+	_ = x[ReplyWrongMember-(6)]
 }
 
-var _ReplyStatusValues = []ReplyStatus{ReplyOK, ReplyBehind, ReplyBusy, ReplyFenced, ReplyDeposed, ReplyWrongMember}
+var _ReplyStatusValues = []ReplyStatus{ReplyOK, ReplyBehind, ReplyPartial, ReplyBusy, ReplyFenced, ReplyDeposed, ReplyWrongMember}
 
 var _ReplyStatusNameToValueMap = map[string]ReplyStatus{
 	_ReplyStatusName[0:2]:   ReplyOK,
 	_ReplyStatusName[2:8]:   ReplyBehind,
-	_ReplyStatusName[8:12]:  ReplyBusy,
-	_ReplyStatusName[12:18]: ReplyFenced,
-	_ReplyStatusName[18:25]: ReplyDeposed,
-	_ReplyStatusName[25:37]: ReplyWrongMember,
+	_ReplyStatusName[8:15]:  ReplyPartial,
+	_ReplyStatusName[15:19]: ReplyBusy,
+	_ReplyStatusName[19:25]: ReplyFenced,
+	_ReplyStatusName[25:32]: ReplyDeposed,
+	_ReplyStatusName[32:44]: ReplyWrongMember,
 }
 
 var _ReplyStatusLowerNameToValueMap = map[string]ReplyStatus{
 	_ReplyStatusLowerName[0:2]:   ReplyOK,
 	_ReplyStatusLowerName[2:8]:   ReplyBehind,
-	_ReplyStatusLowerName[8:12]:  ReplyBusy,
-	_ReplyStatusLowerName[12:18]: ReplyFenced,
-	_ReplyStatusLowerName[18:25]: ReplyDeposed,
-	_ReplyStatusLowerName[25:37]: ReplyWrongMember,
+	_ReplyStatusLowerName[8:15]:  ReplyPartial,
+	_ReplyStatusLowerName[15:19]: ReplyBusy,
+	_ReplyStatusLowerName[19:25]: ReplyFenced,
+	_ReplyStatusLowerName[25:32]: ReplyDeposed,
+	_ReplyStatusLowerName[32:44]: ReplyWrongMember,
 }
 
 var _ReplyStatusNames = []string{
 	_ReplyStatusName[0:2],
 	_ReplyStatusName[2:8],
-	_ReplyStatusName[8:12],
-	_ReplyStatusName[12:18],
-	_ReplyStatusName[18:25],
-	_ReplyStatusName[25:37],
+	_ReplyStatusName[8:15],
+	_ReplyStatusName[15:19],
+	_ReplyStatusName[19:25],
+	_ReplyStatusName[25:32],
+	_ReplyStatusName[32:44],
 }
 
 // ReplyStatusString retrieves an enum value from the enum constants string name.
--- a/internal/coord/cashard/world_test.go
+++ b/internal/coord/cashard/world_test.go
@@ -212,7 +212,7 @@
 		fenced: map[cawork.ShardID]int64{}, planners: map[cawork.ShardID]*caescrow.Planner{},
 	}
 	part, err := cashard.NewPart(cashard.Options{
-		Self: n.member, Zone: "z", Config: cashard.DefaultConfig(), Peers: n, Witnesses: n, Listener: n,
+		Self: n.member, Zone: "z", Config: smallMessages(), Peers: n, Witnesses: n, Listener: n,
 		NewMachine: func(s cawork.ShardID) cashard.StateMachine {
 			return cajob.NewState(s, cajob.DefaultRetention())
 		},
@@ -238,6 +238,13 @@
 	return slices.Clone(w.nodes)
 }
 
+// smallMessages returns times as in production and bounds that are reached.
+func smallMessages() cashard.Config {
+	c := cashard.DefaultConfig()
+	c.ChunkBytes, c.BatchRecords, c.TailRecords = 4<<10, 8, 64
+	return c
+}
+
 // announce tells every live node about the others.
 func (w *world) announce() {
 	for i, n := range w.nodes {
