--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -309,6 +309,9 @@
 		q.known = false
 		return
 	}
+	if !q.known {
+		q.acked = 0
+	}
 	q.known = true
 	q.image = nil
 	q.acked = max(q.acked, r.Last)
--- /dev/null
+++ b/internal/coord/cashard/primary_test.go
@@ -0,0 +1,40 @@
+package cashard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestBackupThatStartsAnewIsBelieved covers a backup that dropped its replica
+// and took a snapshot of fewer records than it once held. The primary went on
+// counting the former records as acknowledged, so that records could take
+// effect which the backup did not hold.
+func TestBackupThatStartsAnewIsBelieved(t *testing.T) {
+	view := View{Shard: "s", Number: 2, Primary: Member{VM: "p"}, Backup: Member{VM: "b"}, Witness: "w"}
+	now := time.Unix(100, 0)
+	p := newPrimary(view.Primary, "z", DefaultConfig(), view, text(""), 80)
+	for range 20 {
+		p.log.add([]byte("r"))
+	}
+	q := p.peer(view.Backup)
+	q.acked, q.known = 100, false
+	req := ReplicateRequest{To: view.Backup, View: view}
+	p.onReply(now, now, req, ReplicateReply{Status: ReplyOK, Adopted: 2, Last: 88}, nil, &effects{})
+	if diff := cmp.Diff([]int64{88, 88}, []int64{q.acked, p.committed}); diff != "" {
+		t.Errorf("acknowledged and in effect (-want +got):\n%s", diff)
+	}
+}
+
+// TestLeaseEndsBeforeTheBackupMayTakeOver compares both sides with clocks that
+// drift apart as far as is allowed.
+func TestLeaseEndsBeforeTheBackupMayTakeOver(t *testing.T) {
+	cfg := DefaultConfig()
+	slow, fast := 1-cfg.Drift, 1+cfg.Drift
+	primaryStops := time.Duration(float64(cfg.primaryLease()) / slow)
+	backupStarts := time.Duration(float64(cfg.backupSilence()) / fast)
+	if diff := cmp.Diff(true, primaryStops <= backupStarts); diff != "" {
+		t.Errorf("primary stops after %v, backup starts after %v", primaryStops, backupStarts)
+	}
+}
