--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -1,7 +1,10 @@
 package calog
 
 import (
+	"context"
+
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // Image is what the log tells of one shard: a state and the records after it.
@@ -93,3 +96,23 @@
 	}
 	return *i, true
 }
+
+// ReadAll folds all that the log still keeps of a topic, up to its end.
+// Payloads that are not entries are skipped.
+func ReadAll(ctx context.Context, l caplatform.Log, topic string) (*Fold, error) {
+	f := NewFold()
+	var from caplatform.Offset
+	for {
+		page, err := l.Read(ctx, topic, from, readPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page.Records {
+			_ = f.Apply(r.Payload)
+			from = r.Offset + 1
+		}
+		if len(page.Records) == 0 || from >= page.Next {
+			return f, nil
+		}
+	}
+}
