--- a/internal/coord/cajob/recovery.go
+++ b/internal/coord/cajob/recovery.go
@@ -108,3 +108,16 @@
 func settled(a Attempt, s AttemptSettled) Resolution {
 	return Resolution{Attempt: a, Fate: FateSettle, Settled: s}
 }
+
+// FencesNeeded returns the upstreams that must be fenced before the attempts
+// of the former primary can be settled. Others cannot hold one: a start is
+// sent only after its record took effect. After a rebuild from the log, which
+// may lack records, every upstream of the zone is needed.
+func (s *State) FencesNeeded() []cawork.UpstreamID {
+	var out []cawork.UpstreamID
+	for _, a := range s.attempts {
+		out = append(out, a.Upstream)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/internal/coord/cajob/state_test.go
+++ b/internal/coord/cajob/state_test.go
@@ -191,6 +191,9 @@
 		r.AttemptsIntended.Attempts[i].Upstream = u
 	}
 	mustApply(t, s, r)
+	if diff := cmp.Diff([]cawork.UpstreamID{"u1", "u2", "u3", "u4"}, s.FencesNeeded()); diff != "" {
+		t.Errorf("fences needed (-want +got):\n%s", diff)
+	}
 	rec := s.Settle(
 		start,
 		[]FenceAnswer{{Upstream: "u1", Tasks: []caplatform.TaskStatus{
