Fence only what may hold an attempt; late starts of the own lead

Cause: by review of a repeated recovery: an attempt that the new primary had itself intended, whose start was still under way, would be settled by its absence from a fence answer, and its task started twice. Change: intents carry their view, fence answers the fenced view; attempts of the present lead wait. The fakes fence only the upstreams that may hold an attempt and go on with other work meanwhile. Conclusion: a takeover no longer waits for unrelated upstreams.

--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -97,6 +97,8 @@
 	Task     cawork.TaskRef
 	Upstream cawork.UpstreamID
 	Charge   cawork.Resources
+	// View is the view of the shard in which the attempt is intended.
+	View int64
 }
 
 // AttemptSettled is the end of an attempt. Observed reports whether the
--- a/internal/coord/cajob/recovery.go
+++ b/internal/coord/cajob/recovery.go
@@ -25,9 +25,12 @@
 )
 
 // FenceAnswer is the answer of one upstream that was fenced: every attempt of
-// the shard that it knows. After it, the upstream starts no older attempt.
+// the shard that it knows. After it, the upstream starts no attempt of a view
+// below View, the first one of the present lead. An attempt of the present
+// lead that is absent may still arrive.
 type FenceAnswer struct {
 	Upstream cawork.UpstreamID
+	View     int64
 	Tasks    []caplatform.TaskStatus
 }
 
@@ -81,7 +84,7 @@
 func resolve(a Attempt, now time.Time, answers []FenceAnswer, unanswered []Unanswered) Resolution {
 	for _, answer := range answers {
 		if answer.Upstream == a.Upstream {
-			return fromStatus(a, answer.Tasks)
+			return fromStatus(a, answer)
 		}
 	}
 	for _, u := range unanswered {
@@ -92,8 +95,8 @@
 	return Resolution{Attempt: a, Fate: FateWait}
 }
 
-func fromStatus(a Attempt, tasks []caplatform.TaskStatus) Resolution {
-	for _, t := range tasks {
+func fromStatus(a Attempt, answer FenceAnswer) Resolution {
+	for _, t := range answer.Tasks {
 		switch {
 		case t.Attempt != a.ID:
 		case t.State == cawork.TaskStateRunning:
@@ -102,6 +105,9 @@
 			return settled(a, AttemptSettled{Attempt: a.ID, State: t.State, Observed: true, Result: t.Result})
 		}
 	}
+	if answer.View > 0 && a.View >= answer.View {
+		return Resolution{Attempt: a, Fate: FateWait}
+	}
 	return settled(a, AttemptSettled{Attempt: a.ID, State: cawork.TaskStateFenced, Observed: true})
 }
 
--- a/internal/coord/cajob/rules.go
+++ b/internal/coord/cajob/rules.go
@@ -100,7 +100,7 @@
 	t.Attempts++
 	s.attempts[i.Attempt] = &Attempt{
 		ID: i.Attempt, Task: i.Task, Team: j.Job.Team,
-		Upstream: i.Upstream, Charge: i.Charge, Intended: at,
+		Upstream: i.Upstream, Charge: i.Charge, View: i.View, Intended: at,
 	}
 }
 
--- a/internal/coord/cajob/state_test.go
+++ b/internal/coord/cajob/state_test.go
@@ -183,20 +183,23 @@
 	}
 }
 
+// TestSettleAfterTakeover covers each fate. An attempt that the new primary
+// itself intended is not settled by its absence, as its start may be late.
 func TestSettleAfterTakeover(t *testing.T) {
-	s := newState(t, 6)
-	mustApply(t, s, accepted("j", cawork.JobSpec{Tasks: 6}))
-	r := intended("j", "runs", "ended", "absent", "lapsed", "waits", "unknown")
-	for i, u := range []cawork.UpstreamID{"u1", "u1", "u1", "u2", "u3", "u4"} {
+	s := newState(t, 7)
+	mustApply(t, s, accepted("j", cawork.JobSpec{Tasks: 7}))
+	r := intended("j", "runs", "ended", "absent", "lapsed", "waits", "unknown", "own")
+	for i, u := range []cawork.UpstreamID{"u1", "u1", "u1", "u2", "u3", "u4", "u1"} {
 		r.AttemptsIntended.Attempts[i].Upstream = u
 	}
+	r.AttemptsIntended.Attempts[6].View = 3
 	mustApply(t, s, r)
 	if diff := cmp.Diff([]cawork.UpstreamID{"u1", "u2", "u3", "u4"}, s.FencesNeeded()); diff != "" {
 		t.Errorf("fences needed (-want +got):\n%s", diff)
 	}
 	rec := s.Settle(
 		start,
-		[]FenceAnswer{{Upstream: "u1", Tasks: []caplatform.TaskStatus{
+		[]FenceAnswer{{Upstream: "u1", View: 3, Tasks: []caplatform.TaskStatus{
 			{Attempt: "runs", State: cawork.TaskStateRunning},
 			{Attempt: "ended", State: cawork.TaskStateDone},
 			{Attempt: "orphan", State: cawork.TaskStateRunning},
@@ -216,6 +219,7 @@
 		{"absent", FateSettle, cawork.TaskStateFenced},
 		{"ended", FateSettle, cawork.TaskStateDone},
 		{"lapsed", FateSettle, cawork.TaskStateLapsed},
+		{"own", FateWait, 0},
 		{"runs", FateAdopt, 0},
 		{"unknown", FateWait, 0},
 		{"waits", FateWait, 0},
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -29,6 +29,7 @@
 	Team     cawork.TeamName
 	Upstream cawork.UpstreamID
 	Charge   cawork.Resources
+	View     int64
 	Intended time.Time
 }
 
--- a/internal/coord/cashard/driver_test.go
+++ b/internal/coord/cashard/driver_test.go
@@ -139,8 +139,8 @@
 }
 
 func (n *node) driveShard(ctx context.Context, s cashard.Status) {
-	if s.Since > 1 && !n.recover(ctx, s) {
-		return
+	if s.Since > 1 {
+		n.recover(ctx, s)
 	}
 	if n.w.chance(0.3) {
 		n.submit(ctx, s.Shard)
@@ -293,19 +293,23 @@
 	}
 }
 
-// recover fences every upstream once after a takeover and settles what the
-// former primary left open. It reports whether new attempts may be sent.
-func (n *node) recover(ctx context.Context, s cashard.Status) bool {
+// recover fences the upstreams that may hold an attempt of the former primary
+// and settles what it left open. Attempts whose upstream does not answer stay
+// open; other work goes on.
+func (n *node) recover(ctx context.Context, s cashard.Status) {
 	if n.fenced[s.Shard] == s.Since {
-		return true
+		return
 	}
+	var needed []cawork.UpstreamID
+	n.part.Read(s.Shard, func(m cashard.StateMachine) { needed = m.(*cajob.State).FencesNeeded() })
 	var answers []cajob.FenceAnswer
-	for _, h := range n.w.hosts {
+	for _, u := range needed {
+		h := n.w.host(u)
 		tasks, err := call(ctx, n, h, func() ([]caplatform.TaskStatus, error) {
-			return h.fence(caplatform.ShardFence{Shard: s.Shard, View: s.View.Number})
+			return h.fence(caplatform.ShardFence{Shard: s.Shard, View: s.Since})
 		})
 		if err == nil {
-			answers = append(answers, cajob.FenceAnswer{Upstream: h.id, Tasks: tasks})
+			answers = append(answers, cajob.FenceAnswer{Upstream: h.id, View: s.Since, Tasks: tasks})
 		}
 	}
 	var rec cajob.Recovery
@@ -317,11 +321,9 @@
 			_ = n.append(ctx, s.Shard, cajob.Record{Type: cajob.RecordAttemptSettled, AttemptSettled: &r.Settled})
 		}
 	}
-	if len(answers) < len(n.w.hosts) {
-		return false
+	if len(answers) == len(needed) {
+		n.fenced[s.Shard] = s.Since
 	}
-	n.fenced[s.Shard] = s.Since
-	return true
 }
 
 func call[T any](ctx context.Context, n *node, h *host, serve func() (T, error)) (T, error) {
@@ -393,13 +395,14 @@
 // startTasks records the attempts of some tasks of a job and sends them.
 func (n *node) startTasks(ctx context.Context, s cawork.ShardID, tasks []cawork.TaskRef) {
 	r := &cajob.AttemptsIntended{}
+	view, _ := n.part.MayAct(s)
 	for _, task := range tasks {
 		n.w.lmu.Lock()
 		n.w.next++
 		id := cawork.AttemptID(fmt.Sprintf("%v-a%d", task, n.w.next))
 		n.w.lmu.Unlock()
 		u := n.w.hosts[n.w.intn(len(n.w.hosts))].id
-		r.Attempts = append(r.Attempts, cajob.Intent{Attempt: id, Task: task, Upstream: u, Charge: taskSize})
+		r.Attempts = append(r.Attempts, cajob.Intent{Attempt: id, Task: task, Upstream: u, Charge: taskSize, View: view})
 	}
 	if n.append(ctx, s, cajob.Record{Type: cajob.RecordAttemptsIntended, AttemptsIntended: r}) != nil {
 		return
