Limits of the settings reach the API; keys are honoured for 5 s unconfirmed

Cause: limits.* and four timeouts of the settings had no effect; the default of key_freshness, 30 s, let a withdrawn key work far longer than the 5 s stated for a zone that is cut off; relayed versions confirmed a silent zone. Change: the API takes its limits from the settings; the default is 5 s; versions are offered only of members that are reached directly. Measurement: go test of the packages passes.

--- a/internal/config/cacell/document.go
+++ b/internal/config/cacell/document.go
@@ -75,7 +75,7 @@
 				Reservation: 2 * time.Minute,
 			},
 		},
-		KeyFreshness:    30 * time.Second,
+		KeyFreshness:    5 * time.Second,
 		UnconfirmedKeys: UnconfirmedKeysRefuse,
 	}
 }
--- a/internal/config/casettings/settings.go
+++ b/internal/config/casettings/settings.go
@@ -118,7 +118,7 @@
 			Platform: 2 * time.Second,
 			Drain:    60 * time.Second,
 		},
-		Limits:   Limits{Body: 8 * cawork.MiB, Header: 16 * cawork.KiB, Connections: 4096},
+		Limits:   Limits{Body: 64 * cawork.MiB, Header: 16 * cawork.KiB, Connections: 4096},
 		LogLevel: LogLevel{zerolog.InfoLevel},
 	}
 }
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // Paths of the API.
@@ -36,12 +38,6 @@
 const (
 	// maxWait bounds how long a caller may wait for a job in one call.
 	maxWait = 5 * time.Minute
-	// readHeaderTimeout bounds the time to receive the headers of a call.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout ends connections that carried nothing for this time.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the headers of a call.
-	maxHeaderBytes = 16 << 10
 	// maxSubmitBytes bounds the body of a submission.
 	maxSubmitBytes = 128 << 10
 )
@@ -72,8 +68,24 @@
 	Ready() bool
 }
 
+// Limits bound what one caller may take of the entry.
+type Limits struct {
+	// HeaderTime and BodyTime bound the time to receive headers and a whole
+	// call, IdleTime that of a connection without a call.
+	HeaderTime time.Duration
+	BodyTime   time.Duration
+	IdleTime   time.Duration
+	// RequestTime bounds the deadline of a request.
+	RequestTime time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	// Connections bounds the connections of all callers together.
+	Connections int
+}
+
 // Config wires the API.
 type Config struct {
+	Limits     Limits
 	Authorizer Authorizer
 	Jobs       Jobs
 	Requests   Requests
@@ -104,9 +116,10 @@
 	e.GET(PathMetrics, echo.WrapHandler(config.Metrics))
 	a.server = &http.Server{
 		Handler:           e,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: config.Limits.HeaderTime,
+		ReadTimeout:       config.Limits.BodyTime,
+		IdleTimeout:       config.Limits.IdleTime,
+		MaxHeaderBytes:    config.Limits.HeaderBytes,
 	}
 	return a
 }
@@ -117,7 +130,8 @@
 // Serve answers calls on the listener until Shutdown.
 func (a *API) Serve(lis net.Listener) error {
 	defer close(a.done)
-	if err := a.server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+	bounded := netutil.LimitListener(lis, a.config.Limits.Connections)
+	if err := a.server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -201,10 +215,26 @@
 	if err != nil {
 		return err
 	}
-	a.config.Requests.ServeRequest(c.Response(), c.Request(), team)
+	r := c.Request()
+	if r.ContentLength > a.config.Limits.BodyBytes {
+		return cakind.New(cakind.KindTooLarge, "the body has more than %d bytes", a.config.Limits.BodyBytes)
+	}
+	r.Body = http.MaxBytesReader(c.Response(), r.Body, a.config.Limits.BodyBytes)
+	boundDeadline(r.Header, a.config.Limits.RequestTime)
+	a.config.Requests.ServeRequest(c.Response(), r, team)
 	return nil
 }
 
+// boundDeadline lowers the deadline of a request to the bound. What is no
+// number is left for the request path to refuse.
+func boundDeadline(h http.Header, bound time.Duration) {
+	asked, err := strconv.ParseInt(h.Get(caplatform.HeaderDeadline), 10, 64)
+	missing := h.Get(caplatform.HeaderDeadline) == ""
+	if missing || (err == nil && asked > bound.Milliseconds()) {
+		h.Set(caplatform.HeaderDeadline, strconv.FormatInt(bound.Milliseconds(), 10))
+	}
+}
+
 func (a *API) status(c echo.Context) error {
 	return c.JSON(http.StatusOK, a.config.Status.Status(c.Request().Context()))
 }
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -238,7 +238,12 @@
 }
 
 func (e *Entry) wireAPI(metrics http.Handler) {
+	limits, times := e.settings.Limits, e.settings.Timeouts
 	e.api = caapi.NewAPI(caapi.Config{
+		Limits: caapi.Limits{
+			HeaderTime: times.Header, BodyTime: times.Body, IdleTime: times.Idle, RequestTime: times.Request,
+			HeaderBytes: int(limits.Header), BodyBytes: int64(limits.Body), Connections: limits.Connections,
+		},
 		Authorizer: authorizer{active: e.active},
 		Jobs:       jobs{launcher: e.launcher},
 		Requests:   e.dispatcher,
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -127,7 +127,9 @@
 	peers := make([]cadispatch.Peer, 0, len(others))
 	members := []cadedupe.Member{{ID: e.settings.VM, Incarnation: e.life}}
 	for _, m := range others {
-		e.follower.Offer(cafollow.Offer{VM: m.VM, Zone: m.Zone, Version: cafollow.Version(m.App.ConfigVersion)})
+		if m.Liveness == camember.LivenessAlive && m.Reach == camember.ReachDirect {
+			e.follower.Offer(cafollow.Offer{VM: m.VM, Zone: m.Zone, Version: cafollow.Version(m.App.ConfigVersion)})
+		}
 		peers = append(peers, cadispatch.Peer{ID: m.VM, Zone: m.Zone, FreeSlots: m.App.OwnedUpstreams * slotsGuess})
 		if m.Zone == e.settings.Zone {
 			members = append(members, cadedupe.Member{ID: m.VM, Incarnation: int64(m.Incarnation)})
