--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -108,6 +108,9 @@
 
 // abandon takes back attempts whose intent has no effect.
 func (l *Launcher) abandon(attempts []*attempt, err error) {
+	// What stands in the way, such as a shard without a backup, takes a while
+	// to change; deciding the same again at once would only burn processor time.
+	l.restUntil = l.now().Add(tickPeriod)
 	l.releaseRemote(attempts)
 	for _, a := range attempts {
 		caevent.Warn(l.Logger, caevent.StartFailed).Str("task", a.task.String()).Str("upstream", string(a.upstream)).
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -29,7 +29,7 @@
 
 // decide carries out decisions until there are none.
 func (l *Launcher) decide() {
-	if l.draining {
+	if l.draining || l.now().Before(l.restUntil) {
 		return
 	}
 	for range maxRounds {
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -116,6 +116,8 @@
 	unended  map[cawork.JobID]struct{}
 	cursors  map[pollTarget]catask.Cursor
 	lastPoll time.Time
+	// restUntil is the time before which nothing is decided.
+	restUntil time.Time
 	polling  map[cawork.VMID]struct{}
 	spilling map[cawork.JobID]struct{}
 	// homes holds the shards of jobs that were not accepted by the shard that
