Tests of the room index and examples of the core

Cause: the index was tested through the scheduler only. Change: searches are compared with a walk over all upstreams; examples show how the parts are used. Measured: go test ./internal/core/... passes.

--- /dev/null
+++ b/internal/core/cadecide/example_test.go
@@ -0,0 +1,34 @@
+package cadecide_test
+
+import (
+	"fmt"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/cadecide"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+// A scheduler learns of upstreams and allowances, queues a job, and decides
+// when asked. The caller starts what is placed and reports what becomes of it.
+func Example() {
+	now := time.Unix(0, 0)
+	s := cadecide.New(casched.DefaultPolicy(), func(v *casched.Violation) { panic(v) })
+	s.PutUpstream(casched.Upstream{ID: "u1", Capacity: cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB}}, now)
+	s.SetAllowance("north", casched.Unlimited(), now)
+	err := s.Submit(cawork.Job{ID: "report", Team: "north", Accepted: now, Spec: cawork.JobSpec{
+		Kind: cawork.WorkKindBatch, Tasks: 1, Size: cawork.Resources{CPU: cawork.Cores(4), Memory: cawork.GiB},
+	}}, now)
+	if err != nil {
+		panic(err)
+	}
+	for _, d := range s.Decide(now.Add(time.Second)) {
+		fmt.Println(d.Text())
+		s.Started(d.Placements[0].Task, now)
+	}
+	out := s.Ended(casched.End{Task: cawork.TaskRef{Job: "report"}, State: cawork.TaskStateDone}, now.Add(time.Minute))
+	fmt.Println(out.JobEnded, out.JobOutcome)
+	// Output:
+	// place on u1: lowest_share, waited 1s, share 0.0000, tasks 1
+	// true done
+}
--- /dev/null
+++ b/internal/core/caplace/index_test.go
@@ -0,0 +1,90 @@
+package caplace_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/caplace"
+	"celeryarch.example/celeryarch/internal/core/casched"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "20260"); err != nil {
+		panic(err)
+	}
+}
+
+func cores(n int64) caplace.Demand {
+	return caplace.Demand{Size: cawork.Resources{CPU: cawork.Cores(n)}}
+}
+
+func ExampleIndex_Best() {
+	x := caplace.NewIndex()
+	for i, n := range []int64{8, 3, 5} {
+		x.Put(casched.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("u%d", i)), Capacity: cores(n).Size})
+	}
+	pack, _ := x.Best(&caplace.Query{Demand: cores(2)})
+	spread, _ := x.Best(&caplace.Query{Demand: cores(2), Strategy: casched.StrategySpread})
+	fmt.Println(x.ID(pack), x.ID(spread))
+	// Output: u1 u0
+}
+
+// taken is room that was taken on an upstream.
+type taken struct {
+	host   caplace.HostIndex
+	demand caplace.Demand
+}
+
+// fits walks over all upstreams.
+func fits(x *caplace.Index, q *caplace.Query) bool {
+	for h := range x.Hosts() {
+		if x.StateOf(h) == caplace.StateOpen && x.Upstream(h).Admits(q.Constraints) && q.Demand.Fits(x.FreeOn(h)) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestBestFindsRoomExactlyWhenThereIsSome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := caplace.NewIndex()
+		var held []taken
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			id := cawork.UpstreamID(fmt.Sprintf("u%d", rapid.IntRange(0, 80).Draw(t, "upstream")))
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				x.Put(casched.Upstream{
+					ID: id, Rack: rapid.SampledFrom([]cawork.RackName{"r1", "r2"}).Draw(t, "rack"),
+					Capacity: cores(8).Size, Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+				})
+			case 1:
+				x.Remove(id)
+			case 2:
+				if len(held) > 0 {
+					last := held[len(held)-1]
+					held = held[:len(held)-1]
+					x.Give(last.host, last.demand)
+				}
+			default:
+				q := &caplace.Query{Demand: cores(rapid.Int64Range(1, 9).Draw(t, "cores"))}
+				q.Constraints.Rack = rapid.SampledFrom([]cawork.RackName{"", "r1", "r3"}).Draw(t, "wanted")
+				h, ok := x.Best(q)
+				if diff := cmp.Diff(fits(x, q), ok); diff != "" {
+					t.Fatalf("found mismatch (-want +got):\n%s", diff)
+				}
+				if ok {
+					x.TakeFor(h, q)
+					held = append(held, taken{h, q.Demand})
+				}
+			}
+			if err := x.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
