Pass over jobs that cannot be helped in the search for relief

Cause: the job due first of a team was the only one that relief was searched for; one that only other entries could hold kept it from all others. Change: a job without relief is passed over for two seconds, at most four of a team in a period.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -211,8 +211,8 @@
 			continue
 		}
 		if o.waitsSince != s.round {
-			j := s.blockedHead(o)
-			o.waitsSince, o.waits = s.round, j != nil && s.waitsForSmallRoom(j, now)
+			c := s.firstBlocked(o, func(*caqueue.Mark) bool { return true })
+			o.waitsSince, o.waits = s.round, c != nil && s.waitsForSmallRoom(c.Head().Value, now)
 		}
 		if o.waits {
 			return true
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -16,9 +16,10 @@
 const (
 	// reliefPeriod is the least time between two searches for relief.
 	reliefPeriod = 50 * time.Millisecond
-	// reliefPause is the time after which relief for a team is searched again
-	// when none was found.
-	reliefPause = time.Second
+	// reliefPause is how long jobs that could not be helped are passed over.
+	reliefPause = 2 * time.Second
+	// maxPassed is the most jobs of a team that are passed over in a period.
+	maxPassed = 4
 	// shareTolerance is the part of its share below which a team takes room from
 	// others. Above it, the ends of tasks even the shares out.
 	shareTolerance = 0.95
@@ -44,47 +45,72 @@
 
 // relieve helps jobs that do not fit: room is taken from teams above their
 // share for jobs of teams below theirs, and is reserved for jobs that have
-// waited long. One team is helped or searched for in each period.
+// waited long. One search is made in each period.
 func (s *Scheduler) relieve(now time.Time) {
 	if s.full() || now.Before(s.nextRelief) {
 		return
 	}
 	s.nextRelief = now.Add(reliefPeriod)
 	s.round++
-	for {
-		t := s.lowest()
-		if t == nil {
+	for t := s.lowest(); t != nil; t = s.lowest() {
+		t.exhausted = s.round
+		if s.relieveTeam(t, now) {
 			return
 		}
-		t.exhausted = s.round
-		if now.Before(t.nextRelief) {
-			continue
+	}
+}
+
+// relieveTeam searches relief for the first blocked job of the team for which
+// there may be some, and reports whether it searched. Jobs that cannot be
+// helped are passed over for a while.
+func (s *Scheduler) relieveTeam(t *team, now time.Time) bool {
+	if !now.Before(t.nextRelief) {
+		t.nextRelief = now.Add(reliefPause)
+		marks := t.queue.Marks()
+		for i := range marks {
+			marks[i].PassedOver = false
 		}
-		j := s.blockedHead(t)
-		if j == nil {
-			continue
+	}
+	for range maxPassed {
+		c := s.firstBlocked(t, func(m *caqueue.Mark) bool { return !m.PassedOver })
+		if c == nil {
+			return false
+		}
+		j := c.Head().Value
+		if now.Sub(j.Accepted) < s.reliefAfter(j) {
+			return false
 		}
 		preempt, reserve := s.mayPreempt(t, j, now), s.mayReserve(t, j, now)
-		if !preempt && !reserve {
-			continue
+		if (preempt && s.preemptFor(t, j, now)) || (reserve && s.reserveFor(j, now)) {
+			return true
 		}
-		if !(preempt && s.preemptFor(t, j, now)) && !(reserve && s.reserveFor(j, now)) {
-			t.nextRelief = now.Add(reliefPause)
+		t.queue.Mark(c).PassedOver = true
+		if preempt || reserve {
+			return true
 		}
-		return
 	}
+	return false
 }
 
-// blockedHead returns the job of the team that is due first among those that
-// lack only room and have none held for them.
-func (s *Scheduler) blockedHead(t *team) *caledger.Job {
+// reliefAfter returns the wait from which on the job may be helped.
+func (s *Scheduler) reliefAfter(j *caledger.Job) time.Duration {
+	p := s.policy.Kind(j.Spec.Kind)
+	if p.PreemptAfter == 0 {
+		return p.ReserveAfter
+	}
+	if j.Spec.Urgent {
+		return min(p.PreemptAfter, p.UrgentPreemptAfter)
+	}
+	return min(p.PreemptAfter, p.ReserveAfter)
+}
+
+// firstBlocked returns the class whose head is due first among those that lack
+// only room, have none held for them, and are accepted by the function.
+func (s *Scheduler) firstBlocked(t *team, accept func(*caqueue.Mark) bool) *class {
 	for {
-		c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && !m.Held })
-		if c == nil {
-			return nil
-		}
-		if j := c.Head().Value; !s.claimed(j) {
-			return j
+		c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && !m.Held && accept(m) })
+		if c == nil || !s.claimed(c.Head().Value) {
+			return c
 		}
 		t.queue.Mark(c).Held = true
 	}
--- a/internal/core/cadecide/remote_test.go
+++ b/internal/core/cadecide/remote_test.go
@@ -22,3 +22,24 @@
 	c.submit("south2", "south", batch(1, 8))
 	wantSummary(t, c.after(time.Second), "place lowest_share south2/1")
 }
+
+// A job that only upstreams of other entries could hold must not keep the next
+// one of its team from being helped.
+func TestJobForOtherEntriesKeepsNobodyFromRelief(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 2)
+	c.s.SetRemoteUse(casched.RemoteUse{
+		Capacity: size(8), Shapes: []casched.Upstream{{Rack: "far", Capacity: size(8)}},
+	}, c.now)
+	c.submit("full", "north", batch(8, 2))
+	c.after(0)
+	far := batch(1, 2)
+	far.Constraints.Rack = "far"
+	c.submit("far", "south", far)
+	c.submit("near", "south", batch(1, 2))
+	c.after(time.Minute)
+	got := append(c.after(time.Second), c.after(time.Second)...)
+	if n := count(c.after(time.Second), casched.DecisionPlace, "near"); n != 0 {
+		t.Fatalf("%d tasks were placed on full upstreams", n)
+	}
+	wantSummary(t, got, "checkpoint share full/1")
+}
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -35,7 +35,7 @@
 	// waitsSince.
 	waits      bool
 	waitsSince uint64
-	// nextRelief is when relief for the team is searched again.
+	// nextRelief is when jobs that were passed over are looked at again.
 	nextRelief time.Time
 }
 
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -101,6 +101,8 @@
 	LimitedAt uint64
 	// Held is set when room is held for the head.
 	Held bool
+	// PassedOver is set when relief was searched for the head in vain.
+	PassedOver bool
 	// due is that of the head in nanoseconds, zero when it has to be looked up.
 	due int64
 }
@@ -173,7 +175,7 @@
 // unmark forgets why the head of the class did not fit.
 func (q *Queue[T]) unmark(c *Class[T]) {
 	m := &q.marks[c.pos]
-	m.BlockedAt, m.LimitedAt, m.Held, m.due = 0, 0, false, 0
+	*m = Mark{Least: m.Least, Kind: m.Kind}
 }
 
 // drop removes a class without entries.
