Retry budget of the upstream that a retry goes to; robust mean of slot time

Cause: requests stuck at a silent upstream were never given up, because the budget of that upstream grew no more; and one request that ran into its deadline of 30 s raised the mean slot time so far that the queues refused. Change: a retry is charged to the upstream that it goes to, the budget of the team bounds all; a sample counts at most four times the mean.

--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -94,11 +94,13 @@
 }
 
 func (d *Dispatcher) accountFor(c *call, route *caroute.Route, id cawork.AttemptID) {
+	d.mu.Lock()
 	if c.attempts == 0 {
-		d.mu.Lock()
 		d.budgets.Request(c.team, route.Upstream)
-		d.mu.Unlock()
+	} else {
+		d.budgets.Retried(route.Upstream)
 	}
+	d.mu.Unlock()
 	c.attempts++
 	c.tried = append(c.tried, route.Upstream)
 	d.metrics.routed.Inc(1)
@@ -181,13 +183,13 @@
 // mayRetry reports whether the call may be tried again: only what is
 // idempotent, or known not to have started, and within the budgets.
 func (d *Dispatcher) mayRetry(ctx context.Context, c *call, err error) bool {
-	late := !d.config.Timer.Now().Before(c.deadline)
-	if late || ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
+	now := d.config.Timer.Now()
+	if !now.Before(c.deadline) || ctx.Err() != nil || !c.repeatable(cakind.Of(err)) {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budgets.Retry(c.team, c.tried[len(c.tried)-1])
+	return d.budgets.Retry(c.team, d.router.Startable(now))
 }
 
 func (d *Dispatcher) logRetry(c *call, err error) {
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -37,7 +37,9 @@
 	envRole      = "CADISPATCH_BENCH_ROLE"
 	envUpstreams = "CADISPATCH_BENCH_UPSTREAMS"
 	envService   = "CADISPATCH_BENCH_SERVICE"
+	envSick      = "CADISPATCH_BENCH_SICK"
 	headerTeam   = "X-Team"
+	slowFactor   = 20
 	benchSlots   = 8
 	// pingTeam sends requests that the entry process answers without serving
 	// them, which shows the delays of the machine.
@@ -77,8 +79,12 @@
 func runUpstreams() {
 	n, _ := strconv.Atoi(os.Getenv(envUpstreams))
 	service, _ := time.ParseDuration(os.Getenv(envService))
-	for range n {
+	for i := range n {
 		var inUse atomic.Int64
+		sick := ""
+		if i == 0 {
+			sick = os.Getenv(envSick)
+		}
 		listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt))
 			defer inUse.Add(-1)
@@ -88,6 +94,16 @@
 				return
 			}
 			body, _ := io.ReadAll(r.Body)
+			switch sick {
+			case "failing":
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			case "silent":
+				<-r.Context().Done()
+				return
+			case "slow":
+				time.Sleep(slowFactor * service)
+			}
 			time.Sleep(service)
 			_, _ = w.Write(body)
 		}))
@@ -199,8 +215,8 @@
 	entry     *process
 }
 
-func newCell(b *testing.B, upstreams int, service time.Duration) cell {
-	ups := startRole(b, upstreams, envRole+"=upstream", envUpstreams+"="+strconv.Itoa(upstreams), envService+"="+service.String())
+func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
+	ups := startRole(b, upstreams, envRole+"=upstream", envSick+"="+sick, envUpstreams+"="+strconv.Itoa(upstreams), envService+"="+service.String())
 	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
 	return cell{ups, entry}
 }
@@ -237,7 +253,7 @@
 // direct calls to an upstream, in turns.
 func BenchmarkOverhead(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
-	c := newCell(b, upstreams, service)
+	c := newCell(b, upstreams, service, "")
 	for b.Loop() {
 		half := capacityOf(b, c.upstreams.addresses, 5*time.Second) / 2
 		direct := loadOf(b, c.upstreams.addresses, "light", half, 5*time.Second)
@@ -254,7 +270,7 @@
 
 // BenchmarkRate sends 10,000 requests a second through one entry.
 func BenchmarkRate(b *testing.B) {
-	c := newCell(b, 16, 5*time.Millisecond)
+	c := newCell(b, 16, 5*time.Millisecond, "")
 	for b.Loop() {
 		before := c.entry.processorTime(b)
 		rep := loadOf(b, c.entry.addresses, "light", 10_000, 10*time.Second)
@@ -274,7 +290,7 @@
 func BenchmarkResident(b *testing.B) {
 	for _, upstreams := range []int{6, 16, 125} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			c := newCell(b, upstreams, 10*time.Second)
+			c := newCell(b, upstreams, 10*time.Second, "")
 			for b.Loop() {
 				go loadOf(b, c.entry.addresses, "light", 1000, time.Second)
 				time.Sleep(4 * time.Second)
@@ -315,7 +331,7 @@
 // 1, then half of the capacity.
 func BenchmarkOverload(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
-	c := newCell(b, upstreams, service)
+	c := newCell(b, upstreams, service, "")
 	capacity := upstreams * benchSlots / service.Seconds()
 	for b.Loop() {
 		possible := capacityOf(b, c.upstreams.addresses, 5*time.Second)
@@ -341,3 +357,22 @@
 		b.ReportMetric(float64(after.Arrivals-after.Count(http.StatusOK)), "not-done-after")
 	}
 }
+
+// BenchmarkSickUpstream sends idempotent requests at a third of the capacity
+// of four upstreams, of which one is sick.
+func BenchmarkSickUpstream(b *testing.B) {
+	const upstreams, service = 4, 10 * time.Millisecond
+	for _, sick := range []string{"failing", "silent", "slow"} {
+		b.Run(sick, func(b *testing.B) {
+			c := newCell(b, upstreams, service, sick)
+			third := upstreams * benchSlots / service.Seconds() / 3
+			for b.Loop() {
+				rep := loadOf(b, c.entry.addresses, "light", third, 10*time.Second)
+				b.ReportMetric(float64(rep.Count(http.StatusOK))/float64(rep.Arrivals), "done/request")
+				b.ReportMetric(millisOf(rep.Latency.P50), "p50-ms")
+				b.ReportMetric(millisOf(rep.Latency.P99), "p99-ms")
+				b.ReportMetric(millisOf(rep.Latency.P999), "p99.9-ms")
+			}
+		})
+	}
+}
--- a/internal/request/cadispatch/running.go
+++ b/internal/request/cadispatch/running.go
@@ -80,11 +80,12 @@
 
 // cutLate gives up attempts that are late. The caller holds the lock.
 func (d *Dispatcher) cutLate(now time.Time) {
+	at := d.router.Startable(now)
 	for r := range d.watched {
 		if now.Before(r.lateAt) {
 			continue
 		}
-		if d.budgets.Retry(r.call.team, r.call.tried[len(r.call.tried)-1]) {
+		if d.budgets.Retry(r.call.team, at) {
 			r.cut = true
 			delete(d.watched, r)
 			r.cancel()
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -42,6 +43,9 @@
 	defer d.mu.Unlock()
 	now := d.config.Timer.Now()
 	ask := caroute.Ask{Idempotent: c.idempotent, Deadline: c.deadline, Exclude: c.tried}
+	if c.attempts > 0 {
+		ask.Exclude = d.excluded(now, c)
+	}
 	if d.queues.Len() == 0 || c.attempts > 0 {
 		if route := d.router.Choose(now, ask); route != nil {
 			d.queues.Charge(c.team, d.router.Service())
@@ -62,6 +66,19 @@
 	return ticket, nil, nil
 }
 
+// excluded returns the upstreams that a retry avoids: those tried before, and
+// those whose budget is used up, unless no other is left.
+func (d *Dispatcher) excluded(now time.Time, c *call) []cawork.UpstreamID {
+	at := d.router.Startable(now)
+	both := append(d.budgets.Exhausted(at), c.tried...)
+	for _, id := range at {
+		if !slices.Contains(both, id) {
+			return both
+		}
+	}
+	return c.tried
+}
+
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
 	slots := d.router.Slots(now)
 	if slots == 0 {
--- a/internal/request/caroute/budget.go
+++ b/internal/request/caroute/budget.go
@@ -25,7 +25,9 @@
 
 func (b *budget) withdraw() { b.balance-- }
 
-// Budgets holds the retry budgets of teams and upstreams.
+// Budgets holds the retry budgets of teams and upstreams. That of a team bounds
+// its attempts; that of an upstream bounds the retries that it gets, so that
+// the failures of some upstreams do not become the overload of the others.
 type Budgets struct {
 	teams     map[cawork.TeamName]*budget
 	upstreams map[cawork.UpstreamID]*budget
@@ -48,18 +50,31 @@
 	entryOf(b.upstreams, up).deposit()
 }
 
-// Retry reports whether a request of the team that failed at the upstream may
-// be tried again, and withdraws from both budgets when it may.
-func (b *Budgets) Retry(team cawork.TeamName, up cawork.UpstreamID) bool {
-	t, u := entryOf(b.teams, team), entryOf(b.upstreams, up)
-	if !t.whole() || !u.whole() {
+// Retry reports whether a request of the team may be tried again at any of the
+// upstreams, and withdraws from the budget of the team when it may.
+func (b *Budgets) Retry(team cawork.TeamName, at []cawork.UpstreamID) bool {
+	t := entryOf(b.teams, team)
+	if !t.whole() || len(b.Exhausted(at)) == len(at) {
 		return false
 	}
 	t.withdraw()
-	u.withdraw()
 	return true
 }
 
+// Exhausted returns those of the upstreams whose budget allows no retry.
+func (b *Budgets) Exhausted(at []cawork.UpstreamID) []cawork.UpstreamID {
+	var over []cawork.UpstreamID
+	for _, up := range at {
+		if !entryOf(b.upstreams, up).whole() {
+			over = append(over, up)
+		}
+	}
+	return over
+}
+
+// Retried accounts for a retry that goes to the upstream.
+func (b *Budgets) Retried(up cawork.UpstreamID) { entryOf(b.upstreams, up).withdraw() }
+
 // Forget drops the budget of an upstream.
 func (b *Budgets) Forget(up cawork.UpstreamID) { delete(b.upstreams, up) }
 
--- a/internal/request/caroute/health.go
+++ b/internal/request/caroute/health.go
@@ -34,6 +34,10 @@
 	// request before it started it gets no other.
 	pauseAfterRefusal = 20 * time.Millisecond
 	latencyWeight     = 0.1
+	// serviceWeight is the weight of a request in the mean over all upstreams,
+	// serviceClip the multiple of the mean beyond which its time is cut.
+	serviceWeight = 0.025
+	serviceClip   = 4
 	// riskPrior is the weight of the successes that an upstream is credited
 	// with in advance.
 	riskPrior      = 2.0
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -237,7 +237,9 @@
 	h.used = now
 	h.record(now, v, latency, r.service)
 	if v == VerdictServed || v == VerdictFailed {
-		r.service += time.Duration(latencyWeight / 4 * float64(latency-r.service))
+		// One request that ran into its deadline must not make the queues refuse.
+		sample := min(latency, serviceClip*r.service)
+		r.service += time.Duration(serviceWeight * float64(sample-r.service))
 	}
 	if t.Probe {
 		return r.probeEnded(now, t.Upstream, h, v)
@@ -245,6 +247,18 @@
 	return r.judge(now, t.Upstream, h)
 }
 
+// Startable returns the upstreams that may get requests, now or when a slot is
+// free.
+func (r *Router) Startable(now time.Time) []cawork.UpstreamID {
+	var ids []cawork.UpstreamID
+	for _, s := range r.sources {
+		if s.startsAt(now) && !r.health[s.upstream].ejected && !slices.Contains(ids, s.upstream) {
+			ids = append(ids, s.upstream)
+		}
+	}
+	return ids
+}
+
 // startable reports whether any upstream outside of the list may get requests,
 // now or when a slot is free.
 func (r *Router) startable(now time.Time, exclude []cawork.UpstreamID) bool {
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -163,7 +163,8 @@
 			up := cawork.UpstreamID(rapid.SampledFrom([]string{"u1", "u2"}).Draw(t, "upstream"))
 			b.Request("a", up)
 			requests++
-			for b.Retry("a", up) {
+			for b.Retry("a", []cawork.UpstreamID{"u1", "u2"}) {
+				b.Retried(up)
 				retries++
 			}
 		}
