--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -38,9 +38,13 @@
 	envUpstreams = "CADISPATCH_BENCH_UPSTREAMS"
 	envService   = "CADISPATCH_BENCH_SERVICE"
 	envSick      = "CADISPATCH_BENCH_SICK"
+	envSlots     = "CADISPATCH_BENCH_SLOTS"
 	headerTeam   = "X-Team"
-	slowFactor   = 20
-	benchSlots   = 8
+
+	// unboundedSlots is for upstreams whose callers bound nothing.
+	unboundedSlots = 1 << 20
+	slowFactor     = 20
+	benchSlots     = 8
 	// pingTeam sends requests that the entry process answers without serving
 	// them, which shows the delays of the machine.
 	pingTeam = "ping"
@@ -79,6 +83,7 @@
 func runUpstreams() {
 	n, _ := strconv.Atoi(os.Getenv(envUpstreams))
 	service, _ := time.ParseDuration(os.Getenv(envService))
+	slots, _ := strconv.Atoi(os.Getenv(envSlots))
 	for i := range n {
 		var inUse atomic.Int64
 		sick := ""
@@ -88,7 +93,7 @@
 		listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt))
 			defer inUse.Add(-1)
-			if inUse.Add(1) > benchSlots {
+			if inUse.Add(1) > int64(slots) {
 				w.Header().Set(caplatform.HeaderNotRun, "true")
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
@@ -215,8 +220,17 @@
 	entry     *process
 }
 
+func startUpstreams(b *testing.B, n int, service time.Duration, sick string, slots int) *process {
+	return startRole(b, n,
+		envRole+"=upstream",
+		envSick+"="+sick,
+		envUpstreams+"="+strconv.Itoa(n),
+		envService+"="+service.String(),
+		envSlots+"="+strconv.Itoa(slots))
+}
+
 func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
-	ups := startRole(b, upstreams, envRole+"=upstream", envSick+"="+sick, envUpstreams+"="+strconv.Itoa(upstreams), envService+"="+service.String())
+	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
 	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
 	return cell{ups, entry}
 }
@@ -250,21 +264,25 @@
 func millisOf(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // BenchmarkOverhead compares requests through an entry at half load with
-// direct calls to an upstream, in turns.
+// direct calls to upstreams of their own, at the same time, so that both meet
+// the same delays of the machine.
 func BenchmarkOverhead(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
 	c := newCell(b, upstreams, service, "")
+	alone := startUpstreams(b, upstreams, service, "", unboundedSlots)
 	for b.Loop() {
 		half := capacityOf(b, c.upstreams.addresses, 5*time.Second) / 2
-		direct := loadOf(b, c.upstreams.addresses, "light", half, 5*time.Second)
-		through := loadOf(b, c.entry.addresses, "light", half, 5*time.Second)
+		directs := make(chan caload.Report, 1)
+		go func() { directs <- loadOf(b, alone.addresses, "light", half, 10*time.Second) }()
+		through := loadOf(b, c.entry.addresses, "light", half, 10*time.Second)
+		direct := <-directs
 		b.ReportMetric(half, "offered/s")
 		b.ReportMetric(float64(direct.Arrivals-direct.Count(http.StatusOK)), "direct-not-done")
+		b.ReportMetric(float64(through.Arrivals-through.Count(http.StatusOK)), "not-done")
 		b.ReportMetric(millisOf(direct.Latency.P50), "direct-p50-ms")
 		b.ReportMetric(millisOf(direct.Latency.P99), "direct-p99-ms")
 		b.ReportMetric(millisOf(through.Latency.P50-direct.Latency.P50), "overhead-p50-ms")
 		b.ReportMetric(millisOf(through.Latency.P99-direct.Latency.P99), "overhead-p99-ms")
-		b.ReportMetric(float64(through.Arrivals-through.Count(http.StatusOK)), "not-done")
 	}
 }
 
