--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -37,8 +37,14 @@
 	envRole      = "CADISPATCH_BENCH_ROLE"
 	envUpstreams = "CADISPATCH_BENCH_UPSTREAMS"
 	envService   = "CADISPATCH_BENCH_SERVICE"
+	envSick      = "CADISPATCH_BENCH_SICK"
+	envSlots     = "CADISPATCH_BENCH_SLOTS"
 	headerTeam   = "X-Team"
-	benchSlots   = 8
+
+	// unboundedSlots is for upstreams whose callers bound nothing.
+	unboundedSlots = 1 << 20
+	slowFactor     = 20
+	benchSlots     = 8
 	// pingTeam sends requests that the entry process answers without serving
 	// them, which shows the delays of the machine.
 	pingTeam = "ping"
@@ -77,17 +83,32 @@
 func runUpstreams() {
 	n, _ := strconv.Atoi(os.Getenv(envUpstreams))
 	service, _ := time.ParseDuration(os.Getenv(envService))
-	for range n {
+	slots, _ := strconv.Atoi(os.Getenv(envSlots))
+	for i := range n {
 		var inUse atomic.Int64
+		sick := ""
+		if i == 0 {
+			sick = os.Getenv(envSick)
+		}
 		listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt))
 			defer inUse.Add(-1)
-			if inUse.Add(1) > benchSlots {
+			if inUse.Add(1) > int64(slots) {
 				w.Header().Set(caplatform.HeaderNotRun, "true")
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
 			body, _ := io.ReadAll(r.Body)
+			switch sick {
+			case "failing":
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			case "silent":
+				<-r.Context().Done()
+				return
+			case "slow":
+				time.Sleep(slowFactor * service)
+			}
 			time.Sleep(service)
 			_, _ = w.Write(body)
 		}))
@@ -199,8 +220,17 @@
 	entry     *process
 }
 
-func newCell(b *testing.B, upstreams int, service time.Duration) cell {
-	ups := startRole(b, upstreams, envRole+"=upstream", envUpstreams+"="+strconv.Itoa(upstreams), envService+"="+service.String())
+func startUpstreams(b *testing.B, n int, service time.Duration, sick string, slots int) *process {
+	return startRole(b, n,
+		envRole+"=upstream",
+		envSick+"="+sick,
+		envUpstreams+"="+strconv.Itoa(n),
+		envService+"="+service.String(),
+		envSlots+"="+strconv.Itoa(slots))
+}
+
+func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
+	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
 	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
 	return cell{ups, entry}
 }
@@ -234,27 +264,31 @@
 func millisOf(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // BenchmarkOverhead compares requests through an entry at half load with
-// direct calls to an upstream, in turns.
+// direct calls to upstreams of their own, at the same time, so that both meet
+// the same delays of the machine.
 func BenchmarkOverhead(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
-	c := newCell(b, upstreams, service)
+	c := newCell(b, upstreams, service, "")
+	alone := startUpstreams(b, upstreams, service, "", unboundedSlots)
 	for b.Loop() {
 		half := capacityOf(b, c.upstreams.addresses, 5*time.Second) / 2
-		direct := loadOf(b, c.upstreams.addresses, "light", half, 5*time.Second)
-		through := loadOf(b, c.entry.addresses, "light", half, 5*time.Second)
+		directs := make(chan caload.Report, 1)
+		go func() { directs <- loadOf(b, alone.addresses, "light", half, 10*time.Second) }()
+		through := loadOf(b, c.entry.addresses, "light", half, 10*time.Second)
+		direct := <-directs
 		b.ReportMetric(half, "offered/s")
 		b.ReportMetric(float64(direct.Arrivals-direct.Count(http.StatusOK)), "direct-not-done")
+		b.ReportMetric(float64(through.Arrivals-through.Count(http.StatusOK)), "not-done")
 		b.ReportMetric(millisOf(direct.Latency.P50), "direct-p50-ms")
 		b.ReportMetric(millisOf(direct.Latency.P99), "direct-p99-ms")
 		b.ReportMetric(millisOf(through.Latency.P50-direct.Latency.P50), "overhead-p50-ms")
 		b.ReportMetric(millisOf(through.Latency.P99-direct.Latency.P99), "overhead-p99-ms")
-		b.ReportMetric(float64(through.Arrivals-through.Count(http.StatusOK)), "not-done")
 	}
 }
 
 // BenchmarkRate sends 10,000 requests a second through one entry.
 func BenchmarkRate(b *testing.B) {
-	c := newCell(b, 16, 5*time.Millisecond)
+	c := newCell(b, 16, 5*time.Millisecond, "")
 	for b.Loop() {
 		before := c.entry.processorTime(b)
 		rep := loadOf(b, c.entry.addresses, "light", 10_000, 10*time.Second)
@@ -274,7 +308,7 @@
 func BenchmarkResident(b *testing.B) {
 	for _, upstreams := range []int{6, 16, 125} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			c := newCell(b, upstreams, 10*time.Second)
+			c := newCell(b, upstreams, 10*time.Second, "")
 			for b.Loop() {
 				go loadOf(b, c.entry.addresses, "light", 1000, time.Second)
 				time.Sleep(4 * time.Second)
@@ -315,7 +349,7 @@
 // 1, then half of the capacity.
 func BenchmarkOverload(b *testing.B) {
 	const upstreams, service = 4, 10 * time.Millisecond
-	c := newCell(b, upstreams, service)
+	c := newCell(b, upstreams, service, "")
 	capacity := upstreams * benchSlots / service.Seconds()
 	for b.Loop() {
 		possible := capacityOf(b, c.upstreams.addresses, 5*time.Second)
@@ -341,3 +375,22 @@
 		b.ReportMetric(float64(after.Arrivals-after.Count(http.StatusOK)), "not-done-after")
 	}
 }
+
+// BenchmarkSickUpstream sends idempotent requests at a third of the capacity
+// of four upstreams, of which one is sick.
+func BenchmarkSickUpstream(b *testing.B) {
+	const upstreams, service = 4, 10 * time.Millisecond
+	for _, sick := range []string{"failing", "silent", "slow"} {
+		b.Run(sick, func(b *testing.B) {
+			c := newCell(b, upstreams, service, sick)
+			third := upstreams * benchSlots / service.Seconds() / 3
+			for b.Loop() {
+				rep := loadOf(b, c.entry.addresses, "light", third, 10*time.Second)
+				b.ReportMetric(float64(rep.Count(http.StatusOK))/float64(rep.Arrivals), "done/request")
+				b.ReportMetric(millisOf(rep.Latency.P50), "p50-ms")
+				b.ReportMetric(millisOf(rep.Latency.P99), "p99-ms")
+				b.ReportMetric(millisOf(rep.Latency.P999), "p99.9-ms")
+			}
+		})
+	}
+}
