--- a/internal/coord/cafault/handover_test.go
+++ b/internal/coord/cafault/handover_test.go
@@ -188,10 +188,7 @@
 func TestArrivingAndLeavingUpstreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 1, 3, 5)
-		for i := range 3 {
-			w.start(i, 1)
-		}
-		time.Sleep(bootTime)
+		w.boot()
 		w.addUpstream("z0", "new")
 		time.Sleep(arrivalBound)
 		if _, ok := actualOwners(w)["new"]; !ok {
@@ -229,10 +226,7 @@
 		w := newWorld(1, 1, 4, 5)
 		w.seeds = []string{}
 		w.listEntries()
-		for i := range 4 {
-			w.start(i, 1)
-		}
-		time.Sleep(bootTime)
+		w.boot()
 		if diff := cmp.Diff(trueViews(w), views(w)); diff != "" {
 			t.Errorf("members mismatch (-want +got):\n%s", diff)
 		}
--- a/internal/coord/cafault/merge_test.go
+++ b/internal/coord/cafault/merge_test.go
@@ -33,10 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(9, 2, 5, 5)
 		w.seeds = []string{w.addresses[0], w.addresses[5]}
-		for i := range w.processes {
-			w.start(i, 1)
-		}
-		time.Sleep(bootTime)
+		w.boot()
 		owners := actualOwners(w)
 		died := w.countDeaths()
 		w.cutFor(w.betweenZones(), time.Minute)
--- a/internal/coord/cafault/reach_test.go
+++ b/internal/coord/cafault/reach_test.go
@@ -14,10 +14,7 @@
 func TestUpstreamCutFromItsOwnerIsTakenOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(3, 1, 3, 6)
-		for i := range 3 {
-			w.start(i, 1)
-		}
-		time.Sleep(bootTime)
+		w.boot()
 		before := actualOwners(w)
 		for id, owner := range before {
 			w.net.setCut(string(owner), string(id), id == "u0.0")
@@ -79,10 +76,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(5, 1, 5, 1)
-				for i := range 5 {
-					w.start(i, 1)
-				}
-				time.Sleep(bootTime)
+				w.boot()
 				tt.fault(w)
 				time.Sleep(20 * time.Second)
 				liveness, reach := reachOf(w, "e0.1")
--- a/internal/coord/cafault/world_test.go
+++ b/internal/coord/cafault/world_test.go
@@ -128,6 +128,14 @@
 	return client{net: a.w.net, from: a.p.address, process: a.p.name, to: address, agent: a.w.agents[address]}
 }
 
+// boot starts all entries with exact clocks and lets them settle.
+func (w *world) boot() {
+	for i := range w.processes {
+		w.start(i, 1)
+	}
+	time.Sleep(bootTime)
+}
+
 // start begins a new life of entry i, whose clock runs at the rate.
 func (w *world) start(i int, rate float64) {
 	address := w.addresses[i]
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -42,7 +42,6 @@
 
 	news         bool
 	newestConfig int64
-	verify       []uint64
 }
 
 // NewState returns the state of an entry that knows only itself and the
