Replace a leaving witness early

Cause: the witness was replaced only after it had failed for three seconds; an upstream that leaves is known before. Change: a witness that is no longer listed is replaced while it answers; the fault runs make entries believe that upstreams leave. Conclusion: a leaving upstream costs no gap in the lead.

--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -227,9 +227,10 @@
 	return Member{}, false
 }
 
-// chooseWitness keeps the present witness unless it is bad.
+// chooseWitness keeps the present witness unless it is bad or leaves.
 func (p *primary) chooseWitness(now time.Time, present cawork.UpstreamID) cawork.UpstreamID {
-	if present != "" && !p.isBad(now, present) {
+	listed := len(p.witnesses) == 0 || slices.Contains(p.witnesses, present)
+	if present != "" && listed && !p.isBad(now, present) {
 		return present
 	}
 	for _, u := range p.witnesses {
--- a/internal/coord/cashard/faults_test.go
+++ b/internal/coord/cashard/faults_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// suspect makes the node believe that another one has left.
+// suspect makes the node believe that another one and most upstreams leave.
 func (w *world) suspect(n *node) func() {
 	left := w.anyNode()
 	var candidates []cashard.Candidate
@@ -185,6 +185,7 @@
 		}
 	}
 	n.part.SetCandidates(candidates)
+	n.part.SetWitnesses([]cawork.UpstreamID{w.hosts[w.intn(len(w.hosts))].id})
 	return w.announce
 }
 
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -117,6 +117,21 @@
 	})
 }
 
+func TestLeavingWitnessIsReplacedWithoutAGap(t *testing.T) {
+	inWorld(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
+		w.nodes[0].part.SetWitnesses([]cawork.UpstreamID{"u2"})
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0-0")); diff != "" {
+				t.Fatalf("leaders (-want +got):\n%s", diff)
+			}
+		}
+		if diff := cmp.Diff(cawork.UpstreamID("u2"), w.nodes[0].view("s-e0-0").Witness); diff != "" {
+			t.Errorf("witness (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestYieldNeedsNoSilence(t *testing.T) {
 	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
 		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
