Shards are archived to the log and rebuilt after the loss of all copies

Cause: a shard whose primary and backup were both lost stayed lost, although its records could be in the log; a job of it was told as not found. Measurement: virtual time, all three entries of a zone killed at once with a running job of four tasks: before, the job is not found; after, it ends as done.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -50,6 +50,7 @@
 	ShardTakenOver    Number = 600
 	ShardViewChanged  Number = 601
 	ShardDeposed      Number = 602
+	ShardRebuilt      Number = 606
 	AllowanceMoved    Number = 603
 	AllowanceMinted   Number = 604
 	AllowanceBurned   Number = 605
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -18,8 +18,8 @@
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_endedtask_retriedtask_adoptedtask_stoppedjob_endedstart_failedjob_handed_over"
 	_NumberName_4      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_4 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
-	_NumberName_5      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_mintedallowance_burned"
-	_NumberLowerName_5 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_mintedallowance_burned"
+	_NumberName_5      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_mintedallowance_burnedshard_rebuilt"
+	_NumberLowerName_5 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_mintedallowance_burnedshard_rebuilt"
 	_NumberName_6      = "log_unavailablelog_restoredvm_list_unavailable"
 	_NumberLowerName_6 = "log_unavailablelog_restoredvm_list_unavailable"
 )
@@ -30,7 +30,7 @@
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44, 56, 68, 80, 89, 101, 116}
 	_NumberIndex_4 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
-	_NumberIndex_5 = [...]uint8{0, 16, 34, 47, 62, 78, 94}
+	_NumberIndex_5 = [...]uint8{0, 16, 34, 47, 62, 78, 94, 107}
 	_NumberIndex_6 = [...]uint8{0, 15, 27, 46}
 )
 
@@ -51,7 +51,7 @@
 	case 500 <= i && i <= 505:
 		i -= 500
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
-	case 600 <= i && i <= 605:
+	case 600 <= i && i <= 606:
 		i -= 600
 		return _NumberName_5[_NumberIndex_5[i]:_NumberIndex_5[i+1]]
 	case 700 <= i && i <= 702:
@@ -104,12 +104,13 @@
 	_ = x[AllowanceMoved-(603)]
 	_ = x[AllowanceMinted-(604)]
 	_ = x[AllowanceBurned-(605)]
+	_ = x[ShardRebuilt-(606)]
 	_ = x[LogUnavailable-(700)]
 	_ = x[LogRestored-(701)]
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskRetried, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, AllowanceBurned, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskRetried, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, AllowanceBurned, ShardRebuilt, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -150,6 +151,7 @@
 	_NumberName_5[47:62]:   AllowanceMoved,
 	_NumberName_5[62:78]:   AllowanceMinted,
 	_NumberName_5[78:94]:   AllowanceBurned,
+	_NumberName_5[94:107]:  ShardRebuilt,
 	_NumberName_6[0:15]:    LogUnavailable,
 	_NumberName_6[15:27]:   LogRestored,
 	_NumberName_6[27:46]:   VMListUnavailable,
@@ -194,6 +196,7 @@
 	_NumberLowerName_5[47:62]:   AllowanceMoved,
 	_NumberLowerName_5[62:78]:   AllowanceMinted,
 	_NumberLowerName_5[78:94]:   AllowanceBurned,
+	_NumberLowerName_5[94:107]:  ShardRebuilt,
 	_NumberLowerName_6[0:15]:    LogUnavailable,
 	_NumberLowerName_6[15:27]:   LogRestored,
 	_NumberLowerName_6[27:46]:   VMListUnavailable,
@@ -238,6 +241,7 @@
 	_NumberName_5[47:62],
 	_NumberName_5[62:78],
 	_NumberName_5[78:94],
+	_NumberName_5[94:107],
 	_NumberName_6[0:15],
 	_NumberName_6[15:27],
 	_NumberName_6[27:46],
--- /dev/null
+++ b/internal/coord/calog/images.go
@@ -0,0 +1,19 @@
+package calog
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Images returns the images of all shards that are not retired, ordered by
+// shard.
+func (f *Fold) Images() []Image {
+	var images []Image
+	for _, i := range f.images {
+		if !i.Retired {
+			images = append(images, *i)
+		}
+	}
+	slices.SortFunc(images, func(a, b Image) int { return cmp.Compare(a.Shard, b.Shard) })
+	return images
+}
--- /dev/null
+++ b/internal/node/caarchive/archive.go
@@ -0,0 +1,208 @@
+// Package caarchive keeps copies of the led shards in the platform's log, and
+// rebuilds shards of the own zone whose primary and backup are both lost.
+package caarchive
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/calog"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const (
+	// topic is the topic of the log that holds the records of shards.
+	topic = "shards"
+	// firstLook is the time after the start of an entry at which it looks for
+	// lost shards whatever it has noticed.
+	firstLook = 20 * time.Second
+	// lookPeriod is the time between two looks at what is known of shards.
+	lookPeriod = 5 * time.Second
+	// readTimeout bounds the reading of the whole topic.
+	readTimeout = 30 * time.Second
+)
+
+// Shards leads and rebuilds shards.
+type Shards interface {
+	Snapshot(s cawork.ShardID) (cashard.View, cashard.Snapshot, error)
+	MayAct(s cawork.ShardID) (int64, bool)
+	Statuses() []cashard.Status
+	Rebuild(ctx context.Context, image cashard.Image, isGone func(cashard.Member) bool) error
+}
+
+// Directory tells what is known of entries and upstreams.
+type Directory interface {
+	Upstream(id cawork.UpstreamID) (caplatform.VM, bool)
+	Leader(s cawork.ShardID) (cawork.VMID, bool)
+	// IsFirstOfZone reports whether no live entry of the zone has a lower id.
+	IsFirstOfZone() bool
+	// HasLeaderless reports whether a shard of an ended entry has no leader.
+	HasLeaderless() bool
+	// HasEnded reports whether a life of an entry is known to be over.
+	HasEnded(vm cawork.VMID, incarnation int64) bool
+}
+
+// Recoverer takes up a shard that was rebuilt.
+type Recoverer interface {
+	// ExpectRebuilt announces a shard of which attempts may be missing.
+	ExpectRebuilt(s cawork.ShardID)
+}
+
+// Config wires a part.
+type Config struct {
+	Self      cawork.VMID
+	Zone      cawork.ZoneName
+	Life      string
+	Log       caplatform.Log
+	Shards    Shards
+	Directory Directory
+	Recoverer Recoverer
+	Timer     *catimer.Service
+	Logger    zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Part archives and rebuilds.
+type Part struct {
+	Config
+	writer *calog.Writer
+	done   chan struct{}
+	looked atomic.Bool
+}
+
+// NewPart returns a part that runs once Run is called.
+func NewPart(c Config) (*Part, error) {
+	p := &Part{Config: c, done: make(chan struct{})}
+	options := calog.DefaultOptions()
+	options.Log, options.Topic, options.Writer = c.Log, topic, c.Life
+	options.Snapshots, options.Timer, options.Events, options.Scope = p, c.Timer, c.Logger, c.Scope
+	var err error
+	p.writer, err = calog.NewWriter(options)
+	return p, err
+}
+
+// Run writes, and looks for lost shards, until the context ends.
+func (p *Part) Run(ctx context.Context) error {
+	defer close(p.done)
+	written := make(chan error, 1)
+	go func() { written <- p.writer.Run(ctx) }()
+	ticks := p.Timer.Every(lookPeriod)
+	defer ticks.Close()
+	began := p.Timer.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return <-written
+		case <-ticks.C:
+			p.look(ctx, p.Timer.Now().Sub(began) >= firstLook)
+		}
+	}
+}
+
+// Done is closed when the part has ended.
+func (p *Part) Done() <-chan struct{} { return p.done }
+
+// MayLack reports whether this entry has yet to look for lost shards of its
+// zone, so that a job that nobody knows may still turn up.
+func (p *Part) MayLack() bool { return !p.looked.Load() && p.Directory.IsFirstOfZone() }
+
+// Committed archives a record that took effect.
+func (p *Part) Committed(s cawork.ShardID, index int64, record []byte) {
+	view, _ := p.Shards.MayAct(s)
+	p.writer.Add(calog.Entry{Type: calog.EntryRecord, Shard: s, View: view, Index: index, Body: record})
+}
+
+// Changed archives a change of the lead of a shard.
+func (p *Part) Changed(e cashard.Event) {
+	switch e.Type {
+	case cashard.EventTakenOver, cashard.EventViewChanged:
+		if entries, ok := p.ShardSnapshot(e.Shard); ok {
+			for _, entry := range entries {
+				p.writer.Add(entry)
+			}
+		}
+	case cashard.EventDeposed:
+		p.writer.Forget(e.Shard)
+	case cashard.EventRetired:
+		p.writer.Forget(e.Shard)
+		p.writer.Add(calog.Entry{Type: calog.EntryRetired, Shard: e.Shard, View: e.View.Number})
+	}
+}
+
+// ShardSnapshot implements calog.Snapshots.
+func (p *Part) ShardSnapshot(s cawork.ShardID) ([]calog.Entry, bool) {
+	view, snapshot, err := p.Shards.Snapshot(s)
+	if err != nil {
+		return nil, false
+	}
+	body, err := view.Encode()
+	if err != nil {
+		return nil, false
+	}
+	return []calog.Entry{
+		{Type: calog.EntryView, Shard: s, View: view.Number, Body: body},
+		{Type: calog.EntrySnapshot, Shard: s, View: view.Number, Index: snapshot.Index, Body: snapshot.State},
+	}, true
+}
+
+// look rebuilds lost shards. The first entry of a zone does so when it notices
+// a shard without a leader, and once after its start, because it cannot know
+// of shards that were lost before.
+func (p *Part) look(ctx context.Context, settled bool) {
+	noticed := p.Directory.HasLeaderless()
+	if !settled || !p.Directory.IsFirstOfZone() || (p.looked.Load() && !noticed) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	fold, err := calog.ReadAll(ctx, p.Log, topic)
+	if err != nil {
+		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
+		return
+	}
+	p.looked.Store(true)
+	for _, image := range fold.Images() {
+		p.rebuild(ctx, image)
+	}
+}
+
+func (p *Part) rebuild(ctx context.Context, image calog.Image) {
+	view, err := cashard.DecodeView(image.ViewBody)
+	if err != nil || !p.isOurs(view) || p.isHeld(image.Shard) {
+		return
+	}
+	if _, led := p.Directory.Leader(image.Shard); led {
+		return
+	}
+	p.Recoverer.ExpectRebuilt(image.Shard)
+	err = p.Shards.Rebuild(ctx, cashard.Image{
+		View:     view,
+		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
+		Records:  image.Records,
+	}, func(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) })
+	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(image.Shard)).Int64("view", view.Number).
+		Int64("index", image.Last()).AnErr("error", err).Send()
+}
+
+// isOurs reports whether the shard is of the own zone: its witness is.
+func (p *Part) isOurs(v cashard.View) bool {
+	vm, ok := p.Directory.Upstream(v.Witness)
+	return ok && vm.Zone == p.Zone
+}
+
+func (p *Part) isHeld(s cawork.ShardID) bool {
+	for _, status := range p.Shards.Statuses() {
+		if status.Shard == s {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -168,6 +168,56 @@
 	return leader, view >= 0
 }
 
+// KnowsEntry implements calaunch.Directory.
+func (d *Directory) KnowsEntry(vm cawork.VMID) bool {
+	if _, ok := d.Address(vm); ok {
+		return true
+	}
+	return slices.ContainsFunc(d.list.Last().VMs, func(listed caplatform.VM) bool {
+		return listed.ID == vm && listed.Role == caplatform.VMRoleEntry
+	})
+}
+
+// IsFirstOfZone implements caarchive.Directory.
+func (d *Directory) IsFirstOfZone() bool {
+	for _, o := range d.ZoneOwners() {
+		if o.VM < d.self {
+			return false
+		}
+	}
+	return true
+}
+
+// HasLeaderless implements caarchive.Directory.
+func (d *Directory) HasLeaderless() bool {
+	for _, m := range d.all() {
+		if m.Liveness.Live() || m.Zone != d.zone {
+			continue
+		}
+		for _, s := range m.App.Shards {
+			if _, led := d.Leader(s.Shard); !led {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// HasEnded implements caarchive.Directory. A silent entry has not ended.
+func (d *Directory) HasEnded(vm cawork.VMID, incarnation int64) bool {
+	for _, m := range d.all() {
+		if m.VM == vm && (int64(m.Incarnation) > incarnation || m.Liveness == camember.LivenessLeft) {
+			return true
+		}
+	}
+	for _, listed := range d.list.Last().VMs {
+		if listed.ID == vm && listed.State == caplatform.VMStateGone {
+			return true
+		}
+	}
+	return false
+}
+
 // Partners implements caquota.Leaders.
 func (d *Directory) Partners() []caescrow.Partner {
 	var partners []caescrow.Partner
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -34,6 +34,7 @@
 	"celeryarch.example/celeryarch/internal/core/cadecide"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/node/caarchive"
 	"celeryarch.example/celeryarch/internal/node/cadirectory"
 	"celeryarch.example/celeryarch/internal/node/calaunch"
 	"celeryarch.example/celeryarch/internal/node/calink"
@@ -98,6 +99,7 @@
 	active     *caactive.Active
 	launcher   *calaunch.Launcher
 	quota      *caquota.Part
+	archive    *caarchive.Part
 	dispatcher *cadispatch.Dispatcher
 	keys       *cadedupe.Service
 	api        *caapi.API
@@ -216,12 +218,21 @@
 		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner,
 		Directory: e.directory, Agents: e.platform.Agents, Peers: calink.Jobs{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
+		MayLack: func() bool { return e.archive.MayLack() },
 	})
 	e.quota = caquota.NewPart(caquota.Config{
 		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
 		Leaders: e.directory, Peers: calink.Quotas{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
+	e.archive, err = caarchive.NewPart(caarchive.Config{
+		Self: e.settings.VM, Zone: e.settings.Zone, Life: string(e.shard), Log: e.platform.Log,
+		Shards: e.shards, Directory: e.directory, Recoverer: e.launcher,
+		Timer: e.timer, Logger: e.log, Scope: e.scope,
+	})
+	if err != nil {
+		return err
+	}
 	return e.shards.Open(e.shard)
 }
 
@@ -279,12 +290,13 @@
 	if ev.Type == cashard.EventTakenOver || ev.Type == cashard.EventDeposed {
 		l.quota.LedChanged()
 	}
+	l.archive.Changed(ev)
 	l.launcher.ShardEvent(ev)
 }
 
 // ShardCommitted implements cashard.Listener.
 func (l *shardListener) ShardCommitted(id cawork.ShardID, index int64, record []byte) {
-	l.launcher.ShardCommitted(id, index, record)
+	l.archive.Committed(id, index, record)
 }
 
 // witnesses reaches the registers of upstreams.
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -160,6 +160,26 @@
 	})
 }
 
+func TestShardIsRebuiltFromTheLog(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 4, MaxAttempts: 3, Idempotent: true,
+			Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 30000}`),
+		})
+		if !ok {
+			t.Fatal("the job was not accepted")
+		}
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"e00", "e01", "e02"} {
+			w.kill(id)
+		}
+		for _, id := range []string{"e00", "e01", "e02"} {
+			w.startEntry(id, "zone-0")
+		}
+		w.checkEnded([]submission{s}, 3*time.Minute)
+	})
+}
+
 func TestCutZoneGoesOn(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		w.cutZone(1, true)
--- a/internal/node/caentry/run.go
+++ b/internal/node/caentry/run.go
@@ -75,6 +75,7 @@
 		{"active", e.active.Run},
 		{"launcher", e.launcher.Run},
 		{"quota", e.quota.Run},
+		{"archive", e.archive.Run},
 		{"keys", e.keys.Run},
 		{"dispatcher", e.dispatcher.Run},
 		{"owner_events", e.forwardOwnership},
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -23,8 +23,22 @@
 
 // shardOf returns the shard in which a job was accepted.
 func shardOf(id cawork.JobID) cawork.ShardID {
-	shard, _, _ := strings.Cut(string(id), jobSeparator)
-	return cawork.ShardID(shard)
+	return cawork.ShardID(beforeLast(string(id), jobSeparator))
+}
+
+// entryOf returns the VM whose entry founded a shard.
+func entryOf(s cawork.ShardID) cawork.VMID {
+	return cawork.VMID(beforeLast(string(s), shardSeparator))
+}
+
+// beforeLast returns the text before the last separator. Ids of VMs may hold
+// separators themselves.
+func beforeLast(text, separator string) string {
+	i := strings.LastIndex(text, separator)
+	if i < 0 {
+		return text
+	}
+	return text[:i]
 }
 
 // decide carries out decisions until there are none.
--- a/internal/node/calaunch/handover.go
+++ b/internal/node/calaunch/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -70,7 +69,7 @@
 // OwnShard returns the shard among the led ones that the entry itself founded.
 func OwnShard(vm cawork.VMID, led []cawork.ShardID) cawork.ShardID {
 	for _, s := range led {
-		if strings.HasPrefix(string(s), string(vm)+shardSeparator) {
+		if entryOf(s) == vm {
 			return s
 		}
 	}
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -62,6 +62,8 @@
 	FarOwners() []Owner
 	// ZoneEntries returns the live entries of a zone.
 	ZoneEntries(z cawork.ZoneName) []cawork.VMID
+	// KnowsEntry reports whether the VM is, or was, an entry.
+	KnowsEntry(vm cawork.VMID) bool
 	// Leader returns the entry that leads a shard.
 	Leader(s cawork.ShardID) (cawork.VMID, bool)
 	// Entries returns all other entries that are not known to have ended.
@@ -92,6 +94,8 @@
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
+	// MayLack reports whether shards of the zone may have yet to be rebuilt.
+	MayLack func() bool
 	// Generation identifies this life of the entry.
 	Generation int64
 }
@@ -118,12 +122,14 @@
 	lastPoll time.Time
 	// restUntil is the time before which nothing is decided.
 	restUntil time.Time
-	polling  map[cawork.VMID]struct{}
-	spilling map[cawork.JobID]struct{}
+	polling   map[cawork.VMID]struct{}
+	spilling  map[cawork.JobID]struct{}
 	// homes holds the shards of jobs that were not accepted by the shard that
 	// their id names.
 	homes   map[cawork.JobID]cawork.ShardID
 	handing map[cawork.JobID]struct{}
+	// rebuilding holds the shards that are being rebuilt from the log.
+	rebuilding map[cawork.ShardID]struct{}
 }
 
 // ledShard is a shard that this entry leads.
@@ -158,6 +164,8 @@
 		spilling: make(map[cawork.JobID]struct{}),
 		homes:    make(map[cawork.JobID]cawork.ShardID),
 		handing:  make(map[cawork.JobID]struct{}),
+
+		rebuilding: make(map[cawork.ShardID]struct{}),
 	}
 	l.led[c.Shard] = &ledShard{id: c.Shard, recovered: true}
 	return l
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -98,6 +98,12 @@
 		WithRetryAfter(time.Second)
 }
 
+// mayTurnUp reports whether the job is of a former life of an entry and its
+// shard may have yet to be rebuilt.
+func (l *Launcher) mayTurnUp(id cawork.JobID) bool {
+	return l.Directory.KnowsEntry(entryOf(shardOf(id))) && l.MayLack()
+}
+
 // isBackup reports whether this entry holds the shard for another one.
 func (l *Launcher) isBackup(id cawork.ShardID) bool {
 	return slices.ContainsFunc(l.Shards.Statuses(), func(s cashard.Status) bool { return s.Shard == id && !s.Primary })
@@ -148,7 +154,7 @@
 	switch {
 	case !ok:
 		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
-	case !found && l.isBackup(shardOf(call.Job)):
+	case !found && (l.isBackup(shardOf(call.Job)) || l.mayTurnUp(call.Job)):
 		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "job %s is led by another entry", call.Job)
 	case !found:
 		return JobView{}, nil, cakind.New(cakind.KindNotFound, "no job %s here", call.Job)
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -16,7 +17,7 @@
 // maxFences bounds the fences that are under way at once.
 const maxFences = 32
 
-// ShardEvent implements cashard.Listener.
+// ShardEvent takes over what happened to the lead of a shard.
 func (l *Launcher) ShardEvent(e cashard.Event) {
 	l.post(func() {
 		switch e.Type {
@@ -29,10 +30,6 @@
 	})
 }
 
-// ShardCommitted implements cashard.Listener. Results of proposals tell the
-// launcher all that it needs.
-func (l *Launcher) ShardCommitted(cawork.ShardID, int64, []byte) {}
-
 // takeOver fences a shard at every upstream of the zone before anything of it
 // starts again.
 func (l *Launcher) takeOver(e cashard.Event) {
@@ -42,12 +39,41 @@
 	for _, vm := range upstreams {
 		led.unanswered[cawork.UpstreamID(vm.ID)] = struct{}{}
 	}
+	_, rebuilt := l.rebuilding[e.Shard]
+	delete(l.rebuilding, e.Shard)
 	go func() {
 		answers := l.fenceAll(e.Shard, e.View.Number, upstreams)
+		if rebuilt {
+			answers = l.fenceRest(e, upstreams, answers)
+		}
 		l.post(func() { l.recover(led, answers) })
 	}()
 }
 
+// ExpectRebuilt announces a shard that is rebuilt from the log, which may lack
+// the last records. Attempts that it does not know may run on any upstream,
+// so that nothing of the shard starts before all have been fenced.
+func (l *Launcher) ExpectRebuilt(s cawork.ShardID) {
+	l.post(func() { l.rebuilding[s] = struct{}{} })
+}
+
+// fenceRest goes on until every upstream of the zone has answered or is gone.
+func (l *Launcher) fenceRest(e cashard.Event, upstreams []caplatform.VM, answers []cajob.FenceAnswer) []cajob.FenceAnswer {
+	for l.ctx.Err() == nil {
+		missing := slices.DeleteFunc(slices.Clone(upstreams), func(vm caplatform.VM) bool {
+			known, listed := l.Directory.Upstream(cawork.UpstreamID(vm.ID))
+			gone := listed && known.State == caplatform.VMStateGone
+			return gone || slices.ContainsFunc(answers, func(a cajob.FenceAnswer) bool { return a.Upstream == cawork.UpstreamID(vm.ID) })
+		})
+		if len(missing) == 0 {
+			return answers
+		}
+		l.sleep(l.ctx, pollPeriod)
+		answers = append(answers, l.fenceAll(e.Shard, e.View.Number, missing)...)
+	}
+	return answers
+}
+
 // fenceAll fences a shard at the upstreams and returns the answers. Upstreams
 // that did not answer are left out.
 func (l *Launcher) fenceAll(shard cawork.ShardID, view int64, upstreams []caplatform.VM) []cajob.FenceAnswer {
