Try only what was pushed in classes that were tried whole

Cause: each push made the whole class be tried again: p50 296 us at 100,000 queued, 61 us at 10,000. Change: entries pushed into a marked class are listed and tried alone.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -98,12 +98,12 @@
 	classes, marks := t.queue.Classes(), t.queue.Marks()
 	for i := range marks {
 		m := &marks[i]
-		if m.Tried(seq, t.room) {
+		if m.Tried(seq, t.room) && m.Fresh == 0 {
 			continue
 		}
 		if m.BlockedAt != 0 && m.BlockedAt != seq && !s.mayFit(t, m, classes[i], &freed, now) {
 			m.BlockedAt = seq
-			if m.Tried(seq, t.room) {
+			if m.Tried(seq, t.room) && m.Fresh == 0 {
 				continue
 			}
 		}
@@ -151,6 +151,9 @@
 // job behind it. Some are tried at a time, the others at the next calls; when
 // none is left, the class is marked.
 func (s *Scheduler) tryClass(t *team, c *class, now time.Time) bool {
+	if t.queue.Mark(c).Tried(s.index.Seq(), t.room) {
+		return s.tryFresh(t, c, now)
+	}
 	seq, account := c.Begin(s.index.Seq(), t.room)
 	head := c.Head().Value
 	result := s.tryJob(t, head, now)
@@ -171,14 +174,37 @@
 		s.unfinished = s.unfinished || !seen[triedPlaced] && !seen[triedDeferred]
 		return seen[triedPlaced]
 	}
-	m := t.queue.Mark(c)
-	m.BlockedAt, m.LimitedAt = 0, 0
-	if seen[triedBlocked] {
-		m.BlockedAt = seq
+	if !seen[triedBlocked] {
+		seq = 0
+	}
+	if !seen[triedLimited] {
+		account = 0
 	}
-	if seen[triedLimited] {
-		m.LimitedAt = account
+	t.queue.Walked(c, seq, account)
+	return false
+}
+
+// tryFresh places a job that was pushed after all others of its class were
+// tried.
+func (s *Scheduler) tryFresh(t *team, c *class, now time.Time) bool {
+	for range moreTries {
+		j, ok := t.queue.TakeFresh(c)
+		if !ok {
+			return false
+		}
+		switch m := t.queue.Mark(c); s.tryJob(t, j, now) {
+		case triedPlaced:
+			return true
+		case triedLimited:
+			m.LimitedAt = t.room
+		case triedBlocked:
+			m.BlockedAt = s.index.Seq()
+		case triedDeferred:
+			m.BlockedAt, m.LimitedAt = 0, 0
+			return false
+		}
 	}
+	s.unfinished = true
 	return false
 }
 
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -85,6 +85,8 @@
 	// the room and the account were when it began.
 	cursor int
 	began  Mark
+	// fresh lists the entries that were pushed after all others were tried.
+	fresh []*Entry[T]
 }
 
 // Mark is what a walk over the classes reads first, kept apart from them so
@@ -101,6 +103,8 @@
 	LimitedAt uint64
 	// Held is set when room is held for the head.
 	Held bool
+	// Fresh counts the entries that were pushed after all others were tried.
+	Fresh int
 	// PassedOver is set when relief was searched for the head in vain.
 	PassedOver bool
 	// due is that of the head in nanoseconds, zero when it has to be looked up.
@@ -144,12 +148,15 @@
 	place := c.push(e)
 	c.live++
 	q.live++
-	c.cursor = min(c.cursor, place)
-	if place == 0 {
+	switch m := &q.marks[c.pos]; {
+	case place == 0:
 		q.unmark(c)
+	case m.BlockedAt != 0 || m.LimitedAt != 0:
+		c.fresh = append(c.fresh, e)
+		m.Fresh = len(c.fresh)
+	default:
+		c.cursor = min(c.cursor, place)
 	}
-	m := &q.marks[c.pos]
-	m.BlockedAt, m.LimitedAt = 0, 0
 	return e
 }
 
@@ -176,6 +183,7 @@
 func (q *Queue[T]) unmark(c *Class[T]) {
 	m := &q.marks[c.pos]
 	*m = Mark{Least: m.Least, Kind: m.Kind}
+	c.cursor, c.fresh = 1, c.fresh[:0]
 }
 
 // drop removes a class without entries.
@@ -239,6 +247,27 @@
 	return c.heap[0]
 }
 
+// TakeFresh removes and returns the latest fresh entry that is still queued.
+func (q *Queue[T]) TakeFresh(c *Class[T]) (T, bool) {
+	for len(c.fresh) > 0 {
+		e := c.fresh[len(c.fresh)-1]
+		c.fresh = c.fresh[:len(c.fresh)-1]
+		q.marks[c.pos].Fresh = len(c.fresh)
+		if !e.dead {
+			return e.Value, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// Walked marks the class after all entries were tried.
+func (q *Queue[T]) Walked(c *Class[T], room, account uint64) {
+	m := &q.marks[c.pos]
+	c.fresh = c.fresh[:0]
+	m.Fresh, m.BlockedAt, m.LimitedAt = 0, room, account
+}
+
 // Begin notes the state of the room and of the account when a walk over the
 // entries begins, and returns that of the walk under way.
 func (c *Class[T]) Begin(room, account uint64) (uint64, uint64) {
