Scenarios for lost work and for the grace of overruns

Cause: removing either rule on a scratch copy broke no test. Change: work that is not idempotent is never stopped for a share; a second report within the grace checkpoints nothing.

--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -160,6 +160,24 @@
 	wantSummary(t, got, "checkpoint share old/1")
 }
 
+func TestWorkThatWouldBeLostIsNotStoppedForAShare(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := newScene(t, casched.DefaultPolicy(), 1)
+		spec := batch(4, 2)
+		spec.Idempotent = idempotent
+		c.submit("full", "north", spec)
+		c.after(0)
+		c.submit("late", "south", batch(1, 2))
+		stops := 0
+		for range 30 {
+			stops += count(c.after(10*time.Second), casched.DecisionStop, "full")
+		}
+		if diff := cmp.Diff(idempotent, stops > 0); diff != "" {
+			t.Errorf("idempotent %v: stopped mismatch (-want +got):\n%s", idempotent, diff)
+		}
+	}
+}
+
 func TestUrgentJobTakesRoomOfItsOwnTeamWithinTheBound(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 1)
 	c.submit("full", "north", batch(4, 2))
@@ -261,6 +279,8 @@
 	ref := cawork.TaskRef{Job: "many"}
 	c.s.ReportUsage(ref, cawork.Resources{CPU: cawork.Cores(10)}, c.now)
 	wantSummary(t, c.after(time.Second), "throttle over_size many/1")
+	c.s.ReportUsage(ref, cawork.Resources{CPU: cawork.Cores(10)}, c.now)
+	wantSummary(t, c.after(time.Second))
 	c.now = c.now.Add(time.Minute)
 	c.s.ReportUsage(ref, cawork.Resources{CPU: cawork.Cores(10)}, c.now)
 	wantSummary(t, c.after(time.Second), "checkpoint over_size many/1")
