Placements that were never sent can be withdrawn

Cause: a start that failed because its intent was not replicated blamed the upstream, and could eject a tenth of the fleet while a backup is away. Change: Withdrawn queues the task again at no cost.

--- a/internal/core/cadecide/history_test.go
+++ b/internal/core/cadecide/history_test.go
@@ -235,6 +235,12 @@
 	}
 }
 
+func (h *history) withdrawn() {
+	if ref, ok := h.pickOpen(); ok {
+		h.settled(ref, cawork.TaskStateFenced, h.s.Withdrawn(ref, h.now))
+	}
+}
+
 func (h *history) settled(ref cawork.TaskRef, state cawork.TaskState, out casched.Settlement) {
 	delete(h.open, ref)
 	if !out.Known {
@@ -507,6 +513,7 @@
 		"cancel":          func(*rapid.T) { h.cancel() },
 		"end":             func(*rapid.T) { h.end() },
 		"end_again":       func(*rapid.T) { h.end() },
+		"withdrawn":       func(*rapid.T) { h.withdrawn() },
 		"start_failed":    func(*rapid.T) { h.startFailed() },
 		"report_usage":    func(*rapid.T) { h.reportUsage() },
 		"mark_upstream":   func(*rapid.T) { h.markUpstream() },
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -404,6 +404,18 @@
 	}
 }
 
+func TestWithdrawnPlacementsCostNothing(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 4)
+	c.submit("j", "north", batch(1, 1))
+	ref := cawork.TaskRef{Job: "j"}
+	for range 100 {
+		wantSummary(t, c.after(time.Second), "place lowest_share j/1")
+		if diff := cmp.Diff(casched.Settlement{Known: true, Own: true, Requeued: true}, c.s.Withdrawn(ref, c.now)); diff != "" {
+			t.Fatalf("settlement mismatch (-want +got):\n%s", diff)
+		}
+	}
+}
+
 func TestTaskThatAlwaysFailsEnds(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 4)
 	c.submit("bad", "north", batch(1, 1))
--- a/internal/core/cadecide/settle.go
+++ b/internal/core/cadecide/settle.go
@@ -34,6 +34,16 @@
 	return s.settle(t, cawork.TaskStateFenced)
 }
 
+// Withdrawn implements casched.Scheduler.
+func (s *Scheduler) Withdrawn(ref cawork.TaskRef, _ time.Time) casched.Settlement {
+	t := s.ledger.Task(ref)
+	if t == nil {
+		return casched.Settlement{}
+	}
+	s.reopenTrial(t.Host)
+	return s.settle(t, cawork.TaskStateAbsent)
+}
+
 // Ended implements casched.Scheduler.
 func (s *Scheduler) Ended(e casched.End, now time.Time) casched.Settlement {
 	t := s.ledger.Task(e.Task)
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -219,9 +219,11 @@
 func (t *Task) after(s cawork.TaskState) waiting {
 	w := waiting{index: t.Ref.Index, attempts: t.Attempts, notRun: t.NotRun}
 	switch {
-	case s == cawork.TaskStateAbsent || s == cawork.TaskStateFenced:
+	case s == cawork.TaskStateFenced:
 		w.attempts--
 		w.notRun++
+	case s == cawork.TaskStateAbsent:
+		w.attempts--
 	case s == cawork.TaskStateCheckpointed && !t.Overran:
 		w.attempts--
 	}
--- a/internal/core/canaive/naive.go
+++ b/internal/core/canaive/naive.go
@@ -167,6 +167,11 @@
 	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateFenced}, now)
 }
 
+// Withdrawn implements casched.Scheduler.
+func (s *Scheduler) Withdrawn(ref cawork.TaskRef, now time.Time) casched.Settlement {
+	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateAbsent}, now)
+}
+
 // Ended implements casched.Scheduler.
 func (s *Scheduler) Ended(e casched.End, _ time.Time) casched.Settlement {
 	t := s.open(e.Task)
@@ -179,9 +184,9 @@
 	}
 	outcome, again := casched.Settle(t.job.Spec, e.State)
 	switch e.State {
-	case cawork.TaskStateCheckpointed:
+	case cawork.TaskStateCheckpointed, cawork.TaskStateAbsent:
 		t.attempts--
-	case cawork.TaskStateAbsent, cawork.TaskStateFenced:
+	case cawork.TaskStateFenced:
 		t.attempts--
 		t.notRun++
 	}
--- a/internal/core/casched/scheduler.go
+++ b/internal/core/casched/scheduler.go
@@ -49,6 +49,10 @@
 	// never to run and the task is queued again within its bound of starts;
 	// without it the task stays committed until Ended.
 	StartFailed(task cawork.TaskRef, notRun bool, now time.Time) Settlement
+	// Withdrawn tells that a placement was given up before anything was sent to
+	// the upstream, for example because its intent could not be replicated. The
+	// task is queued again; it costs no start and blames no upstream.
+	Withdrawn(task cawork.TaskRef, now time.Time) Settlement
 	// Ended tells that an attempt is over.
 	Ended(e End, now time.Time) Settlement
 	// Adopt tells of an attempt that an upstream already runs. A task of a
