--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -304,3 +304,98 @@
 		t.Error("the slot was not freed")
 	}
 }
+
+// serveTimed runs rounds in which each request holds its slot for the time that
+// its upstream takes. It returns the fewest slots seen.
+func serveTimed(r *caroute.Router, now *time.Time, rounds int, takes func(cawork.UpstreamID) time.Duration) int {
+	fewest := r.Slots(*now)
+	type pending struct {
+		route *caroute.Route
+		end   time.Time
+	}
+	var open []pending
+	for range rounds {
+		for t := r.Choose(*now, ask()); t != nil; t = r.Choose(*now, ask()) {
+			open = append(open, pending{t, now.Add(takes(t.Upstream))})
+		}
+		*now = now.Add(5 * time.Millisecond)
+		var still []pending
+		for _, p := range open {
+			if now.Before(p.end) {
+				still = append(still, p)
+				continue
+			}
+			r.Release(*now, p.route, caroute.VerdictServed)
+		}
+		open = still
+		fewest = min(fewest, r.Slots(*now))
+	}
+	for _, p := range open {
+		r.Release(p.end, p.route, caroute.VerdictServed)
+	}
+	return fewest
+}
+
+func TestLimitFallsForOneSlowUpstreamOnly(t *testing.T) {
+	tests := []struct {
+		name string
+		slow func(cawork.UpstreamID) bool
+		want bool
+	}{
+		{"one is slow", func(id cawork.UpstreamID) bool { return id == "u0" }, true},
+		{"all are slow", func(cawork.UpstreamID) bool { return true }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRouter(4)
+			now := start
+			serveTimed(r, &now, 200, func(cawork.UpstreamID) time.Duration { return 5 * time.Millisecond })
+			if diff := cmp.Diff(32, r.Slots(now)); diff != "" {
+				t.Fatalf("slots at first (-want +got):\n%s", diff)
+			}
+			fewest := serveTimed(r, &now, 100, func(id cawork.UpstreamID) time.Duration {
+				if tt.slow(id) {
+					return 18 * time.Millisecond
+				}
+				return 5 * time.Millisecond
+			})
+			if diff := cmp.Diff(tt.want, fewest < 32); diff != "" {
+				t.Errorf("limit fell (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestLapsedOwnershipGetsNothing(t *testing.T) {
+	r := newRouter(0)
+	u := upstream(0)
+	u.LeaseEnd = start.Add(time.Second)
+	r.Put(start, u)
+	if r.Choose(start, ask()) == nil {
+		t.Error("no slot while the lease holds")
+	}
+	if got := r.Choose(u.LeaseEnd, ask()); got != nil {
+		t.Errorf("a slot after the end of the lease: %+v", got)
+	}
+	if grant, ok := r.Lend(u.LeaseEnd, caroute.LendRequest{Count: 1, Duration: time.Second}); ok {
+		t.Errorf("a grant after the end of the lease: %+v", grant)
+	}
+}
+
+// An entry that owns two upstreams routes a request, learns how it ended, and
+// lends a slot to another entry.
+func ExampleRouter() {
+	now := time.Unix(0, 0)
+	r := caroute.NewRouter(caroute.Config{Zone: "z1"})
+	for _, id := range []cawork.UpstreamID{"u1", "u2"} {
+		r.Put(now, caroute.Upstream{ID: id, Zone: "z1", Slots: 8, Connections: 64, Epoch: 1})
+	}
+	route := r.Choose(now, caroute.Ask{Deadline: now.Add(time.Second)})
+	fmt.Println("free while it runs:", r.Free(now))
+	r.Release(now.Add(5*time.Millisecond), route, caroute.VerdictServed)
+	grant, ok := r.Lend(now, caroute.LendRequest{Count: 2, Duration: time.Second})
+	fmt.Println("lent:", ok, grant.Count, "free:", r.Free(now))
+	// Output:
+	// free while it runs: 15
+	// lent: true 2 free: 14
+}
