A closing entry returns borrowed slots and starts no more calls

Cause: a tick during Close could start a call to a peer while Close waited for the calls, and grants were returned only by their expiry. Change: Close gives back grants and bars further calls.

--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -64,6 +64,7 @@
 	queues     *caadmit.Queues
 	budgets    *caroute.Budgets
 	draining   bool
+	closed     bool
 	inProgress int
 	idle       chan struct{}
 	borrowing  borrowing
@@ -172,19 +173,32 @@
 	}
 }
 
-// Close drains and waits for the requests in progress, or for the context.
+// Close drains and waits for the requests in progress, or for the context. Run
+// must go on until Close has returned, because it expires waiting requests.
 func (d *Dispatcher) Close(ctx context.Context) error {
 	d.Drain()
 	select {
 	case <-d.idle:
-		d.calls.Wait()
-		d.forward.Close()
+		d.close()
 		return nil
 	case <-ctx.Done():
 		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "requests are still in progress")
 	}
 }
 
+// close gives back what is borrowed and waits for the calls to peers. No call
+// starts after it.
+func (d *Dispatcher) close() {
+	d.mu.Lock()
+	if !d.closed {
+		d.giveBack(d.router.Surrender())
+	}
+	d.closed = true
+	d.mu.Unlock()
+	d.calls.Wait()
+	d.forward.Close()
+}
+
 func (d *Dispatcher) enter() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -211,7 +225,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Timer.Now()
-	d.expire(now)
+	if grants := d.router.Expire(now); !d.closed {
+		d.giveBack(grants)
+	}
 	for _, t := range d.queues.Expire(now) {
 		t.Payload.(*waiter).route <- nil
 	}
--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -100,7 +100,7 @@
 // requests: the call runs beside them. The caller holds the lock.
 func (d *Dispatcher) borrow(now time.Time) {
 	b := &d.borrowing
-	if d.config.Lender == nil || b.asking || d.queues.Len() == 0 {
+	if d.config.Lender == nil || d.closed || b.asking || d.queues.Len() == 0 {
 		return
 	}
 	peer, ok := d.lender(now)
@@ -169,9 +169,10 @@
 	d.borrow(now)
 }
 
-// expire forgets grants that are over or unused and returns them.
-func (d *Dispatcher) expire(now time.Time) {
-	for _, id := range d.router.Expire(now) {
+// giveBack tells the owners of grants that this entry has given up. The caller
+// holds the lock.
+func (d *Dispatcher) giveBack(grants []caroute.GrantID) {
+	for _, id := range grants {
 		owner := d.borrowing.owners[id]
 		delete(d.borrowing.owners, id)
 		d.calls.Go(func() { d.returnGrant(owner, id) })
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -125,15 +125,27 @@
 			r.TakeBack(id)
 		}
 	}
-	var over []GrantID
+	return r.giveUp(func(s *source) bool {
+		return !s.startsAt(now) || now.Sub(s.lastUsed) > grantIdle
+	})
+}
+
+// Surrender forgets all borrowed grants without requests and returns them.
+func (r *Router) Surrender() []GrantID {
+	return r.giveUp(func(*source) bool { return true })
+}
+
+// giveUp forgets the borrowed grants without requests that over accepts.
+func (r *Router) giveUp(over func(*source) bool) []GrantID {
+	var ids []GrantID
 	for id, s := range r.grants {
-		if s.inUse == 0 && (!s.startsAt(now) || now.Sub(s.lastUsed) > grantIdle) {
+		if s.inUse == 0 && over(s) {
 			delete(r.grants, id)
 			r.drop(s)
-			over = append(over, id)
+			ids = append(ids, id)
 		}
 	}
-	return over
+	return ids
 }
 
 // Borrowed returns the number of borrowed slots that can start requests.
