Retry-After for unknown outcomes that are safe to ask again; test of a caller that comes back

Cause: a caller with a key was not told to come back for its outcome. Change: Retry-After with unknown when the request is idempotent or keyed.

--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -152,7 +152,8 @@
 		kind = cakind.KindFailed
 	}
 	after := cakind.RetryAfterOf(err)
-	if after == 0 && c.idempotent {
+	// To come back is safe for these, whatever became of the attempts.
+	if after == 0 && (c.idempotent || c.key != "") {
 		after = defaultRetryAfter
 	}
 	if kind == cakind.Of(err) && after == cakind.RetryAfterOf(err) {
--- a/internal/request/cadispatch/history_test.go
+++ b/internal/request/cadispatch/history_test.go
@@ -1,6 +1,7 @@
 package cadispatch_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +10,8 @@
 	"sync"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -187,3 +190,37 @@
 		t.Error("the stored answer is not marked")
 	}
 }
+
+// A caller that hangs up and comes back with its key learns the outcome of the
+// request that it left.
+func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	up := newStandin(t, nil)
+	up.set(func(w http.ResponseWriter, r *http.Request) {
+		up.ran(r)
+		close(started)
+		<-finish
+		echo(w, r)
+	})
+	e := newEntry(t, localKeys)
+	e.PutUpstream(up.upstream("u1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL, strings.NewReader("work"))
+		req.Header.Set("Idempotency-Key", "k")
+		_, _ = http.DefaultClient.Do(req)
+	}()
+	<-started
+	cancel()
+	<-left
+	close(finish)
+	res, body := e.post(t, "work", "Idempotency-Key", "k")
+	if diff := cmp.Diff(seen{200, "done", "work"}, seenOf(res, body)); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, up.count()); diff != "" {
+		t.Errorf("attempts (-want +got):\n%s", diff)
+	}
+}
