The write deadline of an answer ends with it

Cause: the deadline of the last write stayed on the connection, so that a later answer to the same caller, 20 s or more after it, could not be written. Change: the answer is flushed under its deadline, which is then taken away.

--- a/internal/request/caforward/relay.go
+++ b/internal/request/caforward/relay.go
@@ -94,11 +94,23 @@
 	if err := send(w, ctl, p.Bytes()); err != nil {
 		return err
 	}
-	if p.whole {
-		p.trailers(w.Header())
-		return nil
+	if !p.whole {
+		if err := p.stream(w, ctl); err != nil {
+			return err
+		}
+	}
+	p.trailers(w.Header())
+	return finish(ctl)
+}
+
+// finish sends what is buffered and ends the deadline, which would otherwise
+// hold for the next request on the connection.
+func finish(ctl *http.ResponseController) error {
+	if err := ctl.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return cakind.Wrap(cakind.KindCanceled, err, "the caller took no more")
 	}
-	return p.stream(w, ctl)
+	_ = ctl.SetWriteDeadline(time.Time{})
+	return nil
 }
 
 func (p *Reply) announce(h http.Header) {
@@ -132,7 +144,6 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			p.trailers(w.Header())
 			return nil
 		}
 		if err != nil {
