Late attempts are checked without garbage; 1,024 requests in progress by default

Cause: since retries are charged to their target, each tick made a list of upstreams for every late attempt. Change: the list is made once in a tick. The default bound on requests in progress fits the memory target.

--- a/internal/request/caadmit/policy.go
+++ b/internal/request/caadmit/policy.go
@@ -13,7 +13,7 @@
 	defaultWeight    = 1.0
 	defaultMaxQueued = 256
 	defaultMaxWait   = time.Second
-	defaultMaxTotal  = 2048
+	defaultMaxTotal  = 1024
 )
 
 // TeamPolicy bounds and weighs the requests of one team. A zero field takes
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -25,7 +25,7 @@
 
 const (
 	tickPeriod           = 20 * time.Millisecond
-	defaultMaxInProgress = 2048
+	defaultMaxInProgress = 1024
 )
 
 var errTooMany = caadmit.NewRefusal("too many requests in progress", defaultRetryAfter)
@@ -42,7 +42,7 @@
 	CrossingDelay time.Duration
 	Policy        caadmit.Policy
 	// MaxInProgress bounds the requests that the entry holds at a time, and
-	// with them its memory. Zero stands for 2,048.
+	// with them its memory. Zero stands for 1,024.
 	MaxInProgress int
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
--- a/internal/request/cadispatch/running.go
+++ b/internal/request/cadispatch/running.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
@@ -78,13 +80,26 @@
 	return err
 }
 
+// retryTargets returns the upstreams whose budget allows a retry.
+func (d *Dispatcher) retryTargets(now time.Time) []cawork.UpstreamID {
+	at := d.router.Startable(now)
+	over := d.budgets.Exhausted(at)
+	return slices.DeleteFunc(at, func(id cawork.UpstreamID) bool { return slices.Contains(over, id) })
+}
+
 // cutLate gives up attempts that are late. The caller holds the lock.
 func (d *Dispatcher) cutLate(now time.Time) {
-	at := d.router.Startable(now)
+	var at []cawork.UpstreamID
 	for r := range d.watched {
 		if now.Before(r.lateAt) {
 			continue
 		}
+		if at == nil {
+			at = d.retryTargets(now)
+		}
+		if len(at) == 0 {
+			return
+		}
 		if d.budgets.Retry(r.call.team, at) {
 			r.cut = true
 			delete(d.watched, r)
--- a/internal/request/caroute/budget.go
+++ b/internal/request/caroute/budget.go
@@ -54,13 +54,22 @@
 // upstreams, and withdraws from the budget of the team when it may.
 func (b *Budgets) Retry(team cawork.TeamName, at []cawork.UpstreamID) bool {
 	t := entryOf(b.teams, team)
-	if !t.whole() || len(b.Exhausted(at)) == len(at) {
+	if !t.whole() || !b.anyWhole(at) {
 		return false
 	}
 	t.withdraw()
 	return true
 }
 
+func (b *Budgets) anyWhole(at []cawork.UpstreamID) bool {
+	for _, up := range at {
+		if entryOf(b.upstreams, up).whole() {
+			return true
+		}
+	}
+	return false
+}
+
 // Exhausted returns those of the upstreams whose budget allows no retry.
 func (b *Budgets) Exhausted(at []cawork.UpstreamID) []cawork.UpstreamID {
 	var over []cawork.UpstreamID
