A primary that yields stays as the backup

Change: the view after a yield names the former primary as backup, which keeps its state when it is deposed by that view. Conclusion: a planned hand-over never leaves a single copy.

--- a/internal/coord/cashard/backup.go
+++ b/internal/coord/cashard/backup.go
@@ -127,9 +127,14 @@
 	out.registers = append(out.registers, registerEffect{witness: b.view.Witness})
 }
 
-// next is the view that the backup leads after a takeover.
+// next is the view that the backup leads after a takeover. A primary that has
+// yielded holds all records and becomes the backup; a silent one may not.
 func (b *backup) next() View {
-	return b.view.WithNumber(b.view.Number + 1).WithPrimary(b.self).WithBackup(Member{})
+	v := b.view.WithNumber(b.view.Number + 1).WithPrimary(b.self).WithBackup(Member{})
+	if b.yielded {
+		v = v.WithBackup(b.view.Primary)
+	}
+	return v
 }
 
 // onRegister folds the answer of the witness.
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -35,6 +35,8 @@
 	retiring bool
 	yielding bool
 	done     bool
+	// deposedBy is the view that ended the lead.
+	deposedBy View
 	// violation is the first invariant that was broken.
 	violation error
 }
@@ -321,11 +323,19 @@
 	}
 }
 
+// hasYieldedTo reports whether the view is the one that the backup took over to
+// after this primary had yielded with nothing left to acknowledge.
+func (p *primary) hasYieldedTo(v View) bool {
+	return p.yielding && v.Backup == p.self && v.Primary == p.settled.Backup &&
+		v.Number == p.settled.Number+1 && p.committed == p.log.last()
+}
+
 // depose ends the leadership for good.
 func (p *primary) depose(by View, out *effects) {
 	if p.done {
 		return
 	}
 	p.done = true
+	p.deposedBy = by
 	out.events = append(out.events, Event{Type: EventDeposed, Shard: by.Shard, View: by})
 }
--- a/internal/coord/cashard/replica.go
+++ b/internal/coord/cashard/replica.go
@@ -39,6 +39,10 @@
 
 // handle answers a message of a primary.
 func (r *replica) handle(now time.Time, req ReplicateRequest, out *effects) (ReplicateReply, error) {
+	if r.primary != nil && r.primary.hasYieldedTo(req.View) {
+		r.primary.depose(req.View, out)
+		r.buryPrimary(now)
+	}
 	switch {
 	case req.To != r.self:
 		return ReplicateReply{Status: ReplyWrongMember}, nil
@@ -126,16 +130,28 @@
 	switch {
 	case r.primary != nil:
 		r.primary.tick(now, out)
-		r.buryPrimary()
+		r.buryPrimary(now)
 	case r.backup != nil:
 		r.backup.tick(now, out)
 	}
 }
 
-// buryPrimary drops a primary that was deposed or has retired.
-func (r *replica) buryPrimary() {
-	if r.primary != nil && r.primary.done {
-		r.drop(r.primary.highest)
+// buryPrimary drops a primary that was deposed or has retired. One that has
+// yielded stays as the backup of the view that followed, so that the shard
+// never has a single copy.
+func (r *replica) buryPrimary(now time.Time) {
+	p := r.primary
+	if p == nil || !p.done {
+		return
+	}
+	v := p.deposedBy
+	if !p.hasYieldedTo(v) {
+		r.drop(p.highest)
+		return
+	}
+	r.drop(p.settled.Number)
+	r.backup = &backup{
+		self: r.self, cfg: r.cfg, view: v, machine: p.machine, last: p.committed, lastHeard: now, settled: true,
 	}
 }
 
@@ -156,7 +172,7 @@
 		return
 	}
 	r.primary.onReply(now, sentAt, req, reply, err, out)
-	r.buryPrimary()
+	r.buryPrimary(now)
 }
 
 // onRegister folds the answer of a witness.
@@ -164,7 +180,7 @@
 	switch {
 	case r.primary != nil:
 		r.primary.onRegister(now, res, out)
-		r.buryPrimary()
+		r.buryPrimary(now)
 	case r.backup != nil:
 		r.onBackupRegister(now, res, out)
 	}
@@ -194,6 +210,9 @@
 	reg := p.registerAt(v.Witness)
 	reg.sent = true
 	reg.confirmed = true
+	if !v.IsSolo() {
+		p.peer(v.Backup).progress = now
+	}
 	r.primary = p
 	out.events = append(out.events, Event{Type: EventTakenOver, Shard: r.shard, View: v})
 	p.advance(now, out)
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -152,6 +152,28 @@
 	})
 }
 
+// TestYieldKeepsACopy kills the new primary right after a planned hand-over.
+// The shard was lost although its former primary still had all of it.
+func TestYieldKeepsACopy(t *testing.T) {
+	inWorld(t, 3, 3, func(ctx context.Context, t *testing.T, w *world) {
+		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
+			t.Fatal(err)
+		}
+		w.nodes[0].part.Yield("s-e0-0")
+		for w.nodes[0].view("s-e0-0").Primary == w.nodes[0].member {
+			time.Sleep(time.Millisecond)
+		}
+		w.nodes[1].kill()
+		time.Sleep(10 * time.Second)
+		if diff := cmp.Diff([]string{"e0"}, w.leaders("s-e0-0")); diff != "" {
+			t.Errorf("leaders (-want +got):\n%s", diff)
+		}
+		if !w.isKnown("j") {
+			t.Error("the accepted job is lost")
+		}
+	})
+}
+
 // TestYieldToABackupThatDies covers a primary that stopped for good in favor
 // of a backup that never took over: the shard was led by nobody.
 func TestYieldToABackupThatDies(t *testing.T) {
