--- a/internal/core/cadecide/settle.go
+++ b/internal/core/cadecide/settle.go
@@ -34,12 +34,13 @@
 	return s.settle(t, cawork.TaskStateFenced)
 }
 
-// Withdraw implements casched.Scheduler.
-func (s *Scheduler) Withdraw(ref cawork.TaskRef, _ time.Time) casched.Settlement {
+// Withdrawn implements casched.Scheduler.
+func (s *Scheduler) Withdrawn(ref cawork.TaskRef, _ time.Time) casched.Settlement {
 	t := s.ledger.Task(ref)
 	if t == nil {
 		return casched.Settlement{}
 	}
+	s.reopenTrial(t.Host)
 	return s.settle(t, cawork.TaskStateAbsent)
 }
 
--- a/internal/core/caledger/ledger.go
+++ b/internal/core/caledger/ledger.go
@@ -222,7 +222,9 @@
 	case s == cawork.TaskStateFenced:
 		w.attempts--
 		w.notRun++
-	case s == cawork.TaskStateAbsent || s == cawork.TaskStateCheckpointed && !t.Overran:
+	case s == cawork.TaskStateAbsent:
+		w.attempts--
+	case s == cawork.TaskStateCheckpointed && !t.Overran:
 		w.attempts--
 	}
 	return w
--- a/internal/core/canaive/naive.go
+++ b/internal/core/canaive/naive.go
@@ -167,8 +167,8 @@
 	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateFenced}, now)
 }
 
-// Withdraw implements casched.Scheduler.
-func (s *Scheduler) Withdraw(ref cawork.TaskRef, now time.Time) casched.Settlement {
+// Withdrawn implements casched.Scheduler.
+func (s *Scheduler) Withdrawn(ref cawork.TaskRef, now time.Time) casched.Settlement {
 	return s.Ended(casched.End{Task: ref, State: cawork.TaskStateAbsent}, now)
 }
 
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -116,7 +116,7 @@
 		caevent.Warn(l.Logger, caevent.StartFailed).Str("task", a.task.String()).Str("upstream", string(a.upstream)).
 			Str("kind", cakind.Of(err).String()).AnErr("error", err).Send()
 		l.forget(a)
-		l.Scheduler.Withdraw(a.task, l.now())
+		l.Scheduler.Withdrawn(a.task, l.now())
 	}
 	l.refreshAllowances()
 	l.reconcile(attempts[0].task.Job)
