--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
@@ -16,6 +17,11 @@
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
+// unlistedAfter is the time for which every list must have left out an
+// upstream before it is taken for gone: the platform lists a VM as long as it
+// runs, live or leaving.
+const unlistedAfter = 10 * time.Second
+
 // Members lists the known entries.
 type Members interface {
 	Members() []camember.Member
@@ -36,11 +42,13 @@
 	members Members
 	indexed calist.Snapshot
 	byID    map[cawork.UpstreamID]caplatform.VM
+	// seen holds the time of the last list that named each upstream.
+	seen map[cawork.UpstreamID]time.Time
 }
 
 // NewDirectory returns a directory for an entry of the zone.
 func NewDirectory(self cawork.VMID, zone cawork.ZoneName, list List) *Directory {
-	return &Directory{self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM)}
+	return &Directory{self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM), seen: make(map[cawork.UpstreamID]time.Time)}
 }
 
 // SetMembers gives the directory the source of entries. The link needs the
@@ -91,6 +99,13 @@
 	for _, vm := range last.VMs {
 		if vm.Role == caplatform.VMRoleUpstream {
 			d.byID[cawork.UpstreamID(vm.ID)] = vm
+			d.seen[cawork.UpstreamID(vm.ID)] = last.At
+		}
+	}
+	for id, vm := range d.byID {
+		if vm.State != caplatform.VMStateGone && last.At.Sub(d.seen[id]) >= unlistedAfter {
+			vm.State = caplatform.VMStateGone
+			d.byID[id] = vm
 		}
 	}
 }
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -213,18 +213,18 @@
 	if err != nil {
 		return err
 	}
+	e.quota = caquota.NewPart(caquota.Config{
+		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
+		Leaders: e.directory, Peers: calink.Quotas{Link: e.link()},
+		Timer: e.timer, Logger: e.log, Scope: e.scope,
+	})
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Shard: e.shard, TaskTTL: caowner.DefaultConfig().TaskTTL,
-		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner,
+		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner, Allowances: e.quota,
 		Directory: e.directory, Agents: e.platform.Agents, Peers: calink.Jobs{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
 		MayLack: func() bool { return e.archive.MayLack() },
 	})
-	e.quota = caquota.NewPart(caquota.Config{
-		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
-		Leaders: e.directory, Peers: calink.Quotas{Link: e.link()},
-		Timer: e.timer, Logger: e.log, Scope: e.scope,
-	})
 	e.archive, err = caarchive.NewPart(caarchive.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Life: string(e.shard), Log: e.platform.Log,
 		Shards: e.shards, Directory: e.directory, Recoverer: e.launcher,
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -79,9 +79,10 @@
 func (l *Launcher) intend(attempts []*attempt) {
 	shard := attempts[0].shard
 	record := cajob.AttemptsIntended{}
+	view, _ := l.Shards.MayAct(shard)
 	for _, a := range attempts {
 		l.track(a)
-		record.Attempts = append(record.Attempts, cajob.Intent{Attempt: a.id, Task: a.task, Upstream: a.upstream, Charge: a.size})
+		record.Attempts = append(record.Attempts, cajob.Intent{Attempt: a.id, Task: a.task, Upstream: a.upstream, Charge: a.size, View: view})
 	}
 	err := l.propose(shard, cajob.Record{Type: cajob.RecordAttemptsIntended, AttemptsIntended: &record}, func(err error) {
 		l.intended(attempts, err)
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -15,6 +15,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/caowner"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
@@ -79,21 +80,28 @@
 	LargestHole cawork.Resources
 }
 
+// Allowances tells what new tasks of a team may be charged to a shard: what is
+// available less what others claim for a lowered limit.
+type Allowances interface {
+	Startable(s cawork.ShardID, a *caescrow.Account, team cawork.TeamName) cawork.Resources
+}
+
 // Config wires a launcher.
 type Config struct {
-	Self      cawork.VMID
-	Zone      cawork.ZoneName
-	Shard     cawork.ShardID
-	TaskTTL   time.Duration
-	Scheduler casched.Scheduler
-	Shards    Shards
-	Leases    Leases
-	Directory Directory
-	Agents    caplatform.Agents
-	Peers     Peers
-	Timer     *catimer.Service
-	Logger    zerolog.Logger
-	Scope     tally.Scope
+	Self       cawork.VMID
+	Zone       cawork.ZoneName
+	Shard      cawork.ShardID
+	TaskTTL    time.Duration
+	Scheduler  casched.Scheduler
+	Shards     Shards
+	Leases     Leases
+	Directory  Directory
+	Allowances Allowances
+	Agents     caplatform.Agents
+	Peers      Peers
+	Timer      *catimer.Service
+	Logger     zerolog.Logger
+	Scope      tally.Scope
 	// MayLack reports whether shards of the zone may have yet to be rebuilt.
 	MayLack func() bool
 	// Generation identifies this life of the entry.
@@ -103,12 +111,14 @@
 // Launcher runs accepted jobs.
 type Launcher struct {
 	Config
-	mailbox  chan func()
-	done     chan struct{}
-	ctx      context.Context
-	policy   casched.Policy
-	draining bool
-	serial   int64
+	mailbox chan func()
+	done    chan struct{}
+	// stopWaits is closed when callers shall wait no longer.
+	stopWaits chan struct{}
+	ctx       context.Context
+	policy    casched.Policy
+	draining  bool
+	serial    int64
 
 	table    *catask.Table
 	led      map[cawork.ShardID]*ledShard
@@ -135,6 +145,8 @@
 // ledShard is a shard that this entry leads.
 type ledShard struct {
 	id cawork.ShardID
+	// since is the first view of this lead, which upstreams are fenced with.
+	since int64
 	// recovered is false until the attempts of the former primary are known.
 	recovered bool
 	// unanswered lists the upstreams that have yet to be fenced.
@@ -149,21 +161,23 @@
 // NewLauncher returns a launcher that leads its own shard.
 func NewLauncher(c Config) *Launcher {
 	l := &Launcher{
-		Config:   c,
-		mailbox:  make(chan func(), mailboxSize),
-		done:     make(chan struct{}),
-		table:    catask.NewTable(c.Generation),
-		led:      make(map[cawork.ShardID]*ledShard),
-		attempts: make(map[cawork.AttemptID]*attempt),
-		byTask:   make(map[cawork.TaskRef]*attempt),
-		waiters:  make(map[cawork.JobID][]chan struct{}),
-		pending:  make(map[keyedSubmission]struct{}),
-		unended:  make(map[cawork.JobID]struct{}),
-		cursors:  make(map[pollTarget]catask.Cursor),
-		polling:  make(map[cawork.VMID]struct{}),
-		spilling: make(map[cawork.JobID]struct{}),
-		homes:    make(map[cawork.JobID]cawork.ShardID),
-		handing:  make(map[cawork.JobID]struct{}),
+		Config:  c,
+		mailbox: make(chan func(), mailboxSize),
+		done:    make(chan struct{}),
+
+		stopWaits: make(chan struct{}),
+		table:     catask.NewTable(c.Generation),
+		led:       make(map[cawork.ShardID]*ledShard),
+		attempts:  make(map[cawork.AttemptID]*attempt),
+		byTask:    make(map[cawork.TaskRef]*attempt),
+		waiters:   make(map[cawork.JobID][]chan struct{}),
+		pending:   make(map[keyedSubmission]struct{}),
+		unended:   make(map[cawork.JobID]struct{}),
+		cursors:   make(map[pollTarget]catask.Cursor),
+		polling:   make(map[cawork.VMID]struct{}),
+		spilling:  make(map[cawork.JobID]struct{}),
+		homes:     make(map[cawork.JobID]cawork.ShardID),
+		handing:   make(map[cawork.JobID]struct{}),
 
 		rebuilding: make(map[cawork.ShardID]struct{}),
 	}
@@ -267,7 +281,14 @@
 }
 
 // Drain refuses new jobs from now on and starts no further attempt.
-func (l *Launcher) Drain() { l.post(func() { l.draining = true }) }
+func (l *Launcher) Drain() {
+	l.post(func() {
+		if !l.draining {
+			l.draining = true
+			close(l.stopWaits)
+		}
+	})
+}
 
 // refreshAllowances tells the scheduler what the led shards hold of each limit.
 func (l *Launcher) refreshAllowances() {
@@ -275,7 +296,8 @@
 	for id := range l.led {
 		l.readState(id, func(s *cajob.State) {
 			for team := range s.Account().Teams {
-				held[team] = held[team].Plus(s.Account().Held(team))
+				startable := l.Allowances.Startable(id, s.Account(), team)
+				held[team] = held[team].Plus(s.Account().Charged(team)).Plus(startable)
 			}
 		})
 	}
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -34,13 +34,22 @@
 		if err == nil && view.Outcome != cawork.OutcomePending {
 			return view, nil
 		}
-		if ctx.Err() != nil || cakind.Of(err) == cakind.KindNotFound {
+		if ctx.Err() != nil || l.waitsStopped() || (err != nil && cakind.Of(err) == cakind.KindNotFound) {
 			return view, err
 		}
 		l.sleep(ctx, searchPause)
 	}
 }
 
+func (l *Launcher) waitsStopped() bool {
+	select {
+	case <-l.stopWaits:
+		return true
+	default:
+		return false
+	}
+}
+
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -121,6 +130,7 @@
 	case <-ended:
 	case <-pause.C:
 	case <-ctx.Done():
+	case <-l.stopWaits:
 	case <-l.done:
 	}
 	l.post(func() { l.unwatch(call.Job, ended) })
--- a/internal/node/calaunch/submit.go
+++ b/internal/node/calaunch/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -219,7 +220,8 @@
 
 func (l *Launcher) newJob(call SubmitCall) cawork.Job {
 	l.serial++
-	number := strconv.FormatInt(l.serial, 36)
+	// The random part keeps others from guessing the ids of jobs.
+	number := strconv.FormatInt(l.serial, 36) + "x" + strconv.FormatUint(uint64(rand.Uint32()), 36)
 	spec := call.Spec
 	bound := l.policy.Kind(spec.Kind).MaxAttempts
 	if spec.MaxAttempts == 0 || spec.MaxAttempts > bound {
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -33,7 +33,7 @@
 // takeOver fences a shard at every upstream of the zone before anything of it
 // starts again.
 func (l *Launcher) takeOver(e cashard.Event) {
-	led := &ledShard{id: e.Shard, unanswered: make(map[cawork.UpstreamID]struct{})}
+	led := &ledShard{id: e.Shard, since: e.View.Number, unanswered: make(map[cawork.UpstreamID]struct{})}
 	l.led[e.Shard] = led
 	upstreams := l.Directory.ZoneUpstreams()
 	for _, vm := range upstreams {
@@ -93,7 +93,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answers = append(answers, cajob.FenceAnswer{Upstream: cawork.UpstreamID(vm.ID), Tasks: tasks})
+			answers = append(answers, cajob.FenceAnswer{Upstream: cawork.UpstreamID(vm.ID), View: view, Tasks: tasks})
 		})
 	}
 	calls.Wait()
@@ -185,7 +185,7 @@
 // refence tries again to fence the upstreams that did not answer.
 func (l *Launcher) refence() {
 	for id, led := range l.led {
-		view, ok := l.Shards.MayAct(id)
+		_, ok := l.Shards.MayAct(id)
 		if !ok || !led.recovered || len(led.unanswered) == 0 {
 			continue
 		}
@@ -199,7 +199,7 @@
 			missing = append(missing, vm)
 		}
 		go func() {
-			answers := l.fenceAll(id, view, missing)
+			answers := l.fenceAll(id, led.since, missing)
 			l.post(func() { l.refenced(led, answers) })
 		}()
 	}
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -148,3 +148,8 @@
 func (q Quotas) Transfer(ctx context.Context, to cawork.VMID, t caescrow.Transfer) error {
 	return notify(ctx, q.Link, to, callTransfer, t)
 }
+
+// Settled implements caquota.Peers.
+func (q Quotas) Settled(ctx context.Context, to cawork.VMID, r caquota.SettledCall) (caquota.SettledReply, error) {
+	return call[caquota.SettledCall, caquota.SettledReply](ctx, q.Link, to, callSettled, r)
+}
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -36,6 +36,7 @@
 	callHandover      = "job.hand_over"
 	callAsk           = "allowance.ask"
 	callTransfer      = "allowance.transfer"
+	callSettled       = "allowance.settled"
 )
 
 // Empty is a message without fields.
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -36,6 +36,7 @@
 	registerRequests(s, p)
 	registerJobs(s, p.Launcher)
 	capeer.Handle(s, callAsk, p.Quota.HandleAsk)
+	capeer.Handle(s, callSettled, p.Quota.HandleSettled)
 	capeer.Handle(s, callTransfer, answerEmpty(p.Quota.HandleTransfer))
 }
 
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -164,7 +164,7 @@
 	if c.config == nil {
 		return drpcconn.New(raw), nil
 	}
-	secure := tls.Client(raw, c.config)
+	secure := tls.Client(raw, c.configFor(address))
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
@@ -172,6 +172,16 @@
 	return drpcconn.New(secure), nil
 }
 
+// configFor returns the TLS configuration for the peer at the address, whose
+// certificate must name the host of the address.
+func (c *Client) configFor(address string) *tls.Config {
+	config := c.config.Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		config.ServerName = host
+	}
+	return config
+}
+
 // Close ends all connections.
 func (c *Client) Close() error {
 	var err error
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -21,6 +21,7 @@
 type Peers interface {
 	Ask(ctx context.Context, to cawork.VMID, ask caescrow.Ask) (AskReply, error)
 	Transfer(ctx context.Context, to cawork.VMID, t caescrow.Transfer) error
+	Settled(ctx context.Context, to cawork.VMID, call SettledCall) (SettledReply, error)
 }
 
 // Leaders tells which entry leads a shard.
@@ -150,6 +151,7 @@
 		needs := s.Demand()
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		planner.Claimed(p.Timer.Now(), ask)
 		reply.Given = planner.Grant(s.Account(), ask, needOf(needs, ask.Team))
 		reply.Idle = planner.Idle(s.Account(), needs)
 	})
@@ -169,6 +171,14 @@
 	return reply, nil
 }
 
+// Startable implements calaunch.Allowances.
+func (p *Part) Startable(shard cawork.ShardID, a *caescrow.Account, team cawork.TeamName) cawork.Resources {
+	planner := p.planner(shard)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return planner.Startable(p.Timer.Now(), a, team)
+}
+
 func needOf(needs []caescrow.Need, team cawork.TeamName) caescrow.Need {
 	for _, n := range needs {
 		if n.Team == team {
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -16,6 +16,7 @@
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/caactive"
+	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
@@ -78,7 +79,11 @@
 	claims   *caescrow.Claims
 	next     caplatform.Offset
 	complete bool
-	claimed  time.Time
+	// truncated is set when the log has dropped claims that were never read.
+	truncated bool
+	claimed   time.Time
+	// applied is the configuration that was last minted.
+	applied cacell.Config
 
 	mu       sync.Mutex
 	planners map[cawork.ShardID]*caescrow.Planner
@@ -176,6 +181,7 @@
 		if err != nil {
 			return
 		}
+		p.truncated = p.truncated || page.Earliest > p.next
 		for _, r := range page.Records {
 			p.next = r.Offset + 1
 			var claim caescrow.Claim
@@ -206,6 +212,13 @@
 	if !p.claimed.IsZero() && p.Timer.Now().Sub(p.claimed) < wait {
 		return
 	}
+	if !held && p.truncated {
+		// The claim in force may be among the records that the log has dropped.
+		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", claimTopic).
+			Str("reason", "the log has dropped claims, so that none is made").Send()
+		p.claimed = p.Timer.Now()
+		return
+	}
 	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.Shard}
 	if held {
 		next.Shard = holder.Shard
@@ -225,33 +238,6 @@
 	return p.Shards.Read(s, func(cashard.StateMachine) {})
 }
 
-// mint sets the part of each limit that the zone mints.
-func (p *Part) mint(ctx context.Context, shard cawork.ShardID, view caactive.View) {
-	version := int64(view.Version)
-	for _, team := range view.Config.Teams() {
-		wanted := caescrow.MintShare{Team: team.Name, Version: version, Amount: view.Config.Mint(team.Name, p.Zone)}
-		current := p.mintOf(shard, team.Name)
-		if current.Version >= version || (current.Amount == wanted.Amount && current.Version > 0) {
-			continue
-		}
-		if err := p.append(ctx, shard, cajob.Record{Type: cajob.RecordMintSet, MintSet: &wanted}); err != nil {
-			return
-		}
-		caevent.Info(p.Logger, caevent.AllowanceMinted).Str("team", string(team.Name)).Str("shard", string(shard)).
-			Int64("version", version).Str("amount", wanted.Amount.String()).Send()
-	}
-}
-
-func (p *Part) mintOf(shard cawork.ShardID, team cawork.TeamName) caescrow.MintShare {
-	var share caescrow.MintShare
-	p.Shards.Read(shard, func(m cashard.StateMachine) {
-		if b, ok := m.(*cajob.State).Account().Teams[team]; ok {
-			share = b.Mint
-		}
-	})
-	return share
-}
-
 func (p *Part) append(ctx context.Context, shard cawork.ShardID, r cajob.Record) error {
 	r.At = p.Timer.Now()
 	payload, err := r.Encode()
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"time"
@@ -172,7 +173,7 @@
 	}
 	report, err := caload.Run(ctx, catimer.NewService(), caload.Plan{
 		URLs: []string{o.Entry + caapi.PathRequests}, Header: header, Body: []byte("load"), Rate: o.Rate, Duration: o.Duration,
-		Timeout: loadTimeout, Outstanding: o.Concurrency, Seed: uint64(o.Seed),
+		Requests: int(math.Ceil(o.Rate * o.Duration.Seconds())), Timeout: loadTimeout, Outstanding: o.Concurrency, Seed: uint64(o.Seed),
 	})
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return err
