Queues reach only their own jobs; cancelled jobs end as canceled; lost upstreams in the fault runs

Change: a call by queue sees only jobs that came by it; a cancelled job ends as canceled unless it is done or a task is unknown; the command line passes the marks on; entries that left are not waited for. The fault runs lose upstreams too.

--- a/internal/base/cawork/work.go
+++ b/internal/base/cawork/work.go
@@ -121,6 +121,8 @@
 	MaxAttempts int
 	Constraints Constraints
 	Payload     []byte
+	// Queue is the queue open to all by which the job came without a key.
+	Queue string
 }
 
 // Job is an accepted job.
--- a/internal/cli/caclient/client.go
+++ b/internal/cli/caclient/client.go
@@ -17,6 +17,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/node/caapi"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // maxAnswerSize is the largest answer that is read, in bytes.
@@ -69,9 +70,30 @@
 	return err
 }
 
-// Request runs a request and returns the whole answer of the upstream.
-func (c Client) Request(ctx context.Context, body []byte) ([]byte, error) {
+// RequestOptions tell how a request may be run. Zero fields are not sent.
+type RequestOptions struct {
+	IdempotencyKey string
+	Idempotent     bool
+	Deadline       time.Duration
+}
+
+func (o RequestOptions) header() http.Header {
 	header := http.Header{}
+	if o.IdempotencyKey != "" {
+		header.Set(caapi.HeaderIdempotencyKey, o.IdempotencyKey)
+	}
+	if o.Idempotent {
+		header.Set(caplatform.HeaderIdempotent, "true")
+	}
+	if o.Deadline > 0 {
+		header.Set(caplatform.HeaderDeadline, strconv.FormatInt(o.Deadline.Milliseconds(), 10))
+	}
+	return header
+}
+
+// Request runs a request and returns the whole answer of the upstream.
+func (c Client) Request(ctx context.Context, body []byte, o RequestOptions) ([]byte, error) {
+	header := o.header()
 	if c.Queue != "" {
 		header.Set(caapi.HeaderQueue, c.Queue)
 	}
--- a/internal/cli/cacommand/await.go
+++ b/internal/cli/cacommand/await.go
@@ -60,6 +60,11 @@
 func behindVersion(entries []entryVersion, v cafollow.Version) []string {
 	var behind []string
 	for _, e := range entries {
+		// An entry that drained stays listed for a while. One that is taken for
+		// dead may be cut off and serve on, so that it counts.
+		if e.Liveness == "left" {
+			continue
+		}
 		if e.Version < v {
 			behind = append(behind, fmt.Sprintf("%s (%s, version %d)", e.VM, e.Liveness, e.Version))
 		}
--- a/internal/cli/cacommand/client.go
+++ b/internal/cli/cacommand/client.go
@@ -63,7 +63,9 @@
 }
 
 func (c command) request(ctx context.Context, o caoption.Submit, body []byte) error {
-	answer, err := client(o.API).Request(ctx, body)
+	answer, err := client(o.API).Request(ctx, body, caclient.RequestOptions{
+		IdempotencyKey: o.IdempotencyKey, Idempotent: o.Idempotent, Deadline: o.Deadline,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/coord/cajob/outcome.go
+++ b/internal/coord/cajob/outcome.go
@@ -1,6 +1,10 @@
 package cajob
 
-import "celeryarch.example/celeryarch/internal/base/cawork"
+import (
+	"slices"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
 
 // Verdict returns the outcome that the job has earned, OutcomePending while
 // tasks are open or may still be attempted.
@@ -11,6 +15,9 @@
 	if j.HasOpenAttempt() {
 		return cawork.OutcomePending
 	}
+	if j.Canceled && !j.allDone() && !j.hasUnknown() {
+		return cawork.OutcomeCanceled
+	}
 	if worst := j.worstTask(); worst != cawork.OutcomePending {
 		return worst
 	}
@@ -20,6 +27,10 @@
 	return cawork.OutcomePending
 }
 
+func (j *Job) hasUnknown() bool {
+	return slices.ContainsFunc(j.Tasks, func(t Task) bool { return t.Outcome == cawork.OutcomeUnknown })
+}
+
 // worstTask folds the outcomes of the tasks. A job of which some task is done
 // and another never ran has failed.
 func (j *Job) worstTask() cawork.Outcome {
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -48,12 +48,19 @@
 	AuthorizeQueue(queue string, kind cawork.WorkKind) (cawork.TeamName, error)
 }
 
+// Principal is who a call stands for: a team by its key, or whoever uses a
+// queue that is open to all and is charged to the team.
+type Principal struct {
+	Team  cawork.TeamName
+	Queue string
+}
+
 // Jobs accepts and follows jobs.
 type Jobs interface {
 	Submit(ctx context.Context, team cawork.TeamName, spec cawork.JobSpec, idempotencyKey string) (cawork.JobID, error)
 	Get(ctx context.Context, id cawork.JobID) (JobAnswer, error)
 	Wait(ctx context.Context, id cawork.JobID) (JobAnswer, error)
-	Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error
+	Cancel(ctx context.Context, who Principal, id cawork.JobID) error
 }
 
 // Requests runs a request for a team and streams the answer.
@@ -156,12 +163,13 @@
 	if err != nil {
 		return err
 	}
-	team, err := a.authorize(c.Request(), body.Queue, body.Kind)
+	who, err := a.authorize(c.Request(), body.Queue, body.Kind)
 	if err != nil {
 		return err
 	}
+	spec.Queue = who.Queue
 	key := c.Request().Header.Get(HeaderIdempotencyKey)
-	id, err := a.config.Jobs.Submit(c.Request().Context(), team, spec, key)
+	id, err := a.config.Jobs.Submit(c.Request().Context(), who.Team, spec, key)
 	if err != nil {
 		return err
 	}
@@ -169,7 +177,7 @@
 }
 
 func (a *API) get(c echo.Context) error {
-	team, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
+	who, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
 	if err != nil {
 		return err
 	}
@@ -177,8 +185,8 @@
 	if err != nil {
 		return err
 	}
-	if answer.Team != team {
-		return cakind.New(cakind.KindNotFound, "no job %s of team %s", answer.JobID, team)
+	if !who.MaySee(answer.Team, answer.Queue) {
+		return cakind.New(cakind.KindNotFound, "no job %s of team %s", answer.JobID, who.Team)
 	}
 	return c.JSON(http.StatusOK, answer)
 }
@@ -200,18 +208,18 @@
 }
 
 func (a *API) cancel(c echo.Context) error {
-	team, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
+	who, err := a.authorize(c.Request(), c.QueryParam("queue"), cawork.WorkKindBatch)
 	if err != nil {
 		return err
 	}
-	if err := a.config.Jobs.Cancel(c.Request().Context(), team, cawork.JobID(c.Param("id"))); err != nil {
+	if err := a.config.Jobs.Cancel(c.Request().Context(), who, cawork.JobID(c.Param("id"))); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
 }
 
 func (a *API) request(c echo.Context) error {
-	team, err := a.authorize(c.Request(), c.Request().Header.Get(HeaderQueue), cawork.WorkKindLookup)
+	who, err := a.authorize(c.Request(), c.Request().Header.Get(HeaderQueue), cawork.WorkKindLookup)
 	if err != nil {
 		return err
 	}
@@ -221,7 +229,7 @@
 	}
 	r.Body = http.MaxBytesReader(c.Response(), r.Body, a.config.Limits.BodyBytes)
 	boundDeadline(r.Header, a.config.Limits.RequestTime)
-	a.config.Requests.ServeRequest(c.Response(), r, team)
+	a.config.Requests.ServeRequest(c.Response(), r, who.Team)
 	return nil
 }
 
@@ -246,17 +254,25 @@
 	return c.String(http.StatusOK, "ready\n")
 }
 
+// MaySee reports whether a job is in reach: a key reaches all jobs of its team,
+// a queue only those that came by it.
+func (p Principal) MaySee(team cawork.TeamName, queue string) bool {
+	return p.Team == team && (p.Queue == "" || p.Queue == queue)
+}
+
 // authorize prefers the key of the call; without one the named queue must be
 // open to all.
-func (a *API) authorize(r *http.Request, queue string, kind cawork.WorkKind) (cawork.TeamName, error) {
+func (a *API) authorize(r *http.Request, queue string, kind cawork.WorkKind) (Principal, error) {
 	header := r.Header.Get(echo.HeaderAuthorization)
 	if key, ok := strings.CutPrefix(header, bearerPrefix); ok {
-		return a.config.Authorizer.AuthorizeKey(key)
+		team, err := a.config.Authorizer.AuthorizeKey(key)
+		return Principal{Team: team}, err
 	}
 	if queue != "" {
-		return a.config.Authorizer.AuthorizeQueue(queue, kind)
+		team, err := a.config.Authorizer.AuthorizeQueue(queue, kind)
+		return Principal{Team: team, Queue: queue}, err
 	}
-	return "", cakind.New(cakind.KindUnauthenticated, "send a key in the header Authorization: Bearer KEY")
+	return Principal{}, cakind.New(cakind.KindUnauthenticated, "send a key in the header Authorization: Bearer KEY")
 }
 
 // writeError answers every error by the table of kinds.
--- a/internal/node/caapi/message.go
+++ b/internal/node/caapi/message.go
@@ -104,6 +104,7 @@
 type JobAnswer struct {
 	JobID    cawork.JobID    `json:"job_id"`
 	Team     cawork.TeamName `json:"team"`
+	Queue    string          `json:"queue,omitempty"`
 	Kind     cawork.WorkKind `json:"kind"`
 	Outcome  cawork.Outcome  `json:"outcome"`
 	Reason   string          `json:"reason,omitempty"`
--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -75,7 +75,7 @@
 	var answer []byte
 	eventually(t, "an answer", func() bool {
 		var err error
-		answer, err = c.Request(context.Background(), []byte(body))
+		answer, err = c.Request(context.Background(), []byte(body), caclient.RequestOptions{})
 		return err == nil
 	})
 	return string(answer)
--- a/internal/node/caentry/adapter.go
+++ b/internal/node/caentry/adapter.go
@@ -49,13 +49,13 @@
 }
 
 // Cancel implements caapi.Jobs.
-func (j jobs) Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error {
-	return j.launcher.Cancel(ctx, team, id)
+func (j jobs) Cancel(ctx context.Context, who caapi.Principal, id cawork.JobID) error {
+	return j.launcher.Cancel(ctx, calaunch.CancelCall{Team: who.Team, Queue: who.Queue, Job: id})
 }
 
 func jobAnswer(v calaunch.JobView) caapi.JobAnswer {
 	answer := caapi.JobAnswer{
-		JobID: v.Job, Team: v.Team, Kind: v.Kind, Outcome: v.Outcome, Accepted: v.Accepted,
+		JobID: v.Job, Team: v.Team, Queue: v.Queue, Kind: v.Kind, Outcome: v.Outcome, Accepted: v.Accepted,
 		Tasks: make([]caapi.TaskAnswer, 0, len(v.Tasks)),
 	}
 	for i, t := range v.Tasks {
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -162,6 +162,24 @@
 	})
 }
 
+func TestTasksOfALostUpstreamRunElsewhere(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 6, MaxAttempts: 3, Idempotent: true,
+			Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 30000}`),
+		})
+		if !ok {
+			t.Fatal("the job was not accepted")
+		}
+		time.Sleep(2 * time.Second)
+		w.loseUpstream("u00")
+		w.checkEnded([]submission{s}, 2*time.Minute)
+		if answer, err := w.outcome(s.id, time.Second); err != nil || answer.Outcome != cawork.OutcomeDone {
+			t.Errorf("outcome %v, %v", answer.Outcome, err)
+		}
+	})
+}
+
 func TestShardIsRebuiltFromTheLog(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
@@ -295,6 +313,10 @@
 		w.list.SetDown(true)
 		return func() { w.list.SetDown(false) }
 	}},
+	{"upstream is lost", func(w *world) func() {
+		w.loseUpstream(fmt.Sprintf("u%d%d", w.rng.IntN(zoneCount), w.rng.IntN(upstreamsPerZone)))
+		return func() {}
+	}},
 	{"upstream leaves", func(w *world) func() {
 		id := fmt.Sprintf("u%d%d", w.rng.IntN(zoneCount), w.rng.IntN(upstreamsPerZone))
 		w.list.SetState(cawork.VMID(id), caplatform.VMStateLeaving)
--- a/internal/node/caentry/network_test.go
+++ b/internal/node/caentry/network_test.go
@@ -187,6 +187,8 @@
 }
 
 func (r remoteAgents) Agent(to string) caplatform.Agent {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
 	return remoteAgent{network: r.world.network, from: r.from, to: to, agent: r.world.upstreams[to]}
 }
 
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/fstest"
 	"time"
@@ -47,11 +48,14 @@
 	timer     *catimer.Service
 	log       *castandlog.Log
 	list      *castandvm.List
+	mu        sync.Mutex
 	upstreams map[string]*castandup.Upstream
 	vms       map[string]caplatform.VM
 	entries   map[string]*runningEntry
 	started   map[cawork.JobID]bool
 	broken    map[string]bool
+	// replaced counts the upstreams that took the place of lost ones.
+	replaced int
 	ctx       context.Context
 }
 
@@ -102,6 +106,8 @@
 		ID: cawork.VMID(id), Role: caplatform.VMRoleUpstream, Zone: zoneName(z), Address: id, Rack: "rack-1",
 		Capacity: cawork.Resources{CPU: cawork.Cores(upstreamCores), Memory: 64 * cawork.GiB}, Slots: 8, Connections: 64,
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.upstreams[id] = castandup.NewUpstream(w.timer.Now, vm)
 	w.vms[id] = vm
 	return vm
@@ -155,6 +161,22 @@
 	w.isolate(id, false)
 }
 
+// loseUpstream ends an upstream at once with all that runs there. The list
+// drops it, and a fresh one takes its place after a while.
+func (w *world) loseUpstream(id string) {
+	w.isolate(id, true)
+	w.mu.Lock()
+	vm := w.vms[id]
+	vm.State = caplatform.VMStateGone
+	w.vms[id] = vm
+	w.mu.Unlock()
+	w.list.Remove(vm.ID)
+	z := int(id[1] - '0')
+	w.replaced++
+	fresh := w.addUpstream(z, upstreamsPerZone+w.replaced)
+	w.list.Put(fresh)
+}
+
 // isolate cuts or heals everything between an entry and the rest.
 func (w *world) isolate(id string, on bool) {
 	for _, other := range w.places() {
@@ -172,6 +194,8 @@
 			places = append(places, fmt.Sprintf("e%d%d", z, i))
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for u := range w.upstreams {
 		places = append(places, u)
 	}
@@ -217,6 +241,8 @@
 }
 
 func (w *world) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	running := make(map[cawork.TaskRef]cawork.AttemptID)
 	use := make(map[cawork.TeamName]cawork.Resources)
 	for id, u := range w.upstreams {
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -129,7 +129,9 @@
 // CancelCall asks the leader of a shard to cancel a job of the team.
 type CancelCall struct {
 	Team cawork.TeamName
-	Job  cawork.JobID
+	// Queue narrows the call to jobs that came by it, unless it is empty.
+	Queue string
+	Job   cawork.JobID
 }
 
 // FindKeyCall asks whether a submission with the key was accepted.
@@ -150,6 +152,7 @@
 type JobView struct {
 	Job      cawork.JobID
 	Team     cawork.TeamName
+	Queue    string
 	Kind     cawork.WorkKind
 	Outcome  cawork.Outcome
 	Canceled bool
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -149,9 +149,8 @@
 	}
 }
 
-// Cancel cancels a job of the team, wherever it is led.
-func (l *Launcher) Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error {
-	call := CancelCall{Team: team, Job: id}
+// Cancel cancels a job, wherever it is led.
+func (l *Launcher) Cancel(ctx context.Context, call CancelCall) error {
 	err := l.HandleCancel(ctx, call)
 	for _, vm := range l.Directory.Entries() {
 		if err == nil || cakind.Of(err) != cakind.KindNotFound {
@@ -179,7 +178,7 @@
 func (l *Launcher) cancel(call CancelCall, result chan<- error) {
 	j, ok := l.job(call.Job)
 	switch {
-	case !ok || j.HandedTo != "" || j.Job.Team != call.Team:
+	case !ok || j.HandedTo != "" || j.Job.Team != call.Team || (call.Queue != "" && j.Job.Spec.Queue != call.Queue):
 		result <- cakind.New(cakind.KindNotFound, "no job %s of team %s", call.Job, call.Team)
 		return
 	case !j.IsOpen() || j.Canceled:
--- /dev/null
+++ b/internal/node/capeer/peer_test.go
@@ -0,0 +1,141 @@
+package capeer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+)
+
+type message struct {
+	Text string
+	At   time.Time
+}
+
+// serve runs a server with an echo and a refusing call until the test ends.
+func serve(t *testing.T, config *tls.Config) string {
+	t.Helper()
+	server := capeer.NewServer()
+	capeer.Handle(server, "echo", func(_ context.Context, m message) (message, error) { return m, nil })
+	capeer.Handle(server, "refuse", func(context.Context, message) (message, error) {
+		return message{}, cakind.New(cakind.KindFenced, "an old epoch")
+	})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = server.Serve(ctx, lis, config) }()
+	t.Cleanup(func() {
+		cancel()
+		<-server.Done()
+	})
+	return lis.Addr().String()
+}
+
+func call(t *testing.T, config *tls.Config, address, name string, m message) (message, error) {
+	t.Helper()
+	client := capeer.NewClient(capeer.DialTCP, config)
+	t.Cleanup(func() { _ = client.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return capeer.Call[message, message](ctx, client, address, name, m)
+}
+
+func TestCallKeepsTimesAndKinds(t *testing.T) {
+	address := serve(t, nil)
+	sent := message{Text: "hello", At: time.Unix(1000, 123456789).UTC()}
+	got, err := call(t, nil, address, "echo", sent)
+	if err != nil {
+		t.Fatalf("echo: %v", err)
+	}
+	if diff := cmp.Diff(sent, got); diff != "" {
+		t.Errorf("echo mismatch (-want +got):\n%s", diff)
+	}
+	_, err = call(t, nil, address, "refuse", sent)
+	if diff := cmp.Diff(cakind.KindFenced, cakind.Of(err)); diff != "" {
+		t.Errorf("refusal mismatch (-want +got):\n%s", diff)
+	}
+	_, err = call(t, nil, "127.0.0.1:1", "echo", sent)
+	if diff := cmp.Diff(cakind.KindUnavailable, cakind.Of(err)); diff != "" {
+		t.Errorf("closed port mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// authority signs certificates for hosts.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		KeyUsage: x509.KeyUsageCertSign, BasicConstraintsValid: true,
+	}
+	a.key, a.cert = a.issue(template, template, nil)
+	return a
+}
+
+func (a *authority) issue(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*ecdsa.PrivateKey, *x509.Certificate) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatalf("GenerateKey: %v", err)
+	}
+	if signer == nil {
+		signer = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatalf("CreateCertificate: %v", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatalf("ParseCertificate: %v", err)
+	}
+	return key, cert
+}
+
+// configs returns the sides of a connection to the host.
+func (a *authority) configs(host string) (server, client *tls.Config) {
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP(host)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	key, cert := a.issue(template, a.cert, a.key)
+	pair := []tls.Certificate{{Certificate: [][]byte{cert.Raw}, PrivateKey: key}}
+	roots := x509.NewCertPool()
+	roots.AddCert(a.cert)
+	server = &tls.Config{Certificates: pair, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13}
+	return server, &tls.Config{Certificates: pair, RootCAs: roots, MinVersion: tls.VersionTLS13}
+}
+
+func TestTLSVerifiesBothSides(t *testing.T) {
+	trusted, stranger := newAuthority(t), newAuthority(t)
+	server, client := trusted.configs("127.0.0.1")
+	address := serve(t, server)
+	if _, err := call(t, client, address, "echo", message{Text: "hello"}); err != nil {
+		t.Errorf("verified peer: %v", err)
+	}
+	_, other := stranger.configs("127.0.0.1")
+	if _, err := call(t, other, address, "echo", message{}); err == nil {
+		t.Error("a peer with a certificate of a stranger was served")
+	}
+	elsewhere, _ := trusted.configs("127.0.0.2")
+	if _, err := call(t, client, serve(t, elsewhere), "echo", message{}); err == nil {
+		t.Error("a server whose certificate names another host was trusted")
+	}
+}
--- a/internal/standin/castandvm/list.go
+++ b/internal/standin/castandvm/list.go
@@ -50,6 +50,14 @@
 	l.pending = append(l.pending, change{at: l.now().Add(l.lag), vms: l.current})
 }
 
+// Remove drops the VM from the list.
+func (l *List) Remove(id cawork.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = slices.DeleteFunc(slices.Clone(l.current), func(o caplatform.VM) bool { return o.ID == id })
+	l.pending = append(l.pending, change{at: l.now().Add(l.lag), vms: l.current})
+}
+
 // SetState changes the state of a VM. It reports whether the VM is listed.
 func (l *List) SetState(id cawork.VMID, state caplatform.VMState) bool {
 	l.mu.Lock()
