Slopes of the cost of each role

Cause: the size expected within two years is far above what one machine runs. Change: a benchmark that measures each role at three sizes or more and fits a line.

--- /dev/null
+++ b/internal/node/cacapacity/coordination_test.go
@@ -0,0 +1,171 @@
+package cacapacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	tally "github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cacheck"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/caowner"
+	"celeryarch.example/celeryarch/internal/node/calaunch"
+	"celeryarch.example/celeryarch/internal/node/catask"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+var (
+	teamSizes    = []int{6, 22, 60}
+	entrySizes   = []int{8, 24, 59}
+	attemptSizes = []int{40, 400, 4000}
+)
+
+var coordinationFigures = []figure{
+	{"one second of the ownership core", "us", upstreamSizes, ownerTime},
+	{"one poll of an owner without changes, both ways", "bytes", []int{1, 2, 4}, pollOwnerBytes},
+	{"changed attempts in a poll", "bytes", []int{1, 16, 128}, changedPollBytes},
+	{"one poll answered by an owner of so many attempts", "us", attemptSizes, tableTime},
+	{"one round of asks for allowance, teams that lack none", "us", teamSizes, asksTime},
+	{"one round of asks of 22 short teams, partners", "us", entrySizes, partnersTime},
+	{"asks of one round of 22 short teams, partners", "bytes", entrySizes, askBytes},
+}
+
+func ownerState(n int) *caowner.State {
+	s := caowner.NewState(caowner.DefaultConfig(), "entry-01", "bergen-a", began, cacheck.New(zerolog.Nop(), tally.NoopScope))
+	s.SetEntries(began, []caowner.Entry{{VM: "entry-01", Since: began}})
+	var vms []caplatform.VM
+	for i := range n {
+		v := vm(i)
+		v.Zone = "bergen-a"
+		vms = append(vms, v)
+	}
+	s.SetUpstreams(began, vms)
+	return s
+}
+
+// ownerTime runs the ownership core against agents that answer at once.
+func ownerTime(_ *testing.B, n int) float64 {
+	s := ownerState(n)
+	now := began.Add(time.Minute)
+	return microseconds(200, func() {
+		for range time.Second / (50 * time.Millisecond) {
+			for _, c := range s.Tick(now) {
+				s.HandleAnswer(now, caowner.Answer{Call: c, Claim: caplatform.ClaimResult{
+					Granted: true, Ownership: caplatform.Ownership{Epoch: 1},
+				}})
+			}
+			now = now.Add(50 * time.Millisecond)
+		}
+		s.TakeEvents()
+	})
+}
+
+func status(i int) caplatform.TaskStatus {
+	return caplatform.TaskStatus{
+		Attempt: cawork.AttemptID(fmt.Sprintf("%s.%d.0.1", shard, i)), Shard: shard, Team: "nordtrikot",
+		Task: cawork.TaskRef{Job: cawork.JobID(fmt.Sprintf("%s.%d", shard, i))},
+		Kind: cawork.WorkKindBatch, State: cawork.TaskStateRunning, Elapsed: time.Minute,
+		Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+		Used: cawork.Resources{CPU: cawork.Cores(1) / 2, Memory: cawork.GiB / 2},
+	}
+}
+
+func table(n int) *catask.Table {
+	t := catask.NewTable(1)
+	for i := range n {
+		u := cawork.UpstreamID(fmt.Sprint("upstream-", i%40))
+		if !t.Owns(u) {
+			t.Gain(u, nil)
+		}
+		t.Update(u, []caplatform.TaskStatus{status(i)})
+	}
+	return t
+}
+
+func pollOwnerBytes(b *testing.B, shards int) float64 {
+	cursor := catask.Cursor{Generation: 1_764_800_000_000_000_000, Sequence: 100_000}
+	request := calaunch.PollRequest{From: "entry-01"}
+	var reply calaunch.PollReply
+	for range shards {
+		request.Shards = append(request.Shards, calaunch.ShardCursor{Shard: shard, View: 1, Cursor: cursor})
+		reply.Shards = append(reply.Shards, calaunch.ShardChanges{Shard: shard, Changes: catask.Changes{Cursor: cursor}})
+	}
+	return float64(len(must[[]byte](b)(cbor.Marshal(request))) + len(must[[]byte](b)(cbor.Marshal(reply))))
+}
+
+func changedPollBytes(b *testing.B, n int) float64 {
+	return float64(len(must[[]byte](b)(cbor.Marshal(table(n).Since(shard, catask.Cursor{})))))
+}
+
+func tableTime(_ *testing.B, n int) float64 {
+	t := table(n)
+	cursor := t.Since(shard, catask.Cursor{}).Cursor
+	return microseconds(200, func() { t.Since(shard, cursor) })
+}
+
+func needs(teams int, amount cawork.Resources) []caescrow.Need {
+	var out []caescrow.Need
+	for i := range teams {
+		out = append(out, caescrow.Need{Team: cawork.TeamName(fmt.Sprint("team-", i)), Amount: amount, Least: amount})
+	}
+	return out
+}
+
+func account(b *testing.B, teams int) *caescrow.Account {
+	b.Helper()
+	a := caescrow.NewAccount(shard)
+	for i := range teams {
+		amount := cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB, Accelerators: 4}
+		share := caescrow.MintShare{Team: cawork.TeamName(fmt.Sprint("team-", i)), Version: 1, Amount: amount}
+		if err := a.SetMint(share); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return a
+}
+
+func partners(entries int) []caescrow.Partner {
+	var out []caescrow.Partner
+	for i := range entries {
+		p := caescrow.Partner{Shard: cawork.ShardID(fmt.Sprintf("entry-%02d-1764800000000000000", i+2)), Zone: "bergen-b"}
+		for t := range 22 {
+			p.Idle = append(p.Idle, caescrow.TeamAmount{Team: cawork.TeamName(fmt.Sprint("team-", t)), Amount: cawork.Resources{CPU: cawork.Cores(int64(i))}})
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func asksTime(b *testing.B, teams int) float64 {
+	a, now := account(b, teams), began
+	p := caescrow.NewPlanner(shard, "bergen-a", caescrow.DefaultPolicy())
+	return microseconds(500, func() {
+		now = now.Add(time.Second)
+		p.Asks(now, a, needs(teams, cawork.Resources{CPU: cawork.Cores(1)}), partners(1))
+	})
+}
+
+func shortAsks(b *testing.B, entries int) func() []caescrow.Ask {
+	b.Helper()
+	a, now := account(b, 22), began
+	p := caescrow.NewPlanner(shard, "bergen-a", caescrow.DefaultPolicy())
+	short, others := needs(22, cawork.Resources{CPU: cawork.Cores(32)}), partners(entries)
+	return func() []caescrow.Ask {
+		now = now.Add(time.Minute)
+		return p.Asks(now, a, short, others)
+	}
+}
+
+func partnersTime(b *testing.B, entries int) float64 {
+	ask := shortAsks(b, entries)
+	return microseconds(300, func() { ask() })
+}
+
+func askBytes(b *testing.B, entries int) float64 {
+	asks := shortAsks(b, entries)()
+	return float64(len(must[[]byte](b)(cbor.Marshal(asks))))
+}
