--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -239,6 +239,11 @@
 			t.Errorf("tasks running in all zones mismatch (-want +got):\n%s", diff)
 		}
 		w.checkEnded(accepted, 2*time.Minute)
+		// The outcomes outlive the entries that ran the jobs.
+		w.kill("e10")
+		w.kill("e21")
+		time.Sleep(10 * time.Second)
+		w.checkEnded(accepted, 10*time.Second)
 	})
 }
 
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -56,7 +56,7 @@
 	broken    map[string]bool
 	// replaced counts the upstreams that took the place of lost ones.
 	replaced int
-	ctx       context.Context
+	ctx      context.Context
 }
 
 type runningEntry struct {
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -215,10 +215,24 @@
 	return ok && j.Canceled
 }
 
-// job returns a job of a led shard.
+// job returns a job of a led shard. One that was handed over and has ended may
+// be in a shard that was taken over since, so that all led ones are asked.
 func (l *Launcher) job(id cawork.JobID) (cajob.Job, bool) {
+	j, ok := l.jobIn(l.home(id), id)
+	if ok && j.HandedTo == "" {
+		return j, true
+	}
+	for shard := range l.led {
+		if other, found := l.jobIn(shard, id); found && other.HandedTo == "" {
+			return other, true
+		}
+	}
+	return j, ok
+}
+
+func (l *Launcher) jobIn(shard cawork.ShardID, id cawork.JobID) (cajob.Job, bool) {
 	var j cajob.Job
 	var ok bool
-	l.readState(l.home(id), func(s *cajob.State) { j, ok = s.Job(id) })
+	l.readState(shard, func(s *cajob.State) { j, ok = s.Job(id) })
 	return j, ok
 }
