Ends told during a takeover are not lost; an unchanged list of VMs is not sent again

Change: after a takeover the table of owned upstreams is read again; the list carries a version; members are asked only when a job seeks room; amounts are looked up before the sort.

--- a/internal/coord/caescrow/planner.go
+++ b/internal/coord/caescrow/planner.go
@@ -194,21 +194,35 @@
 // order returns the partners that are not resting, best first: by what they
 // reported, those of the own zone before others.
 func (p *Planner) order(now time.Time, team cawork.TeamName, partners []Partner) []Partner {
-	out := slices.DeleteFunc(slices.Clone(partners), func(q Partner) bool {
-		return q.Shard == p.shard || now.Before(p.rests[round{team, q.Shard}])
-	})
-	slices.SortStableFunc(out, func(x, y Partner) int {
+	var ranked []rankedPartner
+	for _, q := range partners {
+		if q.Shard != p.shard && !now.Before(p.rests[round{team, q.Shard}]) {
+			ranked = append(ranked, rankedPartner{partner: q, idle: q.idle(team)})
+		}
+	}
+	slices.SortStableFunc(ranked, func(x, y rankedPartner) int {
 		return cmp.Or(
-			compareBool(!x.idle(team).IsZero(), !y.idle(team).IsZero()),
-			compareBool(x.Zone == p.zone, y.Zone == p.zone),
-			cmp.Compare(y.idle(team).CPU, x.idle(team).CPU),
-			cmp.Compare(y.idle(team).Memory, x.idle(team).Memory),
-			cmp.Compare(x.Shard, y.Shard),
+			compareBool(!x.idle.IsZero(), !y.idle.IsZero()),
+			compareBool(x.partner.Zone == p.zone, y.partner.Zone == p.zone),
+			cmp.Compare(y.idle.CPU, x.idle.CPU),
+			cmp.Compare(y.idle.Memory, x.idle.Memory),
+			cmp.Compare(x.partner.Shard, y.partner.Shard),
 		)
 	})
+	out := make([]Partner, 0, len(ranked))
+	for _, r := range ranked {
+		out = append(out, r.partner)
+	}
 	return out
 }
 
+// rankedPartner is a partner with what it reported for one team, looked up
+// once before the sort.
+type rankedPartner struct {
+	partner Partner
+	idle    cawork.Resources
+}
+
 // compareBool sorts true before false.
 func compareBool(x, y bool) int {
 	switch {
--- a/internal/node/calaunch/spill.go
+++ b/internal/node/calaunch/spill.go
@@ -31,11 +31,15 @@
 
 // spill seeks room at other owners for jobs that do not fit here.
 func (l *Launcher) spill() {
-	owners := l.Directory.ZoneOwners()
-	if len(owners) == 0 || len(l.spilling) >= maxSpills {
+	if len(l.spilling) >= maxSpills {
+		return
+	}
+	unplaced := l.Scheduler.Unplaced(maxSpills, l.now())
+	if len(unplaced) == 0 {
 		return
 	}
-	for _, u := range l.Scheduler.Unplaced(maxSpills, l.now()) {
+	owners := l.Directory.ZoneOwners()
+	for _, u := range unplaced {
 		if _, busy := l.spilling[u.Job]; busy || len(l.spilling) >= maxSpills {
 			continue
 		}
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -11,6 +11,7 @@
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/core/casched"
+	"celeryarch.example/celeryarch/internal/node/catask"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -128,6 +129,11 @@
 	for _, r := range recovery.Resolutions {
 		l.resume(led.id, r)
 	}
+	// What changed on the owned upstreams since they were fenced was told while
+	// nothing of the shard was tracked here.
+	for _, o := range l.table.Since(led.id, catask.Cursor{}).Observations {
+		l.observe(o.Upstream, o.Status)
+	}
 	for _, o := range recovery.Orphans {
 		l.stopAt(o.Upstream, o.Attempt, caplatform.StopModeStop)
 	}
@@ -218,6 +224,7 @@
 // owned upstreams go on as tasks of another entry.
 func (l *Launcher) dropShard(id cawork.ShardID) {
 	delete(l.led, id)
+	maps.DeleteFunc(l.cursors, func(t pollTarget, _ catask.Cursor) bool { return t.shard == id })
 	jobs := make(map[cawork.JobID]struct{})
 	for _, a := range l.attempts {
 		if a.shard == id {
--- a/internal/platform/cahttp/adapter.go
+++ b/internal/platform/cahttp/adapter.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -49,9 +51,16 @@
 	Max   int               `json:"max"`
 }
 
-// VMsAnswer is the answer of the list of VMs.
+// VMsCall asks for the list of VMs, unless it is still the one of the version.
+type VMsCall struct {
+	Known string `json:"known"`
+}
+
+// VMsAnswer is the answer of the list of VMs. VMs is left out when the list is
+// still the one that the call knows.
 type VMsAnswer struct {
-	VMs []caplatform.VM `json:"vms"`
+	Version string          `json:"version"`
+	VMs     []caplatform.VM `json:"vms,omitempty"`
 }
 
 // FenceAnswer is the answer to a fence.
@@ -96,10 +105,13 @@
 	return cawire.Post[ReadCall, caplatform.Page](ctx, l.client, l.base+PathRead, call)
 }
 
-// VMList is the list of VMs at a base URL.
+// VMList is the list of VMs at a base URL. It keeps the last list, so that one
+// that has not changed is not sent again.
 type VMList struct {
 	client *http.Client
 	base   string
+	mu     sync.Mutex
+	last   VMsAnswer
 }
 
 // NewVMList returns the list of VMs at a URL.
@@ -107,8 +119,20 @@
 
 // List implements caplatform.VMList.
 func (v *VMList) List(ctx context.Context) ([]caplatform.VM, error) {
-	answer, err := cawire.Post[Empty, VMsAnswer](ctx, v.client, v.base+PathVMs, Empty{})
-	return answer.VMs, err
+	v.mu.Lock()
+	known := v.last
+	v.mu.Unlock()
+	answer, err := cawire.Post[VMsCall, VMsAnswer](ctx, v.client, v.base+PathVMs, VMsCall{Known: known.Version})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Version == known.Version {
+		return slices.Clone(known.VMs), nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.last = answer
+	return slices.Clone(answer.VMs), nil
 }
 
 // Agents reaches the agents of upstreams.
--- a/internal/platform/cahttp/server.go
+++ b/internal/platform/cahttp/server.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/platform/cawire"
 )
@@ -21,12 +26,28 @@
 
 // ServeVMList adds the path of the list of VMs to the mux.
 func ServeVMList(mux *http.ServeMux, v caplatform.VMList) {
-	mux.Handle(PathVMs, cawire.Handler(func(ctx context.Context, _ Empty) (VMsAnswer, error) {
+	mux.Handle(PathVMs, cawire.Handler(func(ctx context.Context, c VMsCall) (VMsAnswer, error) {
 		vms, err := v.List(ctx)
-		return VMsAnswer{VMs: vms}, err
+		if err != nil {
+			return VMsAnswer{}, err
+		}
+		version, err := versionOf(vms)
+		if err != nil || version == c.Known {
+			return VMsAnswer{Version: version}, err
+		}
+		return VMsAnswer{Version: version, VMs: vms}, nil
 	}))
 }
 
+// versionOf returns a hash that is the same for the same list.
+func versionOf(vms []caplatform.VM) (string, error) {
+	body, err := json.Marshal(vms)
+	if err != nil {
+		return "", cakind.Wrap(cakind.KindInternal, err, "encode the list of VMs")
+	}
+	return strconv.FormatUint(xxhash.Sum64(body), 16), nil
+}
+
 // ServeAgent adds the paths of an agent to the mux.
 func ServeAgent(mux *http.ServeMux, a caplatform.Agent) {
 	mux.Handle(PathClaim, cawire.Handler(a.Claim))
