A job that a silent entry may hold is not told as not found

Change: while an entry that may run is not reached, such jobs are told as unavailable; ids of VMs that were never entries still are not found.

--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -203,6 +203,16 @@
 	return true
 }
 
+// HasSilent implements calaunch.Directory.
+func (d *Directory) HasSilent() bool {
+	for _, m := range d.all() {
+		if m.Liveness == camember.LivenessDead && !d.HasEnded(m.VM, int64(m.Incarnation)) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasLeaderless implements caarchive.Directory.
 func (d *Directory) HasLeaderless() bool {
 	for _, m := range d.all() {
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -216,6 +216,10 @@
 		if err != nil || answer.Outcome != cawork.OutcomeDone {
 			t.Errorf("job in the cut zone: %v, %v", answer.Outcome, err)
 		}
+		_, err = jobs{launcher: w.entries["e00"].entry.launcher}.Get(w.ctx, s.id)
+		if diff := cmp.Diff(cakind.KindUnavailable, cakind.Of(err)); diff != "" {
+			t.Errorf("job asked for from outside mismatch (-want +got):\n%s", diff)
+		}
 		w.cutZone(1, false)
 	})
 }
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -63,6 +63,8 @@
 	FarOwners() []Owner
 	// ZoneEntries returns the live entries of a zone.
 	ZoneEntries(z cawork.ZoneName) []cawork.VMID
+	// HasSilent reports whether an entry that may still run is not reached.
+	HasSilent() bool
 	// KnowsEntry reports whether the VM is, or was, an entry.
 	KnowsEntry(vm cawork.VMID) bool
 	// Leader returns the entry that leads a shard.
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -87,7 +87,8 @@
 }
 
 // search asks all entries for a job. It is not found only if all say so: the
-// shard of a lost entry has no leader until its backup has taken over.
+// shard of a lost entry has no leader until its backup has taken over, and a
+// zone that is cut off may hold it.
 func (l *Launcher) search(ctx context.Context, id cawork.JobID, err error) (JobView, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -100,7 +101,8 @@
 			err = failed
 		}
 	}
-	if cakind.Of(err) == cakind.KindNotFound {
+	hidden := l.Directory.KnowsEntry(entryOf(shardOf(id))) && l.Directory.HasSilent()
+	if cakind.Of(err) == cakind.KindNotFound && !hidden {
 		return JobView{}, cakind.New(cakind.KindNotFound, "no job %s", id)
 	}
 	return JobView{}, cakind.Wrap(cakind.KindUnavailable, err, "the entry that leads job %s is not known now", id).
