A rise waits for the fall of a cut zone as long as it takes; fewer timer ticks

Cause: a new test in virtual time (limit of 30 cores divided anew 40/30/30 to 90/5/5 during a cut) ran 33 cores: the configuration was noted as applied after the first round, so that the second round let the rise pass. Change: it is noted only once every team has its part. Idle processor time went into timer ticks: the dispatcher ticks every 50 ms (was 20), ownership and shards every 100 ms (was 50), the archive appends at most four times a second. Measurement: the test fails before and passes after.

--- a/internal/coord/caowner/part.go
+++ b/internal/coord/caowner/part.go
@@ -18,7 +18,7 @@
 )
 
 // tickPeriod is how often State is asked whether a call is due.
-const tickPeriod = 50 * time.Millisecond
+const tickPeriod = 100 * time.Millisecond
 
 // probeRegister is the register that a probe reads. It is never written.
 const probeRegister = "reachability_probe"
--- a/internal/coord/cashard/config.go
+++ b/internal/coord/cashard/config.go
@@ -44,7 +44,7 @@
 		Lease:          2 * time.Second,
 		Drift:          0.01,
 		Margin:         200 * time.Millisecond,
-		Tick:           50 * time.Millisecond,
+		Tick:           100 * time.Millisecond,
 		Heartbeat:      300 * time.Millisecond,
 		CallTimeout:    400 * time.Millisecond,
 		ReplaceAfter:   1200 * time.Millisecond,
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -22,6 +22,9 @@
 const (
 	// topic is the topic of the log that holds the records of shards.
 	topic = "shards"
+	// appendPeriod is the time between two appends of records. Sixty entries
+	// make 240 appends a second at most.
+	appendPeriod = 250 * time.Millisecond
 	// firstLook is the time after the start of an entry at which it looks for
 	// lost shards whatever it has noticed.
 	firstLook = 20 * time.Second
@@ -90,6 +93,7 @@
 	p := &Part{Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff()}
 	p.pause.InitialInterval, p.pause.MaxInterval = lookPeriod, maxLookPause
 	options := calog.DefaultOptions()
+	options.Period = appendPeriod
 	options.Log, options.Topic, options.Writer = c.Log, topic, c.Life
 	options.Snapshots, options.Timer, options.Events, options.Scope = p, c.Timer, c.Logger, c.Scope
 	var err error
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -280,6 +280,30 @@
 	return count
 }
 
+func TestNewDivisionOfALimitWaitsForACutZone(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		spec := cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 30, MaxAttempts: 3, Idempotent: true,
+			Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 40000}`),
+		}
+		w.cutZone(1, true)
+		time.Sleep(10 * time.Second)
+		cut, ok := w.submit(w.entries["e10"].entry, "limited", spec)
+		if !ok {
+			t.Fatal("the cut zone did not accept a job")
+		}
+		w.publish(90, 5, 5)
+		time.Sleep(5 * time.Second)
+		rest, ok := w.submit(w.entries["e00"].entry, "limited", spec)
+		if !ok {
+			t.Fatal("the other zone did not accept a job")
+		}
+		time.Sleep(30 * time.Second)
+		w.cutZone(1, false)
+		w.checkEnded([]submission{cut, rest}, 4*time.Minute)
+	})
+}
+
 // fault brings about one fault and returns what ends it.
 type fault struct {
 	name  string
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -66,7 +66,7 @@
 }
 
 const worldConfiguration = `{
-  "zones": {"zone-0": {"allowance_percent": 40}, "zone-1": {"allowance_percent": 30}, "zone-2": {"allowance_percent": 30}},
+  "zones": {"zone-0": {"allowance_percent": %d}, "zone-1": {"allowance_percent": %d}, "zone-2": {"allowance_percent": %d}},
   "teams": {
     "limited": {"share": 1, "limit": {"processors": %d, "memory": "unlimited", "accelerators": 0}},
     "free": {"share": 1, "limit": {"processors": "unlimited", "memory": "unlimited", "accelerators": "unlimited"}}
@@ -88,7 +88,7 @@
 		}
 	}
 	w.list = castandvm.NewList(w.timer.Now, listLag, vms)
-	w.publish(limitCores)
+	w.publish(40, 30, 30)
 	for z := range zoneCount {
 		for i := range entriesPerZone {
 			w.startEntry(fmt.Sprintf("e%d%d", z, i), zoneName(z))
@@ -113,14 +113,22 @@
 	return vm
 }
 
-func (w *world) publish(cores int) {
-	folder := fstest.MapFS{"cell.json": &fstest.MapFile{Data: fmt.Appendf(nil, worldConfiguration, cores)}}
+// publish puts the configuration in force that divides limits among the zones
+// by the percentages.
+func (w *world) publish(percent ...any) {
+	body := fmt.Appendf(nil, worldConfiguration, append(percent, limitCores)...)
+	folder := fstest.MapFS{"cell.json": &fstest.MapFile{Data: body}}
 	config, err := cacell.Load(folder)
 	if err != nil {
 		w.t.Fatalf("configuration: %v", err)
 	}
 	publisher := cafollow.Publisher{Log: w.log, Topic: cacell.Topic}
-	if _, err := publisher.Publish(w.ctx, cafollow.Change{ID: cafollow.ChangeID(strconv.Itoa(cores)), Body: config.Encode()}); err != nil {
+	current, err := publisher.Current(w.ctx)
+	if err != nil {
+		w.t.Fatalf("Current: %v", err)
+	}
+	change := cafollow.Change{ID: cafollow.ChangeID(fmt.Sprint(percent...)), Base: current.Version, Body: config.Encode()}
+	if result, err := publisher.Publish(w.ctx, change); err != nil || !result.Accepted {
 		w.t.Fatalf("Publish: %v", err)
 	}
 }
--- a/internal/node/caquota/mint.go
+++ b/internal/node/caquota/mint.go
@@ -31,6 +31,7 @@
 // for as long as a zone is cut off.
 func (p *Part) mint(ctx context.Context, shard cawork.ShardID, view caactive.View) {
 	version := int64(view.Version)
+	complete := true
 	for _, team := range view.Config.Teams() {
 		wanted := caescrow.MintShare{Team: team.Name, Version: version, Amount: view.Config.Mint(team.Name, p.Zone)}
 		current := p.mintOf(shard, team.Name)
@@ -39,6 +40,7 @@
 		}
 		changed := !wanted.Amount.Fits(current.Amount) && p.othersMayFall(team.Name, view.Config)
 		next := caescrow.NextMint(current, wanted, changed, changed && p.settledElsewhere(ctx, team.Name, view))
+		complete = complete && next.Amount == wanted.Amount
 		if current.Version == next.Version && current.Amount == next.Amount {
 			continue
 		}
@@ -48,7 +50,9 @@
 		caevent.Info(p.Logger, caevent.AllowanceMinted).Str("team", string(team.Name)).Str("shard", string(shard)).
 			Int64("version", version).Str("amount", next.Amount.String()).Bool("waits", next.Amount != wanted.Amount).Send()
 	}
-	p.applied = view.Config
+	if complete {
+		p.applied = view.Config
+	}
 }
 
 // othersMayFall reports whether another zone may mint more of the limit now
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	tickPeriod           = 20 * time.Millisecond
+	tickPeriod           = 50 * time.Millisecond
 	defaultMaxInProgress = 1024
 )
 
