--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/net/netutil"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/calisten"
 )
 
 // Paths of the API.
@@ -137,7 +137,7 @@
 // Serve answers calls on the listener until Shutdown.
 func (a *API) Serve(lis net.Listener) error {
 	defer close(a.done)
-	bounded := netutil.LimitListener(lis, a.config.Limits.Connections)
+	bounded := calisten.Limit(lis, a.config.Limits.Connections)
 	if err := a.server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/core/cagang"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
@@ -62,7 +63,7 @@
 	l.logDecision(d)
 	switch d.Kind {
 	case casched.DecisionPlace, casched.DecisionPlaceGang:
-		l.place(d, nil, "")
+		l.place(d, nil)
 	case casched.DecisionCheckpoint:
 		l.act(d, caplatform.StopModeCheckpoint)
 	case casched.DecisionStop:
@@ -98,15 +99,20 @@
 	line.Str("text", d.Text()).Send()
 }
 
-// place records and starts the placements of a decision. Owners holds the
-// entry that keeps the room of each placement under the reservation; it is nil
-// when all upstreams are owned here.
-func (l *Launcher) place(d casched.Decision, owners []cawork.VMID, id casched.ReservationID) {
+// place records and starts the placements of a decision. Parts tell what other
+// owners keep room for; there are none when all upstreams are owned here.
+func (l *Launcher) place(d casched.Decision, parts []cagang.Part) {
+	kept := make(map[cawork.TaskRef]cagang.Part)
+	for _, part := range parts {
+		for _, p := range part.Placements {
+			kept[p.Task] = part
+		}
+	}
 	attempts := make([]*attempt, 0, len(d.Placements))
-	for i, p := range d.Placements {
+	for _, p := range d.Placements {
 		a := l.newAttempt(p, d)
-		if owners != nil && owners[i] != l.Self {
-			a.remote, a.reservation = owners[i], id
+		if part, ok := kept[p.Task]; ok && part.Owner != l.Self {
+			a.remote, a.reservation = part.Owner, part.Reservation
 		}
 		attempts = append(attempts, a)
 	}
--- a/internal/node/calaunch/spill.go
+++ b/internal/node/calaunch/spill.go
@@ -1,7 +1,6 @@
 package calaunch
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/core/cagang"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
@@ -23,12 +23,6 @@
 	spillPause = 500 * time.Millisecond
 )
 
-// holding is the room that one owner keeps for a job.
-type holding struct {
-	owner     cawork.VMID
-	upstreams []cawork.UpstreamID
-}
-
 // spill seeks room at other owners for jobs that do not fit here.
 func (l *Launcher) spill() {
 	if len(l.spilling) >= maxSpills {
@@ -52,87 +46,69 @@
 	}
 }
 
-// seek reserves room for a job at one owner after the other in the order of
-// their ids. All entries keep to that order, so that two gangs cannot wait for
-// each other; what cannot be completed is released.
+// seek asks owners for room for a job, the own entry among them when the job
+// is a gang.
 func (l *Launcher) seek(u casched.Unplaced, owners []Owner) {
-	id := casched.ReservationID(uuid.NewString())
+	var ids []cawork.VMID
+	for _, o := range owners {
+		ids = append(ids, o.VM)
+	}
 	if u.Kind == cawork.WorkKindGang {
-		owners = append(owners, Owner{VM: l.Self})
+		ids = append(ids, l.Self)
 	}
-	slices.SortFunc(owners, func(a, b Owner) int { return cmp.Compare(a.VM, b.VM) })
-	var held []holding
-	left := len(u.Tasks)
-	for _, o := range owners {
-		if left == 0 {
-			break
-		}
-		got, err := l.reserveAt(o.VM, id, u, left)
-		if err != nil || len(got) == 0 {
+	talk := cagang.New(u, ids, uuid.NewString(), l.now().Add(reservationTTL))
+	for ask, more := talk.Next(); more; ask, more = talk.Next() {
+		reply, err := l.reserveAt(ask)
+		if err != nil {
+			talk.Refused()
 			continue
 		}
-		held = append(held, holding{owner: o.VM, upstreams: got})
-		left -= len(got)
+		talk.Granted(casched.Reservation{ID: ask.Request.ID, Upstreams: reply.Upstreams, Expires: ask.Request.Expires})
 	}
-	l.post(func() { l.found(u, id, held) })
+	l.post(func() { l.found(u, talk) })
 }
 
-func (l *Launcher) reserveAt(owner cawork.VMID, id casched.ReservationID, u casched.Unplaced, count int) ([]cawork.UpstreamID, error) {
+func (l *Launcher) reserveAt(ask cagang.Ask) (ReserveReply, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, peerTimeout)
 	defer cancel()
-	call := ReserveCall{
-		Request: casched.ReserveRequest{
-			ID: id, Job: u.Job, Team: u.Team, Kind: u.Kind, Size: u.Size, RunTime: u.RunTime,
-			Constraints: u.Constraints, Min: 1, Count: count,
-		},
-		TTL: reservationTTL,
-	}
-	var reply ReserveReply
-	var err error
-	if owner == l.Self {
-		reply, err = l.HandleReserve(ctx, call)
-	} else {
-		reply, err = l.Peers.Reserve(ctx, owner, call)
+	call := ReserveCall{Request: ask.Request, TTL: reservationTTL}
+	if ask.Owner == l.Self {
+		return l.HandleReserve(ctx, call)
 	}
-	return reply.Upstreams, err
+	return l.Peers.Reserve(ctx, ask.Owner, call)
 }
 
 // found places the tasks of a job in the room that owners keep for it.
-func (l *Launcher) found(u casched.Unplaced, id casched.ReservationID, held []holding) {
-	placements, owners := assign(u, held)
-	complete := len(placements) == len(u.Tasks)
-	if len(placements) == 0 || (u.Kind == cawork.WorkKindGang && !complete) {
-		l.releaseAll(held, id)
+func (l *Launcher) found(u casched.Unplaced, talk *cagang.Negotiation) {
+	parts := talk.Parts()
+	local := casched.ReservationID("")
+	for _, part := range parts {
+		if part.Owner == l.Self {
+			local = part.Reservation
+		}
+	}
+	if !talk.Complete(l.now()) {
+		l.release(parts)
 		l.endSpill(u.Job)
 		return
 	}
-	local := casched.ReservationID("")
-	if slices.ContainsFunc(held, func(h holding) bool { return h.owner == l.Self }) {
-		local = id
-	}
-	d, err := l.Scheduler.PlaceReserved(placements, local, l.now())
+	d, err := l.Scheduler.PlaceReserved(talk.Placements(), local, l.now())
 	if err != nil {
-		l.releaseAll(held, id)
+		l.release(parts)
 		l.endSpill(u.Job)
 		return
 	}
 	delete(l.spilling, u.Job)
 	l.logDecision(d)
-	l.place(d, owners, id)
+	l.place(d, parts)
+	l.release(slices.DeleteFunc(parts, func(part cagang.Part) bool { return len(part.Placements) > 0 }))
 }
 
-// assign gives each reserved upstream the next task of the job.
-func assign(u casched.Unplaced, held []holding) ([]casched.Placement, []cawork.VMID) {
-	var placements []casched.Placement
-	var owners []cawork.VMID
-	for _, h := range held {
-		for _, upstream := range h.upstreams {
-			task := u.Tasks[len(placements)]
-			placements = append(placements, casched.Placement{Task: task, Upstream: upstream, Size: u.Size})
-			owners = append(owners, h.owner)
-		}
+// release frees the room of parts that are not used.
+func (l *Launcher) release(parts []cagang.Part) {
+	for _, part := range parts {
+		l.releaseAt(part.Owner, part.Reservation)
 	}
-	return placements, owners
 }
 
 // endSpill lets the search for a job start again after a pause.
@@ -148,12 +124,6 @@
 	}()
 }
 
-func (l *Launcher) releaseAll(held []holding, id casched.ReservationID) {
-	for _, h := range held {
-		l.releaseAt(h.owner, id)
-	}
-}
-
 func (l *Launcher) releaseAt(owner cawork.VMID, id casched.ReservationID) {
 	if owner == l.Self {
 		l.Scheduler.ReleaseReservation(id, l.now())
