An entry whose shard was taken over founds a new one

Cause: by hand, nine processes: an entry stopped for 5 s by SIGSTOP went on refusing every job, because its own shard had another primary. Change: it founds a new shard for the jobs to come.

--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -173,7 +174,7 @@
 	})
 	e.directory.SetMembers(e.members)
 	e.life = int64(e.members.Self().Incarnation)
-	e.shard = cawork.ShardID(string(e.settings.VM) + "-" + strconv.FormatInt(e.life, 36))
+	e.shard = shardID(e.settings.VM, e.life)
 	e.owner = caowner.NewPart(caowner.DefaultConfig(), e.settings.VM, e.settings.Zone, caowner.Deps{
 		Agents: e.platform.Agents, Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
 	})
@@ -282,6 +283,34 @@
 	e.log.Error().Str("invariant", v.Invariant.String()).Str("detail", v.Detail).Msg("scheduler invariant is broken")
 }
 
+// shardID returns the id of a shard that the entry founds at a time, in
+// milliseconds of Unix time. It is never used twice.
+func shardID(vm cawork.VMID, at int64) cawork.ShardID {
+	return cawork.ShardID(string(vm) + "-" + strconv.FormatInt(at, 36))
+}
+
+// replaceShard founds a new shard for the jobs to come, after the former one
+// was taken over because this entry was paused or cut off.
+func (e *Entry) replaceShard() {
+	next := shardID(e.settings.VM, e.timer.Now().UnixMilli())
+	if err := e.shards.Open(next); err != nil {
+		caevent.Warn(e.log, caevent.PartFailed).Str("part", "shards").AnErr("error", err).Send()
+		return
+	}
+	e.shard = next
+	e.launcher.SetShard(next)
+	e.quota.SetShard(next)
+}
+
+func (e *Entry) isDraining() bool {
+	select {
+	case <-e.draining:
+		return true
+	default:
+		return false
+	}
+}
+
 // shardListener forwards the news of shards to the launcher.
 type shardListener Entry
 
@@ -292,6 +321,9 @@
 	}
 	l.archive.Changed(ev)
 	l.launcher.ShardEvent(ev)
+	if e := (*Entry)(l); ev.Type == cashard.EventDeposed && ev.Shard == e.shard && !e.isDraining() {
+		e.replaceShard()
+	}
 }
 
 // ShardCommitted implements cashard.Listener.
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -224,6 +224,22 @@
 	})
 }
 
+func TestEntryThatWasHeldAcceptsJobsAgain(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.network.hold("e00")
+		time.Sleep(10 * time.Second)
+		w.network.release("e00")
+		time.Sleep(10 * time.Second)
+		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 1, MaxAttempts: 3, Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+		})
+		if !ok {
+			t.Fatal("an entry whose shard was taken over accepts no job any more")
+		}
+		w.checkEnded([]submission{s}, time.Minute)
+	})
+}
+
 func TestFullZoneGivesJobsToOthers(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		spec := cawork.JobSpec{
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -177,7 +177,7 @@
 			}
 			return 1
 		}
-		name := string(e.shard)
+		name := string(e.settings.VM)
 		return cmp.Compare(carendezvous.Score(name, b.Member.VM), carendezvous.Score(name, a.Member.VM))
 	})
 	return list
@@ -193,7 +193,7 @@
 		}
 	}
 	var order []cawork.UpstreamID
-	for _, id := range carendezvous.Rank(string(e.shard), ids) {
+	for _, id := range carendezvous.Rank(string(e.settings.VM), ids) {
 		order = append(order, cawork.UpstreamID(id))
 	}
 	return order
--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -70,12 +70,7 @@
 
 // Ready implements caapi.Status.
 func (e *Entry) Ready() bool {
-	select {
-	case <-e.draining:
-		return false
-	default:
-		return e.active.View().Version > 0
-	}
+	return !e.isDraining() && e.active.View().Version > 0
 }
 
 // Status implements caapi.Status.
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -282,6 +282,15 @@
 	l.post(func() { l.Scheduler.SetRemoteUse(r, l.now()) })
 }
 
+// SetShard makes the launcher accept jobs into a new shard, after the former
+// one was taken over.
+func (l *Launcher) SetShard(s cawork.ShardID) {
+	l.post(func() {
+		l.Shard = s
+		l.led[s] = &ledShard{id: s, recovered: true}
+	})
+}
+
 // Drain refuses new jobs from now on and starts no further attempt.
 func (l *Launcher) Drain() {
 	l.post(func() {
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -223,7 +223,7 @@
 // goes to the own shard first.
 func (p *Part) retire() {
 	for _, shard := range p.led() {
-		if shard == p.Shard {
+		if shard == p.own() {
 			continue
 		}
 		empty := false
@@ -237,11 +237,11 @@
 // collect moves what shards that were taken over can spare to the own shard.
 func (p *Part) collect(ctx context.Context) {
 	for _, shard := range p.led() {
-		if shard == p.Shard || !p.leads(p.Shard) {
+		if shard == p.own() || !p.leads(p.own()) {
 			continue
 		}
 		for _, spare := range p.spare(shard) {
-			sent := cajob.AllowanceSent{To: p.Shard, Team: spare.Team, Amount: spare.Amount}
+			sent := cajob.AllowanceSent{To: p.own(), Team: spare.Team, Amount: spare.Amount}
 			if p.append(ctx, shard, cajob.Record{Type: cajob.RecordAllowanceSent, AllowanceSent: &sent}) != nil {
 				return
 			}
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -152,6 +152,20 @@
 // Done is closed when the part has ended.
 func (p *Part) Done() <-chan struct{} { return p.done }
 
+// SetShard names the own shard after the former one was taken over.
+func (p *Part) SetShard(s cawork.ShardID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Shard = s
+}
+
+// own returns the own shard.
+func (p *Part) own() cawork.ShardID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Shard
+}
+
 // LedChanged makes the part look at the led shards at once.
 func (p *Part) LedChanged() {
 	select {
@@ -219,7 +233,7 @@
 		p.claimed = p.Timer.Now()
 		return
 	}
-	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.Shard}
+	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.own()}
 	if held {
 		next.Shard = holder.Shard
 	}
