Test of the log as arbiter: its state is set under its lock

Cause: the race detector saw the test take the log down without the lock. Change: a setter. Measurement: go test -race -run TestTimeWithout passes. Conclusion: kept.

--- a/internal/coord/cashard/arbiter_test.go
+++ b/internal/coord/cashard/arbiter_test.go
@@ -23,6 +23,12 @@
 	registers map[string]caplatform.Register
 }
 
+func (a *logArbiter) setDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+}
+
 func (a *logArbiter) call() error {
 	time.Sleep(a.latency)
 	a.mu.Lock()
@@ -78,7 +84,7 @@
 			w.open(ctx, 4, 3)
 			time.Sleep(5*time.Second + time.Duration(run/2*37)*time.Millisecond)
 			if w.arbiter != nil {
-				w.arbiter.down = down
+				w.arbiter.setDown(down)
 			}
 			killed := w.nodes[run%2]
 			killed.kill()
