--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -224,6 +224,26 @@
 	})
 }
 
+func TestGangsRunFromEveryEntry(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		var accepted []submission
+		// Some of the entries own no upstream of their own.
+		for _, id := range w.entryIDs() {
+			s, ok := w.submit(w.entries[id].entry, "free", cawork.JobSpec{
+				Kind: cawork.WorkKindGang, Tasks: 3, MaxAttempts: 3, Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB},
+			})
+			if !ok {
+				t.Fatalf("entry %s did not accept a gang", id)
+			}
+			accepted = append(accepted, s)
+		}
+		w.checkEnded(accepted, time.Minute)
+		if diff := cmp.Diff(0, w.running()); diff != "" {
+			t.Errorf("tasks left mismatch (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestEntryThatWasHeldAcceptsJobsAgain(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		w.network.hold("e00")
--- a/internal/node/calaunch/spill.go
+++ b/internal/node/calaunch/spill.go
@@ -83,7 +83,7 @@
 	parts := talk.Parts()
 	local := casched.ReservationID("")
 	for _, part := range parts {
-		if part.Owner == l.Self {
+		if part.Owner == l.Self && len(part.Placements) > 0 {
 			local = part.Reservation
 		}
 	}
