What a late question writes is not read

Cause: the race detector saw Load return what a question wrote after the caller had given up; a key that was checked too late stayed marked as under way for ever. Change: nothing is read of a question that has not run in time, and the mark is taken back. Measurement: go test -race of the rebuilt shard passes.

--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -252,7 +252,8 @@
 }
 
 // ask runs a question on the loop and waits for its end. It reports whether
-// the question ran.
+// the question has run; if not, it may yet, so that what it writes must not be
+// read.
 func (l *Launcher) ask(ctx context.Context, question func()) bool {
 	ran := make(chan struct{})
 	l.post(func() {
--- a/internal/node/calaunch/load.go
+++ b/internal/node/calaunch/load.go
@@ -21,7 +21,7 @@
 // Load returns the present load, the zero value once the launcher has ended.
 func (l *Launcher) Load(ctx context.Context) Load {
 	var load Load
-	l.ask(ctx, func() {
+	answered := l.ask(ctx, func() {
 		load = Load{
 			Free:        l.Scheduler.Free(),
 			LargestHole: l.Scheduler.LargestHole(cawork.Constraints{}),
@@ -34,6 +34,9 @@
 			}
 		}
 	})
+	if !answered {
+		return Load{}
+	}
 	return load
 }
 
--- a/internal/node/calaunch/submit.go
+++ b/internal/node/calaunch/submit.go
@@ -113,7 +113,9 @@
 	})
 	switch {
 	case !ok:
-		return reply, cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
+		// The mark may yet be set; it is taken back after that.
+		l.post(func() { delete(l.pending, keyedSubmission{team: call.Team, key: call.Key}) })
+		return FindKeyReply{}, cakind.New(cakind.KindUnavailable, "the key cannot be checked in time").WithRetryAfter(keyRetryAfter)
 	case reply.Pending:
 		return reply, cakind.New(cakind.KindUnavailable, "a submission with this key is under way").WithRetryAfter(keyRetryAfter)
 	default:
