--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -7,6 +7,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/coord/carendezvous"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -43,6 +44,9 @@
 	Rack     cawork.RackName  `json:"rack"`
 	State    string           `json:"state"`
 	Capacity cawork.Resources `json:"capacity"`
+	// DesiredOwner is the entry that should own the upstream, as this one sees
+	// the zone.
+	DesiredOwner cawork.VMID `json:"desired_owner"`
 	// Epoch is set when this entry owns the upstream.
 	Epoch caplatform.Epoch `json:"epoch,omitempty"`
 }
@@ -122,9 +126,11 @@
 }
 
 func (e *Entry) upstreamStatuses() []UpstreamStatus {
+	entries := append(e.directory.ZoneEntries(e.settings.Zone), e.settings.VM)
 	var statuses []UpstreamStatus
 	for _, vm := range e.directory.ZoneUpstreams() {
 		s := UpstreamStatus{ID: vm.ID, Rack: vm.Rack, State: vm.State.String(), Capacity: vm.Capacity}
+		s.DesiredOwner, _ = carendezvous.First(string(vm.ID), entries)
 		if lease, ok := e.owner.Lease(cawork.UpstreamID(vm.ID)); ok {
 			s.Epoch = lease.Epoch
 		}
