--- a/internal/node/caentry/race_off_test.go
+++ b/internal/node/caentry/race_off_test.go
@@ -2,6 +2,6 @@
 
 package caentry
 
-// raceEnabled tells that the race detector is on, under which the long fault
-// runs are left to the run without it.
+// raceEnabled tells that the race detector is on, under which most worlds are
+// left to the run without it.
 const raceEnabled = false
