A job that is given up tells why

Cause: the field reason of a job was declared and never filled. Change: the reason of the decision travels in the record that ends the job, so that it outlives a takeover. Measurement: a test submits a job with a deadline of 1 s into a full demo and reads not_run, deadline.

--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -127,6 +127,30 @@
 	}
 }
 
+func TestJobPastItsDeadlineTellsWhy(t *testing.T) {
+	demo, _ := startDemo(t)
+	client := clientOf(demo, demo.Key())
+	request(t, client, "ready")
+	whole := cawork.Resources{CPU: cawork.Cores(4), Memory: cawork.GiB}
+	for range 4 {
+		if _, err := client.Submit(context.Background(), caapi.SubmitRequest{Kind: cawork.WorkKindService, Size: whole}, ""); err != nil {
+			t.Fatalf("Submit: %v", err)
+		}
+	}
+	late := caapi.SubmitRequest{Kind: cawork.WorkKindBatch, Size: whole, Deadline: caapi.Duration(time.Second)}
+	id, err := client.Submit(context.Background(), late, "")
+	if err != nil {
+		t.Fatalf("Submit: %v", err)
+	}
+	job, err := client.Get(context.Background(), id, patience)
+	if err != nil {
+		t.Fatalf("Get: %v", err)
+	}
+	if diff := cmp.Diff([]string{"not_run", "deadline"}, []string{job.Outcome.String(), job.Reason}); diff != "" {
+		t.Errorf("outcome and reason mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestRefusalsNameTheirKind(t *testing.T) {
 	demo, _ := startDemo(t)
 	client := clientOf(demo, demo.Key())
--- a/internal/node/caentry/adapter.go
+++ b/internal/node/caentry/adapter.go
@@ -55,7 +55,7 @@
 
 func jobAnswer(v calaunch.JobView) caapi.JobAnswer {
 	answer := caapi.JobAnswer{
-		JobID: v.Job, Team: v.Team, Queue: v.Queue, Kind: v.Kind, Outcome: v.Outcome, Accepted: v.Accepted,
+		JobID: v.Job, Team: v.Team, Queue: v.Queue, Kind: v.Kind, Outcome: v.Outcome, Reason: v.Reason, Accepted: v.Accepted,
 		Tasks: make([]caapi.TaskAnswer, 0, len(v.Tasks)),
 	}
 	for i, t := range v.Tasks {
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -71,7 +71,7 @@
 	case casched.DecisionThrottle:
 		l.act(d, caplatform.StopModeThrottle)
 	case casched.DecisionRefuse, casched.DecisionExpire:
-		l.refuse(d.Job)
+		l.refuse(d.Job, d.Reason.String())
 	case casched.DecisionReserve, casched.DecisionEject, casched.DecisionRestore:
 	}
 }
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -150,11 +150,13 @@
 
 // JobView is the state of a job as its leader knows it.
 type JobView struct {
-	Job      cawork.JobID
-	Team     cawork.TeamName
-	Queue    string
-	Kind     cawork.WorkKind
-	Outcome  cawork.Outcome
+	Job     cawork.JobID
+	Team    cawork.TeamName
+	Queue   string
+	Kind    cawork.WorkKind
+	Outcome cawork.Outcome
+	// Reason tells why a job was given up, empty otherwise.
+	Reason   string
 	Canceled bool
 	Accepted time.Time
 	Tasks    []TaskView
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -191,7 +191,7 @@
 		return JobView{}, false
 	}
 	view := JobView{
-		Job: id, Team: j.Job.Team, Queue: j.Job.Spec.Queue, Kind: j.Job.Spec.Kind, Outcome: j.Outcome,
+		Job: id, Team: j.Job.Team, Queue: j.Job.Spec.Queue, Kind: j.Job.Spec.Kind, Outcome: j.Outcome, Reason: string(j.Result),
 		Canceled: j.Canceled, Accepted: j.Job.Accepted,
 	}
 	for _, t := range j.Tasks {
--- a/internal/node/calaunch/settle.go
+++ b/internal/node/calaunch/settle.go
@@ -55,7 +55,7 @@
 		Bool("requeued", result.Requeued).Dur("elapsed", s.status.Elapsed).Send()
 	l.reconcile(a.task.Job)
 	if result.JobEnded {
-		l.refuse(a.task.Job)
+		l.refuse(a.task.Job, reasonNoAttemptLeft)
 	}
 }
 
@@ -90,13 +90,16 @@
 		}
 	})
 	if open && verdict != cawork.OutcomePending {
-		l.end(id, verdict)
+		l.end(id, verdict, "")
 	}
 }
 
-// end records the final outcome of a job.
-func (l *Launcher) end(id cawork.JobID, outcome cawork.Outcome) {
-	record := cajob.JobEnded{Job: id, Outcome: outcome}
+// reasonNoAttemptLeft is told of jobs whose tasks get no further attempt.
+const reasonNoAttemptLeft = "no_attempt_left"
+
+// end records the final outcome of a job, with the reason when it was given up.
+func (l *Launcher) end(id cawork.JobID, outcome cawork.Outcome, reason string) {
+	record := cajob.JobEnded{Job: id, Outcome: outcome, Result: []byte(reason)}
 	err := l.propose(l.home(id), cajob.Record{Type: cajob.RecordJobEnded, JobEnded: &record}, func(err error) {
 		l.ended(id, outcome, err)
 	})
@@ -125,7 +128,7 @@
 
 // refuse ends a job that the scheduler has given up. The outcome is the best
 // one that is true.
-func (l *Launcher) refuse(id cawork.JobID) {
+func (l *Launcher) refuse(id cawork.JobID, reason string) {
 	outcome := cawork.OutcomePending
 	l.readState(l.home(id), func(s *cajob.State) {
 		j, ok := s.Job(id)
@@ -135,7 +138,7 @@
 		outcome = truthful(&j)
 	})
 	if outcome != cawork.OutcomePending {
-		l.end(id, outcome)
+		l.end(id, outcome, reason)
 	}
 }
 
