One wait for answers of the loop; reports of tasks copy no jobs

Three handlers of the launcher waited for an answer of its loop in the same twelve lines. Each report of a running task, each end of one and each send copied the whole job with all its tasks to read one field, which grows with the square of the tasks of a job. escrow had its own form of Resources.Floor, the API its own name of the idempotency header. Change: await; IsCanceled, Payload and Verdict of the job state, which copy nothing; Floor; one header constant. Behaviour and assertions stay. Measurement: tests of the packages pass; the cost of reports was not measured.

--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -115,7 +115,7 @@
 // Excess returns by how much the charges of the team exceed what the shard
 // holds: its debt. Planner.Excess adds what other shards claim.
 func (a *Account) Excess(team cawork.TeamName) cawork.Resources {
-	return positive(cawork.Resources{}.Minus(a.Available(team)))
+	return cawork.Resources{}.Minus(a.Available(team)).Floor()
 }
 
 // Charge takes the amount from the allowance of the team, or fails with
--- a/internal/coord/caescrow/account_test.go
+++ b/internal/coord/caescrow/account_test.go
@@ -62,7 +62,7 @@
 	if err := a.SetMint(next); err != nil {
 		t.Fatal(err)
 	}
-	if rise := positive(next.Amount.Minus(f.top[a.Shard])); !rise.IsZero() {
+	if rise := next.Amount.Minus(f.top[a.Shard]).Floor(); !rise.IsZero() {
 		f.top[a.Shard] = next.Amount
 		f.highest = f.highest.Plus(rise)
 	}
--- a/internal/coord/caescrow/amount.go
+++ b/internal/coord/caescrow/amount.go
@@ -2,15 +2,6 @@
 
 import "celeryarch.example/celeryarch/internal/base/cawork"
 
-// positive returns the amount with every negative dimension set to zero.
-func positive(r cawork.Resources) cawork.Resources {
-	return cawork.Resources{
-		CPU:          max(r.CPU, 0),
-		Memory:       max(r.Memory, 0),
-		Accelerators: max(r.Accelerators, 0),
-	}
-}
-
 // smaller returns the lesser of both amounts in each dimension.
 func smaller(a, b cawork.Resources) cawork.Resources {
 	return cawork.Resources{
--- a/internal/coord/caescrow/planner.go
+++ b/internal/coord/caescrow/planner.go
@@ -114,7 +114,7 @@
 	var out []Ask
 	for _, n := range withDebts(a, needs) {
 		debt, overdue := p.debt(now, a, n.Team)
-		missing := positive(n.Amount.Minus(a.Available(n.Team)))
+		missing := n.Amount.Minus(a.Available(n.Team)).Floor()
 		if missing.IsZero() || now.Sub(p.asked[n.Team]) < p.policy.Period {
 			continue
 		}
@@ -186,7 +186,7 @@
 			break
 		}
 		out = append(out, Ask{From: p.shard, Zone: p.zone, To: partner.Shard, Team: team, Amount: amount})
-		amount = positive(amount.Minus(partner.idle(team)))
+		amount = amount.Minus(partner.idle(team)).Floor()
 	}
 	return out
 }
@@ -259,7 +259,7 @@
 	if ask.Zone != p.zone && !ask.Owed {
 		spare = spare.Minus(p.kept(a, ask.Team))
 	}
-	return smaller(positive(spare), positive(ask.Amount))
+	return smaller(spare.Floor(), ask.Amount.Floor())
 }
 
 // Claimed notes an ask for a debt. It is volatile: the debtor repeats it while
@@ -279,7 +279,7 @@
 // Excess returns what is to be checkpointed or stopped of the team, to pay the
 // debt of this shard and what is claimed for the debts of others.
 func (p *Planner) Excess(now time.Time, a *Account, team cawork.TeamName) cawork.Resources {
-	missing := positive(cawork.Resources{}.Minus(p.Startable(now, a, team)))
+	missing := cawork.Resources{}.Minus(p.Startable(now, a, team)).Floor()
 	return smaller(missing, a.Charged(team))
 }
 
@@ -322,7 +322,7 @@
 				need = n.Amount
 			}
 		}
-		idle := positive(a.Available(team).Minus(need).Minus(p.kept(a, team)))
+		idle := a.Available(team).Minus(need).Minus(p.kept(a, team)).Floor()
 		if !idle.IsZero() {
 			out = append(out, TeamAmount{Team: team, Amount: idle})
 		}
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -16,6 +16,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/caforward"
 	"celeryarch.example/celeryarch/internal/request/calisten"
 )
 
@@ -30,7 +31,7 @@
 
 // Headers of the API.
 const (
-	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderIdempotencyKey = caforward.HeaderKey
 	HeaderQueue          = "X-Queue"
 	bearerPrefix         = "Bearer "
 )
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -217,7 +217,7 @@
 	if !s.Used.IsZero() {
 		l.Scheduler.ReportUsage(a.task, s.Used, l.now())
 	}
-	if l.isCanceled(a.task.Job) {
+	if l.isCanceled(a) {
 		l.stopAttempt(a, caplatform.StopModeStop)
 	}
 }
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -121,11 +121,7 @@
 
 func (l *Launcher) payload(id cawork.JobID) []byte {
 	var payload []byte
-	l.readState(l.home(id), func(s *cajob.State) {
-		if j, ok := s.Job(id); ok {
-			payload = j.Job.Spec.Payload
-		}
-	})
+	l.readState(l.home(id), func(s *cajob.State) { payload = s.Payload(id) })
 	return payload
 }
 
--- a/internal/node/calaunch/handover.go
+++ b/internal/node/calaunch/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -135,22 +136,17 @@
 // HandleHandover accepts a job of another shard. A copy of one that was
 // accepted before has no effect and no error.
 func (l *Launcher) HandleHandover(ctx context.Context, h cajob.Handover) error {
-	result := make(chan error, 1)
-	l.post(func() { l.acceptHandover(h, result) })
-	select {
-	case err := <-result:
-		return err
-	case <-ctx.Done():
-		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "handover of job %s", h.Accepted.Job.ID)
-	case <-l.done:
-		return cakind.New(cakind.KindUnknown, "entry %s has ended", l.Self)
-	}
+	what := fmt.Sprintf("handover of job %s", h.Accepted.Job.ID)
+	_, err := await(ctx, l, what, func(answer func(struct{}, error)) {
+		l.acceptHandover(h, func(err error) { answer(struct{}{}, err) })
+	})
+	return err
 }
 
-func (l *Launcher) acceptHandover(h cajob.Handover, result chan<- error) {
+func (l *Launcher) acceptHandover(h cajob.Handover, answer func(error)) {
 	led, ok := l.led[h.To]
 	if !ok || !led.recovered || l.draining {
-		result <- cakind.New(cakind.KindUnavailable, "shard %s is not led here", h.To)
+		answer(cakind.New(cakind.KindUnavailable, "shard %s is not led here", h.To))
 		return
 	}
 	record := cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &h.Accepted}
@@ -161,10 +157,10 @@
 		if err != nil && cakind.Of(err) == cakind.KindConflict {
 			err = nil
 		}
-		result <- err
+		answer(err)
 	})
 	if err != nil {
-		result <- err
+		answer(err)
 	}
 }
 
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
@@ -270,6 +271,26 @@
 	}
 }
 
+// await runs a step on the loop and waits for the answer that it, or what it
+// sets off, gives once. KindUnknown tells that the answer did not come in time.
+func await[T any](ctx context.Context, l *Launcher, what string, step func(answer func(T, error))) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	results := make(chan result, 1)
+	l.post(func() { step(func(value T, err error) { results <- result{value, err} }) })
+	var none T
+	select {
+	case r := <-results:
+		return r.value, r.err
+	case <-ctx.Done():
+		return none, cakind.Wrap(cakind.KindUnknown, ctx.Err(), "%s", what)
+	case <-l.done:
+		return none, cakind.New(cakind.KindUnknown, "%s: entry %s has ended", what, l.Self)
+	}
+}
+
 // SetPolicy replaces the policy of the scheduler.
 func (l *Launcher) SetPolicy(p casched.Policy) {
 	l.post(func() {
--- a/internal/node/calaunch/settle.go
+++ b/internal/node/calaunch/settle.go
@@ -81,15 +81,8 @@
 // reconcile ends a job that has earned its outcome.
 func (l *Launcher) reconcile(id cawork.JobID) {
 	verdict := cawork.OutcomePending
-	open := false
-	l.readState(l.home(id), func(s *cajob.State) {
-		j, ok := s.Job(id)
-		open = ok && j.IsOpen()
-		if open {
-			verdict = j.Verdict()
-		}
-	})
-	if open && verdict != cawork.OutcomePending {
+	l.readState(l.home(id), func(s *cajob.State) { verdict = s.Verdict(id) })
+	if verdict != cawork.OutcomePending {
 		l.end(id, verdict, "")
 	}
 }
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -96,26 +97,14 @@
 
 // HandleAct acts on an attempt for the primary of its shard.
 func (l *Launcher) HandleAct(ctx context.Context, call ActCall) (caplatform.TaskStatus, error) {
-	type answer struct {
-		status caplatform.TaskStatus
-		err    error
-	}
-	answers := make(chan answer, 1)
-	l.post(func() {
+	what := fmt.Sprintf("act on attempt %s", call.Attempt)
+	return await(ctx, l, what, func(answer func(caplatform.TaskStatus, error)) {
 		if !l.table.Owns(call.Upstream) {
-			answers <- answer{err: cakind.New(cakind.KindFenced, "upstream %s is not owned here", call.Upstream)}
+			answer(caplatform.TaskStatus{}, cakind.New(cakind.KindFenced, "upstream %s is not owned here", call.Upstream))
 			return
 		}
-		l.actLocal(call, func(s caplatform.TaskStatus, err error) { answers <- answer{s, err} })
+		l.actLocal(call, answer)
 	})
-	select {
-	case a := <-answers:
-		return a.status, a.err
-	case <-ctx.Done():
-		return caplatform.TaskStatus{}, cakind.Wrap(cakind.KindUnknown, ctx.Err(), "act on attempt %s", call.Attempt)
-	case <-l.done:
-		return caplatform.TaskStatus{}, cakind.New(cakind.KindUnknown, "entry %s has ended", l.Self)
-	}
 }
 
 // resolveAttempts asks what became of starts whose answers were lost.
@@ -210,9 +199,10 @@
 	l.reconcile(id)
 }
 
-func (l *Launcher) isCanceled(id cawork.JobID) bool {
-	j, ok := l.job(id)
-	return ok && j.Canceled
+func (l *Launcher) isCanceled(a *attempt) bool {
+	canceled := false
+	l.readState(a.shard, func(s *cajob.State) { canceled = s.IsCanceled(a.task.Job) })
+	return canceled
 }
 
 // job returns a job of a led shard. One that was handed over and has ended may
--- a/internal/node/calaunch/submit.go
+++ b/internal/node/calaunch/submit.go
@@ -174,22 +174,10 @@
 
 // accept queues a job and records it. The answer waits for the backup.
 func (l *Launcher) accept(ctx context.Context, call SubmitCall) (SubmitReply, error) {
-	type answer struct {
-		job cawork.JobID
-		err error
-	}
-	answers := make(chan answer, 1)
-	l.post(func() {
-		l.submit(call, func(job cawork.JobID, err error) { answers <- answer{job, err} })
+	job, err := await(ctx, l, "the job may have been accepted", func(answer func(cawork.JobID, error)) {
+		l.submit(call, answer)
 	})
-	select {
-	case a := <-answers:
-		return SubmitReply{Job: a.job}, a.err
-	case <-ctx.Done():
-		return SubmitReply{}, cakind.Wrap(cakind.KindUnknown, ctx.Err(), "the job may have been accepted")
-	case <-l.done:
-		return SubmitReply{}, cakind.New(cakind.KindUnknown, "entry %s ended before the job was accepted for sure", l.Self)
-	}
+	return SubmitReply{Job: job}, err
 }
 
 func (l *Launcher) submit(call SubmitCall, answer func(cawork.JobID, error)) {
