A slow upstream is not restored by slow probes; its test is deterministic

Cause: the test released routes in the order of a map and moved the clock within that loop, so that peers released after u1 looked as slow as u1; it also lost the routes that it overwrote in the map and so filled the slots. Rewritten with slices and all routes released, at 30 requests for 32 slots, the test showed a fault of the product: ejected and restored in turns, 8 times in 51 s, since a probe that is served counts as well however long it took. Change: the mean of the three probes is judged as the latency of any upstream is; a restored upstream starts with that mean instead of its old latency.

--- a/internal/request/caroute/ejection.go
+++ b/internal/request/caroute/ejection.go
@@ -36,11 +36,17 @@
 }
 
 func (r *Router) slow(id cawork.UpstreamID, h *health) bool {
+	return h.samples() >= minSamples && r.slowLatency(id, h.latency)
+}
+
+// slowLatency reports whether the latency is far beyond that of the peers of
+// the upstream.
+func (r *Router) slowLatency(id cawork.UpstreamID, latency time.Duration) bool {
 	// The mean of all is cheap and spares most comparisons with the median.
-	if h.samples() < minSamples || h.latency <= max(slowFloor, r.service) {
+	if latency <= max(slowFloor, r.service) {
 		return false
 	}
-	return float64(h.latency) > slowFactor*float64(r.peerLatency(id))
+	return float64(latency) > slowFactor*float64(r.peerLatency(id))
 }
 
 // mayEject reports whether one more upstream may be ejected: up to a third of
@@ -109,7 +115,9 @@
 	return nil
 }
 
-func (r *Router) probeEnded(now time.Time, id cawork.UpstreamID, h *health, v Verdict) []Change {
+// probeEnded takes the result of a probe. An upstream that answers its probes
+// as slowly as one that is ejected for it stays out.
+func (r *Router) probeEnded(now time.Time, id cawork.UpstreamID, h *health, v Verdict, latency time.Duration) []Change {
 	if !h.ejected {
 		return nil
 	}
@@ -122,9 +130,16 @@
 		return nil
 	}
 	h.probed++
+	h.probeTime += latency
 	if h.probed < probeSuccesses {
 		return nil
 	}
-	h.restore(now)
+	// One long request among the probes must not decide alone.
+	mean := h.probeTime / probeSuccesses
+	if r.slowLatency(id, mean) {
+		h.eject(now)
+		return nil
+	}
+	h.restore(now, mean)
 	return []Change{{Kind: ChangeRestored, Upstream: id, Latency: h.latency}}
 }
--- a/internal/request/caroute/health.go
+++ b/internal/request/caroute/health.go
@@ -58,6 +58,8 @@
 	probeFrom time.Time
 	probing   bool
 	probed    int
+	// probeTime is the sum of the latencies of the probes in a row.
+	probeTime time.Duration
 	pausedTo  time.Time
 	// refusals counts the refusals in a row.
 	refusals int
@@ -131,13 +133,16 @@
 	h.ejected = true
 	h.probing = false
 	h.probed = 0
+	h.probeTime = 0
 	wait := min(firstEjection<<min(h.ejections, 10), longestEjection)
 	h.probeFrom = now.Add(wait)
 	h.ejections++
 }
 
-func (h *health) restore(now time.Time) {
-	*h = health{decayed: now, used: now, latency: h.latency, limit: h.limit, ejections: max(h.ejections-1, 0)}
+// restore puts the upstream to use again. What it did before the probes counts
+// no longer.
+func (h *health) restore(now time.Time, latency time.Duration) {
+	*h = health{decayed: now, used: now, latency: latency, limit: h.limit, ejections: max(h.ejections-1, 0)}
 }
 
 func (h *health) probeDue(now time.Time) bool {
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -242,7 +242,7 @@
 		r.service += time.Duration(serviceWeight * float64(sample-r.service))
 	}
 	if t.Probe {
-		return r.probeEnded(now, t.Upstream, h, v)
+		return r.probeEnded(now, t.Upstream, h, v, latency)
 	}
 	return r.judge(now, t.Upstream, h)
 }
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -78,29 +78,45 @@
 	}
 }
 
+// releaseAll ends the routes, all served, and returns the changes.
+func releaseAll(r *caroute.Router, now time.Time, routes []*caroute.Route) []string {
+	var changes []string
+	for _, route := range routes {
+		for _, c := range r.Release(now, route, caroute.VerdictServed) {
+			changes = append(changes, c.Kind.String()+" "+string(c.Upstream))
+		}
+	}
+	return changes
+}
+
 func TestSlowUpstreamIsEjected(t *testing.T) {
 	r := newRouter(4)
 	now := start
 	var got []string
 	for range 100 {
-		routes := map[cawork.UpstreamID]*caroute.Route{}
-		for range 24 {
-			if t := r.Choose(now, ask()); t != nil {
-				routes[t.Upstream] = t
-			}
-		}
-		now = now.Add(10 * time.Millisecond)
-		for id, route := range routes {
-			if id == "u1" {
-				now = now.Add(500 * time.Millisecond)
+		var slow, fast []*caroute.Route
+		for range 30 {
+			route := r.Choose(now, ask())
+			if route == nil {
+				break
 			}
-			for _, c := range r.Release(now, route, caroute.VerdictServed) {
-				got = append(got, c.Kind.String()+" "+string(c.Upstream))
+			if route.Upstream == "u1" {
+				slow = append(slow, route)
+				continue
 			}
+			fast = append(fast, route)
 		}
+		now = now.Add(10 * time.Millisecond)
+		got = append(got, releaseAll(r, now, fast)...)
+		now = now.Add(500 * time.Millisecond)
+		got = append(got, releaseAll(r, now, slow)...)
 	}
 	if diff := cmp.Diff([]string{"ejected u1"}, got); diff != "" {
-		t.Errorf("changes (-want +got):\n%s", diff)
+		t.Errorf("changes while it is slow (-want +got):\n%s", diff)
+	}
+	now = now.Add(time.Minute)
+	if diff := cmp.Diff([]string{"restored u1"}, serve(r, &now, 200, served)); diff != "" {
+		t.Errorf("changes after it is fast again (-want +got):\n%s", diff)
 	}
 }
 
