--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -71,6 +71,9 @@
 	Shard  cawork.ShardID
 	Teams  map[cawork.TeamName]*Balance
 	Closed map[cawork.ShardID]bool
+	// Frozen is set while records of the account may be missing: nothing of it
+	// is available and nothing is owed.
+	Frozen bool
 	// HeirOf lists the lost shards whose allowance this account inherited.
 	HeirOf map[cawork.ShardID]bool
 }
@@ -88,12 +91,18 @@
 // Available returns what may still be charged to the team.
 func (a *Account) Available(team cawork.TeamName) cawork.Resources {
 	b, ok := a.Teams[team]
-	if !ok {
+	if !ok || a.Frozen {
 		return cawork.Resources{}
 	}
 	return b.Available()
 }
 
+// Freeze makes nothing available until Thaw.
+func (a *Account) Freeze() { a.Frozen = true }
+
+// Thaw makes the balances available again.
+func (a *Account) Thaw() { a.Frozen = false }
+
 // Held returns what the shard holds of the limit of the team.
 func (a *Account) Held(team cawork.TeamName) cawork.Resources {
 	b, ok := a.Teams[team]
@@ -136,6 +145,12 @@
 	return nil
 }
 
+// ChargeRunning charges what runs already, covered or not. It may leave a debt.
+func (a *Account) ChargeRunning(team cawork.TeamName, amount cawork.Resources) {
+	b := a.balance(team)
+	b.Charged = b.Charged.Plus(amount.Floor())
+}
+
 // Free returns a charge to the allowance of the team.
 func (a *Account) Free(team cawork.TeamName, amount cawork.Resources) error {
 	if amount.IsZero() {
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -47,6 +47,12 @@
 	RecordPartnerClosed
 	// RecordInherited credits what a lost shard held.
 	RecordInherited
+	// RecordRebuilt notes that the shard was rebuilt from the log, which may
+	// lack its last records.
+	RecordRebuilt
+	// RecordAttemptsFound takes in what the upstreams know of the attempts of a
+	// rebuilt shard.
+	RecordAttemptsFound
 )
 
 // Record is one record of a shard. At is the time of the primary that wrote
@@ -68,6 +74,8 @@
 	AllowanceAcked    *AllowanceAcked     `cbor:",omitempty"`
 	PartnerClosed     *PartnerClosed      `cbor:",omitempty"`
 	Inherited         *Inherited          `cbor:",omitempty"`
+	Rebuilt           *Rebuilt            `cbor:",omitempty"`
+	AttemptsFound     *AttemptsFound      `cbor:",omitempty"`
 }
 
 // JobAccepted is a job and, when another shard handed it over, what its tasks
@@ -158,6 +166,10 @@
 	Closings []caescrow.Closing
 }
 
+// Rebuilt begins the time in which a rebuilt shard starts nothing and moves no
+// allowance.
+type Rebuilt struct{}
+
 var encMode = newEncMode()
 
 func newEncMode() cbor.EncMode {
--- a/internal/coord/cajob/recordtype_names.go
+++ b/internal/coord/cajob/recordtype_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RecordTypeName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinherited"
+const _RecordTypeName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_found"
 
-var _RecordTypeIndex = [...]uint8{0, 12, 29, 44, 56, 65, 76, 90, 98, 112, 130, 145, 159, 168}
+var _RecordTypeIndex = [...]uint8{0, 12, 29, 44, 56, 65, 76, 90, 98, 112, 130, 145, 159, 168, 175, 189}
 
-const _RecordTypeLowerName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinherited"
+const _RecordTypeLowerName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_found"
 
 func (i RecordType) String() string {
 	if i < 0 || i >= RecordType(len(_RecordTypeIndex)-1) {
@@ -37,9 +37,11 @@
 	_ = x[RecordAllowanceAcked-(10)]
 	_ = x[RecordPartnerClosed-(11)]
 	_ = x[RecordInherited-(12)]
+	_ = x[RecordRebuilt-(13)]
+	_ = x[RecordAttemptsFound-(14)]
 }
 
-var _RecordTypeValues = []RecordType{RecordJobAccepted, RecordAttemptsIntended, RecordAttemptSettled, RecordJobCanceled, RecordJobEnded, RecordHandedOver, RecordHandoverAcked, RecordMintSet, RecordAllowanceSent, RecordAllowanceReceived, RecordAllowanceAcked, RecordPartnerClosed, RecordInherited}
+var _RecordTypeValues = []RecordType{RecordJobAccepted, RecordAttemptsIntended, RecordAttemptSettled, RecordJobCanceled, RecordJobEnded, RecordHandedOver, RecordHandoverAcked, RecordMintSet, RecordAllowanceSent, RecordAllowanceReceived, RecordAllowanceAcked, RecordPartnerClosed, RecordInherited, RecordRebuilt, RecordAttemptsFound}
 
 var _RecordTypeNameToValueMap = map[string]RecordType{
 	_RecordTypeName[0:12]:    RecordJobAccepted,
@@ -55,6 +57,8 @@
 	_RecordTypeName[130:145]: RecordAllowanceAcked,
 	_RecordTypeName[145:159]: RecordPartnerClosed,
 	_RecordTypeName[159:168]: RecordInherited,
+	_RecordTypeName[168:175]: RecordRebuilt,
+	_RecordTypeName[175:189]: RecordAttemptsFound,
 }
 
 var _RecordTypeLowerNameToValueMap = map[string]RecordType{
@@ -71,6 +75,8 @@
 	_RecordTypeLowerName[130:145]: RecordAllowanceAcked,
 	_RecordTypeLowerName[145:159]: RecordPartnerClosed,
 	_RecordTypeLowerName[159:168]: RecordInherited,
+	_RecordTypeLowerName[168:175]: RecordRebuilt,
+	_RecordTypeLowerName[175:189]: RecordAttemptsFound,
 }
 
 var _RecordTypeNames = []string{
@@ -87,6 +93,8 @@
 	_RecordTypeName[130:145],
 	_RecordTypeName[145:159],
 	_RecordTypeName[159:168],
+	_RecordTypeName[168:175],
+	_RecordTypeName[175:189],
 }
 
 // RecordTypeString retrieves an enum value from the enum constants string name.
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -100,6 +100,12 @@
 		return s.handOver(*r.HandedOver)
 	case r.Type == RecordHandoverAcked && r.HandoverAcked != nil:
 		return s.handoverAcked(*r.HandoverAcked, r.At)
+	case r.Type == RecordRebuilt && r.Rebuilt != nil:
+		s.account.Freeze()
+		return nil
+	case r.Type == RecordAttemptsFound && r.AttemptsFound != nil:
+		s.takeFound(*r.AttemptsFound, r.At)
+		return nil
 	default:
 		return s.applyAllowance(r)
 	}
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/calog"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -51,18 +53,12 @@
 	Leader(s cawork.ShardID) (cawork.VMID, bool)
 	// IsFirstOfZone reports whether no live entry of the zone has a lower id.
 	IsFirstOfZone() bool
-	// HasLeaderless reports whether a shard of an ended entry has no leader.
-	HasLeaderless() bool
+	// ZoneLives returns the lives of the entries of the zone that run, ordered.
+	ZoneLives() []cashard.Member
 	// HasEnded reports whether a life of an entry is known to be over.
 	HasEnded(vm cawork.VMID, incarnation int64) bool
 }
 
-// Recoverer takes up a shard that was rebuilt.
-type Recoverer interface {
-	// ExpectRebuilt announces a shard of which attempts may be missing.
-	ExpectRebuilt(s cawork.ShardID)
-}
-
 // Config wires a part.
 type Config struct {
 	Self      cawork.VMID
@@ -71,7 +67,6 @@
 	Log       caplatform.Log
 	Shards    Shards
 	Directory Directory
-	Recoverer Recoverer
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
@@ -82,7 +77,11 @@
 	Config
 	writer *calog.Writer
 	done   chan struct{}
-	looked atomic.Bool
+	// looked holds the lives of the zone at the last look that left no shard
+	// open. A shard is lost only when a life ends.
+	looked atomic.Pointer[[]cashard.Member]
+	// seen holds the lives of the zone at the last look of any kind.
+	seen []cashard.Member
 	// resting is the time before which the log is not read again.
 	resting time.Time
 	pause   *backoff.ExponentialBackOff
@@ -124,7 +123,16 @@
 
 // MayLack reports whether this entry has yet to look for lost shards of its
 // zone, so that a job that nobody knows may still turn up.
-func (p *Part) MayLack() bool { return !p.looked.Load() && p.Directory.IsFirstOfZone() }
+func (p *Part) MayLack() bool {
+	return p.Directory.IsFirstOfZone() && !p.hasLooked(p.Directory.ZoneLives())
+}
+
+// hasLooked reports whether no life of the zone has begun or ended since the
+// last look that left no shard open.
+func (p *Part) hasLooked(lives []cashard.Member) bool {
+	looked := p.looked.Load()
+	return looked != nil && slices.Equal(*looked, lives)
+}
 
 // Committed archives a record that took effect.
 func (p *Part) Committed(s cawork.ShardID, index int64, record []byte) {
@@ -165,12 +173,19 @@
 	}, true
 }
 
-// look rebuilds lost shards. The first entry of a zone does so when it notices
-// a shard without a leader, and once after its start, because it cannot know
-// of shards that were lost before.
+// look rebuilds lost shards. The first entry of a zone does so after each change
+// of the lives in the zone: a new life of an entry knows nothing of the shards
+// that the former one held.
 func (p *Part) look(ctx context.Context, settled bool) {
-	noticed := p.Directory.HasLeaderless()
-	if !settled || p.Timer.Now().Before(p.resting) || !p.Directory.IsFirstOfZone() || (p.looked.Load() && !noticed) {
+	lives := p.Directory.ZoneLives()
+	if !settled || !p.Directory.IsFirstOfZone() || p.hasLooked(lives) {
+		return
+	}
+	if !slices.Equal(p.seen, lives) {
+		p.seen, p.resting = lives, time.Time{}
+		p.pause.Reset()
+	}
+	if p.Timer.Now().Before(p.resting) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -184,9 +199,8 @@
 	for _, image := range fold.Images() {
 		complete = p.rebuild(ctx, image) && complete
 	}
-	p.looked.Store(complete)
 	if complete {
-		p.pause.Reset()
+		p.looked.Store(&lives)
 		return
 	}
 	p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
@@ -203,11 +217,15 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
-	p.Recoverer.ExpectRebuilt(image.Shard)
+	// The mark makes every later primary take in what the log may lack.
+	mark, err := cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+	if err != nil {
+		return false
+	}
 	err = p.Shards.Rebuild(ctx, cashard.Image{
 		View:     view,
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
-		Records:  image.Records,
+		Records:  append(slices.Clone(image.Records), mark),
 	}, func(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) })
 	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(image.Shard)).Int64("view", view.Number).
 		Int64("index", image.Last()).AnErr("error", err).Send()
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/calist"
 	"celeryarch.example/celeryarch/internal/coord/camember"
+	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/node/calaunch"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -213,19 +214,16 @@
 	return false
 }
 
-// HasLeaderless implements caarchive.Directory.
-func (d *Directory) HasLeaderless() bool {
+// ZoneLives implements caarchive.Directory.
+func (d *Directory) ZoneLives() []cashard.Member {
+	var lives []cashard.Member
 	for _, m := range d.all() {
-		if m.Liveness.Live() || m.Zone != d.zone {
-			continue
-		}
-		for _, s := range m.App.Shards {
-			if _, led := d.Leader(s.Shard); !led {
-				return true
-			}
+		if m.Zone == d.zone && m.Liveness.Live() {
+			lives = append(lives, cashard.Member{VM: m.VM, Incarnation: int64(m.Incarnation)})
 		}
 	}
-	return false
+	slices.SortFunc(lives, func(a, b cashard.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return lives
 }
 
 // HasEnded implements caarchive.Directory. A silent entry has not ended.
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -228,7 +228,7 @@
 	})
 	e.archive, err = caarchive.NewPart(caarchive.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Life: string(e.shard), Log: e.platform.Log,
-		Shards: e.shards, Directory: e.directory, Recoverer: e.launcher,
+		Shards: e.shards, Directory: e.directory,
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	if err != nil {
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -141,8 +141,6 @@
 	// their id names.
 	homes   map[cawork.JobID]cawork.ShardID
 	handing map[cawork.JobID]struct{}
-	// rebuilding holds the shards that are being rebuilt from the log.
-	rebuilding map[cawork.ShardID]struct{}
 }
 
 // ledShard is a shard that this entry leads.
@@ -154,6 +152,9 @@
 	recovered bool
 	// unanswered lists the upstreams that have yet to be fenced.
 	unanswered map[cawork.UpstreamID]struct{}
+	// rebuilt is set while a shard that was rebuilt from the log takes in what
+	// the log lacks.
+	rebuilt *rebuiltShard
 }
 
 type pollTarget struct {
@@ -181,8 +182,6 @@
 		spilling:  make(map[cawork.JobID]struct{}),
 		homes:     make(map[cawork.JobID]cawork.ShardID),
 		handing:   make(map[cawork.JobID]struct{}),
-
-		rebuilding: make(map[cawork.ShardID]struct{}),
 	}
 	l.led[c.Shard] = &ledShard{id: c.Shard, recovered: true}
 	return l
@@ -234,6 +233,7 @@
 		l.lastPoll = l.now()
 		l.pollOwners()
 		l.refence()
+		l.reclaimRebuilt()
 		l.sendHandovers()
 		if !l.draining {
 			l.handOver()
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -160,8 +160,15 @@
 	Canceled bool
 	Accepted time.Time
 	Tasks    []TaskView
+	// Lacking tells that the shard of the job is led here and lacks the job,
+	// BackedUp that it is backed up here. The state is unset then.
+	Lacking  bool
+	BackedUp bool
 }
 
+// isFound reports whether the view holds the state of a job.
+func (v JobView) isFound() bool { return !v.Lacking && !v.BackedUp }
+
 // TaskView is the state of a task of a job.
 type TaskView struct {
 	Outcome  cawork.Outcome
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -72,40 +72,68 @@
 // known.
 func (l *Launcher) lookUp(ctx context.Context, call GetJobCall) (JobView, error) {
 	view, err := l.HandleGetJob(ctx, call)
-	if err == nil {
+	if err == nil && view.isFound() {
 		return view, nil
 	}
+	var seen seenJob
+	seen.note(view, err)
 	if leader, ok := l.Directory.Leader(shardOf(call.Job)); ok && leader != l.Self {
 		ctx, cancel := context.WithTimeout(ctx, call.Wait+peerTimeout)
 		defer cancel()
 		view, err = l.Peers.GetJob(ctx, leader, call)
-		if cakind.Of(err) != cakind.KindNotFound || err == nil {
+		if err == nil && view.isFound() || err != nil && cakind.Of(err) != cakind.KindNotFound {
 			return view, err
 		}
+		seen.note(view, err)
 	}
-	return l.search(ctx, call.Job, err)
+	return l.search(ctx, call.Job, seen)
+}
+
+// seenJob gathers the answers of entries that do not have a job.
+type seenJob struct {
+	// lacking is set when the leader of its shard lacks the job, backedUp when
+	// a backup of the shard was met.
+	lacking  bool
+	backedUp bool
+	// err is the last error that leaves open whether the job is there.
+	err error
+}
+
+func (s *seenJob) note(view JobView, err error) {
+	s.lacking = s.lacking || view.Lacking
+	s.backedUp = s.backedUp || view.BackedUp
+	if err != nil && cakind.Of(err) != cakind.KindNotFound {
+		s.err = err
+	}
+}
+
+// isOpen reports whether the job may be where it was not looked for: with an
+// entry that gave no answer, or with a backup whose leader gave none.
+func (s *seenJob) isOpen() bool {
+	return s.err != nil || s.backedUp && !s.lacking
 }
 
 // search asks all entries for a job. It is not found only if all say so: the
 // shard of a lost entry has no leader until its backup has taken over, and a
 // zone that is cut off may hold it.
-func (l *Launcher) search(ctx context.Context, id cawork.JobID, err error) (JobView, error) {
+func (l *Launcher) search(ctx context.Context, id cawork.JobID, seen seenJob) (JobView, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, vm := range l.Directory.Entries() {
-		view, failed := l.Peers.GetJob(ctx, vm, GetJobCall{Job: id})
-		if failed == nil {
+		view, err := l.Peers.GetJob(ctx, vm, GetJobCall{Job: id})
+		if err == nil && view.isFound() {
 			return view, nil
 		}
-		if cakind.Of(failed) != cakind.KindNotFound {
-			err = failed
-		}
+		seen.note(view, err)
 	}
 	hidden := l.Directory.KnowsEntry(entryOf(shardOf(id))) && l.Directory.HasSilent()
-	if cakind.Of(err) == cakind.KindNotFound && !hidden {
+	if !hidden && !seen.isOpen() {
 		return JobView{}, cakind.New(cakind.KindNotFound, "no job %s", id)
 	}
-	return JobView{}, cakind.Wrap(cakind.KindUnavailable, err, "the entry that leads job %s is not known now", id).
+	if seen.err == nil {
+		seen.err = cakind.New(cakind.KindUnavailable, "an entry that may hold job %s is silent", id)
+	}
+	return JobView{}, cakind.Wrap(cakind.KindUnavailable, seen.err, "the entry that leads job %s is not known now", id).
 		WithRetryAfter(time.Second)
 }
 
@@ -120,7 +148,8 @@
 	return slices.ContainsFunc(l.Shards.Statuses(), func(s cashard.Status) bool { return s.Shard == id && !s.Primary })
 }
 
-// HandleGetJob returns the state of a job that is led here.
+// HandleGetJob returns the state of a job that is led here, or tells that the
+// job is not in its shard, which is led or backed up here.
 func (l *Launcher) HandleGetJob(ctx context.Context, call GetJobCall) (JobView, error) {
 	view, ended, err := l.watch(ctx, call)
 	if err != nil || ended == nil {
@@ -154,10 +183,11 @@
 // when the call asks to wait for it.
 func (l *Launcher) watch(ctx context.Context, call GetJobCall) (JobView, <-chan struct{}, error) {
 	var view JobView
-	var found bool
+	var found, lacking bool
 	var ended chan struct{}
 	ok := l.ask(ctx, func() {
 		view, found = l.view(call.Job)
+		lacking = !found && l.lacks(call.Job)
 		if found && call.Wait > 0 && view.Outcome == cawork.OutcomePending {
 			ended = make(chan struct{})
 			l.waiters[call.Job] = append(l.waiters[call.Job], ended)
@@ -166,8 +196,12 @@
 	switch {
 	case !ok:
 		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
-	case !found && (l.isBackup(shardOf(call.Job)) || l.mayTurnUp(call.Job)):
-		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "job %s is led by another entry", call.Job)
+	case lacking:
+		return JobView{Job: call.Job, Lacking: true}, nil, nil
+	case !found && l.isBackup(shardOf(call.Job)):
+		return JobView{Job: call.Job, BackedUp: true}, nil, nil
+	case !found && l.mayTurnUp(call.Job):
+		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "the shard of job %s has yet to be looked for", call.Job)
 	case !found:
 		return JobView{}, nil, cakind.New(cakind.KindNotFound, "no job %s here", call.Job)
 	case ended == nil:
@@ -177,6 +211,13 @@
 	}
 }
 
+// lacks reports whether the shard of a job is led here and has no record of it.
+func (l *Launcher) lacks(id cawork.JobID) bool {
+	known := false
+	led := l.readState(shardOf(id), func(s *cajob.State) { _, known = s.Job(id) })
+	return led && !known
+}
+
 // wake tells those who wait for a job that it has ended.
 func (l *Launcher) wake(id cawork.JobID) {
 	for _, ended := range l.waiters[id] {
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -40,24 +40,20 @@
 	for _, vm := range upstreams {
 		led.unanswered[cawork.UpstreamID(vm.ID)] = struct{}{}
 	}
-	_, rebuilt := l.rebuilding[e.Shard]
-	delete(l.rebuilding, e.Shard)
+	rebuilt := false
+	l.readState(e.Shard, func(s *cajob.State) { rebuilt = s.IsRebuilt() })
 	go func() {
 		answers := l.fenceAll(e.Shard, e.View.Number, upstreams)
 		if rebuilt {
+			// Attempts that the log lacks may run on any upstream.
 			answers = l.fenceRest(e, upstreams, answers)
+			l.post(func() { l.reclaim(led, answers) })
+			return
 		}
 		l.post(func() { l.recover(led, answers) })
 	}()
 }
 
-// ExpectRebuilt announces a shard that is rebuilt from the log, which may lack
-// the last records. Attempts that it does not know may run on any upstream,
-// so that nothing of the shard starts before all have been fenced.
-func (l *Launcher) ExpectRebuilt(s cawork.ShardID) {
-	l.post(func() { l.rebuilding[s] = struct{}{} })
-}
-
 // fenceRest goes on until every upstream of the zone has answered or is gone.
 func (l *Launcher) fenceRest(e cashard.Event, upstreams []caplatform.VM, answers []cajob.FenceAnswer) []cajob.FenceAnswer {
 	for l.ctx.Err() == nil {
