A released backup is told with heartbeats, not without end

Cause: a primary that had released a backup, and waited for the register of a witness that is lost for good, sent the release again with each answer, as the released member lacks records.

--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -211,7 +211,7 @@
 	if now.Sub(q.lastSent) >= p.cfg.Heartbeat {
 		return true
 	}
-	if q.refused || q.failed {
+	if q.refused || q.failed || p.isReleased(q) {
 		return false
 	}
 	return q.acked < p.log.last() || q.adopted < p.viewFor(q).Number
--- a/internal/coord/cashard/primary_test.go
+++ b/internal/coord/cashard/primary_test.go
@@ -38,3 +38,24 @@
 		t.Errorf("primary stops after %v, backup starts after %v", primaryStops, backupStarts)
 	}
 }
+
+// TestReleasedBackupIsNotToldWithoutEnd covers a primary that has released a
+// backup and waits for the register of the former witness. It sent the release
+// again with each answer.
+func TestReleasedBackupIsNotToldWithoutEnd(t *testing.T) {
+	old := View{Shard: "s", Number: 2, Primary: Member{VM: "p"}, Backup: Member{VM: "b"}, Witness: "lost"}
+	next := old.WithNumber(3).WithBackup(Member{VM: "c"}).WithWitness("w")
+	now := time.Unix(100, 0)
+	p := newPrimary(old.Primary, "z", DefaultConfig(), old, text(""), 0)
+	p.log.add([]byte("r"))
+	p.possible = []View{old, next}
+	p.change = &change{view: next, stage: stageRegister, started: now}
+	p.peer(old.Backup).lastSent = now
+	var out effects
+	p.onReply(now, now, ReplicateRequest{To: old.Backup, View: next, Release: true}, ReplicateReply{Status: ReplyOK}, nil, &out)
+	for _, c := range out.calls {
+		if c.request.To == old.Backup {
+			t.Errorf("the release is sent again at once: %+v", c.request)
+		}
+	}
+}
