A shard whose witness is lost for good together with a member is led on

Cause: an upstream that is lost for good takes the witness register with it.

Change: an entry that holds a replica which cannot go on, or the first of the zone with the image of the log, asks every entry that may run how the shard stands there. If none leads it or holds more, it proposes the next view in the log; the first proposal for a view wins, so that the log decides where no register can. The winner starts as after a rebuild: all upstreams are fenced, what they know is taken in, then it goes on. Waits while an entry is silent or the log is down. Ruled out: to take over without a word from the others (a later view may be in force), several witnesses for each view (a quorum for each change of view, for a case that needs two losses).

--- a/internal/coord/calog/entry.go
+++ b/internal/coord/calog/entry.go
@@ -25,6 +25,9 @@
 	EntryView
 	// EntryRetired notes that the shard is empty and led by nobody.
 	EntryRetired
+	// EntryElected holds the view that follows the view of the index, unless
+	// another one has followed before.
+	EntryElected
 )
 
 // EntryID identifies an entry. Sequences of a writer grow by one.
--- a/internal/coord/calog/entrytype_names.go
+++ b/internal/coord/calog/entrytype_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EntryTypeName = "recordsnapshotviewretired"
+const _EntryTypeName = "recordsnapshotviewretiredelected"
 
-var _EntryTypeIndex = [...]uint8{0, 6, 14, 18, 25}
+var _EntryTypeIndex = [...]uint8{0, 6, 14, 18, 25, 32}
 
-const _EntryTypeLowerName = "recordsnapshotviewretired"
+const _EntryTypeLowerName = "recordsnapshotviewretiredelected"
 
 func (i EntryType) String() string {
 	if i < 0 || i >= EntryType(len(_EntryTypeIndex)-1) {
@@ -28,15 +28,17 @@
 	_ = x[EntrySnapshot-(1)]
 	_ = x[EntryView-(2)]
 	_ = x[EntryRetired-(3)]
+	_ = x[EntryElected-(4)]
 }
 
-var _EntryTypeValues = []EntryType{EntryRecord, EntrySnapshot, EntryView, EntryRetired}
+var _EntryTypeValues = []EntryType{EntryRecord, EntrySnapshot, EntryView, EntryRetired, EntryElected}
 
 var _EntryTypeNameToValueMap = map[string]EntryType{
 	_EntryTypeName[0:6]:   EntryRecord,
 	_EntryTypeName[6:14]:  EntrySnapshot,
 	_EntryTypeName[14:18]: EntryView,
 	_EntryTypeName[18:25]: EntryRetired,
+	_EntryTypeName[25:32]: EntryElected,
 }
 
 var _EntryTypeLowerNameToValueMap = map[string]EntryType{
@@ -44,6 +46,7 @@
 	_EntryTypeLowerName[6:14]:  EntrySnapshot,
 	_EntryTypeLowerName[14:18]: EntryView,
 	_EntryTypeLowerName[18:25]: EntryRetired,
+	_EntryTypeLowerName[25:32]: EntryElected,
 }
 
 var _EntryTypeNames = []string{
@@ -51,6 +54,7 @@
 	_EntryTypeName[6:14],
 	_EntryTypeName[14:18],
 	_EntryTypeName[18:25],
+	_EntryTypeName[25:32],
 }
 
 // EntryTypeString retrieves an enum value from the enum constants string name.
--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -57,6 +57,10 @@
 		i = &Image{Shard: e.Shard}
 		f.images[e.Shard] = i
 	}
+	if e.Type == EntryElected {
+		i.elect(e)
+		return
+	}
 	i.View = max(i.View, e.View)
 	switch e.Type {
 	case EntryRecord:
@@ -71,7 +75,17 @@
 		i.rebase(e)
 	case EntryRetired:
 		i.Retired = true
+	case EntryElected:
+	}
+}
+
+// elect takes the first proposal for the successor of a view.
+func (i *Image) elect(e Entry) {
+	if e.Index < i.View {
+		return
 	}
+	i.View = e.View
+	i.ViewBody = e.Body
 }
 
 // rebase takes a snapshot unless the image is already ahead of it.
--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -67,6 +67,9 @@
 	// possible until a change of view is settled.
 	Degraded bool
 	Index    int64
+	// Followers are the members that hold, or may hold, a replica for this
+	// primary.
+	Followers []Member
 	// Violation tells which invariant was broken, empty when none was. The
 	// shard may not act then.
 	Violation string
@@ -345,7 +348,7 @@
 	return Status{
 		Shard: r.shard, View: r.primary.possible[0], Primary: true, Since: r.primary.first, MayAct: may,
 		Degraded: !r.primary.isSettled() || r.primary.target().IsSolo(),
-		Index:    r.primary.committed, Violation: violation,
+		Index:    r.primary.committed, Followers: r.primary.following(), Violation: violation,
 	}
 }
 
--- /dev/null
+++ b/internal/coord/cashard/succeed.go
@@ -0,0 +1,118 @@
+package cashard
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// Standing tells another member how a shard stands here.
+type Standing struct {
+	// View is the view of the replica here, the zero view when there is none.
+	View View
+	// Leads reports that the replica is the primary, MayAct that it may act.
+	Leads  bool
+	MayAct bool
+	// Index is that of the last record of the replica.
+	Index int64
+}
+
+// HandleStanding tells another member how a shard stands here.
+func (p *Part) HandleStanding(_ context.Context, s cawork.ShardID) (Standing, error) {
+	p.gate()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hasStopped() {
+		return Standing{}, cakind.New(cakind.KindUnavailable, "member %s has stopped", p.opts.Self.VM)
+	}
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil && r.backup == nil {
+		return Standing{}, nil
+	}
+	status := p.status(r)
+	return Standing{View: status.View, Leads: status.Primary, MayAct: status.MayAct, Index: status.Index}, nil
+}
+
+// Succeed makes this member lead a shard in a view that was agreed on without
+// the witness of the former one, which is lost for good. The caller has seen
+// that no other member leads the shard, or will, and that nobody else was
+// elected. The state is that of the replica here, unless the image
+// has more. The mark is the first record of the new lead.
+//
+// KindConflict means that the register of the new witness names another view.
+func (p *Part) Succeed(ctx context.Context, next View, image Image, mark []byte) error {
+	if next.Primary != p.opts.Self || !next.IsSolo() || next.Witness == "" {
+		return cakind.New(cakind.KindInvalid, "view %d of shard %s is not one to succeed in", next.Number, next.Shard)
+	}
+	machine, last, err := p.inheritance(next.Shard, image)
+	if err != nil {
+		return err
+	}
+	held, err := p.opts.Witnesses.ReadRegister(ctx, next.Witness, RegisterName(next.Shard))
+	if err != nil {
+		return err
+	}
+	if v, err := DecodeView(held.Value); err != nil || v.Number > next.Number {
+		return cakind.New(cakind.KindConflict, "register at %s holds view %d of shard %s", next.Witness, v.Number, next.Shard)
+	}
+	if err := p.claim(ctx, next, held); err != nil {
+		return err
+	}
+	// What the log or the replica lacks is for the new lead to find out.
+	_ = machine.Apply(mark)
+	p.leaveReplica(next)
+	return p.lead(next, machine, last+1)
+}
+
+// inheritance returns a copy of the newest state that this member knows of.
+func (p *Part) inheritance(s cawork.ShardID, image Image) (StateMachine, int64, error) {
+	machine := p.opts.NewMachine(s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	logged := image.Snapshot.Index + int64(len(image.Records))
+	if r, ok := p.replicas[s]; ok && (r.primary != nil || r.backup != nil) {
+		status := p.status(r)
+		if status.View.Number >= image.View.Number && status.Index >= logged {
+			return copied(r.machine(), machine, status.Index)
+		}
+	}
+	last, err := restore(machine, image)
+	return machine, last, err
+}
+
+// machine returns the state machine of the replica, nil when there is none.
+func (r *replica) machine() StateMachine {
+	switch {
+	case r.primary != nil:
+		return r.primary.machine
+	case r.backup != nil:
+		return r.backup.machine
+	default:
+		return nil
+	}
+}
+
+func copied(from, to StateMachine, last int64) (StateMachine, int64, error) {
+	state, err := from.Snapshot()
+	if err != nil {
+		return nil, 0, err
+	}
+	return to, last, to.Restore(state)
+}
+
+// leaveReplica ends the part that this member had before the view.
+func (p *Part) leaveReplica(next View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[next.Shard]
+	if !ok {
+		return
+	}
+	p.step(r, func(out *effects) {
+		if r.primary != nil {
+			r.primary.depose(next, out)
+		}
+		r.primary, r.backup = nil, nil
+	})
+}
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -45,6 +45,18 @@
 	MayAct(s cawork.ShardID) (int64, bool)
 	Statuses() []cashard.Status
 	Rebuild(ctx context.Context, image cashard.Image, isGone func(cashard.Member) bool) error
+	HandleStanding(ctx context.Context, s cawork.ShardID) (cashard.Standing, error)
+	Succeed(ctx context.Context, next cashard.View, image cashard.Image, mark []byte) error
+}
+
+// Peers asks other entries how a shard stands there.
+type Peers interface {
+	Standing(ctx context.Context, to cawork.VMID, s cawork.ShardID) (cashard.Standing, error)
+}
+
+// Witnesses reads the registers of upstreams.
+type Witnesses interface {
+	ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error)
 }
 
 // Directory tells what is known of entries and upstreams.
@@ -57,16 +69,26 @@
 	ZoneLives() []cashard.Member
 	// HasEnded reports whether a life of an entry is known to be over.
 	HasEnded(vm cawork.VMID, incarnation int64) bool
+	// IsWitnessLost reports whether an upstream will never run again.
+	IsWitnessLost(u cawork.UpstreamID) bool
+	// RunningEntries returns the other entries that are not known to have ended.
+	RunningEntries() []cawork.VMID
+	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
+	ZoneUpstreams() []caplatform.VM
+	// ShardZone returns the zone of the entry that founded a shard.
+	ShardZone(s cawork.ShardID) (cawork.ZoneName, bool)
 }
 
 // Config wires a part.
 type Config struct {
-	Self      cawork.VMID
+	Self      cashard.Member
 	Zone      cawork.ZoneName
 	Life      string
 	Log       caplatform.Log
 	Shards    Shards
 	Directory Directory
+	Peers     Peers
+	Witnesses Witnesses
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
@@ -85,11 +107,20 @@
 	// resting is the time before which the log is not read again.
 	resting time.Time
 	pause   *backoff.ExponentialBackOff
+	// proposals counts the own proposals of successors of lost views, proposed
+	// holds the last one of each shard.
+	proposals int64
+	proposed  map[cawork.ShardID]cashard.View
+	// succeeded holds the numbers of the elected views that were led here.
+	succeeded map[cawork.ShardID]int64
 }
 
 // NewPart returns a part that runs once Run is called.
 func NewPart(c Config) (*Part, error) {
-	p := &Part{Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff()}
+	p := &Part{
+		Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff(),
+		proposed: make(map[cawork.ShardID]cashard.View), succeeded: make(map[cawork.ShardID]int64),
+	}
 	p.pause.InitialInterval, p.pause.MaxInterval = lookPeriod, maxLookPause
 	options := calog.DefaultOptions()
 	options.Period = appendPeriod
@@ -178,7 +209,9 @@
 // that the former one held.
 func (p *Part) look(ctx context.Context, settled bool) {
 	lives := p.Directory.ZoneLives()
-	if !settled || !p.Directory.IsFirstOfZone() || p.hasLooked(lives) {
+	stuck := p.stuck()
+	first := p.Directory.IsFirstOfZone() && !p.hasLooked(lives)
+	if !settled || !first && len(stuck) == 0 {
 		return
 	}
 	if !slices.Equal(p.seen, lives) {
@@ -195,15 +228,26 @@
 		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 		return
 	}
+	complete := p.succeedAll(ctx, stuck, fold)
+	if first {
+		complete = p.rebuildAll(ctx, fold) && complete
+	}
+	switch {
+	case !complete:
+		p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+	case first:
+		p.looked.Store(&lives)
+	}
+}
+
+// rebuildAll rebuilds the shards of the zone that nobody leads. It reports
+// whether none is left.
+func (p *Part) rebuildAll(ctx context.Context, fold *calog.Fold) bool {
 	complete := true
 	for _, image := range fold.Images() {
 		complete = p.rebuild(ctx, image) && complete
 	}
-	if complete {
-		p.looked.Store(&lives)
-		return
-	}
-	p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+	return complete
 }
 
 // rebuild rebuilds a shard of the zone that nobody leads. It reports whether
@@ -217,8 +261,11 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
+	if p.Directory.IsWitnessLost(view.Witness) || view == p.proposed[view.Shard] {
+		return p.succeed(ctx, view, image)
+	}
 	// The mark makes every later primary take in what the log may lack.
-	mark, err := cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+	mark, err := p.mark()
 	if err != nil {
 		return false
 	}
@@ -226,23 +273,31 @@
 		View:     view,
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
 		Records:  append(slices.Clone(image.Records), mark),
-	}, func(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) })
-	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(image.Shard)).Int64("view", view.Number).
-		Int64("index", image.Last()).AnErr("error", err).Send()
+	}, p.hasEnded)
+	p.logRebuilt(view, image.Last(), err)
 	return err == nil
 }
 
-// isOurs reports whether the shard is of the own zone: its witness is.
+func (p *Part) mark() ([]byte, error) {
+	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+}
+
+func (p *Part) logRebuilt(v cashard.View, last int64, err error) {
+	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(v.Shard)).Int64("view", v.Number).
+		Int64("index", last).AnErr("error", err).Send()
+}
+
+func (p *Part) hasEnded(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) }
+
+// isOurs reports whether the shard is of the own zone.
 func (p *Part) isOurs(v cashard.View) bool {
-	vm, ok := p.Directory.Upstream(v.Witness)
-	return ok && vm.Zone == p.Zone
+	if vm, ok := p.Directory.Upstream(v.Witness); ok {
+		return vm.Zone == p.Zone
+	}
+	zone, ok := p.Directory.ShardZone(v.Shard)
+	return ok && zone == p.Zone
 }
 
 func (p *Part) isHeld(s cawork.ShardID) bool {
-	for _, status := range p.Shards.Statuses() {
-		if status.Shard == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.Shards.Statuses(), func(status cashard.Status) bool { return status.Shard == s })
 }
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,14 +43,22 @@
 	mu      sync.Mutex
 	members Members
 	indexed calist.Snapshot
+	// missed holds the time of the last list when an unknown upstream was first
+	// asked for.
+	missed map[cawork.UpstreamID]time.Time
 	byID    map[cawork.UpstreamID]caplatform.VM
 	// seen holds the time of the last list that named each upstream.
 	seen map[cawork.UpstreamID]time.Time
+	// seenEntries holds the time of the last list that named each entry.
+	seenEntries map[cawork.VMID]time.Time
 }
 
 // NewDirectory returns a directory for an entry of the zone.
 func NewDirectory(self cawork.VMID, zone cawork.ZoneName, list List) *Directory {
-	return &Directory{self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM), seen: make(map[cawork.UpstreamID]time.Time)}
+	return &Directory{
+		self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
+		seen: make(map[cawork.UpstreamID]time.Time), seenEntries: make(map[cawork.VMID]time.Time), missed: make(map[cawork.UpstreamID]time.Time),
+	}
 }
 
 // SetMembers gives the directory the source of entries. The link needs the
@@ -102,6 +111,9 @@
 			d.byID[cawork.UpstreamID(vm.ID)] = vm
 			d.seen[cawork.UpstreamID(vm.ID)] = last.At
 		}
+		if vm.Role == caplatform.VMRoleEntry {
+			d.seenEntries[vm.ID] = last.At
+		}
 	}
 	for id, vm := range d.byID {
 		if vm.State != caplatform.VMStateGone && last.At.Sub(d.seen[id]) >= unlistedAfter {
@@ -233,12 +245,74 @@
 			return true
 		}
 	}
+	return d.isUnlisted(vm)
+}
+
+// isUnlisted reports whether the platform lists the VM of an entry as gone, or
+// has left it out for long enough.
+func (d *Directory) isUnlisted(vm cawork.VMID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index()
+	for _, listed := range d.indexed.VMs {
+		if listed.ID == vm {
+			return listed.State == caplatform.VMStateGone
+		}
+	}
+	seen, known := d.seenEntries[vm]
+	return known && d.indexed.At.Sub(seen) >= unlistedAfter
+}
+
+// IsWitnessLost implements caarchive.Directory. An upstream that is not known
+// here counts as lost once the lists have not named it for long enough since it
+// was first asked for.
+func (d *Directory) IsWitnessLost(u cawork.UpstreamID) bool {
+	if vm, known := d.Upstream(u); known {
+		return vm.State == caplatform.VMStateGone
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since, asked := d.missed[u]
+	if !asked {
+		d.missed[u] = d.indexed.At
+	}
+	return asked && d.indexed.At.Sub(since) >= unlistedAfter
+}
+
+// RunningEntries implements caarchive.Directory: the other entries that are not
+// known to have ended, listed or met.
+func (d *Directory) RunningEntries() []cawork.VMID {
+	running := make(map[cawork.VMID]struct{})
+	for _, m := range d.all() {
+		if !d.HasEnded(m.VM, int64(m.Incarnation)) {
+			running[m.VM] = struct{}{}
+		}
+	}
 	for _, listed := range d.list.Last().VMs {
-		if listed.ID == vm && listed.State == caplatform.VMStateGone {
-			return true
+		_, met := d.Address(listed.ID)
+		if listed.Role == caplatform.VMRoleEntry && listed.State != caplatform.VMStateGone && !met {
+			running[listed.ID] = struct{}{}
 		}
 	}
-	return false
+	delete(running, d.self)
+	return slices.Sorted(maps.Keys(running))
+}
+
+// ShardZone implements caarchive.Directory: the zone of the entry that founded
+// a shard.
+func (d *Directory) ShardZone(s cawork.ShardID) (cawork.ZoneName, bool) {
+	founder := calaunch.EntryOf(s)
+	for _, m := range d.all() {
+		if m.VM == founder {
+			return m.Zone, true
+		}
+	}
+	for _, listed := range d.list.Last().VMs {
+		if listed.ID == founder {
+			return listed.Zone, true
+		}
+	}
+	return "", false
 }
 
 // Partners implements caquota.Leaders.
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -227,8 +227,9 @@
 		MayLack: func() bool { return e.archive.MayLack() },
 	})
 	e.archive, err = caarchive.NewPart(caarchive.Config{
-		Self: e.settings.VM, Zone: e.settings.Zone, Life: string(e.shard), Log: e.platform.Log,
-		Shards: e.shards, Directory: e.directory,
+		Self: cashard.Member{VM: e.settings.VM, Incarnation: e.life}, Zone: e.settings.Zone, Life: string(e.shard),
+		Log: e.platform.Log, Shards: e.shards, Directory: e.directory, Peers: calink.Replicas{Link: e.link()},
+		Witnesses: witnesses{directory: e.directory, agents: e.platform.Agents},
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	if err != nil {
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -27,8 +27,8 @@
 	return cawork.ShardID(beforeLast(string(id), jobSeparator))
 }
 
-// entryOf returns the VM whose entry founded a shard.
-func entryOf(s cawork.ShardID) cawork.VMID {
+// EntryOf returns the VM whose entry founded a shard.
+func EntryOf(s cawork.ShardID) cawork.VMID {
 	return cawork.VMID(beforeLast(string(s), shardSeparator))
 }
 
--- a/internal/node/calaunch/handover.go
+++ b/internal/node/calaunch/handover.go
@@ -70,7 +70,7 @@
 // OwnShard returns the shard among the led ones that the entry itself founded.
 func OwnShard(vm cawork.VMID, led []cawork.ShardID) cawork.ShardID {
 	for _, s := range led {
-		if entryOf(s) == vm {
+		if EntryOf(s) == vm {
 			return s
 		}
 	}
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -126,7 +126,7 @@
 		}
 		seen.note(view, err)
 	}
-	hidden := l.Directory.KnowsEntry(entryOf(shardOf(id))) && l.Directory.HasSilent()
+	hidden := l.Directory.KnowsEntry(EntryOf(shardOf(id))) && l.Directory.HasSilent()
 	if !hidden && !seen.isOpen() {
 		return JobView{}, cakind.New(cakind.KindNotFound, "no job %s", id)
 	}
@@ -140,7 +140,7 @@
 // mayTurnUp reports whether the job is of a former life of an entry and its
 // shard may have yet to be rebuilt.
 func (l *Launcher) mayTurnUp(id cawork.JobID) bool {
-	return l.Directory.KnowsEntry(entryOf(shardOf(id))) && l.MayLack()
+	return l.Directory.KnowsEntry(EntryOf(shardOf(id))) && l.MayLack()
 }
 
 // isBackup reports whether this entry holds the shard for another one.
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -39,6 +39,11 @@
 	return call[cashard.ReplicateRequest, cashard.ReplicateReply](ctx, p.Link, to, callReplicate, r)
 }
 
+// Standing implements caarchive.Peers.
+func (p Replicas) Standing(ctx context.Context, to cawork.VMID, s cawork.ShardID) (cashard.Standing, error) {
+	return call[cawork.ShardID, cashard.Standing](ctx, p.Link, to, callStanding, s)
+}
+
 // Configs implements cafollow.Peers.
 type Configs struct{ *Link }
 
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -17,6 +17,7 @@
 	callExchange      = "member.exchange"
 	callProbe         = "member.probe"
 	callReplicate     = "shard.replicate"
+	callStanding      = "shard.standing"
 	callFetchConfig   = "config.fetch"
 	callBorrow        = "slot.borrow"
 	callReturn        = "slot.return"
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -30,6 +30,7 @@
 	capeer.Handle(s, callExchange, p.Members.HandleExchange)
 	capeer.Handle(s, callProbe, answerEmpty(p.Members.HandleProbe))
 	capeer.Handle(s, callReplicate, p.Shards.HandleReplicate)
+	capeer.Handle(s, callStanding, p.Shards.HandleStanding)
 	capeer.Handle(s, callFetchConfig, func(context.Context, cafollow.Version) (cafollow.Snapshot, error) {
 		return p.Follower.Current(), nil
 	})
