A witness that is lost is blocked before another lead; allowance counts at a takeover

It halts, takes the registers that a backup could still take over by, and then stands for election like a backup does. Elected views that have not led are told apart from those that have by their register, which is written before.

--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -14,6 +14,10 @@
 	View int64
 	// ViewBody is the body of the last entry of type EntryView.
 	ViewBody []byte
+	// Elected reports that ViewBody is of an election that nothing of the new
+	// lead has followed yet. FormerBody is the body that it replaced.
+	Elected    bool
+	FormerBody []byte
 	// Base is the index of the last record that State includes.
 	Base    int64
 	State   []byte
@@ -69,7 +73,7 @@
 		}
 	case EntryView:
 		if e.View >= i.View {
-			i.ViewBody = e.Body
+			i.ViewBody, i.FormerBody, i.Elected = e.Body, nil, false
 		}
 	case EntrySnapshot:
 		i.rebase(e)
@@ -84,8 +88,10 @@
 	if e.Index < i.View {
 		return
 	}
-	i.View = e.View
-	i.ViewBody = e.Body
+	if !i.Elected {
+		i.FormerBody = i.ViewBody
+	}
+	i.View, i.ViewBody, i.Elected = e.View, e.Body, true
 }
 
 // rebase takes a snapshot unless the image is already ahead of it.
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -45,7 +45,7 @@
 
 // tick runs the timers of the primary.
 func (p *primary) tick(now time.Time, out *effects) {
-	if p.done {
+	if p.done || p.halted {
 		return
 	}
 	p.abandon(now)
@@ -366,7 +366,7 @@
 
 // onRegister folds the answer of a witness.
 func (p *primary) onRegister(now time.Time, r registerResult, out *effects) {
-	if p.done {
+	if p.done || p.halted {
 		return
 	}
 	reg := p.registerAt(r.witness)
--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -67,9 +67,8 @@
 	// possible until a change of view is settled.
 	Degraded bool
 	Index    int64
-	// Followers are the members that hold, or may hold, a replica for this
-	// primary.
-	Followers []Member
+	// Witnesses are those of the views that may be in force or come into force.
+	Witnesses []cawork.UpstreamID
 	// Violation tells which invariant was broken, empty when none was. The
 	// shard may not act then.
 	Violation string
@@ -338,7 +337,7 @@
 		if r.backup == nil {
 			return Status{Shard: r.shard}
 		}
-		return Status{Shard: r.shard, View: r.backup.view, Index: r.backup.last}
+		return Status{Shard: r.shard, View: r.backup.view, Index: r.backup.last, Witnesses: []cawork.UpstreamID{r.backup.view.Witness}}
 	}
 	_, may := r.primary.mayAct(p.opts.Timer.Now())
 	violation := ""
@@ -348,7 +347,7 @@
 	return Status{
 		Shard: r.shard, View: r.primary.possible[0], Primary: true, Since: r.primary.first, MayAct: may,
 		Degraded: !r.primary.isSettled() || r.primary.target().IsSolo(),
-		Index:    r.primary.committed, Followers: r.primary.following(), Violation: violation,
+		Index:    r.primary.committed, Witnesses: r.primary.openWitnesses(), Violation: violation,
 	}
 }
 
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -34,7 +34,10 @@
 	draining bool
 	retiring bool
 	yielding bool
-	done     bool
+	// halted stops everything, for another lead to be agreed on without the
+	// lost witness.
+	halted bool
+	done   bool
 	// deposedBy is the view that ended the lead.
 	deposedBy View
 	// violation is the first invariant that was broken.
@@ -120,7 +123,7 @@
 // required backups are valid. A taker-over fences with a higher number.
 func (p *primary) mayAct(now time.Time) (int64, bool) {
 	number := p.possible[0].Number
-	if p.done || p.yielding || p.retiring || p.violation != nil {
+	if p.done || p.halted || p.yielding || p.retiring || p.violation != nil {
 		return number, false
 	}
 	for _, m := range p.required() {
@@ -141,6 +144,9 @@
 
 // advance commits what may be committed and sends what is due.
 func (p *primary) advance(now time.Time, out *effects) {
+	if p.halted {
+		return
+	}
 	p.commit(now, out)
 	p.progress(now, out)
 	p.replicate(now, out)
@@ -280,7 +286,7 @@
 	q := p.peer(req.To)
 	q.busy = false
 	q.failed = err != nil
-	if p.done || err != nil {
+	if p.done || p.halted || err != nil {
 		return
 	}
 	q.refused = r.Status != ReplyOK && r.Status != ReplyBehind && r.Status != ReplyPartial
--- a/internal/coord/cashard/rebuild.go
+++ b/internal/coord/cashard/rebuild.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -95,16 +96,21 @@
 	return View{}, caplatform.Register{}, cakind.New(cakind.KindConflict, "shard %s: no last view found", v.Shard)
 }
 
-// claim writes the next view to the register, and reads it again when the
-// answer is lost.
+// claim writes the next view to the register of its witness.
 func (p *Part) claim(ctx context.Context, next View, held caplatform.Register) error {
+	return p.claimAt(ctx, next.Witness, next, held)
+}
+
+// claimAt writes the next view to a register, and reads it again when the
+// answer is lost.
+func (p *Part) claimAt(ctx context.Context, u cawork.UpstreamID, next View, held caplatform.Register) error {
 	swap, err := newSwap(next, held.Version)
 	if err != nil {
 		return err
 	}
-	got, err := p.opts.Witnesses.SwapRegister(ctx, next.Witness, *swap)
+	got, err := p.opts.Witnesses.SwapRegister(ctx, u, *swap)
 	if err != nil {
-		got, err = p.opts.Witnesses.ReadRegister(ctx, next.Witness, swap.Name)
+		got, err = p.opts.Witnesses.ReadRegister(ctx, u, swap.Name)
 	}
 	if err != nil {
 		return err
--- a/internal/coord/cashard/replica.go
+++ b/internal/coord/cashard/replica.go
@@ -43,6 +43,11 @@
 		r.primary.depose(req.View, out)
 		r.buryPrimary(now)
 	}
+	if r.primary != nil && r.primary.halted && req.To == r.self && req.View.Number > r.primary.highest {
+		// Another member was found to lead the shard.
+		r.primary.depose(req.View, out)
+		r.drop(r.primary.highest)
+	}
 	switch {
 	case req.To != r.self:
 		return ReplicateReply{Status: ReplyWrongMember}, nil
@@ -85,7 +90,7 @@
 	v := p.possible[0]
 	reg := p.registerAt(p.target().Witness)
 	reg.nextRead = time.Time{}
-	if !p.done && p.change == nil {
+	if !p.done && !p.halted && p.change == nil {
 		p.operate(now, p.target().Witness, out)
 	}
 	return ReplicateReply{Status: ReplyDeposed, Adopted: v.Number, Floor: p.highest, View: v}
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -212,7 +212,7 @@
 		got := w.nodes[0].part.Statuses()
 		want := []cashard.Status{{
 			Shard: "s-e0-0", View: cashard.View{Shard: "s-e0-0", Number: 1, Primary: w.nodes[0].member, Witness: "u0"},
-			Primary: true, Since: 1, MayAct: true, Degraded: true, Index: 2,
+			Primary: true, Since: 1, MayAct: true, Degraded: true, Index: 2, Witnesses: []cawork.UpstreamID{"u0"},
 		}}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("status (-want +got):\n%s", diff)
--- a/internal/coord/cashard/succeed.go
+++ b/internal/coord/cashard/succeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -34,6 +35,69 @@
 	return Standing{View: status.View, Leads: status.Primary, MayAct: status.MayAct, Index: status.Index}, nil
 }
 
+// openWitnesses returns the witnesses of all views that are possible or sought.
+func (p *primary) openWitnesses() []cawork.UpstreamID {
+	var out []cawork.UpstreamID
+	for _, v := range p.possible {
+		out = append(out, v.Witness)
+	}
+	if p.change != nil {
+		out = append(out, p.change.view.Witness)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Halt stops a primary here that cannot go on, and takes from its backups what
+// they need for a takeover: the registers of the witnesses that are not lost. It
+// has no effect on a member that is not the primary. KindConflict means that a
+// backup has taken over.
+func (p *Part) Halt(ctx context.Context, next View, isLost func(cawork.UpstreamID) bool) error {
+	for _, u := range p.halt(next.Shard) {
+		if u == "" || isLost(u) {
+			continue
+		}
+		if err := p.block(ctx, u, next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// halt stops the primary of the shard and returns its witnesses.
+func (p *Part) halt(s cawork.ShardID) []cawork.UpstreamID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[s]
+	if !ok || r.primary == nil {
+		return nil
+	}
+	r.primary.halted = true
+	return r.primary.openWitnesses()
+}
+
+// blockTries bounds the swaps of a register, which a late swap of the halted
+// primary may cross.
+const blockTries = 3
+
+// block writes the view to the register of a witness of the own lead.
+func (p *Part) block(ctx context.Context, u cawork.UpstreamID, next View) error {
+	for range blockTries {
+		held, err := p.opts.Witnesses.ReadRegister(ctx, u, RegisterName(next.Shard))
+		if err != nil {
+			return err
+		}
+		v, err := DecodeView(held.Value)
+		if err != nil || v.Number > 0 && v.Primary != p.opts.Self {
+			return cakind.New(cakind.KindConflict, "register at %s holds view %d of shard %s", u, v.Number, next.Shard)
+		}
+		if p.claimAt(ctx, u, next, held) == nil {
+			return nil
+		}
+	}
+	return cakind.New(cakind.KindUnavailable, "register at %s cannot be written", u)
+}
+
 // Succeed makes this member lead a shard in a view that was agreed on without
 // the witness of the former one, which is lost for good. The caller has seen
 // that no other member leads the shard, or will, and that nobody else was
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -46,6 +46,7 @@
 	Statuses() []cashard.Status
 	Rebuild(ctx context.Context, image cashard.Image, isGone func(cashard.Member) bool) error
 	HandleStanding(ctx context.Context, s cawork.ShardID) (cashard.Standing, error)
+	Halt(ctx context.Context, next cashard.View, isLost func(cawork.UpstreamID) bool) error
 	Succeed(ctx context.Context, next cashard.View, image cashard.Image, mark []byte) error
 }
 
@@ -261,7 +262,7 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
-	if p.Directory.IsWitnessLost(view.Witness) || view == p.proposed[view.Shard] {
+	if p.Directory.IsWitnessLost(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
 		return p.succeed(ctx, view, image)
 	}
 	// The mark makes every later primary take in what the log may lack.
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/calog"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
@@ -14,25 +15,20 @@
 // one. Views in between may have been in force at the lost witness.
 const viewGap = 1 << 20
 
-// stuck returns the replicas here that cannot go on, because the witness of
-// their view is lost for good together with all other members.
+// stuck returns the replicas here that cannot go on, because a witness is lost
+// for good together with another member.
 func (p *Part) stuck() []cashard.Status {
 	var stuck []cashard.Status
 	for _, s := range p.Shards.Statuses() {
-		if s.View.Witness != "" && !s.MayAct && p.isAlone(s) && p.Directory.IsWitnessLost(s.View.Witness) {
+		waits := s.Primary && !s.MayAct || !s.Primary && p.hasEnded(s.View.Primary)
+		if waits && slices.ContainsFunc(s.Witnesses, p.isLost) {
 			stuck = append(stuck, s)
 		}
 	}
 	return stuck
 }
 
-// isAlone reports whether all members that the replica knows of have ended.
-func (p *Part) isAlone(s cashard.Status) bool {
-	if !s.Primary {
-		return p.hasEnded(s.View.Primary)
-	}
-	return !slices.ContainsFunc(s.Followers, func(m cashard.Member) bool { return !p.hasEnded(m) })
-}
+func (p *Part) isLost(u cawork.UpstreamID) bool { return u != "" && p.Directory.IsWitnessLost(u) }
 
 // succeedAll tries to lead the shards whose replicas here cannot go on. It
 // reports whether none is left.
@@ -51,23 +47,58 @@
 // look.
 func (p *Part) succeed(ctx context.Context, view cashard.View, image calog.Image) bool {
 	logged, err := cashard.DecodeView(image.ViewBody)
-	if err != nil {
+	if err != nil || !p.isUndecided(ctx, logged, view, image.Elected) {
 		return false
 	}
-	if logged.Number > view.Number {
-		view = logged
+	content := logged
+	if image.Elected {
+		if content, err = cashard.DecodeView(image.FormerBody); err != nil {
+			return false
+		}
+	}
+	if content.Number > view.Number || image.Elected && view == logged {
+		view = content
 	}
-	if p.succeeded[view.Shard] >= view.Number || !p.isFree(ctx, view, image.Last()) {
+	if !p.isFree(ctx, view, image.Last()) {
 		return false
 	}
-	if view != p.proposed[view.Shard] || p.Directory.IsWitnessLost(view.Witness) {
-		elected, ok := p.elect(ctx, view)
-		if !ok {
+	next := p.proposed[view.Shard]
+	if logged != next || p.isLost(logged.Witness) {
+		view = view.WithNumber(max(view.Number, logged.Number))
+		if next, err = p.elect(ctx, view); err != nil {
 			return false
 		}
-		view = elected
 	}
-	return p.lead(ctx, view, image)
+	return p.lead(ctx, next, content, image)
+}
+
+// isUndecided reports whether the last view that the log tells of leaves the
+// lead open: its witness is lost, or it was elected and has not led, or it is
+// not later than the view of the replica here.
+func (p *Part) isUndecided(ctx context.Context, logged, view cashard.View, elected bool) bool {
+	switch {
+	case logged.Number <= p.succeeded[view.Shard] && view.Number <= p.succeeded[view.Shard] && p.succeeded[view.Shard] > 0:
+		return false
+	case p.isLost(logged.Witness) || logged.Number == 0:
+		return true
+	case !elected:
+		return logged.Number <= view.Number && p.isLost(view.Witness)
+	case logged == p.proposed[view.Shard]:
+		return true
+	default:
+		return p.hasEnded(logged.Primary) && !p.hasLed(ctx, logged)
+	}
+}
+
+// hasLed reports whether an elected view may have led: its register is written
+// before.
+func (p *Part) hasLed(ctx context.Context, elected cashard.View) bool {
+	register, err := p.Witnesses.ReadRegister(ctx, elected.Witness, cashard.RegisterName(elected.Shard))
+	if err != nil {
+		return true
+	}
+	held, err := cashard.DecodeView(register.Value)
+	return err != nil || held.Number >= elected.Number
 }
 
 // isFree reports whether no other entry leads the shard or should rather come
@@ -100,6 +131,8 @@
 		return true
 	case other.View.Primary == p.Self:
 		return false
+	case !p.isLost(other.View.Witness):
+		return true
 	case other.View.Primary == own.View.Primary && !other.Leads:
 		return other.Index > own.Index || other.Index == own.Index && other.View.Number >= own.View.Number
 	default:
@@ -107,17 +140,20 @@
 	}
 }
 
-// elect proposes this entry for the lead and reports whether the log has it
-// first. The new witness is one that answers.
-func (p *Part) elect(ctx context.Context, view cashard.View) (cashard.View, bool) {
+// elect proposes this entry for the lead after the view and returns the view
+// that the log has first. The new witness is one that answers.
+func (p *Part) elect(ctx context.Context, view cashard.View) (cashard.View, error) {
 	witness, ok := p.newWitness(ctx, view.Shard)
 	if !ok {
-		return view, false
+		return view, cakind.New(cakind.KindUnavailable, "no witness for shard %s", view.Shard)
 	}
 	next := view.WithNumber(view.Number + viewGap).WithPrimary(p.Self).WithBackup(cashard.Member{}).WithWitness(witness)
 	body, err := next.Encode()
 	if err != nil {
-		return view, false
+		return view, err
+	}
+	if err := p.Shards.Halt(ctx, next, p.isLost); err != nil {
+		return view, err
 	}
 	p.proposals++
 	p.proposed[view.Shard] = next
@@ -128,11 +164,13 @@
 	})
 	fold, err := calog.ReadAll(ctx, p.Log, topic)
 	if err != nil {
-		return view, false
+		return view, err
 	}
 	image, _ := fold.Image(view.Shard)
-	won, err := cashard.DecodeView(image.ViewBody)
-	return next, err == nil && won == next
+	if won, err := cashard.DecodeView(image.ViewBody); err != nil || won != next {
+		return view, cakind.New(cakind.KindConflict, "another entry was elected for shard %s", view.Shard)
+	}
+	return next, nil
 }
 
 func (p *Part) newWitness(ctx context.Context, s cawork.ShardID) (cawork.UpstreamID, bool) {
@@ -148,18 +186,15 @@
 	return "", false
 }
 
-// lead leads the shard in a view that this entry was elected to.
-func (p *Part) lead(ctx context.Context, next cashard.View, image calog.Image) bool {
-	logged, err := cashard.DecodeView(image.ViewBody)
-	if err != nil {
-		return false
-	}
+// lead leads the shard in a view that this entry was elected to. Content is the
+// view that the image was written in.
+func (p *Part) lead(ctx context.Context, next, content cashard.View, image calog.Image) bool {
 	mark, err := p.mark()
 	if err != nil {
 		return false
 	}
 	err = p.Shards.Succeed(ctx, next, cashard.Image{
-		View:     logged,
+		View:     content,
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
 		Records:  image.Records,
 	}, mark)
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -105,6 +105,8 @@
 	for _, a := range answers {
 		delete(led.unanswered, a.Upstream)
 	}
+	// Without the allowance of the shard its tasks would seem to exceed a limit.
+	l.refreshAllowances()
 	var recovery cajob.Recovery
 	var jobs []cajob.Job
 	l.readState(led.id, func(s *cajob.State) {
