Waits of the command line outlast an entry; submissions are repeated with a key

Before: the new cases of TestClientCommands (pending, wait over the end of an entry, lost answer of a submission, quoted payload) failed or could not be written; after: they pass.

--- a/internal/cli/cacommand/client.go
+++ b/internal/cli/cacommand/client.go
@@ -8,6 +8,8 @@
 	"os"
 	"strings"
 
+	"github.com/google/uuid"
+
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cli/caclient"
@@ -15,6 +17,9 @@
 	"celeryarch.example/celeryarch/internal/node/caapi"
 )
 
+// lostAnswers is how often a submission is repeated whose answer was lost.
+const lostAnswers = 2
+
 func client(o caoption.API) caclient.Client {
 	return caclient.Client{Base: o.Entry, Key: o.Key, Queue: o.Queue}
 }
@@ -47,7 +52,7 @@
 	if len(payload) > 0 && !json.Valid(payload) {
 		return cakind.New(cakind.KindInvalid, "the payload of a job must be JSON")
 	}
-	id, err := client(o.API).Submit(ctx, submission(o, payload), o.IdempotencyKey)
+	id, err := c.submitOnce(ctx, o, payload)
 	if err != nil {
 		return err
 	}
@@ -55,11 +60,31 @@
 		c.print(caapi.SubmitAnswer{JobID: id}, string(id))
 		return nil
 	}
-	answer, err := client(o.API).Get(ctx, id, o.Wait)
+	answer, err := client(o.API).Await(ctx, id, o.Wait)
 	if err != nil {
-		return err
+		return cakind.Wrap(cakind.Of(err), err, "job %s is accepted, but its outcome is not known", id)
 	}
-	return c.reportJob(answer)
+	return c.reportWaited(answer)
+}
+
+// submitOnce submits a job under an idempotency key, of its own when none is
+// given. A submission whose answer was lost is repeated with the key.
+func (c command) submitOnce(ctx context.Context, o caoption.Submit, payload []byte) (cawork.JobID, error) {
+	key := o.IdempotencyKey
+	if key == "" {
+		key = uuid.NewString()
+	}
+	id, err := client(o.API).Submit(ctx, submission(o, payload), key)
+	for range lostAnswers {
+		if cakind.Of(err) != cakind.KindUnknown || ctx.Err() != nil {
+			break
+		}
+		id, err = client(o.API).Submit(ctx, submission(o, payload), key)
+	}
+	if cakind.Of(err) == cakind.KindUnknown {
+		err = cakind.Wrap(cakind.KindUnknown, err, "the job may be accepted; submit it again with --idempotency-key=%s", key)
+	}
+	return id, err
 }
 
 func (c command) request(ctx context.Context, o caoption.Submit, body []byte) error {
@@ -108,7 +133,15 @@
 func (c command) get(o caoption.Get) error {
 	ctx, cancel := context.WithTimeout(c.ctx, o.Timeout+o.Wait)
 	defer cancel()
-	answer, err := client(o.API).Get(ctx, cawork.JobID(o.Args.ID), o.Wait)
+	id := cawork.JobID(o.Args.ID)
+	if o.Wait > 0 {
+		answer, err := client(o.API).Await(ctx, id, o.Wait)
+		if err != nil {
+			return err
+		}
+		return c.reportWaited(answer)
+	}
+	answer, err := client(o.API).Get(ctx, id, 0)
 	if err != nil {
 		return err
 	}
@@ -126,9 +159,31 @@
 	return nil
 }
 
-// reportJob prints a job. A final outcome other than done is an error, so
-// that the exit code tells it.
+// reportWaited prints a job that was waited for. An outcome other than done is
+// an error, so that the exit code tells it, and so is none.
+func (c command) reportWaited(j caapi.JobAnswer) error {
+	c.printJob(j)
+	return outcomeError(j)
+}
+
+// reportJob prints a job that was looked at. A pending one is no error.
 func (c command) reportJob(j caapi.JobAnswer) error {
+	c.printJob(j)
+	if j.Outcome == cawork.OutcomePending {
+		return nil
+	}
+	return outcomeError(j)
+}
+
+func outcomeError(j caapi.JobAnswer) error {
+	code := outcomeCodes[j.Outcome]
+	if code == ExitOK {
+		return nil
+	}
+	return outcome{j.JobID, code}
+}
+
+func (c command) printJob(j caapi.JobAnswer) {
 	lines := []string{fmt.Sprintf("job %s of team %s: %s", j.JobID, j.Team, j.Outcome)}
 	if j.Reason != "" {
 		lines = append(lines, "reason: "+j.Reason)
@@ -137,7 +192,6 @@
 		lines = append(lines, taskLine(t))
 	}
 	c.print(j, lines...)
-	return outcomeError(j)
 }
 
 func taskLine(t caapi.TaskAnswer) string {
@@ -150,27 +204,3 @@
 	}
 	return line
 }
-
-var outcomeKinds = map[cawork.Outcome]cakind.Kind{
-	cawork.OutcomeFailed:   cakind.KindFailed,
-	cawork.OutcomeNotRun:   cakind.KindDeadlineBeforeStart,
-	cawork.OutcomeUnknown:  cakind.KindUnknown,
-	cawork.OutcomeCanceled: cakind.KindCanceled,
-}
-
-func outcomeError(j caapi.JobAnswer) error {
-	kind, ok := outcomeKinds[j.Outcome]
-	if !ok {
-		return nil
-	}
-	return silent{cakind.New(kind, "job %s: %s", j.JobID, j.Outcome)}
-}
-
-// silent is an error that was reported already.
-type silent struct{ cause error }
-
-// Error implements error.
-func (s silent) Error() string { return s.cause.Error() }
-
-// Unwrap returns the cause.
-func (s silent) Unwrap() error { return s.cause }
--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -151,7 +151,7 @@
 	if err == nil {
 		return ExitOK
 	}
-	if errors.As(err, new(silent)) {
+	if errors.As(err, new(outcome)) {
 		return ExitCodeOf(err)
 	}
 	var problems caproblem.List
--- a/internal/cli/cacommand/command_test.go
+++ b/internal/cli/cacommand/command_test.go
@@ -207,6 +207,8 @@
 	}
 	failed := job
 	failed.JobID, failed.Outcome, failed.Reason = "j2", cawork.OutcomeFailed, "no attempt is left"
+	pending := caapi.JobAnswer{JobID: "slow", Team: "knit"}
+	lost := 0
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Authorization") != "Bearer good" {
@@ -214,6 +216,9 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		if lost++; lost == 1 {
+			panic(http.ErrAbortHandler)
+		}
 		want := `{"kind":"batch","tasks":2,"size":{"cpu_milli":500,"memory_bytes":268435456,"accelerators":0},"run_time":"30s","payload":{"run_ms":1}}`
 		if diff := cmp.Diff(want, string(body)); diff != "" || r.Header.Get("Idempotency-Key") != "once" {
 			refuse(w, cakind.KindInvalid, diff)
@@ -224,6 +229,19 @@
 	})
 	mux.HandleFunc("GET /v1/jobs/j1", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(job) })
 	mux.HandleFunc("GET /v1/jobs/j2", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(failed) })
+	mux.HandleFunc("GET /v1/jobs/slow", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(pending) })
+	looks := 0
+	mux.HandleFunc("GET /v1/jobs/late", func(w http.ResponseWriter, _ *http.Request) {
+		looks++
+		switch looks {
+		case 1:
+			refuse(w, cakind.KindDraining, "the entry ends")
+		case 2:
+			_ = json.NewEncoder(w).Encode(pending)
+		default:
+			_ = json.NewEncoder(w).Encode(job)
+		}
+	})
 	mux.HandleFunc("GET /v1/jobs/none", func(w http.ResponseWriter, _ *http.Request) { refuse(w, cakind.KindNotFound, "no such job") })
 	mux.HandleFunc("DELETE /v1/jobs/j1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("POST /v1/requests", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
@@ -265,6 +283,7 @@
 	t.Setenv("CELERYARCH_ENTRY", entryAPI(t))
 	submit := []string{"submit", "--tasks=2", "--processors=0.5", "--run-time=30s", `--payload={"run_ms":1}`, "--idempotency-key=once"}
 	done := "job j1 of team knit: done\n  task 0: done after 1 attempts: ok\n"
+	waiting := "job slow of team knit: pending\n"
 	failed := "job j2 of team knit: failed\nreason: no attempt is left\n  task 0: done after 1 attempts: ok\n"
 	tests := []struct {
 		name string
@@ -278,6 +297,10 @@
 		{"request", []string{"submit", "--kind=lookup", "--payload=hello"}, answer{Stdout: "hello"}},
 		{"get", []string{"get", "j1"}, answer{Stdout: done}},
 		{"get a failed job", []string{"get", "j2"}, answer{ExitFailed, failed, ""}},
+		{"get a pending job", []string{"get", "slow"}, answer{Stdout: waiting}},
+		{"wait for a pending job", []string{"get", "slow", "--wait=300ms"}, answer{Code: ExitPending, Stdout: waiting}},
+		{"wait over the end of an entry", []string{"get", "late", "--wait=20s"}, answer{Stdout: done}},
+		{"quoted payload", []string{"submit", "--kind=lookup", `--payload="a"`}, answer{Stdout: `"a"`}},
 		{"get nothing", []string{"get", "none"}, answer{ExitNotFound, "", "celeryarch: no such job\n"}},
 		{"cancel", []string{"cancel", "j1"}, answer{Stdout: "job j1 is canceled\n"}},
 		{"status", []string{"status"}, answer{Stdout: statusLayout}},
--- a/internal/cli/cacommand/config.go
+++ b/internal/cli/cacommand/config.go
@@ -53,17 +53,13 @@
 }
 
 func (c command) configDiff(o caoption.ConfigDiff) error {
-	config, err := loadCell(o.Args.Dir)
-	if err != nil {
-		return err
-	}
-	publisher, err := c.publisher(o.LogService)
+	next, err := c.candidate(o.Args.Dir, o.LogService)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, o.Timeout)
 	defer cancel()
-	current, err := publisher.Current(ctx)
+	current, err := next.publisher.Current(ctx)
 	if err != nil {
 		return err
 	}
@@ -71,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	answer := differences{Version: current.Version, Changes: cacell.Diff(inForce, config)}
+	answer := differences{Version: current.Version, Changes: cacell.Diff(inForce, next.config)}
 	lines := []string{fmt.Sprintf("%d changes to version %d", len(answer.Changes), answer.Version)}
 	for _, change := range answer.Changes {
 		lines = append(lines, change.String())
@@ -80,6 +76,24 @@
 	return nil
 }
 
+// candidate is a checked configuration and the log that it is meant for.
+type candidate struct {
+	config    cacell.Config
+	publisher cafollow.Publisher
+}
+
+func (c command) candidate(dir string, o caoption.LogService) (candidate, error) {
+	config, err := loadCell(dir)
+	if err != nil {
+		return candidate{}, err
+	}
+	publisher, err := c.publisher(o)
+	if err != nil {
+		return candidate{}, err
+	}
+	return candidate{config, publisher}, nil
+}
+
 // decodeInForce returns the zero configuration for version 0.
 func decodeInForce(s cafollow.Snapshot) (cacell.Config, error) {
 	if s.Version == 0 {
@@ -107,11 +121,7 @@
 }
 
 func (c command) configPublish(o caoption.ConfigPublish) error {
-	config, err := loadCell(o.Args.Dir)
-	if err != nil {
-		return err
-	}
-	publisher, err := c.publisher(o.LogService)
+	next, err := c.candidate(o.Args.Dir, o.LogService)
 	if err != nil {
 		return err
 	}
@@ -121,7 +131,7 @@
 	if id == "" {
 		id = cafollow.ChangeID(uuid.NewString())
 	}
-	result, err := publish(ctx, publisher, o, id, config.Encode())
+	result, err := publish(ctx, next.publisher, o, id, next.config.Encode())
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cacommand/exitcode.go
+++ b/internal/cli/cacommand/exitcode.go
@@ -1,6 +1,12 @@
 package cacommand
 
-import "celeryarch.example/celeryarch/internal/base/cakind"
+import (
+	"errors"
+	"fmt"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
 
 //go:generate go tool enumer -type=ExitCode -trimprefix=Exit -transform=snake -output=exitcode_names.go
 
@@ -32,6 +38,10 @@
 	ExitNotRun
 	// ExitUnknown means that it cannot be told whether it took effect.
 	ExitUnknown
+	// ExitCanceled means that the job was canceled; some of it may have run.
+	ExitCanceled
+	// ExitPending means that the wait is over and the job is not.
+	ExitPending
 )
 
 var exitCodes = map[cakind.Kind]ExitCode{
@@ -62,5 +72,28 @@
 	if err == nil {
 		return ExitOK
 	}
+	var told outcome
+	if errors.As(err, &told) {
+		return told.code
+	}
 	return exitCodes[cakind.Of(err)]
 }
+
+var outcomeCodes = map[cawork.Outcome]ExitCode{
+	cawork.OutcomePending:  ExitPending,
+	cawork.OutcomeDone:     ExitOK,
+	cawork.OutcomeFailed:   ExitFailed,
+	cawork.OutcomeNotRun:   ExitNotRun,
+	cawork.OutcomeUnknown:  ExitUnknown,
+	cawork.OutcomeCanceled: ExitCanceled,
+}
+
+// outcome ends the program with the code for the outcome of a job, which was
+// printed already.
+type outcome struct {
+	job  cawork.JobID
+	code ExitCode
+}
+
+// Error implements error.
+func (o outcome) Error() string { return fmt.Sprintf("job %s: %s", o.job, o.code) }
--- a/internal/cli/cacommand/exitcode_names.go
+++ b/internal/cli/cacommand/exitcode_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ExitCodeName = "okinternalusageinvalidconflictdeniedunavailablenot_foundfailednot_rununknown"
+const _ExitCodeName = "okinternalusageinvalidconflictdeniedunavailablenot_foundfailednot_rununknowncanceledpending"
 
-var _ExitCodeIndex = [...]uint8{0, 2, 10, 15, 22, 30, 36, 47, 56, 62, 69, 76}
+var _ExitCodeIndex = [...]uint8{0, 2, 10, 15, 22, 30, 36, 47, 56, 62, 69, 76, 84, 91}
 
-const _ExitCodeLowerName = "okinternalusageinvalidconflictdeniedunavailablenot_foundfailednot_rununknown"
+const _ExitCodeLowerName = "okinternalusageinvalidconflictdeniedunavailablenot_foundfailednot_rununknowncanceledpending"
 
 func (i ExitCode) String() string {
 	if i < 0 || i >= ExitCode(len(_ExitCodeIndex)-1) {
@@ -35,9 +35,11 @@
 	_ = x[ExitFailed-(8)]
 	_ = x[ExitNotRun-(9)]
 	_ = x[ExitUnknown-(10)]
+	_ = x[ExitCanceled-(11)]
+	_ = x[ExitPending-(12)]
 }
 
-var _ExitCodeValues = []ExitCode{ExitOK, ExitInternal, ExitUsage, ExitInvalid, ExitConflict, ExitDenied, ExitUnavailable, ExitNotFound, ExitFailed, ExitNotRun, ExitUnknown}
+var _ExitCodeValues = []ExitCode{ExitOK, ExitInternal, ExitUsage, ExitInvalid, ExitConflict, ExitDenied, ExitUnavailable, ExitNotFound, ExitFailed, ExitNotRun, ExitUnknown, ExitCanceled, ExitPending}
 
 var _ExitCodeNameToValueMap = map[string]ExitCode{
 	_ExitCodeName[0:2]:   ExitOK,
@@ -51,6 +53,8 @@
 	_ExitCodeName[56:62]: ExitFailed,
 	_ExitCodeName[62:69]: ExitNotRun,
 	_ExitCodeName[69:76]: ExitUnknown,
+	_ExitCodeName[76:84]: ExitCanceled,
+	_ExitCodeName[84:91]: ExitPending,
 }
 
 var _ExitCodeLowerNameToValueMap = map[string]ExitCode{
@@ -65,6 +69,8 @@
 	_ExitCodeLowerName[56:62]: ExitFailed,
 	_ExitCodeLowerName[62:69]: ExitNotRun,
 	_ExitCodeLowerName[69:76]: ExitUnknown,
+	_ExitCodeLowerName[76:84]: ExitCanceled,
+	_ExitCodeLowerName[84:91]: ExitPending,
 }
 
 var _ExitCodeNames = []string{
@@ -79,6 +85,8 @@
 	_ExitCodeName[56:62],
 	_ExitCodeName[62:69],
 	_ExitCodeName[69:76],
+	_ExitCodeName[76:84],
+	_ExitCodeName[84:91],
 }
 
 // ExitCodeString retrieves an enum value from the enum constants string name.
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -93,5 +93,6 @@
 exit codes
   0 ok             1 internal        2 usage          3 invalid
   4 conflict       5 denied          6 unavailable    7 not_found
-  8 failed         9 not_run        10 unknown
+  8 failed         9 not_run        10 unknown       11 canceled
+  12 pending, the wait is over without an outcome
 `
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -212,7 +212,7 @@
 	Zone            string        `long:"zone" value-name:"ZONE"`
 	Rack            string        `long:"rack" value-name:"RACK"`
 	AcceleratorKind string        `long:"accelerator-kind" value-name:"KIND"`
-	Payload         string        `long:"payload" value-name:"JSON"`
+	Payload         string        `long:"payload" value-name:"JSON" unquote:"false"`
 	IdempotencyKey  string        `long:"idempotency-key" value-name:"ID"`
 	Wait            time.Duration `long:"wait" value-name:"TIME"`
 }
