Log lines: every line has a number, each key once, durations end in _ms

Cause: a line of a broken invariant of the scheduler had no number, line 300 had the key vm twice (a reader of JSON keeps one of them), two numbers stood for events that nothing writes, and two durations did not name their unit. Change: event 410, key member, numbers 404 and 605 taken out (kept free).

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -13,7 +13,7 @@
 
 // The events. The hundreds give the area: 1xx process, 2xx configuration,
 // 3xx membership and ownership, 4xx placement, 5xx requests, 6xx shards and
-// limits, 7xx platform.
+// limits, 7xx platform. 404 and 605 were never written and stay free.
 const (
 	EntryStarted      Number = 100
 	EntryStopping     Number = 101
@@ -35,12 +35,12 @@
 	JobRefused        Number = 401
 	TaskPlaced        Number = 402
 	TaskEnded         Number = 403
-	TaskRetried       Number = 404
 	TaskAdopted       Number = 405
 	TaskStopped       Number = 406
 	JobEnded          Number = 407
 	StartFailed       Number = 408
 	JobHandedOver     Number = 409
+	InvariantBroken   Number = 410
 	RequestRouted     Number = 500
 	RequestRefused    Number = 501
 	RequestAnswered   Number = 502
@@ -50,10 +50,9 @@
 	ShardTakenOver    Number = 600
 	ShardViewChanged  Number = 601
 	ShardDeposed      Number = 602
-	ShardRebuilt      Number = 606
 	AllowanceMoved    Number = 603
 	AllowanceMinted   Number = 604
-	AllowanceBurned   Number = 605
+	ShardRebuilt      Number = 606
 	LogUnavailable    Number = 700
 	LogRestored       Number = 701
 	VMListUnavailable Number = 702
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -241,7 +241,7 @@
 			continue
 		}
 		caevent.Info(p.deps.Log, caevent.MemberChanged).
-			Str("vm", string(e.Member.VM)).Str("was", e.Was.String()).
+			Str("member", string(e.Member.VM)).Str("was", e.Was.String()).
 			Str("liveness", e.Member.Liveness.String()).Str("cause", e.Cause.String()).
 			Str("reach", e.Member.Reach.String()).Int64("incarnation", int64(e.Member.Incarnation)).Send()
 	}
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -280,7 +280,8 @@
 
 func (e *Entry) violated(v *casched.Violation) {
 	e.scope.Counter("scheduler_violations").Inc(1)
-	e.log.Error().Str("invariant", v.Invariant.String()).Str("detail", v.Detail).Msg("scheduler invariant is broken")
+	caevent.Log(e.log, zerolog.ErrorLevel, caevent.InvariantBroken).
+		Str("invariant", v.Invariant.String()).Str("detail", v.Detail).Send()
 }
 
 // shardID returns the id of a shard that the entry founds at a time, in
--- a/internal/node/calaunch/decide.go
+++ b/internal/node/calaunch/decide.go
@@ -91,7 +91,7 @@
 	}
 	line := caevent.Log(l.Logger, zerolog.InfoLevel, number).Str("decision", d.Kind.String()).
 		Str("reason", d.Reason.String()).Str("job", string(d.Job)).Str("team", string(d.Team)).
-		Dur("waited", d.Waited).Float64("share", d.Share).Int("attempts", d.Attempts)
+		Dur("waited_ms", d.Waited).Float64("share", d.Share).Int("attempts", d.Attempts)
 	if len(d.Placements) > 0 {
 		line = line.Str("task", d.Placements[0].Task.String()).Str("upstream", string(d.Placements[0].Upstream)).
 			Int("tasks", len(d.Placements))
--- a/internal/node/calaunch/settle.go
+++ b/internal/node/calaunch/settle.go
@@ -52,7 +52,7 @@
 	result := l.report(a, s.status)
 	caevent.Info(l.Logger, caevent.TaskEnded).Str("task", a.task.String()).Str("attempt", string(a.id)).
 		Str("upstream", string(a.upstream)).Str("state", s.status.State.String()).Bool("observed", s.observed).
-		Bool("requeued", result.Requeued).Dur("elapsed", s.status.Elapsed).Send()
+		Bool("requeued", result.Requeued).Dur("elapsed_ms", s.status.Elapsed).Send()
 	l.reconcile(a.task.Job)
 	if result.JobEnded {
 		l.refuse(a.task.Job, reasonNoAttemptLeft)
