--- a/internal/node/cademo/demo.go
+++ b/internal/node/cademo/demo.go
@@ -208,7 +208,7 @@
 
   export CELERYARCH_ENTRY=%s CELERYARCH_KEY=%s
 
-  go run . submit --kind=lookup --payload='"which red?"'
+  go run . submit --kind=lookup --payload='which red?'
   go run . submit --tasks=3 --processors=0.5 --wait=20s
   go run . status
 
