Operators have an address of their own

Cause: /v1/status and /metrics stood, without a key, on the address that callers reach, so that any caller saw what each team uses; /metrics was served a second time on addresses.metrics, by the server of the stand-ins. Ways weighed: a key for operators in the configuration (none is in force when an entry starts, which is when an operator looks), a path that the balancer must hide (was so: nobody is stopped who reaches an entry directly), an address of its own (chosen: the closed network decides, and it answers during a drain). Before: GET /v1/status at the address of callers was 200; after: 404, and 200 at the other (TestOnlyOperatorsSeeStatusAndMetrics, and by hand at a demo).

--- a/examples/cell.sh
+++ b/examples/cell.sh
@@ -78,13 +78,14 @@
 done
 
 entry=http://$(sed -nE 's/.*"api": "([^"]*)".*/\1/p' "$config/settings/entry-1.jsonc")
+operators=http://$(sed -nE 's/.*"operators": "([^"]*)".*/\1/p' "$config/settings/entry-1.jsonc")
 team=$(head -n 1 <<<"$teams")
 key=$(sed -nE 's/^key .*: (cak_.*)$/\1/p' "$work/key-$team.txt")
 cat <<EOF
 
 The cell runs in $work. Try in another terminal:
 
-  export CELERYARCH_ENTRY=$entry CELERYARCH_LOG=$CELERYARCH_LOG
+  export CELERYARCH_ENTRY=$entry CELERYARCH_OPERATORS=$operators CELERYARCH_LOG=$CELERYARCH_LOG
   export CELERYARCH_KEY=$key
   $celeryarch status
   $celeryarch submit --tasks=2 --payload='{"run_ms": 500}' --wait=10s
--- a/internal/cli/cacommand/client.go
+++ b/internal/cli/cacommand/client.go
@@ -27,7 +27,7 @@
 func (c command) status(o caoption.Status) error {
 	ctx, cancel := context.WithTimeout(c.ctx, o.Timeout)
 	defer cancel()
-	answer, err := client(o.API).Status(ctx)
+	answer, err := caclient.Client{Base: o.Operators.Operators}.Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cacommand/command_test.go
+++ b/internal/cli/cacommand/command_test.go
@@ -109,7 +109,7 @@
 		_, _ = fmt.Fprintf(w, `{"entries": [{"vm": "e1", "config_version": 1}, {"vm": "e2", "liveness": "dead", "config_version": %d}]}`, looks/2)
 	}))
 	defer server.Close()
-	t.Setenv("CELERYARCH_ENTRY", server.URL)
+	t.Setenv("CELERYARCH_OPERATORS", server.URL)
 	got := b.run("config", "publish", "--wait=5s", b.dir)
 	if diff := cmp.Diff(answer{Stdout: "version 1 is accepted\nin force in all 2 entries\n"}, got); diff != "" {
 		t.Error(diff)
@@ -280,7 +280,9 @@
 
 func TestClientCommands(t *testing.T) {
 	b := newBench(t)
-	t.Setenv("CELERYARCH_ENTRY", entryAPI(t))
+	entry := entryAPI(t)
+	t.Setenv("CELERYARCH_ENTRY", entry)
+	t.Setenv("CELERYARCH_OPERATORS", entry)
 	submit := []string{"submit", "--tasks=2", "--processors=0.5", "--run-time=30s", `--payload={"run_ms":1}`, "--idempotency-key=once"}
 	done := "job j1 of team knit: done\n  task 0: done after 1 attempts: ok\n"
 	waiting := "job slow of team knit: pending\n"
--- a/internal/cli/cacommand/config.go
+++ b/internal/cli/cacommand/config.go
@@ -171,7 +171,7 @@
 		ctx, cancel := context.WithTimeout(c.ctx, o.Wait)
 		defer cancel()
 		var entries int
-		entries, err = awaitVersion(ctx, caclient.Client{Base: o.Entry}, r.Version)
+		entries, err = awaitVersion(ctx, caclient.Client{Base: o.Operators.Operators}, r.Version)
 		if err == nil {
 			lines = append(lines, fmt.Sprintf("in force in all %d entries", entries))
 		}
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -45,7 +45,8 @@
       --reset                publish whatever is in force, also when the log
                              no longer tells it
       --wait=TIME            wait until it is in force in all entries that the
-                             entry of --entry knows
+                             one of --operators knows
+      --operators=URL        as for status
   key new                    generate a key; it is shown only once
       --team=TEAM            team that the key stands for; required
       --dir=DIR              add a file that grants the key to this folder
@@ -54,6 +55,9 @@
 
 work
   status                     show the cell as an entry sees it
+      --operators=URL        address of an entry for operators (environment
+                             CELERYARCH_OPERATORS; http://127.0.0.1:7102)
+      --timeout=TIME         give up after this time (30s)
   submit                     submit a job, or run a request with --kind=lookup
       --kind=KIND            lookup, batch, service or gang (batch)
       --tasks=N              number of tasks (1)
@@ -80,7 +84,7 @@
       --concurrency=N        most calls at once (64)
       --kind=KIND            kind of work (lookup)
       --seed=N               seed of the random choices (1)
-  all commands on work
+  submit, get, cancel and load
       --entry=URL            entry to call (environment CELERYARCH_ENTRY;
                              http://127.0.0.1:7100)
       --key=KEY              key of the team; better given as CELERYARCH_KEY,
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -134,6 +134,11 @@
 	Timeout time.Duration `long:"timeout" default:"30s" value-name:"TIME"`
 }
 
+// Operators gives the address at which an entry serves operators.
+type Operators struct {
+	Operators string `long:"operators" env:"CELERYARCH_OPERATORS" default:"http://127.0.0.1:7102" value-name:"URL"`
+}
+
 // Config are the commands on a folder of configuration.
 type Config struct {
 	Check   ConfigCheck   `command:"check"`
@@ -164,10 +169,10 @@
 	ChangeID string `long:"change-id" value-name:"ID"`
 	Reset    bool   `long:"reset"`
 	// Wait is how long to wait until the version is in force in all entries
-	// that Entry knows.
-	Wait  time.Duration `long:"wait" value-name:"TIME"`
-	Entry string        `long:"entry" env:"CELERYARCH_ENTRY" default:"http://127.0.0.1:7100" value-name:"URL"`
-	Args  Folder        `positional-args:"yes" required:"yes"`
+	// that the one of Operators knows.
+	Wait time.Duration `long:"wait" value-name:"TIME"`
+	Operators
+	Args Folder `positional-args:"yes" required:"yes"`
 }
 
 // Key are the commands on keys.
@@ -195,7 +200,8 @@
 
 // Status are the options of the command status.
 type Status struct {
-	API
+	Operators
+	Timeout time.Duration `long:"timeout" default:"30s" value-name:"TIME"`
 }
 
 // Submit are the options of the command submit.
--- a/internal/config/casettings/check.go
+++ b/internal/config/casettings/check.go
@@ -47,10 +47,10 @@
 func (c *checker) addresses(a Addresses) {
 	c.address("addresses.api", a.API)
 	c.address("addresses.peer", a.Peer)
-	c.address("addresses.metrics", a.Metrics)
+	c.address("addresses.operators", a.Operators)
 	c.distinct("addresses.peer", a.Peer, "addresses.api", a.API)
-	c.distinct("addresses.metrics", a.Metrics, "addresses.api", a.API)
-	c.distinct("addresses.metrics", a.Metrics, "addresses.peer", a.Peer)
+	c.distinct("addresses.operators", a.Operators, "addresses.api", a.API)
+	c.distinct("addresses.operators", a.Operators, "addresses.peer", a.Peer)
 }
 
 func (c *checker) distinct(path, value, otherPath, other string) {
--- a/internal/config/casettings/settings.go
+++ b/internal/config/casettings/settings.go
@@ -33,12 +33,12 @@
 
 // Addresses are the host:port pairs that the entry listens on.
 type Addresses struct {
-	// API serves callers and operators.
+	// API serves callers.
 	API string `json:"api"`
 	// Peer serves the other entries.
 	Peer string `json:"peer"`
-	// Metrics serves the scrape endpoint.
-	Metrics string `json:"metrics"`
+	// Operators serves status and metrics.
+	Operators string `json:"operators"`
 }
 
 // Platform gives the URLs of the services of the platform.
--- a/internal/config/casettings/settings_test.go
+++ b/internal/config/casettings/settings_test.go
@@ -17,7 +17,7 @@
 const good = `{
   "vm": "e1",
   "zone": "north",
-  "addresses": {"api": "127.0.1.1:7100", "peer": "127.0.1.1:7101", "metrics": "127.0.1.1:7102"},
+  "addresses": {"api": "127.0.1.1:7100", "peer": "127.0.1.1:7101", "operators": "127.0.1.1:7102"},
   "seeds": ["127.0.1.2:7101"],
   "platform": {"log": "http://127.0.0.1:7001", "vm_list": "http://127.0.0.1:7002"},
   "tls": {"insecure": true},
@@ -42,7 +42,7 @@
 	}
 	want := Default()
 	want.VM, want.Zone = "e1", "north"
-	want.Addresses = Addresses{API: "127.0.1.1:7100", Peer: "127.0.1.1:7101", Metrics: "127.0.1.1:7102"}
+	want.Addresses = Addresses{API: "127.0.1.1:7100", Peer: "127.0.1.1:7101", Operators: "127.0.1.1:7102"}
 	want.Seeds = []string{"127.0.1.2:7101"}
 	want.Platform = Platform{Log: "http://127.0.0.1:7001", VMList: "http://127.0.0.1:7002"}
 	want.TLS.Insecure = true
@@ -84,8 +84,8 @@
 	{"missing vm and zone", "\"vm\": \"e1\",\n  \"zone\": \"north\",", "", []string{
 		`entry.jsonc:1:1: vm: is missing`, `entry.jsonc:1:1: zone: is missing`,
 	}},
-	{"missing address", `"metrics": "127.0.1.1:7102"`, ``, []string{
-		`entry.jsonc:4:16: addresses.metrics: is missing`,
+	{"missing address", `"operators": "127.0.1.1:7102"`, ``, []string{
+		`entry.jsonc:4:16: addresses.operators: is missing`,
 	}},
 	{"name in place of a number", `"peer": "127.0.1.1:7101"`, `"peer": "localhost:7101"`, []string{
 		`entry.jsonc:4:50: addresses.peer: must have an IP number in place of "localhost"`,
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -98,10 +98,9 @@
 	Jobs       Jobs
 	Requests   Requests
 	Status     Status
-	Metrics    http.Handler
 }
 
-// API answers the calls of callers and operators.
+// API answers the calls of callers, and the balancer that asks for health.
 type API struct {
 	config Config
 	server *http.Server
@@ -111,38 +110,49 @@
 // NewAPI returns an API that is not serving yet.
 func NewAPI(config Config) *API {
 	a := &API{config: config, done: make(chan struct{})}
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
-	e.HTTPErrorHandler = writeError
+	e := newEcho()
 	e.POST(PathJobs, a.submit)
 	e.GET(PathJobs+"/:id", a.get)
 	e.DELETE(PathJobs+"/:id", a.cancel)
 	e.POST(PathRequests, a.request)
-	e.GET(PathStatus, a.status)
 	e.GET(PathHealth, a.health)
-	e.GET(PathMetrics, echo.WrapHandler(config.Metrics))
-	a.server = &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: config.Limits.HeaderTime,
-		ReadTimeout:       config.Limits.BodyTime,
-		IdleTimeout:       config.Limits.IdleTime,
-		MaxHeaderBytes:    config.Limits.HeaderBytes,
-	}
+	a.server = newServer(e, config.Limits)
 	return a
 }
 
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = writeError
+	return e
+}
+
+func newServer(h http.Handler, l Limits) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: l.HeaderTime,
+		ReadTimeout:       l.BodyTime,
+		IdleTimeout:       l.IdleTime,
+		MaxHeaderBytes:    l.HeaderBytes,
+	}
+}
+
+// serve takes the end of the server for success.
+func serve(s *http.Server, lis net.Listener) error {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // Handler returns the HTTP handler of the API.
 func (a *API) Handler() http.Handler { return a.server.Handler }
 
 // Serve answers calls on the listener until Shutdown.
 func (a *API) Serve(lis net.Listener) error {
 	defer close(a.done)
-	bounded := calisten.Limit(lis, a.config.Limits.Connections)
-	if err := a.server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return serve(a.server, calisten.Limit(lis, a.config.Limits.Connections))
 }
 
 // Shutdown takes no new calls and waits for those in progress.
@@ -244,10 +254,6 @@
 	}
 }
 
-func (a *API) status(c echo.Context) error {
-	return c.JSON(http.StatusOK, a.config.Status.Status(c.Request().Context()))
-}
-
 func (a *API) health(c echo.Context) error {
 	if !a.config.Status.Ready() {
 		return c.String(http.StatusServiceUnavailable, "draining\n")
--- a/internal/node/cademo/demo.go
+++ b/internal/node/cademo/demo.go
@@ -85,7 +85,7 @@
 	}
 	settings := casettings.Default()
 	settings.VM, settings.Zone = entryVM, zone
-	settings.Addresses = casettings.Addresses{API: o.API, Peer: anyPort}
+	settings.Addresses = casettings.Addresses{API: o.API, Operators: anyPort, Peer: anyPort}
 	settings.TLS.Insecure = true
 	logServer, err := d.serve(castandin.NewServer(anyPort, castandin.LogHandler(d.log)))
 	if err != nil {
@@ -173,6 +173,9 @@
 // APIAddress returns the address that serves callers.
 func (d *Demo) APIAddress() string { return d.entry.APIAddress() }
 
+// OperatorsAddress returns the address that serves operators.
+func (d *Demo) OperatorsAddress() string { return d.entry.OperatorsAddress() }
+
 // Key returns the key of Team.
 func (d *Demo) Key() string { return d.key.Secret }
 
@@ -202,11 +205,12 @@
 
 // WriteGuide writes what to type next.
 func (d *Demo) WriteGuide(w io.Writer) error {
-	url := "http://" + d.APIAddress()
+	url, operators := "http://"+d.APIAddress(), "http://"+d.OperatorsAddress()
 	_, err := fmt.Fprintf(w, `celeryarch demo: one entry and %d upstreams on loopback, without TLS.
 In another terminal:
 
-  export CELERYARCH_ENTRY=%s CELERYARCH_KEY=%s
+  export CELERYARCH_ENTRY=%s CELERYARCH_OPERATORS=%s
+  export CELERYARCH_KEY=%s
 
   go run . submit --kind=lookup --payload='which red?'
   go run . submit --tasks=3 --processors=0.5 --wait=20s
@@ -216,6 +220,6 @@
   curl -H "X-Queue: %s" -d 'without a key' $CELERYARCH_ENTRY/v1/requests
 
 Control-C ends the demo; requests in progress are finished first.
-`, len(d.upstreams), url, d.Key(), Queue)
+`, len(d.upstreams), url, operators, d.Key(), Queue)
 	return err
 }
--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -33,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	demo, err := cademo.NewDemo(ctx, cademo.Options{
 		API: "127.0.0.1:0", Upstreams: 4,
-		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: catimer.NewService()},
+		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: promhttp.HandlerFor(prometheus.NewRegistry(), promhttp.HandlerOpts{}), Timer: catimer.NewService()},
 	})
 	if err != nil {
 		t.Fatalf("NewDemo: %v", err)
@@ -111,6 +114,29 @@
 	}
 }
 
+func TestOnlyOperatorsSeeStatusAndMetrics(t *testing.T) {
+	demo, _ := startDemo(t)
+	got := map[string]int{}
+	for _, address := range []string{demo.APIAddress(), demo.OperatorsAddress()} {
+		for _, path := range []string{caapi.PathStatus, caapi.PathMetrics} {
+			answer, err := http.Get("http://" + address + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = answer.Body.Close()
+			name := strings.Replace(address, demo.APIAddress(), "callers", 1)
+			got[strings.Replace(name, demo.OperatorsAddress(), "operators", 1)+path] = answer.StatusCode
+		}
+	}
+	want := map[string]int{
+		"callers/v1/status": http.StatusNotFound, "callers/metrics": http.StatusNotFound,
+		"operators/v1/status": http.StatusOK, "operators/metrics": http.StatusOK,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("status codes (-want +got):\n%s", diff)
+	}
+}
+
 func TestSameIdempotencyKeyIsOneJob(t *testing.T) {
 	demo, _ := startDemo(t)
 	client := clientOf(demo, demo.Key())
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -104,13 +104,15 @@
 	dispatcher *cadispatch.Dispatcher
 	keys       *cadedupe.Service
 	api        *caapi.API
+	operators  *caapi.Operators
 	peers      *capeer.Server
 	client     *capeer.Client
 
-	apiListener  net.Listener
-	peerListener net.Listener
-	serverTLS    *tls.Config
-	draining     chan struct{}
+	apiListener       net.Listener
+	operatorsListener net.Listener
+	peerListener      net.Listener
+	serverTLS         *tls.Config
+	draining          chan struct{}
 	// stop ends all parts at once, without a drain.
 	stop context.CancelFunc
 	done chan struct{}
@@ -148,17 +150,39 @@
 	if e.serverTLS, clientTLS, err = loadTLS(e.settings.TLS); err != nil {
 		return err
 	}
-	if e.apiListener, err = e.platform.Listen(e.settings.Addresses.API); err != nil {
-		return cakind.Wrap(cakind.KindUnavailable, err, "listen for callers on %s", e.settings.Addresses.API)
-	}
-	if e.peerListener, err = e.platform.Listen(e.settings.Addresses.Peer); err != nil {
-		_ = e.apiListener.Close()
-		return cakind.Wrap(cakind.KindUnavailable, err, "listen for entries on %s", e.settings.Addresses.Peer)
+	if err := e.listenAll(); err != nil {
+		return err
 	}
 	e.client = capeer.NewClient(e.platform.Dial, clientTLS)
 	return nil
 }
 
+// listenAll opens all listeners or none.
+func (e *Entry) listenAll() error {
+	addresses := e.settings.Addresses
+	var open []net.Listener
+	for _, l := range []struct {
+		listener *net.Listener
+		whom     string
+		address  string
+	}{
+		{&e.apiListener, "callers", addresses.API},
+		{&e.operatorsListener, "operators", addresses.Operators},
+		{&e.peerListener, "entries", addresses.Peer},
+	} {
+		listener, err := e.platform.Listen(l.address)
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close()
+			}
+			return cakind.Wrap(cakind.KindUnavailable, err, "listen for %s on %s", l.whom, l.address)
+		}
+		*l.listener = listener
+		open = append(open, listener)
+	}
+	return nil
+}
+
 // link returns the connection to other entries.
 func (e *Entry) link() *calink.Link {
 	return calink.NewLink(e.client, e.directory, e.settings.Timeouts.Peer)
@@ -251,17 +275,18 @@
 
 func (e *Entry) wireAPI(metrics http.Handler) {
 	limits, times := e.settings.Limits, e.settings.Timeouts
+	bounds := caapi.Limits{
+		HeaderTime: times.Header, BodyTime: times.Body, IdleTime: times.Idle, RequestTime: times.Request,
+		HeaderBytes: int(limits.Header), BodyBytes: int64(limits.Body), Connections: limits.Connections,
+	}
 	e.api = caapi.NewAPI(caapi.Config{
-		Limits: caapi.Limits{
-			HeaderTime: times.Header, BodyTime: times.Body, IdleTime: times.Idle, RequestTime: times.Request,
-			HeaderBytes: int(limits.Header), BodyBytes: int64(limits.Body), Connections: limits.Connections,
-		},
+		Limits:     bounds,
 		Authorizer: authorizer{active: e.active},
 		Jobs:       jobs{launcher: e.launcher},
 		Requests:   e.dispatcher,
 		Status:     e,
-		Metrics:    metrics,
 	})
+	e.operators = caapi.NewOperators(caapi.OperatorsConfig{Limits: bounds, Status: e, Metrics: metrics})
 	e.peers = capeer.NewServer()
 	calink.Register(e.peers, calink.Parts{
 		Members: e.members, Shards: e.shards, Follower: e.follower,
@@ -272,6 +297,9 @@
 // APIAddress returns the address that serves callers.
 func (e *Entry) APIAddress() string { return e.apiListener.Addr().String() }
 
+// OperatorsAddress returns the address that serves operators.
+func (e *Entry) OperatorsAddress() string { return e.operatorsListener.Addr().String() }
+
 // PeerAddress returns the address that serves other entries.
 func (e *Entry) PeerAddress() string { return e.peerListener.Addr().String() }
 
--- a/internal/node/caentry/run.go
+++ b/internal/node/caentry/run.go
@@ -24,7 +24,7 @@
 // and ends.
 func (e *Entry) Run(ctx context.Context) error {
 	defer close(e.done)
-	caevent.Info(e.log, caevent.EntryStarted).Str("api", e.APIAddress()).Str("peer", e.PeerAddress()).
+	caevent.Info(e.log, caevent.EntryStarted).Str("api", e.APIAddress()).Str("operators", e.OperatorsAddress()).Str("peer", e.PeerAddress()).
 		Str("zone", string(e.settings.Zone)).Str("shard", string(e.shard)).Bool("tls", e.serverTLS != nil).Send()
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -83,6 +83,7 @@
 		{"publisher", e.publish},
 		{"peers", func(ctx context.Context) error { return e.peers.Serve(ctx, e.peerListener, e.serverTLS) }},
 		{"api", e.serveAPI},
+		{"operators", func(ctx context.Context) error { return e.operators.Run(ctx, e.operatorsListener) }},
 	}
 }
 
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -137,7 +137,7 @@
 func (w *world) startEntry(id string, zone cawork.ZoneName) {
 	settings := casettings.Default()
 	settings.VM, settings.Zone = cawork.VMID(id), zone
-	settings.Addresses = casettings.Addresses{API: "api-" + id, Peer: id}
+	settings.Addresses = casettings.Addresses{API: "api-" + id, Operators: "operators-" + id, Peer: id}
 	settings.Seeds = []string{"e00", "e10", "e20"}
 	settings.TLS.Insecure = true
 	platform := Platform{
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -103,22 +103,6 @@
 	if err != nil {
 		return err
 	}
-	if s.Addresses.Metrics == "" {
-		return entry.Run(ctx)
-	}
-	mux := http.NewServeMux()
-	mux.Handle(caapi.PathMetrics, around.Metrics)
-	metrics, err := castandin.NewServer(s.Addresses.Metrics, mux)
-	if err != nil {
-		return err
-	}
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go func() {
-		if err := metrics.Run(serving); err != nil {
-			caevent.Warn(around.Logger, caevent.PartFailed).Str("part", "metrics").AnErr("error", err).Send()
-		}
-	}()
 	return entry.Run(ctx)
 }
 
