--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -84,7 +84,7 @@
 	status := Status{
 		VM: e.settings.VM, Zone: e.settings.Zone, Ready: e.Ready(), ConfigVersion: int64(view.Version),
 		ConfirmedAgo: e.confirmedAgo(view.Config), Queued: load.Queued, OpenAttempts: load.Open, Free: load.Free,
-		Upstreams: e.upstreamStatuses(), Shards: e.shardStatuses(),
+		Entries: []EntryStatus{}, Teams: []TeamStatus{}, Upstreams: e.upstreamStatuses(), Shards: e.shardStatuses(),
 	}
 	use := make(map[cawork.TeamName]cawork.Resources)
 	for _, u := range load.Uses {
@@ -127,7 +127,7 @@
 
 func (e *Entry) upstreamStatuses() []UpstreamStatus {
 	entries := append(e.directory.ZoneEntries(e.settings.Zone), e.settings.VM)
-	var statuses []UpstreamStatus
+	statuses := []UpstreamStatus{}
 	for _, vm := range e.directory.ZoneUpstreams() {
 		s := UpstreamStatus{ID: vm.ID, Rack: vm.Rack, State: vm.State.String(), Capacity: vm.Capacity}
 		s.DesiredOwner, _ = carendezvous.First(string(vm.ID), entries)
@@ -140,7 +140,7 @@
 }
 
 func (e *Entry) shardStatuses() []ShardStatus {
-	var statuses []ShardStatus
+	statuses := []ShardStatus{}
 	for _, s := range e.shards.Statuses() {
 		statuses = append(statuses, ShardStatus{
 			Shard: s.Shard, View: s.View.Number, Primary: s.View.Primary.VM, Backup: s.View.Backup.VM,
