A different job under a known idempotency key is a conflict

Cause: the second of two different jobs under one key was answered with the id of the first, so that its caller took the outcome of another job for its own. Change: the record that accepts a job holds a digest of its specification; who finds the key compares. It is kept when an ended job drops its payload, and moves with a hand-over. Before: TestSameIdempotencyKeyIsOneJob, extended by a different body after the end of the first job, failed with no error; after: conflict.

--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -76,8 +76,10 @@
 	Job cawork.Job
 	// Key is the idempotency key of the submission, scoped by the team. A
 	// second submission with the key is the same job.
-	Key   string
-	Tasks []Task
+	Key string
+	// Digest tells apart the jobs that are submitted under one key.
+	Digest uint64
+	Tasks  []Task
 	// Canceled, From and Number are set for a job that another shard handed
 	// over. Number counts the jobs handed over from that shard to this one.
 	Canceled bool
--- a/internal/coord/cajob/rules.go
+++ b/internal/coord/cajob/rules.go
@@ -16,7 +16,7 @@
 	if len(tasks) == 0 {
 		tasks = make([]Task, r.Job.Spec.Tasks)
 	}
-	j := &Job{Job: r.Job, Key: r.Key, Tasks: tasks, Canceled: r.Canceled}
+	j := &Job{Job: r.Job, Key: r.Key, Digest: r.Digest, Tasks: tasks, Canceled: r.Canceled}
 	if len(tasks) != r.Job.Spec.Tasks || j.HasOpenAttempt() {
 		return cakind.New(cakind.KindInvalid, "job %s comes with %d tasks or open attempts", r.Job.ID, len(tasks))
 	}
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -186,7 +186,7 @@
 
 func (s *State) handover(j *Job) Handover {
 	return Handover{To: j.HandedTo, Accepted: JobAccepted{
-		Job: j.Job, Key: j.Key, Tasks: slices.Clone(j.Tasks), Canceled: j.Canceled,
+		Job: j.Job, Key: j.Key, Digest: j.Digest, Tasks: slices.Clone(j.Tasks), Canceled: j.Canceled,
 		From: s.shard, Number: j.HandoverNumber,
 	}}
 }
--- a/internal/coord/cajob/task.go
+++ b/internal/coord/cajob/task.go
@@ -44,6 +44,7 @@
 type Job struct {
 	Job      cawork.Job
 	Key      string
+	Digest   uint64
 	Tasks    []Task
 	Canceled bool
 	Outcome  cawork.Outcome
--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -151,6 +151,13 @@
 	if diff := cmp.Diff(first, second); diff != "" {
 		t.Errorf("job mismatch (-first +second):\n%s", diff)
 	}
+	if _, err := client.Get(context.Background(), first, patience); err != nil {
+		t.Fatalf("Get: %v", err)
+	}
+	_, err = client.Submit(context.Background(), submission(`{"run_ms": 1}`, small()), "report-7")
+	if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
+		t.Errorf("kind of the error for a different job after the first has ended (-want +got):\n%s", diff)
+	}
 }
 
 func TestJobPastItsDeadlineTellsWhy(t *testing.T) {
--- /dev/null
+++ b/internal/node/calaunch/digest.go
@@ -0,0 +1,34 @@
+package calaunch
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// specDigest tells submissions apart that come with one idempotency key. The
+// number of attempts is left out, since the policy of the cell may lower it
+// between two submissions. It is never 0.
+func specDigest(spec cawork.JobSpec) (uint64, error) {
+	spec.MaxAttempts = 0
+	encoded, err := cbor.Marshal(spec)
+	if err != nil {
+		return 0, cakind.Wrap(cakind.KindInternal, err, "encode the specification of a job")
+	}
+	return max(xxhash.Sum64(encoded), 1), nil
+}
+
+// sameJob refuses a submission whose key belongs to a different job. A job
+// without a digest was accepted by a program that wrote none.
+func (r FindKeyReply) sameJob(call SubmitCall) (SubmitReply, error) {
+	digest, err := specDigest(call.Spec)
+	if err != nil {
+		return SubmitReply{}, err
+	}
+	if r.Digest != 0 && r.Digest != digest {
+		return SubmitReply{}, cakind.New(cakind.KindConflict, "the idempotency key belongs to a different job")
+	}
+	return SubmitReply{Job: r.Job}, nil
+}
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -144,6 +144,7 @@
 // the key is under way at the answering entry.
 type FindKeyReply struct {
 	Job     cawork.JobID
+	Digest  uint64
 	Found   bool
 	Pending bool
 }
--- a/internal/node/calaunch/submit.go
+++ b/internal/node/calaunch/submit.go
@@ -91,13 +91,20 @@
 		return l.accept(ctx, call)
 	}
 	found, err := l.claimKey(ctx, call)
-	if err != nil || found.Found {
-		return SubmitReply{Job: found.Job}, err
+	if err != nil {
+		return SubmitReply{}, err
+	}
+	if found.Found {
+		return found.sameJob(call)
 	}
 	submission := keyedSubmission{team: call.Team, key: call.Key}
 	defer l.post(func() { delete(l.pending, submission) })
-	if other, err := l.findElsewhere(ctx, call); err != nil || other.Found {
-		return SubmitReply{Job: other.Job}, err
+	other, err := l.findElsewhere(ctx, call)
+	if err != nil {
+		return SubmitReply{}, err
+	}
+	if other.Found {
+		return other.sameJob(call)
 	}
 	return l.accept(ctx, call)
 }
@@ -164,7 +171,7 @@
 	for id := range l.led {
 		l.readState(id, func(s *cajob.State) {
 			if j, ok := s.JobOfKey(team, key); ok {
-				reply = FindKeyReply{Job: j.Job.ID, Found: true}
+				reply = FindKeyReply{Job: j.Job.ID, Digest: j.Digest, Found: true}
 			}
 		})
 	}
@@ -185,14 +192,20 @@
 		answer("", cakind.New(cakind.KindDraining, "entry %s is draining", l.Self).WithRetryAfter(time.Second))
 		return
 	}
+	digest, err := specDigest(call.Spec)
+	if err != nil {
+		answer("", err)
+		return
+	}
 	job := l.newJob(call)
 	if err := l.Scheduler.Submit(job, l.now()); err != nil {
 		l.refused(job, err)
 		answer("", err)
 		return
 	}
-	record := cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &cajob.JobAccepted{Job: job, Key: call.Key}}
-	err := l.propose(l.Shard, record, func(err error) {
+	accepted := cajob.JobAccepted{Job: job, Key: call.Key, Digest: digest}
+	record := cajob.Record{Type: cajob.RecordJobAccepted, JobAccepted: &accepted}
+	err = l.propose(l.Shard, record, func(err error) {
 		if err != nil {
 			l.withdraw(job, err)
 			answer("", err)
