The whole policy of look-ups acts on requests

Cause: only queue_bound of policy.lookup reached the request path. max_attempts, placement and aging were accepted by the check and ignored. Ruled out: to refuse them in the check. Canonical configurations spell all defaults out, so that an accepted one would be refused after an upgrade. Change: attempts that may have run are bounded by max_attempts; those known not to have started stay bounded by the retry budgets. Placement pack takes the upstream with the fewest free slots. The requests of a team wait in the order of their due times, as jobs do: arrival plus aging, or the latest start that meets the deadline.

--- a/internal/node/caentry/policy.go
+++ b/internal/node/caentry/policy.go
@@ -7,6 +7,8 @@
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
+	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
 // weightScale turns the share of a team, a fraction, into a whole weight.
@@ -40,11 +42,15 @@
 }
 
 // requestPolicy returns what the configuration says to the request path.
-func requestPolicy(c cacell.Config) caadmit.Policy {
-	p := caadmit.DefaultPolicy()
-	bound := c.Policy(cawork.WorkKindLookup).QueueBound
+func requestPolicy(c cacell.Config) cadispatch.Policy {
+	lookup := c.Policy(cawork.WorkKindLookup)
+	admission := caadmit.DefaultPolicy().WithAging(lookup.Aging)
 	for _, t := range c.Teams() {
-		p = p.WithTeam(caadmit.TeamPolicy{Team: t.Name, Weight: t.Share, MaxQueued: bound})
+		admission = admission.WithTeam(caadmit.TeamPolicy{Team: t.Name, Weight: t.Share, MaxQueued: lookup.QueueBound})
+	}
+	p := cadispatch.DefaultPolicy().WithAdmission(admission).WithMaxAttempts(lookup.MaxAttempts)
+	if lookup.Placement == cacell.PlacementPack {
+		p = p.WithPlacement(caroute.PlacementPack)
 	}
 	return p
 }
--- a/internal/request/caadmit/policy.go
+++ b/internal/request/caadmit/policy.go
@@ -14,6 +14,7 @@
 	defaultMaxQueued = 256
 	defaultMaxWait   = time.Second
 	defaultMaxTotal  = 1024
+	defaultAging     = time.Second
 )
 
 // TeamPolicy bounds and weighs the requests of one team. A zero field takes
@@ -33,6 +34,9 @@
 type Policy struct {
 	// MaxTotal bounds the waiting requests of all teams together.
 	MaxTotal int
+	// Aging is the wait after which a request goes before those of its team
+	// that arrive then, however close their deadlines are.
+	Aging time.Duration
 	// Default applies to teams that are not listed.
 	Default TeamPolicy
 	Teams   []TeamPolicy
@@ -42,6 +46,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		MaxTotal: defaultMaxTotal,
+		Aging:    defaultAging,
 		Default: TeamPolicy{
 			Weight:    defaultWeight,
 			MaxQueued: defaultMaxQueued,
@@ -63,6 +68,30 @@
 	return p
 }
 
+// WithAging returns a copy with the aging.
+func (p Policy) WithAging(d time.Duration) Policy {
+	p.Aging = d
+	return p
+}
+
+// due returns the time by which a request that arrives now is due to start.
+// The requests of a team go in the order of this time, which never changes.
+//
+// Example: with an aging of 1 s and a service time of 10 ms, a request that
+// arrives at 12:00:00 with a deadline of 30 s is due at 12:00:01. One with a
+// deadline of 200 ms is due at 12:00:00.19 and overtakes it.
+func (p Policy) due(now, deadline time.Time, service time.Duration) time.Time {
+	aging := p.Aging
+	if aging <= 0 {
+		aging = defaultAging
+	}
+	due := now.Add(aging)
+	if latest := deadline.Add(-service); latest.Before(due) {
+		return latest
+	}
+	return due
+}
+
 // Of returns the policy of the team with every field set.
 func (p Policy) Of(team cawork.TeamName) TeamPolicy {
 	base := p.Default.or(DefaultPolicy().Default)
--- a/internal/request/caadmit/queue.go
+++ b/internal/request/caadmit/queue.go
@@ -15,6 +15,7 @@
 	Deadline time.Time
 	Payload  any
 
+	due     time.Time
 	element *list.Element
 }
 
@@ -27,7 +28,8 @@
 }
 
 type teamQueue struct {
-	policy  TeamPolicy
+	policy TeamPolicy
+	// waiting is ordered by the time at which the requests are due.
 	waiting *list.List
 	// finish is the virtual time up to which the team has been served, in
 	// seconds of slot time divided by weight.
@@ -64,7 +66,8 @@
 // Len returns the number of waiting requests.
 func (q *Queues) Len() int { return q.total }
 
-// Admit adds a request to the end of the queue of its team. It refuses when the queues are full, or when the
+// Admit adds a request to the queue of its team, in the order of the times at
+// which requests are due. It refuses when the queues are full, or when the
 // request is expected to wait beyond its deadline or the bound of its team.
 func (q *Queues) Admit(now time.Time, t *Ticket, c Capacity) *Refusal {
 	if err := q.Check(now, t, c); err != nil {
@@ -72,7 +75,7 @@
 	}
 	team := q.team(t.Team)
 	q.activate(team)
-	t.element = team.waiting.PushBack(t)
+	team.insert(t)
 	q.total++
 	return nil
 }
@@ -80,7 +83,8 @@
 // Check returns the refusal that Admit would give, nil for none.
 func (q *Queues) Check(now time.Time, t *Ticket, c Capacity) *Refusal {
 	team := q.team(t.Team)
-	wait := q.expectedWait(team, c)
+	t.due = q.policy.due(now, t.Deadline, c.Service)
+	wait := q.expectedWait(team, team.before(t), c)
 	if reason := q.refusal(now, team, t, wait, c); reason != "" {
 		return &Refusal{reason: reason, retryAfter: max(wait, minRetryAfter)}
 	}
@@ -167,6 +171,33 @@
 	}
 }
 
+// last returns the last request that goes before k, nil for none, and the
+// number of those behind k.
+func (t *teamQueue) last(k *Ticket) (*list.Element, int) {
+	behind := 0
+	e := t.waiting.Back()
+	for e != nil && e.Value.(*Ticket).due.After(k.due) {
+		e = e.Prev()
+		behind++
+	}
+	return e, behind
+}
+
+// before returns the number of requests that go before k.
+func (t *teamQueue) before(k *Ticket) int {
+	_, behind := t.last(k)
+	return t.waiting.Len() - behind
+}
+
+func (t *teamQueue) insert(k *Ticket) {
+	e, _ := t.last(k)
+	if e == nil {
+		k.element = t.waiting.PushFront(k)
+		return
+	}
+	k.element = t.waiting.InsertAfter(k, e)
+}
+
 func (t *teamQueue) charge(service time.Duration) {
 	t.finish += service.Seconds() / t.policy.Weight
 }
@@ -240,7 +271,7 @@
 // expectedWait estimates the wait of one more request of the team: the
 // requests of the team before it, divided by the part of the slots that the
 // weight of the team buys among the waiting teams.
-func (q *Queues) expectedWait(team *teamQueue, c Capacity) time.Duration {
+func (q *Queues) expectedWait(team *teamQueue, before int, c Capacity) time.Duration {
 	weights := 0.0
 	for _, t := range q.active {
 		weights += t.policy.Weight
@@ -249,6 +280,6 @@
 		weights += team.policy.Weight
 	}
 	share := team.policy.Weight / weights
-	rounds := float64(team.waiting.Len()+1) / (share * float64(max(c.Slots, 1)))
+	rounds := float64(before+1) / (share * float64(max(c.Slots, 1)))
 	return time.Duration(rounds * float64(c.Service))
 }
--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -44,6 +44,10 @@
 	// tried lists the upstreams of former attempts.
 	tried    []cawork.UpstreamID
 	attempts int
+	// unstarted counts the attempts that are known not to have started.
+	unstarted int
+	// maxAttempts bounds the others, zero for no bound.
+	maxAttempts int
 	// mayHaveRun is set when the end of a former attempt is not known, ran
 	// when one is known to have run.
 	mayHaveRun bool
@@ -133,6 +137,9 @@
 
 // note remembers what an attempt that ended with an error tells of the work.
 func (c *call) note(err error) {
+	if cakind.Of(err) == cakind.KindNotStarted {
+		c.unstarted++
+	}
 	switch OutcomeOf(cakind.Of(err)) {
 	case cawork.OutcomeUnknown:
 		c.mayHaveRun = true
@@ -171,6 +178,9 @@
 	case k == cakind.KindNotStarted:
 		return true
 	}
+	if c.maxAttempts > 0 && c.attempts-c.unstarted >= c.maxAttempts {
+		return false
+	}
 	return c.idempotent && (k == cakind.KindUnknown || k == cakind.KindFailed)
 }
 
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -40,7 +40,7 @@
 	Scope  tally.Scope
 	// CrossingDelay is the round trip to another availability zone.
 	CrossingDelay time.Duration
-	Policy        caadmit.Policy
+	Policy        Policy
 	// MaxInProgress bounds the requests that the entry holds at a time, and
 	// with them its memory. Zero stands for 1,024.
 	MaxInProgress int
@@ -60,6 +60,7 @@
 	lastID   atomic.Int64
 
 	mu         sync.Mutex
+	policy     Policy
 	router     *caroute.Router
 	queues     *caadmit.Queues
 	budgets    *caroute.Budgets
@@ -81,19 +82,21 @@
 	if c.MaxInProgress <= 0 {
 		c.MaxInProgress = defaultMaxInProgress
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:    c,
 		forward:   caforward.New(c.Timer.Now),
 		metrics:   newMetrics(c.Scope),
 		idPrefix:  uuid.NewString() + "-",
 		router:    caroute.NewRouter(caroute.Config{Zone: c.Zone, CrossingDelay: c.CrossingDelay}),
-		queues:    caadmit.NewQueues(c.Policy),
+		queues:    caadmit.NewQueues(c.Policy.Admission),
 		budgets:   caroute.NewBudgets(),
 		idle:      make(chan struct{}),
 		borrowing: newBorrowing(),
 		watched:   map[*running]struct{}{},
 		done:      make(chan struct{}),
 	}
+	d.SetPolicy(c.Policy)
+	return d
 }
 
 // PutUpstream adds or replaces an upstream that this entry owns.
@@ -114,11 +117,13 @@
 	d.forward.Forget(id)
 }
 
-// SetPolicy replaces the bounds and weights of the teams.
-func (d *Dispatcher) SetPolicy(p caadmit.Policy) {
+// SetPolicy replaces the policy. Requests that wait already keep their order.
+func (d *Dispatcher) SetPolicy(p Policy) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.queues.SetPolicy(p)
+	d.policy = p
+	d.queues.SetPolicy(p.Admission)
+	d.router.SetPlacement(p.Placement)
 }
 
 // ServeRequest answers one request of a team. It returns when the answer has
--- a/internal/request/cadispatch/dispatch_test.go
+++ b/internal/request/cadispatch/dispatch_test.go
@@ -257,6 +257,38 @@
 	}
 }
 
+// Attempts that may have run are bounded by the policy, those known not to
+// have started only by the budgets.
+func TestPolicyBoundsAttempts(t *testing.T) {
+	const saved, requests = 100, 4
+	for _, tt := range []struct {
+		name   string
+		bound  int
+		notRun bool
+		want   int
+	}{
+		{"may have run, one attempt", 1, false, requests},
+		{"may have run, two attempts", 2, false, 2 * requests},
+		{"not started", 1, true, requests + saved/10},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t, func(c *cadispatch.Config) { c.Policy = c.Policy.WithMaxAttempts(tt.bound) })
+			up := newStandin(t, echo)
+			e.PutUpstream(up.upstream("u1"))
+			for range saved {
+				e.post(t, "work", caplatform.HeaderIdempotent, "true")
+			}
+			up.set(status(http.StatusServiceUnavailable, tt.notRun))
+			for range requests {
+				e.post(t, "work", caplatform.HeaderIdempotent, "true")
+			}
+			if diff := cmp.Diff(tt.want, up.count()-saved); diff != "" {
+				t.Errorf("attempts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A request whose first attempt may have run is not reported as not run when
 // its second one is refused.
 func TestOutcomeCoversAllAttempts(t *testing.T) {
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -41,6 +41,7 @@
 func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, *caroute.Route, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.maxAttempts = d.policy.MaxAttempts
 	now := d.config.Timer.Now()
 	ask := caroute.Ask{Idempotent: c.idempotent, Deadline: c.deadline, Exclude: c.tried}
 	if c.attempts > 0 {
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -11,6 +11,7 @@
 )
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=verdict_names.go
+//go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=ChangeKind -trimprefix=Change -transform=snake -text -output=changekind_names.go
 
 // Verdict tells how an attempt ended, as far as it tells of the upstream.
@@ -29,6 +30,18 @@
 	VerdictAbandoned
 )
 
+// Placement tells how the router chooses among upstreams with free slots.
+type Placement int
+
+// The ways of placement.
+const (
+	// PlacementSpread takes the upstream with the least expected latency.
+	PlacementSpread Placement = iota
+	// PlacementPack takes the upstream with the fewest free slots, and the
+	// least expected latency among equals.
+	PlacementPack
+)
+
 // ChangeKind tells what happened to an upstream.
 type ChangeKind int
 
@@ -93,6 +106,7 @@
 	// lingering holds the slots of interrupted attempts.
 	lingering []lingering
 	turn      int
+	placement Placement
 	service   time.Duration
 	nextID    int64
 }
@@ -109,6 +123,9 @@
 	}
 }
 
+// SetPlacement replaces the way of placement.
+func (r *Router) SetPlacement(p Placement) { r.placement = p }
+
 // Put adds or replaces an owned upstream. Requests in progress keep their
 // slots.
 func (r *Router) Put(now time.Time, u Upstream) {
@@ -191,8 +208,8 @@
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
-// Choose takes a slot of the upstream with the least expected latency. It
-// returns nil when no slot is free for the request.
+// Choose takes a slot of an upstream, after the way of placement. It returns
+// nil when no slot is free for the request.
 func (r *Router) Choose(now time.Time, a Ask) *Route {
 	if s := r.probe(now, a); s != nil {
 		r.health[s.upstream].probing = true
@@ -203,22 +220,49 @@
 		// none.
 		a.Exclude = nil
 	}
+	best := r.best(now, a)
+	if best == nil {
+		return nil
+	}
+	r.turn++
+	return r.take(now, best, false)
+}
+
+// best returns the usable source of the lowest rank, nil for none.
+func (r *Router) best(now time.Time, a Ask) *source {
 	var best *source
-	var least time.Duration
+	var least rank
 	for i := range r.sources {
 		s := r.sources[(r.turn+i)%len(r.sources)]
 		if !r.usable(now, s, a) {
 			continue
 		}
-		if e := r.expected(now, s); best == nil || e < least {
-			best, least = s, e
+		if k := r.rank(now, s); best == nil || k.below(least) {
+			best, least = s, k
 		}
 	}
-	if best == nil {
-		return nil
+	return best
+}
+
+// rank orders sources. The lowest is chosen.
+type rank struct {
+	free     int
+	expected time.Duration
+}
+
+func (k rank) below(o rank) bool {
+	if k.free != o.free {
+		return k.free < o.free
 	}
-	r.turn++
-	return r.take(now, best, false)
+	return k.expected < o.expected
+}
+
+func (r *Router) rank(now time.Time, s *source) rank {
+	k := rank{expected: r.expected(now, s)}
+	if r.placement == PlacementPack {
+		k.free = s.free(r.limitOf(s))
+	}
+	return k
 }
 
 // Release gives the slot of an attempt back and learns from its end. It
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,27 @@
 	return changes
 }
 
+// Under packing an upstream is filled before the next one gets a request, and
+// under spreading all get their part.
+func TestPlacementDecidesAmongFreeUpstreams(t *testing.T) {
+	for placement, want := range map[caroute.Placement][]int{
+		caroute.PlacementPack:   {8, 4, 0},
+		caroute.PlacementSpread: {4, 4, 4},
+	} {
+		r := newRouter(3)
+		r.SetPlacement(placement)
+		counts := map[cawork.UpstreamID]int{}
+		for range 12 {
+			counts[r.Choose(start, ask()).Upstream]++
+		}
+		got := []int{counts["u0"], counts["u1"], counts["u2"]}
+		slices.SortFunc(got, func(a, b int) int { return b - a })
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", placement, diff)
+		}
+	}
+}
+
 func served(cawork.UpstreamID) caroute.Verdict { return caroute.VerdictServed }
 
 func TestFailingUpstreamIsEjectedProbedAndRestored(t *testing.T) {
