Entries borrow by the free slots that their peers report

Cause: a peer was taken to have 8 free slots on each upstream that it owned, so that full peers were asked as often as free ones, one question in 50 ms. Change: the summary that members exchange carries the slots that an entry would lend: none while requests wait there. Peers that reported some are asked first; one that reported none, at most twice a second, in case its report is old. Ruled out: not to ask these at all, because reports are seconds old and an entry that owns nothing would refuse as unavailable.

--- a/internal/coord/camember/local.go
+++ b/internal/coord/camember/local.go
@@ -62,6 +62,7 @@
 	sections := []Section{{Summary: &Summary{
 		Free: amountsOf(s.wanted.Free), LargestHole: amountsOf(s.wanted.LargestHole),
 		QueueLength: s.wanted.QueueLength, OwnedUpstreams: s.wanted.OwnedUpstreams,
+		FreeSlots: s.wanted.FreeSlots,
 	}}}
 	for _, u := range s.wanted.TeamUse {
 		sections = append(sections, Section{Use: &UseEntry{Team: u.Team, Use: amountsOf(u.Use)}})
--- a/internal/coord/camember/member.go
+++ b/internal/coord/camember/member.go
@@ -117,6 +117,8 @@
 	LargestHole    cawork.Resources
 	QueueLength    int
 	OwnedUpstreams int
+	// FreeSlots is the number of slots that the entry would lend.
+	FreeSlots int
 	Shards         []LedShard
 	// Unreachable lists the upstreams that the entry cannot reach and leaves
 	// to others.
--- a/internal/coord/camember/message.go
+++ b/internal/coord/camember/message.go
@@ -75,6 +75,7 @@
 	LargestHole    Amounts
 	QueueLength    int
 	OwnedUpstreams int
+	FreeSlots      int
 }
 
 // ShardEntry is the wire form of LedShard.
--- a/internal/coord/camember/record.go
+++ b/internal/coord/camember/record.go
@@ -112,6 +112,7 @@
 	case s.Summary != nil:
 		a.Free, a.LargestHole = s.Summary.Free.resources(), s.Summary.LargestHole.resources()
 		a.QueueLength, a.OwnedUpstreams = s.Summary.QueueLength, s.Summary.OwnedUpstreams
+		a.FreeSlots = s.Summary.FreeSlots
 	case s.Shards != nil:
 		for _, e := range s.Shards.Shards {
 			a.Shards = append(a.Shards, LedShard{Shard: e.Shard, View: e.View, Backup: e.Backup})
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -21,10 +21,6 @@
 // publishPeriod is the time between two reports of the own state to others.
 const publishPeriod = 500 * time.Millisecond
 
-// slotsGuess is the number of free slots that an entry is taken to have on
-// each of its upstreams before it is asked.
-const slotsGuess = 8
-
 func followOwner(ctx context.Context, e *Entry) error {
 	return caowner.Follow(ctx, e.owner, e.members, e.list)
 }
@@ -125,7 +121,8 @@
 	load := e.launcher.Load(ctx)
 	state := camember.AppState{
 		ConfigVersion: int64(e.follower.Current().Version), Free: load.Free, LargestHole: load.LargestHole,
-		QueueLength: load.Queued, OwnedUpstreams: len(e.owner.Owned()), Unreachable: e.owner.Unreachable(),
+		QueueLength: load.Queued, OwnedUpstreams: len(e.owner.Owned()),
+		FreeSlots: e.dispatcher.FreeSlots(), Unreachable: e.owner.Unreachable(),
 	}
 	for _, u := range load.Uses {
 		state.TeamUse = append(state.TeamUse, camember.TeamUse{Team: u.Team, Use: u.Use})
@@ -150,7 +147,9 @@
 		if m.Liveness == camember.LivenessAlive && m.Reach == camember.ReachDirect {
 			e.follower.Offer(cafollow.Offer{VM: m.VM, Zone: m.Zone, Version: cafollow.Version(m.App.ConfigVersion)})
 		}
-		peers = append(peers, cadispatch.Peer{ID: m.VM, Zone: m.Zone, FreeSlots: m.App.OwnedUpstreams * slotsGuess})
+		peers = append(peers, cadispatch.Peer{
+			ID: m.VM, Zone: m.Zone, Owns: m.App.OwnedUpstreams > 0, FreeSlots: m.App.FreeSlots,
+		})
 		if m.Zone == e.settings.Zone {
 			members = append(members, cadedupe.Member{ID: m.VM, Incarnation: int64(m.Incarnation)})
 		}
--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -13,6 +13,8 @@
 	borrowTimeout = 250 * time.Millisecond
 	// peerPause is the time for which a peer that lent nothing is not asked.
 	peerPause = 50 * time.Millisecond
+	// fullPeerPause is the same for a peer that reported no free slots.
+	fullPeerPause = 500 * time.Millisecond
 )
 
 // BorrowRequest asks the owner of upstreams for slots.
@@ -38,10 +40,20 @@
 type Peer struct {
 	ID   cawork.VMID
 	Zone cawork.ZoneName
-	// FreeSlots is the last known number of free slots.
+	// Owns tells that the peer owned upstreams at its last report.
+	Owns bool
+	// FreeSlots is the number of slots that it would have lent then.
 	FreeSlots int
 }
 
+// pause returns the time for which the peer is not asked after it lent nothing.
+func (p Peer) pause() time.Duration {
+	if p.FreeSlots > 0 {
+		return peerPause
+	}
+	return fullPeerPause
+}
+
 // borrowing is the state of the borrower of one entry.
 type borrowing struct {
 	peers  []Peer
@@ -69,11 +81,14 @@
 	clear(d.borrowing.paused)
 }
 
-// FreeSlots returns the free slots of the owned upstreams, for the digest that
-// peers get.
+// FreeSlots returns the slots of the owned upstreams that would be lent, for
+// the state that peers get. While requests wait here none is.
 func (d *Dispatcher) FreeSlots() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.queues.Len() > 0 {
+		return 0
+	}
 	return d.router.Free(d.config.Timer.Now())
 }
 
@@ -117,14 +132,15 @@
 
 // lender chooses the peer with the most free slots. A peer of another zone is
 // asked only when no peer of the own zone has any, and when the wait here is
-// longer than the crossing.
+// longer than the crossing. When no peer reported any, an owner of the own
+// zone is asked, because reports are seconds old.
 func (d *Dispatcher) lender(now time.Time) (Peer, bool) {
 	var best Peer
 	for _, p := range d.borrowing.peers {
-		if p.FreeSlots <= 0 || now.Before(d.borrowing.paused[p.ID]) {
+		if (p.FreeSlots <= 0 && !p.Owns) || now.Before(d.borrowing.paused[p.ID]) {
 			continue
 		}
-		if p.Zone != d.config.Zone && d.expectedWait(now) <= d.config.CrossingDelay {
+		if p.Zone != d.config.Zone && (p.FreeSlots <= 0 || d.expectedWait(now) <= d.config.CrossingDelay) {
 			continue
 		}
 		if best.ID == "" || d.prefers(p, best) {
@@ -135,6 +151,9 @@
 }
 
 func (d *Dispatcher) prefers(a, b Peer) bool {
+	if (a.FreeSlots > 0) != (b.FreeSlots > 0) {
+		return a.FreeSlots > 0
+	}
 	if (a.Zone == d.config.Zone) != (b.Zone == d.config.Zone) {
 		return a.Zone == d.config.Zone
 	}
@@ -159,7 +178,7 @@
 	now := d.config.Timer.Now()
 	d.borrowing.asking = false
 	if err != nil || !answer.Granted {
-		d.borrowing.paused[p.ID] = now.Add(peerPause)
+		d.borrowing.paused[p.ID] = now.Add(p.pause())
 		d.borrow(now)
 		return
 	}
--- a/internal/request/cadispatch/lend_test.go
+++ b/internal/request/cadispatch/lend_test.go
@@ -11,6 +11,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
@@ -122,6 +123,40 @@
 	}
 }
 
+// fullPeers refuses to lend and counts the questions to each peer.
+type fullPeers struct {
+	mu    sync.Mutex
+	calls map[cawork.VMID]int
+}
+
+func (f *fullPeers) Borrow(_ context.Context, owner cawork.VMID, _ cadispatch.BorrowRequest) (cadispatch.BorrowGrant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[owner]++
+	return cadispatch.BorrowGrant{}, nil
+}
+
+func (f *fullPeers) Return(context.Context, cawork.VMID, caroute.GrantID) error { return nil }
+
+// A peer that reported no free slots is asked, but seldom, and one that owns
+// nothing is not asked.
+func TestFullPeersAreAskedSeldom(t *testing.T) {
+	full := &fullPeers{calls: map[cawork.VMID]int{}}
+	e := newEntry(t, func(c *cadispatch.Config) { c.Lender = full })
+	e.SetPeers([]cadispatch.Peer{{ID: "full", Zone: "z1", Owns: true}, {ID: "idle", Zone: "z1"}})
+	began := time.Now()
+	e.post(t, "work", caplatform.HeaderDeadline, "1000")
+	full.mu.Lock()
+	defer full.mu.Unlock()
+	most := 1 + int(time.Since(began)/(500*time.Millisecond))
+	if n := full.calls["full"]; n < 1 || n > most {
+		t.Errorf("%d questions, want 1 to %d", n, most)
+	}
+	if diff := cmp.Diff(0, full.calls["idle"]); diff != "" {
+		t.Errorf("questions to a peer without upstreams (-want +got):\n%s", diff)
+	}
+}
+
 // A silent peer delays nothing that can be served without it.
 func TestSilentPeerDelaysNothing(t *testing.T) {
 	l, entries := newEntries(t, 2, nil)
