A new owner counts the requests of the former one

Cause: when an owner died with slots in use, the next one started with all slots free. Found by TestNextOwnerCountsRequestsOfTheFormer: 8 in progress, 8 started beside them, all 8 beyond the slots and refused by the upstream. Two more faults were found on the way. Grants were numbered by each owner from one, so that a borrower that returned a grant of the former owner freed slots of the next one's (TestSlotsAreNeverPassed with takeovers: 9 requests at 8 slots). And an entry whose slots were all lent refused requests as if it had no upstream. Ruled out: to wait out the longest deadline of the former owner, 10 minutes. Change: claims and heartbeats tell the requests of former epochs, which are counted as slots in use. Names of grants hold the epoch. A request waits as long as an upstream can start any.

--- a/internal/coord/camember/member.go
+++ b/internal/coord/camember/member.go
@@ -119,7 +119,7 @@
 	OwnedUpstreams int
 	// FreeSlots is the number of slots that the entry would lend.
 	FreeSlots int
-	Shards         []LedShard
+	Shards    []LedShard
 	// Unreachable lists the upstreams that the entry cannot reach and leaves
 	// to others.
 	Unreachable []cawork.UpstreamID
--- a/internal/coord/caowner/call.go
+++ b/internal/coord/caowner/call.go
@@ -109,6 +109,7 @@
 	s.check.Assert(o.Epoch > u.highest, cacheck.RuleEpochGrows,
 		"%s granted epoch %d after %d", u.id, o.Epoch, u.highest)
 	u.highest, u.epoch, u.sequence, u.renewed = o.Epoch, o.Epoch, 0, false
+	u.former = a.Claim.FormerRequests
 	s.renew(u, a.Call.Sent)
 	u.phase, u.next = phaseOwned, now
 	switch {
@@ -117,7 +118,7 @@
 	case s.draining || u.desired != s.self:
 		u.phase, u.releaseUntil = phaseReleasing, u.until
 	default:
-		s.emit(u, Event{Kind: EventKindGained, Epoch: u.epoch, Tasks: a.Claim.Tasks})
+		s.emit(u, Event{Kind: EventKindGained, Epoch: u.epoch, Tasks: a.Claim.Tasks, FormerRequests: u.former})
 	}
 }
 
@@ -152,6 +153,10 @@
 	if len(a.Heartbeat.Changed) > 0 {
 		s.emit(u, Event{Kind: EventKindTasksChanged, Epoch: u.epoch, Tasks: a.Heartbeat.Changed})
 	}
+	if a.Heartbeat.FormerRequests != u.former {
+		u.former = a.Heartbeat.FormerRequests
+		s.emit(u, Event{Kind: EventKindRequestsEnded, Epoch: u.epoch, FormerRequests: u.former})
+	}
 }
 
 // handleRelease retries a release whose fate is unknown while the lease may
--- a/internal/coord/caowner/event.go
+++ b/internal/coord/caowner/event.go
@@ -28,6 +28,8 @@
 	EventKindGained
 	// EventKindTasksChanged lists attempts that changed.
 	EventKindTasksChanged
+	// EventKindRequestsEnded means that FormerRequests fell.
+	EventKindRequestsEnded
 	// EventKindLost means that this entry does not own the upstream any more,
 	// without having wished so.
 	EventKindLost
@@ -62,6 +64,9 @@
 	Epoch    caplatform.Epoch
 	Reason   Reason
 	Tasks    []caplatform.TaskStatus
+	// FormerRequests is the number of requests of former owners that still use
+	// slots of the upstream.
+	FormerRequests int
 }
 
 // Lease is the ownership of an upstream by this entry. A start may be sent
@@ -69,6 +74,8 @@
 type Lease struct {
 	Epoch      caplatform.Epoch
 	ValidUntil time.Time
+	// FormerRequests is as in Event.
+	FormerRequests int
 }
 
 // Entry is a live entry of the zone.
--- a/internal/coord/caowner/eventkind_names.go
+++ b/internal/coord/caowner/eventkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventKindName = "listedleavingunlistedgainedtasks_changedlostreleased"
+const _EventKindName = "listedleavingunlistedgainedtasks_changedrequests_endedlostreleased"
 
-var _EventKindIndex = [...]uint8{0, 6, 13, 21, 27, 40, 44, 52}
+var _EventKindIndex = [...]uint8{0, 6, 13, 21, 27, 40, 54, 58, 66}
 
-const _EventKindLowerName = "listedleavingunlistedgainedtasks_changedlostreleased"
+const _EventKindLowerName = "listedleavingunlistedgainedtasks_changedrequests_endedlostreleased"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -29,11 +29,12 @@
 	_ = x[EventKindUnlisted-(2)]
 	_ = x[EventKindGained-(3)]
 	_ = x[EventKindTasksChanged-(4)]
-	_ = x[EventKindLost-(5)]
-	_ = x[EventKindReleased-(6)]
+	_ = x[EventKindRequestsEnded-(5)]
+	_ = x[EventKindLost-(6)]
+	_ = x[EventKindReleased-(7)]
 }
 
-var _EventKindValues = []EventKind{EventKindListed, EventKindLeaving, EventKindUnlisted, EventKindGained, EventKindTasksChanged, EventKindLost, EventKindReleased}
+var _EventKindValues = []EventKind{EventKindListed, EventKindLeaving, EventKindUnlisted, EventKindGained, EventKindTasksChanged, EventKindRequestsEnded, EventKindLost, EventKindReleased}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:6]:   EventKindListed,
@@ -41,8 +42,9 @@
 	_EventKindName[13:21]: EventKindUnlisted,
 	_EventKindName[21:27]: EventKindGained,
 	_EventKindName[27:40]: EventKindTasksChanged,
-	_EventKindName[40:44]: EventKindLost,
-	_EventKindName[44:52]: EventKindReleased,
+	_EventKindName[40:54]: EventKindRequestsEnded,
+	_EventKindName[54:58]: EventKindLost,
+	_EventKindName[58:66]: EventKindReleased,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -51,8 +53,9 @@
 	_EventKindLowerName[13:21]: EventKindUnlisted,
 	_EventKindLowerName[21:27]: EventKindGained,
 	_EventKindLowerName[27:40]: EventKindTasksChanged,
-	_EventKindLowerName[40:44]: EventKindLost,
-	_EventKindLowerName[44:52]: EventKindReleased,
+	_EventKindLowerName[40:54]: EventKindRequestsEnded,
+	_EventKindLowerName[54:58]: EventKindLost,
+	_EventKindLowerName[58:66]: EventKindReleased,
 }
 
 var _EventKindNames = []string{
@@ -61,8 +64,9 @@
 	_EventKindName[13:21],
 	_EventKindName[21:27],
 	_EventKindName[27:40],
-	_EventKindName[40:44],
-	_EventKindName[44:52],
+	_EventKindName[40:54],
+	_EventKindName[54:58],
+	_EventKindName[58:66],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -180,7 +180,7 @@
 	if !ok || u.phase != phaseOwned || !now.Before(u.until) {
 		return Lease{}, false
 	}
-	return Lease{Epoch: u.epoch, ValidUntil: u.until}, true
+	return Lease{Epoch: u.epoch, ValidUntil: u.until, FormerRequests: u.former}, true
 }
 
 // Owned returns the upstreams that this entry owns now, ordered by id.
--- a/internal/coord/caowner/state_test.go
+++ b/internal/coord/caowner/state_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// The owner tells how many requests of former owners use slots, from the claim
+// on and whenever some have ended.
+func TestOwnerTellsRequestsOfFormerOwners(t *testing.T) {
+	f := newFixture(t, "u")
+	c := f.one(settled, caowner.CallKindClaim)
+	f.HandleAnswer(at(settled), caowner.Answer{Call: c, Claim: caplatform.ClaimResult{
+		Granted: true, Ownership: caplatform.Ownership{Holder: "e1", Epoch: 1}, FormerRequests: 8,
+	}})
+	got := []int{f.wantEvents(caowner.EventKindGained)[0].FormerRequests}
+	for i, former := range []int{8, 3, 3, 0} {
+		d := settled + time.Duration(i)*2*time.Second
+		c = f.one(d, caowner.CallKindHeartbeat)
+		f.HandleAnswer(at(d), caowner.Answer{Call: c, Heartbeat: caplatform.HeartbeatResult{FormerRequests: former}})
+		for _, e := range f.TakeEvents() {
+			got = append(got, e.FormerRequests)
+		}
+		lease, _ := f.Lease(at(d), "u")
+		if diff := cmp.Diff(former, lease.FormerRequests); diff != "" {
+			t.Errorf("requests in the lease (-want +got):\n%s", diff)
+		}
+	}
+	if diff := cmp.Diff([]int{8, 3, 0}, got); diff != "" {
+		t.Errorf("requests in the events (-want +got):\n%s", diff)
+	}
+}
+
 func TestLeaseCountsFromTheSending(t *testing.T) {
 	f := newFixture(t, "u")
 	f.none(settled - time.Millisecond)
--- a/internal/coord/caowner/upstream.go
+++ b/internal/coord/caowner/upstream.go
@@ -38,6 +38,8 @@
 	highest  caplatform.Epoch
 	until    time.Time
 	sequence int64
+	// former is the number of requests of former owners.
+	former int
 	// renewed tells that the lease was renewed since the claim. The second
 	// renewal comes after spread, so that those of many upstreams do not
 	// coincide.
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -46,11 +46,11 @@
 
 func (e *Entry) routeEvent(ev caowner.Event) {
 	switch ev.Kind {
-	case caowner.EventKindGained:
+	case caowner.EventKindGained, caowner.EventKindRequestsEnded:
 		e.dispatcher.PutUpstream(route(ev, ev.VM.State != caplatform.VMStateLive))
 	case caowner.EventKindLeaving:
 		if lease, ok := e.owner.Lease(ev.Upstream); ok {
-			ev.Epoch = lease.Epoch
+			ev.Epoch, ev.FormerRequests = lease.Epoch, lease.FormerRequests
 			e.dispatcher.PutUpstream(route(ev, true))
 		}
 	case caowner.EventKindLost, caowner.EventKindReleased, caowner.EventKindUnlisted:
@@ -63,6 +63,7 @@
 	return caroute.Upstream{
 		ID: ev.Upstream, Zone: ev.VM.Zone, Address: ev.VM.Address, Slots: ev.VM.Slots,
 		Connections: ev.VM.Connections, Epoch: ev.Epoch, Leaving: leaving,
+		FormerRequests: ev.FormerRequests,
 	}
 }
 
@@ -111,7 +112,7 @@
 		known[id] = vm.State
 		e.launcher.UpstreamListed(vm)
 		if lease, ok := e.owner.Lease(id); ok {
-			ev := caowner.Event{Upstream: id, VM: vm, Epoch: lease.Epoch}
+			ev := caowner.Event{Upstream: id, VM: vm, Epoch: lease.Epoch, FormerRequests: lease.FormerRequests}
 			e.dispatcher.PutUpstream(route(ev, vm.State != caplatform.VMStateLive))
 		}
 	}
--- a/internal/node/calaunch/follow.go
+++ b/internal/node/calaunch/follow.go
@@ -27,7 +27,7 @@
 	case caowner.EventKindLost, caowner.EventKindReleased, caowner.EventKindUnlisted:
 		l.table.Drop(e.Upstream)
 		l.Scheduler.RemoveUpstream(e.Upstream, l.now())
-	case caowner.EventKindListed:
+	case caowner.EventKindListed, caowner.EventKindRequestsEnded:
 	}
 }
 
--- a/internal/platform/caplatform/platform.go
+++ b/internal/platform/caplatform/platform.go
@@ -122,6 +122,9 @@
 	Granted   bool         `json:"granted"`
 	Ownership Ownership    `json:"ownership"`
 	Tasks     []TaskStatus `json:"tasks"`
+	// FormerRequests is the number of requests in slots that were admitted
+	// under former epochs. It never grows within an epoch.
+	FormerRequests int `json:"former_requests,omitempty"`
 }
 
 // Heartbeat renews the ownership lease and the leases of all running tasks,
@@ -140,6 +143,8 @@
 	Ownership Ownership    `json:"ownership"`
 	Changed   []TaskStatus `json:"changed"`
 	Sequence  int64        `json:"sequence"`
+	// FormerRequests is as in ClaimResult.
+	FormerRequests int `json:"former_requests,omitempty"`
 }
 
 // Start asks an upstream to start a task attempt. It is idempotent by
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -81,8 +81,7 @@
 }
 
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
-	slots := d.router.Slots(now)
-	if slots == 0 {
+	if !d.router.CanStart(now) {
 		if _, ok := d.lender(now); !ok || d.config.Lender == nil {
 			return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
 		}
--- /dev/null
+++ b/internal/request/cadispatch/takeover_test.go
@@ -0,0 +1,116 @@
+package cadispatch_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/caroute"
+	"celeryarch.example/celeryarch/internal/standin/castandup"
+)
+
+// agent is an upstream with its agent, whose clock a test sets.
+type agent struct {
+	*castandup.Upstream
+	server *httptest.Server
+	mu     sync.Mutex
+	now    time.Time
+}
+
+func newAgent(t *testing.T) *agent {
+	a := &agent{now: time.Now()}
+	a.Upstream = castandup.NewUpstream(a.clock, caplatform.VM{ID: "u1", Slots: 8})
+	a.server = httptest.NewServer(a.Upstream)
+	t.Cleanup(a.server.Close)
+	return a
+}
+
+func (a *agent) clock() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now
+}
+
+func (a *agent) pass(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.now = a.now.Add(d)
+}
+
+const agentTTL = time.Minute
+
+// claim makes the VM the owner and returns the upstream as the owner knows it.
+func (a *agent) claim(t *testing.T, vm cawork.VMID) caroute.Upstream {
+	t.Helper()
+	c, err := a.Claim(context.Background(), caplatform.Claim{Holder: vm, TTL: agentTTL})
+	if err != nil || !c.Granted {
+		t.Fatalf("claim of %s: %+v, %v", vm, c, err)
+	}
+	return a.upstream(c.Ownership.Epoch, c.FormerRequests)
+}
+
+// heartbeat returns the upstream as the owner knows it after a heartbeat.
+func (a *agent) heartbeat(t *testing.T, vm cawork.VMID, epoch caplatform.Epoch) caroute.Upstream {
+	t.Helper()
+	h, err := a.Heartbeat(context.Background(), caplatform.Heartbeat{Holder: vm, Epoch: epoch, TTL: agentTTL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.upstream(epoch, h.FormerRequests)
+}
+
+func (a *agent) upstream(epoch caplatform.Epoch, former int) caroute.Upstream {
+	return caroute.Upstream{
+		ID: "u1", Zone: "z1", Address: strings.TrimPrefix(a.server.URL, "http://"), Slots: 8, Connections: 64,
+		Epoch: epoch, FormerRequests: former,
+	}
+}
+
+// An owner dies with all slots in use. The next one starts as many requests as
+// slots become free, and none beyond.
+func TestNextOwnerCountsRequestsOfTheFormer(t *testing.T) {
+	up := newAgent(t)
+	former, next := newEntry(t, nil), newEntry(t, nil)
+	former.PutUpstream(up.claim(t, "e1"))
+	var calls sync.WaitGroup
+	post := func(e *entry, body string) {
+		calls.Go(func() {
+			if res, answer := e.post(t, body); res.StatusCode != http.StatusOK {
+				t.Errorf("answer %d %s", res.StatusCode, answer)
+			}
+		})
+	}
+	for range 4 {
+		post(former, `{"sleep_ms": 200}`)
+		post(former, `{"sleep_ms": 400}`)
+	}
+	for up.RequestsRunning() < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	up.pass(2 * agentTTL)
+	owned := up.claim(t, "e2")
+	next.PutUpstream(owned)
+	for range 8 {
+		post(next, `{"sleep_ms": 10}`)
+	}
+	for owned.FormerRequests > 0 {
+		time.Sleep(10 * time.Millisecond)
+		owned = up.heartbeat(t, "e2", owned.Epoch)
+		next.PutUpstream(owned)
+	}
+	calls.Wait()
+	if diff := cmp.Diff(castandup.Violations{}, up.Violations()); diff != "" {
+		t.Errorf("violations (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(8, next.FreeSlots()); diff != "" {
+		t.Errorf("free slots at the end (-want +got):\n%s", diff)
+	}
+}
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -52,7 +52,7 @@
 		window = min(window, s.startEnd.Sub(now))
 	}
 	r.nextID++
-	id := grantName(s.upstream, r.nextID)
+	id := grantName(s, r.nextID)
 	s.lent += n
 	r.lent[id] = &loan{source: s, count: n, end: now.Add(d + lendMargin)}
 	return Grant{
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -138,6 +138,7 @@
 	s.removed = false
 	s.zone = u.Zone
 	s.address = u.Address
+	s.setFormer(u)
 	s.epoch = u.Epoch
 	s.slots = min(u.Slots, u.Connections)
 	s.leaving = u.Leaving
@@ -145,6 +146,16 @@
 	r.healthOf(now, u.ID, s.slots).limit.resize(s.slots)
 }
 
+// setFormer takes over the slots of former owners. Within an epoch they only
+// become fewer, so that a late report is told by its higher number.
+func (s *source) setFormer(u Upstream) {
+	if u.Epoch == s.epoch {
+		s.former = min(s.former, u.FormerRequests)
+		return
+	}
+	s.former = u.FormerRequests
+}
+
 // Remove forgets an owned upstream. While requests or loans still use slots
 // of it, the slots stay counted, in case the upstream is put back.
 func (r *Router) Remove(id cawork.UpstreamID) {
@@ -179,7 +190,7 @@
 	for _, s := range r.sources {
 		h := r.health[s.upstream]
 		if s.startsAt(now) && !h.ejected {
-			n += max(min(s.slots, r.limitOf(s))-s.lent, 0)
+			n += max(min(s.slots, r.limitOf(s))-s.lent-s.former, 0)
 		}
 	}
 	return n
@@ -215,7 +226,7 @@
 		r.health[s.upstream].probing = true
 		return r.take(now, s, true)
 	}
-	if !r.startable(now, a.Exclude) {
+	if !r.canStart(now, a.Exclude) {
 		// Nothing else is left: an upstream that failed before is better than
 		// none.
 		a.Exclude = nil
@@ -303,9 +314,12 @@
 	return ids
 }
 
-// startable reports whether any upstream outside of the list may get requests,
-// now or when a slot is free.
-func (r *Router) startable(now time.Time, exclude []cawork.UpstreamID) bool {
+// CanStart reports whether any upstream may get requests, now or when a slot
+// is free.
+func (r *Router) CanStart(now time.Time) bool { return r.canStart(now, nil) }
+
+// canStart is CanStart without the upstreams of the list.
+func (r *Router) canStart(now time.Time, exclude []cawork.UpstreamID) bool {
 	for _, s := range r.sources {
 		if s.startsAt(now) && !r.health[s.upstream].ejected && !slices.Contains(exclude, s.upstream) {
 			return true
@@ -330,7 +344,7 @@
 func (r *Router) expected(now time.Time, s *source) time.Duration {
 	h := r.health[s.upstream]
 	h.decay(now)
-	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
+	load := 1 + float64(s.used())/float64(max(s.slots, 1))
 	success := max(1-h.risk(), 0.1)
 	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
@@ -387,6 +401,8 @@
 	}
 }
 
-func grantName(prefix cawork.UpstreamID, n int64) GrantID {
-	return GrantID(fmt.Sprintf("%s/%d", prefix, n))
+// grantName names a grant uniquely: an owner counts its grants from one, and
+// its epoch tells it from other owners.
+func grantName(s *source, n int64) GrantID {
+	return GrantID(fmt.Sprintf("%s/%d/%d", s.upstream, s.epoch, n))
 }
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
@@ -216,11 +217,12 @@
 }
 
 // cell is an owner and two borrowers of one upstream, with the truth about it:
-// the requests that run there.
+// its epoch and the requests that run there.
 type cell struct {
 	now     time.Time
 	owner   *caroute.Router
 	borrows []*caroute.Router
+	epoch   caplatform.Epoch
 	running []runningRequest
 }
 
@@ -233,11 +235,27 @@
 func (c *cell) choose(t *rapid.T, at *caroute.Router) {
 	deadline := c.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "deadline")) * time.Millisecond)
 	route := at.Choose(c.now, caroute.Ask{Deadline: deadline})
+	if route != nil && route.Epoch != c.epoch {
+		at.Release(c.now, route, caroute.VerdictRefused)
+		return
+	}
 	if route != nil {
 		c.running = append(c.running, runningRequest{at, route, deadline})
 	}
 }
 
+// put tells the owner the state of the upstream.
+func (c *cell) put() {
+	u := upstream(0)
+	u.Epoch = c.epoch
+	for _, q := range c.running {
+		if q.route.Epoch != c.epoch {
+			u.FormerRequests++
+		}
+	}
+	c.owner.Put(c.now, u)
+}
+
 func (c *cell) end(i int) {
 	e := c.running[i]
 	c.running = append(c.running[:i], c.running[i+1:]...)
@@ -261,7 +279,7 @@
 // Messages are lost at will; the requests at the upstream never pass its slots.
 func TestSlotsAreNeverPassed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &cell{now: start, owner: newRouter(1), borrows: []*caroute.Router{newRouter(0), newRouter(0)}}
+		c := &cell{now: start, owner: newRouter(1), epoch: 1, borrows: []*caroute.Router{newRouter(0), newRouter(0)}}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			c.step(t)
 			if len(c.running) > 8 {
@@ -271,6 +289,7 @@
 		// Once all is over, no slot is in use.
 		c.advance(time.Hour)
 		c.advance(time.Second)
+		c.put()
 		c.owner.Expire(c.now)
 		if diff := cmp.Diff(0, c.owner.InUse()); diff != "" {
 			t.Fatalf("slots in use at the end (-want +got):\n%s", diff)
@@ -280,7 +299,7 @@
 
 func (c *cell) step(t *rapid.T) {
 	b := c.borrows[rapid.IntRange(0, 1).Draw(t, "borrower")]
-	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
 	case 0:
 		for range rapid.IntRange(1, 8).Draw(t, "requests") {
 			c.choose(t, c.owner)
@@ -306,7 +325,14 @@
 	case 7:
 		// The ownership is lost and gained again while requests run.
 		c.owner.Remove("u0")
-		c.owner.Put(c.now, upstream(0))
+		c.put()
+	case 8:
+		// The owner dies. Another entry, with a counter of its own, takes over.
+		c.epoch++
+		c.owner = newRouter(0)
+		c.put()
+	case 9:
+		c.put()
 	}
 }
 
--- a/internal/request/caroute/upstream.go
+++ b/internal/request/caroute/upstream.go
@@ -21,6 +21,9 @@
 	// Connections bounds the connections to the upstream.
 	Connections int
 	Epoch       caplatform.Epoch
+	// FormerRequests is the number of requests that still run there under
+	// former epochs. They use slots.
+	FormerRequests int
 	// Leaving upstreams get no new requests.
 	Leaving bool
 	// LeaseEnd is the end of the ownership lease. From it on the upstream
@@ -58,7 +61,9 @@
 	epoch    caplatform.Epoch
 	slots    int
 	inUse    int
-	leaving  bool
+	// former counts the slots that requests of former owners use.
+	former  int
+	leaving bool
 	// removed sources are kept only until their slots are free.
 	removed bool
 	// startEnd is the time from which no request may start, zero for none.
@@ -80,6 +85,9 @@
 // and borrowed slots, so that connections outlive a grant.
 func (s *source) connections() int { return max(s.slots, defaultSlots) }
 
+// used returns the slots that are in use or lent.
+func (s *source) used() int { return s.inUse + s.lent + s.former }
+
 func (s *source) free(limit int) int {
-	return min(s.slots, limit) - s.inUse - s.lent
+	return min(s.slots, limit) - s.used()
 }
--- a/internal/standin/castandup/request.go
+++ b/internal/standin/castandup/request.go
@@ -37,12 +37,15 @@
 // requestTable knows the requests that ran or run.
 type requestTable struct {
 	running int
+	// current counts those of the running that came under the current epoch.
+	current int
 	seen    map[cawork.AttemptID]*requestRun
 }
 
 // requestRun is one request in a slot.
 type requestRun struct {
 	state  cawork.TaskState
+	epoch  caplatform.Epoch
 	cancel context.CancelFunc
 }
 
@@ -50,6 +53,9 @@
 	return requestTable{seen: make(map[cawork.AttemptID]*requestRun)}
 }
 
+// former returns the number of running requests of former epochs.
+func (t *requestTable) former() int { return t.running - t.current }
+
 // RequestsRunning returns the number of requests in slots.
 func (u *Upstream) RequestsRunning() int {
 	u.mu.Lock()
@@ -114,6 +120,8 @@
 		return cakind.New(cakind.KindOverloaded, "all %d slots are in use", u.vm.Slots)
 	}
 	u.requests.running++
+	u.requests.current++
+	run.epoch = u.epoch
 	u.requests.remember(attempt, run)
 	return nil
 }
@@ -129,6 +137,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.requests.running--
+	if run.epoch == u.epoch {
+		u.requests.current--
+	}
 	if run.state == cawork.TaskStateRunning {
 		run.state = cawork.TaskStateDone
 	}
--- a/internal/standin/castandup/upstream.go
+++ b/internal/standin/castandup/upstream.go
@@ -85,7 +85,10 @@
 	u.epoch++
 	u.owner = c.Holder
 	u.ownedUntil = now.Add(c.TTL)
-	return caplatform.ClaimResult{Granted: true, Ownership: u.ownership(now), Tasks: u.changedSince(0, now)}, nil
+	u.requests.current = 0
+	return caplatform.ClaimResult{
+		Granted: true, Ownership: u.ownership(now), Tasks: u.changedSince(0, now), FormerRequests: u.requests.former(),
+	}, nil
 }
 
 // Heartbeat implements caplatform.Agent.
@@ -106,6 +109,8 @@
 		Ownership: u.ownership(now),
 		Changed:   u.changedSince(h.Since, now),
 		Sequence:  u.sequence,
+
+		FormerRequests: u.requests.former(),
 	}, nil
 }
 
