A request waits for a peer that is busy, instead of being refused

Cause: TestBorrowedSlotsServe failed in a loaded run under the race detector: some of 40 requests were answered 503 not_run. An entry without upstreams of its own refused as 'no upstream can be reached' while its only lender rested after it had answered that no slot is free. Change: a pause of a peer remembers whether the peer answered. One that is busy counts as reachable, so that the request joins the queue; one that did not answer does not.

--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -57,7 +57,7 @@
 // borrowing is the state of the borrower of one entry.
 type borrowing struct {
 	peers  []Peer
-	paused map[cawork.VMID]time.Time
+	paused map[cawork.VMID]pause
 	owners map[caroute.GrantID]cawork.VMID
 	// asking is set while a call to an owner is under way. One at a time is
 	// enough, because a grant carries several slots.
@@ -66,9 +66,16 @@
 	until time.Time
 }
 
+// pause is the time for which a peer is not asked. Busy tells that it answered,
+// but had no free slot; else it did not answer.
+type pause struct {
+	until time.Time
+	busy  bool
+}
+
 func newBorrowing() borrowing {
 	return borrowing{
-		paused: map[cawork.VMID]time.Time{},
+		paused: map[cawork.VMID]pause{},
 		owners: map[caroute.GrantID]cawork.VMID{},
 	}
 }
@@ -137,10 +144,7 @@
 func (d *Dispatcher) lender(now time.Time) (Peer, bool) {
 	var best Peer
 	for _, p := range d.borrowing.peers {
-		if (p.FreeSlots <= 0 && !p.Owns) || now.Before(d.borrowing.paused[p.ID]) {
-			continue
-		}
-		if p.Zone != d.config.Zone && (p.FreeSlots <= 0 || d.expectedWait(now) <= d.config.CrossingDelay) {
+		if now.Before(d.borrowing.paused[p.ID].until) || !d.mayLend(p, now) {
 			continue
 		}
 		if best.ID == "" || d.prefers(p, best) {
@@ -150,6 +154,30 @@
 	return best, best.ID != ""
 }
 
+// mayLend reports whether the peer is worth a call as far as its last report
+// tells.
+func (d *Dispatcher) mayLend(p Peer, now time.Time) bool {
+	if p.Zone == d.config.Zone {
+		return p.FreeSlots > 0 || p.Owns
+	}
+	return p.FreeSlots > 0 && d.expectedWait(now) > d.config.CrossingDelay
+}
+
+// mayBorrow reports whether a request may wait for slots of peers: one can be
+// asked, now or when it has got rid of the work that it answered to have.
+func (d *Dispatcher) mayBorrow(now time.Time) bool {
+	if d.config.Lender == nil {
+		return false
+	}
+	for _, p := range d.borrowing.peers {
+		rests := d.borrowing.paused[p.ID]
+		if d.mayLend(p, now) && (rests.busy || !now.Before(rests.until)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) prefers(a, b Peer) bool {
 	if (a.FreeSlots > 0) != (b.FreeSlots > 0) {
 		return a.FreeSlots > 0
@@ -178,7 +206,7 @@
 	now := d.config.Timer.Now()
 	d.borrowing.asking = false
 	if err != nil || !answer.Granted {
-		d.borrowing.paused[p.ID] = now.Add(p.pause())
+		d.borrowing.paused[p.ID] = pause{until: now.Add(p.pause()), busy: err == nil}
 		d.borrow(now)
 		return
 	}
--- a/internal/request/cadispatch/lend_test.go
+++ b/internal/request/cadispatch/lend_test.go
@@ -174,3 +174,41 @@
 	}
 	wg.Wait()
 }
+
+// busyOnce has no free slot when it is asked first.
+type busyOnce struct {
+	*lenders
+	asked chan struct{}
+	once  sync.Once
+}
+
+func (b *busyOnce) Borrow(ctx context.Context, owner cawork.VMID, q cadispatch.BorrowRequest) (cadispatch.BorrowGrant, error) {
+	first := false
+	b.once.Do(func() { first = true })
+	if first {
+		close(b.asked)
+		return cadispatch.BorrowGrant{}, nil
+	}
+	return b.lenders.Borrow(ctx, owner, q)
+}
+
+// A request that comes while the only peer rests after such an answer waits
+// for it, since the peer may have a free slot soon.
+func TestRequestWaitsForABusyPeer(t *testing.T) {
+	busy := &busyOnce{asked: make(chan struct{})}
+	l, entries := newEntries(t, 2, func(c *cadispatch.Config) { c.Lender = busy })
+	busy.lenders = l
+	entries[1].PutUpstream(newStandin(t, echo).upstream("u1"))
+	answers := make(chan seen, 2)
+	post := func() {
+		res, body := entries[0].post(t, "work")
+		answers <- seenOf(res, body)
+	}
+	go post()
+	<-busy.asked
+	go post()
+	want := seen{200, "done", "work"}
+	if diff := cmp.Diff([]seen{want, want}, []seen{<-answers, <-answers}); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
