--- a/internal/node/cacapacity/platform_test.go
+++ b/internal/node/cacapacity/platform_test.go
@@ -74,7 +74,9 @@
 	b.Helper()
 	mux := http.NewServeMux()
 	add(mux)
-	s := httptest.NewServer(mux)
+	s := httptest.NewUnstartedServer(mux)
+	s.Config.Protocols = cahttp.ServerProtocols()
+	s.Start()
 	b.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
@@ -131,22 +133,28 @@
 	return must[caplatform.HeartbeatResult](b)(a.Heartbeat(b.Context(), h)).Sequence
 }
 
+// repeat sends each agent the heartbeat that follows one without news.
+func repeat(b *testing.B, agents []caplatform.Agent) {
+	b.Helper()
+	for _, a := range agents {
+		beat(b, a, running)
+	}
+}
+
+// heartbeatBytes waits for a second, after which an answer has a new date.
 func heartbeatBytes(b *testing.B, n int) float64 {
 	agents, bytes := owned(b, n, running)
+	repeat(b, agents)
+	time.Sleep(time.Second)
 	before := bytes.Load()
-	for _, a := range agents {
-		beat(b, a, 1<<40)
-	}
+	repeat(b, agents)
 	return float64(bytes.Load() - before)
 }
 
 func heartbeatTime(b *testing.B, n int) float64 {
 	agents, _ := owned(b, n, running)
-	return microseconds(2000/n+5, func() {
-		for _, a := range agents {
-			beat(b, a, 1<<40)
-		}
-	})
+	repeat(b, agents)
+	return microseconds(2000/n+5, func() { repeat(b, agents) })
 }
 
 func changedBytes(b *testing.B, tasks int) float64 {
--- a/internal/platform/cahttp/adapter.go
+++ b/internal/platform/cahttp/adapter.go
@@ -27,8 +27,19 @@
 	PathSwapRegister = "/agent/v1/swap_register"
 )
 
-// connectionsPerHost bounds the control connections to one service.
-const connectionsPerHost = 4
+const (
+	// connectionsPerHost bounds the control connections to one service.
+	connectionsPerHost = 4
+	// silenceTimeout is the time without a frame after which a connection is
+	// tested by a ping, pingTimeout the time that the ping is waited for.
+	// Together they are below the lease of an upstream, so that a connection
+	// that was cut is replaced before the lease ends.
+	silenceTimeout = 1500 * time.Millisecond
+	pingTimeout    = 500 * time.Millisecond
+	// idleTimeout ends connections that had no call for this time. Owned
+	// upstreams and the log are called each second.
+	idleTimeout = 10 * time.Second
+)
 
 // Empty is the body of a call or an answer without fields.
 type Empty struct{}
@@ -73,12 +84,19 @@
 	Name string `json:"name"`
 }
 
-// NewClient returns an HTTP client for control calls with the timeout.
+// NewClient returns a client for control calls with the timeout. It speaks
+// HTTP/2, whose connections send headers that they have sent before as one
+// byte each.
 func NewClient(timeout time.Duration) *http.Client {
+	var protocols http.Protocols
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
 		MaxConnsPerHost:     connectionsPerHost,
 		MaxIdleConnsPerHost: connectionsPerHost,
-		IdleConnTimeout:     time.Minute,
+		IdleConnTimeout:     idleTimeout,
+		Protocols:           &protocols,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: silenceTimeout, PingTimeout: pingTimeout},
 	}
 	return &http.Client{Transport: transport, Timeout: timeout}
 }
@@ -159,11 +177,6 @@
 	return cawire.Post[caplatform.Claim, caplatform.ClaimResult](ctx, a.client, a.base+PathClaim, c)
 }
 
-// Heartbeat implements caplatform.Agent.
-func (a *Agent) Heartbeat(ctx context.Context, h caplatform.Heartbeat) (caplatform.HeartbeatResult, error) {
-	return cawire.Post[caplatform.Heartbeat, caplatform.HeartbeatResult](ctx, a.client, a.base+PathHeartbeat, h)
-}
-
 // Release implements caplatform.Agent.
 func (a *Agent) Release(ctx context.Context, o caplatform.Ownership) error {
 	_, err := cawire.Post[caplatform.Ownership, Empty](ctx, a.client, a.base+PathRelease, o)
--- a/internal/platform/cahttp/list_test.go
+++ b/internal/platform/cahttp/list_test.go
@@ -22,13 +22,12 @@
 	mux := http.NewServeMux()
 	cahttp.ServeVMList(mux, list)
 	var sizes []int
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
 		mux.ServeHTTP(recorder, r)
 		sizes = append(sizes, recorder.Body.Len())
 		_, _ = w.Write(recorder.Body.Bytes())
 	}))
-	defer server.Close()
 	client := cahttp.NewVMList(cahttp.NewClient(10*time.Second), server.URL)
 	for i := range 3 {
 		if i == 2 {
--- a/internal/platform/cahttp/server.go
+++ b/internal/platform/cahttp/server.go
@@ -13,6 +13,16 @@
 	"celeryarch.example/celeryarch/internal/platform/cawire"
 )
 
+// ServerProtocols returns what a server of these services speaks: HTTP/2 as the
+// clients of this package do, and HTTP/1 for operators and requests.
+func ServerProtocols() *http.Protocols {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &protocols
+}
+
 // ServeLog adds the paths of the log service to the mux.
 func ServeLog(mux *http.ServeMux, l caplatform.Log) {
 	mux.Handle(PathAppend, cawire.Handler(func(ctx context.Context, c AppendCall) (AppendAnswer, error) {
@@ -51,7 +61,7 @@
 // ServeAgent adds the paths of an agent to the mux.
 func ServeAgent(mux *http.ServeMux, a caplatform.Agent) {
 	mux.Handle(PathClaim, cawire.Handler(a.Claim))
-	mux.Handle(PathHeartbeat, cawire.Handler(a.Heartbeat))
+	mux.Handle(PathHeartbeat, serveHeartbeat(a))
 	mux.Handle(PathStart, cawire.Handler(a.Start))
 	mux.Handle(PathStop, cawire.Handler(a.Stop))
 	mux.Handle(PathSwapRegister, cawire.Handler(a.SwapRegister))
--- a/internal/platform/cawire/wire.go
+++ b/internal/platform/cawire/wire.go
@@ -37,11 +37,32 @@
 		return out, cakind.Wrap(cakind.KindInvalid, err, "build call to %s", url)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	return exchange(client, req, out)
+}
+
+// PostQuery sends a call whose fields are all in the query of the URL. An
+// answer without content stands for unchanged.
+func PostQuery[Out any](ctx context.Context, client *http.Client, url string, unchanged Out) (Out, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return unchanged, cakind.Wrap(cakind.KindInvalid, err, "build call to %s", url)
+	}
+	return exchange(client, req, unchanged)
+}
+
+// exchange sends the request and decodes the answer. An answer without content
+// stands for unchanged.
+func exchange[Out any](client *http.Client, req *http.Request, unchanged Out) (Out, error) {
+	url := req.URL.String()
 	resp, err := client.Do(req)
 	if err != nil {
-		return out, cakind.Wrap(deliveryKind(err), err, "call %s", url)
+		var none Out
+		return none, cakind.Wrap(deliveryKind(err), err, "call %s", url)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNoContent {
+		return unchanged, nil
+	}
 	return decode[Out](resp, url)
 }
 
@@ -91,11 +112,16 @@
 			WriteFault(w, err)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(out)
+		WriteAnswer(w, out)
 	}
 }
 
+// WriteAnswer writes the answer of a call that succeeded.
+func WriteAnswer[Out any](w http.ResponseWriter, out Out) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
 // WriteFault writes the answer to an error.
 func WriteFault(w http.ResponseWriter, err error) {
 	kind := cakind.Of(err)
--- a/internal/standin/castandin/server.go
+++ b/internal/standin/castandin/server.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, cakind.Wrap(cakind.KindUnavailable, err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, Protocols: cahttp.ServerProtocols()}
 	return &Server{lis: lis, server: server, done: make(chan struct{})}, nil
 }
 
