The stand-in tells its owner the usage of running tasks

Cause: the stand-in of an upstream lets usage appear 5 s after the start, but did not raise its sequence then, so a heartbeat that asks for changes never brought it: running tasks of the demo and the tests reported no usage. Change: the appearance of usage is a change. Test: one task that runs for 12 s tells its usage once; it failed before (nothing told) and passes now.

--- a/internal/standin/castandup/task.go
+++ b/internal/standin/castandup/task.go
@@ -38,6 +38,8 @@
 	endedAt    time.Time
 	leaseUntil time.Time
 	sequence   int64
+	// measured tells that the usage has appeared in the status.
+	measured bool
 }
 
 func newTask(s caplatform.Start, now time.Time) *task {
@@ -57,12 +59,23 @@
 	return &task{start: caplatform.Start{Attempt: id}, state: cawork.TaskStateFenced, endedAt: now}
 }
 
-// advance ends the task when its time or its lease is over. It reports
-// whether the state changed.
+// advance ends the task when its time or its lease is over, and lets its usage
+// appear after the lag. It reports whether the status changed.
 func (t *task) advance(now time.Time) bool {
 	if t.state != cawork.TaskStateRunning {
 		return false
 	}
+	if t.endsBy(now) {
+		return true
+	}
+	appears := !t.measured && now.Sub(t.startedAt) >= usageLag
+	t.measured = t.measured || appears
+	return appears
+}
+
+// endsBy ends the task when its time or its lease is over and reports whether
+// it did.
+func (t *task) endsBy(now time.Time) bool {
 	ends := !t.endsAt.IsZero() && !now.Before(t.endsAt)
 	if ends && !t.endsAt.After(t.leaseUntil) {
 		t.end(cawork.TaskStateDone, t.endsAt)
--- a/internal/standin/castandup/upstream_test.go
+++ b/internal/standin/castandup/upstream_test.go
@@ -111,3 +111,30 @@
 		t.Errorf("violations mismatch (-want +got):\n%s", diff)
 	}
 }
+
+func TestUsageOfRunningTaskIsReportedOnce(t *testing.T) {
+	c, u := newFixture()
+	owner := claim(t, u, "a").Ownership
+	s := start("x", owner.Epoch)
+	if _, err := u.Start(context.Background(), s); err != nil {
+		t.Fatalf("Start: %v", err)
+	}
+	var since int64
+	var used []cawork.Resources
+	for range 12 {
+		h := caplatform.Heartbeat{Holder: "a", Epoch: owner.Epoch, TTL: 3 * time.Second, TaskTTL: 10 * time.Second, Since: since}
+		result, err := u.Heartbeat(context.Background(), h)
+		if err != nil {
+			t.Fatalf("Heartbeat: %v", err)
+		}
+		for _, status := range result.Changed {
+			used = append(used, status.Used)
+		}
+		since = result.Sequence
+		c.now = c.now.Add(time.Second)
+	}
+	want := []cawork.Resources{{}, s.Size}
+	if diff := cmp.Diff(want, used); diff != "" {
+		t.Errorf("usage told to the owner mismatch (-want +got):\n%s", diff)
+	}
+}
