The archive of shards is compressed and surveyed, not read whole

Cause: each record went to the log as a payload of its own, in base64, with the names of its fields, of its writer and of its shard: 2,053 bytes a job, of which a quarter was content.

Ruled out: shorter names of fields, which leaves base64 and the repetition; reading from a known offset only, as a lost shard may be older than any.

Change: one append is one payload, compressed with DEFLATE; old payloads are still read. A survey keeps of each shard its view and the offset from which on its image stands, and only the shards that are lost are read again, from there. Pages follow the size of their payloads, about 1 MB, and halve when an answer is lost. Copies are told by index, no longer by the sequence of their writer, which a reader that starts in the middle cannot know. ReadAll is gone.

--- a/internal/coord/calog/entry.go
+++ b/internal/coord/calog/entry.go
@@ -3,12 +3,7 @@
 // when primary and backup of a shard are both lost.
 package calog
 
-import (
-	"github.com/fxamacker/cbor/v2"
-
-	"celeryarch.example/celeryarch/internal/base/cakind"
-	"celeryarch.example/celeryarch/internal/base/cawork"
-)
+import "celeryarch.example/celeryarch/internal/base/cawork"
 
 //go:generate go tool enumer -type=EntryType -trimprefix=Entry -transform=snake -text -output=entrytype_names.go
 
@@ -42,21 +37,3 @@
 	Index int64
 	Body  []byte
 }
-
-// encode returns the payload of the entry.
-func (e Entry) encode() ([]byte, error) {
-	b, err := cbor.Marshal(e)
-	if err != nil {
-		return nil, cakind.Wrap(cakind.KindInternal, err, "encode log entry of shard %s", e.Shard)
-	}
-	return b, nil
-}
-
-// decodeEntry reads a payload.
-func decodeEntry(b []byte) (Entry, error) {
-	var e Entry
-	if err := cbor.Unmarshal(b, &e); err != nil {
-		return Entry{}, cakind.Wrap(cakind.KindInvalid, err, "decode log entry")
-	}
-	return e, nil
-}
--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -1,11 +1,6 @@
 package calog
 
-import (
-	"context"
-
-	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/platform/caplatform"
-)
+import "celeryarch.example/celeryarch/internal/base/cawork"
 
 // Image is what the log tells of one shard: a state and the records after it.
 type Image struct {
@@ -25,31 +20,21 @@
 func (i *Image) Last() int64 { return i.Base + int64(len(i.Records)) }
 
 // Fold collects the images of shards from the entries of the log, read in
-// order. Copies of an entry that was written twice are skipped.
+// order. A copy of an entry that was written twice changes nothing, because
+// records and snapshots are taken by index and views by number.
 type Fold struct {
-	images map[cawork.ShardID]*Image
-	seen   map[string]int64
+	images  map[cawork.ShardID]*Image
+	decoder batchDecoder
 }
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{images: map[cawork.ShardID]*Image{}, seen: map[string]int64{}}
+	return &Fold{images: map[cawork.ShardID]*Image{}}
 }
 
-// Apply takes the next payload. Payloads that are not entries are an error of
-// KindInvalid and change nothing.
-func (f *Fold) Apply(payload []byte) error {
-	e, err := decodeEntry(payload)
-	if err != nil {
-		return err
-	}
-	if e.ID.Sequence <= f.seen[e.ID.Writer] {
-		return nil
-	}
-	f.seen[e.ID.Writer] = e.ID.Sequence
-	f.apply(e)
-	return nil
-}
+// Apply takes the next payload. A payload of others is an error of KindInvalid
+// and changes nothing.
+func (f *Fold) Apply(payload []byte) error { return f.decoder.decode(payload, f.apply) }
 
 func (f *Fold) apply(e Entry) {
 	i, ok := f.images[e.Shard]
@@ -96,23 +81,3 @@
 	}
 	return *i, true
 }
-
-// ReadAll folds all that the log still keeps of a topic, up to its end.
-// Payloads that are not entries are skipped.
-func ReadAll(ctx context.Context, l caplatform.Log, topic string) (*Fold, error) {
-	f := NewFold()
-	var from caplatform.Offset
-	for {
-		page, err := l.Read(ctx, topic, from, readPage)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			_ = f.Apply(r.Payload)
-			from = r.Offset + 1
-		}
-		if len(page.Records) == 0 || from >= page.Next {
-			return f, nil
-		}
-	}
-}
--- /dev/null
+++ b/internal/coord/calog/survey.go
@@ -0,0 +1,91 @@
+package calog
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// Trace is what a survey keeps of one shard: who led it, and where to read it.
+type Trace struct {
+	Shard cawork.ShardID
+	// View is the highest view number that was seen.
+	View int64
+	// ViewBody is the body of the last entry of type EntryView.
+	ViewBody []byte
+	Retired  bool
+	// From is the offset from which on all that makes up the image stands.
+	From caplatform.Offset
+	// last is the index of the last record of the image.
+	last int64
+}
+
+// apply takes the next entry. A snapshot begins the image anew, unless records
+// after it have been seen before it:
+//
+//	record 1, record 2, snapshot at 2, record 3   From is that of the snapshot
+//	record 1, record 2, record 3, snapshot at 2   From stays at record 1
+func (t *Trace) apply(e Entry, at caplatform.Offset) {
+	switch e.Type {
+	case EntryRecord:
+		if e.Index == t.last+1 {
+			t.last = e.Index
+		}
+	case EntryView:
+		if e.View >= t.View {
+			t.ViewBody = e.Body
+		}
+	case EntrySnapshot:
+		if e.Index >= t.last {
+			t.From, t.last = at, e.Index
+		}
+	case EntryRetired:
+		t.Retired = true
+	}
+	t.View = max(t.View, e.View)
+}
+
+// Survey reads all that the log still keeps of a topic and returns the traces
+// of the shards that are not retired, ordered by shard. Payloads of others are
+// skipped. It holds no records and no states.
+func Survey(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
+	traces := map[cawork.ShardID]*Trace{}
+	err := readPages(ctx, l, topic, 0, func(at caplatform.Offset, e Entry) {
+		t, ok := traces[e.Shard]
+		if !ok {
+			t = &Trace{Shard: e.Shard, From: at}
+			traces[e.Shard] = t
+		}
+		t.apply(e, at)
+	})
+	var kept []Trace
+	for _, t := range traces {
+		if !t.Retired {
+			kept = append(kept, *t)
+		}
+	}
+	slices.SortFunc(kept, func(a, b Trace) int { return cmp.Compare(a.Shard, b.Shard) })
+	return kept, err
+}
+
+// ReadShards returns the images of the shards of the traces.
+func ReadShards(ctx context.Context, l caplatform.Log, topic string, traces []Trace) (*Fold, error) {
+	f := NewFold()
+	if len(traces) == 0 {
+		return f, nil
+	}
+	from := traces[0].From
+	for _, t := range traces {
+		f.images[t.Shard] = &Image{Shard: t.Shard, View: t.View, ViewBody: t.ViewBody}
+		from = min(from, t.From)
+	}
+	err := readPages(ctx, l, topic, from, func(_ caplatform.Offset, e Entry) {
+		if _, wanted := f.images[e.Shard]; wanted {
+			f.apply(e)
+		}
+	})
+	return f, err
+}
--- /dev/null
+++ b/internal/coord/calog/survey_test.go
@@ -0,0 +1,141 @@
+package calog
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+// memoryLog holds payloads and counts what it was asked for. It loses answers
+// with more than maxAnswer payloads.
+type memoryLog struct {
+	payloads  [][]byte
+	maxAnswer int
+	read      int
+}
+
+func (l *memoryLog) Append(context.Context, string, [][]byte) (caplatform.Offset, error) {
+	return 0, cakind.New(cakind.KindInternal, "not used")
+}
+
+func (l *memoryLog) Read(_ context.Context, _ string, from caplatform.Offset, limit int) (caplatform.Page, error) {
+	page := caplatform.Page{Next: caplatform.Offset(len(l.payloads))}
+	for at := int(from); at < min(len(l.payloads), int(from)+limit); at++ {
+		page.Records = append(page.Records, caplatform.Record{Offset: caplatform.Offset(at), Payload: l.payloads[at]})
+	}
+	if len(page.Records) > l.maxAnswer {
+		return caplatform.Page{}, cakind.New(cakind.KindUnknown, "answer is too large")
+	}
+	l.read += len(page.Records)
+	return page, nil
+}
+
+// history draws what writers in turn append of one shard: records, of which
+// some come before a snapshot of an earlier index, and now and then a gap.
+func history(t *rapid.T, shard cawork.ShardID) [][]Entry {
+	var batches [][]Entry
+	var index, sequence, view int64
+	add := func(e Entry) {
+		sequence++
+		e.ID, e.Shard, e.View = EntryID{fmt.Sprintf("%s/%d", shard, view), sequence}, shard, view
+		batches = append(batches, []Entry{e})
+	}
+	for range rapid.IntRange(0, 40).Draw(t, "steps") {
+		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		case 0:
+			view++
+			sequence = 0
+			add(Entry{Type: EntryView, Body: fmt.Appendf(nil, "view %d", view)})
+		case 1, 2:
+			late := min(index, rapid.Int64Range(0, 2).Draw(t, "late"))
+			add(Entry{Type: EntrySnapshot, Index: index - late, Body: fmt.Appendf(nil, "state %d", index-late)})
+		case 3:
+			index += 2
+		case 4:
+			if len(batches) > 0 {
+				batches = append(batches, batches[rapid.IntRange(0, len(batches)-1).Draw(t, "copy")])
+			}
+		default:
+			index++
+			add(Entry{Type: EntryRecord, Index: index, Body: fmt.Appendf(nil, "record %d", index)})
+		}
+	}
+	return batches
+}
+
+// TestReadShardsEqualsFoldOfAll compares the images read from the traces with
+// those of a fold over the whole log.
+func TestReadShardsEqualsFoldOfAll(t *testing.T) {
+	var encoder Encoder
+	rapid.Check(t, func(t *rapid.T) {
+		l := &memoryLog{maxAnswer: rapid.IntRange(1, 8).Draw(t, "answer")}
+		left := [][][]Entry{history(t, "a"), history(t, "b"), history(t, "c")}
+		for {
+			pick := rapid.IntRange(0, len(left)-1).Draw(t, "shard")
+			if len(left[pick]) == 0 {
+				break
+			}
+			body, err := encoder.Encode(left[pick][0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.payloads = append(l.payloads, body, []byte("of another program"))
+			left[pick] = left[pick][1:]
+		}
+		all := NewFold()
+		for _, p := range l.payloads {
+			_ = all.Apply(p)
+		}
+		traces, err := Survey(context.Background(), l, "shards")
+		if err != nil {
+			t.Fatalf("Survey: %v", err)
+		}
+		got, err := ReadShards(context.Background(), l, "shards", traces)
+		if err != nil {
+			t.Fatalf("ReadShards: %v", err)
+		}
+		if diff := cmp.Diff(all.Images(), got.Images(), cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("images (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestReadShardsStartsAtTheSnapshot(t *testing.T) {
+	var encoder Encoder
+	l := &memoryLog{maxAnswer: maxPage}
+	for i := range int64(1000) {
+		e := Entry{ID: EntryID{"w", i + 1}, Shard: "s", Index: i + 1, Body: []byte("r")}
+		if i == 900 {
+			e.Type, e.Body = EntrySnapshot, []byte("state")
+		}
+		body, err := encoder.Encode([]Entry{e})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.payloads = append(l.payloads, body)
+	}
+	traces, err := Survey(context.Background(), l, "shards")
+	if err != nil {
+		t.Fatalf("Survey: %v", err)
+	}
+	l.read = 0
+	f, err := ReadShards(context.Background(), l, "shards", traces)
+	if err != nil {
+		t.Fatalf("ReadShards: %v", err)
+	}
+	if diff := cmp.Diff(100, l.read); diff != "" {
+		t.Errorf("payloads read again (-want +got):\n%s", diff)
+	}
+	image, _ := f.Image("s")
+	if diff := cmp.Diff(int64(1000), image.Last()); diff != "" {
+		t.Errorf("last record (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coord/calog/writer.go
+++ b/internal/coord/calog/writer.go
@@ -77,6 +77,8 @@
 	// batch is the append under way, next the offset up to which it was looked
 	// for. Only Run uses them.
 	batch   []Entry
+	encoder Encoder
+	decoder batchDecoder
 	inDoubt bool
 	next    caplatform.Offset
 	retry   *backoff.ExponentialBackOff
@@ -221,22 +223,18 @@
 			return err
 		}
 	}
-	payloads := make([][]byte, 0, len(w.batch))
-	for _, e := range w.batch {
-		b, err := e.encode()
-		if err != nil {
-			return err
-		}
-		payloads = append(payloads, b)
+	body, err := w.encoder.Encode(w.batch)
+	if err != nil {
+		return err
 	}
 	w.opts.Scope.Counter("log_appends").Inc(1)
 	w.appended = w.opts.Timer.Now()
-	at, err := w.opts.Log.Append(ctx, w.opts.Topic, payloads)
+	at, err := w.opts.Log.Append(ctx, w.opts.Topic, [][]byte{body})
 	if err != nil {
 		w.inDoubt = w.inDoubt || !knownWithoutEffect(err)
 		return err
 	}
-	w.next = at + caplatform.Offset(len(payloads))
+	w.next = at + 1
 	return nil
 }
 
@@ -248,7 +246,7 @@
 			return false, err
 		}
 		for _, r := range page.Records {
-			if e, err := decodeEntry(r.Payload); err == nil && e.ID == w.batch[0].ID {
+			if w.isBatch(r.Payload) {
 				return true, nil
 			}
 			w.next = r.Offset + 1
@@ -259,6 +257,13 @@
 	}
 }
 
+// isBatch reports whether the payload is that of the append under way.
+func (w *Writer) isBatch(body []byte) bool {
+	found := false
+	err := w.decoder.decode(body, func(e Entry) { found = found || e.ID == w.batch[0].ID })
+	return err == nil && found
+}
+
 func knownWithoutEffect(err error) bool {
 	k := cakind.Of(err)
 	return k == cakind.KindUnavailable || k == cakind.KindNotStarted || k == cakind.KindOverloaded
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -175,13 +176,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	fold, err := calog.ReadAll(ctx, p.Log, topic)
+	lost, err := p.lostShards(ctx)
 	if err != nil {
 		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 		return
 	}
 	complete := true
-	for _, image := range fold.Images() {
+	for _, image := range lost {
 		complete = p.rebuild(ctx, image) && complete
 	}
 	p.looked.Store(complete)
@@ -192,12 +193,37 @@
 	p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
 }
 
-// rebuild rebuilds a shard of the zone that nobody leads. It reports whether
-// the shard needs no further look: a member that is silent now may turn out to
-// have ended later.
+// lostShards returns the images of the shards of the zone that nobody leads.
+// It reads the whole topic for their traces, and again from their snapshots on
+// only if there are any.
+func (p *Part) lostShards(ctx context.Context) ([]calog.Image, error) {
+	traces, err := calog.Survey(ctx, p.Log, topic)
+	if err != nil {
+		return nil, err
+	}
+	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool { return !p.isLost(t) })
+	fold, err := calog.ReadShards(ctx, p.Log, topic, lost)
+	if err != nil {
+		return nil, err
+	}
+	return fold.Images(), nil
+}
+
+// isLost reports whether the shard is of the own zone and nobody leads it.
+func (p *Part) isLost(t calog.Trace) bool {
+	view, err := cashard.DecodeView(t.ViewBody)
+	if err != nil || !p.isOurs(view) || p.isHeld(t.Shard) {
+		return false
+	}
+	_, led := p.Directory.Leader(t.Shard)
+	return !led
+}
+
+// rebuild rebuilds a shard that is lost. It reports whether the shard needs no
+// further look: a member that is silent now may turn out to have ended later.
 func (p *Part) rebuild(ctx context.Context, image calog.Image) bool {
 	view, err := cashard.DecodeView(image.ViewBody)
-	if err != nil || !p.isOurs(view) || p.isHeld(image.Shard) {
+	if err != nil || p.isHeld(image.Shard) {
 		return true
 	}
 	if _, led := p.Directory.Leader(image.Shard); led {
