Library: leases with fencing, escrowed limits and ordered configuration

Cause: package coordination had membership and ownership only, and ownership asked its embedder for the whole agent of an upstream. Change: LeaseTable and LeaseHolder, Allowances, ConfigFollower and ConfigPublisher, each with an example; a clock of the embedder behind Timers. NewOwnership leaves the public package, LeaseHolder takes its place.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -1,158 +1,100 @@
 // Package coordination offers the parts by which celeryarch entries act
-// together, for other programs to embed: membership, and leases of ownership
-// with fencing.
+// together, for other programs to embed: membership, leases with fencing,
+// escrowed limits and an ordered configuration. docs/LIBRARY.md tells what each
+// promises and what it asks of its surroundings.
 //
-// Each part is a pure core (State) that takes the time as an argument and
-// performs no I/O, with a Part that runs it over an interface which the caller
-// implements. A Part has Run and Done; Run ends with its context.
+// A part performs no I/O of its own: the embedder implements the small
+// interfaces by which it calls others, appends to a log and reads a clock. A
+// part has Run, which ends with its context, and Done. Errors carry a Kind.
 package coordination
 
 import (
 	"github.com/rs/zerolog"
 	tally "github.com/uber-go/tally/v4"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cacheck"
 	"celeryarch.example/celeryarch/internal/coord/cafeed"
-	"celeryarch.example/celeryarch/internal/coord/camember"
-	"celeryarch.example/celeryarch/internal/coord/caowner"
-	"celeryarch.example/celeryarch/internal/coord/carendezvous"
-	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
 // The vocabulary that the parts share.
 type (
-	// VMID identifies a VM.
+	// VMID identifies a VM, or an instance of the embedding program.
 	VMID = cawork.VMID
 	// UpstreamID identifies an upstream.
 	UpstreamID = cawork.UpstreamID
 	// ZoneName names an availability zone.
 	ZoneName = cawork.ZoneName
+	// TeamName names a team, for which a limit holds.
+	TeamName = cawork.TeamName
+	// Resources is an amount of processors, memory and accelerators.
+	Resources = cawork.Resources
+	// MilliCPU is an amount of processor time in thousandths of a core.
+	MilliCPU = cawork.MilliCPU
+	// Bytes is an amount of memory.
+	Bytes = cawork.Bytes
 	// Timers hands out the time and ticks.
 	Timers = catimer.Service
+	// Clock is a source of time for Timers.
+	Clock = catimer.Clock
+	// TickSubscription delivers the ticks of Timers.
+	TickSubscription = catimer.Subscription
 	// Checker collects violations of invariants.
 	Checker = cacheck.Checker
+	// CheckerRule names an invariant.
+	CheckerRule = cacheck.Rule
+	// CheckerViolation is a violation of an invariant.
+	CheckerViolation = cacheck.Violation
+	// Kind classifies an error.
+	Kind = cakind.Kind
+	// Error is an error with a kind.
+	Error = cakind.Error
 )
 
-// The parts of membership.
-type (
-	// MemberIdentity names an entry to the others.
-	MemberIdentity = camember.Identity
-	// MemberConfig holds the settings of membership.
-	MemberConfig = camember.Config
-	// MemberDeps are the surroundings of Membership.
-	MemberDeps = camember.Deps
-	// MemberPeers carries the calls to other entries.
-	MemberPeers = camember.Peers
-	// MemberChanged tells that a member changed.
-	MemberChanged = camember.MemberChanged
-	// Member is what is known of an entry.
-	Member = camember.Member
-	// AppState is the application state that an entry tells the others.
-	AppState = camember.AppState
-	// Membership runs the exchange of member states.
-	Membership = camember.Part
-	// ExchangeRequest is the first message of an exchange.
-	ExchangeRequest = camember.ExchangeRequest
-	// ExchangeReply answers an ExchangeRequest.
-	ExchangeReply = camember.ExchangeReply
-	// ProbeTarget names a member to be probed for another entry.
-	ProbeTarget = camember.ProbeTarget
-)
-
-// The causes of a change of a member.
+// The kinds of errors that the parts return or expect of the embedder.
 const (
-	CauseJoined     = camember.CauseJoined
-	CauseSuspected  = camember.CauseSuspected
-	CauseDied       = camember.CauseDied
-	CauseRefuted    = camember.CauseRefuted
-	CauseReturned   = camember.CauseReturned
-	CauseRestarted  = camember.CauseRestarted
-	CauseLeaving    = camember.CauseLeaving
-	CauseLeft       = camember.CauseLeft
-	CauseUnlisted   = camember.CauseUnlisted
-	CauseReach      = camember.CauseReach
-	CauseApp        = camember.CauseApp
-	CauseSelfPaused = camember.CauseSelfPaused
+	// KindInternal is the kind of any other error.
+	KindInternal = cakind.KindInternal
+	// KindInvalid means that an argument is wrong.
+	KindInvalid = cakind.KindInvalid
+	// KindNotFound means that what is named is not there.
+	KindNotFound = cakind.KindNotFound
+	// KindConflict means that the state contradicts the call.
+	KindConflict = cakind.KindConflict
+	// KindTooLarge means that a body is too large.
+	KindTooLarge = cakind.KindTooLarge
+	// KindLimitReached means that too little allowance is held here.
+	KindLimitReached = cakind.KindLimitReached
+	// KindUnavailable means that a call did not take effect.
+	KindUnavailable = cakind.KindUnavailable
+	// KindUnknown means that a call may have taken effect.
+	KindUnknown = cakind.KindUnknown
+	// KindFenced means that an epoch is not in force any more.
+	KindFenced = cakind.KindFenced
+	// KindStaleVersion means that a newer version is known.
+	KindStaleVersion = cakind.KindStaleVersion
 )
 
-// The parts of ownership.
-type (
-	// Lease is the ownership of an upstream by this entry.
-	Lease = caowner.Lease
-	// OwnerConfig holds the settings of ownership.
-	OwnerConfig = caowner.Config
-	// OwnerDeps are the surroundings of Ownership.
-	OwnerDeps = caowner.Deps
-	// OwnerEntry is a live entry of the zone.
-	OwnerEntry = caowner.Entry
-	// OwnerEvent tells what happened to an upstream.
-	OwnerEvent = caowner.Event
-	// Ownership claims, renews and releases leases of upstreams.
-	Ownership = caowner.Part
-	// Agent is the control interface of an upstream, which grants leases.
-	Agent = caplatform.Agent
-	// Agents returns the agent at an address.
-	Agents = caplatform.Agents
-	// VM is a VM in the list of the platform.
-	VM = caplatform.VM
-	// Epoch counts the ownerships of an upstream.
-	Epoch = caplatform.Epoch
-	// Claim asks an agent for the lease.
-	Claim = caplatform.Claim
-	// ClaimResult tells the lease after a claim.
-	ClaimResult = caplatform.ClaimResult
-	// Heartbeat renews the lease and the leases of all running tasks.
-	Heartbeat = caplatform.Heartbeat
-	// HeartbeatResult lists the attempts that changed.
-	HeartbeatResult = caplatform.HeartbeatResult
-	// HeldLease is a lease as the agent states it.
-	HeldLease = caplatform.Ownership
-)
+// Subscription delivers the events of a part in order.
+type Subscription[T any] = cafeed.Subscription[T]
 
-// The roles of VMs.
-const (
-	VMRoleEntry    = caplatform.VMRoleEntry
-	VMRoleUpstream = caplatform.VMRoleUpstream
-)
+// KindOf returns the kind of the outermost Error in the chain, KindInternal
+// when there is none.
+func KindOf(err error) Kind { return cakind.Of(err) }
 
-// The kinds of ownership events.
-const (
-	OwnerListed       = caowner.EventKindListed
-	OwnerLeaving      = caowner.EventKindLeaving
-	OwnerUnlisted     = caowner.EventKindUnlisted
-	OwnerGained       = caowner.EventKindGained
-	OwnerTasksChanged = caowner.EventKindTasksChanged
-	OwnerLost         = caowner.EventKindLost
-	OwnerReleased     = caowner.EventKindReleased
-)
+// NewError returns an error of the kind with a formatted message.
+func NewError(k Kind, format string, args ...any) *Error { return cakind.New(k, format, args...) }
 
-// Subscription delivers the events of a part in order.
-type Subscription[T any] = cafeed.Subscription[T]
+// Cores returns an amount of n whole processor cores.
+func Cores(n int64) Resources { return Resources{CPU: cawork.Cores(n)} }
 
 // NewTimers returns a timer service that follows the clock of the machine.
 func NewTimers() *Timers { return catimer.NewService() }
 
+// NewTimersOf returns a timer service that follows the clock.
+func NewTimersOf(c Clock) *Timers { return catimer.NewServiceOf(c) }
+
 // NewChecker returns a checker that logs and counts violations.
 func NewChecker(log zerolog.Logger, scope tally.Scope) *Checker { return cacheck.New(log, scope) }
-
-// DefaultMemberConfig returns the settings for up to a hundred entries.
-func DefaultMemberConfig() MemberConfig { return camember.DefaultConfig() }
-
-// NewMembership returns the membership of the identity. Seeds are addresses
-// of entries.
-func NewMembership(cfg MemberConfig, id MemberIdentity, seeds []string, deps MemberDeps) *Membership {
-	return camember.NewPart(cfg, id, seeds, deps)
-}
-
-// DefaultOwnerConfig returns the settings for up to a thousand upstreams.
-func DefaultOwnerConfig() OwnerConfig { return caowner.DefaultConfig() }
-
-// NewOwnership returns the ownership part of the entry self in the zone.
-func NewOwnership(cfg OwnerConfig, self VMID, zone ZoneName, deps OwnerDeps) *Ownership {
-	return caowner.NewPart(cfg, self, zone, deps)
-}
-
-// RankEntries returns the entries by descending preference for the name.
-func RankEntries(name string, vms []VMID) []VMID { return carendezvous.Rank(name, vms) }
--- a/coordination/example_test.go
+++ b/coordination/example_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,99 +77,177 @@
 	// entry-2 left
 }
 
-// register is the agent of one upstream: it grants one lease at a time, under
-// an epoch that grows, and refuses what carries another epoch.
-type register struct {
-	coordination.Agent
-	mu     sync.Mutex
-	holder coordination.VMID
-	epoch  coordination.Epoch
-}
-
-// oneAgent finds the same agent at every address.
-type oneAgent struct{ agent coordination.Agent }
-
-func (o oneAgent) Agent(string) coordination.Agent { return o.agent }
+// localKeeper reaches a table in the same process.
+type localKeeper struct{ table *coordination.LeaseTable }
 
-func (r *register) Claim(_ context.Context, c coordination.Claim) (coordination.ClaimResult, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.holder != "" && r.holder != c.Holder {
-		return coordination.ClaimResult{Ownership: coordination.HeldLease{Holder: r.holder, Epoch: r.epoch}}, nil
-	}
-	r.holder = c.Holder
-	r.epoch++
-	return coordination.ClaimResult{Granted: true, Ownership: coordination.HeldLease{Holder: c.Holder, Epoch: r.epoch}}, nil
+func (k localKeeper) Claim(_ context.Context, name coordination.LeaseName, c coordination.LeaseClaim) (coordination.LeaseGrant, error) {
+	return k.table.Claim(name, c)
 }
 
-func (r *register) Heartbeat(_ context.Context, h coordination.Heartbeat) (coordination.HeartbeatResult, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return coordination.HeartbeatResult{Ownership: coordination.HeldLease{Holder: h.Holder, Epoch: r.epoch}}, nil
+func (k localKeeper) Renew(_ context.Context, name coordination.LeaseName, r coordination.LeaseRenewal) (coordination.HeldLease, error) {
+	return k.table.Renew(name, r)
 }
 
-func (r *register) Release(context.Context, coordination.HeldLease) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.holder = ""
-	return nil
+func (k localKeeper) Release(_ context.Context, name coordination.LeaseName, l coordination.HeldLease) error {
+	return k.table.Release(name, l)
 }
 
-// write is an operation that only the owner may perform. It is fenced by the
-// epoch.
-func (r *register) write(e coordination.Epoch) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.holder == "" || e != r.epoch {
-		return "refused"
-	}
-	return "accepted"
+func (k localKeeper) Peek(_ context.Context, name coordination.LeaseName) (coordination.HeldLease, error) {
+	return k.table.Peek(name), nil
 }
 
-// One entry gains the lease of an upstream, works under it and releases it.
-// What it sends after that is refused.
-func ExampleNewOwnership() {
-	cfg := coordination.DefaultOwnerConfig()
+// One instance gains the lease of a name, acts under it and releases it. What
+// it sends after that is refused by the keeper.
+func ExampleNewLeaseHolder() {
+	timers := coordination.NewTimers()
+	table := coordination.NewLeaseTable(coordination.LeaseTableConfig{MaxTTL: 3 * time.Second}, timers)
+	cfg := coordination.DefaultLeaseConfig()
 	cfg.Settle = 0
-	upstream := &register{}
-	owner := coordination.NewOwnership(cfg, "entry-1", "north", coordination.OwnerDeps{
-		Agents: oneAgent{upstream}, Timers: coordination.NewTimers(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+	holder := coordination.NewLeaseHolder(cfg, "node-1", coordination.LeaseDeps{
+		Keeper: localKeeper{table}, Timers: timers, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Check: coordination.NewChecker(zerolog.Nop(), tally.NoopScope),
 	})
-	events := owner.Subscribe()
-	owner.SetEntries([]coordination.OwnerEntry{{VM: "entry-1"}})
-	owner.SetUpstreams([]coordination.VM{{ID: "upstream-1", Role: coordination.VMRoleUpstream, Zone: "north"}})
+	events := holder.Subscribe()
+	holder.SetHolders([]coordination.VMID{"node-1"})
+	holder.SetNames([]coordination.LeaseName{"printer"})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() { _ = owner.Run(ctx) }()
+	go func() { _ = holder.Run(ctx) }()
 
-	fmt.Println((<-events.C).Kind)
 	gained := <-events.C
-	fmt.Println(gained.Kind, "epoch", gained.Epoch)
-	lease, ok := owner.Lease("upstream-1")
-	fmt.Println("may send:", ok, upstream.write(lease.Epoch))
+	fmt.Println(gained.Name, gained.Kind, "epoch", gained.Epoch)
+	lease, ok := holder.Lease("printer")
+	fmt.Println("may act:", ok, table.Check("printer", lease.Epoch))
 
-	if err := owner.Drain(ctx); err != nil {
+	if err := holder.Drain(ctx); err != nil {
 		fmt.Println(err)
 	}
 	fmt.Println((<-events.C).Kind)
-	_, ok = owner.Lease("upstream-1")
-	fmt.Println("may send:", ok, upstream.write(lease.Epoch))
+	_, ok = holder.Lease("printer")
+	fmt.Println("may act:", ok, coordination.KindOf(table.Check("printer", lease.Epoch)))
 	// Output:
-	// listed
-	// gained epoch 1
-	// may send: true accepted
+	// printer gained epoch 1
+	// may act: true <nil>
 	// released
-	// may send: false refused
+	// may act: false fenced
+}
+
+// localHolders carries calls between holders of one process.
+type localHolders map[coordination.HolderID]*coordination.Allowances
+
+func (l localHolders) Ask(ctx context.Context, to coordination.HolderID, ask coordination.AllowanceAsk) (coordination.AllowanceReply, error) {
+	return l[to].HandleAsk(ctx, ask)
+}
+
+func (l localHolders) Transfer(ctx context.Context, to coordination.HolderID, t coordination.AllowanceTransfer) error {
+	return l[to].HandleTransfer(ctx, t)
+}
+
+// listJournal keeps the records of one holder in memory.
+type listJournal struct {
+	mu      sync.Mutex
+	records []coordination.AllowanceRecord
+}
+
+func (j *listJournal) Append(_ context.Context, r coordination.AllowanceRecord) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.records = append(j.records, r)
+	return nil
+}
+
+// The south has work but no allowance, and gets it from the north, which minted
+// the whole limit of 10 cores. What is used in both never exceeds it.
+func ExampleNewAllowances() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	holders := localHolders{}
+	for _, id := range []coordination.HolderID{"north", "south"} {
+		holders[id] = coordination.NewAllowances(coordination.DefaultAllowanceConfig(), id, coordination.ZoneName(id), nil,
+			coordination.AllowanceDeps{
+				Peers: holders, Journal: &listJournal{}, Timers: coordination.NewTimers(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+			})
+	}
+	north, south := holders["north"], holders["south"]
+	if err := north.SetMint(ctx, coordination.MintShare{Team: "reports", Version: 1, Amount: coordination.Cores(10)}); err != nil {
+		fmt.Println(err)
+	}
+	south.SetPartners([]coordination.AllowancePartner{{Shard: "north", Zone: "north"}})
+	for _, h := range holders {
+		go func() { _ = h.Run(ctx) }()
+	}
+
+	_, err := south.Acquire(ctx, "reports", coordination.Cores(4))
+	fmt.Println(coordination.KindOf(err))
+	arrived := south.Changed()
+	south.SetNeeds([]coordination.AllowanceNeed{{Team: "reports", Amount: coordination.Cores(4), Least: coordination.Cores(4)}})
+	<-arrived
+	charge, err := south.Acquire(ctx, "reports", coordination.Cores(4))
+	fmt.Println(charge.Amount, err)
+	_, err = north.Acquire(ctx, "reports", coordination.Cores(7))
+	fmt.Println(coordination.KindOf(err))
+	// Output:
+	// limit_reached
+	// 4.000 cores, 0 MiB, 0 accelerators <nil>
+	// limit_reached
+}
+
+// memoryLog is a log in memory that drops nothing.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []coordination.LogRecord
+}
+
+func (l *memoryLog) Append(_ context.Context, _ string, payloads [][]byte) (coordination.LogOffset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := coordination.LogOffset(len(l.records))
+	for _, p := range payloads {
+		l.records = append(l.records, coordination.LogRecord{Offset: coordination.LogOffset(len(l.records)), Payload: p})
+	}
+	return first, nil
+}
+
+func (l *memoryLog) Read(_ context.Context, _ string, from coordination.LogOffset, limit int) (coordination.LogPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rest := l.records[min(int(from), len(l.records)):]
+	return coordination.LogPage{
+		Records: slices.Clone(rest[:min(limit, len(rest))]), Next: coordination.LogOffset(len(l.records)),
+	}, nil
+}
+
+// Two operators change version 0 at once: one wins, and every follower has
+// the body of the winner as version 1.
+func ExampleNewConfigFollower() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := &memoryLog{}
+	publisher := coordination.ConfigPublisher{Log: log, Topic: "config"}
+	for _, id := range []coordination.ConfigChangeID{"first", "second"} {
+		result, err := publisher.Publish(ctx, coordination.ConfigChange{ID: id, Base: 0, Body: []byte("body of " + id)})
+		fmt.Println(id, "accepted:", result.Accepted, "in force:", result.Winner, err)
+	}
+	follower := coordination.NewConfigFollower(coordination.ConfigOptions{
+		Self: "node-1", Log: log, Topic: "config", Timer: coordination.NewTimers(), Logger: zerolog.Nop(),
+	})
+	changed := follower.Changed()
+	go func() { _ = follower.Run(ctx) }()
+	<-changed
+	fmt.Printf("version %d: %s\n", follower.Current().Version, follower.Current().Body)
+	// Output:
+	// first accepted: true in force: first <nil>
+	// second accepted: false in force: first <nil>
+	// version 1: body of first
 }
 
-// All entries compute the same ranking, and only what the lost entry held
+// All instances compute the same ranking, and only what the lost entry held
 // moves.
-func ExampleRankEntries() {
+func ExampleRankInstances() {
 	vms := []coordination.VMID{"entry-1", "entry-2", "entry-3"}
-	ranked := coordination.RankEntries("upstream-1", vms)
+	ranked := coordination.RankInstances("upstream-1", vms)
 	fmt.Println(ranked)
-	rest := coordination.RankEntries("upstream-1", []coordination.VMID{"entry-1", "entry-2"})
+	rest := coordination.RankInstances("upstream-1", []coordination.VMID{"entry-1", "entry-2"})
 	fmt.Println(rest)
 	// Output:
 	// [entry-2 entry-1 entry-3]
--- a/internal/base/catimer/timer.go
+++ b/internal/base/catimer/timer.go
@@ -3,6 +3,7 @@
 package catimer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -11,6 +12,7 @@
 // makes its clock run fast or slow, which tests use to bring about clock
 // drift.
 type Service struct {
+	clock  Clock
 	origin time.Time
 	rate   float64
 }
@@ -18,32 +20,50 @@
 // NewService returns a service that follows the clock of the machine.
 func NewService() *Service { return NewDriftingService(1) }
 
+// NewServiceOf returns a service that follows the clock.
+func NewServiceOf(c Clock) *Service { return &Service{clock: c, origin: c.Now(), rate: 1} }
+
 // NewDriftingService returns a service whose clock advances rate times as fast
 // as the clock of the machine.
 func NewDriftingService(rate float64) *Service {
-	return &Service{origin: time.Now(), rate: rate}
+	return &Service{clock: machineClock{}, origin: time.Now(), rate: rate}
 }
 
 // Now returns the time of the service.
 func (s *Service) Now() time.Time {
+	now := s.clock.Now()
 	if s.rate == 1 {
-		return time.Now()
+		return now
 	}
-	elapsed := time.Since(s.origin)
-	return s.origin.Add(time.Duration(float64(elapsed) * s.rate))
+	return s.origin.Add(time.Duration(float64(now.Sub(s.origin)) * s.rate))
 }
 
 // Every returns a subscription to a tick in each period. Ticks that the
 // subscriber is too slow to take are dropped.
 func (s *Service) Every(period time.Duration) *Subscription {
-	ticker := time.NewTicker(s.machineTime(period))
-	return &Subscription{C: ticker.C, stop: ticker.Stop}
+	ticks, stop := s.clock.Every(s.machineTime(period))
+	return &Subscription{C: ticks, stop: stop}
 }
 
 // After returns a subscription to one tick after the delay.
 func (s *Service) After(delay time.Duration) *Subscription {
-	timer := time.NewTimer(s.machineTime(delay))
-	return &Subscription{C: timer.C, stop: func() { timer.Stop() }}
+	tick, stop := s.clock.After(s.machineTime(delay))
+	return &Subscription{C: tick, stop: stop}
+}
+
+// Repeat calls act at each tick of the period until the context ends. Ticks
+// during a call are dropped but for one.
+func (s *Service) Repeat(ctx context.Context, period time.Duration, act func(ctx context.Context)) {
+	ticks := s.Every(period)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			act(ctx)
+		}
+	}
 }
 
 func (s *Service) machineTime(d time.Duration) time.Duration {
