A request waits while its lenders are paused

Cause: an entry without upstreams refused requests as unavailable for as long as each of its peers was paused after it had lent nothing. Change: refused are only requests at an entry none of whose peers has upstreams. Others wait, within the bounds of the queues.

--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -46,6 +47,9 @@
 	FreeSlots int
 }
 
+// mayLend reports whether the peer has upstreams, as far as is known.
+func (p Peer) mayLend() bool { return p.Owns || p.FreeSlots > 0 }
+
 // pause returns the time for which the peer is not asked after it lent nothing.
 func (p Peer) pause() time.Duration {
 	if p.FreeSlots > 0 {
@@ -137,7 +141,7 @@
 func (d *Dispatcher) lender(now time.Time) (Peer, bool) {
 	var best Peer
 	for _, p := range d.borrowing.peers {
-		if (p.FreeSlots <= 0 && !p.Owns) || now.Before(d.borrowing.paused[p.ID]) {
+		if !p.mayLend() || now.Before(d.borrowing.paused[p.ID]) {
 			continue
 		}
 		if p.Zone != d.config.Zone && (p.FreeSlots <= 0 || d.expectedWait(now) <= d.config.CrossingDelay) {
@@ -150,6 +154,11 @@
 	return best, best.ID != ""
 }
 
+// mayBorrow reports whether any peer may lend, now or after a pause.
+func (d *Dispatcher) mayBorrow() bool {
+	return d.config.Lender != nil && slices.ContainsFunc(d.borrowing.peers, Peer.mayLend)
+}
+
 func (d *Dispatcher) prefers(a, b Peer) bool {
 	if (a.FreeSlots > 0) != (b.FreeSlots > 0) {
 		return a.FreeSlots > 0
--- a/internal/request/cadispatch/lend_test.go
+++ b/internal/request/cadispatch/lend_test.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// A request at an entry that owns nothing waits while its only peer, which has
+// just refused to lend, is not asked.
+func TestRequestWaitsForAPausedPeer(t *testing.T) {
+	full := &fullPeers{calls: map[cawork.VMID]int{}}
+	e := newEntry(t, func(c *cadispatch.Config) { c.Lender = full })
+	e.SetPeers([]cadispatch.Peer{{ID: "full", Zone: "z1", Owns: true}})
+	for range 2 {
+		res, body := e.post(t, "work", caplatform.HeaderDeadline, "200")
+		if diff := cmp.Diff(seen{504, "not_run", ""}, seenOf(res, body)); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	}
+}
+
 // A silent peer delays nothing that can be served without it.
 func TestSilentPeerDelaysNothing(t *testing.T) {
 	l, entries := newEntries(t, 2, nil)
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -81,10 +81,8 @@
 }
 
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
-	if !d.router.CanStart(now) {
-		if _, ok := d.lender(now); !ok || d.config.Lender == nil {
-			return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
-		}
+	if !d.router.CanStart(now) && !d.mayBorrow() {
+		return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
 	}
 	if err := d.queues.Admit(now, t, d.capacity(now)); err != nil {
 		return err
