Errors keep their message; refusals carry no stack

Cause: Error() of an error printed its trace at each call, and eris.New looks up the names of all functions on the stack. Ruled out: to keep the stack of every error and print it on demand only. Change: the message is kept as text. The innermost error of a kind that does not prove that the work has not run records its stack; StackOf prints it, and the line of a refusal of kind internal has it. The kind of an error that is not wrapped is found without reflection.

--- a/internal/base/cakind/kind.go
+++ b/internal/base/cakind/kind.go
@@ -101,17 +101,59 @@
 type Error struct {
 	kind       Kind
 	retryAfter time.Duration
+	message    string
 	cause      error
+	// trace holds the stack of the call that made the error. It is nil when
+	// the cause has one, and when the work has not run: refusals are many, and
+	// their message says it all.
+	trace error
 }
 
 // New returns an error of the kind with a formatted message.
 func New(k Kind, format string, args ...any) *Error {
-	return &Error{kind: k, cause: eris.New(fmt.Sprintf(format, args...))}
+	return &Error{kind: k, message: fmt.Sprintf(format, args...), trace: newTrace(k)}
 }
 
 // Wrap returns an error of the kind that adds a message to the cause.
 func Wrap(k Kind, cause error, format string, args ...any) *Error {
-	return &Error{kind: k, cause: eris.Wrap(cause, fmt.Sprintf(format, args...))}
+	e := &Error{kind: k, message: fmt.Sprintf(format, args...), cause: cause}
+	if traced(cause) == nil {
+		e.trace = newTrace(k)
+	}
+	return e
+}
+
+// errTraced stands for the traced error. To wrap it only records the stack,
+// where eris.New would also look up the names of all its functions.
+var errTraced = errors.New("made at")
+
+func newTrace(k Kind) error {
+	if AnswerTo(k).Execution == ExecutionNotRun {
+		return nil
+	}
+	return eris.Wrap(errTraced, "")
+}
+
+// traced returns the innermost Error with a stack in the chain, nil when there
+// is none.
+func traced(err error) *Error {
+	var found *Error
+	for e := (*Error)(nil); errors.As(err, &e); err = e.cause {
+		if e.trace != nil {
+			found = e
+		}
+	}
+	return found
+}
+
+// StackOf returns the stack of the call that made the innermost Error in the
+// chain that has one, for logs. Refusals have none. It is costly.
+func StackOf(err error) string {
+	e := traced(err)
+	if e == nil {
+		return ""
+	}
+	return eris.ToString(e.trace, true)
 }
 
 // WithRetryAfter returns a copy that tells the caller when to come back.
@@ -122,9 +164,14 @@
 }
 
 // Error implements error.
-func (e *Error) Error() string { return e.cause.Error() }
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return e.message
+	}
+	return e.message + ": " + e.cause.Error()
+}
 
-// Unwrap returns the cause.
+// Unwrap returns the cause, nil when there is none.
 func (e *Error) Unwrap() error { return e.cause }
 
 // Kind returns the kind of the error.
@@ -136,8 +183,7 @@
 // Of returns the kind of the outermost Error in the chain, KindInternal when
 // there is none.
 func Of(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e := outermost(err); e != nil {
 		return e.kind
 	}
 	return KindInternal
@@ -145,9 +191,19 @@
 
 // RetryAfterOf returns the time to wait named by the error, zero when none.
 func RetryAfterOf(err error) time.Duration {
-	var e *Error
-	if errors.As(err, &e) {
+	if e := outermost(err); e != nil {
 		return e.retryAfter
 	}
 	return 0
 }
+
+// outermost returns the outermost Error in the chain, nil when there is none.
+func outermost(err error) *Error {
+	// Most are not wrapped, which spares the reflection.
+	if e, ok := err.(*Error); ok {
+		return e
+	}
+	var e *Error
+	errors.As(err, &e)
+	return e
+}
--- a/internal/base/cakind/kind_test.go
+++ b/internal/base/cakind/kind_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,33 @@
 	// Output: overloaded 429 2s
 }
 
+// The stack of an error leads to the call that made the innermost one.
+func TestStackLeadsToTheOrigin(t *testing.T) {
+	made := func() error { return cakind.New(cakind.KindInternal, "made") }
+	wrapped := cakind.Wrap(cakind.KindUnavailable, fmt.Errorf("plain: %w", made()), "wrapped")
+	if diff := cmp.Diff("wrapped: plain: made", wrapped.Error()); diff != "" {
+		t.Errorf("message (-want +got):\n%s", diff)
+	}
+	if stack := cakind.StackOf(wrapped); !strings.Contains(stack, "TestStackLeadsToTheOrigin.func1") {
+		t.Errorf("the stack does not lead to the origin:\n%s", stack)
+	}
+	outer := cakind.Wrap(cakind.KindFailed, errors.New("foreign"), "wrapped")
+	if stack := cakind.StackOf(outer); !strings.Contains(stack, "TestStackLeadsToTheOrigin") {
+		t.Errorf("the stack does not lead to the first Error:\n%s", stack)
+	}
+	for _, err := range []error{errors.New("plain"), cakind.New(cakind.KindOverloaded, "refused")} {
+		if diff := cmp.Diff("", cakind.StackOf(err)); diff != "" {
+			t.Errorf("stack of %v (-want +got):\n%s", err, diff)
+		}
+	}
+}
+
+func BenchmarkError(b *testing.B) {
+	for b.Loop() {
+		_ = cakind.New(cakind.KindOverloaded, "overloaded").Error()
+	}
+}
+
 func TestOfPlainErrorIsInternal(t *testing.T) {
 	if diff := cmp.Diff(cakind.KindInternal, cakind.Of(errors.New("plain"))); diff != "" {
 		t.Errorf("Of(plain) mismatch (-want +got):\n%s", diff)
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -366,6 +367,7 @@
 		b.ReportMetric(float64(h.Count(http.StatusOK))/float64(light.Count(http.StatusOK)), "heavy/light")
 		for _, g := range light.Groups {
 			if g.Status == http.StatusTooManyRequests {
+				b.ReportMetric(float64(h.Count(g.Status)+light.Count(g.Status))/8, "refusals/s")
 				b.ReportMetric(millisOf(g.Latency.P50), "refusal-p50-ms")
 				b.ReportMetric(millisOf(g.Latency.P99), "refusal-p99-ms")
 			}
@@ -376,6 +378,18 @@
 	}
 }
 
+// BenchmarkRefusal refuses requests at an entry that reaches no upstream.
+func BenchmarkRefusal(b *testing.B) {
+	d := cadispatch.New(cadispatch.Config{Timer: catimer.NewService(), Logger: zerolog.Nop()})
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		d.ServeRequest(w, httptest.NewRequest(http.MethodPost, caplatform.RequestPath, nil), "light")
+		if w.Code != http.StatusServiceUnavailable {
+			b.Fatal(w.Code)
+		}
+	}
+}
+
 // BenchmarkSickUpstream sends idempotent requests at a third of the capacity
 // of four upstreams, of which one is sick.
 func BenchmarkSickUpstream(b *testing.B) {
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -252,10 +252,13 @@
 	kind := cakind.Of(err)
 	message := err.Error()
 	d.metrics.refused.Inc(1)
-	caevent.Info(d.config.Logger, caevent.RequestRefused).
+	line := caevent.Info(d.config.Logger, caevent.RequestRefused).
 		Str("team", string(team)).
 		Str("kind", kind.String()).
-		Str("reason", message).
-		Send()
+		Str("reason", message)
+	if kind == cakind.KindInternal {
+		line.Str("stack", cakind.StackOf(err))
+	}
+	line.Send()
 	writeError(w, err, message)
 }
