--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -47,9 +46,6 @@
 	FreeSlots int
 }
 
-// mayLend reports whether the peer has upstreams, as far as is known.
-func (p Peer) mayLend() bool { return p.Owns || p.FreeSlots > 0 }
-
 // pause returns the time for which the peer is not asked after it lent nothing.
 func (p Peer) pause() time.Duration {
 	if p.FreeSlots > 0 {
@@ -61,7 +57,7 @@
 // borrowing is the state of the borrower of one entry.
 type borrowing struct {
 	peers  []Peer
-	paused map[cawork.VMID]time.Time
+	paused map[cawork.VMID]pause
 	owners map[caroute.GrantID]cawork.VMID
 	// asking is set while a call to an owner is under way. One at a time is
 	// enough, because a grant carries several slots.
@@ -70,9 +66,16 @@
 	until time.Time
 }
 
+// pause is the time for which a peer is not asked. Busy tells that it answered,
+// but had no free slot; else it did not answer.
+type pause struct {
+	until time.Time
+	busy  bool
+}
+
 func newBorrowing() borrowing {
 	return borrowing{
-		paused: map[cawork.VMID]time.Time{},
+		paused: map[cawork.VMID]pause{},
 		owners: map[caroute.GrantID]cawork.VMID{},
 	}
 }
@@ -141,10 +144,7 @@
 func (d *Dispatcher) lender(now time.Time) (Peer, bool) {
 	var best Peer
 	for _, p := range d.borrowing.peers {
-		if !p.mayLend() || now.Before(d.borrowing.paused[p.ID]) {
-			continue
-		}
-		if p.Zone != d.config.Zone && (p.FreeSlots <= 0 || d.expectedWait(now) <= d.config.CrossingDelay) {
+		if now.Before(d.borrowing.paused[p.ID].until) || !d.mayLend(p, now) {
 			continue
 		}
 		if best.ID == "" || d.prefers(p, best) {
@@ -154,9 +154,28 @@
 	return best, best.ID != ""
 }
 
-// mayBorrow reports whether any peer may lend, now or after a pause.
-func (d *Dispatcher) mayBorrow() bool {
-	return d.config.Lender != nil && slices.ContainsFunc(d.borrowing.peers, Peer.mayLend)
+// mayLend reports whether the peer is worth a call as far as its last report
+// tells.
+func (d *Dispatcher) mayLend(p Peer, now time.Time) bool {
+	if p.Zone == d.config.Zone {
+		return p.FreeSlots > 0 || p.Owns
+	}
+	return p.FreeSlots > 0 && d.expectedWait(now) > d.config.CrossingDelay
+}
+
+// mayBorrow reports whether a request may wait for slots of peers: one can be
+// asked, now or when it has got rid of the work that it answered to have.
+func (d *Dispatcher) mayBorrow(now time.Time) bool {
+	if d.config.Lender == nil {
+		return false
+	}
+	for _, p := range d.borrowing.peers {
+		rests := d.borrowing.paused[p.ID]
+		if d.mayLend(p, now) && (rests.busy || !now.Before(rests.until)) {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Dispatcher) prefers(a, b Peer) bool {
@@ -187,7 +206,7 @@
 	now := d.config.Timer.Now()
 	d.borrowing.asking = false
 	if err != nil || !answer.Granted {
-		d.borrowing.paused[p.ID] = now.Add(p.pause())
+		d.borrowing.paused[p.ID] = pause{until: now.Add(p.pause()), busy: err == nil}
 		d.borrow(now)
 		return
 	}
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -81,7 +81,7 @@
 }
 
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
-	if !d.router.CanStart(now) && !d.mayBorrow() {
+	if !d.router.CanStart(now) && !d.mayBorrow(now) {
 		return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
 	}
 	if err := d.queues.Admit(now, t, d.capacity(now)); err != nil {
