One error body for all refusals; a wrong method is 405

Cause: refusals of keys, jobs and paths and those of requests had two bodies, written in three places with different headers. A method that a path does not have was told as 404 not_found, and the kind answer_not_kept was outside of the closed list. Change: cakind.ErrorBody is the one body; its status, Retry-After and X-Retry-After-Ms follow the table. The kinds method_not_allowed (405) and answer_not_kept (410) join the list. Refusals of requests have X-Outcome from the key check on; the field outcome of the body is gone, execution tells it. Connections beyond the bound are refused with unavailable, the kind of the status 503 that they had. An unknown that names a time to wait is retryable.

--- a/internal/base/cakind/kind.go
+++ b/internal/base/cakind/kind.go
@@ -40,6 +40,11 @@
 	KindUnknown
 	KindFenced
 	KindStaleVersion
+	// KindMethodNotAllowed means that a path has no such method.
+	KindMethodNotAllowed
+	// KindAnswerNotKept means that a submission under the same idempotency key
+	// ran, and that its answer is not stored any more.
+	KindAnswerNotKept
 )
 
 // Execution tells whether the work behind an error ran.
@@ -86,6 +91,8 @@
 	KindUnknown:             {http.StatusGatewayTimeout, false, ExecutionUnknown},
 	KindFenced:              {http.StatusConflict, true, ExecutionNotRun},
 	KindStaleVersion:        {http.StatusConflict, true, ExecutionNotRun},
+	KindMethodNotAllowed:    {http.StatusMethodNotAllowed, false, ExecutionNotRun},
+	KindAnswerNotKept:       {http.StatusGone, false, ExecutionRan},
 }
 
 // AnswerTo returns the answer of the kind.
--- a/internal/base/cakind/kind_names.go
+++ b/internal/base/cakind/kind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_version"
+const _KindName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_kept"
 
-var _KindIndex = [...]uint8{0, 8, 15, 30, 39, 48, 56, 65, 75, 85, 98, 106, 117, 132, 143, 164, 172, 178, 185, 191, 204}
+var _KindIndex = [...]uint8{0, 8, 15, 30, 39, 48, 56, 65, 75, 85, 98, 106, 117, 132, 143, 164, 172, 178, 185, 191, 204, 222, 237}
 
-const _KindLowerName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_version"
+const _KindLowerName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_kept"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -44,9 +44,11 @@
 	_ = x[KindUnknown-(17)]
 	_ = x[KindFenced-(18)]
 	_ = x[KindStaleVersion-(19)]
+	_ = x[KindMethodNotAllowed-(20)]
+	_ = x[KindAnswerNotKept-(21)]
 }
 
-var _KindValues = []Kind{KindInternal, KindInvalid, KindUnauthenticated, KindForbidden, KindNotFound, KindConflict, KindTooLarge, KindNeverFits, KindOverloaded, KindLimitReached, KindDraining, KindUnavailable, KindKeyUnconfirmed, KindNotStarted, KindDeadlineBeforeStart, KindCanceled, KindFailed, KindUnknown, KindFenced, KindStaleVersion}
+var _KindValues = []Kind{KindInternal, KindInvalid, KindUnauthenticated, KindForbidden, KindNotFound, KindConflict, KindTooLarge, KindNeverFits, KindOverloaded, KindLimitReached, KindDraining, KindUnavailable, KindKeyUnconfirmed, KindNotStarted, KindDeadlineBeforeStart, KindCanceled, KindFailed, KindUnknown, KindFenced, KindStaleVersion, KindMethodNotAllowed, KindAnswerNotKept}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindInternal,
@@ -69,6 +71,8 @@
 	_KindName[178:185]: KindUnknown,
 	_KindName[185:191]: KindFenced,
 	_KindName[191:204]: KindStaleVersion,
+	_KindName[204:222]: KindMethodNotAllowed,
+	_KindName[222:237]: KindAnswerNotKept,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -92,6 +96,8 @@
 	_KindLowerName[178:185]: KindUnknown,
 	_KindLowerName[185:191]: KindFenced,
 	_KindLowerName[191:204]: KindStaleVersion,
+	_KindLowerName[204:222]: KindMethodNotAllowed,
+	_KindLowerName[222:237]: KindAnswerNotKept,
 }
 
 var _KindNames = []string{
@@ -115,6 +121,8 @@
 	_KindName[178:185],
 	_KindName[185:191],
 	_KindName[191:204],
+	_KindName[204:222],
+	_KindName[222:237],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/base/cakind/kind_test.go
+++ b/internal/base/cakind/kind_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// An error that names a time to wait is retryable, also when its kind is not.
+func TestBodyTellsWhenToComeBack(t *testing.T) {
+	tests := []struct {
+		err  error
+		want cakind.ErrorBody
+	}{
+		{cakind.New(cakind.KindOverloaded, "full").WithRetryAfter(2 * time.Second), cakind.ErrorBody{
+			Kind: cakind.KindOverloaded, Retryable: true, Message: "full", RetryAfterMS: 2000,
+		}},
+		{cakind.New(cakind.KindDraining, "stops"), cakind.ErrorBody{
+			Kind: cakind.KindDraining, Retryable: true, Message: "stops", RetryAfterMS: 200,
+		}},
+		{cakind.New(cakind.KindUnknown, "late").WithRetryAfter(time.Microsecond), cakind.ErrorBody{
+			Kind: cakind.KindUnknown, Execution: cakind.ExecutionUnknown, Retryable: true, Message: "late", RetryAfterMS: 1,
+		}},
+		{cakind.New(cakind.KindUnknown, "late"), cakind.ErrorBody{
+			Kind: cakind.KindUnknown, Execution: cakind.ExecutionUnknown, Message: "late",
+		}},
+	}
+	for _, tt := range tests {
+		if diff := cmp.Diff(tt.want, cakind.BodyOf(tt.err)); diff != "" {
+			t.Errorf("body (-want +got):\n%s", diff)
+		}
+	}
+}
+
 func BenchmarkError(b *testing.B) {
 	for b.Loop() {
 		_ = cakind.New(cakind.KindOverloaded, "overloaded").Error()
--- a/internal/cli/caclient/client.go
+++ b/internal/cli/caclient/client.go
@@ -194,7 +194,7 @@
 
 // refusal returns the error that the entry reports.
 func (c Client) refusal(r *http.Response, body []byte) error {
-	var answer caapi.ErrorAnswer
+	var answer cakind.ErrorBody
 	if err := json.Unmarshal(body, &answer); err != nil || answer.Message == "" {
 		return cakind.New(cakind.KindUnknown, "%s answered with status %d", c.Base, r.StatusCode)
 	}
--- a/internal/cli/caclient/example_test.go
+++ b/internal/cli/caclient/example_test.go
@@ -18,7 +18,7 @@
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Retry-After", "3")
 		w.WriteHeader(http.StatusTooManyRequests)
-		_ = json.NewEncoder(w).Encode(caapi.ErrorAnswer{Kind: cakind.KindOverloaded, Message: "the queue is full"})
+		_ = json.NewEncoder(w).Encode(cakind.ErrorBody{Kind: cakind.KindOverloaded, Message: "the queue is full"})
 	}))
 	defer entry.Close()
 	client := caclient.Client{Base: entry.URL, Key: "cak_example"}
--- a/internal/cli/cacommand/command_test.go
+++ b/internal/cli/cacommand/command_test.go
@@ -275,7 +275,7 @@
 
 func refuse(w http.ResponseWriter, k cakind.Kind, message string) {
 	w.WriteHeader(cakind.AnswerTo(k).Status)
-	_ = json.NewEncoder(w).Encode(caapi.ErrorAnswer{Kind: k, Message: message})
+	_ = json.NewEncoder(w).Encode(cakind.ErrorBody{Kind: k, Message: message})
 }
 
 func TestClientCommands(t *testing.T) {
--- a/internal/cli/cacommand/exitcode.go
+++ b/internal/cli/cacommand/exitcode.go
@@ -65,6 +65,8 @@
 	cakind.KindUnknown:             ExitUnknown,
 	cakind.KindFenced:              ExitConflict,
 	cakind.KindStaleVersion:        ExitConflict,
+	cakind.KindMethodNotAllowed:    ExitInvalid,
+	cakind.KindAnswerNotKept:       ExitFailed,
 }
 
 // ExitCodeOf returns the exit code for an error.
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
+	"celeryarch.example/celeryarch/internal/request/cadispatch"
 	"celeryarch.example/celeryarch/internal/request/caforward"
 	"celeryarch.example/celeryarch/internal/request/calisten"
 )
@@ -287,27 +287,28 @@
 	if c.Response().Committed {
 		return
 	}
-	kind, message := classify(err)
-	answer := cakind.AnswerTo(kind)
-	if after := cakind.RetryAfterOf(err); after > 0 {
-		seconds := int(math.Ceil(after.Seconds()))
-		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(seconds))
+	err = classify(err)
+	if c.Request().URL.Path == PathRequests {
+		cadispatch.WriteError(c.Response(), err)
+		return
 	}
-	body := ErrorAnswer{Kind: kind, Execution: answer.Execution, Retryable: answer.Retryable, Message: message}
-	_ = c.JSON(answer.Status, body)
+	cakind.BodyOf(err).Write(c.Response())
 }
 
-func classify(err error) (cakind.Kind, string) {
+// classify gives errors of the framework a kind.
+func classify(err error) error {
 	var framework *echo.HTTPError
 	if !errors.As(err, &framework) {
-		return cakind.Of(err), err.Error()
+		return err
 	}
 	switch framework.Code {
-	case http.StatusNotFound, http.StatusMethodNotAllowed:
-		return cakind.KindNotFound, "no such path or method"
+	case http.StatusNotFound:
+		return cakind.New(cakind.KindNotFound, "no such path")
+	case http.StatusMethodNotAllowed:
+		return cakind.New(cakind.KindMethodNotAllowed, "the path has no such method")
 	case http.StatusRequestEntityTooLarge:
-		return cakind.KindTooLarge, "the body is too large"
+		return cakind.New(cakind.KindTooLarge, "the body is too large")
 	default:
-		return cakind.KindInvalid, framework.Error()
+		return cakind.Wrap(cakind.KindInvalid, err, "the call is refused")
 	}
 }
--- a/internal/node/caapi/message.go
+++ b/internal/node/caapi/message.go
@@ -111,11 +111,3 @@
 	Accepted time.Time       `json:"accepted"`
 	Tasks    []TaskAnswer    `json:"tasks"`
 }
-
-// ErrorAnswer is the body of every refusal.
-type ErrorAnswer struct {
-	Kind      cakind.Kind      `json:"kind"`
-	Execution cakind.Execution `json:"execution"`
-	Retryable bool             `json:"retryable"`
-	Message   string           `json:"message"`
-}
--- a/internal/request/cadispatch/call.go
+++ b/internal/request/cadispatch/call.go
@@ -161,7 +161,7 @@
 	after := cakind.RetryAfterOf(err)
 	// To come back is safe for these, whatever became of the attempts.
 	if after == 0 && (c.idempotent || c.key != "") {
-		after = defaultRetryAfter
+		after = cakind.DefaultRetryAfter
 	}
 	if kind == cakind.Of(err) && after == cakind.RetryAfterOf(err) {
 		return err
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -28,7 +28,7 @@
 	defaultMaxInProgress = 1024
 )
 
-var errTooMany = caadmit.NewRefusal("too many requests in progress", defaultRetryAfter)
+var errTooMany = caadmit.NewRefusal("too many requests in progress", cakind.DefaultRetryAfter)
 
 // Config holds what a dispatcher needs.
 type Config struct {
@@ -250,15 +250,14 @@
 
 func (d *Dispatcher) refuse(w http.ResponseWriter, team cawork.TeamName, err error) {
 	kind := cakind.Of(err)
-	message := err.Error()
 	d.metrics.refused.Inc(1)
 	line := caevent.Info(d.config.Logger, caevent.RequestRefused).
 		Str("team", string(team)).
 		Str("kind", kind.String()).
-		Str("reason", message)
+		Str("reason", err.Error())
 	if kind == cakind.KindInternal {
 		line.Str("stack", cakind.StackOf(err))
 	}
 	line.Send()
-	writeError(w, err, message)
+	WriteError(w, err)
 }
--- a/internal/request/cadispatch/keys.go
+++ b/internal/request/cadispatch/keys.go
@@ -112,9 +112,6 @@
 // writeLostAnswer tells an outcome whose answer is not kept. The status keeps
 // it from being taken for the answer.
 func writeLostAnswer(w http.ResponseWriter, o cawork.Outcome) {
-	writeBody(w, http.StatusGone, errorBody{
-		Kind:    "answer_not_kept",
-		Outcome: o.String(),
-		Message: "the first submission ended; its answer is not kept",
-	})
+	w.Header().Set(HeaderOutcome, o.String())
+	cakind.BodyOf(cakind.New(cakind.KindAnswerNotKept, "the first submission ended; its answer is not kept")).Write(w)
 }
--- a/internal/request/calisten/listen.go
+++ b/internal/request/calisten/listen.go
@@ -3,12 +3,16 @@
 package calisten
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
 )
 
 const (
@@ -25,13 +29,19 @@
 
 // refusal is the answer to a connection beyond the bound. The request has not
 // been read, so that it has not run.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\n" +
-	"Connection: close\r\n" +
-	"Content-Type: application/json\r\n" +
-	"Content-Length: 90\r\n" +
-	"Retry-After: 1\r\n" +
-	"X-Outcome: not_run\r\n\r\n" +
-	`{"kind":"overloaded","outcome":"not_run","message":"too many connections to this entry"}` + "\r\n"
+var refusal = refusalText()
+
+func refusalText() string {
+	body := cakind.BodyOf(cakind.New(cakind.KindUnavailable, "too many connections to this entry"))
+	payload, _ := json.Marshal(body)
+	status := cakind.AnswerTo(body.Kind).Status
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n"+
+		"Connection: close\r\n"+
+		"Content-Type: application/json\r\n"+
+		"Content-Length: %d\r\n"+
+		"Retry-After: 1\r\n"+
+		"X-Outcome: not_run\r\n\r\n%s", status, http.StatusText(status), len(payload), payload)
+}
 
 // NewServer returns a server of the handler with bounded headers and times.
 // Bodies are bounded by the handler.
--- a/internal/request/calisten/listen_test.go
+++ b/internal/request/calisten/listen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/request/calisten"
 )
 
@@ -63,6 +65,10 @@
 	if res.Header.Get("X-Outcome") != "not_run" || !strings.Contains(body, "too many connections") {
 		t.Errorf("refusal %v %q", res.Header, body)
 	}
+	var refusal cakind.ErrorBody
+	if err := json.Unmarshal([]byte(body), &refusal); err != nil || cakind.AnswerTo(refusal.Kind).Status != res.StatusCode {
+		t.Errorf("refusal %q with status %d: %v", body, res.StatusCode, err)
+	}
 }
 
 func TestServerRefusesHugeHeaders(t *testing.T) {
