--- a/internal/request/caadmit/refusal.go
+++ b/internal/request/caadmit/refusal.go
@@ -6,8 +6,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 )
 
-// errOverloaded is made once: to capture and print a stack for each refusal
-// would cost more than the refusal.
+// errOverloaded is made once, because refusals are many.
 var errOverloaded = cakind.New(cakind.KindOverloaded, "overloaded")
 
 // Refusal is the error of a request that is not admitted. It is of
