--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -224,7 +224,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	fold, err := calog.ReadAll(ctx, p.Log, topic)
+	fold, err := p.readLost(ctx, stuck)
 	if err != nil {
 		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 		return
@@ -251,12 +251,36 @@
 	return complete
 }
 
-// rebuild rebuilds a shard of the zone that nobody leads. It reports whether
-// the shard needs no further look: a member that is silent now may turn out to
-// have ended later.
+// readLost returns the images of the shards of the zone that nobody leads, and
+// of those whose replicas here cannot go on. It reads the whole topic for their
+// traces, and again from their snapshots on only if there are any.
+func (p *Part) readLost(ctx context.Context, stuck []cashard.Status) (*calog.Fold, error) {
+	traces, err := calog.Survey(ctx, p.Log, topic)
+	if err != nil {
+		return nil, err
+	}
+	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool {
+		isStuck := slices.ContainsFunc(stuck, func(s cashard.Status) bool { return s.Shard == t.Shard })
+		return !isStuck && !p.isLeaderless(t)
+	})
+	return calog.ReadShards(ctx, p.Log, topic, lost)
+}
+
+// isLeaderless reports whether the shard is of the own zone and nobody leads it.
+func (p *Part) isLeaderless(t calog.Trace) bool {
+	view, err := cashard.DecodeView(t.ViewBody)
+	if err != nil || !p.isOurs(view) || p.isHeld(t.Shard) {
+		return false
+	}
+	_, led := p.Directory.Leader(t.Shard)
+	return !led
+}
+
+// rebuild rebuilds a shard that is lost. It reports whether the shard needs no
+// further look: a member that is silent now may turn out to have ended later.
 func (p *Part) rebuild(ctx context.Context, image calog.Image) bool {
 	view, err := cashard.DecodeView(image.ViewBody)
-	if err != nil || !p.isOurs(view) || p.isHeld(image.Shard) {
+	if err != nil || p.isHeld(image.Shard) {
 		return true
 	}
 	if _, led := p.Directory.Leader(image.Shard); led {
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -1,6 +1,7 @@
 package caarchive
 
 import (
+	"bytes"
 	"context"
 	"slices"
 
@@ -162,12 +163,12 @@
 		ID:    calog.EntryID{Writer: p.Life + "/elections", Sequence: p.proposals},
 		Shard: view.Shard, Base: view.Number, View: next.Number, Body: body,
 	})
-	fold, err := calog.ReadAll(ctx, p.Log, topic)
+	traces, err := calog.Survey(ctx, p.Log, topic)
 	if err != nil {
 		return view, err
 	}
-	image, _ := fold.Image(view.Shard)
-	if won, err := cashard.DecodeView(image.ViewBody); err != nil || won != next {
+	won := slices.ContainsFunc(traces, func(t calog.Trace) bool { return t.Shard == view.Shard && bytes.Equal(t.ViewBody, body) })
+	if !won {
 		return view, cakind.New(cakind.KindConflict, "another entry was elected for shard %s", view.Shard)
 	}
 	return next, nil
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -46,7 +46,7 @@
 	// missed holds the time of the last list when an unknown upstream was first
 	// asked for.
 	missed map[cawork.UpstreamID]time.Time
-	byID    map[cawork.UpstreamID]caplatform.VM
+	byID   map[cawork.UpstreamID]caplatform.VM
 	// seen holds the time of the last list that named each upstream.
 	seen map[cawork.UpstreamID]time.Time
 	// seenEntries holds the time of the last list that named each entry.
