An upstream that another entry took over is not taken for an own one

Cause: an upstream that moved to another owner stayed in the placement index while tasks were left on it, those of other entries for ever, since nobody tells their ends to the former owner.

Change: the core does not take a host that is gone for an own one; the launcher drops the tasks of others with the ownership, and hands its own tasks over as tasks of another entry before it cancels their job. Test: TestRoomAtTheNextOwnerIsUsed fails without the change.

--- a/internal/core/cadecide/reserve.go
+++ b/internal/core/cadecide/reserve.go
@@ -173,7 +173,8 @@
 			Host: caplace.NoHost, Upstream: p.Upstream, Demand: s.demandOf(p.Size, j.Spec.Kind),
 			Account: s.team(j.Team).Team, Now: now, End: s.end(j, now),
 		}
-		if h, own := s.index.Host(p.Upstream); own {
+		// One that is gone may be of another entry now, while tasks are left here.
+		if h, known := s.index.Host(p.Upstream); known && s.index.StateOf(h) != caplace.StateGone {
 			i := slices.Index(left, h)
 			if i < 0 || r.demand != o.Demand {
 				return nil, cakind.New(cakind.KindInvalid, "room for %v is not reserved on %s", p.Task, p.Upstream)
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -345,6 +345,22 @@
 	}
 }
 
+// TestRoomAtTheNextOwnerIsUsed covers an upstream that another entry has taken
+// over while a task of this one is left there.
+func TestRoomAtTheNextOwnerIsUsed(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 1)
+	c.s.SetAllowance("north", size(8).Times(2), c.now)
+	c.submit("left", "north", batch(1, 4))
+	wantSummary(t, c.after(time.Second), "place lowest_share left/1")
+	c.s.RemoveUpstream("u0", c.now)
+	c.submit("j", "north", batch(1, 4))
+	c.after(time.Second)
+	there := []casched.Placement{{Task: cawork.TaskRef{Job: "j"}, Upstream: "u0", Size: size(4)}}
+	if _, err := c.s.PlaceReserved(there, "", c.now); err != nil {
+		t.Errorf("room that the next owner keeps was refused: %v", err)
+	}
+}
+
 func TestReservedPlacesAreBoundByTheAllowanceAndTheirExpiry(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 1)
 	c.s.SetAllowance("north", size(4), c.now)
--- a/internal/node/calaunch/follow.go
+++ b/internal/node/calaunch/follow.go
@@ -25,12 +25,23 @@
 			l.Scheduler.PutUpstream(describe(e.VM, true), l.now())
 		}
 	case caowner.EventKindLost, caowner.EventKindReleased, caowner.EventKindUnlisted:
-		l.table.Drop(e.Upstream)
-		l.Scheduler.RemoveUpstream(e.Upstream, l.now())
+		l.disown(e.Upstream)
 	case caowner.EventKindListed, caowner.EventKindRequestsEnded:
 	}
 }
 
+// disown leaves an upstream to its next owner, with the tasks of other entries
+// there: nobody tells their ends here any more.
+func (l *Launcher) disown(u cawork.UpstreamID) {
+	tasks := l.table.Drop(u)
+	l.Scheduler.RemoveUpstream(u, l.now())
+	for _, s := range tasks {
+		if _, own := l.byTask[s.Task]; !own && s.State == cawork.TaskStateRunning {
+			l.Scheduler.Withdrawn(s.Task, l.now())
+		}
+	}
+}
+
 // UpstreamListed takes over what the platform lists of an owned upstream: a
 // VM that was leaving may have come back.
 func (l *Launcher) UpstreamListed(vm caplatform.VM) {
--- a/internal/node/calaunch/lend.go
+++ b/internal/node/calaunch/lend.go
@@ -109,6 +109,10 @@
 }
 
 func (l *Launcher) startedForeign(t target, status caplatform.TaskStatus) {
+	if !l.table.Owns(t.upstream) {
+		l.Scheduler.Withdrawn(t.start.Task, l.now())
+		return
+	}
 	l.table.Update(t.upstream, []caplatform.TaskStatus{status})
 	if status.State.Ended() {
 		l.endForeign(t.start.Task, status)
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -223,26 +223,23 @@
 func (l *Launcher) dropShard(id cawork.ShardID) {
 	delete(l.led, id)
 	maps.DeleteFunc(l.cursors, func(t pollTarget, _ catask.Cursor) bool { return t.shard == id })
-	jobs := make(map[cawork.JobID]struct{})
+	var dropped []*attempt
 	for _, a := range l.attempts {
 		if a.shard == id {
-			jobs[a.task.Job] = struct{}{}
-			l.drop(a)
+			dropped = append(dropped, a)
+			l.forget(a)
+			l.Scheduler.Withdrawn(a.task, l.now())
 		}
 	}
-	for job := range jobs {
-		l.wake(job)
+	for _, a := range dropped {
+		// A job that is already over at the scheduler needs no cancellation.
+		_, _ = l.Scheduler.Cancel(a.task.Job, l.now())
+		l.wake(a.task.Job)
 	}
-	maps.DeleteFunc(l.homes, func(_ cawork.JobID, s cawork.ShardID) bool { return s == id })
-}
-
-// drop forgets an attempt without a record of its end. Its room stays
-// committed as long as it runs on an owned upstream.
-func (l *Launcher) drop(a *attempt) {
-	l.forget(a)
-	// A job that is already over at the scheduler needs no cancellation.
-	_, _ = l.Scheduler.Cancel(a.task.Job, l.now())
-	if !l.table.Owns(a.upstream) {
-		l.Scheduler.Ended(casched.End{Task: a.task, State: cawork.TaskStateLapsed}, l.now())
+	for _, a := range dropped {
+		if status, ok := l.table.Find(a.upstream, a.id); ok && status.State == cawork.TaskStateRunning {
+			l.Scheduler.Adopt(status, a.upstream, l.now())
+		}
 	}
+	maps.DeleteFunc(l.homes, func(_ cawork.JobID, s cawork.ShardID) bool { return s == id })
 }
--- a/internal/node/catask/table.go
+++ b/internal/node/catask/table.go
@@ -69,8 +69,16 @@
 	}
 }
 
-// Drop forgets an upstream that is not owned any more.
-func (t *Table) Drop(u cawork.UpstreamID) { delete(t.upstreams, u) }
+// Drop forgets an upstream that is not owned any more, and returns what was
+// known of its attempts.
+func (t *Table) Drop(u cawork.UpstreamID) []caplatform.TaskStatus {
+	var tasks []caplatform.TaskStatus
+	for _, r := range t.upstreams[u] {
+		tasks = append(tasks, r.status)
+	}
+	delete(t.upstreams, u)
+	return tasks
+}
 
 // Owns reports whether the upstream is owned.
 func (t *Table) Owns(u cawork.UpstreamID) bool {
