A cancellation that an ending entry leaves open is told as unknown

Cause: HandleCancel answered unavailable, which says that nothing happened, when the entry ended after the record was on its way to the backup. It waits by await like the other calls now, which answers unknown.

--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -152,26 +152,21 @@
 
 // HandleCancel cancels a job that is led here.
 func (l *Launcher) HandleCancel(ctx context.Context, call CancelCall) error {
-	result := make(chan error, 1)
-	l.post(func() { l.cancel(call, result) })
-	select {
-	case err := <-result:
-		return err
-	case <-ctx.Done():
-		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "cancel job %s", call.Job)
-	case <-l.done:
-		return cakind.New(cakind.KindUnavailable, "entry %s has ended", l.Self)
-	}
+	what := fmt.Sprintf("cancel job %s", call.Job)
+	_, err := await(ctx, l, what, func(answer func(struct{}, error)) {
+		l.cancel(call, func(err error) { answer(struct{}{}, err) })
+	})
+	return err
 }
 
-func (l *Launcher) cancel(call CancelCall, result chan<- error) {
+func (l *Launcher) cancel(call CancelCall, answer func(error)) {
 	j, ok := l.job(call.Job)
 	switch {
 	case !ok || j.HandedTo != "" || j.Job.Team != call.Team || (call.Queue != "" && j.Job.Spec.Queue != call.Queue):
-		result <- cakind.New(cakind.KindNotFound, "no job %s of team %s", call.Job, call.Team)
+		answer(cakind.New(cakind.KindNotFound, "no job %s of team %s", call.Job, call.Team))
 		return
 	case !j.IsOpen() || j.Canceled:
-		result <- nil
+		answer(nil)
 		return
 	}
 	record := cajob.Record{Type: cajob.RecordJobCanceled, JobCanceled: &cajob.JobCanceled{Job: call.Job}}
@@ -179,10 +174,10 @@
 		if err == nil {
 			l.canceled(call.Job)
 		}
-		result <- err
+		answer(err)
 	})
 	if err != nil {
-		result <- err
+		answer(err)
 	}
 }
 
