A rebuilt shard is settled with all others before it starts or spends anything

Cause: the log may lack the last records of a shard whose copies were both lost. A shard that was rebuilt without them spent allowance that it had given away: TestRebuiltZoneDoesNotSpendTwice, which takes the log away, lets a zone give its allowance to another and loses its entries, saw 41 cores run under a limit of 30. Jobs that it had handed over would have started a second time.

Ruled out: to hold back what may be lost by time (an outage has no bound), to close the shard for good as Close does (its jobs still need allowance).

Change: the account of a rebuilt shard is frozen. Each other shard that an entry holds or the log tells of first refuses what is still on its way from it, then tells what it got and gave, and which of its jobs it has. Retired ones are read from the log. After the last one the shard goes on. It waits while an entry that may run is silent.

--- a/internal/coord/caescrow/account.go
+++ b/internal/coord/caescrow/account.go
@@ -72,8 +72,15 @@
 	Teams  map[cawork.TeamName]*Balance
 	Closed map[cawork.ShardID]bool
 	// Frozen is set while records of the account may be missing: nothing of it
-	// is available and nothing is owed.
-	Frozen bool
+	// is available and nothing is owed. Epoch is that of the last rebuild, Settled
+	// lists the partners that it was settled with since.
+	Frozen  bool
+	Epoch   int64
+	Settled map[cawork.ShardID]bool
+	// Floors holds, by partner, the number that the next transfer must exceed.
+	Floors map[cawork.ShardID]int64
+	// Rebuilt holds the partners that were rebuilt.
+	Rebuilt map[cawork.ShardID]RebuiltPartner
 	// HeirOf lists the lost shards whose allowance this account inherited.
 	HeirOf map[cawork.ShardID]bool
 }
@@ -85,6 +92,10 @@
 		Teams:  map[cawork.TeamName]*Balance{},
 		Closed: map[cawork.ShardID]bool{},
 		HeirOf: map[cawork.ShardID]bool{},
+
+		Settled: map[cawork.ShardID]bool{},
+		Floors:  map[cawork.ShardID]int64{},
+		Rebuilt: map[cawork.ShardID]RebuiltPartner{},
 	}
 }
 
@@ -97,12 +108,6 @@
 	return b.Available()
 }
 
-// Freeze makes nothing available until Thaw.
-func (a *Account) Freeze() { a.Frozen = true }
-
-// Thaw makes the balances available again.
-func (a *Account) Thaw() { a.Frozen = false }
-
 // Held returns what the shard holds of the limit of the team.
 func (a *Account) Held(team cawork.TeamName) cawork.Resources {
 	b, ok := a.Teams[team]
@@ -185,6 +190,8 @@
 // is charged for must not be credited elsewhere while the task runs.
 func (a *Account) Send(to cawork.ShardID, team cawork.TeamName, amount cawork.Resources) (Transfer, error) {
 	switch {
+	case a.Frozen:
+		return Transfer{}, cakind.New(cakind.KindUnavailable, "shard %s has yet to be settled", a.Shard)
 	case to == a.Shard || amount.IsNegative() || amount.IsZero():
 		return Transfer{}, cakind.New(cakind.KindInvalid, "transfer of %v from %s to %s", amount, a.Shard, to)
 	case a.Closed[to]:
@@ -195,7 +202,7 @@
 	}
 	b := a.balance(team)
 	c := b.Sent[to]
-	c = Counter{Number: c.Number + 1, Total: c.Total.Plus(amount)}
+	c = Counter{Number: max(c.Number, a.Floors[to]) + 1, Total: c.Total.Plus(amount)}
 	b.Sent[to] = c
 	return a.transfer(to, team, c), nil
 }
@@ -207,7 +214,7 @@
 		return false, cakind.New(cakind.KindInvalid, "shard %s got a transfer from %s to %s", a.Shard, t.From, t.To)
 	}
 	b := a.balance(t.Team)
-	if t.Number <= b.Received[t.From].Number {
+	if t.Number <= max(b.Received[t.From].Number, a.Rebuilt[t.From].Floor) {
 		return false, nil
 	}
 	if a.Closed[t.From] {
--- a/internal/coord/cajob/found.go
+++ b/internal/coord/cajob/found.go
@@ -62,10 +62,14 @@
 // records.
 func (s *State) IsRebuilt() bool { return s.account.Frozen }
 
+// IsToSettle reports whether a rebuilt shard has taken in its attempts and is
+// to be settled with the other shards.
+func (s *State) IsToSettle() bool { return s.account.Frozen && s.taken }
+
 // takeFound folds the attempts that the log lacked. Ended ones go first, so
 // that a task that runs again is open with its last attempt.
 func (s *State) takeFound(r AttemptsFound, at time.Time) {
-	s.account.Thaw()
+	s.taken = true
 	for _, end := range r.Settled {
 		// One that was settled since is of no matter any more.
 		_ = s.settle(end)
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -53,6 +53,12 @@
 	// RecordAttemptsFound takes in what the upstreams know of the attempts of a
 	// rebuilt shard.
 	RecordAttemptsFound
+	// RecordLostRefused refuses what a partner sent before it was rebuilt.
+	RecordLostRefused
+	// RecordPartnerSettled takes over what a partner tells a rebuilt shard.
+	RecordPartnerSettled
+	// RecordThawed ends the time that RecordRebuilt began.
+	RecordThawed
 )
 
 // Record is one record of a shard. At is the time of the primary that wrote
@@ -76,6 +82,9 @@
 	Inherited         *Inherited          `cbor:",omitempty"`
 	Rebuilt           *Rebuilt            `cbor:",omitempty"`
 	AttemptsFound     *AttemptsFound      `cbor:",omitempty"`
+	LostRefused       *LostRefused        `cbor:",omitempty"`
+	PartnerSettled    *PartnerSettled     `cbor:",omitempty"`
+	Thawed            *Thawed             `cbor:",omitempty"`
 }
 
 // JobAccepted is a job and, when another shard handed it over, what its tasks
@@ -172,6 +181,9 @@
 // allowance.
 type Rebuilt struct{}
 
+// Thawed ends the time that Rebuilt began.
+type Thawed struct{}
+
 var encMode = newEncMode()
 
 func newEncMode() cbor.EncMode {
--- a/internal/coord/cajob/recordtype_names.go
+++ b/internal/coord/cajob/recordtype_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RecordTypeName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_found"
+const _RecordTypeName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_foundlost_refusedpartner_settledthawed"
 
-var _RecordTypeIndex = [...]uint8{0, 12, 29, 44, 56, 65, 76, 90, 98, 112, 130, 145, 159, 168, 175, 189}
+var _RecordTypeIndex = [...]uint8{0, 12, 29, 44, 56, 65, 76, 90, 98, 112, 130, 145, 159, 168, 175, 189, 201, 216, 222}
 
-const _RecordTypeLowerName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_found"
+const _RecordTypeLowerName = "job_acceptedattempts_intendedattempt_settledjob_canceledjob_endedhanded_overhandover_ackedmint_setallowance_sentallowance_receivedallowance_ackedpartner_closedinheritedrebuiltattempts_foundlost_refusedpartner_settledthawed"
 
 func (i RecordType) String() string {
 	if i < 0 || i >= RecordType(len(_RecordTypeIndex)-1) {
@@ -39,9 +39,12 @@
 	_ = x[RecordInherited-(12)]
 	_ = x[RecordRebuilt-(13)]
 	_ = x[RecordAttemptsFound-(14)]
+	_ = x[RecordLostRefused-(15)]
+	_ = x[RecordPartnerSettled-(16)]
+	_ = x[RecordThawed-(17)]
 }
 
-var _RecordTypeValues = []RecordType{RecordJobAccepted, RecordAttemptsIntended, RecordAttemptSettled, RecordJobCanceled, RecordJobEnded, RecordHandedOver, RecordHandoverAcked, RecordMintSet, RecordAllowanceSent, RecordAllowanceReceived, RecordAllowanceAcked, RecordPartnerClosed, RecordInherited, RecordRebuilt, RecordAttemptsFound}
+var _RecordTypeValues = []RecordType{RecordJobAccepted, RecordAttemptsIntended, RecordAttemptSettled, RecordJobCanceled, RecordJobEnded, RecordHandedOver, RecordHandoverAcked, RecordMintSet, RecordAllowanceSent, RecordAllowanceReceived, RecordAllowanceAcked, RecordPartnerClosed, RecordInherited, RecordRebuilt, RecordAttemptsFound, RecordLostRefused, RecordPartnerSettled, RecordThawed}
 
 var _RecordTypeNameToValueMap = map[string]RecordType{
 	_RecordTypeName[0:12]:    RecordJobAccepted,
@@ -59,6 +62,9 @@
 	_RecordTypeName[159:168]: RecordInherited,
 	_RecordTypeName[168:175]: RecordRebuilt,
 	_RecordTypeName[175:189]: RecordAttemptsFound,
+	_RecordTypeName[189:201]: RecordLostRefused,
+	_RecordTypeName[201:216]: RecordPartnerSettled,
+	_RecordTypeName[216:222]: RecordThawed,
 }
 
 var _RecordTypeLowerNameToValueMap = map[string]RecordType{
@@ -77,6 +83,9 @@
 	_RecordTypeLowerName[159:168]: RecordInherited,
 	_RecordTypeLowerName[168:175]: RecordRebuilt,
 	_RecordTypeLowerName[175:189]: RecordAttemptsFound,
+	_RecordTypeLowerName[189:201]: RecordLostRefused,
+	_RecordTypeLowerName[201:216]: RecordPartnerSettled,
+	_RecordTypeLowerName[216:222]: RecordThawed,
 }
 
 var _RecordTypeNames = []string{
@@ -95,6 +104,9 @@
 	_RecordTypeName[159:168],
 	_RecordTypeName[168:175],
 	_RecordTypeName[175:189],
+	_RecordTypeName[189:201],
+	_RecordTypeName[201:216],
+	_RecordTypeName[216:222],
 }
 
 // RecordTypeString retrieves an enum value from the enum constants string name.
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -47,6 +47,8 @@
 	// handedTo and handedFrom count the jobs handed over to and from shards.
 	handedTo   map[cawork.ShardID]int64
 	handedFrom map[cawork.ShardID]int64
+	// taken reports that a rebuilt shard has taken in its attempts.
+	taken bool
 }
 
 // NewState returns the empty state of the shard.
@@ -101,11 +103,17 @@
 	case r.Type == RecordHandoverAcked && r.HandoverAcked != nil:
 		return s.handoverAcked(*r.HandoverAcked, r.At)
 	case r.Type == RecordRebuilt && r.Rebuilt != nil:
-		s.account.Freeze()
+		s.account.Rebuild(r.At.UnixNano())
+		s.taken = false
 		return nil
 	case r.Type == RecordAttemptsFound && r.AttemptsFound != nil:
 		s.takeFound(*r.AttemptsFound, r.At)
 		return nil
+	case r.Type == RecordPartnerSettled && r.PartnerSettled != nil:
+		return s.partnerSettled(*r.PartnerSettled, r.At)
+	case r.Type == RecordThawed && r.Thawed != nil:
+		s.account.Thaw()
+		return nil
 	default:
 		return s.applyAllowance(r)
 	}
@@ -124,6 +132,9 @@
 	case r.Type == RecordAllowanceAcked && r.AllowanceAcked != nil:
 		s.account.Acknowledge(r.AllowanceAcked.To, r.AllowanceAcked.Team, r.AllowanceAcked.Number)
 		return nil
+	case r.Type == RecordLostRefused && r.LostRefused != nil:
+		s.account.RefuseLost(r.LostRefused.Shard, r.LostRefused.Epoch)
+		return nil
 	case r.Type == RecordPartnerClosed && r.PartnerClosed != nil:
 		s.account.Close(r.PartnerClosed.Lost)
 		return nil
@@ -211,12 +222,13 @@
 
 	HandedTo   map[cawork.ShardID]int64
 	HandedFrom map[cawork.ShardID]int64
+	Taken      bool
 }
 
 func (s *State) snapshot() snapshot {
 	return snapshot{
 		Account: s.account, Jobs: s.jobs, Attempts: s.attempts, Ended: s.ended,
-		HandedTo: s.handedTo, HandedFrom: s.handedFrom,
+		HandedTo: s.handedTo, HandedFrom: s.handedFrom, Taken: s.taken,
 	}
 }
 
@@ -237,6 +249,7 @@
 		return cakind.Wrap(cakind.KindInvalid, err, "decode snapshot of shard %s", s.shard)
 	}
 	fresh.ended = snap.Ended
+	fresh.taken = snap.Taken
 	for id, j := range fresh.jobs {
 		fresh.index(id, j)
 	}
--- a/internal/coord/calog/survey.go
+++ b/internal/coord/calog/survey.go
@@ -46,6 +46,17 @@
 // of the shards that are not retired, ordered by shard. Payloads of others are
 // skipped. It holds no records and no states.
 func Survey(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
+	traces, err := surveyAll(ctx, l, topic)
+	return slices.DeleteFunc(traces, func(t Trace) bool { return t.Retired }), err
+}
+
+// SurveyRetired returns the traces of the shards that are retired.
+func SurveyRetired(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
+	traces, err := surveyAll(ctx, l, topic)
+	return slices.DeleteFunc(traces, func(t Trace) bool { return !t.Retired }), err
+}
+
+func surveyAll(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
 	traces := map[cawork.ShardID]*Trace{}
 	err := readPages(ctx, l, topic, 0, func(at caplatform.Offset, e Entry) {
 		t, ok := traces[e.Shard]
@@ -57,9 +68,7 @@
 	})
 	var kept []Trace
 	for _, t := range traces {
-		if !t.Retired {
-			kept = append(kept, *t)
-		}
+		kept = append(kept, *t)
 	}
 	slices.SortFunc(kept, func(a, b Trace) int { return cmp.Compare(a.Shard, b.Shard) })
 	return kept, err
--- /dev/null
+++ b/internal/node/caarchive/partners.go
@@ -0,0 +1,59 @@
+package caarchive
+
+import (
+	"context"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+	"celeryarch.example/celeryarch/internal/coord/calog"
+)
+
+// LoggedShards implements caquota.Archive: the shards of the log that are not
+// retired.
+func (p *Part) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
+	traces, err := calog.Survey(ctx, p.Log, topic)
+	var shards []cawork.ShardID
+	for _, t := range traces {
+		shards = append(shards, t.Shard)
+	}
+	return shards, err
+}
+
+// RetiredDealings implements caquota.Archive: what the retired shards of the log
+// had to do with a shard.
+func (p *Part) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
+	traces, err := calog.SurveyRetired(ctx, p.Log, topic)
+	if err != nil {
+		return nil, err
+	}
+	fold, err := calog.ReadShards(ctx, p.Log, topic, traces)
+	if err != nil {
+		return nil, err
+	}
+	var dealings []caescrow.Dealings
+	for _, t := range traces {
+		image, _ := fold.Image(t.Shard)
+		state, err := folded(image)
+		if err != nil {
+			return nil, err
+		}
+		dealings = append(dealings, state.Account().DealingsWith(with))
+	}
+	return dealings, nil
+}
+
+// folded returns the state of an image.
+func folded(image calog.Image) (*cajob.State, error) {
+	state := cajob.NewState(image.Shard, cajob.DefaultRetention())
+	if image.State != nil {
+		if err := state.Restore(image.State); err != nil {
+			return nil, err
+		}
+	}
+	for _, r := range image.Records {
+		// A record that the shard refused is refused here alike.
+		_ = state.Apply(r)
+	}
+	return state, nil
+}
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -26,6 +26,7 @@
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/config/casettings"
 	"celeryarch.example/celeryarch/internal/coord/cacheck"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cafollow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/calist"
@@ -240,7 +241,7 @@
 	}
 	e.quota = caquota.NewPart(caquota.Config{
 		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
-		Leaders: e.directory, Peers: calink.Quotas{Link: e.link()},
+		Leaders: e.directory, Archive: lateArchive{e}, Peers: calink.Quotas{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
@@ -361,6 +362,19 @@
 	l.archive.Committed(id, index, record)
 }
 
+// lateArchive is the archive of an entry, which is wired after its readers.
+type lateArchive struct{ entry *Entry }
+
+// LoggedShards implements caquota.Archive.
+func (a lateArchive) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
+	return a.entry.archive.LoggedShards(ctx)
+}
+
+// RetiredDealings implements caquota.Archive.
+func (a lateArchive) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
+	return a.entry.archive.RetiredDealings(ctx, with)
+}
+
 // witnesses reaches the registers of upstreams.
 type witnesses struct {
 	directory *cadirectory.Directory
--- a/internal/node/calaunch/rebuilt.go
+++ b/internal/node/calaunch/rebuilt.go
@@ -7,12 +7,15 @@
 
 // rebuiltShard is a shard that was rebuilt from the log, which may lack its
 // last records. Before anything of it starts, the attempts of jobs that the log
-// lacks are stopped, and those of its own jobs are recorded.
+// lacks are stopped, those of its own jobs are recorded, and it is settled with
+// all other shards.
 type rebuiltShard struct {
 	answers []cajob.FenceAnswer
 	orphans map[cajob.Orphan]struct{}
-	// recording is set while the attempts are on their way to the backup.
+	// recording is set while the attempts are on their way to the backup,
+	// recorded once they are with it.
 	recording bool
+	recorded  bool
 }
 
 // reclaim begins to take in what every upstream of the zone told of a shard.
@@ -40,6 +43,10 @@
 }
 
 func (l *Launcher) advanceRebuilt(led *ledShard) {
+	if led.rebuilt.recorded {
+		l.resumeRebuilt(led)
+		return
+	}
 	if len(led.rebuilt.orphans) == 0 {
 		l.recordFound(led)
 		return
@@ -73,8 +80,7 @@
 	}
 }
 
-// recordFound records the attempts that the log lacks, then takes over the
-// jobs of the shard.
+// recordFound records the attempts that the log lacks.
 func (l *Launcher) recordFound(led *ledShard) {
 	if led.rebuilt.recording {
 		return
@@ -97,6 +103,17 @@
 		led.rebuilt.recording = false
 		return
 	}
+	led.rebuilt.recorded = true
+}
+
+// resumeRebuilt takes over the jobs of a rebuilt shard once it was settled with
+// all other shards.
+func (l *Launcher) resumeRebuilt(led *ledShard) {
+	settled := false
+	l.readState(led.id, func(s *cajob.State) { settled = !s.IsRebuilt() })
+	if !settled {
+		return
+	}
 	answers := led.rebuilt.answers
 	led.rebuilt = nil
 	l.recover(led, answers)
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -158,3 +158,13 @@
 func (q Quotas) Settled(ctx context.Context, to cawork.VMID, r caquota.SettledCall) (caquota.SettledReply, error) {
 	return call[caquota.SettledCall, caquota.SettledReply](ctx, q.Link, to, callSettled, r)
 }
+
+// HeldShards implements caquota.Peers.
+func (q Quotas) HeldShards(ctx context.Context, to cawork.VMID) ([]cawork.ShardID, error) {
+	return call[struct{}, []cawork.ShardID](ctx, q.Link, to, callHeldShards, struct{}{})
+}
+
+// Settle implements caquota.Peers.
+func (q Quotas) Settle(ctx context.Context, to cawork.VMID, r caquota.SettleCall) (cajob.PartnerSettled, error) {
+	return call[caquota.SettleCall, cajob.PartnerSettled](ctx, q.Link, to, callSettle, r)
+}
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -37,6 +37,8 @@
 	callHandover      = "job.hand_over"
 	callAsk           = "allowance.ask"
 	callTransfer      = "allowance.transfer"
+	callHeldShards    = "shard.held"
+	callSettle        = "shard.settle"
 	callSettled       = "allowance.settled"
 )
 
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -37,6 +37,8 @@
 	registerRequests(s, p)
 	registerJobs(s, p.Launcher)
 	capeer.Handle(s, callAsk, p.Quota.HandleAsk)
+	capeer.Handle(s, callHeldShards, p.Quota.HandleHeldShards)
+	capeer.Handle(s, callSettle, p.Quota.HandleSettle)
 	capeer.Handle(s, callSettled, p.Quota.HandleSettled)
 	capeer.Handle(s, callTransfer, answerEmpty(p.Quota.HandleTransfer))
 }
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -22,6 +22,8 @@
 	Ask(ctx context.Context, to cawork.VMID, ask caescrow.Ask) (AskReply, error)
 	Transfer(ctx context.Context, to cawork.VMID, t caescrow.Transfer) error
 	Settled(ctx context.Context, to cawork.VMID, call SettledCall) (SettledReply, error)
+	HeldShards(ctx context.Context, to cawork.VMID) ([]cawork.ShardID, error)
+	Settle(ctx context.Context, to cawork.VMID, call SettleCall) (cajob.PartnerSettled, error)
 }
 
 // Leaders tells which entry leads a shard.
@@ -29,6 +31,8 @@
 	Leader(s cawork.ShardID) (cawork.VMID, bool)
 	// Partners returns the shards that others lead.
 	Partners() []caescrow.Partner
+	// RunningEntries returns the other entries that are not known to have ended.
+	RunningEntries() []cawork.VMID
 }
 
 // AskReply tells what a partner gives. The transfer itself follows by a call
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -64,6 +64,7 @@
 	Shards  Shards
 	Limits  Limits
 	Leaders Leaders
+	Archive Archive
 	Peers   Peers
 	Timer   *catimer.Service
 	Logger  zerolog.Logger
@@ -141,6 +142,7 @@
 	defer ticks.Close()
 	for {
 		p.round(ctx)
+		p.settleRebuilt(ctx)
 		select {
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/node/caquota/settle.go
@@ -0,0 +1,148 @@
+package caquota
+
+import (
+	"context"
+	"slices"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+)
+
+// SettleCall asks a shard for what one that was rebuilt from the log may lack.
+type SettleCall struct {
+	Shard   cawork.ShardID
+	Rebuilt cawork.ShardID
+	Epoch   int64
+	// Jobs are the open jobs of the rebuilt shard.
+	Jobs []cawork.JobID
+}
+
+// Archive tells of the shards in the log.
+type Archive interface {
+	// LoggedShards returns the shards that are not retired.
+	LoggedShards(ctx context.Context) ([]cawork.ShardID, error)
+	// RetiredDealings returns what the retired ones had to do with a shard.
+	RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error)
+}
+
+// settleRebuilt settles the led shards that were rebuilt from the log with all
+// other shards. Records that the log lacks may have sent allowance and handed
+// over jobs, and the shard must not use those again.
+func (p *Part) settleRebuilt(ctx context.Context) {
+	for _, shard := range p.led() {
+		toSettle := false
+		p.readState(shard, func(s *cajob.State) { toSettle = s.IsToSettle() })
+		if toSettle {
+			p.settleShard(ctx, shard)
+		}
+	}
+}
+
+func (p *Part) settleShard(ctx context.Context, shard cawork.ShardID) {
+	others, err := p.allShards(ctx)
+	if err != nil {
+		return
+	}
+	for _, other := range others {
+		if other != shard && !p.settleWith(ctx, shard, other) {
+			return
+		}
+	}
+	if p.settleRetired(ctx, shard) {
+		_ = p.append(ctx, shard, cajob.Record{Type: cajob.RecordThawed, Thawed: &cajob.Thawed{}})
+	}
+}
+
+// allShards returns all shards that any entry holds or the log tells of. It
+// fails unless every entry that may run has answered.
+func (p *Part) allShards(ctx context.Context) ([]cawork.ShardID, error) {
+	shards, err := p.Archive.LoggedShards(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, vm := range p.Leaders.RunningEntries() {
+		held, err := p.Peers.HeldShards(ctx, vm)
+		if err != nil {
+			return nil, err
+		}
+		shards = append(shards, held...)
+	}
+	held, _ := p.HandleHeldShards(ctx, struct{}{})
+	shards = append(shards, held...)
+	slices.Sort(shards)
+	return slices.Compact(shards), nil
+}
+
+// HandleHeldShards returns the shards that this entry leads or backs up.
+func (p *Part) HandleHeldShards(context.Context, struct{}) ([]cawork.ShardID, error) {
+	var shards []cawork.ShardID
+	for _, s := range p.Shards.Statuses() {
+		shards = append(shards, s.Shard)
+	}
+	return shards, nil
+}
+
+// settleWith settles a rebuilt shard with another one, unless that was done.
+func (p *Part) settleWith(ctx context.Context, shard, other cawork.ShardID) bool {
+	call := SettleCall{Shard: other, Rebuilt: shard}
+	done := false
+	p.readState(shard, func(s *cajob.State) {
+		done = s.Account().Settled[other]
+		call.Epoch = s.Account().Epoch
+		for _, j := range s.OpenJobs() {
+			call.Jobs = append(call.Jobs, j.Job.ID)
+		}
+	})
+	if done {
+		return true
+	}
+	settled, err := p.askSettlement(ctx, call)
+	if err != nil {
+		return false
+	}
+	return p.append(ctx, shard, cajob.Record{Type: cajob.RecordPartnerSettled, PartnerSettled: &settled}) == nil
+}
+
+func (p *Part) askSettlement(ctx context.Context, call SettleCall) (cajob.PartnerSettled, error) {
+	if p.leads(call.Shard) {
+		return p.HandleSettle(ctx, call)
+	}
+	leader, ok := p.Leaders.Leader(call.Shard)
+	if !ok {
+		return cajob.PartnerSettled{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", call.Shard)
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return p.Peers.Settle(ctx, leader, call)
+}
+
+// HandleSettle refuses what a rebuilt shard sent before and tells it the rest.
+func (p *Part) HandleSettle(ctx context.Context, call SettleCall) (cajob.PartnerSettled, error) {
+	refused := cajob.LostRefused{Shard: call.Rebuilt, Epoch: call.Epoch}
+	if err := p.append(ctx, call.Shard, cajob.Record{Type: cajob.RecordLostRefused, LostRefused: &refused}); err != nil {
+		return cajob.PartnerSettled{}, err
+	}
+	var settled cajob.PartnerSettled
+	if !p.readState(call.Shard, func(s *cajob.State) { settled = s.SettlementFor(call.Rebuilt, call.Jobs) }) {
+		return settled, cakind.New(cakind.KindNotFound, "shard %s is not led here", call.Shard)
+	}
+	return settled, nil
+}
+
+// settleRetired settles a rebuilt shard with those that are retired.
+func (p *Part) settleRetired(ctx context.Context, shard cawork.ShardID) bool {
+	dealings, err := p.Archive.RetiredDealings(ctx, shard)
+	if err != nil {
+		return false
+	}
+	for _, d := range dealings {
+		p.readState(shard, func(s *cajob.State) { d.Epoch = s.Account().Epoch })
+		settled := cajob.PartnerSettled{Allowances: d}
+		if p.append(ctx, shard, cajob.Record{Type: cajob.RecordPartnerSettled, PartnerSettled: &settled}) != nil {
+			return false
+		}
+	}
+	return true
+}
