The mint of a shard that is lost for good returns

Cause: Close and Inherit were not wired. When nothing told any more of the shard that held the mint of a zone, its part of every limit was gone for good: neither an entry nor the log had it, and an entry whose log had dropped the claims claimed nothing.

Change: claims name the lost holders. The first entry of the zone claims when no entry that may run holds the shard and the log does not tell of it; the log decides. The winner stops what the lost shard left running, has every other shard close with it, adds the retired ones from the log, inherits, and only then mints (event 607). Entries give one another the claims that the log has dropped.

--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -22,8 +22,8 @@
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberLowerName_6 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
-	_NumberName_7      = "shard_rebuilt"
-	_NumberLowerName_7 = "shard_rebuilt"
+	_NumberName_7      = "shard_rebuiltallowance_inherited"
+	_NumberLowerName_7 = "shard_rebuiltallowance_inherited"
 	_NumberName_8      = "log_unavailablelog_restoredvm_list_unavailable"
 	_NumberLowerName_8 = "log_unavailablelog_restoredvm_list_unavailable"
 )
@@ -36,7 +36,7 @@
 	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
-	_NumberIndex_7 = [...]uint8{0, 13}
+	_NumberIndex_7 = [...]uint8{0, 13, 32}
 	_NumberIndex_8 = [...]uint8{0, 15, 27, 46}
 )
 
@@ -63,8 +63,9 @@
 	case 600 <= i && i <= 604:
 		i -= 600
 		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
-	case i == 606:
-		return _NumberName_7
+	case 606 <= i && i <= 607:
+		i -= 606
+		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
 	case 700 <= i && i <= 702:
 		i -= 700
 		return _NumberName_8[_NumberIndex_8[i]:_NumberIndex_8[i+1]]
@@ -115,12 +116,13 @@
 	_ = x[AllowanceMoved-(603)]
 	_ = x[AllowanceMinted-(604)]
 	_ = x[ShardRebuilt-(606)]
+	_ = x[AllowanceInherited-(607)]
 	_ = x[LogUnavailable-(700)]
 	_ = x[LogRestored-(701)]
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:  EntryStarted,
@@ -161,6 +163,7 @@
 	_NumberName_6[47:62]: AllowanceMoved,
 	_NumberName_6[62:78]: AllowanceMinted,
 	_NumberName_7[0:13]:  ShardRebuilt,
+	_NumberName_7[13:32]: AllowanceInherited,
 	_NumberName_8[0:15]:  LogUnavailable,
 	_NumberName_8[15:27]: LogRestored,
 	_NumberName_8[27:46]: VMListUnavailable,
@@ -205,6 +208,7 @@
 	_NumberLowerName_6[47:62]: AllowanceMoved,
 	_NumberLowerName_6[62:78]: AllowanceMinted,
 	_NumberLowerName_7[0:13]:  ShardRebuilt,
+	_NumberLowerName_7[13:32]: AllowanceInherited,
 	_NumberLowerName_8[0:15]:  LogUnavailable,
 	_NumberLowerName_8[15:27]: LogRestored,
 	_NumberLowerName_8[27:46]: VMListUnavailable,
@@ -249,6 +253,7 @@
 	_NumberName_6[47:62],
 	_NumberName_6[62:78],
 	_NumberName_7[0:13],
+	_NumberName_7[13:32],
 	_NumberName_8[0:15],
 	_NumberName_8[15:27],
 	_NumberName_8[27:46],
--- a/internal/coord/caescrow/mint.go
+++ b/internal/coord/caescrow/mint.go
@@ -34,6 +34,23 @@
 	return shares
 }
 
+// Net returns the closing of one that had the dealings with a lost shard.
+func (d Dealings) Net(lost cawork.ShardID) Closing {
+	c := Closing{By: d.By, Lost: lost}
+	for _, r := range d.Received {
+		c.Net = append(c.Net, TeamAmount{Team: r.Team, Amount: r.Counter.Total})
+	}
+	for _, s := range d.Sent {
+		c.Net = append(c.Net, TeamAmount{Team: s.Team, Amount: cawork.Resources{}.Minus(s.Counter.Total)})
+	}
+	return c
+}
+
+// IsHeirOf reports whether the account has inherited from all of the shards.
+func (a *Account) IsHeirOf(lost []cawork.ShardID) bool {
+	return !slices.ContainsFunc(lost, func(s cawork.ShardID) bool { return !a.HeirOf[s] })
+}
+
 // NextMint returns the share to mint on the way from the current share to the
 // wanted one. When the zones among which the limit is divided have changed,
 // some zones rise while others fall; a rise then waits until the sum cannot
@@ -61,6 +78,9 @@
 	Zone       cawork.ZoneName
 	Generation int64
 	Shard      cawork.ShardID
+	// Lost are the former holders that are lost for good. The holder mints once it
+	// has inherited from all of them.
+	Lost []cawork.ShardID `cbor:",omitempty"`
 }
 
 // Claims folds the claims in the order of the log.
@@ -104,6 +124,12 @@
 // refused. It returns the net amounts for the heir of its allowance.
 func (a *Account) Close(lost cawork.ShardID) Closing {
 	a.Closed[lost] = true
+	return a.ClosingWith(lost)
+}
+
+// ClosingWith returns the net amounts that came from a shard. They are final
+// once it is closed.
+func (a *Account) ClosingWith(lost cawork.ShardID) Closing {
 	c := Closing{By: a.Shard, Lost: lost}
 	for team, b := range a.Teams {
 		net := b.Received[lost].Total.Minus(b.Sent[lost].Total)
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -241,7 +241,7 @@
 	}
 	e.quota = caquota.NewPart(caquota.Config{
 		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
-		Leaders: e.directory, Archive: lateArchive{e}, Peers: calink.Quotas{Link: e.link()},
+		Leaders: e.directory, Archive: lateParts{e}, Ender: lateParts{e}, Peers: calink.Quotas{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope,
 	})
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
@@ -362,19 +362,24 @@
 	l.archive.Committed(id, index, record)
 }
 
-// lateArchive is the archive of an entry, which is wired after its readers.
-type lateArchive struct{ entry *Entry }
+// lateParts reaches parts of an entry that are wired after those that use them.
+type lateParts struct{ entry *Entry }
 
 // LoggedShards implements caquota.Archive.
-func (a lateArchive) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
+func (a lateParts) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
 	return a.entry.archive.LoggedShards(ctx)
 }
 
 // RetiredDealings implements caquota.Archive.
-func (a lateArchive) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
+func (a lateParts) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
 	return a.entry.archive.RetiredDealings(ctx, with)
 }
 
+// EndShard implements caquota.Ender.
+func (a lateParts) EndShard(ctx context.Context, s cawork.ShardID) bool {
+	return a.entry.launcher.EndShard(ctx, s)
+}
+
 // witnesses reaches the registers of upstreams.
 type witnesses struct {
 	directory *cadirectory.Directory
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -160,11 +160,16 @@
 }
 
 // HeldShards implements caquota.Peers.
-func (q Quotas) HeldShards(ctx context.Context, to cawork.VMID) ([]cawork.ShardID, error) {
-	return call[struct{}, []cawork.ShardID](ctx, q.Link, to, callHeldShards, struct{}{})
+func (q Quotas) HeldShards(ctx context.Context, to cawork.VMID) (caquota.HeldReply, error) {
+	return call[struct{}, caquota.HeldReply](ctx, q.Link, to, callHeldShards, struct{}{})
 }
 
 // Settle implements caquota.Peers.
 func (q Quotas) Settle(ctx context.Context, to cawork.VMID, r caquota.SettleCall) (cajob.PartnerSettled, error) {
 	return call[caquota.SettleCall, cajob.PartnerSettled](ctx, q.Link, to, callSettle, r)
 }
+
+// Close implements caquota.Peers.
+func (q Quotas) Close(ctx context.Context, to cawork.VMID, r caquota.CloseCall) (caescrow.Closing, error) {
+	return call[caquota.CloseCall, caescrow.Closing](ctx, q.Link, to, callClose, r)
+}
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -39,6 +39,7 @@
 	callTransfer      = "allowance.transfer"
 	callHeldShards    = "shard.held"
 	callSettle        = "shard.settle"
+	callClose         = "allowance.close"
 	callSettled       = "allowance.settled"
 )
 
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -39,6 +39,7 @@
 	capeer.Handle(s, callAsk, p.Quota.HandleAsk)
 	capeer.Handle(s, callHeldShards, p.Quota.HandleHeldShards)
 	capeer.Handle(s, callSettle, p.Quota.HandleSettle)
+	capeer.Handle(s, callClose, p.Quota.HandleClose)
 	capeer.Handle(s, callSettled, p.Quota.HandleSettled)
 	capeer.Handle(s, callTransfer, answerEmpty(p.Quota.HandleTransfer))
 }
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -22,7 +22,8 @@
 	Ask(ctx context.Context, to cawork.VMID, ask caescrow.Ask) (AskReply, error)
 	Transfer(ctx context.Context, to cawork.VMID, t caescrow.Transfer) error
 	Settled(ctx context.Context, to cawork.VMID, call SettledCall) (SettledReply, error)
-	HeldShards(ctx context.Context, to cawork.VMID) ([]cawork.ShardID, error)
+	HeldShards(ctx context.Context, to cawork.VMID) (HeldReply, error)
+	Close(ctx context.Context, to cawork.VMID, call CloseCall) (caescrow.Closing, error)
 	Settle(ctx context.Context, to cawork.VMID, call SettleCall) (cajob.PartnerSettled, error)
 }
 
@@ -33,6 +34,15 @@
 	Partners() []caescrow.Partner
 	// RunningEntries returns the other entries that are not known to have ended.
 	RunningEntries() []cawork.VMID
+	// IsFirstOfZone reports whether no live entry of the zone has a lower id.
+	IsFirstOfZone() bool
+}
+
+// Ender ends what a shard that nobody leads has started.
+type Ender interface {
+	// EndShard reports whether nothing of the shard runs in the zone any more, or
+	// ever will.
+	EndShard(ctx context.Context, s cawork.ShardID) bool
 }
 
 // AskReply tells what a partner gives. The transfer itself follows by a call
--- /dev/null
+++ b/internal/node/caquota/inherit.go
@@ -0,0 +1,124 @@
+package caquota
+
+import (
+	"context"
+	"slices"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/caescrow"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
+)
+
+// CloseCall asks a shard to end its dealings with one that is lost for good.
+type CloseCall struct {
+	Shard cawork.ShardID
+	Lost  cawork.ShardID
+}
+
+// succeedMint claims the mint of the zone when the shard that holds it is lost
+// for good: no entry has it and the log does not tell of it. The claim names
+// the lost shards, and the log decides between those that claim.
+func (p *Part) succeedMint(ctx context.Context, holder caescrow.Claim) (caescrow.Claim, bool) {
+	if _, led := p.Leaders.Leader(holder.Shard); led || !p.Leaders.IsFirstOfZone() || !p.leads(p.own()) {
+		return caescrow.Claim{}, false
+	}
+	shards, err := p.allShards(ctx)
+	if err != nil || slices.Contains(shards, holder.Shard) {
+		return caescrow.Claim{}, false
+	}
+	lost := append(slices.Clone(holder.Lost), holder.Shard)
+	return caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.own(), Lost: lost}, true
+}
+
+// inherit takes what the lost holders of the mint still held, after every other
+// shard has closed with them and nothing of them runs any more. It reports
+// whether the holder may mint.
+func (p *Part) inherit(ctx context.Context, holder caescrow.Claim) bool {
+	for _, lost := range holder.Lost {
+		done := false
+		p.readState(holder.Shard, func(s *cajob.State) { done = s.Account().HeirOf[lost] })
+		if !done && !p.inheritFrom(ctx, holder.Shard, lost) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Part) inheritFrom(ctx context.Context, heir, lost cawork.ShardID) bool {
+	shards, err := p.allShards(ctx)
+	if err != nil || slices.Contains(shards, lost) || !p.Ender.EndShard(ctx, lost) {
+		return false
+	}
+	inherited := cajob.Inherited{Lost: lost}
+	for _, s := range shards {
+		if s == heir {
+			continue
+		}
+		closing, err := p.askClosing(ctx, CloseCall{Shard: s, Lost: lost})
+		if err != nil {
+			return false
+		}
+		inherited.Closings = append(inherited.Closings, closing)
+	}
+	retired, err := p.Archive.RetiredDealings(ctx, lost)
+	if err != nil {
+		return false
+	}
+	for _, d := range retired {
+		inherited.Closings = append(inherited.Closings, d.Net(lost))
+	}
+	err = p.append(ctx, heir, cajob.Record{Type: cajob.RecordInherited, Inherited: &inherited})
+	caevent.Info(p.Logger, caevent.AllowanceInherited).Str("shard", string(heir)).Str("lost", string(lost)).
+		Int("closings", len(inherited.Closings)).AnErr("error", err).Send()
+	return err == nil
+}
+
+func (p *Part) askClosing(ctx context.Context, call CloseCall) (caescrow.Closing, error) {
+	if p.leads(call.Shard) {
+		return p.HandleClose(ctx, call)
+	}
+	leader, ok := p.Leaders.Leader(call.Shard)
+	if !ok {
+		return caescrow.Closing{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", call.Shard)
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return p.Peers.Close(ctx, leader, call)
+}
+
+// HandleClose ends the dealings of a led shard with a lost one. A shard that was
+// rebuilt closes once it is settled: it may not know yet what it got.
+func (p *Part) HandleClose(ctx context.Context, call CloseCall) (caescrow.Closing, error) {
+	closed := cajob.PartnerClosed{Lost: call.Lost}
+	frozen := false
+	p.readState(call.Shard, func(s *cajob.State) { frozen = s.IsRebuilt() })
+	if frozen {
+		return caescrow.Closing{}, cakind.New(cakind.KindUnavailable, "shard %s has yet to be settled", call.Shard)
+	}
+	if err := p.append(ctx, call.Shard, cajob.Record{Type: cajob.RecordPartnerClosed, PartnerClosed: &closed}); err != nil {
+		return caescrow.Closing{}, err
+	}
+	var closing caescrow.Closing
+	if !p.readState(call.Shard, func(s *cajob.State) { closing = s.Account().ClosingWith(call.Lost) }) {
+		return closing, cakind.New(cakind.KindNotFound, "shard %s is not led here", call.Shard)
+	}
+	return closing, nil
+}
+
+// learnClaims takes the claims of mints from the other entries when the log has
+// dropped some.
+func (p *Part) learnClaims(ctx context.Context) {
+	for _, vm := range p.Leaders.RunningEntries() {
+		held, err := p.Peers.HeldShards(ctx, vm)
+		if err != nil {
+			continue
+		}
+		p.mu.Lock()
+		for _, c := range held.Claims {
+			p.claims.Apply(c)
+		}
+		p.mu.Unlock()
+	}
+}
--- a/internal/node/caquota/mint.go
+++ b/internal/node/caquota/mint.go
@@ -72,7 +72,10 @@
 // settledElsewhere reports whether all other minting shards have applied the
 // version and owe nothing.
 func (p *Part) settledElsewhere(ctx context.Context, team cawork.TeamName, view caactive.View) bool {
-	for _, holder := range p.claims.All() {
+	p.mu.Lock()
+	claims := p.claims.All()
+	p.mu.Unlock()
+	for _, holder := range claims {
 		if holder.Zone == p.Zone {
 			continue
 		}
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -39,6 +39,8 @@
 	renewPeriod = 10 * time.Minute
 	// appendTimeout bounds the wait for a record to take effect.
 	appendTimeout = 2 * time.Second
+	// roundTimeout bounds one round of reads and settlements.
+	roundTimeout = 10 * time.Second
 	// readLimit bounds the records of one read.
 	readLimit = 256
 )
@@ -65,6 +67,7 @@
 	Limits  Limits
 	Leaders Leaders
 	Archive Archive
+	Ender   Ender
 	Peers   Peers
 	Timer   *catimer.Service
 	Logger  zerolog.Logger
@@ -141,8 +144,7 @@
 	ticks := p.Timer.Every(period)
 	defer ticks.Close()
 	for {
-		p.round(ctx)
-		p.settleRebuilt(ctx)
+		p.mintRound(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -151,6 +153,15 @@
 	}
 }
 
+// mintRound ends after a while, so that a call whose answer never comes does not
+// keep the rounds from going on.
+func (p *Part) mintRound(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
+	defer cancel()
+	p.round(ctx)
+	p.settleRebuilt(ctx)
+}
+
 // Done is closed when the part has ended.
 func (p *Part) Done() <-chan struct{} { return p.done }
 
@@ -185,7 +196,8 @@
 	if p.complete {
 		p.claim(ctx)
 	}
-	if holder, ok := p.claims.Holder(p.Zone); ok && p.leads(holder.Shard) {
+	holder, ok := p.holder()
+	if ok && p.leads(holder.Shard) && p.inherit(ctx, holder) {
 		p.mint(ctx, holder.Shard, view)
 	}
 }
@@ -202,7 +214,9 @@
 			p.next = r.Offset + 1
 			var claim caescrow.Claim
 			if cbor.Unmarshal(r.Payload, &claim) == nil {
+				p.mu.Lock()
 				p.claims.Apply(claim)
+				p.mu.Unlock()
 			}
 		}
 		p.next = max(p.next, page.Earliest)
@@ -217,13 +231,23 @@
 // with the next generation before the log drops its claim; a claim that lost
 // the first race can then never be taken for the first one by a late reader.
 func (p *Part) claim(ctx context.Context) {
-	holder, held := p.claims.Holder(p.Zone)
+	holder, held := p.holder()
+	if !held && p.truncated {
+		p.learnClaims(ctx)
+		holder, held = p.holder()
+	}
 	wait := claimRetry
+	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.own()}
 	if held {
 		wait = renewPeriod
-		if !p.leads(holder.Shard) {
+		next.Shard, next.Lost = holder.Shard, holder.Lost
+	}
+	if held && !p.leads(holder.Shard) {
+		var lost bool
+		if next, lost = p.succeedMint(ctx, holder); !lost {
 			return
 		}
+		wait = claimRetry
 	}
 	if !p.claimed.IsZero() && p.Timer.Now().Sub(p.claimed) < wait {
 		return
@@ -235,10 +259,6 @@
 		p.claimed = p.Timer.Now()
 		return
 	}
-	next := caescrow.Claim{Zone: p.Zone, Generation: holder.Generation + 1, Shard: p.own()}
-	if held {
-		next.Shard = holder.Shard
-	}
 	payload, err := cbor.Marshal(next)
 	if err != nil {
 		return
@@ -250,6 +270,13 @@
 	p.readClaims(ctx)
 }
 
+// holder returns the claim in force of the mint of the zone.
+func (p *Part) holder() (caescrow.Claim, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claims.Holder(p.Zone)
+}
+
 func (p *Part) leads(s cawork.ShardID) bool {
 	return p.Shards.Read(s, func(cashard.StateMachine) {})
 }
--- a/internal/node/caquota/settle.go
+++ b/internal/node/caquota/settle.go
@@ -67,21 +67,31 @@
 		if err != nil {
 			return nil, err
 		}
-		shards = append(shards, held...)
+		shards = append(shards, held.Shards...)
 	}
 	held, _ := p.HandleHeldShards(ctx, struct{}{})
-	shards = append(shards, held...)
+	shards = append(shards, held.Shards...)
 	slices.Sort(shards)
 	return slices.Compact(shards), nil
 }
 
-// HandleHeldShards returns the shards that this entry leads or backs up.
-func (p *Part) HandleHeldShards(context.Context, struct{}) ([]cawork.ShardID, error) {
-	var shards []cawork.ShardID
+// HeldReply lists the shards that an entry leads or backs up, and the claims of
+// mints that it has read.
+type HeldReply struct {
+	Shards []cawork.ShardID
+	Claims []caescrow.Claim
+}
+
+// HandleHeldShards tells another entry of the shards here.
+func (p *Part) HandleHeldShards(context.Context, struct{}) (HeldReply, error) {
+	var reply HeldReply
 	for _, s := range p.Shards.Statuses() {
-		shards = append(shards, s.Shard)
+		reply.Shards = append(reply.Shards, s.Shard)
 	}
-	return shards, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply.Claims = p.claims.All()
+	return reply, nil
 }
 
 // settleWith settles a rebuilt shard with another one, unless that was done.
--- a/internal/standin/castandlog/log.go
+++ b/internal/standin/castandlog/log.go
@@ -50,6 +50,13 @@
 	l.failure = f
 }
 
+// SetRetention changes for how long records are kept.
+func (l *Log) SetRetention(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retention = d
+}
+
 // Append implements caplatform.Log.
 func (l *Log) Append(_ context.Context, name string, payloads [][]byte) (caplatform.Offset, error) {
 	l.mu.Lock()
