--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -70,8 +70,9 @@
 	ZoneLives() []cashard.Member
 	// HasEnded reports whether a life of an entry is known to be over.
 	HasEnded(vm cawork.VMID, incarnation int64) bool
-	// IsWitnessLost reports whether an upstream will never run again.
-	IsWitnessLost(u cawork.UpstreamID) bool
+	// IsGone reports whether an upstream will never run again, also one that was
+	// never listed here.
+	IsGone(u cawork.UpstreamID) bool
 	// RunningEntries returns the other entries that are not known to have ended.
 	RunningEntries() []cawork.VMID
 	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
@@ -286,7 +287,7 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
-	if p.Directory.IsWitnessLost(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
+	if p.Directory.IsGone(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
 		return p.succeed(ctx, view, image)
 	}
 	// The mark makes every later primary take in what the log may lack.
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -29,7 +29,7 @@
 	return stuck
 }
 
-func (p *Part) isLost(u cawork.UpstreamID) bool { return u != "" && p.Directory.IsWitnessLost(u) }
+func (p *Part) isLost(u cawork.UpstreamID) bool { return u != "" && p.Directory.IsGone(u) }
 
 // succeedAll tries to lead the shards whose replicas here cannot go on. It
 // reports whether none is left.
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -263,10 +263,10 @@
 	return known && d.indexed.At.Sub(seen) >= unlistedAfter
 }
 
-// IsWitnessLost implements caarchive.Directory. An upstream that is not known
-// here counts as lost once the lists have not named it for long enough since it
+// IsGone implements calaunch.Directory and caarchive.Directory. An upstream that is not known
+// here counts as gone once the lists have not named it for long enough since it
 // was first asked for.
-func (d *Directory) IsWitnessLost(u cawork.UpstreamID) bool {
+func (d *Directory) IsGone(u cawork.UpstreamID) bool {
 	if vm, known := d.Upstream(u); known {
 		return vm.State == caplatform.VMStateGone
 	}
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -55,6 +55,9 @@
 type Directory interface {
 	// Upstream returns the VM of an upstream.
 	Upstream(id cawork.UpstreamID) (caplatform.VM, bool)
+	// IsGone reports whether an upstream will never run again, also one that was
+	// never listed here.
+	IsGone(id cawork.UpstreamID) bool
 	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
 	ZoneUpstreams() []caplatform.VM
 	// ZoneOwners returns the other live entries of the own zone, with the room
--- a/internal/node/calaunch/rebuilt.go
+++ b/internal/node/calaunch/rebuilt.go
@@ -58,7 +58,7 @@
 
 // stopOrphan stops an attempt of a job that the log lacks.
 func (l *Launcher) stopOrphan(led *ledShard, o cajob.Orphan) {
-	if vm, listed := l.Directory.Upstream(o.Upstream); listed && vm.State == caplatform.VMStateGone {
+	if l.Directory.IsGone(o.Upstream) {
 		l.orphanEnded(led, o)
 		return
 	}
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -131,8 +131,7 @@
 		if a.phase == phaseIntended || a.phase == phaseSettling {
 			continue
 		}
-		vm, listed := l.Directory.Upstream(a.upstream)
-		if listed && vm.State == caplatform.VMStateGone {
+		if l.Directory.IsGone(a.upstream) {
 			l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateLapsed}, false)
 		}
 	}
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -58,9 +58,7 @@
 func (l *Launcher) fenceRest(e cashard.Event, upstreams []caplatform.VM, answers []cajob.FenceAnswer) []cajob.FenceAnswer {
 	for l.ctx.Err() == nil {
 		missing := slices.DeleteFunc(slices.Clone(upstreams), func(vm caplatform.VM) bool {
-			known, listed := l.Directory.Upstream(cawork.UpstreamID(vm.ID))
-			gone := listed && known.State == caplatform.VMStateGone
-			return gone || slices.ContainsFunc(answers, func(a cajob.FenceAnswer) bool { return a.Upstream == cawork.UpstreamID(vm.ID) })
+			return l.Directory.IsGone(cawork.UpstreamID(vm.ID)) || slices.ContainsFunc(answers, func(a cajob.FenceAnswer) bool { return a.Upstream == cawork.UpstreamID(vm.ID) })
 		})
 		if len(missing) == 0 {
 			return answers
