--- a/internal/node/caentry/pairs_test.go
+++ b/internal/node/caentry/pairs_test.go
@@ -127,6 +127,48 @@
 	}
 }
 
+// foundSeeds are the seeds that found a fault. docs/FAULTS.md tells which.
+var foundSeeds = []uint64{9, 19, 36, 63, 100, 102, 185, 209, 257, 331}
+
+func TestTwoFaultsThatFailedBefore(t *testing.T) {
+	for _, seed := range foundSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			inWorld(t, seed, func(w *world) { w.faultRun(pairedFaults) })
+		})
+	}
+}
+
+// TestLossInTheSoloWindow loses an entry, and its backup as soon as that has
+// taken over and no other entry has a copy. The log has the job.
+func TestLossInTheSoloWindow(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
+			Kind: cawork.WorkKindBatch, Tasks: 4, MaxAttempts: 3, Idempotent: true,
+			Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 30000}`),
+		})
+		if !ok {
+			t.Fatal("the job was not accepted")
+		}
+		time.Sleep(time.Second)
+		backup := w.backupOf("e00")
+		w.kill("e00")
+		for !w.leads(backup, shardOf(s.id)) {
+			time.Sleep(messageDelay)
+		}
+		w.kill(backup)
+		w.startEntry("e00", "zone-0")
+		w.startEntry(backup, "zone-0")
+		w.checkEnded([]submission{s}, 2*time.Minute)
+		if answer, err := w.outcome(s.id, time.Second); err != nil || answer.Outcome != cawork.OutcomeDone {
+			t.Errorf("outcome %v, %v", answer.Outcome, err)
+		}
+	})
+}
+
+func (w *world) leads(id string, shard cawork.ShardID) bool {
+	return slices.ContainsFunc(w.entries[id].entry.shardStatuses(), func(s ShardStatus) bool { return s.Shard == shard && s.Leads })
+}
+
 func pairedFaults(w *world) (name string, start func() (heal func())) {
 	drawn := pairs
 	if *pairName != "" {
