A short heartbeat answer hides no requests of former owners

So a new owner took all slots for free a heartbeat after it had counted them as used. Found by reading, shown by the new case of TestHeartbeat, which failed before. Change: the short answer is given only when no former requests are left.

--- a/internal/platform/cahttp/heartbeat.go
+++ b/internal/platform/cahttp/heartbeat.go
@@ -41,7 +41,7 @@
 		switch {
 		case err != nil:
 			cawire.WriteFault(w, err)
-		case len(result.Changed) == 0 && result.Sequence == h.Since:
+		case len(result.Changed) == 0 && result.Sequence == h.Since && result.FormerRequests == 0:
 			w.WriteHeader(http.StatusNoContent)
 		default:
 			cawire.WriteAnswer(w, result)
--- a/internal/platform/cahttp/heartbeat_test.go
+++ b/internal/platform/cahttp/heartbeat_test.go
@@ -69,6 +69,7 @@
 		"changed":               {result: caplatform.HeartbeatResult{Ownership: renewed, Sequence: 13, Changed: ended}},
 		"sequence went back":    {result: caplatform.HeartbeatResult{Ownership: renewed, Sequence: 3}},
 		"changed, same numbers": {result: caplatform.HeartbeatResult{Ownership: renewed, Sequence: 12, Changed: ended}},
+		"former requests":       {result: caplatform.HeartbeatResult{Ownership: renewed, Sequence: 12, FormerRequests: 8}},
 		"fenced":                {err: cakind.New(cakind.KindFenced, "epoch 8")},
 	} {
 		t.Run(name, func(t *testing.T) {
