Ownership is even: rendezvous hashing with bounded loads

Cause: the first choice of rendezvous hashing is uneven for small numbers: of 13 upstreams three entries owned 5, 8 and 0, and the busiest of 25 owners of 910 had 1.32 times the mean, 48, where 37 use up the traffic of a node. Ruled out: a slack of 1.1 (largest/mean 1.10, 40 of 910) and 1.25 (1.24), which move less but exceed 37. Change: an entry takes no more than the mean rounded up; pairs of upstream and entry are taken by descending score (carendezvous.Assign, by deferred acceptance; a naive version that sorts all pairs agrees). Desired owners are chosen once a tick at most, and only when entries, upstreams or reach changed. An entry that gives up all counts itself as such, too, as the others do.

--- a/internal/coord/cafault/logowner_test.go
+++ b/internal/coord/cafault/logowner_test.go
@@ -97,18 +97,22 @@
 func (o *logOwner) wanted() []claimRecord {
 	self := o.process.vm
 	live := map[cawork.VMID]time.Time{}
-	var vms []cawork.VMID
+	var entries []carendezvous.Entry
 	for _, e := range caowner.EntriesOf(o.process.members.Members(), o.process.zone) {
 		live[e.VM] = e.Since
-		vms = append(vms, e.VM)
+		entries = append(entries, carendezvous.Entry{VM: e.VM})
 	}
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	var names []string
+	for _, id := range o.ids {
+		names = append(names, string(id))
+	}
+	owners := carendezvous.Assign(names, entries, carendezvous.Capacity(len(names), len(entries)))
 	var records []claimRecord
 	for _, id := range o.ids {
-		holder := o.holder[id]
-		desired, _ := carendezvous.First(string(id), vms)
+		holder, desired := o.holder[id], owners[string(id)]
 		_, alive := live[holder]
 		moved := desired != self && now.Sub(live[desired]) >= 2*time.Second
 		switch {
--- a/internal/coord/cafault/ownership_test.go
+++ b/internal/coord/cafault/ownership_test.go
@@ -1,7 +1,9 @@
 package cafault_test
 
 import (
+	"cmp"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,7 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/camember"
@@ -43,24 +45,42 @@
 	return n, to
 }
 
-// naiveOwners is what one process that knows all decides: for each upstream
-// the live entry of its zone with the highest weight.
+// naiveOwners is what one process that knows all decides: of all pairs of an
+// upstream and a live entry of its zone, by descending weight, each for which
+// the upstream has no owner yet and the entry less than an even part.
 func naiveOwners(w *world) map[cawork.UpstreamID]cawork.VMID {
-	owners := map[cawork.UpstreamID]cawork.VMID{}
+	type pair struct {
+		upstream, entry cawork.VMID
+		zone            cawork.ZoneName
+	}
+	var pairs []pair
+	upstreams, entries := map[cawork.ZoneName]int{}, map[cawork.ZoneName]int{}
+	for _, p := range w.running() {
+		if !p.draining {
+			entries[p.zone]++
+		}
+	}
 	for _, vm := range w.vms {
 		if vm.State == caplatform.VMStateGone || vm.Role != caplatform.VMRoleUpstream {
 			continue
 		}
-		best := uint64(0)
+		upstreams[vm.Zone]++
 		for _, p := range w.running() {
-			if p.zone != vm.Zone || p.draining {
-				continue
-			}
-			if weight := xxhash.Sum64String(string(vm.ID) + "\x00" + string(p.vm)); weight >= best {
-				best, owners[cawork.UpstreamID(vm.ID)] = weight, p.vm
+			if p.zone == vm.Zone && !p.draining {
+				pairs = append(pairs, pair{vm.ID, p.vm, p.zone})
 			}
 		}
 	}
+	weight := func(p pair) uint64 { return xxhash.Sum64String(string(p.upstream) + "\x00" + string(p.entry)) }
+	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Compare(weight(b), weight(a)) })
+	owners, load := map[cawork.UpstreamID]cawork.VMID{}, map[cawork.VMID]int{}
+	for _, p := range pairs {
+		_, owned := owners[cawork.UpstreamID(p.upstream)]
+		if !owned && load[p.entry]*entries[p.zone] < upstreams[p.zone] {
+			owners[cawork.UpstreamID(p.upstream)] = p.entry
+			load[p.entry]++
+		}
+	}
 	return owners
 }
 
@@ -128,10 +148,10 @@
 	w.injectFaults(faultTime)
 	w.heal()
 	time.Sleep(quietTime)
-	if diff := cmp.Diff(naiveOwners(w), actualOwners(w)); diff != "" {
+	if diff := gocmp.Diff(naiveOwners(w), actualOwners(w)); diff != "" {
 		t.Errorf("owners mismatch (-naive +parts):\n%s", diff)
 	}
-	if diff := cmp.Diff(trueViews(w), views(w)); diff != "" {
+	if diff := gocmp.Diff(trueViews(w), views(w)); diff != "" {
 		t.Errorf("members mismatch (-want +got):\n%s", diff)
 	}
 	w.setQuiet()
--- a/internal/coord/caowner/bench_test.go
+++ b/internal/coord/caowner/bench_test.go
@@ -20,7 +20,7 @@
 	for _, n := range []int{15, 182, 910} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := caowner.NewState(caowner.DefaultConfig(), "e1", "z", start, cacheck.New(zerolog.Nop(), tally.NoopScope))
-			s.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}})
+			s.SetEntries([]caowner.Entry{{VM: "e1", Since: start}})
 			var vms []caplatform.VM
 			for i := range n {
 				vms = append(vms, caplatform.VM{ID: cawork.VMID(fmt.Sprint("u", i)), Role: caplatform.VMRoleUpstream, Zone: "z"})
--- a/internal/coord/caowner/call.go
+++ b/internal/coord/caowner/call.go
@@ -81,9 +81,7 @@
 			u.next = now.Add(s.cfg.UnreachableProbe)
 		}
 	}
-	if was != u.unreachable {
-		s.choose(now, u)
-	}
+	s.stale = s.stale || was != u.unreachable
 }
 
 // answered reports whether the agent itself gave the error, or none.
--- a/internal/coord/caowner/part.go
+++ b/internal/coord/caowner/part.go
@@ -59,16 +59,8 @@
 	defer close(p.done)
 	defer p.feed.Close()
 	defer p.open.Wait()
-	ticks := p.deps.Timers.Every(tickPeriod)
-	defer ticks.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C:
-			p.tick(ctx)
-		}
-	}
+	p.deps.Timers.Repeat(ctx, tickPeriod, p.tick)
+	return nil
 }
 
 // Done is closed at the end of Run.
@@ -79,7 +71,7 @@
 
 // SetEntries takes over the live entries of the zone, the own one included.
 func (p *Part) SetEntries(entries []Entry) {
-	p.with(func(now time.Time) { p.state.SetEntries(now, entries) })
+	p.with(func(time.Time) { p.state.SetEntries(entries) })
 }
 
 // SetUpstreams takes over a list of the platform.
@@ -102,6 +94,13 @@
 	return p.state.Owned(p.deps.Timers.Now())
 }
 
+// Desired returns the entry that should own the upstream, as this one sees it.
+func (p *Part) Desired(id cawork.UpstreamID) cawork.VMID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Desired(id)
+}
+
 // Unreachable returns the upstreams that this entry leaves to others. The
 // caller tells it to the others in camember.AppState.
 func (p *Part) Unreachable() []cawork.UpstreamID {
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -20,7 +20,9 @@
 	check *cacheck.Checker
 	since time.Time
 
-	entries   []Entry
+	entries []Entry
+	// stale tells that the desired owners are to be chosen again.
+	stale     bool
 	upstreams map[cawork.UpstreamID]*upstream
 	ids       []cawork.UpstreamID
 	draining  bool
@@ -51,11 +53,10 @@
 }
 
 // SetEntries takes over the live entries of the zone, the own one included.
-func (s *State) SetEntries(now time.Time, entries []Entry) {
+// Desired owners follow with the next Tick.
+func (s *State) SetEntries(entries []Entry) {
+	s.stale = s.stale || !slices.EqualFunc(s.entries, entries, Entry.competesLike)
 	s.entries = slices.Clone(entries)
-	for _, id := range s.ids {
-		s.choose(now, s.upstreams[id])
-	}
 }
 
 // SetUpstreams takes over the VM list. An upstream that is missing from it is
@@ -91,6 +92,7 @@
 		return
 	}
 	was := u.vm.State
+	s.stale = s.stale || u.unlisted
 	u.vm, u.unlisted = vm, false
 	switch {
 	case was == vm.State:
@@ -106,6 +108,7 @@
 		s.drop(u, ReasonNone)
 		return
 	}
+	s.stale = s.stale || !u.unlisted
 	u.unlisted = true
 	if u.vm.State == caplatform.VMStateLive {
 		u.vm.State = caplatform.VMStateLeaving
@@ -124,7 +127,7 @@
 	if vm.State == caplatform.VMStateLeaving {
 		s.emit(u, Event{Kind: EventKindLeaving})
 	}
-	s.choose(now, u)
+	s.stale = true
 }
 
 func (s *State) drop(u *upstream, r Reason) {
@@ -132,34 +135,11 @@
 		s.lose(u, r)
 	}
 	delete(s.upstreams, u.id)
+	s.stale = true
 	s.ids = slices.DeleteFunc(s.ids, func(id cawork.UpstreamID) bool { return id == u.id })
 	s.emit(u, Event{Kind: EventKindUnlisted, Reason: r})
 }
 
-// choose sets the desired owner of the upstream: the first of the ranking that
-// reaches it, or the first of all when nobody does.
-func (s *State) choose(now time.Time, u *upstream) {
-	var all, able []cawork.VMID
-	for _, e := range s.entries {
-		all = append(all, e.VM)
-		reaches := !slices.Contains(e.Unreachable, u.id) && !slices.Contains(e.Unreachable, AllUpstreams)
-		if e.VM == s.self {
-			reaches = !u.unreachable
-		}
-		if reaches {
-			able = append(able, e.VM)
-		}
-	}
-	if len(able) == 0 {
-		able = all
-	}
-	desired, _ := carendezvous.First(string(u.id), able)
-	if desired != u.desired && desired == s.self && !u.unreachable {
-		u.next = now
-	}
-	u.desired = desired
-}
-
 // Drain makes the entry release all and claim nothing more.
 func (s *State) Drain() { s.draining = true }
 
@@ -213,10 +193,13 @@
 	return ids
 }
 
-// Tick advances time: it ends leases that lapsed, gives up what is not desired
+// Tick advances time: it chooses the desired owners anew if need be, ends leases that lapsed, gives up what is not desired
 // and returns the calls that are due, those of the leases nearest to their end
 // first.
 func (s *State) Tick(now time.Time) []Call {
+	if s.stale {
+		s.choose(now)
+	}
 	for _, id := range s.ids {
 		s.review(now, s.upstreams[id])
 	}
--- a/internal/coord/caowner/state_test.go
+++ b/internal/coord/caowner/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -38,7 +39,7 @@
 func newFixture(t *testing.T, upstreams ...string) *fixture {
 	check := cacheck.New(zerolog.Nop(), tally.NoopScope)
 	f := &fixture{State: caowner.NewState(caowner.DefaultConfig(), "e1", "z", start, check), t: t, check: check}
-	f.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}})
+	f.SetEntries([]caowner.Entry{{VM: "e1", Since: start}})
 	f.list(0, caplatform.VMStateLive, upstreams...)
 	f.wantEvents(slices.Repeat([]caowner.EventKind{caowner.EventKindListed}, len(upstreams))...)
 	t.Cleanup(func() {
@@ -190,7 +191,7 @@
 	for i := range 100 {
 		vm := cawork.VMID(fmt.Sprintf("e%d", i+2))
 		g := newFixture(f.t, "u")
-		g.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}, {VM: vm, Since: start}})
+		g.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, {VM: vm, Since: start}})
 		if len(g.Tick(at(settled))) == 0 {
 			return vm
 		}
@@ -204,7 +205,7 @@
 	f.own()
 	joined := settled + 100*time.Millisecond
 	newcomer := caowner.Entry{VM: preferred(f), Since: at(joined)}
-	f.SetEntries(at(joined), []caowner.Entry{{VM: "e1", Since: start}, newcomer})
+	f.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, newcomer})
 	c := f.one(settled+time.Second, caowner.CallKindHeartbeat)
 	f.renew(settled+time.Second, c)
 	f.wantEvents()
@@ -220,7 +221,7 @@
 	f.none(joined + settled + time.Minute)
 
 	newcomer.Unreachable = []cawork.UpstreamID{"u"}
-	f.SetEntries(at(10*time.Second), []caowner.Entry{{VM: "e1", Since: start}, newcomer})
+	f.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, newcomer})
 	f.one(10*time.Second, caowner.CallKindClaim)
 }
 
@@ -281,7 +282,7 @@
 	if now < settled+4*time.Second || now > settled+15*time.Second {
 		t.Errorf("unreachable after %v, want between 4 and 15 s of failures", now-settled)
 	}
-	f.SetEntries(at(now), []caowner.Entry{{VM: "e1", Since: start}, {VM: "e2", Since: start}})
+	f.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, {VM: "e2", Since: start}})
 	c := f.one(now+3*time.Second, caowner.CallKindProbe)
 	f.fail(now+3*time.Second, c, cakind.KindUnknown)
 	c = f.one(now+6*time.Second, caowner.CallKindProbe)
@@ -308,10 +309,10 @@
 	}
 	g := newFixture(t, "u")
 	first := caowner.Entry{VM: preferred(g), Since: start}
-	g.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}, first})
+	g.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, first})
 	g.none(settled)
 	first.Unreachable = told
-	g.SetEntries(start, []caowner.Entry{{VM: "e1", Since: start}, first})
+	g.SetEntries([]caowner.Entry{{VM: "e1", Since: start}, first})
 	g.one(settled, caowner.CallKindClaim)
 }
 
@@ -344,3 +345,28 @@
 		t.Errorf("owns %d upstreams, want 910", got)
 	}
 }
+
+// Of 13 upstreams, none of three entries is to own more than 5, and neither of
+// two more than 7 after the third has given up all.
+func TestUpstreamsAreSpreadEvenly(t *testing.T) {
+	var upstreams []string
+	for i := range 13 {
+		upstreams = append(upstreams, fmt.Sprint("upstream-", i))
+	}
+	f := newFixture(t, upstreams...)
+	largest := func(entries ...caowner.Entry) int {
+		f.SetEntries(entries)
+		f.Tick(start)
+		owned := map[cawork.VMID]int{}
+		for _, u := range upstreams {
+			owned[f.Desired(cawork.UpstreamID(u))]++
+		}
+		return slices.Max(slices.Collect(maps.Values(owned)))
+	}
+	e1, e2, e3 := caowner.Entry{VM: "e1"}, caowner.Entry{VM: "e2"}, caowner.Entry{VM: "e3"}
+	even := largest(e1, e2, e3)
+	e3.Unreachable = []cawork.UpstreamID{caowner.AllUpstreams}
+	if diff := cmp.Diff([]int{5, 7}, []int{even, largest(e1, e2, e3)}); diff != "" {
+		t.Errorf("largest numbers of upstreams (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/cacapacity/coordination_test.go
+++ b/internal/node/cacapacity/coordination_test.go
@@ -37,7 +37,7 @@
 
 func ownerState(n int) *caowner.State {
 	s := caowner.NewState(caowner.DefaultConfig(), "entry-01", "bergen-a", began, cacheck.New(zerolog.Nop(), tally.NoopScope))
-	s.SetEntries(began, []caowner.Entry{{VM: "entry-01", Since: began}})
+	s.SetEntries([]caowner.Entry{{VM: "entry-01", Since: began}})
 	var vms []caplatform.VM
 	for i := range n {
 		v := vm(i)
--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -7,7 +7,6 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/camember"
-	"celeryarch.example/celeryarch/internal/coord/carendezvous"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -126,11 +125,10 @@
 }
 
 func (e *Entry) upstreamStatuses() []UpstreamStatus {
-	entries := append(e.directory.ZoneEntries(e.settings.Zone), e.settings.VM)
 	var statuses []UpstreamStatus
 	for _, vm := range e.directory.ZoneUpstreams() {
 		s := UpstreamStatus{ID: vm.ID, Rack: vm.Rack, State: vm.State.String(), Capacity: vm.Capacity}
-		s.DesiredOwner, _ = carendezvous.First(string(vm.ID), entries)
+		s.DesiredOwner = e.owner.Desired(cawork.UpstreamID(vm.ID))
 		if lease, ok := e.owner.Lease(cawork.UpstreamID(vm.ID)); ok {
 			s.Epoch = lease.Epoch
 		}
