--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -21,10 +21,6 @@
 // publishPeriod is the time between two reports of the own state to others.
 const publishPeriod = 500 * time.Millisecond
 
-// slotsGuess is the number of free slots that an entry is taken to have on
-// each of its upstreams before it is asked.
-const slotsGuess = 8
-
 func followOwner(ctx context.Context, e *Entry) error {
 	return caowner.Follow(ctx, e.owner, e.members, e.list)
 }
@@ -50,11 +46,11 @@
 
 func (e *Entry) routeEvent(ev caowner.Event) {
 	switch ev.Kind {
-	case caowner.EventKindGained:
+	case caowner.EventKindGained, caowner.EventKindRequestsEnded:
 		e.dispatcher.PutUpstream(route(ev, ev.VM.State != caplatform.VMStateLive))
 	case caowner.EventKindLeaving:
 		if lease, ok := e.owner.Lease(ev.Upstream); ok {
-			ev.Epoch = lease.Epoch
+			ev.Epoch, ev.FormerRequests = lease.Epoch, lease.FormerRequests
 			e.dispatcher.PutUpstream(route(ev, true))
 		}
 	case caowner.EventKindLost, caowner.EventKindReleased, caowner.EventKindUnlisted:
@@ -67,6 +63,7 @@
 	return caroute.Upstream{
 		ID: ev.Upstream, Zone: ev.VM.Zone, Address: ev.VM.Address, Slots: ev.VM.Slots,
 		Connections: ev.VM.Connections, Epoch: ev.Epoch, Leaving: leaving,
+		FormerRequests: ev.FormerRequests,
 	}
 }
 
@@ -115,7 +112,7 @@
 		known[id] = vm.State
 		e.launcher.UpstreamListed(vm)
 		if lease, ok := e.owner.Lease(id); ok {
-			ev := caowner.Event{Upstream: id, VM: vm, Epoch: lease.Epoch}
+			ev := caowner.Event{Upstream: id, VM: vm, Epoch: lease.Epoch, FormerRequests: lease.FormerRequests}
 			e.dispatcher.PutUpstream(route(ev, vm.State != caplatform.VMStateLive))
 		}
 	}
@@ -125,7 +122,8 @@
 	load := e.launcher.Load(ctx)
 	state := camember.AppState{
 		ConfigVersion: int64(e.follower.Current().Version), Free: load.Free, LargestHole: load.LargestHole,
-		QueueLength: load.Queued, OwnedUpstreams: len(e.owner.Owned()), Unreachable: e.owner.Unreachable(),
+		QueueLength: load.Queued, OwnedUpstreams: len(e.owner.Owned()),
+		FreeSlots: e.dispatcher.FreeSlots(), Unreachable: e.owner.Unreachable(),
 	}
 	for _, u := range load.Uses {
 		state.TeamUse = append(state.TeamUse, camember.TeamUse{Team: u.Team, Use: u.Use})
@@ -150,7 +148,9 @@
 		if m.Liveness == camember.LivenessAlive && m.Reach == camember.ReachDirect {
 			e.follower.Offer(cafollow.Offer{VM: m.VM, Zone: m.Zone, Version: cafollow.Version(m.App.ConfigVersion)})
 		}
-		peers = append(peers, cadispatch.Peer{ID: m.VM, Zone: m.Zone, FreeSlots: m.App.OwnedUpstreams * slotsGuess})
+		peers = append(peers, cadispatch.Peer{
+			ID: m.VM, Zone: m.Zone, Owns: m.App.OwnedUpstreams > 0, FreeSlots: m.App.FreeSlots,
+		})
 		if m.Zone == e.settings.Zone {
 			members = append(members, cadedupe.Member{ID: m.VM, Incarnation: int64(m.Incarnation)})
 		}
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -11,6 +11,7 @@
 )
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=verdict_names.go
+//go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=ChangeKind -trimprefix=Change -transform=snake -text -output=changekind_names.go
 
 // Verdict tells how an attempt ended, as far as it tells of the upstream.
@@ -29,6 +30,18 @@
 	VerdictAbandoned
 )
 
+// Placement tells how the router chooses among upstreams with free slots.
+type Placement int
+
+// The ways of placement.
+const (
+	// PlacementSpread takes the upstream with the least expected latency.
+	PlacementSpread Placement = iota
+	// PlacementPack takes the upstream with the fewest free slots, and the
+	// least expected latency among equals.
+	PlacementPack
+)
+
 // ChangeKind tells what happened to an upstream.
 type ChangeKind int
 
@@ -93,6 +106,7 @@
 	// lingering holds the slots of interrupted attempts.
 	lingering []lingering
 	turn      int
+	placement Placement
 	service   time.Duration
 	nextID    int64
 }
@@ -109,6 +123,9 @@
 	}
 }
 
+// SetPlacement replaces the way of placement.
+func (r *Router) SetPlacement(p Placement) { r.placement = p }
+
 // Put adds or replaces an owned upstream. Requests in progress keep their
 // slots.
 func (r *Router) Put(now time.Time, u Upstream) {
@@ -121,6 +138,7 @@
 	s.removed = false
 	s.zone = u.Zone
 	s.address = u.Address
+	s.setFormer(u)
 	s.epoch = u.Epoch
 	s.slots = min(u.Slots, u.Connections)
 	s.leaving = u.Leaving
@@ -128,6 +146,16 @@
 	r.healthOf(now, u.ID, s.slots).limit.resize(s.slots)
 }
 
+// setFormer takes over the slots of former owners. Within an epoch they only
+// become fewer, so that a late report is told by its higher number.
+func (s *source) setFormer(u Upstream) {
+	if u.Epoch == s.epoch {
+		s.former = min(s.former, u.FormerRequests)
+		return
+	}
+	s.former = u.FormerRequests
+}
+
 // Remove forgets an owned upstream. While requests or loans still use slots
 // of it, the slots stay counted, in case the upstream is put back.
 func (r *Router) Remove(id cawork.UpstreamID) {
@@ -162,7 +190,7 @@
 	for _, s := range r.sources {
 		h := r.health[s.upstream]
 		if s.startsAt(now) && !h.ejected {
-			n += max(min(s.slots, r.limitOf(s))-s.lent, 0)
+			n += max(min(s.slots, r.limitOf(s))-s.lent-s.former, 0)
 		}
 	}
 	return n
@@ -191,34 +219,61 @@
 // Service returns the mean time for which a request holds a slot.
 func (r *Router) Service() time.Duration { return r.service }
 
-// Choose takes a slot of the upstream with the least expected latency. It
-// returns nil when no slot is free for the request.
+// Choose takes a slot of an upstream, after the way of placement. It returns
+// nil when no slot is free for the request.
 func (r *Router) Choose(now time.Time, a Ask) *Route {
 	if s := r.probe(now, a); s != nil {
 		r.health[s.upstream].probing = true
 		return r.take(now, s, true)
 	}
-	if !r.startable(now, a.Exclude) {
+	if !r.canStart(now, a.Exclude) {
 		// Nothing else is left: an upstream that failed before is better than
 		// none.
 		a.Exclude = nil
 	}
+	best := r.best(now, a)
+	if best == nil {
+		return nil
+	}
+	r.turn++
+	return r.take(now, best, false)
+}
+
+// best returns the usable source of the lowest rank, nil for none.
+func (r *Router) best(now time.Time, a Ask) *source {
 	var best *source
-	var least time.Duration
+	var least rank
 	for i := range r.sources {
 		s := r.sources[(r.turn+i)%len(r.sources)]
 		if !r.usable(now, s, a) {
 			continue
 		}
-		if e := r.expected(now, s); best == nil || e < least {
-			best, least = s, e
+		if k := r.rank(now, s); best == nil || k.below(least) {
+			best, least = s, k
 		}
 	}
-	if best == nil {
-		return nil
+	return best
+}
+
+// rank orders sources. The lowest is chosen.
+type rank struct {
+	free     int
+	expected time.Duration
+}
+
+func (k rank) below(o rank) bool {
+	if k.free != o.free {
+		return k.free < o.free
 	}
-	r.turn++
-	return r.take(now, best, false)
+	return k.expected < o.expected
+}
+
+func (r *Router) rank(now time.Time, s *source) rank {
+	k := rank{expected: r.expected(now, s)}
+	if r.placement == PlacementPack {
+		k.free = s.free(r.limitOf(s))
+	}
+	return k
 }
 
 // Release gives the slot of an attempt back and learns from its end. It
@@ -259,9 +314,12 @@
 	return ids
 }
 
-// startable reports whether any upstream outside of the list may get requests,
-// now or when a slot is free.
-func (r *Router) startable(now time.Time, exclude []cawork.UpstreamID) bool {
+// CanStart reports whether any upstream may get requests, now or when a slot
+// is free.
+func (r *Router) CanStart(now time.Time) bool { return r.canStart(now, nil) }
+
+// canStart is CanStart without the upstreams of the list.
+func (r *Router) canStart(now time.Time, exclude []cawork.UpstreamID) bool {
 	for _, s := range r.sources {
 		if s.startsAt(now) && !r.health[s.upstream].ejected && !slices.Contains(exclude, s.upstream) {
 			return true
@@ -286,7 +344,7 @@
 func (r *Router) expected(now time.Time, s *source) time.Duration {
 	h := r.health[s.upstream]
 	h.decay(now)
-	load := 1 + float64(s.inUse+s.lent)/float64(max(s.slots, 1))
+	load := 1 + float64(s.used())/float64(max(s.slots, 1))
 	success := max(1-h.risk(), 0.1)
 	e := time.Duration(float64(h.latencyAt(now, r.service)) * load / success)
 	if s.zone != r.config.Zone {
@@ -343,6 +401,8 @@
 	}
 }
 
-func grantName(prefix cawork.UpstreamID, n int64) GrantID {
-	return GrantID(fmt.Sprintf("%s/%d", prefix, n))
+// grantName names a grant uniquely: an owner counts its grants from one, and
+// its epoch tells it from other owners.
+func grantName(s *source, n int64) GrantID {
+	return GrantID(fmt.Sprintf("%s/%d/%d", s.upstream, s.epoch, n))
 }
