One loop over ticks in the timer service

Cause: caowner, camember, cadispatch and cadedupe each held the same eleven lines that call a function at each tick until the context ends. Loops that also select on something else, or act once more at the end, keep their own.

--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -74,16 +74,10 @@
 	defer close(p.done)
 	defer p.feed.Close()
 	defer p.open.Wait()
-	ticks := p.deps.Timers.Every(p.cfg.Period / ticksPerPeriod)
-	defer ticks.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C:
-			p.advance(ctx, func(now time.Time) Step { return p.state.Tick(now) })
-		}
-	}
+	p.deps.Timers.Repeat(ctx, p.cfg.Period/ticksPerPeriod, func(ctx context.Context) {
+		p.advance(ctx, func(now time.Time) Step { return p.state.Tick(now) })
+	})
+	return nil
 }
 
 // Done is closed at the end of Run.
--- a/internal/request/cadedupe/keeper.go
+++ b/internal/request/cadedupe/keeper.go
@@ -104,16 +104,8 @@
 // records until the context ends.
 func (s *Service) Run(ctx context.Context) error {
 	defer close(s.done)
-	ticks := s.config.Timer.Every(tickPeriod)
-	defer ticks.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C:
-			s.Tick(ctx)
-		}
-	}
+	s.config.Timer.Repeat(ctx, tickPeriod, s.Tick)
+	return nil
 }
 
 // Done returns a channel that is closed when Run has ended.
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -150,16 +150,8 @@
 // the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer close(d.done)
-	ticks := d.config.Timer.Every(tickPeriod)
-	defer ticks.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks.C:
-			d.tick()
-		}
-	}
+	d.config.Timer.Repeat(ctx, tickPeriod, func(context.Context) { d.tick() })
+	return nil
 }
 
 // Done returns a channel that is closed when Run has ended.
