--- a/coordination/lease_test.go
+++ b/coordination/lease_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -170,3 +171,28 @@
 		t.Errorf("epoch %d after %d, kinds (-want +got):\n%s", again.Lease.Epoch, granted.Lease.Epoch, diff)
 	}
 }
+
+// A name that is left out is given up at once, and granted anew once its lease
+// has lapsed.
+func TestNamesComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := coordination.NewLeaseTable(coordination.LeaseTableConfig{MaxTTL: 3 * time.Second}, newDriftClock(1))
+		h := coordination.NewLeaseHolder(coordination.DefaultLeaseConfig(), "a", coordination.LeaseDeps{
+			Keeper: localKeeper{table}, Timers: coordination.NewTimers(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+			Check: coordination.NewChecker(zerolog.Nop(), tally.NoopScope),
+		})
+		h.SetHolders([]coordination.VMID{"a"})
+		go func() { _ = h.Run(t.Context()) }()
+		both, one := []coordination.LeaseName{"n1", "n2"}, []coordination.LeaseName{"n1"}
+		var held [][]coordination.LeaseName
+		for _, names := range [][]coordination.LeaseName{both, one, both} {
+			h.SetNames(names)
+			held = append(held, h.Held())
+			time.Sleep(5 * time.Second)
+			held = append(held, h.Held())
+		}
+		if diff := cmp.Diff([][]coordination.LeaseName{nil, both, one, one, one, both}, held); diff != "" {
+			t.Errorf("names held before and after each change (-want +got):\n%s", diff)
+		}
+	})
+}
