A cell ends at once where another runs on its addresses

Cause: with the addresses taken, examples/cell.sh published its configuration to the log of the cell that ran there, which then followed it; seen twice. Change: it ends unless its own log and list run a second after their start. Measurement: a second cell beside a first ends with status 1 and publishes nothing.

--- a/examples/cell.sh
+++ b/examples/cell.sh
@@ -58,6 +58,15 @@
 
 start log standin log --listen="${CELERYARCH_LOG#http://}"
 start vms standin vms --listen="${list#http://}" --file="$work/vms.json"
+
+# A cell that already runs on these addresses must not get this configuration.
+sleep 1
+for pid in "${pids[@]}"; do
+  if ! kill -0 "$pid" 2>/dev/null; then
+    cat "$work/log.log" "$work/vms.log" >&2
+    exit 1
+  fi
+done
 while read -r line; do
   cores=$(($(field cpu_milli "$line") / 1000))
   start "$(field id "$line")" standin upstream --listen="$(field address "$line")" \
