A shard without a witness does not start a view each tick, and flapping is told seldom

Cause: in a cell whose listed upstreams do not answer, an entry made 6.1 exchanges a second of membership in place of 1.6. The lists of unreachable upstreams were not it: the primary of a shard that is alone began a change of view, dropped it in the next tick because its witness does not answer, and began another, ten views a second. Each was told to all members at once, as changes of shards are.

Change: after a change whose witness did not answer, a primary rests for the period of checks of the witness, 1 s, which go on meanwhile. And of each section other than usage five changes are published at once, after that one each 5 s, the last always, whatever the reason.

--- a/internal/coord/camember/config.go
+++ b/internal/coord/camember/config.go
@@ -24,6 +24,11 @@
 	PublishPerMember time.Duration
 	// PublishMin is the least time between two publications of usage.
 	PublishMin time.Duration
+	// UrgentBurst is the number of changes of a section other than usage that
+	// are published at once, UrgentPause the least time between two after
+	// that, so that one that changes all the time does not cost all members.
+	UrgentBurst int
+	UrgentPause time.Duration
 	// Window is the number of digest entries of a request, ReplyWindow of an
 	// answer besides those that it asks for.
 	Window      int
@@ -44,6 +49,8 @@
 		Forget:           time.Hour,
 		PublishPerMember: 250 * time.Millisecond,
 		PublishMin:       time.Second,
+		UrgentBurst:      5,
+		UrgentPause:      5 * time.Second,
 		Window:           12,
 		ReplyWindow:      6,
 		MaxSections:      96,
--- a/internal/coord/camember/local.go
+++ b/internal/coord/camember/local.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // publish writes the wanted application state into the own record: changes of
@@ -11,14 +13,14 @@
 // due.
 func (s *State) publish(now time.Time) {
 	for _, sec := range urgentSections(s.wanted) {
-		s.publishSection(sec)
+		s.publishSection(now, sec)
 	}
 	if now.Before(s.usageDue) {
 		return
 	}
 	s.usageDue = now.Add(s.usagePeriod())
 	for _, sec := range s.usageSections() {
-		s.publishSection(sec)
+		s.publishSection(now, sec)
 	}
 }
 
@@ -27,8 +29,9 @@
 	return max(s.cfg.PublishMin, time.Duration(len(s.records))*s.cfg.PublishPerMember)
 }
 
-// publishSection writes the section when it differs from the published one.
-func (s *State) publishSection(sec Section) {
+// publishSection writes the section when it differs from the published one and
+// may change again. The last of many fast changes is written later.
+func (s *State) publishSection(now time.Time, sec Section) {
 	key := sec.key()
 	for _, old := range s.self.sections {
 		if old.key() != key {
@@ -39,12 +42,25 @@
 			return
 		}
 	}
+	if !sec.usage() && !s.mayChange(now, key) {
+		return
+	}
 	sec.Version = s.self.version + 1
 	s.self.set(sec)
 	s.noteNews(sec)
 	s.touch(s.self, !sec.usage())
 }
 
+// mayChange takes one change of the section from its budget.
+func (s *State) mayChange(now time.Time, key sectionKey) bool {
+	limiter, ok := s.urgent[key]
+	if !ok {
+		limiter = rate.NewLimiter(rate.Every(s.cfg.UrgentPause), s.cfg.UrgentBurst)
+		s.urgent[key] = limiter
+	}
+	return limiter.AllowN(now, 1)
+}
+
 func urgentSections(a AppState) []Section {
 	shards := &ShardList{}
 	for _, l := range a.Shards {
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cacheck"
 )
@@ -42,6 +44,8 @@
 
 	news         bool
 	newestConfig int64
+	// urgent limits the changes of each section other than usage.
+	urgent map[sectionKey]*rate.Limiter
 }
 
 // NewState returns the state of an entry that knows only itself and the
@@ -51,14 +55,14 @@
 	s := &State{
 		cfg: cfg, id: id, check: check, rng: rand.New(rand.NewPCG(seed, keyOf(id.VM))),
 		records: map[uint64]*record{}, contacts: map[string]time.Time{}, banned: map[uint64]bool{},
-		seeds: slices.Clone(seeds), lastTick: now, answered: now,
+		seeds: slices.Clone(seeds), lastTick: now, answered: now, urgent: map[sectionKey]*rate.Limiter{},
 	}
 	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(cfg.Period))))
 	s.self = &record{
 		key: keyOf(id.VM), incarnation: Incarnation(max(now.Unix(), 1)), since: now, joined: now, live: now,
 	}
 	s.records[s.self.key] = s.self
-	s.publishSection(Section{Place: &Place{VM: id.VM, Address: id.Address, Zone: id.Zone}})
+	s.publishSection(now, Section{Place: &Place{VM: id.VM, Address: id.Address, Zone: id.Zone}})
 	return s
 }
 
--- a/internal/coord/camember/state_test.go
+++ b/internal/coord/camember/state_test.go
@@ -260,3 +260,40 @@
 		}
 	})
 }
+
+// shardsOf returns what b was told of the shards of a.
+func (g *group) shardsOf(a, b string) []camember.LedShard {
+	for _, m := range g.states[b].Members() {
+		if string(m.VM) == a {
+			return m.App.Shards
+		}
+	}
+	return nil
+}
+
+func TestFlappingSectionIsPublishedSeldom(t *testing.T) {
+	const seconds = 60
+	g := newGroup(t, "a", "b", "c")
+	g.run(0, 10*time.Second)
+	at := 10 * time.Second
+	var last []camember.LedShard
+	changes := 0
+	for i := range 4 * seconds {
+		g.states["a"].SetLocal(camember.AppState{Shards: []camember.LedShard{{Shard: "s", View: int64(i)}}})
+		g.run(at, at+250*time.Millisecond)
+		at += 250 * time.Millisecond
+		if told := g.shardsOf("a", "b"); !slices.Equal(told, last) {
+			changes++
+			last = told
+		}
+	}
+	cfg := camember.DefaultConfig()
+	allowed := cfg.UrgentBurst + int(seconds*time.Second/cfg.UrgentPause)
+	if changes > allowed {
+		t.Errorf("b was told %d changes in a minute, want at most %d", changes, allowed)
+	}
+	g.run(at, at+2*cfg.UrgentPause)
+	if diff := cmp.Diff([]camember.LedShard{{Shard: "s", View: 4*seconds - 1}}, g.shardsOf("a", "b")); diff != "" {
+		t.Errorf("shards of a at b after the last change (-want +got):\n%s", diff)
+	}
+}
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -50,7 +50,7 @@
 	}
 	p.abandon(now)
 	p.leave(out)
-	if p.change == nil && !p.done {
+	if p.change == nil && !p.done && !now.Before(p.restUntil) {
 		p.decide(now)
 	}
 	p.checkWitness(now, out)
@@ -83,6 +83,9 @@
 	if !witnessLost && !p.loseBackup(now, c) {
 		return
 	}
+	if witnessLost {
+		p.restUntil = now.Add(p.cfg.WitnessPeriod)
+	}
 	p.withdraw()
 }
 
--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -20,7 +20,10 @@
 	// settled is the last view that was known to be in force and registered.
 	settled View
 	change  *change
-	highest int64
+	// restUntil is the time before which no change follows one whose witness
+	// did not answer.
+	restUntil time.Time
+	highest   int64
 	// first is the number of the first view that this primary leads.
 	first     int64
 	log       recordLog
