Room is left to gangs of teams below their share

Room was left only to jobs of small tasks, so that holes never grew for gangs, and preemption had to make the room instead.

Change: room is left to any job without constraints, for at most a minute until its team starts something. Without that bound a gang that is too large idles the cell (TestRoomLeftToAGangThatIsTooLargeIsUsedAgain fails with a bound of an hour).

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -14,6 +14,8 @@
 	// deferAfter is the wait of a job of a team below its share from which on
 	// room is left to it.
 	deferAfter = time.Second
+	// deferBound is how long room is left to a team that starts nothing.
+	deferBound = time.Minute
 	// deferAbove is the part of its share beyond which a team leaves room.
 	deferAbove = 1.025
 	// moreTries is how many jobs behind the head of a class are tried at a time.
@@ -226,8 +228,9 @@
 }
 
 // defers reports whether the amount would take the team beyond its share while
-// a team below its share waits for room. The room is left to it then, as small
-// holes would otherwise go to whoever happens to have small tasks.
+// a team below its share waits for room. The room is left to it then, as holes
+// would otherwise go to whoever happens to have tasks and gangs that are small
+// enough, and would never grow for those that are not.
 func (s *Scheduler) defers(t *team, r cawork.Resources, now time.Time) bool {
 	if s.shares.Dominant(t.Team, r) <= t.Entitlement(s.owed)*deferAbove {
 		return false
@@ -237,8 +240,7 @@
 			continue
 		}
 		if o.waitsSince != s.round {
-			c := s.firstBlocked(o, func(*caqueue.Mark) bool { return true })
-			o.waitsSince, o.waits = s.round, c != nil && s.waitsForSmallRoom(c.Head().Value, now)
+			o.waitsSince, o.waits = s.round, s.waitsForRoom(o, now)
 		}
 		if o.waits {
 			return true
@@ -247,11 +249,23 @@
 	return false
 }
 
-// waitsForSmallRoom reports whether the job fits as soon as a few tasks on any
-// one upstream have ended.
-func (s *Scheduler) waitsForSmallRoom(j *caledger.Job, now time.Time) bool {
-	return now.Sub(j.Accepted) >= deferAfter && j.Spec.Constraints == (cawork.Constraints{}) &&
-		j.Spec.Size.Accelerators == 0 && !s.large(j)
+// waitsForRoom reports whether the first blocked job of the team fits as soon as
+// enough tasks have ended, whatever the upstreams. Room that does not suffice
+// within a while is not left to the team until it has started something, so
+// that a job that is too large does not idle the cell.
+func (s *Scheduler) waitsForRoom(t *team, now time.Time) bool {
+	c := s.firstBlocked(t, func(*caqueue.Mark) bool { return true })
+	if c == nil {
+		return false
+	}
+	j := c.Head().Value
+	if now.Sub(j.Accepted) < deferAfter || j.Spec.Constraints != (cawork.Constraints{}) || j.Spec.Size.Accelerators > 0 {
+		return false
+	}
+	if t.leftSince.IsZero() {
+		t.leftSince = now
+	}
+	return now.Sub(t.leftSince) < deferBound
 }
 
 // findHosts finds and takes room for n tasks, which are all placed or none. The
@@ -323,6 +337,7 @@
 	}
 	t.queued[j.Spec.Kind] -= n
 	t.pace[j.Spec.Kind].note(now)
+	t.leftSince = time.Time{}
 	j.ReservedAt = time.Time{}
 	s.dropDeadline(j)
 	s.dropClaimOf(j)
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -211,6 +211,35 @@
 	wantSummary(t, c.after(time.Second), "place_gang reservation gang/2")
 }
 
+func TestRoomLeftToAGangThatIsTooLargeIsUsedAgain(t *testing.T) {
+	p := casched.DefaultPolicy()
+	for _, k := range cawork.WorkKindValues() {
+		kp := p.Kind(k)
+		kp.ReserveBound = 0
+		p = p.WithKind(k, kp)
+	}
+	c := newScene(t, p, 10)
+	c.submit("small", "north", batch(200, 1))
+	running := c.after(0)
+	gang := batch(9, 8)
+	gang.Kind = cawork.WorkKindGang
+	c.submit("gang", "south", gang)
+	end := func(n int) {
+		for _, d := range running[:n] {
+			c.end(d.Placements[0].Task, cawork.TaskStateDone)
+		}
+		running = running[n:]
+	}
+	c.after(2 * time.Second)
+	end(8)
+	if got := c.after(time.Second); len(got) > 0 {
+		t.Errorf("the room was not left: %v", summary(got))
+	}
+	if got := count(c.after(2*time.Minute), casched.DecisionPlace, "small"); got != 8 {
+		t.Errorf("%d tasks use the room that does not suffice, want 8", got)
+	}
+}
+
 func TestGangThatLosesAMemberStartsWholeAgain(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 2)
 	gang := cawork.JobSpec{Kind: cawork.WorkKindGang, Tasks: 3, Size: size(2), RunTime: time.Minute, Idempotent: true}
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -31,10 +31,13 @@
 	// room counts the changes that give the team more allowance to use.
 	room      uint64
 	exhausted uint64
-	// waits tells whether a job of the team waits for small room, as of the round
+	// waits tells whether a job of the team waits for room, as of the round
 	// waitsSince.
 	waits      bool
 	waitsSince uint64
+	// leftSince is since when others leave room to the team, zero when they do
+	// not.
+	leftSince time.Time
 	// nextRelief is when jobs that were passed over are looked at again.
 	nextRelief time.Time
 }
