Urgent work takes room at once

Cause: the urgent wait was a checkpoint of 2 s, UrgentPreemptAfter of 100 ms, the search for relief once in 50 ms for one team, that of the lowest share first, and the time to the next call of Decide.

Change: each call searches for the first blocked urgent job of each team, and UrgentPreemptAfter is zero. Teams without queued urgent work are passed over by a count, so that others pay nothing.

--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -47,6 +47,7 @@
 // share for jobs of teams below theirs, and is reserved for jobs that have
 // waited long. One search is made in each period.
 func (s *Scheduler) relieve(now time.Time) {
+	s.relieveUrgent(now)
 	if s.full() || now.Before(s.nextRelief) {
 		return
 	}
@@ -60,6 +61,24 @@
 	}
 }
 
+// relieveUrgent takes room for the first blocked urgent job of each team, without
+// waiting for the next search.
+func (s *Scheduler) relieveUrgent(now time.Time) {
+	for _, t := range s.order {
+		if t.urgent == 0 || s.full() {
+			continue
+		}
+		c := s.firstBlocked(t, func(m *caqueue.Mark) bool { return !m.PassedOver })
+		if c == nil {
+			continue
+		}
+		j := c.Head().Value
+		if j.Spec.Urgent && s.mayPreempt(t, j, now) && !s.preemptFor(t, j, now) {
+			t.queue.Mark(c).PassedOver = true
+		}
+	}
+}
+
 // relieveTeam searches relief for the first blocked job of the team for which
 // there may be some, and reports whether it searched. Jobs that cannot be
 // helped are passed over for a while.
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -24,8 +24,10 @@
 // team is a team with its queue.
 type team struct {
 	*cashare.Team
-	queue   *caqueue.Queue[*caledger.Job]
-	queued  [kindCount]int
+	queue  *caqueue.Queue[*caledger.Job]
+	queued [kindCount]int
+	// urgent counts the urgent jobs in the queue.
+	urgent  int
 	pace    [kindCount]pace
 	records [kindCount]*caestimate.Record
 	// room counts the changes that give the team more allowance to use.
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -81,9 +81,17 @@
 	switch startable := j.Startable(); {
 	case startable && j.Entry == nil:
 		j.Entry = t.queue.Push(j, caqueue.KeyOf(j.Spec), s.policy.Due(j.Job, s.runTime(j)))
+		t.countUrgent(j, 1)
 	case !startable && j.Entry != nil:
 		t.queue.Remove(j.Entry)
 		j.Entry = nil
+		t.countUrgent(j, -1)
+	}
+}
+
+func (t *team) countUrgent(j *caledger.Job, n int) {
+	if j.Spec.Urgent {
+		t.urgent += n
 	}
 }
 
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -97,7 +97,7 @@
 		QueueBound: 10_000, UrgentHeadroom: 1_000, MaxAttempts: 3,
 		Aging: 10 * time.Minute, UrgentLead: 24 * time.Hour,
 		ReserveAfter: 30 * time.Second, ReserveBound: 30 * time.Minute,
-		PreemptAfter: 10 * time.Second, UrgentPreemptAfter: 100 * time.Millisecond,
+		PreemptAfter: 10 * time.Second, UrgentPreemptAfter: 0,
 	}
 	p := Policy{
 		Backfill: true, CorrectSizes: true, CorrectRunTimes: true,
