The search for urgent work is bounded

Now a call makes one search at most, and a team without new urgent work pauses 200 ms after one in vain.

--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -18,6 +18,9 @@
 	reliefPeriod = 50 * time.Millisecond
 	// reliefPause is how long jobs that could not be helped are passed over.
 	reliefPause = 2 * time.Second
+	// urgentPause is how long a team waits for the next search for its urgent jobs
+	// when it got no new one.
+	urgentPause = 200 * time.Millisecond
 	// maxPassed is the most jobs of a team that are passed over in a period.
 	maxPassed = 4
 	// shareTolerance is the part of its share below which a team takes room from
@@ -45,10 +48,10 @@
 
 // relieve helps jobs that do not fit: room is taken from teams above their
 // share for jobs of teams below theirs, and is reserved for jobs that have
-// waited long. One search is made in each period.
+// waited long. One search is made in each period, and one in each call for urgent
+// jobs.
 func (s *Scheduler) relieve(now time.Time) {
-	s.relieveUrgent(now)
-	if s.full() || now.Before(s.nextRelief) {
+	if s.relieveUrgent(now) || s.full() || now.Before(s.nextRelief) {
 		return
 	}
 	s.nextRelief = now.Add(reliefPeriod)
@@ -61,22 +64,27 @@
 	}
 }
 
-// relieveUrgent takes room for the first blocked urgent job of each team, without
-// waiting for the next search.
-func (s *Scheduler) relieveUrgent(now time.Time) {
+// relieveUrgent searches room for the first blocked urgent job of a team that has
+// a new one, or one whose last search was in vain a while ago. It reports
+// whether it searched.
+func (s *Scheduler) relieveUrgent(now time.Time) bool {
 	for _, t := range s.order {
-		if t.urgent == 0 || s.full() {
+		if t.urgent == 0 || now.Before(t.nextUrgent) || s.full() || s.countClaims(true) >= maxPreempting {
 			continue
 		}
+		t.nextUrgent = now.Add(urgentPause)
 		c := s.firstBlocked(t, func(m *caqueue.Mark) bool { return !m.PassedOver })
-		if c == nil {
+		if c == nil || !c.Head().Value.Spec.Urgent || !s.mayPreempt(t, c.Head().Value, now) {
 			continue
 		}
-		j := c.Head().Value
-		if j.Spec.Urgent && s.mayPreempt(t, j, now) && !s.preemptFor(t, j, now) {
+		if s.preemptFor(t, c.Head().Value, now) {
+			t.nextUrgent = now
+		} else {
 			t.queue.Mark(c).PassedOver = true
 		}
+		return true
 	}
+	return false
 }
 
 // relieveTeam searches relief for the first blocked job of the team for which
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -42,6 +42,8 @@
 	leftSince time.Time
 	// nextRelief is when jobs that were passed over are looked at again.
 	nextRelief time.Time
+	// nextUrgent is when relief is searched for urgent jobs at the earliest.
+	nextUrgent time.Time
 }
 
 // Scheduler implements casched.Scheduler.
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -70,7 +70,8 @@
 		s.expiry[j.ID] = s.deadlines.Push(j, caqueue.Key{}, j.Accepted.Add(j.Spec.Deadline))
 	}
 	if j.Spec.Urgent {
-		s.team(j.Team).nextRelief = time.Time{}
+		t := s.team(j.Team)
+		t.nextRelief, t.nextUrgent = time.Time{}, time.Time{}
 	}
 	s.refreshEntry(j)
 }
