--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -158,3 +158,18 @@
 func (q Quotas) Settled(ctx context.Context, to cawork.VMID, r caquota.SettledCall) (caquota.SettledReply, error) {
 	return call[caquota.SettledCall, caquota.SettledReply](ctx, q.Link, to, callSettled, r)
 }
+
+// HeldShards implements caquota.Peers.
+func (q Quotas) HeldShards(ctx context.Context, to cawork.VMID) (caquota.HeldReply, error) {
+	return call[struct{}, caquota.HeldReply](ctx, q.Link, to, callHeldShards, struct{}{})
+}
+
+// Settle implements caquota.Peers.
+func (q Quotas) Settle(ctx context.Context, to cawork.VMID, r caquota.SettleCall) (cajob.PartnerSettled, error) {
+	return call[caquota.SettleCall, cajob.PartnerSettled](ctx, q.Link, to, callSettle, r)
+}
+
+// Close implements caquota.Peers.
+func (q Quotas) Close(ctx context.Context, to cawork.VMID, r caquota.CloseCall) (caescrow.Closing, error) {
+	return call[caquota.CloseCall, caescrow.Closing](ctx, q.Link, to, callClose, r)
+}
