--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -5,10 +5,7 @@
 // Image is what the log tells of one shard: a state and the records after it.
 type Image struct {
 	Shard cawork.ShardID
-	// View is the highest view number that was seen.
-	View int64
-	// ViewBody is the body of the last entry of type EntryView.
-	ViewBody []byte
+	Lead
 	// Base is the index of the last record that State includes.
 	Base    int64
 	State   []byte
@@ -42,16 +39,13 @@
 		i = &Image{Shard: e.Shard}
 		f.images[e.Shard] = i
 	}
-	i.View = max(i.View, e.View)
+	i.follow(e)
 	switch e.Type {
 	case EntryRecord:
 		if e.Index == i.Last()+1 {
 			i.Records = append(i.Records, e.Body)
 		}
-	case EntryView:
-		if e.View >= i.View {
-			i.ViewBody = e.Body
-		}
+	case EntryView, EntryElected:
 	case EntrySnapshot:
 		i.rebase(e)
 	case EntryRetired:
--- a/internal/coord/calog/survey.go
+++ b/internal/coord/calog/survey.go
@@ -12,11 +12,8 @@
 // Trace is what a survey keeps of one shard: who led it, and where to read it.
 type Trace struct {
 	Shard cawork.ShardID
-	// View is the highest view number that was seen.
-	View int64
-	// ViewBody is the body of the last entry of type EntryView.
-	ViewBody []byte
-	Retired  bool
+	Lead
+	Retired bool
 	// From is the offset from which on all that makes up the image stands.
 	From caplatform.Offset
 	// last is the index of the last record of the image.
@@ -29,15 +26,13 @@
 //	record 1, record 2, snapshot at 2, record 3   From is that of the snapshot
 //	record 1, record 2, record 3, snapshot at 2   From stays at record 1
 func (t *Trace) apply(e Entry, at caplatform.Offset) {
+	t.follow(e)
 	switch e.Type {
 	case EntryRecord:
 		if e.Index == t.last+1 {
 			t.last = e.Index
 		}
-	case EntryView:
-		if e.View >= t.View {
-			t.ViewBody = e.Body
-		}
+	case EntryView, EntryElected:
 	case EntrySnapshot:
 		if e.Index >= t.last {
 			t.From, t.last = at, e.Index
@@ -45,7 +40,6 @@
 	case EntryRetired:
 		t.Retired = true
 	}
-	t.View = max(t.View, e.View)
 }
 
 // Survey reads all that the log still keeps of a topic and returns the traces
@@ -79,7 +73,7 @@
 	}
 	from := traces[0].From
 	for _, t := range traces {
-		f.images[t.Shard] = &Image{Shard: t.Shard, View: t.View, ViewBody: t.ViewBody}
+		f.images[t.Shard] = &Image{Shard: t.Shard, Lead: t.Lead}
 		from = min(from, t.From)
 	}
 	err := readPages(ctx, l, topic, from, func(_ caplatform.Offset, e Entry) {
--- a/internal/coord/cashard/change.go
+++ b/internal/coord/cashard/change.go
@@ -45,12 +45,12 @@
 
 // tick runs the timers of the primary.
 func (p *primary) tick(now time.Time, out *effects) {
-	if p.done {
+	if p.done || p.halted {
 		return
 	}
 	p.abandon(now)
 	p.leave(out)
-	if p.change == nil && !p.done {
+	if p.change == nil && !p.done && !now.Before(p.restUntil) {
 		p.decide(now)
 	}
 	p.checkWitness(now, out)
@@ -83,6 +83,9 @@
 	if !witnessLost && !p.loseBackup(now, c) {
 		return
 	}
+	if witnessLost {
+		p.restUntil = now.Add(p.cfg.WitnessPeriod)
+	}
 	p.withdraw()
 }
 
@@ -366,7 +369,7 @@
 
 // onRegister folds the answer of a witness.
 func (p *primary) onRegister(now time.Time, r registerResult, out *effects) {
-	if p.done {
+	if p.done || p.halted {
 		return
 	}
 	reg := p.registerAt(r.witness)
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -24,19 +24,26 @@
 // team is a team with its queue.
 type team struct {
 	*cashare.Team
-	queue   *caqueue.Queue[*caledger.Job]
-	queued  [kindCount]int
+	queue  *caqueue.Queue[*caledger.Job]
+	queued [kindCount]int
+	// urgent counts the urgent jobs in the queue.
+	urgent  int
 	pace    [kindCount]pace
 	records [kindCount]*caestimate.Record
 	// room counts the changes that give the team more allowance to use.
 	room      uint64
 	exhausted uint64
-	// waits tells whether a job of the team waits for small room, as of the round
+	// waits tells whether a job of the team waits for room, as of the round
 	// waitsSince.
 	waits      bool
 	waitsSince uint64
+	// leftSince is since when others leave room to the team, zero when they do
+	// not.
+	leftSince time.Time
 	// nextRelief is when jobs that were passed over are looked at again.
 	nextRelief time.Time
+	// nextUrgent is when relief is searched for urgent jobs at the earliest.
+	nextUrgent time.Time
 }
 
 // Scheduler implements casched.Scheduler.
