Long messages between entries are compressed

Cause: of the bytes that a start costs an entry, most are records of jobs on their way to the backup and to other owners, which repeat the names of their fields and long ids.

Ruled out: numbers in place of names in the records, which are also in the log and would no longer be read by other versions.

Change: a message of 1 KiB and more goes compressed with DEFLATE, marked by a first byte that no message of several bytes begins with. An entry of an older version does not read such a message; all entries are to be replaced.

--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
@@ -30,27 +29,6 @@
 	codeOffset = 1
 )
 
-// encoding encodes messages with CBOR.
-type encoding struct{}
-
-// encodeMode keeps times whole: the default of the library cuts them to
-// seconds.
-var encodeMode = newEncodeMode()
-
-func newEncodeMode() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// Marshal implements drpc.Encoding.
-func (encoding) Marshal(msg drpc.Message) ([]byte, error) { return encodeMode.Marshal(msg) }
-
-// Unmarshal implements drpc.Encoding.
-func (encoding) Unmarshal(buf []byte, msg drpc.Message) error { return cbor.Unmarshal(buf, msg) }
-
 type method func(stream drpc.Stream) error
 
 // Server answers the calls of peers.
--- a/internal/node/capeer/peer_test.go
+++ b/internal/node/capeer/peer_test.go
@@ -9,6 +9,8 @@
 	"crypto/x509"
 	"math/big"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +141,38 @@
 		t.Error("a server whose certificate names another host was trusted")
 	}
 }
+
+// countedConn counts the bytes that are written.
+type countedConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func TestLongMessagesAreCompressed(t *testing.T) {
+	address := serve(t, nil)
+	var written atomic.Int64
+	client := capeer.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := capeer.DialTCP(ctx, address)
+		return countedConn{conn, &written}, err
+	}, nil)
+	defer func() { _ = client.Close() }()
+	for _, size := range []int{0, 100, 1000, 1024, 2000, 300_000} {
+		text := strings.Repeat("0123456789", size/10)
+		before := written.Load()
+		got, err := capeer.Call[message, message](t.Context(), client, address, "echo", message{Text: text})
+		if err != nil {
+			t.Fatalf("Call with %d bytes: %v", size, err)
+		}
+		if diff := cmp.Diff(text, got.Text); diff != "" {
+			t.Errorf("answer mismatch (-want +got):\n%s", diff)
+		}
+		if sent := written.Load() - before; size > 2000 && sent > int64(size)/10 {
+			t.Errorf("%d bytes were sent for a message of %d", sent, size)
+		}
+	}
+}
