--- a/internal/coord/calog/survey_test.go
+++ b/internal/coord/calog/survey_test.go
@@ -49,7 +49,12 @@
 		batches = append(batches, []Entry{e})
 	}
 	for range rapid.IntRange(0, 40).Draw(t, "steps") {
-		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		switch rapid.IntRange(0, 10).Draw(t, "step") {
+		case 10:
+			base := max(0, view-rapid.Int64Range(0, 1).Draw(t, "stale"))
+			body := fmt.Appendf(nil, "elected %d, %d", base, sequence)
+			batches = append(batches, []Entry{{Type: EntryElected, Shard: shard, Index: base, View: base + 2, Body: body}})
+			view += rapid.Int64Range(0, 2).Draw(t, "led")
 		case 0:
 			view++
 			sequence = 0
@@ -108,6 +113,40 @@
 	})
 }
 
+// TestFirstProposalForAViewWins covers entries that stand for election at once,
+// one of them with an old view, and the lead that follows.
+func TestFirstProposalForAViewWins(t *testing.T) {
+	l := &memoryLog{maxAnswer: maxPage}
+	var encoder Encoder
+	var got []Lead
+	for _, e := range []Entry{
+		{Type: EntryView, View: 3, Body: []byte("v3")},
+		{Type: EntryElected, Index: 2, View: 102, Body: []byte("stale")},
+		{Type: EntryElected, Index: 3, View: 103, Body: []byte("first")},
+		{Type: EntryElected, Index: 3, View: 103, Body: []byte("second")},
+		{Type: EntryView, View: 4, Body: []byte("late")},
+		{Type: EntryView, View: 103, Body: []byte("leads")},
+	} {
+		e.Shard = "s"
+		body, err := encoder.Encode([]Entry{e})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.payloads = append(l.payloads, body)
+		traces, err := Survey(context.Background(), l, "shards")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, traces[0].Lead)
+	}
+	elected := Lead{View: 103, ViewBody: []byte("first"), Elected: true, FormerBody: []byte("v3")}
+	v3 := Lead{View: 3, ViewBody: []byte("v3")}
+	want := []Lead{v3, v3, elected, elected, elected, {View: 103, ViewBody: []byte("leads")}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("leads after each entry (-want +got):\n%s", diff)
+	}
+}
+
 func TestReadShardsStartsAtTheSnapshot(t *testing.T) {
 	var encoder Encoder
 	l := &memoryLog{maxAnswer: maxPage}
--- a/internal/coord/calog/writer_test.go
+++ b/internal/coord/calog/writer_test.go
@@ -199,7 +199,7 @@
 		}
 	}
 	got, _ := f.Image("s")
-	want := Image{Shard: "s", View: 6, ViewBody: []byte("v6"), Base: 5, State: []byte("12345"), Records: [][]byte{[]byte("6")}}
+	want := Image{Shard: "s", Lead: Lead{View: 6, ViewBody: []byte("v6")}, Base: 5, State: []byte("12345"), Records: [][]byte{[]byte("6")}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("image (-want +got):\n%s", diff)
 	}
--- a/internal/coord/camember/member.go
+++ b/internal/coord/camember/member.go
@@ -117,7 +117,9 @@
 	LargestHole    cawork.Resources
 	QueueLength    int
 	OwnedUpstreams int
-	Shards         []LedShard
+	// FreeSlots is the number of slots that the entry would lend.
+	FreeSlots int
+	Shards    []LedShard
 	// Unreachable lists the upstreams that the entry cannot reach and leaves
 	// to others.
 	Unreachable []cawork.UpstreamID
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -70,7 +70,8 @@
 		s.expiry[j.ID] = s.deadlines.Push(j, caqueue.Key{}, j.Accepted.Add(j.Spec.Deadline))
 	}
 	if j.Spec.Urgent {
-		s.team(j.Team).nextRelief = time.Time{}
+		t := s.team(j.Team)
+		t.nextRelief, t.nextUrgent = time.Time{}, time.Time{}
 	}
 	s.refreshEntry(j)
 }
@@ -81,9 +82,17 @@
 	switch startable := j.Startable(); {
 	case startable && j.Entry == nil:
 		j.Entry = t.queue.Push(j, caqueue.KeyOf(j.Spec), s.policy.Due(j.Job, s.runTime(j)))
+		t.countUrgent(j, 1)
 	case !startable && j.Entry != nil:
 		t.queue.Remove(j.Entry)
 		j.Entry = nil
+		t.countUrgent(j, -1)
+	}
+}
+
+func (t *team) countUrgent(j *caledger.Job, n int) {
+	if j.Spec.Urgent {
+		t.urgent += n
 	}
 }
 
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -15,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/calog"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -44,6 +45,19 @@
 	MayAct(s cawork.ShardID) (int64, bool)
 	Statuses() []cashard.Status
 	Rebuild(ctx context.Context, image cashard.Image, isGone func(cashard.Member) bool) error
+	HandleStanding(ctx context.Context, s cawork.ShardID) (cashard.Standing, error)
+	Halt(ctx context.Context, next cashard.View, isLost func(cawork.UpstreamID) bool) error
+	Succeed(ctx context.Context, next cashard.View, image cashard.Image, mark []byte) error
+}
+
+// Peers asks other entries how a shard stands there.
+type Peers interface {
+	Standing(ctx context.Context, to cawork.VMID, s cawork.ShardID) (cashard.Standing, error)
+}
+
+// Witnesses reads the registers of upstreams.
+type Witnesses interface {
+	ReadRegister(ctx context.Context, u cawork.UpstreamID, name string) (caplatform.Register, error)
 }
 
 // Directory tells what is known of entries and upstreams.
@@ -52,27 +66,30 @@
 	Leader(s cawork.ShardID) (cawork.VMID, bool)
 	// IsFirstOfZone reports whether no live entry of the zone has a lower id.
 	IsFirstOfZone() bool
-	// HasLeaderless reports whether a shard of an ended entry has no leader.
-	HasLeaderless() bool
+	// ZoneLives returns the lives of the entries of the zone that run, ordered.
+	ZoneLives() []cashard.Member
 	// HasEnded reports whether a life of an entry is known to be over.
 	HasEnded(vm cawork.VMID, incarnation int64) bool
-}
-
-// Recoverer takes up a shard that was rebuilt.
-type Recoverer interface {
-	// ExpectRebuilt announces a shard of which attempts may be missing.
-	ExpectRebuilt(s cawork.ShardID)
+	// IsWitnessLost reports whether an upstream will never run again.
+	IsWitnessLost(u cawork.UpstreamID) bool
+	// RunningEntries returns the other entries that are not known to have ended.
+	RunningEntries() []cawork.VMID
+	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
+	ZoneUpstreams() []caplatform.VM
+	// ShardZone returns the zone of the entry that founded a shard.
+	ShardZone(s cawork.ShardID) (cawork.ZoneName, bool)
 }
 
 // Config wires a part.
 type Config struct {
-	Self      cawork.VMID
+	Self      cashard.Member
 	Zone      cawork.ZoneName
 	Life      string
 	Log       caplatform.Log
 	Shards    Shards
 	Directory Directory
-	Recoverer Recoverer
+	Peers     Peers
+	Witnesses Witnesses
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
@@ -83,15 +100,28 @@
 	Config
 	writer *calog.Writer
 	done   chan struct{}
-	looked atomic.Bool
+	// looked holds the lives of the zone at the last look that left no shard
+	// open. A shard is lost only when a life ends.
+	looked atomic.Pointer[[]cashard.Member]
+	// seen holds the lives of the zone at the last look of any kind.
+	seen []cashard.Member
 	// resting is the time before which the log is not read again.
 	resting time.Time
 	pause   *backoff.ExponentialBackOff
+	// proposals counts the own proposals of successors of lost views, proposed
+	// holds the last one of each shard.
+	proposals int64
+	proposed  map[cawork.ShardID]cashard.View
+	// succeeded holds the numbers of the elected views that were led here.
+	succeeded map[cawork.ShardID]int64
 }
 
 // NewPart returns a part that runs once Run is called.
 func NewPart(c Config) (*Part, error) {
-	p := &Part{Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff()}
+	p := &Part{
+		Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff(),
+		proposed: make(map[cawork.ShardID]cashard.View), succeeded: make(map[cawork.ShardID]int64),
+	}
 	p.pause.InitialInterval, p.pause.MaxInterval = lookPeriod, maxLookPause
 	options := calog.DefaultOptions()
 	options.Period = appendPeriod
@@ -125,7 +155,16 @@
 
 // MayLack reports whether this entry has yet to look for lost shards of its
 // zone, so that a job that nobody knows may still turn up.
-func (p *Part) MayLack() bool { return !p.looked.Load() && p.Directory.IsFirstOfZone() }
+func (p *Part) MayLack() bool {
+	return p.Directory.IsFirstOfZone() && !p.hasLooked(p.Directory.ZoneLives())
+}
+
+// hasLooked reports whether no life of the zone has begun or ended since the
+// last look that left no shard open.
+func (p *Part) hasLooked(lives []cashard.Member) bool {
+	looked := p.looked.Load()
+	return looked != nil && slices.Equal(*looked, lives)
+}
 
 // Committed archives a record that took effect.
 func (p *Part) Committed(s cawork.ShardID, index int64, record []byte) {
@@ -166,51 +205,69 @@
 	}, true
 }
 
-// look rebuilds lost shards. The first entry of a zone does so when it notices
-// a shard without a leader, and once after its start, because it cannot know
-// of shards that were lost before.
+// look rebuilds lost shards. The first entry of a zone does so after each change
+// of the lives in the zone: a new life of an entry knows nothing of the shards
+// that the former one held.
 func (p *Part) look(ctx context.Context, settled bool) {
-	noticed := p.Directory.HasLeaderless()
-	if !settled || p.Timer.Now().Before(p.resting) || !p.Directory.IsFirstOfZone() || (p.looked.Load() && !noticed) {
+	lives := p.Directory.ZoneLives()
+	stuck := p.stuck()
+	first := p.Directory.IsFirstOfZone() && !p.hasLooked(lives)
+	if !settled || !first && len(stuck) == 0 {
+		return
+	}
+	if !slices.Equal(p.seen, lives) {
+		p.seen, p.resting = lives, time.Time{}
+		p.pause.Reset()
+	}
+	if p.Timer.Now().Before(p.resting) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	lost, err := p.lostShards(ctx)
+	fold, err := p.readLost(ctx, stuck)
 	if err != nil {
 		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 		return
 	}
+	complete := p.succeedAll(ctx, stuck, fold)
+	if first {
+		complete = p.rebuildAll(ctx, fold) && complete
+	}
+	switch {
+	case !complete:
+		p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+	case first:
+		p.looked.Store(&lives)
+	}
+}
+
+// rebuildAll rebuilds the shards of the zone that nobody leads. It reports
+// whether none is left.
+func (p *Part) rebuildAll(ctx context.Context, fold *calog.Fold) bool {
 	complete := true
-	for _, image := range lost {
+	for _, image := range fold.Images() {
 		complete = p.rebuild(ctx, image) && complete
 	}
-	p.looked.Store(complete)
-	if complete {
-		p.pause.Reset()
-		return
-	}
-	p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+	return complete
 }
 
-// lostShards returns the images of the shards of the zone that nobody leads.
-// It reads the whole topic for their traces, and again from their snapshots on
-// only if there are any.
-func (p *Part) lostShards(ctx context.Context) ([]calog.Image, error) {
+// readLost returns the images of the shards of the zone that nobody leads, and
+// of those whose replicas here cannot go on. It reads the whole topic for their
+// traces, and again from their snapshots on only if there are any.
+func (p *Part) readLost(ctx context.Context, stuck []cashard.Status) (*calog.Fold, error) {
 	traces, err := calog.Survey(ctx, p.Log, topic)
 	if err != nil {
 		return nil, err
 	}
-	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool { return !p.isLost(t) })
-	fold, err := calog.ReadShards(ctx, p.Log, topic, lost)
-	if err != nil {
-		return nil, err
-	}
-	return fold.Images(), nil
+	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool {
+		isStuck := slices.ContainsFunc(stuck, func(s cashard.Status) bool { return s.Shard == t.Shard })
+		return !isStuck && !p.isLeaderless(t)
+	})
+	return calog.ReadShards(ctx, p.Log, topic, lost)
 }
 
-// isLost reports whether the shard is of the own zone and nobody leads it.
-func (p *Part) isLost(t calog.Trace) bool {
+// isLeaderless reports whether the shard is of the own zone and nobody leads it.
+func (p *Part) isLeaderless(t calog.Trace) bool {
 	view, err := cashard.DecodeView(t.ViewBody)
 	if err != nil || !p.isOurs(view) || p.isHeld(t.Shard) {
 		return false
@@ -229,28 +286,43 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
-	p.Recoverer.ExpectRebuilt(image.Shard)
+	if p.Directory.IsWitnessLost(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
+		return p.succeed(ctx, view, image)
+	}
+	// The mark makes every later primary take in what the log may lack.
+	mark, err := p.mark()
+	if err != nil {
+		return false
+	}
 	err = p.Shards.Rebuild(ctx, cashard.Image{
 		View:     view,
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
-		Records:  image.Records,
-	}, func(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) })
-	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(image.Shard)).Int64("view", view.Number).
-		Int64("index", image.Last()).AnErr("error", err).Send()
+		Records:  append(slices.Clone(image.Records), mark),
+	}, p.hasEnded)
+	p.logRebuilt(view, image.Last(), err)
 	return err == nil
 }
 
-// isOurs reports whether the shard is of the own zone: its witness is.
+func (p *Part) mark() ([]byte, error) {
+	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+}
+
+func (p *Part) logRebuilt(v cashard.View, last int64, err error) {
+	caevent.Info(p.Logger, caevent.ShardRebuilt).Str("shard", string(v.Shard)).Int64("view", v.Number).
+		Int64("index", last).AnErr("error", err).Send()
+}
+
+func (p *Part) hasEnded(m cashard.Member) bool { return p.Directory.HasEnded(m.VM, m.Incarnation) }
+
+// isOurs reports whether the shard is of the own zone.
 func (p *Part) isOurs(v cashard.View) bool {
-	vm, ok := p.Directory.Upstream(v.Witness)
-	return ok && vm.Zone == p.Zone
+	if vm, ok := p.Directory.Upstream(v.Witness); ok {
+		return vm.Zone == p.Zone
+	}
+	zone, ok := p.Directory.ShardZone(v.Shard)
+	return ok && zone == p.Zone
 }
 
 func (p *Part) isHeld(s cawork.ShardID) bool {
-	for _, status := range p.Shards.Statuses() {
-		if status.Shard == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.Shards.Statuses(), func(status cashard.Status) bool { return status.Shard == s })
 }
--- a/internal/node/cademo/demo_test.go
+++ b/internal/node/cademo/demo_test.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -33,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	demo, err := cademo.NewDemo(ctx, cademo.Options{
 		API: "127.0.0.1:0", Upstreams: 4,
-		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: catimer.NewService()},
+		Around: caentry.Surroundings{Logger: zerolog.Nop(), Scope: tally.NoopScope, Metrics: promhttp.HandlerFor(prometheus.NewRegistry(), promhttp.HandlerOpts{}), Timer: catimer.NewService()},
 	})
 	if err != nil {
 		t.Fatalf("NewDemo: %v", err)
@@ -111,6 +114,29 @@
 	}
 }
 
+func TestOnlyOperatorsSeeStatusAndMetrics(t *testing.T) {
+	demo, _ := startDemo(t)
+	got := map[string]int{}
+	for _, address := range []string{demo.APIAddress(), demo.OperatorsAddress()} {
+		for _, path := range []string{caapi.PathStatus, caapi.PathMetrics} {
+			answer, err := http.Get("http://" + address + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = answer.Body.Close()
+			name := strings.Replace(address, demo.APIAddress(), "callers", 1)
+			got[strings.Replace(name, demo.OperatorsAddress(), "operators", 1)+path] = answer.StatusCode
+		}
+	}
+	want := map[string]int{
+		"callers/v1/status": http.StatusNotFound, "callers/metrics": http.StatusNotFound,
+		"operators/v1/status": http.StatusOK, "operators/metrics": http.StatusOK,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("status codes (-want +got):\n%s", diff)
+	}
+}
+
 func TestSameIdempotencyKeyIsOneJob(t *testing.T) {
 	demo, _ := startDemo(t)
 	client := clientOf(demo, demo.Key())
@@ -125,6 +151,13 @@
 	if diff := cmp.Diff(first, second); diff != "" {
 		t.Errorf("job mismatch (-first +second):\n%s", diff)
 	}
+	if _, err := client.Get(context.Background(), first, patience); err != nil {
+		t.Fatalf("Get: %v", err)
+	}
+	_, err = client.Submit(context.Background(), submission(`{"run_ms": 1}`, small()), "report-7")
+	if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
+		t.Errorf("kind of the error for a different job after the first has ended (-want +got):\n%s", diff)
+	}
 }
 
 func TestJobPastItsDeadlineTellsWhy(t *testing.T) {
@@ -133,9 +166,14 @@
 	request(t, client, "ready")
 	whole := cawork.Resources{CPU: cawork.Cores(4), Memory: cawork.GiB}
 	for range 4 {
-		if _, err := client.Submit(context.Background(), caapi.SubmitRequest{Kind: cawork.WorkKindService, Size: whole}, ""); err != nil {
+		id, err := client.Submit(context.Background(), caapi.SubmitRequest{Kind: cawork.WorkKindService, Size: whole}, "")
+		if err != nil {
 			t.Fatalf("Submit: %v", err)
 		}
+		eventually(t, "the service to run", func() bool {
+			job, err := client.Get(context.Background(), id, 0)
+			return err == nil && job.Tasks[0].Running
+		})
 	}
 	late := caapi.SubmitRequest{Kind: cawork.WorkKindBatch, Size: whole, Deadline: caapi.Duration(time.Second)}
 	id, err := client.Submit(context.Background(), late, "")
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -41,6 +41,7 @@
 func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, *caroute.Route, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.maxAttempts = d.policy.MaxAttempts
 	now := d.config.Timer.Now()
 	ask := caroute.Ask{Idempotent: c.idempotent, Deadline: c.deadline, Exclude: c.tried}
 	if c.attempts > 0 {
@@ -80,11 +81,8 @@
 }
 
 func (d *Dispatcher) admit(now time.Time, t *caadmit.Ticket) error {
-	slots := d.router.Slots(now)
-	if slots == 0 {
-		if _, ok := d.lender(now); !ok || d.config.Lender == nil {
-			return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
-		}
+	if !d.router.CanStart(now) && !d.mayBorrow(now) {
+		return cakind.New(cakind.KindUnavailable, "no upstream can be reached")
 	}
 	if err := d.queues.Admit(now, t, d.capacity(now)); err != nil {
 		return err
