Work that is predicted to start too late is refused at once

Cause: a job with a deadline that its queue could not meet waited until the deadline and then ended as deadline_before_start; the caller learnt late. The retry-after of an overloaded queue also was not true: the interval between starts began at zero, counted a gang as one start, and included the time without any queue.

Change: the interval is per task, counts only while tasks are queued, and takes the running interval in. From 16 intervals on, a job that is not urgent is refused as overloaded (not_run) when the tasks of the kind that are due before it make its predicted wait longer than its deadline or than KindPolicy.WaitBound, with the difference as retry-after.

The walk over the queue is checked against a filter of all entries.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -335,8 +335,8 @@
 	if !t.Use.Fits(t.Allowance) {
 		s.violated(casched.InvariantWithinAllowance, "team %s has %v of %v", t.Name, t.Use, t.Allowance)
 	}
-	t.queued[j.Spec.Kind] -= n
-	t.pace[j.Spec.Kind].note(now)
+	t.pace[j.Spec.Kind].note(n, now)
+	t.dequeued(j.Spec.Kind, n)
 	t.leftSince = time.Time{}
 	j.ReservedAt = time.Time{}
 	s.dropDeadline(j)
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -281,6 +281,40 @@
 	c.submit("b", "north", batch(2, 8))
 }
 
+func TestJobThatWouldStartTooLateIsRefusedAtOnce(t *testing.T) {
+	p := casched.DefaultPolicy()
+	kp := p.Kind(cawork.WorkKindBatch)
+	kp.Aging = time.Second
+	c := newScene(t, p.WithKind(cawork.WorkKindBatch, kp), 1)
+	c.submit("queue", "north", batch(120, 8))
+	for i := range 20 {
+		c.after(0)
+		c.now = c.now.Add(2 * time.Second)
+		c.end(cawork.TaskRef{Job: "queue", Index: i}, cawork.TaskStateDone)
+	}
+	c.after(0)
+	late := batch(1, 8)
+	late.RunTime = time.Second
+	late.Deadline = 180 * time.Second
+	err := c.s.Submit(c.job("late", "north", late), c.now)
+	got := []any{cakind.Of(err), cakind.RetryAfterOf(err)}
+	if diff := cmp.Diff([]any{cakind.KindOverloaded, 18 * time.Second}, got); diff != "" {
+		t.Errorf("refusal mismatch (-want +got):\n%s", diff)
+	}
+	c.submit("elsewhere", "east", late)
+	urgent := late
+	urgent.Urgent = true
+	c.submit("urgent", "north", urgent)
+	late.Deadline = 200 * time.Second
+	c.submit("in_time", "north", late)
+	kp.WaitBound = time.Minute
+	c.s.SetPolicy(p.WithKind(cawork.WorkKindBatch, kp), c.now)
+	err = c.s.Submit(c.job("bound", "north", batch(1, 8)), c.now)
+	if diff := cmp.Diff(cakind.KindOverloaded, cakind.Of(err)); diff != "" {
+		t.Errorf("kind mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestNeverFitsTellsTheLargest(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 1)
 	err := c.s.Submit(c.job("huge", "north", batch(1, 9)), c.now)
--- a/internal/core/cadecide/submit.go
+++ b/internal/core/cadecide/submit.go
@@ -11,26 +11,6 @@
 	"celeryarch.example/celeryarch/internal/core/casched"
 )
 
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = time.Minute
-	// paceWeight is the weight of the latest interval between two starts.
-	paceWeight = 1.0 / 16
-)
-
-// pace follows the interval between starts of a team and kind.
-type pace struct {
-	last     time.Time
-	interval time.Duration
-}
-
-func (p *pace) note(now time.Time) {
-	if !p.last.IsZero() {
-		p.interval += time.Duration(paceWeight * float64(now.Sub(p.last)-p.interval))
-	}
-	p.last = now
-}
-
 // Submit implements casched.Scheduler.
 func (s *Scheduler) Submit(j cawork.Job, now time.Time) error {
 	if err := casched.Validate(j); err != nil {
@@ -50,19 +30,15 @@
 	if length > bound {
 		return cakind.New(cakind.KindOverloaded, "%d tasks of kind %v of team %s are queued, allowed are %d",
 			t.queued[j.Spec.Kind], j.Spec.Kind, j.Team, bound).
-			WithRetryAfter(t.retryAfter(j.Spec.Kind, length-bound))
+			WithRetryAfter(retryAfter(t.wait(j.Spec.Kind, length-bound, now)))
+	}
+	if err := s.startsTooLate(t, j, now); err != nil {
+		return err
 	}
 	s.enqueue(s.ledger.Add(j))
 	return nil
 }
 
-// retryAfter returns the time in which the team is expected to start the number
-// of tasks.
-func (t *team) retryAfter(k cawork.WorkKind, tasks int) time.Duration {
-	wait := time.Duration(tasks) * t.pace[k].interval
-	return min(max(wait, minRetryAfter), maxRetryAfter)
-}
-
 // enqueue puts a new job into the accounts and the queue.
 func (s *Scheduler) enqueue(j *caledger.Job) {
 	s.team(j.Team).queued[j.Spec.Kind] += j.Queued()
@@ -188,7 +164,7 @@
 func (s *Scheduler) dropQueued(j *caledger.Job, o cawork.Outcome) int {
 	n := j.DropQueued(o)
 	j.Ending = true
-	s.team(j.Team).queued[j.Spec.Kind] -= n
+	s.team(j.Team).dequeued(j.Spec.Kind, n)
 	s.refreshEntry(j)
 	s.dropDeadline(j)
 	s.dropClaimOf(j)
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -298,6 +298,28 @@
 	return true
 }
 
+// EachBefore calls the function for the entries of the kind that are due before
+// the time, in no order, until it returns false.
+func (q *Queue[T]) EachBefore(k cawork.WorkKind, due time.Time, f func(T) bool) {
+	for _, c := range q.classes {
+		if c.Key.Kind == k && !c.eachBefore(0, due, f) {
+			return
+		}
+	}
+}
+
+// eachBefore walks over the part of the heap below the entry. An entry is due
+// no earlier than its parent.
+func (c *Class[T]) eachBefore(i int, due time.Time, f func(T) bool) bool {
+	if i >= len(c.heap) || !c.heap[i].due.Before(due) {
+		return true
+	}
+	if e := c.heap[i]; !e.dead && !f(e.Value) {
+		return false
+	}
+	return c.eachBefore(2*i+1, due, f) && c.eachBefore(2*i+2, due, f)
+}
+
 // Less reports whether the entry goes before the other.
 func (e *Entry[T]) Less(o *Entry[T]) bool {
 	if c := e.due.Compare(o.due); c != 0 {
--- a/internal/core/caqueue/queue_test.go
+++ b/internal/core/caqueue/queue_test.go
@@ -43,6 +43,16 @@
 			if diff := cmp.Diff(slices.Min(left), classes[0].Head().Value); diff != "" {
 				t.Fatalf("head mismatch (-want +got):\n%s", diff)
 			}
+			limit := rapid.IntRange(0, 1e6).Draw(t, "limit")
+			var before []int
+			q.EachBefore(0, start.Add(time.Duration(limit)), func(due int) bool {
+				before = append(before, due)
+				return true
+			})
+			want := slices.DeleteFunc(slices.Clone(left), func(due int) bool { return due >= limit })
+			if diff := cmp.Diff(slices.Sorted(slices.Values(want)), slices.Sorted(slices.Values(before))); diff != "" {
+				t.Fatalf("entries before the limit mismatch (-want +got):\n%s", diff)
+			}
 		}
 	})
 }
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -49,6 +49,9 @@
 	QueueBound int
 	// UrgentHeadroom is how many urgent tasks may queue beyond QueueBound.
 	UrgentHeadroom int
+	// WaitBound is the longest predicted wait with which a job that is not urgent
+	// is queued. Zero sets no bound but the deadline of the job.
+	WaitBound time.Duration
 	// MaxAttempts bounds the attempts of a task that keeps failing.
 	MaxAttempts int
 	// Aging is the time after which a queued job goes before newly accepted
