Refusal by a predicted wait is a choice of the policy

Cause: the prediction is weak. Jobs that fit into holes overtake the jobs that are due before them, which the count of tasks ahead does not know.

Change: KindPolicy.RefuseLate turns it on, and it is off by default, like WaitBound.

--- a/internal/core/cadecide/pace.go
+++ b/internal/core/cadecide/pace.go
@@ -66,15 +66,16 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// startsTooLate refuses a job whose predicted wait is beyond its deadline or the
-// bound of the policy. It tells when the queue is expected to be short enough.
+// startsTooLate refuses a job whose predicted wait is beyond what the policy
+// allows. It tells when the queue is expected to be short enough.
 //
 // Example: a team starts a batch task each 2 s and 100 of them are due before
 // the new job. With a deadline of 3 min the job is refused for 20 s.
 func (s *Scheduler) startsTooLate(t *team, j cawork.Job, now time.Time) error {
 	p := &t.pace[j.Spec.Kind]
-	bound := s.policy.Kind(j.Spec.Kind).WaitBound
-	if j.Spec.Deadline > 0 {
+	policy := s.policy.Kind(j.Spec.Kind)
+	bound := policy.WaitBound
+	if policy.RefuseLate && j.Spec.Deadline > 0 {
 		left := j.Accepted.Add(j.Spec.Deadline).Sub(now)
 		if bound == 0 || left < bound {
 			bound = left
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -50,8 +50,10 @@
 	// UrgentHeadroom is how many urgent tasks may queue beyond QueueBound.
 	UrgentHeadroom int
 	// WaitBound is the longest predicted wait with which a job that is not urgent
-	// is queued. Zero sets no bound but the deadline of the job.
+	// is queued. Zero sets no bound.
 	WaitBound time.Duration
+	// RefuseLate bounds the predicted wait by the deadline of the job too.
+	RefuseLate bool
 	// MaxAttempts bounds the attempts of a task that keeps failing.
 	MaxAttempts int
 	// Aging is the time after which a queued job goes before newly accepted
