--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -37,6 +37,9 @@
 	callHandover      = "job.hand_over"
 	callAsk           = "allowance.ask"
 	callTransfer      = "allowance.transfer"
+	callHeldShards    = "shard.held"
+	callSettle        = "shard.settle"
+	callClose         = "allowance.close"
 	callSettled       = "allowance.settled"
 )
 
