A copy of a retired shard holds up no settlement of a rebuilt one

A rebuilt shard is settled with all shards that any entry holds, and nobody leads a retired one, so that the shard of e12 never started anything again. The launcher had no fault, nor had the decision core, whose timing brought it out. Change: shards that the log tells as retired are left out; the archive does not try to lead its copy of one either.

--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -115,6 +115,8 @@
 	proposed  map[cawork.ShardID]cashard.View
 	// succeeded holds the numbers of the elected views that were led here.
 	succeeded map[cawork.ShardID]int64
+	// over holds the shards with a replica here that the log tells as retired.
+	over map[cawork.ShardID]bool
 }
 
 // NewPart returns a part that runs once Run is called.
@@ -122,6 +124,7 @@
 	p := &Part{
 		Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff(),
 		proposed: make(map[cawork.ShardID]cashard.View), succeeded: make(map[cawork.ShardID]int64),
+		over: make(map[cawork.ShardID]bool),
 	}
 	p.pause.InitialInterval, p.pause.MaxInterval = lookPeriod, maxLookPause
 	options := calog.DefaultOptions()
@@ -260,6 +263,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.noteOver(ctx, stuck, traces); err != nil {
+		return nil, err
+	}
 	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool {
 		isStuck := slices.ContainsFunc(stuck, func(s cashard.Status) bool { return s.Shard == t.Shard })
 		return !isStuck && !p.isLeaderless(t)
@@ -267,6 +273,24 @@
 	return calog.ReadShards(ctx, p.Log, topic, lost)
 }
 
+// noteOver notes which of the replicas that cannot go on are of retired shards.
+// The end of a shard is not told to a replica that the last leader did not know.
+func (p *Part) noteOver(ctx context.Context, stuck []cashard.Status, traces []calog.Trace) error {
+	kept := shardsOf(traces)
+	missing := slices.DeleteFunc(slices.Clone(stuck), func(s cashard.Status) bool { return slices.Contains(kept, s.Shard) })
+	if len(missing) == 0 {
+		return nil
+	}
+	retired, err := p.RetiredShards(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range missing {
+		p.over[s.Shard] = slices.Contains(retired, s.Shard)
+	}
+	return nil
+}
+
 // isLeaderless reports whether the shard is of the own zone and nobody leads it.
 func (p *Part) isLeaderless(t calog.Trace) bool {
 	view, err := cashard.DecodeView(t.ViewBody)
--- a/internal/node/caarchive/partners.go
+++ b/internal/node/caarchive/partners.go
@@ -13,11 +13,22 @@
 // retired.
 func (p *Part) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
 	traces, err := calog.Survey(ctx, p.Log, topic)
+	return shardsOf(traces), err
+}
+
+// RetiredShards implements caquota.Archive: the shards of the log that are
+// retired, which nobody leads ever again.
+func (p *Part) RetiredShards(ctx context.Context) ([]cawork.ShardID, error) {
+	traces, err := calog.SurveyRetired(ctx, p.Log, topic)
+	return shardsOf(traces), err
+}
+
+func shardsOf(traces []calog.Trace) []cawork.ShardID {
 	var shards []cawork.ShardID
 	for _, t := range traces {
 		shards = append(shards, t.Shard)
 	}
-	return shards, err
+	return shards
 }
 
 // RetiredDealings implements caquota.Archive: what the retired shards of the log
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -22,7 +22,7 @@
 	var stuck []cashard.Status
 	for _, s := range p.Shards.Statuses() {
 		waits := s.Primary && !s.MayAct || !s.Primary && p.hasEnded(s.View.Primary)
-		if waits && slices.ContainsFunc(s.Witnesses, p.isLost) {
+		if waits && !p.over[s.Shard] && slices.ContainsFunc(s.Witnesses, p.isLost) {
 			stuck = append(stuck, s)
 		}
 	}
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -370,6 +370,11 @@
 	return a.entry.archive.LoggedShards(ctx)
 }
 
+// RetiredShards implements caquota.Archive.
+func (a lateParts) RetiredShards(ctx context.Context) ([]cawork.ShardID, error) {
+	return a.entry.archive.RetiredShards(ctx)
+}
+
 // RetiredDealings implements caquota.Archive.
 func (a lateParts) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
 	return a.entry.archive.RetiredDealings(ctx, with)
--- a/internal/node/caquota/settle.go
+++ b/internal/node/caquota/settle.go
@@ -23,6 +23,8 @@
 type Archive interface {
 	// LoggedShards returns the shards that are not retired.
 	LoggedShards(ctx context.Context) ([]cawork.ShardID, error)
+	// RetiredShards returns those that are, which nobody leads ever again.
+	RetiredShards(ctx context.Context) ([]cawork.ShardID, error)
 	// RetiredDealings returns what the retired ones had to do with a shard.
 	RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error)
 }
@@ -55,8 +57,9 @@
 	}
 }
 
-// allShards returns all shards that any entry holds or the log tells of. It
-// fails unless every entry that may run has answered.
+// allShards returns all shards that any entry holds or the log tells of, but
+// for the retired ones: an entry may have missed the end of a shard and hold a
+// copy of it for ever. It fails unless every entry that may run has answered.
 func (p *Part) allShards(ctx context.Context) ([]cawork.ShardID, error) {
 	shards, err := p.Archive.LoggedShards(ctx)
 	if err != nil {
@@ -71,6 +74,11 @@
 	}
 	held, _ := p.HandleHeldShards(ctx, struct{}{})
 	shards = append(shards, held.Shards...)
+	retired, err := p.Archive.RetiredShards(ctx)
+	if err != nil {
+		return nil, err
+	}
+	shards = slices.DeleteFunc(shards, func(s cawork.ShardID) bool { return slices.Contains(retired, s) })
 	slices.Sort(shards)
 	return slices.Compact(shards), nil
 }
