--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -39,7 +39,7 @@
 
 const (
 	// version is what --version prints.
-	version = "0.1.0"
+	version = "0.2.0"
 	// reportPeriod is the time between two reports of metrics.
 	reportPeriod = time.Second
 	// platformTimeout bounds a call of a command to the platform.
