The command line also repeats a submission that is known not to have started

Change: not_started with a time to wait is repeated as unavailable is. Before: the new case of TestClientCommands failed; after: it passes.

--- a/internal/cli/caclient/submit.go
+++ b/internal/cli/caclient/submit.go
@@ -29,7 +29,7 @@
 				return id, backoff.Permanent(err)
 			}
 			return id, err
-		case cakind.KindUnavailable, cakind.KindDraining:
+		case cakind.KindUnavailable, cakind.KindDraining, cakind.KindNotStarted:
 			if cakind.RetryAfterOf(err) > 0 {
 				return id, err
 			}
--- a/internal/cli/cacommand/command_test.go
+++ b/internal/cli/cacommand/command_test.go
@@ -223,6 +223,10 @@
 			w.Header().Set("Retry-After", "1")
 			refuse(w, cakind.KindUnavailable, "the key cannot be checked")
 			return
+		case 3:
+			w.Header().Set("Retry-After", "1")
+			refuse(w, cakind.KindNotStarted, "the shard may not act yet")
+			return
 		}
 		want := `{"kind":"batch","tasks":2,"size":{"cpu_milli":500,"memory_bytes":268435456,"accelerators":0},"run_time":"30s","payload":{"run_ms":1}}`
 		if diff := cmp.Diff(want, string(body)); diff != "" || r.Header.Get("Idempotency-Key") != "once" {
