One way to ask the leader of a shard, one read of the log for both kinds of shards

Change: askLeader; calog.SurveyAll, from which LoggedShards and readLost tell retired shards; caclient.repeat. A shard that retires after that one read holds the settlement up for a round, as the next round reads again. Left, as the types belong to different layers: Placement of cacell and caroute.

--- a/internal/cli/caclient/await.go
+++ b/internal/cli/caclient/await.go
@@ -45,15 +45,21 @@
 		}
 		return last, nil
 	}
-	pause := backoff.NewExponentialBackOff()
-	pause.MaxInterval = longestPause
-	_, _ = backoff.Retry(ctx, look, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(wait))
+	_, _ = repeat(ctx, look, wait)
 	if last.JobID != "" {
 		return last, nil
 	}
 	return last, failed
 }
 
+// repeat calls up to the time, with growing pauses, until there is no error or
+// a permanent one.
+func repeat[T any](ctx context.Context, call backoff.Operation[T], within time.Duration) (T, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.MaxInterval = longestPause
+	return backoff.Retry(ctx, call, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(within))
+}
+
 // retryable marks errors that a further look at a job cannot mend.
 func retryable(err error) error {
 	switch cakind.Of(err) {
--- a/internal/cli/caclient/submit.go
+++ b/internal/cli/caclient/submit.go
@@ -39,8 +39,6 @@
 		}
 		return id, nil
 	}
-	pause := backoff.NewExponentialBackOff()
-	pause.MaxInterval = longestPause
-	id, _ := backoff.Retry(ctx, submit, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(within))
+	id, _ := repeat(ctx, submit, within)
 	return id, last
 }
--- a/internal/coord/calog/survey.go
+++ b/internal/coord/calog/survey.go
@@ -46,17 +46,18 @@
 // of the shards that are not retired, ordered by shard. Payloads of others are
 // skipped. It holds no records and no states.
 func Survey(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
-	traces, err := surveyAll(ctx, l, topic)
+	traces, err := SurveyAll(ctx, l, topic)
 	return slices.DeleteFunc(traces, func(t Trace) bool { return t.Retired }), err
 }
 
 // SurveyRetired returns the traces of the shards that are retired.
 func SurveyRetired(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
-	traces, err := surveyAll(ctx, l, topic)
+	traces, err := SurveyAll(ctx, l, topic)
 	return slices.DeleteFunc(traces, func(t Trace) bool { return !t.Retired }), err
 }
 
-func surveyAll(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
+// SurveyAll returns the traces of both in one read of the log.
+func SurveyAll(ctx context.Context, l caplatform.Log, topic string) ([]Trace, error) {
 	traces := map[cawork.ShardID]*Trace{}
 	err := readPages(ctx, l, topic, 0, func(at caplatform.Offset, e Entry) {
 		t, ok := traces[e.Shard]
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -259,36 +259,24 @@
 // of those whose replicas here cannot go on. It reads the whole topic for their
 // traces, and again from their snapshots on only if there are any.
 func (p *Part) readLost(ctx context.Context, stuck []cashard.Status) (*calog.Fold, error) {
-	traces, err := calog.Survey(ctx, p.Log, topic)
+	traces, err := calog.SurveyAll(ctx, p.Log, topic)
 	if err != nil {
 		return nil, err
 	}
-	if err := p.noteOver(ctx, stuck, traces); err != nil {
-		return nil, err
-	}
+	p.noteOver(stuck, traces)
 	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool {
 		isStuck := slices.ContainsFunc(stuck, func(s cashard.Status) bool { return s.Shard == t.Shard })
-		return !isStuck && !p.isLeaderless(t)
+		return t.Retired || !isStuck && !p.isLeaderless(t)
 	})
 	return calog.ReadShards(ctx, p.Log, topic, lost)
 }
 
 // noteOver notes which of the replicas that cannot go on are of retired shards.
 // The end of a shard is not told to a replica that the last leader did not know.
-func (p *Part) noteOver(ctx context.Context, stuck []cashard.Status, traces []calog.Trace) error {
-	kept := shardsOf(traces)
-	missing := slices.DeleteFunc(slices.Clone(stuck), func(s cashard.Status) bool { return slices.Contains(kept, s.Shard) })
-	if len(missing) == 0 {
-		return nil
-	}
-	retired, err := p.RetiredShards(ctx)
-	if err != nil {
-		return err
-	}
-	for _, s := range missing {
-		p.over[s.Shard] = slices.Contains(retired, s.Shard)
+func (p *Part) noteOver(stuck []cashard.Status, traces []calog.Trace) {
+	for _, s := range stuck {
+		p.over[s.Shard] = slices.ContainsFunc(traces, func(t calog.Trace) bool { return t.Shard == s.Shard && t.Retired })
 	}
-	return nil
 }
 
 // isLeaderless reports whether the shard is of the own zone and nobody leads it.
--- a/internal/node/caarchive/partners.go
+++ b/internal/node/caarchive/partners.go
@@ -9,26 +9,18 @@
 	"celeryarch.example/celeryarch/internal/coord/calog"
 )
 
-// LoggedShards implements caquota.Archive: the shards of the log that are not
-// retired.
-func (p *Part) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
-	traces, err := calog.Survey(ctx, p.Log, topic)
-	return shardsOf(traces), err
-}
-
-// RetiredShards implements caquota.Archive: the shards of the log that are
-// retired, which nobody leads ever again.
-func (p *Part) RetiredShards(ctx context.Context) ([]cawork.ShardID, error) {
-	traces, err := calog.SurveyRetired(ctx, p.Log, topic)
-	return shardsOf(traces), err
-}
-
-func shardsOf(traces []calog.Trace) []cawork.ShardID {
-	var shards []cawork.ShardID
+// LoggedShards implements caquota.Archive: the shards of the log, and which of
+// them are retired.
+func (p *Part) LoggedShards(ctx context.Context) (kept, retired []cawork.ShardID, err error) {
+	traces, err := calog.SurveyAll(ctx, p.Log, topic)
 	for _, t := range traces {
-		shards = append(shards, t.Shard)
+		if t.Retired {
+			retired = append(retired, t.Shard)
+			continue
+		}
+		kept = append(kept, t.Shard)
 	}
-	return shards
+	return kept, retired, err
 }
 
 // RetiredDealings implements caquota.Archive: what the retired shards of the log
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -366,15 +366,10 @@
 type lateParts struct{ entry *Entry }
 
 // LoggedShards implements caquota.Archive.
-func (a lateParts) LoggedShards(ctx context.Context) ([]cawork.ShardID, error) {
+func (a lateParts) LoggedShards(ctx context.Context) (kept, retired []cawork.ShardID, err error) {
 	return a.entry.archive.LoggedShards(ctx)
 }
 
-// RetiredShards implements caquota.Archive.
-func (a lateParts) RetiredShards(ctx context.Context) ([]cawork.ShardID, error) {
-	return a.entry.archive.RetiredShards(ctx)
-}
-
 // RetiredDealings implements caquota.Archive.
 func (a lateParts) RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error) {
 	return a.entry.archive.RetiredDealings(ctx, with)
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -134,7 +134,7 @@
 func (p *Part) ask(ctx context.Context, ask caescrow.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := p.askLeader(ctx, ask)
+	reply, err := askLeader(ctx, p, ask.To, ask, p.HandleAsk, p.Peers.Ask)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
@@ -145,17 +145,6 @@
 	}
 }
 
-func (p *Part) askLeader(ctx context.Context, ask caescrow.Ask) (AskReply, error) {
-	if p.leads(ask.To) {
-		return p.HandleAsk(ctx, ask)
-	}
-	leader, ok := p.Leaders.Leader(ask.To)
-	if !ok {
-		return AskReply{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", ask.To)
-	}
-	return p.Peers.Ask(ctx, leader, ask)
-}
-
 // HandleAsk gives what a led shard can spare. The giver is debited before the
 // transfer leaves.
 func (p *Part) HandleAsk(ctx context.Context, ask caescrow.Ask) (AskReply, error) {
--- a/internal/node/caquota/inherit.go
+++ b/internal/node/caquota/inherit.go
@@ -76,16 +76,7 @@
 }
 
 func (p *Part) askClosing(ctx context.Context, call CloseCall) (caescrow.Closing, error) {
-	if p.leads(call.Shard) {
-		return p.HandleClose(ctx, call)
-	}
-	leader, ok := p.Leaders.Leader(call.Shard)
-	if !ok {
-		return caescrow.Closing{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", call.Shard)
-	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	return p.Peers.Close(ctx, leader, call)
+	return askLeader(ctx, p, call.Shard, call, p.HandleClose, p.Peers.Close)
 }
 
 // HandleClose ends the dealings of a led shard with a lost one. A shard that was
--- a/internal/node/caquota/mint.go
+++ b/internal/node/caquota/mint.go
@@ -89,16 +89,7 @@
 }
 
 func (p *Part) askSettled(ctx context.Context, call SettledCall) (SettledReply, error) {
-	if p.leads(call.Shard) {
-		return p.HandleSettled(ctx, call)
-	}
-	leader, ok := p.Leaders.Leader(call.Shard)
-	if !ok {
-		return SettledReply{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", call.Shard)
-	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	return p.Peers.Settled(ctx, leader, call)
+	return askLeader(ctx, p, call.Shard, call, p.HandleSettled, p.Peers.Settled)
 }
 
 // HandleSettled answers for a shard that is led here. A shard that has minted
--- a/internal/node/caquota/settle.go
+++ b/internal/node/caquota/settle.go
@@ -21,10 +21,9 @@
 
 // Archive tells of the shards in the log.
 type Archive interface {
-	// LoggedShards returns the shards that are not retired.
-	LoggedShards(ctx context.Context) ([]cawork.ShardID, error)
-	// RetiredShards returns those that are, which nobody leads ever again.
-	RetiredShards(ctx context.Context) ([]cawork.ShardID, error)
+	// LoggedShards returns the shards that are not retired, and those that are,
+	// which nobody leads ever again.
+	LoggedShards(ctx context.Context) (kept, retired []cawork.ShardID, err error)
 	// RetiredDealings returns what the retired ones had to do with a shard.
 	RetiredDealings(ctx context.Context, with cawork.ShardID) ([]caescrow.Dealings, error)
 }
@@ -61,7 +60,7 @@
 // for the retired ones: an entry may have missed the end of a shard and hold a
 // copy of it for ever. It fails unless every entry that may run has answered.
 func (p *Part) allShards(ctx context.Context) ([]cawork.ShardID, error) {
-	shards, err := p.Archive.LoggedShards(ctx)
+	shards, retired, err := p.Archive.LoggedShards(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -74,10 +73,6 @@
 	}
 	held, _ := p.HandleHeldShards(ctx, struct{}{})
 	shards = append(shards, held.Shards...)
-	retired, err := p.Archive.RetiredShards(ctx)
-	if err != nil {
-		return nil, err
-	}
 	shards = slices.DeleteFunc(shards, func(s cawork.ShardID) bool { return slices.Contains(retired, s) })
 	slices.Sort(shards)
 	return slices.Compact(shards), nil
@@ -124,16 +119,7 @@
 }
 
 func (p *Part) askSettlement(ctx context.Context, call SettleCall) (cajob.PartnerSettled, error) {
-	if p.leads(call.Shard) {
-		return p.HandleSettle(ctx, call)
-	}
-	leader, ok := p.Leaders.Leader(call.Shard)
-	if !ok {
-		return cajob.PartnerSettled{}, cakind.New(cakind.KindUnavailable, "no entry leads shard %s", call.Shard)
-	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	return p.Peers.Settle(ctx, leader, call)
+	return askLeader(ctx, p, call.Shard, call, p.HandleSettle, p.Peers.Settle)
 }
 
 // HandleSettle refuses what a rebuilt shard sent before and tells it the rest.
