A late end of a former attempt frees nothing at the owner of an upstream

Ruled out: the reservation (released once, by its commit), a change of owner (e01 held epoch 3 throughout). Change: the launcher keeps the attempt that holds the room of each foreign task; an end, a failed start or a withdrawal of another attempt frees nothing.

--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -65,6 +65,7 @@
 func (l *Launcher) track(a *attempt) {
 	l.attempts[a.id] = a
 	l.byTask[a.task] = a
+	delete(l.foreign, a.task)
 }
 
 func (l *Launcher) forget(a *attempt) {
--- a/internal/node/calaunch/follow.go
+++ b/internal/node/calaunch/follow.go
@@ -36,8 +36,8 @@
 	tasks := l.table.Drop(u)
 	l.Scheduler.RemoveUpstream(u, l.now())
 	for _, s := range tasks {
-		if _, own := l.byTask[s.Task]; !own && s.State == cawork.TaskStateRunning {
-			l.Scheduler.Withdrawn(s.Task, l.now())
+		if s.State == cawork.TaskStateRunning {
+			l.withdrawForeign(s.Task, s.Attempt)
 		}
 	}
 }
@@ -82,6 +82,9 @@
 
 func (l *Launcher) adopt(u cawork.UpstreamID, s caplatform.TaskStatus) {
 	l.Scheduler.Adopt(s, u, l.now())
+	if _, tracked := l.attempts[s.Attempt]; !tracked {
+		l.foreign.put(s.Task, s.Attempt)
+	}
 	caevent.Info(l.Logger, caevent.TaskAdopted).Str("task", s.Task.String()).Str("attempt", string(s.Attempt)).
 		Str("upstream", string(u)).Str("shard", string(s.Shard)).Send()
 }
@@ -110,30 +113,6 @@
 	}
 }
 
-// foreignChanged keeps the account of an owned upstream when a task of another
-// entry changed.
-func (l *Launcher) foreignChanged(s caplatform.TaskStatus) {
-	if s.State == cawork.TaskStateRunning {
-		if !s.Used.IsZero() {
-			l.Scheduler.ReportUsage(s.Task, s.Used, l.now())
-		}
-		return
-	}
-	l.endForeign(s.Task, s)
-}
-
-// endForeign frees the room of a task of another entry that has ended.
-func (l *Launcher) endForeign(task cawork.TaskRef, s caplatform.TaskStatus) {
-	if _, own := l.byTask[task]; own || task.Job == "" || !s.State.Ended() {
-		return
-	}
-	if s.State == cawork.TaskStateFenced {
-		l.Scheduler.StartFailed(task, true, l.now())
-		return
-	}
-	l.Scheduler.Ended(casched.End{Task: task, State: s.State, Used: s.Used, Elapsed: s.Elapsed}, l.now())
-}
-
 // pollOwners asks the other owners of the zone what became of the attempts of
 // the led shards.
 func (l *Launcher) pollOwners() {
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -130,6 +130,7 @@
 	led      map[cawork.ShardID]*ledShard
 	attempts map[cawork.AttemptID]*attempt
 	byTask   map[cawork.TaskRef]*attempt
+	foreign  foreignTasks
 	waiters  map[cawork.JobID][]chan struct{}
 	pending  map[keyedSubmission]struct{}
 	unsent   []settlement
@@ -177,6 +178,7 @@
 		led:       make(map[cawork.ShardID]*ledShard),
 		attempts:  make(map[cawork.AttemptID]*attempt),
 		byTask:    make(map[cawork.TaskRef]*attempt),
+		foreign:   make(foreignTasks),
 		waiters:   make(map[cawork.JobID][]chan struct{}),
 		pending:   make(map[keyedSubmission]struct{}),
 		unended:   make(map[cawork.JobID]struct{}),
--- a/internal/node/calaunch/lend.go
+++ b/internal/node/calaunch/lend.go
@@ -79,6 +79,7 @@
 	}
 	targets := make([]target, 0, len(call.Starts))
 	for _, s := range call.Starts {
+		l.foreign.put(s.Start.Task, s.Start.Attempt)
 		t := target{upstream: s.Upstream, start: s.Start}
 		lease, owned := l.Leases.Lease(s.Upstream)
 		if vm, listed := l.Directory.Upstream(s.Upstream); owned && listed {
@@ -92,7 +93,7 @@
 
 func (l *Launcher) startForeign(ctx context.Context, t target) StartResult {
 	if t.agent == nil {
-		l.post(func() { l.Scheduler.StartFailed(t.start.Task, true, l.now()) })
+		l.post(func() { l.failForeign(t.start.Task, t.start.Attempt, true) })
 		return StartResult{Failed: true, Kind: cakind.KindNotStarted}
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -101,7 +102,7 @@
 	if err != nil {
 		kind := cakind.Of(err)
 		notRun := cakind.AnswerTo(kind).Execution == cakind.ExecutionNotRun
-		l.post(func() { l.Scheduler.StartFailed(t.start.Task, notRun, l.now()) })
+		l.post(func() { l.failForeign(t.start.Task, t.start.Attempt, notRun) })
 		return StartResult{Failed: true, Kind: kind}
 	}
 	l.post(func() { l.startedForeign(t, status) })
@@ -110,13 +111,15 @@
 
 func (l *Launcher) startedForeign(t target, status caplatform.TaskStatus) {
 	if !l.table.Owns(t.upstream) {
-		l.Scheduler.Withdrawn(t.start.Task, l.now())
+		l.withdrawForeign(t.start.Task, t.start.Attempt)
 		return
 	}
 	l.table.Update(t.upstream, []caplatform.TaskStatus{status})
 	if status.State.Ended() {
-		l.endForeign(t.start.Task, status)
+		l.endForeign(t.start.Task, t.start.Attempt, status)
 		return
 	}
-	l.Scheduler.Started(t.start.Task, l.now())
+	if l.foreign[t.start.Task] == t.start.Attempt {
+		l.Scheduler.Started(t.start.Task, l.now())
+	}
 }
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -73,7 +73,7 @@
 		status, err := agent.Stop(ctx, stop)
 		return func() {
 			if err == nil {
-				l.endForeign(call.Task, status)
+				l.endForeign(call.Task, call.Attempt, status)
 			}
 			then(status, err)
 		}
