--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -24,6 +24,7 @@
 var (
 	firstSeed = flag.Uint64("first_seed", 1, "first seed of the fault runs")
 	seedCount = flag.Uint64("seeds", 4, "number of seeds of the fault runs")
+	long      = flag.Bool("long", false, "run the long worlds under the race detector too")
 	verbose   = flag.Bool("entry_logs", false, "print the logs of the entries")
 )
 
@@ -51,12 +52,12 @@
 
 // inWorld runs a test in a world in virtual time.
 //
-// Under the race detector only the worlds of raceTests run: with more of them
-// in one process the detector itself fails ("CHECK failed: tsan_rtl.cpp" or a
-// fault in its code). CI runs all of them once more without it.
+// Under the race detector the long worlds are left out, unless -long is given.
+// CI runs all of them once more without it.
 func inWorld(t *testing.T, seed uint64, test func(w *world)) {
-	if raceEnabled && !slices.Contains(raceTests, t.Name()) {
-		t.Skip("runs without the race detector")
+	name, _, _ := strings.Cut(t.Name(), "/")
+	if raceEnabled && !*long && slices.Contains(longTests, name) {
+		t.Skip("too long under the race detector")
 	}
 	if *verbose {
 		worldLogLevel = zerolog.InfoLevel
@@ -76,8 +77,11 @@
 	})
 }
 
-// raceTests are the tests that run under the race detector too.
-var raceTests = []string{"TestJobsRunInEveryZone", "TestAcceptedJobsSurviveTheLossOfAnyEntry", "TestShardIsRebuiltFromTheLog"}
+// longTests are the tests that take more than 20 s under the race detector.
+var longTests = []string{
+	"TestFullZoneGivesJobsToOthers", "TestNewDivisionOfALimitWaitsForACutZone", "TestTwoFaults",
+	"TestTwoFaultsThatFailedBefore", "TestRebuiltZoneDoesNotSpendTwice", "TestMintOfALostShardReturns",
+}
 
 // submission is a job that an entry has accepted.
 type submission struct {
--- a/internal/node/caentry/race_off_test.go
+++ b/internal/node/caentry/race_off_test.go
@@ -2,6 +2,5 @@
 
 package caentry
 
-// raceEnabled tells that the race detector is on, under which most worlds are
-// left to the run without it.
+// raceEnabled tells that the race detector is on.
 const raceEnabled = false
