Fault runs require that all room is free again in the end

Change: after a run each entry's free room must be its capacity within three minutes. Conclusion: kept as a check.

--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -39,6 +39,8 @@
 	healTime = 4 * time.Minute
 	// submitTimeout bounds a submission.
 	submitTimeout = 5 * time.Second
+	// roomTime is the time for what runs of jobs that nobody was told of to end.
+	roomTime = 3 * time.Minute
 )
 
 func (w *world) entryIDs() []string {
@@ -145,6 +147,22 @@
 	}
 }
 
+// checkRoom requires that all room of the upstreams is free again once every
+// job has ended: none was kept for an attempt that will never be heard of.
+func (w *world) checkRoom(within time.Duration) {
+	deadline := time.Now().Add(within)
+	for _, id := range w.entryIDs() {
+		load := w.entries[id].entry.launcher.Load(w.ctx)
+		for load.Free != load.Capacity && time.Now().Before(deadline) {
+			time.Sleep(time.Second)
+			load = w.entries[id].entry.launcher.Load(w.ctx)
+		}
+		if diff := cmp.Diff(load.Capacity, load.Free); diff != "" {
+			w.t.Errorf("%s keeps room, with %d attempts and %d queued (-capacity +free):\n%s", id, load.Open, load.Queued, diff)
+		}
+	}
+}
+
 func TestJobsRunInEveryZone(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		var accepted []submission
@@ -456,6 +474,7 @@
 		time.Sleep(w.pause(6 * time.Second))
 	}
 	w.checkEnded(accepted, healTime)
+	w.checkRoom(roomTime)
 	if w.t.Failed() {
 		w.t.Logf("faults: %s", strings.Join(names, ", "))
 		for _, id := range w.entryIDs() {
--- a/internal/node/calaunch/load.go
+++ b/internal/node/calaunch/load.go
@@ -11,6 +11,7 @@
 
 // Load is what the entry reports of its work to other entries and operators.
 type Load struct {
+	Capacity    cawork.Resources
 	Free        cawork.Resources
 	LargestHole cawork.Resources
 	Queued      int
@@ -23,6 +24,7 @@
 	var load Load
 	answered := l.ask(ctx, func() {
 		load = Load{
+			Capacity:    l.Scheduler.Capacity(),
 			Free:        l.Scheduler.Free(),
 			LargestHole: l.Scheduler.LargestHole(cawork.Constraints{}),
 			Uses:        append([]casched.TeamUse(nil), l.Scheduler.Uses()...),
