An upstream that refuses a start rests

A refusal counted as a success of the upstream, so that it was never ejected either: one that has less room than the list tells would be asked for ever. Change: its owner gives it no starts for 1 s, doubled with each further refusal up to 30 s; a start that is accepted ends that.

--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -161,7 +161,10 @@
 	agent := l.Agents.Agent(vm.Address)
 	l.background(func(ctx context.Context) func() {
 		status, err := agent.Start(ctx, start)
-		return func() { l.sent(a, status, err) }
+		return func() {
+			l.answered(a.upstream, err)
+			l.sent(a, status, err)
+		}
 	})
 }
 
--- a/internal/node/calaunch/follow.go
+++ b/internal/node/calaunch/follow.go
@@ -47,7 +47,7 @@
 func (l *Launcher) UpstreamListed(vm caplatform.VM) {
 	l.post(func() {
 		if l.table.Owns(cawork.UpstreamID(vm.ID)) {
-			l.Scheduler.PutUpstream(describe(vm, vm.State != caplatform.VMStateLive), l.now())
+			l.putUpstream(vm)
 		}
 	})
 }
@@ -68,7 +68,7 @@
 // gained adopts what runs on an upstream that this entry now owns.
 func (l *Launcher) gained(e caowner.Event) {
 	l.table.Gain(e.Upstream, e.Tasks)
-	l.Scheduler.PutUpstream(describe(e.VM, e.VM.State != caplatform.VMStateLive), l.now())
+	l.putUpstream(e.VM)
 	listed := make(map[cawork.AttemptID]struct{}, len(e.Tasks))
 	for _, s := range e.Tasks {
 		listed[s.Attempt] = struct{}{}
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -131,6 +131,7 @@
 	attempts map[cawork.AttemptID]*attempt
 	byTask   map[cawork.TaskRef]*attempt
 	foreign  foreignTasks
+	rests    rests
 	waiters  map[cawork.JobID][]chan struct{}
 	pending  map[keyedSubmission]struct{}
 	unsent   []settlement
@@ -179,6 +180,7 @@
 		attempts:  make(map[cawork.AttemptID]*attempt),
 		byTask:    make(map[cawork.TaskRef]*attempt),
 		foreign:   make(foreignTasks),
+		rests:     make(rests),
 		waiters:   make(map[cawork.JobID][]chan struct{}),
 		pending:   make(map[keyedSubmission]struct{}),
 		unended:   make(map[cawork.JobID]struct{}),
@@ -234,6 +236,7 @@
 	l.retryEnds()
 	l.resolveAttempts()
 	l.settleGone()
+	l.endRests()
 	if l.now().Sub(l.lastPoll) >= pollPeriod {
 		l.lastPoll = l.now()
 		l.pollOwners()
--- a/internal/node/calaunch/lend.go
+++ b/internal/node/calaunch/lend.go
@@ -102,10 +102,16 @@
 	if err != nil {
 		kind := cakind.Of(err)
 		notRun := cakind.AnswerTo(kind).Execution == cakind.ExecutionNotRun
-		l.post(func() { l.failForeign(t.start.Task, t.start.Attempt, notRun) })
+		l.post(func() {
+			l.answered(t.upstream, err)
+			l.failForeign(t.start.Task, t.start.Attempt, notRun)
+		})
 		return StartResult{Failed: true, Kind: kind}
 	}
-	l.post(func() { l.startedForeign(t, status) })
+	l.post(func() {
+		l.answered(t.upstream, nil)
+		l.startedForeign(t, status)
+	})
 	return StartResult{Status: status}
 }
 
