Lost shards that the log does not know, or that a useless replica hid, are led again

Cause: two faults met with upstreams that hang. (1) A shard whose primary died before the log had anything of it could not be elected for: the empty view of the log equalled the empty own proposal, so the part tried to lead view 0. (2) A look through the zone counted as complete while this entry held a backup of a view that was never registered. That backup is dropped later, without a change of lives, and the shard was never rebuilt; its ended jobs were told as not found.

Change: a missing proposal is told from an empty one; an election without a trace in the log needs a replica held for less than the log keeps the end of a shard. A look stays open while a replica here has no leader. Replicas of retired shards are dropped (Part.Discard); the set of those that were passed over is gone.

--- a/internal/coord/cashard/part.go
+++ b/internal/coord/cashard/part.go
@@ -319,6 +319,16 @@
 	p.step(r, func(out *effects) { r.tick(p.opts.Timer.Now(), out) })
 }
 
+// Discard drops the backup of a shard that was retired: nobody leads it again.
+// It has no effect on a primary.
+func (p *Part) Discard(s cawork.ShardID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.replicas[s]; ok && r.backup != nil {
+		r.drop(r.backup.view.Number)
+	}
+}
+
 // Statuses returns how each shard stands on this member.
 func (p *Part) Statuses() []Status {
 	p.mu.Lock()
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -35,6 +35,11 @@
 	// maxLookPause is the longest pause between two reads of the log while a
 	// shard waits for word of its members.
 	maxLookPause = time.Minute
+	// orphanedAfter is how long nobody must lead a shard with a replica here
+	// before the log is asked about it. A takeover takes less.
+	orphanedAfter = 15 * time.Second
+	// recordsKept is the time for which the log keeps each record at least.
+	recordsKept = 10 * time.Minute
 	// readTimeout bounds the reading of the whole topic.
 	readTimeout = 30 * time.Second
 )
@@ -48,6 +53,7 @@
 	HandleStanding(ctx context.Context, s cawork.ShardID) (cashard.Standing, error)
 	Halt(ctx context.Context, next cashard.View, isLost func(cawork.UpstreamID) bool) error
 	Succeed(ctx context.Context, next cashard.View, image cashard.Image, mark []byte) error
+	Discard(s cawork.ShardID)
 }
 
 // Peers asks other entries how a shard stands there.
@@ -115,8 +121,10 @@
 	proposed  map[cawork.ShardID]cashard.View
 	// succeeded holds the numbers of the elected views that were led here.
 	succeeded map[cawork.ShardID]int64
-	// over holds the shards with a replica here that the log tells as retired.
-	over map[cawork.ShardID]bool
+	// held holds since when there is a replica of a shard here.
+	held map[cawork.ShardID]time.Time
+	// leaderless holds since when nobody leads a shard with a replica here.
+	leaderless map[cawork.ShardID]time.Time
 }
 
 // NewPart returns a part that runs once Run is called.
@@ -124,7 +132,7 @@
 	p := &Part{
 		Config: c, done: make(chan struct{}), pause: backoff.NewExponentialBackOff(),
 		proposed: make(map[cawork.ShardID]cashard.View), succeeded: make(map[cawork.ShardID]int64),
-		over: make(map[cawork.ShardID]bool),
+		leaderless: make(map[cawork.ShardID]time.Time),
 	}
 	p.pause.InitialInterval, p.pause.MaxInterval = lookPeriod, maxLookPause
 	options := calog.DefaultOptions()
@@ -214,9 +222,11 @@
 // that the former one held.
 func (p *Part) look(ctx context.Context, settled bool) {
 	lives := p.Directory.ZoneLives()
+	p.noteHeld()
 	stuck := p.stuck()
+	orphaned := p.orphaned()
 	first := p.Directory.IsFirstOfZone() && !p.hasLooked(lives)
-	if !settled || !first && len(stuck) == 0 {
+	if !settled || !first && len(stuck) == 0 && len(orphaned) == 0 {
 		return
 	}
 	if !slices.Equal(p.seen, lives) {
@@ -228,15 +238,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	fold, err := p.readLost(ctx, stuck)
+	traces, err := calog.SurveyAll(ctx, p.Log, topic)
+	if err != nil {
+		p.logUnavailable(err)
+		return
+	}
+	stuck = p.discardRetired(stuck, traces)
+	fold, err := p.readLost(ctx, stuck, traces)
 	if err != nil {
-		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
+		p.logUnavailable(err)
 		return
 	}
 	complete := p.succeedAll(ctx, stuck, fold)
 	if first {
 		complete = p.rebuildAll(ctx, fold) && complete
 	}
+	// A replica here may be of no use: it is dropped when its view turns out not
+	// to be in force.
+	complete = complete && len(p.leaderless) == 0
 	switch {
 	case !complete:
 		p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
@@ -255,15 +274,14 @@
 	return complete
 }
 
+func (p *Part) logUnavailable(err error) {
+	caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
+}
+
 // readLost returns the images of the shards of the zone that nobody leads, and
-// of those whose replicas here cannot go on. It reads the whole topic for their
-// traces, and again from their snapshots on only if there are any.
-func (p *Part) readLost(ctx context.Context, stuck []cashard.Status) (*calog.Fold, error) {
-	traces, err := calog.SurveyAll(ctx, p.Log, topic)
-	if err != nil {
-		return nil, err
-	}
-	p.noteOver(stuck, traces)
+// of those whose replicas here cannot go on. It reads the log from their
+// snapshots on, and only if there are any.
+func (p *Part) readLost(ctx context.Context, stuck []cashard.Status, traces []calog.Trace) (*calog.Fold, error) {
 	lost := slices.DeleteFunc(traces, func(t calog.Trace) bool {
 		isStuck := slices.ContainsFunc(stuck, func(s cashard.Status) bool { return s.Shard == t.Shard })
 		return t.Retired || !isStuck && !p.isLeaderless(t)
@@ -271,12 +289,64 @@
 	return calog.ReadShards(ctx, p.Log, topic, lost)
 }
 
-// noteOver notes which of the replicas that cannot go on are of retired shards.
-// The end of a shard is not told to a replica that the last leader did not know.
-func (p *Part) noteOver(stuck []cashard.Status, traces []calog.Trace) {
-	for _, s := range stuck {
-		p.over[s.Shard] = slices.ContainsFunc(traces, func(t calog.Trace) bool { return t.Shard == s.Shard && t.Retired })
+// orphaned returns the shards with a backup here that nobody has led for a
+// while.
+func (p *Part) orphaned() []cawork.ShardID {
+	now := p.Timer.Now()
+	leaderless := make(map[cawork.ShardID]time.Time)
+	var orphaned []cawork.ShardID
+	for _, s := range p.Shards.Statuses() {
+		if _, led := p.Directory.Leader(s.Shard); led || s.Primary {
+			continue
+		}
+		since, known := p.leaderless[s.Shard]
+		if !known {
+			since = now
+		}
+		leaderless[s.Shard] = since
+		if now.Sub(since) >= orphanedAfter {
+			orphaned = append(orphaned, s.Shard)
+		}
 	}
+	p.leaderless = leaderless
+	return orphaned
+}
+
+// discardRetired drops the replicas of retired shards and returns the rest of
+// those that are stuck. The end of a shard is not told to a replica that the
+// last leader did not know.
+func (p *Part) discardRetired(stuck []cashard.Status, traces []calog.Trace) []cashard.Status {
+	retired := make(map[cawork.ShardID]bool)
+	for _, t := range traces {
+		retired[t.Shard] = t.Retired
+	}
+	for s := range p.leaderless {
+		if retired[s] {
+			p.Shards.Discard(s)
+			delete(p.leaderless, s)
+		}
+	}
+	return slices.DeleteFunc(stuck, func(s cashard.Status) bool { return retired[s.Shard] })
+}
+
+// noteHeld notes the shards with a replica here.
+func (p *Part) noteHeld() {
+	held := make(map[cawork.ShardID]time.Time)
+	for _, s := range p.Shards.Statuses() {
+		since, known := p.held[s.Shard]
+		if !known {
+			since = p.Timer.Now()
+		}
+		held[s.Shard] = since
+	}
+	p.held = held
+}
+
+// mayBeUnlogged reports whether a shard that the log does not tell of was never
+// written. The log may have forgotten the end of one that is held for longer.
+func (p *Part) mayBeUnlogged(s cawork.ShardID) bool {
+	since, held := p.held[s]
+	return held && p.Timer.Now().Sub(since) < recordsKept
 }
 
 // isLeaderless reports whether the shard is of the own zone and nobody leads it.
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -22,7 +22,7 @@
 	var stuck []cashard.Status
 	for _, s := range p.Shards.Statuses() {
 		waits := s.Primary && !s.MayAct || !s.Primary && p.hasEnded(s.View.Primary)
-		if waits && !p.over[s.Shard] && slices.ContainsFunc(s.Witnesses, p.isLost) {
+		if waits && slices.ContainsFunc(s.Witnesses, p.isLost) {
 			stuck = append(stuck, s)
 		}
 	}
@@ -51,6 +51,9 @@
 	if err != nil || !p.isUndecided(ctx, logged, view, image.Elected) {
 		return false
 	}
+	if logged.Number == 0 && !p.mayBeUnlogged(view.Shard) {
+		return false
+	}
 	content := logged
 	if image.Elected {
 		if content, err = cashard.DecodeView(image.FormerBody); err != nil {
@@ -63,8 +66,9 @@
 	if !p.isFree(ctx, view, image.Last()) {
 		return false
 	}
-	next := p.proposed[view.Shard]
-	if logged != next || p.isLost(logged.Witness) {
+	next, proposed := p.proposed[view.Shard]
+	// The log may not know the shard: its first primary died before it wrote.
+	if !proposed || logged != next || p.isLost(logged.Witness) {
 		view = view.WithNumber(max(view.Number, logged.Number))
 		if next, err = p.elect(ctx, view); err != nil {
 			return false
