Tasks on an upstream that hangs while the list names it end once nobody can renew them

Cause: such tasks stayed open for ever, since an entry that is cut off might renew their leases.

Entries that ended, that are not known yet, or that the list did not tell of hold it up (cadirectory/owners.go). A launcher waits at its end for the calls that it has under way: a run in virtual time ended in a deadlock without it.

Tests: TestFaults draws one fault and TestTwoFaults three pairs more, so that their seeds draw other faults than before; the seeds that found faults go on drawing from the former pairs alone.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -41,6 +41,7 @@
 	StartFailed        Number = 408
 	JobHandedOver      Number = 409
 	InvariantBroken    Number = 410
+	TaskLapsed         Number = 411
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -16,8 +16,8 @@
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlisted"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_broken"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_broken"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsed"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsed"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -33,7 +33,7 @@
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76}
+	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32}
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 410:
+	case 405 <= i && i <= 411:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 505:
@@ -104,6 +104,7 @@
 	_ = x[StartFailed-(408)]
 	_ = x[JobHandedOver-(409)]
 	_ = x[InvariantBroken-(410)]
+	_ = x[TaskLapsed-(411)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -122,7 +123,7 @@
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:  EntryStarted,
@@ -151,6 +152,7 @@
 	_NumberName_4[33:45]: StartFailed,
 	_NumberName_4[45:60]: JobHandedOver,
 	_NumberName_4[60:76]: InvariantBroken,
+	_NumberName_4[76:87]: TaskLapsed,
 	_NumberName_5[0:14]:  RequestRouted,
 	_NumberName_5[14:29]: RequestRefused,
 	_NumberName_5[29:45]: RequestAnswered,
@@ -196,6 +198,7 @@
 	_NumberLowerName_4[33:45]: StartFailed,
 	_NumberLowerName_4[45:60]: JobHandedOver,
 	_NumberLowerName_4[60:76]: InvariantBroken,
+	_NumberLowerName_4[76:87]: TaskLapsed,
 	_NumberLowerName_5[0:14]:  RequestRouted,
 	_NumberLowerName_5[14:29]: RequestRefused,
 	_NumberLowerName_5[29:45]: RequestAnswered,
@@ -241,6 +244,7 @@
 	_NumberName_4[33:45],
 	_NumberName_4[45:60],
 	_NumberName_4[60:76],
+	_NumberName_4[76:87],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/coord/caowner/call.go
+++ b/internal/coord/caowner/call.go
@@ -67,7 +67,7 @@
 	u.open = false
 	was := u.unreachable
 	if answered(a.Err) {
-		u.succeeded()
+		u.succeeded(now)
 	}
 	switch a.Call.Kind {
 	case CallKindClaim:
--- a/internal/coord/caowner/config.go
+++ b/internal/coord/caowner/config.go
@@ -39,6 +39,9 @@
 	// checks whether it answers again.
 	UnreachableAfter time.Duration
 	UnreachableProbe time.Duration
+	// LateDelivery bounds the time between the sending of a call and its arrival
+	// at the agent.
+	LateDelivery time.Duration
 	// Concurrency bounds the open calls; claims and probes may take half.
 	Concurrency int
 	// MaxUnreachable bounds the list of unreachable upstreams told to others.
@@ -60,6 +63,7 @@
 		MaxRetry:         5 * time.Second,
 		UnreachableAfter: 4 * time.Second,
 		UnreachableProbe: 3 * time.Second,
+		LateDelivery:     30 * time.Second,
 		Concurrency:      64,
 		MaxUnreachable:   16,
 	}
@@ -73,3 +77,15 @@
 func (c Config) validFor() time.Duration {
 	return time.Duration(float64(c.TTL)/(1+2*c.MaxDrift)) - c.Margin
 }
+
+// TasksLapseAfter returns the silence after which no task runs on an upstream,
+// when none of the entries that may own it had a longer contact. After its last
+// answer an owner sends heartbeats and starts until its trust ends; the last of
+// them arrives late, renews the leases of all tasks and lets a start in for one
+// more ownership lease. The clocks of agent and owner may differ both ways:
+//
+//	(2.68 s trust + 30 s late + 3 s TTL + 10 s task TTL) x 1.04 = 47.5 s
+func (c Config) TasksLapseAfter() time.Duration {
+	latest := c.validFor() + c.LateDelivery + c.TTL + c.TaskTTL
+	return time.Duration(float64(latest) * (1 + 2*c.MaxDrift))
+}
--- a/internal/coord/caowner/part.go
+++ b/internal/coord/caowner/part.go
@@ -87,6 +87,14 @@
 	return p.state.Lease(p.deps.Timers.Now(), id)
 }
 
+// Silence returns the time for which no call of this entry to the agent of the
+// upstream was answered, zero for an upstream that is not known.
+func (p *Part) Silence(id cawork.UpstreamID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Silence(p.deps.Timers.Now(), id)
+}
+
 // Owned returns the upstreams that this entry owns now, ordered by id.
 func (p *Part) Owned() []cawork.UpstreamID {
 	p.mu.Lock()
--- a/internal/coord/caowner/state.go
+++ b/internal/coord/caowner/state.go
@@ -118,7 +118,7 @@
 
 func (s *State) add(now time.Time, vm caplatform.VM) {
 	u := newUpstream(vm, s.cfg)
-	u.next = now
+	u.next, u.answered = now, now
 	u.spread = time.Duration(carendezvous.Key(vm.ID) % uint64(s.cfg.Period))
 	s.upstreams[u.id] = u
 	at, _ := slices.BinarySearch(s.ids, u.id)
@@ -163,6 +163,16 @@
 	return Lease{Epoch: u.epoch, ValidUntil: u.until, FormerRequests: u.former}, true
 }
 
+// Silence returns the time for which no call to the agent of the upstream was
+// answered, zero for an upstream that is not known.
+func (s *State) Silence(now time.Time, id cawork.UpstreamID) time.Duration {
+	u, ok := s.upstreams[id]
+	if !ok {
+		return 0
+	}
+	return now.Sub(u.answered)
+}
+
 // Owned returns the upstreams that this entry owns now, ordered by id.
 func (s *State) Owned(now time.Time) []cawork.UpstreamID {
 	var owned []cawork.UpstreamID
--- a/internal/coord/caowner/state_test.go
+++ b/internal/coord/caowner/state_test.go
@@ -1,6 +1,7 @@
 package caowner_test
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -396,3 +397,35 @@
 		t.Errorf("largest numbers of upstreams (-want +got):\n%s", diff)
 	}
 }
+
+func TestSilenceCountsFromTheLastAnswer(t *testing.T) {
+	f := newFixture(t, "u1")
+	lost := errors.New("no answer")
+	silences := []time.Duration{f.Silence(at(time.Second), "u1"), f.Silence(at(time.Second), "never listed")}
+	c := f.one(settled, caowner.CallKindClaim)
+	f.grant(settled+time.Millisecond, c)
+	c = f.one(settled+time.Millisecond, caowner.CallKindHeartbeat)
+	f.HandleAnswer(at(4*time.Second), caowner.Answer{Call: c, Err: cakind.Wrap(cakind.KindUnknown, lost, "heartbeat")})
+	silences = append(silences, f.Silence(at(10*time.Second), "u1"))
+	c = f.one(10*time.Second, caowner.CallKindClaim)
+	f.HandleAnswer(at(11*time.Second), caowner.Answer{Call: c, Err: cakind.New(cakind.KindFenced, "another owner")})
+	silences = append(silences, f.Silence(at(12*time.Second), "u1"))
+	want := []time.Duration{time.Second, 0, 8*time.Second - time.Millisecond, time.Second}
+	if diff := cmp.Diff(want, silences); diff != "" {
+		t.Errorf("silences mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// TestTasksLapseAfter keeps the bound of the silence above each way in which a
+// lease may be renewed late.
+func TestTasksLapseAfter(t *testing.T) {
+	c := caowner.DefaultConfig()
+	lateStart := validFor + c.LateDelivery + c.TaskTTL
+	lateHeartbeat := validFor + c.LateDelivery + c.TTL + c.TaskTTL
+	for _, needed := range []time.Duration{lateStart, lateHeartbeat} {
+		slowAgent := time.Duration(float64(needed) / (1 - c.MaxDrift))
+		if got := c.TasksLapseAfter(); got < slowAgent {
+			t.Errorf("TasksLapseAfter() = %v, less than %v", got, slowAgent)
+		}
+	}
+}
--- a/internal/coord/caowner/upstream.go
+++ b/internal/coord/caowner/upstream.go
@@ -46,8 +46,11 @@
 	renewed bool
 	spread  time.Duration
 
-	unlisted     bool
-	failing      time.Time
+	unlisted bool
+	failing  time.Time
+	// answered is the time of the last answer of the agent, or that at which the
+	// upstream became known.
+	answered     time.Time
 	unreachable  bool
 	releaseUntil time.Time
 	pause        *backoff.ExponentialBackOff
@@ -60,7 +63,8 @@
 }
 
 // succeeded notes that the agent answered.
-func (u *upstream) succeeded() {
+func (u *upstream) succeeded(now time.Time) {
+	u.answered = now
 	u.failing, u.unreachable = time.Time{}, false
 	u.pause.Reset()
 }
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -51,6 +51,8 @@
 	seen map[cawork.UpstreamID]time.Time
 	// seenEntries holds the time of the last list that named each entry.
 	seenEntries map[cawork.VMID]time.Time
+	// watch follows which entries may own upstreams of the zone.
+	watch ownerWatch
 }
 
 // NewDirectory returns a directory for an entry of the zone.
@@ -58,6 +60,7 @@
 	return &Directory{
 		self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
 		seen: make(map[cawork.UpstreamID]time.Time), seenEntries: make(map[cawork.VMID]time.Time), missed: make(map[cawork.UpstreamID]time.Time),
+		watch: newOwnerWatch(),
 	}
 }
 
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -246,7 +246,8 @@
 	})
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Shard: e.shard, TaskTTL: caowner.DefaultConfig().TaskTTL,
-		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner, Allowances: e.quota,
+		LapseAfter: caowner.DefaultConfig().TasksLapseAfter(),
+		Scheduler:  cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner, Allowances: e.quota,
 		Directory: e.directory, Agents: e.platform.Agents, Peers: calink.Jobs{Link: e.link()},
 		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
 		MayLack: func() bool { return e.archive.MayLack() },
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -455,7 +455,8 @@
 
 // singleFaults brings about one fault at a time.
 func singleFaults(w *world) (name string, start func() (heal func())) {
-	f := faults[w.rng.IntN(len(faults))]
+	all := append(slices.Clone(faults), hangFault)
+	f := all[w.rng.IntN(len(all))]
 	return f.name, func() func() { return f.start(w) }
 }
 
--- a/internal/node/caentry/pairs_test.go
+++ b/internal/node/caentry/pairs_test.go
@@ -122,7 +122,7 @@
 func TestTwoFaults(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			inWorld(t, seed, func(w *world) { w.faultRun(pairedFaults) })
+			inWorld(t, seed, func(w *world) { w.faultRun(drawPairs(slices.Concat(pairs, hangPairs))) })
 		})
 	}
 }
@@ -133,7 +133,7 @@
 func TestTwoFaultsThatFailedBefore(t *testing.T) {
 	for _, seed := range foundSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			inWorld(t, seed, func(w *world) { w.faultRun(pairedFaults) })
+			inWorld(t, seed, func(w *world) { w.faultRun(drawPairs(pairs)) })
 		})
 	}
 }
@@ -169,13 +169,15 @@
 	return slices.ContainsFunc(w.entries[id].entry.shardStatuses(), func(s ShardStatus) bool { return s.Shard == shard && s.Leads })
 }
 
-func pairedFaults(w *world) (name string, start func() (heal func())) {
-	drawn := pairs
+// drawPairs draws from the pairs, or from the one of them that the flag names.
+func drawPairs(from []fault) func(w *world) (name string, start func() (heal func())) {
 	if *pairName != "" {
-		drawn = slices.DeleteFunc(slices.Clone(pairs), func(f fault) bool { return f.name != *pairName })
+		from = slices.DeleteFunc(slices.Clone(from), func(f fault) bool { return f.name != *pairName })
+	}
+	return func(w *world) (string, func() func()) {
+		f := from[w.rng.IntN(len(from))]
+		return f.name, func() func() { return f.start(w) }
 	}
-	f := drawn[w.rng.IntN(len(drawn))]
-	return f.name, func() func() { return f.start(w) }
 }
 
 // lag waits for a random time between the two faults of a pair.
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -211,16 +211,24 @@
 // drops it, and a fresh one takes its place after a while.
 func (w *world) loseUpstream(id string) {
 	w.isolate(id, true)
+	w.drop(id)
+	w.list.Put(w.freshUpstream(int(id[1] - '0')))
+}
+
+// drop removes an upstream that nobody reaches any more from the list.
+func (w *world) drop(id string) {
 	w.mu.Lock()
 	vm := w.vms[id]
 	vm.State = caplatform.VMStateGone
 	w.vms[id] = vm
 	w.mu.Unlock()
 	w.list.Remove(vm.ID)
-	z := int(id[1] - '0')
+}
+
+// freshUpstream adds an upstream that the list does not name yet.
+func (w *world) freshUpstream(z int) caplatform.VM {
 	w.replaced++
-	fresh := w.addUpstream(z, upstreamsPerZone+w.replaced)
-	w.list.Put(fresh)
+	return w.addUpstream(z, upstreamsPerZone+w.replaced)
 }
 
 // isolate cuts or heals everything between an entry and the rest.
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -33,15 +34,17 @@
 
 // attempt is an open attempt of a task of a led shard.
 type attempt struct {
-	id          cawork.AttemptID
-	task        cawork.TaskRef
-	shard       cawork.ShardID
-	team        cawork.TeamName
-	kind        cawork.WorkKind
-	size        cawork.Resources
-	upstream    cawork.UpstreamID
-	payload     []byte
-	phase       phase
+	id       cawork.AttemptID
+	task     cawork.TaskRef
+	shard    cawork.ShardID
+	team     cawork.TeamName
+	kind     cawork.WorkKind
+	size     cawork.Resources
+	upstream cawork.UpstreamID
+	payload  []byte
+	phase    phase
+	// since is the time from which on this entry tracks the attempt.
+	since       time.Time
 	remote      cawork.VMID
 	reservation casched.ReservationID
 	resolving   bool
@@ -63,6 +66,7 @@
 }
 
 func (l *Launcher) track(a *attempt) {
+	a.since = l.now()
 	l.attempts[a.id] = a
 	l.byTask[a.task] = a
 	delete(l.foreign, a.task)
@@ -170,11 +174,11 @@
 
 // background runs a call beside the loop and reports its result to the loop.
 func (l *Launcher) background(call func(ctx context.Context) func()) {
-	go func() {
+	l.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(l.ctx, startTimeout)
 		defer cancel()
 		l.post(call(ctx))
-	}()
+	})
 }
 
 // sent takes over the answer to a start.
--- a/internal/node/calaunch/foreign_test.go
+++ b/internal/node/calaunch/foreign_test.go
@@ -20,6 +20,8 @@
 
 func (noLeases) Lease(cawork.UpstreamID) (caowner.Lease, bool) { return caowner.Lease{}, false }
 
+func (noLeases) Silence(cawork.UpstreamID) time.Duration { return 0 }
+
 // noDirectory lists nothing.
 type noDirectory struct{ Directory }
 
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,9 +47,13 @@
 	Statuses() []cashard.Status
 }
 
-// Leases tells whether this entry may send starts to an upstream now.
+// Leases tells whether this entry may send starts to an upstream now, and
+// whether the upstream answers.
 type Leases interface {
 	Lease(id cawork.UpstreamID) (caowner.Lease, bool)
+	// Silence returns the time for which no call of this entry to an upstream
+	// was answered, zero when that is not known.
+	Silence(id cawork.UpstreamID) time.Duration
 }
 
 // Directory tells what the platform lists, and who owns and leads what.
@@ -60,6 +65,10 @@
 	IsGone(id cawork.UpstreamID) bool
 	// ZoneUpstreams returns the upstreams of the own zone that are not gone.
 	ZoneUpstreams() []caplatform.VM
+	// PossibleOwners returns the other entries of the own zone that may own an
+	// upstream. It reports false when a further one may have done so within the
+	// window before now.
+	PossibleOwners(now time.Time, window time.Duration) ([]cawork.VMID, bool)
 	// ZoneOwners returns the other live entries of the own zone, with the room
 	// that they reported.
 	ZoneOwners() []Owner
@@ -94,10 +103,13 @@
 
 // Config wires a launcher.
 type Config struct {
-	Self       cawork.VMID
-	Zone       cawork.ZoneName
-	Shard      cawork.ShardID
-	TaskTTL    time.Duration
+	Self    cawork.VMID
+	Zone    cawork.ZoneName
+	Shard   cawork.ShardID
+	TaskTTL time.Duration
+	// LapseAfter is the silence of an upstream towards all that may own it after
+	// which no task runs there.
+	LapseAfter time.Duration
 	Scheduler  casched.Scheduler
 	Shards     Shards
 	Leases     Leases
@@ -121,10 +133,12 @@
 	done    chan struct{}
 	// stopWaits is closed when callers shall wait no longer.
 	stopWaits chan struct{}
-	ctx       context.Context
-	policy    casched.Policy
-	draining  bool
-	serial    int64
+	// calls are those that run beside the loop. Run returns after them.
+	calls    sync.WaitGroup
+	ctx      context.Context
+	policy   casched.Policy
+	draining bool
+	serial   int64
 
 	table    *catask.Table
 	led      map[cawork.ShardID]*ledShard
@@ -141,7 +155,9 @@
 	// restUntil is the time before which nothing is decided.
 	restUntil time.Time
 	polling   map[cawork.VMID]struct{}
-	spilling  map[cawork.JobID]struct{}
+	// proving is set while other entries are asked about silent upstreams.
+	proving  bool
+	spilling map[cawork.JobID]struct{}
 	// homes holds the shards of jobs that were not accepted by the shard that
 	// their id names.
 	homes   map[cawork.JobID]cawork.ShardID
@@ -196,6 +212,7 @@
 
 // Run decides and follows until the context ends.
 func (l *Launcher) Run(ctx context.Context) error {
+	defer l.calls.Wait()
 	defer close(l.done)
 	l.ctx = ctx
 	ticks := l.Timer.Every(tickPeriod)
@@ -241,6 +258,7 @@
 		l.lastPoll = l.now()
 		l.pollOwners()
 		l.refence()
+		l.settleSilent()
 		l.reclaimRebuilt()
 		l.sendHandovers()
 		if !l.draining {
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -20,6 +20,7 @@
 	ReleaseReservation(ctx context.Context, to cawork.VMID, r ReleaseCall) error
 	StartReserved(ctx context.Context, to cawork.VMID, r StartReservedCall) (StartReservedReply, error)
 	Act(ctx context.Context, to cawork.VMID, r ActCall) (caplatform.TaskStatus, error)
+	Silence(ctx context.Context, to cawork.VMID, r SilenceCall) (SilenceReply, error)
 	GetJob(ctx context.Context, to cawork.VMID, r GetJobCall) (JobView, error)
 	SubmitJob(ctx context.Context, to cawork.VMID, r SubmitCall) (SubmitReply, error)
 	CancelJob(ctx context.Context, to cawork.VMID, r CancelCall) error
@@ -106,6 +107,18 @@
 	Resolve  bool
 }
 
+// SilenceCall asks an entry of the zone for how long upstreams have not
+// answered it.
+type SilenceCall struct {
+	Upstreams []cawork.UpstreamID
+}
+
+// SilenceReply holds a time for each upstream of the call, in its order. Zero
+// means that the entry cannot tell.
+type SilenceReply struct {
+	Silences []time.Duration
+}
+
 // GetJobCall asks the leader of a shard for a job. A positive Wait asks it to
 // wait for the end of the job.
 type GetJobCall struct {
--- a/internal/node/calaunch/spill.go
+++ b/internal/node/calaunch/spill.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		l.spilling[u.Job] = struct{}{}
-		go l.seek(u, candidates)
+		l.calls.Go(func() { l.seek(u, candidates) })
 	}
 }
 
--- a/internal/node/calaunch/takeover.go
+++ b/internal/node/calaunch/takeover.go
@@ -42,7 +42,7 @@
 	}
 	rebuilt := false
 	l.readState(e.Shard, func(s *cajob.State) { rebuilt = s.IsRebuilt() })
-	go func() {
+	l.calls.Go(func() {
 		answers := l.fenceAll(e.Shard, e.View.Number, upstreams)
 		if rebuilt {
 			// Attempts that the log lacks may run on any upstream.
@@ -51,7 +51,7 @@
 			return
 		}
 		l.post(func() { l.recover(led, answers) })
-	}()
+	})
 }
 
 // fenceRest goes on until every upstream of the zone has answered or is gone.
@@ -200,10 +200,10 @@
 			}
 			missing = append(missing, vm)
 		}
-		go func() {
+		l.calls.Go(func() {
 			answers := l.fenceAll(id, led.since, missing)
 			l.post(func() { l.refenced(led, answers) })
-		}()
+		})
 	}
 }
 
--- a/internal/node/calink/adapter.go
+++ b/internal/node/calink/adapter.go
@@ -116,6 +116,11 @@
 	return call[calaunch.ActCall, caplatform.TaskStatus](ctx, j.Link, to, callAct, r)
 }
 
+// Silence implements calaunch.Peers.
+func (j Jobs) Silence(ctx context.Context, to cawork.VMID, r calaunch.SilenceCall) (calaunch.SilenceReply, error) {
+	return call[calaunch.SilenceCall, calaunch.SilenceReply](ctx, j.Link, to, callSilence, r)
+}
+
 // GetJob implements calaunch.Peers.
 func (j Jobs) GetJob(ctx context.Context, to cawork.VMID, r calaunch.GetJobCall) (calaunch.JobView, error) {
 	return call[calaunch.GetJobCall, calaunch.JobView](ctx, j.Link, to, callGetJob, r)
--- a/internal/node/calink/link.go
+++ b/internal/node/calink/link.go
@@ -30,6 +30,7 @@
 	callRelease       = "task.release"
 	callStartReserved = "task.start_reserved"
 	callAct           = "task.act"
+	callSilence       = "task.silence"
 	callGetJob        = "job.get"
 	callSubmitJob     = "job.submit"
 	callCancelJob     = "job.cancel"
--- a/internal/node/calink/server.go
+++ b/internal/node/calink/server.go
@@ -64,6 +64,7 @@
 	capeer.Handle(s, callRelease, answerEmpty(l.HandleRelease))
 	capeer.Handle(s, callStartReserved, l.HandleStartReserved)
 	capeer.Handle(s, callAct, l.HandleAct)
+	capeer.Handle(s, callSilence, l.HandleSilence)
 	capeer.Handle(s, callGetJob, l.HandleGetJob)
 	capeer.Handle(s, callSubmitJob, l.HandleSubmit)
 	capeer.Handle(s, callCancelJob, answerEmpty(l.HandleCancel))
