Tests of a new owner that is told of earlier attempts

A new owner of an upstream is told of all attempts there. Where a task of another entry had failed before and ran again, the end of the earlier attempt freed the room of the running one.

--- a/internal/node/caentry/pairs_test.go
+++ b/internal/node/caentry/pairs_test.go
@@ -130,11 +130,22 @@
 // foundSeeds are the seeds that found a fault. docs/FAULTS.md tells which.
 var foundSeeds = []uint64{9, 19, 36, 63, 100, 102, 185, 209, 257, 331}
 
+// foundHangSeeds are those that found one since upstreams hang as well.
+var foundHangSeeds = []uint64{729}
+
 func TestTwoFaultsThatFailedBefore(t *testing.T) {
-	for _, seed := range foundSeeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			inWorld(t, seed, func(w *world) { w.faultRun(drawPairs(pairs)) })
-		})
+	for _, found := range []struct {
+		seeds []uint64
+		pairs []fault
+	}{
+		{foundSeeds, pairs},
+		{foundHangSeeds, slices.Concat(pairs, hangPairs)},
+	} {
+		for _, seed := range found.seeds {
+			t.Run(fmt.Sprintf("seed %d of %d pairs", seed, len(found.pairs)), func(t *testing.T) {
+				inWorld(t, seed, func(w *world) { w.faultRun(drawPairs(found.pairs)) })
+			})
+		}
 	}
 }
 
