--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -21,12 +21,18 @@
 // records and snapshots are taken by index and views by number.
 type Fold struct {
 	images  map[cawork.ShardID]*Image
+	lines   map[cawork.ShardID]*line
 	decoder batchDecoder
 }
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{images: map[cawork.ShardID]*Image{}}
+	return &Fold{images: map[cawork.ShardID]*Image{}, lines: map[cawork.ShardID]*line{}}
+}
+
+// add begins an image and the line that it continues.
+func (f *Fold) add(i *Image, l line) {
+	f.images[i.Shard], f.lines[i.Shard] = i, &l
 }
 
 // Apply takes the next payload. A payload of others is an error of KindInvalid
@@ -37,24 +43,33 @@
 	i, ok := f.images[e.Shard]
 	if !ok {
 		i = &Image{Shard: e.Shard}
-		f.images[e.Shard] = i
+		f.add(i, line{})
 	}
 	i.follow(e)
+	l := f.lines[e.Shard]
+	continues := l.follow(e)
 	switch e.Type {
 	case EntryRecord:
-		if e.Index == i.Last()+1 {
+		if continues && e.Index == i.Last()+1 {
 			i.Records = append(i.Records, e.Body)
 		}
 	case EntryView, EntryElected:
 	case EntrySnapshot:
-		i.rebase(e)
+		if continues {
+			i.rebase(e, l.begins())
+		}
 	case EntryRetired:
 		i.Retired = true
 	}
 }
 
-// rebase takes a snapshot unless the image is already ahead of it.
-func (i *Image) rebase(e Entry) {
+// rebase takes a snapshot unless the image is already ahead of it. That with
+// which a new lead begins is taken in any case.
+func (i *Image) rebase(e Entry, begins bool) {
+	if begins {
+		i.Base, i.State, i.Records = e.Index, e.Body, nil
+		return
+	}
 	if e.Index < i.Base || i.State != nil && e.Index == i.Base {
 		return
 	}
--- a/internal/coord/calog/survey.go
+++ b/internal/coord/calog/survey.go
@@ -18,6 +18,10 @@
 	From caplatform.Offset
 	// last is the index of the last record of the image.
 	last int64
+	// line is that after the last entry, fromLine that before the snapshot at
+	// From, with which the image begins.
+	line     line
+	fromLine line
 }
 
 // apply takes the next entry. A snapshot begins the image anew, unless records
@@ -27,15 +31,17 @@
 //	record 1, record 2, record 3, snapshot at 2   From stays at record 1
 func (t *Trace) apply(e Entry, at caplatform.Offset) {
 	t.follow(e)
+	continues := t.line.follow(e)
 	switch e.Type {
 	case EntryRecord:
-		if e.Index == t.last+1 {
+		if continues && e.Index == t.last+1 {
 			t.last = e.Index
 		}
 	case EntryView, EntryElected:
 	case EntrySnapshot:
-		if e.Index >= t.last {
-			t.From, t.last = at, e.Index
+		if continues && (t.line.begins() || e.Index >= t.last) {
+			t.From, t.last, t.fromLine = at, e.Index, t.line
+			t.fromLine.renewed = true
 		}
 	case EntryRetired:
 		t.Retired = true
@@ -82,12 +88,14 @@
 		return f, nil
 	}
 	from := traces[0].From
+	begins := make(map[cawork.ShardID]caplatform.Offset)
 	for _, t := range traces {
-		f.images[t.Shard] = &Image{Shard: t.Shard, Lead: t.Lead}
+		begins[t.Shard] = t.From
+		f.add(&Image{Shard: t.Shard, Lead: t.Lead}, t.fromLine)
 		from = min(from, t.From)
 	}
-	err := readPages(ctx, l, topic, from, func(_ caplatform.Offset, e Entry) {
-		if _, wanted := f.images[e.Shard]; wanted {
+	err := readPages(ctx, l, topic, from, func(at caplatform.Offset, e Entry) {
+		if first, wanted := begins[e.Shard]; wanted && at >= first {
 			f.apply(e)
 		}
 	})
