--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -31,6 +31,8 @@
 	OwnershipReleased  Number = 303
 	UpstreamListed     Number = 304
 	UpstreamUnlisted   Number = 305
+	MemberForeign      Number = 306
+	FormatInForce      Number = 307
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
@@ -54,6 +56,7 @@
 	AllowanceMinted    Number = 604
 	ShardRebuilt       Number = 606
 	AllowanceInherited Number = 607
+	RecordLater        Number = 608
 	LogUnavailable     Number = 700
 	LogRestored        Number = 701
 	VMListUnavailable  Number = 702
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -12,8 +12,8 @@
 	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_started"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
-	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlisted"
-	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlisted"
+	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_force"
+	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_force"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_broken"
@@ -22,8 +22,8 @@
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberLowerName_6 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
-	_NumberName_7      = "shard_rebuiltallowance_inherited"
-	_NumberLowerName_7 = "shard_rebuiltallowance_inherited"
+	_NumberName_7      = "shard_rebuiltallowance_inheritedrecord_later"
+	_NumberLowerName_7 = "shard_rebuiltallowance_inheritedrecord_later"
 	_NumberName_8      = "log_unavailablelog_restoredvm_list_unavailable"
 	_NumberLowerName_8 = "log_unavailablelog_restoredvm_list_unavailable"
 )
@@ -31,12 +31,12 @@
 var (
 	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
-	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94}
+	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
 	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
-	_NumberIndex_7 = [...]uint8{0, 13, 32}
+	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
 	_NumberIndex_8 = [...]uint8{0, 15, 27, 46}
 )
 
@@ -48,7 +48,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 305:
+	case 300 <= i && i <= 307:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case 400 <= i && i <= 403:
@@ -63,7 +63,7 @@
 	case 600 <= i && i <= 604:
 		i -= 600
 		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
-	case 606 <= i && i <= 607:
+	case 606 <= i && i <= 608:
 		i -= 606
 		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
 	case 700 <= i && i <= 702:
@@ -78,140 +78,149 @@
 // Re-run the stringer command to generate them again.
 func _NumberNoOp() {
 	var x [1]struct{}
-	_ = x[EntryStarted-(100)]
-	_ = x[EntryStopping-(101)]
-	_ = x[EntryStopped-(102)]
-	_ = x[PartFailed-(103)]
-	_ = x[StandinStarted-(104)]
-	_ = x[ConfigApplied-(200)]
-	_ = x[ConfigRefused-(201)]
-	_ = x[ConfigConflict-(202)]
-	_ = x[ConfigSnapshot-(203)]
-	_ = x[KeyRefused-(204)]
-	_ = x[MemberChanged-(300)]
-	_ = x[OwnershipGained-(301)]
-	_ = x[OwnershipLost-(302)]
-	_ = x[OwnershipReleased-(303)]
-	_ = x[UpstreamListed-(304)]
-	_ = x[UpstreamUnlisted-(305)]
-	_ = x[JobAccepted-(400)]
-	_ = x[JobRefused-(401)]
-	_ = x[TaskPlaced-(402)]
-	_ = x[TaskEnded-(403)]
-	_ = x[TaskAdopted-(405)]
-	_ = x[TaskStopped-(406)]
-	_ = x[JobEnded-(407)]
-	_ = x[StartFailed-(408)]
-	_ = x[JobHandedOver-(409)]
-	_ = x[InvariantBroken-(410)]
-	_ = x[RequestRouted-(500)]
-	_ = x[RequestRefused-(501)]
-	_ = x[RequestAnswered-(502)]
-	_ = x[RequestRetried-(503)]
-	_ = x[UpstreamEjected-(504)]
-	_ = x[UpstreamRestored-(505)]
-	_ = x[ShardTakenOver-(600)]
-	_ = x[ShardViewChanged-(601)]
-	_ = x[ShardDeposed-(602)]
-	_ = x[AllowanceMoved-(603)]
-	_ = x[AllowanceMinted-(604)]
-	_ = x[ShardRebuilt-(606)]
-	_ = x[AllowanceInherited-(607)]
-	_ = x[LogUnavailable-(700)]
-	_ = x[LogRestored-(701)]
-	_ = x[VMListUnavailable-(702)]
+	_ = x[EntryStarted-100]
+	_ = x[EntryStopping-101]
+	_ = x[EntryStopped-102]
+	_ = x[PartFailed-103]
+	_ = x[StandinStarted-104]
+	_ = x[ConfigApplied-200]
+	_ = x[ConfigRefused-201]
+	_ = x[ConfigConflict-202]
+	_ = x[ConfigSnapshot-203]
+	_ = x[KeyRefused-204]
+	_ = x[MemberChanged-300]
+	_ = x[OwnershipGained-301]
+	_ = x[OwnershipLost-302]
+	_ = x[OwnershipReleased-303]
+	_ = x[UpstreamListed-304]
+	_ = x[UpstreamUnlisted-305]
+	_ = x[MemberForeign-306]
+	_ = x[FormatInForce-307]
+	_ = x[JobAccepted-400]
+	_ = x[JobRefused-401]
+	_ = x[TaskPlaced-402]
+	_ = x[TaskEnded-403]
+	_ = x[TaskAdopted-405]
+	_ = x[TaskStopped-406]
+	_ = x[JobEnded-407]
+	_ = x[StartFailed-408]
+	_ = x[JobHandedOver-409]
+	_ = x[InvariantBroken-410]
+	_ = x[RequestRouted-500]
+	_ = x[RequestRefused-501]
+	_ = x[RequestAnswered-502]
+	_ = x[RequestRetried-503]
+	_ = x[UpstreamEjected-504]
+	_ = x[UpstreamRestored-505]
+	_ = x[ShardTakenOver-600]
+	_ = x[ShardViewChanged-601]
+	_ = x[ShardDeposed-602]
+	_ = x[AllowanceMoved-603]
+	_ = x[AllowanceMinted-604]
+	_ = x[ShardRebuilt-606]
+	_ = x[AllowanceInherited-607]
+	_ = x[RecordLater-608]
+	_ = x[LogUnavailable-700]
+	_ = x[LogRestored-701]
+	_ = x[VMListUnavailable-702]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:13]:  EntryStarted,
-	_NumberName_0[13:27]: EntryStopping,
-	_NumberName_0[27:40]: EntryStopped,
-	_NumberName_0[40:51]: PartFailed,
-	_NumberName_0[51:66]: StandinStarted,
-	_NumberName_1[0:14]:  ConfigApplied,
-	_NumberName_1[14:28]: ConfigRefused,
-	_NumberName_1[28:43]: ConfigConflict,
-	_NumberName_1[43:58]: ConfigSnapshot,
-	_NumberName_1[58:69]: KeyRefused,
-	_NumberName_2[0:14]:  MemberChanged,
-	_NumberName_2[14:30]: OwnershipGained,
-	_NumberName_2[30:44]: OwnershipLost,
-	_NumberName_2[44:62]: OwnershipReleased,
-	_NumberName_2[62:77]: UpstreamListed,
-	_NumberName_2[77:94]: UpstreamUnlisted,
-	_NumberName_3[0:12]:  JobAccepted,
-	_NumberName_3[12:23]: JobRefused,
-	_NumberName_3[23:34]: TaskPlaced,
-	_NumberName_3[34:44]: TaskEnded,
-	_NumberName_4[0:12]:  TaskAdopted,
-	_NumberName_4[12:24]: TaskStopped,
-	_NumberName_4[24:33]: JobEnded,
-	_NumberName_4[33:45]: StartFailed,
-	_NumberName_4[45:60]: JobHandedOver,
-	_NumberName_4[60:76]: InvariantBroken,
-	_NumberName_5[0:14]:  RequestRouted,
-	_NumberName_5[14:29]: RequestRefused,
-	_NumberName_5[29:45]: RequestAnswered,
-	_NumberName_5[45:60]: RequestRetried,
-	_NumberName_5[60:76]: UpstreamEjected,
-	_NumberName_5[76:93]: UpstreamRestored,
-	_NumberName_6[0:16]:  ShardTakenOver,
-	_NumberName_6[16:34]: ShardViewChanged,
-	_NumberName_6[34:47]: ShardDeposed,
-	_NumberName_6[47:62]: AllowanceMoved,
-	_NumberName_6[62:78]: AllowanceMinted,
-	_NumberName_7[0:13]:  ShardRebuilt,
-	_NumberName_7[13:32]: AllowanceInherited,
-	_NumberName_8[0:15]:  LogUnavailable,
-	_NumberName_8[15:27]: LogRestored,
-	_NumberName_8[27:46]: VMListUnavailable,
+	_NumberName_0[0:13]:    EntryStarted,
+	_NumberName_0[13:27]:   EntryStopping,
+	_NumberName_0[27:40]:   EntryStopped,
+	_NumberName_0[40:51]:   PartFailed,
+	_NumberName_0[51:66]:   StandinStarted,
+	_NumberName_1[0:14]:    ConfigApplied,
+	_NumberName_1[14:28]:   ConfigRefused,
+	_NumberName_1[28:43]:   ConfigConflict,
+	_NumberName_1[43:58]:   ConfigSnapshot,
+	_NumberName_1[58:69]:   KeyRefused,
+	_NumberName_2[0:14]:    MemberChanged,
+	_NumberName_2[14:30]:   OwnershipGained,
+	_NumberName_2[30:44]:   OwnershipLost,
+	_NumberName_2[44:62]:   OwnershipReleased,
+	_NumberName_2[62:77]:   UpstreamListed,
+	_NumberName_2[77:94]:   UpstreamUnlisted,
+	_NumberName_2[94:108]:  MemberForeign,
+	_NumberName_2[108:123]: FormatInForce,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_3[12:23]:   JobRefused,
+	_NumberName_3[23:34]:   TaskPlaced,
+	_NumberName_3[34:44]:   TaskEnded,
+	_NumberName_4[0:12]:    TaskAdopted,
+	_NumberName_4[12:24]:   TaskStopped,
+	_NumberName_4[24:33]:   JobEnded,
+	_NumberName_4[33:45]:   StartFailed,
+	_NumberName_4[45:60]:   JobHandedOver,
+	_NumberName_4[60:76]:   InvariantBroken,
+	_NumberName_5[0:14]:    RequestRouted,
+	_NumberName_5[14:29]:   RequestRefused,
+	_NumberName_5[29:45]:   RequestAnswered,
+	_NumberName_5[45:60]:   RequestRetried,
+	_NumberName_5[60:76]:   UpstreamEjected,
+	_NumberName_5[76:93]:   UpstreamRestored,
+	_NumberName_6[0:16]:    ShardTakenOver,
+	_NumberName_6[16:34]:   ShardViewChanged,
+	_NumberName_6[34:47]:   ShardDeposed,
+	_NumberName_6[47:62]:   AllowanceMoved,
+	_NumberName_6[62:78]:   AllowanceMinted,
+	_NumberName_7[0:13]:    ShardRebuilt,
+	_NumberName_7[13:32]:   AllowanceInherited,
+	_NumberName_7[32:44]:   RecordLater,
+	_NumberName_8[0:15]:    LogUnavailable,
+	_NumberName_8[15:27]:   LogRestored,
+	_NumberName_8[27:46]:   VMListUnavailable,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:13]:  EntryStarted,
-	_NumberLowerName_0[13:27]: EntryStopping,
-	_NumberLowerName_0[27:40]: EntryStopped,
-	_NumberLowerName_0[40:51]: PartFailed,
-	_NumberLowerName_0[51:66]: StandinStarted,
-	_NumberLowerName_1[0:14]:  ConfigApplied,
-	_NumberLowerName_1[14:28]: ConfigRefused,
-	_NumberLowerName_1[28:43]: ConfigConflict,
-	_NumberLowerName_1[43:58]: ConfigSnapshot,
-	_NumberLowerName_1[58:69]: KeyRefused,
-	_NumberLowerName_2[0:14]:  MemberChanged,
-	_NumberLowerName_2[14:30]: OwnershipGained,
-	_NumberLowerName_2[30:44]: OwnershipLost,
-	_NumberLowerName_2[44:62]: OwnershipReleased,
-	_NumberLowerName_2[62:77]: UpstreamListed,
-	_NumberLowerName_2[77:94]: UpstreamUnlisted,
-	_NumberLowerName_3[0:12]:  JobAccepted,
-	_NumberLowerName_3[12:23]: JobRefused,
-	_NumberLowerName_3[23:34]: TaskPlaced,
-	_NumberLowerName_3[34:44]: TaskEnded,
-	_NumberLowerName_4[0:12]:  TaskAdopted,
-	_NumberLowerName_4[12:24]: TaskStopped,
-	_NumberLowerName_4[24:33]: JobEnded,
-	_NumberLowerName_4[33:45]: StartFailed,
-	_NumberLowerName_4[45:60]: JobHandedOver,
-	_NumberLowerName_4[60:76]: InvariantBroken,
-	_NumberLowerName_5[0:14]:  RequestRouted,
-	_NumberLowerName_5[14:29]: RequestRefused,
-	_NumberLowerName_5[29:45]: RequestAnswered,
-	_NumberLowerName_5[45:60]: RequestRetried,
-	_NumberLowerName_5[60:76]: UpstreamEjected,
-	_NumberLowerName_5[76:93]: UpstreamRestored,
-	_NumberLowerName_6[0:16]:  ShardTakenOver,
-	_NumberLowerName_6[16:34]: ShardViewChanged,
-	_NumberLowerName_6[34:47]: ShardDeposed,
-	_NumberLowerName_6[47:62]: AllowanceMoved,
-	_NumberLowerName_6[62:78]: AllowanceMinted,
-	_NumberLowerName_7[0:13]:  ShardRebuilt,
-	_NumberLowerName_7[13:32]: AllowanceInherited,
-	_NumberLowerName_8[0:15]:  LogUnavailable,
-	_NumberLowerName_8[15:27]: LogRestored,
-	_NumberLowerName_8[27:46]: VMListUnavailable,
+	_NumberLowerName_0[0:13]:    EntryStarted,
+	_NumberLowerName_0[13:27]:   EntryStopping,
+	_NumberLowerName_0[27:40]:   EntryStopped,
+	_NumberLowerName_0[40:51]:   PartFailed,
+	_NumberLowerName_0[51:66]:   StandinStarted,
+	_NumberLowerName_1[0:14]:    ConfigApplied,
+	_NumberLowerName_1[14:28]:   ConfigRefused,
+	_NumberLowerName_1[28:43]:   ConfigConflict,
+	_NumberLowerName_1[43:58]:   ConfigSnapshot,
+	_NumberLowerName_1[58:69]:   KeyRefused,
+	_NumberLowerName_2[0:14]:    MemberChanged,
+	_NumberLowerName_2[14:30]:   OwnershipGained,
+	_NumberLowerName_2[30:44]:   OwnershipLost,
+	_NumberLowerName_2[44:62]:   OwnershipReleased,
+	_NumberLowerName_2[62:77]:   UpstreamListed,
+	_NumberLowerName_2[77:94]:   UpstreamUnlisted,
+	_NumberLowerName_2[94:108]:  MemberForeign,
+	_NumberLowerName_2[108:123]: FormatInForce,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_3[12:23]:   JobRefused,
+	_NumberLowerName_3[23:34]:   TaskPlaced,
+	_NumberLowerName_3[34:44]:   TaskEnded,
+	_NumberLowerName_4[0:12]:    TaskAdopted,
+	_NumberLowerName_4[12:24]:   TaskStopped,
+	_NumberLowerName_4[24:33]:   JobEnded,
+	_NumberLowerName_4[33:45]:   StartFailed,
+	_NumberLowerName_4[45:60]:   JobHandedOver,
+	_NumberLowerName_4[60:76]:   InvariantBroken,
+	_NumberLowerName_5[0:14]:    RequestRouted,
+	_NumberLowerName_5[14:29]:   RequestRefused,
+	_NumberLowerName_5[29:45]:   RequestAnswered,
+	_NumberLowerName_5[45:60]:   RequestRetried,
+	_NumberLowerName_5[60:76]:   UpstreamEjected,
+	_NumberLowerName_5[76:93]:   UpstreamRestored,
+	_NumberLowerName_6[0:16]:    ShardTakenOver,
+	_NumberLowerName_6[16:34]:   ShardViewChanged,
+	_NumberLowerName_6[34:47]:   ShardDeposed,
+	_NumberLowerName_6[47:62]:   AllowanceMoved,
+	_NumberLowerName_6[62:78]:   AllowanceMinted,
+	_NumberLowerName_7[0:13]:    ShardRebuilt,
+	_NumberLowerName_7[13:32]:   AllowanceInherited,
+	_NumberLowerName_7[32:44]:   RecordLater,
+	_NumberLowerName_8[0:15]:    LogUnavailable,
+	_NumberLowerName_8[15:27]:   LogRestored,
+	_NumberLowerName_8[27:46]:   VMListUnavailable,
 }
 
 var _NumberNames = []string{
@@ -231,6 +240,8 @@
 	_NumberName_2[44:62],
 	_NumberName_2[62:77],
 	_NumberName_2[77:94],
+	_NumberName_2[94:108],
+	_NumberName_2[108:123],
 	_NumberName_3[0:12],
 	_NumberName_3[12:23],
 	_NumberName_3[23:34],
@@ -254,6 +265,7 @@
 	_NumberName_6[62:78],
 	_NumberName_7[0:13],
 	_NumberName_7[13:32],
+	_NumberName_7[32:44],
 	_NumberName_8[0:15],
 	_NumberName_8[15:27],
 	_NumberName_8[27:46],
--- a/internal/coord/cafollow/follower.go
+++ b/internal/coord/cafollow/follower.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
@@ -108,6 +109,7 @@
 	offers  offerBook
 	wake    chan struct{}
 	confirm confirmation
+	later   caversion.Format
 
 	// The fields below belong to the goroutine of Run.
 	state     State
@@ -267,6 +269,7 @@
 		return
 	}
 	f.state = next
+	f.noteLater(next.Later())
 	f.noteLog(nil)
 	f.noteViolation(err)
 	f.noteDecisions(decisions)
@@ -426,6 +429,24 @@
 	f.logDown = err != nil
 }
 
+// Later returns the format of the record of the log that stops this follower,
+// because only later programs read it; zero when none does.
+func (f *Follower) Later() caversion.Format {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.later
+}
+
+func (f *Follower) noteLater(format caversion.Format) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if format != 0 && format != f.later {
+		caevent.Warn(f.opts.Logger, caevent.RecordLater).Str("topic", f.opts.Topic).Int("format", int(format)).
+			Int64("offset", int64(f.state.ReadFrom())).Send()
+	}
+	f.later = format
+}
+
 func (f *Follower) noteViolation(err error) {
 	if err == nil {
 		return
--- a/internal/coord/cafollow/record.go
+++ b/internal/coord/cafollow/record.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -70,6 +71,8 @@
 	Change   *Change   `cbor:"change,omitempty"`
 	Snapshot *Snapshot `cbor:"snapshot,omitempty"`
 	Reset    *Reset    `cbor:"reset,omitempty"`
+	// Format is unset so far.
+	Format caversion.Format `cbor:"format,omitempty"`
 }
 
 func (r record) encode() []byte {
@@ -81,8 +84,14 @@
 }
 
 // decodeRecord returns an empty record for a payload of no known form, which
-// every reader skips.
+// every reader skips. Of a record of a later format only the format is known.
 func decodeRecord(payload []byte) record {
+	var head struct {
+		Format caversion.Format `cbor:"format"`
+	}
+	if err := cbor.Unmarshal(payload, &head); err == nil && head.Format > caversion.FormatNewest {
+		return record{Format: head.Format}
+	}
 	var r record
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return record{}
--- a/internal/coord/cafollow/state.go
+++ b/internal/coord/cafollow/state.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -45,6 +46,9 @@
 	fresh bool
 	// anchor is the highest AsOf of the snapshots that were seen in the log.
 	anchor caplatform.Offset
+	// later is the format of the record at ReadFrom when only later programs
+	// read it. A reader must not pass it: it may decide what follows.
+	later caversion.Format
 }
 
 // NewState returns the state of a reader that knows nothing: version 0 is in
@@ -82,6 +86,10 @@
 // More reports whether the log had more records at the last read.
 func (s State) More() bool { return !s.fresh || s.ReadFrom() < s.end }
 
+// Later returns the format of the record that stops this reader, zero when none
+// does. A snapshot as of a later offset, from a peer, lets it go on.
+func (s State) Later() caversion.Format { return s.later }
+
 // CaughtUp reports whether the state covered the whole log at the last read.
 func (s State) CaughtUp() bool { return s.fresh && !s.gap && s.at.AsOf >= s.end }
 
@@ -112,7 +120,13 @@
 func (s State) withRecords(records []caplatform.Record) (State, []Decision, error) {
 	var decisions []Decision
 	var problems []error
+	s.later = 0
 	for _, r := range records {
+		// A reader that looks for a snapshot decides nothing and may pass it.
+		if format := decodeRecord(r.Payload).Format; format > caversion.FormatNewest && !s.gap && r.Offset >= s.at.AsOf {
+			s.later = format
+			break
+		}
 		scanning := s.gap
 		next, d, err := s.withRecord(r)
 		s = next
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 )
@@ -85,6 +86,32 @@
 	LostRefused       *LostRefused        `cbor:",omitempty"`
 	PartnerSettled    *PartnerSettled     `cbor:",omitempty"`
 	Thawed            *Thawed             `cbor:",omitempty"`
+	// Format is unset in caversion.FormatUnnumbered.
+	Format caversion.Format `cbor:",omitempty"`
+}
+
+// WithFormat returns a copy that states the format in which it is written.
+func (r Record) WithFormat(f caversion.Format) Record {
+	r.Format = numbered(f)
+	return r
+}
+
+// numbered returns the number that a record or snapshot of the format states.
+func numbered(f caversion.Format) caversion.Format {
+	if f <= caversion.FormatUnnumbered {
+		return 0
+	}
+	return f
+}
+
+// formatOf reads only the number of the format of a record or snapshot, which
+// has the same place in all formats.
+func formatOf(what string, b []byte) error {
+	var head struct{ Format caversion.Format }
+	if err := cbor.Unmarshal(b, &head); err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "decode %s", what)
+	}
+	return caversion.CheckFormat(what, head.Format)
 }
 
 // JobAccepted is a job and, when another shard handed it over, what its tasks
@@ -205,8 +232,12 @@
 	return b, nil
 }
 
-// DecodeRecord reads the CBOR form of a record.
+// DecodeRecord reads the CBOR form of a record. One of a later format is a
+// caversion.LaterError.
 func DecodeRecord(b []byte) (Record, error) {
+	if err := formatOf("record", b); err != nil {
+		return Record{}, err
+	}
 	var r Record
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return Record{}, cakind.Wrap(cakind.KindInvalid, err, "decode record")
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 )
@@ -49,6 +50,8 @@
 	handedFrom map[cawork.ShardID]int64
 	// taken reports that a rebuilt shard has taken in its attempts.
 	taken bool
+	// format returns the format of snapshots.
+	format func() caversion.Format
 }
 
 // NewState returns the empty state of the shard.
@@ -63,9 +66,14 @@
 
 		handedTo:   map[cawork.ShardID]int64{},
 		handedFrom: map[cawork.ShardID]int64{},
+		format:     func() caversion.Format { return caversion.FormatUnnumbered },
 	}
 }
 
+// SetFormat sets what tells the format of the snapshots to come. Without it
+// they are unnumbered.
+func (s *State) SetFormat(f func() caversion.Format) { s.format = f }
+
 // Apply folds the CBOR form of a record. A record that breaks a rule is
 // refused with a typed error and changes nothing; every replica refuses it
 // alike.
@@ -223,6 +231,8 @@
 	HandedTo   map[cawork.ShardID]int64
 	HandedFrom map[cawork.ShardID]int64
 	Taken      bool
+	// Format is unset in caversion.FormatUnnumbered.
+	Format caversion.Format `cbor:",omitempty"`
 }
 
 func (s *State) snapshot() snapshot {
@@ -234,16 +244,24 @@
 
 // Snapshot returns the CBOR form of the state. Equal states have equal forms.
 func (s *State) Snapshot() ([]byte, error) {
-	b, err := encMode.Marshal(s.snapshot())
+	snap := s.snapshot()
+	snap.Format = numbered(s.format())
+	b, err := encMode.Marshal(snap)
 	if err != nil {
 		return nil, cakind.Wrap(cakind.KindInternal, err, "encode snapshot of shard %s", s.shard)
 	}
 	return b, nil
 }
 
-// Restore replaces the state by a snapshot.
+// Restore replaces the state by a snapshot. One of a later format is a
+// caversion.LaterError and changes nothing.
 func (s *State) Restore(b []byte) error {
+	what := "snapshot of shard " + string(s.shard)
+	if err := formatOf(what, b); err != nil {
+		return err
+	}
 	fresh := NewState(s.shard, s.retention)
+	fresh.format = s.format
 	snap := fresh.snapshot()
 	if err := cbor.Unmarshal(b, &snap); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode snapshot of shard %s", s.shard)
--- a/internal/coord/calog/batch.go
+++ b/internal/coord/calog/batch.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 )
 
 // payload is what one record of the log holds: the entries of one append,
@@ -17,6 +18,9 @@
 	Entry
 	// Deflated holds the entries one after another, compressed with DEFLATE.
 	Deflated []byte `cbor:",omitempty"`
+	// Format is that of the payload as a whole. It is unset so far: the format
+	// of a record stands in its body.
+	Format caversion.Format `cbor:",omitempty"`
 }
 
 // Encoder encodes the entries of one append. Its compressor is kept, because
@@ -66,8 +70,16 @@
 }
 
 // decode calls visit for each entry of a payload, in order. It holds one entry
-// at a time. A payload that is not of this package is an error of KindInvalid.
+// at a time. A payload that is not of this package is an error of KindInvalid,
+// one of a later format a caversion.LaterError.
 func (d *batchDecoder) decode(body []byte, visit func(Entry)) error {
+	var head struct{ Format caversion.Format }
+	if err := cbor.Unmarshal(body, &head); err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "decode log payload")
+	}
+	if err := caversion.CheckFormat("log payload", head.Format); err != nil {
+		return err
+	}
 	var p payload
 	if err := cbor.Unmarshal(body, &p); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode log payload")
--- a/internal/coord/calog/fold.go
+++ b/internal/coord/calog/fold.go
@@ -11,6 +11,9 @@
 	State   []byte
 	Records [][]byte
 	Retired bool
+	// Later reports that the log has an entry of a type that only later programs
+	// know, so that the image may be wrong.
+	Later bool
 }
 
 // Last returns the index of the last record of the image.
@@ -50,6 +53,8 @@
 		i.rebase(e)
 	case EntryRetired:
 		i.Retired = true
+	default:
+		i.Later = true
 	}
 }
 
--- a/internal/coord/calog/pages.go
+++ b/internal/coord/calog/pages.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -18,7 +19,8 @@
 )
 
 // readPages calls visit for each entry of a topic from the offset up to the
-// end, in order. Payloads of others are skipped. The number of payloads of a
+// end, in order. Payloads of others are skipped, but one of a later format ends
+// the reading with its error: nobody can tell which shards it is of. The number of payloads of a
 // read follows their size, and is halved when an answer is lost, which may have
 // been too large.
 func readPages(ctx context.Context, l caplatform.Log, topic string, from caplatform.Offset, visit func(caplatform.Offset, Entry)) error {
@@ -35,7 +37,10 @@
 		}
 		size := 0
 		for _, r := range page.Records {
-			_ = decoder.decode(r.Payload, func(e Entry) { visit(r.Offset, e) })
+			err := decoder.decode(r.Payload, func(e Entry) { visit(r.Offset, e) })
+			if _, later := caversion.Later(err); later {
+				return err
+			}
 			size += len(r.Payload)
 			from = r.Offset + 1
 		}
--- a/internal/coord/calog/survey.go
+++ b/internal/coord/calog/survey.go
@@ -14,6 +14,8 @@
 	Shard cawork.ShardID
 	Lead
 	Retired bool
+	// Later is as in Image.
+	Later bool
 	// From is the offset from which on all that makes up the image stands.
 	From caplatform.Offset
 	// last is the index of the last record of the image.
@@ -39,6 +41,8 @@
 		}
 	case EntryRetired:
 		t.Retired = true
+	default:
+		t.Later = true
 	}
 }
 
--- a/internal/coord/camember/cause_names.go
+++ b/internal/coord/camember/cause_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "joinedsuspecteddiedrefutedreturnedrestartedleavingleftunlistedreachappself_paused"
+const _CauseName = "joinedsuspecteddiedrefutedreturnedrestartedleavingleftunlistedreachappself_pausedforeign"
 
-var _CauseIndex = [...]uint8{0, 6, 15, 19, 26, 34, 43, 50, 54, 62, 67, 70, 81}
+var _CauseIndex = [...]uint8{0, 6, 15, 19, 26, 34, 43, 50, 54, 62, 67, 70, 81, 88}
 
-const _CauseLowerName = "joinedsuspecteddiedrefutedreturnedrestartedleavingleftunlistedreachappself_paused"
+const _CauseLowerName = "joinedsuspecteddiedrefutedreturnedrestartedleavingleftunlistedreachappself_pausedforeign"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -24,21 +24,22 @@
 // Re-run the stringer command to generate them again.
 func _CauseNoOp() {
 	var x [1]struct{}
-	_ = x[CauseJoined-(0)]
-	_ = x[CauseSuspected-(1)]
-	_ = x[CauseDied-(2)]
-	_ = x[CauseRefuted-(3)]
-	_ = x[CauseReturned-(4)]
-	_ = x[CauseRestarted-(5)]
-	_ = x[CauseLeaving-(6)]
-	_ = x[CauseLeft-(7)]
-	_ = x[CauseUnlisted-(8)]
-	_ = x[CauseReach-(9)]
-	_ = x[CauseApp-(10)]
-	_ = x[CauseSelfPaused-(11)]
+	_ = x[CauseJoined-0]
+	_ = x[CauseSuspected-1]
+	_ = x[CauseDied-2]
+	_ = x[CauseRefuted-3]
+	_ = x[CauseReturned-4]
+	_ = x[CauseRestarted-5]
+	_ = x[CauseLeaving-6]
+	_ = x[CauseLeft-7]
+	_ = x[CauseUnlisted-8]
+	_ = x[CauseReach-9]
+	_ = x[CauseApp-10]
+	_ = x[CauseSelfPaused-11]
+	_ = x[CauseForeign-12]
 }
 
-var _CauseValues = []Cause{CauseJoined, CauseSuspected, CauseDied, CauseRefuted, CauseReturned, CauseRestarted, CauseLeaving, CauseLeft, CauseUnlisted, CauseReach, CauseApp, CauseSelfPaused}
+var _CauseValues = []Cause{CauseJoined, CauseSuspected, CauseDied, CauseRefuted, CauseReturned, CauseRestarted, CauseLeaving, CauseLeft, CauseUnlisted, CauseReach, CauseApp, CauseSelfPaused, CauseForeign}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:6]:   CauseJoined,
@@ -53,6 +54,7 @@
 	_CauseName[62:67]: CauseReach,
 	_CauseName[67:70]: CauseApp,
 	_CauseName[70:81]: CauseSelfPaused,
+	_CauseName[81:88]: CauseForeign,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
@@ -68,6 +70,7 @@
 	_CauseLowerName[62:67]: CauseReach,
 	_CauseLowerName[67:70]: CauseApp,
 	_CauseLowerName[70:81]: CauseSelfPaused,
+	_CauseLowerName[81:88]: CauseForeign,
 }
 
 var _CauseNames = []string{
@@ -83,6 +86,7 @@
 	_CauseName[62:67],
 	_CauseName[67:70],
 	_CauseName[70:81],
+	_CauseName[81:88],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/internal/coord/camember/member.go
+++ b/internal/coord/camember/member.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
@@ -93,6 +94,9 @@
 	CauseApp
 	// CauseSelfPaused means that this entry itself did not run for a while.
 	CauseSelfPaused
+	// CauseForeign means that the member was found to speak no protocol of this
+	// entry.
+	CauseForeign
 )
 
 // TeamUse is what a team has running under an entry.
@@ -141,6 +145,13 @@
 	// ended, the zero time while it is.
 	LiveSince time.Time
 	App       AppState
+	// Protocols are those that the member speaks and Format is the newest that it
+	// reads, as it told this entry itself. They are zero until it did.
+	Protocols caversion.Range
+	Format    caversion.Format
+	// Foreign reports that the member runs, and that no message of it can be
+	// understood.
+	Foreign bool
 }
 
 // MemberChanged tells that a member changed. Was is its liveness before.
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -11,6 +11,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cacheck"
 	"celeryarch.example/celeryarch/internal/coord/cafeed"
@@ -40,6 +41,8 @@
 	Log    zerolog.Logger
 	Scope  tally.Scope
 	Check  *cacheck.Checker
+	// Greetings may be nil: then nothing is known of the versions of others.
+	Greetings Greetings
 	// Seed decides the order of probes.
 	Seed uint64
 }
@@ -195,15 +198,31 @@
 	defer cancel()
 	reply, err := p.deps.Peers.Exchange(limited, probe.Address, probe.Request)
 	p.deps.Scope.Counter("exchanges").Inc(1)
+	foreign, isForeign := caversion.Foreign(err)
 	switch {
 	case err == nil:
 		p.advance(ctx, func(now time.Time) Step { return p.state.HandleReply(now, probe, reply) })
+		p.takeGreeting(reply.From, probe.Address)
+	case isForeign:
+		p.advance(ctx, func(now time.Time) Step { return p.state.HandleForeign(now, probe, foreign) })
 	case ctx.Err() == nil && !probe.Request.Second:
 		p.deps.Scope.Counter("probe_failures").Inc(1)
 		p.advance(ctx, func(now time.Time) Step { return p.state.HandleFailure(now, probe) })
 	}
 }
 
+// takeGreeting takes over what the member at the address told of its version.
+func (p *Part) takeGreeting(vm cawork.VMID, address string) {
+	if p.deps.Greetings == nil {
+		return
+	}
+	if g, ok := p.deps.Greetings.Greeting(address); ok {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.state.HandleGreeting(vm, g)
+	}
+}
+
 // relay asks all relays at once; one answer suffices.
 func (p *Part) relay(ctx context.Context, relays []Relay) {
 	limited, cancel := context.WithTimeout(ctx, 2*p.cfg.ProbeTimeout)
@@ -234,6 +253,11 @@
 		if e.Cause == CauseApp {
 			continue
 		}
+		if e.Cause == CauseForeign {
+			caevent.Warn(p.deps.Log, caevent.MemberForeign).Str("member", string(e.Member.VM)).
+				Str("protocols", e.Member.Protocols.String()).Int("format", int(e.Member.Format)).Send()
+			continue
+		}
 		caevent.Info(p.deps.Log, caevent.MemberChanged).
 			Str("member", string(e.Member.VM)).Str("was", e.Was.String()).
 			Str("liveness", e.Member.Liveness.String()).Str("cause", e.Cause.String()).
--- a/internal/coord/camember/record.go
+++ b/internal/coord/camember/record.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/carendezvous"
 )
@@ -37,6 +38,9 @@
 	// verified is the time of the last verifying probe.
 	verified time.Time
 	reach    Reach
+	// greeting is what the member told this entry itself of its version.
+	greeting caversion.Greeting
+	foreign  bool
 }
 
 func (r *record) place() (Place, bool) {
@@ -128,6 +132,7 @@
 		VM: p.VM, Incarnation: r.incarnation, Address: p.Address, Zone: p.Zone,
 		Liveness: r.standing.Liveness(), Reach: r.reach,
 		Since: r.since, Joined: r.joined, LiveSince: r.live, App: r.app(),
+		Protocols: r.greeting.Protocols(), Format: r.greeting.Format, Foreign: r.foreign,
 	}
 }
 
--- a/internal/coord/caowner/follow.go
+++ b/internal/coord/caowner/follow.go
@@ -9,11 +9,12 @@
 	"celeryarch.example/celeryarch/internal/coord/camember"
 )
 
-// EntriesOf returns the live entries of the zone among the members.
+// EntriesOf returns the live entries of the zone among the members. An entry of
+// a foreign version keeps what it holds by its leases, and competes for no more.
 func EntriesOf(members []camember.Member, zone cawork.ZoneName) []Entry {
 	var entries []Entry
 	for _, m := range members {
-		if m.Zone == zone && m.Liveness.Live() {
+		if m.Zone == zone && m.Liveness.Live() && !m.Foreign {
 			entries = append(entries, Entry{VM: m.VM, Since: m.LiveSince, Unreachable: m.App.Unreachable})
 		}
 	}
--- a/internal/coord/cashard/backup.go
+++ b/internal/coord/cashard/backup.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -58,7 +59,9 @@
 	b.lastHeard = now
 	b.yielded = req.Yield
 	b.settled = req.Settled
-	b.take(req)
+	if err := b.take(req); err != nil {
+		return ReplicateReply{}, err
+	}
 	return b.reply(ReplyOK), nil
 }
 
@@ -86,15 +89,26 @@
 }
 
 // take applies the records that are new. A record that the state machine
-// refuses is refused by the primary alike.
-func (b *backup) take(req ReplicateRequest) {
+// refuses is refused by the primary alike, but for one of a later format: the
+// replica stops before it and does not acknowledge it.
+func (b *backup) take(req ReplicateRequest) error {
 	for i, record := range req.Records {
 		if req.First+int64(i) != b.last+1 {
 			continue
 		}
-		_ = b.machine.Apply(record)
+		if err := b.machine.Apply(record); isLater(err) {
+			return err
+		}
 		b.last++
 	}
+	return nil
+}
+
+// isLater reports whether the error is of a record that only later programs
+// read.
+func isLater(err error) bool {
+	_, later := caversion.Later(err)
+	return later
 }
 
 func (b *backup) reply(s ReplyStatus) ReplicateReply {
--- a/internal/coord/cashard/rebuild.go
+++ b/internal/coord/cashard/rebuild.go
@@ -58,7 +58,8 @@
 	return ok && (r.primary != nil || r.backup != nil)
 }
 
-// restore brings a state machine to the end of the image.
+// restore brings a state machine to the end of the image. An image with a
+// record of a later format is not taken.
 func restore(m StateMachine, image Image) (int64, error) {
 	if image.Snapshot.State != nil {
 		if err := m.Restore(image.Snapshot.State); err != nil {
@@ -66,7 +67,9 @@
 		}
 	}
 	for _, r := range image.Records {
-		_ = m.Apply(r)
+		if err := m.Apply(r); isLater(err) {
+			return 0, err
+		}
 	}
 	return image.Snapshot.Index + int64(len(image.Records)), nil
 }
--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -14,6 +14,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/calog"
@@ -94,6 +95,8 @@
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
+	// Format returns the format of the records to come.
+	Format func() caversion.Format
 }
 
 // Part archives and rebuilds.
@@ -115,6 +118,7 @@
 	proposed  map[cawork.ShardID]cashard.View
 	// succeeded holds the numbers of the elected views that were led here.
 	succeeded map[cawork.ShardID]int64
+	later     laterShards
 	// over holds the shards with a replica here that the log tells as retired.
 	over map[cawork.ShardID]bool
 }
@@ -229,6 +233,12 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	fold, err := p.readLost(ctx, stuck)
+	p.later.reset()
+	if _, later := caversion.Later(err); later {
+		p.noteLater("", err)
+		p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+		return
+	}
 	if err != nil {
 		caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 		return
@@ -299,6 +309,10 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
+	if image.Later {
+		p.noteLater(image.Shard, errLaterEntry)
+		return false
+	}
 	if p.Directory.IsGone(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
 		return p.succeed(ctx, view, image)
 	}
@@ -312,12 +326,13 @@
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
 		Records:  append(slices.Clone(image.Records), mark),
 	}, p.hasEnded)
+	p.noteLater(view.Shard, err)
 	p.logRebuilt(view, image.Last(), err)
 	return err == nil
 }
 
 func (p *Part) mark() ([]byte, error) {
-	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.WithFormat(p.Format()).Encode()
 }
 
 func (p *Part) logRebuilt(v cashard.View, last int64, err error) {
--- a/internal/node/caarchive/partners.go
+++ b/internal/node/caarchive/partners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
@@ -56,7 +58,9 @@
 	}
 	for _, r := range image.Records {
 		// A record that the shard refused is refused here alike.
-		_ = state.Apply(r)
+		if _, later := caversion.Later(state.Apply(r)); later {
+			return nil, cakind.New(cakind.KindInvalid, "shard %s has a record of a later format", image.Shard)
+		}
 	}
 	return state, nil
 }
--- a/internal/node/caarchive/succeed.go
+++ b/internal/node/caarchive/succeed.go
@@ -48,6 +48,10 @@
 // look.
 func (p *Part) succeed(ctx context.Context, view cashard.View, image calog.Image) bool {
 	logged, err := cashard.DecodeView(image.ViewBody)
+	if image.Later {
+		p.noteLater(view.Shard, errLaterEntry)
+		return false
+	}
 	if err != nil || !p.isUndecided(ctx, logged, view, image.Elected) {
 		return false
 	}
@@ -199,6 +203,7 @@
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
 		Records:  image.Records,
 	}, mark)
+	p.noteLater(next.Shard, err)
 	p.logRebuilt(next, image.Last(), err)
 	if err == nil {
 		p.succeeded[next.Shard] = next.Number
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -138,8 +138,13 @@
 	return vms
 }
 
-// Others returns the other members that are not known to have ended.
+// Others returns the other members that are not known to have ended and whose
+// messages are understood here.
 func (d *Directory) Others() []camember.Member {
+	return slices.DeleteFunc(d.live(), func(m camember.Member) bool { return m.Foreign })
+}
+
+func (d *Directory) live() []camember.Member {
 	return slices.DeleteFunc(d.all(), func(m camember.Member) bool {
 		return m.VM == d.self || !m.Liveness.Live()
 	})
@@ -219,7 +224,7 @@
 // HasSilent implements calaunch.Directory.
 func (d *Directory) HasSilent() bool {
 	for _, m := range d.all() {
-		if m.Liveness == camember.LivenessDead && !d.HasEnded(m.VM, int64(m.Incarnation)) {
+		if m.Foreign || m.Liveness == camember.LivenessDead && !d.HasEnded(m.VM, int64(m.Incarnation)) {
 			return true
 		}
 	}
@@ -326,10 +331,11 @@
 	return partners
 }
 
-// Entries implements calaunch.Directory.
+// Entries implements calaunch.Directory. Those of a foreign version are among
+// them, because a job may be there although they cannot be asked.
 func (d *Directory) Entries() []cawork.VMID {
 	var ids []cawork.VMID
-	for _, m := range d.Others() {
+	for _, m := range d.live() {
 		ids = append(ids, m.VM)
 	}
 	return ids
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/caactive"
 	"celeryarch.example/celeryarch/internal/config/cacell"
@@ -57,6 +59,26 @@
 	Scope   tally.Scope
 	Metrics http.Handler
 	Timer   *catimer.Service
+	// Version is what this entry tells of its version. The zero value stands for
+	// what this program supports; tests set others.
+	Version Version
+}
+
+// Version is what an entry tells others of its version.
+type Version struct {
+	Protocols caversion.Range
+	// Format is the newest format that it reads and writes.
+	Format caversion.Format
+}
+
+// isUnnumbered reports whether the entry greets nobody, as in version 0.2.0.
+func (v Version) isUnnumbered() bool { return v.Protocols.Newest == caversion.ProtocolUnnumbered }
+
+func (v Version) orSupported() Version {
+	if v.Protocols.IsZero() {
+		return Version{Protocols: caversion.Supported(), Format: caversion.FormatNewest}
+	}
+	return v
 }
 
 // Platform is what an entry gets from the platform and the network.
@@ -91,6 +113,9 @@
 	check    *cacheck.Checker
 	life     int64
 	shard    cawork.ShardID
+	version  Version
+	// format is the format of records in force.
+	format atomic.Int64
 
 	list       *calist.Part
 	directory  *cadirectory.Directory
@@ -130,7 +155,9 @@
 		timer:    around.Timer,
 		draining: make(chan struct{}),
 		done:     make(chan struct{}),
+		version:  around.Version.orSupported(),
 	}
+	e.format.Store(int64(caversion.FormatUnnumbered))
 	e.check = cacheck.New(e.log, e.scope)
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -195,8 +222,11 @@
 	identity := camember.Identity{VM: e.settings.VM, Address: e.peerListener.Addr().String(), Zone: e.settings.Zone}
 	e.members = camember.NewPart(camember.DefaultConfig(), identity, e.settings.Seeds, camember.Deps{
 		Peers: calink.Members{Link: e.link()}, Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
-		Seed: rand.Uint64(),
+		Seed: rand.Uint64(), Greetings: e.client,
 	})
+	if !e.version.isUnnumbered() {
+		e.client.GreetAs(e.greeting)
+	}
 	e.directory.SetMembers(e.members)
 	e.life = int64(e.members.Self().Incarnation)
 	e.shard = shardID(e.settings.VM, e.life)
@@ -232,7 +262,9 @@
 		Config: cashard.DefaultConfig(), Peers: calink.Replicas{Link: e.link()},
 		Witnesses: witnesses{directory: e.directory, agents: e.platform.Agents}, Listener: (*shardListener)(e),
 		NewMachine: func(id cawork.ShardID) cashard.StateMachine {
-			return cajob.NewState(id, cajob.DefaultRetention())
+			state := cajob.NewState(id, cajob.DefaultRetention())
+			state.SetFormat(e.recordFormat)
+			return state
 		},
 		Timer: e.timer, Log: e.log, Scope: e.scope,
 	})
@@ -242,20 +274,20 @@
 	e.quota = caquota.NewPart(caquota.Config{
 		Zone: e.settings.Zone, Shard: e.shard, Log: e.platform.Log, Shards: e.shards, Limits: e.active,
 		Leaders: e.directory, Archive: lateParts{e}, Ender: lateParts{e}, Peers: calink.Quotas{Link: e.link()},
-		Timer: e.timer, Logger: e.log, Scope: e.scope,
+		Timer: e.timer, Logger: e.log, Scope: e.scope, Format: e.recordFormat,
 	})
 	e.launcher = calaunch.NewLauncher(calaunch.Config{
 		Self: e.settings.VM, Zone: e.settings.Zone, Shard: e.shard, TaskTTL: caowner.DefaultConfig().TaskTTL,
 		Scheduler: cadecide.New(casched.DefaultPolicy(), e.violated), Shards: e.shards, Leases: e.owner, Allowances: e.quota,
 		Directory: e.directory, Agents: e.platform.Agents, Peers: calink.Jobs{Link: e.link()},
-		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life,
+		Timer: e.timer, Logger: e.log, Scope: e.scope, Generation: e.life, Format: e.recordFormat,
 		MayLack: func() bool { return e.archive.MayLack() },
 	})
 	e.archive, err = caarchive.NewPart(caarchive.Config{
 		Self: cashard.Member{VM: e.settings.VM, Incarnation: e.life}, Zone: e.settings.Zone, Life: string(e.shard),
 		Log: e.platform.Log, Shards: e.shards, Directory: e.directory, Peers: calink.Replicas{Link: e.link()},
 		Witnesses: witnesses{directory: e.directory, agents: e.platform.Agents},
-		Timer:     e.timer, Logger: e.log, Scope: e.scope,
+		Timer:     e.timer, Logger: e.log, Scope: e.scope, Format: e.recordFormat,
 	})
 	if err != nil {
 		return err
@@ -290,6 +322,9 @@
 	})
 	e.operators = caapi.NewOperators(caapi.OperatorsConfig{Limits: bounds, Status: e, Metrics: metrics})
 	e.peers = capeer.NewServer()
+	if !e.version.isUnnumbered() {
+		e.peers.GreetAs(e.greeting)
+	}
 	calink.Register(e.peers, calink.Parts{
 		Members: e.members, Shards: e.shards, Follower: e.follower,
 		Dispatcher: e.dispatcher, Keys: e.keys, Launcher: e.launcher, Quota: e.quota,
--- a/internal/node/caentry/forward.go
+++ b/internal/node/caentry/forward.go
@@ -91,6 +91,7 @@
 	for {
 		e.takeStates(states)
 		e.members.SetLocal(e.appState(ctx))
+		e.chooseFormat()
 		e.takeOthers()
 		select {
 		case <-ctx.Done():
--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/camember"
@@ -24,6 +25,22 @@
 	Queued        int              `json:"queued"`
 	OpenAttempts  int              `json:"open_attempts"`
 	Free          cawork.Resources `json:"free"`
+	Versions      VersionStatus    `json:"versions"`
+}
+
+// VersionStatus tells how the versions of the entries of the cell stand.
+type VersionStatus struct {
+	Protocols string `json:"protocols"`
+	// Format is the format of records in force, Reads the newest one that is
+	// read here. HeldBy lists the entries that hold the former below the latter.
+	Format caversion.Format `json:"format"`
+	Reads  caversion.Format `json:"reads"`
+	HeldBy []cawork.VMID    `json:"held_by,omitempty"`
+	// Unreadable lists shards of lost entries that have records of a later
+	// format, "*" when any may have.
+	Unreadable []cawork.ShardID `json:"unreadable,omitempty"`
+	// ConfigLater is the format of the record that stops the configuration here.
+	ConfigLater caversion.Format `json:"config_later,omitempty"`
 }
 
 // EntryStatus is an entry as this one sees it.
@@ -35,6 +52,11 @@
 	ConfigVersion  int64           `json:"config_version"`
 	OwnedUpstreams int             `json:"owned_upstreams"`
 	Queued         int             `json:"queued"`
+	// Protocols and Format are what the entry told this one of its version, unset
+	// until it did. Foreign is set when no message of it is understood here.
+	Protocols string           `json:"protocols,omitempty"`
+	Format    caversion.Format `json:"format,omitempty"`
+	Foreign   bool             `json:"foreign,omitempty"`
 }
 
 // UpstreamStatus is an upstream of the zone.
@@ -84,13 +106,14 @@
 		VM: e.settings.VM, Zone: e.settings.Zone, Ready: e.Ready(), ConfigVersion: int64(view.Version),
 		ConfirmedAgo: e.confirmedAgo(view.Config), Queued: load.Queued, OpenAttempts: load.Open, Free: load.Free,
 		Entries: []EntryStatus{}, Teams: []TeamStatus{}, Upstreams: e.upstreamStatuses(), Shards: e.shardStatuses(),
+		Versions: e.versionStatus(),
 	}
 	use := make(map[cawork.TeamName]cawork.Resources)
 	for _, u := range load.Uses {
 		use[u.Team] = u.Use
 	}
 	for _, m := range e.members.Members() {
-		status.Entries = append(status.Entries, entryStatus(m))
+		status.Entries = append(status.Entries, e.entryStatus(m))
 		if m.VM == e.settings.VM || !m.Liveness.Live() {
 			continue
 		}
@@ -117,8 +140,24 @@
 	return e.timer.Now().Sub(at).Round(time.Millisecond).String()
 }
 
-func entryStatus(m camember.Member) EntryStatus {
+func (e *Entry) versionStatus() VersionStatus {
+	_, held := e.directory.Format(e.version.Format)
+	return VersionStatus{
+		Protocols: e.version.Protocols.String(), Format: e.recordFormat(), Reads: e.version.Format, HeldBy: held,
+		Unreadable: e.archive.Unreadable(), ConfigLater: e.follower.Later(),
+	}
+}
+
+func (e *Entry) entryStatus(m camember.Member) EntryStatus {
+	if m.VM == e.settings.VM {
+		m.Protocols, m.Format = e.version.Protocols, e.version.Format
+	}
+	protocols := ""
+	if !m.Protocols.IsZero() {
+		protocols = m.Protocols.String()
+	}
 	return EntryStatus{
+		Protocols: protocols, Format: m.Format, Foreign: m.Foreign,
 		VM: m.VM, Zone: m.Zone, Liveness: m.Liveness.String(), Incarnation: int64(m.Incarnation),
 		ConfigVersion: m.App.ConfigVersion, OwnedUpstreams: m.App.OwnedUpstreams, Queued: m.App.QueueLength,
 	}
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -15,6 +15,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
@@ -110,6 +111,8 @@
 	Scope      tally.Scope
 	// MayLack reports whether shards of the zone may have yet to be rebuilt.
 	MayLack func() bool
+	// Format returns the format of the records to come.
+	Format func() caversion.Format
 	// Generation identifies this life of the entry.
 	Generation int64
 }
@@ -352,7 +355,7 @@
 // propose adds a record to a shard. The result is reported to the loop.
 func (l *Launcher) propose(id cawork.ShardID, r cajob.Record, then func(err error)) error {
 	r.At = l.now()
-	payload, err := r.Encode()
+	payload, err := r.WithFormat(l.Format()).Encode()
 	if err != nil {
 		return err
 	}
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 )
 
 const (
@@ -34,6 +35,7 @@
 // Server answers the calls of peers.
 type Server struct {
 	methods map[string]method
+	self    Introduce
 	done    chan struct{}
 }
 
@@ -63,6 +65,9 @@
 
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	if err := s.checkHeader(stream.Context(), rpc); err != nil {
+		return withCode(err)
+	}
 	m, ok := s.methods[rpc]
 	if !ok {
 		return withCode(cakind.New(cakind.KindNotFound, "no such call %q", rpc))
@@ -98,18 +103,26 @@
 	config *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	once   sync.Once
+	self   Introduce
+
+	mu      sync.Mutex
+	greeted map[string]caversion.Greeting
 }
 
 // NewClient returns a client over the connections that dial opens. A nil TLS
 // configuration means plain connections.
 func NewClient(dial Dial, config *tls.Config) *Client {
 	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: connectionsPerPeer}
-	return &Client{open: dial, config: config, pool: drpcpool.New[string, drpcpool.Conn](options)}
+	return &Client{
+		open: dial, config: config, pool: drpcpool.New[string, drpcpool.Conn](options),
+		greeted: make(map[string]caversion.Greeting),
+	}
 }
 
 // Call sends the message to the method of the peer at the address. An error of
 // KindUnavailable means that the message was not sent, KindUnknown that its
-// effect may have taken place; other kinds come from the peer.
+// effect may have taken place; other kinds come from the peer. A peer that
+// speaks no protocol of this entry is a caversion.ForeignError.
 func Call[In, Out any](ctx context.Context, c *Client, address, name string, in In) (Out, error) {
 	var out Out
 	dialed := true
@@ -119,7 +132,7 @@
 		return fresh, err
 	})
 	defer func() { _ = conn.Close() }()
-	err := conn.Invoke(ctx, name, encoding{}, &in, &out)
+	err := conn.Invoke(c.withHeader(ctx), name, encoding{}, &in, &out)
 	switch {
 	case err == nil:
 		return out, nil
@@ -132,9 +145,22 @@
 	}
 }
 
+// dial opens a connection and exchanges greetings on it.
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.greet(ctx, conn, address); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Client) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
 	raw, err := c.open(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/caactive"
 	"celeryarch.example/celeryarch/internal/config/cacell"
@@ -72,6 +73,8 @@
 	Timer   *catimer.Service
 	Logger  zerolog.Logger
 	Scope   tally.Scope
+	// Format returns the format of the records to come.
+	Format func() caversion.Format
 }
 
 // Part keeps the allowances of the own zone.
@@ -283,7 +286,7 @@
 
 func (p *Part) append(ctx context.Context, shard cawork.ShardID, r cajob.Record) error {
 	r.At = p.Timer.Now()
-	payload, err := r.Encode()
+	payload, err := r.WithFormat(p.Format()).Encode()
 	if err != nil {
 		return err
 	}
