--- /dev/null
+++ b/internal/base/cagolden/golden.go
@@ -0,0 +1,101 @@
+// Package cagolden keeps encoded values of a format in files, for tests that
+// later programs read them to the same values. A file is written once and never
+// changed: the programs that wrote such bytes are out there.
+package cagolden
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+)
+
+// bytesPerLine is the number of bytes in a line of a file.
+const bytesPerLine = 40
+
+// AddVariable is the environment variable that makes Verify write files that
+// are missing. It never changes one that is there.
+const AddVariable = "CELERYARCH_GOLDEN_ADD"
+
+// Codec encodes and decodes values of one type.
+type Codec struct {
+	Encode func(value any) ([]byte, error)
+	// Decode returns a value of the type of the sample.
+	Decode func(data []byte) (any, error)
+}
+
+// Verify requires that the bytes in the file decode to the value that the file
+// tells, and that the sample survives the codec. The file holds the bytes in
+// hexadecimal digits, an empty line, and the value as Dump writes it.
+func Verify(path string, sample any, c Codec) error {
+	data, err := c.Encode(sample)
+	if err != nil {
+		return err
+	}
+	if err := decodesTo(c, data, Dump(sample)); err != nil {
+		return cakind.Wrap(cakind.KindInternal, err, "sample of %s", path)
+	}
+	golden, text, err := Read(path)
+	if errors.Is(err, fs.ErrNotExist) && os.Getenv(AddVariable) != "" {
+		return write(path, data, Dump(sample))
+	}
+	if err != nil {
+		return err
+	}
+	return decodesTo(c, golden, text)
+}
+
+func decodesTo(c Codec, data []byte, text string) error {
+	value, err := c.Decode(data)
+	if err != nil {
+		return err
+	}
+	if diff := cmp.Diff(text, Dump(value)); diff != "" {
+		return cakind.New(cakind.KindInternal, "value mismatch (-want +got):\n%s", diff)
+	}
+	return nil
+}
+
+// Read returns the bytes of a file and the value that they stand for.
+func Read(path string) (data []byte, text string, err error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, "", err
+	}
+	digits, value, ok := strings.Cut(string(content), "\n\n")
+	data, err = hex.DecodeString(strings.ReplaceAll(digits, "\n", ""))
+	if !ok || err != nil {
+		return nil, "", cakind.New(cakind.KindInvalid, "golden file %s is not of the form", path)
+	}
+	return data, value, nil
+}
+
+func write(path string, data []byte, text string) error {
+	var b bytes.Buffer
+	for len(data) > 0 {
+		n := min(len(data), bytesPerLine)
+		b.WriteString(hex.EncodeToString(data[:n]) + "\n")
+		data = data[n:]
+	}
+	b.WriteString("\n" + text)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, b.Bytes(), 0o600)
+}
+
+// New returns a pointer to a value of the type in which nothing is zero.
+func New(t reflect.Type) reflect.Value {
+	v := reflect.New(t)
+	var f filler
+	f.fill(v.Elem())
+	return v
+}
--- a/internal/base/caversion/version.go
+++ b/internal/base/caversion/version.go
@@ -117,20 +117,22 @@
 type LaterError struct {
 	What   string
 	Format Format
+	// Reads is the newest format that is read here.
+	Reads Format
 }
 
 // Error implements error.
 func (e *LaterError) Error() string {
-	return fmt.Sprintf("%s has format %d, this program reads up to %d", e.What, e.Format, FormatNewest)
+	return fmt.Sprintf("%s has format %d, up to %d is read here", e.What, e.Format, e.Reads)
 }
 
-// CheckFormat returns a LaterError of KindInvalid unless the format is read
-// here. Zero stands for FormatUnnumbered.
-func CheckFormat(what string, f Format) error {
-	if f <= FormatNewest {
+// CheckFormat returns a LaterError of KindInvalid when the format is above the
+// newest one that is read. Zero stands for FormatUnnumbered.
+func CheckFormat(what string, f, reads Format) error {
+	if f <= reads {
 		return nil
 	}
-	return cakind.Wrap(cakind.KindInvalid, &LaterError{What: what, Format: f}, "read %s", what)
+	return cakind.Wrap(cakind.KindInvalid, &LaterError{What: what, Format: f, Reads: reads}, "read %s", what)
 }
 
 // Later returns the LaterError in the chain of err.
--- /dev/null
+++ b/internal/coord/cafollow/golden_test.go
@@ -0,0 +1,108 @@
+package cafollow
+
+import (
+	"math/rand/v2"
+	"path/filepath"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cagolden"
+	"celeryarch.example/celeryarch/internal/base/caversion"
+	"celeryarch.example/celeryarch/internal/platform/caplatform"
+)
+
+const goldenFolder = "testdata/format_1"
+
+var goldenBody = []byte("a body")
+
+func goldenRecords() map[string]record {
+	return map[string]record{
+		"change":   {Change: &Change{ID: "c1", Base: 6, Body: goldenBody}},
+		"snapshot": {Snapshot: &Snapshot{Version: 7, AsOf: 101, ChangeID: "c1", Body: goldenBody, Hash: DigestOf(goldenBody)}},
+		"reset":    {Reset: &Reset{ID: "c2", Body: goldenBody}},
+	}
+}
+
+func TestRecordsKeepTheirForm(t *testing.T) {
+	codec := cagolden.Codec{
+		Encode: func(value any) ([]byte, error) { return value.(record).encode(), nil },
+		Decode: func(data []byte) (any, error) { return decodeRecord(data), nil },
+	}
+	for name, r := range goldenRecords() {
+		if err := cagolden.Verify(filepath.Join(goldenFolder, name), r, codec); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func pageOf(payloads ...[]byte) caplatform.Page {
+	page := caplatform.Page{Next: caplatform.Offset(len(payloads))}
+	for i, p := range payloads {
+		page.Records = append(page.Records, caplatform.Record{Offset: caplatform.Offset(i), Payload: p})
+	}
+	return page
+}
+
+func laterRecord(t *testing.T) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(map[string]any{"format": caversion.FormatNewest + 1, "change": "of another form"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestLaterRecordStopsTheReader requires that what follows a record of a later
+// format is not decided without it, and that the snapshot of a peer which read
+// it lets the reader go on.
+func TestLaterRecordStopsTheReader(t *testing.T) {
+	page := pageOf(change("a", 0).encode(), laterRecord(t), change("b", 1).encode())
+	s, decisions, err := NewState().WithPage(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	type seen struct {
+		Version   Version
+		Decisions int
+		From      caplatform.Offset
+		Later     caversion.Format
+		CaughtUp  bool
+	}
+	got := seen{s.Version(), len(decisions), s.ReadFrom(), s.Later(), s.CaughtUp()}
+	if diff := cmp.Diff(seen{Version: 1, Decisions: 1, From: 1, Later: caversion.FormatNewest + 1}, got); diff != "" {
+		t.Errorf("reader mismatch (-want +got):\n%s", diff)
+	}
+	peer := Snapshot{Version: 2, AsOf: 2, ChangeID: "later", Body: goldenBody, Hash: DigestOf(goldenBody)}
+	s, used, err := s.WithSnapshot(peer)
+	if err != nil || !used {
+		t.Fatalf("snapshot of a peer: used %v, %v", used, err)
+	}
+	s, _, err = s.WithPage(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = seen{s.Version(), 0, s.ReadFrom(), s.Later(), s.CaughtUp()}
+	if diff := cmp.Diff(seen{Version: 2, From: 3, CaughtUp: true}, got); diff != "" {
+		t.Errorf("reader after the snapshot mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// mutations is the number of changed copies of each record.
+const mutations = 2000
+
+func TestRecordsOfAnotherVersionDoNotPanic(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	s := NewState()
+	for name := range goldenRecords() {
+		data, _, err := cagolden.Read(filepath.Join(goldenFolder, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range mutations {
+			r := caplatform.Record{Offset: s.ReadFrom(), Payload: cagolden.Mutate(rng, data)}
+			s, _, _ = s.WithPage(caplatform.Page{Records: []caplatform.Record{r}, Next: r.Offset + 1})
+		}
+	}
+}
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -104,14 +104,14 @@
 	return f
 }
 
-// formatOf reads only the number of the format of a record or snapshot, which
-// has the same place in all formats.
-func formatOf(what string, b []byte) error {
+// checkFormat reads only the number of the format of a record or snapshot, which
+// has the same place in all formats, and refuses one that is not read here.
+func checkFormat(what string, b []byte, reads caversion.Format) error {
 	var head struct{ Format caversion.Format }
 	if err := cbor.Unmarshal(b, &head); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode %s", what)
 	}
-	return caversion.CheckFormat(what, head.Format)
+	return caversion.CheckFormat(what, head.Format, reads)
 }
 
 // JobAccepted is a job and, when another shard handed it over, what its tasks
@@ -235,7 +235,7 @@
 // DecodeRecord reads the CBOR form of a record. One of a later format is a
 // caversion.LaterError.
 func DecodeRecord(b []byte) (Record, error) {
-	if err := formatOf("record", b); err != nil {
+	if err := checkFormat("record", b, caversion.FormatNewest); err != nil {
 		return Record{}, err
 	}
 	var r Record
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -50,8 +50,10 @@
 	handedFrom map[cawork.ShardID]int64
 	// taken reports that a rebuilt shard has taken in its attempts.
 	taken bool
-	// format returns the format of snapshots.
+	// format returns the format of snapshots to write, reads is the newest one
+	// that is read.
 	format func() caversion.Format
+	reads  caversion.Format
 }
 
 // NewState returns the empty state of the shard.
@@ -67,17 +69,24 @@
 		handedTo:   map[cawork.ShardID]int64{},
 		handedFrom: map[cawork.ShardID]int64{},
 		format:     func() caversion.Format { return caversion.FormatUnnumbered },
+		reads:      caversion.FormatNewest,
 	}
 }
 
-// SetFormat sets what tells the format of the snapshots to come. Without it
-// they are unnumbered.
-func (s *State) SetFormat(f func() caversion.Format) { s.format = f }
+// SetFormats sets what tells the format of the snapshots to come, and the
+// newest format that is read. Without it snapshots are unnumbered and all
+// formats of this program are read.
+func (s *State) SetFormats(write func() caversion.Format, reads caversion.Format) {
+	s.format, s.reads = write, reads
+}
 
 // Apply folds the CBOR form of a record. A record that breaks a rule is
 // refused with a typed error and changes nothing; every replica refuses it
 // alike.
 func (s *State) Apply(payload []byte) error {
+	if err := checkFormat("record", payload, s.reads); err != nil {
+		return err
+	}
 	r, err := DecodeRecord(payload)
 	if err != nil {
 		return err
@@ -257,22 +266,28 @@
 // caversion.LaterError and changes nothing.
 func (s *State) Restore(b []byte) error {
 	what := "snapshot of shard " + string(s.shard)
-	if err := formatOf(what, b); err != nil {
+	if err := checkFormat(what, b, s.reads); err != nil {
 		return err
 	}
 	fresh := NewState(s.shard, s.retention)
-	fresh.format = s.format
+	fresh.format, fresh.reads = s.format, s.reads
 	snap := fresh.snapshot()
 	if err := cbor.Unmarshal(b, &snap); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode snapshot of shard %s", s.shard)
 	}
-	fresh.ended = snap.Ended
-	fresh.taken = snap.Taken
+	if err := snap.complete(); err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "restore snapshot of shard %s", s.shard)
+	}
+	fresh.account, fresh.jobs, fresh.attempts, fresh.ended = snap.Account, snap.Jobs, snap.Attempts, snap.Ended
+	fresh.handedTo, fresh.handedFrom, fresh.taken = snap.HandedTo, snap.HandedFrom, snap.Taken
 	for id, j := range fresh.jobs {
 		fresh.index(id, j)
 	}
+	if err := fresh.check(); err != nil {
+		return err
+	}
 	*s = *fresh
-	return s.check()
+	return nil
 }
 
 // index enters a job into the tables that are derived from the jobs.
--- a/internal/coord/calog/batch.go
+++ b/internal/coord/calog/batch.go
@@ -77,7 +77,7 @@
 	if err := cbor.Unmarshal(body, &head); err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "decode log payload")
 	}
-	if err := caversion.CheckFormat("log payload", head.Format); err != nil {
+	if err := caversion.CheckFormat("log payload", head.Format, caversion.FormatNewest); err != nil {
 		return err
 	}
 	var p payload
--- a/internal/node/caarchive/later.go
+++ b/internal/node/caarchive/later.go
@@ -15,7 +15,7 @@
 // later format hides which these are.
 const wholeLog cawork.ShardID = "*"
 
-var errLaterEntry = &caversion.LaterError{What: "log entry", Format: caversion.FormatNewest + 1}
+var errLaterEntry = &caversion.LaterError{What: "log entry", Format: caversion.FormatNewest + 1, Reads: caversion.FormatNewest}
 
 // laterShards holds the shards that are left to entries which can read them.
 type laterShards struct {
@@ -44,6 +44,12 @@
 	return !known
 }
 
+func (l *laterShards) all() []cawork.ShardID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.shards))
+}
+
 // noteLater notes a shard, empty for all, that was not taken because the error
 // is of a format that only later programs read. Other errors are not noted.
 func (p *Part) noteLater(s cawork.ShardID, err error) {
@@ -61,9 +67,10 @@
 }
 
 // Unreadable returns the shards that this entry would rebuild and cannot read,
-// "*" when that may be any.
+// "*" when that may be any. Those that another entry has taken are left out.
 func (p *Part) Unreadable() []cawork.ShardID {
-	p.later.mu.Lock()
-	defer p.later.mu.Unlock()
-	return slices.Sorted(maps.Keys(p.later.shards))
+	return slices.DeleteFunc(p.later.all(), func(s cawork.ShardID) bool {
+		_, led := p.Directory.Leader(s)
+		return led
+	})
 }
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/calist"
@@ -39,6 +40,7 @@
 type Directory struct {
 	self    cawork.VMID
 	zone    cawork.ZoneName
+	reads   caversion.Format
 	list    List
 	mu      sync.Mutex
 	members Members
@@ -53,10 +55,11 @@
 	seenEntries map[cawork.VMID]time.Time
 }
 
-// NewDirectory returns a directory for an entry of the zone.
-func NewDirectory(self cawork.VMID, zone cawork.ZoneName, list List) *Directory {
+// NewDirectory returns a directory for an entry of the zone, which reads records
+// up to the format.
+func NewDirectory(self cawork.VMID, zone cawork.ZoneName, reads caversion.Format, list List) *Directory {
 	return &Directory{
-		self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
+		self: self, zone: zone, reads: reads, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
 		seen: make(map[cawork.UpstreamID]time.Time), seenEntries: make(map[cawork.VMID]time.Time), missed: make(map[cawork.UpstreamID]time.Time),
 	}
 }
@@ -211,10 +214,12 @@
 	})
 }
 
-// IsFirstOfZone implements caarchive.Directory.
+// IsFirstOfZone implements caarchive.Directory. Entries that told that they do
+// not read all formats that are read here do not count.
 func (d *Directory) IsFirstOfZone() bool {
-	for _, o := range d.ZoneOwners() {
-		if o.VM < d.self {
+	for _, m := range d.Others() {
+		reads := m.Format == 0 || m.Format >= d.reads
+		if m.Zone == d.zone && m.VM < d.self && reads {
 			return false
 		}
 	}
--- a/internal/node/cadirectory/format.go
+++ b/internal/node/cadirectory/format.go
@@ -8,13 +8,17 @@
 	"celeryarch.example/celeryarch/internal/coord/camember"
 )
 
-// Format returns the newest format, up to own, that every entry which may run
-// reads, and the entries that hold it below own. An entry that has not told
+// Format returns the newest format, up to that read here, that every entry which may run
+// reads, and the entries that hold it lower. An entry that has not told
 // this one itself holds it at the oldest format: one that is listed and was
-// never met, or that others told of a moment ago.
-func (d *Directory) Format(own caversion.Format) (caversion.Format, []cawork.VMID) {
+// never met, or that others told of a moment ago. Before the first list nobody
+// can tell which entries there are.
+func (d *Directory) Format() (caversion.Format, []cawork.VMID) {
+	if d.list.Last().At.IsZero() {
+		return caversion.FormatUnnumbered, nil
+	}
 	members := d.all()
-	format := own
+	format := d.reads
 	var holding []cawork.VMID
 	for _, vm := range d.RunningEntries() {
 		reads := caversion.FormatUnnumbered
@@ -22,7 +26,7 @@
 		if at >= 0 && members[at].Format > 0 {
 			reads = members[at].Format
 		}
-		if reads < own {
+		if reads < d.reads {
 			holding = append(holding, vm)
 			format = min(format, reads)
 		}
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -114,6 +114,7 @@
 	life     int64
 	shard    cawork.ShardID
 	version  Version
+	began    time.Time
 	// format is the format of records in force.
 	format atomic.Int64
 
@@ -156,6 +157,7 @@
 		draining: make(chan struct{}),
 		done:     make(chan struct{}),
 		version:  around.Version.orSupported(),
+		began:    around.Timer.Now(),
 	}
 	e.format.Store(int64(caversion.FormatUnnumbered))
 	e.check = cacheck.New(e.log, e.scope)
@@ -218,7 +220,7 @@
 
 func (e *Entry) wireMembership() {
 	e.list = calist.NewPart(e.platform.VMs, e.timer, e.log, e.scope)
-	e.directory = cadirectory.NewDirectory(e.settings.VM, e.settings.Zone, e.list)
+	e.directory = cadirectory.NewDirectory(e.settings.VM, e.settings.Zone, e.version.Format, e.list)
 	identity := camember.Identity{VM: e.settings.VM, Address: e.peerListener.Addr().String(), Zone: e.settings.Zone}
 	e.members = camember.NewPart(camember.DefaultConfig(), identity, e.settings.Seeds, camember.Deps{
 		Peers: calink.Members{Link: e.link()}, Timers: e.timer, Log: e.log, Scope: e.scope, Check: e.check,
@@ -263,7 +265,7 @@
 		Witnesses: witnesses{directory: e.directory, agents: e.platform.Agents}, Listener: (*shardListener)(e),
 		NewMachine: func(id cawork.ShardID) cashard.StateMachine {
 			state := cajob.NewState(id, cajob.DefaultRetention())
-			state.SetFormat(e.recordFormat)
+			state.SetFormats(e.recordFormat, e.version.Format)
 			return state
 		},
 		Timer: e.timer, Log: e.log, Scope: e.scope,
--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -57,6 +57,11 @@
 // Under the race detector the long worlds are left out, unless -long is given.
 // CI runs all of them once more without it.
 func inWorld(t *testing.T, seed uint64, test func(w *world)) {
+	inWorldOf(t, seed, Version{}, test)
+}
+
+// inWorldOf runs a test in a world whose entries are of the version.
+func inWorldOf(t *testing.T, seed uint64, version Version, test func(w *world)) {
 	name, _, _ := strings.Cut(t.Name(), "/")
 	if raceEnabled && !*long && slices.Contains(longTests, name) {
 		t.Skip("too long under the race detector")
@@ -66,7 +71,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(ctx, t, seed)
+		w := newWorld(ctx, t, seed, version)
 		time.Sleep(settleTime)
 		test(w)
 		for _, id := range w.entryIDs() {
--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -95,7 +95,7 @@
 
 // Ready implements caapi.Status.
 func (e *Entry) Ready() bool {
-	return !e.isDraining() && e.active.View().Version > 0
+	return !e.isDraining() && e.active.View().Version > 0 && !e.isOutnumbered()
 }
 
 // Status implements caapi.Status.
@@ -141,7 +141,7 @@
 }
 
 func (e *Entry) versionStatus() VersionStatus {
-	_, held := e.directory.Format(e.version.Format)
+	_, held := e.directory.Format()
 	return VersionStatus{
 		Protocols: e.version.Protocols.String(), Format: e.recordFormat(), Reads: e.version.Format, HeldBy: held,
 		Unreadable: e.archive.Unreadable(), ConfigLater: e.follower.Later(),
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -65,6 +65,12 @@
 	logFails atomic.Bool
 	// replaced counts the upstreams that took the place of lost ones.
 	replaced int
+	// versions holds what entries tell of their version, version that of those
+	// which it does not name.
+	versions map[string]Version
+	version  Version
+	// appended is called with what entries append to the log.
+	appended func(topic string, payloads [][]byte)
 	ctx      context.Context
 }
 
@@ -82,13 +88,13 @@
   }
 }`
 
-func newWorld(ctx context.Context, t *testing.T, seed uint64) *world {
+func newWorld(ctx context.Context, t *testing.T, seed uint64, version Version) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), network: newNetwork(), timer: catimer.NewService(), ctx: ctx,
 		upstreams: make(map[string]*castandup.Upstream), vms: make(map[string]caplatform.VM),
 		entries: make(map[string]*runningEntry), started: make(map[cawork.JobID]bool),
 		broken: make(map[string]bool), ran: make(map[cawork.TaskRef]map[cawork.AttemptID]bool),
-		fragile: make(map[cawork.JobID]bool), zoneCuts: make(map[int][][2]string), losses: newLosses(),
+		fragile: make(map[cawork.JobID]bool), zoneCuts: make(map[int][][2]string), losses: newLosses(), versions: make(map[string]Version), version: version,
 	}
 	w.log = castandlog.NewLog(w.timer.Now, logKeeps)
 	var vms []caplatform.VM
@@ -154,7 +160,7 @@
 		Log: remoteLog{w, id}, VMs: remoteList{w, id}, Agents: remoteAgents{w, id}, Listen: w.network.listen,
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return w.network.dial(ctx, id, to) },
 	}
-	around := Surroundings{Logger: zerolog.New(zerolog.NewTestWriter(w.t)).Level(worldLogLevel), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: w.timer}
+	around := Surroundings{Logger: zerolog.New(zerolog.NewTestWriter(w.t)).Level(worldLogLevel), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(), Timer: w.timer, Version: w.versionOf(id)}
 	entry, err := NewEntry(settings, around, platform)
 	if err != nil {
 		w.t.Fatalf("NewEntry %s: %v", id, err)
--- a/internal/node/capeer/encoding.go
+++ b/internal/node/capeer/encoding.go
@@ -22,8 +22,8 @@
 	compressedMark = 0
 )
 
-// encoding encodes messages with CBOR and compresses long ones with DEFLATE.
-type encoding struct{}
+// Encoding encodes messages with CBOR and compresses long ones with DEFLATE.
+type Encoding struct{}
 
 // encodeMode keeps times whole: the default of the library cuts them to
 // seconds.
@@ -47,7 +47,7 @@
 }}
 
 // Marshal implements drpc.Encoding.
-func (encoding) Marshal(msg drpc.Message) ([]byte, error) {
+func (Encoding) Marshal(msg drpc.Message) ([]byte, error) {
 	plain, err := encodeMode.Marshal(msg)
 	if err != nil || len(plain) < compressFrom {
 		return plain, err
@@ -70,7 +70,7 @@
 }
 
 // Unmarshal implements drpc.Encoding.
-func (encoding) Unmarshal(buf []byte, msg drpc.Message) error {
+func (Encoding) Unmarshal(buf []byte, msg drpc.Message) error {
 	if len(buf) <= 1 || buf[0] != compressedMark {
 		return cbor.Unmarshal(buf, msg)
 	}
--- a/internal/node/capeer/greeting.go
+++ b/internal/node/capeer/greeting.go
@@ -80,7 +80,7 @@
 	}
 	own := c.self()
 	var peer caversion.Greeting
-	err := conn.Invoke(ctx, callGreet, encoding{}, &own, &peer)
+	err := conn.Invoke(ctx, callGreet, Encoding{}, &own, &peer)
 	switch {
 	case err == nil:
 	case drpcerr.Code(err) == uint64(cakind.KindNotFound)+codeOffset:
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -6,6 +6,8 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,9 +34,16 @@
 
 type method func(stream drpc.Stream) error
 
+// CallType names a call and the types of its messages.
+type CallType struct {
+	Name    string
+	In, Out reflect.Type
+}
+
 // Server answers the calls of peers.
 type Server struct {
 	methods map[string]method
+	types   []CallType
 	self    Introduce
 	done    chan struct{}
 }
@@ -46,19 +55,23 @@
 
 // Handle adds a typed method. All methods are added before Serve.
 func Handle[In, Out any](s *Server, name string, call func(ctx context.Context, in In) (Out, error)) {
+	s.types = append(s.types, CallType{Name: name, In: reflect.TypeFor[In](), Out: reflect.TypeFor[Out]()})
 	s.methods[name] = func(stream drpc.Stream) error {
 		var in In
-		if err := stream.MsgRecv(&in, encoding{}); err != nil {
+		if err := stream.MsgRecv(&in, Encoding{}); err != nil {
 			return withCode(cakind.Wrap(cakind.KindInvalid, err, "decode call %s", name))
 		}
 		out, err := call(stream.Context(), in)
 		if err != nil {
 			return withCode(err)
 		}
-		return stream.MsgSend(&out, encoding{})
+		return stream.MsgSend(&out, Encoding{})
 	}
 }
 
+// Types returns the calls that the server answers.
+func (s *Server) Types() []CallType { return slices.Clone(s.types) }
+
 func withCode(err error) error {
 	return drpcerr.WithCode(err, uint64(cakind.Of(err))+codeOffset)
 }
@@ -132,7 +145,7 @@
 		return fresh, err
 	})
 	defer func() { _ = conn.Close() }()
-	err := conn.Invoke(c.withHeader(ctx), name, encoding{}, &in, &out)
+	err := conn.Invoke(c.withHeader(ctx), name, Encoding{}, &in, &out)
 	switch {
 	case err == nil:
 		return out, nil
