--- a/internal/base/cagolden/mutate.go
+++ b/internal/base/cagolden/mutate.go
@@ -130,3 +130,13 @@
 	}
 	return out
 }
+
+// Later returns an encoded map that has the format under the field, and nothing
+// else that a program of today knows.
+func Later(field string, format int) []byte {
+	out, err := cbor.Marshal(map[string]any{field: format, "a field of a later version": "text"})
+	if err != nil {
+		panic("cagolden: " + err.Error())
+	}
+	return out
+}
--- a/internal/coord/cafollow/golden_test.go
+++ b/internal/coord/cafollow/golden_test.go
@@ -5,7 +5,6 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/base/cagolden"
@@ -45,20 +44,11 @@
 	return page
 }
 
-func laterRecord(t *testing.T) []byte {
-	t.Helper()
-	data, err := cbor.Marshal(map[string]any{"format": caversion.FormatNewest + 1, "change": "of another form"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
-}
-
 // TestLaterRecordStopsTheReader requires that what follows a record of a later
 // format is not decided without it, and that the snapshot of a peer which read
 // it lets the reader go on.
 func TestLaterRecordStopsTheReader(t *testing.T) {
-	page := pageOf(change("a", 0).encode(), laterRecord(t), change("b", 1).encode())
+	page := pageOf(change("a", 0).encode(), cagolden.Later("format", int(caversion.FormatNewest)+1), change("b", 1).encode())
 	s, decisions, err := NewState().WithPage(page)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/coord/cajob/golden_test.go
+++ b/internal/coord/cajob/golden_test.go
@@ -116,10 +116,7 @@
 // TestLaterRecordChangesNothing requires that a record of a later format is told
 // apart from one that is refused, even when it has another form altogether.
 func TestLaterRecordChangesNothing(t *testing.T) {
-	later, err := encMode.Marshal(map[string]any{"Format": caversion.FormatNewest + 1, "Type": "a text", "Other": []int{1}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	later := cagolden.Later("Format", int(caversion.FormatNewest)+1)
 	s := sampleState(t, caversion.FormatUnnumbered)
 	before := cagolden.Dump(s.snapshot())
 	if _, ok := caversion.Later(s.Apply(later)); !ok {
--- a/internal/coord/calog/golden_test.go
+++ b/internal/coord/calog/golden_test.go
@@ -50,15 +50,6 @@
 	}
 }
 
-func laterPayload(t *testing.T) []byte {
-	t.Helper()
-	data, err := cbor.Marshal(map[string]any{"Format": caversion.FormatNewest + 1, "Deflated": "a text"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
-}
-
 // TestLaterPayloadIsNotSkipped requires that the reading of a log stops at a
 // payload of a later format, while a payload of others is skipped.
 func TestLaterPayloadIsNotSkipped(t *testing.T) {
@@ -70,7 +61,7 @@
 	if _, err := SurveyAll(t.Context(), log, "t"); err != nil {
 		t.Errorf("with a payload of others: %v", err)
 	}
-	log.payloads = append(log.payloads, laterPayload(t))
+	log.payloads = append(log.payloads, cagolden.Later("Format", int(caversion.FormatNewest)+1))
 	_, err = SurveyAll(t.Context(), log, "t")
 	if _, later := caversion.Later(err); !later {
 		t.Errorf("with a payload of a later format: %v", err)
--- a/internal/node/caentry/versions_test.go
+++ b/internal/node/caentry/versions_test.go
@@ -189,16 +189,21 @@
 	}
 }
 
+// fourTasks is a job of four tasks that may run again.
+func fourTasks(runMillis int) cawork.JobSpec {
+	return cawork.JobSpec{
+		Kind: cawork.WorkKindBatch, Tasks: 4, MaxAttempts: 3, Idempotent: true,
+		Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: fmt.Appendf(nil, `{"run_ms": %d}`, runMillis),
+	}
+}
+
 // TestShardOfALaterFormatWaitsForAReader loses a zone whose shards are in the
 // log in the newest format, and starts it again in the former version: the job is
 // not lost and not run by halves, but waits for an entry that reads it.
 func TestShardOfALaterFormatWaitsForAReader(t *testing.T) {
 	inWorldOf(t, 1, newestVersion, func(w *world) {
 		time.Sleep(meetTime)
-		s, ok := w.submit(w.entries["e00"].entry, "free", cawork.JobSpec{
-			Kind: cawork.WorkKindBatch, Tasks: 4, MaxAttempts: 3, Idempotent: true,
-			Size: cawork.Resources{CPU: cawork.Cores(2), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 30000}`),
-		})
+		s, ok := w.submit(w.entries["e00"].entry, "free", fourTasks(30000))
 		if !ok {
 			t.Fatal("the job was not accepted")
 		}
@@ -274,11 +279,7 @@
 			t.Errorf("ready mismatch (-want +got):\n%s", diff)
 		}
 		// Nothing is denied of an entry that cannot be asked.
-		spec := cawork.JobSpec{
-			Kind: cawork.WorkKindBatch, Tasks: 2, MaxAttempts: 3, Idempotent: true,
-			Size: cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB}, Payload: []byte(`{"run_ms": 3000}`),
-		}
-		near, ok := w.submit(w.entries["e00"].entry, "free", spec)
+		near, ok := w.submit(w.entries["e00"].entry, "free", fourTasks(3000))
 		if !ok {
 			t.Fatal("an entry of the cell accepts no job")
 		}
