Calls of a handler have headers of their own

Cause: by review: the library adds a header to the map of the call that is being answered, so calls that a handler makes at once write to one map. Change: the headers of the answered call are hidden from the calls made under its context; the protocols are formatted once.

--- a/internal/node/capeer/greeting.go
+++ b/internal/node/capeer/greeting.go
@@ -20,14 +20,27 @@
 	headerProtocols = "p"
 )
 
-// Introduce returns the greeting of this entry.
+// Introduce returns the greeting of this entry. Its protocols never change.
 type Introduce func() caversion.Greeting
 
+// introduction is what an entry tells others: the greeting on each connection,
+// and the protocols with each call.
+type introduction struct {
+	greeting  Introduce
+	protocols caversion.Range
+	header    string
+}
+
+func newIntroduction(greeting Introduce) *introduction {
+	protocols := greeting().Protocols()
+	return &introduction{greeting: greeting, protocols: protocols, header: protocols.String()}
+}
+
 // GreetAs makes the server answer greetings and refuse calls of peers that
 // speak no common protocol. It is called before Serve. Without it the server
 // is one of version 0.2.0.
 func (s *Server) GreetAs(self Introduce) {
-	s.self = self
+	s.self = newIntroduction(self)
 	Handle(s, callGreet, func(context.Context, caversion.Greeting) (caversion.Greeting, error) { return self(), nil })
 }
 
@@ -44,17 +57,16 @@
 			return err
 		}
 	}
-	own := s.self().Protocols()
-	if own.Overlaps(caller) {
+	if s.self.protocols.Overlaps(caller) {
 		return nil
 	}
-	return cakind.New(cakind.KindUnavailable, "call %s in protocols %s, this entry speaks %s", rpc, caller, own)
+	return cakind.New(cakind.KindUnavailable, "call %s in protocols %s, this entry speaks %s", rpc, caller, s.self.protocols)
 }
 
 // GreetAs makes the client greet on each new connection and tell its protocols
 // with each call. It is called before Call. Without it the client is one of
 // version 0.2.0.
-func (c *Client) GreetAs(self Introduce) { c.self = self }
+func (c *Client) GreetAs(self Introduce) { c.self = newIntroduction(self) }
 
 // Greeting returns the last greeting of the peer at the address, false when it
 // was never reached.
@@ -69,7 +81,20 @@
 	if c.self == nil {
 		return ctx
 	}
-	return drpcmetadata.Add(ctx, headerProtocols, c.self().Protocols().String())
+	return drpcmetadata.Add(withoutHeaders{ctx}, headerProtocols, c.self.header)
+}
+
+// withoutHeaders hides the headers of the call that a handler answers from the
+// calls that it makes, which would change the same map.
+type withoutHeaders struct{ context.Context }
+
+// Value implements context.Context.
+func (c withoutHeaders) Value(key any) any {
+	value := c.Context.Value(key)
+	if _, isHeaders := value.(map[string]string); isHeaders {
+		return nil
+	}
+	return value
 }
 
 // greet exchanges greetings on a new connection. A peer that does not know the
@@ -78,7 +103,7 @@
 	if c.self == nil {
 		return nil
 	}
-	own := c.self()
+	own := c.self.greeting()
 	var peer caversion.Greeting
 	err := conn.Invoke(ctx, callGreet, Encoding{}, &own, &peer)
 	switch {
--- a/internal/node/capeer/greeting_test.go
+++ b/internal/node/capeer/greeting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -90,3 +91,48 @@
 		})
 	}
 }
+
+// TestCallsOfAHandlerHaveTheirOwnHeaders lets a handler make calls at once under
+// the context of the call that it answers. The race detector tells whether they
+// share what they send.
+func TestCallsOfAHandlerHaveTheirOwnHeaders(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	last, middle := capeer.NewServer(), capeer.NewServer()
+	capeer.Handle(last, "echo", func(_ context.Context, in message) (message, error) { return in, nil })
+	last.GreetAs(greetingOf("last", 1, 3))
+	onward := capeer.NewClient(capeer.DialTCP, nil)
+	onward.GreetAs(greetingOf("middle", 3, 3))
+	var address string
+	capeer.Handle(middle, "pass", func(ctx context.Context, in message) (message, error) {
+		answers := make(chan error, 8)
+		for range cap(answers) {
+			go func() {
+				_, err := capeer.Call[message, message](ctx, onward, address, "echo", in)
+				answers <- err
+			}()
+		}
+		var err error
+		for range cap(answers) {
+			err = errors.Join(err, <-answers)
+		}
+		return in, err
+	})
+	middle.GreetAs(greetingOf("middle", 1, 3))
+	addresses := make([]string, 0, 2)
+	for _, s := range []*capeer.Server{last, middle} {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, lis.Addr().String())
+		go func() { _ = s.Serve(ctx, lis, nil) }()
+	}
+	address = addresses[0]
+	client := capeer.NewClient(capeer.DialTCP, nil)
+	client.GreetAs(greetingOf("first", 1, 1))
+	if _, err := capeer.Call[message, message](ctx, client, addresses[1], "pass", message{Text: "hello"}); err != nil {
+		t.Error(err)
+	}
+	_, _ = onward.Close(), client.Close()
+}
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -44,7 +44,7 @@
 type Server struct {
 	methods map[string]method
 	types   []CallType
-	self    Introduce
+	self    *introduction
 	done    chan struct{}
 }
 
@@ -116,7 +116,7 @@
 	config *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	once   sync.Once
-	self   Introduce
+	self   *introduction
 
 	mu      sync.Mutex
 	greeted map[string]caversion.Greeting
