config publish sends nothing past a record of a later format

Cause: by review: the publisher stopped before the record and took the version before it for the one in force. Change: it is an error, nothing is sent. Figures: the new case of TestPublisherTellsWhatItDoesNotKnow fails without it.

--- a/internal/coord/cafollow/publisher.go
+++ b/internal/coord/cafollow/publisher.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -147,7 +148,8 @@
 	return err
 }
 
-// catchUp reads to the end of the log. It keeps the first decision for each
+// catchUp reads to the end of the log. A record of a later format is an error,
+// since this program cannot tell which version is in force after it. It keeps the first decision for each
 // change: a later copy never fares better.
 func (w *publication) catchUp(ctx context.Context) error {
 	for {
@@ -166,6 +168,9 @@
 				w.decided[d.ID] = d
 			}
 		}
+		if err := caversion.CheckFormat("a record of the topic", next.Later(), caversion.FormatNewest); err != nil {
+			return err
+		}
 		if !next.More() || next.ReadFrom() == before {
 			return nil
 		}
--- a/internal/coord/cafollow/publisher_test.go
+++ b/internal/coord/cafollow/publisher_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cagolden"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 )
 
@@ -31,6 +33,10 @@
 		{"log down", func(l *fakeLog) caplatform.Log { l.down = true; return l }, cakind.KindUnavailable},
 		{"log hangs", func(l *fakeLog) caplatform.Log { l.hang = true; return l }, cakind.KindUnavailable},
 		{"appends refused", func(l *fakeLog) caplatform.Log { return brokenAppends{l, cakind.KindUnavailable} }, cakind.KindUnavailable},
+		{"a record of a later format", func(l *fakeLog) caplatform.Log {
+			l.add([][]byte{cagolden.Later("format", int(caversion.FormatNewest)+1)})
+			return l
+		}, cakind.KindUnavailable},
 		{"answers lost", func(l *fakeLog) caplatform.Log { return brokenAppends{l, cakind.KindUnknown} }, cakind.KindUnknown},
 	}
 	for _, test := range tests {
