A claim of a mint of a later format stops the minting of this entry

Cause: claims that could not be decoded were skipped, so that an entry could take a former holder of the mint for the present one. TestLaterRecordsStopWhatDependsOnThem puts later records into all topics.

--- a/internal/coord/caescrow/golden_test.go
+++ b/internal/coord/caescrow/golden_test.go
@@ -7,18 +7,31 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cagolden"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 )
 
 // TestClaimKeepsItsForm: claims of mints stand in a topic of the log.
 func TestClaimKeepsItsForm(t *testing.T) {
 	codec := cagolden.Codec{Encode: cbor.Marshal, Decode: func(data []byte) (any, error) {
-		var c caescrow.Claim
-		err := cbor.Unmarshal(data, &c)
-		return c, err
+		return caescrow.DecodeClaim(data)
 	}}
 	sample := cagolden.New(reflect.TypeFor[caescrow.Claim]()).Elem().Interface()
 	if err := cagolden.Verify("testdata/claim", sample, codec); err != nil {
 		t.Error(err)
 	}
 }
+
+func TestLaterClaimIsToldApart(t *testing.T) {
+	later := cagolden.Later("Format", int(caversion.FormatNewest)+1)
+	if _, err := caescrow.DecodeClaim(later); err == nil {
+		t.Error("a claim of a later format was read")
+	} else if _, ok := caversion.Later(err); !ok {
+		t.Errorf("a claim of a later format: %v", err)
+	}
+	_, err := caescrow.DecodeClaim([]byte("of others"))
+	if _, ok := caversion.Later(err); ok || cakind.Of(err) != cakind.KindInvalid {
+		t.Errorf("bytes of others: %v", err)
+	}
+}
--- a/internal/node/caentry/status.go
+++ b/internal/node/caentry/status.go
@@ -41,6 +41,8 @@
 	Unreadable []cawork.ShardID `json:"unreadable,omitempty"`
 	// ConfigLater is the format of the record that stops the configuration here.
 	ConfigLater caversion.Format `json:"config_later,omitempty"`
+	// MintLater is the format of the claim that stops this entry from minting.
+	MintLater caversion.Format `json:"mint_later,omitempty"`
 }
 
 // EntryStatus is an entry as this one sees it.
@@ -144,7 +146,7 @@
 	_, held := e.directory.Format()
 	return VersionStatus{
 		Protocols: e.version.Protocols.String(), Format: e.recordFormat(), Reads: e.version.Format, HeldBy: held,
-		Unreadable: e.archive.Unreadable(), ConfigLater: e.follower.Later(),
+		Unreadable: e.archive.Unreadable(), ConfigLater: e.follower.Later(), MintLater: e.quota.Later(),
 	}
 }
 
--- a/internal/node/caentry/versions_test.go
+++ b/internal/node/caentry/versions_test.go
@@ -9,9 +9,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cagolden"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/coord/calog"
 	"celeryarch.example/celeryarch/internal/coord/camember"
 )
@@ -322,3 +324,32 @@
 		}
 	}
 }
+
+// TestLaterRecordsStopWhatDependsOnThem appends records of a later format to all
+// topics. The entries go on with what they have and tell of it.
+func TestLaterRecordsStopWhatDependsOnThem(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		for topic, field := range map[string]string{cacell.Topic: "format", "mint": "Format", "shards": "Format"} {
+			payload := cagolden.Later(field, int(caversion.FormatNewest)+1)
+			if _, err := w.log.Append(w.ctx, topic, [][]byte{payload}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.kill("e02")
+		w.startEntry("e02", "zone-0")
+		time.Sleep(meetTime)
+		s, ok := w.submit(w.entries["e00"].entry, "limited", fourTasks(1000))
+		if !ok {
+			t.Fatal("no job is accepted any more")
+		}
+		w.checkEnded([]submission{s}, time.Minute)
+		got := w.entries["e00"].entry.versionStatus()
+		want := VersionStatus{
+			Protocols: "1-2", Format: caversion.FormatNewest, Reads: caversion.FormatNewest,
+			Unreadable: []cawork.ShardID{"*"}, ConfigLater: caversion.FormatNewest + 1, MintLater: caversion.FormatNewest + 1,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("status mismatch (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -93,6 +93,7 @@
 	applied cacell.Config
 
 	mu       sync.Mutex
+	later    caversion.Format
 	planners map[cawork.ShardID]*caescrow.Planner
 	idle     map[cawork.ShardID][]caescrow.TeamAmount
 }
@@ -196,6 +197,10 @@
 		return
 	}
 	p.readClaims(ctx)
+	if p.Later() != 0 {
+		// The claim that cannot be read may have another holder.
+		return
+	}
 	if p.complete {
 		p.claim(ctx)
 	}
@@ -214,9 +219,12 @@
 		}
 		p.truncated = p.truncated || page.Earliest > p.next
 		for _, r := range page.Records {
+			claim, err := caescrow.DecodeClaim(r.Payload)
+			if p.noteLater(r.Offset, err) {
+				return
+			}
 			p.next = r.Offset + 1
-			var claim caescrow.Claim
-			if cbor.Unmarshal(r.Payload, &claim) == nil {
+			if err == nil {
 				p.mu.Lock()
 				p.claims.Apply(claim)
 				p.mu.Unlock()
