--- a/internal/coord/camember/cause_names.go
+++ b/internal/coord/camember/cause_names.go
@@ -24,19 +24,19 @@
 // Re-run the stringer command to generate them again.
 func _CauseNoOp() {
 	var x [1]struct{}
-	_ = x[CauseJoined-0]
-	_ = x[CauseSuspected-1]
-	_ = x[CauseDied-2]
-	_ = x[CauseRefuted-3]
-	_ = x[CauseReturned-4]
-	_ = x[CauseRestarted-5]
-	_ = x[CauseLeaving-6]
-	_ = x[CauseLeft-7]
-	_ = x[CauseUnlisted-8]
-	_ = x[CauseReach-9]
-	_ = x[CauseApp-10]
-	_ = x[CauseSelfPaused-11]
-	_ = x[CauseForeign-12]
+	_ = x[CauseJoined-(0)]
+	_ = x[CauseSuspected-(1)]
+	_ = x[CauseDied-(2)]
+	_ = x[CauseRefuted-(3)]
+	_ = x[CauseReturned-(4)]
+	_ = x[CauseRestarted-(5)]
+	_ = x[CauseLeaving-(6)]
+	_ = x[CauseLeft-(7)]
+	_ = x[CauseUnlisted-(8)]
+	_ = x[CauseReach-(9)]
+	_ = x[CauseApp-(10)]
+	_ = x[CauseSelfPaused-(11)]
+	_ = x[CauseForeign-(12)]
 }
 
 var _CauseValues = []Cause{CauseJoined, CauseSuspected, CauseDied, CauseRefuted, CauseReturned, CauseRestarted, CauseLeaving, CauseLeft, CauseUnlisted, CauseReach, CauseApp, CauseSelfPaused, CauseForeign}
