--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -88,6 +88,7 @@
 var longTests = []string{
 	"TestFullZoneGivesJobsToOthers", "TestNewDivisionOfALimitWaitsForACutZone", "TestTwoFaults",
 	"TestTwoFaultsThatFailedBefore", "TestRebuiltZoneDoesNotSpendTwice", "TestMintOfALostShardReturns",
+	"TestRollingUpdate", "TestRollingUpdateUnderFaults", "TestRollingDowngrade", "TestThreeVersionsInOneCell",
 }
 
 // submission is a job that an entry has accepted.
