--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -14,6 +14,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/cajob"
 	"celeryarch.example/celeryarch/internal/coord/calog"
@@ -100,6 +101,8 @@
 	Timer     *catimer.Service
 	Logger    zerolog.Logger
 	Scope     tally.Scope
+	// Format returns the format of the records to come.
+	Format func() caversion.Format
 }
 
 // Part archives and rebuilds.
@@ -125,6 +128,7 @@
 	held map[cawork.ShardID]time.Time
 	// leaderless holds since when nobody leads a shard with a replica here.
 	leaderless map[cawork.ShardID]time.Time
+	later      laterShards
 }
 
 // NewPart returns a part that runs once Run is called.
@@ -239,14 +243,15 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	traces, err := calog.SurveyAll(ctx, p.Log, topic)
+	p.later.reset()
 	if err != nil {
-		p.logUnavailable(err)
+		p.noteUnread(err)
 		return
 	}
 	stuck = p.discardRetired(stuck, traces)
 	fold, err := p.readLost(ctx, stuck, traces)
 	if err != nil {
-		p.logUnavailable(err)
+		p.noteUnread(err)
 		return
 	}
 	complete := p.succeedAll(ctx, stuck, fold)
@@ -274,7 +279,13 @@
 	return complete
 }
 
-func (p *Part) logUnavailable(err error) {
+// noteUnread notes that the log could not be read.
+func (p *Part) noteUnread(err error) {
+	if _, later := caversion.Later(err); later {
+		p.noteLater("", err)
+		p.resting = p.Timer.Now().Add(p.pause.NextBackOff())
+		return
+	}
 	caevent.Warn(p.Logger, caevent.LogUnavailable).Str("topic", topic).AnErr("error", err).Send()
 }
 
@@ -369,6 +380,10 @@
 	if _, led := p.Directory.Leader(image.Shard); led {
 		return true
 	}
+	if image.Later {
+		p.noteLater(image.Shard, errLaterEntry)
+		return false
+	}
 	if p.Directory.IsGone(view.Witness) || image.Elected && !p.hasLed(ctx, view) {
 		return p.succeed(ctx, view, image)
 	}
@@ -382,12 +397,13 @@
 		Snapshot: cashard.Snapshot{Index: image.Base, State: image.State},
 		Records:  append(slices.Clone(image.Records), mark),
 	}, p.hasEnded)
+	p.noteLater(view.Shard, err)
 	p.logRebuilt(view, image.Last(), err)
 	return err == nil
 }
 
 func (p *Part) mark() ([]byte, error) {
-	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.Encode()
+	return cajob.Record{Type: cajob.RecordRebuilt, At: p.Timer.Now(), Rebuilt: &cajob.Rebuilt{}}.WithFormat(p.Format()).Encode()
 }
 
 func (p *Part) logRebuilt(v cashard.View, last int64, err error) {
--- a/internal/node/caarchive/look_test.go
+++ b/internal/node/caarchive/look_test.go
@@ -13,6 +13,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/calog"
 	"celeryarch.example/celeryarch/internal/coord/cashard"
@@ -113,6 +114,7 @@
 		part, err := NewPart(Config{
 			Self: self, Zone: "z", Life: "e1-1", Log: log, Shards: shards, Directory: fakeDirectory{},
 			Witnesses: emptyRegisters{}, Timer: timer, Logger: zerolog.Nop(), Scope: tally.NoopScope,
+			Format: func() caversion.Format { return caversion.FormatNewest },
 		})
 		if err != nil {
 			t.Fatalf("NewPart: %v", err)
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/coord/caescrow"
 	"celeryarch.example/celeryarch/internal/coord/calist"
@@ -39,6 +40,7 @@
 type Directory struct {
 	self    cawork.VMID
 	zone    cawork.ZoneName
+	reads   caversion.Format
 	list    List
 	mu      sync.Mutex
 	members Members
@@ -55,10 +57,11 @@
 	watch ownerWatch
 }
 
-// NewDirectory returns a directory for an entry of the zone.
-func NewDirectory(self cawork.VMID, zone cawork.ZoneName, list List) *Directory {
+// NewDirectory returns a directory for an entry of the zone, which reads records
+// up to the format.
+func NewDirectory(self cawork.VMID, zone cawork.ZoneName, reads caversion.Format, list List) *Directory {
 	return &Directory{
-		self: self, zone: zone, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
+		self: self, zone: zone, reads: reads, list: list, byID: make(map[cawork.UpstreamID]caplatform.VM),
 		seen: make(map[cawork.UpstreamID]time.Time), seenEntries: make(map[cawork.VMID]time.Time), missed: make(map[cawork.UpstreamID]time.Time),
 		watch: newOwnerWatch(),
 	}
@@ -141,8 +144,13 @@
 	return vms
 }
 
-// Others returns the other members that are not known to have ended.
+// Others returns the other members that are not known to have ended and whose
+// messages are understood here.
 func (d *Directory) Others() []camember.Member {
+	return slices.DeleteFunc(d.live(), func(m camember.Member) bool { return m.Foreign })
+}
+
+func (d *Directory) live() []camember.Member {
 	return slices.DeleteFunc(d.all(), func(m camember.Member) bool {
 		return m.VM == d.self || !m.Liveness.Live()
 	})
@@ -209,10 +217,12 @@
 	})
 }
 
-// IsFirstOfZone implements caarchive.Directory.
+// IsFirstOfZone implements caarchive.Directory. Entries that told that they do
+// not read all formats that are read here do not count.
 func (d *Directory) IsFirstOfZone() bool {
-	for _, o := range d.ZoneOwners() {
-		if o.VM < d.self {
+	for _, m := range d.Others() {
+		reads := m.Format == 0 || m.Format >= d.reads
+		if m.Zone == d.zone && m.VM < d.self && reads {
 			return false
 		}
 	}
@@ -222,7 +232,7 @@
 // HasSilent implements calaunch.Directory.
 func (d *Directory) HasSilent() bool {
 	for _, m := range d.all() {
-		if m.Liveness == camember.LivenessDead && !d.HasEnded(m.VM, int64(m.Incarnation)) {
+		if m.Foreign || m.Liveness == camember.LivenessDead && !d.HasEnded(m.VM, int64(m.Incarnation)) {
 			return true
 		}
 	}
@@ -329,10 +339,11 @@
 	return partners
 }
 
-// Entries implements calaunch.Directory.
+// Entries implements calaunch.Directory. Those of a foreign version are among
+// them, because a job may be there although they cannot be asked.
 func (d *Directory) Entries() []cawork.VMID {
 	var ids []cawork.VMID
-	for _, m := range d.Others() {
+	for _, m := range d.live() {
 		ids = append(ids, m.VM)
 	}
 	return ids
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -6,6 +6,8 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 )
 
 const (
@@ -31,9 +34,17 @@
 
 type method func(stream drpc.Stream) error
 
+// CallType names a call and the types of its messages.
+type CallType struct {
+	Name    string
+	In, Out reflect.Type
+}
+
 // Server answers the calls of peers.
 type Server struct {
 	methods map[string]method
+	types   []CallType
+	self    *introduction
 	done    chan struct{}
 }
 
@@ -44,25 +55,32 @@
 
 // Handle adds a typed method. All methods are added before Serve.
 func Handle[In, Out any](s *Server, name string, call func(ctx context.Context, in In) (Out, error)) {
+	s.types = append(s.types, CallType{Name: name, In: reflect.TypeFor[In](), Out: reflect.TypeFor[Out]()})
 	s.methods[name] = func(stream drpc.Stream) error {
 		var in In
-		if err := stream.MsgRecv(&in, encoding{}); err != nil {
+		if err := stream.MsgRecv(&in, Encoding{}); err != nil {
 			return withCode(cakind.Wrap(cakind.KindInvalid, err, "decode call %s", name))
 		}
 		out, err := call(stream.Context(), in)
 		if err != nil {
 			return withCode(err)
 		}
-		return stream.MsgSend(&out, encoding{})
+		return stream.MsgSend(&out, Encoding{})
 	}
 }
 
+// Types returns the calls that the server answers.
+func (s *Server) Types() []CallType { return slices.Clone(s.types) }
+
 func withCode(err error) error {
 	return drpcerr.WithCode(err, uint64(cakind.Of(err))+codeOffset)
 }
 
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	if err := s.checkHeader(stream.Context(), rpc); err != nil {
+		return withCode(err)
+	}
 	m, ok := s.methods[rpc]
 	if !ok {
 		return withCode(cakind.New(cakind.KindNotFound, "no such call %q", rpc))
@@ -98,18 +116,26 @@
 	config *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	once   sync.Once
+	self   *introduction
+
+	mu      sync.Mutex
+	greeted map[string]caversion.Greeting
 }
 
 // NewClient returns a client over the connections that dial opens. A nil TLS
 // configuration means plain connections.
 func NewClient(dial Dial, config *tls.Config) *Client {
 	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: connectionsPerPeer}
-	return &Client{open: dial, config: config, pool: drpcpool.New[string, drpcpool.Conn](options)}
+	return &Client{
+		open: dial, config: config, pool: drpcpool.New[string, drpcpool.Conn](options),
+		greeted: make(map[string]caversion.Greeting),
+	}
 }
 
 // Call sends the message to the method of the peer at the address. An error of
 // KindUnavailable means that the message was not sent, KindUnknown that its
-// effect may have taken place; other kinds come from the peer.
+// effect may have taken place; other kinds come from the peer. A peer that
+// speaks no protocol of this entry is a caversion.ForeignError.
 func Call[In, Out any](ctx context.Context, c *Client, address, name string, in In) (Out, error) {
 	var out Out
 	dialed := true
@@ -119,7 +145,7 @@
 		return fresh, err
 	})
 	defer func() { _ = conn.Close() }()
-	err := conn.Invoke(ctx, name, encoding{}, &in, &out)
+	err := conn.Invoke(c.withHeader(ctx), name, Encoding{}, &in, &out)
 	switch {
 	case err == nil:
 		return out, nil
@@ -132,9 +158,22 @@
 	}
 }
 
+// dial opens a connection and exchanges greetings on it.
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.greet(ctx, conn, address); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Client) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
 	raw, err := c.open(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/caactive"
 	"celeryarch.example/celeryarch/internal/config/cacell"
@@ -72,6 +73,8 @@
 	Timer   *catimer.Service
 	Logger  zerolog.Logger
 	Scope   tally.Scope
+	// Format returns the format of the records to come.
+	Format func() caversion.Format
 }
 
 // Part keeps the allowances of the own zone.
@@ -90,6 +93,7 @@
 	applied cacell.Config
 
 	mu       sync.Mutex
+	later    caversion.Format
 	planners map[cawork.ShardID]*caescrow.Planner
 	idle     map[cawork.ShardID][]caescrow.TeamAmount
 }
@@ -193,6 +197,10 @@
 		return
 	}
 	p.readClaims(ctx)
+	if p.Later() != 0 {
+		// The claim that cannot be read may have another holder.
+		return
+	}
 	if p.complete {
 		p.claim(ctx)
 	}
@@ -211,9 +219,12 @@
 		}
 		p.truncated = p.truncated || page.Earliest > p.next
 		for _, r := range page.Records {
+			claim, err := caescrow.DecodeClaim(r.Payload)
+			if p.noteLater(r.Offset, err) {
+				return
+			}
 			p.next = r.Offset + 1
-			var claim caescrow.Claim
-			if cbor.Unmarshal(r.Payload, &claim) == nil {
+			if err == nil {
 				p.mu.Lock()
 				p.claims.Apply(claim)
 				p.mu.Unlock()
@@ -283,7 +294,7 @@
 
 func (p *Part) append(ctx context.Context, shard cawork.ShardID, r cajob.Record) error {
 	r.At = p.Timer.Now()
-	payload, err := r.Encode()
+	payload, err := r.WithFormat(p.Format()).Encode()
 	if err != nil {
 		return err
 	}
