A world waits until a started entry runs before a fault can end it

Cause: TestRollingUpdateUnderFaults ended with a nil pointer: the fault drew the kill of an entry that had been started in the same instant, before its Run. Only the scaffolding was concerned. Change: startEntry waits until the entry has begun.

--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"testing/fstest"
 	"time"
 
@@ -174,6 +175,8 @@
 			w.t.Errorf("entry %s: %v", id, err)
 		}
 	}()
+	// One that has not begun to run cannot be killed.
+	synctest.Wait()
 }
 
 // kill ends an entry at once. Nothing that it sends arrives any more.
