An entry that does little runs on one processor

Cause: a third of an idle entry's samples were the scheduler of the Go runtime, looking for work on all processors after each of several hundred wake-ups a second.

Change: caprocessor samples the processor time spent each 250 ms. From half a processor on the process gets all that it may use (the new setting processors, or what the VM or its quota gives), and one again after 5 s below a quarter. zones.sh runs a second build side by side, processes.sh gives means by build.

--- a/internal/config/casettings/check.go
+++ b/internal/config/casettings/check.go
@@ -35,6 +35,9 @@
 	c.tls(s.TLS)
 	c.timeouts(s.Timeouts)
 	c.limits(s.Limits)
+	if s.Processors < 0 {
+		c.refuse("processors", "must not be negative; 0 means all of the VM")
+	}
 	return c.problems
 }
 
--- a/internal/config/casettings/settings.go
+++ b/internal/config/casettings/settings.go
@@ -29,6 +29,9 @@
 	Timeouts Timeouts `json:"timeouts"`
 	Limits   Limits   `json:"limits"`
 	LogLevel LogLevel `json:"log_level"`
+	// Processors is the most that the entry uses, 0 for all that the VM or its
+	// quota gives. While it does little, it uses one.
+	Processors int `json:"processors"`
 }
 
 // Addresses are the host:port pairs that the entry listens on.
--- a/internal/config/casettings/settings_test.go
+++ b/internal/config/casettings/settings_test.go
@@ -116,6 +116,9 @@
 	}},
 	{"bad level", `"debug"`, `"loud"`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not "loud"`}},
 	{"empty level", `"debug"`, `""`, []string{`entry.jsonc:10:16: log_level: must be one of trace, debug, info, warn, error, not ""`}},
+	{"negative processors", `"log_level": "debug"`, `"processors": -1`, []string{
+		`entry.jsonc:10:17: processors: must not be negative; 0 means all of the VM`,
+	}},
 	{"not a list", `["127.0.1.2:7101"]`, `"127.0.1.2:7101"`, []string{`entry.jsonc:5:12: seeds: must be a list, not "127.0.1.2:7101"`}},
 	{"syntax", `"e1",`, `"e1"`, []string{`entry.jsonc:3:3: invalid character '"' after object value (expecting ',' or '}')`}},
 }
--- a/internal/node/cacapacity/processes.sh
+++ b/internal/node/cacapacity/processes.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Prints what the entries of a cell that examples/cell.sh runs have spent over
 # some seconds: processor time in percent of a core, bytes read and written a
-# second (log lines not counted), and resident memory in KiB.
+# second (log lines not counted), and resident memory in KiB. The means are by
+# the program that the entries run.
 #
 #   internal/node/cacapacity/processes.sh FOLDER SECONDS
 set -euo pipefail
@@ -10,15 +11,16 @@
 seconds=${2:-30}
 hertz=$(getconf CLK_TCK)
 
-# snapshot prints ticks, bytes read, bytes written and bytes logged by entry.
+# snapshot prints ticks, bytes read, bytes written, bytes logged, resident memory
+# and program by entry.
 snapshot() {
   local log name pid ticks
   for log in "$folder"/entry-*.log; do
     name=$(basename "$log" .log)
-    pid=$(pgrep -f "$folder/celeryarch entry --settings=.*/$name.jsonc")
+    pid=$(pgrep -f "$folder/celeryarch[^ ]* entry --settings=.*/$name.jsonc")
     ticks=$(sed 's/.*) //' "/proc/$pid/stat" | awk '{print $12 + $13}')
     echo "$name $ticks $(awk '/^[rw]char/ {printf "%s ", $2}' "/proc/$pid/io") $(stat -c %s "$log")" \
-      "$(awk '/^VmRSS/ {print $2}' "/proc/$pid/status")"
+      "$(awk '/^VmRSS/ {print $2}' "/proc/$pid/status") $(tr '\0' '\n' <"/proc/$pid/cmdline" | head -n 1)"
   done
 }
 
@@ -30,9 +32,12 @@
 paste <(echo "$before") <(echo "$after") | awk -v hertz="$hertz" -v start="$start" -v end="$end" '
   BEGIN { s = end - start }
   {
-    cpu = ($8 - $2) / hertz / s * 100
-    bytes = ($9 - $3 + $10 - $4 - ($11 - $5)) / s
-    printf "%s %.2f%% %.0f B/s %d KiB\n", $1, cpu, bytes, $12
-    cpus += cpu; all += bytes; most = $12 > most ? $12 : most
+    cpu = ($9 - $2) / hertz / s * 100
+    bytes = ($10 - $3 + $11 - $4 - ($12 - $5)) / s
+    sub(".*/", "", $14)
+    printf "%s %.2f%% %.0f B/s %d KiB\n", $1, cpu, bytes, $13
+    count[$14]++; cpus[$14] += cpu; all[$14] += bytes; most[$14] = $13 > most[$14] ? $13 : most[$14]
   }
-  END { printf "mean %.2f%% %.0f B/s, at most %d KiB\n", cpus / NR, all / NR, most }'
+  END {
+    for (p in count) printf "mean of %s %.2f%% %.0f B/s, at most %d KiB\n", p, cpus[p] / count[p], all[p] / count[p], most[p]
+  }'
--- a/internal/node/cacapacity/zones.sh
+++ b/internal/node/cacapacity/zones.sh
@@ -2,7 +2,9 @@
 # Runs a cell of the size of tomorrow on loopback: entries of 2 processors and
 # upstreams in five zones, all upstreams in one process. processes.sh measures
 # it; key.txt in the folder holds a key for load.sh. It ends after the seconds,
-# and on an interrupt.
+# and on an interrupt. Every other entry runs the program at CELERYARCH_OTHER,
+# if one is given, so that two builds are measured side by side. The addresses
+# begin with CELERYARCH_PREFIX.
 #
 #   internal/node/cacapacity/zones.sh FOLDER ENTRIES UPSTREAMS SECONDS
 set -euo pipefail
@@ -12,7 +14,7 @@
 upstreams=${3:-900}
 seconds=${4:-60}
 root=$(cd "$(dirname "$0")/../../.." && pwd)
-prefix=127.47
+prefix=${CELERYARCH_PREFIX:-127.47}
 zones=(bergen-a bergen-b bergen-c bergen-d bergen-e)
 pids=()
 
@@ -60,6 +62,8 @@
 
 mkdir -p "$work/settings"
 (cd "$root" && go build -o "$work/celeryarch" . && go build -o "$work/caupstreams" ./internal/node/caupstreams)
+cp "${CELERYARCH_OTHER:-$work/celeryarch}" "$work/celeryarch-other"
+programs=("$work/celeryarch" "$work/celeryarch-other")
 cp -r "$root/examples/haugland/config" "$work/config"
 cat >"$work/config/10-zones.jsonc" <<END
 {"zones": {"bergen-a": {"allowance_percent": 20}, "bergen-b": {"allowance_percent": 20},
@@ -78,7 +82,7 @@
 export GOMAXPROCS=2
 for ((i = 0; i < entries; i++)); do
   settings "$i" >"$work/settings/entry-$i.jsonc"
-  start "entry-$i" "$work/celeryarch" entry --settings="$work/settings/entry-$i.jsonc"
+  start "entry-$i" "${programs[i % 2]}" entry --settings="$work/settings/entry-$i.jsonc"
 done
 sleep "$seconds" &
 wait $!
--- /dev/null
+++ b/internal/node/caprocessor/part_test.go
@@ -0,0 +1,30 @@
+package caprocessor_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/node/caprocessor"
+)
+
+// The number of processors belongs to the process, so no other test of this
+// package runs beside this one.
+func TestProcessorsAreGivenBackAtTheEnd(t *testing.T) {
+	before := runtime.GOMAXPROCS(2)
+	defer runtime.GOMAXPROCS(before)
+	part := caprocessor.NewPart(0, catimer.NewService(), tally.NoopScope)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := part.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	<-part.Done()
+	if diff := cmp.Diff(2, runtime.GOMAXPROCS(0)); diff != "" {
+		t.Errorf("processors (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -28,6 +28,7 @@
 	"celeryarch.example/celeryarch/internal/node/caapi"
 	"celeryarch.example/celeryarch/internal/node/cademo"
 	"celeryarch.example/celeryarch/internal/node/caentry"
+	"celeryarch.example/celeryarch/internal/node/caprocessor"
 	"celeryarch.example/celeryarch/internal/platform/cahttp"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/caload"
@@ -103,7 +104,20 @@
 	if err != nil {
 		return err
 	}
-	return entry.Run(ctx)
+	return withProcessors(ctx, s.Processors, around, entry.Run)
+}
+
+// withProcessors runs on as many processors as the load asks for, also while
+// run drains.
+func withProcessors(ctx context.Context, most int, around caentry.Surroundings, run func(context.Context) error) error {
+	following, stop := context.WithCancel(context.WithoutCancel(ctx))
+	part := caprocessor.NewPart(most, around.Timer, around.Scope)
+	go func() { _ = part.Run(following) }()
+	defer func() {
+		stop()
+		<-part.Done()
+	}()
+	return run(ctx)
 }
 
 func runLog(ctx context.Context, out cacommand.Output, o caoption.StandinLog) error {
