Timers run only while there is something to wait for

Cause: fixed ticks woke an idle entry 75 times a second.

Change: Service.Recur calls a part when it asked to be called, or is woken. The writer of the archive sleeps until an entry waits, then waits a period for others (4 ticks a second before, none idle now). The exchange of allowances looks once a second while nothing needs any, and a record wakes it (5 ticks and 5 rests before, 1 now). The launcher looks once a second while no task waits and no call is to be repeated (10 before, 1 now). Membership asks for its next probe (8 before, about 4 now). The timers of shards (a backup takes a gap above 300 ms for a pause of its own), of ownership (each tick of an owner of 36 upstreams has heartbeats to send) and of the dispatcher stay.

--- a/internal/coord/calog/writer.go
+++ b/internal/coord/calog/writer.go
@@ -67,9 +67,13 @@
 type Writer struct {
 	opts Options
 	done chan struct{}
+	// wake tells Run that an entry waits.
+	wake chan struct{}
 
-	mu       sync.Mutex
-	buffer   []Entry
+	mu     sync.Mutex
+	buffer []Entry
+	// waiting is when the buffer was last empty.
+	waiting  time.Time
 	due      map[cawork.ShardID]time.Time
 	sequence int64
 	down     bool
@@ -97,7 +101,7 @@
 	retry.InitialInterval = o.Period
 	retry.MaxInterval = 5 * time.Second
 	retry.RandomizationFactor = 0
-	return &Writer{opts: o, done: make(chan struct{}), due: map[cawork.ShardID]time.Time{}, retry: retry}, nil
+	return &Writer{opts: o, done: make(chan struct{}), wake: make(chan struct{}, 1), due: map[cawork.ShardID]time.Time{}, retry: retry}, nil
 }
 
 // Done is closed when Run has ended.
@@ -111,6 +115,13 @@
 	if _, ok := w.due[e.Shard]; !ok {
 		w.due[e.Shard] = w.opts.Timer.Now().Add(w.opts.SnapshotPeriod)
 	}
+	if len(w.buffer) == 0 {
+		w.waiting = w.opts.Timer.Now()
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
 	w.buffer = append(w.buffer, e)
 	if len(w.buffer) > w.opts.MaxBuffered {
 		w.compact()
@@ -141,17 +152,45 @@
 // Run writes until the context ends, then tries once more to write the rest.
 func (w *Writer) Run(ctx context.Context) error {
 	defer close(w.done)
-	ticks := w.opts.Timer.Every(w.opts.Period)
-	defer ticks.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			w.step(context.WithoutCancel(ctx))
-			return nil
-		case <-ticks.C:
+	w.opts.Timer.Recur(ctx, w.wake, func(ctx context.Context) time.Duration {
+		if w.pause() <= 0 {
 			w.step(ctx)
 		}
+		return w.pause()
+	})
+	w.step(context.WithoutCancel(ctx))
+	return nil
+}
+
+// pause returns the time until something is to be written. An entry waits a
+// period for others to share its append.
+func (w *Writer) pause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.opts.Timer.Now()
+	at := now.Add(w.opts.SnapshotPeriod)
+	for _, due := range w.due {
+		at = earlier(at, due)
+	}
+	if len(w.batch) > 0 {
+		at = now
+	}
+	if len(w.buffer) > 0 {
+		at = earlier(at, w.waiting.Add(w.opts.Period))
+	}
+	for _, rest := range []time.Time{w.notTill, w.appended.Add(w.opts.Period)} {
+		if at.Before(rest) {
+			at = rest
+		}
+	}
+	return at.Sub(now)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // step makes at most one append.
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -54,35 +54,49 @@
 	id   Identity
 	feed cafeed.Feed[MemberChanged]
 	done chan struct{}
+	// wake tells Run that State may be due earlier than it said.
+	wake chan struct{}
 	open sync.WaitGroup
 
 	mu    sync.Mutex
 	state *State
+	// urgent is what State said of itself last.
+	urgent bool
 }
 
 // NewPart returns a part for the identity. Seeds are addresses of entries.
 func NewPart(cfg Config, id Identity, seeds []string, deps Deps) *Part {
 	return &Part{
-		cfg: cfg, deps: deps, id: id, done: make(chan struct{}),
+		cfg: cfg, deps: deps, id: id, done: make(chan struct{}), wake: make(chan struct{}, 1),
 		state: NewState(cfg, id, seeds, deps.Timers.Now(), deps.Seed, deps.Check),
 	}
 }
 
-// ticksPerPeriod is how often State is asked in a period whether anything is
-// due.
-const ticksPerPeriod = 4
-
 // Run probes until the context ends. It may be called once.
 func (p *Part) Run(ctx context.Context) error {
 	defer close(p.done)
 	defer p.feed.Close()
 	defer p.open.Wait()
-	p.deps.Timers.Repeat(ctx, p.cfg.Period/ticksPerPeriod, func(ctx context.Context) {
-		p.advance(ctx, func(now time.Time) Step { return p.state.Tick(now) })
-	})
+	p.deps.Timers.Recur(ctx, p.wake, p.tick)
 	return nil
 }
 
+// tick returns the time until the next tick.
+func (p *Part) tick(ctx context.Context) time.Duration {
+	p.advance(ctx, func(now time.Time) Step { return p.state.Tick(now) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Pause(p.deps.Timers.Now())
+}
+
+// wakeUp makes Run look at State at once.
+func (p *Part) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Done is closed at the end of Run.
 func (p *Part) Done() <-chan struct{} { return p.done }
 
@@ -116,6 +130,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.SetLocal(a)
+	p.wakeUp()
 }
 
 // SetListed takes over a list of the platform.
@@ -162,6 +177,7 @@
 	defer p.mu.Unlock()
 	reply, step := p.state.Handle(p.deps.Timers.Now(), req)
 	p.publish(step.Events)
+	p.wakeIfUrgent()
 	return reply, nil
 }
 
@@ -183,11 +199,23 @@
 	return nil
 }
 
+// wakeIfUrgent wakes Run when the core has become due earlier than it said. The
+// caller holds the mutex.
+func (p *Part) wakeIfUrgent() {
+	if urgent := p.state.IsUrgent(); urgent != p.urgent {
+		p.urgent = urgent
+		if urgent {
+			p.wakeUp()
+		}
+	}
+}
+
 // advance lets the core take a step and carries it out.
 func (p *Part) advance(ctx context.Context, call func(now time.Time) Step) {
 	p.mu.Lock()
 	step := call(p.deps.Timers.Now())
 	p.publish(step.Events)
+	p.wakeIfUrgent()
 	p.mu.Unlock()
 	for _, probe := range step.Probes {
 		p.open.Go(func() { p.probe(ctx, probe) })
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -184,6 +184,31 @@
 	return s.step(probes, nil)
 }
 
+// urgentTicks is how often State is to be asked in a period while a member is
+// suspected or news are to be spread.
+const urgentTicks = 4
+
+// IsUrgent reports whether a member is suspected or news are to be spread.
+func (s *State) IsUrgent() bool {
+	if s.news {
+		return true
+	}
+	for _, r := range s.records {
+		if r.standing.Liveness() == LivenessSuspect {
+			return true
+		}
+	}
+	return false
+}
+
+// Pause returns the time until the next Tick, a period at most.
+func (s *State) Pause(now time.Time) time.Duration {
+	if s.IsUrgent() {
+		return s.cfg.Period / urgentTicks
+	}
+	return max(0, min(s.nextProbe.Sub(now), s.cfg.Period))
+}
+
 // maxVerifications bounds the verifying probes of one tick.
 const maxVerifications = 4
 
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -398,6 +398,7 @@
 // ShardCommitted implements cashard.Listener.
 func (l *shardListener) ShardCommitted(id cawork.ShardID, index int64, record []byte) {
 	l.archive.Committed(id, index, record)
+	l.quota.Committed()
 }
 
 // lateParts reaches parts of an entry that are wired after those that use them.
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -28,8 +28,10 @@
 )
 
 const (
-	// tickPeriod is the time between two rounds of decisions without an event.
+	// tickPeriod is the time between two rounds of decisions without an event
+	// while work waits for something, calmPeriod the time while none does.
 	tickPeriod = 100 * time.Millisecond
+	calmPeriod = time.Second
 	// pollPeriod is the time between two polls of another owner.
 	pollPeriod = time.Second
 	// startTimeout bounds a call that starts or stops an attempt.
@@ -154,6 +156,7 @@
 	unsent   []settlement
 	unended  map[cawork.JobID]struct{}
 	cursors  map[pollTarget]catask.Cursor
+	lastTick time.Time
 	lastPoll time.Time
 	// restUntil is the time before which nothing is decided.
 	restUntil time.Time
@@ -218,16 +221,19 @@
 	defer l.calls.Wait()
 	defer close(l.done)
 	l.ctx = ctx
-	ticks := l.Timer.Every(tickPeriod)
-	defer ticks.Close()
+	l.lastTick = l.now()
+	alarm := newAlarm(l.Timer)
+	defer alarm.close()
 	for {
+		alarm.set(l.nextTick())
 		select {
 		case <-ctx.Done():
 			return nil
 		case event := <-l.mailbox:
 			event()
 			l.drainMailbox()
-		case <-ticks.C:
+		case <-alarm.ticks():
+			l.lastTick = l.now()
 			l.tick()
 		}
 		l.decide()
--- a/internal/node/calaunch/load.go
+++ b/internal/node/calaunch/load.go
@@ -29,11 +29,7 @@
 			LargestHole: l.Scheduler.LargestHole(cawork.Constraints{}),
 			Uses:        append([]casched.TeamUse(nil), l.Scheduler.Uses()...),
 			Open:        len(l.attempts),
-		}
-		for _, team := range l.policy.Teams() {
-			for _, kind := range cawork.WorkKindValues() {
-				load.Queued += l.Scheduler.QueueLength(team, kind)
-			}
+			Queued:      l.queued(),
 		}
 	})
 	if !answered {
--- a/internal/node/caquota/exchange.go
+++ b/internal/node/caquota/exchange.go
@@ -73,33 +73,37 @@
 }
 
 // exchange asks partners for what the led shards lack, and sends again what no
-// partner has acknowledged.
-func (p *Part) exchange(ctx context.Context) {
+// partner has acknowledged. It reports whether more of it may be due soon: while
+// tasks wait, a transfer is open, or a shard that was taken over is led.
+func (p *Part) exchange(ctx context.Context) (pending bool) {
 	var calls sync.WaitGroup
 	for _, shard := range p.led() {
-		for _, ask := range p.asks(shard) {
+		asks, needs := p.asks(shard)
+		for _, ask := range asks {
 			calls.Go(func() { p.ask(ctx, ask) })
 		}
-		for _, t := range p.unacknowledged(shard) {
+		transfers := p.unacknowledged(shard)
+		for _, t := range transfers {
 			calls.Go(func() { p.send(ctx, t) })
 		}
+		pending = pending || len(needs) > 0 || len(asks) > 0 || len(transfers) > 0 || shard != p.own()
 	}
 	calls.Wait()
 	p.retire()
+	return pending
 }
 
-// asks returns the asks of a led shard that are due.
-func (p *Part) asks(shard cawork.ShardID) []caescrow.Ask {
+// asks returns the asks of a led shard that are due, and what its tasks need.
+func (p *Part) asks(shard cawork.ShardID) (asks []caescrow.Ask, needs []caescrow.Need) {
 	partners := p.partners(shard)
 	planner := p.planner(shard)
-	var asks []caescrow.Ask
 	p.readState(shard, func(s *cajob.State) {
-		needs := s.Demand()
+		needs = s.Demand()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		asks = planner.Asks(p.Timer.Now(), s.Account(), needs, partners)
 	})
-	return asks
+	return asks, needs
 }
 
 // partners returns all other shards with what they last reported as idle.
--- a/internal/node/caquota/part.go
+++ b/internal/node/caquota/part.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,8 +30,10 @@
 	claimTopic = "mint"
 	// period is the time between two looks at the log.
 	period = time.Second
-	// exchangePeriod is the time between two rounds of asks.
+	// exchangePeriod is the time between two rounds of asks while a shard needs
+	// allowance or owes a transfer, calmPeriod the time while none does.
 	exchangePeriod = 200 * time.Millisecond
+	calmPeriod     = time.Second
 	// exchangeGap is the least time between two rounds of asks.
 	exchangeGap = 20 * time.Millisecond
 	// claimRetry is the time between two appends of a claim.
@@ -80,9 +83,13 @@
 // Part keeps the allowances of the own zone.
 type Part struct {
 	Config
-	done     chan struct{}
-	minted   chan struct{}
-	wake     chan struct{}
+	done   chan struct{}
+	minted chan struct{}
+	wake   chan struct{}
+	// calm tells that the next record is to wake the part.
+	calm atomic.Bool
+	// rested is the time before which no round follows the last one.
+	rested   time.Time
 	claims   *caescrow.Claims
 	next     caplatform.Offset
 	complete bool
@@ -115,31 +122,29 @@
 func (p *Part) Run(ctx context.Context) error {
 	defer close(p.done)
 	go p.mintRounds(ctx)
-	ticks := p.Timer.Every(exchangePeriod)
-	defer ticks.Close()
-	for {
-		p.collect(ctx)
-		p.exchange(ctx)
-		p.rest(ctx)
-		select {
-		case <-ctx.Done():
-			<-p.minted
-			return nil
-		case <-ticks.C:
-		case <-p.wake:
-		}
-	}
+	p.Timer.Recur(ctx, p.wake, p.exchangeRound)
+	<-p.minted
+	return nil
 }
 
-// rest keeps two rounds apart, however often the part is woken: two shards that
-// give to each other would otherwise do so without end.
-func (p *Part) rest(ctx context.Context) {
-	pause := p.Timer.After(exchangeGap)
-	defer pause.Close()
-	select {
-	case <-pause.C:
-	case <-ctx.Done():
+// exchangeRound returns the time until the next round. Two rounds are kept
+// apart, however often the part is woken: two shards that give to each other
+// would otherwise do so without end.
+func (p *Part) exchangeRound(ctx context.Context) time.Duration {
+	if early := p.rested.Sub(p.Timer.Now()); early > 0 {
+		return early
+	}
+	// A record that takes effect from here on wakes the part, if this round
+	// finds nothing to do.
+	p.calm.Store(true)
+	p.collect(ctx)
+	pending := p.exchange(ctx)
+	p.rested = p.Timer.Now().Add(exchangeGap)
+	if pending {
+		p.calm.Store(false)
+		return exchangePeriod
 	}
+	return calmPeriod
 }
 
 // mintRounds mints beside the exchange, because the log may be slow.
@@ -183,6 +188,14 @@
 	return p.Shard
 }
 
+// Committed makes the part look at the led shards after a record, unless it is
+// about to do so anyway.
+func (p *Part) Committed() {
+	if p.calm.CompareAndSwap(true, false) {
+		p.LedChanged()
+	}
+}
+
 // LedChanged makes the part look at the led shards at once.
 func (p *Part) LedChanged() {
 	select {
