A blocked head is helped before the rest of its class was tried

Cause: relief looked at a class only after all of its jobs had been tried, up to eight at a time.

Change: the mark tells whether the head itself lacked room, and relief and offers to other entries go by that. A scenario brings the fault about.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -219,6 +219,7 @@
 	if result == triedPlaced || result == triedDeferred {
 		return result == triedPlaced
 	}
+	t.queue.Mark(c).HeadBlocked = result == triedBlocked
 	var seen [triedCount]bool
 	seen[result] = true
 	atEnd := c.More(moreTries, func(j *caledger.Job) bool {
--- a/internal/core/cadecide/query.go
+++ b/internal/core/cadecide/query.go
@@ -51,7 +51,7 @@
 		var heads []*caledger.Job
 		for _, g := range t.queue.Groups() {
 			for i, c := range g.Classes() {
-				if g.Marks()[i].BlockedAt != 0 {
+				if g.Marks()[i].HeadBlocked {
 					heads = append(heads, c.Head().Value)
 				}
 			}
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -137,7 +137,7 @@
 // only room, have none held for them, and are accepted by the function.
 func (s *Scheduler) firstBlocked(t *team, accept func(*caqueue.Mark) bool) *class {
 	for {
-		c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && !m.Held && accept(m) })
+		c := t.queue.First(func(m *caqueue.Mark) bool { return m.HeadBlocked && !m.Held && accept(m) })
 		if c == nil || !s.claimed(c.Head().Value) {
 			return c
 		}
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -191,6 +191,21 @@
 	wantSummary(t, c.after(time.Second), "place reservation urgent/1")
 }
 
+func TestUrgentJobTakesRoomBeforeAllSmallerJobsOfItsClassWereTried(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 1)
+	c.submit("full", "north", batch(1, 8))
+	wantSummary(t, c.after(0), "place lowest_share full/1")
+	smaller := batch(1, 2)
+	smaller.Size.CPU -= 100
+	for i := range 500 {
+		c.submit(cawork.JobID(fmt.Sprintf("smaller%d", i)), "north", smaller)
+	}
+	urgent := batch(1, 2)
+	urgent.Urgent = true
+	c.submit("urgent", "north", urgent)
+	wantSummary(t, c.after(0), "checkpoint urgent_preemption full/1")
+}
+
 func TestReservedGangIsNotStarvedAndShortWorkRunsBeforeIt(t *testing.T) {
 	p := casched.DefaultPolicy()
 	c := newScene(t, p, 2)
--- a/internal/core/caqueue/queue.go
+++ b/internal/core/caqueue/queue.go
@@ -106,6 +106,8 @@
 	// LimitedAt is the like number of the account of the team at which the
 	// allowance did not suffice.
 	LimitedAt uint64
+	// HeadBlocked is set when the head lacked room when it was tried last.
+	HeadBlocked bool
 	// Held is set when room is held for the head.
 	Held bool
 	// Fresh counts the entries that were pushed after all others were tried.
