Shortfalls and excesses are measured by the share of a team of weight 1

Room was left only to jobs that had waited for a second, so that each new job found its hole taken.

Change: a team takes room from 5% of the share of a team of weight 1 below its own, and leaves room from 2.5% of it beyond; room is left to new jobs at once.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -12,13 +12,11 @@
 )
 
 const (
-	// deferAfter is the wait of a job of a team below its share from which on
-	// room is left to it.
-	deferAfter = time.Second
 	// deferBound is how long room is left to a team that starts nothing.
 	deferBound = time.Minute
-	// deferAbove is the part of its share beyond which a team leaves room.
-	deferAbove = 1.025
+	// deferAbove is how far beyond its share a team leaves room, as a part of the
+	// share of a team of weight 1.
+	deferAbove = 0.025
 	// moreTries is how many jobs behind the head of a class are tried at a time.
 	moreTries = 8
 	// maxRounds bounds the rounds of one call.
@@ -290,7 +288,7 @@
 // would otherwise go to whoever happens to have tasks and gangs that are small
 // enough, and would never grow for those that are not.
 func (s *Scheduler) defers(t *team, r cawork.Resources, now time.Time) bool {
-	if s.shares.Dominant(t.Team, r) <= t.Entitlement(s.owed)*deferAbove {
+	if s.shares.Dominant(t.Team, r) <= t.Entitlement(s.owed)+deferAbove*s.owed {
 		return false
 	}
 	for _, o := range s.order {
@@ -317,7 +315,7 @@
 		return false
 	}
 	j := c.Head().Value
-	if now.Sub(j.Accepted) < deferAfter || j.Spec.Constraints != (cawork.Constraints{}) || j.Spec.Size.Accelerators > 0 {
+	if j.Spec.Constraints != (cawork.Constraints{}) || j.Spec.Size.Accelerators > 0 {
 		return false
 	}
 	if t.leftSince.IsZero() {
--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -23,9 +23,14 @@
 	urgentPause = 200 * time.Millisecond
 	// maxPassed is the most jobs of a team that are passed over in a period.
 	maxPassed = 4
-	// shareTolerance is the part of its share below which a team takes room from
-	// others. Above it, the ends of tasks even the shares out.
-	shareTolerance = 0.95
+	// shareTolerance is how far below its share a team takes room from others, as
+	// a part of the share of a team of weight 1. Above it, the ends of tasks even
+	// the shares out.
+	//
+	// Example: teams of the weights 4 and 1 are owed 0.4 and 0.1. Were the first
+	// to wait until it lacks 0.05 of its own share, 0.02, the other could be
+	// at 0.12, a fifth beyond its own.
+	shareTolerance = 0.05
 	// minRun is how long a task runs at least before it makes room for one that
 	// is not urgent.
 	minRun = 30 * time.Second
@@ -173,9 +178,10 @@
 	if !t.Allows(whole) {
 		return false
 	}
-	owed := t.Entitlement(s.level(t))
+	level := s.level(t)
+	owed := t.Entitlement(level)
 	return j.Spec.Urgent || (s.shares.Dominant(t.Team, whole) <= owed &&
-		s.shares.Dominant(t.Team, cawork.Resources{}) < shareTolerance*owed)
+		s.shares.Dominant(t.Team, cawork.Resources{}) < owed-shareTolerance*level)
 }
 
 // preemptFor makes running tasks end for the job, when its team stays within
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -148,6 +148,17 @@
 	}
 }
 
+func TestShortfallOfAHeavyTeamIsMeasuredByTheShareOfALightOne(t *testing.T) {
+	p := casched.DefaultPolicy().WithTeam("south", casched.TeamPolicy{Weight: 4, Limit: casched.Unlimited()})
+	c := newScene(t, p, 10)
+	c.submit("heavy", "south", batch(62, 1))
+	c.after(0)
+	c.submit("light", "north", batch(18, 1))
+	c.after(0)
+	c.submit("missing", "south", batch(2, 1))
+	wantSummary(t, c.after(time.Minute), "checkpoint share light/1")
+}
+
 func TestPreemptionSparesATeamBelowItsShareThoughItsLossIsLess(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 2)
 	c.submit("old", "north", batch(6, 2))
