--- a/internal/core/cadecide/mix_test.go
+++ b/internal/core/cadecide/mix_test.go
@@ -27,6 +27,14 @@
 	load float64
 	// kinds are the parts of the kinds in the arrivals.
 	batch, gang, service float64
+	// lookup is the part of look-ups in the arrivals, which are drawn first.
+	lookup float64
+	// accelerated is the part of batch work and gangs that needs accelerators.
+	accelerated float64
+	// acceleratorEvery is the distance between workers that have accelerators, of
+	// which each has accelerators.
+	acceleratorEvery int
+	accelerators     int64
 }
 
 var (
@@ -42,6 +50,31 @@
 	}
 )
 
+// whole returns the mix with look-ups and with work for accelerators, which a
+// fifth of the workers have.
+func (m mix) whole(accelerated float64) mix {
+	m.name += "_whole"
+	m.lookup, m.accelerated = .3, accelerated
+	m.acceleratorEvery, m.accelerators = 5, 4
+	return m
+}
+
+// acceleratorKind is the kind of all accelerators of a mix.
+const acceleratorKind = "a1"
+
+// upstream returns the worker of the number.
+func (m mix) upstream(i int) casched.Upstream {
+	u := casched.Upstream{
+		ID:   cawork.UpstreamID(fmt.Sprintf("u%d", i)),
+		Zone: cawork.ZoneName(fmt.Sprintf("z%d", i%m.zones)), Rack: cawork.RackName(fmt.Sprintf("r%d", i/m.rackSize)),
+		Capacity: m.worker, Slots: 8, Connections: 64,
+	}
+	if m.acceleratorEvery > 0 && i%m.acceleratorEvery == 0 {
+		u.Capacity.Accelerators, u.AcceleratorKind = m.accelerators, acceleratorKind
+	}
+	return u
+}
+
 const (
 	mixWorkers    = 50
 	mixDuration   = 2 * time.Hour
@@ -90,21 +123,25 @@
 
 // loop runs a mix against a scheduler in virtual time.
 type loop struct {
-	tb       testing.TB
-	m        mix
-	s        casched.Scheduler
-	rng      *rand.Rand
-	now      time.Time
-	queue    events
-	truths   map[cawork.JobID]truth
-	running  map[cawork.TaskRef]placed
-	left     map[cawork.TaskRef]time.Duration
-	started  map[cawork.TaskRef]bool
-	nextUse  time.Time
-	jobs     int
-	serves   int
-	waits    map[cawork.WorkKind][]float64
-	urgent   []float64
+	tb      testing.TB
+	m       mix
+	s       casched.Scheduler
+	rng     *rand.Rand
+	now     time.Time
+	queue   events
+	truths  map[cawork.JobID]truth
+	running map[cawork.TaskRef]placed
+	left    map[cawork.TaskRef]time.Duration
+	started map[cawork.TaskRef]bool
+	nextUse time.Time
+	jobs    int
+	serves  int
+	waits   map[cawork.WorkKind][]float64
+	urgent  []float64
+	// accelerated are the waits of work that needs accelerators.
+	accelerated []float64
+	// offered adds up the seconds that accelerators are wanted.
+	offered  float64
 	moved    int
 	calls    int
 	spent    time.Duration
@@ -129,11 +166,7 @@
 	}
 	l.s = cadecide.New(p, func(v *casched.Violation) { tb.Fatal(v) })
 	for i := range mixWorkers {
-		l.s.PutUpstream(casched.Upstream{
-			ID:   cawork.UpstreamID(fmt.Sprintf("u%d", i)),
-			Zone: cawork.ZoneName(fmt.Sprintf("z%d", i%m.zones)), Rack: cawork.RackName(fmt.Sprintf("r%d", i/m.rackSize)),
-			Capacity: m.worker, Slots: 8, Connections: 64,
-		}, l.now)
+		l.s.PutUpstream(m.upstream(i), l.now)
 	}
 	for i := range m.weights {
 		l.s.SetAllowance(l.team(i), casched.Unlimited(), l.now)
@@ -146,6 +179,9 @@
 // draw returns a job whose declarations are far from the truth.
 func (l *loop) draw() truth {
 	r := l.rng
+	if l.m.lookup > 0 && r.Float64() < l.m.lookup {
+		return l.drawLookup()
+	}
 	spec := cawork.JobSpec{Kind: cawork.WorkKindBatch, Tasks: 1 + r.IntN(12), Idempotent: true}
 	t := truth{runTime: time.Duration(60 * math.Exp(r.NormFloat64()) * float64(time.Second))}
 	t.used = cawork.Resources{
@@ -171,10 +207,29 @@
 		spec.Size = t.used
 	}
 	spec.RunTime = time.Duration(float64(t.runTime) * math.Exp(r.NormFloat64()) * 3)
+	if l.m.accelerated > 0 && spec.Kind != cawork.WorkKindService && r.Float64() < l.m.accelerated {
+		spec.Size.Accelerators = 1 + r.Int64N(2)
+		spec.Tasks = min(spec.Tasks, 4)
+		spec.Constraints.AcceleratorKind = acceleratorKind
+		t.used.Accelerators = spec.Size.Accelerators
+	}
 	t.job = cawork.Job{Spec: spec, Team: l.team(team), Accepted: l.now}
 	return t
 }
 
+// drawLookup returns a look-up of 0.3 s at the median.
+func (l *loop) drawLookup() truth {
+	r := l.rng
+	t := truth{
+		used:    cawork.Resources{CPU: 250, Memory: 128 * cawork.MiB},
+		runTime: time.Duration(.3 * math.Exp(r.NormFloat64()/2) * float64(time.Second)),
+	}
+	t.job = cawork.Job{Team: l.team(l.pickTeam()), Accepted: l.now, Spec: cawork.JobSpec{
+		Kind: cawork.WorkKindLookup, Tasks: 1, Size: t.used, RunTime: t.runTime, Idempotent: true,
+	}}
+	return t
+}
+
 func (l *loop) pickTeam() int {
 	x := l.rng.Float64()
 	for i, p := range l.m.parts {
@@ -211,6 +266,7 @@
 	for _, t := range l.arrivals() {
 		l.advance(t.job.Accepted)
 		l.truths[t.job.ID] = t
+		l.offered += float64(t.used.Accelerators*int64(t.job.Spec.Tasks)) * t.runTime.Seconds()
 		if err := l.s.Submit(t.job, l.now); err != nil {
 			l.tb.Fatal(err)
 		}
@@ -293,6 +349,10 @@
 		l.urgent = append(l.urgent, d.Waited.Seconds())
 		return
 	}
+	if p.Size.Accelerators > 0 {
+		l.accelerated = append(l.accelerated, d.Waited.Seconds())
+		return
+	}
 	l.waits[d.WorkKind] = append(l.waits[d.WorkKind], d.Waited.Seconds())
 }
 
@@ -321,7 +381,7 @@
 // sampleShares adds how far the weighted shares of the backlogged teams are
 // from their mean.
 func (l *loop) sampleShares() {
-	total := l.m.worker.Times(mixWorkers)
+	total := l.s.Capacity()
 	sum, weights := 0.0, 0.0
 	shares := map[int]float64{}
 	for i, w := range l.m.weights {
@@ -374,8 +434,10 @@
 		l.waits[k] = append(l.waits[k], w...)
 	}
 	l.urgent = append(l.urgent, o.urgent...)
+	l.accelerated = append(l.accelerated, o.accelerated...)
 	l.usedSum, l.samples = l.usedSum+o.usedSum, l.samples+o.samples
 	l.shareSum, l.shareN = l.shareSum+o.shareSum, l.shareN+o.shareN
+	l.offered += o.offered
 	l.moved, l.serves = l.moved+o.moved, l.serves+o.serves
 	l.spent, l.calls = l.spent+o.spent, l.calls+o.calls
 	for i := range l.drift {
@@ -419,24 +481,49 @@
 		for _, c := range choices {
 			b.Run(m.name+"/"+c.name, func(b *testing.B) {
 				for b.Loop() {
-					sum := newLoop(b, m, c.p, 0)
-					for seed := range uint64(mixSeeds) {
-						l := newLoop(b, m, c.p, seed)
-						l.run()
-						sum.merge(l)
-					}
-					sum.publish(b)
+					sumOf(b, m, c.p).publish(b)
 				}
 			})
 		}
 	}
 }
 
+// sumOf returns the figures of the runs of all seeds together.
+func sumOf(b *testing.B, m mix, p casched.Policy) *loop {
+	sum := newLoop(b, m, p, 0)
+	for seed := range uint64(mixSeeds) {
+		l := newLoop(b, m, p, seed)
+		l.run()
+		sum.merge(l)
+	}
+	return sum
+}
+
+// BenchmarkWhole prints the figures of the default policy on the mixes with
+// look-ups and with work for accelerators.
+func BenchmarkWhole(b *testing.B) {
+	for _, m := range []mix{haugland.whole(.1), lettergrove.whole(.04)} {
+		b.Run(m.name, func(b *testing.B) {
+			for b.Loop() {
+				sumOf(b, m, casched.DefaultPolicy()).publish(b)
+			}
+		})
+	}
+}
+
 func (l *loop) publish(b *testing.B) {
 	for _, k := range []cawork.WorkKind{cawork.WorkKindBatch, cawork.WorkKindService, cawork.WorkKindGang} {
 		b.ReportMetric(quantile(l.waits[k], .5), k.String()+"-p50-s")
 		b.ReportMetric(quantile(l.waits[k], .99), k.String()+"-p99-s")
 	}
+	if l.m.lookup > 0 {
+		b.ReportMetric(1000*quantile(l.waits[cawork.WorkKindLookup], .5), "lookup-p50-ms")
+		b.ReportMetric(1000*quantile(l.waits[cawork.WorkKindLookup], .99), "lookup-p99-ms")
+		supplied := float64(l.s.Capacity().Accelerators) * mixDuration.Seconds() * mixSeeds
+		b.ReportMetric(100*l.offered/supplied, "accelerators-offered-%")
+		b.ReportMetric(quantile(l.accelerated, .5), "accelerated-p50-s")
+		b.ReportMetric(quantile(l.accelerated, .99), "accelerated-p99-s")
+	}
 	b.ReportMetric(quantile(l.urgent, .5), "urgent-p50-s")
 	b.ReportMetric(quantile(l.urgent, .95), "urgent-p95-s")
 	b.ReportMetric(quantile(l.urgent, .99), "urgent-p99-s")
--- a/internal/core/cadecide/target_test.go
+++ b/internal/core/cadecide/target_test.go
@@ -201,3 +201,18 @@
 		})
 	}
 }
+
+// TestWholeMixStartsEveryKindOfWork runs look-ups and accelerated work beside
+// the rest; the scheduler reports broken invariants on its own.
+func TestWholeMixStartsEveryKindOfWork(t *testing.T) {
+	l := newLoop(t, haugland.whole(.1), casched.DefaultPolicy(), 1)
+	l.run()
+	for _, k := range cawork.WorkKindValues() {
+		if len(l.waits[k]) == 0 {
+			t.Errorf("no work of kind %v has started", k)
+		}
+	}
+	if len(l.urgent) == 0 || len(l.accelerated) == 0 {
+		t.Errorf("%d urgent tasks and %d with accelerators have started, want some", len(l.urgent), len(l.accelerated))
+	}
+}
