Look-ups leave no room to others

Cause: a team beyond its share leaves room to blocked work of teams below theirs, its look-ups too, which so waited up to the minute for which room is left.

Change: like urgent work, look-ups start where they fit. A scenario holds it.

--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -273,7 +273,7 @@
 	if !t.Allows(q.Demand.Size.Times(int64(n))) {
 		return triedLimited
 	}
-	if !j.Spec.Urgent && !s.claimed(j) && s.defers(t, q.Demand.Size.Times(int64(n)), now) {
+	if s.leavesRoom(j) && s.defers(t, q.Demand.Size.Times(int64(n)), now) {
 		return triedDeferred
 	}
 	if !s.findHosts(&q, n) {
@@ -283,6 +283,13 @@
 	return triedPlaced
 }
 
+// leavesRoom reports whether the job may be kept back for teams below their
+// share. Urgent work and look-ups are not: somebody waits for them, and a
+// look-up has ended long before a hole would have grown.
+func (s *Scheduler) leavesRoom(j *caledger.Job) bool {
+	return !j.Spec.Urgent && j.Spec.Kind != cawork.WorkKindLookup && !s.claimed(j)
+}
+
 // defers reports whether the amount would take the team beyond its share while
 // a team below its share waits for room. The room is left to it then, as holes
 // would otherwise go to whoever happens to have tasks and gangs that are small
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -266,6 +266,22 @@
 	}
 }
 
+func TestLookupStartsWhereBatchWorkLeavesRoom(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 2)
+	c.submit("full", "north", batch(7, 2))
+	c.after(0)
+	gang := batch(2, 4)
+	gang.Kind = cawork.WorkKindGang
+	c.submit("gang", "south", gang)
+	c.after(time.Second)
+	c.submit("batch", "north", batch(1, 1))
+	wantSummary(t, c.after(time.Second))
+	lookup := batch(1, 1)
+	lookup.Kind = cawork.WorkKindLookup
+	c.submit("lookup", "north", lookup)
+	wantSummary(t, c.after(time.Second), "place lowest_share lookup/1")
+}
+
 func TestGangThatLosesAMemberStartsWholeAgain(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 2)
 	gang := cawork.JobSpec{Kind: cawork.WorkKindGang, Tasks: 3, Size: size(2), RunTime: time.Minute, Idempotent: true}
