Batch jobs can be refused by their predicted wait, in the configuration

Cause: the prediction counted all tasks that are due before the job, also those that it overtakes as they are larger.

Other kinds are refused in the check, as nothing was measured of them.

Conclusion: in the configuration, off when not set.

--- a/internal/config/cacell/config.go
+++ b/internal/config/cacell/config.go
@@ -100,6 +100,11 @@
 	// Reservation is the longest time for which a gang may hold capacity that
 	// it does not use yet. It is zero for other kinds.
 	Reservation time.Duration
+	// WaitBound is the longest predicted wait with which batch work is queued.
+	// Zero sets no bound.
+	WaitBound time.Duration
+	// RefuseLate refuses batch work that is predicted to start after its deadline.
+	RefuseLate bool
 }
 
 // Config is the configuration of a cell. It is not changed after it is built.
@@ -210,6 +215,8 @@
 		Placement:   d.Placement,
 		Aging:       d.Aging,
 		Reservation: d.Reservation,
+		WaitBound:   d.WaitBound,
+		RefuseLate:  d.RefuseLate,
 	}
 }
 
--- a/internal/config/cacell/config_test.go
+++ b/internal/config/cacell/config_test.go
@@ -114,6 +114,9 @@
 		{"unknown kind", `{"policy": {"bulk": {}}}`, `3.json:1:13: policy.bulk: bulk does not belong to WorkKind values`},
 		{"unknown placement", `{"policy": {"gang": {"placement": "near"}}}`, `3.json:1:35: policy.gang.placement: near does not belong to Placement values`},
 		{"bounds of a policy", `{"policy": {"gang": {"queue_bound": 0, "max_attempts": 0, "aging": "0s", "reservation": "-1s"}}}`, "3.json:1:37: policy.gang.queue_bound: must be at least 1\n3.json:1:56: policy.gang.max_attempts: must be at least 1\n3.json:1:68: policy.gang.aging: must be more than 0s\n3.json:1:89: policy.gang.reservation: must not be below 0s"},
+		{"wait bound below zero", `{"policy": {"batch": {"wait_bound": "-1s"}}}`, `3.json:1:37: policy.batch.wait_bound: must not be below 0s`},
+		{"wait bound of gangs", `{"policy": {"gang": {"wait_bound": "1s"}}}`, `3.json:1:36: policy.gang.wait_bound: only batch work is refused by its predicted wait`},
+		{"late refusal of services", `{"policy": {"service": {"refuse_late": true}}}`, `3.json:1:40: policy.service.refuse_late: only batch work is refused by its predicted wait`},
 		{"reservation of batch", `{"policy": {"batch": {"reservation": "1s"}}}`, `3.json:1:38: policy.batch.reservation: only gang work reserves capacity`},
 		{"freshness too short", `{"key_freshness": "1s"}`, `3.json:1:19: key_freshness: 1s is below the least, 5s`},
 		{"bad name", `{"teams": {"Knit Wear": {"share": 1, ` + team + `}}}`, `3.json:1:25: teams.Knit Wear: a name has only the characters a-z, 0-9, - and _`},
@@ -231,3 +234,21 @@
 	}
 	b.ReportMetric(float64(len(body)), "body-bytes")
 }
+
+// TestBoundsOnPredictedWaitsAreEncodedOnlyWhenSet keeps a configuration without
+// them readable to versions that do not know them.
+func TestBoundsOnPredictedWaitsAreEncodedOnlyWhenSet(t *testing.T) {
+	unset := mustLoad(t, `{"policy": {"batch": {"wait_bound": "0s", "refuse_late": false}}}`)
+	if text := string(unset.Encode()); strings.Contains(text, "wait_bound") || strings.Contains(text, "refuse_late") {
+		t.Errorf("unset bounds are encoded: %s", text)
+	}
+	set := mustLoad(t, `{"policy": {"batch": {"wait_bound": "5m", "refuse_late": true}}}`)
+	back, err := Decode(set.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := back.Policy(cawork.WorkKindBatch)
+	if diff := cmp.Diff([]any{5 * time.Minute, true}, []any{p.WaitBound, p.RefuseLate}); diff != "" {
+		t.Errorf("bounds (-want +got):\n%s", diff)
+	}
+}
--- a/internal/config/cacell/document.go
+++ b/internal/config/cacell/document.go
@@ -49,6 +49,8 @@
 	Placement   Placement     `json:"placement"`
 	Aging       time.Duration `json:"aging"`
 	Reservation time.Duration `json:"reservation"`
+	WaitBound   time.Duration `json:"wait_bound,omitzero"`
+	RefuseLate  bool          `json:"refuse_late,omitzero"`
 }
 
 // defaultDocument holds what is in force where a configuration says nothing.
--- a/internal/config/cacell/validate.go
+++ b/internal/config/cacell/validate.go
@@ -175,4 +175,13 @@
 	if p.Reservation > 0 && p.Kind != cawork.WorkKindGang {
 		v.refuse(path+".reservation", "only gang work reserves capacity")
 	}
+	if p.WaitBound < 0 {
+		v.refuse(path+".wait_bound", "must not be below 0s")
+	}
+	if p.WaitBound > 0 && p.Kind != cawork.WorkKindBatch {
+		v.refuse(path+".wait_bound", "only batch work is refused by its predicted wait")
+	}
+	if p.RefuseLate && p.Kind != cawork.WorkKindBatch {
+		v.refuse(path+".refuse_late", "only batch work is refused by its predicted wait")
+	}
 }
--- a/internal/config/cadocument/decode.go
+++ b/internal/config/cadocument/decode.go
@@ -231,7 +231,7 @@
 
 func fieldNamed(v reflect.Value, name string) (reflect.Value, bool) {
 	for i := range v.NumField() {
-		if v.Type().Field(i).Tag.Get("json") == name {
+		if n, _ := fieldTag(v.Type().Field(i)); n == name {
 			return v.Field(i), true
 		}
 	}
@@ -241,7 +241,7 @@
 func fieldNames(v reflect.Value) []string {
 	var names []string
 	for i := range v.NumField() {
-		if name := v.Type().Field(i).Tag.Get("json"); name != "" {
+		if name, _ := fieldTag(v.Type().Field(i)); name != "" {
 			names = append(names, name)
 		}
 	}
--- a/internal/config/cadocument/encode.go
+++ b/internal/config/cadocument/encode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -92,13 +93,23 @@
 func structMembers(v reflect.Value) []member {
 	var members []member
 	for i := range v.NumField() {
-		if name := v.Type().Field(i).Tag.Get("json"); name != "" {
-			members = append(members, member{name, v.Field(i)})
+		name, omitZero := fieldTag(v.Type().Field(i))
+		if name == "" || (omitZero && v.Field(i).IsZero()) {
+			continue
 		}
+		members = append(members, member{name, v.Field(i)})
 	}
 	return members
 }
 
+// fieldTag returns the name of a field, empty when it has none, and whether it
+// is left out when it is zero. A field that is new in a version is left out, so
+// that earlier versions read what does not use it.
+func fieldTag(f reflect.StructField) (name string, omitZero bool) {
+	name, option, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name, option == "omitzero"
+}
+
 func mapMembers(v reflect.Value) []member {
 	var members []member
 	for _, key := range v.MapKeys() {
--- a/internal/core/cadecide/mix_test.go
+++ b/internal/core/cadecide/mix_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/core/cadecide"
 	"celeryarch.example/celeryarch/internal/core/casched"
@@ -138,6 +139,12 @@
 	serves  int
 	waits   map[cawork.WorkKind][]float64
 	urgent  []float64
+	// waitBound is the bound on the waits of batch work, zero when there is none.
+	// With it, refusals are the jobs that were refused and queued all the same,
+	// and firsts the waits of the first task of each batch job.
+	waitBound time.Duration
+	refusals  map[cawork.JobID]bool
+	firsts    map[cawork.JobID]time.Duration
 	// accelerated are the waits of work that needs accelerators.
 	accelerated []float64
 	// offered adds up the seconds that accelerators are wanted.
@@ -160,6 +167,8 @@
 		tb: tb, m: m, rng: rand.New(rand.NewPCG(seed, 11)), now: start, truths: map[cawork.JobID]truth{},
 		running: map[cawork.TaskRef]placed{}, left: map[cawork.TaskRef]time.Duration{},
 		started: map[cawork.TaskRef]bool{}, waits: map[cawork.WorkKind][]float64{},
+		waitBound: p.Kind(cawork.WorkKindBatch).WaitBound,
+		refusals:  map[cawork.JobID]bool{}, firsts: map[cawork.JobID]time.Duration{},
 	}
 	for i, w := range m.weights {
 		p = p.WithTeam(l.team(i), casched.TeamPolicy{Weight: w, Limit: casched.Unlimited()})
@@ -268,7 +277,7 @@
 		l.truths[t.job.ID] = t
 		l.offered += float64(t.used.Accelerators*int64(t.job.Spec.Tasks)) * t.runTime.Seconds()
 		if err := l.s.Submit(t.job, l.now); err != nil {
-			l.tb.Fatal(err)
+			l.refused(t.job, err)
 		}
 		l.decide()
 	}
@@ -278,6 +287,18 @@
 	}
 }
 
+// refused notes that the job would be refused and queues it all the same, to
+// learn how long it would have waited. Without a bound on waits that is a fault.
+func (l *loop) refused(j cawork.Job, err error) {
+	if l.waitBound == 0 || cakind.Of(err) != cakind.KindOverloaded {
+		l.tb.Fatal(err)
+	}
+	l.refusals[j.ID] = true
+	if err := l.s.Restore(casched.RestoredJob{Job: j}, l.now); err != nil {
+		l.tb.Fatal(err)
+	}
+}
+
 // advance handles what happens up to the time.
 func (l *loop) advance(to time.Time) {
 	for len(l.queue) > 0 && !l.queue[0].at.After(to) {
@@ -345,6 +366,9 @@
 		return
 	}
 	l.started[p.Task] = true
+	if _, ok := l.firsts[d.Job]; !ok && l.waitBound > 0 && d.WorkKind == cawork.WorkKindBatch {
+		l.firsts[d.Job] = d.Waited
+	}
 	if l.truths[d.Job].job.Spec.Urgent {
 		l.urgent = append(l.urgent, d.Waited.Seconds())
 		return
@@ -538,3 +562,55 @@
 	b.ReportMetric(float64(l.serves), "starts")
 	b.ReportMetric(float64(l.spent.Microseconds())/float64(l.calls), "us/decision")
 }
+
+// rightRefusals returns how many jobs were refused, how many of these would have
+// waited beyond the bound, and how many of all batch jobs did. Jobs of the last
+// stretch, of which that is not known, do not count.
+func (l *loop) rightRefusals() (refused, right, late int) {
+	for id, t := range l.truths {
+		if t.job.Spec.Kind != cawork.WorkKindBatch || t.job.Spec.Urgent {
+			continue
+		}
+		waited, started := l.firsts[id]
+		if !started {
+			waited = l.now.Sub(t.job.Accepted)
+		}
+		beyond := waited > l.waitBound
+		switch {
+		case !started && !beyond:
+		case l.refusals[id] && beyond:
+			refused, right, late = refused+1, right+1, late+1
+		case l.refusals[id]:
+			refused++
+		case beyond:
+			late++
+		}
+	}
+	return refused, right, late
+}
+
+// BenchmarkRefusals prints how good refusals by predicted wait are. A refused job
+// is queued all the same, so that its wait is known.
+func BenchmarkRefusals(b *testing.B) {
+	for _, m := range []mix{haugland, lettergrove} {
+		for _, bound := range []time.Duration{time.Minute, 5 * time.Minute} {
+			b.Run(m.name+"/"+bound.String(), func(b *testing.B) {
+				kp := casched.DefaultPolicy().Kind(cawork.WorkKindBatch)
+				kp.WaitBound = bound
+				p := casched.DefaultPolicy().WithKind(cawork.WorkKindBatch, kp)
+				for b.Loop() {
+					refused, right, late := 0, 0, 0
+					for seed := range uint64(mixSeeds) {
+						l := newLoop(b, m, p, seed)
+						l.run()
+						r, g, n := l.rightRefusals()
+						refused, right, late = refused+r, right+g, late+n
+					}
+					b.ReportMetric(float64(refused), "refused")
+					b.ReportMetric(100*float64(right)/float64(max(1, refused)), "precision-%")
+					b.ReportMetric(100*float64(right)/float64(max(1, late)), "recall-%")
+				}
+			})
+		}
+	}
+}
--- a/internal/core/cadecide/pace.go
+++ b/internal/core/cadecide/pace.go
@@ -92,14 +92,18 @@
 		wait, j.Spec.Kind, j.Team, bound).WithRetryAfter(retryAfter(wait - bound))
 }
 
-// ahead counts the queued tasks of the kind that are due before the job, as far
-// as maxAhead jobs tell.
+// ahead counts the queued tasks of the kind that are due before the job and
+// take no more than it, as far as maxAhead jobs tell. Those that take more are
+// left out: the job overtakes them as soon as a hole is large enough for it but
+// not for them, so that counting them refuses jobs that would start in time.
 func (s *Scheduler) ahead(t *team, j cawork.Job) int {
 	jobs, tasks := 0, 0
 	due := s.policy.Due(j, t.records[j.Spec.Kind].RunTime(j.Spec.RunTime))
 	t.queue.EachBefore(j.Spec.Kind, due, func(o *caledger.Job) bool {
 		jobs++
-		tasks += o.Queued()
+		if o.Spec.Size.Fits(j.Spec.Size) {
+			tasks += o.Queued()
+		}
 		return jobs < maxAhead
 	})
 	return tasks
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -344,6 +344,9 @@
 		t.Errorf("refusal mismatch (-want +got):\n%s", diff)
 	}
 	c.submit("elsewhere", "east", late)
+	smaller := late
+	smaller.Size.CPU--
+	c.submit("smaller", "north", smaller)
 	urgent := late
 	urgent.Urgent = true
 	c.submit("urgent", "north", urgent)
--- a/internal/node/caentry/policy.go
+++ b/internal/node/caentry/policy.go
@@ -31,6 +31,8 @@
 	base.QueueBound = c.QueueBound
 	base.MaxAttempts = c.MaxAttempts
 	base.Aging = c.Aging
+	base.WaitBound = c.WaitBound
+	base.RefuseLate = c.RefuseLate
 	base.Strategy = casched.StrategyPack
 	if c.Placement == cacell.PlacementSpread {
 		base.Strategy = casched.StrategySpread
--- a/internal/node/caentry/policy_test.go
+++ b/internal/node/caentry/policy_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -30,3 +31,19 @@
 		t.Errorf("policy (-want +got):\n%s", diff)
 	}
 }
+
+func TestBoundsOnPredictedWaitsReachTheScheduler(t *testing.T) {
+	const cell = `{
+  "zones": {"a": {"allowance_percent": 100}},
+  "teams": {"knit": {"share": 1, "limit": {"processors": "unlimited", "memory": "unlimited", "accelerators": 0}}},
+  "policy": {"batch": {"wait_bound": "5m", "refuse_late": true}}
+}`
+	c, err := cacell.Load(fstest.MapFS{"1.json": {Data: []byte(cell)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch := schedulerPolicy(c).Kind(cawork.WorkKindBatch)
+	if diff := cmp.Diff([]any{5 * time.Minute, true}, []any{batch.WaitBound, batch.RefuseLate}); diff != "" {
+		t.Errorf("bounds (-want +got):\n%s", diff)
+	}
+}
