--- a/internal/core/cadecide/relief.go
+++ b/internal/core/cadecide/relief.go
@@ -23,9 +23,14 @@
 	urgentPause = 200 * time.Millisecond
 	// maxPassed is the most jobs of a team that are passed over in a period.
 	maxPassed = 4
-	// shareTolerance is the part of its share below which a team takes room from
-	// others. Above it, the ends of tasks even the shares out.
-	shareTolerance = 0.95
+	// shareTolerance is how far below its share a team takes room from others, as
+	// a part of the share of a team of weight 1. Above it, the ends of tasks even
+	// the shares out.
+	//
+	// Example: teams of the weights 4 and 1 are owed 0.4 and 0.1. Were the first
+	// to wait until it lacks 0.05 of its own share, 0.02, the other could be
+	// at 0.12, a fifth beyond its own.
+	shareTolerance = 0.05
 	// minRun is how long a task runs at least before it makes room for one that
 	// is not urgent.
 	minRun = 30 * time.Second
@@ -93,9 +98,11 @@
 func (s *Scheduler) relieveTeam(t *team, now time.Time) bool {
 	if !now.Before(t.nextRelief) {
 		t.nextRelief = now.Add(reliefPause)
-		marks := t.queue.Marks()
-		for i := range marks {
-			marks[i].PassedOver = false
+		for _, g := range t.queue.Groups() {
+			marks := g.Marks()
+			for i := range marks {
+				marks[i].PassedOver = false
+			}
 		}
 	}
 	for range maxPassed {
@@ -135,7 +142,7 @@
 // only room, have none held for them, and are accepted by the function.
 func (s *Scheduler) firstBlocked(t *team, accept func(*caqueue.Mark) bool) *class {
 	for {
-		c := t.queue.First(func(m *caqueue.Mark) bool { return m.BlockedAt != 0 && !m.Held && accept(m) })
+		c := t.queue.First(func(m *caqueue.Mark) bool { return m.HeadBlocked && !m.Held && accept(m) })
 		if c == nil || !s.claimed(c.Head().Value) {
 			return c
 		}
@@ -171,9 +178,10 @@
 	if !t.Allows(whole) {
 		return false
 	}
-	owed := t.Entitlement(s.level(t))
+	level := s.level(t)
+	owed := t.Entitlement(level)
 	return j.Spec.Urgent || (s.shares.Dominant(t.Team, whole) <= owed &&
-		s.shares.Dominant(t.Team, cawork.Resources{}) < shareTolerance*owed)
+		s.shares.Dominant(t.Team, cawork.Resources{}) < owed-shareTolerance*level)
 }
 
 // preemptFor makes running tasks end for the job, when its team stays within
@@ -230,13 +238,13 @@
 	if !j.Spec.Urgent {
 		youngest = now.Add(-minRun)
 	}
-	for h := range s.index.Hosts() {
+	for _, h := range s.hostsOf(b) {
 		if !s.index.Admits(h, j.Spec.Constraints) || s.index.HeldFor(h, j.ID) {
 			continue
 		}
 		first := len(s.victimPool)
 		for _, t := range s.ledger.On(h) {
-			if t.Stopping == caledger.StoppingNot && mayEnd(t) && !t.Placed.After(youngest) && !urgent(t) && b.allows(t) {
+			if t.Stopping == caledger.StoppingNot && mayEnd(t) && !t.Urgent && !t.Placed.After(youngest) && b.allows(t) {
 				s.victimPool = append(s.victimPool, capreempt.Victim{Task: t, Loss: loss(t, now)})
 			}
 		}
@@ -249,12 +257,23 @@
 	return s.hostPool
 }
 
+// hostsOf returns the upstreams on which the budget may be spent.
+func (s *Scheduler) hostsOf(b *budget) []caplace.HostIndex {
+	s.victimHosts = s.victimHosts[:0]
+	if b.ownOnly {
+		s.victimHosts = s.ledger.HostsOf(b.own, s.victimHosts)
+		return s.victimHosts
+	}
+	for h := range s.index.Hosts() {
+		s.victimHosts = append(s.victimHosts, h)
+	}
+	return s.victimHosts
+}
+
 // mayEnd reports whether the task may be ended without others that are not known
 // here. A foreign gang may have tasks elsewhere.
 func mayEnd(t *caledger.Task) bool { return t.Job != nil || t.Kind != cawork.WorkKindGang }
 
-func urgent(t *caledger.Task) bool { return t.Job != nil && t.Job.Spec.Urgent }
-
 // mayReserve reports whether room may be reserved for the job by now. A team
 // whose share the job would pass reserves only while it uses less than half of
 // it, so that the room that it waits for is not taken from other teams.
--- a/internal/core/cadecide/scenario_test.go
+++ b/internal/core/cadecide/scenario_test.go
@@ -148,6 +148,17 @@
 	}
 }
 
+func TestShortfallOfAHeavyTeamIsMeasuredByTheShareOfALightOne(t *testing.T) {
+	p := casched.DefaultPolicy().WithTeam("south", casched.TeamPolicy{Weight: 4, Limit: casched.Unlimited()})
+	c := newScene(t, p, 10)
+	c.submit("heavy", "south", batch(62, 1))
+	c.after(0)
+	c.submit("light", "north", batch(18, 1))
+	c.after(0)
+	c.submit("missing", "south", batch(2, 1))
+	wantSummary(t, c.after(time.Minute), "checkpoint share light/1")
+}
+
 func TestPreemptionSparesATeamBelowItsShareThoughItsLossIsLess(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 2)
 	c.submit("old", "north", batch(6, 2))
@@ -191,6 +202,21 @@
 	wantSummary(t, c.after(time.Second), "place reservation urgent/1")
 }
 
+func TestUrgentJobTakesRoomBeforeAllSmallerJobsOfItsClassWereTried(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 1)
+	c.submit("full", "north", batch(1, 8))
+	wantSummary(t, c.after(0), "place lowest_share full/1")
+	smaller := batch(1, 2)
+	smaller.Size.CPU -= 100
+	for i := range 500 {
+		c.submit(cawork.JobID(fmt.Sprintf("smaller%d", i)), "north", smaller)
+	}
+	urgent := batch(1, 2)
+	urgent.Urgent = true
+	c.submit("urgent", "north", urgent)
+	wantSummary(t, c.after(0), "checkpoint urgent_preemption full/1")
+}
+
 func TestReservedGangIsNotStarvedAndShortWorkRunsBeforeIt(t *testing.T) {
 	p := casched.DefaultPolicy()
 	c := newScene(t, p, 2)
@@ -240,6 +266,22 @@
 	}
 }
 
+func TestLookupStartsWhereBatchWorkLeavesRoom(t *testing.T) {
+	c := newScene(t, casched.DefaultPolicy(), 2)
+	c.submit("full", "north", batch(7, 2))
+	c.after(0)
+	gang := batch(2, 4)
+	gang.Kind = cawork.WorkKindGang
+	c.submit("gang", "south", gang)
+	c.after(time.Second)
+	c.submit("batch", "north", batch(1, 1))
+	wantSummary(t, c.after(time.Second))
+	lookup := batch(1, 1)
+	lookup.Kind = cawork.WorkKindLookup
+	c.submit("lookup", "north", lookup)
+	wantSummary(t, c.after(time.Second), "place lowest_share lookup/1")
+}
+
 func TestGangThatLosesAMemberStartsWholeAgain(t *testing.T) {
 	c := newScene(t, casched.DefaultPolicy(), 2)
 	gang := cawork.JobSpec{Kind: cawork.WorkKindGang, Tasks: 3, Size: size(2), RunTime: time.Minute, Idempotent: true}
@@ -302,6 +344,9 @@
 		t.Errorf("refusal mismatch (-want +got):\n%s", diff)
 	}
 	c.submit("elsewhere", "east", late)
+	smaller := late
+	smaller.Size.CPU--
+	c.submit("smaller", "north", smaller)
 	urgent := late
 	urgent.Urgent = true
 	c.submit("urgent", "north", urgent)
