Benchmark tells the parts of resident memory, also on used connections

Cause: Resident measured requests on connections that had carried none before, and told nothing of where the memory lies. Change: BenchmarkResidentUsed, with an answered request on each connection first, and the parts of the memory as metrics of both.

--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +52,8 @@
 	// them, which shows the delays of the machine.
 	pingTeam = "ping"
 	pingRate = 200
+	// headerService asks an upstream for a service time of its own.
+	headerService = "X-Service"
 )
 
 func TestMain(m *testing.M) {
@@ -110,13 +114,22 @@
 			case "slow":
 				time.Sleep(slowFactor * service)
 			}
-			time.Sleep(service)
+			time.Sleep(serviceOf(r, service))
 			_, _ = w.Write(body)
 		}))
 	}
 	awaitStop()
 }
 
+// serviceOf returns the service time that the request asks for, else the usual
+// one.
+func serviceOf(r *http.Request, usual time.Duration) time.Duration {
+	if asked, err := time.ParseDuration(r.Header.Get(headerService)); err == nil {
+		return asked
+	}
+	return usual
+}
+
 // runEntry serves requests with the upstreams whose addresses are given.
 func runEntry() {
 	// Each line costs a system call, as in use.
@@ -151,6 +164,8 @@
 		}
 		d.ServeRequest(w, r, cawork.TeamName(r.Header.Get(headerTeam)))
 	}))
+	// An address of its own, so that the stacks of requests stay as in use.
+	listen(http.HandlerFunc(serveMemory))
 	awaitStop()
 }
 
@@ -158,6 +173,8 @@
 type process struct {
 	cmd       *exec.Cmd
 	addresses []string
+	// memoryAddress is that of serveMemory, of an entry only.
+	memoryAddress string
 }
 
 func startRole(b *testing.B, addresses int, env ...string) *process {
@@ -232,7 +249,8 @@
 
 func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
 	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
-	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	entry := startRole(b, 2, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	entry.addresses, entry.memoryAddress = entry.addresses[:1], entry.addresses[1]
 	return cell{ups, entry}
 }
 
@@ -304,6 +322,68 @@
 	}
 }
 
+// memoryUse tells where the memory of a process lies, in bytes.
+type memoryUse struct {
+	// Live and Garbage are the heap that a collection keeps and frees.
+	Live    uint64
+	Garbage uint64
+	// Unused is what the heap holds without objects in it.
+	Unused uint64
+	Stacks uint64
+	// Runtime is what the runtime needs for itself.
+	Runtime uint64
+	// Collections counts those since the start of the process.
+	Collections uint32
+}
+
+// readMemory returns the memory of this process as it was before the
+// collection that tells live objects from garbage.
+func readMemory() memoryUse {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return memoryUse{
+		Live:        after.HeapAlloc,
+		Garbage:     before.HeapAlloc - min(after.HeapAlloc, before.HeapAlloc),
+		Unused:      before.HeapSys - before.HeapReleased - before.HeapAlloc,
+		Stacks:      before.StackSys,
+		Runtime:     before.MSpanSys + before.MCacheSys + before.BuckHashSys + before.GCSys + before.OtherSys,
+		Collections: before.NumGC,
+	}
+}
+
+func serveMemory(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(readMemory())
+}
+
+// memory asks the process for its memory.
+func (p *process) memory(b *testing.B) memoryUse {
+	res, err := http.Get("http://" + p.memoryAddress)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	var m memoryUse
+	if err := json.NewDecoder(res.Body).Decode(&m); err != nil {
+		b.Fatal(err)
+	}
+	return m
+}
+
+// reportMemory reports the resident memory of the process and its parts.
+func (p *process) reportMemory(b *testing.B) {
+	b.ReportMetric(p.residentKiB(b)/1024, "resident-MiB")
+	m := p.memory(b)
+	const mib = 1 << 20
+	b.ReportMetric(float64(m.Live)/mib, "live-MiB")
+	b.ReportMetric(float64(m.Garbage)/mib, "garbage-MiB")
+	b.ReportMetric(float64(m.Unused)/mib, "unused-MiB")
+	b.ReportMetric(float64(m.Stacks)/mib, "stacks-MiB")
+	b.ReportMetric(float64(m.Runtime)/mib, "runtime-MiB")
+	b.ReportMetric(float64(m.Collections), "collections")
+}
+
 // BenchmarkResident measures the memory of an entry with 1,000 requests in
 // progress: most of them in the queues, and all of them at upstreams.
 func BenchmarkResident(b *testing.B) {
@@ -313,12 +393,73 @@
 			for b.Loop() {
 				go loadOf(b, c.entry.addresses, "light", 1000, time.Second)
 				time.Sleep(4 * time.Second)
-				b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
+				c.entry.reportMemory(b)
 			}
 		})
 	}
 }
 
+// BenchmarkResidentUsed is BenchmarkResident on connections of callers that
+// have carried an answered request before, as those of a balancer have.
+func BenchmarkResidentUsed(b *testing.B) {
+	const connections, atOnce = 976, 32
+	for _, upstreams := range []int{6, 16} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				used := openUsed(b, c.entry.addresses[0], connections, atOnce)
+				for _, conn := range used {
+					sendOn(b, conn, "20s")
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				c.entry.reportMemory(b)
+			}
+		})
+	}
+}
+
+// openUsed opens connections and gets an answer on each, a number at a time.
+func openUsed(b *testing.B, address string, connections, atOnce int) []net.Conn {
+	var used []net.Conn
+	for len(used) < connections {
+		next := make([]net.Conn, min(atOnce, connections-len(used)))
+		for i := range next {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { _ = conn.Close() })
+			sendOn(b, conn, "10ms")
+			next[i] = conn
+		}
+		for _, conn := range next {
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || res.StatusCode != http.StatusOK {
+				b.Fatal("no answer: ", res, err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+		}
+		used = append(used, next...)
+	}
+	return used
+}
+
+// sendOn sends a request with a service time on a connection.
+func sendOn(b *testing.B, conn net.Conn, service string) {
+	req, err := http.NewRequest(http.MethodPost, "http://entry"+caplatform.RequestPath, bytes.NewReader(make([]byte, 256)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set(headerTeam, "light")
+	req.Header.Set(headerService, service)
+	req.Header.Set(caplatform.HeaderIdempotent, "true")
+	req.Header.Set(caplatform.HeaderDeadline, "60000")
+	if err := req.Write(conn); err != nil {
+		b.Fatal(err)
+	}
+}
+
 // capacityOf returns the requests per second that the upstreams answer when
 // each slot is kept busy by direct calls.
 func capacityOf(b *testing.B, addresses []string, d time.Duration) float64 {
