An entry bounds the memory of its requests

Cause: requests in progress were bounded by their number only. 1,024 of them take from 20 MiB to 110 MiB, after their bodies, answers and whether they are at upstreams. Change: requests, attempts and buffers of answers are counted in bytes against Config.MaxBytes (28 MiB). A request that does not fit is refused with 429 before its body is read; one that waits gets a slot only when its attempt fits; a quarter is kept for attempts, without which waiting requests could fill all and none could end. Counts below zero, and memory in use without requests, stop the request (asserted in the program).

--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -55,6 +55,8 @@
 // attempt runs one attempt with the slot. A nil error means that the caller has been
 // answered.
 func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call, route *caroute.Route) error {
+	held := d.memoryOfAttempt(c)
+	defer held.release()
 	s := &slot{d: d, route: route, team: c.team}
 	defer s.release(caroute.VerdictAbandoned)
 	id := d.newAttemptID()
@@ -70,6 +72,7 @@
 		s.release(run.verdict(ctx, err))
 		return run.wrap(err)
 	}
+	held.answered()
 	defer reply.Close()
 	run.answers()
 	if err := d.retryFailed(ctx, c, reply); err != nil {
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -43,6 +43,7 @@
 	envService   = "CADISPATCH_BENCH_SERVICE"
 	envSick      = "CADISPATCH_BENCH_SICK"
 	envSlots     = "CADISPATCH_BENCH_SLOTS"
+	envMaxBytes  = "CADISPATCH_BENCH_MAX_BYTES"
 	headerTeam   = "X-Team"
 
 	// unboundedSlots is for upstreams whose callers bound nothing.
@@ -141,12 +142,14 @@
 	policy := caadmit.DefaultPolicy()
 	policy.Default.MaxQueued = 1200
 	policy = policy.WithTeam(caadmit.TeamPolicy{Team: "heavy", Weight: 2})
+	maxBytes, _ := strconv.ParseInt(os.Getenv(envMaxBytes), 10, 64)
 	d := cadispatch.New(cadispatch.Config{
-		Self:   "e1",
-		Zone:   "z1",
-		Timer:  catimer.NewService(),
-		Logger: zerolog.New(lines),
-		Policy: cadispatch.DefaultPolicy().WithAdmission(policy),
+		Self:     "e1",
+		Zone:     "z1",
+		Timer:    catimer.NewService(),
+		Logger:   zerolog.New(lines),
+		Policy:   cadispatch.DefaultPolicy().WithAdmission(policy),
+		MaxBytes: maxBytes,
 	})
 	go func() { _ = d.Run(context.Background()) }()
 	for i, address := range strings.Fields(os.Getenv(envUpstreams)) {
@@ -248,14 +251,20 @@
 		envSlots+"="+strconv.Itoa(slots))
 }
 
-func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
+func newCell(b *testing.B, upstreams int, service time.Duration, sick string, env ...string) cell {
 	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
-	entry := startRole(b, 2, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	env = append(env, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	entry := startRole(b, 2, env...)
 	entry.addresses, entry.memoryAddress = entry.addresses[:1], entry.addresses[1]
 	return cell{ups, entry}
 }
 
 func loadOf(b *testing.B, addresses []string, team string, rate float64, d time.Duration) caload.Report {
+	return loadBodies(b, addresses, team, rate, d, 256)
+}
+
+// loadBodies is loadOf with bodies of a size in bytes.
+func loadBodies(b *testing.B, addresses []string, team string, rate float64, d time.Duration, size int) caload.Report {
 	var urls []string
 	for _, a := range addresses {
 		urls = append(urls, "http://"+a+caplatform.RequestPath)
@@ -263,7 +272,7 @@
 	rep, err := caload.Run(context.Background(), catimer.NewService(), caload.Plan{
 		URLs:        urls,
 		Header:      http.Header{headerTeam: {team}, caplatform.HeaderIdempotent: {"true"}},
-		Body:        make([]byte, 256),
+		Body:        make([]byte, size),
 		Rate:        rate,
 		Duration:    d,
 		Requests:    10_000_000,
@@ -400,6 +409,36 @@
 	}
 }
 
+// BenchmarkMemoryBound sends more requests with bodies of 16 KiB than an entry
+// has memory for, under the usual bound and without one. It reports how soon
+// the others are refused.
+func BenchmarkMemoryBound(b *testing.B) {
+	const upstreams, service = 125, 4 * time.Second
+	for _, bound := range []struct{ name, bytes string }{{"usual", "0"}, {"none", "1099511627776"}} {
+		b.Run("bound="+bound.name, func(b *testing.B) {
+			c := newCell(b, upstreams, service, "", envMaxBytes+"="+bound.bytes)
+			for b.Loop() {
+				held, ping := make(chan caload.Report, 1), make(chan caload.Report, 1)
+				go func() { ping <- loadOf(b, c.entry.addresses, pingTeam, pingRate, 3*time.Second) }()
+				go func() { held <- loadBodies(b, c.entry.addresses, "light", 800, 3*time.Second, 16<<10) }()
+				time.Sleep(2500 * time.Millisecond)
+				b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
+				p, rep := <-ping, <-held
+				b.ReportMetric(millisOf(p.Latency.P99), "ping-p99-ms")
+				b.ReportMetric(float64(rep.Count(http.StatusOK)), "done")
+				b.ReportMetric(float64(rep.Arrivals-rep.Count(http.StatusOK)-rep.Count(http.StatusTooManyRequests)), "neither")
+				for _, g := range rep.Groups {
+					if g.Status == http.StatusTooManyRequests {
+						b.ReportMetric(float64(g.Count), "refused")
+						b.ReportMetric(millisOf(g.Latency.P50), "refusal-p50-ms")
+						b.ReportMetric(millisOf(g.Latency.P99), "refusal-p99-ms")
+					}
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkResidentUsed is BenchmarkResident on connections of callers that
 // have carried an answered request before, as those of a balancer have.
 func BenchmarkResidentUsed(b *testing.B) {
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -44,6 +44,9 @@
 	// MaxInProgress bounds the requests that the entry holds at a time, and
 	// with them its memory. Zero stands for 1,024.
 	MaxInProgress int
+	// MaxBytes bounds the memory of the requests in progress with their bodies
+	// and answers, in bytes. Zero stands for 28 MiB, less than 96 KiB for that.
+	MaxBytes int64
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
 	// Keys keeps the idempotency keys. It may be nil; requests with a key are
@@ -67,6 +70,7 @@
 	draining   bool
 	closed     bool
 	inProgress int
+	memory     memory
 	idle       chan struct{}
 	borrowing  borrowing
 	// watched holds the attempts that are given up when they are late.
@@ -82,6 +86,9 @@
 	if c.MaxInProgress <= 0 {
 		c.MaxInProgress = defaultMaxInProgress
 	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = defaultMaxBytes
+	}
 	d := &Dispatcher{
 		config:    c,
 		forward:   caforward.New(c.Timer.Now),
@@ -93,6 +100,7 @@
 		idle:      make(chan struct{}),
 		borrowing: newBorrowing(),
 		watched:   map[*running]struct{}{},
+		memory:    memory{most: max(c.MaxBytes, minMaxBytes)},
 		done:      make(chan struct{}),
 	}
 	d.SetPolicy(c.Policy)
@@ -130,11 +138,12 @@
 // been written. When the answer cannot be completed, it panics with
 // http.ErrAbortHandler, upon which the server closes the connection.
 func (d *Dispatcher) ServeRequest(w http.ResponseWriter, r *http.Request, team cawork.TeamName) {
-	if err := d.enter(); err != nil {
+	bytes := bytesOf(r)
+	if err := d.enter(bytes); err != nil {
 		d.refuse(w, team, err)
 		return
 	}
-	defer d.leave()
+	defer d.leave(bytes)
 	c, err := newCall(w, r, team, d.config.Timer.Now())
 	if err != nil {
 		d.refuse(w, team, err)
@@ -196,7 +205,7 @@
 	d.forward.Close()
 }
 
-func (d *Dispatcher) enter() error {
+func (d *Dispatcher) enter(bytes int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.draining {
@@ -205,14 +214,20 @@
 	if d.inProgress >= d.config.MaxInProgress {
 		return errTooMany
 	}
+	if !d.memory.admits(bytes) {
+		return errNoMemory
+	}
+	d.memory.addRequest(bytes)
 	d.inProgress++
 	return nil
 }
 
-func (d *Dispatcher) leave() {
+func (d *Dispatcher) leave(bytes int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.memory.addRequest(-bytes)
 	d.inProgress--
+	d.memory.assertFree(d.inProgress)
 	if d.draining && d.inProgress == 0 {
 		close(d.idle)
 	}
@@ -234,6 +249,7 @@
 	d.borrow(now)
 	d.metrics.queued.Update(float64(d.queues.Len()))
 	d.metrics.slots.Update(float64(d.router.InUse()))
+	d.metrics.memory.Update(float64(d.memory.used()))
 }
 
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -122,7 +122,7 @@
 // requests: the call runs beside them. The caller holds the lock.
 func (d *Dispatcher) borrow(now time.Time) {
 	b := &d.borrowing
-	if d.config.Lender == nil || d.closed || b.asking || d.queues.Len() == 0 {
+	if d.config.Lender == nil || d.closed || b.asking || d.queues.Len() == 0 || !d.memory.admitsAttempt() {
 		return
 	}
 	peer, ok := d.lender(now)
--- a/internal/request/cadispatch/metrics.go
+++ b/internal/request/cadispatch/metrics.go
@@ -18,6 +18,7 @@
 	aborted  tally.Counter
 	queued   tally.Gauge
 	slots    tally.Gauge
+	memory   tally.Gauge
 	// teams maps a team to its metrics.
 	teams *sync.Map
 }
@@ -45,6 +46,7 @@
 		aborted:  s.Counter("requests_aborted"),
 		queued:   s.Gauge("requests_queued"),
 		slots:    s.Gauge("request_slots_in_use"),
+		memory:   s.Gauge("request_memory_bytes"),
 		teams:    &sync.Map{},
 	}
 }
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -48,7 +48,7 @@
 		ask.Exclude = d.excluded(now, c)
 	}
 	if d.queues.Len() == 0 || c.attempts > 0 {
-		if route := d.router.Choose(now, ask); route != nil {
+		if route := d.choose(now, ask); route != nil {
 			d.queues.Charge(c.team, d.router.Service())
 			return nil, route, nil
 		}
@@ -106,7 +106,8 @@
 }
 
 func (d *Dispatcher) capacity(now time.Time) caadmit.Capacity {
-	return caadmit.Capacity{Slots: d.router.Slots(now), Service: d.router.Service()}
+	slots := min(d.router.Slots(now), d.memory.mostAttempts())
+	return caadmit.Capacity{Slots: slots, Service: d.router.Service()}
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -126,6 +127,7 @@
 	}
 	if route := <-w.route; route != nil {
 		d.release(route, caroute.VerdictAbandoned, t.Team, false)
+		d.releaseAttempt(attemptBytes)
 	}
 }
 
@@ -148,12 +150,25 @@
 	}
 }
 
+// choose takes a slot and the memory of an attempt, nil when either lacks. The
+// caller holds the lock.
+func (d *Dispatcher) choose(now time.Time, ask caroute.Ask) *caroute.Route {
+	if !d.memory.admitsAttempt() {
+		return nil
+	}
+	route := d.router.Choose(now, ask)
+	if route != nil {
+		d.memory.addAttempt(attemptBytes)
+	}
+	return route
+}
+
 // pump hands free slots to waiting requests.
 func (d *Dispatcher) pump(now time.Time) {
 	for d.queues.Len() > 0 {
 		var route *caroute.Route
 		t := d.queues.Next(d.router.Service(), func(t *caadmit.Ticket) bool {
-			route = d.router.Choose(now, t.Payload.(*waiter).ask)
+			route = d.choose(now, t.Payload.(*waiter).ask)
 			return route != nil
 		})
 		if t == nil {
--- a/internal/request/caforward/relay.go
+++ b/internal/request/caforward/relay.go
@@ -16,6 +16,8 @@
 	// whole before any of it goes to the caller, so that a slow caller does
 	// not hold the slot.
 	wholeSize = 32 << 10
+	// BufferBytes is the memory of a Reply.
+	BufferBytes = wholeSize
 	// stallTimeout bounds the time in which a caller takes one buffer.
 	stallTimeout = 20 * time.Second
 )
