An idle dispatcher has no ticks

Cause: 20 ticks a second in each entry, also without requests. Change: ticks run while a request is in progress, or slots are lent, borrowed or linger; what brings one of these about starts them (tick.go). Switches between threads of an idle entry process could not be counted: the machine reports none.

--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -23,10 +23,7 @@
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
-const (
-	tickPeriod           = 50 * time.Millisecond
-	defaultMaxInProgress = 1024
-)
+const defaultMaxInProgress = 1024
 
 var errTooMany = caadmit.NewRefusal("too many requests in progress", cakind.DefaultRetryAfter)
 
@@ -79,6 +76,7 @@
 	// calls counts the calls to peers.
 	calls sync.WaitGroup
 	done  chan struct{}
+	ticks ticks
 }
 
 // New returns a dispatcher without upstreams.
@@ -102,6 +100,7 @@
 		watched:   map[*running]struct{}{},
 		memory:    memory{most: max(c.MaxBytes, minMaxBytes)},
 		done:      make(chan struct{}),
+		ticks:     ticks{start: make(chan struct{}, 1)},
 	}
 	d.SetPolicy(c.Policy)
 	return d
@@ -159,8 +158,14 @@
 // the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer close(d.done)
-	d.config.Timer.Repeat(ctx, tickPeriod, func(context.Context) { d.tick() })
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.ticks.start:
+			d.tickWhileNeeded(ctx)
+		}
+	}
 }
 
 // Done returns a channel that is closed when Run has ended.
@@ -219,6 +224,7 @@
 	}
 	d.memory.addRequest(bytes)
 	d.inProgress++
+	d.ticks.need()
 	return nil
 }
 
@@ -233,25 +239,6 @@
 	}
 }
 
-func (d *Dispatcher) tick() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.config.Timer.Now()
-	if grants := d.router.Expire(now); !d.closed {
-		d.giveBack(grants)
-	}
-	for _, t := range d.queues.Expire(now) {
-		t.Payload.(*waiter).route <- nil
-	}
-	d.queues.Idle()
-	d.cutLate(now)
-	d.pump(now)
-	d.borrow(now)
-	d.metrics.queued.Update(float64(d.queues.Len()))
-	d.metrics.slots.Update(float64(d.router.InUse()))
-	d.metrics.memory.Update(float64(d.memory.used()))
-}
-
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
 	return cawork.AttemptID(d.idPrefix + strconv.FormatInt(d.lastID.Add(1), 36))
 }
--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -107,6 +107,9 @@
 		return BorrowGrant{}
 	}
 	grant, ok := d.router.Lend(d.config.Timer.Now(), q.Wanted)
+	if ok {
+		d.ticks.need()
+	}
 	return BorrowGrant{Granted: ok, Grant: grant}
 }
 
@@ -212,6 +215,7 @@
 	}
 	d.borrowing.owners[answer.Grant.ID] = p.ID
 	d.router.AddGrant(now, asked, answer.Grant)
+	d.ticks.need()
 	d.pump(now)
 	d.borrow(now)
 }
--- a/internal/request/caroute/grant.go
+++ b/internal/request/caroute/grant.go
@@ -130,6 +130,12 @@
 	})
 }
 
+// Pending reports whether Expire may have something to do later: slots are
+// lent, borrowed or linger after an interrupted attempt.
+func (r *Router) Pending() bool {
+	return len(r.lent) > 0 || len(r.grants) > 0 || len(r.lingering) > 0
+}
+
 // Surrender forgets all borrowed grants without requests and returns them.
 func (r *Router) Surrender() []GrantID {
 	return r.giveUp(func(*source) bool { return true })
