Callers may speak HTTP/2 to the API of an entry

Calls in progress are bounded by limits.connections, whatever their connections. Trial, not kept: HTTP/2 to upstreams.

--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -87,7 +87,8 @@
 	RequestTime time.Duration
 	HeaderBytes int
 	BodyBytes   int64
-	// Connections bounds the connections of all callers together.
+	// Connections bounds the connections of all callers together, and the calls
+	// in progress, of which a connection of HTTP/2 carries several.
 	Connections int
 }
 
@@ -116,7 +117,11 @@
 	e.DELETE(PathJobs+"/:id", a.cancel)
 	e.POST(PathRequests, a.request)
 	e.GET(PathHealth, a.health)
+	if most := config.Limits.Connections; most > 0 {
+		e.Use(newCallBound(most).middleware)
+	}
 	a.server = newServer(e, config.Limits)
+	allowHTTP2(a.server)
 	return a
 }
 
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -27,6 +28,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/node/caapi"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -170,15 +172,44 @@
 	}))
 	// An address of its own, so that the stacks of requests stay as in use.
 	listen(http.HandlerFunc(serveMemory))
+	listenAPI(d)
 	awaitStop()
 }
 
+// lightQueue is open to all and charges one team.
+type lightQueue struct{}
+
+func (lightQueue) AuthorizeKey(string) (cawork.TeamName, error) { return "light", nil }
+
+func (lightQueue) AuthorizeQueue(string, cawork.WorkKind) (cawork.TeamName, error) {
+	return "light", nil
+}
+
+// listenAPI serves the API of an entry on a free port and prints its address.
+func listenAPI(d *cadispatch.Dispatcher) {
+	api := caapi.NewAPI(caapi.Config{
+		Limits: caapi.Limits{
+			RequestTime: time.Minute, HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Connections: 4096,
+		},
+		Authorizer: lightQueue{},
+		Requests:   d,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(l.Addr())
+	go func() { _ = api.Serve(l) }()
+}
+
 // process is a started role.
 type process struct {
 	cmd       *exec.Cmd
 	addresses []string
-	// memoryAddress is that of serveMemory, of an entry only.
+	// memoryAddress and apiAddress are those of serveMemory and of the API, of
+	// an entry only.
 	memoryAddress string
+	apiAddress    string
 }
 
 func startRole(b *testing.B, addresses int, env ...string) *process {
@@ -254,8 +285,9 @@
 func newCell(b *testing.B, upstreams int, service time.Duration, sick string, env ...string) cell {
 	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
 	env = append(env, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
-	entry := startRole(b, 2, env...)
-	entry.addresses, entry.memoryAddress = entry.addresses[:1], entry.addresses[1]
+	entry := startRole(b, 3, env...)
+	entry.memoryAddress, entry.apiAddress = entry.addresses[1], entry.addresses[2]
+	entry.addresses = entry.addresses[:1]
 	return cell{ups, entry}
 }
 
@@ -460,6 +492,74 @@
 	}
 }
 
+// BenchmarkResidentAPI measures the memory of an entry with 976 requests in
+// progress that have come through its API: each on a used connection of its
+// own, or over HTTP/2 on shared ones.
+func BenchmarkResidentAPI(b *testing.B) {
+	const requests = 976
+	for _, upstreams := range []int{6, 16} {
+		b.Run(fmt.Sprintf("own/upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				used := openUsed(b, c.entry.apiAddress, requests, 32)
+				for _, conn := range used {
+					sendOn(b, conn, "20s")
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				c.entry.reportMemory(b)
+				checkUnanswered(b, used)
+			}
+		})
+		b.Run(fmt.Sprintf("shared/upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				shared := newSharedCaller(c.entry.apiAddress)
+				for range requests / 32 {
+					shared.sendAll(32, "10ms").Wait()
+				}
+				shared.ended.Store(0)
+				shared.sendAll(requests, "20s")
+				time.Sleep(2 * time.Second)
+				c.entry.reportMemory(b)
+				if n := shared.ended.Load(); n > 0 {
+					b.Fatalf("%d requests have ended", n)
+				}
+			}
+		})
+	}
+}
+
+// sharedCaller sends requests over HTTP/2 on as few connections as it can.
+type sharedCaller struct {
+	transport *http.Transport
+	address   string
+	ended     atomic.Int64
+}
+
+func newSharedCaller(address string) *sharedCaller {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &sharedCaller{transport: &http.Transport{Protocols: protocols}, address: address}
+}
+
+// sendAll sends requests and returns what waits for their answers.
+func (s *sharedCaller) sendAll(n int, service string) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() {
+			res, err := s.transport.RoundTrip(heldRequest(s.address, service))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+			}
+			s.ended.Add(1)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	return &all
+}
+
 // checkUnanswered fails when a request on the connections is not in progress
 // any more.
 func checkUnanswered(b *testing.B, used []net.Conn) {
@@ -499,17 +599,28 @@
 
 // sendOn sends a request with a service time on a connection.
 func sendOn(b *testing.B, conn net.Conn, service string) {
-	req, err := http.NewRequest(http.MethodPost, "http://entry"+caplatform.RequestPath, bytes.NewReader(make([]byte, 256)))
-	if err != nil {
+	if err := heldRequest("entry", service).Write(conn); err != nil {
 		b.Fatal(err)
 	}
-	req.Header.Set(headerTeam, "light")
-	req.Header.Set(headerService, service)
-	// Not idempotent, so that no attempt is given up for another.
-	req.Header.Set(caplatform.HeaderIdempotent, "false")
-	req.Header.Set(caplatform.HeaderDeadline, "60000")
-	if err := req.Write(conn); err != nil {
-		b.Fatal(err)
+}
+
+// heldRequest returns a request with a service time. It is not idempotent, so
+// that no attempt is given up for another.
+func heldRequest(address, service string) *http.Request {
+	u := url.URL{Scheme: "http", Host: address, Path: caapi.PathRequests}
+	body := bytes.NewReader(make([]byte, 256))
+	return &http.Request{
+		Method: http.MethodPost,
+		URL:    &u,
+		Header: http.Header{
+			headerTeam:                  {"light"},
+			caapi.HeaderQueue:           {"light"},
+			headerService:               {service},
+			caplatform.HeaderIdempotent: {"false"},
+			caplatform.HeaderDeadline:   {"60000"},
+		},
+		Body:          io.NopCloser(body),
+		ContentLength: body.Size(),
 	}
 }
 
--- a/internal/request/cadispatch/memory.go
+++ b/internal/request/cadispatch/memory.go
@@ -30,6 +30,10 @@
 
 var errNoMemory = caadmit.NewRefusal("the memory for requests is in use", cakind.DefaultRetryAfter)
 
+// StreamBytes is the part of a longer body that a server of HTTP/2 takes before
+// it is read. Callers may send 64 KiB before they know of less.
+const StreamBytes = 64 << 10
+
 // memory counts what requests in progress take, in bytes. Answers are counted
 // when they come, so that the bound may be passed by one buffer for each
 // request at an upstream.
@@ -41,10 +45,13 @@
 
 // bytesOf returns what a request takes while it is in progress.
 func bytesOf(r *http.Request) int64 {
-	if r.ContentLength < 0 {
-		return requestBytes + replaySize
+	if r.ContentLength >= 0 && r.ContentLength <= replaySize {
+		return requestBytes + r.ContentLength
+	}
+	if r.ProtoAtLeast(2, 0) {
+		return requestBytes + replaySize + StreamBytes
 	}
-	return requestBytes + min(r.ContentLength, replaySize)
+	return requestBytes + replaySize
 }
 
 // admits reports whether one more request fits.
