The choice of a slot runs beside the serving goroutine too

Cause: on the path of the API the choice of a slot and the place in the queue already pass 4 KiB of stack, so that waits held 8 KiB in spite of the attempts' own goroutines. Change: choice and first attempt share one goroutine; only the wait stays on the serving one. Requests that wait cost one goroutine more.

--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -10,6 +10,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadedupe"
 	"celeryarch.example/celeryarch/internal/request/caforward"
 	"celeryarch.example/celeryarch/internal/request/caroute"
@@ -31,12 +32,7 @@
 // serve runs attempts until one answers or none may follow.
 func (d *Dispatcher) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	for {
-		// The wait for a slot is outside of attempt to keep the stacks of
-		// waiting requests small.
-		route, err := d.acquire(ctx, c)
-		if err == nil {
-			err = runAside(func() error { return d.attempt(ctx, w, c, route) })
-		}
+		err := d.startOrWait(ctx, w, c)
 		if err == nil {
 			return
 		}
@@ -52,6 +48,29 @@
 	}
 }
 
+// startOrWait runs one attempt, now or after a wait for a slot. Only the wait is
+// on the stack of the caller, which stays small.
+func (d *Dispatcher) startOrWait(ctx context.Context, w http.ResponseWriter, c *call) error {
+	var ticket *caadmit.Ticket
+	err := runAside(func() error {
+		var route *caroute.Route
+		var err error
+		ticket, route, err = d.enqueue(c)
+		if route == nil {
+			return err
+		}
+		return d.attempt(ctx, w, c, route)
+	})
+	if err != nil || ticket == nil {
+		return err
+	}
+	route, err := d.await(ctx, ticket)
+	if err != nil {
+		return err
+	}
+	return runAside(func() error { return d.attempt(ctx, w, c, route) })
+}
+
 // attempt runs one attempt with the slot. A nil error means that the caller has been
 // answered.
 func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, c *call, route *caroute.Route) error {
--- a/internal/request/cadispatch/slot.go
+++ b/internal/request/cadispatch/slot.go
@@ -19,12 +19,8 @@
 	route chan *caroute.Route
 }
 
-// acquire takes a slot for the call, waiting in the queue of its team.
-func (d *Dispatcher) acquire(ctx context.Context, c *call) (*caroute.Route, error) {
-	ticket, route, err := d.enqueue(c)
-	if err != nil || ticket == nil {
-		return route, err
-	}
+// await waits for the slot of a call in the queue of its team.
+func (d *Dispatcher) await(ctx context.Context, ticket *caadmit.Ticket) (*caroute.Route, error) {
 	w := ticket.Payload.(*waiter)
 	select {
 	case route := <-w.route:
@@ -38,6 +34,7 @@
 	}
 }
 
+// enqueue takes a free slot for the call, or a place in the queue of its team.
 func (d *Dispatcher) enqueue(c *call) (*caadmit.Ticket, *caroute.Route, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
