--- a/internal/node/caapi/http2_test.go
+++ b/internal/node/caapi/http2_test.go
@@ -100,6 +100,14 @@
 	_, _ = w.Write(body)
 }
 
+// echoAfter waits before it answers with the body.
+func echoAfter(release <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		echoBody(w, r)
+	}
+}
+
 func TestHTTP2AnswersAreWhole(t *testing.T) {
 	c := newCell(t, echoBody, 8)
 	for _, size := range []int{0, 1, 16<<10 + 1, 32<<10 + 1, 1 << 20, 16 << 20} {
@@ -195,10 +203,7 @@
 func TestHTTP2WaitingBodiesHoldNothingUp(t *testing.T) {
 	const waiting = 40
 	release := make(chan struct{})
-	c := newCell(t, func(w http.ResponseWriter, r *http.Request) {
-		<-release
-		echoBody(w, r)
-	}, 2)
+	c := newCell(t, echoAfter(release), 2)
 	var all sync.WaitGroup
 	var lock sync.Mutex
 	done := 0
@@ -236,10 +241,7 @@
 func TestHTTP2CallsAreBounded(t *testing.T) {
 	const beyond = 30
 	release := make(chan struct{})
-	c := newCell(t, func(w http.ResponseWriter, r *http.Request) {
-		<-release
-		echoBody(w, r)
-	}, 64)
+	c := newCell(t, echoAfter(release), 64)
 	var all sync.WaitGroup
 	var lock sync.Mutex
 	counts := map[string]int{}
--- a/internal/request/cadedupe/keeper.go
+++ b/internal/request/cadedupe/keeper.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -24,9 +23,6 @@
 	tickPeriod  = 500 * time.Millisecond
 	// repairBatch bounds the records that are sent again or settled in a tick.
 	repairBatch = 256
-	// strangerPatience is the age from which the request of an entry that was
-	// never a member counts as abandoned.
-	strangerPatience = 30 * time.Second
 	// maxGone bounds the former members that are remembered.
 	maxGone = 1024
 )
@@ -227,141 +223,6 @@
 	return s.table.Update(s.now(), k, c, change)
 }
 
-// replicate sends the record to the other holders. It returns the record that
-// differs from it, if any of them holds another, and fails unless all answer.
-func (s *Service) replicate(ctx context.Context, r Record) (Record, error) {
-	for _, id := range s.others(r.Key) {
-		held, err := s.sendReplica(ctx, id, r)
-		if err != nil {
-			return Record{}, cakind.Wrap(cakind.KindUnavailable, err, "replicate to %s", id)
-		}
-		if held.Claim != r.Claim || held.newerThan(r) {
-			return held, nil
-		}
-	}
-	return r, nil
-}
-
-func (s *Service) sendReplica(ctx context.Context, id cawork.VMID, r Record) (Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return s.config.Peers.Replicate(ctx, id, r)
-}
-
-// repair sends the dirty records to their holders again, and forgets those
-// that this entry need not hold any more.
-func (s *Service) repair(ctx context.Context) {
-	for _, r := range s.dirtyRecords() {
-		held, err := s.replicate(ctx, r)
-		if err != nil {
-			return
-		}
-		s.repaired(r, held)
-	}
-}
-
-func (s *Service) repaired(r, held Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.dirty, r.Key)
-	s.table.Merge(s.now(), held)
-	if !slices.Contains(holders(s.members, r.Key), s.config.Self.ID) {
-		s.table.Forget(r.Key)
-	}
-}
-
-func (s *Service) dirtyRecords() []Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []Record
-	for k := range s.dirty {
-		r, ok := s.table.Get(s.now(), k)
-		if !ok {
-			delete(s.dirty, k)
-			continue
-		}
-		all = append(all, r)
-		if len(all) == repairBatch {
-			break
-		}
-	}
-	return all
-}
-
-// settleDead settles the requests whose executor is gone.
-func (s *Service) settleDead(ctx context.Context) {
-	for _, r := range s.orphans() {
-		settled, ok := s.fence(ctx, r)
-		if !ok {
-			continue
-		}
-		// The other holder learns first. Otherwise an executor that was only
-		// paused could still intend an attempt there.
-		if held, err := s.replicate(ctx, settled); err != nil || held.Claim != r.Claim {
-			continue
-		}
-		_, _ = s.update(r.Key, r.Claim, func(Record) Record { return settled })
-		caevent.Info(s.config.Logger, caevent.RequestAnswered).
-			Str("team", string(r.Key.Team)).
-			Str("executor", string(r.Executor.ID)).
-			Str("attempt", string(r.Attempt)).
-			Str("outcome", settled.Outcome.String()).
-			Send()
-	}
-}
-
-// orphans returns open records that this entry keeps and whose executor is
-// gone.
-func (s *Service) orphans() []Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	all := s.table.Select(now, func(r Record) bool {
-		return !r.Settled() && !slices.Contains(s.members, r.Executor) && holders(s.members, r.Key)[0] == s.config.Self.ID
-	})
-	// An executor that was never a member may be about to become one.
-	all = slices.DeleteFunc(all, func(r Record) bool {
-		_, gone := s.gone[r.Executor]
-		return !gone && s.config.Bounds.MaxOpen-r.Remaining < strangerPatience
-	})
-	return all[:min(len(all), repairBatch)]
-}
-
-// fence returns the settled record of a request whose executor is gone. It
-// reports false when the outcome cannot be told yet.
-func (s *Service) fence(ctx context.Context, r Record) (Record, bool) {
-	switch {
-	case r.Idempotent:
-		return r.WithOutcome(cawork.OutcomeUnknown, StoredAnswer{}), true
-	case r.Attempt == "":
-		return r.WithOutcome(cawork.OutcomeNotRun, StoredAnswer{}), true
-	case s.config.Fencer == nil:
-		return r, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	state, err := s.config.Fencer.FenceAttempt(ctx, r.Upstream, r.Attempt)
-	if err != nil {
-		return r, false
-	}
-	switch state {
-	case cawork.TaskStateFenced:
-		return r.WithOutcome(cawork.OutcomeNotRun, StoredAnswer{}), true
-	case cawork.TaskStateDone:
-		return r.WithOutcome(cawork.OutcomeDone, StoredAnswer{Dropped: true}), true
-	case cawork.TaskStateAbsent, cawork.TaskStateRunning:
-		return r, false
-	default:
-		return r.WithOutcome(cawork.OutcomeFailed, StoredAnswer{Dropped: true}), true
-	}
-}
-
-func (s *Service) markDirty(k Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dirty[k] = struct{}{}
-}
-
 func (s *Service) holders(k Key) []cawork.VMID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -56,6 +56,10 @@
 	// them, which shows the delays of the machine.
 	pingTeam = "ping"
 	pingRate = 200
+	// heldRequests are in progress while memory is measured, atOnce when the
+	// connections are used before.
+	heldRequests = 976
+	atOnce       = 32
 	// headerService asks an upstream for a service time of its own.
 	headerService = "X-Service"
 )
@@ -474,19 +478,11 @@
 // BenchmarkResidentUsed is BenchmarkResident on connections of callers that
 // have carried an answered request before, as those of a balancer have.
 func BenchmarkResidentUsed(b *testing.B) {
-	const connections, atOnce = 976, 32
 	for _, upstreams := range []int{6, 16} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
 			c := newCell(b, upstreams, 20*time.Second, "")
 			for b.Loop() {
-				used := openUsed(b, c.entry.addresses[0], connections, atOnce)
-				for _, conn := range used {
-					sendOn(b, conn, "20s")
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(2 * time.Second)
-				c.entry.reportMemory(b)
-				checkUnanswered(b, used)
+				c.holdOnUsed(b, c.entry.addresses[0])
 			}
 		})
 	}
@@ -496,30 +492,22 @@
 // progress that have come through its API: each on a used connection of its
 // own, or over HTTP/2 on shared ones.
 func BenchmarkResidentAPI(b *testing.B) {
-	const requests = 976
 	for _, upstreams := range []int{6, 16} {
 		b.Run(fmt.Sprintf("own/upstreams=%d", upstreams), func(b *testing.B) {
 			c := newCell(b, upstreams, 20*time.Second, "")
 			for b.Loop() {
-				used := openUsed(b, c.entry.apiAddress, requests, 32)
-				for _, conn := range used {
-					sendOn(b, conn, "20s")
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(2 * time.Second)
-				c.entry.reportMemory(b)
-				checkUnanswered(b, used)
+				c.holdOnUsed(b, c.entry.apiAddress)
 			}
 		})
 		b.Run(fmt.Sprintf("shared/upstreams=%d", upstreams), func(b *testing.B) {
 			c := newCell(b, upstreams, 20*time.Second, "")
 			for b.Loop() {
 				shared := newSharedCaller(c.entry.apiAddress)
-				for range requests / 32 {
-					shared.sendAll(32, "10ms").Wait()
+				for range heldRequests / atOnce {
+					shared.sendAll(atOnce, "10ms").Wait()
 				}
 				shared.ended.Store(0)
-				shared.sendAll(requests, "20s")
+				shared.sendAll(heldRequests, "20s")
 				time.Sleep(2 * time.Second)
 				c.entry.reportMemory(b)
 				if n := shared.ended.Load(); n > 0 {
@@ -560,6 +548,19 @@
 	return &all
 }
 
+// holdOnUsed reports the memory with a request in progress on each of many used
+// connections to the address.
+func (c cell) holdOnUsed(b *testing.B, address string) {
+	used := openUsed(b, address, heldRequests)
+	for _, conn := range used {
+		sendOn(b, conn, "20s")
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	c.entry.reportMemory(b)
+	checkUnanswered(b, used)
+}
+
 // checkUnanswered fails when a request on the connections is not in progress
 // any more.
 func checkUnanswered(b *testing.B, used []net.Conn) {
@@ -572,7 +573,7 @@
 }
 
 // openUsed opens connections and gets an answer on each, a number at a time.
-func openUsed(b *testing.B, address string, connections, atOnce int) []net.Conn {
+func openUsed(b *testing.B, address string, connections int) []net.Conn {
 	var used []net.Conn
 	for len(used) < connections {
 		next := make([]net.Conn, min(atOnce, connections-len(used)))
