--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -518,6 +518,20 @@
 	}
 }
 
+// BenchmarkIdleConnections measures the memory of an entry with idle used
+// connections of callers to its API.
+func BenchmarkIdleConnections(b *testing.B) {
+	for _, connections := range []int{512, 2048} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) {
+			c := newCell(b, 16, 10*time.Millisecond, "")
+			for b.Loop() {
+				openUsed(b, c.entry.apiAddress, connections)
+				c.entry.reportMemory(b)
+			}
+		})
+	}
+}
+
 // sharedCaller sends requests over HTTP/2 on as few connections as it can.
 type sharedCaller struct {
 	transport *http.Transport
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -42,7 +42,7 @@
 	// with them its memory. Zero stands for 1,024.
 	MaxInProgress int
 	// MaxBytes bounds the memory of the requests in progress with their bodies
-	// and answers, in bytes. Zero stands for 28 MiB, less than 96 KiB for that.
+	// and answers, in bytes. Zero stands for 38 MiB, less than 192 KiB for that.
 	MaxBytes int64
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
--- a/internal/request/cadispatch/memory.go
+++ b/internal/request/cadispatch/memory.go
@@ -9,19 +9,23 @@
 )
 
 const (
-	// requestBytes is the memory of a request in progress without its body:
-	// the buffers and stacks of its connection, its header and its call
+	// ownConnectionBytes is the memory of a request in progress without its
+	// body: the buffers and stacks of its connection, its header and its call
 	// (docs/measures/request.md).
-	requestBytes = 20 << 10
+	ownConnectionBytes = 28 << 10
+	// sharedConnectionBytes is the same for a connection of HTTP/2, which many
+	// requests share.
+	sharedConnectionBytes = 16 << 10
 	// attemptBytes is what a request takes besides while it is at an upstream.
 	attemptBytes = 24 << 10
 	// copyBytes is the buffer through which a longer body goes to an upstream.
 	copyBytes = 32 << 10
 	// defaultMaxBytes holds defaultMaxInProgress requests with small bodies,
 	// and some 300 of them at upstreams.
-	defaultMaxBytes = 28 << 20
-	// minMaxBytes is the lowest bound under which a request can be attempted.
-	minMaxBytes = attemptParts * attemptBytes
+	defaultMaxBytes = 38 << 20
+	// minMaxBytes is the lowest bound under which every request can be
+	// attempted.
+	minMaxBytes = 192 << 10
 	// attemptParts is the number of parts of the memory of which one is kept
 	// for attempts. Otherwise waiting requests could fill all of it, and none
 	// could start and end any more.
@@ -45,13 +49,18 @@
 
 // bytesOf returns what a request takes while it is in progress.
 func bytesOf(r *http.Request) int64 {
+	shared := r.ProtoAtLeast(2, 0)
+	bytes := int64(ownConnectionBytes)
+	if shared {
+		bytes = sharedConnectionBytes
+	}
 	if r.ContentLength >= 0 && r.ContentLength <= replaySize {
-		return requestBytes + r.ContentLength
+		return bytes + r.ContentLength
 	}
-	if r.ProtoAtLeast(2, 0) {
-		return requestBytes + replaySize + StreamBytes
+	if shared {
+		bytes += StreamBytes
 	}
-	return requestBytes + replaySize
+	return bytes + replaySize
 }
 
 // admits reports whether one more request fits.
