--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -10,8 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"testing/fstest"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
--- a/internal/request/cadispatch/bench_test.go
+++ b/internal/request/cadispatch/bench_test.go
@@ -4,14 +4,18 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"os/exec"
 	"os/signal"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +28,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/node/caapi"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -40,6 +45,7 @@
 	envService   = "CADISPATCH_BENCH_SERVICE"
 	envSick      = "CADISPATCH_BENCH_SICK"
 	envSlots     = "CADISPATCH_BENCH_SLOTS"
+	envMaxBytes  = "CADISPATCH_BENCH_MAX_BYTES"
 	headerTeam   = "X-Team"
 
 	// unboundedSlots is for upstreams whose callers bound nothing.
@@ -50,6 +56,12 @@
 	// them, which shows the delays of the machine.
 	pingTeam = "ping"
 	pingRate = 200
+	// heldRequests are in progress while memory is measured, atOnce when the
+	// connections are used before.
+	heldRequests = 976
+	atOnce       = 32
+	// headerService asks an upstream for a service time of its own.
+	headerService = "X-Service"
 )
 
 func TestMain(m *testing.M) {
@@ -110,13 +122,22 @@
 			case "slow":
 				time.Sleep(slowFactor * service)
 			}
-			time.Sleep(service)
+			time.Sleep(serviceOf(r, service))
 			_, _ = w.Write(body)
 		}))
 	}
 	awaitStop()
 }
 
+// serviceOf returns the service time that the request asks for, else the usual
+// one.
+func serviceOf(r *http.Request, usual time.Duration) time.Duration {
+	if asked, err := time.ParseDuration(r.Header.Get(headerService)); err == nil {
+		return asked
+	}
+	return usual
+}
+
 // runEntry serves requests with the upstreams whose addresses are given.
 func runEntry() {
 	// Each line costs a system call, as in use.
@@ -127,12 +148,14 @@
 	policy := caadmit.DefaultPolicy()
 	policy.Default.MaxQueued = 1200
 	policy = policy.WithTeam(caadmit.TeamPolicy{Team: "heavy", Weight: 2})
+	maxBytes, _ := strconv.ParseInt(os.Getenv(envMaxBytes), 10, 64)
 	d := cadispatch.New(cadispatch.Config{
-		Self:   "e1",
-		Zone:   "z1",
-		Timer:  catimer.NewService(),
-		Logger: zerolog.New(lines),
-		Policy: cadispatch.DefaultPolicy().WithAdmission(policy),
+		Self:     "e1",
+		Zone:     "z1",
+		Timer:    catimer.NewService(),
+		Logger:   zerolog.New(lines),
+		Policy:   cadispatch.DefaultPolicy().WithAdmission(policy),
+		MaxBytes: maxBytes,
 	})
 	go func() { _ = d.Run(context.Background()) }()
 	for i, address := range strings.Fields(os.Getenv(envUpstreams)) {
@@ -151,13 +174,46 @@
 		}
 		d.ServeRequest(w, r, cawork.TeamName(r.Header.Get(headerTeam)))
 	}))
+	// An address of its own, so that the stacks of requests stay as in use.
+	listen(http.HandlerFunc(serveMemory))
+	listenAPI(d)
 	awaitStop()
 }
 
+// lightQueue is open to all and charges one team.
+type lightQueue struct{}
+
+func (lightQueue) AuthorizeKey(string) (cawork.TeamName, error) { return "light", nil }
+
+func (lightQueue) AuthorizeQueue(string, cawork.WorkKind) (cawork.TeamName, error) {
+	return "light", nil
+}
+
+// listenAPI serves the API of an entry on a free port and prints its address.
+func listenAPI(d *cadispatch.Dispatcher) {
+	api := caapi.NewAPI(caapi.Config{
+		Limits: caapi.Limits{
+			RequestTime: time.Minute, HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Connections: 4096,
+		},
+		Authorizer: lightQueue{},
+		Requests:   d,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(l.Addr())
+	go func() { _ = api.Serve(l) }()
+}
+
 // process is a started role.
 type process struct {
 	cmd       *exec.Cmd
 	addresses []string
+	// memoryAddress and apiAddress are those of serveMemory and of the API, of
+	// an entry only.
+	memoryAddress string
+	apiAddress    string
 }
 
 func startRole(b *testing.B, addresses int, env ...string) *process {
@@ -230,13 +286,21 @@
 		envSlots+"="+strconv.Itoa(slots))
 }
 
-func newCell(b *testing.B, upstreams int, service time.Duration, sick string) cell {
+func newCell(b *testing.B, upstreams int, service time.Duration, sick string, env ...string) cell {
 	ups := startUpstreams(b, upstreams, service, sick, benchSlots)
-	entry := startRole(b, 1, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	env = append(env, envRole+"=entry", envUpstreams+"="+strings.Join(ups.addresses, " "))
+	entry := startRole(b, 3, env...)
+	entry.memoryAddress, entry.apiAddress = entry.addresses[1], entry.addresses[2]
+	entry.addresses = entry.addresses[:1]
 	return cell{ups, entry}
 }
 
 func loadOf(b *testing.B, addresses []string, team string, rate float64, d time.Duration) caload.Report {
+	return loadBodies(b, addresses, team, rate, d, 256)
+}
+
+// loadBodies is loadOf with bodies of a size in bytes.
+func loadBodies(b *testing.B, addresses []string, team string, rate float64, d time.Duration, size int) caload.Report {
 	var urls []string
 	for _, a := range addresses {
 		urls = append(urls, "http://"+a+caplatform.RequestPath)
@@ -244,7 +308,7 @@
 	rep, err := caload.Run(context.Background(), catimer.NewService(), caload.Plan{
 		URLs:        urls,
 		Header:      http.Header{headerTeam: {team}, caplatform.HeaderIdempotent: {"true"}},
-		Body:        make([]byte, 256),
+		Body:        make([]byte, size),
 		Rate:        rate,
 		Duration:    d,
 		Requests:    10_000_000,
@@ -304,6 +368,68 @@
 	}
 }
 
+// memoryUse tells where the memory of a process lies, in bytes.
+type memoryUse struct {
+	// Live and Garbage are the heap that a collection keeps and frees.
+	Live    uint64
+	Garbage uint64
+	// Unused is what the heap holds without objects in it.
+	Unused uint64
+	Stacks uint64
+	// Runtime is what the runtime needs for itself.
+	Runtime uint64
+	// Collections counts those since the start of the process.
+	Collections uint32
+}
+
+// readMemory returns the memory of this process as it was before the
+// collection that tells live objects from garbage.
+func readMemory() memoryUse {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return memoryUse{
+		Live:        after.HeapAlloc,
+		Garbage:     before.HeapAlloc - min(after.HeapAlloc, before.HeapAlloc),
+		Unused:      before.HeapSys - before.HeapReleased - before.HeapAlloc,
+		Stacks:      before.StackSys,
+		Runtime:     before.MSpanSys + before.MCacheSys + before.BuckHashSys + before.GCSys + before.OtherSys,
+		Collections: before.NumGC,
+	}
+}
+
+func serveMemory(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(readMemory())
+}
+
+// memory asks the process for its memory.
+func (p *process) memory(b *testing.B) memoryUse {
+	res, err := http.Get("http://" + p.memoryAddress)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	var m memoryUse
+	if err := json.NewDecoder(res.Body).Decode(&m); err != nil {
+		b.Fatal(err)
+	}
+	return m
+}
+
+// reportMemory reports the resident memory of the process and its parts.
+func (p *process) reportMemory(b *testing.B) {
+	b.ReportMetric(p.residentKiB(b)/1024, "resident-MiB")
+	m := p.memory(b)
+	const mib = 1 << 20
+	b.ReportMetric(float64(m.Live)/mib, "live-MiB")
+	b.ReportMetric(float64(m.Garbage)/mib, "garbage-MiB")
+	b.ReportMetric(float64(m.Unused)/mib, "unused-MiB")
+	b.ReportMetric(float64(m.Stacks)/mib, "stacks-MiB")
+	b.ReportMetric(float64(m.Runtime)/mib, "runtime-MiB")
+	b.ReportMetric(float64(m.Collections), "collections")
+}
+
 // BenchmarkResident measures the memory of an entry with 1,000 requests in
 // progress: most of them in the queues, and all of them at upstreams.
 func BenchmarkResident(b *testing.B) {
@@ -313,12 +439,206 @@
 			for b.Loop() {
 				go loadOf(b, c.entry.addresses, "light", 1000, time.Second)
 				time.Sleep(4 * time.Second)
+				c.entry.reportMemory(b)
+			}
+		})
+	}
+}
+
+// BenchmarkMemoryBound sends more requests with bodies of 16 KiB than an entry
+// has memory for, under the usual bound and without one. It reports how soon
+// the others are refused.
+func BenchmarkMemoryBound(b *testing.B) {
+	const upstreams, service = 125, 4 * time.Second
+	for _, bound := range []struct{ name, bytes string }{{"usual", "0"}, {"none", "1099511627776"}} {
+		b.Run("bound="+bound.name, func(b *testing.B) {
+			c := newCell(b, upstreams, service, "", envMaxBytes+"="+bound.bytes)
+			for b.Loop() {
+				held, ping := make(chan caload.Report, 1), make(chan caload.Report, 1)
+				go func() { ping <- loadOf(b, c.entry.addresses, pingTeam, pingRate, 3*time.Second) }()
+				go func() { held <- loadBodies(b, c.entry.addresses, "light", 800, 3*time.Second, 16<<10) }()
+				time.Sleep(2500 * time.Millisecond)
 				b.ReportMetric(c.entry.residentKiB(b)/1024, "resident-MiB")
+				p, rep := <-ping, <-held
+				b.ReportMetric(millisOf(p.Latency.P99), "ping-p99-ms")
+				b.ReportMetric(float64(rep.Count(http.StatusOK)), "done")
+				b.ReportMetric(float64(rep.Arrivals-rep.Count(http.StatusOK)-rep.Count(http.StatusTooManyRequests)), "neither")
+				for _, g := range rep.Groups {
+					if g.Status == http.StatusTooManyRequests {
+						b.ReportMetric(float64(g.Count), "refused")
+						b.ReportMetric(millisOf(g.Latency.P50), "refusal-p50-ms")
+						b.ReportMetric(millisOf(g.Latency.P99), "refusal-p99-ms")
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkResidentUsed is BenchmarkResident on connections of callers that
+// have carried an answered request before, as those of a balancer have.
+func BenchmarkResidentUsed(b *testing.B) {
+	for _, upstreams := range []int{6, 16} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				c.holdOnUsed(b, c.entry.addresses[0])
 			}
 		})
 	}
 }
 
+// BenchmarkResidentAPI measures the memory of an entry with 976 requests in
+// progress that have come through its API: each on a used connection of its
+// own, or over HTTP/2 on shared ones.
+func BenchmarkResidentAPI(b *testing.B) {
+	for _, upstreams := range []int{6, 16} {
+		b.Run(fmt.Sprintf("own/upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				c.holdOnUsed(b, c.entry.apiAddress)
+			}
+		})
+		b.Run(fmt.Sprintf("shared/upstreams=%d", upstreams), func(b *testing.B) {
+			c := newCell(b, upstreams, 20*time.Second, "")
+			for b.Loop() {
+				shared := newSharedCaller(c.entry.apiAddress)
+				for range heldRequests / atOnce {
+					shared.sendAll(atOnce, "10ms").Wait()
+				}
+				shared.ended.Store(0)
+				shared.sendAll(heldRequests, "20s")
+				time.Sleep(2 * time.Second)
+				c.entry.reportMemory(b)
+				if n := shared.ended.Load(); n > 0 {
+					b.Fatalf("%d requests have ended", n)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkIdleConnections measures the memory of an entry with idle used
+// connections of callers to its API.
+func BenchmarkIdleConnections(b *testing.B) {
+	for _, connections := range []int{512, 2048} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) {
+			c := newCell(b, 16, 10*time.Millisecond, "")
+			for b.Loop() {
+				openUsed(b, c.entry.apiAddress, connections)
+				c.entry.reportMemory(b)
+			}
+		})
+	}
+}
+
+// sharedCaller sends requests over HTTP/2 on as few connections as it can.
+type sharedCaller struct {
+	transport *http.Transport
+	address   string
+	ended     atomic.Int64
+}
+
+func newSharedCaller(address string) *sharedCaller {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &sharedCaller{transport: &http.Transport{Protocols: protocols}, address: address}
+}
+
+// sendAll sends requests and returns what waits for their answers.
+func (s *sharedCaller) sendAll(n int, service string) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() {
+			res, err := s.transport.RoundTrip(heldRequest(s.address, service))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+			}
+			s.ended.Add(1)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	return &all
+}
+
+// holdOnUsed reports the memory with a request in progress on each of many used
+// connections to the address.
+func (c cell) holdOnUsed(b *testing.B, address string) {
+	used := openUsed(b, address, heldRequests)
+	for _, conn := range used {
+		sendOn(b, conn, "20s")
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	c.entry.reportMemory(b)
+	checkUnanswered(b, used)
+}
+
+// checkUnanswered fails when a request on the connections is not in progress
+// any more.
+func checkUnanswered(b *testing.B, used []net.Conn) {
+	for _, conn := range used {
+		_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if n, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			b.Fatalf("a request has ended: %d bytes, %v", n, err)
+		}
+	}
+}
+
+// openUsed opens connections and gets an answer on each, a number at a time.
+func openUsed(b *testing.B, address string, connections int) []net.Conn {
+	var used []net.Conn
+	for len(used) < connections {
+		next := make([]net.Conn, min(atOnce, connections-len(used)))
+		for i := range next {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { _ = conn.Close() })
+			sendOn(b, conn, "10ms")
+			next[i] = conn
+		}
+		for _, conn := range next {
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || res.StatusCode != http.StatusOK {
+				b.Fatal("no answer: ", res, err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+		}
+		used = append(used, next...)
+	}
+	return used
+}
+
+// sendOn sends a request with a service time on a connection.
+func sendOn(b *testing.B, conn net.Conn, service string) {
+	if err := heldRequest("entry", service).Write(conn); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// heldRequest returns a request with a service time. It is not idempotent, so
+// that no attempt is given up for another.
+func heldRequest(address, service string) *http.Request {
+	u := url.URL{Scheme: "http", Host: address, Path: caapi.PathRequests}
+	body := bytes.NewReader(make([]byte, 256))
+	return &http.Request{
+		Method: http.MethodPost,
+		URL:    &u,
+		Header: http.Header{
+			headerTeam:                  {"light"},
+			caapi.HeaderQueue:           {"light"},
+			headerService:               {service},
+			caplatform.HeaderIdempotent: {"false"},
+			caplatform.HeaderDeadline:   {"60000"},
+		},
+		Body:          io.NopCloser(body),
+		ContentLength: body.Size(),
+	}
+}
+
 // capacityOf returns the requests per second that the upstreams answer when
 // each slot is kept busy by direct calls.
 func capacityOf(b *testing.B, addresses []string, d time.Duration) float64 {
--- a/internal/request/cadispatch/dispatch.go
+++ b/internal/request/cadispatch/dispatch.go
@@ -23,10 +23,7 @@
 	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
-const (
-	tickPeriod           = 50 * time.Millisecond
-	defaultMaxInProgress = 1024
-)
+const defaultMaxInProgress = 1024
 
 var errTooMany = caadmit.NewRefusal("too many requests in progress", cakind.DefaultRetryAfter)
 
@@ -44,6 +41,9 @@
 	// MaxInProgress bounds the requests that the entry holds at a time, and
 	// with them its memory. Zero stands for 1,024.
 	MaxInProgress int
+	// MaxBytes bounds the memory of the requests in progress with their bodies
+	// and answers, in bytes. Zero stands for 38 MiB, less than 192 KiB for that.
+	MaxBytes int64
 	// Lender reaches the owners of other upstreams. It may be nil.
 	Lender SlotLender
 	// Keys keeps the idempotency keys. It may be nil; requests with a key are
@@ -67,6 +67,7 @@
 	draining   bool
 	closed     bool
 	inProgress int
+	memory     memory
 	idle       chan struct{}
 	borrowing  borrowing
 	// watched holds the attempts that are given up when they are late.
@@ -75,6 +76,7 @@
 	// calls counts the calls to peers.
 	calls sync.WaitGroup
 	done  chan struct{}
+	ticks ticks
 }
 
 // New returns a dispatcher without upstreams.
@@ -82,6 +84,9 @@
 	if c.MaxInProgress <= 0 {
 		c.MaxInProgress = defaultMaxInProgress
 	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = defaultMaxBytes
+	}
 	d := &Dispatcher{
 		config:    c,
 		forward:   caforward.New(c.Timer.Now),
@@ -93,7 +98,9 @@
 		idle:      make(chan struct{}),
 		borrowing: newBorrowing(),
 		watched:   map[*running]struct{}{},
+		memory:    memory{most: max(c.MaxBytes, minMaxBytes)},
 		done:      make(chan struct{}),
+		ticks:     ticks{start: make(chan struct{}, 1)},
 	}
 	d.SetPolicy(c.Policy)
 	return d
@@ -130,11 +137,12 @@
 // been written. When the answer cannot be completed, it panics with
 // http.ErrAbortHandler, upon which the server closes the connection.
 func (d *Dispatcher) ServeRequest(w http.ResponseWriter, r *http.Request, team cawork.TeamName) {
-	if err := d.enter(); err != nil {
+	bytes := bytesOf(r)
+	if err := d.enter(bytes); err != nil {
 		d.refuse(w, team, err)
 		return
 	}
-	defer d.leave()
+	defer d.leave(bytes)
 	c, err := newCall(w, r, team, d.config.Timer.Now())
 	if err != nil {
 		d.refuse(w, team, err)
@@ -150,8 +158,14 @@
 // the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer close(d.done)
-	d.config.Timer.Repeat(ctx, tickPeriod, func(context.Context) { d.tick() })
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.ticks.start:
+			d.tickWhileNeeded(ctx)
+		}
+	}
 }
 
 // Done returns a channel that is closed when Run has ended.
@@ -196,7 +210,7 @@
 	d.forward.Close()
 }
 
-func (d *Dispatcher) enter() error {
+func (d *Dispatcher) enter(bytes int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.draining {
@@ -205,37 +219,26 @@
 	if d.inProgress >= d.config.MaxInProgress {
 		return errTooMany
 	}
+	if !d.memory.admits(bytes) {
+		return errNoMemory
+	}
+	d.memory.addRequest(bytes)
 	d.inProgress++
+	d.ticks.need()
 	return nil
 }
 
-func (d *Dispatcher) leave() {
+func (d *Dispatcher) leave(bytes int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.memory.addRequest(-bytes)
 	d.inProgress--
+	d.memory.assertFree(d.inProgress)
 	if d.draining && d.inProgress == 0 {
 		close(d.idle)
 	}
 }
 
-func (d *Dispatcher) tick() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.config.Timer.Now()
-	if grants := d.router.Expire(now); !d.closed {
-		d.giveBack(grants)
-	}
-	for _, t := range d.queues.Expire(now) {
-		t.Payload.(*waiter).route <- nil
-	}
-	d.queues.Idle()
-	d.cutLate(now)
-	d.pump(now)
-	d.borrow(now)
-	d.metrics.queued.Update(float64(d.queues.Len()))
-	d.metrics.slots.Update(float64(d.router.InUse()))
-}
-
 func (d *Dispatcher) newAttemptID() cawork.AttemptID {
 	return cawork.AttemptID(d.idPrefix + strconv.FormatInt(d.lastID.Add(1), 36))
 }
--- a/internal/request/cadispatch/lend.go
+++ b/internal/request/cadispatch/lend.go
@@ -107,6 +107,9 @@
 		return BorrowGrant{}
 	}
 	grant, ok := d.router.Lend(d.config.Timer.Now(), q.Wanted)
+	if ok {
+		d.ticks.need()
+	}
 	return BorrowGrant{Granted: ok, Grant: grant}
 }
 
@@ -122,7 +125,7 @@
 // requests: the call runs beside them. The caller holds the lock.
 func (d *Dispatcher) borrow(now time.Time) {
 	b := &d.borrowing
-	if d.config.Lender == nil || d.closed || b.asking || d.queues.Len() == 0 {
+	if d.config.Lender == nil || d.closed || b.asking || d.queues.Len() == 0 || !d.memory.admitsAttempt() {
 		return
 	}
 	peer, ok := d.lender(now)
@@ -212,6 +215,7 @@
 	}
 	d.borrowing.owners[answer.Grant.ID] = p.ID
 	d.router.AddGrant(now, asked, answer.Grant)
+	d.ticks.need()
 	d.pump(now)
 	d.borrow(now)
 }
