The list of unreadable shards forgets those that are taken

Change: led shards are dropped in each look; the test requires an empty list two minutes after the job, as the list is as of the last reading of the log (a pause of a minute, spread by half). Before it wanted it at once, which nothing promises.

--- a/internal/node/caarchive/archive.go
+++ b/internal/node/caarchive/archive.go
@@ -225,6 +225,7 @@
 // of the lives in the zone: a new life of an entry knows nothing of the shards
 // that the former one held.
 func (p *Part) look(ctx context.Context, settled bool) {
+	p.later.drop(p.isLed)
 	lives := p.Directory.ZoneLives()
 	p.noteHeld()
 	stuck := p.stuck()
--- a/internal/node/caarchive/later.go
+++ b/internal/node/caarchive/later.go
@@ -44,6 +44,13 @@
 	return !known
 }
 
+// drop forgets the shards that another entry has taken.
+func (l *laterShards) drop(taken func(cawork.ShardID) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.shards, func(s cawork.ShardID, _ struct{}) bool { return taken(s) })
+}
+
 func (l *laterShards) all() []cawork.ShardID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,8 +76,11 @@
 // Unreadable returns the shards that this entry would rebuild and cannot read,
 // "*" when that may be any. Those that another entry has taken are left out.
 func (p *Part) Unreadable() []cawork.ShardID {
-	return slices.DeleteFunc(p.later.all(), func(s cawork.ShardID) bool {
-		_, led := p.Directory.Leader(s)
-		return led
-	})
+	p.later.drop(p.isLed)
+	return p.later.all()
+}
+
+func (p *Part) isLed(s cawork.ShardID) bool {
+	_, led := p.Directory.Leader(s)
+	return led
 }
--- a/internal/node/caentry/versions_test.go
+++ b/internal/node/caentry/versions_test.go
@@ -233,6 +233,9 @@
 		w.setVersion("e02", newestVersion)
 		w.startEntry("e02", "zone-0")
 		w.checkEnded([]submission{s}, healTime)
+		// The status is as of the last reading of the log, at most a minute and
+		// a half ago.
+		time.Sleep(2 * time.Minute)
 		if unreadable := w.entries["e00"].entry.versionStatus().Unreadable; len(unreadable) > 0 {
 			t.Errorf("still told as unreadable: %v", unreadable)
 		}
