The test of shared appends reads the log once the writer rests

Cause: the race detector saw the writer's append and the test's read of it, with a sleep of virtual time between, which orders nothing. Only the test was concerned.

--- a/internal/coord/calog/pause_test.go
+++ b/internal/coord/calog/pause_test.go
@@ -34,6 +34,7 @@
 		time.Sleep(200 * time.Millisecond)
 		w.Add(s.add())
 		time.Sleep(90 * time.Second)
+		synctest.Wait()
 		var got []time.Duration
 		for _, at := range l.appends {
 			got = append(got, at.Sub(began))
