What entries may run is found by one pass of the members

Cause: 25 idle entries of the merged code took 10% of a core each. The rule for upstreams that hang and the choice of the format ask each second which entries may run, and that copied and sorted all members once for each of 935 listed VMs. Change: one copy of the members a call; the roles of VMs are looked at first.

--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -309,14 +309,18 @@
 // known to have ended, listed or met.
 func (d *Directory) RunningEntries() []cawork.VMID {
 	running := make(map[cawork.VMID]struct{})
+	met := make(map[cawork.VMID]struct{})
 	for _, m := range d.all() {
-		if !d.HasEnded(m.VM, int64(m.Incarnation)) {
+		met[m.VM] = struct{}{}
+		if m.Liveness != camember.LivenessLeft && !d.isUnlisted(m.VM) {
 			running[m.VM] = struct{}{}
 		}
 	}
 	for _, listed := range d.list.Last().VMs {
-		_, met := d.Address(listed.ID)
-		if listed.Role == caplatform.VMRoleEntry && listed.State != caplatform.VMStateGone && !met {
+		if listed.Role != caplatform.VMRoleEntry || listed.State == caplatform.VMStateGone {
+			continue
+		}
+		if _, known := met[listed.ID]; !known {
 			running[listed.ID] = struct{}{}
 		}
 	}
