Attempts of a shard that was taken over from another zone are followed there

Change: an entry with attempts on upstreams of another zone polls, and asks to act, the owners of other zones too.

--- a/internal/node/calaunch/follow.go
+++ b/internal/node/calaunch/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -115,10 +116,30 @@
 	}
 }
 
+// owners returns the other entries that may own upstreams on which attempts of
+// the led shards run: those of the zone, and those of the others once a shard
+// was taken over from another zone, whose own entries could not hold a copy.
+func (l *Launcher) owners() []Owner {
+	owners := l.Directory.ZoneOwners()
+	if l.hasFarAttempts() {
+		owners = slices.Concat(owners, l.Directory.FarOwners())
+	}
+	return owners
+}
+
+func (l *Launcher) hasFarAttempts() bool {
+	for _, a := range l.attempts {
+		if vm, known := l.Directory.Upstream(a.upstream); known && vm.Zone != l.Zone {
+			return true
+		}
+	}
+	return false
+}
+
 // pollOwners asks the other owners of the zone what became of the attempts of
 // the led shards.
 func (l *Launcher) pollOwners() {
-	for _, o := range l.Directory.ZoneOwners() {
+	for _, o := range l.owners() {
 		if _, busy := l.polling[o.VM]; busy {
 			continue
 		}
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -48,7 +48,7 @@
 		l.actLocal(call, then)
 		return
 	}
-	owners := l.Directory.ZoneOwners()
+	owners := l.owners()
 	l.background(func(ctx context.Context) func() {
 		status, err := l.actRemote(ctx, owners, call)
 		return func() { then(status, err) }
