One vocabulary of placement serves configuration, scheduler and router

Cause: to pack or to spread was an enum of its own in cacell, casched and caroute, with three generated files and two translations between them. Change: cawork.Placement is used by all three. The router and the default policy of requests still spread, which they now say, and so does an entry without a configuration. Tests: names only, all assertions as before; the packages concerned pass.

--- a/internal/base/cawork/work.go
+++ b/internal/base/cawork/work.go
@@ -9,6 +9,7 @@
 
 //go:generate go tool enumer -type=WorkKind -trimprefix=WorkKind -transform=snake -text -output=workkind_names.go
 //go:generate go tool enumer -type=Outcome -trimprefix=Outcome -transform=snake -text -output=outcome_names.go
+//go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=TaskState -trimprefix=TaskState -transform=snake -text -output=taskstate_names.go
 
 // TeamName names a team, the unit that owns keys, shares and upper limits.
@@ -141,3 +142,16 @@
 
 // String returns the job and the index, for example "j1/0".
 func (r TaskRef) String() string { return fmt.Sprintf("%s/%d", r.Job, r.Index) }
+
+// Placement tells how upstreams are chosen for a kind of work among those that
+// have room.
+type Placement int
+
+// The ways of placement.
+const (
+	// PlacementPack fills up upstreams before it uses others, which keeps large
+	// holes whole.
+	PlacementPack Placement = iota
+	// PlacementSpread spreads work over racks and upstreams.
+	PlacementSpread
+)
--- a/internal/config/cacell/config.go
+++ b/internal/config/cacell/config.go
@@ -16,7 +16,6 @@
 	"celeryarch.example/celeryarch/internal/config/camerge"
 )
 
-//go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=UnconfirmedKeys -trimprefix=UnconfirmedKeys -transform=snake -text -output=unconfirmedkeys_names.go
 
 // Topic is the topic of the log on which configurations are published.
@@ -31,17 +30,6 @@
 // QueueName names a queue that is open to all.
 type QueueName string
 
-// Placement tells how the tasks of a kind of work are placed.
-type Placement int
-
-// The ways of placement.
-const (
-	// PlacementPack fills the fullest upstream that fits.
-	PlacementPack Placement = iota
-	// PlacementSpread spreads tasks over upstreams and racks.
-	PlacementSpread
-)
-
 // UnconfirmedKeys tells what an entry does with keys while it cannot confirm
 // that its configuration is in force.
 type UnconfirmedKeys int
@@ -94,7 +82,7 @@
 	QueueBound int
 	// MaxAttempts is the most attempts that a task gets.
 	MaxAttempts int
-	Placement   Placement
+	Placement   cawork.Placement
 	// Aging is the waiting time that raises work by one step in the order.
 	Aging time.Duration
 	// Reservation is the longest time for which a gang may hold capacity that
--- a/internal/config/cacell/config_test.go
+++ b/internal/config/cacell/config_test.go
@@ -69,7 +69,7 @@
 	if diff := cmp.Diff(wantQueues, c.Queues()); diff != "" {
 		t.Error(diff)
 	}
-	wantPolicy := Policy{Kind: cawork.WorkKindBatch, QueueBound: 10000, MaxAttempts: 5, Placement: PlacementSpread, Aging: 90 * time.Second}
+	wantPolicy := Policy{Kind: cawork.WorkKindBatch, QueueBound: 10000, MaxAttempts: 5, Placement: cawork.PlacementSpread, Aging: 90 * time.Second}
 	if diff := cmp.Diff(wantPolicy, c.Policy(cawork.WorkKindBatch)); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/config/cacell/document.go
+++ b/internal/config/cacell/document.go
@@ -44,13 +44,13 @@
 }
 
 type policyDocument struct {
-	QueueBound  int           `json:"queue_bound"`
-	MaxAttempts int           `json:"max_attempts"`
-	Placement   Placement     `json:"placement"`
-	Aging       time.Duration `json:"aging"`
-	Reservation time.Duration `json:"reservation"`
-	WaitBound   time.Duration `json:"wait_bound,omitzero"`
-	RefuseLate  bool          `json:"refuse_late,omitzero"`
+	QueueBound  int              `json:"queue_bound"`
+	MaxAttempts int              `json:"max_attempts"`
+	Placement   cawork.Placement `json:"placement"`
+	Aging       time.Duration    `json:"aging"`
+	Reservation time.Duration    `json:"reservation"`
+	WaitBound   time.Duration    `json:"wait_bound,omitzero"`
+	RefuseLate  bool             `json:"refuse_late,omitzero"`
 }
 
 // defaultDocument holds what is in force where a configuration says nothing.
@@ -64,16 +64,16 @@
 		Queues: map[QueueName]queueDocument{},
 		Policy: map[cawork.WorkKind]policyDocument{
 			cawork.WorkKindLookup: {
-				QueueBound: 512, MaxAttempts: 2, Placement: PlacementSpread, Aging: time.Second,
+				QueueBound: 512, MaxAttempts: 2, Placement: cawork.PlacementSpread, Aging: time.Second,
 			},
 			cawork.WorkKindBatch: {
-				QueueBound: 10000, MaxAttempts: 5, Placement: PlacementPack, Aging: time.Minute,
+				QueueBound: 10000, MaxAttempts: 5, Placement: cawork.PlacementPack, Aging: time.Minute,
 			},
 			cawork.WorkKindService: {
-				QueueBound: 1000, MaxAttempts: 10, Placement: PlacementSpread, Aging: 30 * time.Second,
+				QueueBound: 1000, MaxAttempts: 10, Placement: cawork.PlacementSpread, Aging: 30 * time.Second,
 			},
 			cawork.WorkKindGang: {
-				QueueBound: 1000, MaxAttempts: 5, Placement: PlacementPack, Aging: time.Minute,
+				QueueBound: 1000, MaxAttempts: 5, Placement: cawork.PlacementPack, Aging: time.Minute,
 				Reservation: 2 * time.Minute,
 			},
 		},
--- a/internal/core/cadecide/mix_test.go
+++ b/internal/core/cadecide/mix_test.go
@@ -476,7 +476,7 @@
 	spread := base
 	for _, k := range []cawork.WorkKind{cawork.WorkKindBatch, cawork.WorkKindGang} {
 		kp := spread.Kind(k)
-		kp.Strategy = casched.StrategySpread
+		kp.Placement = cawork.PlacementSpread
 		spread = spread.WithKind(k, kp)
 	}
 	unreserved, patient := base, base
--- a/internal/core/cadecide/place.go
+++ b/internal/core/cadecide/place.go
@@ -345,7 +345,7 @@
 			return false
 		}
 		s.takeHost(h, q)
-		for len(s.hosts) < n && q.Strategy == casched.StrategyPack && s.index.Takes(h, q) {
+		for len(s.hosts) < n && q.Placement == cawork.PlacementPack && s.index.Takes(h, q) {
 			s.takeHost(h, q)
 		}
 	}
@@ -355,7 +355,7 @@
 func (s *Scheduler) takeHost(h caplace.HostIndex, q *caplace.Query) {
 	s.index.TakeFor(h, q)
 	s.hosts = append(s.hosts, h)
-	if q.Strategy == casched.StrategySpread {
+	if q.Placement == cawork.PlacementSpread {
 		s.near = append(q.Near, h)
 		q.Near = s.near
 	}
--- a/internal/core/cadecide/reserve.go
+++ b/internal/core/cadecide/reserve.go
@@ -35,7 +35,7 @@
 	}
 	q := caplace.Query{
 		Demand: s.demandOf(r.Size, r.Kind), Constraints: r.Constraints,
-		Strategy: s.policy.Kind(r.Kind).Strategy, Job: r.Job,
+		Placement: s.policy.Kind(r.Kind).Placement, Job: r.Job,
 	}
 	if r.RunTime > 0 {
 		q.End = now.Add(r.RunTime)
--- a/internal/core/cadecide/scheduler.go
+++ b/internal/core/cadecide/scheduler.go
@@ -254,10 +254,10 @@
 // query returns what a task of the job asks of an upstream.
 func (s *Scheduler) query(j *caledger.Job, now time.Time) caplace.Query {
 	q := caplace.Query{
-		Demand: s.demand(j), Constraints: j.Spec.Constraints, Strategy: s.policy.Kind(j.Spec.Kind).Strategy,
+		Demand: s.demand(j), Constraints: j.Spec.Constraints, Placement: s.policy.Kind(j.Spec.Kind).Placement,
 		Job: j.ID, End: s.end(j, now), Probe: j.Spec.Idempotent && !j.Gang(),
 	}
-	if q.Strategy == casched.StrategySpread {
+	if q.Placement == cawork.PlacementSpread {
 		s.near = s.near[:0]
 		for _, t := range j.Open {
 			if t.Host != caplace.NoHost {
--- a/internal/core/cadecide/target_test.go
+++ b/internal/core/cadecide/target_test.go
@@ -56,10 +56,10 @@
 }
 
 // packed queues the sizes in the order given and returns what is used.
-func packed(tb testing.TB, sizes []cawork.Resources, m mix, s casched.Strategy) cawork.Resources {
+func packed(tb testing.TB, sizes []cawork.Resources, m mix, s cawork.Placement) cawork.Resources {
 	p := casched.DefaultPolicy()
 	kp := p.Kind(cawork.WorkKindBatch)
-	kp.Strategy = s
+	kp.Placement = s
 	l := newLoop(tb, m, p.WithKind(cawork.WorkKindBatch, kp), 7)
 	for i, r := range sizes {
 		spec := cawork.JobSpec{Kind: cawork.WorkKindBatch, Tasks: 1, Size: r}
@@ -79,7 +79,7 @@
 }
 
 // packingRatio returns the mean and the least ratio to the offline packing.
-func packingRatio(tb testing.TB, m mix, s casched.Strategy) (float64, float64) {
+func packingRatio(tb testing.TB, m mix, s cawork.Placement) (float64, float64) {
 	rng := rand.New(rand.NewPCG(3, 5))
 	total := m.worker.Times(mixWorkers)
 	mean, least := 0.0, math.Inf(1)
@@ -95,7 +95,7 @@
 
 func TestPackingReachesTheOfflineTarget(t *testing.T) {
 	for _, m := range []mix{haugland, lettergrove} {
-		if _, least := packingRatio(t, m, casched.StrategyPack); least < packingTarget {
+		if _, least := packingRatio(t, m, cawork.PlacementPack); least < packingTarget {
 			t.Errorf("%s: packing reaches %.3f of first-fit-decreasing, want %.2f", m.name, least, packingTarget)
 		}
 	}
@@ -103,7 +103,7 @@
 
 func BenchmarkPacking(b *testing.B) {
 	for _, m := range []mix{haugland, lettergrove} {
-		for _, s := range casched.StrategyValues() {
+		for _, s := range cawork.PlacementValues() {
 			b.Run(m.name+"/"+s.String(), func(b *testing.B) {
 				for b.Loop() {
 					mean, least := packingRatio(b, m, s)
--- a/internal/core/caplace/demand.go
+++ b/internal/core/caplace/demand.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/core/casched"
 )
 
 // Demand is what a task takes of an upstream.
@@ -88,13 +87,13 @@
 type Query struct {
 	Demand      Demand
 	Constraints cawork.Constraints
-	Strategy    casched.Strategy
+	Placement   cawork.Placement
 	// Job may use the room that is held for it.
 	Job cawork.JobID
 	// End is when the task is expected to end, zero when never.
 	End time.Time
 	// Probe allows upstreams that are on trial.
 	Probe bool
-	// Near lists where tasks of the job run, for StrategySpread.
+	// Near lists where tasks of the job run, for PlacementSpread.
 	Near []HostIndex
 }
--- a/internal/core/caplace/index_test.go
+++ b/internal/core/caplace/index_test.go
@@ -29,7 +29,7 @@
 		x.Put(casched.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("u%d", i)), Capacity: cores(n).Size})
 	}
 	pack, _ := x.Best(&caplace.Query{Demand: cores(2)})
-	spread, _ := x.Best(&caplace.Query{Demand: cores(2), Strategy: casched.StrategySpread})
+	spread, _ := x.Best(&caplace.Query{Demand: cores(2), Placement: cawork.PlacementSpread})
 	fmt.Println(x.ID(pack), x.ID(spread))
 	// Output: u1 u0
 }
--- a/internal/core/caplace/search.go
+++ b/internal/core/caplace/search.go
@@ -71,7 +71,7 @@
 	if m.zone < 0 || m.rack < 0 || m.kind < 0 {
 		return NoHost, false
 	}
-	spread := q.Strategy == casched.StrategySpread
+	spread := q.Placement == cawork.PlacementSpread
 	if spread {
 		x.countNear(q.Near, 1)
 		defer x.countNear(q.Near, -1)
--- a/internal/core/casched/policy.go
+++ b/internal/core/casched/policy.go
@@ -11,8 +11,6 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
-//go:generate go tool enumer -type=Strategy -trimprefix=Strategy -transform=snake -text -output=strategy_names.go
-
 // NoLimit is the amount in a dimension of a limit that bounds nothing. A zero
 // in a dimension means that none of it may be used.
 const NoLimit = 1 << 60
@@ -22,18 +20,6 @@
 	return cawork.Resources{CPU: NoLimit, Memory: NoLimit, Accelerators: NoLimit}
 }
 
-// Strategy tells how an upstream is chosen among those that fit.
-type Strategy int
-
-// The strategies.
-const (
-	// StrategyPack takes the tightest fit, which keeps large holes whole.
-	StrategyPack Strategy = iota
-	// StrategySpread takes the rack and the upstream with the fewest tasks of
-	// the job, then the emptiest one.
-	StrategySpread
-)
-
 // TeamPolicy is what the configuration says about a team.
 type TeamPolicy struct {
 	// Weight is the share of the team in proportion to the other weights.
@@ -44,7 +30,10 @@
 
 // KindPolicy is what the configuration says about a kind of work.
 type KindPolicy struct {
-	Strategy Strategy
+	// Placement tells how an upstream is chosen. To pack takes the tightest fit,
+	// to spread the rack and the upstream with the fewest tasks of the job, then
+	// the emptiest one.
+	Placement cawork.Placement
 	// QueueBound is the most queued tasks of a team.
 	QueueBound int
 	// UrgentHeadroom is how many urgent tasks may queue beyond QueueBound.
@@ -111,9 +100,9 @@
 	for k := range p.kinds {
 		p.kinds[k] = base
 	}
-	p.kinds[cawork.WorkKindService].Strategy = StrategySpread
+	p.kinds[cawork.WorkKindService].Placement = cawork.PlacementSpread
 	p.kinds[cawork.WorkKindService].Aging = time.Minute
-	p.kinds[cawork.WorkKindLookup].Strategy = StrategySpread
+	p.kinds[cawork.WorkKindLookup].Placement = cawork.PlacementSpread
 	p.kinds[cawork.WorkKindLookup].Aging = time.Second
 	p.kinds[cawork.WorkKindLookup].Slots = 1
 	p.kinds[cawork.WorkKindLookup].Connections = 1
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -305,7 +305,9 @@
 		Fencer: fencer{launcher: e.launcher}, Bounds: cadedupe.DefaultBounds(),
 	})
 	e.dispatcher = cadispatch.New(cadispatch.Config{
-		Self: e.settings.VM, Zone: e.settings.Zone, Timer: e.timer, Logger: e.log, Scope: e.scope,
+		// Until a configuration is in force.
+		Policy: cadispatch.Policy{Placement: cawork.PlacementSpread},
+		Self:   e.settings.VM, Zone: e.settings.Zone, Timer: e.timer, Logger: e.log, Scope: e.scope,
 		CrossingDelay: crossingDelay, Lender: calink.Slots{Link: e.link()}, Keys: e.keys,
 	})
 }
--- a/internal/node/caentry/policy.go
+++ b/internal/node/caentry/policy.go
@@ -8,7 +8,6 @@
 	"celeryarch.example/celeryarch/internal/core/casched"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
-	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
 // weightScale turns the share of a team, a fraction, into a whole weight.
@@ -33,10 +32,7 @@
 	base.Aging = c.Aging
 	base.WaitBound = c.WaitBound
 	base.RefuseLate = c.RefuseLate
-	base.Strategy = casched.StrategyPack
-	if c.Placement == cacell.PlacementSpread {
-		base.Strategy = casched.StrategySpread
-	}
+	base.Placement = c.Placement
 	if c.Reservation > 0 {
 		base.ReserveBound = c.Reservation
 	}
@@ -50,9 +46,6 @@
 	for _, t := range c.Teams() {
 		admission = admission.WithTeam(caadmit.TeamPolicy{Team: t.Name, Weight: t.Share, MaxQueued: lookup.QueueBound})
 	}
-	p := cadispatch.DefaultPolicy().WithAdmission(admission).WithMaxAttempts(lookup.MaxAttempts)
-	if lookup.Placement == cacell.PlacementPack {
-		p = p.WithPlacement(caroute.PlacementPack)
-	}
-	return p
+	return cadispatch.DefaultPolicy().WithAdmission(admission).WithMaxAttempts(lookup.MaxAttempts).
+		WithPlacement(lookup.Placement)
 }
--- a/internal/node/caentry/policy_test.go
+++ b/internal/node/caentry/policy_test.go
@@ -11,7 +11,6 @@
 	"celeryarch.example/celeryarch/internal/config/cacell"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
-	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
 func TestEveryFieldOfLookupsReachesTheRequestPath(t *testing.T) {
@@ -26,7 +25,7 @@
 	}
 	admission := caadmit.DefaultPolicy().WithAging(250 * time.Millisecond).
 		WithTeam(caadmit.TeamPolicy{Team: "knit", Weight: 2.5, MaxQueued: 7})
-	want := cadispatch.Policy{Admission: admission, MaxAttempts: 3, Placement: caroute.PlacementPack}
+	want := cadispatch.Policy{Admission: admission, MaxAttempts: 3, Placement: cawork.PlacementPack}
 	if diff := cmp.Diff(want, requestPolicy(c)); diff != "" {
 		t.Errorf("policy (-want +got):\n%s", diff)
 	}
--- a/internal/request/cadispatch/policy.go
+++ b/internal/request/cadispatch/policy.go
@@ -1,8 +1,8 @@
 package cadispatch
 
 import (
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/request/caadmit"
-	"celeryarch.example/celeryarch/internal/request/caroute"
 )
 
 // Policy is what the configuration says to the request path.
@@ -14,11 +14,13 @@
 	// are all when it is zero.
 	MaxAttempts int
 	// Placement tells how an upstream is chosen.
-	Placement caroute.Placement
+	Placement cawork.Placement
 }
 
 // DefaultPolicy returns a policy that treats all teams alike.
-func DefaultPolicy() Policy { return Policy{Admission: caadmit.DefaultPolicy()} }
+func DefaultPolicy() Policy {
+	return Policy{Admission: caadmit.DefaultPolicy(), Placement: cawork.PlacementSpread}
+}
 
 // WithAdmission returns a copy with the admission policy.
 func (p Policy) WithAdmission(a caadmit.Policy) Policy {
@@ -33,7 +35,7 @@
 }
 
 // WithPlacement returns a copy with the way of placement.
-func (p Policy) WithPlacement(w caroute.Placement) Policy {
+func (p Policy) WithPlacement(w cawork.Placement) Policy {
 	p.Placement = w
 	return p
 }
--- a/internal/request/caroute/choice.go
+++ b/internal/request/caroute/choice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
 // Choose takes a slot of an upstream, after the way of placement. It returns
@@ -56,7 +58,7 @@
 
 func (r *Router) rank(now time.Time, s *source) rank {
 	k := rank{expected: r.expected(now, s)}
-	if r.placement == PlacementPack {
+	if r.placement == cawork.PlacementPack {
 		k.free = s.free(r.limitOf(s))
 	}
 	return k
--- a/internal/request/caroute/router.go
+++ b/internal/request/caroute/router.go
@@ -11,7 +11,6 @@
 )
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=verdict_names.go
-//go:generate go tool enumer -type=Placement -trimprefix=Placement -transform=snake -text -output=placement_names.go
 //go:generate go tool enumer -type=ChangeKind -trimprefix=Change -transform=snake -text -output=changekind_names.go
 
 // Verdict tells how an attempt ended, as far as it tells of the upstream.
@@ -30,18 +29,6 @@
 	VerdictAbandoned
 )
 
-// Placement tells how the router chooses among upstreams with free slots.
-type Placement int
-
-// The ways of placement.
-const (
-	// PlacementSpread takes the upstream with the least expected latency.
-	PlacementSpread Placement = iota
-	// PlacementPack takes the upstream with the fewest free slots, and the
-	// least expected latency among equals.
-	PlacementPack
-)
-
 // ChangeKind tells what happened to an upstream.
 type ChangeKind int
 
@@ -106,7 +93,7 @@
 	// lingering holds the slots of interrupted attempts.
 	lingering []lingering
 	turn      int
-	placement Placement
+	placement cawork.Placement
 	service   time.Duration
 	nextID    int64
 }
@@ -114,17 +101,20 @@
 // NewRouter returns a router without upstreams.
 func NewRouter(c Config) *Router {
 	return &Router{
-		config:  c,
-		owned:   map[cawork.UpstreamID]*source{},
-		grants:  map[GrantID]*source{},
-		health:  map[cawork.UpstreamID]*health{},
-		lent:    map[GrantID]*loan{},
-		service: initialLatency,
+		config:    c,
+		owned:     map[cawork.UpstreamID]*source{},
+		grants:    map[GrantID]*source{},
+		health:    map[cawork.UpstreamID]*health{},
+		lent:      map[GrantID]*loan{},
+		service:   initialLatency,
+		placement: cawork.PlacementSpread,
 	}
 }
 
-// SetPlacement replaces the way of placement.
-func (r *Router) SetPlacement(p Placement) { r.placement = p }
+// SetPlacement replaces the way of placement. To spread takes the upstream with
+// the least expected latency, to pack the one with the fewest free slots, and
+// the least expected latency among equals.
+func (r *Router) SetPlacement(p cawork.Placement) { r.placement = p }
 
 // Put adds or replaces an owned upstream. Requests in progress keep their
 // slots.
--- a/internal/request/caroute/router_test.go
+++ b/internal/request/caroute/router_test.go
@@ -62,9 +62,9 @@
 // Under packing an upstream is filled before the next one gets a request, and
 // under spreading all get their part.
 func TestPlacementDecidesAmongFreeUpstreams(t *testing.T) {
-	for placement, want := range map[caroute.Placement][]int{
-		caroute.PlacementPack:   {8, 4, 0},
-		caroute.PlacementSpread: {4, 4, 4},
+	for placement, want := range map[cawork.Placement][]int{
+		cawork.PlacementPack:   {8, 4, 0},
+		cawork.PlacementSpread: {4, 4, 4},
 	} {
 		r := newRouter(3)
 		r.SetPlacement(placement)
