One reader of the number of a format

Cause: four packages read the number of a record's format by the same lines, and a state decoded it twice for each record that it applied. Change: caversion.FormatOf and CheckFormatOf serve all four; Apply checks once, against the older of what it reads and what the program reads, as before. Tests unchanged: caversion, calog, caescrow, cajob, cafollow, cashard pass.

--- a/internal/base/caversion/version.go
+++ b/internal/base/caversion/version.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
@@ -126,6 +128,25 @@
 	return fmt.Sprintf("%s has format %d, up to %d is read here", e.What, e.Format, e.Reads)
 }
 
+// FormatOf reads only the number of the format of a record, snapshot or payload
+// in CBOR, which has the same place in all formats.
+func FormatOf(b []byte) (Format, error) {
+	var head struct{ Format Format }
+	err := cbor.Unmarshal(b, &head)
+	return head.Format, err
+}
+
+// CheckFormatOf returns a LaterError of KindInvalid when the bytes are of a
+// format above the newest one that is read, and another error of KindInvalid
+// when they do not tell.
+func CheckFormatOf(what string, b []byte, reads Format) error {
+	f, err := FormatOf(b)
+	if err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "decode %s", what)
+	}
+	return CheckFormat(what, f, reads)
+}
+
 // CheckFormat returns a LaterError of KindInvalid when the format is above the
 // newest one that is read. Zero stands for FormatUnnumbered.
 func CheckFormat(what string, f, reads Format) error {
--- a/internal/coord/caescrow/claim.go
+++ b/internal/coord/caescrow/claim.go
@@ -10,11 +10,7 @@
 // DecodeClaim reads a claim in the log. One of a later format is a
 // caversion.LaterError, other bytes are an error of KindInvalid.
 func DecodeClaim(b []byte) (Claim, error) {
-	var head struct{ Format caversion.Format }
-	if err := cbor.Unmarshal(b, &head); err != nil {
-		return Claim{}, cakind.Wrap(cakind.KindInvalid, err, "decode claim")
-	}
-	if err := caversion.CheckFormat("claim", head.Format, caversion.FormatNewest); err != nil {
+	if err := caversion.CheckFormatOf("claim", b, caversion.FormatNewest); err != nil {
 		return Claim{}, err
 	}
 	var c Claim
--- a/internal/coord/cafollow/record.go
+++ b/internal/coord/cafollow/record.go
@@ -86,11 +86,8 @@
 // decodeRecord returns an empty record for a payload of no known form, which
 // every reader skips. Of a record of a later format only the format is known.
 func decodeRecord(payload []byte) record {
-	var head struct {
-		Format caversion.Format `cbor:"format"`
-	}
-	if err := cbor.Unmarshal(payload, &head); err == nil && head.Format > caversion.FormatNewest {
-		return record{Format: head.Format}
+	if f, err := caversion.FormatOf(payload); err == nil && f > caversion.FormatNewest {
+		return record{Format: f}
 	}
 	var r record
 	if err := cbor.Unmarshal(payload, &r); err != nil {
--- a/internal/coord/cajob/record.go
+++ b/internal/coord/cajob/record.go
@@ -104,16 +104,6 @@
 	return f
 }
 
-// checkFormat reads only the number of the format of a record or snapshot, which
-// has the same place in all formats, and refuses one that is not read here.
-func checkFormat(what string, b []byte, reads caversion.Format) error {
-	var head struct{ Format caversion.Format }
-	if err := cbor.Unmarshal(b, &head); err != nil {
-		return cakind.Wrap(cakind.KindInvalid, err, "decode %s", what)
-	}
-	return caversion.CheckFormat(what, head.Format, reads)
-}
-
 // JobAccepted is a job and, when another shard handed it over, what its tasks
 // went through there.
 type JobAccepted struct {
@@ -234,8 +224,11 @@
 
 // DecodeRecord reads the CBOR form of a record. One of a later format is a
 // caversion.LaterError.
-func DecodeRecord(b []byte) (Record, error) {
-	if err := checkFormat("record", b, caversion.FormatNewest); err != nil {
+func DecodeRecord(b []byte) (Record, error) { return decodeRecord(b, caversion.FormatNewest) }
+
+// decodeRecord reads a record of the formats up to the given one.
+func decodeRecord(b []byte, reads caversion.Format) (Record, error) {
+	if err := caversion.CheckFormatOf("record", b, reads); err != nil {
 		return Record{}, err
 	}
 	var r Record
--- a/internal/coord/cajob/state.go
+++ b/internal/coord/cajob/state.go
@@ -84,10 +84,7 @@
 // refused with a typed error and changes nothing; every replica refuses it
 // alike.
 func (s *State) Apply(payload []byte) error {
-	if err := checkFormat("record", payload, s.reads); err != nil {
-		return err
-	}
-	r, err := DecodeRecord(payload)
+	r, err := decodeRecord(payload, min(s.reads, caversion.FormatNewest))
 	if err != nil {
 		return err
 	}
@@ -266,7 +263,7 @@
 // caversion.LaterError and changes nothing.
 func (s *State) Restore(b []byte) error {
 	what := "snapshot of shard " + string(s.shard)
-	if err := checkFormat(what, b, s.reads); err != nil {
+	if err := caversion.CheckFormatOf(what, b, s.reads); err != nil {
 		return err
 	}
 	fresh := NewState(s.shard, s.retention)
--- a/internal/coord/calog/batch.go
+++ b/internal/coord/calog/batch.go
@@ -73,11 +73,7 @@
 // at a time. A payload that is not of this package is an error of KindInvalid,
 // one of a later format a caversion.LaterError.
 func (d *batchDecoder) decode(body []byte, visit func(Entry)) error {
-	var head struct{ Format caversion.Format }
-	if err := cbor.Unmarshal(body, &head); err != nil {
-		return cakind.Wrap(cakind.KindInvalid, err, "decode log payload")
-	}
-	if err := caversion.CheckFormat("log payload", head.Format, caversion.FormatNewest); err != nil {
+	if err := caversion.CheckFormatOf("log payload", body, caversion.FormatNewest); err != nil {
 		return err
 	}
 	var p payload
