A member is found by its VM, not by a copy of all

Cause: the directory copied and sorted all members to find one: for the address of each call to an entry, and for each test whether one has ended. The pass of over running entries had gone around that for one caller and repeated the rule of HasEnded. Change: camember tells of one member by its key; the directory uses it, and RunningEntries asks HasEnded again.

--- a/internal/coord/camember/foreign_test.go
+++ b/internal/coord/camember/foreign_test.go
@@ -35,12 +35,11 @@
 }
 
 func seen(s *State, vm cawork.VMID) seenMember {
-	for _, m := range s.Members() {
-		if m.VM == vm {
-			return seenMember{m.Liveness, m.Reach, m.Incarnation, m.Foreign, m.Protocols}
-		}
+	m, met := s.Member(vm)
+	if !met {
+		return seenMember{}
 	}
-	return seenMember{}
+	return seenMember{m.Liveness, m.Reach, m.Incarnation, m.Foreign, m.Protocols}
 }
 
 func TestForeignEntryIsAMember(t *testing.T) {
--- a/internal/coord/camember/part.go
+++ b/internal/coord/camember/part.go
@@ -111,6 +111,14 @@
 	return p.state.Members()
 }
 
+// Member returns a known member, false for a VM that is not met yet. The slices
+// in its application state are shared and must not be changed.
+func (p *Part) Member(vm cawork.VMID) (Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Member(vm)
+}
+
 // Self returns the own entry.
 func (p *Part) Self() Member {
 	p.mu.Lock()
--- a/internal/coord/camember/state.go
+++ b/internal/coord/camember/state.go
@@ -140,6 +140,16 @@
 	return members
 }
 
+// Member returns a known member, false for a VM that is not met yet.
+func (s *State) Member(vm cawork.VMID) (Member, bool) {
+	r, ok := s.records[keyOf(vm)]
+	if !ok {
+		return Member{}, false
+	}
+	m := r.member()
+	return m, m.VM == vm
+}
+
 // Self returns the own entry.
 func (s *State) Self() Member { return s.self.member() }
 
--- a/internal/coord/camember/state_test.go
+++ b/internal/coord/camember/state_test.go
@@ -82,10 +82,8 @@
 }
 
 func (g *group) liveness(of, by string) camember.Liveness {
-	for _, m := range g.states[by].Members() {
-		if string(m.VM) == of {
-			return m.Liveness
-		}
+	if m, met := g.states[by].Member(cawork.VMID(of)); met {
+		return m.Liveness
 	}
 	g.t.Errorf("%s does not know %s", by, of)
 	return camember.LivenessLeft
@@ -186,6 +184,9 @@
 	if got := len(g.states["a"].Members()); got != 2 {
 		t.Errorf("a knows %d members, want 2: c must not bring back what is gone", got)
 	}
+	if m, met := g.states["a"].Member("b"); met {
+		t.Errorf("a still knows %+v", m)
+	}
 }
 
 func TestRestartAfterLeavingIsFoundWithoutSeeds(t *testing.T) {
--- a/internal/node/cadirectory/directory.go
+++ b/internal/node/cadirectory/directory.go
@@ -25,9 +25,11 @@
 // runs, live or leaving.
 const unlistedAfter = 10 * time.Second
 
-// Members lists the known entries.
+// Members tells of the known entries.
 type Members interface {
 	Members() []camember.Member
+	// Member returns a known entry, at a lower cost than Members.
+	Member(vm cawork.VMID) (camember.Member, bool)
 }
 
 // List gives the last list of VMs.
@@ -77,24 +79,32 @@
 	d.members = m
 }
 
-func (d *Directory) all() []camember.Member {
+func (d *Directory) source() Members {
 	d.mu.Lock()
-	members := d.members
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	return d.members
+}
+
+func (d *Directory) all() []camember.Member {
+	members := d.source()
 	if members == nil {
 		return nil
 	}
 	return members.Members()
 }
 
+func (d *Directory) member(vm cawork.VMID) (camember.Member, bool) {
+	members := d.source()
+	if members == nil {
+		return camember.Member{}, false
+	}
+	return members.Member(vm)
+}
+
 // Address returns the peer address of an entry.
 func (d *Directory) Address(vm cawork.VMID) (string, bool) {
-	for _, m := range d.all() {
-		if m.VM == vm {
-			return m.Address, true
-		}
-	}
-	return "", false
+	m, ok := d.member(vm)
+	return m.Address, ok
 }
 
 // Upstream implements calaunch.Directory.
@@ -266,10 +276,9 @@
 
 // HasEnded implements caarchive.Directory. A silent entry has not ended.
 func (d *Directory) HasEnded(vm cawork.VMID, incarnation int64) bool {
-	for _, m := range d.all() {
-		if m.VM == vm && (int64(m.Incarnation) > incarnation || m.Liveness == camember.LivenessLeft) {
-			return true
-		}
+	m, met := d.member(vm)
+	if met && (int64(m.Incarnation) > incarnation || m.Liveness == camember.LivenessLeft) {
+		return true
 	}
 	return d.isUnlisted(vm)
 }
@@ -309,10 +318,8 @@
 // known to have ended, listed or met.
 func (d *Directory) RunningEntries() []cawork.VMID {
 	running := make(map[cawork.VMID]struct{})
-	met := make(map[cawork.VMID]struct{})
 	for _, m := range d.all() {
-		met[m.VM] = struct{}{}
-		if m.Liveness != camember.LivenessLeft && !d.isUnlisted(m.VM) {
+		if !d.HasEnded(m.VM, int64(m.Incarnation)) {
 			running[m.VM] = struct{}{}
 		}
 	}
@@ -320,7 +327,7 @@
 		if listed.Role != caplatform.VMRoleEntry || listed.State == caplatform.VMStateGone {
 			continue
 		}
-		if _, known := met[listed.ID]; !known {
+		if _, met := d.member(listed.ID); !met {
 			running[listed.ID] = struct{}{}
 		}
 	}
@@ -332,10 +339,8 @@
 // a shard.
 func (d *Directory) ShardZone(s cawork.ShardID) (cawork.ZoneName, bool) {
 	founder := calaunch.EntryOf(s)
-	for _, m := range d.all() {
-		if m.VM == founder {
-			return m.Zone, true
-		}
+	if m, met := d.member(founder); met {
+		return m.Zone, true
 	}
 	for _, listed := range d.list.Last().VMs {
 		if listed.ID == founder {
--- a/internal/node/cadirectory/format.go
+++ b/internal/node/cadirectory/format.go
@@ -1,11 +1,8 @@
 package cadirectory
 
 import (
-	"slices"
-
 	"celeryarch.example/celeryarch/internal/base/caversion"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/coord/camember"
 )
 
 // Format returns the newest format, up to that read here, that every entry which may run
@@ -17,14 +14,12 @@
 	if d.list.Last().At.IsZero() {
 		return caversion.FormatUnnumbered, nil
 	}
-	members := d.all()
 	format := d.reads
 	var holding []cawork.VMID
 	for _, vm := range d.RunningEntries() {
 		reads := caversion.FormatUnnumbered
-		at := slices.IndexFunc(members, func(m camember.Member) bool { return m.VM == vm })
-		if at >= 0 && members[at].Format > 0 {
-			reads = members[at].Format
+		if m, met := d.member(vm); met && m.Format > 0 {
+			reads = m.Format
 		}
 		if reads < d.reads {
 			holding = append(holding, vm)
--- a/internal/node/cadirectory/running_test.go
+++ b/internal/node/cadirectory/running_test.go
@@ -25,6 +25,15 @@
 	return c.members
 }
 
+func (c *countedMembers) Member(vm cawork.VMID) (camember.Member, bool) {
+	for _, m := range c.members {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	return camember.Member{}, false
+}
+
 type fixedList calist.Snapshot
 
 func (f fixedList) Last() calist.Snapshot { return calist.Snapshot(f) }
