Less around foreign starts and records of a later format

Cause: the scheduler ignores that a foreign task has started, so that the check before telling it so guarded nothing, and endForeign tests itself whether a task has ended; noteLater looked into the error chain as caversion.Later does. Change: both go.

--- a/internal/node/caarchive/later.go
+++ b/internal/node/caarchive/later.go
@@ -1,7 +1,6 @@
 package caarchive
 
 import (
-	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -60,8 +59,8 @@
 // noteLater notes a shard, empty for all, that was not taken because the error
 // is of a format that only later programs read. Other errors are not noted.
 func (p *Part) noteLater(s cawork.ShardID, err error) {
-	var later *caversion.LaterError
-	if !errors.As(err, &later) {
+	later, ok := caversion.Later(err)
+	if !ok {
 		return
 	}
 	if s == "" {
--- a/internal/node/calaunch/lend.go
+++ b/internal/node/calaunch/lend.go
@@ -121,11 +121,6 @@
 		return
 	}
 	l.table.Update(t.upstream, []caplatform.TaskStatus{status})
-	if status.State.Ended() {
-		l.endForeign(t.start.Task, t.start.Attempt, status)
-		return
-	}
-	if l.foreign[t.start.Task].id == t.start.Attempt {
-		l.Scheduler.Started(t.start.Task, l.now())
-	}
+	// A task that has not ended stays as it was placed.
+	l.endForeign(t.start.Task, t.start.Attempt, status)
 }
