--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -20,6 +20,7 @@
 	EntryStopped       Number = 102
 	PartFailed         Number = 103
 	StandinStarted     Number = 104
+	LinesDropped       Number = 105
 	ConfigApplied      Number = 200
 	ConfigRefused      Number = 201
 	ConfigConflict     Number = 202
@@ -44,6 +45,9 @@
 	JobHandedOver      Number = 409
 	InvariantBroken    Number = 410
 	TaskLapsed         Number = 411
+	StepApproved       Number = 412
+	UpstreamReached    Number = 413
+	AdvisorUnavailable Number = 414
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_started"
-	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_started"
+	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_dropped"
+	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_dropped"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_force"
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_force"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsed"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsed"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailable"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailable"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -29,11 +29,11 @@
 )
 
 var (
-	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66}
+	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87}
+	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -42,7 +42,7 @@
 
 func (i Number) String() string {
 	switch {
-	case 100 <= i && i <= 104:
+	case 100 <= i && i <= 105:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 411:
+	case 405 <= i && i <= 414:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 505:
@@ -83,6 +83,7 @@
 	_ = x[EntryStopped-(102)]
 	_ = x[PartFailed-(103)]
 	_ = x[StandinStarted-(104)]
+	_ = x[LinesDropped-(105)]
 	_ = x[ConfigApplied-(200)]
 	_ = x[ConfigRefused-(201)]
 	_ = x[ConfigConflict-(202)]
@@ -107,6 +108,9 @@
 	_ = x[JobHandedOver-(409)]
 	_ = x[InvariantBroken-(410)]
 	_ = x[TaskLapsed-(411)]
+	_ = x[StepApproved-(412)]
+	_ = x[UpstreamReached-(413)]
+	_ = x[AdvisorUnavailable-(414)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -126,7 +130,7 @@
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -134,6 +138,7 @@
 	_NumberName_0[27:40]:   EntryStopped,
 	_NumberName_0[40:51]:   PartFailed,
 	_NumberName_0[51:66]:   StandinStarted,
+	_NumberName_0[66:79]:   LinesDropped,
 	_NumberName_1[0:14]:    ConfigApplied,
 	_NumberName_1[14:28]:   ConfigRefused,
 	_NumberName_1[28:43]:   ConfigConflict,
@@ -158,6 +163,9 @@
 	_NumberName_4[45:60]:   JobHandedOver,
 	_NumberName_4[60:76]:   InvariantBroken,
 	_NumberName_4[76:87]:   TaskLapsed,
+	_NumberName_4[87:100]:  StepApproved,
+	_NumberName_4[100:116]: UpstreamReached,
+	_NumberName_4[116:135]: AdvisorUnavailable,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -183,6 +191,7 @@
 	_NumberLowerName_0[27:40]:   EntryStopped,
 	_NumberLowerName_0[40:51]:   PartFailed,
 	_NumberLowerName_0[51:66]:   StandinStarted,
+	_NumberLowerName_0[66:79]:   LinesDropped,
 	_NumberLowerName_1[0:14]:    ConfigApplied,
 	_NumberLowerName_1[14:28]:   ConfigRefused,
 	_NumberLowerName_1[28:43]:   ConfigConflict,
@@ -207,6 +216,9 @@
 	_NumberLowerName_4[45:60]:   JobHandedOver,
 	_NumberLowerName_4[60:76]:   InvariantBroken,
 	_NumberLowerName_4[76:87]:   TaskLapsed,
+	_NumberLowerName_4[87:100]:  StepApproved,
+	_NumberLowerName_4[100:116]: UpstreamReached,
+	_NumberLowerName_4[116:135]: AdvisorUnavailable,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -232,6 +244,7 @@
 	_NumberName_0[27:40],
 	_NumberName_0[40:51],
 	_NumberName_0[51:66],
+	_NumberName_0[66:79],
 	_NumberName_1[0:14],
 	_NumberName_1[14:28],
 	_NumberName_1[28:43],
@@ -256,6 +269,9 @@
 	_NumberName_4[45:60],
 	_NumberName_4[60:76],
 	_NumberName_4[76:87],
+	_NumberName_4[87:100],
+	_NumberName_4[100:116],
+	_NumberName_4[116:135],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- /dev/null
+++ b/internal/cell/caboard/ask.go
@@ -0,0 +1,241 @@
+package caboard
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// approvalsInObjective is the number of upstreams in the question to the
+// advisor that the objective of a step allows for.
+const approvalsInObjective = 30
+
+// approvals are the answers of the advisor about one step. An answer holds for
+// the life of the upstream; only tickets expire.
+type approvals struct {
+	asked   map[cawork.UpstreamID]int64
+	tickets map[cawork.UpstreamID]ticket
+	asking  bool
+	askedAt time.Time
+}
+
+type ticket struct {
+	born    int64
+	value   string
+	expires time.Time
+}
+
+func newApprovals() approvals {
+	return approvals{asked: make(map[cawork.UpstreamID]int64), tickets: make(map[cawork.UpstreamID]ticket)}
+}
+
+// expire marks the ticket for an upstream as no longer valid.
+func (a *approvals) expire(id cawork.UpstreamID) {
+	if t, ok := a.tickets[id]; ok {
+		t.expires = time.Time{}
+		a.tickets[id] = t
+	}
+}
+
+// approved reports whether the upstream may run the step in this life.
+func (a *approvals) approved(u *upstream) bool {
+	t, ok := a.tickets[u.info.ID]
+	return ok && t.born == u.info.Born
+}
+
+// valid returns the ticket for the upstream if it holds long enough.
+func (a *approvals) valid(u *upstream, now time.Time) (string, bool) {
+	t, ok := a.tickets[u.info.ID]
+	if !ok || t.born != u.info.Born || now.Add(ticketMargin).After(t.expires) {
+		return "", false
+	}
+	return t.value, true
+}
+
+// asks returns the questions to the advisor that are due.
+func (b *Board) asks() []Ask {
+	var asks []Ask
+	for _, s := range b.steps {
+		q, ok := b.queueOf(s.job)
+		if !ok || q.Approval == nil || s.waiting == 0 || s.approval.asking || b.isHopeless(s.job) {
+			continue
+		}
+		if !s.ready && !b.readySoon(s, q) {
+			continue
+		}
+		if ask, ok := b.ask(s, q); ok {
+			asks = append(asks, ask)
+		}
+	}
+	return asks
+}
+
+// isHopeless reports whether a job is so late that its result is of no use.
+func (b *Board) isHopeless(j *job) bool {
+	return j.objective > 0 && !j.Submission.Schedule.IsTimed() && b.age(j) > worthlessAfter*j.objective+hopelessGrace
+}
+
+// hopelessGrace delays questions about jobs that are late beyond use.
+const hopelessGrace = 2 * time.Second
+
+// readySoon reports whether the earlier steps are expected to end by the time
+// the advisor has answered.
+func (b *Board) readySoon(s *step, q caspec.Queue) bool {
+	lead := q.Approval.Cost(approvalsInObjective)
+	for _, earlier := range s.job.steps {
+		if earlier.occurrence != s.occurrence || !slices.Contains(s.spec.After, earlier.number) {
+			continue
+		}
+		if earlier.waiting > 0 || !earlier.ready {
+			return false
+		}
+		for _, r := range b.runsOf(earlier) {
+			if r.at.Add(earlier.spec.Estimate).After(b.now.Steady.Add(lead)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// ask returns the next question about a step, if one is worth its cost.
+func (b *Board) ask(s *step, q caspec.Queue) (Ask, bool) {
+	now := b.now.Steady
+	a := &s.approval
+	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < askAgain {
+		return Ask{}, false
+	}
+	ids := b.renewals(s, q)
+	if len(ids) == 0 {
+		ids = b.candidates(s, q)
+	}
+	if len(ids) == 0 {
+		return Ask{}, false
+	}
+	a.asking = true
+	a.askedAt = now
+	b.counts.Asked++
+	return Ask{
+		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number,
+		Upstreams: ids, Cost: q.Approval.Cost(len(ids)),
+	}, true
+}
+
+// renewals returns approved upstreams whose tickets ran out, when they alone
+// have room for what waits.
+func (b *Board) renewals(s *step, q caspec.Queue) []cawork.UpstreamID {
+	var expired []*upstream
+	room := 0
+	for id := range s.approval.tickets {
+		u, ok := b.upstreams[id]
+		if !ok || !s.approval.approved(u) || !u.accepts(b.now.Steady) || u.info.Pool != q.Pool {
+			continue
+		}
+		if _, valid := s.approval.valid(u, b.now.Steady); valid {
+			return nil
+		}
+		if n := places(u.free(), s.spec); n > 0 {
+			room += n
+			expired = append(expired, u)
+		}
+	}
+	if room == 0 || s.spec.Gang && room < s.spec.Tasks {
+		return nil
+	}
+	return b.roomiest(expired, askedMost)
+}
+
+// candidates returns upstreams that were not asked about yet.
+func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
+	var open []*upstream
+	first := len(s.approval.asked) == 0
+	for _, u := range b.upstreams {
+		if !u.accepts(b.now.Steady) || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) {
+			continue
+		}
+		if born, asked := s.approval.asked[u.info.ID]; asked && born == u.info.Born {
+			continue
+		}
+		if places(u.info.Capacity, s.spec) == 0 || !first && places(u.free(), s.spec) == 0 {
+			continue
+		}
+		open = append(open, u)
+	}
+	return b.roomiest(open, askCount(s, b.statsOf(q.Name).approvedShare))
+}
+
+// askCount returns how many upstreams to ask about for what waits of a step,
+// when each is approved with the probability.
+func askCount(s *step, approvedShare float64) int {
+	perUpstream := max(places(typicalFree, s.spec), 1)
+	need := float64(s.waiting)/float64(perUpstream) + 1
+	n := int(math.Ceil(need * askedSpare / max(approvedShare, 0.1)))
+	return min(max(n, askedLeast), askedMost)
+}
+
+// typicalFree is the room that an upstream of a busy cell is taken to have.
+var typicalFree = cawork.Resources{CPU: cawork.Cores(5), Memory: 12 * cawork.GiB, Accelerators: 1}
+
+// roomiest returns the upstreams with the most free processors, at most n.
+func (b *Board) roomiest(list []*upstream, n int) []cawork.UpstreamID {
+	order := b.random.Perm(len(list))
+	shuffled := make([]*upstream, len(list))
+	for i, at := range order {
+		shuffled[i] = list[at]
+	}
+	slices.SortStableFunc(shuffled, func(x, y *upstream) int { return cmp.Compare(y.free().CPU, x.free().CPU) })
+	ids := make([]cawork.UpstreamID, 0, n)
+	for _, u := range shuffled[:min(n, len(shuffled))] {
+		ids = append(ids, u.info.ID)
+	}
+	return ids
+}
+
+// Advised takes up the answer of the advisor. A failed question has no answer
+// and is asked again.
+func (b *Board) Advised(ask Ask, approved []Approval, answered bool) {
+	j, ok := b.jobs[ask.Job]
+	if !ok {
+		return
+	}
+	for _, s := range j.steps {
+		if s.occurrence.Number != ask.Occurrence || s.number != ask.Step {
+			continue
+		}
+		s.approval.asking = false
+		if answered {
+			b.noteApprovals(s, ask, approved)
+		}
+	}
+	b.resume = true
+}
+
+func (b *Board) noteApprovals(s *step, ask Ask, approved []Approval) {
+	q, ok := b.queueOf(s.job)
+	if !ok || q.Approval == nil {
+		return
+	}
+	for _, id := range ask.Upstreams {
+		if u, ok := b.upstreams[id]; ok {
+			s.approval.asked[id] = u.info.Born
+		}
+	}
+	expires := b.now.Steady.Add(q.Approval.Validity)
+	for _, a := range approved {
+		if u, ok := b.upstreams[a.Upstream]; ok {
+			s.approval.tickets[a.Upstream] = ticket{born: u.info.Born, value: a.Ticket, expires: expires}
+		}
+	}
+	b.counts.Approved += int64(len(approved))
+	stats := b.statsOf(q.Name)
+	share := float64(len(approved)) / float64(len(ask.Upstreams))
+	stats.approvedShare += approvedShareWeight * (share - stats.approvedShare)
+	caevent.Info(b.log, caevent.StepApproved).Str("job", string(ask.Job)).Int("step", ask.Step).
+		Int("asked", len(ask.Upstreams)).Int("approved", len(approved)).
+		Dur("took", b.now.Steady.Sub(s.approval.askedAt)).Send()
+}
--- /dev/null
+++ b/internal/cell/caboard/constants.go
@@ -0,0 +1,68 @@
+package caboard
+
+import "time"
+
+const (
+	// LeaseLength is how long an upstream keeps its runs without a renewal. It
+	// outlasts the cut of a zone for a few seconds and a change of the leader.
+	LeaseLength = 6500 * time.Millisecond
+	// clockDrift is by how much a steady clock of an upstream may be slow.
+	clockDrift = 1.021
+	// leaseSlack covers the rounding of leases and the time to end runs.
+	leaseSlack = 300 * time.Millisecond
+	// reportAge is the age of a report beyond which an upstream gets no work.
+	reportAge = 2200 * time.Millisecond
+	// restAfterRefusal keeps new work from an upstream that turned some away.
+	restAfterRefusal = 500 * time.Millisecond
+	// stopRetry is the time between two calls to stop the same run.
+	stopRetry = 400 * time.Millisecond
+	// historyKept is how long the phase of an ended job can be asked for.
+	historyKept = 140 * time.Second
+
+	// restoredAgeMost bounds the age that a job is given by the time of day,
+	// which may be wrong.
+	restoredAgeMost = 5 * time.Second
+
+	// healthFade halves what is known of how runs ended.
+	healthFade = 4 * time.Second
+	// ejectFailures is the least count of failures that ejects an upstream.
+	ejectFailures = 3
+	// ejectShare is the least fraction of failures that ejects an upstream.
+	ejectShare = 0.5
+	// ejectAgainstPeers is how many times the fraction of all it must be.
+	ejectAgainstPeers = 3
+	// ejectRest and ejectRestMost bound how long an ejected upstream rests.
+	ejectRest     = 1500 * time.Millisecond
+	ejectRestMost = 6 * time.Second
+	// ejectedMost is the largest fraction of upstreams that may be ejected.
+	ejectedMost = 0.3
+
+	// ticketMargin is kept free before the end of a ticket for the start call.
+	ticketMargin = 150 * time.Millisecond
+	// askedMost bounds the upstreams in one question to the advisor.
+	askedMost = 36
+	// askedLeast is the smallest number of upstreams worth a question.
+	askedLeast = 4
+	// askedSpare is how many more upstreams are wanted than a step needs.
+	askedSpare = 1.5
+	// askAgain is the wait before more upstreams are asked about for a step.
+	askAgain = 150 * time.Millisecond
+	// approvedShareAtFirst is assumed until a queue has answers.
+	approvedShareAtFirst = 0.5
+	// approvedShareWeight is the weight of one answer in the running mean.
+	approvedShareWeight = 0.1
+	// advisorBacklogMost is the queue at the advisor beyond which further
+	// questions about the same step wait.
+	advisorBacklogMost = 700 * time.Millisecond
+
+	// worthlessAfter is the multiple of its objective after which a job is
+	// placed behind all others.
+	worthlessAfter = 3
+	// blockedGangs is how many gangs may hold room back at the same time.
+	blockedGangs = 3
+	// rackPatience is the fraction of its run time for which a step waits for
+	// room in the rack that it runs fastest in.
+	rackPatience = 1.0
+	// teamBurst is how many seconds of its rate a team may submit at once.
+	teamBurst = 2.0
+)
--- /dev/null
+++ b/internal/cell/caboard/plan.go
@@ -0,0 +1,349 @@
+package caboard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// Plan assigns waiting tasks to upstreams, and returns the orders that are due
+// at once. Assignments are part of the next batch.
+func (b *Board) Plan() Orders {
+	b.resume = false
+	b.pruneSteps()
+	b.orderSteps()
+	for _, u := range b.upstreams {
+		u.reservedBy = nil
+	}
+	blocked := 0
+	for _, s := range b.steps {
+		if s.waiting == 0 || !s.ready {
+			continue
+		}
+		if s.spec.Gang {
+			if !b.placeGang(s) && blocked < blockedGangs && !b.isHopeless(s.job) {
+				blocked++
+				b.reserve(s)
+			}
+			continue
+		}
+		b.placeTasks(s)
+	}
+	return Orders{Stops: b.stops(), Asks: b.asks()}
+}
+
+// pruneSteps drops steps that have ended.
+func (b *Board) pruneSteps() {
+	kept := b.steps[:0]
+	for _, s := range b.steps {
+		if s.job.Phase.IsFinal() || s.waiting == 0 && s.state().IsDone() {
+			continue
+		}
+		kept = append(kept, s)
+	}
+	clear(b.steps[len(kept):])
+	b.steps = kept
+}
+
+// orderSteps puts first what is to be placed first.
+func (b *Board) orderSteps() {
+	slices.SortStableFunc(b.steps, func(x, y *step) int {
+		return cmp.Or(
+			cmp.Compare(b.lateness(x.job), b.lateness(y.job)),
+			cmp.Compare(x.job.priority, y.job.priority),
+			compareBool(x.job.Excess, y.job.Excess),
+			x.job.accepted.Compare(y.job.accepted),
+			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
+			cmp.Compare(x.number, y.number),
+		)
+	})
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// lateness ranks jobs by what their result is still worth: in time, late, and
+// of no use any more.
+func (b *Board) lateness(j *job) int {
+	if j.objective == 0 || j.Submission.Schedule.IsTimed() || len(j.steps) == 0 || j.steps[0].spec.LongRunning {
+		return 0
+	}
+	age := b.age(j)
+	switch {
+	case age > worthlessAfter*j.objective:
+		return 2
+	case age > j.objective:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// placeTasks assigns the waiting tasks of a step one by one.
+func (b *Board) placeTasks(s *step) {
+	q, ok := b.queueOf(s.job)
+	if !ok {
+		return
+	}
+	tasks := s.state().Tasks
+	for i := range tasks {
+		if tasks[i].Phase != castate.TaskWaiting {
+			continue
+		}
+		u, pass := b.bestFor(s, q)
+		if u == nil {
+			return
+		}
+		b.assign(s, i, tasks[i].Run+1, u, pass)
+	}
+}
+
+// bestFor returns the upstream for one more task of the step, with its ticket.
+// Of those that have room, it is the one with the least left, so that others
+// keep room for large tasks.
+func (b *Board) bestFor(s *step, q caspec.Queue) (*upstream, string) {
+	size := s.spec.Size()
+	if !b.withinLimit(s.job.Submission.Team, size) {
+		return nil, ""
+	}
+	var best *upstream
+	var bestPass string
+	var bestLeft cawork.MilliCPU
+	for _, u := range b.upstreams {
+		if !size.Fits(u.free()) || u.reservedBy != nil && u.reservedBy != s {
+			continue
+		}
+		pass, ok := b.mayRun(s, q, u)
+		if !ok || !b.rackSuits(s, u) {
+			continue
+		}
+		left := u.free().CPU
+		if best == nil || left < bestLeft || left == bestLeft && u.info.ID < best.info.ID {
+			best, bestPass, bestLeft = u, pass, left
+		}
+	}
+	return best, bestPass
+}
+
+// mayRun reports whether an upstream may run one more task of the step, with
+// the ticket that permits it.
+func (b *Board) mayRun(s *step, q caspec.Queue, u *upstream) (string, bool) {
+	if u.info.Pool != q.Pool || !u.accepts(b.now.Steady) || !u.info.HasLabel(s.spec.Label) {
+		return "", false
+	}
+	if s.spec.MaxPerUpstream > 0 && u.count(s) >= s.spec.MaxPerUpstream {
+		return "", false
+	}
+	if q.Approval == nil {
+		return "", true
+	}
+	return s.approval.valid(u, b.now.Steady)
+}
+
+// count returns the runs of the step at the upstream.
+func (u *upstream) count(s *step) int {
+	n := 0
+	for _, r := range u.runs {
+		if r.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// rackSuits reports whether the step may use an upstream although its data is
+// in another rack.
+func (b *Board) rackSuits(s *step, u *upstream) bool {
+	return s.spec.Rack == "" || u.info.HasLabel(s.spec.Rack) || b.outOfPatience(s)
+}
+
+func (b *Board) outOfPatience(s *step) bool {
+	return b.now.Steady.Sub(s.readyAt) > time.Duration(rackPatience*float64(s.spec.Estimate))
+}
+
+// assign orders a run of a task at an upstream.
+func (b *Board) assign(s *step, index, number int, u *upstream, pass string) {
+	t := &s.state().Tasks[index]
+	t.Phase = castate.TaskAssigned
+	t.Run = number
+	t.Upstream, t.Born = u.info.ID, u.info.Born
+	s.waiting--
+	r := b.newRun(s, index, u)
+	r.ticket = pass
+	b.charge(r)
+	if !s.job.Began {
+		s.job.Began = true
+		if s.job.Phase == castate.PhaseQueued {
+			s.job.Phase = castate.PhaseRunning
+		}
+	}
+	b.touch(s.job)
+	b.starts = append(b.starts, r)
+}
+
+// spot is a place for one member of a gang.
+type spot struct {
+	up   *upstream
+	pass string
+}
+
+// placeGang assigns all tasks of a gang at once. It reports whether the gang
+// is placed or does not wait for room.
+func (b *Board) placeGang(s *step) bool {
+	q, ok := b.queueOf(s.job)
+	if !ok || s.runs > 0 || s.waiting < s.spec.Tasks {
+		return true
+	}
+	whole := s.spec.Size().Times(int64(s.spec.Tasks))
+	if !b.withinLimit(s.job.Submission.Team, whole) {
+		return true
+	}
+	spots := b.gangSpots(s, q)
+	if spots == nil {
+		return false
+	}
+	number := nextRun(s.state())
+	checkpoint := newestCheckpoint(s.state())
+	for i, at := range spots {
+		s.state().Tasks[i].Checkpoint = checkpoint
+		b.assign(s, i, number, at.up, at.pass)
+	}
+	return true
+}
+
+// nextRun returns a number above those of all members.
+func nextRun(s *castate.StepState) int {
+	last := 0
+	for i := range s.Tasks {
+		last = max(last, s.Tasks[i].Run)
+	}
+	return last + 1
+}
+
+// newestCheckpoint returns the one that all members resume from.
+func newestCheckpoint(s *castate.StepState) string {
+	newest := ""
+	for i := range s.Tasks {
+		newest = max(newest, s.Tasks[i].Checkpoint)
+	}
+	return newest
+}
+
+// gangSpots returns a place for each member, or nil. Members that are slow
+// across racks get one rack while they have patience.
+func (b *Board) gangSpots(s *step, q caspec.Queue) []spot {
+	usable := b.gangUpstreams(s, q)
+	if s.spec.SameRack {
+		for _, members := range byRack(usable) {
+			if spots := fill(s, members); spots != nil {
+				return spots
+			}
+		}
+		if !b.outOfPatience(s) {
+			return nil
+		}
+	}
+	return fill(s, usable)
+}
+
+type usableUpstream struct {
+	spot
+	room int
+}
+
+func (b *Board) gangUpstreams(s *step, q caspec.Queue) []usableUpstream {
+	var usable []usableUpstream
+	for _, u := range b.upstreams {
+		if u.reservedBy != nil && u.reservedBy != s {
+			continue
+		}
+		pass, ok := b.mayRun(s, q, u)
+		if !ok || !b.rackSuits(s, u) {
+			continue
+		}
+		if n := places(u.free(), s.spec); n > 0 {
+			usable = append(usable, usableUpstream{spot: spot{up: u, pass: pass}, room: n})
+		}
+	}
+	slices.SortFunc(usable, func(x, y usableUpstream) int {
+		return cmp.Or(cmp.Compare(x.up.free().CPU, y.up.free().CPU), cmp.Compare(x.up.info.ID, y.up.info.ID))
+	})
+	return usable
+}
+
+// fill returns a place for each member on the upstreams, in their order.
+func fill(s *step, usable []usableUpstream) []spot {
+	spots := make([]spot, 0, s.spec.Tasks)
+	for _, u := range usable {
+		for range u.room {
+			if len(spots) == s.spec.Tasks {
+				return spots
+			}
+			spots = append(spots, u.spot)
+		}
+	}
+	if len(spots) < s.spec.Tasks {
+		return nil
+	}
+	return spots
+}
+
+// byRack groups upstreams by their labels, the first rack that suffices first.
+func byRack(usable []usableUpstream) [][]usableUpstream {
+	groups := make(map[string][]usableUpstream)
+	for _, u := range usable {
+		for _, label := range u.up.info.Labels {
+			groups[label] = append(groups[label], u)
+		}
+	}
+	names := make([]string, 0, len(groups))
+	for name := range groups {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	list := make([][]usableUpstream, 0, len(names))
+	for _, name := range names {
+		list = append(list, groups[name])
+	}
+	return list
+}
+
+// reserve holds back the upstreams that will have room for a gang first, so
+// that lesser work does not take it bit by bit.
+func (b *Board) reserve(s *step) {
+	q, ok := b.queueOf(s.job)
+	if !ok {
+		return
+	}
+	var usable []*upstream
+	for _, u := range b.upstreams {
+		approved := q.Approval == nil || s.approval.approved(u)
+		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.accepts(b.now.Steady) &&
+			u.info.HasLabel(s.spec.Label) {
+			usable = append(usable, u)
+		}
+	}
+	slices.SortFunc(usable, func(x, y *upstream) int {
+		return cmp.Or(cmp.Compare(y.free().CPU, x.free().CPU), cmp.Compare(x.info.ID, y.info.ID))
+	})
+	held := 0
+	for _, u := range usable {
+		if held >= s.spec.Tasks {
+			return
+		}
+		u.reservedBy = s
+		held += places(u.info.Capacity, s.spec)
+	}
+}
--- /dev/null
+++ b/internal/cell/caboard/report.go
@@ -0,0 +1,475 @@
+package caboard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// SetUpstreams puts a reading of the platform's list in force.
+func (b *Board) SetUpstreams(list []caspec.Upstream) {
+	for _, u := range b.upstreams {
+		u.listed = false
+	}
+	for _, info := range list {
+		b.list(info)
+	}
+	for id, u := range b.upstreams {
+		if !u.listed && len(u.runs) == 0 {
+			delete(b.upstreams, id)
+		}
+	}
+}
+
+// list takes up the description of one upstream. A later incarnation runs
+// nothing of what an earlier one ran.
+func (b *Board) list(info caspec.Upstream) {
+	u, ok := b.upstreams[info.ID]
+	if !ok {
+		u = newUpstream(info)
+		b.upstreams[info.ID] = u
+		b.resume = true
+		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
+			Stringer("capacity", info.Capacity).Int64("born", info.Born).Send()
+	}
+	switch {
+	case info.Born > u.info.Born:
+		b.reborn(u, info.Born)
+	case info.Born < u.info.Born:
+		info.Born = u.info.Born
+	}
+	u.listed = true
+	if info.Draining != u.info.Draining || u.info.Capacity != info.Capacity {
+		b.resume = true
+	}
+	u.info = info
+}
+
+// reborn forgets what was known of an earlier incarnation.
+func (b *Board) reborn(u *upstream, born int64) {
+	known := u.info.Born != 0
+	u.info.Born = born
+	u.clockAt, u.clockMS = time.Time{}, 0
+	u.reportedAt = time.Time{}
+	u.fenced = false
+	u.noted, u.lastSeen = 0, 0
+	delete(b.seen, u)
+	u.sick = health{}
+	if !known {
+		return
+	}
+	for _, r := range u.runs {
+		if r.task().Born != born || !r.isCurrent() {
+			b.lose(r, "upstream started anew")
+		}
+	}
+}
+
+// lose ends a run that vanished without a word.
+func (b *Board) lose(r *run, cause string) {
+	b.counts.Lost++
+	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
+		Int("run", r.id.Number).Str("upstream", string(r.up.info.ID)).Str("cause", cause).
+		Dur("since_report", b.now.Steady.Sub(r.up.reportedAt)).Bool("confirmed", r.confirmed).Send()
+	b.breakGang(r)
+	b.gone(r)
+}
+
+// breakGang stops the other members of a gang whose run can not go on.
+func (b *Board) breakGang(r *run) {
+	if !r.step.spec.Gang || !r.isCurrent() {
+		return
+	}
+	for _, other := range b.runsOf(r.step) {
+		if other != r && other.id.Number == r.id.Number {
+			b.stop(other)
+		}
+	}
+}
+
+func (b *Board) runsOf(s *step) []*run {
+	var runs []*run
+	for i := range s.state().Tasks {
+		t := &s.state().Tasks[i]
+		u, ok := b.upstreams[t.Upstream]
+		if !ok {
+			continue
+		}
+		id := RunID{
+			Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: i, Number: t.Run,
+		}
+		if r, ok := u.runs[id]; ok {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// Observe applies a report of an upstream.
+func (b *Board) Observe(report Report) {
+	u, ok := b.upstreams[report.Upstream]
+	if !ok || report.Born < u.info.Born {
+		return
+	}
+	if report.Born > u.info.Born {
+		b.reborn(u, report.Born)
+	}
+	u.fenced = true
+	b.readClock(u, report.ClockMS, report.ReceivedAt)
+	if report.SentAt.After(u.reportedAt) {
+		u.reportedAt = report.SentAt
+	}
+	b.noteRunning(u, report)
+	for _, row := range report.Ended {
+		if row.Number > u.noted {
+			u.noted = row.Number
+			b.seen[u] = row.Number
+			b.noteEnded(u, row, report.ReceivedAt)
+		}
+	}
+	b.noteAbsent(u, report)
+	b.resume = true
+}
+
+// readClock keeps the reading that puts the clock furthest back, since answers
+// arrive late by different amounts.
+func (b *Board) readClock(u *upstream, clockMS int64, at time.Time) {
+	if clockMS == 0 {
+		return
+	}
+	u.clockMS, u.clockAt = clockMS, at
+}
+
+func (b *Board) noteRunning(u *upstream, report Report) {
+	for _, row := range report.Running {
+		r, ok := u.runs[row.Run]
+		if !ok {
+			b.noteForeign(u, row)
+			continue
+		}
+		r.confirmed = true
+		r.percent, r.load = row.Percent, row.Load
+		if t := r.task(); r.isCurrent() && row.Checkpoint != "" {
+			t.Checkpoint = row.Checkpoint
+		}
+	}
+}
+
+// noteForeign stops a run that the board does not stand on, such as one that a
+// late order of an earlier leader started.
+func (b *Board) noteForeign(u *upstream, row RunningRow) {
+	r := &run{id: row.Run, up: u, confirmed: true, stopping: true, sent: true, durable: true}
+	j, ok := b.jobs[row.Run.Job]
+	if !ok || len(j.steps) == 0 {
+		r.step = orphanStep(row.Run)
+	} else {
+		r.step = b.stepOf(j, row.Run)
+		r.size = r.step.spec.Size()
+		r.team = j.Submission.Team
+	}
+	caevent.Warn(b.log, caevent.TaskAdopted).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
+		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
+		Bool("job_known", ok).Str("cause", "not assigned, will be stopped").Send()
+	b.charge(r)
+}
+
+// orphanStep stands in for the step of a run whose job is not known.
+func orphanStep(id RunID) *step {
+	state := castate.Job{Phase: castate.PhaseCanceled}
+	state.Submission.ID = id.Job
+	steps := make([]castate.StepState, id.Step+1)
+	steps[id.Step].Tasks = make([]castate.Task, id.Index+1)
+	o := &castate.Occurrence{Number: id.Occurrence, Steps: steps}
+	return &step{job: &job{Job: &state}, occurrence: o, number: id.Step}
+}
+
+func (b *Board) stepOf(j *job, id RunID) *step {
+	for _, s := range j.steps {
+		if s.occurrence.Number == id.Occurrence && s.number == id.Step && id.Index < len(s.state().Tasks) {
+			return s
+		}
+	}
+	return orphanStep(id)
+}
+
+// noteEnded applies the end of one run.
+func (b *Board) noteEnded(u *upstream, row EndedRow, at time.Time) {
+	r, ok := u.runs[row.Run]
+	if !ok {
+		return
+	}
+	caevent.Info(b.log, caevent.TaskEnded).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
+		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
+		Str("ending", row.Ending.String()).Int64("number", row.Number).Dur("after", at.Sub(r.at)).Send()
+	if !r.isCurrent() {
+		b.gone(r)
+		return
+	}
+	b.noteHealth(u, row.Ending)
+	if row.Checkpoint != "" {
+		r.task().Checkpoint = row.Checkpoint
+	}
+	switch row.Ending {
+	case EndingDone:
+		b.noteDone(r)
+	case EndingFailed:
+		b.noteFailed(r)
+	default:
+		b.breakGang(r)
+	}
+	b.gone(r)
+	b.touch(r.step.job)
+}
+
+func (b *Board) noteHealth(u *upstream, e Ending) {
+	if e != EndingDone && e != EndingFailed {
+		return
+	}
+	failed := e == EndingFailed
+	u.sick.note(b.now.Steady, failed)
+	b.all.note(b.now.Steady, failed)
+	if failed && u.sick.isSick(b.all) && b.mayEject() {
+		u.sick.eject(b.now.Steady)
+		caevent.Warn(b.log, caevent.UpstreamEjected).Str("upstream", string(u.info.ID)).
+			Float64("failed_of_all", b.all.share()).Time("until", u.sick.outUntil).Send()
+	}
+}
+
+// mayEject reports whether one more upstream may be ejected.
+func (b *Board) mayEject() bool {
+	out, listed := 0, 0
+	for _, u := range b.upstreams {
+		if !u.listed {
+			continue
+		}
+		listed++
+		if u.sick.isOut(b.now.Steady) {
+			out++
+		}
+	}
+	return float64(out+1) <= ejectedMost*float64(listed)
+}
+
+// noteDone ends a task, and with the last one its step and its job. A gang
+// ends as a whole.
+func (b *Board) noteDone(r *run) {
+	s := r.step
+	if s.spec.LongRunning {
+		return
+	}
+	b.counts.Done++
+	r.task().Phase = castate.TaskDone
+	if s.spec.Gang {
+		for i := range s.state().Tasks {
+			s.state().Tasks[i].Phase = castate.TaskDone
+		}
+		s.waiting = 0
+	}
+	if !s.state().IsDone() || s.job.Phase.IsFinal() {
+		return
+	}
+	b.readySteps(s)
+	if s.job.CloseDone(s.occurrence, b.now.WallMS) {
+		b.end(s.job, castate.PhaseCompleted)
+	}
+}
+
+// readySteps marks the steps of an occurrence whose earlier steps have ended.
+func (b *Board) readySteps(ended *step) {
+	for _, s := range ended.job.steps {
+		if s.occurrence != ended.occurrence || s.ready {
+			continue
+		}
+		if s.job.IsReady(s.occurrence, s.number) {
+			s.ready = true
+			s.readyAt = b.now.Steady
+		}
+	}
+}
+
+// noteFailed counts an attempt of a task or of its gang, and fails the job
+// when there are none left.
+func (b *Board) noteFailed(r *run) {
+	b.counts.Failed++
+	s, t := r.step, r.task()
+	failures := 0
+	if s.spec.Gang {
+		failures = noteGangFailure(s.state(), r.id.Number)
+	} else {
+		t.Failures++
+		failures = t.Failures
+	}
+	b.breakGang(r)
+	q, ok := b.queueOf(s.job)
+	if s.spec.LongRunning || !ok || q.MaxAttempts <= 0 || failures < q.MaxAttempts || s.job.Phase.IsFinal() {
+		return
+	}
+	b.end(s.job, castate.PhaseFailed)
+}
+
+func noteGangFailure(s *castate.StepState, number int) int {
+	if s.FailedRun != number {
+		s.FailedRun = number
+		s.GangFailures++
+	}
+	return s.GangFailures
+}
+
+// noteAbsent ends the runs that the upstream neither runs nor lists as ended,
+// where that proves that they are over.
+func (b *Board) noteAbsent(u *upstream, report Report) {
+	present := make(map[RunID]bool, len(report.Running))
+	for _, row := range report.Running {
+		present[row.Run] = true
+	}
+	for id, r := range u.runs {
+		if present[id] || !r.provedGone(report.SentAt) {
+			continue
+		}
+		b.lose(r, "the upstream does not know it")
+	}
+}
+
+// provedGone reports whether a report that was asked for at the time proves
+// that the run is over, when it does not show it.
+func (r *run) provedGone(asked time.Time) bool {
+	switch {
+	case !r.stopAcked.IsZero():
+		return asked.After(r.stopAcked)
+	case r.inherited:
+		return true
+	default:
+		return r.confirmed && asked.After(r.confirmedAt)
+	}
+}
+
+// Lapse ends what runs at upstreams whose leases are over, and forgets
+// upstreams that are gone.
+func (b *Board) Lapse() {
+	for id, u := range b.upstreams {
+		if len(u.runs) > 0 && b.now.Steady.After(u.leaseEnds) {
+			b.lapseRuns(u)
+		}
+		if !u.listed && len(u.runs) == 0 {
+			delete(b.upstreams, id)
+		}
+	}
+}
+
+func (b *Board) lapseRuns(u *upstream) {
+	for _, r := range u.runs {
+		if r.sent {
+			b.lose(r, "lease is over")
+		}
+	}
+}
+
+// Started tells what became of a start order.
+func (b *Board) Started(order StartOrder, outcome StartOutcome, clockMS int64) {
+	u, ok := b.upstreams[order.Upstream]
+	if !ok {
+		return
+	}
+	r, ok := u.runs[order.Run]
+	if !ok || u.info.Born != order.Born && outcome != StartMismatch {
+		return
+	}
+	b.readClock(u, clockMS, b.now.Steady)
+	caevent.Info(b.log, caevent.TaskPlaced).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
+		Int("run", r.id.Number).Str("upstream", string(u.info.ID)).Str("outcome", outcome.String()).
+		Dur("since_accepted", b.age(r.step.job)).Dur("since_ready", b.now.Steady.Sub(r.step.readyAt)).Send()
+	switch outcome {
+	case StartAccepted:
+		b.counts.Started++
+		r.confirmed = true
+		r.confirmedAt = b.now.Steady
+	case StartUnknown:
+		if !r.confirmed {
+			b.breakGang(r)
+			b.stop(r)
+		}
+	default:
+		b.refused(r, outcome)
+	}
+}
+
+// refused ends a run that its upstream turned away.
+func (b *Board) refused(r *run, outcome StartOutcome) {
+	u := r.up
+	switch outcome {
+	case StartNoTicket:
+		r.step.approval.expire(u.info.ID)
+	case StartUnhealthy, StartNoRoom, StartMismatch:
+		u.restUntil = b.now.Steady.Add(restAfterRefusal)
+	case StartLate:
+		u.clockAt = time.Time{}
+		u.restUntil = b.now.Steady.Add(restAfterRefusal)
+	}
+	b.breakGang(r)
+	b.gone(r)
+}
+
+// Stopped tells whether an upstream acknowledged a stop order.
+func (b *Board) Stopped(order StopOrder, acknowledged bool) {
+	u, ok := b.upstreams[order.Upstream]
+	if !ok {
+		return
+	}
+	r, ok := u.runs[order.Run]
+	if !ok {
+		return
+	}
+	r.stopCalling = false
+	r.stopTried = b.now.Steady
+	if acknowledged && u.info.Born == order.Born {
+		r.stopAcked = b.now.Steady
+	}
+	caevent.Info(b.log, caevent.TaskStopped).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
+		Int("run", r.id.Number).Str("upstream", string(u.info.ID)).Bool("acknowledged", acknowledged).Send()
+}
+
+// stops returns the stop orders that are due.
+func (b *Board) stops() []StopOrder {
+	var orders []StopOrder
+	for _, u := range b.upstreams {
+		for _, r := range u.runs {
+			if r.stopping && r.sent && r.stopAcked.IsZero() && !r.stopCalling && u.info.Address != "" &&
+				b.now.Steady.Sub(r.stopTried) >= stopRetry {
+				r.stopCalling = true
+				orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Born})
+			}
+		}
+	}
+	return orders
+}
+
+// Lease returns what the next call to an upstream carries, and notes that it
+// is sent.
+func (b *Board) Lease(id cawork.UpstreamID) (Lease, bool) {
+	u, ok := b.upstreams[id]
+	if !ok || u.info.Address == "" {
+		return Lease{}, false
+	}
+	l := Lease{
+		Upstream: id, Address: u.info.Address, Born: u.info.Born, LastSeen: u.lastSeen, Busy: len(u.runs) > 0,
+		UntilMS: u.untilMS(b.now.Steady, LeaseLength),
+	}
+	if l.UntilMS > 0 {
+		u.extend(b.now.Steady, LeaseLength)
+	}
+	return l, true
+}
+
+// UpstreamIDs returns the upstreams that are to be looked after.
+func (b *Board) UpstreamIDs() []cawork.UpstreamID {
+	ids := make([]cawork.UpstreamID, 0, len(b.upstreams))
+	for id, u := range b.upstreams {
+		if u.info.Address != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/cell/caboard/run.go
@@ -0,0 +1,107 @@
+package caboard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+//go:generate go tool enumer -type=Ending -trimprefix=Ending -transform=snake -output=ending_names.go
+//go:generate go tool enumer -type=StartOutcome -trimprefix=Start -transform=snake -output=startoutcome_names.go
+
+// RunID names one run of a task. The members of a gang share its number.
+type RunID struct {
+	Job        cawork.JobID
+	Occurrence int
+	Step       int
+	Index      int
+	Number     int
+}
+
+// Ending tells how a run ended.
+type Ending int
+
+// The endings of a run.
+const (
+	EndingDone Ending = iota
+	// EndingFailed counts as an attempt.
+	EndingFailed
+	EndingStopped
+	// EndingLapsed means that the lease of the upstream expired.
+	EndingLapsed
+	// EndingBroken means that another member of the gang ended.
+	EndingBroken
+	// EndingAlone means that the other members of the gang did not come.
+	EndingAlone
+)
+
+// StartOutcome is what became of the call that starts a run.
+type StartOutcome int
+
+// The outcomes of a start call.
+const (
+	StartAccepted StartOutcome = iota
+	// StartUnknown means that the call may take effect, now or later.
+	StartUnknown
+	// StartFenced means that the upstream obeys a later leader.
+	StartFenced
+	// StartOutdated means that the upstream knows a run that is not lower.
+	StartOutdated
+	// StartLate means that the lease in the call was over.
+	StartLate
+	// StartNoRoom means that the upstream has no room.
+	StartNoRoom
+	// StartNoTicket means that the ticket is not valid any more.
+	StartNoTicket
+	// StartMismatch means that another incarnation answered.
+	StartMismatch
+	// StartUnhealthy means that the upstream turned the call away.
+	StartUnhealthy
+	// StartInvalid means that the upstream can not make sense of the call.
+	StartInvalid
+)
+
+// run is a run that may be present at an upstream. Its room and the use of its
+// team stay charged until it is known to be gone.
+type run struct {
+	id   RunID
+	step *step
+	up   *upstream
+	team cawork.TeamName
+	size cawork.Resources
+	// at is when it was assigned.
+	at time.Time
+	// durable is set once the assignment is stored.
+	durable bool
+	// sent is set once the start call was sent, by this or an earlier leader.
+	sent bool
+	// confirmed is set once the upstream has shown the run.
+	confirmed   bool
+	confirmedAt time.Time
+	// inherited runs were ordered by an earlier leader.
+	inherited bool
+	// stopping is set once the run is to be stopped.
+	stopping bool
+	// stopCalling is set while a stop call is under way.
+	stopCalling bool
+	// stopTried is when the last stop call ended.
+	stopTried time.Time
+	// stopAcked is when the upstream acknowledged the stop.
+	stopAcked time.Time
+	// ticket permits the start.
+	ticket string
+	// percent is the share at which the task is allowed to work.
+	percent int
+	// load is what the upstream last reported for the run: the tail latency in
+	// milliseconds of a serving task, the processor time in use of others.
+	load int
+}
+
+func (r *run) task() *castate.Task { return &r.step.state().Tasks[r.id.Index] }
+
+// isCurrent reports whether the task still stands on this run.
+func (r *run) isCurrent() bool {
+	t := r.task()
+	return t.Phase == castate.TaskAssigned && t.Run == r.id.Number
+}
--- /dev/null
+++ b/internal/cell/caboard/submit.go
@@ -0,0 +1,230 @@
+package caboard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// Submit opens a job. It reports whether the job is stored already, which it
+// is when the submission repeats an earlier one; else its acceptance is known
+// once its record is. An error means that the job is not accepted.
+func (b *Board) Submit(s caspec.Submission) (stored bool, err error) {
+	if j, ok := b.jobs[s.ID]; ok {
+		if j.Submission.Queue != s.Queue || j.Submission.Team != s.Team {
+			return false, cakind.New(cakind.KindConflict, "job %s was submitted to another queue or by another team", s.ID)
+		}
+		return j.stored, nil
+	}
+	if err := b.admit(s); err != nil {
+		b.counts.Refused++
+		return false, err
+	}
+	b.open(s)
+	return false, nil
+}
+
+func (b *Board) open(s caspec.Submission) {
+	j := &job{Job: castate.NewJob(s, b.now.WallMS), accepted: b.now.Steady}
+	team, _ := b.policy.Team(s.Team)
+	j.Excess = !b.teamOf(s.Team).takeToken(b.now.Steady, team.Weight)
+	b.adopt(j)
+	if !s.Schedule.IsTimed() {
+		b.openSteps(j, j.OpenNext())
+	}
+	b.touch(j)
+	b.counts.Submitted++
+	caevent.Info(b.log, caevent.JobAccepted).Str("job", string(s.ID)).Str("queue", string(s.Queue)).
+		Str("team", string(s.Team)).Int("steps", len(s.Steps)).Bool("excess", j.Excess).
+		Int64("policy", b.policy.Version).Dur("objective", j.objective).Send()
+}
+
+// admit refuses what can never run here.
+func (b *Board) admit(s caspec.Submission) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	q, ok := b.policy.Queue(s.Queue)
+	if !ok {
+		return cakind.New(cakind.KindNotFound, "no queue %q in version %d", s.Queue, b.policy.Version)
+	}
+	for i, step := range s.Steps {
+		if err := b.admitStep(q, s.Team, i, step); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Board) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
+	limit, _ := b.policy.Team(team)
+	together := 1
+	if s.Gang {
+		together = s.Tasks
+	}
+	if !fitsLimit(s.Size().Times(int64(together)), limit.Limit) {
+		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
+	}
+	room := 0
+	for _, u := range b.upstreams {
+		if u.info.Pool == q.Pool && u.info.HasLabel(s.Label) {
+			room += places(u.info.Capacity, s)
+		}
+	}
+	if room < together {
+		return cakind.New(cakind.KindNeverFits, "step %d needs %d places at once, the pool %s has %d", number, together, q.Pool, room)
+	}
+	return nil
+}
+
+// Withdraw drops a job whose record was not handed out yet. It reports whether
+// the job is dropped.
+func (b *Board) Withdraw(id cawork.JobID) bool {
+	j, ok := b.jobs[id]
+	if !ok || j.stored {
+		return false
+	}
+	if _, pending := b.changed[id]; !pending || j.runs > 0 {
+		return false
+	}
+	b.dropSteps(j)
+	delete(b.changed, id)
+	delete(b.jobs, id)
+	return true
+}
+
+// Cancel ends a job before its time. It reports whether the job is known, and
+// whether its end is stored already.
+func (b *Board) Cancel(id cawork.JobID) (known, stored bool) {
+	j, ok := b.jobs[id]
+	if !ok {
+		return false, false
+	}
+	if j.Phase.IsFinal() {
+		return true, j.shown.IsFinal()
+	}
+	b.end(j, castate.PhaseCanceled)
+	return true, false
+}
+
+// end makes the phase of a job final and stops its runs.
+func (b *Board) end(j *job, p castate.Phase) {
+	j.End(p, b.now.WallMS)
+	j.ended = b.now.Steady
+	b.dropSteps(j)
+	b.touch(j)
+	b.stopRuns(j)
+	caevent.Info(b.log, caevent.JobEnded).Str("job", string(j.Submission.ID)).Str("phase", p.String()).
+		Dur("after", b.now.Steady.Sub(j.accepted)).Dur("objective", j.objective).Int("runs", j.runs).Send()
+	b.settle(j)
+}
+
+func (b *Board) dropSteps(j *job) {
+	kept := b.steps[:0]
+	for _, s := range b.steps {
+		if s.job != j {
+			kept = append(kept, s)
+		}
+	}
+	clear(b.steps[len(kept):])
+	b.steps = kept
+}
+
+// stopRuns marks all runs of a job to be stopped.
+func (b *Board) stopRuns(j *job) {
+	if j.runs == 0 {
+		return
+	}
+	for _, u := range b.upstreams {
+		for _, r := range u.runs {
+			if r.step.job == j && !(j.Phase == castate.PhaseCompleted) {
+				b.stop(r)
+			}
+		}
+	}
+}
+
+// stop marks a run to be stopped. One that no upstream was told of is over.
+func (b *Board) stop(r *run) {
+	r.stopping = true
+	b.resume = true
+}
+
+// Phase returns the phase in the stored record of a job, and whether there is
+// one.
+func (b *Board) Phase(id cawork.JobID) (castate.Phase, bool) {
+	j, ok := b.jobs[id]
+	if !ok || !j.stored {
+		return 0, false
+	}
+	if j.shown == castate.PhaseQueued && j.Began {
+		return castate.PhaseRunning, true
+	}
+	return j.shown, true
+}
+
+// IsPending reports whether the job is known but not stored yet.
+func (b *Board) IsPending(id cawork.JobID) bool {
+	j, ok := b.jobs[id]
+	return ok && !j.stored
+}
+
+// Pending counts the accepted jobs of a queue of which no task has started.
+func (b *Board) Pending(q caspec.QueueName) int {
+	n := 0
+	for _, j := range b.jobs {
+		if j.stored && j.Submission.Queue == q && !j.Began && !j.Phase.IsFinal() {
+			n++
+		}
+	}
+	return n
+}
+
+// Expire drops jobs that ended long ago, and opens occurrences that are due.
+func (b *Board) Expire() {
+	oldest := b.now.Steady.Add(-historyKept)
+	for id, j := range b.jobs {
+		switch {
+		case j.Phase.IsFinal() && j.runs == 0 && j.ended.Before(oldest):
+			delete(b.jobs, id)
+			b.removed = append(b.removed, id)
+		case !j.Phase.IsFinal() && j.Submission.Schedule.IsTimed():
+			b.openDue(j)
+		}
+	}
+}
+
+// openDue opens the occurrences whose time has come.
+func (b *Board) openDue(j *job) {
+	schedule := j.Submission.Schedule
+	for j.Opened < schedule.Count() && schedule.Due(j.Opened) <= b.now.WallMS {
+		b.openSteps(j, j.OpenNext())
+		b.touch(j)
+	}
+}
+
+// places returns how many tasks of the step an empty upstream holds.
+func places(capacity cawork.Resources, s caspec.Step) int {
+	n := s.Tasks
+	if s.MaxPerUpstream > 0 {
+		n = min(n, s.MaxPerUpstream)
+	}
+	size := s.Size()
+	if size.CPU > 0 {
+		n = min(n, int(capacity.CPU/size.CPU))
+	}
+	if size.Memory > 0 {
+		n = min(n, int(capacity.Memory/size.Memory))
+	}
+	if size.Accelerators > 0 {
+		n = min(n, int(capacity.Accelerators/size.Accelerators))
+	}
+	return max(n, 0)
+}
+
+// age returns how long ago the job was accepted.
+func (b *Board) age(j *job) time.Duration { return b.now.Steady.Sub(j.accepted) }
--- /dev/null
+++ b/internal/cell/caboard/upstream.go
@@ -0,0 +1,76 @@
+package caboard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// upstream is an upstream with what is charged to it.
+type upstream struct {
+	info caspec.Upstream
+	// listed is set while the platform lists it.
+	listed bool
+	used   cawork.Resources
+	runs   map[RunID]*run
+
+	// clockMS at clockAt is the last reading of its clock.
+	clockMS int64
+	clockAt time.Time
+	// leaseEnds is when everything there is over if it hears nothing more.
+	leaseEnds time.Time
+	// reportedAt is when the last report was asked for that was answered.
+	reportedAt time.Time
+	// fenced is set once it has answered a call with the token of this leader.
+	fenced bool
+	// noted is the last end that was applied, lastSeen the last one stored.
+	noted    int64
+	lastSeen int64
+	// restUntil keeps new work away after a refusal.
+	restUntil time.Time
+	// sick tracks failures against those of its peers.
+	sick health
+	// reservedBy keeps the room for a step that waits for all of it.
+	reservedBy *step
+}
+
+func newUpstream(info caspec.Upstream) *upstream {
+	return &upstream{info: info, runs: make(map[RunID]*run)}
+}
+
+func (u *upstream) free() cawork.Resources { return u.info.Capacity.Minus(u.used) }
+
+func (u *upstream) charge(r *run) {
+	u.used = u.used.Plus(r.size)
+	u.runs[r.id] = r
+}
+
+func (u *upstream) discharge(r *run) {
+	u.used = u.used.Minus(r.size)
+	delete(u.runs, r.id)
+}
+
+// untilMS returns the end of a lease of the length that begins now, on the
+// clock of the upstream, or zero while that clock is not known.
+func (u *upstream) untilMS(now time.Time, length time.Duration) int64 {
+	if u.clockAt.IsZero() {
+		return 0
+	}
+	return u.clockMS + (now.Sub(u.clockAt) + length).Milliseconds()
+}
+
+// extend notes that a lease of the length was sent now. The clock of the
+// upstream may be slow, so that the lease lasts longer than its length.
+func (u *upstream) extend(now time.Time, length time.Duration) {
+	end := now.Add(time.Duration(float64(length)*clockDrift) + leaseSlack)
+	if end.After(u.leaseEnds) {
+		u.leaseEnds = end
+	}
+}
+
+// accepts reports whether new work may go there now.
+func (u *upstream) accepts(now time.Time) bool {
+	return u.listed && u.fenced && !u.info.Draining &&
+		now.Sub(u.reportedAt) < reportAge && !now.Before(u.restUntil) && !u.sick.isOut(now)
+}
--- /dev/null
+++ b/internal/cell/cagate/serve.go
@@ -0,0 +1,101 @@
+package cagate
+
+import (
+	"context"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+)
+
+// Register makes the server answer the calls of other entries.
+func (g *Gate) Register(s *capeer.Server) {
+	capeer.Handle(s, callHello, g.handleHello)
+	capeer.Handle(s, callSubmit, g.handleSubmit)
+	capeer.Handle(s, callPhase, g.handlePhase)
+	capeer.Handle(s, callCancel, g.handleCancel)
+	capeer.Handle(s, callPending, g.handlePending)
+	capeer.Handle(s, callAdvise, g.handleAdvise)
+}
+
+func (g *Gate) handleHello(_ context.Context, r helloRequest) (helloReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Timer.Now()
+	p := g.meet(r.From)
+	p.seenAt = now
+	p.advises = r.Advises
+	p.wallOffset = time.Duration(r.WallMS-g.Wall()) * time.Millisecond
+	reply := helloReply{Leader: g.belief.lead, PolicyVersion: g.policy.Version}
+	if g.leader != nil && !g.draining {
+		reply.Leading = true
+		reply.StoreAge = g.leader.StoreAge()
+	}
+	if g.policy.Version > r.PolicyVersion {
+		policy := g.policy
+		reply.Policy = &policy
+	}
+	for _, known := range g.peers {
+		if known.VM != r.From.VM && now.Sub(known.seenAt) < peerAge {
+			reply.Peers = append(reply.Peers, known.Peer)
+		}
+	}
+	return reply, nil
+}
+
+// led returns the leader if this entry leads.
+func (g *Gate) led() (*caleader.Leader, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader == nil {
+		return nil, cakind.New(cakind.KindFenced, "entry %s does not lead", g.Self.VM)
+	}
+	return g.leader, nil
+}
+
+func (g *Gate) handleSubmit(ctx context.Context, r submitRequest) (empty, error) {
+	l, err := g.led()
+	if err != nil {
+		return empty{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Wait)
+	defer cancel()
+	return empty{}, l.Submit(ctx, r.Submission)
+}
+
+func (g *Gate) handlePhase(_ context.Context, r jobRequest) (phaseReply, error) {
+	l, err := g.led()
+	if err != nil {
+		return phaseReply{}, err
+	}
+	phase, err := l.Phase(r.Job)
+	return phaseReply{Phase: phase}, err
+}
+
+func (g *Gate) handleCancel(ctx context.Context, r jobRequest) (empty, error) {
+	l, err := g.led()
+	if err != nil {
+		return empty{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Wait)
+	defer cancel()
+	return empty{}, l.Cancel(ctx, r.Job)
+}
+
+func (g *Gate) handlePending(_ context.Context, r pendingRequest) (pendingReply, error) {
+	l, err := g.led()
+	if err != nil {
+		return pendingReply{}, err
+	}
+	n, err := l.Pending(r.Queue)
+	return pendingReply{Pending: n}, err
+}
+
+func (g *Gate) handleAdvise(ctx context.Context, r adviseRequest) (adviseReply, error) {
+	if g.Advisor == nil {
+		return adviseReply{}, cakind.New(cakind.KindUnavailable, "entry %s has no advisor", g.Self.VM)
+	}
+	approved, err := g.Advisor.Advise(ctx, r.Ask)
+	return adviseReply{Approved: approved}, err
+}
--- /dev/null
+++ b/internal/cell/caleader/claim.go
@@ -0,0 +1,111 @@
+package caleader
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+const (
+	// claimKey is the key of the record that names the leader.
+	claimKey = "leader"
+	// beforeClaimKey sorts right before claimKey and after the keys of jobs.
+	beforeClaimKey = "leade"
+	// jobPrefix stands before the id of a job in its key.
+	jobPrefix = "job/"
+	// loadRetry is the wait before a failed read of the log is repeated.
+	loadRetry = 50 * time.Millisecond
+)
+
+// Pause waits for the time, unless the context ends first.
+type Pause func(context.Context, time.Duration) error
+
+// Claim names the leader of a cell. Each batch of records begins with it.
+type Claim struct {
+	VM      cawork.VMID `cbor:"1,keyasint"`
+	Address string      `cbor:"2,keyasint"`
+	// Token is the fencing token: the offset of the first record of the claim,
+	// counted from 1. It is zero in that record itself.
+	Token int64 `cbor:"3,keyasint,omitempty"`
+	// Batch numbers the batches of a leader, from 0 for the claim.
+	Batch int64 `cbor:"4,keyasint,omitempty"`
+	// Nonce tells claims of one VM apart.
+	Nonce int64 `cbor:"5,keyasint"`
+	// Released is set when the leader gave the cell up.
+	Released bool `cbor:"6,keyasint,omitempty"`
+}
+
+// entry returns the record of the claim.
+func (c Claim) entry() (Entry, error) {
+	b, err := cbor.Marshal(c)
+	if err != nil {
+		return Entry{}, cakind.Wrap(cakind.KindInternal, err, "encode claim")
+	}
+	return Entry{Key: claimKey, Value: b}, nil
+}
+
+// Standing returns the claim that stands in the log and the end of the log.
+// The claim is zero when there is none that can be read.
+func Standing(ctx context.Context, log Log) (Claim, int64, error) {
+	e, end, err := newestClaim(ctx, log)
+	if err != nil || e.Value == nil {
+		return Claim{}, end, err
+	}
+	var c Claim
+	if err := cbor.Unmarshal(e.Value, &c); err != nil {
+		return Claim{}, end, nil
+	}
+	if c.Token == 0 {
+		c.Token = e.Offset + 1
+	}
+	return c, end, nil
+}
+
+// Take claims the cell if its log still ends at the offset. KindConflict means
+// that it does not.
+func Take(ctx context.Context, log Log, c Claim, at int64, pause Pause) (token, end int64, err error) {
+	w := writer{log: log, claim: c, end: at, pause: pause}
+	if err := w.append(ctx, nil); err != nil {
+		return 0, 0, err
+	}
+	return at + 1, w.end, nil
+}
+
+// loadJobs reads the records of all jobs. The log must not change meanwhile,
+// which the claim sees to. Records that can not be read are counted.
+func loadJobs(ctx context.Context, log Log, wait Pause) (jobs []*castate.Job, unreadable int, err error) {
+	after := ""
+	for {
+		page, err := log.Newest(ctx, after)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil, 0, err
+			}
+			if err := wait(ctx, loadRetry); err != nil {
+				return nil, 0, err
+			}
+			continue
+		}
+		for _, e := range page.Entries {
+			if !strings.HasPrefix(e.Key, jobPrefix) || len(e.Value) == 0 {
+				continue
+			}
+			j, err := castate.DecodeJob(e.Value)
+			if err != nil {
+				unreadable++
+				continue
+			}
+			jobs = append(jobs, j)
+		}
+		if page.Next == "" {
+			return jobs, unreadable, nil
+		}
+		after = page.Next
+	}
+}
--- /dev/null
+++ b/internal/cell/caleader/commit.go
@@ -0,0 +1,119 @@
+package caleader
+
+import (
+	"context"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+// commitLoop stores the changes of the board, one batch after the other, and
+// renews the claim when there are none.
+func (l *Leader) commitLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := l.awaitChanges(ctx); err != nil {
+			return err
+		}
+		if err := l.commit(ctx); err != nil {
+			return err
+		}
+	}
+	return context.Cause(ctx)
+}
+
+// awaitChanges returns when there is something to store or the claim is to be
+// renewed.
+func (l *Leader) awaitChanges(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		due := l.Timer.Now().Sub(l.lastAppend) >= RenewPeriod
+		changes := l.board.HasChanges()
+		l.mu.Unlock()
+		if due {
+			return nil
+		}
+		if err := l.pause(ctx, commitLinger); err != nil {
+			return err
+		}
+		if changes {
+			return nil
+		}
+	}
+}
+
+// commit stores one batch and carries out what waited for it.
+func (l *Leader) commit(ctx context.Context) error {
+	batch, entries, began, err := l.takeBatch()
+	if err != nil {
+		return err
+	}
+	if err := l.writer.append(ctx, entries); err != nil {
+		caevent.Warn(l.Log, caevent.OwnershipLost).Int64("token", l.token).Err(err).
+			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
+		return err
+	}
+	l.Scope.Timer("append").Record(l.Timer.Now().Sub(began))
+	l.dispatchStarts(ctx, l.committed(batch, began))
+	return nil
+}
+
+func (l *Leader) takeBatch() (caboard.Batch, []Entry, time.Time, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.moment()
+	l.board.SetNow(now)
+	batch, err := l.board.NextBatch()
+	if err != nil {
+		return caboard.Batch{}, nil, now.Steady, err
+	}
+	entries := make([]Entry, 0, len(batch.Records))
+	l.flying = make(map[cawork.JobID]bool, len(batch.Records))
+	for _, r := range batch.Records {
+		entries = append(entries, Entry{Key: jobPrefix + string(r.Job), Value: r.Value})
+		l.flying[r.Job] = true
+	}
+	l.flyingSince = now.Steady
+	return batch, entries, now.Steady, nil
+}
+
+// committed notes that a batch is stored and returns the orders that waited
+// for it.
+func (l *Leader) committed(batch caboard.Batch, began time.Time) []caboard.StartOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetNow(l.moment())
+	l.lastAppend = began
+	l.flyingSince = time.Time{}
+	l.flying = nil
+	orders := l.board.Committed(batch)
+	for _, r := range batch.Records {
+		l.resolve(r.Job, nil)
+	}
+	return orders
+}
+
+// isDeposed reports whether an error means that another leader stands.
+func isDeposed(err error) bool { return cakind.Of(err) == cakind.KindFenced }
+
+// Release gives the cell up, so that another entry may claim it at once. It
+// may be called more than once.
+func (l *Leader) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stop != nil {
+		l.released = true
+		l.stop(cakind.New(cakind.KindDraining, "the leader hands over"))
+	}
+}
+
+// appendRelease stores that the cell is given up, if the log is as expected.
+func (l *Leader) appendRelease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	l.writer.claim.Released = true
+	err := l.writer.append(ctx, nil)
+	caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Err(err).Send()
+}
--- /dev/null
+++ b/internal/cell/caleader/leader.go
@@ -0,0 +1,379 @@
+package caleader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+const (
+	// planPause is the least time between two plans.
+	planPause = 6 * time.Millisecond
+	// planPeriod is the time between plans when nothing happens.
+	planPeriod = 50 * time.Millisecond
+	// commitLinger gathers changes into one append.
+	commitLinger = 4 * time.Millisecond
+	// RenewPeriod is the longest time between two appends of a leader.
+	RenewPeriod = 300 * time.Millisecond
+	// storeAwayAfter is how long an append may take before submissions are
+	// turned away.
+	storeAwayAfter = 500 * time.Millisecond
+	// ClaimAge is how long after its last append a leader still grants leases.
+	ClaimAge = 3 * time.Second
+	// freshClaimAge is how long after its last append a leader may answer that
+	// a job is not known.
+	freshClaimAge = time.Second
+	// listPeriod is the time between two readings of the list of upstreams.
+	listPeriod = 350 * time.Millisecond
+	// listTimeout bounds one reading of the list.
+	listTimeout = time.Second
+	// releaseTimeout bounds the append that gives the cell up.
+	releaseTimeout = 800 * time.Millisecond
+	// retryWhenAway is when callers should come back while the store is away.
+	retryWhenAway = time.Second
+)
+
+// Deps are what a leader works with.
+type Deps struct {
+	Log       zerolog.Logger
+	Scope     tally.Scope
+	Timer     *catimer.Service
+	Wall      func() int64
+	Store     Log
+	Upstreams Upstreams
+	Registry  Registry
+	Advisers  Advisers
+	Seed      int64
+}
+
+// Leader leads a cell until it is deposed or its context ends.
+type Leader struct {
+	Deps
+	token  int64
+	writer writer
+	wake   chan struct{}
+	done   chan struct{}
+
+	mu      sync.Mutex
+	board   *caboard.Board
+	loaded  bool
+	waiters map[cawork.JobID][]chan error
+	// flying are the jobs in the append that is under way.
+	flying map[cawork.JobID]bool
+	// flyingSince is when that append began.
+	flyingSince time.Time
+	// lastAppend is when the last append began that succeeded.
+	lastAppend time.Time
+	watched    map[cawork.UpstreamID]bool
+	queue      adviserQueue
+	stop       context.CancelCauseFunc
+	released   bool
+	orders     sync.WaitGroup
+}
+
+// New returns the leader of the claim, whose token and end of the log are
+// given.
+func New(deps Deps, c Claim, token, end int64) *Leader {
+	c.Token = token
+	c.Batch = 1
+	l := &Leader{
+		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		waiters: make(map[cawork.JobID][]chan error), watched: make(map[cawork.UpstreamID]bool),
+	}
+	l.writer = writer{log: deps.Store, claim: c, end: end, pause: l.pause}
+	now := l.moment()
+	l.lastAppend = now.Steady
+	inherited := now.Steady.Add(ClaimAge + caboard.LeaseLength + caboard.LeaseLength/20)
+	l.board = caboard.New(deps.Log, deps.Seed, now, inherited)
+	return l
+}
+
+// Token returns the fencing token.
+func (l *Leader) Token() int64 { return l.token }
+
+// Done is closed when the leader has ended.
+func (l *Leader) Done() <-chan struct{} { return l.done }
+
+// Run leads until the context ends or another leader stands. It loads the
+// jobs, takes over what runs, and goes on from there.
+func (l *Leader) Run(ctx context.Context, policy caspec.Policy) error {
+	defer close(l.done)
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	l.setStop(stop)
+	l.SetPolicy(policy)
+	if err := l.load(ctx); err != nil {
+		return err
+	}
+	var g run.Group
+	for _, part := range []func(context.Context) error{l.commitLoop, l.planLoop, l.listLoop} {
+		partCtx, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+	}
+	err := g.Run()
+	stop(err)
+	l.orders.Wait()
+	l.abandon()
+	if l.isReleased() {
+		l.appendRelease()
+	}
+	if cause := context.Cause(ctx); cause != nil && cakind.Of(cause) == cakind.KindFenced {
+		return cause
+	}
+	return err
+}
+
+func (l *Leader) setStop(stop context.CancelCauseFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stop = stop
+}
+
+func (l *Leader) isReleased() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.released
+}
+
+func (l *Leader) moment() caboard.Moment {
+	return caboard.Moment{Steady: l.Timer.Now(), WallMS: l.Wall()}
+}
+
+// pause waits, unless the context ends first.
+func (l *Leader) pause(ctx context.Context, d time.Duration) error {
+	after := l.Timer.After(d)
+	defer after.Close()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-after.C:
+		return nil
+	}
+}
+
+// load takes up the jobs and the upstreams.
+func (l *Leader) load(ctx context.Context) error {
+	began := l.Timer.Now()
+	type result struct {
+		list []caspec.Upstream
+		err  error
+	}
+	listed := make(chan result, 1)
+	go func() {
+		list, err := l.Registry.List(ctx)
+		listed <- result{list, err}
+	}()
+	jobs, unreadable, err := loadJobs(ctx, l.Store, l.pause)
+	if err != nil {
+		return err
+	}
+	upstreams := <-listed
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetNow(l.moment())
+	if upstreams.err == nil {
+		l.board.SetUpstreams(upstreams.list)
+	}
+	for _, j := range jobs {
+		l.board.Restore(j)
+	}
+	l.loaded = true
+	l.watchUpstreams(ctx)
+	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(jobs)).
+		Int("unreadable", unreadable).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
+		Dur("load_took", l.Timer.Now().Sub(began)).Send()
+	return nil
+}
+
+// abandon tells all who wait that their outcome is not known here.
+func (l *Leader) abandon() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loaded = false
+	for id := range l.waiters {
+		l.resolve(id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
+	}
+}
+
+// resolve tells all who wait for a job. The lock is held.
+func (l *Leader) resolve(id cawork.JobID, err error) {
+	for _, w := range l.waiters[id] {
+		w <- err
+	}
+	delete(l.waiters, id)
+}
+
+func (l *Leader) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetPolicy puts a version of the policy in force.
+func (l *Leader) SetPolicy(p caspec.Policy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetPolicy(p)
+	l.kick()
+}
+
+// fenced gives the cell up since an upstream obeys a later leader.
+func (l *Leader) fenced(upstream cawork.UpstreamID) {
+	l.stop(cakind.New(cakind.KindFenced, "upstream %s obeys a later leader than token %d", upstream, l.token))
+}
+
+// isAway reports whether the store does not answer. The lock is held.
+func (l *Leader) isAway() bool {
+	return !l.flyingSince.IsZero() && l.Timer.Now().Sub(l.flyingSince) > storeAwayAfter
+}
+
+// StoreAge returns how long ago the last append that succeeded began.
+func (l *Leader) StoreAge() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Timer.Now().Sub(l.lastAppend)
+}
+
+// Submit accepts a job once it is stored. KindUnknown means that it may be
+// accepted; other errors mean that it is not.
+func (l *Leader) Submit(ctx context.Context, s caspec.Submission) error {
+	wait, err := l.submit(s)
+	if err != nil || wait == nil {
+		return err
+	}
+	select {
+	case err := <-wait:
+		return err
+	case <-ctx.Done():
+		return l.giveUp(s.ID)
+	}
+}
+
+func (l *Leader) submit(s caspec.Submission) (<-chan error, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.loaded {
+		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+	}
+	l.board.SetNow(l.moment())
+	if l.isAway() && !l.board.IsPending(s.ID) {
+		if _, known := l.board.Phase(s.ID); !known {
+			return nil, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway)
+		}
+	}
+	stored, err := l.board.Submit(s)
+	if err != nil || stored {
+		return nil, err
+	}
+	wait := make(chan error, 1)
+	l.waiters[s.ID] = append(l.waiters[s.ID], wait)
+	l.kick()
+	return wait, nil
+}
+
+// giveUp ends the wait for a job. One that was not handed to the store yet is
+// dropped.
+func (l *Leader) giveUp(id cawork.JobID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.flying[id] && len(l.waiters[id]) == 1 && l.board.Withdraw(id) {
+		delete(l.waiters, id)
+		return cakind.New(cakind.KindUnavailable, "job %s was not stored in time", id).WithRetryAfter(retryWhenAway)
+	}
+	return cakind.New(cakind.KindUnknown, "job %s may be stored", id)
+}
+
+// withdrawWaiting turns away what was not handed to the store, once the store
+// is away. The lock is held.
+func (l *Leader) withdrawWaiting() {
+	for id := range l.waiters {
+		if !l.flying[id] && l.board.Withdraw(id) {
+			l.resolve(id, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway))
+		}
+	}
+}
+
+// isFresh reports whether no other leader can have accepted a job that this
+// one does not know. The lock is held.
+func (l *Leader) isFresh() bool {
+	return l.loaded && l.Timer.Now().Sub(l.lastAppend) < freshClaimAge
+}
+
+// Phase returns the stored phase of a job. KindNotFound means that there is no
+// such job.
+func (l *Leader) Phase(id cawork.JobID) (castate.Phase, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.loaded {
+		return 0, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+	}
+	phase, ok := l.board.Phase(id)
+	switch {
+	case ok:
+		return phase, nil
+	case l.board.IsPending(id) || !l.isFresh():
+		return 0, cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
+	default:
+		return 0, cakind.New(cakind.KindNotFound, "no job %s", id)
+	}
+}
+
+// Cancel cancels a job and returns once that is stored. KindNotFound means
+// that there is no such job.
+func (l *Leader) Cancel(ctx context.Context, id cawork.JobID) error {
+	wait, err := l.cancel(id)
+	if err != nil || wait == nil {
+		return err
+	}
+	select {
+	case err := <-wait:
+		return err
+	case <-ctx.Done():
+		return cakind.New(cakind.KindUnknown, "the cancellation of job %s may be stored", id)
+	}
+}
+
+func (l *Leader) cancel(id cawork.JobID) (<-chan error, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.loaded {
+		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+	}
+	l.board.SetNow(l.moment())
+	known, stored := l.board.Cancel(id)
+	switch {
+	case !known && !l.isFresh():
+		return nil, cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
+	case !known:
+		return nil, cakind.New(cakind.KindNotFound, "no job %s", id)
+	case stored:
+		return nil, nil
+	}
+	wait := make(chan error, 1)
+	l.waiters[id] = append(l.waiters[id], wait)
+	l.kick()
+	return wait, nil
+}
+
+// Pending counts the accepted jobs of a queue that have not begun.
+func (l *Leader) Pending(q caspec.QueueName) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.loaded {
+		return 0, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+	}
+	return l.board.Pending(q), nil
+}
--- /dev/null
+++ b/internal/cell/caleader/orders.go
@@ -0,0 +1,215 @@
+package caleader
+
+import (
+	"context"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+const (
+	// orderTimeout bounds a call that starts or stops a run.
+	orderTimeout = 600 * time.Millisecond
+	// renewWait is how long a renewal waits at the upstream for an end.
+	renewWait = 1000 * time.Millisecond
+	// renewTimeout bounds the way of a renewal and its answer.
+	renewTimeout = 700 * time.Millisecond
+	// renewPause gathers ends at the upstream between two renewals.
+	renewPause = 30 * time.Millisecond
+	// renewRetry is the wait after a renewal that failed.
+	renewRetry = 150 * time.Millisecond
+	// lapsePeriod is the time between two looks for what is over.
+	lapsePeriod = 100 * time.Millisecond
+)
+
+// planLoop decides whenever something happened.
+func (l *Leader) planLoop(ctx context.Context) error {
+	planned := time.Time{}
+	lapsed := time.Time{}
+	for {
+		period := l.Timer.After(planPeriod)
+		select {
+		case <-ctx.Done():
+			period.Close()
+			return context.Cause(ctx)
+		case <-l.wake:
+		case <-period.C:
+		}
+		period.Close()
+		if since := l.Timer.Now().Sub(planned); since < planPause {
+			if err := l.pause(ctx, planPause-since); err != nil {
+				return err
+			}
+		}
+		planned = l.Timer.Now()
+		lapse := planned.Sub(lapsed) >= lapsePeriod
+		if lapse {
+			lapsed = planned
+		}
+		l.plan(ctx, lapse)
+	}
+}
+
+func (l *Leader) plan(ctx context.Context, lapse bool) {
+	l.mu.Lock()
+	l.board.SetNow(l.moment())
+	if lapse {
+		l.board.Lapse()
+		l.board.Expire()
+		if l.isAway() {
+			l.withdrawWaiting()
+		}
+	}
+	orders := l.board.Plan()
+	l.mu.Unlock()
+	for _, order := range orders.Stops {
+		l.orders.Go(func() { l.stopRun(ctx, order) })
+	}
+	for _, ask := range orders.Asks {
+		l.orders.Go(func() { l.advise(ctx, ask) })
+	}
+}
+
+func (l *Leader) dispatchStarts(ctx context.Context, orders []caboard.StartOrder) {
+	for _, order := range orders {
+		l.orders.Go(func() { l.startRun(ctx, order) })
+	}
+}
+
+func (l *Leader) startRun(ctx context.Context, order caboard.StartOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if outcome == caboard.StartFenced {
+		l.fenced(order.Upstream)
+		return
+	}
+	l.board.SetNow(l.moment())
+	l.board.Started(order, outcome, clockMS)
+	l.kick()
+}
+
+func (l *Leader) stopRun(ctx context.Context, order caboard.StopOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := l.Upstreams.Stop(callCtx, l.token, order)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && isDeposed(err) {
+		l.fenced(order.Upstream)
+		return
+	}
+	l.board.SetNow(l.moment())
+	l.board.Stopped(order, err == nil)
+	l.kick()
+}
+
+// listLoop reads the list of upstreams and looks after each of them.
+func (l *Leader) listLoop(ctx context.Context) error {
+	lost := false
+	for {
+		if err := l.pause(ctx, listPeriod); err != nil {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		list, err := l.Registry.List(callCtx)
+		cancel()
+		if err != nil {
+			if !lost {
+				caevent.Warn(l.Log, caevent.VMListUnavailable).Err(err).Send()
+			}
+			lost = true
+			continue
+		}
+		lost = false
+		l.mu.Lock()
+		l.board.SetNow(l.moment())
+		l.board.SetUpstreams(list)
+		l.watchUpstreams(ctx)
+		l.mu.Unlock()
+	}
+}
+
+// watchUpstreams begins to renew the leases of upstreams that are new. The
+// lock is held.
+func (l *Leader) watchUpstreams(ctx context.Context) {
+	for _, id := range l.board.UpstreamIDs() {
+		if l.watched[id] {
+			continue
+		}
+		l.watched[id] = true
+		l.orders.Go(func() { l.renewLoop(ctx, id) })
+	}
+}
+
+// renewLoop renews the lease of an upstream until nobody knows it any more.
+func (l *Leader) renewLoop(ctx context.Context, id cawork.UpstreamID) {
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.watched, id)
+	}()
+	reachable := true
+	for ctx.Err() == nil {
+		lease, ok := l.nextLease(id)
+		if !ok {
+			return
+		}
+		wait := renewWait
+		if lease.UntilMS == 0 {
+			wait = 0
+		}
+		began := l.Timer.Now()
+		err := l.renew(ctx, lease, wait)
+		if reachable != (err == nil) && ctx.Err() == nil {
+			reachable = err == nil
+			caevent.Info(l.Log, caevent.UpstreamReached).Str("upstream", string(id)).Bool("reachable", reachable).
+				Err(err).Dur("took", l.Timer.Now().Sub(began)).Send()
+		}
+		rest := renewPause
+		switch {
+		case err != nil:
+			rest = renewRetry
+		case wait == 0:
+			rest = 0
+		}
+		if rest > 0 && l.pause(ctx, rest) != nil {
+			return
+		}
+	}
+}
+
+// nextLease returns what the next renewal carries. While the claim is old, it
+// grants no more time.
+func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetNow(l.moment())
+	lease, ok := l.board.Lease(id)
+	if l.Timer.Now().Sub(l.lastAppend) > ClaimAge {
+		lease.UntilMS = 0
+	}
+	return lease, ok
+}
+
+func (l *Leader) renew(ctx context.Context, lease caboard.Lease, wait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+renewTimeout)
+	defer cancel()
+	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
+	if err != nil {
+		if isDeposed(err) {
+			l.fenced(lease.Upstream)
+		}
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetNow(l.moment())
+	l.board.Observe(report)
+	l.kick()
+	return nil
+}
--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -30,6 +30,7 @@
 type Runners struct {
 	Demo            func(context.Context, Output, caoption.Demo) error
 	Entry           func(context.Context, Output, casettings.Settings) error
+	Node            func(context.Context, Output, caoption.Node) error
 	StandinLog      func(context.Context, Output, caoption.StandinLog) error
 	StandinVMs      func(context.Context, Output, caoption.StandinVMs) error
 	StandinUpstream func(context.Context, Output, caoption.StandinUpstream) error
@@ -84,6 +85,8 @@
 		return c.runners.Demo(c.ctx, c.Output, o.Demo)
 	case "entry":
 		return c.entry()
+	case "node":
+		return c.runners.Node(c.ctx, c.Output, o.Node)
 	case "standin log":
 		return c.runners.StandinLog(c.ctx, c.Output, o.Standin.Log)
 	case "standin vms":
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -15,6 +15,11 @@
       --upstreams=N          number of stand-in upstreams (4)
   entry                      run an entry
       --settings=PATH        file or folder of settings; required
+  node                       run an entry on the platform of the users
+      --settings=PATH        settings file of the platform (environment
+                             CELERYARCH_NODE_FILE)
+      --metrics=PORT         serve metrics on this port
+      --check                check the settings and exit
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -22,6 +22,7 @@
 
 	Demo    Demo    `command:"demo"`
 	Entry   Entry   `command:"entry"`
+	Node    Node    `command:"node"`
 	Standin Standin `command:"standin"`
 	Config  Config  `command:"config"`
 	Key     Key     `command:"key"`
@@ -41,6 +42,13 @@
 	Upstreams int    `long:"upstreams" default:"4" value-name:"N"`
 }
 
+// Node are the options of the command node.
+type Node struct {
+	Settings string `long:"settings" value-name:"PATH"`
+	Metrics  string `long:"metrics" value-name:"PORT"`
+	Check    bool   `long:"check"`
+}
+
 // Entry are the options of the command entry.
 type Entry struct {
 	Settings string `long:"settings" required:"true" value-name:"PATH"`
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -56,6 +56,7 @@
 	return cacommand.Runners{
 		Demo:            runDemo,
 		Entry:           runEntry,
+		Node:            runNode,
 		StandinLog:      runLog,
 		StandinVMs:      runVMs,
 		StandinUpstream: runUpstream,
