Questions to the advisor are bounded and decided late; SIGHUP reloads settings

Cause: a new leader put all questions at once, 32 waited at each entry and the rest was refused for ever; a process died at SIGHUP; late jobs were never asked about. Ruled out: the time to load (43 ms).

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -21,6 +21,7 @@
 	PartFailed         Number = 103
 	StandinStarted     Number = 104
 	LinesDropped       Number = 105
+	SettingsReloaded   Number = 106
 	ConfigApplied      Number = 200
 	ConfigRefused      Number = 201
 	ConfigConflict     Number = 202
--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -15,6 +15,17 @@
 // advisor that the objective of a step allows for.
 const approvalsInObjective = 30
 
+// AskSlots bounds the questions that the advisor has not answered, so that
+// what is to be asked next is decided late.
+type AskSlots struct {
+	All int
+	// Long bounds those that keep an entry busy for long.
+	Long int
+}
+
+// SetAskSlots sets the bounds.
+func (b *Board) SetAskSlots(s AskSlots) { b.askSlots = s }
+
 // approvals are the answers of the advisor about one step. An answer holds for
 // the life of the upstream; only tickets expire.
 type approvals struct {
@@ -62,7 +73,13 @@
 	var asks []Ask
 	for _, s := range b.steps {
 		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || s.waiting == 0 || s.approval.asking || b.isHopeless(s.job) {
+		if !ok || q.Approval == nil || s.waiting == 0 || s.approval.asking {
+			continue
+		}
+		if b.asking >= b.askSlots.All {
+			break
+		}
+		if b.asking >= b.askSlots.All/2 && b.lateness(s.job) == latenessUseless {
 			continue
 		}
 		if !s.ready && !b.readySoon(s, q) {
@@ -75,14 +92,6 @@
 	return asks
 }
 
-// isHopeless reports whether a job is so late that its result is of no use.
-func (b *Board) isHopeless(j *job) bool {
-	return j.objective > 0 && !j.Submission.Schedule.IsTimed() && b.age(j) > worthlessAfter*j.objective+hopelessGrace
-}
-
-// hopelessGrace delays questions about jobs that are late beyond use.
-const hopelessGrace = 2 * time.Second
-
 // readySoon reports whether the earlier steps are expected to end by the time
 // the advisor has answered.
 func (b *Board) readySoon(s *step, q caspec.Queue) bool {
@@ -110,6 +119,10 @@
 	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < askAgain {
 		return Ask{}, false
 	}
+	long := q.Approval.Decision >= longQuestion
+	if long && b.askingLong >= b.askSlots.Long {
+		return Ask{}, false
+	}
 	ids := b.renewals(s, q)
 	if len(ids) == 0 {
 		ids = b.candidates(s, q)
@@ -118,11 +131,15 @@
 		return Ask{}, false
 	}
 	a.asking = true
+	b.asking++
+	if long {
+		b.askingLong++
+	}
 	a.askedAt = now
 	b.counts.Asked++
 	return Ask{
 		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number,
-		Upstreams: ids, Cost: q.Approval.Cost(len(ids)),
+		Upstreams: ids, Cost: q.Approval.Cost(len(ids)), Long: long,
 	}, true
 }
 
@@ -199,6 +216,10 @@
 // Advised takes up the answer of the advisor. A failed question has no answer
 // and is asked again.
 func (b *Board) Advised(ask Ask, approved []Approval, answered bool) {
+	b.asking--
+	if ask.Long {
+		b.askingLong--
+	}
 	j, ok := b.jobs[ask.Job]
 	if !ok {
 		return
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -50,6 +50,10 @@
 	inheritedUntil time.Time
 	// all counts how runs ended on all upstreams.
 	all health
+	// asking counts the questions that the advisor has not answered.
+	asking     int
+	askingLong int
+	askSlots   AskSlots
 	// resume is set when something happened that may let a task start.
 	resume bool
 	counts Counts
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -51,9 +51,8 @@
 	approvedShareAtFirst = 0.5
 	// approvedShareWeight is the weight of one answer in the running mean.
 	approvedShareWeight = 0.1
-	// advisorBacklogMost is the queue at the advisor beyond which further
-	// questions about the same step wait.
-	advisorBacklogMost = 700 * time.Millisecond
+	// longQuestion is the decision time from which a question is a long one.
+	longQuestion = 200 * time.Millisecond
 
 	// worthlessAfter is the multiple of its objective after which a job is
 	// placed behind all others.
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -53,6 +53,9 @@
 	Upstreams  []cawork.UpstreamID
 	// Cost is how long the advisor needs.
 	Cost time.Duration
+	// Long questions go through some of the entries only, so that the others
+	// are free for short ones.
+	Long bool
 }
 
 // Approval permits an upstream to run a step.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if s.spec.Gang {
-			if !b.placeGang(s) && blocked < blockedGangs && !b.isHopeless(s.job) {
+			if !b.placeGang(s) && blocked < blockedGangs && b.lateness(s.job) != latenessUseless {
 				blocked++
 				b.reserve(s)
 			}
@@ -74,20 +74,28 @@
 	}
 }
 
-// lateness ranks jobs by what their result is still worth: in time, late, and
-// of no use any more.
+// The ranks of lateness.
+const (
+	latenessNone = iota
+	latenessLate
+	// latenessUseless means that the result is of no use any more. The job
+	// still runs, behind all others.
+	latenessUseless
+)
+
+// lateness ranks jobs by what their result is still worth.
 func (b *Board) lateness(j *job) int {
 	if j.objective == 0 || j.Submission.Schedule.IsTimed() || len(j.steps) == 0 || j.steps[0].spec.LongRunning {
-		return 0
+		return latenessNone
 	}
 	age := b.age(j)
 	switch {
 	case age > worthlessAfter*j.objective:
-		return 2
+		return latenessUseless
 	case age > j.objective:
-		return 1
+		return latenessLate
 	default:
-		return 0
+		return latenessNone
 	}
 }
 
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -61,7 +61,7 @@
 		if l, at, ok = g.target(); l == nil && ok {
 			if err := g.hello(ctx, at.Address); err == nil {
 				misses = 0
-			} else if cakind.Of(err) == cakind.KindUnavailable {
+			} else if capeer.IsUnreachable(err) || cakind.Of(err) == cakind.KindUnavailable {
 				misses = helloMisses
 			} else {
 				misses++
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -117,6 +117,13 @@
 	return err
 }
 
+// SetSeeds replaces the addresses at which other entries may be found.
+func (g *Gate) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Seeds = seeds
+}
+
 // Policy returns the policy in force.
 func (g *Gate) Policy() caspec.Policy {
 	g.mu.Lock()
@@ -282,7 +289,7 @@
 	case cakind.KindUnknown, cakind.KindNotStarted, cakind.KindFenced, cakind.KindDraining:
 		return false
 	default:
-		return true
+		return !capeer.IsUnreachable(err)
 	}
 }
 
--- a/internal/cell/caleader/advice.go
+++ b/internal/cell/caleader/advice.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// longQuestion is the cost from which a question may only go through some
-	// of the entries, so that the others are free for short ones.
-	longQuestion = 200 * time.Millisecond
+	// asksPerEntry bounds the questions given to one entry: the advisor works
+	// at one, and the next is on its way.
+	asksPerEntry = 2
 	// longShare is the fraction of entries that long questions may go through.
 	longShare = 0.6
 	// askSlack is added to the expected time of a question for its time-out.
@@ -32,7 +32,7 @@
 
 // choose returns the entry that is expected to have the answer first, and
 // books the question there. Long questions leave some entries out.
-func (q *adviserQueue) choose(now time.Time, names []cawork.VMID, cost time.Duration) (cawork.VMID, time.Time, bool) {
+func (q *adviserQueue) choose(now time.Time, names []cawork.VMID, ask caboard.Ask) (cawork.VMID, time.Time, bool) {
 	if q.busyUntil == nil {
 		q.busyUntil = make(map[cawork.VMID]time.Time)
 		q.restUntil = make(map[cawork.VMID]time.Time)
@@ -50,19 +50,27 @@
 		return "", now, false
 	}
 	slices.Sort(usable)
-	if cost >= longQuestion && len(usable) > 1 {
-		usable = usable[:max(int(float64(len(usable))*longShare+0.5), 1)]
+	if ask.Long && len(usable) > 1 {
+		usable = usable[:longEntries(len(usable))]
 	} else {
 		slices.Reverse(usable)
 	}
 	best := slices.MinFunc(usable, func(x, y cawork.VMID) int {
 		return cmp.Compare(q.backlog(now, x), q.backlog(now, y))
 	})
-	done := now.Add(q.backlog(now, best) + cost)
+	done := now.Add(q.backlog(now, best) + ask.Cost)
 	q.busyUntil[best] = done
 	return best, done, true
 }
 
+// longEntries returns through how many of n entries long questions may go.
+func longEntries(n int) int { return max(int(float64(n)*longShare+0.5), 1) }
+
+// askSlots returns how many questions may be open with n entries.
+func askSlots(n int) caboard.AskSlots {
+	return caboard.AskSlots{All: n * asksPerEntry, Long: longEntries(n)}
+}
+
 func (q *adviserQueue) backlog(now time.Time, name cawork.VMID) time.Duration {
 	return max(q.busyUntil[name].Sub(now), 0)
 }
@@ -72,7 +80,7 @@
 	names := l.Advisers.Names()
 	l.mu.Lock()
 	now := l.Timer.Now()
-	entry, done, ok := l.queue.choose(now, names, ask.Cost)
+	entry, done, ok := l.queue.choose(now, names, ask)
 	l.mu.Unlock()
 	var approved []caboard.Approval
 	if ok {
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -53,8 +53,10 @@
 }
 
 func (l *Leader) plan(ctx context.Context, lapse bool) {
+	slots := askSlots(len(l.Advisers.Names()))
 	l.mu.Lock()
 	l.board.SetNow(l.moment())
+	l.board.SetAskSlots(slots)
 	if lapse {
 		l.board.Lapse()
 		l.board.Expire()
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"reflect"
 	"slices"
@@ -150,7 +151,7 @@
 	case err == nil:
 		return out, nil
 	case !dialed:
-		return out, cakind.Wrap(cakind.KindUnavailable, err, "reach peer %s", address)
+		return out, cakind.Wrap(cakind.KindUnavailable, &unreachableError{err}, "reach peer %s", address)
 	case drpcerr.Code(err) >= codeOffset:
 		return out, cakind.New(cakind.Kind(drpcerr.Code(err)-codeOffset), "%s", err.Error())
 	default:
@@ -158,6 +159,19 @@
 	}
 }
 
+// unreachableError is the cause of calls that were never sent.
+type unreachableError struct{ cause error }
+
+func (e *unreachableError) Error() string { return e.cause.Error() }
+func (e *unreachableError) Unwrap() error { return e.cause }
+
+// IsUnreachable reports whether the call was never sent, since there was no
+// connection to the peer.
+func IsUnreachable(err error) bool {
+	var e *unreachableError
+	return errors.As(err, &e)
+}
+
 // dial opens a connection and exchanges greetings on it.
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/node/carunner/node.go
+++ b/internal/node/carunner/node.go
@@ -50,7 +50,7 @@
 			return err
 		}
 	}
-	return platform.NewNode(settings, around.Logger, around.Scope).Run(ctx)
+	return platform.NewNode(path, settings, around.Logger, around.Scope).Run(ctx)
 }
 
 // newLogWriter returns a writer that never blocks: lines wait in a ring, and
