Jobs that would be late are refused at hand-in; plans of a full cell cost a fifteenth

Cause: a team that sent five times its rate filled the cell with work that ended late, and the leader spent its processor on planning it (2.7 ms a plan at 1,500 waiting jobs). Ruled out: the advisor's queue, bounded before. Change: a pure forecast of the wait refuses what would miss its objective, with the time to come back; plans look only at upstreams that accept work. 0.18 ms a plan (BenchmarkPlanBacklog).

--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -79,7 +79,7 @@
 		if b.asking >= b.askSlots.All {
 			break
 		}
-		if b.asking >= b.askSlots.All/2 && b.lateness(s.job) == latenessUseless {
+		if b.asking >= b.askSlots.All/2 && s.lateness == latenessUseless {
 			continue
 		}
 		if !s.ready && !b.readySoon(s, q) {
@@ -146,11 +146,14 @@
 // renewals returns approved upstreams whose tickets ran out, when they alone
 // have room for what waits.
 func (b *Board) renewals(s *step, q caspec.Queue) []cawork.UpstreamID {
+	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.most) {
+		return nil
+	}
 	var expired []*upstream
 	room := 0
 	for id := range s.approval.tickets {
 		u, ok := b.upstreams[id]
-		if !ok || !s.approval.approved(u) || !u.accepts(b.now.Steady) || u.info.Pool != q.Pool {
+		if !ok || !s.approval.approved(u) || !u.open {
 			continue
 		}
 		if _, valid := s.approval.valid(u, b.now.Steady); valid {
@@ -169,10 +172,14 @@
 
 // candidates returns upstreams that were not asked about yet.
 func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
-	var open []*upstream
+	p := b.pools[q.Pool]
 	first := len(s.approval.asked) == 0
-	for _, u := range b.upstreams {
-		if !u.accepts(b.now.Steady) || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) {
+	if p == nil || !first && !s.spec.Size().Fits(p.most) {
+		return nil
+	}
+	var open []*upstream
+	for _, u := range p.upstreams {
+		if !u.info.HasLabel(s.spec.Label) {
 			continue
 		}
 		if born, asked := s.approval.asked[u.info.ID]; asked && born == u.info.Born {
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -41,6 +41,10 @@
 	queues    map[caspec.QueueName]*queueStats
 	// steps are the open steps that have waiting tasks or wait for others.
 	steps []*step
+	// pools are what accepts work in the plan being made.
+	pools map[caspec.PoolName]*openPool
+	// stopping are the runs that are to be stopped.
+	stopping map[*run]struct{}
 	// changed are the jobs whose records are out of date.
 	changed map[cawork.JobID]*job
 	removed []cawork.JobID
@@ -68,6 +72,7 @@
 type job struct {
 	*castate.Job
 	priority int
+	pool     caspec.PoolName
 	accepted time.Time
 	// ended is when the phase became final, as far as this board knows.
 	ended time.Time
@@ -93,6 +98,7 @@
 	// runs are the live runs of the step.
 	runs     int
 	waiting  int
+	lateness int
 	approval approvals
 }
 
@@ -113,6 +119,7 @@
 		queues:         make(map[caspec.QueueName]*queueStats),
 		changed:        make(map[cawork.JobID]*job),
 		seen:           make(map[*upstream]int64),
+		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil,
 	}
 }
@@ -237,6 +244,7 @@
 	b.jobs[j.Submission.ID] = j
 	if q, ok := b.queueOf(j); ok {
 		j.priority = q.Priority
+		j.pool = q.Pool
 		j.objective = objective(q, j.Submission.Steps)
 	}
 }
@@ -244,6 +252,12 @@
 // objective returns the time within which a job is in time: the stretched
 // length of its longest chain of steps, and the allowance of the queue.
 func objective(q caspec.Queue, steps []caspec.Step) time.Duration {
+	return time.Duration(q.Stretch*float64(chainOf(q, steps))) + q.Allowance
+}
+
+// chainOf returns the length of the longest chain of steps, with a question to
+// the advisor for each.
+func chainOf(q caspec.Queue, steps []caspec.Step) time.Duration {
 	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
 	for i, s := range steps {
@@ -257,7 +271,7 @@
 		}
 		longest = max(longest, ends[i])
 	}
-	return time.Duration(q.Stretch*float64(longest)) + q.Allowance
+	return longest
 }
 
 // openSteps adds the steps of an occurrence, with the runs that its tasks
@@ -323,6 +337,7 @@
 		return
 	}
 	r.up.discharge(r)
+	delete(b.stopping, r)
 	b.teamOf(r.team).release(r.size)
 	r.step.runs--
 	r.step.job.runs--
--- /dev/null
+++ b/internal/cell/caboard/board_test.go
@@ -0,0 +1,130 @@
+package caboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// scene drives a board by hand.
+type scene struct {
+	t     testing.TB
+	board *Board
+	now   time.Time
+	ends  map[cawork.UpstreamID]int64
+}
+
+func newScene(t testing.TB, upstreams int, queues ...caspec.Queue) *scene {
+	t.Helper()
+	now := time.Unix(1_000_000, 0)
+	s := &scene{t: t, now: now, ends: make(map[cawork.UpstreamID]int64)}
+	s.board = New(zerolog.Nop(), 1, s.moment(), now.Add(10*time.Second))
+	s.board.SetAskSlots(AskSlots{All: 100, Long: 100})
+	s.board.SetPolicy(caspec.Policy{
+		Version: 1, Queues: queues, Pools: []caspec.Pool{{Name: "pool"}},
+		Teams: []caspec.Team{{Name: "north", Weight: 1000}},
+	}.WithIndex())
+	var list []caspec.Upstream
+	for i := range upstreams {
+		list = append(list, caspec.Upstream{
+			ID: cawork.UpstreamID(fmt.Sprintf("up-%02d", i)), Address: "address", Pool: "pool", Born: 1,
+			Capacity: cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB},
+			Labels:   []string{"a", fmt.Sprintf("rack-%d", i/6)},
+		})
+	}
+	s.board.SetUpstreams(list)
+	for _, u := range list {
+		s.report(u.ID, nil, nil)
+	}
+	return s
+}
+
+func (s *scene) moment() Moment { return Moment{Steady: s.now, WallMS: s.now.UnixMilli()} }
+
+func (s *scene) advance(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.board.SetNow(s.moment())
+}
+
+// report is a report of an upstream that is asked for and answered now.
+func (s *scene) report(id cawork.UpstreamID, running []RunningRow, ended []EndedRow) {
+	s.advance(time.Millisecond)
+	for i := range ended {
+		s.ends[id]++
+		ended[i].Number = s.ends[id]
+	}
+	s.board.Observe(Report{
+		Upstream: id, Born: 1, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.UnixMilli(), Running: running, Ended: ended,
+	})
+}
+
+func (s *scene) submit(id string, queue caspec.QueueName, steps ...caspec.Step) {
+	s.t.Helper()
+	_, err := s.board.Submit(caspec.Submission{ID: cawork.JobID(id), Queue: queue, Team: "north", Steps: steps})
+	if err != nil {
+		s.t.Fatalf("submit %s: %v", id, err)
+	}
+}
+
+// commit stores all changes and returns the start orders that leave.
+func (s *scene) commit() []StartOrder {
+	s.t.Helper()
+	batch, err := s.board.NextBatch()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.board.Committed(batch)
+}
+
+// startAll plans, stores and answers all starts with success.
+func (s *scene) startAll() []StartOrder {
+	s.t.Helper()
+	s.board.Plan()
+	orders := s.commit()
+	for _, o := range orders {
+		s.board.Started(o, StartAccepted, s.now.UnixMilli())
+	}
+	return orders
+}
+
+func plainQueue() caspec.Queue {
+	return caspec.Queue{Name: "queue", Pool: "pool", MaxAttempts: 3, Stretch: 2, Allowance: time.Second}
+}
+
+func approvedQueue() caspec.Queue {
+	q := plainQueue()
+	q.Approval = &caspec.Approval{Decision: 10 * time.Millisecond, PerUpstream: time.Millisecond, Validity: 2500 * time.Millisecond}
+	return q
+}
+
+func smallStep(tasks int) caspec.Step {
+	return caspec.Step{Tasks: tasks, CPU: 1400, Memory: 2 * cawork.GiB, Estimate: 640 * time.Millisecond}
+}
+
+// BenchmarkPlanBacklog plans while a thousand jobs wait for a full cell.
+func BenchmarkPlanBacklog(b *testing.B) {
+	s := newScene(b, 48, approvedQueue())
+	for i := range 1500 {
+		id := cawork.JobID(fmt.Sprintf("%016x", i))
+		s.board.open(caspec.Submission{ID: id, Queue: "queue", Team: "north", Steps: []caspec.Step{smallStep(3)}}, false)
+	}
+	for range 5 {
+		for _, ask := range s.board.Plan().Asks {
+			var approved []Approval
+			for _, id := range ask.Upstreams {
+				approved = append(approved, Approval{Upstream: id, Ticket: "t"})
+			}
+			s.advance(200 * time.Millisecond)
+			s.board.Advised(ask, approved, true)
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		s.board.Plan()
+	}
+}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -16,26 +16,74 @@
 	b.resume = false
 	b.pruneSteps()
 	b.orderSteps()
-	for _, u := range b.upstreams {
-		u.reservedBy = nil
-	}
+	b.pools = b.openPools()
 	blocked := 0
 	for _, s := range b.steps {
 		if s.waiting == 0 || !s.ready {
 			continue
 		}
-		if s.spec.Gang {
-			if !b.placeGang(s) && blocked < blockedGangs && b.lateness(s.job) != latenessUseless {
-				blocked++
-				b.reserve(s)
-			}
+		q, ok := b.queueOf(s.job)
+		if !ok {
+			continue
+		}
+		p := b.pools[q.Pool]
+		if p == nil {
 			continue
 		}
-		b.placeTasks(s)
+		if !s.spec.Gang {
+			b.placeTasks(s, q, p)
+			continue
+		}
+		if !b.placeGang(s, q, p) && blocked < blockedGangs && s.lateness != latenessUseless {
+			blocked++
+			b.reserve(s, q, p)
+		}
 	}
 	return Orders{Stops: b.stops(), Asks: b.asks()}
 }
 
+// openPool is what accepts new work of a pool during one plan.
+type openPool struct {
+	upstreams []*upstream
+	// most bounds the room of each upstream, dimension by dimension.
+	most cawork.Resources
+	// free is the room of all.
+	free cawork.Resources
+}
+
+func (b *Board) openPools() map[caspec.PoolName]*openPool {
+	pools := make(map[caspec.PoolName]*openPool)
+	for _, u := range b.upstreams {
+		u.reservedBy = nil
+		u.open = u.accepts(b.now.Steady)
+		if !u.open {
+			continue
+		}
+		p, ok := pools[u.info.Pool]
+		if !ok {
+			p = &openPool{}
+			pools[u.info.Pool] = p
+		}
+		p.upstreams = append(p.upstreams, u)
+	}
+	for _, p := range pools {
+		p.measure()
+	}
+	return pools
+}
+
+// measure takes the room of the pool anew.
+func (p *openPool) measure() {
+	p.most, p.free = cawork.Resources{}, cawork.Resources{}
+	for _, u := range p.upstreams {
+		free := u.free().Floor()
+		p.free = p.free.Plus(free)
+		p.most.CPU = max(p.most.CPU, free.CPU)
+		p.most.Memory = max(p.most.Memory, free.Memory)
+		p.most.Accelerators = max(p.most.Accelerators, free.Accelerators)
+	}
+}
+
 // pruneSteps drops steps that have ended.
 func (b *Board) pruneSteps() {
 	kept := b.steps[:0]
@@ -51,9 +99,12 @@
 
 // orderSteps puts first what is to be placed first.
 func (b *Board) orderSteps() {
+	for _, s := range b.steps {
+		s.lateness = b.lateness(s.job)
+	}
 	slices.SortStableFunc(b.steps, func(x, y *step) int {
 		return cmp.Or(
-			cmp.Compare(b.lateness(x.job), b.lateness(y.job)),
+			cmp.Compare(x.lateness, y.lateness),
 			cmp.Compare(x.job.priority, y.job.priority),
 			compareBool(x.job.Excess, y.job.Excess),
 			x.job.accepted.Compare(y.job.accepted),
@@ -100,28 +151,32 @@
 }
 
 // placeTasks assigns the waiting tasks of a step one by one.
-func (b *Board) placeTasks(s *step) {
-	q, ok := b.queueOf(s.job)
-	if !ok {
+func (b *Board) placeTasks(s *step, q caspec.Queue, p *openPool) {
+	if !s.spec.Size().Fits(p.most) {
 		return
 	}
+	placed := false
 	tasks := s.state().Tasks
 	for i := range tasks {
 		if tasks[i].Phase != castate.TaskWaiting {
 			continue
 		}
-		u, pass := b.bestFor(s, q)
+		u, pass := b.bestFor(s, q, p)
 		if u == nil {
-			return
+			break
 		}
 		b.assign(s, i, tasks[i].Run+1, u, pass)
+		placed = true
+	}
+	if placed {
+		p.measure()
 	}
 }
 
 // bestFor returns the upstream for one more task of the step, with its ticket.
 // Of those that have room, it is the one with the least left, so that others
 // keep room for large tasks.
-func (b *Board) bestFor(s *step, q caspec.Queue) (*upstream, string) {
+func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool) (*upstream, string) {
 	size := s.spec.Size()
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
@@ -129,29 +184,43 @@
 	var best *upstream
 	var bestPass string
 	var bestLeft cawork.MilliCPU
-	for _, u := range b.upstreams {
-		if !size.Fits(u.free()) || u.reservedBy != nil && u.reservedBy != s {
+	for _, u := range b.usableFor(s, q, p) {
+		if !size.Fits(u.free()) {
 			continue
 		}
-		pass, ok := b.mayRun(s, q, u)
-		if !ok || !b.rackSuits(s, u) {
+		left := u.free().CPU
+		if best != nil && (left > bestLeft || left == bestLeft && u.info.ID >= best.info.ID) {
 			continue
 		}
-		left := u.free().CPU
-		if best == nil || left < bestLeft || left == bestLeft && u.info.ID < best.info.ID {
+		if pass, ok := b.mayRun(s, q, u); ok {
 			best, bestPass, bestLeft = u, pass, left
 		}
 	}
 	return best, bestPass
 }
 
+// usableFor returns the upstreams that may come into question for a step: those
+// that were approved, where approval is needed.
+func (b *Board) usableFor(s *step, q caspec.Queue, p *openPool) []*upstream {
+	if q.Approval == nil {
+		return p.upstreams
+	}
+	usable := make([]*upstream, 0, len(s.approval.tickets))
+	for id := range s.approval.tickets {
+		if u, ok := b.upstreams[id]; ok && u.open {
+			usable = append(usable, u)
+		}
+	}
+	return usable
+}
+
 // mayRun reports whether an upstream may run one more task of the step, with
 // the ticket that permits it.
 func (b *Board) mayRun(s *step, q caspec.Queue, u *upstream) (string, bool) {
-	if u.info.Pool != q.Pool || !u.accepts(b.now.Steady) || !u.info.HasLabel(s.spec.Label) {
+	if !u.open || u.info.Pool != q.Pool || u.reservedBy != nil && u.reservedBy != s || !u.info.HasLabel(s.spec.Label) {
 		return "", false
 	}
-	if s.spec.MaxPerUpstream > 0 && u.count(s) >= s.spec.MaxPerUpstream {
+	if s.spec.MaxPerUpstream > 0 && u.count(s) >= s.spec.MaxPerUpstream || !b.rackSuits(s, u) {
 		return "", false
 	}
 	if q.Approval == nil {
@@ -209,19 +278,22 @@
 
 // placeGang assigns all tasks of a gang at once. It reports whether the gang
 // is placed or does not wait for room.
-func (b *Board) placeGang(s *step) bool {
-	q, ok := b.queueOf(s.job)
-	if !ok || s.runs > 0 || s.waiting < s.spec.Tasks {
+func (b *Board) placeGang(s *step, q caspec.Queue, p *openPool) bool {
+	if s.runs > 0 || s.waiting < s.spec.Tasks {
 		return true
 	}
 	whole := s.spec.Size().Times(int64(s.spec.Tasks))
 	if !b.withinLimit(s.job.Submission.Team, whole) {
 		return true
 	}
-	spots := b.gangSpots(s, q)
+	if !whole.Fits(p.free) || !s.spec.Size().Fits(p.most) {
+		return false
+	}
+	spots := b.gangSpots(s, q, p)
 	if spots == nil {
 		return false
 	}
+	defer p.measure()
 	number := nextRun(s.state())
 	checkpoint := newestCheckpoint(s.state())
 	for i, at := range spots {
@@ -251,8 +323,8 @@
 
 // gangSpots returns a place for each member, or nil. Members that are slow
 // across racks get one rack while they have patience.
-func (b *Board) gangSpots(s *step, q caspec.Queue) []spot {
-	usable := b.gangUpstreams(s, q)
+func (b *Board) gangSpots(s *step, q caspec.Queue, p *openPool) []spot {
+	usable := b.gangUpstreams(s, q, p)
 	if s.spec.SameRack {
 		for _, members := range byRack(usable) {
 			if spots := fill(s, members); spots != nil {
@@ -271,17 +343,14 @@
 	room int
 }
 
-func (b *Board) gangUpstreams(s *step, q caspec.Queue) []usableUpstream {
+func (b *Board) gangUpstreams(s *step, q caspec.Queue, p *openPool) []usableUpstream {
 	var usable []usableUpstream
-	for _, u := range b.upstreams {
-		if u.reservedBy != nil && u.reservedBy != s {
+	for _, u := range b.usableFor(s, q, p) {
+		n := places(u.free(), s.spec)
+		if n == 0 {
 			continue
 		}
-		pass, ok := b.mayRun(s, q, u)
-		if !ok || !b.rackSuits(s, u) {
-			continue
-		}
-		if n := places(u.free(), s.spec); n > 0 {
+		if pass, ok := b.mayRun(s, q, u); ok {
 			usable = append(usable, usableUpstream{spot: spot{up: u, pass: pass}, room: n})
 		}
 	}
@@ -330,16 +399,11 @@
 
 // reserve holds back the upstreams that will have room for a gang first, so
 // that lesser work does not take it bit by bit.
-func (b *Board) reserve(s *step) {
-	q, ok := b.queueOf(s.job)
-	if !ok {
-		return
-	}
+func (b *Board) reserve(s *step, q caspec.Queue, p *openPool) {
 	var usable []*upstream
-	for _, u := range b.upstreams {
+	for _, u := range b.usableFor(s, q, p) {
 		approved := q.Approval == nil || s.approval.approved(u)
-		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.accepts(b.now.Steady) &&
-			u.info.HasLabel(s.spec.Label) {
+		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.info.HasLabel(s.spec.Label) {
 			usable = append(usable, u)
 		}
 	}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -161,7 +161,7 @@
 // noteForeign stops a run that the board does not stand on, such as one that a
 // late order of an earlier leader started.
 func (b *Board) noteForeign(u *upstream, row RunningRow) {
-	r := &run{id: row.Run, up: u, confirmed: true, stopping: true, sent: true, durable: true}
+	r := &run{id: row.Run, up: u, confirmed: true, sent: true, durable: true}
 	j, ok := b.jobs[row.Run.Job]
 	if !ok || len(j.steps) == 0 {
 		r.step = orphanStep(row.Run)
@@ -174,6 +174,7 @@
 		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
 		Bool("job_known", ok).Str("cause", "not assigned, will be stopped").Send()
 	b.charge(r)
+	b.stop(r)
 }
 
 // orphanStep stands in for the step of a run whose job is not known.
@@ -434,14 +435,14 @@
 // stops returns the stop orders that are due.
 func (b *Board) stops() []StopOrder {
 	var orders []StopOrder
-	for _, u := range b.upstreams {
-		for _, r := range u.runs {
-			if r.stopping && r.sent && r.stopAcked.IsZero() && !r.stopCalling && u.info.Address != "" &&
-				b.now.Steady.Sub(r.stopTried) >= stopRetry {
-				r.stopCalling = true
-				orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Born})
-			}
+	for r := range b.stopping {
+		u := r.up
+		if !r.sent || !r.stopAcked.IsZero() || r.stopCalling || u.info.Address == "" ||
+			b.now.Steady.Sub(r.stopTried) < stopRetry {
+			continue
 		}
+		r.stopCalling = true
+		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Born})
 	}
 	return orders
 }
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -20,18 +20,21 @@
 		}
 		return j.stored, nil
 	}
-	if err := b.admit(s); err != nil {
+	excess, err := b.admit(s)
+	if err != nil {
 		b.counts.Refused++
 		return false, err
 	}
-	b.open(s)
+	b.open(s, excess)
 	return false, nil
 }
 
-func (b *Board) open(s caspec.Submission) {
+func (b *Board) open(s caspec.Submission, excess bool) {
 	j := &job{Job: castate.NewJob(s, b.now.WallMS), accepted: b.now.Steady}
-	team, _ := b.policy.Team(s.Team)
-	j.Excess = !b.teamOf(s.Team).takeToken(b.now.Steady, team.Weight)
+	j.Excess = excess
+	if !excess {
+		b.teamOf(s.Team).takeToken()
+	}
 	b.adopt(j)
 	if !s.Schedule.IsTimed() {
 		b.openSteps(j, j.OpenNext())
@@ -43,21 +46,27 @@
 		Int64("policy", b.policy.Version).Dur("objective", j.objective).Send()
 }
 
-// admit refuses what can never run here.
-func (b *Board) admit(s caspec.Submission) error {
+// admit refuses what can never run here, and what would be late. It reports
+// whether the job is beyond the rate that its team is owed.
+func (b *Board) admit(s caspec.Submission) (excess bool, err error) {
 	if err := s.Check(); err != nil {
-		return err
+		return false, err
 	}
 	q, ok := b.policy.Queue(s.Queue)
 	if !ok {
-		return cakind.New(cakind.KindNotFound, "no queue %q in version %d", s.Queue, b.policy.Version)
+		return false, cakind.New(cakind.KindNotFound, "no queue %q in version %d", s.Queue, b.policy.Version)
 	}
 	for i, step := range s.Steps {
 		if err := b.admitStep(q, s.Team, i, step); err != nil {
-			return err
+			return false, err
 		}
 	}
-	return nil
+	team, _ := b.policy.Team(s.Team)
+	excess = !b.teamOf(s.Team).hasToken(b.now.Steady, team.Weight)
+	if s.Schedule.IsTimed() || s.IsLongRunning() {
+		return excess, nil
+	}
+	return excess, b.forecastFor(s, q, excess).decide()
 }
 
 func (b *Board) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
@@ -151,6 +160,7 @@
 // stop marks a run to be stopped. One that no upstream was told of is over.
 func (b *Board) stop(r *run) {
 	r.stopping = true
+	b.stopping[r] = struct{}{}
 	b.resume = true
 }
 
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -26,9 +26,9 @@
 func (t *teamUse) use(r cawork.Resources)     { t.used = t.used.Plus(r) }
 func (t *teamUse) release(r cawork.Resources) { t.used = t.used.Minus(r) }
 
-// takeToken reports whether a job at this time is within the rate, in jobs a
+// hasToken reports whether a job at this time is within the rate, in jobs a
 // second. A rate of zero has no bound.
-func (t *teamUse) takeToken(now time.Time, rate float64) bool {
+func (t *teamUse) hasToken(now time.Time, rate float64) bool {
 	if rate <= 0 {
 		return true
 	}
@@ -39,13 +39,12 @@
 		t.tokens = min(t.tokens+now.Sub(t.filledAt).Seconds()*rate, most)
 	}
 	t.filledAt = now
-	if t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
+	return t.tokens >= 1
 }
 
+// takeToken counts a job that was accepted within the rate.
+func (t *teamUse) takeToken() { t.tokens-- }
+
 // withinLimit reports whether the team may have the amount more running.
 func (b *Board) withinLimit(name cawork.TeamName, more cawork.Resources) bool {
 	team, ok := b.policy.Team(name)
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -31,6 +31,8 @@
 	restUntil time.Time
 	// sick tracks failures against those of its peers.
 	sick health
+	// open is set while the upstream accepts work in the plan being made.
+	open bool
 	// reservedBy keeps the room for a step that waits for all of it.
 	reservedBy *step
 }
--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -4,6 +4,7 @@
 package caspec
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -93,6 +94,11 @@
 	Schedule Schedule        `cbor:"6,keyasint,omitempty"`
 }
 
+// IsLongRunning reports whether any step runs until the job is canceled.
+func (s Submission) IsLongRunning() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.LongRunning })
+}
+
 // Check returns an error of KindInvalid or KindTooLarge for a submission that
 // can not be scheduled, whatever the cell looks like.
 func (s Submission) Check() error {
