A lease that nobody confirms ends; jobs count as pending until a run is shown

Renewals now carry no time until one is answered. Tests of both in internal/cell/caboard fail without the change.

--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -82,6 +82,8 @@
 	shown  castate.Phase
 	steps  []*step
 	runs   int
+	// shownRunning is set once an upstream has shown a run of the job.
+	shownRunning bool
 	// objective is the time from acceptance within which it is in time.
 	objective time.Duration
 }
@@ -290,6 +292,10 @@
 			case castate.TaskAssigned:
 				b.inherit(s, index)
 			case castate.TaskDone:
+				j.shownRunning = true
+			}
+			if t.Failures > 0 {
+				j.shownRunning = true
 			}
 		}
 		if !j.Phase.IsFinal() {
--- a/internal/cell/caboard/board_test.go
+++ b/internal/cell/caboard/board_test.go
@@ -17,6 +17,8 @@
 	board *Board
 	now   time.Time
 	ends  map[cawork.UpstreamID]int64
+	// stops are the stop orders of all plans.
+	stops []StopOrder
 }
 
 func newScene(t testing.TB, upstreams int, queues ...caspec.Queue) *scene {
@@ -84,7 +86,7 @@
 // startAll plans, stores and answers all starts with success.
 func (s *scene) startAll() []StartOrder {
 	s.t.Helper()
-	s.board.Plan()
+	s.stops = append(s.stops, s.board.Plan().Stops...)
 	orders := s.commit()
 	for _, o := range orders {
 		s.board.Started(o, StartAccepted, s.now.UnixMilli())
@@ -110,8 +112,7 @@
 func BenchmarkPlanBacklog(b *testing.B) {
 	s := newScene(b, 48, approvedQueue())
 	for i := range 1500 {
-		id := cawork.JobID(fmt.Sprintf("%016x", i))
-		s.board.open(caspec.Submission{ID: id, Queue: "queue", Team: "north", Steps: []caspec.Step{smallStep(3)}}, false)
+		s.board.open(submission(i, smallStep(3)), false)
 	}
 	for range 5 {
 		for _, ask := range s.board.Plan().Asks {
@@ -128,3 +129,9 @@
 		s.board.Plan()
 	}
 }
+
+func upstreamID(name string) cawork.UpstreamID { return cawork.UpstreamID(name) }
+
+func submission(i int, steps ...caspec.Step) caspec.Submission {
+	return caspec.Submission{ID: cawork.JobID(fmt.Sprintf("%016x", i)), Queue: "queue", Team: "north", Steps: steps}
+}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -118,6 +118,7 @@
 		b.reborn(u, report.Born)
 	}
 	u.fenced = true
+	u.unanswered = false
 	b.readClock(u, report.ClockMS, report.ReceivedAt)
 	if report.SentAt.After(u.reportedAt) {
 		u.reportedAt = report.SentAt
@@ -150,7 +151,7 @@
 			b.noteForeign(u, row)
 			continue
 		}
-		r.confirmed = true
+		r.confirm(report.SentAt)
 		r.percent, r.load = row.Percent, row.Load
 		if t := r.task(); r.isCurrent() && row.Checkpoint != "" {
 			t.Checkpoint = row.Checkpoint
@@ -205,6 +206,7 @@
 	caevent.Info(b.log, caevent.TaskEnded).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
 		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
 		Str("ending", row.Ending.String()).Int64("number", row.Number).Dur("after", at.Sub(r.at)).Send()
+	r.step.job.shownRunning = true
 	if !r.isCurrent() {
 		b.gone(r)
 		return
@@ -385,8 +387,7 @@
 	switch outcome {
 	case StartAccepted:
 		b.counts.Started++
-		r.confirmed = true
-		r.confirmedAt = b.now.Steady
+		r.confirm(b.now.Steady)
 	case StartUnknown:
 		if !r.confirmed {
 			b.breakGang(r)
@@ -447,6 +448,14 @@
 	return orders
 }
 
+// Unanswered notes that a renewal had no answer. Until one has, renewals carry
+// no more time, so that the lease of an upstream that is gone ends.
+func (b *Board) Unanswered(id cawork.UpstreamID) {
+	if u, ok := b.upstreams[id]; ok {
+		u.unanswered = true
+	}
+}
+
 // Lease returns what the next call to an upstream carries, and notes that it
 // is sent.
 func (b *Board) Lease(id cawork.UpstreamID) (Lease, bool) {
@@ -456,7 +465,9 @@
 	}
 	l := Lease{
 		Upstream: id, Address: u.info.Address, Born: u.info.Born, LastSeen: u.lastSeen, Busy: len(u.runs) > 0,
-		UntilMS: u.untilMS(b.now.Steady, LeaseLength),
+	}
+	if !u.unanswered {
+		l.UntilMS = u.untilMS(b.now.Steady, LeaseLength)
 	}
 	if l.UntilMS > 0 {
 		u.extend(b.now.Steady, LeaseLength)
--- /dev/null
+++ b/internal/cell/caboard/report_test.go
@@ -0,0 +1,145 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// renewInVain sends renewals to an upstream that does not answer.
+func (s *scene) renewInVain(order StartOrder, during time.Duration) {
+	for begin := s.now; s.now.Sub(begin) < during; s.advance(500 * time.Millisecond) {
+		if _, ok := s.board.Lease(order.Upstream); ok {
+			s.board.Unanswered(order.Upstream)
+		}
+		s.board.Lapse()
+	}
+}
+
+func TestTaskOfUpstreamThatIsGoneWaitsAgain(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	s.board.SetUpstreams(nil)
+	s.renewInVain(order, 12*time.Second)
+	task := s.board.jobs["0000000000000001"].Open[0].Steps[0].Tasks[0]
+	if diff := cmp.Diff(castate.TaskWaiting, task.Phase); diff != "" {
+		t.Errorf("phase of the task after the lease (-want +got):\n%s", diff)
+	}
+}
+
+func TestTaskStaysOnSilentUpstreamForItsLease(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	s.renewInVain(order, LeaseLength-time.Second)
+	task := s.board.jobs["0000000000000001"].Open[0].Steps[0].Tasks[0]
+	if diff := cmp.Diff(castate.TaskAssigned, task.Phase); diff != "" {
+		t.Errorf("phase of the task within the lease (-want +got):\n%s", diff)
+	}
+}
+
+func TestPendingCountsJobsThatNoUpstreamShowed(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.commit()
+	s.board.Plan()
+	orders := s.commit()
+	s.board.Started(orders[0], StartUnknown, 0)
+	if diff := cmp.Diff(1, s.board.Pending("queue")); diff != "" {
+		t.Errorf("pending while the start has no answer (-want +got):\n%s", diff)
+	}
+	s.report(orders[0].Upstream, []RunningRow{{Run: orders[0].Run}}, nil)
+	if diff := cmp.Diff(0, s.board.Pending("queue")); diff != "" {
+		t.Errorf("pending once the run is shown (-want +got):\n%s", diff)
+	}
+}
+
+func TestLateJobsAreAskedAbout(t *testing.T) {
+	s := newScene(t, 2, approvedQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.advance(time.Hour)
+	for _, u := range []string{"up-00", "up-01"} {
+		s.report(upstreamID(u), nil, nil)
+	}
+	if diff := cmp.Diff(1, len(s.board.Plan().Asks)); diff != "" {
+		t.Errorf("questions about a job that is late beyond use (-want +got):\n%s", diff)
+	}
+}
+
+func TestQuestionsAreBounded(t *testing.T) {
+	s := newScene(t, 48, approvedQueue())
+	s.board.SetAskSlots(AskSlots{All: 16, Long: 5})
+	for i := range 300 {
+		s.board.open(submission(i, smallStep(1)), false)
+	}
+	if diff := cmp.Diff(16, len(s.board.Plan().Asks)); diff != "" {
+		t.Errorf("open questions after 300 jobs came at once (-want +got):\n%s", diff)
+	}
+}
+
+func TestUnansweredStartIsStoppedBeforeTheTaskRunsAgain(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.board.Plan()
+	order := s.commit()[0]
+	s.board.Started(order, StartUnknown, 0)
+	s.report(order.Upstream, nil, nil)
+	if got := s.startAll(); len(got) != 0 {
+		t.Fatalf("started %v although the first order may still take effect", got)
+	}
+	for _, stop := range s.stops {
+		s.board.Stopped(stop, true)
+	}
+	s.report(order.Upstream, nil, nil)
+	want := order.Run
+	want.Number++
+	if diff := cmp.Diff(want, s.startAll()[0].Run); diff != "" {
+		t.Errorf("run after the stop was acknowledged (-want +got):\n%s", diff)
+	}
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	for range 3 {
+		orders := s.startAll()
+		if len(orders) != 1 {
+			t.Fatalf("%d starts, want one", len(orders))
+		}
+		s.report(orders[0].Upstream, nil, []EndedRow{{Run: orders[0].Run, Ending: EndingFailed}})
+	}
+	s.commit()
+	phase, known := s.board.Phase("0000000000000001")
+	if diff := cmp.Diff([]any{castate.PhaseFailed, true}, []any{phase, known}); diff != "" {
+		t.Errorf("phase after three failures (-want +got):\n%s", diff)
+	}
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	gang := caspec.Step{Tasks: 4, CPU: 7000, Memory: 1 << 30, Estimate: time.Second, Gang: true}
+	s.submit("0000000000000001", "queue", smallStep(8))
+	s.startAll()
+	s.submit("0000000000000002", "queue", gang)
+	if got := s.startAll(); len(got) != 0 {
+		t.Fatalf("%d members started while the room is not there", len(got))
+	}
+}
+
+func TestCompletionIsShownOnceStored(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	s.report(order.Upstream, nil, []EndedRow{{Run: order.Run, Ending: EndingDone}})
+	before, _ := s.board.Phase("0000000000000001")
+	s.commit()
+	after, _ := s.board.Phase("0000000000000001")
+	if diff := cmp.Diff([]castate.Phase{castate.PhaseRunning, castate.PhaseCompleted}, []castate.Phase{before, after}); diff != "" {
+		t.Errorf("phase before and after the record is stored (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -105,3 +105,12 @@
 	t := r.task()
 	return t.Phase == castate.TaskAssigned && t.Run == r.id.Number
 }
+
+// confirm notes that the upstream has shown the run at the time.
+func (r *run) confirm(at time.Time) {
+	r.step.job.shownRunning = true
+	if !r.confirmed {
+		r.confirmed = true
+		r.confirmedAt = at
+	}
+}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -183,11 +183,12 @@
 	return ok && !j.stored
 }
 
-// Pending counts the accepted jobs of a queue of which no task has started.
+// Pending counts the accepted jobs of a queue of which no upstream has shown a
+// run yet.
 func (b *Board) Pending(q caspec.QueueName) int {
 	n := 0
 	for _, j := range b.jobs {
-		if j.stored && j.Submission.Queue == q && !j.Began && !j.Phase.IsFinal() {
+		if j.stored && j.Submission.Queue == q && !j.shownRunning && !j.Phase.IsFinal() {
 			n++
 		}
 	}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -24,6 +24,8 @@
 	reportedAt time.Time
 	// fenced is set once it has answered a call with the token of this leader.
 	fenced bool
+	// unanswered is set while the last renewal had no answer.
+	unanswered bool
 	// noted is the last end that was applied, lastSeen the last one stored.
 	noted    int64
 	lastSeen int64
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -203,6 +203,9 @@
 	defer cancel()
 	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
 	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.board.Unanswered(lease.Upstream)
 		if isDeposed(err) {
 			l.fenced(lease.Upstream)
 		}
