The leader hands over with its last append; a proved loss of the leader needs no silence

Cause: at SIGTERM the append under way was cut, its outcome unknown, and the release failed, so that followers waited out the silence (1.2 s); the same after a kill, although the connection was refused. Ruled out: the time to load (40 to 140 ms). Admission also refused while the cell had room (priced as such).

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -18,6 +18,10 @@
 	// excessSlackShare is the same for jobs beyond the rate that their team is
 	// owed.
 	excessSlackShare = 0.2
+	// keptShare is the fraction of a pool that is free when it counts as not
+	// full, and excessKeptShare the same for jobs beyond the owed rate.
+	keptShare       = 0.08
+	excessKeptShare = 0.2
 	// retryAtLeast is the shortest time after which a refused caller should
 	// come back.
 	retryAtLeast = 300 * time.Millisecond
@@ -30,6 +34,8 @@
 	ahead coreTime
 	// capacity is what the pool has.
 	capacity cawork.MilliCPU
+	// free is the room of the pool, and needed what the job takes at its widest.
+	free, needed cawork.MilliCPU
 	// slack is how long the job may wait and still be in time.
 	slack time.Duration
 	// excess marks a job beyond the rate that its team is owed.
@@ -59,12 +65,22 @@
 	return time.Duration(slackShare * float64(f.slack))
 }
 
+// hasRoom reports whether the pool is not full for this job. Some room is kept
+// for what others have waiting.
+func (f forecast) hasRoom() bool {
+	kept := keptShare
+	if f.excess {
+		kept = excessKeptShare
+	}
+	return float64(f.free) >= kept*float64(f.capacity) && f.free >= f.needed
+}
+
 // decide refuses a job that would be late, with the time after which the
 // backlog allows it. A job never waits longer for being accepted than a caller
 // would for the refusal to be lifted.
 func (f forecast) decide() error {
 	wait, bound := f.wait(), f.bound()
-	if wait <= bound {
+	if wait <= bound || f.hasRoom() {
 		return nil
 	}
 	return cakind.New(cakind.KindOverloaded, "the expected wait is %d ms, the job may wait %d ms",
@@ -74,9 +90,13 @@
 // forecastFor foresees the wait of a submission.
 func (b *Board) forecastFor(s caspec.Submission, q caspec.Queue, excess bool) forecast {
 	f := forecast{excess: excess, slack: slackOf(q, s.Steps)}
+	for _, step := range s.Steps {
+		f.needed = max(f.needed, step.CPU*cawork.MilliCPU(step.Tasks))
+	}
 	for _, u := range b.upstreams {
 		if u.info.Pool == q.Pool && u.accepts(b.now.Steady) {
 			f.capacity += u.info.Capacity.CPU
+			f.free += max(u.free().CPU, 0)
 		}
 	}
 	for _, other := range b.steps {
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand"
+	"syscall"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -18,10 +20,14 @@
 	helloTimeout = 350 * time.Millisecond
 	// helloMisses is how many of them in a row make an entry doubt the leader.
 	helloMisses = 2
-	// silence is how long the log of the cell must rest before a leader that
-	// does not answer is taken for gone. A leader appends every
+	// silenceAtLeast and silencePerRead make the time for which the log of the
+	// cell must rest before a leader that does not answer is taken for gone: the
+	// second counts how long the store takes for a read. A leader appends every
 	// caleader.RenewPeriod.
-	silence = 800 * time.Millisecond
+	silenceAtLeast = 500 * time.Millisecond
+	silencePerRead = 3
+	// wakePause gathers calls that failed before the leader is looked at.
+	wakePause = 10 * time.Millisecond
 	// standingTimeout bounds the reading of the claim that stands.
 	standingTimeout = time.Second
 	// electionPause is the wait after an election that came to nothing.
@@ -45,40 +51,90 @@
 	askedPeers = 3
 )
 
+// errNotLeading is the answer of an entry that was taken for the leader.
+var errNotLeading = cakind.New(cakind.KindFenced, "the entry does not lead")
+
+// doubt is how sure an entry is that the leader is gone.
+type doubt int
+
+const (
+	doubtNone doubt = iota
+	// doubtSome means that the leader does not answer.
+	doubtSome
+	// doubtProved means that its process is gone or says that it does not lead.
+	doubtProved
+)
+
 // followLoop keeps in touch with the leader, and elects one when there is none.
 func (g *Gate) followLoop(ctx context.Context) error {
 	misses := 0
 	for ctx.Err() == nil {
-		l, at, ok := g.target()
-		switch {
-		case l != nil:
+		d := g.checkLeader(ctx, &misses)
+		if d != doubtNone && g.elect(ctx, d) {
 			misses = 0
-		case !ok || misses >= helloMisses || g.storeAge(at) > oldStoreAge:
-			if g.elect(ctx, misses) {
-				misses = 0
-			}
-		}
-		if l, at, ok = g.target(); l == nil && ok {
-			if err := g.hello(ctx, at.Address); err == nil {
-				misses = 0
-			} else if capeer.IsUnreachable(err) || cakind.Of(err) == cakind.KindUnavailable {
-				misses = helloMisses
-			} else {
-				misses++
-			}
-		}
-		if err := g.pause(ctx, helloPeriod); err != nil {
-			break
+			continue
 		}
+		g.awaitWake(ctx, helloPeriod)
 	}
 	return context.Cause(ctx)
 }
 
-func (g *Gate) storeAge(at belief) time.Duration {
-	if at.heardAt.IsZero() {
-		return 0
+// checkLeader calls the leader and tells how sure it is that it is gone.
+func (g *Gate) checkLeader(ctx context.Context, misses *int) doubt {
+	l, at, ok := g.target()
+	switch {
+	case l != nil:
+		*misses = 0
+		return doubtNone
+	case !ok:
+		return doubtProved
 	}
-	return at.storeAge
+	err := g.hello(ctx, at.Address)
+	switch {
+	case err == nil:
+		*misses = 0
+		if g.storeAge() > oldStoreAge {
+			return doubtSome
+		}
+		return doubtNone
+	case errors.Is(err, errNotLeading), errors.Is(err, syscall.ECONNREFUSED):
+		return doubtProved
+	}
+	*misses++
+	if *misses >= helloMisses {
+		return doubtSome
+	}
+	return doubtNone
+}
+
+// wake makes the entry call the leader at once, after a call to it failed.
+func (g *Gate) wake() {
+	select {
+	case g.waking <- struct{}{}:
+	default:
+	}
+}
+
+// awaitWake waits for the time or until a call to the leader failed.
+func (g *Gate) awaitWake(ctx context.Context, d time.Duration) {
+	after := g.Timer.After(d)
+	defer after.Close()
+	select {
+	case <-ctx.Done():
+		return
+	case <-after.C:
+		return
+	case <-g.waking:
+	}
+	// Many calls fail at once, and one look at the leader serves them all.
+	_ = g.pause(ctx, wakePause)
+}
+
+// storeAge returns the age of the leader's last append when it last answered.
+func (g *Gate) storeAge() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.belief.storeAge
 }
 
 func (g *Gate) pause(ctx context.Context, d time.Duration) error {
@@ -120,7 +176,7 @@
 		return nil
 	}
 	if address == g.belief.Address {
-		return cakind.New(cakind.KindUnavailable, "entry at %s does not lead", address)
+		return errNotLeading
 	}
 	return nil
 }
@@ -155,11 +211,11 @@
 
 // elect finds the leader by the claim that stands in the store, or claims the
 // cell when the leader is gone. It reports whether there is another leader now.
-func (g *Gate) elect(ctx context.Context, misses int) bool {
+func (g *Gate) elect(ctx context.Context, d doubt) bool {
 	g.mu.Lock()
-	known, draining := g.belief.lead, g.draining || g.policy.IsZero()
-	storeAge := g.belief.storeAge
+	known, barred := g.belief.lead, g.draining || g.policy.IsZero()
 	g.mu.Unlock()
+	began := g.Timer.Now()
 	claim, end, err := g.standing(ctx)
 	if err != nil {
 		return false
@@ -170,11 +226,11 @@
 		g.mu.Unlock()
 		return true
 	}
-	if draining || misses < helloMisses && storeAge <= oldStoreAge && claim.Token != 0 && !claim.Released && claim.VM != g.Self.VM {
+	if barred {
 		return false
 	}
-	own := claim.VM == g.Self.VM
-	if claim.Token != 0 && !claim.Released && !own && !g.isSilent(ctx, end) {
+	free := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || d == doubtProved
+	if !free && !g.isSilent(ctx, end, silenceAtLeast+silencePerRead*g.Timer.Now().Sub(began)) {
 		_ = g.pause(ctx, electionPause)
 		return false
 	}
@@ -187,8 +243,8 @@
 	return caleader.Standing(ctx, g.Store)
 }
 
-// isSilent reports whether nobody appends behind the offset for a while.
-func (g *Gate) isSilent(ctx context.Context, end int64) bool {
+// isSilent reports whether nobody appends behind the offset for the time.
+func (g *Gate) isSilent(ctx context.Context, end int64, silence time.Duration) bool {
 	began := g.Timer.Now()
 	callCtx, cancel := context.WithTimeout(ctx, silence+standingTimeout)
 	defer cancel()
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -65,7 +65,9 @@
 	policy caspec.Policy
 	belief belief
 	// changed is closed when the belief changes.
-	changed  chan struct{}
+	changed chan struct{}
+	// waking makes the entry look at the leader at once.
+	waking   chan struct{}
 	leader   *caleader.Leader
 	peers    map[cawork.VMID]*peerState
 	feedLost time.Time
@@ -95,7 +97,8 @@
 // New returns a gate that knows no leader yet.
 func New(deps Deps) *Gate {
 	return &Gate{
-		Deps: deps, done: make(chan struct{}), changed: make(chan struct{}), peers: make(map[cawork.VMID]*peerState),
+		Deps: deps, done: make(chan struct{}), changed: make(chan struct{}),
+		waking: make(chan struct{}, 1), peers: make(map[cawork.VMID]*peerState),
 		feedLost: deps.Timer.Now(), belief: belief{lost: make(chan struct{})},
 	}
 }
@@ -267,6 +270,7 @@
 			case cakind.Of(err) == cakind.KindUnknown:
 				unknown = err
 			}
+			g.wake()
 		}
 		if unknown == nil && g.Timer.Now().Sub(began) > leaderWait {
 			return cakind.New(cakind.KindUnavailable, "no leader answers").WithRetryAfter(retryWithoutLeader)
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -32,7 +32,7 @@
 		due := l.Timer.Now().Sub(l.lastAppend) >= RenewPeriod
 		changes := l.board.HasChanges()
 		l.mu.Unlock()
-		if due {
+		if due || l.isReleased() {
 			return nil
 		}
 		if err := l.pause(ctx, commitLinger); err != nil {
@@ -46,10 +46,12 @@
 
 // commit stores one batch and carries out what waited for it.
 func (l *Leader) commit(ctx context.Context) error {
+	last := l.isReleased()
 	batch, entries, began, err := l.takeBatch()
 	if err != nil {
 		return err
 	}
+	l.writer.claim.Released = last
 	if err := l.writer.append(ctx, entries); err != nil {
 		caevent.Warn(l.Log, caevent.OwnershipLost).Int64("token", l.token).Err(err).
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
@@ -57,6 +59,10 @@
 	}
 	l.Scope.Timer("append").Record(l.Timer.Now().Sub(began))
 	l.dispatchStarts(ctx, l.committed(batch, began))
+	if last {
+		caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Send()
+		return cakind.New(cakind.KindDraining, "the leader hands over")
+	}
 	return nil
 }
 
@@ -98,22 +104,17 @@
 // isDeposed reports whether an error means that another leader stands.
 func isDeposed(err error) bool { return cakind.Of(err) == cakind.KindFenced }
 
-// Release gives the cell up, so that another entry may claim it at once. It
-// may be called more than once.
+// Release gives the cell up with the next append, so that another entry may
+// claim it at once. It may be called more than once.
 func (l *Leader) Release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stop != nil {
-		l.released = true
-		l.stop(cakind.New(cakind.KindDraining, "the leader hands over"))
-	}
+	l.released = true
 }
 
-// appendRelease stores that the cell is given up, if the log is as expected.
-func (l *Leader) appendRelease() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	l.writer.claim.Released = true
-	err := l.writer.append(ctx, nil)
-	caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Err(err).Send()
+// isReleased reports whether the cell is to be given up.
+func (l *Leader) isReleased() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.released
 }
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -26,7 +26,7 @@
 	// commitLinger gathers changes into one append.
 	commitLinger = 4 * time.Millisecond
 	// RenewPeriod is the longest time between two appends of a leader.
-	RenewPeriod = 300 * time.Millisecond
+	RenewPeriod = 200 * time.Millisecond
 	// storeAwayAfter is how long an append may take before submissions are
 	// turned away.
 	storeAwayAfter = 500 * time.Millisecond
@@ -39,8 +39,6 @@
 	listPeriod = 350 * time.Millisecond
 	// listTimeout bounds one reading of the list.
 	listTimeout = time.Second
-	// releaseTimeout bounds the append that gives the cell up.
-	releaseTimeout = 800 * time.Millisecond
 	// retryWhenAway is when callers should come back while the store is away.
 	retryWhenAway = time.Second
 )
@@ -126,9 +124,6 @@
 	stop(err)
 	l.orders.Wait()
 	l.abandon()
-	if l.isReleased() {
-		l.appendRelease()
-	}
 	if cause := context.Cause(ctx); cause != nil && cakind.Of(cause) == cakind.KindFenced {
 		return cause
 	}
@@ -141,12 +136,6 @@
 	l.stop = stop
 }
 
-func (l *Leader) isReleased() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.released
-}
-
 func (l *Leader) moment() caboard.Moment {
 	return caboard.Moment{Steady: l.Timer.Now(), WallMS: l.Wall()}
 }
@@ -265,8 +254,8 @@
 func (l *Leader) submit(s caspec.Submission) (<-chan error, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.loaded {
-		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+	if !l.loaded || l.released {
+		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading or hands over").WithRetryAfter(retryWhenAway / 4)
 	}
 	l.board.SetNow(l.moment())
 	if l.isAway() && !l.board.IsPending(s.ID) {
