A cell divides into shards by the number of its upstreams

Ways weighed: a home for each team (upper limits stay local, large teams have fixed parts), against escrow of limits between shards, and against agents that relay orders of one leader. Taken first: homes, since nothing is agreed while running. Not the last word.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -35,6 +35,7 @@
 	UpstreamUnlisted   Number = 305
 	MemberForeign      Number = 306
 	FormatInForce      Number = 307
+	LayoutKnown        Number = 308
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
--- a/internal/cell/cagate/calls.go
+++ b/internal/cell/cagate/calls.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -36,8 +37,10 @@
 	PolicyVersion int64 `cbor:"2,keyasint,omitempty"`
 	// Advises reports whether the entry can ask the advisor.
 	Advises bool `cbor:"3,keyasint,omitempty"`
-	// WallMS is the time of day of the entry, in Unix milliseconds.
-	WallMS int64 `cbor:"4,keyasint,omitempty"`
+	// Shard is the one whose leader is asked for.
+	Shard int `cbor:"4,keyasint,omitempty"`
+	// HasLayout reports whether the caller knows the layout.
+	HasLayout bool `cbor:"5,keyasint,omitempty"`
 }
 
 // helloReply tells what the asked entry knows.
@@ -52,6 +55,8 @@
 	// PolicyVersion is the version that the asked entry has in force.
 	PolicyVersion int64  `cbor:"5,keyasint,omitempty"`
 	Peers         []Peer `cbor:"6,keyasint,omitempty"`
+	// Layout is set when the caller does not know it.
+	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
 }
 
 // lead names a leader and its fencing token.
@@ -64,12 +69,14 @@
 type submitRequest struct {
 	Submission caspec.Submission `cbor:"1,keyasint"`
 	// Wait is how long the caller waits for the answer.
-	Wait time.Duration `cbor:"2,keyasint"`
+	Wait  time.Duration `cbor:"2,keyasint"`
+	Shard int           `cbor:"3,keyasint,omitempty"`
 }
 
 type jobRequest struct {
-	Job  cawork.JobID  `cbor:"1,keyasint"`
-	Wait time.Duration `cbor:"2,keyasint,omitempty"`
+	Job   cawork.JobID  `cbor:"1,keyasint"`
+	Wait  time.Duration `cbor:"2,keyasint,omitempty"`
+	Shard int           `cbor:"3,keyasint,omitempty"`
 }
 
 type phaseReply struct {
@@ -78,6 +85,7 @@
 
 type pendingRequest struct {
 	Queue caspec.QueueName `cbor:"1,keyasint"`
+	Shard int              `cbor:"2,keyasint,omitempty"`
 }
 
 type pendingReply struct {
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
@@ -20,22 +19,32 @@
 }
 
 func (g *Gate) handleHello(_ context.Context, r helloRequest) (helloReply, error) {
+	l, err := g.link(r.Shard)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Timer.Now()
 	p := g.meet(r.From)
 	p.seenAt = now
 	p.advises = r.Advises
-	p.wallOffset = time.Duration(r.WallMS-g.Wall()) * time.Millisecond
-	reply := helloReply{Leader: g.belief.lead, PolicyVersion: g.policy.Version}
-	if g.leader != nil && !g.draining {
-		reply.Leading = true
-		reply.StoreAge = g.leader.StoreAge()
+	reply := helloReply{PolicyVersion: g.policy.Version}
+	if err == nil {
+		reply.Leader = l.belief.lead
+		if l.leader != nil && !g.draining {
+			reply.Leading = true
+			reply.StoreAge = l.leader.StoreAge()
+		}
 	}
 	if g.policy.Version > r.PolicyVersion {
 		policy := g.policy
 		reply.Policy = &policy
 	}
+	if !r.HasLayout && !g.layout.IsZero() {
+		layout := g.layout
+		reply.Layout = &layout
+	}
+	if reply.Leading {
+		return reply, nil
+	}
 	for _, known := range g.peers {
 		if known.VM != r.From.VM && now.Sub(known.seenAt) < peerAge {
 			reply.Peers = append(reply.Peers, known.Peer)
@@ -44,18 +53,21 @@
 	return reply, nil
 }
 
-// led returns the leader if this entry leads.
-func (g *Gate) led() (*caleader.Leader, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.leader == nil {
-		return nil, cakind.New(cakind.KindFenced, "entry %s does not lead", g.Self.VM)
+// led returns the leader of the shard if this entry leads it.
+func (g *Gate) led(shard int) (*caleader.Leader, error) {
+	l, err := g.link(shard)
+	if err != nil {
+		return nil, err
+	}
+	leader, _, _ := l.target()
+	if leader == nil {
+		return nil, cakind.New(cakind.KindFenced, "entry %s does not lead shard %d", g.Self.VM, shard)
 	}
-	return g.leader, nil
+	return leader, nil
 }
 
 func (g *Gate) handleSubmit(ctx context.Context, r submitRequest) (empty, error) {
-	l, err := g.led()
+	l, err := g.led(r.Shard)
 	if err != nil {
 		return empty{}, err
 	}
@@ -65,7 +77,7 @@
 }
 
 func (g *Gate) handlePhase(_ context.Context, r jobRequest) (phaseReply, error) {
-	l, err := g.led()
+	l, err := g.led(r.Shard)
 	if err != nil {
 		return phaseReply{}, err
 	}
@@ -74,7 +86,7 @@
 }
 
 func (g *Gate) handleCancel(ctx context.Context, r jobRequest) (empty, error) {
-	l, err := g.led()
+	l, err := g.led(r.Shard)
 	if err != nil {
 		return empty{}, err
 	}
@@ -84,7 +96,7 @@
 }
 
 func (g *Gate) handlePending(_ context.Context, r pendingRequest) (pendingReply, error) {
-	l, err := g.led()
+	l, err := g.led(r.Shard)
 	if err != nil {
 		return pendingReply{}, err
 	}
--- /dev/null
+++ b/internal/cell/calayout/layout_test.go
@@ -0,0 +1,93 @@
+package calayout
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+func teams(weights ...float64) []caspec.Team {
+	var list []caspec.Team
+	for i, w := range weights {
+		list = append(list, caspec.Team{Name: cawork.TeamName(fmt.Sprintf("team-%02d", i)), Weight: w})
+	}
+	return list
+}
+
+func TestSmallCellHasOneShard(t *testing.T) {
+	l := Decide(48, 8, teams(30, 20, 5, 5))
+	if diff := cmp.Diff(1, l.Shards); diff != "" {
+		t.Errorf("shards (-want +got):\n%s", diff)
+	}
+	for i := range 100 {
+		id := cawork.UpstreamID(fmt.Sprintf("i-%d", i))
+		if got := l.ShardOfUpstream(id); got != 0 {
+			t.Fatalf("upstream %s in shard %d", id, got)
+		}
+	}
+}
+
+func TestUpstreamsFollowTheWeightsOfShards(t *testing.T) {
+	l := Decide(350, 8, teams(60, 40, 30, 10, 5, 5, 4, 3, 2, 2, 1, 1, 1, 1))
+	counts := make([]float64, l.Shards)
+	const upstreams = 20000
+	for i := range upstreams {
+		counts[l.ShardOfUpstream(cawork.UpstreamID(fmt.Sprintf("i-%d", i)))]++
+	}
+	for shard, n := range counts {
+		if math.Abs(n/upstreams-l.Weights[shard]) > 0.02 {
+			t.Errorf("shard %d has %.3f of the upstreams, weight %.3f", shard, n/upstreams, l.Weights[shard])
+		}
+	}
+}
+
+func TestPartsOfALimitNeverExceedIt(t *testing.T) {
+	list := teams(60, 40, 30, 10)
+	for i := range list {
+		list[i].Limit = cawork.Resources{CPU: 100001, Memory: 77}
+	}
+	l := Decide(350, 8, list)
+	p := l.PolicyFor(caspec.Policy{Version: 1, Teams: list}.WithIndex())
+	for _, team := range list {
+		part, _ := p.Team(team.Name)
+		whole := part.Limit.Times(int64(len(l.ShardsOf(team.Name))))
+		if !whole.Fits(team.Limit) {
+			t.Errorf("team %s: %v in %d shards, limit %v", team.Name, part.Limit, len(l.ShardsOf(team.Name)), team.Limit)
+		}
+	}
+}
+
+func TestJobsOfATeamStayInItsShards(t *testing.T) {
+	l := Decide(350, 8, teams(60, 40, 30, 10))
+	for i := range 200 {
+		id := cawork.JobID(fmt.Sprintf("%016x", i))
+		shard := l.ShardOfJob("team-00", id)
+		found := false
+		for _, own := range l.ShardsOf("team-00") {
+			found = found || own == shard
+		}
+		if !found {
+			t.Fatalf("job %s is in shard %d, the team in %v", id, shard, l.ShardsOf("team-00"))
+		}
+	}
+}
+
+func TestRecordKeepsTheLayout(t *testing.T) {
+	want := Decide(350, 8, teams(60, 40, 30, 10))
+	b, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("layout after its record (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -9,14 +9,18 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
 const (
 	// claimKey is the key of the record that names the leader.
 	claimKey = "leader"
-	// beforeClaimKey sorts right before claimKey and after the keys of jobs.
-	beforeClaimKey = "leade"
+	// layoutKey is the key of the record that divides the cell.
+	layoutKey = "layout"
+	// beforeLayoutKey sorts before layoutKey and claimKey, and after the keys of
+	// jobs.
+	beforeLayoutKey = "layou"
 	// jobPrefix stands before the id of a job in its key.
 	jobPrefix = "job/"
 	// loadRetry is the wait before a failed read of the log is repeated.
@@ -50,21 +54,46 @@
 	return Entry{Key: claimKey, Value: b}, nil
 }
 
-// Standing returns the claim that stands in the log and the end of the log.
-// The claim is zero when there is none that can be read.
-func Standing(ctx context.Context, log Log) (Claim, int64, error) {
-	e, end, err := newestClaim(ctx, log)
-	if err != nil || e.Value == nil {
-		return Claim{}, end, err
+// Standing is what the log of a shard tells about its leader.
+type Standing struct {
+	// Claim is the one that stands, zero when there is none that can be read.
+	Claim Claim
+	// Layout is the division of the cell, in the log of the first shard.
+	Layout calayout.Layout
+	// End is the end of the log.
+	End int64
+}
+
+// ReadStanding reads the claim and the layout that stand in the log.
+func ReadStanding(ctx context.Context, log Log) (Standing, error) {
+	page, err := log.Newest(ctx, beforeLayoutKey)
+	if err != nil {
+		return Standing{}, err
+	}
+	s := Standing{End: page.End}
+	for _, e := range page.Entries {
+		switch e.Key {
+		case claimKey:
+			s.Claim = decodeClaim(e)
+		case layoutKey:
+			if l, err := calayout.Decode(e.Value); err == nil {
+				s.Layout = l
+			}
+		}
 	}
+	return s, nil
+}
+
+// decodeClaim returns the claim of a record, zero if it can not be read.
+func decodeClaim(e Entry) Claim {
 	var c Claim
 	if err := cbor.Unmarshal(e.Value, &c); err != nil {
-		return Claim{}, end, nil
+		return Claim{}
 	}
 	if c.Token == 0 {
 		c.Token = e.Offset + 1
 	}
-	return c, end, nil
+	return c
 }
 
 // Take claims the cell if its log still ends at the offset. KindConflict means
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -30,7 +30,7 @@
 	for {
 		l.mu.Lock()
 		due := l.Timer.Now().Sub(l.lastAppend) >= RenewPeriod
-		changes := l.board.HasChanges()
+		changes := l.board.HasChanges() || len(l.extra) > 0
 		l.mu.Unlock()
 		if due || l.isReleased() {
 			return nil
@@ -58,6 +58,7 @@
 		return err
 	}
 	l.Scope.Timer("append").Record(l.Timer.Now().Sub(began))
+	l.divide()
 	l.dispatchStarts(ctx, l.committed(batch, began))
 	if last {
 		caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Send()
@@ -75,7 +76,9 @@
 	if err != nil {
 		return caboard.Batch{}, nil, now.Steady, err
 	}
-	entries := make([]Entry, 0, len(batch.Records))
+	entries := make([]Entry, 0, len(batch.Records)+len(l.extra))
+	entries = append(entries, l.extra...)
+	l.extra = nil
 	l.flying = make(map[cawork.JobID]bool, len(batch.Records))
 	for _, r := range batch.Records {
 		entries = append(entries, Entry{Key: jobPrefix + string(r.Job), Value: r.Value})
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -45,6 +46,13 @@
 
 // Deps are what a leader works with.
 type Deps struct {
+	// Shard is the one that is led, of at most MostShards.
+	Shard      int
+	MostShards int
+	// View returns the policy and the layout in force.
+	View func() (caspec.Policy, calayout.Layout)
+	// Divide takes up the layout that this leader decided and stored.
+	Divide    func(calayout.Layout)
 	Log       zerolog.Logger
 	Scope     tally.Scope
 	Timer     *catimer.Service
@@ -78,7 +86,14 @@
 	queue      adviserQueue
 	stop       context.CancelCauseFunc
 	released   bool
-	orders     sync.WaitGroup
+	// extra are entries for the next append that do not come from the board.
+	extra []Entry
+	// divided is the layout in those entries.
+	divided calayout.Layout
+	settle  settling
+	policy  caspec.Policy
+	layout  calayout.Layout
+	orders  sync.WaitGroup
 }
 
 // New returns the leader of the claim, whose token and end of the log are
@@ -106,11 +121,13 @@
 
 // Run leads until the context ends or another leader stands. It loads the
 // jobs, takes over what runs, and goes on from there.
-func (l *Leader) Run(ctx context.Context, policy caspec.Policy) error {
+func (l *Leader) Run(ctx context.Context) error {
 	defer close(l.done)
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	l.setStop(stop)
+	policy, layout := l.View()
+	l.layout = layout
 	l.SetPolicy(policy)
 	if err := l.load(ctx); err != nil {
 		return err
@@ -173,7 +190,7 @@
 	defer l.mu.Unlock()
 	l.board.SetNow(l.moment())
 	if upstreams.err == nil {
-		l.board.SetUpstreams(upstreams.list)
+		l.board.SetUpstreams(l.ownUpstreams(upstreams.list))
 	}
 	for _, j := range jobs {
 		l.board.Restore(j)
@@ -211,11 +228,16 @@
 	}
 }
 
-// SetPolicy puts a version of the policy in force.
+// SetPolicy puts a version of the policy in force, as far as this shard has a
+// part in it.
 func (l *Leader) SetPolicy(p caspec.Policy) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.board.SetPolicy(p)
+	l.policy = p
+	if l.layout.IsZero() {
+		return
+	}
+	l.board.SetPolicy(l.layout.PolicyFor(p))
 	l.kick()
 }
 
@@ -254,7 +276,7 @@
 func (l *Leader) submit(s caspec.Submission) (<-chan error, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.loaded || l.released {
+	if !l.loaded || l.released || l.layout.IsZero() {
 		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading or hands over").WithRetryAfter(retryWhenAway / 4)
 	}
 	l.board.SetNow(l.moment())
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -130,7 +130,8 @@
 		lost = false
 		l.mu.Lock()
 		l.board.SetNow(l.moment())
-		l.board.SetUpstreams(list)
+		l.settleLayout(len(list))
+		l.board.SetUpstreams(l.ownUpstreams(list))
 		l.watchUpstreams(ctx)
 		l.mu.Unlock()
 	}
--- a/internal/cell/caleader/writer.go
+++ b/internal/cell/caleader/writer.go
@@ -113,7 +113,7 @@
 // newestClaim returns the record of the claim that stands and the end of the
 // log. The entry is zero when nobody ever claimed the cell.
 func newestClaim(ctx context.Context, log Log) (Entry, int64, error) {
-	page, err := log.Newest(ctx, beforeClaimKey)
+	page, err := log.Newest(ctx, beforeLayoutKey)
 	if err != nil {
 		return Entry{}, 0, err
 	}
--- a/internal/cell/caspec/policy.go
+++ b/internal/cell/caspec/policy.go
@@ -182,3 +182,27 @@
 	team, ok := p.index.keys[key]
 	return team, ok
 }
+
+// WithPart returns the team with one of so many equal parts of what it is
+// allowed and owed.
+func (t Team) WithPart(parts int) Team {
+	if parts <= 1 {
+		return t
+	}
+	t.Weight /= float64(parts)
+	t.Limit = cawork.Resources{
+		CPU:          partOf(t.Limit.CPU, parts),
+		Memory:       partOf(t.Limit.Memory, parts),
+		Accelerators: partOf(t.Limit.Accelerators, parts),
+	}
+	return t
+}
+
+// partOf divides a bound. A bound of zero means none and stays, and no part of
+// another one is zero.
+func partOf[N ~int64](bound N, parts int) N {
+	if bound == 0 {
+		return 0
+	}
+	return max(bound/N(parts), 1)
+}
