Room is held for a gang until it starts; speed of upstreams is learnt

Change: the room that frees first is held, at most 30 % of a pool, work that ends before may backfill, and tickets are renewed just in time.

--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -143,38 +143,68 @@
 	}, true
 }
 
-// renewals returns approved upstreams whose tickets ran out, when they alone
-// have room for what waits.
+// renewals returns approved upstreams whose tickets ran out, when those with
+// valid ones have too little room for what waits and both together have enough.
 func (b *Board) renewals(s *step, q caspec.Queue) []cawork.UpstreamID {
+	if s.hold != nil {
+		return b.holdRenewals(s, q)
+	}
 	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.most) {
 		return nil
 	}
 	var expired []*upstream
-	room := 0
+	validRoom, room := 0, 0
 	for id := range s.approval.tickets {
 		u, ok := b.upstreams[id]
-		if !ok || !s.approval.approved(u) || !u.open {
+		if !ok || !s.approval.approved(u) || !u.open || u.reservedBy != nil {
 			continue
 		}
+		n := places(u.free(), s.spec)
+		room += n
 		if _, valid := s.approval.valid(u, b.now.Steady); valid {
-			return nil
-		}
-		if n := places(u.free(), s.spec); n > 0 {
-			room += n
+			validRoom += n
+		} else if n > 0 {
 			expired = append(expired, u)
 		}
 	}
-	if room == 0 || s.spec.Gang && room < s.spec.Tasks {
+	needed := 1
+	if s.spec.Gang {
+		needed = s.spec.Tasks
+	}
+	if validRoom >= needed || room < needed {
 		return nil
 	}
 	return b.roomiest(expired, askedMost)
 }
 
+// holdRenewals returns the upstreams held for a gang whose tickets do not last
+// until it is expected to start, once the answer will come just in time.
+func (b *Board) holdRenewals(s *step, q caspec.Queue) []cawork.UpstreamID {
+	lead := q.Approval.Cost(len(s.hold.upstreams)) + renewMargin
+	if b.now.Steady.Add(lead).Before(s.hold.begins) {
+		return nil
+	}
+	var ids []cawork.UpstreamID
+	for _, u := range s.hold.upstreams {
+		if _, valid := s.approval.valid(u, later(b.now.Steady, s.hold.begins)); !valid {
+			ids = append(ids, u.info.ID)
+		}
+	}
+	return ids
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 // candidates returns upstreams that were not asked about yet.
 func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
 	first := len(s.approval.asked) == 0
-	if p == nil || !first && !s.spec.Size().Fits(p.most) {
+	if p == nil || !first && (!s.spec.Size().Fits(p.most) || b.hasEnoughApproved(s)) {
 		return nil
 	}
 	var open []*upstream
@@ -193,6 +223,21 @@
 	return b.roomiest(open, askCount(s, b.statsOf(q.Name).approvedShare))
 }
 
+// hasEnoughApproved reports whether the approved upstreams of a gang hold it
+// several times over when they are empty.
+func (b *Board) hasEnoughApproved(s *step) bool {
+	if !s.spec.Gang {
+		return false
+	}
+	room := 0
+	for id := range s.approval.tickets {
+		if u, ok := b.upstreams[id]; ok && u.open && s.approval.approved(u) {
+			room += places(u.info.Capacity, s.spec)
+		}
+	}
+	return room >= approvedEnough*s.spec.Tasks
+}
+
 // askCount returns how many upstreams to ask about for what waits of a step,
 // when each is approved with the probability.
 func askCount(s *step, approvedShare float64) int {
@@ -212,7 +257,9 @@
 	for i, at := range order {
 		shuffled[i] = list[at]
 	}
-	slices.SortStableFunc(shuffled, func(x, y *upstream) int { return cmp.Compare(y.free().CPU, x.free().CPU) })
+	slices.SortStableFunc(shuffled, func(x, y *upstream) int {
+		return cmp.Or(compareBool(x.reservedBy != nil, y.reservedBy != nil), cmp.Compare(y.free().CPU, x.free().CPU))
+	})
 	ids := make([]cawork.UpstreamID, 0, n)
 	for _, u := range shuffled[:min(n, len(shuffled))] {
 		ids = append(ids, u.info.ID)
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -101,6 +101,8 @@
 	runs     int
 	waiting  int
 	lateness int
+	// hold is the room that is kept for the step, if any.
+	hold     *hold
 	approval approvals
 }
 
@@ -108,6 +110,8 @@
 
 type queueStats struct {
 	approvedShare float64
+	// durationRatio is the mean run time of tasks against their estimate.
+	durationRatio float64
 }
 
 // New returns an empty board. Leases that an earlier leader granted may last
@@ -154,7 +158,7 @@
 func (b *Board) statsOf(q caspec.QueueName) *queueStats {
 	s, ok := b.queues[q]
 	if !ok {
-		s = &queueStats{approvedShare: approvedShareAtFirst}
+		s = &queueStats{approvedShare: approvedShareAtFirst, durationRatio: 1}
 		b.queues[q] = s
 	}
 	return s
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -40,9 +40,12 @@
 	// ticketMargin is kept free before the end of a ticket for the start call.
 	ticketMargin = 150 * time.Millisecond
 	// askedMost bounds the upstreams in one question to the advisor.
-	askedMost = 36
+	askedMost = 60
 	// askedLeast is the smallest number of upstreams worth a question.
 	askedLeast = 4
+	// approvedEnough is how many times the places that a gang needs its approved
+	// upstreams have when empty, so that no more are asked about.
+	approvedEnough = 3
 	// askedSpare is how many more upstreams are wanted than a step needs.
 	askedSpare = 1.5
 	// askAgain is the wait before more upstreams are asked about for a step.
@@ -57,8 +60,9 @@
 	// worthlessAfter is the multiple of its objective after which a job is
 	// placed behind all others.
 	worthlessAfter = 3
-	// blockedGangs is how many gangs may hold room back at the same time.
-	blockedGangs = 3
+	// renewMargin is how long before a gang is expected to start its tickets are
+	// asked for, beyond the time that the advisor takes.
+	renewMargin = 150 * time.Millisecond
 	// rackPatience is the fraction of its run time for which a step waits for
 	// room in the rack that it runs fastest in.
 	rackPatience = 1.0
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -17,7 +17,6 @@
 	b.pruneSteps()
 	b.orderSteps()
 	b.pools = b.openPools()
-	blocked := 0
 	for _, s := range b.steps {
 		if s.waiting == 0 || !s.ready {
 			continue
@@ -34,10 +33,11 @@
 			b.placeTasks(s, q, p)
 			continue
 		}
-		if !b.placeGang(s, q, p) && blocked < blockedGangs && s.lateness != latenessUseless {
-			blocked++
-			b.reserve(s, q, p)
+		if b.placeGang(s, q, p) || s.lateness == latenessUseless {
+			b.dropHold(s)
+			continue
 		}
+		b.holdRoom(s, q, p)
 	}
 	return Orders{Stops: b.stops(), Asks: b.asks()}
 }
@@ -49,12 +49,17 @@
 	most cawork.Resources
 	// free is the room of all.
 	free cawork.Resources
+	// capacity is that of all, and held the part that is kept for gangs.
+	capacity cawork.MilliCPU
+	held     float64
 }
 
 func (b *Board) openPools() map[caspec.PoolName]*openPool {
 	pools := make(map[caspec.PoolName]*openPool)
 	for _, u := range b.upstreams {
-		u.reservedBy = nil
+		if r := u.reservedBy; r != nil && (r.hold == nil || r.waiting == 0 || r.job.Phase.IsFinal()) {
+			u.reservedBy = nil
+		}
 		u.open = u.accepts(b.now.Steady)
 		if !u.open {
 			continue
@@ -65,6 +70,10 @@
 			pools[u.info.Pool] = p
 		}
 		p.upstreams = append(p.upstreams, u)
+		p.capacity += u.info.Capacity.CPU
+		if u.reservedBy != nil {
+			p.held += float64(u.info.Capacity.CPU)
+		}
 	}
 	for _, p := range pools {
 		p.measure()
@@ -174,26 +183,25 @@
 }
 
 // bestFor returns the upstream for one more task of the step, with its ticket.
-// Of those that have room, it is the one with the least left, so that others
-// keep room for large tasks.
 func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool) (*upstream, string) {
 	size := s.spec.Size()
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
 	}
+	tight := isTight(q, s)
 	var best *upstream
 	var bestPass string
-	var bestLeft cawork.MilliCPU
+	var bestRank float64
 	for _, u := range b.usableFor(s, q, p) {
 		if !size.Fits(u.free()) {
 			continue
 		}
-		left := u.free().CPU
-		if best != nil && (left > bestLeft || left == bestLeft && u.info.ID >= best.info.ID) {
+		rank := unfitness(u, tight)
+		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
 			continue
 		}
 		if pass, ok := b.mayRun(s, q, u); ok {
-			best, bestPass, bestLeft = u, pass, left
+			best, bestPass, bestRank = u, pass, rank
 		}
 	}
 	return best, bestPass
@@ -217,7 +225,7 @@
 // mayRun reports whether an upstream may run one more task of the step, with
 // the ticket that permits it.
 func (b *Board) mayRun(s *step, q caspec.Queue, u *upstream) (string, bool) {
-	if !u.open || u.info.Pool != q.Pool || u.reservedBy != nil && u.reservedBy != s || !u.info.HasLabel(s.spec.Label) {
+	if !u.open || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || !b.mayBackfill(s, u) {
 		return "", false
 	}
 	if s.spec.MaxPerUpstream > 0 && u.count(s) >= s.spec.MaxPerUpstream || !b.rackSuits(s, u) {
@@ -259,6 +267,7 @@
 	s.waiting--
 	r := b.newRun(s, index, u)
 	r.ticket = pass
+	r.resumed = t.Checkpoint != ""
 	b.charge(r)
 	if !s.job.Began {
 		s.job.Began = true
@@ -355,7 +364,7 @@
 		}
 	}
 	slices.SortFunc(usable, func(x, y usableUpstream) int {
-		return cmp.Or(cmp.Compare(x.up.free().CPU, y.up.free().CPU), cmp.Compare(x.up.info.ID, y.up.info.ID))
+		return cmp.Or(compareBool(y.up.reservedBy == s, x.up.reservedBy == s), cmp.Compare(x.up.free().CPU, y.up.free().CPU), cmp.Compare(x.up.info.ID, y.up.info.ID))
 	})
 	return usable
 }
@@ -396,26 +405,3 @@
 	}
 	return list
 }
-
-// reserve holds back the upstreams that will have room for a gang first, so
-// that lesser work does not take it bit by bit.
-func (b *Board) reserve(s *step, q caspec.Queue, p *openPool) {
-	var usable []*upstream
-	for _, u := range b.usableFor(s, q, p) {
-		approved := q.Approval == nil || s.approval.approved(u)
-		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.info.HasLabel(s.spec.Label) {
-			usable = append(usable, u)
-		}
-	}
-	slices.SortFunc(usable, func(x, y *upstream) int {
-		return cmp.Or(cmp.Compare(y.free().CPU, x.free().CPU), cmp.Compare(x.info.ID, y.info.ID))
-	})
-	held := 0
-	for _, u := range usable {
-		if held >= s.spec.Tasks {
-			return
-		}
-		u.reservedBy = s
-		held += places(u.info.Capacity, s.spec)
-	}
-}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -217,6 +217,7 @@
 	}
 	switch row.Ending {
 	case EndingDone:
+		b.noteSpeed(r, at.Sub(r.at))
 		b.noteDone(r)
 	case EndingFailed:
 		b.noteFailed(r)
--- /dev/null
+++ b/internal/cell/caboard/reserve.go
@@ -0,0 +1,157 @@
+package caboard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+const (
+	// backfillMargin is by how much longer than expected a task may run that is
+	// placed on room held back for a gang.
+	backfillMargin = 1.25
+	// heldShare is the largest fraction of a pool that is held back for gangs.
+	heldShare = 0.3
+	// holdMost is how long the same room is held for one gang.
+	holdMost = 6 * time.Second
+	// overdueEnd is when a run that is longer than expected is taken to end.
+	overdueEnd = 200 * time.Millisecond
+)
+
+// vacancy is a place for a member of a gang that becomes free at a time.
+type vacancy struct {
+	up *upstream
+	at time.Time
+}
+
+// hold is the room that is kept for a gang until it starts.
+type hold struct {
+	upstreams []*upstream
+	// begins is when the gang is expected to have its room.
+	begins time.Time
+	since  time.Time
+}
+
+// holdRoom keeps a gang's room up to date, or begins to keep some, so that
+// lesser work does not take it bit by bit.
+func (b *Board) holdRoom(s *step, q caspec.Queue, p *openPool) {
+	if s.hold != nil && b.now.Steady.Sub(s.hold.since) < holdMost && b.refreshHold(s) {
+		return
+	}
+	b.dropHold(s)
+	if p.held < heldShare*float64(p.capacity) {
+		b.reserve(s, q, p)
+	}
+}
+
+// refreshHold foresees anew when the gang has its room. It reports whether the
+// upstreams that are held will have it.
+func (b *Board) refreshHold(s *step) bool {
+	var vacancies []vacancy
+	for _, u := range s.hold.upstreams {
+		if !u.open {
+			return false
+		}
+		vacancies = append(vacancies, b.vacancies(s, u)...)
+	}
+	if len(vacancies) < s.spec.Tasks {
+		return false
+	}
+	sortVacancies(vacancies)
+	s.hold.begins = vacancies[s.spec.Tasks-1].at
+	return true
+}
+
+// dropHold gives the room back that was kept for a gang.
+func (b *Board) dropHold(s *step) {
+	if s.hold == nil {
+		return
+	}
+	for _, u := range s.hold.upstreams {
+		if u.reservedBy == s {
+			u.reservedBy = nil
+		}
+	}
+	s.hold = nil
+}
+
+// reserve holds back the upstreams that are expected to have room for a gang
+// first. Work that ends before the gang can start may still go there.
+func (b *Board) reserve(s *step, q caspec.Queue, p *openPool) {
+	var vacancies []vacancy
+	for _, u := range b.usableFor(s, q, p) {
+		approved := q.Approval == nil || s.approval.approved(u)
+		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.info.HasLabel(s.spec.Label) {
+			vacancies = append(vacancies, b.vacancies(s, u)...)
+		}
+	}
+	if len(vacancies) < s.spec.Tasks {
+		return
+	}
+	sortVacancies(vacancies)
+	chosen := vacancies[:s.spec.Tasks]
+	s.hold = &hold{begins: chosen[len(chosen)-1].at, since: b.now.Steady}
+	for _, v := range chosen {
+		if v.up.reservedBy == nil {
+			v.up.reservedBy = s
+			s.hold.upstreams = append(s.hold.upstreams, v.up)
+			p.held += float64(v.up.info.Capacity.CPU)
+		}
+	}
+}
+
+func sortVacancies(list []vacancy) {
+	slices.SortFunc(list, func(x, y vacancy) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.up.info.ID, y.up.info.ID))
+	})
+}
+
+// vacancies returns when the upstream is expected to have room for one member
+// after the other.
+func (b *Board) vacancies(s *step, u *upstream) []vacancy {
+	type release struct {
+		at   time.Time
+		size cawork.Resources
+	}
+	releases := make([]release, 0, len(u.runs))
+	for _, r := range u.runs {
+		ends := r.at.Add(b.expectedTime(r.step, u))
+		if soonest := b.now.Steady.Add(overdueEnd); ends.Before(soonest) {
+			ends = soonest
+		}
+		if r.step.spec.LongRunning {
+			continue
+		}
+		releases = append(releases, release{at: ends, size: r.size})
+	}
+	slices.SortFunc(releases, func(x, y release) int { return x.at.Compare(y.at) })
+	free := u.free()
+	var list []vacancy
+	add := func(at time.Time) {
+		for range places(free, s.spec) - len(list) {
+			list = append(list, vacancy{up: u, at: at})
+		}
+	}
+	add(b.now.Steady)
+	for _, r := range releases {
+		free = free.Plus(r.size)
+		add(r.at)
+	}
+	return list
+}
+
+// mayBackfill reports whether a task of the step may go to an upstream that is
+// held back for another.
+func (b *Board) mayBackfill(s *step, u *upstream) bool {
+	if u.reservedBy == nil || u.reservedBy == s {
+		return true
+	}
+	if s.spec.Gang || s.spec.LongRunning {
+		return false
+	}
+	ends := b.now.Steady.Add(time.Duration(backfillMargin * float64(b.expectedTime(s, u))))
+	return !ends.After(u.reservedBy.hold.begins)
+}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -81,6 +81,8 @@
 	confirmedAt time.Time
 	// inherited runs were ordered by an earlier leader.
 	inherited bool
+	// resumed runs begin from a checkpoint.
+	resumed bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
 	// stopCalling is set while a stop call is under way.
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -37,10 +37,12 @@
 	open bool
 	// reservedBy keeps the room for a step that waits for all of it.
 	reservedBy *step
+	// slowness is the mean run time of tasks here against that elsewhere.
+	slowness float64
 }
 
 func newUpstream(info caspec.Upstream) *upstream {
-	return &upstream{info: info, runs: make(map[RunID]*run)}
+	return &upstream{info: info, runs: make(map[RunID]*run), slowness: 1}
 }
 
 func (u *upstream) free() cawork.Resources { return u.info.Capacity.Minus(u.used) }
--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -19,7 +19,7 @@
 
 const (
 	// upstreamsPerShard is how many upstreams one leader looks after.
-	upstreamsPerShard = 90
+	upstreamsPerShard = 180
 	// largeShare is the fraction of an even part of the work beyond which the
 	// work of one team is spread over several shards.
 	largeShare = 0.6
