Questions name as many upstreams as are cheap; admission by the rate at which a queue is served

Cause: look-ups found their few approved upstreams taken and waited 150 ms for the next question; gangs were accepted by the rate of the whole cell although they get a part of it.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"math"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -22,6 +23,10 @@
 	// full, and excessKeptShare the same for jobs beyond the owed rate.
 	keptShare       = 0.08
 	excessKeptShare = 0.2
+	// rateMemory is the time over which started work is averaged.
+	rateMemory = 5 * time.Second
+	// rateLeast is the smallest fraction of a pool that a queue is taken to get.
+	rateLeast = 0.05
 	// retryAtLeast is the shortest time after which a refused caller should
 	// come back.
 	retryAtLeast = 300 * time.Millisecond
@@ -32,6 +37,10 @@
 	// ahead is the work that will be placed before the job, in cores times
 	// time.
 	ahead coreTime
+	// same is the part of it in the queue of the job, and rate what was started
+	// of that queue lately, in cores. The rate is zero while it is not known.
+	same coreTime
+	rate float64
 	// capacity is what the pool has.
 	capacity cawork.MilliCPU
 	// free is the room of the pool, and needed what the job takes at its widest.
@@ -54,7 +63,46 @@
 	if f.capacity <= 0 {
 		return 0
 	}
-	return time.Duration(float64(f.ahead) / (float64(f.capacity) * packedShare))
+	wait := float64(f.ahead) / (float64(f.capacity) * packedShare)
+	if f.rate > 0 {
+		rate := max(f.rate, rateLeast*float64(f.capacity))
+		wait = max(wait, float64(f.same)/rate)
+	}
+	return time.Duration(wait)
+}
+
+// startRate measures how much work of a queue is started, as a mean that fades.
+type startRate struct {
+	sum     coreTime
+	fadedAt time.Time
+	// since is when the first work was started.
+	since time.Time
+}
+
+// add counts work that is started now.
+func (r *startRate) add(now time.Time, w coreTime) {
+	r.fade(now)
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.sum += w
+}
+
+func (r *startRate) fade(now time.Time) {
+	if !r.fadedAt.IsZero() {
+		r.sum *= coreTime(math.Exp(-now.Sub(r.fadedAt).Seconds() / rateMemory.Seconds()))
+	}
+	r.fadedAt = now
+}
+
+// value returns the rate in thousandths of a core, or zero while it was
+// measured too short.
+func (r *startRate) value(now time.Time) float64 {
+	if r.since.IsZero() || now.Sub(r.since) < rateMemory {
+		return 0
+	}
+	r.fade(now)
+	return float64(r.sum) / float64(rateMemory)
 }
 
 // bound returns how long the job may be expected to wait.
@@ -89,7 +137,7 @@
 
 // forecastFor foresees the wait of a submission.
 func (b *Board) forecastFor(s caspec.Submission, q caspec.Queue, excess bool) forecast {
-	f := forecast{excess: excess, slack: slackOf(q, s.Steps)}
+	f := forecast{excess: excess, rate: b.statsOf(q.Name).started.value(b.now.Steady), slack: slackOf(q, s.Steps)}
 	for _, step := range s.Steps {
 		f.needed = max(f.needed, step.CPU*cawork.MilliCPU(step.Tasks))
 	}
@@ -106,7 +154,11 @@
 		if other.job.priority > q.Priority || other.job.priority == q.Priority && other.job.Excess && !excess {
 			continue
 		}
-		f.ahead += work(other.spec.CPU, other.spec.Estimate, other.waiting)
+		w := work(other.spec.CPU, other.spec.Estimate, other.waiting)
+		f.ahead += w
+		if other.job.Submission.Queue == q.Name {
+			f.same += w
+		}
 	}
 	return f
 }
--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -116,7 +116,7 @@
 func (b *Board) ask(s *step, q caspec.Queue) (Ask, bool) {
 	now := b.now.Steady
 	a := &s.approval
-	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < askAgain {
+	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < min(askAgain, askAgainCosts*q.Approval.Decision) {
 		return Ask{}, false
 	}
 	long := q.Approval.Decision >= longQuestion
@@ -220,7 +220,7 @@
 		}
 		open = append(open, u)
 	}
-	return b.roomiest(open, askCount(s, b.statsOf(q.Name).approvedShare))
+	return b.roomiest(open, max(askCount(s, b.statsOf(q.Name).approvedShare), cheapCount(*q.Approval)))
 }
 
 // hasEnoughApproved reports whether the approved upstreams of a gang hold it
@@ -247,6 +247,15 @@
 	return min(max(n, askedLeast), askedMost)
 }
 
+// cheapCount returns how many upstreams a question may name so that they add
+// little to the fixed time of a decision.
+func cheapCount(a caspec.Approval) int {
+	if a.PerUpstream <= 0 {
+		return askedMost
+	}
+	return min(int(cheapShare*float64(a.Decision)/float64(a.PerUpstream)), askedMost)
+}
+
 // typicalFree is the room that an upstream of a busy cell is taken to have.
 var typicalFree = cawork.Resources{CPU: cawork.Cores(5), Memory: 12 * cawork.GiB, Accelerators: 1}
 
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -112,6 +112,8 @@
 	approvedShare float64
 	// durationRatio is the mean run time of tasks against their estimate.
 	durationRatio float64
+	// started measures the work that is started.
+	started startRate
 }
 
 // New returns an empty board. Leases that an earlier leader granted may last
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -48,8 +48,13 @@
 	approvedEnough = 3
 	// askedSpare is how many more upstreams are wanted than a step needs.
 	askedSpare = 1.5
-	// askAgain is the wait before more upstreams are asked about for a step.
-	askAgain = 150 * time.Millisecond
+	// askAgain is the wait before more upstreams are asked about for a step, or
+	// askAgainCosts times the fixed time of a decision if that is shorter.
+	askAgain      = 150 * time.Millisecond
+	askAgainCosts = 4
+	// cheapShare is the fraction of the fixed time of a decision that naming more
+	// upstreams may add.
+	cheapShare = 0.3
 	// approvedShareAtFirst is assumed until a queue has answers.
 	approvedShareAtFirst = 0.5
 	// approvedShareWeight is the weight of one answer in the running mean.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -267,6 +267,7 @@
 	s.waiting--
 	r := b.newRun(s, index, u)
 	r.ticket = pass
+	b.statsOf(s.job.Submission.Queue).started.add(b.now.Steady, work(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	b.charge(r)
 	if !s.job.Began {
