A cancellation is told once its own record is stored; late gangs hold room when nobody else wants it

Those who wait now wait for the record with their change. A new leader also stops what runs of jobs that were canceled before. Ruled out: the advisor (9 questions a second at the end), a leak of team use. New event step_waits tells why a step waits. Tests in internal/cell/caboard.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -50,6 +50,7 @@
 	StepApproved       Number = 412
 	UpstreamReached    Number = 413
 	AdvisorUnavailable Number = 414
+	StepWaits          Number = 415
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -16,8 +16,8 @@
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_known"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailable"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailable"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waits"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waits"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -33,7 +33,7 @@
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135}
+	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 414:
+	case 405 <= i && i <= 415:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 505:
@@ -113,6 +113,7 @@
 	_ = x[StepApproved-(412)]
 	_ = x[UpstreamReached-(413)]
 	_ = x[AdvisorUnavailable-(414)]
+	_ = x[StepWaits-(415)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -132,7 +133,7 @@
 	_ = x[VMListUnavailable-(702)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -170,6 +171,7 @@
 	_NumberName_4[87:100]:  StepApproved,
 	_NumberName_4[100:116]: UpstreamReached,
 	_NumberName_4[116:135]: AdvisorUnavailable,
+	_NumberName_4[135:145]: StepWaits,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -225,6 +227,7 @@
 	_NumberLowerName_4[87:100]:  StepApproved,
 	_NumberLowerName_4[100:116]: UpstreamReached,
 	_NumberLowerName_4[116:135]: AdvisorUnavailable,
+	_NumberLowerName_4[135:145]: StepWaits,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -280,6 +283,7 @@
 	_NumberName_4[87:100],
 	_NumberName_4[100:116],
 	_NumberName_4[116:135],
+	_NumberName_4[135:145],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -61,6 +61,8 @@
 	// resume is set when something happened that may let a task start.
 	resume bool
 	counts Counts
+	// explainedAt is when waiting steps were last explained.
+	explainedAt time.Time
 }
 
 // Counts are totals since the board was made.
@@ -244,6 +246,7 @@
 		b.openSteps(j, o)
 	}
 	if state.Phase.IsFinal() {
+		b.stopRuns(j)
 		b.settle(j)
 	}
 }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -33,7 +33,7 @@
 			b.placeTasks(s, q, p)
 			continue
 		}
-		if b.placeGang(s, q, p) || s.lateness == latenessUseless {
+		if b.placeGang(s, q, p) {
 			b.dropHold(s)
 			continue
 		}
@@ -52,6 +52,8 @@
 	// capacity is that of all, and held the part that is kept for gangs.
 	capacity cawork.MilliCPU
 	held     float64
+	// contended is set when a gang in time finds too much room held already.
+	contended bool
 }
 
 func (b *Board) openPools() map[caspec.PoolName]*openPool {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -143,3 +144,74 @@
 		t.Errorf("phase before and after the record is stored (-want +got):\n%s", diff)
 	}
 }
+
+// restored returns a board of a new leader with the records of the scene.
+func (s *scene) restored() *scene {
+	s.t.Helper()
+	next := &scene{t: s.t, now: s.now, ends: s.ends}
+	next.board = New(zerolog.Nop(), 2, s.moment(), s.now.Add(10*time.Second))
+	next.board.SetPolicy(s.board.policy)
+	var list []caspec.Upstream
+	for _, u := range s.board.upstreams {
+		list = append(list, u.info)
+	}
+	next.board.SetUpstreams(list)
+	for _, j := range s.board.jobs {
+		b, err := j.Encode()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		state, err := castate.DecodeJob(b)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		next.board.Restore(state)
+	}
+	return next
+}
+
+func TestNewLeaderStopsRunsOfCanceledJobs(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(2))
+	s.startAll()
+	s.board.Cancel("0000000000000001")
+	s.commit()
+	next := s.restored()
+	if diff := cmp.Diff(2, len(next.board.Plan().Stops)); diff != "" {
+		t.Errorf("stops of a new leader for a canceled job (-want +got):\n%s", diff)
+	}
+}
+
+func TestNewLeaderRunsAgainWhatAnUpstreamDoesNotKnow(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.board.Plan()
+	lost := s.commit()[0]
+	next := s.restored()
+	if got := next.startAll(); len(got) != 0 {
+		t.Fatalf("started %v before the upstream was heard", got)
+	}
+	next.report(lost.Upstream, nil, nil)
+	want := lost.Run
+	want.Number++
+	if diff := cmp.Diff(want, next.startAll()[0].Run); diff != "" {
+		t.Errorf("run after the upstream was heard (-want +got):\n%s", diff)
+	}
+}
+
+func TestNewLeaderKeepsWhatRuns(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	next := s.restored()
+	next.report(order.Upstream, []RunningRow{{Run: order.Run}}, nil)
+	if got := next.startAll(); len(got) != 0 {
+		t.Fatalf("started %v although its run goes on", got)
+	}
+	next.report(order.Upstream, nil, []EndedRow{{Run: order.Run, Ending: EndingDone}})
+	next.commit()
+	phase, _ := next.board.Phase("0000000000000001")
+	if diff := cmp.Diff(castate.PhaseCompleted, phase); diff != "" {
+		t.Errorf("phase after the end (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -15,6 +15,8 @@
 	backfillMargin = 1.25
 	// heldShare is the largest fraction of a pool that is held back for gangs.
 	heldShare = 0.3
+	// heldOfFree is the same of the room that is free.
+	heldOfFree = 0.9
 	// holdMost is how long the same room is held for one gang.
 	holdMost = 6 * time.Second
 	// overdueEnd is when a run that is longer than expected is taken to end.
@@ -36,15 +38,29 @@
 }
 
 // holdRoom keeps a gang's room up to date, or begins to keep some, so that
-// lesser work does not take it bit by bit.
+// lesser work does not take it bit by bit. Gangs that are late beyond use come
+// last, and give room back that others want.
 func (b *Board) holdRoom(s *step, q caspec.Queue, p *openPool) {
+	useless := s.lateness == latenessUseless
+	if useless && p.contended {
+		b.dropHold(s)
+		return
+	}
 	if s.hold != nil && b.now.Steady.Sub(s.hold.since) < holdMost && b.refreshHold(s) {
 		return
 	}
 	b.dropHold(s)
-	if p.held < heldShare*float64(p.capacity) {
-		b.reserve(s, q, p)
+	if p.held >= p.mostHeld() {
+		p.contended = p.contended || !useless
+		return
 	}
+	b.reserve(s, q, p)
+}
+
+// mostHeld returns how much may be held back for gangs: more of a pool that is
+// not full.
+func (p *openPool) mostHeld() float64 {
+	return max(heldShare*float64(p.capacity), heldOfFree*float64(p.free.CPU))
 }
 
 // refreshHold foresees anew when the gang has its room. It reports whether the
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -177,6 +177,12 @@
 	return j.shown, true
 }
 
+// HasChange reports whether the next batch will have a record of the job.
+func (b *Board) HasChange(id cawork.JobID) bool {
+	_, ok := b.changed[id]
+	return ok
+}
+
 // IsPending reports whether the job is known but not stored yet.
 func (b *Board) IsPending(id cawork.JobID) bool {
 	j, ok := b.jobs[id]
@@ -195,8 +201,10 @@
 	return n
 }
 
-// Expire drops jobs that ended long ago, and opens occurrences that are due.
+// Expire drops jobs that ended long ago, opens occurrences that are due, and
+// explains what waits long.
 func (b *Board) Expire() {
+	b.explain()
 	oldest := b.now.Steady.Add(-historyKept)
 	for id, j := range b.jobs {
 		switch {
--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -20,9 +20,10 @@
 const (
 	// upstreamsPerShard is how many upstreams one leader looks after.
 	upstreamsPerShard = 180
-	// largeShare is the fraction of an even part of the work beyond which the
-	// work of one team is spread over several shards.
-	largeShare = 0.6
+	// largeShare is how many times an even part of the work one team may have
+	// before it is spread over several shards. A team of several shards has only
+	// a part of its upper limit in each, which may keep a wide gang waiting.
+	largeShare = 1.5
 	// weightAtLeast keeps upstreams for a shard without teams.
 	weightAtLeast = 0.02
 )
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -83,6 +83,10 @@
 	for _, r := range batch.Records {
 		entries = append(entries, Entry{Key: jobPrefix + string(r.Job), Value: r.Value})
 		l.flying[r.Job] = true
+		if waiting, ok := l.waiters[r.Job]; ok {
+			l.flyingWaiters[r.Job] = append(l.flyingWaiters[r.Job], waiting...)
+			delete(l.waiters, r.Job)
+		}
 	}
 	l.flyingSince = now.Steady
 	return batch, entries, now.Steady, nil
@@ -99,7 +103,7 @@
 	l.flying = nil
 	orders := l.board.Committed(batch)
 	for _, r := range batch.Records {
-		l.resolve(r.Job, nil)
+		resolve(l.flyingWaiters, r.Job, nil)
 	}
 	return orders
 }
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -72,10 +72,13 @@
 	wake   chan struct{}
 	done   chan struct{}
 
-	mu      sync.Mutex
-	board   *caboard.Board
-	loaded  bool
-	waiters map[cawork.JobID][]chan error
+	mu     sync.Mutex
+	board  *caboard.Board
+	loaded bool
+	// waiters wait for the next record of a job, and flyingWaiters for that in
+	// the append that is under way.
+	waiters       map[cawork.JobID][]chan error
+	flyingWaiters map[cawork.JobID][]chan error
 	// flying are the jobs in the append that is under way.
 	flying map[cawork.JobID]bool
 	// flyingSince is when that append began.
@@ -103,7 +106,7 @@
 	c.Batch = 1
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		waiters: make(map[cawork.JobID][]chan error), watched: make(map[cawork.UpstreamID]bool),
+		waiters: make(map[cawork.JobID][]chan error), flyingWaiters: make(map[cawork.JobID][]chan error), watched: make(map[cawork.UpstreamID]bool),
 	}
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: l.pause}
 	now := l.moment()
@@ -208,17 +211,32 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.loaded = false
-	for id := range l.waiters {
-		l.resolve(id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
+	for _, waiters := range []map[cawork.JobID][]chan error{l.waiters, l.flyingWaiters} {
+		for id := range waiters {
+			resolve(waiters, id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
+		}
 	}
 }
 
-// resolve tells all who wait for a job. The lock is held.
-func (l *Leader) resolve(id cawork.JobID, err error) {
-	for _, w := range l.waiters[id] {
+// resolve tells all who wait for a job.
+func resolve(waiters map[cawork.JobID][]chan error, id cawork.JobID, err error) {
+	for _, w := range waiters[id] {
 		w <- err
 	}
-	delete(l.waiters, id)
+	delete(waiters, id)
+}
+
+// await returns a channel that tells when the newest change of a job is
+// stored. The lock is held.
+func (l *Leader) await(id cawork.JobID) <-chan error {
+	wait := make(chan error, 1)
+	if l.board.HasChange(id) {
+		l.waiters[id] = append(l.waiters[id], wait)
+	} else {
+		l.flyingWaiters[id] = append(l.flyingWaiters[id], wait)
+	}
+	l.kick()
+	return wait
 }
 
 func (l *Leader) kick() {
@@ -289,10 +307,7 @@
 	if err != nil || stored {
 		return nil, err
 	}
-	wait := make(chan error, 1)
-	l.waiters[s.ID] = append(l.waiters[s.ID], wait)
-	l.kick()
-	return wait, nil
+	return l.await(s.ID), nil
 }
 
 // giveUp ends the wait for a job. One that was not handed to the store yet is
@@ -312,7 +327,7 @@
 func (l *Leader) withdrawWaiting() {
 	for id := range l.waiters {
 		if !l.flying[id] && l.board.Withdraw(id) {
-			l.resolve(id, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway))
+			resolve(l.waiters, id, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway))
 		}
 	}
 }
@@ -373,10 +388,7 @@
 	case stored:
 		return nil, nil
 	}
-	wait := make(chan error, 1)
-	l.waiters[id] = append(l.waiters[id], wait)
-	l.kick()
-	return wait, nil
+	return l.await(id), nil
 }
 
 // Pending counts the accepted jobs of a queue that have not begun.
