A cell of real entries over a stand-in of the platform, in virtual time

Worlds: leader killed (starts go on within 2 s), drained (1 s), cut from the store or from its peers, all entries lost 0 to 400 ms after a submission, store down, silent, answers lost, writes late, history forgotten, upstreams out of reach of the successor, a cancellation whose record is under way. Found by the race detector: the address of an entry was read without its lock.

--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -225,11 +225,14 @@
 		return g.Advisor.Advise(ctx, ask)
 	}
 	g.mu.Lock()
-	p, ok := g.peers[entry]
+	address := ""
+	if p, ok := g.peers[entry]; ok {
+		address = p.Address
+	}
 	g.mu.Unlock()
-	if !ok {
+	if address == "" {
 		return nil, cakind.New(cakind.KindUnavailable, "entry %s is not known", entry)
 	}
-	reply, err := capeer.Call[adviseRequest, adviseReply](ctx, g.Peers, p.Address, callAdvise, adviseRequest{ask})
+	reply, err := capeer.Call[adviseRequest, adviseReply](ctx, g.Peers, address, callAdvise, adviseRequest{ask})
 	return reply.Approved, err
 }
--- /dev/null
+++ b/internal/cell/cagate/world_test.go
@@ -0,0 +1,425 @@
+package cagate
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+	"celeryarch.example/celeryarch/platform/standin"
+)
+
+// world is a cell of real gates over stand-ins, in virtual time.
+type world struct {
+	t       *testing.T
+	network *standin.Network
+	store   *standin.Store
+	fleet   *standin.Fleet
+	lives   int
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// accepted and refused are the jobs as their callers were told.
+	accepted, refused, unknown map[cawork.JobID]bool
+	jobs                       int
+	callers                    sync.WaitGroup
+}
+
+type entry struct {
+	gate   *Gate
+	cancel context.CancelFunc
+	parts  sync.WaitGroup
+}
+
+// fixedFeed delivers one policy.
+type fixedFeed struct{ policy caspec.Policy }
+
+func (f fixedFeed) Watch(ctx context.Context, apply func(caspec.Policy), reachable func(bool)) error {
+	apply(f.policy)
+	reachable(true)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func testPolicy() caspec.Policy {
+	return caspec.Policy{
+		Version: 1, Pools: []caspec.Pool{{Name: "pool"}}, Teams: []caspec.Team{{Name: "north", Weight: 1000}},
+		Queues: []caspec.Queue{{
+			Name: "queue", Pool: "pool", MaxAttempts: 3, Stretch: 4, Allowance: 20 * time.Second,
+			Approval: &caspec.Approval{Decision: 5 * time.Millisecond, Validity: 2 * time.Second},
+		}},
+	}.WithIndex()
+}
+
+const worldUpstreams = 6
+
+func newWorld(t *testing.T, entries int) *world {
+	w := &world{
+		t: t, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
+	}
+	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
+	w.fleet = standin.NewFleet(worldUpstreams, capacity, testStep().Size(),
+		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("up-%d", i)) })
+	for i := range entries {
+		w.start(entryName(i))
+	}
+	return w
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func testStep() caspec.Step {
+	return caspec.Step{Tasks: 2, CPU: 1000, Memory: cawork.GiB, Estimate: 500 * time.Millisecond}
+}
+
+// start begins a life of an entry.
+func (w *world) start(name string) {
+	w.lives++
+	ctx, cancel := context.WithCancel(context.Background())
+	client := capeer.NewClient(w.network.Dialer(name), nil)
+	timer := catimer.NewService()
+	e := &entry{cancel: cancel}
+	e.gate = New(Deps{
+		Self: Peer{VM: cawork.VMID(name), Address: name}, Seeds: []string{entryName(0), entryName(1)}, Power: 0.4,
+		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
+		Wall: func() int64 { return timer.Now().UnixMilli() }, Peers: client,
+		Store:      func(shard int) caleader.Log { return w.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
+		MostShards: 8, Upstreams: w.fleet.Caller(name), Registry: w.fleet,
+		Advisor: standin.Advisor{Takes: 5 * time.Millisecond}, Feed: fixedFeed{testPolicy()}, Nonce: int64(w.lives),
+	})
+	server := capeer.NewServer()
+	e.gate.Register(server)
+	lis := w.network.Listen(name)
+	e.parts.Go(func() { _ = server.Serve(ctx, lis, nil) })
+	e.parts.Go(func() { _ = e.gate.Run(ctx) })
+	e.parts.Go(func() {
+		<-ctx.Done()
+		_ = client.Close()
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries[name] = e
+}
+
+// gates returns the gates of all entries that run.
+func (w *world) gates() map[string]*Gate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	gates := make(map[string]*Gate, len(w.entries))
+	for name, e := range w.entries {
+		gates[name] = e.gate
+	}
+	return gates
+}
+
+// kill ends a life without a word.
+func (w *world) kill(name string) {
+	w.mu.Lock()
+	e := w.entries[name]
+	delete(w.entries, name)
+	w.mu.Unlock()
+	w.network.Drop(name)
+	e.cancel()
+	e.parts.Wait()
+}
+
+func (w *world) close() {
+	w.callers.Wait()
+	for name := range w.gates() {
+		w.kill(name)
+	}
+}
+
+// leader returns the entry that leads the first shard, empty if none does.
+func (w *world) leader() string {
+	for name, gate := range w.gates() {
+		if l, _, _ := gate.links[0].target(); l != nil && l.StoreAge() < time.Second {
+			return name
+		}
+	}
+	return ""
+}
+
+// submit hands a job in at any entry, as a caller with a few tries does.
+func (w *world) submit() {
+	w.mu.Lock()
+	w.jobs++
+	n := w.jobs
+	w.mu.Unlock()
+	id := cawork.JobID(fmt.Sprintf("%016x", n))
+	s := caspec.Submission{ID: id, Queue: "queue", Team: "north", Steps: []caspec.Step{testStep()}}
+	w.callers.Go(func() {
+		uncertain := false
+		for range 4 {
+			err := w.try(n, s)
+			switch {
+			case err == nil:
+				w.note(w.accepted, id)
+				return
+			case cakind.AnswerTo(cakind.Of(err)).Execution == cakind.ExecutionUnknown:
+				uncertain = true
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+		if uncertain {
+			w.note(w.unknown, id)
+			return
+		}
+		w.note(w.refused, id)
+	})
+}
+
+func (w *world) try(n int, s caspec.Submission) error {
+	gates := w.gates()
+	var names []string
+	for i := range 9 {
+		if _, ok := gates[entryName(i)]; ok {
+			names = append(names, entryName(i))
+		}
+	}
+	if len(names) == 0 {
+		return cakind.New(cakind.KindUnavailable, "no entry runs")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return gates[names[n%len(names)]].Submit(ctx, s)
+}
+
+func (w *world) note(in map[cawork.JobID]bool, id cawork.JobID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	in[id] = true
+}
+
+// load submits jobs at a rate for the time.
+func (w *world) load(during time.Duration) {
+	for begin := time.Now(); time.Since(begin) < during; time.Sleep(150 * time.Millisecond) {
+		w.submit()
+	}
+}
+
+// verify checks the promises once all is calm again.
+func (w *world) verify() {
+	w.t.Helper()
+	w.callers.Wait()
+	time.Sleep(25 * time.Second)
+	if diff := cmp.Diff([]string(nil), w.fleet.Violations()); diff != "" {
+		w.t.Errorf("violations (-want +got):\n%s", diff)
+	}
+	name := w.leader()
+	if name == "" {
+		w.t.Fatal("no leader at the end")
+	}
+	gate := w.gates()[name]
+	for id := range w.accepted {
+		phase, err := gate.Phase(context.Background(), "north", id)
+		if err != nil || phase != castate.PhaseCompleted {
+			w.t.Errorf("accepted job %s: phase %v, error %v", id, phase, err)
+		}
+	}
+	for id := range w.refused {
+		if phase, err := gate.Phase(context.Background(), "north", id); err == nil {
+			w.t.Errorf("refused job %s is known as %v", id, phase)
+		}
+	}
+	if len(w.accepted) == 0 {
+		w.t.Error("no job was accepted")
+	}
+}
+
+func inWorld(t *testing.T, entries int, play func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, entries)
+		time.Sleep(5 * time.Second)
+		play(w)
+		w.verify()
+		w.close()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func TestCalmCellServesAll(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.load(5 * time.Second)
+		w.callers.Wait()
+		if diff := cmp.Diff(0, len(w.refused)+len(w.unknown)); diff != "" {
+			t.Errorf("jobs that were not accepted on a calm day (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestStartsGoOnSoonAfterTheLeaderIsKilled(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		w.load(2 * time.Second)
+		w.kill(w.leader())
+		killed := time.Now()
+		before := w.fleet.Starts()
+		for w.fleet.Starts() == before && time.Since(killed) < 10*time.Second {
+			w.submit()
+			time.Sleep(50 * time.Millisecond)
+		}
+		if took := time.Since(killed); took > 2*time.Second {
+			t.Errorf("starts went on after %v, want within 2 s", took)
+		}
+	})
+}
+
+func TestLeaderHandsOverWhenItIsDrained(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.gates()[old].Drain()
+		drained := time.Now()
+		for (w.leader() == old || w.leader() == "") && time.Since(drained) < 10*time.Second {
+			w.submit()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if took := time.Since(drained); took > time.Second {
+			t.Errorf("another entry led after %v, want within 1 s", took)
+		}
+		w.load(2 * time.Second)
+	})
+}
+
+func TestAcceptedWorkOutlivesAllEntries(t *testing.T) {
+	for _, delay := range []time.Duration{0, 2, 5, 20, 100, 400} {
+		t.Run(fmt.Sprintf("%d_ms", delay), func(t *testing.T) {
+			inWorld(t, 3, func(w *world) {
+				w.load(time.Second)
+				for range 5 {
+					w.submit()
+				}
+				time.Sleep(delay * time.Millisecond)
+				for i := range 3 {
+					w.kill(entryName(i))
+				}
+				time.Sleep(time.Second)
+				for i := range 3 {
+					w.start(entryName(i))
+				}
+				time.Sleep(5 * time.Second)
+				w.load(2 * time.Second)
+			})
+		})
+	}
+}
+
+func TestStoreThatIsAway(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultDown, standin.FaultSilent, standin.FaultLost, standin.FaultLate} {
+		t.Run(fmt.Sprintf("fault_%d", fault), func(t *testing.T) {
+			inWorld(t, 3, func(w *world) {
+				w.load(2 * time.Second)
+				w.store.SetFault(func(string) standin.Fault { return fault })
+				w.load(4500 * time.Millisecond)
+				w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+				time.Sleep(3 * time.Second)
+				w.load(2 * time.Second)
+			})
+		})
+	}
+}
+
+func TestLeaderThatTheStoreTurnsAway(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.store.SetFault(func(caller string) standin.Fault {
+			if caller == old {
+				return standin.FaultDown
+			}
+			return standin.FaultNone
+		})
+		w.load(6 * time.Second)
+		if now := w.leader(); now == old || now == "" {
+			t.Errorf("entry %q leads, want another than %q", now, old)
+		}
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.load(2 * time.Second)
+	})
+}
+
+func TestLeaderCutFromItsPeers(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		for name := range w.gates() {
+			if name != old {
+				w.network.Cut(old, name, true)
+			}
+		}
+		w.load(6 * time.Second)
+		for name := range w.gates() {
+			w.network.Cut(old, name, false)
+		}
+		w.load(2 * time.Second)
+	})
+}
+
+func TestUpstreamsOutOfReachOfTheSuccessor(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.fleet.SetReach(func(caller string, id cawork.UpstreamID) bool {
+			return caller == old || id != "up-0" && id != "up-1"
+		})
+		w.kill(old)
+		w.load(8 * time.Second)
+		w.fleet.SetReach(func(string, cawork.UpstreamID) bool { return true })
+		w.load(2 * time.Second)
+	})
+}
+
+func TestHistoryThatIsForgotten(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.load(2 * time.Second)
+		w.store.Forget()
+		w.load(time.Second)
+		w.kill(w.leader())
+		w.load(3 * time.Second)
+	})
+}
+
+// TestCancellationIsStoredBeforeItIsTold cancels a job while a record of its
+// start is under way, and loses the leader right after the answer.
+func TestCancellationIsStoredBeforeItIsTold(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return 3 * time.Second, false })
+		w.store.SetAppendTime(100 * time.Millisecond)
+		for _, after := range []time.Duration{20, 50, 80, 120} {
+			w.submit()
+			w.callers.Wait()
+			id := cawork.JobID(fmt.Sprintf("%016x", w.jobs))
+			time.Sleep(after * time.Millisecond)
+			leader := w.leader()
+			err := w.gates()[leader].Cancel(context.Background(), "north", id)
+			w.kill(leader)
+			w.start(leader)
+			time.Sleep(4 * time.Second)
+			delete(w.accepted, id)
+			if err != nil {
+				t.Fatalf("cancel job %s: %v", id, err)
+			}
+			phase, err := w.gates()[w.leader()].Phase(context.Background(), "north", id)
+			if diff := cmp.Diff([]any{castate.PhaseCanceled, nil}, []any{phase, err}); diff != "" {
+				t.Errorf("job %s canceled %v after its acceptance (-want +got):\n%s", id, after*time.Millisecond, diff)
+			}
+		}
+		w.load(time.Second)
+	})
+}
