--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -163,7 +163,8 @@
 		room += n
 		if _, valid := s.approval.valid(u, b.now.Steady); valid {
 			validRoom += n
-		} else if n > 0 {
+		}
+		if _, lasting := s.approval.valid(u, b.now.Steady.Add(renewTogether)); !lasting && n > 0 {
 			expired = append(expired, u)
 		}
 	}
@@ -184,12 +185,20 @@
 	if b.now.Steady.Add(lead).Before(s.hold.begins) {
 		return nil
 	}
+	begins := later(b.now.Steady, s.hold.begins)
 	var ids []cawork.UpstreamID
+	lacking := false
 	for _, u := range s.hold.upstreams {
-		if _, valid := s.approval.valid(u, later(b.now.Steady, s.hold.begins)); !valid {
+		if _, valid := s.approval.valid(u, begins); !valid {
+			lacking = true
+		}
+		if _, lasting := s.approval.valid(u, begins.Add(renewTogether)); !lasting {
 			ids = append(ids, u.info.ID)
 		}
 	}
+	if !lacking {
+		return nil
+	}
 	return ids
 }
 
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -205,7 +205,7 @@
 		}
 	}
 	for u, number := range batch.seen {
-		u.lastSeen = max(u.lastSeen, number)
+		u.storedEnd = max(u.storedEnd, number)
 	}
 	var orders []StartOrder
 	for _, r := range batch.starts {
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -68,6 +68,9 @@
 	// renewMargin is how long before a gang is expected to start its tickets are
 	// asked for, beyond the time that the advisor takes.
 	renewMargin = 150 * time.Millisecond
+	// renewTogether is how long a ticket must last not to be renewed with others
+	// of the same step, so that those of a gang are valid at the same time.
+	renewTogether = 1200 * time.Millisecond
 	// rackPatience is the fraction of its run time for which a step waits for
 	// room in the rack that it runs fastest in.
 	rackPatience = 1.0
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -108,8 +108,8 @@
 	// UntilMS is the new end of the lease on the clock of the upstream, zero
 	// while its clock is not known.
 	UntilMS int64
-	// LastSeen is the number of the last end that is stored.
-	LastSeen int64
+	// StoredEnd is the number of the last end that is stored.
+	StoredEnd int64
 	// Busy reports whether runs may be present.
 	Busy bool
 }
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -55,7 +55,7 @@
 	u.clockAt, u.clockMS = time.Time{}, 0
 	u.reportedAt = time.Time{}
 	u.fenced = false
-	u.noted, u.lastSeen = 0, 0
+	u.noted, u.storedEnd = 0, 0
 	delete(b.seen, u)
 	u.sick = health{}
 	if !known {
@@ -465,7 +465,7 @@
 		return Lease{}, false
 	}
 	l := Lease{
-		Upstream: id, Address: u.info.Address, Born: u.info.Born, LastSeen: u.lastSeen, Busy: len(u.runs) > 0,
+		Upstream: id, Address: u.info.Address, Born: u.info.Born, StoredEnd: u.storedEnd, Busy: len(u.runs) > 0,
 	}
 	if !u.unanswered {
 		l.UntilMS = u.untilMS(b.now.Steady, LeaseLength)
--- a/internal/cell/caboard/reserve_test.go
+++ b/internal/cell/caboard/reserve_test.go
@@ -95,3 +95,31 @@
 		}
 	}
 }
+
+// TestTicketsOfAGangAreValidTogether replays an advisor whose answers hold for
+// hardly longer than the questions about a wide gang take.
+func TestTicketsOfAGangAreValidTogether(t *testing.T) {
+	q := approvedQueue()
+	q.Approval = &caspec.Approval{Decision: 350 * time.Millisecond, PerUpstream: 5 * time.Millisecond, Validity: 2500 * time.Millisecond}
+	s := newScene(t, 40, q)
+	s.board.SetAskSlots(AskSlots{All: 4, Long: 1})
+	s.board.open(caspec.Submission{ID: "gang", Queue: "queue", Team: "north", Steps: []caspec.Step{gangStep(70, 7000)}}, false)
+	for begin := s.now; s.now.Sub(begin) < 20*time.Second; {
+		for _, ask := range s.board.Plan().Asks {
+			s.advance(ask.Cost)
+			var approved []Approval
+			for _, id := range ask.Upstreams {
+				approved = append(approved, Approval{Upstream: id, Ticket: "ticket"})
+			}
+			s.board.Advised(ask, approved, true)
+		}
+		s.advance(50 * time.Millisecond)
+		for _, id := range s.board.UpstreamIDs() {
+			s.reportAtOnce(id, nil, nil)
+		}
+		if len(s.startAll()) > 0 {
+			return
+		}
+	}
+	t.Error("the gang did not start within 20 s in a free cell")
+}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -26,9 +26,9 @@
 	fenced bool
 	// unanswered is set while the last renewal had no answer.
 	unanswered bool
-	// noted is the last end that was applied, lastSeen the last one stored.
-	noted    int64
-	lastSeen int64
+	// noted is the last end that was applied, storedEnd the last one stored.
+	noted     int64
+	storedEnd int64
 	// restUntil keeps new work away after a refusal.
 	restUntil time.Time
 	// sick tracks failures against those of its peers.
