--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -62,12 +62,32 @@
 		return
 	}
 	for _, r := range u.runs {
+		if r.mayStartLate() {
+			r.stopAcked = time.Time{}
+			b.stop(r)
+			continue
+		}
 		if r.task().Born != born || !r.isCurrent() {
 			b.lose(r, "upstream started anew")
 		}
 	}
 }
 
+// Vanished tells that the incarnation of an upstream is proved to be gone. What
+// it was seen to run is over; an order without an answer may still come about
+// in a later incarnation.
+func (b *Board) Vanished(id cawork.UpstreamID) {
+	u, ok := b.upstreams[id]
+	if !ok {
+		return
+	}
+	for _, r := range u.runs {
+		if r.confirmed {
+			b.lose(r, "upstream is gone")
+		}
+	}
+}
+
 // lose ends a run that vanished without a word.
 func (b *Board) lose(r *run, cause string) {
 	b.counts.Lost++
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -215,3 +215,40 @@
 		t.Errorf("phase after the end (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnansweredStartIsStoppedInTheNextLifeOfItsUpstream replays an order that
+// has no answer while its upstream starts anew under the same id: it may still
+// come about there.
+func TestUnansweredStartIsStoppedInTheNextLifeOfItsUpstream(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.board.Plan()
+	order := s.commit()[0]
+	s.board.Started(order, StartUnknown, 0)
+	reborn := Report{Upstream: order.Upstream, Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 5}
+	s.board.Observe(reborn)
+	if got := s.startAll(); len(got) != 0 {
+		t.Fatalf("started %v while the order may still come about", got)
+	}
+	if len(s.stops) != 1 {
+		t.Fatalf("%d stops, want one", len(s.stops))
+	}
+	s.board.Stopped(s.stops[0], true)
+	s.advance(10 * time.Millisecond)
+	reborn.SentAt, reborn.ReceivedAt = s.now, s.now
+	s.board.Observe(reborn)
+	if got := s.startAll(); len(got) != 1 {
+		t.Errorf("%d starts after the stop was acknowledged, want one", len(got))
+	}
+}
+
+func TestRunsOfAnUpstreamThatVanishedWaitAgainAtOnce(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	s.board.Vanished(order.Upstream)
+	task := s.board.jobs["0000000000000001"].Open[0].Steps[0].Tasks[0]
+	if diff := cmp.Diff(castate.TaskWaiting, task.Phase); diff != "" {
+		t.Errorf("phase of the task (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -116,3 +116,8 @@
 		r.confirmedAt = at
 	}
 }
+
+// mayStartLate reports whether the start order may still come about, also in a
+// later incarnation of the upstream: it had no answer, and nothing has outdated
+// it since. Orders of earlier leaders are outdated by the token of this one.
+func (r *run) mayStartLate() bool { return r.sent && !r.confirmed && !r.inherited }
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -78,12 +78,12 @@
 
 // check calls the leader and tells how sure it is that it is gone.
 func (l *link) check(ctx context.Context, misses *int) doubt {
-	leader, at, ok := l.target()
+	leader, at, _ := l.target()
 	switch {
 	case leader != nil:
 		*misses = 0
 		return doubtNone
-	case !ok:
+	case at.Address == "" || at.VM == l.gate.Self.VM:
 		return doubtProved
 	}
 	err := l.hello(ctx, at.Address)
@@ -99,6 +99,7 @@
 	}
 	*misses++
 	if *misses >= helloMisses {
+		l.noteSilent()
 		return doubtSome
 	}
 	return doubtNone
@@ -168,6 +169,7 @@
 	if reply.Leading && reply.Leader.Token == l.belief.Token {
 		l.belief.heardAt = g.Timer.Now()
 		l.belief.storeAge = reply.StoreAge
+		l.belief.silent = false
 		return nil
 	}
 	if address == l.belief.Address {
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -17,6 +17,9 @@
 const (
 	// leaderWait is how long a call waits for a leader to stand.
 	leaderWait = 400 * time.Millisecond
+	// outcomeWait is how long a call that may have taken effect waits for a
+	// leader that tells.
+	outcomeWait = 2 * time.Second
 	// attemptTimeout bounds one try to carry a call to the leader.
 	attemptTimeout = 1500 * time.Millisecond
 	// attemptPause is the wait between two tries.
@@ -49,7 +52,10 @@
 	heardAt time.Time
 	// storeAge is the age of its last append at that time.
 	storeAge time.Duration
-	// lost is closed when it stops to be the leader for this entry.
+	// silent is set while it does not answer. No call is carried to it then.
+	silent bool
+	// lost is closed when it stops to be the leader for this entry, or to
+	// answer.
 	lost chan struct{}
 }
 
@@ -91,7 +97,20 @@
 	if l.leader != nil {
 		return l.leader, l.belief, true
 	}
-	return nil, l.belief, l.belief.Address != "" && l.belief.VM != l.gate.Self.VM
+	reachable := l.belief.Address != "" && l.belief.VM != l.gate.Self.VM && !l.belief.silent
+	return nil, l.belief, reachable
+}
+
+// noteSilent ends the calls under way to a leader that does not answer.
+func (l *link) noteSilent() {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	if l.belief.silent || l.leader != nil {
+		return
+	}
+	l.belief.silent = true
+	close(l.belief.lost)
+	l.belief.lost = make(chan struct{})
 }
 
 type try func(ctx context.Context, l *caleader.Leader, address string) error
@@ -116,7 +135,11 @@
 			}
 			l.wake()
 		}
-		if unknown == nil && l.gate.Timer.Now().Sub(began) > leaderWait {
+		waited := l.gate.Timer.Now().Sub(began)
+		if unknown != nil && waited > outcomeWait {
+			return unknown
+		}
+		if unknown == nil && waited > leaderWait {
 			return cakind.New(cakind.KindUnavailable, "no leader of shard %d answers", l.shard).WithRetryAfter(retryWithoutLeader)
 		}
 		if !l.rest(ctx) {
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 )
@@ -206,7 +207,12 @@
 	if err != nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		l.board.SetNow(l.moment())
 		l.board.Unanswered(lease.Upstream)
+		if cakind.Of(err) == cakind.KindNotFound {
+			l.board.Vanished(lease.Upstream)
+			l.kick()
+		}
 		if isDeposed(err) {
 			l.fenced(lease.Upstream)
 		}
--- a/internal/cell/caleader/ports.go
+++ b/internal/cell/caleader/ports.go
@@ -50,7 +50,7 @@
 	Stop(ctx context.Context, token int64, order caboard.StopOrder) error
 	// Renew renews the lease and returns the report of the upstream. It waits
 	// up to the time for a run to end. KindFenced means that the upstream obeys
-	// a later leader.
+	// a later leader, KindNotFound that its incarnation is gone.
 	Renew(ctx context.Context, token int64, lease caboard.Lease, wait time.Duration) (caboard.Report, error)
 }
 
