--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -15,6 +15,9 @@
 	backfillMargin = 1.25
 	// heldShare is the largest fraction of a pool that is held back for gangs.
 	heldShare = 0.3
+	// heldSpare is how many more places are held than a gang needs, as a fraction,
+	// so that it does not wait for the last one that is late.
+	heldSpare = 0.25
 	// heldOfFree is the same of the room that is free.
 	heldOfFree = 0.9
 	// holdMost is how long the same room is held for one gang.
@@ -68,10 +71,9 @@
 func (b *Board) refreshHold(s *step) bool {
 	var vacancies []vacancy
 	for _, u := range s.hold.upstreams {
-		if !u.open {
-			return false
+		if u.open {
+			vacancies = append(vacancies, b.vacancies(s, u)...)
 		}
-		vacancies = append(vacancies, b.vacancies(s, u)...)
 	}
 	if len(vacancies) < s.spec.Tasks {
 		return false
@@ -108,8 +110,9 @@
 		return
 	}
 	sortVacancies(vacancies)
-	chosen := vacancies[:s.spec.Tasks]
-	s.hold = &hold{begins: chosen[len(chosen)-1].at, since: b.now.Steady}
+	spare := int(heldSpare * float64(s.spec.Tasks))
+	chosen := vacancies[:min(s.spec.Tasks+spare, len(vacancies))]
+	s.hold = &hold{begins: vacancies[s.spec.Tasks-1].at, since: b.now.Steady}
 	for _, v := range chosen {
 		if v.up.reservedBy == nil {
 			v.up.reservedBy = s
