--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -178,21 +178,22 @@
 	return b.roomiest(expired, askedMost)
 }
 
-// holdRenewals returns the upstreams held for a gang whose tickets do not last
-// until it is expected to start, once the answer will come just in time.
+// holdRenewals returns the upstreams held for a gang whose tickets run out, so
+// that it starts as soon as it has its room. Tickets of a gang that does not
+// start soon are let run out.
 func (b *Board) holdRenewals(s *step, q caspec.Queue) []cawork.UpstreamID {
+	now := b.now.Steady
 	lead := q.Approval.Cost(len(s.hold.upstreams)) + renewMargin
-	if b.now.Steady.Add(lead).Before(s.hold.begins) {
+	if s.hold.begins.Sub(now) > lead+freshFor {
 		return nil
 	}
-	begins := later(b.now.Steady, s.hold.begins)
 	var ids []cawork.UpstreamID
 	lacking := false
 	for _, u := range s.hold.upstreams {
-		if _, valid := s.approval.valid(u, begins); !valid {
+		if _, valid := s.approval.valid(u, now.Add(lead)); !valid {
 			lacking = true
 		}
-		if _, lasting := s.approval.valid(u, begins.Add(renewTogether)); !lasting {
+		if _, lasting := s.approval.valid(u, now.Add(lead+renewTogether)); !lasting && u.open {
 			ids = append(ids, u.info.ID)
 		}
 	}
@@ -202,13 +203,6 @@
 	return ids
 }
 
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
-
 // candidates returns upstreams that were not asked about yet.
 func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -68,9 +68,12 @@
 	// renewMargin is how long before a gang is expected to start its tickets are
 	// asked for, beyond the time that the advisor takes.
 	renewMargin = 150 * time.Millisecond
+	// freshFor is how long before a gang is expected to start its tickets are
+	// kept valid.
+	freshFor = 500 * time.Millisecond
 	// renewTogether is how long a ticket must last not to be renewed with others
 	// of the same step, so that those of a gang are valid at the same time.
-	renewTogether = 1200 * time.Millisecond
+	renewTogether = 800 * time.Millisecond
 	// rackPatience is the fraction of its run time for which a step waits for
 	// room in the rack that it runs fastest in.
 	rackPatience = 1.0
