--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -15,6 +15,8 @@
 	backfillMargin = 1.25
 	// heldShare is the largest fraction of a pool that is held back for gangs.
 	heldShare = 0.3
+	// roomyShare is the fraction of a pool that is free when no room is held.
+	roomyShare = 0.5
 	// heldSpare is how many more places are held than a gang needs, as a fraction,
 	// so that it does not wait for the last one that is late.
 	heldSpare = 0.25
@@ -45,7 +47,7 @@
 // last, and give room back that others want.
 func (b *Board) holdRoom(s *step, q caspec.Queue, p *openPool) {
 	useless := s.lateness == latenessUseless
-	if useless && p.contended {
+	if p.isRoomy() || useless && p.contended {
 		b.dropHold(s)
 		return
 	}
@@ -60,6 +62,12 @@
 	b.reserve(s, q, p)
 }
 
+// isRoomy reports whether so much is free that gangs find room without holding
+// any, and only wait for their tickets.
+func (p *openPool) isRoomy() bool {
+	return float64(p.free.CPU) >= roomyShare*float64(p.capacity)
+}
+
 // mostHeld returns how much may be held back for gangs: more of a pool that is
 // not full.
 func (p *openPool) mostHeld() float64 {
