--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -136,7 +136,6 @@
 		b.askingLong++
 	}
 	a.askedAt = now
-	b.counts.Asked++
 	return Ask{
 		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number,
 		Upstreams: ids, Cost: q.Approval.Cost(len(ids)), Long: long,
@@ -299,7 +298,6 @@
 			b.noteApprovals(s, ask, approved)
 		}
 	}
-	b.resume = true
 }
 
 func (b *Board) noteApprovals(s *step, ask Ask, approved []Approval) {
@@ -318,7 +316,6 @@
 			s.approval.tickets[a.Upstream] = ticket{born: u.info.Born, value: a.Ticket, expires: expires}
 		}
 	}
-	b.counts.Approved += int64(len(approved))
 	stats := b.statsOf(q.Name)
 	share := float64(len(approved)) / float64(len(ask.Upstreams))
 	stats.approvedShare += approvedShareWeight * (share - stats.approvedShare)
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -58,18 +58,10 @@
 	asking     int
 	askingLong int
 	askSlots   AskSlots
-	// resume is set when something happened that may let a task start.
-	resume bool
-	counts Counts
 	// explainedAt is when waiting steps were last explained.
 	explainedAt time.Time
 }
 
-// Counts are totals since the board was made.
-type Counts struct {
-	Submitted, Refused, Started, Done, Failed, Lost, Asked, Approved int64
-}
-
 // job is a job with what is not stored of it.
 type job struct {
 	*castate.Job
@@ -148,15 +140,8 @@
 			j.priority = q.Priority
 		}
 	}
-	b.resume = true
 }
 
-// Counts returns the totals.
-func (b *Board) Counts() Counts { return b.counts }
-
-// IsResumable reports whether Plan has anything new to decide.
-func (b *Board) IsResumable() bool { return b.resume }
-
 func (b *Board) queueOf(j *job) (caspec.Queue, bool) { return b.policy.Queue(j.Submission.Queue) }
 
 func (b *Board) statsOf(q caspec.QueueName) *queueStats {
@@ -311,7 +296,6 @@
 			b.steps = append(b.steps, s)
 		}
 	}
-	b.resume = true
 }
 
 // inherit charges a run that an earlier leader assigned.
@@ -361,7 +345,6 @@
 		r.step.waiting++
 		b.touch(r.step.job)
 	}
-	b.resume = true
 	b.settle(r.step.job)
 }
 
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -110,6 +110,4 @@
 	UntilMS int64
 	// StoredEnd is the number of the last end that is stored.
 	StoredEnd int64
-	// Busy reports whether runs may be present.
-	Busy bool
 }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -13,7 +13,6 @@
 // Plan assigns waiting tasks to upstreams, and returns the orders that are due
 // at once. Assignments are part of the next batch.
 func (b *Board) Plan() Orders {
-	b.resume = false
 	b.pruneSteps()
 	b.orderSteps()
 	b.pools = b.openPools()
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -31,7 +31,6 @@
 	if !ok {
 		u = newUpstream(info)
 		b.upstreams[info.ID] = u
-		b.resume = true
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
 			Stringer("capacity", info.Capacity).Int64("born", info.Born).Send()
 	}
@@ -42,9 +41,6 @@
 		info.Born = u.info.Born
 	}
 	u.listed = true
-	if info.Draining != u.info.Draining || u.info.Capacity != info.Capacity {
-		b.resume = true
-	}
 	u.info = info
 }
 
@@ -90,7 +86,6 @@
 
 // lose ends a run that vanished without a word.
 func (b *Board) lose(r *run, cause string) {
-	b.counts.Lost++
 	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.up.info.ID)).Str("cause", cause).
 		Dur("since_report", b.now.Steady.Sub(r.up.reportedAt)).Bool("confirmed", r.confirmed).Send()
@@ -152,11 +147,9 @@
 		}
 	}
 	b.noteAbsent(u, report)
-	b.resume = true
 }
 
-// readClock keeps the reading that puts the clock furthest back, since answers
-// arrive late by different amounts.
+// readClock takes up a reading of the clock of an upstream.
 func (b *Board) readClock(u *upstream, clockMS int64, at time.Time) {
 	if clockMS == 0 {
 		return
@@ -284,7 +277,6 @@
 	if s.spec.LongRunning {
 		return
 	}
-	b.counts.Done++
 	r.task().Phase = castate.TaskDone
 	if s.spec.Gang {
 		for i := range s.state().Tasks {
@@ -317,7 +309,6 @@
 // noteFailed counts an attempt of a task or of its gang, and fails the job
 // when there are none left.
 func (b *Board) noteFailed(r *run) {
-	b.counts.Failed++
 	s, t := r.step, r.task()
 	failures := 0
 	if s.spec.Gang {
@@ -407,7 +398,6 @@
 		Dur("since_accepted", b.age(r.step.job)).Dur("since_ready", b.now.Steady.Sub(r.step.readyAt)).Send()
 	switch outcome {
 	case StartAccepted:
-		b.counts.Started++
 		r.confirm(b.now.Steady)
 	case StartUnknown:
 		if !r.confirmed {
@@ -485,7 +475,7 @@
 		return Lease{}, false
 	}
 	l := Lease{
-		Upstream: id, Address: u.info.Address, Born: u.info.Born, StoredEnd: u.storedEnd, Busy: len(u.runs) > 0,
+		Upstream: id, Address: u.info.Address, Born: u.info.Born, StoredEnd: u.storedEnd,
 	}
 	if !u.unanswered {
 		l.UntilMS = u.untilMS(b.now.Steady, LeaseLength)
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -22,7 +22,6 @@
 	}
 	excess, err := b.admit(s)
 	if err != nil {
-		b.counts.Refused++
 		return false, err
 	}
 	b.open(s, excess)
@@ -40,7 +39,6 @@
 		b.openSteps(j, j.OpenNext())
 	}
 	b.touch(j)
-	b.counts.Submitted++
 	caevent.Info(b.log, caevent.JobAccepted).Str("job", string(s.ID)).Str("queue", string(s.Queue)).
 		Str("team", string(s.Team)).Int("steps", len(s.Steps)).Bool("excess", j.Excess).
 		Int64("policy", b.policy.Version).Dur("objective", j.objective).Send()
@@ -161,7 +159,6 @@
 func (b *Board) stop(r *run) {
 	r.stopping = true
 	b.stopping[r] = struct{}{}
-	b.resume = true
 }
 
 // Phase returns the phase in the stored record of a job, and whether there is
