--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -36,6 +36,8 @@
 	MemberForeign      Number = 306
 	FormatInForce      Number = 307
 	LayoutKnown        Number = 308
+	AgentChosen        Number = 309
+	AgentLost          Number = 310
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -12,11 +12,11 @@
 
 // RunID names one run of a task. The members of a gang share its number.
 type RunID struct {
-	Job        cawork.JobID
-	Occurrence int
-	Step       int
-	Index      int
-	Number     int
+	Job        cawork.JobID `cbor:"1,keyasint,omitempty"`
+	Occurrence int          `cbor:"2,keyasint,omitempty"`
+	Step       int          `cbor:"3,keyasint,omitempty"`
+	Index      int          `cbor:"4,keyasint,omitempty"`
+	Number     int          `cbor:"5,keyasint,omitempty"`
 }
 
 // Ending tells how a run ended.
--- a/internal/cell/cagate/calls.go
+++ b/internal/cell/cagate/calls.go
@@ -29,6 +29,9 @@
 	VM      cawork.VMID     `cbor:"1,keyasint"`
 	Zone    cawork.ZoneName `cbor:"2,keyasint,omitempty"`
 	Address string          `cbor:"3,keyasint"`
+	// Power is the processor share of the VM, in cores. Entries with more of it
+	// lead first, and are agents of leaders.
+	Power float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // helloRequest tells who asks and what it knows.
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -10,6 +10,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/carelay"
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
@@ -236,7 +237,7 @@
 	g := l.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	weakness := max(1-g.Power/fullPower, 0)
+	weakness := max(1-g.Self.Power/fullPower, 0)
 	pause := time.Duration(weakness*float64(weaknessPause)) + time.Duration(g.leading())*burdenPause
 	return pause + time.Duration(rand.Int63n(int64(electionJitter)))
 }
@@ -265,17 +266,25 @@
 // lead runs the leader until it is deposed.
 func (l *link) lead(ctx context.Context, c caleader.Claim, token, end int64) {
 	g := l.gate
+	relay := carelay.New(carelay.Deps{
+		Leader: g.Self.VM, Token: token, From: g.RelayFrom, Log: g.Log.With().Int("shard", l.shard).Logger(), Timer: g.Timer,
+		Peers: g.Peers, Upstreams: g.Upstreams, Registry: g.Registry, Candidates: g.candidates,
+	})
 	leader := caleader.New(caleader.Deps{
 		Shard: l.shard, MostShards: g.MostShards, View: g.view, Divide: g.setLayout,
 		Log: g.Log.With().Int("shard", l.shard).Logger(), Scope: g.Scope, Timer: g.Timer, Wall: g.Wall,
-		Store: g.Store(l.shard), Upstreams: g.Upstreams, Registry: g.Registry, Advisers: l, Seed: token,
+		Store: g.Store(l.shard), Upstreams: relay, Registry: relay, Advisers: l, Seed: token,
 	}, c, token, end)
 	g.mu.Lock()
 	l.believe(lead{VM: g.Self.VM, Address: g.Self.Address, Token: token})
 	l.leader = leader
 	g.mu.Unlock()
 	go func() {
+		relayCtx, cancel := context.WithCancel(ctx)
+		go relay.Run(relayCtx)
 		err := leader.Run(ctx)
+		cancel()
+		<-relay.Done()
 		caevent.Warn(g.Log, caevent.ShardDeposed).Int("shard", l.shard).Int64("token", token).Err(err).Send()
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -15,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/carelay"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/node/capeer"
@@ -30,9 +31,6 @@
 type Deps struct {
 	Self  Peer
 	Seeds []string
-	// Power is the processor share of this VM, in cores. Entries with more of
-	// it lead first.
-	Power float64
 	Log   zerolog.Logger
 	Scope tally.Scope
 	Timer *catimer.Service
@@ -43,6 +41,9 @@
 	MostShards int
 	Upstreams  caleader.Upstreams
 	Registry   caleader.Registry
+	// RelayFrom is the number of upstreams from which a leader reaches them
+	// through other entries.
+	RelayFrom int
 	// Advisor is nil where there is none.
 	Advisor caleader.Advisor
 	Feed    Feed
@@ -53,7 +54,8 @@
 // Gate is the entry's side of a cell.
 type Gate struct {
 	Deps
-	done chan struct{}
+	done  chan struct{}
+	agent *carelay.Agent
 	// divided is closed when the layout is known.
 	divided chan struct{}
 
@@ -75,7 +77,7 @@
 // New returns a gate that knows no leader yet.
 func New(deps Deps) *Gate {
 	g := &Gate{
-		Deps: deps, done: make(chan struct{}), divided: make(chan struct{}),
+		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer), divided: make(chan struct{}),
 		peers: make(map[cawork.VMID]*peerState), feedLost: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
@@ -90,7 +92,7 @@
 func (g *Gate) Run(ctx context.Context) error {
 	defer close(g.done)
 	var group run.Group
-	for _, part := range []func(context.Context) error{g.watchPolicy, g.links[0].run, g.runFurther, g.askPeersLoop} {
+	for _, part := range []func(context.Context) error{g.watchPolicy, g.links[0].run, g.runFurther, g.askPeersLoop, g.agent.Run} {
 		partCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
--- a/internal/cell/cagate/peers.go
+++ b/internal/cell/cagate/peers.go
@@ -4,11 +4,15 @@
 	"context"
 	"math/rand"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/cell/carelay"
 )
 
 const (
 	// peerAge is how long an entry counts as present after it was seen.
 	peerAge = 1500 * time.Millisecond
+	// agentAge is the same for an entry that carries orders of a leader.
+	agentAge = 700 * time.Millisecond
 	// askPeersPeriod is the time between two calls to other entries while the
 	// store or a leader is away.
 	askPeersPeriod = 300 * time.Millisecond
@@ -41,6 +45,19 @@
 	return known
 }
 
+// candidates returns the entries that may be agents of a leader here.
+func (g *Gate) candidates() []carelay.Candidate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]carelay.Candidate, 0, len(g.peers))
+	for vm, p := range g.peers {
+		if g.Timer.Now().Sub(p.seenAt) < agentAge {
+			list = append(list, carelay.Candidate{VM: vm, Zone: p.Zone, Address: p.Address, Power: p.Power})
+		}
+	}
+	return list
+}
+
 // askPeersLoop calls other entries while the store or a leader is away, to
 // learn of a newer policy or leader.
 func (g *Gate) askPeersLoop(ctx context.Context) error {
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -16,6 +16,7 @@
 	capeer.Handle(s, callCancel, g.handleCancel)
 	capeer.Handle(s, callPending, g.handlePending)
 	capeer.Handle(s, callAdvise, g.handleAdvise)
+	g.agent.Register(s)
 }
 
 func (g *Gate) handleHello(_ context.Context, r helloRequest) (helloReply, error) {
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -31,6 +31,8 @@
 	store   *standin.Store
 	fleet   *standin.Fleet
 	lives   int
+	// relayFrom is the number of upstreams from which leaders use agents.
+	relayFrom int
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -68,9 +70,9 @@
 
 const worldUpstreams = 6
 
-func newWorld(t *testing.T, entries int) *world {
+func newWorld(t *testing.T, entries, relayFrom int) *world {
 	w := &world{
-		t: t, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		t: t, relayFrom: relayFrom, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
@@ -96,11 +98,11 @@
 	timer := catimer.NewService()
 	e := &entry{cancel: cancel}
 	e.gate = New(Deps{
-		Self: Peer{VM: cawork.VMID(name), Address: name}, Seeds: []string{entryName(0), entryName(1)}, Power: 0.4,
+		Self: Peer{VM: cawork.VMID(name), Address: name, Power: 0.4}, Seeds: []string{entryName(0), entryName(1)},
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
 		Wall: func() int64 { return timer.Now().UnixMilli() }, Peers: client,
 		Store:      func(shard int) caleader.Log { return w.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
-		MostShards: 8, Upstreams: w.fleet.Caller(name), Registry: w.fleet,
+		MostShards: 8, Upstreams: w.fleet.Caller(name), Registry: w.fleet, RelayFrom: w.relayFrom,
 		Advisor: standin.Advisor{Takes: 5 * time.Millisecond}, Feed: fixedFeed{testPolicy()}, Nonce: int64(w.lives),
 	})
 	server := capeer.NewServer()
@@ -243,19 +245,25 @@
 	}
 }
 
-func inWorld(t *testing.T, entries int, play func(w *world)) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, entries)
-		time.Sleep(5 * time.Second)
-		play(w)
-		w.verify()
-		w.close()
-		time.Sleep(5 * time.Second)
-	})
+// inWorld plays in a cell whose leader reaches its upstreams itself, and in one
+// whose leader reaches them through agents.
+func inWorld(t *testing.T, entries int, play func(t *testing.T, w *world)) {
+	for name, relayFrom := range map[string]int{"direct": worldUpstreams + 1, "relayed": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, entries, relayFrom)
+				time.Sleep(5 * time.Second)
+				play(t, w)
+				w.verify()
+				w.close()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
 }
 
 func TestCalmCellServesAll(t *testing.T) {
-	inWorld(t, 3, func(w *world) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
 		w.load(5 * time.Second)
 		w.callers.Wait()
 		if diff := cmp.Diff(0, len(w.refused)+len(w.unknown)); diff != "" {
@@ -265,7 +273,7 @@
 }
 
 func TestStartsGoOnSoonAfterTheLeaderIsKilled(t *testing.T) {
-	inWorld(t, 4, func(w *world) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		w.kill(w.leader())
 		killed := time.Now()
@@ -281,7 +289,7 @@
 }
 
 func TestLeaderHandsOverWhenItIsDrained(t *testing.T) {
-	inWorld(t, 4, func(w *world) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		w.gates()[old].Drain()
@@ -300,7 +308,7 @@
 func TestAcceptedWorkOutlivesAllEntries(t *testing.T) {
 	for _, delay := range []time.Duration{0, 2, 5, 20, 100, 400} {
 		t.Run(fmt.Sprintf("%d_ms", delay), func(t *testing.T) {
-			inWorld(t, 3, func(w *world) {
+			inWorld(t, 3, func(t *testing.T, w *world) {
 				w.load(time.Second)
 				for range 5 {
 					w.submit()
@@ -323,7 +331,7 @@
 func TestStoreThatIsAway(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.FaultDown, standin.FaultSilent, standin.FaultLost, standin.FaultLate} {
 		t.Run(fmt.Sprintf("fault_%d", fault), func(t *testing.T) {
-			inWorld(t, 3, func(w *world) {
+			inWorld(t, 3, func(t *testing.T, w *world) {
 				w.load(2 * time.Second)
 				w.store.SetFault(func(string) standin.Fault { return fault })
 				w.load(4500 * time.Millisecond)
@@ -336,7 +344,7 @@
 }
 
 func TestLeaderThatTheStoreTurnsAway(t *testing.T) {
-	inWorld(t, 4, func(w *world) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		w.store.SetFault(func(caller string) standin.Fault {
@@ -355,7 +363,7 @@
 }
 
 func TestLeaderCutFromItsPeers(t *testing.T) {
-	inWorld(t, 4, func(w *world) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		for name := range w.gates() {
@@ -372,7 +380,7 @@
 }
 
 func TestUpstreamsOutOfReachOfTheSuccessor(t *testing.T) {
-	inWorld(t, 4, func(w *world) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		w.fleet.SetReach(func(caller string, id cawork.UpstreamID) bool {
@@ -386,7 +394,7 @@
 }
 
 func TestHistoryThatIsForgotten(t *testing.T) {
-	inWorld(t, 3, func(w *world) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		w.store.Forget()
 		w.load(time.Second)
@@ -398,7 +406,7 @@
 // TestCancellationIsStoredBeforeItIsTold cancels a job while a record of its
 // start is under way, and loses the leader right after the answer.
 func TestCancellationIsStoredBeforeItIsTold(t *testing.T) {
-	inWorld(t, 3, func(w *world) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
 		w.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return 3 * time.Second, false })
 		w.store.SetAppendTime(100 * time.Millisecond)
 		for _, after := range []time.Duration{20, 50, 80, 120} {
