A deposed leader follows its successor

Ruled out: the election of weak entries alone, since the claims went on after the entry was idle. Change: the address is cleared only while the claim is its own. Test: TestDeposedLeaderFollowsItsSuccessor, failed before, passes.

--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -289,7 +289,9 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		l.leader = nil
-		l.belief.Address = ""
-		l.belief.heardAt = time.Time{}
+		if l.belief.Token == token {
+			l.belief.Address = ""
+			l.belief.heardAt = time.Time{}
+		}
 	}()
 }
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -431,3 +431,39 @@
 		w.load(time.Second)
 	})
 }
+
+// TestDeposedLeaderFollowsItsSuccessor keeps the answers of the store and of
+// upstreams from a leader, which learns of its successor from other entries before it ends. It
+// follows the successor then, and leaves the shard to it.
+func TestDeposedLeaderFollowsItsSuccessor(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.store.SetFault(func(caller string) standin.Fault {
+			if caller == old {
+				return standin.FaultSilent
+			}
+			return standin.FaultNone
+		})
+		w.fleet.SetReach(func(caller string, _ cawork.UpstreamID) bool { return caller != old })
+		w.load(6 * time.Second)
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.fleet.SetReach(func(string, cawork.UpstreamID) bool { return true })
+		time.Sleep(2 * time.Second)
+		successor := w.leader()
+		if successor == old || successor == "" {
+			t.Fatalf("entry %q leads, want another than %q", successor, old)
+		}
+		gate := w.gates()[old]
+		before, _, _ := w.gates()[successor].links[0].target()
+		s := caspec.Submission{ID: "00000000000000ff", Queue: "queue", Team: "north", Steps: []caspec.Step{testStep()}}
+		if err := gate.Submit(t.Context(), s); err != nil {
+			t.Errorf("submit through the deposed leader: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+		after, _, _ := w.gates()[successor].links[0].target()
+		if before != after {
+			t.Error("the successor was deposed while it served")
+		}
+	})
+}
