--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -38,6 +38,7 @@
 	LayoutKnown        Number = 308
 	AgentChosen        Number = 309
 	AgentLost          Number = 310
+	LeadershipYielded  Number = 311
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
--- a/internal/cell/cagate/calls.go
+++ b/internal/cell/cagate/calls.go
@@ -44,6 +44,8 @@
 	Shard int `cbor:"4,keyasint,omitempty"`
 	// HasLayout reports whether the caller knows the layout.
 	HasLayout bool `cbor:"5,keyasint,omitempty"`
+	// ReachesStore reports whether the store answers the caller.
+	ReachesStore bool `cbor:"6,keyasint,omitempty"`
 }
 
 // helloReply tells what the asked entry knows.
@@ -56,8 +58,9 @@
 	// Policy is set when it is newer than that of the caller.
 	Policy *caspec.Policy `cbor:"4,keyasint,omitempty"`
 	// PolicyVersion is the version that the asked entry has in force.
-	PolicyVersion int64  `cbor:"5,keyasint,omitempty"`
-	Peers         []Peer `cbor:"6,keyasint,omitempty"`
+	PolicyVersion int64 `cbor:"5,keyasint,omitempty"`
+	// Peers are entries that are present; a leader tells of strong ones only.
+	Peers []Peer `cbor:"6,keyasint,omitempty"`
 	// Layout is set when the caller does not know it.
 	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -39,11 +39,13 @@
 	burdenPause = 150 * time.Millisecond
 	// weaknessPause holds a candidate back that has less than fullPower.
 	weaknessPause = 200 * time.Millisecond
+	// deferPause is the same where a stronger entry is known to be present.
+	deferPause = 800 * time.Millisecond
 	// fullPower is the processor share, in cores, that a leader should have.
 	fullPower = 0.4
 	// oldStoreAge is the age of the last append of a leader beyond which others
 	// look whether they reach the store.
-	oldStoreAge = 1200 * time.Millisecond
+	oldStoreAge = 700 * time.Millisecond
 )
 
 // errNotLeading is the answer of an entry that was taken for the leader.
@@ -83,6 +85,7 @@
 	switch {
 	case leader != nil:
 		*misses = 0
+		l.yield(leader)
 		return doubtNone
 	case at.Address == "" || at.VM == l.gate.Self.VM:
 		return doubtProved
@@ -144,6 +147,7 @@
 	policy, layout := g.view()
 	request := helloRequest{
 		From: g.Self, PolicyVersion: policy.Version, Advises: g.Advisor != nil, Shard: l.shard, HasLayout: !layout.IsZero(),
+		ReachesStore: g.reachesStore(),
 	}
 	reply, err := capeer.Call[helloRequest, helloReply](callCtx, g.Peers, address, callHello, request)
 	if err != nil {
@@ -164,7 +168,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range reply.Peers {
-		g.meet(p)
+		g.meet(p).toldAt = g.Timer.Now()
 	}
 	l.believe(reply.Leader)
 	if reply.Leading && reply.Leader.Token == l.belief.Token {
@@ -237,8 +241,14 @@
 	g := l.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	weakness := max(1-g.Self.Power/fullPower, 0)
-	pause := time.Duration(weakness*float64(weaknessPause)) + time.Duration(g.leading())*burdenPause
+	pause := time.Duration(g.leading()) * burdenPause
+	if weakness := max(1-g.Self.Power/fullPower, 0); weakness > 0 {
+		longest := weaknessPause
+		if g.knowsStronger(l.belief.VM) {
+			longest = deferPause
+		}
+		pause += time.Duration(weakness * float64(longest))
+	}
 	return pause + time.Duration(rand.Int63n(int64(electionJitter)))
 }
 
@@ -278,6 +288,7 @@
 	g.mu.Lock()
 	l.believe(lead{VM: g.Self.VM, Address: g.Self.Address, Token: token})
 	l.leader = leader
+	l.ledSince = g.Timer.Now()
 	g.mu.Unlock()
 	go func() {
 		relayCtx, cancel := context.WithCancel(ctx)
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -70,8 +70,11 @@
 
 type peerState struct {
 	Peer
-	seenAt  time.Time
-	advises bool
+	// seenAt is when it called last, and toldAt when another told of it.
+	seenAt       time.Time
+	toldAt       time.Time
+	advises      bool
+	reachesStore bool
 }
 
 // New returns a gate that knows no leader yet.
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -43,6 +43,10 @@
 	// waking makes the entry look at the leader at once.
 	waking chan struct{}
 	leader *caleader.Leader
+	// ledSince is when this entry began to lead, and yieldedAt when it last
+	// handed over to a stronger one.
+	ledSince  time.Time
+	yieldedAt time.Time
 }
 
 // belief is whom the entry takes for the leader.
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -27,6 +27,7 @@
 	p := g.meet(r.From)
 	p.seenAt = now
 	p.advises = r.Advises
+	p.reachesStore = r.ReachesStore
 	reply := helloReply{PolicyVersion: g.policy.Version}
 	if err == nil {
 		reply.Leader = l.belief.lead
@@ -43,11 +44,9 @@
 		layout := g.layout
 		reply.Layout = &layout
 	}
-	if reply.Leading {
-		return reply, nil
-	}
 	for _, known := range g.peers {
-		if known.VM != r.From.VM && now.Sub(known.seenAt) < peerAge {
+		present := known.VM != r.From.VM && now.Sub(known.seenAt) < peerAge
+		if present && (!reply.Leading || known.isStrong()) {
 			reply.Peers = append(reply.Peers, known.Peer)
 		}
 	}
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -31,6 +31,8 @@
 	store   *standin.Store
 	fleet   *standin.Fleet
 	lives   int
+	// power is the processor share of an entry, in cores.
+	power func(name string) float64
 	// relayFrom is the number of upstreams from which leaders use agents.
 	relayFrom int
 
@@ -72,7 +74,7 @@
 
 func newWorld(t *testing.T, entries, relayFrom int) *world {
 	w := &world{
-		t: t, relayFrom: relayFrom, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		t: t, relayFrom: relayFrom, power: func(string) float64 { return fullPower }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
@@ -98,7 +100,7 @@
 	timer := catimer.NewService()
 	e := &entry{cancel: cancel}
 	e.gate = New(Deps{
-		Self: Peer{VM: cawork.VMID(name), Address: name, Power: 0.4}, Seeds: []string{entryName(0), entryName(1)},
+		Self: Peer{VM: cawork.VMID(name), Address: name, Power: w.power(name)}, Seeds: []string{entryName(0), entryName(1)},
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
 		Wall: func() int64 { return timer.Now().UnixMilli() }, Peers: client,
 		Store:      func(shard int) caleader.Log { return w.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
@@ -467,3 +469,34 @@
 		}
 	})
 }
+
+// TestWeakLeaderHandsOverToAStrongEntry loses the strong entry that leads, so
+// that a weak one takes over, and brings a strong one back.
+func TestWeakLeaderHandsOverToAStrongEntry(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		strong := w.leader()
+		w.power = func(name string) float64 {
+			if name == strong {
+				return fullPower
+			}
+			return fullPower / 4
+		}
+		for name := range w.gates() {
+			w.kill(name)
+		}
+		for i := range 4 {
+			w.start(entryName(i))
+		}
+		time.Sleep(6 * time.Second)
+		if diff := cmp.Diff(strong, w.leader()); diff != "" {
+			t.Errorf("leader among one strong and three weak entries (-want +got):\n%s", diff)
+		}
+		w.kill(strong)
+		w.load(2 * time.Second)
+		w.start(strong)
+		w.load(6 * time.Second)
+		if diff := cmp.Diff(strong, w.leader()); diff != "" {
+			t.Errorf("leader after the strong entry came back (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/cell/carelay/select_test.go
+++ b/internal/cell/carelay/select_test.go
@@ -19,8 +19,11 @@
 
 func TestStrongestEntriesOfEachZoneAreAgents(t *testing.T) {
 	candidates := []Candidate{
-		{VM: "a-small", Zone: "a", Power: 0.2}, {VM: "a-large", Zone: "a", Power: 0.8}, {VM: "a-other", Zone: "a", Power: 0.8},
-		{VM: "b-small", Zone: "b", Power: 0.2}, {VM: "c-large", Zone: "c", Power: 0.8},
+		{VM: "a-small", Zone: "a", Power: 0.2},
+		{VM: "a-large", Zone: "a", Power: 0.8},
+		{VM: "a-other", Zone: "a", Power: 0.8},
+		{VM: "b-small", Zone: "b", Power: 0.2},
+		{VM: "c-large", Zone: "c", Power: 0.8},
 	}
 	r := newRoster(candidates, map[cawork.ZoneName]int{"a": upstreamsPerAgent + 1, "b": 3})
 	if diff := cmp.Diff([]cawork.VMID{"a-large", "a-other", "b-small"}, names(r.all)); diff != "" {
