--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -31,6 +31,7 @@
 	Demo            func(context.Context, Output, caoption.Demo) error
 	Entry           func(context.Context, Output, casettings.Settings) error
 	Node            func(context.Context, Output, caoption.Node) error
+	Soak            func(context.Context, Output, caoption.Soak) error
 	StandinLog      func(context.Context, Output, caoption.StandinLog) error
 	StandinVMs      func(context.Context, Output, caoption.StandinVMs) error
 	StandinUpstream func(context.Context, Output, caoption.StandinUpstream) error
@@ -87,6 +88,8 @@
 		return c.entry()
 	case "node":
 		return c.runners.Node(c.ctx, c.Output, o.Node)
+	case "soak":
+		return c.runners.Soak(c.ctx, c.Output, o.Soak)
 	case "standin log":
 		return c.runners.StandinLog(c.ctx, c.Output, o.Standin.Log)
 	case "standin vms":
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -18,8 +18,19 @@
   node                       run an entry on the platform of the users
       --settings=PATH        settings file of the platform (environment
                              CELERYARCH_NODE_FILE)
+      --advertise=ADDRESS    address at which other entries reach this one
+                             (where it listens for them)
       --metrics=PORT         serve metrics on this port
       --check                check the settings and exit
+  soak                       run entries as processes on loopback, injure them
+                             and check what is promised
+      --seed=N               seed of the first plan of faults (1)
+      --seeds=N              number of plans (1)
+      --together=N           plans at the same time (1)
+      --during=TIME          how long load and faults last (20s)
+      --nodes=N              entries (5)
+      --upstreams=N          upstreams (8)
+      --dir=PATH             keep settings and logs in this folder
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -23,6 +23,7 @@
 	Demo    Demo    `command:"demo"`
 	Entry   Entry   `command:"entry"`
 	Node    Node    `command:"node"`
+	Soak    Soak    `command:"soak"`
 	Standin Standin `command:"standin"`
 	Config  Config  `command:"config"`
 	Key     Key     `command:"key"`
@@ -44,9 +45,21 @@
 
 // Node are the options of the command node.
 type Node struct {
-	Settings string `long:"settings" value-name:"PATH"`
-	Metrics  string `long:"metrics" value-name:"PORT"`
-	Check    bool   `long:"check"`
+	Settings  string `long:"settings" value-name:"PATH"`
+	Advertise string `long:"advertise" value-name:"ADDRESS"`
+	Metrics   string `long:"metrics" value-name:"PORT"`
+	Check     bool   `long:"check"`
+}
+
+// Soak are the options of the command soak.
+type Soak struct {
+	Seed      int64         `long:"seed" default:"1" value-name:"N"`
+	Seeds     int           `long:"seeds" default:"1" value-name:"N"`
+	Together  int           `long:"together" default:"1" value-name:"N"`
+	During    time.Duration `long:"during" default:"20s" value-name:"TIME"`
+	Nodes     int           `long:"nodes" default:"5" value-name:"N"`
+	Upstreams int           `long:"upstreams" default:"8" value-name:"N"`
+	Dir       string        `long:"dir" value-name:"PATH"`
 }
 
 // Entry are the options of the command entry.
--- a/internal/node/carunner/node.go
+++ b/internal/node/carunner/node.go
@@ -40,6 +40,7 @@
 	if err != nil || o.Check {
 		return err
 	}
+	settings.Advertise = o.Advertise
 	debug.SetGCPercent(collectPercent)
 	lines := newLogWriter(out.Stdout)
 	defer func() { _ = lines.Close() }()
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -57,6 +57,7 @@
 		Demo:            runDemo,
 		Entry:           runEntry,
 		Node:            runNode,
+		Soak:            runSoak,
 		StandinLog:      runLog,
 		StandinVMs:      runVMs,
 		StandinUpstream: runUpstream,
--- /dev/null
+++ b/internal/soak/casoak/cell.go
@@ -0,0 +1,172 @@
+// Package casoak runs entries as processes on one machine over stand-ins of the
+// platform, injures them and their connections by a plan drawn from a seed, and
+// checks what callers and upstreams see against what is promised to them.
+package casoak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/platform"
+	"celeryarch.example/celeryarch/platform/standin"
+)
+
+const (
+	poolName  = "pool"
+	queueName = "queue"
+	teamName  = "north"
+	teamKey   = "key-of-north"
+	// upstreamCores is the size of an upstream, in cores.
+	upstreamCores = 4
+	// runTime is how long a task takes, and failedShare of how many runs one
+	// fails, in hundredths.
+	runTime     = 400 * time.Millisecond
+	failedShare = 3
+	// appendTime is how long the store takes for an append.
+	appendTime = 4 * time.Millisecond
+	// adviceTime is how long the advisor takes for a question.
+	adviceTime = 5 * time.Millisecond
+	// portService is the port of the platform's services, and portUpstream the
+	// first one of the proxies to upstreams.
+	portService  = 7200
+	portAdvisor  = 7201
+	portUpstream = 7300
+)
+
+// taskSize is what each task takes.
+var taskSize = cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB}
+
+// cell is the stand-ins of the platform and the nodes over them.
+type cell struct {
+	store     *standin.Store
+	fleet     *standin.Fleet
+	emulator  *platform.Emulator
+	servers   []*http.Server
+	nodes     []*node
+	upstreams []cawork.UpstreamID
+	links     []*Proxy
+	version   int64
+}
+
+func theQueue() caspec.Queue {
+	return caspec.Queue{
+		Name: queueName, Host: "soak.example", Prefix: "/", Pool: poolName, MaxAttempts: 8, Stretch: 4, Allowance: time.Minute,
+		Public: false, Approval: &caspec.Approval{Decision: adviceTime, Validity: 2 * time.Second},
+	}
+}
+
+// newCell starts the stand-ins, and prepares the nodes.
+func newCell(ctx context.Context, o Options, dir string) (*cell, error) {
+	c := &cell{store: standin.NewStore(appendTime)}
+	capacity := cawork.Resources{CPU: cawork.Cores(upstreamCores), Memory: 2 * upstreamCores * cawork.GiB}
+	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize,
+		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) })
+	c.fleet.SetRunTime(func(id caboard.RunID) (time.Duration, bool) {
+		return runTime, (len(id.Job)+id.Number*7+id.Index*13+int(id.Job[len(id.Job)-1])*31)%100 < failedShare
+	})
+	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet, Advisor: standin.Advisor{Takes: adviceTime}}
+	services := loopbackOf(o.Run, len(o.Program)+o.Nodes)
+	if err := c.serve(services, portService, c.emulator.StoreHandler()); err != nil {
+		return c, err
+	}
+	if err := c.serve(services, portAdvisor, c.emulator.AdvisorHandler()); err != nil {
+		return c, err
+	}
+	if err := c.serveUpstreams(services, o.Upstreams); err != nil {
+		return c, err
+	}
+	if err := c.register(ctx); err != nil {
+		return c, err
+	}
+	if err := c.configure(ctx); err != nil {
+		return c, err
+	}
+	return c, c.addNodes(o, dir, fmt.Sprintf("%s:%d", services, portService), fmt.Sprintf("%s:%d", services, portAdvisor))
+}
+
+func (c *cell) addNodes(o Options, dir, store, advisor string) error {
+	var seeds []string
+	for i := range min(o.Nodes, 3) {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", loopbackOf(o.Run, i), portPeers))
+	}
+	for i := range o.Nodes {
+		n, err := newNode(dir, loopbackOf(o.Run, i), fmt.Sprintf("node-%d", i), store, advisor, seeds, o.Program, o.Env)
+		if err != nil {
+			return err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	return nil
+}
+
+func (c *cell) serve(ip string, port int, h http.Handler) error {
+	lis, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: callTimeout}
+	c.servers = append(c.servers, s)
+	go func() { _ = s.Serve(lis) }()
+	return nil
+}
+
+// serveUpstreams serves each upstream behind a proxy of its own.
+func (c *cell) serveUpstreams(ip string, n int) error {
+	for i := range n {
+		id := cawork.UpstreamID(fmt.Sprintf("upstream-%d", i))
+		if err := c.serve(ip, portUpstream+2*i, c.emulator.UpstreamHandler(id)); err != nil {
+			return err
+		}
+		link, err := NewProxy(fmt.Sprintf("%s:%d", ip, portUpstream+2*i+1), fmt.Sprintf("%s:%d", ip, portUpstream+2*i))
+		if err != nil {
+			return err
+		}
+		c.upstreams = append(c.upstreams, id)
+		c.links = append(c.links, link)
+	}
+	return nil
+}
+
+// register lists all upstreams at the addresses of their proxies.
+func (c *cell) register(ctx context.Context) error {
+	list, err := c.fleet.List(ctx)
+	if err != nil {
+		return err
+	}
+	addresses := make(map[cawork.UpstreamID]string, len(c.links))
+	for i, id := range c.upstreams {
+		addresses[id] = c.links[i].Address()
+	}
+	for i := range list {
+		list[i].Address = addresses[list[i].ID]
+	}
+	return c.emulator.Register(ctx, list)
+}
+
+// configure puts the next version of the configuration in force.
+func (c *cell) configure(ctx context.Context) error {
+	c.version++
+	return c.emulator.Configure(ctx, caspec.Policy{
+		Version: c.version, Pools: []caspec.Pool{{Name: poolName}}, Queues: []caspec.Queue{theQueue()},
+		Teams: []caspec.Team{{Name: teamName, Weight: 1000, Keys: []string{teamKey}}},
+	})
+}
+
+// close ends all that was started.
+func (c *cell) close() {
+	for _, n := range c.nodes {
+		n.close()
+	}
+	for _, link := range c.links {
+		link.Close()
+	}
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/soak/casoak/plan_test.go
@@ -0,0 +1,119 @@
+package casoak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+func TestPlanIsTheSameForASeed(t *testing.T) {
+	plan := NewPlan(7, time.Minute, 5, 6)
+	if diff := cmp.Diff(plan, NewPlan(7, time.Minute, 5, 6)); diff != "" {
+		t.Errorf("plans of one seed (-first +second):\n%s", diff)
+	}
+	kinds := make(map[FaultKind]bool)
+	for seed := range int64(20) {
+		for _, f := range NewPlan(seed, time.Minute, 5, 6) {
+			kinds[f.Kind] = true
+		}
+	}
+	if diff := cmp.Diff(faultKinds, len(kinds)); diff != "" {
+		t.Errorf("kinds of fault in twenty plans (-want +got):\n%s", diff)
+	}
+}
+
+func TestStepsEndEachFault(t *testing.T) {
+	open := make(map[Fault]int)
+	last := time.Duration(0)
+	for _, s := range steps(NewPlan(3, time.Minute, 5, 6)) {
+		if s.at < last {
+			t.Errorf("step at %v after one at %v", s.at, last)
+		}
+		last = s.at
+		if s.begins {
+			open[s.fault]++
+			continue
+		}
+		if open[s.fault]--; open[s.fault] == 0 {
+			delete(open, s.fault)
+		}
+	}
+	if diff := cmp.Diff(map[Fault]int{}, open); diff != "" {
+		t.Errorf("faults that do not end (-want +got):\n%s", diff)
+	}
+}
+
+func TestContradictions(t *testing.T) {
+	for name, c := range map[string]struct {
+		fate  fate
+		phase castate.Phase
+		known bool
+		right bool
+	}{
+		"accepted and completed":       {fateAccepted, castate.PhaseCompleted, true, true},
+		"accepted and still running":   {fateAccepted, castate.PhaseRunning, true, false},
+		"accepted and lost":            {fateAccepted, castate.PhaseQueued, false, false},
+		"refused and not known":        {fateRefused, castate.PhaseQueued, false, true},
+		"refused and completed":        {fateRefused, castate.PhaseCompleted, true, false},
+		"canceled after it completed":  {fateCanceled, castate.PhaseCompleted, true, true},
+		"canceled and still running":   {fateCanceled, castate.PhaseRunning, true, false},
+		"without an answer, not known": {fateUnknown, castate.PhaseQueued, false, true},
+		"without an answer, completed": {fateUnknown, castate.PhaseCompleted, true, true},
+	} {
+		if got := c.fate.contradiction(c.phase, c.known) == ""; got != c.right {
+			t.Errorf("%s: taken for right %v, want %v", name, got, c.right)
+		}
+	}
+}
+
+// TestProxyInjuresConnections sends bytes through a proxy under each fault.
+func TestProxyInjuresConnections(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = echo.Close() }()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	p, err := NewProxy("127.0.0.1:0", echo.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for fault, want := range map[LinkFault]bool{
+		LinkNone: true, LinkDelayed: true, LinkReset: false, LinkOneWay: false, LinkSilent: false,
+	} {
+		p.SetFault(fault)
+		if got := echoes(t, p.Address()); got != want {
+			t.Errorf("an echo comes back under %v: %v, want %v", fault, got, want)
+		}
+	}
+}
+
+func echoes(t *testing.T, address string) bool {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := c.Write([]byte("a")); err != nil {
+		return false
+	}
+	var b [1]byte
+	_, err = io.ReadFull(c, b[:])
+	return err == nil
+}
