Jobs that can still be in time go before those that can not

Ruled out: too little room for gangs alone (holding more made it worse). Change: a step counts as late once three quarters of the estimated time of its chain no longer fit into its objective, not once the objective has passed. Test: TestJobsThatCanStillBeInTimeGoFirst.

--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -95,6 +95,8 @@
 	runs     int
 	waiting  int
 	lateness int
+	// left is the estimated length of the longest chain of steps from this one on.
+	left time.Duration
 	// hold is the room that is kept for the step, if any.
 	hold     *hold
 	approval approvals
@@ -270,12 +272,27 @@
 	return longest
 }
 
+// chainsFrom returns for each step the length of the longest chain of steps from
+// it on. Steps depend on earlier ones only.
+func chainsFrom(steps []caspec.Step) []time.Duration {
+	left := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		left[i] += steps[i].Estimate
+		for _, earlier := range steps[i].After {
+			left[earlier] = max(left[earlier], left[i])
+		}
+	}
+	return left
+}
+
 // openSteps adds the steps of an occurrence, with the runs that its tasks
 // stand on.
 func (b *Board) openSteps(j *job, o *castate.Occurrence) {
+	left := chainsFrom(j.Submission.Steps)
 	for i := range o.Steps {
 		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Steady}
 		s.ready = j.IsReady(o, i)
+		s.left = left[i]
 		s.approval = newApprovals()
 		j.steps = append(j.steps, s)
 		for index := range o.Steps[i].Tasks {
--- a/internal/cell/caboard/board_test.go
+++ b/internal/cell/caboard/board_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -135,3 +136,44 @@
 func submission(i int, steps ...caspec.Step) caspec.Submission {
 	return caspec.Submission{ID: cawork.JobID(fmt.Sprintf("%016x", i)), Queue: "queue", Team: "north", Steps: steps}
 }
+
+// TestJobsThatCanStillBeInTimeGoFirst replays a backlog that is older than what
+// its jobs may wait: a job that comes then starts before those that are late
+// anyhow, which start after it.
+func TestJobsThatCanStillBeInTimeGoFirst(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	whole := caspec.Step{Tasks: 1, CPU: 16000, Memory: cawork.GiB, Estimate: 4 * time.Second}
+	s.board.open(submission(0, whole), false)
+	s.startAll()
+	for i := range 3 {
+		s.board.open(submission(1+i, whole), false)
+	}
+	s.advance(6500 * time.Millisecond)
+	s.board.open(submission(9, whole), false)
+	var order []cawork.JobID
+	for range 4 {
+		for id, u := range s.board.upstreams {
+			for run := range u.runs {
+				s.report(id, nil, []EndedRow{{Run: run, Ending: EndingDone}})
+			}
+		}
+		for _, o := range s.startAll() {
+			order = append(order, o.Run.Job)
+		}
+	}
+	want := []cawork.JobID{submission(9).ID, submission(1).ID, submission(2).ID, submission(3).ID}
+	if diff := cmp.Diff(want, order); diff != "" {
+		t.Errorf("order of the starts (-want +got):\n%s", diff)
+	}
+}
+
+func TestChainsFromEachStep(t *testing.T) {
+	step := func(seconds int, after ...int) caspec.Step {
+		return caspec.Step{Tasks: 1, Estimate: time.Duration(seconds) * time.Second, After: after}
+	}
+	got := chainsFrom([]caspec.Step{step(1), step(2, 0), step(5, 0), step(3, 1, 2), step(4)})
+	want := []time.Duration{9 * time.Second, 5 * time.Second, 8 * time.Second, 3 * time.Second, 4 * time.Second}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("longest chains (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -65,6 +65,9 @@
 	// worthlessAfter is the multiple of its objective after which a job is
 	// placed behind all others.
 	worthlessAfter = 3
+	// surelyLeft is the fraction of its estimated run time that a job takes even
+	// where it runs fast.
+	surelyLeft = 0.75
 	// renewMargin is how long before a gang is expected to start its tickets are
 	// asked for, beyond the time that the advisor takes.
 	renewMargin = 150 * time.Millisecond
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -110,7 +110,7 @@
 // orderSteps puts first what is to be placed first.
 func (b *Board) orderSteps() {
 	for _, s := range b.steps {
-		s.lateness = b.lateness(s.job)
+		s.lateness = b.lateness(s)
 	}
 	slices.SortStableFunc(b.steps, func(x, y *step) int {
 		return cmp.Or(
@@ -144,16 +144,19 @@
 	latenessUseless
 )
 
-// lateness ranks jobs by what their result is still worth.
-func (b *Board) lateness(j *job) int {
-	if j.objective == 0 || j.Submission.Schedule.IsTimed() || len(j.steps) == 0 || j.steps[0].spec.LongRunning {
+// lateness ranks steps by what the result of their job is still worth. One that
+// can not be in time any more counts as late at once, so that it takes no room
+// from those that can.
+func (b *Board) lateness(s *step) int {
+	j := s.job
+	if j.objective == 0 || j.Submission.Schedule.IsTimed() || s.spec.LongRunning {
 		return latenessNone
 	}
 	age := b.age(j)
 	switch {
 	case age > worthlessAfter*j.objective:
 		return latenessUseless
-	case age > j.objective:
+	case age+time.Duration(surelyLeft*float64(s.left)) > j.objective:
 		return latenessLate
 	default:
 		return latenessNone
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -310,7 +310,7 @@
 func TestAcceptedWorkOutlivesAllEntries(t *testing.T) {
 	for _, delay := range []time.Duration{0, 2, 5, 20, 100, 400} {
 		t.Run(fmt.Sprintf("%d_ms", delay), func(t *testing.T) {
-			inWorld(t, 3, func(t *testing.T, w *world) {
+			inWorld(t, 3, func(_ *testing.T, w *world) {
 				w.load(time.Second)
 				for range 5 {
 					w.submit()
@@ -333,7 +333,7 @@
 func TestStoreThatIsAway(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.FaultDown, standin.FaultSilent, standin.FaultLost, standin.FaultLate} {
 		t.Run(fmt.Sprintf("fault_%d", fault), func(t *testing.T) {
-			inWorld(t, 3, func(t *testing.T, w *world) {
+			inWorld(t, 3, func(_ *testing.T, w *world) {
 				w.load(2 * time.Second)
 				w.store.SetFault(func(string) standin.Fault { return fault })
 				w.load(4500 * time.Millisecond)
@@ -365,7 +365,7 @@
 }
 
 func TestLeaderCutFromItsPeers(t *testing.T) {
-	inWorld(t, 4, func(t *testing.T, w *world) {
+	inWorld(t, 4, func(_ *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		for name := range w.gates() {
@@ -382,7 +382,7 @@
 }
 
 func TestUpstreamsOutOfReachOfTheSuccessor(t *testing.T) {
-	inWorld(t, 4, func(t *testing.T, w *world) {
+	inWorld(t, 4, func(_ *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
 		w.fleet.SetReach(func(caller string, id cawork.UpstreamID) bool {
@@ -396,7 +396,7 @@
 }
 
 func TestHistoryThatIsForgotten(t *testing.T) {
-	inWorld(t, 3, func(t *testing.T, w *world) {
+	inWorld(t, 3, func(_ *testing.T, w *world) {
 		w.load(2 * time.Second)
 		w.store.Forget()
 		w.load(time.Second)
