A start that a later incarnation took is kept, and its ends are not forgotten

Cause: an upstream starts anew under its id, and a start that was on its way is accepted by the new incarnation. When the list or a report told of it, every run was taken for gone whose task was assigned under the earlier incarnation, and the task was started elsewhere. Besides, a renewal carried the number of the last stored end of the earlier incarnation, up to which the new one forgets its own. Ruled out: the stand-in (it forgets ends that nobody was told of at a restart, and now breaks the connections of an upstream that starts anew). Change: only a run that a report of the earlier incarnation showed is over when its upstream starts anew; the others are told by the next report. After a renewal without an answer the next one carries no number.

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -58,12 +58,13 @@
 		return
 	}
 	for _, r := range u.runs {
-		if r.mayStartLate() {
+		switch {
+		case r.mayStartLate():
 			r.stopAcked = time.Time{}
 			b.stop(r)
-			continue
-		}
-		if r.task().Born != born || !r.isCurrent() {
+		case r.shownBy == 0 && r.sent:
+			// The new incarnation may have taken the order. Its reports tell.
+		default:
 			b.lose(r, "upstream started anew")
 		}
 	}
@@ -165,13 +166,27 @@
 			continue
 		}
 		r.confirm(report.SentAt)
+		r.shownBy = report.Born
 		r.percent, r.load = row.Percent, row.Load
-		if t := r.task(); r.isCurrent() && row.Checkpoint != "" {
-			t.Checkpoint = row.Checkpoint
+		if r.isCurrent() {
+			b.noteProgress(r, row.Checkpoint)
 		}
 	}
 }
 
+// noteProgress takes up the checkpoint of a run that is shown, and which
+// incarnation runs it.
+func (b *Board) noteProgress(r *run, checkpoint string) {
+	t := r.task()
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	if t.Born != r.shownBy {
+		t.Born = r.shownBy
+		b.touch(r.step.job)
+	}
+}
+
 // noteForeign stops a run that the board does not stand on, such as one that a
 // late order of an earlier leader started.
 func (b *Board) noteForeign(u *upstream, row RunningRow) {
@@ -477,7 +492,10 @@
 	l := Lease{
 		Upstream: id, Address: u.info.Address, Born: u.info.Born, StoredEnd: u.storedEnd,
 	}
-	if !u.unanswered {
+	if u.unanswered {
+		// A later incarnation may answer, whose ends are numbered anew.
+		l.StoredEnd = 0
+	} else {
 		l.UntilMS = u.untilMS(b.now.Steady, LeaseLength)
 	}
 	if l.UntilMS > 0 {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -252,3 +253,63 @@
 		t.Errorf("phase of the task (-want +got):\n%s", diff)
 	}
 }
+
+// relist lists an upstream as started anew.
+func (s *scene) relist(id cawork.UpstreamID, born int64) {
+	var list []caspec.Upstream
+	for _, u := range s.board.upstreams {
+		info := u.info
+		if info.ID == id {
+			info.Born = born
+		}
+		list = append(list, info)
+	}
+	s.board.SetUpstreams(list)
+}
+
+// TestStartTakenByALaterIncarnation starts a task at an upstream that started
+// anew before the order reached it, which its list and its reports tell later.
+func TestStartTakenByALaterIncarnation(t *testing.T) {
+	for name, runs := range map[string]bool{"runs there": true, "lost with the earlier one": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, 1, plainQueue())
+			s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+			orders := s.startAll()
+			s.advance(100 * time.Millisecond)
+			s.relist("up-00", 2)
+			if again := s.startAll(); len(again) != 0 {
+				t.Fatalf("the task is started again before the upstream told: %v", again)
+			}
+			s.advance(100 * time.Millisecond)
+			report := Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 100}
+			if runs {
+				report.Running = []RunningRow{{Run: orders[0].Run}}
+			}
+			s.board.Observe(report)
+			want := 1
+			if runs {
+				want = 0
+			}
+			if again := s.startAll(); len(again) != want {
+				t.Errorf("%d starts after the report of the later incarnation, want %d", len(again), want)
+			}
+		})
+	}
+}
+
+// TestEndsOfALaterIncarnationAreNotForgotten renews the lease of an upstream
+// that did not answer the last time: its ends may be numbered anew, and are
+// forgotten there up to the number in the call.
+func TestEndsOfALaterIncarnationAreNotForgotten(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+	run := s.startAll()[0].Run
+	s.report("up-00", nil, []EndedRow{{Run: run, Ending: EndingDone}})
+	s.commit()
+	before, _ := s.board.Lease("up-00")
+	s.board.Unanswered("up-00")
+	after, _ := s.board.Lease("up-00")
+	if diff := cmp.Diff([]int64{1, 0}, []int64{before.StoredEnd, after.StoredEnd}); diff != "" {
+		t.Errorf("numbers of the last stored end before and after a renewal without an answer (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -79,6 +79,9 @@
 	// confirmed is set once the upstream has shown the run.
 	confirmed   bool
 	confirmedAt time.Time
+	// shownBy is the start of the incarnation whose report showed the run, zero
+	// while none did.
+	shownBy int64
 	// inherited runs were ordered by an earlier leader.
 	inherited bool
 	// resumed runs begin from a checkpoint.
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -174,6 +174,7 @@
 	case FaultUpstreamRestart:
 		if s.begins {
 			c.fleet.Restart(c.upstreams[f.Target])
+			c.links[f.Target].reset()
 			return c.register(ctx)
 		}
 	case FaultStore:
@@ -181,7 +182,12 @@
 		if s.begins {
 			way = standin.Fault(f.Way)
 		}
-		c.store.SetFault(func(string) standin.Fault { return way })
+		c.store.SetFault(func(caller string) standin.Fault {
+			if caller == platform.OperatorCaller {
+				return standin.FaultNone
+			}
+			return way
+		})
 	case FaultConfigure:
 		if s.begins {
 			return c.configure(ctx)
