Starts without an answer are noticed sooner, and looked after at once

Cause: a start without an answer held its task for 600 ms, and up to a second more, since the renewal that waits at the upstream tells nothing of a run that never was there; lookups have 0.6 to 0.8 s of slack. Change: the time-out of a start is 8 times the mean of those that were answered, between 200 and 600 ms; once its stop is acknowledged, a report is asked for. An entry looks at the log after the first call to a leader without an answer, not the second (about 250 ms sooner after a silent loss).

--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -55,6 +55,9 @@
 	// cheapShare is the fraction of the fixed time of a decision that naming more
 	// upstreams may add.
 	cheapShare = 0.3
+	// tightAskShare is the fraction of its slack that a question about urgent work
+	// may take.
+	tightAskShare = 0.03
 	// approvedShareAtFirst is assumed until a queue has answers.
 	approvedShareAtFirst = 0.5
 	// approvedShareWeight is the weight of one answer in the running mean.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -440,15 +440,17 @@
 	b.gone(r)
 }
 
-// Stopped tells whether an upstream acknowledged a stop order.
-func (b *Board) Stopped(order StopOrder, acknowledged bool) {
+// Stopped tells whether an upstream acknowledged a stop order. It reports
+// whether only a report of the upstream can tell that the run is gone: no end of
+// a run is listed that was never present.
+func (b *Board) Stopped(order StopOrder, acknowledged bool) (reportNeeded bool) {
 	u, ok := b.upstreams[order.Upstream]
 	if !ok {
-		return
+		return false
 	}
 	r, ok := u.runs[order.Run]
 	if !ok {
-		return
+		return false
 	}
 	r.stopCalling = false
 	r.stopTried = b.now.Steady
@@ -457,6 +459,7 @@
 	}
 	caevent.Info(b.log, caevent.TaskStopped).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(u.info.ID)).Bool("acknowledged", acknowledged).Send()
+	return !r.stopAcked.IsZero() && !r.confirmed
 }
 
 // stops returns the stop orders that are due.
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -19,7 +19,8 @@
 	helloPeriod = 250 * time.Millisecond
 	// helloTimeout bounds such a call.
 	helloTimeout = 350 * time.Millisecond
-	// helloMisses is how many of them in a row make an entry doubt the leader.
+	// helloMisses is how many of them in a row make an entry give up the calls
+	// under way to the leader. The first one makes it look at the log.
 	helloMisses = 2
 	// silenceAtLeast and silencePerRead make the time for which the log of a
 	// shard must rest before a leader that does not answer is taken for gone: the
@@ -104,9 +105,8 @@
 	*misses++
 	if *misses >= helloMisses {
 		l.noteSilent()
-		return doubtSome
 	}
-	return doubtNone
+	return doubtSome
 }
 
 // wake makes the entry call the leader at once, after a call to it failed.
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -500,3 +500,23 @@
 		}
 	})
 }
+
+// TestStartWithoutAnswerIsMadeUpForSoon loses the order that starts a task, and
+// its answer: the task starts elsewhere while its caller still waits.
+func TestStartWithoutAnswerIsMadeUpForSoon(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.load(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		began, before := time.Now(), w.fleet.Starts()
+		w.fleet.SetReach(func(string, cawork.UpstreamID) bool { return false })
+		w.submit()
+		time.Sleep(60 * time.Millisecond)
+		w.fleet.SetReach(func(string, cawork.UpstreamID) bool { return true })
+		for w.fleet.Starts() < before+testStep().Tasks && time.Since(began) < 5*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("the tasks started after %v, want within 500 ms", took)
+		}
+	})
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -97,6 +97,8 @@
 	policy  caspec.Policy
 	layout  calayout.Layout
 	orders  sync.WaitGroup
+	// startTimes sets the time-out of starts.
+	startTimes startTimes
 }
 
 // New returns the leader of the claim, whose token and end of the log are
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -11,8 +11,16 @@
 )
 
 const (
-	// orderTimeout bounds a call that starts or stops a run.
-	orderTimeout = 600 * time.Millisecond
+	// orderTimeout bounds a call that stops a run, and startTimeoutMost one that
+	// starts a run. A start without an answer costs its task that time.
+	orderTimeout     = 600 * time.Millisecond
+	startTimeoutMost = 600 * time.Millisecond
+	// startTimeoutLeast and startTimeoutTimes make the time-out of a start from
+	// the mean time of those that were answered.
+	startTimeoutLeast = 200 * time.Millisecond
+	startTimeoutTimes = 8
+	// startTimeWeight is the weight of one start in that mean.
+	startTimeWeight = 0.02
 	// renewWait is how long a renewal waits at the upstream for an end.
 	renewWait = 1000 * time.Millisecond
 	// renewTimeout bounds the way of a renewal and its answer.
@@ -21,6 +29,8 @@
 	renewPause = 30 * time.Millisecond
 	// renewRetry is the wait after a renewal that failed.
 	renewRetry = 150 * time.Millisecond
+	// lookPause is the wait before a report is asked for after a stop.
+	lookPause = time.Millisecond
 	// lapsePeriod is the time between two looks for what is over.
 	lapsePeriod = 100 * time.Millisecond
 )
@@ -82,9 +92,13 @@
 }
 
 func (l *Leader) startRun(ctx context.Context, order caboard.StartOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, l.startTimes.timeout())
 	defer cancel()
+	began := l.Timer.Now()
 	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
+	if outcome != caboard.StartUnknown {
+		l.startTimes.note(l.Timer.Now().Sub(began))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if outcome == caboard.StartFenced {
@@ -107,10 +121,27 @@
 		return
 	}
 	l.board.SetNow(l.moment())
-	l.board.Stopped(order, err == nil)
+	if l.board.Stopped(order, err == nil) {
+		l.orders.Go(func() { l.look(ctx, order.Upstream) })
+	}
 	l.kick()
 }
 
+// look asks an upstream for a report at once, beside the renewal that waits
+// there for an end.
+func (l *Leader) look(ctx context.Context, id cawork.UpstreamID) {
+	// A report proves something only when it was asked for later.
+	if l.pause(ctx, lookPause) != nil {
+		return
+	}
+	lease, ok := l.nextLease(id)
+	if !ok {
+		return
+	}
+	// The renewals of the upstream tell whether it is reachable.
+	_ = l.renew(ctx, lease, 0)
+}
+
 // listLoop reads the list of upstreams and looks after each of them.
 func (l *Leader) listLoop(ctx context.Context) error {
 	lost := false
