--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -39,6 +39,7 @@
 	AgentChosen        Number = 309
 	AgentLost          Number = 310
 	LeadershipYielded  Number = 311
+	UpstreamReborn     Number = 312
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -222,11 +222,7 @@
 		}
 		open = append(open, u)
 	}
-	n := max(askCount(s, b.statsOf(q.Name).approvedShare), cheapCount(*q.Approval))
-	if isTight(q, s) {
-		n = max(n, tightCount(*q.Approval, slackOf(q, s.job.Submission.Steps)))
-	}
-	return b.roomiest(open, n)
+	return b.roomiest(open, max(askCount(s, b.statsOf(q.Name).approvedShare), cheapCount(*q.Approval)))
 }
 
 // hasEnoughApproved reports whether the approved upstreams of a gang hold it
@@ -262,16 +258,6 @@
 	return min(int(cheapShare*float64(a.Decision)/float64(a.PerUpstream)), askedMost)
 }
 
-// tightCount returns how many upstreams a question about urgent work may name:
-// in a full pool it starts on whichever approved upstream has room first.
-func tightCount(a caspec.Approval, slack time.Duration) int {
-	if a.PerUpstream <= 0 {
-		return askedMost
-	}
-	most := (time.Duration(tightAskShare*float64(slack)) - a.Decision) / a.PerUpstream
-	return min(max(int(most), 0), askedMost)
-}
-
 // typicalFree is the room that an upstream of a busy cell is taken to have.
 var typicalFree = cawork.Resources{CPU: cawork.Cores(5), Memory: 12 * cawork.GiB, Accelerators: 1}
 
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -353,6 +353,7 @@
 		return
 	}
 	r.up.discharge(r)
+	b.keepLate(r)
 	delete(b.stopping, r)
 	b.teamOf(r.team).release(r.size)
 	r.step.runs--
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -14,6 +14,8 @@
 	reportAge = 2200 * time.Millisecond
 	// restAfterRefusal keeps new work from an upstream that turned some away.
 	restAfterRefusal = 500 * time.Millisecond
+	// lateStartMost is how long after it was sent a start may come about.
+	lateStartMost = 15 * time.Second
 	// stopRetry is the time between two calls to stop the same run.
 	stopRetry = 400 * time.Millisecond
 	// historyKept is how long the phase of an ended job can be asked for.
@@ -55,9 +57,6 @@
 	// cheapShare is the fraction of the fixed time of a decision that naming more
 	// upstreams may add.
 	cheapShare = 0.3
-	// tightAskShare is the fraction of its slack that a question about urgent work
-	// may take.
-	tightAskShare = 0.03
 	// approvedShareAtFirst is assumed until a queue has answers.
 	approvedShareAtFirst = 0.5
 	// approvedShareWeight is the weight of one answer in the running mean.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -18,7 +19,7 @@
 		b.list(info)
 	}
 	for id, u := range b.upstreams {
-		if !u.listed && len(u.runs) == 0 {
+		if b.isForgotten(u) {
 			delete(b.upstreams, id)
 		}
 	}
@@ -57,6 +58,9 @@
 	if !known {
 		return
 	}
+	late := b.takeLate(u)
+	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
+		Int("runs", len(u.runs)).Int("late_starts", len(late)).Send()
 	for _, r := range u.runs {
 		switch {
 		case r.mayStartLate():
@@ -68,6 +72,39 @@
 			b.lose(r, "upstream started anew")
 		}
 	}
+	for _, r := range late {
+		r.stopAcked, r.stopTried, r.stopCalling = time.Time{}, time.Time{}, false
+		b.charge(r)
+		b.stop(r)
+	}
+}
+
+// takeLate returns the starts that were given up and may still come about in a
+// later incarnation, which knows nothing of their stops.
+func (b *Board) takeLate(u *upstream) []*run {
+	b.pruneLate(u)
+	late := u.late
+	u.late = nil
+	return late
+}
+
+// keepLate keeps a start that is given up without an answer.
+func (b *Board) keepLate(r *run) {
+	if r.mayStartLate() {
+		r.up.late = append(r.up.late, r)
+		b.pruneLate(r.up)
+	}
+}
+
+// pruneLate drops the starts that can not come about any more.
+func (b *Board) pruneLate(u *upstream) {
+	u.late = slices.DeleteFunc(u.late, func(r *run) bool { return b.now.Steady.Sub(r.at) > lateStartMost })
+}
+
+// isForgotten reports whether nothing is to be known of an upstream any more.
+func (b *Board) isForgotten(u *upstream) bool {
+	b.pruneLate(u)
+	return !u.listed && len(u.runs) == 0 && len(u.late) == 0
 }
 
 // Vanished tells that the incarnation of an upstream is proved to be gone. What
@@ -383,7 +420,7 @@
 		if len(u.runs) > 0 && b.now.Steady.After(u.leaseEnds) {
 			b.lapseRuns(u)
 		}
-		if !u.listed && len(u.runs) == 0 {
+		if b.isForgotten(u) {
 			delete(b.upstreams, id)
 		}
 	}
@@ -437,6 +474,8 @@
 		u.restUntil = b.now.Steady.Add(restAfterRefusal)
 	}
 	b.breakGang(r)
+	// The order was answered and can not come about later.
+	r.sent = false
 	b.gone(r)
 }
 
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -313,3 +313,32 @@
 		t.Errorf("numbers of the last stored end before and after a renewal without an answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestGivenUpStartIsStoppedInALaterIncarnation gives a start without an answer
+// up, after its stop was acknowledged and a report lacked it, and runs the task
+// elsewhere. The upstream starts anew then: it knows nothing of the stop, and
+// the order may still reach it.
+func TestGivenUpStartIsStoppedInALaterIncarnation(t *testing.T) {
+	s := newScene(t, 2, plainQueue())
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: 30 * time.Second})
+	s.board.Plan()
+	first := s.commit()[0]
+	s.board.Started(first, StartUnknown, 0)
+	for _, o := range s.board.Plan().Stops {
+		s.board.Stopped(o, true)
+	}
+	s.report(first.Upstream, nil, nil)
+	s.board.upstreams[first.Upstream].restUntil = s.now.Add(time.Minute)
+	if again := s.startAll(); len(again) != 1 || again[0].Upstream == first.Upstream {
+		t.Fatalf("starts after the first one was given up: %v, want one elsewhere", again)
+	}
+	s.advance(2 * time.Second)
+	s.relist(first.Upstream, 2)
+	var stopped []RunID
+	for _, o := range s.board.Plan().Stops {
+		stopped = append(stopped, o.Run)
+	}
+	if diff := cmp.Diff([]RunID{first.Run}, stopped); diff != "" {
+		t.Errorf("stops at the later incarnation (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -14,6 +14,8 @@
 	listed bool
 	used   cawork.Resources
 	runs   map[RunID]*run
+	// late are starts that were given up without an answer.
+	late []*run
 
 	// clockMS at clockAt is the last reading of its clock.
 	clockMS int64
