A report proves nothing of a run that began while an earlier one waited

Cause: since reports are also asked for beside the one that waits at the upstream, they overtake each other. A run counted as shown from the time when the report was asked for that showed it, up to a second before it began; a report that was asked for and made in between, and came last, then proved it gone, and its task was started again. Change: a run counts as shown from the time when the report arrived. The time-out allows 3 ms for each start under way, and those without an answer count in the mean.

Also, of what was left behind: one pause for all parts (catimer.Service.Pause), errors of a loading leader in one place, dead fields of a run; invariants of room, limit, attempts and ends are checked at each assignment (event 410).

--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -58,6 +58,8 @@
 	asking     int
 	askingLong int
 	askSlots   AskSlots
+	// broken counts the invariants that did not hold.
+	broken int
 	// explainedAt is when waiting steps were last explained.
 	explainedAt time.Time
 }
@@ -196,7 +198,6 @@
 	}
 	var orders []StartOrder
 	for _, r := range batch.starts {
-		r.durable = true
 		if order, ok := b.startOrder(r); ok {
 			orders = append(orders, order)
 		}
@@ -325,7 +326,7 @@
 	}
 	u.leaseEnds = b.inheritedUntil
 	r := b.newRun(s, index, u)
-	r.durable, r.sent, r.inherited = true, true, true
+	r.sent, r.inherited = true, true
 	b.charge(r)
 }
 
@@ -335,7 +336,7 @@
 		id: RunID{
 			Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: index, Number: t.Run,
 		},
-		step: s, up: u, team: s.job.Submission.Team, size: s.spec.Size(), at: b.now.Steady, percent: 100,
+		step: s, up: u, team: s.job.Submission.Team, size: s.spec.Size(), at: b.now.Steady,
 	}
 }
 
--- /dev/null
+++ b/internal/cell/caboard/invariants_test.go
@@ -0,0 +1,50 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// TestInvariantsHoldWhileLimitsAndUpstreamsChange replays mixed work while the
+// limit of its team falls below its use and upstreams start anew.
+func TestInvariantsHoldWhileLimitsAndUpstreamsChange(t *testing.T) {
+	s := newScene(t, 8, plainQueue())
+	n, version := 0, int64(1)
+	s.run(30*time.Second, func(at time.Duration) {
+		n++
+		step := caspec.Step{Tasks: 1 + n%4, CPU: cawork.MilliCPU(500 + 700*(n%5)), Memory: cawork.GiB, Estimate: 2 * time.Second, Gang: n%3 == 0}
+		s.board.open(submission(n, step), false)
+		if n%40 != 0 {
+			return
+		}
+		version++
+		team := caspec.Team{Name: "north", Weight: 1000, Limit: cawork.Resources{CPU: cawork.Cores(int64(10 + n%90))}}
+		s.board.SetPolicy(caspec.Policy{
+			Version: version, Queues: []caspec.Queue{plainQueue()}, Pools: []caspec.Pool{{Name: "pool"}}, Teams: []caspec.Team{team},
+		}.WithIndex())
+	})
+	if diff := cmp.Diff(0, s.board.Broken()); diff != "" {
+		t.Errorf("invariants broken (-want +got):\n%s", diff)
+	}
+}
+
+func TestBrokenInvariantsAreCounted(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	for i := range 3 {
+		s.board.open(submission(i, caspec.Step{Tasks: 1, CPU: 7000, Memory: cawork.GiB, Estimate: time.Second}), false)
+	}
+	s.startAll()
+	u := s.board.upstreams["up-00"]
+	u.info.Capacity.CPU = 7000
+	for _, r := range u.runs {
+		s.board.checkAssigned(r)
+	}
+	if diff := cmp.Diff(2, s.board.Broken()); diff != "" {
+		t.Errorf("runs beyond the room (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -274,6 +274,7 @@
 	b.statsOf(s.job.Submission.Queue).started.add(b.now.Steady, work(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	b.charge(r)
+	b.checkAssigned(r)
 	if !s.job.Began {
 		s.job.Began = true
 		if s.job.Phase == castate.PhaseQueued {
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -202,9 +202,8 @@
 			b.noteForeign(u, row)
 			continue
 		}
-		r.confirm(report.SentAt)
+		r.confirm(report.ReceivedAt)
 		r.shownBy = report.Born
-		r.percent, r.load = row.Percent, row.Load
 		if r.isCurrent() {
 			b.noteProgress(r, row.Checkpoint)
 		}
@@ -227,7 +226,7 @@
 // noteForeign stops a run that the board does not stand on, such as one that a
 // late order of an earlier leader started.
 func (b *Board) noteForeign(u *upstream, row RunningRow) {
-	r := &run{id: row.Run, up: u, confirmed: true, sent: true, durable: true}
+	r := &run{id: row.Run, up: u, confirmed: true, sent: true}
 	j, ok := b.jobs[row.Run.Job]
 	if !ok || len(j.steps) == 0 {
 		r.step = orphanStep(row.Run)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -342,3 +342,26 @@
 		t.Errorf("stops at the later incarnation (-want +got):\n%s", diff)
 	}
 }
+
+// TestReportsThatOvertakeEachOther has a report wait at an upstream while a run
+// begins there, and one that was asked for and made before that arrive last.
+// The second one proves nothing about the run.
+func TestReportsThatOvertakeEachOther(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	asked := s.now
+	s.advance(100 * time.Millisecond)
+	askedLater := s.now
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: 30 * time.Second})
+	s.board.Plan()
+	start := s.commit()[0]
+	s.advance(100 * time.Millisecond)
+	s.board.Observe(Report{
+		Upstream: "up-00", Born: 1, SentAt: asked, ReceivedAt: s.now, ClockMS: s.now.UnixMilli(),
+		Running: []RunningRow{{Run: start.Run}},
+	})
+	s.advance(10 * time.Millisecond)
+	s.board.Observe(Report{Upstream: "up-00", Born: 1, SentAt: askedLater, ReceivedAt: s.now, ClockMS: s.now.UnixMilli()})
+	if again := s.startAll(); len(again) != 0 {
+		t.Errorf("the task is started again while it runs: %v", again)
+	}
+}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -72,11 +72,11 @@
 	size cawork.Resources
 	// at is when it was assigned.
 	at time.Time
-	// durable is set once the assignment is stored.
-	durable bool
 	// sent is set once the start call was sent, by this or an earlier leader.
 	sent bool
-	// confirmed is set once the upstream has shown the run.
+	// confirmed is set once the upstream has shown the run. A report that was
+	// asked for after confirmedAt shows it too, unless it is over: reports that
+	// wait at the upstream show what began after they were asked for.
 	confirmed   bool
 	confirmedAt time.Time
 	// shownBy is the start of the incarnation whose report showed the run, zero
@@ -96,11 +96,6 @@
 	stopAcked time.Time
 	// ticket permits the start.
 	ticket string
-	// percent is the share at which the task is allowed to work.
-	percent int
-	// load is what the upstream last reported for the run: the tail latency in
-	// milliseconds of a serving task, the processor time in use of others.
-	load int
 }
 
 func (r *run) task() *castate.Task { return &r.step.state().Tasks[r.id.Index] }
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -129,7 +129,7 @@
 	case <-l.waking:
 	}
 	// Many calls fail at once, and one look at the leader serves them all.
-	_ = l.gate.pause(ctx, wakePause)
+	_ = l.gate.Timer.Pause(ctx, wakePause)
 }
 
 // storeAge returns the age of the leader's last append when it last answered.
@@ -208,7 +208,7 @@
 	}
 	free := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || d == doubtProved
 	if !free && !l.isSilent(ctx, found.End, silenceAtLeast+silencePerRead*g.Timer.Now().Sub(began)) {
-		_ = g.pause(ctx, electionPause)
+		_ = g.Timer.Pause(ctx, electionPause)
 		return false
 	}
 	return l.claim(ctx, found.End, known)
@@ -230,7 +230,7 @@
 		return false
 	}
 	if rest := silence - l.gate.Timer.Now().Sub(began); rest > 0 {
-		return l.gate.pause(ctx, rest) == nil
+		return l.gate.Timer.Pause(ctx, rest) == nil
 	}
 	return true
 }
@@ -255,13 +255,13 @@
 // claim tries to become the leader.
 func (l *link) claim(ctx context.Context, end int64, before lead) bool {
 	g := l.gate
-	if err := g.pause(ctx, l.candidacyPause()); err != nil {
+	if err := g.Timer.Pause(ctx, l.candidacyPause()); err != nil {
 		return false
 	}
 	c := caleader.Claim{VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano()}
 	claimCtx, cancel := context.WithTimeout(ctx, 2*standingTimeout)
 	defer cancel()
-	token, next, err := caleader.Take(claimCtx, g.Store(l.shard), c, end, g.pause)
+	token, next, err := caleader.Take(claimCtx, g.Store(l.shard), c, end, g.Timer.Pause)
 	if err != nil {
 		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", end).
 			Str("leader_before", string(before.VM)).Err(err).Send()
--- a/internal/cell/cagate/peers.go
+++ b/internal/cell/cagate/peers.go
@@ -20,17 +20,6 @@
 	askedPeers = 3
 )
 
-func (g *Gate) pause(ctx context.Context, d time.Duration) error {
-	after := g.Timer.After(d)
-	defer after.Close()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-after.C:
-		return nil
-	}
-}
-
 // meet notes another entry. The lock is held.
 func (g *Gate) meet(p Peer) *peerState {
 	if p.VM == g.Self.VM {
@@ -62,7 +51,7 @@
 // learn of a newer policy or leader.
 func (g *Gate) askPeersLoop(ctx context.Context) error {
 	for {
-		if err := g.pause(ctx, askPeersPeriod); err != nil {
+		if err := g.Timer.Pause(ctx, askPeersPeriod); err != nil {
 			return err
 		}
 		links, addresses := g.peersToAsk()
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -35,7 +35,7 @@
 		if due || l.isReleased() {
 			return nil
 		}
-		if err := l.pause(ctx, commitLinger); err != nil {
+		if err := l.Timer.Pause(ctx, commitLinger); err != nil {
 			return err
 		}
 		if changes {
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -42,8 +42,18 @@
 	listTimeout = time.Second
 	// retryWhenAway is when callers should come back while the store is away.
 	retryWhenAway = time.Second
+	// retryWhenLoading is the same while a leader loads the jobs.
+	retryWhenLoading = 250 * time.Millisecond
 )
 
+// errLoading is the answer of a leader that does not serve yet or any more.
+var errLoading = cakind.New(cakind.KindNotStarted, "the leader is loading or hands over").WithRetryAfter(retryWhenLoading)
+
+// notKnownNow is the answer while another leader may know the job.
+func notKnownNow(id cawork.JobID) error {
+	return cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
+}
+
 // Deps are what a leader works with.
 type Deps struct {
 	// Shard is the one that is led, of at most MostShards.
@@ -110,7 +120,7 @@
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), flyingWaiters: make(map[cawork.JobID][]chan error), watched: make(map[cawork.UpstreamID]bool),
 	}
-	l.writer = writer{log: deps.Store, claim: c, end: end, pause: l.pause}
+	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause}
 	now := l.moment()
 	l.lastAppend = now.Steady
 	inherited := now.Steady.Add(ClaimAge + caboard.LeaseLength + caboard.LeaseLength/20)
@@ -162,18 +172,6 @@
 	return caboard.Moment{Steady: l.Timer.Now(), WallMS: l.Wall()}
 }
 
-// pause waits, unless the context ends first.
-func (l *Leader) pause(ctx context.Context, d time.Duration) error {
-	after := l.Timer.After(d)
-	defer after.Close()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-after.C:
-		return nil
-	}
-}
-
 // load takes up the jobs and the upstreams.
 func (l *Leader) load(ctx context.Context) error {
 	began := l.Timer.Now()
@@ -186,7 +184,7 @@
 		list, err := l.Registry.List(ctx)
 		listed <- result{list, err}
 	}()
-	jobs, unreadable, err := loadJobs(ctx, l.Store, l.pause)
+	jobs, unreadable, err := loadJobs(ctx, l.Store, l.Timer.Pause)
 	if err != nil {
 		return err
 	}
@@ -297,7 +295,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded || l.released || l.layout.IsZero() {
-		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading or hands over").WithRetryAfter(retryWhenAway / 4)
+		return nil, errLoading
 	}
 	l.board.SetNow(l.moment())
 	if l.isAway() && !l.board.IsPending(s.ID) {
@@ -346,14 +344,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded {
-		return 0, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+		return 0, errLoading
 	}
 	phase, ok := l.board.Phase(id)
 	switch {
 	case ok:
 		return phase, nil
 	case l.board.IsPending(id) || !l.isFresh():
-		return 0, cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
+		return 0, notKnownNow(id)
 	default:
 		return 0, cakind.New(cakind.KindNotFound, "no job %s", id)
 	}
@@ -378,13 +376,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded {
-		return nil, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+		return nil, errLoading
 	}
 	l.board.SetNow(l.moment())
 	known, stored := l.board.Cancel(id)
 	switch {
 	case !known && !l.isFresh():
-		return nil, cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
+		return nil, notKnownNow(id)
 	case !known:
 		return nil, cakind.New(cakind.KindNotFound, "no job %s", id)
 	case stored:
@@ -398,7 +396,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded {
-		return 0, cakind.New(cakind.KindNotStarted, "the leader is loading").WithRetryAfter(retryWhenAway / 4)
+		return 0, errLoading
 	}
 	return l.board.Pending(q), nil
 }
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -16,9 +16,11 @@
 	orderTimeout     = 600 * time.Millisecond
 	startTimeoutMost = 600 * time.Millisecond
 	// startTimeoutLeast and startTimeoutTimes make the time-out of a start from
-	// the mean time of those that were answered.
+	// the mean time of starts, and startTimeoutEach adds to it for each one that
+	// is under way, since they share processor and link.
 	startTimeoutLeast = 200 * time.Millisecond
 	startTimeoutTimes = 8
+	startTimeoutEach  = 3 * time.Millisecond
 	// startTimeWeight is the weight of one start in that mean.
 	startTimeWeight = 0.02
 	// renewWait is how long a renewal waits at the upstream for an end.
@@ -50,7 +52,7 @@
 		}
 		period.Close()
 		if since := l.Timer.Now().Sub(planned); since < planPause {
-			if err := l.pause(ctx, planPause-since); err != nil {
+			if err := l.Timer.Pause(ctx, planPause-since); err != nil {
 				return err
 			}
 		}
@@ -86,19 +88,18 @@
 }
 
 func (l *Leader) dispatchStarts(ctx context.Context, orders []caboard.StartOrder) {
+	l.startTimes.expect(len(orders))
 	for _, order := range orders {
 		l.orders.Go(func() { l.startRun(ctx, order) })
 	}
 }
 
 func (l *Leader) startRun(ctx context.Context, order caboard.StartOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, l.startTimes.timeout())
+	callCtx, cancel := context.WithTimeout(ctx, l.startTimes.begin())
 	defer cancel()
 	began := l.Timer.Now()
 	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
-	if outcome != caboard.StartUnknown {
-		l.startTimes.note(l.Timer.Now().Sub(began))
-	}
+	l.startTimes.end(l.Timer.Now().Sub(began))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if outcome == caboard.StartFenced {
@@ -131,7 +132,7 @@
 // there for an end.
 func (l *Leader) look(ctx context.Context, id cawork.UpstreamID) {
 	// A report proves something only when it was asked for later.
-	if l.pause(ctx, lookPause) != nil {
+	if l.Timer.Pause(ctx, lookPause) != nil {
 		return
 	}
 	lease, ok := l.nextLease(id)
@@ -146,7 +147,7 @@
 func (l *Leader) listLoop(ctx context.Context) error {
 	lost := false
 	for {
-		if err := l.pause(ctx, listPeriod); err != nil {
+		if err := l.Timer.Pause(ctx, listPeriod); err != nil {
 			return err
 		}
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -212,7 +213,7 @@
 		case wait == 0:
 			rest = 0
 		}
-		if rest > 0 && l.pause(ctx, rest) != nil {
+		if rest > 0 && l.Timer.Pause(ctx, rest) != nil {
 			return
 		}
 	}
--- a/internal/cell/caleader/starttime.go
+++ b/internal/cell/caleader/starttime.go
@@ -5,24 +5,34 @@
 	"time"
 )
 
-// startTimes keeps the mean time of the starts that were answered.
+// startTimes keeps the mean time of starts and how many are under way.
 type startTimes struct {
-	mu   sync.Mutex
-	mean time.Duration
+	mu       sync.Mutex
+	mean     time.Duration
+	underWay int
 }
 
-// note counts a start that was answered after the time.
-func (s *startTimes) note(took time.Duration) {
+// expect notes that so many starts begin now.
+func (s *startTimes) expect(starts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mean += time.Duration(startTimeWeight * float64(took-s.mean))
+	s.underWay += starts
+}
+
+// begin returns how long a start may take: several times the mean, so that one
+// whose answer is lost is noticed soon, and more while many are under way, so
+// that none is given up since the leader or the upstreams are slow.
+func (s *startTimes) begin() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usual := max(startTimeoutTimes*s.mean, startTimeoutLeast)
+	return min(usual+time.Duration(s.underWay)*startTimeoutEach, startTimeoutMost)
 }
 
-// timeout returns how long a start may take: several times the mean, so that
-// one whose answer is lost is noticed soon, and none is given up since the
-// leader or the upstreams are slow.
-func (s *startTimes) timeout() time.Duration {
+// end notes that a start was answered or given up after the time.
+func (s *startTimes) end(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(max(startTimeoutTimes*s.mean, startTimeoutLeast), startTimeoutMost)
+	s.underWay--
+	s.mean += time.Duration(startTimeWeight * float64(took-s.mean))
 }
--- a/internal/cell/carelay/courier.go
+++ b/internal/cell/carelay/courier.go
@@ -126,7 +126,7 @@
 	case <-ctx.Done():
 		return false
 	case <-c.toDeliver:
-		return c.relay.pause(ctx, deliverGather)
+		return c.relay.Timer.Pause(ctx, deliverGather) == nil
 	}
 }
 
@@ -178,7 +178,7 @@
 			c.rest(err)
 			c.fail(cakind.Wrap(cakind.KindUnknown, err, "collect outcomes of entry %s", c.agent.VM), nil)
 		}
-		if !c.relay.pause(ctx, collectRetry) {
+		if c.relay.Timer.Pause(ctx, collectRetry) != nil {
 			return
 		}
 	}
--- a/internal/cell/carelay/relay.go
+++ b/internal/cell/carelay/relay.go
@@ -215,14 +215,3 @@
 	caevent.Warn(r.Log, caevent.AgentLost).Str("agent", string(agent.VM)).Int64("token", r.Token).
 		Dur("rests_for", agentRest).Err(err).Send()
 }
-
-func (r *Relay) pause(ctx context.Context, d time.Duration) bool {
-	after := r.Timer.After(d)
-	defer after.Close()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-after.C:
-		return true
-	}
-}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -45,6 +45,12 @@
 	Run int
 }
 
+// WithSeed returns the options with another seed.
+func (o Options) WithSeed(seed int64) Options {
+	o.Seed = seed
+	return o
+}
+
 // Report is the outcome of a soak.
 type Report struct {
 	Plan []Fault
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -25,20 +25,28 @@
 
 // TestSeeds soaks cells by the seeds that CI runs, and by each that ever failed.
 func TestSeeds(t *testing.T) {
-	for _, seed := range []int64{1, 2} {
-		report, err := casoak.Run(t.Context(), casoak.Options{
-			Seed: seed, During: 6 * time.Second, Nodes: 4, Upstreams: 4,
-			Program: []string{os.Args[0]}, Env: []string{asProgram + "=1"}, Dir: t.TempDir(), Run: os.Getpid() + int(seed),
+	short := casoak.Options{During: 6 * time.Second, Nodes: 4, Upstreams: 4}
+	long := casoak.Options{During: 20 * time.Second, Nodes: 5, Upstreams: 8}
+	for name, o := range map[string]casoak.Options{
+		"1": short.WithSeed(1), "2": short.WithSeed(2),
+		"104, a start taken by a later incarnation": long.WithSeed(104),
+		"112, a start taken by a later incarnation": long.WithSeed(112),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.Program, o.Env = []string{os.Args[0]}, []string{asProgram + "=1"}
+			o.Dir, o.Run = t.TempDir(), os.Getpid()+int(o.Seed)
+			report, err := casoak.Run(t.Context(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(report)
+			if diff := cmp.Diff([]string(nil), report.Broken); diff != "" {
+				t.Errorf("promises broken (-want +got):\n%s\nplan: %v", diff, report.Plan)
+			}
+			if report.Accepted == 0 {
+				t.Error("no job was accepted")
+			}
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("seed %d: %s", seed, report)
-		if diff := cmp.Diff([]string(nil), report.Broken); diff != "" {
-			t.Errorf("promises broken with seed %d (-want +got):\n%s\nplan: %v", seed, diff, report.Plan)
-		}
-		if report.Accepted == 0 {
-			t.Errorf("no job was accepted with seed %d", seed)
-		}
 	}
 }
