--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -148,7 +148,7 @@
 		}
 	}
 	for _, other := range b.steps {
-		if other.waiting == 0 || other.job.pool != q.Pool || other.lateness == latenessUseless {
+		if other.waiting == 0 || other.job.pool != q.Pool || other.lateness != latenessNone {
 			continue
 		}
 		if other.job.priority > q.Priority || other.job.priority == q.Priority && other.job.Excess && !excess {
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -99,9 +99,11 @@
 	lateness int
 	// left is the estimated length of the longest chain of steps from this one on.
 	left time.Duration
-	// hold is the room that is kept for the step, if any.
-	hold     *hold
-	approval approvals
+	// hold is the room that is kept for the step, if any, and holdTried when
+	// some was looked for last.
+	hold      *hold
+	holdTried time.Time
+	approval  approvals
 }
 
 func (s *step) state() *castate.StepState { return &s.occurrence.Steps[s.number] }
--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -24,6 +24,8 @@
 	heldOfFree = 0.9
 	// holdMost is how long the same room is held for one gang.
 	holdMost = 6 * time.Second
+	// holdRetry is the wait before room is looked for again for one gang.
+	holdRetry = 150 * time.Millisecond
 	// overdueEnd is when a run that is longer than expected is taken to end.
 	overdueEnd = 200 * time.Millisecond
 )
@@ -43,11 +45,11 @@
 }
 
 // holdRoom keeps a gang's room up to date, or begins to keep some, so that
-// lesser work does not take it bit by bit. Gangs that are late beyond use come
+// lesser work does not take it bit by bit. Gangs that can not be in time come
 // last, and give room back that others want.
 func (b *Board) holdRoom(s *step, q caspec.Queue, p *openPool) {
-	useless := s.lateness == latenessUseless
-	if p.isRoomy() || useless && p.contended {
+	late := s.lateness != latenessNone
+	if p.isRoomy() || late && p.contended {
 		b.dropHold(s)
 		return
 	}
@@ -56,9 +58,13 @@
 	}
 	b.dropHold(s)
 	if p.held >= p.mostHeld() {
-		p.contended = p.contended || !useless
+		p.contended = p.contended || !late
 		return
 	}
+	if b.now.Steady.Sub(s.holdTried) < holdRetry {
+		return
+	}
+	s.holdTried = b.now.Steady
 	b.reserve(s, q, p)
 }
 
--- a/internal/cell/caboard/reserve_test.go
+++ b/internal/cell/caboard/reserve_test.go
@@ -123,3 +123,39 @@
 	}
 	t.Error("the gang did not start within 20 s in a free cell")
 }
+
+// BenchmarkPlanGangBacklog plans while many gangs wait for a full cell, as after
+// the store was away for some seconds.
+func BenchmarkPlanGangBacklog(b *testing.B) {
+	q := approvedQueue()
+	s := newScene(b, 350, q)
+	var all []Approval
+	for _, id := range s.board.UpstreamIDs() {
+		all = append(all, Approval{Upstream: id, Ticket: "ticket"})
+	}
+	for i := range 350 {
+		s.board.open(submission(i, caspec.Step{Tasks: 8, CPU: 1900, Memory: cawork.GiB, Estimate: 4 * time.Second}), false)
+	}
+	for range 8 {
+		for _, ask := range s.board.Plan().Asks {
+			s.board.Advised(ask, all, true)
+		}
+		for _, o := range s.commit() {
+			s.board.Started(o, StartAccepted, s.now.UnixMilli())
+		}
+	}
+	for i := range 200 {
+		s.board.open(submission(1000+i, gangStep(60, 4500)), false)
+	}
+	for range 6 {
+		s.advance(200 * time.Millisecond)
+		for _, ask := range s.board.Plan().Asks {
+			s.board.Advised(ask, all[:40], true)
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		s.advance(10 * time.Millisecond)
+		s.board.Plan()
+	}
+}
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -70,8 +70,10 @@
 
 type peerState struct {
 	Peer
-	// seenAt is when it called last, and toldAt when another told of it.
+	// seenAt is when it called last, presentSince since when it calls without a
+	// gap, and toldAt when another told of it.
 	seenAt       time.Time
+	presentSince time.Time
 	toldAt       time.Time
 	advises      bool
 	reachesStore bool
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -25,6 +25,9 @@
 	defer g.mu.Unlock()
 	now := g.Timer.Now()
 	p := g.meet(r.From)
+	if now.Sub(p.seenAt) > peerAge {
+		p.presentSince = now
+	}
 	p.seenAt = now
 	p.advises = r.Advises
 	p.reachesStore = r.ReachesStore
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -22,6 +22,10 @@
 const (
 	// planPause is the least time between two plans.
 	planPause = 6 * time.Millisecond
+	// planRestTimes is the same as a multiple of the time that a plan took, and
+	// planRestMost its bound.
+	planRestTimes = 4
+	planRestMost  = 60 * time.Millisecond
 	// planPeriod is the time between plans when nothing happens.
 	planPeriod = 50 * time.Millisecond
 	// commitLinger gathers changes into one append.
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -41,6 +41,7 @@
 func (l *Leader) planLoop(ctx context.Context) error {
 	planned := time.Time{}
 	lapsed := time.Time{}
+	rest := planPause
 	for {
 		period := l.Timer.After(planPeriod)
 		select {
@@ -51,8 +52,8 @@
 		case <-period.C:
 		}
 		period.Close()
-		if since := l.Timer.Now().Sub(planned); since < planPause {
-			if err := l.Timer.Pause(ctx, planPause-since); err != nil {
+		if since := l.Timer.Now().Sub(planned); since < rest {
+			if err := l.Timer.Pause(ctx, rest-since); err != nil {
 				return err
 			}
 		}
@@ -62,9 +63,17 @@
 			lapsed = planned
 		}
 		l.plan(ctx, lapse)
+		rest = restAfterPlan(l.Timer.Now().Sub(planned))
 	}
 }
 
+// restAfterPlan returns the least time from the beginning of a plan that took so
+// long to that of the next one, so that calls and appends have their part of the
+// processor while a long backlog waits.
+func restAfterPlan(took time.Duration) time.Duration {
+	return min(max(planPause, planRestTimes*took), planRestMost)
+}
+
 func (l *Leader) plan(ctx context.Context, lapse bool) {
 	slots := askSlots(len(l.Advisers.Names()))
 	l.mu.Lock()
--- a/internal/cell/caleader/starttime_test.go
+++ b/internal/cell/caleader/starttime_test.go
@@ -34,3 +34,10 @@
 		t.Errorf("time-out of the first of 450 starts (-want +got):\n%s", diff)
 	}
 }
+
+func TestLongPlansLeaveTimeForTheRest(t *testing.T) {
+	got := []time.Duration{restAfterPlan(time.Millisecond), restAfterPlan(8 * time.Millisecond), restAfterPlan(time.Second)}
+	if diff := cmp.Diff([]time.Duration{planPause, 32 * time.Millisecond, planRestMost}, got); diff != "" {
+		t.Errorf("times between plans (-want +got):\n%s", diff)
+	}
+}
