--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -73,6 +73,9 @@
 		}
 	}
 	for _, r := range late {
+		if _, present := u.runs[r.id]; present {
+			continue
+		}
 		r.stopAcked, r.stopTried, r.stopCalling = time.Time{}, time.Time{}, false
 		b.charge(r)
 		b.stop(r)
