An end that is stored late does not count for a later incarnation of its upstream

Cause: the number of the last end of an upstream is acknowledged once its batch is stored. It forgot its first ends before they were told, a report then lacked the run, and the task was started again. Change: the number is kept with the incarnation, and counts for that one only. Tests: TestEndStoredAfterItsUpstreamStartedAnew and, in virtual time, TestUpstreamsStartAnewWhileTheStoreIsSlow; both failed before, pass now.

--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -49,7 +49,7 @@
 	changed map[cawork.JobID]*job
 	removed []cawork.JobID
 	starts  []*run
-	seen    map[*upstream]int64
+	seen    map[*upstream]endSeen
 	// inheritedUntil is when the leases that an earlier leader granted end.
 	inheritedUntil time.Time
 	// all counts how runs ended on all upstreams.
@@ -126,7 +126,7 @@
 		teams:          make(map[cawork.TeamName]*teamUse),
 		queues:         make(map[caspec.QueueName]*queueStats),
 		changed:        make(map[cawork.JobID]*job),
-		seen:           make(map[*upstream]int64),
+		seen:           make(map[*upstream]endSeen),
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil,
 	}
@@ -177,7 +177,7 @@
 	b.changed = make(map[cawork.JobID]*job)
 	b.removed = nil
 	b.starts = nil
-	b.seen = make(map[*upstream]int64)
+	b.seen = make(map[*upstream]endSeen)
 	return batch, nil
 }
 
@@ -195,8 +195,11 @@
 			j.shown = r.phase
 		}
 	}
-	for u, number := range batch.seen {
-		u.storedEnd = max(u.storedEnd, number)
+	for u, end := range batch.seen {
+		// Ends of a later incarnation are numbered anew.
+		if end.born == u.info.Born {
+			u.storedEnd = max(u.storedEnd, end.number)
+		}
 	}
 	var orders []StartOrder
 	for _, r := range batch.starts {
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -18,7 +18,13 @@
 type Batch struct {
 	Records []Record
 	starts  []*run
-	seen    map[*upstream]int64
+	seen    map[*upstream]endSeen
+}
+
+// endSeen is the last end of an incarnation of an upstream that was applied.
+type endSeen struct {
+	born   int64
+	number int64
 }
 
 // IsEmpty reports whether the batch changes nothing.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -183,7 +183,7 @@
 	for _, row := range report.Ended {
 		if row.Number > u.noted {
 			u.noted = row.Number
-			b.seen[u] = row.Number
+			b.seen[u] = endSeen{born: u.info.Born, number: row.Number}
 			b.noteEnded(u, row, report.ReceivedAt)
 		}
 	}
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -365,3 +365,23 @@
 		t.Errorf("the task is started again while it runs: %v", again)
 	}
 }
+
+// TestEndStoredAfterItsUpstreamStartedAnew stores an end while the store is slow,
+// and its upstream starts anew meanwhile: the number of the end says nothing
+// about the ends of the later incarnation, which would forget them.
+func TestEndStoredAfterItsUpstreamStartedAnew(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+	run := s.startAll()[0].Run
+	s.report("up-00", nil, []EndedRow{{Run: run, Ending: EndingDone}})
+	batch, err := s.board.NextBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.relist("up-00", 2)
+	s.board.Committed(batch)
+	lease, _ := s.board.Lease("up-00")
+	if diff := cmp.Diff(int64(0), lease.StoredEnd); diff != "" {
+		t.Errorf("number of the last stored end of the later incarnation (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -520,3 +520,24 @@
 		}
 	})
 }
+
+// TestUpstreamsStartAnewWhileTheStoreIsSlow has ends under way to the store when
+// their upstreams start anew. Tasks of a job end shortly after each other, so
+// that some ends are first told when the next renewal has come.
+func TestUpstreamsStartAnewWhileTheStoreIsSlow(t *testing.T) {
+	inWorld(t, 3, func(_ *testing.T, w *world) {
+		w.fleet.SetRunTime(func(id caboard.RunID) (time.Duration, bool) {
+			return 500*time.Millisecond + time.Duration(id.Index)*15*time.Millisecond, false
+		})
+		w.load(2 * time.Second)
+		w.store.SetAppendTime(400 * time.Millisecond)
+		for range 4 {
+			w.load(1300 * time.Millisecond)
+			for i := range worldUpstreams {
+				w.fleet.Restart(cawork.UpstreamID(fmt.Sprintf("up-%d", i)))
+			}
+		}
+		w.store.SetAppendTime(4 * time.Millisecond)
+		w.load(4 * time.Second)
+	})
+}
