--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -262,28 +262,24 @@
 // chainOf returns the length of the longest chain of steps, with a question to
 // the advisor for each.
 func chainOf(q caspec.Queue, steps []caspec.Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
+	perStep := time.Duration(0)
+	if q.Approval != nil {
+		perStep = q.Approval.Cost(approvalsInObjective)
+	}
 	longest := time.Duration(0)
-	for i, s := range steps {
-		begin := time.Duration(0)
-		for _, earlier := range s.After {
-			begin = max(begin, ends[earlier])
-		}
-		ends[i] = begin + s.Estimate
-		if q.Approval != nil {
-			ends[i] += q.Approval.Cost(approvalsInObjective)
-		}
-		longest = max(longest, ends[i])
+	for _, left := range chainsFrom(steps, perStep) {
+		longest = max(longest, left)
 	}
 	return longest
 }
 
 // chainsFrom returns for each step the length of the longest chain of steps from
-// it on. Steps depend on earlier ones only.
-func chainsFrom(steps []caspec.Step) []time.Duration {
+// it on, where each takes a time beyond its estimate. Steps depend on earlier
+// ones only.
+func chainsFrom(steps []caspec.Step, perStep time.Duration) []time.Duration {
 	left := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		left[i] += steps[i].Estimate
+		left[i] += steps[i].Estimate + perStep
 		for _, earlier := range steps[i].After {
 			left[earlier] = max(left[earlier], left[i])
 		}
@@ -294,7 +290,7 @@
 // openSteps adds the steps of an occurrence, with the runs that its tasks
 // stand on.
 func (b *Board) openSteps(j *job, o *castate.Occurrence) {
-	left := chainsFrom(j.Submission.Steps)
+	left := chainsFrom(j.Submission.Steps, 0)
 	for i := range o.Steps {
 		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Steady}
 		s.ready = j.IsReady(o, i)
--- a/internal/cell/caboard/board_test.go
+++ b/internal/cell/caboard/board_test.go
@@ -171,7 +171,7 @@
 	step := func(seconds int, after ...int) caspec.Step {
 		return caspec.Step{Tasks: 1, Estimate: time.Duration(seconds) * time.Second, After: after}
 	}
-	got := chainsFrom([]caspec.Step{step(1), step(2, 0), step(5, 0), step(3, 1, 2), step(4)})
+	got := chainsFrom([]caspec.Step{step(1), step(2, 0), step(5, 0), step(3, 1, 2), step(4)}, 0)
 	want := []time.Duration{9 * time.Second, 5 * time.Second, 8 * time.Second, 3 * time.Second, 4 * time.Second}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("longest chains (-want +got):\n%s", diff)
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -27,9 +27,6 @@
 	number int64
 }
 
-// IsEmpty reports whether the batch changes nothing.
-func (b Batch) IsEmpty() bool { return len(b.Records) == 0 && len(b.seen) == 0 && len(b.starts) == 0 }
-
 // StartOrder tells an upstream to start a run.
 type StartOrder struct {
 	Run        RunID             `cbor:"1,keyasint,omitempty"`
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -19,7 +19,7 @@
 		b.list(info)
 	}
 	for id, u := range b.upstreams {
-		if b.isForgotten(u) {
+		if u.isForgotten() {
 			delete(b.upstreams, id)
 		}
 	}
@@ -105,8 +105,7 @@
 }
 
 // isForgotten reports whether nothing is to be known of an upstream any more.
-func (b *Board) isForgotten(u *upstream) bool {
-	b.pruneLate(u)
+func (u *upstream) isForgotten() bool {
 	return !u.listed && len(u.runs) == 0 && len(u.late) == 0
 }
 
@@ -422,7 +421,8 @@
 		if len(u.runs) > 0 && b.now.Steady.After(u.leaseEnds) {
 			b.lapseRuns(u)
 		}
-		if b.isForgotten(u) {
+		b.pruneLate(u)
+		if u.isForgotten() {
 			delete(b.upstreams, id)
 		}
 	}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -53,6 +53,9 @@
 // errLoading is the answer of a leader that does not serve yet or any more.
 var errLoading = cakind.New(cakind.KindNotStarted, "the leader is loading or hands over").WithRetryAfter(retryWhenLoading)
 
+// errStoreAway is the answer for a job that can not be stored now.
+var errStoreAway = cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway)
+
 // notKnownNow is the answer while another leader may know the job.
 func notKnownNow(id cawork.JobID) error {
 	return cakind.New(cakind.KindUnavailable, "it is not known now whether job %s exists", id).WithRetryAfter(retryWhenAway)
@@ -304,7 +307,7 @@
 	l.board.SetNow(l.moment())
 	if l.isAway() && !l.board.IsPending(s.ID) {
 		if _, known := l.board.Phase(s.ID); !known {
-			return nil, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway)
+			return nil, errStoreAway
 		}
 	}
 	stored, err := l.board.Submit(s)
@@ -331,7 +334,7 @@
 func (l *Leader) withdrawWaiting() {
 	for id := range l.waiters {
 		if !l.flying[id] && l.board.Withdraw(id) {
-			resolve(l.waiters, id, cakind.New(cakind.KindUnavailable, "the store does not answer").WithRetryAfter(retryWhenAway))
+			resolve(l.waiters, id, errStoreAway)
 		}
 	}
 }
--- a/internal/cell/carelay/agent.go
+++ b/internal/cell/carelay/agent.go
@@ -44,8 +44,9 @@
 type box struct {
 	// life tells boxes of one session apart.
 	life int64
-	// gone is closed when the session has ended.
-	gone chan struct{}
+	// live ends with the session, and the calls made for it; end ends it.
+	live context.Context
+	end  context.CancelFunc
 	// outcomes are those after the number dropped.
 	outcomes []outcome
 	dropped  int64
@@ -93,7 +94,7 @@
 	defer a.mu.Unlock()
 	for name, b := range a.boxes {
 		if a.timer.Now().Sub(b.usedAt) >= idle {
-			close(b.gone)
+			b.end()
 			delete(a.boxes, name)
 		}
 	}
@@ -119,7 +120,8 @@
 	}
 	b, ok := a.boxes[name]
 	if !ok {
-		b = &box{life: a.timer.Now().UnixNano(), gone: make(chan struct{}), changed: make(chan struct{})}
+		b = &box{life: a.timer.Now().UnixNano(), changed: make(chan struct{})}
+		b.live, b.end = context.WithCancel(context.Background())
 		a.boxes[name] = b
 	}
 	b.usedAt = a.timer.Now()
@@ -127,15 +129,8 @@
 }
 
 func (a *Agent) carryOut(b *box, token int64, o order) {
-	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
+	ctx, cancel := context.WithTimeout(b.live, o.Timeout)
 	defer cancel()
-	go func() {
-		select {
-		case <-b.gone:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	out := outcome{ID: o.ID}
 	switch {
 	case o.Start != nil:
--- a/internal/cell/caspec/policy.go
+++ b/internal/cell/caspec/policy.go
@@ -85,7 +85,6 @@
 
 type policyIndex struct {
 	queues map[QueueName]int
-	pools  map[PoolName]int
 	teams  map[cawork.TeamName]int
 	keys   map[string]cawork.TeamName
 	// byHost holds the queues of a host, the longest prefix first.
@@ -96,7 +95,6 @@
 func (p Policy) WithIndex() Policy {
 	x := &policyIndex{
 		queues: make(map[QueueName]int, len(p.Queues)),
-		pools:  make(map[PoolName]int, len(p.Pools)),
 		teams:  make(map[cawork.TeamName]int, len(p.Teams)),
 		keys:   make(map[string]cawork.TeamName),
 		byHost: make(map[string][]int),
@@ -108,9 +106,6 @@
 	for _, list := range x.byHost {
 		slices.SortStableFunc(list, func(a, b int) int { return len(p.Queues[b].Prefix) - len(p.Queues[a].Prefix) })
 	}
-	for i, pool := range p.Pools {
-		x.pools[pool.Name] = i
-	}
 	for i, t := range p.Teams {
 		x.teams[t.Name] = i
 		for _, key := range t.Keys {
@@ -150,18 +145,6 @@
 	return Queue{}, false
 }
 
-// Pool returns the pool of the name.
-func (p Policy) Pool(name PoolName) (Pool, bool) {
-	if p.index == nil {
-		return Pool{}, false
-	}
-	i, ok := p.index.pools[name]
-	if !ok {
-		return Pool{}, false
-	}
-	return p.Pools[i], true
-}
-
 // Team returns the team of the name.
 func (p Policy) Team(name cawork.TeamName) (Team, bool) {
 	if p.index == nil {
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -16,8 +16,8 @@
   entry                      run an entry
       --settings=PATH        file or folder of settings; required
   node                       run an entry on the platform of the users
-      --settings=PATH        settings file of the platform (environment
-                             CELERYARCH_NODE_FILE)
+      --settings=PATH        settings file of the platform (the one that the
+                             platform names in the environment)
       --advertise=ADDRESS    address at which other entries reach this one
                              (where it listens for them)
       --metrics=PORT         serve metrics on this port
--- a/internal/soak/casoak/callers.go
+++ b/internal/soak/casoak/callers.go
@@ -42,7 +42,7 @@
 
 // run hands jobs in until the context ends, and returns when all are told.
 func (c *callers) run(ctx context.Context) {
-	for pause(ctx, time.Duration(c.random.ExpFloat64()*float64(submitGap))) {
+	for c.cell.timer.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(submitGap))) == nil {
 		c.jobs++
 		id := cawork.JobID(fmt.Sprintf("%016x", c.jobs))
 		random := rand.New(rand.NewSource(c.random.Int63()))
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -44,6 +45,7 @@
 
 // cell is the stand-ins of the platform and the nodes over them.
 type cell struct {
+	timer     *catimer.Service
 	store     *standin.Store
 	fleet     *standin.Fleet
 	emulator  *platform.Emulator
@@ -63,7 +65,7 @@
 
 // newCell starts the stand-ins, and prepares the nodes.
 func newCell(ctx context.Context, o Options, dir string) (*cell, error) {
-	c := &cell{store: standin.NewStore(appendTime)}
+	c := &cell{timer: catimer.NewService(), store: standin.NewStore(appendTime)}
 	capacity := cawork.Resources{CPU: cawork.Cores(upstreamCores), Memory: 2 * upstreamCores * cawork.GiB}
 	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize,
 		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) })
--- a/internal/soak/casoak/node.go
+++ b/internal/soak/casoak/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/platform"
 )
 
@@ -173,8 +174,8 @@
 }
 
 // awaitReady waits until the node says that it can serve.
-func (n *node) awaitReady(ctx context.Context) error {
-	for ctx.Err() == nil {
+func (n *node) awaitReady(ctx context.Context, timer *catimer.Service) error {
+	for {
 		response, err := http.Get("http://" + n.address(portReady))
 		if err == nil {
 			_ = response.Body.Close()
@@ -182,9 +183,10 @@
 				return nil
 			}
 		}
-		pause(ctx, readyPeriod)
+		if err := timer.Pause(ctx, readyPeriod); err != nil {
+			return cakind.Wrap(cakind.KindUnavailable, err, "%s is not ready", n.name)
+		}
 	}
-	return cakind.New(cakind.KindUnavailable, "%s is not ready", n.name)
 }
 
 // close ends the process and the proxies.
--- a/internal/soak/casoak/proxy.go
+++ b/internal/soak/casoak/proxy.go
@@ -1,7 +1,6 @@
 package casoak
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -174,15 +173,3 @@
 		}
 	}
 }
-
-// pause waits unless the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -106,7 +106,7 @@
 		}
 	}
 	for _, n := range c.nodes {
-		if err := n.awaitReady(ctx); err != nil {
+		if err := n.awaitReady(ctx, c.timer); err != nil {
 			return err
 		}
 	}
@@ -118,8 +118,10 @@
 	began := time.Now()
 	targets := make(map[int]int)
 	for _, s := range steps(plan) {
-		if wait := s.at - time.Since(began); wait > 0 && !pause(ctx, wait) {
-			return context.Cause(ctx)
+		if wait := s.at - time.Since(began); wait > 0 {
+			if err := c.timer.Pause(ctx, wait); err != nil {
+				return err
+			}
 		}
 		if s.fault.Target == leaderTarget {
 			if s.begins {
@@ -141,7 +143,8 @@
 	for i, n := range c.nodes {
 		before[i] = n.store.sent.Load()
 	}
-	pause(ctx, leaderLook)
+	// A look that is cut short only chooses another target.
+	_ = c.timer.Pause(ctx, leaderLook)
 	best, most := 0, int64(-1)
 	for i, n := range c.nodes {
 		if sent := n.store.sent.Load() - before[i]; sent > most {
@@ -227,7 +230,7 @@
 // watch looks for what must never happen until the context ends.
 func (c *cell) watch(ctx context.Context, l *ledger) {
 	seen := 0
-	for pause(ctx, watchPeriod) {
+	for c.timer.Pause(ctx, watchPeriod) == nil {
 		violations := c.fleet.Violations()
 		for _, v := range violations[seen:] {
 			l.breach("at the upstreams: %s", v)
@@ -261,7 +264,7 @@
 				delete(open, id)
 			}
 		}
-		if len(open) == 0 || !pause(ctx, settlePeriod) {
+		if len(open) == 0 || c.timer.Pause(ctx, settlePeriod) != nil {
 			break
 		}
 	}
