One shard carries 1,000 upstreams; weak entries call the leader less often

Ruled out: moving teams or upstreams between shards, which needs limits to move too, as long as one leader bears it. Change: a shard carries 1,000 upstreams in place of 400. What the leader saves pays for that: entries that are not strong call it each 6 ms times the entries, 500 ms at most (97 entries made 388 calls a second); the heap of a leader may grow by 150 % between collections, that of others by 50 % as before.

--- a/internal/cell/cagate/calls.go
+++ b/internal/cell/cagate/calls.go
@@ -63,6 +63,8 @@
 	Peers []Peer `cbor:"6,keyasint,omitempty"`
 	// Layout is set when the caller does not know it.
 	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
+	// CallAgain is when the caller is to call the leader again.
+	CallAgain time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // lead names a leader and its fencing token.
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// helloPeriod is the time between two calls of an entry to a leader.
-	helloPeriod = 250 * time.Millisecond
+	// helloPeriod is the time between two calls of an entry to a leader, and
+	// helloPeriodMost that of entries which are not strong in a large cell, where
+	// helloEach for each entry that is present is the time to aim for.
+	helloPeriod     = 250 * time.Millisecond
+	helloPeriodMost = 500 * time.Millisecond
+	helloEach       = 6 * time.Millisecond
 	// helloTimeout bounds such a call.
 	helloTimeout = 350 * time.Millisecond
 	// helloMisses is how many of them in a row make an entry give up the calls
@@ -72,7 +76,7 @@
 			misses = 0
 			continue
 		}
-		l.awaitWake(ctx, helloPeriod)
+		l.awaitWake(ctx, l.callAgain())
 	}
 	if leader, _, _ := l.target(); leader != nil {
 		<-leader.Done()
@@ -80,6 +84,22 @@
 	return context.Cause(ctx)
 }
 
+// callAgain returns the time until the next call to the leader.
+func (l *link) callAgain() time.Duration {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return max(l.belief.callAgain, helloPeriod)
+}
+
+// helloPeriodOf returns the time after which an entry is to call the leader again
+// in a cell of so many entries. Strong ones call often, since they may be agents.
+func helloPeriodOf(p *peerState, entries int) time.Duration {
+	if p.isStrong() {
+		return helloPeriod
+	}
+	return min(max(helloPeriod, time.Duration(entries)*helloEach), helloPeriodMost)
+}
+
 // check calls the leader and tells how sure it is that it is gone.
 func (l *link) check(ctx context.Context, misses *int) doubt {
 	leader, at, _ := l.target()
@@ -174,6 +194,7 @@
 	if reply.Leading && reply.Leader.Token == l.belief.Token {
 		l.belief.heardAt = g.Timer.Now()
 		l.belief.storeAge = reply.StoreAge
+		l.belief.callAgain = reply.CallAgain
 		l.belief.silent = false
 		return nil
 	}
@@ -289,6 +310,7 @@
 	l.believe(lead{VM: g.Self.VM, Address: g.Self.Address, Token: token})
 	l.leader = leader
 	l.ledSince = g.Timer.Now()
+	g.tellLeading()
 	g.mu.Unlock()
 	go func() {
 		relayCtx, cancel := context.WithCancel(ctx)
@@ -300,6 +322,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		l.leader = nil
+		g.tellLeading()
 		if l.belief.Token == token {
 			l.belief.Address = ""
 			l.belief.heardAt = time.Time{}
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -49,6 +49,8 @@
 	Feed    Feed
 	// Nonce tells the lives of this VM apart.
 	Nonce int64
+	// OnLead is told when this entry begins or stops to lead. It may be nil.
+	OnLead func(leading bool)
 }
 
 // Gate is the entry's side of a cell.
@@ -223,6 +225,13 @@
 	}
 }
 
+// tellLeading tells whether this entry leads. The lock is held.
+func (g *Gate) tellLeading() {
+	if g.OnLead != nil {
+		g.OnLead(g.leading() > 0)
+	}
+}
+
 // leading counts the shards that this entry leads. The lock is held.
 func (g *Gate) leading() int {
 	n := 0
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -56,6 +56,8 @@
 	heardAt time.Time
 	// storeAge is the age of its last append at that time.
 	storeAge time.Duration
+	// callAgain is the time after which it wants to be called again.
+	callAgain time.Duration
 	// silent is set while it does not answer. No call is carried to it then.
 	silent bool
 	// lost is closed when it stops to be the leader for this entry, or to
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -37,6 +37,7 @@
 		if l.leader != nil && !g.draining {
 			reply.Leading = true
 			reply.StoreAge = l.leader.StoreAge()
+			reply.CallAgain = helloPeriodOf(p, len(g.peers)+1)
 		}
 	}
 	if g.policy.Version > r.PolicyVersion {
--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -19,7 +19,7 @@
 
 const (
 	// upstreamsPerShard is how many upstreams one leader looks after.
-	upstreamsPerShard = 400
+	upstreamsPerShard = 1000
 	// largeShare is how many times an even part of the work one team may have
 	// before it is spread over several shards. A team of several shards has only
 	// a part of its upper limit in each, which may keep a wide gang waiting.
--- a/internal/node/carunner/node.go
+++ b/internal/node/carunner/node.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// collectPercent is how much the heap grows between two collections.
-	collectPercent = 50
+	// collectPercent is how much the heap grows between two collections, and
+	// collectPercentLeading the same while the entry leads, when a collection has
+	// the most to look at and comes most often.
+	collectPercent        = 50
+	collectPercentLeading = 150
 	// scrapeTimeout bounds the reading of a request for metrics.
 	scrapeTimeout = 3 * time.Second
 )
@@ -44,7 +47,16 @@
 			return err
 		}
 	}
-	return platform.NewNode(path, settings, around.Logger, around.Scope).Run(ctx)
+	return platform.NewNode(path, settings, around.Logger, around.Scope, growHeap).Run(ctx)
+}
+
+// growHeap sets how much the heap grows between two collections.
+func growHeap(leading bool) {
+	percent := collectPercent
+	if leading {
+		percent = collectPercentLeading
+	}
+	debug.SetGCPercent(percent)
 }
 
 // serveMetrics answers scrapes on the address until the context ends.
