--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -33,6 +33,8 @@
 	tickets map[cawork.UpstreamID]ticket
 	asking  bool
 	askedAt time.Time
+	// idleAt is when nobody was found last to ask about.
+	idleAt time.Time
 }
 
 type ticket struct {
@@ -119,6 +121,9 @@
 	if !a.askedAt.IsZero() && now.Sub(a.askedAt) < min(askAgain, askAgainCosts*q.Approval.Decision) {
 		return Ask{}, false
 	}
+	if now.Sub(a.idleAt) < askIdle {
+		return Ask{}, false
+	}
 	long := q.Approval.Decision >= longQuestion
 	if long && b.askingLong >= b.askSlots.Long {
 		return Ask{}, false
@@ -128,6 +133,7 @@
 		ids = b.candidates(s, q)
 	}
 	if len(ids) == 0 {
+		a.idleAt = now
 		return Ask{}, false
 	}
 	a.asking = true
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -54,6 +54,9 @@
 	// askAgainCosts times the fixed time of a decision if that is shorter.
 	askAgain      = 150 * time.Millisecond
 	askAgainCosts = 4
+	// askIdle is the wait after nobody was found to ask about for a step, which
+	// looks at all upstreams.
+	askIdle = 30 * time.Millisecond
 	// cheapShare is the fraction of the fixed time of a decision that naming more
 	// upstreams may add.
 	cheapShare = 0.3
--- a/internal/node/capeer/encoding.go
+++ b/internal/node/capeer/encoding.go
@@ -14,7 +14,7 @@
 
 const (
 	// compressFrom is the size in bytes from which on a message is compressed.
-	compressFrom = 1 << 10
+	compressFrom = 4 << 10
 	// maxMessage bounds a message that was compressed, in bytes.
 	maxMessage = 16 << 20
 	// compressedMark begins a compressed message. In CBOR it is the number 0,
