--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -22,6 +22,7 @@
 	StandinStarted     Number = 104
 	LinesDropped       Number = 105
 	SettingsReloaded   Number = 106
+	PanicCaught        Number = 107
 	ConfigApplied      Number = 200
 	ConfigRefused      Number = 201
 	ConfigConflict     Number = 202
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloaded"
-	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloaded"
+	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
+	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_reborn"
@@ -29,7 +29,7 @@
 )
 
 var (
-	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96}
+	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
@@ -42,7 +42,7 @@
 
 func (i Number) String() string {
 	switch {
-	case 100 <= i && i <= 106:
+	case 100 <= i && i <= 107:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -85,6 +85,7 @@
 	_ = x[StandinStarted-(104)]
 	_ = x[LinesDropped-(105)]
 	_ = x[SettingsReloaded-(106)]
+	_ = x[PanicCaught-(107)]
 	_ = x[ConfigApplied-(200)]
 	_ = x[ConfigRefused-(201)]
 	_ = x[ConfigConflict-(202)]
@@ -138,7 +139,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -148,6 +149,7 @@
 	_NumberName_0[51:66]:   StandinStarted,
 	_NumberName_0[66:79]:   LinesDropped,
 	_NumberName_0[79:96]:   SettingsReloaded,
+	_NumberName_0[96:108]:  PanicCaught,
 	_NumberName_1[0:14]:    ConfigApplied,
 	_NumberName_1[14:28]:   ConfigRefused,
 	_NumberName_1[28:43]:   ConfigConflict,
@@ -209,6 +211,7 @@
 	_NumberLowerName_0[51:66]:   StandinStarted,
 	_NumberLowerName_0[66:79]:   LinesDropped,
 	_NumberLowerName_0[79:96]:   SettingsReloaded,
+	_NumberLowerName_0[96:108]:  PanicCaught,
 	_NumberLowerName_1[0:14]:    ConfigApplied,
 	_NumberLowerName_1[14:28]:   ConfigRefused,
 	_NumberLowerName_1[28:43]:   ConfigConflict,
@@ -270,6 +273,7 @@
 	_NumberName_0[51:66],
 	_NumberName_0[66:79],
 	_NumberName_0[79:96],
+	_NumberName_0[96:108],
 	_NumberName_1[0:14],
 	_NumberName_1[14:28],
 	_NumberName_1[28:43],
--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -16,6 +16,13 @@
 	maxTasks = 5000
 	// maxPayload bounds the payload of a submission in bytes.
 	maxPayload = 4000
+	// maxAmount bounds what a task may ask for of one resource, so that sums over
+	// all tasks of a cell do not overflow.
+	maxAmount = 1 << 46
+	// maxOccurrences bounds the occurrences of one submission.
+	maxOccurrences = 100_000
+	// maxTimeMS bounds times of day, in Unix milliseconds.
+	maxTimeMS = 1 << 48
 )
 
 // Step is one stage of a job. All of its tasks are alike.
@@ -125,9 +132,15 @@
 	if s.Tasks <= 0 {
 		return cakind.New(cakind.KindInvalid, "step %d: needs at least one task", number)
 	}
-	if s.CPU < 0 || s.Memory < 0 || s.Accelerators < 0 || s.Estimate < 0 || s.MaxPerUpstream < 0 {
+	if s.Tasks > maxTasks {
+		return cakind.New(cakind.KindTooLarge, "step %d: %d tasks, at most %d are allowed", number, s.Tasks, maxTasks)
+	}
+	if s.CPU < 0 || s.Memory < 0 || s.Accelerators < 0 || s.Estimate < 0 || s.MaxPerUpstream < 0 || s.DisruptionBudget < 0 {
 		return cakind.New(cakind.KindInvalid, "step %d: amounts must not be negative", number)
 	}
+	if s.CPU > maxAmount || s.Memory > maxAmount || s.Accelerators > maxAmount {
+		return cakind.New(cakind.KindInvalid, "step %d: amounts must not exceed %d", number, int64(maxAmount))
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number {
 			return cakind.New(cakind.KindInvalid, "step %d: depends on step %d, which is not an earlier one", number, earlier)
@@ -140,5 +153,11 @@
 	if s.Occurrences < 0 || s.Interval < 0 {
 		return cakind.New(cakind.KindInvalid, "schedule: occurrences and interval must not be negative")
 	}
+	if s.Occurrences > maxOccurrences {
+		return cakind.New(cakind.KindTooLarge, "schedule: %d occurrences, at most %d are allowed", s.Occurrences, maxOccurrences)
+	}
+	if s.StartMS > maxTimeMS || s.Interval.Milliseconds() > maxTimeMS/maxOccurrences {
+		return cakind.New(cakind.KindInvalid, "schedule: start and interval are out of range")
+	}
 	return nil
 }
--- a/internal/cell/castate/job.go
+++ b/internal/cell/castate/job.go
@@ -180,5 +180,45 @@
 	if err := cbor.Unmarshal(b, &j); err != nil {
 		return nil, cakind.Wrap(cakind.KindInvalid, err, "decode job record of %d bytes", len(b))
 	}
+	if err := j.check(); err != nil {
+		return nil, err
+	}
 	return &j, nil
 }
+
+// check returns an error of KindInvalid for a record whose parts contradict each
+// other.
+func (j *Job) check() error {
+	if j.Submission.ID == "" || !j.Phase.IsAPhase() {
+		return cakind.New(cakind.KindInvalid, "record of job %q in phase %d", j.Submission.ID, int(j.Phase))
+	}
+	if len(j.Submission.Steps) > 0 {
+		if err := j.Submission.Check(); err != nil {
+			return cakind.Wrap(cakind.KindInvalid, err, "record of job %s", j.Submission.ID)
+		}
+	}
+	for i, o := range j.Open {
+		if o == nil || !o.matches(j.Submission.Steps) {
+			return cakind.New(cakind.KindInvalid, "record of job %s: open occurrence %d does not match its steps", j.Submission.ID, i)
+		}
+	}
+	return nil
+}
+
+// matches reports whether the state is one of the steps.
+func (o *Occurrence) matches(steps []caspec.Step) bool {
+	if len(o.Steps) != len(steps) {
+		return false
+	}
+	for i := range o.Steps {
+		if len(o.Steps[i].Tasks) != steps[i].Tasks {
+			return false
+		}
+		for _, t := range o.Steps[i].Tasks {
+			if !t.Phase.IsATaskPhase() {
+				return false
+			}
+		}
+	}
+	return true
+}
