One row that cannot be read costs that row only

Change: other rows of such a report hold, it is logged (416) and proves nothing absent; runs of unknown tasks need no lists; 64 occurrences of a job are open at most.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -56,6 +56,7 @@
 	UpstreamReached    Number = 413
 	AdvisorUnavailable Number = 414
 	StepWaits          Number = 415
+	ReportUnreadable   Number = 416
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- /dev/null
+++ b/internal/cell/caboard/badinput_test.go
@@ -0,0 +1,85 @@
+package caboard
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// TestReportWithUnreadableRowsProvesNothingAbsent covers an upstream that lists a
+// row that nobody can read: it may be the run that the others do not show.
+func TestReportWithUnreadableRowsProvesNothingAbsent(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	s.report(order.Upstream, []RunningRow{{Run: order.Run}}, nil)
+	s.advance(time.Second)
+	s.board.Observe(Report{Upstream: order.Upstream, Born: 1, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.UnixMilli(), Partial: true})
+	task := s.board.jobs["0000000000000001"].Open[0].Steps[0].Tasks[0]
+	if diff := cmp.Diff(castate.TaskAssigned, task.Phase); diff != "" {
+		t.Errorf("phase of the task (-want +got):\n%s", diff)
+	}
+	s.report(order.Upstream, nil, nil)
+	task = s.board.jobs["0000000000000001"].Open[0].Steps[0].Tasks[0]
+	if diff := cmp.Diff(castate.TaskWaiting, task.Phase); diff != "" {
+		t.Errorf("phase of the task after a whole report (-want +got):\n%s", diff)
+	}
+}
+
+// TestRunsOfTasksThatNobodyAskedFor covers rows that name jobs, steps and tasks
+// beyond all that exist. They are stopped and harm nothing.
+func TestRunsOfTasksThatNobodyAskedFor(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	order := s.startAll()[0]
+	odd := []RunID{
+		{Job: "0000000000000009", Step: math.MaxInt32, Index: math.MaxInt32, Number: 1},
+		{Job: "0000000000000001", Step: math.MaxInt32, Index: 0, Number: 1},
+		{Job: "0000000000000001", Index: math.MaxInt32, Number: 1},
+		{Job: "0000000000000001", Index: -1, Number: 1},
+		{Job: "0000000000000001", Occurrence: 77, Number: 1},
+	}
+	rows := []RunningRow{{Run: order.Run}}
+	var ends []EndedRow
+	for _, id := range odd {
+		rows = append(rows, RunningRow{Run: id, Checkpoint: "c"})
+		ends = append(ends, EndedRow{Run: id, Ending: EndingStopped})
+	}
+	s.report(order.Upstream, rows, nil)
+	stopped := make(map[RunID]bool)
+	for _, stop := range s.board.Plan().Stops {
+		stopped[stop.Run] = true
+		s.board.Stopped(stop, true)
+	}
+	for _, id := range odd {
+		if !stopped[id] {
+			t.Errorf("run %+v is not stopped", id)
+		}
+	}
+	s.report(order.Upstream, []RunningRow{{Run: order.Run}}, ends)
+	if diff := cmp.Diff(1, len(s.board.upstreams[order.Upstream].runs)); diff != "" {
+		t.Errorf("runs at the upstream (-want +got):\n%s", diff)
+	}
+}
+
+// TestOccurrencesWithoutAPauseOpenAFewAtOnce covers a schedule whose occurrences
+// are all due at the same time.
+func TestOccurrencesWithoutAPauseOpenAFewAtOnce(t *testing.T) {
+	s := newScene(t, 1, plainQueue())
+	_, err := s.board.Submit(caspec.Submission{
+		ID: "0000000000000001", Queue: "queue", Team: "north", Steps: []caspec.Step{smallStep(1)},
+		Schedule: caspec.Schedule{Occurrences: 100_000, StartMS: 1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.board.Expire()
+	if diff := cmp.Diff(openMost, len(s.board.jobs["0000000000000001"].Open)); diff != "" {
+		t.Errorf("open occurrences (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -104,6 +104,9 @@
 	hold      *hold
 	holdTried time.Time
 	approval  approvals
+	// orphan steps stand in for those of runs that nobody asked for, and have no
+	// state.
+	orphan bool
 }
 
 func (s *step) state() *castate.StepState { return &s.occurrence.Steps[s.number] }
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -21,6 +21,9 @@
 	// historyKept is how long the phase of an ended job can be asked for.
 	historyKept = 140 * time.Second
 
+	// openMost bounds the occurrences of one job that are open at the same time.
+	openMost = 64
+
 	// restoredAgeMost bounds the age that a job is given by the time of day,
 	// which may be wrong.
 	restoredAgeMost = 5 * time.Second
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -85,6 +85,9 @@
 	ClockMS int64        `cbor:"5,keyasint,omitempty"`
 	Running []RunningRow `cbor:"6,keyasint,omitempty"`
 	Ended   []EndedRow   `cbor:"7,keyasint,omitempty"`
+	// Partial is set when some rows could not be read. What the others do not show
+	// may run.
+	Partial bool `cbor:"8,keyasint,omitempty"`
 }
 
 // RunningRow is a run that is present at an upstream.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -244,19 +244,16 @@
 	b.stop(r)
 }
 
-// orphanStep stands in for the step of a run whose job is not known.
+// orphanStep stands in for the step of a run whose job or task is not known.
 func orphanStep(id RunID) *step {
 	state := castate.Job{Phase: castate.PhaseCanceled}
 	state.Submission.ID = id.Job
-	steps := make([]castate.StepState, id.Step+1)
-	steps[id.Step].Tasks = make([]castate.Task, id.Index+1)
-	o := &castate.Occurrence{Number: id.Occurrence, Steps: steps}
-	return &step{job: &job{Job: &state}, occurrence: o, number: id.Step}
+	return &step{job: &job{Job: &state}, occurrence: &castate.Occurrence{Number: id.Occurrence}, number: id.Step, orphan: true}
 }
 
 func (b *Board) stepOf(j *job, id RunID) *step {
 	for _, s := range j.steps {
-		if s.occurrence.Number == id.Occurrence && s.number == id.Step && id.Index < len(s.state().Tasks) {
+		if s.occurrence.Number == id.Occurrence && s.number == id.Step && id.Index >= 0 && id.Index < len(s.state().Tasks) {
 			return s
 		}
 	}
@@ -387,8 +384,12 @@
 }
 
 // noteAbsent ends the runs that the upstream neither runs nor lists as ended,
-// where that proves that they are over.
+// where that proves that they are over. A report of which rows could not be read
+// proves nothing.
 func (b *Board) noteAbsent(u *upstream, report Report) {
+	if report.Partial {
+		return
+	}
 	present := make(map[RunID]bool, len(report.Running))
 	for _, row := range report.Running {
 		present[row.Run] = true
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -102,6 +102,9 @@
 
 // isCurrent reports whether the task still stands on this run.
 func (r *run) isCurrent() bool {
+	if r.step.orphan {
+		return false
+	}
 	t := r.task()
 	return t.Phase == castate.TaskAssigned && t.Run == r.id.Number
 }
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -228,7 +228,7 @@
 // openDue opens the occurrences whose time has come.
 func (b *Board) openDue(j *job) {
 	schedule := j.Submission.Schedule
-	for j.Opened < schedule.Count() && schedule.Due(j.Opened) <= b.now.WallMS {
+	for j.Opened < schedule.Count() && schedule.Due(j.Opened) <= b.now.WallMS && len(j.Open) < openMost {
 		b.openSteps(j, j.OpenNext())
 		b.touch(j)
 	}
