--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -84,7 +84,7 @@
 // New returns a gate that knows no leader yet.
 func New(deps Deps) *Gate {
 	g := &Gate{
-		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer), divided: make(chan struct{}),
+		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), divided: make(chan struct{}),
 		peers: make(map[cawork.VMID]*peerState), feedLost: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -35,6 +35,8 @@
 	power func(name string) float64
 	// relayFrom is the number of upstreams from which leaders use agents.
 	relayFrom int
+	// advisor answers all questions.
+	advisor caleader.Advisor
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -74,7 +76,7 @@
 
 func newWorld(t *testing.T, entries, relayFrom int) *world {
 	w := &world{
-		t: t, relayFrom: relayFrom, power: func(string) float64 { return fullPower }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		t: t, relayFrom: relayFrom, advisor: standin.Advisor{Takes: 5 * time.Millisecond}, power: func(string) float64 { return fullPower }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
@@ -105,7 +107,7 @@
 		Wall: func() int64 { return timer.Now().UnixMilli() }, Peers: client,
 		Store:      func(shard int) caleader.Log { return w.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
 		MostShards: 8, Upstreams: w.fleet.Caller(name), Registry: w.fleet, RelayFrom: w.relayFrom,
-		Advisor: standin.Advisor{Takes: 5 * time.Millisecond}, Feed: fixedFeed{testPolicy()}, Nonce: int64(w.lives),
+		Advisor: w.advisor, Feed: fixedFeed{testPolicy()}, Nonce: int64(w.lives),
 	})
 	server := capeer.NewServer()
 	e.gate.Register(server)
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/caguard"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -157,7 +158,9 @@
 	var g run.Group
 	for _, part := range []func(context.Context) error{l.commitLoop, l.planLoop, l.listLoop} {
 		partCtx, cancel := context.WithCancel(ctx)
-		g.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+		g.Add(func() error {
+			return caguard.Do(l.Log, "leader", func() error { return part(partCtx) })
+		}, func(error) { cancel() })
 	}
 	err := g.Run()
 	stop(err)
@@ -246,6 +249,20 @@
 	return wait
 }
 
+// order carries out f beside the parts of the leader. When it panics, what it
+// told the board may be half of a change, and the leader gives the cell up.
+func (l *Leader) order(f func()) {
+	l.orders.Go(func() {
+		err := caguard.Do(l.Log, "order of a leader", func() error {
+			f()
+			return nil
+		})
+		if err != nil {
+			l.stop(err)
+		}
+	})
+}
+
 func (l *Leader) kick() {
 	select {
 	case l.wake <- struct{}{}:
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
 const (
@@ -75,8 +76,19 @@
 }
 
 func (l *Leader) plan(ctx context.Context, lapse bool) {
-	slots := askSlots(len(l.Advisers.Names()))
+	orders := l.decide(askSlots(len(l.Advisers.Names())), lapse)
+	for _, order := range orders.Stops {
+		l.order(func() { l.stopRun(ctx, order) })
+	}
+	for _, ask := range orders.Asks {
+		l.order(func() { l.advise(ctx, ask) })
+	}
+}
+
+// decide makes a plan, after a look for what is over if that is due.
+func (l *Leader) decide(slots caboard.AskSlots, lapse bool) caboard.Orders {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.board.SetNow(l.moment())
 	l.board.SetAskSlots(slots)
 	if lapse {
@@ -86,20 +98,13 @@
 			l.withdrawWaiting()
 		}
 	}
-	orders := l.board.Plan()
-	l.mu.Unlock()
-	for _, order := range orders.Stops {
-		l.orders.Go(func() { l.stopRun(ctx, order) })
-	}
-	for _, ask := range orders.Asks {
-		l.orders.Go(func() { l.advise(ctx, ask) })
-	}
+	return l.board.Plan()
 }
 
 func (l *Leader) dispatchStarts(ctx context.Context, orders []caboard.StartOrder) {
 	l.startTimes.expect(len(orders))
 	for _, order := range orders {
-		l.orders.Go(func() { l.startRun(ctx, order) })
+		l.order(func() { l.startRun(ctx, order) })
 	}
 }
 
@@ -132,7 +137,7 @@
 	}
 	l.board.SetNow(l.moment())
 	if l.board.Stopped(order, err == nil) {
-		l.orders.Go(func() { l.look(ctx, order.Upstream) })
+		l.order(func() { l.look(ctx, order.Upstream) })
 	}
 	l.kick()
 }
@@ -170,15 +175,20 @@
 			continue
 		}
 		lost = false
-		l.mu.Lock()
-		l.board.SetNow(l.moment())
-		l.settleLayout(len(list))
-		l.board.SetUpstreams(l.ownUpstreams(list))
-		l.watchUpstreams(ctx)
-		l.mu.Unlock()
+		l.takeList(ctx, list)
 	}
 }
 
+// takeList takes up the list of upstreams.
+func (l *Leader) takeList(ctx context.Context, list []caspec.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetNow(l.moment())
+	l.settleLayout(len(list))
+	l.board.SetUpstreams(l.ownUpstreams(list))
+	l.watchUpstreams(ctx)
+}
+
 // watchUpstreams begins to renew the leases of upstreams that are new. The
 // lock is held.
 func (l *Leader) watchUpstreams(ctx context.Context) {
@@ -187,7 +197,7 @@
 			continue
 		}
 		l.watched[id] = true
-		l.orders.Go(func() { l.renewLoop(ctx, id) })
+		l.order(func() { l.renewLoop(ctx, id) })
 	}
 }
 
--- a/internal/cell/carelay/agent.go
+++ b/internal/cell/carelay/agent.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/caguard"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
@@ -33,6 +36,7 @@
 type Agent struct {
 	upstreams Upstreams
 	timer     *catimer.Service
+	log       zerolog.Logger
 	done      chan struct{}
 
 	mu      sync.Mutex
@@ -56,8 +60,8 @@
 }
 
 // NewAgent returns an agent that makes its calls through upstreams.
-func NewAgent(upstreams Upstreams, timer *catimer.Service) *Agent {
-	return &Agent{upstreams: upstreams, timer: timer, done: make(chan struct{}), boxes: make(map[session]*box)}
+func NewAgent(upstreams Upstreams, timer *catimer.Service, log zerolog.Logger) *Agent {
+	return &Agent{upstreams: upstreams, timer: timer, log: log, done: make(chan struct{}), boxes: make(map[session]*box)}
 }
 
 // Register makes the server answer the calls of leaders.
@@ -106,7 +110,7 @@
 		return empty{}, err
 	}
 	for _, o := range r.Orders {
-		go a.carryOut(b, r.Session.Token, o)
+		go caguard.Run(a.log, "order at an agent", func() { a.carryOut(b, r.Session.Token, o) })
 	}
 	return empty{}, nil
 }
--- a/internal/cell/carelay/relay_test.go
+++ b/internal/cell/carelay/relay_test.go
@@ -96,7 +96,7 @@
 			c.through[name] = &caller{name: name, takes: 3 * time.Millisecond, calls: make(map[string]int)}
 			agentCtx, stop := context.WithCancel(ctx)
 			c.stops[name] = stop
-			agent, server := NewAgent(c.through[name], timer), capeer.NewServer()
+			agent, server := NewAgent(c.through[name], timer, zerolog.Nop()), capeer.NewServer()
 			agent.Register(server)
 			lis := c.network.Listen(name)
 			parts.Go(func() { _ = agent.Run(agentCtx) })
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -12,12 +12,14 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 
+	"celeryarch.example/celeryarch/internal/base/caguard"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/caversion"
 )
@@ -43,6 +45,8 @@
 
 // Server answers the calls of peers.
 type Server struct {
+	// Log takes the panics of calls. The zero value drops them.
+	Log     zerolog.Logger
 	methods map[string]method
 	types   []CallType
 	self    *introduction
@@ -86,7 +90,15 @@
 	if !ok {
 		return withCode(cakind.New(cakind.KindNotFound, "no such call %q", rpc))
 	}
-	return m(stream)
+	return withPanic(caguard.Do(s.Log, rpc, func() error { return m(stream) }))
+}
+
+// withPanic gives an error that has no code yet the one of its kind.
+func withPanic(err error) error {
+	if err == nil || drpcerr.Code(err) >= codeOffset || cakind.Of(err) != cakind.KindUnknown {
+		return err
+	}
+	return withCode(err)
 }
 
 // Serve answers calls on the listener until the context ends. A TLS
--- a/internal/node/capeer/peer_test.go
+++ b/internal/node/capeer/peer_test.go
@@ -33,6 +33,9 @@
 	capeer.Handle(server, "refuse", func(context.Context, message) (message, error) {
 		return message{}, cakind.New(cakind.KindFenced, "an old epoch")
 	})
+	capeer.Handle(server, "panic", func(_ context.Context, m message) (message, error) {
+		return message{Text: m.Text[len(m.Text):][:1]}, nil
+	})
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("Listen: %v", err)
@@ -176,3 +179,15 @@
 		}
 	}
 }
+
+func TestPanicOfACallEndsThatCallOnly(t *testing.T) {
+	address := serve(t, nil)
+	_, err := call(t, nil, address, "panic", message{Text: "hello"})
+	if diff := cmp.Diff(cakind.KindUnknown, cakind.Of(err)); diff != "" {
+		t.Errorf("kind of %v (-want +got):\n%s", err, diff)
+	}
+	got, err := call(t, nil, address, "echo", message{Text: "still here"})
+	if err != nil || got.Text != "still here" {
+		t.Errorf("call after the panic: %q, %v", got.Text, err)
+	}
+}
