A part of the pool is left to wide gangs; nothing is assigned while the store is away

Small work fills each gap, so that hardly any upstream has room for 4.5 cores. When the store came back after 6 s, 1,115 of 1,500 starts were refused since their tickets had run out, and LOST came from gangs that had enough approved upstreams, all busy, and never asked for more. While the store is away nothing is assigned; a run whose ticket ran out is not sent. A gang that waits asks about more upstreams.

--- a/internal/base/cawork/resources.go
+++ b/internal/base/cawork/resources.go
@@ -82,6 +82,11 @@
 	return max(share, fraction(r.Accelerators, total.Accelerators))
 }
 
+// Most returns the larger amount of each dimension.
+func (r Resources) Most(other Resources) Resources {
+	return Resources{CPU: max(r.CPU, other.CPU), Memory: max(r.Memory, other.Memory), Accelerators: max(r.Accelerators, other.Accelerators)}
+}
+
 // String returns the amount in cores, MiB and accelerators.
 func (r Resources) String() string {
 	return fmt.Sprintf("%.3f cores, %d MiB, %d accelerators",
--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -35,6 +35,8 @@
 	askedAt time.Time
 	// idleAt is when nobody was found last to ask about.
 	idleAt time.Time
+	// widenedAt is when upstreams were asked about last that had not been before.
+	widenedAt time.Time
 }
 
 type ticket struct {
@@ -131,6 +133,9 @@
 	ids := b.renewals(s, q)
 	if len(ids) == 0 {
 		ids = b.candidates(s, q)
+		if len(ids) > 0 {
+			a.widenedAt = now
+		}
 	}
 	if len(ids) == 0 {
 		a.idleAt = now
@@ -180,7 +185,7 @@
 	if validRoom >= needed || room < needed {
 		return nil
 	}
-	return b.roomiest(expired, askedMost)
+	return b.roomiest(s, expired, askedMost)
 }
 
 // holdRenewals returns the upstreams held for a gang whose tickets run out, so
@@ -212,7 +217,7 @@
 func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
 	first := len(s.approval.asked) == 0
-	if p == nil || !first && (!s.spec.Size().Fits(p.most) || b.hasEnoughApproved(s)) {
+	if p == nil || !first && (!s.spec.Size().Fits(p.most) || b.hasEnoughApproved(s) && !s.approval.isWidenedLongAgo(b.now.Steady)) {
 		return nil
 	}
 	var open []*upstream
@@ -228,9 +233,13 @@
 		}
 		open = append(open, u)
 	}
-	return b.roomiest(open, max(askCount(s, b.statsOf(q.Name).approvedShare), cheapCount(*q.Approval)))
+	return b.roomiest(s, open, max(askCount(s, b.statsOf(q.Name).approvedShare), cheapCount(*q.Approval)))
 }
 
+// isWidenedLongAgo reports whether a step has waited so long that more upstreams
+// should be asked about: those that were approved may be busy or held for others.
+func (a *approvals) isWidenedLongAgo(now time.Time) bool { return now.Sub(a.widenedAt) > widenAfter }
+
 // hasEnoughApproved reports whether the approved upstreams of a gang hold it
 // several times over when they are empty.
 func (b *Board) hasEnoughApproved(s *step) bool {
@@ -267,11 +276,12 @@
 // typicalFree is the room that an upstream of a busy cell is taken to have.
 var typicalFree = cawork.Resources{CPU: cawork.Cores(5), Memory: 12 * cawork.GiB, Accelerators: 1}
 
-// roomiest returns the upstreams with the most free processors, at most n.
-func (b *Board) roomiest(list []*upstream, n int) []cawork.UpstreamID {
+// roomiest returns the upstreams with the most free processors, at most n, those
+// of the gang area first for wide gangs and last for all others.
+func (b *Board) roomiest(s *step, list []*upstream, n int) []cawork.UpstreamID {
 	ranked := make([]rankedUpstream, len(list))
 	for i, u := range list {
-		ranked[i] = rankedUpstream{up: u, held: u.reservedBy != nil, free: u.free().CPU, lot: b.random.Uint32()}
+		ranked[i] = rankedUpstream{up: u, held: u.reservedBy != nil, astray: u.inArea != s.wide, free: u.free().CPU, lot: b.random.Uint32()}
 	}
 	slices.SortFunc(ranked, rankedUpstream.compare)
 	ids := make([]cawork.UpstreamID, 0, n)
@@ -285,7 +295,9 @@
 type rankedUpstream struct {
 	up   *upstream
 	held bool
-	free cawork.MilliCPU
+	// astray is set where the step should not go as long as there is room elsewhere.
+	astray bool
+	free   cawork.MilliCPU
 	// lot decides between equal ones, so that not all steps ask about the same.
 	lot uint32
 }
@@ -295,6 +307,9 @@
 	if r.held != other.held {
 		return compareBool(r.held, other.held)
 	}
+	if r.astray != other.astray {
+		return compareBool(r.astray, other.astray)
+	}
 	if r.free != other.free {
 		return cmp.Compare(other.free, r.free)
 	}
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -39,6 +39,7 @@
 	upstreams map[cawork.UpstreamID]*upstream
 	teams     map[cawork.TeamName]*teamUse
 	queues    map[caspec.QueueName]*queueStats
+	areas     map[caspec.PoolName]*area
 	// steps are the open steps that have waiting tasks or wait for others.
 	steps []*step
 	// pools are what accepts work in the plan being made.
@@ -60,6 +61,8 @@
 	askSlots   AskSlots
 	// broken counts the invariants that did not hold.
 	broken int
+	// storeAway is set while nothing can be stored.
+	storeAway bool
 	// explainedAt is when waiting steps were last explained.
 	explainedAt time.Time
 }
@@ -104,6 +107,12 @@
 	hold      *hold
 	holdTried time.Time
 	approval  approvals
+	// wide is set for gangs of queues whose gangs do not fit on one upstream.
+	wide bool
+	// tight is set when the job has little time beyond its run time, and slack is
+	// that time.
+	tight bool
+	slack time.Duration
 	// orphan steps stand in for those of runs that nobody asked for, and have no
 	// state.
 	orphan bool
@@ -117,6 +126,9 @@
 	durationRatio float64
 	// started measures the work that is started.
 	started startRate
+	// gangCPU and gangMemory are the mean size of whole gangs, in thousandths of a
+	// core and bytes.
+	gangCPU, gangMemory float64
 }
 
 // New returns an empty board. Leases that an earlier leader granted may last
@@ -128,6 +140,7 @@
 		upstreams:      make(map[cawork.UpstreamID]*upstream),
 		teams:          make(map[cawork.TeamName]*teamUse),
 		queues:         make(map[caspec.QueueName]*queueStats),
+		areas:          make(map[caspec.PoolName]*area),
 		changed:        make(map[cawork.JobID]*job),
 		seen:           make(map[*upstream]endSeen),
 		stopping:       make(map[*run]struct{}),
@@ -138,6 +151,10 @@
 // SetNow moves the clocks of the board.
 func (b *Board) SetNow(now Moment) { b.now = now }
 
+// SetStoreAway tells whether nothing can be stored now. Then Plan assigns nothing:
+// tickets would run out before their starts may leave.
+func (b *Board) SetStoreAway(away bool) { b.storeAway = away }
+
 // SetPolicy puts a version of the policy in force. Older versions are ignored.
 func (b *Board) SetPolicy(p caspec.Policy) {
 	if !b.policy.IsZero() && p.Version <= b.policy.Version {
@@ -204,6 +221,7 @@
 			u.storedEnd = max(u.storedEnd, end.number)
 		}
 	}
+	b.dropOutdated(batch.starts)
 	var orders []StartOrder
 	for _, r := range batch.starts {
 		if order, ok := b.startOrder(r); ok {
@@ -213,6 +231,19 @@
 	return orders
 }
 
+// dropOutdated gives up the runs whose tickets ran out while their assignments
+// were stored, and the rest of their gangs.
+func (b *Board) dropOutdated(starts []*run) {
+	for _, r := range starts {
+		if r.ticketEnds.IsZero() || r.up.runs[r.id] != r || b.now.Steady.Before(r.ticketEnds) {
+			continue
+		}
+		r.step.approval.expire(r.up.info.ID)
+		b.breakGang(r)
+		b.gone(r)
+	}
+}
+
 // startOrder returns the order for a run whose assignment is stored, unless it
 // is to be stopped meanwhile; then the run is over before it began.
 func (b *Board) startOrder(r *run) (StartOrder, bool) {
@@ -294,10 +325,15 @@
 // stand on.
 func (b *Board) openSteps(j *job, o *castate.Occurrence) {
 	left := chainsFrom(j.Submission.Steps, 0)
+	q, _ := b.queueOf(j)
+	slack := slackOf(q, j.Submission.Steps)
 	for i := range o.Steps {
 		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Steady}
 		s.ready = j.IsReady(o, i)
 		s.left = left[i]
+		s.slack = slack
+		s.tight = isTight(slack, s.spec)
+		b.statsOf(j.Submission.Queue).noteWidth(s.spec)
 		s.approval = newApprovals()
 		j.steps = append(j.steps, s)
 		for index := range o.Steps[i].Tasks {
@@ -341,6 +377,7 @@
 			Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: index, Number: t.Run,
 		},
 		step: s, up: u, team: s.job.Submission.Team, size: s.spec.Size(), at: b.now.Steady,
+		wide: s.wide,
 	}
 }
 
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -51,6 +51,8 @@
 	// approvedEnough is how many times the places that a gang needs its approved
 	// upstreams have when empty, so that no more are asked about.
 	approvedEnough = 3
+	// widenAfter is the wait before more upstreams are asked about all the same.
+	widenAfter = 2 * time.Second
 	// askedSpare is how many more upstreams are wanted than a step needs.
 	askedSpare = 1.5
 	// askAgain is the wait before more upstreams are asked about for a step, or
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -16,6 +16,15 @@
 	b.pruneSteps()
 	b.orderSteps()
 	b.pools = b.openPools()
+	b.layAreas()
+	if !b.storeAway {
+		b.placeSteps()
+	}
+	return Orders{Stops: b.stops(), Asks: b.asks()}
+}
+
+// placeSteps assigns what has room, in the order of the steps.
+func (b *Board) placeSteps() {
 	for _, s := range b.steps {
 		if s.waiting == 0 || !s.ready {
 			continue
@@ -38,7 +47,6 @@
 		}
 		b.holdRoom(s, q, p)
 	}
-	return Orders{Stops: b.stops(), Asks: b.asks()}
 }
 
 // openPool is what accepts new work of a pool during one plan.
@@ -51,6 +59,14 @@
 	// capacity is that of all, and held the part that is kept for gangs.
 	capacity cawork.MilliCPU
 	held     float64
+	// largest bounds the capacity of each upstream, dimension by dimension.
+	largest cawork.Resources
+	// asked is what runs and waits, in thousandths of a core, and askedWide the part
+	// of wide gangs, of which so many tasks wait.
+	asked, askedWide float64
+	waitingWide      int
+	// spill is how many places of the gang area other work may take.
+	spill int
 	// contended is set when a gang in time finds too much room held already.
 	contended bool
 }
@@ -72,6 +88,9 @@
 		}
 		p.upstreams = append(p.upstreams, u)
 		p.capacity += u.info.Capacity.CPU
+		p.asked += float64(u.used.CPU)
+		p.askedWide += float64(u.usedWide)
+		p.largest = p.largest.Most(u.info.Capacity)
 		if u.reservedBy != nil {
 			p.held += float64(u.info.Capacity.CPU)
 		}
@@ -88,9 +107,7 @@
 	for _, u := range p.upstreams {
 		free := u.free().Floor()
 		p.free = p.free.Plus(free)
-		p.most.CPU = max(p.most.CPU, free.CPU)
-		p.most.Memory = max(p.most.Memory, free.Memory)
-		p.most.Accelerators = max(p.most.Accelerators, free.Accelerators)
+		p.most = p.most.Most(free)
 	}
 }
 
@@ -192,7 +209,6 @@
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
 	}
-	tight := isTight(q, s)
 	var best *upstream
 	var bestPass string
 	var bestRank float64
@@ -200,7 +216,7 @@
 		if !size.Fits(u.free()) {
 			continue
 		}
-		rank := unfitness(u, tight)
+		rank := unfitness(u, s.tight)
 		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
 			continue
 		}
@@ -229,7 +245,7 @@
 // mayRun reports whether an upstream may run one more task of the step, with
 // the ticket that permits it.
 func (b *Board) mayRun(s *step, q caspec.Queue, u *upstream) (string, bool) {
-	if !u.open || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || !b.mayBackfill(s, u) {
+	if !u.open || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || !b.mayBackfill(s, u) || !b.mayUseArea(s, q, u) {
 		return "", false
 	}
 	if s.spec.MaxPerUpstream > 0 && u.count(s) >= s.spec.MaxPerUpstream || !b.rackSuits(s, u) {
@@ -271,9 +287,11 @@
 	s.waiting--
 	r := b.newRun(s, index, u)
 	r.ticket = pass
+	r.ticketEnds = s.approval.tickets[u.info.ID].expires
 	b.statsOf(s.job.Submission.Queue).started.add(b.now.Steady, work(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	b.charge(r)
+	b.noteAreaUse(s, u)
 	b.checkAssigned(r)
 	if !s.job.Began {
 		s.job.Began = true
@@ -309,6 +327,9 @@
 		return false
 	}
 	defer p.measure()
+	if s.wide {
+		b.areaOf(q.Pool).noteGang(s.spec)
+	}
 	number := nextRun(s.state())
 	checkpoint := newestCheckpoint(s.state())
 	for i, at := range spots {
@@ -370,7 +391,7 @@
 		}
 	}
 	slices.SortFunc(usable, func(x, y usableUpstream) int {
-		return cmp.Or(compareBool(y.up.reservedBy == s, x.up.reservedBy == s), cmp.Compare(x.up.free().CPU, y.up.free().CPU), cmp.Compare(x.up.info.ID, y.up.info.ID))
+		return cmp.Or(compareBool(y.up.reservedBy == s, x.up.reservedBy == s), compareBool(x.up.inArea != s.wide, y.up.inArea != s.wide), cmp.Compare(x.up.free().CPU, y.up.free().CPU), cmp.Compare(x.up.info.ID, y.up.info.ID))
 	})
 	return usable
 }
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -70,6 +70,8 @@
 	up   *upstream
 	team cawork.TeamName
 	size cawork.Resources
+	// wide is set for members of wide gangs.
+	wide bool
 	// at is when it was assigned.
 	at time.Time
 	// sent is set once the start call was sent, by this or an earlier leader.
@@ -94,8 +96,10 @@
 	stopTried time.Time
 	// stopAcked is when the upstream acknowledged the stop.
 	stopAcked time.Time
-	// ticket permits the start.
-	ticket string
+	// ticket permits the start until ticketEnds, which is zero where none is
+	// needed.
+	ticket     string
+	ticketEnds time.Time
 }
 
 func (r *run) task() *castate.Task { return &r.step.state().Tasks[r.id.Index] }
--- a/internal/cell/caboard/speed.go
+++ b/internal/cell/caboard/speed.go
@@ -45,10 +45,10 @@
 	return time.Duration(float64(s.spec.Estimate) * stats.durationRatio * u.slowness)
 }
 
-// isTight reports whether a job has little time beyond its run time.
-func isTight(q caspec.Queue, s *step) bool {
-	slack := slackOf(q, s.job.Submission.Steps)
-	return slack < time.Duration(tightSlack*float64(s.spec.Estimate))
+// isTight reports whether a job with the slack has little time beyond the run time
+// of the step. Work that lasts has all the time.
+func isTight(slack time.Duration, s caspec.Step) bool {
+	return !s.LongRunning && slack < time.Duration(tightSlack*float64(s.Estimate))
 }
 
 // unfitness ranks an upstream for one more task; the lowest goes first. Tight
@@ -60,11 +60,17 @@
 		left = float64(u.free().CPU) / float64(u.info.Capacity.CPU)
 	}
 	if tight {
-		held := 0.0
+		kept := 0.0
 		if u.reservedBy != nil {
-			held = leftWeight
+			kept += leftWeight
 		}
-		return u.slowness + leftWeight*left + held
+		if u.inArea {
+			kept += areaWeight
+		}
+		return u.slowness + leftWeight*left + kept
+	}
+	if u.inArea {
+		left++
 	}
 	return left - slowWeight*u.slowness
 }
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -13,7 +13,9 @@
 	// listed is set while the platform lists it.
 	listed bool
 	used   cawork.Resources
-	runs   map[RunID]*run
+	// usedWide is the part of it that wide gangs use.
+	usedWide cawork.MilliCPU
+	runs     map[RunID]*run
 	// late are starts that were given up without an answer.
 	late []*run
 
@@ -37,6 +39,10 @@
 	sick health
 	// open is set while the upstream accepts work in the plan being made.
 	open bool
+	// rank decides when it joins the gang area, and inArea is set while it is left
+	// to wide gangs.
+	rank   float64
+	inArea bool
 	// reservedBy keeps the room for a step that waits for all of it.
 	reservedBy *step
 	// slowness is the mean run time of tasks here against that elsewhere.
@@ -44,18 +50,24 @@
 }
 
 func newUpstream(info caspec.Upstream) *upstream {
-	return &upstream{info: info, runs: make(map[RunID]*run), slowness: 1}
+	return &upstream{info: info, runs: make(map[RunID]*run), slowness: 1, rank: rankOf(info.ID)}
 }
 
 func (u *upstream) free() cawork.Resources { return u.info.Capacity.Minus(u.used) }
 
 func (u *upstream) charge(r *run) {
 	u.used = u.used.Plus(r.size)
+	if r.wide {
+		u.usedWide += r.size.CPU
+	}
 	u.runs[r.id] = r
 }
 
 func (u *upstream) discharge(r *run) {
 	u.used = u.used.Minus(r.size)
+	if r.wide {
+		u.usedWide -= r.size.CPU
+	}
 	delete(u.runs, r.id)
 }
 
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -91,6 +91,7 @@
 	defer l.mu.Unlock()
 	l.board.SetNow(l.moment())
 	l.board.SetAskSlots(slots)
+	l.board.SetStoreAway(l.isAway())
 	if lapse {
 		l.board.Lapse()
 		l.board.Expire()
