--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -217,7 +217,7 @@
 func (b *Board) candidates(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
 	first := len(s.approval.asked) == 0
-	if p == nil || !first && (!s.spec.Size().Fits(p.most) || b.hasEnoughApproved(s) && !s.approval.isWidenedLongAgo(b.now.Steady)) {
+	if p == nil || !first && (!s.spec.Size().Fits(p.most) || b.hasEnoughApproved(s) && !s.approval.isWidenedLongAgo(b.now.Steady, *q.Approval)) {
 		return nil
 	}
 	var open []*upstream
@@ -238,7 +238,9 @@
 
 // isWidenedLongAgo reports whether a step has waited so long that more upstreams
 // should be asked about: those that were approved may be busy or held for others.
-func (a *approvals) isWidenedLongAgo(now time.Time) bool { return now.Sub(a.widenedAt) > widenAfter }
+func (a *approvals) isWidenedLongAgo(now time.Time, q caspec.Approval) bool {
+	return now.Sub(a.widenedAt) > min(widenAfter, askAgainCosts*q.Decision)
+}
 
 // hasEnoughApproved reports whether the approved upstreams of a gang hold it
 // several times over when they are empty.
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -51,7 +51,8 @@
 	// approvedEnough is how many times the places that a gang needs its approved
 	// upstreams have when empty, so that no more are asked about.
 	approvedEnough = 3
-	// widenAfter is the wait before more upstreams are asked about all the same.
+	// widenAfter is the wait before more upstreams are asked about all the same, or
+	// askAgainCosts times the fixed time of a decision if that is shorter.
 	widenAfter = 2 * time.Second
 	// askedSpare is how many more upstreams are wanted than a step needs.
 	askedSpare = 1.5
--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -182,7 +182,7 @@
 	if u.reservedBy == nil || u.reservedBy == s {
 		return true
 	}
-	if s.spec.Gang || s.spec.LongRunning {
+	if s.wide || s.spec.LongRunning {
 		return false
 	}
 	ends := b.now.Steady.Add(time.Duration(backfillMargin * float64(b.expectedTime(s, u))))
