Jobs are late by their whole estimate; long questions are known by their cost

Cause: under overload gangs were started when they could just be in time if they took three quarters of their estimate, so that most were late; questions about palettes (260 ms) took all entries, and urgent ones waited 160 ms. Change: surelyLeft 1.0; a question is long by the time of the largest one.

--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -126,7 +126,7 @@
 	if now.Sub(a.idleAt) < askIdle {
 		return Ask{}, false
 	}
-	long := q.Approval.Decision >= longQuestion
+	long := q.Approval.Cost(askedMost) >= longQuestion
 	if long && b.askingLong >= b.askSlots.Long {
 		return Ask{}, false
 	}
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -70,15 +70,16 @@
 	approvedShareAtFirst = 0.5
 	// approvedShareWeight is the weight of one answer in the running mean.
 	approvedShareWeight = 0.1
-	// longQuestion is the decision time from which a question is a long one.
+	// longQuestion is the time from which the largest question of a queue is a long
+	// one.
 	longQuestion = 200 * time.Millisecond
 
 	// worthlessAfter is the multiple of its objective after which a job is
 	// placed behind all others.
 	worthlessAfter = 3
-	// surelyLeft is the fraction of its estimated run time that a job takes even
-	// where it runs fast.
-	surelyLeft = 0.75
+	// surelyLeft is the fraction of its estimated run time that a job is taken to
+	// need. One that needs more than estimated has more time, too.
+	surelyLeft = 1.0
 	// renewMargin is how long before a gang is expected to start its tickets are
 	// asked for, beyond the time that the advisor takes.
 	renewMargin = 150 * time.Millisecond
--- a/internal/cell/caboard/replay_test.go
+++ b/internal/cell/caboard/replay_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -99,6 +100,8 @@
 	flying  bool
 	jobs    map[cawork.JobID]int
 	weights map[cawork.JobID]float64
+	// sent is when each job was handed in first.
+	sent    map[cawork.JobID]time.Time
 	tallies []tally
 	planned time.Duration
 }
@@ -108,6 +111,8 @@
 	startTakes   = 8 * time.Millisecond
 	endTakes     = 25 * time.Millisecond
 	replayRenews = time.Second
+	// callerTries is how often a caller hands a job in.
+	callerTries = 5
 )
 
 func newReplay(l load) *replay {
@@ -116,7 +121,7 @@
 		load: l, random: rand.New(rand.NewSource(l.seed)), began: now, busy: make([]time.Duration, l.entries),
 		speed: make(map[cawork.UpstreamID]float64), ends: make(map[cawork.UpstreamID]int64), ended: make(map[cawork.UpstreamID][]EndedRow),
 		live: make(map[cawork.UpstreamID]map[RunID]bool), jobs: make(map[cawork.JobID]int),
-		weights: make(map[cawork.JobID]float64), tallies: make([]tally, len(l.kinds)),
+		weights: make(map[cawork.JobID]float64), sent: make(map[cawork.JobID]time.Time), tallies: make([]tally, len(l.kinds)),
 	}
 	r.board = New(zerolog.Nop(), l.seed, r.moment(), now)
 	r.board.SetAskSlots(AskSlots{All: 2 * l.entries, Long: max(int(0.6*float64(l.entries)+0.5), 1)})
@@ -205,12 +210,29 @@
 	r.jobs[id] = i
 	r.weights[id] = min(0.3+0.7*work/mean, 4) * k.worth
 	r.tallies[i].owed += r.weights[id]
-	_, err := r.board.Submit(caspec.Submission{ID: id, Queue: k.queue.Name, Team: "north", Steps: steps})
-	if err != nil || r.load.away.holds(r.at) {
-		r.board.Withdraw(id)
-		r.tallies[i].refused++
-		delete(r.jobs, id)
+	r.sent[id] = r.moment().Steady
+	r.submit(caspec.Submission{ID: id, Queue: k.queue.Name, Team: "north", Steps: steps}, callerTries)
+}
+
+// submit hands a job in, and again when the refusal says so, as long as there are
+// tries left.
+func (r *replay) submit(s caspec.Submission, tries int) {
+	_, err := r.board.Submit(s)
+	if r.load.away.holds(r.at) {
+		r.board.Withdraw(s.ID)
+		q, _ := r.board.policy.Queue(s.Queue)
+		err = cakind.New(cakind.KindUnavailable, "away").WithRetryAfter(RetryWhenAway(q))
+	}
+	if err == nil {
+		return
+	}
+	if tries == 1 {
+		r.tallies[r.jobs[s.ID]].refused++
+		delete(r.jobs, s.ID)
+		return
 	}
+	wait := time.Duration(math.Ceil(max(cakind.RetryAfterOf(err).Seconds(), 1))) * time.Second
+	r.plan(wait, func() { r.submit(s, tries-1) })
 }
 
 // run plays the load and what is left of it, up to the time.
@@ -316,10 +338,10 @@
 		switch {
 		case !ok || j.Phase != castate.PhaseCompleted:
 			t.open++
-		case j.ended.Sub(j.accepted) <= j.objective:
+		case j.ended.Sub(r.sent[id]) <= j.objective:
 			t.inTime++
 			t.earned += r.weights[id]
-		case j.ended.Sub(j.accepted) <= 3*j.objective:
+		case j.ended.Sub(r.sent[id]) <= 3*j.objective:
 			t.late++
 			t.earned += 0.2 * r.weights[id]
 		default:
@@ -374,6 +396,24 @@
 	}
 }
 
+func (l load) withRate(factor float64) load {
+	kinds := append([]kind(nil), l.kinds...)
+	for i := range kinds {
+		kinds[i].rate *= factor
+	}
+	l.kinds = kinds
+	return l
+}
+
+func TestReplayOverload(t *testing.T) {
+	for _, f := range []float64{1.1, 1.3} {
+		l := forecastLoad(540, 97).withRate(f)
+		r := newReplay(l)
+		r.run(l.during + 30*time.Second)
+		r.log(t)
+	}
+}
+
 func TestReplayForecastLoad(t *testing.T) {
 	l := forecastLoad(540, 97)
 	r := newReplay(l)
