Fewer holds beside the gang area; callers come back by their patience

Cause: the replay of a slow store showed 50 gangs that wait with 26 % of the pool free and 30 % held: what is held for one keeps the next one waiting. During an outage patient work used up its tries in 5 s. A store that takes 700 ms an append counted as away half of the time. Change: at most 12 % is held; a job that nobody can accept now is told to come back after a sixth of its objective, 1 to 2 s; an append is late against the last one.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -30,10 +30,9 @@
 	// retryAtLeast is the shortest time after which a refused caller should
 	// come back.
 	retryAtLeast = 300 * time.Millisecond
-	// awayShare is the fraction of the fixed part of its objective that a job
-	// refused in an outage waits until it comes again, from retryAwayLeast to
-	// retryAwayMost.
-	awayShare      = 0.7
+	// awayShare is the fraction of its objective after which a job that was refused
+	// in an outage comes again, from retryAwayLeast to retryAwayMost.
+	awayShare      = 1.0 / 6
 	retryAwayLeast = time.Second
 	retryAwayMost  = 2 * time.Second
 )
@@ -173,9 +172,9 @@
 	return time.Duration((q.Stretch-1)*float64(chain)) + q.Allowance
 }
 
-// RetryWhenAway returns when a caller should come back that nobody can accept a job
-// of now. Callers give up after a few tries, so those of patient work come back
-// more rarely and outlast a longer outage, and still leave most of its time.
-func RetryWhenAway(q caspec.Queue) time.Duration {
-	return min(max(time.Duration(awayShare*float64(q.Allowance)), retryAwayLeast), retryAwayMost)
+// RetryWhenAway returns when a caller should come back whose job nobody can accept
+// now. Callers give up after a few tries, so those of patient work come back more
+// rarely and outlast a longer outage, and most of their time is still left.
+func RetryWhenAway(q caspec.Queue, steps []caspec.Step) time.Duration {
+	return min(max(time.Duration(awayShare*float64(objective(q, steps))), retryAwayLeast), retryAwayMost)
 }
--- a/internal/cell/caboard/explain.go
+++ b/internal/cell/caboard/explain.go
@@ -38,7 +38,9 @@
 
 func (b *Board) explainStep(s *step, q caspec.Queue, position int) {
 	approved, valid, room := 0, 0, 0
+	free, held := 0.0, 0.0
 	if p := b.pools[q.Pool]; p != nil {
+		free, held = float64(p.free.CPU)/float64(p.capacity), p.held/float64(p.capacity)
 		for _, u := range b.usableFor(s, q, p) {
 			approved++
 			if _, ok := b.mayRun(s, q, u); ok {
@@ -52,5 +54,6 @@
 		Dur("since_ready", b.now.Steady.Sub(s.readyAt)).Int("lateness", s.lateness).Int("waiting", s.waiting).
 		Int("runs", s.runs).Int("usable", approved).Int("permitted", valid).Int("room", room).
 		Bool("within_limit", b.withinLimit(s.job.Submission.Team, s.spec.Size())).Bool("asking", s.approval.asking).
-		Bool("held", s.hold != nil).Bool("excess", s.job.Excess).Send()
+		Bool("held", s.hold != nil).Bool("excess", s.job.Excess).Float64("pool_free", free).Float64("pool_held", held).
+		Float64("pool_area", b.areaOf(q.Pool).share).Send()
 }
--- a/internal/cell/caboard/replay_test.go
+++ b/internal/cell/caboard/replay_test.go
@@ -53,10 +53,15 @@
 	bursts map[int]span
 	// away is when the store stores nothing.
 	away span
-	// appends is how long the store takes.
+	// appends is how long the store takes, and slow a span in which it takes
+	// slowAppend.
 	appends time.Duration
+	slow    span
 }
 
+// slowAppend is how long an append takes while the store is slow.
+const slowAppend = 700 * time.Millisecond
+
 // tally counts what became of the jobs of a kind.
 type tally struct {
 	inTime, late, useless, refused, open int
@@ -107,9 +112,9 @@
 }
 
 const (
-	replayStep   = 10 * time.Millisecond
-	startTakes   = 8 * time.Millisecond
-	endTakes     = 25 * time.Millisecond
+	replayStep   = 20 * time.Millisecond
+	startTakes   = 20 * time.Millisecond
+	endTakes     = 50 * time.Millisecond
 	replayRenews = time.Second
 	// callerTries is how often a caller hands a job in.
 	callerTries = 5
@@ -221,7 +226,7 @@
 	if r.load.away.holds(r.at) {
 		r.board.Withdraw(s.ID)
 		q, _ := r.board.policy.Queue(s.Queue)
-		err = cakind.New(cakind.KindUnavailable, "away").WithRetryAfter(RetryWhenAway(q))
+		err = cakind.New(cakind.KindUnavailable, "away").WithRetryAfter(RetryWhenAway(q, s.Steps))
 	}
 	if err == nil {
 		return
@@ -295,7 +300,11 @@
 		panic(err)
 	}
 	r.flying = true
-	r.plan(r.load.appends, func() {
+	takes := r.load.appends
+	if r.load.slow.holds(r.at) {
+		takes = slowAppend
+	}
+	r.plan(takes, func() {
 		r.flying = false
 		for _, o := range r.board.Committed(batch) {
 			r.plan(startTakes, func() { r.start(o) })
@@ -405,6 +414,28 @@
 	return l
 }
 
+func TestReplaySlowStore(t *testing.T) {
+	l := forecastLoad(540, 97).withRate(1.08)
+	l.slow = span{3 * time.Second, 8 * time.Second}
+	l.bursts = map[int]span{2: {3 * time.Second, 7 * time.Second}, 0: {23 * time.Second, 27 * time.Second}}
+	l.during = 40 * time.Second
+	r := newReplay(l)
+	for r.at < 70*time.Second {
+		r.run(r.at + 2*time.Second)
+		p := r.board.pools["pool"]
+		wide := 0
+		for _, s := range r.board.steps {
+			if s.wide && s.ready && s.waiting > 0 {
+				wide++
+			}
+		}
+		t.Logf("%v free %.2f held %.2f area %.2f spill %d gangs waiting %d", r.at, float64(p.free.CPU)/float64(p.capacity), p.held/float64(p.capacity), r.board.areaOf("pool").share, p.spill, wide)
+	}
+	r.tallies = make([]tally, 3)
+	r.run(r.at + time.Second)
+	r.log(t)
+}
+
 func TestReplayOverload(t *testing.T) {
 	for _, f := range []float64{1.1, 1.3} {
 		l := forecastLoad(540, 97).withRate(f)
--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -13,15 +13,14 @@
 	// backfillMargin is by how much longer than expected a task may run that is
 	// placed on room held back for a gang.
 	backfillMargin = 1.25
-	// heldShare is the largest fraction of a pool that is held back for gangs.
-	heldShare = 0.3
+	// heldShare is the largest fraction of a pool that is held back for gangs. What
+	// is held for one keeps the next one waiting.
+	heldShare = 0.12
 	// roomyShare is the fraction of a pool that is free when no room is held.
 	roomyShare = 0.5
 	// heldSpare is how many more places are held than a gang needs, as a fraction,
 	// so that it does not wait for the last one that is late.
 	heldSpare = 0.25
-	// heldOfFree is the same of the room that is free.
-	heldOfFree = 0.9
 	// holdMost is how long the same room is held for one gang.
 	holdMost = 6 * time.Second
 	// holdRetry is the wait before room is looked for again for one gang.
@@ -74,11 +73,8 @@
 	return float64(p.free.CPU) >= roomyShare*float64(p.capacity)
 }
 
-// mostHeld returns how much may be held back for gangs: more of a pool that is
-// not full.
-func (p *openPool) mostHeld() float64 {
-	return max(heldShare*float64(p.capacity), heldOfFree*float64(p.free.CPU))
-}
+// mostHeld returns how much may be held back for gangs.
+func (p *openPool) mostHeld() float64 { return heldShare * float64(p.capacity) }
 
 // refreshHold foresees anew when the gang has its room. It reports whether the
 // upstreams that are held will have it.
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -13,6 +13,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
@@ -269,7 +270,7 @@
 	if err != nil {
 		return err
 	}
-	return to.carry(ctx, func(ctx context.Context, l *caleader.Leader, address string) error {
+	err = to.carry(ctx, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Submit(ctx, s)
 		}
@@ -277,6 +278,19 @@
 		_, err := capeer.Call[submitRequest, empty](ctx, g.Peers, address, callSubmit, request)
 		return err
 	})
+	return g.withReturn(s, err)
+}
+
+// withReturn tells a caller whose job nobody can accept now when to come back.
+func (g *Gate) withReturn(s caspec.Submission, err error) error {
+	if kind := cakind.Of(err); err == nil || kind != cakind.KindUnavailable && kind != cakind.KindNotStarted {
+		return err
+	}
+	q, ok := g.Policy().Queue(s.Queue)
+	if !ok {
+		return err
+	}
+	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(caboard.RetryWhenAway(q, s.Steps))
 }
 
 // Phase returns the phase of a job of the team.
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -108,6 +108,7 @@
 	defer l.mu.Unlock()
 	l.board.SetNow(l.moment())
 	l.lastAppend = began
+	l.appendTook = l.Timer.Now().Sub(began)
 	l.flyingSince = time.Time{}
 	l.flying = nil
 	orders := l.board.Committed(batch)
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -33,9 +33,12 @@
 	commitLinger = 4 * time.Millisecond
 	// RenewPeriod is the longest time between two appends of a leader.
 	RenewPeriod = 200 * time.Millisecond
-	// storeAwayAfter is how long an append may take before submissions are
-	// turned away.
+	// storeAwayAfter is how long an append may take before submissions are turned
+	// away, and storeAwayTimes the same as a multiple of what the last one took, at
+	// most storeAwayMost: a slow store serves patient work.
 	storeAwayAfter = 500 * time.Millisecond
+	storeAwayTimes = 2.5
+	storeAwayMost  = 1800 * time.Millisecond
 	// ClaimAge is how long after its last append a leader still grants leases.
 	ClaimAge = 3 * time.Second
 	// freshClaimAge is how long after its last append a leader may answer that
@@ -101,8 +104,10 @@
 	flying map[cawork.JobID]bool
 	// flyingSince is when that append began.
 	flyingSince time.Time
-	// lastAppend is when the last append began that succeeded.
+	// lastAppend is when the last append began that succeeded, and appendTook what
+	// it took.
 	lastAppend time.Time
+	appendTook time.Duration
 	watched    map[cawork.UpstreamID]bool
 	queue      adviserQueue
 	stop       context.CancelCauseFunc
@@ -290,7 +295,12 @@
 
 // isAway reports whether the store does not answer. The lock is held.
 func (l *Leader) isAway() bool {
-	return !l.flyingSince.IsZero() && l.Timer.Now().Sub(l.flyingSince) > storeAwayAfter
+	return !l.flyingSince.IsZero() && l.Timer.Now().Sub(l.flyingSince) > awayAfter(l.appendTook)
+}
+
+// awayAfter returns how long an append may take when the last one took so long.
+func awayAfter(last time.Duration) time.Duration {
+	return min(max(storeAwayAfter, time.Duration(storeAwayTimes*float64(last))), storeAwayMost)
 }
 
 // StoreAge returns how long ago the last append that succeeded began.
