--- a/internal/cell/caboard/replay_test.go
+++ b/internal/cell/caboard/replay_test.go
@@ -108,7 +108,6 @@
 	// sent is when each job was handed in first.
 	sent    map[cawork.JobID]time.Time
 	tallies []tally
-	planned time.Duration
 }
 
 const (
--- a/internal/cell/castate/job_test.go
+++ b/internal/cell/castate/job_test.go
@@ -72,7 +72,7 @@
 		f.Fatal(err)
 	}
 	f.Add(b)
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		j, err := castate.DecodeJob(b)
 		if err != nil {
 			return
