--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -543,3 +543,45 @@
 		w.load(4 * time.Second)
 	})
 }
+
+func TestWeakEntriesOfALargeCellCallMoreRarely(t *testing.T) {
+	tests := []struct {
+		name    string
+		power   float64
+		entries int
+		want    time.Duration
+	}{
+		{"strong in a large cell", fullPower, 97, 250 * time.Millisecond},
+		{"weak in a small cell", fullPower / 2, 8, 250 * time.Millisecond},
+		{"weak in a larger cell", fullPower / 2, 50, 300 * time.Millisecond},
+		{"weak in a large cell", fullPower / 2, 97, 500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		got := helloPeriodOf(&peerState{Peer: Peer{Power: test.power}}, test.entries)
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// TestCallerIsToldToComeBackByItsPatience takes the store away: a job with much time
+// is told to come back later than one without.
+func TestCallerIsToldToComeBackByItsPatience(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.load(time.Second)
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultDown })
+		time.Sleep(3 * time.Second)
+		step := testStep()
+		step.Estimate = 3 * time.Second
+		for _, name := range []string{entryName(0), entryName(1), entryName(2)} {
+			s := caspec.Submission{ID: "00000000000000ff", Queue: "queue", Team: "north", Steps: []caspec.Step{step}}
+			err := w.gates()[name].Submit(context.Background(), s)
+			if diff := cmp.Diff(2*time.Second, cakind.RetryAfterOf(err)); diff != "" {
+				t.Errorf("%s says %v, to come back (-want +got):\n%s", name, err, diff)
+			}
+		}
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		time.Sleep(3 * time.Second)
+		w.load(time.Second)
+	})
+}
--- a/internal/cell/carelay/relay_test.go
+++ b/internal/cell/carelay/relay_test.go
@@ -222,3 +222,33 @@
 		}
 	})
 }
+
+// TestGatheringIsBounded renews the leases of many upstreams at different moments:
+// none waits for company longer than it may, and a start does not wait for renewals.
+func TestGatheringIsBounded(t *testing.T) {
+	inCell(t, func(ctx context.Context, c *cell) {
+		renewed := make(chan time.Duration, 60)
+		for i := range cap(renewed) {
+			go func() {
+				time.Sleep(time.Duration(i) * time.Millisecond / 4)
+				began := time.Now()
+				callCtx, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				if _, err := c.relay.Renew(callCtx, 7, caboard.Lease{Upstream: upstreamName(i)}, 100*time.Millisecond); err != nil {
+					t.Errorf("renewal %d: %v", i, err)
+				}
+				renewed <- time.Since(began)
+			}()
+		}
+		for range cap(renewed) {
+			if took := <-renewed; took > renewGather+collectGather+60*time.Millisecond {
+				t.Errorf("a renewal took %v", took)
+			}
+		}
+		began := time.Now()
+		c.start(ctx, 1)
+		if took := time.Since(began); took > deliverGather+collectGather+20*time.Millisecond {
+			t.Errorf("a start took %v, it should not wait for company", took)
+		}
+	})
+}
