--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -185,6 +185,7 @@
 	if validRoom >= needed || room < needed {
 		return nil
 	}
+	slices.SortFunc(expired, compareUpstreams)
 	return b.roomiest(s, expired, askedMost)
 }
 
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -37,6 +37,9 @@
 
 	jobs      map[cawork.JobID]*job
 	upstreams map[cawork.UpstreamID]*upstream
+	// inOrder holds the same upstreams by their ids, so that the same happenings lead
+	// to the same decisions.
+	inOrder []*upstream
 	teams     map[cawork.TeamName]*teamUse
 	queues    map[caspec.QueueName]*queueStats
 	areas     map[caspec.PoolName]*area
@@ -362,7 +365,7 @@
 	u, ok := b.upstreams[t.Upstream]
 	if !ok {
 		u = newUpstream(caspec.Upstream{ID: t.Upstream, Born: t.Born})
-		b.upstreams[t.Upstream] = u
+		b.addUpstream(u)
 	}
 	u.leaseEnds = b.inheritedUntil
 	r := b.newRun(s, index, u)
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -73,7 +73,7 @@
 
 func (b *Board) openPools() map[caspec.PoolName]*openPool {
 	pools := make(map[caspec.PoolName]*openPool)
-	for _, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		if r := u.reservedBy; r != nil && (r.hold == nil || r.waiting == 0 || r.job.Phase.IsFinal()) {
 			u.reservedBy = nil
 		}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -12,17 +12,13 @@
 
 // SetUpstreams puts a reading of the platform's list in force.
 func (b *Board) SetUpstreams(list []caspec.Upstream) {
-	for _, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		u.listed = false
 	}
 	for _, info := range list {
 		b.list(info)
 	}
-	for id, u := range b.upstreams {
-		if u.isForgotten() {
-			delete(b.upstreams, id)
-		}
-	}
+	b.forgetUpstreams()
 }
 
 // list takes up the description of one upstream. A later incarnation runs
@@ -31,7 +27,7 @@
 	u, ok := b.upstreams[info.ID]
 	if !ok {
 		u = newUpstream(info)
-		b.upstreams[info.ID] = u
+		b.addUpstream(u)
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
 			Stringer("capacity", info.Capacity).Int64("born", info.Born).Send()
 	}
@@ -308,7 +304,7 @@
 // mayEject reports whether one more upstream may be ejected.
 func (b *Board) mayEject() bool {
 	out, listed := 0, 0
-	for _, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		if !u.listed {
 			continue
 		}
@@ -418,15 +414,13 @@
 // Lapse ends what runs at upstreams whose leases are over, and forgets
 // upstreams that are gone.
 func (b *Board) Lapse() {
-	for id, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		if len(u.runs) > 0 && b.now.Steady.After(u.leaseEnds) {
 			b.lapseRuns(u)
 		}
 		b.pruneLate(u)
-		if u.isForgotten() {
-			delete(b.upstreams, id)
-		}
 	}
+	b.forgetUpstreams()
 }
 
 func (b *Board) lapseRuns(u *upstream) {
@@ -516,6 +510,7 @@
 		r.stopCalling = true
 		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Born})
 	}
+	slices.SortFunc(orders, func(x, y StopOrder) int { return x.Run.compare(y.Run) })
 	return orders
 }
 
@@ -552,9 +547,9 @@
 // UpstreamIDs returns the upstreams that are to be looked after.
 func (b *Board) UpstreamIDs() []cawork.UpstreamID {
 	ids := make([]cawork.UpstreamID, 0, len(b.upstreams))
-	for id, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		if u.info.Address != "" {
-			ids = append(ids, id)
+			ids = append(ids, u.info.ID)
 		}
 	}
 	return ids
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"cmp"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -19,6 +20,14 @@
 	Number     int          `cbor:"5,keyasint,omitempty"`
 }
 
+// compare orders runs by their names.
+func (id RunID) compare(other RunID) int {
+	return cmp.Or(
+		cmp.Compare(id.Job, other.Job), cmp.Compare(id.Occurrence, other.Occurrence), cmp.Compare(id.Step, other.Step),
+		cmp.Compare(id.Index, other.Index), cmp.Compare(id.Number, other.Number),
+	)
+}
+
 // Ending tells how a run ended.
 type Ending int
 
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -86,7 +86,7 @@
 // they are empty, up to the number that is enough.
 func (b *Board) placesInPool(pool caspec.PoolName, s caspec.Step, enough int) int {
 	room := 0
-	for _, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		if u.info.Pool != pool || !u.info.HasLabel(s.Label) {
 			continue
 		}
@@ -157,7 +157,7 @@
 	if j.runs == 0 || j.Phase == castate.PhaseCompleted {
 		return
 	}
-	for _, u := range b.upstreams {
+	for _, u := range b.inOrder {
 		for _, r := range u.runs {
 			if r.step.job == j {
 				b.stop(r)
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -1,6 +1,8 @@
 package caboard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -53,6 +55,26 @@
 	return &upstream{info: info, runs: make(map[RunID]*run), slowness: 1, rank: rankOf(info.ID)}
 }
 
+// addUpstream makes the board know an upstream.
+func (b *Board) addUpstream(u *upstream) {
+	b.upstreams[u.info.ID] = u
+	at, _ := slices.BinarySearchFunc(b.inOrder, u, compareUpstreams)
+	b.inOrder = slices.Insert(b.inOrder, at, u)
+}
+
+// forgetUpstreams drops the upstreams that nothing is to be known of any more.
+func (b *Board) forgetUpstreams() {
+	b.inOrder = slices.DeleteFunc(b.inOrder, func(u *upstream) bool {
+		forgotten := u.isForgotten()
+		if forgotten {
+			delete(b.upstreams, u.info.ID)
+		}
+		return forgotten
+	})
+}
+
+func compareUpstreams(x, y *upstream) int { return cmp.Compare(x.info.ID, y.info.ID) }
+
 func (u *upstream) free() cawork.Resources { return u.info.Capacity.Minus(u.used) }
 
 func (u *upstream) charge(r *run) {
