--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -40,9 +40,9 @@
 	// inOrder holds the same upstreams by their ids, so that the same happenings lead
 	// to the same decisions.
 	inOrder []*upstream
-	teams     map[cawork.TeamName]*teamUse
-	queues    map[caspec.QueueName]*queueStats
-	areas     map[caspec.PoolName]*area
+	teams   map[cawork.TeamName]*teamUse
+	queues  map[caspec.QueueName]*queueStats
+	areas   map[caspec.PoolName]*area
 	// steps are the open steps that have waiting tasks or wait for others.
 	steps []*step
 	// pools are what accepts work in the plan being made.
--- a/internal/cell/caboard/reserve.go
+++ b/internal/cell/caboard/reserve.go
@@ -156,7 +156,9 @@
 		}
 		releases = append(releases, release{at: ends, size: r.size})
 	}
-	slices.SortFunc(releases, func(x, y release) int { return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.size.CPU, y.size.CPU), cmp.Compare(x.size.Memory, y.size.Memory)) })
+	slices.SortFunc(releases, func(x, y release) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.size.CPU, y.size.CPU), cmp.Compare(x.size.Memory, y.size.Memory))
+	})
 	free := u.free()
 	var list []vacancy
 	add := func(at time.Time) {
