--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -161,6 +161,7 @@
 // listLoop reads the list of upstreams and looks after each of them.
 func (l *Leader) listLoop(ctx context.Context) error {
 	lost := false
+	var lapsed lapsedList
 	for {
 		if err := l.Timer.Pause(ctx, listPeriod); err != nil {
 			return err
@@ -175,8 +176,9 @@
 			lost = true
 			continue
 		}
+		lapsed.read(l.Timer.Now(), lost)
 		lost = false
-		l.takeList(ctx, list)
+		l.takeList(ctx, lapsed.complete(l.Timer.Now(), list))
 	}
 }
 
