Patient work may use what is too small for wide gangs

Three tasks of 4.5 cores leave 2.5 of 16, which nobody used, since patient work was kept out of the gang area whole. Change: it may go there where it takes no place from a gang.

--- a/internal/cell/caboard/area.go
+++ b/internal/cell/caboard/area.go
@@ -179,10 +179,20 @@
 	return max(n, 0)
 }
 
+// takesPlace reports whether a task of the step takes a place from wide gangs at an
+// upstream that is left to them, rather than room that is too small for them.
+func (b *Board) takesPlace(s *step, u *upstream) bool {
+	if !u.inArea || s.wide {
+		return false
+	}
+	place := b.areaOf(u.info.Pool).place()
+	return placesOf(u.free().Minus(s.spec.Size()), place) < placesOf(u.free(), place)
+}
+
 // mayUseArea reports whether a step may use an upstream that is left to wide
 // gangs. Urgent work may, and so may what has waited for long.
 func (b *Board) mayUseArea(s *step, q caspec.Queue, u *upstream) bool {
-	if !u.inArea || s.wide || s.tight {
+	if s.tight || !b.takesPlace(s, u) {
 		return true
 	}
 	if p := b.pools[q.Pool]; p != nil && p.spill > 0 {
--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -284,7 +284,7 @@
 func (b *Board) roomiest(s *step, list []*upstream, n int) []cawork.UpstreamID {
 	ranked := make([]rankedUpstream, len(list))
 	for i, u := range list {
-		ranked[i] = rankedUpstream{up: u, held: u.reservedBy != nil, astray: u.inArea != s.wide, free: u.free().CPU, lot: b.random.Uint32()}
+		ranked[i] = rankedUpstream{up: u, held: u.reservedBy != nil, astray: b.takesPlace(s, u) || s.wide && !u.inArea, free: u.free().CPU, lot: b.random.Uint32()}
 	}
 	slices.SortFunc(ranked, rankedUpstream.compare)
 	ids := make([]cawork.UpstreamID, 0, n)
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -216,7 +216,7 @@
 		if !size.Fits(u.free()) {
 			continue
 		}
-		rank := unfitness(u, s.tight)
+		rank := unfitness(u, s.tight, b.takesPlace(s, u))
 		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
 			continue
 		}
--- a/internal/cell/caboard/speed.go
+++ b/internal/cell/caboard/speed.go
@@ -54,7 +54,7 @@
 // unfitness ranks an upstream for one more task; the lowest goes first. Tight
 // work goes where it runs fast; patient work fills up upstreams, slow ones
 // first, so that others keep room for large tasks.
-func unfitness(u *upstream, tight bool) float64 {
+func unfitness(u *upstream, tight, takesPlace bool) float64 {
 	left := 0.0
 	if u.info.Capacity.CPU > 0 {
 		left = float64(u.free().CPU) / float64(u.info.Capacity.CPU)
@@ -64,12 +64,12 @@
 		if u.reservedBy != nil {
 			kept += leftWeight
 		}
-		if u.inArea {
+		if takesPlace {
 			kept += areaWeight
 		}
 		return u.slowness + leftWeight*left + kept
 	}
-	if u.inArea {
+	if takesPlace {
 		left++
 	}
 	return left - slowWeight*u.slowness
