Entries follow the next leader at once when an append or a claim shows that there is one

Change: who sees that the log grew, or loses a claim, reads the claim that stands. With it: callers come back after an outage often enough to have three tries while they wait; those of users wait 3 s in all, so that 2 s left them one.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -31,10 +31,11 @@
 	// come back.
 	retryAtLeast = 300 * time.Millisecond
 	// awayShare is the fraction of its objective after which a job that was refused
-	// in an outage comes again, from retryAwayLeast to retryAwayMost.
-	awayShare      = 1.0 / 6
-	retryAwayLeast = time.Second
-	retryAwayMost  = 2 * time.Second
+	// in an outage comes again, from RetryAwayLeast to retryAwayMost.
+	awayShare     = 1.0 / 6
+	retryAwayMost = 2 * time.Second
+	// RetryAwayLeast is the shortest time after which callers come back in an outage.
+	RetryAwayLeast = time.Second
 )
 
 // forecast is what is known about the wait of a job before it is accepted.
@@ -176,5 +177,5 @@
 // now. Callers give up after a few tries, so those of patient work come back more
 // rarely and outlast a longer outage, and most of their time is still left.
 func RetryWhenAway(q caspec.Queue, steps []caspec.Step) time.Duration {
-	return min(max(time.Duration(awayShare*float64(objective(q, steps))), retryAwayLeast), retryAwayMost)
+	return min(max(time.Duration(awayShare*float64(objective(q, steps))), RetryAwayLeast), retryAwayMost)
 }
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -216,25 +216,46 @@
 	if err != nil {
 		return false
 	}
-	g.setLayout(found.Layout)
-	claim := found.Claim
-	if claim.Token > known.Token && claim.VM != g.Self.VM && !claim.Released {
-		g.mu.Lock()
-		l.believe(lead{VM: claim.VM, Address: claim.Address, Token: claim.Token})
-		g.mu.Unlock()
+	if l.adopt(found, known) {
 		return true
 	}
 	if barred {
 		return false
 	}
+	claim := found.Claim
 	free := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || d == doubtProved
 	if !free && !l.isSilent(ctx, found.End, silenceAtLeast+silencePerRead*g.Timer.Now().Sub(began)) {
-		_ = g.Timer.Pause(ctx, electionPause)
-		return false
+		return l.adoptNext(ctx, known)
 	}
 	return l.claim(ctx, found.End, known)
 }
 
+// adopt follows the leader whose claim stands, if that is a later one than the known
+// one. It reports whether there is another leader now.
+func (l *link) adopt(found caleader.Standing, known lead) bool {
+	g := l.gate
+	g.setLayout(found.Layout)
+	claim := found.Claim
+	if claim.Token <= known.Token || claim.VM == g.Self.VM || claim.Released {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.believe(lead{VM: claim.VM, Address: claim.Address, Token: claim.Token})
+	return true
+}
+
+// adoptNext looks who has just appended to the log: the known leader, which is not
+// gone then, or the next one.
+func (l *link) adoptNext(ctx context.Context, known lead) bool {
+	found, err := l.standing(ctx)
+	if err == nil && l.adopt(found, known) {
+		return true
+	}
+	_ = l.gate.Timer.Pause(ctx, electionPause)
+	return false
+}
+
 func (l *link) standing(ctx context.Context) (caleader.Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, standingTimeout)
 	defer cancel()
@@ -286,7 +307,7 @@
 	if err != nil {
 		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", end).
 			Str("leader_before", string(before.VM)).Err(err).Send()
-		return false
+		return l.adoptNext(ctx, before)
 	}
 	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
 		Str("leader_before", string(before.VM)).Int64("token_before", before.Token).Send()
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -22,6 +22,9 @@
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
+// triesWhenAway is how many tries a caller should have while it waits.
+const triesWhenAway = 3
+
 // Feed delivers the policy. Watch calls apply with each version that it reads,
 // and reachable when the source stops or starts to answer.
 type Feed interface {
@@ -278,11 +281,12 @@
 		_, err := capeer.Call[submitRequest, empty](ctx, g.Peers, address, callSubmit, request)
 		return err
 	})
-	return g.withReturn(s, err)
+	return g.withReturn(ctx, s, err)
 }
 
-// withReturn tells a caller whose job nobody can accept now when to come back.
-func (g *Gate) withReturn(s caspec.Submission, err error) error {
+// withReturn tells a caller whose job nobody can accept now when to come back: often
+// enough to have some tries while it waits.
+func (g *Gate) withReturn(ctx context.Context, s caspec.Submission, err error) error {
 	if kind := cakind.Of(err); err == nil || kind != cakind.KindUnavailable && kind != cakind.KindNotStarted {
 		return err
 	}
@@ -290,7 +294,11 @@
 	if !ok {
 		return err
 	}
-	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(caboard.RetryWhenAway(q, s.Steps))
+	after := caboard.RetryWhenAway(q, s.Steps)
+	if deadline, ok := ctx.Deadline(); ok {
+		after = min(after, max(time.Until(deadline)/triesWhenAway, caboard.RetryAwayLeast))
+	}
+	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(after)
 }
 
 // Phase returns the phase of a job of the team.
--- a/internal/cell/cagate/handover_test.go
+++ b/internal/cell/cagate/handover_test.go
@@ -129,3 +129,48 @@
 		}
 	})
 }
+
+// TestAllFollowSoonWhenTheLeaderGoesSilent takes the power of the leader away: it
+// refuses no connection, and nobody is told. All others follow the next one soon.
+func TestAllFollowSoonWhenTheLeaderGoesSilent(t *testing.T) {
+	inWorld(t, 6, func(t *testing.T, w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.store.SetFault(func(caller string) standin.Fault {
+			if caller == old {
+				return standin.FaultSilent
+			}
+			return standin.FaultNone
+		})
+		for name := range w.gates() {
+			if name != old {
+				w.network.Cut(old, name, true)
+			}
+		}
+		lost := time.Now()
+		follow := func() bool {
+			for name, gate := range w.gates() {
+				if name == old {
+					continue
+				}
+				leader, at, _ := gate.links[0].target()
+				if leader == nil && (at.VM == cawork.VMID(old) || at.VM == "") {
+					return false
+				}
+			}
+			return true
+		}
+		for !follow() && time.Since(lost) < 10*time.Second {
+			w.submit()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if took := time.Since(lost); took > 1500*time.Millisecond {
+			t.Errorf("all others followed the next leader after %v, want within 1.5 s", took)
+		}
+		for name := range w.gates() {
+			w.network.Cut(old, name, false)
+		}
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.load(time.Second)
+	})
+}
