An entry that has just started waits for the store before it takes the policy of another

Cause, shown by a test that failed first: 5 ms after a restart an entry took the version of another entry that the store turned away, in which a withdrawn key was still known. Change: for 1.5 s after its start an entry takes its first policy from the store only.

--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -174,7 +174,7 @@
 		return err
 	}
 	if reply.Policy != nil {
-		g.apply(*reply.Policy, "peer "+address)
+		g.applyOf(address, *reply.Policy)
 	}
 	if reply.Layout != nil {
 		g.setLayout(*reply.Layout)
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -22,6 +22,10 @@
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
+// firstReadWait is how long an entry that has just started waits for the store before
+// it takes the policy of another entry, which may be an old one.
+const firstReadWait = 1500 * time.Millisecond
+
 // triesWhenAway is how many tries a caller should have while it waits.
 const triesWhenAway = 3
 
@@ -72,6 +76,8 @@
 	peers    map[cawork.VMID]*peerState
 	feedLost time.Time
 	draining bool
+	// startedAt is when this process began.
+	startedAt time.Time
 }
 
 type peerState struct {
@@ -89,7 +95,7 @@
 func New(deps Deps) *Gate {
 	g := &Gate{
 		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), divided: make(chan struct{}),
-		peers: make(map[cawork.VMID]*peerState), feedLost: deps.Timer.Now(),
+		peers: make(map[cawork.VMID]*peerState), feedLost: deps.Timer.Now(), startedAt: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
 	return g
@@ -182,6 +188,15 @@
 	}
 }
 
+// applyOf takes up the policy of another entry. Right after the start it waits for the
+// store, which has the newest one: the other may still accept keys that were withdrawn.
+func (g *Gate) applyOf(address string, p caspec.Policy) {
+	if g.Policy().IsZero() && g.Timer.Now().Sub(g.startedAt) < firstReadWait {
+		return
+	}
+	g.apply(p, "peer "+address)
+}
+
 // apply puts a version of the policy in force unless it has a newer one.
 func (g *Gate) apply(p caspec.Policy, source string) {
 	p = p.WithIndex()
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -35,6 +35,8 @@
 	power func(name string) float64
 	// relayFrom is the number of upstreams from which leaders use agents.
 	relayFrom int
+	// feed delivers the policy to an entry.
+	feed func(name string) Feed
 	// advisor answers all questions.
 	advisor caleader.Advisor
 
@@ -52,10 +54,14 @@
 	parts  sync.WaitGroup
 }
 
-// fixedFeed delivers one policy.
-type fixedFeed struct{ policy caspec.Policy }
+// fixedFeed delivers one policy, after a time.
+type fixedFeed struct {
+	policy caspec.Policy
+	after  time.Duration
+}
 
 func (f fixedFeed) Watch(ctx context.Context, apply func(caspec.Policy), reachable func(bool)) error {
+	time.Sleep(f.after)
 	apply(f.policy)
 	reachable(true)
 	<-ctx.Done()
@@ -76,7 +82,7 @@
 
 func newWorld(t *testing.T, entries, relayFrom int) *world {
 	w := &world{
-		t: t, relayFrom: relayFrom, advisor: standin.Advisor{Takes: 5 * time.Millisecond}, power: func(string) float64 { return fullPower }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		t: t, relayFrom: relayFrom, advisor: standin.Advisor{Takes: 5 * time.Millisecond}, feed: func(string) Feed { return fixedFeed{policy: testPolicy()} }, power: func(string) float64 { return fullPower }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
@@ -107,7 +113,7 @@
 		Wall: func() int64 { return timer.Now().UnixMilli() }, Peers: client,
 		Store:      func(shard int) caleader.Log { return w.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
 		MostShards: 8, Upstreams: w.fleet.Caller(name), Registry: w.fleet, RelayFrom: w.relayFrom,
-		Advisor: w.advisor, Feed: fixedFeed{testPolicy()}, Nonce: int64(w.lives),
+		Advisor: w.advisor, Feed: w.feed(name), Nonce: int64(w.lives),
 	})
 	server := capeer.NewServer()
 	e.gate.Register(server)
@@ -589,3 +595,41 @@
 		w.load(time.Second)
 	})
 }
+
+// TestWithdrawnKeyStaysWithdrawnAfterARestart starts an entry anew in a cell whose
+// other entries still have the version before: it does not take that one from them, but
+// does so when the store says nothing.
+func TestWithdrawnKeyStaysWithdrawnAfterARestart(t *testing.T) {
+	for name, silent := range map[string]bool{"store answers": false, "store says nothing": true} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 3, func(t *testing.T, w *world) {
+				w.load(time.Second)
+				w.kill(entryName(2))
+				withdrawn := testPolicy()
+				withdrawn.Version = 2
+				after := 200 * time.Millisecond
+				if silent {
+					after = time.Hour
+				}
+				w.feed = func(string) Feed { return fixedFeed{policy: withdrawn.WithIndex(), after: after} }
+				w.start(entryName(2))
+				began := time.Now()
+				for time.Since(began) < time.Second {
+					if version := w.gates()[entryName(2)].Policy().Version; version == 1 {
+						t.Fatalf("version 1 is in force again %v after the restart", time.Since(began))
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				want := int64(2)
+				if silent {
+					want = 1
+				}
+				if diff := cmp.Diff(want, w.gates()[entryName(2)].Policy().Version); diff != "" {
+					t.Errorf("version in force (-want +got):\n%s", diff)
+				}
+				w.load(time.Second)
+			})
+		})
+	}
+}
