--- a/internal/base/cawork/resources.go
+++ b/internal/base/cawork/resources.go
@@ -1,6 +1,9 @@
 package cawork
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // MilliCPU is an amount of processor time in thousandths of a core.
 type MilliCPU int64
@@ -82,6 +85,22 @@
 	return max(share, fraction(r.Accelerators, total.Accelerators))
 }
 
+// Holds returns how many amounts of the size fit into this one, zero where it is
+// negative. A size of nothing fits math.MaxInt32 times.
+func (r Resources) Holds(size Resources) int {
+	n := int64(math.MaxInt32)
+	if size.CPU > 0 {
+		n = min(n, int64(r.CPU/size.CPU))
+	}
+	if size.Memory > 0 {
+		n = min(n, int64(r.Memory/size.Memory))
+	}
+	if size.Accelerators > 0 {
+		n = min(n, r.Accelerators/size.Accelerators)
+	}
+	return int(max(n, 0))
+}
+
 // Most returns the larger amount of each dimension.
 func (r Resources) Most(other Resources) Resources {
 	return Resources{CPU: max(r.CPU, other.CPU), Memory: max(r.Memory, other.Memory), Accelerators: max(r.Accelerators, other.Accelerators)}
--- a/internal/cell/caboard/area.go
+++ b/internal/cell/caboard/area.go
@@ -43,15 +43,14 @@
 	// share is the fraction of the pool that is left to them.
 	share    float64
 	measured time.Time
-	// tasks and size are the mean width of a gang, and the mean size of its tasks.
-	tasks float64
-	cpu   float64
-	mem   float64
+	// tasks is the mean width of a gang, and the others the mean size of its tasks, in
+	// thousandths of a core, bytes and accelerators. They are zero until the first gang.
+	tasks, cpu, memory, accelerators float64
 }
 
 // place returns the size of a task of a typical wide gang.
 func (a *area) place() cawork.Resources {
-	return cawork.Resources{CPU: cawork.MilliCPU(a.cpu), Memory: cawork.Bytes(a.mem)}
+	return cawork.Resources{CPU: cawork.MilliCPU(a.cpu), Memory: cawork.Bytes(a.memory), Accelerators: int64(a.accelerators)}
 }
 
 // noteGang takes the size of a wide gang into the means.
@@ -62,7 +61,8 @@
 	}
 	a.tasks += weight * (float64(s.Tasks) - a.tasks)
 	a.cpu += weight * (float64(s.CPU) - a.cpu)
-	a.mem += weight * (float64(s.Memory) - a.mem)
+	a.memory += weight * (float64(s.Memory) - a.memory)
+	a.accelerators += weight * (float64(s.Accelerators) - a.accelerators)
 }
 
 // follow moves the share towards the part of wide gangs in what is asked for.
@@ -137,14 +137,16 @@
 	}
 }
 
+// layArea decides it for one pool. Before the first gang its tasks have no size, and
+// no place counts as free.
 func (b *Board) layArea(a *area, p *openPool) {
 	a.follow(b.now.Steady, p.askedWide, p.asked, float64(p.capacity))
 	place := a.place()
 	free := 0
 	for _, u := range p.upstreams {
 		u.inArea = u.rank < a.share
-		if u.inArea && u.reservedBy == nil {
-			free += placesOf(u.free(), place)
+		if u.inArea && u.reservedBy == nil && a.tasks > 0 {
+			free += u.free().Holds(place)
 		}
 	}
 	approved := b.approvedOfWide(p)
@@ -164,21 +166,6 @@
 	return max(least, approvedLeast)
 }
 
-// placesOf returns how many tasks of the size fit into the room.
-func placesOf(room, size cawork.Resources) int {
-	n := math.MaxInt32
-	if size.CPU > 0 {
-		n = min(n, int(room.CPU/size.CPU))
-	}
-	if size.Memory > 0 {
-		n = min(n, int(room.Memory/size.Memory))
-	}
-	if n == math.MaxInt32 {
-		return 0
-	}
-	return max(n, 0)
-}
-
 // takesPlace reports whether a task of the step takes a place from wide gangs at an
 // upstream that is left to them, rather than room that is too small for them.
 func (b *Board) takesPlace(s *step, u *upstream) bool {
@@ -186,7 +173,7 @@
 		return false
 	}
 	place := b.areaOf(u.info.Pool).place()
-	return placesOf(u.free().Minus(s.spec.Size()), place) < placesOf(u.free(), place)
+	return u.free().Minus(s.spec.Size()).Holds(place) < u.free().Holds(place)
 }
 
 // mayUseArea reports whether a step may use an upstream that is left to wide
@@ -208,5 +195,5 @@
 		return
 	}
 	place := b.areaOf(u.info.Pool).place()
-	p.spill -= placesOf(u.free().Plus(s.spec.Size()), place) - placesOf(u.free(), place)
+	p.spill -= u.free().Plus(s.spec.Size()).Holds(place) - u.free().Holds(place)
 }
--- a/internal/cell/caboard/area_test.go
+++ b/internal/cell/caboard/area_test.go
@@ -64,7 +64,7 @@
 	free := 0
 	for _, u := range s.board.upstreams {
 		if u.inArea {
-			free += placesOf(u.free(), s.board.areaOf("pool").place())
+			free += u.free().Holds(s.board.areaOf("pool").place())
 		}
 	}
 	if needed := int(s.board.areaOf("pool").tasks); free < needed {
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -234,23 +234,13 @@
 	}
 }
 
-// places returns how many tasks of the step an empty upstream holds.
-func places(capacity cawork.Resources, s caspec.Step) int {
-	n := s.Tasks
+// places returns how many tasks of the step fit into room at one upstream.
+func places(room cawork.Resources, s caspec.Step) int {
+	n := min(s.Tasks, room.Holds(s.Size()))
 	if s.MaxPerUpstream > 0 {
 		n = min(n, s.MaxPerUpstream)
 	}
-	size := s.Size()
-	if size.CPU > 0 {
-		n = min(n, int(capacity.CPU/size.CPU))
-	}
-	if size.Memory > 0 {
-		n = min(n, int(capacity.Memory/size.Memory))
-	}
-	if size.Accelerators > 0 {
-		n = min(n, int(capacity.Accelerators/size.Accelerators))
-	}
-	return max(n, 0)
+	return n
 }
 
 // age returns how long ago the job was accepted.
