--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -254,9 +254,9 @@
 	return wait
 }
 
-// order carries out f beside the parts of the leader. When it panics, what it
+// carryOut calls f beside the parts of the leader. When it panics, what it
 // told the board may be half of a change, and the leader gives the cell up.
-func (l *Leader) order(f func()) {
+func (l *Leader) carryOut(f func()) {
 	l.orders.Go(func() {
 		err := caguard.Do(l.Log, "order of a leader", func() error {
 			f()
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -78,10 +78,10 @@
 func (l *Leader) plan(ctx context.Context, lapse bool) {
 	orders := l.decide(askSlots(len(l.Advisers.Names())), lapse)
 	for _, order := range orders.Stops {
-		l.order(func() { l.stopRun(ctx, order) })
+		l.carryOut(func() { l.stopRun(ctx, order) })
 	}
 	for _, ask := range orders.Asks {
-		l.order(func() { l.advise(ctx, ask) })
+		l.carryOut(func() { l.advise(ctx, ask) })
 	}
 }
 
@@ -105,7 +105,7 @@
 func (l *Leader) dispatchStarts(ctx context.Context, orders []caboard.StartOrder) {
 	l.startTimes.expect(len(orders))
 	for _, order := range orders {
-		l.order(func() { l.startRun(ctx, order) })
+		l.carryOut(func() { l.startRun(ctx, order) })
 	}
 }
 
@@ -138,7 +138,7 @@
 	}
 	l.board.SetNow(l.moment())
 	if l.board.Stopped(order, err == nil) {
-		l.order(func() { l.look(ctx, order.Upstream) })
+		l.carryOut(func() { l.look(ctx, order.Upstream) })
 	}
 	l.kick()
 }
@@ -200,7 +200,7 @@
 			continue
 		}
 		l.watched[id] = true
-		l.order(func() { l.renewLoop(ctx, id) })
+		l.carryOut(func() { l.renewLoop(ctx, id) })
 	}
 }
 
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -90,14 +90,11 @@
 	if !ok {
 		return withCode(cakind.New(cakind.KindNotFound, "no such call %q", rpc))
 	}
-	return withPanic(caguard.Do(s.Log, rpc, func() error { return m(stream) }))
-}
-
-// withPanic gives an error that has no code yet the one of its kind.
-func withPanic(err error) error {
-	if err == nil || drpcerr.Code(err) >= codeOffset || cakind.Of(err) != cakind.KindUnknown {
+	err := caguard.Do(s.Log, rpc, func() error { return m(stream) })
+	if err == nil || drpcerr.Code(err) >= codeOffset {
 		return err
 	}
+	// A panic, or a stream that ended.
 	return withCode(err)
 }
 
