A leader that the store turns away lets an entry lead that reaches it

Change: a leader whose appends are turned away for 0.2 s says that it does not lead, if another entry reaches the store. Claims stay conditional: it leads on if nobody claims.

--- a/internal/cell/cagate/handover_test.go
+++ b/internal/cell/cagate/handover_test.go
@@ -202,3 +202,38 @@
 		w.load(time.Second)
 	})
 }
+
+// TestLeaderStepsBackWhenTheStoreTurnsItAway lets the store refuse the leader and serve
+// the others, who do not have to wait until the leader has been silent for long.
+func TestLeaderStepsBackWhenTheStoreTurnsItAway(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		w.load(2 * time.Second)
+		old := w.leader()
+		w.store.SetFault(func(caller string) standin.Fault {
+			if caller == old {
+				return standin.FaultDown
+			}
+			return standin.FaultNone
+		})
+		began := time.Now()
+		others := func() string {
+			for name, gate := range w.gates() {
+				if l, _, _ := gate.links[0].target(); l != nil && name != old {
+					return name
+				}
+			}
+			return ""
+		}
+		for others() == "" && time.Since(began) < 5*time.Second {
+			w.submit()
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(began); took > 800*time.Millisecond {
+			t.Errorf("another entry led after %v, want within 0.8 s", took)
+		}
+		w.load(time.Second)
+		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.load(time.Second)
+		w.checkOrders()
+	})
+}
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -34,7 +34,7 @@
 	reply := helloReply{PolicyVersion: g.policy.Version}
 	if err == nil {
 		reply.Leader = l.belief.lead
-		if l.leader != nil && !g.draining {
+		if l.leader != nil && !g.draining && !g.stepsBack(l.leader) {
 			reply.Leading = true
 			reply.StoreAge = l.leader.StoreAge()
 			reply.CallAgain = helloPeriodOf(p, len(g.peers)+1)
@@ -57,6 +57,21 @@
 	return reply, nil
 }
 
+// stepsBack reports whether a leader here should let another entry lead: the store turns
+// its appends away and serves others. Claims are conditional, so that it may lead on
+// if none of them claims the shard. The lock is held.
+func (g *Gate) stepsBack(leader *caleader.Leader) bool {
+	if !leader.IsTurnedAway() {
+		return false
+	}
+	for _, p := range g.peers {
+		if p.reachesStore && g.Timer.Now().Sub(p.seenAt) < agentAge {
+			return true
+		}
+	}
+	return false
+}
+
 // led returns the leader of the shard if this entry leads it.
 func (g *Gate) led(shard int) (*caleader.Leader, error) {
 	l, err := g.link(shard)
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -31,6 +31,9 @@
 	planPeriod = 50 * time.Millisecond
 	// commitLinger gathers changes into one append.
 	commitLinger = 4 * time.Millisecond
+	// stepBackAfter is how long the store turns appends away before the leader lets
+	// others lead which reach it.
+	stepBackAfter = 200 * time.Millisecond
 	// RenewPeriod is the longest time between two appends of a leader.
 	RenewPeriod = 200 * time.Millisecond
 	// storeAwayAfter is how long an append may take before submissions are turned
@@ -108,10 +111,12 @@
 	// it took.
 	lastAppend time.Time
 	appendTook time.Duration
-	watched    map[cawork.UpstreamID]bool
-	queue      adviserQueue
-	stop       context.CancelCauseFunc
-	released   bool
+	// refusedSince is when the store began to turn all tries of an append away.
+	refusedSince time.Time
+	watched      map[cawork.UpstreamID]bool
+	queue        adviserQueue
+	stop         context.CancelCauseFunc
+	released     bool
 	// extra are entries for the next append that do not come from the board.
 	extra []Entry
 	// divided is the layout in those entries.
@@ -133,7 +138,7 @@
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), flyingWaiters: make(map[cawork.JobID][]chan error), watched: make(map[cawork.UpstreamID]bool),
 	}
-	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause}
+	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, tried: l.noteTry}
 	now := l.moment()
 	l.lastAppend = now.Steady
 	inherited := now.Steady.Add(ClaimAge + caboard.LeaseLength + caboard.LeaseLength/20)
@@ -303,6 +308,26 @@
 	return min(max(storeAwayAfter, time.Duration(storeAwayTimes*float64(last))), storeAwayMost)
 }
 
+// noteTry takes up what became of a try of an append.
+func (l *Leader) noteTry(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil || cakind.Of(err) == cakind.KindConflict:
+		l.refusedSince = time.Time{}
+	case l.refusedSince.IsZero():
+		l.refusedSince = l.Timer.Now()
+	}
+}
+
+// IsTurnedAway reports whether the store has answered no append for long enough that
+// an entry which reaches it should lead.
+func (l *Leader) IsTurnedAway() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.refusedSince.IsZero() && l.Timer.Now().Sub(l.refusedSince) > stepBackAfter
+}
+
 // StoreAge returns how long ago the last append that succeeded began.
 func (l *Leader) StoreAge() time.Duration {
 	l.mu.Lock()
--- a/internal/cell/caleader/writer.go
+++ b/internal/cell/caleader/writer.go
@@ -24,6 +24,8 @@
 	end   int64
 	// pause waits between repetitions.
 	pause Pause
+	// tried is told of each try, with its error. It may be nil.
+	tried func(err error)
 }
 
 // append adds the entries behind a record of the claim. It repeats the call
@@ -81,7 +83,11 @@
 func (w *writer) try(ctx context.Context, all []Entry) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	return w.log.Append(ctx, w.end, all)
+	end, err := w.log.Append(ctx, w.end, all)
+	if w.tried != nil {
+		w.tried(err)
+	}
+	return end, err
 }
 
 // resolve finds out whether an earlier try of the same append took effect: if
