--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -29,10 +29,8 @@
 	// silenceAtLeast and silencePerRead make the time for which the log of a
 	// shard must rest before a leader that does not answer is taken for gone: the
 	// second counts how long the store takes for a read. A leader appends every
-	// caleader.RenewPeriod. silenceRefused takes the place of the first when its
-	// address refuses connections.
+	// caleader.RenewPeriod.
 	silenceAtLeast = 500 * time.Millisecond
-	silenceRefused = 100 * time.Millisecond
 	silencePerRead = 3
 	// wakePause gathers calls that failed before the leader is looked at.
 	wakePause = 10 * time.Millisecond
@@ -65,11 +63,7 @@
 	doubtNone doubt = iota
 	// doubtSome means that the leader does not answer.
 	doubtSome
-	// doubtMuch means that its address refuses connections: its process is gone, or a
-	// cut looks like that.
-	doubtMuch
-	// doubtProved means that nobody is known to lead, or that the leader says that it
-	// does not.
+	// doubtProved means that its process is gone or says that it does not lead.
 	doubtProved
 )
 
@@ -125,10 +119,8 @@
 			return doubtSome
 		}
 		return doubtNone
-	case errors.Is(err, errNotLeading):
+	case errors.Is(err, errNotLeading), errors.Is(err, syscall.ECONNREFUSED):
 		return doubtProved
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return doubtMuch
 	}
 	*misses++
 	if *misses >= helloMisses {
@@ -232,7 +224,7 @@
 	}
 	claim := found.Claim
 	free := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || d == doubtProved
-	if !free && !l.isSilent(ctx, found.End, silenceFor(d, g.Timer.Now().Sub(began))) {
+	if !free && !l.isSilent(ctx, found.End, silenceAtLeast+silencePerRead*g.Timer.Now().Sub(began)) {
 		return l.adoptNext(ctx, known)
 	}
 	return l.claim(ctx, found.End, known)
@@ -264,15 +256,6 @@
 	return false
 }
 
-// silenceFor returns for how long the log must rest before the leader is taken for
-// gone, when the store takes so long for a read.
-func silenceFor(d doubt, read time.Duration) time.Duration {
-	if d == doubtMuch {
-		return silenceRefused + silencePerRead*read
-	}
-	return silenceAtLeast + silencePerRead*read
-}
-
 func (l *link) standing(ctx context.Context) (caleader.Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, standingTimeout)
 	defer cancel()
