Questions go to work that its team's upper limit lets start

Ruled out: room (51 to 77 % free), tickets that gather too slowly. Change: what teams may still start is shared out among the steps in their order; others are not asked about, but for the first step of a team and 15 % of its limit, which is what ends while the advisor answers.

--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -75,14 +75,18 @@
 // asks returns the questions to the advisor that are due.
 func (b *Board) asks() []Ask {
 	var asks []Ask
+	room := b.newHeadroom()
 	for _, s := range b.steps {
 		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || s.waiting == 0 || s.approval.asking {
+		if !ok || q.Approval == nil || s.waiting == 0 {
 			continue
 		}
 		if b.asking >= b.askSlots.All {
 			break
 		}
+		if !room.admits(s) || s.approval.asking {
+			continue
+		}
 		if b.asking >= b.askSlots.All/2 && s.lateness == latenessUseless {
 			continue
 		}
--- /dev/null
+++ b/internal/cell/caboard/headroom_test.go
@@ -0,0 +1,86 @@
+package caboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// limitTeam puts an upper limit on the team north, beside a team south without one.
+func (s *scene) limitTeam(queue caspec.Queue, limit cawork.Resources) {
+	s.board.SetPolicy(caspec.Policy{
+		Version: 2, Queues: []caspec.Queue{queue}, Pools: []caspec.Pool{{Name: "pool"}},
+		Teams: []caspec.Team{{Name: "north", Weight: 1000, Limit: limit}, {Name: "south", Weight: 1000}},
+	}.WithIndex())
+}
+
+// answer approves all upstreams of the questions.
+func (s *scene) answer(asks []Ask) {
+	for _, ask := range asks {
+		var approved []Approval
+		for _, id := range ask.Upstreams {
+			approved = append(approved, Approval{Upstream: id, Ticket: "t"})
+		}
+		s.board.Advised(ask, approved, true)
+	}
+}
+
+// TestQuestionsGoToWorkWithinItsLimit replays the backlog of a team that sends many
+// times its usual and has reached its upper limit: a gang of another team that comes
+// later is asked about at once and starts, while the advisor takes long and few
+// questions may be under way.
+func TestQuestionsGoToWorkWithinItsLimit(t *testing.T) {
+	queue := approvedQueue()
+	queue.Approval.Decision = 400 * time.Millisecond
+	s := newScene(t, 12, queue)
+	s.board.SetAskSlots(AskSlots{All: 4, Long: 2})
+	s.limitTeam(queue, cawork.Resources{CPU: cawork.Cores(4)})
+	backlog := caspec.Step{Tasks: 4, CPU: 1000, Memory: cawork.GiB, Estimate: 20 * time.Second, Gang: true}
+	for i := range 40 {
+		s.submit(fmt.Sprintf("north-%02d", i), "queue", backlog)
+	}
+	ready := s.now
+	if _, err := s.board.Submit(caspec.Submission{ID: "south", Queue: "queue", Team: "south", Steps: []caspec.Step{backlog}}); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Duration(0)
+	for started == 0 && s.now.Sub(ready) < 10*time.Second {
+		asks := s.board.Plan().Asks
+		for _, o := range s.commit() {
+			s.board.Started(o, StartAccepted, s.now.UnixMilli())
+			if o.Run.Job == "south" {
+				started = s.now.Sub(ready)
+			}
+		}
+		s.advance(450 * time.Millisecond)
+		s.answer(asks)
+		for _, id := range s.board.UpstreamIDs() {
+			s.reportAtOnce(id, s.rowsAt(id), nil)
+		}
+	}
+	if started == 0 || started > 3*time.Second {
+		t.Errorf("the gang of the other team started after %v, want within 3 s", started)
+	}
+}
+
+// TestHeadroomOfATeam tells which steps are asked about whose team has room for one of
+// them below its limit.
+func TestHeadroomOfATeam(t *testing.T) {
+	s := newScene(t, 4, approvedQueue())
+	s.limitTeam(approvedQueue(), cawork.Resources{CPU: cawork.Cores(10)})
+	for i, cores := range []int64{8, 5, 3, 1} {
+		s.submit(fmt.Sprintf("job-%d", i), "queue", caspec.Step{Tasks: 1, CPU: cawork.Cores(cores), Estimate: time.Second})
+	}
+	var asked []cawork.JobID
+	for _, ask := range s.board.Plan().Asks {
+		asked = append(asked, ask.Job)
+	}
+	if diff := cmp.Diff([]cawork.JobID{"job-0", "job-2"}, asked); diff != "" {
+		t.Errorf("jobs that are asked about (-want +got):\n%s", diff)
+	}
+}
