An upstream that leaves a start unanswered gets no new work until it answers

Cause: an upstream behind a cut or without power got work for up to 2.2 s after its last answer; each start there held its task for a whole lease, 6.9 s. Change: a start without an answer for 6 times the mean (50 to 300 ms) puts its upstream in doubt, and it is asked for a report; two doubted upstreams of one availability zone let all of that zone answer before they get work.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -41,6 +41,7 @@
 	AgentLost          Number = 310
 	LeadershipYielded  Number = 311
 	UpstreamReborn     Number = 312
+	EntryCutOff        Number = 313
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
@@ -57,6 +58,7 @@
 	AdvisorUnavailable Number = 414
 	StepWaits          Number = 415
 	ReportUnreadable   Number = 416
+	UpstreamDoubted    Number = 417
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -12,12 +12,12 @@
 	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
-	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_reborn"
-	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_reborn"
+	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_off"
+	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_off"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadable"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadable"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubted"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubted"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -31,9 +31,9 @@
 var (
 	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
-	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190}
+	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162}
+	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -48,13 +48,13 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 312:
+	case 300 <= i && i <= 313:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 416:
+	case 405 <= i && i <= 417:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 505:
@@ -104,6 +104,7 @@
 	_ = x[AgentLost-(310)]
 	_ = x[LeadershipYielded-(311)]
 	_ = x[UpstreamReborn-(312)]
+	_ = x[EntryCutOff-(313)]
 	_ = x[JobAccepted-(400)]
 	_ = x[JobRefused-(401)]
 	_ = x[TaskPlaced-(402)]
@@ -120,6 +121,7 @@
 	_ = x[AdvisorUnavailable-(414)]
 	_ = x[StepWaits-(415)]
 	_ = x[ReportUnreadable-(416)]
+	_ = x[UpstreamDoubted-(417)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -140,7 +142,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -169,6 +171,7 @@
 	_NumberName_2[147:157]: AgentLost,
 	_NumberName_2[157:175]: LeadershipYielded,
 	_NumberName_2[175:190]: UpstreamReborn,
+	_NumberName_2[190:203]: EntryCutOff,
 	_NumberName_3[0:12]:    JobAccepted,
 	_NumberName_3[12:23]:   JobRefused,
 	_NumberName_3[23:34]:   TaskPlaced,
@@ -185,6 +188,7 @@
 	_NumberName_4[116:135]: AdvisorUnavailable,
 	_NumberName_4[135:145]: StepWaits,
 	_NumberName_4[145:162]: ReportUnreadable,
+	_NumberName_4[162:178]: UpstreamDoubted,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -232,6 +236,7 @@
 	_NumberLowerName_2[147:157]: AgentLost,
 	_NumberLowerName_2[157:175]: LeadershipYielded,
 	_NumberLowerName_2[175:190]: UpstreamReborn,
+	_NumberLowerName_2[190:203]: EntryCutOff,
 	_NumberLowerName_3[0:12]:    JobAccepted,
 	_NumberLowerName_3[12:23]:   JobRefused,
 	_NumberLowerName_3[23:34]:   TaskPlaced,
@@ -248,6 +253,7 @@
 	_NumberLowerName_4[116:135]: AdvisorUnavailable,
 	_NumberLowerName_4[135:145]: StepWaits,
 	_NumberLowerName_4[145:162]: ReportUnreadable,
+	_NumberLowerName_4[162:178]: UpstreamDoubted,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -295,6 +301,7 @@
 	_NumberName_2[147:157],
 	_NumberName_2[157:175],
 	_NumberName_2[175:190],
+	_NumberName_2[190:203],
 	_NumberName_3[0:12],
 	_NumberName_3[12:23],
 	_NumberName_3[23:34],
@@ -311,6 +318,7 @@
 	_NumberName_4[116:135],
 	_NumberName_4[135:145],
 	_NumberName_4[145:162],
+	_NumberName_4[162:178],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -64,6 +64,8 @@
 	askSlots   AskSlots
 	// broken counts the invariants that did not hold.
 	broken int
+	// sight is what is known of how upstreams answer.
+	sight sight
 	// storeAway is set while nothing can be stored.
 	storeAway bool
 	// explainedAt is when waiting steps were last explained.
@@ -148,6 +150,7 @@
 		seen:           make(map[*upstream]endSeen),
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil,
+		sight:          sight{mean: answerAtFirst},
 	}
 }
 
@@ -257,7 +260,8 @@
 		b.gone(r)
 		return StartOrder{}, false
 	}
-	r.sent = true
+	r.sent, r.sentAt = true, b.now.Steady
+	b.sight.awaited = append(b.sight.awaited, r)
 	r.up.extend(b.now.Steady, LeaseLength)
 	return StartOrder{
 		Run: r.id, Upstream: r.up.info.ID, Address: r.up.info.Address, Born: r.up.info.Born,
--- a/internal/cell/caboard/effects.go
+++ b/internal/cell/caboard/effects.go
@@ -71,6 +71,8 @@
 type Orders struct {
 	Stops []StopOrder
 	Asks  []Ask
+	// Looks are the upstreams to ask for a report at once.
+	Looks []cawork.UpstreamID
 }
 
 // Report is what an upstream tells about its runs.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -13,6 +13,7 @@
 // Plan assigns waiting tasks to upstreams, and returns the orders that are due
 // at once. Assignments are part of the next batch.
 func (b *Board) Plan() Orders {
+	b.noteSight()
 	b.pruneSteps()
 	b.orderSteps()
 	b.pools = b.openPools()
@@ -20,7 +21,7 @@
 	if !b.storeAway {
 		b.placeSteps()
 	}
-	return Orders{Stops: b.stops(), Asks: b.asks()}
+	return Orders{Stops: b.stops(), Asks: b.asks(), Looks: b.takeLooks()}
 }
 
 // placeSteps assigns what has room, in the order of the steps.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -47,6 +47,7 @@
 	u.info.Born = born
 	u.clockAt, u.clockMS = time.Time{}, 0
 	u.reportedAt = time.Time{}
+	u.doubtedAt = time.Time{}
 	u.fenced = false
 	u.noted, u.storedEnd = 0, 0
 	delete(b.seen, u)
@@ -170,6 +171,7 @@
 	}
 	u.fenced = true
 	u.unanswered = false
+	b.noteAnswered(u, report.ReceivedAt)
 	b.readClock(u, report.ClockMS, report.ReceivedAt)
 	if report.SentAt.After(u.reportedAt) {
 		u.reportedAt = report.SentAt
@@ -441,10 +443,11 @@
 	if !ok || u.info.Born != order.Born && outcome != StartMismatch {
 		return
 	}
+	took := b.noteStartAnswer(r, outcome)
 	b.readClock(u, clockMS, b.now.Steady)
 	caevent.Info(b.log, caevent.TaskPlaced).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(u.info.ID)).Str("outcome", outcome.String()).
-		Dur("since_accepted", b.age(r.step.job)).Dur("since_ready", b.now.Steady.Sub(r.step.readyAt)).Send()
+		Dur("since_accepted", b.age(r.step.job)).Dur("since_ready", b.now.Steady.Sub(r.step.readyAt)).Dur("took", took).Send()
 	switch outcome {
 	case StartAccepted:
 		r.confirm(b.now.Steady)
@@ -491,6 +494,7 @@
 	r.stopCalling = false
 	r.stopTried = b.now.Steady
 	if acknowledged && u.info.Born == order.Born {
+		b.noteAnswered(u, b.now.Steady)
 		r.stopAcked = b.now.Steady
 	}
 	caevent.Info(b.log, caevent.TaskStopped).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
@@ -519,6 +523,9 @@
 func (b *Board) Unanswered(id cawork.UpstreamID) {
 	if u, ok := b.upstreams[id]; ok {
 		u.unanswered = true
+		if b.sinceAnswer(u) > doubtMost {
+			b.doubt(u, b.now.Steady)
+		}
 	}
 }
 
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -85,6 +85,10 @@
 	at time.Time
 	// sent is set once the start call was sent, by this or an earlier leader.
 	sent bool
+	// sentAt is when this leader sent it, and answered is set once that call had an
+	// answer.
+	sentAt   time.Time
+	answered bool
 	// confirmed is set once the upstream has shown the run. A report that was
 	// asked for after confirmedAt shows it too, unless it is over: reports that
 	// wait at the upstream show what began after they were asked for.
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -28,6 +28,9 @@
 	leaseEnds time.Time
 	// reportedAt is when the last report was asked for that was answered.
 	reportedAt time.Time
+	// answeredAt is when it last answered any call, doubtedAt when the call was made that
+	// it left unanswered, and lookedAt when it was asked for a report since it was doubted.
+	answeredAt, doubtedAt, lookedAt time.Time
 	// fenced is set once it has answered a call with the token of this leader.
 	fenced bool
 	// unanswered is set while the last renewal had no answer.
@@ -113,6 +116,6 @@
 
 // accepts reports whether new work may go there now.
 func (u *upstream) accepts(now time.Time) bool {
-	return u.listed && u.fenced && !u.info.Draining &&
+	return u.listed && u.fenced && !u.info.Draining && !u.isDoubted() &&
 		now.Sub(u.reportedAt) < reportAge && !now.Before(u.restUntil) && !u.sick.isOut(now)
 }
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -80,6 +80,9 @@
 	for _, order := range orders.Stops {
 		l.carryOut(func() { l.stopRun(ctx, order) })
 	}
+	for _, id := range orders.Looks {
+		l.carryOut(func() { l.look(ctx, id) })
+	}
 	for _, ask := range orders.Asks {
 		l.carryOut(func() { l.advise(ctx, ask) })
 	}
