--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -36,6 +36,9 @@
 	wakePause = 10 * time.Millisecond
 	// standingTimeout bounds the reading of the claim that stands.
 	standingTimeout = time.Second
+	// storeLate is how long the store may take to tell who leads before an entry whose
+	// leader is silent is taken for cut off.
+	storeLate = 150 * time.Millisecond
 	// electionPause is the wait after an election that came to nothing.
 	electionPause = 120 * time.Millisecond
 	// electionJitter spreads the candidates.
@@ -192,6 +195,7 @@
 	}
 	l.believe(reply.Leader)
 	if reply.Leading && reply.Leader.Token == l.belief.Token {
+		l.cutOff = false
 		l.belief.heardAt = g.Timer.Now()
 		l.belief.storeAge = reply.StoreAge
 		l.belief.callAgain = reply.CallAgain
@@ -212,7 +216,7 @@
 	known, barred := l.belief.lead, g.draining || g.policy.IsZero()
 	g.mu.Unlock()
 	began := g.Timer.Now()
-	found, err := l.standing(ctx)
+	found, err := l.standingInTime(ctx)
 	if err != nil {
 		return false
 	}
@@ -256,6 +260,42 @@
 	return false
 }
 
+// isSilentLeader reports whether another entry leads, or none, and did not answer the
+// last call.
+func (l *link) isSilentLeader() bool {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return l.leader == nil && l.gate.Timer.Now().Sub(l.belief.heardAt) >= helloTimeout
+}
+
+// standingInTime is standing. When the store takes too long, a leader that is silent
+// as well makes the entry count as cut off, until either answers.
+func (l *link) standingInTime(ctx context.Context) (caleader.Standing, error) {
+	type result struct {
+		caleader.Standing
+		err error
+	}
+	read := make(chan result, 1)
+	go func() {
+		s, err := l.standing(ctx)
+		read <- result{s, err}
+	}()
+	late := l.gate.Timer.After(storeLate)
+	defer late.Close()
+	select {
+	case r := <-read:
+		l.noteCutOff(r.err != nil && l.isSilentLeader())
+		return r.Standing, r.err
+	case <-late.C:
+	}
+	l.noteCutOff(l.isSilentLeader())
+	r := <-read
+	if r.err == nil {
+		l.noteCutOff(false)
+	}
+	return r.Standing, r.err
+}
+
 func (l *link) standing(ctx context.Context) (caleader.Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, standingTimeout)
 	defer cancel()
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -47,6 +47,8 @@
 	// handed over to a stronger one.
 	ledSince  time.Time
 	yieldedAt time.Time
+	// cutOff is set while neither the leader nor the store answers this entry.
+	cutOff bool
 }
 
 // belief is whom the entry takes for the leader.
@@ -72,6 +74,29 @@
 	}
 }
 
+// noteCutOff takes up whether neither the leader nor the store answers. Calls that are
+// under way end then, since no answer will come in time.
+func (l *link) noteCutOff(cutOff bool) {
+	if cutOff {
+		l.noteSilent()
+	}
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	if l.cutOff == cutOff || cutOff && l.leader != nil {
+		return
+	}
+	l.cutOff = cutOff
+	caevent.Info(l.gate.Log, caevent.EntryCutOff).Int("shard", l.shard).Bool("cut_off", cutOff).
+		Str("leader", string(l.belief.VM)).Dur("since_heard", l.gate.Timer.Now().Sub(l.belief.heardAt)).Send()
+}
+
+// isCutOff reports whether neither the leader nor the store answers.
+func (l *link) isCutOff() bool {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return l.cutOff
+}
+
 // isHeard reports whether the shard has a leader that reaches the store. The
 // gate's lock is held.
 func (l *link) isHeard() bool {
@@ -79,7 +104,7 @@
 		return l.leader.StoreAge() < readyStoreAge
 	}
 	at := l.belief
-	return at.Address != "" && l.gate.Timer.Now().Sub(at.heardAt) < readyHeardAge && at.storeAge < readyStoreAge
+	return !l.cutOff && at.Address != "" && l.gate.Timer.Now().Sub(at.heardAt) < readyHeardAge && at.storeAge < readyStoreAge
 }
 
 // believe takes an entry for the leader unless a later claim is known. The
@@ -141,22 +166,31 @@
 			}
 			l.wake()
 		}
+		if l.isCutOff() {
+			return l.noLeader(unknown, "the entry is cut off from the leader and the store")
+		}
 		waited := l.gate.Timer.Now().Sub(began)
 		if unknown != nil && waited > outcomeWait {
 			return unknown
 		}
 		if unknown == nil && waited > leaderWait {
-			return cakind.New(cakind.KindUnavailable, "no leader of shard %d answers", l.shard).WithRetryAfter(retryWithoutLeader)
+			return l.noLeader(nil, "no leader answers")
 		}
 		if !l.rest(ctx) {
-			if unknown != nil {
-				return unknown
-			}
-			return cakind.New(cakind.KindUnavailable, "no leader of shard %d answers in time", l.shard).WithRetryAfter(retryWithoutLeader)
+			return l.noLeader(unknown, "no leader answers in time")
 		}
 	}
 }
 
+// noLeader returns the answer to a call that no leader answered: what is known of the
+// tries that may have taken effect, else a refusal.
+func (l *link) noLeader(unknown error, why string) error {
+	if unknown != nil {
+		return unknown
+	}
+	return cakind.New(cakind.KindUnavailable, "shard %d: %s", l.shard, why).WithRetryAfter(retryWithoutLeader)
+}
+
 // isFinal reports whether an answer ends the search for one.
 func isFinal(err error) bool {
 	if err == nil {
