A failed task goes elsewhere, and two jobs in a row that fail eject an upstream

Ruled out: jobs that fail everywhere by their own fault (1 %), which now count once in a row. Change: a task avoids the upstream that its last run failed on; an upstream is ejected when so many different jobs in a row failed there as chance brings in less than 1 of 100 cases, by the part of all runs that fails; one that was ejected comes last until something ends well there, and what ends while it rests no longer lengthens the rest.

--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -34,6 +34,10 @@
 	ejectFailures = 3
 	// ejectShare is the least fraction of failures that ejects an upstream.
 	ejectShare = 0.5
+	// ejectRow is the least count of jobs in a row whose runs failed that ejects an
+	// upstream, and rareRow how likely such a row may be at most.
+	ejectRow = 2
+	rareRow  = 0.01
 	// ejectAgainstPeers is how many times the fraction of all it must be.
 	ejectAgainstPeers = 3
 	// ejectRest and ejectRestMost bound how long an ejected upstream rests.
--- a/internal/cell/caboard/health.go
+++ b/internal/cell/caboard/health.go
@@ -1,15 +1,24 @@
 package caboard
 
-import "time"
+import (
+	"math"
+	"time"
 
-// health counts how runs on one upstream ended. The counts fade, so that an
-// upstream that works again is used again.
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// health counts how runs on one upstream ended, those of one job that fail in a row
+// once. The counts fade, so that an upstream that works again is used again.
 type health struct {
 	done, failed float64
 	fadedAt      time.Time
 	outUntil     time.Time
 	// ejections lengthens the next rest.
 	ejections int
+	// row counts the jobs of which runs failed since the last one that ended well, and
+	// failedJob is the last of them: a job may fail everywhere by its own fault.
+	row       int
+	failedJob cawork.JobID
 }
 
 func (h *health) fade(now time.Time) {
@@ -27,14 +36,18 @@
 	}
 }
 
-func (h *health) note(now time.Time, failed bool) {
+func (h *health) note(now time.Time, job cawork.JobID, failed bool) {
 	h.fade(now)
-	if failed {
-		h.failed++
+	if !failed {
+		h.done++
+		h.ejections, h.row, h.failedJob = 0, 0, ""
 		return
 	}
-	h.done++
-	h.ejections = 0
+	if job != h.failedJob {
+		h.failed++
+		h.row++
+		h.failedJob = job
+	}
 }
 
 // share returns the fraction of runs that failed.
@@ -56,7 +69,11 @@
 }
 
 // isSick reports whether the runs on an upstream fail much more often than
-// those of all upstreams.
+// those of all upstreams: by their part of all, or by so many jobs in a row as chance
+// rarely brings.
 func (h *health) isSick(all health) bool {
+	if h.row >= ejectRow && math.Pow(all.share(), float64(h.row)) < rareRow {
+		return true
+	}
 	return h.failed >= ejectFailures && h.share() > ejectShare && h.share() > ejectAgainstPeers*all.share()
 }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -192,7 +192,7 @@
 		if tasks[i].Phase != castate.TaskWaiting {
 			continue
 		}
-		u, pass := b.bestFor(s, q, p)
+		u, pass := b.bestFor(s, q, p, failedOn(&tasks[i]))
 		if u == nil {
 			break
 		}
@@ -204,8 +204,17 @@
 	}
 }
 
-// bestFor returns the upstream for one more task of the step, with its ticket.
-func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool) (*upstream, string) {
+// failedOn returns the upstream on which the last run of a task failed, if it did.
+func failedOn(t *castate.Task) cawork.UpstreamID {
+	if t.Failures == 0 {
+		return ""
+	}
+	return t.Upstream
+}
+
+// bestFor returns the upstream for one more task of the step, with its ticket. One that
+// the task failed on comes last.
+func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool, failedOn cawork.UpstreamID) (*upstream, string) {
 	size := s.spec.Size()
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
@@ -218,6 +227,9 @@
 			continue
 		}
 		rank := unfitness(u, s.tight, b.takesPlace(s, u))
+		if u.info.ID == failedOn || u.sick.ejections > 0 {
+			rank += failedWeight
+		}
 		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
 			continue
 		}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -272,7 +272,7 @@
 		b.gone(r)
 		return
 	}
-	b.noteHealth(u, row.Ending)
+	b.noteHealth(u, r.id.Job, row.Ending)
 	if row.Checkpoint != "" {
 		r.task().Checkpoint = row.Checkpoint
 	}
@@ -289,14 +289,14 @@
 	b.touch(r.step.job)
 }
 
-func (b *Board) noteHealth(u *upstream, e Ending) {
+func (b *Board) noteHealth(u *upstream, job cawork.JobID, e Ending) {
 	if e != EndingDone && e != EndingFailed {
 		return
 	}
 	failed := e == EndingFailed
-	u.sick.note(b.now.Steady, failed)
-	b.all.note(b.now.Steady, failed)
-	if failed && u.sick.isSick(b.all) && b.mayEject() {
+	u.sick.note(b.now.Steady, job, failed)
+	b.all.note(b.now.Steady, job, failed)
+	if failed && !u.sick.isOut(b.now.Steady) && u.sick.isSick(b.all) && b.mayEject() {
 		u.sick.eject(b.now.Steady)
 		caevent.Warn(b.log, caevent.UpstreamEjected).Str("upstream", string(u.info.ID)).
 			Float64("failed_of_all", b.all.share()).Time("until", u.sick.outUntil).Send()
--- a/internal/cell/caboard/sight_test.go
+++ b/internal/cell/caboard/sight_test.go
@@ -67,7 +67,7 @@
 		for _, u := range s.board.inOrder {
 			for id := range u.runs {
 				if !cut && s.now.Sub(u.runs[id].at) > 500*time.Millisecond || !behind(u.info.ID) && s.now.Sub(u.runs[id].at) > 500*time.Millisecond {
-					s.endAt(u.info.ID, id)
+					s.endAs(u.info.ID, id, EndingDone)
 				}
 			}
 		}
@@ -85,21 +85,6 @@
 	}
 }
 
-// endAt reports the end of a run, and what else runs there.
-func (s *scene) endAt(id cawork.UpstreamID, run RunID) {
-	s.ends[id]++
-	var rows []RunningRow
-	for _, row := range s.rowsAt(id) {
-		if row.Run != run {
-			rows = append(rows, row)
-		}
-	}
-	s.board.Observe(Report{
-		Upstream: id, Born: 1, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.UnixMilli(), Running: rows,
-		Ended: []EndedRow{{Number: s.ends[id], Run: run, Ending: EndingDone}},
-	})
-}
-
 // TestDoubtEndsWithAnyAnswer tells what makes an upstream get work again.
 func TestDoubtEndsWithAnyAnswer(t *testing.T) {
 	s := newZones(t, 1)
