A step without room no longer keeps the questions of its team

Change: only questions under way claim, one task each or a whole gang; one question of a team may be beyond its limit. Test: TestWorkBehindAStepWithoutRoom failed first; TestHeadroomOfATeam names one job more, which its limit lets start.

--- a/internal/cell/caboard/ask.go
+++ b/internal/cell/caboard/ask.go
@@ -84,7 +84,11 @@
 		if b.asking >= b.askSlots.All {
 			break
 		}
-		if !room.admits(s) || s.approval.asking {
+		if s.approval.asking {
+			room.claim(s)
+			continue
+		}
+		if !room.admits(s) {
 			continue
 		}
 		if b.asking >= b.askSlots.All/2 && s.lateness == latenessUseless {
@@ -95,6 +99,7 @@
 		}
 		if ask, ok := b.ask(s, q); ok {
 			asks = append(asks, ask)
+			room.claim(s)
 		}
 	}
 	return asks
--- a/internal/cell/caboard/headroom.go
+++ b/internal/cell/caboard/headroom.go
@@ -9,43 +9,57 @@
 // way beyond the limit: about what ends while the advisor answers.
 const aheadShare = 0.15
 
-// headroom shares out what teams may still start among the steps that wait, in their
-// order. The advisor is not asked about the others: their tickets would run out
-// before they may be used, while steps of other teams wait for the advisor.
+// headroom shares out what teams may still start among the steps that are asked about,
+// in their order. The advisor is not asked about the others: their tickets would run
+// out before they may be used, while steps of other teams wait for the advisor.
 type headroom struct {
 	board *Board
-	// claimed is what steps that came before may start, by team.
+	// claimed is what the questions under way may let start first, by team.
 	claimed map[cawork.TeamName]cawork.Resources
-	// first holds the teams of which a step was let through whatever its size.
-	first map[cawork.TeamName]bool
+	// beyond holds the teams with a question about a step that their limit holds back.
+	beyond map[cawork.TeamName]bool
 }
 
 func (b *Board) newHeadroom() headroom {
 	return headroom{
-		board: b, claimed: make(map[cawork.TeamName]cawork.Resources), first: make(map[cawork.TeamName]bool),
+		board: b, claimed: make(map[cawork.TeamName]cawork.Resources), beyond: make(map[cawork.TeamName]bool),
 	}
 }
 
-// admits reports whether the limit of its team lets a step start soon, and claims what
-// waits of the step if so. The first step of each team always is admitted.
-func (h headroom) admits(s *step) bool {
+// needed returns what has to fit below the limit for the step to start: one task, or the
+// whole gang.
+func (h headroom) needed(s *step) cawork.Resources {
+	if s.spec.Gang {
+		return s.spec.Size().Times(int64(s.waiting))
+	}
+	return s.spec.Size()
+}
+
+// fits reports whether the limit of its team lets the step start soon.
+func (h headroom) fits(s *step) bool {
 	name := s.job.Submission.Team
 	team, ok := h.board.policy.Team(name)
 	if !ok {
 		return true
 	}
-	needed := s.spec.Size()
-	whole := needed.Times(int64(s.waiting))
-	if s.spec.Gang {
-		needed = whole
-	}
 	use := h.board.teamOf(name).used.Plus(h.claimed[name])
-	if h.first[name] && !fitsLimit(use.Plus(needed), withAhead(team)) {
-		return false
+	return fitsLimit(use.Plus(h.needed(s)), withAhead(team))
+}
+
+// admits reports whether the advisor is to be asked about a step: its team's limit lets
+// it start soon, or it is the only one beyond the limit.
+func (h headroom) admits(s *step) bool {
+	return h.fits(s) || !h.beyond[s.job.Submission.Team]
+}
+
+// claim notes that a question about the step is under way.
+func (h headroom) claim(s *step) {
+	name := s.job.Submission.Team
+	if !h.fits(s) {
+		h.beyond[name] = true
+		return
 	}
-	h.first[name] = true
-	h.claimed[name] = h.claimed[name].Plus(whole)
-	return true
+	h.claimed[name] = h.claimed[name].Plus(h.needed(s))
 }
 
 // withAhead returns the upper limit of a team with what is expected to end soon.
