Runs that may be lost are copied where the step permits duplicates

Change: where a step permits it, a run is copied whose upstream is doubted, that takes 1.5 times as long as the longest of its step, or 4 times as long as expected; the first to end well counts, the others are stopped, failures of each count as attempts, also under a later leader.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -59,6 +59,7 @@
 	StepWaits          Number = 415
 	ReportUnreadable   Number = 416
 	UpstreamDoubted    Number = 417
+	TaskCopied         Number = 418
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -112,6 +112,10 @@
 	hold      *hold
 	holdTried time.Time
 	approval  approvals
+	// copied are runs whose tasks were started elsewhere as well, and longest is the
+	// longest run that ended well.
+	copied  []*run
+	longest time.Duration
 	// wide is set for gangs of queues whose gangs do not fit on one upstream.
 	wide bool
 	// tight is set when the job has little time beyond its run time, and slack is
--- /dev/null
+++ b/internal/cell/caboard/copies.go
@@ -0,0 +1,121 @@
+package caboard
+
+import (
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// A task whose step permits duplicates does not wait for a run that may be lost: a copy
+// starts elsewhere, and the first one that ends well counts. Copies are as in "The Tail
+// at Scale" (Dean and Barroso, 2013), made late so that few of them are needed.
+
+const (
+	// copySiblings is how many times as long as the longest of its step a run may take
+	// before it is copied, and copyEstimate the same against its expected time while none
+	// of its step has ended.
+	copySiblings = 1.5
+	copyEstimate = 4.0
+)
+
+// copyLate starts copies of the runs that may be lost, or take much longer than others
+// of their step.
+func (b *Board) copyLate() {
+	for _, s := range b.steps {
+		if s.runs == 0 || !mayCopy(s.spec) {
+			continue
+		}
+		for _, r := range b.runsOf(s) {
+			if cause := b.copyCause(r); cause != "" {
+				b.copyRun(r, cause)
+			}
+		}
+	}
+}
+
+// mayCopy reports whether the tasks of a step may run in several places.
+func mayCopy(s caspec.Step) bool {
+	return s.AllowDuplicates && !s.Gang && !s.LongRunning
+}
+
+// copyCause returns why a run is to be copied, empty if it is not.
+func (b *Board) copyCause(r *run) string {
+	if !r.sent || !r.isCurrent() {
+		return ""
+	}
+	if r.up.isDoubted() || r.stopping {
+		return "upstream does not answer"
+	}
+	took := b.now.Steady.Sub(r.at)
+	switch {
+	case r.step.longest > 0 && took > time.Duration(copySiblings*float64(r.step.longest)):
+		return "longer than others of its step"
+	case r.step.longest == 0 && took > time.Duration(copyEstimate*float64(b.expectedTime(r.step, r.up))):
+		return "longer than expected"
+	default:
+		return ""
+	}
+}
+
+// copyRun lets the task of a run wait for another place, while the run goes on.
+func (b *Board) copyRun(r *run, cause string) {
+	caevent.Info(b.log, caevent.TaskCopied).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
+		Int("run", r.id.Number).Str("upstream", string(r.up.info.ID)).Str("cause", cause).
+		Dur("after", b.now.Steady.Sub(r.at)).Dur("longest", r.step.longest).Send()
+	r.task().Phase = castate.TaskWaiting
+	r.step.waiting++
+	r.step.copied = append(r.step.copied, r)
+	b.touch(r.step.job)
+}
+
+// noteCopyEnded applies the end of a run that its task does not stand on any more.
+func (b *Board) noteCopyEnded(s *step, row EndedRow) {
+	if s.orphan || !mayCopy(s.spec) || s.job.Phase.IsFinal() {
+		return
+	}
+	t := &s.state().Tasks[row.Run.Index]
+	if t.Phase == castate.TaskDone || row.Run.Number > t.Run {
+		return
+	}
+	switch row.Ending {
+	case EndingDone:
+		if t.Phase == castate.TaskWaiting {
+			s.waiting--
+		}
+		b.noteTaskDone(s, row.Run.Index)
+	case EndingFailed:
+		t.Failures++
+		b.failIfSpent(s, t.Failures)
+	default:
+		return
+	}
+	b.touch(s.job)
+}
+
+// stopCopies stops all other runs of a task that is done.
+func (b *Board) stopCopies(s *step, index int) {
+	for _, r := range b.copiesOf(s, index) {
+		b.stop(r)
+	}
+	for _, r := range b.runsOf(s) {
+		if r.id.Index == index {
+			b.stop(r)
+		}
+	}
+}
+
+// copiesOf returns the runs of a task that it does not stand on any more and that may
+// be present.
+func (b *Board) copiesOf(s *step, index int) []*run {
+	s.copied = slices.DeleteFunc(s.copied, func(r *run) bool { return r.up.runs[r.id] != r })
+	var list []*run
+	for _, r := range s.copied {
+		if r.id.Index == index {
+			list = append(list, r)
+		}
+	}
+	return list
+}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -19,6 +19,7 @@
 	b.pools = b.openPools()
 	b.layAreas()
 	if !b.storeAway {
+		b.copyLate()
 		b.placeSteps()
 	}
 	return Orders{Stops: b.stops(), Asks: b.asks(), Looks: b.takeLooks()}
@@ -192,7 +193,7 @@
 		if tasks[i].Phase != castate.TaskWaiting {
 			continue
 		}
-		u, pass := b.bestFor(s, q, p, failedOn(&tasks[i]))
+		u, pass := b.bestFor(s, q, p, avoided(s, &tasks[i]))
 		if u == nil {
 			break
 		}
@@ -204,17 +205,18 @@
 	}
 }
 
-// failedOn returns the upstream on which the last run of a task failed, if it did.
-func failedOn(t *castate.Task) cawork.UpstreamID {
-	if t.Failures == 0 {
+// avoided returns the upstream that a task should not run on again, if any: its last run
+// failed there or is copied.
+func avoided(s *step, t *castate.Task) cawork.UpstreamID {
+	if t.Failures == 0 && !mayCopy(s.spec) {
 		return ""
 	}
 	return t.Upstream
 }
 
-// bestFor returns the upstream for one more task of the step, with its ticket. One that
-// the task failed on comes last.
-func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool, failedOn cawork.UpstreamID) (*upstream, string) {
+// bestFor returns the upstream for one more task of the step, with its ticket. The
+// one to avoid comes last.
+func (b *Board) bestFor(s *step, q caspec.Queue, p *openPool, avoid cawork.UpstreamID) (*upstream, string) {
 	size := s.spec.Size()
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
@@ -227,7 +229,7 @@
 			continue
 		}
 		rank := unfitness(u, s.tight, b.takesPlace(s, u))
-		if u.info.ID == failedOn || u.sick.ejections > 0 {
+		if u.info.ID == avoid || u.sick.ejections > 0 {
 			rank += failedWeight
 		}
 		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -262,6 +262,9 @@
 func (b *Board) noteEnded(u *upstream, row EndedRow, at time.Time) {
 	r, ok := u.runs[row.Run]
 	if !ok {
+		if j, known := b.jobs[row.Run.Job]; known {
+			b.noteCopyEnded(b.stepOf(j, row.Run), row)
+		}
 		return
 	}
 	caevent.Info(b.log, caevent.TaskEnded).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
@@ -269,6 +272,7 @@
 		Str("ending", row.Ending.String()).Int64("number", row.Number).Dur("after", at.Sub(r.at)).Send()
 	r.step.job.shownRunning = true
 	if !r.isCurrent() {
+		b.noteCopyEnded(r.step, row)
 		b.gone(r)
 		return
 	}
@@ -325,13 +329,25 @@
 	if s.spec.LongRunning {
 		return
 	}
-	r.task().Phase = castate.TaskDone
+	if !r.resumed && !r.inherited {
+		s.longest = max(s.longest, b.now.Steady.Sub(r.at))
+	}
 	if s.spec.Gang {
 		for i := range s.state().Tasks {
 			s.state().Tasks[i].Phase = castate.TaskDone
 		}
 		s.waiting = 0
 	}
+	b.noteTaskDone(s, r.id.Index)
+}
+
+// noteTaskDone ends a task and stops its other runs, and ends its step and its job with
+// the last one.
+func (b *Board) noteTaskDone(s *step, index int) {
+	if mayCopy(s.spec) {
+		b.stopCopies(s, index)
+	}
+	s.state().Tasks[index].Phase = castate.TaskDone
 	if !s.state().IsDone() || s.job.Phase.IsFinal() {
 		return
 	}
@@ -366,6 +382,11 @@
 		failures = t.Failures
 	}
 	b.breakGang(r)
+	b.failIfSpent(s, failures)
+}
+
+// failIfSpent fails a job one of whose tasks has no attempts left.
+func (b *Board) failIfSpent(s *step, failures int) {
 	q, ok := b.queueOf(s.job)
 	if s.spec.LongRunning || !ok || q.MaxAttempts <= 0 || failures < q.MaxAttempts || s.job.Phase.IsFinal() {
 		return
--- a/internal/cell/caboard/speed.go
+++ b/internal/cell/caboard/speed.go
@@ -20,7 +20,7 @@
 	// leftWeight weighs the room that stays free against speed in the choice of
 	// an upstream, where the room is a fraction of its capacity.
 	leftWeight = 0.25
-	// failedWeight keeps a task from the upstream that its last run failed on, and all
+	// failedWeight keeps a task from the upstream that its last run failed or is late on, and all
 	// work from one that was ejected and has not ended anything well since.
 	failedWeight = 2.0
 	// slowWeight makes patient work prefer slow upstreams.
