The tasks of tight work gather on few upstreams

Cause: the tasks of a look-up (6 to 10) went to as many upstreams as had a little room, so that the loss of a sixth of the upstreams hit three of four jobs. Change: for tight work the part of what waits that does not fit at an upstream counts against it.

--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -229,6 +229,9 @@
 			continue
 		}
 		rank := unfitness(u, s.tight, b.takesPlace(s, u))
+		if s.tight {
+			rank += spreadWeight * lacking(s, u)
+		}
 		if u.info.ID == avoid || u.sick.ejections > 0 {
 			rank += failedWeight
 		}
@@ -242,6 +245,11 @@
 	return best, bestPass
 }
 
+// lacking returns the part of what waits of a step that does not fit at an upstream.
+func lacking(s *step, u *upstream) float64 {
+	return max(1-float64(places(u.free(), s.spec))/float64(s.waiting), 0)
+}
+
 // usableFor returns the upstreams that may come into question for a step: those
 // that were approved, where approval is needed.
 func (b *Board) usableFor(s *step, q caspec.Queue, p *openPool) []*upstream {
--- a/internal/cell/caboard/speed.go
+++ b/internal/cell/caboard/speed.go
@@ -23,6 +23,9 @@
 	// failedWeight keeps a task from the upstream that its last run failed or is late on, and all
 	// work from one that was ejected and has not ended anything well since.
 	failedWeight = 2.0
+	// spreadWeight keeps the tasks of tight work on few upstreams, so that the loss of one
+	// hits few jobs: it weighs the part of what waits that does not fit at an upstream.
+	spreadWeight = 0.5
 	// slowWeight makes patient work prefer slow upstreams.
 	slowWeight = 0.2
 )
