An upstream that never answered its leader counts as doubted once a call has no answer

Cause: after a change of the leader during a cut, the upstreams behind it never had answered the successor, so that they were never doubted and their runs not copied until the lease was over. Test: TestSuccessorCopiesRunsOfSilentUpstreams, failed first.

--- a/internal/cell/caboard/copies_test.go
+++ b/internal/cell/caboard/copies_test.go
@@ -125,3 +125,33 @@
 		t.Errorf("phase (-want +got):\n%s", diff)
 	}
 }
+
+// TestSuccessorCopiesRunsOfSilentUpstreams replays a change of the leader while an upstream
+// is behind a cut: the successor, which that upstream never answered, starts copies where
+// the step permits them.
+func TestSuccessorCopiesRunsOfSilentUpstreams(t *testing.T) {
+	s := newScene(t, 3, plainQueue())
+	first := s.startedAt(copyStep(1))
+	record := s.board.jobs["job"].Job
+	next := newScene(t, 0, plainQueue())
+	next.now = s.now
+	next.board.SetNow(next.moment())
+	var list []caspec.Upstream
+	for _, u := range s.board.inOrder {
+		list = append(list, u.info)
+	}
+	next.board.SetUpstreams(list)
+	next.board.Restore(record)
+	for _, u := range list {
+		if u.ID == first.Upstream {
+			next.board.Unanswered(u.ID)
+			continue
+		}
+		next.report(u.ID, nil, nil)
+	}
+	next.advance(20 * time.Millisecond)
+	orders := next.startAll()
+	if len(orders) != 1 || orders[0].Upstream == first.Upstream {
+		t.Errorf("started %v, want one copy away from %s", orders, first.Upstream)
+	}
+}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -544,7 +544,7 @@
 func (b *Board) Unanswered(id cawork.UpstreamID) {
 	if u, ok := b.upstreams[id]; ok {
 		u.unanswered = true
-		if b.sinceAnswer(u) > doubtMost {
+		if u.answeredAt.IsZero() || b.sinceAnswer(u) > doubtMost {
 			b.doubt(u, b.now.Steady)
 		}
 	}
