Work that waits for the advisor is no backlog

Cause: the forecast of a job's wait counted what waits of its queue against the rate at which it starts, so that it never was below the time that an answer of the advisor takes (65 to 140 ms); jobs beyond the owed rate, which may wait a fifth of their slack (some 110 ms), were refused while 8 to 20 % of the pool were free. Change: steps without their first answer do not count; refusals tell how much of the pool is free.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -43,8 +43,8 @@
 	// ahead is the work that will be placed before the job, in cores times
 	// time.
 	ahead coreTime
-	// same is the part of it in the queue of the job, and rate what was started
-	// of that queue lately, in cores. The rate is zero while it is not known.
+	// same is the part of it in the queue of the job that waits for room, and rate
+	// what was started of that queue lately, in cores. The rate is zero while it is not known.
 	same coreTime
 	rate float64
 	// capacity is what the pool has.
@@ -143,8 +143,8 @@
 	if wait <= bound || f.hasRoom() {
 		return nil
 	}
-	return cakind.New(cakind.KindOverloaded, "the expected wait is %d ms, the job may wait %d ms",
-		wait.Milliseconds(), bound.Milliseconds()).WithRetryAfter(max(wait-bound, retryAtLeast))
+	return cakind.New(cakind.KindOverloaded, "the expected wait is %d ms, the job may wait %d ms, %.0f%% of the pool are free",
+		wait.Milliseconds(), bound.Milliseconds(), 100*float64(f.free)/float64(f.capacity)).WithRetryAfter(max(wait-bound, retryAtLeast))
 }
 
 // forecastFor foresees the wait of a submission, from the room that the last plan
@@ -166,13 +166,19 @@
 		}
 		w := work(other.spec.CPU, other.spec.Estimate, other.waiting)
 		f.ahead += w
-		if other.job.Submission.Queue == q.Name {
+		if other.job.Submission.Queue == q.Name && !other.awaitsAdvisor(q) {
 			f.same += w
 		}
 	}
 	return f
 }
 
+// awaitsAdvisor reports whether the first answer about a step is still to come: it waits
+// for the advisor, not for room.
+func (s *step) awaitsAdvisor(q caspec.Queue) bool {
+	return q.Approval != nil && len(s.approval.asked) == 0
+}
+
 // slackOf returns how long a job may wait and still be in time.
 func slackOf(q caspec.Queue, steps []caspec.Step) time.Duration {
 	chain := chainOf(q, steps)
