celeryarch explain: what became of jobs, and where the late ones lost their time

For the engineers on call, who have only logs: it merges the logs of entries by time, in bounded memory, and gives the time line of one job, or counts by queue, team and window and the causes of late jobs (not accepted, wait, failed, lost, unanswered, long, run; they add up to what the job took). Log lines have milliseconds now, so that their order can be told. Tests with small logs of two entries; a fuzz target for lines.

--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -112,7 +112,7 @@
 	return c.runClient()
 }
 
-// runClient starts the commands that call an entry.
+// runClient starts the commands that call an entry or read its logs.
 func (c command) runClient() error {
 	o := c.options
 	switch o.Command {
@@ -124,6 +124,8 @@
 		return c.get(o.Get)
 	case "cancel":
 		return c.cancel(o.Cancel)
+	case "explain":
+		return c.explain(o.Explain)
 	}
 	return cakind.New(cakind.KindInternal, "command %q has no code", o.Command)
 }
--- /dev/null
+++ b/internal/cli/cacommand/explain.go
@@ -0,0 +1,75 @@
+package cacommand
+
+import (
+	"io"
+	"os"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/cli/caexplain"
+	"celeryarch.example/celeryarch/internal/cli/caoption"
+)
+
+// standardInput is the name of a log that stands for standard input.
+const standardInput = "-"
+
+// explain tells what became of jobs by the logs of entries.
+func (c command) explain(o caoption.Explain) error {
+	logs, closeAll, err := openLogs(o.Args.Paths)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	reader := caexplain.NewReader(logs...)
+	if o.Job != "" {
+		return c.explainJob(reader, o.Job)
+	}
+	filter := caexplain.Filter{Queue: o.Queue, Team: o.Team, From: o.From, To: o.To}
+	account, err := caexplain.Explain(reader, filter, o.Window)
+	if err != nil {
+		return cakind.Wrap(cakind.KindInvalid, err, "read logs")
+	}
+	if c.options.JSON {
+		c.printJSON(account)
+		return nil
+	}
+	return account.WriteText(c.Stdout)
+}
+
+func (c command) explainJob(reader *caexplain.Reader, id string) error {
+	history, found, err := caexplain.HistoryOf(reader, id)
+	switch {
+	case err != nil:
+		return cakind.Wrap(cakind.KindInvalid, err, "read logs")
+	case !found:
+		return cakind.New(cakind.KindNotFound, "no line of the logs is about job %s", id)
+	case c.options.JSON:
+		c.printJSON(history)
+		return nil
+	}
+	return history.WriteText(c.Stdout)
+}
+
+// openLogs opens the logs, and returns what closes them.
+func openLogs(paths []string) ([]caexplain.Log, func(), error) {
+	var logs []caexplain.Log
+	var open []io.Closer
+	closeAll := func() {
+		for _, f := range open {
+			_ = f.Close()
+		}
+	}
+	for _, path := range paths {
+		if path == standardInput {
+			logs = append(logs, caexplain.Log{Name: path, From: os.Stdin})
+			continue
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			closeAll()
+			return nil, nil, cakind.Wrap(cakind.KindInvalid, err, "open log")
+		}
+		open = append(open, f)
+		logs = append(logs, caexplain.Log{Name: path, From: f})
+	}
+	return logs, closeAll, nil
+}
--- /dev/null
+++ b/internal/cli/caexplain/explain_test.go
@@ -0,0 +1,153 @@
+package caexplain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// at returns the time of a line, in milliseconds after the first.
+func at(ms int) string {
+	return time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond).Format("2006-01-02T15:04:05.000Z")
+}
+
+// leader and follower are the logs of two entries about three jobs: "late" is refused
+// once, runs two steps, and loses a run of the second one with its upstream; "prompt" is in
+// time; "away" is never accepted.
+func leader() string {
+	return strings.Join([]string{
+		fmt.Sprintf(`{"level":"info","event":400,"name":"job_accepted","job":"late","queue":"checks","team":"north","objective":2000,"time":%q}`, at(1100)),
+		"not a log line",
+		fmt.Sprintf(`  12.3 entry-1 {"event":402,"job":"late","step":0,"task":0,"run":1,"upstream":"u1","outcome":"accepted","time":%q}`, at(1200)),
+		fmt.Sprintf(`{"event":403,"job":"late","step":0,"task":0,"run":1,"upstream":"u1","ending":"done","time":%q}`, at(1700)),
+		fmt.Sprintf(`{"event":402,"job":"late","step":1,"task":0,"run":1,"upstream":"u2","outcome":"accepted","time":%q}`, at(1800)),
+		fmt.Sprintf(`{"event":400,"job":"prompt","queue":"checks","team":"south","objective":2000,"time":%q}`, at(2000)),
+		fmt.Sprintf(`{"event":402,"job":"prompt","step":0,"task":0,"run":1,"upstream":"u1","outcome":"accepted","time":%q}`, at(2100)),
+		fmt.Sprintf(`{"event":403,"job":"prompt","step":0,"task":0,"run":1,"upstream":"u1","ending":"done","time":%q}`, at(2600)),
+		fmt.Sprintf(`{"event":407,"job":"prompt","phase":"completed","time":%q}`, at(2600)),
+		fmt.Sprintf(`{"event":411,"job":"late","step":1,"task":0,"run":1,"upstream":"u2","cause":"lease is over","time":%q}`, at(8000)),
+		fmt.Sprintf(`{"event":402,"job":"late","step":1,"task":0,"run":2,"upstream":"u1","outcome":"accepted","time":%q}`, at(8100)),
+		fmt.Sprintf(`{"event":403,"job":"late","step":1,"task":0,"run":2,"upstream":"u1","ending":"done","time":%q}`, at(8600)),
+		fmt.Sprintf(`{"event":407,"job":"late","phase":"completed","time":%q}`, at(8600)),
+	}, "\n")
+}
+
+func follower() string {
+	return strings.Join([]string{
+		fmt.Sprintf(`{"event":501,"method":"POST","job":"late","queue":"checks","team":"north","status":429,"took":10,"error":"the expected wait is 300 ms","time":%q}`, at(10)),
+		fmt.Sprintf(`{"event":501,"method":"POST","job":"away","queue":"checks","team":"north","status":503,"took":400,"time":%q}`, at(500)),
+		fmt.Sprintf(`{"event":502,"method":"POST","job":"late","queue":"checks","team":"north","status":200,"took":30,"time":%q}`, at(1120)),
+		fmt.Sprintf(`{"event":502,"method":"POST","job":"prompt","queue":"checks","team":"south","status":200,"took":30,"time":%q}`, at(2020)),
+	}, "\n")
+}
+
+func reader() *Reader {
+	return NewReader(Log{Name: "a", From: strings.NewReader(leader())}, Log{Name: "b", From: strings.NewReader(follower())})
+}
+
+func TestAccountOfLogs(t *testing.T) {
+	got, err := Explain(reader(), Filter{}, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := Group{Jobs: 3, Completed: 2, Late: 1, Refused: 1}
+	named := func(name string, g Group) Group {
+		g.Name = name
+		return g
+	}
+	want := Account{
+		All: named("all", all), Queues: []Group{named("checks", all)},
+		Teams: []Group{
+			{Name: "north", Jobs: 2, Completed: 1, Late: 1, Refused: 1}, {Name: "south", Jobs: 1, Completed: 1},
+		},
+		Windows: []Group{named("0s", all)},
+		Causes: []CauseCount{
+			{Cause: CauseNotAccepted, SecondsTotal: 1.1, SecondsLongest: 1.1},
+			{Cause: CauseWait, SecondsTotal: 0.2, SecondsLongest: 0.2},
+			{Cause: CauseLost, Jobs: 1, SecondsTotal: 6.3, SecondsLongest: 6.3},
+			{Cause: CauseRun, SecondsTotal: 1, SecondsLongest: 1},
+		},
+		Lines: 17, Unreadable: 1,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("account (-want +got):\n%s", diff)
+	}
+}
+
+func TestFilterChoosesJobs(t *testing.T) {
+	for _, test := range []struct {
+		filter Filter
+		want   int
+	}{{Filter{Team: "south"}, 1}, {Filter{Queue: "none"}, 0}, {Filter{From: time.Second}, 1}, {Filter{To: time.Second}, 2}} {
+		got, err := Explain(reader(), test.filter, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(test.want, got.All.Jobs); diff != "" {
+			t.Errorf("jobs under %+v (-want +got):\n%s", test.filter, diff)
+		}
+	}
+}
+
+// TestHistoryOfALateJob tells that what a job spent adds up to what it took.
+func TestHistoryOfALateJob(t *testing.T) {
+	h, found, err := HistoryOf(reader(), "late")
+	if err != nil || !found {
+		t.Fatalf("found %v, error %v", found, err)
+	}
+	var total time.Duration
+	for _, s := range h.Spent {
+		total += s.Took
+	}
+	if diff := cmp.Diff(h.Took, total); diff != "" {
+		t.Errorf("sum of what it spent (-want +got):\n%s", diff)
+	}
+	if !h.Late || h.Refusals != 1 || len(h.Moments) != 10 {
+		t.Errorf("late %v, %d refusals, %d moments, want true, 1, 10", h.Late, h.Refusals, len(h.Moments))
+	}
+	var text strings.Builder
+	if err := h.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"completed after 8.600 s, objective 2.000 s, late", "lost          6.300 s", "task_lapsed step 1 task 0 run 1 on u2 lease is over"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in:\n%s", want, text.String())
+		}
+	}
+}
+
+// TestMemoryIsBounded tells that jobs are dropped some time after their end.
+func TestMemoryIsBounded(t *testing.T) {
+	c := &collector{
+		window: time.Second, jobs: make(map[string]*job), queues: make(map[string]*Group), teams: make(map[string]*Group),
+		windows: make(map[time.Duration]*Group), causes: make(map[Cause]*CauseCount),
+	}
+	began := time.Unix(1000, 0)
+	for i := range 1000 {
+		l := Line{Time: began.Add(time.Duration(i) * time.Second), Job: fmt.Sprint(i), Event: 400, Objective: 1000}
+		c.add(l)
+		l.Event, l.Phase = 407, "completed"
+		c.add(l)
+	}
+	if most := int(jobKept.Seconds()) + 2; len(c.jobs) > most {
+		t.Errorf("%d jobs are kept, want at most %d", len(c.jobs), most)
+	}
+	if diff := cmp.Diff(1000-len(c.jobs), c.all.Completed); diff != "" {
+		t.Errorf("jobs that were counted (-want +got):\n%s", diff)
+	}
+}
+
+// FuzzDecode feeds lines that no entry wrote.
+func FuzzDecode(f *testing.F) {
+	for _, line := range strings.Split(leader(), "\n") {
+		f.Add(line)
+	}
+	f.Fuzz(func(_ *testing.T, text string) {
+		r := NewReader(Log{From: strings.NewReader(text)})
+		for _, ok := r.Next(); ok; _, ok = r.Next() {
+		}
+	})
+}
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -100,6 +100,14 @@
       --concurrency=N        most calls at once (64)
       --kind=KIND            kind of work (lookup)
       --seed=N               seed of the random choices (1)
+  explain LOG...             tell from logs of entries what became of jobs, and
+                             where the late ones lost their time
+      --job=ID               the time line of this job
+      --queue=NAME           only jobs of this queue
+      --team=TEAM            only jobs of this team
+      --from=TIME            only jobs handed in later, from the first line on
+      --to=TIME              only jobs handed in earlier
+      --window=TIME          count jobs in windows of this length (10s)
   submit, get, cancel and load
       --entry=URL            entry to call (environment CELERYARCH_ENTRY;
                              http://127.0.0.1:7100)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -32,6 +32,7 @@
 	Get     Get     `command:"get"`
 	Cancel  Cancel  `command:"cancel"`
 	Load    Load    `command:"load"`
+	Explain Explain `command:"explain"`
 
 	// Command is the command that was given, such as "config publish".
 	Command string
@@ -272,6 +273,22 @@
 	Seed        int64         `long:"seed" default:"1" value-name:"N"`
 }
 
+// Explain are the options of the command explain.
+type Explain struct {
+	Job    string        `long:"job" value-name:"ID"`
+	Queue  string        `long:"queue" value-name:"NAME"`
+	Team   string        `long:"team" value-name:"TEAM"`
+	From   time.Duration `long:"from" value-name:"TIME"`
+	To     time.Duration `long:"to" value-name:"TIME"`
+	Window time.Duration `long:"window" default:"10s" value-name:"TIME"`
+	Args   Logs          `positional-args:"yes" required:"yes"`
+}
+
+// Logs is the argument that names log files, - for standard input.
+type Logs struct {
+	Paths []string `positional-arg-name:"LOG" required:"1"`
+}
+
 // programName is the name under which messages refer to the program.
 const programName = "celeryarch"
 
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -49,6 +49,9 @@
 	loadTimeout = 30 * time.Second
 	// metricsPrefix stands before the name of each metric.
 	metricsPrefix = "celeryarch"
+	// logTime is the form of the time in log lines. Milliseconds tell the order of the
+	// lines of several entries.
+	logTime = "2006-01-02T15:04:05.000Z07:00"
 )
 
 // Runners returns the parts that commands start.
@@ -77,6 +80,7 @@
 		Prefix: metricsPrefix, CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
 		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
 	}, reportPeriod)
+	zerolog.TimeFieldFormat = logTime
 	around := caentry.Surroundings{
 		Logger:  zerolog.New(w).Level(level).With().Timestamp().Logger(),
 		Scope:   scope,
