--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -228,13 +228,7 @@
 		if !size.Fits(u.free()) {
 			continue
 		}
-		rank := unfitness(u, s.tight, b.takesPlace(s, u))
-		if s.tight {
-			rank += spreadWeight * lacking(s, u)
-		}
-		if u.info.ID == avoid || u.sick.ejections > 0 {
-			rank += failedWeight
-		}
+		rank := b.rankFor(s, u, avoid)
 		if best != nil && (rank > bestRank || rank == bestRank && u.info.ID >= best.info.ID) {
 			continue
 		}
@@ -245,6 +239,18 @@
 	return best, bestPass
 }
 
+// rankFor ranks an upstream for one more task of a step; the lowest goes first.
+func (b *Board) rankFor(s *step, u *upstream, avoid cawork.UpstreamID) float64 {
+	rank := unfitness(u, s.tight, b.takesPlace(s, u))
+	if s.tight {
+		rank += spreadWeight * lacking(s, u)
+	}
+	if u.info.ID == avoid || u.sick.ejections > 0 {
+		rank += failedWeight
+	}
+	return rank
+}
+
 // lacking returns the part of what waits of a step that does not fit at an upstream.
 func lacking(s *step, u *upstream) float64 {
 	return max(1-float64(places(u.free(), s.spec))/float64(s.waiting), 0)
--- a/internal/cell/cagate/cutoff_test.go
+++ b/internal/cell/cagate/cutoff_test.go
@@ -25,12 +25,11 @@
 			w.network.Cut(entry, name, on)
 		}
 	}
-	w.store.SetFault(func(caller string) standin.Fault {
-		if on && caller == entry {
-			return standin.FaultSilent
-		}
-		return standin.FaultNone
-	})
+	if on {
+		w.failStoreFor(entry, standin.FaultSilent)
+	} else {
+		w.mendStore()
+	}
 }
 
 // follower returns an entry that does not lead.
--- a/internal/cell/cagate/handover_test.go
+++ b/internal/cell/cagate/handover_test.go
@@ -46,20 +46,10 @@
 			}
 		},
 		"turned away by the store": func(w *world, old string) {
-			w.store.SetFault(func(caller string) standin.Fault {
-				if caller == old {
-					return standin.FaultSilent
-				}
-				return standin.FaultNone
-			})
+			w.failStoreFor(old, standin.FaultSilent)
 		},
 		"answers of the store come late": func(w *world, old string) {
-			w.store.SetFault(func(caller string) standin.Fault {
-				if caller == old {
-					return standin.FaultLate
-				}
-				return standin.FaultNone
-			})
+			w.failStoreFor(old, standin.FaultLate)
 		},
 		"all connections end": func(w *world, _ string) {
 			for name := range w.gates() {
@@ -81,7 +71,7 @@
 					for other := range w.gates() {
 						w.network.Cut(old, other, false)
 					}
-					w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+					w.mendStore()
 					if _, runs := w.gates()[old]; !runs {
 						w.start(old)
 					}
@@ -136,12 +126,7 @@
 	inWorld(t, 6, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
-		w.store.SetFault(func(caller string) standin.Fault {
-			if caller == old {
-				return standin.FaultSilent
-			}
-			return standin.FaultNone
-		})
+		w.failStoreFor(old, standin.FaultSilent)
 		for name := range w.gates() {
 			if name != old {
 				w.network.Cut(old, name, true)
@@ -170,7 +155,7 @@
 		for name := range w.gates() {
 			w.network.Cut(old, name, false)
 		}
-		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.mendStore()
 		w.load(time.Second)
 	})
 }
@@ -181,12 +166,7 @@
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
-		w.store.SetFault(func(caller string) standin.Fault {
-			if caller == old {
-				return standin.FaultDown
-			}
-			return standin.FaultNone
-		})
+		w.failStoreFor(old, standin.FaultDown)
 		began := time.Now()
 		others := func() string {
 			for name, gate := range w.gates() {
@@ -204,7 +184,7 @@
 			t.Errorf("another entry led after %v, want within 0.8 s", took)
 		}
 		w.load(time.Second)
-		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.mendStore()
 		w.load(time.Second)
 		w.checkOrders()
 	})
--- a/internal/cell/cagate/world_test.go
+++ b/internal/cell/cagate/world_test.go
@@ -158,6 +158,21 @@
 	}
 }
 
+// failStoreFor lets the store treat the calls of one entry so, and serve all others.
+func (w *world) failStoreFor(entry string, fault standin.Fault) {
+	w.store.SetFault(func(caller string) standin.Fault {
+		if caller == entry {
+			return fault
+		}
+		return standin.FaultNone
+	})
+}
+
+// mendStore lets the store serve all entries.
+func (w *world) mendStore() {
+	w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+}
+
 // leader returns the entry that leads the first shard, empty if none does.
 func (w *world) leader() string {
 	for name, gate := range w.gates() {
@@ -345,7 +360,7 @@
 				w.load(2 * time.Second)
 				w.store.SetFault(func(string) standin.Fault { return fault })
 				w.load(4500 * time.Millisecond)
-				w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+				w.mendStore()
 				time.Sleep(3 * time.Second)
 				w.load(2 * time.Second)
 			})
@@ -357,17 +372,12 @@
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
-		w.store.SetFault(func(caller string) standin.Fault {
-			if caller == old {
-				return standin.FaultDown
-			}
-			return standin.FaultNone
-		})
+		w.failStoreFor(old, standin.FaultDown)
 		w.load(6 * time.Second)
 		if now := w.leader(); now == old || now == "" {
 			t.Errorf("entry %q leads, want another than %q", now, old)
 		}
-		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.mendStore()
 		w.load(2 * time.Second)
 	})
 }
@@ -449,15 +459,10 @@
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		w.load(2 * time.Second)
 		old := w.leader()
-		w.store.SetFault(func(caller string) standin.Fault {
-			if caller == old {
-				return standin.FaultSilent
-			}
-			return standin.FaultNone
-		})
+		w.failStoreFor(old, standin.FaultSilent)
 		w.fleet.SetReach(func(caller string, _ cawork.UpstreamID) bool { return caller != old })
 		w.load(6 * time.Second)
-		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.mendStore()
 		w.fleet.SetReach(func(string, cawork.UpstreamID) bool { return true })
 		time.Sleep(2 * time.Second)
 		successor := w.leader()
@@ -590,7 +595,7 @@
 				}
 			}
 		}
-		w.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+		w.mendStore()
 		time.Sleep(3 * time.Second)
 		w.load(time.Second)
 	})
