A failure of a task that may run in several places is counted once over all leaders

Steps without duplicates were never concerned. Test: TestFailureIsCountedOnceOverLeaders, failed first.

--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -87,7 +87,9 @@
 		}
 		b.noteTaskDone(s, row.Run.Index)
 	case EndingFailed:
-		t.Failures++
+		if !s.countFailure(row.Run) {
+			return
+		}
 		b.failIfSpent(s, t.Failures)
 	default:
 		return
@@ -95,6 +97,16 @@
 	b.touch(s.job)
 }
 
+// countFailure counts the failure of a run of a task that is no gang's. It reports whether
+// it is a new one: an earlier leader may have counted it already.
+func (s *step) countFailure(id RunID) bool {
+	if mayCopy(s.spec) && !s.job.NoteFailed(castate.FailedRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Number: id.Number}) {
+		return false
+	}
+	s.state().Tasks[id.Index].Failures++
+	return true
+}
+
 // stopCopies stops all other runs of a task that is done.
 func (b *Board) stopCopies(s *step, index int) {
 	for _, r := range b.copiesOf(s, index) {
--- a/internal/cell/caboard/copies_test.go
+++ b/internal/cell/caboard/copies_test.go
@@ -126,6 +126,44 @@
 	}
 }
 
+// TestFailureIsCountedOnceOverLeaders replays a change of the leader right after an end: the
+// upstream, which does not know yet that it is stored, lists it to the successor again.
+// So it goes for the failure of a copy that the first leader did not hear of.
+func TestFailureIsCountedOnceOverLeaders(t *testing.T) {
+	s := newScene(t, 3, plainQueue())
+	first := s.startedAt(copyStep(1))
+	s.endAs(first.Upstream, first.Run, EndingFailed)
+	s.commit()
+	if got := s.board.jobs["job"].Open[0].Steps[0].Tasks[0].Failures; got != 1 {
+		t.Fatalf("%d failures are counted, want 1", got)
+	}
+	value, err := s.board.jobs["job"].Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := castate.DecodeJob(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newScene(t, 3, plainQueue())
+	next.board.Restore(state)
+	for range 2 {
+		next.endAs(first.Upstream, first.Run, EndingFailed)
+	}
+	failures := func() int { return next.board.jobs["job"].Open[0].Steps[0].Tasks[0].Failures }
+	if diff := cmp.Diff(1, failures()); diff != "" {
+		t.Errorf("failures after the end was listed again (-want +got):\n%s", diff)
+	}
+	orders := next.startAll()
+	copied := first.Run
+	copied.Number = orders[0].Run.Number
+	next.board.jobs["job"].Open[0].Steps[0].Tasks[0].Run++
+	next.endAs("up-02", copied, EndingFailed)
+	if diff := cmp.Diff(2, failures()); diff != "" {
+		t.Errorf("failures after another run failed (-want +got):\n%s", diff)
+	}
+}
+
 // TestSuccessorCopiesRunsOfSilentUpstreams replays a change of the leader while an upstream
 // is behind a cut: the successor, which that upstream never answered, starts copies where
 // the step permits them.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -373,13 +373,13 @@
 // noteFailed counts an attempt of a task or of its gang, and fails the job
 // when there are none left.
 func (b *Board) noteFailed(r *run) {
-	s, t := r.step, r.task()
+	s := r.step
 	failures := 0
 	if s.spec.Gang {
 		failures = noteGangFailure(s.state(), r.id.Number)
 	} else {
-		t.Failures++
-		failures = t.Failures
+		s.countFailure(r.id)
+		failures = r.task().Failures
 	}
 	b.breakGang(r)
 	b.failIfSpent(s, failures)
--- a/internal/cell/castate/job.go
+++ b/internal/cell/castate/job.go
@@ -2,6 +2,8 @@
 package castate
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -84,6 +86,27 @@
 	Excess bool `cbor:"7,keyasint,omitempty"`
 	// EndedMS is when the phase became final, in Unix milliseconds.
 	EndedMS int64 `cbor:"8,keyasint,omitempty"`
+	// FailedRuns are the failures that were counted of tasks which may run in several
+	// places, since upstreams tell of an end until they know that it is stored.
+	FailedRuns []FailedRun `cbor:"9,keyasint,omitempty"`
+}
+
+// FailedRun names a run that failed.
+type FailedRun struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Number     int
+}
+
+// NoteFailed counts the failure of a run once. It reports whether it is a new one.
+func (j *Job) NoteFailed(r FailedRun) bool {
+	if slices.Contains(j.FailedRuns, r) {
+		return false
+	}
+	j.FailedRuns = append(j.FailedRuns, r)
+	return true
 }
 
 // NewJob returns a job that was accepted at the time.
@@ -144,6 +167,7 @@
 			break
 		}
 	}
+	j.FailedRuns = slices.DeleteFunc(j.FailedRuns, func(r FailedRun) bool { return r.Occurrence == o.Number })
 	if len(j.Open) > 0 || j.Opened < j.Submission.Schedule.Count() {
 		return false
 	}
@@ -161,6 +185,7 @@
 // are gone.
 func (j *Job) Forget() {
 	j.Open = nil
+	j.FailedRuns = nil
 	j.Submission.Steps = nil
 	j.Submission.Payload = ""
 }
