--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -10,8 +10,9 @@
 )
 
 // A task whose step permits duplicates does not wait for a run that may be lost: a copy
-// starts elsewhere, and the first one that ends well counts. Copies are as in "The Tail
-// at Scale" (Dean and Barroso, 2013), made late so that few of them are needed.
+// starts elsewhere, and the first one that ends well counts. Copies are made late, so that
+// few are needed: the hedged requests of Dean and Barroso, "The Tail at Scale" (2013), cut a
+// 99.9th percentile of 1,800 ms to 74 ms with 2 % more requests.
 
 const (
 	// copySiblings is how many times as long as the longest of its step a run may take
