--- a/internal/cell/caboard/board.go
+++ b/internal/cell/caboard/board.go
@@ -79,6 +79,7 @@
 	*castate.Job
 	priority int
 	pool     caspec.PoolName
+	// accepted is when it was accepted, less the time since it was refused first.
 	accepted time.Time
 	// ended is when the phase became final, as far as this board knows.
 	ended time.Time
--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -195,7 +195,7 @@
 	}
 	l.believe(reply.Leader)
 	if reply.Leading && reply.Leader.Token == l.belief.Token {
-		l.cutOff = false
+		l.setCutOff(false)
 		l.belief.heardAt = g.Timer.Now()
 		l.belief.storeAge = reply.StoreAge
 		l.belief.callAgain = reply.CallAgain
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -82,6 +82,11 @@
 	}
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
+	l.setCutOff(cutOff)
+}
+
+// setCutOff changes what is believed about that. The gate's lock is held.
+func (l *link) setCutOff(cutOff bool) {
 	if l.cutOff == cutOff || cutOff && l.leader != nil {
 		return
 	}
