Appends of a leader are 0.7 s old again before others look for another

While an append takes 0.7 s each of 97 entries took that for a leader without the store, and read claim and log again and again. Ruled out: changes of the leader (as before), entries that count as cut off (13 lines).

--- a/internal/cell/cagate/follow.go
+++ b/internal/cell/cagate/follow.go
@@ -53,7 +53,7 @@
 	fullPower = 0.4
 	// oldStoreAge is the age of the last append of a leader beyond which others
 	// look whether they reach the store.
-	oldStoreAge = 400 * time.Millisecond
+	oldStoreAge = 700 * time.Millisecond
 )
 
 // errNotLeading is the answer of an entry that was taken for the leader.
