Zones drained by operators: nothing starts there, also under later leaders

Cause: nothing read the operators' records of drained zones.

Ruled out: a flag of each upstream in the stored jobs (a later leader would need another record), and a new stream of our own (the operators' records are linearizable and keyed already).

Change: the feed of operators' records delivers the drained zones next to the policy, with the position up to which they were read and when the read began. Entries exchange both by hello calls. For a leader the upstreams of a drained zone are unavailable, so that admission, the gang partition, reservations and approval requests follow the room that is left; an assignment that is not sent yet is dropped. A leader whose reading is older than the bound from the settings less the time of a delivery starts nothing. Work that needs the room of drained zones is refused with the time to come back. Runs in the zone go on: moving them was not tried.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -42,6 +42,8 @@
 	LeadershipYielded  Number = 311
 	UpstreamReborn     Number = 312
 	EntryCutOff        Number = 313
+	ZoneDrained        Number = 314
+	ZoneEmpty          Number = 315
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -12,8 +12,8 @@
 	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
-	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_off"
-	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_off"
+	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_empty"
+	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_empty"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copied"
@@ -31,7 +31,7 @@
 var (
 	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
-	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203}
+	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
 	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
@@ -48,7 +48,7 @@
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 313:
+	case 300 <= i && i <= 315:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case 400 <= i && i <= 403:
@@ -105,6 +105,8 @@
 	_ = x[LeadershipYielded-(311)]
 	_ = x[UpstreamReborn-(312)]
 	_ = x[EntryCutOff-(313)]
+	_ = x[ZoneDrained-(314)]
+	_ = x[ZoneEmpty-(315)]
 	_ = x[JobAccepted-(400)]
 	_ = x[JobRefused-(401)]
 	_ = x[TaskPlaced-(402)]
@@ -143,7 +145,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -173,6 +175,8 @@
 	_NumberName_2[157:175]: LeadershipYielded,
 	_NumberName_2[175:190]: UpstreamReborn,
 	_NumberName_2[190:203]: EntryCutOff,
+	_NumberName_2[203:215]: ZoneDrained,
+	_NumberName_2[215:225]: ZoneEmpty,
 	_NumberName_3[0:12]:    JobAccepted,
 	_NumberName_3[12:23]:   JobRefused,
 	_NumberName_3[23:34]:   TaskPlaced,
@@ -239,6 +243,8 @@
 	_NumberLowerName_2[157:175]: LeadershipYielded,
 	_NumberLowerName_2[175:190]: UpstreamReborn,
 	_NumberLowerName_2[190:203]: EntryCutOff,
+	_NumberLowerName_2[203:215]: ZoneDrained,
+	_NumberLowerName_2[215:225]: ZoneEmpty,
 	_NumberLowerName_3[0:12]:    JobAccepted,
 	_NumberLowerName_3[12:23]:   JobRefused,
 	_NumberLowerName_3[23:34]:   TaskPlaced,
@@ -305,6 +311,8 @@
 	_NumberName_2[157:175],
 	_NumberName_2[175:190],
 	_NumberName_2[190:203],
+	_NumberName_2[203:215],
+	_NumberName_2[215:225],
 	_NumberName_3[0:12],
 	_NumberName_3[12:23],
 	_NumberName_3[23:34],
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -18,7 +18,7 @@
 	b.sortSteps()
 	b.pools = b.newPoolPlans()
 	b.planPartitions()
-	if !b.storeUnavailable {
+	if !b.storeUnavailable && !b.drains.isExpired(b.now.Monotonic) {
 		b.copyStragglers()
 		b.placeSteps()
 	}
@@ -82,7 +82,10 @@
 		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks == 0 || r.job.Phase.IsFinal()) {
 			u.reservedBy = nil
 		}
-		u.available = u.acceptsWork(b.now.Monotonic)
+		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u)
+		if b.isDrained(u) {
+			u.reservedBy = nil
+		}
 		if !u.available {
 			continue
 		}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -73,6 +73,10 @@
 	refusals refusalHistory
 	// storeUnavailable is set while nothing can be stored.
 	storeUnavailable bool
+	// drains are the drained zones, and drainedRuns the runs counted there when they were
+	// last logged.
+	drains      DrainView
+	drainedRuns map[cawork.ZoneName]int
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
 }
@@ -240,7 +244,7 @@
 			u.storedEnd = max(u.storedEnd, end.number)
 		}
 	}
-	b.dropExpiredStarts(batch.starts)
+	b.dropUnsendableStarts(batch.starts)
 	var orders []StartOrder
 	for _, r := range batch.starts {
 		if order, ok := b.startOrder(r); ok {
@@ -250,14 +254,20 @@
 	return orders
 }
 
-// dropExpiredStarts drops the runs whose tickets expired while their assignments were
-// being stored, and the other members of their gangs.
-func (b *Planner) dropExpiredStarts(starts []*run) {
+// dropUnsendableStarts drops the runs whose tickets expired or whose zones were drained
+// while their assignments were being stored, and the other members of their gangs.
+func (b *Planner) dropUnsendableStarts(starts []*run) {
 	for _, r := range starts {
-		if r.ticketExpires.IsZero() || r.upstream.runs[r.id] != r || b.now.Monotonic.Before(r.ticketExpires) {
+		if r.upstream.runs[r.id] != r {
 			continue
 		}
-		r.step.approvals.expire(r.upstream.info.ID)
+		expired := !r.ticketExpires.IsZero() && !b.now.Monotonic.Before(r.ticketExpires)
+		if !expired && b.mayStartOn(r.upstream) {
+			continue
+		}
+		if expired {
+			r.step.approvals.expire(r.upstream.info.ID)
+		}
 		b.stopOtherMembers(r)
 		b.dropRun(r)
 	}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -81,18 +81,19 @@
 	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
 	}
-	if fitting := b.fittingTasksInPool(q.Pool, s, atOnce); fitting < atOnce {
+	if fitting := b.fittingTasksInPool(q.Pool, s, atOnce, caspec.ZoneDrains{}); fitting < atOnce {
 		return cakind.New(cakind.KindNeverFits, "step %d needs room for %d tasks at once, the pool %s has room for %d", number, atOnce, q.Pool, fitting)
 	}
-	return nil
+	return b.checkDrainedRoom(q.Pool, s, atOnce)
 }
 
 // fittingTasksInPool returns how many tasks of a step fit on the upstreams of a pool when
-// these are empty. It stops counting once the number is enough.
-func (b *Planner) fittingTasksInPool(pool caspec.PoolName, s caspec.Step, enough int) int {
+// these are empty, those outside of the given zones. It stops counting once the number is
+// enough.
+func (b *Planner) fittingTasksInPool(pool caspec.PoolName, s caspec.Step, enough int, without caspec.ZoneDrains) int {
 	fitting := 0
 	for _, u := range b.sortedUpstreams {
-		if u.info.Pool != pool || !u.info.HasLabel(s.Label) {
+		if u.info.Pool != pool || !u.info.HasLabel(s.Label) || without.Contains(u.info.Zone) {
 			continue
 		}
 		fitting += fittingTasks(u.info.Capacity, s)
@@ -219,6 +220,7 @@
 // wait long.
 func (b *Planner) RunMaintenance() {
 	b.logLongWaits()
+	b.logDrains()
 	oldest := b.now.Monotonic.Add(-historyRetention)
 	for id, j := range b.jobs {
 		switch {
--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -37,7 +37,9 @@
 	// relayMinUpstreams is the number of upstreams at and above which leaders use agents.
 	relayMinUpstreams int
 	// feed returns the policy feed of an entry.
-	feed func(name string) PolicyFeed
+	feed func(name string) OperatorFeed
+	// drainBound is the bound within which starts in a drained zone must cease.
+	drainBound time.Duration
 	// advisor is the advisor of all entries.
 	advisor caleader.Advisor
 
@@ -61,10 +63,11 @@
 	delay  time.Duration
 }
 
-func (f fixedFeed) Watch(ctx context.Context, apply func(caspec.Policy), reachable func(bool)) error {
+func (f fixedFeed) Watch(ctx context.Context, sink OperatorSink) error {
 	time.Sleep(f.delay)
-	apply(f.policy)
-	reachable(true)
+	sink.ApplyDrains(caspec.ZoneDrains{}, time.Now())
+	sink.ApplyPolicy(f.policy)
+	sink.SetReachable(true)
 	<-ctx.Done()
 	return ctx.Err()
 }
@@ -83,7 +86,7 @@
 
 func newTestCell(t *testing.T, entries, relayMinUpstreams int) *testCell {
 	c := &testCell{
-		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) PolicyFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
+		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) OperatorFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
@@ -114,7 +117,7 @@
 		WallMillis: func() int64 { return timer.Now().UnixMilli() }, PeerClient: client,
 		ShardLog:  func(shard int) caleader.Log { return c.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
 		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c.fleet, RelayMinUpstreams: c.relayMinUpstreams,
-		Advisor: c.advisor, PolicyFeed: c.feed(name), Nonce: int64(c.incarnations),
+		Advisor: c.advisor, OperatorFeed: c.feed(name), DrainBound: c.drainBound, Nonce: int64(c.incarnations),
 	})
 	server := capeer.NewServer()
 	e.gate.Register(server)
@@ -629,7 +632,7 @@
 				if storeSilent {
 					feedDelay = time.Hour
 				}
-				c.feed = func(string) PolicyFeed { return fixedFeed{policy: newer.WithIndex(), delay: feedDelay} }
+				c.feed = func(string) OperatorFeed { return fixedFeed{policy: newer.WithIndex(), delay: feedDelay} }
 				c.start(entryName(2))
 				began := time.Now()
 				for time.Since(began) < time.Second {
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -176,8 +176,9 @@
 	policy, layout := g.policyAndLayout()
 	request := helloRequest{
 		From: g.Self, PolicyVersion: policy.Version, HasAdvisor: g.Advisor != nil, Shard: l.shard, HasLayout: !layout.IsZero(),
-		ReachesStore: g.reachesStore(),
+		ReachesStore: g.reachesStore(), DrainPosition: g.drainPosition(),
 	}
+	began := g.Timer.Now()
 	reply, err := capeer.Call[helloRequest, helloReply](callCtx, g.PeerClient, address, callHello, request)
 	if err != nil {
 		return err
@@ -185,6 +186,9 @@
 	if reply.Policy != nil {
 		g.applyFromPeer(address, *reply.Policy)
 	}
+	if reply.Drains != nil {
+		g.applyDrains(drainReading{ZoneDrains: *reply.Drains, readAt: began.Add(-reply.DrainAge)}, sourcePeer(address))
+	}
 	if reply.Layout != nil {
 		g.setLayout(*reply.Layout)
 	}
@@ -220,7 +224,7 @@
 func (l *link) elect(ctx context.Context, verdict liveness) bool {
 	g := l.gate
 	g.mu.Lock()
-	previous, ineligible := l.status.leaderID, g.draining || g.policy.IsZero()
+	previous, ineligible := l.status.leaderID, g.draining || g.policy.IsZero() || !g.drains.isKnown()
 	g.mu.Unlock()
 	began := g.Timer.Now()
 	found, err := l.readClaimDetectIsolation(ctx)
@@ -379,6 +383,7 @@
 	}, c, token, end)
 	g.mu.Lock()
 	l.observeLeader(leaderID{VM: g.Self.VM, Address: g.Self.Address, Token: token})
+	leader.SetDrains(g.drainView())
 	l.localLeader = leader
 	l.leadingSince = g.Timer.Now()
 	g.notifyLeadership()
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -22,19 +22,9 @@
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
-// startupStoreWait is how long a starting entry waits for the policy from the store
-// before it accepts one from another entry, which may be outdated.
-const startupStoreWait = 1500 * time.Millisecond
-
 // triesPerDeadline is how many retries should fit into a caller's remaining deadline.
 const triesPerDeadline = 3
 
-// PolicyFeed delivers the policy. Watch calls apply with each version that it reads, and
-// reachable with whether the last read of the source succeeded.
-type PolicyFeed interface {
-	Watch(ctx context.Context, apply func(caspec.Policy), reachable func(bool)) error
-}
-
 // Deps are the dependencies and settings of a Gate.
 type Deps struct {
 	Self  Peer
@@ -54,8 +44,11 @@
 	// through agents on other entries.
 	RelayMinUpstreams int
 	// Advisor is nil if this entry has none.
-	Advisor    caleader.Advisor
-	PolicyFeed PolicyFeed
+	Advisor      caleader.Advisor
+	OperatorFeed OperatorFeed
+	// DrainBound is how long after an operator drained a zone a run may still start there.
+	// Zero means that there is no bound.
+	DrainBound time.Duration
 	// Nonce differs between restarts of the process on one VM.
 	Nonce int64
 	// OnLeadershipChange is called when this entry starts or stops leading a shard, with whether it
@@ -75,6 +68,7 @@
 	mu         sync.Mutex
 	policy     caspec.Policy
 	layout     calayout.Layout
+	drains     drainReading
 	links      []*link
 	peers      map[cawork.VMID]*peerState
 	feedLostAt time.Time
@@ -114,7 +108,7 @@
 func (g *Gate) Run(ctx context.Context) error {
 	defer close(g.done)
 	var group run.Group
-	for _, loop := range []func(context.Context) error{g.watchPolicy, g.links[0].run, g.runOtherLinks, g.pollPeers, g.agent.Run} {
+	for _, loop := range []func(context.Context) error{g.watchOperators, g.links[0].run, g.runOtherLinks, g.pollPeers, g.agent.Run} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
 	}
@@ -177,50 +171,6 @@
 	return g.policy, g.layout
 }
 
-func (g *Gate) watchPolicy(ctx context.Context) error {
-	return g.PolicyFeed.Watch(ctx, func(p caspec.Policy) { g.applyPolicy(p, "store") }, g.setFeedReachable)
-}
-
-func (g *Gate) setFeedReachable(reachable bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case reachable && !g.feedLostAt.IsZero():
-		caevent.Info(g.Log, caevent.LogRestored).Dur("after", g.Timer.Now().Sub(g.feedLostAt)).Send()
-		g.feedLostAt = time.Time{}
-	case !reachable && g.feedLostAt.IsZero():
-		g.feedLostAt = g.Timer.Now()
-		caevent.Warn(g.Log, caevent.LogUnavailable).Int64("policy", g.policy.Version).Send()
-	}
-}
-
-// applyFromPeer applies the policy of another entry. During startup it waits for the
-// store, which has the newest version: the peer may still accept revoked keys.
-func (g *Gate) applyFromPeer(address string, p caspec.Policy) {
-	if g.Policy().IsZero() && g.Timer.Now().Sub(g.startedAt) < startupStoreWait {
-		return
-	}
-	g.applyPolicy(p, "peer "+address)
-}
-
-// applyPolicy puts a policy in force if it is newer than the current one.
-func (g *Gate) applyPolicy(p caspec.Policy, source string) {
-	p = p.WithIndex()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.policy.IsZero() && p.Version <= g.policy.Version {
-		return
-	}
-	caevent.Info(g.Log, caevent.ConfigApplied).Int64("version", p.Version).Int64("before", g.policy.Version).
-		Str("source", source).Int("queues", len(p.Queues)).Int("teams", len(p.Teams)).Send()
-	g.policy = p
-	for _, l := range g.links {
-		if l.localLeader != nil {
-			l.localLeader.SetPolicy(p)
-		}
-	}
-}
-
 // IsReady reports whether the entry can serve new calls: it is not draining, has a policy
 // and a layout, and at least half of the shards are available.
 func (g *Gate) IsReady() bool {
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -47,6 +47,8 @@
 	HasLayout bool `cbor:"5,keyasint,omitempty"`
 	// ReachesStore reports whether the caller can read the store.
 	ReachesStore bool `cbor:"6,keyasint,omitempty"`
+	// DrainPosition is the position up to which the caller knows the drained zones.
+	DrainPosition int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // helloReply describes the leader of the requested shard and, if the caller lacks them,
@@ -70,6 +72,10 @@
 	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
 	// NextHelloIn is the time after which the caller should call the leader again.
 	NextHelloIn time.Duration `cbor:"8,keyasint,omitempty"`
+	// Drains are the drained zones as the replying entry knows them, and DrainAge the age
+	// of that reading. Drains is nil if the caller has a newer one or there is none.
+	Drains   *caspec.ZoneDrains `cbor:"9,keyasint,omitempty"`
+	DrainAge time.Duration      `cbor:"10,keyasint,omitempty"`
 }
 
 // leaderID identifies a leader by its VM and fencing token.
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -44,6 +44,10 @@
 		policy := g.policy
 		reply.Policy = &policy
 	}
+	if g.drains.isKnown() && g.drains.Position >= r.DrainPosition {
+		drains := g.drains.ZoneDrains
+		reply.Drains, reply.DrainAge = &drains, now.Sub(g.drains.readAt)
+	}
 	if !r.HasLayout && !g.layout.IsZero() {
 		layout := g.layout
 		reply.Layout = &layout
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -298,6 +298,14 @@
 	l.wakePlanner()
 }
 
+// SetDrains applies a newer view of the drained zones.
+func (l *Leader) SetDrains(v caboard.DrainView) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planner.SetDrains(v)
+	l.wakePlanner()
+}
+
 // stepDown stops the leader because an upstream has accepted a later fencing token.
 func (l *Leader) stepDown(upstream cawork.UpstreamID) {
 	l.stopLeading(cakind.New(cakind.KindFenced, "upstream %s has accepted a later fencing token than %d", upstream, l.token))
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -100,6 +100,7 @@
 	if expiryDue {
 		l.planner.ExpireLeases()
 		l.planner.RunMaintenance()
+		l.updateDrainGauges()
 		if l.isStoreSuspected() {
 			l.rejectUnsentJobs()
 		}
@@ -107,6 +108,18 @@
 	return l.planner.Plan()
 }
 
+// updateDrainGauges reports how many zones are drained and how many runs are still there.
+// The lock is held.
+func (l *Leader) updateDrainGauges() {
+	total := 0
+	byZone := l.planner.DrainedRuns()
+	for _, n := range byZone {
+		total += n
+	}
+	l.Scope.Gauge("drained_zones").Update(float64(len(byZone)))
+	l.Scope.Gauge("drained_zone_runs").Update(float64(total))
+}
+
 func (l *Leader) dispatchStarts(ctx context.Context, orders []caboard.StartOrder) {
 	l.startLatency.addInFlight(len(orders))
 	for _, order := range orders {
