LIMIT: a run that nobody assigned keeps its room until it is gone

Cause: found by a world in virtual time (TestUpstreamsAreNeverOvercommitted: leaders one after the other against upstreams that restart, leave 6 % of the orders unanswered and carry them out 2 to 12 s later). A new leader that finds a run of an earlier leader at an upstream, stops it and keeps its room until then. It kept none where the job had ended (its steps are cleared), and gave the room back after 0.1 s where nothing else of the upstream was inherited, since the lease of such an upstream counted as over.

Ruled out, by that world: runs given up without an answer, copies, second reports of an end, late stops, changes of the leader between assignment and report.

Change: sizes of tasks outlast the details of a job; a run of unknown size takes the whole upstream; an adopted run extends the lease as far as an upstream may have granted one.

--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -6,6 +6,8 @@
 	// LeaseDuration is how long an upstream keeps its runs without a lease renewal. It
 	// outlasts a network failure of a zone for a few seconds and a change of the leader.
 	LeaseDuration = 6500 * time.Millisecond
+	// maxLease is the longest lease that an upstream grants.
+	maxLease = 10 * time.Second
 	// maxClockDrift is the factor by which the monotonic clock of an upstream may be
 	// slow.
 	maxClockDrift = 1.021
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -101,6 +101,9 @@
 	reportedRunning bool
 	// objective is the time from acceptance within which the job should end.
 	objective time.Duration
+	// taskSizes are the sizes of the tasks of each step. They outlast the details of the
+	// job, since late runs may be reported after its end.
+	taskSizes []cawork.Resources
 }
 
 // step is an open step of an occurrence of a job.
@@ -310,6 +313,9 @@
 
 func (b *Planner) addJob(j *job) {
 	b.jobs[j.Submission.ID] = j
+	for _, s := range j.Submission.Steps {
+		j.taskSizes = append(j.taskSizes, s.Size())
+	}
 	if q, ok := b.queueOf(j); ok {
 		j.priority = q.Priority
 		j.pool = q.Pool
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -231,20 +231,30 @@
 func (b *Planner) stopUnassigned(u *upstream, row RunningRun) {
 	r := &run{id: row.Run, upstream: u, confirmed: true, sent: true}
 	j, ok := b.jobs[row.Run.Job]
-	if !ok || len(j.steps) == 0 {
-		r.step = orphanStep(row.Run)
-	} else {
+	r.step = orphanStep(row.Run)
+	if ok {
 		r.step = b.stepOf(j, row.Run)
-		r.size = r.step.spec.Size()
 		r.team = j.Submission.Team
 	}
+	r.size = sizeOfUnassigned(j, row.Run, u)
 	caevent.Warn(b.log, caevent.TaskAdopted).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
 		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
 		Bool("job_known", ok).Str("cause", "run is not assigned and will be stopped").Send()
+	// The order came from an earlier leader, maybe with a lease for an earlier incarnation.
+	u.extendLease(b.now.Monotonic, maxLease)
 	b.charge(r)
 	b.stop(r)
 }
 
+// sizeOfUnassigned returns what a run takes at an upstream, for a job that may be nil. A run
+// of unknown size counts as taking the whole upstream until it is gone.
+func sizeOfUnassigned(j *job, id RunID, u *upstream) cawork.Resources {
+	if j == nil || id.Step < 0 || id.Step >= len(j.taskSizes) {
+		return u.info.Capacity
+	}
+	return j.taskSizes[id.Step]
+}
+
 // orphanStep returns a placeholder for the step of a run whose job or task is not known.
 func orphanStep(id RunID) *step {
 	state := castate.Job{Phase: castate.PhaseCanceled}
--- /dev/null
+++ b/internal/cell/caboard/room_test.go
@@ -0,0 +1,430 @@
+package caboard
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// simulatedUpstream behaves as the contract of upstreams says: it starts whatever it is told
+// to start by the newest leader that it knows of, and forgets everything when it restarts.
+type simulatedUpstream struct {
+	info    caspec.Upstream
+	up      bool
+	bornAt  time.Duration
+	token   int64
+	running map[RunID]cawork.Resources
+	// stopped are the runs with an accepted stop that still take their room.
+	stopped map[RunID]bool
+	// highest is the highest run of each task that was started or stopped. The key is the
+	// id of the task's run 0.
+	highest    map[RunID]int
+	ended      []EndedRun
+	endNumber  int64
+	leaseEndMS int64
+	// startedUnseen is set once something started here before the leader knew of this
+	// incarnation. Orders name an upstream and not its incarnation, so that the leader
+	// cannot know that late orders of before the restart may start here as well.
+	startedUnseen bool
+}
+
+func (u *simulatedUpstream) restart(now time.Duration) {
+	u.up = true
+	u.bornAt = now
+	u.info.Incarnation++
+	u.token, u.endNumber, u.leaseEndMS = 0, 0, 0
+	u.running, u.stopped, u.highest = make(map[RunID]cawork.Resources), make(map[RunID]bool), make(map[RunID]int)
+	u.ended = nil
+	u.startedUnseen = false
+}
+
+// clockMS returns the reading of the upstream's clock, which starts with its incarnation.
+func (u *simulatedUpstream) clockMS(now time.Duration) int64 {
+	return 1 + (now - u.bornAt).Milliseconds()
+}
+
+func (u *simulatedUpstream) used() cawork.Resources {
+	var sum cawork.Resources
+	for _, size := range u.running {
+		sum = sum.Plus(size)
+	}
+	return sum
+}
+
+func (u *simulatedUpstream) end(id RunID, how Ending) {
+	if _, ok := u.running[id]; !ok {
+		return
+	}
+	delete(u.running, id)
+	delete(u.stopped, id)
+	u.endNumber++
+	u.ended = append(u.ended, EndedRun{Number: u.endNumber, Run: id, Ending: how})
+}
+
+func taskOf(id RunID) RunID {
+	id.Number = 0
+	return id
+}
+
+// roomWorld drives planners, one leader after the other, against simulated upstreams that
+// restart, leave orders unanswered and carry them out late.
+type roomWorld struct {
+	random    *rand.Rand
+	elapsed   time.Duration
+	events    events
+	upstreams []*simulatedUpstream
+	// listed are the upstreams as the platform's list has them, which lags.
+	listed map[cawork.UpstreamID]caspec.Upstream
+	// records are the durable records of jobs, and sizes the sizes of the tasks of all jobs.
+	records        map[cawork.JobID][]byte
+	sizes          map[cawork.JobID][]caspec.Step
+	planner        *Planner
+	token          int64
+	appendInFlight bool
+	jobs           int
+	starts         int
+	violations     []string
+}
+
+const (
+	roomTick      = 10 * time.Millisecond
+	roomLateShare = 0.06
+	roomUpstreams = 8
+)
+
+var roomCapacity = cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB}
+
+func newRoomWorld(seed int64) *roomWorld {
+	w := &roomWorld{
+		random: rand.New(rand.NewSource(seed)), listed: make(map[cawork.UpstreamID]caspec.Upstream),
+		records: make(map[cawork.JobID][]byte), sizes: make(map[cawork.JobID][]caspec.Step),
+	}
+	for i := range roomUpstreams {
+		u := &simulatedUpstream{info: caspec.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("up-%d", i)), Address: "a", Pool: "pool", Capacity: roomCapacity}}
+		u.restart(0)
+		w.upstreams = append(w.upstreams, u)
+		w.listed[u.info.ID] = u.info
+	}
+	w.lead()
+	w.repeat(40*time.Millisecond, w.submit)
+	w.repeat(700*time.Millisecond, w.crash)
+	w.repeat(350*time.Millisecond, w.list)
+	w.repeat(100*time.Millisecond, func() { w.planner.ExpireLeases(); w.planner.RunMaintenance() })
+	for _, u := range w.upstreams {
+		w.repeat(w.between(150, 900), func() { w.renew(u) })
+	}
+	return w
+}
+
+func (w *roomWorld) moment() ClockReading {
+	now := time.Unix(1_000_000, 0).Add(w.elapsed)
+	return ClockReading{Monotonic: now, WallMS: now.UnixMilli()}
+}
+
+func (w *roomWorld) after(d time.Duration, handle func()) {
+	heap.Push(&w.events, event{at: w.elapsed + d, handle: handle})
+}
+
+func (w *roomWorld) repeat(period time.Duration, handle func()) {
+	w.after(time.Duration(w.random.Int63n(int64(period))), func() {
+		handle()
+		w.repeat(period, handle)
+	})
+}
+
+func (w *roomWorld) between(minMS, maxMS int) time.Duration {
+	return time.Duration(minMS+w.random.Intn(maxMS-minMS+1)) * time.Millisecond
+}
+
+// lead puts a new leader in place, which restores what is durable.
+func (w *roomWorld) lead() {
+	w.token++
+	w.appendInFlight = false
+	now := w.moment()
+	w.planner = New(zerolog.Nop(), w.token, now, now.Monotonic.Add(10*time.Second))
+	w.planner.SetRequestLimits(RequestLimits{Total: 100, Long: 100})
+	w.planner.SetPolicy(caspec.Policy{
+		Version: 1, Queues: []caspec.Queue{plainQueue()}, Pools: []caspec.Pool{{Name: "pool"}}, Teams: []caspec.Team{{Name: "north", Weight: 1000}},
+	}.WithIndex())
+	w.list()
+	for _, id := range slices.Sorted(maps.Keys(w.records)) {
+		j, err := castate.DecodeJob(w.records[id])
+		if err != nil {
+			panic(err)
+		}
+		w.planner.Restore(j)
+	}
+}
+
+func (w *roomWorld) list() {
+	list := make([]caspec.Upstream, 0, len(w.listed))
+	for _, u := range w.upstreams {
+		if info, ok := w.listed[u.info.ID]; ok {
+			list = append(list, info)
+		}
+	}
+	w.planner.SetUpstreams(list)
+}
+
+func (w *roomWorld) submit() {
+	w.jobs++
+	step := caspec.Step{
+		Tasks: 1 + w.random.Intn(8), CPU: cawork.MilliCPU(1000 + w.random.Intn(6000)), Memory: cawork.GiB,
+		Estimate: w.between(300, 2500), Gang: w.random.Intn(4) == 0, AllowDuplicates: w.random.Intn(4) == 0,
+	}
+	s := submission(w.jobs, step)
+	w.sizes[s.ID] = s.Steps
+	if _, err := w.planner.Submit(s); err == nil && w.random.Intn(12) == 0 {
+		w.after(w.between(50, 2000), func() { w.planner.Cancel(s.ID) })
+	}
+}
+
+// crash restarts an upstream after a while. The list learns of it later.
+func (w *roomWorld) crash() {
+	u := w.upstreams[w.random.Intn(len(w.upstreams))]
+	if !u.up {
+		return
+	}
+	u.up = false
+	w.after(w.between(20, 1200), func() {
+		u.restart(w.elapsed)
+		w.after(w.between(10, 1500), func() { w.listed[u.info.ID] = u.info })
+	})
+}
+
+// renew requests a report from an upstream, which waits there for a while.
+func (w *roomWorld) renew(u *simulatedUpstream) {
+	p, token := w.planner, w.token
+	lease, ok := p.RenewLease(u.info.ID)
+	if !ok {
+		return
+	}
+	sentAt := w.moment().Monotonic
+	w.after(w.between(1, 400), func() {
+		if !u.up || w.random.Float64() < roomLateShare {
+			w.whileLeading(p, func() { p.MarkRenewalUnanswered(u.info.ID) })
+			return
+		}
+		if token < u.token {
+			return
+		}
+		u.token = token
+		u.leaseEndMS = max(u.leaseEndMS, lease.EndMS)
+		u.forget(lease.StoredEnd)
+		report := u.report()
+		report.SentAt, report.ClockMS = sentAt, u.clockMS(w.elapsed)
+		w.after(w.between(1, 30), func() {
+			report.ReceivedAt = w.moment().Monotonic
+			w.whileLeading(p, func() { p.ApplyReport(report) })
+		})
+	})
+}
+
+func (u *simulatedUpstream) forget(storedEnd int64) {
+	kept := u.ended[:0:0]
+	for _, row := range u.ended {
+		if row.Number > storedEnd {
+			kept = append(kept, row)
+		}
+	}
+	u.ended = kept
+}
+
+func (u *simulatedUpstream) report() Report {
+	r := Report{Upstream: u.info.ID, Born: u.info.Incarnation, Ended: append([]EndedRun(nil), u.ended...)}
+	for id := range u.running {
+		r.Running = append(r.Running, RunningRun{Run: id, Percent: 100})
+	}
+	slices.SortFunc(r.Running, func(x, y RunningRun) int { return x.Run.compare(y.Run) })
+	return r
+}
+
+// whileLeading calls the function if the planner is still the leader's.
+func (w *roomWorld) whileLeading(p *Planner, f func()) {
+	if p == w.planner {
+		p.SetNow(w.moment())
+		f()
+	}
+}
+
+// start delivers a start order, at once or late and without an answer.
+func (w *roomWorld) start(p *Planner, token int64, o StartOrder) {
+	u := w.upstreamOf(o.Upstream)
+	if w.random.Float64() < roomLateShare {
+		w.after(w.between(2000, 12000), func() { w.executeStart(u, token, o) })
+		w.after(300*time.Millisecond, func() { w.whileLeading(p, func() { p.ApplyStartOutcome(o, StartUnknown, 0) }) })
+		return
+	}
+	w.after(w.between(1, 15), func() {
+		outcome := w.executeStart(u, token, o)
+		clockMS := u.clockMS(w.elapsed)
+		w.after(w.between(1, 15), func() { w.whileLeading(p, func() { p.ApplyStartOutcome(o, outcome, clockMS) }) })
+	})
+}
+
+func (w *roomWorld) executeStart(u *simulatedUpstream, token int64, o StartOrder) StartOutcome {
+	switch {
+	case !u.up:
+		return StartUnknown
+	case token < u.token:
+		return StartFenced
+	case o.LeaseEndMS != 0 && o.LeaseEndMS < u.clockMS(w.elapsed):
+		return StartLate
+	}
+	u.token = token
+	if _, ok := u.running[o.Run]; ok {
+		return StartAccepted
+	}
+	if u.highest[taskOf(o.Run)] >= o.Run.Number {
+		return StartOutdated
+	}
+	u.highest[taskOf(o.Run)] = o.Run.Number
+	size := w.sizes[o.Run.Job][o.Run.Step].Size()
+	if known, ok := w.planner.upstreams[u.info.ID]; !ok || known.info.Incarnation != u.info.Incarnation {
+		u.startedUnseen = true
+	}
+	if !u.startedUnseen && !size.Fits(roomCapacity.Minus(u.used())) {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used()))
+	}
+	w.starts++
+	u.running[o.Run] = size
+	born := u.info.Incarnation
+	how := EndingDone
+	if w.random.Intn(10) == 0 {
+		how = EndingFailed
+	}
+	w.after(w.between(200, 3500), func() {
+		if u.info.Incarnation == born && u.up && !u.stopped[o.Run] {
+			u.end(o.Run, how)
+		}
+	})
+	return StartAccepted
+}
+
+// stop delivers a stop order, at once or late and without an answer.
+func (w *roomWorld) stop(p *Planner, token int64, o StopOrder) {
+	u := w.upstreamOf(o.Upstream)
+	if w.random.Float64() < roomLateShare {
+		w.after(w.between(2000, 12000), func() { w.executeStop(u, token, o) })
+		w.after(300*time.Millisecond, func() { w.whileLeading(p, func() { p.ApplyStopOutcome(o, false) }) })
+		return
+	}
+	w.after(w.between(1, 15), func() {
+		acknowledged := w.executeStop(u, token, o)
+		w.after(w.between(1, 15), func() { w.whileLeading(p, func() { w.stopAnswered(u, o, acknowledged) }) })
+	})
+}
+
+func (w *roomWorld) stopAnswered(u *simulatedUpstream, o StopOrder, acknowledged bool) {
+	if w.planner.ApplyStopOutcome(o, acknowledged) {
+		w.after(time.Millisecond, func() { w.renew(u) })
+	}
+}
+
+func (w *roomWorld) executeStop(u *simulatedUpstream, token int64, o StopOrder) bool {
+	if !u.up || token < u.token {
+		return false
+	}
+	u.token = token
+	u.highest[taskOf(o.Run)] = max(u.highest[taskOf(o.Run)], o.Run.Number)
+	if _, ok := u.running[o.Run]; ok && !u.stopped[o.Run] {
+		u.stopped[o.Run] = true
+		born := u.info.Incarnation
+		w.after(w.between(20, 400), func() {
+			if u.info.Incarnation == born && u.up {
+				u.end(o.Run, EndingStopped)
+			}
+		})
+	}
+	return true
+}
+
+func (w *roomWorld) upstreamOf(id cawork.UpstreamID) *simulatedUpstream {
+	for _, u := range w.upstreams {
+		if u.info.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// commit appends the changes of the leader. Its successor finds them if they were stored
+// before it took over.
+func (w *roomWorld) commit() {
+	if w.appendInFlight || !w.planner.HasChanges() {
+		return
+	}
+	batch, err := w.planner.NextBatch()
+	if err != nil {
+		panic(err)
+	}
+	w.appendInFlight = true
+	p, token := w.planner, w.token
+	w.after(w.between(4, 40), func() {
+		w.whileLeading(p, func() {
+			w.appendInFlight = false
+			for _, r := range batch.Records {
+				w.records[r.Job] = r.Value
+				if r.Value == nil {
+					delete(w.records, r.Job)
+				}
+			}
+			for _, o := range p.MarkStored(batch) {
+				w.start(p, token, o)
+			}
+		})
+	})
+}
+
+func (w *roomWorld) run(until time.Duration) {
+	nextLeader := w.between(3000, 9000)
+	for w.elapsed < until && len(w.violations) == 0 {
+		w.planner.SetNow(w.moment())
+		for len(w.events) > 0 && w.events[0].at <= w.elapsed {
+			heap.Pop(&w.events).(event).handle()
+		}
+		if w.elapsed >= nextLeader {
+			nextLeader = w.elapsed + w.between(3000, 9000)
+			w.lead()
+		}
+		orders := w.planner.Plan()
+		for _, o := range orders.Stops {
+			w.stop(w.planner, w.token, o)
+		}
+		for _, id := range orders.Probes {
+			w.renew(w.upstreamOf(id))
+		}
+		w.commit()
+		w.elapsed += roomTick
+	}
+}
+
+// TestUpstreamsAreNeverOvercommitted runs leaders one after the other against upstreams that
+// restart, leave orders unanswered and carry them out seconds later. No start may exceed the
+// room of its upstream.
+func TestUpstreamsAreNeverOvercommitted(t *testing.T) {
+	for seed := range int64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newRoomWorld(seed)
+			w.run(40 * time.Second)
+			if diff := cmp.Diff([]string(nil), w.violations); diff != "" {
+				t.Errorf("violations after %d starts (-want +got):\n%s", w.starts, diff)
+			}
+			if w.starts < 300 {
+				t.Errorf("only %d starts", w.starts)
+			}
+		})
+	}
+}
