Drained zones: the bound is extended while the operators' records cannot be read

Ruled out: leaving the bound out (a leader that cannot read would start in a drained zone for ever), and counting it from the last answer of any part of the store (that proves nothing about the records).

A process that was suspended has no failed read, so the short bound holds for it until it reads again.

--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -49,6 +49,8 @@
 	// DrainBound is how long after an operator drained a zone a run may still start there.
 	// Zero means that there is no bound.
 	DrainBound time.Duration
+	// DrainStretch is added to DrainBound while the records of operators cannot be read.
+	DrainStretch time.Duration
 	// Nonce differs between restarts of the process on one VM.
 	Nonce int64
 	// OnLeadershipChange is called when this entry starts or stops leading a shard, with whether it
--- a/internal/cell/cagate/operator.go
+++ b/internal/cell/cagate/operator.go
@@ -61,9 +61,11 @@
 	case reachable && !g.feedLostAt.IsZero():
 		caevent.Info(g.Log, caevent.LogRestored).Dur("after", g.Timer.Now().Sub(g.feedLostAt)).Send()
 		g.feedLostAt = time.Time{}
+		g.updateLeaderDrains()
 	case !reachable && g.feedLostAt.IsZero():
 		g.feedLostAt = g.Timer.Now()
 		caevent.Warn(g.Log, caevent.LogUnavailable).Int64("policy", g.policy.Version).Send()
+		g.updateLeaderDrains()
 	}
 }
 
@@ -119,6 +121,12 @@
 	}
 	g.logDrainChanges(r, source)
 	g.drains = r
+	g.updateLeaderDrains()
+}
+
+// updateLeaderDrains passes the view of the drained zones to the leaders on this entry. The
+// caller must hold g.mu.
+func (g *Gate) updateLeaderDrains() {
 	for _, l := range g.links {
 		if l.localLeader != nil {
 			l.localLeader.SetDrains(g.drainView())
@@ -154,11 +162,17 @@
 
 // drainView returns the view of the drained zones for a leader on this entry. A leader
 // starts nothing by a reading so old that a start could arrive later than DrainBound after
-// the zone was drained. The caller must hold g.mu.
+// the zone was drained. Reads that fail extend the bound by DrainStretch; a process that was
+// suspended, and has not tried to read since, does not. The caller must hold g.mu.
 func (g *Gate) drainView() caboard.DrainView {
 	v := caboard.DrainView{ZoneDrains: g.drains.ZoneDrains}
-	if g.DrainBound > 0 {
-		v.ValidUntil = g.drains.readAt.Add(max(g.DrainBound-startDeliveryTime, 0))
+	bound := g.DrainBound
+	if bound <= 0 {
+		return v
+	}
+	if !g.feedLostAt.IsZero() {
+		bound += g.DrainStretch
 	}
+	v.ValidUntil = g.drains.readAt.Add(max(bound-startDeliveryTime, 0))
 	return v
 }
