A call that was never sent is told as such, and a leader answers in time

A call counted as perhaps sent as soon as a pooled connection was there, also when the caller's time ended before the connection was free. And a leader was given as long as its caller waited, so that its true answer, "not stored in time", came too late.

Ruled out: a refusal from the entry alone (the job may be in an append), and a longer wait for the caller (answers are not held).

Change: a call counts as sent once its message is encoded, which the transport does after it got the connection; an attempt leaves 0.1 s, or half of a short one, for the answer's way back.

TestUnsentCallIsUnreachable fails before. TestUnsentJobIsRefusedInTime passes before too, since the network of the world has no latency; the time left is checked by TestLeaderAnswersBeforeAttemptEnds.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -656,3 +656,46 @@
 		})
 	}
 }
+
+// TestUnsentJobIsRefusedInTime submits a job through a follower while a slow append holds the
+// leader up. The job is in no append when its caller's time ends, so that the answer must be a
+// refusal and not that the outcome is unknown.
+func TestUnsentJobIsRefusedInTime(t *testing.T) {
+	runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+		c.store.SetAppendTime(1200 * time.Millisecond)
+		c.load(3 * time.Second)
+		for i := range 4 {
+			s := caspec.Submission{ID: cawork.JobID(fmt.Sprintf("00000000000000f%d", i)), Queue: "queue", Team: "north", Steps: []caspec.Step{testStep()}}
+			ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+			err := c.gates()[c.follower()].Submit(ctx, s)
+			cancel()
+			switch cakind.ResponseTo(cakind.Of(err)).Execution {
+			case cakind.ExecutionNotRun:
+				c.refused[s.ID] = true
+			default:
+				c.unknown[s.ID] = true
+			}
+			time.Sleep(130 * time.Millisecond)
+		}
+		if len(c.refused) == 0 {
+			t.Error("no job was refused, want those that were in no append")
+		}
+		c.store.SetAppendTime(4 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		c.load(time.Second)
+	})
+}
+
+// TestLeaderAnswersBeforeAttemptEnds checks that the time which a leader gets for an answer
+// leaves some of the attempt for its way back.
+func TestLeaderAnswersBeforeAttemptEnds(t *testing.T) {
+	for timeout, want := range map[time.Duration]time.Duration{2 * time.Second: 1900 * time.Millisecond, 80 * time.Millisecond: 40 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			if diff := cmp.Diff(want, leaderWait(ctx)); diff != "" {
+				t.Errorf("time for the leader of an attempt of %v (-want +got):\n%s", timeout, diff)
+			}
+		})
+	}
+}
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -250,7 +250,7 @@
 		if l != nil {
 			return l.Submit(ctx, s)
 		}
-		request := submitRequest{Submission: s, Wait: remainingTime(ctx), Shard: shardLink.shard}
+		request := submitRequest{Submission: s, Wait: leaderWait(ctx), Shard: shardLink.shard}
 		_, err := capeer.Call[submitRequest, empty](ctx, g.PeerClient, address, callSubmit, request)
 		return err
 	})
@@ -304,7 +304,7 @@
 		if l != nil {
 			return l.Cancel(ctx, id)
 		}
-		request := jobRequest{Job: id, Wait: remainingTime(ctx), Shard: shardLink.shard}
+		request := jobRequest{Job: id, Wait: leaderWait(ctx), Shard: shardLink.shard}
 		_, err := capeer.Call[jobRequest, empty](ctx, g.PeerClient, address, callCancel, request)
 		return err
 	})
@@ -326,11 +326,17 @@
 	return total, nil
 }
 
-// remainingTime returns the time until the context's deadline, or attemptTimeout without one.
-func remainingTime(ctx context.Context) time.Duration {
+// replyMargin is how long before the end of an attempt the leader must answer, so that its
+// answer still arrives.
+const replyMargin = 100 * time.Millisecond
+
+// leaderWait returns how long the leader may take to answer an attempt, which ends with the
+// context. Of a short attempt it may take half.
+func leaderWait(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return attemptTimeout
 	}
-	return time.Until(deadline)
+	remaining := time.Until(deadline)
+	return remaining - min(replyMargin, remaining/2)
 }
--- a/internal/node/capeer/encoding.go
+++ b/internal/node/capeer/encoding.go
@@ -26,6 +26,19 @@
 // Encoding encodes messages with CBOR and compresses large ones with DEFLATE.
 type Encoding struct{}
 
+// sendTracker encodes the message of one call. A connection sends nothing of a call before
+// the message is encoded.
+type sendTracker struct {
+	Encoding
+	encoded bool
+}
+
+// Marshal implements drpc.Encoding.
+func (t *sendTracker) Marshal(msg drpc.Message) ([]byte, error) {
+	t.encoded = true
+	return t.Encoding.Marshal(msg)
+}
+
 // encodeMode encodes times with nanoseconds. The default of the library
 // truncates them to seconds.
 var encodeMode = newEncodeMode()
--- a/internal/node/capeer/peer.go
+++ b/internal/node/capeer/peer.go
@@ -146,26 +146,22 @@
 }
 
 // Call sends the message to the peer at the address and returns its reply.
-// Without a connection the error has KindUnavailable and the message was not
-// sent; IsUnreachable reports this case. An error of KindUnknown means that the
+// If the message was not sent, the error has KindUnavailable; IsUnreachable reports
+// this case. An error of KindUnknown means that the
 // peer may have executed the call. Errors returned by the peer keep their kind.
 // If the peer shares no protocol with this entry, the error wraps a
 // caversion.ProtocolMismatchError.
 func Call[In, Out any](ctx context.Context, c *Client, address, name string, in In) (Out, error) {
 	var out Out
-	dialed := true
-	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		newConn, err := c.dial(ctx, address)
-		dialed = err == nil
-		return newConn, err
-	})
+	conn := c.pool.Get(ctx, address, c.dial)
 	defer func() { _ = conn.Close() }()
-	err := conn.Invoke(c.withProtocols(ctx), name, Encoding{}, &in, &out)
+	var tracker sendTracker
+	err := conn.Invoke(c.withProtocols(ctx), name, &tracker, &in, &out)
 	switch {
 	case err == nil:
 		return out, nil
-	case !dialed:
-		return out, cakind.Wrap(cakind.KindUnavailable, &unreachableError{err}, "connect to peer %s", address)
+	case !tracker.encoded:
+		return out, cakind.Wrap(cakind.KindUnavailable, &unreachableError{err}, "reach peer %s", address)
 	case drpcerr.Code(err) >= codeOffset:
 		return out, cakind.New(cakind.Kind(drpcerr.Code(err)-codeOffset), "%s", err.Error())
 	default:
@@ -179,8 +175,8 @@
 func (e *unreachableError) Error() string { return e.cause.Error() }
 func (e *unreachableError) Unwrap() error { return e.cause }
 
-// IsUnreachable reports whether the call was never sent because no connection
-// to the peer could be opened.
+// IsUnreachable reports whether the call was never sent: no connection to the peer could
+// be opened, or the caller's time ended before one was free.
 func IsUnreachable(err error) bool {
 	var e *unreachableError
 	return errors.As(err, &e)
--- a/internal/node/capeer/peer_test.go
+++ b/internal/node/capeer/peer_test.go
@@ -192,3 +192,24 @@
 		t.Errorf("call after the panic: %q, %v", got.Text, err)
 	}
 }
+
+// TestUnsentCallIsUnreachable covers a caller whose time is over before its message is sent,
+// with and without an open connection. The error must say that nothing was sent.
+func TestUnsentCallIsUnreachable(t *testing.T) {
+	address := serve(t, nil)
+	client := capeer.NewClient(capeer.DialTCP, nil)
+	t.Cleanup(func() { _ = client.Close() })
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, connected := range []bool{false, true} {
+		if connected {
+			if _, err := capeer.Call[message, message](context.Background(), client, address, "echo", message{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, err := capeer.Call[message, message](over, client, address, "echo", message{})
+		if !capeer.IsUnreachable(err) || cakind.Of(err) != cakind.KindUnavailable {
+			t.Errorf("with a connection %v: %v, want an error that says that nothing was sent", connected, err)
+		}
+	}
+}
