explain: a log that lacks the start of a step no longer makes it hang

Cause: without the line of a start, the search for the step before one went to and fro between two steps. TestIncompleteLogEnds failed before (no end in 10 s).

--- a/internal/cli/caexplain/explain_test.go
+++ b/internal/cli/caexplain/explain_test.go
@@ -152,3 +152,28 @@
 		}
 	})
 }
+
+// TestIncompleteLogEnds reads a log that lacks the start of the first of two steps, as after
+// lines were dropped. The summary must end, and count the job.
+func TestIncompleteLogEnds(t *testing.T) {
+	log := strings.Join([]string{
+		fmt.Sprintf(`{"event":400,"job":"late","queue":"checks","team":"north","objective":100,"time":%q}`, timeAt(0)),
+		fmt.Sprintf(`{"event":403,"job":"late","step":0,"task":0,"run":1,"upstream":"u1","ending":"done","time":%q}`, timeAt(1000)),
+		fmt.Sprintf(`{"event":402,"job":"late","step":1,"task":0,"run":1,"upstream":"u1","outcome":"accepted","time":%q}`, timeAt(1200)),
+		fmt.Sprintf(`{"event":403,"job":"late","step":1,"task":0,"run":1,"upstream":"u1","ending":"done","time":%q}`, timeAt(2000)),
+		fmt.Sprintf(`{"event":407,"job":"late","phase":"completed","time":%q}`, timeAt(2000)),
+	}, "\n")
+	ended := make(chan Group, 1)
+	go func() {
+		summary, _ := Summarize(NewReader(Log{Content: strings.NewReader(log)}), Filter{}, 5*time.Second)
+		ended <- summary.All
+	}()
+	select {
+	case got := <-ended:
+		if diff := cmp.Diff(Group{Name: got.Name, Jobs: 1, Completed: 1, Late: 1}, got); diff != "" {
+			t.Errorf("counts (-want +got):\n%s", diff)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the summary does not end")
+	}
+}
--- a/internal/cli/caexplain/job.go
+++ b/internal/cli/caexplain/job.go
@@ -185,20 +185,34 @@
 		s[CauseNotAccepted] = max(j.accepted.Sub(j.submitted()), 0)
 	}
 	step, last := j.lastEndedStep(time.Time{})
+	laterStart := time.Time{}
 	for last != nil {
+		start := firstStart(j.steps[step])
 		ready := j.accepted
-		earlierStep, earlierTask := j.lastEndedStep(firstStart(j.steps[step]))
-		if earlierTask != nil && earlierStep != step {
+		earlierStep, earlierTask := j.earlierStep(step, start, laterStart)
+		if earlierTask != nil {
 			ready = earlierTask.completedRun().ended
-		} else {
-			earlierTask = nil
 		}
 		j.addTaskTime(s, step, last, ready)
-		step, last = earlierStep, earlierTask
+		step, last, laterStart = earlierStep, earlierTask, start
 	}
 	return s
 }
 
+// earlierStep returns the step before one that began at start, and its task that ended last. It
+// returns no task where the log lacks the start, or where the start is not before that of the
+// later step, so that the search ends with an incomplete log as well.
+func (j *job) earlierStep(step int, start, laterStart time.Time) (int, *task) {
+	if start.IsZero() || !laterStart.IsZero() && !start.Before(laterStart) {
+		return 0, nil
+	}
+	earlier, last := j.lastEndedStep(start)
+	if earlier == step {
+		return 0, nil
+	}
+	return earlier, last
+}
+
 // lastEndedStep returns the step that ended last, with its task that ended last. If the time is
 // not zero, only steps that ended by then count.
 func (j *job) lastEndedStep(before time.Time) (int, *task) {
