Gang partition: follows the demand of gangs, and small work does not fill their room

Cause: while gangs for 30 to 70 % of the pool waited, patient small work held 40 to 50 % of it and grew (replay of the shifted work with 1.2 times its load). A small task that ends in the partition left room too small for a gang's task, which the next small task took; and under overload the partition was the part of gangs in the demand, not in the capacity.

Change: room that small work uses in the partition belongs to gangs as well; the share is that of gangs in the smaller of demand and capacity, 0.9 at most; patient work waits for 0.6 of its slack before it may use the partition.

--- a/internal/cell/caboard/partition.go
+++ b/internal/cell/caboard/partition.go
@@ -17,7 +17,7 @@
 
 const (
 	// maxPartitionShare is the largest fraction of a pool that is left to wide gangs.
-	maxPartitionShare = 0.75
+	maxPartitionShare = 0.9
 	// partitionTimeConstant is the time constant of the moving average of the wide gangs'
 	// share.
 	partitionTimeConstant = 4 * time.Second
@@ -33,7 +33,7 @@
 	minWideApprovalRate = 0.25
 	// maxPartitionWaitSlackShare is the fraction of its slack for which a step waits for
 	// room outside of the gang partition.
-	maxPartitionWaitSlackShare = 0.35
+	maxPartitionWaitSlackShare = 0.6
 	// gangSlotPenalty makes urgent work prefer upstreams outside of the gang partition.
 	gangSlotPenalty = 0.25
 	// gangSizeWeight is the weight of one gang in the moving averages of gang sizes.
@@ -69,12 +69,14 @@
 	g.meanAccelerators += weight * (float64(s.Accelerators) - g.meanAccelerators)
 }
 
-// updateShare moves the share towards the part of the demand that is of wide gangs.
+// updateShare moves the share towards the part of the demand that is of wide gangs. Where
+// the demand exceeds the capacity, it is the part of the capacity, so that other work waits
+// first.
 func (g *gangPartition) updateShare(now time.Time, wideDemand, demand, capacity float64) {
 	if demand < minPartitionDemandShare*capacity {
 		return
 	}
-	target := min(wideDemand/demand, maxPartitionShare)
+	target := min(wideDemand/min(demand, capacity), maxPartitionShare)
 	weight := 1.0
 	if !g.updatedAt.IsZero() {
 		weight = 1 - math.Exp(-now.Sub(g.updatedAt).Seconds()/partitionTimeConstant.Seconds())
@@ -173,12 +175,19 @@
 
 // takesGangSlot reports whether a task of the step would take a slot from wide gangs at
 // an upstream of the gang partition, rather than room that is too small for their tasks.
+// Room that other work uses there belongs to gangs as well: if more such work took its
+// place, the room for a gang's task would never come together. Urgent work takes only what
+// is free, since little of it runs at a time.
 func (b *Planner) takesGangSlot(s *step, u *upstream) bool {
 	if !u.inPartition || s.wide {
 		return false
 	}
 	slot := b.partitionOf(u.info.Pool).slotSize()
-	return u.free().Minus(s.spec.Size()).Holds(slot) < u.free().Holds(slot)
+	gangRoom := u.info.Capacity.Minus(u.usedLong)
+	if s.urgent {
+		gangRoom = u.free()
+	}
+	return u.free().Minus(s.spec.Size()).Holds(slot) < gangRoom.Holds(slot)
 }
 
 // mayUsePartition reports whether a step may use an upstream of the gang partition: if it
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -129,6 +129,9 @@
 	return t.Phase == castate.TaskAssigned && t.Run == r.id.Number
 }
 
+// keepsGangRoom reports whether the room of the run is not free for wide gangs soon.
+func (r *run) keepsGangRoom() bool { return r.wide || r.step.spec.LongRunning }
+
 // confirm records that the upstream reported the run at the time.
 func (r *run) confirm(at time.Time) {
 	r.step.job.reportedRunning = true
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -17,6 +17,8 @@
 	used   cawork.Resources
 	// usedWide is the part of used that wide gangs use.
 	usedWide cawork.MilliCPU
+	// usedLong is the part of used that wide gangs and long-running tasks use.
+	usedLong cawork.Resources
 	runs     map[RunID]*run
 	// abandonedStarts are starts that were given up without an answer and may still take
 	// effect.
@@ -87,6 +89,9 @@
 	if r.wide {
 		u.usedWide += r.size.CPU
 	}
+	if r.keepsGangRoom() {
+		u.usedLong = u.usedLong.Plus(r.size)
+	}
 	u.runs[r.id] = r
 }
 
@@ -95,6 +100,9 @@
 	if r.wide {
 		u.usedWide -= r.size.CPU
 	}
+	if r.keepsGangRoom() {
+		u.usedLong = u.usedLong.Minus(r.size)
+	}
 	delete(u.runs, r.id)
 }
 
