An approval request names up to 100 upstreams, and more of them for a gang

Cause: a gang of 16 needs as many slots on the third of the upstreams that the advisor approves; of 60 named that are 21, with 19 slots on a pool that is 71 % full. The advisor answers through 39 entries and was half idle (18 of 39 s/s).

--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -59,7 +59,7 @@
 	// ticketMargin is how long a ticket must still be valid for the start call.
 	ticketMargin = 150 * time.Millisecond
 	// maxRequestUpstreams bounds the upstreams in one approval request.
-	maxRequestUpstreams = 60
+	maxRequestUpstreams = 100
 	// minRequestUpstreams is the smallest number of upstreams worth an approval request.
 	minRequestUpstreams = 4
 	// enoughApprovedFactor is how many times over a gang must fit on its approved
@@ -72,7 +72,7 @@
 	widenInterval = 2 * time.Second
 	// requestSpareFactor is the ratio of the approvals requested to those that a step
 	// needs.
-	requestSpareFactor = 1.5
+	requestSpareFactor = 2.5
 	// requestInterval is the wait before the next approval request for a step, or
 	// requestIntervalDecisions times the fixed time of a decision if that is shorter.
 	requestInterval          = 150 * time.Millisecond
