Patient work asks the advisor only about upstreams that it may use

Look-ups got their answer after 0.10 s instead of 0.02, their last start 0.20 s after acceptance instead of 0.08, and 25 to 35 of 120 were late in each 2 s of a calm pool.

Ruled out: room (look-ups started at once when they had their answer), plans that take longer (2.5 ms).

Change: upstreams that a step must leave to wide gangs now are neither requested nor renewed. TestPatientWorkAsksOnlyForUpstreamsItMayUse fails before.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -180,7 +180,7 @@
 	validSlots, slots := 0, 0
 	for id := range s.approvals.tickets {
 		u, ok := b.upstreams[id]
-		if !ok || !s.approvals.isApproved(u) || !u.available || u.reservedBy != nil {
+		if !ok || !s.approvals.isApproved(u) || !u.available || u.reservedBy != nil || !b.mayUsePartition(s, q, u) {
 			continue
 		}
 		fitting := fittingTasks(u.free(), s.spec)
@@ -229,7 +229,8 @@
 }
 
 // undecidedUpstreams returns the upstreams to request that the advisor has not decided
-// about in their present incarnation.
+// about in their present incarnation. Those that the step must leave to wide gangs now are
+// not requested: the tickets would expire, and urgent steps would wait for the advisor.
 func (b *Planner) undecidedUpstreams(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
 	isFirst := len(s.approvals.decided) == 0
@@ -247,6 +248,9 @@
 		if fittingTasks(u.info.Capacity, s.spec) == 0 || !isFirst && fittingTasks(u.free(), s.spec) == 0 {
 			continue
 		}
+		if !b.mayUsePartition(s, q, u) {
+			continue
+		}
 		candidates = append(candidates, u)
 	}
 	return b.mostFree(s, candidates, max(requestSize(s, b.statsOf(q.Name).approvalRate), cheapRequestSize(*q.Approval)))
--- a/internal/cell/caboard/partition_test.go
+++ b/internal/cell/caboard/partition_test.go
@@ -244,3 +244,42 @@
 		}
 	}
 }
+
+// TestPatientWorkAsksOnlyForUpstreamsItMayUse covers patient work that has no room outside of
+// the gang partition. Until it may use the partition, it must not ask the advisor, through
+// which urgent work asks as well.
+func TestPatientWorkAsksOnlyForUpstreamsItMayUse(t *testing.T) {
+	patient := patientQueue()
+	patient.Approval = &caspec.Approval{FixedCost: 80 * time.Millisecond, CostPerUpstream: time.Millisecond, Validity: 2500 * time.Millisecond}
+	s := newSimulation(t, 30, gangQueue(), patient)
+	s.startGangs(4)
+	s.submit("waiting", "gangs", gangStep(64, 4500))
+	s.startAll()
+	s.submit("patient", "patient", patientStep(6))
+	requests := s.planner.Plan().ApprovalRequests
+	for _, id := range requestedUpstreams(requests) {
+		if u := s.planner.upstreams[id]; u.inPartition && s.planner.takesGangSlot(s.stepOf("patient"), u) {
+			t.Errorf("%s is requested, though it is left to gangs", id)
+		}
+	}
+	s.advance(6400 * time.Millisecond)
+	for _, id := range s.planner.UpstreamIDs() {
+		s.reportWithoutDelay(id, s.runningRuns(id), nil)
+	}
+	s.planner.ApplyAdvice(ApprovalRequest{Job: "patient"}, nil, true)
+	if len(requestedUpstreams(s.planner.Plan().ApprovalRequests)) == 0 {
+		t.Error("nothing is requested after a long wait")
+	}
+}
+
+// requestedUpstreams returns the upstreams in all requests.
+func requestedUpstreams(requests []ApprovalRequest) []cawork.UpstreamID {
+	var ids []cawork.UpstreamID
+	for _, r := range requests {
+		ids = append(ids, r.Upstreams...)
+	}
+	return ids
+}
+
+// stepOf returns the first step of a job.
+func (s *simulation) stepOf(id cawork.JobID) *step { return s.planner.jobs[id].steps[0] }
--- a/internal/cell/caboard/shifted_replay_test.go
+++ b/internal/cell/caboard/shifted_replay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -37,29 +36,40 @@
 	}
 }
 
-// TestShiftedWorkload replays the workload with several seeds.
+const (
+	// minShiftedShare is the fraction of the value that users want earned on days with
+	// failures, after their work has shifted.
+	minShiftedShare = 0.81
+	// shiftedOverload is the ratio of the replayed load to that of a calm day.
+	shiftedOverload = 1.2
+)
+
+// TestShiftedWorkload replays the workload at a fifth more than its usual rate. Each kind of
+// jobs must earn minShiftedShare, over several seeds: patient work waits while gangs have no
+// room, and urgent work is not delayed by either.
 func TestShiftedWorkload(t *testing.T) {
-	for name, rate := range map[string]float64{"sheet": 1, "a tenth more": 1.1, "a quarter more": 1.25} {
-		t.Run(name, func(t *testing.T) {
-			var mu sync.Mutex
-			sums := make([]float64, 3)
-			const seeds = 16
-			t.Run("seeds", func(t *testing.T) {
-				for seed := range int64(seeds) {
-					t.Run(fmt.Sprint(seed), func(t *testing.T) {
-						t.Parallel()
-						w := shiftedWorkload(seed).withRate(rate)
-						r := newReplay(w)
-						r.run(w.duration + 25*time.Second)
-						mu.Lock()
-						defer mu.Unlock()
-						for i := range sums {
-							sums[i] += r.earnedShare(i) / seeds
-						}
-					})
-				}
+	const seeds = 4
+	replays := make([]*replay, seeds)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range seeds {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				w := shiftedWorkload(int64(seed)).withRate(shiftedOverload)
+				r := newReplay(w)
+				r.run(w.duration + 25*time.Second)
+				r.logOutcomes(t)
+				replays[seed] = r
 			})
-			t.Logf("MEAN %-14s report %.3f palette %.3f lookup %.3f", name, sums[0], sums[1], sums[2])
-		})
+		}
+	})
+	for i, k := range shiftedWorkload(0).kinds {
+		earned, total := 0.0, 0.0
+		for _, r := range replays {
+			earned += r.counts[i].earnedValue
+			total += r.counts[i].totalValue
+		}
+		if share := earned / total; share < minShiftedShare {
+			t.Errorf("%s: %.3f of the value is earned, want %.2f", k.queue.Name, share, minShiftedShare)
+		}
 	}
 }
