caadmission: the forecast of waits and the history of refusals leave caboard

What decides about admission stands in a package of its own, without the planner: the forecast, the rate of started work and the history of refusals. Behaviour is the same.

--- a/internal/cell/caboard/refusals.go
+++ b/internal/cell/caadmission/refusals.go
@@ -1,4 +1,4 @@
-package caboard
+package caadmission
 
 import (
 	"time"
@@ -7,32 +7,28 @@
 )
 
 // Refused callers retry with the same job, and its objective counts from the first
-// attempt. While a team exceeds its guaranteed rate, retried jobs must not take the
-// tokens of new ones: the retried jobs are already late, so that no job at all would meet
-// its objective.
+// attempt.
 
 const (
 	// refusalRetention is how long a refusal is remembered, and maxRefusals how many are.
 	refusalRetention = 15 * time.Second
 	maxRefusals      = 20_000
-	// onTimeTokenShare is the fraction of a team's token bucket that is kept for jobs
-	// that can still meet their objective.
-	onTimeTokenShare = 0.5
 )
 
-// refusalHistory remembers when jobs were first refused.
-type refusalHistory struct {
+// RefusalHistory remembers when jobs were first refused.
+type RefusalHistory struct {
 	firstRefusedAt map[cawork.JobID]time.Time
 	// order lists the same jobs in the order of their first refusals.
 	order []cawork.JobID
 }
 
-func newRefusalHistory() refusalHistory {
-	return refusalHistory{firstRefusedAt: make(map[cawork.JobID]time.Time)}
+// NewRefusalHistory returns a history without refusals.
+func NewRefusalHistory() RefusalHistory {
+	return RefusalHistory{firstRefusedAt: make(map[cawork.JobID]time.Time)}
 }
 
-// waited returns how long ago the job was first refused, zero if it was not.
-func (r *refusalHistory) waited(id cawork.JobID, now time.Time) time.Duration {
+// Waited returns how long ago the job was first refused, zero if it was not.
+func (r *RefusalHistory) Waited(id cawork.JobID, now time.Time) time.Duration {
 	first, ok := r.firstRefusedAt[id]
 	if !ok {
 		return 0
@@ -40,8 +36,8 @@
 	return now.Sub(first)
 }
 
-// add remembers that the job is refused now.
-func (r *refusalHistory) add(id cawork.JobID, now time.Time) {
+// Add remembers that the job is refused now.
+func (r *RefusalHistory) Add(id cawork.JobID, now time.Time) {
 	r.prune(now)
 	if _, known := r.firstRefusedAt[id]; known {
 		return
@@ -51,7 +47,7 @@
 }
 
 // prune drops refusals that are too old, and the oldest ones beyond maxRefusals.
-func (r *refusalHistory) prune(now time.Time) {
+func (r *RefusalHistory) prune(now time.Time) {
 	n := 0
 	for _, id := range r.order {
 		if len(r.order)-n < maxRefusals && now.Sub(r.firstRefusedAt[id]) < refusalRetention {
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -326,7 +327,7 @@
 	r := b.newRun(s, index, u)
 	r.ticket = ticket
 	r.ticketExpires = s.approvals.tickets[u.info.ID].expires
-	b.statsOf(s.job.Submission.Queue).startRate.add(b.now.Monotonic, coreTimeOf(s.spec.CPU, s.spec.Estimate, 1))
+	b.statsOf(s.job.Submission.Queue).startRate.Add(b.now.Monotonic, caadmission.CoreTimeOf(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	b.charge(r)
 	b.countGangSlotUse(s, u)
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -70,7 +71,7 @@
 	// detector finds upstreams that stop answering.
 	detector failureDetector
 	// refusals are the jobs that were refused recently.
-	refusals refusalHistory
+	refusals caadmission.RefusalHistory
 	// storeUnavailable is set while nothing can be stored.
 	storeUnavailable bool
 	// drains are the drained zones, and drainedRuns the runs counted there when they were
@@ -150,7 +151,7 @@
 	// durationRatio is the mean ratio of the run time of tasks to their estimate.
 	durationRatio float64
 	// startRate measures how much work is started.
-	startRate startRate
+	startRate caadmission.StartRate
 	// meanGangCPU and meanGangMemory are the mean size of whole gangs, in thousandths of
 	// a core and bytes.
 	meanGangCPU, meanGangMemory float64
@@ -170,7 +171,7 @@
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil,
-		refusals:       newRefusalHistory(),
+		refusals:       caadmission.NewRefusalHistory(),
 		detector:       failureDetector{meanAnswerLatency: initialAnswerLatency},
 	}
 }
--- a/internal/cell/caboard/refusals_test.go
+++ b/internal/cell/caboard/refusals_test.go
@@ -122,20 +122,3 @@
 		t.Errorf("%d jobs were accepted within the guaranteed rate, want most of %.0f", c.accepted, guaranteedRate*seconds)
 	}
 }
-
-// TestRefusalHistoryIsBounded checks that old refusals are dropped, and that the number
-// of remembered ones stays bounded.
-func TestRefusalHistoryIsBounded(t *testing.T) {
-	r := newRefusalHistory()
-	now := time.Unix(1000, 0)
-	for i := range maxRefusals + 100 {
-		r.add(cawork.JobID(fmt.Sprint(i)), now)
-	}
-	if len(r.firstRefusedAt) > maxRefusals || len(r.order) > maxRefusals {
-		t.Errorf("%d refusals are remembered, want at most %d", len(r.firstRefusedAt), maxRefusals)
-	}
-	r.add("late", now.Add(refusalRetention+time.Second))
-	if len(r.firstRefusedAt) != 1 || r.waited("late", now.Add(refusalRetention+3*time.Second)) != 2*time.Second {
-		t.Errorf("%d refusals are remembered after %v, want the last one", len(r.firstRefusedAt), refusalRetention)
-	}
-}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -22,7 +22,7 @@
 	}
 	excess, err := b.admit(s)
 	if cakind.Of(err) == cakind.KindOverloaded {
-		b.refusals.add(s.ID, b.now.Monotonic)
+		b.refusals.Add(s.ID, b.now.Monotonic)
 	}
 	if err != nil {
 		return false, err
@@ -32,7 +32,7 @@
 }
 
 func (b *Planner) open(s caspec.Submission, excess bool) {
-	j := &job{Job: castate.NewJob(s, b.now.WallMS), acceptedAt: b.now.Monotonic.Add(-b.refusals.waited(s.ID, b.now.Monotonic))}
+	j := &job{Job: castate.NewJob(s, b.now.WallMS), acceptedAt: b.now.Monotonic.Add(-b.refusals.Waited(s.ID, b.now.Monotonic))}
 	j.OverRate = excess
 	if !excess {
 		b.teamOf(s.Team).takeToken()
@@ -63,13 +63,13 @@
 		}
 	}
 	team, _ := b.policy.Team(s.Team)
-	waited := b.refusals.waited(s.ID, b.now.Monotonic)
+	waited := b.refusals.Waited(s.ID, b.now.Monotonic)
 	stale := waited > slackOf(q, s.Steps)
 	excess = !b.teamOf(s.Team).hasToken(b.now.Monotonic, team.Weight, stale)
 	if s.Schedule.IsTimed() || s.IsLongRunning() {
 		return excess, nil
 	}
-	return excess, b.forecastFor(s, q, excess).withWaited(waited).checkWait()
+	return excess, b.forecastFor(s, q, excess).WithWaited(waited).CheckWait()
 }
 
 func (b *Planner) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -6,6 +6,12 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
+// onTimeTokenShare is the fraction of a team's token bucket that is kept for jobs that can
+// still meet their objective. Refused callers retry with the same job, and retried jobs must
+// not take the tokens of new ones: the retried jobs are already late, so that no job at all
+// would meet its objective.
+const onTimeTokenShare = 0.5
+
 // teamUsage is what a team has running, and the token bucket that limits its submissions.
 type teamUsage struct {
 	used cawork.Resources
