--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -68,7 +68,7 @@
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
 		Dur("after", b.now.Monotonic.Sub(r.assignedAt)).Dur("longest", r.step.longestRun).Send()
 	r.task().Phase = castate.TaskWaiting
-	r.step.waitingTasks++
+	b.addWaitingTask(r.step)
 	r.step.copiedRuns = append(r.step.copiedRuns, r)
 	b.markChanged(r.step.job)
 }
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -119,6 +119,8 @@
 	// liveRuns counts the runs of the step that may be present at upstreams.
 	liveRuns     int
 	waitingTasks int
+	// waitingSince is since when some task of the step has waited, not always the same.
+	waitingSince time.Time
 	lateness     int
 	// criticalPath is the estimated length of the longest chain of steps from this one
 	// on.
@@ -377,7 +379,7 @@
 			t := &o.Steps[i].Tasks[index]
 			switch t.Phase {
 			case castate.TaskWaiting:
-				s.waitingTasks++
+				b.addWaitingTask(s)
 			case castate.TaskAssigned:
 				b.inheritRun(s, index)
 			case castate.TaskDone:
@@ -439,12 +441,28 @@
 	r.step.job.liveRuns--
 	if r.isCurrent() {
 		r.task().Phase = castate.TaskWaiting
-		r.step.waitingTasks++
+		b.addWaitingTask(r.step)
 		b.markChanged(r.step.job)
 	}
 	b.releaseEndedJob(r.step.job)
 }
 
+// addWaitingTask counts one more waiting task of the step.
+func (b *Planner) addWaitingTask(s *step) {
+	if s.waitingTasks == 0 {
+		s.waitingSince = b.now.Monotonic
+	}
+	s.waitingTasks++
+}
+
+// waitBegan returns since when a task of the step has been ready and has waited.
+func (s *step) waitBegan() time.Time {
+	if s.waitingSince.After(s.readyAt) {
+		return s.waitingSince
+	}
+	return s.readyAt
+}
+
 // releaseEndedJob drops the details of a job that has ended and has no runs.
 func (b *Planner) releaseEndedJob(j *job) {
 	if !j.Phase.IsFinal() || j.liveRuns > 0 || j.steps == nil && j.OpenOccurrences == nil {
