Room is reserved for long-running tasks that wait for a restart

Cause: starvation. Only gangs had room reserved. A large single task needs an approved upstream that has all of its room free at one moment, and a valid ticket then. Short tasks took the room of each run that ended, that of the failed run first; approval was requested only for upstreams that had room at the moment of the request, took 0.46 s or more, and expired after 2.5 s.

Now room for each long-running task that ran before and waits is reserved, as far as its team may start it, at the approved upstream that is expected to have it first; this comes before any placement, so that the room of a run that has just failed is still there. Other work is placed beside that room, or if it ends before the room is complete. Tickets are renewed in time for the reserved upstreams, further upstreams are asked about only where too few can be reserved. Among long-running work of one priority, restarts go before tasks that never ran.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -170,9 +170,12 @@
 // the upstreams with valid tickets have too little room for the waiting tasks and all
 // approved ones together have enough.
 func (b *Planner) ticketRenewals(s *step, q caspec.Queue) []cawork.UpstreamID {
-	if s.reservation != nil {
+	if s.reservation != nil && s.spec.Gang {
 		return b.reservedTicketRenewals(s, q)
 	}
+	if ids := b.taskTicketRenewals(s, q); len(ids) > 0 || b.hasRoomReserved(s) {
+		return ids
+	}
 	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.maxFree) {
 		return nil
 	}
@@ -180,10 +183,10 @@
 	validSlots, slots := 0, 0
 	for id := range s.approvals.tickets {
 		u, ok := b.upstreams[id]
-		if !ok || !s.approvals.isApproved(u) || !u.available || u.reservedBy != nil || !b.mayUsePartition(s, q, u) {
+		if !ok || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) {
 			continue
 		}
-		fitting := fittingTasks(u.free(), s.spec)
+		fitting := fittingTasks(b.roomFor(s, u), s.spec)
 		slots += fitting
 		if _, isValid := s.approvals.validTicket(u, b.now.Monotonic); isValid {
 			validSlots += fitting
@@ -234,9 +237,16 @@
 func (b *Planner) undecidedUpstreams(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
 	isFirst := len(s.approvals.decided) == 0
-	if p == nil || !isFirst && (!s.spec.Size().Fits(p.maxFree) || b.hasEnoughApproved(s) && !s.approvals.isWideningDue(b.now.Monotonic, *q.Approval)) {
+	if p == nil || !isFirst && !b.needsMoreApproved(s, q, p) {
 		return nil
 	}
+	requestableRoom := (*upstream).free
+	switch {
+	case isFirst:
+		requestableRoom = func(u *upstream) cawork.Resources { return u.info.Capacity }
+	case s.lacksReservable():
+		requestableRoom = (*upstream).reservableRoom
+	}
 	var candidates []*upstream
 	for _, u := range p.upstreams {
 		if !u.info.HasLabel(s.spec.Label) {
@@ -245,7 +255,7 @@
 		if born, isDecided := s.approvals.decided[u.info.ID]; isDecided && born == u.info.Incarnation {
 			continue
 		}
-		if fittingTasks(u.info.Capacity, s.spec) == 0 || !isFirst && fittingTasks(u.free(), s.spec) == 0 {
+		if fittingTasks(requestableRoom(u), s.spec) == 0 {
 			continue
 		}
 		if !b.mayUsePartition(s, q, u) {
@@ -256,6 +266,21 @@
 	return b.mostFree(s, candidates, max(requestSize(s, b.statsOf(q.Name).approvalRate), cheapRequestSize(*q.Approval)))
 }
 
+// needsMoreApproved reports whether approval of further upstreams should be requested for a
+// step that has answers already.
+func (b *Planner) needsMoreApproved(s *step, q caspec.Queue, p *poolPlan) bool {
+	switch {
+	case b.hasRoomReserved(s):
+		return false
+	case s.lacksReservable():
+		return true
+	case !s.spec.Size().Fits(p.maxFree):
+		return false
+	default:
+		return !b.hasEnoughApproved(s) || s.approvals.isWideningDue(b.now.Monotonic, *q.Approval)
+	}
+}
+
 // isWideningDue reports whether a step has waited so long that approval of further
 // upstreams should be requested: the approved ones may be busy or reserved for others.
 func (a *approvals) isWideningDue(now time.Time, q caspec.Approval) bool {
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -41,7 +41,7 @@
 	freeShare, reservedShare := 0.0, 0.0
 	var survey roomSurvey
 	if p := b.pools[q.Pool]; p != nil {
-		freeShare, reservedShare = float64(p.free.CPU)/float64(p.capacity), p.reservedCPU/float64(p.capacity)
+		freeShare, reservedShare = float64(p.free.CPU)/float64(p.capacity), (p.reservedCPU+p.taskReservedCPU)/float64(p.capacity)
 		for _, u := range b.usableUpstreams(s, q, p) {
 			usable++
 			if _, ok := b.mayPlace(s, q, u); ok {
@@ -57,7 +57,7 @@
 		Int("lateness", s.lateness).Int("waiting", s.waitingTasks).
 		Int("runs", s.liveRuns).Int("usable", usable).Int("permitted", permitted).Int("room", fitting).
 		Bool("within_limit", b.withinLimit(s.job.Submission.Team, s.spec.Size())).Bool("asking", s.approvals.requestPending).
-		Bool("held", s.reservation != nil).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
+		Bool("held", s.hasReserved()).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
 		Float64("pool_area", b.partitionOf(q.Pool).share).
 		Int("with_room", survey.withRoom).Int("unasked", survey.undecided).Int("rejected", survey.rejected).Int("expired", survey.expired).
 		Int("spread", survey.full).Int("kept", survey.reserved).Int("gang_area", survey.partition).Send()
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -21,6 +21,7 @@
 	b.planPartitions()
 	if !b.storeUnavailable && !b.drains.isExpired(b.now.Monotonic) {
 		b.copyStragglers()
+		b.reserveForRestarts()
 		b.placeSteps()
 	}
 	return Orders{Stops: b.dueStops(), ApprovalRequests: b.approvalRequests(), Probes: b.takeProbes()}
@@ -60,10 +61,10 @@
 	maxFree cawork.Resources
 	// free is the free room of all upstreams.
 	free cawork.Resources
-	// capacity is that of all upstreams, and reservedCPU the part that is reserved for
-	// gangs.
-	capacity    cawork.MilliCPU
-	reservedCPU float64
+	// capacity is that of all upstreams, reservedCPU the part that is reserved for gangs,
+	// and taskReservedCPU the part that is reserved for single tasks.
+	capacity                     cawork.MilliCPU
+	reservedCPU, taskReservedCPU float64
 	// maxCapacity bounds the capacity of each upstream, in each dimension.
 	maxCapacity cawork.Resources
 	// demand is what runs and waits, in thousandths of a core. wideDemand is the part of
@@ -80,13 +81,10 @@
 func (b *Planner) newPoolPlans() map[caspec.PoolName]*poolPlan {
 	pools := make(map[caspec.PoolName]*poolPlan)
 	for _, u := range b.sortedUpstreams {
-		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks == 0 || r.job.Phase.IsFinal()) {
-			u.reservedBy = nil
+		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
+			u.release(r)
 		}
 		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u)
-		if b.isDrained(u) {
-			u.reservedBy = nil
-		}
 		if !u.available {
 			continue
 		}
@@ -100,8 +98,12 @@
 		p.demand += float64(u.used.CPU)
 		p.wideDemand += float64(u.usedWide)
 		p.maxCapacity = p.maxCapacity.Most(u.info.Capacity)
-		if u.reservedBy != nil {
+		switch {
+		case u.reservedBy == nil:
+		case u.reservedBy.spec.Gang:
 			p.reservedCPU += float64(u.info.Capacity.CPU)
+		default:
+			p.taskReservedCPU += float64(u.reservedRoom.CPU)
 		}
 	}
 	for _, p := range pools {
@@ -137,11 +139,13 @@
 func (b *Planner) sortSteps() {
 	for _, s := range b.steps {
 		s.lateness = b.lateness(s)
+		s.tasksToRestart = s.countTasksToRestart()
 	}
 	slices.SortStableFunc(b.steps, func(x, y *step) int {
 		return cmp.Or(
 			cmp.Compare(x.lateness, y.lateness),
 			cmp.Compare(x.job.priority, y.job.priority),
+			compareBool(y.tasksToRestart > 0, x.tasksToRestart > 0),
 			compareBool(x.job.OverRate, y.job.OverRate),
 			x.job.acceptedAt.Compare(y.job.acceptedAt),
 			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
@@ -329,6 +333,7 @@
 	r.ticketExpires = s.approvals.tickets[u.info.ID].expires
 	b.statsOf(s.job.Submission.Queue).startRate.Add(b.now.Monotonic, caadmission.CoreTimeOf(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
+	s.releaseStarted(u)
 	b.charge(r)
 	b.countGangSlotUse(s, u)
 	b.checkInvariants(r)
@@ -424,7 +429,7 @@
 func (b *Planner) gangUpstreams(s *step, q caspec.Queue, p *poolPlan) []usableUpstream {
 	var usable []usableUpstream
 	for _, u := range b.usableUpstreams(s, q, p) {
-		fitting := fittingTasks(u.free(), s.spec)
+		fitting := fittingTasks(b.roomFor(s, u), s.spec)
 		if fitting == 0 {
 			continue
 		}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -122,6 +122,8 @@
 	// waitingSince is since when some task of the step has waited, not always the same.
 	waitingSince time.Time
 	lateness     int
+	// tasksToRestart counts the waiting tasks of a long-running step that ran before.
+	tasksToRestart int
 	// criticalPath is the estimated length of the longest chain of steps from this one
 	// on.
 	criticalPath time.Duration
--- a/internal/cell/caboard/reservation.go
+++ b/internal/cell/caboard/reservation.go
@@ -44,8 +44,14 @@
 	// expectedStart is when the gang is expected to have enough room.
 	expectedStart time.Time
 	reservedAt    time.Time
+	// lacksApproved is set while too few approved upstreams can be reserved for single
+	// tasks.
+	lacksApproved bool
 }
 
+// hasReserved reports whether room is reserved for the step.
+func (s *step) hasReserved() bool { return s.reservation != nil && len(s.reservation.upstreams) > 0 }
+
 // updateReservation refreshes, replaces or drops the reservation of a gang, or makes one.
 // Without a reservation, smaller work would take the room as soon as it becomes free. Gangs
 // that can not meet their objective reserve last, and lose their reservations when other
@@ -103,9 +109,7 @@
 		return
 	}
 	for _, u := range s.reservation.upstreams {
-		if u.reservedBy == s {
-			u.reservedBy = nil
-		}
+		u.release(s)
 	}
 	s.reservation = nil
 }
@@ -178,15 +182,30 @@
 	return slots
 }
 
-// mayBackfill reports whether a task of the step may be placed on an upstream: it is not
-// reserved for another step, or the task is expected to end before that one starts.
+// mayBackfill reports whether a task of the step may be placed on an upstream as far as
+// reservations for other steps are concerned.
 func (b *Planner) mayBackfill(s *step, u *upstream) bool {
-	if u.reservedBy == nil || u.reservedBy == s {
-		return true
+	return u.reservedBy == nil || u.reservedBy == s || s.spec.Size().Fits(b.roomFor(s, u))
+}
+
+// roomFor returns the free room at an upstream that tasks of the step may use: all of it
+// unless some is reserved for another step and the tasks are not expected to end before
+// that one starts.
+func (b *Planner) roomFor(s *step, u *upstream) cawork.Resources {
+	switch {
+	case u.reservedBy == nil || u.reservedBy == s || b.endsBeforeReservedStart(s, u):
+		return u.free()
+	case u.reservedBy.spec.Gang:
+		return cawork.Resources{}
+	default:
+		return u.free().Minus(u.reservedRoom)
 	}
+}
+
+func (b *Planner) endsBeforeReservedStart(s *step, u *upstream) bool {
 	if s.wide || s.spec.LongRunning {
 		return false
 	}
 	ends := b.now.Monotonic.Add(time.Duration(backfillMargin * float64(b.expectedRunTime(s, u))))
-	return !ends.After(u.reservedBy.reservation.expectedStart)
+	return !ends.After(u.reservedStart())
 }
