Long-running tasks that never ran do not wait without bound either

The same cause as for restarts: a large task that never ran waits for a moment at which an approved upstream has all of its room, which short tasks take. After 10 s room is reserved for one such task of a step at a time, so that the step makes progress and short work, which goes first by its priority, loses little.

--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -21,7 +21,7 @@
 	b.planPartitions()
 	if !b.storeUnavailable && !b.drains.isExpired(b.now.Monotonic) {
 		b.copyStragglers()
-		b.reserveForRestarts()
+		b.reserveForSingleTasks()
 		b.placeSteps()
 	}
 	return Orders{Stops: b.dueStops(), ApprovalRequests: b.approvalRequests(), Probes: b.takeProbes()}
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -24,10 +24,13 @@
 	// avoidedUpstreamDelay is how much later than elsewhere the room at an upstream that the
 	// task should avoid may be complete before that upstream is preferred nevertheless.
 	avoidedUpstreamDelay = time.Second
+	// firstStartPatience is how long long-running tasks that never ran wait without reserved
+	// room.
+	firstStartPatience = 10 * time.Second
 )
 
-// reservesRoom reports whether room is reserved for the single tasks of the step.
-func (s *step) reservesRoom() bool { return s.tasksToRestart > 0 && !s.spec.Gang }
+// reservesRoom reports whether the step has a reservation for single tasks, maybe an empty one.
+func (s *step) reservesRoom() bool { return s.reservation != nil && !s.spec.Gang }
 
 // countTasksToRestart returns how many long-running tasks of the step wait that ran before.
 // They are placed before those that never ran: what users rely on already is kept up first.
@@ -44,11 +47,11 @@
 	return n
 }
 
-// reserveForRestarts updates the reservations for all single tasks that wait for a restart. It
+// reserveForSingleTasks updates the reservations of all steps for their single tasks. It
 // comes before any placement, so that the room of a run that has just failed is still free.
-func (b *Planner) reserveForRestarts() {
+func (b *Planner) reserveForSingleTasks() {
 	for _, s := range b.steps {
-		if s.spec.Gang || s.tasksToRestart == 0 && s.reservation == nil {
+		if s.spec.Gang || b.tasksWithReservation(s) == 0 && s.reservation == nil {
 			continue
 		}
 		if q, ok := b.queueOf(s.job); ok && b.pools[q.Pool] != nil {
@@ -77,9 +80,19 @@
 	b.reserveForTasks(s, q, p, wanted-len(s.reservation.upstreams))
 }
 
-// startableTasks returns how many waiting tasks of the step its team may start.
+// tasksWithReservation returns for how many waiting tasks of the step room is to be reserved:
+// for all that ran before, and for one that never ran if the step has waited for long.
+func (b *Planner) tasksWithReservation(s *step) int {
+	isStarved := s.spec.LongRunning && s.ready && b.now.Monotonic.Sub(s.waitBegan()) > firstStartPatience
+	if isStarved && s.waitingTasks > s.tasksToRestart {
+		return s.tasksToRestart + 1
+	}
+	return s.tasksToRestart
+}
+
+// startableTasks returns for how many of these tasks the team of the step may start.
 func (b *Planner) startableTasks(s *step) int {
-	n := s.tasksToRestart
+	n := b.tasksWithReservation(s)
 	for n > 0 && !b.withinLimit(s.job.Submission.Team, s.spec.Size().Times(int64(n))) {
 		n--
 	}
@@ -185,7 +198,7 @@
 // taskTicketRenewals returns the reserved upstreams whose tickets will have expired when the
 // room is expected to be complete, once that is soon.
 func (b *Planner) taskTicketRenewals(s *step, q caspec.Queue) []cawork.UpstreamID {
-	if !s.reservesRoom() || s.reservation == nil {
+	if !s.reservesRoom() {
 		return nil
 	}
 	now := b.now.Monotonic
@@ -210,7 +223,7 @@
 // hasRoomReserved reports whether room is reserved for all tasks of the step that its team
 // may start.
 func (b *Planner) hasRoomReserved(s *step) bool {
-	return s.reservesRoom() && s.reservation != nil && len(s.reservation.upstreams) >= b.startableTasks(s)
+	return s.reservesRoom() && len(s.reservation.upstreams) >= b.startableTasks(s)
 }
 
 // lacksReservable reports whether too few approved upstreams can be reserved for the single
--- a/internal/cell/caboard/taskreservation_test.go
+++ b/internal/cell/caboard/taskreservation_test.go
@@ -19,6 +19,10 @@
 // for it.
 const restartBound = 6 * time.Second
 
+// firstStartBound is how long after its submission all tasks of a long-running job must have
+// run: twice the time after which room is reserved for those that never ran.
+const firstStartBound = 2 * firstStartPatience
+
 // busyPool drives a planner whose pool short tasks keep full, beside long-running tasks that
 // fail now and then. An advisor that answers slowly approves a part of the upstreams, and
 // its tickets expire soon.
@@ -32,6 +36,8 @@
 	endedAt     map[RunID]time.Time
 	longestWait time.Duration
 	restarts    int
+	// firstStarts counts the long-running tasks that have run.
+	firstStarts int
 	answers     []advisorAnswer
 	jobs        int
 }
@@ -160,6 +166,9 @@
 			p.restarts++
 			delete(p.endedAt, taskOf(o.Run))
 		}
+		if o.Run.Number == 1 {
+			p.firstStarts++
+		}
 	}
 	p.running[o.Upstream][o.Run] = p.now.Add(took)
 }
@@ -299,3 +308,23 @@
 		t.Errorf("jobs with started tasks (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunningTasksStartInBusyPool covers long-running tasks that never ran yet, in a pool
+// that short tasks keep full: they must not wait without bound either.
+func TestLongRunningTasksStartInBusyPool(t *testing.T) {
+	const jobs, tasks = 4, 5
+	for seed := range int64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := newBusyPool(t, seed, 24)
+			p.run(3 * time.Second)
+			for i := range jobs {
+				p.submit(fmt.Sprintf("service-%d", i), "service", longRunningStep(tasks))
+			}
+			p.run(firstStartBound)
+			if diff := cmp.Diff(jobs*tasks, p.firstStarts); diff != "" {
+				t.Errorf("long-running tasks started within %v (-want +got):\n%s", firstStartBound, diff)
+			}
+		})
+	}
+}
