Starts beyond a shrunk capacity are not sent

Callers saw nothing yet: the contract is new.

Cause: room is checked when a task is assigned. While the assignment is being stored, which takes seconds at a slow store, the list may show a smaller capacity. The checks before sending knew expired tickets and drained zones only.

Evidence: TestStartsBeyondShrunkCapacityAreNotSent failed before: 4 of 4 starts of 4 cores were sent to an upstream of 8 cores and to one of none, and all members of a gang as well.

The starts of a batch now share the room that the runs already sent have left, in their order. Assignments of later batches take none of it, since they are checked in turn (TestEarlierStartKeepsItsRoom, whose later start was sent before). A dropped task waits again, with its gang. Where nothing has shrunk, only a comparison is added.

--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -258,15 +258,17 @@
 	return orders
 }
 
-// dropUnsendableStarts drops the runs whose tickets expired or whose zones were drained
-// while their assignments were being stored, and the other members of their gangs.
+// dropUnsendableStarts drops the runs whose tickets expired, whose zones were drained or
+// whose upstreams lost the room for them while their assignments were being stored, and the
+// other members of their gangs.
 func (b *Planner) dropUnsendableStarts(starts []*run) {
+	room := make(startRoom)
 	for _, r := range starts {
 		if r.upstream.runs[r.id] != r {
 			continue
 		}
 		expired := !r.ticketExpires.IsZero() && !b.now.Monotonic.Before(r.ticketExpires)
-		if !expired && b.mayStartOn(r.upstream) {
+		if !expired && b.mayStartOn(r.upstream) && room.take(r) {
 			continue
 		}
 		if expired {
