A later incarnation gets no work until the list describes it

An upstream that comes back with less room, or as another kind of machine, would be brought over its capacity (LIMIT) or run tasks without the label that they need (ROUTE).

Cause: a report of a later incarnation ends the runs of the earlier one and makes the upstream usable at once, but capacity and labels come from the list, which still describes the earlier one. The same held when an outdated entry of the list came after the report.

Evidence: TestLaterIncarnationWaitsForItsCapacity failed before: 4 tasks of 4 cores were started at an incarnation that has 4 cores.

An upstream whose listed incarnation is below the reported one accepts no work. Entries that name no incarnation count as current, as before. A start waits for one read of the list longer, at most.

TestUnansweredStartIsStoppedInLaterIncarnation took a start by the capacity of the earlier incarnation for right. It now checks that there is none, and the start once the list shows the later one, as upstreams do.

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -31,6 +31,7 @@
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
 			Stringer("capacity", info.Capacity).Int64("born", info.Incarnation).Send()
 	}
+	u.listedIncarnation = info.Incarnation
 	switch {
 	case info.Incarnation > u.info.Incarnation:
 		b.beginIncarnation(u, info.Incarnation)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -244,6 +244,10 @@
 	s.advance(10 * time.Millisecond)
 	report.SentAt, report.ReceivedAt = s.now, s.now
 	s.planner.ApplyReport(report)
+	if got := s.startAll(); len(got) != 0 {
+		t.Fatalf("started %v by the capacity of the earlier incarnation", got)
+	}
+	s.restartUpstream(order.Upstream, 2)
 	if got := s.startAll(); len(got) != 1 {
 		t.Errorf("%d starts after the stop was acknowledged, want one", len(got))
 	}
--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -93,3 +93,25 @@
 		t.Errorf("starts of the later batch (-want +got):\n%s", diff)
 	}
 }
+
+// TestLaterIncarnationWaitsForItsCapacity guards against starts at an incarnation that its
+// reports have shown, by the capacity that the list still has of the earlier one.
+func TestLaterIncarnationWaitsForItsCapacity(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	info := s.planner.sortedUpstreams[0].info
+	s.advance(time.Millisecond)
+	s.planner.ApplyReport(Report{Upstream: info.ID, Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 1})
+	s.submit("job", "queue", caspec.Step{Tasks: 4, CPU: cawork.Cores(4), Estimate: time.Second})
+	if diff := cmp.Diff(0, len(s.startAll())); diff != "" {
+		t.Errorf("starts before the capacity of the incarnation is known (-want +got):\n%s", diff)
+	}
+	s.planner.SetUpstreams([]caspec.Upstream{info})
+	if diff := cmp.Diff(0, len(s.startAll())); diff != "" {
+		t.Errorf("starts after the earlier incarnation was listed again (-want +got):\n%s", diff)
+	}
+	info.Incarnation, info.Capacity.CPU = 2, cawork.Cores(4)
+	s.planner.SetUpstreams([]caspec.Upstream{info})
+	if diff := cmp.Diff(1, len(s.startAll())); diff != "" {
+		t.Errorf("starts once the incarnation is listed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -12,9 +12,11 @@
 // upstream is an upstream together with what is charged to it.
 type upstream struct {
 	info caspec.Upstream
-	// listed is set while it is in the platform's list.
-	listed bool
-	used   cawork.Resources
+	// listed is set while it is in the platform's list, and listedIncarnation is the one that
+	// the list showed last, or zero if it shows none.
+	listed            bool
+	listedIncarnation int64
+	used              cawork.Resources
 	// usedWide is the part of used that wide gangs use.
 	usedWide cawork.MilliCPU
 	// usedLong is the part of used that wide gangs and long-running tasks use.
@@ -124,8 +126,14 @@
 	}
 }
 
+// isDescriptionOutdated reports whether the list still describes an earlier incarnation than
+// the one that the reports have shown. The later one may have less room and other labels.
+func (u *upstream) isDescriptionOutdated() bool {
+	return u.listedIncarnation != 0 && u.listedIncarnation < u.info.Incarnation
+}
+
 // acceptsWork reports whether the upstream may get new work now.
 func (u *upstream) acceptsWork(now time.Time) bool {
-	return u.listed && u.fenced && !u.info.Draining && !u.isSuspected() &&
+	return u.listed && !u.isDescriptionOutdated() && u.fenced && !u.info.Draining && !u.isSuspected() &&
 		now.Sub(u.lastReportAt) < maxReportAge && !now.Before(u.pausedUntil) && !u.health.isEjected(now)
 }
