No gang members on an upstream over its capacity

A member of a gang could start on an upstream whose runs exceed its shrunk capacity (LIMIT).

Cause: room for a single task is compared in every dimension, room for members of a gang was counted in the dimensions that they use only. With accelerators lost and in use, cores were still counted as room.

Evidence: TestGangAvoidsOvercommittedUpstream failed before: both members were started at an upstream with one accelerator in use and none left.

The count is zero now while any dimension is negative.

--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -115,3 +115,26 @@
 		t.Errorf("starts once the incarnation is listed (-want +got):\n%s", diff)
 	}
 }
+
+// TestGangAvoidsOvercommittedUpstream guards against members of a gang on an upstream whose
+// runs exceed its shrunk capacity in a dimension that the gang does not use.
+func TestGangAvoidsOvercommittedUpstream(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	withAccelerators := func(n int64) {
+		info := s.planner.sortedUpstreams[0].info
+		info.Capacity.Accelerators = n
+		s.planner.SetUpstreams([]caspec.Upstream{info})
+	}
+	withAccelerators(1)
+	s.submit("accelerated", "queue", caspec.Step{Tasks: 1, CPU: 1000, Accelerators: 1, Estimate: time.Minute})
+	s.startAll()
+	withAccelerators(0)
+	s.submit("gang", "queue", caspec.Step{Tasks: 2, CPU: 1000, Gang: true, Estimate: time.Second})
+	if diff := cmp.Diff(0, len(s.startAll())); diff != "" {
+		t.Errorf("starts at an upstream over its capacity (-want +got):\n%s", diff)
+	}
+	withAccelerators(1)
+	if diff := cmp.Diff(2, len(s.startAll())); diff != "" {
+		t.Errorf("starts once the capacity has grown again (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -242,8 +242,12 @@
 	}
 }
 
-// fittingTasks returns how many tasks of the step fit into the free room of one upstream.
+// fittingTasks returns how many tasks of the step fit into the free room of one upstream:
+// none if its runs exceed its capacity in any dimension.
 func fittingTasks(room cawork.Resources, s caspec.Step) int {
+	if room.IsNegative() {
+		return 0
+	}
 	n := min(s.Tasks, room.Holds(s.Size()))
 	if s.MaxPerUpstream > 0 {
 		n = min(n, s.MaxPerUpstream)
