An unknown run takes all that its upstream ever had

Beside a run of unknown size an upstream could be brought over its capacity (LIMIT), since what is being stopped still counts.

Cause: such a run, of a late order of an earlier leader, was charged with the capacity at that moment. If that was shrunk, room appeared beside the run once it grew again.

Evidence: TestUnknownRunTakesAllThatUpstreamEverHad failed before: 8 cores were started beside an unknown run that had been charged with 4 of 16.

The largest capacity that the leader saw is charged now. It saw none before the first list, as before.

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -39,6 +39,7 @@
 		info.Incarnation = u.info.Incarnation
 	}
 	u.listed = true
+	u.largestCapacity = u.largestCapacity.Most(info.Capacity)
 	u.info = info
 }
 
@@ -248,10 +249,11 @@
 }
 
 // sizeOfUnassigned returns what a run takes at an upstream, for a job that may be nil. A run
-// of unknown size counts as taking the whole upstream until it is gone.
+// of unknown size counts as taking the whole upstream until it is gone, also if its capacity
+// grows again meanwhile.
 func sizeOfUnassigned(j *job, id RunID, u *upstream) cawork.Resources {
 	if j == nil || id.Step < 0 || id.Step >= len(j.taskSizes) {
-		return u.info.Capacity
+		return u.largestCapacity
 	}
 	return j.taskSizes[id.Step]
 }
--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -138,3 +138,17 @@
 		t.Errorf("starts once the capacity has grown again (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnknownRunTakesAllThatUpstreamEverHad guards against starts beside an unknown run whose
+// size was taken from a shrunk capacity, once that has grown again.
+func TestUnknownRunTakesAllThatUpstreamEverHad(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	id := s.planner.sortedUpstreams[0].info.ID
+	s.setCapacity(4)
+	s.report(id, []RunningRun{{Run: RunID{Job: "unknown", Number: 1}}}, nil)
+	s.setCapacity(16)
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: cawork.Cores(8), Estimate: time.Second})
+	if diff := cmp.Diff(0, len(s.startAll())); diff != "" {
+		t.Errorf("starts beside a run of unknown size (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -17,6 +17,8 @@
 	listed            bool
 	listedIncarnation int64
 	used              cawork.Resources
+	// largestCapacity is the most that it had in each dimension in any incarnation.
+	largestCapacity cawork.Resources
 	// usedWide is the part of used that wide gangs use.
 	usedWide cawork.MilliCPU
 	// usedLong is the part of used that wide gangs and long-running tasks use.
@@ -61,7 +63,9 @@
 }
 
 func newUpstream(info caspec.Upstream) *upstream {
-	return &upstream{info: info, runs: make(map[RunID]*run), slowness: 1, partitionRank: partitionRankOf(info.ID)}
+	return &upstream{
+		info: info, largestCapacity: info.Capacity, runs: make(map[RunID]*run), slowness: 1, partitionRank: partitionRankOf(info.ID),
+	}
 }
 
 // addUpstream adds an upstream to the planner.
