A job for which there is no room for now is not refused for good

But the refusal said that the job never fits, and the time until the next attempt was not counted: once accepted, the job was as young as its last attempt and stood behind work that came later.

Cause: admission compared a step with the capacities of this moment, which may be shrunk, and with the upstreams of this moment, which may have crashed or not be listed yet.

Evidence: TestRefusalForLackOfRoomIsTrue, TestRefusalOfColdPoolTellsWhenToRetry and TestShrunkPoolCountsWaitFromFirstRefusal failed before.

The planner remembers the largest capacity of each upstream, for a minute after it left. A job that would fit there is refused as overloaded, with a time to retry after. Open: a new leader knows the capacities of its own time only.

--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -45,6 +45,7 @@
 	teams           map[cawork.TeamName]*teamUsage
 	queues          map[caspec.QueueName]*queueStats
 	partitions      map[caspec.PoolName]*gangPartition
+	knownRooms      knownRooms
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -167,6 +168,7 @@
 		teams:          make(map[cawork.TeamName]*teamUsage),
 		queues:         make(map[caspec.QueueName]*queueStats),
 		partitions:     make(map[caspec.PoolName]*gangPartition),
+		knownRooms:     make(knownRooms),
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -18,6 +18,7 @@
 	for _, info := range list {
 		b.updateUpstream(info)
 	}
+	b.knownRooms.add(list, b.now.Monotonic)
 	b.forgetUpstreams()
 }
 
--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -152,3 +153,72 @@
 		t.Errorf("starts beside a run of unknown size (-want +got):\n%s", diff)
 	}
 }
+
+// TestRefusalForLackOfRoomIsTrue guards against the refusal of a job as one that never fits
+// while the upstreams are only shrunk or gone for now. Such a caller is told when to retry.
+func TestRefusalForLackOfRoomIsTrue(t *testing.T) {
+	fitsWhole := caspec.Step{Tasks: 1, CPU: cawork.Cores(12), Estimate: time.Second}
+	gang := caspec.Step{Tasks: 6, CPU: cawork.Cores(4), Gang: true, Estimate: time.Second}
+	neverFits := caspec.Step{Tasks: 1, CPU: cawork.Cores(17), Estimate: time.Second}
+	shrink := func(s *simulation) { s.setCapacity(8) }
+	gone := func(s *simulation) { s.planner.SetUpstreams(nil) }
+	longGone := func(s *simulation) {
+		gone(s)
+		s.advance(roomRetention + time.Second)
+		s.planner.SetUpstreams(nil)
+	}
+	tests := map[string]struct {
+		change func(*simulation)
+		step   caspec.Step
+		want   cakind.Kind
+	}{
+		"task for shrunk upstreams":      {shrink, fitsWhole, cakind.KindOverloaded},
+		"gang for shrunk upstreams":      {shrink, gang, cakind.KindOverloaded},
+		"task for upstreams that left":   {gone, fitsWhole, cakind.KindOverloaded},
+		"task for a pool long without":   {longGone, neverFits, cakind.KindOverloaded},
+		"task larger than any upstream":  {shrink, neverFits, cakind.KindNeverFits},
+		"task larger than any that left": {gone, neverFits, cakind.KindNeverFits},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 2, plainQueue())
+			test.change(s)
+			_, err := s.planner.Submit(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{test.step}})
+			if diff := cmp.Diff(test.want, cakind.Of(err)); diff != "" {
+				t.Errorf("answer %v (-want +got):\n%s", err, diff)
+			}
+			if retry := cakind.RetryAfterOf(err); (retry > 0) != (test.want == cakind.KindOverloaded) {
+				t.Errorf("retry delay %s of answer %v", retry, err)
+			}
+		})
+	}
+}
+
+// TestRefusalOfColdPoolTellsWhenToRetry guards against the refusal of a job as one that never
+// fits by a leader that has not seen an upstream of the pool yet.
+func TestRefusalOfColdPoolTellsWhenToRetry(t *testing.T) {
+	s := newSimulation(t, 0, plainQueue())
+	_, err := s.planner.Submit(submission(1, smallStep(1)))
+	if diff := cmp.Diff(cakind.KindOverloaded, cakind.Of(err)); diff != "" {
+		t.Errorf("answer %v (-want +got):\n%s", err, diff)
+	}
+}
+
+// TestShrunkPoolCountsWaitFromFirstRefusal checks that a job that was refused while upstreams
+// were shrunk is as old as its first submission once it is accepted.
+func TestShrunkPoolCountsWaitFromFirstRefusal(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	job := submission(1, caspec.Step{Tasks: 1, CPU: cawork.Cores(12), Estimate: time.Second})
+	s.setCapacity(8)
+	if _, err := s.planner.Submit(job); err == nil {
+		t.Fatal("the job was accepted by a shrunk pool")
+	}
+	s.advance(1500 * time.Millisecond)
+	s.setCapacity(16)
+	if _, err := s.planner.Submit(job); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(1500*time.Millisecond, s.planner.age(s.planner.jobs[job.ID])); diff != "" {
+		t.Errorf("age of the accepted job (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -81,8 +81,8 @@
 	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
 	}
-	if fitting := b.fittingTasksInPool(q.Pool, s, atOnce, caspec.ZoneDrains{}); fitting < atOnce {
-		return cakind.New(cakind.KindNeverFits, "step %d needs room for %d tasks at once, the pool %s has room for %d", number, atOnce, q.Pool, fitting)
+	if err := b.checkRoom(q.Pool, number, s, atOnce); err != nil {
+		return err
 	}
 	return b.checkDrainedRoom(q.Pool, s, atOnce)
 }
