A late registration does not bring back lost capacity

Callers saw nothing yet: the contract is new. A registration that reaches the store seconds late, after a newer one, would give an upstream back the room that it has lost (LIMIT).

Cause: the list took the last record of the store for the newest. Upstreams number their registrations, and the number was not read.

Evidence: TestLateRegistrationDoesNotRestoreCapacity failed before: registration 4 restored 16 cores after registration 5 had told of 4. That a store delays a registration was not seen.

A registration of the same incarnation with a lower number is ignored. One without a valid number, of another incarnation, or after a removal counts as before.

--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -14,9 +14,17 @@
 	Zone    cawork.ZoneName
 	// Incarnation is the start time of this incarnation in Unix milliseconds.
 	Incarnation int64
-	Capacity    cawork.Resources
-	Labels      []string
-	Draining    bool
+	// Sequence numbers the descriptions of an incarnation. Zero means that it is not known.
+	Sequence int64
+	Capacity cawork.Resources
+	Labels   []string
+	Draining bool
+}
+
+// IsSupersededBy reports whether the description is older than another one of the same
+// incarnation.
+func (u Upstream) IsSupersededBy(newer Upstream) bool {
+	return u.Incarnation != 0 && u.Incarnation == newer.Incarnation && u.Sequence != 0 && u.Sequence < newer.Sequence
 }
 
 // HasLabel reports whether the upstream has the label. Every upstream has the
