A start without an answer counts if its upstream has restarted since

Callers saw a job as not_run whose task had run up to thirty times, and a task that is not idempotent ran more than once. It concerns the former engine (celeryarch entry).

Cause: an attempt whose start had no answer is settled by a stop, and an upstream that does not know the attempt answers that it never started. Such an attempt counts neither as an attempt nor as work that may have run. But an upstream that crashed under the task and came back under its id has forgotten its attempts, which docs/PLATFORM.md permits. A task that crashes each upstream that starts it was started ten times as often as it may be attempted.

The owner of an upstream now answers that an attempt may have run if the attempt is older than its ownership, which ends when an upstream restarts. The attempt is settled as lapsed and not observed. The call says how old the attempt is; calls of former builds do not, and get the former answer. No record changes. Price: a start that was lost in a cut so long that the ownership ended counts as an attempt too, and work that is not idempotent ends as unknown.

--- a/internal/node/caentry/network_test.go
+++ b/internal/node/caentry/network_test.go
@@ -203,13 +203,17 @@
 func (r remoteAgents) Agent(to string) caplatform.Agent {
 	r.world.mu.Lock()
 	defer r.world.mu.Unlock()
-	return remoteAgent{network: r.world.network, from: r.from, to: to, agent: r.world.upstreams[to]}
+	return remoteAgent{
+		network: r.world.network, from: r.from, to: to, agent: r.world.upstreams[to], onStart: r.world.onStart,
+	}
 }
 
 type remoteAgent struct {
 	network  *network
 	from, to string
 	agent    caplatform.Agent
+	// onStart is called with each start that reached the upstream, unless it is nil.
+	onStart func(upstream string, s caplatform.Start)
 }
 
 func (a remoteAgent) Claim(ctx context.Context, c caplatform.Claim) (caplatform.ClaimResult, error) {
@@ -226,7 +230,13 @@
 }
 
 func (a remoteAgent) Start(ctx context.Context, s caplatform.Start) (caplatform.TaskStatus, error) {
-	return roundTrip(ctx, a.network, a.from, a.to, func() (caplatform.TaskStatus, error) { return a.agent.Start(ctx, s) })
+	return roundTrip(ctx, a.network, a.from, a.to, func() (caplatform.TaskStatus, error) {
+		status, err := a.agent.Start(ctx, s)
+		if err == nil && a.onStart != nil {
+			a.onStart(a.to, s)
+		}
+		return status, err
+	})
 }
 
 func (a remoteAgent) Stop(ctx context.Context, s caplatform.Stop) (caplatform.TaskStatus, error) {
--- a/internal/node/caentry/world_test.go
+++ b/internal/node/caentry/world_test.go
@@ -70,6 +70,8 @@
 	// announce defaultVersion.
 	entryVersions  map[string]Version
 	defaultVersion Version
+	// onStart is called with each start that reached an upstream, unless it is nil.
+	onStart func(upstream string, s caplatform.Start)
 	// onAppend is called with the payloads that entries append to the log.
 	onAppend atomic.Pointer[func(topic string, payloads [][]byte)]
 	ctx      context.Context
@@ -150,6 +152,13 @@
 	}
 }
 
+// setOnStart sets what is called with the starts from now on.
+func (w *world) setOnStart(f func(upstream string, s caplatform.Start)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onStart = f
+}
+
 // startEntry starts an entry with the given ID. A former entry with this ID
 // must have ended.
 func (w *world) startEntry(id string, zone cawork.ZoneName) {
--- a/internal/node/calaunch/attempt.go
+++ b/internal/node/calaunch/attempt.go
@@ -216,6 +216,8 @@
 	}
 	switch {
 	case a.phase == phaseIntended || a.phase == phaseSettling:
+	case a.phase == phaseUnresolved && s.State == cawork.TaskStateFenced:
+		// resolveAttempts finds out whether the upstream may have forgotten the attempt.
 	case s.State.Ended():
 		l.settle(a, s, true)
 	case s.State == cawork.TaskStateRunning:
--- a/internal/node/calaunch/launcher.go
+++ b/internal/node/calaunch/launcher.go
@@ -159,11 +159,13 @@
 	draining  bool
 	jobSerial int64
 
-	table                 *catask.Table
-	led                   map[cawork.ShardID]*ledShard
-	attempts              map[cawork.AttemptID]*attempt
-	byTask                map[cawork.TaskRef]*attempt
-	foreignTasks          foreignTasks
+	table        *catask.Table
+	led          map[cawork.ShardID]*ledShard
+	attempts     map[cawork.AttemptID]*attempt
+	byTask       map[cawork.TaskRef]*attempt
+	foreignTasks foreignTasks
+	// ownedSince is when this entry gained the upstreams that it owns.
+	ownedSince            map[cawork.UpstreamID]time.Time
 	startBackoffs         startBackoffs
 	waiters               map[cawork.JobID][]chan struct{}
 	pendingSubmissions    map[keyedSubmission]struct{}
@@ -219,6 +221,7 @@
 		attempts:           make(map[cawork.AttemptID]*attempt),
 		byTask:             make(map[cawork.TaskRef]*attempt),
 		foreignTasks:       make(foreignTasks),
+		ownedSince:         make(map[cawork.UpstreamID]time.Time),
 		startBackoffs:      make(startBackoffs),
 		waiters:            make(map[cawork.JobID][]chan struct{}),
 		pendingSubmissions: make(map[keyedSubmission]struct{}),
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -105,6 +105,9 @@
 	Task     cawork.TaskRef
 	Mode     caplatform.StopMode
 	Resolve  bool
+	// Age is how long ago the attempt was recorded, at least, if Resolve is set. Zero means
+	// that it is not known.
+	Age time.Duration `cbor:",omitempty"`
 }
 
 // SilenceCall asks an entry of the zone how long upstreams have not answered
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -61,7 +61,7 @@
 func (l *Launcher) controlLocal(call ControlCall, onResult func(caplatform.TaskStatus, error)) {
 	known, ok := l.table.FindAttempt(call.Upstream, call.Attempt)
 	if ok && call.Resolve {
-		onResult(known, nil)
+		onResult(l.resolved(call, known), nil)
 		return
 	}
 	lease, owned := l.Leases.Lease(call.Upstream)
@@ -78,7 +78,7 @@
 			if err == nil {
 				l.endForeign(call.Task, call.Attempt, status)
 			}
-			onResult(status, err)
+			onResult(l.resolved(call, status), err)
 		}
 	})
 }
@@ -117,16 +117,32 @@
 			continue
 		}
 		a.resolving = true
-		call := ControlCall{Upstream: a.upstream, Attempt: a.id, Task: a.task, Mode: caplatform.StopModeStop, Resolve: true}
+		call := ControlCall{
+			Upstream: a.upstream, Attempt: a.id, Task: a.task, Mode: caplatform.StopModeStop, Resolve: true,
+			Age: l.now().Sub(a.trackedSince),
+		}
 		l.controlAttempt(call, func(status caplatform.TaskStatus, err error) {
 			a.resolving = false
-			if err == nil && a.phase == phaseUnresolved {
-				l.observe(a.upstream, status)
+			if err == nil {
+				l.attemptResolved(a, status)
 			}
 		})
 	}
 }
 
+// attemptResolved handles the state of an attempt whose start was not answered.
+func (l *Launcher) attemptResolved(a *attempt, s caplatform.TaskStatus) {
+	switch {
+	case l.attempts[a.id] != a || a.phase != phaseUnresolved:
+	case s.State == cawork.TaskStateFenced:
+		l.settle(a, s, true)
+	case s.State == cawork.TaskStateLapsed && s.Task == cawork.TaskRef{}:
+		l.settle(a, s, false)
+	default:
+		l.observe(a.upstream, s)
+	}
+}
+
 // settleGone settles attempts on upstreams that are permanently gone: nothing
 // runs there any more.
 func (l *Launcher) settleGone() {
--- a/internal/node/calaunch/upstream.go
+++ b/internal/node/calaunch/upstream.go
@@ -37,6 +37,7 @@
 // or whether a start without an answer took effect.
 func (l *Launcher) dropUpstream(u cawork.UpstreamID) {
 	l.table.RemoveUpstream(u)
+	delete(l.ownedSince, u)
 	l.Scheduler.RemoveUpstream(u, l.now())
 	for task, a := range l.foreignTasks {
 		if a.upstream == u {
@@ -72,6 +73,7 @@
 // owns.
 func (l *Launcher) upstreamGained(e caowner.Event) {
 	l.table.AddUpstream(e.Upstream, e.Tasks)
+	l.ownedSince[e.Upstream] = l.now()
 	l.putUpstream(e.VM)
 	listed := make(map[cawork.AttemptID]struct{}, len(e.Tasks))
 	for _, s := range e.Tasks {
--- a/internal/standin/castandup/upstream.go
+++ b/internal/standin/castandup/upstream.go
@@ -74,6 +74,15 @@
 	return u.changedSince(0, u.advance())
 }
 
+// Restart ends the tasks and the ownership of the upstream, as a crash of its VM does. Epochs,
+// fences and registers are kept, and its tasks are forgotten.
+func (u *Upstream) Restart() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ownedUntil = u.advance()
+	u.tasks = make(map[cawork.AttemptID]*task)
+}
+
 // Claim implements caplatform.Agent.
 func (u *Upstream) Claim(_ context.Context, c caplatform.Claim) (caplatform.ClaimResult, error) {
 	u.mu.Lock()
