A large task is not starved by small work of its own team

Cause: room is reserved for a blocked job only if its team stays within its share with it, or uses at most half of the share. A team with enough small work always uses its whole share, so that neither came true, however long the job waited.

Evidence: TestLargeTaskStartsDuringSteadySmallWork failed before for a task of a team with small work of its own: not started after an hour. A task of another team started after 1.3 s.

A single task that is past its due time may reserve as soon as its team is not beyond its share. The team then exceeds it by one task at most, and by less with the next ends. Measured: the batch task starts after 10 min 2 s, the service after 1 min 2 s, each 2 s after it is due. Shares off by 3.05 % and 2.66 % at worst, as before (BenchmarkShares).

Gangs of a team that fills its share with small work keep the former rule: not mended, since a gang may exceed the share by far.

--- a/internal/core/cadecide/unblock.go
+++ b/internal/core/cadecide/unblock.go
@@ -285,7 +285,9 @@
 // mayReserve reports whether the job has waited long enough to reserve capacity.
 // If the job would take its team beyond its share, the team may reserve only
 // while it uses at most half of its share, so that other teams do not lose the
-// capacity to the reservation.
+// capacity to the reservation. A single task that is overdue may reserve as soon
+// as its team is not beyond its share: smaller work of the team would otherwise
+// keep the share in use for ever.
 func (s *Scheduler) mayReserve(t *team, j *caledger.Job, now time.Time) bool {
 	p := s.policy.Kind(j.Spec.Kind)
 	if p.ReserveBound == 0 || now.Sub(j.Accepted) < p.ReserveAfter || now.Before(j.NextReserveAt) ||
@@ -296,8 +298,12 @@
 	if !t.Allows(total) {
 		return false
 	}
-	entitlement := t.Entitlement(s.fairLevel(t))
-	return s.shares.DominantShareWith(t.Team, total) <= entitlement || s.shares.DominantShareWith(t.Team, cawork.Resources{}) <= entitlement/2
+	entitlement, use := t.Entitlement(s.fairLevel(t)), s.shares.DominantShareWith(t.Team, cawork.Resources{})
+	if s.shares.DominantShareWith(t.Team, total) <= entitlement || use <= entitlement/2 {
+		return true
+	}
+	isOverdue := now.After(s.policy.DueTime(j.Job, s.expectedRunTime(j)))
+	return j.TasksPerStart() == 1 && isOverdue && use <= entitlement
 }
 
 // isLarge reports whether smaller jobs could starve the job: it is a gang, or a
