--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -45,6 +45,7 @@
 	teams           map[cawork.TeamName]*teamUsage
 	queues          map[caspec.QueueName]*queueStats
 	partitions      map[caspec.PoolName]*gangPartition
+	knownRooms      knownRooms
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -171,6 +172,7 @@
 		teams:          make(map[cawork.TeamName]*teamUsage),
 		queues:         make(map[caspec.QueueName]*queueStats),
 		partitions:     make(map[caspec.PoolName]*gangPartition),
+		knownRooms:     make(knownRooms),
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
@@ -262,15 +264,17 @@
 	return orders
 }
 
-// dropUnsendableStarts drops the runs whose tickets expired or whose zones were drained
-// while their assignments were being stored, and the other members of their gangs.
+// dropUnsendableStarts drops the runs whose tickets expired, whose zones were drained or
+// whose upstreams lost the room for them while their assignments were being stored, and the
+// other members of their gangs.
 func (b *Planner) dropUnsendableStarts(starts []*run) {
+	room := make(startRoom)
 	for _, r := range starts {
 		if r.upstream.runs[r.id] != r {
 			continue
 		}
 		expired := !r.ticketExpires.IsZero() && !b.now.Monotonic.Before(r.ticketExpires)
-		if !expired && b.mayStartOn(r.upstream) {
+		if !expired && b.mayStartOn(r.upstream) && room.take(r) {
 			continue
 		}
 		if expired {
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -18,6 +18,7 @@
 	for _, info := range list {
 		b.updateUpstream(info)
 	}
+	b.knownRooms.add(list, b.now.Monotonic)
 	b.forgetUpstreams()
 }
 
@@ -31,6 +32,7 @@
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
 			Stringer("capacity", info.Capacity).Int64("born", info.Incarnation).Send()
 	}
+	u.listedIncarnation = info.Incarnation
 	switch {
 	case info.Incarnation > u.info.Incarnation:
 		b.beginIncarnation(u, info.Incarnation)
@@ -38,6 +40,7 @@
 		info.Incarnation = u.info.Incarnation
 	}
 	u.listed = true
+	u.largestCapacity = u.largestCapacity.Most(info.Capacity)
 	u.info = info
 }
 
@@ -247,10 +250,11 @@
 }
 
 // sizeOfUnassigned returns what a run takes at an upstream, for a job that may be nil. A run
-// of unknown size counts as taking the whole upstream until it is gone.
+// of unknown size counts as taking the whole upstream until it is gone, also if its capacity
+// grows again meanwhile.
 func sizeOfUnassigned(j *job, id RunID, u *upstream) cawork.Resources {
 	if j == nil || id.Step < 0 || id.Step >= len(j.taskSizes) {
-		return u.info.Capacity
+		return u.largestCapacity
 	}
 	return j.taskSizes[id.Step]
 }
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -81,8 +81,8 @@
 	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
 	}
-	if fitting := b.fittingTasksInPool(q.Pool, s, atOnce, caspec.ZoneDrains{}); fitting < atOnce {
-		return cakind.New(cakind.KindNeverFits, "step %d needs room for %d tasks at once, the pool %s has room for %d", number, atOnce, q.Pool, fitting)
+	if err := b.checkRoom(q.Pool, number, s, atOnce); err != nil {
+		return err
 	}
 	return b.checkDrainedRoom(q.Pool, s, atOnce)
 }
@@ -242,8 +242,12 @@
 	}
 }
 
-// fittingTasks returns how many tasks of the step fit into the free room of one upstream.
+// fittingTasks returns how many tasks of the step fit into the free room of one upstream:
+// none if its runs exceed its capacity in any dimension.
 func fittingTasks(room cawork.Resources, s caspec.Step) int {
+	if room.IsNegative() {
+		return 0
+	}
 	n := min(s.Tasks, room.Holds(s.Size()))
 	if s.MaxPerUpstream > 0 {
 		n = min(n, s.MaxPerUpstream)
--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -46,6 +46,14 @@
 // PollReply answers a PollRequest.
 type PollReply struct {
 	Shards []ShardChanges
+	// Gained are the upstreams that the owner gained recently.
+	Gained []GainedUpstream `cbor:",omitempty"`
+}
+
+// GainedUpstream is an upstream that its owner gained the given time ago.
+type GainedUpstream struct {
+	Upstream cawork.UpstreamID
+	Ago      time.Duration
 }
 
 // ShardChanges lists the changes to the attempts of a shard.
@@ -105,6 +113,9 @@
 	Task     cawork.TaskRef
 	Mode     caplatform.StopMode
 	Resolve  bool
+	// Age is how long ago the attempt was recorded, at least, if Resolve is set. Zero means
+	// that it is not known.
+	Age time.Duration `cbor:",omitempty"`
 }
 
 // SilenceCall asks an entry of the zone how long upstreams have not answered
