--- a/internal/node/calaunch/phase_names.go
+++ b/internal/node/calaunch/phase_names.go
@@ -24,11 +24,11 @@
 // Re-run the stringer command to generate them again.
 func _phaseNoOp() {
 	var x [1]struct{}
-	_ = x[phaseIntended-0]
-	_ = x[phaseSent-1]
-	_ = x[phaseUnresolved-2]
-	_ = x[phaseRunning-3]
-	_ = x[phaseSettling-4]
+	_ = x[phaseIntended-(0)]
+	_ = x[phaseSent-(1)]
+	_ = x[phaseUnresolved-(2)]
+	_ = x[phaseRunning-(3)]
+	_ = x[phaseSettling-(4)]
 }
 
 var _phaseValues = []phase{phaseIntended, phaseSent, phaseUnresolved, phaseRunning, phaseSettling}
