--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -123,7 +123,7 @@
 func (c *cell) serveUpstreams(ip string, n int) error {
 	for i := range n {
 		id := cawork.UpstreamID(fmt.Sprintf("upstream-%d", i))
-		if err := c.serve(ip, firstUpstreamPort+2*i, c.emulator.UpstreamHandler(id)); err != nil {
+		if err := c.serve(ip, firstUpstreamPort+2*i, c.emulator.UpstreamHandler(string(id))); err != nil {
 			return err
 		}
 		link, err := NewProxy(fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i+1), fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i))
@@ -136,18 +136,19 @@
 	return nil
 }
 
-// registerUpstreams registers all upstreams under the addresses of their proxies.
+// registerUpstreams writes what has changed in the registrations of the upstreams, under the
+// addresses of their proxies.
 func (c *cell) registerUpstreams(ctx context.Context) error {
 	list, err := c.fleet.List(ctx)
 	if err != nil {
 		return err
 	}
-	addresses := make(map[cawork.UpstreamID]string, len(c.upstreamProxies))
+	addresses := make(map[string]string, len(c.upstreamProxies))
 	for i, id := range c.upstreams {
-		addresses[id] = c.upstreamProxies[i].Address()
+		addresses[string(id)] = c.upstreamProxies[i].Address()
 	}
 	for i := range list {
-		list[i].Address = addresses[list[i].ID]
+		list[i].Address = addresses[list[i].Address]
 	}
 	return c.emulator.RegisterUpstreams(ctx, list)
 }
