--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -44,13 +44,17 @@
 	drainStretch time.Duration
 	// advisor is the advisor of all entries.
 	advisor caleader.Advisor
+	// settleTime is how long the cell may take to recover at the end.
+	settleTime time.Duration
 
 	mu      sync.Mutex
 	entries map[string]*entry
 	// accepted, refused and unknown are the jobs by the outcome that their callers got.
 	accepted, refused, unknown map[cawork.JobID]bool
-	jobs                       int
-	callers                    sync.WaitGroup
+	// deadly are the jobs with tasks that crash the upstreams that start them.
+	deadly  map[cawork.JobID]bool
+	jobs    int
+	callers sync.WaitGroup
 }
 
 type entry struct {
@@ -90,6 +94,7 @@
 	c := &testCell{
 		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) OperatorFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
+		deadly: make(map[cawork.JobID]bool), settleTime: 25 * time.Second,
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
 	c.fleet = standin.NewFleet(testUpstreams, capacity, testStep().Size(),
@@ -189,14 +194,24 @@
 	return ""
 }
 
-// submit submits a job in the background, as a caller that makes up to 4 attempts.
-func (c *testCell) submit() {
+// submit submits a job in the background.
+func (c *testCell) submit() { c.submitJob(c.nextJob(), testStep()) }
+
+// nextJob returns the number of the next job.
+func (c *testCell) nextJob() int {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.jobs++
-	n := c.jobs
-	c.mu.Unlock()
-	id := cawork.JobID(fmt.Sprintf("%016x", n))
-	s := caspec.Submission{ID: id, Queue: "queue", Team: "north", Steps: []caspec.Step{testStep()}}
+	return c.jobs
+}
+
+func jobID(n int) cawork.JobID { return cawork.JobID(fmt.Sprintf("%016x", n)) }
+
+// submitJob submits a job of one step in the background, as a caller that makes up to 4
+// attempts.
+func (c *testCell) submitJob(n int, step caspec.Step) {
+	id := jobID(n)
+	s := caspec.Submission{ID: id, Queue: "queue", Team: "north", Steps: []caspec.Step{step}}
 	c.callers.Go(func() {
 		uncertain := false
 		for range 4 {
@@ -249,11 +264,13 @@
 }
 
 // verify waits until the cell has recovered, then checks that the upstreams saw no violation,
-// that all accepted jobs completed and that no refused job is known.
+// that all accepted jobs completed, but for deadly ones, which must have failed, that no
+// job failed under which fewer than two upstreams have crashed, and that no refused job is
+// known.
 func (c *testCell) verify() {
 	c.t.Helper()
 	c.callers.Wait()
-	time.Sleep(25 * time.Second)
+	time.Sleep(c.settleTime)
 	if diff := cmp.Diff([]string(nil), c.fleet.Violations()); diff != "" {
 		c.t.Errorf("violations (-want +got):\n%s", diff)
 	}
@@ -261,11 +278,18 @@
 	if name == "" {
 		c.t.Fatal("no leader at the end")
 	}
-	gate := c.gates()[name]
+	gate, crashes := c.gates()[name], c.crashesByJob()
 	for id := range c.accepted {
 		phase, err := gate.Phase(context.Background(), "north", id)
-		if err != nil || phase != castate.PhaseCompleted {
-			c.t.Errorf("accepted job %s: phase %v, error %v", id, phase, err)
+		want := castate.PhaseCompleted
+		if c.deadly[id] {
+			want = castate.PhaseFailed
+		}
+		if err != nil || phase != want {
+			c.t.Errorf("accepted job %s: phase %v, want %v, error %v, %d upstreams crashed under a task of it", id, phase, want, err, crashes[id])
+		}
+		if err == nil && phase == castate.PhaseFailed && crashes[id] < 2 {
+			c.t.Errorf("job %s was given up after %d upstreams crashed under a task of it, want 2 or more", id, crashes[id])
 		}
 	}
 	for id := range c.refused {
@@ -278,6 +302,16 @@
 	}
 }
 
+// crashesByJob returns, for each job, the highest number of upstreams that have crashed under
+// one of its tasks.
+func (c *testCell) crashesByJob() map[cawork.JobID]int {
+	crashes := make(map[cawork.JobID]int)
+	for task, count := range c.fleet.CrashCounts() {
+		crashes[task.Job] = max(crashes[task.Job], count.Upstreams)
+	}
+	return crashes
+}
+
 // runInTestCell runs a scenario and verifies the cell, once with a leader that calls its
 // upstreams directly and once with one that calls them through agents.
 func runInTestCell(t *testing.T, entries int, scenario func(t *testing.T, c *testCell)) {
