Soak: deadly jobs and shrinking capacities, the deadly ones red

Two kinds of fault: a job of which one task crashes each upstream that starts it, for as long as the fault, and an upstream whose capacity shrinks until the fault ends. A deadly job that was accepted must end as failed, and no job may be failed under which fewer than two upstreams have crashed. Changed registrations are written every 100 ms.

The added kinds are drawn from a source of their own and only where a run asks for them, so that the plans of the seeds that found faults stay as they are (TestAddedFaultsLeaveThePlanOfASeed); TestSeeds runs without them, as before.

At seed 4 TestSeedsWithDeadlyJobs fails: a deadly task is started nine times after three upstreams have crashed under it, and its job is still reported as running 40 s after the load.

--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
@@ -34,6 +35,8 @@
 	storeAppendDelay = 4 * time.Millisecond
 	// advisorDelay is the time the advisor takes to answer.
 	advisorDelay = 5 * time.Millisecond
+	// capacityBound is how long starts may use a capacity that has shrunk.
+	capacityBound = 4500 * time.Millisecond
 	// portStoreServer and portAdvisor are the ports of the store and the advisor.
 	// Upstream i listens on port firstUpstreamPort+2*i, its proxy on the next port.
 	portStoreServer   = 7200
@@ -44,6 +47,11 @@
 // taskSize is the resource request of each task.
 var taskSize = cawork.Resources{CPU: cawork.Cores(1), Memory: cawork.GiB}
 
+// capacityOf returns the capacity of an upstream with some cores.
+func capacityOf(cores int) cawork.Resources {
+	return cawork.Resources{CPU: cawork.Cores(int64(cores)), Memory: cawork.Bytes(2*cores) * cawork.GiB}
+}
+
 // cell holds the stand-ins for the platform and the nodes that use them.
 type cell struct {
 	timer           *catimer.Service
@@ -55,6 +63,9 @@
 	upstreams       []cawork.UpstreamID
 	upstreamProxies []*Proxy
 	policyVersion   int64
+	load            *loadGenerator
+	// registering serializes the writes of registrations.
+	registering sync.Mutex
 }
 
 func queueSpec() caspec.Queue {
@@ -67,12 +78,12 @@
 // newCell starts the stand-ins and prepares the nodes without starting them.
 func newCell(ctx context.Context, o Options, dir string) (*cell, error) {
 	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay)}
-	capacity := cawork.Resources{CPU: cawork.Cores(upstreamCores), Memory: 2 * upstreamCores * cawork.GiB}
-	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize,
+	c.fleet = standin.NewFleet(o.Upstreams, capacityOf(upstreamCores), taskSize,
 		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) })
 	c.fleet.SetRunTime(func(id caboard.RunID) (time.Duration, bool) {
 		return runTime, (len(id.Job)+id.Number*7+id.Index*13+int(id.Job[len(id.Job)-1])*31)%100 < failedRunPercent
 	})
+	c.fleet.SetCapacityBound(capacityBound)
 	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet, Advisor: standin.Advisor{Delay: advisorDelay}}
 	servicesIP := loopbackIP(o.RunIndex, o.Nodes)
 	if err := c.serve(servicesIP, portStoreServer, c.emulator.StoreHandler()); err != nil {
@@ -139,6 +150,8 @@
 // registerUpstreams writes what has changed in the registrations of the upstreams, under the
 // addresses of their proxies.
 func (c *cell) registerUpstreams(ctx context.Context) error {
+	c.registering.Lock()
+	defer c.registering.Unlock()
 	list, err := c.fleet.List(ctx)
 	if err != nil {
 		return err
@@ -153,6 +166,18 @@
 	return c.emulator.RegisterUpstreams(ctx, list)
 }
 
+// crashesOf returns the highest number of upstreams that have crashed under a task of
+// a job.
+func (c *cell) crashesOf(id cawork.JobID) int {
+	most := 0
+	for task, count := range c.fleet.CrashCounts() {
+		if task.Job == id {
+			most = max(most, count.Upstreams)
+		}
+	}
+	return most
+}
+
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfigure"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacity"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfigure"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacity"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -34,34 +34,40 @@
 	_ = x[FaultStore-(7)]
 	_ = x[FaultKillAll-(8)]
 	_ = x[FaultConfigure-(9)]
+	_ = x[FaultDeadlyJob-(10)]
+	_ = x[FaultCapacity-(11)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
-	_FaultKindName[0:4]:   FaultKill,
-	_FaultKindName[4:13]:  FaultTerminate,
-	_FaultKindName[13:19]: FaultFreeze,
-	_FaultKindName[19:29]: FaultStoreLink,
-	_FaultKindName[29:38]: FaultPeerLink,
-	_FaultKindName[38:51]: FaultUpstreamLink,
-	_FaultKindName[51:67]: FaultUpstreamRestart,
-	_FaultKindName[67:72]: FaultStore,
-	_FaultKindName[72:80]: FaultKillAll,
-	_FaultKindName[80:89]: FaultConfigure,
+	_FaultKindName[0:4]:    FaultKill,
+	_FaultKindName[4:13]:   FaultTerminate,
+	_FaultKindName[13:19]:  FaultFreeze,
+	_FaultKindName[19:29]:  FaultStoreLink,
+	_FaultKindName[29:38]:  FaultPeerLink,
+	_FaultKindName[38:51]:  FaultUpstreamLink,
+	_FaultKindName[51:67]:  FaultUpstreamRestart,
+	_FaultKindName[67:72]:  FaultStore,
+	_FaultKindName[72:80]:  FaultKillAll,
+	_FaultKindName[80:89]:  FaultConfigure,
+	_FaultKindName[89:99]:  FaultDeadlyJob,
+	_FaultKindName[99:107]: FaultCapacity,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
-	_FaultKindLowerName[0:4]:   FaultKill,
-	_FaultKindLowerName[4:13]:  FaultTerminate,
-	_FaultKindLowerName[13:19]: FaultFreeze,
-	_FaultKindLowerName[19:29]: FaultStoreLink,
-	_FaultKindLowerName[29:38]: FaultPeerLink,
-	_FaultKindLowerName[38:51]: FaultUpstreamLink,
-	_FaultKindLowerName[51:67]: FaultUpstreamRestart,
-	_FaultKindLowerName[67:72]: FaultStore,
-	_FaultKindLowerName[72:80]: FaultKillAll,
-	_FaultKindLowerName[80:89]: FaultConfigure,
+	_FaultKindLowerName[0:4]:    FaultKill,
+	_FaultKindLowerName[4:13]:   FaultTerminate,
+	_FaultKindLowerName[13:19]:  FaultFreeze,
+	_FaultKindLowerName[19:29]:  FaultStoreLink,
+	_FaultKindLowerName[29:38]:  FaultPeerLink,
+	_FaultKindLowerName[38:51]:  FaultUpstreamLink,
+	_FaultKindLowerName[51:67]:  FaultUpstreamRestart,
+	_FaultKindLowerName[67:72]:  FaultStore,
+	_FaultKindLowerName[72:80]:  FaultKillAll,
+	_FaultKindLowerName[80:89]:  FaultConfigure,
+	_FaultKindLowerName[89:99]:  FaultDeadlyJob,
+	_FaultKindLowerName[99:107]: FaultCapacity,
 }
 
 var _FaultKindNames = []string{
@@ -75,6 +81,8 @@
 	_FaultKindName[67:72],
 	_FaultKindName[72:80],
 	_FaultKindName[80:89],
+	_FaultKindName[89:99],
+	_FaultKindName[99:107],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/outcomes.go
+++ b/internal/soak/casoak/outcomes.go
@@ -20,6 +20,9 @@
 	outcomeCanceled
 )
 
+// minCrashes is the number of crashes under a task after which its job may be given up.
+const minCrashes = 2
+
 // outcomeLog records the outcomes reported to callers and the violations found.
 type outcomeLog struct {
 	mu         sync.Mutex
@@ -94,3 +97,20 @@
 		return ""
 	}
 }
+
+// deadlyMismatch is mismatch for a job with a task that crashes each upstream that
+// starts it, under which that many upstreams have crashed.
+func (o outcome) deadlyMismatch(phase castate.Phase, known bool, crashes int) string {
+	switch {
+	case known && phase == castate.PhaseCompleted:
+		return "crashes its upstreams but ended as completed"
+	case known && phase == castate.PhaseFailed && crashes < minCrashes:
+		return fmt.Sprintf("was given up after %d crashes, %d are required", crashes, minCrashes)
+	case known && o == outcomeAccepted && phase != castate.PhaseFailed:
+		return fmt.Sprintf("crashes its upstreams but is reported as %s", phase)
+	case o == outcomeAccepted && phase == castate.PhaseFailed:
+		return ""
+	default:
+		return o.mismatch(phase, known)
+	}
+}
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -35,6 +35,11 @@
 	FaultKillAll
 	// FaultConfigure publishes a new version of the configuration.
 	FaultConfigure
+	// FaultDeadlyJob submits a job with a task that crashes each upstream that
+	// starts it. Each crash lasts as long as the fault.
+	FaultDeadlyJob
+	// FaultCapacity shrinks the capacity of an upstream until the fault ends.
+	FaultCapacity
 )
 
 const (
@@ -47,12 +52,18 @@
 	leaderTarget = -1
 	// leaderFraction is the fraction of node faults that target the leader.
 	leaderFraction = 0.5
-	// faultKindCount is the number of fault kinds.
+	// faultKindCount is the number of fault kinds that NewPlan draws.
 	faultKindCount = int(FaultConfigure) + 1
 	// linkFaultCount and storeFaultCount are the numbers of link and store faults,
 	// without the value for no fault.
 	linkFaultCount  = int(LinkSilent)
 	storeFaultCount = 4
+	// meanAddedInterval is the mean time between two faults of an added kind.
+	meanAddedInterval = 3 * time.Second
+	// addedWayCount is the number of ways of the added kinds.
+	addedWayCount = 3
+	// addedSource separates the source of the added kinds from that of the others.
+	addedSource = 1 << 32
 )
 
 // Fault is one fault of a plan.
@@ -63,7 +74,8 @@
 	At, For time.Duration
 	// Target is the index of the node or upstream, or leaderTarget.
 	Target int
-	// Way is the LinkFault of a link, or the fault of the store.
+	// Way is the LinkFault of a link, the fault of the store, how a deadly job crashes
+	// its upstream, or the cores that a shrunk upstream keeps.
 	Way int
 }
 
@@ -94,13 +106,33 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity:
 		}
 		plan = append(plan, f)
 	}
 	return plan
 }
 
+// WithAddedFaults returns the plan with faults of further kinds. They are drawn from a
+// source of their own, so that the other faults of a seed stay as they are.
+func WithAddedFaults(plan []Fault, seed int64, during time.Duration, upstreams int, kinds []FaultKind) []Fault {
+	for _, kind := range kinds {
+		random := rand.New(rand.NewSource(seed + addedSource*int64(kind)))
+		for at := time.Duration(0); ; {
+			at += time.Duration(random.ExpFloat64() * float64(meanAddedInterval))
+			if at >= during {
+				break
+			}
+			plan = append(plan, Fault{
+				Kind: kind, At: at.Round(time.Millisecond), Target: random.Intn(upstreams), Way: 1 + random.Intn(addedWayCount),
+				For: (minFaultDuration + time.Duration(random.Int63n(int64(maxFaultDuration-minFaultDuration)))).Round(time.Millisecond),
+			})
+		}
+	}
+	slices.SortStableFunc(plan, func(x, y Fault) int { return cmp.Compare(x.At, y.At) })
+	return plan
+}
+
 // faultEvent is the start or the end of a fault.
 type faultEvent struct {
 	at time.Duration
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -27,6 +27,51 @@
 	}
 }
 
+// TestAddedFaultsLeaveThePlanOfASeed guards the seeds that found faults: their plans must not
+// change when kinds of fault are added.
+func TestAddedFaultsLeaveThePlanOfASeed(t *testing.T) {
+	plan := NewPlan(104, time.Minute, 5, 6)
+	added := []FaultKind{FaultDeadlyJob, FaultCapacity}
+	kinds := make(map[FaultKind]int)
+	var rest []Fault
+	for _, f := range WithAddedFaults(NewPlan(104, time.Minute, 5, 6), 104, time.Minute, 6, added) {
+		if f.Kind < FaultDeadlyJob {
+			rest = append(rest, f)
+			continue
+		}
+		kinds[f.Kind]++
+	}
+	if diff := cmp.Diff(plan, rest); diff != "" {
+		t.Errorf("other faults of the plan (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(len(added), len(kinds)); diff != "" {
+		t.Errorf("added kinds in a minute (-want +got):\n%s", diff)
+	}
+}
+
+func TestOutcomeMismatchOfDeadlyJobs(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome    outcome
+		phase      castate.Phase
+		known      bool
+		crashes    int
+		consistent bool
+	}{
+		"accepted and failed after two crashes": {outcomeAccepted, castate.PhaseFailed, true, 2, true},
+		"accepted and failed after one crash":   {outcomeAccepted, castate.PhaseFailed, true, 1, false},
+		"accepted and still running":            {outcomeAccepted, castate.PhaseRunning, true, 5, false},
+		"accepted and lost":                     {outcomeAccepted, castate.PhaseQueued, false, 2, false},
+		"accepted and completed":                {outcomeAccepted, castate.PhaseCompleted, true, 2, false},
+		"refused and failed":                    {outcomeRejected, castate.PhaseFailed, true, 2, false},
+		"without an answer, not known":          {outcomeUnknown, castate.PhaseQueued, false, 0, true},
+		"without an answer, failed too early":   {outcomeUnknown, castate.PhaseFailed, true, 1, false},
+	} {
+		if got := c.outcome.deadlyMismatch(c.phase, c.known, c.crashes) == ""; got != c.consistent {
+			t.Errorf("%s: consistent is %v, want %v", name, got, c.consistent)
+		}
+	}
+}
+
 func TestEveryFaultEnds(t *testing.T) {
 	open := make(map[Fault]int)
 	last := time.Duration(0)
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -26,6 +26,8 @@
 	leaderSampleTime = 100 * time.Millisecond
 	// violationPollInterval is the time between two checks for violations at the upstreams.
 	violationPollInterval = 100 * time.Millisecond
+	// registrationInterval is the time between two writes of changed registrations.
+	registrationInterval = 100 * time.Millisecond
 )
 
 // Options configure a soak run.
@@ -39,6 +41,8 @@
 	// to its environment.
 	Command []string
 	Env     []string
+	// Added are the kinds of fault that the plan has beside those of NewPlan.
+	Added []FaultKind
 	// Dir is the directory for settings files and logs.
 	Dir string
 	// RunIndex distinguishes concurrent runs; it selects their loopback addresses.
@@ -64,7 +68,8 @@
 
 // Run runs one cell under load and faults and checks its guarantees.
 func Run(ctx context.Context, o Options) (Report, error) {
-	report := Report{Plan: NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)}
+	plan := NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
+	report := Report{Plan: WithAddedFaults(plan, o.Seed, o.Duration, o.Upstreams, o.Added)}
 	c, err := newCell(ctx, o, o.Dir)
 	defer c.close()
 	if err != nil {
@@ -77,9 +82,12 @@
 	watchCtx, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
 	go c.watchViolations(watchCtx, l)
+	go c.watchRegistrations(watchCtx)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration)
 	defer stopLoad()
-	load := &loadGenerator{cell: c, outcomes: l, caller: platform.NewCaller(teamKey, callTimeout), random: rand.New(rand.NewSource(o.Seed))}
+	load := &loadGenerator{cell: c, outcomes: l, caller: platform.NewCaller(teamKey, callTimeout), random: rand.New(rand.NewSource(o.Seed)), deadly: make(map[cawork.JobID]standin.Crash)}
+	c.load = load
+	c.fleet.SetCrashes(load.crashOf)
 	loadDone := make(chan struct{})
 	go func() {
 		defer close(loadDone)
@@ -89,6 +97,7 @@
 		return report, err
 	}
 	<-loadDone
+	load.deadlySubmissions.Wait()
 	c.settle(ctx, l)
 	stopWatching()
 	report.Accepted, report.Refused, report.Canceled, report.Unknown = l.counts()
@@ -197,6 +206,16 @@
 			}
 			return storeFault
 		})
+	case FaultDeadlyJob:
+		if e.begins {
+			c.load.submitDeadly(f)
+		}
+	case FaultCapacity:
+		cores := upstreamCores
+		if e.begins {
+			cores = f.Way
+		}
+		c.fleet.SetCapacity(string(c.upstreams[f.Target]), capacityOf(cores))
 	case FaultConfigure:
 		if e.begins {
 			return c.configure(ctx)
@@ -239,6 +258,15 @@
 	}
 }
 
+// watchRegistrations writes the registrations of upstreams that change until the
+// context ends.
+func (c *cell) watchRegistrations(ctx context.Context) {
+	for c.timer.Pause(ctx, registrationInterval) == nil {
+		// The next round repeats a write that failed.
+		_ = c.registerUpstreams(ctx)
+	}
+}
+
 // settle ends all faults, waits until the phases of all jobs agree with the
 // outcomes reported to callers, and records the jobs where they do not.
 func (c *cell) settle(ctx context.Context, l *outcomeLog) {
@@ -289,6 +317,9 @@
 		if !answer.IsAccepted() && !answer.IsGone() {
 			continue
 		}
+		if c.load.isDeadly(id) {
+			return o.deadlyMismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id))
+		}
 		mismatch = o.mismatch(answer.Phase, !answer.IsGone())
 		break
 	}
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -1,7 +1,9 @@
 package casoak_test
 
 import (
+	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,6 +14,8 @@
 	"celeryarch.example/celeryarch/internal/soak/casoak"
 )
 
+var addedSeeds = flag.Int("soak.seeds", 1, "number of seeds of each test with an added kind of fault")
+
 // runProgramEnv makes the test binary run as celeryarch, so that the processes of
 // a soak have the build flags of the test.
 const runProgramEnv = "CELERYARCH_SOAK_PROGRAM"
@@ -23,15 +27,45 @@
 	os.Exit(m.Run())
 }
 
+var (
+	short = casoak.Options{Duration: 6 * time.Second, Nodes: 4, Upstreams: 4}
+	long  = casoak.Options{Duration: 20 * time.Second, Nodes: 5, Upstreams: 8}
+)
+
 // TestSeeds runs soaks with the seeds of CI and with each seed that ever failed.
 func TestSeeds(t *testing.T) {
-	short := casoak.Options{Duration: 6 * time.Second, Nodes: 4, Upstreams: 4}
-	long := casoak.Options{Duration: 20 * time.Second, Nodes: 5, Upstreams: 8}
-	for name, o := range map[string]casoak.Options{
+	runSoaks(t, map[string]casoak.Options{
 		"1": short.WithSeed(1), "2": short.WithSeed(2),
 		"104, a start taken by a later incarnation": long.WithSeed(104),
 		"112, a start taken by a later incarnation": long.WithSeed(112),
-	} {
+	})
+}
+
+// TestSeedsWithShrinkingCapacity guards against starts beyond a capacity that has shrunk.
+func TestSeedsWithShrinkingCapacity(t *testing.T) {
+	runSoaks(t, addedSoaks(3, casoak.FaultCapacity))
+}
+
+// TestSeedsWithDeadlyJobs guards against jobs that crash upstream after upstream.
+func TestSeedsWithDeadlyJobs(t *testing.T) {
+	runSoaks(t, addedSoaks(4, casoak.FaultDeadlyJob))
+}
+
+// addedSoaks returns short soaks with an added kind of fault.
+func addedSoaks(firstSeed int64, kind casoak.FaultKind) map[string]casoak.Options {
+	soaks := make(map[string]casoak.Options, *addedSeeds)
+	for seed := firstSeed; seed < firstSeed+int64(*addedSeeds); seed++ {
+		o := short.WithSeed(seed)
+		o.Added = []casoak.FaultKind{kind}
+		soaks[strconv.FormatInt(seed, 10)] = o
+	}
+	return soaks
+}
+
+// runSoaks runs soaks and checks that no guarantee was violated.
+func runSoaks(t *testing.T, soaks map[string]casoak.Options) {
+	t.Helper()
+	for name, o := range soaks {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			o.Command, o.Env = []string{os.Args[0]}, []string{runProgramEnv + "=1"}
