Stand-in fleet and worlds: start orders that are carried out late

A start order may get no answer and be carried out seconds later, by the incarnation that is then at its upstream. Such starts do not count as further starts of a task that crashes its upstreams, but crash them.

--- a/internal/cell/cagate/crash_test.go
+++ b/internal/cell/cagate/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"math/rand"
 	"testing"
 	"testing/synctest"
@@ -373,6 +374,41 @@
 	}
 }
 
+// TestLateStartsBesideCrashes carries one start order in eight out some seconds late, at times
+// in a later incarnation of the upstream, which it may crash again.
+func TestLateStartsBesideCrashes(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		c.carryOutLate(8)
+		c.submitDeadly(testStep())
+		time.Sleep(20 * time.Second)
+		c.carryOutLate(0)
+	})
+}
+
+// TestLateStartsRunTwice carries start orders out late while upstreams restart.
+func TestLateStartsRunTwice(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		c.carryOutLate(8)
+		for range 8 {
+			c.fleet.Restart(c.upstreamAt(c.random.Intn(testUpstreams)))
+			time.Sleep(c.drawTime(3 * time.Second))
+		}
+		c.carryOutLate(0)
+	})
+}
+
+// carryOutLate makes upstreams carry one start order in n out late. Zero ends that.
+func (c *crashCell) carryOutLate(n uint32) {
+	c.fleet.SetLateness(func(id caboard.RunID) (time.Duration, bool) {
+		h := fnv.New32()
+		fmt.Fprintf(h, "%+v", id)
+		if n == 0 || h.Sum32()%n != 0 {
+			return 0, false
+		}
+		return 2*time.Second + time.Duration(h.Sum32()/n%10000)*time.Millisecond, true
+	})
+}
+
 // TestMixedFaultsBesideCrashes draws up to four deadly jobs and a mix of all faults of these
 // tests, beside restarts of upstreams.
 func TestMixedFaultsBesideCrashes(t *testing.T) {
