Worlds: copies and long-running tasks that crash their upstreams, red

The worlds had no steps that permit copies, which start as soon as an upstream is suspected, and no long-running tasks. The fleet can now be told of steps that permit copies. Innocent long-running jobs must have all their tasks at work at the end.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -52,9 +52,11 @@
 	// accepted, refused and unknown are the jobs by the outcome that their callers got.
 	accepted, refused, unknown map[cawork.JobID]bool
 	// deadly are the jobs with tasks that crash the upstreams that start them.
-	deadly  map[cawork.JobID]bool
-	jobs    int
-	callers sync.WaitGroup
+	deadly map[cawork.JobID]bool
+	// longRunning are the jobs that must still run at the end.
+	longRunning map[cawork.JobID]bool
+	jobs        int
+	callers     sync.WaitGroup
 }
 
 type entry struct {
@@ -94,7 +96,7 @@
 	c := &testCell{
 		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) OperatorFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
-		deadly: make(map[cawork.JobID]bool), settleTime: 25 * time.Second,
+		deadly: make(map[cawork.JobID]bool), longRunning: make(map[cawork.JobID]bool), settleTime: 25 * time.Second,
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
 	c.fleet = standin.NewFleet(testUpstreams, capacity, testStep().Size(),
@@ -264,9 +266,9 @@
 }
 
 // verify waits until the cell has recovered, then checks that the upstreams saw no violation,
-// that all accepted jobs completed, but for deadly ones, which must have failed, that no
-// job failed under which fewer than two upstreams have crashed, and that no refused job is
-// known.
+// that all accepted jobs completed, but for deadly ones, which must have failed, and
+// long-running ones, which must run, that no job failed under which fewer than two upstreams
+// have crashed, and that no refused job is known.
 func (c *testCell) verify() {
 	c.t.Helper()
 	c.callers.Wait()
@@ -282,8 +284,14 @@
 	for id := range c.accepted {
 		phase, err := gate.Phase(context.Background(), "north", id)
 		want := castate.PhaseCompleted
-		if c.deadly[id] {
+		switch {
+		case c.deadly[id]:
 			want = castate.PhaseFailed
+		case c.longRunning[id]:
+			want = castate.PhaseRunning
+		}
+		if running := c.fleet.Running(id); c.longRunning[id] && running < testStep().Tasks {
+			c.t.Errorf("long-running job %s: %d tasks run, want %d, %d upstreams crashed under a task of it", id, running, testStep().Tasks, crashes[id])
 		}
 		if err != nil || phase != want {
 			c.t.Errorf("accepted job %s: phase %v, want %v, error %v, %d upstreams crashed under a task of it", id, phase, want, err, crashes[id])
--- a/internal/cell/cagate/crash_test.go
+++ b/internal/cell/cagate/crash_test.go
@@ -37,8 +37,8 @@
 	random *rand.Rand
 	// crashOf holds how the deadly tasks crash their upstreams. The run numbers are zero.
 	crashOf map[caboard.RunID]standin.Crash
-	// gangs holds the number of tasks of the gangs.
-	gangs map[cawork.JobID]int
+	// steps holds the steps of the jobs that are not plain.
+	steps map[cawork.JobID]caspec.Step
 }
 
 // runWithCrashes runs a scenario with each seed, with a leader that calls its upstreams
@@ -68,7 +68,7 @@
 func newCrashCell(t *testing.T, seed int64, relayMinUpstreams int) *crashCell {
 	c := &crashCell{
 		testCell: newTestCell(t, crashEntries, relayMinUpstreams), random: rand.New(rand.NewSource(seed)),
-		crashOf: make(map[caboard.RunID]standin.Crash), gangs: make(map[cawork.JobID]int),
+		crashOf: make(map[caboard.RunID]standin.Crash), steps: make(map[cawork.JobID]caspec.Step),
 	}
 	c.settleTime = crashSettleTime
 	c.fleet.SetZones(zoneOf)
@@ -81,9 +81,17 @@
 		return crash, ok
 	})
 	c.fleet.SetGangs(func(id caboard.RunID) int {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.gangs[id.Job]
+		if step := c.stepOf(id); step.Gang {
+			return step.Tasks
+		}
+		return 0
+	})
+	c.fleet.SetDuplicates(func(id caboard.RunID) bool { return c.stepOf(id).AllowDuplicates })
+	c.fleet.SetRunTime(func(id caboard.RunID) (time.Duration, bool) {
+		if c.stepOf(id).LongRunning {
+			return time.Hour, false
+		}
+		return testStep().Estimate, false
 	})
 	return c
 }
@@ -151,16 +159,30 @@
 	c.submitStep(n, step)
 }
 
-// submitStep submits a job of one step, which may be a gang.
+// submitStep submits a job of one step, which need not be plain.
 func (c *crashCell) submitStep(n int, step caspec.Step) {
-	if step.Gang {
-		c.mu.Lock()
-		c.gangs[jobID(n)] = step.Tasks
-		c.mu.Unlock()
-	}
+	c.mu.Lock()
+	c.steps[jobID(n)] = step
+	c.mu.Unlock()
 	c.submitJob(n, step)
 }
 
+// stepOf returns the step of a run.
+func (c *crashCell) stepOf(id caboard.RunID) caspec.Step {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.steps[id.Job]
+}
+
+// submitLongRunning submits an innocent job whose tasks run until the end.
+func (c *crashCell) submitLongRunning() {
+	n := c.nextJob()
+	c.mu.Lock()
+	c.longRunning[jobID(n)] = true
+	c.mu.Unlock()
+	c.submitStep(n, longRunningStep())
+}
+
 // awaitCrashes waits until tasks have crashed their upstreams n times, and reports whether
 // they did.
 func (c *crashCell) awaitCrashes(n int) bool {
@@ -219,6 +241,12 @@
 	return s
 }
 
+func longRunningStep() caspec.Step {
+	s := testStep()
+	s.LongRunning = true
+	return s
+}
+
 // TestTaskThatCrashesUpstreamsIsStartedWithoutEnd guards against a task that crashes upstream
 // after upstream, since runs that are lost with their upstream count nowhere.
 func TestTaskThatCrashesUpstreamsIsStartedWithoutEnd(t *testing.T) {
@@ -236,6 +264,29 @@
 	})
 }
 
+// TestCopiesCrashMoreUpstreams is the same for a step that permits copies, which start as
+// soon as an upstream is suspected.
+func TestCopiesCrashMoreUpstreams(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		step := testStep()
+		step.AllowDuplicates = true
+		c.submitDeadly(step)
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// TestLongRunningTaskCrashesUpstreamsWithoutEnd is the same for a long-running task, beside
+// innocent long-running jobs, which must run at the end.
+func TestLongRunningTaskCrashesUpstreamsWithoutEnd(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		c.submitLongRunning()
+		c.submitLongRunning()
+		time.Sleep(3 * time.Second)
+		c.submitDeadly(longRunningStep())
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // TestSeveralDeadlyJobsStopTheCell submits several deadly jobs at once, so that crashes
 // overlap and each has several tasks that may have caused it.
 func TestSeveralDeadlyJobsStopTheCell(t *testing.T) {
