TestHTTP2CallsAreBounded: calls that share connections, a failure instead of a hang

Cause, in the test: 130 calls at once by a client without a connection dial one each. Over 100 connections the listener refuses with an HTTP/1.1 answer, which an HTTP/2 client reports as an error of the connection. These calls never reached the limit on calls, so that fewer than 30 answers were "503 not_run", often 29 or 13, sometimes none. The test passed only when the calls came late enough to share connections.

The calls now go over three connections that were opened before, which is what the test is about, and answers and errors are compared together. The other tests over HTTP/2 share one connection the same way; TestHTTP2QueuedBodiesDoNotBlockOtherCalls opened up to 40 before and therefore hardly tested its window.

--- a/internal/node/caapi/http2_test.go
+++ b/internal/node/caapi/http2_test.go
@@ -32,7 +32,8 @@
 	return "t1", nil
 }
 
-// testServer is an API with one upstream, and an HTTP/2 client of it.
+// testServer is an API with one upstream, and an HTTP/2 client of it with one
+// connection.
 type testServer struct {
 	api    *caapi.API
 	url    string
@@ -73,19 +74,40 @@
 		cancel()
 		<-dispatcher.Done()
 	})
+	url := "http://" + lis.Addr().String() + caapi.PathRequests
+	return &testServer{api, url, newHTTP2Client(t, url)}
+}
+
+// newHTTP2Client returns a client with an open connection to the URL, which its
+// calls share. Without it, each of several concurrent calls would open a
+// connection of its own.
+func newHTTP2Client(t *testing.T, url string) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	client := &http.Client{Transport: &http.Transport{Protocols: protocols}, Timeout: 20 * time.Second}
-	return &testServer{api, "http://" + lis.Addr().String() + caapi.PathRequests, client}
+	res, err := client.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if diff := cmp.Diff(http.StatusMethodNotAllowed, res.StatusCode); diff != "" {
+		t.Fatalf("status of the first call (-want +got):\n%s", diff)
+	}
+	return client
 }
 
 func (s *testServer) post(ctx context.Context, body []byte) (*http.Response, []byte, error) {
+	return s.postBy(ctx, s.client, body)
+}
+
+// postBy posts a request by a client other than that of the server.
+func (s *testServer) postBy(ctx context.Context, client *http.Client, body []byte) (*http.Response, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
 	req.Header.Set(caapi.HeaderQueue, "open")
-	res, err := s.client.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -207,7 +229,10 @@
 func TestHTTP2QueuedBodiesDoNotBlockOtherCalls(t *testing.T) {
 	const waiting = 40
 	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
 	s := newTestServer(t, echoAfter(release), 2)
+	// The upstream can only be closed once its calls have ended.
+	t.Cleanup(releaseOnce)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	done := 0
@@ -234,7 +259,7 @@
 	if diff := cmp.Diff(http.StatusBadRequest, res.StatusCode); diff != "" {
 		t.Errorf("status of the other call (-want +got):\n%s", diff)
 	}
-	close(release)
+	releaseOnce()
 	wg.Wait()
 	if diff := cmp.Diff(waiting, done); diff != "" {
 		t.Errorf("completed requests (-want +got):\n%s", diff)
@@ -242,31 +267,37 @@
 }
 
 // HTTP/2 clients must not get around the limit on calls by sharing connections.
+// The calls use fewer connections than the listener admits, so that only the
+// limit on calls can refuse them.
 func TestHTTP2CallsAreBounded(t *testing.T) {
 	const excess = 30
 	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
 	s := newTestServer(t, echoAfter(release), 64)
+	// The upstream can only be closed once its calls have ended.
+	t.Cleanup(releaseOnce)
+	clients := []*http.Client{s.client, newHTTP2Client(t, s.url), newHTTP2Client(t, s.url)}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	counts := map[string]int{}
-	for range testConnections + excess {
+	answers := map[string]int{}
+	for i := range testConnections + excess {
 		wg.Go(func() {
-			res, _, err := s.post(t.Context(), []byte("work"))
+			res, _, err := s.postBy(t.Context(), clients[i%len(clients)], []byte("work"))
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
-				t.Error(err)
+				answers[err.Error()]++
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			counts[fmt.Sprint(res.StatusCode, " ", res.Header.Get(cadispatch.HeaderOutcome))]++
-			if res.StatusCode == http.StatusServiceUnavailable && counts["503 not_run"] == excess {
-				close(release)
+			answers[fmt.Sprint(res.StatusCode, " ", res.Header.Get(cadispatch.HeaderOutcome))]++
+			if answers["503 not_run"] == excess {
+				releaseOnce()
 			}
 		})
 	}
 	wg.Wait()
 	want := map[string]int{"200 done": testConnections, "503 not_run": excess}
-	if diff := cmp.Diff(want, counts); diff != "" {
+	if diff := cmp.Diff(want, answers); diff != "" {
 		t.Errorf("answers (-want +got):\n%s", diff)
 	}
 }
