TestOutcomesWithResponseFaults: a request ends with its complete response

Cause, in the test: of 24 answers one is sent twice, after which the handler keeps the connection open for 5 ms. The entry frees the slot when the first response is complete, as it must; the test counted the request until its handler returned.

The stand-in now ends the count of such a request before it sends the response. All else counts as before, until the handler returns.

--- a/internal/request/cadispatch/fake_test.go
+++ b/internal/request/cadispatch/fake_test.go
@@ -32,12 +32,13 @@
 	handler  http.HandlerFunc
 	runs     map[string]int
 	attempts int
-	inUse    int
+	// inUse holds the requests that run.
+	inUse    map[*http.Request]struct{}
 	maxInUse int
 }
 
 func newFakeUpstream(t *testing.T, handler http.HandlerFunc) *fakeUpstream {
-	s := &fakeUpstream{handler: handler, runs: map[string]int{}}
+	s := &fakeUpstream{handler: handler, runs: map[string]int{}, inUse: map[*http.Request]struct{}{}}
 	s.server = httptest.NewServer(s)
 	t.Cleanup(s.server.Close)
 	return s
@@ -47,18 +48,22 @@
 	w.Header().Set(caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt))
 	s.mu.Lock()
 	s.attempts++
-	s.inUse++
-	s.maxInUse = max(s.maxInUse, s.inUse)
+	s.inUse[r] = struct{}{}
+	s.maxInUse = max(s.maxInUse, len(s.inUse))
 	handler := s.handler
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.inUse--
-		s.mu.Unlock()
-	}()
+	defer s.endRequest(r)
 	handler(w, r)
 }
 
+// endRequest ends the count of a request as running. A handler calls it before it
+// sends the end of its response, if it does anything afterwards.
+func (s *fakeUpstream) endRequest(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inUse, r)
+}
+
 // recordRun counts a run of the work item of a request.
 func (s *fakeUpstream) recordRun(r *http.Request) {
 	s.mu.Lock()
--- a/internal/request/cadispatch/faults_test.go
+++ b/internal/request/cadispatch/faults_test.go
@@ -137,7 +137,7 @@
 			writePartialResponse(w, longResponseBytes/2, longResponseBytes)
 			resetConnection(w)
 		case 3:
-			respondTwice(w, r, responseBody)
+			s.respondTwice(w, r, responseBody)
 		case 4:
 			w.Header().Set(caplatform.HeaderAttempt, "another")
 			_, _ = w.Write([]byte(responseBody))
@@ -171,13 +171,15 @@
 }
 
 // respondTwice sends the same complete response twice and keeps the connection
-// open for 5 ms.
-func respondTwice(w http.ResponseWriter, r *http.Request, body string) {
+// open for 5 ms. The request ends with the first response, by which the entry
+// frees its slot.
+func (s *fakeUpstream) respondTwice(w http.ResponseWriter, r *http.Request, body string) {
 	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
 	defer conn.Close()
+	s.endRequest(r)
 	for range 2 {
 		_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
 			caplatform.HeaderAttempt, r.Header.Get(caplatform.HeaderAttempt), len(body), body)
