A slot whose response broke off stays in use until the upstream has noticed

What callers saw: by reading, more requests at once than an upstream has slots, where its connection breaks, it answers to another attempt, or a streamed failure is retried while its handler still runs.

Cause: the slot of an attempt that was sent and got no complete response was kept for 20 ms only when its context had ended. A response that broke off by itself, or that was given up for a retry, freed the slot at once.

Evidence: TestSlotOfIncompleteResponseIsNotFreedAtOnce fails before in four of its seven cases, 3 of 3 runs (8 slots free instead of 7), and passes now 5 of 5. Its clock does not move, so that load does not matter.

Why it works: whether an attempt may still run is what its error says, KindUnknown, and for a retried failure whether its response was complete. Refused attempts and complete responses free their slots at once, as before.

Measured: go test -race ./internal/request/... and go test ./internal/node/... pass.

--- a/internal/request/cadispatch/attempt.go
+++ b/internal/request/cadispatch/attempt.go
@@ -89,7 +89,7 @@
 	defer run.end()
 	reply, err := d.forwardAttempt(ctx, c, route, id)
 	if err != nil {
-		s.interrupted = ctx.Err() != nil && cakind.Of(err) != cakind.KindNotStarted
+		s.interrupted = cakind.Of(err) == cakind.KindUnknown
 		s.release(run.verdict(ctx, err))
 		return run.wrapError(err)
 	}
@@ -97,6 +97,7 @@
 	defer reply.Close()
 	run.unwatch()
 	if err := d.retryOnServerError(ctx, c, reply); err != nil {
+		s.interrupted = !reply.Complete()
 		s.release(caroute.VerdictFailed)
 		return err
 	}
@@ -238,8 +239,8 @@
 	route    *caroute.Route
 	team     cawork.TeamName
 	released bool
-	// interrupted is set when the attempt ended here while the upstream may
-	// still be running the request.
+	// interrupted is set when the attempt ended here without a complete response,
+	// while the upstream may still be running the request.
 	interrupted bool
 }
 
