--- a/internal/cli/cacommand/explain.go
+++ b/internal/cli/cacommand/explain.go
@@ -6,6 +6,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cli/caexplain"
+	"celeryarch.example/celeryarch/internal/cli/caloglines"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 )
 
@@ -19,7 +20,7 @@
 		return err
 	}
 	defer closeAll()
-	reader := caexplain.NewReader(logs...)
+	reader := caloglines.NewReader(logs...)
 	if o.Job != "" {
 		return c.explainJob(reader, o.Job)
 	}
@@ -35,7 +36,7 @@
 	return account.WriteText(c.Stdout)
 }
 
-func (c command) explainJob(reader *caexplain.Reader, id string) error {
+func (c command) explainJob(reader *caloglines.Reader, id string) error {
 	history, found, err := caexplain.ReadHistory(reader, id)
 	switch {
 	case err != nil:
@@ -50,8 +51,8 @@
 }
 
 // openLogs opens the logs and returns a function that closes them.
-func openLogs(paths []string) ([]caexplain.Log, func(), error) {
-	var logs []caexplain.Log
+func openLogs(paths []string) ([]caloglines.Log, func(), error) {
+	var logs []caloglines.Log
 	var files []io.Closer
 	closeAll := func() {
 		for _, f := range files {
@@ -60,7 +61,7 @@
 	}
 	for _, path := range paths {
 		if path == stdinPath {
-			logs = append(logs, caexplain.Log{Name: path, Content: os.Stdin})
+			logs = append(logs, caloglines.Log{Name: path, Content: os.Stdin})
 			continue
 		}
 		f, err := os.Open(path)
@@ -69,7 +70,7 @@
 			return nil, nil, cakind.Wrap(cakind.KindInvalid, err, "open log")
 		}
 		files = append(files, f)
-		logs = append(logs, caexplain.Log{Name: path, Content: f})
+		logs = append(logs, caloglines.Log{Name: path, Content: f})
 	}
 	return logs, closeAll, nil
 }
--- a/internal/cli/caexplain/account.go
+++ b/internal/cli/caexplain/account.go
@@ -1,9 +1,14 @@
+// Package caexplain reports on the jobs in the logs of entries: the timeline of one job, or
+// a summary of many with the causes of delays. A summary keeps only jobs in memory that have
+// not ended or ended recently.
 package caexplain
 
 import (
 	"cmp"
 	"slices"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/cli/caloglines"
 )
 
 // jobRetention is how long a job is kept after its end, since lines about it may
@@ -67,7 +72,7 @@
 
 // Summarize reads the logs and returns a Summary of the jobs that the filter selects, with
 // windows of the given length.
-func Summarize(r *Reader, f Filter, window time.Duration) (Summary, error) {
+func Summarize(r *caloglines.Reader, f Filter, window time.Duration) (Summary, error) {
 	c := &collector{
 		filter: f, window: window, jobs: make(map[string]*job), all: Group{Name: "all"},
 		queues: make(map[string]*Group), teams: make(map[string]*Group),
@@ -82,7 +87,7 @@
 	return c.summary(r), r.Err()
 }
 
-func (c *collector) addLine(l Line) {
+func (c *collector) addLine(l caloglines.Line) {
 	if c.firstLine.IsZero() {
 		c.firstLine = l.Time
 	}
@@ -185,7 +190,7 @@
 	}
 }
 
-func (c *collector) summary(r *Reader) Summary {
+func (c *collector) summary(r *caloglines.Reader) Summary {
 	a := Summary{All: c.all, Lines: r.Lines, Unreadable: r.Unreadable}
 	for _, name := range sortedKeys(c.queues) {
 		a.Queues = append(a.Queues, *c.queues[name])
--- a/internal/cli/caexplain/explain_test.go
+++ b/internal/cli/caexplain/explain_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cli/caloglines"
 )
 
 // timeAt returns the time of a line, in milliseconds after the first.
@@ -44,8 +46,8 @@
 	}, "\n")
 }
 
-func newTestReader() *Reader {
-	return NewReader(Log{Name: "a", Content: strings.NewReader(leaderLog())}, Log{Name: "b", Content: strings.NewReader(followerLog())})
+func newTestReader() *caloglines.Reader {
+	return caloglines.NewReader(caloglines.Log{Name: "a", Content: strings.NewReader(leaderLog())}, caloglines.Log{Name: "b", Content: strings.NewReader(followerLog())})
 }
 
 func TestSummaryOfLogs(t *testing.T) {
@@ -128,7 +130,7 @@
 	}
 	start := time.Unix(1000, 0)
 	for i := range 1000 {
-		l := Line{Time: start.Add(time.Duration(i) * time.Second), Job: fmt.Sprint(i), Event: 400, Objective: 1000}
+		l := caloglines.Line{Time: start.Add(time.Duration(i) * time.Second), Job: fmt.Sprint(i), Event: 400, Objective: 1000}
 		c.addLine(l)
 		l.Event, l.Phase = 407, "completed"
 		c.addLine(l)
@@ -147,7 +149,7 @@
 		f.Add(line)
 	}
 	f.Fuzz(func(_ *testing.T, text string) {
-		r := NewReader(Log{Content: strings.NewReader(text)})
+		r := caloglines.NewReader(caloglines.Log{Content: strings.NewReader(text)})
 		for _, ok := r.Next(); ok; _, ok = r.Next() {
 		}
 	})
@@ -165,7 +167,7 @@
 	}, "\n")
 	ended := make(chan Group, 1)
 	go func() {
-		summary, _ := Summarize(NewReader(Log{Content: strings.NewReader(log)}), Filter{}, 5*time.Second)
+		summary, _ := Summarize(caloglines.NewReader(caloglines.Log{Content: strings.NewReader(log)}), Filter{}, 5*time.Second)
 		ended <- summary.All
 	}()
 	select {
--- a/internal/cli/caexplain/job.go
+++ b/internal/cli/caexplain/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cli/caloglines"
 )
 
 // longRunFactor is the multiple of the median run time of a step above which the time of a
@@ -88,7 +89,7 @@
 }
 
 // addLine updates the job with a log line about it.
-func (j *job) addLine(l Line) {
+func (j *job) addLine(l caloglines.Line) {
 	if l.Queue != "" {
 		j.queue = l.Queue
 	}
@@ -119,7 +120,7 @@
 }
 
 // addCall updates the job with the response to a call that submitted it.
-func (j *job) addCall(l Line) {
+func (j *job) addCall(l caloglines.Line) {
 	if l.Method != "POST" {
 		return
 	}
@@ -133,7 +134,7 @@
 	}
 }
 
-func (j *job) addStart(l Line) {
+func (j *job) addStart(l caloglines.Line) {
 	r := j.task(l.Step, l.Task).run(l.Run)
 	switch l.Outcome {
 	case outcomeAccepted:
@@ -143,6 +144,9 @@
 	}
 }
 
+// milliseconds converts a duration of a log line.
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // submitted returns the time of the first known submission of the job, zero if there is none.
 func (j *job) submitted() time.Time {
 	if j.firstCall.IsZero() || !j.accepted.IsZero() && j.accepted.Before(j.firstCall) {
--- a/internal/cli/caexplain/text.go
+++ b/internal/cli/caexplain/text.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -42,7 +41,7 @@
 	}
 	fmt.Fprintln(w)
 	for _, m := range h.Timeline {
-		if _, err := fmt.Fprintf(w, "%9.3f  %s\n", m.After.Seconds(), m.Line.text()); err != nil {
+		if _, err := fmt.Fprintf(w, "%9.3f  %s\n", m.After.Seconds(), m.Line.Text()); err != nil {
 			return err
 		}
 	}
@@ -57,21 +56,3 @@
 }
 
 func formatSeconds(d time.Duration) string { return fmt.Sprintf("%.3f s", d.Seconds()) }
-
-// text formats a log line for the timeline.
-func (l Line) text() string {
-	var b strings.Builder
-	b.WriteString(l.eventName())
-	if l.isTaskEvent() {
-		fmt.Fprintf(&b, " step %d task %d run %d on %s", l.Step, l.Task, l.Run, l.Upstream)
-	}
-	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
-		if detail != "" {
-			b.WriteString(" " + detail)
-		}
-	}
-	if l.Status != 0 {
-		fmt.Fprintf(&b, " %d", l.Status)
-	}
-	return b.String()
-}
--- a/internal/cli/caexplain/timeline.go
+++ b/internal/cli/caexplain/timeline.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cli/caloglines"
 )
 
 // TimelineEntry is one entry in the timeline of a job.
 type TimelineEntry struct {
 	// After is the time since the job was first submitted.
-	After time.Duration `json:"after_ns"`
-	Line  Line          `json:"line"`
+	After time.Duration   `json:"after_ns"`
+	Line  caloglines.Line `json:"line"`
 }
 
 // History is the timeline of one job, with its outcome and its time by cause.
@@ -36,9 +36,9 @@
 
 // ReadHistory reads the logs and returns the history of one job, and whether any line concerns
 // it.
-func ReadHistory(r *Reader, id string) (History, bool, error) {
+func ReadHistory(r *caloglines.Reader, id string) (History, bool, error) {
 	j := newJob(id)
-	var lines []Line
+	var lines []caloglines.Line
 	for line, ok := r.Next(); ok; line, ok = r.Next() {
 		if line.Job != id {
 			continue
@@ -61,21 +61,3 @@
 	}
 	return h, len(lines) > 0, r.Err()
 }
-
-// eventName returns the name of the event of a line.
-func (l Line) eventName() string {
-	if l.Event.IsANumber() {
-		return l.Event.String()
-	}
-	return "event"
-}
-
-// isTaskEvent reports whether a line concerns one task of a job.
-func (l Line) isTaskEvent() bool {
-	switch l.Event {
-	case caevent.TaskPlaced, caevent.TaskEnded, caevent.TaskLapsed, caevent.TaskStopped, caevent.TaskAdopted, caevent.TaskCopied:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/cli/caexplain/line.go
+++ b/internal/cli/caloglines/line.go
@@ -1,8 +1,6 @@
-// Package caexplain reads the structured logs of entries and reports on the jobs in
-// them: the timeline of one job, or a summary of many with the causes of delays. It merges
-// any number of logs by time. A summary keeps only jobs in memory that have not ended or
-// ended recently.
-package caexplain
+// Package caloglines reads the structured logs of entries. It merges any number of logs
+// by time and keeps one line of each in memory.
+package caloglines
 
 import (
 	"bufio"
@@ -40,9 +38,6 @@
 	Error     string         `json:"error"`
 }
 
-// milliseconds converts a duration of a log line.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 // Log is a log with its name.
 type Log struct {
 	Name    string
--- /dev/null
+++ b/internal/cli/caloglines/text.go
@@ -0,0 +1,44 @@
+package caloglines
+
+import (
+	"fmt"
+	"strings"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+)
+
+// Text formats the line for people.
+func (l Line) Text() string {
+	var b strings.Builder
+	b.WriteString(l.eventName())
+	if l.isTaskEvent() {
+		fmt.Fprintf(&b, " step %d task %d run %d on %s", l.Step, l.Task, l.Run, l.Upstream)
+	}
+	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
+		if detail != "" {
+			b.WriteString(" " + detail)
+		}
+	}
+	if l.Status != 0 {
+		fmt.Fprintf(&b, " %d", l.Status)
+	}
+	return b.String()
+}
+
+// eventName returns the name of the event of a line.
+func (l Line) eventName() string {
+	if l.Event.IsANumber() {
+		return l.Event.String()
+	}
+	return "event"
+}
+
+// isTaskEvent reports whether a line concerns one task of a job.
+func (l Line) isTaskEvent() bool {
+	switch l.Event {
+	case caevent.TaskPlaced, caevent.TaskEnded, caevent.TaskLapsed, caevent.TaskStopped, caevent.TaskAdopted, caevent.TaskCopied:
+		return true
+	default:
+		return false
+	}
+}
