Leaders that follow one another do not prolong the wait for a lost upstream

Cause: a leader does not know which leases the one before it granted, so that it gives up the runs of an upstream that does not answer it after the longest lease, 10 s. Four leaders followed one another within 6 s (entries were stopped and started in turn), and each began these 10 s anew. The class: knowledge that a leader gains by waiting is lost with it.

Now the record of the claim, which begins each append, tells which upstreams with runs do not answer and for how long their leases can last at most. A successor goes on from there. A leader that has declared so neither renews the lease nor starts anything there until a later append without the declaration is stored; a claim repeats what the claim before it declared. Builds of before ignore the field and wait for the longest lease; a claim of theirs declares nothing.

--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -17,8 +17,10 @@
 // Batch holds changes that are stored together.
 type Batch struct {
 	Records []Record
-	starts  []*run
-	ends    map[*upstream]endWatermark
+	// Silent are the upstreams to declare as silent in the record of the claim.
+	Silent []SilentUpstream
+	starts []*run
+	ends   map[*upstream]endWatermark
 }
 
 // endWatermark is the number of the last applied end of an incarnation of an upstream.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -84,7 +84,7 @@
 		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
 			u.release(r)
 		}
-		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u)
+		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u) && b.mayExtendLease(u)
 		if !u.available {
 			continue
 		}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -58,8 +58,10 @@
 	removedJobs   []cawork.JobID
 	pendingStarts []*run
 	endsToStore   map[*upstream]endWatermark
-	// inheritedUntil is when the leases that an earlier leader granted expire.
+	// inheritedUntil is when the leases that an earlier leader granted expire, other than
+	// those of upstreams in silence.
 	inheritedUntil time.Time
+	silence        silenceLog
 	// overallHealth counts how runs ended on all upstreams.
 	overallHealth health
 	// pendingRequests counts the approval requests in flight, and pendingLongRequests the
@@ -176,9 +178,9 @@
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
-		inheritedUntil: inheritedUntil,
-		refusals:       caadmission.NewRefusalHistory(),
-		detector:       failureDetector{meanAnswerLatency: initialAnswerLatency},
+		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic),
+		refusals: caadmission.NewRefusalHistory(),
+		detector: failureDetector{meanAnswerLatency: initialAnswerLatency},
 	}
 }
 
@@ -217,7 +219,7 @@
 
 // NextBatch returns the changes since the last one.
 func (b *Planner) NextBatch() (Batch, error) {
-	batch := Batch{starts: b.pendingStarts, ends: b.endsToStore}
+	batch := Batch{Silent: b.declareSilence(), starts: b.pendingStarts, ends: b.endsToStore}
 	for id, j := range b.changed {
 		value, err := j.Encode()
 		if err != nil {
@@ -254,6 +256,10 @@
 			u.storedEnd = max(u.storedEnd, end.number)
 		}
 	}
+	b.silence.stored = make(map[cawork.UpstreamID]bool, len(batch.Silent))
+	for _, s := range batch.Silent {
+		b.silence.stored[s.Upstream] = true
+	}
 	b.dropUnsendableStarts(batch.starts)
 	var orders []StartOrder
 	for _, r := range batch.starts {
@@ -265,8 +271,8 @@
 }
 
 // dropUnsendableStarts drops the runs whose tickets expired, whose zones were drained or
-// whose upstreams lost the room for them while their assignments were being stored, and the
-// other members of their gangs.
+// whose upstreams lost the room for them or fell silent while their assignments were being
+// stored, and the other members of their gangs.
 func (b *Planner) dropUnsendableStarts(starts []*run) {
 	room := make(startRoom)
 	for _, r := range starts {
@@ -274,7 +280,7 @@
 			continue
 		}
 		expired := !r.ticketExpires.IsZero() && !b.now.Monotonic.Before(r.ticketExpires)
-		if !expired && b.mayStartOn(r.upstream) && room.take(r) {
+		if !expired && b.mayStartOn(r.upstream) && b.mayExtendLease(r.upstream) && room.take(r) {
 			continue
 		}
 		if expired {
@@ -409,7 +415,9 @@
 		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born})
 		b.addUpstream(u)
 	}
-	u.leaseExpires = b.inheritedUntil
+	if end := b.inheritedLeaseEnd(t.Upstream, t.Born); end.After(u.leaseExpires) {
+		u.leaseExpires = end
+	}
 	r := b.newRun(s, index, u)
 	r.sent, r.inherited = true, true
 	b.charge(r)
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -579,10 +579,12 @@
 	l := Lease{
 		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
 	}
-	if u.renewalUnanswered {
+	switch {
+	case !b.mayExtendLease(u):
+	case u.renewalUnanswered:
 		// A later incarnation may answer. It numbers its ends from 1 again.
 		l.StoredEnd = 0
-	} else {
+	default:
 		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
 	}
 	if l.EndMS > 0 {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -153,10 +153,14 @@
 }
 
 // newLeader returns a simulation of a new leader that has restored the jobs of this one.
-func (s *simulation) newLeader() *simulation {
+func (s *simulation) newLeader() *simulation { return s.newLeaderAfter(nil) }
+
+// newLeaderAfter is like newLeader, where this leader has declared upstreams as silent.
+func (s *simulation) newLeaderAfter(silent []SilentUpstream) *simulation {
 	s.t.Helper()
 	next := &simulation{t: s.t, now: s.now, endNumbers: s.endNumbers}
 	next.planner = New(zerolog.Nop(), 2, s.moment(), s.now.Add(10*time.Second))
+	next.planner.InheritSilence(silent)
 	next.planner.SetPolicy(s.planner.policy)
 	var list []caspec.Upstream
 	for _, u := range s.planner.upstreams {
--- /dev/null
+++ b/internal/cell/caboard/silence.go
@@ -0,0 +1,98 @@
+package caboard
+
+import (
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// A new leader does not know which leases the one before it granted, so that it has to wait
+// for the longest one before it gives up the runs of an upstream that does not answer. If
+// leaders follow one another, each would begin that wait anew. Therefore a leader stores
+// with each append which upstreams do not answer and for how long their leases can last,
+// and its successor goes on from there. This only holds as long as the leader does not
+// extend a lease that its log declares as running out: it extends it again once a later
+// append without that declaration is stored.
+
+// firstAnswerTimeout is how long a new leader waits for the first answer of an upstream before
+// it declares that the upstream is silent.
+const firstAnswerTimeout = 500 * time.Millisecond
+
+// SilentUpstream is an upstream with runs that does not answer.
+type SilentUpstream struct {
+	Upstream    cawork.UpstreamID `cbor:"1,keyasint"`
+	Incarnation int64             `cbor:"2,keyasint,omitempty"`
+	// LeaseRemaining is the longest time until the leases of its runs have expired.
+	LeaseRemaining time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// silenceLog holds the upstreams that were declared silent.
+type silenceLog struct {
+	// inherited are those that the leader before declared, and leadingSince is when this one
+	// took over.
+	inherited    map[cawork.UpstreamID]SilentUpstream
+	leadingSince time.Time
+	// taken and stored are those of the last batch that was taken, and stored.
+	taken, stored map[cawork.UpstreamID]bool
+}
+
+// InheritSilence applies the silent upstreams that the last append of the leader before
+// declared. It is called before any job is restored.
+func (b *Planner) InheritSilence(list []SilentUpstream) {
+	for _, s := range list {
+		b.silence.inherited[s.Upstream] = s
+		b.silence.stored[s.Upstream] = true
+	}
+}
+
+// inheritedLeaseEnd returns when the leases that an earlier leader granted to an incarnation
+// of an upstream have expired.
+func (b *Planner) inheritedLeaseEnd(id cawork.UpstreamID, incarnation int64) time.Time {
+	s, ok := b.silence.inherited[id]
+	if !ok || s.Incarnation != incarnation {
+		return b.inheritedUntil
+	}
+	end := b.silence.leadingSince.Add(s.LeaseRemaining)
+	if end.After(b.inheritedUntil) {
+		return b.inheritedUntil
+	}
+	return end
+}
+
+func newSilenceLog(leadingSince time.Time) silenceLog {
+	return silenceLog{
+		inherited: make(map[cawork.UpstreamID]SilentUpstream), leadingSince: leadingSince,
+		taken: make(map[cawork.UpstreamID]bool), stored: make(map[cawork.UpstreamID]bool),
+	}
+}
+
+// declareSilence returns the upstreams to declare as silent with the next batch.
+func (b *Planner) declareSilence() []SilentUpstream {
+	b.silence.taken = make(map[cawork.UpstreamID]bool)
+	var list []SilentUpstream
+	for _, u := range b.sortedUpstreams {
+		if len(u.runs) == 0 || !b.isSilent(u) {
+			continue
+		}
+		b.silence.taken[u.info.ID] = true
+		list = append(list, SilentUpstream{
+			Upstream: u.info.ID, Incarnation: u.info.Incarnation, LeaseRemaining: max(u.leaseExpires.Sub(b.now.Monotonic), 0),
+		})
+	}
+	return list
+}
+
+// isSilent reports whether an upstream does not answer this leader.
+func (b *Planner) isSilent(u *upstream) bool {
+	if !u.lastAnswerAt.IsZero() {
+		return u.renewalUnanswered
+	}
+	_, wasSilent := b.silence.inherited[u.info.ID]
+	return wasSilent || b.now.Monotonic.Sub(b.silence.leadingSince) > firstAnswerTimeout
+}
+
+// mayExtendLease reports whether no append that is or may be the last one declares the
+// upstream as silent.
+func (b *Planner) mayExtendLease(u *upstream) bool {
+	return !b.silence.taken[u.info.ID] && !b.silence.stored[u.info.ID]
+}
--- /dev/null
+++ b/internal/cell/caboard/silence_test.go
@@ -0,0 +1,127 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// newSilentUpstream returns a cell of two upstreams, the first of which runs a task and has left a
+// renewal unanswered.
+func newSilentUpstream(t *testing.T) *simulation {
+	t.Helper()
+	s := newSimulation(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	start := s.startAll()[0]
+	if start.Upstream != "up-00" {
+		t.Fatalf("the task runs at %s, want up-00", start.Upstream)
+	}
+	s.report("up-00", []RunningRun{{Run: start.Run}}, nil)
+	s.advance(time.Second)
+	s.planner.MarkRenewalUnanswered("up-00")
+	return s
+}
+
+// silentBatch takes the next batch, and returns it and the upstreams that it declares as silent.
+func (s *simulation) silentBatch() (Batch, []SilentUpstream) {
+	s.t.Helper()
+	batch, err := s.planner.NextBatch()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return batch, batch.Silent
+}
+
+// extendsLease reports whether the next renewal of the first upstream extends its lease.
+func (s *simulation) extendsLease() bool {
+	lease, ok := s.planner.RenewLease("up-00")
+	return ok && lease.EndMS > 0
+}
+
+// TestLeaseIsNotExtendedWhileDeclaredSilent covers an upstream that answers again after the log has
+// declared that its lease runs out. A successor may rely on that until a later append is stored.
+func TestLeaseIsNotExtendedWhileDeclaredSilent(t *testing.T) {
+	s := newSilentUpstream(t)
+	declared, silent := s.silentBatch()
+	if diff := cmp.Diff(1, len(silent)); diff != "" {
+		t.Fatalf("upstreams declared as silent (-want +got):\n%s", diff)
+	}
+	u := s.planner.upstreams["up-00"]
+	if diff := cmp.Diff(u.leaseExpires.Sub(s.now), silent[0].LeaseRemaining); diff != "" {
+		t.Errorf("remaining time of the lease (-want +got):\n%s", diff)
+	}
+	var running []RunningRun
+	for id := range u.runs {
+		running = append(running, RunningRun{Run: id})
+	}
+	s.report("up-00", running, nil)
+	extended := []bool{s.extendsLease()}
+	s.planner.MarkStored(declared)
+	extended = append(extended, s.extendsLease())
+	revoked, _ := s.silentBatch()
+	extended = append(extended, s.extendsLease())
+	s.planner.MarkStored(revoked)
+	extended = append(extended, s.extendsLease())
+	if diff := cmp.Diff([]bool{false, false, false, true}, extended); diff != "" {
+		t.Errorf("lease extended while the declaration is stored, was stored, is revoked, was revoked (-want +got):\n%s", diff)
+	}
+}
+
+// TestNothingStartsAtUpstreamDeclaredSilent covers starts, which extend leases too: one that was
+// decided before the declaration, and a later one.
+func TestNothingStartsAtUpstreamDeclaredSilent(t *testing.T) {
+	s := newSilentUpstream(t)
+	s.report("up-00", nil, nil)
+	s.submit("0000000000000002", "queue", smallStep(1))
+	s.planner.Plan()
+	for _, j := range s.planner.jobs["0000000000000002"].steps {
+		if diff := cmp.Diff(castate.TaskAssigned, j.state().Tasks[0].Phase); diff != "" {
+			t.Fatalf("task before the declaration (-want +got):\n%s", diff)
+		}
+	}
+	s.planner.MarkRenewalUnanswered("up-00")
+	batch, _ := s.silentBatch()
+	for _, o := range s.planner.MarkStored(batch) {
+		if o.Upstream == "up-00" {
+			t.Errorf("a start is sent to an upstream that is declared as silent")
+		}
+	}
+}
+
+// TestSuccessorWaitsForDeclaredLeaseOnly covers a run that is lost with its upstream, with a new
+// leader that finds the declaration of the one before, or one of another incarnation.
+func TestSuccessorWaitsForDeclaredLeaseOnly(t *testing.T) {
+	const remaining = 3 * time.Second
+	waits := map[string]time.Duration{}
+	for name, incarnation := range map[string]int64{"same incarnation": 1, "other incarnation": 2} {
+		s := newSilentUpstream(t)
+		next := s.newLeaderAfter([]SilentUpstream{{Upstream: "up-00", Incarnation: incarnation, LeaseRemaining: remaining}})
+		lostAt := next.now
+		for len(next.planner.upstreams["up-00"].runs) > 0 {
+			next.advance(100 * time.Millisecond)
+			next.planner.ExpireLeases()
+		}
+		waits[name] = next.now.Sub(lostAt).Round(time.Second)
+	}
+	want := map[string]time.Duration{"same incarnation": remaining, "other incarnation": 10 * time.Second}
+	if diff := cmp.Diff(want, waits); diff != "" {
+		t.Errorf("wait for the lease of a silent upstream (-want +got):\n%s", diff)
+	}
+}
+
+// TestSilenceIsDeclaredOn covers a leader that is replaced before the upstream answers it: its
+// successor must not begin the wait anew.
+func TestSilenceIsDeclaredOn(t *testing.T) {
+	s := newSilentUpstream(t)
+	declared := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 3 * time.Second}}
+	next := s.newLeaderAfter(declared)
+	next.advance(100 * time.Millisecond)
+	_, silent := next.silentBatch()
+	want := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 2900 * time.Millisecond}}
+	if diff := cmp.Diff(want, silent); diff != "" {
+		t.Errorf("upstreams declared as silent by the successor (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -242,7 +242,7 @@
 	if !claimable && !l.isLogIdle(ctx, found.End, minLogIdle+logIdlePerRead*g.Timer.Now().Sub(began)) {
 		return l.adoptLatest(ctx, previous)
 	}
-	return l.claimLeadership(ctx, found.End, previous)
+	return l.claimLeadership(ctx, found, previous)
 }
 
 // adoptClaim adopts the leader named by the current claim if the claim is newer than the
@@ -349,17 +349,19 @@
 
 // claimLeadership claims the shard and starts to lead it. If the claim fails, it adopts a
 // newer leader, if any. It reports whether the leader has changed.
-func (l *link) claimLeadership(ctx context.Context, end int64, previous leaderID) bool {
+func (l *link) claimLeadership(ctx context.Context, found caleader.LeadershipState, previous leaderID) bool {
 	g := l.gate
 	if err := g.Timer.Pause(ctx, l.candidacyDelay()); err != nil {
 		return false
 	}
-	c := caleader.Claim{VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano()}
+	c := caleader.Claim{
+		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(), Silent: found.Claim.Silent,
+	}
 	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
 	defer cancel()
-	token, newEnd, err := caleader.AcquireClaim(claimCtx, g.ShardLog(l.shard), c, end, g.Timer.Pause)
+	token, newEnd, err := caleader.AcquireClaim(claimCtx, g.ShardLog(l.shard), c, found.End, g.Timer.Pause)
 	if err != nil {
-		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", end).
+		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", found.End).
 			Str("leader_before", string(previous.VM)).Err(err).Send()
 		return l.adoptLatest(ctx, previous)
 	}
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -45,6 +46,9 @@
 	Nonce int64 `cbor:"5,keyasint"`
 	// Released is set when the leader has released the shard.
 	Released bool `cbor:"6,keyasint,omitempty"`
+	// Silent are the upstreams that do not answer the leader. It extends none of their leases
+	// until a later claim without them is stored.
+	Silent []caboard.SilentUpstream `cbor:"7,keyasint,omitempty"`
 }
 
 // logEntry encodes the claim as a record of the log.
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -149,6 +149,7 @@
 	l.lastAppend = now.Monotonic
 	inheritedUntil := now.Monotonic.Add(MaxClaimAge + caboard.LeaseDuration + caboard.LeaseDuration/20)
 	l.planner = caboard.New(deps.Log, deps.Seed, now, inheritedUntil)
+	l.planner.InheritSilence(c.Silent)
 	return l
 }
 
