Test: upstreams with changing capacities are not overcommitted

The world of TestUpstreamsAreNeverOvercommitted, with capacities that shrink and grow every 200 ms, differ after a restart, and are listed up to 1.5 s late, and with appends of up to 4 s. A start may exceed a capacity only if it fitted one of the last 1.95 s before it was sent: list, its reading and the call.

--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -37,11 +37,37 @@
 	// incarnation. Orders name an upstream and not its incarnation, so that the leader
 	// cannot know that late orders of before the restart may start here as well.
 	startedUnseen bool
+	// capacities are the capacities that this incarnation has had, in their order.
+	capacities []heldCapacity
+}
+
+// heldCapacity is a capacity that an upstream has had since a time.
+type heldCapacity struct {
+	cpu   cawork.MilliCPU
+	since time.Duration
+}
+
+// setCapacity changes the capacity of the upstream.
+func (u *simulatedUpstream) setCapacity(cpu cawork.MilliCPU, now time.Duration) {
+	u.info.Capacity.CPU = cpu
+	u.capacities = append(u.capacities, heldCapacity{cpu, now})
+}
+
+// roomSince returns the largest capacity that the upstream has had since a time.
+func (u *simulatedUpstream) roomSince(since time.Duration) cawork.Resources {
+	room := u.info.Capacity
+	for i, held := range u.capacities {
+		if i == len(u.capacities)-1 || u.capacities[i+1].since >= since {
+			room.CPU = max(room.CPU, held.cpu)
+		}
+	}
+	return room
 }
 
 func (u *simulatedUpstream) restart(now time.Duration) {
 	u.up = true
 	u.bornAt = now
+	u.capacities = []heldCapacity{{u.info.Capacity.CPU, now}}
 	u.info.Incarnation++
 	u.token, u.endNumber, u.leaseEndMS = 0, 0, 0
 	u.running, u.stopped, u.highest = make(map[RunID]cawork.Resources), make(map[RunID]bool), make(map[RunID]int)
@@ -95,12 +121,21 @@
 	jobs           int
 	starts         int
 	violations     []string
+	// isResizing is set if the upstreams change their capacities.
+	isResizing bool
 }
 
 const (
 	roomTick      = 10 * time.Millisecond
 	roomLateShare = 0.06
 	roomUpstreams = 8
+	// roomListLag is how late the list shows an upstream at most, and roomMaxDelay how late
+	// an order is carried out.
+	roomListLag  = 1500 * time.Millisecond
+	roomMaxDelay = 12 * time.Second
+	// roomShrinkDelay is how long a capacity may count after it has shrunk: until the list
+	// shows it, the leader reads that, and an order is sent and carried out.
+	roomShrinkDelay = roomListLag + 350*time.Millisecond + 100*time.Millisecond
 )
 
 var roomCapacity = cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB}
@@ -198,11 +233,31 @@
 	}
 	u.up = false
 	w.after(w.between(20, 1200), func() {
+		if w.isResizing {
+			u.info.Capacity.CPU = w.randomCapacity()
+		}
 		u.restart(w.elapsed)
-		w.after(w.between(10, 1500), func() { w.listed[u.info.ID] = u.info })
+		w.listLater(u)
 	})
 }
 
+// listLater lists what the upstream then says of itself.
+func (w *roomWorld) listLater(u *simulatedUpstream) {
+	w.after(w.between(10, int(roomListLag.Milliseconds())), func() { w.listed[u.info.ID] = u.info })
+}
+
+func (w *roomWorld) randomCapacity() cawork.MilliCPU {
+	return cawork.Cores(int64(2 + w.random.Intn(15)))
+}
+
+// resize changes the capacity of an upstream.
+func (w *roomWorld) resize() {
+	if u := w.upstreams[w.random.Intn(len(w.upstreams))]; u.up {
+		u.setCapacity(w.randomCapacity(), w.elapsed)
+		w.listLater(u)
+	}
+}
+
 // renew requests a report from an upstream, which waits there for a while.
 func (w *roomWorld) renew(u *simulatedUpstream) {
 	p, token := w.planner, w.token
@@ -262,18 +317,19 @@
 func (w *roomWorld) start(p *Planner, token int64, o StartOrder) {
 	u := w.upstreamOf(o.Upstream)
 	if w.random.Float64() < roomLateShare {
-		w.after(w.between(2000, 12000), func() { w.executeStart(u, token, o) })
+		w.after(w.between(2000, int(roomMaxDelay.Milliseconds())), func() { w.executeStart(u, token, o, roomMaxDelay) })
 		w.after(300*time.Millisecond, func() { w.whileLeading(p, func() { p.ApplyStartOutcome(o, StartUnknown, 0) }) })
 		return
 	}
 	w.after(w.between(1, 15), func() {
-		outcome := w.executeStart(u, token, o)
+		outcome := w.executeStart(u, token, o, 0)
 		clockMS := u.clockMS(w.elapsed)
 		w.after(w.between(1, 15), func() { w.whileLeading(p, func() { p.ApplyStartOutcome(o, outcome, clockMS) }) })
 	})
 }
 
-func (w *roomWorld) executeStart(u *simulatedUpstream, token int64, o StartOrder) StartOutcome {
+// executeStart carries out a start order that was sent up to the given time ago.
+func (w *roomWorld) executeStart(u *simulatedUpstream, token int64, o StartOrder, delay time.Duration) StartOutcome {
 	switch {
 	case !u.up:
 		return StartUnknown
@@ -294,8 +350,13 @@
 	if known, ok := w.planner.upstreams[u.info.ID]; !ok || known.info.Incarnation != u.info.Incarnation {
 		u.startedUnseen = true
 	}
-	if !u.startedUnseen && !size.Fits(roomCapacity.Minus(u.used())) {
-		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used()))
+	room := u.roomSince(w.elapsed - roomShrinkDelay - delay)
+	if o.Born != u.info.Incarnation {
+		// The order was sent for the room of an earlier incarnation.
+		room = roomCapacity
+	}
+	if !u.startedUnseen && !size.Fits(room.Minus(u.used())) {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v of %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used(), room))
 	}
 	w.starts++
 	u.running[o.Run] = size
@@ -359,6 +420,15 @@
 	return nil
 }
 
+// appendTime returns how long an append takes. Some are so slow in a resizing world that
+// the list shows a shrunk capacity before them.
+func (w *roomWorld) appendTime() time.Duration {
+	if w.isResizing && w.random.Intn(40) == 0 {
+		return w.between(1000, 4000)
+	}
+	return w.between(4, 40)
+}
+
 // commit appends the changes of the leader. Its successor finds them if they were stored
 // before it took over.
 func (w *roomWorld) commit() {
@@ -371,7 +441,7 @@
 	}
 	w.appendInFlight = true
 	p, token := w.planner, w.token
-	w.after(w.between(4, 40), func() {
+	w.after(w.appendTime(), func() {
 		w.whileLeading(p, func() {
 			w.appendInFlight = false
 			for _, r := range batch.Records {
@@ -428,3 +498,23 @@
 		})
 	}
 }
+
+// TestShrinkingUpstreamsAreNotOvercommitted is like TestUpstreamsAreNeverOvercommitted, with
+// capacities that shrink and grow again, and that differ after a restart.
+func TestShrinkingUpstreamsAreNotOvercommitted(t *testing.T) {
+	for seed := range int64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newRoomWorld(seed)
+			w.isResizing = true
+			w.repeat(200*time.Millisecond, w.resize)
+			w.run(60 * time.Second)
+			if diff := cmp.Diff([]string(nil), w.violations); diff != "" {
+				t.Errorf("violations after %d starts (-want +got):\n%s", w.starts, diff)
+			}
+			if w.starts < 300 {
+				t.Errorf("only %d starts", w.starts)
+			}
+		})
+	}
+}
