Events: a changed capacity is logged

An operator could not see that an upstream had shrunk, only what a new one had. Event 304 of a leader now comes with each change, with what is in use (TestChangedCapacityIsLogged).

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -29,8 +29,10 @@
 	if !ok {
 		u = newUpstream(info)
 		b.addUpstream(u)
+	}
+	if !ok || info.Capacity != u.info.Capacity {
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
-			Stringer("capacity", info.Capacity).Int64("born", info.Incarnation).Send()
+			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).Send()
 	}
 	u.listedIncarnation = info.Incarnation
 	switch {
--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -1,10 +1,13 @@
 package caboard
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -266,3 +269,18 @@
 	}
 	return reserved
 }
+
+// TestChangedCapacityIsLogged checks that an operator can see when an upstream shrinks.
+func TestChangedCapacityIsLogged(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	var log bytes.Buffer
+	s.planner.log = zerolog.New(&log)
+	s.setCapacity(16)
+	s.setCapacity(8)
+	if diff := cmp.Diff(1, strings.Count(log.String(), `"capacity":"8.000 cores`)); diff != "" {
+		t.Errorf("events of the smaller capacity (-want +got):\n%s\n%s", diff, log.String())
+	}
+	if diff := cmp.Diff(0, strings.Count(log.String(), `"capacity":"16.000 cores`)); diff != "" {
+		t.Errorf("events of the same capacity (-want +got):\n%s", diff)
+	}
+}
