Deadly tasks in whole entries are a long test

TestDeadlyTaskIsStartedWithinItsAttempts passes under the race detector in 38 s, so that it belongs to the tests of over 20 s, which the checks run without it.

--- a/internal/node/caentry/faults_test.go
+++ b/internal/node/caentry/faults_test.go
@@ -90,6 +90,7 @@
 	"TestFullZoneHandsJobsToOtherZones", "TestLimitRedivisionWaitsForPartitionedZone", "TestTwoFaults",
 	"TestTwoFaultsThatFailedBefore", "TestRebuiltZoneDoesNotReuseTransferredAllowance", "TestMintOfLostShardIsReclaimed",
 	"TestRollingUpdate", "TestRollingUpdateUnderFaults", "TestRollingDowngrade", "TestThreeVersionsInOneCell",
+	"TestDeadlyTaskIsStartedWithinItsAttempts",
 }
 
 // submission is a job that was submitted to an entry.
