A suspended leader starts nothing by its old list

A leader whose process was held for seconds could start tasks by capacities that had shrunk meanwhile (LIMIT), or at upstreams that had left.

Cause: after a suspension the reports are asked for again before anything is placed, but the list is read up to 350 ms later, and the starts of an append that was in flight were sent at once. Only the view of the drained zones had an age.

Evidence: TestSuspendedLeaderStartsNothingByItsOldList failed before: one start was sent when the append ended, 5 s after the list had been read.

Each attempt to read the list extends its validity by 2.7 s, twice what an attempt and the pause before it take. After that nothing is placed and no start is sent until the next attempt has ended. Attempts that fail count too: a leader that cannot read the list in an outage goes on by the last one, as before.

--- a/internal/cell/caboard/drains.go
+++ b/internal/cell/caboard/drains.go
@@ -42,7 +42,7 @@
 // mayStartOn reports whether runs may start on an upstream, as far as drained zones are
 // concerned.
 func (b *Planner) mayStartOn(u *upstream) bool {
-	return !b.isDrained(u) && !b.drains.isExpired(b.now.Monotonic)
+	return !b.isDrained(u) && !b.isViewExpired()
 }
 
 // checkDrainedRoom refuses a step that needs the room of drained zones for the given
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -19,7 +19,7 @@
 	b.sortSteps()
 	b.pools = b.newPoolPlans()
 	b.planPartitions()
-	if !b.storeUnavailable && !b.drains.isExpired(b.now.Monotonic) {
+	if !b.storeUnavailable && !b.isViewExpired() {
 		b.copyStragglers()
 		b.reserveForSingleTasks()
 		b.placeSteps()
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -79,6 +79,8 @@
 	// last logged.
 	drains      DrainView
 	drainedRuns map[cawork.ZoneName]int
+	// listValidUntil is when the list of upstreams becomes too old. Zero means never.
+	listValidUntil time.Time
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
 }
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -53,6 +53,9 @@
 	listPeriod = 350 * time.Millisecond
 	// listTimeout bounds one read of the list.
 	listTimeout = time.Second
+	// maxListPause is the time after a read of the list in which the next one must end.
+	// A leader that takes longer was suspended.
+	maxListPause = 2 * (listPeriod + listTimeout)
 	// retryWhenUnavailable is the delay after which callers should retry while the
 	// store is unavailable.
 	retryWhenUnavailable = time.Second
@@ -221,6 +224,7 @@
 	if upstreams.err == nil {
 		l.planner.SetUpstreams(l.ownUpstreams(upstreams.list))
 	}
+	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
 	for _, j := range jobs {
 		l.planner.Restore(j)
 	}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -189,6 +189,7 @@
 		list, err := l.Registry.List(callCtx)
 		cancel()
 		if err != nil {
+			l.noteListRead()
 			if !failing {
 				caevent.Warn(l.Log, caevent.VMListUnavailable).Err(err).Send()
 			}
@@ -198,9 +199,18 @@
 		retention.noteRead(l.Timer.Now(), failing)
 		failing = false
 		l.applyList(ctx, retention.complete(l.Timer.Now(), list))
+		l.noteListRead()
 	}
 }
 
+// noteListRead records that an attempt to read the list has ended, also one that failed: a
+// leader that cannot read the list goes on by the last one, a suspended one does not.
+func (l *Leader) noteListRead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
+}
+
 // applyList passes the list of upstreams to the planner and starts renewals for new
 // ones.
 func (l *Leader) applyList(ctx context.Context, list []caspec.Upstream) {
--- a/internal/cell/caleader/suspension_test.go
+++ b/internal/cell/caleader/suspension_test.go
@@ -78,3 +78,46 @@
 		}
 	}
 }
+
+// TestSuspendedLeaderStartsNothingByItsOldList suspends a leader. Meanwhile upstreams may have
+// lost room, or left. Until it has tried to read the list again, the leader must neither place
+// tasks nor send the starts of an append that was in flight.
+func TestSuspendedLeaderStartsNothingByItsOldList(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	l := loadedLeader(clock)
+	l.planner.SetPolicy(caspec.Policy{
+		Version: 1, Queues: []caspec.Queue{{Name: "queue", Pool: "pool", MaxAttempts: 1, Stretch: 2}}, Pools: []caspec.Pool{{Name: "pool"}},
+		Teams: []caspec.Team{{Name: "north", Weight: 1000}},
+	}.WithIndex())
+	upstream := caspec.Upstream{ID: "up-1", Address: "a", Pool: "pool", Incarnation: 1, Capacity: cawork.Resources{CPU: cawork.Cores(2)}}
+	l.planner.SetNow(l.now())
+	l.planner.SetUpstreams([]caspec.Upstream{upstream})
+	l.noteListRead()
+	if _, err := l.planner.Submit(caspec.Submission{
+		ID: "0123456789abcdef", Queue: "queue", Team: "north", Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Estimate: time.Second}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	// commit plans and stores all changes after the time, and returns how many starts are sent.
+	commit := func(took time.Duration) int {
+		l.nextOrders(caboard.RequestLimits{}, false)
+		batch, _, began, err := l.takeBatch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		clock.now = clock.now.Add(took)
+		l.planner.SetNow(l.now())
+		l.planner.ApplyReport(caboard.Report{Upstream: "up-1", Born: 1, SentAt: clock.now, ReceivedAt: clock.now, ClockMS: 5000})
+		return len(l.committed(batch, began))
+	}
+	if diff := cmp.Diff(0, commit(5*time.Second)); diff != "" {
+		t.Errorf("starts of an append that was in flight (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, commit(time.Millisecond)); diff != "" {
+		t.Errorf("starts after the suspension (-want +got):\n%s", diff)
+	}
+	l.noteListRead()
+	if diff := cmp.Diff(1, commit(time.Millisecond)); diff != "" {
+		t.Errorf("starts after the list was read again (-want +got):\n%s", diff)
+	}
+}
