--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -1,10 +1,13 @@
 package caboard
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -222,3 +225,62 @@
 		t.Errorf("age of the accepted job (-want +got):\n%s", diff)
 	}
 }
+
+// TestReservationLeavesShrunkUpstreams checks that the room reserved for a gang moves when the
+// reserved upstreams have become too small for its tasks.
+func TestReservationLeavesShrunkUpstreams(t *testing.T) {
+	s := newSimulation(t, 12, plainQueue())
+	s.submit("busy", "queue", caspec.Step{Tasks: 12, CPU: cawork.Cores(10), Estimate: 3 * time.Second, MaxPerUpstream: 1})
+	s.startAll()
+	s.submit("gang", "queue", gangStep(2, cawork.Cores(10)))
+	s.startAll()
+	reserved := s.reservedUpstreams()
+	if len(reserved) != 2 {
+		t.Fatalf("%d upstreams are reserved for the gang, want 2", len(reserved))
+	}
+	var list []caspec.Upstream
+	for _, u := range s.planner.sortedUpstreams {
+		info := u.info
+		if u.reservedBy != nil {
+			info.Capacity.CPU = cawork.Cores(8)
+		}
+		list = append(list, info)
+	}
+	s.planner.SetUpstreams(list)
+	s.advance(reservationRetryInterval)
+	s.startAll()
+	moved := s.reservedUpstreams()
+	if len(moved) != 2 {
+		t.Errorf("%d upstreams are reserved after the others shrank, want 2", len(moved))
+	}
+	for id := range moved {
+		if reserved[id] {
+			t.Errorf("%s is still reserved, though it has shrunk", id)
+		}
+	}
+}
+
+func (s *simulation) reservedUpstreams() map[cawork.UpstreamID]bool {
+	reserved := make(map[cawork.UpstreamID]bool)
+	for _, u := range s.planner.sortedUpstreams {
+		if u.reservedBy != nil {
+			reserved[u.info.ID] = true
+		}
+	}
+	return reserved
+}
+
+// TestChangedCapacityIsLogged checks that an operator can see when an upstream shrinks.
+func TestChangedCapacityIsLogged(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	var log bytes.Buffer
+	s.planner.log = zerolog.New(&log)
+	s.setCapacity(16)
+	s.setCapacity(8)
+	if diff := cmp.Diff(1, strings.Count(log.String(), `"capacity":"8.000 cores`)); diff != "" {
+		t.Errorf("events of the smaller capacity (-want +got):\n%s\n%s", diff, log.String())
+	}
+	if diff := cmp.Diff(0, strings.Count(log.String(), `"capacity":"16.000 cores`)); diff != "" {
+		t.Errorf("events of the same capacity (-want +got):\n%s", diff)
+	}
+}
