--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -18,6 +18,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/node/capeer"
@@ -114,7 +115,7 @@
 	timer := catimer.NewService()
 	e := &entry{cancel: cancel}
 	e.gate = New(Deps{
-		Self: Peer{VM: cawork.VMID(name), Address: name, CPUShare: c.cpuShare(name)}, Seeds: []string{entryName(0), entryName(1)},
+		Self: caroster.Peer{VM: cawork.VMID(name), Address: name, CPUShare: c.cpuShare(name)}, Seeds: []string{entryName(0), entryName(1)},
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
 		WallMillis: func() int64 { return timer.Now().UnixMilli() }, PeerClient: client,
 		ShardLog:  func(shard int) caleader.Log { return c.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
@@ -586,7 +587,7 @@
 		{"weak in a large cell", leaderCPUShare / 2, 97, 500 * time.Millisecond},
 	}
 	for _, test := range tests {
-		got := helloPeriodFor(&peerState{Peer: Peer{CPUShare: test.power}}, test.entries)
+		got := helloPeriodFor(caroster.Peer{CPUShare: test.power}, test.entries)
 		if diff := cmp.Diff(test.want, got); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -11,6 +11,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
@@ -50,9 +51,8 @@
 	lowCPUDelay = 200 * time.Millisecond
 	// lowCPUDeferDelay replaces lowCPUDelay while a strong entry is present.
 	lowCPUDeferDelay = 800 * time.Millisecond
-	// leaderCPUShare is the CPU share, in cores, that a leader should have. Entries with at
-	// least this share are called strong.
-	leaderCPUShare = 0.4
+	// leaderCPUShare is the CPU share, in cores, that a leader should have.
+	leaderCPUShare = caroster.StrongCPUShare
 	// staleAppendAge is the age of a leader's last append beyond which the other entries
 	// suspect it and read the store themselves.
 	staleAppendAge = 700 * time.Millisecond
@@ -100,8 +100,8 @@
 
 // helloPeriodFor returns the hello period of a peer in a cell with the given number of
 // entries. Strong entries call more often because they may serve as agents.
-func helloPeriodFor(p *peerState, entries int) time.Duration {
-	if p.isStrong() {
+func helloPeriodFor(p caroster.Peer, entries int) time.Duration {
+	if p.IsStrong() {
 		return helloPeriod
 	}
 	return min(max(helloPeriod, time.Duration(entries)*helloPeriodPerEntry), maxHelloPeriod)
@@ -202,7 +202,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range reply.Peers {
-		g.recordPeer(p).reportedAt = g.Timer.Now()
+		g.roster.RecordReport(g.Timer.Now(), p)
 	}
 	l.observeLeader(reply.Leader)
 	if reply.Leading && reply.Leader.Token == l.status.Token {
@@ -339,7 +339,7 @@
 	delay := time.Duration(g.ledShardCount()) * delayPerLedShard
 	if cpuShortfall := max(1-g.Self.CPUShare/leaderCPUShare, 0); cpuShortfall > 0 {
 		maxDelay := lowCPUDelay
-		if g.hasOtherStrongPeer(l.status.VM) {
+		if g.roster.HasOtherStrong(g.Timer.Now(), l.status.VM) {
 			maxDelay = lowCPUDeferDelay
 		}
 		delay += time.Duration(cpuShortfall * float64(maxDelay))
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -17,6 +17,7 @@
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/node/capeer"
@@ -27,7 +28,7 @@
 
 // Deps are the dependencies and settings of a Gate.
 type Deps struct {
-	Self  Peer
+	Self  caroster.Peer
 	Seeds []string
 	Log   zerolog.Logger
 	Scope tally.Scope
@@ -72,32 +73,18 @@
 	layout     calayout.Layout
 	drains     drainReading
 	links      []*link
-	peers      map[cawork.VMID]*peerState
+	roster     *caroster.Roster
 	feedLostAt time.Time
 	draining   bool
 	// startedAt is when this process began.
 	startedAt time.Time
 }
 
-// peerState is what this entry knows about another one.
-type peerState struct {
-	Peer
-	// lastCallAt is the time of the peer's last hello call to this entry.
-	lastCallAt time.Time
-	// presentSince is the start of the current series of calls without a gap longer than
-	// peerMaxAge.
-	presentSince time.Time
-	// reportedAt is when another entry last listed this peer as present.
-	reportedAt   time.Time
-	hasAdvisor   bool
-	reachesStore bool
-}
-
 // New returns a Gate that has not found any leader yet.
 func New(deps Deps) *Gate {
 	g := &Gate{
 		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), layoutKnown: make(chan struct{}),
-		peers: make(map[cawork.VMID]*peerState), feedLostAt: deps.Timer.Now(), startedAt: deps.Timer.Now(),
+		roster: caroster.New(deps.Self.VM), feedLostAt: deps.Timer.Now(), startedAt: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
 	return g
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -278,10 +278,8 @@
 	if g.Advisor != nil {
 		names = append(names, g.Self.VM)
 	}
-	for vm, p := range g.peers {
-		if p.hasAdvisor && g.Timer.Now().Sub(p.lastCallAt) < peerMaxAge {
-			names = append(names, vm)
-		}
+	for _, p := range g.roster.Advisors(g.Timer.Now()) {
+		names = append(names, p.VM)
 	}
 	slices.Sort(names)
 	shards := len(g.links)
@@ -304,10 +302,7 @@
 		return g.Advisor.Advise(ctx, ask)
 	}
 	g.mu.Lock()
-	address := ""
-	if p, ok := g.peers[entry]; ok {
-		address = p.Address
-	}
+	address := g.roster.Address(entry)
 	g.mu.Unlock()
 	if address == "" {
 		return nil, cakind.New(cakind.KindUnavailable, "unknown entry %s", entry)
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -10,6 +10,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -24,21 +25,11 @@
 	callAdvise  = "cell.advise"
 )
 
-// Peer identifies an entry to other entries.
-type Peer struct {
-	VM      cawork.VMID     `cbor:"1,keyasint"`
-	Zone    cawork.ZoneName `cbor:"2,keyasint,omitempty"`
-	Address string          `cbor:"3,keyasint"`
-	// CPUShare is the CPU share of the VM, in cores. Entries with a larger share are preferred
-	// as leaders and as agents of leaders.
-	CPUShare float64 `cbor:"4,keyasint,omitempty"`
-}
-
 // helloRequest announces the caller as present and asks for the leader of a shard. It states
 // which policy and layout the caller has, so that the reply can omit what it has already.
 type helloRequest struct {
-	From          Peer  `cbor:"1,keyasint"`
-	PolicyVersion int64 `cbor:"2,keyasint,omitempty"`
+	From          caroster.Peer `cbor:"1,keyasint"`
+	PolicyVersion int64         `cbor:"2,keyasint,omitempty"`
 	// HasAdvisor reports whether the caller can query an advisor.
 	HasAdvisor bool `cbor:"3,keyasint,omitempty"`
 	// Shard is the shard whose leader the caller asks for.
@@ -67,7 +58,7 @@
 	PolicyVersion int64 `cbor:"5,keyasint,omitempty"`
 	// Peers are the entries that called the replying entry recently. A leader lists strong
 	// ones only.
-	Peers []Peer `cbor:"6,keyasint,omitempty"`
+	Peers []caroster.Peer `cbor:"6,keyasint,omitempty"`
 	// Layout is set if the caller lacks it.
 	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
 	// NextHelloIn is the time after which the caller should call the leader again.
--- a/internal/cell/cagate/peers.go
+++ b/internal/cell/cagate/peers.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// peerMaxAge is how long a peer counts as present after its last hello call.
-	peerMaxAge = 1500 * time.Millisecond
-	// agentMaxAge is the shorter limit for a peer that is to become an agent or a leader.
-	agentMaxAge = 700 * time.Millisecond
 	// peerPollInterval is the time between two rounds of calls to other entries while the
 	// store or a leader is unreachable.
 	peerPollInterval = 300 * time.Millisecond
@@ -20,30 +16,14 @@
 	peersPerPoll = 3
 )
 
-// recordPeer adds or updates another entry and returns its state. For this entry itself it
-// returns a state that is not stored. The caller must hold g.mu.
-func (g *Gate) recordPeer(p Peer) *peerState {
-	if p.VM == g.Self.VM {
-		return &peerState{Peer: p}
-	}
-	known, ok := g.peers[p.VM]
-	if !ok {
-		known = &peerState{}
-		g.peers[p.VM] = known
-	}
-	known.Peer = p
-	return known
-}
-
 // agentCandidates returns the entries that may become agents of a leader on this entry.
 func (g *Gate) agentCandidates() []carelay.Candidate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := make([]carelay.Candidate, 0, len(g.peers))
-	for vm, p := range g.peers {
-		if g.Timer.Now().Sub(p.lastCallAt) < agentMaxAge {
-			list = append(list, carelay.Candidate{VM: vm, Zone: p.Zone, Address: p.Address, Power: p.CPUShare})
-		}
+	peers := g.roster.AgentCandidates(g.Timer.Now())
+	list := make([]carelay.Candidate, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, carelay.Candidate{VM: p.VM, Zone: p.Zone, Address: p.Address, Power: p.CPUShare})
 	}
 	return list
 }
@@ -83,10 +63,7 @@
 	if len(links) == 0 {
 		return nil, nil
 	}
-	var addresses []string
-	for _, p := range g.peers {
-		addresses = append(addresses, p.Address)
-	}
+	addresses := g.roster.Addresses()
 	for _, seed := range g.Seeds {
 		if seed != g.Self.Address {
 			addresses = append(addresses, seed)
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -5,6 +5,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
@@ -24,20 +25,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Timer.Now()
-	p := g.recordPeer(r.From)
-	if now.Sub(p.lastCallAt) > peerMaxAge {
-		p.presentSince = now
-	}
-	p.lastCallAt = now
-	p.hasAdvisor = r.HasAdvisor
-	p.reachesStore = r.ReachesStore
+	g.roster.RecordCall(now, caroster.Hello{From: r.From, HasAdvisor: r.HasAdvisor, ReachesStore: r.ReachesStore})
 	reply := helloReply{PolicyVersion: g.policy.Version}
 	if err == nil {
 		reply.Leader = l.status.leaderID
 		if l.localLeader != nil && !g.draining && !g.shouldStepDown(l.localLeader) {
 			reply.Leading = true
 			reply.LastAppendAge = l.localLeader.LastAppendAge()
-			reply.NextHelloIn = helloPeriodFor(p, len(g.peers)+1)
+			reply.NextHelloIn = helloPeriodFor(r.From, g.roster.Len()+1)
 		}
 	}
 	if g.policy.Version > r.PolicyVersion {
@@ -52,10 +47,9 @@
 		layout := g.layout
 		reply.Layout = &layout
 	}
-	for _, other := range g.peers {
-		present := other.VM != r.From.VM && now.Sub(other.lastCallAt) < peerMaxAge
-		if present && (!reply.Leading || other.isStrong()) {
-			reply.Peers = append(reply.Peers, other.Peer)
+	for _, other := range g.roster.Present(now) {
+		if other.VM != r.From.VM && (!reply.Leading || other.IsStrong()) {
+			reply.Peers = append(reply.Peers, other)
 		}
 	}
 	return reply, nil
@@ -66,15 +60,7 @@
 // as the leader and goes on leading until another entry claims the shard, which is safe
 // because claims are conditional appends. The caller must hold g.mu.
 func (g *Gate) shouldStepDown(leader *caleader.Leader) bool {
-	if !leader.AreAppendsFailing() {
-		return false
-	}
-	for _, p := range g.peers {
-		if p.reachesStore && g.Timer.Now().Sub(p.lastCallAt) < agentMaxAge {
-			return true
-		}
-	}
-	return false
+	return leader.AreAppendsFailing() && g.roster.AnyReachesStore(g.Timer.Now())
 }
 
 // requireLeader returns the leader of the shard if it runs on this entry, and KindFenced
