--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -45,6 +45,7 @@
 	teams           map[cawork.TeamName]*teamUsage
 	queues          map[caspec.QueueName]*queueStats
 	partitions      map[caspec.PoolName]*gangPartition
+	knownRooms      knownRooms
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -119,7 +120,11 @@
 	// liveRuns counts the runs of the step that may be present at upstreams.
 	liveRuns     int
 	waitingTasks int
+	// waitingSince is since when some task of the step has waited, not always the same.
+	waitingSince time.Time
 	lateness     int
+	// tasksToRestart counts the waiting tasks of a long-running step that ran before.
+	tasksToRestart int
 	// criticalPath is the estimated length of the longest chain of steps from this one
 	// on.
 	criticalPath time.Duration
@@ -167,6 +172,7 @@
 		teams:          make(map[cawork.TeamName]*teamUsage),
 		queues:         make(map[caspec.QueueName]*queueStats),
 		partitions:     make(map[caspec.PoolName]*gangPartition),
+		knownRooms:     make(knownRooms),
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
@@ -258,15 +264,17 @@
 	return orders
 }
 
-// dropUnsendableStarts drops the runs whose tickets expired or whose zones were drained
-// while their assignments were being stored, and the other members of their gangs.
+// dropUnsendableStarts drops the runs whose tickets expired, whose zones were drained or
+// whose upstreams lost the room for them while their assignments were being stored, and the
+// other members of their gangs.
 func (b *Planner) dropUnsendableStarts(starts []*run) {
+	room := make(startRoom)
 	for _, r := range starts {
 		if r.upstream.runs[r.id] != r {
 			continue
 		}
 		expired := !r.ticketExpires.IsZero() && !b.now.Monotonic.Before(r.ticketExpires)
-		if !expired && b.mayStartOn(r.upstream) {
+		if !expired && b.mayStartOn(r.upstream) && room.take(r) {
 			continue
 		}
 		if expired {
@@ -377,7 +385,7 @@
 			t := &o.Steps[i].Tasks[index]
 			switch t.Phase {
 			case castate.TaskWaiting:
-				s.waitingTasks++
+				b.addWaitingTask(s)
 			case castate.TaskAssigned:
 				b.inheritRun(s, index)
 			case castate.TaskDone:
@@ -439,12 +447,28 @@
 	r.step.job.liveRuns--
 	if r.isCurrent() {
 		r.task().Phase = castate.TaskWaiting
-		r.step.waitingTasks++
+		b.addWaitingTask(r.step)
 		b.markChanged(r.step.job)
 	}
 	b.releaseEndedJob(r.step.job)
 }
 
+// addWaitingTask counts one more waiting task of the step.
+func (b *Planner) addWaitingTask(s *step) {
+	if s.waitingTasks == 0 {
+		s.waitingSince = b.now.Monotonic
+	}
+	s.waitingTasks++
+}
+
+// waitBegan returns since when a task of the step has been ready and has waited.
+func (s *step) waitBegan() time.Time {
+	if s.waitingSince.After(s.readyAt) {
+		return s.waitingSince
+	}
+	return s.readyAt
+}
+
 // releaseEndedJob drops the details of a job that has ended and has no runs.
 func (b *Planner) releaseEndedJob(j *job) {
 	if !j.Phase.IsFinal() || j.liveRuns > 0 || j.steps == nil && j.OpenOccurrences == nil {
--- a/internal/node/calaunch/stop.go
+++ b/internal/node/calaunch/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -61,7 +62,7 @@
 func (l *Launcher) controlLocal(call ControlCall, onResult func(caplatform.TaskStatus, error)) {
 	known, ok := l.table.FindAttempt(call.Upstream, call.Attempt)
 	if ok && call.Resolve {
-		onResult(known, nil)
+		onResult(l.resolved(call, known), nil)
 		return
 	}
 	lease, owned := l.Leases.Lease(call.Upstream)
@@ -78,7 +79,7 @@
 			if err == nil {
 				l.endForeign(call.Task, call.Attempt, status)
 			}
-			onResult(status, err)
+			onResult(l.resolved(call, status), err)
 		}
 	})
 }
@@ -113,17 +114,43 @@
 // resolveAttempts queries the state of attempts whose starts were not answered.
 func (l *Launcher) resolveAttempts() {
 	for _, a := range l.attempts {
-		if a.phase != phaseUnresolved || a.resolving {
-			continue
+		if a.phase == phaseUnresolved {
+			l.resolveAttempt(a)
 		}
-		a.resolving = true
-		call := ControlCall{Upstream: a.upstream, Attempt: a.id, Task: a.task, Mode: caplatform.StopModeStop, Resolve: true}
-		l.controlAttempt(call, func(status caplatform.TaskStatus, err error) {
-			a.resolving = false
-			if err == nil && a.phase == phaseUnresolved {
-				l.observe(a.upstream, status)
-			}
-		})
+	}
+}
+
+// resolveAttempt queries the state of an attempt.
+func (l *Launcher) resolveAttempt(a *attempt) {
+	if a.resolving {
+		return
+	}
+	a.resolving = true
+	asked := l.now()
+	call := ControlCall{
+		Upstream: a.upstream, Attempt: a.id, Task: a.task, Mode: caplatform.StopModeStop, Resolve: true,
+		Age: asked.Sub(a.trackedSince),
+	}
+	l.controlAttempt(call, func(status caplatform.TaskStatus, err error) {
+		a.resolving = false
+		if err == nil && l.attempts[a.id] == a {
+			l.attemptResolved(a, status, asked)
+		}
+	})
+}
+
+// attemptResolved handles the state of an attempt at the time asked.
+func (l *Launcher) attemptResolved(a *attempt, s caplatform.TaskStatus, asked time.Time) {
+	isForgotten := s.State == cawork.TaskStateLapsed && s.Task == cawork.TaskRef{}
+	switch {
+	case a.phase != phaseUnresolved && a.phase != phaseRunning:
+	case isForgotten || a.phase == phaseRunning && s.State == cawork.TaskStateFenced:
+		l.settle(a, caplatform.TaskStatus{State: cawork.TaskStateLapsed}, false)
+	case s.State == cawork.TaskStateFenced:
+		l.settle(a, s, true)
+	default:
+		a.seenAt = asked
+		l.observe(a.upstream, s)
 	}
 }
 
--- a/internal/node/calaunch/upstream.go
+++ b/internal/node/calaunch/upstream.go
@@ -37,6 +37,7 @@
 // or whether a start without an answer took effect.
 func (l *Launcher) dropUpstream(u cawork.UpstreamID) {
 	l.table.RemoveUpstream(u)
+	delete(l.ownedSince, u)
 	l.Scheduler.RemoveUpstream(u, l.now())
 	for task, a := range l.foreignTasks {
 		if a.upstream == u {
@@ -72,6 +73,7 @@
 // owns.
 func (l *Launcher) upstreamGained(e caowner.Event) {
 	l.table.AddUpstream(e.Upstream, e.Tasks)
+	l.ownedSince[e.Upstream] = l.now()
 	l.putUpstream(e.VM)
 	listed := make(map[cawork.AttemptID]struct{}, len(e.Tasks))
 	for _, s := range e.Tasks {
@@ -191,6 +193,9 @@
 			l.observe(o.Upstream, o.Status)
 		}
 	}
+	for _, g := range reply.Gained {
+		l.checkRunning(g.Upstream, l.now().Add(-g.Ago))
+	}
 }
 
 // HandlePoll returns to the primary of a shard the changes on the upstreams
@@ -202,6 +207,7 @@
 			changes := l.table.ChangesSince(s.Shard, s.Cursor)
 			reply.Shards = append(reply.Shards, ShardChanges{Shard: s.Shard, Changes: changes})
 		}
+		reply.Gained = l.gainedUpstreams()
 	})
 	if !ok {
 		return PollReply{}, cakind.New(cakind.KindUnavailable, "entry %s has ended or did not answer in time", l.Self)
