Log: an upstream that crashed, and which runs had just been started there

After an upstream crashed, 411 told of each run that it was lost, not whether it had just begun there or had run for long. Whether one task crashes upstream after upstream could not be told from crashes of the machines. 419 names the incarnation that ended, how many runs it had and the suspects among them: the runs that the upstream is not known to have survived for a second. 411 has the same time as a field of each run.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -62,6 +62,7 @@
 	ReportUnreadable   Number = 416
 	UpstreamDoubted    Number = 417
 	TaskCopied         Number = 418
+	UpstreamCrashed    Number = 419
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -44,7 +44,8 @@
 // beginIncarnation resets the state of an upstream that has started a later incarnation, and
 // ends or stops the runs of the earlier one.
 func (b *Planner) beginIncarnation(u *upstream, born int64) {
-	hadIncarnation := u.info.Incarnation != 0
+	endedBorn := u.info.Incarnation
+	hadIncarnation := endedBorn != 0
 	u.info.Incarnation = born
 	u.clockAt, u.clockMS = time.Time{}, 0
 	u.lastReportAt = time.Time{}
@@ -56,6 +57,7 @@
 	if !hadIncarnation {
 		return
 	}
+	b.logCrash(u, endedBorn, "upstream restarted")
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Send()
@@ -116,6 +118,10 @@
 	if !ok {
 		return
 	}
+	if !u.gone {
+		u.gone = true
+		b.logCrash(u, u.info.Incarnation, "upstream no longer exists")
+	}
 	for _, r := range u.runs {
 		if r.confirmed {
 			b.declareLost(r, "upstream no longer exists")
@@ -127,7 +133,8 @@
 func (b *Planner) declareLost(r *run, cause string) {
 	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
-		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).Send()
+		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
+		Dur("survived", r.survived()).Send()
 	b.stopOtherMembers(r)
 	b.dropRun(r)
 }
@@ -461,6 +468,7 @@
 }
 
 func (b *Planner) declareRunsLost(u *upstream) {
+	b.logCrash(u, u.info.Incarnation, "lease is over")
 	for _, r := range u.runs {
 		if r.sent {
 			b.declareLost(r, "lease is over")
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -38,6 +38,8 @@
 	fenced bool
 	// renewalUnanswered is set while the last lease renewal has no answer.
 	renewalUnanswered bool
+	// gone is set once it was proved that the upstream no longer exists.
+	gone bool
 	// appliedEnd is the number of the last end that was applied, and storedEnd of the
 	// last one stored.
 	appliedEnd int64
