A task that crashes the upstreams that start it is given up

Callers saw one task crash upstream after upstream: each crash also ended all other runs there, and the task was started again without end.

Cause: only ends that an upstream reports count as attempts. A run that was lost with its upstream was declared lost and its task waited again, uncounted; a start without an answer was stopped in the next incarnation, uncounted too. Nothing of it was stored.

The crashes of an upstream are now counted for the tasks that it ran (cacrash), at most once for each incarnation, so that two leaders or late reports change nothing. They are stored under keys of their own, crash/JOBID, in the append of the job's record: builds of before rewrite that record whole and would drop them; they skip such keys. The suspects of a crash are the runs that the upstream had not survived for long. A suspect is on probation: its job starts it on one upstream where no other job is on probation and no other starts, until the upstream has survived it. Two crashes of which a task was a suspect, in one of them the only one, end its job as failed; three do if it was beside others, four in any case. Crashes that are not resolved (a cut or a crash) count before a start, and are withdrawn when the same incarnation answers. Where many upstreams crash at once and few of them had just started the job, the cause is another, and the job is not blamed: without that TestUpstreamsRestartWhileStoreIsSlow lost an accepted job after three restarts of all upstreams.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -63,6 +63,7 @@
 	UpstreamDoubted    Number = 417
 	TaskCopied         Number = 418
 	UpstreamCrashed    Number = 419
+	JobGivenUp         Number = 420
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -43,9 +43,10 @@
 	return s.AllowDuplicates && !s.Gang && !s.LongRunning
 }
 
-// copyCause returns the reason to copy a run, or the empty string if there is none.
+// copyCause returns the reason to copy a run, or the empty string if there is none. A task
+// under which an upstream crashed has one run at a time.
 func (b *Planner) copyCause(r *run) string {
-	if !r.sent || !r.isCurrent() {
+	if !r.sent || !r.isCurrent() || !r.step.mayCopyTask(r.id.Index) {
 		return ""
 	}
 	if r.upstream.isSuspected() || r.stopping {
@@ -67,6 +68,7 @@
 	caevent.Info(b.log, caevent.TaskCopied).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
 		Dur("after", b.now.Monotonic.Sub(r.assignedAt)).Dur("longest", r.step.longestRun).Send()
+	b.countSuspectedCrash(r)
 	r.task().Phase = castate.TaskWaiting
 	r.step.waitingTasks++
 	r.step.copiedRuns = append(r.step.copiedRuns, r)
--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -6,40 +6,347 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
-// provenAfter is how long after its start a run must be shown not to have crashed its upstream:
-// renewals wait at upstreams for up to a second, and are answered about that often.
-const provenAfter = time.Second
+// A task may crash each upstream that starts it. Its end is never reported, so its attempts say
+// nothing. Therefore the crashes of upstreams are counted for the tasks that they ran. The
+// suspects of a crash are the runs that the upstream had not survived for long. A suspect is on
+// probation: it is started on an upstream where no other job has a suspect, and no other job is
+// started there until the upstream has survived it. If that upstream crashes too, the job is
+// given up. Tasks that are lost in crashes without being suspects are started as before.
 
-// survived returns for how long the upstream is known to have lived with the run: from the start
-// order to its last answer, zero if it did not answer since.
+// unresolvedTimeout is how long an upstream may be silent after its lease expired before that
+// counts as a crash, though no later incarnation was seen.
+const unresolvedTimeout = 30 * time.Second
+
+// judgementDelay is the time from a crash to the end of the job that is to blame for it. In between
+// other crashes may show a common cause.
+const judgementDelay = time.Second
+
+// crashState is what the planner keeps about crashes of upstreams.
+type crashState struct {
+	// suspects are the jobs with crashes that have not ended.
+	suspects map[cawork.JobID]*job
+	// changed are the jobs whose stored crashes are out of date, and removed those whose stored
+	// crashes are to be deleted.
+	changed map[cawork.JobID]*job
+	removed []cawork.JobID
+	// unresolvedSince is when the unresolved crashes of upstreams were counted.
+	unresolvedSince map[cawork.UpstreamID]time.Time
+	// events are the crashes of the last seconds.
+	events []*crashEvent
+	// probationUpstreams are the upstreams with a run on probation.
+	probationUpstreams []*upstream
+}
+
+func newCrashState() crashState {
+	return crashState{
+		suspects: make(map[cawork.JobID]*job), changed: make(map[cawork.JobID]*job),
+		unresolvedSince: make(map[cawork.UpstreamID]time.Time),
+	}
+}
+
+// task returns the identifier of the run's task in the history of its job.
+func (id RunID) task() cacrash.Task {
+	return cacrash.Task{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index}
+}
+
+// crashTask returns the identifier of a task in the history of its job.
+func (s *step) crashTask(index int) cacrash.Task {
+	return cacrash.Task{Occurrence: s.occurrence.Number, Step: s.number, Index: index}
+}
+
+// survived returns for how long the upstream is known to have lived with the run: from its start
+// to the last answer, zero if it did not answer since or the run may still start.
 func (r *run) survived() time.Duration {
-	start := r.sentAt
-	if start.IsZero() {
-		start = r.assignedAt
+	if r.mayStillStart() {
+		return 0
+	}
+	start := r.assignedAt
+	for _, later := range []time.Time{r.sentAt, r.confirmedAt} {
+		if later.After(start) {
+			start = later
+		}
 	}
 	return max(r.upstream.lastAnswerAt.Sub(start), 0)
 }
 
+// isProven reports whether the upstream has survived the run for so long that the run is cleared.
+func (r *run) isProven() bool {
+	needed, bounded := r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
+	return r.sent && bounded && r.survived() >= needed
+}
+
+// isSuspect reports whether the run is a suspect if its upstream crashes. How long the upstream has
+// survived a run of an earlier leader is not known.
+func (r *run) isSuspect() bool {
+	return !r.isProven() && (!r.inherited || r.step.isOnProbation(r.id.Index))
+}
+
+// wasAt reports whether the run may have been at its upstream in the given incarnation. Orders for
+// an earlier one may have been carried out late, which only matters once the incarnation has ended.
+func (r *run) wasAt(incarnation int64, hasEnded bool) bool {
+	if !r.sent {
+		return false
+	}
+	return r.born == incarnation || r.reportedIncarnation == incarnation || hasEnded && r.mayStillStart()
+}
+
 // sortedRuns returns the runs that may be present at the upstream, in the order of their ids.
 func (u *upstream) sortedRuns() []*run {
 	return slices.SortedFunc(maps.Values(u.runs), func(x, y *run) int { return x.id.compare(y.id) })
 }
 
-// logCrash logs that an incarnation of an upstream ended with runs. The suspects are the runs
-// that had just been started there.
-func (b *Planner) logCrash(u *upstream, born int64, cause string) {
-	if len(u.runs) == 0 {
+// countCrash counts the end of an incarnation of an upstream for the tasks that it ran. An
+// unresolved one may only be unreachable. An upstream that was leaving did not crash.
+func (b *Planner) countCrash(u *upstream, incarnation int64, cause string, unresolved bool) {
+	var runs, suspects []*run
+	suspectJobs := make(map[cawork.JobID]bool)
+	for _, r := range u.sortedRuns() {
+		if !r.wasAt(incarnation, !unresolved) {
+			continue
+		}
+		runs = append(runs, r)
+		if r.isSuspect() {
+			suspects = append(suspects, r)
+			suspectJobs[r.id.Job] = true
+		}
+	}
+	if len(runs) > 0 {
+		b.logCrash(u, incarnation, cause, len(runs), len(suspects), suspectJobs)
+	}
+	if u.info.Draining {
+		return
+	}
+	b.addCrashEvent(u, incarnation, runs, suspectJobs)
+	for _, r := range runs {
+		b.addCrash(r, cacrash.Crash{
+			Upstream: u.info.ID, Incarnation: incarnation, Unresolved: unresolved, Survived: r.survived(),
+			Blamed: r.isSuspect(), Sole: len(suspectJobs) == 1,
+		})
+	}
+	b.shareCrashes()
+}
+
+// logCrash logs that an incarnation of an upstream ended with runs.
+func (b *Planner) logCrash(u *upstream, born int64, cause string, runs, suspects int, suspectJobs map[cawork.JobID]bool) {
+	var names []string
+	for _, id := range slices.Sorted(maps.Keys(suspectJobs)) {
+		names = append(names, string(id))
+	}
+	caevent.Warn(b.log, caevent.UpstreamCrashed).Str("upstream", string(u.info.ID)).Int64("born", born).Str("cause", cause).
+		Bool("draining", u.info.Draining).Dur("since_answer", b.timeSinceAnswer(u)).Int("runs", runs).
+		Int("suspects", suspects).Strs("suspect_jobs", names).Send()
+}
+
+// addCrash adds a crash to the history of a run's job. A run that does not end by itself and has
+// outlasted any probation has not caused it.
+func (b *Planner) addCrash(r *run, c cacrash.Crash) {
+	j := r.step.job
+	if r.step.orphan || j.Phase.IsFinal() || r.task().Phase == castate.TaskDone {
+		return
+	}
+	if r.step.spec.LongRunning && c.Survived >= cacrash.MaxProbation {
+		return
+	}
+	if j.crashes == nil {
+		j.crashes = cacrash.New()
+	}
+	c.Confirmed, c.Probation = r.confirmed, r.onProbation
+	c.AtMS = b.now.WallMS
+	if !j.crashes.Add(r.id.task(), c) {
+		return
+	}
+	j.crashedAt = b.now.Monotonic
+	b.crashes.suspects[j.Submission.ID] = j
+	b.markCrashesChanged(j)
+	if c.Unresolved {
+		b.crashes.unresolvedSince[c.Upstream] = b.now.Monotonic
+	}
+}
+
+// markCrashesChanged marks the crashes of a job to be stored, along with its record.
+func (b *Planner) markCrashesChanged(j *job) {
+	b.crashes.changed[j.Submission.ID] = j
+	b.markChanged(j)
+}
+
+// giveUpHarmfulJobs fails the jobs with tasks that are not to be started any more, once crashes with
+// a common cause would have been noticed. Until then these tasks are held back.
+func (b *Planner) giveUpHarmfulJobs() {
+	for _, j := range b.sortedSuspects() {
+		if b.now.Monotonic.Sub(j.crashedAt) >= judgementDelay {
+			b.giveUpIfHarmful(j)
+		}
+	}
+}
+
+// giveUpIfHarmful fails a job with a task that is not to be started any more.
+func (b *Planner) giveUpIfHarmful(j *job) {
+	if j.Phase.IsFinal() {
+		return
+	}
+	for _, t := range j.crashes.Tasks() {
+		if !j.crashes.IsGivenUp(t) {
+			continue
+		}
+		var upstreams []string
+		for _, c := range j.crashes.Crashes(t) {
+			upstreams = append(upstreams, string(c.Upstream))
+		}
+		caevent.Warn(b.log, caevent.JobGivenUp).Str("job", string(j.Submission.ID)).Int("step", t.Step).Int("task", t.Index).
+			Strs("upstreams", upstreams).Send()
+		b.endJob(j, castate.PhaseFailed)
+		return
+	}
+}
+
+// countSuspectedCrash counts an upstream that does not answer, before the task of its run is
+// started elsewhere as well.
+func (b *Planner) countSuspectedCrash(r *run) {
+	isSilent := r.upstream.isSuspected() || r.mayStillStart()
+	if !isSilent || r.upstream.info.Draining {
+		return
+	}
+	sole := true
+	for _, other := range r.upstream.runs {
+		if other.step.job != r.step.job && other.isSuspect() {
+			sole = false
+		}
+	}
+	b.addCrash(r, cacrash.Crash{
+		Upstream: r.upstream.info.ID, Incarnation: r.born, Unresolved: true, Survived: r.survived(), Blamed: r.isSuspect(), Sole: sole,
+	})
+}
+
+// applyAnswerToCrashes withdraws the unresolved crashes of an incarnation that answered a call made
+// at calledAt.
+func (b *Planner) applyAnswerToCrashes(id cawork.UpstreamID, born int64, calledAt time.Time) {
+	since, ok := b.crashes.unresolvedSince[id]
+	if !ok || !calledAt.After(since) {
 		return
 	}
-	var suspects []string
+	b.resolveCrashes(id, born)
+	for _, j := range b.sortedSuspects() {
+		if j.crashes.Withdraw(id, born) {
+			b.markCrashesChanged(j)
+		}
+	}
+}
+
+// resolveCrashes counts the unresolved crashes of incarnations of an upstream before the given one.
+func (b *Planner) resolveCrashes(id cawork.UpstreamID, before int64) {
+	if _, ok := b.crashes.unresolvedSince[id]; !ok {
+		return
+	}
+	remaining := false
+	for _, j := range b.sortedSuspects() {
+		if j.crashes.Resolve(id, before) {
+			j.crashedAt = b.now.Monotonic
+			b.markCrashesChanged(j)
+		}
+		remaining = remaining || slices.Contains(j.crashes.UnresolvedUpstreams(), id)
+	}
+	if !remaining {
+		delete(b.crashes.unresolvedSince, id)
+	}
+}
+
+// expireUnresolvedCrashes counts the unresolved crashes of upstreams that were silent for long.
+func (b *Planner) expireUnresolvedCrashes() {
+	before := b.now.WallMS - unresolvedTimeout.Milliseconds()
+	for _, j := range b.sortedSuspects() {
+		if j.crashes.ResolveOld(before) {
+			j.crashedAt = b.now.Monotonic
+			b.markCrashesChanged(j)
+		}
+	}
+}
+
+// sortedSuspects returns the jobs with crashes by their ids.
+func (b *Planner) sortedSuspects() []*job {
+	jobs := make([]*job, 0, len(b.crashes.suspects))
+	for _, id := range slices.Sorted(maps.Keys(b.crashes.suspects)) {
+		jobs = append(jobs, b.crashes.suspects[id])
+	}
+	return jobs
+}
+
+// RestoreCrashes adds the stored crashes by job. A new leader calls it once all jobs are restored.
+// Crashes of jobs that are not known any more are deleted with the next batch.
+func (b *Planner) RestoreCrashes(histories map[cawork.JobID]*cacrash.History) {
+	for _, id := range slices.Sorted(maps.Keys(histories)) {
+		j, ok := b.jobs[id]
+		if !ok {
+			b.crashes.removed = append(b.crashes.removed, id)
+			continue
+		}
+		j.crashes = histories[id]
+		if j.Phase.IsFinal() {
+			continue
+		}
+		b.crashes.suspects[id] = j
+		j.crashedAt = b.now.Monotonic
+		for _, u := range j.crashes.UnresolvedUpstreams() {
+			b.crashes.unresolvedSince[u] = b.now.Monotonic
+		}
+	}
+	for _, u := range b.sortedUpstreams {
+		b.countInheritedCrashes(u)
+		b.resolveCrashes(u.info.ID, u.info.Incarnation)
+	}
+}
+
+// countInheritedCrashes counts the crash of an upstream that an earlier leader did not notice: its
+// runs were assigned to an earlier incarnation. Whether they are to blame is not known.
+func (b *Planner) countInheritedCrashes(u *upstream) {
 	for _, r := range u.sortedRuns() {
-		if r.sent && r.survived() < provenAfter {
-			suspects = append(suspects, string(r.id.Job))
+		if !r.inherited || r.born == 0 || r.born >= u.info.Incarnation {
+			continue
 		}
+		b.addCrash(r, cacrash.Crash{
+			Upstream: u.info.ID, Incarnation: r.born, Blamed: r.step.isOnProbation(r.id.Index),
+		})
+	}
+}
+
+// takeCrashRecords returns the records of crashes that are out of date, and clears the list.
+func (b *Planner) takeCrashRecords() ([]Record, error) {
+	var records []Record
+	for id, j := range b.crashes.changed {
+		if !j.Phase.IsFinal() {
+			j.crashes.KeepOccurrences(j.hasOpenOccurrence)
+		}
+		value, err := j.crashes.Encode()
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, Record{Job: id, Value: value})
+		if j.crashes.IsEmpty() || j.Phase.IsFinal() {
+			delete(b.crashes.suspects, id)
+		}
+	}
+	for _, id := range b.crashes.removed {
+		records = append(records, Record{Job: id})
+	}
+	b.crashes.changed = make(map[cawork.JobID]*job)
+	b.crashes.removed = nil
+	return records, nil
+}
+
+func (j *job) hasOpenOccurrence(number int) bool {
+	return slices.ContainsFunc(j.OpenOccurrences, func(o *castate.Occurrence) bool { return o.Number == number })
+}
+
+// forgetCrashes deletes the crashes of a job whose record is deleted.
+func (b *Planner) forgetCrashes(j *job) {
+	id := j.Submission.ID
+	delete(b.crashes.suspects, id)
+	delete(b.crashes.changed, id)
+	if j.crashes != nil {
+		b.crashes.removed = append(b.crashes.removed, id)
 	}
-	caevent.Warn(b.log, caevent.UpstreamCrashed).Str("upstream", string(u.info.ID)).Int64("born", born).Str("cause", cause).
-		Bool("draining", u.info.Draining).Dur("since_answer", b.timeSinceAnswer(u)).Int("runs", len(u.runs)).
-		Int("suspects", len(suspects)).Strs("suspect_jobs", slices.Compact(suspects)).Send()
 }
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -54,6 +54,6 @@
 		Dur("since_ready", b.now.Monotonic.Sub(s.readyAt)).Int("lateness", s.lateness).Int("waiting", s.waitingTasks).
 		Int("runs", s.liveRuns).Int("usable", usable).Int("permitted", permitted).Int("room", fitting).
 		Bool("within_limit", b.withinLimit(s.job.Submission.Team, s.spec.Size())).Bool("asking", s.approvals.requestPending).
-		Bool("held", s.reservation != nil).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
+		Bool("held", s.reservation != nil).Bool("probation", s.job.onProbation).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
 		Float64("pool_area", b.partitionOf(q.Pool).share).Send()
 }
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -17,6 +17,9 @@
 // Batch holds changes that are stored together.
 type Batch struct {
 	Records []Record
+	// Crashes are the records of the crashes under the tasks of jobs. They are stored no later than
+	// Records.
+	Crashes []Record
 	starts  []*run
 	ends    map[*upstream]endWatermark
 }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -28,6 +28,7 @@
 
 // placeSteps assigns tasks that have room, in the order of the steps.
 func (b *Planner) placeSteps() {
+	b.updateProbation()
 	for _, s := range b.steps {
 		if s.waitingTasks == 0 || !s.ready {
 			continue
@@ -197,7 +198,7 @@
 	placed := false
 	tasks := s.state().Tasks
 	for i := range tasks {
-		if tasks[i].Phase != castate.TaskWaiting {
+		if tasks[i].Phase != castate.TaskWaiting || b.isHeldBack(s, i) {
 			continue
 		}
 		u, ticket := b.bestUpstream(s, q, p, upstreamToAvoid(s, &tasks[i]))
@@ -249,7 +250,7 @@
 // placementScore scores an upstream for one more task of a step. The lowest score is the
 // best.
 func (b *Planner) placementScore(s *step, u *upstream, avoid cawork.UpstreamID) float64 {
-	score := baseScore(u, s.urgent, b.takesGangSlot(s, u))
+	score := baseScore(u, s.urgent, b.takesGangSlot(s, u)) + s.probationPenalty(u)
 	if s.urgent {
 		score += unplacedShareWeight * unplacedShare(s, u)
 	}
@@ -283,7 +284,7 @@
 // mayPlace reports whether one more task of the step may be placed on an upstream, and
 // returns the ticket that permits it.
 func (b *Planner) mayPlace(s *step, q caspec.Queue, u *upstream) (string, bool) {
-	if !u.available || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || !b.mayBackfill(s, u) || !b.mayUsePartition(s, q, u) {
+	if !u.available || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || !b.mayBackfill(s, u) || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 		return "", false
 	}
 	if s.spec.MaxPerUpstream > 0 && u.runCount(s) >= s.spec.MaxPerUpstream || !b.isRackAllowed(s, u) {
@@ -331,6 +332,7 @@
 	r.resumed = t.Checkpoint != ""
 	b.charge(r)
 	b.countGangSlotUse(s, u)
+	b.startProbationOf(r)
 	b.checkInvariants(r)
 	if !s.job.RunOrdered {
 		s.job.RunOrdered = true
@@ -351,7 +353,7 @@
 // placeGang assigns all tasks of a gang at once. It reports whether the gang needs no
 // reservation: it is placed, or does not wait for room.
 func (b *Planner) placeGang(s *step, q caspec.Queue, p *poolPlan) bool {
-	if s.liveRuns > 0 || s.waitingTasks < s.spec.Tasks {
+	if s.liveRuns > 0 || s.waitingTasks < s.spec.Tasks || b.isGangHeldBack(s) {
 		return true
 	}
 	gangSize := s.spec.Size().Times(int64(s.spec.Tasks))
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -18,6 +18,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -80,6 +81,8 @@
 	drainedRuns map[cawork.ZoneName]int
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
+	// crashes is what is known about crashes of upstreams.
+	crashes crashState
 }
 
 // job is a job together with state that is not stored.
@@ -105,6 +108,12 @@
 	// taskSizes are the sizes of the tasks of each step. They outlast the details of the
 	// job, since late runs may be reported after its end.
 	taskSizes []cawork.Resources
+	// crashes are the crashes of upstreams under its tasks, nil without any, and onProbation is set
+	// while a task that is suspected of one waits or has just started.
+	crashes     *cacrash.History
+	onProbation bool
+	// crashedAt is when the last crash was counted.
+	crashedAt time.Time
 }
 
 // step is an open step of an occurrence of a job.
@@ -172,6 +181,7 @@
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil,
 		refusals:       caadmission.NewRefusalHistory(),
+		crashes:        newCrashState(),
 		detector:       failureDetector{meanAnswerLatency: initialAnswerLatency},
 	}
 }
@@ -211,7 +221,11 @@
 
 // NextBatch returns the changes since the last one.
 func (b *Planner) NextBatch() (Batch, error) {
-	batch := Batch{starts: b.pendingStarts, ends: b.endsToStore}
+	crashes, err := b.takeCrashRecords()
+	if err != nil {
+		return Batch{}, err
+	}
+	batch := Batch{Crashes: crashes, starts: b.pendingStarts, ends: b.endsToStore}
 	for id, j := range b.changed {
 		value, err := j.Encode()
 		if err != nil {
@@ -231,7 +245,7 @@
 
 // HasChanges reports whether NextBatch would not be empty.
 func (b *Planner) HasChanges() bool {
-	return len(b.changed) > 0 || len(b.removedJobs) > 0 || len(b.pendingStarts) > 0 || len(b.endsToStore) > 0
+	return len(b.changed) > 0 || len(b.crashes.changed) > 0 || len(b.crashes.removed) > 0 || len(b.removedJobs) > 0 || len(b.pendingStarts) > 0 || len(b.endsToStore) > 0
 }
 
 // MarkStored marks the batch as stored. It returns the start orders that may be sent now.
@@ -414,7 +428,7 @@
 			Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: index, Number: t.Run,
 		},
 		step: s, upstream: u, team: s.job.Submission.Team, size: s.spec.Size(), assignedAt: b.now.Monotonic,
-		wide: s.wide,
+		wide: s.wide, born: t.Born,
 	}
 }
 
--- /dev/null
+++ b/internal/cell/caboard/probation.go
@@ -0,0 +1,158 @@
+package caboard
+
+import (
+	"slices"
+
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+const (
+	// probationRunWeight makes tasks on probation prefer upstreams with few runs, which would be
+	// lost in another crash, and probationSuspectWeight those without other suspects of a crash.
+	probationRunWeight     = 4.0
+	probationSuspectWeight = 40.0
+)
+
+// updateProbation determines which jobs and upstreams have runs on probation. It requests a report
+// from upstreams whose next answer ends a probation.
+func (b *Planner) updateProbation() {
+	for _, u := range b.crashes.probationUpstreams {
+		u.probationOf = nil
+	}
+	b.crashes.probationUpstreams = nil
+	for _, j := range b.sortedSuspects() {
+		j.onProbation = false
+		if j.Phase.IsFinal() {
+			delete(b.crashes.suspects, j.Submission.ID)
+			continue
+		}
+		for _, t := range j.crashes.Tasks() {
+			if s := j.stepOfTask(t); s != nil {
+				b.updateTaskProbation(s, t)
+			}
+		}
+	}
+}
+
+// isOnProbation reports whether a task is on probation.
+func (s *step) isOnProbation(index int) bool {
+	return s.job.crashes.IsOnProbation(s.crashTask(index))
+}
+
+// mayCopyTask reports whether a task may have another run at the same time.
+func (s *step) mayCopyTask(index int) bool {
+	return s.job.crashes.MayCopy(s.crashTask(index))
+}
+
+func (j *job) stepOfTask(t cacrash.Task) *step {
+	for _, s := range j.steps {
+		if s.occurrence.Number == t.Occurrence && s.number == t.Step && t.Index >= 0 && t.Index < len(s.state().Tasks) {
+			return s
+		}
+	}
+	return nil
+}
+
+// updateTaskProbation applies the probation of one task. The members of a gang share it.
+func (b *Planner) updateTaskProbation(s *step, t cacrash.Task) {
+	j := s.job
+	if !s.isOnProbation(t.Index) {
+		return
+	}
+	if s.state().Tasks[t.Index].Phase == castate.TaskWaiting {
+		j.onProbation = true
+	}
+	for _, r := range b.runsOf(s) {
+		switch {
+		case !r.isCurrent() || r.id.Index != t.Index && !s.spec.Gang:
+		case !r.isProven():
+			j.onProbation = true
+			b.startProbation(r)
+		case s.spec.LongRunning && r.survived() >= cacrash.MaxProbation:
+			j.crashes.Clear(r.id.task())
+			b.markCrashesChanged(j)
+		}
+	}
+}
+
+// startProbation keeps other jobs from the upstream of a run on probation.
+func (b *Planner) startProbation(r *run) {
+	u := r.upstream
+	if u.probationOf != r.step.job {
+		u.probationOf = r.step.job
+		b.crashes.probationUpstreams = append(b.crashes.probationUpstreams, u)
+	}
+	needed, bounded := r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
+	if r.sent && bounded && b.now.Monotonic.Sub(r.sentAt) > needed {
+		b.queueProbe(u)
+	}
+}
+
+// startProbationOf applies the probation of a run that was just assigned.
+func (b *Planner) startProbationOf(r *run) {
+	if r.step.job.onProbation {
+		r.onProbation = true
+		b.startProbation(r)
+	}
+}
+
+// isHeldBack reports whether a waiting task may not start now: too many upstreams may have crashed
+// under it, or another task of its job is on probation.
+func (b *Planner) isHeldBack(s *step, index int) bool {
+	j := s.job
+	if j.crashes == nil {
+		return false
+	}
+	t := s.crashTask(index)
+	return !j.crashes.MayStart(t) || j.onProbation && !s.isOnProbation(index)
+}
+
+// isGangHeldBack reports the same of a gang, whose members start together.
+func (b *Planner) isGangHeldBack(s *step) bool {
+	j := s.job
+	if j.crashes == nil {
+		return false
+	}
+	onProbation := false
+	for i := range s.state().Tasks {
+		t := s.crashTask(i)
+		if !j.crashes.MayStart(t) {
+			return true
+		}
+		onProbation = onProbation || s.isOnProbation(i)
+	}
+	return j.onProbation && !onProbation
+}
+
+// isApart reports whether a task of the step may start on an upstream as far as probation is
+// concerned. The tasks of a job on probation start on one upstream, where no other job is on
+// probation and none starts, so that a crash of the upstream shows which job is to blame.
+func (b *Planner) isApart(s *step, u *upstream) bool {
+	if u.probationOf != nil && u.probationOf != s.job {
+		return false
+	}
+	if !s.job.onProbation {
+		return true
+	}
+	return u.probationOf == s.job || !b.hasProbationUpstream(s.job)
+}
+
+func (b *Planner) hasProbationUpstream(j *job) bool {
+	return slices.ContainsFunc(b.crashes.probationUpstreams, func(u *upstream) bool { return u.probationOf == j })
+}
+
+// probationPenalty returns the penalty for the runs of an upstream on which a task on probation
+// would be placed.
+func (s *step) probationPenalty(u *upstream) float64 {
+	if !s.job.onProbation {
+		return 0
+	}
+	penalty := probationRunWeight * float64(len(u.runs))
+	for _, r := range u.runs {
+		if r.step.job != s.job && !r.isProven() {
+			penalty += probationSuspectWeight
+		}
+	}
+	return penalty
+}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 	case info.Incarnation < u.info.Incarnation:
 		info.Incarnation = u.info.Incarnation
 	}
+	b.resolveCrashes(info.ID, info.Incarnation)
 	u.listed = true
 	u.info = info
 }
@@ -57,7 +59,7 @@
 	if !hadIncarnation {
 		return
 	}
-	b.logCrash(u, endedBorn, "upstream restarted")
+	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Send()
@@ -118,9 +120,10 @@
 	if !ok {
 		return
 	}
+	b.resolveCrashes(id, math.MaxInt64)
 	if !u.gone {
 		u.gone = true
-		b.logCrash(u, u.info.Incarnation, "upstream no longer exists")
+		b.countCrash(u, u.info.Incarnation, "upstream no longer exists", false)
 	}
 	for _, r := range u.runs {
 		if r.confirmed {
@@ -134,7 +137,7 @@
 	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
 		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
-		Dur("survived", r.survived()).Send()
+		Int64("born", r.born).Send()
 	b.stopOtherMembers(r)
 	b.dropRun(r)
 }
@@ -180,6 +183,7 @@
 	if report.Born > u.info.Incarnation {
 		b.beginIncarnation(u, report.Born)
 	}
+	b.applyAnswerToCrashes(u.info.ID, report.Born, report.SentAt)
 	u.fenced = true
 	u.renewalUnanswered = false
 	b.markAnswered(u, report.ReceivedAt)
@@ -236,7 +240,7 @@
 // stopUnassigned stops a reported run that the planner does not have, such as one that was started
 // by a late order of an earlier leader.
 func (b *Planner) stopUnassigned(u *upstream, row RunningRun) {
-	r := &run{id: row.Run, upstream: u, confirmed: true, sent: true}
+	r := &run{id: row.Run, upstream: u, confirmed: true, sent: true, born: u.info.Incarnation, assignedAt: b.now.Monotonic}
 	j, ok := b.jobs[row.Run.Job]
 	r.step = orphanStep(row.Run)
 	if ok {
@@ -464,11 +468,13 @@
 		}
 		b.pruneAbandonedStarts(u)
 	}
+	b.expireUnresolvedCrashes()
+	b.giveUpHarmfulJobs()
 	b.forgetUpstreams()
 }
 
 func (b *Planner) declareRunsLost(u *upstream) {
-	b.logCrash(u, u.info.Incarnation, "lease is over")
+	b.countCrash(u, u.info.Incarnation, "lease is over", !u.gone)
 	for _, r := range u.runs {
 		if r.sent {
 			b.declareLost(r, "lease is over")
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -37,6 +38,8 @@
 	// incarnation. Orders name an upstream and not its incarnation, so that the leader
 	// cannot know that late orders of before the restart may start here as well.
 	startedUnseen bool
+	// gone is set once the machine is back under another id.
+	gone bool
 }
 
 func (u *simulatedUpstream) restart(now time.Duration) {
@@ -88,6 +91,7 @@
 	listed map[cawork.UpstreamID]caspec.Upstream
 	// records are the durable records of jobs, and sizes the sizes of the tasks of all jobs.
 	records        map[cawork.JobID][]byte
+	crashRecords   map[cawork.JobID][]byte
 	sizes          map[cawork.JobID][]caspec.Step
 	planner        *Planner
 	token          int64
@@ -95,6 +99,25 @@
 	jobs           int
 	starts         int
 	violations     []string
+	// onStart is called when an upstream starts a run. It reports whether the upstream survives
+	// to answer. It may be nil.
+	onStart func(*simulatedUpstream, RunID) bool
+	// onUnanswered is called when a start meets an upstream that has crashed. It may be nil.
+	onUnanswered func(RunID)
+	// neverEnds are the jobs whose runs do not end by themselves.
+	neverEnds map[cawork.JobID]bool
+	// runsFail is set where a tenth of the runs fails, and lateShare is the fraction of calls that
+	// are left unanswered and carried out late.
+	runsFail  bool
+	lateShare float64
+	// oldBuild is set while the leader is of a build that neither reads nor writes crashes.
+	oldBuild bool
+	// keepsLeader is set for worlds in which the leader does not change.
+	keepsLeader bool
+	// nextLeader is when the leader changes.
+	nextLeader time.Duration
+	// minLeaderTime, if set, is how long a leader leads at least.
+	minLeaderTime time.Duration
 }
 
 const (
@@ -105,20 +128,30 @@
 
 var roomCapacity = cawork.Resources{CPU: cawork.Cores(16), Memory: 32 * cawork.GiB}
 
+// newRoomWorld returns a world with submissions, failures, late orders and crashes of upstreams.
 func newRoomWorld(seed int64) *roomWorld {
+	return newWorld(seed, roomUpstreams, func(w *roomWorld) {
+		w.runsFail, w.lateShare = true, roomLateShare
+		w.repeat(40*time.Millisecond, w.submit)
+		w.repeat(700*time.Millisecond, w.crash)
+	})
+}
+
+// newWorld returns a world with what the function adds to it.
+func newWorld(seed int64, upstreams int, add func(*roomWorld)) *roomWorld {
 	w := &roomWorld{
 		random: rand.New(rand.NewSource(seed)), listed: make(map[cawork.UpstreamID]caspec.Upstream),
 		records: make(map[cawork.JobID][]byte), sizes: make(map[cawork.JobID][]caspec.Step),
+		crashRecords: make(map[cawork.JobID][]byte), neverEnds: make(map[cawork.JobID]bool),
 	}
-	for i := range roomUpstreams {
+	for i := range upstreams {
 		u := &simulatedUpstream{info: caspec.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("up-%d", i)), Address: "a", Pool: "pool", Capacity: roomCapacity}}
 		u.restart(0)
 		w.upstreams = append(w.upstreams, u)
 		w.listed[u.info.ID] = u.info
 	}
 	w.lead()
-	w.repeat(40*time.Millisecond, w.submit)
-	w.repeat(700*time.Millisecond, w.crash)
+	add(w)
 	w.repeat(350*time.Millisecond, w.list)
 	w.repeat(100*time.Millisecond, func() { w.planner.ExpireLeases(); w.planner.RunMaintenance() })
 	for _, u := range w.upstreams {
@@ -165,6 +198,21 @@
 		}
 		w.planner.Restore(j)
 	}
+	if !w.oldBuild {
+		w.planner.RestoreCrashes(w.decodeCrashes())
+	}
+}
+
+func (w *roomWorld) decodeCrashes() map[cawork.JobID]*cacrash.History {
+	histories := make(map[cawork.JobID]*cacrash.History)
+	for id, value := range w.crashRecords {
+		h, err := cacrash.Decode(value)
+		if err != nil {
+			panic(err)
+		}
+		histories[id] = h
+	}
+	return histories
 }
 
 func (w *roomWorld) list() {
@@ -212,7 +260,14 @@
 	}
 	sentAt := w.moment().Monotonic
 	w.after(w.between(1, 400), func() {
-		if !u.up || w.random.Float64() < roomLateShare {
+		if u.gone {
+			w.whileLeading(p, func() {
+				p.MarkRenewalUnanswered(u.info.ID)
+				p.MarkIncarnationGone(u.info.ID)
+			})
+			return
+		}
+		if !u.up || w.random.Float64() < w.lateShare {
 			w.whileLeading(p, func() { p.MarkRenewalUnanswered(u.info.ID) })
 			return
 		}
@@ -261,7 +316,7 @@
 // start delivers a start order, at once or late and without an answer.
 func (w *roomWorld) start(p *Planner, token int64, o StartOrder) {
 	u := w.upstreamOf(o.Upstream)
-	if w.random.Float64() < roomLateShare {
+	if w.random.Float64() < w.lateShare {
 		w.after(w.between(2000, 12000), func() { w.executeStart(u, token, o) })
 		w.after(300*time.Millisecond, func() { w.whileLeading(p, func() { p.ApplyStartOutcome(o, StartUnknown, 0) }) })
 		return
@@ -275,7 +330,12 @@
 
 func (w *roomWorld) executeStart(u *simulatedUpstream, token int64, o StartOrder) StartOutcome {
 	switch {
+	case u.gone:
+		return StartMismatch
 	case !u.up:
+		if w.onUnanswered != nil {
+			w.onUnanswered(o.Run)
+		}
 		return StartUnknown
 	case token < u.token:
 		return StartFenced
@@ -299,11 +359,17 @@
 	}
 	w.starts++
 	u.running[o.Run] = size
+	if w.onStart != nil && !w.onStart(u, o.Run) {
+		return StartUnknown
+	}
 	born := u.info.Incarnation
 	how := EndingDone
-	if w.random.Intn(10) == 0 {
+	if w.runsFail && w.random.Intn(10) == 0 {
 		how = EndingFailed
 	}
+	if w.neverEnds[o.Run.Job] || w.sizes[o.Run.Job][o.Run.Step].LongRunning {
+		return StartAccepted
+	}
 	w.after(w.between(200, 3500), func() {
 		if u.info.Incarnation == born && u.up && !u.stopped[o.Run] {
 			u.end(o.Run, how)
@@ -315,7 +381,7 @@
 // stop delivers a stop order, at once or late and without an answer.
 func (w *roomWorld) stop(p *Planner, token int64, o StopOrder) {
 	u := w.upstreamOf(o.Upstream)
-	if w.random.Float64() < roomLateShare {
+	if w.random.Float64() < w.lateShare {
 		w.after(w.between(2000, 12000), func() { w.executeStop(u, token, o) })
 		w.after(300*time.Millisecond, func() { w.whileLeading(p, func() { p.ApplyStopOutcome(o, false) }) })
 		return
@@ -374,11 +440,9 @@
 	w.after(w.between(4, 40), func() {
 		w.whileLeading(p, func() {
 			w.appendInFlight = false
-			for _, r := range batch.Records {
-				w.records[r.Job] = r.Value
-				if r.Value == nil {
-					delete(w.records, r.Job)
-				}
+			storeRecords(w.records, batch.Records)
+			if !w.oldBuild {
+				storeRecords(w.crashRecords, batch.Crashes)
 			}
 			for _, o := range p.MarkStored(batch) {
 				w.start(p, token, o)
@@ -387,15 +451,34 @@
 	})
 }
 
+func storeRecords(stored map[cawork.JobID][]byte, changes []Record) {
+	for _, r := range changes {
+		stored[r.Job] = r.Value
+		if r.Value == nil {
+			delete(stored, r.Job)
+		}
+	}
+}
+
+// leaderTime returns how long a leader leads.
+func (w *roomWorld) leaderTime() time.Duration {
+	if w.minLeaderTime > 0 {
+		return w.minLeaderTime + w.between(0, 9000)
+	}
+	return w.between(3000, 9000)
+}
+
 func (w *roomWorld) run(until time.Duration) {
-	nextLeader := w.between(3000, 9000)
+	if w.nextLeader == 0 {
+		w.nextLeader = w.leaderTime()
+	}
 	for w.elapsed < until && len(w.violations) == 0 {
 		w.planner.SetNow(w.moment())
 		for len(w.events) > 0 && w.events[0].at <= w.elapsed {
 			heap.Pop(&w.events).(event).handle()
 		}
-		if w.elapsed >= nextLeader {
-			nextLeader = w.elapsed + w.between(3000, 9000)
+		if w.elapsed >= w.nextLeader && !w.keepsLeader {
+			w.nextLeader = w.elapsed + w.leaderTime()
 			w.lead()
 		}
 		orders := w.planner.Plan()
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -86,6 +86,8 @@
 	wide bool
 	// assignedAt is when the run was assigned.
 	assignedAt time.Time
+	// born is the incarnation of the upstream that the start order is for.
+	born int64
 	// sent is set once the start call was sent, by this or an earlier leader.
 	sent bool
 	// sentAt is when this leader sent it, and startAnswered is set once that call was
@@ -104,6 +106,8 @@
 	inherited bool
 	// resumed runs start from a checkpoint.
 	resumed bool
+	// onProbation is set if it was started on probation.
+	onProbation bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
 	// stopInFlight is set while a stop call is in flight.
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -226,6 +226,7 @@
 		switch {
 		case j.Phase.IsFinal() && j.liveRuns == 0 && j.endedAt.Before(oldest):
 			delete(b.jobs, id)
+			b.forgetCrashes(j)
 			b.removedJobs = append(b.removedJobs, id)
 		case !j.Phase.IsFinal() && j.Submission.Schedule.IsTimed():
 			b.openDueOccurrences(j)
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -54,6 +54,8 @@
 	// while it is part of that.
 	partitionRank float64
 	inPartition   bool
+	// probationOf is the job with a run on probation there, if any.
+	probationOf *job
 	// reservedBy is the step that all its room is reserved for, if any.
 	reservedBy *step
 	// slowness is the mean ratio of the run time of tasks here to that elsewhere.
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -18,11 +19,13 @@
 	claimKey = "leader"
 	// layoutKey is the key of the record that divides the cell into shards.
 	layoutKey = "layout"
-	// beforeLayoutKey sorts after the keys of jobs and before layoutKey and
-	// claimKey, so that a read after it skips the jobs.
+	// beforeLayoutKey sorts after the keys of jobs and crashes and before layoutKey and
+	// claimKey, so that a read after it skips them.
 	beforeLayoutKey = "layou"
 	// jobPrefix precedes the ID of a job in its key.
 	jobPrefix = "job/"
+	// crashPrefix precedes the ID of a job in the key of its crashes.
+	crashPrefix = "crash/"
 	// loadRetry is the delay before a failed read of the log is retried.
 	loadRetry = 50 * time.Millisecond
 )
@@ -109,35 +112,59 @@
 	return at + 1, w.end, nil
 }
 
-// loadJobs reads the records of all jobs and counts those that cannot be
-// decoded. It retries failed reads until the context ends. The log must not
-// change meanwhile; the caller's claim ensures that.
-func loadJobs(ctx context.Context, log Log, pause Pause) (jobs []*castate.Job, unreadable int, err error) {
+// storedState is what a leader loads from the log.
+type storedState struct {
+	jobs []*castate.Job
+	// crashes are the crashes of upstreams under the tasks of jobs.
+	crashes map[cawork.JobID]*cacrash.History
+	// unreadableJobs and unreadableCrashes count the records that cannot be decoded.
+	unreadableJobs, unreadableCrashes int
+}
+
+// addEntry adds a record of the log. A job goes on without crashes that cannot be decoded.
+func (s *storedState) addEntry(e LogEntry) {
+	if len(e.Value) == 0 {
+		return
+	}
+	if id, ok := strings.CutPrefix(e.Key, crashPrefix); ok {
+		h, err := cacrash.Decode(e.Value)
+		if err != nil {
+			s.unreadableCrashes++
+			return
+		}
+		s.crashes[cawork.JobID(id)] = h
+	}
+	if strings.HasPrefix(e.Key, jobPrefix) {
+		j, err := castate.DecodeJob(e.Value)
+		if err != nil {
+			s.unreadableJobs++
+			return
+		}
+		s.jobs = append(s.jobs, j)
+	}
+}
+
+// loadState reads the records of all jobs and their crashes. It retries failed reads until the
+// context ends. The log must not change meanwhile; the caller's claim ensures that.
+func loadState(ctx context.Context, log Log, pause Pause) (storedState, error) {
+	state := storedState{crashes: make(map[cawork.JobID]*cacrash.History)}
 	after := ""
 	for {
 		page, err := log.Newest(ctx, after)
 		if err != nil {
 			if ctx.Err() != nil {
-				return nil, 0, err
+				return storedState{}, err
 			}
 			if err := pause(ctx, loadRetry); err != nil {
-				return nil, 0, err
+				return storedState{}, err
 			}
 			continue
 		}
 		for _, e := range page.Entries {
-			if !strings.HasPrefix(e.Key, jobPrefix) || len(e.Value) == 0 {
-				continue
-			}
-			j, err := castate.DecodeJob(e.Value)
-			if err != nil {
-				unreadable++
-				continue
-			}
-			jobs = append(jobs, j)
+			state.addEntry(e)
 		}
 		if page.Next == "" {
-			return jobs, unreadable, nil
+			return state, nil
 		}
 		after = page.Next
 	}
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -86,9 +86,12 @@
 	if err != nil {
 		return caboard.Batch{}, nil, now.Monotonic, err
 	}
-	entries := make([]LogEntry, 0, len(batch.Records)+len(l.extraEntries))
+	entries := make([]LogEntry, 0, len(batch.Crashes)+len(batch.Records)+len(l.extraEntries))
 	entries = append(entries, l.extraEntries...)
 	l.extraEntries = nil
+	for _, r := range batch.Crashes {
+		entries = append(entries, LogEntry{Key: crashPrefix + string(r.Job), Value: r.Value})
+	}
 	l.inFlightJobs = make(map[cawork.JobID]bool, len(batch.Records))
 	for _, r := range batch.Records {
 		entries = append(entries, LogEntry{Key: jobPrefix + string(r.Job), Value: r.Value})
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -210,7 +210,7 @@
 		list, err := l.Registry.List(ctx)
 		results <- result{list, err}
 	}()
-	jobs, unreadable, err := loadJobs(ctx, l.Store, l.Timer.Pause)
+	state, err := loadState(ctx, l.Store, l.Timer.Pause)
 	if err != nil {
 		return err
 	}
@@ -221,13 +221,15 @@
 	if upstreams.err == nil {
 		l.planner.SetUpstreams(l.ownUpstreams(upstreams.list))
 	}
-	for _, j := range jobs {
+	for _, j := range state.jobs {
 		l.planner.Restore(j)
 	}
+	l.planner.RestoreCrashes(state.crashes)
 	l.loaded = true
 	l.startRenewals(ctx)
-	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(jobs)).
-		Int("unreadable", unreadable).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
+	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
+		Int("unreadable", state.unreadableJobs).Int("crashes", len(state.crashes)).
+		Int("unreadable_crashes", state.unreadableCrashes).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
 		Dur("load_took", l.Timer.Now().Sub(began)).Send()
 	return nil
 }
