Tests: crash counts survive leaders, builds and unreadable records

At each moment around a crash the leader is replaced: before it notices it, before it stores it, after, by two that both count it, by a build of before that rewrites the job's record. The count is one each time.

--- /dev/null
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -0,0 +1,283 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+)
+
+// storedCell is what a store holds of a cell, and the upstreams as the platform lists them.
+type storedCell struct {
+	t         *testing.T
+	now       time.Time
+	jobs      map[cawork.JobID][]byte
+	crashes   map[cawork.JobID][]byte
+	upstreams []caspec.Upstream
+	leaders   int64
+}
+
+func newStoredCell(t *testing.T) *storedCell {
+	c := &storedCell{t: t, now: time.Unix(1_000_000, 0), jobs: make(map[cawork.JobID][]byte), crashes: make(map[cawork.JobID][]byte)}
+	for _, id := range []cawork.UpstreamID{"up-0", "up-1", "up-2", "up-3", "up-4", "up-5"} {
+		c.upstreams = append(c.upstreams, caspec.Upstream{ID: id, Address: "a", Pool: "pool", Incarnation: 1, Capacity: roomCapacity})
+	}
+	return c
+}
+
+// lead returns a new leader, of a build that neither reads nor writes crashes if isOld is set.
+func (c *storedCell) lead(isOld bool) *storedLeader {
+	c.t.Helper()
+	c.leaders++
+	l := &storedLeader{storedCell: c, isOld: isOld}
+	l.planner = New(zerolog.Nop(), c.leaders, l.moment(), c.now.Add(10*time.Second))
+	l.planner.SetPolicy(caspec.Policy{
+		Version: 1, Queues: []caspec.Queue{plainQueue()}, Pools: []caspec.Pool{{Name: "pool"}}, Teams: []caspec.Team{{Name: "north", Weight: 1000}},
+	}.WithIndex())
+	l.planner.SetUpstreams(c.upstreams)
+	for _, value := range c.jobs {
+		state, err := castate.DecodeJob(value)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		l.planner.Restore(state)
+	}
+	if isOld {
+		return l
+	}
+	histories := make(map[cawork.JobID]*cacrash.History)
+	for id, value := range c.crashes {
+		h, err := cacrash.Decode(value)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		histories[id] = h
+	}
+	l.planner.RestoreCrashes(histories)
+	return l
+}
+
+// storedLeader is one leader of the cell.
+type storedLeader struct {
+	*storedCell
+	planner *Planner
+	isOld   bool
+}
+
+func (l *storedLeader) moment() ClockReading {
+	return ClockReading{Monotonic: l.now, WallMS: l.now.UnixMilli()}
+}
+
+func (l *storedLeader) advance(d time.Duration) {
+	l.now = l.now.Add(d)
+	l.planner.SetNow(l.moment())
+}
+
+// report applies reports of all upstreams, which list the runs that the planner has there.
+func (l *storedLeader) report() {
+	for _, info := range l.upstreams {
+		l.advance(time.Millisecond)
+		report := Report{Upstream: info.ID, Born: info.Incarnation, SentAt: l.now, ReceivedAt: l.now, ClockMS: 1}
+		for id, r := range l.planner.upstreams[info.ID].runs {
+			if r.born == info.Incarnation {
+				report.Running = append(report.Running, RunningRun{Run: id})
+			}
+		}
+		l.planner.ApplyReport(report)
+	}
+}
+
+func (l *storedLeader) commit() []StartOrder {
+	l.t.Helper()
+	batch, err := l.planner.NextBatch()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	storeRecords(l.jobs, batch.Records)
+	if !l.isOld {
+		storeRecords(l.crashes, batch.Crashes)
+	}
+	return l.planner.MarkStored(batch)
+}
+
+// start starts what may start now.
+func (l *storedLeader) start() []StartOrder {
+	l.t.Helper()
+	l.report()
+	l.planner.Plan()
+	orders := l.commit()
+	for _, o := range orders {
+		l.planner.ApplyStartOutcome(o, StartAccepted, 1)
+	}
+	return orders
+}
+
+// restart restarts the upstream of an order. The leader learns of it with the list.
+func (c *storedCell) restart(o StartOrder) {
+	for i := range c.upstreams {
+		if c.upstreams[i].ID == o.Upstream {
+			c.upstreams[i].Incarnation++
+		}
+	}
+}
+
+// crashCount returns how many crashes a leader counts for the only task of the job.
+func (l *storedLeader) crashCount() int {
+	return len(l.planner.jobs["job"].crashes.Crashes(cacrash.Task{}))
+}
+
+func (l *storedLeader) submitJob() StartOrder {
+	l.t.Helper()
+	l.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second}}}, false)
+	return l.startOne()
+}
+
+func (l *storedLeader) startOne() StartOrder {
+	l.t.Helper()
+	orders := l.start()
+	if len(orders) != 1 {
+		l.t.Fatalf("%d starts, want one", len(orders))
+	}
+	return orders[0]
+}
+
+// TestCrashIsCountedOnceAcrossLeaders covers changes of the leader at each moment around a crash:
+// the crash must be counted exactly once, and no start may be permitted beyond the bound because
+// a leader forgot.
+func TestCrashIsCountedOnceAcrossLeaders(t *testing.T) {
+	tests := map[string]func(l *storedLeader) *storedLeader{
+		"same leader": func(l *storedLeader) *storedLeader {
+			l.planner.SetUpstreams(l.upstreams)
+			return l
+		},
+		"leader lost before it notices the crash": func(l *storedLeader) *storedLeader { return l.lead(false) },
+		"leader lost before it stores the crash": func(l *storedLeader) *storedLeader {
+			l.planner.SetUpstreams(l.upstreams)
+			return l.lead(false)
+		},
+		"all entries lost after the crash is stored": func(l *storedLeader) *storedLeader {
+			l.planner.SetUpstreams(l.upstreams)
+			l.commit()
+			return l.lead(false)
+		},
+		"two leaders count it": func(l *storedLeader) *storedLeader {
+			records := l.jobs["job"]
+			l.planner.SetUpstreams(l.upstreams)
+			l.commit()
+			l.jobs["job"] = records
+			return l.lead(false)
+		},
+		"an earlier build led in between": func(l *storedLeader) *storedLeader {
+			l.planner.SetUpstreams(l.upstreams)
+			l.commit()
+			old := l.lead(true)
+			old.startOne()
+			return old.lead(false)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newStoredCell(t).lead(false)
+			l.restart(l.submitJob())
+			l = change(l)
+			if diff := cmp.Diff(1, l.crashCount()); diff != "" {
+				t.Errorf("crashes after the change (-want +got):\n%s", diff)
+			}
+			l.commit()
+			if diff := cmp.Diff(1, l.lead(false).crashCount()); diff != "" {
+				t.Errorf("crashes of the next leader (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestTaskIsGivenUpAcrossLeadersAndBuilds crashes each upstream that starts a task, with a new
+// leader after each crash, some of them of an earlier build. The builds that count crashes must
+// give up the job after few starts of their own.
+func TestTaskIsGivenUpAcrossLeadersAndBuilds(t *testing.T) {
+	for name, oldBuilds := range map[string][]bool{
+		"one build":                 {false},
+		"forward, back and forward": {false, true, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cell := newStoredCell(t)
+			first := cell.lead(false)
+			cell.restart(first.submitJob())
+			first.planner.SetUpstreams(cell.upstreams)
+			first.commit()
+			ownStarts := 1
+			for i := range 12 {
+				isOld := oldBuilds[i%len(oldBuilds)]
+				l := cell.lead(isOld)
+				orders := l.start()
+				l.advance(judgementDelay)
+				l.planner.ExpireLeases()
+				for _, o := range orders {
+					cell.restart(o)
+				}
+				l.planner.SetUpstreams(cell.upstreams)
+				l.advance(judgementDelay)
+				l.planner.ExpireLeases()
+				l.commit()
+				if !isOld {
+					ownStarts += len(orders)
+				}
+			}
+			if phase, _ := cell.lead(false).planner.Phase("job"); phase != castate.PhaseFailed {
+				t.Errorf("the job is %v, want failed", phase)
+			}
+			if ownStarts > maxCrashes+maxStartsBeyond {
+				t.Errorf("%d starts, want at most %d", ownStarts, maxCrashes+maxStartsBeyond)
+			}
+		})
+	}
+}
+
+// TestCrashesOfUnknownJobsAreDeleted covers a job whose record an earlier build deleted: it does not
+// delete the crashes.
+func TestCrashesOfUnknownJobsAreDeleted(t *testing.T) {
+	cell := newStoredCell(t)
+	l := cell.lead(false)
+	cell.restart(l.submitJob())
+	l.planner.SetUpstreams(cell.upstreams)
+	l.commit()
+	delete(cell.jobs, "job")
+	if len(cell.crashes) != 1 {
+		t.Fatalf("%d stored histories, want one", len(cell.crashes))
+	}
+	cell.lead(false).commit()
+	if diff := cmp.Diff(0, len(cell.crashes)); diff != "" {
+		t.Errorf("stored histories (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnreachableUpstreamIsNoCrash covers an upstream that is cut off until its lease expires, and
+// answers again in the same incarnation.
+func TestUnreachableUpstreamIsNoCrash(t *testing.T) {
+	cell := newStoredCell(t)
+	l := cell.lead(false)
+	order := l.submitJob()
+	l.advance(12 * time.Second)
+	l.planner.ExpireLeases()
+	if diff := cmp.Diff(1, l.crashCount()); diff != "" {
+		t.Errorf("crashes after the lease expired (-want +got):\n%s", diff)
+	}
+	if l.planner.jobs["job"].crashes.IsGivenUp(cacrash.Task{}) {
+		t.Error("the task is given up while it is not known whether its upstream crashed")
+	}
+	l.advance(time.Second)
+	l.planner.ApplyReport(Report{Upstream: order.Upstream, Born: 1, SentAt: l.now, ReceivedAt: l.now, ClockMS: 1})
+	if diff := cmp.Diff(0, l.crashCount()); diff != "" {
+		t.Errorf("crashes after the upstream answered (-want +got):\n%s", diff)
+	}
+	l.commit()
+	if diff := cmp.Diff(0, len(cell.crashes)); diff != "" {
+		t.Errorf("stored histories (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/cell/cacrash/history_test.go
@@ -0,0 +1,163 @@
+package cacrash
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+)
+
+// crash returns the crash of an incarnation, changed by the functions.
+func crash(incarnation int64, changes ...func(*Crash)) Crash {
+	c := Crash{Upstream: "up", Incarnation: incarnation, Confirmed: true, Blamed: true}
+	for _, change := range changes {
+		change(&c)
+	}
+	return c
+}
+
+func innocent(c *Crash)    { c.Blamed = false }
+func sole(c *Crash)        { c.Sole = true }
+func shared(c *Crash)      { c.Shared = true }
+func unresolved(c *Crash)  { c.Unresolved = true }
+func unconfirmed(c *Crash) { c.Confirmed = false }
+func probation(c *Crash)   { c.Confirmed, c.Probation = false, true }
+
+// verdict is what follows from the crashes under a task.
+type verdict struct{ MayStart, OnProbation, GivenUp bool }
+
+func TestVerdicts(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes []Crash
+		want    verdict
+	}{
+		{"no crash", nil, verdict{MayStart: true}},
+		{"a bystander", []Crash{crash(1, innocent)}, verdict{MayStart: true}},
+		{"a suspect", []Crash{crash(1)}, verdict{MayStart: true, OnProbation: true}},
+		{"the only suspect", []Crash{crash(1, sole)}, verdict{MayStart: true, OnProbation: true}},
+		{"a bystander twice", []Crash{crash(1, innocent), crash(2, innocent)}, verdict{MayStart: true, OnProbation: true}},
+		{"a suspect twice, beside others", []Crash{crash(1), crash(2)}, verdict{MayStart: true, OnProbation: true}},
+		{"a suspect twice, once the only one", []Crash{crash(1), crash(2, sole)}, verdict{OnProbation: true, GivenUp: true}},
+		{"the second crash is not resolved", []Crash{crash(1), crash(2, sole, unresolved)}, verdict{OnProbation: true}},
+		{"three crashes beside others", []Crash{crash(1), crash(2), crash(3)}, verdict{MayStart: true, OnProbation: true}},
+		{"four crashes", []Crash{crash(1), crash(2), crash(3), crash(4)}, verdict{OnProbation: true, GivenUp: true}},
+		{"one start may not have begun", []Crash{crash(1, sole, unconfirmed), crash(2, sole)}, verdict{MayStart: true, OnProbation: true}},
+		{"two starts on probation were not confirmed", []Crash{crash(1, probation), crash(2, probation, sole)}, verdict{OnProbation: true, GivenUp: true}},
+		{"three crashes with a common cause", []Crash{crash(1, shared), crash(2, shared, sole), crash(3, shared)}, verdict{MayStart: true}},
+		{"four crashes with a common cause", []Crash{crash(1, shared), crash(2, shared), crash(3, shared), crash(4, shared)}, verdict{GivenUp: true}},
+	}
+	for _, test := range tests {
+		h := New()
+		for _, c := range test.crashes {
+			h.Add(Task{}, c)
+		}
+		got := verdict{MayStart: h.MayStart(Task{}), OnProbation: h.IsOnProbation(Task{}), GivenUp: h.IsGivenUp(Task{})}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// TestIncarnationCountsOnce guards against counting a crash again that two leaders or two runs of the
+// task report.
+func TestIncarnationCountsOnce(t *testing.T) {
+	h := New()
+	h.Add(Task{Index: 1}, crash(1, unresolved, innocent, unconfirmed))
+	if !h.Add(Task{Index: 1}, crash(1)) {
+		t.Error("a crash that is resolved does not change the unresolved one")
+	}
+	if h.Add(Task{Index: 1}, crash(1, unresolved)) {
+		t.Error("the same crash changes the history again")
+	}
+	if diff := cmp.Diff([]Crash{crash(1)}, h.Crashes(Task{Index: 1})); diff != "" {
+		t.Errorf("crashes (-want +got):\n%s", diff)
+	}
+	if h.Crashes(Task{}) != nil {
+		t.Error("another task has the crash")
+	}
+}
+
+func TestProbationOutlastsEarlierRuns(t *testing.T) {
+	survived := func(d time.Duration) func(*Crash) { return func(c *Crash) { c.Survived = d } }
+	tests := []struct {
+		name         string
+		crashes      []Crash
+		endsByItself bool
+		want         time.Duration
+		wantBounded  bool
+	}{
+		{"no crash", nil, true, provenAfter, true},
+		{"soon after the start", []Crash{crash(1)}, true, provenAfter, true},
+		{"later", []Crash{crash(1, survived(4*time.Second))}, true, 9 * time.Second, true},
+		{"long after the start", []Crash{crash(1, survived(time.Hour))}, true, MaxProbation, true},
+		{"twice", []Crash{crash(1), crash(2)}, true, 0, false},
+		{"twice, does not end by itself", []Crash{crash(1), crash(2)}, false, provenAfter, true},
+	}
+	for _, test := range tests {
+		h := New()
+		for _, c := range test.crashes {
+			h.Add(Task{}, c)
+		}
+		got, bounded := h.ProbationTime(Task{}, test.endsByItself)
+		if diff := cmp.Diff([]any{test.want, test.wantBounded}, []any{got, bounded}); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// TestRecordKeepsHistory stores a history and reads it again, also from a record of a later build
+// with more fields.
+func TestRecordKeepsHistory(t *testing.T) {
+	h := New()
+	h.Add(Task{Occurrence: 2, Step: 1, Index: 3}, crash(1, sole, shared))
+	h.Add(Task{Occurrence: 2, Step: 1, Index: 3}, crash(2, unresolved, probation))
+	h.Add(Task{}, crash(3))
+	value, err := h.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[int]any
+	if err := cbor.Unmarshal(value, &fields); err != nil {
+		t.Fatal(err)
+	}
+	fields[99] = "later"
+	later, err := cbor.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, record := range map[string][]byte{"own record": value, "record of a later build": later} {
+		got, err := Decode(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(h, got, cmp.AllowUnexported(History{})); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+	if empty, err := New().Encode(); err != nil || empty != nil {
+		t.Errorf("record of an empty history: %v, error %v", empty, err)
+	}
+}
+
+// FuzzDecode checks that any record decodes to a history that can be stored again, or to an error.
+func FuzzDecode(f *testing.F) {
+	h := New()
+	h.Add(Task{Step: 1}, crash(1, sole))
+	value, err := h.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		decoded, err := Decode(value)
+		if err != nil {
+			return
+		}
+		if _, err := decoded.Encode(); err != nil {
+			t.Error(err)
+		}
+	})
+}
