--- a/internal/cli/caexplain/explain_test.go
+++ b/internal/cli/caexplain/explain_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
 )
 
 // timeAt returns the time of a line, in milliseconds after the first.
@@ -177,3 +179,35 @@
 		t.Fatal("the summary does not end")
 	}
 }
+
+// TestHistoryNamesCrashes guards against a failed job whose history does not say that upstreams
+// crashed under it. The lines about a crash name no single job.
+func TestHistoryNamesCrashes(t *testing.T) {
+	log := strings.Join([]string{
+		fmt.Sprintf(`{"event":400,"job":"bad","queue":"checks","team":"north","objective":2000,"time":%q}`, timeAt(0)),
+		fmt.Sprintf(`{"event":402,"job":"bad","step":0,"task":1,"run":1,"upstream":"u1","outcome":"accepted","time":%q}`, timeAt(100)),
+		fmt.Sprintf(`{"event":419,"upstream":"u1","cause":"upstream restarted","suspect_jobs":["bad","other"],"time":%q}`, timeAt(3000)),
+		fmt.Sprintf(`{"event":419,"upstream":"u9","cause":"upstream restarted","suspect_jobs":["other"],"time":%q}`, timeAt(3100)),
+		fmt.Sprintf(`{"event":419,"upstream":"u2","cause":"lease is over","suspect_jobs":["bad"],"time":%q}`, timeAt(9000)),
+		fmt.Sprintf(`{"event":420,"job":"bad","step":0,"task":1,"upstreams":["u1","u2"],"time":%q}`, timeAt(10000)),
+		fmt.Sprintf(`{"event":407,"job":"bad","phase":"failed","time":%q}`, timeAt(10000)),
+	}, "\n")
+	h, found, err := ReadHistory(NewReader(Log{Content: strings.NewReader(log)}), "bad")
+	if err != nil || !found {
+		t.Fatalf("found %v, error %v", found, err)
+	}
+	var got []string
+	for _, m := range h.Timeline {
+		if m.Line.Event == caevent.UpstreamCrashed || m.Line.Event == caevent.JobGivenUp {
+			got = append(got, m.Line.text())
+		}
+	}
+	want := []string{
+		"upstream_crashed u1, suspected of it: bad, other; upstream restarted",
+		"upstream_crashed u2, suspected of it: bad; lease is over",
+		"job_given_up step 0 task 1, crashed under it: u1, u2",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines about crashes (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cli/caexplain/line.go
+++ b/internal/cli/caexplain/line.go
@@ -10,6 +10,7 @@
 	"container/heap"
 	"encoding/json"
 	"io"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -38,8 +39,15 @@
 	Status    int            `json:"status"`
 	Took      float64        `json:"took"`
 	Error     string         `json:"error"`
+	// Upstreams crashed under a task of the job.
+	Upstreams []string `json:"upstreams"`
+	// SuspectJobs are the jobs that may have crashed the upstream.
+	SuspectJobs []string `json:"suspect_jobs"`
 }
 
+// concerns reports whether the line is about the job.
+func (l Line) concerns(job string) bool { return l.Job == job || slices.Contains(l.SuspectJobs, job) }
+
 // milliseconds converts a duration of a log line.
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
--- a/internal/cli/caexplain/text.go
+++ b/internal/cli/caexplain/text.go
@@ -6,6 +6,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
 )
 
 // WriteText writes the summary as tables.
@@ -65,6 +67,12 @@
 	if l.isTaskEvent() {
 		fmt.Fprintf(&b, " step %d task %d run %d on %s", l.Step, l.Task, l.Run, l.Upstream)
 	}
+	if l.Event == caevent.UpstreamCrashed {
+		fmt.Fprintf(&b, " %s, suspected of it: %s;", l.Upstream, strings.Join(l.SuspectJobs, ", "))
+	}
+	if l.Event == caevent.JobGivenUp {
+		fmt.Fprintf(&b, " step %d task %d, crashed under it: %s", l.Step, l.Task, strings.Join(l.Upstreams, ", "))
+	}
 	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
 		if detail != "" {
 			b.WriteString(" " + detail)
--- a/internal/cli/caexplain/timeline.go
+++ b/internal/cli/caexplain/timeline.go
@@ -40,7 +40,7 @@
 	j := newJob(id)
 	var lines []Line
 	for line, ok := r.Next(); ok; line, ok = r.Next() {
-		if line.Job != id {
+		if !line.concerns(id) {
 			continue
 		}
 		j.addLine(line)
