Probation ends after 20 s at the latest

A run under which several upstreams may have crashed kept other jobs from its upstream until it ended, however long it takes. In a small cell some long runs could close all upstreams.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -76,8 +76,12 @@
 
 // isProven reports whether the upstream has survived the run for so long that the run is cleared.
 func (r *run) isProven() bool {
-	needed, bounded := r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
-	return r.sent && bounded && r.survived() >= needed
+	return r.sent && r.survived() >= r.probationTime()
+}
+
+// probationTime returns for how long the upstream must survive the run to clear it.
+func (r *run) probationTime() time.Duration {
+	return r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
 }
 
 // isSuspect reports whether the run is a suspect if its upstream crashes. How long the upstream has
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -83,8 +83,7 @@
 		u.probationOf = r.step.job
 		b.crashes.probationUpstreams = append(b.crashes.probationUpstreams, u)
 	}
-	needed, bounded := r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
-	if r.sent && bounded && b.now.Monotonic.Sub(r.sentAt) > needed {
+	if r.sent && b.now.Monotonic.Sub(r.sentAt) > r.probationTime() {
 		b.queueProbe(u)
 	}
 }
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -31,7 +31,7 @@
 	// survivalFactor is the ratio of the time after which a run is cleared to the longest time
 	// that an upstream survived an earlier run of its task before it crashed.
 	survivalFactor = 2
-	// MaxProbation bounds the probation of runs that do not end by themselves.
+	// MaxProbation bounds the probation of a run, which keeps others from its upstream.
 	MaxProbation = 20 * time.Second
 )
 
@@ -300,18 +300,18 @@
 	return n.isDoubtful() || n.suspected > 0
 }
 
-// ProbationTime returns for how long an upstream must survive a run of the task to clear it. A
-// run under which several upstreams may have crashed is cleared by its end only, if it ends by
-// itself.
-func (h *History) ProbationTime(t Task, endsByItself bool) (d time.Duration, bounded bool) {
+// ProbationTime returns for how long an upstream must survive a run of the task to clear it. A run
+// that ends by itself and under which several upstreams may have crashed remains a suspect for
+// MaxProbation.
+func (h *History) ProbationTime(t Task, endsByItself bool) time.Duration {
 	if h.tally(t, true).isDoubtful() && endsByItself {
-		return 0, false
+		return MaxProbation
 	}
 	longest := time.Duration(0)
 	for _, c := range h.Crashes(t) {
 		longest = max(longest, c.Survived)
 	}
-	return min(provenAfter+survivalFactor*min(longest, MaxProbation), MaxProbation), true
+	return min(provenAfter+survivalFactor*min(longest, MaxProbation), MaxProbation)
 }
 
 // record is the stored form of a history.
--- a/internal/cell/cacrash/history_test.go
+++ b/internal/cell/cacrash/history_test.go
@@ -86,22 +86,20 @@
 		crashes      []Crash
 		endsByItself bool
 		want         time.Duration
-		wantBounded  bool
 	}{
-		{"no crash", nil, true, provenAfter, true},
-		{"soon after the start", []Crash{crash(1)}, true, provenAfter, true},
-		{"later", []Crash{crash(1, survived(4*time.Second))}, true, 9 * time.Second, true},
-		{"long after the start", []Crash{crash(1, survived(time.Hour))}, true, MaxProbation, true},
-		{"twice", []Crash{crash(1), crash(2)}, true, 0, false},
-		{"twice, does not end by itself", []Crash{crash(1), crash(2)}, false, provenAfter, true},
+		{"no crash", nil, true, provenAfter},
+		{"soon after the start", []Crash{crash(1)}, true, provenAfter},
+		{"later", []Crash{crash(1, survived(4*time.Second))}, true, 9 * time.Second},
+		{"long after the start", []Crash{crash(1, survived(time.Hour))}, true, MaxProbation},
+		{"twice", []Crash{crash(1), crash(2)}, true, MaxProbation},
+		{"twice, does not end by itself", []Crash{crash(1), crash(2)}, false, provenAfter},
 	}
 	for _, test := range tests {
 		h := New()
 		for _, c := range test.crashes {
 			h.Add(Task{}, c)
 		}
-		got, bounded := h.ProbationTime(Task{}, test.endsByItself)
-		if diff := cmp.Diff([]any{test.want, test.wantBounded}, []any{got, bounded}); diff != "" {
+		if diff := cmp.Diff(test.want, h.ProbationTime(Task{}, test.endsByItself)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
 	}
