A copied run counts if its upstream crashes under a later leader

A task with a long run was started on other upstreams as well, and its earlier runs were only in the memory of the leader. A run is now recorded with the crashes of its job when its task is started elsewhere too; it counts once its incarnation has ended, and is withdrawn when the upstream answers without it.

--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -68,7 +68,7 @@
 	caevent.Info(b.log, caevent.TaskCopied).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
 		Dur("after", b.now.Monotonic.Sub(r.assignedAt)).Dur("longest", r.step.longestRun).Send()
-	b.countSuspectedCrash(r)
+	b.countCopiedRun(r)
 	r.task().Phase = castate.TaskWaiting
 	r.step.waitingTasks++
 	r.step.copiedRuns = append(r.step.copiedRuns, r)
--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -34,8 +34,8 @@
 	// crashes are to be deleted.
 	changed map[cawork.JobID]*job
 	removed []cawork.JobID
-	// unresolvedSince is when the unresolved crashes of upstreams were counted.
-	unresolvedSince map[cawork.UpstreamID]time.Time
+	// openSince is when the last crash or copied run of an upstream was recorded that is not resolved.
+	openSince map[cawork.UpstreamID]time.Time
 	// events are the crashes of the last seconds.
 	events []*crashEvent
 	// probationUpstreams are the upstreams with a run on probation.
@@ -45,7 +45,7 @@
 func newCrashState() crashState {
 	return crashState{
 		suspects: make(map[cawork.JobID]*job), changed: make(map[cawork.JobID]*job),
-		unresolvedSince: make(map[cawork.UpstreamID]time.Time),
+		openSince: make(map[cawork.UpstreamID]time.Time),
 	}
 }
 
@@ -167,8 +167,8 @@
 	j.crashedAt = b.now.Monotonic
 	b.crashes.suspects[j.Submission.ID] = j
 	b.markCrashesChanged(j)
-	if c.Unresolved {
-		b.crashes.unresolvedSince[c.Upstream] = b.now.Monotonic
+	if c.Unresolved || c.Present {
+		b.crashes.openSince[c.Upstream] = b.now.Monotonic
 	}
 }
 
@@ -208,42 +208,54 @@
 	}
 }
 
-// countSuspectedCrash counts an upstream that does not answer, before the task of its run is
-// started elsewhere as well.
-func (b *Planner) countSuspectedCrash(r *run) {
-	isSilent := r.upstream.isSuspected() || r.mayStillStart()
-	if !isSilent || r.upstream.info.Draining {
+// countCopiedRun records a run whose task is started elsewhere as well. It counts as a crash while its
+// upstream does not answer, and if the upstream crashes under a later leader, which does not have
+// the run.
+func (b *Planner) countCopiedRun(r *run) {
+	u := r.upstream
+	if u.info.Draining {
 		return
 	}
 	sole := true
-	for _, other := range r.upstream.runs {
+	for _, other := range u.runs {
 		if other.step.job != r.step.job && other.isSuspect() {
 			sole = false
 		}
 	}
 	b.addCrash(r, cacrash.Crash{
-		Upstream: r.upstream.info.ID, Incarnation: r.born, Unresolved: true, Survived: r.survived(), Blamed: r.isSuspect(), Sole: sole,
+		Upstream: u.info.ID, Incarnation: r.born, Unresolved: u.isSuspected() || r.mayStillStart(), Present: true,
+		Survived: r.survived(), Blamed: r.isSuspect(), Sole: sole,
 	})
 }
 
 // applyAnswerToCrashes withdraws the unresolved crashes of an incarnation that answered a call made
 // at calledAt.
-func (b *Planner) applyAnswerToCrashes(id cawork.UpstreamID, born int64, calledAt time.Time) {
-	since, ok := b.crashes.unresolvedSince[id]
+func (b *Planner) applyAnswerToCrashes(u *upstream, born int64, calledAt time.Time) {
+	since, ok := b.crashes.openSince[u.info.ID]
 	if !ok || !calledAt.After(since) {
 		return
 	}
-	b.resolveCrashes(id, born)
 	for _, j := range b.sortedSuspects() {
-		if j.crashes.Withdraw(id, born) {
+		if j.crashes.ApplyAnswer(u.info.ID, born, func(t cacrash.Task) bool { return u.hasRunOf(j, t) }) {
 			b.markCrashesChanged(j)
 		}
 	}
+	b.resolveCrashes(u.info.ID, born)
+}
+
+// hasRunOf reports whether the upstream may have a run of the task.
+func (u *upstream) hasRunOf(j *job, t cacrash.Task) bool {
+	for id := range u.runs {
+		if id.Job == j.Submission.ID && id.task() == t {
+			return true
+		}
+	}
+	return false
 }
 
 // resolveCrashes counts the unresolved crashes of incarnations of an upstream before the given one.
 func (b *Planner) resolveCrashes(id cawork.UpstreamID, before int64) {
-	if _, ok := b.crashes.unresolvedSince[id]; !ok {
+	if _, ok := b.crashes.openSince[id]; !ok {
 		return
 	}
 	remaining := false
@@ -252,10 +264,10 @@
 			j.crashedAt = b.now.Monotonic
 			b.markCrashesChanged(j)
 		}
-		remaining = remaining || slices.Contains(j.crashes.UnresolvedUpstreams(), id)
+		remaining = remaining || slices.Contains(j.crashes.OpenUpstreams(), id)
 	}
 	if !remaining {
-		delete(b.crashes.unresolvedSince, id)
+		delete(b.crashes.openSince, id)
 	}
 }
 
@@ -294,8 +306,8 @@
 		}
 		b.crashes.suspects[id] = j
 		j.crashedAt = b.now.Monotonic
-		for _, u := range j.crashes.UnresolvedUpstreams() {
-			b.crashes.unresolvedSince[u] = b.now.Monotonic
+		for _, u := range j.crashes.OpenUpstreams() {
+			b.crashes.openSince[u] = b.now.Monotonic
 		}
 	}
 	for _, u := range b.sortedUpstreams {
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -183,7 +183,6 @@
 	if report.Born > u.info.Incarnation {
 		b.beginIncarnation(u, report.Born)
 	}
-	b.applyAnswerToCrashes(u.info.ID, report.Born, report.SentAt)
 	u.fenced = true
 	u.renewalUnanswered = false
 	b.markAnswered(u, report.ReceivedAt)
@@ -200,6 +199,9 @@
 		}
 	}
 	b.dropUnlistedRuns(u, report)
+	if !report.Partial {
+		b.applyAnswerToCrashes(u, report.Born, report.SentAt)
+	}
 }
 
 // updateClock records a reading of the clock of an upstream. Zero is no reading.
--- a/internal/cell/cacrash/history_test.go
+++ b/internal/cell/cacrash/history_test.go
@@ -159,3 +159,26 @@
 		}
 	})
 }
+
+// TestCopiedRunCountsOnceItsUpstreamCrashed covers a run that is still present while its task is started
+// elsewhere as well: it counts once its incarnation has ended, and not while it answers.
+func TestCopiedRunCountsOnceItsUpstreamCrashed(t *testing.T) {
+	isPresent := true
+	present := func(Task) bool { return isPresent }
+	h := New()
+	h.Add(Task{}, crash(1, unresolved, func(c *Crash) { c.Present = true }))
+	mayCopy := []bool{h.MayCopy(Task{})}
+	h.ApplyAnswer("up", 1, present)
+	mayCopy = append(mayCopy, h.MayCopy(Task{}))
+	h.Resolve("up", 2)
+	mayCopy = append(mayCopy, h.MayCopy(Task{}))
+	if diff := cmp.Diff([]bool{false, true, false}, mayCopy); diff != "" {
+		t.Errorf("copies permitted while the upstream is silent, after it answered and after it crashed (-want +got):\n%s", diff)
+	}
+	h.Add(Task{}, crash(3, func(c *Crash) { c.Present = true }))
+	isPresent = false
+	h.ApplyAnswer("up", 3, present)
+	if diff := cmp.Diff([]Crash{crash(1)}, h.Crashes(Task{})); diff != "" {
+		t.Errorf("crashes after the second run ended (-want +got):\n%s", diff)
+	}
+}
