Crashes in a wave put their suspects on probation too

Several jobs at a time that crash upstreams look like a common cause. Crashes of a wave are still no proof against a job, but its suspects are on probation.

--- a/internal/cell/caboard/crashes_test.go
+++ b/internal/cell/caboard/crashes_test.go
@@ -37,6 +37,9 @@
 	maxCrashes      = 3
 	maxStartsBeyond = 2
 	innocentJobs    = 20
+	// maxInnocentFailures is how many other jobs may be given up in a storm of harmful ones: some that
+	// crashed with them twice, far fewer than there are harmful jobs.
+	maxInnocentFailures = 2
 	// seedOfLostCopies is a world in which upstreams crash under copied runs, of which the next leader
 	// did not know.
 	seedOfLostCopies = 1015
@@ -372,3 +375,33 @@
 	}
 	return most
 }
+
+// TestManyHarmfulJobsEndOthersSeldom covers several jobs at a time that crash upstreams. Their crashes
+// look like a common cause, so that none of them was on probation and other jobs met them again and
+// again until they were given up as well.
+func TestManyHarmfulJobsEndOthersSeldom(t *testing.T) {
+	for seed := range int64(6) {
+		c := newCrashWorld(seed, 60, func(c *crashWorld) {
+			c.repeat(25*time.Millisecond, func() {
+				if c.elapsed < 30*time.Second {
+					c.submitStep(caspec.Step{
+						Tasks: 1 + c.random.Intn(6), CPU: cawork.MilliCPU(300 + c.random.Intn(700)), Memory: cawork.GiB,
+						Estimate: c.between(300, 2500), Gang: c.random.Intn(5) == 0, AllowDuplicates: c.random.Intn(4) == 0,
+					})
+				}
+			})
+			c.repeat(1500*time.Millisecond, func() {
+				if c.elapsed > 5*time.Second && c.elapsed < 15*time.Second {
+					c.submitDeadly(caspec.Step{Tasks: 2 + c.random.Intn(3), CPU: 3000, Memory: cawork.GiB, Estimate: time.Second, Gang: seed%2 == 0}, 50*time.Millisecond)
+				}
+			})
+		})
+		c.run(60 * time.Second)
+		c.check(t)
+		deadly, innocent := c.phases()
+		t.Logf("seed %d: %v harmful jobs, %v others, crashes by task %v", seed, deadly, innocent, slices.Sorted(maps.Values(c.crashes)))
+		if failed := innocent[castate.PhaseFailed]; failed > maxInnocentFailures {
+			t.Errorf("seed %d: %d other jobs were given up, want at most %d", seed, failed, maxInnocentFailures)
+		}
+	}
+}
--- a/internal/cell/caboard/crashwaves.go
+++ b/internal/cell/caboard/crashwaves.go
@@ -6,8 +6,9 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
-// If many upstreams crash at the same time and a job ran on few of them, the crashes have a common
-// cause, such as a loss of power, and the job is not to blame.
+// If many upstreams crash at the same time and a job ran on few of them, the crashes may have a
+// common cause, such as a loss of power, or other jobs caused them. They are no proof against the
+// job. Its suspects are still on probation, so that they do not meet each other again.
 
 const (
 	// commonCauseWindow is how far apart the last answers of upstreams may be that crashed from a
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -242,8 +242,8 @@
 // probation, and if it is not shared.
 type tally struct {
 	all, certain int
-	// suspected counts the crashes of which the task was a suspect, other than shared ones, and sole
-	// the certain ones of these without suspects of other jobs.
+	// suspected counts the crashes of which the task was a suspect, and sole the certain ones of these
+	// without suspects of other jobs.
 	suspected, sole int
 	// confirmed and unconfirmed count the certain ones of which the task was a suspect.
 	confirmed, unconfirmed int
@@ -271,7 +271,7 @@
 	isCertain := (c.Confirmed || c.Probation) && !c.Shared
 	n.all++
 	n.certain += count(isCertain)
-	n.suspected += count(c.Blamed && !c.Shared)
+	n.suspected += count(c.Blamed)
 	n.confirmed += count(c.Blamed && isCertain && c.Confirmed)
 	n.unconfirmed += count(c.Blamed && isCertain && !c.Confirmed)
 	n.sole += count(c.Blamed && isCertain && c.Sole)
