--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -17,6 +17,9 @@
 // Batch holds changes that are stored together.
 type Batch struct {
 	Records []Record
+	// Crashes are the records of the crashes under the tasks of jobs. They are stored no later than
+	// Records.
+	Crashes []Record
 	// Silent are the upstreams to declare as silent in the record of the claim.
 	Silent []SilentUpstream
 	starts []*run
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 	case info.Incarnation < u.info.Incarnation:
 		info.Incarnation = u.info.Incarnation
 	}
+	b.resolveCrashes(info.ID, info.Incarnation)
 	u.listed = true
 	u.largestCapacity = u.largestCapacity.Most(info.Capacity)
 	u.info = info
@@ -49,7 +51,8 @@
 // beginIncarnation resets the state of an upstream that has started a later incarnation, and
 // ends or stops the runs of the earlier one.
 func (b *Planner) beginIncarnation(u *upstream, born int64) {
-	hadIncarnation := u.info.Incarnation != 0
+	endedBorn := u.info.Incarnation
+	hadIncarnation := endedBorn != 0
 	u.info.Incarnation = born
 	u.clockAt, u.clockMS = time.Time{}, 0
 	u.lastReportAt = time.Time{}
@@ -61,6 +64,7 @@
 	if !hadIncarnation {
 		return
 	}
+	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Send()
@@ -121,6 +125,11 @@
 	if !ok {
 		return
 	}
+	b.resolveCrashes(id, math.MaxInt64)
+	if !u.gone {
+		u.gone = true
+		b.countCrash(u, u.info.Incarnation, "upstream no longer exists", false)
+	}
 	for _, r := range u.runs {
 		if r.confirmed {
 			b.declareLost(r, "upstream no longer exists")
@@ -132,7 +141,8 @@
 func (b *Planner) declareLost(r *run, cause string) {
 	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
-		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).Send()
+		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
+		Int64("born", r.born).Send()
 	b.stopOtherMembers(r)
 	b.dropRun(r)
 }
@@ -194,6 +204,9 @@
 		}
 	}
 	b.dropUnlistedRuns(u, report)
+	if !report.Partial {
+		b.applyAnswerToCrashes(u, report.Born, report.SentAt)
+	}
 }
 
 // updateClock records a reading of the clock of an upstream. Zero is no reading.
@@ -234,7 +247,7 @@
 // stopUnassigned stops a reported run that the planner does not have, such as one that was started
 // by a late order of an earlier leader.
 func (b *Planner) stopUnassigned(u *upstream, row RunningRun) {
-	r := &run{id: row.Run, upstream: u, confirmed: true, sent: true}
+	r := &run{id: row.Run, upstream: u, confirmed: true, sent: true, born: u.info.Incarnation, assignedAt: b.now.Monotonic}
 	j, ok := b.jobs[row.Run.Job]
 	r.step = orphanStep(row.Run)
 	if ok {
@@ -463,10 +476,13 @@
 		}
 		b.pruneAbandonedStarts(u)
 	}
+	b.expireUnresolvedCrashes()
+	b.giveUpHarmfulJobs()
 	b.forgetUpstreams()
 }
 
 func (b *Planner) declareRunsLost(u *upstream) {
+	b.countCrash(u, u.info.Incarnation, "lease is over", !u.gone)
 	for _, r := range u.runs {
 		if r.sent {
 			b.declareLost(r, "lease is over")
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -42,6 +42,8 @@
 	fenced bool
 	// renewalUnanswered is set while the last lease renewal has no answer.
 	renewalUnanswered bool
+	// gone is set once it was proved that the upstream no longer exists.
+	gone bool
 	// appliedEnd is the number of the last end that was applied, and storedEnd of the
 	// last one stored.
 	appliedEnd int64
@@ -56,6 +58,8 @@
 	// while it is part of that.
 	partitionRank float64
 	inPartition   bool
+	// probationOf is the job with a run on probation there, if any.
+	probationOf *job
 	// reservedBy is the step that room is reserved for, if any: all room for a gang, and
 	// reservedRoom for a single task, since reservedSince. That room is expected to be
 	// complete at reservedFrom.
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -214,7 +214,7 @@
 		list, err := l.Registry.List(ctx)
 		results <- result{list, err}
 	}()
-	jobs, unreadable, err := loadJobs(ctx, l.Store, l.Timer.Pause)
+	state, err := loadState(ctx, l.Store, l.Timer.Pause)
 	if err != nil {
 		return err
 	}
@@ -226,13 +226,15 @@
 		l.planner.SetUpstreams(l.ownUpstreams(upstreams.list))
 	}
 	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
-	for _, j := range jobs {
+	for _, j := range state.jobs {
 		l.planner.Restore(j)
 	}
+	l.planner.RestoreCrashes(state.crashes)
 	l.loaded = true
 	l.startRenewals(ctx)
-	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(jobs)).
-		Int("unreadable", unreadable).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
+	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
+		Int("unreadable", state.unreadableJobs).Int("crashes", len(state.crashes)).
+		Int("unreadable_crashes", state.unreadableCrashes).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
 		Dur("load_took", l.Timer.Now().Sub(began)).Send()
 	return nil
 }
--- a/internal/cli/caexplain/timeline.go
+++ b/internal/cli/caexplain/timeline.go
@@ -40,7 +40,7 @@
 	j := newJob(id)
 	var lines []caloglines.Line
 	for line, ok := r.Next(); ok; line, ok = r.Next() {
-		if line.Job != id {
+		if !line.Concerns(id) {
 			continue
 		}
 		j.addLine(line)
--- a/internal/cli/caloglines/line.go
+++ b/internal/cli/caloglines/line.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"encoding/json"
 	"io"
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -36,8 +37,15 @@
 	Status    int            `json:"status"`
 	Took      float64        `json:"took"`
 	Error     string         `json:"error"`
+	// Upstreams crashed under a task of the job.
+	Upstreams []string `json:"upstreams"`
+	// SuspectJobs are the jobs that may have crashed the upstream.
+	SuspectJobs []string `json:"suspect_jobs"`
 }
 
+// Concerns reports whether the line is about the job.
+func (l Line) Concerns(job string) bool { return l.Job == job || slices.Contains(l.SuspectJobs, job) }
+
 // Log is a log with its name.
 type Log struct {
 	Name    string
