Large tasks do not wait without bound behind short work

A step whose result still has its value gets room for one task at a time reserved once it has waited for 10 s, as long-running tasks that never ran do.

--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -15,7 +15,8 @@
 // that moment may never come. Long-running tasks must be restarted soon, however full the
 // pool is. Therefore room for each is reserved at an approved upstream until the task
 // starts there: smaller work is only placed beside that room, or if it ends before the room
-// is expected to be complete.
+// is expected to be complete. Other steps that have waited for long get the same for one
+// task at a time.
 
 const (
 	// maxTaskReservedShare is the fraction of the CPU of a pool, and maxTaskReservedUpstreams
@@ -28,7 +29,7 @@
 	// avoidedUpstreamDelay is how much later than elsewhere the room at an upstream that the
 	// task should avoid may be complete before that upstream is preferred nevertheless.
 	avoidedUpstreamDelay = time.Second
-	// firstStartPatience is how long long-running tasks that never ran wait without reserved
+	// firstStartPatience is how long tasks other than those to restart wait without reserved
 	// room.
 	firstStartPatience = 10 * time.Second
 	// soonReserved is how soon reserved room must be complete for no other upstream to be
@@ -92,9 +93,10 @@
 }
 
 // tasksWithReservation returns for how many waiting tasks of the step room is to be reserved:
-// for all that ran before, and for one that never ran if the step has waited for long.
+// for all long-running ones that ran before, and for one more if the step has waited for long
+// and its result still has its value.
 func (b *Planner) tasksWithReservation(s *step) int {
-	if !s.spec.LongRunning || !s.ready || s.waitingTasks == s.tasksToRestart {
+	if !s.ready || s.waitingTasks == s.tasksToRestart || s.lateness != latenessNone {
 		return s.tasksToRestart
 	}
 	since := s.waitBegan()
