A long-running task that outlasts its probation is cleared

Crashes of other causes add up over the life of a task that does not end by itself. They were forgotten only while the task was on probation, so that one crash of which it was no suspect stayed (TestLongRunningTaskIsClearedOnceItRuns failed before).

--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -281,3 +281,60 @@
 		t.Errorf("stored histories (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunningTaskIsClearedOnceItRuns covers a long-running task whose upstreams crash now and then
+// for other reasons. Over its life these crashes must not add up until its job is given up.
+func TestLongRunningTaskIsClearedOnceItRuns(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second, LongRunning: true}}}, false)
+	for range 8 {
+		order := l.startOne()
+		l.run(order, 5*time.Second)
+		l.crash(order)
+		if diff := cmp.Diff(1, l.crashCount()); diff != "" {
+			t.Fatalf("crashes after a run of 5 s (-want +got):\n%s", diff)
+		}
+		order = l.startOne()
+		l.run(order, 25*time.Second)
+		if diff := cmp.Diff(0, l.crashCount()); diff != "" {
+			t.Fatalf("crashes after a run of 25 s (-want +got):\n%s", diff)
+		}
+		l.crash(order)
+		if diff := cmp.Diff(0, l.crashCount()); diff != "" {
+			t.Fatalf("crashes after the upstream of a run of 25 s crashed (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// run lets a run go on.
+func (l *storedLeader) run(o StartOrder, duration time.Duration) {
+	for range int(duration.Seconds()) {
+		l.advance(time.Second)
+		l.planner.RenewLease(o.Upstream)
+		l.report()
+		l.planner.ExpireLeases()
+		l.planner.Plan()
+	}
+}
+
+// crash restarts the upstream of an order, which the leader learns of at once.
+func (l *storedLeader) crash(o StartOrder) {
+	l.restart(o)
+	l.planner.SetUpstreams(l.upstreams)
+	l.report()
+}
+
+// TestLeavingUpstreamIsNoCrash covers an upstream that drains before it leaves and is started anew.
+func TestLeavingUpstreamIsNoCrash(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	order := l.submitJob()
+	for i := range l.upstreams {
+		l.upstreams[i].Draining = l.upstreams[i].ID == order.Upstream
+	}
+	l.planner.SetUpstreams(l.upstreams)
+	l.restart(order)
+	l.planner.SetUpstreams(l.upstreams)
+	if diff := cmp.Diff(0, l.crashCount()); diff != "" {
+		t.Errorf("crashes after the upstream left (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -56,26 +56,32 @@
 
 // updateTaskProbation applies the probation of one task. The members of a gang share it.
 func (b *Planner) updateTaskProbation(s *step, t cacrash.Task) {
-	j := s.job
-	if !s.isOnProbation(t.Index) {
-		return
-	}
-	if s.state().Tasks[t.Index].Phase == castate.TaskWaiting {
-		j.onProbation = true
+	if s.state().Tasks[t.Index].Phase == castate.TaskWaiting && s.isOnProbation(t.Index) {
+		s.job.onProbation = true
 	}
 	for _, r := range b.runsOf(s) {
 		switch {
 		case !r.isCurrent() || r.id.Index != t.Index && !s.spec.Gang:
-		case !r.isProven():
-			j.onProbation = true
+		case !r.isProven() && s.isOnProbation(t.Index):
+			s.job.onProbation = true
 			b.startProbation(r)
 		case s.spec.LongRunning && r.survived() >= cacrash.MaxProbation:
-			j.crashes.Clear(r.id.task())
-			b.markCrashesChanged(j)
+			b.clearCrashes(r)
 		}
 	}
 }
 
+// clearCrashes forgets the crashes under the task of a run that does not end by itself and has
+// outlasted any probation: over its long life, crashes of other causes would add up.
+func (b *Planner) clearCrashes(r *run) {
+	j := r.step.job
+	if len(j.crashes.Crashes(r.id.task())) == 0 {
+		return
+	}
+	j.crashes.Clear(r.id.task())
+	b.markCrashesChanged(j)
+}
+
 // startProbation keeps other jobs from the upstream of a run on probation.
 func (b *Planner) startProbation(r *run) {
 	u := r.upstream
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -52,7 +52,7 @@
 	u.clockAt, u.clockMS = time.Time{}, 0
 	u.lastReportAt = time.Time{}
 	u.suspectedSince = time.Time{}
-	u.fenced = false
+	u.fenced, u.gone = false, false
 	u.appliedEnd, u.storedEnd = 0, 0
 	delete(b.endsToStore, u)
 	u.health = health{}
