Room and approval are not sought where a job on probation keeps others away

Cause: since tasks that crash upstreams are given up, an upstream with a run on probation takes no other work. The reservations for restarts did not know of that: the room stayed reserved there, and its ticket was renewed again and again (412: asked 1, approved 1, five times) while those of ten other upstreams with room expired. Requests for approval counted the room at such upstreams as well, for all steps, and were made for tasks that may not start now.

TestRoomIsReservedAtUpstreamOnProbation: not restarted within 10 s before, at once now."

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -81,7 +81,7 @@
 	headroom := b.newHeadroom()
 	for _, s := range b.requestOrder() {
 		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || s.waitingTasks == 0 {
+		if !ok || q.Approval == nil || s.waitingTasks == 0 || b.isStepHeldBack(s) {
 			continue
 		}
 		if b.pendingRequests >= b.requestLimits.Total {
@@ -192,7 +192,7 @@
 	validSlots, slots := 0, 0
 	for id := range s.approvals.tickets {
 		u, ok := b.upstreams[id]
-		if !ok || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) {
+		if !ok || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
 		fitting := fittingTasks(b.roomFor(s, u), s.spec)
@@ -267,7 +267,7 @@
 		if fittingTasks(requestableRoom(u), s.spec) == 0 {
 			continue
 		}
-		if !b.mayUsePartition(s, q, u) {
+		if !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
 		candidates = append(candidates, u)
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -130,6 +130,23 @@
 	return j.onProbation && !onProbation
 }
 
+// isStepHeldBack reports whether no waiting task of the step may start now.
+func (b *Planner) isStepHeldBack(s *step) bool {
+	if s.job.crashes == nil {
+		return false
+	}
+	if s.spec.Gang {
+		return b.isGangHeldBack(s)
+	}
+	tasks := s.state().Tasks
+	for i := range tasks {
+		if tasks[i].Phase == castate.TaskWaiting && !b.isHeldBack(s, i) {
+			return false
+		}
+	}
+	return true
+}
+
 // isApart reports whether a task of the step may start on an upstream as far as probation is
 // concerned. The tasks of a job on probation start on one upstream, where no other job is on
 // probation and none starts, so that a crash of the upstream shows which job is to blame.
--- /dev/null
+++ b/internal/cell/caboard/probation_test.go
@@ -0,0 +1,53 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cacrash"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// TestRoomIsReservedAtUpstreamOnProbation covers a long-running task that fails while an upstream
+// with room for it is kept for a job on probation. Its reservation stayed there, and its tickets
+// expired one after the other.
+func TestRoomIsReservedAtUpstreamOnProbation(t *testing.T) {
+	s := newSimulation(t, 2, longRunningQueue(), smallQueue())
+	all := func(cawork.UpstreamID) bool { return true }
+	s.submit("service", "service", longRunningStep(1))
+	s.tick(20*time.Millisecond, all)
+	service := s.tick(20*time.Millisecond, all)[0]
+	s.planner.upstreams[service.Upstream].pausedUntil = s.now.Add(time.Second)
+	s.submit("suspect", busyPoolSmallID, caspec.Step{Tasks: 1, CPU: 4000, Memory: cawork.GiB, Estimate: time.Hour})
+	suspect := s.startAll()[0]
+	s.putOnProbation("suspect")
+	for range 150 {
+		s.tick(20*time.Millisecond, all)
+	}
+	if s.planner.upstreams[suspect.Upstream].probationOf == nil || suspect.Upstream == service.Upstream {
+		t.Fatalf("upstream %s is not kept for the job on probation, or runs the long-running task", suspect.Upstream)
+	}
+	s.report(service.Upstream, nil, []EndedRun{{Run: service.Run, Ending: EndingFailed}})
+	took, ok := s.startedWithin("service", 10*time.Second, all)
+	if !ok || took > restartBound {
+		t.Errorf("restart took %v (started %v), want at most %v", took, ok, restartBound)
+	}
+	for id := range s.planner.upstreams[suspect.Upstream].runs {
+		if diff := cmp.Diff(cawork.JobID("suspect"), id.Job); diff != "" {
+			t.Errorf("job at the upstream on probation (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// putOnProbation gives the first task of a job a history with which it stays on probation.
+func (s *simulation) putOnProbation(id cawork.JobID) {
+	j := s.planner.jobs[id]
+	j.crashes = cacrash.New()
+	for incarnation := range int64(2) {
+		j.crashes.Add(cacrash.Task{}, cacrash.Crash{Upstream: "gone", Incarnation: incarnation + 1, Blamed: true, Confirmed: true})
+	}
+	s.planner.crashes.suspects[id] = j
+}
--- a/internal/cell/caboard/reservation.go
+++ b/internal/cell/caboard/reservation.go
@@ -95,7 +95,7 @@
 func (b *Planner) refreshReservation(s *step) bool {
 	var slots []expectedSlot
 	for _, u := range s.reservation.upstreams {
-		if u.available {
+		if u.available && b.isApart(s, u) {
 			slots = append(slots, b.expectedSlots(s, u)...)
 		}
 	}
@@ -124,7 +124,7 @@
 	var slots []expectedSlot
 	for _, u := range b.usableUpstreams(s, q, p) {
 		approved := q.Approval == nil || s.approvals.isApproved(u)
-		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.info.HasLabel(s.spec.Label) {
+		if u.info.Pool == q.Pool && approved && u.reservedBy == nil && u.info.HasLabel(s.spec.Label) && b.isApart(s, u) {
 			slots = append(slots, b.expectedSlots(s, u)...)
 		}
 	}
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -96,6 +96,9 @@
 // for all long-running ones that ran before, and for one more if the step has waited for long
 // and its result still has its value.
 func (b *Planner) tasksWithReservation(s *step) int {
+	if b.isStepHeldBack(s) {
+		return 0
+	}
 	if !s.ready || s.waitingTasks == s.tasksToRestart || s.lateness != latenessNone {
 		return s.tasksToRestart
 	}
@@ -160,7 +163,7 @@
 	if b.upstreams[u.info.ID] != u || !u.available || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || q.Approval != nil && !s.approvals.isApproved(u) {
 		return time.Time{}, false
 	}
-	if s.spec.MaxPerUpstream > 0 && u.runCount(s) >= s.spec.MaxPerUpstream || !b.isRackAllowed(s, u) || !b.mayUsePartition(s, q, u) {
+	if s.spec.MaxPerUpstream > 0 && u.runCount(s) >= s.spec.MaxPerUpstream || !b.isRackAllowed(s, u) || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 		return time.Time{}, false
 	}
 	slots := b.expectedSlots(s, u)
