--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -21,6 +21,9 @@
 	// ended well, maxExpectedRunRatio applies to the expected run time instead.
 	maxLongestRunRatio  = 1.5
 	maxExpectedRunRatio = 4.0
+	// maxCopies bounds the copied runs of a task that may be present. Crashes of their
+	// upstreams are noticed late.
+	maxCopies = 2
 )
 
 // copyStragglers starts copies of runs that may be lost or take much longer than others of
@@ -46,7 +49,7 @@
 // copyCause returns the reason to copy a run, or the empty string if there is none. A task
 // under which an upstream crashed has one run at a time.
 func (b *Planner) copyCause(r *run) string {
-	if !r.sent || !r.isCurrent() || !r.step.mayCopyTask(r.id.Index) {
+	if !r.sent || !r.isCurrent() || !r.step.mayCopyTask(r.id.Index) || len(b.copiedRunsOf(r.step, r.id.Index)) >= maxCopies {
 		return ""
 	}
 	if r.upstream.isSuspected() || r.stopping {
