--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -38,6 +38,8 @@
 	fenced bool
 	// renewalUnanswered is set while the last lease renewal has no answer.
 	renewalUnanswered bool
+	// gone is set once it was proved that the upstream no longer exists.
+	gone bool
 	// appliedEnd is the number of the last end that was applied, and storedEnd of the
 	// last one stored.
 	appliedEnd int64
@@ -52,6 +54,8 @@
 	// while it is part of that.
 	partitionRank float64
 	inPartition   bool
+	// probationOf is the job with a run on probation there, if any.
+	probationOf *job
 	// reservedBy is the step that all its room is reserved for, if any.
 	reservedBy *step
 	// slowness is the mean ratio of the run time of tasks here to that elsewhere.
