Runs of a former leader are suspects too, and starts that met a dead upstream count no more

An inherited run is a suspect now unless its upstream has lived with it since the leader took over, also where the crash fell between two leaders; and a crash only counts towards giving up if the run had begun, that is if it was confirmed or on probation, as the stored history tells.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -84,10 +84,10 @@
 	return r.step.job.crashes.ProbationTime(r.id.task(), !r.step.spec.LongRunning)
 }
 
-// isSuspect reports whether the run is a suspect if its upstream crashes. How long the upstream has
-// survived a run of an earlier leader is not known.
+// isSuspect reports whether the run is a suspect if its upstream crashes. One of an earlier leader is
+// unless the upstream has lived with it since this leader took over.
 func (r *run) isSuspect() bool {
-	return !r.isProven() && (!r.inherited || r.step.isOnProbation(r.id.Index))
+	return !r.isProven()
 }
 
 // wasAt reports whether the run may have been at its upstream in the given incarnation. Orders for
@@ -159,7 +159,7 @@
 	if j.crashes == nil {
 		j.crashes = cacrash.New()
 	}
-	c.Confirmed, c.Probation = r.confirmed, r.onProbation
+	c.Confirmed, c.Probation = r.confirmed, r.onProbation || r.inherited && r.step.isOnProbation(r.id.Index)
 	c.AtMS = b.now.WallMS
 	if !j.crashes.Add(r.id.task(), c) {
 		return
@@ -317,15 +317,14 @@
 }
 
 // countInheritedCrashes counts the crash of an upstream that an earlier leader did not notice: its
-// runs were assigned to an earlier incarnation. Whether they are to blame is not known.
+// runs were assigned to an earlier incarnation. Whether they are to blame is not known, so that
+// they count as suspects.
 func (b *Planner) countInheritedCrashes(u *upstream) {
 	for _, r := range u.sortedRuns() {
 		if !r.inherited || r.born == 0 || r.born >= u.info.Incarnation {
 			continue
 		}
-		b.addCrash(r, cacrash.Crash{
-			Upstream: u.info.ID, Incarnation: r.born, Blamed: r.step.isOnProbation(r.id.Index),
-		})
+		b.addCrash(r, cacrash.Crash{Upstream: u.info.ID, Incarnation: r.born, Blamed: true})
 	}
 }
 
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -235,8 +235,8 @@
 	return slices.Compact(ids)
 }
 
-// tally counts the crashes under one task. A crash is certain if the run was confirmed or on
-// probation, and if it is not shared.
+// tally counts the crashes under one task under which a run had begun: it was confirmed or on
+// probation. A crash is certain if it is not shared, too.
 type tally struct {
 	all, certain int
 	// suspected counts the crashes of which the task was a suspect, and sole the certain ones of these
@@ -263,8 +263,9 @@
 }
 
 func (n *tally) add(c Crash) {
-	isCertain := (c.Confirmed || c.Probation) && !c.Shared
-	n.all++
+	hadBegun := c.Confirmed || c.Probation
+	isCertain := hadBegun && !c.Shared
+	n.all += count(hadBegun)
 	n.certain += count(isCertain)
 	n.suspected += count(c.Blamed)
 	n.sole += count(c.Blamed && isCertain && c.Sole)
