A job whose crashes are withdrawn leaves its probation

Cause: upstreams in a cut that did not answer counted as possible crashes, and the job was put on probation. They answered again, the crashes were withdrawn, and the job left the list of suspects with the next append. If that came before the next plan, nothing ended its probation, so that each of its tasks waited for another one that was none.

TestProbationOutlastsWithdrawnCrashes failed before. The flag ends now wherever a job leaves the list."

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -341,7 +341,7 @@
 		}
 		records = append(records, Record{Job: id, Value: value})
 		if j.crashes.IsEmpty() || j.Phase.IsFinal() {
-			delete(b.crashes.suspects, id)
+			b.clearSuspect(j)
 		}
 	}
 	for _, id := range b.crashes.removed {
@@ -356,10 +356,16 @@
 	return slices.ContainsFunc(j.OpenOccurrences, func(o *castate.Occurrence) bool { return o.Number == number })
 }
 
+// clearSuspect ends the probation of a job.
+func (b *Planner) clearSuspect(j *job) {
+	j.onProbation = false
+	delete(b.crashes.suspects, j.Submission.ID)
+}
+
 // forgetCrashes deletes the crashes of a job whose record is deleted.
 func (b *Planner) forgetCrashes(j *job) {
 	id := j.Submission.ID
-	delete(b.crashes.suspects, id)
+	b.clearSuspect(j)
 	delete(b.crashes.changed, id)
 	if j.crashes != nil {
 		b.crashes.removed = append(b.crashes.removed, id)
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -24,7 +24,7 @@
 	for _, j := range b.sortedSuspects() {
 		j.onProbation = false
 		if j.Phase.IsFinal() {
-			delete(b.crashes.suspects, j.Submission.ID)
+			b.clearSuspect(j)
 			continue
 		}
 		for _, t := range j.crashes.Tasks() {
--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -51,3 +51,25 @@
 	}
 	s.planner.crashes.suspects[id] = j
 }
+
+// TestProbationOutlastsWithdrawnCrashes covers a job on probation whose only crash turns out to be
+// none, since the upstream answers again, and is stored as such before the next plan.
+func TestProbationOutlastsWithdrawnCrashes(t *testing.T) {
+	s := newSimulation(t, 2, plainQueue())
+	s.submit("job", "queue", smallStep(1))
+	j := s.planner.jobs["job"]
+	j.crashes = cacrash.New()
+	j.crashes.Add(cacrash.Task{}, cacrash.Crash{Upstream: "up-01", Incarnation: 1, Blamed: true, Unresolved: true})
+	s.planner.crashes.suspects["job"] = j
+	s.planner.crashes.openSince["up-01"] = s.now
+	s.planner.updateProbation()
+	if diff := cmp.Diff(true, j.onProbation); diff != "" {
+		t.Fatalf("job on probation (-want +got):\n%s", diff)
+	}
+	s.report("up-01", nil, nil)
+	s.commit()
+	s.planner.Plan()
+	if diff := cmp.Diff(false, j.onProbation); diff != "" {
+		t.Errorf("job on probation without a crash (-want +got):\n%s", diff)
+	}
+}
