Renewals of upstreams declared silent acknowledge no ends

What callers would see: a task that ended in a restarted upstream runs again, or its failed attempt does not count, since the end was discarded before any leader had seen it.

Cause: an upstream that left a renewal unanswered may answer the next one in a later incarnation, which numbers its ends from 1 again, so that such a renewal acknowledges no end. The declaration of silence (LOST) added a case before that one, and an upstream is declared silent because it leaves renewals unanswered: its renewals acknowledged the ends of the earlier incarnation.

Evidence: TestRenewalOfUpstreamDeclaredSilentForgetsNoEnds failed before, the ends acknowledged were 1, 0, 1, 1 instead of 1, 0, 0, 0. Found by reading. The order of the cases is back to that of before, and the declaration only keeps the lease from being extended.

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -598,11 +598,10 @@
 		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
 	}
 	switch {
-	case !b.mayExtendLease(u):
 	case u.renewalUnanswered:
 		// A later incarnation may answer. It numbers its ends from 1 again.
 		l.StoredEnd = 0
-	default:
+	case b.mayExtendLease(u):
 		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
 	}
 	if l.EndMS > 0 {
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -125,3 +125,42 @@
 		t.Errorf("upstreams declared as silent by the successor (-want +got):\n%s", diff)
 	}
 }
+
+// TestRenewalOfUpstreamDeclaredSilentForgetsNoEnds covers an upstream that ended a run, was declared as
+// silent and restarts. Its later incarnation numbers its ends from 1 again, so that a renewal that
+// acknowledges the ends of the earlier one makes it forget ends that nobody has seen.
+func TestRenewalOfUpstreamDeclaredSilentForgetsNoEnds(t *testing.T) {
+	s := newSimulation(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(2), smallStep(2))
+	for len(s.planner.upstreams["up-00"].runs) < 2 {
+		if len(s.startAll()) == 0 {
+			t.Fatal("up-00 runs fewer than two tasks")
+		}
+	}
+	var running []RunningRun
+	for _, r := range s.planner.upstreams["up-00"].sortedRuns() {
+		running = append(running, RunningRun{Run: r.id})
+	}
+	s.report("up-00", running[1:], []EndedRun{{Run: running[0].Run, Ending: EndingDone}})
+	s.commit()
+	acknowledged := func() int64 {
+		lease, ok := s.planner.RenewLease("up-00")
+		if !ok {
+			t.Fatal("the lease of up-00 is not renewed")
+		}
+		return lease.StoredEnd
+	}
+	got := []int64{acknowledged()}
+	s.planner.MarkRenewalUnanswered("up-00")
+	got = append(got, acknowledged())
+	declared, silent := s.silentBatch()
+	if diff := cmp.Diff(1, len(silent)); diff != "" {
+		t.Fatalf("upstreams declared as silent (-want +got):\n%s", diff)
+	}
+	got = append(got, acknowledged())
+	s.planner.MarkStored(declared)
+	got = append(got, acknowledged())
+	if diff := cmp.Diff([]int64{1, 0, 0, 0}, got); diff != "" {
+		t.Errorf("ends acknowledged while the upstream answers, does not, is being declared as silent, was declared (-want +got):\n%s", diff)
+	}
+}
