Test: a long-running job on probation is restarted one task at a time

What callers see: tasks of a long-running job wait for longer than 6 s although there is room, after the leader and the upstreams of several of them are lost together.

Cause: a new leader takes all inherited runs for suspects until their upstream has answered it, so that all tasks lost then put their job on probation. A job on probation starts on one upstream only, until that has survived the run for a second, and its other tasks are held back meanwhile. With MaxPerUpstream 1 this restarts one task a second, whether or not any crash counts for the job.

Not mended here.

--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,42 @@
 		t.Errorf("job on probation without a crash (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunningJobIsRestartedOneTaskAtATime covers a loss of power that takes the leader and all
+// upstreams of a long-running job, which are back at once. No task had harmed any of them, and the
+// next leader has room for all.
+func TestLongRunningJobIsRestartedOneTaskAtATime(t *testing.T) {
+	const tasks = 8
+	cell := newStoredCell(t)
+	for i := len(cell.upstreams); i < 2*tasks; i++ {
+		info := cell.upstreams[0]
+		info.ID = cawork.UpstreamID(fmt.Sprintf("up-%d", i))
+		cell.upstreams = append(cell.upstreams, info)
+	}
+	first := cell.lead(false)
+	first.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{longRunningStep(tasks)}}, false)
+	orders := first.start()
+	if diff := cmp.Diff(tasks, len(orders)); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for range 30 {
+		first.advance(time.Second)
+		for _, o := range orders {
+			first.planner.RenewLease(o.Upstream)
+		}
+		if again := first.start(); len(again) > 0 {
+			t.Fatalf("%d tasks are started again while they run", len(again))
+		}
+	}
+	for _, o := range orders {
+		cell.restart(o)
+	}
+	next := cell.lead(false)
+	lostAt := next.now
+	for started := 0; started < tasks; next.advance(20 * time.Millisecond) {
+		started += len(next.start())
+		if next.now.Sub(lostAt) > restartBound {
+			t.Fatalf("%d of %d tasks run %v after they were lost, want all", started, tasks, restartBound)
+		}
+	}
+}
