Test: a start without an answer counts for each restart of its upstream

What callers would see: a job that harms nothing is shown as failed. One upstream had crashed under it; the order of the second start met an upstream that had just crashed and crashed again.

Cause: a run whose start has no answer may be carried out late by each later incarnation, so that each end of an incarnation counts for it. On probation such a crash counts as if the run had begun, but one start is carried out once at most.

Evidence: fails, three crashes are counted for two starts and the job is given up. Not mended here: at most one crash should count for a run that was never confirmed.

--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -338,3 +338,26 @@
 		t.Errorf("crashes after the upstream left (-want +got):\n%s", diff)
 	}
 }
+
+// TestStartWithoutAnswerCountsForEachRestart covers a task that was started twice. An upstream crashed
+// under the first run; it restarts twice before it gets the order of the second one and its stop.
+func TestStartWithoutAnswerCountsForEachRestart(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.crash(l.submitJob())
+	l.planner.Plan()
+	orders := l.commit()
+	if diff := cmp.Diff(1, len(orders)); diff != "" {
+		t.Fatalf("starts after the first crash (-want +got):\n%s", diff)
+	}
+	l.planner.ApplyStartOutcome(orders[0], StartUnknown, 0)
+	for range 2 {
+		l.restart(orders[0])
+		l.planner.SetUpstreams(l.upstreams)
+		l.advance(2 * judgementDelay)
+		l.planner.ExpireLeases()
+	}
+	if l.planner.jobs["job"].Phase == castate.PhaseFailed {
+		t.Errorf("three crashes are counted for two starts: %+v",
+			l.planner.jobs["job"].crashes.Crashes(cacrash.Task{}))
+	}
+}
