Test: long-running tasks wait for the probation of other jobs after a loss of power

What callers see: long-running tasks wait for longer than 6 s in a cell that is half empty, after the leader and the upstreams are lost together.

Cause: a new leader takes every inherited run for a suspect until its upstream has answered it, however long it had run before. Each job with such a run is on probation, and an upstream takes tasks of one job on probation at a time, for a second each: 48 jobs with one task each start on 6 upstreams in 8 rounds.

Not mended here: that an upstream has survived a long-running run should be stored, so that the next leader does not suspect it.

--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -113,3 +113,32 @@
 		}
 	}
 }
+
+// TestInheritedRunsGoOnProbationAtOnce covers a loss of power that takes the leader and all upstreams of
+// a cell with many long-running jobs of one task each. Each of the jobs is on probation, which keeps
+// all others from the upstream of its task.
+func TestInheritedRunsGoOnProbationAtOnce(t *testing.T) {
+	const jobs = 48
+	cell := newStoredCell(t)
+	first := cell.lead(false)
+	for i := range jobs {
+		first.planner.open(caspec.Submission{
+			ID: cawork.JobID(fmt.Sprintf("job-%02d", i)), Queue: "queue", Team: "north",
+			Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second, LongRunning: true}},
+		}, false)
+	}
+	if diff := cmp.Diff(jobs, len(first.start())); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for i := range cell.upstreams {
+		cell.upstreams[i].Incarnation++
+	}
+	next := cell.lead(false)
+	lostAt := next.now
+	for started := 0; started < jobs; next.advance(20 * time.Millisecond) {
+		started += len(next.start())
+		if next.now.Sub(lostAt) > restartBound {
+			t.Fatalf("%d of %d tasks run %v after they were lost, want all", started, jobs, restartBound)
+		}
+	}
+}
