Test: a long-running task waits for the probation of another one of its job

What callers see: a long-running task that failed waits for up to 20 s although there is room.

Cause: while a task of a job is on probation, all others of the job are held back. A task under which two upstreams crashed after it had run for 15 s there is on probation for 20 s at the next one, though it was no suspect of either crash.

Evidence: fails, the other task waits for longer than 6 s. Not mended here: long-running tasks should not be held back by others of their job.

--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -142,3 +142,40 @@
 		}
 	}
 }
+
+// TestLongRunningTaskWaitsForProbationOfAnother covers a long-running task that fails while another
+// one of its job, under which two upstreams have crashed after 15 s each, is on probation for 20 s.
+func TestLongRunningTaskWaitsForProbationOfAnother(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{longRunningStep(2)}}, false)
+	orders := l.start()
+	if diff := cmp.Diff(2, len(orders)); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	unlucky, other := orders[0], orders[1]
+	for range 2 {
+		l.runBoth(unlucky, other, 15*time.Second)
+		l.crash(unlucky)
+		unlucky = l.startOne()
+	}
+	l.runBoth(unlucky, other, 2*time.Second)
+	l.planner.ApplyReport(Report{
+		Upstream: other.Upstream, Born: 1, SentAt: l.now, ReceivedAt: l.now, ClockMS: 1,
+		Ended: []EndedRun{{Number: 1, Run: other.Run, Ending: EndingFailed}},
+	})
+	for failedAt := l.now; len(l.start()) == 0; {
+		l.advance(20 * time.Millisecond)
+		l.planner.RenewLease(unlucky.Upstream)
+		if l.now.Sub(failedAt) > restartBound {
+			t.Fatalf("the other task waits for longer than %v", restartBound)
+		}
+	}
+}
+
+// runBoth lets two runs go on.
+func (l *storedLeader) runBoth(x, y StartOrder, duration time.Duration) {
+	for range int(duration.Seconds()) {
+		l.planner.RenewLease(y.Upstream)
+		l.run(x, time.Second)
+	}
+}
