Test: an inherited run of an upstream that no longer exists waits for its lease

What callers see: a long-running task that was lost with its upstream and the leader is not restarted for 10 s, though the machine is back.

Cause: another id that answers at the address proves that the upstream no longer exists. Only runs that it confirmed to this leader are given up then, which no inherited run is. A later incarnation with the same id gives them up with its first report.

Not mended here.

--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -164,3 +164,25 @@
 		t.Errorf("ends acknowledged while the upstream answers, does not, is being declared as silent, was declared (-want +got):\n%s", diff)
 	}
 }
+
+// TestInheritedRunOfVanishedUpstreamWaitsForItsLease covers an upstream whose machine is back under another
+// id while the leader changes, so that the address of the upstream proves that it no longer exists.
+func TestInheritedRunOfVanishedUpstreamWaitsForItsLease(t *testing.T) {
+	s := newSimulation(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", longRunningStep(1))
+	start := s.startAll()[0]
+	s.report(start.Upstream, []RunningRun{{Run: start.Run}}, nil)
+	s.advance(30 * time.Second)
+	s.report(start.Upstream, []RunningRun{{Run: start.Run}}, nil)
+	next := s.newLeader()
+	lostAt := next.now
+	next.planner.MarkRenewalUnanswered(start.Upstream)
+	next.planner.MarkIncarnationGone(start.Upstream)
+	for task := &next.planner.jobs["0000000000000001"].OpenOccurrences[0].Steps[0].Tasks[0]; task.Phase != castate.TaskWaiting; {
+		next.advance(100 * time.Millisecond)
+		next.planner.ExpireLeases()
+		if next.now.Sub(lostAt) > restartBound {
+			t.Fatalf("the task is not given up for %v, though its upstream no longer exists", restartBound)
+		}
+	}
+}
