Test: reservations of first starts keep restarts from reserving

What callers see: long-running tasks wait for up to 46 s for their restart beside a backlog of large tasks, as in the report of LOST.

Cause: a step that has waited for 10 s reserves room for one task, and all reservations for single tasks share one bound of the pool. A backlog of large tasks uses it up, so that the room of a long-running task that fails can not be reserved, and is taken before its ticket arrives.

Not mended here.

--- a/internal/cell/caboard/reservedroom_test.go
+++ b/internal/cell/caboard/reservedroom_test.go
@@ -529,3 +529,29 @@
 		t.Errorf("a task that has waited for %v gets no reservation from a new leader", 3*firstStartPatience-maxRestoredAge)
 	}
 }
+
+// TestReservationsOfFirstStartsKeepRestartsFromReserving covers a backlog of large tasks that have waited
+// for long. Their reservations take the share of the pool that may be reserved, so that none is left
+// for long-running tasks that fail.
+func TestReservationsOfFirstStartsKeepRestartsFromReserving(t *testing.T) {
+	for seed := range int64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := newBusyPool(t, seed, 24)
+			for i := range 4 {
+				p.submit(fmt.Sprintf("service-%d", i), "service", longRunningStep(5))
+			}
+			p.run(10 * time.Second)
+			for i := range 400 {
+				p.planner.open(caspec.Submission{
+					ID: cawork.JobID(fmt.Sprintf("large-%03d", i)), Queue: busyPoolSmallID, Team: "north",
+					Steps: []caspec.Step{{Tasks: 1, CPU: 14000, Memory: cawork.GiB, Estimate: 10 * time.Second}},
+				}, false)
+			}
+			p.run(60 * time.Second)
+			if p.longestWait > restartBound {
+				t.Errorf("a long-running task waited %v for its restart, want at most %v", p.longestWait, restartBound)
+			}
+		})
+	}
+}
