--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,108 @@
 		t.Errorf("job on probation without a crash (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunningJobIsRestartedOneTaskAtATime covers a loss of power that takes the leader and all
+// upstreams of a long-running job, which are back at once. No task had harmed any of them, and the
+// next leader has room for all.
+func TestLongRunningJobIsRestartedOneTaskAtATime(t *testing.T) {
+	const tasks = 8
+	cell := newStoredCell(t)
+	for i := len(cell.upstreams); i < 2*tasks; i++ {
+		info := cell.upstreams[0]
+		info.ID = cawork.UpstreamID(fmt.Sprintf("up-%d", i))
+		cell.upstreams = append(cell.upstreams, info)
+	}
+	first := cell.lead(false)
+	first.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{longRunningStep(tasks)}}, false)
+	orders := first.start()
+	if diff := cmp.Diff(tasks, len(orders)); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for range 30 {
+		first.advance(time.Second)
+		for _, o := range orders {
+			first.planner.RenewLease(o.Upstream)
+		}
+		if again := first.start(); len(again) > 0 {
+			t.Fatalf("%d tasks are started again while they run", len(again))
+		}
+	}
+	for _, o := range orders {
+		cell.restart(o)
+	}
+	next := cell.lead(false)
+	lostAt := next.now
+	for started := 0; started < tasks; next.advance(20 * time.Millisecond) {
+		started += len(next.start())
+		if next.now.Sub(lostAt) > restartBound {
+			t.Fatalf("%d of %d tasks run %v after they were lost, want all", started, tasks, restartBound)
+		}
+	}
+}
+
+// TestInheritedRunsGoOnProbationAtOnce covers a loss of power that takes the leader and all upstreams of
+// a cell with many long-running jobs of one task each. Each of the jobs is on probation, which keeps
+// all others from the upstream of its task.
+func TestInheritedRunsGoOnProbationAtOnce(t *testing.T) {
+	const jobs = 48
+	cell := newStoredCell(t)
+	first := cell.lead(false)
+	for i := range jobs {
+		first.planner.open(caspec.Submission{
+			ID: cawork.JobID(fmt.Sprintf("job-%02d", i)), Queue: "queue", Team: "north",
+			Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second, LongRunning: true}},
+		}, false)
+	}
+	if diff := cmp.Diff(jobs, len(first.start())); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for i := range cell.upstreams {
+		cell.upstreams[i].Incarnation++
+	}
+	next := cell.lead(false)
+	lostAt := next.now
+	for started := 0; started < jobs; next.advance(20 * time.Millisecond) {
+		started += len(next.start())
+		if next.now.Sub(lostAt) > restartBound {
+			t.Fatalf("%d of %d tasks run %v after they were lost, want all", started, jobs, restartBound)
+		}
+	}
+}
+
+// TestLongRunningTaskWaitsForProbationOfAnother covers a long-running task that fails while another
+// one of its job, under which two upstreams have crashed after 15 s each, is on probation for 20 s.
+func TestLongRunningTaskWaitsForProbationOfAnother(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{longRunningStep(2)}}, false)
+	orders := l.start()
+	if diff := cmp.Diff(2, len(orders)); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	unlucky, other := orders[0], orders[1]
+	for range 2 {
+		l.runBoth(unlucky, other, 15*time.Second)
+		l.crash(unlucky)
+		unlucky = l.startOne()
+	}
+	l.runBoth(unlucky, other, 2*time.Second)
+	l.planner.ApplyReport(Report{
+		Upstream: other.Upstream, Born: 1, SentAt: l.now, ReceivedAt: l.now, ClockMS: 1,
+		Ended: []EndedRun{{Number: 1, Run: other.Run, Ending: EndingFailed}},
+	})
+	for failedAt := l.now; len(l.start()) == 0; {
+		l.advance(20 * time.Millisecond)
+		l.planner.RenewLease(unlucky.Upstream)
+		if l.now.Sub(failedAt) > restartBound {
+			t.Fatalf("the other task waits for longer than %v", restartBound)
+		}
+	}
+}
+
+// runBoth lets two runs go on.
+func (l *storedLeader) runBoth(x, y StartOrder, duration time.Duration) {
+	for range int(duration.Seconds()) {
+		l.planner.RenewLease(y.Upstream)
+		l.run(x, time.Second)
+	}
+}
