LOST: restarts of long-running tasks reserve room beside a backlog of first starts

Cause: a step that has waited for 10 s reserves room for one task. These reservations and those of restarts shared one bound of the pool, and no upstream takes two. A backlog used the bound up, so that the room of a long-running task that failed could not be reserved and was taken by short work.

Change: restarts have the bound for themselves, and take over the reservation of a first start where no upstream without one has room within a second more. Gangs keep theirs.

--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -20,14 +20,15 @@
 
 const (
 	// maxTaskReservedShare is the fraction of the CPU of a pool, and maxTaskReservedUpstreams
-	// that of its upstreams, at which no more room is reserved for single tasks. Gangs do not
-	// reserve where a task has.
+	// that of its upstreams, at which no more room is reserved for single tasks, or for restarts
+	// alone. Gangs do not reserve where a task has.
 	maxTaskReservedShare     = 0.2
 	maxTaskReservedUpstreams = 0.4
 	// maxOverdueReservation is how long room that does not become free stays reserved.
 	maxOverdueReservation = 3 * time.Second
 	// avoidedUpstreamDelay is how much later than elsewhere the room at an upstream that the
-	// task should avoid may be complete before that upstream is preferred nevertheless.
+	// task should avoid, or that is reserved for a first start, may be complete before that
+	// upstream is preferred nevertheless.
 	avoidedUpstreamDelay = time.Second
 	// firstStartPatience is how long tasks other than those to restart wait without reserved
 	// room.
@@ -190,7 +191,8 @@
 		p.releaseTask(s, u)
 	}
 	for _, slot := range chosen {
-		if slot.upstream.reservedBy == nil && p.mayReserveTask() {
+		if s.mayReserveAt(slot.upstream) && p.mayReserveTask(s) {
+			p.dropFirstStart(slot.upstream)
 			b.reserveTask(s, p, slot)
 		}
 	}
@@ -203,12 +205,12 @@
 	for _, u := range s.reservation.upstreams {
 		slots = append(slots, expectedSlot{upstream: u, freeAt: u.reservedFrom})
 	}
-	if !p.mayReserveTask() && len(slots) == 0 {
+	if !p.mayReserveTask(s) && len(slots) == 0 {
 		return nil
 	}
 	avoided := s.upstreamsToAvoid()
 	for _, u := range b.usableUpstreams(s, q, p) {
-		if u.reservedBy != nil {
+		if !s.mayReserveAt(u) {
 			continue
 		}
 		freeAt, ok := b.expectedRoom(s, q, u)
@@ -228,7 +230,7 @@
 	if len(s.reservation.upstreams) > 0 {
 		delay += minReservationGain
 	}
-	if avoided[u.info.ID] || u.health.ejections > 0 {
+	if avoided[u.info.ID] || u.health.ejections > 0 || u.reservedBy != nil {
 		delay += avoidedUpstreamDelay
 	}
 	if r := s.reservation; r.passedOver == u && b.now.Monotonic.Sub(r.passedOverAt) < maxReservationAge {
@@ -250,10 +252,46 @@
 	return avoided
 }
 
-// mayReserveTask reports whether more room of the pool may be reserved for single tasks.
-func (p *poolPlan) mayReserveTask() bool {
-	return p.taskReservedCPU < maxTaskReservedShare*float64(p.capacity) &&
-		float64(p.taskReservations) < max(maxTaskReservedUpstreams*float64(len(p.upstreams)), 1)
+// mayReserveAt reports whether the step may reserve room for a task at the upstream: no room is
+// reserved there, or restarts take that of a first start.
+func (s *step) mayReserveAt(u *upstream) bool {
+	other := u.reservedBy
+	return other == nil || s.tasksToRestart > 0 && other.reservesForFirstStart()
+}
+
+// reservesForFirstStart reports whether the step reserves room for a single task that never ran.
+func (s *step) reservesForFirstStart() bool { return !s.spec.Gang && s.tasksToRestart == 0 }
+
+// mayReserveTask reports whether more room of the pool may be reserved for single tasks of the
+// step. Only other restarts count against restarts.
+func (p *poolPlan) mayReserveTask(s *step) bool {
+	cpu, reservations := p.taskReservedCPU, p.taskReservations
+	if s.tasksToRestart > 0 {
+		cpu, reservations = p.reservedForRestarts()
+	}
+	return cpu < maxTaskReservedShare*float64(p.capacity) &&
+		float64(reservations) < max(maxTaskReservedUpstreams*float64(len(p.upstreams)), 1)
+}
+
+// reservedForRestarts returns the CPU that is reserved for restarts, and at how many upstreams.
+func (p *poolPlan) reservedForRestarts() (cpu float64, reservations int) {
+	for _, u := range p.upstreams {
+		if u.reservedBy != nil && u.reservedBy.tasksToRestart > 0 {
+			cpu += float64(u.reservedRoom.CPU)
+			reservations++
+		}
+	}
+	return cpu, reservations
+}
+
+// dropFirstStart ends the reservation for a first start at the upstream, if there is one.
+func (p *poolPlan) dropFirstStart(u *upstream) {
+	other := u.reservedBy
+	if other == nil || !other.reservesForFirstStart() {
+		return
+	}
+	p.releaseTask(other, u)
+	other.reservation.upstreams = slices.DeleteFunc(other.reservation.upstreams, func(reserved *upstream) bool { return reserved == u })
 }
 
 // reserveTask reserves room for a task of the step.
