BUDGET: crashes that an earlier leader left unresolved wait for an answer

A crash is unresolved while its upstream may only be unreachable; after 30 s it counts. A leader of a build that keeps no crashes (a roll-back) leaves the record as it is, also when the upstream answers it. The next leader that reads the record counted the crash at once, since it is older than 30 s, and so blamed a job for an upstream that lives. The same holds for any pause of 30 s without a leader.

Now such a crash is counted only once the upstream did not answer this leader for the length of a lease either; an answer withdraws it. TestUnresolvedCrashOfEarlierLeaderIsWithdrawn failed in two of its three cases before. Tests of caboard and cacrash pass.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -271,11 +271,16 @@
 	}
 }
 
-// expireUnresolvedCrashes counts the unresolved crashes of upstreams that were silent for long.
+// expireUnresolvedCrashes counts the unresolved crashes of upstreams that were silent for long. Those
+// that an earlier leader stored are not counted before their upstreams had time to answer this one:
+// they may have answered a leader in between that keeps no crashes.
 func (b *Planner) expireUnresolvedCrashes() {
 	before := b.now.WallMS - unresolvedTimeout.Milliseconds()
+	isSilent := func(id cawork.UpstreamID) bool {
+		return b.now.Monotonic.Sub(b.crashes.openSince[id]) >= LeaseDuration
+	}
 	for _, j := range b.sortedSuspects() {
-		if j.crashes.ResolveOld(before) {
+		if j.crashes.ResolveOld(before, isSilent) {
 			j.crashedAt = b.now.Monotonic
 			b.markCrashesChanged(j)
 		}
--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -282,6 +282,46 @@
 	}
 }
 
+// TestUnresolvedCrashOfEarlierLeaderIsWithdrawn covers an upstream that was cut off under one leader
+// and answered the next ones, of an earlier build, which leaves the stored crashes as they are. A later
+// leader that finds them must not count a crash before it heard of the upstream itself.
+func TestUnresolvedCrashOfEarlierLeaderIsWithdrawn(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		answers bool
+		want    int
+	}{
+		"answers at once":     {silence: time.Second, answers: true, want: 0},
+		"does not answer yet": {silence: time.Second, want: 0},
+		"does not answer":     {silence: LeaseDuration, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cell := newStoredCell(t)
+			first := cell.lead(false)
+			order := first.submitJob()
+			first.advance(12 * time.Second)
+			first.planner.ExpireLeases()
+			first.commit()
+			cell.lead(true).advance(2 * unresolvedTimeout)
+			l := cell.lead(false)
+			l.advance(test.silence)
+			l.planner.ExpireLeases()
+			if test.answers {
+				l.planner.ApplyReport(Report{Upstream: order.Upstream, Born: 1, SentAt: l.now, ReceivedAt: l.now, ClockMS: 1})
+			}
+			counted := 0
+			for _, c := range l.planner.jobs["job"].crashes.Crashes(cacrash.Task{}) {
+				if !c.Unresolved && !c.Present {
+					counted++
+				}
+			}
+			if diff := cmp.Diff(test.want, counted); diff != "" {
+				t.Errorf("counted crashes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestLongRunningTaskIsClearedOnceItRuns covers a long-running task whose upstreams crash now and then
 // for other reasons. Over its life these crashes must not add up until its job is given up.
 func TestLongRunningTaskIsClearedOnceItRuns(t *testing.T) {
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -151,10 +151,10 @@
 	return h.resolve(func(c Crash) bool { return (c.Unresolved || c.Present) && c.Upstream == id && c.Incarnation < before })
 }
 
-// ResolveOld counts the crashes that were unresolved before the given time, in Unix milliseconds. It
-// reports whether the history changed.
-func (h *History) ResolveOld(beforeMS int64) bool {
-	return h.resolve(func(c Crash) bool { return c.Unresolved && c.AtMS < beforeMS })
+// ResolveOld counts the crashes that were unresolved before the given time, in Unix milliseconds, of
+// the upstreams that are silent. It reports whether the history changed.
+func (h *History) ResolveOld(beforeMS int64, isSilent func(cawork.UpstreamID) bool) bool {
+	return h.resolve(func(c Crash) bool { return c.Unresolved && c.AtMS < beforeMS && isSilent(c.Upstream) })
 }
 
 func (h *History) resolve(matches func(Crash) bool) bool {
