BUDGET: a task that crashed upstreams under an earlier build is suspected

The earlier build counts nothing, so that this one began anew: three crashes more.

Cause: what was counted is only known to leaders that count. The record of a job tells how many runs of a task were ordered and how many failed; a run that ended in neither way may have met a crash.

Now records carry a mark (a field of the map, key 10) of leaders that count crashes; earlier builds drop it with each change. A leader that finds a job without the mark suspects the tasks with two runs or more that ended without a report and are not in the stored crashes. The last of them counts as an unresolved crash of its upstream, which the answer of that upstream in the same incarnation withdraws: tasks that were stopped, copied or refused are cleared within one round of reports. Such a task is given up at the next crash of which it is the only suspect, or the second in any case: two upstreams have crashed under it then. Gangs are left out.

TestTaskThatCrashedUpstreamsUnderEarlierBuildIsGivenUp failed before in three of its five cases (3 starts). The stand-in for an earlier build in that file now drops the mark from the records it writes, as such a build does.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -26,6 +26,10 @@
 // other crashes may show a common cause.
 const judgementDelay = time.Second
 
+// maxUncountedRuns is how many runs of a task may end without a report, under leaders that count no
+// crashes, before these are presumed to be crashes.
+const maxUncountedRuns = 2
+
 // crashState is what the planner keeps about crashes of upstreams.
 type crashState struct {
 	// suspects are the jobs with crashes that have not ended.
@@ -315,12 +319,52 @@
 			b.crashes.openSince[u] = b.now.Monotonic
 		}
 	}
+	b.presumeUncountedCrashes()
 	for _, u := range b.sortedUpstreams {
 		b.countInheritedCrashes(u)
 		b.resolveCrashes(u.info.ID, u.info.Incarnation)
 	}
 }
 
+// presumeUncountedCrashes presumes crashes under the tasks that were started again and again by
+// leaders that count none, such as those of an earlier build. The answer of the upstream that had
+// the last run withdraws it.
+func (b *Planner) presumeUncountedCrashes() {
+	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
+		j := b.jobs[id]
+		if j.CrashesCounted || j.Phase.IsFinal() {
+			continue
+		}
+		j.CrashesCounted = true
+		for _, s := range j.steps {
+			b.presumeCrashesOfStep(s)
+		}
+	}
+}
+
+// presumeCrashesOfStep presumes crashes under the tasks of a step. The members of a gang are started
+// again for many reasons.
+func (b *Planner) presumeCrashesOfStep(s *step) {
+	if s.spec.Gang {
+		return
+	}
+	for i, t := range s.state().Tasks {
+		uncounted := t.Run - t.Failures - len(s.job.crashes.Crashes(s.crashTask(i)))
+		if t.Phase == castate.TaskDone || uncounted < maxUncountedRuns {
+			continue
+		}
+		if s.job.crashes == nil {
+			s.job.crashes = cacrash.New()
+		}
+		s.job.crashes.Add(s.crashTask(i), cacrash.Crash{
+			Upstream: t.Upstream, Incarnation: t.Born, Unresolved: true, Blamed: true, Repeated: true, AtMS: b.now.WallMS,
+		})
+		b.crashes.suspects[s.job.Submission.ID] = s.job
+		b.crashes.openSince[t.Upstream] = b.now.Monotonic
+		b.markCrashesChanged(s.job)
+	}
+}
+
 // countInheritedCrashes counts the crash of an upstream that an earlier leader did not notice: its
 // runs were assigned to an earlier incarnation. Whether they are to blame is not known, so that
 // they count as suspects.
--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -99,13 +99,34 @@
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	storeRecords(l.jobs, batch.Records)
-	if !l.isOld {
+	if l.isOld {
+		batch.Records = l.withoutNewFields(batch.Records)
+	} else {
 		storeRecords(l.crashes, batch.Crashes)
 	}
+	storeRecords(l.jobs, batch.Records)
 	return l.planner.MarkStored(batch)
 }
 
+// withoutNewFields returns records of jobs as an earlier build writes them.
+func (c *storedCell) withoutNewFields(records []Record) []Record {
+	c.t.Helper()
+	for i, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		state, err := castate.DecodeJob(r.Value)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		state.CrashesCounted = false
+		if records[i].Value, err = state.Encode(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	return records
+}
+
 // start starts what may start now.
 func (l *storedLeader) start() []StartOrder {
 	l.t.Helper()
@@ -239,6 +260,69 @@
 	}
 }
 
+// TestTaskThatCrashedUpstreamsUnderEarlierBuildIsGivenUp covers an upgrade while a task crashes each
+// upstream that starts it: the earlier build counted nothing, so that the later one began anew and
+// started it three times more. A task that was started as often for other reasons must not be suspected.
+func TestTaskThatCrashedUpstreamsUnderEarlierBuildIsGivenUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		isDeadly  bool
+		oldStarts int
+		maxStarts int
+		suspected bool
+	}{
+		"two crashes before":           {isDeadly: true, oldStarts: 2, maxStarts: 2, suspected: true},
+		"three crashes before":         {isDeadly: true, oldStarts: 3, maxStarts: 2, suspected: true},
+		"four crashes before":          {isDeadly: true, oldStarts: 4, maxStarts: 1, suspected: true},
+		"restarts, the upstreams live": {oldStarts: 5, maxStarts: 1},
+		"one crash before":             {isDeadly: true, oldStarts: 1, maxStarts: 3, suspected: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cell := newStoredCell(t)
+			old := cell.lead(true)
+			order := old.submitJob()
+			for i := range test.oldStarts {
+				if i > 0 {
+					old = cell.lead(true)
+					order = old.startOne()
+				}
+				if test.isDeadly {
+					cell.restart(order)
+					old.planner.SetUpstreams(cell.upstreams)
+				} else {
+					old.advance(time.Millisecond)
+					old.planner.ApplyReport(Report{Upstream: order.Upstream, Born: order.Born, SentAt: old.now, ReceivedAt: old.now, ClockMS: 1})
+				}
+				old.commit()
+			}
+			l := cell.lead(false)
+			l.report()
+			if got := len(l.planner.jobs["job"].crashes.Crashes(cacrash.Task{})) > 0; got != test.suspected {
+				t.Errorf("the task is suspected: %v, want %v", got, test.suspected)
+			}
+			if !test.isDeadly {
+				return
+			}
+			starts := 0
+			for range 8 {
+				orders := l.start()
+				starts += len(orders)
+				for _, o := range orders {
+					cell.restart(o)
+				}
+				l.planner.SetUpstreams(cell.upstreams)
+				l.advance(judgementDelay)
+				l.planner.ExpireLeases()
+			}
+			if starts > test.maxStarts {
+				t.Errorf("%d starts by the later build, want at most %d", starts, test.maxStarts)
+			}
+			if phase, _ := l.planner.Phase("job"); phase != castate.PhaseFailed {
+				t.Errorf("the job is %v, want failed", phase)
+			}
+		})
+	}
+}
+
 // TestCrashesOfUnknownJobsAreDeleted covers a job whose record an earlier build deleted: it does not
 // delete the crashes.
 func TestCrashesOfUnknownJobsAreDeleted(t *testing.T) {
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -20,6 +20,9 @@
 	// the only suspect of one, and maxAllCrashes the number of all crashes in any case.
 	maxCrashes    = 3
 	maxAllCrashes = 4
+	// maxRepeatedCrashes replaces maxCrashes for a task that leaders which count no crashes started
+	// again and again before.
+	maxRepeatedCrashes = 2
 	// maxStored bounds the crashes kept of one task.
 	maxStored = 8
 	// provenAfter is how long an upstream must survive a run to clear it. Renewals wait at
@@ -66,6 +69,9 @@
 	// Present is set while the incarnation may still run the task though the task is no longer assigned
 	// to it, such as a run that was copied. It is no crash unless the incarnation ends.
 	Present bool `cbor:"11,keyasint,omitempty"`
+	// Repeated is set if several runs of the task ended before without a report, under leaders that
+	// count no crashes.
+	Repeated bool `cbor:"12,keyasint,omitempty"`
 	// Survived is for how long the upstream is known to have lived with the task.
 	Survived time.Duration `cbor:"6,keyasint,omitempty"`
 }
@@ -126,6 +132,7 @@
 	c.Sole = c.Sole || other.Sole
 	c.Confirmed = c.Confirmed || other.Confirmed
 	c.Probation = c.Probation || other.Probation
+	c.Repeated = c.Repeated || other.Repeated
 	isOpen := c.Unresolved || c.Present
 	c.Unresolved = isOpen && other.Unresolved
 	c.Present = isOpen && other.Present
@@ -242,6 +249,8 @@
 	// suspected counts the crashes of which the task was a suspect, and sole the certain ones of these
 	// without suspects of other jobs.
 	suspected, sole int
+	// repeated is set if several runs ended without a report before those that are counted.
+	repeated bool
 }
 
 func (h *History) tally(t Task, withUnresolved bool) tally {
@@ -268,7 +277,8 @@
 	n.all += count(hadBegun)
 	n.certain += count(isCertain)
 	n.suspected += count(c.Blamed)
-	n.sole += count(c.Blamed && isCertain && c.Sole)
+	n.sole += count(c.Blamed && isCertain && c.Sole && !c.Repeated)
+	n.repeated = n.repeated || c.Repeated
 }
 
 func count(matches bool) int {
@@ -285,6 +295,9 @@
 	if n.all >= maxAllCrashes {
 		return true
 	}
+	if n.repeated {
+		return n.sole > 0 || n.certain >= maxRepeatedCrashes
+	}
 	return n.sole > 0 && n.certain >= maxCrashes
 }
 
--- a/internal/cell/castate/job.go
+++ b/internal/cell/castate/job.go
@@ -92,6 +92,9 @@
 	// several runs at the same time. It deduplicates reports: an upstream repeats
 	// the end of a run until the leader acknowledges that the end is stored.
 	FailedRuns []FailedRunID `cbor:"9,keyasint,omitempty"`
+	// CrashesCounted is set by leaders that count the crashes of upstreams under the tasks of the
+	// job. Earlier builds do not, and drop this field with each change.
+	CrashesCounted bool `cbor:"10,keyasint,omitempty"`
 }
 
 // FailedRunID identifies a run that failed.
