--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -31,6 +31,8 @@
       --nodes=N              entries (5)
       --upstreams=N          upstreams (8)
       --dir=PATH             keep settings and logs in this folder
+      --previous=PATH        program of an earlier build, started in turn with
+                             this one
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -61,6 +61,7 @@
 	Nodes     int           `long:"nodes" default:"5" value-name:"N"`
 	Upstreams int           `long:"upstreams" default:"8" value-name:"N"`
 	Dir       string        `long:"dir" value-name:"PATH"`
+	Previous  string        `long:"previous" value-name:"PATH"`
 }
 
 // Entry are the options of the command entry.
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -110,7 +110,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, i), portPeerProxy))
 	}
 	for i := range o.Nodes {
-		n, err := newNode(dir, loopbackIP(o.RunIndex, i), fmt.Sprintf("node-%d", i), store, advisor, seeds, o.Command, o.Env)
+		n, err := newNode(dir, loopbackIP(o.RunIndex, i), fmt.Sprintf("node-%d", i), store, advisor, seeds, o.programsOf(i), o.Env)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/casoak/node.go
+++ b/internal/soak/casoak/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,11 +39,13 @@
 	name         string
 	ip           string
 	settingsPath string
-	program      []string
-	env          []string
-	storeProxy   *Proxy
-	peerProxy    *Proxy
-	logFile      *os.File
+	// programs are the command lines that the starts of the process take in turn.
+	programs   [][]string
+	starts     int
+	env        []string
+	storeProxy *Proxy
+	peerProxy  *Proxy
+	logFile    *os.File
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -59,8 +62,8 @@
 func (n *node) address(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
 
 // newNode creates the proxies and the settings file of a node.
-func newNode(dir, ip, name, store, advisor string, seeds []string, program, env []string) (*node, error) {
-	n := &node{name: name, ip: ip, program: program, env: env, settingsPath: filepath.Join(dir, name+".toml")}
+func newNode(dir, ip, name, store, advisor string, seeds []string, programs [][]string, env []string) (*node, error) {
+	n := &node{name: name, ip: ip, programs: programs, env: env, settingsPath: filepath.Join(dir, name+".toml")}
 	var err error
 	if n.storeProxy, err = NewProxy(n.address(portStoreProxy), store); err != nil {
 		return nil, err
@@ -85,8 +88,10 @@
 	if n.cmd != nil || n.downFaults > 0 {
 		return nil
 	}
-	arguments := append(n.program[1:], "node", "--settings="+n.settingsPath, "--advertise="+n.peerProxy.Address())
-	cmd := exec.Command(n.program[0], arguments...)
+	program := n.programs[n.starts%len(n.programs)]
+	n.starts++
+	arguments := append(slices.Clone(program[1:]), "node", "--settings="+n.settingsPath, "--advertise="+n.peerProxy.Address())
+	cmd := exec.Command(program[0], arguments...)
 	cmd.Env = append(os.Environ(), n.env...)
 	cmd.Stdout, cmd.Stderr = n.logFile, n.logFile
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -163,3 +163,14 @@
 	_, err = io.ReadFull(c, b[:])
 	return err == nil
 }
+
+// TestNodesStartBuildsInTurn guards against a soak of two builds in which one of them never leads.
+func TestNodesStartBuildsInTurn(t *testing.T) {
+	now, before := []string{"now"}, []string{"before", "flag"}
+	mixed := Options{Command: now, Previous: before}
+	want := [][][]string{{now}, {now, before}, {before, now}}
+	got := [][][]string{Options{Command: now}.programsOf(1), mixed.programsOf(0), mixed.programsOf(1)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("programs (-want +got):\n%s", diff)
+	}
+}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -41,6 +41,9 @@
 	// to its environment.
 	Command []string
 	Env     []string
+	// Previous is the command line of an earlier build, if any. Each node starts the two builds in
+	// turn, the nodes with odd numbers the earlier one first.
+	Previous []string
 	// Added are the kinds of fault that the plan has beside those of NewPlan.
 	Added []FaultKind
 	// Dir is the directory for settings files and logs.
@@ -55,6 +58,18 @@
 	return o
 }
 
+// programsOf returns the command lines that a node starts in turn.
+func (o Options) programsOf(node int) [][]string {
+	switch {
+	case len(o.Previous) == 0:
+		return [][]string{o.Command}
+	case node%2 == 1:
+		return [][]string{o.Previous, o.Command}
+	default:
+		return [][]string{o.Command, o.Previous}
+	}
+}
+
 // Report is the result of a soak run.
 type Report struct {
 	Plan []Fault
