--- a/internal/cell/caleader/golden_test.go
+++ b/internal/cell/caleader/golden_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/base/cagolden"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -19,6 +20,44 @@
 	return j
 }
 
+// jobWithoutCrashes is the record of a job of builds that count no crashes.
+type jobWithoutCrashes struct {
+	Submission      caspec.Submission     `cbor:"1,keyasint"`
+	AcceptedMS      int64                 `cbor:"2,keyasint"`
+	Phase           castate.Phase         `cbor:"3,keyasint,omitempty"`
+	OccurrenceCount int                   `cbor:"4,keyasint,omitempty"`
+	OpenOccurrences []*castate.Occurrence `cbor:"5,keyasint,omitempty"`
+	RunOrdered      bool                  `cbor:"6,keyasint,omitempty"`
+	OverRate        bool                  `cbor:"7,keyasint,omitempty"`
+	EndedMS         int64                 `cbor:"8,keyasint,omitempty"`
+	FailedRuns      []castate.FailedRunID `cbor:"9,keyasint,omitempty"`
+}
+
+// TestEarlierBuildKeepsJobButDropsMark covers a roll-back: the earlier build reads all that it knows of a
+// job, and drops the mark that its crashes are counted when it stores the job.
+func TestEarlierBuildKeepsJobButDropsMark(t *testing.T) {
+	marked := storedJob()
+	marked.CrashesCounted = true
+	value, err := marked.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read jobWithoutCrashes
+	if err := cbor.Unmarshal(value, &read); err != nil {
+		t.Fatal(err)
+	}
+	if value, err = cbor.Marshal(read); err != nil {
+		t.Fatal(err)
+	}
+	got, err := castate.DecodeJob(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(storedJob(), got); diff != "" {
+		t.Errorf("job that the earlier build stored (-want +got):\n%s", diff)
+	}
+}
+
 // TestRecordsOfEarlierBuildAreRead guards against records of the log that an earlier build, which led
 // before this one, stored in another form. The bytes are its own.
 func TestRecordsOfEarlierBuildAreRead(t *testing.T) {
