BUDGET: a start without an answer counts for one crash at most

What callers would see: a job that harms nothing is shown as failed, though one upstream crashed under it.

Cause: a start order without an answer may be carried out late, by any later incarnation, so that each end of an incarnation counted for it. On probation such a crash counts as if the run had begun.

Change: one order is carried out once at most, so at most one crash counts for a run that was never confirmed.

TestStartWithoutAnswerCountsForEachRestart failed before (three crashes counted for two starts) and passes; the tests of crashes in caboard pass.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -156,7 +156,7 @@
 // outlasted any probation has not caused it.
 func (b *Planner) addCrash(r *run, c cacrash.Crash) {
 	j := r.step.job
-	if r.step.orphan || j.Phase.IsFinal() || r.task().Phase == castate.TaskDone {
+	if r.step.orphan || j.Phase.IsFinal() || r.task().Phase == castate.TaskDone || !r.mayCountCrash(c.Incarnation) {
 		return
 	}
 	if r.step.spec.LongRunning && c.Survived >= cacrash.MaxProbation {
@@ -167,6 +167,7 @@
 	}
 	c.Confirmed, c.Probation = r.confirmed, r.onProbation || r.inherited && r.step.isOnProbation(r.id.Index)
 	c.AtMS = b.now.WallMS
+	r.crashCounted, r.crashedIn = true, c.Incarnation
 	if !j.crashes.Add(r.id.task(), c) {
 		return
 	}
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -104,6 +104,10 @@
 	reportedIncarnation int64
 	// inherited runs were started by an earlier leader.
 	inherited bool
+	// crashCounted is set once a crash of the upstream in incarnation crashedIn was counted for
+	// the run.
+	crashCounted bool
+	crashedIn    int64
 	// resumed runs start from a checkpoint.
 	resumed bool
 	// onProbation is set if it was started on probation.
@@ -145,6 +149,12 @@
 	}
 }
 
+// mayCountCrash reports whether the end of an incarnation of the upstream may count for the run. A start
+// order without an answer may meet several of them, but is carried out in one at most.
+func (r *run) mayCountCrash(incarnation int64) bool {
+	return r.confirmed || !r.crashCounted || r.crashedIn == incarnation
+}
+
 // mayStillStart reports whether the start order may still take effect, even in a later
 // incarnation of the upstream: it was not answered, and nothing has superseded it since.
 // Orders of earlier leaders are superseded by the fencing token of this one.
