--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -22,8 +22,11 @@
 	Crashes []Record
 	// Silent are the upstreams to declare as silent in the record of the claim.
 	Silent []SilentUpstream
-	starts []*run
-	ends   map[*upstream]endWatermark
+	// InheritedRemaining is the longest time until the leases that earlier leaders granted
+	// have expired.
+	InheritedRemaining time.Duration
+	starts             []*run
+	ends               map[*upstream]endWatermark
 }
 
 // endWatermark is the number of the last applied end of an incarnation of an upstream.
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -235,7 +235,10 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	batch := Batch{Silent: b.declareSilence(), Crashes: crashes, starts: b.pendingStarts, ends: b.endsToStore}
+	batch := Batch{
+		Silent: b.declareSilence(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
+		Crashes: crashes, starts: b.pendingStarts, ends: b.endsToStore,
+	}
 	for id, j := range b.changed {
 		value, err := j.Encode()
 		if err != nil {
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -13,6 +13,10 @@
 // and its successor goes on from there. This only holds as long as the leader does not
 // extend a lease that its log declares as running out: it extends it again once a later
 // append without that declaration is stored.
+//
+// A leader that is lost together with an upstream declares nothing. Once another process has
+// taken the place of its own, it is proved to grant no more leases, and those that it granted
+// are shorter than that wait.
 
 // firstAnswerTimeout is how long a new leader waits for the first answer of an upstream before
 // it declares that the upstream is silent.
@@ -59,6 +63,26 @@
 	return end
 }
 
+// MarkPreviousLeaderGone applies proof that the leader before grants no leases any more: those
+// that it granted expire within maxGranted, and inherited after this leader took over those of
+// the leaders before that one. It concerns the upstreams that have not answered yet: this
+// leader has granted them nothing.
+func (b *Planner) MarkPreviousLeaderGone(maxGranted, inherited time.Duration) {
+	until := b.now.Monotonic.Add(maxGranted)
+	if earlier := b.silence.leadingSince.Add(inherited); earlier.After(until) {
+		until = earlier
+	}
+	if !until.Before(b.inheritedUntil) {
+		return
+	}
+	b.inheritedUntil = until
+	for _, u := range b.sortedUpstreams {
+		if u.lastAnswerAt.IsZero() && u.leaseExpires.After(until) {
+			u.leaseExpires = until
+		}
+	}
+}
+
 func newSilenceLog(leadingSince time.Time) silenceLog {
 	return silenceLog{
 		inherited: make(map[cawork.UpstreamID]SilentUpstream), leadingSince: leadingSince,
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("upstreams declared as silent by the successor (-want +got):\n%s", diff)
 	}
 }
+
+// TestLeaseOfEarlierLeaderOutlastsProof covers a leader that is proved to have ended: its successor
+// still waits for the leases of the leaders before that one, and of upstreams that have answered.
+func TestLeaseOfEarlierLeaderOutlastsProof(t *testing.T) {
+	waits := map[string]time.Duration{}
+	for name, inherited := range map[string]time.Duration{"none inherited": 0, "inherited": 9 * time.Second, "answered": 0} {
+		next := newSilentUpstream(t).newLeader()
+		u, tookOverAt := next.planner.upstreams["up-00"], next.now
+		next.advance(time.Second)
+		if name == "answered" {
+			next.planner.markAnswered(u, next.now)
+		}
+		next.planner.MarkPreviousLeaderGone(7*time.Second, inherited)
+		waits[name] = u.leaseExpires.Sub(tookOverAt)
+	}
+	want := map[string]time.Duration{"none inherited": 8 * time.Second, "inherited": 9 * time.Second, "answered": 10 * time.Second}
+	if diff := cmp.Diff(want, waits); diff != "" {
+		t.Errorf("wait for the lease of a silent upstream (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -176,7 +176,7 @@
 	policy, layout := g.policyAndLayout()
 	request := helloRequest{
 		From: g.Self, PolicyVersion: policy.Version, HasAdvisor: g.Advisor != nil, Shard: l.shard, HasLayout: !layout.IsZero(),
-		ReachesStore: g.reachesStore(), DrainPosition: g.drainPosition(),
+		ReachesStore: g.reachesStore(), DrainPosition: g.drainPosition(), Process: g.Nonce,
 	}
 	began := g.Timer.Now()
 	reply, err := capeer.Call[helloRequest, helloReply](callCtx, g.PeerClient, address, callHello, request)
@@ -356,6 +356,7 @@
 	}
 	c := caleader.Claim{
 		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(), Silent: found.Claim.Silent,
+		Process: g.Nonce, InheritedRemaining: caleader.MaxInheritedLease,
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
 	defer cancel()
@@ -367,12 +368,12 @@
 	}
 	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
 		Str("leader_before", string(previous.VM)).Int64("token_before", previous.Token).Send()
-	l.startLeading(ctx, c, token, newEnd)
+	l.startLeading(ctx, c, found.Claim, token, newEnd)
 	return true
 }
 
 // startLeading starts the shard's leader in this entry. It runs until it is deposed.
-func (l *link) startLeading(ctx context.Context, c caleader.Claim, token, end int64) {
+func (l *link) startLeading(ctx context.Context, c, previous caleader.Claim, token, end int64) {
 	g := l.gate
 	relay := carelay.New(carelay.Deps{
 		Leader: g.Self.VM, Token: token, MinUpstreams: g.RelayMinUpstreams, Log: g.Log.With().Int("shard", l.shard).Logger(), Timer: g.Timer,
@@ -381,8 +382,9 @@
 	leader := caleader.New(caleader.Deps{
 		Shard: l.shard, MaxShards: g.MaxShards, View: g.policyAndLayout, OnLayoutStored: g.setLayout,
 		Log: g.Log.With().Int("shard", l.shard).Logger(), Scope: g.Scope, Timer: g.Timer, WallClockMS: g.WallMillis,
-		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token,
+		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token, Previous: previous,
 	}, c, token, end)
+	leader.ObserveProcess(g.Self.VM, g.Self.Address, g.Nonce)
 	g.mu.Lock()
 	l.observeLeader(leaderID{VM: g.Self.VM, Address: g.Self.Address, Token: token})
 	leader.SetDrains(g.drainView())
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -52,7 +52,8 @@
 	DrainBound time.Duration
 	// DrainStretch is added to DrainBound while the records of operators cannot be read.
 	DrainStretch time.Duration
-	// Nonce differs between restarts of the process on one VM.
+	// Nonce identifies this process. It grows with restarts on one VM, unless the time of day
+	// is set back.
 	Nonce int64
 	// OnLeadershipChange is called when this entry starts or stops leading a shard, with whether it
 	// leads any shard. It may be nil.
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -40,6 +40,9 @@
 	ReachesStore bool `cbor:"6,keyasint,omitempty"`
 	// DrainPosition is the position up to which the caller knows the drained zones.
 	DrainPosition int64 `cbor:"7,keyasint,omitempty"`
+	// Process identifies the process of the caller. Later ones of the same VM have higher
+	// numbers.
+	Process int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // helloReply describes the leader of the requested shard and, if the caller lacks them,
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -26,6 +26,7 @@
 	defer g.mu.Unlock()
 	now := g.Timer.Now()
 	g.roster.RecordCall(now, caroster.Hello{From: r.From, HasAdvisor: r.HasAdvisor, ReachesStore: r.ReachesStore})
+	g.observeProcess(r.From, r.Process)
 	reply := helloReply{PolicyVersion: g.policy.Version}
 	if err == nil {
 		reply.Leader = l.status.leaderID
@@ -55,6 +56,16 @@
 	return reply, nil
 }
 
+// observeProcess passes the process of a peer to the leaders on this entry. The caller must
+// hold g.mu.
+func (g *Gate) observeProcess(p caroster.Peer, process int64) {
+	for _, l := range g.links {
+		if l.localLeader != nil {
+			l.localLeader.ObserveProcess(p.VM, p.Address, process)
+		}
+	}
+}
+
 // shouldStepDown reports whether a leader on this entry should let another entry take over
 // because the store fails its appends but serves other entries. It stops reporting itself
 // as the leader and goes on leading until another entry claims the shard, which is safe
--- a/internal/cell/cagate/silence_test.go
+++ b/internal/cell/cagate/silence_test.go
@@ -66,6 +66,36 @@
 	}
 }
 
+// TestLeaderLostWithUpstreamProlongsWait loses an upstream for good and then the leader, before it
+// can notice. The successor waited for the longest lease that a leader may grant as long as its
+// claim lasts, although another process had taken the place of that leader.
+func TestLeaderLostWithUpstreamProlongsWait(t *testing.T) {
+	for _, delay := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runInTestCell(t, 7, func(t *testing.T, c *testCell) {
+				c.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return lostRunTime, false })
+				c.load(time.Second)
+				c.callers.Wait()
+				const lost = cawork.UpstreamID("up-0")
+				c.fleet.SetReachable(func(_ string, id cawork.UpstreamID) bool { return id != lost })
+				lostAt := time.Now()
+				time.Sleep(delay)
+				leader := c.leader()
+				c.kill(leader)
+				time.Sleep(500 * time.Millisecond)
+				c.start(leader)
+				time.Sleep(restartAfterLossBound - time.Since(lostAt))
+				elsewhere := c.runsAt(func(id cawork.UpstreamID) bool { return id != lost })
+				for task, number := range c.runsAt(func(id cawork.UpstreamID) bool { return id == lost }) {
+					if elsewhere[task] <= number {
+						t.Errorf("task %v was not restarted within %v after the loss of its upstream", task, restartAfterLossBound)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestSilentUpstreamKeepsRunsOfFormerLeader cuts upstreams off while leaders follow one another,
 // and brings them back, often before their leases have expired. Their long-running tasks must
 // not be started elsewhere as long as they may run there.
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -52,6 +52,17 @@
 	// Silent are the upstreams that do not answer the leader. It extends none of their leases
 	// until a later claim without them is stored.
 	Silent []caboard.SilentUpstream `cbor:"7,keyasint,omitempty"`
+	// Process identifies the process of the entry. Later ones of the same VM have higher numbers.
+	Process int64 `cbor:"8,keyasint,omitempty"`
+	// InheritedRemaining is the longest time until the leases that earlier leaders granted
+	// have expired.
+	InheritedRemaining time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
+// IsSucceededBy reports whether a later process of the VM listens at the address of the entry
+// with this claim, so that the process that made the claim has ended.
+func (c Claim) IsSucceededBy(vm cawork.VMID, address string, process int64) bool {
+	return c.Process != 0 && vm == c.VM && address == c.Address && process > c.Process
 }
 
 // logEntry encodes the claim as a record of the log.
--- a/internal/cell/caleader/claim_test.go
+++ b/internal/cell/caleader/claim_test.go
@@ -28,6 +28,7 @@
 	before := claimWithoutSilence{VM: "vm", Address: "a", Token: 7, Seq: 3, Nonce: 9, Released: true}
 	declaring := claim
 	declaring.Silent = []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}}
+	declaring.Process, declaring.InheritedRemaining = 4, 2*time.Second
 	entry, err := declaring.logEntry()
 	if err != nil {
 		t.Fatal(err)
@@ -47,3 +48,26 @@
 		t.Errorf("claims as read by this build (-want +got):\n%s", diff)
 	}
 }
+
+// TestOnlyLaterProcessAtSameAddressProvesEnd covers what must not be taken for proof that the process
+// of a claim has ended: itself, an earlier process, one of another address or VM, and a claim of
+// a build that does not state its process.
+func TestOnlyLaterProcessAtSameAddressProvesEnd(t *testing.T) {
+	claim := Claim{VM: "vm", Address: "a", Process: 5}
+	got := map[string]bool{
+		"same process":  claim.IsSucceededBy("vm", "a", 5),
+		"earlier":       claim.IsSucceededBy("vm", "a", 4),
+		"not stated":    claim.IsSucceededBy("vm", "a", 0),
+		"other address": claim.IsSucceededBy("vm", "b", 6),
+		"other VM":      claim.IsSucceededBy("other", "a", 6),
+		"former build":  Claim{VM: "vm", Address: "a"}.IsSucceededBy("vm", "a", 6),
+		"later process": claim.IsSucceededBy("vm", "a", 6),
+	}
+	want := map[string]bool{
+		"same process": false, "earlier": false, "not stated": false, "other address": false, "other VM": false, "former build": false,
+		"later process": true,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("proof that the process has ended (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	l.writer.claim.Released, l.writer.claim.Silent = releasing, batch.Silent
+	l.writer.claim.Released, l.writer.claim.Silent, l.writer.claim.InheritedRemaining = releasing, batch.Silent, batch.InheritedRemaining
 	if err := l.writer.append(ctx, entries); err != nil {
 		caevent.Warn(l.Log, caevent.OwnershipLost).Int64("token", l.token).Err(err).
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -46,6 +46,11 @@
 	maxStoreSuspectTime = 1800 * time.Millisecond
 	// MaxClaimAge is how long after its last append a leader may still grant leases.
 	MaxClaimAge = 3 * time.Second
+	// maxGrantedLease is the longest time until a lease has expired that is granted now.
+	maxGrantedLease = caboard.LeaseDuration + caboard.LeaseDuration/20
+	// MaxInheritedLease is the longest time until the leases have expired that leaders before a
+	// claim granted, from the time of the claim on.
+	MaxInheritedLease = MaxClaimAge + maxGrantedLease
 	// freshClaimAge is how long after its last append a leader may answer that
 	// a job does not exist.
 	freshClaimAge = time.Second
@@ -93,6 +98,8 @@
 	Registry       Registry
 	AdvisorProxies AdvisorProxies
 	Seed           int64
+	// Previous is the last claim of the leader before.
+	Previous Claim
 }
 
 // Leader leads one shard of a cell until another leader takes over or its context
@@ -150,12 +157,23 @@
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
 	now := l.now()
 	l.lastAppend = now.Monotonic
-	inheritedUntil := now.Monotonic.Add(MaxClaimAge + caboard.LeaseDuration + caboard.LeaseDuration/20)
-	l.planner = caboard.New(deps.Log, deps.Seed, now, inheritedUntil)
+	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(MaxInheritedLease))
 	l.planner.InheritSilence(c.Silent)
 	return l
 }
 
+// ObserveProcess applies that a process of the VM listens at the address now. If it has
+// replaced the one that led before, that one grants no leases any more.
+func (l *Leader) ObserveProcess(vm cawork.VMID, address string, process int64) {
+	if !l.Previous.IsSucceededBy(vm, address, process) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planner.SetNow(l.now())
+	l.planner.MarkPreviousLeaderGone(maxGrantedLease, l.Previous.InheritedRemaining)
+}
+
 // Token returns the fencing token.
 func (l *Leader) Token() int64 { return l.token }
 
