--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -74,9 +74,30 @@
 	return max(r.upstream.lastAnswerAt.Sub(start), 0)
 }
 
-// isProven reports whether the upstream has survived the run for so long that the run is cleared.
+// isProven reports whether the upstream has survived the run for so long that the run is cleared,
+// under this leader or an earlier one.
 func (r *run) isProven() bool {
-	return r.sent && r.survived() >= r.probationTime()
+	return r.sent && (r.survived() >= r.probationTime() || r.isProvenBefore())
+}
+
+// isProvenBefore reports whether an earlier leader has recorded that the run outlasted any probation.
+func (r *run) isProvenBefore() bool {
+	return r.inherited && r.step.job.IsProvenRun(r.id.proven())
+}
+
+// proven returns the identifier of the run in the record of its job.
+func (id RunID) proven() castate.ProvenRunID {
+	return castate.ProvenRunID{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Number: id.Number}
+}
+
+// recordProvenRuns records the long-running tasks that have outlasted any probation at the upstream,
+// so that a later leader does not suspect them.
+func (b *Planner) recordProvenRuns(u *upstream) {
+	for _, r := range u.runs {
+		if r.step.spec.LongRunning && r.isCurrent() && r.survived() >= cacrash.MaxProbation && r.step.job.AddProvenRun(r.id.proven()) {
+			b.markChanged(r.step.job)
+		}
+	}
 }
 
 // probationTime returns for how long the upstream must survive the run to clear it.
@@ -153,7 +174,7 @@
 	if r.step.orphan || j.Phase.IsFinal() || r.task().Phase == castate.TaskDone {
 		return
 	}
-	if r.step.spec.LongRunning && c.Survived >= cacrash.MaxProbation {
+	if r.step.spec.LongRunning && (c.Survived >= cacrash.MaxProbation || r.isProvenBefore()) {
 		return
 	}
 	if j.crashes == nil {
--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -338,3 +339,35 @@
 		t.Errorf("crashes after the upstream left (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunningTasksAreNotSuspectedByNextLeader covers long-running tasks whose upstreams are lost
+// along with the leader. The next one did not know for how long they had run, suspected all
+// of them and started them one after another.
+func TestLongRunningTasksAreNotSuspectedByNextLeader(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.planner.open(caspec.Submission{ID: "job", Queue: "queue", Team: "north", Steps: []caspec.Step{{
+		Tasks: 3, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second, LongRunning: true, MaxPerUpstream: 1,
+	}}}, false)
+	orders := l.start()
+	for range 25 {
+		for _, o := range orders[1:] {
+			l.planner.RenewLease(o.Upstream)
+		}
+		l.run(orders[0], time.Second)
+	}
+	l.commit()
+	remaining := l.upstreams[:0:0]
+	for _, info := range l.upstreams {
+		if !slices.ContainsFunc(orders, func(o StartOrder) bool { return o.Upstream == info.ID }) {
+			remaining = append(remaining, info)
+		}
+	}
+	l.upstreams = remaining
+	next := l.lead(false)
+	next.advance(11 * time.Second)
+	next.planner.ExpireLeases()
+	restarted := len(next.start())
+	if diff := cmp.Diff(3, restarted); diff != "" {
+		t.Errorf("tasks restarted once the leases are over (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -204,6 +204,7 @@
 		}
 	}
 	b.dropUnlistedRuns(u, report)
+	b.recordProvenRuns(u)
 	if !report.Partial {
 		b.applyAnswerToCrashes(u, report.Born, report.SentAt)
 	}
--- a/internal/cell/castate/job.go
+++ b/internal/cell/castate/job.go
@@ -2,6 +2,7 @@
 package castate
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -92,6 +93,43 @@
 	// several runs at the same time. It deduplicates reports: an upstream repeats
 	// the end of a run until the leader acknowledges that the end is stored.
 	FailedRuns []FailedRunID `cbor:"9,keyasint,omitempty"`
+	// ProvenRuns lists the last runs of long-running tasks that have lasted for so long that they
+	// are not to blame for a later crash of their upstreams, in order.
+	ProvenRuns []ProvenRunID `cbor:"11,keyasint,omitempty"`
+}
+
+// ProvenRunID identifies a run that its upstream has survived.
+type ProvenRunID struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Number     int
+}
+
+func (r ProvenRunID) compareTask(other ProvenRunID) int {
+	return cmp.Or(cmp.Compare(r.Occurrence, other.Occurrence), cmp.Compare(r.Step, other.Step), cmp.Compare(r.Index, other.Index))
+}
+
+// AddProvenRun records a run in place of an earlier one of its task. It reports whether it was
+// new.
+func (j *Job) AddProvenRun(r ProvenRunID) bool {
+	at, found := slices.BinarySearchFunc(j.ProvenRuns, r, ProvenRunID.compareTask)
+	switch {
+	case !found:
+		j.ProvenRuns = slices.Insert(j.ProvenRuns, at, r)
+	case j.ProvenRuns[at] == r:
+		return false
+	default:
+		j.ProvenRuns[at] = r
+	}
+	return true
+}
+
+// IsProvenRun reports whether the run was recorded.
+func (j *Job) IsProvenRun(r ProvenRunID) bool {
+	at, found := slices.BinarySearchFunc(j.ProvenRuns, r, ProvenRunID.compareTask)
+	return found && j.ProvenRuns[at] == r
 }
 
 // FailedRunID identifies a run that failed.
@@ -190,6 +228,7 @@
 func (j *Job) ClearDetails() {
 	j.OpenOccurrences = nil
 	j.FailedRuns = nil
+	j.ProvenRuns = nil
 	j.Submission.Steps = nil
 	j.Submission.Payload = ""
 }
