BUDGET: a gang on probation starts on few, idle upstreams

New worlds do: all members of a gang of 8 tasks of 4.5 cores crash their upstreams, on 48 upstreams of 16 cores under load, three or four gangs in ten seconds. Each such gang crashed 20 to 24 upstreams before it was given up, with the work of others on them.

Cause: a task on probation prefers upstreams with few runs, a gang did not. It filled up the busiest upstreams first, so that its next crash ended more work, on more upstreams, and runs that had just started there were suspects as well.

Now a gang on probation takes the upstreams on which a crash costs least for each member.

--- a/internal/cell/caboard/crashes_test.go
+++ b/internal/cell/caboard/crashes_test.go
@@ -89,9 +89,14 @@
 // crashUpstream crashes an upstream, which is back after some seconds. The list learns of it
 // later.
 func (c *crashWorld) crashUpstream(u *simulatedUpstream) {
-	if !u.up {
-		return
+	if u.up {
+		c.crashUpstreamFor(u, c.between(1500, 9000), 0)
 	}
+}
+
+// crashUpstreamFor crashes an upstream, which is back after downFor and listed after some time more, which
+// is drawn then if listedAfter is zero.
+func (c *crashWorld) crashUpstreamFor(u *simulatedUpstream, downFor, listedAfter time.Duration) {
 	u.up = false
 	present := maps.Clone(u.running)
 	if known, ok := c.planner.upstreams[u.info.ID]; ok {
@@ -102,14 +107,17 @@
 	for id := range present {
 		c.lost[taskOf(id)]++
 	}
-	c.after(c.between(1500, 9000), func() {
+	c.after(downFor, func() {
 		back := u
 		if c.changesID {
 			back = c.replaceUpstream(u)
 		} else {
 			u.restart(c.elapsed)
 		}
-		c.after(c.between(10, 1500), func() { c.listed[back.info.ID] = back.info })
+		if listedAfter == 0 {
+			listedAfter = c.between(10, 1500)
+		}
+		c.after(listedAfter, func() { c.listed[back.info.ID] = back.info })
 	})
 }
 
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -427,6 +427,8 @@
 type usableUpstream struct {
 	slot
 	freeSlots int
+	// risk is what a crash of the upstream would cost for each slot, for a gang on probation.
+	risk float64
 }
 
 // gangUpstreams returns the upstreams with room for members of a gang, the preferred ones
@@ -439,11 +441,11 @@
 			continue
 		}
 		if ticket, ok := b.mayPlace(s, q, u); ok {
-			usable = append(usable, usableUpstream{slot: slot{upstream: u, ticket: ticket}, freeSlots: fitting})
+			usable = append(usable, usableUpstream{slot: slot{upstream: u, ticket: ticket}, freeSlots: fitting, risk: s.probationRisk(u, fitting)})
 		}
 	}
 	slices.SortFunc(usable, func(x, y usableUpstream) int {
-		return cmp.Or(compareBool(y.upstream.reservedBy == s, x.upstream.reservedBy == s), compareBool(x.upstream.inPartition != s.wide, y.upstream.inPartition != s.wide), cmp.Compare(x.upstream.free().CPU, y.upstream.free().CPU), cmp.Compare(x.upstream.info.ID, y.upstream.info.ID))
+		return cmp.Or(cmp.Compare(x.risk, y.risk), compareBool(y.upstream.reservedBy == s, x.upstream.reservedBy == s), compareBool(x.upstream.inPartition != s.wide, y.upstream.inPartition != s.wide), cmp.Compare(x.upstream.free().CPU, y.upstream.free().CPU), cmp.Compare(x.upstream.info.ID, y.upstream.info.ID))
 	})
 	return usable
 }
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -12,6 +12,8 @@
 	// lost in another crash, and probationSuspectWeight those without other suspects of a crash.
 	probationRunWeight     = 4.0
 	probationSuspectWeight = 40.0
+	// probationUpstreamWeight makes gangs on probation prefer few upstreams.
+	probationUpstreamWeight = 20.0
 )
 
 // updateProbation determines which jobs and upstreams have runs on probation. It requests a report
@@ -178,3 +180,12 @@
 	}
 	return penalty
 }
+
+// probationRisk returns what a crash of an upstream with so many members of a gang on probation would
+// cost for each of them: the upstream, and the runs that are there.
+func (s *step) probationRisk(u *upstream, members int) float64 {
+	if !s.job.onProbation {
+		return 0
+	}
+	return (probationUpstreamWeight + s.probationPenalty(u)) / float64(members)
+}
