BUDGET: a gang that crashes upstreams is given up after two starts, not three or four

A gang of which all members crash their upstreams took 24 of 48 upstreams down before it was given up, 32 if another one was started at that time.

Cause: each member counted its own crashes only, so that the gang was started three times, with several crashes each. And two such gangs passed for a common cause of each other: many upstreams crashed at once that did not run the first gang. Traced in a world: the crashes of two starts on probation were marked as shared, and the gang was started a fourth time.

Now a gang is given up once a member has two crashes and three upstreams have crashed under members that were started apart from other jobs, two of them without suspects of others. Users permit to give up a task after two crashes. Where a job had been started apart, the upstreams that one other job explains are no sign of a common cause.

Why innocent jobs are not given up sooner: single tasks keep their bound; a gang must have been hit twice, the second time on three upstreams on which nothing else was started, with no common cause. One upstream or two that crash again are not enough.

IsGivenUp and MayStart ask whether the task is a member of a gang; their callers in tests say no, and check the same.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -194,7 +194,8 @@
 		return
 	}
 	for _, t := range j.crashes.Tasks() {
-		if !j.crashes.IsGivenUp(t) {
+		s := j.stepOfTask(t)
+		if !j.crashes.IsGivenUp(t, s != nil && s.spec.Gang) {
 			continue
 		}
 		var upstreams []string
--- a/internal/cell/caboard/crashes_gangs_test.go
+++ b/internal/cell/caboard/crashes_gangs_test.go
@@ -325,6 +325,29 @@
 	}
 }
 
+// TestGangCrashesUpstreamsThreeTimesOver covers gangs whose members all crash their upstreams. Each start
+// costs several upstreams, so that a gang must not have as many starts as a single task. Two such
+// gangs at a time must not pass for a common cause, either.
+func TestGangCrashesUpstreamsThreeTimesOver(t *testing.T) {
+	const (
+		seeds = 4
+		// maxCrashesPerMember is how many upstreams may crash for each member, on average.
+		maxCrashesPerMember = 2.5
+	)
+	deadly, crashes := 0, 0
+	for seed := range int64(seeds) {
+		g := newGangWorld(seed, crashTogether, wideGangStep)
+		g.runToEnd()
+		f := g.measure()
+		deadly += f.deadly
+		crashes += f.crashes
+	}
+	t.Logf("%d crashes by %d gangs", crashes, deadly)
+	if most := maxCrashesPerMember * float64(deadly*wideGangStep.Tasks); float64(crashes) > most {
+		t.Errorf("%d crashes by %d gangs, want at most %v", crashes, deadly, most)
+	}
+}
+
 // TestGangOnProbationStartsOnIdleUpstreams covers a gang that was hit and filled up busy upstreams when it was
 // started again, so that the next crash ended the work of others on many upstreams.
 func TestGangOnProbationStartsOnIdleUpstreams(t *testing.T) {
--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -268,7 +268,7 @@
 	if diff := cmp.Diff(1, l.crashCount()); diff != "" {
 		t.Errorf("crashes after the lease expired (-want +got):\n%s", diff)
 	}
-	if l.planner.jobs["job"].crashes.IsGivenUp(cacrash.Task{}) {
+	if l.planner.jobs["job"].crashes.IsGivenUp(cacrash.Task{}, false) {
 		t.Error("the task is given up while it is not known whether its upstream crashed")
 	}
 	l.advance(time.Second)
--- a/internal/cell/caboard/crashwaves.go
+++ b/internal/cell/caboard/crashwaves.go
@@ -32,13 +32,18 @@
 	// jobs ran there, and suspectJobs had just been started there.
 	jobs        []*job
 	suspectJobs map[cawork.JobID]bool
+	// apartJobs are those suspects that were on probation.
+	apartJobs map[cawork.JobID]bool
 }
 
 // addCrashEvent records a crash with the runs that were there.
 func (b *Planner) addCrashEvent(u *upstream, incarnation int64, runs []*run, suspectJobs map[cawork.JobID]bool) {
-	event := &crashEvent{upstream: u.info.ID, incarnation: incarnation, lastAnswerAt: u.lastAnswerAt, suspectJobs: suspectJobs}
+	event := &crashEvent{upstream: u.info.ID, incarnation: incarnation, lastAnswerAt: u.lastAnswerAt, suspectJobs: suspectJobs, apartJobs: make(map[cawork.JobID]bool)}
 	for _, r := range runs {
 		event.jobs = append(event.jobs, r.step.job)
+		if r.onProbation && r.isSuspect() {
+			event.apartJobs[r.id.Job] = true
+		}
 	}
 	kept := b.crashes.events[:0:0]
 	for _, e := range b.crashes.events {
@@ -58,7 +63,7 @@
 			continue
 		}
 		for _, j := range e.jobs {
-			if !j.Phase.IsFinal() && j.crashes != nil && wave.hasOtherCause(j) && j.crashes.MarkShared(e.upstream, e.incarnation) {
+			if !j.Phase.IsFinal() && j.crashes != nil && wave.hasOtherCause(j, e.apartJobs[j.Submission.ID]) && j.crashes.MarkShared(e.upstream, e.incarnation) {
 				b.markCrashesChanged(j)
 			}
 		}
@@ -98,20 +103,36 @@
 func (w crashWave) isLarge() bool { return len(w.crashed)+len(w.silent) >= w.minOthers }
 
 // hasOtherCause reports whether the wave has a likely cause other than the job: many of its
-// upstreams were not running the job just before.
-func (w crashWave) hasOtherCause(j *job) bool {
+// upstreams were not running the job just before. Those that one other job explains do not count
+// if the job had been started apart from it.
+func (w crashWave) hasOtherCause(j *job, isApart bool) bool {
 	others := make(map[cawork.UpstreamID]bool)
+	byJob := make(map[cawork.JobID]int)
 	for _, e := range w.crashed {
-		if !e.suspectJobs[j.Submission.ID] {
-			others[e.upstream] = true
+		if e.suspectJobs[j.Submission.ID] || others[e.upstream] {
+			continue
+		}
+		others[e.upstream] = true
+		for id := range e.suspectJobs {
+			byJob[id]++
 		}
 	}
 	for _, u := range w.silent {
-		if !u.hasSuspectOf(j) {
-			others[u.info.ID] = true
+		if u.hasSuspectOf(j) || others[u.info.ID] {
+			continue
+		}
+		others[u.info.ID] = true
+		for id := range u.suspectJobs() {
+			byJob[id]++
+		}
+	}
+	explained := 0
+	if isApart {
+		for _, n := range byJob {
+			explained = max(explained, n)
 		}
 	}
-	return len(others) >= w.minOthers
+	return len(others)-explained >= w.minOthers
 }
 
 // isNear reports whether two answers were near to each other. Zero is no answer.
@@ -128,3 +149,14 @@
 	}
 	return false
 }
+
+// suspectJobs returns the jobs with runs that the upstream has not survived for long.
+func (u *upstream) suspectJobs() map[cawork.JobID]bool {
+	jobs := make(map[cawork.JobID]bool)
+	for _, r := range u.runs {
+		if r.isSuspect() {
+			jobs[r.id.Job] = true
+		}
+	}
+	return jobs
+}
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	t := s.crashTask(index)
-	return !j.crashes.MayStart(t) || j.onProbation && !s.isOnProbation(index)
+	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index)
 }
 
 // isGangHeldBack reports the same of a gang, whose members start together.
@@ -124,7 +124,7 @@
 	onProbation := false
 	for i := range s.state().Tasks {
 		t := s.crashTask(i)
-		if !j.crashes.MayStart(t) {
+		if !j.crashes.MayStart(t, true) {
 			return true
 		}
 		onProbation = onProbation || s.isOnProbation(i)
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -20,6 +20,11 @@
 	// the only suspect of one, and maxAllCrashes the number of all crashes in any case.
 	maxCrashes    = 3
 	maxAllCrashes = 4
+	// minGangCrashes is the number of upstreams that must crash under members of a gang that were
+	// started apart from other jobs, and minSoleGangCrashes how many of them had no suspects of
+	// others, to give up the gang before a member has had maxCrashes.
+	minGangCrashes     = 3
+	minSoleGangCrashes = 2
 	// maxStored bounds the crashes kept of one task.
 	maxStored = 8
 	// provenAfter is how long an upstream must survive a run to clear it. Renewals wait at
@@ -288,16 +293,54 @@
 	return n.sole > 0 && n.certain >= maxCrashes
 }
 
+// isRepeated reports whether upstreams crashed under the task more than once, which then may be given up.
+func (n tally) isRepeated() bool { return n.all >= 2 && n.certain > 0 }
+
 // isDoubtful reports whether so many upstreams may have crashed under the task that it remains a
 // suspect until it ends.
 func (n tally) isDoubtful() bool { return n.certain >= 2 }
 
 // IsGivenUp reports whether the task is not to be started any more.
-func (h *History) IsGivenUp(t Task) bool { return h.tally(t, false).isHarmful() }
+func (h *History) IsGivenUp(t Task, isMember bool) bool { return h.isGivenUp(t, isMember, false) }
 
 // MayStart reports whether the task may be started: it would not be given up even if all unresolved
 // crashes were resolved.
-func (h *History) MayStart(t Task) bool { return !h.tally(t, true).isHarmful() }
+func (h *History) MayStart(t Task, isMember bool) bool { return !h.isGivenUp(t, isMember, true) }
+
+func (h *History) isGivenUp(t Task, isMember, withUnresolved bool) bool {
+	n := h.tally(t, withUnresolved)
+	return n.isHarmful() || isMember && n.isRepeated() && h.isGangHarmful(t, withUnresolved)
+}
+
+// incarnation identifies one incarnation of an upstream.
+type incarnation struct {
+	upstream cawork.UpstreamID
+	number   int64
+}
+
+// isGangHarmful reports whether several upstreams crashed under members of the gang of a task that were
+// started apart from other jobs, some of them without suspects of others. Each further start of a
+// gang whose members crash their upstreams would cost as many.
+func (h *History) isGangHarmful(member Task, withUnresolved bool) bool {
+	crashed, sole := make(map[incarnation]bool), make(map[incarnation]bool)
+	for t, crashes := range h.tasks {
+		if t.Occurrence != member.Occurrence || t.Step != member.Step {
+			continue
+		}
+		for _, c := range crashes {
+			if !c.isCounted(withUnresolved) || !c.provesGang() {
+				continue
+			}
+			crashed[incarnation{c.Upstream, c.Incarnation}] = true
+			if c.Sole {
+				sole[incarnation{c.Upstream, c.Incarnation}] = true
+			}
+		}
+	}
+	return len(crashed) >= minGangCrashes && len(sole) >= minSoleGangCrashes
+}
+
+func (c Crash) provesGang() bool { return c.Probation && c.Blamed && !c.Shared }
 
 // MayCopy reports whether the task may be started while another run of it is present: no upstream is
 // known to have crashed under it, except from a common cause.
--- a/internal/cell/cacrash/history_test.go
+++ b/internal/cell/cacrash/history_test.go
@@ -54,7 +54,7 @@
 		for _, c := range test.crashes {
 			h.Add(Task{}, c)
 		}
-		got := verdict{MayStart: h.MayStart(Task{}), OnProbation: h.IsOnProbation(Task{}), GivenUp: h.IsGivenUp(Task{})}
+		got := verdict{MayStart: h.MayStart(Task{}, false), OnProbation: h.IsOnProbation(Task{}), GivenUp: h.IsGivenUp(Task{}, false)}
 		if diff := cmp.Diff(test.want, got); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
@@ -183,3 +183,55 @@
 		t.Errorf("crashes after the second run ended (-want +got):\n%s", diff)
 	}
 }
+
+// TestGangIsStartedThreeTimesOver guards against a gang that crashes the upstreams of all its members and
+// is given up only once a member has crashed three. No sooner may a gang be given up that others,
+// or a common cause, may have hit.
+func TestGangIsStartedThreeTimesOver(t *testing.T) {
+	apart := func(changes ...func(*Crash)) []func(*Crash) { return append([]func(*Crash){probation}, changes...) }
+	tests := []struct {
+		name string
+		// second holds what crashed under each member when it was started again.
+		second [][]func(*Crash)
+		want   verdict
+	}{
+		{"three upstreams crash again", [][]func(*Crash){apart(sole), apart(sole), apart()}, verdict{OnProbation: true, GivenUp: true}},
+		{"one of them is not resolved", [][]func(*Crash){apart(sole), apart(sole), apart(unresolved)}, verdict{OnProbation: true}},
+		{"two crash again", [][]func(*Crash){apart(sole), apart(sole)}, verdict{MayStart: true, OnProbation: true}},
+		{"others are suspects at most of them", [][]func(*Crash){apart(sole), apart(), apart()}, verdict{MayStart: true, OnProbation: true}},
+		{"a common cause", [][]func(*Crash){apart(sole, shared), apart(sole, shared), apart(sole, shared)}, verdict{MayStart: true, OnProbation: true}},
+		{"bystanders", [][]func(*Crash){apart(sole, innocent), apart(sole, innocent), apart(sole, innocent)}, verdict{MayStart: true, OnProbation: true}},
+		{"not started apart from others", [][]func(*Crash){{sole}, {sole}, {sole}}, verdict{MayStart: true, OnProbation: true}},
+	}
+	for _, test := range tests {
+		h := New()
+		for i, changes := range test.second {
+			h.Add(Task{Index: i}, crash(int64(2*i)))
+			h.Add(Task{Index: i}, crash(int64(2*i+1), changes...))
+		}
+		got := verdict{MayStart: h.MayStart(Task{}, true), OnProbation: h.IsOnProbation(Task{}), GivenUp: h.IsGivenUp(Task{}, true)}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+		if h.IsGivenUp(Task{}, false) {
+			t.Errorf("%s: a task that is no member of a gang is given up after two crashes", test.name)
+		}
+	}
+}
+
+// TestMemberWithOneCrashIsNotGivenUp covers members that were started apart once, on several upstreams,
+// which crashed. Users permit to give up a task after two crashes.
+func TestMemberWithOneCrashIsNotGivenUp(t *testing.T) {
+	h := New()
+	for i := range 4 {
+		h.Add(Task{Index: i}, crash(int64(i), probation, sole))
+	}
+	if h.IsGivenUp(Task{}, true) || !h.MayStart(Task{}, true) {
+		t.Error("a gang is given up after a single start")
+	}
+	h.Add(Task{Step: 1}, crash(10))
+	h.Add(Task{Step: 1}, crash(11, probation, sole))
+	if h.IsGivenUp(Task{Step: 1}, true) {
+		t.Error("a gang is given up for crashes under another step")
+	}
+}
--- a/internal/cell/cagate/crash_test.go
+++ b/internal/cell/cagate/crash_test.go
@@ -159,6 +159,18 @@
 	c.submitStep(n, step)
 }
 
+// submitAllDeadly submits a job of which all tasks crash each upstream that starts them.
+func (c *crashCell) submitAllDeadly(step caspec.Step) {
+	n, crash := c.nextJob(), c.drawCrash()
+	c.mu.Lock()
+	c.deadly[jobID(n)] = true
+	for i := range step.Tasks {
+		c.crashOf[caboard.RunID{Job: jobID(n), Index: i}] = crash
+	}
+	c.mu.Unlock()
+	c.submitStep(n, step)
+}
+
 // submitStep submits a job of one step, which need not be plain.
 func (c *crashCell) submitStep(n int, step caspec.Step) {
 	c.mu.Lock()
@@ -264,6 +276,33 @@
 	})
 }
 
+// TestAllMembersCrashUpstreamsWithoutEnd is the same for gangs of which all members do so, on several
+// upstreams, while the leader is killed and the upstreams are few.
+func TestAllMembersCrashUpstreamsWithoutEnd(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		step := gangStep()
+		step.CPU = 2500
+		c.submitAllDeadly(step)
+		c.awaitCrashes(2)
+		c.awaitRecordOfCrash()
+		c.restartLeader()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// TestAllTasksCrashUpstreamsWithoutEnd is the same for a step of many tasks, which may be copied.
+func TestAllTasksCrashUpstreamsWithoutEnd(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) {
+		step := testStep()
+		step.Tasks, step.AllowDuplicates, step.Checkpointing = 10, c.random.Intn(2) == 0, c.random.Intn(2) == 0
+		c.submitAllDeadly(step)
+		c.awaitCrashes(2)
+		c.awaitRecordOfCrash()
+		c.restartLeader()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // TestCopiesCrashMoreUpstreams is the same for a step that permits copies, which start as
 // soon as an upstream is suspected.
 func TestCopiesCrashMoreUpstreams(t *testing.T) {
