--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -12,6 +12,8 @@
 	// lost in another crash, and probationSuspectWeight those without other suspects of a crash.
 	probationRunWeight     = 4.0
 	probationSuspectWeight = 40.0
+	// probationUpstreamWeight makes gangs on probation prefer few upstreams.
+	probationUpstreamWeight = 20.0
 )
 
 // updateProbation determines which jobs and upstreams have runs on probation. It requests a report
@@ -122,7 +124,7 @@
 		return false
 	}
 	t := s.crashTask(index)
-	return !j.crashes.MayStart(t) || j.onProbation && !s.isOnProbation(index)
+	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index)
 }
 
 // isGangHeldBack reports the same of a gang, whose members start together.
@@ -134,7 +136,7 @@
 	onProbation := false
 	for i := range s.state().Tasks {
 		t := s.crashTask(i)
-		if !j.crashes.MayStart(t) {
+		if !j.crashes.MayStart(t, true) {
 			return true
 		}
 		onProbation = onProbation || s.isOnProbation(i)
@@ -190,3 +192,12 @@
 	}
 	return penalty
 }
+
+// probationRisk returns what a crash of an upstream with so many members of a gang on probation would
+// cost for each of them: the upstream, and the runs that are there.
+func (s *step) probationRisk(u *upstream, members int) float64 {
+	if !s.job.onProbation {
+		return 0
+	}
+	return (probationUpstreamWeight + s.probationPenalty(u)) / float64(members)
+}
