The soak by hand crashes upstreams by tasks, of each kind of work

The kinds of fault "deadly job" and "shrinking capacity" are added to a plan only where Options.Added asks for them, so that the plans of older seeds stay.

- FaultDeadlyWork: a deadly job of any kind (one task, a gang, the second of two steps, long-running, a series).
FaultSeries: a job whose occurrences overlap.
- The upstreams of the soak play gangs: a member that crashes, fails or is alone breaks the others.
Before, gangs ran there as single tasks.
- A job without a deadly task that is shown as failed was a violation in any case.
Since the contract permits it once two upstreams crashed under a task of it, it is one now only below two; the report counts such jobs, and the crashes by tasks.

--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -30,6 +30,7 @@
       --during=TIME          how long load and faults last (20s)
       --nodes=N              entries (5)
       --upstreams=N          upstreams (8)
+      --plain                no deadly jobs, shrinking capacities or series
       --dir=PATH             keep settings and logs in this folder
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -60,6 +60,7 @@
 	Duration  time.Duration `long:"during" default:"20s" value-name:"TIME"`
 	Nodes     int           `long:"nodes" default:"5" value-name:"N"`
 	Upstreams int           `long:"upstreams" default:"8" value-name:"N"`
+	Plain     bool          `long:"plain"`
 	Dir       string        `long:"dir" value-name:"PATH"`
 }
 
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -51,9 +51,13 @@
 	if err != nil {
 		return "", err
 	}
-	report, err := casoak.Run(ctx, casoak.Options{
+	options := casoak.Options{
 		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Command: []string{program}, Dir: dir, RunIndex: runNumber,
-	})
+	}
+	if !o.Plain {
+		options.Added = casoak.DrawAdded(seed)
+	}
+	report, err := casoak.Run(ctx, options)
 	text := fmt.Sprintf("seed %d: %s\n", seed, report)
 	if err == nil {
 		err = report.Err()
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -14,7 +14,6 @@
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
@@ -80,9 +79,6 @@
 	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay)}
 	c.fleet = standin.NewFleet(o.Upstreams, capacityOf(upstreamCores), taskSize,
 		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) })
-	c.fleet.SetRunTime(func(id caboard.RunID) (time.Duration, bool) {
-		return runTime, (len(id.Job)+id.Number*7+id.Index*13+int(id.Job[len(id.Job)-1])*31)%100 < failedRunPercent
-	})
 	c.fleet.SetCapacityBound(capacityBound)
 	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet, Advisor: standin.Advisor{Delay: advisorDelay}}
 	servicesIP := loopbackIP(o.RunIndex, o.Nodes)
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacity"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseries"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacity"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseries"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -36,38 +36,44 @@
 	_ = x[FaultConfigure-(9)]
 	_ = x[FaultDeadlyJob-(10)]
 	_ = x[FaultCapacity-(11)]
+	_ = x[FaultDeadlyWork-(12)]
+	_ = x[FaultSeries-(13)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
-	_FaultKindName[0:4]:    FaultKill,
-	_FaultKindName[4:13]:   FaultTerminate,
-	_FaultKindName[13:19]:  FaultFreeze,
-	_FaultKindName[19:29]:  FaultStoreLink,
-	_FaultKindName[29:38]:  FaultPeerLink,
-	_FaultKindName[38:51]:  FaultUpstreamLink,
-	_FaultKindName[51:67]:  FaultUpstreamRestart,
-	_FaultKindName[67:72]:  FaultStore,
-	_FaultKindName[72:80]:  FaultKillAll,
-	_FaultKindName[80:89]:  FaultConfigure,
-	_FaultKindName[89:99]:  FaultDeadlyJob,
-	_FaultKindName[99:107]: FaultCapacity,
+	_FaultKindName[0:4]:     FaultKill,
+	_FaultKindName[4:13]:    FaultTerminate,
+	_FaultKindName[13:19]:   FaultFreeze,
+	_FaultKindName[19:29]:   FaultStoreLink,
+	_FaultKindName[29:38]:   FaultPeerLink,
+	_FaultKindName[38:51]:   FaultUpstreamLink,
+	_FaultKindName[51:67]:   FaultUpstreamRestart,
+	_FaultKindName[67:72]:   FaultStore,
+	_FaultKindName[72:80]:   FaultKillAll,
+	_FaultKindName[80:89]:   FaultConfigure,
+	_FaultKindName[89:99]:   FaultDeadlyJob,
+	_FaultKindName[99:107]:  FaultCapacity,
+	_FaultKindName[107:118]: FaultDeadlyWork,
+	_FaultKindName[118:124]: FaultSeries,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
-	_FaultKindLowerName[0:4]:    FaultKill,
-	_FaultKindLowerName[4:13]:   FaultTerminate,
-	_FaultKindLowerName[13:19]:  FaultFreeze,
-	_FaultKindLowerName[19:29]:  FaultStoreLink,
-	_FaultKindLowerName[29:38]:  FaultPeerLink,
-	_FaultKindLowerName[38:51]:  FaultUpstreamLink,
-	_FaultKindLowerName[51:67]:  FaultUpstreamRestart,
-	_FaultKindLowerName[67:72]:  FaultStore,
-	_FaultKindLowerName[72:80]:  FaultKillAll,
-	_FaultKindLowerName[80:89]:  FaultConfigure,
-	_FaultKindLowerName[89:99]:  FaultDeadlyJob,
-	_FaultKindLowerName[99:107]: FaultCapacity,
+	_FaultKindLowerName[0:4]:     FaultKill,
+	_FaultKindLowerName[4:13]:    FaultTerminate,
+	_FaultKindLowerName[13:19]:   FaultFreeze,
+	_FaultKindLowerName[19:29]:   FaultStoreLink,
+	_FaultKindLowerName[29:38]:   FaultPeerLink,
+	_FaultKindLowerName[38:51]:   FaultUpstreamLink,
+	_FaultKindLowerName[51:67]:   FaultUpstreamRestart,
+	_FaultKindLowerName[67:72]:   FaultStore,
+	_FaultKindLowerName[72:80]:   FaultKillAll,
+	_FaultKindLowerName[80:89]:   FaultConfigure,
+	_FaultKindLowerName[89:99]:   FaultDeadlyJob,
+	_FaultKindLowerName[99:107]:  FaultCapacity,
+	_FaultKindLowerName[107:118]: FaultDeadlyWork,
+	_FaultKindLowerName[118:124]: FaultSeries,
 }
 
 var _FaultKindNames = []string{
@@ -83,6 +89,8 @@
 	_FaultKindName[80:89],
 	_FaultKindName[89:99],
 	_FaultKindName[99:107],
+	_FaultKindName[107:118],
+	_FaultKindName[118:124],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/load.go
+++ b/internal/soak/casoak/load.go
@@ -9,10 +9,8 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/platform"
-	"celeryarch.example/celeryarch/platform/standin"
 )
 
 const (
@@ -42,9 +40,18 @@
 	jobCount    int
 
 	mu sync.Mutex
-	// deadly holds how the jobs of the faults crash their upstreams.
-	deadly            map[cawork.JobID]standin.Crash
-	deadlySubmissions sync.WaitGroup
+	// steps holds the steps of all jobs, and deadly those of the faults that crash their
+	// upstreams.
+	steps            map[cawork.JobID][]caspec.Step
+	deadly           map[cawork.JobID]deadlyTask
+	faultSubmissions sync.WaitGroup
+}
+
+func newLoadGenerator(c *cell, l *outcomeLog, seed int64) *loadGenerator {
+	return &loadGenerator{
+		cell: c, outcomes: l, caller: platform.NewCaller(teamKey, callTimeout), random: rand.New(rand.NewSource(seed)),
+		steps: make(map[cawork.JobID][]caspec.Step), deadly: make(map[cawork.JobID]deadlyTask),
+	}
 }
 
 // run submits jobs until the context ends, then waits for the outstanding calls.
@@ -54,15 +61,17 @@
 		id := cawork.JobID(fmt.Sprintf("%016x", c.jobCount))
 		random := rand.New(rand.NewSource(c.random.Int63()))
 		steps := randomSteps(random)
-		c.submissions.Go(func() { c.submit(id, steps, cancelFraction, random) })
+		c.submissions.Go(func() { c.submit(caspec.Submission{ID: id, Steps: steps}, cancelFraction, random) })
 	}
 	c.submissions.Wait()
 }
 
 // submit submits one job, retries while the outcome is unknown or the job is
 // rejected, and cancels a fraction of the accepted jobs.
-func (c *loadGenerator) submit(id cawork.JobID, steps []caspec.Step, canceled float64, random *rand.Rand) {
-	s := caspec.Submission{ID: id, Queue: queueName, Team: teamName, Steps: steps}
+func (c *loadGenerator) submit(s caspec.Submission, canceled float64, random *rand.Rand) {
+	id := s.ID
+	s.Queue, s.Team = queueName, teamName
+	c.addSteps(id, s.Steps)
 	c.outcomes.record(id, outcomeUnknown)
 	mayBeAccepted := false
 	for range maxAttempts {
@@ -86,40 +95,6 @@
 	}
 }
 
-// submitDeadly submits a job of two tasks, of which the first crashes each upstream
-// that starts it: before it answers, at once, or half a second later. Upstreams of
-// odd targets return under another ID.
-func (c *loadGenerator) submitDeadly(f Fault) {
-	crash := standin.Crash{DownFor: f.For, NewID: f.Target%2 == 1}
-	switch f.Way {
-	case 1:
-		crash.BeforeAnswer = true
-	case 2:
-	default:
-		crash.After = runTime
-	}
-	id := cawork.JobID(fmt.Sprintf("d%015x", f.At.Milliseconds()))
-	c.mu.Lock()
-	c.deadly[id] = crash
-	c.mu.Unlock()
-	steps := []caspec.Step{{Tasks: 2, CPU: taskSize.CPU, Memory: taskSize.Memory, Estimate: runTime}}
-	random := rand.New(rand.NewSource(f.At.Milliseconds()))
-	c.deadlySubmissions.Go(func() { c.submit(id, steps, 0, random) })
-}
-
-// crashOf returns how a run crashes its upstream, if it does.
-func (c *loadGenerator) crashOf(id caboard.RunID) (standin.Crash, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	crash, ok := c.deadly[id.Job]
-	return crash, ok && id.Index == 0
-}
-
-func (c *loadGenerator) isDeadly(id cawork.JobID) bool {
-	_, deadly := c.crashOf(caboard.RunID{Job: id})
-	return deadly
-}
-
 func (c *loadGenerator) cancel(id cawork.JobID, random *rand.Rand) {
 	time.Sleep(time.Duration(random.Int63n(int64(maxCancelDelay))))
 	// Until the cancellation is answered, the job may either complete or be canceled.
--- a/internal/soak/casoak/outcomes.go
+++ b/internal/soak/casoak/outcomes.go
@@ -80,9 +80,12 @@
 }
 
 // mismatch describes how the final phase of a job contradicts the outcome. It
-// returns an empty string if they agree.
-func (o outcome) mismatch(phase castate.Phase, known bool) string {
+// returns an empty string if they agree. A job may be given up once that many upstreams
+// have crashed under a task of it.
+func (o outcome) mismatch(phase castate.Phase, known bool, crashes int) string {
 	switch {
+	case known && o != outcomeRejected && phase == castate.PhaseFailed && crashes >= minCrashes:
+		return ""
 	case o == outcomeAccepted && !known:
 		return "was accepted but is unknown to the nodes"
 	case o == outcomeAccepted && phase != castate.PhaseCompleted:
@@ -111,6 +114,6 @@
 	case o == outcomeAccepted && phase == castate.PhaseFailed:
 		return ""
 	default:
-		return o.mismatch(phase, known)
+		return o.mismatch(phase, known, crashes)
 	}
 }
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -40,6 +40,10 @@
 	FaultDeadlyJob
 	// FaultCapacity shrinks the capacity of an upstream until the fault ends.
 	FaultCapacity
+	// FaultDeadlyWork is FaultDeadlyJob with a job of any kind of work.
+	FaultDeadlyWork
+	// FaultSeries submits a job whose occurrences overlap.
+	FaultSeries
 )
 
 const (
@@ -64,6 +68,8 @@
 	addedWayCount = 3
 	// addedSource separates the source of the added kinds from that of the others.
 	addedSource = 1 << 32
+	// addedShare is the share of the plans that have an added kind, in DrawAdded.
+	addedShare = 0.7
 )
 
 // Fault is one fault of a plan.
@@ -106,13 +112,26 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries:
 		}
 		plan = append(plan, f)
 	}
 	return plan
 }
 
+// DrawAdded returns the added kinds of fault of a seed, for runs that ask for none. A share
+// of the plans has each kind.
+func DrawAdded(seed int64) []FaultKind {
+	random := rand.New(rand.NewSource(seed - addedSource))
+	var kinds []FaultKind
+	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries} {
+		if random.Float64() < addedShare {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
 // WithAddedFaults returns the plan with faults of further kinds. They are drawn from a
 // source of their own, so that the other faults of a seed stay as they are.
 func WithAddedFaults(plan []Fault, seed int64, during time.Duration, upstreams int, kinds []FaultKind) []Fault {
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"math/rand"
 	"slices"
 	"syscall"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -41,7 +41,8 @@
 	// to its environment.
 	Command []string
 	Env     []string
-	// Added are the kinds of fault that the plan has beside those of NewPlan.
+	// Added are the kinds of fault that the plan has beside those of NewPlan. Runs by hand
+	// have those of DrawAdded.
 	Added []FaultKind
 	// Dir is the directory for settings files and logs.
 	Dir string
@@ -62,6 +63,9 @@
 	// to their callers.
 	Accepted, Refused, Canceled, Unknown int
 	Starts                               int
+	// Crashes counts the crashes by tasks, and GivenUp the jobs without a deadly task that
+	// were given up after crashes under them.
+	Crashes, GivenUp int
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -85,9 +89,11 @@
 	go c.watchRegistrations(watchCtx)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration)
 	defer stopLoad()
-	load := &loadGenerator{cell: c, outcomes: l, caller: platform.NewCaller(teamKey, callTimeout), random: rand.New(rand.NewSource(o.Seed)), deadly: make(map[cawork.JobID]standin.Crash)}
+	load := newLoadGenerator(c, l, o.Seed)
 	c.load = load
 	c.fleet.SetCrashes(load.crashOf)
+	c.fleet.SetRunTime(load.runTimeOf)
+	c.fleet.SetGangs(load.gangSize)
 	loadDone := make(chan struct{})
 	go func() {
 		defer close(loadDone)
@@ -97,11 +103,11 @@
 		return report, err
 	}
 	<-loadDone
-	load.deadlySubmissions.Wait()
-	c.settle(ctx, l)
+	load.faultSubmissions.Wait()
+	report.GivenUp = c.settle(ctx, l)
 	stopWatching()
 	report.Accepted, report.Refused, report.Canceled, report.Unknown = l.counts()
-	report.Starts = c.fleet.Starts()
+	report.Starts, report.Crashes = c.fleet.Starts(), c.fleet.Crashes()
 	report.Broken = l.violationList()
 	return report, nil
 }
@@ -206,10 +212,14 @@
 			}
 			return storeFault
 		})
-	case FaultDeadlyJob:
+	case FaultDeadlyJob, FaultDeadlyWork:
 		if e.begins {
 			c.load.submitDeadly(f)
 		}
+	case FaultSeries:
+		if e.begins {
+			c.load.submitFault(f, faultSubmission(f))
+		}
 	case FaultCapacity:
 		cores := upstreamCores
 		if e.begins {
@@ -268,8 +278,9 @@
 }
 
 // settle ends all faults, waits until the phases of all jobs agree with the
-// outcomes reported to callers, and records the jobs where they do not.
-func (c *cell) settle(ctx context.Context, l *outcomeLog) {
+// outcomes reported to callers, and records the jobs where they do not. It returns the
+// number of jobs without a deadly task that were given up.
+func (c *cell) settle(ctx context.Context, l *outcomeLog) (givenUp int) {
 	for _, n := range c.nodes {
 		if n.unexpectedExitCount() > 0 {
 			l.recordViolation("%s exited unexpectedly %d times", n.name, n.unexpectedExitCount())
@@ -288,8 +299,13 @@
 	unmatched := l.snapshot()
 	for {
 		for id, o := range unmatched {
-			if c.outcomeMismatch(ctx, caller, id, o) == "" {
-				delete(unmatched, id)
+			mismatch, phase := c.outcomeMismatch(ctx, caller, id, o)
+			if mismatch != "" {
+				continue
+			}
+			delete(unmatched, id)
+			if phase == castate.PhaseFailed && !c.load.isDeadly(id) {
+				givenUp++
 			}
 		}
 		if len(unmatched) == 0 || c.timer.Pause(ctx, settlePollInterval) != nil {
@@ -302,14 +318,16 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		l.recordViolation("job %s %s", id, c.outcomeMismatch(context.WithoutCancel(ctx), caller, id, unmatched[id]))
+		mismatch, _ := c.outcomeMismatch(context.WithoutCancel(ctx), caller, id, unmatched[id])
+		l.recordViolation("job %s %s", id, mismatch)
 	}
+	return givenUp
 }
 
 // outcomeMismatch asks the nodes in turn for the phase of a job. It describes how
-// the phase contradicts the outcome, or returns an empty string if they agree.
-func (c *cell) outcomeMismatch(ctx context.Context, caller *platform.Caller, id cawork.JobID, o outcome) string {
-	mismatch := "is not reported by any node"
+// the phase contradicts the outcome, or returns an empty string and the phase if they
+// agree.
+func (c *cell) outcomeMismatch(ctx context.Context, caller *platform.Caller, id cawork.JobID, o outcome) (string, castate.Phase) {
 	for _, n := range c.nodes {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		answer := caller.Phase(callCtx, n.address(portFront), queueSpec(), id)
@@ -318,12 +336,11 @@
 			continue
 		}
 		if c.load.isDeadly(id) {
-			return o.deadlyMismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id))
+			return o.deadlyMismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id)), answer.Phase
 		}
-		mismatch = o.mismatch(answer.Phase, !answer.IsGone())
-		break
+		return o.mismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id)), answer.Phase
 	}
-	return mismatch
+	return "is not reported by any node", castate.PhaseQueued
 }
 
 // Err returns an error if a guarantee was violated.
@@ -336,6 +353,6 @@
 
 // String returns the counts of the report.
 func (r Report) String() string {
-	return fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d promises broken",
-		len(r.Plan), r.Accepted, r.Refused, r.Canceled, r.Unknown, r.Starts, len(r.Broken))
+	return fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d crashes by tasks, %d other jobs given up; %d promises broken",
+		len(r.Plan), r.Accepted, r.Refused, r.Canceled, r.Unknown, r.Starts, r.Crashes, r.GivenUp, len(r.Broken))
 }
