--- /dev/null
+++ b/internal/cell/caboard/latestarts.go
@@ -0,0 +1,46 @@
+package caboard
+
+import "time"
+
+// A start order without an answer may be carried out seconds later. A stop makes its
+// upstream reject it, but a later incarnation under the same ID has no record of that stop
+// and may carry the order out before the leader has noticed the incarnation. Therefore an
+// upstream that has become silent gets these stops again and again, so that one of them is
+// among the first calls that the later incarnation receives. Its answer shows the
+// incarnation to the leader, which then sends the other stops.
+
+// lateStopInterval is the time between two such stops at the same upstream.
+const lateStopInterval = 100 * time.Millisecond
+
+// lateStops returns the stop orders that are due at silent upstreams, one for each, in
+// turn for the starts that may be carried out late there.
+func (b *Planner) lateStops() []StopOrder {
+	var orders []StopOrder
+	for _, u := range b.sortedUpstreams {
+		if !b.mayRestartUnnoticed(u) || b.now.Monotonic.Sub(u.lastLateStopAt) < lateStopInterval {
+			continue
+		}
+		u.lastLateStopAt = b.now.Monotonic
+		u.lateStops++
+		r := u.abandonedStarts[u.lateStops%len(u.abandonedStarts)]
+		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation})
+	}
+	return orders
+}
+
+// mayRestartUnnoticed reports whether an upstream that may carry out a start late does not
+// answer, but did so recently enough to be restarting.
+func (b *Planner) mayRestartUnnoticed(u *upstream) bool {
+	return len(u.abandonedStarts) > 0 && !u.gone && u.info.Address != "" && (u.renewalUnanswered || u.isSuspected()) &&
+		b.timeSinceAnswer(u) < LeaseDuration
+}
+
+// isLateStop reports whether a stop order is one of lateStops.
+func (u *upstream) isLateStop(id RunID) bool {
+	for _, r := range u.abandonedStarts {
+		if r.id == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -24,7 +24,7 @@
 		b.reserveForSingleTasks()
 		b.placeSteps()
 	}
-	return Orders{Stops: b.dueStops(), ApprovalRequests: b.approvalRequests(), Probes: b.takeProbes()}
+	return Orders{Stops: append(b.dueStops(), b.lateStops()...), ApprovalRequests: b.approvalRequests(), Probes: b.takeProbes()}
 }
 
 // placeSteps assigns tasks that have room, in the order of the steps.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -538,7 +538,7 @@
 
 // ApplyStopOutcome applies the outcome of a stop order. It reports whether a report of the upstream
 // is needed to prove that the run is gone: an upstream lists no end of a run that it never
-// had.
+// had. An upstream that answers a late stop answers again, maybe in a later incarnation.
 func (b *Planner) ApplyStopOutcome(order StopOrder, acknowledged bool) (reportNeeded bool) {
 	u, ok := b.upstreams[order.Upstream]
 	if !ok {
@@ -546,11 +546,16 @@
 	}
 	r, ok := u.runs[order.Run]
 	if !ok {
+		return acknowledged && u.isLateStop(order.Run)
+	}
+	if order.Born != u.info.Incarnation {
+		// The stop for this incarnation must not wait for the retry of that for an earlier one.
+		r.stopInFlight = false
 		return false
 	}
 	r.stopInFlight = false
 	r.lastStopAt = b.now.Monotonic
-	if acknowledged && u.info.Incarnation == order.Born {
+	if acknowledged {
 		b.markAnswered(u, b.now.Monotonic)
 		r.stopAckedAt = b.now.Monotonic
 	}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -27,6 +27,10 @@
 	// abandonedStarts are starts that were given up without an answer and may still take
 	// effect.
 	abandonedStarts []*run
+	// lateStops counts the repeated stops of these while the upstream is silent, and
+	// lastLateStopAt is when the last one was sent.
+	lateStops      int
+	lastLateStopAt time.Time
 
 	// clockMS at clockAt is the last reading of the upstream's clock.
 	clockMS int64
