--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -26,10 +26,16 @@
 // other crashes may show a common cause.
 const judgementDelay = time.Second
 
+// maxUncountedRuns is how many runs of a task may end without a report, under leaders that count no
+// crashes, before these are presumed to be crashes.
+const maxUncountedRuns = 2
+
 // crashState is what the planner keeps about crashes of upstreams.
 type crashState struct {
 	// suspects are the jobs with crashes that have not ended.
 	suspects map[cawork.JobID]*job
+	// sortedSuspects holds them by their ids, nil if it is out of date.
+	sortedSuspects []*job
 	// changed are the jobs whose stored crashes are out of date, and removed those whose stored
 	// crashes are to be deleted.
 	changed map[cawork.JobID]*job
@@ -165,7 +171,7 @@
 		return
 	}
 	j.crashedAt = b.now.Monotonic
-	b.crashes.suspects[j.Submission.ID] = j
+	b.addSuspect(j)
 	b.markCrashesChanged(j)
 	if c.Unresolved || c.Present {
 		b.crashes.openSince[c.Upstream] = b.now.Monotonic
@@ -271,24 +277,38 @@
 	}
 }
 
-// expireUnresolvedCrashes counts the unresolved crashes of upstreams that were silent for long.
+// expireUnresolvedCrashes counts the unresolved crashes of upstreams that were silent for long. Those
+// that an earlier leader stored are not counted before their upstreams had time to answer this one:
+// they may have answered a leader in between that keeps no crashes.
 func (b *Planner) expireUnresolvedCrashes() {
 	before := b.now.WallMS - unresolvedTimeout.Milliseconds()
+	isSilent := func(id cawork.UpstreamID) bool {
+		return b.now.Monotonic.Sub(b.crashes.openSince[id]) >= LeaseDuration
+	}
 	for _, j := range b.sortedSuspects() {
-		if j.crashes.ResolveOld(before) {
+		if j.crashes.ResolveOld(before, isSilent) {
 			j.crashedAt = b.now.Monotonic
 			b.markCrashesChanged(j)
 		}
 	}
 }
 
-// sortedSuspects returns the jobs with crashes by their ids.
+// addSuspect adds a job with crashes.
+func (b *Planner) addSuspect(j *job) {
+	b.crashes.suspects[j.Submission.ID] = j
+	b.crashes.sortedSuspects = nil
+}
+
+// sortedSuspects returns the jobs with crashes by their ids. Later changes do not affect the result.
 func (b *Planner) sortedSuspects() []*job {
-	jobs := make([]*job, 0, len(b.crashes.suspects))
-	for _, id := range slices.Sorted(maps.Keys(b.crashes.suspects)) {
-		jobs = append(jobs, b.crashes.suspects[id])
+	if b.crashes.sortedSuspects == nil {
+		jobs := make([]*job, 0, len(b.crashes.suspects))
+		for _, id := range slices.Sorted(maps.Keys(b.crashes.suspects)) {
+			jobs = append(jobs, b.crashes.suspects[id])
+		}
+		b.crashes.sortedSuspects = jobs
 	}
-	return jobs
+	return b.crashes.sortedSuspects
 }
 
 // RestoreCrashes adds the stored crashes by job. A new leader calls it once all jobs are restored.
@@ -304,18 +324,58 @@
 		if j.Phase.IsFinal() {
 			continue
 		}
-		b.crashes.suspects[id] = j
+		b.addSuspect(j)
 		j.crashedAt = b.now.Monotonic
 		for _, u := range j.crashes.OpenUpstreams() {
 			b.crashes.openSince[u] = b.now.Monotonic
 		}
 	}
+	b.presumeUncountedCrashes()
 	for _, u := range b.sortedUpstreams {
 		b.countInheritedCrashes(u)
 		b.resolveCrashes(u.info.ID, u.info.Incarnation)
 	}
 }
 
+// presumeUncountedCrashes presumes crashes under the tasks that were started again and again by
+// leaders that count none, such as those of an earlier build. The answer of the upstream that had
+// the last run withdraws it.
+func (b *Planner) presumeUncountedCrashes() {
+	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
+		j := b.jobs[id]
+		if j.CrashesCounted || j.Phase.IsFinal() {
+			continue
+		}
+		j.CrashesCounted = true
+		for _, s := range j.steps {
+			b.presumeCrashesOfStep(s)
+		}
+	}
+}
+
+// presumeCrashesOfStep presumes crashes under the tasks of a step. The members of a gang are started
+// again for many reasons.
+func (b *Planner) presumeCrashesOfStep(s *step) {
+	if s.spec.Gang {
+		return
+	}
+	for i, t := range s.state().Tasks {
+		uncounted := t.Run - t.Failures - len(s.job.crashes.Crashes(s.crashTask(i)))
+		if t.Phase == castate.TaskDone || uncounted < maxUncountedRuns {
+			continue
+		}
+		if s.job.crashes == nil {
+			s.job.crashes = cacrash.New()
+		}
+		s.job.crashes.Add(s.crashTask(i), cacrash.Crash{
+			Upstream: t.Upstream, Incarnation: t.Born, Unresolved: true, Blamed: true, Repeated: true, AtMS: b.now.WallMS,
+		})
+		b.crashes.suspects[s.job.Submission.ID] = s.job
+		b.crashes.openSince[t.Upstream] = b.now.Monotonic
+		b.markCrashesChanged(s.job)
+	}
+}
+
 // countInheritedCrashes counts the crash of an upstream that an earlier leader did not notice: its
 // runs were assigned to an earlier incarnation. Whether they are to blame is not known, so that
 // they count as suspects.
@@ -360,6 +420,7 @@
 func (b *Planner) clearSuspect(j *job) {
 	j.onProbation = false
 	delete(b.crashes.suspects, j.Submission.ID)
+	b.crashes.sortedSuspects = nil
 }
 
 // forgetCrashes deletes the crashes of a job whose record is deleted.
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -164,21 +164,26 @@
 func (b *Planner) runsOf(s *step) []*run {
 	var runs []*run
 	for i := range s.state().Tasks {
-		t := &s.state().Tasks[i]
-		u, ok := b.upstreams[t.Upstream]
-		if !ok {
-			continue
-		}
-		id := RunID{
-			Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: i, Number: t.Run,
-		}
-		if r, ok := u.runs[id]; ok {
+		if r, ok := b.runOf(s, i); ok {
 			runs = append(runs, r)
 		}
 	}
 	return runs
 }
 
+// runOf returns the last run of a task, if it may be present at its upstream.
+func (b *Planner) runOf(s *step, index int) (*run, bool) {
+	t := &s.state().Tasks[index]
+	u, ok := b.upstreams[t.Upstream]
+	if !ok {
+		return nil, false
+	}
+	r, ok := u.runs[RunID{
+		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: index, Number: t.Run,
+	}]
+	return r, ok
+}
+
 // ApplyReport applies a report of an upstream.
 func (b *Planner) ApplyReport(report Report) {
 	u, ok := b.upstreams[report.Upstream]
@@ -603,11 +608,10 @@
 		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
 	}
 	switch {
-	case !b.mayExtendLease(u):
 	case u.renewalUnanswered:
 		// A later incarnation may answer. It numbers its ends from 1 again.
 		l.StoredEnd = 0
-	default:
+	case b.mayExtendLease(u):
 		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
 	}
 	if l.EndMS > 0 {
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -20,6 +20,9 @@
 	// the only suspect of one, and maxAllCrashes the number of all crashes in any case.
 	maxCrashes    = 3
 	maxAllCrashes = 4
+	// maxRepeatedCrashes replaces maxCrashes for a task that leaders which count no crashes started
+	// again and again before.
+	maxRepeatedCrashes = 2
 	// maxStored bounds the crashes kept of one task.
 	maxStored = 8
 	// provenAfter is how long an upstream must survive a run to clear it. Renewals wait at
@@ -66,6 +69,9 @@
 	// Present is set while the incarnation may still run the task though the task is no longer assigned
 	// to it, such as a run that was copied. It is no crash unless the incarnation ends.
 	Present bool `cbor:"11,keyasint,omitempty"`
+	// Repeated is set if several runs of the task ended before without a report, under leaders that
+	// count no crashes.
+	Repeated bool `cbor:"12,keyasint,omitempty"`
 	// Survived is for how long the upstream is known to have lived with the task.
 	Survived time.Duration `cbor:"6,keyasint,omitempty"`
 }
@@ -74,6 +80,8 @@
 // holds none.
 type History struct {
 	tasks map[Task][]Crash
+	// ordered holds the tasks in order, nil if it is out of date.
+	ordered []Task
 }
 
 // New returns an empty history.
@@ -90,12 +98,16 @@
 	return h.tasks[t]
 }
 
-// Tasks returns the tasks with crashes, in order.
+// Tasks returns the tasks with crashes, in order. The result is not to be modified, and later changes of
+// the history do not affect it.
 func (h *History) Tasks() []Task {
 	if h == nil {
 		return nil
 	}
-	return slices.SortedFunc(maps.Keys(h.tasks), Task.compare)
+	if h.ordered == nil {
+		h.ordered = slices.SortedFunc(maps.Keys(h.tasks), Task.compare)
+	}
+	return h.ordered
 }
 
 // Add adds a crash under a task, at most one for the same incarnation of an upstream, which several
@@ -110,6 +122,7 @@
 	}
 	if at < 0 {
 		h.tasks[t] = append(crashes, c)
+		h.ordered = nil
 		return true
 	}
 	merged := crashes[at].merge(c)
@@ -126,6 +139,7 @@
 	c.Sole = c.Sole || other.Sole
 	c.Confirmed = c.Confirmed || other.Confirmed
 	c.Probation = c.Probation || other.Probation
+	c.Repeated = c.Repeated || other.Repeated
 	isOpen := c.Unresolved || c.Present
 	c.Unresolved = isOpen && other.Unresolved
 	c.Present = isOpen && other.Present
@@ -143,7 +157,10 @@
 }
 
 // Clear removes the crashes under a task.
-func (h *History) Clear(t Task) { delete(h.tasks, t) }
+func (h *History) Clear(t Task) {
+	delete(h.tasks, t)
+	h.ordered = nil
+}
 
 // Resolve counts the unresolved crashes of the upstream's incarnations before the given one. It
 // reports whether the history changed.
@@ -151,10 +168,10 @@
 	return h.resolve(func(c Crash) bool { return (c.Unresolved || c.Present) && c.Upstream == id && c.Incarnation < before })
 }
 
-// ResolveOld counts the crashes that were unresolved before the given time, in Unix milliseconds. It
-// reports whether the history changed.
-func (h *History) ResolveOld(beforeMS int64) bool {
-	return h.resolve(func(c Crash) bool { return c.Unresolved && c.AtMS < beforeMS })
+// ResolveOld counts the crashes that were unresolved before the given time, in Unix milliseconds, of
+// the upstreams that are silent. It reports whether the history changed.
+func (h *History) ResolveOld(beforeMS int64, isSilent func(cawork.UpstreamID) bool) bool {
+	return h.resolve(func(c Crash) bool { return c.Unresolved && c.AtMS < beforeMS && isSilent(c.Upstream) })
 }
 
 func (h *History) resolve(matches func(Crash) bool) bool {
@@ -190,7 +207,7 @@
 		}
 		h.tasks[t] = kept
 		if len(kept) == 0 {
-			delete(h.tasks, t)
+			h.Clear(t)
 		}
 	}
 	return changed
@@ -216,7 +233,7 @@
 func (h *History) KeepOccurrences(keep func(occurrence int) bool) {
 	for t := range h.tasks {
 		if !keep(t.Occurrence) {
-			delete(h.tasks, t)
+			h.Clear(t)
 		}
 	}
 }
@@ -242,6 +259,8 @@
 	// suspected counts the crashes of which the task was a suspect, and sole the certain ones of these
 	// without suspects of other jobs.
 	suspected, sole int
+	// repeated is set if several runs ended without a report before those that are counted.
+	repeated bool
 }
 
 func (h *History) tally(t Task, withUnresolved bool) tally {
@@ -268,7 +287,8 @@
 	n.all += count(hadBegun)
 	n.certain += count(isCertain)
 	n.suspected += count(c.Blamed)
-	n.sole += count(c.Blamed && isCertain && c.Sole)
+	n.sole += count(c.Blamed && isCertain && c.Sole && !c.Repeated)
+	n.repeated = n.repeated || c.Repeated
 }
 
 func count(matches bool) int {
@@ -285,6 +305,9 @@
 	if n.all >= maxAllCrashes {
 		return true
 	}
+	if n.repeated {
+		return n.sole > 0 || n.certain >= maxRepeatedCrashes
+	}
 	return n.sole > 0 && n.certain >= maxCrashes
 }
 
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -32,6 +32,8 @@
       --upstreams=N          upstreams (8)
       --plain                no deadly jobs, shrinking capacities or series
       --dir=PATH             keep settings and logs in this folder
+      --previous=PATH        program of an earlier build, started in turn with
+                             this one
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -62,6 +62,7 @@
 	Upstreams int           `long:"upstreams" default:"8" value-name:"N"`
 	Plain     bool          `long:"plain"`
 	Dir       string        `long:"dir" value-name:"PATH"`
+	Previous  string        `long:"previous" value-name:"PATH"`
 }
 
 // Entry are the options of the command entry.
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -57,6 +57,9 @@
 	if !o.Plain {
 		options.Added = casoak.DrawAdded(seed)
 	}
+	if o.Previous != "" {
+		options.Previous = []string{o.Previous}
+	}
 	report, err := casoak.Run(ctx, options)
 	text := fmt.Sprintf("seed %d: %s\n", seed, report)
 	if err == nil {
