--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -54,6 +54,9 @@
 	options := casoak.Options{
 		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Command: []string{program}, Dir: dir, RunIndex: runNumber,
 	}
+	if !o.Plain {
+		options.Added = casoak.DrawAdded(seed)
+	}
 	if o.Previous != "" {
 		options.Previous = []string{o.Previous}
 	}
