LOST: the probation of one task no longer keeps long-running tasks from their restart

Cause: after two crashes a long-running task stays on probation for up to 20 s, and its upstream takes no other job for as long. Within one job the same held: a task of which two upstreams crashed after 15 s held all its siblings back.

Change: a task that is to be restarted may start at an upstream that has survived its run on probation for 2 s, if its own job is not on probation; crashes come within a second of the start, and a later one still counts. Siblings wait for a probation only if an upstream crashed within a second of the start of one of them.

TestLongRunningTaskWaitsForProbationOfAnother and TestRunOnProbationKeepsRestartsAway failed before and pass.

--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -14,13 +15,16 @@
 	probationSuspectWeight = 40.0
 	// probationUpstreamWeight makes gangs on probation prefer few upstreams.
 	probationUpstreamWeight = 20.0
+	// exclusiveProbation is how long an upstream must have survived its runs on probation before tasks
+	// that must be restarted soon may start there.
+	exclusiveProbation = 2 * time.Second
 )
 
 // updateProbation determines which jobs and upstreams have runs on probation. It requests a report
 // from upstreams whose next answer ends a probation.
 func (b *Planner) updateProbation() {
 	for _, u := range b.crashes.probationUpstreams {
-		u.probationOf = nil
+		u.probationOf, u.probationIsNew = nil, false
 	}
 	b.crashes.probationUpstreams = nil
 	for _, j := range b.sortedSuspects() {
@@ -103,6 +107,7 @@
 		u.probationOf = r.step.job
 		b.crashes.probationUpstreams = append(b.crashes.probationUpstreams, u)
 	}
+	u.probationIsNew = u.probationIsNew || r.survived() < exclusiveProbation
 	if r.sent && b.now.Monotonic.Sub(r.sentAt) > r.probationTime() {
 		b.queueProbe(u)
 	}
@@ -110,7 +115,8 @@
 
 // startProbationOf applies the probation of a run that was just assigned.
 func (b *Planner) startProbationOf(r *run) {
-	if r.step.job.onProbation {
+	s := r.step
+	if s.job.onProbation && (!s.isRestartedAsUsual() || s.isOnProbation(r.id.Index)) {
 		r.onProbation = true
 		b.startProbation(r)
 	}
@@ -124,7 +130,13 @@
 		return false
 	}
 	t := s.crashTask(index)
-	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index)
+	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index) && !s.isRestartedAsUsual()
+}
+
+// isRestartedAsUsual reports whether the probation of one long-running task of the step does not keep
+// the others from being restarted: no upstream crashed soon after it had started one of them.
+func (s *step) isRestartedAsUsual() bool {
+	return s.spec.LongRunning && !s.job.crashes.CrashedEarly(s.occurrence.Number, s.number)
 }
 
 // isGangHeldBack reports the same of a gang, whose members start together.
@@ -163,12 +175,13 @@
 
 // isApart reports whether a task of the step may start on an upstream as far as probation is
 // concerned. The tasks of a job on probation start on one upstream, where no other job is on
-// probation and none starts, so that a crash of the upstream shows which job is to blame.
+// probation and none starts, so that a crash of the upstream shows which job is to blame. Long-running
+// tasks must be restarted soon: they may start where the upstream has survived the first seconds.
 func (b *Planner) isApart(s *step, u *upstream) bool {
 	if u.probationOf != nil && u.probationOf != s.job {
-		return false
+		return s.tasksToRestart > 0 && !s.job.onProbation && !u.probationIsNew
 	}
-	if !s.job.onProbation {
+	if !s.job.onProbation || s.isRestartedAsUsual() {
 		return true
 	}
 	return u.probationOf == s.job || !b.hasProbationUpstream(s.job)
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -64,6 +64,8 @@
 	inPartition   bool
 	// probationOf is the job with a run on probation there, if any.
 	probationOf *job
+	// probationIsNew is set until the upstream has survived all of these runs for exclusiveProbation.
+	probationIsNew bool
 	// reservedBy is the step that room is reserved for, if any: all room for a gang, and
 	// reservedRoom for a single task, since reservedSince. That room is expected to be
 	// complete at reservedFrom.
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -371,6 +371,19 @@
 	return !slices.ContainsFunc(h.Crashes(t), func(c Crash) bool { return c.isCounted(true) && !c.Shared })
 }
 
+// CrashedEarly reports whether an upstream may have crashed soon after it had started a task of the
+// step, from no common cause.
+func (h *History) CrashedEarly(occurrence, step int) bool {
+	for _, t := range h.Tasks() {
+		if t.Occurrence == occurrence && t.Step == step && slices.ContainsFunc(h.tasks[t], Crash.isEarly) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c Crash) isEarly() bool { return c.isCounted(true) && !c.Shared && c.Survived < provenAfter }
+
 // IsOnProbation reports whether the task is started apart from other jobs: it was the suspect of
 // a crash, or several upstreams may have crashed under it.
 func (h *History) IsOnProbation(t Task) bool {
