LOST: an inherited long-running task of a VM that is back under another id is given up at once

What callers saw: a long-running task that was lost with its upstream and the leader is not restarted for 10 s, though the VM is back under another id, which proves that the upstream no longer exists. Found by the review.

Cause: such proof ended only runs that the upstream had confirmed to this leader, since a start order without an answer may still be carried out there. No inherited run counted as confirmed.

Change: runs that an earlier leader recorded as having lasted were confirmed, and end with the proof. Younger ones wait for the lease as before.

--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -118,8 +118,8 @@
 }
 
 // MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
-// confirmed have ended. A start order without an answer may still take effect in a later
-// incarnation.
+// confirmed, to this leader or an earlier one, have ended. A start order without an answer may
+// still take effect in a later incarnation.
 func (b *Planner) MarkIncarnationGone(id cawork.UpstreamID) {
 	u, ok := b.upstreams[id]
 	if !ok {
@@ -131,7 +131,7 @@
 		b.countCrash(u, u.info.Incarnation, "upstream no longer exists", false)
 	}
 	for _, r := range u.runs {
-		if r.confirmed {
+		if r.confirmed || r.isProvenBefore() {
 			b.declareLost(r, "upstream no longer exists")
 		}
 	}
