--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -60,7 +60,8 @@
 		Bool("held", s.hasReserved()).Bool("probation", s.job.onProbation).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
 		Float64("pool_area", b.partitionOf(q.Pool).share).
 		Int("with_room", survey.withRoom).Int("unasked", survey.undecided).Int("rejected", survey.rejected).Int("expired", survey.expired).
-		Int("spread", survey.full).Int("kept", survey.reserved).Int("gang_area", survey.partition).Send()
+		Int("spread", survey.full).Int("kept", survey.reserved).Int("gang_area", survey.partition).
+		Int("apart", survey.apart).Send()
 }
 
 // roomSurvey counts the upstreams with room for a task of a step, and of them those where it
@@ -73,6 +74,8 @@
 	// full upstreams run as many tasks of the step as they may, reserved ones are kept for
 	// others, and partition counts those that are left to wide gangs.
 	full, reserved, partition int
+	// apart counts those that probation keeps the step from, whatever else applies to them.
+	apart int
 }
 
 func (b *Planner) surveyRoom(s *step, q caspec.Queue, p *poolPlan) roomSurvey {
@@ -82,6 +85,9 @@
 			continue
 		}
 		survey.withRoom++
+		if !b.isApart(s, u) {
+			survey.apart++
+		}
 		_, hasTicket := s.approvals.validTicket(u, b.now.Monotonic)
 		switch {
 		case q.Approval != nil && s.approvals.decided[u.info.ID] != u.info.Incarnation:
