--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -78,6 +78,9 @@
 			if diff := cmp.Diff([]string(nil), report.Broken); diff != "" {
 				t.Errorf("guarantees violated (-want +got):\n%s\nplan: %v", diff, report.Plan)
 			}
+			if report.GivenUp > 0 {
+				t.Errorf("%d jobs without a deadly task were given up", report.GivenUp)
+			}
 			if report.Accepted == 0 {
 				t.Error("no job was accepted")
 			}
