--- a/internal/cell/caboard/crashes_gangs_test.go
+++ b/internal/cell/caboard/crashes_gangs_test.go
@@ -274,6 +274,7 @@
 // TestWholeJobThatCrashesUpstreams covers jobs of which all tasks crash their upstreams, gangs of
 // several upstreams among them. None may be started without end, and no other job may be given up.
 func TestWholeJobThatCrashesUpstreams(t *testing.T) {
+	runWithoutRace(t)
 	kinds := map[string]caspec.Step{
 		"wide gang": wideGangStep, "many tasks": manyTasksStep, "copied tasks": copiedTasksStep, "saved tasks": savedTasksStep, "long tasks": longTasksStep,
 	}
@@ -329,6 +330,7 @@
 // costs several upstreams, so that a gang must not have as many starts as a single task. Two such
 // gangs at a time must not pass for a common cause, either.
 func TestGangCrashesUpstreamsThreeTimesOver(t *testing.T) {
+	runWithoutRace(t)
 	const (
 		seeds = 4
 		// maxCrashesPerMember is how many upstreams may crash for each member, on average.
--- a/internal/cell/caboard/crashes_test.go
+++ b/internal/cell/caboard/crashes_test.go
@@ -224,6 +224,7 @@
 // runs. What keeps tasks that crash upstreams apart must not delay these runs: all must be running
 // again soon after their upstreams are back, which proves that the runs are lost.
 func TestLostRunsAreBackSoonAfterMassCrash(t *testing.T) {
+	runWithoutRace(t)
 	const (
 		upstreams = 40
 		crashed   = 7
@@ -391,6 +392,7 @@
 // look like a common cause, so that none of them was on probation and other jobs met them again and
 // again until they were given up as well.
 func TestManyHarmfulJobsEndOthersSeldom(t *testing.T) {
+	runWithoutRace(t)
 	for seed := range int64(6) {
 		c := newCrashWorld(seed, 60, func(c *crashWorld) {
 			c.repeat(25*time.Millisecond, func() {
--- a/internal/cell/caboard/replay_test.go
+++ b/internal/cell/caboard/replay_test.go
@@ -475,6 +475,7 @@
 // an outage of the store. Each kind of jobs, and so all of them together, must earn
 // minServedShare.
 func TestReplayedWorkloadsMeetTarget(t *testing.T) {
+	runWithoutRace(t)
 	baseline := mixedWorkload(540, 97)
 	slowStore := baseline.withRate(1.08)
 	slowStore.slowAppends = timeSpan{3 * time.Second, 8 * time.Second}
--- a/internal/cell/caboard/shifted_replay_test.go
+++ b/internal/cell/caboard/shifted_replay_test.go
@@ -48,6 +48,7 @@
 // jobs must earn minShiftedShare, over several seeds: patient work waits while gangs have no
 // room, and urgent work is not delayed by either.
 func TestShiftedWorkload(t *testing.T) {
+	runWithoutRace(t)
 	const seeds = 2
 	replays := make([]*replay, seeds)
 	t.Run("seeds", func(t *testing.T) {
