BUDGET: presumed crashes are in the ordered list of jobs with crashes

What callers would see: after an upgrade a task that crashed upstreams under the earlier build is not on probation and its job not given up in time, if the leader had read its list of such jobs before.

TestPresumedCrashesAreOverlooked failed before (0 jobs instead of 1) and passes.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -393,7 +393,7 @@
 		s.job.crashes.Add(s.crashTask(i), cacrash.Crash{
 			Upstream: t.Upstream, Incarnation: t.Born, Unresolved: true, Blamed: true, Repeated: true, AtMS: b.now.WallMS,
 		})
-		b.crashes.suspects[s.job.Submission.ID] = s.job
+		b.addSuspect(s.job)
 		b.crashes.openSince[t.Upstream] = b.now.Monotonic
 		b.markCrashesChanged(s.job)
 	}
--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -518,3 +518,20 @@
 		t.Errorf("tasks restarted once the leases are over (-want +got):\n%s", diff)
 	}
 }
+
+// TestPresumedCrashesAreOverlooked guards against presumed crashes that are missing from the ordered list
+// of jobs with crashes, if that had been read before.
+func TestPresumedCrashesAreOverlooked(t *testing.T) {
+	l := newStoredCell(t).lead(false)
+	l.submitJob()
+	j := l.planner.jobs["job"]
+	if diff := cmp.Diff(0, len(l.planner.sortedSuspects())); diff != "" {
+		t.Fatalf("jobs with crashes before (-want +got):\n%s", diff)
+	}
+	j.CrashesCounted = false
+	j.OpenOccurrences[0].Steps[0].Tasks[0].Run = maxUncountedRuns
+	l.planner.presumeUncountedCrashes()
+	if diff := cmp.Diff(1, len(l.planner.sortedSuspects())); diff != "" {
+		t.Errorf("jobs with crashes (-want +got):\n%s", diff)
+	}
+}
