--- a/internal/cell/caboard/crashes_test.go
+++ b/internal/cell/caboard/crashes_test.go
@@ -22,7 +22,7 @@
 	deadly map[cawork.JobID]time.Duration
 	// changesID is set where a crashed upstream is back under another id.
 	changesID bool
-	// isCalm is set where no machine crashes by itself, the leader does not change, no order is late
+	// isCalm is set where no VM crashes by itself, the leader does not change, no order is late
 	// and tasks crash upstreams soon after their start. Then all other jobs must complete.
 	isCalm bool
 	// crashes counts the crashes that each task caused, and startsBeyond the starts of tasks after
@@ -121,7 +121,7 @@
 	})
 }
 
-// replaceUpstream starts the machine of a crashed upstream under another id.
+// replaceUpstream starts the VM of a crashed upstream under another id.
 func (c *crashWorld) replaceUpstream(u *simulatedUpstream) *simulatedUpstream {
 	u.gone = true
 	delete(c.listed, u.info.ID)
@@ -288,7 +288,7 @@
 }
 
 // TestCrashesAreBoundedAndInnocentJobsComplete runs jobs that crash upstreams among others, under
-// crashes of machines, changes of the leader and orders that are carried out late. No task may be
+// crashes of VMs, changes of the leader and orders that are carried out late. No task may be
 // started more than maxStartsBeyond times after maxCrashes crashes, and the other jobs must complete
 // unless several upstreams crashed under one of their tasks.
 func TestCrashesAreBoundedAndInnocentJobsComplete(t *testing.T) {
--- a/internal/cell/caboard/knownroom.go
+++ b/internal/cell/caboard/knownroom.go
@@ -14,7 +14,7 @@
 
 const (
 	// roomRetention is how long the room of an upstream that left is remembered: a restart
-	// takes seconds, and other work on a machine up to a minute.
+	// takes seconds, and other work on a VM up to a minute.
 	roomRetention = time.Minute
 	// roomRetryAfter is the delay after which callers retry a job that finds too little room
 	// for now.
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -38,7 +38,7 @@
 	// incarnation. Orders name an upstream and not its incarnation, so that the leader
 	// cannot know that late orders of before the restart may start here as well.
 	startedUnseen bool
-	// gone is set once the machine is back under another id.
+	// gone is set once the VM is back under another id.
 	gone bool
 	// capacities are the capacities that this incarnation has had, in their order.
 	capacities []heldCapacity
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// TestInheritedRunOfVanishedUpstreamWaitsForItsLease covers an upstream whose machine is back under another
+// TestInheritedRunOfVanishedUpstreamWaitsForItsLease covers an upstream whose VM is back under another
 // id while the leader changes, so that the address of the upstream proves that it no longer exists.
 func TestInheritedRunOfVanishedUpstreamWaitsForItsLease(t *testing.T) {
 	s := newSimulation(t, 2, plainQueue())
