--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -13,8 +13,8 @@
 )
 
 // TestRoomIsReservedAtUpstreamOnProbation covers a long-running task that fails while an upstream
-// with room for it is kept for a job on probation. Its reservation stayed there, and its tickets
-// expired one after the other.
+// with room for it is kept for a job on probation, all the while since both are. Its reservation
+// stayed there, and its tickets expired one after the other.
 func TestRoomIsReservedAtUpstreamOnProbation(t *testing.T) {
 	s := newSimulation(t, 2, longRunningQueue(), smallQueue())
 	all := func(cawork.UpstreamID) bool { return true }
@@ -25,7 +25,8 @@
 	s.submit("suspect", busyPoolSmallID, caspec.Step{Tasks: 1, CPU: 4000, Memory: cawork.GiB, Estimate: time.Hour})
 	suspect := s.startAll()[0]
 	s.putOnProbation("suspect")
-	for range 55 {
+	s.putOnProbation("service")
+	for range 150 {
 		s.tick(20*time.Millisecond, all)
 	}
 	if s.planner.upstreams[suspect.Upstream].probationOf == nil || suspect.Upstream == service.Upstream {
