--- a/internal/cell/caleader/golden_test.go
+++ b/internal/cell/caleader/golden_test.go
@@ -33,12 +33,28 @@
 	FailedRuns      []castate.FailedRunID `cbor:"9,keyasint,omitempty"`
 }
 
-// TestEarlierBuildKeepsJobButDropsMark covers a roll-back: the earlier build reads all that it knows of a
-// job, and drops the mark that its crashes are counted when it stores the job.
+// TestEarlierBuildKeepsJobButDropsMark covers a roll-back and another upgrade: the earlier build reads all
+// that it knows of a job, and drops what later builds know of crashes when it stores the job. This
+// build reads that, and adds the same again.
 func TestEarlierBuildKeepsJobButDropsMark(t *testing.T) {
-	marked := storedJob()
-	marked.CrashesCounted = true
-	value, err := marked.Encode()
+	mark := func(j *castate.Job) *castate.Job {
+		j.CrashesCounted = true
+		j.AddProvenRun(castate.ProvenRunID{Index: 1, Number: 4})
+		return j
+	}
+	back := storedByEarlierBuild(t, mark(storedJob()))
+	if diff := cmp.Diff(storedJob(), back); diff != "" {
+		t.Errorf("job that the earlier build stored (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(mark(storedJob()), storedByThisBuild(t, mark(back))); diff != "" {
+		t.Errorf("job that this build stored after it (-want +got):\n%s", diff)
+	}
+}
+
+// storedByEarlierBuild returns the job as this build reads it once the earlier build has read and stored it.
+func storedByEarlierBuild(t *testing.T, j *castate.Job) *castate.Job {
+	t.Helper()
+	value, err := j.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,13 +65,26 @@
 	if value, err = cbor.Marshal(read); err != nil {
 		t.Fatal(err)
 	}
-	got, err := castate.DecodeJob(value)
+	return decodedJob(t, value)
+}
+
+// storedByThisBuild returns the job as this build reads it once it has stored it.
+func storedByThisBuild(t *testing.T, j *castate.Job) *castate.Job {
+	t.Helper()
+	value, err := j.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(storedJob(), got); diff != "" {
-		t.Errorf("job that the earlier build stored (-want +got):\n%s", diff)
+	return decodedJob(t, value)
+}
+
+func decodedJob(t *testing.T, value []byte) *castate.Job {
+	t.Helper()
+	j, err := castate.DecodeJob(value)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return j
 }
 
 // TestRecordsOfEarlierBuildAreRead guards against records of the log that an earlier build, which led
