--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
@@ -19,6 +20,9 @@
 	Capacity cawork.Resources
 	Labels   []string
 	Draining bool
+	// DrainRemaining is the shortest time for which a draining upstream stays, as of the
+	// description.
+	DrainRemaining time.Duration
 }
 
 // IsSupersededBy reports whether the description is older than another one of the same
