LOST: long-running tasks leave an upstream that drains before it goes

Callers saw a long-running task stand still for 8 s and more, with room for it, after its upstream had left as it had announced.

Cause: an announced leave was treated as a loss. The list tells that an upstream drains, and for how long it stays at least; the planner only gave it no new work. What ran there ended with it, which is proved when the longest lease has expired, 6.9 to 8.0 s after the last report. A leader that changes meanwhile, or one refused approval, makes that 10 s and more; the contract counts from 6 s on and allows 3 s of calm.

Change: while an upstream drains, places elsewhere are reserved and approved for its long-running tasks, as for a restart. A task is stopped once it has such a place, and at the latest 1.2 s before the upstream may leave, so that its end is reported and it starts elsewhere at once. 421 tells it, and 304 when an upstream begins to drain. While nothing can be stored no task is stopped: it could not be started again. Short tasks and gangs stay.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -64,6 +64,7 @@
 	TaskCopied         Number = 418
 	UpstreamCrashed    Number = 419
 	JobGivenUp         Number = 420
+	TaskMoved          Number = 421
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -16,8 +16,8 @@
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_empty"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_up"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_up"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_moved"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_moved"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -33,7 +33,7 @@
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217}
+	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 420:
+	case 405 <= i && i <= 421:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 505:
@@ -127,6 +127,7 @@
 	_ = x[TaskCopied-(418)]
 	_ = x[UpstreamCrashed-(419)]
 	_ = x[JobGivenUp-(420)]
+	_ = x[TaskMoved-(421)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -147,7 +148,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -199,6 +200,7 @@
 	_NumberName_4[178:189]: TaskCopied,
 	_NumberName_4[189:205]: UpstreamCrashed,
 	_NumberName_4[205:217]: JobGivenUp,
+	_NumberName_4[217:227]: TaskMoved,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -269,6 +271,7 @@
 	_NumberLowerName_4[178:189]: TaskCopied,
 	_NumberLowerName_4[189:205]: UpstreamCrashed,
 	_NumberLowerName_4[205:217]: JobGivenUp,
+	_NumberLowerName_4[217:227]: TaskMoved,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -339,6 +342,7 @@
 	_NumberName_4[178:189],
 	_NumberName_4[189:205],
 	_NumberName_4[205:217],
+	_NumberName_4[217:227],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/cell/caboard/headroom.go
+++ b/internal/cell/caboard/headroom.go
@@ -29,8 +29,11 @@
 }
 
 // required returns what must fit below the limit for the step to start: one task, or the
-// whole gang.
+// whole gang, or nothing for tasks that only move.
 func (h headroom) required(s *step) cawork.Resources {
+	if s.waitingTasks == 0 {
+		return cawork.Resources{}
+	}
 	if s.spec.Gang {
 		return s.spec.Size().Times(int64(s.waitingTasks))
 	}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -16,6 +16,7 @@
 func (b *Planner) Plan() Orders {
 	b.checkUnansweredStarts()
 	b.pruneSteps()
+	b.updateDepartures()
 	b.sortSteps()
 	b.pools = b.newPoolPlans()
 	b.planPartitions()
@@ -23,6 +24,7 @@
 		b.copyStragglers()
 		b.reserveForSingleTasks()
 		b.placeSteps()
+		b.stopDepartingRuns()
 	}
 	return Orders{Stops: append(b.dueStops(), b.lateStops()...), ApprovalRequests: b.approvalRequests(), Probes: b.takeProbes()}
 }
@@ -84,7 +86,7 @@
 func (b *Planner) newPoolPlans() map[caspec.PoolName]*poolPlan {
 	pools := make(map[caspec.PoolName]*poolPlan)
 	for _, u := range b.sortedUpstreams {
-		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
+		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks+r.tasksLeaving == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
 			u.release(r)
 		}
 		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u) && b.mayExtendLease(u)
@@ -149,7 +151,7 @@
 		return cmp.Or(
 			cmp.Compare(x.lateness, y.lateness),
 			cmp.Compare(x.job.priority, y.job.priority),
-			compareBool(y.tasksToRestart > 0, x.tasksToRestart > 0),
+			compareBool(y.restarts() > 0, x.restarts() > 0),
 			compareBool(x.job.OverRate, y.job.OverRate),
 			x.job.acceptedAt.Compare(y.job.acceptedAt),
 			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -156,7 +156,7 @@
 	return j.onProbation && !onProbation
 }
 
-// isStepHeldBack reports whether no waiting task of the step may start now.
+// isStepHeldBack reports whether no task of the step that waits or soon will may start now.
 func (b *Planner) isStepHeldBack(s *step) bool {
 	if s.job.crashes == nil {
 		return false
@@ -164,6 +164,9 @@
 	if s.spec.Gang {
 		return b.isGangHeldBack(s)
 	}
+	if s.tasksLeaving > 0 && (!s.job.onProbation || s.isRestartedAsUsual()) {
+		return false
+	}
 	tasks := s.state().Tasks
 	for i := range tasks {
 		if tasks[i].Phase == castate.TaskWaiting && !b.isHeldBack(s, i) {
@@ -179,7 +182,7 @@
 // tasks must be restarted soon: they may start where the upstream has survived the first seconds.
 func (b *Planner) isApart(s *step, u *upstream) bool {
 	if u.probationOf != nil && u.probationOf != s.job {
-		return s.tasksToRestart > 0 && !s.job.onProbation && !u.probationIsNew
+		return s.restarts() > 0 && !s.job.onProbation && !u.probationIsNew
 	}
 	if !s.job.onProbation || s.isRestartedAsUsual() {
 		return true
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -31,10 +31,12 @@
 		u = newUpstream(info)
 		b.addUpstream(u)
 	}
-	if !ok || info.Capacity != u.info.Capacity {
+	if !ok || info.Capacity != u.info.Capacity || info.Draining != u.info.Draining {
 		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
-			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).Send()
+			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).
+			Bool("draining", info.Draining).Dur("stays", info.DrainRemaining).Send()
 	}
+	b.updateDeparture(u, info, !ok)
 	u.listedIncarnation = info.Incarnation
 	switch {
 	case info.Incarnation > u.info.Incarnation:
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -101,22 +101,23 @@
 		return 0
 	}
 	if !s.ready || s.waitingTasks == s.tasksToRestart || s.lateness != latenessNone {
-		return s.tasksToRestart
+		return s.restarts()
 	}
 	since := s.waitBegan()
-	if len(s.spec.After) == 0 && s.tasksToRestart == 0 && s.job.acceptedAt.Before(since) {
+	if len(s.spec.After) == 0 && s.restarts() == 0 && s.job.acceptedAt.Before(since) {
 		since = s.job.acceptedAt
 	}
 	if b.now.Monotonic.Sub(since) > firstStartPatience {
-		return s.tasksToRestart + 1
+		return s.restarts() + 1
 	}
-	return s.tasksToRestart
+	return s.restarts()
 }
 
-// startableTasks returns for how many of these tasks the team of the step may start.
+// startableTasks returns for how many of these tasks the team of the step may start. Those whose
+// runs are about to end take what these have now.
 func (b *Planner) startableTasks(s *step) int {
 	n := b.tasksWithReservation(s)
-	for n > 0 && !b.withinLimit(s.job.Submission.Team, s.spec.Size().Times(int64(n))) {
+	for n > s.tasksLeaving && !b.withinLimit(s.job.Submission.Team, s.spec.Size().Times(int64(n-s.tasksLeaving))) {
 		n--
 	}
 	return n
@@ -256,17 +257,17 @@
 // reserved there, or restarts take that of a first start.
 func (s *step) mayReserveAt(u *upstream) bool {
 	other := u.reservedBy
-	return other == nil || s.tasksToRestart > 0 && other.reservesForFirstStart()
+	return other == nil || s.restarts() > 0 && other.reservesForFirstStart()
 }
 
 // reservesForFirstStart reports whether the step reserves room for a single task that never ran.
-func (s *step) reservesForFirstStart() bool { return !s.spec.Gang && s.tasksToRestart == 0 }
+func (s *step) reservesForFirstStart() bool { return !s.spec.Gang && s.restarts() == 0 }
 
 // mayReserveTask reports whether more room of the pool may be reserved for single tasks of the
 // step. Only other restarts count against restarts.
 func (p *poolPlan) mayReserveTask(s *step) bool {
 	cpu, reservations := p.taskReservedCPU, p.taskReservations
-	if s.tasksToRestart > 0 {
+	if s.restarts() > 0 {
 		cpu, reservations = p.reservedForRestarts()
 	}
 	return cpu < maxTaskReservedShare*float64(p.capacity) &&
@@ -276,7 +277,7 @@
 // reservedForRestarts returns the CPU that is reserved for restarts, and at how many upstreams.
 func (p *poolPlan) reservedForRestarts() (cpu float64, reservations int) {
 	for _, u := range p.upstreams {
-		if u.reservedBy != nil && u.reservedBy.tasksToRestart > 0 {
+		if u.reservedBy != nil && u.reservedBy.restarts() > 0 {
 			cpu += float64(u.reservedRoom.CPU)
 			reservations++
 		}
--- a/internal/cell/caboard/taskreservation_test.go
+++ b/internal/cell/caboard/taskreservation_test.go
@@ -31,6 +31,8 @@
 	random  *rand.Rand
 	start   time.Time
 	running map[cawork.UpstreamID]map[RunID]time.Time
+	// stopped are the runs that were told to stop.
+	stopped map[RunID]bool
 	// endedAt is when the last run of each long-running task ended, while it waits, and
 	// longestWait the longest such wait so far.
 	endedAt     map[RunID]time.Time
@@ -40,6 +42,14 @@
 	firstStarts int
 	answers     []advisorAnswer
 	jobs        int
+	// waitingShort is how many steps of short jobs wait at any time.
+	waitingShort int
+	// absent are the upstreams that do not answer.
+	absent map[cawork.UpstreamID]bool
+	// longRunsLast is set if long-running tasks do not fail by themselves.
+	longRunsLast bool
+	// onTick is called before each plan.
+	onTick func()
 }
 
 type advisorAnswer struct {
@@ -54,8 +64,10 @@
 	busyPoolSmallID = "small"
 	// maxBusyPoolFree is the largest free fraction of a pool that is busy.
 	maxBusyPoolFree = 0.2
-	// waitingShortSteps is how many steps of short jobs wait at any time.
+	// waitingShortSteps is how many steps of short jobs wait at any time in a full pool.
 	waitingShortSteps = 10
+	// busyPoolStopTime is how long an upstream takes to stop a run.
+	busyPoolStopTime = 400 * time.Millisecond
 )
 
 func longRunningQueue() caspec.Queue {
@@ -79,6 +91,7 @@
 	p := &busyPool{
 		simulation: newSimulation(t, upstreams, longRunningQueue(), smallQueue()), random: rand.New(rand.NewSource(seed)),
 		running: make(map[cawork.UpstreamID]map[RunID]time.Time), endedAt: make(map[RunID]time.Time),
+		stopped: make(map[RunID]bool), waitingShort: waitingShortSteps, absent: make(map[cawork.UpstreamID]bool), onTick: func() {},
 	}
 	p.planner.log = zerolog.Nop()
 	p.start = p.now
@@ -93,14 +106,18 @@
 func (p *busyPool) run(duration time.Duration) {
 	p.t.Helper()
 	for end := p.now.Add(duration); p.now.Before(end); p.advance(busyPoolTick) {
-		for p.countWaitingShort() < waitingShortSteps {
+		for p.countWaitingShort() < p.waitingShort {
 			p.jobs++
 			small := caspec.Step{Tasks: 1 + p.random.Intn(4), CPU: cawork.MilliCPU(1000 + p.random.Intn(2500)), Memory: cawork.GiB, Estimate: time.Duration(400+p.random.Intn(900)) * time.Millisecond}
 			p.planner.open(caspec.Submission{ID: cawork.JobID(fmt.Sprintf("%016x", p.jobs)), Queue: busyPoolSmallID, Team: "north", Steps: []caspec.Step{small}}, false)
 		}
 		p.answer()
 		p.reportAll()
+		p.onTick()
 		orders := p.planner.Plan()
+		for _, o := range orders.Stops {
+			p.stopRun(o)
+		}
 		for _, request := range orders.ApprovalRequests {
 			p.answers = append(p.answers, advisorAnswer{at: p.now.Add(request.Cost), request: request})
 		}
@@ -143,6 +160,9 @@
 // reportAll reports what runs and what ended on all upstreams.
 func (p *busyPool) reportAll() {
 	for _, id := range p.planner.UpstreamIDs() {
+		if p.absent[id] {
+			continue
+		}
 		var present []RunningRun
 		var ended []EndedRun
 		for _, run := range slices.SortedFunc(maps.Keys(p.running[id]), RunID.compare) {
@@ -157,6 +177,9 @@
 				ending = EndingFailed
 				p.endedAt[taskOf(run)] = p.now
 			}
+			if p.stopped[run] {
+				ending = EndingStopped
+			}
 			ended = append(ended, EndedRun{Run: run, Ending: ending})
 		}
 		p.reportWithoutDelay(id, present, ended)
@@ -177,6 +200,9 @@
 	took := time.Duration(float64(j.Submission.Steps[o.Run.Step].Estimate) * (0.75 + p.random.Float64()/2))
 	if p.isLongRunning(o.Run) {
 		took = longRunTime + time.Duration(p.random.Int63n(int64(2*longRunTime)))
+		if p.longRunsLast {
+			took = time.Hour
+		}
 		if _, ok := p.endedAt[taskOf(o.Run)]; ok {
 			p.restarts++
 			delete(p.endedAt, taskOf(o.Run))
@@ -188,6 +214,19 @@
 	p.running[o.Upstream][o.Run] = p.now.Add(took)
 }
 
+// stopRun carries a stop order out, unless the upstream does not answer.
+func (p *busyPool) stopRun(o StopOrder) {
+	endsAt, isRunning := p.running[o.Upstream][o.Run]
+	if p.absent[o.Upstream] {
+		p.planner.ApplyStopOutcome(o, false)
+		return
+	}
+	p.planner.ApplyStopOutcome(o, true)
+	if end := p.now.Add(busyPoolStopTime); isRunning && end.Before(endsAt) {
+		p.running[o.Upstream][o.Run], p.stopped[o.Run] = end, true
+	}
+}
+
 // TestLongRunningTaskIsRestartedInBusyPool covers long-running tasks that fail in a pool that
 // short tasks keep full. Without reserved room the short tasks took all room that became
 // free, and the tickets of the long-running tasks expired before there was enough for them.
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -42,6 +42,8 @@
 	// lastAnswerAt is when it last answered any call. suspectedSince is when the call was
 	// made that it left unanswered, and lastProbeAt when it was last probed.
 	lastAnswerAt, suspectedSince, lastProbeAt time.Time
+	// leavesAt is until when it stays at least, while it drains.
+	leavesAt time.Time
 	// fenced is set once it has answered a call with the fencing token of this leader.
 	fenced bool
 	// renewalUnanswered is set while the last lease renewal has no answer.
