LOST: the advisor is asked before the lease of a silent upstream is over

Callers saw a long-running task of a lost upstream wait for the advisor once its lease was over: 0.5 s and more, more than once if the first upstreams asked about were refused.

Cause: a place was sought only once the run had been given up, although the moment is known before: an upstream that does not answer ends its runs when its lease expires.

Change: from 1.5 s before that, room is reserved and the advisor is asked, as for tasks that leave a draining upstream.

--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -7,10 +7,11 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-// A long-running task is restarted when its run has ended. At an upstream that drains this end is
-// known before it comes: the upstream tells for how long it stays. So a place elsewhere is sought
-// before: room is reserved and the advisor is asked. Then the run is stopped, so that its end is
-// proved at once. Once the upstream is gone, its lease would have to expire first.
+// A long-running task is restarted when its run has ended. Two such ends are known before they
+// come: an upstream that drains tells for how long it stays, and one that does not answer ends
+// its runs when its lease expires. In both cases a place elsewhere is sought before: room is
+// reserved and the advisor is asked. At an upstream that drains the run is then stopped, so that
+// its end is proved at once. Once that upstream is gone, its lease would have to expire first.
 
 const (
 	// departureLead is how long before a draining upstream may leave its long-running tasks are
@@ -20,6 +21,9 @@
 	// inheritedDescriptionAge bounds the age of a description that a new leader finds in the
 	// list: an upstream describes itself at each heartbeat.
 	inheritedDescriptionAge = 1500 * time.Millisecond
+	// lossLead is how long before the lease of a silent upstream expires a place is sought for
+	// its long-running tasks: two answers of the advisor.
+	lossLead = 1500 * time.Millisecond
 	// stopAllowance is how long a ticket must stay valid for a run that is to be stopped first.
 	stopAllowance = time.Second
 )
@@ -42,8 +46,14 @@
 	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
 }
 
-// endsRunsSoon reports whether the upstream is expected to end its runs soon.
-func (b *Planner) endsRunsSoon(u *upstream) bool { return u.info.Draining && u.listed }
+// endsRunsSoon reports whether the upstream is expected to end its runs soon: it drains, or its
+// lease is about to expire.
+func (b *Planner) endsRunsSoon(u *upstream) bool {
+	if u.info.Draining && u.listed {
+		return true
+	}
+	return b.isSilent(u) && u.leaseExpires.Sub(b.now.Monotonic) <= lossLead
+}
 
 // updateDepartures counts for each step the long-running tasks that will have to be restarted
 // soon, and those of them that are being stopped already.
--- a/internal/cell/caboard/departures_test.go
+++ b/internal/cell/caboard/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -20,6 +21,9 @@
 	heartbeatInTest   = 1500 * time.Millisecond
 	// drainTime is how long an upstream that drains states that it stays.
 	drainTime = 2 * time.Second
+	// restartAfterLeaseBound is how long after the longest lease of an upstream that crashed its
+	// tasks must run elsewhere: two checks for expired leases.
+	restartAfterLeaseBound = 200 * time.Millisecond
 )
 
 // changingPool is a pool whose upstreams come and go, and whose leases and list are kept up.
@@ -166,6 +170,32 @@
 	}
 }
 
+// TestAdvisorIsAskedAfterLeaseOfLostUpstream covers upstreams that crash in a pool with room: the
+// advisor's answer must be there when their leases have expired.
+func TestAdvisorIsAskedAfterLeaseOfLostUpstream(t *testing.T) {
+	for seed := range int64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := newChangingPool(t, seed, 24)
+			p.waitingShort = 0
+			p.startServices(3, 25*time.Second)
+			for range 2 {
+				lost := p.mostLongRunning()
+				p.loseUpstream(lost)
+				delete(p.list, lost)
+				p.run(12 * time.Second)
+			}
+			longestLease := time.Duration(math.Ceil(maxClockDrift*float64(LeaseDuration))) + leaseMargin
+			if bound := longestLease + restartAfterLeaseBound; p.longestWait > bound {
+				t.Errorf("a long-running task waited %v for its restart, want at most %v", p.longestWait, bound)
+			}
+			if p.restarts == 0 {
+				t.Error("no long-running task was restarted")
+			}
+		})
+	}
+}
+
 // newDepartingTask returns a cell whose first upstream runs a long-running task of 9 cores, beside one
 // that does not end soon, and drains. It has just said that it stays for drainTime.
 func newDepartingTask(t *testing.T, upstreams int) (*simulation, RunID) {
