LOST: work that outlasts a draining upstream is stopped before it leaves

Callers of short work and of gangs saw the same wait as those of long-running tasks: what could not end before its upstream left was lost with it, and waited until the lease of the upstream had expired, 6.9 to 8.0 s.

Cause: the same as for long-running tasks, in the other kinds of work.

Change: a run that is expected to end more than 2 s after its upstream may leave (many stay so much longer) is stopped 1.2 s before, a gang as a whole; its checkpoint is kept and its end proved. Work that may have copies gets one elsewhere instead. Runs of earlier leaders and those that resumed from a checkpoint are left alone, since it is not known how long they take.

Evidence: TestTaskIsLostWithUpstreamThatLeaves; with the rule for long-running tasks alone its cases "outlasts the upstream", "gang that outlasts it" and "long-running gang" fail.

--- a/internal/cell/caboard/copies.go
+++ b/internal/cell/caboard/copies.go
@@ -55,6 +55,9 @@
 	if r.upstream.isSuspected() || r.stopping {
 		return "upstream does not answer"
 	}
+	if b.mayLeaveNow(r.upstream) && b.outlastsUpstream(r) {
+		return "upstream leaves"
+	}
 	took := b.now.Monotonic.Sub(r.assignedAt)
 	switch {
 	case r.step.longestRun > 0 && took > time.Duration(maxLongestRunRatio*float64(r.step.longestRun)):
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -7,17 +7,20 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-// A long-running task is restarted when its run has ended. Two such ends are known before they
-// come: an upstream that drains tells for how long it stays, and one that does not answer ends
-// its runs when its lease expires. In both cases a place elsewhere is sought before: room is
-// reserved and the advisor is asked. At an upstream that drains the run is then stopped, so that
-// its end is proved at once. Once that upstream is gone, its lease would have to expire first.
+// What runs at an upstream ends with it. Two such ends are known before they come: an upstream that
+// drains tells for how long it stays, and one that does not answer ends its runs when its lease
+// expires. For long-running tasks a place elsewhere is sought before: room is reserved and the
+// advisor is asked. At an upstream that drains, runs that outlast it are stopped in time, so that
+// their ends are proved at once. Once that upstream is gone, its lease would have to expire first.
 
 const (
-	// departureLead is how long before a draining upstream may leave its long-running tasks are
+	// departureLead is how long before a draining upstream may leave the runs that outlast it are
 	// stopped, whether there is a place for them or not: the call, the time to stop, the report
 	// of the end, and the age of the description.
 	departureLead = 1200 * time.Millisecond
+	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
+	// are expected to end by then are left alone.
+	usualOverstay = 2 * time.Second
 	// inheritedDescriptionAge bounds the age of a description that a new leader finds in the
 	// list: an upstream describes itself at each heartbeat.
 	inheritedDescriptionAge = 1500 * time.Millisecond
@@ -65,8 +68,8 @@
 		if len(u.runs) == 0 || !b.endsRunsSoon(u) {
 			continue
 		}
-		for _, r := range u.sortedRuns() {
-			if !r.mustMove() {
+		for _, r := range u.runs {
+			if !r.needsPlace() {
 				continue
 			}
 			r.step.tasksLeaving++
@@ -77,25 +80,48 @@
 	}
 }
 
-// mustMove reports whether the task of the run has to run elsewhere once the run has ended.
-func (r *run) mustMove() bool {
+// needsPlace reports whether a place elsewhere is kept for the task of the run, which will have to be
+// restarted when the run has ended.
+func (r *run) needsPlace() bool {
 	return r.isCurrent() && r.step.spec.LongRunning && !r.step.spec.Gang && !r.step.job.Phase.IsFinal()
 }
 
-// stopDepartingRuns stops the long-running tasks on draining upstreams that have a place
-// elsewhere, or whose upstreams may leave now. While nothing can be stored they could not be
-// started elsewhere.
+// outlastsUpstream reports whether the run is not expected to end before its draining upstream
+// leaves. For runs of an earlier leader and such that resumed it is not known.
+func (b *Planner) outlastsUpstream(r *run) bool {
+	if r.step.spec.LongRunning {
+		return true
+	}
+	ends := r.assignedAt.Add(b.expectedRunTime(r.step, r.upstream))
+	return !r.inherited && !r.resumed && ends.After(r.upstream.leavesAt.Add(usualOverstay))
+}
+
+// mayDepart reports whether a run may be stopped to run elsewhere. Where copies may run, one is
+// started instead.
+func (r *run) mayDepart() bool {
+	return r.sent && !r.stopping && r.isCurrent() && !mayCopy(r.step.spec) && !r.step.job.Phase.IsFinal()
+}
+
+// mayLeaveNow reports whether the upstream drains and may leave before its runs could be stopped
+// later than now.
+func (b *Planner) mayLeaveNow(u *upstream) bool {
+	return u.info.Draining && u.listed && !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
+}
+
+// stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, or that outlast
+// their upstreams, if these may leave now. While nothing can be stored they could not be started
+// elsewhere.
 func (b *Planner) stopDepartingRuns() {
 	for _, u := range b.sortedUpstreams {
 		if !u.info.Draining || !u.listed || len(u.runs) == 0 {
 			continue
 		}
-		isDue := !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
 		for _, r := range u.sortedRuns() {
-			if !r.mustMove() || !r.sent || r.stopping {
+			if !r.mayDepart() {
 				continue
 			}
-			if hasPlace := b.hasPlaceElsewhere(r.step); hasPlace || isDue {
+			hasPlace := r.needsPlace() && b.hasPlaceElsewhere(r.step)
+			if hasPlace || b.mayLeaveNow(u) && b.outlastsUpstream(r) {
 				b.stopDepartingRun(r, hasPlace)
 			}
 		}
@@ -106,7 +132,10 @@
 	caevent.Info(b.log, caevent.TaskMoved).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Bool("has_place", hasPlace).
 		Dur("leaves_in", r.upstream.leavesAt.Sub(b.now.Monotonic)).Send()
-	r.step.tasksMoving++
+	if r.needsPlace() {
+		r.step.tasksMoving++
+	}
+	b.stopOtherMembers(r)
 	b.stop(r)
 }
 
