--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -11,8 +11,12 @@
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
-// SetUpstreams applies the platform's current list of upstreams.
+// SetUpstreams applies the platform's current list of upstreams. Descriptions that no upstream
+// can have count as not listed.
 func (b *Planner) SetUpstreams(list []caspec.Upstream) {
+	if slices.ContainsFunc(list, isInvalid) {
+		list = slices.DeleteFunc(slices.Clone(list), isInvalid)
+	}
 	for _, u := range b.sortedUpstreams {
 		u.listed = false
 	}
@@ -23,6 +27,8 @@
 	b.forgetUpstreams()
 }
 
+func isInvalid(info caspec.Upstream) bool { return info.Check() != nil }
+
 // updateUpstream applies the description of one upstream. A later incarnation runs nothing
 // that an earlier one ran.
 func (b *Planner) updateUpstream(info caspec.Upstream) {
--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -4,9 +4,18 @@
 	"slices"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
+const (
+	// maxCapacity bounds the capacity of one upstream, so that sums over a cell do not overflow:
+	// 100,000 cores, 64 TiB of memory and 100,000 accelerators, far above any VM.
+	maxCapacityCPU          = cawork.MilliCPU(100_000 * 1000)
+	maxCapacityMemory       = 64 * 1024 * cawork.GiB
+	maxCapacityAccelerators = 100_000
+)
+
 // Upstream is the description that an upstream reports of itself.
 type Upstream struct {
 	ID      cawork.UpstreamID
@@ -25,6 +34,16 @@
 	DrainRemaining time.Duration
 }
 
+// Check returns an error of KindInvalid for a description that no upstream can have. It names no
+// upstream to use.
+func (u Upstream) Check() error {
+	largest := cawork.Resources{CPU: maxCapacityCPU, Memory: maxCapacityMemory, Accelerators: maxCapacityAccelerators}
+	if u.Capacity.IsNegative() || !u.Capacity.Fits(largest) {
+		return cakind.New(cakind.KindInvalid, "capacity %s is negative or above %s", u.Capacity, largest)
+	}
+	return nil
+}
+
 // IsSupersededBy reports whether the description is older than another one of the same
 // incarnation.
 func (u Upstream) IsSupersededBy(newer Upstream) bool {
