Arithmetic on resources saturates

Sums, differences and products of amounts beyond the range of the type turned their sign, in each part that adds up what other systems tell: the pools of the planner, the limits of teams, the scheduler behind the own interface. They stop at the end of the range now.

--- a/internal/base/cawork/resources.go
+++ b/internal/base/cawork/resources.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 )
 
 // MilliCPU is an amount of processor capacity in thousandths of a core.
@@ -21,7 +22,8 @@
 // Cores returns n whole cores.
 func Cores(n int64) MilliCPU { return MilliCPU(n * 1000) }
 
-// Resources is an amount of processors, memory and accelerators.
+// Resources is an amount of processors, memory and accelerators. Its arithmetic saturates: a
+// result beyond the range of a dimension is the end of that range.
 type Resources struct {
 	CPU          MilliCPU `json:"cpu_milli"`
 	Memory       Bytes    `json:"memory_bytes"`
@@ -31,27 +33,27 @@
 // Plus returns the sum of both amounts.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{
-		CPU:          r.CPU + o.CPU,
-		Memory:       r.Memory + o.Memory,
-		Accelerators: r.Accelerators + o.Accelerators,
+		CPU:          saturatingSum(r.CPU, o.CPU),
+		Memory:       saturatingSum(r.Memory, o.Memory),
+		Accelerators: saturatingSum(r.Accelerators, o.Accelerators),
 	}
 }
 
 // Minus returns the difference of both amounts, which may be negative.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{
-		CPU:          r.CPU - o.CPU,
-		Memory:       r.Memory - o.Memory,
-		Accelerators: r.Accelerators - o.Accelerators,
+		CPU:          saturatingDifference(r.CPU, o.CPU),
+		Memory:       saturatingDifference(r.Memory, o.Memory),
+		Accelerators: saturatingDifference(r.Accelerators, o.Accelerators),
 	}
 }
 
 // Times returns the amount n times.
 func (r Resources) Times(n int64) Resources {
 	return Resources{
-		CPU:          r.CPU * MilliCPU(n),
-		Memory:       r.Memory * Bytes(n),
-		Accelerators: r.Accelerators * n,
+		CPU:          saturatingProduct(r.CPU, n),
+		Memory:       saturatingProduct(r.Memory, n),
+		Accelerators: saturatingProduct(r.Accelerators, n),
 	}
 }
 
@@ -112,6 +114,53 @@
 		float64(r.CPU)/1000, r.Memory/MiB, r.Accelerators)
 }
 
+func saturatingSum[N ~int64](a, b N) N {
+	sum := a + b
+	switch {
+	case a > 0 && b > 0 && sum < 0:
+		return math.MaxInt64
+	case a < 0 && b < 0 && sum >= 0:
+		return math.MinInt64
+	default:
+		return sum
+	}
+}
+
+func saturatingDifference[N ~int64](a, b N) N {
+	difference := a - b
+	switch {
+	case a >= 0 && b < 0 && difference < 0:
+		return math.MaxInt64
+	case a < 0 && b > 0 && difference >= 0:
+		return math.MinInt64
+	default:
+		return difference
+	}
+}
+
+func saturatingProduct[N ~int64](a N, n int64) N {
+	high, low := bits.Mul64(magnitude(int64(a)), magnitude(n))
+	isNegative := (a < 0) != (n < 0)
+	switch {
+	case high == 0 && low <= math.MaxInt64 && isNegative:
+		return -N(low)
+	case high == 0 && low <= math.MaxInt64:
+		return N(low)
+	case isNegative:
+		return math.MinInt64
+	default:
+		return math.MaxInt64
+	}
+}
+
+// magnitude returns the absolute value, also of the least integer.
+func magnitude(n int64) uint64 {
+	if n < 0 {
+		return -uint64(n)
+	}
+	return uint64(n)
+}
+
 func fraction(part, total int64) float64 {
 	if total <= 0 {
 		return 0
