An entry whose start lies far ahead ends no incarnation (TWICE, LOST)

Callers: tasks ran twice at once, or again after they had completed, and an upstream was never used again. Cause: a start time in an entry that another system wrote over, such as a number in nanoseconds or near the largest integer, counted as a later incarnation: the planner declared all runs of the upstream lost, though they ran on, and counted a crash under each of their jobs. Later entries and all reports of the upstream were then of an earlier incarnation and did not count any more. The planner refuses one that no clock shows (caspec.Upstream.Check). Not covered: a start that is wrong by less than that.

--- a/internal/cell/caboard/oddupstream_test.go
+++ b/internal/cell/caboard/oddupstream_test.go
@@ -22,6 +22,8 @@
 	"cores beyond any VM":                 func(u *caspec.Upstream) { u.Capacity.CPU = 1 << 40 },
 	"negative cores":                      func(u *caspec.Upstream) { u.Capacity.CPU = -16000 },
 	"least memory that the type can have": func(u *caspec.Upstream) { u.Capacity.Memory = math.MinInt64 },
+	"latest start of all":                 func(u *caspec.Upstream) { u.Incarnation = math.MaxInt64 },
+	"negative start":                      func(u *caspec.Upstream) { u.Incarnation = -5 },
 }
 
 // listOf returns the descriptions of all upstreams of the simulation.
--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -41,6 +41,9 @@
 	if u.Capacity.IsNegative() || !u.Capacity.Fits(largest) {
 		return cakind.New(cakind.KindInvalid, "capacity %s is negative or above %s", u.Capacity, largest)
 	}
+	if u.Incarnation < 0 || u.Incarnation > maxTimeMS {
+		return cakind.New(cakind.KindInvalid, "start time %d ms is not between 0 and %d", u.Incarnation, int64(maxTimeMS))
+	}
 	return nil
 }
 
