A number far ahead in an entry hides no later registrations (DRAIN, LIMIT, LOST)

Callers: an upstream whose entry another system wrote over with a high number kept the state of that entry: it got tasks although it was draining or had less room, until it was removed from the list. Cause: a registration with a lower number of the same incarnation counts as late. Each one was, after a number far ahead. A late registration arrives seconds after the one behind it and lies few numbers back; one that lies more than 100 back counts now, since the number of the other one is wrong. Negative numbers count as not known.

--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -14,6 +14,8 @@
 	maxCapacityCPU          = cawork.MilliCPU(100_000 * 1000)
 	maxCapacityMemory       = 64 * 1024 * cawork.GiB
 	maxCapacityAccelerators = 100_000
+	// maxSequenceLead is how many descriptions of an incarnation a late one may lie behind.
+	maxSequenceLead = 100
 )
 
 // Upstream is the description that an upstream reports of itself.
@@ -48,9 +50,12 @@
 }
 
 // IsSupersededBy reports whether the description is older than another one of the same
-// incarnation.
+// incarnation. One that lies far behind is not late: the number of the other one is wrong.
 func (u Upstream) IsSupersededBy(newer Upstream) bool {
-	return u.Incarnation != 0 && u.Incarnation == newer.Incarnation && u.Sequence != 0 && u.Sequence < newer.Sequence
+	if u.Incarnation == 0 || u.Incarnation != newer.Incarnation || u.Sequence <= 0 || u.Sequence >= newer.Sequence {
+		return false
+	}
+	return newer.Sequence-u.Sequence <= maxSequenceLead
 }
 
 // HasLabel reports whether the upstream has the label. Every upstream has the
