An entry whose ID is no text names no upstream

Callers: the leader of a cell that reaches its upstreams through other entries lost these as agents, again and again: two thirds of its orders went out from itself, which the weakest VM then had to send. Cause: the key of an entry may be any bytes. A batch of orders that named such an upstream could not be decoded by the agent, since text in its messages is UTF-8; the whole batch failed, and the agent got no orders for 1.5 s. An ID must be graphic text of at most 255 bytes, which headers and messages carry.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -57,7 +57,9 @@
 	// longRunning are the jobs that must still run at the end.
 	longRunning map[cawork.JobID]bool
 	jobs        int
-	callers     sync.WaitGroup
+	// altersList returns the list of upstreams as entries read it, unaltered if it is nil.
+	altersList func([]caspec.Upstream) []caspec.Upstream
+	callers    sync.WaitGroup
 }
 
 type entry struct {
@@ -126,7 +128,7 @@
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
 		WallMillis: func() int64 { return timer.Now().UnixMilli() }, PeerClient: client,
 		ShardLog:  func(shard int) caleader.Log { return c.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
-		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c.fleet, RelayMinUpstreams: c.relayMinUpstreams,
+		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c, RelayMinUpstreams: c.relayMinUpstreams,
 		Advisor: c.advisor, OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
 	})
 	server := capeer.NewServer()
@@ -143,6 +145,24 @@
 	c.entries[name] = e
 }
 
+// List implements caleader.Registry.
+func (c *testCell) List(ctx context.Context) ([]caspec.Upstream, error) {
+	list, err := c.fleet.List(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.altersList != nil {
+		list = c.altersList(list)
+	}
+	return list, err
+}
+
+// alterList sets how other systems alter the list of upstreams.
+func (c *testCell) alterList(alters func([]caspec.Upstream) []caspec.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.altersList = alters
+}
+
 // gates returns the Gates of all running entries by name.
 func (c *testCell) gates() map[string]*Gate {
 	c.mu.Lock()
--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -14,6 +16,8 @@
 	maxCapacityCPU          = cawork.MilliCPU(100_000 * 1000)
 	maxCapacityMemory       = 64 * 1024 * cawork.GiB
 	maxCapacityAccelerators = 100_000
+	// maxUpstreamIDBytes bounds the ID of an upstream, which headers and messages carry.
+	maxUpstreamIDBytes = 255
 	// maxSequenceLead is how many descriptions of an incarnation a late one may lie behind.
 	maxSequenceLead = 100
 )
@@ -39,6 +43,9 @@
 // Check returns an error of KindInvalid for a description that no upstream can have. It names no
 // upstream to use.
 func (u Upstream) Check() error {
+	if !isCarriableID(string(u.ID)) {
+		return cakind.New(cakind.KindInvalid, "invalid upstream ID %q", u.ID)
+	}
 	largest := cawork.Resources{CPU: maxCapacityCPU, Memory: maxCapacityMemory, Accelerators: maxCapacityAccelerators}
 	if u.Capacity.IsNegative() || !u.Capacity.Fits(largest) {
 		return cakind.New(cakind.KindInvalid, "capacity %s is negative or above %s", u.Capacity, largest)
@@ -49,6 +56,19 @@
 	return nil
 }
 
+// isCarriableID reports whether headers and messages between entries can carry the ID.
+func isCarriableID(id string) bool {
+	if id == "" || len(id) > maxUpstreamIDBytes || !utf8.ValidString(id) {
+		return false
+	}
+	for _, r := range id {
+		if !unicode.IsGraphic(r) || unicode.IsSpace(r) {
+			return false
+		}
+	}
+	return true
+}
+
 // IsSupersededBy reports whether the description is older than another one of the same
 // incarnation. One that lies far behind is not late: the number of the other one is wrong.
 func (u Upstream) IsSupersededBy(newer Upstream) bool {
