--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -3,10 +3,25 @@
 import (
 	"slices"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 )
 
+const (
+	// maxCapacity bounds the capacity of one upstream, so that sums over a cell do not overflow:
+	// 100,000 cores, 64 TiB of memory and 100,000 accelerators, far above any VM.
+	maxCapacityCPU          = cawork.MilliCPU(100_000 * 1000)
+	maxCapacityMemory       = 64 * 1024 * cawork.GiB
+	maxCapacityAccelerators = 100_000
+	// maxUpstreamIDBytes bounds the ID of an upstream, which headers and messages carry.
+	maxUpstreamIDBytes = 255
+	// maxSequenceLead is how many descriptions of an incarnation a late one may lie behind.
+	maxSequenceLead = 100
+)
+
 // Upstream is the description that an upstream reports of itself.
 type Upstream struct {
 	ID      cawork.UpstreamID
@@ -25,10 +40,42 @@
 	DrainRemaining time.Duration
 }
 
+// Check returns an error of KindInvalid for a description that no upstream can have. It names no
+// upstream to use.
+func (u Upstream) Check() error {
+	if !isCarriableID(string(u.ID)) {
+		return cakind.New(cakind.KindInvalid, "invalid upstream ID %q", u.ID)
+	}
+	largest := cawork.Resources{CPU: maxCapacityCPU, Memory: maxCapacityMemory, Accelerators: maxCapacityAccelerators}
+	if u.Capacity.IsNegative() || !u.Capacity.Fits(largest) {
+		return cakind.New(cakind.KindInvalid, "capacity %s is negative or above %s", u.Capacity, largest)
+	}
+	if u.Incarnation < 0 || u.Incarnation > maxTimeMS {
+		return cakind.New(cakind.KindInvalid, "start time %d ms is not between 0 and %d", u.Incarnation, int64(maxTimeMS))
+	}
+	return nil
+}
+
+// isCarriableID reports whether headers and messages between entries can carry the ID.
+func isCarriableID(id string) bool {
+	if id == "" || len(id) > maxUpstreamIDBytes || !utf8.ValidString(id) {
+		return false
+	}
+	for _, r := range id {
+		if !unicode.IsGraphic(r) || unicode.IsSpace(r) {
+			return false
+		}
+	}
+	return true
+}
+
 // IsSupersededBy reports whether the description is older than another one of the same
-// incarnation.
+// incarnation. One that lies far behind is not late: the number of the other one is wrong.
 func (u Upstream) IsSupersededBy(newer Upstream) bool {
-	return u.Incarnation != 0 && u.Incarnation == newer.Incarnation && u.Sequence != 0 && u.Sequence < newer.Sequence
+	if u.Incarnation == 0 || u.Incarnation != newer.Incarnation || u.Sequence <= 0 || u.Sequence >= newer.Sequence {
+		return false
+	}
+	return newer.Sequence-u.Sequence <= maxSequenceLead
 }
 
 // HasLabel reports whether the upstream has the label. Every upstream has the
