--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -45,7 +45,7 @@
 // awaitsAdvisor reports whether the step has no answer of the advisor yet. Such a step
 // waits for the advisor, not for room.
 func (s *step) awaitsAdvisor(q caspec.Queue) bool {
-	return q.Approval != nil && len(s.approvals.decided) == 0
+	return q.Approval != nil && !s.approvals.hasAnswer
 }
 
 // slackOf returns how long a job may wait and still meet its objective.
--- /dev/null
+++ b/internal/cell/caboard/advice.go
@@ -0,0 +1,151 @@
+package caboard
+
+import "time"
+
+// approvals are the answers of the advisor about one step. An answer is valid for the
+// incarnation of the upstream; only tickets expire.
+type approvals struct {
+	// hasAnswer is set once the advisor has decided about any upstream.
+	hasAnswer bool
+	// answers are the last answers by the slots of the upstreams, and tickets those of the
+	// approved ones. A plan looks up so many of them that a map is too slow.
+	answers        []answer
+	tickets        []ticket
+	requestPending bool
+	lastRequestAt  time.Time
+	// noCandidatesAt is when last no upstream was found to request.
+	noCandidatesAt time.Time
+	// lastWidenedAt is when approval of further upstreams was last requested.
+	lastWidenedAt time.Time
+}
+
+// answer is the last answer of the advisor about one upstream.
+type answer struct {
+	// born is the incarnation that the advisor decided about, if isDecided is set.
+	born      int64
+	isDecided bool
+	// ticket is the position of the ticket among those of the step, counted from 1, or zero.
+	ticket int32
+}
+
+// ticket permits one incarnation of an upstream to run the step.
+type ticket struct {
+	slot    int
+	born    int64
+	value   string
+	expires time.Time
+}
+
+// ticketOf returns the last ticket for an upstream, nil if there is none.
+func (a *approvals) ticketOf(u *upstream) *ticket {
+	if u.slot >= len(a.answers) || a.answers[u.slot].ticket == 0 {
+		return nil
+	}
+	return &a.tickets[a.answers[u.slot].ticket-1]
+}
+
+// isDecided reports whether the advisor has decided about this incarnation of the upstream.
+func (a *approvals) isDecided(u *upstream) bool {
+	return u.slot < len(a.answers) && a.answers[u.slot].isDecided && a.answers[u.slot].born == u.info.Incarnation
+}
+
+// decide records that the advisor has decided about an upstream, of so many slots in all.
+func (a *approvals) decide(u *upstream, slots int) {
+	a.hasAnswer = true
+	answer := a.answerAt(u.slot, slots)
+	answer.born, answer.isDecided = u.info.Incarnation, true
+}
+
+// approve records a ticket for an upstream, of so many slots in all.
+func (a *approvals) approve(u *upstream, slots int, value string, expires time.Time) {
+	answer := a.answerAt(u.slot, slots)
+	if answer.ticket == 0 {
+		a.tickets = append(a.tickets, ticket{})
+		answer.ticket = int32(len(a.tickets))
+	}
+	a.tickets[answer.ticket-1] = ticket{slot: u.slot, born: u.info.Incarnation, value: value, expires: expires}
+}
+
+func (a *approvals) answerAt(slot, slots int) *answer {
+	if slot >= len(a.answers) {
+		grown := make([]answer, max(slots, slot+1))
+		copy(grown, a.answers)
+		a.answers = grown
+	}
+	return &a.answers[slot]
+}
+
+// expire marks the ticket for an upstream as no longer valid.
+func (a *approvals) expire(u *upstream) {
+	if t := a.ticketOf(u); t != nil {
+		t.expires = time.Time{}
+	}
+}
+
+// ticketExpiry returns when the last ticket for the upstream expires, zero without one.
+func (a *approvals) ticketExpiry(u *upstream) time.Time {
+	if t := a.ticketOf(u); t != nil {
+		return t.expires
+	}
+	return time.Time{}
+}
+
+// isApproved reports whether this incarnation of the upstream may run the step.
+func (a *approvals) isApproved(u *upstream) bool {
+	t := a.ticketOf(u)
+	return t != nil && t.born == u.info.Incarnation
+}
+
+// validTicket returns the ticket for the upstream if it is still valid for long enough at
+// the time.
+func (a *approvals) validTicket(u *upstream, now time.Time) (string, bool) {
+	t := a.ticketOf(u)
+	if t == nil || t.born != u.info.Incarnation || now.Add(ticketMargin).After(t.expires) {
+		return "", false
+	}
+	return t.value, true
+}
+
+// forget drops the answer about the upstream that had the slot.
+func (a *approvals) forget(slot int) {
+	if slot >= len(a.answers) {
+		return
+	}
+	if at := a.answers[slot].ticket; at > 0 {
+		last := len(a.tickets) - 1
+		a.tickets[at-1] = a.tickets[last]
+		a.answers[a.tickets[at-1].slot].ticket = at
+		a.tickets = a.tickets[:last]
+	}
+	a.answers[slot] = answer{}
+}
+
+// takeSlot gives an upstream its slot: the one that it had before, a free one or a new one.
+func (b *Planner) takeSlot(u *upstream) {
+	slot, ok := b.slots[u.info.ID]
+	switch {
+	case ok:
+	case len(b.unusedSlots) > 0:
+		slot = b.unusedSlots[len(b.unusedSlots)-1]
+		b.unusedSlots = b.unusedSlots[:len(b.unusedSlots)-1]
+	default:
+		slot = len(b.bySlot)
+		b.bySlot = append(b.bySlot, nil)
+	}
+	b.slots[u.info.ID], b.bySlot[slot], u.slot = slot, u, slot
+}
+
+// freeSlots frees the slots of the upstreams that left long ago, and drops the answers about
+// them. Until then an upstream that is back finds the answers about it.
+func (b *Planner) freeSlots() {
+	for id, slot := range b.slots {
+		if _, isKnown := b.knownRooms[id]; isKnown || b.bySlot[slot] != nil {
+			continue
+		}
+		delete(b.slots, id)
+		b.unusedSlots = append(b.unusedSlots, slot)
+		for _, s := range b.steps {
+			s.approvals.forget(slot)
+		}
+	}
+}
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -26,55 +26,6 @@
 // SetRequestLimits sets the bounds.
 func (b *Planner) SetRequestLimits(s RequestLimits) { b.requestLimits = s }
 
-// approvals are the answers of the advisor about one step. An answer is valid for the
-// incarnation of the upstream; only tickets expire.
-type approvals struct {
-	// decided holds the incarnation of each upstream that the advisor has decided about.
-	decided        map[cawork.UpstreamID]int64
-	tickets        map[cawork.UpstreamID]ticket
-	requestPending bool
-	lastRequestAt  time.Time
-	// noCandidatesAt is when last no upstream was found to request.
-	noCandidatesAt time.Time
-	// lastWidenedAt is when approval of further upstreams was last requested.
-	lastWidenedAt time.Time
-}
-
-// ticket permits one incarnation of an upstream to run the step.
-type ticket struct {
-	born    int64
-	value   string
-	expires time.Time
-}
-
-func newApprovals() approvals {
-	return approvals{decided: make(map[cawork.UpstreamID]int64), tickets: make(map[cawork.UpstreamID]ticket)}
-}
-
-// expire marks the ticket for an upstream as no longer valid.
-func (a *approvals) expire(id cawork.UpstreamID) {
-	if t, ok := a.tickets[id]; ok {
-		t.expires = time.Time{}
-		a.tickets[id] = t
-	}
-}
-
-// isApproved reports whether this incarnation of the upstream may run the step.
-func (a *approvals) isApproved(u *upstream) bool {
-	t, ok := a.tickets[u.info.ID]
-	return ok && t.born == u.info.Incarnation
-}
-
-// validTicket returns the ticket for the upstream if it is still valid for long enough at
-// the time.
-func (a *approvals) validTicket(u *upstream, now time.Time) (string, bool) {
-	t, ok := a.tickets[u.info.ID]
-	if !ok || t.born != u.info.Incarnation || now.Add(ticketMargin).After(t.expires) {
-		return "", false
-	}
-	return t.value, true
-}
-
 // approvalRequests returns the approval requests that are due.
 func (b *Planner) approvalRequests() []ApprovalRequest {
 	var requests []ApprovalRequest
@@ -190,9 +141,9 @@
 	}
 	var expired []*upstream
 	validSlots, slots := 0, 0
-	for id := range s.approvals.tickets {
-		u, ok := b.upstreams[id]
-		if !ok || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
+	for _, t := range s.approvals.tickets {
+		u := b.bySlot[t.slot]
+		if u == nil || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
 		fitting := fittingTasks(b.roomFor(s, u), s.spec)
@@ -245,7 +196,7 @@
 // not requested: the tickets would expire, and urgent steps would wait for the advisor.
 func (b *Planner) undecidedUpstreams(s *step, q caspec.Queue) []cawork.UpstreamID {
 	p := b.pools[q.Pool]
-	isFirst := len(s.approvals.decided) == 0
+	isFirst := !s.approvals.hasAnswer
 	if p == nil || !isFirst && !b.needsMoreApproved(s, q, p) {
 		return nil
 	}
@@ -261,7 +212,7 @@
 		if !u.info.HasLabel(s.spec.Label) {
 			continue
 		}
-		if born, isDecided := s.approvals.decided[u.info.ID]; isDecided && born == u.info.Incarnation {
+		if s.approvals.isDecided(u) {
 			continue
 		}
 		if fittingTasks(requestableRoom(u), s.spec) == 0 {
@@ -303,8 +254,8 @@
 		return false
 	}
 	slots := 0
-	for id := range s.approvals.tickets {
-		if u, ok := b.upstreams[id]; ok && u.available && s.approvals.isApproved(u) {
+	for _, t := range s.approvals.tickets {
+		if u := b.bySlot[t.slot]; u != nil && u.available && s.approvals.isApproved(u) {
 			slots += fittingTasks(u.info.Capacity, s.spec)
 		}
 	}
@@ -404,13 +355,13 @@
 	}
 	for _, id := range request.Upstreams {
 		if u, ok := b.upstreams[id]; ok {
-			s.approvals.decided[id] = u.info.Incarnation
+			s.approvals.decide(u, len(b.bySlot))
 		}
 	}
 	expires := b.now.Monotonic.Add(q.Approval.Validity)
 	for _, a := range approved {
 		if u, ok := b.upstreams[a.Upstream]; ok {
-			s.approvals.tickets[a.Upstream] = ticket{born: u.info.Incarnation, value: a.Ticket, expires: expires}
+			s.approvals.approve(u, len(b.bySlot), a.Ticket, expires)
 		}
 	}
 	stats := b.statsOf(q.Name)
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -90,7 +90,7 @@
 		}
 		_, hasTicket := s.approvals.validTicket(u, b.now.Monotonic)
 		switch {
-		case q.Approval != nil && s.approvals.decided[u.info.ID] != u.info.Incarnation:
+		case q.Approval != nil && !s.approvals.isDecided(u):
 			survey.undecided++
 		case q.Approval != nil && !s.approvals.isApproved(u):
 			survey.rejected++
--- a/internal/cell/caboard/partition_test.go
+++ b/internal/cell/caboard/partition_test.go
@@ -166,7 +166,7 @@
 		t.Fatal("no approval request within 100 ms")
 	}
 	for _, id := range later[0].Upstreams {
-		if _, isDecided := s.planner.jobs["0000000000000001"].steps[0].approvals.decided[id]; isDecided {
+		if s.planner.jobs["0000000000000001"].steps[0].approvals.isDecided(s.planner.upstreams[id]) {
 			t.Errorf("approval of upstream %s is requested again", id)
 		}
 	}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -280,8 +280,8 @@
 		return p.upstreams
 	}
 	usable := make([]*upstream, 0, len(s.approvals.tickets))
-	for id := range s.approvals.tickets {
-		if u, ok := b.upstreams[id]; ok && u.available {
+	for _, t := range s.approvals.tickets {
+		if u := b.bySlot[t.slot]; u != nil && u.available {
 			usable = append(usable, u)
 		}
 	}
@@ -334,7 +334,7 @@
 	s.waitingTasks--
 	r := b.newRun(s, index, u)
 	r.ticket = ticket
-	r.ticketExpires = s.approvals.tickets[u.info.ID].expires
+	r.ticketExpires = s.approvals.ticketExpiry(u)
 	b.statsOf(s.job.Submission.Queue).startRate.Add(b.now.Monotonic, caadmission.CoreTimeOf(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	s.releaseStarted(u)
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -43,10 +43,15 @@
 	// sortedUpstreams holds the same upstreams by their ids, so that the same inputs lead
 	// to the same decisions.
 	sortedUpstreams []*upstream
-	teams           map[cawork.TeamName]*teamUsage
-	queues          map[caspec.QueueName]*queueStats
-	partitions      map[caspec.PoolName]*gangPartition
-	knownRooms      knownRooms
+	// slots number the upstreams by their ids. bySlot holds them by these numbers, nil where
+	// one left, and unusedSlots are the numbers to be given again.
+	slots       map[cawork.UpstreamID]int
+	bySlot      []*upstream
+	unusedSlots []int
+	teams       map[cawork.TeamName]*teamUsage
+	queues      map[caspec.QueueName]*queueStats
+	partitions  map[caspec.PoolName]*gangPartition
+	knownRooms  knownRooms
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -182,6 +187,7 @@
 		log: log, random: rand.New(rand.NewSource(seed)), now: now,
 		jobs:           make(map[cawork.JobID]*job),
 		upstreams:      make(map[cawork.UpstreamID]*upstream),
+		slots:          make(map[cawork.UpstreamID]int),
 		teams:          make(map[cawork.TeamName]*teamUsage),
 		queues:         make(map[caspec.QueueName]*queueStats),
 		partitions:     make(map[caspec.PoolName]*gangPartition),
@@ -303,7 +309,7 @@
 			continue
 		}
 		if expired {
-			r.step.approvals.expire(r.upstream.info.ID)
+			r.step.approvals.expire(r.upstream)
 		}
 		b.stopOtherMembers(r)
 		b.dropRun(r)
@@ -404,7 +410,6 @@
 		s.slack = slack
 		s.urgent = isUrgent(slack, s.spec)
 		b.statsOf(j.Submission.Queue).addGangSize(s.spec)
-		s.approvals = newApprovals()
 		j.steps = append(j.steps, s)
 		for index := range o.Steps[i].Tasks {
 			t := &o.Steps[i].Tasks[index]
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -21,6 +21,7 @@
 	}
 	b.knownRooms.add(list, b.now.Monotonic)
 	b.forgetUpstreams()
+	b.freeSlots()
 }
 
 // updateUpstream applies the description of one upstream. A later incarnation runs nothing
@@ -529,7 +530,7 @@
 	u := r.upstream
 	switch outcome {
 	case StartNoTicket:
-		r.step.approvals.expire(u.info.ID)
+		r.step.approvals.expire(u)
 	case StartUnhealthy, StartNoRoom, StartMismatch:
 		u.pausedUntil = b.now.Monotonic.Add(pauseAfterRejection)
 	case StartLate:
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -12,6 +12,8 @@
 // upstream is an upstream together with what is charged to it.
 type upstream struct {
 	info caspec.Upstream
+	// slot is its number, by which the answers of the advisor are kept.
+	slot int
 	// listed is set while it is in the platform's list, and listedIncarnation is the one that
 	// the list showed last, or zero if it shows none.
 	listed            bool
@@ -85,6 +87,7 @@
 // addUpstream adds an upstream to the planner.
 func (b *Planner) addUpstream(u *upstream) {
 	b.upstreams[u.info.ID] = u
+	b.takeSlot(u)
 	at, _ := slices.BinarySearchFunc(b.sortedUpstreams, u, compareUpstreams)
 	b.sortedUpstreams = slices.Insert(b.sortedUpstreams, at, u)
 }
@@ -95,6 +98,7 @@
 		unneeded := u.isUnneeded()
 		if unneeded {
 			delete(b.upstreams, u.info.ID)
+			b.bySlot[u.slot] = nil
 		}
 		return unneeded
 	})
