Planner: requests look at upstreams without room no further, and sort only what they name (SHORT)

Cause: for each waiting step, renewals of tickets and requests went through labels, the gang partition and probation of every upstream before they looked at its room, which most upstreams of a full pool lack; and all candidates, 540 for a first request, were sorted where 20 to 100 are named. Evidence: pprof of BenchmarkLoadedCell/waiting=200: undecidedUpstreams 22 % of Plan, two thirds of it the sort, ticketRenewals 10 %, half of it mayUsePartition. Why it works: all these checks are without effect on each other, so the cheapest comes first; the first n come from a heap of n. The random number of each candidate is drawn as before.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -143,7 +143,7 @@
 	validSlots, slots := 0, 0
 	for _, t := range s.approvals.tickets {
 		u := b.bySlot[t.slot]
-		if u == nil || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
+		if u == nil || !s.spec.Size().Fits(u.free()) || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
 		fitting := fittingTasks(b.roomFor(s, u), s.spec)
@@ -207,15 +207,9 @@
 	case s.lacksReservable():
 		requestableRoom = (*upstream).reservableRoom
 	}
-	var candidates []*upstream
+	candidates := b.candidates[:0]
 	for _, u := range p.upstreams {
-		if !u.info.HasLabel(s.spec.Label) {
-			continue
-		}
-		if s.approvals.isDecided(u) {
-			continue
-		}
-		if fittingTasks(requestableRoom(u), s.spec) == 0 {
+		if !s.spec.Size().Fits(requestableRoom(u)) || s.approvals.isDecided(u) || !u.info.HasLabel(s.spec.Label) {
 			continue
 		}
 		if !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
@@ -223,6 +217,7 @@
 		}
 		candidates = append(candidates, u)
 	}
+	b.candidates = candidates
 	return b.mostFree(s, candidates, max(requestSize(s, b.statsOf(q.Name).approvalRate), cheapRequestSize(*q.Approval)))
 }
 
@@ -287,13 +282,13 @@
 // come last. Upstreams of the gang partition come first for wide gangs and later than
 // others for all other work.
 func (b *Planner) mostFree(s *step, list []*upstream, n int) []cawork.UpstreamID {
-	ranked := make([]rankedUpstream, len(list))
-	for i, u := range list {
-		ranked[i] = rankedUpstream{upstream: u, reserved: u.reservedBy != nil, wrongPartition: b.takesGangSlot(s, u) || s.wide && !u.inPartition, free: u.free().CPU, tieBreak: b.random.Uint32()}
+	ranked := b.ranked[:0]
+	for _, u := range list {
+		ranked = append(ranked, rankedUpstream{upstream: u, reserved: u.reservedBy != nil, wrongPartition: b.takesGangSlot(s, u) || s.wide && !u.inPartition, free: u.free().CPU, tieBreak: b.random.Uint32()})
 	}
-	slices.SortFunc(ranked, rankedUpstream.compare)
-	ids := make([]cawork.UpstreamID, 0, n)
-	for _, r := range ranked[:min(n, len(ranked))] {
+	b.ranked = ranked
+	ids := make([]cawork.UpstreamID, 0, min(n, len(ranked)))
+	for _, r := range sortFirst(ranked, n, rankedUpstream.compare) {
 		ids = append(ids, r.upstream.info.ID)
 	}
 	return ids
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -75,6 +75,9 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
+	// candidates and ranked are used again by each approval request.
+	candidates []*upstream
+	ranked     []rankedUpstream
 	// brokenInvariants counts the checks of invariants that failed.
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
