--- a/internal/cell/caboard/load_test.go
+++ b/internal/cell/caboard/load_test.go
@@ -193,7 +193,7 @@
 		}
 		second.After = []int{0}
 		s.Steps = []caspec.Step{first, second}
-	case kind < 0.36:
+	case kind < 0.42:
 		s.Queue = "watch"
 		s.Steps = []caspec.Step{c.step(2, 0.3, 1500, 2e9, time.Second)}
 		s.Steps[0].LongRunning = true
