Observability: what a busy leader holds its lock for, where a cancellation waits, late timers

Nothing told why half of the jobs waited 0.6 s for their answer while the store took 5 ms, nor where a cancellation waited. New: 108 (timers run late, with the processor time used), 316 (for each part of the leader, how often and for how long it held its lock and waited for it, each 2 s while busy), 506 (a cancellation or query that took long or failed: attempts and time without a leader), 507 (of a slow cancellation at the leader, the wait for lock and append). The first needs two timers a second, the others a few clock readings for each use of the lock.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -23,6 +23,7 @@
 	LinesDropped       Number = 105
 	SettingsReloaded   Number = 106
 	PanicCaught        Number = 107
+	ProcessorBusy      Number = 108
 	ConfigApplied      Number = 200
 	ConfigRefused      Number = 201
 	ConfigConflict     Number = 202
@@ -44,6 +45,7 @@
 	EntryCutOff        Number = 313
 	ZoneDrained        Number = 314
 	ZoneEmpty          Number = 315
+	LeaderBusy         Number = 316
 	JobAccepted        Number = 400
 	JobRefused         Number = 401
 	TaskPlaced         Number = 402
@@ -70,6 +72,8 @@
 	RequestRetried     Number = 503
 	UpstreamEjected    Number = 504
 	UpstreamRestored   Number = 505
+	CallWaited         Number = 506
+	CancelWaited       Number = 507
 	ShardTakenOver     Number = 600
 	ShardViewChanged   Number = 601
 	ShardDeposed       Number = 602
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
-	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caught"
+	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busy"
+	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busy"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
-	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_empty"
-	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_empty"
+	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_emptyleader_busy"
+	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_emptyleader_busy"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_up"
 	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_up"
-	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
-	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restored"
+	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
+	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberLowerName_6 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberName_7      = "shard_rebuiltallowance_inheritedrecord_later"
@@ -29,12 +29,12 @@
 )
 
 var (
-	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108}
+	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108, 122}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
-	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225}
+	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
 	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217}
-	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93}
+	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
 	_NumberIndex_8 = [...]uint8{0, 15, 27, 46, 57}
@@ -42,13 +42,13 @@
 
 func (i Number) String() string {
 	switch {
-	case 100 <= i && i <= 107:
+	case 100 <= i && i <= 108:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
 	case 200 <= i && i <= 204:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 315:
+	case 300 <= i && i <= 316:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case 400 <= i && i <= 403:
@@ -57,7 +57,7 @@
 	case 405 <= i && i <= 420:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
-	case 500 <= i && i <= 505:
+	case 500 <= i && i <= 507:
 		i -= 500
 		return _NumberName_5[_NumberIndex_5[i]:_NumberIndex_5[i+1]]
 	case 600 <= i && i <= 604:
@@ -86,6 +86,7 @@
 	_ = x[LinesDropped-(105)]
 	_ = x[SettingsReloaded-(106)]
 	_ = x[PanicCaught-(107)]
+	_ = x[ProcessorBusy-(108)]
 	_ = x[ConfigApplied-(200)]
 	_ = x[ConfigRefused-(201)]
 	_ = x[ConfigConflict-(202)]
@@ -107,6 +108,7 @@
 	_ = x[EntryCutOff-(313)]
 	_ = x[ZoneDrained-(314)]
 	_ = x[ZoneEmpty-(315)]
+	_ = x[LeaderBusy-(316)]
 	_ = x[JobAccepted-(400)]
 	_ = x[JobRefused-(401)]
 	_ = x[TaskPlaced-(402)]
@@ -133,6 +135,8 @@
 	_ = x[RequestRetried-(503)]
 	_ = x[UpstreamEjected-(504)]
 	_ = x[UpstreamRestored-(505)]
+	_ = x[CallWaited-(506)]
+	_ = x[CancelWaited-(507)]
 	_ = x[ShardTakenOver-(600)]
 	_ = x[ShardViewChanged-(601)]
 	_ = x[ShardDeposed-(602)]
@@ -147,7 +151,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -158,6 +162,7 @@
 	_NumberName_0[66:79]:   LinesDropped,
 	_NumberName_0[79:96]:   SettingsReloaded,
 	_NumberName_0[96:108]:  PanicCaught,
+	_NumberName_0[108:122]: ProcessorBusy,
 	_NumberName_1[0:14]:    ConfigApplied,
 	_NumberName_1[14:28]:   ConfigRefused,
 	_NumberName_1[28:43]:   ConfigConflict,
@@ -179,6 +184,7 @@
 	_NumberName_2[190:203]: EntryCutOff,
 	_NumberName_2[203:215]: ZoneDrained,
 	_NumberName_2[215:225]: ZoneEmpty,
+	_NumberName_2[225:236]: LeaderBusy,
 	_NumberName_3[0:12]:    JobAccepted,
 	_NumberName_3[12:23]:   JobRefused,
 	_NumberName_3[23:34]:   TaskPlaced,
@@ -205,6 +211,8 @@
 	_NumberName_5[45:60]:   RequestRetried,
 	_NumberName_5[60:76]:   UpstreamEjected,
 	_NumberName_5[76:93]:   UpstreamRestored,
+	_NumberName_5[93:104]:  CallWaited,
+	_NumberName_5[104:117]: CancelWaited,
 	_NumberName_6[0:16]:    ShardTakenOver,
 	_NumberName_6[16:34]:   ShardViewChanged,
 	_NumberName_6[34:47]:   ShardDeposed,
@@ -228,6 +236,7 @@
 	_NumberLowerName_0[66:79]:   LinesDropped,
 	_NumberLowerName_0[79:96]:   SettingsReloaded,
 	_NumberLowerName_0[96:108]:  PanicCaught,
+	_NumberLowerName_0[108:122]: ProcessorBusy,
 	_NumberLowerName_1[0:14]:    ConfigApplied,
 	_NumberLowerName_1[14:28]:   ConfigRefused,
 	_NumberLowerName_1[28:43]:   ConfigConflict,
@@ -249,6 +258,7 @@
 	_NumberLowerName_2[190:203]: EntryCutOff,
 	_NumberLowerName_2[203:215]: ZoneDrained,
 	_NumberLowerName_2[215:225]: ZoneEmpty,
+	_NumberLowerName_2[225:236]: LeaderBusy,
 	_NumberLowerName_3[0:12]:    JobAccepted,
 	_NumberLowerName_3[12:23]:   JobRefused,
 	_NumberLowerName_3[23:34]:   TaskPlaced,
@@ -275,6 +285,8 @@
 	_NumberLowerName_5[45:60]:   RequestRetried,
 	_NumberLowerName_5[60:76]:   UpstreamEjected,
 	_NumberLowerName_5[76:93]:   UpstreamRestored,
+	_NumberLowerName_5[93:104]:  CallWaited,
+	_NumberLowerName_5[104:117]: CancelWaited,
 	_NumberLowerName_6[0:16]:    ShardTakenOver,
 	_NumberLowerName_6[16:34]:   ShardViewChanged,
 	_NumberLowerName_6[34:47]:   ShardDeposed,
@@ -298,6 +310,7 @@
 	_NumberName_0[66:79],
 	_NumberName_0[79:96],
 	_NumberName_0[96:108],
+	_NumberName_0[108:122],
 	_NumberName_1[0:14],
 	_NumberName_1[14:28],
 	_NumberName_1[28:43],
@@ -319,6 +332,7 @@
 	_NumberName_2[190:203],
 	_NumberName_2[203:215],
 	_NumberName_2[215:225],
+	_NumberName_2[225:236],
 	_NumberName_3[0:12],
 	_NumberName_3[12:23],
 	_NumberName_3[23:34],
@@ -345,6 +359,8 @@
 	_NumberName_5[45:60],
 	_NumberName_5[60:76],
 	_NumberName_5[76:93],
+	_NumberName_5[93:104],
+	_NumberName_5[104:117],
 	_NumberName_6[0:16],
 	_NumberName_6[16:34],
 	_NumberName_6[34:47],
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -98,7 +98,7 @@
 func (g *Gate) Run(ctx context.Context) error {
 	defer close(g.done)
 	var group run.Group
-	for _, loop := range []func(context.Context) error{g.watchOperators, g.links[0].run, g.runOtherLinks, g.pollPeers, g.agent.Run} {
+	for _, loop := range []func(context.Context) error{g.watchOperators, g.links[0].run, g.runOtherLinks, g.pollPeers, g.agent.Run, g.watchProcessor} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
 	}
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	err = shardLink.forward(ctx, func(ctx context.Context, l *caleader.Leader, address string) error {
+	err = shardLink.forward(ctx, callSubmit, s.ID, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Submit(ctx, s)
 		}
@@ -269,7 +269,7 @@
 		return 0, err
 	}
 	var phase castate.Phase
-	err = shardLink.forward(ctx, func(ctx context.Context, l *caleader.Leader, address string) (err error) {
+	err = shardLink.forward(ctx, callPhase, id, func(ctx context.Context, l *caleader.Leader, address string) (err error) {
 		if l != nil {
 			phase, err = l.Phase(id)
 			return err
@@ -288,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	return shardLink.forward(ctx, func(ctx context.Context, l *caleader.Leader, address string) error {
+	return shardLink.forward(ctx, callCancel, id, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Cancel(ctx, id)
 		}
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -160,13 +160,25 @@
 // forward sends a call to the leader and retries until there is a final answer. All calls
 // are idempotent. Once an attempt may have taken effect, a later refusal is returned as
 // KindUnknown, since it does not tell the outcome of the earlier attempt.
-func (l *link) forward(ctx context.Context, call attemptFunc) error {
+func (l *link) forward(ctx context.Context, name string, job cawork.JobID, call attemptFunc) error {
+	began := l.gate.Timer.Now()
+	trace := callTrace{name: name, job: job}
+	err := l.forwardTraced(ctx, &trace, call)
+	l.reportCall(trace, l.gate.Timer.Now().Sub(began), err)
+	return err
+}
+
+// forwardTraced is forward, with a trace of the attempts.
+func (l *link) forwardTraced(ctx context.Context, trace *callTrace, call attemptFunc) error {
 	began := l.gate.Timer.Now()
 	var unknownErr error
 	for {
 		leader, status, ok := l.target()
 		if ok {
+			attemptBegan := l.gate.Timer.Now()
 			err := l.attempt(ctx, leader, status, call)
+			trace.attempts++
+			trace.inAttempts += l.gate.Timer.Now().Sub(attemptBegan)
 			switch {
 			case isFinal(err):
 				if unknownErr != nil && isRefusal(err) {
@@ -255,7 +267,7 @@
 // pending counts the accepted jobs of a queue in this shard that have not started.
 func (l *link) pending(ctx context.Context, q caspec.QueueName) (int, error) {
 	n := 0
-	err := l.forward(ctx, func(ctx context.Context, leader *caleader.Leader, address string) (err error) {
+	err := l.forward(ctx, callPending, "", func(ctx context.Context, leader *caleader.Leader, address string) (err error) {
 		if leader != nil {
 			n, err = leader.Pending(q)
 			return err
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -28,10 +28,10 @@
 // renewal, or the shard is to be released.
 func (l *Leader) awaitChanges(ctx context.Context) error {
 	for {
-		l.mu.Lock()
+		l.mu.lock(partCommit)
 		due := l.Timer.Now().Sub(l.lastAppend) >= ClaimRenewPeriod
 		changes := l.planner.HasChanges() || len(l.extraEntries) > 0
-		l.mu.Unlock()
+		l.mu.unlock()
 		if due || l.isReleased() {
 			return nil
 		}
@@ -78,8 +78,8 @@
 }
 
 func (l *Leader) takeBatch() (caboard.Batch, []LogEntry, time.Time, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	now := l.now()
 	l.planner.SetNow(now)
 	batch, err := l.planner.NextBatch()
@@ -108,8 +108,8 @@
 // committed marks a batch as stored, notifies the callers that wait for it, and
 // returns the start orders that depend on it.
 func (l *Leader) committed(batch caboard.Batch, began time.Time) []caboard.StartOrder {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.lastAppend = began
 	l.lastAppendTook = l.Timer.Now().Sub(began)
@@ -128,14 +128,14 @@
 // Release makes the leader release the shard with its next append, so that
 // another entry can claim it at once. It may be called more than once.
 func (l *Leader) Release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	l.released = true
 }
 
 // isReleased reports whether Release was called.
 func (l *Leader) isReleased() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	return l.released
 }
--- a/internal/cell/caleader/layout.go
+++ b/internal/cell/caleader/layout.go
@@ -63,14 +63,14 @@
 
 // applyStoredLayout applies the proposed layout after the append that stored it.
 func (l *Leader) applyStoredLayout() {
-	l.mu.Lock()
+	l.mu.lock(partCommit)
 	layout := l.proposedLayout
 	if layout.IsZero() || !l.layout.IsZero() || len(l.extraEntries) > 0 {
-		l.mu.Unlock()
+		l.mu.unlock()
 		return
 	}
 	l.layout = layout
 	l.planner.SetPolicy(layout.ShardPolicy(l.policy))
-	l.mu.Unlock()
+	l.mu.unlock()
 	l.OnLayoutStored(layout)
 }
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -111,7 +111,7 @@
 	wake   chan struct{}
 	done   chan struct{}
 
-	mu      sync.Mutex
+	mu      partLock
 	planner *caboard.Planner
 	loaded  bool
 	// waiters wait for the next record of a job, and inFlightWaiters for the
@@ -154,6 +154,7 @@
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
 	}
+	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
 	now := l.now()
 	l.lastAppend = now.Monotonic
@@ -168,8 +169,8 @@
 	if !l.Previous.IsSucceededBy(vm, address, process) {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.planner.MarkPreviousLeaderGone(maxGrantedLease, l.Previous.InheritedRemaining)
 }
@@ -194,7 +195,7 @@
 		return err
 	}
 	var g run.Group
-	for _, loop := range []func(context.Context) error{l.commitLoop, l.planLoop, l.listLoop} {
+	for _, loop := range []func(context.Context) error{l.commitLoop, l.planLoop, l.listLoop, l.usageLoop} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		g.Add(func() error {
 			return caguard.Do(l.Log, "leader", func() error { return loop(loopCtx) })
@@ -211,8 +212,8 @@
 }
 
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	l.stopLeading = stop
 }
 
@@ -237,8 +238,8 @@
 		return err
 	}
 	upstreams := <-results
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	if upstreams.err == nil {
 		l.planner.SetUpstreams(l.ownUpstreams(upstreams.list))
@@ -259,8 +260,8 @@
 
 // failWaiters ends all waits with an error of KindUnknown.
 func (l *Leader) failWaiters() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	l.loaded = false
 	for _, waiters := range []map[cawork.JobID][]chan error{l.waiters, l.inFlightWaiters} {
 		for id := range waiters {
@@ -313,8 +314,8 @@
 
 // SetPolicy applies the part of a policy version that concerns this shard.
 func (l *Leader) SetPolicy(p caspec.Policy) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.policy = p
 	if l.layout.IsZero() {
 		return
@@ -325,8 +326,8 @@
 
 // SetDrains applies a newer view of the drained zones.
 func (l *Leader) SetDrains(v caboard.DrainView) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetDrains(v)
 	l.wakePlanner()
 }
@@ -351,8 +352,8 @@
 // recordAppendAttempt records the outcome of an append attempt. A conflict counts
 // as a success here, since the store has answered.
 func (l *Leader) recordAppendAttempt(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCommit)
+	defer l.mu.unlock()
 	switch {
 	case err == nil || cakind.Of(err) == cakind.KindConflict:
 		l.appendsFailingSince = time.Time{}
@@ -364,15 +365,15 @@
 // AreAppendsFailing reports whether all append attempts have failed for so long that
 // another entry that reaches the store should lead.
 func (l *Leader) AreAppendsFailing() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	return !l.appendsFailingSince.IsZero() && l.Timer.Now().Sub(l.appendsFailingSince) > appendsFailingAfter
 }
 
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	return l.Timer.Now().Sub(l.lastAppend)
 }
 
@@ -392,8 +393,8 @@
 }
 
 func (l *Leader) submit(s caspec.Submission) (<-chan error, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partSubmit)
+	defer l.mu.unlock()
 	if !l.loaded || l.released || l.layout.IsZero() {
 		return nil, errLoading
 	}
@@ -413,8 +414,8 @@
 // endSubmitWait ends the wait for a submitted job. It drops the job if no append
 // has included it yet and nobody else has submitted it again.
 func (l *Leader) endSubmitWait(id cawork.JobID) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	if !l.inFlightJobs[id] && len(l.waiters[id]) == 1 && l.planner.Withdraw(id) {
 		delete(l.waiters, id)
 		return cakind.New(cakind.KindUnavailable, "job %s was not stored in time", id).WithRetryAfter(retryWhenUnavailable)
@@ -441,8 +442,8 @@
 // Phase returns the stored phase of a job. KindNotFound means that the job does
 // not exist.
 func (l *Leader) Phase(id cawork.JobID) (castate.Phase, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	if !l.loaded {
 		return 0, errLoading
 	}
@@ -460,10 +461,18 @@
 // Cancel cancels a job and returns once the cancellation is stored. KindNotFound
 // means that the job does not exist.
 func (l *Leader) Cancel(ctx context.Context, id cawork.JobID) error {
+	began := l.Timer.Now()
 	done, err := l.cancel(id)
-	if err != nil || done == nil {
-		return err
+	applied := l.Timer.Now()
+	if err == nil && done != nil {
+		err = awaitCancel(ctx, id, done)
 	}
+	l.reportCancel(id, applied.Sub(began), l.Timer.Now().Sub(applied), err)
+	return err
+}
+
+// awaitCancel waits until the cancellation of a job is stored.
+func awaitCancel(ctx context.Context, id cawork.JobID, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
@@ -473,8 +482,8 @@
 }
 
 func (l *Leader) cancel(id cawork.JobID) (<-chan error, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	if !l.loaded {
 		return nil, errLoading
 	}
@@ -493,8 +502,8 @@
 
 // Pending returns the number of accepted jobs of a queue that have not begun to run.
 func (l *Leader) Pending(q caspec.QueueName) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partCall)
+	defer l.mu.unlock()
 	if !l.loaded {
 		return 0, errLoading
 	}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -92,8 +92,8 @@
 // nextOrders makes a plan and returns its orders, after a check for expired leases
 // and jobs if that is due.
 func (l *Leader) nextOrders(slots caboard.RequestLimits, expiryDue bool) caboard.Orders {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partPlan)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.planner.SetRequestLimits(slots)
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
@@ -133,8 +133,8 @@
 	began := l.Timer.Now()
 	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
 	l.startLatency.observe(l.Timer.Now().Sub(began))
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	if outcome == caboard.StartFenced {
 		l.stepDown(order.Upstream)
 		return
@@ -148,8 +148,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := l.Upstreams.Stop(callCtx, l.token, order)
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	if err != nil && isFenced(err) {
 		l.stepDown(order.Upstream)
 		return
@@ -206,16 +206,16 @@
 // noteListRead records that an attempt to read the list has ended, also one that failed: a
 // leader that cannot read the list goes on by the last one, a suspended one does not.
 func (l *Leader) noteListRead() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
 }
 
 // applyList passes the list of upstreams to the planner and starts renewals for new
 // ones.
 func (l *Leader) applyList(ctx context.Context, list []caspec.Upstream) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.proposeLayout(len(list))
 	l.planner.SetUpstreams(l.ownUpstreams(list))
@@ -236,8 +236,8 @@
 // renewLoop renews the lease of an upstream until the planner no longer has it.
 func (l *Leader) renewLoop(ctx context.Context, id cawork.UpstreamID) {
 	defer func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+		l.mu.lock(partReport)
+		defer l.mu.unlock()
 		delete(l.renewing, id)
 	}()
 	reachable := true
@@ -273,8 +273,8 @@
 // nextLease returns the lease for the next renewal. It does not extend the lease
 // while the claim is older than MaxClaimAge.
 func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	lease, ok := l.planner.RenewLease(id)
 	if l.Timer.Now().Sub(l.lastAppend) > MaxClaimAge {
@@ -288,8 +288,8 @@
 	defer cancel()
 	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
 	if err != nil {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+		l.mu.lock(partReport)
+		defer l.mu.unlock()
 		l.planner.SetNow(l.now())
 		l.planner.MarkRenewalUnanswered(lease.Upstream)
 		if cakind.Of(err) == cakind.KindNotFound {
@@ -301,8 +301,8 @@
 		}
 		return err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.planner.ApplyReport(report)
 	l.wakePlanner()
--- a/internal/cell/caleader/proxyload.go
+++ b/internal/cell/caleader/proxyload.go
@@ -84,16 +84,16 @@
 // passes the answer to the planner.
 func (l *Leader) advise(ctx context.Context, ask caboard.ApprovalRequest) {
 	proxies := l.AdvisorProxies.Names()
-	l.mu.Lock()
+	l.mu.lock(partReport)
 	now := l.Timer.Now()
 	proxy, answerDue, ok := l.proxyLoad.assign(now, proxies, ask)
-	l.mu.Unlock()
+	l.mu.unlock()
 	var approved []caboard.Approval
 	if ok {
 		approved, ok = l.adviseVia(ctx, proxy, ask, answerDue.Sub(now)+askTimeoutMargin)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.lock(partReport)
+	defer l.mu.unlock()
 	if !ok && proxy != "" {
 		l.proxyLoad.backoffUntil[proxy] = l.Timer.Now().Add(proxyBackoff)
 	}
--- a/internal/node/caprocessor/scaler.go
+++ b/internal/node/caprocessor/scaler.go
@@ -38,10 +38,10 @@
 // then sets it to the maximum. It may be called once.
 func (p *Scaler) Run(ctx context.Context) error {
 	defer close(p.done)
-	governor := NewGovernor(p.maxProcs, p.timer.Now(), processCPUTime())
+	governor := NewGovernor(p.maxProcs, p.timer.Now(), CPUTime())
 	p.setProcs(1)
 	defer p.setProcs(p.maxProcs)
-	p.timer.Repeat(ctx, samplePeriod, func(context.Context) { p.setProcs(governor.Choose(p.timer.Now(), processCPUTime())) })
+	p.timer.Repeat(ctx, samplePeriod, func(context.Context) { p.setProcs(governor.Choose(p.timer.Now(), CPUTime())) })
 	return nil
 }
 
@@ -58,8 +58,8 @@
 	p.scope.Gauge("processors").Update(float64(procs))
 }
 
-// processCPUTime returns the user and system time of the process.
-func processCPUTime() time.Duration {
+// CPUTime returns the user and system time of the process.
+func CPUTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return 0
