Lock of the leader: cancellations, queries and renewals go before submissions and plans (SHORT)

Callers saw: status and cancellations wait for seconds, or 504, while many jobs are submitted. Cause: one lock, first come first served, for plans, reports, submissions and what is cheap: a cancellation waits behind all submissions before it, and the append that renews the claim does too. Why it works: the lock lets waiting parts in by urgency: commits, calls, reports, submissions, plans. A plan that has waited for 100 ms goes first, so that none starves.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -45,6 +45,9 @@
 	drainStretch time.Duration
 	// advisor is the advisor of all entries.
 	advisor caleader.Advisor
+	// onClockRead is called with each reading of the wall clock, which leaders read with their
+	// lock held. It may be nil.
+	onClockRead func()
 	// settleTime is how long the cell may take to recover at the end.
 	settleTime time.Duration
 
@@ -124,7 +127,7 @@
 	e.gate = New(Deps{
 		Self: caroster.Peer{VM: cawork.VMID(name), Address: name, CPUShare: c.cpuShare(name)}, Seeds: []string{entryName(0), entryName(1)},
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
-		WallMillis: func() int64 { return timer.Now().UnixMilli() }, PeerClient: client,
+		WallMillis: func() int64 { return c.readWallClock(timer) }, PeerClient: client,
 		ShardLog:  func(shard int) caleader.Log { return c.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
 		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c.fleet, RelayMinUpstreams: c.relayMinUpstreams,
 		Advisor: c.advisor, OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
@@ -143,6 +146,13 @@
 	c.entries[name] = e
 }
 
+func (c *testCell) readWallClock(timer *catimer.Service) int64 {
+	if c.onClockRead != nil {
+		c.onClockRead()
+	}
+	return timer.Now().UnixMilli()
+}
+
 // gates returns the Gates of all running entries by name.
 func (c *testCell) gates() map[string]*Gate {
 	c.mu.Lock()
--- a/internal/cell/caleader/lock.go
+++ b/internal/cell/caleader/lock.go
@@ -1,11 +1,12 @@
 package caleader
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// part is a user of the lock of a leader.
+// part is a user of the lock of a leader. Parts with lower numbers go first.
 type part int
 
 // The users of the lock.
@@ -23,6 +24,9 @@
 	partCount
 )
 
+// maxPlanWait is the wait for the lock after which a plan goes first.
+const maxPlanWait = 100 * time.Millisecond
+
 // partNames are the names of the parts in the log.
 var partNames = [partCount]string{"commit", "call", "report", "submit", "plan"}
 
@@ -32,10 +36,15 @@
 	count                          int
 }
 
-// partLock is a mutual exclusion lock that records how its parts use it.
+// partLock is a mutual exclusion lock for parts of different urgency. A part waits for the
+// holder and for waiting parts with lower numbers only. It records how it is used.
 type partLock struct {
 	now func() time.Time
-	mu  sync.Mutex
+
+	// mu guards the fields below. It is held for moments only.
+	mu      sync.Mutex
+	held    bool
+	waiters [partCount][]*lockWaiter
 
 	// The fields below belong to the holder.
 	holder    part
@@ -43,23 +52,94 @@
 	usage     [partCount]lockUsage
 }
 
+// lockWaiter waits for the lock.
+type lockWaiter struct {
+	since time.Time
+	// woken receives a value when the waiter should try again.
+	woken chan struct{}
+}
+
 // lock acquires the lock for a part.
 func (l *partLock) lock(p part) {
 	began := l.now()
 	l.mu.Lock()
+	if !l.mayTake(p) {
+		l.wait(p, began)
+	}
+	l.held = true
+	l.mu.Unlock()
 	l.holder, l.heldSince = p, l.now()
 	u := &l.usage[p]
 	u.count++
 	u.longestWait = max(u.longestWait, l.heldSince.Sub(began))
 }
 
+// mayTake reports whether the lock is free and no waiting part goes before p. mu is held.
+func (l *partLock) mayTake(p part) bool {
+	if l.held {
+		return false
+	}
+	if l.isPlanOverdue() {
+		return p == partPlan
+	}
+	return p <= l.next()
+}
+
+// wait waits until the part may take the lock. mu is held.
+func (l *partLock) wait(p part, began time.Time) {
+	w := &lockWaiter{since: began, woken: make(chan struct{}, 1)}
+	l.waiters[p] = append(l.waiters[p], w)
+	for !l.mayTake(p) {
+		l.wakeNext()
+		l.mu.Unlock()
+		<-w.woken
+		l.mu.Lock()
+	}
+	i := slices.Index(l.waiters[p], w)
+	l.waiters[p] = slices.Delete(l.waiters[p], i, i+1)
+}
+
+// wakeNext wakes the waiter that goes first if the lock is free. mu is held.
+func (l *partLock) wakeNext() {
+	p := l.next()
+	if l.held || p == partCount {
+		return
+	}
+	select {
+	case l.waiters[p][0].woken <- struct{}{}:
+	default:
+	}
+}
+
+// isPlanOverdue reports whether a plan has waited so long that it goes first. mu is held.
+func (l *partLock) isPlanOverdue() bool {
+	plans := l.waiters[partPlan]
+	return len(plans) > 0 && l.now().Sub(plans[0].since) > maxPlanWait
+}
+
+// next returns the waiting part that goes first, partCount without any. mu is held.
+func (l *partLock) next() part {
+	if l.isPlanOverdue() {
+		return partPlan
+	}
+	for p, waiters := range l.waiters {
+		if len(waiters) > 0 {
+			return part(p)
+		}
+	}
+	return partCount
+}
+
 // unlock releases the lock.
 func (l *partLock) unlock() {
 	held := l.now().Sub(l.heldSince)
 	u := &l.usage[l.holder]
 	u.held += held
 	u.longestHold = max(u.longestHold, held)
-	l.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = false
+	l.wakeNext()
 }
 
 // takeUsage returns the usage since the last call. The lock is held.
