--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -28,11 +28,11 @@
 // renewal, or the shard is to be released.
 func (l *Leader) awaitChanges(ctx context.Context) error {
 	for {
-		l.mu.lock(partCommit)
-		due := l.Timer.Now().Sub(l.lastAppend) >= ClaimRenewPeriod
+		l.lock(partCommit)
+		due := l.Timer.Now().Sub(l.lastAppend.load()) >= ClaimRenewPeriod
 		changes := l.planner.HasChanges() || len(l.extraEntries) > 0
 		l.mu.unlock()
-		if due || l.isReleased() {
+		if due || l.released.Load() {
 			return nil
 		}
 		if err := l.Timer.Pause(ctx, commitLinger); err != nil {
@@ -47,7 +47,7 @@
 // commit stores one batch, applies a layout stored with it, and dispatches the
 // start orders that depend on it.
 func (l *Leader) commit(ctx context.Context) error {
-	releasing := l.isReleased()
+	releasing := l.released.Load()
 	batch, entries, began, err := l.takeBatch()
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 }
 
 func (l *Leader) takeBatch() (caboard.Batch, []LogEntry, time.Time, error) {
-	l.mu.lock(partCommit)
+	l.lock(partCommit)
 	defer l.mu.unlock()
 	now := l.now()
 	l.planner.SetNow(now)
@@ -108,10 +108,10 @@
 // committed marks a batch as stored, notifies the callers that wait for it, and
 // returns the start orders that depend on it.
 func (l *Leader) committed(batch caboard.Batch, began time.Time) []caboard.StartOrder {
-	l.mu.lock(partCommit)
+	l.lock(partCommit)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
-	l.lastAppend = began
+	l.lastAppend.store(began)
 	l.lastAppendTook = l.Timer.Now().Sub(began)
 	l.inFlightSince = time.Time{}
 	l.inFlightJobs = nil
@@ -127,15 +127,4 @@
 
 // Release makes the leader release the shard with its next append, so that
 // another entry can claim it at once. It may be called more than once.
-func (l *Leader) Release() {
-	l.mu.lock(partCall)
-	defer l.mu.unlock()
-	l.released = true
-}
-
-// isReleased reports whether Release was called.
-func (l *Leader) isReleased() bool {
-	l.mu.lock(partCommit)
-	defer l.mu.unlock()
-	return l.released
-}
+func (l *Leader) Release() { l.released.Store(true) }
--- a/internal/cell/caleader/layout.go
+++ b/internal/cell/caleader/layout.go
@@ -63,7 +63,7 @@
 
 // applyStoredLayout applies the proposed layout after the append that stored it.
 func (l *Leader) applyStoredLayout() {
-	l.mu.lock(partCommit)
+	l.lock(partCommit)
 	layout := l.proposedLayout
 	if layout.IsZero() || !l.layout.IsZero() || len(l.extraEntries) > 0 {
 		l.mu.unlock()
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -111,9 +112,19 @@
 	wake   chan struct{}
 	done   chan struct{}
 
+	inbox inbox
+	// loaded is set while the leader has loaded the jobs and leads.
+	loaded atomic.Bool
+	// lastAppend is when the last successful append began.
+	lastAppend moment
+	// appendsFailingSince is when the current series of failed append attempts
+	// began, zero after a success.
+	appendsFailingSince moment
+	// released is set once Release was called.
+	released atomic.Bool
+
 	mu      partLock
 	planner *caboard.Planner
-	loaded  bool
 	// waiters wait for the next record of a job, and inFlightWaiters for the
 	// record in the append in flight.
 	waiters         map[cawork.JobID][]chan error
@@ -122,17 +133,11 @@
 	inFlightJobs map[cawork.JobID]bool
 	// inFlightSince is when that append began, zero without one.
 	inFlightSince time.Time
-	// lastAppend is when the last successful append began, and lastAppendTook its
-	// duration.
-	lastAppend     time.Time
+	// lastAppendTook is the duration of the last successful append.
 	lastAppendTook time.Duration
-	// appendsFailingSince is when the current series of failed append attempts
-	// began, zero after a success.
-	appendsFailingSince time.Time
-	renewing            map[cawork.UpstreamID]bool
-	proxyLoad           proxyLoad
-	stopLeading         context.CancelCauseFunc
-	released            bool
+	renewing       map[cawork.UpstreamID]bool
+	proxyLoad      proxyLoad
+	stopLeading    context.CancelCauseFunc
 	// extraEntries are records for the next append that do not come from the planner.
 	extraEntries []LogEntry
 	// proposedLayout is the layout in those records.
@@ -157,7 +162,7 @@
 	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
 	now := l.now()
-	l.lastAppend = now.Monotonic
+	l.lastAppend.store(now.Monotonic)
 	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(MaxInheritedLease))
 	l.planner.InheritSilence(c.Silent)
 	return l
@@ -169,10 +174,7 @@
 	if !l.Previous.IsSucceededBy(vm, address, process) {
 		return
 	}
-	l.mu.lock(partReport)
-	defer l.mu.unlock()
-	l.planner.SetNow(l.now())
-	l.planner.MarkPreviousLeaderGone(maxGrantedLease, l.Previous.InheritedRemaining)
+	l.inbox.put(func() { l.inbox.previousGone = true })
 }
 
 // Token returns the fencing token.
@@ -212,7 +214,7 @@
 }
 
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
-	l.mu.lock(partCommit)
+	l.lock(partCommit)
 	defer l.mu.unlock()
 	l.stopLeading = stop
 }
@@ -238,7 +240,7 @@
 		return err
 	}
 	upstreams := <-results
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	if upstreams.err == nil {
@@ -249,7 +251,7 @@
 		l.planner.Restore(j)
 	}
 	l.planner.RestoreCrashes(state.crashes)
-	l.loaded = true
+	l.loaded.Store(true)
 	l.startRenewals(ctx)
 	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
 		Int("unreadable", state.unreadableJobs).Int("crashes", len(state.crashes)).
@@ -260,9 +262,9 @@
 
 // failWaiters ends all waits with an error of KindUnknown.
 func (l *Leader) failWaiters() {
-	l.mu.lock(partCommit)
+	l.loaded.Store(false)
+	l.lock(partCommit)
 	defer l.mu.unlock()
-	l.loaded = false
 	for _, waiters := range []map[cawork.JobID][]chan error{l.waiters, l.inFlightWaiters} {
 		for id := range waiters {
 			notifyWaiters(waiters, id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
@@ -312,26 +314,6 @@
 	}
 }
 
-// SetPolicy applies the part of a policy version that concerns this shard.
-func (l *Leader) SetPolicy(p caspec.Policy) {
-	l.mu.lock(partReport)
-	defer l.mu.unlock()
-	l.policy = p
-	if l.layout.IsZero() {
-		return
-	}
-	l.planner.SetPolicy(l.layout.ShardPolicy(p))
-	l.wakePlanner()
-}
-
-// SetDrains applies a newer view of the drained zones.
-func (l *Leader) SetDrains(v caboard.DrainView) {
-	l.mu.lock(partReport)
-	defer l.mu.unlock()
-	l.planner.SetDrains(v)
-	l.wakePlanner()
-}
-
 // stepDown stops the leader because an upstream has accepted a later fencing token.
 func (l *Leader) stepDown(upstream cawork.UpstreamID) {
 	l.stopLeading(cakind.New(cakind.KindFenced, "upstream %s has accepted a later fencing token than %d", upstream, l.token))
@@ -352,30 +334,23 @@
 // recordAppendAttempt records the outcome of an append attempt. A conflict counts
 // as a success here, since the store has answered.
 func (l *Leader) recordAppendAttempt(err error) {
-	l.mu.lock(partCommit)
-	defer l.mu.unlock()
 	switch {
 	case err == nil || cakind.Of(err) == cakind.KindConflict:
-		l.appendsFailingSince = time.Time{}
-	case l.appendsFailingSince.IsZero():
-		l.appendsFailingSince = l.Timer.Now()
+		l.appendsFailingSince.store(time.Time{})
+	case l.appendsFailingSince.load().IsZero():
+		l.appendsFailingSince.store(l.Timer.Now())
 	}
 }
 
 // AreAppendsFailing reports whether all append attempts have failed for so long that
 // another entry that reaches the store should lead.
 func (l *Leader) AreAppendsFailing() bool {
-	l.mu.lock(partCall)
-	defer l.mu.unlock()
-	return !l.appendsFailingSince.IsZero() && l.Timer.Now().Sub(l.appendsFailingSince) > appendsFailingAfter
+	since := l.appendsFailingSince.load()
+	return !since.IsZero() && l.Timer.Now().Sub(since) > appendsFailingAfter
 }
 
 // LastAppendAge returns the time since the last successful append began.
-func (l *Leader) LastAppendAge() time.Duration {
-	l.mu.lock(partCall)
-	defer l.mu.unlock()
-	return l.Timer.Now().Sub(l.lastAppend)
-}
+func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
 // Submit accepts a job and returns once it is stored. KindUnknown means that the
 // job may have been accepted; other errors mean that it has not.
@@ -393,9 +368,12 @@
 }
 
 func (l *Leader) submit(s caspec.Submission) (<-chan error, error) {
-	l.mu.lock(partSubmit)
+	if !l.loaded.Load() || l.released.Load() {
+		return nil, errLoading
+	}
+	l.lock(partSubmit)
 	defer l.mu.unlock()
-	if !l.loaded || l.released || l.layout.IsZero() {
+	if !l.loaded.Load() || l.layout.IsZero() {
 		return nil, errLoading
 	}
 	l.planner.SetNow(l.now())
@@ -414,7 +392,7 @@
 // endSubmitWait ends the wait for a submitted job. It drops the job if no append
 // has included it yet and nobody else has submitted it again.
 func (l *Leader) endSubmitWait(id cawork.JobID) error {
-	l.mu.lock(partCall)
+	l.lock(partCall)
 	defer l.mu.unlock()
 	if !l.inFlightJobs[id] && len(l.waiters[id]) == 1 && l.planner.Withdraw(id) {
 		delete(l.waiters, id)
@@ -436,15 +414,18 @@
 // isClaimFresh reports whether the last append is recent enough to rule out that
 // another leader has accepted jobs unknown here. The lock is held.
 func (l *Leader) isClaimFresh() bool {
-	return l.loaded && l.Timer.Now().Sub(l.lastAppend) < freshClaimAge
+	return l.loaded.Load() && l.Timer.Now().Sub(l.lastAppend.load()) < freshClaimAge
 }
 
 // Phase returns the stored phase of a job. KindNotFound means that the job does
 // not exist.
 func (l *Leader) Phase(id cawork.JobID) (castate.Phase, error) {
-	l.mu.lock(partCall)
+	if !l.loaded.Load() {
+		return 0, errLoading
+	}
+	l.lock(partCall)
 	defer l.mu.unlock()
-	if !l.loaded {
+	if !l.loaded.Load() {
 		return 0, errLoading
 	}
 	phase, ok := l.planner.Phase(id)
@@ -482,9 +463,12 @@
 }
 
 func (l *Leader) cancel(id cawork.JobID) (<-chan error, error) {
-	l.mu.lock(partCall)
+	if !l.loaded.Load() {
+		return nil, errLoading
+	}
+	l.lock(partCall)
 	defer l.mu.unlock()
-	if !l.loaded {
+	if !l.loaded.Load() {
 		return nil, errLoading
 	}
 	l.planner.SetNow(l.now())
@@ -502,9 +486,12 @@
 
 // Pending returns the number of accepted jobs of a queue that have not begun to run.
 func (l *Leader) Pending(q caspec.QueueName) (int, error) {
-	l.mu.lock(partCall)
+	if !l.loaded.Load() {
+		return 0, errLoading
+	}
+	l.lock(partCall)
 	defer l.mu.unlock()
-	if !l.loaded {
+	if !l.loaded.Load() {
 		return 0, errLoading
 	}
 	return l.planner.CountUnstarted(q), nil
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -92,7 +92,7 @@
 // nextOrders makes a plan and returns its orders, after a check for expired leases
 // and jobs if that is due.
 func (l *Leader) nextOrders(slots caboard.RequestLimits, expiryDue bool) caboard.Orders {
-	l.mu.lock(partPlan)
+	l.lock(partPlan)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.planner.SetRequestLimits(slots)
@@ -133,7 +133,7 @@
 	began := l.Timer.Now()
 	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
 	l.startLatency.observe(l.Timer.Now().Sub(began))
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	if outcome == caboard.StartFenced {
 		l.stepDown(order.Upstream)
@@ -148,7 +148,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := l.Upstreams.Stop(callCtx, l.token, order)
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	if err != nil && isFenced(err) {
 		l.stepDown(order.Upstream)
@@ -206,7 +206,7 @@
 // noteListRead records that an attempt to read the list has ended, also one that failed: a
 // leader that cannot read the list goes on by the last one, a suspended one does not.
 func (l *Leader) noteListRead() {
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
 }
@@ -214,7 +214,7 @@
 // applyList passes the list of upstreams to the planner and starts renewals for new
 // ones.
 func (l *Leader) applyList(ctx context.Context, list []caspec.Upstream) {
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.proposeLayout(len(list))
@@ -236,7 +236,7 @@
 // renewLoop renews the lease of an upstream until the planner no longer has it.
 func (l *Leader) renewLoop(ctx context.Context, id cawork.UpstreamID) {
 	defer func() {
-		l.mu.lock(partReport)
+		l.lock(partReport)
 		defer l.mu.unlock()
 		delete(l.renewing, id)
 	}()
@@ -273,11 +273,11 @@
 // nextLease returns the lease for the next renewal. It does not extend the lease
 // while the claim is older than MaxClaimAge.
 func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	lease, ok := l.planner.RenewLease(id)
-	if l.Timer.Now().Sub(l.lastAppend) > MaxClaimAge {
+	if l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
 		lease.EndMS = 0
 	}
 	return lease, ok
@@ -288,7 +288,7 @@
 	defer cancel()
 	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
 	if err != nil {
-		l.mu.lock(partReport)
+		l.lock(partReport)
 		defer l.mu.unlock()
 		l.planner.SetNow(l.now())
 		l.planner.MarkRenewalUnanswered(lease.Upstream)
@@ -301,7 +301,7 @@
 		}
 		return err
 	}
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.planner.ApplyReport(report)
--- a/internal/cell/caleader/proxyload.go
+++ b/internal/cell/caleader/proxyload.go
@@ -84,7 +84,7 @@
 // passes the answer to the planner.
 func (l *Leader) advise(ctx context.Context, ask caboard.ApprovalRequest) {
 	proxies := l.AdvisorProxies.Names()
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	now := l.Timer.Now()
 	proxy, answerDue, ok := l.proxyLoad.assign(now, proxies, ask)
 	l.mu.unlock()
@@ -92,7 +92,7 @@
 	if ok {
 		approved, ok = l.adviseVia(ctx, proxy, ask, answerDue.Sub(now)+askTimeoutMargin)
 	}
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	defer l.mu.unlock()
 	if !ok && proxy != "" {
 		l.proxyLoad.backoffUntil[proxy] = l.Timer.Now().Add(proxyBackoff)
--- a/internal/cell/caleader/suspension_test.go
+++ b/internal/cell/caleader/suspension_test.go
@@ -29,7 +29,7 @@
 	l := New(Deps{
 		Log: zerolog.Nop(), Timer: catimer.NewServiceWithClock(clock), WallClockMS: func() int64 { return clock.now.UnixMilli() },
 	}, Claim{VM: "entry-1"}, 7, 7)
-	l.loaded = true
+	l.loaded.Store(true)
 	l.planner.SetUpstreams([]caspec.Upstream{{ID: "up-1", Address: "a", Incarnation: 1}})
 	l.planner.ApplyReport(caboard.Report{Upstream: "up-1", Born: 1, SentAt: clock.now, ReceivedAt: clock.now, ClockMS: 5000})
 	return l
--- a/internal/cell/caleader/usage.go
+++ b/internal/cell/caleader/usage.go
@@ -34,7 +34,7 @@
 
 // reportUsage reports the use of the lock in the last span.
 func (l *Leader) reportUsage(span time.Duration) {
-	l.mu.lock(partReport)
+	l.lock(partReport)
 	usage := l.mu.takeUsage()
 	waiting := len(l.waiters) + len(l.inFlightWaiters)
 	l.mu.unlock()
