--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,11 @@
 	// onClockRead is called with each reading of the wall clock, which leaders read with their
 	// lock held. It may be nil.
 	onClockRead func()
+	// loadTime is how long a read of all jobs takes.
+	loadTime atomic.Int64
+	// busyEntry is an entry whose appends leave it later by appendDelay.
+	busyEntry   atomic.Value
+	appendDelay atomic.Int64
 	// settleTime is how long the cell may take to recover at the end.
 	settleTime time.Duration
 
@@ -128,7 +134,9 @@
 		Self: caroster.Peer{VM: cawork.VMID(name), Address: name, CPUShare: c.cpuShare(name)}, Seeds: []string{entryName(0), entryName(1)},
 		Log: zerolog.New(io.Discard), Scope: tally.NoopScope, Timer: timer,
 		WallMillis: func() int64 { return c.readWallClock(timer) }, PeerClient: client,
-		ShardLog:  func(shard int) caleader.Log { return c.store.Log(fmt.Sprintf("jobs-%d", shard), name) },
+		ShardLog: func(shard int) caleader.Log {
+			return busyLog{Log: c.store.Log(fmt.Sprintf("jobs-%d", shard), name), entry: name, cell: c}
+		},
 		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c.fleet, RelayMinUpstreams: c.relayMinUpstreams,
 		Advisor: c.advisor, OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
 	})
@@ -146,6 +154,27 @@
 	c.entries[name] = e
 }
 
+// busyLog is the log of an entry that is short of processor time.
+type busyLog struct {
+	caleader.Log
+	entry string
+	cell  *testCell
+}
+
+func (l busyLog) Newest(ctx context.Context, after string) (caleader.Page, error) {
+	if after == "" {
+		time.Sleep(time.Duration(l.cell.loadTime.Load()))
+	}
+	return l.Log.Newest(ctx, after)
+}
+
+func (l busyLog) Append(ctx context.Context, at int64, entries []caleader.LogEntry) (int64, error) {
+	if l.entry == l.cell.busyEntry.Load() {
+		time.Sleep(time.Duration(l.cell.appendDelay.Load()))
+	}
+	return l.Log.Append(ctx, at, entries)
+}
+
 func (c *testCell) readWallClock(timer *catimer.Service) int64 {
 	if c.onClockRead != nil {
 		c.onClockRead()
--- a/internal/cell/cagate/liveness_test.go
+++ b/internal/cell/cagate/liveness_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"celeryarch.example/celeryarch/internal/cell/caroster"
 )
 
@@ -28,3 +30,26 @@
 	delay.Store(0)
 	c.callers.Wait()
 }
+
+// TestLeaderThatLoadsIsNotDeposed guards against takeovers from a leader that still loads the
+// jobs: each successor would begin anew, and no job would be stored. One takeover is enough
+// after the leader was killed.
+func TestLeaderThatLoadsIsNotDeposed(t *testing.T) {
+	runInTestCell(t, 4, func(t *testing.T, c *testCell) {
+		c.load(time.Second)
+		c.loadTime.Store(int64(2500 * time.Millisecond))
+		old := c.leader()
+		c.kill(old)
+		tokens := make(map[int64]bool)
+		for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, gate := range c.gates() {
+				if leader, _, _ := gate.links[0].target(); leader != nil {
+					tokens[leader.Token()] = true
+				}
+			}
+		}
+		if diff := cmp.Diff(1, len(tokens)); diff != "" {
+			t.Errorf("leaders in 8 s after the kill (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -193,7 +193,7 @@
 	policy, layout := l.View()
 	l.layout = layout
 	l.SetPolicy(policy)
-	if err := l.load(ctx); err != nil {
+	if err := l.loadRenewing(ctx); err != nil {
 		return err
 	}
 	var g run.Group
@@ -223,6 +223,39 @@
 	return caboard.ClockReading{Monotonic: l.Timer.Now(), WallMS: l.WallClockMS()}
 }
 
+// loadRenewing loads the jobs and renews the claim meanwhile: other entries would take a
+// leader without appends for a failed one.
+func (l *Leader) loadRenewing(ctx context.Context) error {
+	loaded := make(chan error, 1)
+	go func() {
+		loaded <- caguard.Do(l.Log, "leader load", func() error { return l.load(ctx) })
+	}()
+	for {
+		if done, err := l.awaitLoad(loaded); done {
+			return err
+		}
+		began := l.Timer.Now()
+		if err := l.writer.append(ctx, nil); err != nil {
+			l.stopLeading(err)
+			<-loaded
+			return err
+		}
+		l.lastAppend.store(began)
+	}
+}
+
+// awaitLoad waits until the jobs are loaded or the claim is due for renewal.
+func (l *Leader) awaitLoad(loaded <-chan error) (done bool, err error) {
+	due := l.Timer.After(ClaimRenewPeriod)
+	defer due.Close()
+	select {
+	case err := <-loaded:
+		return true, err
+	case <-due.C:
+		return false, nil
+	}
+}
+
 // load reads the jobs and the list of upstreams into the planner.
 func (l *Leader) load(ctx context.Context) error {
 	began := l.Timer.Now()
