--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -30,9 +30,13 @@
 	maxHelloMisses = 3
 	// A leader that does not answer counts as failed once its log has had no append for
 	// minLogIdle plus logIdlePerRead times the duration of a read of the store. A leader
-	// appends at least every caleader.ClaimRenewPeriod.
-	minLogIdle     = 300 * time.Millisecond
-	logIdlePerRead = 3
+	// appends at least every caleader.ClaimRenewPeriod. If its last append took longer,
+	// the log must be idle for logIdlePerAppend times the excess more, maxBusyLogIdle at
+	// most: it may be short of processor time, and a successor would be too.
+	minLogIdle       = 300 * time.Millisecond
+	logIdlePerRead   = 3
+	logIdlePerAppend = 2
+	maxBusyLogIdle   = 1500 * time.Millisecond
 	// checkCoalesceDelay combines calls that fail together into one check of the leader.
 	checkCoalesceDelay = 10 * time.Millisecond
 	// claimReadTimeout bounds one read of the current claim.
@@ -239,12 +243,19 @@
 	}
 	claim := found.Claim
 	claimable := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || verdict == livenessGone
-	if !claimable && !l.isLogIdle(ctx, found.End, minLogIdle+logIdlePerRead*g.Timer.Now().Sub(began)) {
+	if !claimable && !l.isLogIdle(ctx, found.End, requiredLogIdle(g.Timer.Now().Sub(began), claim.AppendTook)) {
 		return l.adoptLatest(ctx, previous)
 	}
 	return l.claimLeadership(ctx, found, previous)
 }
 
+// requiredLogIdle returns for how long the log of a leader that does not answer must be idle
+// before it is claimed, by the duration of a read and of the leader's last append.
+func requiredLogIdle(read, appendTook time.Duration) time.Duration {
+	busy := logIdlePerAppend * max(appendTook-caleader.ClaimRenewPeriod, 0)
+	return minLogIdle + logIdlePerRead*read + min(busy, maxBusyLogIdle)
+}
+
 // adoptClaim adopts the leader named by the current claim if the claim is newer than the
 // previous leader's. It reports whether it did.
 func (l *link) adoptClaim(found caleader.LeadershipState, previous leaderID) bool {
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -57,6 +57,8 @@
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
 	// have expired.
 	InheritedRemaining time.Duration `cbor:"9,keyasint,omitempty"`
+	// AppendTook is the duration of the leader's last append.
+	AppendTook time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // IsSucceededBy reports whether a later process of the VM listens at the address of the entry
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -58,7 +58,8 @@
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
 		return err
 	}
-	l.recordAppend(l.Timer.Now().Sub(began), len(entries))
+	l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
+	l.recordAppend(l.writer.claim.AppendTook, len(entries))
 	l.applyStoredLayout()
 	l.dispatchStarts(ctx, l.committed(batch, began))
 	if releasing {
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -241,6 +241,7 @@
 			return err
 		}
 		l.lastAppend.store(began)
+		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
 	}
 }
 
