--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -57,6 +57,8 @@
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
 	// have expired.
 	InheritedRemaining time.Duration `cbor:"9,keyasint,omitempty"`
+	// AppendTook is the duration of the leader's last append.
+	AppendTook time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // IsSucceededBy reports whether a later process of the VM listens at the address of the entry
@@ -160,7 +162,8 @@
 }
 
 // loadState reads the records of all jobs and their crashes. It retries failed reads until the
-// context ends. The log must not change meanwhile; the caller's claim ensures that.
+// context ends. Only the
+// claim may change meanwhile; the caller's claim ensures that.
 func loadState(ctx context.Context, log Log, pause Pause) (storedState, error) {
 	state := storedState{crashes: make(map[cawork.JobID]*cacrash.History)}
 	after := ""
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -28,11 +28,11 @@
 // renewal, or the shard is to be released.
 func (l *Leader) awaitChanges(ctx context.Context) error {
 	for {
-		l.mu.Lock()
-		due := l.Timer.Now().Sub(l.lastAppend) >= ClaimRenewPeriod
+		l.lock(partCommit)
+		due := l.Timer.Now().Sub(l.lastAppend.load()) >= ClaimRenewPeriod
 		changes := l.planner.HasChanges() || len(l.extraEntries) > 0
-		l.mu.Unlock()
-		if due || l.isReleased() {
+		l.mu.unlock()
+		if due || l.released.Load() {
 			return nil
 		}
 		if err := l.Timer.Pause(ctx, commitLinger); err != nil {
@@ -47,7 +47,7 @@
 // commit stores one batch, applies a layout stored with it, and dispatches the
 // start orders that depend on it.
 func (l *Leader) commit(ctx context.Context) error {
-	releasing := l.isReleased()
+	releasing := l.released.Load()
 	batch, entries, began, err := l.takeBatch()
 	if err != nil {
 		return err
@@ -58,7 +58,8 @@
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
 		return err
 	}
-	l.recordAppend(l.Timer.Now().Sub(began), len(entries))
+	l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
+	l.recordAppend(l.writer.claim.AppendTook, len(entries))
 	l.applyStoredLayout()
 	l.dispatchStarts(ctx, l.committed(batch, began))
 	if releasing {
@@ -78,8 +79,8 @@
 }
 
 func (l *Leader) takeBatch() (caboard.Batch, []LogEntry, time.Time, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lock(partCommit)
+	defer l.mu.unlock()
 	now := l.now()
 	l.planner.SetNow(now)
 	batch, err := l.planner.NextBatch()
@@ -108,10 +109,10 @@
 // committed marks a batch as stored, notifies the callers that wait for it, and
 // returns the start orders that depend on it.
 func (l *Leader) committed(batch caboard.Batch, began time.Time) []caboard.StartOrder {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lock(partCommit)
+	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
-	l.lastAppend = began
+	l.lastAppend.store(began)
 	l.lastAppendTook = l.Timer.Now().Sub(began)
 	l.inFlightSince = time.Time{}
 	l.inFlightJobs = nil
@@ -127,15 +128,4 @@
 
 // Release makes the leader release the shard with its next append, so that
 // another entry can claim it at once. It may be called more than once.
-func (l *Leader) Release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.released = true
-}
-
-// isReleased reports whether Release was called.
-func (l *Leader) isReleased() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.released
-}
+func (l *Leader) Release() { l.released.Store(true) }
