--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -279,6 +279,8 @@
 // step that has answers already.
 func (b *Planner) needsMoreApproved(s *step, q caspec.Queue, p *poolPlan) bool {
 	switch {
+	case s.tasksToRestart > 0 && b.isReservedRoomOverdue(s) && s.spec.Size().Fits(p.maxFree):
+		return true
 	case b.hasRoomReserved(s):
 		return false
 	case s.lacksReservable():
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -140,6 +140,9 @@
 			continue
 		}
 		u.reservedFrom = freeAt
+		if u.reservedDue.IsZero() {
+			u.reservedDue = freeAt
+		}
 		kept = append(kept, u)
 	}
 	clear(r.upstreams[len(kept):])
@@ -158,6 +161,16 @@
 	return n
 }
 
+// isReservedRoomOverdue reports whether some room that is reserved for single tasks of the step was not
+// complete when that was expected at first. It may seem to be complete soon for long: a run that takes
+// longer than estimated always seems to end next.
+func (b *Planner) isReservedRoomOverdue(s *step) bool {
+	return s.reservesRoom() && slices.ContainsFunc(s.reservation.upstreams, func(u *upstream) bool {
+		isDue := !u.reservedDue.IsZero() && b.now.Monotonic.After(u.reservedDue)
+		return isDue && !s.spec.Size().Fits(u.free())
+	})
+}
+
 // expectedRoom returns when the upstream is expected to have room for one more task of the
 // step, and whether it is.
 func (b *Planner) expectedRoom(s *step, q caspec.Queue, u *upstream) (time.Time, bool) {
@@ -319,7 +332,8 @@
 // release ends the reservation of the step at the upstream, if it has one.
 func (u *upstream) release(s *step) {
 	if u.reservedBy == s {
-		u.reservedBy, u.reservedRoom, u.reservedFrom, u.reservedSince = nil, cawork.Resources{}, time.Time{}, time.Time{}
+		u.reservedBy, u.reservedRoom = nil, cawork.Resources{}
+		u.reservedFrom, u.reservedSince, u.reservedDue = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
