--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -225,7 +225,7 @@
 // step that has answers already.
 func (b *Planner) needsMoreApproved(s *step, q caspec.Queue, p *poolPlan) bool {
 	switch {
-	case s.tasksToRestart > 0 && b.isReservedRoomOverdue(s) && s.spec.Size().Fits(p.maxFree):
+	case s.restarts() > 0 && b.isReservedRoomOverdue(s) && s.spec.Size().Fits(p.maxFree):
 		return true
 	case b.hasRoomReserved(s):
 		return false
