--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -51,6 +51,9 @@
 	onClockRead func()
 	// loadTime is how long a read of all jobs takes.
 	loadTime atomic.Int64
+	// lostReads is how many of the next reads of all jobs get no answer, and lostLists how many reads
+	// of the list of upstreams.
+	lostReads, lostLists atomic.Int64
 	// busyEntry is an entry whose appends leave it later by appendDelay.
 	busyEntry   atomic.Value
 	appendDelay atomic.Int64
@@ -158,6 +161,10 @@
 
 // List implements caleader.Registry.
 func (c *testCell) List(ctx context.Context) ([]caspec.Upstream, error) {
+	if c.lostLists.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	list, err := c.fleet.List(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,6 +191,10 @@
 func (l busyLog) Newest(ctx context.Context, after string) (caleader.Page, error) {
 	if after == "" {
 		time.Sleep(time.Duration(l.cell.loadTime.Load()))
+		if l.cell.lostReads.Add(-1) >= 0 {
+			<-ctx.Done()
+			return caleader.Page{}, ctx.Err()
+		}
 	}
 	return l.Log.Newest(ctx, after)
 }
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -29,6 +29,8 @@
 	crashPrefix = "crash/"
 	// loadRetry is the delay before a failed read of the log is retried.
 	loadRetry = 50 * time.Millisecond
+	// loadReadTimeout bounds one read of the log, or of the list of upstreams, while loading.
+	loadReadTimeout = 3 * time.Second
 )
 
 // Pause waits for the given duration. It returns an error if the context ends
@@ -168,7 +170,7 @@
 	state := storedState{crashes: make(map[cawork.JobID]*cacrash.History)}
 	after := ""
 	for {
-		page, err := log.Newest(ctx, after)
+		page, err := loadPage(ctx, log, after)
 		if err != nil {
 			if ctx.Err() != nil {
 				return storedState{}, err
@@ -187,3 +189,10 @@
 		after = page.Next
 	}
 }
+
+// loadPage reads one page. An answer that is lost never comes.
+func loadPage(ctx context.Context, log Log, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadReadTimeout)
+	defer cancel()
+	return log.Newest(ctx, after)
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -266,7 +266,9 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		list, err := l.Registry.List(ctx)
+		callCtx, cancel := context.WithTimeout(ctx, loadReadTimeout)
+		defer cancel()
+		list, err := l.Registry.List(callCtx)
 		results <- result{list, err}
 	}()
 	state, err := loadState(ctx, l.Store, l.Timer.Pause)
