LOST: a task leaves a draining upstream whose registration has expired, too

Cause: departures were only looked at while the upstream is in the list. A registration expires when the upstream cannot write it, such as in an outage of the store; the upstream serves on, and its lease is renewed, until it leaves as it said. Why it works: an upstream that drains and answers has not left, listed or not.

--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -49,10 +49,16 @@
 	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
 }
 
+// isLeaving reports whether the upstream drains and has not left. Its registration may have expired, such as
+// in an outage of the store, while it still answers.
+func (b *Planner) isLeaving(u *upstream) bool {
+	return u.info.Draining && (u.listed || !b.isSilent(u))
+}
+
 // endsRunsSoon reports whether the upstream is expected to end its runs soon: it drains, or its
 // lease is about to expire.
 func (b *Planner) endsRunsSoon(u *upstream) bool {
-	if u.info.Draining && u.listed {
+	if b.isLeaving(u) {
 		return true
 	}
 	return b.isSilent(u) && u.leaseExpires.Sub(b.now.Monotonic) <= lossLead
@@ -102,10 +108,10 @@
 	return r.sent && !r.stopping && r.isCurrent() && !mayCopy(r.step.spec) && !r.step.job.Phase.IsFinal()
 }
 
-// mayLeaveNow reports whether the upstream drains and may leave before its runs could be stopped
+// mayLeaveNow reports whether the upstream is leaving and may leave before its runs could be stopped
 // later than now.
 func (b *Planner) mayLeaveNow(u *upstream) bool {
-	return u.info.Draining && u.listed && !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
+	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
 }
 
 // stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, or that outlast
@@ -113,7 +119,7 @@
 // elsewhere.
 func (b *Planner) stopDepartingRuns() {
 	for _, u := range b.sortedUpstreams {
-		if !u.info.Draining || !u.listed || len(u.runs) == 0 {
+		if len(u.runs) == 0 || !b.isLeaving(u) {
 			continue
 		}
 		for _, r := range u.sortedRuns() {
