LOST: the leave of an incarnation no longer empties the one after it

Cause: an upstream that restarts under its ID reports its new incarnation before the list shows it. Until then the old description, which drains, was applied to what the new one runs. Evidence: TestLaterIncarnationIsEmptiedForLeaveOfEarlierOne failed before: the order of an earlier leader, carried out by the later incarnation, was stopped in the first plan.

--- a/internal/cell/caboard/departureedges_test.go
+++ b/internal/cell/caboard/departureedges_test.go
@@ -43,3 +43,22 @@
 		}
 	}
 }
+
+// TestLaterIncarnationIsEmptiedForLeaveOfEarlierOne covers an upstream that restarts under its ID while the list
+// still has the description in which its earlier incarnation drains: the order of an earlier leader that
+// the later one has carried out stays.
+func TestLaterIncarnationIsEmptiedForLeaveOfEarlierOne(t *testing.T) {
+	s, run := newDepartingTask(t, 1)
+	next := s.newLeader()
+	for range 40 {
+		next.advance(50 * time.Millisecond)
+		next.planner.ApplyReport(Report{
+			Upstream: "up-00", Born: 2, SentAt: next.now, ReceivedAt: next.now, ClockMS: next.now.UnixMilli(), Running: []RunningRun{{Run: run, Percent: 100}},
+		})
+		for _, stop := range next.planner.Plan().Stops {
+			if stop.Run == run {
+				t.Fatalf("stop %v at an incarnation that does not drain", stop)
+			}
+		}
+	}
+}
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -49,10 +49,10 @@
 	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
 }
 
-// isLeaving reports whether the upstream drains and has not left. Its registration may have expired, such as
-// in an outage of the store, while it still answers.
+// isLeaving reports whether the upstream, in its present incarnation, drains and has not left. Its registration
+// may have expired, such as in an outage of the store, while it still answers.
 func (b *Planner) isLeaving(u *upstream) bool {
-	return u.info.Draining && (u.listed || !b.isSilent(u))
+	return u.info.Draining && !u.isDescriptionOutdated() && (u.listed || !b.isSilent(u))
 }
 
 // endsRunsSoon reports whether the upstream is expected to end its runs soon: it drains, or its
