LOST: a leader that reads the list late stops departing tasks in time

Cause: the age of a description that a leader finds was only taken into account for upstreams that it did not know yet. One whose runs are restored before the list could be read is known, so that it seemed to stay for up to a heartbeat too long: its task was stopped after it could have left. Evidence: TestNewLeaderReadsListLate: 0.8 s before, at once now.

--- a/internal/cell/caboard/departureedges_test.go
+++ b/internal/cell/caboard/departureedges_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
 // unlist removes an upstream from the list.
@@ -62,3 +64,27 @@
 		}
 	}
 }
+
+// TestNewLeaderReadsListLate covers a leader whose first read of the list fails: the description that it finds
+// later may be as old as a heartbeat, too.
+func TestNewLeaderReadsListLate(t *testing.T) {
+	s, run := newDepartingTask(t, 1)
+	next := &simulation{t: t, now: s.now, endNumbers: s.endNumbers}
+	next.planner = New(zerolog.Nop(), 2, s.moment(), s.now.Add(10*time.Second))
+	next.planner.SetPolicy(s.planner.policy)
+	for _, j := range s.planner.jobs {
+		b, err := j.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		state, err := castate.DecodeJob(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.planner.Restore(state)
+	}
+	next.planner.SetUpstreams([]caspec.Upstream{s.planner.upstreams["up-00"].info})
+	if diff := cmp.Diff(time.Duration(0), next.stoppedAfter(run, drainTime, false)); diff != "" {
+		t.Errorf("time until the task is stopped (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -21,8 +21,8 @@
 	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
 	// are expected to end by then are left alone.
 	usualOverstay = 2 * time.Second
-	// inheritedDescriptionAge bounds the age of a description that a new leader finds in the
-	// list: an upstream describes itself at each heartbeat.
+	// inheritedDescriptionAge bounds the age of the first description of an upstream that a leader
+	// finds in the list: an upstream describes itself at each heartbeat.
 	inheritedDescriptionAge = 1500 * time.Millisecond
 	// lossLead is how long before the lease of a silent upstream expires a place is sought for
 	// its long-running tasks: two answers of the advisor.
@@ -33,7 +33,7 @@
 
 // updateDeparture applies a description to when the upstream leaves, before the former
 // description is replaced.
-func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream, isNew bool) {
+func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream) {
 	if !info.Draining {
 		u.leavesAt = time.Time{}
 		return
@@ -43,7 +43,7 @@
 		return
 	}
 	remaining := info.DrainRemaining
-	if isNew {
+	if u.listedIncarnation == 0 {
 		remaining -= inheritedDescriptionAge
 	}
 	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -43,7 +43,7 @@
 			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).
 			Bool("draining", info.Draining).Dur("stays", info.DrainRemaining).Send()
 	}
-	b.updateDeparture(u, info, !ok)
+	b.updateDeparture(u, info)
 	u.listedIncarnation = info.Incarnation
 	switch {
 	case info.Incarnation > u.info.Incarnation:
