A task of a team above its limit does not leave its upstream early

Cause: a task is stopped as soon as it has a place elsewhere, also where its team may start nothing, such as after its limit was lowered: it then waits, where it could have worked on. Evidence: TestTaskOfTeamAboveItsLimitLeavesEarly: stopped at once before, 1.2 s before the upstream may leave now.

--- a/internal/cell/caboard/departureedges_test.go
+++ b/internal/cell/caboard/departureedges_test.go
@@ -88,3 +88,16 @@
 		t.Errorf("time until the task is stopped (-want +got):\n%s", diff)
 	}
 }
+
+// TestTaskOfTeamAboveItsLimitLeavesEarly covers a team whose upper limit was lowered below what it uses: a
+// task that is stopped could not start at its place, so that it goes on until it has to leave.
+func TestTaskOfTeamAboveItsLimitLeavesEarly(t *testing.T) {
+	s, run := newDepartingTask(t, 3)
+	policy := s.planner.policy
+	policy.Version++
+	policy.Teams = []caspec.Team{{Name: "north", Weight: 1000, Limit: cawork.Resources{CPU: 9000, Memory: 2 * cawork.GiB}}}
+	s.planner.SetPolicy(policy.WithIndex())
+	if diff := cmp.Diff(drainTime-departureLead, s.stoppedAfter(run, drainTime, true)); diff != "" {
+		t.Errorf("time until the task is stopped (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -146,10 +147,11 @@
 }
 
 // hasPlaceElsewhere reports whether the step has more places, reserved with all of their room and
-// with tickets that stay valid, than tasks that wait or are being stopped already.
+// with tickets that stay valid, than tasks that wait or are being stopped already. A team above
+// its limit starts nothing.
 func (b *Planner) hasPlaceElsewhere(s *step) bool {
 	q, ok := b.queueOf(s.job)
-	if !ok || s.reservation == nil {
+	if !ok || s.reservation == nil || !b.withinLimit(s.job.Submission.Team, cawork.Resources{}) {
 		return false
 	}
 	places := 0
