LOST: a restart that waits for reserved room asks about all upstreams that may have room

Cause: others were asked about only once the reserved room was overdue (up to a second), and then only those that had room at that moment: one, three or one, one request of 0.47 s after the other, each with four chances in ten.

Why it works: as long as room that is reserved for restarts of a step is not complete, the step asks about all undecided upstreams that long-running work does not fill, the freest first, as it does already where too few are approved. The first expected time (reservedDue) is of no use then and is removed.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -253,7 +253,7 @@
 	switch {
 	case isFirst:
 		requestableRoom = func(u *upstream) cawork.Resources { return u.info.Capacity }
-	case s.lacksReservable():
+	case s.lacksReservable(), s.awaitsRestartRoom():
 		requestableRoom = (*upstream).reservableRoom
 	}
 	var candidates []*upstream
@@ -279,7 +279,7 @@
 // step that has answers already.
 func (b *Planner) needsMoreApproved(s *step, q caspec.Queue, p *poolPlan) bool {
 	switch {
-	case s.tasksToRestart > 0 && b.isReservedRoomOverdue(s) && s.spec.Size().Fits(p.maxFree):
+	case s.awaitsRestartRoom():
 		return true
 	case b.hasRoomReserved(s):
 		return false
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -140,9 +140,6 @@
 			continue
 		}
 		u.reservedFrom = freeAt
-		if u.reservedDue.IsZero() {
-			u.reservedDue = freeAt
-		}
 		kept = append(kept, u)
 	}
 	clear(r.upstreams[len(kept):])
@@ -161,13 +158,12 @@
 	return n
 }
 
-// isReservedRoomOverdue reports whether some room that is reserved for single tasks of the step was not
-// complete when that was expected at first. It may seem to be complete soon for long: a run that takes
-// longer than estimated always seems to end next.
-func (b *Planner) isReservedRoomOverdue(s *step) bool {
-	return s.reservesRoom() && slices.ContainsFunc(s.reservation.upstreams, func(u *upstream) bool {
-		isDue := !u.reservedDue.IsZero() && b.now.Monotonic.After(u.reservedDue)
-		return isDue && !s.spec.Size().Fits(u.free())
+// awaitsRestartRoom reports whether some room that is reserved for restarts of the step is not complete
+// yet. It may seem to be complete soon for long: a run that takes longer than estimated always seems to
+// end next. Meanwhile others get room, so that all of them are of use to the step.
+func (s *step) awaitsRestartRoom() bool {
+	return s.tasksToRestart > 0 && s.reservesRoom() && slices.ContainsFunc(s.reservation.upstreams, func(u *upstream) bool {
+		return !s.spec.Size().Fits(u.free())
 	})
 }
 
@@ -332,8 +328,7 @@
 // release ends the reservation of the step at the upstream, if it has one.
 func (u *upstream) release(s *step) {
 	if u.reservedBy == s {
-		u.reservedBy, u.reservedRoom = nil, cawork.Resources{}
-		u.reservedFrom, u.reservedSince, u.reservedDue = time.Time{}, time.Time{}, time.Time{}
+		u.reservedBy, u.reservedRoom, u.reservedFrom, u.reservedSince = nil, cawork.Resources{}, time.Time{}, time.Time{}
 	}
 }
 
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -68,10 +68,10 @@
 	probationIsNew bool
 	// reservedBy is the step that room is reserved for, if any: all room for a gang, and
 	// reservedRoom for a single task, since reservedSince. That room is expected to be
-	// complete at reservedFrom, and was at first expected to be at reservedDue.
-	reservedBy                               *step
-	reservedRoom                             cawork.Resources
-	reservedFrom, reservedSince, reservedDue time.Time
+	// complete at reservedFrom.
+	reservedBy                  *step
+	reservedRoom                cawork.Resources
+	reservedFrom, reservedSince time.Time
 	// slowness is the mean ratio of the run time of tasks here to that elsewhere.
 	slowness float64
 }
