Soak: another writer leaves an odd entry among those of the upstreams

An added kind of fault: an entry that is nested 10,000 deep, one with capacity and start near the largest integer, or one with port 99999, under a key of its own and in place of the entry of an upstream, for up to 5 s, beside the other faults of the plan. Runs by hand draw it as the other added kinds.

--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseries"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entry"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseries"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entry"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -38,9 +38,10 @@
 	_ = x[FaultCapacity-(11)]
 	_ = x[FaultDeadlyWork-(12)]
 	_ = x[FaultSeries-(13)]
+	_ = x[FaultOddEntry-(14)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -57,6 +58,7 @@
 	_FaultKindName[99:107]:  FaultCapacity,
 	_FaultKindName[107:118]: FaultDeadlyWork,
 	_FaultKindName[118:124]: FaultSeries,
+	_FaultKindName[124:133]: FaultOddEntry,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -74,6 +76,7 @@
 	_FaultKindLowerName[99:107]:  FaultCapacity,
 	_FaultKindLowerName[107:118]: FaultDeadlyWork,
 	_FaultKindLowerName[118:124]: FaultSeries,
+	_FaultKindLowerName[124:133]: FaultOddEntry,
 }
 
 var _FaultKindNames = []string{
@@ -91,6 +94,7 @@
 	_FaultKindName[99:107],
 	_FaultKindName[107:118],
 	_FaultKindName[118:124],
+	_FaultKindName[124:133],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -44,6 +44,9 @@
 	FaultDeadlyWork
 	// FaultSeries submits a job whose occurrences overlap.
 	FaultSeries
+	// FaultOddEntry leaves an odd entry among those of the upstreams, as another writer may, in the
+	// way given by Fault.Way: under a key of its own and in place of the entry of an upstream.
+	FaultOddEntry
 )
 
 const (
@@ -112,7 +115,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry:
 		}
 		plan = append(plan, f)
 	}
@@ -124,7 +127,7 @@
 func DrawAdded(seed int64) []FaultKind {
 	random := rand.New(rand.NewSource(seed - addedSource))
 	var kinds []FaultKind
-	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries} {
+	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry} {
 		if random.Float64() < addedShare {
 			kinds = append(kinds, kind)
 		}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -241,6 +241,8 @@
 			cores = f.Way
 		}
 		c.fleet.SetCapacity(string(c.upstreams[f.Target]), capacityOf(cores))
+	case FaultOddEntry:
+		return c.applyOddEntry(ctx, e)
 	case FaultConfigure:
 		if e.begins {
 			return c.configure(ctx)
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -51,6 +51,12 @@
 	runSoaks(t, addedSoaks(4, casoak.FaultDeadlyJob))
 }
 
+// TestSeedsWithOddEntries guards against entries that end, or follow the list of upstreams no
+// more, since another writer left an odd entry in it, and against runs that are started twice.
+func TestSeedsWithOddEntries(t *testing.T) {
+	runSoaks(t, addedSoaks(7, casoak.FaultOddEntry))
+}
+
 // addedSoaks returns short soaks with an added kind of fault.
 func addedSoaks(firstSeed int64, kind casoak.FaultKind) map[string]casoak.Options {
 	soaks := make(map[string]casoak.Options, *addedSeeds)
