Former engine: one odd VM in the list does not hide the others

Callers: with a number too large, an unknown role or state, or a field of another type in one entry, the whole list of VMs could not be decoded: upstreams that came were not used and those that left were, for as long as the entry stood. A port out of range or a capacity near the largest integer was used. Cause: the list was decoded as one value, and its numbers by their types alone. Each VM is decoded and checked by itself. One that names no VM to use is left out and logged (305, with the reason, once for each); an upstream whose entry turns so counts as leaving, with its last sound description: it gets nothing new, and what runs there goes on. The list client has a file of its own. Open: the list is one JSON text here. An entry nested 10,000 deep makes all of it unreadable: the last list stays in force (702), and the next one is followed (TestUnreadableListOfVMsIsFollowedAgain).

--- a/internal/base/cawork/resources.go
+++ b/internal/base/cawork/resources.go
@@ -70,6 +70,19 @@
 	return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0
 }
 
+// Bounds of the capacity of one VM, far above any, so that sums over a cell do not overflow.
+const (
+	maxCapacityCPU          = MilliCPU(100_000 * 1000)
+	maxCapacityMemory       = 64 * 1024 * GiB
+	maxCapacityAccelerators = 100_000
+)
+
+// IsCapacity reports whether a VM can have the amount: no dimension is negative or above 100,000
+// cores, 64 TiB of memory or 100,000 accelerators.
+func (r Resources) IsCapacity() bool {
+	return !r.IsNegative() && r.Fits(Resources{CPU: maxCapacityCPU, Memory: maxCapacityMemory, Accelerators: maxCapacityAccelerators})
+}
+
 // Floor returns the amount with negative dimensions set to zero.
 func (r Resources) Floor() Resources {
 	return Resources{
--- a/internal/cell/caspec/upstream.go
+++ b/internal/cell/caspec/upstream.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// maxCapacity bounds the capacity of one upstream, so that sums over a cell do not overflow:
-	// 100,000 cores, 64 TiB of memory and 100,000 accelerators, far above any VM.
-	maxCapacityCPU          = cawork.MilliCPU(100_000 * 1000)
-	maxCapacityMemory       = 64 * 1024 * cawork.GiB
-	maxCapacityAccelerators = 100_000
 	// maxUpstreamIDBytes bounds the ID of an upstream, which headers and messages carry.
 	maxUpstreamIDBytes = 255
 	// maxSequenceLead is how many descriptions of an incarnation a late one may lie behind.
@@ -46,9 +41,8 @@
 	if !isCarriableID(string(u.ID)) {
 		return cakind.New(cakind.KindInvalid, "invalid upstream ID %q", u.ID)
 	}
-	largest := cawork.Resources{CPU: maxCapacityCPU, Memory: maxCapacityMemory, Accelerators: maxCapacityAccelerators}
-	if u.Capacity.IsNegative() || !u.Capacity.Fits(largest) {
-		return cakind.New(cakind.KindInvalid, "capacity %s is negative or above %s", u.Capacity, largest)
+	if !u.Capacity.IsCapacity() {
+		return cakind.New(cakind.KindInvalid, "no VM has capacity %s", u.Capacity)
 	}
 	if u.Incarnation < 0 || u.Incarnation > maxTimeMS {
 		return cakind.New(cakind.KindInvalid, "start time %d ms is not between 0 and %d", u.Incarnation, int64(maxTimeMS))
--- a/internal/node/cademo/demo.go
+++ b/internal/node/cademo/demo.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	settings.Platform.VMList = "http://" + listServer.Address()
-	d.entry, err = caentry.NewEntry(settings, o.Deps, caentry.NewPlatform(settings))
+	d.entry, err = caentry.NewEntry(settings, o.Deps, caentry.NewPlatform(settings, o.Deps.Logger))
 	return d, err
 }
 
--- a/internal/node/caentry/entry.go
+++ b/internal/node/caentry/entry.go
@@ -92,12 +92,13 @@
 }
 
 // NewPlatform returns a Platform that reaches the platform services over HTTP,
-// at the addresses in the settings, and other entries over TCP.
-func NewPlatform(s casettings.Settings) Platform {
+// at the addresses in the settings, and other entries over TCP. It logs what it leaves out of
+// the list of VMs.
+func NewPlatform(s casettings.Settings, log zerolog.Logger) Platform {
 	client := cahttp.NewClient(s.Timeouts.Platform)
 	return Platform{
 		Log:    cahttp.NewLog(client, s.Platform.Log),
-		VMs:    cahttp.NewVMList(client, s.Platform.VMList),
+		VMs:    cahttp.NewVMList(client, s.Platform.VMList).WithLog(log),
 		Agents: cahttp.NewAgents(cahttp.NewClient(agentTimeout)),
 		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		Dial:   capeer.DialTCP,
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -107,7 +107,7 @@
 func runEntry(ctx context.Context, out cacommand.Output, s casettings.Settings) error {
 	deps, closer := newDeps(out.Stderr, s.LogLevel.Level)
 	defer func() { _ = closer.Close() }()
-	entry, err := caentry.NewEntry(s, deps, caentry.NewPlatform(s))
+	entry, err := caentry.NewEntry(s, deps, caentry.NewPlatform(s, deps.Logger))
 	if err != nil {
 		return err
 	}
--- a/internal/platform/cahttp/adapter.go
+++ b/internal/platform/cahttp/adapter.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
@@ -63,18 +61,6 @@
 	Limit int               `json:"max"`
 }
 
-// VMListCall requests the list of VMs. KnownVersion is the version of the cached list.
-type VMListCall struct {
-	KnownVersion string `json:"known"`
-}
-
-// VMListAnswer is the answer to a VMListCall. VMs is omitted when the version is the one
-// that the caller has.
-type VMListAnswer struct {
-	Version string          `json:"version"`
-	VMs     []caplatform.VM `json:"vms,omitempty"`
-}
-
 // FenceAnswer is the answer to a fence.
 type FenceAnswer struct {
 	Tasks []caplatform.TaskStatus `json:"tasks"`
@@ -123,36 +109,6 @@
 	return cawire.Post[ReadCall, caplatform.Page](ctx, l.client, l.base+PathRead, call)
 }
 
-// VMList is a client of the list of VMs at a base URL. It caches the last list, so
-// that the server omits an unchanged one.
-type VMList struct {
-	client *http.Client
-	base   string
-	mu     sync.Mutex
-	cached VMListAnswer
-}
-
-// NewVMList returns a client of the list of VMs at a URL.
-func NewVMList(client *http.Client, base string) *VMList { return &VMList{client: client, base: base} }
-
-// List implements caplatform.VMList.
-func (v *VMList) List(ctx context.Context) ([]caplatform.VM, error) {
-	v.mu.Lock()
-	cached := v.cached
-	v.mu.Unlock()
-	answer, err := cawire.Post[VMListCall, VMListAnswer](ctx, v.client, v.base+PathListVMs, VMListCall{KnownVersion: cached.Version})
-	if err != nil {
-		return nil, err
-	}
-	if answer.Version == cached.Version {
-		return slices.Clone(cached.VMs), nil
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.cached = answer
-	return slices.Clone(answer.VMs), nil
-}
-
 // Agents creates clients of the agents of upstreams.
 type Agents struct {
 	client *http.Client
