A layout with shards that do not exist is refused

Callers: nobody yet. A record of the layout, or a layout from another entry, that gives a team no shard or one out of range ended the call of each caller of that team by a division by zero, or answered it as unknown. Cause: the layout was decoded by its types alone. Evidence: TestTeamWithoutValidShardHasOne: "integer divide by zero"; TestOddRecordsAreSkippedAtBoundedCost. The record is refused like one that cannot be decoded, and a team without a valid shard has one by hash.

--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -93,10 +93,20 @@
 // IsZero reports whether no layout has been decided yet.
 func (l Layout) IsZero() bool { return l.Shards == 0 }
 
-// ShardsOf returns the shards of a team. A team that is not in the layout has one shard,
-// chosen by hash. Calls without a team belong to the first shard.
+// areShards reports whether the list names shards of the layout, one at least.
+func (l Layout) areShards(list []int) bool {
+	for _, shard := range list {
+		if shard < 0 || shard >= l.Shards {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
+// ShardsOf returns the shards of a team. A team that is not in the layout, or without a valid
+// shard there, has one shard, chosen by hash. Calls without a team belong to the first shard.
 func (l Layout) ShardsOf(team cawork.TeamName) []int {
-	if shards, ok := l.Teams[team]; ok {
+	if shards := l.Teams[team]; l.areShards(shards) {
 		return shards
 	}
 	if team == "" || l.Shards <= 1 {
@@ -161,5 +171,10 @@
 	if l.Shards < 1 || len(l.Weights) != l.Shards {
 		return Layout{}, cakind.New(cakind.KindInvalid, "layout has %d shards but %d weights", l.Shards, len(l.Weights))
 	}
+	for team, shards := range l.Teams {
+		if !l.areShards(shards) {
+			return Layout{}, cakind.New(cakind.KindInvalid, "layout with %d shards has shards %v of team %q", l.Shards, shards, team)
+		}
+	}
 	return l, nil
 }
--- a/internal/cell/calayout/layout_test.go
+++ b/internal/cell/calayout/layout_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("decoded layout (-want +got):\n%s", diff)
 	}
 }
+
+// TestTeamWithoutValidShardHasOne guards against a division by zero and an index out of range, by
+// a layout that came from another entry.
+func TestTeamWithoutValidShardHasOne(t *testing.T) {
+	for name, shards := range map[string][]int{"none": {}, "out of range": {2}, "negative": {-1}, "one of two": {0, 9}} {
+		l := Layout{Shards: 2, Weights: []float64{0.5, 0.5}, Teams: map[cawork.TeamName][]int{"north": shards}}
+		if shard := l.ShardOfJob("north", "0123456789abcdef"); shard < 0 || shard > 1 {
+			t.Errorf("%s: shard %d", name, shard)
+		}
+		if got := l.ShardsOf("north"); len(got) != 1 {
+			t.Errorf("%s: shards %v, want one", name, got)
+		}
+	}
+}
