--- a/internal/platform/cahttp/vmlist.go
+++ b/internal/platform/cahttp/vmlist.go
@@ -41,8 +41,6 @@
 	maxVMBytes = 16 << 10
 	// maxSlots bounds the slots and the connections of one VM.
 	maxSlots = 1 << 20
-	// maxLoggedReasonBytes bounds the reason for a refusal in a log line.
-	maxLoggedReasonBytes = 256
 )
 
 // VMList is a client of the list of VMs at a base URL. It caches the last list, so
@@ -98,10 +96,10 @@
 			vms = append(vms, vm)
 			continue
 		}
-		reason := clip(err.Error())
+		reason := caevent.Clip(err.Error())
 		refusals[vm.ID] = reason
 		if v.refusals[vm.ID] != reason {
-			caevent.Warn(v.log, caevent.UpstreamUnlisted).Str("upstream", clip(string(vm.ID))).Str("error", reason).Send()
+			caevent.Warn(v.log, caevent.UpstreamUnlisted).Str("upstream", caevent.Clip(string(vm.ID))).Str("error", reason).Send()
 		}
 		if former, ok := v.upstream(vm.ID); ok {
 			former.State = caplatform.VMStateLeaving
@@ -159,6 +157,3 @@
 	}
 	return nil
 }
-
-// clip returns the text, or its beginning if it is too long for a log line.
-func clip(text string) string { return text[:min(len(text), maxLoggedReasonBytes)] }
