--- a/internal/cell/caboard/headroom.go
+++ b/internal/cell/caboard/headroom.go
@@ -2,7 +2,6 @@
 
 import (
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
 // overcommitShare is the fraction of its upper limit by which a team may have approval
@@ -43,12 +42,12 @@
 // fits reports whether the step can start soon within the limit of its team.
 func (h headroom) fits(s *step) bool {
 	name := s.job.Submission.Team
-	team, ok := h.planner.policy.Team(name)
-	if !ok {
+	team := h.planner.teamOf(name)
+	if team.limit.IsZero() {
 		return true
 	}
-	used := h.planner.teamOf(name).used.Plus(h.claimed[name])
-	return fitsLimit(used.Plus(h.required(s)), overcommittedLimit(team))
+	used := team.used.Plus(h.claimed[name])
+	return fitsLimit(used.Plus(h.required(s)), overcommittedLimit(team.limit))
 }
 
 // admits reports whether approval should be requested for a step: it can start soon
@@ -68,10 +67,10 @@
 }
 
 // overcommittedLimit returns the upper limit of a team plus what is expected to end soon.
-func overcommittedLimit(team caspec.Team) cawork.Resources {
+func overcommittedLimit(limit cawork.Resources) cawork.Resources {
 	return cawork.Resources{
-		CPU:          team.Limit.CPU + cawork.MilliCPU(overcommitShare*float64(team.Limit.CPU)),
-		Memory:       team.Limit.Memory + cawork.Bytes(overcommitShare*float64(team.Limit.Memory)),
-		Accelerators: team.Limit.Accelerators + int64(overcommitShare*float64(team.Limit.Accelerators)),
+		CPU:          limit.CPU + cawork.MilliCPU(overcommitShare*float64(limit.CPU)),
+		Memory:       limit.Memory + cawork.Bytes(overcommitShare*float64(limit.Memory)),
+		Accelerators: limit.Accelerators + int64(overcommitShare*float64(limit.Accelerators)),
 	}
 }
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -37,6 +37,8 @@
 	random *rand.Rand
 	now    ClockReading
 	policy caspec.Policy
+	// queuePolicies are the queues of the policy.
+	queuePolicies map[caspec.QueueName]*caspec.Queue
 
 	jobs      map[cawork.JobID]*job
 	upstreams map[cawork.UpstreamID]*upstream
@@ -75,9 +77,9 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
-	// candidates and ranked are used again by each approval request.
-	candidates []*upstream
-	ranked     []rankedUpstream
+	// usable, candidates and ranked are lists that are built again and again.
+	usable, candidates []*upstream
+	ranked             []rankedUpstream
 	// brokenInvariants counts the checks of invariants that failed.
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
@@ -101,6 +103,8 @@
 // job is a job together with state that is not stored.
 type job struct {
 	*castate.Job
+	// queue is its queue by the policy in force, nil if that has none.
+	queue    *caspec.Queue
 	priority int
 	pool     caspec.PoolName
 	// acceptedAt is when the job was accepted, moved back to its first refusal if it was
@@ -221,14 +225,35 @@
 		return
 	}
 	b.policy = p
-	for _, j := range b.jobs {
-		if q, ok := p.Queue(j.Submission.Queue); ok {
-			j.priority = q.Priority
+	b.queuePolicies = make(map[caspec.QueueName]*caspec.Queue, len(p.Queues))
+	for _, listed := range p.Queues {
+		if q, ok := p.Queue(listed.Name); ok {
+			b.queuePolicies[q.Name] = &q
 		}
 	}
+	for _, j := range b.jobs {
+		b.applyPolicyTo(j)
+	}
+	for name, t := range b.teams {
+		b.applyLimitTo(name, t)
+	}
 }
 
-func (b *Planner) queueOf(j *job) (caspec.Queue, bool) { return b.policy.Queue(j.Submission.Queue) }
+// queueOf returns the queue of a job by the policy in force.
+func (b *Planner) queueOf(j *job) (caspec.Queue, bool) {
+	if j.queue == nil {
+		return caspec.Queue{}, false
+	}
+	return *j.queue, true
+}
+
+// applyPolicyTo looks up the queue of a job in the policy.
+func (b *Planner) applyPolicyTo(j *job) {
+	j.queue = b.queuePolicies[j.Submission.Queue]
+	if j.queue != nil {
+		j.priority = j.queue.Priority
+	}
+}
 
 func (b *Planner) statsOf(q caspec.QueueName) *queueStats {
 	s, ok := b.queues[q]
@@ -362,8 +387,8 @@
 	for _, s := range j.Submission.Steps {
 		j.taskSizes = append(j.taskSizes, s.Size())
 	}
+	b.applyPolicyTo(j)
 	if q, ok := b.queueOf(j); ok {
-		j.priority = q.Priority
 		j.pool = q.Pool
 		j.objective = objective(q, j.Submission.Steps)
 	}
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -15,6 +15,8 @@
 // teamUsage is what a team has running, and the token bucket that limits its submissions.
 type teamUsage struct {
 	used cawork.Resources
+	// limit is the upper limit by the policy in force. A team that it does not name has none.
+	limit cawork.Resources
 	// tokens is how many jobs the team may still submit at its guaranteed rate.
 	tokens     float64
 	refilledAt time.Time
@@ -24,11 +26,18 @@
 	t, ok := b.teams[name]
 	if !ok {
 		t = &teamUsage{}
+		b.applyLimitTo(name, t)
 		b.teams[name] = t
 	}
 	return t
 }
 
+// applyLimitTo looks up the upper limit of a team in the policy.
+func (b *Planner) applyLimitTo(name cawork.TeamName, t *teamUsage) {
+	team, _ := b.policy.Team(name)
+	t.limit = team.Limit
+}
+
 func (t *teamUsage) acquire(r cawork.Resources) { t.used = t.used.Plus(r) }
 func (t *teamUsage) release(r cawork.Resources) { t.used = t.used.Minus(r) }
 
@@ -59,11 +68,8 @@
 // withinLimit reports whether the team's upper limit permits it to have more running by
 // the given amount.
 func (b *Planner) withinLimit(name cawork.TeamName, more cawork.Resources) bool {
-	team, ok := b.policy.Team(name)
-	if !ok {
-		return true
-	}
-	return fitsLimit(b.teamOf(name).used.Plus(more), team.Limit)
+	t := b.teamOf(name)
+	return fitsLimit(t.used.Plus(more), t.limit)
 }
 
 // fitsLimit reports whether the used resources are within a limit. A dimension of zero is
