--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -147,17 +147,30 @@
 		s.lateness = b.lateness(s)
 		s.tasksToRestart = s.countTasksToRestart()
 	}
-	slices.SortStableFunc(b.steps, func(x, y *step) int {
-		return cmp.Or(
-			cmp.Compare(x.lateness, y.lateness),
-			cmp.Compare(x.job.priority, y.job.priority),
-			compareBool(y.restarts() > 0, x.restarts() > 0),
-			compareBool(x.job.OverRate, y.job.OverRate),
-			x.job.acceptedAt.Compare(y.job.acceptedAt),
-			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
-			cmp.Compare(x.number, y.number),
-		)
-	})
+	// The order seldom changes between two plans.
+	if !slices.IsSortedFunc(b.steps, compareSteps) {
+		slices.SortStableFunc(b.steps, compareSteps)
+	}
+}
+
+// compareSteps orders steps as they are placed.
+func compareSteps(x, y *step) int {
+	switch {
+	case x.lateness != y.lateness:
+		return cmp.Compare(x.lateness, y.lateness)
+	case x.job == y.job:
+		return cmp.Or(compareBool(y.restarts() > 0, x.restarts() > 0), cmp.Compare(x.number, y.number))
+	case x.job.priority != y.job.priority:
+		return cmp.Compare(x.job.priority, y.job.priority)
+	case x.restarts() > 0 != (y.restarts() > 0):
+		return compareBool(y.restarts() > 0, x.restarts() > 0)
+	case x.job.OverRate != y.job.OverRate:
+		return compareBool(x.job.OverRate, y.job.OverRate)
+	case !x.job.acceptedAt.Equal(y.job.acceptedAt):
+		return x.job.acceptedAt.Compare(y.job.acceptedAt)
+	default:
+		return cmp.Compare(x.job.Submission.ID, y.job.Submission.ID)
+	}
 }
 
 func compareBool(x, y bool) int {
@@ -201,7 +214,7 @@
 
 // placeTasks assigns the waiting tasks of a step one by one.
 func (b *Planner) placeTasks(s *step, q caspec.Queue, p *poolPlan) {
-	if !s.spec.Size().Fits(p.maxFree) {
+	if !s.spec.Size().Fits(p.maxFree) || !b.withinLimit(s.job.Submission.Team, s.spec.Size()) {
 		return
 	}
 	placed := false
@@ -276,17 +289,18 @@
 }
 
 // usableUpstreams returns the upstreams that may be considered for a step: the approved
-// ones, where approval is needed.
+// ones, where approval is needed. The next call overwrites the result.
 func (b *Planner) usableUpstreams(s *step, q caspec.Queue, p *poolPlan) []*upstream {
 	if q.Approval == nil {
 		return p.upstreams
 	}
-	usable := make([]*upstream, 0, len(s.approvals.tickets))
+	usable := b.usable[:0]
 	for _, t := range s.approvals.tickets {
 		if u := b.bySlot[t.slot]; u != nil && u.available {
 			usable = append(usable, u)
 		}
 	}
+	b.usable = usable
 	return usable
 }
 
