Planner: when the runs of an upstream are expected to end is computed once a plan, not for each step (SHORT)

Cause: each step that waits for reserved room sorted the runs of each of its approved upstreams anew and built all slots, of which single tasks use the first. Why it works: the expected ends depend on the upstream alone and stay the same in a plan unless a run is assigned there, which drops them. What mayUsePartition asks comes in the order of its cost.

--- a/internal/cell/caboard/partition.go
+++ b/internal/cell/caboard/partition.go
@@ -194,13 +194,14 @@
 // takes no gang slot or if some are to spare. Urgent steps may always, and so may steps
 // that have waited for long and can still meet their objective.
 func (b *Planner) mayUsePartition(s *step, q caspec.Queue, u *upstream) bool {
-	if s.urgent || !b.takesGangSlot(s, u) {
+	if s.urgent || !u.inPartition || s.wide {
 		return true
 	}
 	if p := b.pools[q.Pool]; p != nil && p.spareGangSlots > 0 {
 		return true
 	}
-	return s.lateness == latenessNone && b.now.Monotonic.Sub(s.readyAt) > time.Duration(maxPartitionWaitSlackShare*float64(s.slack))
+	hasWaited := s.lateness == latenessNone && b.now.Monotonic.Sub(s.readyAt) > time.Duration(maxPartitionWaitSlackShare*float64(s.slack))
+	return hasWaited || !b.takesGangSlot(s, u)
 }
 
 // countGangSlotUse subtracts the slots that a task takes from wide gangs.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -14,6 +14,7 @@
 // Plan assigns waiting tasks to upstreams and returns the orders that are due now. The
 // assignments become part of the next batch.
 func (b *Planner) Plan() Orders {
+	b.plans++
 	b.checkUnansweredStarts()
 	b.pruneSteps()
 	b.updateDepartures()
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -77,6 +77,8 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
+	// plans counts the plans.
+	plans int64
 	// usable, candidates and ranked are lists that are built again and again.
 	usable, candidates []*upstream
 	ranked             []rankedUpstream
--- a/internal/cell/caboard/reservation.go
+++ b/internal/cell/caboard/reservation.go
@@ -150,27 +150,15 @@
 	})
 }
 
+// release is room that is expected to become free at an upstream.
+type release struct {
+	at   time.Time
+	size cawork.Resources
+}
+
 // expectedSlots returns the slots that the upstream is expected to have for members of a
 // gang, the earliest first.
 func (b *Planner) expectedSlots(s *step, u *upstream) []expectedSlot {
-	type release struct {
-		at   time.Time
-		size cawork.Resources
-	}
-	releases := make([]release, 0, len(u.runs))
-	for _, r := range u.runs {
-		ends := r.assignedAt.Add(b.expectedRunTime(r.step, u))
-		if earliest := b.now.Monotonic.Add(minRemainingRunTime); ends.Before(earliest) {
-			ends = earliest
-		}
-		if r.step.spec.LongRunning {
-			continue
-		}
-		releases = append(releases, release{at: ends, size: r.size})
-	}
-	slices.SortFunc(releases, func(x, y release) int {
-		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.size.CPU, y.size.CPU), cmp.Compare(x.size.Memory, y.size.Memory))
-	})
 	free := u.free()
 	var slots []expectedSlot
 	add := func(at time.Time) {
@@ -179,13 +167,56 @@
 		}
 	}
 	add(b.now.Monotonic)
-	for _, r := range releases {
+	for _, r := range b.expectedReleases(u) {
 		free = free.Plus(r.size)
 		add(r.at)
 	}
 	return slots
 }
 
+// firstExpectedSlot returns when the upstream is expected to have room for one task of the step,
+// and whether it is: the first of expectedSlots.
+func (b *Planner) firstExpectedSlot(s *step, u *upstream) (time.Time, bool) {
+	size, free := s.spec.Size(), u.free()
+	if size.Fits(free) {
+		return b.now.Monotonic, true
+	}
+	if !size.Fits(u.info.Capacity) {
+		return time.Time{}, false
+	}
+	for _, r := range b.expectedReleases(u) {
+		free = free.Plus(r.size)
+		if size.Fits(free) {
+			return r.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// expectedReleases returns when the runs of an upstream are expected to end, apart from
+// long-running ones, the first to end first. It is computed once in a plan unless runs are assigned.
+func (b *Planner) expectedReleases(u *upstream) []release {
+	if u.releasesOf == b.plans {
+		return u.releases
+	}
+	u.releasesOf = b.plans
+	u.releases = u.releases[:0]
+	for _, r := range u.runs {
+		if r.step.spec.LongRunning {
+			continue
+		}
+		ends := r.assignedAt.Add(b.expectedRunTime(r.step, u))
+		if earliest := b.now.Monotonic.Add(minRemainingRunTime); ends.Before(earliest) {
+			ends = earliest
+		}
+		u.releases = append(u.releases, release{at: ends, size: r.size})
+	}
+	slices.SortFunc(u.releases, func(x, y release) int {
+		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.size.CPU, y.size.CPU), cmp.Compare(x.size.Memory, y.size.Memory))
+	})
+	return u.releases
+}
+
 // mayBackfill reports whether a task of the step may be placed on an upstream as far as
 // reservations for other steps are concerned.
 func (b *Planner) mayBackfill(s *step, u *upstream) bool {
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -162,17 +162,13 @@
 // expectedRoom returns when the upstream is expected to have room for one more task of the
 // step, and whether it is.
 func (b *Planner) expectedRoom(s *step, q caspec.Queue, u *upstream) (time.Time, bool) {
-	if b.upstreams[u.info.ID] != u || !u.available || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || q.Approval != nil && !s.approvals.isApproved(u) {
+	if b.bySlot[u.slot] != u || !u.available || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) || q.Approval != nil && !s.approvals.isApproved(u) {
 		return time.Time{}, false
 	}
 	if s.spec.MaxPerUpstream > 0 && u.runCount(s) >= s.spec.MaxPerUpstream || !b.isRackAllowed(s, u) || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 		return time.Time{}, false
 	}
-	slots := b.expectedSlots(s, u)
-	if len(slots) == 0 {
-		return time.Time{}, false
-	}
-	return slots[0].freeAt, true
+	return b.firstExpectedSlot(s, u)
 }
 
 // reserveForTasks chooses the reservations for the wanted number of tasks of the step: the
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -26,6 +26,10 @@
 	// usedLong is the part of used that wide gangs and long-running tasks use.
 	usedLong cawork.Resources
 	runs     map[RunID]*run
+	// releases are when these are expected to end, as of the plan with the number releasesOf, or
+	// of none if that is zero.
+	releases   []release
+	releasesOf int64
 	// abandonedStarts are starts that were given up without an answer and may still take
 	// effect.
 	abandonedStarts []*run
@@ -119,6 +123,7 @@
 		u.usedLong = u.usedLong.Plus(r.size)
 	}
 	u.runs[r.id] = r
+	u.releasesOf = 0
 }
 
 func (u *upstream) discharge(r *run) {
@@ -130,6 +135,7 @@
 		u.usedLong = u.usedLong.Minus(r.size)
 	}
 	delete(u.runs, r.id)
+	u.releasesOf = 0
 }
 
 // leaseEndMS returns the end of a lease of the length that begins now, on the clock of
