Planner: the free room of a pool is kept in one list and follows each assignment (SHORT)

Why it works: the rooms of a pool stand one after the other, an assignment changes one of them, and the bound of the largest is recomputed only if that one set it. TestRoomsOfPlanFollowItsAssignments compares rooms, sum and bound with the upstreams after each plan. The benchmark measures processor time now.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -200,16 +200,17 @@
 	if p == nil || !isFirst && !b.needsMoreApproved(s, q, p) {
 		return nil
 	}
-	requestableRoom := (*upstream).free
+	requestableRoom := func(i int) cawork.Resources { return p.rooms[i] }
 	switch {
 	case isFirst:
-		requestableRoom = func(u *upstream) cawork.Resources { return u.info.Capacity }
+		requestableRoom = func(i int) cawork.Resources { return p.upstreams[i].info.Capacity }
 	case s.lacksReservable():
-		requestableRoom = (*upstream).reservableRoom
+		requestableRoom = func(i int) cawork.Resources { return p.upstreams[i].reservableRoom() }
 	}
+	size := s.spec.Size()
 	candidates := b.candidates[:0]
-	for _, u := range p.upstreams {
-		if !s.spec.Size().Fits(requestableRoom(u)) || s.approvals.isDecided(u) || !u.info.HasLabel(s.spec.Label) {
+	for i, u := range p.upstreams {
+		if !size.Fits(requestableRoom(i)) || s.approvals.isDecided(u) || !u.info.HasLabel(s.spec.Label) {
 			continue
 		}
 		if !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
--- a/internal/cell/caboard/load_test.go
+++ b/internal/cell/caboard/load_test.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -417,11 +418,13 @@
 }
 
 // BenchmarkLoadedCell measures the parts of the planner's work in a busy cell, with backlogs of so many
-// waiting steps: the median time of a call, which other load of the machine changes little, and the mean
-// allocations.
+// waiting steps: the median processor time of a call, which other load of the machine changes little, and
+// the mean allocations.
 func BenchmarkLoadedCell(b *testing.B) {
 	for _, waiting := range []int{50, 200, 1000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
 			c := newLoadedCell(b, 1)
 			for range 150 {
 				c.submitBacklog(waiting)
@@ -458,6 +461,15 @@
 	allocated uint64
 }
 
+// threadTime returns the processor time of the calling thread.
+func threadTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &now); err != nil {
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
+
 func measurePart(parts map[string]*partCost, part string, f func()) {
 	cost := parts[part]
 	if cost == nil {
@@ -466,9 +478,9 @@
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	began := time.Now()
+	began := threadTime()
 	f()
-	cost.took = append(cost.took, time.Since(began))
+	cost.took = append(cost.took, threadTime()-began)
 	runtime.ReadMemStats(&after)
 	cost.allocated += after.Mallocs - before.Mallocs
 }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -59,10 +59,14 @@
 
 // poolPlan is the state of a pool during one plan.
 type poolPlan struct {
-	// upstreams are those that accept new work.
+	// upstreams are those that accept new work, and rooms what each of them has free. A plan
+	// reads the rooms of all of them for many steps.
 	upstreams []*upstream
-	// maxFree bounds the free room of each upstream, in each dimension.
-	maxFree cawork.Resources
+	rooms     []cawork.Resources
+	// maxFree bounds the free room of each upstream, in each dimension. It is outdated while tasks
+	// are placed where the room was the largest.
+	maxFree           cawork.Resources
+	isMaxFreeOutdated bool
 	// free is the free room of all upstreams.
 	free cawork.Resources
 	// capacity is that of all upstreams, reservedCPU the part that is reserved for gangs,
@@ -96,10 +100,13 @@
 		}
 		p, ok := pools[u.info.Pool]
 		if !ok {
-			p = &poolPlan{}
+			p = &poolPlan{upstreams: make([]*upstream, 0, len(b.sortedUpstreams)), rooms: make([]cawork.Resources, 0, len(b.sortedUpstreams))}
 			pools[u.info.Pool] = p
 		}
+		u.planIndex = len(p.upstreams)
 		p.upstreams = append(p.upstreams, u)
+		p.rooms = append(p.rooms, u.free())
+		p.free = p.free.Plus(u.free().Floor())
 		p.capacity += u.info.Capacity.CPU
 		p.demand += float64(u.used.CPU)
 		p.wideDemand += float64(u.usedWide)
@@ -114,18 +121,34 @@
 		}
 	}
 	for _, p := range pools {
-		p.updateFree()
+		p.updateMaxFree()
 	}
 	return pools
 }
 
-// updateFree recomputes the free room of the pool.
-func (p *poolPlan) updateFree() {
-	p.maxFree, p.free = cawork.Resources{}, cawork.Resources{}
-	for _, u := range p.upstreams {
-		free := u.free().Floor()
-		p.free = p.free.Plus(free)
-		p.maxFree = p.maxFree.Most(free)
+// updateMaxFree recomputes the bound of the free room.
+func (p *poolPlan) updateMaxFree() {
+	p.maxFree = cawork.Resources{}
+	for i := range p.rooms {
+		p.maxFree = p.maxFree.Most(p.rooms[i])
+	}
+}
+
+// updateRoom applies what an upstream has free after a run was assigned to it.
+func (p *poolPlan) updateRoom(u *upstream) {
+	before, now := p.rooms[u.planIndex].Floor(), u.free()
+	p.rooms[u.planIndex] = now
+	p.free = p.free.Minus(before).Plus(now.Floor())
+	if before.CPU == p.maxFree.CPU || before.Memory == p.maxFree.Memory || before.Accelerators == p.maxFree.Accelerators {
+		p.isMaxFreeOutdated = true
+	}
+}
+
+// endPlacement ends the placement of the tasks of a step.
+func (p *poolPlan) endPlacement() {
+	if p.isMaxFreeOutdated {
+		p.updateMaxFree()
+		p.isMaxFreeOutdated = false
 	}
 }
 
@@ -232,7 +255,7 @@
 		placed = true
 	}
 	if placed {
-		p.updateFree()
+		p.endPlacement()
 	}
 }
 
@@ -356,6 +379,9 @@
 	r.resumed = t.Checkpoint != ""
 	s.releaseStarted(u)
 	b.charge(r)
+	if p := b.pools[u.info.Pool]; p != nil {
+		p.updateRoom(u)
+	}
 	b.countGangSlotUse(s, u)
 	b.startProbationOf(r)
 	b.checkInvariants(r)
@@ -392,7 +418,7 @@
 	if slots == nil {
 		return false
 	}
-	defer p.updateFree()
+	defer p.endPlacement()
 	if s.wide {
 		b.partitionOf(q.Pool).addGang(s.spec)
 	}
--- /dev/null
+++ b/internal/cell/caboard/plan_test.go
@@ -0,0 +1,41 @@
+package caboard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// freeRoom is what the upstreams of a pool have free.
+type freeRoom struct {
+	Rooms     []cawork.Resources
+	Free, Max cawork.Resources
+}
+
+// TestRoomsOfPlanFollowItsAssignments guards against free room that the plan still counts after tasks
+// were assigned there, or counts no more: large tasks and gangs would be passed over.
+func TestRoomsOfPlanFollowItsAssignments(t *testing.T) {
+	const seed = 4
+	plans := 0
+	decisionsOf(t, seed, 3*time.Second, func(b *Planner) {
+		plans++
+		want, got := make(map[caspec.PoolName]freeRoom), make(map[caspec.PoolName]freeRoom)
+		for name, p := range b.pools {
+			var naive freeRoom
+			for _, u := range p.upstreams {
+				naive.Rooms = append(naive.Rooms, u.free())
+				naive.Free = naive.Free.Plus(u.free().Floor())
+				naive.Max = naive.Max.Most(u.free().Floor())
+			}
+			want[name] = naive
+			got[name] = freeRoom{Rooms: p.rooms, Free: p.free, Max: p.maxFree}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("free room after plan %d (-want +got):\n%s", plans, diff)
+		}
+	})
+}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -64,8 +64,10 @@
 	pausedUntil time.Time
 	// health compares its failures with those of all upstreams.
 	health health
-	// available is set while the upstream accepts work in the current plan.
+	// available is set while the upstream accepts work in the current plan, and planIndex is its
+	// place among those of its pool that do.
 	available bool
+	planIndex int
 	// partitionRank determines when it joins the gang partition, and inPartition is set
 	// while it is part of that.
 	partitionRank float64
