--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -139,7 +139,11 @@
 	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.maxFree) {
 		return nil
 	}
-	var expired []*upstream
+	needed := 1
+	if s.spec.Gang {
+		needed = s.spec.Tasks
+	}
+	expired := b.candidates[:0]
 	validSlots, slots := 0, 0
 	for _, t := range s.approvals.tickets {
 		u := b.bySlot[t.slot]
@@ -151,15 +155,15 @@
 		if _, isValid := s.approvals.validTicket(u, b.now.Monotonic); isValid {
 			validSlots += fitting
 		}
+		if validSlots >= needed {
+			return nil
+		}
 		if _, isLasting := s.approvals.validTicket(u, b.now.Monotonic.Add(ticketRenewalBatchWindow)); !isLasting && fitting > 0 {
 			expired = append(expired, u)
 		}
 	}
-	needed := 1
-	if s.spec.Gang {
-		needed = s.spec.Tasks
-	}
-	if validSlots >= needed || slots < needed {
+	b.candidates = expired
+	if slots < needed {
 		return nil
 	}
 	slices.SortFunc(expired, compareUpstreams)
@@ -285,7 +289,7 @@
 func (b *Planner) mostFree(s *step, list []*upstream, n int) []cawork.UpstreamID {
 	ranked := b.ranked[:0]
 	for _, u := range list {
-		ranked = append(ranked, rankedUpstream{upstream: u, reserved: u.reservedBy != nil, wrongPartition: b.takesGangSlot(s, u) || s.wide && !u.inPartition, free: u.free().CPU, tieBreak: b.random.Uint32()})
+		ranked = append(ranked, rankedUpstream{upstream: u, rank: b.requestRank(s, u)})
 	}
 	b.ranked = ranked
 	ids := make([]cawork.UpstreamID, 0, min(n, len(ranked)))
@@ -295,31 +299,36 @@
 	return ids
 }
 
-// rankedUpstream holds the sort keys of an upstream in an approval request.
+// rankedUpstream is an upstream with its rank in an approval request.
 type rankedUpstream struct {
 	upstream *upstream
-	reserved bool
-	// wrongPartition is set where the step should not be placed while there is room
-	// elsewhere.
-	wrongPartition bool
-	free           cawork.MilliCPU
-	// tieBreak is random, so that not all steps request the same of several equal
-	// upstreams.
-	tieBreak uint32
+	rank     uint64
 }
 
-// compare sorts the upstreams to request first to the front.
-func (r rankedUpstream) compare(other rankedUpstream) int {
-	if r.reserved != other.reserved {
-		return compareBool(r.reserved, other.reserved)
-	}
-	if r.wrongPartition != other.wrongPartition {
-		return compareBool(r.wrongPartition, other.wrongPartition)
-	}
-	if r.free != other.free {
-		return cmp.Compare(other.free, r.free)
-	}
-	return cmp.Compare(r.tieBreak, other.tieBreak)
+func (r rankedUpstream) compare(other rankedUpstream) int { return cmp.Compare(r.rank, other.rank) }
+
+// The bits of a rank.
+const (
+	reservedRank       = 1 << 63
+	wrongPartitionRank = 1 << 62
+	maxRankedFree      = 1<<30 - 1
+	rankedFreeShift    = 32
+)
+
+// requestRank ranks an upstream in an approval request. The lowest rank comes first: that of an
+// upstream that is not reserved, then where the step should be placed while there is room elsewhere,
+// then with much free CPU. The rest is random, so that not all steps request the same of several
+// equal upstreams.
+func (b *Planner) requestRank(s *step, u *upstream) uint64 {
+	rank := uint64(b.random.Uint32())
+	rank |= uint64(maxRankedFree-min(max(u.free().CPU, 0), maxRankedFree)) << rankedFreeShift
+	if u.reservedBy != nil {
+		rank |= reservedRank
+	}
+	if b.takesGangSlot(s, u) || s.wide && !u.inPartition {
+		rank |= wrongPartitionRank
+	}
+	return rank
 }
 
 // ApplyAdvice applies the answer of the advisor to an approval request. A failed request has
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -39,3 +39,28 @@
 		}
 	})
 }
+
+// TestLastRunsAreThoseAtUpstreams guards against runs that a step still has after they ended, or that it
+// lacks: members of a broken gang would not be stopped, and copies would be started of ended runs.
+func TestLastRunsAreThoseAtUpstreams(t *testing.T) {
+	const seed = 5
+	plans := 0
+	decisionsOf(t, seed, 3*time.Second, func(b *Planner) {
+		plans++
+		for _, s := range b.steps {
+			var want, got []RunID
+			for i, task := range s.state().Tasks {
+				id := RunID{Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: i, Number: task.Run}
+				if u, ok := b.upstreams[task.Upstream]; ok && u.runs[id] != nil {
+					want = append(want, id)
+				}
+			}
+			for _, r := range b.runsOf(s) {
+				got = append(got, r.id)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Fatalf("last runs of step %d of job %s after plan %d (-want +got):\n%s", s.number, s.job.Submission.ID, plans, diff)
+			}
+		}
+	})
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -145,7 +145,9 @@
 	ready   bool
 	readyAt time.Time
 	// liveRuns counts the runs of the step that may be present at upstreams.
-	liveRuns     int
+	liveRuns int
+	// lastRuns are the last runs that were charged to upstreams, by task, nil before the first.
+	lastRuns     []*run
 	waitingTasks int
 	// waitingSince is since when some task of the step has waited, not always the same.
 	waitingSince time.Time
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -165,7 +165,10 @@
 // runsOf returns the last assigned run of each task of the step, if it may be present at its
 // upstream.
 func (b *Planner) runsOf(s *step) []*run {
-	var runs []*run
+	if s.liveRuns == 0 {
+		return nil
+	}
+	runs := make([]*run, 0, s.liveRuns)
 	for i := range s.state().Tasks {
 		if r, ok := b.runOf(s, i); ok {
 			runs = append(runs, r)
@@ -176,15 +179,27 @@
 
 // runOf returns the last run of a task, if it may be present at its upstream.
 func (b *Planner) runOf(s *step, index int) (*run, bool) {
-	t := &s.state().Tasks[index]
-	u, ok := b.upstreams[t.Upstream]
-	if !ok {
+	if index >= len(s.lastRuns) {
 		return nil, false
 	}
-	r, ok := u.runs[RunID{
-		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number, Index: index, Number: t.Run,
-	}]
-	return r, ok
+	r := s.lastRuns[index]
+	return r, r != nil && r.isCharged && r.isOfTask(&s.state().Tasks[index])
+}
+
+// isOfTask reports whether the run is the last one of its task.
+func (r *run) isOfTask(t *castate.Task) bool {
+	return r.id.Number == t.Run && r.upstream.info.ID == t.Upstream
+}
+
+// keepLastRun records a run that is charged to its upstream if it is the last one of its task.
+func (s *step) keepLastRun(r *run) {
+	if s.orphan || !r.isOfTask(r.task()) {
+		return
+	}
+	if s.lastRuns == nil {
+		s.lastRuns = make([]*run, len(s.state().Tasks))
+	}
+	s.lastRuns[r.id.Index] = r
 }
 
 // ApplyReport applies a report of an upstream.
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -82,6 +82,8 @@
 	upstream *upstream
 	team     cawork.TeamName
 	size     cawork.Resources
+	// isCharged is set while it may be present at the upstream, which then has it among its runs.
+	isCharged bool
 	// wide is set for members of wide gangs.
 	wide bool
 	// assignedAt is when the run was assigned.
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -124,7 +124,12 @@
 	if r.keepsGangRoom() {
 		u.usedLong = u.usedLong.Plus(r.size)
 	}
+	if former := u.runs[r.id]; former != nil {
+		former.isCharged = false
+	}
 	u.runs[r.id] = r
+	r.isCharged = true
+	r.step.keepLastRun(r)
 	u.releasesOf = 0
 }
 
@@ -137,6 +142,7 @@
 		u.usedLong = u.usedLong.Minus(r.size)
 	}
 	delete(u.runs, r.id)
+	r.isCharged = false
 	u.releasesOf = 0
 }
 
