--- a/internal/cell/caboard/load_test.go
+++ b/internal/cell/caboard/load_test.go
@@ -222,6 +222,15 @@
 	})
 }
 
+// cancel cancels one of the last jobs.
+func (c *loadedCell) cancel() {
+	id := c.jobs[len(c.jobs)-1-c.random.Intn(min(len(c.jobs), 200))]
+	c.measured("cancel", func() {
+		known, stored := c.planner.Cancel(id)
+		c.record("canceled %s %v %v\n", id, known, stored)
+	})
+}
+
 // submitBacklog opens jobs, whatever their expected wait, until the number of steps waits.
 func (c *loadedCell) submitBacklog(waiting int) {
 	for c.waitingSteps() < waiting {
@@ -380,10 +389,8 @@
 		for range int(rate*loadedTick.Seconds() + c.random.Float64()) {
 			c.submit()
 		}
-		if c.random.Float64() < 0.1 && len(c.jobs) > 0 {
-			id := c.jobs[len(c.jobs)-1-c.random.Intn(min(len(c.jobs), 200))]
-			known, stored := c.planner.Cancel(id)
-			c.record("canceled %s %v %v\n", id, known, stored)
+		if c.random.Float64() < 0.1 {
+			c.cancel()
 		}
 		switch u := c.upstreams[c.random.Intn(len(c.upstreams))]; {
 		case c.elapsed == duration/3:
@@ -442,6 +449,7 @@
 				for range 3 {
 					c.submit()
 				}
+				c.cancel()
 				c.tick()
 			}
 			for name, cost := range parts {
@@ -484,3 +492,23 @@
 	runtime.ReadMemStats(&after)
 	cost.allocated += after.Mallocs - before.Mallocs
 }
+
+// BenchmarkStopRunsOfJob measures what a cancellation, a failure or the end of a job with runs costs in a
+// busy cell, beyond its record.
+func BenchmarkStopRunsOfJob(b *testing.B) {
+	c := newLoadedCell(b, 1)
+	for range 150 {
+		c.submitBacklog(200)
+		c.tick()
+	}
+	var runs []*run
+	for _, u := range c.planner.sortedUpstreams {
+		for _, r := range u.runs {
+			runs = append(runs, r)
+		}
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		c.planner.stopRuns(runs[i%len(runs)].step.job)
+	}
+}
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -64,3 +64,29 @@
 		}
 	})
 }
+
+// TestRunsOfJobAreThoseAtUpstreams guards against a cancellation that misses a run of its job, or a job
+// that is never released because it still has runs.
+func TestRunsOfJobAreThoseAtUpstreams(t *testing.T) {
+	const seed = 6
+	plans := 0
+	decisionsOf(t, seed, 3*time.Second, func(b *Planner) {
+		plans++
+		want, got := make(map[RunID]bool), make(map[RunID]bool)
+		for _, u := range b.sortedUpstreams {
+			for id, r := range u.runs {
+				if b.jobs[id.Job] == r.step.job {
+					want[id] = true
+				}
+			}
+		}
+		for _, j := range b.jobs {
+			for _, r := range j.runs {
+				got[r.id] = true
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("runs after plan %d (-at upstreams +of jobs):\n%s", plans, diff)
+		}
+	})
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -119,7 +120,8 @@
 	stored      bool
 	storedPhase castate.Phase
 	steps       []*step
-	liveRuns    int
+	// runs are those of its steps that may be present at upstreams, in no order.
+	runs []*run
 	// reportedRunning is set once an upstream has reported a run of the job.
 	reportedRunning bool
 	// objective is the time from acceptance within which the job should end.
@@ -497,7 +499,7 @@
 	r.upstream.charge(r)
 	b.teamOf(r.team).acquire(r.size)
 	r.step.liveRuns++
-	r.step.job.liveRuns++
+	r.step.job.runs = append(r.step.job.runs, r)
 }
 
 // dropRun drops a run that has ended and can not be present again. If its task is still
@@ -511,7 +513,7 @@
 	delete(b.stopping, r)
 	b.teamOf(r.team).release(r.size)
 	r.step.liveRuns--
-	r.step.job.liveRuns--
+	r.step.job.removeRun(r)
 	if r.isCurrent() {
 		r.task().Phase = castate.TaskWaiting
 		b.addWaitingTask(r.step)
@@ -520,6 +522,18 @@
 	b.releaseEndedJob(r.step.job)
 }
 
+// removeRun removes a run that has ended.
+func (j *job) removeRun(r *run) {
+	at := slices.Index(j.runs, r)
+	if at < 0 {
+		return
+	}
+	last := len(j.runs) - 1
+	j.runs[at] = j.runs[last]
+	j.runs[last] = nil
+	j.runs = j.runs[:last]
+}
+
 // addWaitingTask counts one more waiting task of the step.
 func (b *Planner) addWaitingTask(s *step) {
 	if s.waitingTasks == 0 {
@@ -538,7 +552,7 @@
 
 // releaseEndedJob drops the details of a job that has ended and has no runs.
 func (b *Planner) releaseEndedJob(j *job) {
-	if !j.Phase.IsFinal() || j.liveRuns > 0 || j.steps == nil && j.OpenOccurrences == nil {
+	if !j.Phase.IsFinal() || len(j.runs) > 0 || j.steps == nil && j.OpenOccurrences == nil {
 		return
 	}
 	j.steps = nil
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -112,7 +112,7 @@
 	if !ok || j.stored {
 		return false
 	}
-	if _, pending := b.changed[id]; !pending || j.liveRuns > 0 {
+	if _, pending := b.changed[id]; !pending || len(j.runs) > 0 {
 		return false
 	}
 	b.dropSteps(j)
@@ -143,7 +143,7 @@
 	b.markChanged(j)
 	b.stopRuns(j)
 	caevent.Info(b.log, caevent.JobEnded).Str("job", string(j.Submission.ID)).Str("phase", p.String()).
-		Dur("after", b.now.Monotonic.Sub(j.acceptedAt)).Dur("objective", j.objective).Int("runs", j.liveRuns).Send()
+		Dur("after", b.now.Monotonic.Sub(j.acceptedAt)).Dur("objective", j.objective).Int("runs", len(j.runs)).Send()
 	b.releaseEndedJob(j)
 }
 
@@ -161,15 +161,11 @@
 // stopRuns marks all runs of a job to be stopped. Those of a completed job end by
 // themselves.
 func (b *Planner) stopRuns(j *job) {
-	if j.liveRuns == 0 || j.Phase == castate.PhaseCompleted {
+	if j.Phase == castate.PhaseCompleted {
 		return
 	}
-	for _, u := range b.sortedUpstreams {
-		for _, r := range u.runs {
-			if r.step.job == j {
-				b.stop(r)
-			}
-		}
+	for _, r := range j.runs {
+		b.stop(r)
 	}
 }
 
@@ -225,7 +221,7 @@
 	oldest := b.now.Monotonic.Add(-historyRetention)
 	for id, j := range b.jobs {
 		switch {
-		case j.Phase.IsFinal() && j.liveRuns == 0 && j.endedAt.Before(oldest):
+		case j.Phase.IsFinal() && len(j.runs) == 0 && j.endedAt.Before(oldest):
 			delete(b.jobs, id)
 			b.forgetCrashes(j)
 			b.removedJobs = append(b.removedJobs, id)
