--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -26,8 +26,9 @@
 	if p := b.pools[q.Pool]; p != nil {
 		f.Capacity, f.Free = p.capacity, p.free.CPU
 	}
+	queue := b.queuePolicies[q.Name]
 	for _, other := range b.steps {
-		if other.waitingTasks == 0 || other.job.pool != q.Pool || other.lateness != latenessNone {
+		if other.waitingTasks == 0 || other.lateness != latenessNone || other.job.pool != q.Pool {
 			continue
 		}
 		if other.job.priority > q.Priority || other.job.priority == q.Priority && other.job.OverRate && !excess {
@@ -35,7 +36,7 @@
 		}
 		w := caadmission.CoreTimeOf(other.spec.CPU, other.spec.Estimate, other.waitingTasks)
 		f.WorkAhead += w
-		if other.job.Submission.Queue == q.Name && !other.awaitsAdvisor(q) {
+		if other.job.queue == queue && !other.awaitsAdvisor(q) {
 			f.QueueWorkAhead += w
 		}
 	}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -167,23 +167,53 @@
 
 // sortSteps sorts the steps in the order in which they are placed.
 func (b *Planner) sortSteps() {
-	for _, s := range b.steps {
+	// The steps whose keys did not change since the last plan are still in order.
+	moved, kept := b.movedSteps[:0], b.keptSteps[:0]
+	for i, s := range b.steps {
 		s.lateness = b.lateness(s)
 		s.tasksToRestart = s.countTasksToRestart()
+		s.position = i
+		key := stepKey{lateness: s.lateness, priority: s.job.priority, restarts: s.restarts() > 0, acceptedAt: s.job.acceptedAt}
+		if key == s.sortedBy {
+			kept = append(kept, s)
+			continue
+		}
+		s.sortedBy = key
+		moved = append(moved, s)
 	}
-	// The order seldom changes between two plans.
-	if !slices.IsSortedFunc(b.steps, compareSteps) {
-		slices.SortStableFunc(b.steps, compareSteps)
+	slices.SortFunc(moved, compareSteps)
+	b.steps = mergeSteps(b.steps[:0], kept, moved)
+	clear(kept)
+	clear(moved)
+	b.keptSteps, b.movedSteps = kept, moved
+}
+
+// stepKey holds what may change of that by which a step was sorted last.
+type stepKey struct {
+	lateness, priority int
+	restarts           bool
+	acceptedAt         time.Time
+}
+
+// mergeSteps appends two sorted lists in order.
+func mergeSteps(merged, x, y []*step) []*step {
+	for len(x) > 0 && len(y) > 0 {
+		if compareSteps(x[0], y[0]) < 0 {
+			merged, x = append(merged, x[0]), x[1:]
+			continue
+		}
+		merged, y = append(merged, y[0]), y[1:]
 	}
+	return append(append(merged, x...), y...)
 }
 
-// compareSteps orders steps as they are placed.
+// compareSteps orders steps as they are placed, and steps without a difference as they were.
 func compareSteps(x, y *step) int {
 	switch {
 	case x.lateness != y.lateness:
 		return cmp.Compare(x.lateness, y.lateness)
 	case x.job == y.job:
-		return cmp.Or(compareBool(y.restarts() > 0, x.restarts() > 0), cmp.Compare(x.number, y.number))
+		return cmp.Or(compareBool(y.restarts() > 0, x.restarts() > 0), cmp.Compare(x.number, y.number), cmp.Compare(x.position, y.position))
 	case x.job.priority != y.job.priority:
 		return cmp.Compare(x.job.priority, y.job.priority)
 	case x.restarts() > 0 != (y.restarts() > 0):
@@ -222,7 +252,7 @@
 // that can.
 func (b *Planner) lateness(s *step) int {
 	j := s.job
-	if j.objective == 0 || j.Submission.Schedule.IsTimed() || s.spec.LongRunning {
+	if j.objective == 0 || j.isTimed || s.spec.LongRunning {
 		return latenessNone
 	}
 	age := b.age(j)
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -1,10 +1,14 @@
 package caboard
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -34,7 +38,7 @@
 			want[name] = naive
 			got[name] = freeRoom{Rooms: p.rooms, Free: p.free, Max: p.maxFree}
 		}
-		if diff := cmp.Diff(want, got); diff != "" {
+		if diff := gocmp.Diff(want, got); diff != "" {
 			t.Fatalf("free room after plan %d (-want +got):\n%s", plans, diff)
 		}
 	})
@@ -58,7 +62,7 @@
 			for _, r := range b.runsOf(s) {
 				got = append(got, r.id)
 			}
-			if diff := cmp.Diff(want, got); diff != "" {
+			if diff := gocmp.Diff(want, got); diff != "" {
 				t.Fatalf("last runs of step %d of job %s after plan %d (-want +got):\n%s", s.number, s.job.Submission.ID, plans, diff)
 			}
 		}
@@ -85,8 +89,72 @@
 				got[r.id] = true
 			}
 		}
-		if diff := cmp.Diff(want, got); diff != "" {
+		if diff := gocmp.Diff(want, got); diff != "" {
 			t.Fatalf("runs after plan %d (-at upstreams +of jobs):\n%s", plans, diff)
 		}
 	})
 }
+
+// naiveOrder returns the steps as a stable sort of all of them by all keys orders them.
+func naiveOrder(steps []*step) []string {
+	sorted := slices.Clone(steps)
+	slices.SortStableFunc(sorted, func(x, y *step) int {
+		return cmp.Or(
+			cmp.Compare(x.lateness, y.lateness),
+			cmp.Compare(x.job.priority, y.job.priority),
+			compareBool(y.restarts() > 0, x.restarts() > 0),
+			compareBool(x.job.OverRate, y.job.OverRate),
+			x.job.acceptedAt.Compare(y.job.acceptedAt),
+			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
+			cmp.Compare(x.number, y.number),
+		)
+	})
+	return orderOf(sorted)
+}
+
+func orderOf(steps []*step) []string {
+	var order []string
+	for _, s := range steps {
+		order = append(order, fmt.Sprintf("%s occurrence %d step %d", s.job.Submission.ID, s.occurrence.Number, s.number))
+	}
+	return order
+}
+
+// TestSortedStepsAreThoseOfWholeSort guards against steps that keep their place though their lateness, the
+// priority of their queue or their restarts have changed: urgent work and restarts would wait.
+func TestSortedStepsAreThoseOfWholeSort(tb *testing.T) {
+	rapid.Check(tb, func(t *rapid.T) {
+		s := newSimulation(tb, 1, plainQueue())
+		jobs := 0
+		for range 12 {
+			for range rapid.IntRange(0, 6).Draw(t, "opened") {
+				jobs++
+				first, second := smallStep(2), smallStep(1)
+				first.LongRunning = rapid.Bool().Draw(t, "long-running")
+				second.LongRunning = first.LongRunning
+				s.planner.open(submission(1000*rapid.IntRange(0, 9).Draw(t, "id")+jobs, first, second), rapid.Bool().Draw(t, "excess"))
+			}
+			s.advance(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			for _, step := range s.planner.steps {
+				switch rapid.IntRange(0, 9).Draw(t, "change") {
+				case 0:
+					step.job.priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				case 1:
+					step.state().Tasks[0].Run++
+				case 2:
+					step.tasksLeaving = rapid.IntRange(0, 1).Draw(t, "leaving")
+				case 3:
+					s.planner.openSteps(step.job, step.job.OpenNext())
+				}
+			}
+			if len(s.planner.steps) > 0 {
+				s.planner.dropSteps(s.planner.steps[rapid.IntRange(0, len(s.planner.steps)-1).Draw(t, "dropped")].job)
+			}
+			unsorted := slices.Clone(s.planner.steps)
+			s.planner.sortSteps()
+			if diff := gocmp.Diff(naiveOrder(unsorted), orderOf(s.planner.steps)); diff != "" {
+				t.Fatalf("order (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -80,9 +80,10 @@
 	requestLimits       RequestLimits
 	// plans counts the plans.
 	plans int64
-	// usable, candidates and ranked are lists that are built again and again.
-	usable, candidates []*upstream
-	ranked             []rankedUpstream
+	// movedSteps and keptSteps, usable, candidates and ranked are lists that are built again and again.
+	movedSteps, keptSteps []*step
+	usable, candidates    []*upstream
+	ranked                []rankedUpstream
 	// brokenInvariants counts the checks of invariants that failed.
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
@@ -124,6 +125,8 @@
 	runs []*run
 	// reportedRunning is set once an upstream has reported a run of the job.
 	reportedRunning bool
+	// isTimed is set for jobs with a schedule.
+	isTimed bool
 	// objective is the time from acceptance within which the job should end.
 	objective time.Duration
 	// taskSizes are the sizes of the tasks of each step. They outlast the details of the
@@ -151,6 +154,9 @@
 	// lastRuns are the last runs that were charged to upstreams, by task, nil before the first.
 	lastRuns     []*run
 	waitingTasks int
+	// position is its place before the last sort, and sortedBy what it was sorted by.
+	position int
+	sortedBy stepKey
 	// waitingSince is since when some task of the step has waited, not always the same.
 	waitingSince time.Time
 	lateness     int
@@ -393,6 +399,7 @@
 	for _, s := range j.Submission.Steps {
 		j.taskSizes = append(j.taskSizes, s.Size())
 	}
+	j.isTimed = j.Submission.Schedule.IsTimed()
 	b.applyPolicyTo(j)
 	if q, ok := b.queueOf(j); ok {
 		j.pool = q.Pool
