--- a/internal/cell/caboard/load_test.go
+++ b/internal/cell/caboard/load_test.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -221,6 +222,15 @@
 	})
 }
 
+// cancel cancels one of the last jobs.
+func (c *loadedCell) cancel() {
+	id := c.jobs[len(c.jobs)-1-c.random.Intn(min(len(c.jobs), 200))]
+	c.measured("cancel", func() {
+		known, stored := c.planner.Cancel(id)
+		c.record("canceled %s %v %v\n", id, known, stored)
+	})
+}
+
 // submitBacklog opens jobs, whatever their expected wait, until the number of steps waits.
 func (c *loadedCell) submitBacklog(waiting int) {
 	for c.waitingSteps() < waiting {
@@ -379,10 +389,8 @@
 		for range int(rate*loadedTick.Seconds() + c.random.Float64()) {
 			c.submit()
 		}
-		if c.random.Float64() < 0.1 && len(c.jobs) > 0 {
-			id := c.jobs[len(c.jobs)-1-c.random.Intn(min(len(c.jobs), 200))]
-			known, stored := c.planner.Cancel(id)
-			c.record("canceled %s %v %v\n", id, known, stored)
+		if c.random.Float64() < 0.1 {
+			c.cancel()
 		}
 		switch u := c.upstreams[c.random.Intn(len(c.upstreams))]; {
 		case c.elapsed == duration/3:
@@ -417,11 +425,13 @@
 }
 
 // BenchmarkLoadedCell measures the parts of the planner's work in a busy cell, with backlogs of so many
-// waiting steps: the median time of a call, which other load of the machine changes little, and the mean
-// allocations.
+// waiting steps: the median processor time of a call, which other load of the machine changes little, and
+// the mean allocations.
 func BenchmarkLoadedCell(b *testing.B) {
 	for _, waiting := range []int{50, 200, 1000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
 			c := newLoadedCell(b, 1)
 			for range 150 {
 				c.submitBacklog(waiting)
@@ -439,6 +449,7 @@
 				for range 3 {
 					c.submit()
 				}
+				c.cancel()
 				c.tick()
 			}
 			for name, cost := range parts {
@@ -458,6 +469,15 @@
 	allocated uint64
 }
 
+// threadTime returns the processor time of the calling thread.
+func threadTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &now); err != nil {
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
+
 func measurePart(parts map[string]*partCost, part string, f func()) {
 	cost := parts[part]
 	if cost == nil {
@@ -466,9 +486,29 @@
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	began := time.Now()
+	began := threadTime()
 	f()
-	cost.took = append(cost.took, time.Since(began))
+	cost.took = append(cost.took, threadTime()-began)
 	runtime.ReadMemStats(&after)
 	cost.allocated += after.Mallocs - before.Mallocs
 }
+
+// BenchmarkStopRunsOfJob measures what a cancellation, a failure or the end of a job with runs costs in a
+// busy cell, beyond its record.
+func BenchmarkStopRunsOfJob(b *testing.B) {
+	c := newLoadedCell(b, 1)
+	for range 150 {
+		c.submitBacklog(200)
+		c.tick()
+	}
+	var runs []*run
+	for _, u := range c.planner.sortedUpstreams {
+		for _, r := range u.runs {
+			runs = append(runs, r)
+		}
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		c.planner.stopRuns(runs[i%len(runs)].step.job)
+	}
+}
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -14,6 +14,7 @@
 // Plan assigns waiting tasks to upstreams and returns the orders that are due now. The
 // assignments become part of the next batch.
 func (b *Planner) Plan() Orders {
+	b.plans++
 	b.checkUnansweredStarts()
 	b.pruneSteps()
 	b.updateDepartures()
@@ -58,10 +59,14 @@
 
 // poolPlan is the state of a pool during one plan.
 type poolPlan struct {
-	// upstreams are those that accept new work.
+	// upstreams are those that accept new work, and rooms what each of them has free. A plan
+	// reads the rooms of all of them for many steps.
 	upstreams []*upstream
-	// maxFree bounds the free room of each upstream, in each dimension.
-	maxFree cawork.Resources
+	rooms     []cawork.Resources
+	// maxFree bounds the free room of each upstream, in each dimension. It is outdated while tasks
+	// are placed where the room was the largest.
+	maxFree           cawork.Resources
+	isMaxFreeOutdated bool
 	// free is the free room of all upstreams.
 	free cawork.Resources
 	// capacity is that of all upstreams, reservedCPU the part that is reserved for gangs,
@@ -95,10 +100,13 @@
 		}
 		p, ok := pools[u.info.Pool]
 		if !ok {
-			p = &poolPlan{}
+			p = &poolPlan{upstreams: make([]*upstream, 0, len(b.sortedUpstreams)), rooms: make([]cawork.Resources, 0, len(b.sortedUpstreams))}
 			pools[u.info.Pool] = p
 		}
+		u.planIndex = len(p.upstreams)
 		p.upstreams = append(p.upstreams, u)
+		p.rooms = append(p.rooms, u.free())
+		p.free = p.free.Plus(u.free().Floor())
 		p.capacity += u.info.Capacity.CPU
 		p.demand += float64(u.used.CPU)
 		p.wideDemand += float64(u.usedWide)
@@ -113,18 +121,34 @@
 		}
 	}
 	for _, p := range pools {
-		p.updateFree()
+		p.updateMaxFree()
 	}
 	return pools
 }
 
-// updateFree recomputes the free room of the pool.
-func (p *poolPlan) updateFree() {
-	p.maxFree, p.free = cawork.Resources{}, cawork.Resources{}
-	for _, u := range p.upstreams {
-		free := u.free().Floor()
-		p.free = p.free.Plus(free)
-		p.maxFree = p.maxFree.Most(free)
+// updateMaxFree recomputes the bound of the free room.
+func (p *poolPlan) updateMaxFree() {
+	p.maxFree = cawork.Resources{}
+	for i := range p.rooms {
+		p.maxFree = p.maxFree.Most(p.rooms[i])
+	}
+}
+
+// updateRoom applies what an upstream has free after a run was assigned to it.
+func (p *poolPlan) updateRoom(u *upstream) {
+	before, now := p.rooms[u.planIndex].Floor(), u.free()
+	p.rooms[u.planIndex] = now
+	p.free = p.free.Minus(before).Plus(now.Floor())
+	if before.CPU == p.maxFree.CPU || before.Memory == p.maxFree.Memory || before.Accelerators == p.maxFree.Accelerators {
+		p.isMaxFreeOutdated = true
+	}
+}
+
+// endPlacement ends the placement of the tasks of a step.
+func (p *poolPlan) endPlacement() {
+	if p.isMaxFreeOutdated {
+		p.updateMaxFree()
+		p.isMaxFreeOutdated = false
 	}
 }
 
@@ -143,21 +167,64 @@
 
 // sortSteps sorts the steps in the order in which they are placed.
 func (b *Planner) sortSteps() {
-	for _, s := range b.steps {
+	// The steps whose keys did not change since the last plan are still in order.
+	moved, kept := b.movedSteps[:0], b.keptSteps[:0]
+	for i, s := range b.steps {
 		s.lateness = b.lateness(s)
 		s.tasksToRestart = s.countTasksToRestart()
+		s.position = i
+		key := stepKey{lateness: s.lateness, priority: s.job.priority, restarts: s.restarts() > 0, acceptedAt: s.job.acceptedAt}
+		if key == s.sortedBy {
+			kept = append(kept, s)
+			continue
+		}
+		s.sortedBy = key
+		moved = append(moved, s)
+	}
+	slices.SortFunc(moved, compareSteps)
+	b.steps = mergeSteps(b.steps[:0], kept, moved)
+	clear(kept)
+	clear(moved)
+	b.keptSteps, b.movedSteps = kept, moved
+}
+
+// stepKey holds what may change of that by which a step was sorted last.
+type stepKey struct {
+	lateness, priority int
+	restarts           bool
+	acceptedAt         time.Time
+}
+
+// mergeSteps appends two sorted lists in order.
+func mergeSteps(merged, x, y []*step) []*step {
+	for len(x) > 0 && len(y) > 0 {
+		if compareSteps(x[0], y[0]) < 0 {
+			merged, x = append(merged, x[0]), x[1:]
+			continue
+		}
+		merged, y = append(merged, y[0]), y[1:]
+	}
+	return append(append(merged, x...), y...)
+}
+
+// compareSteps orders steps as they are placed, and steps without a difference as they were.
+func compareSteps(x, y *step) int {
+	switch {
+	case x.lateness != y.lateness:
+		return cmp.Compare(x.lateness, y.lateness)
+	case x.job == y.job:
+		return cmp.Or(compareBool(y.restarts() > 0, x.restarts() > 0), cmp.Compare(x.number, y.number), cmp.Compare(x.position, y.position))
+	case x.job.priority != y.job.priority:
+		return cmp.Compare(x.job.priority, y.job.priority)
+	case x.restarts() > 0 != (y.restarts() > 0):
+		return compareBool(y.restarts() > 0, x.restarts() > 0)
+	case x.job.OverRate != y.job.OverRate:
+		return compareBool(x.job.OverRate, y.job.OverRate)
+	case !x.job.acceptedAt.Equal(y.job.acceptedAt):
+		return x.job.acceptedAt.Compare(y.job.acceptedAt)
+	default:
+		return cmp.Compare(x.job.Submission.ID, y.job.Submission.ID)
 	}
-	slices.SortStableFunc(b.steps, func(x, y *step) int {
-		return cmp.Or(
-			cmp.Compare(x.lateness, y.lateness),
-			cmp.Compare(x.job.priority, y.job.priority),
-			compareBool(y.restarts() > 0, x.restarts() > 0),
-			compareBool(x.job.OverRate, y.job.OverRate),
-			x.job.acceptedAt.Compare(y.job.acceptedAt),
-			cmp.Compare(x.job.Submission.ID, y.job.Submission.ID),
-			cmp.Compare(x.number, y.number),
-		)
-	})
 }
 
 func compareBool(x, y bool) int {
@@ -185,7 +252,7 @@
 // that can.
 func (b *Planner) lateness(s *step) int {
 	j := s.job
-	if j.objective == 0 || j.Submission.Schedule.IsTimed() || s.spec.LongRunning {
+	if j.objective == 0 || j.isTimed || s.spec.LongRunning {
 		return latenessNone
 	}
 	age := b.age(j)
@@ -201,7 +268,7 @@
 
 // placeTasks assigns the waiting tasks of a step one by one.
 func (b *Planner) placeTasks(s *step, q caspec.Queue, p *poolPlan) {
-	if !s.spec.Size().Fits(p.maxFree) {
+	if !s.spec.Size().Fits(p.maxFree) || !b.withinLimit(s.job.Submission.Team, s.spec.Size()) {
 		return
 	}
 	placed := false
@@ -218,7 +285,7 @@
 		placed = true
 	}
 	if placed {
-		p.updateFree()
+		p.endPlacement()
 	}
 }
 
@@ -276,17 +343,18 @@
 }
 
 // usableUpstreams returns the upstreams that may be considered for a step: the approved
-// ones, where approval is needed.
+// ones, where approval is needed. The next call overwrites the result.
 func (b *Planner) usableUpstreams(s *step, q caspec.Queue, p *poolPlan) []*upstream {
 	if q.Approval == nil {
 		return p.upstreams
 	}
-	usable := make([]*upstream, 0, len(s.approvals.tickets))
+	usable := b.usable[:0]
 	for _, t := range s.approvals.tickets {
 		if u := b.bySlot[t.slot]; u != nil && u.available {
 			usable = append(usable, u)
 		}
 	}
+	b.usable = usable
 	return usable
 }
 
@@ -341,6 +409,9 @@
 	r.resumed = t.Checkpoint != ""
 	s.releaseStarted(u)
 	b.charge(r)
+	if p := b.pools[u.info.Pool]; p != nil {
+		p.updateRoom(u)
+	}
 	b.countGangSlotUse(s, u)
 	b.startProbationOf(r)
 	b.checkInvariants(r)
@@ -377,7 +448,7 @@
 	if slots == nil {
 		return false
 	}
-	defer p.updateFree()
+	defer p.endPlacement()
 	if s.wide {
 		b.partitionOf(q.Pool).addGang(s.spec)
 	}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,6 +38,8 @@
 	random *rand.Rand
 	now    ClockReading
 	policy caspec.Policy
+	// queuePolicies are the queues of the policy.
+	queuePolicies map[caspec.QueueName]*caspec.Queue
 
 	jobs      map[cawork.JobID]*job
 	upstreams map[cawork.UpstreamID]*upstream
@@ -75,9 +78,12 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
-	// candidates and ranked are used again by each approval request.
-	candidates []*upstream
-	ranked     []rankedUpstream
+	// plans counts the plans.
+	plans int64
+	// movedSteps and keptSteps, usable, candidates and ranked are lists that are built again and again.
+	movedSteps, keptSteps []*step
+	usable, candidates    []*upstream
+	ranked                []rankedUpstream
 	// brokenInvariants counts the checks of invariants that failed.
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
@@ -101,6 +107,8 @@
 // job is a job together with state that is not stored.
 type job struct {
 	*castate.Job
+	// queue is its queue by the policy in force, nil if that has none.
+	queue    *caspec.Queue
 	priority int
 	pool     caspec.PoolName
 	// acceptedAt is when the job was accepted, moved back to its first refusal if it was
@@ -113,9 +121,12 @@
 	stored      bool
 	storedPhase castate.Phase
 	steps       []*step
-	liveRuns    int
+	// runs are those of its steps that may be present at upstreams, in no order.
+	runs []*run
 	// reportedRunning is set once an upstream has reported a run of the job.
 	reportedRunning bool
+	// isTimed is set for jobs with a schedule.
+	isTimed bool
 	// objective is the time from acceptance within which the job should end.
 	objective time.Duration
 	// taskSizes are the sizes of the tasks of each step. They outlast the details of the
@@ -139,8 +150,13 @@
 	ready   bool
 	readyAt time.Time
 	// liveRuns counts the runs of the step that may be present at upstreams.
-	liveRuns     int
+	liveRuns int
+	// lastRuns are the last runs that were charged to upstreams, by task, nil before the first.
+	lastRuns     []*run
 	waitingTasks int
+	// position is its place before the last sort, and sortedBy what it was sorted by.
+	position int
+	sortedBy stepKey
 	// waitingSince is since when some task of the step has waited, not always the same.
 	waitingSince time.Time
 	lateness     int
@@ -221,14 +237,35 @@
 		return
 	}
 	b.policy = p
-	for _, j := range b.jobs {
-		if q, ok := p.Queue(j.Submission.Queue); ok {
-			j.priority = q.Priority
+	b.queuePolicies = make(map[caspec.QueueName]*caspec.Queue, len(p.Queues))
+	for _, listed := range p.Queues {
+		if q, ok := p.Queue(listed.Name); ok {
+			b.queuePolicies[q.Name] = &q
 		}
 	}
+	for _, j := range b.jobs {
+		b.applyPolicyTo(j)
+	}
+	for name, t := range b.teams {
+		b.applyLimitTo(name, t)
+	}
 }
 
-func (b *Planner) queueOf(j *job) (caspec.Queue, bool) { return b.policy.Queue(j.Submission.Queue) }
+// queueOf returns the queue of a job by the policy in force.
+func (b *Planner) queueOf(j *job) (caspec.Queue, bool) {
+	if j.queue == nil {
+		return caspec.Queue{}, false
+	}
+	return *j.queue, true
+}
+
+// applyPolicyTo looks up the queue of a job in the policy.
+func (b *Planner) applyPolicyTo(j *job) {
+	j.queue = b.queuePolicies[j.Submission.Queue]
+	if j.queue != nil {
+		j.priority = j.queue.Priority
+	}
+}
 
 func (b *Planner) statsOf(q caspec.QueueName) *queueStats {
 	s, ok := b.queues[q]
@@ -362,8 +399,9 @@
 	for _, s := range j.Submission.Steps {
 		j.taskSizes = append(j.taskSizes, s.Size())
 	}
+	j.isTimed = j.Submission.Schedule.IsTimed()
+	b.applyPolicyTo(j)
 	if q, ok := b.queueOf(j); ok {
-		j.priority = q.Priority
 		j.pool = q.Pool
 		j.objective = objective(q, j.Submission.Steps)
 	}
@@ -468,7 +506,7 @@
 	r.upstream.charge(r)
 	b.teamOf(r.team).acquire(r.size)
 	r.step.liveRuns++
-	r.step.job.liveRuns++
+	r.step.job.runs = append(r.step.job.runs, r)
 }
 
 // dropRun drops a run that has ended and can not be present again. If its task is still
@@ -482,7 +520,7 @@
 	delete(b.stopping, r)
 	b.teamOf(r.team).release(r.size)
 	r.step.liveRuns--
-	r.step.job.liveRuns--
+	r.step.job.removeRun(r)
 	if r.isCurrent() {
 		r.task().Phase = castate.TaskWaiting
 		b.addWaitingTask(r.step)
@@ -491,6 +529,18 @@
 	b.releaseEndedJob(r.step.job)
 }
 
+// removeRun removes a run that has ended.
+func (j *job) removeRun(r *run) {
+	at := slices.Index(j.runs, r)
+	if at < 0 {
+		return
+	}
+	last := len(j.runs) - 1
+	j.runs[at] = j.runs[last]
+	j.runs[last] = nil
+	j.runs = j.runs[:last]
+}
+
 // addWaitingTask counts one more waiting task of the step.
 func (b *Planner) addWaitingTask(s *step) {
 	if s.waitingTasks == 0 {
@@ -509,7 +559,7 @@
 
 // releaseEndedJob drops the details of a job that has ended and has no runs.
 func (b *Planner) releaseEndedJob(j *job) {
-	if !j.Phase.IsFinal() || j.liveRuns > 0 || j.steps == nil && j.OpenOccurrences == nil {
+	if !j.Phase.IsFinal() || len(j.runs) > 0 || j.steps == nil && j.OpenOccurrences == nil {
 		return
 	}
 	j.steps = nil
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -26,6 +26,10 @@
 	// usedLong is the part of used that wide gangs and long-running tasks use.
 	usedLong cawork.Resources
 	runs     map[RunID]*run
+	// releases are when these are expected to end, as of the plan with the number releasesOf, or
+	// of none if that is zero.
+	releases   []release
+	releasesOf int64
 	// abandonedStarts are starts that were given up without an answer and may still take
 	// effect.
 	abandonedStarts []*run
@@ -60,8 +64,10 @@
 	pausedUntil time.Time
 	// health compares its failures with those of all upstreams.
 	health health
-	// available is set while the upstream accepts work in the current plan.
+	// available is set while the upstream accepts work in the current plan, and planIndex is its
+	// place among those of its pool that do.
 	available bool
+	planIndex int
 	// partitionRank determines when it joins the gang partition, and inPartition is set
 	// while it is part of that.
 	partitionRank float64
@@ -118,7 +124,13 @@
 	if r.keepsGangRoom() {
 		u.usedLong = u.usedLong.Plus(r.size)
 	}
+	if former := u.runs[r.id]; former != nil {
+		former.isCharged = false
+	}
 	u.runs[r.id] = r
+	r.isCharged = true
+	r.step.keepLastRun(r)
+	u.releasesOf = 0
 }
 
 func (u *upstream) discharge(r *run) {
@@ -130,6 +142,8 @@
 		u.usedLong = u.usedLong.Minus(r.size)
 	}
 	delete(u.runs, r.id)
+	r.isCharged = false
+	u.releasesOf = 0
 }
 
 // leaseEndMS returns the end of a lease of the length that begins now, on the clock of
