--- a/internal/cell/cagate/busy.go
+++ b/internal/cell/cagate/busy.go
@@ -6,7 +6,6 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
-	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/node/caprocessor"
 )
 
@@ -53,25 +52,16 @@
 		Dur("longest_delay", longest).Int("leading", leading).Send()
 }
 
-// callTrace is where the time of a forwarded call went.
-type callTrace struct {
-	name     string
-	job      cawork.JobID
-	attempts int
-	// inAttempts is the time in attempts.
-	inAttempts time.Duration
-}
-
 // reportCall reports a forwarded call, and logs cancellations and queries that took long
 // or failed.
-func (l *link) reportCall(t callTrace, took time.Duration, err error) {
+func (l *link) reportCall(f forwarding, took time.Duration, err error) {
 	g := l.gate
-	scope := g.Scope.Tagged(map[string]string{"call": t.name})
+	scope := g.Scope.Tagged(map[string]string{"call": f.name})
 	scope.Timer("forward").Record(took)
 	failed := err != nil && cakind.Of(err) != cakind.KindNotFound
-	if t.name == callSubmit || took < slowCall && !failed {
+	if f.name == callSubmit || took < slowCall && !failed {
 		return
 	}
-	caevent.Info(g.Log, caevent.CallWaited).Str("call", t.name).Str("job", string(t.job)).Int("shard", l.shard).Dur("took", took).
-		Int("attempts", t.attempts).Dur("in_attempts", t.inAttempts).Dur("without_leader", took-t.inAttempts).Err(err).Send()
+	caevent.Info(g.Log, caevent.CallWaited).Str("call", f.name).Str("job", string(f.job)).Int("shard", l.shard).Dur("took", took).
+		Int("attempts", f.attempts).Dur("in_attempts", f.inAttempts).Dur("without_leader", took-f.inAttempts).Err(err).Send()
 }
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -15,15 +15,6 @@
 )
 
 const (
-	// leaderWaitTimeout is how long a call waits for a leader to be elected.
-	leaderWaitTimeout = 400 * time.Millisecond
-	// outcomeWaitTimeout is how long a call that may have taken effect waits for a
-	// leader that can confirm its outcome.
-	outcomeWaitTimeout = 2 * time.Second
-	// attemptTimeout bounds one attempt to call the leader.
-	attemptTimeout = 1500 * time.Millisecond
-	// attemptDelay is the wait between two attempts.
-	attemptDelay = 40 * time.Millisecond
 	// noLeaderRetryAfter is the retry delay for callers while there is no leader.
 	noLeaderRetryAfter = 800 * time.Millisecond
 	// maxReadyReplyAge and maxReadyAppendAge bound the ages of a leader's last reply and
@@ -154,116 +145,6 @@
 	l.status.lost = make(chan struct{})
 }
 
-// attemptFunc makes one call, to l if it is not nil and to the address otherwise.
-type attemptFunc func(ctx context.Context, l *caleader.Leader, address string) error
-
-// forward sends a call to the leader and retries until there is a final answer. All calls
-// are idempotent. Once an attempt may have taken effect, a later refusal is returned as
-// KindUnknown, since it does not tell the outcome of the earlier attempt.
-func (l *link) forward(ctx context.Context, name string, job cawork.JobID, call attemptFunc) error {
-	began := l.gate.Timer.Now()
-	trace := callTrace{name: name, job: job}
-	err := l.forwardTraced(ctx, &trace, call)
-	l.reportCall(trace, l.gate.Timer.Now().Sub(began), err)
-	return err
-}
-
-// forwardTraced is forward, with a trace of the attempts.
-func (l *link) forwardTraced(ctx context.Context, trace *callTrace, call attemptFunc) error {
-	began := l.gate.Timer.Now()
-	var unknownErr error
-	for {
-		leader, status, ok := l.target()
-		if ok {
-			attemptBegan := l.gate.Timer.Now()
-			err := l.attempt(ctx, leader, status, call)
-			trace.attempts++
-			trace.inAttempts += l.gate.Timer.Now().Sub(attemptBegan)
-			switch {
-			case isFinal(err):
-				if unknownErr != nil && isRefusal(err) {
-					return cakind.Wrap(cakind.KindUnknown, unknownErr, "an earlier attempt may have taken effect")
-				}
-				return err
-			case cakind.Of(err) == cakind.KindUnknown:
-				unknownErr = err
-			}
-			l.triggerCheck()
-		}
-		if l.isIsolated() {
-			return l.noLeaderError(unknownErr, "the entry reaches neither the leader nor the store")
-		}
-		waited := l.gate.Timer.Now().Sub(began)
-		if unknownErr != nil && waited > outcomeWaitTimeout {
-			return unknownErr
-		}
-		if unknownErr == nil && waited > leaderWaitTimeout {
-			return l.noLeaderError(nil, "no leader answers")
-		}
-		if !l.waitForRetry(ctx) {
-			return l.noLeaderError(unknownErr, "no leader answers before the deadline")
-		}
-	}
-}
-
-// noLeaderError returns the error for a call without a final answer: unknownErr if an
-// attempt may have taken effect, a refusal otherwise.
-func (l *link) noLeaderError(unknownErr error, reason string) error {
-	if unknownErr != nil {
-		return unknownErr
-	}
-	return cakind.New(cakind.KindUnavailable, "shard %d: %s", l.shard, reason).WithRetryAfter(noLeaderRetryAfter)
-}
-
-// isFinal reports whether the result of an attempt needs no further attempt.
-func isFinal(err error) bool {
-	if err == nil {
-		return true
-	}
-	switch cakind.Of(err) {
-	case cakind.KindUnknown, cakind.KindNotStarted, cakind.KindFenced, cakind.KindDraining:
-		return false
-	default:
-		return !capeer.IsUnreachable(err)
-	}
-}
-
-// isRefusal reports whether an error guarantees that the call had no effect.
-func isRefusal(err error) bool {
-	return err != nil && cakind.ResponseTo(cakind.Of(err)).Execution == cakind.ExecutionNotRun
-}
-
-// attempt makes one call to the leader and cancels it when the leader is lost.
-func (l *link) attempt(ctx context.Context, leader *caleader.Leader, status leaderStatus, call attemptFunc) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	go func() {
-		select {
-		case <-status.lost:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return call(ctx, leader, status.Address)
-}
-
-// waitForRetry waits for attemptDelay or until another leader is observed. It returns false
-// if the context has ended.
-func (l *link) waitForRetry(ctx context.Context) bool {
-	after := l.gate.Timer.After(attemptDelay)
-	defer after.Close()
-	l.gate.mu.Lock()
-	leaderChanged := l.leaderChanged
-	l.gate.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-after.C:
-	case <-leaderChanged:
-	}
-	return ctx.Err() == nil
-}
-
 // pending counts the accepted jobs of a queue in this shard that have not started.
 func (l *link) pending(ctx context.Context, q caspec.QueueName) (int, error) {
 	n := 0
