--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -56,11 +56,11 @@
 	s.planner.Plan()
 	orders := s.commit()
 	s.planner.ApplyStartOutcome(orders[0], StartUnknown, 0)
-	if diff := cmp.Diff(1, s.planner.CountUnstarted("queue")); diff != "" {
+	if diff := cmp.Diff(1, s.planner.UnstartedJobs()["queue"]); diff != "" {
 		t.Errorf("pending jobs while the start has no answer (-want +got):\n%s", diff)
 	}
 	s.report(orders[0].Upstream, []RunningRun{{Run: orders[0].Run}}, nil)
-	if diff := cmp.Diff(0, s.planner.CountUnstarted("queue")); diff != "" {
+	if diff := cmp.Diff(0, s.planner.UnstartedJobs()["queue"]); diff != "" {
 		t.Errorf("pending jobs once the run is reported (-want +got):\n%s", diff)
 	}
 }
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -205,16 +205,16 @@
 	return ok && !j.stored
 }
 
-// CountUnstarted counts the stored jobs of a queue that have not ended and of which no upstream
-// has reported a run yet.
-func (b *Planner) CountUnstarted(q caspec.QueueName) int {
-	n := 0
+// UnstartedJobs counts, by queue, the stored jobs that have not ended and of which no upstream
+// has reported a run yet. Queues without such jobs are left out.
+func (b *Planner) UnstartedJobs() map[caspec.QueueName]int {
+	counts := make(map[caspec.QueueName]int)
 	for _, j := range b.jobs {
-		if j.stored && j.Submission.Queue == q && !j.reportedRunning && !j.Phase.IsFinal() {
-			n++
+		if j.stored && !j.reportedRunning && !j.Phase.IsFinal() {
+			counts[j.Submission.Queue]++
 		}
 	}
-	return n
+	return counts
 }
 
 // RunMaintenance drops jobs that ended long ago, opens occurrences that are due, and logs steps that
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -214,6 +214,7 @@
 		l.status.lastReplyAt = g.Timer.Now()
 		l.status.lastAppendAge = reply.LastAppendAge
 		l.status.nextHelloIn = reply.NextHelloIn
+		l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
 		l.status.unresponsive = false
 		return nil
 	}
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -21,6 +21,8 @@
 	// last append while its shard counts as available.
 	maxReadyReplyAge  = 1200 * time.Millisecond
 	maxReadyAppendAge = 1500 * time.Millisecond
+	// maxPendingAge bounds the age of the reply whose counts of pending jobs are used.
+	maxPendingAge = time.Second
 )
 
 // link connects the entry to the leader of one shard, which may run in this entry. It
@@ -53,6 +55,9 @@
 	lastAppendAge time.Duration
 	// nextHelloIn is the hello period that the leader asked for.
 	nextHelloIn time.Duration
+	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
+	unstarted    map[caspec.QueueName]int
+	hasUnstarted bool
 	// unresponsive is set while the leader does not answer. Calls are not forwarded to it
 	// during that time.
 	unresponsive bool
@@ -145,8 +150,12 @@
 	l.status.lost = make(chan struct{})
 }
 
-// pending counts the accepted jobs of a queue in this shard that have not started.
+// pending counts the accepted jobs of a queue in this shard that have not started. It uses the
+// counts of the leader's last reply if they are recent.
 func (l *link) pending(ctx context.Context, q caspec.QueueName) (int, error) {
+	if n, ok := l.recentPending(q); ok {
+		return n, nil
+	}
 	n := 0
 	err := l.forward(ctx, callPending, "", func(ctx context.Context, leader *caleader.Leader, address string) (err error) {
 		if leader != nil {
@@ -161,6 +170,18 @@
 	return n, err
 }
 
+// recentPending returns the count of a queue in the last reply of a leader on another entry,
+// unless it is too old or unknown.
+func (l *link) recentPending(q caspec.QueueName) (int, bool) {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	isRecent := l.status.hasUnstarted && l.gate.Timer.Now().Sub(l.status.lastReplyAt) <= maxPendingAge
+	if l.localLeader != nil || !isRecent {
+		return 0, false
+	}
+	return l.status.unstarted[q], true
+}
+
 // Names implements caleader.AdvisorProxies. The entries with an advisor are divided among the
 // shards if there are enough for each shard to have one.
 func (l *link) Names() []cawork.VMID {
--- a/internal/cell/cagate/liveness_test.go
+++ b/internal/cell/cagate/liveness_test.go
@@ -22,6 +22,11 @@
 		}
 	})
 	within(t, "an answer on readiness", helloTimeout, func() { gate.IsReady() })
+	within(t, "a count of pending jobs", helloTimeout, func() {
+		if _, err := gate.Pending(context.Background(), "queue"); err != nil {
+			t.Errorf("count of pending jobs: %v", err)
+		}
+	})
 	within(t, "a newer policy", helloTimeout, func() {
 		policy := testPolicy()
 		policy.Version++
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -70,6 +70,10 @@
 	// of that reading. Drains is nil if the caller has a newer one or there is none.
 	Drains   *caspec.ZoneDrains `cbor:"9,keyasint,omitempty"`
 	DrainAge time.Duration      `cbor:"10,keyasint,omitempty"`
+	// Unstarted counts the accepted jobs that have not begun to run, by queue, without queues
+	// that have none. It is valid if HasUnstarted is set.
+	Unstarted    map[caspec.QueueName]int `cbor:"11,keyasint,omitempty"`
+	HasUnstarted bool                     `cbor:"12,keyasint,omitempty"`
 }
 
 // leaderID identifies a leader by its VM and fencing token.
--- a/internal/cell/cagate/owed_test.go
+++ b/internal/cell/cagate/owed_test.go
@@ -92,3 +92,33 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestPendingJobsAreCountedAtOtherEntries guards against counts of pending jobs that are out of date:
+// entries take them from the leader's last reply. They may be 2 s old.
+func TestPendingJobsAreCountedAtOtherEntries(t *testing.T) {
+	runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+		const jobs = 5
+		wide := testStep()
+		wide.Tasks = 4 * testUpstreams
+		for range jobs {
+			c.submitJob(c.nextJob(), wide)
+		}
+		c.callers.Wait()
+		time.Sleep(300 * time.Millisecond)
+		leader := c.gates()[c.leader()]
+		for began := time.Now(); time.Since(began) < 15*time.Second; time.Sleep(100 * time.Millisecond) {
+			want, err := leader.Pending(context.Background(), "queue")
+			if err != nil {
+				t.Fatalf("count at the leader: %v", err)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			later, _ := leader.Pending(context.Background(), "queue")
+			for name, gate := range c.gates() {
+				got, err := gate.Pending(context.Background(), "queue")
+				if err != nil || got > want || got < later {
+					t.Errorf("count at %s: %d, want %d to %d, error %v", name, got, later, want, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -120,6 +120,8 @@
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
+	// unstartedJobs are the counts of Pending, by queue.
+	unstartedJobs atomic.Pointer[map[caspec.QueueName]int]
 	// released is set once Release was called.
 	released atomic.Bool
 
@@ -143,9 +145,11 @@
 	// proposedLayout is the layout in those records.
 	proposedLayout calayout.Layout
 	upstreamCount  upstreamCount
-	policy         caspec.Policy
-	layout         calayout.Layout
-	goroutines     sync.WaitGroup
+	// countedAt is when unstartedJobs were counted.
+	countedAt  time.Time
+	policy     caspec.Policy
+	layout     calayout.Layout
+	goroutines sync.WaitGroup
 	// startLatency determines the timeout of starts.
 	startLatency startLatency
 }
@@ -285,6 +289,7 @@
 		l.planner.Restore(j)
 	}
 	l.planner.RestoreCrashes(state.crashes)
+	l.countUnstarted()
 	l.loaded.Store(true)
 	l.startRenewals(ctx)
 	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
@@ -517,16 +522,3 @@
 	}
 	return l.addWaiter(id), nil
 }
-
-// Pending returns the number of accepted jobs of a queue that have not begun to run.
-func (l *Leader) Pending(q caspec.QueueName) (int, error) {
-	if !l.loaded.Load() {
-		return 0, errLoading
-	}
-	l.lock(partCall)
-	defer l.mu.unlock()
-	if !l.loaded.Load() {
-		return 0, errLoading
-	}
-	return l.planner.CountUnstarted(q), nil
-}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -101,6 +101,9 @@
 		l.planner.ExpireLeases()
 		l.planner.RunMaintenance()
 		l.updateDrainGauges()
+		if l.Timer.Now().Sub(l.countedAt) >= countPeriod {
+			l.countUnstarted()
+		}
 		if l.isStoreSuspected() {
 			l.rejectUnsentJobs()
 		}
