--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -22,8 +22,11 @@
 	helloPeriod         = 250 * time.Millisecond
 	maxHelloPeriod      = 500 * time.Millisecond
 	helloPeriodPerEntry = 6 * time.Millisecond
-	// helloTimeout bounds one hello call.
-	helloTimeout = 200 * time.Millisecond
+	// helloTimeout bounds one hello call to a leader that answered the last ones quickly. A
+	// slower one has helloTimeoutFactor times its latency, maxHelloTimeout at most.
+	helloTimeout       = 200 * time.Millisecond
+	helloTimeoutFactor = 4
+	maxHelloTimeout    = 800 * time.Millisecond
 	// maxHelloMisses is the number of consecutive failed hello calls after which an entry
 	// cancels its calls in progress to the leader. The first failed one already starts an
 	// election.
@@ -32,8 +35,10 @@
 	// minLogIdle plus logIdlePerRead times the duration of a read of the store. A leader
 	// appends at least every caleader.ClaimRenewPeriod. If its last append took longer,
 	// the log must be idle for logIdlePerAppend times the excess more, maxBusyLogIdle at
-	// most: it may be short of processor time, and a successor would be too.
+	// most: it may be short of processor time, and a successor would be too. In its first
+	// settleTime, with all jobs to plan and all callers to answer, it has maxBusyLogIdle.
 	minLogIdle       = 300 * time.Millisecond
+	settleTime       = 5 * time.Second
 	logIdlePerRead   = 3
 	logIdlePerAppend = 2
 	maxBusyLogIdle   = 1500 * time.Millisecond
@@ -175,7 +180,7 @@
 // its reply.
 func (l *link) hello(ctx context.Context, address string) error {
 	g := l.gate
-	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, l.helloTimeoutNow())
 	defer cancel()
 	policy, layout := g.policyAndLayout()
 	request := helloRequest{
@@ -196,12 +201,12 @@
 	if reply.Layout != nil {
 		g.setLayout(*reply.Layout)
 	}
-	return l.applyHelloReply(address, reply)
+	return l.applyHelloReply(address, reply, g.Timer.Now().Sub(began))
 }
 
 // applyHelloReply updates the peers and the leader from a hello reply. It returns
 // errNotLeading if the recorded leader answered that it does not lead.
-func (l *link) applyHelloReply(address string, reply helloReply) error {
+func (l *link) applyHelloReply(address string, reply helloReply, latency time.Duration) error {
 	g := l.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -214,6 +219,7 @@
 		l.status.lastReplyAt = g.Timer.Now()
 		l.status.lastAppendAge = reply.LastAppendAge
 		l.status.nextHelloIn = reply.NextHelloIn
+		l.status.helloLatency = (l.status.helloLatency + latency) / 2
 		l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
 		l.status.unresponsive = false
 		return nil
@@ -244,19 +250,44 @@
 	}
 	claim := found.Claim
 	claimable := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || verdict == livenessGone
-	if !claimable && !l.isLogIdle(ctx, found.End, requiredLogIdle(g.Timer.Now().Sub(began), claim.AppendTook)) {
+	if !claimable && !l.isLogIdle(ctx, found.End, requiredLogIdle(g.Timer.Now().Sub(began), claim.AppendTook, l.isSettling())) {
 		return l.adoptLatest(ctx, previous)
 	}
 	return l.claimLeadership(ctx, found, previous)
 }
 
 // requiredLogIdle returns for how long the log of a leader that does not answer must be idle
-// before it is claimed, by the duration of a read and of the leader's last append.
-func requiredLogIdle(read, appendTook time.Duration) time.Duration {
+// before it is claimed, by the duration of a read and of the leader's last append, and whether
+// the leader has only just begun.
+func requiredLogIdle(read, appendTook time.Duration, settling bool) time.Duration {
 	busy := logIdlePerAppend * max(appendTook-caleader.ClaimRenewPeriod, 0)
+	if settling {
+		busy = maxBusyLogIdle
+	}
 	return minLogIdle + logIdlePerRead*read + min(busy, maxBusyLogIdle)
 }
 
+// isSettling reports whether the leader was observed only recently, as the successor of one
+// that was known.
+func (l *link) isSettling() bool {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return l.status.isSuccessor && l.gate.Timer.Now().Sub(l.status.observedAt) < settleTime
+}
+
+// helloTimeoutFor returns the timeout of a hello call to a leader by the latency of its last
+// answers.
+func helloTimeoutFor(latency time.Duration) time.Duration {
+	return min(max(helloTimeoutFactor*latency, helloTimeout), maxHelloTimeout)
+}
+
+// helloTimeoutNow returns the timeout of the next hello call to the leader.
+func (l *link) helloTimeoutNow() time.Duration {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return helloTimeoutFor(l.status.helloLatency)
+}
+
 // adoptClaim adopts the leader named by the current claim if the claim is newer than the
 // previous leader's. It reports whether it did.
 func (l *link) adoptClaim(found caleader.LeadershipState, previous leaderID) bool {
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -58,6 +58,12 @@
 	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
 	unstarted    map[caspec.QueueName]int
 	hasUnstarted bool
+	// observedAt is when this leader was first observed, and isSuccessor whether another
+	// one was known before.
+	observedAt  time.Time
+	isSuccessor bool
+	// helloLatency is the mean latency of its last replies, with most weight on the newest.
+	helloLatency time.Duration
 	// unresponsive is set while the leader does not answer. Calls are not forwarded to it
 	// during that time.
 	unresponsive bool
@@ -120,7 +126,11 @@
 	caevent.Info(l.gate.Log, caevent.MemberChanged).Int("shard", l.shard).Str("leader", string(id.VM)).
 		Int64("token", id.Token).Str("before", string(l.status.VM)).Int64("token_before", l.status.Token).Send()
 	close(l.status.lost)
-	l.status = leaderStatus{leaderID: id, lost: make(chan struct{}), lastReplyAt: l.gate.Timer.Now()}
+	now := l.gate.Timer.Now()
+	l.status = leaderStatus{
+		leaderID: id, lost: make(chan struct{}), lastReplyAt: now, observedAt: now,
+		isSuccessor: l.status.Token != 0, helloLatency: l.status.helloLatency,
+	}
 	close(l.leaderChanged)
 	l.leaderChanged = make(chan struct{})
 }
