--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -299,11 +299,17 @@
 	return nil
 }
 
-// failWaiters ends all waits with an error of KindUnknown.
+// failWaiters ends all waits. A job that no append has included does not exist; the outcome of
+// all others is unknown.
 func (l *Leader) failWaiters() {
 	l.loaded.Store(false)
 	l.lock(partCommit)
 	defer l.mu.unlock()
+	for id := range l.waiters {
+		if !l.inFlightJobs[id] && l.planner.IsUnstored(id) {
+			notifyWaiters(l.waiters, id, errLoading)
+		}
+	}
 	for _, waiters := range []map[cawork.JobID][]chan error{l.waiters, l.inFlightWaiters} {
 		for id := range waiters {
 			notifyWaiters(waiters, id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
