--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -26,9 +26,11 @@
 	// the next one.
 	minPlanInterval = 6 * time.Millisecond
 	// planIntervalFactor extends that time to a multiple of the duration of the
-	// last plan, up to maxPlanInterval.
-	planIntervalFactor = 4
-	maxPlanInterval    = 60 * time.Millisecond
+	// last plan, up to maxPlanInterval. Longer plans take a share of the time that
+	// minPlanIntervalFactor bounds.
+	planIntervalFactor    = 4
+	maxPlanInterval       = 60 * time.Millisecond
+	minPlanIntervalFactor = 2
 	// idlePlanPeriod is the time between plans without events.
 	idlePlanPeriod = 50 * time.Millisecond
 	// commitLinger is the delay before an append that lets more changes join it.
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -64,8 +64,7 @@
 		if expiryDue {
 			lastExpiry = planStarted
 		}
-		l.plan(ctx, expiryDue)
-		interval = planInterval(l.Timer.Now().Sub(planStarted))
+		interval = planInterval(l.plan(ctx, expiryDue))
 	}
 }
 
@@ -73,11 +72,12 @@
 // duration to the start of the next one. It leaves CPU time for calls and appends
 // while a long backlog makes plans expensive.
 func planInterval(took time.Duration) time.Duration {
-	return min(max(minPlanInterval, planIntervalFactor*took), maxPlanInterval)
+	return max(minPlanInterval, min(planIntervalFactor*took, maxPlanInterval), minPlanIntervalFactor*took)
 }
 
-func (l *Leader) plan(ctx context.Context, expiryDue bool) {
-	orders := l.nextOrders(askSlots(len(l.AdvisorProxies.Names())), expiryDue)
+// plan makes a plan and executes its orders. It returns the duration of the plan.
+func (l *Leader) plan(ctx context.Context, expiryDue bool) time.Duration {
+	orders, took := l.nextOrders(askSlots(len(l.AdvisorProxies.Names())), expiryDue)
 	for _, order := range orders.Stops {
 		l.spawn(func() { l.stopRun(ctx, order) })
 	}
@@ -87,13 +87,15 @@
 	for _, ask := range orders.ApprovalRequests {
 		l.spawn(func() { l.advise(ctx, ask) })
 	}
+	return took
 }
 
-// nextOrders makes a plan and returns its orders, after a check for expired leases
-// and jobs if that is due.
-func (l *Leader) nextOrders(slots caboard.RequestLimits, expiryDue bool) caboard.Orders {
+// nextOrders makes a plan, after a check for expired leases and jobs if that is due. It
+// returns the orders and how long it took, without the wait for the lock.
+func (l *Leader) nextOrders(slots caboard.RequestLimits, expiryDue bool) (caboard.Orders, time.Duration) {
 	l.lock(partPlan)
 	defer l.mu.unlock()
+	began := l.Timer.Now()
 	l.planner.SetNow(l.now())
 	l.planner.SetRequestLimits(slots)
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
@@ -108,7 +110,8 @@
 			l.rejectUnsentJobs()
 		}
 	}
-	return l.planner.Plan()
+	orders := l.planner.Plan()
+	return orders, l.Timer.Now().Sub(began)
 }
 
 // updateDrainGauges reports how many zones are drained and how many runs are still there.
--- a/internal/cell/caleader/startlatency_test.go
+++ b/internal/cell/caleader/startlatency_test.go
@@ -39,8 +39,11 @@
 // TestPlanIntervalGrowsWithPlanDuration guards against plans that take all the CPU
 // time while a long backlog makes them expensive.
 func TestPlanIntervalGrowsWithPlanDuration(t *testing.T) {
-	got := []time.Duration{planInterval(time.Millisecond), planInterval(8 * time.Millisecond), planInterval(time.Second)}
-	if diff := cmp.Diff([]time.Duration{minPlanInterval, 32 * time.Millisecond, maxPlanInterval}, got); diff != "" {
+	got := []time.Duration{
+		planInterval(time.Millisecond), planInterval(8 * time.Millisecond), planInterval(20 * time.Millisecond), planInterval(time.Second),
+	}
+	want := []time.Duration{minPlanInterval, 32 * time.Millisecond, maxPlanInterval, 2 * time.Second}
+	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("plan intervals (-want +got):\n%s", diff)
 	}
 }
