--- a/internal/cell/cagate/forward.go
+++ b/internal/cell/cagate/forward.go
@@ -19,6 +19,8 @@
 	outcomeWaitTimeout = 2 * time.Second
 	// attemptTimeout bounds one attempt to call the leader.
 	attemptTimeout = 1500 * time.Millisecond
+	// defaultCallTimeout bounds a call whose context has no deadline.
+	defaultCallTimeout = 3 * time.Second
 	// minAttemptDelay and maxAttemptDelay bound the wait between two attempts, which doubles
 	// from one to the next while the leader stays the same.
 	minAttemptDelay = 40 * time.Millisecond
@@ -34,6 +36,11 @@
 // have taken effect, a later refusal is returned as KindUnknown, since it does not tell the
 // outcome of the earlier attempt.
 func (l *link) forward(ctx context.Context, name string, job cawork.JobID, call attemptFunc) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
+	}
 	f := forwarding{link: l, name: name, job: job, began: l.gate.Timer.Now(), delay: minAttemptDelay}
 	err := f.run(ctx, call)
 	l.reportCall(f, l.gate.Timer.Now().Sub(f.began), err)
