--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -15,21 +15,14 @@
 )
 
 const (
-	// leaderWaitTimeout is how long a call waits for a leader to be elected.
-	leaderWaitTimeout = 400 * time.Millisecond
-	// outcomeWaitTimeout is how long a call that may have taken effect waits for a
-	// leader that can confirm its outcome.
-	outcomeWaitTimeout = 2 * time.Second
-	// attemptTimeout bounds one attempt to call the leader.
-	attemptTimeout = 1500 * time.Millisecond
-	// attemptDelay is the wait between two attempts.
-	attemptDelay = 40 * time.Millisecond
 	// noLeaderRetryAfter is the retry delay for callers while there is no leader.
 	noLeaderRetryAfter = 800 * time.Millisecond
 	// maxReadyReplyAge and maxReadyAppendAge bound the ages of a leader's last reply and
 	// last append while its shard counts as available.
 	maxReadyReplyAge  = 1200 * time.Millisecond
 	maxReadyAppendAge = 1500 * time.Millisecond
+	// maxPendingAge bounds the age of the reply whose counts of pending jobs are used.
+	maxPendingAge = time.Second
 )
 
 // link connects the entry to the leader of one shard, which may run in this entry. It
@@ -62,6 +55,15 @@
 	lastAppendAge time.Duration
 	// nextHelloIn is the hello period that the leader asked for.
 	nextHelloIn time.Duration
+	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
+	unstarted    map[caspec.QueueName]int
+	hasUnstarted bool
+	// observedAt is when this leader was first observed, and isSuccessor whether another
+	// one was known before.
+	observedAt  time.Time
+	isSuccessor bool
+	// helloLatency is the mean latency of its last replies, with most weight on the newest.
+	helloLatency time.Duration
 	// unresponsive is set while the leader does not answer. Calls are not forwarded to it
 	// during that time.
 	unresponsive bool
@@ -124,7 +126,11 @@
 	caevent.Info(l.gate.Log, caevent.MemberChanged).Int("shard", l.shard).Str("leader", string(id.VM)).
 		Int64("token", id.Token).Str("before", string(l.status.VM)).Int64("token_before", l.status.Token).Send()
 	close(l.status.lost)
-	l.status = leaderStatus{leaderID: id, lost: make(chan struct{}), lastReplyAt: l.gate.Timer.Now()}
+	now := l.gate.Timer.Now()
+	l.status = leaderStatus{
+		leaderID: id, lost: make(chan struct{}), lastReplyAt: now, observedAt: now,
+		isSuccessor: l.status.Token != 0, helloLatency: l.status.helloLatency,
+	}
 	close(l.leaderChanged)
 	l.leaderChanged = make(chan struct{})
 }
@@ -154,118 +160,12 @@
 	l.status.lost = make(chan struct{})
 }
 
-// attemptFunc makes one call, to l if it is not nil and to the address otherwise.
-type attemptFunc func(ctx context.Context, l *caleader.Leader, address string) error
-
-// forward sends a call to the leader and retries until there is a final answer. All calls
-// are idempotent. Once an attempt may have taken effect, a later refusal is returned as
-// KindUnknown, since it does not tell the outcome of the earlier attempt.
-func (l *link) forward(ctx context.Context, name string, job cawork.JobID, call attemptFunc) error {
-	began := l.gate.Timer.Now()
-	trace := callTrace{name: name, job: job}
-	err := l.forwardTraced(ctx, &trace, call)
-	l.reportCall(trace, l.gate.Timer.Now().Sub(began), err)
-	return err
-}
-
-// forwardTraced is forward, with a trace of the attempts.
-func (l *link) forwardTraced(ctx context.Context, trace *callTrace, call attemptFunc) error {
-	began := l.gate.Timer.Now()
-	var unknownErr error
-	for {
-		leader, status, ok := l.target()
-		if ok {
-			attemptBegan := l.gate.Timer.Now()
-			err := l.attempt(ctx, leader, status, call)
-			trace.attempts++
-			trace.inAttempts += l.gate.Timer.Now().Sub(attemptBegan)
-			switch {
-			case isFinal(err):
-				if unknownErr != nil && isRefusal(err) {
-					return cakind.Wrap(cakind.KindUnknown, unknownErr, "an earlier attempt may have taken effect")
-				}
-				return err
-			case cakind.Of(err) == cakind.KindUnknown:
-				unknownErr = err
-			}
-			l.triggerCheck()
-		}
-		if l.isIsolated() {
-			return l.noLeaderError(unknownErr, "the entry reaches neither the leader nor the store")
-		}
-		waited := l.gate.Timer.Now().Sub(began)
-		if unknownErr != nil && waited > outcomeWaitTimeout {
-			return unknownErr
-		}
-		if unknownErr == nil && waited > leaderWaitTimeout {
-			return l.noLeaderError(nil, "no leader answers")
-		}
-		if !l.waitForRetry(ctx) {
-			return l.noLeaderError(unknownErr, "no leader answers before the deadline")
-		}
-	}
-}
-
-// noLeaderError returns the error for a call without a final answer: unknownErr if an
-// attempt may have taken effect, a refusal otherwise.
-func (l *link) noLeaderError(unknownErr error, reason string) error {
-	if unknownErr != nil {
-		return unknownErr
-	}
-	return cakind.New(cakind.KindUnavailable, "shard %d: %s", l.shard, reason).WithRetryAfter(noLeaderRetryAfter)
-}
-
-// isFinal reports whether the result of an attempt needs no further attempt.
-func isFinal(err error) bool {
-	if err == nil {
-		return true
-	}
-	switch cakind.Of(err) {
-	case cakind.KindUnknown, cakind.KindNotStarted, cakind.KindFenced, cakind.KindDraining:
-		return false
-	default:
-		return !capeer.IsUnreachable(err)
-	}
-}
-
-// isRefusal reports whether an error guarantees that the call had no effect.
-func isRefusal(err error) bool {
-	return err != nil && cakind.ResponseTo(cakind.Of(err)).Execution == cakind.ExecutionNotRun
-}
-
-// attempt makes one call to the leader and cancels it when the leader is lost.
-func (l *link) attempt(ctx context.Context, leader *caleader.Leader, status leaderStatus, call attemptFunc) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	go func() {
-		select {
-		case <-status.lost:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return call(ctx, leader, status.Address)
-}
-
-// waitForRetry waits for attemptDelay or until another leader is observed. It returns false
-// if the context has ended.
-func (l *link) waitForRetry(ctx context.Context) bool {
-	after := l.gate.Timer.After(attemptDelay)
-	defer after.Close()
-	l.gate.mu.Lock()
-	leaderChanged := l.leaderChanged
-	l.gate.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-after.C:
-	case <-leaderChanged:
-	}
-	return ctx.Err() == nil
-}
-
-// pending counts the accepted jobs of a queue in this shard that have not started.
+// pending counts the accepted jobs of a queue in this shard that have not started. It uses the
+// counts of the leader's last reply if they are recent.
 func (l *link) pending(ctx context.Context, q caspec.QueueName) (int, error) {
+	if n, ok := l.recentPending(q); ok {
+		return n, nil
+	}
 	n := 0
 	err := l.forward(ctx, callPending, "", func(ctx context.Context, leader *caleader.Leader, address string) (err error) {
 		if leader != nil {
@@ -280,6 +180,18 @@
 	return n, err
 }
 
+// recentPending returns the count of a queue in the last reply of a leader on another entry,
+// unless it is too old or unknown.
+func (l *link) recentPending(q caspec.QueueName) (int, bool) {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	isRecent := l.status.hasUnstarted && l.gate.Timer.Now().Sub(l.status.lastReplyAt) <= maxPendingAge
+	if l.localLeader != nil || !isRecent {
+		return 0, false
+	}
+	return l.status.unstarted[q], true
+}
+
 // Names implements caleader.AdvisorProxies. The entries with an advisor are divided among the
 // shards if there are enough for each shard to have one.
 func (l *link) Names() []cawork.VMID {
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -26,9 +26,11 @@
 	// the next one.
 	minPlanInterval = 6 * time.Millisecond
 	// planIntervalFactor extends that time to a multiple of the duration of the
-	// last plan, up to maxPlanInterval.
-	planIntervalFactor = 4
-	maxPlanInterval    = 60 * time.Millisecond
+	// last plan, up to maxPlanInterval. Longer plans take a share of the time that
+	// minPlanIntervalFactor bounds.
+	planIntervalFactor    = 4
+	maxPlanInterval       = 60 * time.Millisecond
+	minPlanIntervalFactor = 2
 	// idlePlanPeriod is the time between plans without events.
 	idlePlanPeriod = 50 * time.Millisecond
 	// commitLinger is the delay before an append that lets more changes join it.
@@ -120,6 +122,8 @@
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
+	// unstartedJobs are the counts of Pending, by queue.
+	unstartedJobs atomic.Pointer[map[caspec.QueueName]int]
 	// released is set once Release was called.
 	released atomic.Bool
 
@@ -143,9 +147,11 @@
 	// proposedLayout is the layout in those records.
 	proposedLayout calayout.Layout
 	upstreamCount  upstreamCount
-	policy         caspec.Policy
-	layout         calayout.Layout
-	goroutines     sync.WaitGroup
+	// countedAt is when unstartedJobs were counted.
+	countedAt  time.Time
+	policy     caspec.Policy
+	layout     calayout.Layout
+	goroutines sync.WaitGroup
 	// startLatency determines the timeout of starts.
 	startLatency startLatency
 }
@@ -287,6 +293,7 @@
 		l.planner.Restore(j)
 	}
 	l.planner.RestoreCrashes(state.crashes)
+	l.countUnstarted()
 	l.loaded.Store(true)
 	l.startRenewals(ctx)
 	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
@@ -296,11 +303,17 @@
 	return nil
 }
 
-// failWaiters ends all waits with an error of KindUnknown.
+// failWaiters ends all waits. A job that no append has included does not exist; the outcome of
+// all others is unknown.
 func (l *Leader) failWaiters() {
 	l.loaded.Store(false)
 	l.lock(partCommit)
 	defer l.mu.unlock()
+	for id := range l.waiters {
+		if !l.inFlightJobs[id] && l.planner.IsUnstored(id) {
+			notifyWaiters(l.waiters, id, errLoading)
+		}
+	}
 	for _, waiters := range []map[cawork.JobID][]chan error{l.waiters, l.inFlightWaiters} {
 		for id := range waiters {
 			notifyWaiters(waiters, id, cakind.New(cakind.KindUnknown, "the leader changed before job %s was stored", id))
@@ -519,16 +532,3 @@
 	}
 	return l.addWaiter(id), nil
 }
-
-// Pending returns the number of accepted jobs of a queue that have not begun to run.
-func (l *Leader) Pending(q caspec.QueueName) (int, error) {
-	if !l.loaded.Load() {
-		return 0, errLoading
-	}
-	l.lock(partCall)
-	defer l.mu.unlock()
-	if !l.loaded.Load() {
-		return 0, errLoading
-	}
-	return l.planner.CountUnstarted(q), nil
-}
