Leader: callers of a leader that is deposed while it loads get their answer (LOST)

Callers would see: a submission without an answer until their deadline. Cause: the claim is renewed while the jobs are loaded. The leader accepts jobs as soon as they are loaded; if the renewal that is under way then finds another leader, Run ended at once: nobody answered these callers, the leader still counted as loaded, and its orders under way were not waited for. Evidence: TestCallersOfLeaderDeposedWhileLoadingGetAnswer: answer after 3 s, the caller's deadline, and loaded for ever; now when the append has failed.

--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -194,6 +194,7 @@
 	l.layout = layout
 	l.SetPolicy(policy)
 	if err := l.loadRenewing(ctx); err != nil {
+		l.endLeading(err)
 		return err
 	}
 	var g run.Group
@@ -204,15 +205,20 @@
 		}, func(error) { cancel() })
 	}
 	err := g.Run()
-	stop(err)
-	l.goroutines.Wait()
-	l.failWaiters()
+	l.endLeading(err)
 	if cause := context.Cause(ctx); cause != nil && cakind.Of(cause) == cakind.KindFenced {
 		return cause
 	}
 	return err
 }
 
+// endLeading stops all that the leader does and answers the callers that wait.
+func (l *Leader) endLeading(err error) {
+	l.stopLeading(err)
+	l.goroutines.Wait()
+	l.failWaiters()
+}
+
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
 	l.lock(partCommit)
 	defer l.mu.unlock()
