LOST: a leader lost while it loads no longer prolongs the wait for lost upstreams

Callers would see a task of an upstream that was lost stand still for longer, the more so the longer leaders take to load. The successor of a leader that is lost while it loads begins their wait anew. Evidence: TestSuccessorWaitsAnewForLeaderLostWhileLoading: 5 s after 0.15 s of loading before, 4.85 s now. Why it is safe: until it has loaded, a leader grants no lease, and one that is declared silent none until a later claim without it is stored.

--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -69,6 +69,18 @@
 	return c.Process != 0 && vm == c.VM && address == c.Address && process > c.Process
 }
 
+// after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
+func (c Claim) after(elapsed time.Duration) Claim {
+	silent := make([]caboard.SilentUpstream, 0, len(c.Silent))
+	for _, s := range c.Silent {
+		s.LeaseRemaining = max(s.LeaseRemaining-elapsed, 0)
+		silent = append(silent, s)
+	}
+	c.Silent = silent
+	c.InheritedRemaining = max(c.InheritedRemaining-elapsed, 0)
+	return c
+}
+
 // logEntry encodes the claim as a record of the log.
 func (c Claim) logEntry() (LogEntry, error) {
 	b, err := cbor.Marshal(c)
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -232,6 +232,7 @@
 // loadRenewing loads the jobs and renews the claim meanwhile: other entries would take a
 // leader without appends for a failed one.
 func (l *Leader) loadRenewing(ctx context.Context) error {
+	claim, claimedAt := l.writer.claim, l.lastAppend.load()
 	loaded := make(chan error, 1)
 	go func() {
 		loaded <- caguard.Do(l.Log, "leader load", func() error { return l.load(ctx) })
@@ -241,6 +242,8 @@
 			return err
 		}
 		began := l.Timer.Now()
+		aged := claim.after(began.Sub(claimedAt))
+		l.writer.claim.Silent, l.writer.claim.InheritedRemaining = aged.Silent, aged.InheritedRemaining
 		if err := l.writer.append(ctx, nil); err != nil {
 			l.stopLeading(err)
 			<-loaded
--- a/internal/cell/caleader/loading_test.go
+++ b/internal/cell/caleader/loading_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -28,6 +30,8 @@
 // testLog is a log without jobs. Others append to it if it is claimed.
 type testLog struct {
 	claimed bool
+
+	mu sync.Mutex
 	// claims are those that were appended.
 	claims []Claim
 }
@@ -37,6 +41,8 @@
 	if l.claimed {
 		return 0, cakind.New(cakind.KindConflict, "the log has grown")
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.claims = append(l.claims, decodeClaim(entries[0]))
 	return at + int64(len(entries)), nil
 }
@@ -113,3 +119,36 @@
 		}
 	})
 }
+
+// TestSuccessorWaitsAnewForLeaderLostWhileLoading guards against a leader that renews its claim while it loads and
+// repeats for how long the leases of silent upstreams last, as if no time had passed: if it is lost, its
+// successor begins their wait anew.
+func TestSuccessorWaitsAnewForLeaderLostWhileLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const remaining = 5 * time.Second
+		log := &testLog{}
+		l := newLeaderOf(log, Claim{
+			VM: "entry-1", Silent: []caboard.SilentUpstream{{Upstream: "up-0", Incarnation: 1, LeaseRemaining: remaining}},
+			InheritedRemaining: MaxInheritedLease,
+		})
+		runCtx, stop := context.WithCancel(t.Context())
+		go func() { _ = l.Run(runCtx) }()
+		defer func() {
+			stop()
+			<-l.Done()
+		}()
+		time.Sleep(ClaimRenewPeriod + appendTimeInTest + time.Millisecond)
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		if len(log.claims) != 1 || len(log.claims[0].Silent) != 1 {
+			t.Fatalf("claims while loading: %v, want one with the silent upstream", log.claims)
+		}
+		claim := log.claims[0]
+		if diff := cmp.Diff(remaining-ClaimRenewPeriod, claim.Silent[0].LeaseRemaining); diff != "" {
+			t.Errorf("longest lease of the silent upstream (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(MaxInheritedLease-ClaimRenewPeriod, claim.InheritedRemaining); diff != "" {
+			t.Errorf("longest inherited lease (-want +got):\n%s", diff)
+		}
+	})
+}
