--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -200,6 +200,7 @@
 	l.layout = layout
 	l.SetPolicy(policy)
 	if err := l.loadRenewing(ctx); err != nil {
+		l.endLeading(err)
 		return err
 	}
 	var g run.Group
@@ -210,15 +211,20 @@
 		}, func(error) { cancel() })
 	}
 	err := g.Run()
-	stop(err)
-	l.goroutines.Wait()
-	l.failWaiters()
+	l.endLeading(err)
 	if cause := context.Cause(ctx); cause != nil && cakind.Of(cause) == cakind.KindFenced {
 		return cause
 	}
 	return err
 }
 
+// endLeading stops all that the leader does and answers the callers that wait.
+func (l *Leader) endLeading(err error) {
+	l.stopLeading(err)
+	l.goroutines.Wait()
+	l.failWaiters()
+}
+
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
 	l.lock(partCommit)
 	defer l.mu.unlock()
@@ -232,6 +238,7 @@
 // loadRenewing loads the jobs and renews the claim meanwhile: other entries would take a
 // leader without appends for a failed one.
 func (l *Leader) loadRenewing(ctx context.Context) error {
+	claim, claimedAt := l.writer.claim, l.lastAppend.load()
 	loaded := make(chan error, 1)
 	go func() {
 		loaded <- caguard.Do(l.Log, "leader load", func() error { return l.load(ctx) })
@@ -241,6 +248,8 @@
 			return err
 		}
 		began := l.Timer.Now()
+		aged := claim.after(began.Sub(claimedAt))
+		l.writer.claim.Silent, l.writer.claim.InheritedRemaining = aged.Silent, aged.InheritedRemaining
 		if err := l.writer.append(ctx, nil); err != nil {
 			l.stopLeading(err)
 			<-loaded
