--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -40,6 +40,10 @@
 	startedUnseen bool
 	// gone is set once the VM is back under another id.
 	gone bool
+	// cut is set while no call reaches the upstream, which goes on.
+	cut bool
+	// onEnd is called with each end. It may be nil.
+	onEnd func(EndedRun)
 	// capacities are the capacities that this incarnation has had, in their order.
 	capacities []heldCapacity
 }
@@ -98,7 +102,11 @@
 	delete(u.running, id)
 	delete(u.stopped, id)
 	u.endNumber++
-	u.ended = append(u.ended, EndedRun{Number: u.endNumber, Run: id, Ending: how})
+	row := EndedRun{Number: u.endNumber, Run: id, Ending: how}
+	u.ended = append(u.ended, row)
+	if u.onEnd != nil {
+		u.onEnd(row)
+	}
 }
 
 func taskOf(id RunID) RunID {
@@ -116,9 +124,11 @@
 	// listed are the upstreams as the platform's list has them, which lags.
 	listed map[cawork.UpstreamID]caspec.Upstream
 	// records are the durable records of jobs, and sizes the sizes of the tasks of all jobs.
-	records        map[cawork.JobID][]byte
-	crashRecords   map[cawork.JobID][]byte
-	sizes          map[cawork.JobID][]caspec.Step
+	records      map[cawork.JobID][]byte
+	crashRecords map[cawork.JobID][]byte
+	sizes        map[cawork.JobID][]caspec.Step
+	// silent are the upstreams that the last durable append declares as silent.
+	silent         []SilentUpstream
 	planner        *Planner
 	token          int64
 	appendInFlight bool
@@ -132,12 +142,20 @@
 	onStart func(*simulatedUpstream, RunID) bool
 	// onUnanswered is called when a start meets an upstream that has crashed. It may be nil.
 	onUnanswered func(RunID)
+	// onForget is called with each end that an upstream forgets. It may be nil.
+	onForget func(*simulatedUpstream, EndedRun)
+	// onLead is called with each new leader before it restores any job. It may be nil.
+	onLead func(*Planner)
+	// onAppend is called with each batch that the leader is about to append. It may be nil.
+	onAppend func(Batch)
 	// neverEnds are the jobs whose runs do not end by themselves.
 	neverEnds map[cawork.JobID]bool
 	// runsFail is set where a tenth of the runs fails, and lateShare is the fraction of calls that
 	// are left unanswered and carried out late.
 	runsFail  bool
 	lateShare float64
+	// maxRunMS is how long a run takes at most, and maxAppendMS an append, in milliseconds.
+	maxRunMS, maxAppendMS int
 	// oldBuild is set while the leader is of a build that neither reads nor writes crashes.
 	oldBuild bool
 	// keepsLeader is set for worlds in which the leader does not change.
@@ -177,7 +195,7 @@
 	w := &roomWorld{
 		random: rand.New(rand.NewSource(seed)), listed: make(map[cawork.UpstreamID]caspec.Upstream),
 		records: make(map[cawork.JobID][]byte), sizes: make(map[cawork.JobID][]caspec.Step),
-		crashRecords: make(map[cawork.JobID][]byte), neverEnds: make(map[cawork.JobID]bool),
+		crashRecords: make(map[cawork.JobID][]byte), neverEnds: make(map[cawork.JobID]bool), maxRunMS: 3500, maxAppendMS: 40,
 	}
 	for i := range upstreams {
 		u := &simulatedUpstream{info: caspec.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("up-%d", i)), Address: "a", Pool: "pool", Capacity: roomCapacity}}
@@ -225,6 +243,9 @@
 	w.planner.SetPolicy(caspec.Policy{
 		Version: 1, Queues: []caspec.Queue{plainQueue()}, Pools: []caspec.Pool{{Name: "pool"}}, Teams: []caspec.Team{{Name: "north", Weight: 1000}},
 	}.WithIndex())
+	if w.onLead != nil {
+		w.onLead(w.planner)
+	}
 	w.list()
 	for _, id := range slices.Sorted(maps.Keys(w.records)) {
 		j, err := castate.DecodeJob(w.records[id])
@@ -322,7 +343,7 @@
 			})
 			return
 		}
-		if !u.up || w.random.Float64() < w.lateShare {
+		if !u.up || u.cut || w.random.Float64() < w.lateShare {
 			w.whileLeading(p, func() { p.MarkRenewalUnanswered(u.info.ID) })
 			return
 		}
@@ -331,7 +352,7 @@
 		}
 		u.token = token
 		u.leaseEndMS = max(u.leaseEndMS, lease.EndMS)
-		u.forget(lease.StoredEnd)
+		w.forget(u, lease.StoredEnd)
 		report := u.report()
 		report.SentAt, report.ClockMS = sentAt, u.clockMS(w.elapsed)
 		w.after(w.between(1, 30), func() {
@@ -341,11 +362,15 @@
 	})
 }
 
-func (u *simulatedUpstream) forget(storedEnd int64) {
+// forget makes an upstream forget its ends up to a number.
+func (w *roomWorld) forget(u *simulatedUpstream, storedEnd int64) {
 	kept := u.ended[:0:0]
 	for _, row := range u.ended {
-		if row.Number > storedEnd {
+		switch {
+		case row.Number > storedEnd:
 			kept = append(kept, row)
+		case w.onForget != nil:
+			w.onForget(u, row)
 		}
 	}
 	u.ended = kept
@@ -388,7 +413,7 @@
 	switch {
 	case u.gone:
 		return StartMismatch
-	case !u.up:
+	case !u.up || u.cut:
 		if w.onUnanswered != nil {
 			w.onUnanswered(o.Run)
 		}
@@ -419,6 +444,7 @@
 		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v of %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used(), room))
 	}
 	w.starts++
+	u.leaseEndMS = max(u.leaseEndMS, o.LeaseEndMS)
 	u.running[o.Run] = size
 	if w.onStart != nil && !w.onStart(u, o.Run) {
 		return StartUnknown
@@ -431,7 +457,7 @@
 	if w.neverEnds[o.Run.Job] || w.sizes[o.Run.Job][o.Run.Step].LongRunning {
 		return StartAccepted
 	}
-	w.after(w.between(200, 3500), func() {
+	w.after(w.between(200, w.maxRunMS), func() {
 		if u.info.Incarnation == born && u.up && !u.stopped[o.Run] {
 			u.end(o.Run, how)
 		}
@@ -460,7 +486,7 @@
 }
 
 func (w *roomWorld) executeStop(u *simulatedUpstream, token int64, o StopOrder) bool {
-	if !u.up || token < u.token {
+	if !u.up || u.cut || token < u.token {
 		return false
 	}
 	u.token = token
@@ -492,7 +518,7 @@
 	if w.isResizing && w.random.Intn(40) == 0 {
 		return w.between(1000, 4000)
 	}
-	return w.between(4, 40)
+	return w.between(4, w.maxAppendMS)
 }
 
 // commit appends the changes of the leader. Its successor finds them if they were stored
@@ -506,14 +532,14 @@
 		panic(err)
 	}
 	w.appendInFlight = true
+	if w.onAppend != nil {
+		w.onAppend(batch)
+	}
 	p, token := w.planner, w.token
 	w.after(w.appendTime(), func() {
 		w.whileLeading(p, func() {
 			w.appendInFlight = false
-			storeRecords(w.records, batch.Records)
-			if !w.oldBuild {
-				storeRecords(w.crashRecords, batch.Crashes)
-			}
+			w.store(batch)
 			for _, o := range p.MarkStored(batch) {
 				w.start(p, token, o)
 			}
@@ -521,6 +547,15 @@
 	})
 }
 
+// store makes a batch durable.
+func (w *roomWorld) store(batch Batch) {
+	w.silent = batch.Silent
+	storeRecords(w.records, batch.Records)
+	if !w.oldBuild {
+		storeRecords(w.crashRecords, batch.Crashes)
+	}
+}
+
 func storeRecords(stored map[cawork.JobID][]byte, changes []Record) {
 	for _, r := range changes {
 		stored[r.Job] = r.Value
