LOST: the next leader no longer takes the leave of an upstream for a crash

Callers would see: tasks of an upstream that left as announced are restarted one by one, on probation, after a change of the leader; a task that meets this twice may be given up. Cause: an announced leave is treated as a loss, in another place: that the upstream drained is known from the list alone, and lost with the leader once the upstream has left the list. Evidence: TestNextLeaderTakesLeaveForCrash failed before: one crash counted, and the task blamed. Why it works: the claim, which tells the silent upstreams with runs, tells which of them drained. Builds of before skip the field and leave it out, so that they and their successors count as they did. What remains: a leader that is lost before it has found the upstream silent declares nothing.

--- a/internal/cell/caboard/departureedges_test.go
+++ b/internal/cell/caboard/departureedges_test.go
@@ -101,3 +101,29 @@
 		t.Errorf("time until the task is stopped (-want +got):\n%s", diff)
 	}
 }
+
+// TestNextLeaderTakesLeaveForCrash covers a leader that is lost after an upstream with a young task has drained and
+// left: its successor does not find the upstream in the list, and must not suspect the task of a crash.
+func TestNextLeaderTakesLeaveForCrash(t *testing.T) {
+	s, run := newDepartingTask(t, 1)
+	s.unlist("up-00")
+	s.planner.MarkRenewalUnanswered("up-00")
+	batch, err := s.planner.NextBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.planner.upstreams = map[cawork.UpstreamID]*upstream{}
+	next := s.newLeaderAfter(batch.Silent)
+	for range 240 {
+		next.advance(50 * time.Millisecond)
+		next.planner.ExpireLeases()
+		next.planner.Plan()
+	}
+	job := next.planner.jobs[run.Job]
+	if diff := cmp.Diff(castate.TaskWaiting, job.steps[0].state().Tasks[0].Phase); diff != "" {
+		t.Fatalf("phase of the task when its lease is over (-want +got):\n%s", diff)
+	}
+	if job.crashes != nil {
+		t.Errorf("crashes counted for the task: %v, want none", job.crashes.Crashes(run.task()))
+	}
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -442,7 +442,7 @@
 	t := &s.state().Tasks[index]
 	u, ok := b.upstreams[t.Upstream]
 	if !ok {
-		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born})
+		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born, Draining: b.wasDraining(t.Upstream, t.Born)})
 		b.addUpstream(u)
 	}
 	if end := b.inheritedLeaseEnd(t.Upstream, t.Born); end.After(u.leaseExpires) {
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -28,6 +28,8 @@
 	Incarnation int64             `cbor:"2,keyasint,omitempty"`
 	// LeaseRemaining is the longest time until the leases of its runs have expired.
 	LeaseRemaining time.Duration `cbor:"3,keyasint,omitempty"`
+	// Draining is set if it drained before. It may have left the list since.
+	Draining bool `cbor:"4,keyasint,omitempty"`
 }
 
 // silenceLog holds the upstreams that were declared silent.
@@ -63,6 +65,12 @@
 	return end
 }
 
+// wasDraining reports whether the leader before declared that an incarnation of an upstream drained.
+func (b *Planner) wasDraining(id cawork.UpstreamID, incarnation int64) bool {
+	s, ok := b.silence.inherited[id]
+	return ok && s.Incarnation == incarnation && s.Draining
+}
+
 // MarkPreviousLeaderGone applies proof that the leader before grants no leases any more: those
 // that it granted expire within maxGranted, and inherited after this leader took over those of
 // the leaders before that one. It concerns the upstreams that have not answered yet: this
@@ -101,6 +109,7 @@
 		b.silence.taken[u.info.ID] = true
 		list = append(list, SilentUpstream{
 			Upstream: u.info.ID, Incarnation: u.info.Incarnation, LeaseRemaining: max(u.leaseExpires.Sub(b.now.Monotonic), 0),
+			Draining: u.info.Draining && !u.isDescriptionOutdated(),
 		})
 	}
 	return list
