--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -189,7 +189,7 @@
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
-		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic),
+		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(),
 		detector: failureDetector{meanAnswerLatency: initialAnswerLatency},
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -28,6 +28,9 @@
 	Incarnation int64             `cbor:"2,keyasint,omitempty"`
 	// LeaseRemaining is the longest time until the leases of its runs have expired.
 	LeaseRemaining time.Duration `cbor:"3,keyasint,omitempty"`
+	// Declaration identifies the appends without a break that declare the upstream, of one leader
+	// or several. Its lease is not extended meanwhile. Zero means unknown.
+	Declaration int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // silenceLog holds the upstreams that were declared silent.
@@ -38,14 +41,22 @@
 	leadingSince time.Time
 	// taken and stored are those of the last batch that was taken, and stored.
 	taken, stored map[cawork.UpstreamID]bool
+	// declarations are the declarations of the last batch that was taken, and lastDeclaration is
+	// the last one of this leader.
+	declarations    map[cawork.UpstreamID]int64
+	lastDeclaration int64
 }
 
+// declarationsPerLeader bounds the declarations of one leader, so that those of all leaders differ.
+const declarationsPerLeader = 1 << 24
+
 // InheritSilence applies the silent upstreams that the last append of the leader before
 // declared. It is called before any job is restored.
 func (b *Planner) InheritSilence(list []SilentUpstream) {
 	for _, s := range list {
 		b.silence.inherited[s.Upstream] = s
 		b.silence.stored[s.Upstream] = true
+		b.silence.declarations[s.Upstream] = s.Declaration
 	}
 }
 
@@ -83,26 +94,40 @@
 	}
 }
 
-func newSilenceLog(leadingSince time.Time) silenceLog {
+func newSilenceLog(leadingSince time.Time, seed int64) silenceLog {
 	return silenceLog{
 		inherited: make(map[cawork.UpstreamID]SilentUpstream), leadingSince: leadingSince,
 		taken: make(map[cawork.UpstreamID]bool), stored: make(map[cawork.UpstreamID]bool),
+		declarations: make(map[cawork.UpstreamID]int64), lastDeclaration: seed * declarationsPerLeader,
+	}
+}
+
+// declarationOf returns the declaration that goes on with the next batch, or a new one.
+func (l *silenceLog) declarationOf(id cawork.UpstreamID) int64 {
+	if d := l.declarations[id]; d != 0 {
+		return d
 	}
+	l.lastDeclaration++
+	return l.lastDeclaration
 }
 
 // declareSilence returns the upstreams to declare as silent with the next batch.
 func (b *Planner) declareSilence() []SilentUpstream {
 	b.silence.taken = make(map[cawork.UpstreamID]bool)
+	declarations := make(map[cawork.UpstreamID]int64)
 	var list []SilentUpstream
 	for _, u := range b.sortedUpstreams {
 		if len(u.runs) == 0 || !b.isSilent(u) {
 			continue
 		}
 		b.silence.taken[u.info.ID] = true
+		declarations[u.info.ID] = b.silence.declarationOf(u.info.ID)
 		list = append(list, SilentUpstream{
 			Upstream: u.info.ID, Incarnation: u.info.Incarnation, LeaseRemaining: max(u.leaseExpires.Sub(b.now.Monotonic), 0),
+			Declaration: declarations[u.info.ID],
 		})
 	}
+	b.silence.declarations = declarations
 	return list
 }
 
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -116,11 +116,11 @@
 // successor must not begin the wait anew.
 func TestSilenceIsDeclaredOn(t *testing.T) {
 	s := newSilentUpstream(t)
-	declared := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 3 * time.Second}}
+	declared := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 3 * time.Second, Declaration: 5}}
 	next := s.newLeaderAfter(declared)
 	next.advance(100 * time.Millisecond)
 	_, silent := next.silentBatch()
-	want := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 2900 * time.Millisecond}}
+	want := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 2900 * time.Millisecond, Declaration: 5}}
 	if diff := cmp.Diff(want, silent); diff != "" {
 		t.Errorf("upstreams declared as silent by the successor (-want +got):\n%s", diff)
 	}
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -231,6 +231,7 @@
 	if err != nil {
 		return false
 	}
+	l.silence.Observe(found.Claim.Silent, g.Timer.Now())
 	if l.adoptClaim(found, previous) {
 		return true
 	}
@@ -264,6 +265,9 @@
 // previous leader, which is then still alive, or its successor, which is adopted.
 func (l *link) adoptLatest(ctx context.Context, previous leaderID) bool {
 	found, err := l.readClaim(ctx)
+	if err == nil {
+		l.silence.Observe(found.Claim.Silent, l.gate.Timer.Now())
+	}
 	if err == nil && l.adoptClaim(found, previous) {
 		return true
 	}
@@ -355,7 +359,8 @@
 		return false
 	}
 	c := caleader.Claim{
-		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(), Silent: found.Claim.Silent,
+		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(),
+		Silent:  l.silence.Remaining(found.Claim.Silent, g.Timer.Now()),
 		Process: g.Nonce, InheritedRemaining: caleader.MaxInheritedLease,
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
@@ -368,6 +373,7 @@
 	}
 	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
 		Str("leader_before", string(previous.VM)).Int64("token_before", previous.Token).Send()
+	c.Silent = l.silence.Remaining(found.Claim.Silent, g.Timer.Now())
 	l.startLeading(ctx, c, found.Claim, token, newEnd)
 	return true
 }
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -51,6 +51,8 @@
 	handedOverAt time.Time
 	// isolated is set while neither the leader nor the store answers this entry.
 	isolated bool
+	// silence is what the claims declared that this entry has read. Only run uses it.
+	silence caboard.SilenceSightings
 }
 
 // leaderStatus is the last observed leader and its state as far as this entry knows.
--- a/internal/cell/caleader/claim_test.go
+++ b/internal/cell/caleader/claim_test.go
@@ -71,3 +71,37 @@
 		t.Errorf("proof that the process has ended (-want +got):\n%s", diff)
 	}
 }
+
+// TestDeclarationsAreReadByBuildsWithoutThem covers leaders of both builds one after the other: the former
+// build reads the lease of a declared upstream, and its own declaration counts as unknown.
+func TestDeclarationsAreReadByBuildsWithoutThem(t *testing.T) {
+	type silentWithoutDeclaration struct {
+		Upstream       cawork.UpstreamID `cbor:"1,keyasint"`
+		Incarnation    int64             `cbor:"2,keyasint,omitempty"`
+		LeaseRemaining time.Duration     `cbor:"3,keyasint,omitempty"`
+	}
+	former := silentWithoutDeclaration{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}
+	declared := caboard.SilentUpstream{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}
+	value, err := cbor.Marshal(declared)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back silentWithoutDeclaration
+	if err := cbor.Unmarshal(value, &back); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(former, back); diff != "" {
+		t.Errorf("declared upstream as read by the former build (-want +got):\n%s", diff)
+	}
+	if value, err = cbor.Marshal(back); err != nil {
+		t.Fatal(err)
+	}
+	var forward caboard.SilentUpstream
+	if err := cbor.Unmarshal(value, &forward); err != nil {
+		t.Fatal(err)
+	}
+	declared.Declaration = 0
+	if diff := cmp.Diff(declared, forward); diff != "" {
+		t.Errorf("upstream declared by the former build (-want +got):\n%s", diff)
+	}
+}
