--- a/internal/cell/caboard/advice.go
+++ b/internal/cell/caboard/advice.go
@@ -9,10 +9,14 @@
 	hasAnswer bool
 	// answers are the last answers by the slots of the upstreams, and tickets those of the
 	// approved ones. A plan looks up so many of them that a map is too slow.
-	answers        []answer
-	tickets        []ticket
-	requestPending bool
-	lastRequestAt  time.Time
+	answers []answer
+	tickets []ticket
+	// noRoomSince is the position in the list of grown rooms up to which no upstream with a ticket
+	// had room for a task, and allDecidedSince that up to which none without an answer had. Zero
+	// means that this is not known.
+	noRoomSince, allDecidedSince int64
+	requestPending               bool
+	lastRequestAt                time.Time
 	// noCandidatesAt is when last no upstream was found to request.
 	noCandidatesAt time.Time
 	// lastWidenedAt is when approval of further upstreams was last requested.
@@ -58,6 +62,7 @@
 
 // approve records a ticket for an upstream, of so many slots in all.
 func (a *approvals) approve(u *upstream, slots int, value string, expires time.Time) {
+	a.noRoomSince = 0
 	answer := a.answerAt(u.slot, slots)
 	if answer.ticket == 0 {
 		a.tickets = append(a.tickets, ticket{})
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -136,7 +136,7 @@
 	if ids := b.taskTicketRenewals(s, q); len(ids) > 0 || b.hasRoomReserved(s) {
 		return ids
 	}
-	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.maxFree) {
+	if p := b.pools[q.Pool]; p == nil || !s.spec.Size().Fits(p.maxFree) || !b.hasRoomAtApproved(s) {
 		return nil
 	}
 	needed := 1
@@ -146,6 +146,7 @@
 	expired := b.candidates[:0]
 	validSlots, slots := 0, 0
 	for _, t := range s.approvals.tickets {
+		b.visits++
 		u := b.bySlot[t.slot]
 		if u == nil || !s.spec.Size().Fits(u.free()) || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
@@ -211,7 +212,11 @@
 	case s.lacksReservable():
 		requestableRoom = func(i int) cawork.Resources { return p.upstreams[i].reservableRoom() }
 	}
+	if !isFirst && !s.lacksReservable() && !b.hasRoomAtUndecided(s, p) {
+		return nil
+	}
 	size := s.spec.Size()
+	b.visits += int64(len(p.upstreams))
 	candidates := b.candidates[:0]
 	for i, u := range p.upstreams {
 		if !size.Fits(requestableRoom(i)) || s.approvals.isDecided(u) || !u.info.HasLabel(s.spec.Label) {
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -95,6 +95,7 @@
 			u.release(r)
 		}
 		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u) && b.mayExtendLease(u)
+		b.growth.notice(u)
 		if !u.available {
 			continue
 		}
@@ -120,6 +121,7 @@
 			p.taskReservations++
 		}
 	}
+	b.growth.trim()
 	for _, p := range pools {
 		p.updateMaxFree()
 	}
@@ -137,7 +139,7 @@
 // updateRoom applies what an upstream has free after a run was assigned to it.
 func (p *poolPlan) updateRoom(u *upstream) {
 	before, now := p.rooms[u.planIndex].Floor(), u.free()
-	p.rooms[u.planIndex] = now
+	p.rooms[u.planIndex], u.seen.free = now, now
 	p.free = p.free.Minus(before).Plus(now.Floor())
 	if before.CPU == p.maxFree.CPU || before.Memory == p.maxFree.Memory || before.Accelerators == p.maxFree.Accelerators {
 		p.isMaxFreeOutdated = true
@@ -271,6 +273,9 @@
 	if !s.spec.Size().Fits(p.maxFree) || !b.withinLimit(s.job.Submission.Team, s.spec.Size()) {
 		return
 	}
+	if q.Approval != nil && !b.hasRoomAtApproved(s) {
+		return
+	}
 	placed := false
 	tasks := s.state().Tasks
 	for i := range tasks {
@@ -346,8 +351,10 @@
 // ones, where approval is needed. The next call overwrites the result.
 func (b *Planner) usableUpstreams(s *step, q caspec.Queue, p *poolPlan) []*upstream {
 	if q.Approval == nil {
+		b.visits += int64(len(p.upstreams))
 		return p.upstreams
 	}
+	b.visits += int64(len(s.approvals.tickets))
 	usable := b.usable[:0]
 	for _, t := range s.approvals.tickets {
 		if u := b.bySlot[t.slot]; u != nil && u.available {
@@ -444,6 +451,9 @@
 	if !gangSize.Fits(p.free) || !s.spec.Size().Fits(p.maxFree) {
 		return false
 	}
+	if q.Approval != nil && !b.hasRoomAtApproved(s) {
+		return false
+	}
 	slots := b.gangSlots(s, q, p)
 	if slots == nil {
 		return false
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -158,3 +158,38 @@
 		}
 	})
 }
+
+// stepRoom is whether a step finds room where it has a ticket, and where the advisor has not decided.
+type stepRoom struct{ AtApproved, AtUndecided bool }
+
+// TestStepsNoticeRoomThatAppears guards against steps that wait though room has appeared where they may
+// run: at an upstream where a run ended, that accepts work again, restarted, or was approved since.
+func TestStepsNoticeRoomThatAppears(t *testing.T) {
+	const seed = 7
+	plans, withoutRoom := 0, 0
+	decisionsOf(t, seed, 6*time.Second, func(b *Planner) {
+		plans++
+		for _, s := range b.steps {
+			p := b.pools[s.job.pool]
+			if p == nil || s.waitingTasks == 0 {
+				continue
+			}
+			var want stepRoom
+			for _, u := range p.upstreams {
+				hasRoom := s.spec.Size().Fits(u.free())
+				want.AtApproved = want.AtApproved || hasRoom && s.approvals.ticketOf(u) != nil
+				want.AtUndecided = want.AtUndecided || hasRoom && !s.approvals.isDecided(u)
+			}
+			got := stepRoom{AtApproved: b.hasRoomAtApproved(s), AtUndecided: b.hasRoomAtUndecided(s, p)}
+			if diff := gocmp.Diff(want, got); diff != "" {
+				t.Fatalf("room of step %d of job %s after plan %d (-want +got):\n%s", s.number, s.job.Submission.ID, plans, diff)
+			}
+			if !got.AtApproved {
+				withoutRoom++
+			}
+		}
+	})
+	if withoutRoom == 0 {
+		t.Error("each step had room, so that the test shows nothing")
+	}
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -78,8 +78,10 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
-	// plans counts the plans.
-	plans int64
+	growth              roomGrowth
+	// plans counts the plans, and visits how many upstreams they looked at, once for each step that
+	// they did so for.
+	plans, visits int64
 	// movedSteps and keptSteps, usable, candidates and ranked are lists that are built again and again.
 	movedSteps, keptSteps []*step
 	usable, candidates    []*upstream
@@ -246,6 +248,9 @@
 	for _, j := range b.jobs {
 		b.applyPolicyTo(j)
 	}
+	for _, s := range b.steps {
+		s.approvals.noRoomSince, s.approvals.allDecidedSince = 0, 0
+	}
 	for name, t := range b.teams {
 		b.applyLimitTo(name, t)
 	}
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -68,6 +68,8 @@
 	// place among those of its pool that do.
 	available bool
 	planIndex int
+	// seen is what the last plan saw of it.
+	seen seenRoom
 	// partitionRank determines when it joins the gang partition, and inPartition is set
 	// while it is part of that.
 	partitionRank float64
