--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -36,7 +36,7 @@
 	// appends at least every caleader.ClaimRenewPeriod. If its last append took longer,
 	// the log must be idle for logIdlePerAppend times the excess more, maxBusyLogIdle at
 	// most: it may be short of processor time, and a successor would be too. In its first
-	// settleTime, with all jobs to plan and all callers to answer, it has maxBusyLogIdle.
+	// settleTime, a leader that was not handed the shard has maxBusyLogIdle.
 	minLogIdle       = 300 * time.Millisecond
 	settleTime       = 5 * time.Second
 	logIdlePerRead   = 3
@@ -250,7 +250,7 @@
 	}
 	claim := found.Claim
 	claimable := claim.Token == 0 || claim.Released || claim.VM == g.Self.VM || verdict == livenessGone
-	if !claimable && !l.isLogIdle(ctx, found.End, requiredLogIdle(g.Timer.Now().Sub(began), claim.AppendTook, l.isSettling())) {
+	if !claimable && !l.isLogIdle(ctx, found.End, requiredLogIdle(g.Timer.Now().Sub(began), claim.AppendTook, l.isSettling(claim))) {
 		return l.adoptLatest(ctx, previous)
 	}
 	return l.claimLeadership(ctx, found, previous)
@@ -267,12 +267,13 @@
 	return minLogIdle + logIdlePerRead*read + min(busy, maxBusyLogIdle)
 }
 
-// isSettling reports whether the leader was observed only recently, as the successor of one
-// that was known.
-func (l *link) isSettling() bool {
+// isSettling reports whether the leader with the claim was observed only recently, and has
+// taken the shard from one that had not released it: it has more to do than one that was
+// handed the shard.
+func (l *link) isSettling(c caleader.Claim) bool {
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
-	return l.status.isSuccessor && l.gate.Timer.Now().Sub(l.status.observedAt) < settleTime
+	return c.Taken && c.Token == l.status.Token && l.gate.Timer.Now().Sub(l.status.observedAt) < settleTime
 }
 
 // helloTimeoutFor returns the timeout of a hello call to a leader by the latency of its last
@@ -399,7 +400,7 @@
 	}
 	c := caleader.Claim{
 		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(), Silent: found.Claim.Silent,
-		Process: g.Nonce, InheritedRemaining: caleader.MaxInheritedLease,
+		Process: g.Nonce, InheritedRemaining: caleader.MaxInheritedLease, Taken: found.Claim.Token != 0 && !found.Claim.Released,
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
 	defer cancel()
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -58,10 +58,8 @@
 	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
 	unstarted    map[caspec.QueueName]int
 	hasUnstarted bool
-	// observedAt is when this leader was first observed, and isSuccessor whether another
-	// one was known before.
-	observedAt  time.Time
-	isSuccessor bool
+	// observedAt is when this leader was first observed.
+	observedAt time.Time
 	// helloLatency is the mean latency of its last replies, with most weight on the newest.
 	helloLatency time.Duration
 	// unresponsive is set while the leader does not answer. Calls are not forwarded to it
@@ -129,7 +127,7 @@
 	now := l.gate.Timer.Now()
 	l.status = leaderStatus{
 		leaderID: id, lost: make(chan struct{}), lastReplyAt: now, observedAt: now,
-		isSuccessor: l.status.Token != 0, helloLatency: l.status.helloLatency,
+		helloLatency: l.status.helloLatency,
 	}
 	close(l.leaderChanged)
 	l.leaderChanged = make(chan struct{})
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -59,6 +59,8 @@
 	InheritedRemaining time.Duration `cbor:"9,keyasint,omitempty"`
 	// AppendTook is the duration of the leader's last append.
 	AppendTook time.Duration `cbor:"10,keyasint,omitempty"`
+	// Taken is set if the leader before had not released the shard.
+	Taken bool `cbor:"11,keyasint,omitempty"`
 }
 
 // IsSucceededBy reports whether a later process of the VM listens at the address of the entry
