--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -165,6 +165,7 @@
 // TestStepsNoticeRoomThatAppears guards against steps that wait though room has appeared where they may
 // run: at an upstream where a run ended, that accepts work again, restarted, or was approved since.
 func TestStepsNoticeRoomThatAppears(t *testing.T) {
+	runWithoutRace(t)
 	const seed = 7
 	plans, withoutRoom := 0, 0
 	decisionsOf(t, seed, 6*time.Second, func(b *Planner) {
--- a/internal/cell/caboard/planwork_test.go
+++ b/internal/cell/caboard/planwork_test.go
@@ -98,6 +98,7 @@
 // that can not start: where the pool is full, where there is room but not where the steps may run, and
 // where a team is at its upper limit. A burst would make plans so long that callers wait for seconds.
 func TestBlockedBacklogMakesNoPlanLonger(t *testing.T) {
+	runWithoutRace(t)
 	tests := map[string]struct {
 		team  cawork.TeamName
 		block func(*loadedCell)
