--- a/internal/cell/caleader/loading_test.go
+++ b/internal/cell/caleader/loading_test.go
@@ -111,8 +111,8 @@
 		defer cancel()
 		began := time.Now()
 		err := l.Submit(ctx, caspec.Submission{ID: "0123456789abcdef", Queue: "queue", Team: "north", Steps: []caspec.Step{{Tasks: 1, CPU: 1000, Estimate: time.Second}}})
-		if took := time.Since(began); cakind.Of(err) != cakind.KindUnknown || took > time.Second {
-			t.Errorf("answer after %v: %v, want one of KindUnknown when the leader has ended", took, err)
+		if took := time.Since(began); cakind.Of(err) != cakind.KindNotStarted || took > time.Second {
+			t.Errorf("answer after %v: %v, want one of KindNotStarted, since no append has included the job, when the leader has ended", took, err)
 		}
 		if l.loaded.Load() {
 			t.Error("the leader that ended still counts as loaded")
--- a/internal/cell/caleader/lock.go
+++ b/internal/cell/caleader/lock.go
@@ -24,8 +24,8 @@
 	partCount
 )
 
-// maxPlanWait is the wait for the lock after which a plan goes first.
-const maxPlanWait = 100 * time.Millisecond
+// maxPartWait is the wait for the lock after which a user goes first, whatever its part.
+const maxPartWait = 100 * time.Millisecond
 
 // partNames are the names of the parts in the log.
 var partNames = [partCount]string{"commit", "call", "report", "submit", "plan"}
@@ -36,8 +36,9 @@
 	count                          int
 }
 
-// partLock is a mutual exclusion lock for parts of different urgency. A part waits for the
-// holder and for waiting parts with lower numbers only. It records how it is used.
+// partLock is a mutual exclusion lock for parts of different urgency. A user waits for the
+// holder, for waiting parts with lower numbers and for users that have waited for maxPartWait.
+// The lock records how it is used.
 type partLock struct {
 	now func() time.Time
 
@@ -63,7 +64,7 @@
 func (l *partLock) lock(p part) {
 	began := l.now()
 	l.mu.Lock()
-	if !l.mayTake(p) {
+	if !l.mayTake(p, nil) {
 		l.wait(p, began)
 	}
 	l.held = true
@@ -74,13 +75,14 @@
 	u.longestWait = max(u.longestWait, l.heldSince.Sub(began))
 }
 
-// mayTake reports whether the lock is free and no waiting part goes before p. mu is held.
-func (l *partLock) mayTake(p part) bool {
+// mayTake reports whether the lock is free and no other waiter goes before a user, which is a
+// waiter or has just come (w is nil). mu is held.
+func (l *partLock) mayTake(p part, w *lockWaiter) bool {
 	if l.held {
 		return false
 	}
-	if l.isPlanOverdue() {
-		return p == partPlan
+	if overdue := l.overduePart(); overdue != partCount {
+		return l.waiters[overdue][0] == w
 	}
 	return p <= l.next()
 }
@@ -89,7 +91,7 @@
 func (l *partLock) wait(p part, began time.Time) {
 	w := &lockWaiter{since: began, woken: make(chan struct{}, 1)}
 	l.waiters[p] = append(l.waiters[p], w)
-	for !l.mayTake(p) {
+	for !l.mayTake(p, w) {
 		l.wakeNext()
 		l.mu.Unlock()
 		<-w.woken
@@ -111,16 +113,22 @@
 	}
 }
 
-// isPlanOverdue reports whether a plan has waited so long that it goes first. mu is held.
-func (l *partLock) isPlanOverdue() bool {
-	plans := l.waiters[partPlan]
-	return len(plans) > 0 && l.now().Sub(plans[0].since) > maxPlanWait
+// overduePart returns the part that has waited longest, if for so long that it goes first, and
+// partCount otherwise. mu is held.
+func (l *partLock) overduePart() part {
+	oldest, since := partCount, l.now().Add(-maxPartWait)
+	for p, waiters := range l.waiters {
+		if len(waiters) > 0 && waiters[0].since.Before(since) {
+			oldest, since = part(p), waiters[0].since
+		}
+	}
+	return oldest
 }
 
 // next returns the waiting part that goes first, partCount without any. mu is held.
 func (l *partLock) next() part {
-	if l.isPlanOverdue() {
-		return partPlan
+	if overdue := l.overduePart(); overdue != partCount {
+		return overdue
 	}
 	for p, waiters := range l.waiters {
 		if len(waiters) > 0 {
--- a/internal/cell/caleader/lock_test.go
+++ b/internal/cell/caleader/lock_test.go
@@ -34,7 +34,7 @@
 
 // TestCheapCallsGoBeforeSubmissionsAndPlans guards against cancellations, queries and renewals
 // of the claim that wait behind hundreds of submissions and behind plans. A plan goes first
-// once it has waited for maxPlanWait.
+// once it has waited for maxPartWait.
 func TestCheapCallsGoBeforeSubmissionsAndPlans(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := partLock{now: time.Now}
@@ -56,7 +56,7 @@
 		synctest.Wait()
 		l.lock(partSubmit)
 		queue(partPlan)
-		time.Sleep(2 * maxPlanWait)
+		time.Sleep(2 * maxPartWait)
 		queue(partCall)
 		l.unlock()
 		synctest.Wait()
