--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -32,7 +32,7 @@
 	headroom := b.newHeadroom()
 	for _, s := range b.requestOrder() {
 		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || s.waitingTasks+s.tasksLeaving == 0 || b.isStepHeldBack(s) {
+		if !ok || q.Approval == nil || s.waitingTasks+s.tasksEnding == 0 || b.isStepHeldBack(s) {
 			continue
 		}
 		if b.pendingRequests >= b.requestLimits.Total {
@@ -273,7 +273,7 @@
 // where approvalRate is the probability that an upstream is approved.
 func requestSize(s *step, approvalRate float64) int {
 	perUpstream := max(fittingTasks(typicalFree, s.spec), 1)
-	neededUpstreams := float64(s.waitingTasks+s.tasksLeaving)/float64(perUpstream) + 1
+	neededUpstreams := float64(s.waitingTasks+s.tasksEnding)/float64(perUpstream) + 1
 	n := int(math.Ceil(neededUpstreams * requestSpareFactor / max(approvalRate, 0.1)))
 	return min(max(n, minRequestUpstreams), maxRequestUpstreams)
 }
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -16,9 +16,9 @@
 
 const (
 	// departureLead is how long before a draining upstream may leave the runs that outlast it are
-	// stopped, whether there is a place for them or not: the call, the time to stop, the report
-	// of the end, and the age of the description.
-	departureLead = 1200 * time.Millisecond
+	// stopped, whether there is a place for them or not: the age of the list, the call, up to
+	// 0.9 s until the run has stopped, and the report of its end.
+	departureLead = 1500 * time.Millisecond
 	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
 	// are expected to end by then are left alone.
 	usualOverstay = 2 * time.Second
@@ -69,7 +69,7 @@
 // soon, and those of them that are being stopped already.
 func (b *Planner) updateDepartures() {
 	for _, s := range b.steps {
-		s.tasksLeaving, s.tasksMoving = 0, 0
+		s.tasksEnding, s.tasksStopping = 0, 0
 	}
 	for _, u := range b.sortedUpstreams {
 		if len(u.runs) == 0 || !b.endsRunsSoon(u) {
@@ -79,9 +79,9 @@
 			if !r.needsPlace() {
 				continue
 			}
-			r.step.tasksLeaving++
+			r.step.tasksEnding++
 			if r.stopping {
-				r.step.tasksMoving++
+				r.step.tasksStopping++
 			}
 		}
 	}
@@ -140,7 +140,7 @@
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Bool("has_place", hasPlace).
 		Dur("leaves_in", r.upstream.leavesAt.Sub(b.now.Monotonic)).Send()
 	if r.needsPlace() {
-		r.step.tasksMoving++
+		r.step.tasksStopping++
 	}
 	b.stopOtherMembers(r)
 	b.stop(r)
@@ -160,7 +160,7 @@
 			places++
 		}
 	}
-	return places > s.tasksToRestart+s.tasksMoving
+	return places > s.tasksToRestart+s.tasksStopping
 }
 
 // isPlaceReady reports whether a task of the step can start at the reserved upstream as soon as its
@@ -178,4 +178,4 @@
 
 // restarts returns for how many long-running tasks of the step that ran before a place is needed
 // now or soon.
-func (s *step) restarts() int { return s.tasksToRestart + s.tasksLeaving }
+func (s *step) restarts() int { return s.tasksToRestart + s.tasksEnding }
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -91,7 +91,7 @@
 func (b *Planner) newPoolPlans() map[caspec.PoolName]*poolPlan {
 	pools := make(map[caspec.PoolName]*poolPlan)
 	for _, u := range b.sortedUpstreams {
-		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks+r.tasksLeaving == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
+		if r := u.reservedBy; r != nil && (r.reservation == nil || r.waitingTasks+r.tasksEnding == 0 || r.job.Phase.IsFinal() || b.isDrained(u)) {
 			u.release(r)
 		}
 		u.available = u.acceptsWork(b.now.Monotonic) && !b.isDrained(u) && b.mayExtendLease(u)
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -142,7 +142,7 @@
 				case 1:
 					step.state().Tasks[0].Run++
 				case 2:
-					step.tasksLeaving = rapid.IntRange(0, 1).Draw(t, "leaving")
+					step.tasksEnding = rapid.IntRange(0, 1).Draw(t, "leaving")
 				case 3:
 					s.planner.openSteps(step.job, step.job.OpenNext())
 				}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -164,9 +164,9 @@
 	lateness     int
 	// tasksToRestart counts the waiting tasks of a long-running step that ran before.
 	tasksToRestart int
-	// tasksLeaving counts those whose runs are expected to end soon, with their upstreams, and
-	// tasksMoving those of them that are being stopped.
-	tasksLeaving, tasksMoving int
+	// tasksEnding counts those whose runs are expected to end soon, with their upstreams, and
+	// tasksStopping those of them that are being stopped.
+	tasksEnding, tasksStopping int
 	// criticalPath is the estimated length of the longest chain of steps from this one
 	// on.
 	criticalPath time.Duration
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -164,7 +164,7 @@
 	if s.spec.Gang {
 		return b.isGangHeldBack(s)
 	}
-	if s.tasksLeaving > 0 && (!s.job.onProbation || s.isRestartedAsUsual()) {
+	if s.tasksEnding > 0 && (!s.job.onProbation || s.isRestartedAsUsual()) {
 		return false
 	}
 	tasks := s.state().Tasks
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -117,7 +117,7 @@
 // runs are about to end take what these have now.
 func (b *Planner) startableTasks(s *step) int {
 	n := b.tasksWithReservation(s)
-	for n > s.tasksLeaving && !b.withinLimit(s.job.Submission.Team, s.spec.Size().Times(int64(n-s.tasksLeaving))) {
+	for n > s.tasksEnding && !b.withinLimit(s.job.Submission.Team, s.spec.Size().Times(int64(n-s.tasksEnding))) {
 		n--
 	}
 	return n
