--- /dev/null
+++ b/internal/cell/caboard/leases.go
@@ -0,0 +1,85 @@
+package caboard
+
+import (
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+)
+
+// declareLost ends a run whose end was not reported.
+func (b *Planner) declareLost(r *run, cause string) {
+	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
+		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
+		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
+		Int64("born", r.born).Send()
+	b.stopOtherMembers(r)
+	b.dropRun(r)
+}
+
+// ExpireLeases ends the runs of upstreams whose leases have expired, and drops the upstreams about
+// which nothing needs to be remembered.
+func (b *Planner) ExpireLeases() {
+	for _, u := range b.sortedUpstreams {
+		if len(u.runs) > 0 && b.now.Monotonic.After(u.leaseExpires) {
+			b.declareRunsLost(u)
+		}
+		b.pruneAbandonedStarts(u)
+	}
+	b.expireUnresolvedCrashes()
+	b.giveUpHarmfulJobs()
+	b.forgetUpstreams()
+}
+
+func (b *Planner) declareRunsLost(u *upstream) {
+	b.countCrash(u, u.info.Incarnation, "lease is over", !u.gone)
+	for _, r := range u.runs {
+		if r.sent {
+			b.declareLost(r, "lease is over")
+		}
+	}
+}
+
+// MarkRenewalUnanswered records that a lease renewal had no answer. Until a renewal is answered,
+// further ones do not extend the lease, so that the lease of an upstream that is gone
+// expires.
+func (b *Planner) MarkRenewalUnanswered(id cawork.UpstreamID) {
+	if u, ok := b.upstreams[id]; ok {
+		u.renewalUnanswered = true
+		if u.lastAnswerAt.IsZero() || b.timeSinceAnswer(u) > maxSuspicionTimeout {
+			b.suspect(u, b.now.Monotonic)
+		}
+	}
+}
+
+// RenewLease returns the parameters of the next lease renewal of an upstream, and records that
+// it is sent.
+func (b *Planner) RenewLease(id cawork.UpstreamID) (Lease, bool) {
+	u, ok := b.upstreams[id]
+	if !ok || u.info.Address == "" {
+		return Lease{}, false
+	}
+	l := Lease{
+		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
+	}
+	switch {
+	case u.renewalUnanswered:
+		// A later incarnation may answer. It numbers its ends from 1 again.
+		l.StoredEnd = 0
+	case b.mayExtendLease(u):
+		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
+	}
+	if l.EndMS > 0 {
+		u.extendLease(b.now.Monotonic, LeaseDuration)
+	}
+	return l, true
+}
+
+// UpstreamIDs returns the upstreams whose leases are renewed: those with a known address.
+func (b *Planner) UpstreamIDs() []cawork.UpstreamID {
+	ids := make([]cawork.UpstreamID, 0, len(b.upstreams))
+	for _, u := range b.sortedUpstreams {
+		if u.info.Address != "" {
+			ids = append(ids, u.info.ID)
+		}
+	}
+	return ids
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -384,34 +384,6 @@
 	}, true
 }
 
-// Restore adds a job from its record. A new leader restores all jobs before it acts.
-func (b *Planner) Restore(state *castate.Job) {
-	j := &job{Job: state, endedAt: b.now.Monotonic, stored: true, storedPhase: state.Phase}
-	age := time.Duration(b.now.WallMS-state.AcceptedMS) * time.Millisecond
-	j.acceptedAt = b.now.Monotonic.Add(-min(max(age, 0), maxRestoredAge))
-	b.addJob(j)
-	for _, o := range state.OpenOccurrences {
-		b.openSteps(j, o)
-	}
-	if state.Phase.IsFinal() {
-		b.stopRuns(j)
-		b.releaseEndedJob(j)
-	}
-}
-
-func (b *Planner) addJob(j *job) {
-	b.jobs[j.Submission.ID] = j
-	for _, s := range j.Submission.Steps {
-		j.taskSizes = append(j.taskSizes, s.Size())
-	}
-	j.isTimed = j.Submission.Schedule.IsTimed()
-	b.applyPolicyTo(j)
-	if q, ok := b.queueOf(j); ok {
-		j.pool = q.Pool
-		j.objective = objective(q, j.Submission.Steps)
-	}
-}
-
 // objective returns the time within which a job should end: the length of its critical
 // path times the stretch of the queue, plus the allowance of the queue.
 func objective(q caspec.Queue, steps []caspec.Step) time.Duration {
@@ -446,56 +418,6 @@
 	return paths
 }
 
-// openSteps adds the steps of an occurrence, with the runs that its tasks are assigned
-// to.
-func (b *Planner) openSteps(j *job, o *castate.Occurrence) {
-	paths := criticalPaths(j.Submission.Steps, 0)
-	q, _ := b.queueOf(j)
-	slack := slackOf(q, j.Submission.Steps)
-	for i := range o.Steps {
-		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Monotonic}
-		s.ready = j.IsReady(o, i)
-		s.criticalPath = paths[i]
-		s.slack = slack
-		s.urgent = isUrgent(slack, s.spec)
-		b.statsOf(j.Submission.Queue).addGangSize(s.spec)
-		j.steps = append(j.steps, s)
-		for index := range o.Steps[i].Tasks {
-			t := &o.Steps[i].Tasks[index]
-			switch t.Phase {
-			case castate.TaskWaiting:
-				b.addWaitingTask(s)
-			case castate.TaskAssigned:
-				b.inheritRun(s, index)
-			case castate.TaskDone:
-				j.reportedRunning = true
-			}
-			if t.Failures > 0 {
-				j.reportedRunning = true
-			}
-		}
-		if !j.Phase.IsFinal() {
-			b.steps = append(b.steps, s)
-		}
-	}
-}
-
-// inheritRun charges a run that an earlier leader assigned.
-func (b *Planner) inheritRun(s *step, index int) {
-	t := &s.state().Tasks[index]
-	u, ok := b.upstreams[t.Upstream]
-	if !ok {
-		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born, Draining: b.wasDraining(t.Upstream, t.Born)})
-		b.addUpstream(u)
-	}
-	if end := b.inheritedLeaseEnd(t.Upstream, t.Born); end.After(u.leaseExpires) {
-		u.leaseExpires = end
-	}
-	r := b.newRun(s, index, u)
-	r.sent, r.inherited = true, true
-	b.charge(r)
-}
-
 func (b *Planner) newRun(s *step, index int, u *upstream) *run {
 	t := &s.state().Tasks[index]
 	return &run{
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -1,103 +1,14 @@
 package caboard
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
-// SetUpstreams applies the platform's current list of upstreams. Descriptions that no upstream
-// can have count as not listed.
-func (b *Planner) SetUpstreams(list []caspec.Upstream) {
-	if slices.ContainsFunc(list, isInvalid) {
-		list = slices.DeleteFunc(slices.Clone(list), isInvalid)
-	}
-	for _, u := range b.sortedUpstreams {
-		u.listed = false
-	}
-	for _, info := range list {
-		b.updateUpstream(info)
-	}
-	b.knownRooms.add(list, b.now.Monotonic)
-	b.forgetUpstreams()
-	b.freeSlots()
-}
-
-func isInvalid(info caspec.Upstream) bool { return info.Check() != nil }
-
-// updateUpstream applies the description of one upstream. A later incarnation runs nothing
-// that an earlier one ran.
-func (b *Planner) updateUpstream(info caspec.Upstream) {
-	u, ok := b.upstreams[info.ID]
-	if !ok {
-		u = newUpstream(info)
-		b.addUpstream(u)
-	}
-	if !ok || info.Capacity != u.info.Capacity || info.Draining != u.info.Draining {
-		caevent.Info(b.log, caevent.UpstreamListed).Str("upstream", string(info.ID)).Str("pool", string(info.Pool)).
-			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).
-			Bool("draining", info.Draining).Dur("stays", info.DrainRemaining).Send()
-	}
-	b.updateDeparture(u, info)
-	u.listedIncarnation = info.Incarnation
-	switch {
-	case info.Incarnation > u.info.Incarnation:
-		b.beginIncarnation(u, info.Incarnation)
-	case info.Incarnation < u.info.Incarnation:
-		info.Incarnation = u.info.Incarnation
-	}
-	b.resolveCrashes(info.ID, info.Incarnation)
-	u.listed = true
-	u.largestCapacity = u.largestCapacity.Most(info.Capacity)
-	u.info = info
-}
-
-// beginIncarnation resets the state of an upstream that has started a later incarnation, and
-// ends or stops the runs of the earlier one.
-func (b *Planner) beginIncarnation(u *upstream, born int64) {
-	endedBorn := u.info.Incarnation
-	hadIncarnation := endedBorn != 0
-	u.info.Incarnation = born
-	u.clockAt, u.clockMS = time.Time{}, 0
-	u.lastReportAt = time.Time{}
-	u.suspectedSince = time.Time{}
-	u.fenced, u.gone = false, false
-	u.appliedEnd, u.storedEnd = 0, 0
-	delete(b.endsToStore, u)
-	u.health = health{}
-	if !hadIncarnation {
-		return
-	}
-	b.countCrash(u, endedBorn, "upstream restarted", false)
-	abandoned := b.takeAbandonedStarts(u)
-	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
-		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Send()
-	for _, r := range u.runs {
-		switch {
-		case r.mayStillStart():
-			r.stopAckedAt = time.Time{}
-			b.stop(r)
-		case r.reportedIncarnation == 0 && r.sent:
-			// The new incarnation may have accepted the order. Its reports will show it.
-		default:
-			b.declareLost(r, "upstream restarted")
-		}
-	}
-	for _, r := range abandoned {
-		if _, present := u.runs[r.id]; present {
-			continue
-		}
-		r.stopAckedAt, r.lastStopAt, r.stopInFlight = time.Time{}, time.Time{}, false
-		b.charge(r)
-		b.stop(r)
-	}
-}
-
 // takeAbandonedStarts returns the starts that were abandoned and may still take effect, and
 // clears the list. A later incarnation has no record of their stops.
 func (b *Planner) takeAbandonedStarts(u *upstream) []*run {
@@ -126,36 +37,6 @@
 	return !u.listed && len(u.runs) == 0 && len(u.abandonedStarts) == 0
 }
 
-// MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
-// confirmed, to this leader or an earlier one, have ended. A start order without an answer may
-// still take effect in a later incarnation.
-func (b *Planner) MarkIncarnationGone(id cawork.UpstreamID) {
-	u, ok := b.upstreams[id]
-	if !ok {
-		return
-	}
-	b.resolveCrashes(id, math.MaxInt64)
-	if !u.gone {
-		u.gone = true
-		b.countCrash(u, u.info.Incarnation, "upstream no longer exists", false)
-	}
-	for _, r := range u.runs {
-		if r.confirmed || r.isProvenBefore() {
-			b.declareLost(r, "upstream no longer exists")
-		}
-	}
-}
-
-// declareLost ends a run whose end was not reported.
-func (b *Planner) declareLost(r *run, cause string) {
-	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
-		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
-		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
-		Int64("born", r.born).Send()
-	b.stopOtherMembers(r)
-	b.dropRun(r)
-}
-
 // stopOtherMembers stops the other members of the gang of a run that can not continue.
 func (b *Planner) stopOtherMembers(r *run) {
 	if !r.step.spec.Gang || !r.isCurrent() {
@@ -497,29 +378,6 @@
 	}
 }
 
-// ExpireLeases ends the runs of upstreams whose leases have expired, and drops the upstreams about
-// which nothing needs to be remembered.
-func (b *Planner) ExpireLeases() {
-	for _, u := range b.sortedUpstreams {
-		if len(u.runs) > 0 && b.now.Monotonic.After(u.leaseExpires) {
-			b.declareRunsLost(u)
-		}
-		b.pruneAbandonedStarts(u)
-	}
-	b.expireUnresolvedCrashes()
-	b.giveUpHarmfulJobs()
-	b.forgetUpstreams()
-}
-
-func (b *Planner) declareRunsLost(u *upstream) {
-	b.countCrash(u, u.info.Incarnation, "lease is over", !u.gone)
-	for _, r := range u.runs {
-		if r.sent {
-			b.declareLost(r, "lease is over")
-		}
-	}
-}
-
 // ApplyStartOutcome applies the outcome of a start order.
 func (b *Planner) ApplyStartOutcome(order StartOrder, outcome StartOutcome, clockMS int64) {
 	u, ok := b.upstreams[order.Upstream]
@@ -609,49 +467,3 @@
 	slices.SortFunc(orders, func(x, y StopOrder) int { return x.Run.compare(y.Run) })
 	return orders
 }
-
-// MarkRenewalUnanswered records that a lease renewal had no answer. Until a renewal is answered,
-// further ones do not extend the lease, so that the lease of an upstream that is gone
-// expires.
-func (b *Planner) MarkRenewalUnanswered(id cawork.UpstreamID) {
-	if u, ok := b.upstreams[id]; ok {
-		u.renewalUnanswered = true
-		if u.lastAnswerAt.IsZero() || b.timeSinceAnswer(u) > maxSuspicionTimeout {
-			b.suspect(u, b.now.Monotonic)
-		}
-	}
-}
-
-// RenewLease returns the parameters of the next lease renewal of an upstream, and records that
-// it is sent.
-func (b *Planner) RenewLease(id cawork.UpstreamID) (Lease, bool) {
-	u, ok := b.upstreams[id]
-	if !ok || u.info.Address == "" {
-		return Lease{}, false
-	}
-	l := Lease{
-		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
-	}
-	switch {
-	case u.renewalUnanswered:
-		// A later incarnation may answer. It numbers its ends from 1 again.
-		l.StoredEnd = 0
-	case b.mayExtendLease(u):
-		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
-	}
-	if l.EndMS > 0 {
-		u.extendLease(b.now.Monotonic, LeaseDuration)
-	}
-	return l, true
-}
-
-// UpstreamIDs returns the upstreams whose leases are renewed: those with a known address.
-func (b *Planner) UpstreamIDs() []cawork.UpstreamID {
-	ids := make([]cawork.UpstreamID, 0, len(b.upstreams))
-	for _, u := range b.sortedUpstreams {
-		if u.info.Address != "" {
-			ids = append(ids, u.info.ID)
-		}
-	}
-	return ids
-}
