--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -13,6 +13,15 @@
 // expires. For long-running tasks a place elsewhere is sought before: room is reserved and the
 // advisor is asked. At an upstream that drains, runs that outlast it are stopped in time, so that
 // their ends are proved at once. Once that upstream is gone, its lease would have to expire first.
+//
+//	work at a draining upstream         place sought before   stopped
+//	long-running task                   yes                   once it has a place, or departureLead before the leave
+//	long-running gang                   no                    departureLead before the leave, as a whole
+//	other task or gang that outlasts it no                    departureLead before the leave, a gang as a whole
+//	task that may have copies           no                    never; a copy is started elsewhere
+//	what ends in time                   no                    never
+//
+// At a silent upstream nothing is stopped.
 
 const (
 	// departureLead is how long before a draining upstream may leave the runs that outlast it are
