--- a/internal/cell/caboard/ending_names.go
+++ b/internal/cell/caboard/ending_names.go
@@ -24,12 +24,12 @@
 // Re-run the stringer command to generate them again.
 func _EndingNoOp() {
 	var x [1]struct{}
-	_ = x[EndingDone-0]
-	_ = x[EndingFailed-1]
-	_ = x[EndingStopped-2]
-	_ = x[EndingLapsed-3]
-	_ = x[EndingBroken-4]
-	_ = x[EndingAlone-5]
+	_ = x[EndingDone-(0)]
+	_ = x[EndingFailed-(1)]
+	_ = x[EndingStopped-(2)]
+	_ = x[EndingLapsed-(3)]
+	_ = x[EndingBroken-(4)]
+	_ = x[EndingAlone-(5)]
 }
 
 var _EndingValues = []Ending{EndingDone, EndingFailed, EndingStopped, EndingLapsed, EndingBroken, EndingAlone}
--- a/internal/cell/caboard/startoutcome_names.go
+++ b/internal/cell/caboard/startoutcome_names.go
@@ -24,16 +24,16 @@
 // Re-run the stringer command to generate them again.
 func _StartOutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[StartAccepted-0]
-	_ = x[StartUnknown-1]
-	_ = x[StartFenced-2]
-	_ = x[StartOutdated-3]
-	_ = x[StartLate-4]
-	_ = x[StartNoRoom-5]
-	_ = x[StartNoTicket-6]
-	_ = x[StartMismatch-7]
-	_ = x[StartUnhealthy-8]
-	_ = x[StartInvalid-9]
+	_ = x[StartAccepted-(0)]
+	_ = x[StartUnknown-(1)]
+	_ = x[StartFenced-(2)]
+	_ = x[StartOutdated-(3)]
+	_ = x[StartLate-(4)]
+	_ = x[StartNoRoom-(5)]
+	_ = x[StartNoTicket-(6)]
+	_ = x[StartMismatch-(7)]
+	_ = x[StartUnhealthy-(8)]
+	_ = x[StartInvalid-(9)]
 }
 
 var _StartOutcomeValues = []StartOutcome{StartAccepted, StartUnknown, StartFenced, StartOutdated, StartLate, StartNoRoom, StartNoTicket, StartMismatch, StartUnhealthy, StartInvalid}
