--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -178,8 +178,7 @@
 }
 
 // loadState reads the records of all jobs and their crashes. It retries failed reads until the
-// context ends. Only the
-// claim may change meanwhile; the caller's claim ensures that.
+// context ends. Only the claim may change meanwhile; the caller's claim ensures that.
 func loadState(ctx context.Context, log Log, pause Pause) (storedState, error) {
 	state := storedState{crashes: make(map[cawork.JobID]*cacrash.History)}
 	after := ""
