Former engine: an entry nested 10,000 deep does not hide the other VMs of the list

An operator of a like system saw that one deeply nested entry among those of the workers stopped the machines from following the list. The list of VMs of the former engine did the same: the decoder of whole values refuses more than 10,000 levels, so that the last list stayed in force as long as the entry stood in it. An upstream whose entry grew beyond 16 KiB was taken for gone, not for leaving, since its ID was not read.

The list is now split into entries token by token, which has no limit of depth, and the ID is read from an entry of any size.

--- a/internal/platform/cahttp/vmlist.go
+++ b/internal/platform/cahttp/vmlist.go
@@ -30,12 +30,6 @@
 	VMs     []caplatform.VM `json:"vms,omitempty"`
 }
 
-// receivedVMs is a VMListAnswer whose VMs are decoded one by one.
-type receivedVMs struct {
-	Version string            `json:"version"`
-	VMs     []json.RawMessage `json:"vms"`
-}
-
 const (
 	// maxVMBytes bounds the entry of one VM, which takes a few hundred bytes.
 	maxVMBytes = 16 << 10
@@ -80,7 +74,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if answer.Version != known {
+	if answer.version != known {
 		v.apply(answer)
 	}
 	return slices.Clone(v.vms), nil
@@ -88,9 +82,9 @@
 
 // apply replaces the cached list. The lock is held.
 func (v *VMList) apply(answer receivedVMs) {
-	vms := make([]caplatform.VM, 0, len(answer.VMs))
+	vms := make([]caplatform.VM, 0, len(answer.vms))
 	refusals := make(map[cawork.VMID]string)
-	for _, entry := range answer.VMs {
+	for _, entry := range answer.vms {
 		vm, err := decodeVM(entry)
 		if err == nil {
 			vms = append(vms, vm)
@@ -106,7 +100,7 @@
 			vms = append(vms, former)
 		}
 	}
-	v.version, v.vms, v.refusals = answer.Version, vms, refusals
+	v.version, v.vms, v.refusals = answer.version, vms, refusals
 }
 
 // upstream returns the last description of an upstream that is not gone. The lock is held.
@@ -123,7 +117,7 @@
 // the result has the ID then, if that can be decoded.
 func decodeVM(entry json.RawMessage) (caplatform.VM, error) {
 	if len(entry) > maxVMBytes {
-		return caplatform.VM{}, cakind.New(cakind.KindInvalid, "entry of %d bytes, at most %d are allowed", len(entry), maxVMBytes)
+		return caplatform.VM{ID: idOf(entry)}, cakind.New(cakind.KindInvalid, "entry of %d bytes, at most %d are allowed", len(entry), maxVMBytes)
 	}
 	var vm caplatform.VM
 	if err := json.Unmarshal(entry, &vm); err != nil {
--- a/internal/platform/cawire/wire.go
+++ b/internal/platform/cawire/wire.go
@@ -23,6 +23,11 @@
 	Message string      `json:"message"`
 }
 
+// BodyDecoder is implemented by answers that decode their body themselves.
+type BodyDecoder interface {
+	DecodeBody(body []byte) error
+}
+
 // Post sends the message to the URL and decodes the answer. An error of
 // KindUnavailable means that the message was not delivered, KindUnknown that
 // it may have been.
@@ -85,12 +90,19 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, decodeFault(resp.StatusCode, body, url)
 	}
-	if err := json.Unmarshal(body, &out); err != nil {
+	if err := decodeBody(body, &out); err != nil {
 		return out, cakind.Wrap(cakind.KindUnknown, err, "decode answer of %s", url)
 	}
 	return out, nil
 }
 
+func decodeBody(body []byte, out any) error {
+	if d, ok := out.(BodyDecoder); ok {
+		return d.DecodeBody(body)
+	}
+	return json.Unmarshal(body, out)
+}
+
 func decodeFault(status int, body []byte, url string) error {
 	var fault ErrorBody
 	if err := json.Unmarshal(body, &fault); err != nil || fault.Message == "" {
