Launcher: a job that was handed over is looked for at its new shard

What callers saw: the status of a job stayed unavailable ("the shard of job e10-fnmqou.4xsiyzop may still have to be rebuilt") until the end of the run, though the job had ended as done in the shard that it was handed over to.

Cause: the leader of the former shard leads the zone's scan for lost shards. While the zone has a shard that can't be rebuilt, it answers a query for any job whose state it does not hold with KindUnavailable, also for a job of its own shard that it has handed over. The caller takes this for the answer of the leader and asks no other entry. Without a shard to rebuild it answers KindNotFound, and the caller asks the others.

Class: "I don't hold it" and "it may be lost" were one answer. The leader of a shard knows which of its jobs it has handed over.

The leader now answers that the job is handed over, as a backup does that holds no state of a job: the caller asks all entries, and gets KindUnavailable only where none has the job.

The same cause elsewhere: without a backup of the former shard, a job whose handover was under way was answered with KindNotFound.

That the zone's shard can't be rebuilt is a fault of its own.

--- a/internal/node/calaunch/message.go
+++ b/internal/node/calaunch/message.go
@@ -188,7 +188,8 @@
 	Tasks    []TaskView
 	// Lacking means that the answering entry leads the shard of the job and
 	// has no record of the job; BackedUp means that it is the backup of the
-	// shard. In both cases the other fields hold no state.
+	// shard, or that it has handed the job over to another shard. In both cases
+	// the other fields hold no state.
 	Lacking  bool
 	BackedUp bool
 }
--- a/internal/node/calaunch/query.go
+++ b/internal/node/calaunch/query.go
@@ -94,7 +94,8 @@
 // job.
 type searchAnswers struct {
 	// missingAtLeader is set if the leader of the shard has no record of the
-	// job, hasBackup if a backup of the shard answered.
+	// job, hasBackup if a backup of the shard answered or an entry that has
+	// handed the job over.
 	missingAtLeader bool
 	hasBackup       bool
 	// err is the last error of an entry that may still have the job.
@@ -110,7 +111,8 @@
 }
 
 // isInconclusive reports whether the job may exist at an entry that did not
-// answer, or in a shard whose backup answered but whose leader did not.
+// answer, or in a shard whose backup answered but whose leader did not, or was
+// handed over to a shard that is not known to have it.
 func (a *searchAnswers) isInconclusive() bool {
 	return a.err != nil || a.hasBackup && !a.missingAtLeader
 }
@@ -151,8 +153,8 @@
 }
 
 // HandleGetJob returns the state of a job led here. If this entry leads the
-// shard without a record of the job, or is a backup of the shard, the view says
-// so.
+// shard without a record of the job or has handed the job over, or is a backup of
+// the shard, the view says so.
 func (l *Launcher) HandleGetJob(ctx context.Context, call GetJobCall) (JobView, error) {
 	view, ended, err := l.watch(ctx, call)
 	if err != nil || ended == nil {
@@ -186,11 +188,12 @@
 // that is closed when the job ends.
 func (l *Launcher) watch(ctx context.Context, call GetJobCall) (JobView, <-chan struct{}, error) {
 	var view JobView
-	var found, missing bool
+	var found, missing, handedOver bool
 	var ended chan struct{}
 	ok := l.runOnLoop(ctx, func() {
 		view, found = l.view(call.Job)
 		missing = !found && l.isMissing(call.Job)
+		handedOver = !found && l.hasHandedOver(call.Job)
 		if found && call.Wait > 0 && view.Outcome == cawork.OutcomePending {
 			ended = make(chan struct{})
 			l.waiters[call.Job] = append(l.waiters[call.Job], ended)
@@ -201,7 +204,7 @@
 		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "entry %s has ended or did not answer in time", l.Self)
 	case missing:
 		return JobView{Job: call.Job, Lacking: true}, nil, nil
-	case !found && l.isBackup(acceptingShard(call.Job)):
+	case handedOver, !found && l.isBackup(acceptingShard(call.Job)):
 		return JobView{Job: call.Job, BackedUp: true}, nil, nil
 	case !found && l.mayBeRebuilt(call.Job):
 		return JobView{}, nil, cakind.New(cakind.KindUnavailable, "the shard of job %s may still have to be rebuilt", call.Job)
@@ -222,6 +225,12 @@
 	return led && !known
 }
 
+// hasHandedOver reports whether a shard led here has handed a job over.
+func (l *Launcher) hasHandedOver(id cawork.JobID) bool {
+	j, ok := l.job(id)
+	return ok && j.HandedTo != ""
+}
+
 // notifyWaiters wakes the callers that wait for a job.
 func (l *Launcher) notifyWaiters(id cawork.JobID) {
 	for _, ended := range l.waiters[id] {
