LOST, TWICE: a late answer of one address no longer ends the runs of a later incarnation

If the upstream is back under its ID, at another address, and the answer to a renewal of before arrives late, all confirmed runs of the later incarnation were taken for ended, and their tasks were started again while they run.

Class: proof about one incarnation is applied to the next one.

The proof now names the incarnation of the renewal, and is ignored if another one is known.

TestLateProofEndsRunsOfLaterIncarnation failed before (the task started again as run 2 beside run 1). Tests that call MarkIncarnationGone name the incarnation now.

--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -100,9 +100,9 @@
 // MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
 // confirmed, to this leader or an earlier one, have ended. A start order without an answer may
 // still take effect in a later incarnation.
-func (b *Planner) MarkIncarnationGone(id cawork.UpstreamID) {
+func (b *Planner) MarkIncarnationGone(id cawork.UpstreamID, born int64) {
 	u, ok := b.upstreams[id]
-	if !ok {
+	if !ok || u.info.Incarnation != born {
 		return
 	}
 	b.resolveCrashes(id, math.MaxInt64)
--- a/internal/cell/caboard/overduereservation_test.go
+++ b/internal/cell/caboard/overduereservation_test.go
@@ -36,7 +36,7 @@
 			joined := left
 			joined.ID = "up-02"
 			s.planner.SetUpstreams([]caspec.Upstream{left, joined})
-			s.planner.MarkIncarnationGone(service[0].Upstream)
+			s.planner.MarkIncarnationGone(service[0].Upstream, 1)
 			took, ok := s.startedWithin("service", restartBound, all)
 			if !ok || took > emptyUpstreamRestartBound {
 				t.Errorf("restart took %v (started %v), room reserved at %v; want at most %v with an empty upstream", took, ok, s.reserved("service"), emptyUpstreamRestartBound)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -261,13 +261,30 @@
 	s := newSimulation(t, 2, plainQueue())
 	s.submit("0000000000000001", "queue", smallStep(1))
 	order := s.startAll()[0]
-	s.planner.MarkIncarnationGone(order.Upstream)
+	s.planner.MarkIncarnationGone(order.Upstream, 1)
 	task := s.planner.jobs["0000000000000001"].OpenOccurrences[0].Steps[0].Tasks[0]
 	if diff := cmp.Diff(castate.TaskWaiting, task.Phase); diff != "" {
 		t.Errorf("phase of the task (-want +got):\n%s", diff)
 	}
 }
 
+// TestLateProofEndsRunsOfLaterIncarnation covers an upstream that is back under its ID, at another address: the
+// answer that its earlier incarnation is gone arrives when the later one runs the task already.
+func TestLateProofEndsRunsOfLaterIncarnation(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	earlier, _ := s.planner.RenewLease("up-00")
+	s.restartUpstream("up-00", 2)
+	s.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 100})
+	s.submit("0000000000000001", "queue", smallStep(1))
+	if started := s.startAll(); len(started) != 1 {
+		t.Fatalf("%d starts at the later incarnation, want one", len(started))
+	}
+	s.planner.MarkIncarnationGone(earlier.Upstream, earlier.Born)
+	if again := s.startAll(); len(again) != 0 {
+		t.Errorf("started again while the later incarnation runs the task: %v", again)
+	}
+}
+
 // restartUpstream lists a later incarnation of an upstream.
 func (s *simulation) restartUpstream(id cawork.UpstreamID, born int64) {
 	var list []caspec.Upstream
--- a/internal/cell/caboard/reservedroom_test.go
+++ b/internal/cell/caboard/reservedroom_test.go
@@ -107,7 +107,7 @@
 		}
 	}
 	s.planner.SetUpstreams(list)
-	s.planner.MarkIncarnationGone(service[0].Upstream)
+	s.planner.MarkIncarnationGone(service[0].Upstream, 1)
 	took, ok := s.startedWithin("service", 20*time.Second, approve)
 	if !ok || took > restartBound {
 		t.Errorf("restart took %v (started %v, reserved at %v) while 58 of 59 upstreams are empty, want at most %v", took, ok, s.reserved("service"), restartBound)
@@ -140,7 +140,7 @@
 		}
 	}
 	s.planner.SetUpstreams(list)
-	s.planner.MarkIncarnationGone(at)
+	s.planner.MarkIncarnationGone(at, 1)
 	s.tick(20*time.Millisecond, all)
 	reserved := s.reserved("service")
 	for _, o := range busy {
@@ -173,7 +173,7 @@
 		s.tick(20*time.Millisecond, all)
 	}
 	s.planner.SetUpstreams([]caspec.Upstream{s.planner.upstreams["up-00"].info})
-	s.planner.MarkIncarnationGone("up-01")
+	s.planner.MarkIncarnationGone("up-01", 1)
 	failed := runAt(service, "up-00")
 	s.report("up-00", runningRows(s.planner.upstreams["up-00"], failed), []EndedRun{{Run: failed, Ending: EndingFailed}})
 	// No ticket is renewed for now: the advisor is slow.
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -339,7 +339,7 @@
 		if u.gone {
 			w.whileLeading(p, func() {
 				p.MarkRenewalUnanswered(u.info.ID)
-				p.MarkIncarnationGone(u.info.ID)
+				p.MarkIncarnationGone(u.info.ID, lease.Born)
 			})
 			return
 		}
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -177,7 +177,7 @@
 	next := s.newLeader()
 	lostAt := next.now
 	next.planner.MarkRenewalUnanswered(start.Upstream)
-	next.planner.MarkIncarnationGone(start.Upstream)
+	next.planner.MarkIncarnationGone(start.Upstream, 1)
 	for task := &next.planner.jobs["0000000000000001"].OpenOccurrences[0].Steps[0].Tasks[0]; task.Phase != castate.TaskWaiting; {
 		next.advance(100 * time.Millisecond)
 		next.planner.ExpireLeases()
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -299,7 +299,7 @@
 		l.planner.SetNow(l.now())
 		l.planner.MarkRenewalUnanswered(lease.Upstream)
 		if cakind.Of(err) == cakind.KindNotFound {
-			l.planner.MarkIncarnationGone(lease.Upstream)
+			l.planner.MarkIncarnationGone(lease.Upstream, lease.Born)
 			l.wakePlanner()
 		}
 		if isFenced(err) {
