Entries of a busy leader stay ready

What callers see: entries, above all the leader's own, report themselves not ready while the leader is short of processor time, though it stores jobs and answers. The platform then sends callers elsewhere, and with them their second tries.

Cause: a shard counted as available up to an age of its leader's last append of 1.5 s, counted from the begin of that append. While appends take 0.75 s and more, the last one that has ended is that old before the next one has. The bound on the age of the last reply, 1.2 s, is below the longest period of hello (0.5 s) and its longest timeout (0.8 s).

Both bounds follow what was observed now: 2.5 times the duration of the last append, from 1.5 s to the age up to which a leader may grant leases (3 s), and 1.2 s plus what the timeout of hello has grown by (0.6 s at most). The leader tells the duration in its reply to hello, a field more in the map; former builds ignore it and leave it out, which is the bound of before.

TestEntriesOfBusyLeaderAreReady failed before: the leader was not ready in 21 of 300 samples while appends took 0.80 s and in 56 to 58 of 300 at 0.85 s; TestReadyReplyAgeFollowsLatency failed for latencies of 120 and 700 ms. TestEntriesOfBusyLeaderAreUnreadyWithoutStore, which passed before, holds the other side: 3.5 s after the loss of the store no entry is ready. Tests of cagate and caleader pass.

election.go: one line, which keeps the duration from the reply.

--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -217,7 +217,7 @@
 	if reply.Leading && reply.Leader.Token == l.status.Token {
 		l.setIsolatedLocked(false)
 		l.status.lastReplyAt = g.Timer.Now()
-		l.status.lastAppendAge = reply.LastAppendAge
+		l.status.lastAppendAge, l.status.lastAppendTook = reply.LastAppendAge, reply.LastAppendTook
 		l.status.nextHelloIn = reply.NextHelloIn
 		l.status.helloLatency = (l.status.helloLatency + latency) / 2
 		l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -17,10 +17,13 @@
 const (
 	// noLeaderRetryAfter is the retry delay for callers while there is no leader.
 	noLeaderRetryAfter = 800 * time.Millisecond
-	// maxReadyReplyAge and maxReadyAppendAge bound the ages of a leader's last reply and
-	// last append while its shard counts as available.
-	maxReadyReplyAge  = 1200 * time.Millisecond
-	maxReadyAppendAge = 1500 * time.Millisecond
+	// The shard of a leader counts as available up to an age of its last reply of
+	// minReadyReplyAge, more if its replies take long, and up to an age of its last append of
+	// readyAppendFactor times the duration of that append, which is bounded by
+	// minReadyAppendAge and caleader.MaxClaimAge.
+	minReadyReplyAge  = 1200 * time.Millisecond
+	minReadyAppendAge = 1500 * time.Millisecond
+	readyAppendFactor = 2.5
 	// maxPendingAge bounds the age of the reply whose counts of pending jobs are used.
 	maxPendingAge = time.Second
 )
@@ -55,6 +58,8 @@
 	lastReplyAt time.Time
 	// lastAppendAge is the age of the leader's last append at the time of that reply.
 	lastAppendAge time.Duration
+	// lastAppendTook is the duration of that append, zero if the reply does not tell it.
+	lastAppendTook time.Duration
 	// nextHelloIn is the hello period that the leader asked for.
 	nextHelloIn time.Duration
 	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
@@ -111,10 +116,22 @@
 // The caller must hold Gate.mu.
 func (l *link) isAvailable() bool {
 	if l.localLeader != nil {
-		return l.localLeader.LastAppendAge() < maxReadyAppendAge
+		return l.localLeader.LastAppendAge() < maxReadyAppendAge(l.localLeader.LastAppendTook())
 	}
 	status := l.status
-	return !l.isolated && status.Address != "" && l.gate.Timer.Now().Sub(status.lastReplyAt) < maxReadyReplyAge && status.lastAppendAge < maxReadyAppendAge
+	replyAge := l.gate.Timer.Now().Sub(status.lastReplyAt)
+	return !l.isolated && status.Address != "" && replyAge < status.maxReadyReplyAge() && status.lastAppendAge < maxReadyAppendAge(status.lastAppendTook)
+}
+
+// maxReadyAppendAge returns up to which age of its last append, which took so long, a leader
+// counts as available. A leader whose appends take long has no newer one meanwhile.
+func maxReadyAppendAge(took time.Duration) time.Duration {
+	return min(max(time.Duration(readyAppendFactor*float64(took)), minReadyAppendAge), caleader.MaxClaimAge)
+}
+
+// maxReadyReplyAge returns up to which age of its last reply a leader counts as available.
+func (s leaderStatus) maxReadyReplyAge() time.Duration {
+	return minReadyReplyAge + helloTimeoutFor(s.helloLatency) - helloTimeout
 }
 
 // observeLeader records an entry as the leader if its token is newer than the recorded
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -74,6 +74,8 @@
 	// that have none. It is valid if HasUnstarted is set.
 	Unstarted    map[caspec.QueueName]int `cbor:"11,keyasint,omitempty"`
 	HasUnstarted bool                     `cbor:"12,keyasint,omitempty"`
+	// LastAppendTook is the duration of the leader's last append. Only the leader sets it.
+	LastAppendTook time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // leaderID identifies a leader by its VM and fencing token.
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -33,6 +33,7 @@
 		if l.localLeader != nil && !g.draining && !g.shouldStepDown(l.localLeader) {
 			reply.Leading = true
 			reply.LastAppendAge = l.localLeader.LastAppendAge()
+			reply.LastAppendTook = l.localLeader.LastAppendTook()
 			reply.Unstarted, reply.HasUnstarted = l.localLeader.UnstartedJobs()
 			reply.NextHelloIn = helloPeriodFor(r.From, g.roster.Len()+1)
 		}
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -71,6 +71,7 @@
 
 // recordAppend records the duration of a successful append and logs slow ones.
 func (l *Leader) recordAppend(took time.Duration, records int) {
+	l.appendTook.Store(int64(took))
 	l.Scope.Timer("append").Record(took)
 	if took > minStoreSuspectTime {
 		caevent.Warn(l.Log, caevent.AppendSlow).Int64("token", l.token).Int("records", records).
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -119,6 +119,8 @@
 	loaded atomic.Bool
 	// lastAppend is when the last successful append began.
 	lastAppend moment
+	// appendTook is the duration of that append, in nanoseconds.
+	appendTook atomic.Int64
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
@@ -257,6 +259,7 @@
 		}
 		l.lastAppend.store(began)
 		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
+		l.appendTook.Store(int64(l.writer.claim.AppendTook))
 	}
 }
 
@@ -410,6 +413,9 @@
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
+// LastAppendTook returns the duration of the last successful append, zero before the first one.
+func (l *Leader) LastAppendTook() time.Duration { return time.Duration(l.appendTook.Load()) }
+
 // Submit accepts a job and returns once it is stored. KindUnknown means that the
 // job may have been accepted; other errors mean that it has not.
 func (l *Leader) Submit(ctx context.Context, s caspec.Submission) error {
