Shards: the backup keeps its replica until a retirement is registered

Cause: a primary that retired its shard told its backup to drop its replica first, and registered the view without a backup once the backup had acknowledged nothing for ReplaceAfter. Class: a copy was dropped before the change that made it needless was in force.

Now the view without a backup is registered at once, and the former backup is told to drop its replica after that; if the message is lost, it finds the later view at the witness, as any backup that was replaced. Whenever the primary is lost, its backup can take over, or the registered view has no other member and the shard is rebuilt. A witness that does not answer is replaced while a shard retires. Messages and records stay as they are.

The same cause elsewhere, by reading only: a change of backup and witness at once also releases the former backup before the new view is registered. There the release is what excludes the old view where the old witness does not answer; a primary lost in that moment may still leave a shard that waits until the released member ends.

--- a/internal/coord/cashard/primary.go
+++ b/internal/coord/cashard/primary.go
@@ -251,13 +251,10 @@
 	return newest
 }
 
-// shouldRelease reports whether the member should drop its replica: because the
-// shard retires, or because its view conflicts with the one being registered. The
-// release excludes that view even if its witness does not answer.
+// shouldRelease reports whether the member should drop its replica because its view
+// conflicts with the one being registered. The release excludes that view even if
+// its witness does not answer.
 func (p *primary) shouldRelease(q *peer) bool {
-	if p.retiring {
-		return true
-	}
 	return p.change != nil && p.change.stage == stageRegister &&
 		slices.ContainsFunc(p.conflictingViews(), func(older View) bool { return older.Backup == q.member })
 }
@@ -265,7 +262,7 @@
 // buildRequest builds the next message to a follower.
 func (p *primary) buildRequest(q *peer) (ReplicateRequest, error) {
 	if p.shouldRelease(q) {
-		return ReplicateRequest{To: q.member, View: p.releaseView(), Release: true}, nil
+		return ReplicateRequest{To: q.member, View: p.change.view, Release: true}, nil
 	}
 	req := ReplicateRequest{To: q.member, View: p.viewFor(q), Yield: p.yielding, First: q.acked + 1}
 	req.Settled = req.View == p.settledView
@@ -286,15 +283,6 @@
 	return req, nil
 }
 
-// releaseView returns the new view, without the released member, that a release
-// message carries.
-func (p *primary) releaseView() View {
-	if p.change != nil {
-		return p.change.view
-	}
-	return p.nextView(p.target()).WithBackup(Member{})
-}
-
 // onReply handles the reply of a member to a message that was sent at sentAt.
 func (p *primary) onReply(now, sentAt time.Time, req ReplicateRequest, r ReplicateReply, err error, out *effects) {
 	q := p.peer(req.To)
--- a/internal/coord/cashard/scenarios_test.go
+++ b/internal/coord/cashard/scenarios_test.go
@@ -207,6 +207,41 @@
 	})
 }
 
+// TestBackupLeavesShardBeforeRetirementIsRegistered covers a primary that is lost
+// while it retires its shard. The backup had already dropped its replica, while
+// the witness still named it, so that nobody could lead or rebuild the shard.
+func TestBackupLeavesShardBeforeRetirementIsRegistered(t *testing.T) {
+	for delay := time.Duration(0); delay <= 2*time.Second; delay += 50 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			runScenario(t, 3, 3, func(_ context.Context, t *testing.T, w *world) {
+				view := w.nodes[0].view("s-e0-0")
+				w.nodes[0].part.Retire("s-e0-0")
+				time.Sleep(delay)
+				w.nodes[0].kill()
+				time.Sleep(20 * time.Second)
+				registered := w.registeredView(t, view)
+				if !registered.IsSolo() && len(w.leaders("s-e0-0")) == 0 {
+					t.Errorf("nobody leads the shard, and view %d names %v as its backup", registered.Number, registered.Backup)
+				}
+			})
+		})
+	}
+}
+
+// registeredView returns the view in the register of the witness of a view.
+func (w *world) registeredView(t *testing.T, v cashard.View) cashard.View {
+	t.Helper()
+	register, err := w.host(v.Witness).readRegister(cashard.RegisterName(v.Shard))
+	if err != nil {
+		t.Fatalf("read the register of shard %s: %v", v.Shard, err)
+	}
+	registered, err := cashard.DecodeView(register.Value)
+	if err != nil {
+		t.Fatalf("decode the register of shard %s: %v", v.Shard, err)
+	}
+	return registered
+}
+
 func TestOnlyMemberReportsDegraded(t *testing.T) {
 	runScenario(t, 1, 1, func(ctx context.Context, t *testing.T, w *world) {
 		if err := w.nodes[0].accept(ctx, "s-e0-0", "j"); err != nil {
--- a/internal/coord/cashard/view_change.go
+++ b/internal/coord/cashard/view_change.go
@@ -58,9 +58,10 @@
 }
 
 // finishDrain ends the leadership of a draining shard once all records are
-// committed. A retiring shard is done when it has no backup. A shard that does not
-// retire is yielded to its backup; if that backup is lost before it takes over,
-// the next view that is settled cancels the yield.
+// committed. A retiring shard is done when a view without a backup is registered;
+// the former backup then drops its replica. A shard that does not retire is yielded
+// to its backup; if that backup is lost before it takes over, the next view that is
+// settled cancels the yield.
 func (p *primary) finishDrain(out *effects) {
 	if !p.draining || !p.isSettled() || p.commitIndex != p.log.last() {
 		return
@@ -68,12 +69,24 @@
 	switch {
 	case p.retiring && p.target().IsSolo():
 		p.done = true
+		p.releaseReplicas(out)
 		out.events = append(out.events, Event{Type: EventRetired, Shard: p.target().Shard, View: p.target()})
 	case !p.retiring && !p.target().IsSolo():
 		p.yielding = true
 	}
 }
 
+// releaseReplicas tells the members that still hold a replica to drop it. A member
+// that misses the release learns from the witness register that it is not the
+// backup any more.
+func (p *primary) releaseReplicas(out *effects) {
+	for _, q := range p.peers {
+		if q.hasReplica {
+			out.calls = append(out.calls, callEffect{request: ReplicateRequest{To: q.member, View: p.target(), Release: true}})
+		}
+	}
+}
+
 // abortFailedChange cancels the change if its witness or its backup has failed. A
 // view that may have been registered stays possible until another view excludes
 // it.
@@ -159,8 +172,8 @@
 		if !p.isWitnessUnhealthy(now, v.Witness) {
 			p.replaceBackup(now, v)
 		}
-	case p.retiring:
-		return
+	case p.retiring && !p.isWitnessUnhealthy(now, v.Witness):
+		p.replaceBackup(now, v)
 	case p.shouldReplaceUnlisted(now, v.Backup) || p.hasSameZoneCandidate(now, v.Backup):
 		if !p.isWitnessUnhealthy(now, v.Witness) {
 			p.replaceBackup(now, v)
