A stored claim whose entry lacks the answer is no proof of an ended leader

Callers saw tasks of a lost upstream restarted 10 s after its loss, and a shard without a leader for longer, after one leader was lost.

Cause: an entry reads the claim of the next leader, from the store or from another entry, and sends it a hello call. The entry that made the claim has no answer of the store yet, so that it answers that it does not lead. The others took this for proof that it no longer leads and claimed the shard, one after the other; each new leader met the same.

A hello reply states the last leader that its entry has observed. If that is an earlier one than the claim names, the entry has not observed its own claim, and for a second after the claim was first read it counts as alive. A leader that was deposed, drains or released has observed its own claim, and is recognized at once as before. So is one whose process has ended; a process that restarts within that second claims by itself.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -57,6 +58,10 @@
 	// busyEntry is an entry whose appends leave it later by appendDelay.
 	busyEntry   atomic.Value
 	appendDelay atomic.Int64
+	// answerDelay is how much later all answers to appends arrive.
+	answerDelay atomic.Int64
+	// claims counts the claims of leaders that were stored.
+	claims atomic.Int64
 	// settleTime is how long the cell may take to recover at the end.
 	settleTime time.Duration
 
@@ -203,7 +208,18 @@
 	if l.entry == l.cell.busyEntry.Load() {
 		time.Sleep(time.Duration(l.cell.appendDelay.Load()))
 	}
-	return l.Log.Append(ctx, at, entries)
+	end, err := l.Log.Append(ctx, at, entries)
+	if err == nil && isFirstOfLeader(entries[0]) {
+		l.cell.claims.Add(1)
+	}
+	time.Sleep(time.Duration(l.cell.answerDelay.Load()))
+	return end, err
+}
+
+// isFirstOfLeader reports whether a record is the claim by which a leader takes a shard.
+func isFirstOfLeader(e caleader.LogEntry) bool {
+	var c caleader.Claim
+	return e.Key == "leader" && cbor.Unmarshal(e.Value, &c) == nil && c.Seq == 0
 }
 
 func (c *testCell) readWallClock(timer *catimer.Service) int64 {
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -65,11 +65,18 @@
 	// staleAppendAge is the age of a leader's last append beyond which the other entries
 	// suspect it and read the store themselves.
 	staleAppendAge = 700 * time.Millisecond
+	// claimAnswerTime is how long after a claim was first read its entry may lack the store's answer
+	// and therefore not lead yet.
+	claimAnswerTime = time.Second
 )
 
 // errNotLeading means that the entry recorded as the leader answered that it does not lead.
 var errNotLeading = cakind.New(cakind.KindFenced, "the entry is not the leader")
 
+// errClaimUnanswered means that the entry recorded as the leader has not observed its own claim, which
+// is stored.
+var errClaimUnanswered = cakind.New(cakind.KindNotStarted, "the entry does not lead yet")
+
 // liveness is the verdict of the failure detection on a leader.
 type liveness int
 
@@ -136,7 +143,10 @@
 			return livenessSuspected
 		}
 		return livenessAlive
-	case errors.Is(err, errNotLeading), errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, errClaimUnanswered) && l.gate.Timer.Now().Sub(status.observedAt) < claimAnswerTime:
+		*misses = 0
+		return livenessAlive
+	case errors.Is(err, errNotLeading), errors.Is(err, errClaimUnanswered), errors.Is(err, syscall.ECONNREFUSED):
 		return livenessGone
 	}
 	*misses++
@@ -205,7 +215,8 @@
 }
 
 // applyHelloReply updates the peers and the leader from a hello reply. It returns
-// errNotLeading if the recorded leader answered that it does not lead.
+// errNotLeading if the recorded leader answered that it does not lead, and errClaimUnanswered if it
+// has only observed earlier leaders.
 func (l *link) applyHelloReply(address string, reply helloReply, latency time.Duration) error {
 	g := l.gate
 	g.mu.Lock()
@@ -224,10 +235,14 @@
 		l.status.unresponsive = false
 		return nil
 	}
-	if address == l.status.Address {
+	switch {
+	case address != l.status.Address:
+		return nil
+	case reply.Leader.Token < l.status.Token:
+		return errClaimUnanswered
+	default:
 		return errNotLeading
 	}
-	return nil
 }
 
 // elect adopts a newer leader from the claim in the store or, if the leader has failed,
--- a/internal/cell/cagate/liveness_test.go
+++ b/internal/cell/cagate/liveness_test.go
@@ -58,3 +58,20 @@
 		}
 	})
 }
+
+// TestLeaderIsNotDeposedBeforeItsClaimIsAnswered guards against a second claim right after a takeover: the others
+// read the claim before the store's answer has reached the entry that made it, and took its answer
+// that it does not lead for proof that it no longer leads.
+func TestLeaderIsNotDeposedBeforeItsClaimIsAnswered(t *testing.T) {
+	runInTestCell(t, 7, func(t *testing.T, c *testCell) {
+		c.load(time.Second)
+		c.answerDelay.Store(int64(100 * time.Millisecond))
+		before := c.claims.Load()
+		c.kill(c.leader())
+		time.Sleep(3 * time.Second)
+		c.answerDelay.Store(0)
+		if diff := cmp.Diff(int64(1), c.claims.Load()-before); diff != "" {
+			t.Errorf("claims in 3 s after the kill (-want +got):\n%s", diff)
+		}
+	})
+}
