TWICE: the lease of an upstream that has just restarted counts as long as it may last

The end of a lease is a time on the clock of the upstream. An upstream that starts again under its ID begins its clock anew. A start or a renewal for the earlier incarnation that meets the later one (the header names the ID only) therefore carries an end that is far ahead, and the upstream grants the longest lease, 10 s. The leader counted 6.9 s from when it sent the call. If the upstream is cut off then, its tasks were given up and could start elsewhere while they still run there.

A later incarnation that a call with a lease may have met now counts as holding the longest lease. Where a renewal without an answer comes before, and no start is open, nothing changes: those that follow extend no lease.

TestLeaseOfLaterIncarnationIsCountedTooShort failed before (given up 6.95 s after the start, the lease may last 10 s). Open: a call without an answer that is carried out after the leader has learned of the restart, and the wait of a successor (9.8 s), which assumes the usual lease.

--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -72,6 +72,9 @@
 	if !hadIncarnation {
 		return
 	}
+	if u.mayHoldEarlierLease() {
+		u.extendLease(b.now.Monotonic, maxLease)
+	}
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
@@ -97,6 +100,21 @@
 	}
 }
 
+// mayHoldEarlierLease reports whether a call for the earlier incarnation may have met the one that the
+// upstream has just started. Its clock begins anew, so that the lease in that call ends far ahead. A
+// renewal that follows one without an answer extends no lease.
+func (u *upstream) mayHoldEarlierLease() bool {
+	if !u.renewalUnanswered {
+		return true
+	}
+	for _, r := range u.runs {
+		if r.sent && !r.inherited && r.reportedIncarnation == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
 // confirmed, to this leader or an earlier one, have ended. A start order without an answer may
 // still take effect in a later incarnation.
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -285,6 +285,26 @@
 	}
 }
 
+// TestLeaseOfLaterIncarnationIsCountedTooShort covers a start that reaches a later incarnation of its upstream. The
+// end of the lease in it is by the clock of the earlier one, which was ahead, so that the later one grants
+// the longest lease. It is cut off then; its task may run until that lease is over.
+func TestLeaseOfLaterIncarnationIsCountedTooShort(t *testing.T) {
+	s := newSimulation(t, 2, plainQueue())
+	s.submit("0000000000000001", "queue", longRunningStep(1))
+	start := s.startAll()[0]
+	startedAt := s.now
+	s.advance(100 * time.Millisecond)
+	s.planner.ApplyReport(Report{Upstream: start.Upstream, Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 400, Running: []RunningRun{{Run: start.Run}}})
+	s.planner.MarkRenewalUnanswered(start.Upstream)
+	for s.now.Sub(startedAt) < maxLease {
+		s.advance(50 * time.Millisecond)
+		s.planner.ExpireLeases()
+		if _, mayRun := s.planner.upstreams[start.Upstream].runs[start.Run]; !mayRun {
+			t.Fatalf("given up %v after the start, though the lease may last %v", s.now.Sub(startedAt), maxLease)
+		}
+	}
+}
+
 // restartUpstream lists a later incarnation of an upstream.
 func (s *simulation) restartUpstream(id cawork.UpstreamID, born int64) {
 	var list []caspec.Upstream
