--- /dev/null
+++ b/internal/cell/cagate/slowanswers_test.go
@@ -0,0 +1,49 @@
+package cagate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+// TestTasksOfSlowUpstreamAreNotLost guards against upstreams that are taken for silent ones since
+// they, or the leader, or its agent, are busy: renewals that were not answered within a fixed time
+// were given up, so that leases were not prolonged any more and tasks at work lapsed.
+func TestTasksOfSlowUpstreamAreNotLost(t *testing.T) {
+	tests := map[string]func(cawork.UpstreamID) bool{
+		"one_upstream":  func(id cawork.UpstreamID) bool { return id == "up-0" },
+		"all_upstreams": func(cawork.UpstreamID) bool { return true },
+	}
+	for name, isSlow := range tests {
+		for _, delay := range []time.Duration{800 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond} {
+			t.Run(name+"_"+delay.String(), func(t *testing.T) {
+				runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+					c.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return 20 * time.Second, false })
+					c.load(time.Second)
+					c.callers.Wait()
+					time.Sleep(time.Second)
+					c.fleet.SetAnswerDelay(func(id cawork.UpstreamID) time.Duration {
+						if isSlow(id) {
+							return delay
+						}
+						return 0
+					})
+					time.Sleep(16 * time.Second)
+					c.fleet.SetAnswerDelay(func(cawork.UpstreamID) time.Duration { return 0 })
+					time.Sleep(5 * time.Second)
+					again := 0
+					for _, number := range c.runsAt(func(cawork.UpstreamID) bool { return true }) {
+						again += number - 1
+					}
+					if diff := cmp.Diff(0, again); diff != "" {
+						t.Errorf("runs that were started again (-want +got):\n%s", diff)
+					}
+				})
+			})
+		}
+	}
+}
