Entries: cancellations outwait a short isolation

Cause: an entry counts as isolated once one hello call to its leader got no answer, or the answer that it lets others take over, and one read of the store fails. It then gave up on cancellations 0.4 s after they came, which is less than the time to the next hello. So one late hello at an entry that the store refuses, or a store that refuses all for a moment (the leader lets others take over after 0.2 s, since their last hello still says that they reach the store), was enough. An entry that had just begun refused them at once, for want of the layout.

Cancellations and queries at an isolated entry are tried for 1.3 s now, the longest time to the answer of the next hello, and an entry that does not know the layout waits for it as long. Submissions are refused at once as before. Callers wait for 3 s: what is refused after 1.3 s leaves time for another entry.

--- a/internal/cell/cagate/forward.go
+++ b/internal/cell/cagate/forward.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// leaderWaitTimeout is how long a submission waits for a leader to be elected, and any
-	// call at an isolated entry.
+	// leaderWaitTimeout is how long a submission waits for a leader to be elected.
 	leaderWaitTimeout = 400 * time.Millisecond
+	// isolatedWaitTimeout is how long a cancellation or a query waits at an isolated entry, or
+	// at one that does not know the layout yet: for the next hello call to the leader and its
+	// answer, since one that is late isolates an entry that the store refuses.
+	isolatedWaitTimeout = maxHelloPeriod + maxHelloTimeout
 	// outcomeWaitTimeout is how long a submission that may have taken effect waits for a
 	// leader that can confirm its outcome.
 	outcomeWaitTimeout = 2 * time.Second
@@ -109,7 +112,7 @@
 	waited := f.link.gate.Timer.Now().Sub(f.began)
 	isSubmission := f.name == callSubmit
 	switch {
-	case f.link.isIsolated() && (isSubmission || waited > leaderWaitTimeout):
+	case f.link.isIsolated() && (isSubmission || waited > isolatedWaitTimeout):
 		return "the entry reaches neither the leader nor the store"
 	case isSubmission && f.unknownErr == nil && waited > leaderWaitTimeout, isSubmission && waited > outcomeWaitTimeout:
 		return "no leader answers"
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -227,6 +227,18 @@
 	return g.link(layout.ShardOfJob(team, id))
 }
 
+// awaitLinkForJob is linkForJob for a call that waits until the layout is known.
+func (g *Gate) awaitLinkForJob(ctx context.Context, team cawork.TeamName, id cawork.JobID) (*link, error) {
+	overdue := g.Timer.After(isolatedWaitTimeout)
+	defer overdue.Close()
+	select {
+	case <-g.layoutKnown:
+	case <-ctx.Done():
+	case <-overdue.C:
+	}
+	return g.linkForJob(team, id)
+}
+
 // Submit submits a job to the leader of its shard. After KindUnknown the job may have been
 // accepted; after any other error it was not and never runs.
 func (g *Gate) Submit(ctx context.Context, s caspec.Submission) error {
@@ -264,7 +276,7 @@
 
 // Phase returns the phase of a job of the team.
 func (g *Gate) Phase(ctx context.Context, team cawork.TeamName, id cawork.JobID) (castate.Phase, error) {
-	shardLink, err := g.linkForJob(team, id)
+	shardLink, err := g.awaitLinkForJob(ctx, team, id)
 	if err != nil {
 		return 0, err
 	}
@@ -284,7 +296,7 @@
 
 // Cancel cancels a job of the team.
 func (g *Gate) Cancel(ctx context.Context, team cawork.TeamName, id cawork.JobID) error {
-	shardLink, err := g.linkForJob(team, id)
+	shardLink, err := g.awaitLinkForJob(ctx, team, id)
 	if err != nil {
 		return err
 	}
