--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -12,14 +12,15 @@
 // drains tells for how long it stays, and one that does not answer ends its runs when its lease
 // expires. For long-running tasks a place elsewhere is sought before: room is reserved and the
 // advisor is asked. At an upstream that drains, runs that outlast it are stopped in time, so that
-// their ends are proved at once. Once that upstream is gone, its lease would have to expire first.
+// their ends are proved at once. Once that upstream is gone, its lease would have to expire first,
+// and a task whose run ended as it left would start again, since nobody learned of that end.
 //
 //	work at a draining upstream         place sought before   stopped
 //	long-running task                   yes                   once it has a place, or departureLead before the leave
 //	long-running gang                   no                    departureLead before the leave, as a whole
 //	other task or gang that outlasts it no                    departureLead before the leave, a gang as a whole
 //	task that may have copies           no                    never; a copy is started elsewhere
-//	what ends in time                   no                    never
+//	what should end in time             no                    lastDepartureLead before the leave, a gang as a whole
 //
 // At a silent upstream nothing is stopped.
 
@@ -28,8 +29,12 @@
 	// stopped, whether there is a place for them or not: the age of the list, the call, up to
 	// 0.9 s until the run has stopped, and the report of its end.
 	departureLead = 1500 * time.Millisecond
+	// lastDepartureLead is how long before a draining upstream may leave all that is still at work there
+	// is stopped: the age of the list and up to 0.9 s until it has stopped. If a run ends just as
+	// its upstream leaves, the answer that lists its end may not arrive.
+	lastDepartureLead = 1200 * time.Millisecond
 	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
-	// are expected to end by then are left alone.
+	// are expected to end by then are left alone until lastDepartureLead before the leave.
 	usualOverstay = 2 * time.Second
 	// inheritedDescriptionAge bounds the age of the first description of an upstream that a leader
 	// finds in the list: an upstream describes itself at each heartbeat.
@@ -120,13 +125,21 @@
 
 // mayLeaveNow reports whether the upstream is leaving and may leave before its runs could be stopped
 // later than now.
-func (b *Planner) mayLeaveNow(u *upstream) bool {
-	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
+func (b *Planner) mayLeaveNow(u *upstream) bool { return b.mayLeaveWithin(u, departureLead) }
+
+// mayLeaveWithin reports whether the upstream is leaving and may leave within a time.
+func (b *Planner) mayLeaveWithin(u *upstream, lead time.Duration) bool {
+	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-lead))
+}
+
+// mustStop reports whether a run at a draining upstream is stopped though it has no place elsewhere.
+func (b *Planner) mustStop(r *run) bool {
+	return b.mayLeaveNow(r.upstream) && b.outlastsUpstream(r) || b.mayLeaveWithin(r.upstream, lastDepartureLead)
 }
 
-// stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, or that outlast
-// their upstreams, if these may leave now. While nothing can be stored they could not be started
-// elsewhere.
+// stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, that outlast
+// their upstreams, if these may leave now, or that have not ended shortly before these may leave. While
+// nothing can be stored they could not be started elsewhere.
 func (b *Planner) stopDepartingRuns() {
 	for _, u := range b.sortedUpstreams {
 		if len(u.runs) == 0 || !b.isLeaving(u) {
@@ -137,7 +150,7 @@
 				continue
 			}
 			hasPlace := r.needsPlace() && b.hasPlaceElsewhere(r.step)
-			if hasPlace || b.mayLeaveNow(u) && b.outlastsUpstream(r) {
+			if hasPlace || b.mustStop(r) {
 				b.stopDepartingRun(r, hasPlace)
 			}
 		}
