LOST: a long probation of one task holds the others of its job back only until the early time is survived

Callers saw long-running tasks wait although there was room for them.

A world of the planner with upstreams that leave one a second, a quarter of them without an announcement in each second world, and short work that takes up to 15 times its estimate measures how long tasks that ran before wait while there is room for them twice over where the advisor permits it. Waits over 3 s came from probation: a task that had lived for 19 s with one lost upstream and 60 ms with another one stays on probation for 20 s, and as long as an early crash is in its history all other tasks of its job are held back.

The history asks for the long probation because of the late loss; the others are held back because of the early one. Once an upstream has survived the task for longer than that (1 s and twice the time that the lost one survived), no early crash is to be expected from the others. They are restarted from then on. The task itself stays on probation, apart from other jobs, as before.

--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -116,7 +116,7 @@
 // startProbationOf applies the probation of a run that was just assigned.
 func (b *Planner) startProbationOf(r *run) {
 	s := r.step
-	if s.job.onProbation && (!s.isRestartedAsUsual() || s.isOnProbation(r.id.Index)) {
+	if s.job.onProbation && (!b.isRestartedAsUsual(s) || s.isOnProbation(r.id.Index)) {
 		r.onProbation = true
 		b.startProbation(r)
 	}
@@ -130,13 +130,34 @@
 		return false
 	}
 	t := s.crashTask(index)
-	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index) && !s.isRestartedAsUsual()
+	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index) && !b.isRestartedAsUsual(s)
 }
 
 // isRestartedAsUsual reports whether the probation of one long-running task of the step does not keep
-// the others from being restarted: no upstream crashed soon after it had started one of them.
-func (s *step) isRestartedAsUsual() bool {
-	return s.spec.LongRunning && !s.job.crashes.CrashedEarly(s.occurrence.Number, s.number)
+// the others from being restarted: no upstream crashed soon after it had started one of them, or another
+// one has survived that time with the same task since. That probation may last for much longer.
+func (b *Planner) isRestartedAsUsual(s *step) bool {
+	return s.spec.LongRunning && !b.mayCrashEarly(s)
+}
+
+// mayCrashEarly reports whether a task of the step may crash its upstream soon after it was started.
+func (b *Planner) mayCrashEarly(s *step) bool {
+	for _, t := range s.job.crashes.Tasks() {
+		if s.job.stepOfTask(t) != s {
+			continue
+		}
+		needed := s.job.crashes.EarlyProbationTime(t)
+		if needed > 0 && !b.hasSurvived(s, t.Index, needed) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSurvived reports whether the upstream of the present run of a task has survived it for the time.
+func (b *Planner) hasSurvived(s *step, index int, needed time.Duration) bool {
+	r, ok := b.runOf(s, index)
+	return ok && r.sent && (r.survived() >= needed || r.isProvenBefore())
 }
 
 // isGangHeldBack reports the same of a gang, whose members start together.
@@ -164,7 +185,7 @@
 	if s.spec.Gang {
 		return b.isGangHeldBack(s)
 	}
-	if s.tasksEnding > 0 && (!s.job.onProbation || s.isRestartedAsUsual()) {
+	if s.tasksEnding > 0 && (!s.job.onProbation || b.isRestartedAsUsual(s)) {
 		return false
 	}
 	tasks := s.state().Tasks
@@ -184,7 +205,7 @@
 	if u.probationOf != nil && u.probationOf != s.job {
 		return s.restarts() > 0 && !s.job.onProbation && !u.probationIsNew
 	}
-	if !s.job.onProbation || s.isRestartedAsUsual() {
+	if !s.job.onProbation || b.isRestartedAsUsual(s) {
 		return true
 	}
 	return u.probationOf == s.job || !b.hasProbationUpstream(s.job)
--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -203,3 +203,62 @@
 		l.run(x, time.Second)
 	}
 }
+
+// loseUpstream applies proof that an upstream no longer exists.
+func (s *simulation) loseUpstream(id cawork.UpstreamID) {
+	s.unlist(id)
+	s.planner.MarkIncarnationGone(id)
+}
+
+// startOf lets time pass until a task of the job starts and returns its start.
+func (s *simulation) startOf(job cawork.JobID, limit time.Duration) StartOrder {
+	s.t.Helper()
+	for begin := s.now; s.now.Sub(begin) < limit; {
+		for _, o := range s.tick(20*time.Millisecond, func(cawork.UpstreamID) bool { return true }) {
+			if o.Run.Job == job {
+				return o
+			}
+		}
+	}
+	s.t.Fatalf("no task of job %s starts within %v", job, limit)
+	return StartOrder{}
+}
+
+// TestLongProbationHoldsBackOtherLongRunningTasks covers a task that stays on probation for 20 s: it had
+// lived long with one upstream that was lost, and shortly with another. The other tasks of its job are held
+// back only until an upstream has survived the first seconds with it.
+func TestLongProbationHoldsBackOtherLongRunningTasks(t *testing.T) {
+	for name, test := range map[string]struct {
+		survived, minWait, maxWait time.Duration
+	}{
+		"the upstream has just started the task":   {100 * time.Millisecond, 500 * time.Millisecond, restartWithRoomBound},
+		"the upstream has survived the early time": {2 * time.Second, 0, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 6, plainQueue())
+			all := func(cawork.UpstreamID) bool { return true }
+			s.submit("service", "queue", longRunningStep(2))
+			runs := s.tick(20*time.Millisecond, all)
+			if diff := cmp.Diff(2, len(runs)); diff != "" {
+				t.Fatalf("started tasks (-want +got):\n%s", diff)
+			}
+			pass := func(d time.Duration) {
+				for begin := s.now; s.now.Sub(begin) < d; {
+					s.tick(20*time.Millisecond, all)
+				}
+			}
+			pass(15 * time.Second)
+			s.loseUpstream(runs[0].Upstream)
+			second := s.startOf("service", restartWithRoomBound)
+			pass(60 * time.Millisecond)
+			s.loseUpstream(second.Upstream)
+			s.startOf("service", restartWithRoomBound)
+			pass(test.survived)
+			s.report(runs[1].Upstream, nil, []EndedRun{{Run: runs[1].Run, Ending: EndingFailed}})
+			took, ok := s.startedWithin("service", cacrash.MaxProbation, all)
+			if !ok || took < test.minWait || took > test.maxWait {
+				t.Errorf("restart of the other task took %v (started %v), want from %v to %v", took, ok, test.minWait, test.maxWait)
+			}
+		})
+	}
+}
--- a/internal/cell/caboard/taskreservation_test.go
+++ b/internal/cell/caboard/taskreservation_test.go
@@ -48,6 +48,8 @@
 	absent map[cawork.UpstreamID]bool
 	// longRunsLast is set if long-running tasks do not fail by themselves.
 	longRunsLast bool
+	// runTime, if set, returns how long a short task with the estimate runs.
+	runTime func(estimate time.Duration) time.Duration
 	// onTick is called before each plan.
 	onTick func()
 }
@@ -197,7 +199,11 @@
 func (p *busyPool) startRun(o StartOrder) {
 	p.planner.ApplyStartOutcome(o, StartAccepted, p.now.UnixMilli())
 	j := p.planner.jobs[o.Run.Job]
-	took := time.Duration(float64(j.Submission.Steps[o.Run.Step].Estimate) * (0.75 + p.random.Float64()/2))
+	estimate := j.Submission.Steps[o.Run.Step].Estimate
+	took := time.Duration(float64(estimate) * (0.75 + p.random.Float64()/2))
+	if p.runTime != nil {
+		took = p.runTime(estimate)
+	}
 	if p.isLongRunning(o.Run) {
 		took = longRunTime + time.Duration(p.random.Int63n(int64(2*longRunTime)))
 		if p.longRunsLast {
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -371,15 +371,17 @@
 	return !slices.ContainsFunc(h.Crashes(t), func(c Crash) bool { return c.isCounted(true) && !c.Shared })
 }
 
-// CrashedEarly reports whether an upstream may have crashed soon after it had started a task of the
-// step, from no common cause.
-func (h *History) CrashedEarly(occurrence, step int) bool {
-	for _, t := range h.Tasks() {
-		if t.Occurrence == occurrence && t.Step == step && slices.ContainsFunc(h.tasks[t], Crash.isEarly) {
-			return true
+// EarlyProbationTime returns for how long an upstream must survive a run of the task to show that it does
+// not crash soon after it has started the task, as one may have done from no common cause. It is zero if
+// none may have.
+func (h *History) EarlyProbationTime(t Task) time.Duration {
+	needed := time.Duration(0)
+	for _, c := range h.Crashes(t) {
+		if c.isEarly() {
+			needed = max(needed, provenAfter+survivalFactor*c.Survived)
 		}
 	}
-	return false
+	return needed
 }
 
 func (c Crash) isEarly() bool { return c.isCounted(true) && !c.Shared && c.Survived < provenAfter }
