--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -207,7 +207,7 @@
 // loseUpstream applies proof that an upstream no longer exists.
 func (s *simulation) loseUpstream(id cawork.UpstreamID) {
 	s.unlist(id)
-	s.planner.MarkIncarnationGone(id)
+	s.planner.MarkIncarnationGone(id, 1)
 }
 
 // startOf lets time pass until a task of the job starts and returns its start.
