A leader that granted no lease does not prolong its successor's wait

Callers saw long-running tasks of a lost upstream wait 10 to 15 s for their next run (LOST) when several leaders followed one another soon after the loss.

Cause: each leader took the one before it for one that may have granted the longest lease until 3 s after its claim, 9.8 s in all, also if that one had only just claimed the shard. The proof that ends this wait earlier, a later process at the address of the leader before, was asked for the wrong leader then. Class: what a leader gains by waiting is lost with it.

A claim states that its leader has granted no lease (GrantsNone), which leader before may have (Granter: VM, address, process, token), and for how long the leases of that one can last. A leader extends leases only once an append without that statement is stored; its first append follows at once when it has loaded the jobs. Starts were sent after an append before. So the successor of a leader that granted nothing waits for the one before only, counted from when its entry first read a claim that names this one, and takes the end of that one's process for proof. Claims without the fields, as those of builds of before, mean that the leader may have granted leases: the wait is the full one.

Safety: TestLeaderGrantsNoLeaseThatItsClaimDenies fails if the leader may grant leases once it has loaded.

Open: a leader that has appended and is lost before it declares the silent upstream, within 0.5 s, still makes its successor wait in full.

--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		return false
 	}
-	l.silence.Observe(found.Claim.Silent, g.Timer.Now())
+	l.observeClaim(found.Claim)
 	if l.adoptClaim(found, previous) {
 		return true
 	}
@@ -325,7 +325,7 @@
 func (l *link) adoptLatest(ctx context.Context, previous leaderID) bool {
 	found, err := l.readClaim(ctx)
 	if err == nil {
-		l.silence.Observe(found.Claim.Silent, l.gate.Timer.Now())
+		l.observeClaim(found.Claim)
 	}
 	if err == nil && l.adoptClaim(found, previous) {
 		return true
@@ -417,11 +417,12 @@
 	if err := g.Timer.Pause(ctx, l.candidacyDelay()); err != nil {
 		return false
 	}
+	granter := found.Claim.LastGranter()
 	c := caleader.Claim{
 		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(),
-		Silent:  l.silence.Remaining(found.Claim.Silent, g.Timer.Now()),
-		Process: g.Nonce, InheritedRemaining: caleader.MaxInheritedLease, Taken: found.Claim.Token != 0 && !found.Claim.Released,
+		Process: g.Nonce, Taken: found.Claim.Token != 0 && !found.Claim.Released, GrantsNone: true, Granter: &granter,
 	}
+	l.applyRemainingLeases(&c, found.Claim)
 	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
 	defer cancel()
 	token, newEnd, err := caleader.AcquireClaim(claimCtx, g.ShardLog(l.shard), c, found.End, g.Timer.Pause)
@@ -432,13 +433,29 @@
 	}
 	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
 		Str("leader_before", string(previous.VM)).Int64("token_before", previous.Token).Send()
-	c.Silent = l.silence.Remaining(found.Claim.Silent, g.Timer.Now())
-	l.startLeading(ctx, c, found.Claim, token, newEnd)
+	l.applyRemainingLeases(&c, found.Claim)
+	l.granter.Observe(c, g.Timer.Now())
+	l.startLeading(ctx, c, granter, token, newEnd)
 	return true
 }
 
+// observeClaim records the leases in a claim that was read now.
+func (l *link) observeClaim(c caleader.Claim) {
+	now := l.gate.Timer.Now()
+	l.silence.Observe(c.Silent, now)
+	l.granter.Observe(c, now)
+}
+
+// applyRemainingLeases sets for how long from now on the leases can last that earlier leaders granted,
+// by the claim before.
+func (l *link) applyRemainingLeases(c *caleader.Claim, before caleader.Claim) {
+	now := l.gate.Timer.Now()
+	c.Silent = l.silence.Remaining(before.Silent, now)
+	c.InheritedRemaining = l.granter.Remaining(before, now)
+}
+
 // startLeading starts the shard's leader in this entry. It runs until it is deposed.
-func (l *link) startLeading(ctx context.Context, c, previous caleader.Claim, token, end int64) {
+func (l *link) startLeading(ctx context.Context, c caleader.Claim, previous caleader.Granter, token, end int64) {
 	g := l.gate
 	relay := carelay.New(carelay.Deps{
 		Leader: g.Self.VM, Token: token, MinUpstreams: g.RelayMinUpstreams, Log: g.Log.With().Int("shard", l.shard).Logger(), Timer: g.Timer,
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -46,6 +46,9 @@
 	isolated bool
 	// silence is what the claims declared that this entry has read. Only run uses it.
 	silence caboard.SilenceSightings
+	// granter is what these claims state of the last leader that may have granted leases. Only run
+	// uses it.
+	granter caleader.GranterSighting
 }
 
 // leaderStatus is the last observed leader and its state as far as this entry knows.
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -63,12 +63,11 @@
 	AppendTook time.Duration `cbor:"10,keyasint,omitempty"`
 	// Taken is set if the leader before had not released the shard.
 	Taken bool `cbor:"11,keyasint,omitempty"`
-}
-
-// IsSucceededBy reports whether a later process of the VM listens at the address of the entry
-// with this claim, so that the process that made the claim has ended.
-func (c Claim) IsSucceededBy(vm cawork.VMID, address string, process int64) bool {
-	return c.Process != 0 && vm == c.VM && address == c.Address && process > c.Process
+	// GrantsNone is set as long as the leader has granted no lease. It grants none until a claim
+	// without it is stored.
+	GrantsNone bool `cbor:"12,keyasint,omitempty"`
+	// Granter is the last leader before that may have granted leases, if GrantsNone is set.
+	Granter *Granter `cbor:"13,keyasint,omitempty"`
 }
 
 // after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
--- a/internal/cell/caleader/claim_test.go
+++ b/internal/cell/caleader/claim_test.go
@@ -53,14 +53,14 @@
 // of a claim has ended: itself, an earlier process, one of another address or VM, and a claim of
 // a build that does not state its process.
 func TestOnlyLaterProcessAtSameAddressProvesEnd(t *testing.T) {
-	claim := Claim{VM: "vm", Address: "a", Process: 5}
+	claim := Claim{VM: "vm", Address: "a", Process: 5}.LastGranter()
 	got := map[string]bool{
 		"same process":  claim.IsSucceededBy("vm", "a", 5),
 		"earlier":       claim.IsSucceededBy("vm", "a", 4),
 		"not stated":    claim.IsSucceededBy("vm", "a", 0),
 		"other address": claim.IsSucceededBy("vm", "b", 6),
 		"other VM":      claim.IsSucceededBy("other", "a", 6),
-		"former build":  Claim{VM: "vm", Address: "a"}.IsSucceededBy("vm", "a", 6),
+		"former build":  Claim{VM: "vm", Address: "a"}.LastGranter().IsSucceededBy("vm", "a", 6),
 		"later process": claim.IsSucceededBy("vm", "a", 6),
 	}
 	want := map[string]bool{
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -25,11 +25,12 @@
 }
 
 // awaitChanges returns when there are changes to store, the claim is due for
-// renewal, or the shard is to be released.
+// renewal, no claim is stored yet by which the leader may grant leases, or the
+// shard is to be released.
 func (l *Leader) awaitChanges(ctx context.Context) error {
 	for {
 		l.lock(partCommit)
-		due := l.Timer.Now().Sub(l.lastAppend.load()) >= ClaimRenewPeriod
+		due := !l.granting.Load() || l.Timer.Now().Sub(l.lastAppend.load()) >= ClaimRenewPeriod
 		changes := l.planner.HasChanges() || len(l.extraEntries) > 0
 		l.mu.unlock()
 		if due || l.released.Load() {
@@ -53,6 +54,7 @@
 		return err
 	}
 	l.writer.claim.Released, l.writer.claim.Silent, l.writer.claim.InheritedRemaining = releasing, batch.Silent, batch.InheritedRemaining
+	l.writer.claim.GrantsNone, l.writer.claim.Granter = false, nil
 	if err := l.writer.append(ctx, entries); err != nil {
 		caevent.Warn(l.Log, caevent.OwnershipLost).Int64("token", l.token).Err(err).
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
@@ -113,6 +115,7 @@
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.lastAppend.store(began)
+	l.granting.Store(true)
 	l.lastAppendTook = l.Timer.Now().Sub(began)
 	l.inFlightSince = time.Time{}
 	l.inFlightJobs = nil
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -101,8 +101,8 @@
 	Registry       Registry
 	AdvisorProxies AdvisorProxies
 	Seed           int64
-	// Previous is the last claim of the leader before.
-	Previous Claim
+	// Previous is the last leader before that may have granted leases.
+	Previous Granter
 }
 
 // Leader leads one shard of a cell until another leader takes over or its context
@@ -117,6 +117,8 @@
 	inbox inbox
 	// loaded is set while the leader has loaded the jobs and leads.
 	loaded atomic.Bool
+	// granting is set once a claim is stored by which the leader may grant leases.
+	granting atomic.Bool
 	// lastAppend is when the last successful append began.
 	lastAppend moment
 	// appendsFailingSince is when the current series of failed append attempts
@@ -169,7 +171,8 @@
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
 	now := l.now()
 	l.lastAppend.store(now.Monotonic)
-	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(MaxInheritedLease))
+	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(c.longestLease()))
+	l.granting.Store(!c.GrantsNone)
 	l.planner.InheritSilence(c.Silent)
 	return l
 }
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -267,7 +267,7 @@
 		switch {
 		case err != nil:
 			pause = renewRetry
-		case wait == 0:
+		case wait == 0 && l.granting.Load():
 			pause = 0
 		}
 		if pause > 0 && l.Timer.Pause(ctx, pause) != nil {
@@ -277,13 +277,13 @@
 }
 
 // nextLease returns the lease for the next renewal. It does not extend the lease
-// while the claim is older than MaxClaimAge.
+// while the claim is older than MaxClaimAge or states that the leader grants none.
 func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	lease, ok := l.planner.RenewLease(id)
-	if l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
+	if !l.granting.Load() || l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
 		lease.EndMS = 0
 	}
 	return lease, ok
