A leader that can't read the jobs gives its claim up

Callers got no answer but refusals from a cell whose new leader fails to read the jobs, for as long as that lasted, although other entries could have led.

Cause: loadState retries failed reads for ever, and the claim is renewed meanwhile, so that the leader counts as one that works. (A lost answer was bounded before; an answer with an error was not.)

Evidence: TestLeaderWhoseReadsFailHoldsClaim lets the reads of the first successor of a killed leader fail.

A leader whose reads of the jobs have all failed for a second releases the shard if another entry reaches the store; a release while loading is now stored with the next renewal of the claim, where it had to wait for the jobs before. Its entry then leaves the shard to others for a second. The claim that is released states that its leader granted no lease, so that the successor waits for nothing more.

By reading: if no entry can read the jobs while the store answers otherwise, leaders follow one another, none of which could have served.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -55,6 +55,10 @@
 	// lostReads is how many of the next reads of all jobs get no answer, and lostLists how many reads
 	// of the list of upstreams.
 	lostReads, lostLists atomic.Int64
+	// failFirstReader is set while reads of all jobs by firstReader fail, the first entry that reads
+	// them since.
+	failFirstReader atomic.Bool
+	firstReader     atomic.Value
 	// busyEntry is an entry whose appends leave it later by appendDelay.
 	busyEntry   atomic.Value
 	appendDelay atomic.Int64
@@ -195,6 +199,9 @@
 
 func (l busyLog) Newest(ctx context.Context, after string) (caleader.Page, error) {
 	if after == "" {
+		if l.cell.failsRead(l.entry) {
+			return caleader.Page{}, cakind.New(cakind.KindUnavailable, "the jobs cannot be read")
+		}
 		time.Sleep(time.Duration(l.cell.loadTime.Load()))
 		if l.cell.lostReads.Add(-1) >= 0 {
 			<-ctx.Done()
@@ -204,6 +211,15 @@
 	return l.Log.Newest(ctx, after)
 }
 
+// failsRead reports whether a read of all jobs by an entry fails.
+func (c *testCell) failsRead(entry string) bool {
+	if !c.failFirstReader.Load() {
+		return false
+	}
+	c.firstReader.CompareAndSwap(nil, entry)
+	return c.firstReader.Load() == entry
+}
+
 func (l busyLog) Append(ctx context.Context, at int64, entries []caleader.LogEntry) (int64, error) {
 	if l.entry == l.cell.busyEntry.Load() {
 		time.Sleep(time.Duration(l.cell.appendDelay.Load()))
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -60,6 +60,10 @@
 	lowCPUDelay = 200 * time.Millisecond
 	// lowCPUDeferDelay replaces lowCPUDelay while a strong entry is present.
 	lowCPUDeferDelay = 800 * time.Millisecond
+	// unreadableDelay delays a candidate that released the shard since it could not read the jobs, for
+	// unreadableTime after that.
+	unreadableDelay = time.Second
+	unreadableTime  = 10 * time.Second
 	// leaderCPUShare is the CPU share, in cores, that a leader should have.
 	leaderCPUShare = caroster.StrongCPUShare
 	// staleAppendAge is the age of a leader's last append beyond which the other entries
@@ -131,6 +135,7 @@
 	case leader != nil:
 		*misses = 0
 		l.handOverToStronger(leader)
+		l.releaseUnreadable(leader)
 		return livenessAlive
 	case status.Address == "" || status.VM == l.gate.Self.VM:
 		return livenessGone
@@ -407,6 +412,9 @@
 		}
 		delay += time.Duration(cpuShortfall * float64(maxDelay))
 	}
+	if !l.unreadableAt.IsZero() && g.Timer.Now().Sub(l.unreadableAt) < unreadableTime {
+		delay += unreadableDelay
+	}
 	return delay + time.Duration(rand.Int63n(int64(electionJitter)))
 }
 
--- a/internal/cell/cagate/handover.go
+++ b/internal/cell/cagate/handover.go
@@ -41,6 +41,23 @@
 	leader.Release()
 }
 
+// releaseUnreadable releases the shard if its leader on this entry fails to read the jobs while
+// another entry reaches the store.
+func (l *link) releaseUnreadable(leader *caleader.Leader) {
+	if !leader.IsLoadFailing() {
+		return
+	}
+	g := l.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Timer.Now()
+	if !g.roster.AnyReachesStore(now) {
+		return
+	}
+	l.unreadableAt = now
+	leader.Release()
+}
+
 // reachesStore reports whether this entry can read the store.
 func (g *Gate) reachesStore() bool {
 	g.mu.Lock()
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -42,6 +42,8 @@
 	leadingSince time.Time
 	// handedOverAt is when this entry last handed the shard over to a strong entry.
 	handedOverAt time.Time
+	// unreadableAt is when this entry last released the shard since it could not read the jobs.
+	unreadableAt time.Time
 	// isolated is set while neither the leader nor the store answers this entry.
 	isolated bool
 	// silence is what the claims declared that this entry has read. Only run uses it.
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -177,12 +177,14 @@
 }
 
 // loadState reads the records of all jobs and their crashes. It retries failed reads until the
-// context ends. Only the claim may change meanwhile; the caller's claim ensures that.
-func loadState(ctx context.Context, log Log, pause Pause) (storedState, error) {
+// context ends, and calls onRead with the error of each read. Only the claim may change meanwhile;
+// the caller's claim ensures that.
+func loadState(ctx context.Context, log Log, pause Pause, onRead func(error)) (storedState, error) {
 	state := storedState{crashes: make(map[cawork.JobID]*cacrash.History)}
 	after := ""
 	for {
 		page, err := loadPage(ctx, log, after)
+		onRead(err)
 		if err != nil {
 			if ctx.Err() != nil {
 				return storedState{}, err
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -65,12 +65,17 @@
 	l.applyStoredLayout()
 	l.dispatchStarts(ctx, l.committed(batch, began))
 	if releasing {
-		caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Send()
-		return cakind.New(cakind.KindDraining, "the leader is handing over")
+		return l.noteReleased()
 	}
 	return nil
 }
 
+// noteReleased logs that the shard is released. It returns the error that ends the leader.
+func (l *Leader) noteReleased() error {
+	caevent.Info(l.Log, caevent.OwnershipReleased).Int64("token", l.token).Send()
+	return cakind.New(cakind.KindDraining, "the leader is handing over")
+}
+
 // recordAppend records the duration of a successful append and logs slow ones.
 func (l *Leader) recordAppend(took time.Duration, records int) {
 	l.Scope.Timer("append").Record(took)
--- a/internal/cell/caleader/crashes_test.go
+++ b/internal/cell/caleader/crashes_test.go
@@ -80,7 +80,7 @@
 		{Key: layoutKey},
 		{Key: claimKey},
 	}}
-	state, err := loadState(context.Background(), log, func(context.Context, time.Duration) error { return nil })
+	state, err := loadState(context.Background(), log, func(context.Context, time.Duration) error { return nil }, func(error) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -38,6 +38,9 @@
 	// appendsFailingAfter is how long all append attempts must have failed before
 	// another entry that reaches the store may take over.
 	appendsFailingAfter = 200 * time.Millisecond
+	// loadFailingAfter is how long all reads of the jobs must have failed before another entry
+	// that reaches the store may take over.
+	loadFailingAfter = time.Second
 	// ClaimRenewPeriod is the longest time between two appends of a leader.
 	ClaimRenewPeriod = 150 * time.Millisecond
 	// minStoreSuspectTime is how long an append may take before the store is
@@ -124,6 +127,9 @@
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
+	// loadFailingSince is when the current series of failed reads of the jobs began, zero after
+	// a success.
+	loadFailingSince moment
 	// unstartedJobs are the counts of Pending, by queue.
 	unstartedJobs atomic.Pointer[map[caspec.QueueName]int]
 	// released is set once Release was called.
@@ -251,6 +257,8 @@
 			return err
 		}
 		began := l.Timer.Now()
+		releasing := l.released.Load()
+		l.writer.claim.Released = releasing
 		aged := claim.after(began.Sub(claimedAt))
 		l.writer.claim.Silent, l.writer.claim.InheritedRemaining = aged.Silent, aged.InheritedRemaining
 		if err := l.writer.append(ctx, nil); err != nil {
@@ -260,6 +268,12 @@
 		}
 		l.lastAppend.store(began)
 		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
+		if releasing {
+			err := l.noteReleased()
+			l.stopLeading(err)
+			<-loaded
+			return err
+		}
 	}
 }
 
@@ -289,7 +303,7 @@
 		list, err := l.Registry.List(callCtx)
 		results <- result{list, err}
 	}()
-	state, err := loadState(ctx, l.Store, l.Timer.Pause)
+	state, err := loadState(ctx, l.Store, l.Timer.Pause, l.recordLoadRead)
 	if err != nil {
 		return err
 	}
@@ -410,6 +424,23 @@
 	return !since.IsZero() && l.Timer.Now().Sub(since) > appendsFailingAfter
 }
 
+// recordLoadRead records the outcome of a read of the jobs.
+func (l *Leader) recordLoadRead(err error) {
+	switch {
+	case err == nil:
+		l.loadFailingSince.store(time.Time{})
+	case l.loadFailingSince.load().IsZero():
+		l.loadFailingSince.store(l.Timer.Now())
+	}
+}
+
+// IsLoadFailing reports whether all reads of the jobs have failed for so long that another entry
+// that reaches the store should lead.
+func (l *Leader) IsLoadFailing() bool {
+	since := l.loadFailingSince.load()
+	return !since.IsZero() && l.Timer.Now().Sub(since) > loadFailingAfter
+}
+
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
--- a/internal/cell/caleader/oddrecord_test.go
+++ b/internal/cell/caleader/oddrecord_test.go
@@ -67,7 +67,7 @@
 		pause := func(context.Context, time.Duration) error { return nil }
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		state, err := loadState(t.Context(), pageLog{entries: entries}, pause)
+		state, err := loadState(t.Context(), pageLog{entries: entries}, pause, func(error) {})
 		if err != nil {
 			t.Fatal(err)
 		}
