Restarts while there is room: worlds with lost upstreams are a test of their own

TestRestartWaitsWhileThereIsRoom had upstreams that are lost in each second world. Now it has announced leaves only, and TestRestartWaitsBesideLostUpstreams has lost upstreams in all worlds, with the same bound of 3 s.

--- a/internal/cell/caboard/restartwait_test.go
+++ b/internal/cell/caboard/restartwait_test.go
@@ -20,7 +20,7 @@
 	overrunShare = 0.15
 	maxOverrun   = 15
 	// restartWorldLossShare is the fraction of the upstreams that are lost without an announcement, in
-	// each second world.
+	// worlds with losses.
 	restartWorldLossShare = 0.25
 )
 
@@ -40,10 +40,10 @@
 	longestTask RunID
 }
 
-func newRestartWorld(t testing.TB, seed int64) *restartWorld {
+func newRestartWorld(t testing.TB, seed int64, lossShare float64) *restartWorld {
 	w := &restartWorld{changingPool: newChangingPool(t, seed, restartWorldUpstreams), roomSince: make(map[RunID]time.Time)}
 	w.minFree = 0.1 + 0.05*float64(seed%5)
-	w.lossShare = restartWorldLossShare * float64(seed%2)
+	w.lossShare = lossShare
 	w.longRunsLast = true
 	w.runTime = w.drawRunTime
 	w.onTick = func() {
@@ -141,13 +141,25 @@
 	}
 }
 
-// TestRestartWaitsWhileThereIsRoom covers long-running tasks whose upstreams leave one a second, some
-// without an announcement, in a busy pool whose short tasks overrun their estimates.
+// TestRestartWaitsWhileThereIsRoom covers long-running tasks whose upstreams leave one a second, in a busy
+// pool whose short tasks overrun their estimates.
 func TestRestartWaitsWhileThereIsRoom(t *testing.T) {
+	checkRestartWaits(t, 0)
+}
+
+// TestRestartWaitsBesideLostUpstreams covers the same where a part of the upstreams is lost, whose tasks are
+// on probation.
+func TestRestartWaitsBesideLostUpstreams(t *testing.T) {
+	checkRestartWaits(t, restartWorldLossShare)
+}
+
+// checkRestartWaits checks for how long tasks wait for their restart in the worlds of all seeds.
+func checkRestartWaits(t *testing.T, lossShare float64) {
+	t.Helper()
 	for seed := range seedCount(*restartSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := newRestartWorld(t, seed)
+			w := newRestartWorld(t, seed, lossShare)
 			for i := range 6 {
 				step := longRunningStep(4)
 				step.CPU = cawork.MilliCPU(3000 + 1000*(i%3))
