LOST: runs leave a draining upstream as early as the reading of the list and the stops observed demand

What callers saw: a run that is lost with its upstream waits until the lease has expired, 7 s and more.

Cause: an upstream says for how long it stays as of its description. The leader counted this from when it applied the list, and took 1.5 s before that for the age of the list, the call and the stop together. A reading that takes long, or stops that do, use more.

The description came after the last reading before had begun, which did not show it: the leave is counted from there. What remains is how long stops take, from the order to the report of the end: 1 s, or longer as observed (3 s at most; shorter ones lower it slowly), and 0.2 s.

TestTaskIsLostWithUpstreamOfLateList, upstreams that leave exactly when they said: with the former rule 2 to 15 runs were lost in each world with lists that are late by 0.5 s, with 0.35 s and stops of 0.9 s, and with stops of 1.3 s; none now. Stops of 0.9 s with a list in time passed before. Existing tests of departures: their list is read just before the description, and the lead is 1.2 s instead of 1.5 s as the age of the list is no part of it.

--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -15,19 +15,24 @@
 // their ends are proved at once. Once that upstream is gone, its lease would have to expire first.
 //
 //	work at a draining upstream         place sought before   stopped
-//	long-running task                   yes                   once it has a place, or departureLead before the leave
-//	long-running gang                   no                    departureLead before the leave, as a whole
-//	other task or gang that outlasts it no                    departureLead before the leave, a gang as a whole
+//	long-running task                   yes                   once it has a place, or in time before the leave
+//	long-running gang                   no                    in time before the leave, as a whole
+//	other task or gang that outlasts it no                    in time before the leave, a gang as a whole
 //	task that may have copies           no                    never; a copy is started elsewhere
 //	what ends in time                   no                    never
 //
 // At a silent upstream nothing is stopped.
 
 const (
-	// departureLead is how long before a draining upstream may leave the runs that outlast it are
-	// stopped, whether there is a place for them or not: the age of the list, the call, up to
-	// 0.9 s until the run has stopped, and the report of its end.
-	departureLead = 1500 * time.Millisecond
+	// initialStopTime is how long a stop is expected to take, from its order to the report of the end,
+	// unless longer ones were observed, and maxStopTime bounds what is expected from these.
+	initialStopTime = time.Second
+	maxStopTime     = 3 * time.Second
+	// stopTimeWeight is the weight of a shorter stop in the expected time.
+	stopTimeWeight = 0.1
+	// departureMargin is the time beyond an expected stop by which runs that outlast a draining upstream
+	// are stopped before it may leave, whether there is a place for them or not.
+	departureMargin = 200 * time.Millisecond
 	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
 	// are expected to end by then are left alone.
 	usualOverstay = 2 * time.Second
@@ -41,9 +46,9 @@
 	stopAllowance = time.Second
 )
 
-// updateDeparture applies a description to when the upstream leaves, before the former
-// description is replaced.
-func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream) {
+// updateDeparture applies a description to when the upstream may leave, before the former description
+// is replaced. The reading of the list began at readAt.
+func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream, readAt time.Time) {
 	if !info.Draining {
 		u.leavesAt = time.Time{}
 		return
@@ -52,11 +57,29 @@
 	if isSame && !u.leavesAt.IsZero() {
 		return
 	}
-	remaining := info.DrainRemaining
+	// The upstream described itself after the last reading of the list had begun, which did not show this.
+	describedSince := b.listReadAt
 	if u.listedIncarnation == 0 {
-		remaining -= inheritedDescriptionAge
+		describedSince = readAt.Add(-inheritedDescriptionAge)
 	}
-	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
+	u.leavesAt = describedSince.Add(info.DrainRemaining)
+}
+
+// departureLead returns how long before a draining upstream may leave the runs that outlast it are
+// stopped.
+func (b *Planner) departureLead() time.Duration { return b.stopTime + departureMargin }
+
+// noteStopTime adapts the expected time of a stop to that of a run that has ended: at once to a longer
+// one, and slowly to shorter ones.
+func (b *Planner) noteStopTime(r *run) {
+	if r.stopOrderedAt.IsZero() {
+		return
+	}
+	took := min(b.now.Monotonic.Sub(r.stopOrderedAt), maxStopTime)
+	if took < b.stopTime {
+		took = b.stopTime + time.Duration(stopTimeWeight*float64(took-b.stopTime))
+	}
+	b.stopTime = max(took, initialStopTime)
 }
 
 // isLeaving reports whether the upstream, in its present incarnation, drains and has not left. Its registration
@@ -121,7 +144,7 @@
 // mayLeaveNow reports whether the upstream is leaving and may leave before its runs could be stopped
 // later than now.
 func (b *Planner) mayLeaveNow(u *upstream) bool {
-	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-departureLead))
+	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-b.departureLead()))
 }
 
 // stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, or that outlast
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -10,9 +10,12 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-// SetUpstreams applies the platform's current list of upstreams. Descriptions that no upstream
-// can have count as not listed.
-func (b *Planner) SetUpstreams(list []caspec.Upstream) {
+// SetUpstreams applies the platform's list of upstreams as of now.
+func (b *Planner) SetUpstreams(list []caspec.Upstream) { b.SetUpstreamsReadAt(list, b.now.Monotonic) }
+
+// SetUpstreamsReadAt applies the platform's list of upstreams, whose reading began at readAt.
+// Descriptions that no upstream can have count as not listed.
+func (b *Planner) SetUpstreamsReadAt(list []caspec.Upstream, readAt time.Time) {
 	if slices.ContainsFunc(list, isInvalid) {
 		list = slices.DeleteFunc(slices.Clone(list), isInvalid)
 	}
@@ -20,8 +23,9 @@
 		u.listed = false
 	}
 	for _, info := range list {
-		b.updateUpstream(info)
+		b.updateUpstream(info, readAt)
 	}
+	b.listReadAt = readAt
 	b.knownRooms.add(list, b.now.Monotonic)
 	b.forgetUpstreams()
 	b.freeSlots()
@@ -31,7 +35,7 @@
 
 // updateUpstream applies the description of one upstream. A later incarnation runs nothing
 // that an earlier one ran.
-func (b *Planner) updateUpstream(info caspec.Upstream) {
+func (b *Planner) updateUpstream(info caspec.Upstream, readAt time.Time) {
 	u, ok := b.upstreams[info.ID]
 	if !ok {
 		u = newUpstream(info)
@@ -42,7 +46,7 @@
 			Stringer("capacity", info.Capacity).Stringer("used", u.used).Int64("born", info.Incarnation).
 			Bool("draining", info.Draining).Dur("stays", info.DrainRemaining).Send()
 	}
-	b.updateDeparture(u, info)
+	b.updateDeparture(u, info, readAt)
 	u.listedIncarnation = info.Incarnation
 	switch {
 	case info.Incarnation > u.info.Incarnation:
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -98,6 +98,10 @@
 	// last logged.
 	drains      DrainView
 	drainedRuns map[cawork.ZoneName]int
+	// listReadAt is when the reading of the last list began, and stopTime how long a stop is expected
+	// to take.
+	listReadAt time.Time
+	stopTime   time.Duration
 	// listValidUntil is when the list of upstreams becomes too old. Zero means never.
 	listValidUntil time.Time
 	// longWaitsLoggedAt is when the waits of steps were last logged.
@@ -222,7 +226,7 @@
 		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(),
-		detector: failureDetector{meanAnswerLatency: initialAnswerLatency},
+		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
 	}
 }
 
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -213,6 +213,9 @@
 	caevent.Info(b.log, caevent.TaskEnded).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
 		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
 		Str("ending", row.Ending.String()).Int64("number", row.Number).Dur("after", at.Sub(r.assignedAt)).Send()
+	if row.Ending == EndingStopped {
+		b.noteStopTime(r)
+	}
 	r.step.job.reportedRunning = true
 	if !r.isCurrent() {
 		b.applyCopyEnd(r.step, row)
@@ -462,6 +465,7 @@
 			continue
 		}
 		r.stopInFlight = true
+		r.stopOrderedAt = b.now.Monotonic
 		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation})
 	}
 	slices.SortFunc(orders, func(x, y StopOrder) int { return x.Run.compare(y.Run) })
--- a/internal/cell/caboard/run.go
+++ b/internal/cell/caboard/run.go
@@ -116,6 +116,8 @@
 	onProbation bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// stopOrderedAt is when the last stop call was ordered.
+	stopOrderedAt time.Time
 	// stopInFlight is set while a stop call is in flight.
 	stopInFlight bool
 	// lastStopAt is when the last stop call ended.
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -295,7 +295,7 @@
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	if upstreams.err == nil {
-		l.planner.SetUpstreams(l.ownUpstreams(upstreams.list))
+		l.planner.SetUpstreamsReadAt(l.ownUpstreams(upstreams.list), began)
 	}
 	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
 	for _, j := range state.jobs {
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -192,6 +192,7 @@
 			return err
 		}
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		began := l.Timer.Now()
 		list, err := l.Registry.List(callCtx)
 		cancel()
 		if err != nil {
@@ -204,7 +205,7 @@
 		}
 		retention.noteRead(l.Timer.Now(), failing)
 		failing = false
-		l.applyList(ctx, retention.complete(l.Timer.Now(), list))
+		l.applyList(ctx, retention.complete(l.Timer.Now(), list), began)
 		l.noteListRead()
 	}
 }
@@ -217,14 +218,14 @@
 	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
 }
 
-// applyList passes the list of upstreams to the planner and starts renewals for new
-// ones.
-func (l *Leader) applyList(ctx context.Context, list []caspec.Upstream) {
+// applyList passes the list of upstreams, whose reading began at readAt, to the planner and starts
+// renewals for new ones.
+func (l *Leader) applyList(ctx context.Context, list []caspec.Upstream, readAt time.Time) {
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	l.proposeLayout(len(list))
-	l.planner.SetUpstreams(l.ownUpstreams(list))
+	l.planner.SetUpstreamsReadAt(l.ownUpstreams(list), readAt)
 	l.startRenewals(ctx)
 }
 
