--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -141,10 +141,9 @@
 	inFlightSince time.Time
 	// lastAppendTook is the duration of the last successful append.
 	lastAppendTook time.Duration
-	// renewing holds the upstreams that have a renewLoop.
-	renewing    map[cawork.UpstreamID]*renewLatency
-	proxyLoad   proxyLoad
-	stopLeading context.CancelCauseFunc
+	renewing       map[cawork.UpstreamID]bool
+	proxyLoad      proxyLoad
+	stopLeading    context.CancelCauseFunc
 	// extraEntries are records for the next append that do not come from the planner.
 	extraEntries []LogEntry
 	// proposedLayout is the layout in those records.
@@ -166,7 +165,7 @@
 	c.Seq = 1
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]*renewLatency),
+		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
 	}
 	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -23,6 +24,15 @@
 	startTimeoutPerInFlight = 3 * time.Millisecond
 	// startLatencyWeight is the weight of one start in that moving mean.
 	startLatencyWeight = 0.02
+	// renewWait is how long a renewal waits at the upstream for a run to end.
+	renewWait = 1000 * time.Millisecond
+	// renewTimeout bounds a renewal in addition to that wait.
+	renewTimeout = 700 * time.Millisecond
+	// renewInterval is the pause between two renewals, in which the upstream
+	// collects ended runs.
+	renewInterval = 30 * time.Millisecond
+	// renewRetry is the delay after a failed renewal.
+	renewRetry = 150 * time.Millisecond
 	// reportDelay is the delay before the report requested after a stop.
 	reportDelay = time.Millisecond
 	// expiryPeriod is the time between two checks for expired leases and jobs.
@@ -165,13 +175,12 @@
 	if l.Timer.Pause(ctx, reportDelay) != nil {
 		return
 	}
-	r, ok := l.nextRenewal(id)
+	lease, ok := l.nextLease(id)
 	if !ok {
 		return
 	}
-	r.wait = 0
 	// The error is ignored: renewLoop detects whether the upstream is reachable.
-	_ = l.renew(ctx, r)
+	_ = l.renew(ctx, lease, 0)
 }
 
 // listLoop reads the list of upstreams periodically and applies it.
@@ -218,3 +227,90 @@
 	l.planner.SetUpstreams(l.ownUpstreams(list))
 	l.startRenewals(ctx)
 }
+
+// startRenewals starts a renewLoop for each upstream without one. The lock is held.
+func (l *Leader) startRenewals(ctx context.Context) {
+	for _, id := range l.planner.UpstreamIDs() {
+		if l.renewing[id] {
+			continue
+		}
+		l.renewing[id] = true
+		l.spawn(func() { l.renewLoop(ctx, id) })
+	}
+}
+
+// renewLoop renews the lease of an upstream until the planner no longer has it.
+func (l *Leader) renewLoop(ctx context.Context, id cawork.UpstreamID) {
+	defer func() {
+		l.lock(partReport)
+		defer l.mu.unlock()
+		delete(l.renewing, id)
+	}()
+	reachable := true
+	for ctx.Err() == nil {
+		lease, ok := l.nextLease(id)
+		if !ok {
+			return
+		}
+		wait := renewWait
+		if lease.EndMS == 0 {
+			wait = 0
+		}
+		began := l.Timer.Now()
+		err := l.renew(ctx, lease, wait)
+		if reachable != (err == nil) && ctx.Err() == nil {
+			reachable = err == nil
+			caevent.Info(l.Log, caevent.UpstreamReached).Str("upstream", string(id)).Bool("reachable", reachable).
+				Err(err).Dur("took", l.Timer.Now().Sub(began)).Send()
+		}
+		pause := renewInterval
+		switch {
+		case err != nil:
+			pause = renewRetry
+		case wait == 0:
+			pause = 0
+		}
+		if pause > 0 && l.Timer.Pause(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+// nextLease returns the lease for the next renewal. It does not extend the lease
+// while the claim is older than MaxClaimAge.
+func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
+	l.lock(partReport)
+	defer l.mu.unlock()
+	l.planner.SetNow(l.now())
+	lease, ok := l.planner.RenewLease(id)
+	if l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
+		lease.EndMS = 0
+	}
+	return lease, ok
+}
+
+func (l *Leader) renew(ctx context.Context, lease caboard.Lease, wait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+renewTimeout)
+	defer cancel()
+	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
+	if err != nil {
+		l.lock(partReport)
+		defer l.mu.unlock()
+		l.planner.SetNow(l.now())
+		l.planner.MarkRenewalUnanswered(lease.Upstream)
+		if cakind.Of(err) == cakind.KindNotFound {
+			l.planner.MarkIncarnationGone(lease.Upstream)
+			l.wakePlanner()
+		}
+		if isFenced(err) {
+			l.stepDown(lease.Upstream)
+		}
+		return err
+	}
+	l.lock(partReport)
+	defer l.mu.unlock()
+	l.planner.SetNow(l.now())
+	l.planner.ApplyReport(report)
+	l.wakePlanner()
+	return nil
+}
