--- /dev/null
+++ b/internal/cell/cagate/claiming.go
@@ -0,0 +1,132 @@
+package cagate
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/carelay"
+	"celeryarch.example/celeryarch/internal/cell/caroster"
+)
+
+const (
+	// electionJitter bounds the random delay that spreads the claims of candidates.
+	electionJitter = 40 * time.Millisecond
+	// delayPerLedShard delays a candidate for each shard that it already leads.
+	delayPerLedShard = 150 * time.Millisecond
+	// lowCPUDelay is the delay of a candidate without any CPU share. It shrinks linearly to
+	// zero at leaderCPUShare.
+	lowCPUDelay = 200 * time.Millisecond
+	// lowCPUDeferDelay replaces lowCPUDelay while a strong entry is present.
+	lowCPUDeferDelay = 800 * time.Millisecond
+	// unreadableDelay delays a candidate that released the shard since it could not read the jobs, for
+	// unreadableTime after that.
+	unreadableDelay = time.Second
+	unreadableTime  = 10 * time.Second
+	// leaderCPUShare is the CPU share, in cores, that a leader should have.
+	leaderCPUShare = caroster.StrongCPUShare
+)
+
+// candidacyDelay returns how long this entry waits before it claims a shard. Strong
+// entries that lead no shard wait the least.
+func (l *link) candidacyDelay() time.Duration {
+	g := l.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delay := time.Duration(g.ledShardCount()) * delayPerLedShard
+	if cpuShortfall := max(1-g.Self.CPUShare/leaderCPUShare, 0); cpuShortfall > 0 {
+		maxDelay := lowCPUDelay
+		if g.roster.HasOtherStrong(g.Timer.Now(), l.status.VM) {
+			maxDelay = lowCPUDeferDelay
+		}
+		delay += time.Duration(cpuShortfall * float64(maxDelay))
+	}
+	if !l.unreadableAt.IsZero() && g.Timer.Now().Sub(l.unreadableAt) < unreadableTime {
+		delay += unreadableDelay
+	}
+	return delay + time.Duration(rand.Int63n(int64(electionJitter)))
+}
+
+// claimLeadership claims the shard and starts to lead it. If the claim fails, it adopts a
+// newer leader, if any. It reports whether the leader has changed.
+func (l *link) claimLeadership(ctx context.Context, found caleader.LeadershipState, previous leaderID) bool {
+	g := l.gate
+	if err := g.Timer.Pause(ctx, l.candidacyDelay()); err != nil {
+		return false
+	}
+	granter := found.Claim.LastGranter()
+	c := caleader.Claim{
+		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(),
+		Process: g.Nonce, Taken: found.Claim.Token != 0 && !found.Claim.Released, GrantsNone: true, Granter: &granter,
+	}
+	l.applyRemainingLeases(&c, found.Claim)
+	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
+	defer cancel()
+	token, newEnd, err := caleader.AcquireClaim(claimCtx, g.ShardLog(l.shard), c, found.End, g.Timer.Pause)
+	if err != nil {
+		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", found.End).
+			Str("leader_before", string(previous.VM)).Err(err).Send()
+		return l.adoptLatest(ctx, previous)
+	}
+	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
+		Str("leader_before", string(previous.VM)).Int64("token_before", previous.Token).Send()
+	l.applyRemainingLeases(&c, found.Claim)
+	l.granter.Observe(c, g.Timer.Now())
+	l.startLeading(ctx, c, granter, token, newEnd)
+	return true
+}
+
+// observeClaim records the leases in a claim that was read now.
+func (l *link) observeClaim(c caleader.Claim) {
+	now := l.gate.Timer.Now()
+	l.silence.Observe(c.Silent, now)
+	l.granter.Observe(c, now)
+}
+
+// applyRemainingLeases sets for how long from now on the leases can last that earlier leaders granted,
+// by the claim before.
+func (l *link) applyRemainingLeases(c *caleader.Claim, before caleader.Claim) {
+	now := l.gate.Timer.Now()
+	c.Silent = l.silence.Remaining(before.Silent, now)
+	c.InheritedRemaining = l.granter.Remaining(before, now)
+}
+
+// startLeading starts the shard's leader in this entry. It runs until it is deposed.
+func (l *link) startLeading(ctx context.Context, c caleader.Claim, previous caleader.Granter, token, end int64) {
+	g := l.gate
+	relay := carelay.New(carelay.Deps{
+		Leader: g.Self.VM, Token: token, MinUpstreams: g.RelayMinUpstreams, Log: g.Log.With().Int("shard", l.shard).Logger(), Timer: g.Timer,
+		Peers: g.PeerClient, Upstreams: g.Upstreams, Registry: g.Registry, Candidates: g.agentCandidates,
+	})
+	leader := caleader.New(caleader.Deps{
+		Shard: l.shard, MaxShards: g.MaxShards, View: g.policyAndLayout, OnLayoutStored: g.setLayout,
+		Log: g.Log.With().Int("shard", l.shard).Logger(), Scope: g.Scope, Timer: g.Timer, WallClockMS: g.WallMillis,
+		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token, Previous: previous,
+	}, c, token, end)
+	leader.ObserveProcess(g.Self.VM, g.Self.Address, g.Nonce)
+	g.mu.Lock()
+	l.observeLeader(leaderID{VM: g.Self.VM, Address: g.Self.Address, Token: token})
+	leader.SetDrains(g.drainView())
+	l.localLeader = leader
+	l.leadingSince = g.Timer.Now()
+	g.notifyLeadership()
+	g.mu.Unlock()
+	go func() {
+		relayCtx, cancel := context.WithCancel(ctx)
+		go relay.Run(relayCtx)
+		err := leader.Run(ctx)
+		cancel()
+		<-relay.Done()
+		caevent.Warn(g.Log, caevent.ShardDeposed).Int("shard", l.shard).Int64("token", token).Err(err).Send()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		l.localLeader = nil
+		g.notifyLeadership()
+		if l.status.Token == token {
+			l.status.Address = ""
+			l.status.lastReplyAt = time.Time{}
+		}
+	}()
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
-	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/caguard"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
@@ -38,9 +37,6 @@
 	// appendsFailingAfter is how long all append attempts must have failed before
 	// another entry that reaches the store may take over.
 	appendsFailingAfter = 200 * time.Millisecond
-	// loadFailingAfter is how long all reads of the jobs must have failed before another entry
-	// that reaches the store may take over.
-	loadFailingAfter = time.Second
 	// ClaimRenewPeriod is the longest time between two appends of a leader.
 	ClaimRenewPeriod = 150 * time.Millisecond
 	// minStoreSuspectTime is how long an append may take before the store is
@@ -246,92 +242,6 @@
 	return caboard.ClockReading{Monotonic: l.Timer.Now(), WallMS: l.WallClockMS()}
 }
 
-// loadRenewing loads the jobs and renews the claim meanwhile: other entries would take a
-// leader without appends for a failed one.
-func (l *Leader) loadRenewing(ctx context.Context) error {
-	claim, claimedAt := l.writer.claim, l.lastAppend.load()
-	loaded := make(chan error, 1)
-	go func() {
-		loaded <- caguard.Do(l.Log, "leader load", func() error { return l.load(ctx) })
-	}()
-	for {
-		if done, err := l.awaitLoad(loaded); done {
-			return err
-		}
-		began := l.Timer.Now()
-		releasing := l.released.Load()
-		l.writer.claim.Released = releasing
-		aged := claim.after(began.Sub(claimedAt))
-		l.writer.claim.Silent, l.writer.claim.InheritedRemaining = aged.Silent, aged.InheritedRemaining
-		if err := l.writer.append(ctx, nil); err != nil {
-			l.stopLeading(err)
-			<-loaded
-			return err
-		}
-		l.lastAppend.store(began)
-		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
-		l.appendTook.Store(int64(l.writer.claim.AppendTook))
-		if releasing {
-			err := l.noteReleased()
-			l.stopLeading(err)
-			<-loaded
-			return err
-		}
-	}
-}
-
-// awaitLoad waits until the jobs are loaded or the claim is due for renewal.
-func (l *Leader) awaitLoad(loaded <-chan error) (done bool, err error) {
-	due := l.Timer.After(ClaimRenewPeriod)
-	defer due.Close()
-	select {
-	case err := <-loaded:
-		return true, err
-	case <-due.C:
-		return false, nil
-	}
-}
-
-// load reads the jobs and the list of upstreams into the planner.
-func (l *Leader) load(ctx context.Context) error {
-	began := l.Timer.Now()
-	type result struct {
-		list []caspec.Upstream
-		err  error
-	}
-	results := make(chan result, 1)
-	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, loadReadTimeout)
-		defer cancel()
-		list, err := l.Registry.List(callCtx)
-		results <- result{list, err}
-	}()
-	state, err := loadState(ctx, l.Store, l.Timer.Pause, l.recordLoadRead)
-	if err != nil {
-		return err
-	}
-	upstreams := <-results
-	l.lock(partReport)
-	defer l.mu.unlock()
-	l.planner.SetNow(l.now())
-	if upstreams.err == nil {
-		l.planner.SetUpstreamsReadAt(l.ownUpstreams(upstreams.list), began)
-	}
-	l.planner.SetListValidUntil(l.Timer.Now().Add(maxListPause))
-	for _, j := range state.jobs {
-		l.planner.Restore(j)
-	}
-	l.planner.RestoreCrashes(state.crashes)
-	l.countUnstarted()
-	l.loaded.Store(true)
-	l.startRenewals(ctx)
-	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
-		Int("unreadable", state.unreadableJobs).Int("crashes", len(state.crashes)).
-		Int("unreadable_crashes", state.unreadableCrashes).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
-		Dur("load_took", l.Timer.Now().Sub(began)).Send()
-	return nil
-}
-
 // failWaiters ends all waits. A job that no append has included does not exist; the outcome of
 // all others is unknown.
 func (l *Leader) failWaiters() {
@@ -427,23 +337,6 @@
 	return !since.IsZero() && l.Timer.Now().Sub(since) > appendsFailingAfter
 }
 
-// recordLoadRead records the outcome of a read of the jobs.
-func (l *Leader) recordLoadRead(err error) {
-	switch {
-	case err == nil:
-		l.loadFailingSince.store(time.Time{})
-	case l.loadFailingSince.load().IsZero():
-		l.loadFailingSince.store(l.Timer.Now())
-	}
-}
-
-// IsLoadFailing reports whether all reads of the jobs have failed for so long that another entry
-// that reaches the store should lead.
-func (l *Leader) IsLoadFailing() bool {
-	since := l.loadFailingSince.load()
-	return !since.IsZero() && l.Timer.Now().Sub(since) > loadFailingAfter
-}
-
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
