--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -119,6 +119,8 @@
 	loaded atomic.Bool
 	// lastAppend is when the last successful append began.
 	lastAppend moment
+	// appendTook is the duration of that append, in nanoseconds.
+	appendTook atomic.Int64
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
@@ -139,9 +141,10 @@
 	inFlightSince time.Time
 	// lastAppendTook is the duration of the last successful append.
 	lastAppendTook time.Duration
-	renewing       map[cawork.UpstreamID]bool
-	proxyLoad      proxyLoad
-	stopLeading    context.CancelCauseFunc
+	// renewing holds the upstreams that have a renewLoop.
+	renewing    map[cawork.UpstreamID]*renewLatency
+	proxyLoad   proxyLoad
+	stopLeading context.CancelCauseFunc
 	// extraEntries are records for the next append that do not come from the planner.
 	extraEntries []LogEntry
 	// proposedLayout is the layout in those records.
@@ -163,7 +166,7 @@
 	c.Seq = 1
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
+		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]*renewLatency),
 	}
 	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
@@ -257,6 +260,7 @@
 		}
 		l.lastAppend.store(began)
 		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
+		l.appendTook.Store(int64(l.writer.claim.AppendTook))
 	}
 }
 
@@ -410,6 +414,9 @@
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
+// LastAppendTook returns the duration of the last successful append, zero before the first one.
+func (l *Leader) LastAppendTook() time.Duration { return time.Duration(l.appendTook.Load()) }
+
 // Submit accepts a job and returns once it is stored. KindUnknown means that the
 // job may have been accepted; other errors mean that it has not.
 func (l *Leader) Submit(ctx context.Context, s caspec.Submission) error {
