--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -45,10 +45,15 @@
 	leadingSince time.Time
 	// handedOverAt is when this entry last handed the shard over to a strong entry.
 	handedOverAt time.Time
+	// unreadableAt is when this entry last released the shard since it could not read the jobs.
+	unreadableAt time.Time
 	// isolated is set while neither the leader nor the store answers this entry.
 	isolated bool
 	// silence is what the claims declared that this entry has read. Only run uses it.
 	silence caboard.SilenceSightings
+	// granter is what these claims state of the last leader that may have granted leases. Only run
+	// uses it.
+	granter caleader.GranterSighting
 }
 
 // leaderStatus is the last observed leader and its state as far as this entry knows.
@@ -112,6 +117,17 @@
 	return l.isolated
 }
 
+// recordReply records a reply of the leader. The caller must hold Gate.mu.
+func (l *link) recordReply(reply helloReply, latency time.Duration) {
+	l.setIsolatedLocked(false)
+	l.status.lastReplyAt = l.gate.Timer.Now()
+	l.status.lastAppendAge, l.status.lastAppendTook = reply.LastAppendAge, reply.LastAppendTook
+	l.status.nextHelloIn = reply.NextHelloIn
+	l.status.helloLatency = (l.status.helloLatency + latency) / 2
+	l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
+	l.status.unresponsive = false
+}
+
 // isAvailable reports whether the shard has a leader that answers and reaches the store.
 // The caller must hold Gate.mu.
 func (l *link) isAvailable() bool {
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -38,6 +38,9 @@
 	// appendsFailingAfter is how long all append attempts must have failed before
 	// another entry that reaches the store may take over.
 	appendsFailingAfter = 200 * time.Millisecond
+	// loadFailingAfter is how long all reads of the jobs must have failed before another entry
+	// that reaches the store may take over.
+	loadFailingAfter = time.Second
 	// ClaimRenewPeriod is the longest time between two appends of a leader.
 	ClaimRenewPeriod = 150 * time.Millisecond
 	// minStoreSuspectTime is how long an append may take before the store is
@@ -101,8 +104,8 @@
 	Registry       Registry
 	AdvisorProxies AdvisorProxies
 	Seed           int64
-	// Previous is the last claim of the leader before.
-	Previous Claim
+	// Previous is the last leader before that may have granted leases.
+	Previous Granter
 }
 
 // Leader leads one shard of a cell until another leader takes over or its context
@@ -117,6 +120,8 @@
 	inbox inbox
 	// loaded is set while the leader has loaded the jobs and leads.
 	loaded atomic.Bool
+	// granting is set once a claim is stored by which the leader may grant leases.
+	granting atomic.Bool
 	// lastAppend is when the last successful append began.
 	lastAppend moment
 	// appendTook is the duration of that append, in nanoseconds.
@@ -124,6 +129,9 @@
 	// appendsFailingSince is when the current series of failed append attempts
 	// began, zero after a success.
 	appendsFailingSince moment
+	// loadFailingSince is when the current series of failed reads of the jobs began, zero after
+	// a success.
+	loadFailingSince moment
 	// unstartedJobs are the counts of Pending, by queue.
 	unstartedJobs atomic.Pointer[map[caspec.QueueName]int]
 	// released is set once Release was called.
@@ -172,7 +180,8 @@
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
 	now := l.now()
 	l.lastAppend.store(now.Monotonic)
-	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(MaxInheritedLease))
+	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(c.longestLease()))
+	l.granting.Store(!c.GrantsNone)
 	l.planner.InheritSilence(c.Silent)
 	return l
 }
@@ -251,6 +260,8 @@
 			return err
 		}
 		began := l.Timer.Now()
+		releasing := l.released.Load()
+		l.writer.claim.Released = releasing
 		aged := claim.after(began.Sub(claimedAt))
 		l.writer.claim.Silent, l.writer.claim.InheritedRemaining = aged.Silent, aged.InheritedRemaining
 		if err := l.writer.append(ctx, nil); err != nil {
@@ -261,6 +272,12 @@
 		l.lastAppend.store(began)
 		l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
 		l.appendTook.Store(int64(l.writer.claim.AppendTook))
+		if releasing {
+			err := l.noteReleased()
+			l.stopLeading(err)
+			<-loaded
+			return err
+		}
 	}
 }
 
@@ -290,7 +307,7 @@
 		list, err := l.Registry.List(callCtx)
 		results <- result{list, err}
 	}()
-	state, err := loadState(ctx, l.Store, l.Timer.Pause)
+	state, err := loadState(ctx, l.Store, l.Timer.Pause, l.recordLoadRead)
 	if err != nil {
 		return err
 	}
@@ -411,6 +428,23 @@
 	return !since.IsZero() && l.Timer.Now().Sub(since) > appendsFailingAfter
 }
 
+// recordLoadRead records the outcome of a read of the jobs.
+func (l *Leader) recordLoadRead(err error) {
+	switch {
+	case err == nil:
+		l.loadFailingSince.store(time.Time{})
+	case l.loadFailingSince.load().IsZero():
+		l.loadFailingSince.store(l.Timer.Now())
+	}
+}
+
+// IsLoadFailing reports whether all reads of the jobs have failed for so long that another entry
+// that reaches the store should lead.
+func (l *Leader) IsLoadFailing() bool {
+	since := l.loadFailingSince.load()
+	return !since.IsZero() && l.Timer.Now().Sub(since) > loadFailingAfter
+}
+
 // LastAppendAge returns the time since the last successful append began.
 func (l *Leader) LastAppendAge() time.Duration { return l.Timer.Now().Sub(l.lastAppend.load()) }
 
--- a/internal/cell/caleader/renewal.go
+++ b/internal/cell/caleader/renewal.go
@@ -95,7 +95,7 @@
 		switch {
 		case err != nil:
 			pause = renewRetry
-		case r.wait == 0:
+		case r.wait == 0 && l.granting.Load():
 			pause = 0
 		}
 		if pause > 0 && l.Timer.Pause(ctx, pause) != nil {
@@ -105,13 +105,14 @@
 }
 
 // nextRenewal returns the next renewal of an upstream. It does not extend the lease while the
-// claim is older than MaxClaimAge, and one that does not extend the lease does not wait.
+// claim is older than MaxClaimAge or states that the leader grants none, and one that does not
+// extend the lease does not wait.
 func (l *Leader) nextRenewal(id cawork.UpstreamID) (renewal, bool) {
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	lease, ok := l.planner.RenewLease(id)
-	if l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
+	if !l.granting.Load() || l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
 		lease.EndMS = 0
 	}
 	r := renewal{lease: lease, wait: renewWait, latency: l.renewing[id]}
