--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -11,30 +11,30 @@
 // What runs at an upstream ends with it. Two such ends are known before they come: an upstream that
 // drains tells for how long it stays, and one that does not answer ends its runs when its lease
 // expires. For long-running tasks a place elsewhere is sought before: room is reserved and the
-// advisor is asked. At an upstream that drains, runs that outlast it are stopped in time, so that
-// their ends are proved at once. Once that upstream is gone, its lease would have to expire first,
-// and a task whose run ended as it left would start again, since nobody learned of that end.
+// advisor is asked. At an upstream that drains, what is still at work is stopped in time, so that its
+// end is proved at once. Once that upstream is gone, its lease would have to expire first, and a task
+// whose run ended as it left would start again, since nobody learned of that end.
 //
 //	work at a draining upstream         place sought before   stopped
 //	long-running task                   yes                   once it has a place, or departureLead before the leave
 //	long-running gang                   no                    departureLead before the leave, as a whole
-//	other task or gang that outlasts it no                    departureLead before the leave, a gang as a whole
-//	task that may have copies           no                    never; a copy is started elsewhere
-//	what should end in time             no                    lastDepartureLead before the leave, a gang as a whole
+//	other task or gang                  no                    departureLead before the leave, a gang as a whole
+//	task that may have copies           no                    never; if it outlasts the upstream, a copy is started elsewhere
 //
 // At a silent upstream nothing is stopped.
 
 const (
-	// departureLead is how long before a draining upstream may leave the runs that outlast it are
-	// stopped, whether there is a place for them or not: the age of the list, the call, up to
-	// 0.9 s until the run has stopped, and the report of its end.
-	departureLead = 1500 * time.Millisecond
-	// lastDepartureLead is how long before a draining upstream may leave all that is still at work there
-	// is stopped: the age of the list and up to 0.9 s until it has stopped. If a run ends just as
-	// its upstream leaves, the answer that lists its end may not arrive.
-	lastDepartureLead = 1200 * time.Millisecond
-	// usualOverstay is how much longer than it says a draining upstream often stays. Runs that
-	// are expected to end by then are left alone until lastDepartureLead before the leave.
+	// initialStopTime is how long a stop is expected to take, from its order to the report of the end,
+	// unless longer ones were observed, and maxStopTime bounds what is expected from these.
+	initialStopTime = time.Second
+	maxStopTime     = 3 * time.Second
+	// stopTimeWeight is the weight of a shorter stop in the expected time.
+	stopTimeWeight = 0.1
+	// departureMargin is the time beyond an expected stop by which what is at work at a draining upstream
+	// is stopped before it may leave, whether there is a place for it or not.
+	departureMargin = 200 * time.Millisecond
+	// usualOverstay is how much longer than it says a draining upstream often stays. No copies are
+	// started of runs that are expected to end by then.
 	usualOverstay = 2 * time.Second
 	// inheritedDescriptionAge bounds the age of the first description of an upstream that a leader
 	// finds in the list: an upstream describes itself at each heartbeat.
@@ -46,9 +46,9 @@
 	stopAllowance = time.Second
 )
 
-// updateDeparture applies a description to when the upstream leaves, before the former
-// description is replaced.
-func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream) {
+// updateDeparture applies a description to when the upstream may leave, before the former description
+// is replaced. The reading of the list began at readAt.
+func (b *Planner) updateDeparture(u *upstream, info caspec.Upstream, readAt time.Time) {
 	if !info.Draining {
 		u.leavesAt = time.Time{}
 		return
@@ -57,11 +57,29 @@
 	if isSame && !u.leavesAt.IsZero() {
 		return
 	}
-	remaining := info.DrainRemaining
+	// The upstream described itself after the last reading of the list had begun, which did not show this.
+	describedSince := b.listReadAt
 	if u.listedIncarnation == 0 {
-		remaining -= inheritedDescriptionAge
+		describedSince = readAt.Add(-inheritedDescriptionAge)
 	}
-	u.leavesAt = b.now.Monotonic.Add(max(remaining, 0))
+	u.leavesAt = describedSince.Add(info.DrainRemaining)
+}
+
+// departureLead returns how long before a draining upstream may leave what is still at work there is
+// stopped.
+func (b *Planner) departureLead() time.Duration { return b.stopTime + departureMargin }
+
+// noteStopTime adapts the expected time of a stop to that of a run that has ended: at once to a longer
+// one, and slowly to shorter ones.
+func (b *Planner) noteStopTime(r *run) {
+	if r.stopOrderedAt.IsZero() {
+		return
+	}
+	took := min(b.now.Monotonic.Sub(r.stopOrderedAt), maxStopTime)
+	if took < b.stopTime {
+		took = b.stopTime + time.Duration(stopTimeWeight*float64(took-b.stopTime))
+	}
+	b.stopTime = max(took, initialStopTime)
 }
 
 // isLeaving reports whether the upstream, in its present incarnation, drains and has not left. Its registration
@@ -125,21 +143,12 @@
 
 // mayLeaveNow reports whether the upstream is leaving and may leave before its runs could be stopped
 // later than now.
-func (b *Planner) mayLeaveNow(u *upstream) bool { return b.mayLeaveWithin(u, departureLead) }
-
-// mayLeaveWithin reports whether the upstream is leaving and may leave within a time.
-func (b *Planner) mayLeaveWithin(u *upstream, lead time.Duration) bool {
-	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-lead))
-}
-
-// mustStop reports whether a run at a draining upstream is stopped though it has no place elsewhere.
-func (b *Planner) mustStop(r *run) bool {
-	return b.mayLeaveNow(r.upstream) && b.outlastsUpstream(r) || b.mayLeaveWithin(r.upstream, lastDepartureLead)
+func (b *Planner) mayLeaveNow(u *upstream) bool {
+	return b.isLeaving(u) && !b.now.Monotonic.Before(u.leavesAt.Add(-b.departureLead()))
 }
 
-// stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, that outlast
-// their upstreams, if these may leave now, or that have not ended shortly before these may leave. While
-// nothing can be stored they could not be started elsewhere.
+// stopDepartingRuns stops the runs on draining upstreams that have a place elsewhere, and all of those
+// that may leave now. While nothing can be stored they could not be started elsewhere.
 func (b *Planner) stopDepartingRuns() {
 	for _, u := range b.sortedUpstreams {
 		if len(u.runs) == 0 || !b.isLeaving(u) {
@@ -150,7 +159,7 @@
 				continue
 			}
 			hasPlace := r.needsPlace() && b.hasPlaceElsewhere(r.step)
-			if hasPlace || b.mustStop(r) {
+			if hasPlace || b.mayLeaveNow(u) {
 				b.stopDepartingRun(r, hasPlace)
 			}
 		}
--- a/internal/cell/caleader/granter_test.go
+++ b/internal/cell/caleader/granter_test.go
@@ -152,8 +152,8 @@
 			l.lock(partReport)
 			l.planner.ApplyReport(caboard.Report{Upstream: "up-0", Born: 1, SentAt: l.Timer.Now(), ReceivedAt: l.Timer.Now(), ClockMS: 5000})
 			l.mu.unlock()
-			r, _ := l.nextRenewal("up-0")
-			return r.lease.EndMS
+			lease, _ := l.nextLease("up-0")
+			return lease.EndMS
 		}
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
