--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -212,12 +212,12 @@
 		g.roster.RecordReport(g.Timer.Now(), p)
 	}
 	l.observeLeader(reply.Leader)
-	if reply.Leading && reply.Leader.Token == l.status.Token {
+	isCurrent := reply.Leader.Token == l.status.Token
+	if isCurrent && (reply.Leading || reply.SteppingDown) {
 		l.recordReply(reply, latency)
-		return nil
 	}
 	switch {
-	case address != l.status.Address:
+	case address != l.status.Address, isCurrent && reply.Leading:
 		return nil
 	case reply.Leader.Token < l.status.Token:
 		return errClaimUnanswered
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -51,7 +51,8 @@
 	// Leading is set if the replying entry leads the shard and does not let another entry
 	// take over.
 	Leading bool `cbor:"1,keyasint,omitempty"`
-	// LastAppendAge is the age of the leader's last append. Only the leader sets it.
+	// LastAppendAge is the age of the leader's last append. Only the leader sets it, also one
+	// that is stepping down.
 	LastAppendAge time.Duration `cbor:"2,keyasint,omitempty"`
 	// Leader is the last leader that the replying entry has observed.
 	Leader leaderID `cbor:"3,keyasint,omitempty"`
@@ -76,6 +77,9 @@
 	HasUnstarted bool                     `cbor:"12,keyasint,omitempty"`
 	// LastAppendTook is the duration of the leader's last append. Only the leader sets it.
 	LastAppendTook time.Duration `cbor:"13,keyasint,omitempty"`
+	// SteppingDown is set if the replying entry leads the shard and lets another entry take
+	// over. It answers calls until one does.
+	SteppingDown bool `cbor:"14,keyasint,omitempty"`
 }
 
 // leaderID identifies a leader by its VM and fencing token.
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -30,8 +30,9 @@
 	reply := helloReply{PolicyVersion: g.policy.Version}
 	if err == nil {
 		reply.Leader = l.status.leaderID
-		if l.localLeader != nil && !g.draining && !g.shouldStepDown(l.localLeader) {
-			reply.Leading = true
+		if l.localLeader != nil {
+			reply.Leading = !g.draining && !g.shouldStepDown(l.localLeader)
+			reply.SteppingDown = !reply.Leading
 			reply.LastAppendAge = l.localLeader.LastAppendAge()
 			reply.LastAppendTook = l.localLeader.LastAppendTook()
 			reply.Unstarted, reply.HasUnstarted = l.localLeader.UnstartedJobs()
