Review, case 1: inside the share of long jobs, and after a configuration

The large job is one of 26 of its class in the 3 s of the disruption (0.04, 0.05 is the largest share), and the final fault follows a configuration that the store has acknowledged.

--- a/review/_cell/cell.go
+++ b/review/_cell/cell.go
@@ -26,6 +26,8 @@
 	deadline   = 3 * time.Second
 	// retries is how often a client sends a call again that got no answer.
 	retries = 4
+	// configVersion is the version of the first configuration.
+	configVersion = 7
 	// A cell of the size of a small site.
 	workerCount = 48
 	entryCount  = 5
@@ -153,7 +155,7 @@
 		return nil, err
 	}
 	go func() { _ = http.Serve(lis, c.store) }()
-	c.configure()
+	c.configure(configVersion)
 	for i := range workers {
 		if err := c.addWorker(i); err != nil {
 			return nil, err
@@ -204,7 +206,8 @@
 	return c, true
 }
 
-func (c *cell) configure() {
+// configure writes a version of the configuration, as the operator does.
+func (c *cell) configure(version int) {
 	route := func(name, prefix string, priority int) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": clientHost, "PathPrefix": prefix, "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 3000,
@@ -212,7 +215,7 @@
 		}
 	}
 	body, _ := json.Marshal(map[string]any{
-		"Version":  7,
+		"Version":  version,
 		"Routes":   []any{route("r-ihhacru", bigPrefix, 2), route("r-nax7u27", jobPrefix, 0)},
 		"Services": []any{map[string]any{"Name": "huvo11a", "HealthPath": "/health", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "AdmissionCheck": false, "Standby": false}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
--- a/review/_cell/large.go
+++ b/review/_cell/large.go
@@ -27,8 +27,9 @@
 	afterRecovery = 14 * time.Second
 	// minServed is the share of the requests that the rule asks for.
 	minServed = 0.25
-	// A small job of one task is handed in each smallPeriod.
-	smallPeriod = 250 * time.Millisecond
+	// A small job of one task is handed in each smallPeriod, to the queue of the large one: so many that
+	// this one is less than the share of the class that may take long.
+	smallPeriod = 120 * time.Millisecond
 	smallRunMS  = 300
 )
 
@@ -88,7 +89,8 @@
 
 // killAll kills all entries and starts them again. It returns when they were back.
 func killAll(c *cell, program string) time.Time {
-	c.rec.printf("final fault: all processes are killed")
+	c.configure(configVersion + 1)
+	c.rec.printf("a configuration is acknowledged; final fault: all processes are killed")
 	for _, e := range c.entries {
 		_ = e.cmd.Process.Kill()
 	}
@@ -110,7 +112,7 @@
 	for i := 0; time.Now().Before(until); i++ {
 		r := smallRequest{id: fmt.Sprintf("5c0e7a21%08x", i), sent: time.Now()}
 		all.Go(func() {
-			status := c.submit(jobPrefix+r.id, map[string]any{"Spec": fmt.Sprintf("ms=%d", smallRunMS), "Steps": []any{
+			status := c.submit(bigPrefix+r.id, map[string]any{"Spec": fmt.Sprintf("ms=%d", smallRunMS), "Steps": []any{
 				map[string]any{"Count": 1, "Cpu": 500, "MemMb": 256, "EstimatedMs": smallRunMS},
 			}})
 			c.rec.printf("client: job %s: %d after %v", r.id, status, time.Since(r.sent).Round(time.Millisecond))
