--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -67,6 +67,7 @@
 	UpstreamCrashed    Number = 419
 	JobGivenUp         Number = 420
 	TaskMoved          Number = 421
+	ApprovalOverdue    Number = 422
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- /dev/null
+++ b/internal/cell/caapproval/relays_test.go
@@ -0,0 +1,119 @@
+package caapproval
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newRelays(entries int) *Relays {
+	r := New()
+	names := make([]cawork.VMID, 0, entries)
+	for i := range entries {
+		names = append(names, cawork.VMID(fmt.Sprintf("entry-%d", i)))
+	}
+	r.SetPresent(names)
+	return r
+}
+
+func longRequest(cost time.Duration) caboard.ApprovalRequest {
+	return caboard.ApprovalRequest{Cost: cost, Long: true}
+}
+
+func (r *Relays) assign(t *testing.T, now time.Time, ask caboard.ApprovalRequest) Request {
+	t.Helper()
+	q, ok := r.Assign(now, ask)
+	if !ok {
+		t.Fatal("no entry for a request")
+	}
+	return q
+}
+
+// TestSlowAnswersDoNotPileUpAtOneEntry guards against requests that are sent to an entry that should have
+// answered by the terms of the advisor and has not, while others are idle.
+func TestSlowAnswersDoNotPileUpAtOneEntry(t *testing.T) {
+	r := newRelays(5)
+	open := make(map[cawork.VMID]int)
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * 2 * time.Second)
+		open[r.assign(t, now, longRequest(time.Second)).Relay]++
+	}
+	want := map[cawork.VMID]int{"entry-0": 1, "entry-1": 1, "entry-2": 1}
+	if diff := cmp.Diff(want, open); diff != "" {
+		t.Errorf("open requests by entry (-want +got):\n%s", diff)
+	}
+}
+
+// TestOverdueRequestOccupiesItsEntry guards against an entry that gets request after request while the
+// advisor still handles those that were given up.
+func TestOverdueRequestOccupiesItsEntry(t *testing.T) {
+	r := newRelays(1)
+	now := start
+	for range maxRequestsPerRelay {
+		r.WithOverdue(now, r.assign(t, now, longRequest(time.Second)))
+	}
+	now = now.Add(time.Minute)
+	if diff := cmp.Diff(0, r.Limits(now).Total); diff != "" {
+		t.Errorf("requests that may be open besides (-want +got):\n%s", diff)
+	}
+}
+
+// TestLateAnswerEndsBackoff covers an entry whose answer arrives after it was overdue.
+func TestLateAnswerEndsBackoff(t *testing.T) {
+	r := newRelays(2)
+	q := r.assign(t, start, caboard.ApprovalRequest{Cost: time.Second})
+	q = r.WithOverdue(start.Add(3*time.Second), q)
+	before := r.Limits(start.Add(3 * time.Second)).Total
+	r.End(start.Add(3500*time.Millisecond), q, true)
+	after := r.Limits(start.Add(3500 * time.Millisecond)).Total
+	if diff := cmp.Diff([]int{maxRequestsPerRelay, 2 * maxRequestsPerRelay}, []int{before, after}); diff != "" {
+		t.Errorf("requests that may be open before and after the late answer (-want +got):\n%s", diff)
+	}
+}
+
+// TestTimeoutFollowsSlowness guards against timeouts that stay as short as the terms of the advisor say,
+// so that most requests are repeated while the advisor handles them.
+func TestTimeoutFollowsSlowness(t *testing.T) {
+	r := newRelays(1)
+	now := start
+	announced := r.assign(t, now, longRequest(time.Second))
+	r.End(now.Add(time.Second), announced, true)
+	for range 20 {
+		now = now.Add(4 * time.Second)
+		q := r.assign(t, now, longRequest(time.Second))
+		r.End(now.Add(4*time.Second), q, true)
+		now = now.Add(4 * time.Second)
+	}
+	slow := r.assign(t, now, longRequest(time.Second))
+	if slow.OverdueAfter < 2*time.Second+overdueMargin {
+		t.Errorf("overdue after %v of 4 s that answers take, it was %v at first", slow.OverdueAfter, announced.OverdueAfter)
+	}
+	r.End(now.Add(4*time.Second), slow, true)
+	if got := r.Slowness(now.Add(time.Minute)); got > 1.01 {
+		t.Errorf("slowness %v a minute after the last answer, want 1", got)
+	}
+}
+
+// TestLostEntryLeavesOthersFree covers an entry that does not answer, and is not present any more.
+func TestLostEntryLeavesOthersFree(t *testing.T) {
+	r := newRelays(3)
+	lost := r.assign(t, start, longRequest(time.Second))
+	r.SetPresent([]cawork.VMID{"entry-1", "entry-2"})
+	lost = r.WithOverdue(start.Add(3*time.Second), lost)
+	limits := r.Limits(start.Add(3 * time.Second))
+	if diff := cmp.Diff([]int{2 * maxRequestsPerRelay, 1}, []int{limits.Total, limits.Long}); diff != "" {
+		t.Errorf("requests and long ones that may be open (-want +got):\n%s", diff)
+	}
+	r.End(start.Add(9*time.Second), lost, false)
+	r.SetPresent(r.names)
+	if diff := cmp.Diff(2, len(r.relays)); diff != "" {
+		t.Errorf("entries that are kept (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -355,12 +355,26 @@
 		}
 		s.approvals.requestPending = false
 		if answered {
-			b.applyApprovals(s, request, approved)
+			b.applyApprovals(s, request, approved, false)
 		}
 	}
 }
 
-func (b *Planner) applyApprovals(s *step, request ApprovalRequest, approved []Approval) {
+// ApplyLateAdvice applies an answer to a request that had counted as failed. What the advisor decided
+// about an upstream does not change.
+func (b *Planner) ApplyLateAdvice(request ApprovalRequest, approved []Approval) {
+	j, ok := b.jobs[request.Job]
+	if !ok {
+		return
+	}
+	for _, s := range j.steps {
+		if s.occurrence.Number == request.Occurrence && s.number == request.Step {
+			b.applyApprovals(s, request, approved, true)
+		}
+	}
+}
+
+func (b *Planner) applyApprovals(s *step, request ApprovalRequest, approved []Approval, late bool) {
 	q, ok := b.queueOf(s.job)
 	if !ok || q.Approval == nil {
 		return
@@ -380,6 +394,6 @@
 	rate := float64(len(approved)) / float64(len(request.Upstreams))
 	stats.approvalRate += approvalRateWeight * (rate - stats.approvalRate)
 	caevent.Info(b.log, caevent.StepApproved).Str("job", string(request.Job)).Int("step", request.Step).
-		Int("asked", len(request.Upstreams)).Int("approved", len(approved)).
+		Int("asked", len(request.Upstreams)).Int("approved", len(approved)).Bool("late", late).
 		Dur("took", b.now.Monotonic.Sub(s.approvals.lastRequestAt)).Send()
 }
--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -47,6 +47,8 @@
 	drainStretch time.Duration
 	// advisor is the advisor of all entries.
 	advisor caleader.Advisor
+	// advisorOf returns the advisor as one entry reaches it, advisor if it is nil.
+	advisorOf func(name string) caleader.Advisor
 	// onClockRead is called with each reading of the wall clock, which leaders read with their
 	// lock held. It may be nil.
 	onClockRead func()
@@ -116,7 +118,7 @@
 
 const testUpstreams = 6
 
-func newTestCell(t *testing.T, entries, relayMinUpstreams int) *testCell {
+func newTestCell(t *testing.T, entries, relayMinUpstreams int, changes ...func(*testCell)) *testCell {
 	c := &testCell{
 		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) OperatorFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
 		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
@@ -125,6 +127,9 @@
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
 	c.fleet = standin.NewFleet(testUpstreams, capacity, testStep().Size(),
 		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("up-%d", i)) })
+	for _, change := range changes {
+		change(c)
+	}
 	for i := range entries {
 		c.start(entryName(i))
 	}
@@ -152,7 +157,7 @@
 			return busyLog{Log: c.store.Log(fmt.Sprintf("jobs-%d", shard), name), entry: name, cell: c}
 		},
 		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c, RelayMinUpstreams: c.relayMinUpstreams,
-		Advisor: c.advisor, OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
+		Advisor: c.advisorFor(name), OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
 	})
 	server := capeer.NewServer()
 	e.gate.Register(server)
@@ -168,6 +173,13 @@
 	c.entries[name] = e
 }
 
+func (c *testCell) advisorFor(name string) caleader.Advisor {
+	if c.advisorOf != nil {
+		return c.advisorOf(name)
+	}
+	return c.advisor
+}
+
 // List implements caleader.Registry.
 func (c *testCell) List(ctx context.Context) ([]caspec.Upstream, error) {
 	if c.lostLists.Add(-1) >= 0 {
@@ -424,12 +436,13 @@
 }
 
 // runInTestCell runs a scenario and verifies the cell, once with a leader that calls its
-// upstreams directly and once with one that calls them through agents.
-func runInTestCell(t *testing.T, entries int, scenario func(t *testing.T, c *testCell)) {
+// upstreams directly and once with one that calls them through agents. The changes are applied before its
+// entries start.
+func runInTestCell(t *testing.T, entries int, scenario func(t *testing.T, c *testCell), changes ...func(*testCell)) {
 	for name, relayMinUpstreams := range map[string]int{"direct": testUpstreams + 1, "relayed": 1} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newTestCell(t, entries, relayMinUpstreams)
+				c := newTestCell(t, entries, relayMinUpstreams, changes...)
 				time.Sleep(5 * time.Second)
 				scenario(t, c)
 				c.verify()
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caapproval"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -146,7 +147,7 @@
 	// lastAppendTook is the duration of the last successful append.
 	lastAppendTook time.Duration
 	renewing       map[cawork.UpstreamID]bool
-	proxyLoad      proxyLoad
+	relays         *caapproval.Relays
 	stopLeading    context.CancelCauseFunc
 	// extraEntries are records for the next append that do not come from the planner.
 	extraEntries []LogEntry
@@ -170,6 +171,7 @@
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
+		relays: caapproval.New(),
 	}
 	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -77,7 +77,7 @@
 
 // plan makes a plan and executes its orders. It returns the duration of the plan.
 func (l *Leader) plan(ctx context.Context, expiryDue bool) time.Duration {
-	orders, took := l.nextOrders(askSlots(len(l.AdvisorProxies.Names())), expiryDue)
+	orders, took := l.nextOrders(l.AdvisorProxies.Names(), expiryDue)
 	for _, order := range orders.Stops {
 		l.spawn(func() { l.stopRun(ctx, order) })
 	}
@@ -92,12 +92,13 @@
 
 // nextOrders makes a plan, after a check for expired leases and jobs if that is due. It
 // returns the orders and how long it took, without the wait for the lock.
-func (l *Leader) nextOrders(slots caboard.RequestLimits, expiryDue bool) (caboard.Orders, time.Duration) {
+func (l *Leader) nextOrders(relays []cawork.VMID, expiryDue bool) (caboard.Orders, time.Duration) {
 	l.lock(partPlan)
 	defer l.mu.unlock()
 	began := l.Timer.Now()
 	l.planner.SetNow(l.now())
-	l.planner.SetRequestLimits(slots)
+	l.relays.SetPresent(relays)
+	l.planner.SetRequestLimits(l.relays.Limits(began))
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
 	if expiryDue {
 		l.planner.ExpireLeases()
--- a/internal/cell/caleader/suspension_test.go
+++ b/internal/cell/caleader/suspension_test.go
@@ -100,7 +100,7 @@
 	}
 	// commit plans and stores all changes after the time, and returns how many starts are sent.
 	commit := func(took time.Duration) int {
-		l.nextOrders(caboard.RequestLimits{}, false)
+		l.nextOrders(nil, false)
 		batch, _, began, err := l.takeBatch()
 		if err != nil {
 			t.Fatal(err)
