--- a/internal/cell/caapproval/relays.go
+++ b/internal/cell/caapproval/relays.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,9 +20,11 @@
 	// maxRequestsPerRelay bounds the open requests of one entry: the advisor handles one while the
 	// next is in transit.
 	maxRequestsPerRelay = 2
-	// longShare is the fraction of the entries that may carry long requests. The others stay free for
-	// short ones.
-	longShare = 0.6
+	// minLongShare is the smallest fraction of the entries that may carry long requests.
+	minLongShare = 0.6
+	// shortReserveFactor is the ratio of the entries that are kept free for short requests to those
+	// that these occupy on average.
+	shortReserveFactor = 2.0
 	// overdueMargin is the time beyond the expected one after which a request is overdue.
 	overdueMargin = 1500 * time.Millisecond
 	// minGiveUp is the shortest time after which an open request is given up, and giveUpFactor its
@@ -36,8 +39,9 @@
 type Relays struct {
 	relays map[cawork.VMID]*relay
 	// names are the present entries, sorted.
-	names    []cawork.VMID
-	slowness slowness
+	names     []cawork.VMID
+	slowness  slowness
+	shortLoad load
 }
 
 // relay is one entry with its open requests.
@@ -94,6 +98,9 @@
 	chosen.busyUntil = now.Add(announced)
 	chosen.open++
 	chosen.long += count(ask.Long)
+	if !ask.Long {
+		r.shortLoad.add(now, ask.Cost)
+	}
 	overdueAfter := time.Duration(r.Slowness(now)*float64(announced)) + overdueMargin
 	return Request{
 		Relay: name, SentAt: now, Announced: announced, isLong: ask.Long,
@@ -105,7 +112,7 @@
 func (r *Relays) choose(now time.Time, ask caboard.ApprovalRequest) cawork.VMID {
 	candidates := r.usable(now)
 	if ask.Long {
-		candidates = candidates[:longRelays(len(candidates))]
+		candidates = candidates[:r.longRelays(now, len(candidates))]
 	} else {
 		slices.Reverse(candidates)
 	}
@@ -156,7 +163,7 @@
 		limits.Long += known.long - known.overdueLong
 	}
 	usable := r.usable(now)
-	long := longRelays(len(usable))
+	long := r.longRelays(now, len(usable))
 	for i, name := range usable {
 		known := r.relays[name]
 		limits.Total += max(maxRequestsPerRelay-known.open, 0)
@@ -184,12 +191,15 @@
 	return usable
 }
 
-// longRelays returns how many of n entries may carry long requests.
-func longRelays(n int) int {
-	if n == 0 {
-		return 0
+// longRelays returns how many of n entries may carry long requests: all but those that the short ones
+// need.
+func (r *Relays) longRelays(now time.Time, n int) int {
+	if n <= 1 {
+		return n
 	}
-	return max(int(longShare*float64(n)+0.5), 1)
+	least := max(int(minLongShare*float64(n)+0.5), 1)
+	reserved := max(int(math.Ceil(shortReserveFactor*r.shortLoad.value(now))), 1)
+	return max(n-reserved, least)
 }
 
 func (r *Relays) backlog(now time.Time, name cawork.VMID) time.Duration {
--- a/internal/cell/caapproval/relays_test.go
+++ b/internal/cell/caapproval/relays_test.go
@@ -117,3 +117,19 @@
 		t.Errorf("entries that are kept (-want +got):\n%s", diff)
 	}
 }
+
+// TestIdleEntriesCarryLongRequests guards against entries that stay idle for the sake of short requests
+// that do not come, while long ones wait.
+func TestIdleEntriesCarryLongRequests(t *testing.T) {
+	r := newRelays(10)
+	idle := r.Limits(start).Long
+	now := start
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		r.End(now, r.assign(t, now, caboard.ApprovalRequest{Cost: 300 * time.Millisecond}), true)
+	}
+	busy := r.Limits(now).Long
+	if diff := cmp.Diff([]int{9, 6}, []int{idle, busy}); diff != "" {
+		t.Errorf("long requests without short ones, and where these occupy three entries (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caapproval/slowness.go
+++ b/internal/cell/caapproval/slowness.go
@@ -41,3 +41,10 @@
 func (s *slowness) value(now time.Time) float64 {
 	return (float64(announcedWeight) + s.took.at(now)) / (float64(announcedWeight) + s.announced.at(now))
 }
+
+// load is the mean number of entries that a kind of request occupies.
+type load struct{ cost decayingSum }
+
+func (l *load) add(now time.Time, cost time.Duration) { l.cost.add(now, float64(cost)) }
+
+func (l *load) value(now time.Time) float64 { return l.cost.at(now) / float64(averageTime) }
--- a/internal/cell/cagate/slowadvisor_test.go
+++ b/internal/cell/cagate/slowadvisor_test.go
@@ -59,7 +59,7 @@
 		// drainTime is how long after the load the last jobs may take.
 		drainTime = 6 * time.Second
 	)
-	for name, slowness := range map[string]float64{"as_announced": 1, "slower": 1.5, "twice_as_slow": 2} {
+	for name, slowness := range map[string]float64{"as_announced": 1, "slower": 1.5, "twice_as_slow": 2, "two_and_a_half_times": 2.5} {
 		t.Run(name, func(t *testing.T) {
 			runInTestCell(t, 5, func(t *testing.T, c *testCell) {
 				for begin := time.Now(); time.Since(begin) < 25*time.Second; time.Sleep(interval) {
