--- a/internal/cell/caadmission/forecast.go
+++ b/internal/cell/caadmission/forecast.go
@@ -46,6 +46,8 @@
 	// Free is the unused CPU of the pool, and PeakDemand what the largest step of the job
 	// takes.
 	Free, PeakDemand cawork.MilliCPU
+	// ApprovalWait is how long the job is expected to wait for the advisor, however much room is free.
+	ApprovalWait time.Duration
 	// Slack is how long the job may wait and still meet its objective.
 	Slack time.Duration
 	// Excess marks a job beyond the guaranteed rate of its team.
@@ -95,6 +97,10 @@
 // would wait to be accepted after a refusal.
 func (f Forecast) CheckWait() error {
 	expected, allowed := f.ExpectedWait(), f.maxWait()
+	if f.ApprovalWait > allowed {
+		return cakind.New(cakind.KindOverloaded, "the advisor is expected to answer after %d ms, the job may wait %d ms",
+			f.ApprovalWait.Milliseconds(), allowed.Milliseconds()).WithRetryAfter(max(f.ApprovalWait-allowed, minRetryAfter))
+	}
 	if expected <= allowed || f.hasRoom() {
 		return nil
 	}
--- a/internal/cell/caadmission/forecast_test.go
+++ b/internal/cell/caadmission/forecast_test.go
@@ -24,6 +24,8 @@
 		"beyond the rate of the team":   {Forecast{Capacity: cawork.Cores(100), WorkAhead: backlog, Slack: 5 * time.Second, Excess: true}, time.Second},
 		"too late by a little":          {Forecast{Capacity: cawork.Cores(100), WorkAhead: backlog, Slack: 1900 * time.Millisecond}, minRetryAfter},
 		"room is free":                  {Forecast{Capacity: cawork.Cores(100), WorkAhead: backlog, Free: cawork.Cores(10), PeakDemand: cawork.Cores(4)}, 0},
+		"advisor decides too late":      {Forecast{Capacity: cawork.Cores(100), Free: cawork.Cores(100), ApprovalWait: 3 * time.Second, Slack: 2 * time.Second}, time.Second},
+		"advisor decides in time":       {Forecast{Capacity: cawork.Cores(100), Free: cawork.Cores(100), ApprovalWait: 2 * time.Second, Slack: 2 * time.Second}, 0},
 		"own queue starts slowly":       {Forecast{Capacity: cawork.Cores(100), QueueWorkAhead: backlog, QueueRate: 17_000, Slack: 9 * time.Second}, time.Second},
 		"pool without upstreams so far": {Forecast{WorkAhead: backlog}, 0},
 	}
--- a/internal/cell/caapproval/relays.go
+++ b/internal/cell/caapproval/relays.go
@@ -155,7 +155,8 @@
 	r.slowness.add(now, q.Announced, now.Sub(q.SentAt))
 }
 
-// Limits returns how many requests may await an answer, given those that do.
+// Limits returns how many requests may await an answer, given those that do, and how fast the advisor
+// answers.
 func (r *Relays) Limits(now time.Time) caboard.RequestLimits {
 	var limits caboard.RequestLimits
 	for _, known := range r.relays {
@@ -171,6 +172,8 @@
 			limits.Long++
 		}
 	}
+	limits.Turns = float64(len(r.names)) / r.Slowness(now)
+	limits.LongTurns = float64(r.longRelays(now, len(r.names))) / r.Slowness(now)
 	return limits
 }
 
--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -26,12 +26,10 @@
 	if p := b.pools[q.Pool]; p != nil {
 		f.Capacity, f.Free = p.capacity, p.free.CPU
 	}
+	f.ApprovalWait = b.expectedApprovalWait(q, excess)
 	queue := b.queuePolicies[q.Name]
 	for _, other := range b.steps {
-		if other.waitingTasks == 0 || other.lateness != latenessNone || other.job.pool != q.Pool {
-			continue
-		}
-		if other.job.priority > q.Priority || other.job.priority == q.Priority && other.job.OverRate && !excess {
+		if other.lateness != latenessNone || other.job.pool != q.Pool || !other.goesBefore(q, excess) {
 			continue
 		}
 		w := caadmission.CoreTimeOf(other.spec.CPU, other.spec.Estimate, other.waitingTasks)
@@ -43,6 +41,68 @@
 	return f
 }
 
+// goesBefore reports whether the step has waiting tasks that are placed before those of a new job of
+// the queue.
+func (s *step) goesBefore(q caspec.Queue, excess bool) bool {
+	switch {
+	case s.waitingTasks == 0 || s.job.priority > q.Priority:
+		return false
+	default:
+		return s.job.priority < q.Priority || !s.job.OverRate || excess
+	}
+}
+
+// expectedApprovalWait returns how long the advisor is expected to be busy with the steps that it
+// decides about before those of a new job of the queue. It changes with each plan.
+func (b *Planner) expectedApprovalWait(q caspec.Queue, excess bool) time.Duration {
+	if q.Approval == nil {
+		return 0
+	}
+	turns := b.requestLimits.Turns
+	if isLongRequest(*q.Approval) {
+		turns = b.requestLimits.LongTurns
+	}
+	if turns <= 0 {
+		return 0
+	}
+	backlog := &b.statsOf(q.Name).approvalBacklog
+	if excess {
+		backlog = &b.statsOf(q.Name).excessApprovalBacklog
+	}
+	if backlog.plan != b.plans {
+		backlog.plan, backlog.cost = b.plans, b.approvalCostBefore(q, excess)
+	}
+	return time.Duration(float64(backlog.cost) / turns)
+}
+
+// approvalBacklog is the announced time of the requests that the advisor decides about before those of
+// a new job of a queue, as of a plan.
+type approvalBacklog struct {
+	plan int64
+	cost time.Duration
+}
+
+// approvalCostBefore sums up the steps that the advisor has not decided about and that start within the
+// limits of their teams. Long requests do not count for a queue with short ones, for which some entries
+// are kept free.
+func (b *Planner) approvalCostBefore(q caspec.Queue, excess bool) time.Duration {
+	isLong := isLongRequest(*q.Approval)
+	headroom := b.newHeadroom()
+	cost := time.Duration(0)
+	for _, s := range b.steps {
+		sq, ok := b.queueOf(s.job)
+		if !ok || !s.ready || !s.awaitsAdvisor(sq) || !s.goesBefore(q, excess) || isLongRequest(*sq.Approval) && !isLong {
+			continue
+		}
+		if !headroom.fits(s) || b.isStepHeldBack(s) {
+			continue
+		}
+		headroom.claim(s)
+		cost += sq.Approval.Cost(requestSize(s, b.statsOf(sq.Name).approvalRate))
+	}
+	return cost
+}
+
 // awaitsAdvisor reports whether the step has no answer of the advisor yet. Such a step
 // waits for the advisor, not for room.
 func (s *step) awaitsAdvisor(q caspec.Queue) bool {
--- a/internal/cell/caboard/admission_test.go
+++ b/internal/cell/caboard/admission_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -65,3 +68,60 @@
 		t.Errorf("%d jobs were refused though all of them had room", refused)
 	}
 }
+
+// slowAdvisorQueue is a queue whose requests take the advisor so long that a few jobs fill the slack of
+// the next.
+func slowAdvisorQueue() caspec.Queue {
+	q := approvedQueue()
+	q.Approval.FixedCost, q.Approval.CostPerUpstream = 400*time.Millisecond, 0
+	q.Stretch, q.TargetLatency = 2, time.Second
+	return q
+}
+
+// TestJobIsRefusedThatAdvisorDecidesTooLate guards against jobs that are accepted since room is free
+// though the advisor is so slow that they cannot start in time: they waited beside free upstreams.
+func TestJobIsRefusedThatAdvisorDecidesTooLate(t *testing.T) {
+	const jobs = 20
+	tests := map[string]struct {
+		turns   float64
+		refused bool
+	}{
+		"slow":    {0.5, true},
+		"fast":    {20, false},
+		"unknown": {0, false},
+	}
+	for name, test := range tests {
+		s := newSimulation(t, 6, slowAdvisorQueue())
+		s.planner.SetRequestLimits(RequestLimits{Total: 2, Long: 1, Turns: test.turns, LongTurns: test.turns})
+		refused, retryAfter := 0, time.Duration(0)
+		for n := range jobs {
+			if _, err := s.planner.Submit(submission(n, smallStep(1))); err != nil {
+				refused, retryAfter = refused+1, cakind.RetryAfterOf(err)
+			}
+			s.planner.Plan()
+		}
+		if diff := cmp.Diff(test.refused, refused > 0); diff != "" {
+			t.Errorf("%s: %d of %d jobs are refused, retry after %v (-want +got):\n%s", name, refused, jobs, retryAfter, diff)
+		}
+	}
+}
+
+// TestWorkBeyondLimitDoesNotWaitForAdvisor covers a team at its upper limit, whose waiting jobs are no
+// reason to refuse those of others.
+func TestWorkBeyondLimitDoesNotWaitForAdvisor(t *testing.T) {
+	s := newSimulation(t, 6, slowAdvisorQueue())
+	s.planner.SetPolicy(caspec.Policy{
+		Version: 2, Queues: []caspec.Queue{slowAdvisorQueue()}, Pools: []caspec.Pool{{Name: "pool"}},
+		Teams: []caspec.Team{{Name: "north", Weight: 1000, Limit: cawork.Resources{CPU: 1400}}, {Name: "south", Weight: 1000}},
+	}.WithIndex())
+	s.planner.SetRequestLimits(RequestLimits{Total: 2, Long: 1, Turns: 0.5, LongTurns: 0.5})
+	for n := range 20 {
+		s.planner.open(submission(n, smallStep(1)), false)
+	}
+	s.planner.Plan()
+	other := submission(20, smallStep(1))
+	other.Team = "south"
+	if _, err := s.planner.Submit(other); err != nil {
+		t.Errorf("a job of another team is refused: %v", err)
+	}
+}
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -21,6 +21,9 @@
 	Total int
 	// Long bounds those that take an entry long to answer.
 	Long int
+	// Turns is how much announced time of requests the advisor gets through in a unit of time, and
+	// LongTurns that of long ones. Zero means that it is not known.
+	Turns, LongTurns float64
 }
 
 // SetRequestLimits sets the bounds.
@@ -99,7 +102,7 @@
 	if now.Sub(a.noCandidatesAt) < emptyRequestInterval {
 		return ApprovalRequest{}, false
 	}
-	isLong := q.Approval.Cost(maxRequestUpstreams) >= minLongRequest
+	isLong := isLongRequest(*q.Approval)
 	if isLong && b.pendingLongRequests >= b.requestLimits.Long {
 		return ApprovalRequest{}, false
 	}
@@ -126,6 +129,9 @@
 	}, true
 }
 
+// isLongRequest reports whether the requests of a queue take an entry long to answer.
+func isLongRequest(a caspec.Approval) bool { return a.Cost(maxRequestUpstreams) >= minLongRequest }
+
 // ticketRenewals returns approved upstreams whose tickets have expired or soon will, if
 // the upstreams with valid tickets have too little room for the waiting tasks and all
 // approved ones together have enough.
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -198,6 +198,9 @@
 
 // queueStats holds averages of one queue.
 type queueStats struct {
+	// approvalBacklog is the backlog of the advisor before a job of the queue, and excessApprovalBacklog
+	// that before one beyond the guaranteed rate of its team.
+	approvalBacklog, excessApprovalBacklog approvalBacklog
 	approvalRate float64
 	// durationRatio is the mean ratio of the run time of tasks to their estimate.
 	durationRatio float64
