Late answers keep the tickets of the requests that repeated them (48)

What callers saw: nothing measured; found in review. A start is refused since its ticket has expired.

Cause: a late answer replaced a valid ticket by that of the earlier request, valid as from its arrival, though the advisor may have decided seconds before (an entry that was suspended or cut off).

Now a late answer leaves valid tickets alone. TestLateAnswerKeepsFresherTicket failed before: the start carried "old", "fresh" is wanted. What remains: a late ticket for an upstream without a valid one still counts as valid as from its arrival.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -392,9 +392,14 @@
 	}
 	expires := b.now.Monotonic.Add(q.Approval.Validity)
 	for _, a := range approved {
-		if u, ok := b.upstreams[a.Upstream]; ok {
-			s.approvals.approve(u, len(b.bySlot), a.Ticket, expires)
+		u, ok := b.upstreams[a.Upstream]
+		if !ok {
+			continue
+		}
+		if _, hasFresher := s.approvals.validTicket(u, b.now.Monotonic); late && hasFresher {
+			continue
 		}
+		s.approvals.approve(u, len(b.bySlot), a.Ticket, expires)
 	}
 	stats := b.statsOf(q.Name)
 	rate := float64(len(approved)) / float64(len(request.Upstreams))
