--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -82,8 +82,8 @@
 	cost time.Duration
 }
 
-// approvalCostBefore sums up the steps that the advisor has not decided about and that start within the
-// limits of their teams. Long requests do not count for a queue with short ones, for which some entries
+// approvalCostBefore sums up the steps that the advisor has not decided about, that are not late, and that
+// start within the limits of their teams. Long requests do not count for a queue with short ones, for which some entries
 // are kept free.
 func (b *Planner) approvalCostBefore(q caspec.Queue, excess bool) time.Duration {
 	isLong := isLongRequest(*q.Approval)
@@ -94,7 +94,7 @@
 		if !ok || !s.ready || !s.awaitsAdvisor(sq) || !s.goesBefore(q, excess) || isLongRequest(*sq.Approval) && !isLong {
 			continue
 		}
-		if !headroom.fits(s) || b.isStepHeldBack(s) {
+		if s.lateness != latenessNone || !headroom.fits(s) || b.isStepHeldBack(s) {
 			continue
 		}
 		headroom.claim(s)
--- a/internal/cell/caboard/admission_test.go
+++ b/internal/cell/caboard/admission_test.go
@@ -125,3 +125,30 @@
 		t.Errorf("a job of another team is refused: %v", err)
 	}
 }
+
+// TestUselessStepsDoNotRefuseJobs guards against jobs that are refused for the sake of steps that the
+// advisor is asked about after their own.
+func TestUselessStepsDoNotRefuseJobs(t *testing.T) {
+	s := newSimulation(t, 6, slowAdvisorQueue())
+	s.planner.SetRequestLimits(RequestLimits{Total: 0, Turns: 0.5, LongTurns: 0.5})
+	for n := range 20 {
+		s.planner.open(submission(n, smallStep(1)), false)
+	}
+	s.advance(time.Minute)
+	for _, u := range s.planner.sortedUpstreams {
+		s.report(u.info.ID, nil, nil)
+	}
+	s.planner.Plan()
+	for _, other := range s.planner.steps {
+		if other.lateness == latenessNone {
+			t.Fatal("a step is not late")
+		}
+	}
+	if _, err := s.planner.Submit(submission(20, smallStep(1))); err != nil {
+		t.Errorf("a job that goes before all others is refused: %v", err)
+	}
+	s.planner.SetRequestLimits(RequestLimits{Total: 1, Long: 1, Turns: 0.5, LongTurns: 0.5})
+	if requests := s.planner.Plan().ApprovalRequests; len(requests) != 1 || requests[0].Job != submission(20, smallStep(1)).ID {
+		t.Errorf("the first requests are %v, want one for the new job", requests)
+	}
+}
