--- /dev/null
+++ b/internal/cell/caapproval/censored_test.go
@@ -0,0 +1,113 @@
+package caapproval
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+// TestAnswersOfVerySlowAdvisorAreAwaited guards against an advisor that is never found to be slow since
+// each of its answers comes after its request was given up: none of its decisions counts.
+func TestAnswersOfVerySlowAdvisorAreAwaited(t *testing.T) {
+	const (
+		announced = 700 * time.Millisecond
+		takes     = 9 * time.Second
+	)
+	r := newRelays(1)
+	answered, now, advisorFreeAt := 0, start, start
+	for now.Before(start.Add(5 * time.Minute)) {
+		q := r.assign(t, now, longRequest(announced))
+		began := now
+		if advisorFreeAt.After(began) {
+			began = advisorFreeAt
+		}
+		advisorFreeAt = began.Add(takes)
+		if advisorFreeAt.Sub(now) <= q.GiveUpAfter {
+			now = advisorFreeAt
+			r.End(now, q, true)
+			answered++
+			continue
+		}
+		q = r.WithOverdue(now.Add(q.OverdueAfter), q)
+		now = now.Add(q.GiveUpAfter)
+		r.End(now, q, false)
+	}
+	if answered == 0 {
+		t.Errorf("no answer counts in 5 minutes, the advisor gave one each %v, slowness %.2f", takes, r.Slowness(now))
+	}
+}
+
+// TestSuspendedProcessDoesNotBlameAdvisor guards against jobs that are refused, and lost requests that are
+// awaited for long, since a process was suspended while answers arrived: the advisor was not slow.
+func TestSuspendedProcessDoesNotBlameAdvisor(t *testing.T) {
+	const (
+		entries = 9
+		// maxStandstill is how long an accepted job may have nothing running beside free room.
+		maxStandstill = 3 * time.Second
+	)
+	for name, test := range map[string]struct {
+		requests   int
+		suspension time.Duration
+	}{
+		"leader":         {entries * maxRequestsPerRelay, time.Second},
+		"one_of_entries": {1, 5 * time.Second},
+	} {
+		r := newRelays(entries)
+		var open []Request
+		for range test.requests {
+			open = append(open, r.assign(t, start, caboard.ApprovalRequest{Cost: 30 * time.Millisecond}))
+		}
+		now := start.Add(test.suspension)
+		for _, q := range open {
+			r.End(now, q, true)
+		}
+		if got := r.Limits(now).Turns; got < entries/2 {
+			t.Errorf("%s: the advisor is believed to handle %.2f requests at a time after a suspension of %v, it handles %d", name, got, test.suspension, entries)
+		}
+		if next := r.assign(t, now, longRequest(700*time.Millisecond)); next.OverdueAfter > maxStandstill {
+			t.Errorf("%s: the next request is overdue after %v, by the terms it takes %v", name, next.OverdueAfter, next.Announced)
+		}
+	}
+}
+
+// TestLatencyIsNotAdvisorWork guards against jobs that are refused since the way of short requests
+// through network and processes takes longer than their decisions. It occupies no turn.
+func TestLatencyIsNotAdvisorWork(t *testing.T) {
+	const entries, announced, latency = 9, 15 * time.Millisecond, 150 * time.Millisecond
+	r, now := newRelays(entries), start
+	type sent struct {
+		q  Request
+		at time.Time
+	}
+	var open []sent
+	for range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		for len(open) > 0 && !open[0].at.After(now) {
+			r.End(open[0].at, open[0].q, true)
+			open = open[1:]
+		}
+		open = append(open, sent{r.assign(t, now, caboard.ApprovalRequest{Cost: announced}), now.Add(announced + latency)})
+	}
+	if got := r.Limits(now).Turns; got < entries/2 {
+		t.Errorf("the advisor is believed to handle %.2f requests at a time, it handles %d and is busy for 1", got, entries)
+	}
+}
+
+// TestLostAnswersFreeEntriesInTime guards against entries that stay occupied by requests whose answers
+// were lost, so that nothing can be asked of an advisor that is well again.
+func TestLostAnswersFreeEntriesInTime(t *testing.T) {
+	// maxStandstill is how long an accepted job may have nothing running beside free room.
+	const maxStandstill = 3 * time.Second
+	r := newRelays(5)
+	for range 5 * maxRequestsPerRelay {
+		q := r.assign(t, start, caboard.ApprovalRequest{Cost: 300 * time.Millisecond})
+		r.WithOverdue(start.Add(q.OverdueAfter), q)
+	}
+	now := start.Add(maxStandstill)
+	if diff := cmp.Diff(true, r.Limits(now).Total > 0); diff != "" {
+		t.Errorf("whether a request may be sent %v after answers were lost (-want +got):\n%s", maxStandstill, diff)
+	}
+}
--- a/internal/cell/caboard/admission_test.go
+++ b/internal/cell/caboard/admission_test.go
@@ -152,3 +152,21 @@
 		t.Errorf("the first requests are %v, want one for the new job", requests)
 	}
 }
+
+// TestCallerThatCameBackFindsFreeRoom guards against a job that is refused for good once its caller has
+// waited for as long as the job may wait: any request that is open refuses it, with all upstreams free.
+func TestCallerThatCameBackFindsFreeRoom(t *testing.T) {
+	s := newSimulation(t, 6, approvedQueue())
+	s.planner.SetRequestLimits(RequestLimits{Total: 18, Long: 9, Turns: 9, LongTurns: 9})
+	job := submission(0, smallStep(1))
+	s.planner.refusals.Add(job.ID, s.now)
+	s.advance(20 * time.Second)
+	for _, u := range s.planner.sortedUpstreams {
+		s.report(u.info.ID, nil, nil)
+	}
+	s.planner.open(submission(1, smallStep(1)), false)
+	s.planner.Plan()
+	if _, err := s.planner.Submit(job); err != nil {
+		t.Errorf("refused with all upstreams free: %v", err)
+	}
+}
--- a/internal/cell/caboard/lateanswer_test.go
+++ b/internal/cell/caboard/lateanswer_test.go
@@ -40,3 +40,29 @@
 		t.Errorf("ticket of the start (-want +got):\n%s", diff)
 	}
 }
+
+// TestLateAnswerIsAboutIncarnationAsked guards against a late answer about an upstream that has restarted
+// since: what the advisor decided about its former life does not hold for the next, which may be of
+// another kind, and the step was never asked about it again.
+func TestLateAnswerIsAboutIncarnationAsked(t *testing.T) {
+	s := newSimulation(t, 1, approvedQueue())
+	s.submit("job", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+	first := s.onlyRequest()
+	s.advance(time.Second)
+	s.planner.ApplyAdvice(first, nil, false)
+	s.restartUpstream("up-00", 2)
+	s.report("up-00", nil, nil)
+	s.planner.ApplyLateAdvice(first, nil)
+	asked := 0
+	for range 100 {
+		s.advance(50 * time.Millisecond)
+		s.report("up-00", nil, nil)
+		for _, request := range s.planner.Plan().ApprovalRequests {
+			asked++
+			s.planner.ApplyAdvice(request, []Approval{{Upstream: "up-00", Ticket: "t"}}, true)
+		}
+	}
+	if asked == 0 {
+		t.Error("the advisor is not asked about the next life of the upstream within 5 s")
+	}
+}
