--- a/internal/cell/caapproval/relays.go
+++ b/internal/cell/caapproval/relays.go
@@ -2,8 +2,9 @@
 // the advisor, and learns how much longer than announced the advisor takes. It does no input or
 // output and reads no clock.
 //
-// The advisor handles one request of each entry at a time and does not notice that nobody waits for an
-// answer any more. A request that got no answer in time therefore still occupies its entry.
+// The advisor handles one request of each entry at a time, in their order, and does not notice that nobody
+// waits for an answer any more. A request that got no answer in time may therefore still occupy its
+// entry. An answer to a later request of the entry shows that it does not.
 package caapproval
 
 import (
@@ -20,6 +21,8 @@
 	// maxRequestsPerRelay bounds the open requests of one entry: the advisor handles one while the
 	// next is in transit.
 	maxRequestsPerRelay = 2
+	// maxOpenPerRelay bounds them if all are overdue: further ones show whether the advisor is well.
+	maxOpenPerRelay = 6
 	// minLongShare is the smallest fraction of the entries that may carry long requests.
 	minLongShare = 0.6
 	// shortReserveFactor is the ratio of the entries that are kept free for short requests to those
@@ -27,10 +30,8 @@
 	shortReserveFactor = 2.0
 	// overdueMargin is the time beyond the expected one after which a request is overdue.
 	overdueMargin = 1500 * time.Millisecond
-	// minGiveUp is the shortest time after which an open request is given up, and giveUpFactor its
-	// ratio to the time after which it is overdue.
-	minGiveUp    = 8 * time.Second
-	giveUpFactor = 2
+	// GiveUpAfter is how long an answer is accepted.
+	GiveUpAfter = 30 * time.Second
 	// backoff is how long an entry gets no requests after one of its requests failed or became overdue.
 	backoff = 2 * time.Second
 )
@@ -39,23 +40,28 @@
 type Relays struct {
 	relays map[cawork.VMID]*relay
 	// names are the present entries, sorted.
-	names     []cawork.VMID
+	names []cawork.VMID
+	// awaited are the requests that the planner waits for, and whether they are long.
+	awaited   map[int64]bool
+	lastID    int64
 	slowness  slowness
 	shortLoad load
 }
 
-// relay is one entry with its open requests.
+// relay is one entry.
 type relay struct {
-	// open counts the requests without an answer, and long the long ones of them.
-	open, long int
-	// overdue counts those of them that the planner does not wait for any more, and overdueLong the
-	// long ones of these.
-	overdue, overdueLong int
+	// open are the requests that the advisor may still handle, in their order.
+	open []openRequest
 	// busyUntil is when the advisor is expected to have answered them.
 	busyUntil    time.Time
 	backoffUntil time.Time
 }
 
+type openRequest struct {
+	id                int64
+	isLong, isOverdue bool
+}
+
 // Request is a request that was assigned to an entry.
 type Request struct {
 	Relay cawork.VMID
@@ -63,20 +69,22 @@
 	// with the requests before it.
 	SentAt    time.Time
 	Announced time.Duration
-	// OverdueAfter is how long an answer is waited for before the request may be repeated, and
-	// GiveUpAfter how long a late answer is still accepted.
-	OverdueAfter, GiveUpAfter time.Duration
-	isLong, isOverdue         bool
+	// OverdueAfter is how long an answer is waited for before the request may be repeated.
+	OverdueAfter time.Duration
+	id           int64
 }
 
 // New returns relays without open requests.
-func New() *Relays { return &Relays{relays: make(map[cawork.VMID]*relay)} }
+func New() *Relays {
+	return &Relays{relays: make(map[cawork.VMID]*relay), awaited: make(map[int64]bool), slowness: newSlowness()}
+}
 
-// SetPresent sets which entries are present.
-func (r *Relays) SetPresent(names []cawork.VMID) {
+// SetPresent sets which entries are present. It is to be called with each plan.
+func (r *Relays) SetPresent(now time.Time, names []cawork.VMID) {
+	r.slowness.noteRunning(now)
 	r.names = slices.Sorted(slices.Values(names))
 	for name, known := range r.relays {
-		if known.open == 0 && !slices.Contains(r.names, name) {
+		if len(known.open) == 0 && !slices.Contains(r.names, name) {
 			delete(r.relays, name)
 		}
 	}
@@ -87,89 +95,89 @@
 	}
 }
 
-// Assign assigns a request to the entry with the shortest backlog. It reports whether there is an entry.
+// Assign assigns a request to an entry that may carry it, the one with the shortest backlog. It reports
+// whether there is an entry.
 func (r *Relays) Assign(now time.Time, ask caboard.ApprovalRequest) (Request, bool) {
 	if len(r.names) == 0 {
 		return Request{}, false
 	}
-	name := r.choose(now, ask)
-	announced := r.backlog(now, name) + ask.Cost
+	name := r.choose(now, ask.Long)
 	chosen := r.relays[name]
+	announced := chosen.backlog(now) + ask.Cost
 	chosen.busyUntil = now.Add(announced)
-	chosen.open++
-	chosen.long += count(ask.Long)
+	r.lastID++
+	chosen.open = append(chosen.open, openRequest{id: r.lastID, isLong: ask.Long})
+	r.awaited[r.lastID] = ask.Long
 	if !ask.Long {
 		r.shortLoad.add(now, ask.Cost)
 	}
-	overdueAfter := time.Duration(r.Slowness(now)*float64(announced)) + overdueMargin
 	return Request{
-		Relay: name, SentAt: now, Announced: announced, isLong: ask.Long,
-		OverdueAfter: overdueAfter, GiveUpAfter: max(giveUpFactor*overdueAfter, minGiveUp),
+		Relay: name, SentAt: now, Announced: announced, id: r.lastID,
+		OverdueAfter: time.Duration(r.Slowness(now)*float64(announced)) + overdueMargin,
 	}, true
 }
 
-// choose returns the entry for a request: one that may carry it, with the shortest backlog.
-func (r *Relays) choose(now time.Time, ask caboard.ApprovalRequest) cawork.VMID {
+func (r *Relays) choose(now time.Time, isLong bool) cawork.VMID {
 	candidates := r.usable(now)
-	if ask.Long {
+	if isLong {
 		candidates = candidates[:r.longRelays(now, len(candidates))]
 	} else {
 		slices.Reverse(candidates)
 	}
 	return slices.MinFunc(candidates, func(x, y cawork.VMID) int {
+		a, b := r.relays[x], r.relays[y]
 		return cmp.Or(
-			compareFull(r.relays[x], r.relays[y]), cmp.Compare(r.backlog(now, x), r.backlog(now, y)), cmp.Compare(r.relays[x].open, r.relays[y].open),
+			-cmp.Compare(min(a.freeSlots(isLong), 1), min(b.freeSlots(isLong), 1)),
+			cmp.Compare(a.backlog(now), b.backlog(now)), cmp.Compare(len(a.open), len(b.open)),
 		)
 	})
 }
 
-// compareFull orders entries that may get another request before those that may not.
-func compareFull(x, y *relay) int {
-	return cmp.Compare(x.open/maxRequestsPerRelay, y.open/maxRequestsPerRelay)
-}
-
-// WithOverdue returns the request as one that is overdue, so that it may be repeated through another
-// entry. It occupies its entry until it ends.
-func (r *Relays) WithOverdue(now time.Time, q Request) Request {
-	q.isOverdue = true
-	if known := r.relays[q.Relay]; known != nil {
-		known.overdue++
-		known.overdueLong += count(q.isLong)
+// MarkOverdue records that the answer to a request is overdue, so that it may be repeated through another
+// entry.
+func (r *Relays) MarkOverdue(now time.Time, q Request) {
+	delete(r.awaited, q.id)
+	known := r.relays[q.Relay]
+	if at := known.find(q.id); at >= 0 {
+		known.open[at].isOverdue = true
 		known.backoffUntil = now.Add(backoff)
 	}
-	return q
 }
 
 // End ends a request, with an answer or without.
 func (r *Relays) End(now time.Time, q Request, answered bool) {
+	delete(r.awaited, q.id)
+	if answered {
+		r.slowness.add(now, q.SentAt, q.Announced)
+	}
 	known := r.relays[q.Relay]
-	known.open--
-	known.long -= count(q.isLong)
-	known.overdue -= count(q.isOverdue)
-	known.overdueLong -= count(q.isLong && q.isOverdue)
-	if !answered {
-		known.backoffUntil = now.Add(backoff)
+	if known == nil {
 		return
 	}
-	known.backoffUntil = time.Time{}
-	r.slowness.add(now, q.Announced, now.Sub(q.SentAt))
+	at := known.find(q.id)
+	switch {
+	case answered:
+		known.open = slices.Delete(known.open, 0, at+1)
+		known.backoffUntil = time.Time{}
+	case at >= 0:
+		known.open = slices.Delete(known.open, at, at+1)
+		known.backoffUntil = now.Add(backoff)
+	}
 }
 
-// Limits returns how many requests may await an answer, given those that do, and how fast the advisor
+// Limits returns how many requests may be awaited, given those that are, and how fast the advisor
 // answers.
 func (r *Relays) Limits(now time.Time) caboard.RequestLimits {
-	var limits caboard.RequestLimits
-	for _, known := range r.relays {
-		limits.Total += known.open - known.overdue
-		limits.Long += known.long - known.overdueLong
+	limits := caboard.RequestLimits{Total: len(r.awaited)}
+	for _, isLong := range r.awaited {
+		limits.Long += count(isLong)
 	}
 	usable := r.usable(now)
 	long := r.longRelays(now, len(usable))
 	for i, name := range usable {
-		known := r.relays[name]
-		limits.Total += max(maxRequestsPerRelay-known.open, 0)
-		if i < long && known.long == 0 && known.open < maxRequestsPerRelay {
-			limits.Long++
+		limits.Total += r.relays[name].freeSlots(false)
+		if i < long {
+			limits.Long += r.relays[name].freeSlots(true)
 		}
 	}
 	limits.Turns = float64(len(r.names)) / r.Slowness(now)
@@ -205,10 +213,33 @@
 	return max(n-reserved, least)
 }
 
-func (r *Relays) backlog(now time.Time, name cawork.VMID) time.Duration {
-	return max(r.relays[name].busyUntil.Sub(now), 0)
+// freeSlots returns how many further requests, or long ones, the entry may carry: one long one at a time,
+// and one more while all are overdue.
+func (k *relay) freeSlots(isLong bool) int {
+	overdue, long := 0, 0
+	for _, q := range k.open {
+		overdue += count(q.isOverdue)
+		long += count(q.isLong)
+	}
+	switch {
+	case len(k.open) > 0 && overdue == len(k.open) && len(k.open) < maxOpenPerRelay:
+		return 1
+	case isLong && long > 0:
+		return 0
+	case isLong:
+		return min(max(maxRequestsPerRelay-len(k.open), 0), 1)
+	default:
+		return max(maxRequestsPerRelay-len(k.open), 0)
+	}
+}
+
+// find returns the place of an open request, -1 if it is not open.
+func (k *relay) find(id int64) int {
+	return slices.IndexFunc(k.open, func(q openRequest) bool { return q.id == id })
 }
 
+func (k *relay) backlog(now time.Time) time.Duration { return max(k.busyUntil.Sub(now), 0) }
+
 func count(matches bool) int {
 	if matches {
 		return 1
--- a/internal/cell/caapproval/slowness.go
+++ b/internal/cell/caapproval/slowness.go
@@ -10,9 +10,17 @@
 	averageTime = 5 * time.Second
 	// announcedWeight is how much announced time without delay the slowness begins with and returns to.
 	announcedWeight = time.Second
-	// transferAllowance is how much longer an answer may take without being late: its way through the
-	// network and the processes.
-	transferAllowance = 50 * time.Millisecond
+	// initialTransferTime and maxTransferTime are the first and the largest estimate of how much
+	// longer an answer takes that is not late: its way through the network and the processes.
+	initialTransferTime = 50 * time.Millisecond
+	maxTransferTime     = 200 * time.Millisecond
+	// transferWeight is the weight of an answer that takes longer in that estimate.
+	transferWeight = 0.02
+	// maxDelayFactor bounds how many times longer than expected an answer counts, so that a few answers
+	// that something else delayed change little.
+	maxDelayFactor = 4
+	// maxPause is the longest time between two plans of a leader that was not suspended.
+	maxPause = 300 * time.Millisecond
 )
 
 // decayingSum is an exponentially decaying sum.
@@ -31,11 +39,41 @@
 // slowness is the ratio of the time that answers take to the announced one, long answers counting more.
 type slowness struct {
 	announced, took decayingSum
+	transferTime    time.Duration
+	// runningAt is when the leader was last known to run, and resumedAt when it last was again after a
+	// suspension. Requests sent before tell nothing.
+	runningAt, resumedAt time.Time
 }
 
-func (s *slowness) add(now time.Time, announced, took time.Duration) {
+func newSlowness() slowness { return slowness{transferTime: initialTransferTime} }
+
+// noteRunning records that the leader runs.
+func (s *slowness) noteRunning(now time.Time) {
+	if !s.runningAt.IsZero() && now.Sub(s.runningAt) > maxPause {
+		s.resumedAt = now
+	}
+	s.runningAt = now
+}
+
+// add adds an answer that arrived now.
+func (s *slowness) add(now, sentAt time.Time, announced time.Duration) {
+	s.noteRunning(now)
+	if sentAt.Before(s.resumedAt) {
+		return
+	}
+	excess := max(now.Sub(sentAt)-announced, 0)
+	longest := time.Duration((maxDelayFactor*s.value(now) - 1) * float64(announced))
 	s.announced.add(now, float64(announced))
-	s.took.add(now, float64(max(took-transferAllowance, announced)))
+	s.took.add(now, float64(announced+min(max(excess-s.transferTime, 0), longest)))
+	s.updateTransferTime(excess)
+}
+
+// updateTransferTime follows the shortest delays.
+func (s *slowness) updateTransferTime(excess time.Duration) {
+	if excess > s.transferTime {
+		excess = s.transferTime + time.Duration(transferWeight*float64(excess-s.transferTime))
+	}
+	s.transferTime = min(excess, maxTransferTime)
 }
 
 func (s *slowness) value(now time.Time) float64 {
--- a/internal/cell/caleader/approvals.go
+++ b/internal/cell/caleader/approvals.go
@@ -26,7 +26,7 @@
 		l.endRequest(ask, nil, false)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, request.GiveUpAfter)
+	ctx, cancel := context.WithTimeout(ctx, caapproval.GiveUpAfter)
 	defer cancel()
 	answers := make(chan advice, 1)
 	l.spawn(func() {
@@ -41,7 +41,7 @@
 		l.closeRequest(ask, request, answer)
 		l.endRequest(ask, answer.approved, answer.err == nil)
 	case <-overdue.C:
-		request = l.markOverdue(ask, request)
+		l.markOverdue(ask, request)
 		l.endRequest(ask, nil, false)
 		answer := <-answers
 		l.closeRequest(ask, request, answer)
@@ -53,19 +53,20 @@
 	names := l.AdvisorProxies.Names()
 	l.lock(partReport)
 	defer l.mu.unlock()
-	l.relays.SetPresent(names)
-	return l.relays.Assign(l.Timer.Now(), ask)
+	now := l.Timer.Now()
+	l.relays.SetPresent(now, names)
+	return l.relays.Assign(now, ask)
 }
 
 // markOverdue records that the answer to a request is overdue.
-func (l *Leader) markOverdue(ask caboard.ApprovalRequest, request caapproval.Request) caapproval.Request {
+func (l *Leader) markOverdue(ask caboard.ApprovalRequest, request caapproval.Request) {
 	l.lock(partReport)
 	defer l.mu.unlock()
 	now := l.Timer.Now()
 	caevent.Warn(l.Log, caevent.ApprovalOverdue).Str("entry", string(request.Relay)).Str("job", string(ask.Job)).Int("step", ask.Step).
 		Int("asked", len(ask.Upstreams)).Dur("announced", request.Announced).Dur("waited", now.Sub(request.SentAt)).
 		Float64("slowness", l.relays.Slowness(now)).Send()
-	return l.relays.WithOverdue(now, request)
+	l.relays.MarkOverdue(now, request)
 }
 
 // closeRequest records the end of the call of a request.
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -97,7 +97,7 @@
 	defer l.mu.unlock()
 	began := l.Timer.Now()
 	l.planner.SetNow(l.now())
-	l.relays.SetPresent(relays)
+	l.relays.SetPresent(began, relays)
 	l.planner.SetRequestLimits(l.relays.Limits(began))
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
 	if expiryDue {
