--- a/internal/cell/caadmission/forecast.go
+++ b/internal/cell/caadmission/forecast.go
@@ -52,6 +52,8 @@
 	Slack time.Duration
 	// Excess marks a job beyond the guaranteed rate of its team.
 	Excess bool
+	// waited is how long the caller has waited after refusals.
+	waited time.Duration
 }
 
 // ExpectedWait returns how long the job is expected to wait for its first task.
@@ -67,18 +69,19 @@
 	return time.Duration(wait)
 }
 
-// maxWait returns the largest expected wait with which the job is accepted.
-func (f Forecast) maxWait() time.Duration {
+// maxWait returns the largest expected wait with which a job is accepted that may still wait for the
+// slack.
+func (f Forecast) maxWait(slack time.Duration) time.Duration {
 	if f.Excess {
-		return time.Duration(maxExcessWaitSlackShare * float64(f.Slack))
+		return time.Duration(maxExcessWaitSlackShare * float64(slack))
 	}
-	return time.Duration(maxWaitSlackShare * float64(f.Slack))
+	return time.Duration(maxWaitSlackShare * float64(slack))
 }
 
 // WithWaited returns the forecast for a job whose caller has already waited for the given
 // time.
 func (f Forecast) WithWaited(waited time.Duration) Forecast {
-	f.Slack = max(f.Slack-waited, 0)
+	f.waited = waited
 	return f
 }
 
@@ -96,14 +99,24 @@
 // backlog is expected to permit it. An accepted job never waits longer than its caller
 // would wait to be accepted after a refusal.
 func (f Forecast) CheckWait() error {
-	expected, allowed := f.ExpectedWait(), f.maxWait()
-	if f.ApprovalWait > allowed {
-		return cakind.New(cakind.KindOverloaded, "the advisor is expected to answer after %d ms, the job may wait %d ms",
-			f.ApprovalWait.Milliseconds(), allowed.Milliseconds()).WithRetryAfter(max(f.ApprovalWait-allowed, minRetryAfter))
+	if err := f.checkApprovalWait(); err != nil {
+		return err
 	}
+	expected, allowed := f.ExpectedWait(), f.maxWait(max(f.Slack-f.waited, 0))
 	if expected <= allowed || f.hasRoom() {
 		return nil
 	}
 	return cakind.New(cakind.KindOverloaded, "the expected wait is %d ms, the job may wait %d ms, %.0f%% of the pool are free",
 		expected.Milliseconds(), allowed.Milliseconds(), 100*float64(f.Free)/float64(f.Capacity)).WithRetryAfter(max(expected-allowed, minRetryAfter))
 }
+
+// checkApprovalWait refuses a job that the advisor would decide about too late even if its caller had not
+// waited before.
+func (f Forecast) checkApprovalWait() error {
+	allowed := f.maxWait(f.Slack)
+	if f.ApprovalWait <= allowed {
+		return nil
+	}
+	return cakind.New(cakind.KindOverloaded, "the advisor is expected to answer after %d ms, the job may wait %d ms",
+		f.ApprovalWait.Milliseconds(), allowed.Milliseconds()).WithRetryAfter(max(f.ApprovalWait-allowed, minRetryAfter))
+}
