--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -125,7 +125,7 @@
 	a.lastRequestAt = now
 	return ApprovalRequest{
 		Job: s.job.Submission.ID, Occurrence: s.occurrence.Number, Step: s.number,
-		Upstreams: ids, Cost: q.Approval.Cost(len(ids)), Long: isLong,
+		Upstreams: ids, Incarnations: b.incarnationsOf(ids), Cost: q.Approval.Cost(len(ids)), Long: isLong,
 	}, true
 }
 
@@ -380,19 +380,39 @@
 	}
 }
 
+func (b *Planner) incarnationsOf(ids []cawork.UpstreamID) []int64 {
+	incarnations := make([]int64, 0, len(ids))
+	for _, id := range ids {
+		incarnations = append(incarnations, b.upstreams[id].info.Incarnation)
+	}
+	return incarnations
+}
+
+// askedUpstreams returns the upstreams of a request that still have the incarnation that the advisor was
+// asked about.
+func (b *Planner) askedUpstreams(request ApprovalRequest) map[cawork.UpstreamID]*upstream {
+	asked := make(map[cawork.UpstreamID]*upstream, len(request.Upstreams))
+	for i, id := range request.Upstreams {
+		u, ok := b.upstreams[id]
+		if ok && (i >= len(request.Incarnations) || request.Incarnations[i] == u.info.Incarnation) {
+			asked[id] = u
+		}
+	}
+	return asked
+}
+
 func (b *Planner) applyApprovals(s *step, request ApprovalRequest, approved []Approval, late bool) {
 	q, ok := b.queueOf(s.job)
 	if !ok || q.Approval == nil {
 		return
 	}
-	for _, id := range request.Upstreams {
-		if u, ok := b.upstreams[id]; ok {
-			s.approvals.decide(u, len(b.bySlot))
-		}
+	asked := b.askedUpstreams(request)
+	for _, u := range asked {
+		s.approvals.decide(u, len(b.bySlot))
 	}
 	expires := b.now.Monotonic.Add(q.Approval.Validity)
 	for _, a := range approved {
-		u, ok := b.upstreams[a.Upstream]
+		u, ok := asked[a.Upstream]
 		if !ok {
 			continue
 		}
--- a/internal/cell/caboard/lateanswer_test.go
+++ b/internal/cell/caboard/lateanswer_test.go
@@ -51,12 +51,15 @@
 	s.advance(time.Second)
 	s.planner.ApplyAdvice(first, nil, false)
 	s.restartUpstream("up-00", 2)
-	s.report("up-00", nil, nil)
+	reportNext := func() {
+		s.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.UnixMilli()})
+	}
+	reportNext()
 	s.planner.ApplyLateAdvice(first, nil)
 	asked := 0
 	for range 100 {
 		s.advance(50 * time.Millisecond)
-		s.report("up-00", nil, nil)
+		reportNext()
 		for _, request := range s.planner.Plan().ApprovalRequests {
 			asked++
 			s.planner.ApplyAdvice(request, []Approval{{Upstream: "up-00", Ticket: "t"}}, true)
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -63,6 +63,8 @@
 	Occurrence int                 `cbor:"2,keyasint,omitempty"`
 	Step       int                 `cbor:"3,keyasint,omitempty"`
 	Upstreams  []cawork.UpstreamID `cbor:"4,keyasint,omitempty"`
+	// Incarnations are those of the upstreams. They stay with the leader.
+	Incarnations []int64 `cbor:"-"`
 	// Cost is how long the advisor is expected to take.
 	Cost time.Duration `cbor:"5,keyasint,omitempty"`
 	// Long requests are sent through some of the entries only, so that short ones do not
