--- a/internal/cell/caboard/detector.go
+++ b/internal/cell/caboard/detector.go
@@ -18,10 +18,12 @@
 const (
 	// minSuspicionTimeout and maxSuspicionTimeout bound the time after which an upstream
 	// with an unanswered start is suspected. In between, it is suspicionLatencyFactor
-	// times the mean answer latency.
+	// times the mean answer latency. Where answers take long on average, it is
+	// slowSuspicionFactor times the mean.
 	minSuspicionTimeout    = 50 * time.Millisecond
 	maxSuspicionTimeout    = 300 * time.Millisecond
 	suspicionLatencyFactor = 6
+	slowSuspicionFactor    = 2
 	// answerLatencyWeight is the weight of one answer in that mean.
 	answerLatencyWeight = 0.03
 	// initialAnswerLatency is the mean before the first answer.
@@ -50,7 +52,8 @@
 // suspicionTimeout returns how long a start may remain unanswered before its upstream is
 // suspected.
 func (d *failureDetector) suspicionTimeout() time.Duration {
-	return min(max(suspicionLatencyFactor*d.meanAnswerLatency, minSuspicionTimeout), maxSuspicionTimeout)
+	longest := max(maxSuspicionTimeout, slowSuspicionFactor*d.meanAnswerLatency)
+	return min(max(suspicionLatencyFactor*d.meanAnswerLatency, minSuspicionTimeout), longest)
 }
 
 // addAnswerLatency adds the latency of an answer to the mean.
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -24,6 +24,15 @@
 	startTimeoutPerInFlight = 3 * time.Millisecond
 	// startLatencyWeight is the weight of one start in that moving mean.
 	startLatencyWeight = 0.02
+	// maxSlowStartTimeout bounds a start where most starts take long. The timeout is then
+	// slowStartFactor times the latency that startQuantile of the starts do not exceed.
+	maxSlowStartTimeout = 3 * time.Second
+	slowStartFactor     = 2
+	startQuantile       = 0.75
+	// startQuantileStep is by which fraction one start changes the estimate of that latency, and
+	// minTypicalLatency bounds the estimate from below.
+	startQuantileStep = 0.1
+	minTypicalLatency = 5 * time.Millisecond
 	// renewWait is how long a renewal waits at the upstream for a run to end.
 	renewWait = 1000 * time.Millisecond
 	// renewTimeout bounds a renewal in addition to that wait.
--- a/internal/cell/caleader/startlatency.go
+++ b/internal/cell/caleader/startlatency.go
@@ -5,13 +5,26 @@
 	"time"
 )
 
-// startLatency tracks the mean latency of starts and the number in flight.
+// startLatency tracks the latency of starts and the number in flight.
 type startLatency struct {
 	mu       sync.Mutex
 	mean     time.Duration
+	typical  quantile
 	inFlight int
 }
 
+// quantile follows the latency that startQuantile of the starts do not exceed. Lost answers of few
+// upstreams do not change it.
+type quantile struct{ latency time.Duration }
+
+func (q *quantile) add(took time.Duration) {
+	step := -(1 - startQuantile)
+	if took > q.latency {
+		step = startQuantile
+	}
+	q.latency = max(q.latency+time.Duration(startQuantileStep*step*float64(q.latency)), minTypicalLatency)
+}
+
 // addInFlight adds starts that are about to be sent.
 func (s *startLatency) addInFlight(starts int) {
 	s.mu.Lock()
@@ -22,12 +35,14 @@
 // timeout returns the timeout of a start. It is a multiple of the mean latency, so
 // that a lost answer is detected soon, and grows with the number of starts in
 // flight, so that none times out only because the leader or the upstreams are
-// slow.
+// slow. Where most starts take long it follows them, up to maxSlowStartTimeout: a start that
+// is given up may be carried out all the same, and has to be stopped.
 func (s *startLatency) timeout() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	byMean := max(startTimeoutFactor*s.mean, minStartTimeout)
-	return min(byMean+time.Duration(s.inFlight)*startTimeoutPerInFlight, maxStartTimeout)
+	usual := min(byMean+time.Duration(s.inFlight)*startTimeoutPerInFlight, maxStartTimeout)
+	return max(usual, min(slowStartFactor*s.typical.latency, maxSlowStartTimeout))
 }
 
 // observe records that a start was answered or timed out after the given time.
@@ -36,4 +51,5 @@
 	defer s.mu.Unlock()
 	s.inFlight--
 	s.mean += time.Duration(startLatencyWeight * float64(took-s.mean))
+	s.typical.add(took)
 }
--- a/internal/cell/caleader/startlatency_test.go
+++ b/internal/cell/caleader/startlatency_test.go
@@ -36,6 +36,45 @@
 	}
 }
 
+// TestStartsOfSlowUpstreamsAreAwaited guards against starts that are given up after a fixed time though
+// all upstreams take longer to answer, and carry them out: the runs were stopped and started again without
+// end.
+func TestStartsOfSlowUpstreamsAreAwaited(t *testing.T) {
+	var s startLatency
+	for _, latency := range []time.Duration{8 * time.Millisecond, 900 * time.Millisecond} {
+		for range 500 {
+			s.addInFlight(1)
+			s.observe(min(latency, s.timeout()))
+		}
+	}
+	if got := s.timeout(); got <= 900*time.Millisecond || got > maxSlowStartTimeout {
+		t.Errorf("timeout %v where all starts take 900 ms", got)
+	}
+	for range 500 {
+		s.addInFlight(1)
+		s.observe(8 * time.Millisecond)
+	}
+	if diff := cmp.Diff(minStartTimeout, s.timeout()); diff != "" {
+		t.Errorf("timeout once they are fast again (-want +got):\n%s", diff)
+	}
+}
+
+// TestLostAnswersKeepStartTimeoutShort covers upstreams of which a fifth leaves starts unanswered.
+func TestLostAnswersKeepStartTimeoutShort(t *testing.T) {
+	var s startLatency
+	for i := range 1000 {
+		s.addInFlight(1)
+		took := 8 * time.Millisecond
+		if i%5 == 0 {
+			took = s.timeout()
+		}
+		s.observe(took)
+	}
+	if got := s.timeout(); got > maxStartTimeout {
+		t.Errorf("timeout %v, want at most %v", got, maxStartTimeout)
+	}
+}
+
 // TestPlanIntervalGrowsWithPlanDuration guards against plans that take all the CPU
 // time while a long backlog makes them expensive.
 func TestPlanIntervalGrowsWithPlanDuration(t *testing.T) {
