--- a/internal/cell/cagate/slowanswers_test.go
+++ b/internal/cell/cagate/slowanswers_test.go
@@ -47,3 +47,27 @@
 		}
 	}
 }
+
+// TestStartsOfBusyUpstreamsAreNotRepeated guards against starts that are given up after a fixed time
+// though the upstreams carry them out and answer later: the runs were stopped and started again and
+// again, and accepted jobs had nothing running beside free upstreams.
+func TestStartsOfBusyUpstreamsAreNotRepeated(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+		c.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return 1500 * time.Millisecond, false })
+		c.fleet.SetStartDelay(func(cawork.UpstreamID) time.Duration { return delay })
+		c.fleet.SetAnswerDelay(func(cawork.UpstreamID) time.Duration { return 500 * time.Millisecond })
+		c.load(25 * time.Second)
+		c.callers.Wait()
+		time.Sleep(5 * time.Second)
+		c.mu.Lock()
+		tasks := len(c.accepted) * testStep().Tasks
+		c.mu.Unlock()
+		if starts := c.fleet.Starts(); starts > tasks+tasks/4 {
+			t.Errorf("%d starts of %d tasks", starts, tasks)
+		}
+		if diff := cmp.Diff([]cawork.JobID(nil), c.openJobs()); diff != "" {
+			t.Errorf("jobs that are still open 5 s after the load (-want +got):\n%s", diff)
+		}
+	})
+}
