--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -60,6 +60,10 @@
 	if o.Previous != "" {
 		options.Previous = []string{o.Previous}
 	}
+	if os.Getenv("TRIAL") != "" {
+		text, err := casoak.RunFirm(ctx, options)
+		return fmt.Sprintf("seed %d:\n%s logs %s\n", seed, text, dir), err
+	}
 	report, err := casoak.Run(ctx, options)
 	text := fmt.Sprintf("seed %d: %s\n", seed, report)
 	if err == nil {
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -63,6 +63,8 @@
 	upstreamProxies []*Proxy
 	policyVersion   int64
 	load            *loadGenerator
+	// policy is what configure publishes, if set.
+	policy caspec.Policy
 	// registering serializes the writes of registrations.
 	registering sync.Mutex
 }
@@ -85,7 +87,7 @@
 	if err := c.serve(servicesIP, portStoreServer, c.emulator.StoreHandler()); err != nil {
 		return c, err
 	}
-	if err := c.serve(servicesIP, portAdvisor, c.emulator.AdvisorHandler()); err != nil {
+	if err := c.serve(servicesIP, portAdvisor, c.emulator.AdvisorHandler("")); err != nil {
 		return c, err
 	}
 	if err := c.serveUpstreams(servicesIP, o.Upstreams); err != nil {
@@ -177,6 +179,11 @@
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
+	if c.policy.Version > 0 {
+		p := c.policy
+		p.Version = c.policyVersion
+		return c.emulator.Configure(ctx, p)
+	}
 	return c.emulator.Configure(ctx, caspec.Policy{
 		Version: c.policyVersion, Pools: []caspec.Pool{{Name: poolName}}, Queues: []caspec.Queue{queueSpec()},
 		Teams: []caspec.Team{{Name: teamName, Weight: 1000, Keys: []string{teamKey}}},
