Soak: a workload from a file, and jobs that wait with room

The plan has losses of power with and without the upstreams, cut zones, changed limits and surges of a team as well.

From 14 s after the load on, a job that was accepted and not canceled must not have nothing running for 3 s while the turn of a step has come, there is room for it twice over on approved upstreams, its team uses under half of its limit and all under half of the pool. The longest such wait at any time after the load is reported. Package caworkload has the file, the draws and the check. The trial (firm.go, with environment variables) is gone.

A limit: the proxies stand at the called side, so entries of a cut zone still reach entries elsewhere.

--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -34,6 +34,8 @@
       --dir=PATH             keep settings and logs in this folder
       --previous=PATH        program of an earlier build, started in turn with
                              this one
+      --load=PATH            workload in JSON with comments in place of the
+                             small jobs of the soak
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -63,6 +63,7 @@
 	Plain     bool          `long:"plain"`
 	Dir       string        `long:"dir" value-name:"PATH"`
 	Previous  string        `long:"previous" value-name:"PATH"`
+	Load      string        `long:"load" value-name:"PATH"`
 }
 
 // Entry are the options of the command entry.
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/cli/cacommand"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 	"celeryarch.example/celeryarch/internal/soak/casoak"
+	"celeryarch.example/celeryarch/internal/soak/caworkload"
 )
 
 // runSoak runs soak tests of cells, one for each seed and up to o.Parallel at the
@@ -60,9 +61,8 @@
 	if o.Previous != "" {
 		options.Previous = []string{o.Previous}
 	}
-	if os.Getenv("TRIAL") != "" {
-		text, err := casoak.RunFirm(ctx, options)
-		return fmt.Sprintf("seed %d:\n%s logs %s\n", seed, text, dir), err
+	if options.Workload, err = readWorkload(o.Load); err != nil {
+		return "", err
 	}
 	report, err := casoak.Run(ctx, options)
 	text := fmt.Sprintf("seed %d: %s\n", seed, report)
@@ -84,6 +84,19 @@
 	return text + fmt.Sprintf("  logs: %s\n", dir), cakind.Wrap(cakind.Of(err), err, "seed %d", seed)
 }
 
+// readWorkload reads the workload of a soak. Without a path it returns nil.
+func readWorkload(path string) (*caworkload.Workload, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, cakind.Wrap(cakind.KindInvalid, err, "read workload")
+	}
+	w, err := caworkload.Parse(path, data)
+	return &w, err
+}
+
 func soakDir(parent string, seed int64) (string, error) {
 	if parent == "" {
 		return os.MkdirTemp("", "celeryarch-soak")
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -63,8 +63,10 @@
 	upstreamProxies []*Proxy
 	policyVersion   int64
 	load            *loadGenerator
-	// policy is what configure publishes, if set.
-	policy caspec.Policy
+	// work is set in place of load if the soak has a workload.
+	work *workGenerator
+	// zones is the number of availability zones of nodes and upstreams.
+	zones int
 	// registering serializes the writes of registrations.
 	registering sync.Mutex
 }
@@ -78,45 +80,71 @@
 
 // newCell starts the stand-ins and prepares the nodes without starting them.
 func newCell(ctx context.Context, o Options, dir string) (*cell, error) {
-	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay)}
-	c.fleet = standin.NewFleet(o.Upstreams, capacityOf(upstreamCores), taskSize,
-		func(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) })
-	c.fleet.SetCapacityBound(capacityBound)
-	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet, Advisor: standin.Advisor{Delay: advisorDelay}}
+	c := newStandins(o, capacityOf(upstreamCores))
+	c.emulator.Advisor = standin.Advisor{Delay: advisorDelay}
 	servicesIP := loopbackIP(o.RunIndex, o.Nodes)
-	if err := c.serve(servicesIP, portStoreServer, c.emulator.StoreHandler()); err != nil {
-		return c, err
-	}
 	if err := c.serve(servicesIP, portAdvisor, c.emulator.AdvisorHandler("")); err != nil {
 		return c, err
 	}
-	if err := c.serveUpstreams(servicesIP, o.Upstreams); err != nil {
+	if err := c.serveStandins(ctx, servicesIP, o.Upstreams); err != nil {
 		return c, err
 	}
-	if err := c.registerUpstreams(ctx); err != nil {
-		return c, err
+	return c, c.addNodes(o, dir, func(int) string { return fmt.Sprintf("%s:%d", servicesIP, portAdvisor) })
+}
+
+// newStandins returns a cell without nodes, the stand-ins of which are not served yet.
+func newStandins(o Options, capacity cawork.Resources) *cell {
+	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1}
+	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize, upstreamName)
+	c.fleet.SetCapacityBound(capacityBound)
+	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet}
+	return c
+}
+
+func upstreamName(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) }
+
+// serveStandins serves the store and the upstreams and writes the registrations and the
+// configuration.
+func (c *cell) serveStandins(ctx context.Context, ip string, upstreams int) error {
+	if err := c.serve(ip, portStoreServer, c.emulator.StoreHandler()); err != nil {
+		return err
 	}
-	if err := c.configure(ctx); err != nil {
-		return c, err
+	if err := c.serveUpstreams(ip, upstreams); err != nil {
+		return err
+	}
+	if err := c.registerUpstreams(ctx); err != nil {
+		return err
 	}
-	return c, c.addNodes(o, dir, fmt.Sprintf("%s:%d", servicesIP, portStoreServer), fmt.Sprintf("%s:%d", servicesIP, portAdvisor))
+	return c.configure(ctx)
 }
 
-func (c *cell) addNodes(o Options, dir, store, advisor string) error {
+// addNodes prepares the nodes. Each uses the advisor at its address.
+func (c *cell) addNodes(o Options, dir string, advisor func(node int) string) error {
 	var seeds []string
 	for i := range min(o.Nodes, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, i), portPeerProxy))
 	}
+	store := fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, o.Nodes), portStoreServer)
 	for i := range o.Nodes {
-		n, err := newNode(dir, loopbackIP(o.RunIndex, i), fmt.Sprintf("node-%d", i), store, advisor, seeds, o.programsOf(i), o.Env)
+		services := nodeServices{store: store, advisor: advisor(i), seeds: seeds}
+		n, err := newNode(dir, loopbackIP(o.RunIndex, i), fmt.Sprintf("node-%d", i), c.zoneOf(i), services)
 		if err != nil {
 			return err
 		}
+		n.programs, n.env = o.programsOf(i), o.Env
 		c.nodes = append(c.nodes, n)
 	}
 	return nil
 }
 
+// zoneOf returns the zone of a node or an upstream.
+func (c *cell) zoneOf(i int) string {
+	if c.zones == 1 {
+		return "zone"
+	}
+	return fmt.Sprintf("zone-%d", i%c.zones)
+}
+
 func (c *cell) serve(ip string, port int, h http.Handler) error {
 	lis, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 	if err != nil {
@@ -131,7 +159,7 @@
 // serveUpstreams starts a server and a proxy for each upstream.
 func (c *cell) serveUpstreams(ip string, n int) error {
 	for i := range n {
-		id := cawork.UpstreamID(fmt.Sprintf("upstream-%d", i))
+		id := upstreamName(i)
 		if err := c.serve(ip, firstUpstreamPort+2*i, c.emulator.UpstreamHandler(string(id))); err != nil {
 			return err
 		}
@@ -179,10 +207,8 @@
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
-	if c.policy.Version > 0 {
-		p := c.policy
-		p.Version = c.policyVersion
-		return c.emulator.Configure(ctx, p)
+	if c.work != nil {
+		return c.emulator.Configure(ctx, c.work.workload().Policy(c.policyVersion, poolName))
 	}
 	return c.emulator.Configure(ctx, caspec.Policy{
 		Version: c.policyVersion, Pools: []caspec.Pool{{Name: poolName}}, Queues: []caspec.Queue{queueSpec()},
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entry"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurge"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entry"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurge"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -39,9 +39,13 @@
 	_ = x[FaultDeadlyWork-(12)]
 	_ = x[FaultSeries-(13)]
 	_ = x[FaultOddEntry-(14)]
+	_ = x[FaultPowerLoss-(15)]
+	_ = x[FaultZoneCut-(16)]
+	_ = x[FaultLimits-(17)]
+	_ = x[FaultSurge-(18)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -59,6 +63,10 @@
 	_FaultKindName[107:118]: FaultDeadlyWork,
 	_FaultKindName[118:124]: FaultSeries,
 	_FaultKindName[124:133]: FaultOddEntry,
+	_FaultKindName[133:143]: FaultPowerLoss,
+	_FaultKindName[143:151]: FaultZoneCut,
+	_FaultKindName[151:157]: FaultLimits,
+	_FaultKindName[157:162]: FaultSurge,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -77,6 +85,10 @@
 	_FaultKindLowerName[107:118]: FaultDeadlyWork,
 	_FaultKindLowerName[118:124]: FaultSeries,
 	_FaultKindLowerName[124:133]: FaultOddEntry,
+	_FaultKindLowerName[133:143]: FaultPowerLoss,
+	_FaultKindLowerName[143:151]: FaultZoneCut,
+	_FaultKindLowerName[151:157]: FaultLimits,
+	_FaultKindLowerName[157:162]: FaultSurge,
 }
 
 var _FaultKindNames = []string{
@@ -95,6 +107,10 @@
 	_FaultKindName[107:118],
 	_FaultKindName[118:124],
 	_FaultKindName[124:133],
+	_FaultKindName[133:143],
+	_FaultKindName[143:151],
+	_FaultKindName[151:157],
+	_FaultKindName[157:162],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/load.go
+++ b/internal/soak/casoak/load.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"net/http"
 	"sync"
 	"time"
 
@@ -16,18 +15,8 @@
 const (
 	// meanSubmitInterval is the mean time between two submissions.
 	meanSubmitInterval = 45 * time.Millisecond
-	// callTimeout is the timeout that a caller sends with a call, and
-	// responseMargin the tolerated delay of the answer beyond it.
-	callTimeout    = 3 * time.Second
-	responseMargin = time.Second
-	// maxAttempts bounds the attempts to submit or cancel one job.
-	maxAttempts = 4
-	// retryDelay is the minimum delay before a failed call is retried.
-	retryDelay = 400 * time.Millisecond
-	// cancelFraction is the fraction of accepted jobs that are canceled, and
-	// maxCancelDelay the longest delay before the cancellation.
+	// cancelFraction is the fraction of accepted jobs that are canceled.
 	cancelFraction = 0.1
-	maxCancelDelay = 800 * time.Millisecond
 )
 
 // loadGenerator submits jobs to random nodes, as users with a list of all nodes do.
@@ -66,68 +55,14 @@
 	c.submissions.Wait()
 }
 
-// submit submits one job, retries while the outcome is unknown or the job is
-// rejected, and cancels a fraction of the accepted jobs.
+// submit submits one job and cancels a fraction of the accepted jobs.
 func (c *loadGenerator) submit(s caspec.Submission, canceled float64, random *rand.Rand) {
-	id := s.ID
 	s.Queue, s.Team = queueName, teamName
-	c.addSteps(id, s.Steps)
-	c.outcomes.record(id, outcomeUnknown)
-	mayBeAccepted := false
-	for range maxAttempts {
-		answer := c.callRandomNode(random, func(ctx context.Context, address string) platform.CallResult {
-			return c.caller.Submit(ctx, address, queueSpec(), s)
-		})
-		switch {
-		case answer.IsAccepted():
-			c.outcomes.record(id, outcomeAccepted)
-			if random.Float64() < canceled {
-				c.cancel(id, random)
-			}
-			return
-		case !answer.IsRejected():
-			mayBeAccepted = true
-		}
-		time.Sleep(max(retryDelay, answer.RetryAfter))
+	c.addSteps(s.ID, s.Steps)
+	calls := submitter{cell: c.cell, outcomes: c.outcomes, caller: c.caller, queue: queueSpec(), random: random}
+	if calls.submit(context.Background(), s) && random.Float64() < canceled {
+		calls.cancel(s.ID)
 	}
-	if !mayBeAccepted {
-		c.outcomes.record(id, outcomeRejected)
-	}
-}
-
-func (c *loadGenerator) cancel(id cawork.JobID, random *rand.Rand) {
-	time.Sleep(time.Duration(random.Int63n(int64(maxCancelDelay))))
-	// Until the cancellation is answered, the job may either complete or be canceled.
-	c.outcomes.record(id, outcomeUnknown)
-	for range maxAttempts {
-		answer := c.callRandomNode(random, func(ctx context.Context, address string) platform.CallResult {
-			return c.caller.Cancel(ctx, address, queueSpec(), id)
-		})
-		switch {
-		case answer.IsAccepted():
-			c.outcomes.record(id, outcomeCanceled)
-			return
-		case answer.Status == http.StatusGone:
-			c.outcomes.recordViolation("job %s was accepted, but its cancellation was answered with 410 Gone", id)
-			return
-		}
-		time.Sleep(retryDelay)
-	}
-}
-
-// callRandomNode calls a random node and records a violation if the answer is
-// late. It waits beyond callTimeout to measure late answers.
-func (c *loadGenerator) callRandomNode(random *rand.Rand, do func(ctx context.Context, address string) platform.CallResult) platform.CallResult {
-	n := c.cell.nodes[random.Intn(len(c.cell.nodes))]
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+2*responseMargin)
-	defer cancel()
-	began := time.Now()
-	answer := do(ctx, n.address(portFront))
-	took := time.Since(began)
-	if answer.Status != 0 && took > callTimeout+responseMargin && !n.resumedSince(began) {
-		c.outcomes.recordViolation("%s answered after %v, %v were allowed", n.name, took, callTimeout)
-	}
-	return answer
 }
 
 // randomSteps returns random steps of a job.
--- a/internal/soak/casoak/node.go
+++ b/internal/soak/casoak/node.go
@@ -38,6 +38,7 @@
 type node struct {
 	name         string
 	ip           string
+	zone         string
 	settingsPath string
 	// programs are the command lines that the starts of the process take in turn.
 	programs   [][]string
@@ -61,11 +62,17 @@
 
 func (n *node) address(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
 
-// newNode creates the proxies and the settings file of a node.
-func newNode(dir, ip, name, store, advisor string, seeds []string, programs [][]string, env []string) (*node, error) {
-	n := &node{name: name, ip: ip, programs: programs, env: env, settingsPath: filepath.Join(dir, name+".toml")}
+// nodeServices are the addresses that a node is given.
+type nodeServices struct {
+	store, advisor string
+	seeds          []string
+}
+
+// newNode creates the proxies and the settings file of a node. The caller sets its programs and env.
+func newNode(dir, ip, name, zone string, services nodeServices) (*node, error) {
+	n := &node{name: name, ip: ip, zone: zone, settingsPath: filepath.Join(dir, name+".toml")}
 	var err error
-	if n.storeProxy, err = NewProxy(n.address(portStoreProxy), store); err != nil {
+	if n.storeProxy, err = NewProxy(n.address(portStoreProxy), services.store); err != nil {
 		return nil, err
 	}
 	if n.peerProxy, err = NewProxy(n.address(portPeerProxy), n.address(portControl)); err != nil {
@@ -75,8 +82,8 @@
 		return nil, err
 	}
 	settings := platform.EmulatorSettings{
-		VM: name, Zone: "zone", IP: ip, Front: n.address(portFront), Ready: n.address(portReady),
-		Control: n.address(portControl), Store: n.storeProxy.Address(), Advisor: advisor, Seeds: seeds, GraceS: stopGraceSeconds,
+		VM: name, Zone: zone, IP: ip, Front: n.address(portFront), Ready: n.address(portReady),
+		Control: n.address(portControl), Store: n.storeProxy.Address(), Advisor: services.advisor, Seeds: services.seeds, GraceS: stopGraceSeconds,
 	}
 	return n, settings.Write(n.settingsPath)
 }
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -47,6 +47,15 @@
 	// FaultOddEntry leaves an odd entry among those of the upstreams, as another writer may, in the
 	// way given by Fault.Way: under a key of its own and in place of the entry of an upstream.
 	FaultOddEntry
+	// FaultPowerLoss kills all nodes and ends the incarnations of all upstreams until the fault ends.
+	FaultPowerLoss
+	// FaultZoneCut cuts the nodes of a zone off from the store, and the nodes and upstreams of the
+	// zone from all callers.
+	FaultZoneCut
+	// FaultLimits changes the limit of a team until the fault ends.
+	FaultLimits
+	// FaultSurge lets a team submit many times its usual until the fault ends.
+	FaultSurge
 )
 
 const (
@@ -115,7 +124,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge:
 		}
 		plan = append(plan, f)
 	}
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,6 +51,35 @@
 	}
 }
 
+// TestWorkPlanHasAllKinds guards against runs with a workload that lack a kind of fault, and
+// against plans of them that change the faults of NewPlan.
+func TestWorkPlanHasAllKinds(t *testing.T) {
+	if diff := cmp.Diff(NewWorkPlan(7, time.Minute, 9, 48), NewWorkPlan(7, time.Minute, 9, 48)); diff != "" {
+		t.Errorf("plans of one seed (-first +second):\n%s", diff)
+	}
+	added := make(map[FaultKind]int)
+	for seed := range int64(40) {
+		counts := make(map[FaultKind]int)
+		for _, f := range NewWorkPlan(seed, 20*time.Second, 9, 48) {
+			counts[f.Kind]++
+		}
+		for _, f := range NewPlan(seed, 20*time.Second, 9, 48) {
+			counts[f.Kind]--
+		}
+		for kind, n := range counts {
+			added[kind] += n
+		}
+	}
+	for kind, n := range added {
+		if wanted := slices.Contains(workFaults, kind); wanted && n < 10 || !wanted && n != 0 {
+			t.Errorf("%d faults %v are added to 40 plans", n, kind)
+		}
+	}
+	if len(added) < len(workFaults) {
+		t.Errorf("kinds in 40 plans are %v, want %v among them", added, workFaults)
+	}
+}
+
 func TestOutcomeMismatchOfDeadlyJobs(t *testing.T) {
 	for name, c := range map[string]struct {
 		outcome    outcome
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -10,6 +10,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/soak/caworkload"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -47,6 +48,8 @@
 	// Added are the kinds of fault that the plan has beside those of NewPlan. Runs by hand
 	// have those of DrawAdded.
 	Added []FaultKind
+	// Workload replaces the small jobs of the soak, and NewWorkPlan its plan, if set.
+	Workload *caworkload.Workload
 	// Dir is the directory for settings files and logs.
 	Dir string
 	// RunIndex distinguishes concurrent runs; it selects their loopback addresses.
@@ -81,12 +84,21 @@
 	// Crashes counts the crashes by tasks, and GivenUp the jobs without a deadly task that
 	// were given up after crashes under them.
 	Crashes, GivenUp int
+	// Unfinished counts the accepted jobs that had not ended when a run with a workload ended, and
+	// LongestWait is the longest wait with room after its load.
+	Unfinished  int
+	LongestWait caworkload.Wait
+	// Advisor is what each caller asked the advisor of a workload.
+	Advisor map[string]standin.AdvisorUse
 	// Broken lists the violated guarantees.
 	Broken []string
 }
 
 // Run runs one cell under load and faults and checks its guarantees.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Workload != nil {
+		return runWorkload(ctx, o)
+	}
 	plan := NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
 	report := Report{Plan: WithAddedFaults(plan, o.Seed, o.Duration, o.Upstreams, o.Added)}
 	c, err := newCell(ctx, o, o.Dir)
@@ -247,6 +259,8 @@
 		if e.begins {
 			return c.configure(ctx)
 		}
+	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge:
+		return c.applyWorkEvent(ctx, e)
 	}
 	return nil
 }
@@ -294,10 +308,8 @@
 	}
 }
 
-// settle ends all faults, waits until the phases of all jobs agree with the
-// outcomes reported to callers, and records the jobs where they do not. It returns the
-// number of jobs without a deadly task that were given up.
-func (c *cell) settle(ctx context.Context, l *outcomeLog) (givenUp int) {
+// endFaults ends all faults and records unexpected exits of nodes.
+func (c *cell) endFaults(l *outcomeLog) {
 	for _, n := range c.nodes {
 		if n.unexpectedExitCount() > 0 {
 			l.recordViolation("%s exited unexpectedly %d times", n.name, n.unexpectedExitCount())
@@ -310,6 +322,13 @@
 		link.SetFault(LinkNone)
 	}
 	c.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
+}
+
+// settle ends all faults, waits until the phases of all jobs agree with the
+// outcomes reported to callers, and records the jobs where they do not. It returns the
+// number of jobs without a deadly task that were given up.
+func (c *cell) settle(ctx context.Context, l *outcomeLog) (givenUp int) {
+	c.endFaults(l)
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	caller := platform.NewCaller(teamKey, callTimeout)
@@ -370,6 +389,14 @@
 
 // String returns the counts of the report.
 func (r Report) String() string {
-	return fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d crashes by tasks, %d other jobs given up; %d promises broken",
+	text := fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d crashes by tasks, %d other jobs given up; %d promises broken",
 		len(r.Plan), r.Accepted, r.Refused, r.Canceled, r.Unknown, r.Starts, r.Crashes, r.GivenUp, len(r.Broken))
+	if r.Advisor == nil {
+		return text
+	}
+	text += fmt.Sprintf("; %d unfinished; advisor %v", r.Unfinished, r.Advisor)
+	if r.LongestWait.For == 0 {
+		return text + "; no wait with room after the load"
+	}
+	return text + fmt.Sprintf("; longest wait with room after the load: %s", r.LongestWait)
 }
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/cli/cacommand"
 	"celeryarch.example/celeryarch/internal/node/carunner"
 	"celeryarch.example/celeryarch/internal/soak/casoak"
+	"celeryarch.example/celeryarch/internal/soak/caworkload"
 )
 
 var addedSeeds = flag.Int("soak.seeds", 1, "number of seeds of each test with an added kind of fault")
@@ -57,6 +58,35 @@
 	runSoaks(t, addedSoaks(7, casoak.FaultOddEntry))
 }
 
+// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
+const gangLoad = "testdata/gangs.jsonc"
+
+// TestSeedsWithGangsAndAdvisor guards against jobs that have nothing running while there is room
+// for them on upstreams that the advisor approves.
+func TestSeedsWithGangsAndAdvisor(t *testing.T) {
+	runSoaks(t, workSoaks(t, 1, caworkload.Advisor{CostFactor: 1}))
+}
+
+// workSoaks returns short soaks with gangLoad and an advisor.
+func workSoaks(t *testing.T, firstSeed int64, advisor caworkload.Advisor) map[string]casoak.Options {
+	t.Helper()
+	data, err := os.ReadFile(gangLoad)
+	if err != nil {
+		t.Fatal(err)
+	}
+	load, err := caworkload.Parse(gangLoad, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	load = load.WithAdvisor(advisor)
+	soaks := make(map[string]casoak.Options, *addedSeeds)
+	for seed := firstSeed; seed < firstSeed+int64(*addedSeeds); seed++ {
+		o := casoak.Options{Seed: seed, Duration: 8 * time.Second, Nodes: 4, Upstreams: 12, Workload: &load}
+		soaks[strconv.FormatInt(seed, 10)] = o
+	}
+	return soaks
+}
+
 // addedSoaks returns short soaks with an added kind of fault.
 func addedSoaks(firstSeed int64, kind casoak.FaultKind) map[string]casoak.Options {
 	soaks := make(map[string]casoak.Options, *addedSeeds)
