--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -64,11 +64,20 @@
 // TestSeedsWithGangsAndAdvisor guards against jobs that have nothing running while there is room
 // for them on upstreams that the advisor approves.
 func TestSeedsWithGangsAndAdvisor(t *testing.T) {
-	runSoaks(t, workSoaks(t, 1, caworkload.Advisor{CostFactor: 1}))
+	o := casoak.Options{Duration: 8 * time.Second, Nodes: 4, Upstreams: 12}
+	runSoaks(t, workSoaks(t, o, caworkload.Advisor{CostFactor: 1}))
 }
 
-// workSoaks returns short soaks with gangLoad and an advisor.
-func workSoaks(t *testing.T, firstSeed int64, advisor caworkload.Advisor) map[string]casoak.Options {
+// TestSeedsWithSharedAdvisor guards against jobs that have nothing running while there is room for
+// them, since the nodes together ask more than an advisor answers that handles one question of all
+// of them at a time.
+func TestSeedsWithSharedAdvisor(t *testing.T) {
+	o := casoak.Options{Duration: 8 * time.Second, Nodes: 9, Upstreams: 24}
+	runSoaks(t, workSoaks(t, o, caworkload.Advisor{CostFactor: 1, OneTurn: true}))
+}
+
+// workSoaks returns soaks with gangLoad, an advisor and the first seeds.
+func workSoaks(t *testing.T, o casoak.Options, advisor caworkload.Advisor) map[string]casoak.Options {
 	t.Helper()
 	data, err := os.ReadFile(gangLoad)
 	if err != nil {
@@ -79,10 +88,10 @@
 		t.Fatal(err)
 	}
 	load = load.WithAdvisor(advisor)
+	o.Workload = &load
 	soaks := make(map[string]casoak.Options, *addedSeeds)
-	for seed := firstSeed; seed < firstSeed+int64(*addedSeeds); seed++ {
-		o := casoak.Options{Seed: seed, Duration: 8 * time.Second, Nodes: 4, Upstreams: 12, Workload: &load}
-		soaks[strconv.FormatInt(seed, 10)] = o
+	for seed := int64(1); seed <= int64(*addedSeeds); seed++ {
+		soaks[strconv.FormatInt(seed, 10)] = o.WithSeed(seed)
 	}
 	return soaks
 }
