Test: jobs wait with room beside an advisor that is slower than configured

After the load the answers of seed 16 come one after the other every 0.21 s, the cost of one question, and each took 1.1 s: five questions wait at one node while eight are idle.

By reading: proxyLoad.assign compares the expected ends of questions; once these have passed, a node with open questions counts as idle, and the first node by name gets the next one as well.

--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -58,39 +58,52 @@
 	runSoaks(t, addedSoaks(7, casoak.FaultOddEntry))
 }
 
-// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
-const gangLoad = "testdata/gangs.jsonc"
+const (
+	// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
+	gangLoad = "testdata/gangs.jsonc"
+	// firmLoad is the workload of a firm.
+	firmLoad = "../../../examples/loads/firm.jsonc"
+)
 
 // TestSeedsWithGangsAndAdvisor guards against jobs that have nothing running while there is room
 // for them on upstreams that the advisor approves.
 func TestSeedsWithGangsAndAdvisor(t *testing.T) {
-	o := casoak.Options{Duration: 8 * time.Second, Nodes: 4, Upstreams: 12}
-	runSoaks(t, workSoaks(t, o, caworkload.Advisor{CostFactor: 1}))
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 4, Upstreams: 12}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1}))
 }
 
 // TestSeedsWithSharedAdvisor guards against jobs that have nothing running while there is room for
 // them, since the nodes together ask more than an advisor answers that handles one question of all
 // of them at a time.
 func TestSeedsWithSharedAdvisor(t *testing.T) {
-	o := casoak.Options{Duration: 8 * time.Second, Nodes: 9, Upstreams: 24}
-	runSoaks(t, workSoaks(t, o, caworkload.Advisor{CostFactor: 1, OneTurn: true}))
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 9, Upstreams: 24}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1, OneTurn: true}))
+}
+
+// TestSeedsWithSlowAdvisor guards against jobs that have nothing running while there is room for
+// them, since the planner asks through one node while an advisor that takes longer than configured
+// has time for the others.
+func TestSeedsWithSlowAdvisor(t *testing.T) {
+	const firstSeed = 16
+	o := casoak.Options{Seed: firstSeed, Duration: 16 * time.Second, Nodes: 9, Upstreams: 48}
+	runSoaks(t, workSoaks(t, firmLoad, o, caworkload.Advisor{CostFactor: 2}))
 }
 
-// workSoaks returns soaks with gangLoad, an advisor and the first seeds.
-func workSoaks(t *testing.T, o casoak.Options, advisor caworkload.Advisor) map[string]casoak.Options {
+// workSoaks returns soaks with a workload, an advisor and the seeds from that of the options on.
+func workSoaks(t *testing.T, path string, o casoak.Options, advisor caworkload.Advisor) map[string]casoak.Options {
 	t.Helper()
-	data, err := os.ReadFile(gangLoad)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	load, err := caworkload.Parse(gangLoad, data)
+	load, err := caworkload.Parse(path, data)
 	if err != nil {
 		t.Fatal(err)
 	}
 	load = load.WithAdvisor(advisor)
 	o.Workload = &load
 	soaks := make(map[string]casoak.Options, *addedSeeds)
-	for seed := int64(1); seed <= int64(*addedSeeds); seed++ {
+	for seed := o.Seed; seed < o.Seed+int64(*addedSeeds); seed++ {
 		soaks[strconv.FormatInt(seed, 10)] = o.WithSeed(seed)
 	}
 	return soaks
