Test: probation keeps jobs from room after a loss of power

The new test runs 48 upstreams of 32 cores at 0.8 of their room, with an advisor, gangs and steps, in virtual time, and takes the power of all upstreams away, with the leader or without it, once or twice within 12 s. It counts what keeps the most room from jobs that waited beyond 3 s.

--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -148,6 +148,12 @@
 	onLead func(*Planner)
 	// onAppend is called with each batch that the leader is about to append. It may be nil.
 	onAppend func(Batch)
+	// onOrders is called with the orders of each plan. It may be nil.
+	onOrders func(*Planner, Orders)
+	// runTime returns how long a run takes. Nil means up to maxRunMS.
+	runTime func(RunID) time.Duration
+	// hasNoLeader is set while no leader plans.
+	hasNoLeader bool
 	// neverEnds are the jobs whose runs do not end by themselves.
 	neverEnds map[cawork.JobID]bool
 	// runsFail is set where a tenth of the runs fails, and lateShare is the fraction of calls that
@@ -457,7 +463,7 @@
 	if w.neverEnds[o.Run.Job] || w.sizes[o.Run.Job][o.Run.Step].LongRunning {
 		return StartAccepted
 	}
-	w.after(w.between(200, w.maxRunMS), func() {
+	w.after(w.runTimeOf(o.Run), func() {
 		if u.info.Incarnation == born && u.up && !u.stopped[o.Run] {
 			u.end(o.Run, how)
 		}
@@ -465,6 +471,13 @@
 	return StartAccepted
 }
 
+func (w *roomWorld) runTimeOf(id RunID) time.Duration {
+	if w.runTime != nil {
+		return w.runTime(id)
+	}
+	return w.between(200, w.maxRunMS)
+}
+
 // stop delivers a stop order, at once or late and without an answer.
 func (w *roomWorld) stop(p *Planner, token int64, o StopOrder) {
 	u := w.upstreamOf(o.Upstream)
@@ -586,18 +599,28 @@
 			w.nextLeader = w.elapsed + w.leaderTime()
 			w.lead()
 		}
-		orders := w.planner.Plan()
-		for _, o := range orders.Stops {
-			w.stop(w.planner, w.token, o)
+		if !w.hasNoLeader {
+			w.plan()
 		}
-		for _, id := range orders.Probes {
-			w.renew(w.upstreamOf(id))
-		}
-		w.commit()
 		w.elapsed += roomTick
 	}
 }
 
+// plan lets the leader plan once, and sends its orders.
+func (w *roomWorld) plan() {
+	orders := w.planner.Plan()
+	if w.onOrders != nil {
+		w.onOrders(w.planner, orders)
+	}
+	for _, o := range orders.Stops {
+		w.stop(w.planner, w.token, o)
+	}
+	for _, id := range orders.Probes {
+		w.renew(w.upstreamOf(id))
+	}
+	w.commit()
+}
+
 // TestUpstreamsAreNeverOvercommitted runs leaders one after the other against upstreams that
 // restart, leave orders unanswered and carry them out seconds later. No start may exceed the
 // room of its upstream.
