Crashes: a loss of power of most upstreams leaves nothing on probation

A suspect of a crash keeps its upstream from all other jobs. A loss of power made suspects of all that had just been started, and a new leader took every run that it inherited for a suspect: it compares last answers, and has none of the time before, so that it never saw a common cause.

Now a crash of an upstream that never answered this leader is compared by the time at which the next incarnation began; upstreams without runs that began at that time count too. If half of all upstreams (eight at least, or all others of a smaller cell) crashed that did not run the job, its tasks are no suspects of that crash: seen by the same leader as well. BUDGET stays: a task is excused twice at most, its crashes count towards the four after which it is given up, and a job that ran at most of them is not excused. The format of the records is unchanged.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -358,6 +358,7 @@
 		b.countInheritedCrashes(u)
 		b.resolveCrashes(u.info.ID, u.info.Incarnation)
 	}
+	b.shareCrashes()
 }
 
 // presumeUncountedCrashes presumes crashes under the tasks that were started again and again by
@@ -403,12 +404,23 @@
 // runs were assigned to an earlier incarnation. Whether they are to blame is not known, so that
 // they count as suspects.
 func (b *Planner) countInheritedCrashes(u *upstream) {
+	var last int64
+	var runs []*run
 	for _, r := range u.sortedRuns() {
 		if !r.inherited || r.born == 0 || r.born >= u.info.Incarnation {
 			continue
 		}
+		if r.born > last {
+			last, runs = r.born, nil
+		}
+		if r.born == last {
+			runs = append(runs, r)
+		}
 		b.addCrash(r, cacrash.Crash{Upstream: u.info.ID, Incarnation: r.born, Blamed: true})
 	}
+	if len(runs) > 0 {
+		b.addCrashEvent(u, last, runs, u.suspectJobs())
+	}
 }
 
 // takeCrashRecords returns the records of crashes that are out of date, and clears the list.
--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -262,3 +262,53 @@
 		})
 	}
 }
+
+// TestDeadlyJobAtAllUpstreamsIsNotExcused covers a new leader that finds all upstreams restarted, each with a
+// task of one job: the job may have crashed them. What ran at a few of them is excused.
+func TestDeadlyJobAtAllUpstreamsIsNotExcused(t *testing.T) {
+	cell := newStoredCell(t)
+	first := cell.lead(false)
+	wide, small := smallStep(len(cell.upstreams)), smallStep(1)
+	wide.MaxPerUpstream = 1
+	first.planner.open(caspec.Submission{ID: "wide", Queue: "queue", Team: "north", Steps: []caspec.Step{wide}}, false)
+	first.planner.open(caspec.Submission{ID: "small", Queue: "queue", Team: "north", Steps: []caspec.Step{small}}, false)
+	if diff := cmp.Diff(len(cell.upstreams)+1, len(first.start())); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for i := range cell.upstreams {
+		cell.upstreams[i].Incarnation++
+	}
+	next := cell.lead(false)
+	next.report()
+	next.planner.shareCrashes()
+	next.planner.updateProbation()
+	got := map[cawork.JobID]bool{"wide": next.planner.jobs["wide"].onProbation, "small": next.planner.jobs["small"].onProbation}
+	if diff := cmp.Diff(map[cawork.JobID]bool{"wide": true, "small": false}, got); diff != "" {
+		t.Errorf("jobs on probation (-want +got):\n%s", diff)
+	}
+}
+
+// TestLossesFarApartHaveNoCommonCause covers a new leader that finds upstreams restarted at different times:
+// no common cause shows, so that what ran there is on probation.
+func TestLossesFarApartHaveNoCommonCause(t *testing.T) {
+	cell := newStoredCell(t)
+	first := cell.lead(false)
+	for i := range cell.upstreams {
+		step := smallStep(1)
+		step.CPU = roomCapacity.CPU
+		first.planner.open(caspec.Submission{ID: cawork.JobID(fmt.Sprintf("job-%d", i)), Queue: "queue", Team: "north", Steps: []caspec.Step{step}}, false)
+	}
+	if diff := cmp.Diff(len(cell.upstreams), len(first.start())); diff != "" {
+		t.Fatalf("first starts (-want +got):\n%s", diff)
+	}
+	for i := range cell.upstreams {
+		cell.upstreams[i].Incarnation += int64(i+1) * 2 * commonRestartWindow.Milliseconds()
+	}
+	next := cell.lead(false)
+	next.planner.updateProbation()
+	for id, j := range next.planner.jobs {
+		if !j.onProbation {
+			t.Errorf("job %s is not on probation", id)
+		}
+	}
+}
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -28,6 +28,9 @@
 	// others, to give up the gang before a member has had maxCrashes.
 	minGangCrashes     = 3
 	minSoleGangCrashes = 2
+	// maxExcused is how many crashes of a task may be excused. Under a task that meets more of them, the
+	// next upstream is to run nothing of others.
+	maxExcused = 2
 	// maxStored bounds the crashes kept of one task.
 	maxStored = 8
 	// provenAfter is how long an upstream must survive a run to clear it. Renewals wait at
@@ -218,6 +221,21 @@
 	return changed
 }
 
+// MayShare reports whether a common cause of the crash of an incarnation would change the history.
+func (h *History) MayShare(id cawork.UpstreamID, incarnation int64) bool {
+	if h == nil {
+		return false
+	}
+	for _, crashes := range h.tasks {
+		for _, c := range crashes {
+			if c.Upstream == id && c.Incarnation == incarnation && (!c.Shared || c.Blamed && len(crashes) <= maxExcused) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // MarkShared marks the crashes of an incarnation of an upstream as having a common cause with others.
 // It reports whether the history changed.
 func (h *History) MarkShared(id cawork.UpstreamID, incarnation int64) bool {
@@ -234,6 +252,25 @@
 	return changed
 }
 
+// Excuse clears the tasks of which an incarnation of an upstream crashed together with most others: they
+// are no suspects of it, and have no more than maxExcused crashes. It reports whether the history changed.
+func (h *History) Excuse(id cawork.UpstreamID, incarnation int64) bool {
+	changed := false
+	for _, crashes := range h.tasks {
+		if len(crashes) > maxExcused {
+			continue
+		}
+		for i := range crashes {
+			c := &crashes[i]
+			if c.Upstream == id && c.Incarnation == incarnation && c.Blamed {
+				c.Blamed = false
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
 // KeepOccurrences removes the crashes of the occurrences that are not to be kept.
 func (h *History) KeepOccurrences(keep func(occurrence int) bool) {
 	for t := range h.tasks {
--- a/internal/cell/cacrash/history_test.go
+++ b/internal/cell/cacrash/history_test.go
@@ -262,3 +262,25 @@
 		t.Error("a gang is given up for crashes under another step")
 	}
 }
+
+// TestExcusedCrashIsNoReasonForProbation guards against probation of what ran when most upstreams crashed at
+// once, and against a task that is excused again and again.
+func TestExcusedCrashIsNoReasonForProbation(t *testing.T) {
+	h := New()
+	for incarnation := range int64(maxAllCrashes) {
+		h.Add(Task{}, crash(incarnation+1, shared))
+		excused := h.Excuse("up", incarnation+1)
+		if diff := cmp.Diff(incarnation < maxExcused, excused); diff != "" {
+			t.Errorf("excused from crash %d (-want +got):\n%s", incarnation+1, diff)
+		}
+		if diff := cmp.Diff(incarnation >= maxExcused, h.IsOnProbation(Task{})); diff != "" {
+			t.Errorf("on probation after crash %d (-want +got):\n%s", incarnation+1, diff)
+		}
+	}
+	if diff := cmp.Diff(true, h.IsGivenUp(Task{}, false)); diff != "" {
+		t.Errorf("given up after as many crashes as others must not suffer (-want +got):\n%s", diff)
+	}
+	if h.Excuse("other", 1) {
+		t.Error("a crash of another upstream is excused")
+	}
+}
