Test: late steps are kept from room that is left to wide gangs

A step may take a slot there once it has waited for a part of its slack, but never once it is late (mayUsePartition).

--- a/internal/cell/caboard/powerloss_test.go
+++ b/internal/cell/caboard/powerloss_test.go
@@ -39,6 +39,10 @@
 	// task of the same job.
 	keptByProbation = "probation"
 	keptByJob       = "held back"
+	// keptByPartition is room that is left to wide gangs.
+	keptByPartition = "partition"
+	// maxKeptByPartition is the same as maxKeptByProbation for that room.
+	maxKeptByPartition = time.Second
 )
 
 var powerSeeds = flag.Int64("power.seeds", 1, "number of worlds that lose their power")
@@ -77,6 +81,8 @@
 	// waitingSince is since when jobs have nothing running while there is room, and longest the
 	// longest such wait of each job.
 	waitingSince, longest map[cawork.JobID]time.Duration
+	// submittedAt is when jobs were submitted, and endedAt when their last run so far ended well.
+	submittedAt, endedAt map[cawork.JobID]time.Duration
 	// refused is how many jobs were refused.
 	refused int
 	// keptBy counts what kept most of the room from the jobs that waited beyond the bound, in looks of
@@ -88,6 +94,7 @@
 
 func newPowerWorld(seed int64) *powerWorld {
 	p := &powerWorld{
+		submittedAt: make(map[cawork.JobID]time.Duration), endedAt: make(map[cawork.JobID]time.Duration),
 		keptBy: make(map[string]int), admitted: make(map[caspec.QueueName]float64), queues: make(map[cawork.JobID]caspec.QueueName),
 		waitingSince: make(map[cawork.JobID]time.Duration), longest: make(map[cawork.JobID]time.Duration),
 	}
@@ -99,6 +106,11 @@
 		w.runTime = p.drawRunTime
 		for _, u := range w.upstreams {
 			u.info.Capacity = cawork.Resources{CPU: cawork.Cores(32), Memory: 512 * cawork.GiB}
+			u.onEnd = func(row EndedRun) {
+				if row.Ending == EndingDone {
+					p.endedAt[row.Run.Job] = p.elapsed
+				}
+			}
 			p.begin(u)
 			w.listed[u.info.ID] = u.info
 		}
@@ -154,6 +166,7 @@
 	if p.hasNoLeader {
 		return
 	}
+	p.submittedAt[s.ID] = p.elapsed
 	if _, err := p.planner.Submit(s); err != nil {
 		p.refused++
 	}
@@ -293,7 +306,7 @@
 		case !b.isApart(s, u):
 			places[keptByProbation] += n
 		case !b.mayUsePartition(s, q, u):
-			places["partition"] += n
+			places[keptByPartition] += n
 		case !b.mayBackfill(s, u):
 			places["reserved"] += n
 		case !s.approvals.isDecided(u):
@@ -348,12 +361,26 @@
 	return w
 }
 
+// meanTimes returns how many jobs of each queue ended, and their mean time.
+func (p *powerWorld) meanTimes() map[caspec.QueueName]string {
+	ended, sum := make(map[caspec.QueueName]int), make(map[caspec.QueueName]time.Duration)
+	for id, at := range p.endedAt {
+		ended[p.queues[id]]++
+		sum[p.queues[id]] += at - p.submittedAt[id]
+	}
+	times := make(map[caspec.QueueName]string)
+	for name, n := range ended {
+		times[name] = fmt.Sprintf("%d in %v", n, (sum[name] / time.Duration(n)).Round(10*time.Millisecond))
+	}
+	return times
+}
+
 // log logs the waits of the world.
 func (p *powerWorld) log(t *testing.T) {
 	t.Helper()
 	late, most := beyondBound(p.longest)
-	t.Logf("%d starts, %d jobs, %d refused, at most %d on probation; %d waited longer than %v with room, %v at most; kept by %v",
-		p.starts, p.jobs, p.refused, p.mostOnProbation, late, powerWaitBound, most, p.keptBy)
+	t.Logf("%d starts, %d jobs, %d refused, at most %d on probation; %d waited longer than %v with room, %v at most; kept by %v; ended %v",
+		p.starts, p.jobs, p.refused, p.mostOnProbation, late, powerWaitBound, most, p.keptBy, p.meanTimes())
 }
 
 // TestProbationKeepsJobsFromRoomAfterLossOfPower covers a loss of power of all upstreams, with the leader or
@@ -384,3 +411,22 @@
 		}
 	}
 }
+
+// TestGangPartitionKeepsJobsFromRoom covers steps of small tasks, in a cell with many wide gangs, that are
+// late: they had no turn in the part of the pool that is left to wide gangs as long as any gang waited, though
+// nothing of their jobs ran. A loss of power makes all that waits late.
+func TestGangPartitionKeepsJobsFromRoom(t *testing.T) {
+	runWithoutRace(t)
+	for _, c := range []powerCase{{}, {1, 300 * time.Millisecond, 2 * time.Second}, {1, 5 * time.Second, 2 * time.Second}} {
+		for seed := range *powerSeeds {
+			t.Run(fmt.Sprintf("%v/%d", c, seed), func(t *testing.T) {
+				t.Parallel()
+				w := c.run(seed)
+				w.log(t)
+				if kept := time.Duration(w.keptBy[keptByPartition]) * powerSampling; kept > maxKeptByPartition {
+					t.Errorf("jobs were kept from room for gangs for %v beyond %v, want at most %v for all jobs together", kept, powerWaitBound, maxKeptByPartition)
+				}
+			})
+		}
+	}
+}
