Partition: a late step of which nothing runs may start one task there

A step that is late never had a turn in the part of the pool that is left to wide gangs as long as gangs waited. In a cell with many gangs, and in the backlog after a loss of power, that part holds most of the free room, and steps stood still until the gangs were done.

Once one of its tasks runs it keeps out again, so that gangs lose little.

--- a/internal/cell/caboard/partition.go
+++ b/internal/cell/caboard/partition.go
@@ -34,6 +34,9 @@
 	// maxPartitionWaitSlackShare is the fraction of its slack for which a step waits for
 	// room outside of the gang partition.
 	maxPartitionWaitSlackShare = 0.6
+	// maxPartitionWait is for how long a step of which nothing runs waits for room outside of the gang
+	// partition, however late it is.
+	maxPartitionWait = 1500 * time.Millisecond
 	// gangSlotPenalty makes urgent work prefer upstreams outside of the gang partition.
 	gangSlotPenalty = 0.25
 	// gangSizeWeight is the weight of one gang in the moving averages of gang sizes.
@@ -192,7 +195,8 @@
 
 // mayUsePartition reports whether a step may use an upstream of the gang partition: if it
 // takes no gang slot or if some are to spare. Urgent steps may always, and so may steps
-// that have waited for long and can still meet their objective.
+// that have waited for long and can still meet their objective. A late step may start one task there, so
+// that it goes on while gangs wait without end.
 func (b *Planner) mayUsePartition(s *step, q caspec.Queue, u *upstream) bool {
 	if s.urgent || !u.inPartition || s.wide {
 		return true
@@ -201,7 +205,8 @@
 		return true
 	}
 	hasWaited := s.lateness == latenessNone && b.now.Monotonic.Sub(s.readyAt) > time.Duration(maxPartitionWaitSlackShare*float64(s.slack))
-	return hasWaited || !b.takesGangSlot(s, u)
+	isStuck := s.liveRuns == 0 && b.now.Monotonic.Sub(s.waitBegan()) > maxPartitionWait
+	return hasWaited || isStuck || !b.takesGangSlot(s, u)
 }
 
 // countGangSlotUse subtracts the slots that a task takes from wide gangs.
