--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -146,6 +146,10 @@
 	onForget func(*simulatedUpstream, EndedRun)
 	// onLead is called with each new leader before it restores any job. It may be nil.
 	onLead func(*Planner)
+	// onRequests is called with the approval requests of each plan. It may be nil.
+	onRequests func([]ApprovalRequest)
+	// rejects reports whether an upstream rejects a start order because of its ticket. It may be nil.
+	rejects func(StartOrder) bool
 	// onAppend is called with each batch that the leader is about to append. It may be nil.
 	onAppend func(Batch)
 	// neverEnds are the jobs whose runs do not end by themselves.
@@ -154,8 +158,9 @@
 	// are left unanswered and carried out late.
 	runsFail  bool
 	lateShare float64
-	// maxRunMS is how long a run takes at most, and maxAppendMS an append, in milliseconds.
-	maxRunMS, maxAppendMS int
+	// maxRunMS is how long a run takes at most, and minAppendMS and maxAppendMS how long an append
+	// does, in milliseconds.
+	maxRunMS, minAppendMS, maxAppendMS int
 	// oldBuild is set while the leader is of a build that neither reads nor writes crashes.
 	oldBuild bool
 	// keepsLeader is set for worlds in which the leader does not change.
@@ -195,7 +200,7 @@
 	w := &roomWorld{
 		random: rand.New(rand.NewSource(seed)), listed: make(map[cawork.UpstreamID]caspec.Upstream),
 		records: make(map[cawork.JobID][]byte), sizes: make(map[cawork.JobID][]caspec.Step),
-		crashRecords: make(map[cawork.JobID][]byte), neverEnds: make(map[cawork.JobID]bool), maxRunMS: 3500, maxAppendMS: 40,
+		crashRecords: make(map[cawork.JobID][]byte), neverEnds: make(map[cawork.JobID]bool), maxRunMS: 3500, minAppendMS: 4, maxAppendMS: 40,
 	}
 	for i := range upstreams {
 		u := &simulatedUpstream{info: caspec.Upstream{ID: cawork.UpstreamID(fmt.Sprintf("up-%d", i)), Address: "a", Pool: "pool", Capacity: roomCapacity}}
@@ -430,6 +435,9 @@
 	if u.highest[taskOf(o.Run)] >= o.Run.Number {
 		return StartOutdated
 	}
+	if w.rejects != nil && w.rejects(o) {
+		return StartNoTicket
+	}
 	u.highest[taskOf(o.Run)] = o.Run.Number
 	size := w.sizes[o.Run.Job][o.Run.Step].Size()
 	if known, ok := w.planner.upstreams[u.info.ID]; !ok || known.info.Incarnation != u.info.Incarnation {
@@ -438,7 +446,7 @@
 	room := u.roomSince(w.elapsed - roomShrinkDelay - delay)
 	if o.Born != u.info.Incarnation {
 		// The order was sent for the room of an earlier incarnation.
-		room = roomCapacity
+		room = room.Most(roomCapacity)
 	}
 	if !u.startedUnseen && !size.Fits(room.Minus(u.used())) {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v of %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used(), room))
@@ -518,7 +526,7 @@
 	if w.isResizing && w.random.Intn(40) == 0 {
 		return w.between(1000, 4000)
 	}
-	return w.between(4, w.maxAppendMS)
+	return w.between(w.minAppendMS, w.maxAppendMS)
 }
 
 // commit appends the changes of the leader. Its successor finds them if they were stored
@@ -593,6 +601,9 @@
 		for _, id := range orders.Probes {
 			w.renew(w.upstreamOf(id))
 		}
+		if w.onRequests != nil {
+			w.onRequests(orders.ApprovalRequests)
+		}
 		w.commit()
 		w.elapsed += roomTick
 	}
