Requests of a small pool are short (48)

What callers saw: jobs of a queue whose requests take 0.14 s at most waited for the entries that carry long ones, behind gangs, while other entries were idle.

Cause: whether the requests of a queue are long was decided by what 100 upstreams cost, also where its pool has 48. Now the size of the pool counts.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -59,7 +59,7 @@
 		return 0
 	}
 	turns := b.requestLimits.Turns
-	if isLongRequest(*q.Approval) {
+	if b.isLongRequest(q) {
 		turns = b.requestLimits.LongTurns
 	}
 	if turns <= 0 {
@@ -86,12 +86,12 @@
 // start within the limits of their teams. Long requests do not count for a queue with short ones, for which some entries
 // are kept free.
 func (b *Planner) approvalCostBefore(q caspec.Queue, excess bool) time.Duration {
-	isLong := isLongRequest(*q.Approval)
+	isLong := b.isLongRequest(q)
 	headroom := b.newHeadroom()
 	cost := time.Duration(0)
 	for _, s := range b.steps {
 		sq, ok := b.queueOf(s.job)
-		if !ok || !s.ready || !s.awaitsAdvisor(sq) || !s.goesBefore(q, excess) || isLongRequest(*sq.Approval) && !isLong {
+		if !ok || !s.ready || !s.awaitsAdvisor(sq) || !s.goesBefore(q, excess) || b.isLongRequest(sq) && !isLong {
 			continue
 		}
 		if s.lateness != latenessNone || !headroom.fits(s) || b.isStepHeldBack(s) {
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -102,7 +102,7 @@
 	if now.Sub(a.noCandidatesAt) < emptyRequestInterval {
 		return ApprovalRequest{}, false
 	}
-	isLong := isLongRequest(*q.Approval)
+	isLong := b.isLongRequest(q)
 	if isLong && b.pendingLongRequests >= b.requestLimits.Long {
 		return ApprovalRequest{}, false
 	}
@@ -129,8 +129,15 @@
 	}, true
 }
 
-// isLongRequest reports whether the requests of a queue take an entry long to answer.
-func isLongRequest(a caspec.Approval) bool { return a.Cost(maxRequestUpstreams) >= minLongRequest }
+// isLongRequest reports whether the requests of a queue may take an entry long to answer: those that name
+// as many upstreams as its pool has.
+func (b *Planner) isLongRequest(q caspec.Queue) bool {
+	most := maxRequestUpstreams
+	if listed, ok := b.poolSizes[q.Pool]; ok {
+		most = min(most, listed)
+	}
+	return q.Approval.Cost(most) >= minLongRequest
+}
 
 // ticketRenewals returns approved upstreams whose tickets have expired or soon will, if
 // the upstreams with valid tickets have too little room for the waiting tasks and all
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -22,8 +22,10 @@
 	for _, u := range b.sortedUpstreams {
 		u.listed = false
 	}
+	b.poolSizes = make(map[caspec.PoolName]int)
 	for _, info := range list {
 		b.updateUpstream(info, readAt)
+		b.poolSizes[info.Pool]++
 	}
 	b.listReadAt = readAt
 	b.knownRooms.add(list, b.now.Monotonic)
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -54,7 +54,9 @@
 	teams       map[cawork.TeamName]*teamUsage
 	queues      map[caspec.QueueName]*queueStats
 	partitions  map[caspec.PoolName]*gangPartition
-	knownRooms  knownRooms
+	// poolSizes are the numbers of listed upstreams of the pools.
+	poolSizes  map[caspec.PoolName]int
+	knownRooms knownRooms
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -198,10 +200,10 @@
 
 // queueStats holds averages of one queue.
 type queueStats struct {
+	approvalRate float64
 	// approvalBacklog is the backlog of the advisor before a job of the queue, and excessApprovalBacklog
 	// that before one beyond the guaranteed rate of its team.
 	approvalBacklog, excessApprovalBacklog approvalBacklog
-	approvalRate                           float64
 	// durationRatio is the mean ratio of the run time of tasks to their estimate.
 	durationRatio float64
 	// startRate measures how much work is started.
