--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -68,6 +68,8 @@
 	JobGivenUp         Number = 420
 	TaskMoved          Number = 421
 	ApprovalOverdue    Number = 422
+	RecordHeld         Number = 423
+	RecordReleased     Number = 424
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -16,8 +16,8 @@
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_emptyleader_busy"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overdue"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overdue"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_released"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_released"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -33,7 +33,7 @@
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint8{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243}
+	_NumberIndex_4 = [...]uint16{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243, 254, 269}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 422:
+	case 405 <= i && i <= 424:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 507:
@@ -131,6 +131,8 @@
 	_ = x[JobGivenUp-(420)]
 	_ = x[TaskMoved-(421)]
 	_ = x[ApprovalOverdue-(422)]
+	_ = x[RecordHeld-(423)]
+	_ = x[RecordReleased-(424)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -153,7 +155,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -209,6 +211,8 @@
 	_NumberName_4[205:217]: JobGivenUp,
 	_NumberName_4[217:227]: TaskMoved,
 	_NumberName_4[227:243]: ApprovalOverdue,
+	_NumberName_4[243:254]: RecordHeld,
+	_NumberName_4[254:269]: RecordReleased,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -285,6 +289,8 @@
 	_NumberLowerName_4[205:217]: JobGivenUp,
 	_NumberLowerName_4[217:227]: TaskMoved,
 	_NumberLowerName_4[227:243]: ApprovalOverdue,
+	_NumberLowerName_4[243:254]: RecordHeld,
+	_NumberLowerName_4[254:269]: RecordReleased,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -361,6 +367,8 @@
 	_NumberName_4[205:217],
 	_NumberName_4[217:227],
 	_NumberName_4[227:243],
+	_NumberName_4[243:254],
+	_NumberName_4[254:269],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/base/cakind/kind.go
+++ b/internal/base/cakind/kind.go
@@ -45,6 +45,8 @@
 	// KindAnswerNotKept means that a submission with the same idempotency key
 	// ran, and that its response is no longer stored.
 	KindAnswerNotKept
+	// KindUnstorable means that the store refuses a record, however often it gets it.
+	KindUnstorable
 )
 
 // Execution states whether the work that an error refers to ran.
@@ -93,6 +95,7 @@
 	KindStaleVersion:        {http.StatusConflict, true, ExecutionNotRun},
 	KindMethodNotAllowed:    {http.StatusMethodNotAllowed, false, ExecutionNotRun},
 	KindAnswerNotKept:       {http.StatusGone, false, ExecutionRan},
+	KindUnstorable:          {http.StatusUnprocessableEntity, false, ExecutionNotRun},
 }
 
 // ResponseTo returns the response for the kind, that for KindInternal when the kind
--- a/internal/base/cakind/kind_names.go
+++ b/internal/base/cakind/kind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_kept"
+const _KindName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_keptunstorable"
 
-var _KindIndex = [...]uint8{0, 8, 15, 30, 39, 48, 56, 65, 75, 85, 98, 106, 117, 132, 143, 164, 172, 178, 185, 191, 204, 222, 237}
+var _KindIndex = [...]uint8{0, 8, 15, 30, 39, 48, 56, 65, 75, 85, 98, 106, 117, 132, 143, 164, 172, 178, 185, 191, 204, 222, 237, 247}
 
-const _KindLowerName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_kept"
+const _KindLowerName = "internalinvalidunauthenticatedforbiddennot_foundconflicttoo_largenever_fitsoverloadedlimit_reacheddrainingunavailablekey_unconfirmednot_starteddeadline_before_startcanceledfailedunknownfencedstale_versionmethod_not_allowedanswer_not_keptunstorable"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -46,9 +46,10 @@
 	_ = x[KindStaleVersion-(19)]
 	_ = x[KindMethodNotAllowed-(20)]
 	_ = x[KindAnswerNotKept-(21)]
+	_ = x[KindUnstorable-(22)]
 }
 
-var _KindValues = []Kind{KindInternal, KindInvalid, KindUnauthenticated, KindForbidden, KindNotFound, KindConflict, KindTooLarge, KindNeverFits, KindOverloaded, KindLimitReached, KindDraining, KindUnavailable, KindKeyUnconfirmed, KindNotStarted, KindDeadlineBeforeStart, KindCanceled, KindFailed, KindUnknown, KindFenced, KindStaleVersion, KindMethodNotAllowed, KindAnswerNotKept}
+var _KindValues = []Kind{KindInternal, KindInvalid, KindUnauthenticated, KindForbidden, KindNotFound, KindConflict, KindTooLarge, KindNeverFits, KindOverloaded, KindLimitReached, KindDraining, KindUnavailable, KindKeyUnconfirmed, KindNotStarted, KindDeadlineBeforeStart, KindCanceled, KindFailed, KindUnknown, KindFenced, KindStaleVersion, KindMethodNotAllowed, KindAnswerNotKept, KindUnstorable}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindInternal,
@@ -73,6 +74,7 @@
 	_KindName[191:204]: KindStaleVersion,
 	_KindName[204:222]: KindMethodNotAllowed,
 	_KindName[222:237]: KindAnswerNotKept,
+	_KindName[237:247]: KindUnstorable,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -98,6 +100,7 @@
 	_KindLowerName[191:204]: KindStaleVersion,
 	_KindLowerName[204:222]: KindMethodNotAllowed,
 	_KindLowerName[222:237]: KindAnswerNotKept,
+	_KindLowerName[237:247]: KindUnstorable,
 }
 
 var _KindNames = []string{
@@ -123,6 +126,7 @@
 	_KindName[191:204],
 	_KindName[204:222],
 	_KindName[222:237],
+	_KindName[237:247],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -72,6 +72,7 @@
 	u.fenced, u.gone = false, false
 	u.appliedEnd, u.storedEnd = 0, 0
 	delete(b.endsToStore, u)
+	delete(b.records.heldEnds, u)
 	u.health = health{}
 	if !hadIncarnation {
 		return
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -27,6 +27,12 @@
 	InheritedRemaining time.Duration
 	starts             []*run
 	ends               map[*upstream]endWatermark
+	// jobEnds are the upstreams whose ends the records of jobs depend on.
+	jobEnds map[cawork.JobID]map[*upstream]bool
+	// Held counts the records that were held back since they cannot be stored. Dropped are the jobs of
+	// them that were never stored and are not accepted.
+	Held    int
+	Dropped []cawork.JobID
 }
 
 // endWatermark is the number of the last applied end of an incarnation of an upstream.
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -37,6 +37,10 @@
 		if s.waitingTasks == 0 || !s.ready {
 			continue
 		}
+		if !b.mayStartTasks(s) {
+			b.dropReservation(s)
+			continue
+		}
 		q, ok := b.queueOf(s.job)
 		if !ok {
 			continue
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -108,6 +108,7 @@
 	longWaitsLoggedAt time.Time
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
+	records recordState
 }
 
 // job is a job together with state that is not stored.
@@ -144,6 +145,7 @@
 	onProbation bool
 	// crashedAt is when the last crash was counted.
 	crashedAt time.Time
+	record    jobRecord
 }
 
 // step is an open step of an occurrence of a job.
@@ -228,7 +230,7 @@
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
-		crashes:  newCrashState(),
+		crashes:  newCrashState(), records: newRecordState(),
 		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
 	}
 }
@@ -298,14 +300,20 @@
 	}
 	batch := Batch{
 		Silent: b.declareSilence(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
-		Crashes: crashes, starts: b.pendingStarts, ends: b.endsToStore,
+		Crashes: crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
 	}
+	tooLarge := make(map[*job]int)
 	for id, j := range b.changed {
-		value, err := j.Encode()
+		value, fits, err := b.encodeRecord(j)
 		if err != nil {
 			return Batch{}, err
 		}
+		if !fits {
+			tooLarge[j] = len(value)
+			continue
+		}
 		batch.Records = append(batch.Records, Record{Job: id, Value: value, phase: j.Phase})
+		batch.jobEnds[id], j.record.unstoredEnds = j.record.unstoredEnds, nil
 	}
 	for _, id := range b.removedJobs {
 		batch.Records = append(batch.Records, Record{Job: id})
@@ -313,7 +321,10 @@
 	b.changed = make(map[cawork.JobID]*job)
 	b.removedJobs = nil
 	b.pendingStarts = nil
-	b.endsToStore = make(map[*upstream]endWatermark)
+	for j, size := range tooLarge {
+		b.hold(&batch, j, size)
+	}
+	b.holdEnds(&batch)
 	return batch, nil
 }
 
@@ -328,6 +339,8 @@
 		if j, ok := b.jobs[r.Job]; ok && r.Value != nil {
 			j.stored = true
 			j.storedPhase = r.phase
+			j.record.storedBytes = len(r.Value)
+			b.releaseRecord(j)
 		}
 	}
 	for u, end := range batch.ends {
--- a/internal/cell/caboard/planner_test.go
+++ b/internal/cell/caboard/planner_test.go
@@ -20,6 +20,8 @@
 	endNumbers map[cawork.UpstreamID]int64
 	// stops are the stop orders of all plans so far.
 	stops []StopOrder
+	// heldRecords counts the records that were held back.
+	heldRecords int
 }
 
 func newSimulation(t testing.TB, upstreams int, queues ...caspec.Queue) *simulation {
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -110,6 +110,9 @@
 		if row.Number > u.appliedEnd {
 			u.appliedEnd = row.Number
 			b.endsToStore[u] = endWatermark{born: u.info.Incarnation, number: row.Number}
+			if j, known := b.jobs[row.Run.Job]; known {
+				j.noteEnd(u)
+			}
 			b.applyEnd(u, row, report.ReceivedAt)
 		}
 	}
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"math"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -13,9 +14,11 @@
 	age := time.Duration(b.now.WallMS-state.AcceptedMS) * time.Millisecond
 	j.acceptedAt = b.now.Monotonic.Add(-min(max(age, 0), maxRestoredAge))
 	b.addJob(j)
+	b.closeUntouched(j)
 	for _, o := range state.OpenOccurrences {
 		b.openSteps(j, o)
 	}
+	b.updateRecordRoom(j)
 	if state.Phase.IsFinal() {
 		b.stopRuns(j)
 		b.releaseEndedJob(j)
@@ -24,6 +27,7 @@
 
 func (b *Planner) addJob(j *job) {
 	b.jobs[j.Submission.ID] = j
+	j.record.laterOccurrence = math.MaxInt
 	for _, s := range j.Submission.Steps {
 		j.taskSizes = append(j.taskSizes, s.Size())
 	}
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -63,6 +63,9 @@
 			return false, err
 		}
 	}
+	if err := b.checkRecord(s); err != nil {
+		return false, err
+	}
 	team, _ := b.policy.Team(s.Team)
 	waited := b.refusals.Waited(s.ID, b.now.Monotonic)
 	stale := waited > slackOf(q, s.Steps)
@@ -223,6 +226,7 @@
 		switch {
 		case j.Phase.IsFinal() && len(j.runs) == 0 && j.endedAt.Before(oldest):
 			delete(b.jobs, id)
+			delete(b.records.held, id)
 			b.forgetCrashes(j)
 			b.removedJobs = append(b.removedJobs, id)
 		case !j.Phase.IsFinal() && j.Submission.Schedule.IsTimed():
@@ -231,13 +235,17 @@
 	}
 }
 
-// openDueOccurrences opens the occurrences of a job that are due.
+// openDueOccurrences opens the occurrences of a job that are due, the oldest first, as far as its record
+// has room for them. The others are opened once earlier ones have ended.
 func (b *Planner) openDueOccurrences(j *job) {
 	schedule := j.Submission.Schedule
-	for j.OccurrenceCount < schedule.Count() && schedule.Due(j.OccurrenceCount) <= b.now.WallMS && len(j.OpenOccurrences) < maxOpenOccurrences {
+	_, held := b.records.held[j.Submission.ID]
+	for !held && j.OccurrenceCount < schedule.Count() && schedule.Due(j.OccurrenceCount) <= b.now.WallMS &&
+		len(j.OpenOccurrences) < maxOpenOccurrences && b.hasRecordRoom(j) {
 		b.openSteps(j, j.OpenNext())
 		b.markChanged(j)
 	}
+	b.updateRecordRoom(j)
 }
 
 // fittingTasks returns how many tasks of the step fit into the free room of one upstream:
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -97,7 +97,7 @@
 // for all long-running ones that ran before, and for one more if the step has waited for long
 // and its result still has its value.
 func (b *Planner) tasksWithReservation(s *step) int {
-	if b.isStepHeldBack(s) {
+	if b.isStepHeldBack(s) || !b.mayStartTasks(s) {
 		return 0
 	}
 	if !s.ready || s.waitingTasks == s.tasksToRestart || s.lateness != latenessNone {
--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -45,6 +45,8 @@
 	drainBound time.Duration
 	// drainStretch extends it while the records of operators cannot be read.
 	drainStretch time.Duration
+	// recordBytes is the bound of a record in the settings, zero without one.
+	recordBytes int
 	// advisor is the advisor of all entries.
 	advisor caleader.Advisor
 	// advisorOf returns the advisor as one entry reaches it, advisor if it is nil.
@@ -156,7 +158,7 @@
 		ShardLog: func(shard int) caleader.Log {
 			return busyLog{Log: c.store.Log(fmt.Sprintf("jobs-%d", shard), name), entry: name, cell: c}
 		},
-		MaxShards: 8, Upstreams: c.fleet.Client(name), Registry: c, RelayMinUpstreams: c.relayMinUpstreams,
+		MaxShards: 8, RecordBytes: c.recordBytes, Upstreams: c.fleet.Client(name), Registry: c, RelayMinUpstreams: c.relayMinUpstreams,
 		Advisor: c.advisorFor(name), OperatorFeed: c.feed(name), DrainBound: c.drainBound, DrainStretch: c.drainStretch, Nonce: int64(c.incarnations),
 	})
 	server := capeer.NewServer()
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -101,7 +101,7 @@
 		Peers: g.PeerClient, Upstreams: g.Upstreams, Registry: g.Registry, Candidates: g.agentCandidates,
 	})
 	leader := caleader.New(caleader.Deps{
-		Shard: l.shard, MaxShards: g.MaxShards, View: g.policyAndLayout, OnLayoutStored: g.setLayout,
+		Shard: l.shard, MaxShards: g.MaxShards, RecordBytes: g.RecordBytes, View: g.policyAndLayout, OnLayoutStored: g.setLayout,
 		Log: g.Log.With().Int("shard", l.shard).Logger(), Scope: g.Scope, Timer: g.Timer, WallClockMS: g.WallMillis,
 		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token, Previous: previous,
 	}, c, token, end)
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -39,8 +39,10 @@
 	// ShardLog returns the log of a shard. The cell has at most MaxShards shards.
 	ShardLog  func(shard int) caleader.Log
 	MaxShards int
-	Upstreams caleader.Upstreams
-	Registry  caleader.Registry
+	// RecordBytes is how large a record may be, with its key. Zero means no bound.
+	RecordBytes int
+	Upstreams   caleader.Upstreams
+	Registry    caleader.Registry
 	// RelayMinUpstreams is the number of upstreams at and above which a leader calls them
 	// through agents on other entries.
 	RelayMinUpstreams int
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -138,7 +138,7 @@
 // KindFenced means that it does not, and KindUnknown that the claim may be stored.
 func AcquireClaim(ctx context.Context, log Log, c Claim, at int64, pause Pause) (token, end int64, err error) {
 	w := writer{log: log, claim: c, end: at, pause: pause}
-	if err := w.append(ctx, nil); err != nil {
+	if _, err := w.append(ctx, nil); err != nil {
 		return 0, 0, err
 	}
 	return at + 1, w.end, nil
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -55,15 +56,17 @@
 	}
 	l.writer.claim.Released, l.writer.claim.Silent, l.writer.claim.InheritedRemaining = releasing, batch.Silent, batch.InheritedRemaining
 	l.writer.claim.GrantsNone, l.writer.claim.Granter = false, nil
-	if err := l.writer.append(ctx, entries); err != nil {
+	refused, err := l.writer.append(ctx, entries)
+	if err != nil {
 		caevent.Warn(l.Log, caevent.OwnershipLost).Int64("token", l.token).Err(err).
 			Int("records", len(entries)).Dur("took", l.Timer.Now().Sub(began)).Send()
 		return err
 	}
 	l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
 	l.recordAppend(l.writer.claim.AppendTook, len(entries))
+	l.logRefused(refused)
 	l.applyStoredLayout()
-	l.dispatchStarts(ctx, l.committed(batch, began))
+	l.dispatchStarts(ctx, l.committed(batch, refused, began))
 	if releasing {
 		return l.noteReleased()
 	}
@@ -95,6 +98,7 @@
 	if err != nil {
 		return caboard.Batch{}, nil, now.Monotonic, err
 	}
+	l.rejectDropped(batch)
 	entries := make([]LogEntry, 0, len(batch.Crashes)+len(batch.Records)+len(l.extraEntries))
 	entries = append(entries, l.extraEntries...)
 	l.extraEntries = nil
@@ -114,9 +118,50 @@
 	return batch, entries, now.Monotonic, nil
 }
 
-// committed marks a batch as stored, notifies the callers that wait for it, and
-// returns the start orders that depend on it.
-func (l *Leader) committed(batch caboard.Batch, began time.Time) []caboard.StartOrder {
+// rejectDropped rejects the submitted jobs whose records cannot be stored, and counts all records that
+// are held back. The lock is held.
+func (l *Leader) rejectDropped(batch caboard.Batch) {
+	if batch.Held > 0 {
+		l.Scope.Counter("records_held").Inc(int64(batch.Held))
+	}
+	for _, id := range batch.Dropped {
+		err := cakind.New(cakind.KindTooLarge, "the store takes no record as large as that of job %s", id)
+		notifyWaiters(l.waiters, id, err)
+		notifyWaiters(l.inFlightWaiters, id, err)
+	}
+}
+
+// logRefused logs the records that the store refuses, other than those of jobs, which are held.
+func (l *Leader) logRefused(refused []LogEntry) {
+	for _, e := range refused {
+		if !strings.HasPrefix(e.Key, jobPrefix) {
+			l.Scope.Counter("records_refused").Inc(1)
+			caevent.Warn(l.Log, caevent.RecordHeld).Str("key", e.Key).Int("bytes", len(e.Value)).Int("bound", l.RecordBytes).Send()
+		}
+	}
+}
+
+// markRefused holds back the jobs whose records the store refuses. It returns the rest of the
+// batch. The lock is held.
+func (l *Leader) markRefused(batch caboard.Batch, refused []LogEntry) caboard.Batch {
+	var jobs []cawork.JobID
+	for _, e := range refused {
+		if id, ok := strings.CutPrefix(e.Key, jobPrefix); ok {
+			jobs = append(jobs, cawork.JobID(id))
+		}
+	}
+	if len(jobs) == 0 {
+		return batch
+	}
+	batch.Held, batch.Dropped = 0, nil
+	batch = l.planner.MarkRefused(batch, jobs)
+	l.rejectDropped(batch)
+	return batch
+}
+
+// committed marks a batch as stored but for the refused records, notifies the callers that wait
+// for it, and returns the start orders that depend on it.
+func (l *Leader) committed(batch caboard.Batch, refused []LogEntry, began time.Time) []caboard.StartOrder {
 	l.lock(partCommit)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
@@ -125,6 +170,7 @@
 	l.lastAppendTook = l.Timer.Now().Sub(began)
 	l.inFlightSince = time.Time{}
 	l.inFlightJobs = nil
+	batch = l.markRefused(batch, refused)
 	orders := l.planner.MarkStored(batch)
 	for _, r := range batch.Records {
 		notifyWaiters(l.inFlightWaiters, r.Job, nil)
--- a/internal/cell/caleader/interfaces.go
+++ b/internal/cell/caleader/interfaces.go
@@ -36,7 +36,8 @@
 type Log interface {
 	// Append appends the entries if the log ends at the offset. An error of
 	// KindConflict means that it does not, KindUnavailable that nothing was
-	// appended, and KindUnknown that the entries may be appended, now or later.
+	// appended, KindUnstorable that nothing was and that the same entries never will be, and KindUnknown
+	// that the entries may be appended, now or later.
 	Append(ctx context.Context, at int64, entries []LogEntry) (end int64, err error)
 	// Read returns the entries from the offset on and the end of the log. It
 	// waits up to the given time for an entry.
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -88,6 +88,9 @@
 	// Shard is the number of the shard to lead. A cell has at most MaxShards.
 	Shard     int
 	MaxShards int
+	// RecordBytes is how large a record may be, with its key and one byte for the length of that. Zero
+	// means no bound.
+	RecordBytes int
 	// View returns the current policy and layout.
 	View func() (caspec.Policy, calayout.Layout)
 	// OnLayoutStored is called with the layout that this leader decided and stored.
@@ -174,10 +177,13 @@
 		relays: caapproval.New(),
 	}
 	l.mu.now = deps.Timer.Now
-	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt}
+	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt, recordBytes: deps.RecordBytes}
 	now := l.now()
 	l.lastAppend.store(now.Monotonic)
 	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(c.longestLease()))
+	if deps.RecordBytes > 0 {
+		l.planner.SetRecordBytes(max(deps.RecordBytes-1-len(jobPrefix), 1))
+	}
 	l.granting.Store(!c.GrantsNone)
 	l.planner.InheritSilence(c.Silent)
 	return l
@@ -321,11 +327,12 @@
 	return min(max(minStoreSuspectTime, time.Duration(storeSuspectFactor*float64(lastAppend))), maxStoreSuspectTime)
 }
 
-// recordAppendAttempt records the outcome of an append attempt. A conflict counts
-// as a success here, since the store has answered.
+// recordAppendAttempt records the outcome of an append attempt. A conflict and a refused record
+// count as a success here, since the store has answered.
 func (l *Leader) recordAppendAttempt(err error) {
+	kind := cakind.Of(err)
 	switch {
-	case err == nil || cakind.Of(err) == cakind.KindConflict:
+	case err == nil || kind == cakind.KindConflict || kind == cakind.KindUnstorable:
 		l.appendsFailingSince.store(time.Time{})
 	case l.appendsFailingSince.load().IsZero():
 		l.appendsFailingSince.store(l.Timer.Now())
--- a/internal/cell/caleader/suspension_test.go
+++ b/internal/cell/caleader/suspension_test.go
@@ -108,7 +108,7 @@
 		clock.now = clock.now.Add(took)
 		l.planner.SetNow(l.now())
 		l.planner.ApplyReport(caboard.Report{Upstream: "up-1", Born: 1, SentAt: clock.now, ReceivedAt: clock.now, ClockMS: 5000})
-		return len(l.committed(batch, began))
+		return len(l.committed(batch, nil, began))
 	}
 	if diff := cmp.Diff(0, commit(5*time.Second)); diff != "" {
 		t.Errorf("starts of an append that was in flight (-want +got):\n%s", diff)
--- a/internal/cell/caleader/writer.go
+++ b/internal/cell/caleader/writer.go
@@ -26,25 +26,83 @@
 	pause Pause
 	// onAttempt is called with the error of each attempt. It may be nil.
 	onAttempt func(err error)
+	// recordBytes is how large an entry may be, with one byte for the length of its key. Zero means no
+	// bound.
+	recordBytes int
 }
 
 // append appends the entries, in chunks if they are large, each after a record of
-// the claim. It retries until the outcome is known. KindFenced means that another
-// leader has claimed the shard.
-func (w *writer) append(ctx context.Context, entries []LogEntry) error {
+// the claim. It retries until the outcome is known. It returns the entries that the store
+// refuses, however often it gets them: only these are not appended. KindFenced means that
+// another leader has claimed the shard.
+func (w *writer) append(ctx context.Context, entries []LogEntry) (refused []LogEntry, err error) {
+	entries, refused = w.sortOutTooLarge(entries)
 	for {
 		chunk, rest := splitEntries(entries)
-		if err := w.appendChunk(ctx, chunk); err != nil {
-			return err
+		parts, err := w.appendStorable(ctx, chunk)
+		if err != nil {
+			return nil, err
 		}
-		w.claim.Seq++
+		refused = append(refused, parts...)
 		if len(rest) == 0 {
-			return nil
+			return refused, nil
 		}
 		entries = rest
 	}
 }
 
+// sortOutTooLarge separates the entries that are larger than the bound from the others.
+func (w *writer) sortOutTooLarge(entries []LogEntry) (storable, refused []LogEntry) {
+	for _, e := range entries {
+		if w.recordBytes > 0 && 1+len(e.Key)+len(e.Value) > w.recordBytes {
+			refused = append(refused, e)
+			continue
+		}
+		storable = append(storable, e)
+	}
+	return storable, refused
+}
+
+// appendStorable appends one chunk. If the store refuses it, appendStorable halves it to find the entries
+// that are to blame, and returns these. Each attempt has a claim of its own, so that a late one is
+// never taken for another.
+func (w *writer) appendStorable(ctx context.Context, chunk []LogEntry) (refused []LogEntry, err error) {
+	err = w.appendChunk(ctx, chunk)
+	if err == nil || cakind.Of(err) == cakind.KindUnstorable {
+		w.claim.Seq++
+	}
+	switch {
+	case cakind.Of(err) != cakind.KindUnstorable || err == nil:
+		return nil, err
+	case len(chunk) == 1:
+		return w.appendSuspect(ctx, chunk)
+	}
+	for _, half := range [][]LogEntry{chunk[:len(chunk)/2], chunk[len(chunk)/2:]} {
+		parts, err := w.appendStorable(ctx, half)
+		if err != nil {
+			return nil, err
+		}
+		refused = append(refused, parts...)
+	}
+	return refused, nil
+}
+
+// appendSuspect appends a refused entry again after the claim alone was appended. The entry is to blame
+// if it is refused then too: the store takes other records.
+func (w *writer) appendSuspect(ctx context.Context, chunk []LogEntry) (refused []LogEntry, err error) {
+	for _, entries := range [][]LogEntry{nil, chunk} {
+		err = w.appendChunk(ctx, entries)
+		if err != nil && cakind.Of(err) != cakind.KindUnstorable {
+			return nil, err
+		}
+		w.claim.Seq++
+	}
+	if err != nil {
+		return chunk, nil
+	}
+	return nil, nil
+}
+
 // splitEntries returns the first entries, as many as fit into one append, and the
 // rest.
 func splitEntries(entries []LogEntry) (chunk, rest []LogEntry) {
@@ -58,6 +116,8 @@
 	return entries, nil
 }
 
+// appendChunk appends entries after a record of the claim. KindUnstorable means that the store refuses the
+// entries and that none of them is appended. It does not give up on the claim alone.
 func (w *writer) appendChunk(ctx context.Context, entries []LogEntry) error {
 	claimEntry, err := w.claim.logEntry()
 	if err != nil {
@@ -76,6 +136,9 @@
 		if cakind.Of(err) == cakind.KindConflict {
 			return w.resolveConflict(ctx, claimEntry)
 		}
+		if cakind.Of(err) == cakind.KindUnstorable && len(entries) > 0 {
+			return err
+		}
 		if err := w.pause(ctx, appendRetry); err != nil {
 			return cakind.Wrap(cakind.KindUnknown, err, "append at %d", w.end)
 		}
--- a/internal/cli/cacommand/exitcode.go
+++ b/internal/cli/cacommand/exitcode.go
@@ -54,6 +54,7 @@
 	cakind.KindConflict:            ExitConflict,
 	cakind.KindTooLarge:            ExitInvalid,
 	cakind.KindNeverFits:           ExitInvalid,
+	cakind.KindUnstorable:          ExitInvalid,
 	cakind.KindOverloaded:          ExitUnavailable,
 	cakind.KindLimitReached:        ExitUnavailable,
 	cakind.KindDraining:            ExitUnavailable,
