--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -110,6 +110,7 @@
 	longWaitsLoggedAt time.Time
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
+	records recordState
 }
 
 // job is a job together with state that is not stored.
@@ -146,6 +147,7 @@
 	onProbation bool
 	// crashedAt is when the last crash was counted.
 	crashedAt time.Time
+	record    jobRecord
 }
 
 // step is an open step of an occurrence of a job.
@@ -230,7 +232,7 @@
 		stopping:       make(map[*run]struct{}),
 		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
-		crashes:  newCrashState(),
+		crashes:  newCrashState(), records: newRecordState(),
 		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
 	}
 }
@@ -300,14 +302,20 @@
 	}
 	batch := Batch{
 		Silent: b.declareSilence(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
-		Crashes: crashes, starts: b.pendingStarts, ends: b.endsToStore,
+		Crashes: crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
 	}
+	tooLarge := make(map[*job]int)
 	for id, j := range b.changed {
-		value, err := j.Encode()
+		value, fits, err := b.encodeRecord(j)
 		if err != nil {
 			return Batch{}, err
 		}
+		if !fits {
+			tooLarge[j] = len(value)
+			continue
+		}
 		batch.Records = append(batch.Records, Record{Job: id, Value: value, phase: j.Phase})
+		batch.jobEnds[id], j.record.unstoredEnds = j.record.unstoredEnds, nil
 	}
 	for _, id := range b.removedJobs {
 		batch.Records = append(batch.Records, Record{Job: id})
@@ -315,7 +323,10 @@
 	b.changed = make(map[cawork.JobID]*job)
 	b.removedJobs = nil
 	b.pendingStarts = nil
-	b.endsToStore = make(map[*upstream]endWatermark)
+	for j, size := range tooLarge {
+		b.hold(&batch, j, size)
+	}
+	b.holdEnds(&batch)
 	return batch, nil
 }
 
@@ -330,6 +341,8 @@
 		if j, ok := b.jobs[r.Job]; ok && r.Value != nil {
 			j.stored = true
 			j.storedPhase = r.phase
+			j.record.storedBytes = len(r.Value)
+			b.releaseRecord(j)
 		}
 	}
 	for u, end := range batch.ends {
--- a/internal/cell/caleader/slowstore_test.go
+++ b/internal/cell/caleader/slowstore_test.go
@@ -68,7 +68,7 @@
 				}}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				if err := w.append(ctx, []LogEntry{{Key: "job", Value: []byte("value")}}); err != nil {
+				if _, err := w.append(ctx, []LogEntry{{Key: "job", Value: []byte("value")}}); err != nil {
 					t.Errorf("after a minute and %d attempts: %v", log.attempts, err)
 				}
 			})
