Proxies of the advisor: an overdue request of an entry that left ends no leader (48)

What callers would see: a leader that stops by a panic.

Cause: an answer to a later request frees an entry, which is then forgotten once it is not present; the earlier request, overdue later, found no entry. TestOverdueRequestOfEntryThatLeft panics without the check. The package speaks of proxies now, as the leader does, not of relays, which are the agents of carelay.

--- a/internal/cell/caapproval/censored_test.go
+++ b/internal/cell/caapproval/delays_test.go
@@ -16,7 +16,7 @@
 		announced = 700 * time.Millisecond
 		takes     = 9 * time.Second
 	)
-	r := newRelays(1)
+	r := newProxies(1)
 	answered, now, advisorFreeAt := 0, start, start
 	for now.Before(start.Add(5 * time.Minute)) {
 		q := r.assign(t, now, longRequest(announced))
@@ -52,10 +52,10 @@
 		requests   int
 		suspension time.Duration
 	}{
-		"leader":         {entries * maxRequestsPerRelay, time.Second},
+		"leader":         {entries * maxRequestsPerProxy, time.Second},
 		"one_of_entries": {1, 5 * time.Second},
 	} {
-		r := newRelays(entries)
+		r := newProxies(entries)
 		var open []Request
 		for range test.requests {
 			open = append(open, r.assign(t, start, caboard.ApprovalRequest{Cost: 30 * time.Millisecond}))
@@ -77,7 +77,7 @@
 // through network and processes takes longer than their decisions. It occupies no turn.
 func TestLatencyIsNotAdvisorWork(t *testing.T) {
 	const entries, announced, latency = 9, 15 * time.Millisecond, 150 * time.Millisecond
-	r, now := newRelays(entries), start
+	r, now := newProxies(entries), start
 	type sent struct {
 		q  Request
 		at time.Time
@@ -101,8 +101,8 @@
 func TestLostAnswersFreeEntriesInTime(t *testing.T) {
 	// maxStandstill is how long an accepted job may have nothing running beside free room.
 	const maxStandstill = 3 * time.Second
-	r := newRelays(5)
-	for range 5 * maxRequestsPerRelay {
+	r := newProxies(5)
+	for range 5 * maxRequestsPerProxy {
 		q := r.assign(t, start, caboard.ApprovalRequest{Cost: 300 * time.Millisecond})
 		r.MarkOverdue(start.Add(q.OverdueAfter), q)
 	}
--- a/internal/cell/caapproval/relays.go
+++ b/internal/cell/caapproval/proxies.go
@@ -1,4 +1,4 @@
-// Package caapproval distributes the approval requests of a leader over the entries that relay them to
+// Package caapproval distributes the approval requests of a leader over the entries that pass them to
 // the advisor, and learns how much longer than announced the advisor takes. It does no input or
 // output and reads no clock.
 //
@@ -18,11 +18,11 @@
 )
 
 const (
-	// maxRequestsPerRelay bounds the open requests of one entry: the advisor handles one while the
+	// maxRequestsPerProxy bounds the open requests of one entry: the advisor handles one while the
 	// next is in transit.
-	maxRequestsPerRelay = 2
-	// maxOpenPerRelay bounds them if all are overdue: further ones show whether the advisor is well.
-	maxOpenPerRelay = 6
+	maxRequestsPerProxy = 2
+	// maxOpenPerProxy bounds them if all are overdue: further ones show whether the advisor is well.
+	maxOpenPerProxy = 6
 	// minLongShare is the smallest fraction of the entries that may carry long requests.
 	minLongShare = 0.6
 	// shortReserveFactor is the ratio of the entries that are kept free for short requests to those
@@ -36,9 +36,9 @@
 	backoff = 2 * time.Second
 )
 
-// Relays are the entries that relay approval requests. It is not safe for concurrent use.
-type Relays struct {
-	relays map[cawork.VMID]*relay
+// Proxies are the entries through which a leader asks the advisor. It is not safe for concurrent use.
+type Proxies struct {
+	proxies map[cawork.VMID]*proxy
 	// names are the present entries, sorted.
 	names []cawork.VMID
 	// awaited are the requests that the planner waits for, and whether they are long.
@@ -48,8 +48,8 @@
 	shortLoad load
 }
 
-// relay is one entry.
-type relay struct {
+// proxy is one entry.
+type proxy struct {
 	// open are the requests that the advisor may still handle, in their order.
 	open []openRequest
 	// busyUntil is when the advisor is expected to have answered them.
@@ -64,7 +64,7 @@
 
 // Request is a request that was assigned to an entry.
 type Request struct {
-	Relay cawork.VMID
+	Proxy cawork.VMID
 	// SentAt is when it was assigned, and Announced how long the advisor should take by its terms,
 	// with the requests before it.
 	SentAt    time.Time
@@ -74,58 +74,58 @@
 	id           int64
 }
 
-// New returns relays without open requests.
-func New() *Relays {
-	return &Relays{relays: make(map[cawork.VMID]*relay), awaited: make(map[int64]bool), slowness: newSlowness()}
+// New returns proxies without open requests.
+func New() *Proxies {
+	return &Proxies{proxies: make(map[cawork.VMID]*proxy), awaited: make(map[int64]bool), slowness: newSlowness()}
 }
 
 // SetPresent sets which entries are present. It is to be called with each plan.
-func (r *Relays) SetPresent(now time.Time, names []cawork.VMID) {
-	r.slowness.noteRunning(now)
-	r.names = slices.Sorted(slices.Values(names))
-	for name, known := range r.relays {
-		if len(known.open) == 0 && !slices.Contains(r.names, name) {
-			delete(r.relays, name)
+func (p *Proxies) SetPresent(now time.Time, names []cawork.VMID) {
+	p.slowness.noteRunning(now)
+	p.names = slices.Sorted(slices.Values(names))
+	for name, known := range p.proxies {
+		if len(known.open) == 0 && !slices.Contains(p.names, name) {
+			delete(p.proxies, name)
 		}
 	}
-	for _, name := range r.names {
-		if r.relays[name] == nil {
-			r.relays[name] = &relay{}
+	for _, name := range p.names {
+		if p.proxies[name] == nil {
+			p.proxies[name] = &proxy{}
 		}
 	}
 }
 
 // Assign assigns a request to an entry that may carry it, the one with the shortest backlog. It reports
 // whether there is an entry.
-func (r *Relays) Assign(now time.Time, ask caboard.ApprovalRequest) (Request, bool) {
-	if len(r.names) == 0 {
+func (p *Proxies) Assign(now time.Time, ask caboard.ApprovalRequest) (Request, bool) {
+	if len(p.names) == 0 {
 		return Request{}, false
 	}
-	name := r.choose(now, ask.Long)
-	chosen := r.relays[name]
+	name := p.choose(now, ask.Long)
+	chosen := p.proxies[name]
 	announced := chosen.backlog(now) + ask.Cost
 	chosen.busyUntil = now.Add(announced)
-	r.lastID++
-	chosen.open = append(chosen.open, openRequest{id: r.lastID, isLong: ask.Long})
-	r.awaited[r.lastID] = ask.Long
+	p.lastID++
+	chosen.open = append(chosen.open, openRequest{id: p.lastID, isLong: ask.Long})
+	p.awaited[p.lastID] = ask.Long
 	if !ask.Long {
-		r.shortLoad.add(now, ask.Cost)
+		p.shortLoad.add(now, ask.Cost)
 	}
 	return Request{
-		Relay: name, SentAt: now, Announced: announced, id: r.lastID,
-		OverdueAfter: time.Duration(r.Slowness(now)*float64(announced)) + overdueMargin,
+		Proxy: name, SentAt: now, Announced: announced, id: p.lastID,
+		OverdueAfter: time.Duration(p.Slowness(now)*float64(announced)) + overdueMargin,
 	}, true
 }
 
-func (r *Relays) choose(now time.Time, isLong bool) cawork.VMID {
-	candidates := r.usable(now)
+func (p *Proxies) choose(now time.Time, isLong bool) cawork.VMID {
+	candidates := p.usable(now)
 	if isLong {
-		candidates = candidates[:r.longRelays(now, len(candidates))]
+		candidates = candidates[:p.longProxies(now, len(candidates))]
 	} else {
 		slices.Reverse(candidates)
 	}
 	return slices.MinFunc(candidates, func(x, y cawork.VMID) int {
-		a, b := r.relays[x], r.relays[y]
+		a, b := p.proxies[x], p.proxies[y]
 		return cmp.Or(
 			-cmp.Compare(min(a.freeSlots(isLong), 1), min(b.freeSlots(isLong), 1)),
 			cmp.Compare(a.backlog(now), b.backlog(now)), cmp.Compare(len(a.open), len(b.open)),
@@ -135,9 +135,12 @@
 
 // MarkOverdue records that the answer to a request is overdue, so that it may be repeated through another
 // entry.
-func (r *Relays) MarkOverdue(now time.Time, q Request) {
-	delete(r.awaited, q.id)
-	known := r.relays[q.Relay]
+func (p *Proxies) MarkOverdue(now time.Time, q Request) {
+	delete(p.awaited, q.id)
+	known := p.proxies[q.Proxy]
+	if known == nil {
+		return
+	}
 	if at := known.find(q.id); at >= 0 {
 		known.open[at].isOverdue = true
 		known.backoffUntil = now.Add(backoff)
@@ -145,12 +148,12 @@
 }
 
 // End ends a request, with an answer or without.
-func (r *Relays) End(now time.Time, q Request, answered bool) {
-	delete(r.awaited, q.id)
+func (p *Proxies) End(now time.Time, q Request, answered bool) {
+	delete(p.awaited, q.id)
 	if answered {
-		r.slowness.add(now, q.SentAt, q.Announced)
+		p.slowness.add(now, q.SentAt, q.Announced)
 	}
-	known := r.relays[q.Relay]
+	known := p.proxies[q.Proxy]
 	if known == nil {
 		return
 	}
@@ -167,78 +170,78 @@
 
 // Limits returns how many requests may be awaited, given those that are, and how fast the advisor
 // answers.
-func (r *Relays) Limits(now time.Time) caboard.RequestLimits {
-	limits := caboard.RequestLimits{Total: len(r.awaited)}
-	for _, isLong := range r.awaited {
+func (p *Proxies) Limits(now time.Time) caboard.RequestLimits {
+	limits := caboard.RequestLimits{Total: len(p.awaited)}
+	for _, isLong := range p.awaited {
 		limits.Long += count(isLong)
 	}
-	usable := r.usable(now)
-	long := r.longRelays(now, len(usable))
+	usable := p.usable(now)
+	long := p.longProxies(now, len(usable))
 	for i, name := range usable {
-		limits.Total += r.relays[name].freeSlots(false)
+		limits.Total += p.proxies[name].freeSlots(false)
 		if i < long {
-			limits.Long += r.relays[name].freeSlots(true)
+			limits.Long += p.proxies[name].freeSlots(true)
 		}
 	}
-	limits.Turns = float64(len(r.names)) / r.Slowness(now)
-	limits.LongTurns = float64(r.longRelays(now, len(r.names))) / r.Slowness(now)
+	limits.Turns = float64(len(p.names)) / p.Slowness(now)
+	limits.LongTurns = float64(p.longProxies(now, len(p.names))) / p.Slowness(now)
 	return limits
 }
 
 // Slowness returns how many times longer than announced the advisor takes, at least 1.
-func (r *Relays) Slowness(now time.Time) float64 { return r.slowness.value(now) }
+func (p *Proxies) Slowness(now time.Time) float64 { return p.slowness.value(now) }
 
 // usable returns the present entries that are not in backoff, or all of them if each one is, sorted.
-func (r *Relays) usable(now time.Time) []cawork.VMID {
-	usable := make([]cawork.VMID, 0, len(r.names))
-	for _, name := range r.names {
-		if !now.Before(r.relays[name].backoffUntil) {
+func (p *Proxies) usable(now time.Time) []cawork.VMID {
+	usable := make([]cawork.VMID, 0, len(p.names))
+	for _, name := range p.names {
+		if !now.Before(p.proxies[name].backoffUntil) {
 			usable = append(usable, name)
 		}
 	}
 	if len(usable) == 0 {
-		return slices.Clone(r.names)
+		return slices.Clone(p.names)
 	}
 	return usable
 }
 
-// longRelays returns how many of n entries may carry long requests: all but those that the short ones
+// longProxies returns how many of n entries may carry long requests: all but those that the short ones
 // need.
-func (r *Relays) longRelays(now time.Time, n int) int {
+func (p *Proxies) longProxies(now time.Time, n int) int {
 	if n <= 1 {
 		return n
 	}
 	least := max(int(minLongShare*float64(n)+0.5), 1)
-	reserved := max(int(math.Ceil(shortReserveFactor*r.shortLoad.value(now))), 1)
+	reserved := max(int(math.Ceil(shortReserveFactor*p.shortLoad.value(now))), 1)
 	return max(n-reserved, least)
 }
 
 // freeSlots returns how many further requests, or long ones, the entry may carry: one long one at a time,
 // and one more while all are overdue.
-func (k *relay) freeSlots(isLong bool) int {
+func (k *proxy) freeSlots(isLong bool) int {
 	overdue, long := 0, 0
 	for _, q := range k.open {
 		overdue += count(q.isOverdue)
 		long += count(q.isLong)
 	}
 	switch {
-	case len(k.open) > 0 && overdue == len(k.open) && len(k.open) < maxOpenPerRelay:
+	case len(k.open) > 0 && overdue == len(k.open) && len(k.open) < maxOpenPerProxy:
 		return 1
 	case isLong && long > 0:
 		return 0
 	case isLong:
-		return min(max(maxRequestsPerRelay-len(k.open), 0), 1)
+		return min(max(maxRequestsPerProxy-len(k.open), 0), 1)
 	default:
-		return max(maxRequestsPerRelay-len(k.open), 0)
+		return max(maxRequestsPerProxy-len(k.open), 0)
 	}
 }
 
 // find returns the place of an open request, -1 if it is not open.
-func (k *relay) find(id int64) int {
+func (k *proxy) find(id int64) int {
 	return slices.IndexFunc(k.open, func(q openRequest) bool { return q.id == id })
 }
 
-func (k *relay) backlog(now time.Time) time.Duration { return max(k.busyUntil.Sub(now), 0) }
+func (k *proxy) backlog(now time.Time) time.Duration { return max(k.busyUntil.Sub(now), 0) }
 
 func count(matches bool) int {
 	if matches {
--- a/internal/cell/caapproval/relays_test.go
+++ b/internal/cell/caapproval/proxies_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func newRelays(entries int) *Relays {
+func newProxies(entries int) *Proxies {
 	r := New()
 	names := make([]cawork.VMID, 0, entries)
 	for i := range entries {
@@ -28,7 +28,7 @@
 }
 
 // plan lets time pass, in which the leader makes plans, and returns the time then.
-func (r *Relays) plan(now time.Time, passes time.Duration) time.Time {
+func (r *Proxies) plan(now time.Time, passes time.Duration) time.Time {
 	for end := now.Add(passes); now.Before(end); {
 		now = now.Add(50 * time.Millisecond)
 		r.SetPresent(now, r.names)
@@ -36,7 +36,7 @@
 	return now
 }
 
-func (r *Relays) assign(t *testing.T, now time.Time, ask caboard.ApprovalRequest) Request {
+func (r *Proxies) assign(t *testing.T, now time.Time, ask caboard.ApprovalRequest) Request {
 	t.Helper()
 	q, ok := r.Assign(now, ask)
 	if !ok {
@@ -48,11 +48,11 @@
 // TestSlowAnswersDoNotPileUpAtOneEntry guards against requests that are sent to an entry that should have
 // answered by the terms of the advisor and has not, while others are idle.
 func TestSlowAnswersDoNotPileUpAtOneEntry(t *testing.T) {
-	r := newRelays(5)
+	r := newProxies(5)
 	open := make(map[cawork.VMID]int)
 	for i := range 3 {
 		now := start.Add(time.Duration(i) * 2 * time.Second)
-		open[r.assign(t, now, longRequest(time.Second)).Relay]++
+		open[r.assign(t, now, longRequest(time.Second)).Proxy]++
 	}
 	want := map[cawork.VMID]int{"entry-0": 1, "entry-1": 1, "entry-2": 1}
 	if diff := cmp.Diff(want, open); diff != "" {
@@ -63,16 +63,16 @@
 // TestOverdueRequestOccupiesItsEntry guards against an entry that gets request after request while the
 // advisor still handles those that were given up.
 func TestOverdueRequestOccupiesItsEntry(t *testing.T) {
-	r := newRelays(1)
+	r := newProxies(1)
 	now := start
 	var free []int
-	for range maxOpenPerRelay {
+	for range maxOpenPerProxy {
 		free = append(free, r.Limits(now).Total)
 		r.MarkOverdue(now, r.assign(t, now, longRequest(time.Second)))
 		now = now.Add(time.Minute)
 	}
 	free = append(free, r.Limits(now).Total)
-	if diff := cmp.Diff([]int{maxRequestsPerRelay, 1, 1, 1, 1, 1, 0}, free); diff != "" {
+	if diff := cmp.Diff([]int{maxRequestsPerProxy, 1, 1, 1, 1, 1, 0}, free); diff != "" {
 		t.Errorf("requests that may be open besides those that are overdue (-want +got):\n%s", diff)
 	}
 }
@@ -80,26 +80,26 @@
 // TestLaterAnswerFreesEntry covers requests whose answers were lost: the answer to a later one shows that
 // the advisor has finished with them.
 func TestLaterAnswerFreesEntry(t *testing.T) {
-	r := newRelays(1)
-	for range maxRequestsPerRelay {
+	r := newProxies(1)
+	for range maxRequestsPerProxy {
 		r.MarkOverdue(start, r.assign(t, start, longRequest(time.Second)))
 	}
 	now := start.Add(3 * time.Second)
 	r.End(now.Add(time.Second), r.assign(t, now, longRequest(time.Second)), true)
-	if diff := cmp.Diff(maxRequestsPerRelay, r.Limits(now.Add(time.Second)).Total); diff != "" {
+	if diff := cmp.Diff(maxRequestsPerProxy, r.Limits(now.Add(time.Second)).Total); diff != "" {
 		t.Errorf("requests that may be open (-want +got):\n%s", diff)
 	}
 }
 
 // TestLateAnswerEndsBackoff covers an entry whose answer arrives after it was overdue.
 func TestLateAnswerEndsBackoff(t *testing.T) {
-	r := newRelays(2)
+	r := newProxies(2)
 	q := r.assign(t, start, caboard.ApprovalRequest{Cost: time.Second})
 	r.MarkOverdue(start.Add(3*time.Second), q)
 	before := r.Limits(start.Add(3 * time.Second)).Total
 	r.End(start.Add(3500*time.Millisecond), q, true)
 	after := r.Limits(start.Add(3500 * time.Millisecond)).Total
-	if diff := cmp.Diff([]int{maxRequestsPerRelay, 2 * maxRequestsPerRelay}, []int{before, after}); diff != "" {
+	if diff := cmp.Diff([]int{maxRequestsPerProxy, 2 * maxRequestsPerProxy}, []int{before, after}); diff != "" {
 		t.Errorf("requests that may be open before and after the late answer (-want +got):\n%s", diff)
 	}
 }
@@ -107,7 +107,7 @@
 // TestTimeoutFollowsSlowness guards against timeouts that stay as short as the terms of the advisor say,
 // so that most requests are repeated while the advisor handles them.
 func TestTimeoutFollowsSlowness(t *testing.T) {
-	r := newRelays(1)
+	r := newProxies(1)
 	now := start
 	announced := r.assign(t, now, longRequest(time.Second))
 	now = r.plan(now, time.Second)
@@ -130,17 +130,17 @@
 
 // TestLostEntryLeavesOthersFree covers an entry that does not answer, and is not present any more.
 func TestLostEntryLeavesOthersFree(t *testing.T) {
-	r := newRelays(3)
+	r := newProxies(3)
 	lost := r.assign(t, start, longRequest(time.Second))
 	r.SetPresent(start, []cawork.VMID{"entry-1", "entry-2"})
 	r.MarkOverdue(start.Add(3*time.Second), lost)
 	limits := r.Limits(start.Add(3 * time.Second))
-	if diff := cmp.Diff([]int{2 * maxRequestsPerRelay, 1}, []int{limits.Total, limits.Long}); diff != "" {
+	if diff := cmp.Diff([]int{2 * maxRequestsPerProxy, 1}, []int{limits.Total, limits.Long}); diff != "" {
 		t.Errorf("requests and long ones that may be open (-want +got):\n%s", diff)
 	}
 	r.End(start.Add(9*time.Second), lost, false)
 	r.SetPresent(start, r.names)
-	if diff := cmp.Diff(2, len(r.relays)); diff != "" {
+	if diff := cmp.Diff(2, len(r.proxies)); diff != "" {
 		t.Errorf("entries that are kept (-want +got):\n%s", diff)
 	}
 }
@@ -148,7 +148,7 @@
 // TestIdleEntriesCarryLongRequests guards against entries that stay idle for the sake of short requests
 // that do not come, while long ones wait.
 func TestIdleEntriesCarryLongRequests(t *testing.T) {
-	r := newRelays(10)
+	r := newProxies(10)
 	idle := r.Limits(start).Long
 	now := start
 	for range 100 {
@@ -160,3 +160,18 @@
 		t.Errorf("long requests without short ones, and where these occupy three entries (-want +got):\n%s", diff)
 	}
 }
+
+// TestOverdueRequestOfEntryThatLeft guards against a panic where an entry has answered a later request and
+// is not present any more when an earlier one becomes overdue.
+func TestOverdueRequestOfEntryThatLeft(t *testing.T) {
+	r := newProxies(1)
+	first := r.assign(t, start, longRequest(time.Second))
+	second := r.assign(t, start, longRequest(time.Second))
+	r.End(start.Add(time.Second), second, true)
+	r.SetPresent(start.Add(time.Second), nil)
+	r.MarkOverdue(start.Add(3*time.Second), first)
+	r.End(start.Add(4*time.Second), first, false)
+	if diff := cmp.Diff(0, r.Limits(start.Add(4*time.Second)).Total); diff != "" {
+		t.Errorf("requests that may be open (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caleader/approvals.go
+++ b/internal/cell/caleader/approvals.go
@@ -32,7 +32,7 @@
 	l.spawn(func() {
 		answer := advice{err: errAdviseEnded}
 		defer func() { answers <- answer }()
-		answer.approved, answer.err = l.AdvisorProxies.AdviseVia(ctx, request.Relay, ask)
+		answer.approved, answer.err = l.AdvisorProxies.AdviseVia(ctx, request.Proxy, ask)
 	})
 	overdue := l.Timer.After(request.OverdueAfter)
 	defer overdue.Close()
@@ -54,8 +54,8 @@
 	l.lock(partReport)
 	defer l.mu.unlock()
 	now := l.Timer.Now()
-	l.relays.SetPresent(now, names)
-	return l.relays.Assign(now, ask)
+	l.proxies.SetPresent(now, names)
+	return l.proxies.Assign(now, ask)
 }
 
 // markOverdue records that the answer to a request is overdue.
@@ -63,22 +63,22 @@
 	l.lock(partReport)
 	defer l.mu.unlock()
 	now := l.Timer.Now()
-	caevent.Warn(l.Log, caevent.ApprovalOverdue).Str("entry", string(request.Relay)).Str("job", string(ask.Job)).Int("step", ask.Step).
+	caevent.Warn(l.Log, caevent.ApprovalOverdue).Str("entry", string(request.Proxy)).Str("job", string(ask.Job)).Int("step", ask.Step).
 		Int("asked", len(ask.Upstreams)).Dur("announced", request.Announced).Dur("waited", now.Sub(request.SentAt)).
-		Float64("slowness", l.relays.Slowness(now)).Send()
-	l.relays.MarkOverdue(now, request)
+		Float64("slowness", l.proxies.Slowness(now)).Send()
+	l.proxies.MarkOverdue(now, request)
 }
 
 // closeRequest records the end of the call of a request.
 func (l *Leader) closeRequest(ask caboard.ApprovalRequest, request caapproval.Request, answer advice) {
 	if answer.err != nil {
-		caevent.Warn(l.Log, caevent.AdvisorUnavailable).Str("entry", string(request.Relay)).Str("job", string(ask.Job)).Err(answer.err).Send()
+		caevent.Warn(l.Log, caevent.AdvisorUnavailable).Str("entry", string(request.Proxy)).Str("job", string(ask.Job)).Err(answer.err).Send()
 	}
 	l.lock(partReport)
 	defer l.mu.unlock()
 	now := l.Timer.Now()
-	l.relays.End(now, request, answer.err == nil)
-	l.Scope.Gauge("advisor_slowness").Update(l.relays.Slowness(now))
+	l.proxies.End(now, request, answer.err == nil)
+	l.Scope.Gauge("advisor_slowness").Update(l.proxies.Slowness(now))
 }
 
 // endRequest tells the planner the answer to a request, or that there is none.
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -150,7 +150,7 @@
 	// lastAppendTook is the duration of the last successful append.
 	lastAppendTook time.Duration
 	renewing       map[cawork.UpstreamID]bool
-	relays         *caapproval.Relays
+	proxies        *caapproval.Proxies
 	stopLeading    context.CancelCauseFunc
 	// extraEntries are records for the next append that do not come from the planner.
 	extraEntries []LogEntry
@@ -174,7 +174,7 @@
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
-		relays: caapproval.New(),
+		proxies: caapproval.New(),
 	}
 	l.mu.now = deps.Timer.Now
 	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt, recordBytes: deps.RecordBytes}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -101,13 +101,13 @@
 
 // nextOrders makes a plan, after a check for expired leases and jobs if that is due. It
 // returns the orders and how long it took, without the wait for the lock.
-func (l *Leader) nextOrders(relays []cawork.VMID, expiryDue bool) (caboard.Orders, time.Duration) {
+func (l *Leader) nextOrders(proxies []cawork.VMID, expiryDue bool) (caboard.Orders, time.Duration) {
 	l.lock(partPlan)
 	defer l.mu.unlock()
 	began := l.Timer.Now()
 	l.planner.SetNow(l.now())
-	l.relays.SetPresent(began, relays)
-	l.planner.SetRequestLimits(l.relays.Limits(began))
+	l.proxies.SetPresent(began, proxies)
+	l.planner.SetRequestLimits(l.proxies.Limits(began))
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
 	if expiryDue {
 		l.planner.ExpireLeases()
