--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -24,6 +24,7 @@
 	SettingsReloaded   Number = 106
 	PanicCaught        Number = 107
 	ProcessorBusy      Number = 108
+	CallersDrained     Number = 109
 	ConfigApplied      Number = 200
 	ConfigRefused      Number = 201
 	ConfigConflict     Number = 202
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busy"
-	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busy"
+	_NumberName_0      = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busycallers_drained"
+	_NumberLowerName_0 = "entry_startedentry_stoppingentry_stoppedpart_failedstandin_startedlines_droppedsettings_reloadedpanic_caughtprocessor_busycallers_drained"
 	_NumberName_1      = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberLowerName_1 = "config_appliedconfig_refusedconfig_conflictconfig_snapshotkey_refused"
 	_NumberName_2      = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_emptyleader_busy"
@@ -29,7 +29,7 @@
 )
 
 var (
-	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108, 122}
+	_NumberIndex_0 = [...]uint8{0, 13, 27, 40, 51, 66, 79, 96, 108, 122, 137}
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
@@ -42,7 +42,7 @@
 
 func (i Number) String() string {
 	switch {
-	case 100 <= i && i <= 108:
+	case 100 <= i && i <= 109:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
 	case 200 <= i && i <= 204:
@@ -87,6 +87,7 @@
 	_ = x[SettingsReloaded-(106)]
 	_ = x[PanicCaught-(107)]
 	_ = x[ProcessorBusy-(108)]
+	_ = x[CallersDrained-(109)]
 	_ = x[ConfigApplied-(200)]
 	_ = x[ConfigRefused-(201)]
 	_ = x[ConfigConflict-(202)]
@@ -155,7 +156,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -167,6 +168,7 @@
 	_NumberName_0[79:96]:   SettingsReloaded,
 	_NumberName_0[96:108]:  PanicCaught,
 	_NumberName_0[108:122]: ProcessorBusy,
+	_NumberName_0[122:137]: CallersDrained,
 	_NumberName_1[0:14]:    ConfigApplied,
 	_NumberName_1[14:28]:   ConfigRefused,
 	_NumberName_1[28:43]:   ConfigConflict,
@@ -245,6 +247,7 @@
 	_NumberLowerName_0[79:96]:   SettingsReloaded,
 	_NumberLowerName_0[96:108]:  PanicCaught,
 	_NumberLowerName_0[108:122]: ProcessorBusy,
+	_NumberLowerName_0[122:137]: CallersDrained,
 	_NumberLowerName_1[0:14]:    ConfigApplied,
 	_NumberLowerName_1[14:28]:   ConfigRefused,
 	_NumberLowerName_1[28:43]:   ConfigConflict,
@@ -323,6 +326,7 @@
 	_NumberName_0[79:96],
 	_NumberName_0[96:108],
 	_NumberName_0[108:122],
+	_NumberName_0[122:137],
 	_NumberName_1[0:14],
 	_NumberName_1[14:28],
 	_NumberName_1[28:43],
