Servers of both engines stop without cutting a call that they have read

Root cause: http.Server, once Shutdown was called, closes a connection without an answer when it has read a request after that call (conn.serve looks at shuttingDown behind readRequest). Shutdown waits for such connections, and then drops their calls. The lead that Accept's last connection is not waited for is refuted: Shutdown waits for Serve. The slower the machine, the longer requests lie unread, and the later they are dropped. Class: a library's stop was taken for one that finishes what was begun. Why it works: calls are waited for by what was read and written, and Shutdown comes only when none is left. The same cause stood in the API of entries (TestShutdownCutsCallAcceptedAtItsBegin: unexpected EOF before), which now uses the same code; caserve's first form of it moves to cadrain. Shared connections (HTTP/2) are left to Shutdown, which ends them by GOAWAY.

--- a/internal/base/cadrain/connections.go
+++ b/internal/base/cadrain/connections.go
@@ -1,32 +1,38 @@
-package caserve
+package cadrain
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// connections are the open connections of a server.
-//
-// A connection is busy from the first byte of a request until the response has been sent.
-// http.Server.Shutdown closes connections whose request it has not read up to the end of the header, and
-// does not wait for those that the listener has just returned.
+// sharedPreface is how a connection of HTTP/2 begins.
+const sharedPreface = "PRI * HTTP/2"
+
+// connections are the open connections of a server. A connection is busy from the first byte of a request until
+// the response has been sent.
 type connections struct {
+	headerTimeout time.Duration
+
 	mu   sync.Mutex
 	open map[*conn]struct{}
 }
 
-func newConnections() *connections { return &connections{open: make(map[*conn]struct{})} }
+func newConnections(headerTimeout time.Duration) *connections {
+	return &connections{headerTimeout: headerTimeout, open: make(map[*conn]struct{})}
+}
 
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
 	owner      *connections
 	acceptedAt time.Time
-	// isBusy, wasUsed and isExpired are guarded by the owner. wasUsed is set once a request has
-	// begun, and isExpired while the deadline for reading lies in the past.
-	isBusy, wasUsed, isExpired bool
+	// The other fields are guarded by the owner. wasUsed is set once a request has begun, isExpired
+	// while the deadline for reading lies in the past, and isShared if the connection carries several
+	// calls at a time (HTTP/2).
+	isBusy, wasUsed, isExpired, isShared bool
 }
 
 func (s *connections) add(accepted net.Conn, now time.Time) *conn {
@@ -41,7 +47,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.owner.markBusy(c)
+		c.owner.markBusy(c, bytes.HasPrefix(b[:n], []byte(sharedPreface)))
 	}
 	return n, err
 }
@@ -54,16 +60,26 @@
 	return c.Conn.Close()
 }
 
-// markBusy records that a request has begun. A deadline by which the connection was to end is
-// replaced, so that the rest of the request can be read.
-func (s *connections) markBusy(c *conn) {
+// CloseWrite shuts down the writing side of the connection. The server calls it where it has not read a
+// request to its end, so that the caller can read the response.
+func (c *conn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// markBusy records that a request has begun, the first one perhaps with the preface of HTTP/2. A deadline by
+// which the connection was to end is replaced, so that the rest of the request can be read.
+func (s *connections) markBusy(c *conn, hasPreface bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.isShared = c.isShared || hasPreface && !c.wasUsed
 	c.isBusy, c.wasUsed = true, true
 	if c.isExpired {
 		c.isExpired = false
 		// An error means that the connection is closed; the next read reports that.
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(s.headerTimeout))
 	}
 }
 
@@ -91,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.isBusy || !c.wasUsed && c.acceptedAt.After(acceptedBefore) {
+		if c.isBusy || c.isShared || !c.wasUsed && c.acceptedAt.After(acceptedBefore) {
 			continue
 		}
 		c.isExpired = true
@@ -100,14 +116,18 @@
 	}
 }
 
-// counts returns how many connections are open, and how many of them are busy.
+// counts returns how many connections are open that are not shared, and how many of them are busy.
 func (s *connections) counts() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
+		if c.isShared {
+			continue
+		}
+		open++
 		if c.isBusy {
 			busy++
 		}
 	}
-	return len(s.open), busy
+	return open, busy
 }
--- a/internal/base/cadrain/listener.go
+++ b/internal/base/cadrain/listener.go
@@ -1,4 +1,4 @@
-package caserve
+package cadrain
 
 import (
 	"errors"
@@ -6,8 +6,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"celeryarch.example/celeryarch/internal/base/cakind"
 )
 
 const (
@@ -18,18 +16,9 @@
 	maxQuietWait = 300 * time.Millisecond
 )
 
-// Listen listens on a TCP address. It fails with KindUnavailable.
-func Listen(address string) (net.Listener, error) {
-	lis, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, cakind.Wrap(cakind.KindUnavailable, err, "listen on %s", address)
-	}
-	return lis, nil
-}
-
 // listener accepts connections until its queue is empty after a request to stop.
 type listener struct {
-	*net.TCPListener
+	net.Listener
 	conns *connections
 
 	mu sync.Mutex
@@ -39,7 +28,8 @@
 	acceptedSince bool
 }
 
-// stop makes Accept return net.ErrClosed once no connection has come for a while.
+// stop makes Accept return net.ErrClosed once no connection has come for a while. A listener without
+// deadlines is closed at once.
 func (l *listener) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,14 +40,16 @@
 // awaitQuiet starts the wait for a time without connections. The caller must hold l.mu.
 func (l *listener) awaitQuiet() {
 	l.acceptedSince = false
-	// An error means that the listener is closed; Accept reports that.
-	_ = l.SetDeadline(time.Now().Add(quietTime))
+	limited, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(quietTime)) != nil {
+		_ = l.Close()
+	}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := l.TCPListener.Accept()
+		accepted, err := l.Listener.Accept()
 		switch {
 		case err == nil:
 			l.mu.Lock()
--- a/internal/node/caapi/api.go
+++ b/internal/node/caapi/api.go
@@ -12,7 +12,9 @@
 
 	"github.com/labstack/echo/v4"
 
+	"celeryarch.example/celeryarch/internal/base/cadrain"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/platform/caplatform"
 	"celeryarch.example/celeryarch/internal/request/cadispatch"
@@ -104,7 +106,7 @@
 // API serves customers and the health checks of the load balancer.
 type API struct {
 	config Config
-	server *http.Server
+	server *cadrain.Server
 	done   chan struct{}
 }
 
@@ -120,8 +122,9 @@
 	if limit := config.Limits.Connections; limit > 0 {
 		e.Use(newCallLimiter(limit).middleware)
 	}
-	a.server = newServer(e, config.Limits)
-	enableHTTP2(a.server)
+	server := newServer(e, config.Limits)
+	enableHTTP2(server)
+	a.server = cadrain.NewServer(server, catimer.NewService())
 	return a
 }
 
@@ -157,11 +160,14 @@
 // Serve answers calls on the listener until Shutdown.
 func (a *API) Serve(lis net.Listener) error {
 	defer close(a.done)
-	return serve(a.server, calisten.LimitListener(lis, a.config.Limits.Connections))
+	return a.server.Serve(calisten.LimitListener(lis, a.config.Limits.Connections))
 }
 
 // Shutdown refuses new calls and waits for the calls in progress.
-func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
+func (a *API) Shutdown(ctx context.Context) error {
+	_, err := a.server.Stop(ctx, 0, nil)
+	return err
+}
 
 // Close stops the API at once and aborts the calls in progress.
 func (a *API) Close() error { return a.server.Close() }
--- a/internal/request/calisten/listen.go
+++ b/internal/request/calisten/listen.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// SetDeadline bounds the wait of Accept. It fails with http.ErrNotSupported if the listener has no deadlines.
+func (l *limitedListener) SetDeadline(t time.Time) error {
+	limited, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return http.ErrNotSupported
+	}
+	return limited.SetDeadline(t)
+}
+
 func (l *limitedListener) acquire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
