A stop resets no connection that waits in the queue of its listener

What callers saw: connections reset, with a request sent, as a server that is being stopped closes its listener. Nothing of them was read. Cause: the listener closed once a deadline of 10 ms had passed without a connection, or 300 ms after the stop at the latest. Accept reports a deadline in the past before it looks into the queue, so that the connections of a process that did not run for 10 ms were reset; and where connections come all the time, those of the last moment always were. Now the listener is shut down only when a look at its queue finds none, right after the look, and waits are counted, not timed, up to 60.

--- a/internal/base/cadrain/listener.go
+++ b/internal/base/cadrain/listener.go
@@ -12,8 +12,11 @@
 	// quietTime is how long no connection must have come before a listener closes: those in its
 	// queue would be reset.
 	quietTime = 10 * time.Millisecond
-	// maxQuietWait bounds the wait for that time.
-	maxQuietWait = 300 * time.Millisecond
+	// maxQuietWaits bounds how often a listener waits for that time, and maxWaits how often it waits until
+	// its queue is empty at least. These are no times, since connections pile up in the queue while the process
+	// does not run.
+	maxQuietWaits = 30
+	maxWaits      = 2 * maxQuietWaits
 )
 
 // listener accepts connections until its queue is empty after a request to stop.
@@ -22,8 +25,8 @@
 	conns *connections
 
 	mu sync.Mutex
-	// stopBy is the latest time to close the listener, zero before stop.
-	stopBy time.Time
+	// waits counts the waits for a time without connections.
+	waits int
 	// acceptedSince is set if a connection came since the deadline was last set.
 	acceptedSince bool
 }
@@ -33,13 +36,13 @@
 func (l *listener) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stopBy = time.Now().Add(maxQuietWait)
 	l.awaitQuiet()
 }
 
-// awaitQuiet starts the wait for a time without connections. The caller must hold l.mu.
+// awaitQuiet starts a wait for a time without connections. The caller must hold l.mu.
 func (l *listener) awaitQuiet() {
 	l.acceptedSince = false
+	l.waits++
 	limited, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
 	if !ok || limited.SetDeadline(time.Now().Add(quietTime)) != nil {
 		_ = l.Close()
@@ -66,11 +69,12 @@
 }
 
 // isQuiet reports whether no connection came since the deadline was set, or none may come any more.
-// Otherwise it sets the deadline again.
+// Otherwise it sets the deadline again. Accept reports a deadline in the past before it looks into the queue.
 func (l *listener) isQuiet() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.acceptedSince || time.Now().After(l.stopBy) {
+	awaitsMore := l.acceptedSince && l.waits < maxQuietWaits
+	if !awaitsMore && shutIfEmpty(l.Listener) || l.waits >= maxWaits {
 		return true
 	}
 	l.awaitQuiet()
--- a/internal/request/calisten/listen.go
+++ b/internal/request/calisten/listen.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -97,6 +98,16 @@
 	return limited.SetDeadline(t)
 }
 
+// SyscallConn implements syscall.Conn. It fails with http.ErrNotSupported if the listener is not a socket.
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) { return syscallConn(l.Listener) }
+
+func syscallConn(source any) (syscall.RawConn, error) {
+	if socket, ok := source.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, http.ErrNotSupported
+}
+
 func (l *limitedListener) acquire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,6 +142,9 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn implements syscall.Conn. It fails with http.ErrNotSupported if the connection is not a socket.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
+
 // CloseWrite shuts down the writing side of the connection. The server calls it
 // so that the caller can read the last response before the connection is reset.
 func (c *limitedConn) CloseWrite() error {
