A stop drops no request that lies unread on an idle connection

What callers saw: a request sent on a kept connection gets EOF, as the server is being stopped, though it arrived before the connection ended. Cause: idle connections end by a deadline for reading. Evidence: TestStarvedServerCutsUnreadRequest fails on the former code: i/o timeout in place of "GET". Now a read that ends by such a deadline looks at the socket once more. What is left is the time between that look and the close.

--- a/internal/base/cadrain/connections.go
+++ b/internal/base/cadrain/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -46,6 +48,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.owner.revive(c) {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.owner.markBusy(c, bytes.HasPrefix(b[:n], []byte(sharedPreface)))
 	}
@@ -76,6 +81,25 @@
 	defer s.mu.Unlock()
 	c.isShared = c.isShared || hasPreface && !c.wasUsed
 	c.isBusy, c.wasUsed = true, true
+	s.replaceDeadline(c)
+}
+
+// revive makes a connection that was to end busy if a request has arrived on it and is not read yet: a read
+// reports a deadline in the past before it looks for input. It reports whether the read is to be repeated.
+func (s *connections) revive(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.isExpired || !hasInput(c.Conn) {
+		return false
+	}
+	c.isBusy = true
+	s.replaceDeadline(c)
+	return true
+}
+
+// replaceDeadline replaces the deadline by which a connection was to end, if there is one. The caller must hold
+// s.mu.
+func (s *connections) replaceDeadline(c *conn) {
 	if c.isExpired {
 		c.isExpired = false
 		// An error means that the connection is closed; the next read reports that.
@@ -101,8 +125,8 @@
 }
 
 // expireIdle ends the reads of all connections that are not busy, except of those that were accepted
-// after the given time and have not sent a request yet. A read that has received a request is not
-// affected; one that has not makes the server close the connection.
+// after the given time and have not sent a request yet. A read that finds a request is not affected;
+// one that does not makes the server close the connection.
 func (s *connections) expireIdle(acceptedBefore time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/base/cadrain/input.go
+++ b/internal/base/cadrain/input.go
@@ -6,6 +6,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// hasInput reports whether a connection has bytes to read, or its end. It does not wait, and reports false for
+// connections without a socket.
+func hasInput(source any) bool {
+	found := false
+	withSocket(source, func(fd int) { found = isReadable(fd) })
+	return found
+}
+
 // shutIfEmpty shuts down a listener if no connection is in its queue, and reports whether that is so. Nothing is
 // to come between the look and the end: connections in the queue are reset then.
 func shutIfEmpty(lis any) bool {
--- a/internal/base/cadrain/starved_test.go
+++ b/internal/base/cadrain/starved_test.go
@@ -1,9 +1,13 @@
 package cadrain
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // newLoopbackListener returns a TCP listener that is closed when the test ends.
@@ -45,3 +49,27 @@
 		t.Error("the listener accepts connections without end")
 	}
 }
+
+// TestStarvedServerCutsUnreadRequest guards against requests on idle connections that are dropped, since the
+// process did not run between their arrival and the end of the idle connections.
+func TestStarvedServerCutsUnreadRequest(t *testing.T) {
+	tcp := newLoopbackListener(t)
+	lis := &listener{Listener: tcp, conns: newConnections(time.Second)}
+	caller := dial(t, tcp)
+	accepted, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	lis.conns.noteState(accepted, http.StateIdle)
+	if _, err := io.WriteString(caller, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * quietTime)
+	lis.conns.expireIdle(time.Now())
+	got := make([]byte, 16)
+	n, err := accepted.Read(got)
+	if diff := cmp.Diff("GET", string(got[:n])); diff != "" {
+		t.Errorf("request that has arrived (-want +got):\n%s\n%v", diff, err)
+	}
+}
