A short drain cancels the calls that it does not wait for

What callers saw: a call that outlasts a drain of 0.4 s or less is cut by the end of the process without an answer (a grace period of about 1 s; the deployments have 6 s). Cause: the time until the calls are canceled was the drain less 0.4 s, and zero or less means that none is canceled. Evidence: TestShortDrainCutsCall fails on the former code: "the call was not canceled". Now calls are canceled after half of a short drain.

--- a/internal/cell/caserve/drain_test.go
+++ b/internal/cell/caserve/drain_test.go
@@ -96,3 +96,22 @@
 		t.Errorf("the drain took %v", took)
 	}
 }
+
+// TestShortDrainCutsCall guards against calls that the end of the process cuts, since a drain that is shorter than
+// the time before its end at which calls are canceled cancels none.
+func TestShortDrainCutsCall(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	servers, address := startServers(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	go func() { _, _, _ = get("http://" + address) }()
+	<-started
+	servers.Drain(10*time.Millisecond, 300*time.Millisecond)
+	select {
+	case <-ended:
+	default:
+		t.Error("the call was not canceled")
+	}
+}
--- a/internal/cell/caserve/servers.go
+++ b/internal/cell/caserve/servers.go
@@ -25,7 +25,7 @@
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 16 << 10
 	// cancelLead is how long before the end of a drain the calls in progress are canceled, so that
-	// their callers still get an answer.
+	// their callers still get an answer. In a short drain it is half of the time.
 	cancelLead = 400 * time.Millisecond
 )
 
@@ -86,7 +86,7 @@
 	began := s.timer.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
 	defer cancel()
-	report, err := s.stop(ctx, finishWithin-cancelLead)
+	report, err := s.stop(ctx, max(finishWithin-cancelLead, finishWithin/2))
 	caevent.Info(s.log, caevent.CallersDrained).Int("connections", report.Open).Int("calls", report.Busy).
 		Int("canceled", report.Canceled).Int("unanswered", report.Unanswered).
 		Dur("took", s.timer.Now().Sub(began)).AnErr("error", err).Send()
