Calls that a stop cuts short are canceled and counted while its listener closes

Cause: the time until calls are canceled began when the listener had closed, and a stop that ended before that returned an empty report. Evidence: TestStopCancelsCallsWhileListenerIsBusy fails on the former code: no call canceled, none unanswered, "the call was not canceled". Now that time begins with the stop, beside the wait for the listener.

--- a/internal/base/cadrain/server.go
+++ b/internal/base/cadrain/server.go
@@ -99,43 +99,80 @@
 // cause of the context if calls are left.
 func (s *Server) Stop(ctx context.Context, cancelAfter time.Duration, cause error) (Report, error) {
 	s.CloseAfterNextCall()
+	endCancel := s.cancelLater(cancelAfter, cause)
+	report, err := s.finish(ctx)
+	report.Canceled = endCancel()
+	return report, err
+}
+
+// cancelLater cancels the contexts of the calls that are left after the given time, unless that is zero. The
+// function that it returns ends the wait for that time and returns how many calls were canceled.
+func (s *Server) cancelLater(after time.Duration, cause error) (end func() int) {
+	if after <= 0 {
+		return func() int { return 0 }
+	}
+	canceled := 0
+	timer := s.timer.After(after)
+	ending, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer timer.Close()
+		select {
+		case <-timer.C:
+			_, canceled = s.conns.counts()
+			s.cancelCalls(cause)
+		case <-ending:
+		}
+	}()
+	return func() int {
+		close(ending)
+		<-ended
+		return canceled
+	}
+}
+
+// finish stops the listener and waits until all calls have ended, or the context.
+func (s *Server) finish(ctx context.Context) (Report, error) {
+	if err := s.stopListener(ctx); err != nil {
+		_, busy := s.conns.counts()
+		return Report{Unanswered: busy}, err
+	}
+	report := s.finishCalls(ctx)
+	if report.Unanswered > 0 {
+		return report, context.Cause(ctx)
+	}
+	// What is left are shared connections, which Shutdown does not cut.
+	return report, s.Shutdown(ctx)
+}
+
+// stopListener waits until the server accepts no more connections. It fails with the cause of the context.
+func (s *Server) stopListener(ctx context.Context) error {
 	select {
 	case <-s.listening:
 	case <-ctx.Done():
-		return Report{}, context.Cause(ctx)
+		return context.Cause(ctx)
 	}
 	s.lis.stop()
 	select {
 	case <-s.served:
+		return nil
 	case <-ctx.Done():
-		return Report{}, context.Cause(ctx)
-	}
-	report := s.finishCalls(ctx, cancelAfter, cause)
-	if report.Unanswered > 0 {
-		return report, context.Cause(ctx)
+		return context.Cause(ctx)
 	}
-	// What is left are shared connections, which Shutdown does not cut.
-	return report, s.Shutdown(ctx)
 }
 
 // finishCalls waits until all connections that are not shared have ended, or the context.
-func (s *Server) finishCalls(ctx context.Context, cancelAfter time.Duration, cause error) Report {
+func (s *Server) finishCalls(ctx context.Context) Report {
 	var report Report
 	report.Open, report.Busy = s.conns.counts()
 	polls := s.timer.Every(pollInterval)
 	defer polls.Close()
-	began := s.timer.Now()
-	isCanceled := cancelAfter <= 0
 	for {
 		s.conns.expireIdle(time.Now().Add(-firstRequestTimeout))
 		open, busy := s.conns.counts()
 		if open == 0 {
 			return report
 		}
-		if !isCanceled && s.timer.Now().Sub(began) >= cancelAfter {
-			isCanceled, report.Canceled = true, busy
-			s.cancelCalls(cause)
-		}
 		select {
 		case <-polls.C:
 		case <-ctx.Done():
