--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -36,6 +36,9 @@
                              this one
       --load=PATH            workload in JSON with comments in place of the
                              small jobs of the soak
+      --planned              planned work only (stops, SIGHUP, configurations),
+                             beside which no call may be cut
+      --program=PATH         program of the entries (this one)
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -64,6 +64,8 @@
 	Dir       string        `long:"dir" value-name:"PATH"`
 	Previous  string        `long:"previous" value-name:"PATH"`
 	Load      string        `long:"load" value-name:"PATH"`
+	Planned   bool          `long:"planned"`
+	Program   string        `long:"program" value-name:"PATH"`
 }
 
 // Entry are the options of the command entry.
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -1,6 +1,7 @@
 package carunner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -53,7 +54,8 @@
 		return "", err
 	}
 	options := casoak.Options{
-		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Command: []string{program}, Dir: dir, RunIndex: runNumber,
+		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Command: []string{cmp.Or(o.Program, program)}, Dir: dir, RunIndex: runNumber,
+		IsPlanned: o.Planned,
 	}
 	if !o.Plain {
 		options.Added = casoak.DrawAdded(seed)
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -15,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/soak/caconn"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -69,6 +70,12 @@
 	zones int
 	// registering serializes the writes of registrations.
 	registering sync.Mutex
+	// isPlanned is set if all faults are planned work.
+	isPlanned bool
+	transport *caconn.Transport
+	calls     callCounter
+	// stops are the stops of planned work whose processes have not started again.
+	stops sync.WaitGroup
 }
 
 func queueSpec() caspec.Queue {
@@ -89,12 +96,13 @@
 	if err := c.serveStandins(ctx, servicesIP, o.Upstreams); err != nil {
 		return c, err
 	}
-	return c, c.addNodes(o, dir, func(int) string { return fmt.Sprintf("%s:%d", servicesIP, portAdvisor) })
+	return c, c.addNodes(ctx, o, dir, func(int) string { return fmt.Sprintf("%s:%d", servicesIP, portAdvisor) })
 }
 
 // newStandins returns a cell without nodes, the stand-ins of which are not served yet.
 func newStandins(o Options, capacity cawork.Resources) *cell {
-	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1}
+	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1, isPlanned: o.IsPlanned}
+	c.transport = &caconn.Transport{NewShare: newConnectionShare}
 	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize, upstreamName)
 	c.fleet.SetCapacityBound(capacityBound)
 	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet}
@@ -119,7 +127,7 @@
 }
 
 // addNodes prepares the nodes. Each uses the advisor at its address.
-func (c *cell) addNodes(o Options, dir string, advisor func(node int) string) error {
+func (c *cell) addNodes(ctx context.Context, o Options, dir string, advisor func(node int) string) error {
 	var seeds []string
 	for i := range min(o.Nodes, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, i), portPeerProxy))
@@ -133,6 +141,12 @@
 		}
 		n.programs, n.env = o.programsOf(i), o.Env
 		c.nodes = append(c.nodes, n)
+		if !c.isPlanned {
+			continue
+		}
+		if err := n.traceInitialization(ctx); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -218,6 +232,7 @@
 
 // close stops the nodes, proxies and servers.
 func (c *cell) close() {
+	c.transport.Close()
 	for _, n := range c.nodes {
 		n.close()
 	}
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurge"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophangup"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurge"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophangup"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -43,9 +43,11 @@
 	_ = x[FaultZoneCut-(16)]
 	_ = x[FaultLimits-(17)]
 	_ = x[FaultSurge-(18)]
+	_ = x[FaultStop-(19)]
+	_ = x[FaultHangup-(20)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -67,6 +69,8 @@
 	_FaultKindName[143:151]: FaultZoneCut,
 	_FaultKindName[151:157]: FaultLimits,
 	_FaultKindName[157:162]: FaultSurge,
+	_FaultKindName[162:166]: FaultStop,
+	_FaultKindName[166:172]: FaultHangup,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -89,6 +93,8 @@
 	_FaultKindLowerName[143:151]: FaultZoneCut,
 	_FaultKindLowerName[151:157]: FaultLimits,
 	_FaultKindLowerName[157:162]: FaultSurge,
+	_FaultKindLowerName[162:166]: FaultStop,
+	_FaultKindLowerName[166:172]: FaultHangup,
 }
 
 var _FaultKindNames = []string{
@@ -111,6 +117,8 @@
 	_FaultKindName[143:151],
 	_FaultKindName[151:157],
 	_FaultKindName[157:162],
+	_FaultKindName[162:166],
+	_FaultKindName[166:172],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/load.go
+++ b/internal/soak/casoak/load.go
@@ -38,7 +38,7 @@
 
 func newLoadGenerator(c *cell, l *outcomeLog, seed int64) *loadGenerator {
 	return &loadGenerator{
-		cell: c, outcomes: l, caller: platform.NewCaller(teamKey, callTimeout), random: rand.New(rand.NewSource(seed)),
+		cell: c, outcomes: l, caller: c.newCaller(teamKey), random: rand.New(rand.NewSource(seed)),
 		steps: make(map[cawork.JobID][]caspec.Step), deadly: make(map[cawork.JobID]deadlyTask),
 	}
 }
@@ -55,6 +55,11 @@
 	c.submissions.Wait()
 }
 
+// targetOf returns the caller and the queue of a job.
+func (c *loadGenerator) targetOf(cawork.JobID) (*platform.Caller, caspec.Queue) {
+	return c.caller, queueSpec()
+}
+
 // submit submits one job and cancels a fraction of the accepted jobs.
 func (c *loadGenerator) submit(s caspec.Submission, canceled float64, random *rand.Rand) {
 	s.Queue, s.Team = queueName, teamName
--- a/internal/soak/casoak/node.go
+++ b/internal/soak/casoak/node.go
@@ -41,12 +41,16 @@
 	zone         string
 	settingsPath string
 	// programs are the command lines that the starts of the process take in turn.
-	programs   [][]string
-	starts     int
-	env        []string
-	storeProxy *Proxy
-	peerProxy  *Proxy
-	logFile    *os.File
+	programs [][]string
+	starts   int
+	env      []string
+	// lastInitialized begins the line that each of the programs prints when it is initialized, and
+	// logStart is where the log of the process begins.
+	lastInitialized []string
+	logStart        int64
+	storeProxy      *Proxy
+	peerProxy       *Proxy
+	logFile         *os.File
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -58,6 +62,15 @@
 	downFaults int
 	// resumedAt is the time of the last SIGCONT.
 	resumedAt time.Time
+	// startedAt is when the process started, and signals are those that it got since.
+	startedAt time.Time
+	signals   []sentSignal
+}
+
+// sentSignal is a signal with its time.
+type sentSignal struct {
+	signal syscall.Signal
+	at     time.Time
 }
 
 func (n *node) address(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
@@ -95,6 +108,11 @@
 	if n.cmd != nil || n.downFaults > 0 {
 		return nil
 	}
+	log, err := n.logFile.Stat()
+	if err != nil {
+		return cakind.Wrap(cakind.KindInternal, err, "start %s", n.name)
+	}
+	n.logStart = log.Size()
 	program := n.programs[n.starts%len(n.programs)]
 	n.starts++
 	arguments := append(slices.Clone(program[1:]), "node", "--settings="+n.settingsPath, "--advertise="+n.peerProxy.Address())
@@ -106,11 +124,12 @@
 	}
 	exited := make(chan struct{})
 	n.cmd, n.exited, n.stopRequested = cmd, exited, false
+	n.startedAt, n.signals = time.Now(), nil
 	go func() {
 		err := cmd.Wait()
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if !n.stopRequested {
+		if !n.stopRequested || isHangup(cmd.ProcessState) {
 			n.unexpectedExits++
 			fmt.Fprintf(n.logFile, "the process exited unexpectedly: %v\n", err)
 		}
@@ -120,6 +139,12 @@
 	return nil
 }
 
+// isHangup reports whether a process was ended by SIGHUP, which is no request to stop.
+func isHangup(s *os.ProcessState) bool {
+	status, ok := s.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGHUP
+}
+
 // signal sends a signal to the process if it is running. SIGKILL and SIGTERM count
 // as a request to stop.
 func (n *node) signal(s syscall.Signal) {
@@ -131,6 +156,7 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		n.stopRequested = true
 	}
+	n.signals = append(n.signals, sentSignal{signal: s, at: time.Now()})
 	// An error means that the process has just exited; Wait reports that.
 	_ = n.cmd.Process.Signal(s)
 }
@@ -170,11 +196,35 @@
 	n.signal(s)
 }
 
+// killAfterGrace kills the process if it outlives its grace period from now on, and returns an error
+// then.
+func (n *node) killAfterGrace() error {
+	n.mu.Lock()
+	stopping, exited := n.cmd, n.exited
+	n.mu.Unlock()
+	if stopping == nil {
+		return nil
+	}
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(stopGraceSeconds * time.Second):
+	}
+	// An error means that the process has just exited.
+	_ = stopping.Process.Kill()
+	return cakind.New(cakind.KindInternal, "%s is still running after its grace period", n.name)
+}
+
 // endDown ends one fault that keeps the process down, and starts the process if
 // none is left. It first waits for a process that was asked to stop, and returns
 // an error if that outlives its grace period by a second.
 func (n *node) endDown() error {
 	n.resume()
+	return n.endStop()
+}
+
+// endStop is endDown for a process that was not stopped by SIGSTOP.
+func (n *node) endStop() error {
 	n.mu.Lock()
 	n.downFaults--
 	stopping, exited := n.stopRequested && n.cmd != nil, n.exited
@@ -205,6 +255,17 @@
 	}
 }
 
+// history describes when the process started and which signals it got since.
+func (n *node) history() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	text := fmt.Sprintf("%s, started %v ago", n.name, time.Since(n.startedAt).Round(time.Millisecond))
+	for _, s := range n.signals {
+		text += fmt.Sprintf(", %v %v ago", s.signal, time.Since(s.at).Round(time.Millisecond))
+	}
+	return text
+}
+
 // close kills the process and closes its proxies.
 func (n *node) close() {
 	n.signal(syscall.SIGCONT)
--- a/internal/soak/casoak/outcomes.go
+++ b/internal/soak/casoak/outcomes.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"slices"
 	"sync"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -27,15 +29,42 @@
 type outcomeLog struct {
 	mu         sync.Mutex
 	byJob      map[cawork.JobID]outcome
+	accepted   []acceptance
 	violations []string
 }
 
+// acceptance is an accepted job.
+type acceptance struct {
+	id cawork.JobID
+	at time.Time
+}
+
 func newOutcomeLog() *outcomeLog { return &outcomeLog{byJob: make(map[cawork.JobID]outcome)} }
 
 func (l *outcomeLog) record(id cawork.JobID, o outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.byJob[id] = o
+	if o == outcomeAccepted {
+		l.accepted = append(l.accepted, acceptance{id: id, at: time.Now()})
+	}
+}
+
+// randomAccepted returns a random accepted job, if there is any.
+func (l *outcomeLog) randomAccepted(random *rand.Rand) (acceptance, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.accepted) == 0 {
+		return acceptance{}, false
+	}
+	return l.accepted[random.Intn(len(l.accepted))], true
+}
+
+// isAccepted reports whether a job was accepted and not canceled.
+func (l *outcomeLog) isAccepted(id cawork.JobID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byJob[id] == outcomeAccepted
 }
 
 // recordViolation records a violated guarantee.
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -56,6 +56,11 @@
 	FaultLimits
 	// FaultSurge lets a team submit many times its usual until the fault ends.
 	FaultSurge
+	// FaultStop sends SIGTERM to a node, kills it if it outlives its grace period, and starts it again
+	// when the fault has ended and the process too.
+	FaultStop
+	// FaultHangup sends SIGHUP to a node.
+	FaultHangup
 )
 
 const (
@@ -124,7 +129,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup:
 		}
 		plan = append(plan, f)
 	}
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
@@ -80,6 +83,55 @@
 	}
 }
 
+// TestPlannedWorkHasAllSteps guards against plans of planned work with another kind of fault, and
+// against plans that lack a signal to a node that stops or has just started.
+func TestPlannedWorkHasAllSteps(t *testing.T) {
+	const nodes = 9
+	if diff := cmp.Diff(NewPlannedPlan(7, time.Minute, nodes), NewPlannedPlan(7, time.Minute, nodes)); diff != "" {
+		t.Errorf("plans of one seed (-first +second):\n%s", diff)
+	}
+	found := make(map[string]bool)
+	for _, f := range NewPlannedPlan(7, 2*time.Minute, nodes) {
+		found[f.Kind.String()] = true
+		for _, stop := range NewPlannedPlan(7, 2*time.Minute, nodes) {
+			if stop.Kind != FaultStop || f.Kind == FaultConfigure || stop.Target != f.Target || stop == f {
+				continue
+			}
+			after := f.At - stop.At
+			if after > 0 && after < minStopDuration {
+				found[f.Kind.String()+" during a stop"] = true
+			}
+			if after -= stop.For; after > 0 && after < signalAfterStart {
+				found[f.Kind.String()+" after a start"] = true
+			}
+		}
+	}
+	want := map[string]bool{
+		"configure": true, "hangup": true, "hangup during a stop": true, "hangup after a start": true,
+		"stop": true, "stop during a stop": true, "stop after a start": true,
+	}
+	if diff := cmp.Diff(want, found); diff != "" {
+		t.Errorf("steps of two minutes (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnansweredCallOfDrainIsMissed guards against a drain after which a node counts calls without an
+// answer, and which the soak does not report.
+func TestUnansweredCallOfDrainIsMissed(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "node.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for unanswered := range 2 {
+		fmt.Fprintf(log, "{\"event\":%d,\"unanswered\":%d}\ninit os @1 ms\n", caevent.CallersDrained, unanswered)
+	}
+	l := newOutcomeLog()
+	(&cell{isPlanned: true}).checkDrains(&node{name: "node", logFile: log}, l)
+	if diff := cmp.Diff(1, len(l.violationList())); diff != "" {
+		t.Errorf("violations (-want +got):\n%s%v", diff, l.violationList())
+	}
+}
+
 func TestOutcomeMismatchOfDeadlyJobs(t *testing.T) {
 	for name, c := range map[string]struct {
 		outcome    outcome
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -50,6 +50,9 @@
 	Added []FaultKind
 	// Workload replaces the small jobs of the soak, and NewWorkPlan its plan, if set.
 	Workload *caworkload.Workload
+	// IsPlanned means that all faults are planned work, those of NewPlannedPlan: no call may then be
+	// cut. The callers also ask for the phases of accepted jobs all the while.
+	IsPlanned bool
 	// Dir is the directory for settings files and logs.
 	Dir string
 	// RunIndex distinguishes concurrent runs; it selects their loopback addresses.
@@ -74,6 +77,18 @@
 	}
 }
 
+// plan returns the faults of the run.
+func (o Options) plan() []Fault {
+	switch {
+	case o.IsPlanned:
+		return NewPlannedPlan(o.Seed, o.Duration, o.Nodes)
+	case o.Workload != nil:
+		return NewWorkPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
+	default:
+		return WithAddedFaults(NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams), o.Seed, o.Duration, o.Upstreams, o.Added)
+	}
+}
+
 // Report is the result of a soak run.
 type Report struct {
 	Plan []Fault
@@ -90,6 +105,8 @@
 	LongestWait caworkload.Wait
 	// Advisor is what each caller asked the advisor of a workload.
 	Advisor map[string]standin.AdvisorUse
+	// Calls counts all calls.
+	Calls CallCounts
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -99,8 +116,7 @@
 	if o.Workload != nil {
 		return runWorkload(ctx, o)
 	}
-	plan := NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
-	report := Report{Plan: WithAddedFaults(plan, o.Seed, o.Duration, o.Upstreams, o.Added)}
+	report := Report{Plan: o.plan()}
 	c, err := newCell(ctx, o, o.Dir)
 	defer c.close()
 	if err != nil {
@@ -126,15 +142,19 @@
 		defer close(loadDone)
 		load.run(loadCtx)
 	}()
+	queries := newQueryLoad(c, l, load.targetOf)
+	go queries.run(loadCtx)
 	if err := c.runPlan(ctx, report.Plan, l); err != nil {
 		return report, err
 	}
 	<-loadDone
+	<-queries.Done()
 	load.faultSubmissions.Wait()
 	report.GivenUp = c.settle(ctx, l)
 	stopWatching()
 	report.Accepted, report.Refused, report.Canceled, report.Unknown = l.counts()
 	report.Starts, report.Crashes = c.fleet.Starts(), c.fleet.Crashes()
+	report.Calls = c.calls.counts()
 	report.Broken = l.violationList()
 	return report, nil
 }
@@ -171,7 +191,7 @@
 			}
 			e.fault.Target = targets[e.faultIndex]
 		}
-		if err := c.applyEvent(ctx, e); err != nil {
+		if err := c.applyEvent(ctx, e, l); err != nil {
 			l.recordViolation("%s: %v", e.fault, err)
 		}
 	}
@@ -197,7 +217,7 @@
 }
 
 // applyEvent starts or ends one fault.
-func (c *cell) applyEvent(ctx context.Context, e faultEvent) error {
+func (c *cell) applyEvent(ctx context.Context, e faultEvent, l *outcomeLog) error {
 	f := e.fault
 	link := LinkNone
 	if e.begins {
@@ -261,6 +281,8 @@
 		}
 	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge:
 		return c.applyWorkEvent(ctx, e)
+	case FaultStop, FaultHangup:
+		c.applyPlanned(e, l)
 	}
 	return nil
 }
@@ -310,7 +332,9 @@
 
 // endFaults ends all faults and records unexpected exits of nodes.
 func (c *cell) endFaults(l *outcomeLog) {
+	c.stops.Wait()
 	for _, n := range c.nodes {
+		c.checkDrains(n, l)
 		if n.unexpectedExitCount() > 0 {
 			l.recordViolation("%s exited unexpectedly %d times", n.name, n.unexpectedExitCount())
 		}
@@ -331,7 +355,7 @@
 	c.endFaults(l)
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	caller := platform.NewCaller(teamKey, callTimeout)
+	caller := c.newCaller(teamKey)
 	unmatched := l.snapshot()
 	for {
 		for id, o := range unmatched {
@@ -389,8 +413,8 @@
 
 // String returns the counts of the report.
 func (r Report) String() string {
-	text := fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d crashes by tasks, %d other jobs given up; %d promises broken",
-		len(r.Plan), r.Accepted, r.Refused, r.Canceled, r.Unknown, r.Starts, r.Crashes, r.GivenUp, len(r.Broken))
+	text := fmt.Sprintf("%d faults; %d jobs accepted, %d refused, %d canceled, %d without an answer; %d runs started; %d crashes by tasks, %d other jobs given up; calls %v; %d promises broken",
+		len(r.Plan), r.Accepted, r.Refused, r.Canceled, r.Unknown, r.Starts, r.Crashes, r.GivenUp, r.Calls, len(r.Broken))
 	if r.Advisor == nil {
 		return text
 	}
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -58,6 +58,17 @@
 	runSoaks(t, addedSoaks(7, casoak.FaultOddEntry))
 }
 
+// TestSeedsOfPlannedWork guards against calls that a node cuts as it stops, and against nodes that
+// SIGHUP ends while they start or stop.
+func TestSeedsOfPlannedWork(t *testing.T) {
+	o := casoak.Options{Seed: 5, Duration: 8 * time.Second, Nodes: 6, Upstreams: 6, IsPlanned: true}
+	soaks := make(map[string]casoak.Options, *addedSeeds)
+	for seed := o.Seed; seed < o.Seed+int64(*addedSeeds); seed++ {
+		soaks[strconv.FormatInt(seed, 10)] = o.WithSeed(seed)
+	}
+	runSoaks(t, soaks)
+}
+
 const (
 	// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
 	gangLoad = "testdata/gangs.jsonc"
--- a/internal/soak/casoak/submitter.go
+++ b/internal/soak/casoak/submitter.go
@@ -80,17 +80,7 @@
 	}
 }
 
-// callRandomNode calls a random node and records a violation if the answer is
-// late. It waits beyond callTimeout to measure late answers.
-func (c submitter) callRandomNode(do func(ctx context.Context, address string) platform.CallResult) platform.CallResult {
-	n := c.cell.nodes[c.random.Intn(len(c.cell.nodes))]
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+2*responseMargin)
-	defer cancel()
-	began := time.Now()
-	answer := do(ctx, n.address(portFront))
-	took := time.Since(began)
-	if answer.Status != 0 && took > callTimeout+responseMargin && !n.resumedSince(began) {
-		c.outcomes.recordViolation("%s answered after %v, %v were allowed", n.name, took, callTimeout)
-	}
-	return answer
+// callRandomNode calls a random node.
+func (c submitter) callRandomNode(do call) platform.CallResult {
+	return c.cell.call(c.cell.nodes[c.random.Intn(len(c.cell.nodes))], c.outcomes, do)
 }
--- a/internal/soak/casoak/work.go
+++ b/internal/soak/casoak/work.go
@@ -33,12 +33,16 @@
 		outcomes: l, callers: make(map[cawork.TeamName]*platform.Caller), random: rand.New(rand.NewSource(seed)), load: load,
 		rateFactors: make(map[int]float64), jobs: make(map[cawork.JobID]caworkload.Job),
 	}
-	for _, t := range load.Teams {
-		g.callers[t.Name] = platform.NewCaller(t.Key, callTimeout)
-	}
 	return g
 }
 
+// addCallers adds the callers of all teams.
+func (g *workGenerator) addCallers(c *cell) {
+	for _, t := range g.load.Teams {
+		g.callers[t.Name] = c.newCaller(t.Key)
+	}
+}
+
 // workload returns the workload with the limits as they are now.
 func (g *workGenerator) workload() caworkload.Workload {
 	g.mu.Lock()
@@ -118,6 +122,12 @@
 	return g.jobs[id]
 }
 
+// targetOf returns the caller and the queue of a job.
+func (g *workGenerator) targetOf(id cawork.JobID) (*platform.Caller, caspec.Queue) {
+	j := g.job(id)
+	return g.callers[j.Team.Name], j.Queue.Spec(poolName)
+}
+
 // teamOf returns the team of a job.
 func (g *workGenerator) teamOf(id cawork.JobID) cawork.TeamName { return g.job(id).Team.Name }
 
--- a/internal/soak/casoak/workrun.go
+++ b/internal/soak/casoak/workrun.go
@@ -45,7 +45,7 @@
 func runWorkload(ctx context.Context, o Options) (Report, error) {
 	l := newOutcomeLog()
 	r := &workRun{work: newWorkGenerator(*o.Workload, l, o.Seed), outcomes: l, ended: make(map[cawork.JobID]bool), waited: make(map[standin.StepName]bool)}
-	r.report.Plan = NewWorkPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
+	r.report.Plan = o.plan()
 	err := r.prepare(ctx, o)
 	defer r.cell.close()
 	if err != nil {
@@ -75,6 +75,7 @@
 func (r *workRun) prepare(ctx context.Context, o Options) error {
 	c := newStandins(o, o.Workload.Upstream.Resources())
 	r.cell, c.work, c.zones = c, r.work, o.Workload.Zones
+	r.work.addCallers(c)
 	r.advisor = standin.NewTurnAdvisor(r.work.terms, c.fleet.Incarnation)
 	c.emulator.Turns = r.advisor
 	r.work.applyTo(c.fleet)
@@ -90,7 +91,7 @@
 	if err := r.serveAdvisors(o); err != nil {
 		return err
 	}
-	return c.addNodes(o, o.Dir, func(i int) string { return fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, i), portAdvisor) })
+	return c.addNodes(ctx, o, o.Dir, func(i int) string { return fmt.Sprintf("%s:%d", loopbackIP(o.RunIndex, i), portAdvisor) })
 }
 
 func (r *workRun) serveAdvisors(o Options) error {
@@ -112,6 +113,7 @@
 	defer stopLoad()
 	began := time.Now()
 	go r.work.run(loadCtx, r.cell)
+	go newQueryLoad(r.cell, r.outcomes, r.work.targetOf).run(loadCtx)
 	if err := r.cell.runPlan(ctx, r.report.Plan, r.outcomes); err != nil {
 		return err
 	}
@@ -225,5 +227,6 @@
 	r.report.Accepted, r.report.Refused, r.report.Canceled, r.report.Unknown = r.outcomes.counts()
 	r.report.Starts, r.report.Crashes = r.cell.fleet.Starts(), r.cell.fleet.Crashes()
 	r.report.Advisor = r.advisor.Use()
+	r.report.Calls = r.cell.calls.counts()
 	r.report.Broken = r.outcomes.violationList()
 }
