--- a/internal/base/cahangup/hangup.go
+++ b/internal/base/cahangup/hangup.go
@@ -1,14 +1,14 @@
 // Package cahangup catches SIGHUP for as long as the process exists. By default the signal ends a
 // process that has not asked for it yet, or does not any more.
+//
+// Packages are initialized after all that they import. This one imports as little as possible, so that
+// the signal is caught early.
 package cahangup
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
-
-	"celeryarch.example/celeryarch/internal/base/cakind"
 )
 
 // wasIgnored is set if the process began with SIGHUP ignored, as under nohup.
@@ -27,18 +27,5 @@
 // they are received count as one.
 func Signals() <-chan os.Signal { return signals }
 
-// Context returns a context that a signal cancels, unless the process began with SIGHUP ignored. It is for
-// commands that do not use Signals. They are to call the returned function in the end.
-func Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	if !wasIgnored {
-		go func() {
-			select {
-			case <-signals:
-				cancel(cakind.New(cakind.KindCanceled, "the terminal was closed (SIGHUP)"))
-			case <-ctx.Done():
-			}
-		}()
-	}
-	return ctx, func() { cancel(context.Canceled) }
-}
+// WasIgnored reports whether the process began with SIGHUP ignored, as under nohup.
+func WasIgnored() bool { return wasIgnored }
--- a/internal/base/cahangup/hangup_test.go
+++ b/internal/base/cahangup/hangup_test.go
@@ -1,11 +1,14 @@
 package cahangup_test
 
 import (
+	"go/build"
 	"os"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"celeryarch.example/celeryarch/internal/base/cahangup"
 )
 
@@ -34,13 +37,14 @@
 	}
 }
 
-func TestHangupCancelsContext(t *testing.T) {
-	ctx, stop := cahangup.Context(t.Context())
-	defer stop()
-	hangUp(t)
-	select {
-	case <-ctx.Done():
-	case <-time.After(signalTimeout):
-		t.Error("the context was not canceled")
+// TestSignalIsCaughtLate guards against processes that SIGHUP ends while they start, since the signal is
+// caught only after many other packages have been initialized.
+func TestSignalIsCaughtLate(t *testing.T) {
+	p, err := build.ImportDir(".", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"os", "os/signal", "syscall"}, p.Imports); diff != "" {
+		t.Errorf("imports (-want +got):\n%s", diff)
 	}
 }
--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"syscall"
 
-	"celeryarch.example/celeryarch/internal/base/cahangup"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 	"celeryarch.example/celeryarch/internal/config/caproblem"
@@ -80,7 +79,7 @@
 	}
 	out.JSON = options.JSON
 	if options.Command != commandNode {
-		hangupCtx, stop := cahangup.Context(ctx)
+		hangupCtx, stop := hangupContext(ctx)
 		defer stop()
 		ctx = hangupCtx
 	}
