--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -99,10 +99,11 @@
 	// Crashes counts the crashes by tasks, and GivenUp the jobs without a deadly task that
 	// were given up after crashes under them.
 	Crashes, GivenUp int
-	// Unfinished counts the accepted jobs that had not ended when a run with a workload ended, and
-	// LongestWait is the longest wait with room after its load.
-	Unfinished  int
-	LongestWait caworkload.Wait
+	// Unfinished counts the accepted jobs that had not ended when a run with a workload ended, NeverFit
+	// those of them that have no room where nothing else runs, and LongestWait is the longest wait with
+	// room after its load.
+	Unfinished, NeverFit int
+	LongestWait          caworkload.Wait
 	// Advisor is what each caller asked the advisor of a workload.
 	Advisor map[string]standin.AdvisorUse
 	// Calls counts all calls.
@@ -418,7 +419,7 @@
 	if r.Advisor == nil {
 		return text
 	}
-	text += fmt.Sprintf("; %d unfinished; advisor %v", r.Unfinished, r.Advisor)
+	text += fmt.Sprintf("; %d unfinished, %d of them never fit; advisor %v", r.Unfinished, r.NeverFit, r.Advisor)
 	if r.LongestWait.For == 0 {
 		return text + "; no wait with room after the load"
 	}
--- a/internal/soak/casoak/workrun.go
+++ b/internal/soak/casoak/workrun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,12 @@
 	maxWait = 3 * time.Second
 	// finishTime is how long after the load a longer wait is no violation yet.
 	finishTime = 14 * time.Second
-	// watchTime bounds the time after the load.
-	watchTime = 30 * time.Second
+	// watchTime is how long the jobs are watched after the load, and maxWatchTime how long at most, while
+	// some make progress.
+	watchTime    = 30 * time.Second
+	maxWatchTime = time.Minute
+	// maxStall is how long a job may make no progress at the end of the watch, though there is room.
+	maxStall = 10 * time.Second
 	// maxListedWaits bounds the waits that a report lists one by one.
 	maxListedWaits = 20
 	// phaseCallers is the number of concurrent questions for phases.
@@ -36,15 +41,16 @@
 	report   Report
 	// ended holds the accepted jobs that have ended.
 	ended map[cawork.JobID]bool
-	// waited holds the steps with a recorded violation.
+	// waited holds the steps, and silent the jobs without an answer, with a recorded violation.
 	waited map[standin.StepName]bool
+	silent map[cawork.JobID]bool
 }
 
 // runWorkload runs one cell under a workload and faults and checks its guarantees. The load goes
 // on for half of the duration after the last fault.
 func runWorkload(ctx context.Context, o Options) (Report, error) {
 	l := newOutcomeLog()
-	r := &workRun{work: newWorkGenerator(*o.Workload, l, o.Seed), outcomes: l, ended: make(map[cawork.JobID]bool), waited: make(map[standin.StepName]bool)}
+	r := &workRun{work: newWorkGenerator(*o.Workload, l, o.Seed), outcomes: l, ended: make(map[cawork.JobID]bool), waited: make(map[standin.StepName]bool), silent: make(map[cawork.JobID]bool)}
 	r.report.Plan = o.plan()
 	err := r.prepare(ctx, o)
 	defer r.cell.close()
@@ -124,26 +130,80 @@
 	return r.cell.timer.Pause(ctx, during/2)
 }
 
-// watchWaits looks for jobs that wait although there is room until all have ended or
-// watchTime has passed.
+// watchWaits looks for jobs that wait although there is room until all have ended or watchTime has
+// passed, and longer while jobs make progress.
 func (r *workRun) watchWaits(ctx context.Context, o Options) {
 	w := &caworkload.WaitWatch{
 		Workload: r.work.workload(), Capacity: o.Workload.Upstream.Resources().Times(int64(o.Upstreams)), TeamOf: r.work.teamOf, Approves: r.advisor.Approves,
 	}
+	stalls := &caworkload.StallWatch{Waits: w}
 	loadEnd := time.Now()
 	for {
-		open := r.openJobs(ctx)
-		now := time.Now()
-		for _, wait := range w.Observe(now, r.cell.fleet.View(), open) {
+		open, silent := r.openJobs(ctx)
+		now, v := time.Now(), r.cell.fleet.View()
+		for _, wait := range w.Observe(now, v, open) {
 			r.checkWait(wait, now.Sub(loadEnd))
 		}
-		r.report.Unfinished = len(open)
-		if len(open) == 0 || now.Sub(loadEnd) > watchTime || r.cell.timer.Pause(ctx, settlePollInterval) != nil {
+		r.checkSilent(silent, now.Sub(loadEnd))
+		stalled, others := longStalls(stalls.Observe(now, v, open), open)
+		neverFit := func(j caworkload.Job) bool { return w.NeverFits(v, j) }
+		r.report.Unfinished, r.report.NeverFit = len(open), len(open)-len(slices.DeleteFunc(slices.Clone(open), neverFit))
+		isStill := len(slices.DeleteFunc(others, neverFit)) == 0
+		if isWatchOver(now.Sub(loadEnd), len(open) == 0, isStill) || r.cell.timer.Pause(ctx, settlePollInterval) != nil {
+			r.recordAll("unfinished", stalled)
 			return
 		}
 	}
 }
 
+// isWatchOver reports whether the watch ends at a time after the load.
+func isWatchOver(afterLoad time.Duration, isFinished, isStill bool) bool {
+	return isFinished || afterLoad > watchTime && isStill || afterLoad > maxWatchTime
+}
+
+// longStalls returns the stalls that are violations at the end of the watch, and the other open jobs.
+func longStalls(stalls []caworkload.Stall, open []caworkload.Job) (long []fmt.Stringer, others []caworkload.Job) {
+	isLong := make(map[cawork.JobID]bool)
+	for _, s := range stalls {
+		if s.For > maxStall {
+			long, isLong[s.Job.Spec.ID] = append(long, s), true
+		}
+	}
+	others = slices.DeleteFunc(slices.Clone(open), func(j caworkload.Job) bool { return isLong[j.Spec.ID] })
+	return long, others
+}
+
+// checkSilent records a violation for each job about which no node answers in time after the load.
+func (r *workRun) checkSilent(silent []caworkload.Job, afterLoad time.Duration) {
+	if afterLoad <= finishTime {
+		return
+	}
+	var found []fmt.Stringer
+	for _, j := range silent {
+		if !r.silent[j.Spec.ID] {
+			r.silent[j.Spec.ID] = true
+			found = append(found, silentJob(j.Spec.ID))
+		}
+	}
+	r.recordAll(fmt.Sprintf("%v after the load", afterLoad.Round(100*time.Millisecond)), found)
+}
+
+// silentJob is an accepted job about which no node answers in time.
+type silentJob cawork.JobID
+
+// String describes the job for a report.
+func (s silentJob) String() string { return "no node answers in time for job " + string(s) }
+
+// recordAll records violations, maxListedWaits of them one by one.
+func (r *workRun) recordAll(prefix string, list []fmt.Stringer) {
+	for _, v := range list[:min(len(list), maxListedWaits)] {
+		r.outcomes.recordViolation("%s: %v", prefix, v)
+	}
+	if more := len(list) - maxListedWaits; more > 0 {
+		r.outcomes.recordViolation("%s: %d more", prefix, more)
+	}
+}
+
 // checkWait records a violation if a job waits too long at a time after the load.
 func (r *workRun) checkWait(w caworkload.Wait, afterLoad time.Duration) {
 	if w.For > r.report.LongestWait.For {
@@ -159,16 +219,13 @@
 	r.outcomes.recordViolation("%v after the load, at %s: %s", afterLoad.Round(100*time.Millisecond), time.Now().Format(time.TimeOnly+".000"), w)
 }
 
-// openJobs returns the accepted jobs that have not ended. Jobs whose phase no node reports are
-// left out.
-func (r *workRun) openJobs(ctx context.Context) []caworkload.Job {
-	v := r.cell.fleet.View()
-	var open []caworkload.Job
+// openJobs returns the accepted jobs that have not ended, and those of them whose phase no node reports.
+func (r *workRun) openJobs(ctx context.Context) (open, silent []caworkload.Job) {
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	slots := make(chan struct{}, phaseCallers)
 	for _, j := range r.work.accepted() {
-		if r.hasEnded(j.Spec.ID, &mu) || tasksLeft(v, j) == 0 {
+		if r.hasEnded(j.Spec.ID, &mu) {
 			continue
 		}
 		slots <- struct{}{}
@@ -177,16 +234,18 @@
 			phase, known := r.phaseOf(ctx, j)
 			mu.Lock()
 			defer mu.Unlock()
-			switch {
-			case known && (phase == castate.PhaseQueued || phase == castate.PhaseRunning):
-				open = append(open, j)
-			case known:
+			if known && phase != castate.PhaseQueued && phase != castate.PhaseRunning {
 				r.ended[j.Spec.ID] = true
+				return
+			}
+			open = append(open, j)
+			if !known {
+				silent = append(silent, j)
 			}
 		})
 	}
 	calls.Wait()
-	return open
+	return open, silent
 }
 
 func (r *workRun) hasEnded(id cawork.JobID, mu *sync.Mutex) bool {
@@ -195,15 +254,6 @@
 	return r.ended[id]
 }
 
-// tasksLeft returns the number of tasks of a job that have not completed.
-func tasksLeft(v standin.View, j caworkload.Job) int {
-	left := 0
-	for i, s := range j.Spec.Steps {
-		left += s.Tasks - v.Done[standin.StepName{Job: j.Spec.ID, Step: i}]
-	}
-	return left
-}
-
 // phaseOf asks the nodes in turn for the phase of a job. It records a violation if they do not
 // have an accepted job.
 func (r *workRun) phaseOf(ctx context.Context, j caworkload.Job) (castate.Phase, bool) {
--- a/internal/soak/caworkload/waits.go
+++ b/internal/soak/caworkload/waits.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/platform/standin"
 )
 
@@ -82,15 +81,20 @@
 	return waits
 }
 
-// use returns what the runs use, and the teams that use over half of their limit.
-func (w *WaitWatch) use(v standin.View) (cawork.Resources, map[cawork.TeamName]bool) {
-	var total cawork.Resources
-	used := make(map[cawork.TeamName]cawork.Resources)
+// teamUse returns what the runs of each team use, and the sum.
+func (w *WaitWatch) teamUse(v standin.View) (used map[cawork.TeamName]cawork.Resources, total cawork.Resources) {
+	used = make(map[cawork.TeamName]cawork.Resources)
 	for id, size := range v.Used {
 		team := w.TeamOf(id)
 		used[team] = used[team].Plus(size)
 		total = total.Plus(size)
 	}
+	return used, total
+}
+
+// use returns what the runs use, and the teams that use over half of their limit.
+func (w *WaitWatch) use(v standin.View) (cawork.Resources, map[cawork.TeamName]bool) {
+	used, total := w.teamUse(v)
 	busy := make(map[cawork.TeamName]bool)
 	for _, t := range w.Workload.Teams {
 		busy[t.Name] = exceedsShare(used[t.Name], w.Workload.LimitOf(t))
@@ -117,31 +121,14 @@
 // waitOf returns the wait of a step, if its turn has come and there is room for it.
 func (w *WaitWatch) waitOf(v standin.View, j Job, i int) (Wait, bool) {
 	s := j.Spec.Steps[i]
-	name := standin.StepName{Job: j.Spec.ID, Step: i}
-	left := s.Tasks - v.Done[name]
-	for _, before := range s.After {
-		if v.Done[standin.StepName{Job: j.Spec.ID, Step: before}] < j.Spec.Steps[before].Tasks {
-			return Wait{}, false
-		}
+	left := leftOf(v, j, i)
+	if !isTurn(v, j, i) {
+		return Wait{}, false
 	}
 	needed := roomFactor
 	if s.Gang {
 		needed *= s.Tasks
 	}
-	places := 0
-	for id, free := range v.Free {
-		if w.Approves(name, id) {
-			places += placesAt(free, s)
-		}
-	}
-	return Wait{Step: name, Job: j, Left: left, Places: places}, left > 0 && places >= needed
-}
-
-// placesAt returns how many tasks of a step fit at an upstream with so much free room.
-func placesAt(free cawork.Resources, s caspec.Step) int {
-	n := min(int64(free.CPU)/int64(s.CPU), int64(free.Memory)/int64(s.Memory))
-	if s.MaxPerUpstream > 0 {
-		n = min(n, int64(s.MaxPerUpstream))
-	}
-	return int(max(n, 0))
+	places := w.places(v, j, i)
+	return Wait{Step: standin.StepName{Job: j.Spec.ID, Step: i}, Job: j, Left: left, Places: places}, left > 0 && places >= needed
 }
--- a/internal/soak/caworkload/waits_test.go
+++ b/internal/soak/caworkload/waits_test.go
@@ -93,3 +93,42 @@
 		t.Errorf("waits (-want +got):\n%s", diff)
 	}
 }
+
+// TestStalledJobs checks which jobs count as stalled, and which ones never fit.
+func TestStalledJobs(t *testing.T) {
+	pair := caspec.Step{Tasks: 2, CPU: cawork.Cores(1), Memory: cawork.GiB}
+	gang := func(tasks int) caspec.Step {
+		return caspec.Step{Tasks: tasks, CPU: cawork.Cores(1), Memory: cawork.GiB, Gang: true}
+	}
+	later, large, wide := pair, pair, pair
+	later.After, large.CPU, wide.CPU = []int{0}, cawork.Cores(9), cawork.Cores(8)
+	first := standin.StepName{Job: "j"}
+	for name, c := range map[string]struct {
+		steps         []caspec.Step
+		change        func(v standin.View)
+		stalls, never bool
+	}{
+		"room":                            {steps: []caspec.Step{pair}, stalls: true},
+		"a gang with room once":           {steps: []caspec.Step{gang(5)}, stalls: true},
+		"a gang that never fits":          {steps: []caspec.Step{gang(9)}, never: true},
+		"a task that never fits":          {steps: []caspec.Step{large}, never: true},
+		"a later step that never fits":    {steps: []caspec.Step{pair, large}, stalls: true, never: true},
+		"a step that runs":                {steps: []caspec.Step{pair}, change: func(v standin.View) { v.Running[first] = 1 }},
+		"a step that runs and one beside": {steps: []caspec.Step{pair, pair}, change: func(v standin.View) { v.Running[first] = 1 }, stalls: true},
+		"a step that runs and one later":  {steps: []caspec.Step{pair, later}, change: func(v standin.View) { v.Running[first] = 1 }},
+		"no room now":                     {steps: []caspec.Step{pair}, change: func(v standin.View) { v.Free["first"] = cawork.Resources{} }},
+		"its team at its limit":           {steps: []caspec.Step{wide}, change: func(v standin.View) { v.Used["of-a"] = cawork.Resources{CPU: cawork.Cores(1)} }},
+		"all tasks completed":             {steps: []caspec.Step{pair}, change: func(v standin.View) { v.Done[first] = 2 }, stalls: true},
+	} {
+		v := idleView()
+		if c.change != nil {
+			c.change(v)
+		}
+		w := watchOf()
+		job := Job{Team: w.Workload.Teams[0], Spec: caspec.Submission{ID: "j", Steps: c.steps}}
+		stalls := (&StallWatch{Waits: w}).Observe(time.Time{}, v, []Job{job})
+		if got, never := len(stalls) > 0, w.NeverFits(v, job); got != c.stalls || never != c.never {
+			t.Errorf("%s: stalled is %v, want %v; never fits is %v, want %v", name, got, c.stalls, never, c.never)
+		}
+	}
+}
