--- a/internal/soak/casoak/calls.go
+++ b/internal/soak/casoak/calls.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/soak/caconn"
 	"celeryarch.example/celeryarch/platform"
 )
@@ -54,7 +53,7 @@
 		c.total.Cut++
 	case errors.Is(answer.Err, context.DeadlineExceeded):
 		c.total.Unanswered++
-	case cakind.Of(answer.Err) == cakind.KindUnavailable:
+	case isRefused(answer):
 		c.total.Refused++
 	default:
 		c.total.Unread++
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -70,10 +70,11 @@
 	zones int
 	// registering serializes the writes of registrations.
 	registering sync.Mutex
-	// isPlanned is set if all faults are planned work.
-	isPlanned bool
-	transport *caconn.Transport
-	calls     callCounter
+	// isPlanned is set if all faults are planned work, and isPatient if callers wait for nodes that
+	// refuse connections.
+	isPlanned, isPatient bool
+	transport            *caconn.Transport
+	calls                callCounter
 	// stops are the stops of planned work whose processes have not started again.
 	stops sync.WaitGroup
 }
@@ -101,7 +102,7 @@
 
 // newStandins returns a cell without nodes, the stand-ins of which are not served yet.
 func newStandins(o Options, capacity cawork.Resources) *cell {
-	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1, isPlanned: o.IsPlanned}
+	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1, isPlanned: o.IsPlanned, isPatient: o.IsPatient}
 	c.transport = &caconn.Transport{NewShare: newConnectionShare}
 	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize, upstreamName)
 	c.fleet.SetCapacityBound(capacityBound)
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -53,6 +53,9 @@
 	// IsPlanned means that all faults are planned work, those of NewPlannedPlan: no call may then be
 	// cut. The callers also ask for the phases of accepted jobs all the while.
 	IsPlanned bool
+	// IsPatient means that callers wait for nodes that refuse connections, so that load waits for them when
+	// they are back. Otherwise a refused connection is an attempt as any other.
+	IsPatient bool
 	// Dir is the directory for settings files and logs.
 	Dir string
 	// RunIndex distinguishes concurrent runs; it selects their loopback addresses.
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -61,7 +61,7 @@
 // TestSeedsOfPlannedWork guards against calls that a node cuts as it stops, and against nodes that
 // SIGHUP ends while they start or stop.
 func TestSeedsOfPlannedWork(t *testing.T) {
-	o := casoak.Options{Seed: 5, Duration: 8 * time.Second, Nodes: 6, Upstreams: 6, IsPlanned: true}
+	o := casoak.Options{Seed: 5, Duration: 8 * time.Second, Nodes: 6, Upstreams: 6, IsPlanned: true, IsPatient: true}
 	soaks := make(map[string]casoak.Options, *addedSeeds)
 	for seed := o.Seed; seed < o.Seed+int64(*addedSeeds); seed++ {
 		soaks[strconv.FormatInt(seed, 10)] = o.WithSeed(seed)
@@ -83,6 +83,20 @@
 	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1}))
 }
 
+// TestSeedsWithWaitingLoad guards against jobs that have nothing running while there is room for them,
+// since all the load of a time without nodes comes at once when they are back.
+func TestSeedsWithWaitingLoad(t *testing.T) {
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 4, Upstreams: 12, IsPatient: true}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1}))
+}
+
+// TestSeedsWithWaitingLoadAndSharedAdvisor guards against the same beside an advisor that handles one
+// question of all nodes at a time.
+func TestSeedsWithWaitingLoadAndSharedAdvisor(t *testing.T) {
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 9, Upstreams: 24, IsPatient: true}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1, OneTurn: true}))
+}
+
 // TestSeedsWithSharedAdvisor guards against jobs that have nothing running while there is room for
 // them, since the nodes together ask more than an advisor answers that handles one question of all
 // of them at a time.
--- a/internal/soak/casoak/submitter.go
+++ b/internal/soak/casoak/submitter.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"math/rand"
-	"net/http"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/platform"
@@ -18,6 +18,8 @@
 	responseMargin = time.Second
 	// maxAttempts bounds the attempts to submit or cancel one job.
 	maxAttempts = 4
+	// callerPatience is how long a caller waits for nodes that refuse connections.
+	callerPatience = 30 * time.Second
 	// retryDelay is the minimum delay before a failed call is retried.
 	retryDelay = 400 * time.Millisecond
 	// maxCancelDelay is the longest delay before a cancellation.
@@ -37,26 +39,22 @@
 // the context ends. It reports whether the job was accepted.
 func (c submitter) submit(ctx context.Context, s caspec.Submission) bool {
 	c.outcomes.record(s.ID, outcomeUnknown)
-	mayBeAccepted := false
-	for range maxAttempts {
-		answer := c.callRandomNode(func(ctx context.Context, address string) platform.CallResult {
-			return c.caller.Submit(ctx, address, c.queue, s)
-		})
-		switch {
-		case answer.IsAccepted():
-			c.outcomes.record(s.ID, outcomeAccepted)
-			return true
-		case !answer.IsRejected():
-			mayBeAccepted = true
-		}
-		if c.cell.timer.Pause(ctx, max(retryDelay, answer.RetryAfter)) != nil {
-			break
-		}
+	isAccepted, mayBeAccepted := false, false
+	send := func(ctx context.Context, address string) platform.CallResult {
+		return c.caller.Submit(ctx, address, c.queue, s)
 	}
-	if !mayBeAccepted {
+	c.repeat(ctx, send, func(answer platform.CallResult) bool {
+		isAccepted = answer.IsAccepted()
+		mayBeAccepted = mayBeAccepted || !answer.IsRejected() && !isRefused(answer)
+		return isAccepted
+	})
+	switch {
+	case isAccepted:
+		c.outcomes.record(s.ID, outcomeAccepted)
+	case !mayBeAccepted:
 		c.outcomes.record(s.ID, outcomeRejected)
 	}
-	return false
+	return isAccepted
 }
 
 // cancel cancels an accepted job after a random delay.
@@ -64,22 +62,44 @@
 	time.Sleep(time.Duration(c.random.Int63n(int64(maxCancelDelay))))
 	// Until the cancellation is answered, the job may either complete or be canceled.
 	c.outcomes.record(id, outcomeUnknown)
-	for range maxAttempts {
-		answer := c.callRandomNode(func(ctx context.Context, address string) platform.CallResult {
-			return c.caller.Cancel(ctx, address, c.queue, id)
-		})
+	send := func(ctx context.Context, address string) platform.CallResult {
+		return c.caller.Cancel(ctx, address, c.queue, id)
+	}
+	c.repeat(context.Background(), send, func(answer platform.CallResult) bool {
 		switch {
 		case answer.IsAccepted():
 			c.outcomes.record(id, outcomeCanceled)
-			return
-		case answer.Status == http.StatusGone:
+		case answer.IsGone():
 			c.outcomes.recordViolation("job %s was accepted, but its cancellation was answered with 410 Gone", id)
+		}
+		return answer.IsAccepted() || answer.IsGone()
+	})
+}
+
+// repeat calls random nodes until an answer is final, maxAttempts calls were made, callerPatience has
+// passed or the context ends. For patient callers, refused connections count as no attempt.
+func (c submitter) repeat(ctx context.Context, do call, isFinal func(platform.CallResult) bool) {
+	ctx, cancel := context.WithTimeout(ctx, callerPatience)
+	defer cancel()
+	for made := 0; made < maxAttempts; {
+		answer := c.callRandomNode(do)
+		if isFinal(answer) {
+			return
+		}
+		if !c.cell.isPatient || !isRefused(answer) {
+			made++
+		}
+		if c.cell.timer.Pause(ctx, max(retryDelay, answer.RetryAfter)) != nil {
 			return
 		}
-		time.Sleep(retryDelay)
 	}
 }
 
+// isRefused reports whether a call was not sent, since no connection was opened.
+func isRefused(answer platform.CallResult) bool {
+	return answer.Status == 0 && cakind.Of(answer.Err) == cakind.KindUnavailable
+}
+
 // callRandomNode calls a random node.
 func (c submitter) callRandomNode(do call) platform.CallResult {
 	return c.cell.call(c.cell.nodes[c.random.Intn(len(c.cell.nodes))], c.outcomes, do)
