--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -30,7 +30,7 @@
       --during=TIME          how long load and faults last (20s)
       --nodes=N              entries (5)
       --upstreams=N          upstreams (8)
-      --plain                no deadly jobs, shrinking capacities or series
+      --plain                no added kinds of fault, such as deadly jobs
       --dir=PATH             keep settings and logs in this folder
       --previous=PATH        program of an earlier build, started in turn with
                              this one
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -58,7 +58,7 @@
 		IsPlanned: o.Planned, IsPatient: true,
 	}
 	if !o.Plain {
-		options.Added = casoak.DrawAdded(seed)
+		options.Added = addedFaults(o, seed)
 	}
 	if o.Previous != "" {
 		options.Previous = []string{o.Previous}
@@ -86,6 +86,14 @@
 	return text + fmt.Sprintf("  logs: %s\n", dir), cakind.Wrap(cakind.Of(err), err, "seed %d", seed)
 }
 
+// addedFaults returns the added kinds of fault of a seed.
+func addedFaults(o caoption.Soak, seed int64) []casoak.FaultKind {
+	if o.Load != "" {
+		return casoak.DrawAddedWork(seed)
+	}
+	return casoak.DrawAdded(seed)
+}
+
 // readWorkload reads the workload of a soak. Without a path it returns nil.
 func readWorkload(path string) (*caworkload.Workload, error) {
 	if path == "" {
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophangup"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drain"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophangup"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drain"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -45,9 +45,12 @@
 	_ = x[FaultSurge-(18)]
 	_ = x[FaultStop-(19)]
 	_ = x[FaultHangup-(20)]
+	_ = x[FaultPowerLossAfterSubmit-(21)]
+	_ = x[FaultPowerLossAfterCancel-(22)]
+	_ = x[FaultKillInDrain-(23)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -71,6 +74,9 @@
 	_FaultKindName[157:162]: FaultSurge,
 	_FaultKindName[162:166]: FaultStop,
 	_FaultKindName[166:172]: FaultHangup,
+	_FaultKindName[172:195]: FaultPowerLossAfterSubmit,
+	_FaultKindName[195:218]: FaultPowerLossAfterCancel,
+	_FaultKindName[218:231]: FaultKillInDrain,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -95,6 +101,9 @@
 	_FaultKindLowerName[157:162]: FaultSurge,
 	_FaultKindLowerName[162:166]: FaultStop,
 	_FaultKindLowerName[166:172]: FaultHangup,
+	_FaultKindLowerName[172:195]: FaultPowerLossAfterSubmit,
+	_FaultKindLowerName[195:218]: FaultPowerLossAfterCancel,
+	_FaultKindLowerName[218:231]: FaultKillInDrain,
 }
 
 var _FaultKindNames = []string{
@@ -119,6 +128,9 @@
 	_FaultKindName[157:162],
 	_FaultKindName[162:166],
 	_FaultKindName[166:172],
+	_FaultKindName[172:195],
+	_FaultKindName[195:218],
+	_FaultKindName[218:231],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -61,6 +61,12 @@
 	FaultStop
 	// FaultHangup sends SIGHUP to a node.
 	FaultHangup
+	// FaultPowerLossAfterSubmit and FaultPowerLossAfterCancel are FaultPowerLoss soon after the next
+	// submission, or cancellation, has been acknowledged.
+	FaultPowerLossAfterSubmit
+	FaultPowerLossAfterCancel
+	// FaultKillInDrain sends SIGTERM to a node and SIGKILL while it drains.
+	FaultKillInDrain
 )
 
 const (
@@ -79,8 +85,10 @@
 	// without the value for no fault.
 	linkFaultCount  = int(LinkSilent)
 	storeFaultCount = 4
-	// meanAddedInterval is the mean time between two faults of an added kind.
-	meanAddedInterval = 3 * time.Second
+	// meanAddedInterval is the mean time between two faults of an added kind, and meanPowerLossInterval
+	// that between two losses of power of a kind.
+	meanAddedInterval     = 3 * time.Second
+	meanPowerLossInterval = 10 * time.Second
 	// addedWayCount is the number of ways of the added kinds.
 	addedWayCount = 3
 	// addedSource separates the source of the added kinds from that of the others.
@@ -129,7 +137,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
 		}
 		plan = append(plan, f)
 	}
@@ -141,7 +149,7 @@
 func DrawAdded(seed int64) []FaultKind {
 	random := rand.New(rand.NewSource(seed - addedSource))
 	var kinds []FaultKind
-	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry} {
+	for _, kind := range slices.Concat([]FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry}, stopFaults) {
 		if random.Float64() < addedShare {
 			kinds = append(kinds, kind)
 		}
@@ -149,13 +157,26 @@
 	return kinds
 }
 
+// DrawAddedWork is DrawAdded for runs with a workload.
+func DrawAddedWork(seed int64) []FaultKind {
+	return slices.DeleteFunc(DrawAdded(seed), func(kind FaultKind) bool { return !slices.Contains(stopFaults, kind) })
+}
+
+// meanInterval returns the mean time between two faults of an added kind.
+func (k FaultKind) meanInterval() time.Duration {
+	if k == FaultPowerLossAfterSubmit || k == FaultPowerLossAfterCancel {
+		return meanPowerLossInterval
+	}
+	return meanAddedInterval
+}
+
 // WithAddedFaults returns the plan with faults of further kinds. They are drawn from a
 // source of their own, so that the other faults of a seed stay as they are.
 func WithAddedFaults(plan []Fault, seed int64, during time.Duration, upstreams int, kinds []FaultKind) []Fault {
 	for _, kind := range kinds {
 		random := rand.New(rand.NewSource(seed + addedSource*int64(kind)))
 		for at := time.Duration(0); ; {
-			at += time.Duration(random.ExpFloat64() * float64(meanAddedInterval))
+			at += time.Duration(random.ExpFloat64() * float64(kind.meanInterval()))
 			if at >= during {
 				break
 			}
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -13,7 +13,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/platform/standin"
 )
 
 func TestPlanIsDeterministic(t *testing.T) {
@@ -83,6 +86,43 @@
 	}
 }
 
+// TestPowerLossComesAtAnyTime guards against losses of power that do not wait for an acknowledgement, and
+// against runs with a workload that have none of them.
+func TestPowerLossComesAtAnyTime(t *testing.T) {
+	c := &cell{timer: catimer.NewService(), fleet: standin.NewFleet(1, cawork.Resources{}, cawork.Resources{}, upstreamName), acknowledged: newAcknowledgements()}
+	f := Fault{Kind: FaultPowerLossAfterCancel, Way: 1, For: time.Hour}
+	isDown := make(chan struct{})
+	go func() {
+		defer close(isDown)
+		if err := c.applyStopFault(t.Context(), faultEvent{fault: f, begins: true}, nil); err != nil {
+			t.Error(err)
+		}
+	}()
+	notify(c.acknowledged.submitted)
+	select {
+	case <-isDown:
+		t.Error("the power is lost after the acknowledgement of a submission")
+	case <-time.After(100 * time.Millisecond):
+	}
+	if diff := cmp.Diff(1, len(c.fleet.View().Free)); diff != "" {
+		t.Errorf("upstreams before the acknowledgement (-want +got):\n%s", diff)
+	}
+	notify(c.acknowledged.canceled)
+	<-isDown
+	if diff := cmp.Diff(0, len(c.fleet.View().Free)); diff != "" {
+		t.Errorf("upstreams after the acknowledgement (-want +got):\n%s", diff)
+	}
+	kinds := make(map[FaultKind]bool)
+	for seed := range int64(20) {
+		for _, kind := range DrawAddedWork(seed) {
+			kinds[kind] = true
+		}
+	}
+	if diff := cmp.Diff(len(stopFaults), len(kinds)); diff != "" {
+		t.Errorf("kinds of fault added to runs with a workload (-want +got):\n%s%v", diff, kinds)
+	}
+}
+
 // TestPlannedWorkHasAllSteps guards against plans of planned work with another kind of fault, and
 // against plans that lack a signal to a node that stops or has just started.
 func TestPlannedWorkHasAllSteps(t *testing.T) {
@@ -183,7 +223,7 @@
 			works[fmt.Sprintf("%d steps, gang %v, long-running %v, timed %v", len(s.Steps), s.Steps[0].Gang, s.Steps[0].LongRunning, s.Schedule.IsTimed())] = true
 		}
 	}
-	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry} {
+	for _, kind := range append([]FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry}, stopFaults...) {
 		if plans[kind] < seeds/2 {
 			t.Errorf("%d of %d plans have %v, want half at least", plans[kind], seeds, kind)
 		}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -46,7 +46,7 @@
 	// turn, the nodes with odd numbers the earlier one first.
 	Previous []string
 	// Added are the kinds of fault that the plan has beside those of NewPlan. Runs by hand
-	// have those of DrawAdded.
+	// have those of DrawAdded, or of DrawAddedWork.
 	Added []FaultKind
 	// Workload replaces the small jobs of the soak, and NewWorkPlan its plan, if set.
 	Workload *caworkload.Workload
@@ -82,14 +82,14 @@
 
 // plan returns the faults of the run.
 func (o Options) plan() []Fault {
-	switch {
-	case o.IsPlanned:
+	if o.IsPlanned {
 		return NewPlannedPlan(o.Seed, o.Duration, o.Nodes)
-	case o.Workload != nil:
-		return NewWorkPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
-	default:
-		return WithAddedFaults(NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams), o.Seed, o.Duration, o.Upstreams, o.Added)
 	}
+	plan := NewPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
+	if o.Workload != nil {
+		plan = NewWorkPlan(o.Seed, o.Duration, o.Nodes, o.Upstreams)
+	}
+	return WithAddedFaults(plan, o.Seed, o.Duration, o.Upstreams, o.Added)
 }
 
 // Report is the result of a soak run.
@@ -287,6 +287,8 @@
 		return c.applyWorkEvent(ctx, e)
 	case FaultStop, FaultHangup:
 		c.applyPlanned(e, l)
+	case FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
+		return c.applyStopFault(ctx, e, l)
 	}
 	return nil
 }
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -69,6 +69,20 @@
 	runSoaks(t, soaks)
 }
 
+// TestSeedsWithPowerLossAfterAcknowledgement guards against work that is lost, or canceled work that goes
+// on, since the power is lost soon after the acknowledgement, and against calls that are lost with a node that is
+// killed while it drains.
+func TestSeedsWithPowerLossAfterAcknowledgement(t *testing.T) {
+	for kind, seed := range map[casoak.FaultKind]int64{
+		casoak.FaultPowerLossAfterSubmit: 505, casoak.FaultPowerLossAfterCancel: 503, casoak.FaultKillInDrain: 501,
+	} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			runSoaks(t, addedSoaks(seed, kind))
+		})
+	}
+}
+
 const (
 	// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
 	gangLoad = "testdata/gangs.jsonc"
--- a/internal/soak/casoak/submitter.go
+++ b/internal/soak/casoak/submitter.go
@@ -51,6 +51,7 @@
 	switch {
 	case isAccepted:
 		c.outcomes.record(s.ID, outcomeAccepted)
+		notify(c.cell.acknowledged.submitted)
 	case !mayBeAccepted:
 		c.outcomes.record(s.ID, outcomeRejected)
 	}
@@ -69,6 +70,7 @@
 		switch {
 		case answer.IsAccepted():
 			c.outcomes.record(id, outcomeCanceled)
+			notify(c.cell.acknowledged.canceled)
 		case answer.IsGone():
 			c.outcomes.recordViolation("job %s was accepted, but its cancellation was answered with 410 Gone", id)
 		}
