--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -30,12 +30,15 @@
       --during=TIME          how long load and faults last (20s)
       --nodes=N              entries (5)
       --upstreams=N          upstreams (8)
-      --plain                no deadly jobs, shrinking capacities or series
+      --plain                no added kinds of fault, such as deadly jobs
       --dir=PATH             keep settings and logs in this folder
       --previous=PATH        program of an earlier build, started in turn with
                              this one
       --load=PATH            workload in JSON with comments in place of the
                              small jobs of the soak
+      --planned              planned work only (stops, SIGHUP, configurations),
+                             beside which no call may be cut
+      --program=PATH         program of the entries (this one)
   standin log                run a stand-in of the log service
       --listen=ADDRESS       listen here; required
       --retention=TIME       keep records for this time (1h)
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -4,13 +4,19 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/platform/standin"
 )
 
 func TestPlanIsDeterministic(t *testing.T) {
@@ -80,6 +86,92 @@
 	}
 }
 
+// TestPowerLossComesAtAnyTime guards against losses of power that do not wait for an acknowledgement, and
+// against runs with a workload that have none of them.
+func TestPowerLossComesAtAnyTime(t *testing.T) {
+	c := &cell{timer: catimer.NewService(), fleet: standin.NewFleet(1, cawork.Resources{}, cawork.Resources{}, upstreamName), acknowledged: newAcknowledgements()}
+	f := Fault{Kind: FaultPowerLossAfterCancel, Way: 1, For: time.Hour}
+	isDown := make(chan struct{})
+	go func() {
+		defer close(isDown)
+		if err := c.applyStopFault(t.Context(), faultEvent{fault: f, begins: true}, nil); err != nil {
+			t.Error(err)
+		}
+	}()
+	notify(c.acknowledged.submitted)
+	select {
+	case <-isDown:
+		t.Error("the power is lost after the acknowledgement of a submission")
+	case <-time.After(100 * time.Millisecond):
+	}
+	if diff := cmp.Diff(1, len(c.fleet.View().Free)); diff != "" {
+		t.Errorf("upstreams before the acknowledgement (-want +got):\n%s", diff)
+	}
+	notify(c.acknowledged.canceled)
+	<-isDown
+	if diff := cmp.Diff(0, len(c.fleet.View().Free)); diff != "" {
+		t.Errorf("upstreams after the acknowledgement (-want +got):\n%s", diff)
+	}
+	kinds := make(map[FaultKind]bool)
+	for seed := range int64(20) {
+		for _, kind := range DrawAddedWork(seed) {
+			kinds[kind] = true
+		}
+	}
+	if diff := cmp.Diff(len(stopFaults), len(kinds)); diff != "" {
+		t.Errorf("kinds of fault added to runs with a workload (-want +got):\n%s%v", diff, kinds)
+	}
+}
+
+// TestPlannedWorkHasAllSteps guards against plans of planned work with another kind of fault, and
+// against plans that lack a signal to a node that stops or has just started.
+func TestPlannedWorkHasAllSteps(t *testing.T) {
+	const nodes = 9
+	if diff := cmp.Diff(NewPlannedPlan(7, time.Minute, nodes), NewPlannedPlan(7, time.Minute, nodes)); diff != "" {
+		t.Errorf("plans of one seed (-first +second):\n%s", diff)
+	}
+	found := make(map[string]bool)
+	for _, f := range NewPlannedPlan(7, 2*time.Minute, nodes) {
+		found[f.Kind.String()] = true
+		for _, stop := range NewPlannedPlan(7, 2*time.Minute, nodes) {
+			if stop.Kind != FaultStop || f.Kind == FaultConfigure || stop.Target != f.Target || stop == f {
+				continue
+			}
+			after := f.At - stop.At
+			if after > 0 && after < minStopDuration {
+				found[f.Kind.String()+" during a stop"] = true
+			}
+			if after -= stop.For; after > 0 && after < signalAfterStart {
+				found[f.Kind.String()+" after a start"] = true
+			}
+		}
+	}
+	want := map[string]bool{
+		"configure": true, "hangup": true, "hangup during a stop": true, "hangup after a start": true,
+		"stop": true, "stop during a stop": true, "stop after a start": true,
+	}
+	if diff := cmp.Diff(want, found); diff != "" {
+		t.Errorf("steps of two minutes (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnansweredCallOfDrainIsMissed guards against a drain after which a node counts calls without an
+// answer, and which the soak does not report.
+func TestUnansweredCallOfDrainIsMissed(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "node.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for unanswered := range 2 {
+		fmt.Fprintf(log, "{\"event\":%d,\"unanswered\":%d}\ninit os @1 ms\n", caevent.CallersDrained, unanswered)
+	}
+	l := newOutcomeLog()
+	(&cell{isPlanned: true}).checkDrains(&node{name: "node", logFile: log}, l)
+	if diff := cmp.Diff(1, len(l.violationList())); diff != "" {
+		t.Errorf("violations (-want +got):\n%s%v", diff, l.violationList())
+	}
+}
+
 func TestOutcomeMismatchOfDeadlyJobs(t *testing.T) {
 	for name, c := range map[string]struct {
 		outcome    outcome
@@ -131,7 +223,7 @@
 			works[fmt.Sprintf("%d steps, gang %v, long-running %v, timed %v", len(s.Steps), s.Steps[0].Gang, s.Steps[0].LongRunning, s.Schedule.IsTimed())] = true
 		}
 	}
-	for _, kind := range []FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry} {
+	for _, kind := range append([]FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry}, stopFaults...) {
 		if plans[kind] < seeds/2 {
 			t.Errorf("%d of %d plans have %v, want half at least", plans[kind], seeds, kind)
 		}
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -58,6 +58,31 @@
 	runSoaks(t, addedSoaks(7, casoak.FaultOddEntry))
 }
 
+// TestSeedsOfPlannedWork guards against calls that a node cuts as it stops, and against nodes that
+// SIGHUP ends while they start or stop.
+func TestSeedsOfPlannedWork(t *testing.T) {
+	o := casoak.Options{Seed: 5, Duration: 8 * time.Second, Nodes: 6, Upstreams: 6, IsPlanned: true, IsPatient: true}
+	soaks := make(map[string]casoak.Options, *addedSeeds)
+	for seed := o.Seed; seed < o.Seed+int64(*addedSeeds); seed++ {
+		soaks[strconv.FormatInt(seed, 10)] = o.WithSeed(seed)
+	}
+	runSoaks(t, soaks)
+}
+
+// TestSeedsWithPowerLossAfterAcknowledgement guards against work that is lost, or canceled work that goes
+// on, since the power is lost soon after the acknowledgement, and against calls that are lost with a node that is
+// killed while it drains.
+func TestSeedsWithPowerLossAfterAcknowledgement(t *testing.T) {
+	for kind, seed := range map[casoak.FaultKind]int64{
+		casoak.FaultPowerLossAfterSubmit: 505, casoak.FaultPowerLossAfterCancel: 503, casoak.FaultKillInDrain: 501,
+	} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			runSoaks(t, addedSoaks(seed, kind))
+		})
+	}
+}
+
 const (
 	// gangLoad is a workload of gangs and an advisor that takes its time, for few upstreams.
 	gangLoad = "testdata/gangs.jsonc"
@@ -72,6 +97,20 @@
 	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1}))
 }
 
+// TestSeedsWithWaitingLoad guards against jobs that have nothing running while there is room for them,
+// since all the load of a time without nodes comes at once when they are back.
+func TestSeedsWithWaitingLoad(t *testing.T) {
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 4, Upstreams: 12, IsPatient: true}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1}))
+}
+
+// TestSeedsWithWaitingLoadAndSharedAdvisor guards against the same beside an advisor that handles one
+// question of all nodes at a time.
+func TestSeedsWithWaitingLoadAndSharedAdvisor(t *testing.T) {
+	o := casoak.Options{Seed: 1, Duration: 8 * time.Second, Nodes: 9, Upstreams: 24, IsPatient: true}
+	runSoaks(t, workSoaks(t, gangLoad, o, caworkload.Advisor{CostFactor: 1, OneTurn: true}))
+}
+
 // TestSeedsWithSharedAdvisor guards against jobs that have nothing running while there is room for
 // them, since the nodes together ask more than an advisor answers that handles one question of all
 // of them at a time.
