Leader: an append to a slow store counts when it is answered late

Cause: a fixed time for what was observed. Each append was given up after 0.9 s and its answer thrown away. The retry met a conflict, which came late as well and was thrown away too, and so without end.

Why it works: an append that is overdue is repeated, but the earlier attempt goes on for up to 5 s, and the first answer counts. The log stores one of them at most, since all name the same end of the log, and a conflict is resolved by reading the claim, as before. The time until the repetition follows the last answers (twice the longest one, each older one counting for a quarter less; 0.9 s as before where they were quick, 2 s at most), so that a slow store gets no second call for each append. The logic is a package, calatency, for other calls that need it.

A store that is silent is noticed as before: the append counts as failing when it is overdue, after 0.9 s, or 2 s at most after slow answers, and the others look at the log itself anyway. TestSilentStoreIsNoticedAfterSlowAnswers and TestLostAnswerOfAppendIsSoonReplaced hold this. Answers to submissions do not wait for it: they are refused by storeSuspectTime, or end with their callers' deadlines, which are unchanged.

--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -137,7 +137,7 @@
 // AcquireClaim claims the shard if its log still ends at the offset. An error of
 // KindFenced means that it does not, and KindUnknown that the claim may be stored.
 func AcquireClaim(ctx context.Context, log Log, c Claim, at int64, pause Pause) (token, end int64, err error) {
-	w := writer{log: log, claim: c, end: at, pause: pause}
+	w := newWriter(log, c, at, pause)
 	if _, err := w.append(ctx, nil); err != nil {
 		return 0, 0, err
 	}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -177,7 +177,10 @@
 		proxies: caapproval.New(),
 	}
 	l.mu.now = deps.Timer.Now
-	l.writer = writer{log: deps.Store, claim: c, end: end, pause: deps.Timer.Pause, onAttempt: l.recordAppendAttempt, recordBytes: deps.RecordBytes}
+	l.writer = newWriter(deps.Store, c, end, deps.Timer.Pause)
+	l.writer.onAttempt, l.writer.recordBytes = l.recordAppendAttempt, deps.RecordBytes
+	l.lastAppendTook = c.AppendTook
+	l.appendTook.Store(int64(c.AppendTook))
 	now := l.now()
 	l.lastAppend.store(now.Monotonic)
 	l.planner = caboard.New(deps.Log, deps.Seed, now, now.Monotonic.Add(c.longestLease()))
--- a/internal/cell/caleader/refusedrecord_test.go
+++ b/internal/cell/caleader/refusedrecord_test.go
@@ -85,7 +85,8 @@
 				}
 			}
 			log := &boundedLog{bound: bound, refusesAll: c.refusesAll}
-			w := writer{log: log, pause: func(context.Context, time.Duration) error { return nil }, recordBytes: c.known}
+			w := newWriter(log, Claim{}, 0, func(context.Context, time.Duration) error { return nil })
+			w.recordBytes = c.known
 			refused, err := w.append(t.Context(), batch)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/cell/caleader/writer.go
+++ b/internal/cell/caleader/writer.go
@@ -6,31 +6,48 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/calatency"
 )
 
 const (
-	// appendTimeout bounds one call that appends to the log.
-	appendTimeout = 900 * time.Millisecond
+	// A call of the log is repeated if it is not answered within minAppendTimeout, or longer if the
+	// last answers took long, up to maxAppendTimeout. Its answer counts for appendLifetime.
+	minAppendTimeout = 900 * time.Millisecond
+	maxAppendTimeout = 2 * time.Second
+	appendLifetime   = 5 * time.Second
 	// appendRetry is the delay before an append is retried.
 	appendRetry = 60 * time.Millisecond
 	// maxAppendBytes bounds the keys and values of one append.
 	maxAppendBytes = 1 << 20
 )
 
+// errAppendOverdue is the error of an append that is not answered yet.
+var errAppendOverdue = cakind.New(cakind.KindUnknown, "the store has not answered an append yet")
+
 // writer appends records to the log of a shard, in order and each exactly once.
 type writer struct {
 	log   Log
 	claim Claim
 	end   int64
+	// latency is that of the calls of the log.
+	latency *calatency.Peak
 	// pause waits between attempts.
 	pause Pause
-	// onAttempt is called with the error of each attempt. It may be nil.
+	// onAttempt is called with the error of each attempt, and with errAppendOverdue when one is
+	// overdue.
 	onAttempt func(err error)
 	// recordBytes is how large an entry may be, with one byte for the length of its key. Zero means no
 	// bound.
 	recordBytes int
 }
 
+// newWriter returns a writer that appends records of the claim after the offset end.
+func newWriter(log Log, c Claim, end int64, pause Pause) writer {
+	latency := calatency.NewPeak(calatency.Bounds{Min: minAppendTimeout, Max: maxAppendTimeout})
+	latency.Observe(c.AppendTook)
+	return writer{log: log, claim: c, end: end, pause: pause, latency: latency, onAttempt: func(error) {}}
+}
+
 // append appends the entries, in chunks if they are large, each after a record of
 // the claim. It retries until the outcome is known. It returns the entries that the store
 // refuses, however often it gets them: only these are not appended. KindFenced means that
@@ -146,12 +163,12 @@
 }
 
 func (w *writer) attempt(ctx context.Context, all []LogEntry) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	end, err := w.log.Append(ctx, w.end, all)
-	if w.onAttempt != nil {
-		w.onAttempt(err)
-	}
+	at := w.end
+	onOverdue := func() { w.onAttempt(errAppendOverdue) }
+	end, err := calatency.Hedge(ctx, w.latency, appendLifetime, onOverdue, func(ctx context.Context) (int64, error) {
+		return w.log.Append(ctx, at, all)
+	})
+	w.onAttempt(err)
 	return end, err
 }
 
@@ -175,16 +192,10 @@
 	}
 }
 
-func (w *writer) newestClaim(ctx context.Context) (LogEntry, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	return newestClaim(ctx, w.log)
-}
-
-// newestClaim returns the newest record of a claim and the end of the log. The
-// record is zero if the shard was never claimed.
-func newestClaim(ctx context.Context, log Log) (LogEntry, int64, error) {
-	page, err := log.Newest(ctx, beforeLayoutKey)
+func (w *writer) newestClaim(ctx context.Context) (newest LogEntry, end int64, err error) {
+	page, err := calatency.Hedge(ctx, w.latency, appendLifetime, func() {}, func(ctx context.Context) (Page, error) {
+		return w.log.Newest(ctx, beforeLayoutKey)
+	})
 	if err != nil {
 		return LogEntry{}, 0, err
 	}
