Election: an entry that awaits the answer to its claim is not taken for one that has lost it

What callers see: where the store answers appends after 1.2 s, no submission is accepted: 0 of 101 (97 refused, 4 without an outcome), with a new leader each 0.7 s.

Cause: (a) the fixed second for which a claim that others have read may lack its answer. (b) An entry that read of its own claim from others before the store answered it told its peers that it does not lead, as one that was deposed does, and the next one claimed the shard at once; so without end. (b) needs no slow store, only an answer that is later than the others' reads.

Evidence: TestSlowStoreKeepsItsLeader (answers to appends 0.8, 1.2 and 1.7 s late, direct and relayed) failed before for 1.2 and 1.7 s, 4 of 4 cases: 14 and 13 claims in 10 s and no job accepted. A trace showed verdict "gone" 290 to 760 ms after the claim was read, from entries that had learned of their own claim. The answers of the test's log end with the call now (they came after the end of its context before): a stricter stand-in.

Why it works: until the claim is answered, the entry does not record itself as the leader, so that it answers as one that does not lead yet. How long it may do so follows the observed duration of appends, 1 s as before where they are quick, 2 s at most, the timeout of a claim. A claim's duration also is the leader's first estimate for its appends, so that it does not suspect a store that is known to be slow.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -242,8 +242,12 @@
 	if err == nil && isFirstOfLeader(entries[0]) {
 		l.cell.claims.Add(1)
 	}
-	time.Sleep(time.Duration(l.cell.answerDelay.Load()))
-	return end, err
+	select {
+	case <-time.After(time.Duration(l.cell.answerDelay.Load())):
+		return end, err
+	case <-ctx.Done():
+		return 0, cakind.Wrap(cakind.KindUnknown, ctx.Err(), "no response")
+	}
 }
 
 // isFirstOfLeader reports whether a record is the claim by which a leader takes a shard.
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -62,9 +62,7 @@
 		Process: g.Nonce, Taken: found.Claim.Token != 0 && !found.Claim.Released, GrantsNone: true, Granter: &granter,
 	}
 	l.applyRemainingLeases(&c, found.Claim)
-	claimCtx, cancel := context.WithTimeout(ctx, 2*claimReadTimeout)
-	defer cancel()
-	token, newEnd, err := caleader.AcquireClaim(claimCtx, g.ShardLog(l.shard), c, found.End, g.Timer.Pause)
+	token, newEnd, err := l.acquireClaim(ctx, &c, found.End)
 	if err != nil {
 		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", found.End).
 			Str("leader_before", string(previous.VM)).Err(err).Send()
@@ -78,6 +76,28 @@
 	return true
 }
 
+// acquireClaim stores the claim if the log ends at the offset, and sets how long that took. The caller
+// must start to lead if there is no error.
+func (l *link) acquireClaim(ctx context.Context, c *caleader.Claim, at int64) (token, end int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, maxClaimAnswerTime)
+	defer cancel()
+	l.setClaiming(true)
+	began := l.gate.Timer.Now()
+	token, end, err = caleader.AcquireClaim(ctx, l.gate.ShardLog(l.shard), *c, at, l.gate.Timer.Pause)
+	c.AppendTook = l.gate.Timer.Now().Sub(began)
+	l.appendLatency.Observe(c.AppendTook)
+	if err != nil {
+		l.setClaiming(false)
+	}
+	return token, end, err
+}
+
+func (l *link) setClaiming(claiming bool) {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	l.claiming = claiming
+}
+
 // observeClaim records the leases in a claim that was read now.
 func (l *link) observeClaim(c caleader.Claim) {
 	now := l.gate.Timer.Now()
@@ -107,6 +127,7 @@
 	}, c, token, end)
 	leader.ObserveProcess(g.Self.VM, g.Self.Address, g.Nonce)
 	g.mu.Lock()
+	l.claiming = false
 	l.observeLeader(leaderID{VM: g.Self.VM, Address: g.Self.Address, Token: token})
 	leader.SetDrains(g.drainView())
 	l.localLeader = leader
@@ -119,6 +140,7 @@
 		err := leader.Run(ctx)
 		cancel()
 		<-relay.Done()
+		l.appendLatency.Observe(leader.LastAppendTook())
 		caevent.Warn(g.Log, caevent.ShardDeposed).Int("shard", l.shard).Int64("token", token).Err(err).Send()
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -51,9 +51,11 @@
 	// staleAppendAge is the age of a leader's last append beyond which the other entries
 	// suspect it and read the store themselves.
 	staleAppendAge = 700 * time.Millisecond
-	// claimAnswerTime is how long after a claim was first read its entry may lack the store's answer
-	// and therefore not lead yet.
-	claimAnswerTime = time.Second
+	// minClaimAnswerTime is how long after a claim was first read its entry may lack the store's answer
+	// and therefore not lead yet. Where appends take long it may lack it for longer, up to
+	// maxClaimAnswerTime, the timeout of a claim.
+	minClaimAnswerTime = time.Second
+	maxClaimAnswerTime = 2 * claimReadTimeout
 )
 
 // errNotLeading means that the entry recorded as the leader answered that it does not lead.
@@ -130,7 +132,7 @@
 			return livenessSuspected
 		}
 		return livenessAlive
-	case errors.Is(err, errClaimUnanswered) && l.gate.Timer.Now().Sub(status.observedAt) < claimAnswerTime:
+	case errors.Is(err, errClaimUnanswered) && l.gate.Timer.Now().Sub(status.observedAt) < l.appendLatency.Timeout():
 		*misses = 0
 		return livenessAlive
 	case errors.Is(err, errNotLeading), errors.Is(err, errClaimUnanswered), errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -7,6 +7,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
@@ -41,6 +42,8 @@
 	checkNow chan struct{}
 	// localLeader is nil unless this entry leads the shard.
 	localLeader *caleader.Leader
+	// claiming is set from a claim of the shard by this entry until it leads or the claim has failed.
+	claiming bool
 	// leadingSince is when this entry last started to lead the shard.
 	leadingSince time.Time
 	// handedOverAt is when this entry last handed the shard over to a strong entry.
@@ -54,6 +57,9 @@
 	// granter is what these claims state of the last leader that may have granted leases. Only run
 	// uses it.
 	granter caleader.GranterSighting
+	// appendLatency is that of the appends to the log by the entries that lead or claim the shard. Its
+	// timeout is how long a claim may be without an answer.
+	appendLatency *calatency.Peak
 }
 
 // leaderStatus is the last observed leader and its state as far as this entry knows.
@@ -84,7 +90,8 @@
 func newLink(g *Gate, shard int) *link {
 	return &link{
 		gate: g, shard: shard, leaderChanged: make(chan struct{}), checkNow: make(chan struct{}, 1),
-		status: leaderStatus{lost: make(chan struct{})},
+		status:        leaderStatus{lost: make(chan struct{})},
+		appendLatency: calatency.NewPeak(calatency.Bounds{Min: minClaimAnswerTime, Max: maxClaimAnswerTime}),
 	}
 }
 
@@ -122,6 +129,7 @@
 	l.setIsolatedLocked(false)
 	l.status.lastReplyAt = l.gate.Timer.Now()
 	l.status.lastAppendAge, l.status.lastAppendTook = reply.LastAppendAge, reply.LastAppendTook
+	l.appendLatency.Observe(reply.LastAppendTook)
 	l.status.nextHelloIn = reply.NextHelloIn
 	l.status.helloLatency = (l.status.helloLatency + latency) / 2
 	l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
@@ -151,9 +159,10 @@
 }
 
 // observeLeader records an entry as the leader if its token is newer than the recorded
-// one. The caller must hold Gate.mu.
+// one. Other entries may read a claim of this one before it is answered: it does not lead yet, and must
+// not answer that it does not lead any more. The caller must hold Gate.mu.
 func (l *link) observeLeader(id leaderID) {
-	if id.Token <= l.status.Token {
+	if id.Token <= l.status.Token || l.claiming && id.VM == l.gate.Self.VM {
 		return
 	}
 	caevent.Info(l.gate.Log, caevent.MemberChanged).Int("shard", l.shard).Str("leader", string(id.VM)).
