Leader: a stop waits as long as stops take

Cause: a fixed time for what was observed. A stop was given up after 0.6 s, and its answer thrown away. The end of a run that an upstream never began is proven only by the answer to a stop and a report requested after it, so that the task kept its place, and the stop was repeated without end.

Why it works: the timeout of a stop is twice the latency that three of four stops do not exceed, 0.6 s as before where they are quick, 3 s at most. The repeated stops of silent upstreams (ten a second each) neither count nor wait longer, so that an upstream that is gone does not make others wait. Starts had this logic for themselves; it is calatency.Quantile now, with the same figures, and the tests of startLatency are the same but for its constructor.

--- a/internal/base/calatency/latency_test.go
+++ b/internal/base/calatency/latency_test.go
@@ -14,6 +14,38 @@
 // testBounds are the bounds of the timeouts in tests.
 var testBounds = Bounds{Min: 500 * time.Millisecond, Max: 2 * time.Second}
 
+// TestCallsToSlowPeersAreAwaited guards against a timeout that stays below the latency of all peers.
+func TestCallsToSlowPeersAreAwaited(t *testing.T) {
+	q := NewQuantile(testBounds)
+	for range 30 {
+		q.Observe(min(900*time.Millisecond, q.Timeout()))
+	}
+	if got := q.Timeout(); got <= 900*time.Millisecond {
+		t.Errorf("timeout %v where all calls take 900 ms", got)
+	}
+	for range 200 {
+		q.Observe(5 * time.Millisecond)
+	}
+	if diff := cmp.Diff(testBounds.Min, q.Timeout()); diff != "" {
+		t.Errorf("timeout once they are fast again (-want +got):\n%s", diff)
+	}
+}
+
+// TestLostAnswersKeepTimeoutShort covers peers of which a fifth leave calls unanswered.
+func TestLostAnswersKeepTimeoutShort(t *testing.T) {
+	q := NewQuantile(testBounds)
+	for i := range 1000 {
+		took := 5 * time.Millisecond
+		if i%5 == 0 {
+			took = q.Timeout()
+		}
+		q.Observe(took)
+	}
+	if diff := cmp.Diff(testBounds.Min, q.Timeout()); diff != "" {
+		t.Errorf("timeout (-want +got):\n%s", diff)
+	}
+}
+
 // TestPeakTimeoutFollowsLastAnswers replays answers that get slow and fast again.
 func TestPeakTimeoutFollowsLastAnswers(t *testing.T) {
 	p := NewPeak(testBounds)
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -61,6 +61,8 @@
 	Upstream cawork.UpstreamID `cbor:"2,keyasint,omitempty"`
 	Address  string            `cbor:"3,keyasint,omitempty"`
 	Born     int64             `cbor:"4,keyasint,omitempty"`
+	// ToSilent is set if the upstream does not answer. The stop is repeated until it does.
+	ToSilent bool `cbor:"-"`
 }
 
 // ApprovalRequest asks the advisor which of the upstreams may run the step.
--- a/internal/cell/cagate/slowanswers_test.go
+++ b/internal/cell/cagate/slowanswers_test.go
@@ -71,3 +71,30 @@
 		}
 	})
 }
+
+// TestLostStartsAreReplacedWhileStopsAreSlow guards against stops that are given up after a fixed time
+// though all upstreams carry them out and answer later: they were repeated without end, and tasks whose
+// starts were lost had nothing running beside free upstreams.
+func TestLostStartsAreReplacedWhileStopsAreSlow(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+				c.fleet.SetStopDelay(func(cawork.UpstreamID) time.Duration { return delay })
+				c.fleet.SetLateness(func(id caboard.RunID) (time.Duration, bool) {
+					return time.Hour, id.Number == 1 && id.Index == 0
+				})
+				c.load(10 * time.Second)
+				c.callers.Wait()
+				time.Sleep(5 * time.Second)
+				if diff := cmp.Diff([]cawork.JobID(nil), c.openJobs()); diff != "" {
+					t.Errorf("jobs that are still open 5 s after the load (-want +got):\n%s", diff)
+				}
+				before := c.fleet.Stops()
+				time.Sleep(5 * time.Second)
+				if diff := cmp.Diff(before, c.fleet.Stops()); diff != "" {
+					t.Errorf("stops from 5 to 10 s after the load (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -12,6 +12,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caguard"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caapproval"
@@ -162,8 +163,9 @@
 	policy     caspec.Policy
 	layout     calayout.Layout
 	goroutines sync.WaitGroup
-	// startLatency determines the timeout of starts.
-	startLatency startLatency
+	// startLatency and stopLatency determine the timeouts of starts and stops.
+	startLatency *startLatency
+	stopLatency  *calatency.Quantile
 }
 
 // New returns a leader that holds the claim with the fencing token. end is the
@@ -174,7 +176,8 @@
 	l := &Leader{
 		Deps: deps, token: token, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiters: make(map[cawork.JobID][]chan error), inFlightWaiters: make(map[cawork.JobID][]chan error), renewing: make(map[cawork.UpstreamID]bool),
-		proxies: caapproval.New(),
+		proxies: caapproval.New(), startLatency: newStartLatency(),
+		stopLatency: calatency.NewQuantile(calatency.Bounds{Min: minStopTimeout, Max: maxStopTimeout}),
 	}
 	l.mu.now = deps.Timer.Now
 	l.writer = newWriter(deps.Store, c, end, deps.Timer.Pause)
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// stopTimeout bounds a call that stops a run, and maxStartTimeout one that
-	// starts a run. A start without an answer delays its task by that time.
-	stopTimeout     = 600 * time.Millisecond
+	// minStopTimeout and maxStopTimeout bound the timeout of a stop, which follows the latency of stops.
+	minStopTimeout = 600 * time.Millisecond
+	maxStopTimeout = 3 * time.Second
+	// maxStartTimeout bounds a call that starts a run. A start without an answer delays its task by
+	// that time.
 	maxStartTimeout = 600 * time.Millisecond
 	// The timeout of a start is startTimeoutFactor times the mean latency of
 	// starts, at least minStartTimeout, plus startTimeoutPerInFlight for each
@@ -24,15 +26,9 @@
 	startTimeoutPerInFlight = 3 * time.Millisecond
 	// startLatencyWeight is the weight of one start in that moving mean.
 	startLatencyWeight = 0.02
-	// maxSlowStartTimeout bounds a start where most starts take long. The timeout is then
-	// slowStartFactor times the latency that startQuantile of the starts do not exceed.
+	// Where most starts take long, their timeout follows their latency within these bounds.
+	minSlowStartTimeout = 10 * time.Millisecond
 	maxSlowStartTimeout = 3 * time.Second
-	slowStartFactor     = 2
-	startQuantile       = 0.75
-	// startQuantileStep is by which fraction one start changes the estimate of that latency, and
-	// minTypicalLatency bounds the estimate from below.
-	startQuantileStep = 0.1
-	minTypicalLatency = 5 * time.Millisecond
 	// renewWait is how long a renewal waits at the upstream for a run to end.
 	renewWait = 1000 * time.Millisecond
 	// renewTimeout bounds a renewal in addition to that wait.
@@ -161,9 +157,7 @@
 }
 
 func (l *Leader) stopRun(ctx context.Context, order caboard.StopOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	err := l.Upstreams.Stop(callCtx, l.token, order)
+	err := l.callStop(ctx, order)
 	l.lock(partReport)
 	defer l.mu.unlock()
 	if err != nil && isFenced(err) {
@@ -177,6 +171,23 @@
 	l.wakePlanner()
 }
 
+// callStop sends a stop. The stops of silent upstreams are many, and do not tell how long the others
+// take.
+func (l *Leader) callStop(ctx context.Context, order caboard.StopOrder) error {
+	timeout := l.stopLatency.Timeout()
+	if order.ToSilent {
+		timeout = minStopTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := l.Timer.Now()
+	err := l.Upstreams.Stop(callCtx, l.token, order)
+	if !order.ToSilent {
+		l.stopLatency.Observe(l.Timer.Now().Sub(began))
+	}
+	return err
+}
+
 // requestReport requests a report from an upstream immediately, in parallel with
 // the renewal that waits there for a run to end.
 func (l *Leader) requestReport(ctx context.Context, id cawork.UpstreamID) {
--- a/internal/cell/caleader/startlatency.go
+++ b/internal/cell/caleader/startlatency.go
@@ -3,26 +3,21 @@
 import (
 	"sync"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/base/calatency"
 )
 
 // startLatency tracks the latency of starts and the number in flight.
 type startLatency struct {
+	typical *calatency.Quantile
+
 	mu       sync.Mutex
 	mean     time.Duration
-	typical  quantile
 	inFlight int
 }
 
-// quantile follows the latency that startQuantile of the starts do not exceed. Lost answers of few
-// upstreams do not change it.
-type quantile struct{ latency time.Duration }
-
-func (q *quantile) add(took time.Duration) {
-	step := -(1 - startQuantile)
-	if took > q.latency {
-		step = startQuantile
-	}
-	q.latency = max(q.latency+time.Duration(startQuantileStep*step*float64(q.latency)), minTypicalLatency)
+func newStartLatency() *startLatency {
+	return &startLatency{typical: calatency.NewQuantile(calatency.Bounds{Min: minSlowStartTimeout, Max: maxSlowStartTimeout})}
 }
 
 // addInFlight adds starts that are about to be sent.
@@ -42,14 +37,14 @@
 	defer s.mu.Unlock()
 	byMean := max(startTimeoutFactor*s.mean, minStartTimeout)
 	usual := min(byMean+time.Duration(s.inFlight)*startTimeoutPerInFlight, maxStartTimeout)
-	return max(usual, min(slowStartFactor*s.typical.latency, maxSlowStartTimeout))
+	return max(usual, s.typical.Timeout())
 }
 
 // observe records that a start was answered or timed out after the given time.
 func (s *startLatency) observe(took time.Duration) {
+	s.typical.Observe(took)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
 	s.mean += time.Duration(startLatencyWeight * float64(took-s.mean))
-	s.typical.add(took)
 }
--- a/internal/cell/caleader/startlatency_test.go
+++ b/internal/cell/caleader/startlatency_test.go
@@ -10,7 +10,7 @@
 // TestStartTimeoutFollowsMeanLatency replays fast answers, slow answers, and fast
 // answers again. The timeout must grow and shrink with them.
 func TestStartTimeoutFollowsMeanLatency(t *testing.T) {
-	var s startLatency
+	s := newStartLatency()
 	var got []time.Duration
 	for _, took := range []time.Duration{8 * time.Millisecond, 150 * time.Millisecond, 8 * time.Millisecond} {
 		for range 500 {
@@ -29,7 +29,7 @@
 // outage of some seconds, when all delayed starts are sent at once. They must not
 // time out because of each other.
 func TestStartTimeoutGrowsWithStartsInFlight(t *testing.T) {
-	var s startLatency
+	s := newStartLatency()
 	s.addInFlight(450)
 	if diff := cmp.Diff(maxStartTimeout, s.timeout()); diff != "" {
 		t.Errorf("timeout of the first of 450 starts (-want +got):\n%s", diff)
@@ -40,7 +40,7 @@
 // all upstreams take longer to answer, and carry them out: the runs were stopped and started again without
 // end.
 func TestStartsOfSlowUpstreamsAreAwaited(t *testing.T) {
-	var s startLatency
+	s := newStartLatency()
 	for _, latency := range []time.Duration{8 * time.Millisecond, 900 * time.Millisecond} {
 		for range 500 {
 			s.addInFlight(1)
@@ -61,7 +61,7 @@
 
 // TestLostAnswersKeepStartTimeoutShort covers upstreams of which a fifth leaves starts unanswered.
 func TestLostAnswersKeepStartTimeoutShort(t *testing.T) {
-	var s startLatency
+	s := newStartLatency()
 	for i := range 1000 {
 		s.addInFlight(1)
 		took := 8 * time.Millisecond
