Election: a late answer to a hello call counts

Cause: a fixed time for what was observed. The timeout of a hello call followed the latency of its answers, but an answer later than 0.2 s was thrown away with its connection, so that the latency was never learned; after three of them no call was forwarded any more.

Why it works: a hello call is overdue as soon as before, which starts an election as before, but it goes on for up to 3 s, and its answer shows that the leader answers, and how long it takes. Three calls without any answer since the last one still end the calls in progress. Calls to other peers, of which many may be gone, still end with their timeout.

--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -20,13 +20,15 @@
 	maxHelloPeriod      = 500 * time.Millisecond
 	helloPeriodPerEntry = 6 * time.Millisecond
 	// helloTimeout bounds one hello call to a leader that answered the last ones quickly. A
-	// slower one has helloTimeoutFactor times its latency, maxHelloTimeout at most.
+	// slower one has helloTimeoutFactor times its latency, maxHelloTimeout at most. An answer
+	// that is late still counts within helloLifetime.
 	helloTimeout       = 200 * time.Millisecond
 	helloTimeoutFactor = 4
 	maxHelloTimeout    = 800 * time.Millisecond
-	// maxHelloMisses is the number of consecutive failed hello calls after which an entry
-	// cancels its calls in progress to the leader. The first failed one already starts an
-	// election.
+	helloLifetime      = 3 * time.Second
+	// maxHelloMisses is the number of consecutive hello calls without an answer in time after
+	// which an entry cancels its calls in progress to the leader. The first one already starts
+	// an election.
 	maxHelloMisses = 3
 	// A leader that does not answer counts as failed once its log has had no append for
 	// minLogIdle plus logIdlePerRead times the duration of a read of the store. A leader
@@ -61,6 +63,9 @@
 // errNotLeading means that the entry recorded as the leader answered that it does not lead.
 var errNotLeading = cakind.New(cakind.KindFenced, "the entry is not the leader")
 
+// errHelloOverdue means that the leader has not answered a hello call yet.
+var errHelloOverdue = cakind.New(cakind.KindUnknown, "the leader has not answered a hello call yet")
+
 // errClaimUnanswered means that the entry recorded as the leader has not observed its own claim, which
 // is stored.
 var errClaimUnanswered = cakind.New(cakind.KindNotStarted, "the entry does not lead yet")
@@ -80,11 +85,10 @@
 
 // run checks the leader regularly and starts an election when it may have failed.
 func (l *link) run(ctx context.Context) error {
-	misses := 0
 	for ctx.Err() == nil {
-		verdict := l.checkLeader(ctx, &misses)
+		verdict := l.checkLeader(ctx)
 		if verdict != livenessAlive && l.elect(ctx, verdict) {
-			misses = 0
+			l.setHelloMisses(0)
 			continue
 		}
 		l.awaitNextCheck(ctx, l.untilNextHello())
@@ -111,40 +115,72 @@
 	return min(max(helloPeriod, time.Duration(entries)*helloPeriodPerEntry), maxHelloPeriod)
 }
 
-// checkLeader sends the leader a hello call and returns its liveness. misses counts
-// consecutive failed calls.
-func (l *link) checkLeader(ctx context.Context, misses *int) liveness {
+// checkLeader sends the leader a hello call and returns its liveness.
+func (l *link) checkLeader(ctx context.Context) liveness {
 	leader, status, _ := l.target()
 	switch {
 	case leader != nil:
-		*misses = 0
+		l.setHelloMisses(0)
 		l.handOverToStronger(leader)
 		l.releaseUnreadable(leader)
 		return livenessAlive
 	case status.Address == "" || status.VM == l.gate.Self.VM:
 		return livenessGone
 	}
-	err := l.hello(ctx, status.Address)
+	err := l.helloLeader(ctx, status.Address)
 	switch {
 	case err == nil:
-		*misses = 0
+		l.setHelloMisses(0)
 		if l.lastAppendAge() > staleAppendAge {
 			return livenessSuspected
 		}
 		return livenessAlive
 	case errors.Is(err, errClaimUnanswered) && l.gate.Timer.Now().Sub(status.observedAt) < l.appendLatency.Timeout():
-		*misses = 0
+		l.setHelloMisses(0)
 		return livenessAlive
 	case errors.Is(err, errNotLeading), errors.Is(err, errClaimUnanswered), errors.Is(err, syscall.ECONNREFUSED):
 		return livenessGone
 	}
-	*misses++
-	if *misses >= maxHelloMisses {
+	if l.countHelloMiss() >= maxHelloMisses {
 		l.markUnresponsive()
 	}
 	return livenessSuspected
 }
 
+func (l *link) setHelloMisses(misses int) {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	l.status.helloMisses = misses
+}
+
+// countHelloMiss counts a hello call without an answer in time. It returns how many there were since
+// the last answer.
+func (l *link) countHelloMiss() int {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	l.status.helloMisses++
+	return l.status.helloMisses
+}
+
+// helloLeader sends the leader a hello call. If the answer is late, it returns errHelloOverdue and the
+// call goes on: a leader to which all calls take long would else never be reached, nor show its latency.
+func (l *link) helloLeader(ctx context.Context, address string) error {
+	answer := make(chan error, 1)
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, helloLifetime)
+		defer cancel()
+		answer <- l.hello(callCtx, address)
+	}()
+	overdue := l.gate.Timer.After(l.helloTimeoutNow())
+	defer overdue.Close()
+	select {
+	case err := <-answer:
+		return err
+	case <-overdue.C:
+		return errHelloOverdue
+	}
+}
+
 // triggerCheck requests an immediate check of the leader after a call to it failed.
 func (l *link) triggerCheck() {
 	select {
@@ -175,19 +211,24 @@
 	return l.status.lastAppendAge
 }
 
+// helloPeer sends an entry a hello call, whose late answer does not count.
+func (l *link) helloPeer(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, l.helloTimeoutNow())
+	defer cancel()
+	return l.hello(ctx, address)
+}
+
 // hello sends an entry a hello call and applies the policy, layout, peers and leader of
 // its reply.
 func (l *link) hello(ctx context.Context, address string) error {
 	g := l.gate
-	callCtx, cancel := context.WithTimeout(ctx, l.helloTimeoutNow())
-	defer cancel()
 	policy, layout := g.policyAndLayout()
 	request := helloRequest{
 		From: g.Self, PolicyVersion: policy.Version, HasAdvisor: g.Advisor != nil, Shard: l.shard, HasLayout: !layout.IsZero(),
 		ReachesStore: g.reachesStore(), DrainPosition: g.drainPosition(), Process: g.Nonce,
 	}
 	began := g.Timer.Now()
-	reply, err := capeer.Call[helloRequest, helloReply](callCtx, g.PeerClient, address, callHello, request)
+	reply, err := capeer.Call[helloRequest, helloReply](ctx, g.PeerClient, address, callHello, request)
 	if err != nil {
 		return err
 	}
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -80,6 +80,8 @@
 	observedAt time.Time
 	// helloLatency is the mean latency of its last replies, with most weight on the newest.
 	helloLatency time.Duration
+	// helloMisses counts the hello calls without an answer in time since its last reply.
+	helloMisses int
 	// unresponsive is set while the leader does not answer. Calls are not forwarded to it
 	// during that time.
 	unresponsive bool
@@ -133,7 +135,7 @@
 	l.status.nextHelloIn = reply.NextHelloIn
 	l.status.helloLatency = (l.status.helloLatency + latency) / 2
 	l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
-	l.status.unresponsive = false
+	l.status.unresponsive, l.status.helloMisses = false, 0
 }
 
 // isAvailable reports whether the shard has a leader that answers and reaches the store.
--- a/internal/cell/cagate/peers.go
+++ b/internal/cell/cagate/peers.go
@@ -39,7 +39,7 @@
 		for _, l := range links {
 			for _, address := range addresses {
 				// A peer that does not answer may be called again in a later round.
-				_ = l.hello(ctx, address)
+				_ = l.helloPeer(ctx, address)
 			}
 		}
 	}
