Election: a late answer to a read of the claim counts

Cause: a fixed time for what was observed. Each read of the claim was given up after 1 s, and its answer thrown away.

Evidence: TestLeaderIsReplacedWhileReadsAreSlow (reads of the newest records take 0.9, 1.2 and 2 s, the leader is killed) failed before for 1.2 and 2 s, 4 of 4 cases. No job is refused or without an answer now; 6 of 6 runs pass.

go test of cagate passes (without its known-red tests).

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -68,6 +68,8 @@
 	appendDelay atomic.Int64
 	// answerDelay is how much later all answers to appends arrive.
 	answerDelay atomic.Int64
+	// readDelay is how much later all answers to reads of the newest records arrive.
+	readDelay atomic.Int64
 	// claims counts the claims of leaders that were stored.
 	claims atomic.Int64
 	// settleTime is how long the cell may take to recover at the end.
@@ -222,7 +224,21 @@
 			return caleader.Page{}, ctx.Err()
 		}
 	}
-	return l.Log.Newest(ctx, after)
+	page, err := l.Log.Newest(ctx, after)
+	if late := awaitAnswer(ctx, &l.cell.readDelay); late != nil {
+		return caleader.Page{}, late
+	}
+	return page, err
+}
+
+// awaitAnswer waits as long as an answer takes, or until the call ends.
+func awaitAnswer(ctx context.Context, delay *atomic.Int64) error {
+	select {
+	case <-time.After(time.Duration(delay.Load())):
+		return nil
+	case <-ctx.Done():
+		return cakind.Wrap(cakind.KindUnknown, ctx.Err(), "no response")
+	}
 }
 
 // failsRead reports whether a read of all jobs by an entry fails.
@@ -242,12 +258,10 @@
 	if err == nil && isFirstOfLeader(entries[0]) {
 		l.cell.claims.Add(1)
 	}
-	select {
-	case <-time.After(time.Duration(l.cell.answerDelay.Load())):
-		return end, err
-	case <-ctx.Done():
-		return 0, cakind.Wrap(cakind.KindUnknown, ctx.Err(), "no response")
+	if late := awaitAnswer(ctx, &l.cell.answerDelay); late != nil {
+		return 0, late
 	}
+	return end, err
 }
 
 // isFirstOfLeader reports whether a record is the claim by which a leader takes a shard.
--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -43,8 +43,6 @@
 	maxBusyLogIdle   = 1500 * time.Millisecond
 	// checkCoalesceDelay combines calls that fail together into one check of the leader.
 	checkCoalesceDelay = 10 * time.Millisecond
-	// claimReadTimeout bounds one read of the current claim.
-	claimReadTimeout = time.Second
 	// isolatedAfter is how long a read of the claim may take before an entry whose leader
 	// does not answer counts as isolated.
 	isolatedAfter = 150 * time.Millisecond
@@ -347,7 +345,7 @@
 // adoptLatest reads the claim again after another entry appended to the log: either the
 // previous leader, which is then still alive, or its successor, which is adopted.
 func (l *link) adoptLatest(ctx context.Context, previous leaderID) bool {
-	found, err := l.readClaim(ctx)
+	found, err := l.claims.read(ctx)
 	if err == nil {
 		l.observeClaim(found.Claim)
 	}
@@ -376,7 +374,7 @@
 	}
 	read := make(chan result, 1)
 	go func() {
-		s, err := l.readClaim(ctx)
+		s, err := l.claims.read(ctx)
 		read <- result{s, err}
 	}()
 	slow := l.gate.Timer.After(isolatedAfter)
@@ -395,17 +393,10 @@
 	return r.LeadershipState, r.err
 }
 
-// readClaim reads the current claim and the end of the shard's log.
-func (l *link) readClaim(ctx context.Context) (caleader.LeadershipState, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimReadTimeout)
-	defer cancel()
-	return caleader.ReadLeadershipState(ctx, l.gate.ShardLog(l.shard))
-}
-
 // isLogIdle waits for the idle time and reports whether the log still ends at the offset.
 func (l *link) isLogIdle(ctx context.Context, end int64, idle time.Duration) bool {
 	began := l.gate.Timer.Now()
-	callCtx, cancel := context.WithTimeout(ctx, idle+claimReadTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, idle+l.claims.latency.Timeout())
 	defer cancel()
 	_, newEnd, err := l.gate.ShardLog(l.shard).Read(callCtx, end, idle)
 	if err != nil || newEnd != end {
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -57,6 +57,8 @@
 	// granter is what these claims state of the last leader that may have granted leases. Only run
 	// uses it.
 	granter caleader.GranterSighting
+	// claims reads the current claim. Only run uses it.
+	claims *claimReader
 	// appendLatency is that of the appends to the log by the entries that lead or claim the shard. Its
 	// timeout is how long a claim may be without an answer.
 	appendLatency *calatency.Peak
@@ -93,6 +95,7 @@
 	return &link{
 		gate: g, shard: shard, leaderChanged: make(chan struct{}), checkNow: make(chan struct{}, 1),
 		status:        leaderStatus{lost: make(chan struct{})},
+		claims:        newClaimReader(g, shard),
 		appendLatency: calatency.NewPeak(calatency.Bounds{Min: minClaimAnswerTime, Max: maxClaimAnswerTime}),
 	}
 }
--- a/internal/cell/cagate/slowstore_test.go
+++ b/internal/cell/cagate/slowstore_test.go
@@ -1,6 +1,7 @@
 package cagate
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -33,3 +34,30 @@
 		})
 	}
 }
+
+// TestLeaderIsReplacedWhileReadsAreSlow guards against entries that give up each read of the claim after
+// a fixed time though the store answers it: no leader followed one that was killed, and all submissions
+// were refused without end.
+func TestLeaderIsReplacedWhileReadsAreSlow(t *testing.T) {
+	for _, delay := range []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+				c.readDelay.Store(int64(delay))
+				c.load(2 * time.Second)
+				c.callers.Wait()
+				c.kill(c.leader())
+				time.Sleep(8 * time.Second)
+				refused, unknown := maps.Clone(c.refused), maps.Clone(c.unknown)
+				c.load(5 * time.Second)
+				c.callers.Wait()
+				if diff := cmp.Diff(refused, c.refused); diff != "" {
+					t.Errorf("refused jobs (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(unknown, c.unknown); diff != "" {
+					t.Errorf("jobs without an answer (-want +got):\n%s", diff)
+				}
+				c.readDelay.Store(0)
+			})
+		})
+	}
+}
