Event 425: the backlog of the advisor

Steps that wait for the advisor had event 415 each, 12 lines in 2 s at most, and 412 for what was answered. Neither tells how many steps without an answer wait in all, whether they are late, and what is asked instead: whether the advisor gets through less than was accepted (on_time grows) or is asked about others first (late and longest_late grow while first_late stays 0), or again about steps with an answer (again).

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -117,6 +117,7 @@
 		a.noCandidatesAt = now
 		return ApprovalRequest{}, false
 	}
+	b.requestsSent.add(s)
 	a.requestPending = true
 	b.pendingRequests++
 	if isLong {
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -23,6 +23,7 @@
 		return
 	}
 	b.longWaitsLoggedAt = b.now.Monotonic
+	b.logApprovalBacklog()
 	logged, position := 0, 0
 	for _, s := range b.steps {
 		if !s.ready || s.waitingTasks == 0 || b.now.Monotonic.Sub(s.waitBegan()) < minLongWait {
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -108,6 +108,8 @@
 	listValidUntil time.Time
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
+	// requestsSent counts the approval requests since then.
+	requestsSent requestCounts
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
 	records recordState
