A late step is asked about before all that come after it

Cause: the advisor was asked about steps in the order of their placement: late ones after all that are not, useless ones after all late ones, and among late ones those of the highest priority and age first, again and again as their tickets expired. While not all could be asked about, nothing bounded how long a step waited.

Now a quarter of the announced time of requests, while the limits hold any back, goes to the late steps that have waited for a request the longest (and to steps that are never late), and late steps are asked about by that wait. So the bound of a step's wait depends on what waits when it comes, not on what comes later: what is not late keeps its order until it is. The share is counted apart for long and short requests, as they wait for different entries, and in announced time, so that long requests of late gangs take no more of it. It is spent only while requests are held back: with room for all requests the order is as it was.

The loop over the steps moves to requestorder.go.

--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -15,82 +15,6 @@
 // objective of a step allows time for.
 const objectiveRequestUpstreams = 30
 
-// RequestLimits bounds the approval requests that are in flight, so that the next one is
-// chosen as late as possible.
-type RequestLimits struct {
-	Total int
-	// Long bounds those that take an entry long to answer.
-	Long int
-	// Turns is how much announced time of requests the advisor gets through in a unit of time, and
-	// LongTurns that of long ones. Zero means that it is not known.
-	Turns, LongTurns float64
-}
-
-// SetRequestLimits sets the bounds.
-func (b *Planner) SetRequestLimits(s RequestLimits) { b.requestLimits = s }
-
-// approvalRequests returns the approval requests that are due.
-func (b *Planner) approvalRequests() []ApprovalRequest {
-	var requests []ApprovalRequest
-	headroom := b.newHeadroom()
-	for _, s := range b.requestOrder() {
-		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || s.waitingTasks+s.tasksEnding == 0 || b.isStepHeldBack(s) {
-			continue
-		}
-		if b.pendingRequests >= b.requestLimits.Total {
-			break
-		}
-		if s.approvals.requestPending {
-			headroom.claim(s)
-			continue
-		}
-		if !headroom.admits(s) {
-			continue
-		}
-		if b.pendingRequests >= b.requestLimits.Total/2 && s.lateness == latenessUseless {
-			continue
-		}
-		if !s.ready && !b.readySoon(s, q) {
-			continue
-		}
-		if request, ok := b.nextApprovalRequest(s, q); ok {
-			requests = append(requests, request)
-			headroom.claim(s)
-		}
-	}
-	return requests
-}
-
-// requestOrder returns the steps in the order of their approval requests: that in which they
-// are placed, but for steps with tasks to restart. Room is reserved for these and of no use
-// to others until the advisor has answered.
-func (b *Planner) requestOrder() []*step {
-	order := slices.Clone(b.steps)
-	slices.SortStableFunc(order, func(x, y *step) int { return compareBool(y.restarts() > 0, x.restarts() > 0) })
-	return order
-}
-
-// readySoon reports whether the earlier steps are expected to end by the time the advisor
-// has answered.
-func (b *Planner) readySoon(s *step, q caspec.Queue) bool {
-	advisorTime := q.Approval.Cost(objectiveRequestUpstreams)
-	for _, earlier := range s.job.steps {
-		if earlier.occurrence != s.occurrence || !slices.Contains(s.spec.After, earlier.number) {
-			continue
-		}
-		if earlier.waitingTasks > 0 || !earlier.ready {
-			return false
-		}
-		for _, r := range b.runsOf(earlier) {
-			if r.assignedAt.Add(earlier.spec.Estimate).After(b.now.Monotonic.Add(advisorTime)) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // nextApprovalRequest returns the next approval request for a step, if one is due and
 // worth its cost.
 func (b *Planner) nextApprovalRequest(s *step, q caspec.Queue) (ApprovalRequest, bool) {
@@ -104,6 +28,7 @@
 	}
 	isLong := b.isLongRequest(q)
 	if isLong && b.pendingLongRequests >= b.requestLimits.Long {
+		b.requestsHeldBack = true
 		return ApprovalRequest{}, false
 	}
 	ids := b.ticketRenewals(s, q)
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -258,7 +258,7 @@
 // that can.
 func (b *Planner) lateness(s *step) int {
 	j := s.job
-	if j.objective == 0 || j.isTimed || s.spec.LongRunning {
+	if !s.mayBeLate() {
 		return latenessNone
 	}
 	age := b.age(j)
@@ -272,6 +272,11 @@
 	}
 }
 
+// mayBeLate reports whether the step has a time by which it should end.
+func (s *step) mayBeLate() bool {
+	return s.job.objective != 0 && !s.job.isTimed && !s.spec.LongRunning
+}
+
 // placeTasks assigns the waiting tasks of a step one by one.
 func (b *Planner) placeTasks(s *step, q caspec.Queue, p *poolPlan) {
 	if !s.spec.Size().Fits(p.maxFree) || !b.withinLimit(s.job.Submission.Team, s.spec.Size()) {
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -80,7 +80,11 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
-	growth              roomGrowth
+	// requestsHeldBack is set if the limits held a request back in the last plan, and requestCredit is
+	// what steps that have waited long may send out of the order.
+	requestsHeldBack bool
+	requestCredit    requestCredit
+	growth           roomGrowth
 	// plans counts the plans, and visits how many upstreams they looked at, once for each step that
 	// they did so for.
 	plans, visits int64
--- /dev/null
+++ b/internal/cell/caboard/requestorder.go
@@ -0,0 +1,192 @@
+package caboard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// longestWaitShare is the fraction of the advisor's time that is for the late steps that have waited for it
+// the longest, while it cannot be asked about all steps.
+const longestWaitShare = 0.25
+
+// maxRequestCredit bounds the announced time of requests that steps that have waited the longest may send
+// at once.
+const maxRequestCredit = 500 * time.Millisecond
+
+// RequestLimits bounds the approval requests that are in flight, so that the next one is
+// chosen as late as possible.
+type RequestLimits struct {
+	Total int
+	// Long bounds those that take an entry long to answer.
+	Long int
+	// Turns is how much announced time of requests the advisor gets through in a unit of time, and
+	// LongTurns that of long ones. Zero means that it is not known.
+	Turns, LongTurns float64
+}
+
+// SetRequestLimits sets the bounds.
+func (b *Planner) SetRequestLimits(s RequestLimits) { b.requestLimits = s }
+
+// approvalRequests returns the approval requests that are due.
+func (b *Planner) approvalRequests() []ApprovalRequest {
+	requests := b.requestsOfLongestWaits()
+	b.requestsHeldBack = false
+	headroom := b.newHeadroom()
+	for _, s := range b.requestOrder() {
+		q, ok := b.queueOf(s.job)
+		if !ok || !b.mayRequestApproval(s, q) {
+			continue
+		}
+		if b.pendingRequests >= b.requestLimits.Total {
+			b.requestsHeldBack = true
+			break
+		}
+		if s.approvals.requestPending {
+			headroom.claim(s)
+			continue
+		}
+		if !headroom.admits(s) {
+			continue
+		}
+		if b.pendingRequests >= b.requestLimits.Total/2 && s.lateness == latenessUseless {
+			b.requestsHeldBack = true
+			continue
+		}
+		if !s.ready && !b.readySoon(s, q) {
+			continue
+		}
+		if request, ok := b.nextApprovalRequest(s, q); ok {
+			requests = append(requests, request)
+			headroom.claim(s)
+			b.requestCredit.earn(request)
+		}
+	}
+	return requests
+}
+
+// mayRequestApproval reports whether the step has tasks for which approval may be requested.
+func (b *Planner) mayRequestApproval(s *step, q caspec.Queue) bool {
+	return q.Approval != nil && s.waitingTasks+s.tasksEnding > 0 && !b.isStepHeldBack(s)
+}
+
+// requestCredit is how much announced time of requests is due to the steps that have waited the longest,
+// for short and long requests, which do not wait for the same entries.
+type requestCredit struct{ short, long time.Duration }
+
+func (c *requestCredit) of(isLong bool) *time.Duration {
+	if isLong {
+		return &c.long
+	}
+	return &c.short
+}
+
+// earn adds the credit for a request that was sent in the order of the steps.
+func (c *requestCredit) earn(request ApprovalRequest) {
+	credit := c.of(request.Long)
+	earned := time.Duration(longestWaitShare / (1 - longestWaitShare) * float64(request.Cost))
+	*credit = min(*credit+earned, maxRequestCredit)
+}
+
+// spend takes a request that was sent out of that order off the credit.
+func (c *requestCredit) spend(request ApprovalRequest) { *c.of(request.Long) -= request.Cost }
+
+// requestsOfLongestWaits returns the approval requests that go before those in the order of the steps:
+// while not all steps can be asked about, the wait of each must not depend on how many come after it.
+func (b *Planner) requestsOfLongestWaits() []ApprovalRequest {
+	if !b.requestsHeldBack {
+		b.requestCredit = requestCredit{}
+		return nil
+	}
+	if b.requestCredit.short <= 0 && b.requestCredit.long <= 0 {
+		return nil
+	}
+	var requests []ApprovalRequest
+	headroom := b.newHeadroom()
+	for _, s := range b.byRequestWait(headroom) {
+		q, _ := b.queueOf(s.job)
+		if b.pendingRequests >= b.requestLimits.Total {
+			break
+		}
+		if *b.requestCredit.of(b.isLongRequest(q)) <= 0 || !headroom.admits(s) {
+			continue
+		}
+		if request, ok := b.nextApprovalRequest(s, q); ok {
+			requests = append(requests, request)
+			headroom.claim(s)
+			b.requestCredit.spend(request)
+		}
+	}
+	return requests
+}
+
+// byRequestWait returns the ready steps without a request in flight that are late, or never are, those first
+// that have waited for one the longest. The headroom is claimed for those with one.
+func (b *Planner) byRequestWait(headroom headroom) []*step {
+	var waiting []*step
+	for _, s := range b.steps {
+		q, ok := b.queueOf(s.job)
+		switch {
+		case !ok || !b.mayRequestApproval(s, q):
+		case s.approvals.requestPending:
+			headroom.claim(s)
+		case s.ready && (s.lateness != latenessNone || !s.mayBeLate()):
+			waiting = append(waiting, s)
+		}
+	}
+	slices.SortStableFunc(waiting, func(x, y *step) int { return x.requestWaitBegan().Compare(y.requestWaitBegan()) })
+	return waiting
+}
+
+// requestWaitBegan returns since when the step has waited for a request.
+func (s *step) requestWaitBegan() time.Time {
+	if s.approvals.lastRequestAt.After(s.readyAt) {
+		return s.approvals.lastRequestAt
+	}
+	return s.readyAt
+}
+
+// requestOrder returns the steps in the order of their approval requests: that in which they
+// are placed, but for steps with tasks to restart, which come first, and late ones, which come by their
+// waits. Room is reserved for steps to restart and of no use to others until the advisor has answered.
+func (b *Planner) requestOrder() []*step {
+	order := slices.Clone(b.steps)
+	slices.SortStableFunc(order, compareRequests)
+	return order
+}
+
+// compareRequests orders steps that are in the order of their placement by their requests.
+func compareRequests(x, y *step) int {
+	switch {
+	case x.restarts() > 0 != (y.restarts() > 0):
+		return compareBool(y.restarts() > 0, x.restarts() > 0)
+	case x.lateness != y.lateness:
+		return cmp.Compare(x.lateness, y.lateness)
+	case x.lateness == latenessNone:
+		return 0
+	default:
+		return x.requestWaitBegan().Compare(y.requestWaitBegan())
+	}
+}
+
+// readySoon reports whether the earlier steps are expected to end by the time the advisor
+// has answered.
+func (b *Planner) readySoon(s *step, q caspec.Queue) bool {
+	advisorTime := q.Approval.Cost(objectiveRequestUpstreams)
+	for _, earlier := range s.job.steps {
+		if earlier.occurrence != s.occurrence || !slices.Contains(s.spec.After, earlier.number) {
+			continue
+		}
+		if earlier.waitingTasks > 0 || !earlier.ready {
+			return false
+		}
+		for _, r := range b.runsOf(earlier) {
+			if r.assignedAt.Add(earlier.spec.Estimate).After(b.now.Monotonic.Add(advisorTime)) {
+				return false
+			}
+		}
+	}
+	return true
+}
