--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -80,7 +80,11 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
-	growth              roomGrowth
+	// requestsHeldBack is set if the limits held a request back in the last plan, and requestCredit is
+	// what steps that have waited long may send out of the order.
+	requestsHeldBack bool
+	requestCredit    requestCredit
+	growth           roomGrowth
 	// plans counts the plans, and visits how many upstreams they looked at, once for each step that
 	// they did so for.
 	plans, visits int64
@@ -108,6 +112,8 @@
 	listValidUntil time.Time
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
+	// requestsSent counts the approval requests since then.
+	requestsSent requestCounts
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
 	records recordState
@@ -206,6 +212,8 @@
 	// approvalBacklog is the backlog of the advisor before a job of the queue, and excessApprovalBacklog
 	// that before one beyond the guaranteed rate of its team.
 	approvalBacklog, excessApprovalBacklog approvalBacklog
+	// requestDelay is how much longer than announced approval requests are in flight.
+	requestDelay caadmission.RequestDelay
 	// durationRatio is the mean ratio of the run time of tasks to their estimate.
 	durationRatio float64
 	// startRate measures how much work is started.
