LOST: the probation of a task keeps long-running tasks from room for seconds, not for 20

- A job on probation starts its tasks at one upstream.

Now tasks to restart are kept from a place (1) by probation that is new (the upstream has not survived it for 2 s), of their job or of another, always if they are suspects themselves; (2) by an older one for 1.5 s (maxProbationWait), after which those that are no suspects do not wait for siblings either. First starts, and all work that ends by itself, are kept apart as before. Whether an upstream fits is decided for each task, so that one suspect that must wait does not hold back the tasks after it.

What it costs: two suspects may be on one upstream after 1.5 s without another place, so that a crash there is the sole fault of neither, and a job that is always beside others is given one start more, as before.

The three new tests failed before ("task 1 of job service waits for longer than 3s beside free upstreams", task 0, task 1).

--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -286,7 +286,10 @@
 		if tasks[i].Phase != castate.TaskWaiting || b.isHeldBack(s, i) {
 			continue
 		}
-		u, ticket := b.bestUpstream(s, q, p, upstreamToAvoid(s, &tasks[i]))
+		u, ticket := b.bestUpstream(s, q, p, i)
+		if u == nil && s.job.onProbation {
+			continue
+		}
 		if u == nil {
 			break
 		}
@@ -307,10 +310,10 @@
 	return t.Upstream
 }
 
-// bestUpstream returns the upstream for one more task of the step, with its ticket. The
-// upstream to avoid is the last choice.
-func (b *Planner) bestUpstream(s *step, q caspec.Queue, p *poolPlan, avoid cawork.UpstreamID) (*upstream, string) {
-	size := s.spec.Size()
+// bestUpstream returns the upstream for a task of the step, with its ticket. The upstream to
+// avoid is the last choice.
+func (b *Planner) bestUpstream(s *step, q caspec.Queue, p *poolPlan, index int) (*upstream, string) {
+	size, avoid := s.spec.Size(), upstreamToAvoid(s, &s.state().Tasks[index])
 	if !b.withinLimit(s.job.Submission.Team, size) {
 		return nil, ""
 	}
@@ -325,7 +328,7 @@
 		if best != nil && (score > bestScore || score == bestScore && u.info.ID >= best.info.ID) {
 			continue
 		}
-		if ticket, ok := b.mayPlace(s, q, u); ok {
+		if ticket, ok := b.mayPlace(s, q, u); ok && b.isTaskApart(s, index, u) {
 			best, bestTicket, bestScore = u, ticket, score
 		}
 	}
--- a/internal/cell/caboard/probation.go
+++ b/internal/cell/caboard/probation.go
@@ -18,6 +18,9 @@
 	// exclusiveProbation is how long an upstream must have survived its runs on probation before tasks
 	// that must be restarted soon may start there.
 	exclusiveProbation = 2 * time.Second
+	// maxProbationWait is how long tasks that must be restarted soon wait for the probation of others of their
+	// step, or for a place where no other job is on probation.
+	maxProbationWait = 1500 * time.Millisecond
 )
 
 // updateProbation determines which jobs and upstreams have runs on probation. It requests a report
@@ -130,7 +133,10 @@
 		return false
 	}
 	t := s.crashTask(index)
-	return !j.crashes.MayStart(t, false) || j.onProbation && !s.isOnProbation(index) && !b.isRestartedAsUsual(s)
+	if !j.crashes.MayStart(t, false) {
+		return true
+	}
+	return j.onProbation && !s.isOnProbation(index) && !b.isRestartedAsUsual(s) && !b.hasWaitedForProbation(s)
 }
 
 // isRestartedAsUsual reports whether the probation of one long-running task of the step does not keep
@@ -197,22 +203,43 @@
 	return true
 }
 
-// isApart reports whether a task of the step may start on an upstream as far as probation is
+// isApart reports whether some task of the step may start on an upstream as far as probation is
 // concerned. The tasks of a job on probation start on one upstream, where no other job is on
 // probation and none starts, so that a crash of the upstream shows which job is to blame. Long-running
-// tasks must be restarted soon: they may start where the upstream has survived the first seconds.
+// tasks must be restarted soon: they may start where the upstream has survived the first seconds of
+// another job's probation, and those whose own job is on probation may after maxProbationWait.
 func (b *Planner) isApart(s *step, u *upstream) bool {
-	if u.probationOf != nil && u.probationOf != s.job {
-		return s.restarts() > 0 && !s.job.onProbation && !u.probationIsNew
+	isKeptForOther := u.probationOf != nil && u.probationOf != s.job
+	switch {
+	case isKeptForOther && (s.restarts() == 0 || u.probationIsNew):
+		return false
+	case !s.job.onProbation || b.isRestartedAsUsual(s) || b.hasWaitedForProbation(s):
+		return true
+	default:
+		return !isKeptForOther && b.sharesProbation(s, u)
 	}
-	if !s.job.onProbation || b.isRestartedAsUsual(s) {
+}
+
+// isTaskApart reports the same of a task, at an upstream that is apart enough for some task of its step:
+// tasks on probation do not start beside new probation of their job, however long they wait.
+func (b *Planner) isTaskApart(s *step, index int, u *upstream) bool {
+	if !s.job.onProbation || !s.isOnProbation(index) || b.isRestartedAsUsual(s) {
 		return true
 	}
-	return u.probationOf == s.job || !b.hasProbationUpstream(s.job)
+	return b.sharesProbation(s, u)
+}
+
+// hasWaitedForProbation reports whether tasks of the step that ran before have waited for maxProbationWait.
+func (b *Planner) hasWaitedForProbation(s *step) bool {
+	return s.restarts() > 0 && b.now.Monotonic.Sub(s.waitBegan()) > maxProbationWait
 }
 
-func (b *Planner) hasProbationUpstream(j *job) bool {
-	return slices.ContainsFunc(b.crashes.probationUpstreams, func(u *upstream) bool { return u.probationOf == j })
+// sharesProbation reports whether the upstream has a run on probation of the step's job, or no other upstream
+// has one that keeps the step from it: any, or for tasks to restart a new one.
+func (b *Planner) sharesProbation(s *step, u *upstream) bool {
+	return u.probationOf == s.job || !slices.ContainsFunc(b.crashes.probationUpstreams, func(other *upstream) bool {
+		return other.probationOf == s.job && (other.probationIsNew || s.restarts() == 0)
+	})
 }
 
 // probationPenalty returns the penalty for the runs of an upstream on which a task on probation
--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -77,6 +77,110 @@
 	}
 }
 
+// crashesUnder gives a task of a job a history of crashes that its upstreams have survived for so long.
+func (s *simulation) crashesUnder(id cawork.JobID, index int, unresolved bool, survived ...time.Duration) {
+	j := s.planner.jobs[id]
+	if j.crashes == nil {
+		j.crashes = cacrash.New()
+	}
+	for i, d := range survived {
+		j.crashes.Add(cacrash.Task{Index: index}, cacrash.Crash{
+			Upstream: "gone", Incarnation: int64(100*index + i + 1), Blamed: true, Sole: i == 0, Confirmed: true, Unresolved: unresolved, Survived: d,
+		})
+	}
+	s.planner.addSuspect(j)
+}
+
+// failTask lets the run of a task of the job fail, and returns its upstream.
+func (s *simulation) failTask(id cawork.JobID, index int) cawork.UpstreamID {
+	s.t.Helper()
+	step := s.planner.jobs[id].steps[0]
+	r, ok := s.planner.runOf(step, index)
+	if !ok {
+		s.t.Fatalf("task %d of job %s has no run", index, id)
+	}
+	s.report(r.upstream.info.ID, nil, []EndedRun{{Run: r.id, Ending: EndingFailed}})
+	return r.upstream.info.ID
+}
+
+// checkRestart checks that a task of the job is started again within the bound.
+func (s *simulation) checkRestart(id cawork.JobID, index int) {
+	s.t.Helper()
+	all := func(cawork.UpstreamID) bool { return true }
+	for began := s.now; s.now.Sub(began) <= restartWithRoomBound; {
+		s.tick(20*time.Millisecond, all)
+		if _, ok := s.planner.runOf(s.planner.jobs[id].steps[0], index); ok {
+			return
+		}
+	}
+	s.t.Errorf("task %d of job %s waits for longer than %v beside free upstreams", index, id, restartWithRoomBound)
+}
+
+// newServiceOfTwo returns a pool with a long-running job of two tasks, one for each upstream.
+func newServiceOfTwo(t *testing.T, upstreams int) *simulation {
+	t.Helper()
+	s := newSimulation(t, upstreams, plainQueue())
+	s.submit("service", "queue", longRunningStep(2))
+	if diff := cmp.Diff(2, len(s.tick(20*time.Millisecond, func(cawork.UpstreamID) bool { return true }))); diff != "" {
+		t.Fatalf("started tasks (-want +got):\n%s", diff)
+	}
+	return s
+}
+
+// pass lets time pass in which all upstreams answer.
+func (s *simulation) pass(d time.Duration) {
+	for began := s.now; s.now.Sub(began) < d; {
+		s.tick(20*time.Millisecond, func(cawork.UpstreamID) bool { return true })
+	}
+}
+
+// TestSuspectWaitsForLongProbationOfItsJob covers a suspect of an early crash whose job has another task on
+// probation for 20 s, at the one upstream that both should share, of which each may hold one task.
+func TestSuspectWaitsForLongProbationOfItsJob(t *testing.T) {
+	s := newServiceOfTwo(t, 4)
+	s.crashesUnder("service", 0, false, 10*time.Second, 13*time.Second)
+	s.failTask("service", 0)
+	s.checkRestart("service", 0)
+	s.pass(3 * time.Second)
+	s.crashesUnder("service", 1, false, 80*time.Millisecond)
+	s.failTask("service", 1)
+	s.checkRestart("service", 1)
+}
+
+// TestRestartWaitsForTaskThatMayNotStart covers a task whose job has another one that may not start while it
+// is not known whether its last upstreams have crashed.
+func TestRestartWaitsForTaskThatMayNotStart(t *testing.T) {
+	s := newServiceOfTwo(t, 4)
+	s.pass(3 * time.Second)
+	s.crashesUnder("service", 1, true, 60*time.Millisecond, 7*time.Second, 8*time.Second)
+	s.failTask("service", 1)
+	s.pass(time.Second)
+	s.failTask("service", 0)
+	s.checkRestart("service", 0)
+}
+
+// TestSuspectWaitsForProbationOfOtherJob covers a suspect of an early crash for which there is no room but at
+// an upstream with a run of another job that is on probation for 20 s.
+func TestSuspectWaitsForProbationOfOtherJob(t *testing.T) {
+	s := newServiceOfTwo(t, 3)
+	for _, u := range s.planner.sortedUpstreams {
+		if len(u.runs) > 0 {
+			u.pausedUntil = s.now.Add(time.Second)
+		}
+	}
+	s.submit("suspect", "queue", caspec.Step{Tasks: 1, CPU: 4000, Memory: cawork.GiB, Estimate: time.Hour})
+	other := s.startOf("suspect", time.Second)
+	s.putOnProbation("suspect")
+	s.pass(3 * time.Second)
+	s.crashesUnder("service", 1, false, 80*time.Millisecond)
+	failedAt := s.failTask("service", 1)
+	s.planner.upstreams[failedAt].pausedUntil = s.now.Add(time.Minute)
+	if s.planner.upstreams[other.Upstream].probationOf == nil {
+		t.Fatalf("upstream %s is not kept for the job on probation", other.Upstream)
+	}
+	s.checkRestart("service", 1)
+}
+
 // TestProbationOutlastsWithdrawnCrashes covers a job on probation whose only crash turns out to be
 // none, since the upstream answers again, and is stored as such before the next plan.
 func TestProbationOutlastsWithdrawnCrashes(t *testing.T) {
