--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -72,6 +72,7 @@
 	RecordHeld         Number = 423
 	RecordReleased     Number = 424
 	ApprovalsAwaited   Number = 425
+	StepLacksRoom      Number = 426
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -114,6 +114,8 @@
 	longWaitsLoggedAt time.Time
 	// requestsSent counts the approval requests since then.
 	requestsSent requestCounts
+	// lackedRoomLoggedAt is when steps without room at approved upstreams were last sought.
+	lackedRoomLoggedAt time.Time
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
 	records recordState
@@ -189,6 +191,8 @@
 	reservation        *reservation
 	reservationTriedAt time.Time
 	approvals          approvals
+	// lacksRoom is set once it is logged that the step does not fit on the approved upstreams.
+	lacksRoom bool
 	// copiedRuns are runs whose tasks were also started elsewhere, and longestRun is the
 	// longest run that ended well.
 	copiedRuns []*run
