--- a/internal/base/cadrain/server_test.go
+++ b/internal/base/cadrain/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -174,3 +175,21 @@
 		t.Errorf("report (-want +got):\n%s", diff)
 	}
 }
+
+// TestStopWaitsForUsedConnection guards against stops that wait for kept connections without a call.
+func TestStopWaitsForUsedConnection(t *testing.T) {
+	lis := newCountingListener(t)
+	server := cadrain.NewServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, catimer.NewService())
+	go func() { _ = server.Serve(lis) }()
+	client := http.Client{Transport: &http.Transport{}}
+	response, err := client.Get("http://" + lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := server.Stop(ctx, 0, nil); err != nil {
+		t.Error(err)
+	}
+}
