--- a/internal/cell/caserve/drain_test.go
+++ b/internal/cell/caserve/drain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +12,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/cell/caserve"
 )
 
 // TestStopCutsIdleConnections guards against idle connections that are closed as a drain begins, with a
@@ -115,3 +122,44 @@
 		t.Error("the call was not canceled")
 	}
 }
+
+// drainReport has the fields of the event at the end of a drain.
+type drainReport struct{ Calls, Canceled, Unanswered int }
+
+// TestDrainLeavesOutServer guards against drains that stop or count one of several servers only.
+func TestDrainLeavesOutServer(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	var log bytes.Buffer
+	servers := caserve.New(zerolog.New(&log), catimer.NewService())
+	var g run.Group
+	started := make(chan struct{})
+	const count = 2
+	for range count {
+		address := freeAddress(t)
+		handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			<-r.Context().Done()
+		})
+		if err := servers.Add(ctx, &g, address, handler); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _, _ = get("http://" + address) }()
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run() }()
+	for range count {
+		<-started
+	}
+	servers.Drain(10*time.Millisecond, time.Second)
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	var report drainReport
+	if err := json.Unmarshal(log.Bytes(), &report); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(drainReport{Calls: count, Canceled: count}, report); diff != "" {
+		t.Errorf("report of the drain (-want +got):\n%s", diff)
+	}
+}
