What the way to the advisor is observed to let through counts at the door

Cause: the forecast divided the announced time of the backlog by what the advisor gets through. The advisor was at work a third of the time at most (12 to 21 s of some 60 s for each entry); what was short were the requests that may be in flight, each of which took 0.2 to 1 s through network and processes for 15 ms of announced time. Two more faults made it forecast too little: it was computed once for each plan, so that jobs that came between two plans did not count, and late steps did not count, which now get a share.

Now the forecast is the longer of two: the announced time as before, and how long it takes to send the backlog through the places that are free, by the time that requests of each queue were in flight lately (RequestDelay) or that those in flight have been already. Late steps count with their share at most. Nothing counts while a request may be sent at once, or before anything was observed.

Evidence: TestMoreIsAcceptedThanAdvisorApproves failed before ("of 450 accepted jobs, 0 refused, the advisor was asked about 56 after more than 3.36s and not about 150"). TestSlowPathRefusesNobodyInVain, which passed, holds the other side.

--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -52,57 +52,6 @@
 	}
 }
 
-// expectedApprovalWait returns how long the advisor is expected to be busy with the steps that it
-// decides about before those of a new job of the queue. It changes with each plan.
-func (b *Planner) expectedApprovalWait(q caspec.Queue, excess bool) time.Duration {
-	if q.Approval == nil {
-		return 0
-	}
-	turns := b.requestLimits.Turns
-	if b.isLongRequest(q) {
-		turns = b.requestLimits.LongTurns
-	}
-	if turns <= 0 {
-		return 0
-	}
-	backlog := &b.statsOf(q.Name).approvalBacklog
-	if excess {
-		backlog = &b.statsOf(q.Name).excessApprovalBacklog
-	}
-	if backlog.plan != b.plans {
-		backlog.plan, backlog.cost = b.plans, b.approvalCostBefore(q, excess)
-	}
-	return time.Duration(float64(backlog.cost) / turns)
-}
-
-// approvalBacklog is the announced time of the requests that the advisor decides about before those of
-// a new job of a queue, as of a plan.
-type approvalBacklog struct {
-	plan int64
-	cost time.Duration
-}
-
-// approvalCostBefore sums up the steps that the advisor has not decided about, that are not late, and that
-// start within the limits of their teams. Long requests do not count for a queue with short ones, for which some entries
-// are kept free.
-func (b *Planner) approvalCostBefore(q caspec.Queue, excess bool) time.Duration {
-	isLong := b.isLongRequest(q)
-	headroom := b.newHeadroom()
-	cost := time.Duration(0)
-	for _, s := range b.steps {
-		sq, ok := b.queueOf(s.job)
-		if !ok || !s.ready || !s.awaitsAdvisor(sq) || !s.goesBefore(q, excess) || b.isLongRequest(sq) && !isLong {
-			continue
-		}
-		if s.lateness != latenessNone || !headroom.fits(s) || b.isStepHeldBack(s) {
-			continue
-		}
-		headroom.claim(s)
-		cost += sq.Approval.Cost(requestSize(s, b.statsOf(sq.Name).approvalRate))
-	}
-	return cost
-}
-
 // awaitsAdvisor reports whether the step has no answer of the advisor yet. Such a step
 // waits for the advisor, not for room.
 func (s *step) awaitsAdvisor(q caspec.Queue) bool {
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -293,6 +293,7 @@
 			continue
 		}
 		s.approvals.requestPending = false
+		b.observeRequest(s, request)
 		if answered {
 			b.applyApprovals(s, request, approved, false)
 		}
--- a/internal/cell/caboard/approvalbacklog_test.go
+++ b/internal/cell/caboard/approvalbacklog_test.go
@@ -22,7 +22,7 @@
 	s.planner.Plan()
 	s.planner.RunMaintenance()
 	s.advance(3 * time.Second)
-	s.submit("on_time", "queue", smallStep(1))
+	s.planner.open(submission(0, smallStep(1)), false)
 	s.planner.Plan()
 	log.Reset()
 	s.planner.RunMaintenance()
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -212,6 +212,8 @@
 	// approvalBacklog is the backlog of the advisor before a job of the queue, and excessApprovalBacklog
 	// that before one beyond the guaranteed rate of its team.
 	approvalBacklog, excessApprovalBacklog approvalBacklog
+	// requestDelay is how much longer than announced approval requests are in flight.
+	requestDelay caadmission.RequestDelay
 	// durationRatio is the mean ratio of the run time of tasks to their estimate.
 	durationRatio float64
 	// startRate measures how much work is started.
