Leader: a read of the list of upstreams may take longer after one without an answer

Cause: a fixed time for what was observed. Each read was given up after 1 s, and the next one, 0.35 s later, as well.

Why it works: after a read without an answer the next one may take 2 s, the longest that ends before the list no longer counts (2.7 s). Once reads are quick the timeout is 1 s again. With a store that does not answer, a read each 2.35 s is made in place of one each 1.35 s.

go test of caleader (also with the race detector) and of the tests of cagate on lists, silent upstreams, restarts and drains passes.

--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -70,6 +70,8 @@
 	answerDelay atomic.Int64
 	// readDelay is how much later all answers to reads of the newest records arrive.
 	readDelay atomic.Int64
+	// listDelay is how much later all lists of upstreams arrive.
+	listDelay atomic.Int64
 	// claims counts the claims of leaders that were stored.
 	claims atomic.Int64
 	// settleTime is how long the cell may take to recover at the end.
@@ -190,6 +192,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if late := awaitAnswer(ctx, &c.listDelay); late != nil {
+		return nil, late
+	}
 	list, err := c.fleet.List(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/cagate/slowstore_test.go
+++ b/internal/cell/cagate/slowstore_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
 // TestSlowStoreKeepsItsLeader guards against leaders that give up each append to a store that stores it
@@ -61,3 +65,28 @@
 		})
 	}
 }
+
+// TestUpstreamsAreFoundWhileListsAreSlow guards against a leader that gives up each read of the list of
+// upstreams after a fixed time though it is answered: upstreams that joined got no work.
+func TestUpstreamsAreFoundWhileListsAreSlow(t *testing.T) {
+	isLate := func(id cawork.UpstreamID) bool { return id != "up-0" }
+	for _, delay := range []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+				c.listDelay.Store(int64(delay))
+				time.Sleep(2 * time.Second)
+				c.alterList(nil)
+				c.load(10 * time.Second)
+				c.callers.Wait()
+				if runs := c.runsAt(isLate); len(runs) == 0 {
+					t.Error("no run at the upstreams that joined, in 10 s")
+				}
+				c.listDelay.Store(0)
+			}, func(c *testCell) {
+				c.alterList(func(list []caspec.Upstream) []caspec.Upstream {
+					return slices.DeleteFunc(slices.Clone(list), func(u caspec.Upstream) bool { return isLate(u.ID) })
+				})
+			})
+		})
+	}
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -60,8 +60,9 @@
 	freshClaimAge = time.Second
 	// listPeriod is the time between two reads of the list of upstreams.
 	listPeriod = 350 * time.Millisecond
-	// listTimeout bounds one read of the list.
-	listTimeout = time.Second
+	// listTimeout bounds one read of the list, up to maxListTimeout where reads take long.
+	listTimeout    = time.Second
+	maxListTimeout = 2 * time.Second
 	// maxListPause is the time after a read of the list in which the next one must end.
 	// A leader that takes longer was suspended.
 	maxListPause = 2 * (listPeriod + listTimeout)
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -6,6 +6,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -208,14 +209,13 @@
 func (l *Leader) listLoop(ctx context.Context) error {
 	failing := false
 	var retention listRetention
+	latency := calatency.NewPeak(calatency.Bounds{Min: listTimeout, Max: maxListTimeout})
 	for {
 		if err := l.Timer.Pause(ctx, listPeriod); err != nil {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		began := l.Timer.Now()
-		list, err := l.Registry.List(callCtx)
-		cancel()
+		list, err := l.readList(ctx, latency)
 		if err != nil {
 			l.noteListRead()
 			if !failing {
@@ -231,6 +231,18 @@
 	}
 }
 
+// readList reads the list of upstreams. After a read without an answer the next one may take longer.
+func (l *Leader) readList(ctx context.Context, latency *calatency.Peak) ([]caspec.Upstream, error) {
+	callCtx, cancel := context.WithTimeout(ctx, latency.Timeout())
+	defer cancel()
+	began := l.Timer.Now()
+	list, err := l.Registry.List(callCtx)
+	if err == nil || callCtx.Err() != nil {
+		latency.Observe(l.Timer.Now().Sub(began))
+	}
+	return list, err
+}
+
 // noteListRead records that an attempt to read the list has ended, also one that failed: a
 // leader that cannot read the list goes on by the last one, a suspended one does not.
 func (l *Leader) noteListRead() {
