Leader: stops that a silent upstream leaves unanswered do not make others wait

What callers see: an innocent job is given up, where upstreams crash beside other faults.

Cause: stops to upstreams that had crashed got no answer, and counted as slow ones. In a cell of six upstreams most stops were such, so that the timeout grew to 3 s, and a stop for the next incarnation came that much later.

Why this works: a stop without an answer counts only if its upstream, in the same incarnation, has answered another call since: then it is slow, otherwise it is silent.

--- a/internal/cell/caboard/detector.go
+++ b/internal/cell/caboard/detector.go
@@ -164,3 +164,9 @@
 	b.detector.addAnswerLatency(took)
 	return took
 }
+
+// HasAnsweredSince reports whether the incarnation of an upstream has answered a call after the time.
+func (b *Planner) HasAnsweredSince(id cawork.UpstreamID, born int64, at time.Time) bool {
+	u, ok := b.upstreams[id]
+	return ok && u.info.Incarnation == born && u.lastAnswerAt.After(at)
+}
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -158,6 +158,7 @@
 }
 
 func (l *Leader) stopRun(ctx context.Context, order caboard.StopOrder) {
+	began := l.Timer.Now()
 	err := l.callStop(ctx, order)
 	l.lock(partReport)
 	defer l.mu.unlock()
@@ -166,27 +167,25 @@
 		return
 	}
 	l.planner.SetNow(l.now())
+	if err == nil || l.planner.HasAnsweredSince(order.Upstream, order.Born, began) {
+		l.stopLatency.Observe(l.Timer.Now().Sub(began))
+	}
 	if l.planner.ApplyStopOutcome(order, err == nil) {
 		l.spawn(func() { l.requestReport(ctx, order.Upstream) })
 	}
 	l.wakePlanner()
 }
 
-// callStop sends a stop. The stops of silent upstreams are many, and do not tell how long the others
-// take.
+// callStop sends a stop. Stops without an answer count for the latency only if their upstream answers
+// other calls: silent ones do not show how long the others take.
 func (l *Leader) callStop(ctx context.Context, order caboard.StopOrder) error {
 	timeout := l.stopLatency.Timeout()
 	if order.ToSilent {
 		timeout = minStopTimeout
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	began := l.Timer.Now()
-	err := l.Upstreams.Stop(callCtx, l.token, order)
-	if !order.ToSilent {
-		l.stopLatency.Observe(l.Timer.Now().Sub(began))
-	}
-	return err
+	return l.Upstreams.Stop(ctx, l.token, order)
 }
 
 // requestReport requests a report from an upstream immediately, in parallel with
