--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -6,6 +6,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -157,6 +158,7 @@
 }
 
 func (l *Leader) stopRun(ctx context.Context, order caboard.StopOrder) {
+	began := l.Timer.Now()
 	err := l.callStop(ctx, order)
 	l.lock(partReport)
 	defer l.mu.unlock()
@@ -165,27 +167,25 @@
 		return
 	}
 	l.planner.SetNow(l.now())
+	if err == nil || l.planner.HasAnsweredSince(order.Upstream, order.Born, began) {
+		l.stopLatency.Observe(l.Timer.Now().Sub(began))
+	}
 	if l.planner.ApplyStopOutcome(order, err == nil) {
 		l.spawn(func() { l.requestReport(ctx, order.Upstream) })
 	}
 	l.wakePlanner()
 }
 
-// callStop sends a stop. The stops of silent upstreams are many, and do not tell how long the others
-// take.
+// callStop sends a stop. Stops without an answer count for the latency only if their upstream answers
+// other calls: silent ones do not show how long the others take.
 func (l *Leader) callStop(ctx context.Context, order caboard.StopOrder) error {
 	timeout := l.stopLatency.Timeout()
 	if order.ToSilent {
 		timeout = minStopTimeout
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	began := l.Timer.Now()
-	err := l.Upstreams.Stop(callCtx, l.token, order)
-	if !order.ToSilent {
-		l.stopLatency.Observe(l.Timer.Now().Sub(began))
-	}
-	return err
+	return l.Upstreams.Stop(ctx, l.token, order)
 }
 
 // requestReport requests a report from an upstream immediately, in parallel with
@@ -208,14 +208,13 @@
 func (l *Leader) listLoop(ctx context.Context) error {
 	failing := false
 	var retention listRetention
+	latency := calatency.NewPeak(calatency.Bounds{Min: listTimeout, Max: maxListTimeout})
 	for {
 		if err := l.Timer.Pause(ctx, listPeriod); err != nil {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		began := l.Timer.Now()
-		list, err := l.Registry.List(callCtx)
-		cancel()
+		list, err := l.readList(ctx, latency)
 		if err != nil {
 			l.noteListRead()
 			if !failing {
@@ -231,6 +230,18 @@
 	}
 }
 
+// readList reads the list of upstreams. After a read without an answer the next one may take longer.
+func (l *Leader) readList(ctx context.Context, latency *calatency.Peak) ([]caspec.Upstream, error) {
+	callCtx, cancel := context.WithTimeout(ctx, latency.Timeout())
+	defer cancel()
+	began := l.Timer.Now()
+	list, err := l.Registry.List(callCtx)
+	if err == nil || callCtx.Err() != nil {
+		latency.Observe(l.Timer.Now().Sub(began))
+	}
+	return list, err
+}
+
 // noteListRead records that an attempt to read the list has ended, also one that failed: a
 // leader that cannot read the list goes on by the last one, a suspended one does not.
 func (l *Leader) noteListRead() {
