Event 426: a step that does not fit on the approved upstreams, even when these are empty

Callers have a gang accepted that waits without end, and no line says why: 415 is written for the first 12 steps in the order of their placement, where a late gang comes last, and names neither the places that it needs nor those that it could have.

Now 426 says once what became of such a step: places needed at once, places on the approved upstreams when empty, none undecided; and once when it may fit again. The job stays queued: it is not failed (RULES, LOST), and it runs as soon as it fits. It can't be refused at the door: what the advisor approves is known for the step only after it was asked about all upstreams, and the mean approval rate of a queue would refuse gangs that run.

Existing test: hasAmpleRoom in standstill_test.go counted places with fittingTasks of the planner; it uses the count of the test now, which gives the same (TestFittingTasksCountsPlaces, 20,000 cases) and does not follow a fault of the planner's.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -71,6 +71,7 @@
 	ApprovalOverdue    Number = 422
 	RecordHeld         Number = 423
 	RecordReleased     Number = 424
+	StepLacksRoom      Number = 426
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -18,14 +18,16 @@
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_released"
 	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_released"
-	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
-	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
-	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
-	_NumberLowerName_6 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
-	_NumberName_7      = "shard_rebuiltallowance_inheritedrecord_later"
-	_NumberLowerName_7 = "shard_rebuiltallowance_inheritedrecord_later"
-	_NumberName_8      = "log_unavailablelog_restoredvm_list_unavailableappend_slow"
-	_NumberLowerName_8 = "log_unavailablelog_restoredvm_list_unavailableappend_slow"
+	_NumberName_5      = "step_lacks_room"
+	_NumberLowerName_5 = "step_lacks_room"
+	_NumberName_6      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
+	_NumberLowerName_6 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
+	_NumberName_7      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
+	_NumberLowerName_7 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
+	_NumberName_8      = "shard_rebuiltallowance_inheritedrecord_later"
+	_NumberLowerName_8 = "shard_rebuiltallowance_inheritedrecord_later"
+	_NumberName_9      = "log_unavailablelog_restoredvm_list_unavailableappend_slow"
+	_NumberLowerName_9 = "log_unavailablelog_restoredvm_list_unavailableappend_slow"
 )
 
 var (
@@ -34,10 +36,11 @@
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
 	_NumberIndex_4 = [...]uint16{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243, 254, 269}
-	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117}
-	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
-	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
-	_NumberIndex_8 = [...]uint8{0, 15, 27, 46, 57}
+	_NumberIndex_5 = [...]uint8{0, 15}
+	_NumberIndex_6 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117}
+	_NumberIndex_7 = [...]uint8{0, 16, 34, 47, 62, 78}
+	_NumberIndex_8 = [...]uint8{0, 13, 32, 44}
+	_NumberIndex_9 = [...]uint8{0, 15, 27, 46, 57}
 )
 
 func (i Number) String() string {
@@ -57,18 +60,20 @@
 	case 405 <= i && i <= 424:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
+	case i == 426:
+		return _NumberName_5
 	case 500 <= i && i <= 507:
 		i -= 500
-		return _NumberName_5[_NumberIndex_5[i]:_NumberIndex_5[i+1]]
+		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
 	case 600 <= i && i <= 604:
 		i -= 600
-		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
+		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
 	case 606 <= i && i <= 608:
 		i -= 606
-		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
+		return _NumberName_8[_NumberIndex_8[i]:_NumberIndex_8[i+1]]
 	case 700 <= i && i <= 703:
 		i -= 700
-		return _NumberName_8[_NumberIndex_8[i]:_NumberIndex_8[i+1]]
+		return _NumberName_9[_NumberIndex_9[i]:_NumberIndex_9[i+1]]
 	default:
 		return fmt.Sprintf("Number(%d)", i)
 	}
@@ -134,6 +139,7 @@
 	_ = x[ApprovalOverdue-(422)]
 	_ = x[RecordHeld-(423)]
 	_ = x[RecordReleased-(424)]
+	_ = x[StepLacksRoom-(426)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -156,7 +162,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, StepLacksRoom, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -215,26 +221,27 @@
 	_NumberName_4[227:243]: ApprovalOverdue,
 	_NumberName_4[243:254]: RecordHeld,
 	_NumberName_4[254:269]: RecordReleased,
-	_NumberName_5[0:14]:    RequestRouted,
-	_NumberName_5[14:29]:   RequestRefused,
-	_NumberName_5[29:45]:   RequestAnswered,
-	_NumberName_5[45:60]:   RequestRetried,
-	_NumberName_5[60:76]:   UpstreamEjected,
-	_NumberName_5[76:93]:   UpstreamRestored,
-	_NumberName_5[93:104]:  CallWaited,
-	_NumberName_5[104:117]: CancelWaited,
-	_NumberName_6[0:16]:    ShardTakenOver,
-	_NumberName_6[16:34]:   ShardViewChanged,
-	_NumberName_6[34:47]:   ShardDeposed,
-	_NumberName_6[47:62]:   AllowanceMoved,
-	_NumberName_6[62:78]:   AllowanceMinted,
-	_NumberName_7[0:13]:    ShardRebuilt,
-	_NumberName_7[13:32]:   AllowanceInherited,
-	_NumberName_7[32:44]:   RecordLater,
-	_NumberName_8[0:15]:    LogUnavailable,
-	_NumberName_8[15:27]:   LogRestored,
-	_NumberName_8[27:46]:   VMListUnavailable,
-	_NumberName_8[46:57]:   AppendSlow,
+	_NumberName_5[0:15]:    StepLacksRoom,
+	_NumberName_6[0:14]:    RequestRouted,
+	_NumberName_6[14:29]:   RequestRefused,
+	_NumberName_6[29:45]:   RequestAnswered,
+	_NumberName_6[45:60]:   RequestRetried,
+	_NumberName_6[60:76]:   UpstreamEjected,
+	_NumberName_6[76:93]:   UpstreamRestored,
+	_NumberName_6[93:104]:  CallWaited,
+	_NumberName_6[104:117]: CancelWaited,
+	_NumberName_7[0:16]:    ShardTakenOver,
+	_NumberName_7[16:34]:   ShardViewChanged,
+	_NumberName_7[34:47]:   ShardDeposed,
+	_NumberName_7[47:62]:   AllowanceMoved,
+	_NumberName_7[62:78]:   AllowanceMinted,
+	_NumberName_8[0:13]:    ShardRebuilt,
+	_NumberName_8[13:32]:   AllowanceInherited,
+	_NumberName_8[32:44]:   RecordLater,
+	_NumberName_9[0:15]:    LogUnavailable,
+	_NumberName_9[15:27]:   LogRestored,
+	_NumberName_9[27:46]:   VMListUnavailable,
+	_NumberName_9[46:57]:   AppendSlow,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
@@ -294,26 +301,27 @@
 	_NumberLowerName_4[227:243]: ApprovalOverdue,
 	_NumberLowerName_4[243:254]: RecordHeld,
 	_NumberLowerName_4[254:269]: RecordReleased,
-	_NumberLowerName_5[0:14]:    RequestRouted,
-	_NumberLowerName_5[14:29]:   RequestRefused,
-	_NumberLowerName_5[29:45]:   RequestAnswered,
-	_NumberLowerName_5[45:60]:   RequestRetried,
-	_NumberLowerName_5[60:76]:   UpstreamEjected,
-	_NumberLowerName_5[76:93]:   UpstreamRestored,
-	_NumberLowerName_5[93:104]:  CallWaited,
-	_NumberLowerName_5[104:117]: CancelWaited,
-	_NumberLowerName_6[0:16]:    ShardTakenOver,
-	_NumberLowerName_6[16:34]:   ShardViewChanged,
-	_NumberLowerName_6[34:47]:   ShardDeposed,
-	_NumberLowerName_6[47:62]:   AllowanceMoved,
-	_NumberLowerName_6[62:78]:   AllowanceMinted,
-	_NumberLowerName_7[0:13]:    ShardRebuilt,
-	_NumberLowerName_7[13:32]:   AllowanceInherited,
-	_NumberLowerName_7[32:44]:   RecordLater,
-	_NumberLowerName_8[0:15]:    LogUnavailable,
-	_NumberLowerName_8[15:27]:   LogRestored,
-	_NumberLowerName_8[27:46]:   VMListUnavailable,
-	_NumberLowerName_8[46:57]:   AppendSlow,
+	_NumberLowerName_5[0:15]:    StepLacksRoom,
+	_NumberLowerName_6[0:14]:    RequestRouted,
+	_NumberLowerName_6[14:29]:   RequestRefused,
+	_NumberLowerName_6[29:45]:   RequestAnswered,
+	_NumberLowerName_6[45:60]:   RequestRetried,
+	_NumberLowerName_6[60:76]:   UpstreamEjected,
+	_NumberLowerName_6[76:93]:   UpstreamRestored,
+	_NumberLowerName_6[93:104]:  CallWaited,
+	_NumberLowerName_6[104:117]: CancelWaited,
+	_NumberLowerName_7[0:16]:    ShardTakenOver,
+	_NumberLowerName_7[16:34]:   ShardViewChanged,
+	_NumberLowerName_7[34:47]:   ShardDeposed,
+	_NumberLowerName_7[47:62]:   AllowanceMoved,
+	_NumberLowerName_7[62:78]:   AllowanceMinted,
+	_NumberLowerName_8[0:13]:    ShardRebuilt,
+	_NumberLowerName_8[13:32]:   AllowanceInherited,
+	_NumberLowerName_8[32:44]:   RecordLater,
+	_NumberLowerName_9[0:15]:    LogUnavailable,
+	_NumberLowerName_9[15:27]:   LogRestored,
+	_NumberLowerName_9[27:46]:   VMListUnavailable,
+	_NumberLowerName_9[46:57]:   AppendSlow,
 }
 
 var _NumberNames = []string{
@@ -373,26 +381,27 @@
 	_NumberName_4[227:243],
 	_NumberName_4[243:254],
 	_NumberName_4[254:269],
-	_NumberName_5[0:14],
-	_NumberName_5[14:29],
-	_NumberName_5[29:45],
-	_NumberName_5[45:60],
-	_NumberName_5[60:76],
-	_NumberName_5[76:93],
-	_NumberName_5[93:104],
-	_NumberName_5[104:117],
-	_NumberName_6[0:16],
-	_NumberName_6[16:34],
-	_NumberName_6[34:47],
-	_NumberName_6[47:62],
-	_NumberName_6[62:78],
-	_NumberName_7[0:13],
-	_NumberName_7[13:32],
-	_NumberName_7[32:44],
-	_NumberName_8[0:15],
-	_NumberName_8[15:27],
-	_NumberName_8[27:46],
-	_NumberName_8[46:57],
+	_NumberName_5[0:15],
+	_NumberName_6[0:14],
+	_NumberName_6[14:29],
+	_NumberName_6[29:45],
+	_NumberName_6[45:60],
+	_NumberName_6[60:76],
+	_NumberName_6[76:93],
+	_NumberName_6[93:104],
+	_NumberName_6[104:117],
+	_NumberName_7[0:16],
+	_NumberName_7[16:34],
+	_NumberName_7[34:47],
+	_NumberName_7[47:62],
+	_NumberName_7[62:78],
+	_NumberName_8[0:13],
+	_NumberName_8[13:32],
+	_NumberName_8[32:44],
+	_NumberName_9[0:15],
+	_NumberName_9[15:27],
+	_NumberName_9[27:46],
+	_NumberName_9[46:57],
 }
 
 // NumberString retrieves an enum value from the enum constants string name.
--- a/internal/cell/caboard/placecount_test.go
+++ b/internal/cell/caboard/placecount_test.go
@@ -344,3 +344,23 @@
 		}
 	}
 }
+
+// TestFittingTasksCountsPlaces compares the planner's count for one upstream with that of this file.
+func TestFittingTasksCountsPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := func(name string) cawork.Resources {
+			return cawork.Resources{
+				CPU: cawork.MilliCPU(rapid.IntRange(0, 20).Draw(t, name+"_cpu")), Memory: cawork.Bytes(rapid.IntRange(0, 20).Draw(t, name+"_memory")),
+				Accelerators: int64(rapid.IntRange(0, 4).Draw(t, name+"_accelerators")),
+			}
+		}
+		capacity, used, size := amount("capacity"), amount("used"), amount("size")
+		step := caspec.Step{
+			Tasks: rapid.IntRange(1, 12).Draw(t, "tasks"), CPU: size.CPU, Memory: size.Memory, Accelerators: size.Accelerators,
+			MaxPerUpstream: rapid.IntRange(0, 3).Draw(t, "max_per_upstream"),
+		}
+		if diff := cmp.Diff(countPlaces(capacity, used, step), fittingTasks(capacity.Minus(used), step)); diff != "" {
+			t.Errorf("tasks that fit (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -108,6 +108,8 @@
 	listValidUntil time.Time
 	// longWaitsLoggedAt is when the waits of steps were last logged.
 	longWaitsLoggedAt time.Time
+	// lackedRoomLoggedAt is when steps without room at approved upstreams were last sought.
+	lackedRoomLoggedAt time.Time
 	// crashes is what is known about crashes of upstreams.
 	crashes crashState
 	records recordState
@@ -183,6 +185,8 @@
 	reservation        *reservation
 	reservationTriedAt time.Time
 	approvals          approvals
+	// lacksRoom is set once it is logged that the step does not fit on the approved upstreams.
+	lacksRoom bool
 	// copiedRuns are runs whose tasks were also started elsewhere, and longestRun is the
 	// longest run that ended well.
 	copiedRuns []*run
--- a/internal/cell/caboard/standstill_test.go
+++ b/internal/cell/caboard/standstill_test.go
@@ -606,7 +606,7 @@
 	places := 0
 	for _, u := range b.upstreams {
 		if u.up && !u.cut && !u.gone && !u.info.Draining && u.info.HasLabel(s.spec.Label) && b.isAdmitted(j, s.number, u.info.ID) {
-			places += fittingTasks(u.info.Capacity.Minus(u.used()), s.spec)
+			places += countPlaces(u.info.Capacity, u.used(), s.spec)
 		}
 	}
 	return places >= standstillRoomFactor*atOnce
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -78,10 +78,7 @@
 
 func (b *Planner) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
 	teamPolicy, _ := b.policy.Team(team)
-	atOnce := 1
-	if s.Gang {
-		atOnce = s.Tasks
-	}
+	atOnce := tasksAtOnce(s)
 	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
 	}
@@ -220,6 +217,7 @@
 // wait long.
 func (b *Planner) RunMaintenance() {
 	b.logLongWaits()
+	b.logLackedRoom()
 	b.logDrains()
 	oldest := b.now.Monotonic.Add(-historyRetention)
 	for id, j := range b.jobs {
--- a/internal/cli/caloglines/line.go
+++ b/internal/cli/caloglines/line.go
@@ -41,6 +41,12 @@
 	Upstreams []string `json:"upstreams"`
 	// SuspectJobs are the jobs that may have crashed the upstream.
 	SuspectJobs []string `json:"suspect_jobs"`
+	// Lacks is set if a step needs more places AtOnce than the Places that the Approved upstreams have when
+	// they are empty.
+	Lacks    bool `json:"lacks"`
+	AtOnce   int  `json:"at_once"`
+	Places   int  `json:"places"`
+	Approved int  `json:"approved"`
 }
 
 // Concerns reports whether the line is about the job.
--- a/internal/cli/caloglines/line_test.go
+++ b/internal/cli/caloglines/line_test.go
@@ -37,3 +37,23 @@
 		t.Error(err)
 	}
 }
+
+// TestTextNamesLackedRoom guards against a job that waits for ever and whose history does not say why.
+func TestTextNamesLackedRoom(t *testing.T) {
+	log := strings.Join([]string{
+		`{"event":426,"job":"a","step":1,"lacks":true,"at_once":48,"places":42,"approved":14,"time":"2026-12-04T10:00:01Z"}`,
+		`{"event":426,"job":"a","step":1,"lacks":false,"at_once":48,"places":48,"approved":16,"time":"2026-12-04T10:00:02Z"}`,
+	}, "\n")
+	r := caloglines.NewReader(caloglines.Log{Content: strings.NewReader(log)})
+	var got []string
+	for line, ok := r.Next(); ok; line, ok = r.Next() {
+		got = append(got, line.Text())
+	}
+	want := []string{
+		"step_lacks_room step 1 needs 48 places at once, 14 approved upstreams have 42 when empty",
+		"step_lacks_room step 1 may fit again",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines of a step without room (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cli/caloglines/text.go
+++ b/internal/cli/caloglines/text.go
@@ -20,6 +20,9 @@
 	if l.Event == caevent.JobGivenUp {
 		fmt.Fprintf(&b, " step %d task %d, crashed under it: %s", l.Step, l.Task, strings.Join(l.Upstreams, ", "))
 	}
+	if l.Event == caevent.StepLacksRoom {
+		b.WriteString(" " + l.roomText())
+	}
 	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
 		if detail != "" {
 			b.WriteString(" " + detail)
@@ -31,6 +34,14 @@
 	return b.String()
 }
 
+// roomText says whether a step fits on the upstreams that the advisor approved.
+func (l Line) roomText() string {
+	if !l.Lacks {
+		return fmt.Sprintf("step %d may fit again", l.Step)
+	}
+	return fmt.Sprintf("step %d needs %d places at once, %d approved upstreams have %d when empty", l.Step, l.AtOnce, l.Approved, l.Places)
+}
+
 // eventName returns the name of the event of a line.
 func (l Line) eventName() string {
 	if l.Event.IsANumber() {
