--- a/internal/cell/caboard/approvedroom_test.go
+++ b/internal/cell/caboard/approvedroom_test.go
@@ -57,11 +57,12 @@
 	return w
 }
 
-// admittedPlaces returns how many tasks of a step the admitted upstreams hold when they are empty.
+// admittedPlaces returns how many tasks of a step the listed upstreams that are admitted hold when they are
+// empty.
 func (w *rareWorld) admittedPlaces(s *step) int {
 	places := 0
-	for _, u := range w.upstreams {
-		if _, listed := w.listed[u.info.ID]; listed && !u.gone && hasLabels(u.info, s.spec) && w.isAdmitted(w.jobs[s.job.Submission.ID], s.number, u.info.ID) {
+	for _, u := range w.planner.sortedUpstreams {
+		if u.listed && hasLabels(u.info, s.spec) && w.isAdmitted(w.jobs[s.job.Submission.ID], s.number, u.info.ID) {
 			places += countPlaces(u.info.Capacity, cawork.Resources{}, s.spec)
 		}
 	}
@@ -86,7 +87,7 @@
 
 func (w *rareWorld) checkReservations() {
 	for _, s := range w.planner.steps {
-		if w.elapsed >= standstillFrom && s.hasReserved() && w.lacksRoom(s) {
+		if s.hasReserved() && w.lacksRoom(s) {
 			w.reserved = append(w.reserved, fmt.Sprintf("%v: %s", w.elapsed, s.job.Submission.ID))
 		}
 	}
