--- a/internal/soak/casoak/proxy.go
+++ b/internal/soak/caproxy/proxy.go
@@ -1,4 +1,5 @@
-package casoak
+// Package caproxy forwards TCP connections on loopback and applies faults of links to them.
+package caproxy
 
 import (
 	"net"
@@ -46,8 +47,8 @@
 	done  chan struct{}
 }
 
-// NewProxy listens on the address and forwards connections to the target.
-func NewProxy(address, target string) (*Proxy, error) {
+// New listens on the address and forwards connections to the target.
+func New(address, target string) (*Proxy, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -57,6 +58,9 @@
 	return p, nil
 }
 
+// CallerBytes returns the number of bytes received from callers.
+func (p *Proxy) CallerBytes() int64 { return p.callerBytes.Load() }
+
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.lis.Addr().String() }
 
@@ -64,7 +68,7 @@
 func (p *Proxy) Close() {
 	_ = p.lis.Close()
 	<-p.done
-	p.resetConns()
+	p.ResetConns()
 }
 
 // SetFault applies the fault to all connections, or ends the current fault with
@@ -76,7 +80,7 @@
 	p.fault = f
 	p.mu.Unlock()
 	if f == LinkReset || before == LinkOneWay || before == LinkSilent {
-		p.resetConns()
+		p.ResetConns()
 	}
 }
 
@@ -86,8 +90,8 @@
 	return p.fault
 }
 
-// resetConns resets all open connections.
-func (p *Proxy) resetConns() {
+// ResetConns resets all open connections.
+func (p *Proxy) ResetConns() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -16,6 +16,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/soak/caconn"
+	"celeryarch.example/celeryarch/internal/soak/caproxy"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -61,7 +62,7 @@
 	servers         []*http.Server
 	nodes           []*node
 	upstreams       []cawork.UpstreamID
-	upstreamProxies []*Proxy
+	upstreamProxies []*caproxy.Proxy
 	policyVersion   int64
 	load            *loadGenerator
 	// work is set in place of load if the soak has a workload.
@@ -180,7 +181,7 @@
 		if err := c.serve(ip, firstUpstreamPort+2*i, c.emulator.UpstreamHandler(string(id))); err != nil {
 			return err
 		}
-		link, err := NewProxy(fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i+1), fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i))
+		link, err := caproxy.New(fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i+1), fmt.Sprintf("%s:%d", ip, firstUpstreamPort+2*i))
 		if err != nil {
 			return err
 		}
--- a/internal/soak/casoak/node.go
+++ b/internal/soak/casoak/node.go
@@ -15,6 +15,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
+	"celeryarch.example/celeryarch/internal/soak/caproxy"
 	"celeryarch.example/celeryarch/platform"
 )
 
@@ -48,8 +49,8 @@
 	// logStart is where the log of the process begins.
 	lastInitialized []string
 	logStart        int64
-	storeProxy      *Proxy
-	peerProxy       *Proxy
+	storeProxy      *caproxy.Proxy
+	peerProxy       *caproxy.Proxy
 	logFile         *os.File
 
 	mu     sync.Mutex
@@ -85,10 +86,10 @@
 func newNode(dir, ip, name, zone string, services nodeServices) (*node, error) {
 	n := &node{name: name, ip: ip, zone: zone, settingsPath: filepath.Join(dir, name+".toml")}
 	var err error
-	if n.storeProxy, err = NewProxy(n.address(portStoreProxy), services.store); err != nil {
+	if n.storeProxy, err = caproxy.New(n.address(portStoreProxy), services.store); err != nil {
 		return nil, err
 	}
-	if n.peerProxy, err = NewProxy(n.address(portPeerProxy), n.address(portControl)); err != nil {
+	if n.peerProxy, err = caproxy.New(n.address(portPeerProxy), n.address(portControl)); err != nil {
 		return nil, err
 	}
 	if n.logFile, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -6,6 +6,8 @@
 	"math/rand"
 	"slices"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/soak/caproxy"
 )
 
 //go:generate go tool enumer -type=FaultKind -trimprefix=Fault -transform=snake -output=faultkind_names.go
@@ -83,7 +85,7 @@
 	faultKindCount = int(FaultConfigure) + 1
 	// linkFaultCount and storeFaultCount are the numbers of link and store faults,
 	// without the value for no fault.
-	linkFaultCount  = int(LinkSilent)
+	linkFaultCount  = int(caproxy.LinkSilent)
 	storeFaultCount = 4
 	// meanAddedInterval is the mean time between two faults of an added kind, and meanPowerLossInterval
 	// that between two losses of power of a kind.
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"syscall"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
-	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/soak/caproxy"
 	"celeryarch.example/celeryarch/internal/soak/caworkload"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
@@ -18,11 +16,6 @@
 const (
 	// readyTimeout bounds the time until all nodes are ready.
 	readyTimeout = 20 * time.Second
-	// settleTimeout bounds the time until the phases of all jobs agree with their
-	// outcomes, once all faults have ended.
-	settleTimeout = 40 * time.Second
-	// settlePollInterval is the time between two checks of the remaining jobs.
-	settlePollInterval = 500 * time.Millisecond
 	// leaderSampleTime is the time over which findLeader compares the traffic to the store.
 	leaderSampleTime = 100 * time.Millisecond
 	// violationPollInterval is the time between two checks for violations at the upstreams.
@@ -207,13 +200,13 @@
 func (c *cell) findLeader(ctx context.Context) int {
 	before := make([]int64, len(c.nodes))
 	for i, n := range c.nodes {
-		before[i] = n.storeProxy.callerBytes.Load()
+		before[i] = n.storeProxy.CallerBytes()
 	}
 	// A shorter sample at the end of the context only selects another target.
 	_ = c.timer.Pause(ctx, leaderSampleTime)
 	best, most := 0, int64(-1)
 	for i, n := range c.nodes {
-		if sent := n.storeProxy.callerBytes.Load() - before[i]; sent > most {
+		if sent := n.storeProxy.CallerBytes() - before[i]; sent > most {
 			best, most = i, sent
 		}
 	}
@@ -223,9 +216,9 @@
 // applyEvent starts or ends one fault.
 func (c *cell) applyEvent(ctx context.Context, e faultEvent, l *outcomeLog) error {
 	f := e.fault
-	link := LinkNone
+	link := caproxy.LinkNone
 	if e.begins {
-		link = LinkFault(f.Way)
+		link = caproxy.LinkFault(f.Way)
 	}
 	switch f.Kind {
 	case FaultKill:
@@ -249,7 +242,7 @@
 	case FaultUpstreamRestart:
 		if e.begins {
 			c.fleet.Restart(c.upstreams[f.Target])
-			c.upstreamProxies[f.Target].resetConns()
+			c.upstreamProxies[f.Target].ResetConns()
 			return c.registerUpstreams(ctx)
 		}
 	case FaultStore:
@@ -345,70 +338,15 @@
 			l.recordViolation("%s exited unexpectedly %d times", n.name, n.unexpectedExitCount())
 		}
 		n.resume()
-		n.storeProxy.SetFault(LinkNone)
-		n.peerProxy.SetFault(LinkNone)
+		n.storeProxy.SetFault(caproxy.LinkNone)
+		n.peerProxy.SetFault(caproxy.LinkNone)
 	}
 	for _, link := range c.upstreamProxies {
-		link.SetFault(LinkNone)
+		link.SetFault(caproxy.LinkNone)
 	}
 	c.store.SetFault(func(string) standin.Fault { return standin.FaultNone })
 }
 
-// settle ends all faults, waits until the phases of all jobs agree with the
-// outcomes reported to callers, and records the jobs where they do not. It returns the
-// number of jobs without a deadly task that were given up.
-func (c *cell) settle(ctx context.Context, l *outcomeLog) (givenUp int) {
-	c.endFaults(l)
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-	defer cancel()
-	caller := c.newCaller(teamKey)
-	unmatched := l.snapshot()
-	for {
-		for id, o := range unmatched {
-			mismatch, phase := c.outcomeMismatch(ctx, caller, id, o)
-			if mismatch != "" {
-				continue
-			}
-			delete(unmatched, id)
-			if phase == castate.PhaseFailed && !c.load.isDeadly(id) {
-				givenUp++
-			}
-		}
-		if len(unmatched) == 0 || c.timer.Pause(ctx, settlePollInterval) != nil {
-			break
-		}
-	}
-	ids := make([]cawork.JobID, 0, len(unmatched))
-	for id := range unmatched {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		mismatch, _ := c.outcomeMismatch(context.WithoutCancel(ctx), caller, id, unmatched[id])
-		l.recordViolation("job %s %s", id, mismatch)
-	}
-	return givenUp
-}
-
-// outcomeMismatch asks the nodes in turn for the phase of a job. It describes how
-// the phase contradicts the outcome, or returns an empty string and the phase if they
-// agree.
-func (c *cell) outcomeMismatch(ctx context.Context, caller *platform.Caller, id cawork.JobID, o outcome) (string, castate.Phase) {
-	for _, n := range c.nodes {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		answer := caller.Phase(callCtx, n.address(portFront), queueSpec(), id)
-		cancel()
-		if !answer.IsAccepted() && !answer.IsGone() {
-			continue
-		}
-		if c.load.isDeadly(id) {
-			return o.deadlyMismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id)), answer.Phase
-		}
-		return o.mismatch(answer.Phase, !answer.IsGone(), c.crashesOf(id)), answer.Phase
-	}
-	return "is not reported by any node", castate.PhaseQueued
-}
-
 // Err returns an error if a guarantee was violated.
 func (r Report) Err() error {
 	if len(r.Broken) == 0 {
--- a/internal/soak/casoak/workplan.go
+++ b/internal/soak/casoak/workplan.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"celeryarch.example/celeryarch/internal/soak/caproxy"
 )
 
 const (
@@ -64,9 +66,9 @@
 // cutZone cuts a zone off, or ends the cut. The proxies stand at the called side: nodes of the zone
 // still reach nodes elsewhere.
 func (c *cell) cutZone(zone string, begins bool) {
-	link := LinkNone
+	link := caproxy.LinkNone
 	if begins {
-		link = LinkSilent
+		link = caproxy.LinkSilent
 	}
 	for _, n := range c.nodes {
 		if n.zone == zone {
