Soak: requests in two parts beside planned work (52)

All requests came whole, so that a drain never met one of which a part had come. One of ten calls is now sent in two parts, up to 50 ms apart, beside planned work (caconn.Transport.SplitShare).

--- a/internal/soak/caconn/transport.go
+++ b/internal/soak/caconn/transport.go
@@ -45,6 +45,10 @@
 type Transport struct {
 	// NewShare is the share of the calls that open a connection, although one is idle.
 	NewShare float64
+	// SplitShare is the share of the calls whose requests are sent in two parts, with a pause of up to
+	// MaxSplitPause between them.
+	SplitShare    float64
+	MaxSplitPause time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -79,7 +83,7 @@
 		}
 		request := r.Clone(r.Context())
 		request.Body = io.NopCloser(bytes.NewReader(body))
-		response, err := c.call(request)
+		response, err := c.call(request, t.splitPause())
 		if err == nil {
 			t.keep(r.URL.Host, c, response)
 			return response, nil
@@ -91,6 +95,14 @@
 	}
 }
 
+// splitPause returns the pause between the two parts of a request, or zero if it is sent at once.
+func (t *Transport) splitPause() time.Duration {
+	if t.MaxSplitPause <= 0 || rand.Float64() >= t.SplitShare {
+		return 0
+	}
+	return time.Duration(rand.Int63n(int64(t.MaxSplitPause)))
+}
+
 // errNotReceived means that the connection was closed before the server had received the request.
 var errNotReceived = errors.New("the connection was closed before the request was received")
 
@@ -160,15 +172,15 @@
 	t.idle = nil
 }
 
-// call sends the request and reads the whole response.
-func (c *conn) call(r *http.Request) (*http.Response, error) {
+// call sends the request, in two parts if there is a pause, and reads the whole response.
+func (c *conn) call(r *http.Request, pause time.Duration) (*http.Response, error) {
 	// Without a deadline of the context, only its end ends the call.
 	deadline, _ := r.Context().Deadline()
 	_ = c.SetDeadline(deadline)
 	stop := context.AfterFunc(r.Context(), func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.received = 0
-	if err := r.Write(c.Conn); err != nil {
+	if err := c.send(r, pause); err != nil {
 		return nil, errors.Join(errNotReceived, err)
 	}
 	sentAt := time.Now()
@@ -183,6 +195,21 @@
 	return nil, &CutError{After: took, IsKept: c.isKept, Bytes: c.received, Cause: err}
 }
 
+func (c *conn) send(r *http.Request, pause time.Duration) error {
+	var request bytes.Buffer
+	if err := r.Write(&request); err != nil {
+		return err
+	}
+	if pause > 0 {
+		if _, err := c.Write(request.Next(1 + rand.Intn(request.Len()))); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	_, err := c.Write(request.Bytes())
+	return err
+}
+
 func (c *conn) readResponse(r *http.Request) (*http.Response, error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
--- a/internal/soak/caconn/transport_test.go
+++ b/internal/soak/caconn/transport_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// TestSplitRequest checks that a request in two parts arrives whole.
+func TestSplitRequest(t *testing.T) {
+	const calls = 20
+	var handlers []func(*net.TCPConn)
+	for range calls {
+		handlers = append(handlers, answer)
+	}
+	transport := &Transport{NewShare: 1, SplitShare: 1, MaxSplitPause: 5 * time.Millisecond}
+	address := serveConns(t, handlers...)
+	for range calls {
+		if err := post(t, transport, address); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestRefusedCall checks that a refused connection is the error of a dial.
 func TestRefusedCall(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/soak/casoak/calls.go
+++ b/internal/soak/casoak/calls.go
@@ -12,8 +12,14 @@
 	"celeryarch.example/celeryarch/platform"
 )
 
-// newConnectionShare is the share of the calls that open a connection, although one is idle.
-const newConnectionShare = 0.3
+const (
+	// newConnectionShare is the share of the calls that open a connection, although one is idle.
+	newConnectionShare = 0.3
+	// splitShare is the share of the calls beside planned work that are sent in two parts, and
+	// maxSplitPause bounds the pause between these.
+	splitShare    = 0.1
+	maxSplitPause = 50 * time.Millisecond
+)
 
 // call is a call to the node at an address.
 type call func(ctx context.Context, address string) platform.CallResult
@@ -60,6 +66,15 @@
 	}
 }
 
+// newTransport returns the transport of all callers.
+func newTransport(isPlanned bool) *caconn.Transport {
+	t := &caconn.Transport{NewShare: newConnectionShare}
+	if isPlanned {
+		t.SplitShare, t.MaxSplitPause = splitShare, maxSplitPause
+	}
+	return t
+}
+
 // newCaller returns a caller with the API key of a team.
 func (c *cell) newCaller(key string) *platform.Caller {
 	return platform.NewCaller(key, callTimeout).WithTransport(c.transport)
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -106,7 +106,7 @@
 // newStandins returns a cell without nodes, the stand-ins of which are not served yet.
 func newStandins(o Options, capacity cawork.Resources) *cell {
 	c := &cell{timer: catimer.NewService(), store: standin.NewStore(storeAppendDelay), zones: 1, isPlanned: o.IsPlanned, isPatient: o.IsPatient}
-	c.transport, c.acknowledged = &caconn.Transport{NewShare: newConnectionShare}, newAcknowledgements()
+	c.transport, c.acknowledged = newTransport(o.IsPlanned), newAcknowledgements()
 	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize, upstreamName)
 	c.fleet.SetCapacityBound(capacityBound)
 	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet}
