Soak: calls whose time is over are unanswered, unless no connection was opened

The other way round, a call that is not answered within the 5 s that callers wait ends with os.ErrDeadlineExceeded, which counted as not read, and was no violation beside planned work.

--- a/internal/soak/casoak/calls.go
+++ b/internal/soak/casoak/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 // call is a call to the node at an address.
 type call func(ctx context.Context, address string) platform.CallResult
 
-// CallCounts counts calls by their results: Refused ones were not sent, Unread ones were not received
+// CallCounts counts calls by their results: Refused ones were not sent, since no connection was opened, Unread ones were not received
 // by the node, Cut ones got no answer from a node that had received them.
 type CallCounts struct {
 	Answered, Refused, Unread, Cut, Unanswered int
@@ -55,17 +56,22 @@
 	switch {
 	case answer.Status != 0:
 		c.total.Answered++
+	case isRefused(answer):
+		c.total.Refused++
 	case errors.As(answer.Err, &cut):
 		c.total.Cut++
-	case errors.Is(answer.Err, context.DeadlineExceeded):
+	case isTimeout(answer.Err):
 		c.total.Unanswered++
-	case isRefused(answer):
-		c.total.Refused++
 	default:
 		c.total.Unread++
 	}
 }
 
+// isTimeout reports whether a call had no answer when its time was over.
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // newTransport returns the transport of all callers.
 func newTransport(isPlanned bool) *caconn.Transport {
 	t := &caconn.Transport{NewShare: newConnectionShare}
@@ -92,7 +98,7 @@
 	if answer.Status != 0 && took > callTimeout+responseMargin && !n.resumedSince(began) {
 		l.recordViolation("%s answered after %v, %v were allowed", n.name, took, callTimeout)
 	}
-	if c.isPlanned && answer.Status == 0 {
+	if c.isPlanned && answer.Status == 0 && !isRefused(answer) {
 		checkCut(n, l, answer.Err, took)
 	}
 	return answer
@@ -105,7 +111,7 @@
 	case errors.As(err, &cut):
 		l.recordViolation("%s: a call was cut %v after the end of its request, with %d bytes of its response, over a kept connection: %v (%s): %v",
 			time.Now().Format(time.TimeOnly+".000"), cut.After.Round(time.Microsecond), cut.Bytes, cut.IsKept, n.history(), cut.Cause)
-	case errors.Is(err, context.DeadlineExceeded):
+	case isTimeout(err):
 		l.recordViolation("%s: a call had no answer after %v (%s): %v", time.Now().Format(time.TimeOnly+".000"), took.Round(time.Millisecond), n.history(), err)
 	}
 }
