--- a/internal/soak/casoak/plannedplan.go
+++ b/internal/soak/casoak/plannedplan.go
@@ -1,16 +1,11 @@
 package casoak
 
 import (
-	"bufio"
 	"cmp"
-	"encoding/json"
 	"math/rand"
-	"os"
 	"slices"
 	"syscall"
 	"time"
-
-	"celeryarch.example/celeryarch/internal/base/caevent"
 )
 
 const (
@@ -35,8 +30,6 @@
 	signalAfterStart = 100 * time.Millisecond
 	// secondStopShare is the share of these signals that are SIGTERM.
 	secondStopShare = 0.3
-	// maxLineBytes bounds the lines of a log.
-	maxLineBytes = 1 << 20
 )
 
 // NewPlannedPlan returns the faults of a run of planned work, drawn from the seed: stops of nodes and
@@ -113,35 +106,3 @@
 		l.recordViolation("%s: %v", f, err)
 	}
 }
-
-// drainLine is the line of a log that tells how the drain of a node went.
-type drainLine struct {
-	Event      caevent.Number `json:"event"`
-	Unanswered int            `json:"unanswered"`
-}
-
-// checkDrains records a violation for each drain after which a node had calls without an answer, by
-// its own count.
-func (c *cell) checkDrains(n *node, l *outcomeLog) {
-	if !c.isPlanned {
-		return
-	}
-	log, err := os.Open(n.logFile.Name())
-	if err != nil {
-		l.recordViolation("the log of %s is not read: %v", n.name, err)
-		return
-	}
-	defer func() { _ = log.Close() }()
-	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, maxLineBytes)
-	for lines.Scan() {
-		var line drainLine
-		// Lines that are not JSON are those of the soak itself and traces of panics.
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == caevent.CallersDrained && line.Unanswered > 0 {
-			l.recordViolation("%s left %d calls without an answer as it stopped: %s", n.name, line.Unanswered, lines.Text())
-		}
-	}
-	if err := lines.Err(); err != nil {
-		l.recordViolation("the log of %s is not read: %v", n.name, err)
-	}
-}
