--- a/internal/cell/cagate/election.go
+++ b/internal/cell/cagate/election.go
@@ -31,12 +31,11 @@
 	// an election.
 	maxHelloMisses = 3
 	// A leader that does not answer counts as failed once its log has had no append for
-	// minLogIdle plus logIdlePerRead times the duration of a read of the store. A leader
+	// caleader.MinLogIdle plus logIdlePerRead times the duration of a read of the store. A leader
 	// appends at least every caleader.ClaimRenewPeriod. If its last append took longer,
 	// the log must be idle for logIdlePerAppend times the excess more, maxBusyLogIdle at
 	// most: it may be short of processor time, and a successor would be too. In its first
 	// settleTime, a leader that was not handed the shard has maxBusyLogIdle.
-	minLogIdle       = 300 * time.Millisecond
 	settleTime       = 5 * time.Second
 	logIdlePerRead   = 3
 	logIdlePerAppend = 2
@@ -302,7 +301,7 @@
 	if settling {
 		busy = maxBusyLogIdle
 	}
-	return minLogIdle + logIdlePerRead*read + min(busy, maxBusyLogIdle)
+	return caleader.MinLogIdle + logIdlePerRead*read + min(busy, maxBusyLogIdle)
 }
 
 // isSettling reports whether the leader with the claim was observed only recently, and has
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -55,9 +55,10 @@
 	// MaxInheritedLease is the longest time until the leases have expired that leaders before a
 	// claim granted, from the time of the claim on.
 	MaxInheritedLease = MaxClaimAge + maxGrantedLease
-	// freshClaimAge is how long after its last append a leader may answer that
-	// a job does not exist.
-	freshClaimAge = time.Second
+	// MinLogIdle is how long the log of a leader that does not answer must have had no append before
+	// another entry claims it. For as long after its last append a leader may answer that a job does not
+	// exist.
+	MinLogIdle = 300 * time.Millisecond
 	// listPeriod is the time between two reads of the list of upstreams.
 	listPeriod = 350 * time.Millisecond
 	// listTimeout bounds one read of the list.
@@ -420,7 +421,7 @@
 // isClaimFresh reports whether the last append is recent enough to rule out that
 // another leader has accepted jobs unknown here. The lock is held.
 func (l *Leader) isClaimFresh() bool {
-	return l.loaded.Load() && l.Timer.Now().Sub(l.lastAppend.load()) < freshClaimAge
+	return l.loaded.Load() && l.Timer.Now().Sub(l.lastAppend.load()) < MinLogIdle
 }
 
 // Phase returns the stored phase of a job. KindNotFound means that the job does
--- a/internal/cell/caleader/suspension_test.go
+++ b/internal/cell/caleader/suspension_test.go
@@ -121,3 +121,17 @@
 		t.Errorf("starts after the list was read again (-want +got):\n%s", diff)
 	}
 }
+
+// TestSuspendedLeaderDeniesJobOfSuccessor guards against a leader that, after a suspension during which
+// another entry may have claimed its log, denies a job that the other one has accepted.
+func TestSuspendedLeaderDeniesJobOfSuccessor(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	l := loadedLeader(clock)
+	clock.now = clock.now.Add(MinLogIdle)
+	if _, err := l.Phase("0123456789abcdef"); cakind.Of(err) != cakind.KindUnavailable {
+		t.Errorf("query after the suspension: %v", err)
+	}
+	if _, err := l.cancel("0123456789abcdef"); cakind.Of(err) != cakind.KindUnavailable {
+		t.Errorf("cancellation after the suspension: %v", err)
+	}
+}
