A command's wait for SIGHUP ends with it

Cause: the goroutine that waits for the signal for a command that has ended could still take it, if it had not run since: it chooses at random between the signal and the end of its context. In a process with one command nothing is lost. The function that ends the wait now waits for it.

--- a/internal/cli/cacommand/hangup.go
+++ b/internal/cli/cacommand/hangup.go
@@ -12,14 +12,26 @@
 // in the end.
 func hangupContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	if !cahangup.WasIgnored() {
-		go func() {
-			select {
-			case <-cahangup.Signals():
-				cancel(cakind.New(cakind.KindCanceled, "the terminal was closed (SIGHUP)"))
-			case <-ctx.Done():
-			}
-		}()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		cancelOnHangup(ctx, cancel)
+	}()
+	return ctx, func() {
+		cancel(context.Canceled)
+		// A signal after the end of this context is for the next one.
+		<-done
+	}
+}
+
+// cancelOnHangup waits for SIGHUP or the end of the context.
+func cancelOnHangup(ctx context.Context, cancel context.CancelCauseFunc) {
+	if cahangup.WasIgnored() {
+		return
+	}
+	select {
+	case <-cahangup.Signals():
+		cancel(cakind.New(cakind.KindCanceled, "the terminal was closed (SIGHUP)"))
+	case <-ctx.Done():
 	}
-	return ctx, func() { cancel(context.Canceled) }
 }
