--- a/internal/cli/cacommand/command.go
+++ b/internal/cli/cacommand/command.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"celeryarch.example/celeryarch/internal/base/cahangup"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 	"celeryarch.example/celeryarch/internal/config/caproblem"
@@ -79,7 +80,7 @@
 	}
 	out.JSON = options.JSON
 	if options.Command != commandNode {
-		hangupCtx, stop := hangupContext(ctx)
+		hangupCtx, stop := hangupContext(ctx, cahangup.WasIgnored())
 		defer stop()
 		ctx = hangupCtx
 	}
--- a/internal/cli/cacommand/hangup.go
+++ b/internal/cli/cacommand/hangup.go
@@ -10,8 +10,11 @@
 // hangupContext returns a context that SIGHUP cancels, unless the process began with the signal
 // ignored. It is for commands that do not use cahangup.Signals. They are to call the returned function
 // in the end.
-func hangupContext(ctx context.Context) (context.Context, context.CancelFunc) {
+func hangupContext(ctx context.Context, wasIgnored bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	if wasIgnored {
+		return ctx, func() { cancel(context.Canceled) }
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -26,9 +29,6 @@
 
 // cancelOnHangup waits for SIGHUP or the end of the context.
 func cancelOnHangup(ctx context.Context, cancel context.CancelCauseFunc) {
-	if cahangup.WasIgnored() {
-		return
-	}
 	select {
 	case <-cahangup.Signals():
 		cancel(cakind.New(cakind.KindCanceled, "the terminal was closed (SIGHUP)"))
