--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -20,8 +20,8 @@
 	// pauseAfterRejection is how long an upstream gets no new work after it rejected a
 	// start.
 	pauseAfterRejection = 500 * time.Millisecond
-	// maxStartDelay is how long after it was sent a start order may still take effect.
-	maxStartDelay = 15 * time.Second
+	// maxCallDelay is how long after it was sent a call without an answer may still take effect.
+	maxCallDelay = 15 * time.Second
 	// stopRetryInterval is the time between two calls to stop the same run.
 	stopRetryInterval = 400 * time.Millisecond
 	// historyRetention is how long the phase of an ended job can be queried.
--- a/internal/cell/caboard/leases.go
+++ b/internal/cell/caboard/leases.go
@@ -10,7 +10,7 @@
 	caevent.Warn(b.log, caevent.TaskLapsed).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(r.upstream.info.ID)).Str("cause", cause).
 		Dur("since_report", b.now.Monotonic.Sub(r.upstream.lastReportAt)).Bool("confirmed", r.confirmed).
-		Int64("born", r.born).Send()
+		Int64("born", r.born).Int64("listed_by", r.reportedIncarnation).Int64("acknowledged", r.upstream.acknowledgedEnd).Send()
 	b.stopOtherMembers(r)
 	b.dropRun(r)
 }
@@ -23,6 +23,7 @@
 			b.declareRunsLost(u)
 		}
 		b.pruneAbandonedStarts(u)
+		u.calls.prune(b.now.Monotonic)
 	}
 	b.expireUnresolvedCrashes()
 	b.giveUpHarmfulJobs()
@@ -70,6 +71,10 @@
 	if l.EndMS > 0 {
 		u.extendLease(b.now.Monotonic, LeaseDuration)
 	}
+	if l.EndMS > 0 || l.StoredEnd > 0 {
+		u.acknowledgedEnd = max(u.acknowledgedEnd, l.StoredEnd)
+		l.Call = u.calls.add(sentCall{sentAt: b.now.Monotonic, acknowledges: l.StoredEnd > 0, extends: l.EndMS > 0})
+	}
 	return l, true
 }
 
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -72,7 +72,7 @@
 	u.lastReportAt = time.Time{}
 	u.suspectedSince = time.Time{}
 	u.fenced, u.gone = false, false
-	u.appliedEnd, u.storedEnd = 0, 0
+	u.appliedEnd, u.storedEnd, u.acknowledgedEnd = 0, 0, 0
 	delete(b.endsToStore, u)
 	delete(b.records.heldEnds, u)
 	u.health = health{}
@@ -84,8 +84,10 @@
 	}
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
+	u.calls.prune(b.now.Monotonic)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
-		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Send()
+		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Int("late_calls", len(u.calls.sent)).
+		Bool("may_acknowledge", !u.calls.lastAcknowledgement().IsZero()).Bool("may_extend", !u.calls.lastExtension().IsZero()).Send()
 	for _, r := range u.runs {
 		switch {
 		case r.mayStillStart():
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -53,6 +53,8 @@
 	// LeaseEndMS is the end of the lease on the clock of the upstream, or zero while that clock
 	// is not known.
 	LeaseEndMS int64 `cbor:"8,keyasint,omitempty"`
+	// Call is the number of the call at the leader.
+	Call int64 `cbor:"-"`
 }
 
 // StopOrder holds the parameters of a call that stops a run at an upstream.
@@ -102,6 +104,8 @@
 	// leader. They are not encoded.
 	SentAt     time.Time `cbor:"-"`
 	ReceivedAt time.Time `cbor:"-"`
+	// Call is the number of the answered call at the leader.
+	Call int64 `cbor:"-"`
 	// ClockMS is the reading of the upstream's clock.
 	ClockMS int64        `cbor:"5,keyasint,omitempty"`
 	Running []RunningRun `cbor:"6,keyasint,omitempty"`
@@ -138,4 +142,6 @@
 	// StoredEnd is the number of the last end that is stored. The upstream may discard the
 	// ends up to it.
 	StoredEnd int64 `cbor:"5,keyasint,omitempty"`
+	// Call is the number of the call at the leader, or zero if it changes nothing at the upstream.
+	Call int64 `cbor:"-"`
 }
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -411,10 +411,11 @@
 	r.sent, r.sentAt = true, b.now.Monotonic
 	b.detector.unansweredStarts = append(b.detector.unansweredStarts, r)
 	r.upstream.extendLease(b.now.Monotonic, LeaseDuration)
+	call := r.upstream.calls.add(sentCall{sentAt: b.now.Monotonic, extends: true})
 	return StartOrder{
 		Run: r.id, Upstream: r.upstream.info.ID, Address: r.upstream.info.Address, Born: r.upstream.info.Incarnation,
 		Payload: r.step.job.Submission.Payload, Checkpoint: r.task().Checkpoint, Ticket: r.ticket,
-		LeaseEndMS: r.upstream.leaseEndMS(b.now.Monotonic, LeaseDuration),
+		LeaseEndMS: r.upstream.leaseEndMS(b.now.Monotonic, LeaseDuration), Call: call,
 	}, true
 }
 
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -29,7 +29,7 @@
 
 // pruneAbandonedStarts drops the starts that can no longer take effect.
 func (b *Planner) pruneAbandonedStarts(u *upstream) {
-	u.abandonedStarts = slices.DeleteFunc(u.abandonedStarts, func(r *run) bool { return b.now.Monotonic.Sub(r.assignedAt) > maxStartDelay })
+	u.abandonedStarts = slices.DeleteFunc(u.abandonedStarts, func(r *run) bool { return b.now.Monotonic.Sub(r.assignedAt) > maxCallDelay })
 }
 
 // isUnneeded reports whether nothing about an upstream needs to be remembered.
@@ -92,7 +92,11 @@
 // ApplyReport applies a report of an upstream.
 func (b *Planner) ApplyReport(report Report) {
 	u, ok := b.upstreams[report.Upstream]
-	if !ok || report.Born < u.info.Incarnation {
+	if !ok {
+		return
+	}
+	u.calls.remove(report.Call)
+	if report.Born < u.info.Incarnation {
 		return
 	}
 	if report.Born > u.info.Incarnation {
@@ -215,7 +219,7 @@
 	}
 	caevent.Info(b.log, caevent.TaskEnded).Str("job", string(row.Run.Job)).Int("step", row.Run.Step).
 		Int("task", row.Run.Index).Int("run", row.Run.Number).Str("upstream", string(u.info.ID)).
-		Str("ending", row.Ending.String()).Int64("number", row.Number).Dur("after", at.Sub(r.assignedAt)).Send()
+		Str("ending", row.Ending.String()).Int64("number", row.Number).Int64("born", u.info.Incarnation).Dur("after", at.Sub(r.assignedAt)).Send()
 	if row.Ending == EndingStopped {
 		b.noteStopTime(r)
 	}
@@ -390,6 +394,9 @@
 	if !ok {
 		return
 	}
+	if outcome != StartUnknown {
+		u.calls.remove(order.Call)
+	}
 	r, ok := u.runs[order.Run]
 	if !ok || u.info.Incarnation != order.Born && outcome != StartMismatch {
 		return
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -33,6 +33,10 @@
 	// abandonedStarts are starts that were given up without an answer and may still take
 	// effect.
 	abandonedStarts []*run
+	// calls are the calls without an answer that may still take effect.
+	calls unansweredCalls
+	// acknowledgedEnd is the highest number of an end that a call to its incarnation acknowledged.
+	acknowledgedEnd int64
 	// lateStops counts the repeated stops of these while the upstream is silent, and
 	// lastLateStopAt is when the last one was sent.
 	lateStops      int
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -331,6 +331,9 @@
 		defer l.mu.unlock()
 		l.planner.SetNow(l.now())
 		l.planner.MarkRenewalUnanswered(lease.Upstream)
+		if cakind.Of(err) != cakind.KindUnknown {
+			l.planner.MarkCallEnded(lease.Upstream, lease.Call)
+		}
 		if cakind.Of(err) == cakind.KindNotFound {
 			l.planner.MarkIncarnationGone(lease.Upstream, lease.Born)
 			l.wakePlanner()
@@ -343,6 +346,7 @@
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
+	report.Call = lease.Call
 	l.planner.ApplyReport(report)
 	l.wakePlanner()
 	return nil
