--- a/internal/cell/caboard/acknowledgedends_test.go
+++ b/internal/cell/caboard/acknowledgedends_test.go
@@ -165,7 +165,7 @@
 			return
 		}
 		u.token = token
-		u.leaseEndMS = max(u.leaseEndMS, lease.EndMS)
+		u.extendLease(lease.EndMS, c.elapsed)
 		c.forget(u, lease.StoredEnd)
 		report := u.report()
 		report.SentAt, report.ReceivedAt, report.ClockMS = sentAt, c.moment().Monotonic, u.clockMS(c.elapsed)
@@ -179,7 +179,7 @@
 func (c *churnWorld) started(u *simulatedUpstream, run RunID) bool {
 	for _, other := range c.upstreams {
 		for id := range other.running {
-			if other.up && !other.gone && other != u && taskOf(id) == taskOf(run) {
+			if other.up && !other.gone && (other != u || id != run) && taskOf(id) == taskOf(run) {
 				c.violations = append(c.violations, fmt.Sprintf("%v: %v starts on %s while %v runs on %s", c.elapsed, run, u.info.ID, id, other.info.ID))
 			}
 		}
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -87,6 +87,11 @@
 	return 1 + (now - u.bornAt).Milliseconds()
 }
 
+// extendLease extends the lease to an end on the upstream's clock, within the longest lease.
+func (u *simulatedUpstream) extendLease(endMS int64, now time.Duration) {
+	u.leaseEndMS = max(u.leaseEndMS, min(endMS, u.clockMS(now)+maxLease.Milliseconds()))
+}
+
 func (u *simulatedUpstream) used() cawork.Resources {
 	var sum cawork.Resources
 	for _, size := range u.running {
@@ -171,6 +176,8 @@
 	oldBuild bool
 	// keepsLeader is set for worlds in which the leader does not change.
 	keepsLeader bool
+	// renewals, if set, takes the place of renew.
+	renewals func(*simulatedUpstream)
 	// nextLeader is when the leader changes.
 	nextLeader time.Duration
 	// minLeaderTime, if set, is how long a leader leads at least.
@@ -218,6 +225,9 @@
 	add(w)
 	w.repeat(350*time.Millisecond, w.list)
 	w.repeat(100*time.Millisecond, func() { w.planner.ExpireLeases(); w.planner.RunMaintenance() })
+	if w.renewals != nil {
+		return w
+	}
 	for _, u := range w.upstreams {
 		w.repeat(w.between(150, 900), func() { w.renew(u) })
 	}
@@ -340,6 +350,10 @@
 
 // renew requests a report from an upstream, which waits there for a while.
 func (w *roomWorld) renew(u *simulatedUpstream) {
+	if w.renewals != nil {
+		w.renewals(u)
+		return
+	}
 	p, token := w.planner, w.token
 	lease, ok := p.RenewLease(u.info.ID)
 	if !ok {
@@ -362,7 +376,7 @@
 			return
 		}
 		u.token = token
-		u.leaseEndMS = max(u.leaseEndMS, lease.EndMS)
+		u.extendLease(lease.EndMS, w.elapsed)
 		w.forget(u, lease.StoredEnd)
 		report := u.report()
 		report.SentAt, report.ClockMS = sentAt, u.clockMS(w.elapsed)
@@ -458,7 +472,7 @@
 		w.violations = append(w.violations, fmt.Sprintf("%v: %v of %v does not fit on %s incarnation %d by leader %d, used %v of %v", w.elapsed, o.Run, size, u.info.ID, u.info.Incarnation, token, u.used(), room))
 	}
 	w.starts++
-	u.leaseEndMS = max(u.leaseEndMS, o.LeaseEndMS)
+	u.extendLease(o.LeaseEndMS, w.elapsed)
 	u.running[o.Run] = size
 	if w.onStart != nil && !w.onStart(u, o.Run) {
 		return StartUnknown
