--- a/internal/cell/caboard/acknowledgedends_test.go
+++ b/internal/cell/caboard/acknowledgedends_test.go
@@ -168,7 +168,7 @@
 		u.extendLease(lease.EndMS, c.elapsed)
 		c.forget(u, lease.StoredEnd)
 		report := u.report()
-		report.SentAt, report.ReceivedAt, report.ClockMS = sentAt, c.moment().Monotonic, u.clockMS(c.elapsed)
+		report.SentAt, report.ReceivedAt, report.ClockMS, report.Call = sentAt, c.moment().Monotonic, u.clockMS(c.elapsed), lease.Call
 		former.SetNow(c.moment())
 		former.ApplyReport(report)
 		c.after(c.between(50, 900), func() { c.renewBy(former, token, u, until) })
--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -19,8 +19,9 @@
 
 // unansweredCalls are the calls to an upstream that may still be carried out, by their numbers.
 type unansweredCalls struct {
-	last int64
-	sent map[int64]sentCall
+	// last is the number of the last call, and lastEarlier that of the last one to an earlier incarnation.
+	last, lastEarlier int64
+	sent              map[int64]sentCall
 }
 
 // add adds a call and returns its number.
@@ -45,21 +46,27 @@
 	}
 }
 
-// lastAcknowledgement returns when the last of the calls was sent that acknowledges ends, zero
-// without one.
+// beginIncarnation records that all calls so far were sent to earlier incarnations.
+func (c *unansweredCalls) beginIncarnation(now time.Time) {
+	c.prune(now)
+	c.lastEarlier = c.last
+}
+
+// lastAcknowledgement returns when the last of the calls to earlier incarnations was sent that
+// acknowledges ends, zero without one.
 func (c *unansweredCalls) lastAcknowledgement() time.Time {
-	return c.lastOf(func(call sentCall) bool { return call.acknowledges })
+	return c.lastEarlierOf(func(call sentCall) bool { return call.acknowledges })
 }
 
-// lastExtension returns when the last of the calls was sent that extends a lease, zero without one.
+// lastExtension returns when the last of these calls was sent that extends a lease, zero without one.
 func (c *unansweredCalls) lastExtension() time.Time {
-	return c.lastOf(func(call sentCall) bool { return call.extends })
+	return c.lastEarlierOf(func(call sentCall) bool { return call.extends })
 }
 
-func (c *unansweredCalls) lastOf(matches func(sentCall) bool) time.Time {
+func (c *unansweredCalls) lastEarlierOf(matches func(sentCall) bool) time.Time {
 	var last time.Time
-	for _, call := range c.sent {
-		if matches(call) && call.sentAt.After(last) {
+	for number, call := range c.sent {
+		if number <= c.lastEarlier && matches(call) && call.sentAt.After(last) {
 			last = call.sentAt
 		}
 	}
@@ -70,6 +77,72 @@
 // carried out later. Zero is no call.
 func (b *Planner) MarkCallEnded(id cawork.UpstreamID, number int64) {
 	if u, ok := b.upstreams[id]; ok {
-		u.calls.remove(number)
+		u.endCall(number)
+	}
+}
+
+// endCall removes a call that can not be carried out later.
+func (u *upstream) endCall(number int64) {
+	if number == 0 {
+		return
+	}
+	u.calls.remove(number)
+	if number <= u.calls.lastEarlier {
+		u.updateForgetting()
+	}
+}
+
+// updateForgetting determines until when the upstream may forget ends of its runs that nobody has
+// seen, since a call to an earlier incarnation acknowledges ends by their numbers.
+func (u *upstream) updateForgetting() {
+	u.mayForgetUntil = time.Time{}
+	if last := u.calls.lastAcknowledgement(); !last.IsZero() {
+		u.mayForgetUntil = last.Add(maxCallDelay)
+	}
+}
+
+// keptCalls are the calls to an upstream that is not known any more, up to its last incarnation.
+type keptCalls struct {
+	incarnation int64
+	calls       unansweredCalls
+}
+
+// keepCalls keeps the calls to an upstream that is dropped: it may be listed again, in a later incarnation.
+func (b *Planner) keepCalls(u *upstream) {
+	u.calls.prune(b.now.Monotonic)
+	if len(u.calls.sent) > 0 {
+		b.keptCalls[u.info.ID] = keptCalls{incarnation: u.info.Incarnation, calls: u.calls}
+	}
+}
+
+// takeCalls returns the kept calls to an upstream to it.
+func (b *Planner) takeCalls(u *upstream) {
+	kept, ok := b.keptCalls[u.info.ID]
+	if !ok {
+		return
+	}
+	delete(b.keptCalls, u.info.ID)
+	u.calls = kept.calls
+	if u.info.Incarnation != kept.incarnation {
+		u.beginCalls(b.now.Monotonic)
+	}
+}
+
+// beginCalls begins the calls to an incarnation, which may carry out those to earlier ones.
+func (u *upstream) beginCalls(now time.Time) {
+	u.calls.beginIncarnation(now)
+	u.updateForgetting()
+}
+
+// pruneCalls removes the calls that are too old to be carried out.
+func (b *Planner) pruneCalls() {
+	for _, u := range b.sortedUpstreams {
+		u.calls.prune(b.now.Monotonic)
+	}
+	for id, kept := range b.keptCalls {
+		kept.calls.prune(b.now.Monotonic)
+		if len(kept.calls.sent) == 0 {
+			delete(b.keptCalls, id)
+		}
 	}
 }
--- a/internal/cell/caboard/laterlives_test.go
+++ b/internal/cell/caboard/laterlives_test.go
@@ -72,7 +72,7 @@
 	}
 	w.roomWorld = newWorld(seed, churnUpstreams, func(r *roomWorld) {
 		r.runsFail, r.maxRunMS, r.maxAppendMS, r.lateShare = true, load.maxRunMS, 60, faults.lateOrders
-		r.renewals = func(u *simulatedUpstream) { w.renewOnce(u, 0, func(bool) {}) }
+		r.renewals = func(u *simulatedUpstream) { w.requestReport(u, 0, func(bool) {}) }
 		r.rejects = func(o StartOrder) bool { return o.Born != r.upstreamOf(o.Upstream).info.Incarnation }
 	})
 	for _, u := range w.upstreams {
@@ -148,28 +148,42 @@
 	if p != w.planner {
 		return
 	}
-	w.renewOnce(u, lifeRenewWait, func(answered bool) {
+	again := func(answered bool) {
 		pause := lifeRenewRetry
 		if answered {
 			pause = lifeRenewPause
 		}
 		w.after(pause, func() { w.renewLoop(p, u) })
+	}
+	p.SetNow(w.moment())
+	lease, ok := p.RenewLease(u.info.ID)
+	if !ok {
+		w.after(lifeRenewRetry, func() { again(false) })
+		return
+	}
+	w.call(u, lease, 0, func(answered bool) {
+		if !answered || lease.EndMS == 0 || p != w.planner {
+			again(answered)
+			return
+		}
+		w.requestReport(u, lifeRenewWait, again)
 	})
 }
 
-// renewOnce renews the lease of an upstream, which waits for an end. It calls done once the call has ended.
-func (w *lifeWorld) renewOnce(u *simulatedUpstream, wait time.Duration, done func(answered bool)) {
-	p, token := w.planner, w.token
-	p.SetNow(w.moment())
-	lease, ok := p.RenewLease(u.info.ID)
+// requestReport requests a report from an upstream, which waits for an end.
+func (w *lifeWorld) requestReport(u *simulatedUpstream, wait time.Duration, done func(answered bool)) {
+	w.planner.SetNow(w.moment())
+	request, ok := w.planner.ReportRequest(u.info.ID)
 	if !ok {
 		w.after(lifeRenewRetry, func() { done(false) })
 		return
 	}
-	if lease.EndMS == 0 {
-		wait = 0
-	}
-	call := &renewalCall{world: w, planner: p, token: token, upstream: u, lease: lease, wait: wait, sentAt: w.moment().Monotonic, done: done}
+	w.call(u, request, wait, done)
+}
+
+// call sends a renewal or a request for a report. It calls done once the call has ended.
+func (w *lifeWorld) call(u *simulatedUpstream, lease Lease, wait time.Duration, done func(answered bool)) {
+	call := &renewalCall{world: w, planner: w.planner, token: w.token, upstream: u, lease: lease, wait: wait, sentAt: w.moment().Monotonic, done: done}
 	w.after(lifeRenewTimeout, call.fail)
 	w.after(w.between(1, 10), call.arrive)
 }
@@ -231,7 +245,7 @@
 		return
 	}
 	report := u.report()
-	report.SentAt, report.ClockMS = c.sentAt, u.clockMS(w.elapsed)
+	report.SentAt, report.ClockMS, report.Call = c.sentAt, u.clockMS(w.elapsed), c.lease.Call
 	w.after(w.between(1, max(30, w.faults.maxAnswerMS)), func() {
 		if c.ended {
 			return
--- a/internal/cell/caboard/leases.go
+++ b/internal/cell/caboard/leases.go
@@ -23,8 +23,8 @@
 			b.declareRunsLost(u)
 		}
 		b.pruneAbandonedStarts(u)
-		u.calls.prune(b.now.Monotonic)
 	}
+	b.pruneCalls()
 	b.expireUnresolvedCrashes()
 	b.giveUpHarmfulJobs()
 	b.forgetUpstreams()
@@ -52,7 +52,8 @@
 }
 
 // RenewLease returns the parameters of the next lease renewal of an upstream, and records that
-// it is sent.
+// it is sent. The upstream has to answer it at once: while it has no answer, a later incarnation
+// might carry it out.
 func (b *Planner) RenewLease(id cawork.UpstreamID) (Lease, bool) {
 	u, ok := b.upstreams[id]
 	if !ok || u.info.Address == "" {
@@ -78,6 +79,16 @@
 	return l, true
 }
 
+// ReportRequest returns the parameters of a call that asks an upstream for a report and changes nothing
+// there, so that it may be carried out at any time, by any incarnation.
+func (b *Planner) ReportRequest(id cawork.UpstreamID) (Lease, bool) {
+	u, ok := b.upstreams[id]
+	if !ok || u.info.Address == "" {
+		return Lease{}, false
+	}
+	return Lease{Upstream: id, Address: u.info.Address, Born: u.info.Incarnation}, true
+}
+
 // UpstreamIDs returns the upstreams whose leases are renewed: those with a known address.
 func (b *Planner) UpstreamIDs() []cawork.UpstreamID {
 	ids := make([]cawork.UpstreamID, 0, len(b.upstreams))
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -84,10 +84,11 @@
 	}
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
-	u.calls.prune(b.now.Monotonic)
+	u.beginCalls(b.now.Monotonic)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Int("late_calls", len(u.calls.sent)).
-		Bool("may_acknowledge", !u.calls.lastAcknowledgement().IsZero()).Bool("may_extend", !u.calls.lastExtension().IsZero()).Send()
+		Bool("may_acknowledge", !u.calls.lastAcknowledgement().IsZero()).Bool("may_extend", !u.calls.lastExtension().IsZero()).
+		Dur("rests_for", max(u.mayForgetUntil.Sub(b.now.Monotonic), 0)).Send()
 	for _, r := range u.runs {
 		switch {
 		case r.mayStillStart():
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -61,6 +61,8 @@
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
 	pools map[caspec.PoolName]*poolPlan
+	// keptCalls are the calls without an answer to upstreams that are not known any more.
+	keptCalls map[cawork.UpstreamID]keptCalls
 	// stopping are the runs to stop.
 	stopping map[*run]struct{}
 	// changed are the jobs whose stored records are out of date. removedJobs,
@@ -242,6 +244,7 @@
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
+		keptCalls:      make(map[cawork.UpstreamID]keptCalls),
 		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(), records: newRecordState(),
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -95,7 +95,7 @@
 	if !ok {
 		return
 	}
-	u.calls.remove(report.Call)
+	u.endCall(report.Call)
 	if report.Born < u.info.Incarnation {
 		return
 	}
@@ -395,7 +395,7 @@
 		return
 	}
 	if outcome != StartUnknown {
-		u.calls.remove(order.Call)
+		u.endCall(order.Call)
 	}
 	r, ok := u.runs[order.Run]
 	if !ok || u.info.Incarnation != order.Born && outcome != StartMismatch {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -366,6 +366,60 @@
 	}
 }
 
+// TestUpstreamMayForgetEndsOfLaterIncarnation covers a renewal without an answer that acknowledges an end. While it may
+// still be carried out, a later incarnation would forget ends of its own, and gets no work.
+func TestUpstreamMayForgetEndsOfLaterIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		// acknowledges is set if the renewal acknowledges an end, and answered if it is answered late.
+		acknowledges, answered bool
+		// unlisted is set if the upstream is forgotten between its incarnations.
+		unlisted bool
+		want     time.Duration
+	}{
+		"no acknowledgement":             {},
+		"acknowledgement":                {acknowledges: true, want: maxCallDelay},
+		"acknowledgement, unlisted":      {acknowledges: true, unlisted: true, want: maxCallDelay},
+		"acknowledgement, answered late": {acknowledges: true, answered: true, want: 3 * time.Second},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 1, plainQueue())
+			s.submit("first", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+			run := s.startAll()[0].Run
+			s.report("up-00", nil, []EndedRun{{Run: run, Ending: EndingDone}})
+			if c.acknowledges {
+				s.commit()
+			}
+			list := s.listOf()
+			renewedAt := s.now
+			lease, _ := s.planner.RenewLease("up-00")
+			s.planner.MarkRenewalUnanswered("up-00")
+			if c.unlisted {
+				s.planner.SetUpstreams(nil)
+			}
+			s.advance(time.Second)
+			list[0].Incarnation = 2
+			s.planner.SetUpstreams(list)
+			s.submit("second", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+			var orders []StartOrder
+			for len(orders) == 0 && s.now.Sub(renewedAt) < 2*maxCallDelay {
+				s.advance(50 * time.Millisecond)
+				report := Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.Sub(renewedAt).Milliseconds()}
+				if c.answered && s.now.Sub(renewedAt) >= c.want {
+					report.Call = lease.Call
+				}
+				s.planner.ApplyReport(report)
+				s.planner.ExpireLeases()
+				orders = s.startAll()
+			}
+			waited := s.now.Sub(renewedAt)
+			if waited < c.want || waited > c.want+1200*time.Millisecond {
+				t.Errorf("the later incarnation gets work %v after the renewal, want %v", waited, c.want)
+			}
+		})
+	}
+}
+
 // TestAbandonedStartIsStoppedInLaterIncarnation covers a start without an answer that was
 // abandoned, after its stop was acknowledged and a report did not list it, while its task
 // runs elsewhere. If the upstream restarts then, it has no record of the stop, and the order
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -379,7 +379,7 @@
 		u.extendLease(lease.EndMS, w.elapsed)
 		w.forget(u, lease.StoredEnd)
 		report := u.report()
-		report.SentAt, report.ClockMS = sentAt, u.clockMS(w.elapsed)
+		report.SentAt, report.ClockMS, report.Call = sentAt, u.clockMS(w.elapsed), lease.Call
 		w.after(w.between(1, 30), func() {
 			report.ReceivedAt = w.moment().Monotonic
 			w.whileLeading(p, func() { p.ApplyReport(report) })
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -35,6 +35,9 @@
 	abandonedStarts []*run
 	// calls are the calls without an answer that may still take effect.
 	calls unansweredCalls
+	// mayForgetUntil is until when the upstream may forget ends that nobody has seen, zero if never. It
+	// gets no work until then.
+	mayForgetUntil time.Time
 	// acknowledgedEnd is the highest number of an end that a call to its incarnation acknowledged.
 	acknowledgedEnd int64
 	// lateStops counts the repeated stops of these while the upstream is silent, and
@@ -102,6 +105,7 @@
 func (b *Planner) addUpstream(u *upstream) {
 	b.upstreams[u.info.ID] = u
 	b.takeSlot(u)
+	b.takeCalls(u)
 	at, _ := slices.BinarySearchFunc(b.sortedUpstreams, u, compareUpstreams)
 	b.sortedUpstreams = slices.Insert(b.sortedUpstreams, at, u)
 }
@@ -111,6 +115,7 @@
 	b.sortedUpstreams = slices.DeleteFunc(b.sortedUpstreams, func(u *upstream) bool {
 		unneeded := u.isUnneeded()
 		if unneeded {
+			b.keepCalls(u)
 			delete(b.upstreams, u.info.ID)
 			b.bySlot[u.slot] = nil
 		}
@@ -178,6 +183,6 @@
 
 // acceptsWork reports whether the upstream may get new work now.
 func (u *upstream) acceptsWork(now time.Time) bool {
-	return u.listed && !u.isDescriptionOutdated() && u.fenced && !u.info.Draining && !u.isSuspected() &&
+	return u.listed && !now.Before(u.mayForgetUntil) && !u.isDescriptionOutdated() && u.fenced && !u.info.Draining && !u.isSuspected() &&
 		now.Sub(u.lastReportAt) < maxReportAge && !now.Before(u.pausedUntil) && !u.health.isEjected(now)
 }
--- a/internal/cell/cagate/crash_test.go
+++ b/internal/cell/cagate/crash_test.go
@@ -499,6 +499,32 @@
 	})
 }
 
+// TestLateRenewalsBesideRestarts guards against tasks that run twice: renewals are carried out late, while upstreams
+// restart under their ids.
+func TestLateRenewalsBesideRestarts(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) { c.restartBesideLateRenewals(12, 5*time.Second) })
+}
+
+// TestInnocentJobsAreGivenUpBesideManyRestarts is like it with so many restarts that several meet one task.
+func TestInnocentJobsAreGivenUpBesideManyRestarts(t *testing.T) {
+	runWithCrashes(t, func(_ *testing.T, c *crashCell) { c.restartBesideLateRenewals(30, 2*time.Second) })
+}
+
+// restartBesideLateRenewals restarts upstreams n times, with pauses up to a limit. One renewal in five is carried out
+// late, and tickets hold for one incarnation.
+func (c *crashCell) restartBesideLateRenewals(n int, limit time.Duration) {
+	random := rand.New(rand.NewSource(c.random.Int63()))
+	c.fleet.SetTickets(func(o caboard.StartOrder, incarnation int64) bool { return o.Born == incarnation })
+	c.fleet.SetRenewalLateness(func(cawork.UpstreamID) (time.Duration, bool) {
+		return 2*time.Second + time.Duration(random.Int63n(int64(10*time.Second))), random.Intn(5) == 0
+	})
+	for range n {
+		c.fleet.Restart(c.upstreamAt(c.random.Intn(testUpstreams)))
+		time.Sleep(c.drawTime(limit))
+	}
+	c.fleet.SetRenewalLateness(func(cawork.UpstreamID) (time.Duration, bool) { return 0, false })
+}
+
 // TestMixedFaultsBesideCrashes draws up to four deadly jobs and a mix of all faults of these
 // tests, beside restarts of upstreams.
 func TestMixedFaultsBesideCrashes(t *testing.T) {
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -1,6 +1,7 @@
 package caleader
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -37,6 +38,9 @@
 	// renewInterval is the pause between two renewals, in which the upstream
 	// collects ended runs.
 	renewInterval = 30 * time.Millisecond
+	// watchDelay is for how long a wait for ends is put off until the renewal before it is answered:
+	// ends that it has not acknowledged yet would end that wait.
+	watchDelay = 100 * time.Millisecond
 	// renewRetry is the delay after a failed renewal.
 	renewRetry = 150 * time.Millisecond
 	// reportDelay is the delay before the report requested after a stop.
@@ -196,12 +200,12 @@
 	if l.Timer.Pause(ctx, reportDelay) != nil {
 		return
 	}
-	lease, ok := l.nextLease(id)
+	request, ok := l.reportRequest(id)
 	if !ok {
 		return
 	}
 	// The error is ignored: renewLoop detects whether the upstream is reachable.
-	_ = l.renew(ctx, lease, 0)
+	_, _ = l.renew(ctx, request, 0)
 }
 
 // listLoop reads the list of upstreams periodically and applies it.
@@ -272,7 +276,8 @@
 	}
 }
 
-// renewLoop renews the lease of an upstream until the planner no longer has it.
+// renewLoop renews the lease of an upstream and waits for its runs to end until the planner no longer
+// has it.
 func (l *Leader) renewLoop(ctx context.Context, id cawork.UpstreamID) {
 	defer func() {
 		l.lock(partReport)
@@ -281,34 +286,96 @@
 	}()
 	reachable := true
 	for ctx.Err() == nil {
-		lease, ok := l.nextLease(id)
-		if !ok {
+		began := l.Timer.Now()
+		pause, known, err := l.renewAndWatch(ctx, id)
+		if !known {
 			return
 		}
-		wait := renewWait
-		if lease.EndMS == 0 {
-			wait = 0
-		}
-		began := l.Timer.Now()
-		err := l.renew(ctx, lease, wait)
 		if reachable != (err == nil) && ctx.Err() == nil {
 			reachable = err == nil
 			caevent.Info(l.Log, caevent.UpstreamReached).Str("upstream", string(id)).Bool("reachable", reachable).
 				Err(err).Dur("took", l.Timer.Now().Sub(began)).Send()
 		}
-		pause := renewInterval
-		switch {
-		case err != nil:
-			pause = renewRetry
-		case wait == 0 && l.granting.Load():
-			pause = 0
-		}
 		if pause > 0 && l.Timer.Pause(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
+// renewAndWatch renews the lease of an upstream and waits there for a run to end, with a call that
+// changes nothing. It returns the pause before the next renewal, and whether the planner has the
+// upstream.
+func (l *Leader) renewAndWatch(ctx context.Context, id cawork.UpstreamID) (pause time.Duration, known bool, err error) {
+	lease, ok := l.nextLease(id)
+	if !ok {
+		return 0, false, nil
+	}
+	renewed := l.spawnRenewal(ctx, lease)
+	watchDue := l.Timer.After(watchDelay)
+	defer watchDue.Close()
+	var r renewalOutcome
+	answered := false
+	select {
+	case r = <-renewed:
+		answered = true
+		if pause, done := l.pauseAfter(lease, r); done {
+			return pause, true, r.err
+		}
+	case <-watchDue.C:
+	}
+	request, ok := l.reportRequest(id)
+	if !ok {
+		return 0, false, nil
+	}
+	_, err = l.renew(ctx, request, renewWait)
+	if !answered {
+		r = <-renewed
+	}
+	if err = cmp.Or(err, r.err); err != nil {
+		return renewRetry, true, err
+	}
+	return renewInterval, true, nil
+}
+
+// renewalOutcome is the outcome of a renewal.
+type renewalOutcome struct {
+	report caboard.Report
+	err    error
+}
+
+// spawnRenewal renews a lease. The upstream answers at once.
+func (l *Leader) spawnRenewal(ctx context.Context, lease caboard.Lease) chan renewalOutcome {
+	renewed := make(chan renewalOutcome, 1)
+	l.spawn(func() {
+		defer close(renewed)
+		report, err := l.renew(ctx, lease, 0)
+		renewed <- renewalOutcome{report, err}
+	})
+	return renewed
+}
+
+// pauseAfter returns the pause after a renewal where another one is due before a wait for a run to end:
+// it failed, extended no lease, or listed ends, which are to be acknowledged first.
+func (l *Leader) pauseAfter(lease caboard.Lease, r renewalOutcome) (pause time.Duration, done bool) {
+	switch {
+	case r.err != nil:
+		return renewRetry, true
+	case lease.EndMS == 0 && l.granting.Load():
+		return 0, true
+	case lease.EndMS == 0, len(r.report.Ended) > 0:
+		return renewInterval, true
+	default:
+		return 0, false
+	}
+}
+
+// reportRequest returns a request for a report of an upstream.
+func (l *Leader) reportRequest(id cawork.UpstreamID) (caboard.Lease, bool) {
+	l.lock(partReport)
+	defer l.mu.unlock()
+	return l.planner.ReportRequest(id)
+}
+
 // nextLease returns the lease for the next renewal. It does not extend the lease
 // while the claim is older than MaxClaimAge or states that the leader grants none.
 func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
@@ -322,7 +389,7 @@
 	return lease, ok
 }
 
-func (l *Leader) renew(ctx context.Context, lease caboard.Lease, wait time.Duration) error {
+func (l *Leader) renew(ctx context.Context, lease caboard.Lease, wait time.Duration) (caboard.Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, wait+renewTimeout)
 	defer cancel()
 	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
@@ -341,7 +408,7 @@
 		if isFenced(err) {
 			l.stepDown(lease.Upstream)
 		}
-		return err
+		return caboard.Report{}, err
 	}
 	l.lock(partReport)
 	defer l.mu.unlock()
@@ -349,5 +416,5 @@
 	report.Call = lease.Call
 	l.planner.ApplyReport(report)
 	l.wakePlanner()
-	return nil
+	return report, nil
 }
--- a/internal/cell/carelay/messages.go
+++ b/internal/cell/carelay/messages.go
@@ -30,8 +30,10 @@
 }
 
 // isDeferrable reports whether the order is a renewal that waits at the upstream
-// anyway, so that its delivery can be delayed.
-func (o order) isDeferrable() bool { return o.Renew != nil && o.Renew.Wait > 0 }
+// anyway or extends a lease long before its end, so that its delivery can be delayed.
+func (o order) isDeferrable() bool {
+	return o.Renew != nil && (o.Renew.Wait > 0 || o.Renew.Lease.EndMS > 0)
+}
 
 // renewal renews the lease of an upstream, which waits up to Wait for a run to end
 // before it answers.
