--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -125,6 +125,7 @@
 	u.calls = kept.calls
 	if u.info.Incarnation != kept.incarnation {
 		u.beginCalls(b.now.Monotonic)
+		b.countEarlierLeases(u)
 	}
 }
 
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -79,12 +79,10 @@
 	if !hadIncarnation {
 		return
 	}
-	if u.mayHoldEarlierLease() {
-		u.extendLease(b.now.Monotonic, maxLease)
-	}
+	u.beginCalls(b.now.Monotonic)
+	b.countEarlierLeases(u)
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
-	u.beginCalls(b.now.Monotonic)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Int("late_calls", len(u.calls.sent)).
 		Bool("may_acknowledge", !u.calls.lastAcknowledgement().IsZero()).Bool("may_extend", !u.calls.lastExtension().IsZero()).
@@ -110,19 +108,14 @@
 	}
 }
 
-// mayHoldEarlierLease reports whether a call for the earlier incarnation may have met the one that the
-// upstream has just started. Its clock begins anew, so that the lease in that call ends far ahead. A
-// renewal that follows one without an answer extends no lease.
-func (u *upstream) mayHoldEarlierLease() bool {
-	if !u.renewalUnanswered {
-		return true
-	}
-	for _, r := range u.runs {
-		if r.sent && !r.inherited && r.reportedIncarnation == 0 {
-			return true
-		}
+// countEarlierLeases extends the lease of an upstream that has just started an incarnation by what
+// calls to earlier ones may have granted or may still grant to it. Its clock begins anew, so that the
+// leases in them end far ahead.
+func (b *Planner) countEarlierLeases(u *upstream) {
+	u.extendLease(b.now.Monotonic, maxLease)
+	if last := u.calls.lastExtension(); !last.IsZero() {
+		u.extendLease(last.Add(maxCallDelay), maxLease)
 	}
-	return false
 }
 
 // MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -305,6 +306,60 @@
 	}
 }
 
+// TestLateRenewalExtendsLeaseOfLaterIncarnation covers a renewal without an answer that the next incarnation carries out
+// while it has a run, just before it is cut off. The end of the lease in it is by the clock of the earlier one, so that
+// the longest lease is granted: the run must not be given up before.
+func TestLateRenewalExtendsLeaseOfLaterIncarnation(t *testing.T) {
+	for _, unlisted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("unlisted_%v", unlisted), func(t *testing.T) {
+			s := newSimulation(t, 1, plainQueue())
+			renewedAt := s.now
+			if lease, _ := s.planner.RenewLease("up-00"); lease.EndMS == 0 {
+				t.Fatal("the renewal extends no lease")
+			}
+			s.planner.MarkRenewalUnanswered("up-00")
+			list := s.listOf()
+			if unlisted {
+				s.planner.SetUpstreams(nil)
+			}
+			s.advance(time.Second)
+			list[0].Incarnation = 2
+			s.planner.SetUpstreams(list)
+			s.submit("0000000000000001", "queue", longRunningStep(1))
+			var run *run
+			var cutAt time.Time
+			for cutAt.IsZero() {
+				s.advance(100 * time.Millisecond)
+				report := Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.Sub(renewedAt).Milliseconds()}
+				if run != nil {
+					report.Running = []RunningRun{{Run: run.id}}
+				}
+				s.planner.ApplyReport(report)
+				if lease, _ := s.planner.RenewLease("up-00"); lease.Call != 0 {
+					s.planner.MarkCallEnded("up-00", lease.Call)
+				}
+				if orders := s.startAll(); len(orders) == 1 {
+					run = s.planner.upstreams["up-00"].runs[orders[0].Run]
+				}
+				if s.now.Sub(renewedAt) >= 5*time.Second {
+					cutAt = s.now
+				}
+			}
+			if run == nil {
+				t.Fatal("the later incarnation gets no run")
+			}
+			for run.isCharged && s.now.Sub(cutAt) < time.Minute {
+				s.advance(50 * time.Millisecond)
+				s.planner.ExpireLeases()
+			}
+			least, most := cutAt.Add(maxLease), renewedAt.Add(maxCallDelay+maxLease+time.Second)
+			if s.now.Before(least) || s.now.After(most) {
+				t.Errorf("the run is given up %v after the cut, want %v to %v", s.now.Sub(cutAt), least.Sub(cutAt), most.Sub(cutAt))
+			}
+		})
+	}
+}
+
 // restartUpstream lists a later incarnation of an upstream.
 func (s *simulation) restartUpstream(id cawork.UpstreamID, born int64) {
 	var list []caspec.Upstream
