--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -22,6 +22,8 @@
 	Crashes []Record
 	// Silent are the upstreams to declare as silent in the record of the claim.
 	Silent []SilentUpstream
+	// LongLeases are the leases that a later leader would take for shorter ones.
+	LongLeases []LongLease
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
 	// have expired.
 	InheritedRemaining time.Duration
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -61,6 +61,8 @@
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
 	pools map[caspec.PoolName]*poolPlan
+	// inheritedLong are the leases that the leader before stated to be longer than ordinary ones.
+	inheritedLong map[cawork.UpstreamID]LongLease
 	// keptCalls are the calls without an answer to upstreams that are not known any more.
 	keptCalls map[cawork.UpstreamID]keptCalls
 	// stopping are the runs to stop.
@@ -244,6 +246,7 @@
 		changed:        make(map[cawork.JobID]*job),
 		endsToStore:    make(map[*upstream]endWatermark),
 		stopping:       make(map[*run]struct{}),
+		inheritedLong:  make(map[cawork.UpstreamID]LongLease),
 		keptCalls:      make(map[cawork.UpstreamID]keptCalls),
 		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
@@ -316,7 +319,7 @@
 		return Batch{}, err
 	}
 	batch := Batch{
-		Silent: b.declareSilence(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
+		Silent: b.declareSilence(), LongLeases: b.longLeases(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
 		Crashes: crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
 	}
 	tooLarge := make(map[*job]int)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -158,10 +158,16 @@
 
 // newLeaderAfter is like newLeader, where this leader has declared upstreams as silent.
 func (s *simulation) newLeaderAfter(silent []SilentUpstream) *simulation {
+	return s.newLeaderOf(Batch{Silent: silent})
+}
+
+// newLeaderOf is like newLeader, where the batch is the last one of this leader.
+func (s *simulation) newLeaderOf(last Batch) *simulation {
 	s.t.Helper()
 	next := &simulation{t: s.t, now: s.now, endNumbers: s.endNumbers}
 	next.planner = New(zerolog.Nop(), 2, s.moment(), s.now.Add(10*time.Second))
-	next.planner.InheritSilence(silent)
+	next.planner.InheritSilence(last.Silent)
+	next.planner.InheritLongLeases(last.LongLeases)
 	next.planner.SetPolicy(s.planner.policy)
 	var list []caspec.Upstream
 	for _, u := range s.planner.upstreams {
@@ -360,6 +366,35 @@
 	}
 }
 
+// TestSuccessorTakesLongLeaseForOrdinary covers a leader that is lost after the one of an upstream that has started
+// anew. What calls to the earlier incarnation may still grant counts for its successor as well, also once that knows
+// that the leader before is gone.
+func TestSuccessorTakesLongLeaseForOrdinary(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	renewedAt := s.now
+	s.planner.RenewLease("up-00")
+	s.planner.MarkRenewalUnanswered("up-00")
+	s.advance(time.Second)
+	s.restartUpstream("up-00", 2)
+	s.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 500})
+	s.submit("0000000000000001", "queue", longRunningStep(1))
+	id := s.startAll()[0].Run
+	batch, err := s.planner.NextBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := s.newLeaderOf(batch)
+	next.planner.MarkPreviousLeaderGone(LeaseDuration, 0)
+	run := next.planner.upstreams["up-00"].runs[id]
+	for run.isCharged && next.now.Sub(renewedAt) < time.Minute {
+		next.advance(50 * time.Millisecond)
+		next.planner.ExpireLeases()
+	}
+	if waited := next.now.Sub(renewedAt); waited < maxCallDelay+maxLease || waited > maxCallDelay+maxLease+time.Second {
+		t.Errorf("the run is given up %v after the renewal to the earlier incarnation, want %v", waited, maxCallDelay+maxLease)
+	}
+}
+
 // restartUpstream lists a later incarnation of an upstream.
 func (s *simulation) restartUpstream(id cawork.UpstreamID, born int64) {
 	var list []caspec.Upstream
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -81,8 +81,10 @@
 		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born, Draining: b.wasDraining(t.Upstream, t.Born)})
 		b.addUpstream(u)
 	}
-	if end := b.inheritedLeaseEnd(t.Upstream, t.Born); end.After(u.leaseExpires) {
-		u.leaseExpires = end
+	for _, end := range []time.Time{b.inheritedLeaseEnd(t.Upstream, t.Born), b.inheritedLongEnd(t.Upstream, t.Born)} {
+		if end.After(u.leaseExpires) {
+			u.leaseExpires = end
+		}
 	}
 	r := b.newRun(s, index, u)
 	r.sent, r.inherited = true, true
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -96,8 +96,12 @@
 	}
 	b.inheritedUntil = until
 	for _, u := range b.sortedUpstreams {
-		if u.lastAnswerAt.IsZero() && u.leaseExpires.After(until) {
-			u.leaseExpires = until
+		end := until
+		if long := b.inheritedLongEnd(u.info.ID, u.info.Incarnation); long.After(end) {
+			end = long
+		}
+		if u.lastAnswerAt.IsZero() && u.leaseExpires.After(end) {
+			u.leaseExpires = end
 		}
 	}
 }
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -169,12 +169,17 @@
 // extendLease records that a lease of the length was sent now. The clock of the upstream
 // may be slow, so the lease may last longer than its length.
 func (u *upstream) extendLease(now time.Time, length time.Duration) {
-	end := now.Add(time.Duration(float64(length)*maxClockDrift) + leaseMargin)
+	end := now.Add(longestTime(length))
 	if end.After(u.leaseExpires) {
 		u.leaseExpires = end
 	}
 }
 
+// longestTime returns the longest time until a lease of the length has expired that is granted now.
+func longestTime(length time.Duration) time.Duration {
+	return time.Duration(float64(length)*maxClockDrift) + leaseMargin
+}
+
 // isDescriptionOutdated reports whether the list still describes an earlier incarnation than
 // the one that the reports have shown. The later one may have less room and other labels.
 func (u *upstream) isDescriptionOutdated() bool {
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -110,6 +110,7 @@
 func (l *link) applyRemainingLeases(c *caleader.Claim, before caleader.Claim) {
 	now := l.gate.Timer.Now()
 	c.Silent = l.silence.Remaining(before.Silent, now)
+	c.LongLeases = before.LongLeases
 	c.InheritedRemaining = l.granter.Remaining(before, now)
 }
 
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -68,6 +68,8 @@
 	GrantsNone bool `cbor:"12,keyasint,omitempty"`
 	// Granter is the last leader before that may have granted leases, if GrantsNone is set.
 	Granter *Granter `cbor:"13,keyasint,omitempty"`
+	// LongLeases are the leases of upstreams that a successor would take for shorter ones.
+	LongLeases []caboard.LongLease `cbor:"14,keyasint,omitempty"`
 }
 
 // after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
@@ -78,6 +80,12 @@
 		silent = append(silent, s)
 	}
 	c.Silent = silent
+	long := make([]caboard.LongLease, 0, len(c.LongLeases))
+	for _, l := range c.LongLeases {
+		l.Remaining = max(l.Remaining-elapsed, 0)
+		long = append(long, l)
+	}
+	c.LongLeases = long
 	c.InheritedRemaining = max(c.InheritedRemaining-elapsed, 0)
 	return c
 }
--- a/internal/cell/caleader/granter_test.go
+++ b/internal/cell/caleader/granter_test.go
@@ -94,7 +94,8 @@
 	claim := Claim{
 		VM: "vm", Address: "a", Token: 7, Seq: 3, Nonce: 9, Process: 4, InheritedRemaining: 2 * time.Second,
 		AppendTook: time.Second, Taken: true, GrantsNone: true, Granter: formerLeader(),
-		Silent: []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}},
+		Silent:     []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}},
+		LongLeases: []caboard.LongLease{{Upstream: "up", Incarnation: 5, Remaining: 20 * time.Second}},
 	}
 	entry, err := claim.logEntry()
 	if err != nil {
@@ -113,7 +114,7 @@
 	}
 	forward := decodeClaim(LogEntry{Value: value})
 	want := claim
-	want.GrantsNone, want.Granter = false, nil
+	want.GrantsNone, want.Granter, want.LongLeases = false, nil, nil
 	if diff := cmp.Diff(want, forward); diff != "" {
 		t.Errorf("claim that the former build stored (-want +got):\n%s", diff)
 	}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -194,6 +194,7 @@
 	}
 	l.granting.Store(!c.GrantsNone)
 	l.planner.InheritSilence(c.Silent)
+	l.planner.InheritLongLeases(c.LongLeases)
 	return l
 }
 
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -40,6 +40,7 @@
 	releasing := l.released.Load()
 	aged := claim.after(began.Sub(claimedAt))
 	l.writer.claim.Released, l.writer.claim.Silent, l.writer.claim.InheritedRemaining = releasing, aged.Silent, aged.InheritedRemaining
+	l.writer.claim.LongLeases = aged.LongLeases
 	if _, err := l.writer.append(ctx, nil); err != nil {
 		return err
 	}
