--- a/internal/cell/caboard/detector.go
+++ b/internal/cell/caboard/detector.go
@@ -155,11 +155,11 @@
 // long the call took.
 func (b *Planner) markStartCallEnded(r *run, outcome StartOutcome) time.Duration {
 	took := b.now.Monotonic.Sub(r.sentAt)
-	if outcome == StartUnknown {
+	r.startAnswered = outcome != StartUnknown
+	if outcome == StartUnknown || outcome == StartMismatch {
 		b.suspect(r.upstream, r.sentAt)
 		return took
 	}
-	r.startAnswered = true
 	b.markAnswered(r.upstream, b.now.Monotonic)
 	b.detector.addAnswerLatency(took)
 	return took
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -402,7 +402,9 @@
 		return
 	}
 	took := b.markStartCallEnded(r, outcome)
-	b.updateClock(u, clockMS, b.now.Monotonic)
+	if outcome != StartMismatch {
+		b.updateClock(u, clockMS, b.now.Monotonic)
+	}
 	caevent.Info(b.log, caevent.TaskPlaced).Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).
 		Int("run", r.id.Number).Str("upstream", string(u.info.ID)).Str("outcome", outcome.String()).
 		Dur("since_accepted", b.age(r.step.job)).Dur("since_ready", b.now.Monotonic.Sub(r.step.readyAt)).Dur("took", took).Send()
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -395,6 +395,24 @@
 	}
 }
 
+// TestAnswerOfAnotherUpstreamSetsClock guards against leases by the clock of another upstream, which answers a start at
+// the address of the one that was meant: nor is that one in touch then.
+func TestAnswerOfAnotherUpstreamSetsClock(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.planner.Plan()
+	order := s.commit()[0]
+	s.advance(5 * time.Millisecond)
+	s.planner.ApplyStartOutcome(order, StartMismatch, s.now.Add(time.Hour).UnixMilli())
+	lease, _ := s.planner.RenewLease("up-00")
+	if diff := cmp.Diff(s.now.Add(LeaseDuration).UnixMilli(), lease.EndMS); diff != "" {
+		t.Errorf("end of the lease (-want +got):\n%s", diff)
+	}
+	if !s.planner.upstreams["up-00"].isSuspected() {
+		t.Error("the upstream counts as in touch")
+	}
+}
+
 // restartUpstream lists a later incarnation of an upstream.
 func (s *simulation) restartUpstream(id cawork.UpstreamID, born int64) {
 	var list []caspec.Upstream
