--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -78,6 +78,8 @@
 	calls                callCounter
 	// acknowledged are the acknowledgements for which faults wait.
 	acknowledged acknowledgements
+	// late are the upstreams that carry renewals out late.
+	late *lateRenewals
 	// stops are the stops of planned work whose processes have not started again.
 	stops sync.WaitGroup
 }
@@ -109,6 +111,8 @@
 	c.transport, c.acknowledged = newTransport(o.IsPlanned), newAcknowledgements()
 	c.fleet = standin.NewFleet(o.Upstreams, capacity, taskSize, upstreamName)
 	c.fleet.SetCapacityBound(capacityBound)
+	c.late = newLateRenewals(o.Seed)
+	c.fleet.SetRenewalLateness(c.late.lateness)
 	c.emulator = &platform.Emulator{Store: c.store, Fleet: c.fleet}
 	return c
 }
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drain"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewals"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231, 244}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drain"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewals"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -48,9 +48,10 @@
 	_ = x[FaultPowerLossAfterSubmit-(21)]
 	_ = x[FaultPowerLossAfterCancel-(22)]
 	_ = x[FaultKillInDrain-(23)]
+	_ = x[FaultLateRenewals-(24)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -77,6 +78,7 @@
 	_FaultKindName[172:195]: FaultPowerLossAfterSubmit,
 	_FaultKindName[195:218]: FaultPowerLossAfterCancel,
 	_FaultKindName[218:231]: FaultKillInDrain,
+	_FaultKindName[231:244]: FaultLateRenewals,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -104,6 +106,7 @@
 	_FaultKindLowerName[172:195]: FaultPowerLossAfterSubmit,
 	_FaultKindLowerName[195:218]: FaultPowerLossAfterCancel,
 	_FaultKindLowerName[218:231]: FaultKillInDrain,
+	_FaultKindLowerName[231:244]: FaultLateRenewals,
 }
 
 var _FaultKindNames = []string{
@@ -131,6 +134,7 @@
 	_FaultKindName[172:195],
 	_FaultKindName[195:218],
 	_FaultKindName[218:231],
+	_FaultKindName[231:244],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -69,6 +69,9 @@
 	FaultPowerLossAfterCancel
 	// FaultKillInDrain sends SIGTERM to a node and SIGKILL while it drains.
 	FaultKillInDrain
+	// FaultLateRenewals leaves some of the renewals at a third of the upstreams unanswered, which are carried
+	// out seconds later, and restarts these upstreams under their ids when the fault ends.
+	FaultLateRenewals
 )
 
 const (
@@ -95,6 +98,8 @@
 	addedWayCount = 3
 	// addedSource separates the source of the added kinds from that of the others.
 	addedSource = 1 << 32
+	// lateRenewalSource separates the source of late renewals, which only runs with a workload have.
+	lateRenewalSource = 1 << 40
 	// addedShare is the share of the plans that have an added kind, in DrawAdded.
 	addedShare = 0.7
 )
@@ -139,7 +144,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals:
 		}
 		plan = append(plan, f)
 	}
@@ -159,9 +164,14 @@
 	return kinds
 }
 
-// DrawAddedWork is DrawAdded for runs with a workload.
+// DrawAddedWork is DrawAdded for runs with a workload. Only their upstreams check that a ticket is of
+// their incarnation, as far as late renewals need that.
 func DrawAddedWork(seed int64) []FaultKind {
-	return slices.DeleteFunc(DrawAdded(seed), func(kind FaultKind) bool { return !slices.Contains(stopFaults, kind) })
+	kinds := slices.DeleteFunc(DrawAdded(seed), func(kind FaultKind) bool { return !slices.Contains(stopFaults, kind) })
+	if rand.New(rand.NewSource(seed-lateRenewalSource)).Float64() < addedShare {
+		kinds = append(kinds, FaultLateRenewals)
+	}
+	return kinds
 }
 
 // meanInterval returns the mean time between two faults of an added kind.
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -116,7 +116,7 @@
 			kinds[kind] = true
 		}
 	}
-	if diff := cmp.Diff(len(stopFaults), len(kinds)); diff != "" {
+	if diff := cmp.Diff(len(stopFaults)+1, len(kinds)); diff != "" {
 		t.Errorf("kinds of fault added to runs with a workload (-want +got):\n%s%v", diff, kinds)
 	}
 }
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -241,8 +241,7 @@
 		c.upstreamProxies[f.Target].SetFault(link)
 	case FaultUpstreamRestart:
 		if e.begins {
-			c.fleet.Restart(c.upstreams[f.Target])
-			c.upstreamProxies[f.Target].ResetConns()
+			c.restartUpstream(f.Target)
 			return c.registerUpstreams(ctx)
 		}
 	case FaultStore:
@@ -280,6 +279,8 @@
 		return c.applyWorkEvent(ctx, e)
 	case FaultStop, FaultHangup:
 		c.applyPlanned(e, l)
+	case FaultLateRenewals:
+		return c.applyLateRenewals(ctx, e)
 	case FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
 		return c.applyStopFault(ctx, e, l)
 	}
