--- a/internal/cell/caboard/latestarts.go
+++ b/internal/cell/caboard/latestarts.go
@@ -1,6 +1,9 @@
 package caboard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A start order without an answer may be carried out seconds later. A stop makes its
 // upstream reject it, but a later incarnation under the same ID has no record of that stop
@@ -44,3 +47,26 @@
 	}
 	return false
 }
+
+// takeAbandonedStarts returns the starts that were abandoned and may still take effect, and
+// clears the list. A later incarnation has no record of their stops.
+func (b *Planner) takeAbandonedStarts(u *upstream) []*run {
+	b.pruneAbandonedStarts(u)
+	abandoned := u.abandonedStarts
+	u.abandonedStarts = nil
+	return abandoned
+}
+
+// keepAbandonedStart records a start that is abandoned without an answer, if it may still
+// take effect.
+func (b *Planner) keepAbandonedStart(r *run) {
+	if r.mayStillStart() {
+		r.upstream.abandonedStarts = append(r.upstream.abandonedStarts, r)
+		b.pruneAbandonedStarts(r.upstream)
+	}
+}
+
+// pruneAbandonedStarts drops the starts that can no longer take effect.
+func (b *Planner) pruneAbandonedStarts(u *upstream) {
+	u.abandonedStarts = slices.DeleteFunc(u.abandonedStarts, func(r *run) bool { return b.now.Monotonic.Sub(r.assignedAt) > maxCallDelay })
+}
