--- a/internal/cell/caleader/renewals.go
+++ b/internal/cell/caleader/renewals.go
@@ -138,7 +138,7 @@
 	switch {
 	case r.err != nil:
 		return renewRetry, true
-	case lease.EndMS == 0 && l.granting.Load():
+	case lease.EndMS == 0 && l.mayGrant():
 		return 0, true
 	case lease.EndMS == 0, len(r.report.Ended) > 0:
 		return renewInterval, true
@@ -154,14 +154,20 @@
 	return l.planner.ReportRequest(id)
 }
 
-// nextLease returns the lease for the next renewal. It does not extend the lease
-// while the claim is older than MaxClaimAge or states that the leader grants none.
+// mayGrant reports whether the leader may grant leases: its claim is not older than MaxClaimAge and does not
+// state that it grants none.
+func (l *Leader) mayGrant() bool {
+	return l.granting.Load() && l.Timer.Now().Sub(l.lastAppend.load()) <= MaxClaimAge
+}
+
+// nextLease returns the lease for the next renewal. It does not extend the lease while the leader may
+// grant none.
 func (l *Leader) nextLease(id cawork.UpstreamID) (caboard.Lease, bool) {
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
 	lease, ok := l.planner.RenewLease(id)
-	if !l.granting.Load() || l.Timer.Now().Sub(l.lastAppend.load()) > MaxClaimAge {
+	if !l.mayGrant() {
 		lease.EndMS = 0
 	}
 	return lease, ok
--- a/internal/cell/caleader/waitingcalls_test.go
+++ b/internal/cell/caleader/waitingcalls_test.go
@@ -83,3 +83,28 @@
 		})
 	}
 }
+
+// TestUpstreamsAreAskedWithoutPauseWhileStoreIsAway guards against a leader that spends its processor time on renewals
+// which extend nothing: its claim is too old to grant leases, since the store refuses its appends.
+func TestUpstreamsAreAskedWithoutPauseWhileStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream, log := &answeringUpstream{forgotten: true}, &refusedLog{}
+		log.open.Store(true)
+		l := newLeaderOf(log, Claim{VM: "entry-1"})
+		l.Upstreams = upstream
+		runCtx, stop := context.WithCancel(t.Context())
+		go func() { _ = l.Run(runCtx) }()
+		time.Sleep(2 * time.Second)
+		log.open.Store(false)
+		time.Sleep(MaxClaimAge + time.Second)
+		before := len(upstream.sent())
+		const during = 3 * time.Second
+		time.Sleep(during)
+		sent := len(upstream.sent()) - before
+		stop()
+		<-l.Done()
+		if most := int(during / renewInterval); sent < 2 || sent > most {
+			t.Errorf("%d calls to an upstream in %v, want 2 to %d", sent, during, most)
+		}
+	})
+}
