--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -124,15 +124,20 @@
 	delete(b.keptCalls, u.info.ID)
 	u.calls = kept.calls
 	if u.info.Incarnation != kept.incarnation {
-		u.beginCalls(b.now.Monotonic)
-		b.countEarlierLeases(u)
+		u.calls.beginIncarnation(b.now.Monotonic)
 	}
+	b.countEarlierCalls(u)
 }
 
-// beginCalls begins the calls to an incarnation, which may carry out those to earlier ones.
-func (u *upstream) beginCalls(now time.Time) {
-	u.calls.beginIncarnation(now)
+// countEarlierCalls applies what calls to earlier incarnations may still do at an upstream, and what they
+// may have granted to an incarnation that it has just started. Its clock begins anew, so that the leases
+// in them end far ahead.
+func (b *Planner) countEarlierCalls(u *upstream) {
 	u.updateForgetting()
+	u.extendLease(b.now.Monotonic, maxLease)
+	if last := u.calls.lastExtension(); !last.IsZero() {
+		u.extendLease(last.Add(maxCallDelay), maxLease)
+	}
 }
 
 // pruneCalls removes the calls that are too old to be carried out.
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -79,8 +79,8 @@
 	if !hadIncarnation {
 		return
 	}
-	u.beginCalls(b.now.Monotonic)
-	b.countEarlierLeases(u)
+	u.calls.beginIncarnation(b.now.Monotonic)
+	b.countEarlierCalls(u)
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
@@ -108,16 +108,6 @@
 	}
 }
 
-// countEarlierLeases extends the lease of an upstream that has just started an incarnation by what
-// calls to earlier ones may have granted or may still grant to it. Its clock begins anew, so that the
-// leases in them end far ahead.
-func (b *Planner) countEarlierLeases(u *upstream) {
-	u.extendLease(b.now.Monotonic, maxLease)
-	if last := u.calls.lastExtension(); !last.IsZero() {
-		u.extendLease(last.Add(maxCallDelay), maxLease)
-	}
-}
-
 // MarkIncarnationGone applies proof that an incarnation of an upstream is gone. The runs that it
 // confirmed, to this leader or an earlier one, have ended. A start order without an answer may
 // still take effect in a later incarnation.
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -482,11 +482,14 @@
 		acknowledges, answered bool
 		// unlisted is set if the upstream is forgotten between its incarnations.
 		unlisted bool
+		// relisted is set if its later incarnation is forgotten and listed again.
+		relisted bool
 		want     time.Duration
 	}{
 		"no acknowledgement":             {},
 		"acknowledgement":                {acknowledges: true, want: maxCallDelay},
 		"acknowledgement, unlisted":      {acknowledges: true, unlisted: true, want: maxCallDelay},
+		"acknowledgement, relisted":      {acknowledges: true, relisted: true, want: maxCallDelay},
 		"acknowledgement, answered late": {acknowledges: true, answered: true, want: 3 * time.Second},
 	}
 	for name, c := range tests {
@@ -508,6 +511,10 @@
 			s.advance(time.Second)
 			list[0].Incarnation = 2
 			s.planner.SetUpstreams(list)
+			if c.relisted {
+				s.planner.SetUpstreams(nil)
+				s.planner.SetUpstreams(list)
+			}
 			s.submit("second", "queue", caspec.Step{Tasks: 1, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
 			var orders []StartOrder
 			for len(orders) == 0 && s.now.Sub(renewedAt) < 2*maxCallDelay {
