--- a/internal/cell/caboard/longleases.go
+++ b/internal/cell/caboard/longleases.go
@@ -20,7 +20,7 @@
 // longLeases returns the leases to state with the next batch.
 func (b *Planner) longLeases() []LongLease {
 	var list []LongLease
-	ordinary := longestTime(LeaseDuration)
+	ordinary := longestLease(LeaseDuration)
 	for _, u := range b.sortedUpstreams {
 		if remaining := u.leaseExpires.Sub(b.now.Monotonic); len(u.runs) > 0 && remaining > ordinary {
 			list = append(list, LongLease{Upstream: u.info.ID, Incarnation: u.info.Incarnation, Remaining: remaining})
@@ -33,14 +33,14 @@
 // before any job is restored.
 func (b *Planner) InheritLongLeases(list []LongLease) {
 	for _, l := range list {
-		b.inheritedLong[l.Upstream] = l
+		b.inheritedLongLeases[l.Upstream] = l
 	}
 }
 
-// inheritedLongEnd returns when the lease of an incarnation of an upstream that the leader before stated
+// inheritedLongLeaseEnd returns when the lease of an incarnation of an upstream that the leader before stated
 // has expired, zero without one.
-func (b *Planner) inheritedLongEnd(id cawork.UpstreamID, incarnation int64) time.Time {
-	l, ok := b.inheritedLong[id]
+func (b *Planner) inheritedLongLeaseEnd(id cawork.UpstreamID, incarnation int64) time.Time {
+	l, ok := b.inheritedLongLeases[id]
 	if !ok || incarnation > l.Incarnation {
 		return time.Time{}
 	}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -61,8 +61,8 @@
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
 	pools map[caspec.PoolName]*poolPlan
-	// inheritedLong are the leases that the leader before stated to be longer than ordinary ones.
-	inheritedLong map[cawork.UpstreamID]LongLease
+	// inheritedLongLeases are the leases that the leader before stated to be longer than ordinary ones.
+	inheritedLongLeases map[cawork.UpstreamID]LongLease
 	// keptCalls are the calls without an answer to upstreams that are not known any more.
 	keptCalls map[cawork.UpstreamID]keptCalls
 	// stopping are the runs to stop.
@@ -236,19 +236,19 @@
 func New(log zerolog.Logger, seed int64, now ClockReading, inheritedUntil time.Time) *Planner {
 	return &Planner{
 		log: log, random: rand.New(rand.NewSource(seed)), now: now,
-		jobs:           make(map[cawork.JobID]*job),
-		upstreams:      make(map[cawork.UpstreamID]*upstream),
-		slots:          make(map[cawork.UpstreamID]int),
-		teams:          make(map[cawork.TeamName]*teamUsage),
-		queues:         make(map[caspec.QueueName]*queueStats),
-		partitions:     make(map[caspec.PoolName]*gangPartition),
-		knownRooms:     make(knownRooms),
-		changed:        make(map[cawork.JobID]*job),
-		endsToStore:    make(map[*upstream]endWatermark),
-		stopping:       make(map[*run]struct{}),
-		inheritedLong:  make(map[cawork.UpstreamID]LongLease),
-		keptCalls:      make(map[cawork.UpstreamID]keptCalls),
-		inheritedUntil: inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
+		jobs:                make(map[cawork.JobID]*job),
+		upstreams:           make(map[cawork.UpstreamID]*upstream),
+		slots:               make(map[cawork.UpstreamID]int),
+		teams:               make(map[cawork.TeamName]*teamUsage),
+		queues:              make(map[caspec.QueueName]*queueStats),
+		partitions:          make(map[caspec.PoolName]*gangPartition),
+		knownRooms:          make(knownRooms),
+		changed:             make(map[cawork.JobID]*job),
+		endsToStore:         make(map[*upstream]endWatermark),
+		stopping:            make(map[*run]struct{}),
+		inheritedLongLeases: make(map[cawork.UpstreamID]LongLease),
+		keptCalls:           make(map[cawork.UpstreamID]keptCalls),
+		inheritedUntil:      inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(), records: newRecordState(),
 		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -81,7 +81,7 @@
 		u = newUpstream(caspec.Upstream{ID: t.Upstream, Incarnation: t.Born, Draining: b.wasDraining(t.Upstream, t.Born)})
 		b.addUpstream(u)
 	}
-	for _, end := range []time.Time{b.inheritedLeaseEnd(t.Upstream, t.Born), b.inheritedLongEnd(t.Upstream, t.Born)} {
+	for _, end := range []time.Time{b.inheritedLeaseEnd(t.Upstream, t.Born), b.inheritedLongLeaseEnd(t.Upstream, t.Born)} {
 		if end.After(u.leaseExpires) {
 			u.leaseExpires = end
 		}
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -97,7 +97,7 @@
 	b.inheritedUntil = until
 	for _, u := range b.sortedUpstreams {
 		end := until
-		if long := b.inheritedLongEnd(u.info.ID, u.info.Incarnation); long.After(end) {
+		if long := b.inheritedLongLeaseEnd(u.info.ID, u.info.Incarnation); long.After(end) {
 			end = long
 		}
 		if u.lastAnswerAt.IsZero() && u.leaseExpires.After(end) {
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -169,14 +169,14 @@
 // extendLease records that a lease of the length was sent now. The clock of the upstream
 // may be slow, so the lease may last longer than its length.
 func (u *upstream) extendLease(now time.Time, length time.Duration) {
-	end := now.Add(longestTime(length))
+	end := now.Add(longestLease(length))
 	if end.After(u.leaseExpires) {
 		u.leaseExpires = end
 	}
 }
 
-// longestTime returns the longest time until a lease of the length has expired that is granted now.
-func longestTime(length time.Duration) time.Duration {
+// longestLease returns the longest time until a lease of the length has expired that is granted now.
+func longestLease(length time.Duration) time.Duration {
 	return time.Duration(float64(length)*maxClockDrift) + leaseMargin
 }
 
