--- a/internal/cell/caboard/leases.go
+++ b/internal/cell/caboard/leases.go
@@ -80,7 +80,7 @@
 }
 
 // ReportRequest returns the parameters of a call that asks an upstream for a report and changes nothing
-// there, so that it may be carried out at any time, by any incarnation.
+// there but the fencing token that it knows, so that it may be carried out at any time, by any incarnation.
 func (b *Planner) ReportRequest(id cawork.UpstreamID) (Lease, bool) {
 	u, ok := b.upstreams[id]
 	if !ok || u.info.Address == "" {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -395,6 +395,36 @@
 	}
 }
 
+// TestNewLeaderMissesLateGrantOfFormer covers an upstream that starts anew while the leader changes. A renewal of the
+// former leader to its earlier incarnation may grant the later one the longest lease until the new leader reaches it.
+func TestNewLeaderMissesLateGrantOfFormer(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	s.planner.RenewLease("up-00")
+	s.planner.MarkRenewalUnanswered("up-00")
+	s.restartUpstream("up-00", 2)
+	batch, err := s.planner.NextBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := s.newLeaderOf(batch)
+	next.advance(time.Second)
+	grantedAt := next.now
+	next.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: next.now, ReceivedAt: next.now, ClockMS: 1500})
+	next.submit("0000000000000001", "queue", longRunningStep(1))
+	orders := next.startAll()
+	if len(orders) != 1 {
+		t.Fatalf("%d starts, want 1", len(orders))
+	}
+	run := next.planner.upstreams["up-00"].runs[orders[0].Run]
+	for run.isCharged && next.now.Sub(grantedAt) < time.Minute {
+		next.advance(50 * time.Millisecond)
+		next.planner.ExpireLeases()
+	}
+	if waited := next.now.Sub(grantedAt); waited < maxLease {
+		t.Errorf("the run is given up %v after the former leader may have granted a lease of %v", waited, maxLease)
+	}
+}
+
 // TestAnswerOfAnotherUpstreamSetsClock guards against leases by the clock of another upstream, which answers a start at
 // the address of the one that was meant: nor is that one in touch then.
 func TestAnswerOfAnotherUpstreamSetsClock(t *testing.T) {
