--- a/internal/cell/caboard/acknowledgedends_test.go
+++ b/internal/cell/caboard/acknowledgedends_test.go
@@ -144,6 +144,7 @@
 	}
 	next.inheritedUntil = c.moment().Monotonic.Add(formerClaimTime + formerLeaseTime)
 	next.InheritSilence(c.silent)
+	next.InheritLongLeases(c.longLeases)
 }
 
 // goOn lets a former leader renew leases until its claim is too old.
--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -140,6 +140,26 @@
 	}
 }
 
+// settledAge is the age from which an incarnation holds no lease that a call to an earlier one granted. Such
+// a call was sent soon after its birth at the latest: after one without an answer no other extends a lease.
+const settledAge = maxCallDelay + maxLease + 20*time.Second
+
+// applyFirstAnswer applies that an incarnation has answered a call with the fencing token of this leader. Until then
+// it carried out the calls of former leaders as well, who may not have known of it: theirs count the longest
+// lease.
+func (b *Planner) applyFirstAnswer(u *upstream, report Report) {
+	u.fenced = true
+	if b.ageOf(report) < settledAge {
+		u.extendLease(b.now.Monotonic, maxLease)
+	}
+}
+
+// ageOf returns how long the incarnation that reports has existed at least, by its clock, which began with it,
+// and by the time of day.
+func (b *Planner) ageOf(report Report) time.Duration {
+	return time.Duration(min(report.ClockMS, b.now.WallMS-report.Born)) * time.Millisecond
+}
+
 // pruneCalls removes the calls that are too old to be carried out.
 func (b *Planner) pruneCalls() {
 	for _, u := range b.sortedUpstreams {
--- a/internal/cell/caboard/laterlives_test.go
+++ b/internal/cell/caboard/laterlives_test.go
@@ -36,6 +36,9 @@
 	minCutMS, maxCutMS int
 	// leaders lets leaders follow one another.
 	leaders bool
+	// restartsAtLead restarts upstreams while the leader changes, and nothing else does. They are cut off when they have
+	// restarted, and once more soon after they are in touch again.
+	restartsAtLead bool
 	// maxAnswerMS is how long an answer takes until the leader applies it.
 	maxAnswerMS int
 }
@@ -84,7 +87,9 @@
 		w.after(0, w.renewAll)
 	}
 	w.repeat(load.jobEvery, w.submitTasks)
-	w.repeat(load.restartEvery, w.restartOne)
+	if !faults.restartsAtLead {
+		w.repeat(load.restartEvery, w.restartOne)
+	}
 	w.repeat(20*time.Millisecond, w.lapse)
 	if faults.maxCutMS > 0 {
 		w.repeat(load.cutEvery, w.cutOne)
@@ -134,9 +139,23 @@
 	w.after(w.between(5, 1200), func() {
 		u.restart(w.elapsed)
 		w.listLater(u)
+		if w.faults.restartsAtLead {
+			w.cutTwice(u)
+		}
 	})
 }
 
+// cutTwice cuts an upstream off for a few seconds, lets it be in touch for shorter than a lease and cuts it off for
+// longer than one.
+func (w *lifeWorld) cutTwice(u *simulatedUpstream) {
+	first := w.between(500, 4000)
+	second := first + w.between(300, 2500)
+	u.cut = true
+	w.after(first, func() { u.cut = false })
+	w.after(second, func() { u.cut = true })
+	w.after(second+w.between(9000, 14000), func() { u.cut = false })
+}
+
 // renewAll begins the renewals of a leader.
 func (w *lifeWorld) renewAll() {
 	for _, u := range w.upstreams {
@@ -269,9 +288,24 @@
 
 func (w *lifeWorld) runFor(until time.Duration) {
 	w.keepsLeader = true
-	if w.faults.leaders {
+	switch {
+	case w.faults.restartsAtLead:
+		w.runRestartsAtLead(until)
+	case w.faults.leaders:
 		w.runLeaders(until)
-		return
+	default:
+		w.run(until)
+	}
+}
+
+// runRestartsAtLead runs the world under leaders that each take over while upstreams restart.
+func (w *lifeWorld) runRestartsAtLead(until time.Duration) {
+	for next := w.between(8000, 14000); next < until && len(w.violations) == 0; next += w.between(12000, 18000) {
+		w.run(next)
+		for range churnUpstreams * 3 / 4 {
+			w.restartOne()
+		}
+		w.lead()
 	}
 	w.run(until)
 }
@@ -305,6 +339,7 @@
 		"late":         {lateRenewals: 0.15, lateOrders: roomLateShare},
 		"late_and_cut": {lateRenewals: 0.15, minCutMS: 300, maxCutMS: 4000},
 		"late_leaders": {lateRenewals: 0.15, leaders: true},
+		"late_at_lead": {lateRenewals: 0.15, restartsAtLead: true},
 	})
 }
 
@@ -314,6 +349,7 @@
 	checkLifeWorlds(t, longRuns, map[string]lifeFaults{
 		"late_and_cut": {lateRenewals: 0.15, lateOrders: roomLateShare, minCutMS: 5000, maxCutMS: 14000},
 		"late_leaders": {lateRenewals: 0.15, minCutMS: 5000, maxCutMS: 14000, leaders: true},
+		"late_at_lead": {lateRenewals: 0.15, restartsAtLead: true},
 	})
 }
 
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -78,7 +78,9 @@
 	if report.Born > u.info.Incarnation {
 		b.beginIncarnation(u, report.Born)
 	}
-	u.fenced = true
+	if !u.fenced {
+		b.applyFirstAnswer(u, report)
+	}
 	u.renewalUnanswered = false
 	b.markAnswered(u, report.ReceivedAt)
 	b.updateClock(u, report.ClockMS, report.ReceivedAt)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -395,9 +395,10 @@
 	}
 }
 
-// TestNewLeaderMissesLateGrantOfFormer covers an upstream that starts anew while the leader changes. A renewal of the
-// former leader to its earlier incarnation may grant the later one the longest lease until the new leader reaches it.
-func TestNewLeaderMissesLateGrantOfFormer(t *testing.T) {
+// runLostAfterFirstAnswer starts a long-running task at an upstream that has just answered a new leader for the first
+// time, with the clock, and then never again. It returns how long after that answer the leader gives the run up.
+func runLostAfterFirstAnswer(t *testing.T, clock time.Duration) time.Duration {
+	t.Helper()
 	s := newSimulation(t, 1, plainQueue())
 	s.planner.RenewLease("up-00")
 	s.planner.MarkRenewalUnanswered("up-00")
@@ -408,23 +409,39 @@
 	}
 	next := s.newLeaderOf(batch)
 	next.advance(time.Second)
-	grantedAt := next.now
-	next.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: next.now, ReceivedAt: next.now, ClockMS: 1500})
+	answeredAt := next.now
+	next.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: next.now, ReceivedAt: next.now, ClockMS: clock.Milliseconds()})
 	next.submit("0000000000000001", "queue", longRunningStep(1))
 	orders := next.startAll()
 	if len(orders) != 1 {
 		t.Fatalf("%d starts, want 1", len(orders))
 	}
 	run := next.planner.upstreams["up-00"].runs[orders[0].Run]
-	for run.isCharged && next.now.Sub(grantedAt) < time.Minute {
+	for run.isCharged && next.now.Sub(answeredAt) < time.Minute {
 		next.advance(50 * time.Millisecond)
 		next.planner.ExpireLeases()
 	}
-	if waited := next.now.Sub(grantedAt); waited < maxLease {
+	return next.now.Sub(answeredAt)
+}
+
+// TestNewLeaderMissesLateGrantOfFormer guards against two runs at once: an upstream starts anew while the leader
+// changes, and a renewal of the former leader to its earlier incarnation grants it the longest lease before the new
+// leader reaches it.
+func TestNewLeaderMissesLateGrantOfFormer(t *testing.T) {
+	if waited := runLostAfterFirstAnswer(t, 1500*time.Millisecond); waited < maxLease {
 		t.Errorf("the run is given up %v after the former leader may have granted a lease of %v", waited, maxLease)
 	}
 }
 
+// TestRunsOfOldUpstreamsWaitForLateGrants guards against runs that are given up late after each change of the leader:
+// at an upstream that has been there for long no renewal to an earlier incarnation is on its way.
+func TestRunsOfOldUpstreamsWaitForLateGrants(t *testing.T) {
+	ordinary := longestLease(LeaseDuration) + 100*time.Millisecond
+	if waited := runLostAfterFirstAnswer(t, settledAge); waited > ordinary {
+		t.Errorf("the run is given up after %v, want %v at most", waited, ordinary)
+	}
+}
+
 // TestAnswerOfAnotherUpstreamSetsClock guards against leases by the clock of another upstream, which answers a start at
 // the address of the one that was meant: nor is that one in touch then.
 func TestAnswerOfAnotherUpstreamSetsClock(t *testing.T) {
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -133,7 +133,9 @@
 	crashRecords map[cawork.JobID][]byte
 	sizes        map[cawork.JobID][]caspec.Step
 	// silent are the upstreams that the last durable append declares as silent.
-	silent         []SilentUpstream
+	silent []SilentUpstream
+	// longLeases are those that it states.
+	longLeases     []LongLease
 	planner        *Planner
 	token          int64
 	appendInFlight bool
@@ -584,7 +586,7 @@
 
 // store makes a batch durable.
 func (w *roomWorld) store(batch Batch) {
-	w.silent = batch.Silent
+	w.silent, w.longLeases = batch.Silent, batch.LongLeases
 	storeRecords(w.records, batch.Records)
 	if !w.oldBuild {
 		storeRecords(w.crashRecords, batch.Crashes)
