A schedule keeps the fraction of its interval (49)

What callers saw: an IntervalMs with a fraction was cut to whole milliseconds without a word, so that occurrence K came up to K ms before its time. Cause: Due multiplied whole milliseconds. The due time counts the fraction now, rounded up, so that nothing starts early. TestFractionOfIntervalIsLost failed before (occurrence 1000 due 250 ms early).

--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -89,9 +89,12 @@
 // Count returns the number of occurrences.
 func (s Schedule) Count() int { return max(s.Occurrences, 1) }
 
-// Due returns the time at which the occurrence is due, in Unix milliseconds.
+// Due returns the time at which the occurrence is due, in Unix milliseconds, rounded up.
 func (s Schedule) Due(occurrence int) int64 {
-	return s.StartMS + int64(occurrence)*s.Interval.Milliseconds()
+	n := int64(occurrence)
+	// The product of whole intervals overflows a duration.
+	fraction := time.Duration(n) * (s.Interval % time.Millisecond)
+	return s.StartMS + n*s.Interval.Milliseconds() + (fraction + time.Millisecond - 1).Milliseconds()
 }
 
 // Submission is a job as submitted by a caller.
--- a/internal/cell/caspec/step_test.go
+++ b/internal/cell/caspec/step_test.go
@@ -53,3 +53,13 @@
 		t.Errorf("error (-want +got):\n%s", diff)
 	}
 }
+
+// TestFractionOfIntervalIsLost guards against occurrences that drift ahead of their times: an interval may have a
+// fraction of a millisecond.
+func TestFractionOfIntervalIsLost(t *testing.T) {
+	s := caspec.Schedule{Occurrences: 2000, StartMS: 1000, Interval: 1500*time.Millisecond + 250*time.Microsecond}
+	got := []int64{s.Due(0), s.Due(1), s.Due(4), s.Due(1000)}
+	if diff := cmp.Diff([]int64{1000, 2501, 7001, 1_501_250}, got); diff != "" {
+		t.Errorf("due times of occurrences 0, 1, 4 and 1000 (-want +got):\n%s", diff)
+	}
+}
