--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -140,20 +140,31 @@
 	}
 }
 
-// settledAge is the age from which an incarnation holds no lease that a call to an earlier one granted. Such
-// a call was sent soon after its birth at the latest: after one without an answer no other extends a lease.
-const settledAge = maxCallDelay + maxLease + 20*time.Second
+const (
+	// settledAge is the age from which an incarnation holds no lease that a call to an earlier one granted.
+	// Such a call was sent soon after its birth at the latest: after one without an answer no other extends
+	// a lease.
+	settledAge = maxCallDelay + maxLease + 20*time.Second
+	// formerCallsTime is how long after a change of the leader such a lease may be in force that a call of a
+	// former leader granted. A leader sends none once its claim is a few seconds old.
+	formerCallsTime = maxCallDelay + maxLease + 5*time.Second
+)
 
 // applyFirstAnswer applies that an incarnation has answered a call with the fencing token of this leader. Until then
 // it carried out the calls of former leaders as well, who may not have known of it: theirs count the longest
 // lease.
 func (b *Planner) applyFirstAnswer(u *upstream, report Report) {
 	u.fenced = true
-	if b.ageOf(report) < settledAge {
+	if b.timeLeading() < formerCallsTime && b.ageOf(report) < settledAge {
 		u.extendLease(b.now.Monotonic, maxLease)
 	}
 }
 
+// timeLeading returns how long ago the leader took over.
+func (b *Planner) timeLeading() time.Duration {
+	return b.now.Monotonic.Sub(b.silence.leadingSince)
+}
+
 // ageOf returns how long the incarnation that reports has existed at least, by its clock, which began with it,
 // and by the time of day.
 func (b *Planner) ageOf(report Report) time.Duration {
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -395,9 +395,10 @@
 	}
 }
 
-// runLostAfterFirstAnswer starts a long-running task at an upstream that has just answered a new leader for the first
-// time, with the clock, and then never again. It returns how long after that answer the leader gives the run up.
-func runLostAfterFirstAnswer(t *testing.T, clock time.Duration) time.Duration {
+// runLostAfterFirstAnswer starts a long-running task at an upstream that has just answered a leader for the first time,
+// after the leader has led for some time, with the clock, and then never again. It returns how long after that
+// answer the leader gives the run up.
+func runLostAfterFirstAnswer(t *testing.T, leading, clock time.Duration) time.Duration {
 	t.Helper()
 	s := newSimulation(t, 1, plainQueue())
 	s.planner.RenewLease("up-00")
@@ -408,7 +409,7 @@
 		t.Fatal(err)
 	}
 	next := s.newLeaderOf(batch)
-	next.advance(time.Second)
+	next.advance(leading)
 	answeredAt := next.now
 	next.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: next.now, ReceivedAt: next.now, ClockMS: clock.Milliseconds()})
 	next.submit("0000000000000001", "queue", longRunningStep(1))
@@ -428,17 +429,20 @@
 // changes, and a renewal of the former leader to its earlier incarnation grants it the longest lease before the new
 // leader reaches it.
 func TestNewLeaderMissesLateGrantOfFormer(t *testing.T) {
-	if waited := runLostAfterFirstAnswer(t, 1500*time.Millisecond); waited < maxLease {
+	if waited := runLostAfterFirstAnswer(t, time.Second, 1500*time.Millisecond); waited < maxLease {
 		t.Errorf("the run is given up %v after the former leader may have granted a lease of %v", waited, maxLease)
 	}
 }
 
-// TestRunsOfOldUpstreamsWaitForLateGrants guards against runs that are given up late after each change of the leader:
-// at an upstream that has been there for long no renewal to an earlier incarnation is on its way.
-func TestRunsOfOldUpstreamsWaitForLateGrants(t *testing.T) {
+// TestRunsWaitForLateGrantsInVain guards against runs that are given up late where no renewal to an earlier incarnation
+// can be on its way: at an upstream that has been there for long, or under a leader that has led for long.
+func TestRunsWaitForLateGrantsInVain(t *testing.T) {
 	ordinary := longestLease(LeaseDuration) + 100*time.Millisecond
-	if waited := runLostAfterFirstAnswer(t, settledAge); waited > ordinary {
-		t.Errorf("the run is given up after %v, want %v at most", waited, ordinary)
+	if waited := runLostAfterFirstAnswer(t, time.Second, settledAge); waited > ordinary {
+		t.Errorf("the run at an old upstream is given up after %v, want %v at most", waited, ordinary)
+	}
+	if waited := runLostAfterFirstAnswer(t, formerCallsTime, time.Second); waited > ordinary {
+		t.Errorf("the run of an old leader is given up after %v, want %v at most", waited, ordinary)
 	}
 }
 
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -150,7 +150,7 @@
 		return u.renewalUnanswered
 	}
 	_, wasSilent := b.silence.inherited[u.info.ID]
-	return wasSilent || b.now.Monotonic.Sub(b.silence.leadingSince) > firstAnswerTimeout
+	return wasSilent || b.timeLeading() > firstAnswerTimeout
 }
 
 // mayExtendLease reports whether no append that is or may be the last one declares the
