--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -171,6 +171,14 @@
 	return time.Duration(min(report.ClockMS, b.now.WallMS-report.Born)) * time.Millisecond
 }
 
+// endLeaseOfGone drops what calls to earlier incarnations may have granted to one that is gone. What they may grant to
+// a later one counts once it begins.
+func (u *upstream) endLeaseOfGone(now time.Time) {
+	if end := now.Add(longestLease(LeaseDuration)); u.leaseExpires.After(end) {
+		u.leaseExpires = end
+	}
+}
+
 // pruneCalls removes the calls that are too old to be carried out.
 func (b *Planner) pruneCalls() {
 	for _, u := range b.sortedUpstreams {
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -117,6 +117,7 @@
 		return
 	}
 	b.resolveCrashes(id, math.MaxInt64)
+	u.endLeaseOfGone(b.now.Monotonic)
 	if !u.gone {
 		u.gone = true
 		b.countCrash(u, u.info.Incarnation, "upstream no longer exists", false)
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -446,6 +446,33 @@
 	}
 }
 
+// TestRunOfGoneUpstreamWaitsForLateGrants guards against tasks that wait for the leases of an upstream that is proved to
+// be gone: its lease counted what calls to its earlier incarnation could still grant, for 25 s.
+func TestRunOfGoneUpstreamWaitsForLateGrants(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	lease, _ := s.planner.RenewLease("up-00")
+	if lease.EndMS == 0 {
+		t.Fatal("the renewal extends no lease")
+	}
+	s.planner.MarkRenewalUnanswered("up-00")
+	s.restartUpstream("up-00", 2)
+	s.planner.ApplyReport(Report{Upstream: "up-00", Born: 2, SentAt: s.now, ReceivedAt: s.now, ClockMS: 500})
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.planner.Plan()
+	order := s.commit()[0]
+	s.planner.ApplyStartOutcome(order, StartUnknown, 0)
+	goneAt := s.now
+	s.planner.MarkIncarnationGone("up-00", 2)
+	run := s.planner.upstreams["up-00"].runs[order.Run]
+	for run.isCharged && s.now.Sub(goneAt) < time.Minute {
+		s.advance(50 * time.Millisecond)
+		s.planner.ExpireLeases()
+	}
+	if waited, want := s.now.Sub(goneAt), longestLease(LeaseDuration)+100*time.Millisecond; waited > want {
+		t.Errorf("the run is given up %v after the upstream was gone, want %v at most", waited, want)
+	}
+}
+
 // TestAnswerOfAnotherUpstreamSetsClock guards against leases by the clock of another upstream, which answers a start at
 // the address of the one that was meant: nor is that one in touch then.
 func TestAnswerOfAnotherUpstreamSetsClock(t *testing.T) {
