--- a/internal/cell/caboard/crashes_survival_test.go
+++ b/internal/cell/caboard/crashes_survival_test.go
@@ -261,6 +261,48 @@
 	}
 }
 
+// restartAll restarts all upstreams, as a loss of power does.
+func (c *storedCell) restartAll() {
+	for i := range c.upstreams {
+		c.upstreams[i].Incarnation++
+	}
+}
+
+// TestDeadlyTaskStartsOnAfterPowerLosses guards against a task that is started for the third time after three
+// upstreams have crashed under it: its first runs were lost together with all upstreams and their leaders, none of
+// which knew whether they had begun.
+func TestDeadlyTaskStartsOnAfterPowerLosses(t *testing.T) {
+	cell := newStoredCell(t)
+	l := cell.lead(false)
+	l.submitJob()
+	cell.restartAll()
+	starts := 1
+	for starts < 3 {
+		l = cell.lead(false)
+		l.advance(time.Second)
+		starts += len(l.start())
+		cell.restartAll()
+	}
+	l = cell.lead(false)
+	for range 20 {
+		orders := l.start()
+		starts += len(orders)
+		l.advance(time.Second)
+		for _, o := range orders {
+			cell.restart(o)
+		}
+		l.planner.SetUpstreams(cell.upstreams)
+		l.advance(judgementDelay)
+		l.planner.ExpireLeases()
+	}
+	if phase, _ := l.planner.Phase("job"); phase != castate.PhaseFailed {
+		t.Errorf("the job is %v, want failed", phase)
+	}
+	if starts > maxCrashes+maxStartsBeyond {
+		t.Errorf("%d starts, want at most %d", starts, maxCrashes+maxStartsBeyond)
+	}
+}
+
 // TestTaskThatCrashedUpstreamsUnderEarlierBuildIsGivenUp covers an upgrade while a task crashes each
 // upstream that starts it: the earlier build counted nothing, so that the later one began anew and
 // started it three times more. A task that was started as often for other reasons must not be suspected.
--- a/internal/cell/cacrash/history.go
+++ b/internal/cell/cacrash/history.go
@@ -20,6 +20,10 @@
 	// the only suspect of one, and maxAllCrashes the number of all crashes in any case.
 	maxCrashes    = 3
 	maxAllCrashes = 4
+	// maxPossibleCrashes is the number of crashes, those included of which it is not known whether the run had
+	// begun, after which a task is not started again if it had begun in minProvenCrashes of them.
+	maxPossibleCrashes = 5
+	minProvenCrashes   = 2
 	// maxRepeatedCrashes replaces maxCrashes for a task that leaders which count no crashes started
 	// again and again before.
 	maxRepeatedCrashes = 2
@@ -298,6 +302,9 @@
 // probation. A crash is certain if it is not shared, too.
 type tally struct {
 	all, certain int
+	// possible counts those as well of which it is not known whether the run had begun, such as those that
+	// a leader did not live to see.
+	possible int
 	// suspected counts the crashes of which the task was a suspect, and sole the certain ones of these
 	// without suspects of other jobs.
 	suspected, sole int
@@ -326,6 +333,7 @@
 func (n *tally) add(c Crash) {
 	hadBegun := c.Confirmed || c.Probation
 	isCertain := hadBegun && !c.Shared
+	n.possible++
 	n.all += count(hadBegun)
 	n.certain += count(isCertain)
 	n.suspected += count(c.Blamed)
@@ -344,7 +352,7 @@
 // job was, or so many upstreams have crashed under it that more would harm others. A task that was
 // always beside other suspects is given one start more, apart from them.
 func (n tally) isHarmful() bool {
-	if n.all >= maxAllCrashes {
+	if n.all >= maxAllCrashes || n.possible >= maxPossibleCrashes && n.all >= minProvenCrashes {
 		return true
 	}
 	if n.repeated {
--- a/internal/cell/cacrash/history_test.go
+++ b/internal/cell/cacrash/history_test.go
@@ -47,6 +47,12 @@
 		{"four crashes", []Crash{crash(1), crash(2), crash(3), crash(4)}, verdict{OnProbation: true, GivenUp: true}},
 		{"one start may not have begun", []Crash{crash(1, sole, unconfirmed), crash(2, sole)}, verdict{MayStart: true, OnProbation: true}},
 		{"three starts on probation were not confirmed", []Crash{crash(1, probation), crash(2, probation), crash(3, probation, sole)}, verdict{OnProbation: true, GivenUp: true}},
+		{"two crashes, three more starts may not have begun", []Crash{
+			crash(1, unconfirmed), crash(2, unconfirmed), crash(3, unconfirmed), crash(4), crash(5),
+		}, verdict{OnProbation: true, GivenUp: true}},
+		{"one crash, four more starts may not have begun", []Crash{
+			crash(1, unconfirmed), crash(2, unconfirmed), crash(3, unconfirmed), crash(4, unconfirmed), crash(5),
+		}, verdict{MayStart: true, OnProbation: true}},
 		{"three crashes with a common cause", []Crash{crash(1, shared), crash(2, shared, sole), crash(3, shared)}, verdict{MayStart: true, OnProbation: true}},
 		{"four crashes with a common cause", []Crash{crash(1, shared), crash(2, shared), crash(3, shared), crash(4, shared)}, verdict{OnProbation: true, GivenUp: true}},
 	}
