--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -12,9 +12,10 @@
 // sentCall is a call that changes something at its upstream.
 type sentCall struct {
 	sentAt time.Time
-	// acknowledges is set if the call carries the number of a stored end, and extends if it carries the
-	// end of a lease.
-	acknowledges, extends bool
+	// storedEnd is the number of the stored end that the call acknowledges, or zero, and extends is set if it
+	// carries the end of a lease.
+	storedEnd int64
+	extends   bool
 }
 
 // unansweredCalls are the calls to an upstream that may still be carried out, by their numbers.
@@ -55,7 +56,7 @@
 // lastAcknowledgement returns when the last of the calls to earlier incarnations was sent that
 // acknowledges ends, zero without one.
 func (c *unansweredCalls) lastAcknowledgement() time.Time {
-	return c.lastEarlierOf(func(call sentCall) bool { return call.acknowledges })
+	return c.lastEarlierOf(func(call sentCall) bool { return call.storedEnd > 0 })
 }
 
 // lastExtension returns when the last of these calls was sent that extends a lease, zero without one.
@@ -179,6 +180,37 @@
 	}
 }
 
+// maxAcknowledgementDelay is how long acknowledgements are put off at most while starts have no answer.
+const maxAcknowledgementDelay = time.Second
+
+// endToAcknowledge returns the number of the last stored end that a renewal acknowledges, or zero if it is to
+// acknowledge none: a later incarnation that may carry out a call that does gets no work for long. One that may
+// answer already numbers its ends from 1 again, and a start without an answer may have crashed the upstream.
+func (b *Planner) endToAcknowledge(u *upstream) int64 {
+	waits := b.now.Monotonic.Sub(u.acknowledgedAt) < maxAcknowledgementDelay && u.mayBeStarting()
+	if u.renewalUnanswered || u.storedEnd <= u.answeredEnd || waits {
+		return 0
+	}
+	return u.storedEnd
+}
+
+// mayBeStarting reports whether a start call to the upstream has no answer yet and the run was not reported.
+func (u *upstream) mayBeStarting() bool {
+	for _, r := range u.runs {
+		if r.mayStillStart() {
+			return true
+		}
+	}
+	return false
+}
+
+// applyAnswer applies that the present incarnation has answered a call.
+func (u *upstream) applyAnswer(number int64) {
+	if call, ok := u.calls.sent[number]; ok && number > u.calls.lastEarlier {
+		u.answeredEnd = max(u.answeredEnd, call.storedEnd)
+	}
+}
+
 // pruneCalls removes the calls that are too old to be carried out.
 func (b *Planner) pruneCalls() {
 	for _, u := range b.sortedUpstreams {
--- a/internal/cell/caboard/laterincarnations_test.go
+++ b/internal/cell/caboard/laterincarnations_test.go
@@ -247,6 +247,33 @@
 	}
 }
 
+// TestUpstreamRestsAfterEachCrash guards against upstreams that get no work for long after they have crashed and started
+// again: renewals acknowledged the same ends again and again, and did so while a start that crashed the upstream had no
+// answer.
+func TestUpstreamRestsAfterEachCrash(t *testing.T) {
+	s := newSimulation(t, 1, plainQueue())
+	acknowledges := func() int64 {
+		lease, _ := s.planner.RenewLease("up-00")
+		s.planner.ApplyReport(Report{Upstream: "up-00", Born: 1, SentAt: s.now, ReceivedAt: s.now, ClockMS: s.now.UnixMilli(), Call: lease.Call})
+		return lease.StoredEnd
+	}
+	s.submit("0000000000000001", "queue", smallStep(1))
+	s.report("up-00", nil, []EndedRun{{Run: s.startAll()[0].Run, Ending: EndingDone}})
+	s.commit()
+	got := []int64{acknowledges(), acknowledges()}
+	s.submit("0000000000000002", "queue", smallStep(1))
+	s.report("up-00", nil, []EndedRun{{Run: s.startAll()[0].Run, Ending: EndingDone}})
+	s.submit("0000000000000003", "queue", smallStep(1))
+	s.planner.Plan()
+	s.commit()
+	got = append(got, acknowledges())
+	s.advance(maxAcknowledgementDelay)
+	got = append(got, acknowledges())
+	if diff := cmp.Diff([]int64{1, 0, 0, 2}, got); diff != "" {
+		t.Errorf("ends acknowledged at first, again, while a start has no answer and a second later (-want +got):\n%s", diff)
+	}
+}
+
 // TestAnswerOfAnotherUpstreamSetsClock guards against leases by the clock of another upstream, which answers a start at
 // the address of the one that was meant: nor is that one in touch then.
 func TestAnswerOfAnotherUpstreamSetsClock(t *testing.T) {
--- a/internal/cell/caboard/leases.go
+++ b/internal/cell/caboard/leases.go
@@ -60,21 +60,19 @@
 		return Lease{}, false
 	}
 	l := Lease{
-		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: u.storedEnd,
+		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: b.endToAcknowledge(u),
 	}
-	switch {
-	case u.renewalUnanswered:
-		// A later incarnation may answer. It numbers its ends from 1 again.
-		l.StoredEnd = 0
-	case b.mayExtendLease(u):
+	if !u.renewalUnanswered && b.mayExtendLease(u) {
 		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
 	}
 	if l.EndMS > 0 {
 		u.extendLease(b.now.Monotonic, LeaseDuration)
 	}
+	if l.StoredEnd > 0 {
+		u.acknowledgedEnd, u.acknowledgedAt = l.StoredEnd, b.now.Monotonic
+	}
 	if l.EndMS > 0 || l.StoredEnd > 0 {
-		u.acknowledgedEnd = max(u.acknowledgedEnd, l.StoredEnd)
-		l.Call = u.calls.add(sentCall{sentAt: b.now.Monotonic, acknowledges: l.StoredEnd > 0, extends: l.EndMS > 0})
+		l.Call = u.calls.add(sentCall{sentAt: b.now.Monotonic, storedEnd: l.StoredEnd, extends: l.EndMS > 0})
 	}
 	return l, true
 }
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -72,7 +72,7 @@
 	u.lastReportAt = time.Time{}
 	u.suspectedSince = time.Time{}
 	u.fenced, u.gone = false, false
-	u.appliedEnd, u.storedEnd, u.acknowledgedEnd = 0, 0, 0
+	u.appliedEnd, u.storedEnd, u.acknowledgedEnd, u.answeredEnd = 0, 0, 0, 0
 	delete(b.endsToStore, u)
 	delete(b.records.heldEnds, u)
 	u.health = health{}
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -71,6 +71,9 @@
 	if !ok {
 		return
 	}
+	if report.Born == u.info.Incarnation {
+		u.applyAnswer(report.Call)
+	}
 	u.endCall(report.Call)
 	if report.Born < u.info.Incarnation {
 		return
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -38,8 +38,10 @@
 	// mayForgetUntil is until when the upstream may forget ends that nobody has seen, zero if never. It
 	// gets no work until then.
 	mayForgetUntil time.Time
-	// acknowledgedEnd is the highest number of an end that a call to its incarnation acknowledged.
-	acknowledgedEnd int64
+	// acknowledgedEnd is the highest number of an end that a call to its incarnation acknowledged, the last
+	// one at acknowledgedAt, and answeredEnd that of such a call that it answered.
+	acknowledgedEnd, answeredEnd int64
+	acknowledgedAt               time.Time
 	// lateStops counts the repeated stops of these while the upstream is silent, and
 	// lastLateStopAt is when the last one was sent.
 	lateStops      int
