--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"maps"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
@@ -47,6 +48,21 @@
 	}
 }
 
+// hasEarlier reports whether there are calls to earlier incarnations.
+func (c *unansweredCalls) hasEarlier() bool {
+	for number := range c.sent {
+		if number <= c.lastEarlier {
+			return true
+		}
+	}
+	return false
+}
+
+// removeEarlier removes the calls to earlier incarnations.
+func (c *unansweredCalls) removeEarlier() {
+	maps.DeleteFunc(c.sent, func(number int64, _ sentCall) bool { return number <= c.lastEarlier })
+}
+
 // beginIncarnation records that all calls so far were sent to earlier incarnations.
 func (c *unansweredCalls) beginIncarnation(now time.Time) {
 	c.prune(now)
@@ -106,13 +122,15 @@
 type keptCalls struct {
 	incarnation int64
 	calls       unansweredCalls
+	// token is the fencing token of the last calls.
+	token int64
 }
 
 // keepCalls keeps the calls to an upstream that is dropped: it may be listed again, in a later incarnation.
 func (b *Planner) keepCalls(u *upstream) {
 	u.calls.prune(b.now.Monotonic)
 	if len(u.calls.sent) > 0 {
-		b.keptCalls[u.info.ID] = keptCalls{incarnation: u.info.Incarnation, calls: u.calls}
+		b.keptCalls[u.info.ID] = keptCalls{incarnation: u.info.Incarnation, calls: u.calls, token: u.token}
 	}
 }
 
@@ -123,7 +141,7 @@
 		return
 	}
 	delete(b.keptCalls, u.info.ID)
-	u.calls = kept.calls
+	u.calls, u.token = kept.calls, kept.token
 	if u.info.Incarnation != kept.incarnation {
 		u.calls.beginIncarnation(b.now.Monotonic)
 	}
--- a/internal/cell/caboard/latestarts.go
+++ b/internal/cell/caboard/latestarts.go
@@ -26,7 +26,7 @@
 		u.lastLateStopAt = b.now.Monotonic
 		u.lateStops++
 		r := u.abandonedStarts[u.lateStops%len(u.abandonedStarts)]
-		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation, ToSilent: true})
+		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation, ToSilent: true, Token: u.token})
 	}
 	return orders
 }
--- a/internal/cell/caboard/leases.go
+++ b/internal/cell/caboard/leases.go
@@ -59,8 +59,9 @@
 	if !ok || u.info.Address == "" {
 		return Lease{}, false
 	}
+	b.raiseToken(u)
 	l := Lease{
-		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: b.endToAcknowledge(u),
+		Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, StoredEnd: b.endToAcknowledge(u), Token: u.token,
 	}
 	if !u.renewalUnanswered && b.mayExtendLease(u) {
 		l.EndMS = u.leaseEndMS(b.now.Monotonic, LeaseDuration)
@@ -84,7 +85,7 @@
 	if !ok || u.info.Address == "" {
 		return Lease{}, false
 	}
-	return Lease{Upstream: id, Address: u.info.Address, Born: u.info.Incarnation}, true
+	return Lease{Upstream: id, Address: u.info.Address, Born: u.info.Incarnation, Token: u.token}, true
 }
 
 // UpstreamIDs returns the upstreams whose leases are renewed: those with a known address.
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -80,13 +80,15 @@
 		return
 	}
 	u.calls.beginIncarnation(b.now.Monotonic)
+	u.awaitsToken = false
+	b.raiseToken(u)
 	b.countEarlierCalls(u)
 	b.countCrash(u, endedBorn, "upstream restarted", false)
 	abandoned := b.takeAbandonedStarts(u)
 	caevent.Info(b.log, caevent.UpstreamReborn).Str("upstream", string(u.info.ID)).Int64("born", born).
 		Int("runs", len(u.runs)).Int("late_starts", len(abandoned)).Int("late_calls", len(u.calls.sent)).
 		Bool("may_acknowledge", !u.calls.lastAcknowledgement().IsZero()).Bool("may_extend", !u.calls.lastExtension().IsZero()).
-		Dur("rests_for", max(u.mayForgetUntil.Sub(b.now.Monotonic), 0)).Send()
+		Dur("rests_for", max(u.mayForgetUntil.Sub(b.now.Monotonic), 0)).Int64("token", u.token).Send()
 	for _, r := range u.runs {
 		switch {
 		case r.mayStillStart():
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -57,6 +57,8 @@
 	LeaseEndMS int64 `cbor:"8,keyasint,omitempty"`
 	// Call is the number of the call at the leader.
 	Call int64 `cbor:"-"`
+	// Token is the fencing token, or zero for that of the leader.
+	Token int64 `cbor:"-"`
 }
 
 // StopOrder holds the parameters of a call that stops a run at an upstream.
@@ -67,6 +69,8 @@
 	Born     int64             `cbor:"4,keyasint,omitempty"`
 	// ToSilent is set if the upstream does not answer. The stop is repeated until it does.
 	ToSilent bool `cbor:"-"`
+	// Token is the fencing token, or zero for that of the leader.
+	Token int64 `cbor:"-"`
 }
 
 // ApprovalRequest asks the advisor which of the upstreams may run the step.
@@ -106,8 +110,10 @@
 	// leader. They are not encoded.
 	SentAt     time.Time `cbor:"-"`
 	ReceivedAt time.Time `cbor:"-"`
-	// Call is the number of the answered call at the leader.
-	Call int64 `cbor:"-"`
+	// Call is the number of the answered call at the leader, and Token its fencing token, or zero for that of
+	// the leader.
+	Call  int64 `cbor:"-"`
+	Token int64 `cbor:"-"`
 	// ClockMS is the reading of the upstream's clock.
 	ClockMS int64        `cbor:"5,keyasint,omitempty"`
 	Running []RunningRun `cbor:"6,keyasint,omitempty"`
@@ -146,4 +152,6 @@
 	StoredEnd int64 `cbor:"5,keyasint,omitempty"`
 	// Call is the number of the call at the leader, or zero if it changes nothing at the upstream.
 	Call int64 `cbor:"-"`
+	// Token is the fencing token, or zero for that of the leader.
+	Token int64 `cbor:"-"`
 }
--- a/internal/cell/caboard/orderoutcomes.go
+++ b/internal/cell/caboard/orderoutcomes.go
@@ -97,7 +97,7 @@
 		}
 		r.stopInFlight = true
 		r.stopOrderedAt = b.now.Monotonic
-		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation})
+		orders = append(orders, StopOrder{Run: r.id, Upstream: u.info.ID, Address: u.info.Address, Born: u.info.Incarnation, Token: u.token})
 	}
 	slices.SortFunc(orders, func(x, y StopOrder) int { return x.Run.compare(y.Run) })
 	return orders
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -63,6 +63,8 @@
 	pools map[caspec.PoolName]*poolPlan
 	// inheritedLongLeases are the leases that the leader before stated to be longer than ordinary ones.
 	inheritedLongLeases map[cawork.UpstreamID]LongLease
+	// token is the fencing token of the leader, and logEnd the offset after its last stored record.
+	token, logEnd int64
 	// keptCalls are the calls without an answer to upstreams that are not known any more.
 	keptCalls map[cawork.UpstreamID]keptCalls
 	// stopping are the runs to stop.
@@ -421,7 +423,7 @@
 	return StartOrder{
 		Run: r.id, Upstream: r.upstream.info.ID, Address: r.upstream.info.Address, Born: r.upstream.info.Incarnation,
 		Payload: r.step.job.Submission.Payload, Checkpoint: r.task().Checkpoint, Ticket: r.ticket,
-		LeaseEndMS: r.upstream.leaseEndMS(b.now.Monotonic, LeaseDuration), Call: call,
+		LeaseEndMS: r.upstream.leaseEndMS(b.now.Monotonic, LeaseDuration), Call: call, Token: r.upstream.token,
 	}, true
 }
 
--- a/internal/cell/caboard/report.go
+++ b/internal/cell/caboard/report.go
@@ -84,6 +84,7 @@
 	if !u.fenced {
 		b.applyFirstAnswer(u, report)
 	}
+	b.applyToken(u, report.Token)
 	u.renewalUnanswered = false
 	b.markAnswered(u, report.ReceivedAt)
 	b.updateClock(u, report.ClockMS, report.ReceivedAt)
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -35,6 +35,10 @@
 	abandonedStarts []*run
 	// calls are the calls without an answer that may still take effect.
 	calls unansweredCalls
+	// token is the fencing token of the calls to it, or zero for that of the leader. awaitsToken is set until its
+	// incarnation has answered one with it.
+	token       int64
+	awaitsToken bool
 	// mayForgetUntil is until when the upstream may forget ends that nobody has seen, zero if never. It
 	// gets no work until then.
 	mayForgetUntil time.Time
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -172,6 +172,7 @@
 	l.inFlightSince = time.Time{}
 	l.inFlightJobs = nil
 	batch = l.markRefused(batch, refused)
+	l.planner.SetLogEnd(l.writer.end)
 	orders := l.planner.MarkStored(batch)
 	for _, r := range batch.Records {
 		notifyWaiters(l.inFlightWaiters, r.Job, nil)
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -1,6 +1,7 @@
 package caleader
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -193,6 +194,7 @@
 		l.planner.SetRecordBytes(max(deps.RecordBytes-1-len(jobPrefix), 1))
 	}
 	l.granting.Store(!c.GrantsNone)
+	l.planner.SetToken(token)
 	l.planner.InheritSilence(c.Silent)
 	l.planner.InheritLongLeases(c.LongLeases)
 	return l
@@ -319,6 +321,9 @@
 	}
 }
 
+// tokenOr returns the fencing token of a call, or that of the leader if it is zero.
+func (l *Leader) tokenOr(token int64) int64 { return cmp.Or(token, l.token) }
+
 // stepDown stops the leader because an upstream has accepted a later fencing token.
 func (l *Leader) stepDown(upstream cawork.UpstreamID) {
 	l.stopLeading(cakind.New(cakind.KindFenced, "upstream %s has accepted a later fencing token than %d", upstream, l.token))
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -132,11 +132,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, l.startLatency.timeout())
 	defer cancel()
 	began := l.Timer.Now()
-	outcome, clockMS := l.Upstreams.Start(callCtx, l.token, order)
+	outcome, clockMS := l.Upstreams.Start(callCtx, l.tokenOr(order.Token), order)
 	l.startLatency.observe(l.Timer.Now().Sub(began))
 	l.lock(partReport)
 	defer l.mu.unlock()
-	if outcome == caboard.StartFenced {
+	if outcome == caboard.StartFenced && !l.planner.IsOutdatedToken(order.Upstream, order.Token) {
 		l.stepDown(order.Upstream)
 		return
 	}
@@ -150,7 +150,7 @@
 	err := l.callStop(ctx, order)
 	l.lock(partReport)
 	defer l.mu.unlock()
-	if err != nil && isFenced(err) {
+	if err != nil && isFenced(err) && !l.planner.IsOutdatedToken(order.Upstream, order.Token) {
 		l.stepDown(order.Upstream)
 		return
 	}
@@ -173,7 +173,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return l.Upstreams.Stop(ctx, l.token, order)
+	return l.Upstreams.Stop(ctx, l.tokenOr(order.Token), order)
 }
 
 // listLoop reads the list of upstreams periodically and applies it.
--- a/internal/cell/caleader/renewals.go
+++ b/internal/cell/caleader/renewals.go
@@ -176,11 +176,15 @@
 func (l *Leader) renew(ctx context.Context, lease caboard.Lease, wait time.Duration) (caboard.Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, wait+renewTimeout)
 	defer cancel()
-	report, err := l.Upstreams.Renew(callCtx, l.token, lease, wait)
+	report, err := l.Upstreams.Renew(callCtx, l.tokenOr(lease.Token), lease, wait)
 	if err != nil {
 		l.lock(partReport)
 		defer l.mu.unlock()
 		l.planner.SetNow(l.now())
+		if isFenced(err) && l.planner.IsOutdatedToken(lease.Upstream, lease.Token) {
+			l.planner.MarkCallEnded(lease.Upstream, lease.Call)
+			return caboard.Report{}, err
+		}
 		l.planner.MarkRenewalUnanswered(lease.Upstream)
 		if cakind.Of(err) != cakind.KindUnknown {
 			l.planner.MarkCallEnded(lease.Upstream, lease.Call)
@@ -197,7 +201,7 @@
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
-	report.Call = lease.Call
+	report.Call, report.Token = lease.Call, lease.Token
 	l.planner.ApplyReport(report)
 	l.wakePlanner()
 	return report, nil
--- a/internal/cell/carelay/relay.go
+++ b/internal/cell/carelay/relay.go
@@ -102,7 +102,7 @@
 // Start implements caleader.Upstreams.
 func (r *Relay) Start(ctx context.Context, token int64, o caboard.StartOrder) (caboard.StartOutcome, int64) {
 	c := r.clientFor(o.Upstream)
-	if c == nil {
+	if c == nil || token != r.Token {
 		return r.Upstreams.Start(ctx, token, o)
 	}
 	out, err := c.do(ctx, order{Start: &o})
@@ -119,7 +119,7 @@
 // Stop implements caleader.Upstreams.
 func (r *Relay) Stop(ctx context.Context, token int64, o caboard.StopOrder) error {
 	c := r.clientFor(o.Upstream)
-	if c == nil {
+	if c == nil || token != r.Token {
 		return r.Upstreams.Stop(ctx, token, o)
 	}
 	out, err := c.do(ctx, order{Stop: &o})
@@ -132,7 +132,7 @@
 // Renew implements caleader.Upstreams.
 func (r *Relay) Renew(ctx context.Context, token int64, lease caboard.Lease, wait time.Duration) (caboard.Report, error) {
 	c := r.clientFor(lease.Upstream)
-	if c == nil {
+	if c == nil || token != r.Token {
 		return r.Upstreams.Renew(ctx, token, lease, wait)
 	}
 	sent := r.Timer.Now()
