--- a/internal/cell/caboard/fencing.go
+++ b/internal/cell/caboard/fencing.go
@@ -19,6 +19,7 @@
 		return
 	}
 	u.token, u.awaitsToken = b.logEnd, true
+	b.raisedTokens[u.info.ID] = u.token
 }
 
 // applyToken applies that the present incarnation has answered a call with the token, so that it carries out none with a
--- a/internal/cell/caboard/fencing_test.go
+++ b/internal/cell/caboard/fencing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
 // TestUpstreamRestsThoughItRejectsLateCalls guards against upstreams that get no work while a call may still come to them
@@ -44,6 +46,13 @@
 	if diff := cmp.Diff([]int64{0, 120, 120}, tokens); diff != "" {
 		t.Errorf("tokens of renewals (-want +got):\n%s", diff)
 	}
+	list := []caspec.Upstream{s.planner.upstreams["up-00"].info}
+	s.planner.ApplyStartOutcome(orders[0], StartUnhealthy, 0)
+	s.planner.SetUpstreams(nil)
+	s.planner.SetUpstreams(list)
+	if lease, _ := s.planner.RenewLease("up-00"); lease.Token != 120 {
+		t.Errorf("token of a renewal once the upstream is listed again: %d, want 120", lease.Token)
+	}
 	outdated := []bool{s.planner.IsOutdatedToken("up-00", 0), s.planner.IsOutdatedToken("up-00", 120)}
 	if diff := cmp.Diff([]bool{true, false}, outdated); diff != "" {
 		t.Errorf("outdated tokens (-want +got):\n%s", diff)
--- a/internal/cell/caboard/latecalls.go
+++ b/internal/cell/caboard/latecalls.go
@@ -122,15 +122,13 @@
 type keptCalls struct {
 	incarnation int64
 	calls       unansweredCalls
-	// token is the fencing token of the last calls.
-	token int64
 }
 
 // keepCalls keeps the calls to an upstream that is dropped: it may be listed again, in a later incarnation.
 func (b *Planner) keepCalls(u *upstream) {
 	u.calls.prune(b.now.Monotonic)
 	if len(u.calls.sent) > 0 {
-		b.keptCalls[u.info.ID] = keptCalls{incarnation: u.info.Incarnation, calls: u.calls, token: u.token}
+		b.keptCalls[u.info.ID] = keptCalls{incarnation: u.info.Incarnation, calls: u.calls}
 	}
 }
 
@@ -141,7 +139,7 @@
 		return
 	}
 	delete(b.keptCalls, u.info.ID)
-	u.calls, u.token = kept.calls, kept.token
+	u.calls = kept.calls
 	if u.info.Incarnation != kept.incarnation {
 		u.calls.beginIncarnation(b.now.Monotonic)
 	}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -65,6 +65,8 @@
 	inheritedLongLeases map[cawork.UpstreamID]LongLease
 	// token is the fencing token of the leader, and logEnd the offset after its last stored record.
 	token, logEnd int64
+	// raisedTokens are the higher tokens that upstreams know. They keep them while they are not listed.
+	raisedTokens map[cawork.UpstreamID]int64
 	// keptCalls are the calls without an answer to upstreams that are not known any more.
 	keptCalls map[cawork.UpstreamID]keptCalls
 	// stopping are the runs to stop.
@@ -250,6 +252,7 @@
 		stopping:            make(map[*run]struct{}),
 		inheritedLongLeases: make(map[cawork.UpstreamID]LongLease),
 		keptCalls:           make(map[cawork.UpstreamID]keptCalls),
+		raisedTokens:        make(map[cawork.UpstreamID]int64),
 		inheritedUntil:      inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(), records: newRecordState(),
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -111,6 +111,7 @@
 func (b *Planner) addUpstream(u *upstream) {
 	b.upstreams[u.info.ID] = u
 	b.takeSlot(u)
+	u.token = b.raisedTokens[u.info.ID]
 	b.takeCalls(u)
 	at, _ := slices.BinarySearchFunc(b.sortedUpstreams, u, compareUpstreams)
 	b.sortedUpstreams = slices.Insert(b.sortedUpstreams, at, u)
