--- a/internal/cell/caboard/fencing.go
+++ b/internal/cell/caboard/fencing.go
@@ -39,6 +39,5 @@
 // IsOutdatedToken reports whether the leader has used a higher token for an upstream than that of an order, so that
 // a rejection of the order shows no other leader. Zero is the token of the leader.
 func (b *Planner) IsOutdatedToken(id cawork.UpstreamID, token int64) bool {
-	u, ok := b.upstreams[id]
-	return ok && token < u.token
+	return token < b.raisedTokens[id]
 }
--- a/internal/cell/caboard/fencing_test.go
+++ b/internal/cell/caboard/fencing_test.go
@@ -49,6 +49,9 @@
 	list := []caspec.Upstream{s.planner.upstreams["up-00"].info}
 	s.planner.ApplyStartOutcome(orders[0], StartUnhealthy, 0)
 	s.planner.SetUpstreams(nil)
+	if !s.planner.IsOutdatedToken("up-00", 0) {
+		t.Error("a rejection by an upstream that is not listed any more is taken for a sign of another leader")
+	}
 	s.planner.SetUpstreams(list)
 	if lease, _ := s.planner.RenewLease("up-00"); lease.Token != 120 {
 		t.Errorf("token of a renewal once the upstream is listed again: %d, want 120", lease.Token)
