--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -80,13 +80,13 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	// accepted, refused and unknown are the jobs by the outcome that their callers got.
-	accepted, refused, unknown map[cawork.JobID]bool
+	accepted, refused, unknown jobSet
 	// deadly are the jobs with tasks that crash the upstreams that start them.
-	deadly map[cawork.JobID]bool
+	deadly jobSet
 	// mayGiveUp is set where innocent jobs may be given up: another test checks that they are not.
 	mayGiveUp bool
 	// longRunning are the jobs that must still run at the end.
-	longRunning map[cawork.JobID]bool
+	longRunning jobSet
 	jobs        int
 	// altersList returns the list of upstreams as entries read it, unaltered if it is nil.
 	altersList func([]caspec.Upstream) []caspec.Upstream
@@ -129,8 +129,7 @@
 func newTestCell(t *testing.T, entries, relayMinUpstreams int, changes ...func(*testCell)) *testCell {
 	c := &testCell{
 		t: t, relayMinUpstreams: relayMinUpstreams, advisor: standin.Advisor{Delay: 5 * time.Millisecond}, feed: func(string) OperatorFeed { return fixedFeed{policy: testPolicy()} }, cpuShare: func(string) float64 { return leaderCPUShare }, network: standin.NewNetwork(), store: standin.NewStore(4 * time.Millisecond), entries: make(map[string]*entry),
-		accepted: make(map[cawork.JobID]bool), refused: make(map[cawork.JobID]bool), unknown: make(map[cawork.JobID]bool),
-		deadly: make(map[cawork.JobID]bool), longRunning: make(map[cawork.JobID]bool), settleTime: 25 * time.Second,
+		settleTime: 25 * time.Second,
 	}
 	capacity := cawork.Resources{CPU: cawork.Cores(4), Memory: 8 * cawork.GiB}
 	c.fleet = standin.NewFleet(testUpstreams, capacity, testStep().Size(),
@@ -367,7 +366,7 @@
 			err := c.submitOnce(n, s)
 			switch {
 			case err == nil:
-				c.record(c.accepted, id)
+				c.accepted.Add(id)
 				return
 			case cakind.ResponseTo(cakind.Of(err)).Execution == cakind.ExecutionUnknown:
 				uncertain = true
@@ -375,10 +374,10 @@
 			time.Sleep(700 * time.Millisecond)
 		}
 		if uncertain {
-			c.record(c.unknown, id)
+			c.unknown.Add(id)
 			return
 		}
-		c.record(c.refused, id)
+		c.refused.Add(id)
 	})
 }
 
@@ -399,12 +398,6 @@
 	return gates[names[n%len(names)]].Submit(ctx, s)
 }
 
-func (c *testCell) record(in map[cawork.JobID]bool, id cawork.JobID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	in[id] = true
-}
-
 // load submits jobs at a fixed rate for the duration.
 func (c *testCell) load(during time.Duration) {
 	for begin := time.Now(); time.Since(begin) < during; time.Sleep(150 * time.Millisecond) {
@@ -428,16 +421,16 @@
 		c.t.Fatal("no leader at the end")
 	}
 	gate, crashes := c.gates()[name], c.crashesByJob()
-	for id := range c.accepted {
+	for _, id := range c.accepted.Sorted() {
 		phase, err := gate.Phase(context.Background(), "north", id)
 		want := castate.PhaseCompleted
 		switch {
-		case c.deadly[id]:
+		case c.deadly.Has(id):
 			want = castate.PhaseFailed
-		case c.longRunning[id]:
+		case c.longRunning.Has(id):
 			want = castate.PhaseRunning
 		}
-		if running := c.fleet.Running(id); c.longRunning[id] && running < testStep().Tasks {
+		if running := c.fleet.Running(id); c.longRunning.Has(id) && running < testStep().Tasks {
 			c.t.Errorf("long-running job %s: %d tasks run, want %d, %d upstreams crashed under a task of it", id, running, testStep().Tasks, crashes[id])
 		}
 		if c.mayGiveUp && err == nil && phase == castate.PhaseFailed {
@@ -450,12 +443,12 @@
 			c.t.Errorf("job %s was given up after %d upstreams crashed under a task of it, want 2 or more", id, crashes[id])
 		}
 	}
-	for id := range c.refused {
+	for _, id := range c.refused.Sorted() {
 		if phase, err := gate.Phase(context.Background(), "north", id); err == nil {
 			c.t.Errorf("refused job %s exists in phase %v", id, phase)
 		}
 	}
-	if len(c.accepted) == 0 {
+	if c.accepted.Len() == 0 {
 		c.t.Error("no job was accepted")
 	}
 }
@@ -492,7 +485,7 @@
 	runInTestCell(t, 3, func(t *testing.T, c *testCell) {
 		c.load(5 * time.Second)
 		c.callers.Wait()
-		if diff := cmp.Diff(0, len(c.refused)+len(c.unknown)); diff != "" {
+		if diff := cmp.Diff(0, c.refused.Len()+c.unknown.Len()); diff != "" {
 			t.Errorf("jobs that were not accepted without any fault (-want +got):\n%s", diff)
 		}
 	})
@@ -650,7 +643,7 @@
 			c.kill(leader)
 			c.start(leader)
 			time.Sleep(4 * time.Second)
-			delete(c.accepted, id)
+			c.accepted.Remove(id)
 			if err != nil {
 				t.Fatalf("cancel job %s: %v", id, err)
 			}
@@ -864,13 +857,13 @@
 			cancel()
 			switch cakind.ResponseTo(cakind.Of(err)).Execution {
 			case cakind.ExecutionNotRun:
-				c.refused[s.ID] = true
+				c.refused.Add(s.ID)
 			default:
-				c.unknown[s.ID] = true
+				c.unknown.Add(s.ID)
 			}
 			time.Sleep(130 * time.Millisecond)
 		}
-		if len(c.refused) == 0 {
+		if c.refused.Len() == 0 {
 			t.Error("no job was refused, want those that were in no append")
 		}
 		c.store.SetAppendTime(4 * time.Millisecond)
--- a/internal/cell/cagate/crash_test.go
+++ b/internal/cell/cagate/crash_test.go
@@ -152,8 +152,8 @@
 func (c *crashCell) submitDeadly(step caspec.Step) {
 	n := c.nextJob()
 	task, crash := caboard.RunID{Job: jobID(n), Index: c.random.Intn(step.Tasks)}, c.drawCrash()
+	c.deadly.Add(jobID(n))
 	c.mu.Lock()
-	c.deadly[jobID(n)] = true
 	c.crashOf[task] = crash
 	c.mu.Unlock()
 	c.submitStep(n, step)
@@ -162,8 +162,8 @@
 // submitAllDeadly submits a job of which all tasks crash each upstream that starts them.
 func (c *crashCell) submitAllDeadly(step caspec.Step) {
 	n, crash := c.nextJob(), c.drawCrash()
+	c.deadly.Add(jobID(n))
 	c.mu.Lock()
-	c.deadly[jobID(n)] = true
 	for i := range step.Tasks {
 		c.crashOf[caboard.RunID{Job: jobID(n), Index: i}] = crash
 	}
@@ -189,9 +189,7 @@
 // submitLongRunning submits an innocent job whose tasks run until the end.
 func (c *crashCell) submitLongRunning() {
 	n := c.nextJob()
-	c.mu.Lock()
-	c.longRunning[jobID(n)] = true
-	c.mu.Unlock()
+	c.longRunning.Add(jobID(n))
 	c.submitStep(n, longRunningStep())
 }
 
--- a/internal/cell/cagate/oddlist_test.go
+++ b/internal/cell/cagate/oddlist_test.go
@@ -87,7 +87,7 @@
 					t.Errorf("no start at %s once its entry was sound again", overwritten)
 				}
 				c.callers.Wait()
-				if diff := cmp.Diff(0, len(c.refused)+len(c.unknown)); diff != "" {
+				if diff := cmp.Diff(0, c.refused.Len()+c.unknown.Len()); diff != "" {
 					t.Errorf("jobs that were not accepted (-want +got):\n%s", diff)
 				}
 			})
--- a/internal/cell/cagate/outgrownrecord_test.go
+++ b/internal/cell/cagate/outgrownrecord_test.go
@@ -37,17 +37,17 @@
 	t.Helper()
 	c.load(during)
 	c.callers.Wait()
-	if diff := cmp.Diff(0, len(c.refused)+len(c.unknown)); diff != "" {
+	if diff := cmp.Diff(0, c.refused.Len()+c.unknown.Len()); diff != "" {
 		t.Errorf("other jobs that were not accepted %s (-want +got):\n%s", when, diff)
 	}
 	time.Sleep(5 * time.Second)
 	gate, ended := c.gates()[c.leader()], 0
-	for id := range c.accepted {
+	for _, id := range c.accepted.Sorted() {
 		if phase, err := gate.Phase(context.Background(), "north", id); err == nil && phase == castate.PhaseCompleted {
 			ended++
 		}
 	}
-	if diff := cmp.Diff(len(c.accepted), ended); diff != "" {
+	if diff := cmp.Diff(c.accepted.Len(), ended); diff != "" {
 		t.Errorf("other jobs that completed %s (-want +got):\n%s", when, diff)
 	}
 }
--- a/internal/cell/cagate/owed_test.go
+++ b/internal/cell/cagate/owed_test.go
@@ -40,7 +40,7 @@
 			})
 			time.Sleep(20 * time.Millisecond)
 		}
-		c.record(c.accepted, accepted[1].ID)
+		c.accepted.Add(accepted[1].ID)
 	})
 }
 
@@ -64,7 +64,7 @@
 		if err := submitTo(c.gates()[leader], s); err != nil {
 			t.Fatalf("submit: %v", err)
 		}
-		c.record(c.accepted, s.ID)
+		c.accepted.Add(s.ID)
 		c.store.SetFault(func(string) standin.Fault { return standin.FaultRequestLost })
 		for name, gate := range c.gates() {
 			if name != leader {
--- a/internal/cell/cagate/slowadvisor_test.go
+++ b/internal/cell/cagate/slowadvisor_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -84,7 +82,7 @@
 func (c *testCell) openJobs() []cawork.JobID {
 	gate := c.gates()[c.leader()]
 	var open []cawork.JobID
-	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+	for _, id := range c.accepted.Sorted() {
 		if phase, err := gate.Phase(context.Background(), "north", id); err != nil || !phase.IsFinal() {
 			open = append(open, id)
 		}
--- a/internal/cell/cagate/slowanswers_test.go
+++ b/internal/cell/cagate/slowanswers_test.go
@@ -60,9 +60,7 @@
 		c.load(25 * time.Second)
 		c.callers.Wait()
 		time.Sleep(5 * time.Second)
-		c.mu.Lock()
-		tasks := len(c.accepted) * testStep().Tasks
-		c.mu.Unlock()
+		tasks := c.accepted.Len() * testStep().Tasks
 		if starts := c.fleet.Starts(); starts > tasks+tasks/4 {
 			t.Errorf("%d starts of %d tasks", starts, tasks)
 		}
--- a/internal/cell/cagate/slowpeers_test.go
+++ b/internal/cell/cagate/slowpeers_test.go
@@ -1,7 +1,6 @@
 package cagate
 
 import (
-	"maps"
 	"testing"
 	"time"
 
@@ -18,13 +17,13 @@
 				// The entries need some answers to learn how long they take.
 				c.load(5 * time.Second)
 				c.callers.Wait()
-				refused, unknown := maps.Clone(c.refused), maps.Clone(c.unknown)
+				refused, unknown := c.refused.Sorted(), c.unknown.Sorted()
 				c.load(10 * time.Second)
 				c.callers.Wait()
-				if diff := cmp.Diff(refused, c.refused); diff != "" {
+				if diff := cmp.Diff(refused, c.refused.Sorted()); diff != "" {
 					t.Errorf("refused jobs (-want +got):\n%s", diff)
 				}
-				if diff := cmp.Diff(unknown, c.unknown); diff != "" {
+				if diff := cmp.Diff(unknown, c.unknown.Sorted()); diff != "" {
 					t.Errorf("jobs without an answer (-want +got):\n%s", diff)
 				}
 				c.delayEntries(0)
--- a/internal/cell/cagate/slowstore_test.go
+++ b/internal/cell/cagate/slowstore_test.go
@@ -1,7 +1,6 @@
 package cagate
 
 import (
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -26,9 +25,7 @@
 				if diff := cmp.Diff(before, c.claims.Load()); diff != "" {
 					t.Errorf("claims of leaders (-want +got):\n%s", diff)
 				}
-				c.mu.Lock()
-				accepted, refused, unknown := len(c.accepted), len(c.refused), len(c.unknown)
-				c.mu.Unlock()
+				accepted, refused, unknown := c.accepted.Len(), c.refused.Len(), c.unknown.Len()
 				t.Logf("accepted %d, refused %d, unknown %d", accepted, refused, unknown)
 				if accepted < refused+unknown {
 					t.Errorf("%d jobs accepted, %d refused, %d without an outcome", accepted, refused, unknown)
@@ -51,13 +48,13 @@
 				c.callers.Wait()
 				c.kill(c.leader())
 				time.Sleep(8 * time.Second)
-				refused, unknown := maps.Clone(c.refused), maps.Clone(c.unknown)
+				refused, unknown := c.refused.Sorted(), c.unknown.Sorted()
 				c.load(5 * time.Second)
 				c.callers.Wait()
-				if diff := cmp.Diff(refused, c.refused); diff != "" {
+				if diff := cmp.Diff(refused, c.refused.Sorted()); diff != "" {
 					t.Errorf("refused jobs (-want +got):\n%s", diff)
 				}
-				if diff := cmp.Diff(unknown, c.unknown); diff != "" {
+				if diff := cmp.Diff(unknown, c.unknown.Sorted()); diff != "" {
 					t.Errorf("jobs without an answer (-want +got):\n%s", diff)
 				}
 				c.readDelay.Store(0)
