--- a/internal/base/calatency/latency.go
+++ b/internal/base/calatency/latency.go
@@ -51,6 +51,14 @@
 	q.latency = max(q.latency+time.Duration(quantileStep*step*float64(q.latency)), q.bounds.Min/timeoutFactor)
 }
 
+// Typical returns the latency that three of four calls do not exceed, at least half of the shortest
+// timeout.
+func (q *Quantile) Typical() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.latency
+}
+
 // Timeout returns the timeout of the next call.
 func (q *Quantile) Timeout() time.Duration {
 	q.mu.Lock()
--- a/internal/cell/caboard/advice.go
+++ b/internal/cell/caboard/advice.go
@@ -38,6 +38,14 @@
 	born    int64
 	value   string
 	expires time.Time
+	// maxMargin bounds how long before it expires the ticket is no longer used: where starts take
+	// about as long as tickets are valid, new ones would come too late as well.
+	maxMargin time.Duration
+}
+
+// usableUntil returns until when a start with the ticket may be planned, given how long starts take.
+func (t *ticket) usableUntil(margin time.Duration) time.Time {
+	return t.expires.Add(-min(margin, t.maxMargin))
 }
 
 // ticketOf returns the last ticket for an upstream, nil if there is none.
@@ -61,14 +69,15 @@
 }
 
 // approve records a ticket for an upstream, of so many slots in all.
-func (a *approvals) approve(u *upstream, slots int, value string, expires time.Time) {
+func (a *approvals) approve(u *upstream, slots int, t ticket) {
 	a.noRoomSince = 0
 	answer := a.answerAt(u.slot, slots)
 	if answer.ticket == 0 {
 		a.tickets = append(a.tickets, ticket{})
 		answer.ticket = int32(len(a.tickets))
 	}
-	a.tickets[answer.ticket-1] = ticket{slot: u.slot, born: u.info.Incarnation, value: value, expires: expires}
+	t.slot, t.born = u.slot, u.info.Incarnation
+	a.tickets[answer.ticket-1] = t
 }
 
 func (a *approvals) answerAt(slot, slots int) *answer {
@@ -101,16 +110,28 @@
 	return t != nil && t.born == u.info.Incarnation
 }
 
-// validTicket returns the ticket for the upstream if it is still valid for long enough at
-// the time.
-func (a *approvals) validTicket(u *upstream, now time.Time) (string, bool) {
-	t := a.ticketOf(u)
-	if t == nil || t.born != u.info.Incarnation || now.Add(ticketMargin).After(t.expires) {
+// validTicket returns the ticket for the upstream if it is still valid when a start arrives that is
+// planned at the time.
+func (b *Planner) validTicket(s *step, u *upstream, at time.Time) (string, bool) {
+	t := s.approvals.ticketOf(u)
+	if t == nil || t.born != u.info.Incarnation || at.After(t.usableUntil(b.ticketMargin)) {
 		return "", false
 	}
 	return t.value, true
 }
 
+// observeStart records how long an answered start took since its plan. One that was rejected for its
+// ticket took at least as long as the ticket seemed to be valid: the answer that brought the ticket was
+// late, too.
+func (b *Planner) observeStart(r *run, outcome StartOutcome) {
+	took := b.now.Monotonic.Sub(r.assignedAt)
+	if outcome == StartNoTicket {
+		took = max(took, r.ticketExpires.Sub(r.assignedAt))
+	}
+	b.startLatency.Observe(took)
+	b.ticketMargin = max(minTicketMargin, b.startLatency.Typical())
+}
+
 // forget drops the answer about the upstream that had the slot.
 func (a *approvals) forget(slot int) {
 	if slot >= len(a.answers) {
--- a/internal/cell/caboard/advice_test.go
+++ b/internal/cell/caboard/advice_test.go
@@ -36,7 +36,7 @@
 	advised := advisedUpstream{Upstream: u.info.ID, IsDecided: ok && born == u.info.Incarnation}
 	t, ok := n.tickets[u.info.ID]
 	advised.Approved = ok && t.born == u.info.Incarnation
-	if advised.Approved && !now.Add(ticketMargin).After(t.expires) {
+	if advised.Approved && !now.Add(minTicketMargin).After(t.expires) {
 		advised.Ticket = t.value
 	}
 	return advised
@@ -115,7 +115,7 @@
 	tickets := 0
 	for _, u := range s.planner.sortedUpstreams {
 		want = append(want, naive.of(u, s.now))
-		value, _ := step.approvals.validTicket(u, s.now)
+		value, _ := s.planner.validTicket(step, u, s.now)
 		got = append(got, advisedUpstream{Upstream: u.info.ID, IsDecided: step.approvals.isDecided(u), Approved: step.approvals.isApproved(u), Ticket: value})
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -92,13 +92,13 @@
 		}
 		fitting := fittingTasks(b.roomFor(s, u), s.spec)
 		slots += fitting
-		if _, isValid := s.approvals.validTicket(u, b.now.Monotonic); isValid {
+		if _, isValid := b.validTicket(s, u, b.now.Monotonic); isValid {
 			validSlots += fitting
 		}
 		if validSlots >= needed {
 			return nil
 		}
-		if _, isLasting := s.approvals.validTicket(u, b.now.Monotonic.Add(ticketRenewalBatchWindow)); !isLasting && fitting > 0 {
+		if _, isLasting := b.validTicket(s, u, b.now.Monotonic.Add(ticketRenewalBatchWindow)); !isLasting && fitting > 0 {
 			expired = append(expired, u)
 		}
 	}
@@ -122,10 +122,10 @@
 	var ids []cawork.UpstreamID
 	missing := false
 	for _, u := range s.reservation.upstreams {
-		if _, isValid := s.approvals.validTicket(u, now.Add(requestLead)); !isValid {
+		if _, isValid := b.validTicket(s, u, now.Add(requestLead)); !isValid {
 			missing = true
 		}
-		if _, isLasting := s.approvals.validTicket(u, now.Add(requestLead+ticketRenewalBatchWindow)); !isLasting && u.available {
+		if _, isLasting := b.validTicket(s, u, now.Add(requestLead+ticketRenewalBatchWindow)); !isLasting && u.available {
 			ids = append(ids, u.info.ID)
 		}
 	}
@@ -345,15 +345,16 @@
 		s.approvals.decide(u, len(b.bySlot))
 	}
 	expires := b.now.Monotonic.Add(q.Approval.Validity)
+	maxMargin := time.Duration(maxTicketMarginShare * float64(q.Approval.Validity))
 	for _, a := range approved {
 		u, ok := asked[a.Upstream]
 		if !ok {
 			continue
 		}
-		if _, hasFresher := s.approvals.validTicket(u, b.now.Monotonic); late && hasFresher {
+		if _, hasFresher := b.validTicket(s, u, b.now.Monotonic); late && hasFresher {
 			continue
 		}
-		s.approvals.approve(u, len(b.bySlot), a.Ticket, expires)
+		s.approvals.approve(u, len(b.bySlot), ticket{value: a.Ticket, expires: expires, maxMargin: maxMargin})
 	}
 	stats := b.statsOf(q.Name)
 	rate := float64(len(approved)) / float64(len(request.Upstreams))
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -56,8 +56,12 @@
 	// same time.
 	maxEjectedShare = 0.3
 
-	// ticketMargin is how long a ticket must still be valid for the start call.
-	ticketMargin = 150 * time.Millisecond
+	// minTicketMargin is how long a ticket must still be valid when a start is planned, however
+	// fast starts are, and maxStartLatency the longest time that a start is expected to take.
+	minTicketMargin = 150 * time.Millisecond
+	maxStartLatency = 10 * time.Second
+	// maxTicketMarginShare is the largest fraction of its validity for which a ticket is not used.
+	maxTicketMarginShare = 0.75
 	// maxRequestUpstreams bounds the upstreams in one approval request.
 	maxRequestUpstreams = 100
 	// minRequestUpstreams is the smallest number of upstreams worth an approval request.
--- a/internal/cell/caboard/departures.go
+++ b/internal/cell/caboard/departures.go
@@ -203,7 +203,7 @@
 	if q.Approval == nil {
 		return true
 	}
-	_, isValid := s.approvals.validTicket(u, b.now.Monotonic.Add(stopAllowance))
+	_, isValid := b.validTicket(s, u, b.now.Monotonic.Add(stopAllowance))
 	return isValid
 }
 
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -89,7 +89,7 @@
 		if !b.isApart(s, u) {
 			survey.apart++
 		}
-		_, hasTicket := s.approvals.validTicket(u, b.now.Monotonic)
+		_, hasTicket := b.validTicket(s, u, b.now.Monotonic)
 		switch {
 		case q.Approval != nil && !s.approvals.isDecided(u):
 			survey.undecided++
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -389,7 +389,7 @@
 	if q.Approval == nil {
 		return "", true
 	}
-	return s.approvals.validTicket(u, b.now.Monotonic)
+	return b.validTicket(s, u, b.now.Monotonic)
 }
 
 // runCount returns the number of runs of the step at the upstream.
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
@@ -104,6 +105,10 @@
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
 	detector failureDetector
+	// startLatency follows the time from the plan of a start to its answer, and ticketMargin is how long
+	// a ticket must be valid for it.
+	startLatency *calatency.Quantile
+	ticketMargin time.Duration
 	// refusals are the jobs that were refused recently.
 	refusals caadmission.RefusalHistory
 	// storeUnavailable is set while nothing can be stored.
@@ -256,6 +261,7 @@
 		inheritedUntil:      inheritedUntil, silence: newSilenceLog(now.Monotonic, seed),
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(), records: newRecordState(),
+		startLatency: calatency.NewQuantile(calatency.Bounds{Min: minTicketMargin, Max: maxStartLatency}), ticketMargin: minTicketMargin,
 		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
 	}
 }
--- a/internal/cell/caboard/planwork_test.go
+++ b/internal/cell/caboard/planwork_test.go
@@ -33,7 +33,7 @@
 			}
 			s.approvals.decide(u, loadedUpstreams)
 			if isApproved {
-				s.approvals.approve(u, loadedUpstreams, "t", c.moment().Monotonic.Add(time.Hour))
+				s.approvals.approve(u, loadedUpstreams, ticket{value: "t", expires: c.moment().Monotonic.Add(time.Hour)})
 			}
 		}
 	}
--- a/internal/cell/caboard/powerloss_test.go
+++ b/internal/cell/caboard/powerloss_test.go
@@ -299,7 +299,7 @@
 		if n <= 0 || !p.admits(request, u.info.ID) {
 			continue
 		}
-		_, hasTicket := s.approvals.validTicket(u, b.now.Monotonic)
+		_, hasTicket := b.validTicket(s, u, b.now.Monotonic)
 		switch {
 		case !u.available:
 			places["not available"] += n
--- a/internal/cell/caboard/taskreservation.go
+++ b/internal/cell/caboard/taskreservation.go
@@ -356,7 +356,7 @@
 	requestLead := q.Approval.Cost(len(s.reservation.upstreams)) + ticketRenewalMargin
 	var missing []*upstream
 	for _, u := range s.reservation.upstreams {
-		if _, isValid := s.approvals.validTicket(u, now.Add(requestLead)); isValid || u.reservedFrom.Sub(now) > requestLead+ticketRenewalLead {
+		if _, isValid := b.validTicket(s, u, now.Add(requestLead)); isValid || u.reservedFrom.Sub(now) > requestLead+ticketRenewalLead {
 			continue
 		}
 		missing = append(missing, u)
