--- a/internal/cell/caapproval/delays_test.go
+++ b/internal/cell/caapproval/delays_test.go
@@ -52,7 +52,7 @@
 		requests   int
 		suspension time.Duration
 	}{
-		"leader":         {entries * maxRequestsPerProxy, time.Second},
+		"leader":         {entries * minRequestsPerProxy, time.Second},
 		"one_of_entries": {1, 5 * time.Second},
 	} {
 		r := newProxies(entries)
@@ -96,13 +96,46 @@
 	}
 }
 
+// TestMoreRequestsAreOpenWhereTransferTakesLong guards against an advisor that is idle most of the time since
+// an entry waits for two answers that are on their way. A slow advisor gets no more requests.
+func TestMoreRequestsAreOpenWhereTransferTakesLong(t *testing.T) {
+	tests := map[string]struct {
+		announced, took time.Duration
+		want            int
+	}{
+		"near":                   {15 * time.Millisecond, 25 * time.Millisecond, minRequestsPerProxy},
+		"far":                    {15 * time.Millisecond, 165 * time.Millisecond, maxOpenPerProxy},
+		"far_and_costly":         {150 * time.Millisecond, 300 * time.Millisecond, minRequestsPerProxy},
+		"two_and_a_half_as_slow": {300 * time.Millisecond, 750 * time.Millisecond, minRequestsPerProxy},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, now := newProxies(1), start
+			ask := caboard.ApprovalRequest{Cost: test.announced}
+			for range 200 {
+				q := r.assign(t, now, ask)
+				now = r.plan(now, test.took)
+				r.End(q.SentAt.Add(test.took), q, true)
+			}
+			open := 0
+			for r.Limits(now).Total > open {
+				r.assign(t, now, ask)
+				open++
+			}
+			if diff := cmp.Diff(test.want, open); diff != "" {
+				t.Errorf("open requests (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestLostAnswersFreeEntriesInTime guards against entries that stay occupied by requests whose answers
 // were lost, so that nothing can be asked of an advisor that is well again.
 func TestLostAnswersFreeEntriesInTime(t *testing.T) {
 	// maxStandstill is how long an accepted job may have nothing running beside free room.
 	const maxStandstill = 3 * time.Second
 	r := newProxies(5)
-	for range 5 * maxRequestsPerProxy {
+	for range 5 * minRequestsPerProxy {
 		q := r.assign(t, start, caboard.ApprovalRequest{Cost: 300 * time.Millisecond})
 		r.MarkOverdue(start.Add(q.OverdueAfter), q)
 	}
--- a/internal/cell/caapproval/proxies.go
+++ b/internal/cell/caapproval/proxies.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// maxRequestsPerProxy bounds the open requests of one entry: the advisor handles one while the
-	// next is in transit.
-	maxRequestsPerProxy = 2
-	// maxOpenPerProxy bounds them if all are overdue: further ones show whether the advisor is well.
+	// minRequestsPerProxy is how many open requests one entry may have at least: the advisor handles one
+	// while the next is in transit. More are open where the transfer takes longer than they do.
+	minRequestsPerProxy = 2
+	// maxOpenPerProxy bounds the open requests of one entry in any case. Where all are overdue, further ones
+	// show whether the advisor is well.
 	maxOpenPerProxy = 6
 	// minLongShare is the smallest fraction of the entries that may carry long requests.
 	minLongShare = 0.6
@@ -59,6 +60,7 @@
 
 type openRequest struct {
 	id                int64
+	cost              time.Duration
 	isLong, isOverdue bool
 }
 
@@ -106,7 +108,7 @@
 	announced := chosen.backlog(now) + ask.Cost
 	chosen.busyUntil = now.Add(announced)
 	p.lastID++
-	chosen.open = append(chosen.open, openRequest{id: p.lastID, isLong: ask.Long})
+	chosen.open = append(chosen.open, openRequest{id: p.lastID, cost: ask.Cost, isLong: ask.Long})
 	p.awaited[p.lastID] = ask.Long
 	if !ask.Long {
 		p.shortLoad.add(now, ask.Cost)
@@ -127,7 +129,7 @@
 	return slices.MinFunc(candidates, func(x, y cawork.VMID) int {
 		a, b := p.proxies[x], p.proxies[y]
 		return cmp.Or(
-			-cmp.Compare(min(a.freeSlots(isLong), 1), min(b.freeSlots(isLong), 1)),
+			-cmp.Compare(min(p.freeSlots(a, isLong), 1), min(p.freeSlots(b, isLong), 1)),
 			cmp.Compare(a.backlog(now), b.backlog(now)), cmp.Compare(len(a.open), len(b.open)),
 		)
 	})
@@ -178,9 +180,9 @@
 	usable := p.usable(now)
 	long := p.longProxies(now, len(usable))
 	for i, name := range usable {
-		limits.Total += p.proxies[name].freeSlots(false)
+		limits.Total += p.freeSlots(p.proxies[name], false)
 		if i < long {
-			limits.Long += p.proxies[name].freeSlots(true)
+			limits.Long += p.freeSlots(p.proxies[name], true)
 		}
 	}
 	limits.Turns = float64(len(p.names)) / p.Slowness(now)
@@ -217,23 +219,27 @@
 }
 
 // freeSlots returns how many further requests, or long ones, the entry may carry: one long one at a time,
-// and one more while all are overdue.
-func (k *proxy) freeSlots(isLong bool) int {
-	overdue, long := 0, 0
+// one more while all are overdue, and one more while the advisor gets through those that are open before
+// an answer has been transferred.
+func (p *Proxies) freeSlots(k *proxy, isLong bool) int {
+	overdue, long, work := 0, 0, time.Duration(0)
 	for _, q := range k.open {
 		overdue += count(q.isOverdue)
 		long += count(q.isLong)
+		work += q.cost
 	}
-	switch {
-	case len(k.open) > 0 && overdue == len(k.open) && len(k.open) < maxOpenPerProxy:
-		return 1
-	case isLong && long > 0:
+	free := max(minRequestsPerProxy-len(k.open), 0)
+	isIdleSoon := overdue == len(k.open) || overdue == 0 && work < p.slowness.transferTime
+	if free == 0 && isIdleSoon && len(k.open) < maxOpenPerProxy {
+		free = 1
+	}
+	if isLong && long > 0 && overdue < len(k.open) {
 		return 0
-	case isLong:
-		return min(max(maxRequestsPerProxy-len(k.open), 0), 1)
-	default:
-		return max(maxRequestsPerProxy-len(k.open), 0)
 	}
+	if isLong {
+		return min(free, 1)
+	}
+	return free
 }
 
 // find returns the place of an open request, -1 if it is not open.
--- a/internal/cell/caapproval/proxies_test.go
+++ b/internal/cell/caapproval/proxies_test.go
@@ -72,7 +72,7 @@
 		now = now.Add(time.Minute)
 	}
 	free = append(free, r.Limits(now).Total)
-	if diff := cmp.Diff([]int{maxRequestsPerProxy, 1, 1, 1, 1, 1, 0}, free); diff != "" {
+	if diff := cmp.Diff([]int{minRequestsPerProxy, 1, 1, 1, 1, 1, 0}, free); diff != "" {
 		t.Errorf("requests that may be open besides those that are overdue (-want +got):\n%s", diff)
 	}
 }
@@ -81,12 +81,12 @@
 // the advisor has finished with them.
 func TestLaterAnswerFreesEntry(t *testing.T) {
 	r := newProxies(1)
-	for range maxRequestsPerProxy {
+	for range minRequestsPerProxy {
 		r.MarkOverdue(start, r.assign(t, start, longRequest(time.Second)))
 	}
 	now := start.Add(3 * time.Second)
 	r.End(now.Add(time.Second), r.assign(t, now, longRequest(time.Second)), true)
-	if diff := cmp.Diff(maxRequestsPerProxy, r.Limits(now.Add(time.Second)).Total); diff != "" {
+	if diff := cmp.Diff(minRequestsPerProxy, r.Limits(now.Add(time.Second)).Total); diff != "" {
 		t.Errorf("requests that may be open (-want +got):\n%s", diff)
 	}
 }
@@ -99,7 +99,7 @@
 	before := r.Limits(start.Add(3 * time.Second)).Total
 	r.End(start.Add(3500*time.Millisecond), q, true)
 	after := r.Limits(start.Add(3500 * time.Millisecond)).Total
-	if diff := cmp.Diff([]int{maxRequestsPerProxy, 2 * maxRequestsPerProxy}, []int{before, after}); diff != "" {
+	if diff := cmp.Diff([]int{minRequestsPerProxy, 2 * minRequestsPerProxy}, []int{before, after}); diff != "" {
 		t.Errorf("requests that may be open before and after the late answer (-want +got):\n%s", diff)
 	}
 }
@@ -135,7 +135,7 @@
 	r.SetPresent(start, []cawork.VMID{"entry-1", "entry-2"})
 	r.MarkOverdue(start.Add(3*time.Second), lost)
 	limits := r.Limits(start.Add(3 * time.Second))
-	if diff := cmp.Diff([]int{2 * maxRequestsPerProxy, 1}, []int{limits.Total, limits.Long}); diff != "" {
+	if diff := cmp.Diff([]int{2 * minRequestsPerProxy, 1}, []int{limits.Total, limits.Long}); diff != "" {
 		t.Errorf("requests and long ones that may be open (-want +got):\n%s", diff)
 	}
 	r.End(start.Add(9*time.Second), lost, false)
--- /dev/null
+++ b/internal/cell/cagate/distantadvisor_test.go
@@ -0,0 +1,37 @@
+package cagate
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caboard"
+)
+
+// TestAdvisorIsNotIdleBesideWaitingSteps guards against too few requests in flight where the way to the
+// advisor takes long: the advisor was idle most of the time, and accepted jobs had nothing running beside
+// free upstreams.
+func TestAdvisorIsNotIdleBesideWaitingSteps(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+				c.fleet.SetRunTime(func(caboard.RunID) (time.Duration, bool) { return 100 * time.Millisecond, false })
+				for begin := time.Now(); time.Since(begin) < 15*time.Second; time.Sleep(50 * time.Millisecond) {
+					c.submit()
+				}
+				c.callers.Wait()
+				time.Sleep(2 * time.Second)
+				if diff := cmp.Diff([]cawork.JobID(nil), c.openJobs()); diff != "" {
+					t.Errorf("jobs that are still open 2 s after the load (-want +got):\n%s", diff)
+				}
+			}, func(c *testCell) {
+				var rejected atomic.Int64
+				c.countRejectedTickets(&rejected, delay)
+			})
+		})
+	}
+}
