--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -89,6 +89,8 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
+	// usefulRequestAt is when the last request was sent for a step that is not late beyond use.
+	usefulRequestAt time.Time
 	// requestsHeldBack is set if the limits held a request back in the last plan, and requestCredit is
 	// what steps that have waited long may send out of the order.
 	requestsHeldBack bool
--- a/internal/cell/caboard/requestorder.go
+++ b/internal/cell/caboard/requestorder.go
@@ -16,6 +16,9 @@
 // at once.
 const maxRequestCredit = 500 * time.Millisecond
 
+// requestReservePeriod is how long after a request for a step that is not late beyond use others are expected.
+const requestReservePeriod = time.Second
+
 // RequestLimits bounds the approval requests that are in flight, so that the next one is
 // chosen as late as possible.
 type RequestLimits struct {
@@ -51,7 +54,7 @@
 		if !headroom.admits(s) {
 			continue
 		}
-		if b.pendingRequests >= b.requestLimits.Total/2 && s.lateness == latenessUseless {
+		if s.lateness == latenessUseless && b.pendingRequests >= b.uselessRequestLimit() {
 			b.requestsHeldBack = true
 			continue
 		}
@@ -62,11 +65,28 @@
 			requests = append(requests, request)
 			headroom.claim(s)
 			b.requestCredit.earn(request)
+			b.noteRequest(s)
 		}
 	}
 	return requests
 }
 
+// noteRequest records that a request was sent for the step in the order of the steps.
+func (b *Planner) noteRequest(s *step) {
+	if s.lateness != latenessUseless {
+		b.usefulRequestAt = b.now.Monotonic
+	}
+}
+
+// uselessRequestLimit returns how many requests may be in flight when one is sent for a step that is late
+// beyond use. Some are left to other steps: as many while these are requested, one otherwise.
+func (b *Planner) uselessRequestLimit() int {
+	if b.now.Monotonic.Sub(b.usefulRequestAt) < requestReservePeriod {
+		return b.requestLimits.Total / 2
+	}
+	return max(b.requestLimits.Total-1, 1)
+}
+
 // mayRequestApproval reports whether the step has tasks for which approval may be requested.
 func (b *Planner) mayRequestApproval(s *step, q caspec.Queue) bool {
 	return q.Approval != nil && s.waitingTasks+s.tasksEnding > 0 && !b.isStepHeldBack(s)
