--- a/internal/cell/caadmission/forecast.go
+++ b/internal/cell/caadmission/forecast.go
@@ -46,6 +46,9 @@
 	// Free is the unused CPU of the pool, and PeakDemand what the largest step of the job
 	// takes.
 	Free, PeakDemand cawork.MilliCPU
+	// Outage is for how long no upstream of the pool has accepted work, zero if one does. As long again is
+	// expected.
+	Outage time.Duration
 	// ApprovalWait is how long the job is expected to wait for the advisor, however much room is free.
 	ApprovalWait time.Duration
 	// Slack is how long the job may wait and still meet its objective.
@@ -99,6 +102,9 @@
 // backlog is expected to permit it. An accepted job never waits longer than its caller
 // would wait to be accepted after a refusal.
 func (f Forecast) CheckWait() error {
+	if err := f.checkOutage(); err != nil {
+		return err
+	}
 	if err := f.checkApprovalWait(); err != nil {
 		return err
 	}
@@ -110,6 +116,15 @@
 		expected.Milliseconds(), allowed.Milliseconds(), 100*float64(f.Free)/float64(f.Capacity)).WithRetryAfter(max(expected-allowed, minRetryAfter))
 }
 
+// checkOutage refuses a job that would still find no upstream when it has to start.
+func (f Forecast) checkOutage() error {
+	if f.Outage <= f.maxWait(f.Slack) {
+		return nil
+	}
+	return cakind.New(cakind.KindUnavailable, "no upstream has accepted work for %d ms, the job may wait %d ms",
+		f.Outage.Milliseconds(), f.maxWait(f.Slack).Milliseconds()).WithRetryAfter(minRetryAfter)
+}
+
 // checkApprovalWait refuses a job that the advisor would decide about too late even if its caller had not
 // waited before.
 func (f Forecast) checkApprovalWait() error {
--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -26,6 +26,9 @@
 	if p := b.pools[q.Pool]; p != nil {
 		f.Capacity, f.Free = p.capacity, p.free.CPU
 	}
+	if since, ok := b.outages[q.Pool]; ok {
+		f.Outage = b.now.Monotonic.Sub(since)
+	}
 	f.ApprovalWait = b.expectedApprovalWait(q, excess)
 	queue := b.queuePolicies[q.Name]
 	for _, other := range b.steps {
@@ -41,6 +44,19 @@
 	return f
 }
 
+// updateOutages records which pools have no upstream that accepts work, as of this plan.
+func (b *Planner) updateOutages() {
+	for _, pool := range b.policy.Pools {
+		if b.pools[pool.Name] != nil {
+			delete(b.outages, pool.Name)
+			continue
+		}
+		if _, isKnown := b.outages[pool.Name]; !isKnown {
+			b.outages[pool.Name] = b.now.Monotonic
+		}
+	}
+}
+
 // goesBefore reports whether the step has waiting tasks that are placed before those of a new job of
 // the queue.
 func (s *step) goesBefore(q caspec.Queue, excess bool) bool {
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -20,6 +20,7 @@
 	b.updateDepartures()
 	b.sortSteps()
 	b.pools = b.newPoolPlans()
+	b.updateOutages()
 	b.planPartitions()
 	if !b.storeUnavailable && !b.isViewExpired() {
 		b.copyStragglers()
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -89,6 +89,8 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
+	// outages are since when pools have had no upstream that accepts work.
+	outages map[caspec.PoolName]time.Time
 	// usefulRequestAt is when the last request was sent for a step that is not late beyond use.
 	usefulRequestAt time.Time
 	// requestsHeldBack is set if the limits held a request back in the last plan, and requestCredit is
@@ -256,6 +258,7 @@
 		knownRooms:          make(knownRooms),
 		changed:             make(map[cawork.JobID]*job),
 		endsToStore:         make(map[*upstream]endWatermark),
+		outages:             make(map[caspec.PoolName]time.Time),
 		stopping:            make(map[*run]struct{}),
 		inheritedLongLeases: make(map[cawork.UpstreamID]LongLease),
 		keptCalls:           make(map[cawork.UpstreamID]keptCalls),
