--- a/internal/cell/caadmission/requestdelay.go
+++ b/internal/cell/caadmission/requestdelay.go
@@ -1,6 +1,7 @@
 package caadmission
 
 import (
+	"iter"
 	"math"
 	"time"
 )
@@ -10,6 +11,8 @@
 	delayTimeConstant = 5 * time.Second
 	// undelayedWeight is the number of requests without delay that the average begins with and returns to.
 	undelayedWeight = 4
+	// inheritedWeight is the number of requests that a delay counts for which another leader observed.
+	inheritedWeight = 16
 	// maxDelayFactor bounds how many times longer than expected a request counts, so that a few that
 	// something else delayed change little.
 	maxDelayFactor = 4
@@ -32,6 +35,27 @@
 	d.requests++
 }
 
+// Inherit adds a mean delay that another leader observed, if it is not zero.
+func (d *RequestDelay) Inherit(now time.Time, mean time.Duration) {
+	if mean <= 0 {
+		return
+	}
+	d.Value(now)
+	d.sum += inheritedWeight * float64(mean)
+	d.requests += inheritedWeight
+}
+
+// MeanOf returns the mean delay of all requests of several queues.
+func MeanOf(now time.Time, delays iter.Seq[*RequestDelay]) time.Duration {
+	all := RequestDelay{decayedAt: now}
+	for d := range delays {
+		d.Value(now)
+		all.sum += d.sum
+		all.requests += d.requests
+	}
+	return all.Value(now)
+}
+
 // IsKnown reports whether any request was added.
 func (d *RequestDelay) IsKnown() bool { return d.requests > 0 }
 
--- a/internal/cell/caboard/approvalwait.go
+++ b/internal/cell/caboard/approvalwait.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -136,6 +137,25 @@
 	}
 }
 
+// InheritRequestDelay sets how much longer than announced the approval requests of the leader before were in
+// flight on average. It is called before the first request.
+func (b *Planner) InheritRequestDelay(mean time.Duration) { b.inheritedRequestDelay = mean }
+
+// meanRequestDelay returns how much longer than announced approval requests are in flight on average, that of
+// the leader before until there was a job.
+func (b *Planner) meanRequestDelay() time.Duration {
+	if len(b.queues) == 0 {
+		return b.inheritedRequestDelay
+	}
+	return caadmission.MeanOf(b.now.Monotonic, func(yield func(*caadmission.RequestDelay) bool) {
+		for _, stats := range b.queues {
+			if !yield(&stats.requestDelay) {
+				return
+			}
+		}
+	})
+}
+
 // observeRequest records how long a request for the step was in flight.
 func (b *Planner) observeRequest(s *step, request ApprovalRequest) {
 	delay := b.now.Monotonic.Sub(s.approvals.lastRequestAt) - request.Cost
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -27,8 +27,10 @@
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
 	// have expired.
 	InheritedRemaining time.Duration
-	starts             []*run
-	ends               map[*upstream]endWatermark
+	// RequestDelay is how much longer than announced approval requests are in flight on average.
+	RequestDelay time.Duration
+	starts       []*run
+	ends         map[*upstream]endWatermark
 	// jobEnds are the upstreams whose ends the records of jobs depend on.
 	jobEnds map[cawork.JobID]map[*upstream]bool
 	// Held counts the records that were held back since they cannot be stored. Dropped are the jobs of
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -89,6 +89,8 @@
 	pendingRequests     int
 	pendingLongRequests int
 	requestLimits       RequestLimits
+	// inheritedRequestDelay is what the leader before observed of the delay of requests.
+	inheritedRequestDelay time.Duration
 	// outages are since when pools have had no upstream that accepts work.
 	outages map[caspec.PoolName]time.Time
 	// usefulRequestAt is when the last request was sent for a step that is not late beyond use.
@@ -321,6 +323,7 @@
 	s, ok := b.queues[q]
 	if !ok {
 		s = &queueStats{approvalRate: initialApprovalRate, durationRatio: 1}
+		s.requestDelay.Inherit(b.now.Monotonic, b.inheritedRequestDelay)
 		b.queues[q] = s
 	}
 	return s
@@ -336,7 +339,8 @@
 	}
 	batch := Batch{
 		Silent: b.declareSilence(), LongLeases: b.longLeases(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
-		Crashes: crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
+		RequestDelay: b.meanRequestDelay(),
+		Crashes:      crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
 	}
 	tooLarge := make(map[*job]int)
 	for id, j := range b.changed {
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -61,7 +61,7 @@
 		VM: g.Self.VM, Address: g.Self.Address, Nonce: g.Nonce + g.Timer.Now().UnixNano(),
 		Process: g.Nonce, Taken: found.Claim.Token != 0 && !found.Claim.Released, GrantsNone: true, Granter: &granter,
 	}
-	l.applyRemainingLeases(&c, found.Claim)
+	l.inherit(&c, found.Claim)
 	token, newEnd, err := l.acquireClaim(ctx, &c, found.End)
 	if err != nil {
 		caevent.Info(g.Log, caevent.ShardViewChanged).Int("shard", l.shard).Int64("end", found.End).
@@ -70,7 +70,7 @@
 	}
 	caevent.Info(g.Log, caevent.ShardTakenOver).Int("shard", l.shard).Int64("token", token).
 		Str("leader_before", string(previous.VM)).Int64("token_before", previous.Token).Send()
-	l.applyRemainingLeases(&c, found.Claim)
+	l.inherit(&c, found.Claim)
 	l.granter.Observe(c, g.Timer.Now())
 	l.startLeading(ctx, c, granter, token, newEnd)
 	return true
@@ -105,12 +105,12 @@
 	l.granter.Observe(c, now)
 }
 
-// applyRemainingLeases sets for how long from now on the leases can last that earlier leaders granted,
-// by the claim before.
-func (l *link) applyRemainingLeases(c *caleader.Claim, before caleader.Claim) {
+// inherit sets for how long from now on the leases can last that earlier leaders granted, and what they
+// observed, by the claim before.
+func (l *link) inherit(c *caleader.Claim, before caleader.Claim) {
 	now := l.gate.Timer.Now()
 	c.Silent = l.silence.Remaining(before.Silent, now)
-	c.LongLeases = before.LongLeases
+	c.LongLeases, c.RequestDelay = before.LongLeases, before.RequestDelay
 	c.InheritedRemaining = l.granter.Remaining(before, now)
 }
 
--- a/internal/cell/caleader/approvals.go
+++ b/internal/cell/caleader/approvals.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caapproval"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 )
@@ -18,6 +20,12 @@
 // errAdviseEnded is the error of a call that panicked.
 var errAdviseEnded = cakind.New(cakind.KindInternal, "the call to the advisor ended without a result")
 
+// setAdvisorProxies sets through which entries the advisor can be asked, and so how much can be asked at once.
+func (l *Leader) setAdvisorProxies(now time.Time, names []cawork.VMID) {
+	l.proxies.SetPresent(now, names)
+	l.planner.SetRequestLimits(l.proxies.Limits(now))
+}
+
 // advise sends an approval request through the least loaded entry and passes the answer to the planner.
 // When the answer is overdue the planner may repeat the request; a late answer is applied nevertheless.
 func (l *Leader) advise(ctx context.Context, ask caboard.ApprovalRequest) {
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -70,6 +70,9 @@
 	Granter *Granter `cbor:"13,keyasint,omitempty"`
 	// LongLeases are the leases of upstreams that a successor would take for shorter ones.
 	LongLeases []caboard.LongLease `cbor:"14,keyasint,omitempty"`
+	// RequestDelay is how much longer than announced the approval requests of the leader, or of the one
+	// before, were in flight on average.
+	RequestDelay time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -56,6 +56,7 @@
 	}
 	l.writer.claim.Released, l.writer.claim.Silent, l.writer.claim.InheritedRemaining = releasing, batch.Silent, batch.InheritedRemaining
 	l.writer.claim.LongLeases = batch.LongLeases
+	l.writer.claim.RequestDelay = batch.RequestDelay
 	l.writer.claim.GrantsNone, l.writer.claim.Granter = false, nil
 	refused, err := l.writer.append(ctx, entries)
 	if err != nil {
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -197,6 +197,7 @@
 	l.planner.SetToken(token)
 	l.planner.InheritSilence(c.Silent)
 	l.planner.InheritLongLeases(c.LongLeases)
+	l.planner.InheritRequestDelay(c.RequestDelay)
 	return l
 }
 
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -84,6 +84,7 @@
 		return err
 	}
 	upstreams := <-results
+	proxies := l.AdvisorProxies.Names()
 	l.lock(partReport)
 	defer l.mu.unlock()
 	l.planner.SetNow(l.now())
@@ -95,6 +96,7 @@
 		l.planner.Restore(j)
 	}
 	l.planner.RestoreCrashes(state.crashes)
+	l.setAdvisorProxies(l.Timer.Now(), proxies)
 	l.countUnstarted()
 	l.loaded.Store(true)
 	l.startRenewals(ctx)
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -91,8 +91,7 @@
 	defer l.mu.unlock()
 	began := l.Timer.Now()
 	l.planner.SetNow(l.now())
-	l.proxies.SetPresent(began, proxies)
-	l.planner.SetRequestLimits(l.proxies.Limits(began))
+	l.setAdvisorProxies(began, proxies)
 	l.planner.SetStoreUnavailable(l.isStoreSuspected())
 	if expiryDue {
 		l.planner.ExpireLeases()
