--- a/internal/cell/caboard/advice.go
+++ b/internal/cell/caboard/advice.go
@@ -120,13 +120,11 @@
 	return t.value, true
 }
 
-// observeStart records how long an answered start took since its plan. One that was rejected for its
-// ticket took at least as long as the ticket seemed to be valid: the answer that brought the ticket was
-// late, too.
-func (b *Planner) observeStart(r *run, outcome StartOutcome) {
-	took := b.now.Monotonic.Sub(r.assignedAt)
+// observeStart records how long an answered start took. One that was rejected for its ticket took at least
+// as long as the ticket seemed to be valid when it was sent: the answer that brought the ticket was late, too.
+func (b *Planner) observeStart(r *run, outcome StartOutcome, took time.Duration) {
 	if outcome == StartNoTicket {
-		took = max(took, r.ticketExpires.Sub(r.assignedAt))
+		took = max(took, r.ticketExpires.Sub(r.sentAt))
 	}
 	b.startLatency.Observe(took)
 	b.ticketMargin = max(minTicketMargin, b.startLatency.Typical())
--- a/internal/cell/caboard/detector.go
+++ b/internal/cell/caboard/detector.go
@@ -162,7 +162,7 @@
 	}
 	b.markAnswered(r.upstream, b.now.Monotonic)
 	b.detector.addAnswerLatency(took)
-	b.observeStart(r, outcome)
+	b.observeStart(r, outcome, took)
 	return took
 }
 
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -93,7 +93,8 @@
 	inheritedRequestDelay time.Duration
 	// outages are since when pools have had no upstream that accepts work.
 	outages map[caspec.PoolName]time.Time
-	// usefulRequestAt is when the last request was sent for a step that is not late beyond use.
+	// usefulRequestAt is when the last request was sent for a step that is not late beyond use, or when
+	// that was last not known.
 	usefulRequestAt time.Time
 	// requestsHeldBack is set if the limits held a request back in the last plan, and requestCredit is
 	// what steps that have waited long may send out of the order.
@@ -111,8 +112,8 @@
 	brokenInvariants int
 	// detector finds upstreams that stop answering.
 	detector failureDetector
-	// startLatency follows the time from the plan of a start to its answer, and ticketMargin is how long
-	// a ticket must be valid for it.
+	// startLatency follows the time that starts take, and ticketMargin is how long a ticket must be valid
+	// for one.
 	startLatency *calatency.Quantile
 	ticketMargin time.Duration
 	// refusals are the jobs that were refused recently.
@@ -269,7 +270,7 @@
 		refusals: caadmission.NewRefusalHistory(),
 		crashes:  newCrashState(), records: newRecordState(),
 		startLatency: calatency.NewQuantile(calatency.Bounds{Min: minTicketMargin, Max: maxStartLatency}), ticketMargin: minTicketMargin,
-		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, stopTime: initialStopTime,
+		detector: failureDetector{meanAnswerLatency: initialAnswerLatency}, listReadAt: now.Monotonic, usefulRequestAt: now.Monotonic, stopTime: initialStopTime,
 	}
 }
 
