--- a/internal/cell/caapproval/proxies.go
+++ b/internal/cell/caapproval/proxies.go
@@ -190,6 +190,9 @@
 	return limits
 }
 
+// Inherit begins with the slowness that another leader observed, zero if it told none.
+func (p *Proxies) Inherit(now time.Time, slowness float64) { p.slowness.inherit(now, slowness) }
+
 // Slowness returns how many times longer than announced the advisor takes, at least 1.
 func (p *Proxies) Slowness(now time.Time) float64 { return p.slowness.value(now) }
 
--- a/internal/cell/caapproval/slowness.go
+++ b/internal/cell/caapproval/slowness.go
@@ -10,6 +10,8 @@
 	averageTime = 5 * time.Second
 	// announcedWeight is how much announced time without delay the slowness begins with and returns to.
 	announcedWeight = time.Second
+	// inheritedWeight is for how much announced time the slowness counts that another leader observed.
+	inheritedWeight = 4 * time.Second
 	// initialTransferTime and maxTransferTime are the first and the largest estimate of how much
 	// longer an answer takes that is not late: its way through the network and the processes.
 	initialTransferTime = 50 * time.Millisecond
@@ -47,6 +49,15 @@
 
 func newSlowness() slowness { return slowness{transferTime: initialTransferTime} }
 
+// inherit begins with the slowness that another leader observed, if it is not zero.
+func (s *slowness) inherit(now time.Time, observed float64) {
+	if observed < 1 {
+		return
+	}
+	s.announced.add(now, float64(inheritedWeight))
+	s.took.add(now, observed*float64(inheritedWeight))
+}
+
 // noteRunning records that the leader runs.
 func (s *slowness) noteRunning(now time.Time) {
 	if !s.runningAt.IsZero() && now.Sub(s.runningAt) > maxPause {
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -110,7 +110,8 @@
 func (l *link) inherit(c *caleader.Claim, before caleader.Claim) {
 	now := l.gate.Timer.Now()
 	c.Silent = l.silence.Remaining(before.Silent, now)
-	c.LongLeases, c.RequestDelay = before.LongLeases, before.RequestDelay
+	c.LongLeases = before.LongLeases
+	c.RequestDelay, c.AdvisorSlowness = before.RequestDelay, before.AdvisorSlowness
 	c.InheritedRemaining = l.granter.Remaining(before, now)
 }
 
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -73,6 +73,8 @@
 	// RequestDelay is how much longer than announced the approval requests of the leader, or of the one
 	// before, were in flight on average.
 	RequestDelay time.Duration `cbor:"15,keyasint,omitempty"`
+	// AdvisorSlowness is how many times longer than announced the advisor takes.
+	AdvisorSlowness float64 `cbor:"16,keyasint,omitempty"`
 }
 
 // after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -96,6 +96,7 @@
 	defer l.mu.unlock()
 	now := l.now()
 	l.planner.SetNow(now)
+	l.writer.claim.AdvisorSlowness = l.proxies.Slowness(now.Monotonic)
 	batch, err := l.planner.NextBatch()
 	if err != nil {
 		return caboard.Batch{}, nil, now.Monotonic, err
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -198,6 +198,7 @@
 	l.planner.InheritSilence(c.Silent)
 	l.planner.InheritLongLeases(c.LongLeases)
 	l.planner.InheritRequestDelay(c.RequestDelay)
+	l.proxies.Inherit(now.Monotonic, c.AdvisorSlowness)
 	return l
 }
 
