--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -73,6 +73,8 @@
 	RecordReleased     Number = 424
 	ApprovalsAwaited   Number = 425
 	StepLacksRoom      Number = 426
+	PoolLost           Number = 427
+	PoolRegained       Number = 428
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -47,12 +48,14 @@
 // updateOutages records which pools have no upstream that accepts work, as of this plan.
 func (b *Planner) updateOutages() {
 	for _, pool := range b.policy.Pools {
-		if b.pools[pool.Name] != nil {
-			delete(b.outages, pool.Name)
-			continue
-		}
-		if _, isKnown := b.outages[pool.Name]; !isKnown {
+		since, isOut := b.outages[pool.Name]
+		switch isLost := b.pools[pool.Name] == nil; {
+		case isLost && !isOut:
 			b.outages[pool.Name] = b.now.Monotonic
+			caevent.Warn(b.log, caevent.PoolLost).Str("pool", string(pool.Name)).Int("upstreams", len(b.sortedUpstreams)).Send()
+		case !isLost && isOut:
+			delete(b.outages, pool.Name)
+			caevent.Info(b.log, caevent.PoolRegained).Str("pool", string(pool.Name)).Dur("after", b.now.Monotonic.Sub(since)).Send()
 		}
 	}
 }
