--- a/internal/cell/caadmission/forecast.go
+++ b/internal/cell/caadmission/forecast.go
@@ -29,6 +29,8 @@
 	minQueueRateShare = 0.05
 	// minRetryAfter is the shortest delay after which a refused caller should retry.
 	minRetryAfter = 300 * time.Millisecond
+	// maxOutageRetryAfter is the longest such delay while no upstream accepts work, which may end at any time.
+	maxOutageRetryAfter = 2 * time.Second
 )
 
 // Forecast holds what the expected wait of a job is computed from, before the job is
@@ -121,8 +123,8 @@
 	if f.Outage <= f.maxWait(f.Slack) {
 		return nil
 	}
-	return cakind.New(cakind.KindUnavailable, "no upstream has accepted work for %d ms, the job may wait %d ms",
-		f.Outage.Milliseconds(), f.maxWait(f.Slack).Milliseconds()).WithRetryAfter(minRetryAfter)
+	return cakind.New(cakind.KindOverloaded, "no upstream has accepted work for %d ms, the job may wait %d ms",
+		f.Outage.Milliseconds(), f.maxWait(f.Slack).Milliseconds()).WithRetryAfter(min(max(f.Outage-f.maxWait(f.Slack), minRetryAfter), maxOutageRetryAfter))
 }
 
 // checkApprovalWait refuses a job that the advisor would decide about too late even if its caller had not
--- a/internal/cell/caadmission/forecast_test.go
+++ b/internal/cell/caadmission/forecast_test.go
@@ -28,7 +28,8 @@
 		"advisor decides in time":       {Forecast{Capacity: cawork.Cores(100), Free: cawork.Cores(100), ApprovalWait: 2 * time.Second, Slack: 2 * time.Second}, 0},
 		"own queue starts slowly":       {Forecast{Capacity: cawork.Cores(100), QueueWorkAhead: backlog, QueueRate: 17_000, Slack: 9 * time.Second}, time.Second},
 		"outage that may end in time":   {Forecast{Outage: time.Second, Slack: 2 * time.Second}, 0},
-		"outage for too long":           {Forecast{Outage: 3 * time.Second, Slack: 2 * time.Second}, minRetryAfter},
+		"outage for too long":           {Forecast{Outage: 3 * time.Second, Slack: 2 * time.Second}, time.Second},
+		"outage without an end":         {Forecast{Outage: time.Hour, Slack: 2 * time.Second}, maxOutageRetryAfter},
 		"pool without upstreams so far": {Forecast{WorkAhead: backlog}, 0},
 	}
 	for name, test := range tests {
--- a/internal/cell/caapproval/proxies.go
+++ b/internal/cell/caapproval/proxies.go
@@ -190,7 +190,7 @@
 	return limits
 }
 
-// Inherit begins with the slowness that another leader observed, zero if it told none.
+// Inherit begins with the slowness that another leader observed, 1 or less if none.
 func (p *Proxies) Inherit(now time.Time, slowness float64) { p.slowness.inherit(now, slowness) }
 
 // Slowness returns how many times longer than announced the advisor takes, at least 1.
--- a/internal/cell/caapproval/slowness.go
+++ b/internal/cell/caapproval/slowness.go
@@ -49,9 +49,9 @@
 
 func newSlowness() slowness { return slowness{transferTime: initialTransferTime} }
 
-// inherit begins with the slowness that another leader observed, if it is not zero.
+// inherit begins with the slowness that another leader observed. None tells nothing.
 func (s *slowness) inherit(now time.Time, observed float64) {
-	if observed < 1 {
+	if observed <= 1 {
 		return
 	}
 	s.announced.add(now, float64(inheritedWeight))
--- a/internal/cell/cagate/outage_test.go
+++ b/internal/cell/cagate/outage_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -17,6 +18,21 @@
 	return p.WithIndex()
 }
 
+// checkRefusedAtOnce checks that each entry refuses a job at once.
+func (c *testCell) checkRefusedAtOnce(s caspec.Submission) {
+	c.t.Helper()
+	for name, gate := range c.gates() {
+		began := time.Now()
+		err := submitTo(gate, s)
+		if diff := cmp.Diff(cakind.KindOverloaded, cakind.Of(err)); diff != "" {
+			c.t.Errorf("%s: answer %v (-want +got):\n%s", name, err, diff)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			c.t.Errorf("%s refused a job after %v", name, took)
+		}
+	}
+}
+
 // TestJobsAreRefusedWhileNoUpstreamAnswers guards against jobs that are accepted though no upstream has
 // accepted work for longer than they may wait: they had nothing running until long after their objective.
 func TestJobsAreRefusedWhileNoUpstreamAnswers(t *testing.T) {
@@ -32,6 +48,7 @@
 		if diff := cmp.Diff(accepted, c.accepted.Sorted()); diff != "" {
 			t.Errorf("jobs that were accepted in an outage of all upstreams (-want +got):\n%s", diff)
 		}
+		c.checkRefusedAtOnce(testSubmission(c.nextJob()))
 		c.fleet.SetReachable(func(string, cawork.UpstreamID) bool { return true })
 		time.Sleep(2 * time.Second)
 		c.load(time.Second)
--- a/internal/cell/caleader/claim_test.go
+++ b/internal/cell/caleader/claim_test.go
@@ -29,6 +29,7 @@
 	declaring := claim
 	declaring.Silent = []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}}
 	declaring.Process, declaring.InheritedRemaining = 4, 2*time.Second
+	declaring.RequestDelay, declaring.AdvisorSlowness = 300*time.Millisecond, 1.5
 	entry, err := declaring.logEntry()
 	if err != nil {
 		t.Fatal(err)
