--- a/internal/cell/caapproval/delays_test.go
+++ b/internal/cell/caapproval/delays_test.go
@@ -144,3 +144,24 @@
 		t.Errorf("whether a request may be sent %v after answers were lost (-want +got):\n%s", maxStandstill, diff)
 	}
 }
+
+// TestNoSlownessIsNotInherited guards against a leader that takes "as announced" of a leader that has asked
+// nothing for an observation, so that it learns late how slow the advisor is.
+func TestNoSlownessIsNotInherited(t *testing.T) {
+	const announced, took = 300 * time.Millisecond, 900 * time.Millisecond
+	var slowness []float64
+	for _, inherited := range []float64{0, 1, 2} {
+		r := newProxies(1)
+		r.Inherit(start, inherited)
+		q := r.assign(t, start, caboard.ApprovalRequest{Cost: announced})
+		r.plan(start, took)
+		r.End(start.Add(took), q, true)
+		slowness = append(slowness, r.Slowness(start.Add(took)))
+	}
+	if diff := cmp.Diff(slowness[0], slowness[1]); diff != "" {
+		t.Errorf("slowness after one answer, without a leader before and after one that saw none (-want +got):\n%s", diff)
+	}
+	if slowness[2] <= slowness[0] {
+		t.Errorf("slowness of %.2f after a leader that saw 2, and %.2f without", slowness[2], slowness[0])
+	}
+}
