--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -278,8 +278,13 @@
 func (b *Planner) SetNow(now ClockReading) { b.now = now }
 
 // SetStoreUnavailable sets whether the store is unavailable. While it is, Plan assigns nothing:
-// tickets would expire before their starts may be sent.
-func (b *Planner) SetStoreUnavailable(away bool) { b.storeUnavailable = away }
+// tickets would expire before their starts may be sent. That nobody submits meanwhile tells nothing.
+func (b *Planner) SetStoreUnavailable(away bool) {
+	b.storeUnavailable = away
+	if away {
+		b.usefulRequestAt = b.now.Monotonic
+	}
+}
 
 // SetPolicy applies a version of the policy. Older versions are ignored.
 func (b *Planner) SetPolicy(p caspec.Policy) {
--- a/internal/cell/caboard/requestorder.go
+++ b/internal/cell/caboard/requestorder.go
@@ -79,12 +79,8 @@
 }
 
 // uselessRequestLimit returns how many requests may be in flight when one is sent for a step that is late
-// beyond use. Some are left to other steps: as many while these are requested, one otherwise. That there are
-// none means nothing while the store accepts no jobs.
+// beyond use. Some are left to other steps: as many while these are requested, one otherwise.
 func (b *Planner) uselessRequestLimit() int {
-	if b.storeUnavailable {
-		b.usefulRequestAt = b.now.Monotonic
-	}
 	if b.now.Monotonic.Sub(b.usefulRequestAt) < requestReservePeriod {
 		return b.requestLimits.Total / 2
 	}
