--- a/review/_stand2/scenarios.go
+++ b/review/_stand2/scenarios.go
@@ -96,6 +96,8 @@
 // that takes long.
 func givenUp(r *record, program string, trouble bool) (string, error) {
 	conf := config{Routes: []route{newRoute("north")}, Tenants: []tenant{newTenant("alpha")}}
+	// More than the runs of any task here, however they end.
+	conf.Routes[0].MaxAttempts = 20
 	c, err := startCell(r, program, options{entries: 3, workers: 8, config: conf})
 	defer c.close()
 	if err != nil {
