--- a/review/_stand2/cell.go
+++ b/review/_stand2/cell.go
@@ -431,13 +431,13 @@
 }
 
 type step struct {
-	Count       int
-	Cpu         int
-	MemMb       int
-	EstimatedMs int    `json:",omitempty"`
-	After       []int  `json:",omitempty"`
-	Affinity    string `json:",omitempty"`
-	LongRunning bool   `json:",omitempty"`
+	Count         int
+	Cpu           int
+	MemMb         int
+	EstimatedMs   int    `json:",omitempty"`
+	After         []int  `json:",omitempty"`
+	Affinity      string `json:",omitempty"`
+	Checkpointing bool   `json:",omitempty"`
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -453,6 +453,18 @@
 	return false
 }
 
+// cancel cancels a job and repeats that until it is answered.
+func (c *cell) cancel(n *node, prefix, id, key string) bool {
+	for range 5 {
+		a := c.call(n, http.MethodDelete, prefix, id, key, nil)
+		if a.status == http.StatusOK || a.status == http.StatusGone {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
 // running counts the tasks of a job that are at work.
 func (c *cell) running(id string) int {
 	count := 0
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -24,10 +24,10 @@
 type scenario func(r *record, program string, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"removed-route":  removedRoute,
-	"foreign-cancel": foreignCancel,
-	"given-up":       givenUp,
-	"dead-rack":      deadRack,
+	"removed-route":    removedRoute,
+	"foreign-cancel":   foreignCancel,
+	"long-checkpoints": longCheckpoints,
+	"dead-rack":        deadRack,
 }
 
 func main() {
--- a/review/_stand2/worker.go
+++ b/review/_stand2/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	// maxHold is the longest lease, and maxHoldWait the longest wait of a hold.
 	maxHold     = 10 * time.Second
 	maxHoldWait = 2 * time.Second
+	// checkpointInterval is the work between two checkpoints, and checkpointLength the length of each.
+	checkpointInterval = time.Second
+	checkpointLength   = 320
 	// stopTime is how long a worker takes to stop a task.
 	stopTime = 100 * time.Millisecond
 	// workerMemoryMB and workerCPU are the capacity of a worker.
@@ -32,6 +36,30 @@
 	began   time.Time
 	lasts   time.Duration
 	stopped bool
+	// resumed is the work that its checkpoint has spared it, and saves is set if it checkpoints.
+	resumed time.Duration
+	saves   bool
+}
+
+// checkpoint returns the newest checkpoint of a run: its work in milliseconds, and an address of its data.
+func (r *taskRun) checkpoint(now time.Time) string {
+	work := (r.resumed + now.Sub(r.began)).Truncate(checkpointInterval)
+	if !r.saves || work == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", work.Milliseconds()) + strings.Repeat("/checkpoints-of-the-forecast-desk", checkpointLength)[:checkpointLength-16]
+}
+
+// workIn returns the work that a checkpoint holds.
+func workIn(checkpoint string) time.Duration {
+	if len(checkpoint) < 16 {
+		return 0
+	}
+	ms, err := strconv.ParseInt(checkpoint[:16], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
 }
 
 type end struct {
@@ -39,6 +67,7 @@
 	task   string
 	run    int
 	how    string
+	saved  string
 }
 
 // worker is a stand-in of a worker. A life begins with start and ends with crash.
@@ -129,7 +158,7 @@
 			switch {
 			case w.clock() > w.until:
 				w.end(r, "lapsed")
-			case !r.stopped && r.lasts > 0 && time.Since(r.began) >= r.lasts:
+			case !r.stopped && r.lasts > 0 && r.resumed+time.Since(r.began) >= r.lasts:
 				w.end(r, "done")
 			}
 		}
@@ -155,7 +184,7 @@
 func (w *worker) end(r *taskRun, how string) {
 	delete(w.running, r.task)
 	w.ends++
-	w.ended = append(w.ended, end{w.ends, r.task, r.run, how})
+	w.ended = append(w.ended, end{w.ends, r.task, r.run, how, r.checkpoint(time.Now())})
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.record.add("worker %s: %s run %d ends %s", w.id, r.task, r.run, how)
 	close(w.changed)
@@ -181,6 +210,7 @@
 	FencingToken int64
 	LastSeen     int64
 	WaitMs       int64
+	Checkpoint   string
 }
 
 // admit reads an order and checks its fencing token. If it returns true, the lock is held.
@@ -242,7 +272,10 @@
 		return
 	default:
 		w.extend(o.UntilMs)
-		w.running[o.Task] = &taskRun{task: o.Task, run: o.Run, began: time.Now(), lasts: durationOf(o.Spec)}
+		w.running[o.Task] = &taskRun{
+			task: o.Task, run: o.Run, began: time.Now(), lasts: durationOf(o.Spec),
+			resumed: workIn(o.Checkpoint), saves: strings.Contains(o.Spec, "saves"),
+		}
 		w.record.add("worker %s is told to start %s run %d (fencing token %d)", w.id, o.Task, o.Run, o.FencingToken)
 	}
 	writeJSON(out, http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds()})
@@ -301,12 +334,12 @@
 	for _, run := range w.running {
 		percent := 100
 		if run.lasts > 0 {
-			percent = int(min(100*time.Since(run.began)/run.lasts, 99))
+			percent = int(min(100*(run.resumed+time.Since(run.began))/run.lasts, 99))
 		}
-		running = append(running, []any{run.task, run.run, "", percent, 0})
+		running = append(running, []any{run.task, run.run, run.checkpoint(time.Now()), percent, 0})
 	}
 	for _, e := range w.ended {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	writeJSON(out, http.StatusOK, map[string]any{
 		"ClockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "Running": running, "Ended": ended,
