--- a/review/_stand2/cell.go
+++ b/review/_stand2/cell.go
@@ -213,7 +213,7 @@
 	c.store.put("keyed.op", "config", body)
 	names := []string{}
 	for _, r := range next.Routes {
-		names = append(names, r.PathPrefix)
+		names = append(names, r.Name+" at "+r.PathPrefix)
 	}
 	c.record.add("the operator's configuration %d with the routes %v is acknowledged", next.Version, names)
 }
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -24,7 +24,7 @@
 type scenario func(r *record, program string, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"removed-route":    removedRoute,
+	"replaced-route":   replacedRoute,
 	"foreign-cancel":   foreignCancel,
 	"long-checkpoints": longCheckpoints,
 	"dead-rack":        deadRack,
--- a/review/_stand2/scenarios.go
+++ b/review/_stand2/scenarios.go
@@ -13,8 +13,8 @@
 	idleTime   = 3 * time.Second
 )
 
-// removedRoute has a route removed while an accepted job of its queue has a second step to run.
-func removedRoute(r *record, program string, trouble bool) (string, error) {
+// replacedRoute has a route replaced by another one at the same path while an accepted job has a second step to run.
+func replacedRoute(r *record, program string, trouble bool) (string, error) {
 	before := config{Routes: []route{newRoute("north"), newRoute("south")}, Tenants: []tenant{newTenant("alpha")}}
 	c, err := startCell(r, program, options{entries: 3, workers: 6, config: before})
 	defer c.close()
@@ -30,27 +30,22 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		c.configure(config{Routes: before.Routes[1:], Tenants: before.Tenants})
+		successor := newRoute("north")
+		successor.Name, successor.TimeoutMs = "north-b", 2500
+		c.configure(config{Routes: []route{before.Routes[1], successor}, Tenants: before.Tenants})
 	}
 	time.Sleep(finishTime)
 	a := c.call(c.nodes[1], http.MethodGet, "/north/", id, "key-of-alpha", nil)
 	if a.state == "completed" {
 		return "", nil
 	}
-	idleSince := time.Now()
-	for time.Since(idleSince) < idleTime+time.Second {
+	for idleSince := time.Now(); time.Since(idleSince) < idleTime+time.Second; time.Sleep(20 * time.Millisecond) {
 		if c.running(id) > 0 {
 			return "", nil
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	if trouble {
-		// The route comes back, so that the state of the job can be seen.
-		c.configure(before)
-		time.Sleep(2500 * time.Millisecond)
-		a = c.call(c.nodes[1], http.MethodGet, "/north/", id, "key-of-alpha", nil)
-	}
-	return fmt.Sprintf("the accepted job %s had nothing running for %v with all workers free (state %q later)", id, idleTime, a.state), nil
+	a = c.call(c.nodes[2], http.MethodGet, "/north/", id, "key-of-alpha", nil)
+	return fmt.Sprintf("the accepted job %s (%d %s) had nothing running for %v with all workers free", id, a.status, a.state, idleTime), nil
 }
 
 // freezeTime is how long an entry stands still.
