--- a/review/_stand2/scenarios.go
+++ b/review/_stand2/scenarios.go
@@ -119,57 +119,84 @@
 
 const (
 	// wideTasks is the number of tasks of a wide job, and wideTaskTime how long each takes.
-	wideTasks    = 4000
+	wideTasks    = 5000
 	wideTaskTime = 30 * time.Second
 	// rackSize is how many workers crash at once, crashAfter when after the hand-in, and crashTime for how long.
 	rackSize   = 6
 	crashAfter = 15 * time.Second
 	crashTime  = 4 * time.Second
-	// wideJobTime is when after the hand-in the job has to be done: its tasks need some 35 s, and those that a
-	// crash meets some 20 s more, since they resume.
-	wideJobTime = 80 * time.Second
+	// laterJobs is how many small jobs another tenant hands in, laterAfter after the wide job: its tasks that no
+	// crash meets are done by then, and the others could be as well.
+	laterJobs  = 6
+	laterAfter = 70 * time.Second
 )
 
-// longCheckpoints has a rack of workers crash under a wide job whose tasks checkpoint.
+// longCheckpoints has a rack of workers crash under a wide job whose tasks checkpoint. Later another tenant hands
+// in small jobs.
 func longCheckpoints(r *record, program string, trouble bool) (string, error) {
-	conf := config{Routes: []route{newRoute("north")}, Tenants: []tenant{newTenant("alpha")}}
+	conf := config{Routes: []route{newRoute("north"), newRoute("south")}, Tenants: []tenant{newTenant("alpha"), newTenant("beta")}}
 	c, err := startCell(r, program, options{entries: 3, workers: 48, config: conf})
 	defer c.close()
 	if err != nil {
 		return "", err
 	}
-	id := newID()
+	wide := newID()
 	j := job{Spec: "saves " + wideTaskTime.String(), Steps: []step{
-		{Count: wideTasks, Cpu: 100, MemMb: 50, EstimatedMs: int(wideTaskTime.Milliseconds()), Checkpointing: true},
+		{Count: wideTasks, Cpu: 30, MemMb: 50, EstimatedMs: int(wideTaskTime.Milliseconds()), Checkpointing: true},
 	}}
-	if !c.submit(c.nodes[0], "/north/", id, "key-of-alpha", j) {
+	if !c.submit(c.nodes[0], "/north/", wide, "key-of-alpha", j) {
 		return "", errNotRun
 	}
 	began := time.Now()
 	time.Sleep(crashAfter)
 	if trouble {
-		for _, w := range c.workers[:rackSize] {
+		for _, w := range c.workers[rackSize : 2*rackSize] {
 			w.crash()
 		}
 		time.Sleep(crashTime)
-		for _, w := range c.workers[:rackSize] {
+		for _, w := range c.workers[rackSize : 2*rackSize] {
 			if err := w.start(); err != nil {
 				return "", err
 			}
 		}
 	}
-	var a answer
-	for ; time.Since(began) < wideJobTime; time.Sleep(2 * time.Second) {
-		a = c.call(c.nodes[1], http.MethodGet, "/north/", id, "key-of-alpha", nil)
-		r.add("%d tasks are at work", c.running(id))
-		if a.state == "completed" {
-			return "", nil
+	for time.Since(began) < laterAfter {
+		time.Sleep(5 * time.Second)
+		r.add("%d tasks of the wide job are at work", c.running(wide))
+	}
+	small := job{Spec: "1s", Steps: []step{
+		{Count: 2, Cpu: 1000, MemMb: 512, EstimatedMs: 1000}, {Count: 2, Cpu: 1000, MemMb: 512, EstimatedMs: 1000, After: []int{0}},
+	}}
+	ids := []string{wide}
+	for range laterJobs {
+		id := newID()
+		if !c.submit(c.nodes[2], "/south/", id, "key-of-beta", small) {
+			return "", errNotRun
 		}
+		ids = append(ids, id)
 	}
+	time.Sleep(finishTime)
+	return c.stuckJobs(ids), nil
+}
+
+// stuckJobs names the jobs that have not completed and have nothing running for idleTime.
+func (c *cell) stuckJobs(ids []string) string {
+	atWork := make(map[string]bool)
 	for idleSince := time.Now(); time.Since(idleSince) < idleTime; time.Sleep(20 * time.Millisecond) {
-		if c.running(id) > 0 {
-			return "", errNotRun
+		for _, id := range ids {
+			atWork[id] = atWork[id] || c.running(id) > 0
+		}
+	}
+	stuck := ""
+	for i, id := range ids {
+		prefix, key := "/south/", "key-of-beta"
+		if i == 0 {
+			prefix, key = "/north/", "key-of-alpha"
+		}
+		a := c.call(c.nodes[1], http.MethodGet, prefix, id, key, nil)
+		if a.state != "completed" && !atWork[id] {
+			stuck += fmt.Sprintf("the accepted job %s of the holder of %s (%s) had nothing running for %v, with all workers free; ", id, key, a.state, idleTime)
 		}
 	}
-	return fmt.Sprintf("the accepted job %s (%s) had nothing running for %v, with all workers free", id, a.state, idleTime), nil
+	return stuck
 }
--- a/review/_stand2/worker.go
+++ b/review/_stand2/worker.go
@@ -21,7 +21,9 @@
 	maxHoldWait = 2 * time.Second
 	// checkpointInterval is the work between two checkpoints, and checkpointLength the length of each.
 	checkpointInterval = time.Second
-	checkpointLength   = 320
+	checkpointLength   = 160
+	// endsPerAnswer is how many ends a worker lists at a time.
+	endsPerAnswer = 500
 	// stopTime is how long a worker takes to stop a task.
 	stopTime = 100 * time.Millisecond
 	// workerMemoryMB and workerCPU are the capacity of a worker.
@@ -338,7 +340,7 @@
 		}
 		running = append(running, []any{run.task, run.run, run.checkpoint(time.Now()), percent, 0})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), endsPerAnswer)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	writeJSON(out, http.StatusOK, map[string]any{
