Accepted jobs go on under the last terms of a queue that is removed

GET shows it as running, without end; a lasting task is not restarted after a crash, and what waited never starts.

Cause: all that a job needs of its queue (pool, priority, attempts, objective, the advisor) was looked up in the policy in force. SetPolicy set job.queue to nil, and placement, reservations, approval requests, attempts and the log of long waits each passed over such a job. A new leader could not know better: it reads the newest version alone. Class: state that an accepted job needs was derived from what the operator lists now.

Why this works: caterms keeps, for each queue and team, its definition by the newest version that lists it. The definition is stored under a key of its own in the append that stores the first job that needs it, or before, and again when a version changes it. A leader restores definitions before jobs. One that the policy in force does not list ends once the end of the last job that needs it is stored. So there are at most as many as listed queues and teams, and unlisted ones with open jobs.

The newest version that lists a queue holds for all of its jobs, also the old ones: that is what a version that changes a listed queue did before, and ROUTE permits each service that any configuration sent the queue to.

Weighed: kept with each job, some 60 bytes more in each of its records, that is with each start and end, and lost as soon as an earlier build stores the job; this key costs that once, and earlier builds skip and keep it.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -79,6 +79,8 @@
 	StartsHeldBack     Number = 429
 	StartsResumed      Number = 430
 	RunTimesLearned    Number = 431
+	QueueRemoved       Number = 432
+	QueueEnded         Number = 433
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -31,7 +31,7 @@
 		f.Outage = b.now.Monotonic.Sub(since)
 	}
 	f.ApprovalWait = b.expectedApprovalWait(q, excess)
-	queue := b.queuePolicies[q.Name]
+	queue, _ := b.terms.Queue(q.Name)
 	for _, other := range b.steps {
 		if other.lateness != latenessNone || other.job.pool != q.Pool || !other.goesBefore(q, excess) {
 			continue
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -5,6 +5,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
 // Record is the new stored record of a job. A nil value deletes the stored record.
@@ -17,6 +18,8 @@
 // Batch holds changes that are stored together.
 type Batch struct {
 	Records []Record
+	// Terms are the records of the definitions that jobs need. They are stored no later than Records.
+	Terms []caterms.Record
 	// Crashes are the records of the crashes under the tasks of jobs. They are stored no later than
 	// Records.
 	Crashes []Record
--- a/internal/cell/caboard/partition.go
+++ b/internal/cell/caboard/partition.go
@@ -168,7 +168,7 @@
 func (b *Planner) wideApprovalRate(p *poolPlan) float64 {
 	lowest := 1.0
 	for name, stats := range b.queues {
-		q, ok := b.policy.Queue(name)
+		q, ok := b.terms.Queue(name)
 		if ok && q.Approval != nil && stats.hasWideGangs(p.maxCapacity) && b.pools[q.Pool] == p {
 			lowest = min(lowest, stats.approvalRate)
 		}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -27,6 +27,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caruntime"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
 // ClockReading is a reading of the clocks: Monotonic never goes back, WallMS is the time of day in
@@ -43,8 +44,8 @@
 	random *rand.Rand
 	now    ClockReading
 	policy caspec.Policy
-	// queuePolicies are the queues of the policy.
-	queuePolicies map[caspec.QueueName]*caspec.Queue
+	// terms are the definitions of queues and teams that jobs run under.
+	terms *caterms.Terms
 
 	jobs      map[cawork.JobID]*job
 	upstreams map[cawork.UpstreamID]*upstream
@@ -154,7 +155,7 @@
 // job is a job together with state that is not stored.
 type job struct {
 	*castate.Job
-	// queue is its queue by the policy in force, nil if that has none.
+	// queue is its queue by the newest version of the policy that lists it, nil if none is known.
 	queue    *caspec.Queue
 	priority int
 	pool     caspec.PoolName
@@ -263,7 +264,7 @@
 // inheritedUntil at the latest.
 func New(log zerolog.Logger, seed int64, now ClockReading, inheritedUntil time.Time) *Planner {
 	return &Planner{
-		log: log, random: rand.New(rand.NewSource(seed)), now: now,
+		log: log, random: rand.New(rand.NewSource(seed)), now: now, terms: caterms.New(),
 		jobs:                make(map[cawork.JobID]*job),
 		upstreams:           make(map[cawork.UpstreamID]*upstream),
 		slots:               make(map[cawork.UpstreamID]int),
@@ -299,45 +300,6 @@
 	}
 }
 
-// SetPolicy applies a version of the policy. Older versions are ignored.
-func (b *Planner) SetPolicy(p caspec.Policy) {
-	if !b.policy.IsZero() && p.Version <= b.policy.Version {
-		return
-	}
-	b.policy = p
-	b.queuePolicies = make(map[caspec.QueueName]*caspec.Queue, len(p.Queues))
-	for _, listed := range p.Queues {
-		if q, ok := p.Queue(listed.Name); ok {
-			b.queuePolicies[q.Name] = &q
-		}
-	}
-	for _, j := range b.jobs {
-		b.applyPolicyTo(j)
-	}
-	for _, s := range b.steps {
-		s.approvals.noRoomSince, s.approvals.allDecidedSince = 0, 0
-	}
-	for name, t := range b.teams {
-		b.applyLimitTo(name, t)
-	}
-}
-
-// queueOf returns the queue of a job by the policy in force.
-func (b *Planner) queueOf(j *job) (caspec.Queue, bool) {
-	if j.queue == nil {
-		return caspec.Queue{}, false
-	}
-	return *j.queue, true
-}
-
-// applyPolicyTo looks up the queue of a job in the policy.
-func (b *Planner) applyPolicyTo(j *job) {
-	j.queue = b.queuePolicies[j.Submission.Queue]
-	if j.queue != nil {
-		j.priority = j.queue.Priority
-	}
-}
-
 func (b *Planner) statsOf(q caspec.QueueName) *queueStats {
 	s, ok := b.queues[q]
 	if !ok {
@@ -359,8 +321,13 @@
 	if err != nil {
 		return Batch{}, err
 	}
+	terms, err := b.terms.TakeChanges()
+	if err != nil {
+		return Batch{}, err
+	}
 	b.addDueEnds()
 	batch := Batch{
+		Terms:  terms,
 		Silent: b.declareSilence(), LongLeases: b.longLeases(), InheritedRemaining: max(b.inheritedUntil.Sub(b.now.Monotonic), 0),
 		RequestDelay: b.meanRequestDelay(),
 		Crashes:      crashes, starts: b.pendingStarts, ends: b.takeEnds(), jobEnds: make(map[cawork.JobID]map[*upstream]bool),
@@ -394,7 +361,7 @@
 
 // HasChanges reports whether NextBatch would not be empty.
 func (b *Planner) HasChanges() bool {
-	return len(b.changed) > 0 || b.hasDueEnds() || len(b.crashes.changed) > 0 || len(b.crashes.removed) > 0 || len(b.removedJobs) > 0 || len(b.pendingStarts) > 0 || len(b.endsToStore) > 0
+	return b.terms.HasChanges() || len(b.changed) > 0 || b.hasDueEnds() || len(b.crashes.changed) > 0 || len(b.crashes.removed) > 0 || len(b.removedJobs) > 0 || len(b.pendingStarts) > 0 || len(b.endsToStore) > 0
 }
 
 // MarkStored marks the batch as stored. It returns the start orders that may be sent now.
--- /dev/null
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -0,0 +1,319 @@
+package caboard
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/caterms"
+)
+
+// shardLog is a simulation with the log of its shard, so that one leader can follow another.
+type shardLog struct {
+	*simulation
+	jobs, terms map[string][]byte
+	upstreams   []caspec.Upstream
+}
+
+func newShardLog(t *testing.T, queues ...caspec.Queue) *shardLog {
+	s := &shardLog{simulation: newSimulation(t, 2, queues...), jobs: make(map[string][]byte), terms: make(map[string][]byte)}
+	for _, u := range s.planner.sortedUpstreams {
+		s.upstreams = append(s.upstreams, u.info)
+	}
+	return s
+}
+
+// publish applies a version of the policy with the queues and teams.
+func (s *shardLog) publish(version int64, queues []caspec.Queue, teams ...caspec.Team) {
+	s.planner.SetPolicy(policyOf(version, queues, teams...))
+}
+
+func policyOf(version int64, queues []caspec.Queue, teams ...caspec.Team) caspec.Policy {
+	return caspec.Policy{Version: version, Queues: queues, Pools: []caspec.Pool{{Name: "pool"}}, Teams: teams}.WithIndex()
+}
+
+// store stores all changes, and starts what is assigned.
+func (s *shardLog) store() []caorder.StartOrder {
+	s.t.Helper()
+	batch, err := s.planner.NextBatch()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, r := range batch.Terms {
+		setRecord(s.terms, r.Key, r.Value)
+	}
+	for _, r := range batch.Records {
+		setRecord(s.jobs, string(r.Job), r.Value)
+	}
+	orders := s.planner.MarkStored(batch)
+	for _, o := range orders {
+		s.planner.ApplyStartOutcome(o, caorder.StartAccepted, s.now.UnixMilli())
+	}
+	return orders
+}
+
+func setRecord(records map[string][]byte, key string, value []byte) {
+	if len(value) == 0 {
+		delete(records, key)
+		return
+	}
+	records[key] = value
+}
+
+// planAndStore plans and stores the assignments.
+func (s *shardLog) planAndStore() []caorder.StartOrder {
+	s.planner.Plan()
+	return s.store()
+}
+
+// lead replaces the leader by one that has only read the log and the policy.
+func (s *shardLog) lead(p caspec.Policy) {
+	s.t.Helper()
+	running := make(map[cawork.UpstreamID][]caorder.RunningRun)
+	for id, u := range s.planner.upstreams {
+		for run := range u.runs {
+			running[id] = append(running[id], caorder.RunningRun{Run: run})
+		}
+	}
+	s.planner = New(zerolog.Nop(), 1, s.moment(), s.now)
+	s.planner.SetRequestLimits(RequestLimits{Total: 100, Long: 100})
+	s.planner.SetPolicy(p)
+	s.planner.SetUpstreams(s.upstreams)
+	var terms []caterms.Record
+	for key, value := range s.terms {
+		terms = append(terms, caterms.Record{Key: key, Value: value})
+	}
+	if unreadable := s.planner.RestoreTerms(terms); unreadable > 0 {
+		s.t.Fatalf("%d definitions cannot be read", unreadable)
+	}
+	for _, value := range s.jobs {
+		j, err := castate.DecodeJob(value)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.planner.Restore(j)
+	}
+	for _, u := range s.upstreams {
+		s.report(u.ID, running[u.ID], nil)
+	}
+}
+
+// endAll ends all runs.
+func (s *shardLog) endAll(how caorder.Ending) {
+	for id, u := range s.planner.upstreams {
+		var ended []caorder.EndedRun
+		for run := range u.runs {
+			ended = append(ended, caorder.EndedRun{Run: run, Ending: how})
+		}
+		s.report(id, nil, ended)
+	}
+}
+
+// TestAttemptsOutliveQueue guards against tasks that fail without end since no version in force says how many attempts
+// they have.
+func TestAttemptsOutliveQueue(t *testing.T) {
+	for name, newLeader := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newShardLog(t, plainQueue())
+			s.submit("job", "queue", smallStep(1))
+			s.store()
+			without := policyOf(2, nil)
+			s.planner.SetPolicy(without)
+			starts := 0
+			for range 2 * plainQueue().MaxAttempts {
+				starts += len(s.planAndStore())
+				s.endAll(caorder.EndingFailed)
+				s.store()
+				if newLeader {
+					s.lead(without)
+				}
+				s.advance(time.Second)
+			}
+			phase, _ := s.planner.Phase("job")
+			if diff := cmp.Diff([]any{castate.PhaseFailed, plainQueue().MaxAttempts}, []any{phase, starts}); diff != "" {
+				t.Errorf("phase and starts of a job whose runs fail (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestAdvisorIsAskedAfterQueueIsRemoved guards against steps that wait without end for tickets that nobody requests or
+// takes any more.
+func TestAdvisorIsAskedAfterQueueIsRemoved(t *testing.T) {
+	s := newShardLog(t, approvedQueue())
+	s.submit("job", "queue", smallStep(1))
+	s.store()
+	without := policyOf(2, nil)
+	s.planner.SetPolicy(without)
+	for _, name := range []string{"same leader", "new leader"} {
+		if name == "new leader" {
+			s.lead(without)
+		}
+		requests := s.planner.Plan().ApprovalRequests
+		if len(requests) != 1 {
+			t.Fatalf("%s: %d approval requests, want 1", name, len(requests))
+		}
+		s.planner.ApplyAdvice(requests[0], []caorder.Approval{{Upstream: requests[0].Upstreams[0], Ticket: "ticket"}}, true)
+		s.planner.Plan()
+		batch, err := s.planner.NextBatch()
+		if err != nil || len(batch.starts) != 1 {
+			t.Fatalf("%s: %d assignments after the approval, want 1, error %v", name, len(batch.starts), err)
+		}
+	}
+}
+
+// TestTermsOfRestoredJob guards against restored jobs that are placed in the wrong order, since their queue has no pool, no
+// objective and no priority any more.
+func TestTermsOfRestoredJob(t *testing.T) {
+	q := plainQueue()
+	q.Priority = 3
+	s := newShardLog(t, q)
+	s.submit("job", "queue", smallStep(1))
+	s.store()
+	want := termsOf(s.planner.jobs["job"])
+	s.lead(policyOf(2, nil))
+	if diff := cmp.Diff(want, termsOf(s.planner.jobs["job"])); diff != "" {
+		t.Errorf("terms of a restored job whose queue was removed (-want +got):\n%s", diff)
+	}
+	moved := q
+	moved.Pool, moved.Priority, moved.Stretch = "other", 1, 4
+	s.publish(3, []caspec.Queue{moved})
+	after := termsOf(s.planner.jobs["job"])
+	s.store()
+	s.lead(policyOf(4, nil))
+	if diff := cmp.Diff(after, termsOf(s.planner.jobs["job"])); diff != "" || after.Pool != "other" || after.Priority != 1 {
+		t.Errorf("terms of a job whose queue returned with others and was removed again: %+v (-want +got):\n%s", after, diff)
+	}
+}
+
+// jobTerms are the terms that a job is placed by.
+type jobTerms struct {
+	Pool             caspec.PoolName
+	Priority         int
+	Objective, Slack time.Duration
+}
+
+func termsOf(j *job) jobTerms {
+	return jobTerms{Pool: j.pool, Priority: j.priority, Objective: j.objective, Slack: j.steps[0].slack}
+}
+
+// TestTermsEnd guards against definitions of removed queues and teams that are kept for ever, and against ones that end
+// before the end of their last job is stored.
+func TestTermsEnd(t *testing.T) {
+	s := newShardLog(t, plainQueue())
+	s.store()
+	if diff := cmp.Diff(0, len(s.terms)); diff != "" {
+		t.Errorf("stored definitions without a job (-want +got):\n%s", diff)
+	}
+	s.submit("job", "queue", smallStep(1))
+	s.planAndStore()
+	s.publish(2, nil)
+	s.endAll(caorder.EndingDone)
+	s.planner.RunMaintenance()
+	ending, err := s.planner.NextBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(0, len(ending.Terms)); diff != "" {
+		t.Errorf("changed definitions before the end of the job is stored (-want +got):\n%s", diff)
+	}
+	s.planner.MarkStored(ending)
+	if diff := cmp.Diff(2, len(s.terms)); diff != "" {
+		t.Errorf("definitions until then (-want +got):\n%s", diff)
+	}
+	s.planner.RunMaintenance()
+	s.store()
+	if diff := cmp.Diff(map[string][]byte{}, s.terms); diff != "" {
+		t.Errorf("definitions after the last job (-want +got):\n%s", diff)
+	}
+}
+
+// TestTermsSurviveOtherBuild covers a roll-back and another upgrade. The earlier build stores no definitions and leaves
+// those that are stored as they are, also where it has led under later versions.
+func TestTermsSurviveOtherBuild(t *testing.T) {
+	changed := plainQueue()
+	changed.MaxAttempts = 7
+	for _, test := range []struct {
+		name string
+		// stored are the versions of the definition that is stored, or none, and inForce those that the
+		// leader of this build reads, one after the other.
+		stored  *caspec.Queue
+		inForce [][]caspec.Queue
+		want    int
+	}{
+		{"forward: the queue is listed yet", nil, [][]caspec.Queue{{changed}, nil}, 7},
+		{"back and forward: it is gone", queuePointer(plainQueue()), [][]caspec.Queue{nil}, 3},
+		{"back and forward: it has changed", queuePointer(plainQueue()), [][]caspec.Queue{{changed}, nil}, 7},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newShardLog(t, plainQueue())
+			s.submit("job", "queue", smallStep(1))
+			s.store()
+			if test.stored == nil {
+				clear(s.terms)
+			}
+			for i, queues := range test.inForce {
+				s.lead(policyOf(int64(5+i), queues))
+				s.store()
+			}
+			got := 0
+			if q := s.planner.jobs["job"].queue; q != nil {
+				got = q.MaxAttempts
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("attempts of the queue (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func queuePointer(q caspec.Queue) *caspec.Queue { return &q }
+
+// TestNewerDefinitionGoesBeforePolicy guards against a leader that takes the terms of jobs back, since it has not read the
+// newest version yet.
+func TestNewerDefinitionGoesBeforePolicy(t *testing.T) {
+	changed := plainQueue()
+	changed.MaxAttempts = 7
+	s := newShardLog(t, plainQueue())
+	s.submit("job", "queue", smallStep(1))
+	s.publish(4, []caspec.Queue{changed})
+	s.store()
+	s.lead(policyOf(3, []caspec.Queue{plainQueue()}))
+	if diff := cmp.Diff(7, s.planner.jobs["job"].queue.MaxAttempts); diff != "" {
+		t.Errorf("attempts while an older version is in force (-want +got):\n%s", diff)
+	}
+}
+
+// TestRemovedQueuesAreLogged guards against operators who do not learn that accepted jobs go on under a queue that they
+// removed, and why these wait.
+func TestRemovedQueuesAreLogged(t *testing.T) {
+	s := newShardLog(t, plainQueue())
+	var log bytes.Buffer
+	s.planner.log = zerolog.New(&log)
+	full := caspec.Step{Tasks: 3, CPU: 16000, Memory: cawork.GiB, Estimate: time.Second}
+	s.submit("job", "queue", full)
+	s.planAndStore()
+	s.publish(2, nil)
+	s.advance(3 * time.Second)
+	s.planner.RunMaintenance()
+	s.planner.Cancel("job")
+	s.store()
+	s.planner.RunMaintenance()
+	for _, want := range []string{
+		`"name":"queue_removed","queue":"queue","jobs":1,"policy":2,"listed_by":1`,
+		`"name":"step_waits","job":"job","step":0,"queue":"queue","listed":false`,
+		`"name":"queue_ended","queue":"queue","policy":2`,
+	} {
+		if diff := cmp.Diff(1, strings.Count(log.String(), want)); diff != "" {
+			t.Errorf("lines with %s (-want +got):\n%s", want, diff)
+		}
+	}
+}
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -32,25 +32,21 @@
 		j.taskSizes = append(j.taskSizes, s.Size())
 	}
 	j.isTimed = j.Submission.Schedule.IsTimed()
-	b.applyPolicyTo(j)
-	if q, ok := b.queueOf(j); ok {
-		j.pool = q.Pool
-		j.objective = objective(q, j.Submission.Steps)
+	if !j.Phase.IsFinal() {
+		b.terms.Need(j.Submission.Queue, j.Submission.Team)
 	}
+	b.applyTermsTo(j)
 }
 
 // openSteps adds the steps of an occurrence, with the runs that its tasks are assigned
 // to.
 func (b *Planner) openSteps(j *job, o *castate.Occurrence) {
 	paths := criticalPaths(j.Submission.Steps, 0)
-	q, _ := b.queueOf(j)
-	slack := slackOf(q, j.Submission.Steps)
 	for i := range o.Steps {
 		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Monotonic}
 		s.ready = j.IsReady(o, i)
 		s.criticalPath = paths[i]
-		s.slack = slack
-		s.urgent = isUrgent(slack, s.spec)
+		b.applySlackTo(s)
 		b.statsOf(j.Submission.Queue).addGangSize(s.spec)
 		j.steps = append(j.steps, s)
 		for index := range o.Steps[i].Tasks {
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -220,6 +220,7 @@
 	b.logLongWaits()
 	b.logLackedRoom()
 	b.logDrains()
+	b.endUnneededTerms()
 	oldest := b.now.Monotonic.Add(-historyRetention)
 	for id, j := range b.jobs {
 		switch {
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -15,7 +15,8 @@
 // teamUsage is what a team has running, and the token bucket that limits its submissions.
 type teamUsage struct {
 	used cawork.Resources
-	// limit is the upper limit by the policy in force. A team that it does not name has none.
+	// limit is the upper limit by the newest version of the policy that lists the team. A team that none lists
+	// has no limit.
 	limit cawork.Resources
 	// tokens is how many jobs the team may still submit at its guaranteed rate.
 	tokens     float64
@@ -32,7 +33,7 @@
 	return t
 }
 
-// applyLimitTo looks up the upper limit of a team in the policy.
+// applyLimitTo looks up the upper limit of a team.
 func (b *Planner) applyLimitTo(name cawork.TeamName, t *teamUsage) {
 	team, _ := b.policy.Team(name)
 	t.limit = team.Limit
--- /dev/null
+++ b/internal/cell/caboard/terms.go
@@ -0,0 +1,134 @@
+package caboard
+
+import (
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/caterms"
+)
+
+// SetPolicy applies a version of the policy. Older versions are ignored. An accepted job whose queue or team
+// is no longer listed goes on under the newest version that lists it.
+func (b *Planner) SetPolicy(p caspec.Policy) {
+	if !b.policy.IsZero() && p.Version <= b.policy.Version {
+		return
+	}
+	b.policy = p
+	removed, _ := b.terms.Apply(p)
+	b.logRemovedQueues(removed)
+	b.applyTerms()
+	for _, s := range b.steps {
+		s.approvals.noRoomSince, s.approvals.allDecidedSince = 0, 0
+	}
+}
+
+// RestoreTerms restores stored definitions, before the jobs that need them. It returns how many cannot be
+// read: their jobs go on as far as the policy in force lists their queues.
+func (b *Planner) RestoreTerms(records []caterms.Record) (unreadable int) {
+	for _, r := range records {
+		if b.terms.Restore(r) != nil {
+			unreadable++
+		}
+	}
+	b.applyTerms()
+	return unreadable
+}
+
+// applyTerms applies the definitions to all jobs and teams.
+func (b *Planner) applyTerms() {
+	for _, j := range b.jobs {
+		b.applyTermsTo(j)
+	}
+	for name, t := range b.teams {
+		b.applyLimitTo(name, t)
+	}
+}
+
+// queueOf returns the queue of a job by the newest version of the policy that lists it.
+func (b *Planner) queueOf(j *job) (caspec.Queue, bool) {
+	if j.queue == nil {
+		return caspec.Queue{}, false
+	}
+	return *j.queue, true
+}
+
+// applyTermsTo applies the definition of its queue to a job, unless it is the one that the job has.
+func (b *Planner) applyTermsTo(j *job) {
+	q, ok := b.terms.Queue(j.Submission.Queue)
+	if !ok || q == j.queue {
+		return
+	}
+	if j.pool != q.Pool {
+		b.dropReservations(j)
+	}
+	j.queue, j.pool, j.priority = q, q.Pool, q.Priority
+	if j.Phase.IsFinal() {
+		return
+	}
+	j.objective = objective(*q, j.Submission.Steps)
+	for _, s := range j.steps {
+		b.applySlackTo(s)
+	}
+}
+
+// dropReservations gives back the room that is reserved for a job.
+func (b *Planner) dropReservations(j *job) {
+	for _, s := range j.steps {
+		b.dropReservation(s)
+	}
+}
+
+// applySlackTo determines how much time a step has beyond its run time, by the queue of its job.
+func (b *Planner) applySlackTo(s *step) {
+	q, _ := b.queueOf(s.job)
+	s.slack = slackOf(q, s.job.Submission.Steps)
+	s.urgent = isUrgent(s.slack, s.spec)
+}
+
+// OpenJobs counts the jobs that have not ended, by queue.
+func (b *Planner) OpenJobs() map[caspec.QueueName]int {
+	counts := make(map[caspec.QueueName]int)
+	for _, j := range b.jobs {
+		if !j.Phase.IsFinal() {
+			counts[j.Submission.Queue]++
+		}
+	}
+	return counts
+}
+
+// logRemovedQueues logs the queues that are no longer listed and have open jobs.
+func (b *Planner) logRemovedQueues(queues []caspec.QueueName) {
+	if len(queues) == 0 {
+		return
+	}
+	open := b.OpenJobs()
+	for _, name := range queues {
+		if open[name] > 0 {
+			b.logRemovedQueue(name, open[name])
+		}
+	}
+}
+
+func (b *Planner) logRemovedQueue(name caspec.QueueName, open int) {
+	caevent.Info(b.log, caevent.QueueRemoved).Str("queue", string(name)).Int("jobs", open).Int64("policy", b.policy.Version).
+		Int64("listed_by", b.terms.QueueVersion(name)).Send()
+}
+
+// endUnneededTerms ends the definitions that the policy in force does not list once the end of the last job
+// that needs them is stored.
+func (b *Planner) endUnneededTerms() {
+	if !b.terms.HasUnlisted() {
+		return
+	}
+	queues, teams := make(map[caspec.QueueName]bool), make(map[cawork.TeamName]bool)
+	for _, j := range b.jobs {
+		if !j.storedPhase.IsFinal() {
+			queues[j.Submission.Queue], teams[j.Submission.Team] = true, true
+		}
+	}
+	ended := b.terms.Prune(func(q caspec.QueueName) bool { return queues[q] }, func(t cawork.TeamName) bool { return teams[t] })
+	for _, name := range ended {
+		delete(b.queues, name)
+		caevent.Info(b.log, caevent.QueueEnded).Str("queue", string(name)).Int64("policy", b.policy.Version).Send()
+	}
+}
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -13,6 +13,7 @@
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
 const (
@@ -20,7 +21,7 @@
 	claimKey = "leader"
 	// layoutKey is the key of the record that divides the cell into shards.
 	layoutKey = "layout"
-	// beforeLayoutKey sorts after the keys of jobs and crashes and before layoutKey and
+	// beforeLayoutKey sorts after the keys of jobs, crashes and definitions and before layoutKey and
 	// claimKey, so that a read after it skips them.
 	beforeLayoutKey = "layou"
 	// jobPrefix precedes the ID of a job in its key.
@@ -164,7 +165,9 @@
 type storedState struct {
 	// runTimes is the record of the speeds of upstreams, nil without one.
 	runTimes []byte
-	jobs     []*castate.Job
+	// terms are the records of the definitions that jobs need.
+	terms []caterms.Record
+	jobs  []*castate.Job
 	// crashes are the crashes of upstreams under the tasks of jobs.
 	crashes map[cawork.JobID]*cacrash.History
 	// unreadableJobs and unreadableCrashes count the records that cannot be decoded.
@@ -180,6 +183,10 @@
 		s.runTimes = e.Value
 		return
 	}
+	if strings.HasPrefix(e.Key, caterms.KeyPrefix) {
+		s.terms = append(s.terms, caterms.Record{Key: e.Key, Value: e.Value})
+		return
+	}
 	if id, ok := strings.CutPrefix(e.Key, crashPrefix); ok {
 		h, err := cacrash.Decode(e.Value)
 		if err != nil {
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -103,9 +103,12 @@
 		return caboard.Batch{}, nil, now.Monotonic, err
 	}
 	l.rejectDropped(batch)
-	entries := make([]LogEntry, 0, len(batch.Crashes)+len(batch.Records)+len(l.extraEntries))
+	entries := make([]LogEntry, 0, len(batch.Terms)+len(batch.Crashes)+len(batch.Records)+len(l.extraEntries))
 	entries = append(entries, l.extraEntries...)
 	l.extraEntries = nil
+	for _, r := range batch.Terms {
+		entries = append(entries, LogEntry{Key: r.Key, Value: r.Value})
+	}
 	for _, r := range batch.Crashes {
 		entries = append(entries, LogEntry{Key: crashPrefix + string(r.Job), Value: r.Value})
 	}
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -93,6 +93,7 @@
 		l.listReadAt = began
 	}
 	l.updateListValidity()
+	unreadableTerms := l.planner.RestoreTerms(state.terms)
 	for _, j := range state.jobs {
 		l.planner.Restore(j)
 	}
@@ -104,7 +105,7 @@
 	l.startRenewals(ctx)
 	caevent.Info(l.Log, caevent.OwnershipGained).Int64("token", l.token).Int("jobs", len(state.jobs)).
 		Int("unreadable", state.unreadableJobs).Int("crashes", len(state.crashes)).
-		Int("unreadable_crashes", state.unreadableCrashes).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
+		Int("unreadable_crashes", state.unreadableCrashes).Int("definitions", len(state.terms)).Int("unreadable_definitions", unreadableTerms).Int("upstreams", len(upstreams.list)).AnErr("list_error", upstreams.err).
 		Dur("load_took", l.Timer.Now().Sub(began)).Send()
 	return nil
 }
--- a/internal/cell/caspec/policy.go
+++ b/internal/cell/caspec/policy.go
@@ -36,6 +36,13 @@
 	Approval *Approval `cbor:"11,keyasint,omitempty"`
 }
 
+// WithoutCallTerms returns the queue with only what concerns the jobs that it has accepted, not the calls of
+// callers.
+func (q Queue) WithoutCallTerms() Queue {
+	q.Host, q.Prefix, q.Timeout, q.Public = "", "", 0, false
+	return q
+}
+
 // Approval describes how long the advisor takes to answer and how long its
 // tickets are valid.
 type Approval struct {
@@ -73,6 +80,12 @@
 	Keys  []string         `cbor:"4,keyasint,omitempty"`
 }
 
+// WithoutKeys returns the team without its keys.
+func (t Team) WithoutKeys() Team {
+	t.Keys = nil
+	return t
+}
+
 // Policy is one complete version of the operator's configuration.
 type Policy struct {
 	Version int64   `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/cell/caterms/catalog.go
@@ -0,0 +1,169 @@
+package caterms
+
+import (
+	"cmp"
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// catalog holds the definitions of one kind by their names.
+type catalog[N ~string, T any] struct {
+	prefix string
+	items  map[N]*item[T]
+	// unlisted counts the items that the policy in force does not list.
+	unlisted int
+	// changed are the items to store, and removed the keys of the records to remove.
+	changed map[N]bool
+	removed []string
+}
+
+// item is one definition.
+type item[T any] struct {
+	value *T
+	// version is the newest known version of the policy that lists the item.
+	version int64
+	listed  bool
+	// needed is set once a job has needed the item, and stored while there is a record of it.
+	needed, stored bool
+}
+
+func newCatalog[N ~string, T any](prefix string) catalog[N, T] {
+	return catalog[N, T]{prefix: prefix, items: make(map[N]*item[T]), changed: make(map[N]bool)}
+}
+
+// apply applies what a version lists. It returns the names that the version before listed and this one does
+// not, in order.
+func (c *catalog[N, T]) apply(version int64, listed map[N]T) []N {
+	var gone []N
+	for name, i := range c.items {
+		if _, ok := listed[name]; !ok && i.listed {
+			i.listed = false
+			gone = append(gone, name)
+		}
+	}
+	for name, value := range listed {
+		i, ok := c.items[name]
+		if !ok {
+			c.items[name] = &item[T]{value: &value, version: version, listed: true}
+			continue
+		}
+		i.listed = true
+		if version < i.version {
+			continue
+		}
+		i.version = version
+		if reflect.DeepEqual(*i.value, value) {
+			continue
+		}
+		i.value = &value
+		if i.needed || i.stored {
+			c.changed[name] = true
+		}
+	}
+	c.countUnlisted()
+	slices.Sort(gone)
+	return gone
+}
+
+func (c *catalog[N, T]) countUnlisted() { c.unlisted = len(c.unlistedNames()) }
+
+func (c *catalog[N, T]) unlistedNames() []N {
+	var names []N
+	for name, i := range c.items {
+		if !i.listed {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *catalog[N, T]) value(name N) (*T, bool) {
+	i, ok := c.items[name]
+	if !ok {
+		return nil, false
+	}
+	return i.value, true
+}
+
+func (c *catalog[N, T]) isListed(name N) bool {
+	i, ok := c.items[name]
+	return ok && i.listed
+}
+
+func (c *catalog[N, T]) version(name N) int64 {
+	i, ok := c.items[name]
+	if !ok {
+		return 0
+	}
+	return i.version
+}
+
+func (c *catalog[N, T]) need(name N) {
+	i, ok := c.items[name]
+	if !ok {
+		return
+	}
+	i.needed = true
+	if !i.stored {
+		c.changed[name] = true
+	}
+}
+
+// prune ends the unlisted items that nothing needs, and returns their names in order.
+func (c *catalog[N, T]) prune(needs func(N) bool) []N {
+	var ended []N
+	for _, name := range c.unlistedNames() {
+		if needs(name) {
+			continue
+		}
+		if c.items[name].stored {
+			c.removed = append(c.removed, keyOf(c.prefix, name))
+		}
+		delete(c.items, name)
+		delete(c.changed, name)
+		ended = append(ended, name)
+	}
+	c.unlisted -= len(ended)
+	return ended
+}
+
+func (c *catalog[N, T]) hasChanges() bool { return len(c.changed) > 0 || len(c.removed) > 0 }
+
+func (c *catalog[N, T]) takeChanges(wrap func(T) definition) ([]Record, error) {
+	records := make([]Record, 0, len(c.removed)+len(c.changed))
+	for _, key := range c.removed {
+		records = append(records, Record{Key: key})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.changed)) {
+		i := c.items[name]
+		d := wrap(*i.value)
+		d.Version = i.version
+		value, err := d.encode()
+		if err != nil {
+			return nil, err
+		}
+		i.stored = true
+		records = append(records, Record{Key: keyOf(c.prefix, name), Value: value})
+	}
+	c.removed = nil
+	clear(c.changed)
+	slices.SortStableFunc(records, func(x, y Record) int { return cmp.Compare(x.Key, y.Key) })
+	return records, nil
+}
+
+func (c *catalog[N, T]) restore(name N, version int64, value T) {
+	i, ok := c.items[name]
+	switch {
+	case !ok:
+		i = &item[T]{value: &value, version: version}
+		c.items[name] = i
+		c.unlisted++
+	case i.version < version:
+		i.value, i.version = &value, version
+	case !reflect.DeepEqual(*i.value, value):
+		c.changed[name] = true
+	}
+	i.stored = true
+}
--- /dev/null
+++ b/internal/cell/caterms/terms.go
@@ -0,0 +1,108 @@
+// Package caterms keeps the terms that the jobs of a shard run under: the definitions of their queues
+// and teams by the newest version of the policy that lists them. The policy in force may list them no
+// more, and a new leader knows no other version, so the definitions that open jobs need are stored.
+//
+// A definition is stored before or together with the first job that needs it, and again when a version
+// changes it. It ends once no version lists it and no open job needs it.
+package caterms
+
+import (
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// Terms holds the definitions of queues and teams. It is not safe for concurrent use.
+type Terms struct {
+	queues catalog[caspec.QueueName, caspec.Queue]
+	teams  catalog[cawork.TeamName, caspec.Team]
+}
+
+// New returns empty Terms.
+func New() *Terms {
+	return &Terms{
+		queues: newCatalog[caspec.QueueName, caspec.Queue](queuePrefix),
+		teams:  newCatalog[cawork.TeamName, caspec.Team](teamPrefix),
+	}
+}
+
+// Apply applies a version of the policy. It returns the queues and teams that the version before listed
+// and this one does not.
+func (t *Terms) Apply(p caspec.Policy) (queues []caspec.QueueName, teams []cawork.TeamName) {
+	listedQueues := make(map[caspec.QueueName]caspec.Queue, len(p.Queues))
+	for _, q := range p.Queues {
+		listedQueues[q.Name] = q.WithoutCallTerms()
+	}
+	listedTeams := make(map[cawork.TeamName]caspec.Team, len(p.Teams))
+	for _, team := range p.Teams {
+		listedTeams[team.Name] = team.WithoutKeys()
+	}
+	return t.queues.apply(p.Version, listedQueues), t.teams.apply(p.Version, listedTeams)
+}
+
+// Queue returns the definition of a queue. The pointer stays the same until a version changes the
+// definition. It reports false if no known version lists the queue.
+func (t *Terms) Queue(name caspec.QueueName) (*caspec.Queue, bool) { return t.queues.value(name) }
+
+// IsListed reports whether the policy in force lists the queue.
+func (t *Terms) IsListed(name caspec.QueueName) bool { return t.queues.isListed(name) }
+
+// QueueVersion returns the newest known version of the policy that lists the queue, zero without one.
+func (t *Terms) QueueVersion(name caspec.QueueName) int64 { return t.queues.version(name) }
+
+// Team returns the definition of a team, without its keys. It reports false if no known version lists the
+// team.
+func (t *Terms) Team(name cawork.TeamName) (caspec.Team, bool) {
+	team, ok := t.teams.value(name)
+	if !ok {
+		return caspec.Team{}, false
+	}
+	return *team, true
+}
+
+// Need makes the definitions of a queue and a team be stored with the next changes, for a job of theirs.
+func (t *Terms) Need(queue caspec.QueueName, team cawork.TeamName) {
+	t.queues.need(queue)
+	t.teams.need(team)
+}
+
+// HasUnlisted reports whether there are definitions that the policy in force does not list.
+func (t *Terms) HasUnlisted() bool { return t.queues.unlisted > 0 || t.teams.unlisted > 0 }
+
+// Unlisted returns the queues with a definition that the policy in force does not list, by name.
+func (t *Terms) Unlisted() []caspec.QueueName { return t.queues.unlistedNames() }
+
+// Prune ends the definitions that the policy in force does not list and no job needs. It returns the queues
+// among them.
+func (t *Terms) Prune(needsQueue func(caspec.QueueName) bool, needsTeam func(cawork.TeamName) bool) []caspec.QueueName {
+	t.teams.prune(needsTeam)
+	return t.queues.prune(needsQueue)
+}
+
+// HasChanges reports whether TakeChanges would return records.
+func (t *Terms) HasChanges() bool { return t.queues.hasChanges() || t.teams.hasChanges() }
+
+// TakeChanges returns the records to store, in the order of their keys. From then on they count as stored.
+func (t *Terms) TakeChanges() ([]Record, error) {
+	queues, err := t.queues.takeChanges(func(q caspec.Queue) definition { return definition{Queue: &q} })
+	if err != nil {
+		return nil, err
+	}
+	teams, err := t.teams.takeChanges(func(team caspec.Team) definition { return definition{Team: &team} })
+	return append(queues, teams...), err
+}
+
+// Restore adds a stored definition. A version of the policy that was applied before goes first, unless it is
+// older. An error has KindInvalid.
+func (t *Terms) Restore(r Record) error {
+	d, err := decode(r)
+	if err != nil {
+		return err
+	}
+	if d.Queue != nil {
+		t.queues.restore(d.Queue.Name, d.Version, *d.Queue)
+	}
+	if d.Team != nil {
+		t.teams.restore(d.Team.Name, d.Version, *d.Team)
+	}
+	return nil
+}
