A team's upper limit outlives its place in the policy

A team that a version no longer lists had the zero Team, and an upper limit of zero means that there is none: its accepted jobs then ran without a limit, while other teams were held to theirs.

Evidence: TestLimitOutlivesTeam failed before: 8 runs of one core each with a limit of 4 cores. It checks a new leader as well, and that no key of a team is stored.

The limit is that of the newest version that lists the team. It is stored like that of a queue, while an open job needs it.

--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -117,6 +117,30 @@
 	}
 }
 
+// TestLimitOutlivesTeam guards against a team that runs beyond its upper limit once a version no longer lists it: a
+// limit of zero means that there is none.
+func TestLimitOutlivesTeam(t *testing.T) {
+	limited := caspec.Team{Name: "north", Weight: 1000, Limit: cawork.Resources{CPU: cawork.Cores(4)}, Keys: []string{"secret"}}
+	s := newShardLog(t, plainQueue())
+	s.publish(2, []caspec.Queue{plainQueue()}, limited)
+	s.submit("job", "queue", caspec.Step{Tasks: 8, CPU: 1000, Memory: cawork.GiB, Estimate: time.Second})
+	s.store()
+	withoutTeam := policyOf(3, []caspec.Queue{plainQueue()})
+	s.planner.SetPolicy(withoutTeam)
+	if diff := cmp.Diff(4, len(s.planAndStore())); diff != "" {
+		t.Errorf("runs of a team with a limit of 4 that is no longer listed (-want +got):\n%s", diff)
+	}
+	s.lead(withoutTeam)
+	if diff := cmp.Diff(0, len(s.planAndStore())); diff != "" {
+		t.Errorf("more runs under a new leader (-want +got):\n%s", diff)
+	}
+	for key, value := range s.terms {
+		if bytes.Contains(value, []byte("secret")) {
+			t.Errorf("the record %s contains a key of its team", key)
+		}
+	}
+}
+
 // TestAttemptsOutliveQueue guards against tasks that fail without end since no version in force says how many attempts
 // they have.
 func TestAttemptsOutliveQueue(t *testing.T) {
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -66,7 +66,7 @@
 	if err := b.checkRecord(s); err != nil {
 		return false, err
 	}
-	team, _ := b.policy.Team(s.Team)
+	team, _ := b.terms.Team(s.Team)
 	waited := b.refusals.Waited(s.ID, b.now.Monotonic)
 	stale := waited > slackOf(q, s.Steps)
 	excess = !b.teamOf(s.Team).hasToken(b.now.Monotonic, team.Weight, stale)
@@ -77,7 +77,7 @@
 }
 
 func (b *Planner) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
-	teamPolicy, _ := b.policy.Team(team)
+	teamPolicy, _ := b.terms.Team(team)
 	atOnce := tasksAtOnce(s)
 	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -35,7 +35,7 @@
 
 // applyLimitTo looks up the upper limit of a team.
 func (b *Planner) applyLimitTo(name cawork.TeamName, t *teamUsage) {
-	team, _ := b.policy.Team(name)
+	team, _ := b.terms.Team(name)
 	t.limit = team.Limit
 }
 
