A submission repeated through the successor of its queue is no conflict

If another queue has taken the place of its queue meanwhile, the answer was 409, though the job had been accepted and runs: a caller would take it for refused.

Cause: a submission counted as a repetition only if it named the same queue by name, which callers do not know: they name a host and a path.

TestRepeatedSubmissionThroughSuccessor failed before with the conflict. Two listed queues that get one ID, or two teams, are still a conflict.

--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -316,6 +317,31 @@
 	}
 }
 
+// TestRepeatedSubmissionThroughSuccessor guards against a caller whose first call got no answer and whose repeated one is
+// refused, though the job runs, because another queue has taken the place of its queue.
+func TestRepeatedSubmissionThroughSuccessor(t *testing.T) {
+	next := plainQueue()
+	next.Name = "next"
+	s := newShardLog(t, plainQueue(), next)
+	s.submit("job", "queue", smallStep(1))
+	s.store()
+	repeated := caspec.Submission{ID: "job", Queue: "next", Team: "north", Steps: []caspec.Step{smallStep(1)}}
+	foreign := repeated
+	foreign.Team = "south"
+	_, err := s.planner.Submit(repeated)
+	if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
+		t.Errorf("submission with the id of a job of another listed queue (-want +got):\n%s", diff)
+	}
+	s.publish(2, []caspec.Queue{next}, caspec.Team{Name: "north", Weight: 1000}, caspec.Team{Name: "south", Weight: 1000})
+	if stored, err := s.planner.Submit(repeated); !stored || err != nil {
+		t.Errorf("repeated submission: stored %v, error %v, want that the job is stored", stored, err)
+	}
+	_, err = s.planner.Submit(foreign)
+	if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
+		t.Errorf("submission of another team (-want +got):\n%s", diff)
+	}
+}
+
 // TestRemovedQueuesAreLogged guards against operators who do not learn that accepted jobs go on under a queue that they
 // removed, and why these wait.
 func TestRemovedQueuesAreLogged(t *testing.T) {
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -15,7 +15,7 @@
 // means that the job is not accepted.
 func (b *Planner) Submit(s caspec.Submission) (stored bool, err error) {
 	if j, ok := b.jobs[s.ID]; ok {
-		if j.Submission.Queue != s.Queue || j.Submission.Team != s.Team {
+		if !b.isRepeated(j, s) {
 			return false, cakind.New(cakind.KindConflict, "job %s was submitted to another queue or by another team", s.ID)
 		}
 		return j.stored, nil
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -85,6 +85,15 @@
 	s.urgent = isUrgent(s.slack, s.spec)
 }
 
+// isRepeated reports whether a submission repeats that of the job. Of a queue that is no longer listed, it may
+// come through another queue, such as one that has taken its place.
+func (b *Planner) isRepeated(j *job, s caspec.Submission) bool {
+	if j.Submission.Team != s.Team {
+		return false
+	}
+	return j.Submission.Queue == s.Queue || !b.terms.IsListed(j.Submission.Queue)
+}
+
 // OpenJobs counts the jobs that have not ended, by queue.
 func (b *Planner) OpenJobs() map[caspec.QueueName]int {
 	counts := make(map[caspec.QueueName]int)
