A version that permits fewer attempts ends jobs that have used them up

What callers saw: nothing on today's configurations, which change no attempts; found while it was decided which terms hold for accepted jobs. Where a queue returns, or a version changes it, with fewer attempts than a task has used, the task was started once more, beyond the attempts of the version in force, and the invariant "task has attempts left" was counted as broken.

Cause: attempts were compared with their maximum only as a run fails.

Evidence: TestFewerAttemptsEndJob failed before: one start, one broken invariant. The job fails now when the definition of its queue changes, and when a leader restores it.

--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -170,6 +170,28 @@
 	}
 }
 
+// TestFewerAttemptsEndJob guards against a start beyond the attempts of the version in force, where a queue returns with
+// fewer of them than its open jobs have used.
+func TestFewerAttemptsEndJob(t *testing.T) {
+	s := newShardLog(t, plainQueue())
+	s.submit("job", "queue", smallStep(1))
+	for range 2 {
+		s.planAndStore()
+		s.endAll(caorder.EndingFailed)
+		s.store()
+	}
+	s.publish(2, nil)
+	stricter := plainQueue()
+	stricter.MaxAttempts = 2
+	s.publish(3, []caspec.Queue{stricter})
+	if starts := len(s.planAndStore()); starts > 0 || s.planner.BrokenInvariants() > 0 {
+		t.Errorf("%d starts of a task with 2 failed runs, %d broken invariants, want none after a version that permits 2", starts, s.planner.BrokenInvariants())
+	}
+	if phase, _ := s.planner.Phase("job"); phase != castate.PhaseFailed {
+		t.Errorf("phase %v, want failed", phase)
+	}
+}
+
 // TestAdvisorIsAskedAfterQueueIsRemoved guards against steps that wait without end for tickets that nobody requests or
 // takes any more.
 func TestAdvisorIsAskedAfterQueueIsRemoved(t *testing.T) {
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -19,6 +19,7 @@
 		b.openSteps(j, o)
 	}
 	b.updateRecordRoom(j)
+	b.failIfAttemptsUsedUp(j)
 	if state.Phase.IsFinal() {
 		b.stopRuns(j)
 		b.releaseEndedJob(j)
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -1,6 +1,8 @@
 package caboard
 
 import (
+	"slices"
+
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -69,6 +71,7 @@
 	for _, s := range j.steps {
 		b.applySlackTo(s)
 	}
+	b.failIfAttemptsUsedUp(j)
 }
 
 // dropReservations gives back the room that is reserved for a job.
@@ -85,6 +88,20 @@
 	s.urgent = isUrgent(s.slack, s.spec)
 }
 
+// failIfAttemptsUsedUp fails a job if a version of the policy permits no more attempts than a task or gang of it
+// has used.
+func (b *Planner) failIfAttemptsUsedUp(j *job) {
+	for _, s := range slices.Clone(j.steps) {
+		failures := s.state().GangFailures
+		for _, t := range s.state().Tasks {
+			failures = max(failures, t.Failures)
+		}
+		if failures > 0 && !s.state().IsDone() {
+			b.failIfExhausted(s, failures)
+		}
+	}
+}
+
 // isRepeated reports whether a submission repeats that of the job. Of a queue that is no longer listed, it may
 // come through another queue, such as one that has taken its place.
 func (b *Planner) isRepeated(j *job, s caspec.Submission) bool {
