The soak removes, replaces and brings back the routes that jobs are on

FaultRoutes does it in three ways, in series, beside all other faults: the queue goes and another one takes its place for good; another one takes its path and gives it back; it goes, with another one elsewhere, and returns.

--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -17,6 +17,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/soak/caconn"
 	"celeryarch.example/celeryarch/internal/soak/caproxy"
+	"celeryarch.example/celeryarch/internal/soak/caroutes"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -64,6 +65,7 @@
 	upstreams       []cawork.UpstreamID
 	upstreamProxies []*caproxy.Proxy
 	policyVersion   int64
+	routes          caroutes.Routes
 	load            *loadGenerator
 	// work is set in place of load if the soak has a workload.
 	work *workGenerator
@@ -229,13 +231,30 @@
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
+	return c.emulator.Configure(ctx, c.routes.Apply(c.policy()))
+}
+
+// policy returns the configuration without changes of routes.
+func (c *cell) policy() caspec.Policy {
 	if c.work != nil {
-		return c.emulator.Configure(ctx, c.work.workload().Policy(c.policyVersion, poolName))
+		return c.work.workload().Policy(c.policyVersion, poolName)
 	}
-	return c.emulator.Configure(ctx, caspec.Policy{
+	return caspec.Policy{
 		Version: c.policyVersion, Pools: []caspec.Pool{{Name: poolName}}, Queues: []caspec.Queue{queueSpec()},
 		Teams: []caspec.Team{{Name: teamName, Weight: 1000, Keys: []string{teamKey}}},
-	})
+	}
+}
+
+// changeRoute begins or ends a change of the route of a queue, and publishes it.
+func (c *cell) changeRoute(ctx context.Context, e faultEvent) error {
+	queues := c.policy().Queues
+	queue, change := queues[e.fault.Target%len(queues)].Name, caroutes.Change(e.fault.Way)
+	if e.begins {
+		c.routes.Begin(queue, change)
+	} else {
+		c.routes.End(queue, change)
+	}
+	return c.configure(ctx)
 }
 
 // close stops the nodes, proxies and servers.
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -281,6 +281,8 @@
 		c.applyPlanned(e, l)
 	case FaultLateRenewals:
 		return c.applyLateRenewals(ctx, e)
+	case FaultRoutes:
+		return c.changeRoute(ctx, e)
 	case FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
 		return c.applyStopFault(ctx, e, l)
 	}
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -52,6 +52,17 @@
 	runSoaks(t, addedSoaks(4, casoak.FaultDeadlyJob))
 }
 
+// TestSeedsWithChangingRoutes guards against accepted jobs that do not go on once operators remove or replace their
+// routes, beside losses of power and killed nodes.
+func TestSeedsWithChangingRoutes(t *testing.T) {
+	soaks := addedSoaks(9, casoak.FaultRoutes)
+	for name, o := range soaks {
+		o.Added = append(o.Added, casoak.FaultPowerLossAfterSubmit, casoak.FaultKillInDrain)
+		soaks[name] = o
+	}
+	runSoaks(t, soaks)
+}
+
 // TestSeedsWithOddEntries guards against entries that end, or follow the list of upstreams no
 // more, since another writer left an odd entry in it, and against runs that are started twice.
 func TestSeedsWithOddEntries(t *testing.T) {
