Operators read how many accepted jobs run under a removed queue

An operator who removed a route learned neither before nor after it that accepted jobs still run under it: check-policy compares two configurations, and 415 said nothing of the queue.

- explain shows 432 in the time line of a job whose queue is removed while it is open.

--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -11,6 +11,7 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
 const (
@@ -180,6 +181,7 @@
 		Log: g.Log.With().Int("shard", l.shard).Logger(), Scope: g.Scope, Timer: g.Timer, WallClockMS: g.WallMillis,
 		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token, Previous: previous,
 		ListBound: g.ViewBounds.UpstreamDrain, LeaderFitness: g.leaderFitness, EndsDelay: g.endsDelay(),
+		ReportOpenJobs: func(counts map[caspec.QueueName]int) { g.openJobs.Report(l.shard, counts) },
 	}, c, token, end)
 	leader.ObserveProcess(g.Self.VM, g.Self.Address, g.Nonce)
 	g.mu.Lock()
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -14,6 +14,7 @@
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
@@ -66,6 +67,8 @@
 	Deps
 	done  chan struct{}
 	agent *carelay.Agent
+	// openJobs reports how many jobs the shards led here have open.
+	openJobs *cagauge.OpenJobs
 	// layoutKnown is closed when the layout is known.
 	layoutKnown chan struct{}
 
@@ -88,7 +91,7 @@
 // New returns a Gate that has not found any leader yet.
 func New(deps Deps) *Gate {
 	g := &Gate{
-		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), layoutKnown: make(chan struct{}),
+		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), openJobs: cagauge.NewOpenJobs(deps.Scope), layoutKnown: make(chan struct{}),
 		roster: caroster.New(deps.Self.VM), feedLostAt: deps.Timer.Now(), startedAt: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -111,6 +111,9 @@
 	// EndsDelay is how long the ends of tasks that complete no step may wait to be stored together
 	// with others, to spare the link of the entry. Zero means not at all.
 	EndsDelay time.Duration
+	// ReportOpenJobs reports how many accepted jobs have not ended, by queue, from time to time and with nil when
+	// the leader stops leading. It may be nil.
+	ReportOpenJobs func(map[caspec.QueueName]int)
 }
 
 // Leader leads one shard of a cell until another leader takes over or its context
@@ -164,6 +167,8 @@
 	upstreamCount  upstreamCount
 	// countedAt is when unstartedJobs were counted.
 	countedAt  time.Time
+	// openReportedAt is when the open jobs were last reported.
+	openReportedAt time.Time
 	policy     caspec.Policy
 	layout     calayout.Layout
 	goroutines sync.WaitGroup
@@ -258,6 +263,9 @@
 	l.stopLeading(err)
 	l.goroutines.Wait()
 	l.failWaiters()
+	if l.ReportOpenJobs != nil {
+		l.ReportOpenJobs(nil)
+	}
 }
 
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
--- a/internal/cell/caleader/orders.go
+++ b/internal/cell/caleader/orders.go
@@ -99,6 +99,7 @@
 		if l.Timer.Now().Sub(l.countedAt) >= countPeriod {
 			l.countUnstarted()
 		}
+		l.reportOpenJobs()
 		if l.isStoreSuspected() {
 			l.rejectUnsentJobs()
 		}
--- a/internal/cell/caleader/pending.go
+++ b/internal/cell/caleader/pending.go
@@ -6,8 +6,21 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-// countPeriod is the time between two counts of the jobs that have not begun to run.
-const countPeriod = 250 * time.Millisecond
+const (
+	// countPeriod is the time between two counts of the jobs that have not begun to run.
+	countPeriod = 250 * time.Millisecond
+	// openJobsPeriod is the time between two reports of the jobs that have not ended.
+	openJobsPeriod = 2 * time.Second
+)
+
+// reportOpenJobs reports how many jobs of each queue have not ended, if that is due. The lock is held.
+func (l *Leader) reportOpenJobs() {
+	if l.ReportOpenJobs == nil || l.Timer.Now().Sub(l.openReportedAt) < openJobsPeriod {
+		return
+	}
+	l.openReportedAt = l.Timer.Now()
+	l.ReportOpenJobs(l.planner.OpenJobs())
+}
 
 // countUnstarted counts the accepted jobs that have not begun to run, for Pending. The lock
 // is held.
--- a/internal/cell/capolicy/diff.go
+++ b/internal/cell/capolicy/diff.go
@@ -25,6 +25,20 @@
 	return append(changes, diffParts("team", inForce.Teams, p.Teams, func(t caspec.Team) string { return string(t.Name) })...)
 }
 
+// RemovedQueues returns the queues in force that a policy does not list, and the queue that gets the calls to each of them
+// then, empty if there is none.
+func RemovedQueues(inForce, p caspec.Policy) map[caspec.QueueName]caspec.QueueName {
+	removed := make(map[caspec.QueueName]caspec.QueueName)
+	for _, q := range inForce.Queues {
+		if _, ok := p.Queue(q.Name); ok {
+			continue
+		}
+		successor, _ := p.QueueFor(q.Host, q.Prefix)
+		removed[q.Name] = successor.Name
+	}
+	return removed
+}
+
 // diffParts compares the parts of one type by their names.
 func diffParts[T any](kind string, inForce, list []T, nameOf func(T) string) []string {
 	var changes []string
--- a/internal/cli/caexplain/explain_test.go
+++ b/internal/cli/caexplain/explain_test.go
@@ -212,3 +212,29 @@
 		t.Errorf("lines about crashes (-want +got):\n%s", diff)
 	}
 }
+
+// TestTimelineTellsThatQueueWasRemoved guards against an operator who looks for the reason of a wait and does not learn that
+// the queue of the job is gone.
+func TestTimelineTellsThatQueueWasRemoved(t *testing.T) {
+	log := leaderLog() + "\n" + strings.Join([]string{
+		fmt.Sprintf(`{"event":432,"queue":"checks","jobs":1,"policy":7,"listed_by":6,"time":%q}`, timeAt(8700)),
+		fmt.Sprintf(`{"event":400,"job":"open","queue":"checks","team":"north","objective":2000,"time":%q}`, timeAt(8800)),
+		fmt.Sprintf(`{"event":432,"queue":"others","jobs":1,"policy":8,"listed_by":6,"time":%q}`, timeAt(8900)),
+		fmt.Sprintf(`{"event":432,"queue":"checks","jobs":1,"policy":9,"listed_by":8,"time":%q}`, timeAt(9000)),
+	}, "\n")
+	for id, want := range map[string][]string{"prompt": nil, "open": {"checks"}} {
+		h, _, err := ReadHistory(caloglines.NewReader(caloglines.Log{Name: "a", Content: strings.NewReader(log)}), id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, m := range h.Timeline {
+			if m.Line.Event == caevent.QueueRemoved {
+				got = append(got, m.Line.Queue)
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("job %s, queues that were removed while it was open (-want +got):\n%s", id, diff)
+		}
+	}
+}
--- a/internal/cli/caexplain/timeline.go
+++ b/internal/cli/caexplain/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/cli/caloglines"
 )
 
@@ -40,7 +41,7 @@
 	j := newJob(id)
 	var lines []caloglines.Line
 	for line, ok := r.Next(); ok; line, ok = r.Next() {
-		if !line.Concerns(id) {
+		if !line.Concerns(id) && !j.losesQueue(line) {
 			continue
 		}
 		j.addLine(line)
@@ -61,3 +62,8 @@
 	}
 	return h, len(lines) > 0, r.Err()
 }
+
+// losesQueue reports whether a line tells that a version of the policy removes the queue of the open job.
+func (j *job) losesQueue(l caloglines.Line) bool {
+	return l.Event == caevent.QueueRemoved && l.Queue == j.queue && !j.accepted.IsZero() && j.ended.IsZero()
+}
--- a/internal/cli/caloglines/line.go
+++ b/internal/cli/caloglines/line.go
@@ -37,6 +37,9 @@
 	Status    int            `json:"status"`
 	Took      float64        `json:"took"`
 	Error     string         `json:"error"`
+	// Policy is a version of the policy, and ListedBy the newest one that lists a queue that it removes.
+	Policy   int64 `json:"policy"`
+	ListedBy int64 `json:"listed_by"`
 	// Upstreams crashed under a task of the job.
 	Upstreams []string `json:"upstreams"`
 	// SuspectJobs are the jobs that may have crashed the upstream.
--- a/internal/cli/caloglines/text.go
+++ b/internal/cli/caloglines/text.go
@@ -23,6 +23,9 @@
 	if l.Event == caevent.StepLacksRoom {
 		b.WriteString(" " + l.roomText())
 	}
+	if l.Event == caevent.QueueRemoved {
+		fmt.Fprintf(&b, " %s by version %d, its open jobs go on as under version %d", l.Queue, l.Policy, l.ListedBy)
+	}
 	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
 		if detail != "" {
 			b.WriteString(" " + detail)
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -119,6 +119,9 @@
   check-policy FILE          check a configuration for entries on the platform
                              before it is written to the store
       --in-force=PATH        and show what it changes in this one
+      --metrics=URL          and how many accepted jobs have not ended of queues
+                             that it removes; give the metrics of all entries
+      --timeout=TIME         wait for them at most this long (5s)
   submit, get, cancel and load
       --entry=URL            entry to call (environment CELERYARCH_ENTRY;
                              http://127.0.0.1:7100)
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -293,8 +293,10 @@
 
 // CheckPolicy are the options of the command check-policy.
 type CheckPolicy struct {
-	InForce string     `long:"in-force" value-name:"PATH"`
-	Args    PolicyFile `positional-args:"yes" required:"yes"`
+	InForce string        `long:"in-force" value-name:"PATH"`
+	Metrics []string      `long:"metrics" value-name:"URL"`
+	Timeout time.Duration `long:"timeout" default:"5s" value-name:"TIME"`
+	Args    PolicyFile    `positional-args:"yes" required:"yes"`
 }
 
 // PolicyFile is the argument that names a file with a configuration as operators write it to the store.
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -23,6 +23,7 @@
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cli/cacommand"
+	"celeryarch.example/celeryarch/internal/cli/caopenjobs"
 	"celeryarch.example/celeryarch/internal/cli/caoption"
 	"celeryarch.example/celeryarch/internal/config/casettings"
 	"celeryarch.example/celeryarch/internal/node/caapi"
@@ -67,7 +68,7 @@
 		StandinUpstream: runStandinUpstream,
 		Load:            runLoad,
 		CheckPolicy: func(out cacommand.Output, o caoption.CheckPolicy) error {
-			return platform.CheckPolicy(out.Stdout, o.Args.Path, o.InForce)
+			return platform.CheckPolicy(out.Stdout, o.Args.Path, o.InForce, openJobs(o))
 		},
 		Log: func(url string) caplatform.Log {
 			return cahttp.NewLog(cahttp.NewClient(platformTimeout), url)
@@ -76,6 +77,16 @@
 	}
 }
 
+// openJobs returns how to read the numbers of open jobs, nil without an address of metrics.
+func openJobs(o caoption.CheckPolicy) platform.OpenJobs {
+	if len(o.Metrics) == 0 {
+		return nil
+	}
+	return func() (map[string]int, error) {
+		return caopenjobs.Read(context.Background(), &http.Client{Timeout: o.Timeout}, metricsPrefix, o.Metrics)
+	}
+}
+
 // newDeps returns the logger, timer and metrics of an entry, and a closer of the
 // metrics.
 func newDeps(w io.Writer, level zerolog.Level) (caentry.Deps, io.Closer) {
