Tests of calls about jobs whose route was removed or replaced

The team of a lasting job cancels it through any route that its key may use, also under a new leader. A successor does not count the waiting jobs of the queue before it.

--- a/internal/cell/cagate/removedqueues_test.go
+++ b/internal/cell/cagate/removedqueues_test.go
@@ -9,6 +9,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
 // policyLog is the operators' newest policy. Entries that start later never read the versions before it.
@@ -228,3 +229,38 @@
 		})
 	}
 }
+
+// TestTeamCancelsLongRunningJobOfRemovedQueue guards against long-running jobs that nobody can end any more, and against a
+// queue that counts the waiting jobs of the one whose place it took.
+func TestTeamCancelsLongRunningJobOfRemovedQueue(t *testing.T) {
+	queue, other := namedQueue("queue"), namedQueue("other")
+	var policy *policyLog
+	runInTestCell(t, 3, func(t *testing.T, c *testCell) {
+		c.fleet.SetRunTime(func(caorder.RunID) (time.Duration, bool) { return time.Hour, false })
+		step, tooLarge := testStep(), testStep()
+		step.LongRunning = true
+		id := c.submitTo("queue", step)
+		time.Sleep(2 * time.Second)
+		tooLarge.Tasks, tooLarge.LongRunning = 4*testUpstreams, true
+		waiting := c.submitTo("queue", tooLarge)
+		policy.publish(other, successor(queue, "next"))
+		c.restartAllEntries(time.Second)
+		gate := c.gates()[entryName(1)]
+		if got, err := gate.Pending(context.Background(), "next"); err != nil || got != 0 {
+			t.Errorf("%d jobs of the successor are pending, want none, error %v", got, err)
+		}
+		for _, canceled := range []cawork.JobID{id, waiting} {
+			c.accepted.Remove(canceled)
+			if err := gate.Cancel(context.Background(), "north", canceled); err != nil {
+				t.Errorf("cancel job %s: %v", canceled, err)
+			}
+			time.Sleep(3 * time.Second)
+			phase, err := gate.Phase(context.Background(), "north", canceled)
+			if running := c.fleet.Running(canceled); running > 0 || err != nil || phase != castate.PhaseCanceled {
+				t.Errorf("job %s: %d tasks run, phase %v, error %v, want none and canceled", canceled, running, phase, err)
+			}
+		}
+		c.fleet.SetRunTime(func(caorder.RunID) (time.Duration, bool) { return time.Second, false })
+		c.submitTo("next", testStep())
+	}, func(c *testCell) { policy = c.publishFrom(queue, other) })
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -166,12 +166,12 @@
 	proposedLayout calayout.Layout
 	upstreamCount  upstreamCount
 	// countedAt is when unstartedJobs were counted.
-	countedAt  time.Time
+	countedAt time.Time
 	// openReportedAt is when the open jobs were last reported.
 	openReportedAt time.Time
-	policy     caspec.Policy
-	layout     calayout.Layout
-	goroutines sync.WaitGroup
+	policy         caspec.Policy
+	layout         calayout.Layout
+	goroutines     sync.WaitGroup
 	// runTimes is the last stored record of the speeds of upstreams, stored at runTimesAt.
 	runTimes   []byte
 	runTimesAt time.Time
