--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -1,26 +1,16 @@
 package caboard
 
 import (
-	"time"
-
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-const (
-	// outageRetryShare is the fraction of its objective after which a job that was
-	// refused in an outage is retried, bounded by MinOutageRetry and maxOutageRetry.
-	outageRetryShare = 1.0 / 6
-	maxOutageRetry   = 2 * time.Second
-	// MinOutageRetry is the shortest delay after which callers retry in an outage.
-	MinOutageRetry = time.Second
-)
-
 // forecastFor predicts the wait of a submission, from the room that the last plan left.
 func (b *Planner) forecastFor(s caspec.Submission, q caspec.Queue, excess bool) caadmission.Forecast {
-	f := caadmission.Forecast{Excess: excess, QueueRate: b.statsOf(q.Name).startRate.Value(b.now.Monotonic), Slack: slackOf(q, s.Steps)}
+	f := caadmission.Forecast{Excess: excess, QueueRate: b.statsOf(q.Name).startRate.Value(b.now.Monotonic), Slack: caobjective.SlackOf(q, s.Steps)}
 	for _, step := range s.Steps {
 		f.PeakDemand = max(f.PeakDemand, step.CPU*cawork.MilliCPU(step.Tasks))
 	}
@@ -76,17 +66,3 @@
 func (s *step) awaitsAdvisor(q caspec.Queue) bool {
 	return q.Approval != nil && !s.approvals.hasAnswer
 }
-
-// slackOf returns how long a job may wait and still meet its objective.
-func slackOf(q caspec.Queue, steps []caspec.Step) time.Duration {
-	criticalPath := criticalPathOf(q, steps)
-	return time.Duration((q.Stretch-1)*float64(criticalPath)) + q.TargetLatency
-}
-
-// OutageRetryAfter returns the delay after which a caller should retry a job that can not be
-// accepted during an outage. Callers give up after a few attempts, so jobs with long
-// objectives are retried less often: they outlast a longer outage, and most of their time
-// is still left.
-func OutageRetryAfter(q caspec.Queue, steps []caspec.Step) time.Duration {
-	return min(max(time.Duration(outageRetryShare*float64(objective(q, steps))), MinOutageRetry), maxOutageRetry)
-}
--- a/internal/cell/caboard/advice.go
+++ b/internal/cell/caboard/advice.go
@@ -171,7 +171,7 @@
 // them. Until then an upstream that is back finds the answers about it.
 func (b *Planner) freeSlots() {
 	for id, slot := range b.slots {
-		if _, isKnown := b.knownRooms[id]; isKnown || b.bySlot[slot] != nil {
+		if b.knownRooms.Contains(id) || b.bySlot[slot] != nil {
 			continue
 		}
 		delete(b.slots, id)
--- a/internal/cell/caboard/advice_test.go
+++ b/internal/cell/caboard/advice_test.go
@@ -10,6 +10,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -60,7 +61,7 @@
 					list = append(list, caspec.Upstream{ID: id, Address: "a", Pool: "pool", Incarnation: rapid.Int64Range(1, 2).Draw(t, "born"), Capacity: cawork.Resources{CPU: 16000}})
 				}
 			}
-			s.advance(rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second, 2 * roomRetention}).Draw(t, "pause"))
+			s.advance(rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second, 2 * caroom.Retention}).Draw(t, "pause"))
 			s.planner.SetUpstreams(list)
 			naive.forget(s.planner, listedAt, list, s.now)
 			s.checkAnswers(t, step, naive)
@@ -103,7 +104,7 @@
 		listedAt[u.ID] = now
 	}
 	for id, at := range listedAt {
-		if _, isPresent := b.upstreams[id]; !isPresent && now.Sub(at) > roomRetention {
+		if _, isPresent := b.upstreams[id]; !isPresent && now.Sub(at) > caroom.Retention {
 			delete(n.decided, id)
 			delete(n.tickets, id)
 		}
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -9,13 +9,10 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
-// objectiveRequestUpstreams is the number of upstreams in the approval request that the
-// objective of a step allows time for.
-const objectiveRequestUpstreams = 30
-
 // nextApprovalRequest returns the next approval request for a step, if one is due and
 // worth its cost.
 func (b *Planner) nextApprovalRequest(s *step, q caspec.Queue) (caorder.ApprovalRequest, bool) {
@@ -96,7 +93,7 @@
 		if u == nil || !s.spec.Size().Fits(u.free()) || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
-		fitting := fittingTasks(b.roomFor(s, u), s.spec)
+		fitting := caroom.TasksIn(b.roomFor(s, u), s.spec)
 		slots += fitting
 		if _, isValid := b.validTicket(s, u, b.now.Monotonic); isValid {
 			validSlots += fitting
@@ -208,7 +205,7 @@
 // requestSize returns how many upstreams to request for the waiting tasks of a step,
 // where approvalRate is the probability that an upstream is approved.
 func requestSize(s *step, approvalRate float64) int {
-	perUpstream := max(fittingTasks(typicalFree, s.spec), 1)
+	perUpstream := max(caroom.TasksIn(typicalFree, s.spec), 1)
 	neededUpstreams := float64(s.waitingTasks+s.tasksEnding)/float64(perUpstream) + 1
 	n := int(math.Ceil(neededUpstreams * requestSpareFactor / max(approvalRate, 0.1)))
 	return min(max(n, minRequestUpstreams), maxRequestUpstreams)
--- a/internal/cell/caboard/approvalwait_test.go
+++ b/internal/cell/caboard/approvalwait_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -76,7 +77,7 @@
 	)
 	p := newSlowPath(t, slots, latency)
 	accepted, refused := p.run(1.5*capacity, loadTime)
-	slack := slackOf(approvedQueue(), []caspec.Step{smallStep(1)})
+	slack := caobjective.SlackOf(approvedQueue(), []caspec.Step{smallStep(1)})
 	late := 0
 	for _, wait := range p.waits {
 		if wait > 2*slack {
--- a/internal/cell/caboard/approvedroom.go
+++ b/internal/cell/caboard/approvedroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -21,7 +22,7 @@
 		if !u.listed || u.info.Pool != q.Pool || !u.info.HasLabel(s.spec.Label) {
 			continue
 		}
-		places := fittingTasks(u.info.Capacity, s.spec)
+		places := caroom.TasksIn(u.info.Capacity, s.spec)
 		switch {
 		case s.approvals.isApproved(u):
 			room.approved++
@@ -35,15 +36,7 @@
 
 // isTooSmall reports whether a step can't run before upstreams join, are restarted or grow.
 func (r approvedRoom) isTooSmall(s caspec.Step) bool {
-	return r.undecided == 0 && r.places < tasksAtOnce(s)
-}
-
-// tasksAtOnce returns how many tasks of a step must have room at the same time for any of them to start.
-func tasksAtOnce(s caspec.Step) int {
-	if s.Gang {
-		return s.Tasks
-	}
-	return 1
+	return r.undecided == 0 && r.places < caroom.AtOnce(s)
 }
 
 // logLackedRoom logs which waiting steps have become ones that do not fit on the upstreams that the advisor
@@ -55,7 +48,7 @@
 	b.lackedRoomLoggedAt = b.now.Monotonic
 	for _, s := range b.steps {
 		q, ok := b.queueOf(s.job)
-		if !ok || q.Approval == nil || !s.ready || s.waitingTasks < tasksAtOnce(s.spec) || b.now.Monotonic.Sub(s.waitBegan()) < minLongWait {
+		if !ok || q.Approval == nil || !s.ready || s.waitingTasks < caroom.AtOnce(s.spec) || b.now.Monotonic.Sub(s.waitBegan()) < minLongWait {
 			continue
 		}
 		b.logLackedRoomOf(s, b.approvedRoomOf(s, q))
@@ -71,5 +64,5 @@
 	caevent.Info(b.log, caevent.StepLacksRoom).Str("job", string(s.job.Submission.ID)).Int("step", s.number).
 		Str("queue", string(s.job.Submission.Queue)).Str("team", string(s.job.Submission.Team)).
 		Dur("since_ready", b.now.Monotonic.Sub(s.readyAt)).Bool("lacks", lacksRoom).
-		Int("at_once", tasksAtOnce(s.spec)).Int("places", room.places).Int("approved", room.approved).Int("undecided", room.undecided).Send()
+		Int("at_once", caroom.AtOnce(s.spec)).Int("places", room.places).Int("approved", room.approved).Int("undecided", room.undecided).Send()
 }
--- a/internal/cell/caboard/constants.go
+++ b/internal/cell/caboard/constants.go
@@ -92,7 +92,4 @@
 	// maxRackWaitShare is the fraction of its run time for which a step waits for room in
 	// the rack where it runs fastest.
 	maxRackWaitShare = 1.0
-	// teamBurstSeconds is how many seconds' worth of its guaranteed rate a team may
-	// submit at once.
-	teamBurstSeconds = 2.0
 )
--- a/internal/cell/caboard/gangplacement.go
+++ b/internal/cell/caboard/gangplacement.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -36,7 +37,7 @@
 	}
 	defer p.endPlacement()
 	if s.wide {
-		b.partitionOf(q.Pool).addGang(s.spec)
+		b.partitionOf(q.Pool).AddGang(s.spec)
 	}
 	number := nextRunNumber(s.state())
 	checkpoint := newestCheckpoint(s.state())
@@ -121,7 +122,7 @@
 func (b *Planner) gangUpstreams(s *step, q caspec.Queue, p *poolPlan) []usableUpstream {
 	var usable []usableUpstream
 	for _, u := range b.usableUpstreams(s, q, p) {
-		fitting := fittingTasks(b.roomFor(s, u), s.spec)
+		fitting := caroom.TasksIn(b.roomFor(s, u), s.spec)
 		if fitting == 0 {
 			continue
 		}
--- a/internal/cell/caboard/headroom.go
+++ b/internal/cell/caboard/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
 // overcommitShare is the fraction of its upper limit by which a team may have approval
@@ -43,11 +44,11 @@
 func (h headroom) fits(s *step) bool {
 	name := s.job.Submission.Team
 	team := h.planner.teamOf(name)
-	if team.limit.IsZero() {
+	if team.Limit().IsZero() {
 		return true
 	}
-	used := team.used.Plus(h.claimed[name])
-	return fitsLimit(used.Plus(h.required(s)), overcommittedLimit(team.limit))
+	used := team.Used().Plus(h.claimed[name])
+	return cateam.Fits(used.Plus(h.required(s)), overcommittedLimit(team.Limit()))
 }
 
 // admits reports whether approval should be requested for a step: it can start soon
--- a/internal/cell/caboard/invariants.go
+++ b/internal/cell/caboard/invariants.go
@@ -30,5 +30,5 @@
 	caevent.Warn(b.log, caevent.InvariantBroken).Str("invariant", invariant).Int("count", b.brokenInvariants).
 		Str("job", string(r.id.Job)).Int("step", r.id.Step).Int("task", r.id.Index).Int("run", r.id.Number).
 		Str("upstream", string(r.upstream.info.ID)).Stringer("free", r.upstream.free()).
-		Str("team", string(r.team)).Stringer("used", b.teamOf(r.team).used).Send()
+		Str("team", string(r.team)).Stringer("used", b.teamOf(r.team).Used()).Send()
 }
--- a/internal/cell/caboard/list.go
+++ b/internal/cell/caboard/list.go
@@ -29,7 +29,7 @@
 		b.poolSizes[info.Pool]++
 	}
 	b.listReadAt = readAt
-	b.knownRooms.add(list, b.now.Monotonic)
+	b.knownRooms.Add(list, b.now.Monotonic)
 	b.forgetUpstreams()
 	b.freeSlots()
 }
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -48,7 +49,7 @@
 			usable++
 			if _, ok := b.mayPlace(s, q, u); ok {
 				permitted++
-				fitting += fittingTasks(u.free(), s.spec)
+				fitting += caroom.TasksIn(u.free(), s.spec)
 			}
 		}
 		survey = b.surveyRoom(s, q, p)
@@ -60,7 +61,7 @@
 		Int("runs", s.liveRuns).Int("usable", usable).Int("permitted", permitted).Int("room", fitting).
 		Bool("within_limit", b.withinLimit(s.job.Submission.Team, s.spec.Size())).Bool("asking", s.approvals.requestPending).
 		Bool("held", s.hasReserved()).Bool("probation", s.job.onProbation).Bool("excess", s.job.OverRate).Float64("pool_free", freeShare).Float64("pool_held", reservedShare).
-		Float64("pool_area", b.partitionOf(q.Pool).share).
+		Float64("pool_area", b.partitionOf(q.Pool).Share()).
 		Int("with_room", survey.withRoom).Int("unasked", survey.undecided).Int("rejected", survey.rejected).Int("expired", survey.expired).
 		Int("spread", survey.full).Int("kept", survey.reserved).Int("gang_area", survey.partition).
 		Int("apart", survey.apart).Send()
--- a/internal/cell/caboard/partition_test.go
+++ b/internal/cell/caboard/partition_test.go
@@ -44,7 +44,7 @@
 func TestPatientWorkStaysOutOfGangPartition(t *testing.T) {
 	s := newSimulation(t, 30, gangQueue(), patientQueue())
 	s.startGangs(3)
-	if share := s.planner.partitionOf("pool").share; share < 0.5 {
+	if share := s.planner.partitionOf("pool").Share(); share < 0.5 {
 		t.Fatalf("the gang partition is %.2f of the pool, though gangs are all of the work", share)
 	}
 	for i := range 40 {
@@ -65,10 +65,10 @@
 	freeSlots := 0
 	for _, u := range s.planner.upstreams {
 		if u.inPartition {
-			freeSlots += u.free().Holds(s.planner.partitionOf("pool").slotSize())
+			freeSlots += u.free().Holds(s.planner.partitionOf("pool").SlotSize())
 		}
 	}
-	if needed := int(s.planner.partitionOf("pool").meanTasks); freeSlots < needed {
+	if needed := int(s.planner.partitionOf("pool").MeanTasks()); freeSlots < needed {
 		t.Errorf("%d slots are free in the gang partition, for a gang of %d tasks", freeSlots, needed)
 	}
 	before := patientTasksInPartition()
@@ -91,7 +91,7 @@
 		s.submit(fmt.Sprintf("patient-%02d", i), "patient", patientStep(4))
 		s.startAll()
 	}
-	if diff := cmp.Diff(0.0, s.planner.partitionOf("pool").share); diff != "" {
+	if diff := cmp.Diff(0.0, s.planner.partitionOf("pool").Share()); diff != "" {
 		t.Errorf("share of the gang partition (-want +got):\n%s", diff)
 	}
 }
@@ -225,27 +225,6 @@
 	}
 }
 
-// TestOutageRetryGrowsWithObjective covers callers that give up after a few attempts: if
-// all were told to retry as soon, jobs with long objectives would not outlast an outage.
-func TestOutageRetryGrowsWithObjective(t *testing.T) {
-	step := func(estimate time.Duration) []caspec.Step { return []caspec.Step{{Tasks: 1, Estimate: estimate}} }
-	tests := []struct {
-		name  string
-		queue caspec.Queue
-		steps []caspec.Step
-		want  time.Duration
-	}{
-		{"urgent", caspec.Queue{Stretch: 1.5, TargetLatency: 300 * time.Millisecond}, step(640 * time.Millisecond), time.Second},
-		{"between", caspec.Queue{Stretch: 2, TargetLatency: time.Second}, step(4 * time.Second), 1500 * time.Millisecond},
-		{"patient", caspec.Queue{Stretch: 4, TargetLatency: 3 * time.Second}, step(5 * time.Second), 2 * time.Second},
-	}
-	for _, test := range tests {
-		if diff := cmp.Diff(test.want, OutageRetryAfter(test.queue, test.steps)); diff != "" {
-			t.Errorf("%s (-want +got):\n%s", test.name, diff)
-		}
-	}
-}
-
 // TestPatientWorkAsksOnlyForUpstreamsItMayUse covers patient work that has no room outside of
 // the gang partition. Until it may use the partition, it must not ask the advisor, through
 // which urgent work asks as well.
--- a/internal/cell/caboard/placecount_test.go
+++ b/internal/cell/caboard/placecount_test.go
@@ -13,6 +13,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -360,7 +361,7 @@
 			Tasks: rapid.IntRange(1, 12).Draw(t, "tasks"), CPU: size.CPU, Memory: size.Memory, Accelerators: size.Accelerators,
 			MaxPerUpstream: rapid.IntRange(0, 3).Draw(t, "max_per_upstream"),
 		}
-		if diff := cmp.Diff(countPlaces(capacity, used, step), fittingTasks(capacity.Minus(used), step)); diff != "" {
+		if diff := cmp.Diff(countPlaces(capacity, used, step), caroom.TasksIn(capacity.Minus(used), step)); diff != "" {
 			t.Errorf("tasks that fit (-want +got):\n%s", diff)
 		}
 	})
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -360,7 +361,7 @@
 // unplacedShare returns the fraction of a step's waiting tasks that does not fit on an
 // upstream.
 func unplacedShare(s *step, u *upstream) float64 {
-	return max(1-float64(fittingTasks(u.free(), s.spec))/float64(s.waitingTasks), 0)
+	return max(1-float64(caroom.TasksIn(u.free(), s.spec))/float64(s.waitingTasks), 0)
 }
 
 // usableUpstreams returns the upstreams that may be considered for a step: the approved
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -22,11 +22,14 @@
 	"celeryarch.example/celeryarch/internal/cell/caadmission"
 	"celeryarch.example/celeryarch/internal/cell/cacalls"
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
+	"celeryarch.example/celeryarch/internal/cell/cagang"
 	"celeryarch.example/celeryarch/internal/cell/cahealth"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caruntime"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/cateam"
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
@@ -57,12 +60,12 @@
 	slots       map[cawork.UpstreamID]int
 	bySlot      []*upstream
 	unusedSlots []int
-	teams       map[cawork.TeamName]*teamUsage
+	teams       map[cawork.TeamName]*cateam.Usage
 	queues      map[caspec.QueueName]*queueStats
-	partitions  map[caspec.PoolName]*gangPartition
+	partitions  map[caspec.PoolName]*cagang.Partition
 	// poolSizes are the numbers of listed upstreams of the pools.
 	poolSizes  map[caspec.PoolName]int
-	knownRooms knownRooms
+	knownRooms caroom.Known
 	// steps are the open steps that have not ended.
 	steps []*step
 	// pools are the pools with available upstreams, in the current or last plan.
@@ -255,9 +258,8 @@
 	requestDelay caadmission.RequestDelay
 	// startRate measures how much work is started.
 	startRate caadmission.StartRate
-	// meanGangCPU and meanGangMemory are the mean size of whole gangs, in thousandths of
-	// a core and bytes.
-	meanGangCPU, meanGangMemory float64
+	// gangs is the mean size of whole gangs.
+	gangs cagang.Sizes
 }
 
 // New returns an empty Planner. Leases that an earlier leader granted expire at
@@ -268,10 +270,10 @@
 		jobs:                make(map[cawork.JobID]*job),
 		upstreams:           make(map[cawork.UpstreamID]*upstream),
 		slots:               make(map[cawork.UpstreamID]int),
-		teams:               make(map[cawork.TeamName]*teamUsage),
+		teams:               make(map[cawork.TeamName]*cateam.Usage),
 		queues:              make(map[caspec.QueueName]*queueStats),
-		partitions:          make(map[caspec.PoolName]*gangPartition),
-		knownRooms:          make(knownRooms),
+		partitions:          make(map[caspec.PoolName]*cagang.Partition),
+		knownRooms:          make(caroom.Known),
 		changed:             make(map[cawork.JobID]*job),
 		delayedEnds:         delayedEnds{since: make(map[*job]time.Time)},
 		endsToStore:         make(map[*upstream]endWatermark),
@@ -436,40 +438,6 @@
 	}, true
 }
 
-// objective returns the time within which a job should end: the length of its critical
-// path times the stretch of the queue, plus the allowance of the queue.
-func objective(q caspec.Queue, steps []caspec.Step) time.Duration {
-	return time.Duration(q.Stretch*float64(criticalPathOf(q, steps))) + q.TargetLatency
-}
-
-// criticalPathOf returns the length of the longest chain of steps, with an approval
-// request for each.
-func criticalPathOf(q caspec.Queue, steps []caspec.Step) time.Duration {
-	perStep := time.Duration(0)
-	if q.Approval != nil {
-		perStep = q.Approval.Cost(objectiveRequestUpstreams)
-	}
-	longest := time.Duration(0)
-	for _, path := range criticalPaths(steps, perStep) {
-		longest = max(longest, path)
-	}
-	return longest
-}
-
-// criticalPaths returns for each step the length of the longest chain of steps from it
-// on, where each step takes perStep in addition to its estimate. Steps depend on earlier
-// ones only.
-func criticalPaths(steps []caspec.Step, perStep time.Duration) []time.Duration {
-	paths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		paths[i] += steps[i].Estimate + perStep
-		for _, earlier := range steps[i].After {
-			paths[earlier] = max(paths[earlier], paths[i])
-		}
-	}
-	return paths
-}
-
 func (b *Planner) newRun(s *step, index int, u *upstream) *run {
 	t := &s.state().Tasks[index]
 	return &run{
@@ -483,7 +451,7 @@
 
 func (b *Planner) charge(r *run) {
 	r.upstream.charge(r)
-	b.teamOf(r.team).acquire(r.size)
+	b.teamOf(r.team).Acquire(r.size)
 	r.step.liveRuns++
 	r.step.job.runs = append(r.step.job.runs, r)
 }
@@ -497,7 +465,7 @@
 	r.upstream.discharge(r)
 	b.keepAbandonedStart(r)
 	delete(b.stopping, r)
-	b.teamOf(r.team).release(r.size)
+	b.teamOf(r.team).Release(r.size)
 	r.step.liveRuns--
 	r.step.job.removeRun(r)
 	if r.isCurrent() {
--- a/internal/cell/caboard/planner_test.go
+++ b/internal/cell/caboard/planner_test.go
@@ -171,14 +171,3 @@
 		t.Errorf("order of the starts (-want +got):\n%s", diff)
 	}
 }
-
-func TestCriticalPaths(t *testing.T) {
-	step := func(seconds int, after ...int) caspec.Step {
-		return caspec.Step{Tasks: 1, Estimate: time.Duration(seconds) * time.Second, After: after}
-	}
-	got := criticalPaths([]caspec.Step{step(1), step(2, 0), step(5, 0), step(3, 1, 2), step(4)}, 0)
-	want := []time.Duration{9 * time.Second, 5 * time.Second, 8 * time.Second, 3 * time.Second, 4 * time.Second}
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("longest chains (-want +got):\n%s", diff)
-	}
-}
--- a/internal/cell/caboard/planwork_test.go
+++ b/internal/cell/caboard/planwork_test.go
@@ -109,7 +109,9 @@
 			}
 		}},
 		"team at its limit": {team: "team-00", block: func(c *loadedCell) {
-			c.planner.teamOf("team-00").used = cawork.Resources{CPU: cawork.Cores(160)}
+			team := c.planner.teamOf("team-00")
+			team.Release(team.Used())
+			team.Acquire(cawork.Resources{CPU: cawork.Cores(160)})
 		}},
 		"room at rejected upstreams": {team: "team-11", block: leaveRoomAtRejected},
 	}
--- a/internal/cell/caboard/refusals_test.go
+++ b/internal/cell/caboard/refusals_test.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -65,7 +66,7 @@
 	switch {
 	case err == nil && !c.planner.jobs[id].OverRate:
 		c.accepted++
-		if c.now.Sub(firstAttempt) < slackOf(c.queue, []caspec.Step{c.step}) {
+		if c.now.Sub(firstAttempt) < caobjective.SlackOf(c.queue, []caspec.Step{c.step}) {
 			c.onTime++
 		}
 	case err != nil && attemptsLeft > 1:
--- a/internal/cell/caboard/replay_test.go
+++ b/internal/cell/caboard/replay_test.go
@@ -14,6 +14,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -262,7 +263,7 @@
 		}
 		real[i] = s
 	}
-	r.objectives[id] = objective(k.queue, real)
+	r.objectives[id] = caobjective.Of(k.queue, real)
 }
 
 // submit submits a job. If it is refused and attempts are left, the job is submitted again
@@ -272,7 +273,7 @@
 	if r.workload.outage.contains(r.elapsed) {
 		r.planner.Withdraw(s.ID)
 		q, _ := r.planner.policy.Queue(s.Queue)
-		err = cakind.New(cakind.KindUnavailable, "the store is unavailable").WithRetryAfter(OutageRetryAfter(q, s.Steps))
+		err = cakind.New(cakind.KindUnavailable, "the store is unavailable").WithRetryAfter(caobjective.OutageRetryAfter(q, s.Steps))
 	}
 	if err == nil {
 		return
--- a/internal/cell/caboard/requestorder.go
+++ b/internal/cell/caboard/requestorder.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -195,7 +196,7 @@
 // readySoon reports whether the earlier steps are expected to end by the time the advisor
 // has answered.
 func (b *Planner) readySoon(s *step, q caspec.Queue) bool {
-	advisorTime := q.Approval.Cost(objectiveRequestUpstreams)
+	advisorTime := caobjective.AdvisorTime(q)
 	for _, earlier := range s.job.steps {
 		if earlier.occurrence != s.occurrence || !slices.Contains(s.spec.After, earlier.number) {
 			continue
--- a/internal/cell/caboard/requestorder_test.go
+++ b/internal/cell/caboard/requestorder_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
@@ -103,7 +104,7 @@
 // could be in time: these come in two of three turns of the advisor.
 func TestLateStepsDelayThoseInTime(t *testing.T) {
 	const late, newJobs = 300, 2.0 / 3
-	slack := slackOf(approvedQueue(), []caspec.Step{smallStep(1)})
+	slack := caobjective.SlackOf(approvedQueue(), []caspec.Step{smallStep(1)})
 	for name, age := range backlogAges {
 		s := newSimulation(t, 6, approvedQueue())
 		s.lateJobs(late, age)
--- a/internal/cell/caboard/requestyield.go
+++ b/internal/cell/caboard/requestyield.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -45,7 +46,7 @@
 	if !a.hasAnswer || s.restarts() > 0 || s.hasReserved() || !b.isAdvisorScarce(b.isLongRequest(q)) {
 		return true
 	}
-	if b.approvedPlaces(s) < tasksAtOnce(s.spec) {
+	if b.approvedPlaces(s) < caroom.AtOnce(s.spec) {
 		// It cannot run before more upstreams are approved, however much room there is.
 		return true
 	}
@@ -65,7 +66,7 @@
 	if !b.isAdvisorScarce(b.isLongRequest(q)) {
 		return usual
 	}
-	perUpstream := max(fittingTasks(p.maxCapacity, s.spec)/2, fittingTasks(typicalFree, s.spec), 1)
+	perUpstream := max(caroom.TasksIn(p.maxCapacity, s.spec)/2, caroom.TasksIn(typicalFree, s.spec), 1)
 	upstreams := float64(s.waitingTasks+s.tasksEnding)/float64(perUpstream) + 1
 	n := int(math.Ceil(requestSpareFactor * upstreams / max(rate, 0.1)))
 	return min(max(n, minRequestUpstreams), usual)
@@ -76,7 +77,7 @@
 	slots := 0
 	for _, t := range s.approvals.tickets {
 		if u := b.bySlot[t.slot]; u != nil && u.available && !u.isReservedForGang() && s.approvals.isApproved(u) {
-			slots += fittingTasks(u.free(), s.spec)
+			slots += caroom.TasksIn(u.free(), s.spec)
 		}
 	}
 	return float64(slots) >= spareRoomShare*float64(s.spec.Tasks)
@@ -87,7 +88,7 @@
 	places := 0
 	for _, t := range s.approvals.tickets {
 		if u := b.bySlot[t.slot]; u != nil && u.available && s.approvals.isApproved(u) {
-			places += fittingTasks(u.info.Capacity, s.spec)
+			places += caroom.TasksIn(u.info.Capacity, s.spec)
 		}
 	}
 	return places
--- a/internal/cell/caboard/reservation.go
+++ b/internal/cell/caboard/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -162,7 +163,7 @@
 	free := u.free()
 	var slots []expectedSlot
 	add := func(at time.Time) {
-		for range fittingTasks(free, s.spec) - len(slots) {
+		for range caroom.TasksIn(free, s.spec) - len(slots) {
 			slots = append(slots, expectedSlot{upstream: u, freeAt: at})
 		}
 	}
--- a/internal/cell/caboard/restore.go
+++ b/internal/cell/caboard/restore.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -42,13 +43,13 @@
 // openSteps adds the steps of an occurrence, with the runs that its tasks are assigned
 // to.
 func (b *Planner) openSteps(j *job, o *castate.Occurrence) {
-	paths := criticalPaths(j.Submission.Steps, 0)
+	paths := caobjective.CriticalPaths(j.Submission.Steps, 0)
 	for i := range o.Steps {
 		s := &step{job: j, occurrence: o, number: i, spec: j.Submission.Steps[i], readyAt: b.now.Monotonic}
 		s.ready = j.IsReady(o, i)
 		s.criticalPath = paths[i]
 		b.applySlackTo(s)
-		b.statsOf(j.Submission.Queue).addGangSize(s.spec)
+		b.statsOf(j.Submission.Queue).gangs.Add(s.spec)
 		j.steps = append(j.steps, s)
 		for index := range o.Steps[i].Tasks {
 			t := &o.Steps[i].Tasks[index]
--- a/internal/cell/caboard/shrunk_test.go
+++ b/internal/cell/caboard/shrunk_test.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -168,7 +169,7 @@
 	gone := func(s *simulation) { s.planner.SetUpstreams(nil) }
 	longGone := func(s *simulation) {
 		gone(s)
-		s.advance(roomRetention + time.Second)
+		s.advance(caroom.Retention + time.Second)
 		s.planner.SetUpstreams(nil)
 	}
 	tests := map[string]struct {
--- a/internal/cell/caboard/speed.go
+++ b/internal/cell/caboard/speed.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// urgentSlackFactor is the slack, as a multiple of the estimate of a step, below
-	// which a job needs a fast upstream.
-	urgentSlackFactor = 1.5
 	// freeShareWeight weighs the free fraction of an upstream against its speed in the
 	// choice of an upstream.
 	freeShareWeight = 0.25
@@ -103,12 +100,6 @@
 // suitsSpeed reports whether the speed of an upstream is the one at which the tasks of the step should run.
 func (s *step) suitsSpeed(u *upstream) bool { return u.slow == s.prefersSlow }
 
-// isUrgent reports whether a job with the slack has little time beyond the run time of
-// the step. Long-running work is never urgent.
-func isUrgent(slack time.Duration, s caspec.Step) bool {
-	return !s.LongRunning && slack < time.Duration(urgentSlackFactor*float64(s.Estimate))
-}
-
 // baseScore scores an upstream for one more task of a step. The lowest score is the best. Urgent
 // work goes where it runs fast. Other work fills up upstreams, slow ones first, so that
 // the rest keep room for large tasks.
--- a/internal/cell/caboard/standstill_test.go
+++ b/internal/cell/caboard/standstill_test.go
@@ -18,6 +18,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
 // standstillSeed is the first seed of TestAcceptedJobsRunWhileThereIsRoom, and standstillSeeds the
@@ -595,13 +596,13 @@
 	if float64(running.pool) >= maxStandstillUse*standstillUpstreams*float64(standstillCapacity.CPU) {
 		return false
 	}
-	half := b.planner.teamOf(j.team).limit
+	half := b.planner.teamOf(j.team).Limit()
 	half.CPU, half.Memory = cawork.MilliCPU(maxStandstillUse*float64(half.CPU)), cawork.Bytes(maxStandstillUse*float64(half.Memory))
 	atOnce := 1
 	if s.spec.Gang {
 		atOnce = s.spec.Tasks
 	}
-	if !fitsLimit(running.teams[j.team].Plus(s.spec.Size().Times(int64(atOnce))), half) {
+	if !cateam.Fits(running.teams[j.team].Plus(s.spec.Size().Times(int64(atOnce))), half) {
 		return false
 	}
 	places := 0
@@ -624,7 +625,7 @@
 	gang := fmt.Sprintf(" gang %v tasks %d size %v max %d label %q", s.spec.Gang, s.spec.Tasks, s.spec.Size(), s.spec.MaxPerUpstream, s.spec.Label)
 	requests := fmt.Sprintf(" pending %d long %d", b.planner.pendingRequests, b.planner.pendingLongRequests)
 	team := b.planner.teamOf(s.job.Submission.Team)
-	return fmt.Sprintf("%s%s%s team %v of %v", bytes.TrimSpace(log.Bytes()), gang, requests, team.used, team.limit)
+	return fmt.Sprintf("%s%s%s team %v of %v", bytes.TrimSpace(log.Bytes()), gang, requests, team.Used(), team.Limit())
 }
 
 // openJobs describes the steps of the jobs that have not ended.
@@ -653,8 +654,8 @@
 		}
 	}
 	for name, t := range p.teams {
-		if t.used != (cawork.Resources{}) {
-			left = append(left, fmt.Sprintf("team %s: used %v", name, t.used))
+		if t.Used() != (cawork.Resources{}) {
+			left = append(left, fmt.Sprintf("team %s: used %v", name, t.Used()))
 		}
 	}
 	if p.pendingRequests != b.asked || p.pendingLongRequests > b.asked {
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -6,8 +6,11 @@
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
+	"celeryarch.example/celeryarch/internal/cell/caroom"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
 // Submit opens a job. It reports whether the job is stored already, because the submission
@@ -36,7 +39,7 @@
 	j.OverRate = excess
 	j.CrashesCounted = true
 	if !excess {
-		b.teamOf(s.Team).takeToken()
+		b.teamOf(s.Team).TakeToken()
 	}
 	b.addJob(j)
 	if !s.Schedule.IsTimed() {
@@ -48,6 +51,9 @@
 		Int64("policy", b.policy.Version).Dur("objective", j.objective).Send()
 }
 
+// roomRetryAfter is the delay after which callers retry a job that finds too little room for now.
+const roomRetryAfter = time.Second
+
 // admit refuses a job that can never run in this cell or would miss its objective. It
 // reports whether the job is beyond the guaranteed rate of its team.
 func (b *Planner) admit(s caspec.Submission) (excess bool, err error) {
@@ -68,8 +74,8 @@
 	}
 	team, _ := b.terms.Team(s.Team)
 	waited := b.refusals.Waited(s.ID, b.now.Monotonic)
-	stale := waited > slackOf(q, s.Steps)
-	excess = !b.teamOf(s.Team).hasToken(b.now.Monotonic, team.Weight, stale)
+	stale := waited > caobjective.SlackOf(q, s.Steps)
+	excess = !b.teamOf(s.Team).HasToken(b.now.Monotonic, team.Weight, stale)
 	if s.Schedule.IsTimed() || s.IsLongRunning() {
 		return excess, nil
 	}
@@ -78,8 +84,8 @@
 
 func (b *Planner) admitStep(q caspec.Queue, team cawork.TeamName, number int, s caspec.Step) error {
 	teamPolicy, _ := b.terms.Team(team)
-	atOnce := tasksAtOnce(s)
-	if !fitsLimit(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
+	atOnce := caroom.AtOnce(s)
+	if !cateam.Fits(s.Size().Times(int64(atOnce)), teamPolicy.Limit) {
 		return cakind.New(cakind.KindNeverFits, "step %d exceeds the upper limit of team %s", number, team)
 	}
 	if err := b.checkRoom(q.Pool, number, s, atOnce); err != nil {
@@ -88,6 +94,20 @@
 	return b.checkDrainedRoom(q.Pool, s, atOnce)
 }
 
+// checkRoom refuses a step for which the pool lacks room, even when it is empty.
+func (b *Planner) checkRoom(pool caspec.PoolName, number int, s caspec.Step, atOnce int) error {
+	fitting := b.fittingTasksInPool(pool, s, atOnce, caspec.ZoneDrains{})
+	switch {
+	case fitting >= atOnce:
+		return nil
+	case b.knownRooms.MayFit(pool, s, atOnce):
+		return cakind.New(cakind.KindOverloaded, "step %d needs room for %d tasks at once, the pool %s has room for %d for now",
+			number, atOnce, pool, fitting).WithRetryAfter(roomRetryAfter)
+	default:
+		return cakind.New(cakind.KindNeverFits, "step %d needs room for %d tasks at once, the pool %s has room for %d", number, atOnce, pool, fitting)
+	}
+}
+
 // fittingTasksInPool returns how many tasks of a step fit on the upstreams of a pool when
 // these are empty, those outside of the given zones. It stops counting once the number is
 // enough.
@@ -97,7 +117,7 @@
 		if u.info.Pool != pool || !u.info.HasLabel(s.Label) || without.Contains(u.info.Zone) {
 			continue
 		}
-		fitting += fittingTasks(u.info.Capacity, s)
+		fitting += caroom.TasksIn(u.info.Capacity, s)
 		if fitting >= enough {
 			return fitting
 		}
@@ -248,18 +268,5 @@
 	b.updateRecordRoom(j)
 }
 
-// fittingTasks returns how many tasks of the step fit into the free room of one upstream:
-// none if its runs exceed its capacity in any dimension.
-func fittingTasks(room cawork.Resources, s caspec.Step) int {
-	if room.IsNegative() {
-		return 0
-	}
-	n := min(s.Tasks, room.Holds(s.Size()))
-	if s.MaxPerUpstream > 0 {
-		n = min(n, s.MaxPerUpstream)
-	}
-	return n
-}
-
 // age returns how long ago the job was accepted.
 func (b *Planner) age(j *job) time.Duration { return b.now.Monotonic.Sub(j.acceptedAt) }
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -5,6 +5,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
@@ -67,7 +68,7 @@
 	if j.Phase.IsFinal() {
 		return
 	}
-	j.objective = objective(*q, j.Submission.Steps)
+	j.objective = caobjective.Of(*q, j.Submission.Steps)
 	for _, s := range j.steps {
 		b.applySlackTo(s)
 	}
@@ -84,8 +85,8 @@
 // applySlackTo determines how much time a step has beyond its run time, by the queue of its job.
 func (b *Planner) applySlackTo(s *step) {
 	q, _ := b.queueOf(s.job)
-	s.slack = slackOf(q, s.job.Submission.Steps)
-	s.urgent = isUrgent(s.slack, s.spec)
+	s.slack = caobjective.SlackOf(q, s.job.Submission.Steps)
+	s.urgent = caobjective.IsUrgent(s.slack, s.spec)
 }
 
 // failIfAttemptsUsedUp fails a job if a version of the policy permits no more attempts than a task or gang of it
--- a/internal/cell/caboard/upstream.go
+++ b/internal/cell/caboard/upstream.go
@@ -7,6 +7,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/cacalls"
+	"celeryarch.example/celeryarch/internal/cell/cagang"
 	"celeryarch.example/celeryarch/internal/cell/cahealth"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -108,7 +109,7 @@
 
 func newUpstream(info caspec.Upstream) *upstream {
 	return &upstream{
-		info: info, largestCapacity: info.Capacity, runs: make(map[caorder.RunID]*run), slowness: 1, partitionRank: partitionRankOf(info.ID),
+		info: info, largestCapacity: info.Capacity, runs: make(map[caorder.RunID]*run), slowness: 1, partitionRank: cagang.RankOf(info.ID),
 	}
 }
 
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -13,10 +13,10 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
 	"celeryarch.example/celeryarch/internal/cell/caroster"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -288,9 +288,9 @@
 	if !ok {
 		return err
 	}
-	after := caboard.OutageRetryAfter(q, s.Steps)
+	after := caobjective.OutageRetryAfter(q, s.Steps)
 	if deadline, ok := ctx.Deadline(); ok {
-		after = min(after, max(time.Until(deadline)/triesPerDeadline, caboard.MinOutageRetry))
+		after = min(after, max(time.Until(deadline)/triesPerDeadline, caobjective.MinOutageRetry))
 	}
 	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(after)
 }
--- a/internal/cell/cagauge/openjobs.go
+++ b/internal/cell/cagauge/openjobs.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// OpenJobsName is the name of the metric, and QueueLabel that of its label for the queue.
+	// OpenJobsName is the name of the metric.
 	OpenJobsName = "open_jobs"
-	QueueLabel   = "queue"
-	shardLabel   = "shard"
+	// QueueLabel is the name of the label for the queue, and shardLabel that for the shard.
+	QueueLabel = "queue"
+	shardLabel = "shard"
 	// OtherQueues is the label for the jobs of all queues beyond maxQueues together.
 	OtherQueues = "_others"
 	// maxQueues bounds the labels of one process: metrics of queues that are gone are kept.
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -275,14 +275,12 @@
 		if e.begins {
 			return c.configure(ctx)
 		}
-	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge:
+	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultRoutes:
 		return c.applyWorkEvent(ctx, e)
 	case FaultStop, FaultHangup:
 		c.applyPlanned(e, l)
 	case FaultLateRenewals:
 		return c.applyLateRenewals(ctx, e)
-	case FaultRoutes:
-		return c.changeRoute(ctx, e)
 	case FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain:
 		return c.applyStopFault(ctx, e, l)
 	}
