--- a/internal/cell/caboard/advice_test.go
+++ b/internal/cell/caboard/advice_test.go
@@ -87,7 +87,7 @@
 				if rapid.IntRange(0, 9).Draw(t, "expires") > 0 {
 					continue
 				}
-				step.approvals.expire(u)
+				step.approvals.answers.Expire(u.slot)
 				if ticket, ok := naive.tickets[u.info.ID]; ok {
 					ticket.expires = time.Time{}
 					naive.tickets[u.info.ID] = ticket
@@ -123,8 +123,8 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatalf("answers (-want +got):\n%s", diff)
 	}
-	for _, ticket := range step.approvals.tickets {
-		if u := s.planner.bySlot[ticket.slot]; u != nil {
+	for _, ticket := range step.approvals.answers.Tickets() {
+		if u := s.planner.bySlot[ticket.Place.Slot]; u != nil {
 			tickets++
 			if _, ok := naive.tickets[u.info.ID]; !ok {
 				t.Fatalf("the step has a ticket for upstream %s", u.info.ID)
--- a/internal/cell/caboard/approval.go
+++ b/internal/cell/caboard/approval.go
@@ -10,7 +10,9 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caroom"
+	"celeryarch.example/celeryarch/internal/cell/caselection"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/caticket"
 )
 
 // nextApprovalRequest returns the next approval request for a step, if one is due and
@@ -87,9 +89,9 @@
 	}
 	expired := b.candidates[:0]
 	validSlots, slots := 0, 0
-	for _, t := range s.approvals.tickets {
+	for _, t := range s.approvals.answers.Tickets() {
 		b.visits++
-		u := b.bySlot[t.slot]
+		u := b.bySlot[t.Place.Slot]
 		if u == nil || !s.spec.Size().Fits(u.free()) || !s.approvals.isApproved(u) || !u.available || u.isReservedForGang() || !b.mayUsePartition(s, q, u) || !b.isApart(s, u) {
 			continue
 		}
@@ -233,7 +235,7 @@
 	}
 	b.ranked = ranked
 	ids := make([]cawork.UpstreamID, 0, min(n, len(ranked)))
-	for _, r := range sortFirst(ranked, n, rankedUpstream.compare) {
+	for _, r := range caselection.First(ranked, n, rankedUpstream.compare) {
 		ids = append(ids, r.upstream.info.ID)
 	}
 	return ids
@@ -340,7 +342,8 @@
 	}
 	asked := b.askedUpstreams(request)
 	for _, u := range asked {
-		s.approvals.decide(u, len(b.bySlot))
+		s.approvals.hasAnswer = true
+		s.approvals.answers.Decide(u.place(), len(b.bySlot))
 	}
 	expires := b.now.Monotonic.Add(q.Approval.Validity)
 	maxMargin := time.Duration(maxTicketMarginShare * float64(q.Approval.Validity))
@@ -352,7 +355,8 @@
 		if _, hasFresher := b.validTicket(s, u, b.now.Monotonic); late && hasFresher {
 			continue
 		}
-		s.approvals.approve(u, len(b.bySlot), ticket{value: a.Ticket, expires: expires, maxMargin: maxMargin})
+		s.approvals.noRoomSince = 0
+		s.approvals.answers.Approve(u.place(), len(b.bySlot), caticket.Ticket{Value: a.Ticket, Expires: expires, MaxMargin: maxMargin})
 	}
 	stats := b.statsOf(q.Name)
 	rate := float64(len(approved)) / float64(len(request.Upstreams))
--- a/internal/cell/caboard/messages.go
+++ b/internal/cell/caboard/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
@@ -24,7 +25,7 @@
 	// Records.
 	Crashes []Record
 	// Silent are the upstreams to declare as silent in the record of the claim.
-	Silent []SilentUpstream
+	Silent []casilence.Upstream
 	// LongLeases are the leases that a later leader would take for shorter ones.
 	LongLeases []LongLease
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
--- a/internal/cell/caboard/orderoutcomes.go
+++ b/internal/cell/caboard/orderoutcomes.go
@@ -46,7 +46,7 @@
 	u := r.upstream
 	switch outcome {
 	case caorder.StartNoTicket:
-		r.step.approvals.expire(u)
+		r.step.approvals.answers.Expire(u.slot)
 	case caorder.StartUnhealthy, caorder.StartNoRoom, caorder.StartMismatch:
 		u.pausedUntil = b.now.Monotonic.Add(pauseAfterRejection)
 	case caorder.StartLate:
--- a/internal/cell/caboard/plan.go
+++ b/internal/cell/caboard/plan.go
@@ -371,10 +371,10 @@
 		b.visits += int64(len(p.upstreams))
 		return p.upstreams
 	}
-	b.visits += int64(len(s.approvals.tickets))
+	b.visits += int64(len(s.approvals.answers.Tickets()))
 	usable := b.usable[:0]
-	for _, t := range s.approvals.tickets {
-		if u := b.bySlot[t.slot]; u != nil && u.available {
+	for _, t := range s.approvals.answers.Tickets() {
+		if u := b.bySlot[t.Place.Slot]; u != nil && u.available {
 			usable = append(usable, u)
 		}
 	}
@@ -429,7 +429,7 @@
 	s.starts++
 	r := b.newRun(s, index, u)
 	r.ticket = ticket
-	r.ticketExpires = s.approvals.ticketExpiry(u)
+	r.ticketExpires = s.approvals.answers.Expiry(u.slot)
 	b.statsOf(s.job.Submission.Queue).startRate.Add(b.now.Monotonic, caadmission.CoreTimeOf(s.spec.CPU, s.spec.Estimate, 1))
 	r.resumed = t.Checkpoint != ""
 	s.releaseStarted(u)
--- a/internal/cell/caboard/plan_test.go
+++ b/internal/cell/caboard/plan_test.go
@@ -179,7 +179,7 @@
 			var want stepRoom
 			for _, u := range p.upstreams {
 				hasRoom := s.spec.Size().Fits(u.free())
-				want.AtApproved = want.AtApproved || hasRoom && s.approvals.ticketOf(u) != nil
+				want.AtApproved = want.AtApproved || hasRoom && s.approvals.answers.HasTicket(u.slot)
 				want.AtUndecided = want.AtUndecided || hasRoom && !s.approvals.isDecided(u)
 			}
 			got := stepRoom{AtApproved: b.hasRoomAtApproved(s), AtUndecided: b.hasRoomAtUndecided(s, p)}
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -410,7 +410,7 @@
 			continue
 		}
 		if expired {
-			r.step.approvals.expire(r.upstream)
+			r.step.approvals.answers.Expire(r.upstream.slot)
 		}
 		b.stopOtherMembers(r)
 		b.dropRun(r)
--- a/internal/cell/caboard/planwork_test.go
+++ b/internal/cell/caboard/planwork_test.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/caticket"
 )
 
 const (
@@ -31,9 +32,10 @@
 			if s.approvals.isDecided(u) {
 				continue
 			}
-			s.approvals.decide(u, loadedUpstreams)
+			s.approvals.hasAnswer = true
+			s.approvals.answers.Decide(u.place(), loadedUpstreams)
 			if isApproved {
-				s.approvals.approve(u, loadedUpstreams, ticket{value: "t", expires: c.moment().Monotonic.Add(time.Hour)})
+				s.approvals.answers.Approve(u.place(), loadedUpstreams, caticket.Ticket{Value: "t", Expires: c.moment().Monotonic.Add(time.Hour)})
 			}
 		}
 	}
--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -379,6 +379,7 @@
 	s.planner.Cancel("job")
 	s.store()
 	s.planner.RunMaintenance()
+	s.planner.LogRemovedQueues()
 	for _, want := range []string{
 		`"name":"queue_removed","queue":"queue","jobs":1,"policy":2,"listed_by":1`,
 		`"name":"step_waits","job":"job","step":0,"queue":"queue","listed":false`,
--- a/internal/cell/caboard/report_test.go
+++ b/internal/cell/caboard/report_test.go
@@ -9,6 +9,7 @@
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -157,7 +158,7 @@
 func (s *simulation) newLeader() *simulation { return s.newLeaderAfter(nil) }
 
 // newLeaderAfter is like newLeader, where this leader has declared upstreams as silent.
-func (s *simulation) newLeaderAfter(silent []SilentUpstream) *simulation {
+func (s *simulation) newLeaderAfter(silent []casilence.Upstream) *simulation {
 	return s.newLeaderOf(Batch{Silent: silent})
 }
 
--- a/internal/cell/caboard/requestyield.go
+++ b/internal/cell/caboard/requestyield.go
@@ -75,8 +75,8 @@
 // hasSpareRoom reports whether the approved upstreams have room for a gang and more now.
 func (b *Planner) hasSpareRoom(s *step) bool {
 	slots := 0
-	for _, t := range s.approvals.tickets {
-		if u := b.bySlot[t.slot]; u != nil && u.available && !u.isReservedForGang() && s.approvals.isApproved(u) {
+	for _, t := range s.approvals.answers.Tickets() {
+		if u := b.bySlot[t.Place.Slot]; u != nil && u.available && !u.isReservedForGang() && s.approvals.isApproved(u) {
 			slots += caroom.TasksIn(u.free(), s.spec)
 		}
 	}
@@ -86,8 +86,8 @@
 // approvedPlaces returns how many tasks of a step fit on its approved upstreams when these are empty.
 func (b *Planner) approvedPlaces(s *step) int {
 	places := 0
-	for _, t := range s.approvals.tickets {
-		if u := b.bySlot[t.slot]; u != nil && u.available && s.approvals.isApproved(u) {
+	for _, t := range s.approvals.answers.Tickets() {
+		if u := b.bySlot[t.Place.Slot]; u != nil && u.available && s.approvals.isApproved(u) {
 			places += caroom.TasksIn(u.info.Capacity, s.spec)
 		}
 	}
--- a/internal/cell/caboard/room_test.go
+++ b/internal/cell/caboard/room_test.go
@@ -15,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
@@ -134,7 +135,7 @@
 	crashRecords map[cawork.JobID][]byte
 	sizes        map[cawork.JobID][]caspec.Step
 	// silent are the upstreams that the last durable append declares as silent.
-	silent []SilentUpstream
+	silent []casilence.Upstream
 	// longLeases are those that it states.
 	longLeases     []LongLease
 	planner        *Planner
--- a/internal/cell/caboard/roomgrowth.go
+++ b/internal/cell/caboard/roomgrowth.go
@@ -65,16 +65,16 @@
 	grown, isKept := b.growth.since(a.noRoomSince)
 	a.noRoomSince = 0
 	if !isKept {
-		for _, t := range a.tickets {
+		for _, t := range a.answers.Tickets() {
 			b.visits++
-			if u := b.bySlot[t.slot]; u != nil && u.available && size.Fits(u.free()) {
+			if u := b.bySlot[t.Place.Slot]; u != nil && u.available && size.Fits(u.free()) {
 				return true
 			}
 		}
 	}
 	for _, u := range grown {
 		b.visits++
-		if u.available && size.Fits(u.free()) && a.ticketOf(u) != nil {
+		if u.available && size.Fits(u.free()) && a.answers.HasTicket(u.slot) {
 			return true
 		}
 	}
--- a/internal/cell/caboard/silence.go
+++ b/internal/cell/caboard/silence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 )
 
 // A new leader does not know which leases the one before it granted, so that it has to wait
@@ -22,24 +23,11 @@
 // it declares that the upstream is silent.
 const firstAnswerTimeout = 500 * time.Millisecond
 
-// SilentUpstream is an upstream with runs that does not answer.
-type SilentUpstream struct {
-	Upstream    cawork.UpstreamID `cbor:"1,keyasint"`
-	Incarnation int64             `cbor:"2,keyasint,omitempty"`
-	// LeaseRemaining is the longest time until the leases of its runs have expired.
-	LeaseRemaining time.Duration `cbor:"3,keyasint,omitempty"`
-	// Draining is set if it drained before. It may have left the list since.
-	Draining bool `cbor:"5,keyasint,omitempty"`
-	// Declaration identifies the appends without a break that declare the upstream, of one leader
-	// or several. Its lease is not extended meanwhile. Zero means unknown.
-	Declaration int64 `cbor:"4,keyasint,omitempty"`
-}
-
 // silenceLog holds the upstreams that were declared silent.
 type silenceLog struct {
 	// inherited are those that the leader before declared, and leadingSince is when this one
 	// took over.
-	inherited    map[cawork.UpstreamID]SilentUpstream
+	inherited    map[cawork.UpstreamID]casilence.Upstream
 	leadingSince time.Time
 	// taken and stored are those of the last batch that was taken, and stored.
 	taken, stored map[cawork.UpstreamID]bool
@@ -54,7 +42,7 @@
 
 // InheritSilence applies the silent upstreams that the last append of the leader before
 // declared. It is called before any job is restored.
-func (b *Planner) InheritSilence(list []SilentUpstream) {
+func (b *Planner) InheritSilence(list []casilence.Upstream) {
 	for _, s := range list {
 		b.silence.inherited[s.Upstream] = s
 		b.silence.stored[s.Upstream] = true
@@ -108,7 +96,7 @@
 
 func newSilenceLog(leadingSince time.Time, seed int64) silenceLog {
 	return silenceLog{
-		inherited: make(map[cawork.UpstreamID]SilentUpstream), leadingSince: leadingSince,
+		inherited: make(map[cawork.UpstreamID]casilence.Upstream), leadingSince: leadingSince,
 		taken: make(map[cawork.UpstreamID]bool), stored: make(map[cawork.UpstreamID]bool),
 		declarations: make(map[cawork.UpstreamID]int64), lastDeclaration: seed * declarationsPerLeader,
 	}
@@ -124,17 +112,17 @@
 }
 
 // declareSilence returns the upstreams to declare as silent with the next batch.
-func (b *Planner) declareSilence() []SilentUpstream {
+func (b *Planner) declareSilence() []casilence.Upstream {
 	b.silence.taken = make(map[cawork.UpstreamID]bool)
 	declarations := make(map[cawork.UpstreamID]int64)
-	var list []SilentUpstream
+	var list []casilence.Upstream
 	for _, u := range b.sortedUpstreams {
 		if len(u.runs) == 0 || !b.isSilent(u) {
 			continue
 		}
 		b.silence.taken[u.info.ID] = true
 		declarations[u.info.ID] = b.silence.declarationOf(u.info.ID)
-		list = append(list, SilentUpstream{
+		list = append(list, casilence.Upstream{
 			Upstream: u.info.ID, Incarnation: u.info.Incarnation, LeaseRemaining: max(u.leaseExpires.Sub(b.now.Monotonic), 0),
 			Draining:    u.info.Draining && !u.isDescriptionOutdated(),
 			Declaration: declarations[u.info.ID],
--- a/internal/cell/caboard/silence_test.go
+++ b/internal/cell/caboard/silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
@@ -27,7 +28,7 @@
 }
 
 // silentBatch takes the next batch, and returns it and the upstreams that it declares as silent.
-func (s *simulation) silentBatch() (Batch, []SilentUpstream) {
+func (s *simulation) silentBatch() (Batch, []casilence.Upstream) {
 	s.t.Helper()
 	batch, err := s.planner.NextBatch()
 	if err != nil {
@@ -99,7 +100,7 @@
 	waits := map[string]time.Duration{}
 	for name, incarnation := range map[string]int64{"same incarnation": 1, "other incarnation": 2} {
 		s := newSilentUpstream(t)
-		next := s.newLeaderAfter([]SilentUpstream{{Upstream: "up-00", Incarnation: incarnation, LeaseRemaining: remaining}})
+		next := s.newLeaderAfter([]casilence.Upstream{{Upstream: "up-00", Incarnation: incarnation, LeaseRemaining: remaining}})
 		lostAt := next.now
 		for len(next.planner.upstreams["up-00"].runs) > 0 {
 			next.advance(100 * time.Millisecond)
@@ -117,11 +118,11 @@
 // successor must not begin the wait anew.
 func TestSilenceIsDeclaredOn(t *testing.T) {
 	s := newSilentUpstream(t)
-	declared := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 3 * time.Second, Declaration: 5}}
+	declared := []casilence.Upstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 3 * time.Second, Declaration: 5}}
 	next := s.newLeaderAfter(declared)
 	next.advance(100 * time.Millisecond)
 	_, silent := next.silentBatch()
-	want := []SilentUpstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 2900 * time.Millisecond, Declaration: 5}}
+	want := []casilence.Upstream{{Upstream: "up-00", Incarnation: 1, LeaseRemaining: 2900 * time.Millisecond, Declaration: 5}}
 	if diff := cmp.Diff(want, silent); diff != "" {
 		t.Errorf("upstreams declared as silent by the successor (-want +got):\n%s", diff)
 	}
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -17,8 +17,7 @@
 		return
 	}
 	b.policy = p
-	removed, _ := b.terms.Apply(p)
-	b.logRemovedQueues(removed)
+	b.logRemovedQueues(b.terms.Apply(p))
 	b.applyTerms()
 	for _, s := range b.steps {
 		s.approvals.noRoomSince, s.approvals.allDecidedSince = 0, 0
@@ -123,6 +122,10 @@
 	return counts
 }
 
+// LogRemovedQueues logs the queues with open jobs that the policy in force does not list, for a leader that has
+// just restored them.
+func (b *Planner) LogRemovedQueues() { b.logRemovedQueues(b.terms.Unlisted()) }
+
 // logRemovedQueues logs the queues that are no longer listed and have open jobs.
 func (b *Planner) logRemovedQueues(queues []caspec.QueueName) {
 	if len(queues) == 0 {
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -9,9 +9,9 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/calatency"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
@@ -54,7 +54,7 @@
 	// isolated is set while neither the leader nor the store answers this entry.
 	isolated bool
 	// silence is what the claims declared that this entry has read. Only run uses it.
-	silence caboard.SilenceSightings
+	silence casilence.Sightings
 	// granter is what these claims state of the last leader that may have granted leases. Only run
 	// uses it.
 	granter caleader.GranterSighting
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -12,6 +12,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/cacrash"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
@@ -57,7 +58,7 @@
 	Released bool `cbor:"6,keyasint,omitempty"`
 	// Silent are the upstreams that do not answer the leader. It extends none of their leases
 	// until a later claim without them is stored.
-	Silent []caboard.SilentUpstream `cbor:"7,keyasint,omitempty"`
+	Silent []casilence.Upstream `cbor:"7,keyasint,omitempty"`
 	// Process identifies the process of the entry. Later ones of the same VM have higher numbers.
 	Process int64 `cbor:"8,keyasint,omitempty"`
 	// InheritedRemaining is the longest time until the leases that earlier leaders granted
@@ -83,7 +84,7 @@
 
 // after returns the claim as it is some time later, if its leader has granted no lease meanwhile.
 func (c Claim) after(elapsed time.Duration) Claim {
-	silent := make([]caboard.SilentUpstream, 0, len(c.Silent))
+	silent := make([]casilence.Upstream, 0, len(c.Silent))
 	for _, s := range c.Silent {
 		s.LeaseRemaining = max(s.LeaseRemaining-elapsed, 0)
 		silent = append(silent, s)
--- a/internal/cell/caleader/claim_test.go
+++ b/internal/cell/caleader/claim_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 )
 
 // claimWithoutSilence is the claim of builds that do not declare silent upstreams.
@@ -27,7 +27,7 @@
 	claim := Claim{VM: "vm", Address: "a", Token: 7, Seq: 3, Nonce: 9, Released: true}
 	before := claimWithoutSilence{VM: "vm", Address: "a", Token: 7, Seq: 3, Nonce: 9, Released: true}
 	declaring := claim
-	declaring.Silent = []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}}
+	declaring.Silent = []casilence.Upstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}}
 	declaring.Process, declaring.InheritedRemaining = 4, 2*time.Second
 	declaring.RequestDelay, declaring.AdvisorSlowness = 300*time.Millisecond, 1.5
 	entry, err := declaring.logEntry()
@@ -82,7 +82,7 @@
 		LeaseRemaining time.Duration     `cbor:"3,keyasint,omitempty"`
 	}
 	former := silentWithoutDeclaration{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second}
-	declared := caboard.SilentUpstream{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}
+	declared := casilence.Upstream{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}
 	value, err := cbor.Marshal(declared)
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +97,7 @@
 	if value, err = cbor.Marshal(back); err != nil {
 		t.Fatal(err)
 	}
-	var forward caboard.SilentUpstream
+	var forward casilence.Upstream
 	if err := cbor.Unmarshal(value, &forward); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cell/caleader/granter_test.go
+++ b/internal/cell/caleader/granter_test.go
@@ -13,6 +13,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 )
 
 // formerLeader is a leader that was replaced in tests.
@@ -75,17 +76,17 @@
 
 // claimWithoutGranter is the claim of builds that do not state whether their leader grants leases.
 type claimWithoutGranter struct {
-	VM                 cawork.VMID              `cbor:"1,keyasint"`
-	Address            string                   `cbor:"2,keyasint"`
-	Token              int64                    `cbor:"3,keyasint,omitempty"`
-	Seq                int64                    `cbor:"4,keyasint,omitempty"`
-	Nonce              int64                    `cbor:"5,keyasint"`
-	Released           bool                     `cbor:"6,keyasint,omitempty"`
-	Silent             []caboard.SilentUpstream `cbor:"7,keyasint,omitempty"`
-	Process            int64                    `cbor:"8,keyasint,omitempty"`
-	InheritedRemaining time.Duration            `cbor:"9,keyasint,omitempty"`
-	AppendTook         time.Duration            `cbor:"10,keyasint,omitempty"`
-	Taken              bool                     `cbor:"11,keyasint,omitempty"`
+	VM                 cawork.VMID          `cbor:"1,keyasint"`
+	Address            string               `cbor:"2,keyasint"`
+	Token              int64                `cbor:"3,keyasint,omitempty"`
+	Seq                int64                `cbor:"4,keyasint,omitempty"`
+	Nonce              int64                `cbor:"5,keyasint"`
+	Released           bool                 `cbor:"6,keyasint,omitempty"`
+	Silent             []casilence.Upstream `cbor:"7,keyasint,omitempty"`
+	Process            int64                `cbor:"8,keyasint,omitempty"`
+	InheritedRemaining time.Duration        `cbor:"9,keyasint,omitempty"`
+	AppendTook         time.Duration        `cbor:"10,keyasint,omitempty"`
+	Taken              bool                 `cbor:"11,keyasint,omitempty"`
 }
 
 // TestClaimsAreReadByBuildsWithoutGranter covers leaders of both builds one after the other, forward, back and
@@ -95,7 +96,7 @@
 	claim := Claim{
 		VM: "vm", Address: "a", Token: 7, Seq: 3, Nonce: 9, Process: 4, InheritedRemaining: 2 * time.Second,
 		AppendTook: time.Second, Taken: true, GrantsNone: true, Granter: formerLeader(),
-		Silent:     []caboard.SilentUpstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}},
+		Silent:     []casilence.Upstream{{Upstream: "up", Incarnation: 5, LeaseRemaining: time.Second, Declaration: 6}},
 		LongLeases: []caboard.LongLease{{Upstream: "up", Incarnation: 5, Remaining: 20 * time.Second}},
 	}
 	entry, err := claim.logEntry()
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -97,6 +97,7 @@
 	for _, j := range state.jobs {
 		l.planner.Restore(j)
 	}
+	l.planner.LogRemovedQueues()
 	l.planner.RestoreCrashes(state.crashes)
 	l.inheritRunTimes(state.runTimes)
 	l.setAdvisorProxies(l.Timer.Now(), proxies)
--- a/internal/cell/caleader/loading_test.go
+++ b/internal/cell/caleader/loading_test.go
@@ -14,9 +14,9 @@
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
-	"celeryarch.example/celeryarch/internal/cell/caboard"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/casilence"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -129,7 +129,7 @@
 		const remaining = 5 * time.Second
 		log := &testLog{}
 		l := newLeaderOf(log, Claim{
-			VM: "entry-1", Silent: []caboard.SilentUpstream{{Upstream: "up-0", Incarnation: 1, LeaseRemaining: remaining}},
+			VM: "entry-1", Silent: []casilence.Upstream{{Upstream: "up-0", Incarnation: 1, LeaseRemaining: remaining}},
 			InheritedRemaining: MaxInheritedLease,
 		})
 		runCtx, stop := context.WithCancel(t.Context())
--- a/internal/cell/caboard/selection.go
+++ b/internal/cell/caselection/selection.go
@@ -1,10 +1,11 @@
-package caboard
+// Package caselection sorts the first elements of a list.
+package caselection
 
 import "slices"
 
-// sortFirst returns the first n elements of a list in its order, sorted. It reorders the list. The
+// First returns the first n elements of a list in its order, sorted. It reorders the list. The
 // rest is not sorted: a request names a few of many upstreams.
-func sortFirst[T any](list []T, n int, compare func(x, y T) int) []T {
+func First[T any](list []T, n int, compare func(x, y T) int) []T {
 	if n <= 0 {
 		return nil
 	}
--- a/internal/cell/caboard/selection_test.go
+++ b/internal/cell/caselection/selection_test.go
@@ -1,4 +1,4 @@
-package caboard
+package caselection
 
 import (
 	"cmp"
@@ -18,7 +18,7 @@
 		sorted := slices.Clone(list)
 		slices.Sort(sorted)
 		want := append([]int(nil), sorted[:min(n, len(sorted))]...)
-		got := append([]int(nil), sortFirst(list, n, cmp.Compare[int])...)
+		got := append([]int(nil), First(list, n, cmp.Compare[int])...)
 		if diff := gocmp.Diff(want, got); diff != "" {
 			t.Fatalf("first %d (-want +got):\n%s", n, diff)
 		}
--- a/internal/cell/caterms/terms.go
+++ b/internal/cell/caterms/terms.go
@@ -25,9 +25,9 @@
 	}
 }
 
-// Apply applies a version of the policy. It returns the queues and teams that the version before listed
-// and this one does not.
-func (t *Terms) Apply(p caspec.Policy) (queues []caspec.QueueName, teams []cawork.TeamName) {
+// Apply applies a version of the policy. It returns the queues that the version before listed and this one
+// does not.
+func (t *Terms) Apply(p caspec.Policy) (removed []caspec.QueueName) {
 	listedQueues := make(map[caspec.QueueName]caspec.Queue, len(p.Queues))
 	for _, q := range p.Queues {
 		listedQueues[q.Name] = q.WithoutCallTerms()
@@ -36,7 +36,8 @@
 	for _, team := range p.Teams {
 		listedTeams[team.Name] = team.WithoutKeys()
 	}
-	return t.queues.apply(p.Version, listedQueues), t.teams.apply(p.Version, listedTeams)
+	t.teams.apply(p.Version, listedTeams)
+	return t.queues.apply(p.Version, listedQueues)
 }
 
 // Queue returns the definition of a queue. The pointer stays the same until a version changes the
