A definition that a later version brings is stored for the jobs that await it

A leader that loads jobs before it knows any version of the policy, as where all entries are restarted with a new build at once, asked for definitions that it did not have yet, and that was forgotten: what a version listed afterwards counted as needed by nobody, was never stored, and the next leader lacked it. The same for the limit of a team that is listed again.

Found by reading the change once more. TestDefinitionOfLaterPolicyIsStored failed before: the next leader knew neither queue nor limit. Names that jobs need are kept until a version lists them or no job needs them.

--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -392,3 +392,23 @@
 		}
 	}
 }
+
+// TestDefinitionOfLaterPolicyIsStored guards against a definition that the next leader lacks, since the job was loaded
+// before any version of the policy, or before one that lists its team.
+func TestDefinitionOfLaterPolicyIsStored(t *testing.T) {
+	limited := caspec.Team{Name: "north", Weight: 1, Limit: cawork.Resources{CPU: cawork.Cores(4)}}
+	s := newShardLog(t, plainQueue())
+	s.submit("job", "queue", smallStep(1))
+	s.store()
+	clear(s.terms)
+	s.lead(caspec.Policy{})
+	s.publish(5, []caspec.Queue{plainQueue()})
+	s.store()
+	s.publish(6, []caspec.Queue{plainQueue()}, limited)
+	s.store()
+	s.lead(policyOf(7, nil))
+	limit := s.planner.teamOf("north").Limit()
+	if diff := cmp.Diff([]any{true, limited.Limit}, []any{s.planner.jobs["job"].queue != nil, limit}); diff != "" {
+		t.Errorf("known queue and limit of the next leader (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/caterms/catalog.go
+++ b/internal/cell/caterms/catalog.go
@@ -13,6 +13,8 @@
 	items  map[N]*item[T]
 	// unlisted counts the items that the policy in force does not list.
 	unlisted int
+	// awaited are the names that a job needs and no known version lists.
+	awaited map[N]bool
 	// changed are the items to store, and removed the keys of the records to remove.
 	changed map[N]bool
 	removed []string
@@ -29,7 +31,7 @@
 }
 
 func newCatalog[N ~string, T any](prefix string) catalog[N, T] {
-	return catalog[N, T]{prefix: prefix, items: make(map[N]*item[T]), changed: make(map[N]bool)}
+	return catalog[N, T]{prefix: prefix, items: make(map[N]*item[T]), awaited: make(map[N]bool), changed: make(map[N]bool)}
 }
 
 // apply applies what a version lists. It returns the names that the version before listed and this one does
@@ -45,7 +47,7 @@
 	for name, value := range listed {
 		i, ok := c.items[name]
 		if !ok {
-			c.items[name] = &item[T]{value: &value, version: version, listed: true}
+			c.add(name, &item[T]{value: &value, version: version, listed: true})
 			continue
 		}
 		i.listed = true
@@ -66,6 +68,17 @@
 	return gone
 }
 
+// add adds a new item, which a job may need already.
+func (c *catalog[N, T]) add(name N, i *item[T]) {
+	c.items[name] = i
+	if c.awaited[name] {
+		delete(c.awaited, name)
+		c.need(name)
+	}
+}
+
+func (c *catalog[N, T]) hasUnlisted() bool { return c.unlisted > 0 || len(c.awaited) > 0 }
+
 func (c *catalog[N, T]) countUnlisted() { c.unlisted = len(c.unlistedNames()) }
 
 func (c *catalog[N, T]) unlistedNames() []N {
@@ -103,6 +116,7 @@
 func (c *catalog[N, T]) need(name N) {
 	i, ok := c.items[name]
 	if !ok {
+		c.awaited[name] = true
 		return
 	}
 	i.needed = true
@@ -126,6 +140,7 @@
 		ended = append(ended, name)
 	}
 	c.unlisted -= len(ended)
+	maps.DeleteFunc(c.awaited, func(name N, _ bool) bool { return !needs(name) })
 	return ended
 }
 
@@ -157,8 +172,8 @@
 	i, ok := c.items[name]
 	switch {
 	case !ok:
-		i = &item[T]{value: &value, version: version}
-		c.items[name] = i
+		i = &item[T]{value: &value, version: version, stored: true}
+		c.add(name, i)
 		c.unlisted++
 	case i.version < version:
 		i.value, i.version = &value, version
--- a/internal/cell/caterms/terms.go
+++ b/internal/cell/caterms/terms.go
@@ -63,11 +63,14 @@
 // Need makes the definitions of a queue and a team be stored with the next changes, for a job of theirs.
 func (t *Terms) Need(queue caspec.QueueName, team cawork.TeamName) {
 	t.queues.need(queue)
-	t.teams.need(team)
+	if team != "" {
+		t.teams.need(team)
+	}
 }
 
-// HasUnlisted reports whether there are definitions that the policy in force does not list.
-func (t *Terms) HasUnlisted() bool { return t.queues.unlisted > 0 || t.teams.unlisted > 0 }
+// HasUnlisted reports whether there are definitions that the policy in force does not list, or names that jobs need
+// and no known version lists.
+func (t *Terms) HasUnlisted() bool { return t.queues.hasUnlisted() || t.teams.hasUnlisted() }
 
 // Unlisted returns the queues with a definition that the policy in force does not list, by name.
 func (t *Terms) Unlisted() []caspec.QueueName { return t.queues.unlistedNames() }
