A run that is at work outlives a version with fewer attempts

TestRunsOutliveFewerAttempts failed before: failed instead of completed. A job fails now when a task or gang of it has to start again and has used the attempts up: as the definition changes, as a leader restores the job, and as a run ends without an end of its own.

--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -474,6 +474,7 @@
 		r.task().Phase = castate.TaskWaiting
 		b.addWaitingTask(r.step)
 		b.markChanged(r.step.job)
+		b.failIfExhausted(r.step, max(r.task().Failures, r.step.state().GangFailures))
 	}
 	b.releaseEndedJob(r.step.job)
 }
--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -412,3 +412,31 @@
 		t.Errorf("known queue and limit of the next leader (-want +got):\n%s", diff)
 	}
 }
+
+// TestRunsOutliveFewerAttempts guards against a job that is failed while a run that was started under more attempts is at
+// work: only a start would exceed those of the version in force.
+func TestRunsOutliveFewerAttempts(t *testing.T) {
+	stricter := plainQueue()
+	stricter.MaxAttempts = 2
+	for _, test := range []struct {
+		ending caorder.Ending
+		want   castate.Phase
+	}{{caorder.EndingDone, castate.PhaseCompleted}, {caorder.EndingFailed, castate.PhaseFailed}, {caorder.EndingLapsed, castate.PhaseFailed}} {
+		s := newShardLog(t, plainQueue())
+		s.submit("job", "queue", smallStep(1))
+		for range 2 {
+			s.planAndStore()
+			s.endAll(caorder.EndingFailed)
+			s.store()
+		}
+		s.planAndStore()
+		s.publish(2, []caspec.Queue{stricter})
+		s.lead(policyOf(2, []caspec.Queue{stricter}))
+		s.endAll(test.ending)
+		starts := len(s.planAndStore())
+		phase, _ := s.planner.Phase("job")
+		if diff := cmp.Diff([]any{test.want, 0}, []any{phase, starts}); diff != "" {
+			t.Errorf("run ended %v: phase and further starts (-want +got):\n%s", test.ending, diff)
+		}
+	}
+}
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
@@ -89,20 +90,31 @@
 	s.urgent = caobjective.IsUrgent(s.slack, s.spec)
 }
 
-// failIfAttemptsUsedUp fails a job if a version of the policy permits no more attempts than a task or gang of it
-// has used.
+// failIfAttemptsUsedUp fails a job if a task or gang of it would have to start again, but has used all attempts that the
+// newest version permits. Runs that are at work may still end well.
 func (b *Planner) failIfAttemptsUsedUp(j *job) {
 	for _, s := range slices.Clone(j.steps) {
-		failures := s.state().GangFailures
-		for _, t := range s.state().Tasks {
-			failures = max(failures, t.Failures)
-		}
-		if failures > 0 && !s.state().IsDone() {
+		if failures := s.failuresOfWaiting(); failures > 0 {
 			b.failIfExhausted(s, failures)
 		}
 	}
 }
 
+// failuresOfWaiting returns the most failures of a waiting task, or those of a gang that waits.
+func (s *step) failuresOfWaiting() int {
+	failures := 0
+	for _, t := range s.state().Tasks {
+		switch {
+		case t.Phase != castate.TaskWaiting:
+		case s.spec.Gang:
+			return s.state().GangFailures
+		default:
+			failures = max(failures, t.Failures)
+		}
+	}
+	return failures
+}
+
 // isRepeated reports whether a submission repeats that of the job. Of a queue that is no longer listed, it may
 // come through another queue, such as one that has taken its place.
 func (b *Planner) isRepeated(j *job, s caspec.Submission) bool {
