Test that steps follow their queue to another pool

The path was only read before: a queue that returns with another service, while the step holds approvals of the former one. Held, single tasks and a gang: the tickets of the former pool are renewed at most, and the upstreams of the new one are asked about next.

--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -440,3 +440,47 @@
 		}
 	}
 }
+
+// TestStepsFollowQueueToOtherPool guards against steps that ask the advisor about the upstreams of the pool that their queue
+// has left, and never about those of the one that it uses.
+func TestStepsFollowQueueToOtherPool(t *testing.T) {
+	for name, gang := range map[string]bool{"tasks": false, "gang": true} {
+		s := newShardLog(t, approvedQueue())
+		s.upstreams[1].Pool = "other"
+		s.planner.SetUpstreams(s.upstreams)
+		step := caspec.Step{Tasks: 2, CPU: 8000, Memory: cawork.GiB, Estimate: time.Second, Gang: gang}
+		s.submit("blocker", "queue", caspec.Step{Tasks: 1, CPU: 16000, Memory: cawork.GiB, Estimate: time.Second})
+		s.approveAll()
+		s.submit("job", "queue", step)
+		s.approveAll()
+		moved := approvedQueue()
+		moved.Pool = "other"
+		s.publish(2, nil)
+		s.publish(3, []caspec.Queue{moved})
+		s.advance(3 * time.Second)
+		s.endAll(caorder.EndingDone)
+		starts := 0
+		for range 10 {
+			s.advance(200 * time.Millisecond)
+			for id := range s.planner.upstreams {
+				s.report(id, runningRows(s.planner.upstreams[id], caorder.RunID{}), nil)
+			}
+			starts += len(s.approveAll())
+		}
+		if diff := cmp.Diff([]int{2, 0}, []int{starts, len(s.planner.upstreams["up-00"].runs)}); diff != "" {
+			t.Errorf("%s: starts, and those of them in the former pool (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// approveAll plans, has the advisor approve all upstreams that it is asked about, and plans and stores again.
+func (s *shardLog) approveAll() []caorder.StartOrder {
+	for _, request := range s.planner.Plan().ApprovalRequests {
+		var approved []caorder.Approval
+		for _, id := range request.Upstreams {
+			approved = append(approved, caorder.Approval{Upstream: id, Ticket: "ticket"})
+		}
+		s.planner.ApplyAdvice(request, approved, true)
+	}
+	return append(s.store(), s.planAndStore()...)
+}
