What is told of removed queues, teams and pools does not depend on when a leader learns of them

What operators saw: a leader that loaded the jobs before it knew a version of the policy, or knew only one from before the queue, logged 432 for queues that nobody had removed, and nothing when a version did remove them. A removed team with open jobs was told nowhere, nor that the pool of a removed queue had lost its upstreams: 427 looked at listed pools alone. 415 did not tell a step whose queue is removed from one of which no definition is known.

--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -81,6 +81,7 @@
 	RunTimesLearned    Number = 431
 	QueueRemoved       Number = 432
 	QueueEnded         Number = 433
+	TeamRemoved        Number = 434
 	RequestRouted      Number = 500
 	RequestRefused     Number = 501
 	RequestAnswered    Number = 502
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -16,8 +16,8 @@
 	_NumberLowerName_2 = "member_changedownership_gainedownership_lostownership_releasedupstream_listedupstream_unlistedmember_foreignformat_in_forcelayout_knownagent_chosenagent_lostleadership_yieldedupstream_rebornentry_cut_offzone_drainedzone_emptyleader_busy"
 	_NumberName_3      = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
-	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_ended"
-	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_ended"
+	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_endedteam_removed"
+	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_endedteam_removed"
 	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
 	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waited"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
@@ -33,7 +33,7 @@
 	_NumberIndex_1 = [...]uint8{0, 14, 28, 43, 58, 69}
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
-	_NumberIndex_4 = [...]uint16{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243, 254, 269, 286, 301, 310, 323, 339, 353, 370, 383, 394}
+	_NumberIndex_4 = [...]uint16{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243, 254, 269, 286, 301, 310, 323, 339, 353, 370, 383, 394, 406}
 	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
@@ -54,7 +54,7 @@
 	case 400 <= i && i <= 403:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 405 <= i && i <= 433:
+	case 405 <= i && i <= 434:
 		i -= 405
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
 	case 500 <= i && i <= 507:
@@ -144,6 +144,7 @@
 	_ = x[RunTimesLearned-(431)]
 	_ = x[QueueRemoved-(432)]
 	_ = x[QueueEnded-(433)]
+	_ = x[TeamRemoved-(434)]
 	_ = x[RequestRouted-(500)]
 	_ = x[RequestRefused-(501)]
 	_ = x[RequestAnswered-(502)]
@@ -166,7 +167,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, CallersLimited, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, ApprovalsAwaited, StepLacksRoom, PoolLost, PoolRegained, StartsHeldBack, StartsResumed, RunTimesLearned, QueueRemoved, QueueEnded, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, CallersLimited, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, ApprovalsAwaited, StepLacksRoom, PoolLost, PoolRegained, StartsHeldBack, StartsResumed, RunTimesLearned, QueueRemoved, QueueEnded, TeamRemoved, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -235,6 +236,7 @@
 	_NumberName_4[353:370]: RunTimesLearned,
 	_NumberName_4[370:383]: QueueRemoved,
 	_NumberName_4[383:394]: QueueEnded,
+	_NumberName_4[394:406]: TeamRemoved,
 	_NumberName_5[0:14]:    RequestRouted,
 	_NumberName_5[14:29]:   RequestRefused,
 	_NumberName_5[29:45]:   RequestAnswered,
@@ -324,6 +326,7 @@
 	_NumberLowerName_4[353:370]: RunTimesLearned,
 	_NumberLowerName_4[370:383]: QueueRemoved,
 	_NumberLowerName_4[383:394]: QueueEnded,
+	_NumberLowerName_4[394:406]: TeamRemoved,
 	_NumberLowerName_5[0:14]:    RequestRouted,
 	_NumberLowerName_5[14:29]:   RequestRefused,
 	_NumberLowerName_5[29:45]:   RequestAnswered,
@@ -413,6 +416,7 @@
 	_NumberName_4[353:370],
 	_NumberName_4[370:383],
 	_NumberName_4[383:394],
+	_NumberName_4[394:406],
 	_NumberName_5[0:14],
 	_NumberName_5[14:29],
 	_NumberName_5[29:45],
--- a/internal/cell/caboard/admission.go
+++ b/internal/cell/caboard/admission.go
@@ -35,18 +35,30 @@
 	return f
 }
 
-// updateOutages records which pools have no upstream that accepts work, as of this plan.
+// updateOutages records which pools have no upstream that accepts work, as of this plan: those that the policy lists,
+// and those of removed queues whose jobs have not ended.
 func (b *Planner) updateOutages() {
 	for _, pool := range b.policy.Pools {
-		since, isOut := b.outages[pool.Name]
-		switch isLost := b.pools[pool.Name] == nil; {
-		case isLost && !isOut:
-			b.outages[pool.Name] = b.now.Monotonic
-			caevent.Warn(b.log, caevent.PoolLost).Str("pool", string(pool.Name)).Int("upstreams", len(b.sortedUpstreams)).Send()
-		case !isLost && isOut:
-			delete(b.outages, pool.Name)
-			caevent.Info(b.log, caevent.PoolRegained).Str("pool", string(pool.Name)).Dur("after", b.now.Monotonic.Sub(since)).Send()
-		}
+		b.updateOutage(pool.Name)
+	}
+	if !b.terms.HasUnlisted() {
+		return
+	}
+	for _, name := range b.terms.Unlisted() {
+		q, _ := b.terms.Queue(name)
+		b.updateOutage(q.Pool)
+	}
+}
+
+func (b *Planner) updateOutage(pool caspec.PoolName) {
+	since, isOut := b.outages[pool]
+	switch isLost := b.pools[pool] == nil; {
+	case isLost && !isOut:
+		b.outages[pool] = b.now.Monotonic
+		caevent.Warn(b.log, caevent.PoolLost).Str("pool", string(pool)).Int("upstreams", len(b.sortedUpstreams)).Send()
+	case !isLost && isOut:
+		delete(b.outages, pool)
+		caevent.Info(b.log, caevent.PoolRegained).Str("pool", string(pool)).Dur("after", b.now.Monotonic.Sub(since)).Send()
 	}
 }
 
--- a/internal/cell/caboard/longwaits.go
+++ b/internal/cell/caboard/longwaits.go
@@ -55,7 +55,7 @@
 		survey = b.surveyRoom(s, q, p)
 	}
 	caevent.Info(b.log, caevent.StepWaits).Str("job", string(s.job.Submission.ID)).Int("step", s.number).
-		Str("queue", string(s.job.Submission.Queue)).Bool("listed", b.terms.IsListed(s.job.Submission.Queue)).Str("team", string(s.job.Submission.Team)).Int("position", position).
+		Str("queue", string(s.job.Submission.Queue)).Bool("listed", b.terms.IsListed(s.job.Submission.Queue)).Int64("listed_by", b.terms.QueueVersion(s.job.Submission.Queue)).Str("team", string(s.job.Submission.Team)).Int("position", position).
 		Dur("since_ready", b.now.Monotonic.Sub(s.readyAt)).Dur("waits", b.now.Monotonic.Sub(s.waitBegan())).
 		Int("lateness", s.lateness).Int("waiting", s.waitingTasks).
 		Int("runs", s.liveRuns).Int("usable", usable).Int("permitted", permitted).Int("room", fitting).
--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -233,6 +233,7 @@
 	moved := q
 	moved.Pool, moved.Priority, moved.Stretch = "other", 1, 4
 	s.publish(3, []caspec.Queue{moved})
+	s.advance(3 * time.Second)
 	after := termsOf(s.planner.jobs["job"])
 	s.store()
 	s.lead(policyOf(4, nil))
@@ -381,7 +382,7 @@
 	s.store()
 	s.advance(termsCheckInterval)
 	s.planner.RunMaintenance()
-	s.planner.LogRemovedQueues()
+	s.planner.LogRemoved()
 	for _, want := range []string{
 		`"name":"queue_removed","queue":"queue","jobs":1,"policy":2,"listed_by":1`,
 		`"name":"step_waits","job":"job","step":0,"queue":"queue","listed":false`,
@@ -484,3 +485,41 @@
 	}
 	return append(s.store(), s.planAndStore()...)
 }
+
+// TestRemovalIsToldOnce guards against a removed queue or a lost pool that no line tells of, since the leader loaded the jobs
+// before the first version, and against lines on queues that were not removed.
+func TestRemovalIsToldOnce(t *testing.T) {
+	s := newShardLog(t, plainQueue())
+	s.submit("job", "queue", smallStep(1))
+	s.publish(4, []caspec.Queue{plainQueue()}, caspec.Team{Name: "north", Weight: 1})
+	s.store()
+	for _, test := range []struct {
+		name     string
+		versions []caspec.Policy
+		// want are how often the removal of the queue, of its team and the loss of its pool are told.
+		want [3]int
+	}{
+		{"no version is known", []caspec.Policy{{}}, [3]int{0, 0, 1}},
+		{"an older version is known", []caspec.Policy{policyOf(3, nil)}, [3]int{0, 0, 1}},
+		{"known from the beginning", []caspec.Policy{policyOf(5, nil), policyOf(6, nil)}, [3]int{1, 1, 1}},
+		{"known later", []caspec.Policy{{}, policyOf(3, nil), policyOf(5, nil), policyOf(6, nil)}, [3]int{1, 1, 1}},
+	} {
+		s.upstreams = nil
+		s.lead(test.versions[0])
+		var log bytes.Buffer
+		s.planner.log = zerolog.New(&log)
+		s.planner.LogRemoved()
+		for _, p := range test.versions[1:] {
+			p.Pools = nil
+			s.planner.SetPolicy(p)
+		}
+		s.planner.Plan()
+		var got [3]int
+		for i, name := range []string{"queue_removed", "team_removed", "pool_lost"} {
+			got[i] = strings.Count(log.String(), `"name":"`+name+`"`)
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s\n%s", test.name, diff, log.String())
+		}
+	}
+}
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -19,8 +19,9 @@
 		return
 	}
 	b.policy = p
-	b.logRemovedQueues(b.terms.Apply(p))
+	b.terms.Apply(p)
 	b.applyTerms()
+	b.LogRemoved()
 	for _, s := range b.steps {
 		s.approvals.noRoomSince, s.approvals.allDecidedSince = 0, 0
 	}
@@ -135,26 +136,33 @@
 	return counts
 }
 
-// LogRemovedQueues logs the queues with open jobs that the policy in force does not list, for a leader that has
-// just restored them.
-func (b *Planner) LogRemovedQueues() { b.logRemovedQueues(b.terms.Unlisted()) }
-
-// logRemovedQueues logs the queues that are no longer listed and have open jobs.
-func (b *Planner) logRemovedQueues(queues []caspec.QueueName) {
-	if len(queues) == 0 {
+// LogRemoved logs the queues and teams with open jobs that the policy in force has removed, unless this leader has logged
+// them before.
+func (b *Planner) LogRemoved() {
+	if b.policy.IsZero() || !b.terms.HasUnlisted() {
 		return
 	}
-	open := b.OpenJobs()
-	for _, name := range queues {
-		if open[name] > 0 {
-			b.logRemovedQueue(name, open[name])
+	queues, teams := b.terms.TakeRemoved(b.policy.Version)
+	byQueue, byTeam := b.OpenJobs(), make(map[cawork.TeamName]int)
+	for _, j := range b.jobs {
+		if !j.Phase.IsFinal() {
+			byTeam[j.Submission.Team]++
 		}
 	}
+	for _, name := range queues {
+		b.logRemoved(caevent.QueueRemoved, "queue", string(name), byQueue[name], b.terms.QueueVersion(name))
+	}
+	for _, name := range teams {
+		b.logRemoved(caevent.TeamRemoved, "team", string(name), byTeam[name], b.terms.TeamVersion(name))
+	}
 }
 
-func (b *Planner) logRemovedQueue(name caspec.QueueName, open int) {
-	caevent.Info(b.log, caevent.QueueRemoved).Str("queue", string(name)).Int("jobs", open).Int64("policy", b.policy.Version).
-		Int64("listed_by", b.terms.QueueVersion(name)).Send()
+// logRemoved logs a removed queue or team with open jobs.
+func (b *Planner) logRemoved(event caevent.Number, kind, name string, open int, listedBy int64) {
+	if open == 0 {
+		return
+	}
+	caevent.Info(b.log, event).Str(kind, name).Int("jobs", open).Int64("policy", b.policy.Version).Int64("listed_by", listedBy).Send()
 }
 
 // termsCheckInterval is the time between two scans of all jobs for definitions that none needs any more.
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -97,7 +97,7 @@
 	for _, j := range state.jobs {
 		l.planner.Restore(j)
 	}
-	l.planner.LogRemovedQueues()
+	l.planner.LogRemoved()
 	l.planner.RestoreCrashes(state.crashes)
 	l.inheritRunTimes(state.runTimes)
 	l.setAdvisorProxies(l.Timer.Now(), proxies)
--- a/internal/cell/caterms/catalog.go
+++ b/internal/cell/caterms/catalog.go
@@ -28,21 +28,18 @@
 	listed  bool
 	// needed is set once a job has needed the item, and stored while there is a record of it.
 	needed, stored bool
+	// told is set once takeRemoved has returned the item since it was last listed.
+	told bool
 }
 
 func newCatalog[N ~string, T any](prefix string) catalog[N, T] {
 	return catalog[N, T]{prefix: prefix, items: make(map[N]*item[T]), awaited: make(map[N]bool), changed: make(map[N]bool)}
 }
 
-// apply applies what a version lists. It returns the names that the version before listed and this one does
-// not, in order.
-func (c *catalog[N, T]) apply(version int64, listed map[N]T) []N {
-	var gone []N
+// apply applies what a version lists.
+func (c *catalog[N, T]) apply(version int64, listed map[N]T) {
 	for name, i := range c.items {
-		if _, ok := listed[name]; !ok && i.listed {
-			i.listed = false
-			gone = append(gone, name)
-		}
+		_, i.listed = listed[name]
 	}
 	for name, value := range listed {
 		i, ok := c.items[name]
@@ -50,7 +47,7 @@
 			c.add(name, &item[T]{value: &value, version: version, listed: true})
 			continue
 		}
-		i.listed = true
+		i.told = false
 		if version < i.version {
 			continue
 		}
@@ -63,9 +60,19 @@
 			c.changed[name] = true
 		}
 	}
-	c.countUnlisted()
-	slices.Sort(gone)
-	return gone
+	c.unlisted = len(c.unlistedNames())
+}
+
+// takeRemoved returns the names that a version does not list and that are of earlier ones, each once, in order.
+func (c *catalog[N, T]) takeRemoved(version int64) []N {
+	var removed []N
+	for _, name := range c.unlistedNames() {
+		if i := c.items[name]; !i.told && i.version < version {
+			i.told = true
+			removed = append(removed, name)
+		}
+	}
+	return removed
 }
 
 // add adds a new item, which a job may need already.
@@ -79,8 +86,6 @@
 
 func (c *catalog[N, T]) hasUnlisted() bool { return c.unlisted > 0 || len(c.awaited) > 0 }
 
-func (c *catalog[N, T]) countUnlisted() { c.unlisted = len(c.unlistedNames()) }
-
 func (c *catalog[N, T]) unlistedNames() []N {
 	var names []N
 	for name, i := range c.items {
--- a/internal/cell/caterms/terms.go
+++ b/internal/cell/caterms/terms.go
@@ -25,9 +25,8 @@
 	}
 }
 
-// Apply applies a version of the policy. It returns the queues that the version before listed and this one
-// does not.
-func (t *Terms) Apply(p caspec.Policy) (removed []caspec.QueueName) {
+// Apply applies a version of the policy.
+func (t *Terms) Apply(p caspec.Policy) {
 	listedQueues := make(map[caspec.QueueName]caspec.Queue, len(p.Queues))
 	for _, q := range p.Queues {
 		listedQueues[q.Name] = q.WithoutCallTerms()
@@ -37,7 +36,7 @@
 		listedTeams[team.Name] = team.WithoutKeys()
 	}
 	t.teams.apply(p.Version, listedTeams)
-	return t.queues.apply(p.Version, listedQueues)
+	t.queues.apply(p.Version, listedQueues)
 }
 
 // Queue returns the definition of a queue. The pointer stays the same until a version changes the
@@ -50,6 +49,9 @@
 // QueueVersion returns the newest known version of the policy that lists the queue, zero without one.
 func (t *Terms) QueueVersion(name caspec.QueueName) int64 { return t.queues.version(name) }
 
+// TeamVersion returns the newest known version of the policy that lists the team, zero without one.
+func (t *Terms) TeamVersion(name cawork.TeamName) int64 { return t.teams.version(name) }
+
 // Team returns the definition of a team, without its keys. It reports false if no known version lists the
 // team.
 func (t *Terms) Team(name cawork.TeamName) (caspec.Team, bool) {
@@ -75,6 +77,12 @@
 // Unlisted returns the queues with a definition that the policy in force does not list, by name.
 func (t *Terms) Unlisted() []caspec.QueueName { return t.queues.unlistedNames() }
 
+// TakeRemoved returns the queues and teams that the version in force has removed, each once. A definition of a later
+// version is not removed.
+func (t *Terms) TakeRemoved(inForce int64) ([]caspec.QueueName, []cawork.TeamName) {
+	return t.queues.takeRemoved(inForce), t.teams.takeRemoved(inForce)
+}
+
 // Prune ends the definitions that the policy in force does not list and no job needs. It returns the queues
 // among them.
 func (t *Terms) Prune(needsQueue func(caspec.QueueName) bool, needsTeam func(cawork.TeamName) bool) []caspec.QueueName {
