check-policy tells what becomes of jobs whose team is removed, and names no queue that serves none of their calls

An operator who removes a team with accepted jobs was not told that these go on and that nobody can cancel them then. A queue with a shorter prefix was named as the one through which calls about the jobs of a removed queue go; it answers 404, since the rest of the path is no job.

--- a/internal/cell/capolicy/diff.go
+++ b/internal/cell/capolicy/diff.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 
+	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -25,7 +26,7 @@
 	return append(changes, diffParts("team", inForce.Teams, p.Teams, func(t caspec.Team) string { return string(t.Name) })...)
 }
 
-// RemovedQueues returns the queues in force that a policy does not list, and the queue that gets the calls to each of them
+// RemovedQueues returns the queues in force that a policy does not list, and the queue that serves calls about their jobs
 // then, empty if there is none.
 func RemovedQueues(inForce, p caspec.Policy) map[caspec.QueueName]caspec.QueueName {
 	removed := make(map[caspec.QueueName]caspec.QueueName)
@@ -33,8 +34,22 @@
 		if _, ok := p.Queue(q.Name); ok {
 			continue
 		}
-		successor, _ := p.QueueFor(q.Host, q.Prefix)
-		removed[q.Name] = successor.Name
+		// A shorter prefix gets the calls as well, but takes the rest of the path for no job.
+		removed[q.Name] = ""
+		if successor, _ := p.QueueFor(q.Host, q.Prefix); successor.Prefix == q.Prefix {
+			removed[q.Name] = successor.Name
+		}
+	}
+	return removed
+}
+
+// RemovedTeams returns the teams in force that a policy does not list.
+func RemovedTeams(inForce, p caspec.Policy) []cawork.TeamName {
+	var removed []cawork.TeamName
+	for _, t := range inForce.Teams {
+		if _, ok := p.Team(t.Name); !ok {
+			removed = append(removed, t.Name)
+		}
 	}
 	return removed
 }
