--- a/internal/cli/caexplain/explain_test.go
+++ b/internal/cli/caexplain/explain_test.go
@@ -222,15 +222,16 @@
 		fmt.Sprintf(`{"event":432,"queue":"others","jobs":1,"policy":8,"listed_by":6,"time":%q}`, timeAt(8900)),
 		fmt.Sprintf(`{"event":432,"queue":"checks","jobs":1,"policy":9,"listed_by":8,"time":%q}`, timeAt(9000)),
 	}, "\n")
-	for id, want := range map[string][]string{"prompt": nil, "open": {"checks"}} {
+	log += fmt.Sprintf("\n"+`{"event":434,"team":"north","jobs":1,"policy":9,"listed_by":8,"time":%q}`, timeAt(9100))
+	for id, want := range map[string][]string{"prompt": nil, "open": {"checks", "north"}} {
 		h, _, err := ReadHistory(caloglines.NewReader(caloglines.Log{Name: "a", Content: strings.NewReader(log)}), id)
 		if err != nil {
 			t.Fatal(err)
 		}
 		var got []string
 		for _, m := range h.Timeline {
-			if m.Line.Event == caevent.QueueRemoved {
-				got = append(got, m.Line.Queue)
+			if m.Line.Event == caevent.QueueRemoved || m.Line.Event == caevent.TeamRemoved {
+				got = append(got, m.Line.Queue+m.Line.Team)
 			}
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/cli/caexplain/timeline.go
+++ b/internal/cli/caexplain/timeline.go
@@ -41,7 +41,7 @@
 	j := newJob(id)
 	var lines []caloglines.Line
 	for line, ok := r.Next(); ok; line, ok = r.Next() {
-		if !line.Concerns(id) && !j.losesQueue(line) {
+		if !line.Concerns(id) && !j.losesTerms(line) {
 			continue
 		}
 		j.addLine(line)
@@ -63,7 +63,10 @@
 	return h, len(lines) > 0, r.Err()
 }
 
-// losesQueue reports whether a line tells that a version of the policy removes the queue of the open job.
-func (j *job) losesQueue(l caloglines.Line) bool {
-	return l.Event == caevent.QueueRemoved && l.Queue == j.queue && !j.accepted.IsZero() && j.ended.IsZero()
+// losesTerms reports whether a line tells that a version of the policy removes the queue or the team of the open job.
+func (j *job) losesTerms(l caloglines.Line) bool {
+	if j.accepted.IsZero() || !j.ended.IsZero() {
+		return false
+	}
+	return l.Event == caevent.QueueRemoved && l.Queue == j.queue || l.Event == caevent.TeamRemoved && l.Team == j.team
 }
--- a/internal/cli/caloglines/text.go
+++ b/internal/cli/caloglines/text.go
@@ -23,8 +23,8 @@
 	if l.Event == caevent.StepLacksRoom {
 		b.WriteString(" " + l.roomText())
 	}
-	if l.Event == caevent.QueueRemoved {
-		fmt.Fprintf(&b, " %s by version %d, its open jobs go on as under version %d", l.Queue, l.Policy, l.ListedBy)
+	if l.Event == caevent.QueueRemoved || l.Event == caevent.TeamRemoved {
+		fmt.Fprintf(&b, " %s by version %d, its open jobs go on as under version %d", l.Queue+l.Team, l.Policy, l.ListedBy)
 	}
 	for _, detail := range []string{l.Method, l.Outcome, l.Ending, l.Phase, l.Cause, l.Error} {
 		if detail != "" {
