Name the soak's changes after queues, as the rest of the product does

Route is the word of the platform; outside of platform/ it is a queue. caroutes is caqueues, FaultRoutes is FaultQueues. The plans of all seeds stay as they are.

--- a/internal/soak/caqueues/queues.go
+++ b/internal/soak/caqueues/queues.go
@@ -1,6 +1,6 @@
-// Package caroutes changes the queues of a policy as operators do who remove, replace and bring back
-// routes while jobs run.
-package caroutes
+// Package caqueues changes the queues of a policy as operators do who remove, replace and bring them back
+// while jobs run.
+package caqueues
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 //go:generate go tool enumer -type=Change -trimprefix=Change -transform=snake -output=change_names.go
 
-// Change is a change of a route that begins and ends.
+// Change is a change of a queue that begins and ends.
 type Change int
 
 // The changes.
@@ -23,61 +23,61 @@
 	ChangeMove
 )
 
-// Routes is how the routes of queues differ from the policy. It is not safe for concurrent use.
-type Routes struct {
-	routes map[caspec.QueueName]route
+// Queues is how the queues in force differ from those of the policy. It is not safe for concurrent use.
+type Queues struct {
+	changed map[caspec.QueueName]difference
 	// successors counts the queues that took the place of others, so that no name is used twice.
 	successors int
 }
 
-// route is how the route of a queue differs from the policy.
-type route struct {
+// difference is how one queue differs from the policy.
+type difference struct {
 	// successor is the name of the queue in its place, empty if there is none.
 	successor caspec.QueueName
 	isRemoved bool
 	isMoved   bool
 }
 
-// Begin begins a change of the route of a queue.
-func (r *Routes) Begin(q caspec.QueueName, c Change) {
-	current := r.routes[q]
+// Begin begins a change of a queue.
+func (r *Queues) Begin(q caspec.QueueName, c Change) {
+	current := r.changed[q]
 	switch c {
 	case ChangeReplace:
-		current = route{isRemoved: true}
+		current = difference{isRemoved: true}
 	case ChangeSwap:
-		current = route{successor: r.nextSuccessor(q)}
+		current = difference{successor: r.nextSuccessor(q)}
 	case ChangeMove:
-		current = route{successor: r.nextSuccessor(q), isMoved: true}
+		current = difference{successor: r.nextSuccessor(q), isMoved: true}
 	}
 	r.set(q, current)
 }
 
 // End ends a change. Whatever other changes of the queue go on, there is a queue at the path then.
-func (r *Routes) End(q caspec.QueueName, c Change) {
-	current := route{}
+func (r *Queues) End(q caspec.QueueName, c Change) {
+	current := difference{}
 	if c == ChangeReplace {
 		current.successor = r.nextSuccessor(q)
 	}
 	r.set(q, current)
 }
 
-func (r *Routes) set(q caspec.QueueName, current route) {
-	if r.routes == nil {
-		r.routes = make(map[caspec.QueueName]route)
+func (r *Queues) set(q caspec.QueueName, current difference) {
+	if r.changed == nil {
+		r.changed = make(map[caspec.QueueName]difference)
 	}
-	r.routes[q] = current
+	r.changed[q] = current
 }
 
-func (r *Routes) nextSuccessor(q caspec.QueueName) caspec.QueueName {
+func (r *Queues) nextSuccessor(q caspec.QueueName) caspec.QueueName {
 	r.successors++
 	return caspec.QueueName(fmt.Sprintf("%s-%d", q, r.successors))
 }
 
-// Apply returns the policy with its routes changed.
-func (r *Routes) Apply(p caspec.Policy) caspec.Policy {
+// Apply returns the policy with its queues changed.
+func (r *Queues) Apply(p caspec.Policy) caspec.Policy {
 	queues := make([]caspec.Queue, 0, len(p.Queues))
 	for _, q := range p.Queues {
-		current := r.routes[q.Name]
+		current := r.changed[q.Name]
 		if current.isRemoved {
 			continue
 		}
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -17,7 +17,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/soak/caconn"
 	"celeryarch.example/celeryarch/internal/soak/caproxy"
-	"celeryarch.example/celeryarch/internal/soak/caroutes"
+	"celeryarch.example/celeryarch/internal/soak/caqueues"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -65,7 +65,7 @@
 	upstreams       []cawork.UpstreamID
 	upstreamProxies []*caproxy.Proxy
 	policyVersion   int64
-	routes          caroutes.Routes
+	queues          caqueues.Queues
 	load            *loadGenerator
 	// work is set in place of load if the soak has a workload.
 	work *workGenerator
@@ -231,10 +231,10 @@
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
-	return c.emulator.Configure(ctx, c.routes.Apply(c.policy()))
+	return c.emulator.Configure(ctx, c.queues.Apply(c.policy()))
 }
 
-// policy returns the configuration without changes of routes.
+// policy returns the configuration without changes of queues.
 func (c *cell) policy() caspec.Policy {
 	if c.work != nil {
 		return c.work.workload().Policy(c.policyVersion, poolName)
@@ -245,14 +245,14 @@
 	}
 }
 
-// changeRoute begins or ends a change of the route of a queue, and publishes it.
-func (c *cell) changeRoute(ctx context.Context, e faultEvent) error {
+// changeQueue begins or ends a change of a queue, and publishes it.
+func (c *cell) changeQueue(ctx context.Context, e faultEvent) error {
 	queues := c.policy().Queues
-	queue, change := queues[e.fault.Target%len(queues)].Name, caroutes.Change(e.fault.Way)
+	queue, change := queues[e.fault.Target%len(queues)].Name, caqueues.Change(e.fault.Way)
 	if e.begins {
-		c.routes.Begin(queue, change)
+		c.queues.Begin(queue, change)
 	} else {
-		c.routes.End(queue, change)
+		c.queues.End(queue, change)
 	}
 	return c.configure(ctx)
 }
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsroutes"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueues"
 
 var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231, 244, 250}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsroutes"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueues"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -49,10 +49,10 @@
 	_ = x[FaultPowerLossAfterCancel-(22)]
 	_ = x[FaultKillInDrain-(23)]
 	_ = x[FaultLateRenewals-(24)]
-	_ = x[FaultRoutes-(25)]
+	_ = x[FaultQueues-(25)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultRoutes}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -80,7 +80,7 @@
 	_FaultKindName[195:218]: FaultPowerLossAfterCancel,
 	_FaultKindName[218:231]: FaultKillInDrain,
 	_FaultKindName[231:244]: FaultLateRenewals,
-	_FaultKindName[244:250]: FaultRoutes,
+	_FaultKindName[244:250]: FaultQueues,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -109,7 +109,7 @@
 	_FaultKindLowerName[195:218]: FaultPowerLossAfterCancel,
 	_FaultKindLowerName[218:231]: FaultKillInDrain,
 	_FaultKindLowerName[231:244]: FaultLateRenewals,
-	_FaultKindLowerName[244:250]: FaultRoutes,
+	_FaultKindLowerName[244:250]: FaultQueues,
 }
 
 var _FaultKindNames = []string{
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -72,8 +72,8 @@
 	// FaultLateRenewals leaves some of the renewals at a third of the upstreams unanswered, which are carried
 	// out seconds later, and restarts these upstreams under their ids when the fault ends.
 	FaultLateRenewals
-	// FaultRoutes changes the route of a queue until the fault ends, in the way of caroutes.Change.
-	FaultRoutes
+	// FaultQueues changes a queue of the configuration until the fault ends, in the way of caqueues.Change.
+	FaultQueues
 )
 
 const (
@@ -102,8 +102,8 @@
 	addedSource = 1 << 32
 	// lateRenewalSource separates the source of late renewals, which only runs with a workload have.
 	lateRenewalSource = 1 << 40
-	// routeSource separates the source of changes of routes from that of the other added kinds.
-	routeSource = 1 << 44
+	// queueSource separates the source of changes of queues from that of the other added kinds.
+	queueSource = 1 << 44
 	// addedShare is the share of the plans that have an added kind, in DrawAdded.
 	addedShare = 0.7
 )
@@ -148,7 +148,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultRoutes:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues:
 		}
 		plan = append(plan, f)
 	}
@@ -165,8 +165,8 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	if rand.New(rand.NewSource(seed-routeSource)).Float64() < addedShare {
-		kinds = append(kinds, FaultRoutes)
+	if rand.New(rand.NewSource(seed-queueSource)).Float64() < addedShare {
+		kinds = append(kinds, FaultQueues)
 	}
 	return kinds
 }
@@ -174,7 +174,7 @@
 // DrawAddedWork is DrawAdded for runs with a workload. Only their upstreams check that a ticket is of
 // their incarnation, as far as late renewals need that.
 func DrawAddedWork(seed int64) []FaultKind {
-	kinds := slices.DeleteFunc(DrawAdded(seed), func(kind FaultKind) bool { return kind != FaultRoutes && !slices.Contains(stopFaults, kind) })
+	kinds := slices.DeleteFunc(DrawAdded(seed), func(kind FaultKind) bool { return kind != FaultQueues && !slices.Contains(stopFaults, kind) })
 	if rand.New(rand.NewSource(seed-lateRenewalSource)).Float64() < addedShare {
 		kinds = append(kinds, FaultLateRenewals)
 	}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -275,7 +275,7 @@
 		if e.begins {
 			return c.configure(ctx)
 		}
-	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultRoutes:
+	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultQueues:
 		return c.applyWorkEvent(ctx, e)
 	case FaultStop, FaultHangup:
 		c.applyPlanned(e, l)
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -52,10 +52,10 @@
 	runSoaks(t, addedSoaks(4, casoak.FaultDeadlyJob))
 }
 
-// TestSeedsWithChangingRoutes guards against accepted jobs that do not go on once operators remove or replace their
-// routes, beside losses of power and killed nodes.
-func TestSeedsWithChangingRoutes(t *testing.T) {
-	soaks := addedSoaks(9, casoak.FaultRoutes)
+// TestSeedsWithChangingQueues guards against accepted jobs that do not go on once operators remove or replace their
+// queues, beside losses of power and killed nodes.
+func TestSeedsWithChangingQueues(t *testing.T) {
+	soaks := addedSoaks(9, casoak.FaultQueues)
 	for name, o := range soaks {
 		o.Added = append(o.Added, casoak.FaultPowerLossAfterSubmit, casoak.FaultKillInDrain)
 		soaks[name] = o
--- a/internal/soak/casoak/workplan.go
+++ b/internal/soak/casoak/workplan.go
@@ -44,7 +44,7 @@
 	return plan
 }
 
-// applyWorkEvent starts or ends a fault of workFaults, or a change of a route.
+// applyWorkEvent starts or ends a fault of workFaults, or a change of a queue.
 func (c *cell) applyWorkEvent(ctx context.Context, e faultEvent) error {
 	switch e.fault.Kind {
 	case FaultPowerLoss:
@@ -59,8 +59,8 @@
 		return c.configure(ctx)
 	case FaultSurge:
 		c.work.changeRate(e)
-	case FaultRoutes:
-		return c.changeRoute(ctx, e)
+	case FaultQueues:
+		return c.changeQueue(ctx, e)
 	}
 	return nil
 }
