--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -21,7 +21,10 @@
 var scenarios = map[string]scenario{
 	"crashes": playCrashes,
 	"bodies":  playBodies,
+	"rack":    playRack,
 	"shards":  playShards,
+	"timed":   playTimed,
+	"late":    playLate,
 	"fuzz":    playFuzz,
 }
 
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -22,12 +22,13 @@
 
 // worker is one life of a worker.
 type worker struct {
-	id, address string
-	cell        *cell
-	listener    net.Listener
-	server      *http.Server
-	began       time.Time
-	quit        chan struct{}
+	// rack is a label that it has.
+	id, address, rack string
+	cell              *cell
+	listener          net.Listener
+	server            *http.Server
+	began             time.Time
+	quit              chan struct{}
 
 	mu       sync.Mutex
 	fence    int64
@@ -70,7 +71,7 @@
 	fatal(err)
 	now := time.Now()
 	w := &worker{
-		id: id, address: lis.Addr().String(), cell: c, listener: lis, began: now, quit: make(chan struct{}),
+		id: id, address: lis.Addr().String(), rack: c.rack, cell: c, listener: lis, began: now, quit: make(chan struct{}),
 		until: now, runs: make(map[string]*workerRun), refused: make(map[string]int), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -137,7 +138,7 @@
 	body := map[string]any{
 		"Service": "desk", "Address": w.address, "Zone": "zone-a", "Version": "1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Sequence": w.sequence, "Machine": "m-" + w.id, "born": w.began.UnixMilli(),
-		"Capacity": map[string]int{"Cpu": 16000, "MemMb": 32768, "Gpu": 0}, "Labels": []string{"a", "r1"},
+		"Capacity": map[string]int{"Cpu": 16000, "MemMb": 32768, "Gpu": 0}, "Labels": []string{"a", w.rack},
 	}
 	if !w.draining.IsZero() {
 		body["State"] = "draining"
