--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -19,14 +19,11 @@
 type scenario func(c *cell, trouble bool) (broken bool)
 
 var scenarios = map[string]scenario{
-	"checkpoints": playCheckpoints,
-	"crashes":     playCrashes,
-	"bodies":      playBodies,
-	"rack":        playRack,
-	"shards":      playShards,
-	"timed":       playTimed,
-	"late":        playLate,
-	"fuzz":        playFuzz,
+	"held":    playHeld,
+	"crashes": playCrashes,
+	"bodies":  playBodies,
+	"rack":    playRack,
+	"shards":  playShards,
 }
 
 func main() {
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -67,6 +69,9 @@
 	Fail bool `json:",omitempty"`
 	// Checkpoint is the length of its checkpoints in bytes, zero for a task that has none.
 	Checkpoint int `json:",omitempty"`
+	// FailEvery, if set, lets the first run of every so many tasks of a step fail after Ms. The others and the
+	// later runs go on.
+	FailEvery int `json:",omitempty"`
 }
 
 // startWorker starts a worker and registers it.
@@ -267,6 +272,12 @@
 	writeJSON(rw, http.StatusOK, map[string]int64{"ClockMs": w.clock()})
 }
 
+// indexOf returns the index of a task in its step.
+func indexOf(task string) int {
+	index, _ := strconv.Atoi(task[strings.LastIndex(task, ".")+1:])
+	return index
+}
+
 // begin starts a run. The lock is held.
 func (w *worker) begin(o orderBody) {
 	var s spec
@@ -276,11 +287,11 @@
 	w.refused[o.Task] = o.Run
 	w.cell.record("worker %s: %s run %d started, token %d", w.id, o.Task, o.Run, o.FencingToken)
 	w.cell.started(w, o)
-	if s.Ms == 0 {
+	if s.Ms == 0 || s.FailEvery > 0 && (o.Run > 1 || indexOf(o.Task)%s.FailEvery != 0) {
 		return
 	}
 	how := "done"
-	if s.Fail {
+	if s.Fail || s.FailEvery > 0 {
 		how = "failed"
 	}
 	run.timer = time.AfterFunc(time.Duration(s.Ms)*time.Millisecond, func() {
