--- a/review/_stand3/cell.go
+++ b/review/_stand3/cell.go
@@ -34,14 +34,11 @@
 	entries []*entry
 	// linkMbps is the bandwidth of the links of entries in their settings, in Mbit/s.
 	linkMbps string
-	// rack is that of the workers that are started.
-	rack string
 
 	mu     sync.Mutex
 	out    io.Writer
 	counts map[string]int
 	onRun  func(w *worker, o orderBody)
-	onEnd  func(task, how string)
 }
 
 // entry is a process of the system.
@@ -64,7 +61,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	return &cell{
 		ip: ip, dir: dir, store: newStore(), client: &http.Client{Transport: transport},
-		linkMbps: "1000.0", rack: "r1", began: time.Now(), out: io.MultiWriter(out, os.Stdout), counts: make(map[string]int),
+		linkMbps: "1000.0", began: time.Now(), out: io.MultiWriter(out, os.Stdout), counts: make(map[string]int),
 	}
 }
 
@@ -90,9 +87,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[how+" "+jobOf(task)]++
-	if c.onEnd != nil {
-		c.onEnd(task, how)
-	}
 }
 
 func (c *cell) count(name string) int {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -19,11 +19,9 @@
 type scenario func(c *cell, trouble bool) (broken bool)
 
 var scenarios = map[string]scenario{
-	"held":    playHeld,
-	"crashes": playCrashes,
-	"bodies":  playBodies,
-	"rack":    playRack,
-	"shards":  playShards,
+	"bodies": playBodies,
+	"quota":  playQuota,
+	"shards": playShards,
 }
 
 func main() {
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -24,13 +22,12 @@
 
 // worker is one life of a worker.
 type worker struct {
-	// rack is a label that it has.
-	id, address, rack string
-	cell              *cell
-	listener          net.Listener
-	server            *http.Server
-	began             time.Time
-	quit              chan struct{}
+	id, address string
+	cell        *cell
+	listener    net.Listener
+	server      *http.Server
+	began       time.Time
+	quit        chan struct{}
 
 	mu       sync.Mutex
 	fence    int64
@@ -49,9 +46,7 @@
 	task     string
 	run      int
 	stopping bool
-	// checkpointBytes is the length of its checkpoints.
-	checkpointBytes int
-	timer           *time.Timer
+	timer    *time.Timer
 }
 
 // end is the end of a run that is not acknowledged yet.
@@ -67,11 +62,6 @@
 	// Ms is how long a task works, and Fail whether it fails then.
 	Ms   int
 	Fail bool `json:",omitempty"`
-	// Checkpoint is the length of its checkpoints in bytes, zero for a task that has none.
-	Checkpoint int `json:",omitempty"`
-	// FailEvery, if set, lets the first run of every so many tasks of a step fail after Ms. The others and the
-	// later runs go on.
-	FailEvery int `json:",omitempty"`
 }
 
 // startWorker starts a worker and registers it.
@@ -80,7 +70,7 @@
 	fatal(err)
 	now := time.Now()
 	w := &worker{
-		id: id, address: lis.Addr().String(), rack: c.rack, cell: c, listener: lis, began: now, quit: make(chan struct{}),
+		id: id, address: lis.Addr().String(), cell: c, listener: lis, began: now, quit: make(chan struct{}),
 		until: now, runs: make(map[string]*workerRun), refused: make(map[string]int), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -147,7 +137,7 @@
 	body := map[string]any{
 		"Service": "desk", "Address": w.address, "Zone": "zone-a", "Version": "1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Sequence": w.sequence, "Machine": "m-" + w.id, "born": w.began.UnixMilli(),
-		"Capacity": map[string]int{"Cpu": 16000, "MemMb": 32768, "Gpu": 0}, "Labels": []string{"a", w.rack},
+		"Capacity": map[string]int{"Cpu": 16000, "MemMb": 32768, "Gpu": 0}, "Labels": []string{"a", "r1"},
 	}
 	if !w.draining.IsZero() {
 		body["State"] = "draining"
@@ -166,14 +156,6 @@
 	w.changed = make(chan struct{})
 }
 
-// checkpoint returns the checkpoint of the run, a new one each second.
-func (r *workerRun) checkpoint(clockMs int64) string {
-	if r.checkpointBytes == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%0*d", r.checkpointBytes, clockMs/1000)
-}
-
 // finish ends a run. The lock is held.
 func (w *worker) finish(r *workerRun, how string) {
 	if w.runs[r.task] != r || !w.isUp() {
@@ -272,26 +254,20 @@
 	writeJSON(rw, http.StatusOK, map[string]int64{"ClockMs": w.clock()})
 }
 
-// indexOf returns the index of a task in its step.
-func indexOf(task string) int {
-	index, _ := strconv.Atoi(task[strings.LastIndex(task, ".")+1:])
-	return index
-}
-
 // begin starts a run. The lock is held.
 func (w *worker) begin(o orderBody) {
 	var s spec
 	_ = json.Unmarshal([]byte(o.Spec), &s)
-	run := &workerRun{task: o.Task, run: o.Run, checkpointBytes: s.Checkpoint}
+	run := &workerRun{task: o.Task, run: o.Run}
 	w.runs[o.Task] = run
 	w.refused[o.Task] = o.Run
 	w.cell.record("worker %s: %s run %d started, token %d", w.id, o.Task, o.Run, o.FencingToken)
 	w.cell.started(w, o)
-	if s.Ms == 0 || s.FailEvery > 0 && (o.Run > 1 || indexOf(o.Task)%s.FailEvery != 0) {
+	if s.Ms == 0 {
 		return
 	}
 	how := "done"
-	if s.Fail || s.FailEvery > 0 {
+	if s.Fail {
 		how = "failed"
 	}
 	run.timer = time.AfterFunc(time.Duration(s.Ms)*time.Millisecond, func() {
@@ -349,7 +325,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, run := range w.runs {
-		running = append(running, []any{run.task, run.run, run.checkpoint(w.clock()), 100, 0})
+		running = append(running, []any{run.task, run.run, "", 100, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
