--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/celeryarch ] && [ -x target/stand3 ] || exit 2
-exec target/stand3 shards review/12 >/dev/null
+exec target/stand3 renamed review/12 >/dev/null
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -19,9 +19,10 @@
 type scenario func(c *cell, trouble bool) (broken bool)
 
 var scenarios = map[string]scenario{
-	"bodies": playBodies,
-	"quota":  playQuota,
-	"shards": playShards,
+	"bodies":  playBodies,
+	"renamed": playRenamed,
+	"quota":   playQuota,
+	"shards":  playShards,
 }
 
 func main() {
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// hasRun reports whether the worker is up and has a run of the task.
+func (w *worker) hasRun(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isUp() && w.runs[task] != nil
+}
+
 // report writes the registration at each heartbeat.
 func (w *worker) report() {
 	for {
