--- a/review/_stand3/cell.go
+++ b/review/_stand3/cell.go
@@ -17,9 +17,15 @@
 	"time"
 )
 
+// current is the cell whose processes end with this one.
+var current *cell
+
 func fatal(err error) {
 	if err != nil {
 		log.Print(err)
+		if current != nil {
+			current.stop()
+		}
 		os.Exit(exitCannotRun)
 	}
 }
@@ -35,6 +41,10 @@
 	// linkMbps is the bandwidth of the links of entries in their settings, in Mbit/s.
 	linkMbps string
 
+	// processes guards the starts of processes, and stopped is set when there are no more.
+	processes sync.Mutex
+	stopped   bool
+
 	mu     sync.Mutex
 	out    io.Writer
 	counts map[string]int
@@ -214,12 +224,23 @@
 
 // start starts the process with the command of the deploy file.
 func (e *entry) start() {
+	e.cell.processes.Lock()
+	defer e.cell.processes.Unlock()
+	if e.cell.stopped {
+		return
+	}
 	e.cmd = exec.Command("target/celeryarch", "node", "--metrics=9180")
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CELERYARCH_NODE_FILE=" + e.settings}
 	logFile, err := os.OpenFile(filepath.Join(e.cell.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	fatal(err)
+	if err != nil {
+		log.Print(err)
+		os.Exit(exitCannotRun)
+	}
 	e.cmd.Stdout, e.cmd.Stderr = logFile, logFile
-	fatal(e.cmd.Start())
+	if err := e.cmd.Start(); err != nil {
+		log.Print(err)
+		os.Exit(exitCannotRun)
+	}
 	e.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		err := cmd.Wait()
@@ -276,14 +297,18 @@
 
 // stop ends all processes.
 func (c *cell) stop() {
+	c.processes.Lock()
+	c.stopped = true
+	c.processes.Unlock()
 	for _, e := range c.entries {
+		if e.cmd == nil || e.cmd.Process == nil {
+			continue
+		}
 		_ = e.cmd.Process.Signal(syscall.SIGCONT)
 		_ = e.cmd.Process.Kill()
 		<-e.done
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.dir)
-	}
+	_ = os.RemoveAll(c.dir)
 }
 
 // call makes a call of a client at an entry. The status is zero without an answer.
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -31,6 +33,14 @@
 		os.Exit(exitCannotRun)
 	}
 	c := newCell(os.Args[2])
+	current = c
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		c.stop()
+		os.Exit(exitCannotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	time.AfterFunc(115*time.Second, func() {
 		c.record("the case takes too long")
