--- a/internal/cell/cagate/busy_test.go
+++ b/internal/cell/cagate/busy_test.go
@@ -70,12 +70,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	within(t, "a query", callerTimeout/3, func() {
-		if _, err := gate.Phase(ctx, accepted.Team, accepted.ID); err != nil {
+		if _, err := gate.Phase(ctx, caspec.Caller{Team: accepted.Team}, accepted.ID); err != nil {
 			t.Errorf("query of an accepted job: %v", err)
 		}
 	})
 	within(t, "a cancellation", callerTimeout, func() {
-		if err := gate.Cancel(ctx, accepted.Team, accepted.ID); err != nil {
+		if err := gate.Cancel(ctx, caspec.Caller{Team: accepted.Team}, accepted.ID); err != nil {
 			t.Errorf("cancellation of an accepted job: %v", err)
 		}
 	})
--- a/internal/cell/cagate/cell_test.go
+++ b/internal/cell/cagate/cell_test.go
@@ -432,7 +432,7 @@
 	}
 	gate, crashes := c.gates()[name], c.crashesByJob()
 	for _, id := range c.accepted.Sorted() {
-		phase, err := gate.Phase(context.Background(), "north", id)
+		phase, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, id)
 		want := castate.PhaseCompleted
 		switch {
 		case c.deadly.Has(id):
@@ -454,7 +454,7 @@
 		}
 	}
 	for _, id := range c.refused.Sorted() {
-		if phase, err := gate.Phase(context.Background(), "north", id); err == nil {
+		if phase, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, id); err == nil {
 			c.t.Errorf("refused job %s exists in phase %v", id, phase)
 		}
 	}
@@ -649,7 +649,7 @@
 			id := cawork.JobID(fmt.Sprintf("%016x", c.jobs))
 			time.Sleep(after * time.Millisecond)
 			leader := c.leader()
-			err := c.gates()[leader].Cancel(context.Background(), "north", id)
+			err := c.gates()[leader].Cancel(context.Background(), caspec.Caller{Team: "north"}, id)
 			c.kill(leader)
 			c.start(leader)
 			time.Sleep(4 * time.Second)
@@ -657,7 +657,7 @@
 			if err != nil {
 				t.Fatalf("cancel job %s: %v", id, err)
 			}
-			phase, err := c.gates()[c.leader()].Phase(context.Background(), "north", id)
+			phase, err := c.gates()[c.leader()].Phase(context.Background(), caspec.Caller{Team: "north"}, id)
 			if diff := cmp.Diff([]any{castate.PhaseCanceled, nil}, []any{phase, err}); diff != "" {
 				t.Errorf("job %s canceled %v after its acceptance (-want +got):\n%s", id, after*time.Millisecond, diff)
 			}
--- a/internal/cell/cagate/isolation_test.go
+++ b/internal/cell/cagate/isolation_test.go
@@ -63,7 +63,7 @@
 		if cakind.ResponseTo(cakind.Of(err)).Execution != cakind.ExecutionNotRun || cakind.RetryAfterOf(err) <= 0 {
 			t.Errorf("answer %v, retry after %v: want a refusal with a retry delay", err, cakind.RetryAfterOf(err))
 		}
-		if _, err := gate.Phase(context.Background(), "north", "00000000000000ff"); cakind.Of(err) != cakind.KindUnavailable {
+		if _, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, "00000000000000ff"); cakind.Of(err) != cakind.KindUnavailable {
 			t.Errorf("phase of a job: %v, want unavailable", err)
 		}
 		time.Sleep(3 * time.Second)
--- /dev/null
+++ b/internal/cell/cagate/jobcalls.go
@@ -0,0 +1,151 @@
+package cagate
+
+import (
+	"context"
+	"time"
+
+	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caobjective"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
+	"celeryarch.example/celeryarch/internal/node/capeer"
+)
+
+// linkForJob returns the link of the job's shard.
+func (g *Gate) linkForJob(caller caspec.Caller, id cawork.JobID) (*link, error) {
+	_, layout := g.policyAndLayout()
+	if layout.IsZero() {
+		return nil, cakind.New(cakind.KindNotStarted, "the shard layout is not known yet").WithRetryAfter(noLeaderRetryAfter)
+	}
+	return g.link(layout.ShardOfJob(caller.Team, id))
+}
+
+// awaitLinkForJob is linkForJob for a call that waits until the layout is known.
+func (g *Gate) awaitLinkForJob(ctx context.Context, caller caspec.Caller, id cawork.JobID) (*link, error) {
+	overdue := g.Timer.After(isolatedWaitTimeout)
+	defer overdue.Close()
+	select {
+	case <-g.layoutKnown:
+	case <-ctx.Done():
+	case <-overdue.C:
+	}
+	return g.linkForJob(caller, id)
+}
+
+// Submit submits a job to the leader of its shard. After KindUnknown the job may have been
+// accepted; after any other error it was not and never runs.
+func (g *Gate) Submit(ctx context.Context, s caspec.Submission) error {
+	shardLink, err := g.linkForJob(s.Caller(), s.ID)
+	if err != nil {
+		return err
+	}
+	err = shardLink.forward(ctx, callSubmit, s.ID, func(ctx context.Context, l *caleader.Leader, address string) error {
+		if l != nil {
+			return l.Submit(ctx, s)
+		}
+		request := submitRequest{Submission: s, Wait: leaderWait(ctx), Shard: shardLink.shard}
+		_, err := capeer.Call[submitRequest, empty](ctx, g.PeerClient, address, callSubmit, request)
+		return err
+	})
+	return g.withRetryHint(ctx, s, err)
+}
+
+// withRetryHint adds a retry delay to an error that says that no leader can accept the
+// job now. The delay lets a caller retry several times before its deadline.
+func (g *Gate) withRetryHint(ctx context.Context, s caspec.Submission, err error) error {
+	if kind := cakind.Of(err); err == nil || kind != cakind.KindUnavailable && kind != cakind.KindNotStarted {
+		return err
+	}
+	q, ok := g.Policy().Queue(s.Queue)
+	if !ok {
+		return err
+	}
+	after := caobjective.OutageRetryAfter(q, s.Steps)
+	if deadline, ok := ctx.Deadline(); ok {
+		after = min(after, max(time.Until(deadline)/triesPerDeadline, caobjective.MinOutageRetry))
+	}
+	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(after)
+}
+
+// Phase returns the phase of a job.
+func (g *Gate) Phase(ctx context.Context, caller caspec.Caller, id cawork.JobID) (castate.Phase, error) {
+	shardLink, err := g.awaitLinkForJob(ctx, caller, id)
+	if err != nil {
+		return 0, err
+	}
+	var phase castate.Phase
+	err = shardLink.forward(ctx, callPhase, id, func(ctx context.Context, l *caleader.Leader, address string) (err error) {
+		if l != nil {
+			phase, err = l.Phase(id)
+			return err
+		}
+		request := jobRequest{Job: id, Shard: shardLink.shard}
+		reply, err := capeer.Call[jobRequest, phaseReply](ctx, g.PeerClient, address, callPhase, request)
+		phase = reply.Phase
+		return err
+	})
+	shardLink.logUnknownJob(callPhase, caller, id, err)
+	return phase, err
+}
+
+// Cancel cancels a job.
+func (g *Gate) Cancel(ctx context.Context, caller caspec.Caller, id cawork.JobID) error {
+	shardLink, err := g.awaitLinkForJob(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	err = shardLink.forward(ctx, callCancel, id, func(ctx context.Context, l *caleader.Leader, address string) error {
+		if l != nil {
+			return l.Cancel(ctx, id)
+		}
+		request := jobRequest{Job: id, Wait: leaderWait(ctx), Shard: shardLink.shard}
+		_, err := capeer.Call[jobRequest, empty](ctx, g.PeerClient, address, callCancel, request)
+		return err
+	})
+	shardLink.logUnknownJob(callCancel, caller, id, err)
+	return err
+}
+
+// logUnknownJob logs where a call looked for a job that is not known there.
+func (l *link) logUnknownJob(call string, caller caspec.Caller, id cawork.JobID, err error) {
+	if cakind.Of(err) != cakind.KindNotFound {
+		return
+	}
+	policy, layout := l.gate.policyAndLayout()
+	caevent.Info(l.gate.Log, caevent.JobUnknown).Str("call", call).Str("job", string(id)).Str("team", string(caller.Team)).
+		Stringer("key", caller.Key).Int("shard", l.shard).Int("shards", layout.Shards).Int64("policy", policy.Version).Send()
+}
+
+// Pending counts the accepted jobs of a queue that have not started, over all shards.
+func (g *Gate) Pending(ctx context.Context, q caspec.QueueName) (int, error) {
+	g.mu.Lock()
+	links := g.links
+	g.mu.Unlock()
+	total := 0
+	for _, shardLink := range links {
+		n, err := shardLink.pending(ctx, q)
+		if err != nil {
+			return 0, err
+		}
+		total += n
+	}
+	return total, nil
+}
+
+// replyMargin is how long before the end of an attempt the leader must answer, so that its
+// answer still arrives.
+const replyMargin = 100 * time.Millisecond
+
+// leaderWait returns how long the leader may take to answer an attempt, which ends with the
+// context. Of a short attempt it may take half.
+func leaderWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return attemptTimeout
+	}
+	remaining := time.Until(deadline)
+	return remaining - min(replyMargin, remaining/2)
+}
--- a/internal/cell/cagate/outgrownrecord_test.go
+++ b/internal/cell/cagate/outgrownrecord_test.go
@@ -43,7 +43,7 @@
 	time.Sleep(5 * time.Second)
 	gate, ended := c.gates()[c.leader()], 0
 	for _, id := range c.accepted.Sorted() {
-		if phase, err := gate.Phase(context.Background(), "north", id); err == nil && phase == castate.PhaseCompleted {
+		if phase, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, id); err == nil && phase == castate.PhaseCompleted {
 			ended++
 		}
 	}
@@ -94,7 +94,7 @@
 				if err := callOnce(gate, large, true); err != nil {
 					t.Errorf("cancel the large job: %v", err)
 				}
-				if phase, err := gate.Phase(t.Context(), "north", large.ID); err != nil || phase != castate.PhaseCanceled {
+				if phase, err := gate.Phase(t.Context(), caspec.Caller{Team: "north"}, large.ID); err != nil || phase != castate.PhaseCanceled {
 					t.Errorf("phase of the large job: %v, error %v, want canceled", phase, err)
 				}
 			}, func(c *testCell) {
--- a/internal/cell/cagate/owed_test.go
+++ b/internal/cell/cagate/owed_test.go
@@ -49,9 +49,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	if isCancel {
-		return gate.Cancel(ctx, s.Team, s.ID)
+		return gate.Cancel(ctx, s.Caller(), s.ID)
 	}
-	_, err := gate.Phase(ctx, s.Team, s.ID)
+	_, err := gate.Phase(ctx, s.Caller(), s.ID)
 	return err
 }
 
@@ -73,7 +73,7 @@
 				c.callers.Go(func() {
 					ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 					defer cancel()
-					_, err := gate.Phase(ctx, s.Team, s.ID)
+					_, err := gate.Phase(ctx, s.Caller(), s.ID)
 					if diff := cmp.Diff(cakind.KindUnavailable, cakind.Of(err)); diff != "" {
 						t.Errorf("error kind of a query without an answer: %v (-want +got):\n%s", err, diff)
 					}
--- a/internal/cell/cagate/removedqueues_test.go
+++ b/internal/cell/cagate/removedqueues_test.go
@@ -251,11 +251,11 @@
 		}
 		for _, canceled := range []cawork.JobID{id, waiting} {
 			c.accepted.Remove(canceled)
-			if err := gate.Cancel(context.Background(), "north", canceled); err != nil {
+			if err := gate.Cancel(context.Background(), caspec.Caller{Team: "north"}, canceled); err != nil {
 				t.Errorf("cancel job %s: %v", canceled, err)
 			}
 			time.Sleep(3 * time.Second)
-			phase, err := gate.Phase(context.Background(), "north", canceled)
+			phase, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, canceled)
 			if running := c.fleet.Running(canceled); running > 0 || err != nil || phase != castate.PhaseCanceled {
 				t.Errorf("job %s: %d tasks run, phase %v, error %v, want none and canceled", canceled, running, phase, err)
 			}
--- a/internal/cell/cagate/slowadvisor_test.go
+++ b/internal/cell/cagate/slowadvisor_test.go
@@ -83,7 +83,7 @@
 	gate := c.gates()[c.leader()]
 	var open []cawork.JobID
 	for _, id := range c.accepted.Sorted() {
-		if phase, err := gate.Phase(context.Background(), "north", id); err != nil || !phase.IsFinal() {
+		if phase, err := gate.Phase(context.Background(), caspec.Caller{Team: "north"}, id); err != nil || !phase.IsFinal() {
 			open = append(open, id)
 		}
 	}
--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -105,8 +105,13 @@
 	Payload  string          `cbor:"4,keyasint,omitempty"`
 	Steps    []Step          `cbor:"5,keyasint"`
 	Schedule Schedule        `cbor:"6,keyasint,omitempty"`
+	// Key is the key that the submission came with. It is not stored.
+	Key KeyID `cbor:"-"`
 }
 
+// Caller returns who made the submission.
+func (s Submission) Caller() Caller { return Caller{Team: s.Team, Key: s.Key} }
+
 // IsLongRunning reports whether any step runs until the job is canceled.
 func (s Submission) IsLongRunning() bool {
 	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.LongRunning })
