--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -12,10 +12,10 @@
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
-// SetPolicy applies a version of the policy. Older versions are ignored. An accepted job whose queue or team
+// SetPolicy applies a version of the policy, again where the part of the shard in it has changed. Older versions are ignored. An accepted job whose queue or team
 // is no longer listed goes on under the newest version that lists it.
 func (b *Planner) SetPolicy(p caspec.Policy) {
-	if !b.policy.IsZero() && p.Version <= b.policy.Version {
+	if !b.policy.IsZero() && p.Version < b.policy.Version {
 		return
 	}
 	b.policy = p
--- a/internal/cell/cagate/gate.go
+++ b/internal/cell/cagate/gate.go
@@ -69,14 +69,16 @@
 	// layoutKnown is closed when the layout is known.
 	layoutKnown chan struct{}
 
-	mu         sync.Mutex
-	policy     caspec.Policy
-	layout     calayout.Layout
-	drains     drainReading
-	links      []*link
-	roster     *caroster.Roster
-	feedLostAt time.Time
-	draining   bool
+	mu     sync.Mutex
+	policy caspec.Policy
+	layout calayout.Layout
+	// layoutChanged is closed and replaced when the layout changes.
+	layoutChanged chan struct{}
+	drains        drainReading
+	links         []*link
+	roster        *caroster.Roster
+	feedLostAt    time.Time
+	draining      bool
 	// surplusAt is when this entry last handed over one of several shards that it led.
 	surplusAt time.Time
 	// candidacies counts the shards that this entry waits to claim.
@@ -88,7 +90,7 @@
 // New returns a Gate that has not found any leader yet.
 func New(deps Deps) *Gate {
 	g := &Gate{
-		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), openJobs: cagauge.NewOpenJobs(deps.Scope), layoutKnown: make(chan struct{}),
+		Deps: deps, done: make(chan struct{}), agent: carelay.NewAgent(deps.Upstreams, deps.Timer, deps.Log), openJobs: cagauge.NewOpenJobs(deps.Scope), layoutKnown: make(chan struct{}), layoutChanged: make(chan struct{}),
 		roster: caroster.New(deps.Self.VM), feedLostAt: deps.Timer.Now(), startedAt: deps.Timer.Now(),
 	}
 	g.links = []*link{newLink(g, 0)}
@@ -142,20 +144,30 @@
 	return g.policy
 }
 
-// setLayout stores the shard layout and creates the links of the further shards. The
-// layout never changes once it is set.
+// setLayout stores the shard layout, or a newer edition of it. The first one creates the links of the further shards.
 func (g *Gate) setLayout(l calayout.Layout) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.layout.IsZero() || l.IsZero() {
+	if !l.IsNewerThan(g.layout) {
 		return
 	}
+	isFirst := g.layout.IsZero()
 	g.layout = l
-	for shard := 1; shard < l.Shards; shard++ {
-		g.links = append(g.links, newLink(g, shard))
+	if isFirst {
+		for shard := 1; shard < l.Shards; shard++ {
+			g.links = append(g.links, newLink(g, shard))
+		}
+		close(g.layoutKnown)
+	}
+	close(g.layoutChanged)
+	g.layoutChanged = make(chan struct{})
+	for _, shardLink := range g.links {
+		if shardLink.localLeader != nil {
+			shardLink.localLeader.SetLayout(l)
+		}
 	}
-	close(g.layoutKnown)
-	caevent.Info(g.Log, caevent.LayoutKnown).Int("shards", l.Shards).Floats64("weights", l.Weights).Send()
+	caevent.Info(g.Log, caevent.LayoutKnown).Int("shards", l.Shards).Floats64("weights", l.Weights).
+		Int64("edition", l.Edition).Int("keys", len(l.Keys)).Send()
 }
 
 // policyAndLayout returns the policy and the layout in force.
--- a/internal/cell/cagate/hello.go
+++ b/internal/cell/cagate/hello.go
@@ -117,6 +117,7 @@
 	request := helloRequest{
 		From: g.Self, PolicyVersion: policy.Version, HasAdvisor: g.Advisor != nil, Shard: l.shard, HasLayout: !layout.IsZero(),
 		ReachesStore: g.reachesStore(), DrainPosition: g.drainPosition(), Process: g.Nonce, Stopping: g.isDraining(), Leading: g.leadingCount(),
+		FollowsLayout: true, LayoutEdition: layout.Edition,
 	}
 	began := g.Timer.Now()
 	reply, err := capeer.Call[helloRequest, helloReply](ctx, g.PeerClient, address, callHello, request)
--- a/internal/cell/cagate/jobcalls.go
+++ b/internal/cell/cagate/jobcalls.go
@@ -14,16 +14,41 @@
 	"celeryarch.example/celeryarch/internal/node/capeer"
 )
 
-// linkForJob returns the link of the job's shard.
-func (g *Gate) linkForJob(caller caspec.Caller, id cawork.JobID) (*link, error) {
-	_, layout := g.policyAndLayout()
-	if layout.IsZero() {
-		return nil, cakind.New(cakind.KindNotStarted, "the shard layout is not known yet").WithRetryAfter(noLeaderRetryAfter)
+// errKeyUndecided is returned for a submission with a key that has no shards yet.
+var errKeyUndecided = cakind.New(cakind.KindNotStarted, "the shards of the key are not decided yet").WithRetryAfter(noLeaderRetryAfter)
+
+// errLayoutUnknown is returned before the first layout is known.
+var errLayoutUnknown = cakind.New(cakind.KindNotStarted, "the shard layout is not known yet").WithRetryAfter(noLeaderRetryAfter)
+
+// linkForSubmission returns the link of the shard that a submission belongs to. A key that a version has only just
+// listed has no shard until the leader of the first shard has decided it.
+func (g *Gate) linkForSubmission(ctx context.Context, s caspec.Submission) (*link, error) {
+	overdue := g.Timer.After(leaderWaitTimeout)
+	defer overdue.Close()
+	for {
+		g.mu.Lock()
+		layout, changed, first := g.layout, g.layoutChanged, g.links[0]
+		mayDecide := first.localLeader != nil || !first.status.leavesKeys
+		g.mu.Unlock()
+		if layout.IsZero() {
+			return nil, errLayoutUnknown
+		}
+		shard, decided := layout.ShardOfCall(s.Caller(), s.ID)
+		if decided || !mayDecide {
+			return g.link(shard)
+		}
+		first.triggerCheck()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, errKeyUndecided
+		case <-overdue.C:
+			return nil, errKeyUndecided
+		}
 	}
-	return g.link(layout.ShardOfJob(caller.Team, id))
 }
 
-// awaitLinkForJob is linkForJob for a call that waits until the layout is known.
+// awaitLinkForJob returns the link of the shard where a job of the caller should be. It waits until the layout is known.
 func (g *Gate) awaitLinkForJob(ctx context.Context, caller caspec.Caller, id cawork.JobID) (*link, error) {
 	overdue := g.Timer.After(isolatedWaitTimeout)
 	defer overdue.Close()
@@ -32,13 +57,18 @@
 	case <-ctx.Done():
 	case <-overdue.C:
 	}
-	return g.linkForJob(caller, id)
+	_, layout := g.policyAndLayout()
+	if layout.IsZero() {
+		return nil, errLayoutUnknown
+	}
+	shard, _ := layout.ShardOfCall(caller, id)
+	return g.link(shard)
 }
 
 // Submit submits a job to the leader of its shard. After KindUnknown the job may have been
 // accepted; after any other error it was not and never runs.
 func (g *Gate) Submit(ctx context.Context, s caspec.Submission) error {
-	shardLink, err := g.linkForJob(s.Caller(), s.ID)
+	shardLink, err := g.linkForSubmission(ctx, s)
 	if err != nil {
 		return err
 	}
--- a/internal/cell/cagate/link.go
+++ b/internal/cell/cagate/link.go
@@ -79,6 +79,8 @@
 	// unstarted are the leader's counts of pending jobs by queue, if that reply has any.
 	unstarted    map[caspec.QueueName]int
 	hasUnstarted bool
+	// leavesKeys is set if that reply tells that the leader gives no shards to new keys, as earlier builds do.
+	leavesKeys bool
 	// observedAt is when this leader was first observed.
 	observedAt time.Time
 	// helloLatency is the mean latency of its last replies, with most weight on the newest.
@@ -138,6 +140,7 @@
 	l.appendLatency.Observe(reply.LastAppendTook)
 	l.status.nextHelloIn = reply.NextHelloIn
 	l.status.helloLatency = (l.status.helloLatency + latency) / 2
+	l.status.leavesKeys = !reply.DecidesKeys
 	l.status.unstarted, l.status.hasUnstarted = reply.Unstarted, reply.HasUnstarted
 	l.status.unresponsive, l.status.helloMisses = false, 0
 }
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -47,6 +47,9 @@
 	Stopping bool `cbor:"9,keyasint,omitempty"`
 	// Leading is the number of shards that the caller leads or is about to lead.
 	Leading int `cbor:"10,keyasint,omitempty"`
+	// FollowsLayout reports whether the caller wants newer editions of the layout than LayoutEdition.
+	FollowsLayout bool  `cbor:"11,keyasint,omitempty"`
+	LayoutEdition int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // helloReply describes the leader of the requested shard and, if the caller lacks them,
@@ -67,7 +70,7 @@
 	// Peers are the entries that called the replying entry recently. A leader lists strong
 	// ones only.
 	Peers []caroster.Peer `cbor:"6,keyasint,omitempty"`
-	// Layout is set if the caller lacks it.
+	// Layout is set if the caller lacks it, or follows it and has an older edition.
 	Layout *calayout.Layout `cbor:"7,keyasint,omitempty"`
 	// NextHelloIn is the time after which the caller should call the leader again.
 	NextHelloIn time.Duration `cbor:"8,keyasint,omitempty"`
@@ -84,6 +87,8 @@
 	// SteppingDown is set if the replying entry leads the shard and lets another entry take
 	// over. It answers calls until one does.
 	SteppingDown bool `cbor:"14,keyasint,omitempty"`
+	// DecidesKeys is set by leaders that give shards to new keys.
+	DecidesKeys bool `cbor:"15,keyasint,omitempty"`
 }
 
 // leaderID identifies a leader by its VM and fencing token.
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -37,6 +37,7 @@
 		if l.localLeader != nil {
 			reply.Leading = !g.draining && !g.shouldStepDown(l.localLeader)
 			reply.SteppingDown = !reply.Leading
+			reply.DecidesKeys = true
 			reply.LastAppendAge = l.localLeader.LastAppendAge()
 			reply.LastAppendTook = l.localLeader.LastAppendTook()
 			reply.Unstarted, reply.HasUnstarted = l.localLeader.UnstartedJobs()
@@ -51,7 +52,7 @@
 		drains := g.drains.ZoneDrains
 		reply.Drains, reply.DrainAge = &drains, now.Sub(g.drains.readAt)
 	}
-	if !r.HasLayout && !g.layout.IsZero() {
+	if !g.layout.IsZero() && (!r.HasLayout || r.FollowsLayout && g.layout.Edition > r.LayoutEdition) {
 		layout := g.layout
 		reply.Layout = &layout
 	}
--- /dev/null
+++ b/internal/cell/cagate/tenants_test.go
@@ -0,0 +1,181 @@
+package cagate
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"celeryarch.example/celeryarch/internal/base/cakind"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
+	"celeryarch.example/celeryarch/internal/cell/caleader"
+	"celeryarch.example/celeryarch/internal/cell/caorder"
+	"celeryarch.example/celeryarch/internal/cell/caspec"
+)
+
+// tenantCell is a cell of several shards whose teams change. Its callers know their keys alone.
+type tenantCell struct {
+	*testCell
+	policies *policyLog
+}
+
+// twoShards divides a cell as an earlier build did, which knew no keys: north has the first shard, south the second.
+func twoShards() calayout.Layout {
+	return calayout.Layout{Shards: 2, Weights: []float64{0.5, 0.5}, Teams: map[cawork.TeamName][]int{"north": {0}, "south": {1}}}
+}
+
+// team returns a team with some keys.
+func team(name cawork.TeamName, keys ...string) caspec.Team {
+	return caspec.Team{Name: name, Weight: 1000, Keys: keys}
+}
+
+// otherName returns a new name that the hash gives to the second shard.
+func otherName() cawork.TeamName {
+	for i := 0; ; i++ {
+		if name := cawork.TeamName(fmt.Sprintf("other-%d", i)); twoShards().ShardsOf(name)[0] == 1 {
+			return name
+		}
+	}
+}
+
+// runInTenantCell runs a scenario in a cell of three entries and two shards, which begins with the teams north and south.
+func runInTenantCell(t *testing.T, scenario func(c *tenantCell), changes ...func(*testCell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &tenantCell{}
+		c.testCell = newTestCell(t, 3, testUpstreams+1, append([]func(*testCell){func(tc *testCell) {
+			c.policies = tc.publishFrom(testPolicy().Queues...)
+			c.policies.policy.Teams = []caspec.Team{team("north", "k-north"), team("south", "k-south")}
+			record, err := twoShards().Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := tc.store.Log("jobs-0", "test").Append(t.Context(), 0, []caleader.LogEntry{{Key: "layout", Value: record}}); err != nil {
+				t.Fatal(err)
+			}
+		}}, changes...)...)
+		time.Sleep(5 * time.Second)
+		scenario(c)
+		time.Sleep(c.settleTime)
+		if diff := cmp.Diff([]string(nil), c.fleet.Violations()); diff != "" {
+			t.Errorf("violations (-want +got):\n%s", diff)
+		}
+		c.close()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// publishTeams publishes a version with other teams.
+func (c *tenantCell) publishTeams(teams ...caspec.Team) {
+	c.policies.mu.Lock()
+	c.policies.policy.Teams = teams
+	c.policies.mu.Unlock()
+	c.policies.publish(testPolicy().Queues...)
+}
+
+// callerAt returns who has a key by the policy of an entry.
+func (c *tenantCell) callerAt(entry int, key string) (*Gate, caspec.Caller) {
+	gate := c.gates()[entryName(entry)]
+	name, _ := gate.Policy().TeamForKey(key)
+	return gate, caspec.Caller{Team: name, Key: caspec.KeyIDOf(key)}
+}
+
+// submitWith submits a job with a key at an entry, again for as long as it is refused for now.
+func (c *tenantCell) submitWith(entry int, key string, id cawork.JobID, steps ...caspec.Step) error {
+	var err error
+	for range 4 {
+		gate, caller := c.callerAt(entry, key)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		err = gate.Submit(ctx, caspec.Submission{ID: id, Queue: "queue", Team: caller.Team, Key: caller.Key, Steps: steps})
+		cancel()
+		if kind := cakind.Of(err); kind != cakind.KindUnavailable && kind != cakind.KindNotStarted {
+			return err
+		}
+		time.Sleep(cakind.RetryAfterOf(err))
+	}
+	return err
+}
+
+// tenantChange is a series of versions after a job of k-north was accepted.
+type tenantChange struct {
+	versions [][]caspec.Team
+	// key is the key of the calls that follow.
+	key string
+}
+
+// tenantChanges are the ways in which the team of a job changes under it.
+func tenantChanges() map[string]tenantChange {
+	other, south := otherName(), team("south", "k-south")
+	return map[string]tenantChange{
+		"renamed":            {key: "k-north", versions: [][]caspec.Team{{team(other, "k-north"), south}}},
+		"renamed and back":   {key: "k-north", versions: [][]caspec.Team{{team(other, "k-north"), south}, {team("north", "k-north"), south}}},
+		"names swapped":      {key: "k-north", versions: [][]caspec.Team{{team("south", "k-north"), team("north", "k-south")}}},
+		"key moves":          {key: "k-north", versions: [][]caspec.Team{{team("south", "k-south", "k-north")}}},
+		"another key":        {key: "k-2", versions: [][]caspec.Team{{team("north", "k-2"), south}}},
+		"split":              {key: "k-north", versions: [][]caspec.Team{{team("north", "k-north", "k-2"), south}, {team(other, "k-north"), team("north", "k-2"), south}}},
+		"key and name apart": {key: "k-2", versions: [][]caspec.Team{{team("north", "k-north", "k-2"), south}, {team(other, "k-2"), south}}},
+		"renamed twice":      {key: "k-north", versions: [][]caspec.Team{{team(other, "k-north"), south}, {team(other+"-b", "k-north"), south}}},
+	}
+}
+
+// restarts are what happens to the entries between the versions and the calls that follow.
+func restarts() map[string]func(c *tenantCell) {
+	return map[string]func(c *tenantCell){
+		"":                    func(*tenantCell) {},
+		", all restarted":     func(c *tenantCell) { c.restartAllEntries(time.Second) },
+		", restarted in turn": func(c *tenantCell) { c.restartEntriesInTurn() },
+	}
+}
+
+// forEachTenantChange runs a scenario for each change of the team of a job, with and without restarts of the entries.
+func forEachTenantChange(t *testing.T, scenario func(t *testing.T, c *tenantCell, change func() (key string))) {
+	for name, change := range tenantChanges() {
+		for after, restart := range restarts() {
+			t.Run(name+after, func(t *testing.T) {
+				runInTenantCell(t, func(c *tenantCell) {
+					scenario(t, c, func() string {
+						for _, teams := range change.versions {
+							c.publishTeams(teams...)
+							time.Sleep(time.Second)
+						}
+						restart(c)
+						return change.key
+					})
+				})
+			})
+		}
+	}
+}
+
+// runTimeInTenantCell is longer than a series of versions and restarts takes.
+const runTimeInTenantCell = 20 * time.Second
+
+// submitTwoSteps submits a job of two steps with k-north, whose tasks run for runTimeInTenantCell.
+func (c *tenantCell) submitTwoSteps(t *testing.T) cawork.JobID {
+	c.fleet.SetRunTime(func(caorder.RunID) (time.Duration, bool) { return runTimeInTenantCell, true })
+	id := jobID(c.nextJob())
+	if err := c.submitWith(0, "k-north", id, twoSteps()...); err != nil {
+		t.Fatalf("submit: %v", err)
+	}
+	time.Sleep(time.Second)
+	return id
+}
+
+// TestRepeatedSubmissionStartsNothingTwice guards against a request that arrives again once a version has changed the name or
+// the keys of its team, and starts its job in another shard as well.
+func TestRepeatedSubmissionStartsNothingTwice(t *testing.T) {
+	forEachTenantChange(t, func(t *testing.T, c *tenantCell, change func() string) {
+		id := c.submitTwoSteps(t)
+		key := change()
+		for entry := range 3 {
+			_ = c.submitWith(entry, key, id, twoSteps()...)
+		}
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff(testStep().Tasks, c.fleet.Running(id)); diff != "" {
+			t.Errorf("tasks at work (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -1,7 +1,7 @@
 // Package calayout divides a cell into shards. Each shard has one leader, one log, and its
 // own upstreams and teams. The leader of the first shard decides the layout once and stores
-// it. Every entry computes from the layout which shards a team, a job or an upstream
-// belongs to.
+// it. Every entry computes from the layout which shards a key, a team, a job or an upstream
+// belongs to. What changes later is which keys the layout knows: it gets a new edition then.
 package calayout
 
 import (
@@ -39,6 +39,10 @@
 	Teams map[cawork.TeamName][]int `cbor:"2,keyasint,omitempty"`
 	// Weights are the fractions of the work by shard.
 	Weights []float64 `cbor:"3,keyasint,omitempty"`
+	// Keys are the keys of teams. Builds that do not know them keep them in the record of the layout.
+	Keys map[caspec.KeyID]Tenure `cbor:"4,keyasint,omitempty"`
+	// Edition numbers what the layout knows of keys and teams. It grows with each change.
+	Edition int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Compute divides a cell with the given number of upstreams into at most maxShards shards. The entries
@@ -122,7 +126,11 @@
 
 // ShardOfJob returns the shard of a job of the team.
 func (l Layout) ShardOfJob(team cawork.TeamName, id cawork.JobID) int {
-	shards := l.ShardsOf(team)
+	return pickShard(l.ShardsOf(team), id)
+}
+
+// pickShard returns the shard of a job among those of its key or team.
+func pickShard(shards []int, id cawork.JobID) int {
 	if len(shards) == 1 {
 		return shards[0]
 	}
@@ -151,7 +159,7 @@
 	}
 	teams := slices.Clone(p.Teams)
 	for i, t := range teams {
-		parts := len(l.ShardsOf(t.Name))
+		parts := len(l.ShardsOfTeam(t))
 		teams[i] = t.DividedBy(parts)
 	}
 	p.Teams = teams
@@ -181,5 +189,10 @@
 			return Layout{}, cakind.New(cakind.KindInvalid, "layout with %d shards has shards %v of team %q", l.Shards, shards, team)
 		}
 	}
+	for id, tenure := range l.Keys {
+		if !l.areShards(tenure.Shards) {
+			return Layout{}, cakind.New(cakind.KindInvalid, "layout with %d shards has shards %v of key %v", l.Shards, tenure.Shards, id)
+		}
+	}
 	return l, nil
 }
--- a/internal/cell/caleader/claim.go
+++ b/internal/cell/caleader/claim.go
@@ -169,6 +169,8 @@
 	// terms are the records of the definitions that jobs need.
 	terms []caterms.Record
 	jobs  []*castate.Job
+	// layout is the stored layout, zero without one.
+	layout calayout.Layout
 	// crashes are the crashes of upstreams under the tasks of jobs.
 	crashes map[cawork.JobID]*cacrash.History
 	// unreadableJobs and unreadableCrashes count the records that cannot be decoded.
@@ -184,6 +186,10 @@
 		s.runTimes = e.Value
 		return
 	}
+	if e.Key == layoutKey {
+		s.layout, _ = calayout.Decode(e.Value)
+		return
+	}
 	if strings.HasPrefix(e.Key, caterms.KeyPrefix) {
 		s.terms = append(s.terms, caterms.Record{Key: e.Key, Value: e.Value})
 		return
--- a/internal/cell/caleader/commit.go
+++ b/internal/cell/caleader/commit.go
@@ -68,7 +68,7 @@
 	l.writer.claim.AppendTook = l.Timer.Now().Sub(began)
 	l.recordAppend(l.writer.claim.AppendTook, len(entries))
 	l.logRefused(refused)
-	l.applyStoredLayout()
+	l.applyStoredLayout(refused)
 	l.dispatchStarts(ctx, l.committed(batch, refused, began))
 	if releasing {
 		return l.noteReleased()
@@ -103,6 +103,7 @@
 		return caboard.Batch{}, nil, now.Monotonic, err
 	}
 	l.rejectDropped(batch)
+	l.followKeys()
 	entries := make([]LogEntry, 0, len(batch.Terms)+len(batch.Crashes)+len(batch.Records)+len(l.extraEntries))
 	entries = append(entries, l.extraEntries...)
 	l.extraEntries = nil
--- a/internal/cell/caleader/inbox.go
+++ b/internal/cell/caleader/inbox.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -15,6 +16,7 @@
 
 	mu           sync.Mutex
 	policy       *caspec.Policy
+	layout       *calayout.Layout
 	drains       *caboard.DrainView
 	previousGone bool
 }
@@ -38,10 +40,13 @@
 // applyInbox applies and empties the inbox. The lock is held.
 func (l *Leader) applyInbox() {
 	l.inbox.mu.Lock()
-	policy, drains, previousGone := l.inbox.policy, l.inbox.drains, l.inbox.previousGone
-	l.inbox.policy, l.inbox.drains, l.inbox.previousGone = nil, nil, false
+	policy, layout, drains, previousGone := l.inbox.policy, l.inbox.layout, l.inbox.drains, l.inbox.previousGone
+	l.inbox.policy, l.inbox.layout, l.inbox.drains, l.inbox.previousGone = nil, nil, nil, false
 	l.inbox.filled.Store(false)
 	l.inbox.mu.Unlock()
+	if layout != nil {
+		l.applyLayout(*layout)
+	}
 	if policy != nil {
 		l.applyPolicy(*policy)
 	}
@@ -75,6 +80,16 @@
 	l.wakePlanner()
 }
 
+// SetLayout passes a newer edition of the layout to the leader.
+func (l *Leader) SetLayout(layout calayout.Layout) {
+	l.inbox.put(func() {
+		if l.inbox.layout == nil || layout.IsNewerThan(*l.inbox.layout) {
+			l.inbox.layout = &layout
+		}
+	})
+	l.wakePlanner()
+}
+
 // SetDrains passes a newer view of the drained zones to the leader.
 func (l *Leader) SetDrains(v caboard.DrainView) {
 	l.inbox.put(func() { l.inbox.drains = &v })
--- a/internal/cell/caleader/layout.go
+++ b/internal/cell/caleader/layout.go
@@ -1,6 +1,7 @@
 package caleader
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -51,7 +52,12 @@
 	if now.Sub(l.upstreamCount.since) < upstreamCountSettleTime {
 		return
 	}
-	layout := calayout.Compute(upstreams, l.MaxShards, l.leaderFitness(), l.policy.Teams)
+	layout, _ := calayout.Compute(upstreams, l.MaxShards, l.leaderFitness(), l.policy.Teams).WithPolicy(l.policy, l.WallClockMS())
+	l.storeLayout(layout)
+}
+
+// storeLayout adds the record of a layout to the next append. The lock is held.
+func (l *Leader) storeLayout(layout calayout.Layout) {
 	record, err := layout.Encode()
 	if err != nil {
 		caevent.Warn(l.Log, caevent.PartFailed).Str("part", "layout").Err(err).Send()
@@ -61,6 +67,26 @@
 	l.extraEntries = append(l.extraEntries, LogEntry{Key: layoutKey, Value: record})
 }
 
+// keysCheckInterval is the longest time between two checks whether the layout has all keys of the policy, and
+// none that it should drop.
+const keysCheckInterval = time.Minute
+
+// followKeys adds the layout to the next append if the policy lists other keys than before. Only the leader of the
+// first shard does so. The lock is held.
+func (l *Leader) followKeys() {
+	if l.Shard != 0 || l.layout.IsZero() || l.policy.IsZero() || !l.proposedLayout.IsZero() {
+		return
+	}
+	now := l.Timer.Now()
+	if l.keysVersion == l.policy.Version && now.Sub(l.keysCheckedAt) < keysCheckInterval {
+		return
+	}
+	l.keysVersion, l.keysCheckedAt = l.policy.Version, now
+	if layout, changed := l.layout.WithPolicy(l.policy, l.WallClockMS()); changed {
+		l.storeLayout(layout)
+	}
+}
+
 // leaderFitness returns which fraction of what the leader of a full shard needs the fittest entry has.
 func (l *Leader) leaderFitness() float64 {
 	if l.LeaderFitness == nil {
@@ -69,16 +95,41 @@
 	return l.LeaderFitness()
 }
 
-// applyStoredLayout applies the proposed layout after the append that stored it.
-func (l *Leader) applyStoredLayout() {
+// applyStoredLayout applies the proposed layout after the append that should store it, unless the store has refused it.
+func (l *Leader) applyStoredLayout(refused []LogEntry) {
 	l.lock(partCommit)
 	layout := l.proposedLayout
-	if layout.IsZero() || !l.layout.IsZero() || len(l.extraEntries) > 0 {
+	if layout.IsZero() || len(l.extraEntries) > 0 {
 		l.mu.unlock()
 		return
 	}
-	l.layout = layout
-	l.planner.SetPolicy(layout.ShardPolicy(l.policy))
+	l.proposedLayout = calayout.Layout{}
+	if slices.ContainsFunc(refused, func(e LogEntry) bool { return e.Key == layoutKey }) {
+		l.mu.unlock()
+		return
+	}
+	l.applyLayout(layout)
 	l.mu.unlock()
 	l.OnLayoutStored(layout)
 }
+
+// applyLayout applies a layout that replaces the one in force. The lock is held.
+func (l *Leader) applyLayout(layout calayout.Layout) {
+	if !layout.IsNewerThan(l.layout) {
+		return
+	}
+	l.layout = layout
+	if !l.policy.IsZero() {
+		l.planner.SetPolicy(layout.ShardPolicy(l.policy))
+	}
+}
+
+// useStoredLayout takes over the layout in the log of the first shard, which may be newer than what this entry knew when the
+// leader began.
+func (l *Leader) useStoredLayout(stored calayout.Layout) {
+	if stored.IsZero() {
+		return
+	}
+	l.SetLayout(stored)
+	l.OnLayoutStored(stored)
+}
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -89,7 +89,7 @@
 	RecordBytes int
 	// View returns the current policy and layout.
 	View func() (caspec.Policy, calayout.Layout)
-	// OnLayoutStored is called with the layout that this leader decided and stored.
+	// OnLayoutStored is called with a layout that this leader has stored, or found in the store.
 	OnLayoutStored func(calayout.Layout)
 	Log            zerolog.Logger
 	Scope          tally.Scope
@@ -165,6 +165,9 @@
 	// proposedLayout is the layout in those records.
 	proposedLayout calayout.Layout
 	upstreamCount  upstreamCount
+	// keysVersion is the version of the policy whose keys the layout has followed, at keysCheckedAt.
+	keysVersion   int64
+	keysCheckedAt time.Time
 	// countedAt is when unstartedJobs were counted.
 	countedAt time.Time
 	// openReportedAt is when the open jobs were last reported.
--- a/internal/cell/caleader/loading.go
+++ b/internal/cell/caleader/loading.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	l.useStoredLayout(state.layout)
 	upstreams := <-results
 	proxies := l.AdvisorProxies.Names()
 	l.lock(partReport)
