--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -160,6 +160,8 @@
 // job is a job together with state that is not stored.
 type job struct {
 	*castate.Job
+	// key is the key that it was submitted with, zero if another leader accepted it.
+	key caspec.KeyID
 	// queue is its queue by the newest version of the policy that lists it, nil if none is known.
 	queue    *caspec.Queue
 	priority int
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -35,7 +35,7 @@
 }
 
 func (b *Planner) open(s caspec.Submission, excess bool) {
-	j := &job{Job: castate.NewJob(s, b.now.WallMS), acceptedAt: b.now.Monotonic.Add(-b.refusals.Waited(s.ID, b.now.Monotonic))}
+	j := &job{Job: castate.NewJob(s.WithoutKey(), b.now.WallMS), key: s.Key, acceptedAt: b.now.Monotonic.Add(-b.refusals.Waited(s.ID, b.now.Monotonic))}
 	j.OverRate = excess
 	j.CrashesCounted = true
 	if !excess {
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -116,10 +116,12 @@
 	return failures
 }
 
-// isRepeated reports whether a submission repeats that of the job. Of a queue that is no longer listed, it may
-// come through another queue, such as one that has taken its place.
+// isRepeated reports whether a submission repeats that of the job: it comes with the same key, or from the same team, maybe
+// under a later name. Of a queue that is no longer listed, it may come through another queue, such as one that has taken
+// its place.
 func (b *Planner) isRepeated(j *job, s caspec.Submission) bool {
-	if j.Submission.Team != s.Team {
+	hasSameKey := s.Key != 0 && s.Key == j.key
+	if !hasSameKey && !s.IsOf(j.Submission.Team) {
 		return false
 	}
 	return j.Submission.Queue == s.Queue || !b.terms.IsListed(j.Submission.Queue)
--- a/internal/cell/cagate/jobcalls.go
+++ b/internal/cell/cagate/jobcalls.go
@@ -72,11 +72,13 @@
 	if err != nil {
 		return err
 	}
+	_, layout := g.policyAndLayout()
+	s.FormerTeams = layout.FormerTeams(s.Caller())
 	err = shardLink.forward(ctx, callSubmit, s.ID, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Submit(ctx, s)
 		}
-		request := submitRequest{Submission: s, Wait: leaderWait(ctx), Shard: shardLink.shard}
+		request := submitRequest{Submission: s, Wait: leaderWait(ctx), Shard: shardLink.shard, Key: s.Key, FormerTeams: s.FormerTeams}
 		_, err := capeer.Call[submitRequest, empty](ctx, g.PeerClient, address, callSubmit, request)
 		return err
 	})
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -103,6 +103,9 @@
 	// Wait is how long the caller waits for the reply.
 	Wait  time.Duration `cbor:"2,keyasint"`
 	Shard int           `cbor:"3,keyasint,omitempty"`
+	// Key and FormerTeams belong to the submission. Entries of earlier builds send neither.
+	Key         caspec.KeyID      `cbor:"4,keyasint,omitempty"`
+	FormerTeams []cawork.TeamName `cbor:"5,keyasint,omitempty"`
 }
 
 type jobRequest struct {
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -103,7 +103,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Wait)
 	defer cancel()
-	return empty{}, l.Submit(ctx, r.Submission)
+	s := r.Submission
+	s.Key, s.FormerTeams = r.Key, r.FormerTeams
+	return empty{}, l.Submit(ctx, s)
 }
 
 func (g *Gate) handlePhase(_ context.Context, r jobRequest) (phaseReply, error) {
--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -42,14 +42,17 @@
 	}
 }
 
-// runInTenantCell runs a scenario in a cell of three entries and two shards, which begins with the teams north and south.
-func runInTenantCell(t *testing.T, scenario func(c *tenantCell), changes ...func(*testCell)) {
+// oneShard is a cell that is not divided.
+func oneShard() calayout.Layout { return calayout.Layout{Shards: 1, Weights: []float64{1}} }
+
+// runInTenantCell runs a scenario in a cell of three entries, which begins with the teams north and south.
+func runInTenantCell(t *testing.T, layout calayout.Layout, scenario func(c *tenantCell), changes ...func(*testCell)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &tenantCell{}
 		c.testCell = newTestCell(t, 3, testUpstreams+1, append([]func(*testCell){func(tc *testCell) {
 			c.policies = tc.publishFrom(testPolicy().Queues...)
 			c.policies.policy.Teams = []caspec.Team{team("north", "k-north"), team("south", "k-south")}
-			record, err := twoShards().Encode()
+			record, err := layout.Encode()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -134,18 +137,20 @@
 func forEachTenantChange(t *testing.T, scenario func(t *testing.T, c *tenantCell, change func() (key string))) {
 	for name, change := range tenantChanges() {
 		for after, restart := range restarts() {
-			t.Run(name+after, func(t *testing.T) {
-				runInTenantCell(t, func(c *tenantCell) {
-					scenario(t, c, func() string {
-						for _, teams := range change.versions {
-							c.publishTeams(teams...)
-							time.Sleep(time.Second)
-						}
-						restart(c)
-						return change.key
+			for _, layout := range []calayout.Layout{oneShard(), twoShards()} {
+				t.Run(fmt.Sprintf("%s%s, shards: %d", name, after, layout.Shards), func(t *testing.T) {
+					runInTenantCell(t, layout, func(c *tenantCell) {
+						scenario(t, c, func() string {
+							for _, teams := range change.versions {
+								c.publishTeams(teams...)
+								time.Sleep(time.Second)
+							}
+							restart(c)
+							return change.key
+						})
 					})
 				})
-			})
+			}
 		}
 	}
 }
@@ -165,13 +170,15 @@
 }
 
 // TestRepeatedSubmissionStartsNothingTwice guards against a request that arrives again once a version has changed the name or
-// the keys of its team, and starts its job in another shard as well.
+// the keys of its team, and starts its job in another shard as well, or is answered with a conflict.
 func TestRepeatedSubmissionStartsNothingTwice(t *testing.T) {
 	forEachTenantChange(t, func(t *testing.T, c *tenantCell, change func() string) {
 		id := c.submitTwoSteps(t)
 		key := change()
 		for entry := range 3 {
-			_ = c.submitWith(entry, key, id, twoSteps()...)
+			if err := c.submitWith(entry, key, id, twoSteps()...); err != nil {
+				t.Errorf("submit again at entry %d: %v", entry, err)
+			}
 		}
 		time.Sleep(3 * time.Second)
 		if diff := cmp.Diff(testStep().Tasks, c.fleet.Running(id)); diff != "" {
@@ -179,3 +186,67 @@
 		}
 	})
 }
+
+// laggingFeed is the feed of an entry that reads a version later than others.
+type laggingFeed struct {
+	*policyLog
+	lag time.Duration
+}
+
+// Watch implements OperatorFeed.
+func (f laggingFeed) Watch(ctx context.Context, sink OperatorSink) error {
+	return f.policyLog.Watch(ctx, laggingSink{sink, f.lag})
+}
+
+type laggingSink struct {
+	OperatorSink
+	lag time.Duration
+}
+
+func (s laggingSink) ApplyPolicy(p caspec.Policy) {
+	time.Sleep(s.lag)
+	s.OperatorSink.ApplyPolicy(p)
+}
+
+// TestSubmissionsWhileVersionSpreads guards against a request that is under way at entries of two versions at once, of
+// which one knows its team under another name.
+func TestSubmissionsWhileVersionSpreads(t *testing.T) {
+	lagging := func(c *testCell) {
+		policies := c.feed("").(*policyLog)
+		c.feed = func(name string) OperatorFeed {
+			for i := range 3 {
+				if name == entryName(i) {
+					return laggingFeed{policies, time.Duration(i) * 100 * time.Millisecond}
+				}
+			}
+			return policies
+		}
+	}
+	for _, layout := range []calayout.Layout{oneShard(), twoShards()} {
+		t.Run(fmt.Sprint("shards: ", layout.Shards), func(t *testing.T) {
+			runInTenantCell(t, layout, func(c *tenantCell) {
+				c.fleet.SetRunTime(func(caorder.RunID) (time.Duration, bool) { return runTimeInTenantCell, true })
+				c.publishTeams(team(otherName(), "k-north"), team("south", "k-south"))
+				ids := []cawork.JobID{jobID(c.nextJob()), jobID(c.nextJob()), jobID(c.nextJob())}
+				for round := range 6 {
+					for i, id := range ids {
+						entry := (round + i) % 3
+						c.callers.Go(func() {
+							if err := c.submitWith(entry, "k-north", id, testStep()); err != nil {
+								t.Errorf("submit job %s at entry %d in round %d: %v", id, entry, round, err)
+							}
+						})
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				c.callers.Wait()
+				time.Sleep(3 * time.Second)
+				for _, id := range ids {
+					if diff := cmp.Diff(testStep().Tasks, c.fleet.Running(id)); diff != "" {
+						t.Errorf("tasks of job %s at work (-want +got):\n%s", id, diff)
+					}
+				}
+			}, lagging)
+		})
+	}
+}
--- a/internal/cell/calayout/keys.go
+++ b/internal/cell/calayout/keys.go
@@ -67,6 +67,14 @@
 	return l.ShardsOf(c.Team), l.Shards <= 1 || c.Key == 0 || c.Team == ""
 }
 
+// FormerTeams returns the teams that had the key of a caller before its team.
+func (l Layout) FormerTeams(c caspec.Caller) []cawork.TeamName {
+	if c.Key == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(l.Keys[c.Key].Teams), func(name cawork.TeamName) bool { return name == c.Team })
+}
+
 // ShardsOfTeam returns the shards in which jobs of a listed team may be: those of its keys, and of the keys that it
 // has had.
 func (l Layout) ShardsOfTeam(t caspec.Team) []int {
--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -105,8 +105,21 @@
 	Payload  string          `cbor:"4,keyasint,omitempty"`
 	Steps    []Step          `cbor:"5,keyasint"`
 	Schedule Schedule        `cbor:"6,keyasint,omitempty"`
-	// Key is the key that the submission came with. It is not stored.
-	Key KeyID `cbor:"-"`
+	// Key is the key that the submission came with, and FormerTeams are the teams that had it before Team. They are
+	// not stored with the job.
+	Key         KeyID             `cbor:"-"`
+	FormerTeams []cawork.TeamName `cbor:"-"`
+}
+
+// IsOf reports whether a team, or one that had the key before it, made the submission.
+func (s Submission) IsOf(team cawork.TeamName) bool {
+	return s.Team == team || slices.Contains(s.FormerTeams, team)
+}
+
+// WithoutKey returns what is stored of the submission.
+func (s Submission) WithoutKey() Submission {
+	s.Key, s.FormerTeams = 0, nil
+	return s
 }
 
 // Caller returns who made the submission.
