--- a/internal/base/caevent/event.go
+++ b/internal/base/caevent/event.go
@@ -90,7 +90,7 @@
 	UpstreamRestored   Number = 505
 	CallWaited         Number = 506
 	CancelWaited       Number = 507
-	JobUnknown         Number = 508
+	JobSought          Number = 508
 	ShardTakenOver     Number = 600
 	ShardViewChanged   Number = 601
 	ShardDeposed       Number = 602
--- a/internal/base/caevent/event_names.go
+++ b/internal/base/caevent/event_names.go
@@ -18,8 +18,8 @@
 	_NumberLowerName_3 = "job_acceptedjob_refusedtask_placedtask_ended"
 	_NumberName_4      = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_endedteam_removed"
 	_NumberLowerName_4 = "task_adoptedtask_stoppedjob_endedstart_failedjob_handed_overinvariant_brokentask_lapsedstep_approvedupstream_reachedadvisor_unavailablestep_waitsreport_unreadableupstream_doubtedtask_copiedupstream_crashedjob_given_uptask_movedapproval_overduerecord_heldrecord_releasedapprovals_awaitedstep_lacks_roompool_lostpool_regainedstarts_held_backstarts_resumedrun_times_learnedqueue_removedqueue_endedteam_removed"
-	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waitedjob_unknown"
-	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waitedjob_unknown"
+	_NumberName_5      = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waitedjob_sought"
+	_NumberLowerName_5 = "request_routedrequest_refusedrequest_answeredrequest_retriedupstream_ejectedupstream_restoredcall_waitedcancel_waitedjob_sought"
 	_NumberName_6      = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberLowerName_6 = "shard_taken_overshard_view_changedshard_deposedallowance_movedallowance_minted"
 	_NumberName_7      = "shard_rebuiltallowance_inheritedrecord_later"
@@ -34,7 +34,7 @@
 	_NumberIndex_2 = [...]uint8{0, 14, 30, 44, 62, 77, 94, 108, 123, 135, 147, 157, 175, 190, 203, 215, 225, 236}
 	_NumberIndex_3 = [...]uint8{0, 12, 23, 34, 44}
 	_NumberIndex_4 = [...]uint16{0, 12, 24, 33, 45, 60, 76, 87, 100, 116, 135, 145, 162, 178, 189, 205, 217, 227, 243, 254, 269, 286, 301, 310, 323, 339, 353, 370, 383, 394, 406}
-	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117, 128}
+	_NumberIndex_5 = [...]uint8{0, 14, 29, 45, 60, 76, 93, 104, 117, 127}
 	_NumberIndex_6 = [...]uint8{0, 16, 34, 47, 62, 78}
 	_NumberIndex_7 = [...]uint8{0, 13, 32, 44}
 	_NumberIndex_8 = [...]uint8{0, 15, 27, 46, 57}
@@ -153,7 +153,7 @@
 	_ = x[UpstreamRestored-(505)]
 	_ = x[CallWaited-(506)]
 	_ = x[CancelWaited-(507)]
-	_ = x[JobUnknown-(508)]
+	_ = x[JobSought-(508)]
 	_ = x[ShardTakenOver-(600)]
 	_ = x[ShardViewChanged-(601)]
 	_ = x[ShardDeposed-(602)]
@@ -168,7 +168,7 @@
 	_ = x[AppendSlow-(703)]
 }
 
-var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, CallersLimited, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, ApprovalsAwaited, StepLacksRoom, PoolLost, PoolRegained, StartsHeldBack, StartsResumed, RunTimesLearned, QueueRemoved, QueueEnded, TeamRemoved, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, JobUnknown, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
+var _NumberValues = []Number{EntryStarted, EntryStopping, EntryStopped, PartFailed, StandinStarted, LinesDropped, SettingsReloaded, PanicCaught, ProcessorBusy, CallersDrained, CallersLimited, ConfigApplied, ConfigRefused, ConfigConflict, ConfigSnapshot, KeyRefused, MemberChanged, OwnershipGained, OwnershipLost, OwnershipReleased, UpstreamListed, UpstreamUnlisted, MemberForeign, FormatInForce, LayoutKnown, AgentChosen, AgentLost, LeadershipYielded, UpstreamReborn, EntryCutOff, ZoneDrained, ZoneEmpty, LeaderBusy, JobAccepted, JobRefused, TaskPlaced, TaskEnded, TaskAdopted, TaskStopped, JobEnded, StartFailed, JobHandedOver, InvariantBroken, TaskLapsed, StepApproved, UpstreamReached, AdvisorUnavailable, StepWaits, ReportUnreadable, UpstreamDoubted, TaskCopied, UpstreamCrashed, JobGivenUp, TaskMoved, ApprovalOverdue, RecordHeld, RecordReleased, ApprovalsAwaited, StepLacksRoom, PoolLost, PoolRegained, StartsHeldBack, StartsResumed, RunTimesLearned, QueueRemoved, QueueEnded, TeamRemoved, RequestRouted, RequestRefused, RequestAnswered, RequestRetried, UpstreamEjected, UpstreamRestored, CallWaited, CancelWaited, JobSought, ShardTakenOver, ShardViewChanged, ShardDeposed, AllowanceMoved, AllowanceMinted, ShardRebuilt, AllowanceInherited, RecordLater, LogUnavailable, LogRestored, VMListUnavailable, AppendSlow}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:13]:    EntryStarted,
@@ -246,7 +246,7 @@
 	_NumberName_5[76:93]:   UpstreamRestored,
 	_NumberName_5[93:104]:  CallWaited,
 	_NumberName_5[104:117]: CancelWaited,
-	_NumberName_5[117:128]: JobUnknown,
+	_NumberName_5[117:127]: JobSought,
 	_NumberName_6[0:16]:    ShardTakenOver,
 	_NumberName_6[16:34]:   ShardViewChanged,
 	_NumberName_6[34:47]:   ShardDeposed,
@@ -337,7 +337,7 @@
 	_NumberLowerName_5[76:93]:   UpstreamRestored,
 	_NumberLowerName_5[93:104]:  CallWaited,
 	_NumberLowerName_5[104:117]: CancelWaited,
-	_NumberLowerName_5[117:128]: JobUnknown,
+	_NumberLowerName_5[117:127]: JobSought,
 	_NumberLowerName_6[0:16]:    ShardTakenOver,
 	_NumberLowerName_6[16:34]:   ShardViewChanged,
 	_NumberLowerName_6[34:47]:   ShardDeposed,
@@ -428,7 +428,7 @@
 	_NumberName_5[76:93],
 	_NumberName_5[93:104],
 	_NumberName_5[104:117],
-	_NumberName_5[117:128],
+	_NumberName_5[117:127],
 	_NumberName_6[0:16],
 	_NumberName_6[16:34],
 	_NumberName_6[34:47],
--- a/internal/cell/caboard/submit.go
+++ b/internal/cell/caboard/submit.go
@@ -1,6 +1,7 @@
 package caboard
 
 import (
+	"slices"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
@@ -209,6 +210,12 @@
 	return j.storedPhase, true
 }
 
+// IsOfTeams reports whether one of the teams submitted a job.
+func (b *Planner) IsOfTeams(id cawork.JobID, teams []cawork.TeamName) bool {
+	j, ok := b.jobs[id]
+	return ok && slices.Contains(teams, j.Submission.Team)
+}
+
 // IsInNextBatch reports whether the next batch will contain a record of the job.
 func (b *Planner) IsInNextBatch(id cawork.JobID) bool {
 	_, ok := b.changed[id]
--- a/internal/cell/cagate/jobcalls.go
+++ b/internal/cell/cagate/jobcalls.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"celeryarch.example/celeryarch/internal/base/caevent"
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
@@ -72,8 +71,7 @@
 	if err != nil {
 		return err
 	}
-	_, layout := g.policyAndLayout()
-	s.FormerTeams = layout.FormerTeams(s.Caller())
+	s.FormerTeams = g.formerTeams(s.Caller())
 	err = shardLink.forward(ctx, callSubmit, s.ID, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Submit(ctx, s)
@@ -102,53 +100,69 @@
 	return cakind.Wrap(cakind.Of(err), err, "job %s was not accepted", s.ID).WithRetryAfter(after)
 }
 
-// Phase returns the phase of a job.
+// formerTeams returns the teams beside its own that a caller acts for.
+func (g *Gate) formerTeams(caller caspec.Caller) []cawork.TeamName {
+	policy, layout := g.policyAndLayout()
+	return layout.FormerTeams(policy, caller)
+}
+
+// Phase returns the phase of a job. KindNotFound means that no shard has such a job of the caller.
 func (g *Gate) Phase(ctx context.Context, caller caspec.Caller, id cawork.JobID) (castate.Phase, error) {
-	shardLink, err := g.awaitLinkForJob(ctx, caller, id)
+	home, err := g.awaitLinkForJob(ctx, caller, id)
 	if err != nil {
 		return 0, err
 	}
+	phase, err := home.phase(ctx, id, nil)
+	if cakind.Of(err) != cakind.KindNotFound {
+		return phase, err
+	}
+	found, err := g.search(ctx, callPhase, home, caller, id)
+	return found.phase, err
+}
+
+// Cancel cancels a job. KindNotFound means that no shard has such a job of the caller.
+func (g *Gate) Cancel(ctx context.Context, caller caspec.Caller, id cawork.JobID) error {
+	home, err := g.awaitLinkForJob(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	err = home.cancel(ctx, id)
+	if cakind.Of(err) != cakind.KindNotFound {
+		return err
+	}
+	found, err := g.search(ctx, callCancel, home, caller, id)
+	if err != nil {
+		return err
+	}
+	return found.link.cancel(ctx, id)
+}
+
+// phase returns the phase of a job of this shard. With teams, only a job of one of them is found.
+func (l *link) phase(ctx context.Context, id cawork.JobID, teams []cawork.TeamName) (castate.Phase, error) {
 	var phase castate.Phase
-	err = shardLink.forward(ctx, callPhase, id, func(ctx context.Context, l *caleader.Leader, address string) (err error) {
-		if l != nil {
-			phase, err = l.Phase(id)
+	err := l.forward(ctx, callPhase, id, func(ctx context.Context, leader *caleader.Leader, address string) (err error) {
+		if leader != nil {
+			phase, err = leader.PhaseOf(id, teams)
 			return err
 		}
-		request := jobRequest{Job: id, Shard: shardLink.shard}
-		reply, err := capeer.Call[jobRequest, phaseReply](ctx, g.PeerClient, address, callPhase, request)
+		request := jobRequest{Job: id, Shard: l.shard, Teams: teams}
+		reply, err := capeer.Call[jobRequest, phaseReply](ctx, l.gate.PeerClient, address, callPhase, request)
 		phase = reply.Phase
 		return err
 	})
-	shardLink.logUnknownJob(callPhase, caller, id, err)
 	return phase, err
 }
 
-// Cancel cancels a job.
-func (g *Gate) Cancel(ctx context.Context, caller caspec.Caller, id cawork.JobID) error {
-	shardLink, err := g.awaitLinkForJob(ctx, caller, id)
-	if err != nil {
-		return err
-	}
-	err = shardLink.forward(ctx, callCancel, id, func(ctx context.Context, l *caleader.Leader, address string) error {
-		if l != nil {
-			return l.Cancel(ctx, id)
+// cancel cancels a job of this shard.
+func (l *link) cancel(ctx context.Context, id cawork.JobID) error {
+	return l.forward(ctx, callCancel, id, func(ctx context.Context, leader *caleader.Leader, address string) error {
+		if leader != nil {
+			return leader.Cancel(ctx, id)
 		}
-		request := jobRequest{Job: id, Wait: leaderWait(ctx), Shard: shardLink.shard}
-		_, err := capeer.Call[jobRequest, empty](ctx, g.PeerClient, address, callCancel, request)
+		request := jobRequest{Job: id, Wait: leaderWait(ctx), Shard: l.shard}
+		_, err := capeer.Call[jobRequest, empty](ctx, l.gate.PeerClient, address, callCancel, request)
 		return err
 	})
-	shardLink.logUnknownJob(callCancel, caller, id, err)
-	return err
-}
-
-// logUnknownJob logs where a call looked for a job that is not known there.
-func (l *link) logUnknownJob(call string, caller caspec.Caller, id cawork.JobID, err error) {
-	if cakind.Of(err) != cakind.KindNotFound {
-		return
-	}
-	policy, layout := l.gate.policyAndLayout()
-	caevent.Info(l.gate.Log, caevent.JobUnknown).Str("call", call).Str("job", string(id)).Str("team", string(caller.Team)).
-		Stringer("key", caller.Key).Int("shard", l.shard).Int("shards", layout.Shards).Int64("policy", policy.Version).Send()
 }
 
 // Pending counts the accepted jobs of a queue that have not started, over all shards.
--- a/internal/cell/cagate/messages.go
+++ b/internal/cell/cagate/messages.go
@@ -112,6 +112,8 @@
 	Job   cawork.JobID  `cbor:"1,keyasint"`
 	Wait  time.Duration `cbor:"2,keyasint,omitempty"`
 	Shard int           `cbor:"3,keyasint,omitempty"`
+	// Teams are the only ones whose jobs are found, unless there are none.
+	Teams []cawork.TeamName `cbor:"4,keyasint,omitempty"`
 }
 
 type phaseReply struct {
--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return phaseReply{}, err
 	}
-	phase, err := l.Phase(r.Job)
+	phase, err := l.PhaseOf(r.Job, r.Teams)
 	return phaseReply{Phase: phase}, err
 }
 
--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -15,6 +15,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/castate"
 )
 
 // tenantCell is a cell of several shards whose teams change. Its callers know their keys alone.
@@ -102,6 +103,16 @@
 	return err
 }
 
+func (c *tenantCell) phaseWith(entry int, key string, id cawork.JobID) (castate.Phase, error) {
+	gate, caller := c.callerAt(entry, key)
+	return gate.Phase(context.Background(), caller, id)
+}
+
+func (c *tenantCell) cancelWith(entry int, key string, id cawork.JobID) error {
+	gate, caller := c.callerAt(entry, key)
+	return gate.Cancel(context.Background(), caller, id)
+}
+
 // tenantChange is a series of versions after a job of k-north was accepted.
 type tenantChange struct {
 	versions [][]caspec.Team
@@ -250,3 +261,72 @@
 		})
 	}
 }
+
+// merge makes one team of north and south.
+func (c *tenantCell) merge() {
+	c.publishTeams(team(otherName(), "k-south", "k-north"))
+	time.Sleep(time.Second)
+}
+
+// TestJobsAreFoundInAllShards guards against calls that get 410 for a job that another shard has: it was submitted with a
+// key of another team, and both keys belong to one team now. A team that never had that key does not get at the job.
+func TestJobsAreFoundInAllShards(t *testing.T) {
+	runInTenantCell(t, twoShards(), func(c *tenantCell) {
+		id := c.submitTwoSteps(t)
+		if err := c.cancelWith(0, "k-south", id); cakind.Of(err) != cakind.KindNotFound {
+			t.Errorf("another team cancels the job: error %v, want one of KindNotFound", err)
+		}
+		c.merge()
+		for entry := range 3 {
+			if phase, err := c.phaseWith(entry, "k-south", id); err != nil || phase != castate.PhaseRunning {
+				t.Errorf("phase at entry %d: %v, error %v", entry, phase, err)
+			}
+		}
+		if err := c.cancelWith(1, "k-south", id); err != nil {
+			t.Errorf("cancel: %v", err)
+		}
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff(0, c.fleet.Running(id)); diff != "" {
+			t.Errorf("tasks of the canceled job at work (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestJobOfShardWithoutLeaderIsNotUnknown guards against 410 for an accepted job while its shard has no leader.
+func TestJobOfShardWithoutLeaderIsNotUnknown(t *testing.T) {
+	runInTenantCell(t, twoShards(), func(c *tenantCell) {
+		id := c.submitTwoSteps(t)
+		c.merge()
+		leader := c.leader()
+		c.callers.Go(func() { c.kill(leader) })
+		unanswered := 0
+		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
+			for entry := range 3 {
+				if entryName(entry) == leader {
+					continue
+				}
+				gate, caller := c.callerAt(entry, "k-south")
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				if _, err := gate.Phase(ctx, caller, id); err != nil {
+					unanswered++
+					if cakind.Of(err) != cakind.KindUnavailable {
+						t.Errorf("%v after the loss of the leader: error %v, want one of KindUnavailable", time.Since(began), err)
+					}
+				}
+				cancel()
+			}
+		}
+		if unanswered == 0 {
+			t.Error("the shard always had a leader")
+		}
+		if phase, err := c.phaseWith((c.entryNumber(leader)+1)%3, "k-south", id); err != nil || phase != castate.PhaseRunning {
+			t.Errorf("phase at the end: %v, error %v", phase, err)
+		}
+	})
+}
+
+func (c *tenantCell) entryNumber(name string) int {
+	var n int
+	_, _ = fmt.Sscanf(name, "entry-%d", &n)
+	return n
+}
--- a/internal/cell/calayout/keys.go
+++ b/internal/cell/calayout/keys.go
@@ -67,12 +67,26 @@
 	return l.ShardsOf(c.Team), l.Shards <= 1 || c.Key == 0 || c.Team == ""
 }
 
-// FormerTeams returns the teams that had the key of a caller before its team.
-func (l Layout) FormerTeams(c caspec.Caller) []cawork.TeamName {
+// FormerTeams returns the teams beside its own that a caller acts for: those that had its key before, and those that the
+// policy no longer lists and of which its team has a key.
+func (l Layout) FormerTeams(p caspec.Policy, c caspec.Caller) []cawork.TeamName {
 	if c.Key == 0 {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(l.Keys[c.Key].Teams), func(name cawork.TeamName) bool { return name == c.Team })
+	former := make(map[cawork.TeamName]bool)
+	for _, name := range l.Keys[c.Key].Teams {
+		former[name] = true
+	}
+	own, _ := p.Team(c.Team)
+	for _, key := range own.Keys {
+		for _, name := range l.Keys[caspec.KeyIDOf(key)].Teams {
+			if _, listed := p.Team(name); !listed {
+				former[name] = true
+			}
+		}
+	}
+	delete(former, c.Team)
+	return slices.Sorted(maps.Keys(former))
 }
 
 // ShardsOfTeam returns the shards in which jobs of a listed team may be: those of its keys, and of the keys that it
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -453,7 +453,10 @@
 
 // Phase returns the stored phase of a job. KindNotFound means that the job does
 // not exist.
-func (l *Leader) Phase(id cawork.JobID) (castate.Phase, error) {
+func (l *Leader) Phase(id cawork.JobID) (castate.Phase, error) { return l.PhaseOf(id, nil) }
+
+// PhaseOf is Phase for a job of some teams. Without teams it finds all jobs.
+func (l *Leader) PhaseOf(id cawork.JobID, teams []cawork.TeamName) (castate.Phase, error) {
 	if !l.loaded.Load() {
 		return 0, errLoading
 	}
@@ -463,9 +466,12 @@
 		return 0, errLoading
 	}
 	phase, ok := l.planner.Phase(id)
+	isOfTeams := len(teams) == 0 || l.planner.IsOfTeams(id, teams)
 	switch {
-	case ok:
+	case ok && isOfTeams:
 		return phase, nil
+	case ok:
+		return 0, cakind.New(cakind.KindNotFound, "no job %s of teams %v", id, teams)
 	case l.planner.IsUnstored(id) || !l.isClaimFresh():
 		return 0, jobUndeterminedError(id)
 	default:
--- a/internal/cell/caspec/step.go
+++ b/internal/cell/caspec/step.go
@@ -105,13 +105,13 @@
 	Payload  string          `cbor:"4,keyasint,omitempty"`
 	Steps    []Step          `cbor:"5,keyasint"`
 	Schedule Schedule        `cbor:"6,keyasint,omitempty"`
-	// Key is the key that the submission came with, and FormerTeams are the teams that had it before Team. They are
-	// not stored with the job.
+	// Key is the key that the submission came with, and FormerTeams are the teams beside Team that its caller acts for.
+	// They are not stored with the job.
 	Key         KeyID             `cbor:"-"`
 	FormerTeams []cawork.TeamName `cbor:"-"`
 }
 
-// IsOf reports whether a team, or one that had the key before it, made the submission.
+// IsOf reports whether the submission was made for a team.
 func (s Submission) IsOf(team cawork.TeamName) bool {
 	return s.Team == team || slices.Contains(s.FormerTeams, team)
 }
