--- a/internal/cell/cagate/jobcalls.go
+++ b/internal/cell/cagate/jobcalls.go
@@ -72,6 +72,9 @@
 		return err
 	}
 	s.FormerTeams = g.formerTeams(s.Caller())
+	if known, err := g.isKnownElsewhere(ctx, shardLink, s); known || err != nil {
+		return g.withRetryHint(ctx, s, err)
+	}
 	err = shardLink.forward(ctx, callSubmit, s.ID, func(ctx context.Context, l *caleader.Leader, address string) error {
 		if l != nil {
 			return l.Submit(ctx, s)
--- a/internal/cell/cagate/search.go
+++ b/internal/cell/cagate/search.go
@@ -36,6 +36,31 @@
 	return found, err
 }
 
+// isKnownElsewhere reports whether a shard of another key of the caller's team has a submitted job already. An error means
+// that this cannot be determined now. Most teams have no such key.
+func (g *Gate) isKnownElsewhere(ctx context.Context, home *link, s caspec.Submission) (bool, error) {
+	policy, layout := g.policyAndLayout()
+	var links []*link
+	for _, shard := range layout.OtherShards(policy, s.Caller()) {
+		l, err := g.link(shard)
+		if err != nil {
+			return false, err
+		}
+		links = append(links, l)
+	}
+	if len(links) == 0 {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
+	defer cancel()
+	found, err := g.searchIn(ctx, links, s.Caller(), s.ID)
+	if cakind.Of(err) == cakind.KindNotFound {
+		return false, nil
+	}
+	g.logSearch(callSubmit, home, len(links), found, s.Caller(), s.ID, err)
+	return err == nil, err
+}
+
 // searchIn asks some shards at the same time for a job of the caller.
 func (g *Gate) searchIn(ctx context.Context, links []*link, caller caspec.Caller, id cawork.JobID) (foundJob, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -128,6 +128,7 @@
 		"renamed and back":   {key: "k-north", versions: [][]caspec.Team{{team(other, "k-north"), south}, {team("north", "k-north"), south}}},
 		"names swapped":      {key: "k-north", versions: [][]caspec.Team{{team("south", "k-north"), team("north", "k-south")}}},
 		"key moves":          {key: "k-north", versions: [][]caspec.Team{{team("south", "k-south", "k-north")}}},
+		"merged, other key":  {key: "k-south", versions: [][]caspec.Team{{team(other, "k-south", "k-north")}}},
 		"another key":        {key: "k-2", versions: [][]caspec.Team{{team("north", "k-2"), south}}},
 		"split":              {key: "k-north", versions: [][]caspec.Team{{team("north", "k-north", "k-2"), south}, {team(other, "k-north"), team("north", "k-2"), south}}},
 		"key and name apart": {key: "k-2", versions: [][]caspec.Team{{team("north", "k-north", "k-2"), south}, {team(other, "k-2"), south}}},
@@ -298,15 +299,16 @@
 		id := c.submitTwoSteps(t)
 		c.merge()
 		leader := c.leader()
+		c.loadTime.Store(int64(300 * time.Millisecond))
 		c.callers.Go(func() { c.kill(leader) })
 		unanswered := 0
-		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
+		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
 			for entry := range 3 {
 				if entryName(entry) == leader {
 					continue
 				}
 				gate, caller := c.callerAt(entry, "k-south")
-				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 				if _, err := gate.Phase(ctx, caller, id); err != nil {
 					unanswered++
 					if cakind.Of(err) != cakind.KindUnavailable {
--- a/internal/cell/calayout/keys.go
+++ b/internal/cell/calayout/keys.go
@@ -67,6 +67,24 @@
 	return l.ShardsOf(c.Team), l.Shards <= 1 || c.Key == 0 || c.Team == ""
 }
 
+// OtherShards returns the shards of the other keys of a caller's team that its own key does not have.
+func (l Layout) OtherShards(p caspec.Policy, c caspec.Caller) []int {
+	own, decided := l.shardsOfCaller(c)
+	team, _ := p.Team(c.Team)
+	if !decided || len(team.Keys) <= 1 {
+		return nil
+	}
+	others := make(map[int]bool)
+	for _, key := range team.Keys {
+		for _, shard := range l.Keys[caspec.KeyIDOf(key)].Shards {
+			if !slices.Contains(own, shard) {
+				others[shard] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(others))
+}
+
 // FormerTeams returns the teams beside its own that a caller acts for: those that had its key before, and those that the
 // policy no longer lists and of which its team has a key.
 func (l Layout) FormerTeams(p caspec.Policy, c caspec.Caller) []cawork.TeamName {
