A team with another name keeps its account (72)

What callers saw: a team with an upper limit of 12 cores has 12 running. It gets another name and keeps its key, and 12 more start: 24 run for one key. With one shard as well.

Cause: what runs is counted by the name that a job was accepted under, and the new name begins with an empty account.

Fix: while a name is listed, the name is the team. Once it is not, the listed team that has one of its keys continues it: what the former name has running counts on the account, and against the limit, of its successor, of several that with the highest weight. The leader works this out from the keys that the layout keeps, so it holds after restarts. Event 434 names the successor. Nothing that runs is stopped.

--- a/internal/cell/caboard/headroom.go
+++ b/internal/cell/caboard/headroom.go
@@ -42,8 +42,8 @@
 
 // fits reports whether the step can start soon within the limit of its team.
 func (h headroom) fits(s *step) bool {
-	name := s.job.Submission.Team
-	team := h.planner.teamOf(name)
+	name := h.planner.accountOf(s.job.Submission.Team)
+	team := h.planner.usageOf(name)
 	if team.Limit().IsZero() {
 		return true
 	}
@@ -54,12 +54,12 @@
 // admits reports whether approval should be requested for a step: it can start soon
 // within the limit of its team, or it would be the team's only request beyond the limit.
 func (h headroom) admits(s *step) bool {
-	return h.fits(s) || !h.overLimit[s.job.Submission.Team]
+	return h.fits(s) || !h.overLimit[h.planner.accountOf(s.job.Submission.Team)]
 }
 
 // claim records that a request for the step is in flight.
 func (h headroom) claim(s *step) {
-	name := s.job.Submission.Team
+	name := h.planner.accountOf(s.job.Submission.Team)
 	if !h.fits(s) {
 		h.overLimit[name] = true
 		return
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -63,8 +63,10 @@
 	bySlot      []*upstream
 	unusedSlots []int
 	teams       map[cawork.TeamName]*cateam.Usage
-	queues      map[caspec.QueueName]*queueStats
-	partitions  map[caspec.PoolName]*cagang.Partition
+	// successors are the listed teams that continue teams which are no longer listed.
+	successors map[cawork.TeamName]cawork.TeamName
+	queues     map[caspec.QueueName]*queueStats
+	partitions map[caspec.PoolName]*cagang.Partition
 	// poolSizes are the numbers of listed upstreams of the pools.
 	poolSizes  map[caspec.PoolName]int
 	knownRooms caroom.Known
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -12,8 +12,8 @@
 	"celeryarch.example/celeryarch/internal/cell/caterms"
 )
 
-// SetPolicy applies a version of the policy, again where the part of the shard in it has changed. Older versions are ignored. An accepted job whose queue or team
-// is no longer listed goes on under the newest version that lists it.
+// SetPolicy applies a version of the policy, again where the part of the shard in it has changed. Older versions are
+// ignored. An accepted job whose queue or team is no longer listed goes on under the newest version that lists it.
 func (b *Planner) SetPolicy(p caspec.Policy) {
 	if !b.policy.IsZero() && p.Version < b.policy.Version {
 		return
@@ -152,19 +152,17 @@
 		}
 	}
 	for _, name := range queues {
-		b.logRemoved(caevent.QueueRemoved, "queue", string(name), byQueue[name], b.terms.QueueVersion(name))
+		if open := byQueue[name]; open > 0 {
+			caevent.Info(b.log, caevent.QueueRemoved).Str("queue", string(name)).Int("jobs", open).Int64("policy", b.policy.Version).
+				Int64("listed_by", b.terms.QueueVersion(name)).Send()
+		}
 	}
 	for _, name := range teams {
-		b.logRemoved(caevent.TeamRemoved, "team", string(name), byTeam[name], b.terms.TeamVersion(name))
-	}
-}
-
-// logRemoved logs a removed queue or team with open jobs.
-func (b *Planner) logRemoved(event caevent.Number, kind, name string, open int, listedBy int64) {
-	if open == 0 {
-		return
+		if open := byTeam[name]; open > 0 {
+			caevent.Info(b.log, caevent.TeamRemoved).Str("team", string(name)).Str("successor", string(b.successors[name])).Int("jobs", open).
+				Int64("policy", b.policy.Version).Int64("listed_by", b.terms.TeamVersion(name)).Send()
+		}
 	}
-	caevent.Info(b.log, event).Str(kind, name).Int("jobs", open).Int64("policy", b.policy.Version).Int64("listed_by", listedBy).Send()
 }
 
 // termsCheckInterval is the time between two scans of all jobs for definitions that none needs any more.
--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -332,3 +332,45 @@
 	_, _ = fmt.Sscanf(name, "entry-%d", &n)
 	return n
 }
+
+// TestLimitOutlivesNameOfTeam guards against a team that gets its upper limit once more with another name: what it has
+// running under the former one counts on, also once all entries have restarted.
+func TestLimitOutlivesNameOfTeam(t *testing.T) {
+	for after, restart := range restarts() {
+		for _, layout := range []calayout.Layout{oneShard(), twoShards()} {
+			t.Run(fmt.Sprintf("shards: %d%s", layout.Shards, after), func(t *testing.T) {
+				runInTenantCell(t, layout, func(c *tenantCell) {
+					c.fleet.SetRunTime(func(caorder.RunID) (time.Duration, bool) { return time.Hour, true })
+					limited := team("north", "k-north")
+					limited.Limit.CPU = 2 * testStep().CPU
+					c.publishTeams(limited, team("south", "k-south"))
+					step := testStep()
+					step.LongRunning = true
+					former, later := jobID(c.nextJob()), jobID(c.nextJob())
+					if err := c.submitWith(0, "k-north", former, step); err != nil {
+						t.Fatalf("submit: %v", err)
+					}
+					time.Sleep(time.Second)
+					limited.Name = otherName()
+					c.publishTeams(limited, team("south", "k-south"))
+					time.Sleep(time.Second)
+					restart(c)
+					if err := c.submitWith(1, "k-north", later, step); err != nil {
+						t.Fatalf("submit under the other name: %v", err)
+					}
+					time.Sleep(2 * time.Second)
+					if diff := cmp.Diff([]int{step.Tasks, 0}, []int{c.fleet.Running(former), c.fleet.Running(later)}); diff != "" {
+						t.Errorf("tasks of the two jobs at work within a limit of %d (-want +got):\n%s", step.Tasks, diff)
+					}
+					if err := c.cancelWith(2, "k-north", former); err != nil {
+						t.Errorf("cancel: %v", err)
+					}
+					time.Sleep(3 * time.Second)
+					if diff := cmp.Diff([]int{0, step.Tasks}, []int{c.fleet.Running(former), c.fleet.Running(later)}); diff != "" {
+						t.Errorf("tasks of the two jobs at work once the first is canceled (-want +got):\n%s", diff)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/cell/calayout/keys.go
+++ b/internal/cell/calayout/keys.go
@@ -107,6 +107,27 @@
 	return slices.Sorted(maps.Keys(former))
 }
 
+// Successors returns, for each team that the policy no longer lists and one of whose keys it lists for another team, that
+// team. Of several it is the one with the highest weight.
+func (l Layout) Successors(p caspec.Policy) map[cawork.TeamName]cawork.TeamName {
+	successors := make(map[cawork.TeamName]cawork.TeamName)
+	byWeight := slices.Clone(p.Teams)
+	slices.SortFunc(byWeight, func(x, y caspec.Team) int {
+		return cmp.Or(cmp.Compare(y.Weight, x.Weight), cmp.Compare(x.Name, y.Name))
+	})
+	for _, t := range byWeight {
+		for _, key := range t.Keys {
+			for _, name := range l.Keys[caspec.KeyIDOf(key)].Teams {
+				_, isListed := p.Team(name)
+				if _, known := successors[name]; !isListed && !known {
+					successors[name] = t.Name
+				}
+			}
+		}
+	}
+	return successors
+}
+
 // ShardsOfTeam returns the shards in which jobs of a listed team may be: those of its keys, and of the keys that it
 // has had.
 func (l Layout) ShardsOfTeam(t caspec.Team) []int {
--- a/internal/cell/caleader/inbox.go
+++ b/internal/cell/caleader/inbox.go
@@ -65,9 +65,7 @@
 		return
 	}
 	l.policy = p
-	if !l.layout.IsZero() {
-		l.planner.SetPolicy(l.layout.ShardPolicy(p))
-	}
+	l.applyShardPolicy()
 }
 
 // SetPolicy passes a policy version to the leader.
--- a/internal/cell/caleader/layout.go
+++ b/internal/cell/caleader/layout.go
@@ -119,9 +119,16 @@
 		return
 	}
 	l.layout = layout
-	if !l.policy.IsZero() {
-		l.planner.SetPolicy(layout.ShardPolicy(l.policy))
+	l.applyShardPolicy()
+}
+
+// applyShardPolicy applies the part of the shard in the policy, and which teams continue others. The lock is held.
+func (l *Leader) applyShardPolicy() {
+	if l.policy.IsZero() || l.layout.IsZero() {
+		return
 	}
+	l.planner.SetSuccessors(l.layout.Successors(l.policy))
+	l.planner.SetPolicy(l.layout.ShardPolicy(l.policy))
 }
 
 // useStoredLayout takes over the layout in the log of the first shard, which may be newer than what this entry knew when the
