--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -25,9 +25,7 @@
 }
 
 // twoShards divides a cell as an earlier build did, which knew no keys: north has the first shard, south the second.
-func twoShards() calayout.Layout {
-	return calayout.Layout{Shards: 2, Weights: []float64{0.5, 0.5}, Teams: map[cawork.TeamName][]int{"north": {0}, "south": {1}}}
-}
+func twoShards() calayout.Layout { return calayout.Even(2, []cawork.TeamName{"north", "south"}) }
 
 // team returns a team with some keys.
 func team(name cawork.TeamName, keys ...string) caspec.Team {
@@ -44,7 +42,7 @@
 }
 
 // oneShard is a cell that is not divided.
-func oneShard() calayout.Layout { return calayout.Layout{Shards: 1, Weights: []float64{1}} }
+func oneShard() calayout.Layout { return calayout.Even(1, nil) }
 
 // runInTenantCell runs a scenario in a cell of three entries, which begins with the teams north and south.
 func runInTenantCell(t *testing.T, layout calayout.Layout, scenario func(c *tenantCell), changes ...func(*testCell)) {
@@ -53,11 +51,11 @@
 		c.testCell = newTestCell(t, 3, testUpstreams+1, append([]func(*testCell){func(tc *testCell) {
 			c.policies = tc.publishFrom(testPolicy().Queues...)
 			c.policies.policy.Teams = []caspec.Team{team("north", "k-north"), team("south", "k-south")}
-			record, err := layout.Encode()
+			entry, err := caleader.LayoutEntry(layout)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := tc.store.Log("jobs-0", "test").Append(t.Context(), 0, []caleader.LogEntry{{Key: "layout", Value: record}}); err != nil {
+			if _, err := tc.store.Log("jobs-0", "test").Append(t.Context(), 0, []caleader.LogEntry{entry}); err != nil {
 				t.Fatal(err)
 			}
 		}}, changes...)...)
--- a/internal/cell/calayout/layout.go
+++ b/internal/cell/calayout/layout.go
@@ -70,6 +70,18 @@
 	return l
 }
 
+// Even returns a layout of shards of the same weight, to which the teams are assigned in turn.
+func Even(shards int, teams []cawork.TeamName) Layout {
+	l := Layout{Shards: shards, Teams: make(map[cawork.TeamName][]int, len(teams)), Weights: make([]float64, shards)}
+	for i := range l.Weights {
+		l.Weights[i] = 1 / float64(shards)
+	}
+	for i, team := range teams {
+		l.Teams[team] = []int{i % shards}
+	}
+	return l
+}
+
 // assignTeam assigns a team to the shards with the least work.
 func (l *Layout) assignTeam(team cawork.TeamName, share float64) {
 	parts := int(math.Ceil(share * float64(l.Shards) / spreadThreshold))
--- a/internal/cell/caleader/layout.go
+++ b/internal/cell/caleader/layout.go
@@ -58,13 +58,19 @@
 
 // storeLayout adds the record of a layout to the next append. The lock is held.
 func (l *Leader) storeLayout(layout calayout.Layout) {
-	record, err := layout.Encode()
+	entry, err := LayoutEntry(layout)
 	if err != nil {
 		caevent.Warn(l.Log, caevent.PartFailed).Str("part", "layout").Err(err).Send()
 		return
 	}
 	l.proposedLayout = layout
-	l.extraEntries = append(l.extraEntries, LogEntry{Key: layoutKey, Value: record})
+	l.extraEntries = append(l.extraEntries, entry)
+}
+
+// LayoutEntry returns the record of a layout in the log of the first shard.
+func LayoutEntry(layout calayout.Layout) (LogEntry, error) {
+	value, err := layout.Encode()
+	return LogEntry{Key: layoutKey, Value: value}, err
 }
 
 // keysCheckInterval is the longest time between two checks whether the layout has all keys of the policy, and
--- a/internal/cli/caoption/help.go
+++ b/internal/cli/caoption/help.go
@@ -30,6 +30,7 @@
       --during=TIME          how long load and faults last (20s)
       --nodes=N              entries (5)
       --upstreams=N          upstreams (8)
+      --shards=N             shards; 0 leaves them to the entries (0)
       --plain                no added kinds of fault, such as deadly jobs
       --dir=PATH             keep settings and logs in this folder
       --previous=PATH        program of an earlier build, started in turn with
--- a/internal/cli/caoption/option.go
+++ b/internal/cli/caoption/option.go
@@ -62,6 +62,7 @@
 	Duration  time.Duration `long:"during" default:"20s" value-name:"TIME"`
 	Nodes     int           `long:"nodes" default:"5" value-name:"N"`
 	Upstreams int           `long:"upstreams" default:"8" value-name:"N"`
+	Shards    int           `long:"shards" default:"0" value-name:"N"`
 	Plain     bool          `long:"plain"`
 	Dir       string        `long:"dir" value-name:"PATH"`
 	Previous  string        `long:"previous" value-name:"PATH"`
--- a/internal/node/carunner/soak.go
+++ b/internal/node/carunner/soak.go
@@ -54,7 +54,7 @@
 		return "", err
 	}
 	options := casoak.Options{
-		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Command: []string{cmp.Or(o.Program, program)}, Dir: dir, RunIndex: runNumber,
+		Seed: seed, Duration: o.Duration, Nodes: o.Nodes, Upstreams: o.Upstreams, Shards: o.Shards, Command: []string{cmp.Or(o.Program, program)}, Dir: dir, RunIndex: runNumber,
 		IsPlanned: o.Planned, IsPatient: true,
 	}
 	if !o.Plain {
--- a/internal/soak/casoak/cell.go
+++ b/internal/soak/casoak/cell.go
@@ -14,10 +14,12 @@
 
 	"celeryarch.example/celeryarch/internal/base/catimer"
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/soak/caconn"
 	"celeryarch.example/celeryarch/internal/soak/caproxy"
 	"celeryarch.example/celeryarch/internal/soak/caqueues"
+	"celeryarch.example/celeryarch/internal/soak/cateams"
 	"celeryarch.example/celeryarch/platform"
 	"celeryarch.example/celeryarch/platform/standin"
 )
@@ -27,6 +29,9 @@
 	queueName = "queue"
 	teamName  = "north"
 	teamKey   = "key-of-north"
+	// otherTeamName is a team whose name and keys changes of teams use. It submits nothing.
+	otherTeamName = "south"
+	otherTeamKey  = "key-of-south"
 	// upstreamCores is the size of an upstream, in cores.
 	upstreamCores = 4
 	// runTime is the run time of a task, and failedRunPercent the percentage of
@@ -66,6 +71,7 @@
 	upstreamProxies []*caproxy.Proxy
 	policyVersion   int64
 	queues          caqueues.Queues
+	teams           cateams.Teams
 	load            *loadGenerator
 	// work is set in place of load if the soak has a workload.
 	work *workGenerator
@@ -101,7 +107,7 @@
 	if err := c.serve(servicesIP, portAdvisor, c.emulator.AdvisorHandler("")); err != nil {
 		return c, err
 	}
-	if err := c.serveStandins(ctx, servicesIP, o.Upstreams); err != nil {
+	if err := c.serveStandins(ctx, servicesIP, o.Upstreams, o.Shards); err != nil {
 		return c, err
 	}
 	return c, c.addNodes(ctx, o, dir, func(int) string { return fmt.Sprintf("%s:%d", servicesIP, portAdvisor) })
@@ -121,9 +127,9 @@
 
 func upstreamName(i int) cawork.UpstreamID { return cawork.UpstreamID(fmt.Sprintf("upstream-%d", i)) }
 
-// serveStandins serves the store and the upstreams and writes the registrations and the
+// serveStandins serves the store and the upstreams and writes the registrations, the division into shards and the
 // configuration.
-func (c *cell) serveStandins(ctx context.Context, ip string, upstreams int) error {
+func (c *cell) serveStandins(ctx context.Context, ip string, upstreams, shards int) error {
 	if err := c.serve(ip, portStoreServer, c.emulator.StoreHandler()); err != nil {
 		return err
 	}
@@ -133,6 +139,9 @@
 	if err := c.registerUpstreams(ctx); err != nil {
 		return err
 	}
+	if err := c.divide(ctx, shards); err != nil {
+		return err
+	}
 	return c.configure(ctx)
 }
 
@@ -231,17 +240,19 @@
 // configure publishes the next version of the configuration.
 func (c *cell) configure(ctx context.Context) error {
 	c.policyVersion++
-	return c.emulator.Configure(ctx, c.queues.Apply(c.policy()))
+	return c.emulator.Configure(ctx, c.teams.Apply(c.queues.Apply(c.policy())))
 }
 
-// policy returns the configuration without changes of queues.
+// policy returns the configuration without changes of queues and teams.
 func (c *cell) policy() caspec.Policy {
 	if c.work != nil {
 		return c.work.workload().Policy(c.policyVersion, poolName)
 	}
 	return caspec.Policy{
 		Version: c.policyVersion, Pools: []caspec.Pool{{Name: poolName}}, Queues: []caspec.Queue{queueSpec()},
-		Teams: []caspec.Team{{Name: teamName, Weight: 1000, Keys: []string{teamKey}}},
+		Teams: []caspec.Team{
+			{Name: teamName, Weight: 1000, Keys: []string{teamKey}}, {Name: otherTeamName, Weight: 1000, Keys: []string{otherTeamKey}},
+		},
 	}
 }
 
@@ -257,6 +268,24 @@
 	return c.configure(ctx)
 }
 
+// changeTeams begins a change of teams, or ends all, and publishes it.
+func (c *cell) changeTeams(ctx context.Context, e faultEvent) error {
+	if e.begins {
+		c.teams.Begin(cateams.Change(e.fault.Way))
+	} else {
+		c.teams.End()
+	}
+	return c.configure(ctx)
+}
+
+// divide divides the cell into shards as an earlier build did, unless the nodes are to do so.
+func (c *cell) divide(ctx context.Context, shards int) error {
+	if shards == 0 {
+		return nil
+	}
+	return c.emulator.Divide(ctx, calayout.Even(shards, []cawork.TeamName{teamName, otherTeamName}))
+}
+
 // close stops the nodes, proxies and servers.
 func (c *cell) close() {
 	c.transport.Close()
--- a/internal/soak/casoak/faultkind_names.go
+++ b/internal/soak/casoak/faultkind_names.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueues"
+const _FaultKindName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueuesteams"
 
-var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231, 244, 250}
+var _FaultKindIndex = [...]uint8{0, 4, 13, 19, 29, 38, 51, 67, 72, 80, 89, 99, 107, 118, 124, 133, 143, 151, 157, 162, 166, 172, 195, 218, 231, 244, 250, 255}
 
-const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueues"
+const _FaultKindLowerName = "killterminatefreezestore_linkpeer_linkupstream_linkupstream_restartstorekill_allconfiguredeadly_jobcapacitydeadly_workseriesodd_entrypower_losszone_cutlimitssurgestophanguppower_loss_after_submitpower_loss_after_cancelkill_in_drainlate_renewalsqueuesteams"
 
 func (i FaultKind) String() string {
 	if i < 0 || i >= FaultKind(len(_FaultKindIndex)-1) {
@@ -50,9 +50,10 @@
 	_ = x[FaultKillInDrain-(23)]
 	_ = x[FaultLateRenewals-(24)]
 	_ = x[FaultQueues-(25)]
+	_ = x[FaultTeams-(26)]
 }
 
-var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues}
+var _FaultKindValues = []FaultKind{FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultUpstreamLink, FaultUpstreamRestart, FaultStore, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues, FaultTeams}
 
 var _FaultKindNameToValueMap = map[string]FaultKind{
 	_FaultKindName[0:4]:     FaultKill,
@@ -81,6 +82,7 @@
 	_FaultKindName[218:231]: FaultKillInDrain,
 	_FaultKindName[231:244]: FaultLateRenewals,
 	_FaultKindName[244:250]: FaultQueues,
+	_FaultKindName[250:255]: FaultTeams,
 }
 
 var _FaultKindLowerNameToValueMap = map[string]FaultKind{
@@ -110,6 +112,7 @@
 	_FaultKindLowerName[218:231]: FaultKillInDrain,
 	_FaultKindLowerName[231:244]: FaultLateRenewals,
 	_FaultKindLowerName[244:250]: FaultQueues,
+	_FaultKindLowerName[250:255]: FaultTeams,
 }
 
 var _FaultKindNames = []string{
@@ -139,6 +142,7 @@
 	_FaultKindName[218:231],
 	_FaultKindName[231:244],
 	_FaultKindName[244:250],
+	_FaultKindName[250:255],
 }
 
 // FaultKindString retrieves an enum value from the enum constants string name.
--- a/internal/soak/casoak/load.go
+++ b/internal/soak/casoak/load.go
@@ -17,6 +17,10 @@
 	meanSubmitInterval = 45 * time.Millisecond
 	// cancelFraction is the fraction of accepted jobs that are canceled.
 	cancelFraction = 0.1
+	// repeatFraction is the fraction of accepted jobs whose request arrives again where teams change, up to maxRepeatDelay
+	// later.
+	repeatFraction = 0.5
+	maxRepeatDelay = 6 * time.Second
 )
 
 // loadGenerator submits jobs to random nodes, as users with a list of all nodes do.
@@ -27,6 +31,8 @@
 	submissions sync.WaitGroup
 	random      *rand.Rand
 	jobCount    int
+	// repeats is set if requests that were accepted arrive again.
+	repeats bool
 
 	mu sync.Mutex
 	// steps holds the steps of all jobs, and deadly those of the faults that crash their
@@ -65,9 +71,15 @@
 	s.Queue, s.Team = queueName, teamName
 	c.addSteps(s.ID, s.Steps)
 	calls := submitter{cell: c.cell, outcomes: c.outcomes, caller: c.caller, queue: queueSpec(), random: random}
-	if calls.submit(context.Background(), s) && random.Float64() < canceled {
+	if !calls.submit(context.Background(), s) {
+		return
+	}
+	if random.Float64() < canceled {
 		calls.cancel(s.ID)
 	}
+	if c.repeats && random.Float64() < repeatFraction {
+		calls.repeatAccepted(s)
+	}
 }
 
 // randomSteps returns random steps of a job.
--- a/internal/soak/casoak/plan.go
+++ b/internal/soak/casoak/plan.go
@@ -74,6 +74,9 @@
 	FaultLateRenewals
 	// FaultQueues changes a queue of the configuration until the fault ends, in the way of caqueues.Change.
 	FaultQueues
+	// FaultTeams changes the teams of the configuration until the fault ends, in the way of cateams.Change. Requests that
+	// were accepted then arrive again.
+	FaultTeams
 )
 
 const (
@@ -104,6 +107,8 @@
 	lateRenewalSource = 1 << 40
 	// queueSource separates the source of changes of queues from that of the other added kinds.
 	queueSource = 1 << 44
+	// teamSource separates the source of changes of teams from that of the other added kinds.
+	teamSource = 1 << 48
 	// addedShare is the share of the plans that have an added kind, in DrawAdded.
 	addedShare = 0.7
 )
@@ -148,7 +153,7 @@
 			f.Target = random.Intn(upstreams)
 		case FaultStore:
 			f.Way = 1 + random.Intn(storeFaultCount)
-		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues:
+		case FaultKill, FaultTerminate, FaultFreeze, FaultStoreLink, FaultPeerLink, FaultKillAll, FaultConfigure, FaultDeadlyJob, FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultStop, FaultHangup, FaultPowerLossAfterSubmit, FaultPowerLossAfterCancel, FaultKillInDrain, FaultLateRenewals, FaultQueues, FaultTeams:
 		}
 		plan = append(plan, f)
 	}
@@ -168,6 +173,9 @@
 	if rand.New(rand.NewSource(seed-queueSource)).Float64() < addedShare {
 		kinds = append(kinds, FaultQueues)
 	}
+	if rand.New(rand.NewSource(seed-teamSource)).Float64() < addedShare {
+		kinds = append(kinds, FaultTeams)
+	}
 	return kinds
 }
 
--- a/internal/soak/casoak/plan_test.go
+++ b/internal/soak/casoak/plan_test.go
@@ -221,7 +221,7 @@
 			works[fmt.Sprintf("%d steps, gang %v, long-running %v, timed %v", len(s.Steps), s.Steps[0].Gang, s.Steps[0].LongRunning, s.Schedule.IsTimed())] = true
 		}
 	}
-	for _, kind := range append([]FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultQueues}, stopFaults...) {
+	for _, kind := range append([]FaultKind{FaultCapacity, FaultDeadlyWork, FaultSeries, FaultOddEntry, FaultQueues, FaultTeams}, stopFaults...) {
 		if plans[kind] < seeds/2 {
 			t.Errorf("%d of %d plans have %v, want half at least", plans[kind], seeds, kind)
 		}
--- a/internal/soak/casoak/soak.go
+++ b/internal/soak/casoak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	Duration  time.Duration
 	Nodes     int
 	Upstreams int
+	// Shards is the number of shards that the cell is divided into before its nodes start. Zero leaves the division to them.
+	Shards int
 	// Command is the command line before the node subcommand, and Env is added
 	// to its environment.
 	Command []string
@@ -131,6 +134,7 @@
 	defer stopLoad()
 	load := newLoadGenerator(c, l, o.Seed)
 	c.load = load
+	load.repeats = slices.ContainsFunc(report.Plan, func(f Fault) bool { return f.Kind == FaultTeams })
 	c.fleet.SetCrashes(load.crashOf)
 	c.fleet.SetRunTime(load.runTimeOf)
 	c.fleet.SetGangs(load.gangSize)
@@ -275,7 +279,7 @@
 		if e.begins {
 			return c.configure(ctx)
 		}
-	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultQueues:
+	case FaultPowerLoss, FaultZoneCut, FaultLimits, FaultSurge, FaultQueues, FaultTeams:
 		return c.applyWorkEvent(ctx, e)
 	case FaultStop, FaultHangup:
 		c.applyPlanned(e, l)
--- a/internal/soak/casoak/soak_test.go
+++ b/internal/soak/casoak/soak_test.go
@@ -63,6 +63,18 @@
 	runSoaks(t, soaks)
 }
 
+// TestSeedsWithChangingTeams guards against jobs that run twice, are not found, or get a conflict once operators rename, swap
+// and merge teams in a cell of two shards, beside losses of power and killed nodes.
+func TestSeedsWithChangingTeams(t *testing.T) {
+	soaks := addedSoaks(15, casoak.FaultTeams)
+	for name, o := range soaks {
+		o.Shards, o.Upstreams = 2, 12
+		o.Added = append(o.Added, casoak.FaultPowerLossAfterSubmit, casoak.FaultKillInDrain)
+		soaks[name] = o
+	}
+	runSoaks(t, soaks)
+}
+
 // TestSeedsWithOddEntries guards against entries that end, or follow the list of upstreams no
 // more, since another writer left an odd entry in it, and against runs that are started twice.
 func TestSeedsWithOddEntries(t *testing.T) {
--- a/internal/soak/casoak/submitter.go
+++ b/internal/soak/casoak/submitter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"net/http"
 	"time"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
@@ -78,6 +79,18 @@
 	})
 }
 
+// repeatAccepted submits an accepted job once more after a random delay. It records a violation if the request is taken for
+// that of another job or caller.
+func (c submitter) repeatAccepted(s caspec.Submission) {
+	time.Sleep(time.Duration(c.random.Int63n(int64(maxRepeatDelay))))
+	answer := c.callRandomNode(func(ctx context.Context, address string) platform.CallResult {
+		return c.caller.Submit(ctx, address, c.queue, s)
+	})
+	if answer.Status == http.StatusConflict || answer.Status == http.StatusUnauthorized {
+		c.outcomes.recordViolation("job %s was accepted, but its request that arrived again was answered with %d", s.ID, answer.Status)
+	}
+}
+
 // repeat calls random nodes until an answer is final, maxAttempts calls were made, callerPatience has
 // passed or the context ends. For patient callers, refused connections count as no attempt.
 func (c submitter) repeat(ctx context.Context, do call, isFinal func(platform.CallResult) bool) {
--- a/internal/soak/casoak/workplan.go
+++ b/internal/soak/casoak/workplan.go
@@ -44,7 +44,7 @@
 	return plan
 }
 
-// applyWorkEvent starts or ends a fault of workFaults, or a change of a queue.
+// applyWorkEvent starts or ends a fault of workFaults, or a change of a queue or of teams.
 func (c *cell) applyWorkEvent(ctx context.Context, e faultEvent) error {
 	switch e.fault.Kind {
 	case FaultPowerLoss:
@@ -61,6 +61,8 @@
 		c.work.changeRate(e)
 	case FaultQueues:
 		return c.changeQueue(ctx, e)
+	case FaultTeams:
+		return c.changeTeams(ctx, e)
 	}
 	return nil
 }
--- a/internal/soak/casoak/workrun.go
+++ b/internal/soak/casoak/workrun.go
@@ -91,7 +91,7 @@
 		zones[upstreamName(i)] = cawork.ZoneName(c.zoneOf(i))
 	}
 	c.fleet.SetZones(func(id cawork.UpstreamID) cawork.ZoneName { return zones[id] })
-	if err := c.serveStandins(ctx, loopbackIP(o.RunIndex, o.Nodes), o.Upstreams); err != nil {
+	if err := c.serveStandins(ctx, loopbackIP(o.RunIndex, o.Nodes), o.Upstreams, o.Shards); err != nil {
 		return err
 	}
 	if err := r.serveAdvisors(o); err != nil {
