--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -5,6 +5,7 @@
 	"maps"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
@@ -48,6 +49,26 @@
 	return t
 }
 
+// TeamUse returns the open work of the teams that have any. What a team has running counts for its account.
+func (b *Planner) TeamUse() map[cawork.TeamName]cagauge.TeamUse {
+	use := make(map[cawork.TeamName]cagauge.TeamUse)
+	for _, j := range b.jobs {
+		if name := j.Submission.Team; !j.Phase.IsFinal() && name != "" {
+			u := use[name]
+			u.Jobs++
+			use[name] = u
+		}
+	}
+	for name, t := range b.teams {
+		if cpu := t.Used().CPU; cpu > 0 && name != "" {
+			u := use[name]
+			u.CPU = cpu
+			use[name] = u
+		}
+	}
+	return use
+}
+
 // applyLimitTo looks up the upper limit of a team.
 func (b *Planner) applyLimitTo(name cawork.TeamName, t *cateam.Usage) {
 	team, _ := b.terms.Team(name)
--- a/internal/cell/cagate/claiming.go
+++ b/internal/cell/cagate/claiming.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"celeryarch.example/celeryarch/internal/base/caevent"
+	"celeryarch.example/celeryarch/internal/base/cawork"
+	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
 	"celeryarch.example/celeryarch/internal/cell/carelay"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
@@ -182,6 +184,7 @@
 		Store: g.ShardLog(l.shard), Upstreams: relay, Registry: relay, AdvisorProxies: l, Seed: token, Previous: previous,
 		ListBound: g.ViewBounds.UpstreamDrain, LeaderFitness: g.leaderFitness, EndsDelay: g.endsDelay(),
 		ReportOpenJobs: func(counts map[caspec.QueueName]int) { g.openJobs.Report(l.shard, counts) },
+		ReportTeams:    func(teams map[cawork.TeamName]cagauge.TeamUse) { g.openJobs.ReportTeams(l.shard, teams) },
 	}, c, token, end)
 	leader.ObserveProcess(g.Self.VM, g.Self.Address, g.Nonce)
 	g.mu.Lock()
--- a/internal/cell/caleader/leader.go
+++ b/internal/cell/caleader/leader.go
@@ -18,6 +18,7 @@
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caapproval"
 	"celeryarch.example/celeryarch/internal/cell/caboard"
+	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/calayout"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 	"celeryarch.example/celeryarch/internal/cell/castate"
@@ -114,6 +115,8 @@
 	// ReportOpenJobs reports how many accepted jobs have not ended, by queue, from time to time and with nil when
 	// the leader stops leading. It may be nil.
 	ReportOpenJobs func(map[caspec.QueueName]int)
+	// ReportTeams reports the open work of teams at the same times. It may be nil.
+	ReportTeams func(map[cawork.TeamName]cagauge.TeamUse)
 }
 
 // Leader leads one shard of a cell until another leader takes over or its context
@@ -269,6 +272,9 @@
 	if l.ReportOpenJobs != nil {
 		l.ReportOpenJobs(nil)
 	}
+	if l.ReportTeams != nil {
+		l.ReportTeams(nil)
+	}
 }
 
 func (l *Leader) setStopLeading(stop context.CancelCauseFunc) {
--- a/internal/cell/caleader/pending.go
+++ b/internal/cell/caleader/pending.go
@@ -20,6 +20,9 @@
 	}
 	l.openReportedAt = l.Timer.Now()
 	l.ReportOpenJobs(l.planner.OpenJobs())
+	if l.ReportTeams != nil {
+		l.ReportTeams(l.planner.TeamUse())
+	}
 }
 
 // countUnstarted counts the accepted jobs that have not begun to run, for Pending. The lock
--- a/internal/cell/capolicy/diff.go
+++ b/internal/cell/capolicy/diff.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"slices"
 
-	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
 )
 
@@ -43,17 +42,6 @@
 	return removed
 }
 
-// RemovedTeams returns the teams in force that a policy does not list.
-func RemovedTeams(inForce, p caspec.Policy) []cawork.TeamName {
-	var removed []cawork.TeamName
-	for _, t := range inForce.Teams {
-		if _, ok := p.Team(t.Name); !ok {
-			removed = append(removed, t.Name)
-		}
-	}
-	return removed
-}
-
 // diffParts compares the parts of one type by their names.
 func diffParts[T any](kind string, inForce, list []T, nameOf func(T) string) []string {
 	var changes []string
--- a/internal/cli/caopenjobs/openjobs.go
+++ b/internal/cli/caopenjobs/openjobs.go
@@ -1,10 +1,11 @@
-// Package caopenjobs reads from the metrics of entries how many accepted jobs have not ended.
+// Package caopenjobs reads from the metrics of entries how many accepted jobs have not ended, and what teams have running.
 package caopenjobs
 
 import (
 	"context"
 	"net/http"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -15,20 +16,26 @@
 // maxMetricsBytes bounds the metrics of one entry.
 const maxMetricsBytes = 16 << 20
 
-// Read returns the counts by the labels of queues, added up over the addresses of the metrics of entries. It fails unless all of them
+// OpenWork is the work of a cell that has not ended, by the labels of queues and teams.
+type OpenWork struct {
+	// Queues and Teams are how many accepted jobs have not ended, and Cores what the running tasks of a team have.
+	Queues, Teams, Cores map[string]float64
+}
+
+// Read returns the open work, added up over the addresses of the metrics of entries. It fails unless all of them
 // answer: any of them may lead a shard.
-func Read(ctx context.Context, client *http.Client, metricsPrefix string, urls []string) (map[string]int, error) {
-	counts := make(map[string]int)
+func Read(ctx context.Context, client *http.Client, metricsPrefix string, urls []string) (OpenWork, error) {
+	w := OpenWork{Queues: make(map[string]float64), Teams: make(map[string]float64), Cores: make(map[string]float64)}
 	for _, url := range urls {
-		if err := add(ctx, client, metricsPrefix+"_"+cagauge.OpenJobsName, url, counts); err != nil {
-			return nil, err
+		if err := w.add(ctx, client, metricsPrefix+"_", url); err != nil {
+			return OpenWork{}, err
 		}
 	}
-	return counts, nil
+	return w, nil
 }
 
-// add adds the counts of one entry.
-func add(ctx context.Context, client *http.Client, name, url string, counts map[string]int) error {
+// add adds the figures of one entry.
+func (w OpenWork) add(ctx context.Context, client *http.Client, prefix, url string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "address of metrics %q", url)
@@ -46,12 +53,19 @@
 	if err != nil {
 		return cakind.Wrap(cakind.KindInvalid, err, "metrics of %s", url)
 	}
-	for _, m := range families[name].GetMetric() {
+	addByLabel(w.Queues, families[prefix+cagauge.OpenJobsName], cagauge.QueueLabel)
+	addByLabel(w.Teams, families[prefix+cagauge.TeamJobsName], cagauge.TeamLabel)
+	addByLabel(w.Cores, families[prefix+cagauge.TeamCoresName], cagauge.TeamLabel)
+	return nil
+}
+
+// addByLabel adds the values of a metric by one of its labels.
+func addByLabel(sums map[string]float64, family *dto.MetricFamily, name string) {
+	for _, m := range family.GetMetric() {
 		for _, label := range m.GetLabel() {
-			if label.GetName() == cagauge.QueueLabel {
-				counts[label.GetValue()] += int(m.GetGauge().GetValue())
+			if label.GetName() == name {
+				sums[label.GetValue()] += m.GetGauge().GetValue()
 			}
 		}
 	}
-	return nil
 }
--- a/internal/node/carunner/runner.go
+++ b/internal/node/carunner/runner.go
@@ -77,12 +77,12 @@
 	}
 }
 
-// openJobs returns how to read the numbers of open jobs, nil without an address of metrics.
+// openJobs returns how to read the open work, nil without an address of metrics.
 func openJobs(o caoption.CheckPolicy) platform.OpenJobs {
 	if len(o.Metrics) == 0 {
 		return nil
 	}
-	return func() (map[string]int, error) {
+	return func() (caopenjobs.OpenWork, error) {
 		return caopenjobs.Read(context.Background(), &http.Client{Timeout: o.Timeout}, metricsPrefix, o.Metrics)
 	}
 }
