--- a/internal/cell/cagate/serve.go
+++ b/internal/cell/cagate/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"celeryarch.example/celeryarch/internal/base/cakind"
 	"celeryarch.example/celeryarch/internal/cell/caleader"
@@ -103,11 +104,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Wait)
 	defer cancel()
+	if err := g.checkShard(r); err != nil {
+		return empty{}, err
+	}
 	s := r.Submission
 	s.Key, s.FormerTeams = r.Key, r.FormerTeams
 	return empty{}, l.Submit(ctx, s)
 }
 
+// checkShard refuses a submission that an entry of an earlier build has sent to a shard where the team has no jobs: that entry
+// goes by the name of the team, and another shard may have the job already.
+func (g *Gate) checkShard(r submitRequest) error {
+	policy, layout := g.policyAndLayout()
+	team, listed := policy.Team(r.Submission.Team)
+	if r.Key != 0 || !listed || slices.Contains(layout.ShardsOfTeam(team), r.Shard) {
+		return nil
+	}
+	return cakind.New(cakind.KindNotStarted, "team %s has no jobs in shard %d", team.Name, r.Shard).WithRetryAfter(noLeaderRetryAfter)
+}
+
 func (g *Gate) handlePhase(_ context.Context, r jobRequest) (phaseReply, error) {
 	l, err := g.requireLeader(r.Shard)
 	if err != nil {
--- a/internal/cell/cagate/tenants_test.go
+++ b/internal/cell/cagate/tenants_test.go
@@ -372,3 +372,26 @@
 		}
 	}
 }
+
+// TestEarlierBuildCannotStartJobInOtherShard guards against an entry of the build before that sends a renamed team, which it
+// knows by name alone, to another shard than the entries of this build. Its other teams are served.
+func TestEarlierBuildCannotStartJobInOtherShard(t *testing.T) {
+	runInTenantCell(t, twoShards(), func(c *tenantCell) {
+		other := otherName()
+		c.publishTeams(team(other, "k-north"), team("south", "k-south"))
+		time.Sleep(time.Second)
+		for name, want := range map[cawork.TeamName]cakind.Kind{other: cakind.KindNotStarted, "south": cakind.Of(nil)} {
+			s := caspec.Submission{ID: jobID(c.nextJob()), Queue: "queue", Team: name, Steps: []caspec.Step{testStep()}}
+			const shard = 1
+			for _, gate := range c.gates() {
+				if leader, _, _ := gate.links[shard].target(); leader == nil {
+					continue
+				}
+				_, err := gate.handleSubmit(context.Background(), submitRequest{Submission: s, Wait: time.Second, Shard: shard})
+				if diff := cmp.Diff(want, cakind.Of(err)); diff != "" {
+					t.Errorf("team %s, kind of error %v (-want +got):\n%s", name, err, diff)
+				}
+			}
+		}
+	})
+}
--- a/internal/cell/calayout/keys_test.go
+++ b/internal/cell/calayout/keys_test.go
@@ -104,3 +104,13 @@
 		t.Errorf("layout as this build reads it afterwards, error %v (-want +got):\n%s", err, diff)
 	}
 }
+
+// TestLimitOfMergedTeamIsDivided guards against a team that may run its whole upper limit in each shard that its keys have.
+func TestLimitOfMergedTeamIsDivided(t *testing.T) {
+	l, _ := Even(3, []cawork.TeamName{"a", "b"}).WithPolicy(policyOf(map[string]string{"a": "ka", "b": "kb"}), 1)
+	merged := caspec.Team{Name: "c", Keys: []string{"ka", "kb"}, Limit: cawork.Resources{CPU: 1000}}
+	p := l.ShardPolicy(caspec.Policy{Version: 2, Teams: []caspec.Team{merged}}.WithIndex())
+	if diff := cmp.Diff(cawork.MilliCPU(500), p.Teams[0].Limit.CPU); diff != "" {
+		t.Errorf("limit in each of two shards (-want +got):\n%s", diff)
+	}
+}
