--- a/internal/cell/caboard/approvalwait.go
+++ b/internal/cell/caboard/approvalwait.go
@@ -102,16 +102,16 @@
 func (b *Planner) approvalBacklogBefore(q caspec.Queue, excess bool) approvalBacklog {
 	backlog := approvalBacklog{plan: b.plans, steps: len(b.steps)}
 	isLong := b.isLongRequest(q)
-	headroom := b.newHeadroom()
+	headroom := b.accounts.NewHeadroom()
 	for _, s := range b.steps {
 		sq, ok := b.queueOf(s.job)
 		if !ok || !s.ready || s.waitingTasks == 0 || !s.awaitsAdvisor(sq) || b.isLongRequest(sq) && !isLong {
 			continue
 		}
-		if s.lateness == latenessNone && !s.goesBefore(q, excess) || !headroom.fits(s) || b.isStepHeldBack(s) {
+		if s.lateness == latenessNone && !s.goesBefore(q, excess) || !headroom.Fits(s.job.Submission.Team, s.requiredToStart()) || b.isStepHeldBack(s) {
 			continue
 		}
-		headroom.claim(s)
+		headroom.Claim(s.job.Submission.Team, s.requiredToStart())
 		load := &backlog.inOrder
 		if s.lateness != latenessNone {
 			load = &backlog.late
--- a/internal/cell/caboard/planner.go
+++ b/internal/cell/caboard/planner.go
@@ -62,11 +62,9 @@
 	slots       map[cawork.UpstreamID]int
 	bySlot      []*upstream
 	unusedSlots []int
-	teams       map[cawork.TeamName]*cateam.Usage
-	// successors are the listed teams that continue teams which are no longer listed.
-	successors map[cawork.TeamName]cawork.TeamName
-	queues     map[caspec.QueueName]*queueStats
-	partitions map[caspec.PoolName]*cagang.Partition
+	accounts    *cateam.Accounts
+	queues      map[caspec.QueueName]*queueStats
+	partitions  map[caspec.PoolName]*cagang.Partition
 	// poolSizes are the numbers of listed upstreams of the pools.
 	poolSizes  map[caspec.PoolName]int
 	knownRooms caroom.Known
@@ -271,12 +269,12 @@
 // New returns an empty Planner. Leases that an earlier leader granted expire at
 // inheritedUntil at the latest.
 func New(log zerolog.Logger, seed int64, now ClockReading, inheritedUntil time.Time) *Planner {
+	terms := caterms.New()
 	return &Planner{
-		log: log, random: rand.New(rand.NewSource(seed)), now: now, terms: caterms.New(),
+		log: log, random: rand.New(rand.NewSource(seed)), now: now, terms: terms, accounts: cateam.NewAccounts(terms.LimitOf),
 		jobs:                make(map[cawork.JobID]*job),
 		upstreams:           make(map[cawork.UpstreamID]*upstream),
 		slots:               make(map[cawork.UpstreamID]int),
-		teams:               make(map[cawork.TeamName]*cateam.Usage),
 		queues:              make(map[caspec.QueueName]*queueStats),
 		partitions:          make(map[caspec.PoolName]*cagang.Partition),
 		knownRooms:          make(caroom.Known),
--- a/internal/cell/caboard/requestorder.go
+++ b/internal/cell/caboard/requestorder.go
@@ -8,6 +8,7 @@
 	"celeryarch.example/celeryarch/internal/cell/caobjective"
 	"celeryarch.example/celeryarch/internal/cell/caorder"
 	"celeryarch.example/celeryarch/internal/cell/caspec"
+	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
 // longestWaitShare is the fraction of the advisor's time that is for the late steps that have waited for it
@@ -39,7 +40,7 @@
 func (b *Planner) approvalRequests() []caorder.ApprovalRequest {
 	requests := b.requestsOfLongestWaits()
 	b.requestsHeldBack = false
-	headroom := b.newHeadroom()
+	headroom := b.accounts.NewHeadroom()
 	for _, s := range b.requestOrder() {
 		q, ok := b.queueOf(s.job)
 		if !ok || !b.mayRequestApproval(s, q) {
@@ -50,10 +51,10 @@
 			break
 		}
 		if s.approvals.requestPending {
-			headroom.claim(s)
+			headroom.Claim(s.job.Submission.Team, s.requiredToStart())
 			continue
 		}
-		if !headroom.admits(s) {
+		if !headroom.Admits(s.job.Submission.Team, s.requiredToStart()) {
 			continue
 		}
 		if s.lateness == latenessUseless && b.pendingRequests >= b.uselessRequestLimit() {
@@ -65,7 +66,7 @@
 		}
 		if request, ok := b.nextApprovalRequest(s, q); ok {
 			requests = append(requests, request)
-			headroom.claim(s)
+			headroom.Claim(s.job.Submission.Team, s.requiredToStart())
 			b.requestCredit.earn(request)
 			b.noteRequest(s)
 		}
@@ -126,18 +127,18 @@
 		return nil
 	}
 	var requests []caorder.ApprovalRequest
-	headroom := b.newHeadroom()
+	headroom := b.accounts.NewHeadroom()
 	for _, s := range b.byRequestWait(headroom) {
 		q, _ := b.queueOf(s.job)
 		if b.pendingRequests >= b.requestLimits.Total {
 			break
 		}
-		if *b.requestCredit.of(b.isLongRequest(q)) <= 0 || !headroom.admits(s) {
+		if *b.requestCredit.of(b.isLongRequest(q)) <= 0 || !headroom.Admits(s.job.Submission.Team, s.requiredToStart()) {
 			continue
 		}
 		if request, ok := b.nextApprovalRequest(s, q); ok {
 			requests = append(requests, request)
-			headroom.claim(s)
+			headroom.Claim(s.job.Submission.Team, s.requiredToStart())
 			b.requestCredit.spend(request)
 		}
 	}
@@ -146,14 +147,14 @@
 
 // byRequestWait returns the ready steps without a request in flight that are late, or never are, those first
 // that have waited for one the longest. The headroom is claimed for those with one.
-func (b *Planner) byRequestWait(headroom headroom) []*step {
+func (b *Planner) byRequestWait(headroom cateam.Headroom) []*step {
 	var waiting []*step
 	for _, s := range b.steps {
 		q, ok := b.queueOf(s.job)
 		switch {
 		case !ok || !b.mayRequestApproval(s, q):
 		case s.approvals.requestPending:
-			headroom.claim(s)
+			headroom.Claim(s.job.Submission.Team, s.requiredToStart())
 		case s.ready && (s.lateness != latenessNone || !s.mayBeLate()):
 			waiting = append(waiting, s)
 		}
--- a/internal/cell/caboard/standstill_test.go
+++ b/internal/cell/caboard/standstill_test.go
@@ -653,9 +653,9 @@
 			left = append(left, fmt.Sprintf("upstream %s: used %v wide %v long %v reserved %v", u.info.ID, u.used, u.usedWide, u.usedLong, u.reservedRoom))
 		}
 	}
-	for name, t := range p.teams {
-		if t.Used() != (cawork.Resources{}) {
-			left = append(left, fmt.Sprintf("team %s: used %v", name, t.Used()))
+	for name, used := range p.accounts.Used() {
+		if used != (cawork.Resources{}) {
+			left = append(left, fmt.Sprintf("team %s: used %v", name, used))
 		}
 	}
 	if p.pendingRequests != b.asked || p.pendingLongRequests > b.asked {
--- a/internal/cell/caboard/team.go
+++ b/internal/cell/caboard/team.go
@@ -1,52 +1,51 @@
 package caboard
 
 import (
-	"cmp"
-	"maps"
+	"iter"
 
 	"celeryarch.example/celeryarch/internal/base/cawork"
 	"celeryarch.example/celeryarch/internal/cell/cagauge"
 	"celeryarch.example/celeryarch/internal/cell/cateam"
 )
 
-// accountOf returns the team on whose account a team runs: its successor if a version has given its keys another
-// name, and the team itself otherwise.
-func (b *Planner) accountOf(name cawork.TeamName) cawork.TeamName {
-	return cmp.Or(b.successors[name], name)
-}
-
 // SetSuccessors sets which listed teams continue teams that are no longer listed. What these have running counts for
 // their successors from then on.
 func (b *Planner) SetSuccessors(successors map[cawork.TeamName]cawork.TeamName) {
-	if maps.Equal(b.successors, successors) {
-		return
-	}
-	before := b.successors
-	for _, u := range b.upstreams {
-		for _, r := range u.runs {
-			from, to := cmp.Or(before[r.team], r.team), cmp.Or(successors[r.team], r.team)
-			if from != to {
-				b.usageOf(from).Release(r.size)
-				b.usageOf(to).Acquire(r.size)
+	b.accounts.SetSuccessors(successors, b.chargedRuns())
+}
+
+// chargedRuns returns what counts for the accounts of teams.
+func (b *Planner) chargedRuns() iter.Seq[cateam.Run] {
+	return func(yield func(cateam.Run) bool) {
+		for _, u := range b.upstreams {
+			for _, r := range u.runs {
+				if !yield(cateam.Run{Team: r.team, Size: r.size}) {
+					return
+				}
 			}
 		}
 	}
-	b.successors = successors
 }
 
-// teamOf returns what a team, and those that it continues, have running. The limit is that of the newest version of the
-// policy that lists the team. A team that none lists has no limit.
-func (b *Planner) teamOf(name cawork.TeamName) *cateam.Usage { return b.usageOf(b.accountOf(name)) }
+// teamOf returns what a team, and those that it continues, have running.
+func (b *Planner) teamOf(name cawork.TeamName) *cateam.Usage { return b.accounts.Of(name) }
+
+// withinLimit reports whether the team's upper limit permits it to have more running by
+// the given amount.
+func (b *Planner) withinLimit(name cawork.TeamName, more cawork.Resources) bool {
+	return b.teamOf(name).MayRun(more)
+}
 
-// usageOf returns the usage of an account.
-func (b *Planner) usageOf(name cawork.TeamName) *cateam.Usage {
-	t, ok := b.teams[name]
-	if !ok {
-		t = &cateam.Usage{}
-		b.applyLimitTo(name, t)
-		b.teams[name] = t
+// requiredToStart returns what must fit below the limit of its team for a step to start: one task, or the
+// whole gang, or nothing for tasks that only move.
+func (s *step) requiredToStart() cawork.Resources {
+	if s.waitingTasks == 0 {
+		return cawork.Resources{}
+	}
+	if s.spec.Gang {
+		return s.spec.Size().Times(int64(s.waitingTasks))
 	}
-	return t
+	return s.spec.Size()
 }
 
 // TeamUse returns the open work of the teams that have any. What a team has running counts for its account.
@@ -59,24 +58,12 @@
 			use[name] = u
 		}
 	}
-	for name, t := range b.teams {
-		if cpu := t.Used().CPU; cpu > 0 && name != "" {
+	for name, used := range b.accounts.Used() {
+		if used.CPU > 0 && name != "" {
 			u := use[name]
-			u.CPU = cpu
+			u.CPU = used.CPU
 			use[name] = u
 		}
 	}
 	return use
 }
-
-// applyLimitTo looks up the upper limit of a team.
-func (b *Planner) applyLimitTo(name cawork.TeamName, t *cateam.Usage) {
-	team, _ := b.terms.Team(name)
-	t.SetLimit(team.Limit)
-}
-
-// withinLimit reports whether the team's upper limit permits it to have more running by
-// the given amount.
-func (b *Planner) withinLimit(name cawork.TeamName, more cawork.Resources) bool {
-	return b.teamOf(name).MayRun(more)
-}
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -44,9 +44,7 @@
 	for _, j := range b.jobs {
 		b.applyTermsTo(j)
 	}
-	for name, t := range b.teams {
-		b.applyLimitTo(name, t)
-	}
+	b.accounts.ApplyLimits()
 }
 
 // queueOf returns the queue of a job by the newest version of the policy that lists it.
@@ -159,7 +157,7 @@
 	}
 	for _, name := range teams {
 		if open := byTeam[name]; open > 0 {
-			caevent.Info(b.log, caevent.TeamRemoved).Str("team", string(name)).Str("successor", string(b.successors[name])).Int("jobs", open).
+			caevent.Info(b.log, caevent.TeamRemoved).Str("team", string(name)).Str("successor", string(b.accounts.SuccessorOf(name))).Int("jobs", open).
 				Int64("policy", b.policy.Version).Int64("listed_by", b.terms.TeamVersion(name)).Send()
 		}
 	}
--- a/internal/cell/caterms/terms.go
+++ b/internal/cell/caterms/terms.go
@@ -62,6 +62,12 @@
 	return *team, true
 }
 
+// LimitOf returns the upper limit of a team. A team that no known version lists has none.
+func (t *Terms) LimitOf(name cawork.TeamName) cawork.Resources {
+	team, _ := t.Team(name)
+	return team.Limit
+}
+
 // Need makes the definitions of a queue and a team be stored with the next changes, for a job of theirs.
 func (t *Terms) Need(queue caspec.QueueName, team cawork.TeamName) {
 	t.queues.need(queue)
