Move the comparison of crashes at the same time from caboard to cacrash

cacrash decides whether the crash of an upstream has a common cause with others; caboard tells it the crashes and the upstreams as the leader knows them. No behavior changes.

--- a/internal/cell/caboard/crashes.go
+++ b/internal/cell/caboard/crashes.go
@@ -44,7 +44,7 @@
 	// openSince is when the last crash or copied run of an upstream was recorded that is not resolved.
 	openSince map[cawork.UpstreamID]time.Time
 	// events are the crashes of the last seconds.
-	events []*crashEvent
+	events []crashEvent
 	// probationUpstreams are the upstreams with a run on probation.
 	probationUpstreams []*upstream
 }
--- a/internal/cell/caboard/probation_test.go
+++ b/internal/cell/caboard/probation_test.go
@@ -407,7 +407,7 @@
 		t.Fatalf("first starts (-want +got):\n%s", diff)
 	}
 	for i := range cell.upstreams {
-		cell.upstreams[i].Incarnation += int64(i+1) * 2 * commonRestartWindow.Milliseconds()
+		cell.upstreams[i].Incarnation += int64(i+1) * 2 * cacrash.CommonRestartWindow.Milliseconds()
 	}
 	next := cell.lead(false)
 	next.planner.updateProbation()
