A layout without teams does not stop the leader of the first shard

A layout that was decided while no version listed a team is read back without a map of teams. Once a team that came later was renamed, the leader of the first shard wrote to that map and failed, as would each of its successors. Found by reading the change; TestShardsOfKeyNeverChange, which now encodes and decodes each edition and begins without teams too, failed before (panic).

--- a/internal/cell/calayout/keys.go
+++ b/internal/cell/calayout/keys.go
@@ -155,7 +155,9 @@
 // the shards of its team.
 func (l Layout) WithPolicy(p caspec.Policy, nowMS int64) (Layout, bool) {
 	next := l
-	next.Keys, next.Teams = make(map[caspec.KeyID]Tenure, len(l.Keys)), maps.Clone(l.Teams)
+	// A record without teams or keys is decoded to nil maps.
+	next.Keys, next.Teams = make(map[caspec.KeyID]Tenure, len(l.Keys)), make(map[cawork.TeamName][]int, len(l.Teams))
+	maps.Copy(next.Teams, l.Teams)
 	for _, t := range p.Teams {
 		l.listKeys(next.Keys, p, t)
 	}
--- a/internal/cell/calayout/keys_test.go
+++ b/internal/cell/calayout/keys_test.go
@@ -23,10 +23,10 @@
 }
 
 // TestShardsOfKeyNeverChange guards against a request that arrives again and goes to another shard than before, whatever
-// versions do to names and keys.
+// versions do to names and keys, and against a leader that fails on what it has stored.
 func TestShardsOfKeyNeverChange(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := Compute(350, 8, 1, teams(60, 5, 4, 3))
+		l := rapid.SampledFrom([]Layout{Even(3, nil), Compute(350, 8, 1, teams(60, 5, 4, 3))}).Draw(t, "layout")
 		shards := make(map[caspec.KeyID][]int)
 		for now := range int64(30) {
 			p := caspec.Policy{}
@@ -34,7 +34,14 @@
 				name := rapid.SampledFrom([]string{"team-00", "team-01", "team-02", "x", "y"}).Draw(t, "name")
 				p.Teams = append(p.Teams, caspec.Team{Name: cawork.TeamName(name), Keys: []string{key}})
 			}
-			l, _ = l.WithPolicy(p.WithIndex(), now)
+			next, _ := l.WithPolicy(p.WithIndex(), now)
+			record, err := next.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if l, err = Decode(record); err != nil {
+				t.Fatal(err)
+			}
 			for id, tenure := range l.Keys {
 				if before, ok := shards[id]; ok && !cmp.Equal(before, tenure.Shards) {
 					t.Fatalf("shards of key %v: %v, before %v", id, tenure.Shards, before)
