--- a/internal/cell/caboard/removedqueues_test.go
+++ b/internal/cell/caboard/removedqueues_test.go
@@ -356,6 +356,11 @@
 	if diff := cmp.Diff(cakind.KindConflict, cakind.Of(err)); diff != "" {
 		t.Errorf("submission with the id of a job of another listed queue (-want +got):\n%s", diff)
 	}
+	later := repeated
+	later.Queue = "of a later version"
+	if stored, err := s.planner.Submit(later); !stored || err != nil {
+		t.Errorf("repeated submission through a queue that this leader does not know yet: stored %v, error %v, want that the job is stored", stored, err)
+	}
 	s.publish(2, []caspec.Queue{next}, caspec.Team{Name: "north", Weight: 1000}, caspec.Team{Name: "south", Weight: 1000})
 	if stored, err := s.planner.Submit(repeated); !stored || err != nil {
 		t.Errorf("repeated submission: stored %v, error %v, want that the job is stored", stored, err)
--- a/internal/cell/caboard/terms.go
+++ b/internal/cell/caboard/terms.go
@@ -116,13 +116,13 @@
 
 // isRepeated reports whether a submission repeats that of the job: it comes with the same key, or from the same team, maybe
 // under a later name. Of a queue that is no longer listed, it may come through another queue, such as one that has taken
-// its place.
+// its place. An entry with a later version may know that queue before this leader does.
 func (b *Planner) isRepeated(j *job, s caspec.Submission) bool {
 	hasSameKey := s.Key != 0 && s.Key == j.key
 	if !hasSameKey && !s.IsOf(j.Submission.Team) {
 		return false
 	}
-	return j.Submission.Queue == s.Queue || !b.terms.IsListed(j.Submission.Queue)
+	return j.Submission.Queue == s.Queue || !b.terms.IsListed(j.Submission.Queue) || !b.terms.IsListed(s.Queue)
 }
 
 // OpenJobs counts the jobs that have not ended, by queue.
