--- a/internal/coord/cashard/faults_test.go
+++ b/internal/coord/cashard/faults_test.go
@@ -111,7 +111,7 @@
 	w.obsMu.Lock()
 	defer w.obsMu.Unlock()
 	shards := 0
-	for _, n := range w.nodes {
+	for _, n := range w.allNodes() {
 		if n.mints() {
 			shards++
 		}
